Start: protocol, public headers, runtime library

Cause: an empty repository; the parts can only be written side by side once messages and interfaces are agreed.

Ruled out: a JSON protocol between our own processes (the house style asks for XDR), GKeyFile for settings (no line numbers, silent duplicates).

Conclusion: interfaces stand; nothing is served yet.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,47 @@
+# quinceroute: every target sets up what it needs. Build files live in build/.
+BUILD ?= build
+SANITIZE_BUILD ?= build-sanitize
+PYTHONDONTWRITEBYTECODE = 1
+
+.PHONY: all setup build check check-sanitize demo bench experiment scale soak format lint clean
+
+all: build
+
+setup:
+	@scripts/setup.sh
+
+build: setup
+	@scripts/build.sh $(BUILD)
+
+check: build
+	@scripts/check.sh $(BUILD)
+
+check-sanitize: setup
+	@scripts/build.sh $(SANITIZE_BUILD) -Db_sanitize=address,undefined -Db_lundef=false
+	@scripts/check.sh $(SANITIZE_BUILD)
+
+demo: build
+	@scripts/demo.sh $(BUILD)
+
+bench: build
+	@$(BUILD)/rehearsal/quinceroute-rehearsal bench
+
+experiment: build
+	@$(BUILD)/rehearsal/quinceroute-rehearsal experiment --out out/experiment
+	@scripts/plot.sh out/experiment
+
+scale: build
+	@$(BUILD)/rehearsal/quinceroute-rehearsal scale
+
+# Longer seeded runs of the core: make soak SEED=7 STEPS=20000000
+soak: build
+	@SOAK_SEED=$(or $(SEED),1) SOAK_STEPS=$(or $(STEPS),20000000) $(BUILD)/tests/test-unit-simulation
+
+format:
+	@scripts/sources.sh | xargs clang-format -i
+
+lint:
+	@scripts/lint.sh $(BUILD)
+
+clean:
+	rm -rf $(BUILD) $(SANITIZE_BUILD) out
--- /dev/null
+++ b/include/quince/link.h
@@ -0,0 +1,115 @@
+/*
+ * link.h: framed XDR messages over TCP, and gossip datagrams over UDP.
+ *
+ * A link belongs to the thread-default context that created it; all calls
+ * and callbacks happen there.  A frame that is too large or does not decode
+ * closes the link with a typed error, never the process.
+ */
+#pragma once
+
+#include <gio/gio.h>
+
+#include <quince/codec.h>
+
+G_BEGIN_DECLS
+
+#define QUINCE_LINK_ERROR (quince_link_error_quark ())
+GQuark quince_link_error_quark (void);
+
+typedef enum
+{
+  QUINCE_LINK_ERROR_CLOSED,    /* the peer closed                          */
+  QUINCE_LINK_ERROR_TOO_LARGE, /* frame above QUINCE_MAX_FRAME             */
+  QUINCE_LINK_ERROR_MALFORMED, /* frame that does not decode               */
+  QUINCE_LINK_ERROR_ADDRESS,   /* not a numeric ip:port                    */
+  QUINCE_LINK_ERROR_SLOW,      /* peer reads too slowly, output limit hit  */
+} QuinceLinkError;
+
+typedef struct _QuinceLink QuinceLink;
+
+/**
+ * QuinceLinkCallbacks:
+ * @message: (transfer full): a message arrived
+ * @closed: the link is down for good, called once; @error tells why.  Not
+ *   called after quince_link_close()
+ * @connected: (nullable): an outgoing link is up
+ */
+typedef struct
+{
+  void (*connected) (QuinceLink *link, gpointer user_data);
+  void (*message) (QuinceLink *link, QuinceMessage *message, gpointer user_data);
+  void (*closed) (QuinceLink *link, const GError *error, gpointer user_data);
+} QuinceLinkCallbacks;
+
+/**
+ * quince_link_connect:
+ * @address: numeric ip:port
+ * @callbacks: must outlive the link
+ *
+ * Starts to connect; messages sent before the link is up are queued.  A
+ * failure to connect is reported through closed().
+ *
+ * Returns: (transfer full): the link
+ */
+QuinceLink *quince_link_connect (const char *address, const QuinceLinkCallbacks *callbacks, gpointer user_data);
+
+/* Encodes and queues @message; the caller keeps it.  Sending on a closed link does nothing. */
+void quince_link_send (QuinceLink *link, const QuinceMessage *message);
+/* Queues a frame already encoded with quince_message_encode(). */
+void quince_link_send_bytes (QuinceLink *link, GBytes *encoded);
+
+/* Closes without further callbacks. */
+void quince_link_close (QuinceLink *link);
+gboolean quince_link_is_open (QuinceLink *link);
+gboolean quince_link_is_connected (QuinceLink *link);
+const char *quince_link_get_peer (QuinceLink *link);
+/* Counters for metrics, bytes on the wire. */
+guint64 quince_link_get_bytes_sent (QuinceLink *link);
+guint64 quince_link_get_bytes_received (QuinceLink *link);
+/* A pointer for the owner, for example the session of this peer. */
+void quince_link_set_data (QuinceLink *link, gpointer data);
+gpointer quince_link_get_data (QuinceLink *link);
+QuinceLink *quince_link_ref (QuinceLink *link);
+void quince_link_unref (QuinceLink *link);
+G_DEFINE_AUTOPTR_CLEANUP_FUNC (QuinceLink, quince_link_unref)
+
+typedef struct _QuinceLinkServer QuinceLinkServer;
+
+/**
+ * quince_link_server_new:
+ * @address: numeric ip:port to listen on; port 0 lets the kernel choose
+ * @accepted: (transfer full): called with each new link
+ */
+QuinceLinkServer *quince_link_server_new (const char *address,
+                                          const QuinceLinkCallbacks *callbacks,
+                                          void (*accepted) (QuinceLink *link, gpointer user_data),
+                                          gpointer user_data,
+                                          GError **error);
+/* The address really listened on, ip:port. */
+const char *quince_link_server_get_address (QuinceLinkServer *server);
+void quince_link_server_free (QuinceLinkServer *server);
+G_DEFINE_AUTOPTR_CLEANUP_FUNC (QuinceLinkServer, quince_link_server_free)
+
+typedef struct _QuinceDatagrams QuinceDatagrams;
+
+/* One UDP socket; datagrams that do not decode are counted and dropped. */
+QuinceDatagrams *quince_datagrams_new (const char *address,
+                                       void (*received) (QuinceGossip *gossip /* transfer full */,
+                                                         const char *from,
+                                                         gpointer user_data),
+                                       gpointer user_data,
+                                       GError **error);
+void quince_datagrams_send (QuinceDatagrams *datagrams, const char *to, const QuinceGossip *gossip);
+const char *quince_datagrams_get_address (QuinceDatagrams *datagrams);
+guint64 quince_datagrams_get_bytes_sent (QuinceDatagrams *datagrams);
+guint64 quince_datagrams_get_bytes_received (QuinceDatagrams *datagrams);
+guint64 quince_datagrams_get_malformed (QuinceDatagrams *datagrams);
+void quince_datagrams_free (QuinceDatagrams *datagrams);
+G_DEFINE_AUTOPTR_CLEANUP_FUNC (QuinceDatagrams, quince_datagrams_free)
+
+/* Parses numeric "ip:port", "[ipv6]:port". (transfer full) */
+GSocketAddress *quince_address_parse (const char *text, GError **error);
+/* (transfer full): "ip:port" of @address */
+char *quince_address_format (GSocketAddress *address);
+
+G_END_DECLS
--- /dev/null
+++ b/include/quince/membership.h
@@ -0,0 +1,70 @@
+/*
+ * membership.h: who is alive in a deployment (pure).
+ *
+ * SWIM (Das, Gupta and Motivala, 2002) with suspicion and incarnations, and
+ * digests carried on the same datagrams.  Inside a zone every node probes;
+ * between zones only each zone's representative does, the live member with
+ * the greatest rendezvous score for the zone's name: soft state, recomputed.
+ */
+#pragma once
+
+#include <quince/codec.h>
+
+G_BEGIN_DECLS
+
+typedef struct
+{
+  gint64 probe_interval_us; /* default 500 ms                               */
+  gint64 probe_timeout_us;  /* default 200 ms, then indirect                */
+  gint64 suspect_us;        /* default 2 s                                  */
+  gint64 forget_us;         /* dead members are forgotten after, default 60 s */
+  guint indirect_probes;    /* default 2                                    */
+  guint bytes_per_second;   /* budget for what is sent, default 8000        */
+} QuinceMembershipLimits;
+
+extern const QuinceMembershipLimits quince_membership_default_limits;
+
+typedef struct
+{
+  char *address;            /* gossip address                               */
+  QuinceGossip *gossip;
+} QuinceMembershipSend;
+
+typedef struct _QuinceMembership QuinceMembership;
+
+QuinceMembership *quince_membership_new (const QuinceMembershipLimits *limits,
+                                         const QuinceMember *self,
+                                         const char *const *seeds, /* gossip addresses */
+                                         guint64 seed,
+                                         gint64 now_us);
+void quince_membership_free (QuinceMembership *membership);
+G_DEFINE_AUTOPTR_CLEANUP_FUNC (QuinceMembership, quince_membership_free)
+
+GPtrArray *quince_membership_sends_new (void); /* of QuinceMembershipSend */
+
+void quince_membership_receive (QuinceMembership *membership,
+                                gint64 now_us,
+                                const char *from_address,
+                                const QuinceGossip *gossip,
+                                GPtrArray *sends);
+void quince_membership_tick (QuinceMembership *membership, gint64 now_us, GPtrArray *sends);
+gint64 quince_membership_next_wakeup (const QuinceMembership *membership);
+/* Planned stop: tells the others at once. */
+void quince_membership_leave (QuinceMembership *membership, gint64 now_us, GPtrArray *sends);
+
+/* This node's own digest, spread with the next datagrams. */
+void quince_membership_set_digest (QuinceMembership *membership, const QuinceNodeDigest *digest);
+/* Replica id of this node once its ledger is open. */
+void quince_membership_set_replica_id (QuinceMembership *membership, guint64 replica_id);
+
+/* Newest digest of each other member; %NULL when none. (transfer none) */
+const QuinceNodeDigest *quince_membership_get_digest (const QuinceMembership *membership, const char *node);
+
+/* Members, self included, dead ones too. Array of const QuinceMember*, valid
+ * until the next call that changes the state. (transfer container) */
+GPtrArray *quince_membership_get_members (const QuinceMembership *membership);
+/* Grows with every change of who is alive. */
+guint64 quince_membership_get_change_count (const QuinceMembership *membership);
+guint64 quince_membership_get_incarnation (const QuinceMembership *membership);
+
+G_END_DECLS
--- /dev/null
+++ b/include/quince/program.h
@@ -0,0 +1,49 @@
+/*
+ * program.h: what every daemon's main has in common.
+ *
+ * Flags (argp): --config FILE, --set SECTION.KEY=VALUE (repeatable),
+ * --check (validate the settings and exit), --help-settings, --log-level.
+ * Exit statuses: 0 done, 1 failed while running, 2 bad flags or settings.
+ */
+#pragma once
+
+#include <gio/gio.h>
+
+#include <quince/settings.h>
+
+G_BEGIN_DECLS
+
+#define QUINCE_EXIT_OK 0
+#define QUINCE_EXIT_FAILURE 1
+#define QUINCE_EXIT_USAGE 2
+
+/**
+ * QuinceProgram:
+ * @name: for example "quinceroute-node"
+ * @doc: what --help says of it
+ * @name_section: section whose "name" key names this process, for logs
+ * @start: begins to serve; prints nothing. On %FALSE the program exits with 1
+ * @ready_line: (transfer full): what to print after "ready " once started
+ * @stop: planned stop (SIGTERM, SIGINT): begin to drain, call
+ *   quince_program_quit() when done
+ * @free: releases what start made
+ */
+typedef struct
+{
+  const char *name;
+  const char *doc;
+  const QuinceSettingSpec *specs;
+  gsize n_specs;
+  const char *name_section;
+  gpointer (*start) (const QuinceSettings *settings, GError **error);
+  char *(*ready_line) (gpointer self);
+  void (*stop) (gpointer self);
+  void (*free) (gpointer self);
+} QuinceProgram;
+
+/* Parses flags, checks settings, runs the main loop. Returns the exit status. */
+int quince_program_run (const QuinceProgram *program, int argc, char **argv);
+/* Ends the main loop; main thread only. */
+void quince_program_quit (int status);
+
+G_END_DECLS
--- /dev/null
+++ b/lib/protocol/codec.c
@@ -0,0 +1,115 @@
+/*
+ * codec.c: XDR encoding of the internal protocol (RFC 4506).
+ */
+#include <quince/codec.h>
+
+#include <string.h>
+
+G_DEFINE_QUARK (quince - codec - error - quark, quince_codec_error)
+
+GBytes *
+quince_xdr_encode (xdrproc_t proc, gconstpointer value, GError **error)
+{
+  /* XDR functions take the value without const; encoding does not write it. */
+  gulong size = xdr_sizeof (proc, (gpointer)value);
+  if (size == 0 || size > QUINCE_MAX_FRAME)
+    {
+      g_set_error_literal (error, QUINCE_CODEC_ERROR, QUINCE_CODEC_ERROR_ENCODE,
+                           "value does not fit its type");
+      return NULL;
+    }
+  char *buffer = g_malloc (size);
+  XDR xdrs;
+  xdrmem_create (&xdrs, buffer, (u_int)size, XDR_ENCODE);
+  gboolean done = proc (&xdrs, (gpointer)value);
+  u_int length = xdr_getpos (&xdrs);
+  xdr_destroy (&xdrs);
+  if (!done)
+    {
+      g_free (buffer);
+      g_set_error_literal (error, QUINCE_CODEC_ERROR, QUINCE_CODEC_ERROR_ENCODE,
+                           "value does not fit its type");
+      return NULL;
+    }
+  return g_bytes_new_take (buffer, length);
+}
+
+gpointer
+quince_xdr_decode (xdrproc_t proc, gsize size, gconstpointer data, gsize length, GError **error)
+{
+  if (length > QUINCE_MAX_FRAME)
+    {
+      g_set_error (error, QUINCE_CODEC_ERROR, QUINCE_CODEC_ERROR_DECODE,
+                   "%" G_GSIZE_FORMAT " bytes are too many", length);
+      return NULL;
+    }
+  gpointer value = g_malloc0 (size);
+  XDR xdrs;
+  xdrmem_create (&xdrs, (char *)data, (u_int)length, XDR_DECODE);
+  gboolean done = proc (&xdrs, value);
+  gsize used = xdr_getpos (&xdrs);
+  xdr_destroy (&xdrs);
+  if (done && used == length)
+    return value;
+
+  quince_xdr_free (proc, value);
+  if (done)
+    g_set_error (error, QUINCE_CODEC_ERROR, QUINCE_CODEC_ERROR_TRAILING,
+                 "%" G_GSIZE_FORMAT " bytes are left over", length - used);
+  else
+    g_set_error_literal (error, QUINCE_CODEC_ERROR, QUINCE_CODEC_ERROR_DECODE, "not a valid encoding");
+  return NULL;
+}
+
+gpointer
+quince_xdr_copy (xdrproc_t proc, gsize size, gconstpointer value)
+{
+  g_autoptr (GBytes) encoded = quince_xdr_encode (proc, value, NULL);
+  if (encoded == NULL)
+    return NULL;
+  gsize length;
+  gconstpointer data = g_bytes_get_data (encoded, &length);
+  return quince_xdr_decode (proc, size, data, length, NULL);
+}
+
+void
+quince_xdr_free (xdrproc_t proc, gpointer value)
+{
+  if (value == NULL)
+    return;
+  xdr_free (proc, value);
+  g_free (value);
+}
+
+#define QUINCE_DEFINE_CODEC(Type, name)                                                                      \
+  GBytes *name##_encode (const Type *value, GError **error)                                                  \
+  {                                                                                                          \
+    return quince_xdr_encode ((xdrproc_t)xdr_##Type, value, error);                                          \
+  }                                                                                                          \
+  Type *name##_decode (gconstpointer data, gsize length, GError **error)                                     \
+  {                                                                                                          \
+    return quince_xdr_decode ((xdrproc_t)xdr_##Type, sizeof (Type), data, length, error);                    \
+  }                                                                                                          \
+  Type *name##_copy (const Type *value)                                                                      \
+  {                                                                                                          \
+    return quince_xdr_copy ((xdrproc_t)xdr_##Type, sizeof (Type), value);                                    \
+  }                                                                                                          \
+  void name##_free (Type *value)                                                                             \
+  {                                                                                                          \
+    quince_xdr_free ((xdrproc_t)xdr_##Type, value);                                                          \
+  }
+
+QUINCE_DEFINE_CODEC (QuinceMessage, quince_message)
+QUINCE_DEFINE_CODEC (QuinceGossip, quince_gossip)
+QUINCE_DEFINE_CODEC (QuinceReplication, quince_replication)
+QUINCE_DEFINE_CODEC (QuinceLedgerRecord, quince_ledger_record)
+QUINCE_DEFINE_CODEC (QuinceLedgerCall, quince_ledger_call)
+QUINCE_DEFINE_CODEC (QuinceLedgerReply, quince_ledger_reply)
+QUINCE_DEFINE_CODEC (QuinceReplicaSet, quince_replica_set)
+QUINCE_DEFINE_CODEC (QuinceEntry, quince_entry)
+QUINCE_DEFINE_CODEC (QuinceGrantRequest, quince_grant_request)
+QUINCE_DEFINE_CODEC (QuinceGrantReply, quince_grant_reply)
+QUINCE_DEFINE_CODEC (QuinceNodeStatus, quince_node_status)
+QUINCE_DEFINE_CODEC (QuincePolicyBody, quince_policy_body)
+QUINCE_DEFINE_CODEC (QuinceCommand, quince_command)
+QUINCE_DEFINE_CODEC (QuinceSampleResult, quince_sample_result)
--- /dev/null
+++ b/lib/protocol/quince_protocol.x
@@ -0,0 +1,510 @@
+/*
+ * quince_protocol.x: messages between quinceroute's own processes.
+ *
+ * Units are in the field names: _ms milliseconds, _us microseconds,
+ * counts otherwise.  Durations are relative, never wall-clock instants, so
+ * that clock skew between machines cannot change their meaning.
+ * Numbers named revision, epoch, incarnation and index only grow; a receiver
+ * refuses a smaller one.
+ *
+ * TCP: each message is one frame, a 4-byte big-endian length and the XDR
+ * encoding of QuinceMessage.  UDP: one datagram, one QuinceGossip.
+ */
+
+const QUINCE_ID_BYTES      = 16;
+const QUINCE_MAX_NAME      = 128;
+const QUINCE_MAX_PREFIX    = 64;
+const QUINCE_MAX_ENGINES   = 1024;
+const QUINCE_MAX_MEMBERS   = 1024;
+const QUINCE_MAX_TEXT      = 4194304;
+const QUINCE_MAX_SAMPLES   = 16384;
+const QUINCE_MAX_ENTRIES   = 4096;
+const QUINCE_MAX_SEGMENTS  = 4096;
+const QUINCE_MAX_POLICY    = 65536;
+const QUINCE_MAX_FRAME     = 67108864;
+const QUINCE_PROTOCOL_VERSION = 1;
+
+typedef opaque QuinceRequestId[QUINCE_ID_BYTES];
+typedef string QuinceName<QUINCE_MAX_NAME>;
+
+/* ---- Kinds of work ------------------------------------------------- */
+
+enum QuinceWorkClass {
+    QUINCE_WORK_LOOKUP  = 0,   /* a caller waits for the answer        */
+    QUINCE_WORK_ROLLOUT = 1    /* a sample for a trainer               */
+};
+
+/* ---- Grants -------------------------------------------------------- */
+
+struct QuinceGrantRequest {
+    QuinceRequestId request_id;
+    unsigned int    attempt;
+    QuinceName      service;          /* which model service               */
+    QuinceName      member;           /* tenant the work is counted to     */
+    QuinceName      kind;             /* kind of Lookup, or "rollout"      */
+    QuinceWorkClass work_class;
+    bool            at_most_once;
+    unsigned int    deadline_ms;      /* time left for the whole answer    */
+    unsigned int    prompt_tokens;
+    unsigned int    expected_tokens;
+    unsigned hyper  prefix<QUINCE_MAX_PREFIX>; /* chained block hashes     */
+    unsigned hyper  min_version;      /* 0: any weight version             */
+    unsigned hyper  policy_revision;  /* highest the asker has seen        */
+    QuinceName      avoid<8>;         /* engines an earlier attempt failed on */
+};
+
+enum QuinceRefusal {
+    QUINCE_REFUSAL_OVERLOADED    = 0, /* cannot finish in time             */
+    QUINCE_REFUSAL_POLICY        = 1, /* the policy program refused        */
+    QUINCE_REFUSAL_NO_ENGINE     = 2, /* no engine serves this             */
+    QUINCE_REFUSAL_NOT_READY     = 3, /* node does not know the policy     */
+    QUINCE_REFUSAL_STOPPING      = 4, /* node leaves: ask another          */
+    QUINCE_REFUSAL_DEADLINE      = 5, /* deadline passed in the queue      */
+    QUINCE_REFUSAL_BAD_REQUEST   = 6
+};
+
+struct QuinceGrant {
+    unsigned hyper grant_id;          /* unique within the node incarnation */
+    QuinceName     engine;
+    QuinceName     engine_address;    /* numeric ip:port                   */
+    int            priority;          /* greater runs first                */
+    unsigned hyper min_version;
+    unsigned int   expires_ms;        /* dispatch must start before this   */
+};
+
+struct QuinceRefused {
+    QuinceRefusal reason;
+    unsigned int  retry_after_ms;
+    string        detail<256>;
+};
+
+enum QuinceVerdictKind { QUINCE_VERDICT_GRANTED = 0, QUINCE_VERDICT_REFUSED = 1 };
+
+union QuinceVerdict switch (QuinceVerdictKind kind) {
+case QUINCE_VERDICT_GRANTED: QuinceGrant   grant;
+case QUINCE_VERDICT_REFUSED: QuinceRefused refused;
+};
+
+struct QuinceGrantReply {
+    QuinceRequestId request_id;
+    unsigned int    attempt;
+    unsigned hyper  policy_revision;  /* revision that decided             */
+    QuinceVerdict   verdict;
+};
+
+enum QuinceOutcome {
+    QUINCE_OUTCOME_FINISHED     = 0,
+    QUINCE_OUTCOME_NOT_SENT     = 1,  /* never dispatched                  */
+    QUINCE_OUTCOME_REFUSED      = 2,  /* engine's explicit refusal         */
+    QUINCE_OUTCOME_BROKEN       = 3,  /* connection failed after dispatch  */
+    QUINCE_OUTCOME_CANCELLED    = 4
+};
+
+struct QuinceGrantEnd {
+    unsigned hyper grant_id;
+    QuinceOutcome  outcome;
+    bool           on_time;
+    unsigned int   tokens;
+    unsigned int   service_ms;
+    unsigned hyper weight_version;    /* as the engine reported; 0 unknown */
+    bool           engine_leaving;    /* engine said so in its answer      */
+};
+
+struct QuinceGrantCancel {
+    QuinceRequestId request_id;
+    unsigned int    attempt;
+};
+
+/* ---- Sessions between processes ----------------------------------- */
+
+enum QuinceRole { QUINCE_ROLE_AGENT = 0, QUINCE_ROLE_NODE = 1, QUINCE_ROLE_TOOL = 2 };
+
+struct QuinceHello {
+    unsigned int   protocol_version;
+    QuinceRole     role;
+    QuinceName     name;
+    QuinceName     zone;
+    unsigned hyper incarnation;
+    unsigned hyper policy_revision;
+};
+
+enum QuinceMemberState {
+    QUINCE_MEMBER_ALIVE   = 0,
+    QUINCE_MEMBER_SUSPECT = 1,
+    QUINCE_MEMBER_LEAVING = 2,
+    QUINCE_MEMBER_DEAD    = 3
+};
+
+struct QuinceMember {
+    QuinceName        name;
+    QuinceName        zone;
+    QuinceName        address;        /* numeric ip:port, TCP              */
+    QuinceName        gossip_address; /* numeric ip:port, UDP              */
+    unsigned hyper    incarnation;
+    QuinceMemberState state;
+    unsigned hyper    replica_id;     /* 0: keeps no ledger                */
+};
+
+/* Pushed by a node to every link peer each second and on change. */
+struct QuinceNodeStatus {
+    QuinceName     name;
+    unsigned hyper incarnation;
+    bool           ready;
+    bool           stopping;
+    unsigned hyper policy_revision;
+    QuinceName     ledger_leader;     /* address, "" unknown               */
+    unsigned hyper ledger_epoch;
+    unsigned hyper weight_version;    /* newest active target, 0 unknown   */
+    QuinceMember   members<QUINCE_MAX_MEMBERS>;
+};
+
+/* ---- Samples ------------------------------------------------------- */
+
+struct QuinceSegment {
+    QuinceName     engine;
+    unsigned hyper weight_version;    /* reported with the tokens          */
+    unsigned int   first_token;
+    unsigned int   token_count;
+};
+
+struct QuinceSampleSpec {
+    QuinceName   sample_id;           /* unique for its trainer            */
+    string       prompt<QUINCE_MAX_TEXT>;
+    unsigned int max_tokens;
+    unsigned int expected_tokens;     /* 0 unknown                         */
+};
+
+struct QuinceSampleResult {
+    QuinceName    sample_id;
+    string        text<QUINCE_MAX_TEXT>;
+    unsigned int  token_count;
+    double        reward;
+    bool          scored;
+    QuinceSegment segments<QUINCE_MAX_SEGMENTS>;
+};
+
+/* ---- Ledger commands (replicated) and calls ------------------------ */
+
+struct QuinceSubmitRollout {
+    QuinceName       trainer;
+    QuinceName       rollout_id;      /* repeat is harmless                */
+    QuinceName       service;
+    QuinceName       member;
+    unsigned hyper   step;
+    unsigned int     staleness_bound; /* versions                          */
+    QuinceSampleSpec samples<QUINCE_MAX_SAMPLES>;
+};
+
+struct QuinceCompleteSample {
+    QuinceName         trainer;
+    unsigned hyper     step;
+    unsigned int       generation;    /* of the sample; old one is dropped */
+    QuinceSampleResult result;
+};
+
+struct QuincePullStep {
+    QuinceName     trainer;
+    unsigned hyper step;
+    unsigned hyper trainer_version;   /* weight version the trainer holds  */
+};
+
+struct QuinceReleaseStep {
+    QuinceName     trainer;
+    unsigned hyper step;              /* received whole                    */
+};
+
+/* At most once: the first holder of an id may run it, no one else ever. */
+struct QuinceClaimRequest {
+    QuinceRequestId request_id;
+    unsigned hyper  holder;           /* random, one per dispatch intent   */
+    unsigned int    keep_ms;          /* remembered at least this long     */
+};
+
+/* Holder gives the id back: it did not dispatch and never will. */
+struct QuinceUnclaimRequest {
+    QuinceRequestId request_id;
+    unsigned hyper  holder;
+};
+
+/* Not replicated: leases samples to an agent that will run them. */
+struct QuinceLeaseSamples {
+    QuinceName   agent;
+    unsigned int most;
+    unsigned int lease_ms;
+};
+
+/* Not replicated: leases still running, so that they are not given again. */
+struct QuinceLeaseRef {
+    QuinceName     trainer;
+    unsigned hyper step;
+    QuinceName     sample_id;
+    unsigned int   generation;
+};
+struct QuinceRenewLeases {
+    QuinceName     agent;
+    unsigned int   lease_ms;
+    QuinceLeaseRef leases<QUINCE_MAX_SAMPLES>;
+};
+
+enum QuinceCommandKind {
+    QUINCE_COMMAND_SUBMIT   = 0,
+    QUINCE_COMMAND_COMPLETE = 1,
+    QUINCE_COMMAND_PULL     = 2,
+    QUINCE_COMMAND_RELEASE  = 3,
+    QUINCE_COMMAND_CLAIM    = 4,
+    QUINCE_COMMAND_UNCLAIM  = 5,
+    QUINCE_COMMAND_LEASE    = 6,
+    QUINCE_COMMAND_RENEW    = 7
+};
+
+union QuinceCommand switch (QuinceCommandKind kind) {
+case QUINCE_COMMAND_SUBMIT:   QuinceSubmitRollout  submit;
+case QUINCE_COMMAND_COMPLETE: QuinceCompleteSample complete;
+case QUINCE_COMMAND_PULL:     QuincePullStep       pull;
+case QUINCE_COMMAND_RELEASE:  QuinceReleaseStep    release;
+case QUINCE_COMMAND_CLAIM:    QuinceClaimRequest   claim;
+case QUINCE_COMMAND_UNCLAIM:  QuinceUnclaimRequest unclaim;
+case QUINCE_COMMAND_LEASE:    QuinceLeaseSamples   lease;
+case QUINCE_COMMAND_RENEW:    QuinceRenewLeases    renew;
+};
+
+/* What is written to the ledger: the leader stamps the time once, so that
+ * every replica applies the same expiry. */
+struct QuinceLedgerRecord {
+    unsigned hyper leader_time_ms;
+    QuinceCommand  command;
+};
+
+enum QuinceLedgerStatus {
+    QUINCE_LEDGER_OK          = 0,
+    QUINCE_LEDGER_NOT_LEADER  = 1,    /* nothing was done; see leader      */
+    QUINCE_LEDGER_UNKNOWN     = 2,    /* may or may not take effect        */
+    QUINCE_LEDGER_DUPLICATE   = 3,    /* claim: another holder has it      */
+    QUINCE_LEDGER_NOT_COMPLETE = 4,   /* pull: step is not whole yet       */
+    QUINCE_LEDGER_CONFLICT    = 5,    /* same id, other content            */
+    QUINCE_LEDGER_NO_SUCH     = 6,
+    QUINCE_LEDGER_GONE        = 7,    /* step already released             */
+    QUINCE_LEDGER_BUSY        = 8     /* nothing was done; come back       */
+};
+
+struct QuinceLeasedSample {
+    QuinceName       trainer;
+    QuinceName       service;
+    QuinceName       member;
+    unsigned hyper   step;
+    unsigned int     generation;
+    unsigned hyper   min_version;
+    QuinceSampleSpec spec;
+};
+
+struct QuinceBatch {
+    QuinceName         trainer;
+    unsigned hyper     step;
+    unsigned int       ready;         /* samples complete so far           */
+    unsigned int       total;
+    QuinceSampleResult results<QUINCE_MAX_SAMPLES>;
+};
+
+union QuinceLedgerResult switch (QuinceCommandKind kind) {
+case QUINCE_COMMAND_PULL:  QuinceBatch        batch;
+case QUINCE_COMMAND_LEASE: QuinceLeasedSample leased<QUINCE_MAX_SAMPLES>;
+default: void;
+};
+
+struct QuinceLedgerCall {
+    unsigned hyper call_id;
+    QuinceCommand  command;
+};
+
+struct QuinceLedgerReply {
+    unsigned hyper     call_id;
+    QuinceLedgerStatus status;
+    QuinceName         leader;        /* address, "" unknown               */
+    unsigned int       retry_after_ms;
+    QuinceLedgerResult result;
+};
+
+/* ---- Ledger replication (node to node) ------------------------------ */
+
+struct QuinceReplica {
+    unsigned hyper replica_id;        /* random, kept in the data folder   */
+    QuinceName     node;
+    QuinceName     zone;
+    QuinceName     address;
+};
+
+struct QuinceReplicaSet {
+    QuinceReplica voters<16>;
+};
+
+enum QuinceEntryKind {
+    QUINCE_ENTRY_NOOP     = 0,
+    QUINCE_ENTRY_RECORD   = 1,
+    QUINCE_ENTRY_VOTERS   = 2
+};
+
+struct QuinceEntry {
+    unsigned hyper  index;
+    unsigned hyper  epoch;
+    QuinceEntryKind kind;
+    opaque          data<QUINCE_MAX_FRAME>;           /* QuinceLedgerRecord or QuinceReplicaSet */
+};
+
+struct QuinceVoteRequest {
+    unsigned hyper epoch;
+    unsigned hyper candidate;
+    unsigned hyper last_index;
+    unsigned hyper last_epoch;
+    bool           trial;             /* pre-vote: changes nothing         */
+    bool           transfer;          /* leader asked for this election    */
+};
+
+struct QuinceVoteReply {
+    unsigned hyper epoch;
+    unsigned hyper voter;
+    bool           granted;
+    bool           trial;
+};
+
+struct QuinceAppendRequest {
+    unsigned hyper epoch;
+    unsigned hyper leader;
+    unsigned hyper previous_index;
+    unsigned hyper previous_epoch;
+    unsigned hyper commit_index;
+    unsigned hyper round;             /* echoed, confirms leadership       */
+    QuinceEntry    entries<QUINCE_MAX_ENTRIES>;
+};
+
+struct QuinceAppendReply {
+    unsigned hyper epoch;
+    unsigned hyper follower;
+    bool           success;
+    unsigned hyper match_index;       /* or a hint where to try next       */
+    unsigned hyper round;
+};
+
+struct QuinceSnapshotRequest {
+    unsigned hyper   epoch;
+    unsigned hyper   leader;
+    unsigned hyper   last_index;
+    unsigned hyper   last_epoch;
+    QuinceReplicaSet voters;
+    unsigned hyper   offset;
+    bool             done;
+    opaque           data<QUINCE_MAX_FRAME>;
+};
+
+struct QuinceSnapshotReply {
+    unsigned hyper epoch;
+    unsigned hyper follower;
+    unsigned hyper last_index;
+    unsigned hyper next_offset;
+};
+
+struct QuinceJoinRequest { QuinceReplica replica; };
+struct QuinceTransferRequest { unsigned hyper epoch; unsigned hyper leader; };
+
+enum QuinceReplicationKind {
+    QUINCE_REPLICATION_VOTE_REQUEST     = 0,
+    QUINCE_REPLICATION_VOTE_REPLY       = 1,
+    QUINCE_REPLICATION_APPEND_REQUEST   = 2,
+    QUINCE_REPLICATION_APPEND_REPLY     = 3,
+    QUINCE_REPLICATION_SNAPSHOT_REQUEST = 4,
+    QUINCE_REPLICATION_SNAPSHOT_REPLY   = 5,
+    QUINCE_REPLICATION_JOIN             = 6,
+    QUINCE_REPLICATION_TRANSFER         = 7
+};
+
+union QuinceReplicationBody switch (QuinceReplicationKind kind) {
+case QUINCE_REPLICATION_VOTE_REQUEST:     QuinceVoteRequest     vote_request;
+case QUINCE_REPLICATION_VOTE_REPLY:       QuinceVoteReply       vote_reply;
+case QUINCE_REPLICATION_APPEND_REQUEST:   QuinceAppendRequest   append_request;
+case QUINCE_REPLICATION_APPEND_REPLY:     QuinceAppendReply     append_reply;
+case QUINCE_REPLICATION_SNAPSHOT_REQUEST: QuinceSnapshotRequest snapshot_request;
+case QUINCE_REPLICATION_SNAPSHOT_REPLY:   QuinceSnapshotReply   snapshot_reply;
+case QUINCE_REPLICATION_JOIN:             QuinceJoinRequest     join;
+case QUINCE_REPLICATION_TRANSFER:         QuinceTransferRequest transfer;
+};
+
+struct QuinceReplication {
+    unsigned hyper        from;       /* replica ids; a message for another */
+    unsigned hyper        to;         /* incarnation of the disk is dropped; 0: any (join) */
+    QuinceReplicationBody body;
+};
+
+/* ---- Policy spread -------------------------------------------------- */
+
+struct QuincePolicyFetch { unsigned hyper at_least; };
+
+struct QuincePolicyBody {
+    unsigned hyper revision;          /* 0: none known                     */
+    string         hash<64>;          /* hex XXH3-128 of text              */
+    string         text<QUINCE_MAX_POLICY>;
+};
+
+/* ---- TCP envelope --------------------------------------------------- */
+
+enum QuinceMessageKind {
+    QUINCE_MESSAGE_HELLO         = 0,
+    QUINCE_MESSAGE_NODE_STATUS   = 1,
+    QUINCE_MESSAGE_GRANT_REQUEST = 2,
+    QUINCE_MESSAGE_GRANT_REPLY   = 3,
+    QUINCE_MESSAGE_GRANT_END     = 4,
+    QUINCE_MESSAGE_GRANT_CANCEL  = 5,
+    QUINCE_MESSAGE_LEDGER_CALL   = 6,
+    QUINCE_MESSAGE_LEDGER_REPLY  = 7,
+    QUINCE_MESSAGE_REPLICATION   = 8,
+    QUINCE_MESSAGE_POLICY_FETCH  = 9,
+    QUINCE_MESSAGE_POLICY_BODY   = 10
+};
+
+union QuinceMessage switch (QuinceMessageKind kind) {
+case QUINCE_MESSAGE_HELLO:         QuinceHello        hello;
+case QUINCE_MESSAGE_NODE_STATUS:   QuinceNodeStatus   node_status;
+case QUINCE_MESSAGE_GRANT_REQUEST: QuinceGrantRequest grant_request;
+case QUINCE_MESSAGE_GRANT_REPLY:   QuinceGrantReply   grant_reply;
+case QUINCE_MESSAGE_GRANT_END:     QuinceGrantEnd     grant_end;
+case QUINCE_MESSAGE_GRANT_CANCEL:  QuinceGrantCancel  grant_cancel;
+case QUINCE_MESSAGE_LEDGER_CALL:   QuinceLedgerCall   ledger_call;
+case QUINCE_MESSAGE_LEDGER_REPLY:  QuinceLedgerReply  ledger_reply;
+case QUINCE_MESSAGE_REPLICATION:   QuinceReplication  replication;
+case QUINCE_MESSAGE_POLICY_FETCH:  QuincePolicyFetch  policy_fetch;
+case QUINCE_MESSAGE_POLICY_BODY:   QuincePolicyBody   policy_body;
+};
+
+/* ---- UDP: membership and digests ------------------------------------ */
+
+/* Load that one node has put on one engine, or a sign about the engine. */
+struct QuinceEngineDigest {
+    QuinceName     engine;
+    unsigned hyper sequence;          /* of the reporting node, only grows */
+    unsigned int   granted;           /* slots this node holds             */
+    bool           leaving;
+};
+
+struct QuinceNodeDigest {
+    QuinceName         node;
+    unsigned hyper     incarnation;
+    unsigned hyper     sequence;      /* of the node, grows with each digest */
+    unsigned hyper     policy_revision;
+    unsigned hyper     ledger_epoch;
+    unsigned hyper     ledger_leader; /* replica id, 0 unknown             */
+    QuinceEngineDigest engines<64>;
+};
+
+enum QuinceGossipKind {
+    QUINCE_GOSSIP_PING     = 0,
+    QUINCE_GOSSIP_ACK      = 1,
+    QUINCE_GOSSIP_PING_VIA = 2        /* ask a third to probe              */
+};
+
+struct QuinceGossip {
+    QuinceGossipKind  kind;
+    unsigned int      sequence;
+    QuinceName        from;
+    QuinceName        target;         /* whom the probe is for             */
+    QuinceName        target_address; /* with PING_VIA                     */
+    QuinceMember      updates<16>;
+    QuinceNodeDigest  digests<8>;
+};
--- /dev/null
+++ b/lib/runtime/log.c
@@ -0,0 +1,140 @@
+/*
+ * log.c: one key=value line for each event, through GLib's structured log.
+ */
+#include <quince/log.h>
+
+#include <stdio.h>
+#include <string.h>
+#include <unistd.h>
+
+/* Set once by quince_log_init() before any thread starts; read only after. */
+static char *log_program;
+static char *log_name;
+static GLogLevelFlags log_least_severe = G_LOG_LEVEL_INFO;
+
+static const char *
+level_name (GLogLevelFlags level)
+{
+  switch (level & G_LOG_LEVEL_MASK)
+    {
+    case G_LOG_LEVEL_ERROR:
+    case G_LOG_LEVEL_CRITICAL:
+      return "error";
+    case G_LOG_LEVEL_WARNING:
+      return "warning";
+    case G_LOG_LEVEL_MESSAGE:
+    case G_LOG_LEVEL_INFO:
+      return "info";
+    default:
+      return "debug";
+    }
+}
+
+gboolean
+quince_log_parse_level (const char *text, GLogLevelFlags *level)
+{
+  static const struct
+  {
+    const char *name;
+    GLogLevelFlags level;
+  } levels[] = { { "debug", G_LOG_LEVEL_DEBUG },
+                 { "info", G_LOG_LEVEL_INFO },
+                 { "warning", G_LOG_LEVEL_WARNING },
+                 { "error", G_LOG_LEVEL_CRITICAL } };
+  for (guint i = 0; i < G_N_ELEMENTS (levels); i++)
+    if (g_str_equal (text, levels[i].name))
+      {
+        *level = levels[i].level;
+        return TRUE;
+      }
+  return FALSE;
+}
+
+char *
+quince_log_quote (const char *text)
+{
+  if (text == NULL || *text == '\0')
+    return g_strdup ("\"\"");
+  gboolean plain = TRUE;
+  for (const char *at = text; *at != '\0'; at++)
+    if ((guchar)*at <= ' ' || *at == '"' || *at == '=' || *at == '\\' || (guchar)*at == 0x7f)
+      plain = FALSE;
+  if (plain)
+    return g_strdup (text);
+  g_autofree char *escaped = g_strescape (text, NULL);
+  return g_strdup_printf ("\"%s\"", escaped);
+}
+
+static void
+write_line (GLogLevelFlags level, const char *body)
+{
+  g_autoptr (GDateTime) now = g_date_time_new_now_utc ();
+  g_autofree char *seconds = g_date_time_format (now, "%Y-%m-%dT%H:%M:%S");
+  g_autoptr (GString) line = g_string_sized_new (256);
+  g_string_printf (line, "time=%s.%03dZ level=%s program=%s", seconds,
+                   g_date_time_get_microsecond (now) / 1000, level_name (level),
+                   log_program != NULL ? log_program : "unknown");
+  if (log_name != NULL && *log_name != '\0')
+    g_string_append_printf (line, " name=%s", log_name);
+  g_string_append_printf (line, " %s\n", body);
+  /* One write a line, so that lines of several threads do not mix. */
+  if (write (STDERR_FILENO, line->str, line->len) < 0)
+    return;
+}
+
+/* Messages of GLib itself and of libraries become event=library_message. */
+static GLogWriterOutput
+log_writer (GLogLevelFlags level, const GLogField *fields, gsize n_fields, gpointer user_data)
+{
+  const char *message = NULL;
+  gboolean ours = FALSE;
+  for (gsize i = 0; i < n_fields; i++)
+    {
+      if (g_str_equal (fields[i].key, "MESSAGE"))
+        message = fields[i].value;
+      if (g_str_equal (fields[i].key, "QUINCE_EVENT"))
+        ours = TRUE;
+    }
+  if (message == NULL || (level & G_LOG_LEVEL_MASK) > log_least_severe)
+    return G_LOG_WRITER_HANDLED;
+  if (ours)
+    {
+      write_line (level, message);
+      return G_LOG_WRITER_HANDLED;
+    }
+  g_autofree char *quoted = quince_log_quote (message);
+  g_autofree char *body = g_strdup_printf ("event=library_message message=%s", quoted);
+  write_line (level, body);
+  return G_LOG_WRITER_HANDLED;
+}
+
+void
+quince_log_init (const char *program, const char *name, GLogLevelFlags level)
+{
+  static gboolean installed;
+  g_free (log_program);
+  g_free (log_name);
+  log_program = g_strdup (program);
+  log_name = quince_log_quote (name);
+  if (name == NULL || *name == '\0')
+    g_clear_pointer (&log_name, g_free);
+  log_least_severe = level;
+  if (!installed)
+    g_log_set_writer_func (log_writer, NULL, NULL);
+  installed = TRUE;
+}
+
+void
+quince_log_event (GLogLevelFlags level, const char *event, const char *format, ...)
+{
+  if ((level & G_LOG_LEVEL_MASK) > log_least_severe)
+    return;
+  va_list arguments;
+  va_start (arguments, format);
+  g_autofree char *pairs = g_strdup_vprintf (format, arguments);
+  va_end (arguments);
+  g_autofree char *body = g_strdup_printf ("event=%s%s%s", event, *pairs != '\0' ? " " : "", pairs);
+  const GLogField fields[]
+      = { { "MESSAGE", body, -1 }, { "QUINCE_EVENT", event, -1 }, { "GLIB_DOMAIN", G_LOG_DOMAIN, -1 } };
+  g_log_structured_array (level, fields, G_N_ELEMENTS (fields));
+}
--- /dev/null
+++ b/lib/runtime/program.c
@@ -0,0 +1,175 @@
+/*
+ * program.c: flags, settings, main loop and planned stop of a daemon.
+ */
+#include <quince/program.h>
+
+#include <argp.h>
+#include <glib-unix.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+#include <quince/log.h>
+
+enum
+{
+  OPTION_SET = 's',
+  OPTION_CONFIG = 'c',
+  OPTION_LEVEL = 'l',
+  OPTION_CHECK = 0x100,
+  OPTION_HELP_SETTINGS,
+};
+
+typedef struct
+{
+  const char *config;
+  GPtrArray *overrides; /* NULL-terminated before use */
+  gboolean check;
+  gboolean help_settings;
+  GLogLevelFlags level;
+} Flags;
+
+/* The one main loop of the process; main thread only. */
+static GMainLoop *main_loop;
+static int exit_status;
+
+typedef struct
+{
+  const QuinceProgram *program;
+  gpointer self;
+  gboolean stopping;
+} Running;
+
+static const struct argp_option options[] = {
+  { "config", OPTION_CONFIG, "FILE", 0, "Read settings from FILE", 0 },
+  { "set", OPTION_SET, "SECTION.KEY=VALUE", 0, "Set one value over the file's (repeatable)", 0 },
+  { "check", OPTION_CHECK, NULL, 0, "Check the settings and exit", 0 },
+  { "help-settings", OPTION_HELP_SETTINGS, NULL, 0, "Print every setting with its default and exit", 0 },
+  { "log-level", OPTION_LEVEL, "LEVEL", 0, "debug, info, warning or error (default info)", 0 },
+  { 0 },
+};
+
+static error_t
+parse_flag (int key, char *argument, struct argp_state *state)
+{
+  Flags *flags = state->input;
+  switch (key)
+    {
+    case OPTION_CONFIG:
+      flags->config = argument;
+      return 0;
+    case OPTION_SET:
+      g_ptr_array_add (flags->overrides, argument);
+      return 0;
+    case OPTION_CHECK:
+      flags->check = TRUE;
+      return 0;
+    case OPTION_HELP_SETTINGS:
+      flags->help_settings = TRUE;
+      return 0;
+    case OPTION_LEVEL:
+      if (!quince_log_parse_level (argument, &flags->level))
+        argp_error (state, "'%s' is no log level; allowed: debug, info, warning, error", argument);
+      return 0;
+    case ARGP_KEY_ARG:
+      argp_error (state, "unexpected argument '%s'", argument);
+      return 0;
+    default:
+      return ARGP_ERR_UNKNOWN;
+    }
+}
+
+static gboolean
+stop_signal (gpointer data)
+{
+  Running *running = data;
+  if (running->stopping)
+    return G_SOURCE_CONTINUE;
+  running->stopping = TRUE;
+  quince_log_info ("stopping", "%s", "");
+  running->program->stop (running->self);
+  return G_SOURCE_CONTINUE;
+}
+
+void
+quince_program_quit (int status)
+{
+  exit_status = status;
+  g_main_loop_quit (main_loop);
+}
+
+static void
+print_ready (const QuinceProgram *program, gpointer self)
+{
+  g_autofree char *line = program->ready_line (self);
+  printf ("ready %s\n", line);
+  fflush (stdout);
+}
+
+static int
+run_with_settings (const QuinceProgram *program, const Flags *flags, const QuinceSettings *settings)
+{
+  quince_log_init (program->name, quince_settings_get_text (settings, program->name_section, "name"),
+                   flags->level);
+  main_loop = g_main_loop_new (NULL, FALSE);
+  g_autoptr (GError) error = NULL;
+  gpointer self = program->start (settings, &error);
+  if (self == NULL)
+    {
+      g_autofree char *reason = quince_log_quote (error->message);
+      quince_log_failure ("start_failed", "error=%s code=%d reason=%s", g_quark_to_string (error->domain),
+                          error->code, reason);
+      return QUINCE_EXIT_FAILURE;
+    }
+  Running running = { .program = program, .self = self };
+  signal (SIGPIPE, SIG_IGN);
+  guint term = g_unix_signal_add (SIGTERM, stop_signal, &running);
+  guint interrupt = g_unix_signal_add (SIGINT, stop_signal, &running);
+  print_ready (program, self);
+  g_main_loop_run (main_loop);
+  g_source_remove (term);
+  g_source_remove (interrupt);
+  program->free (self);
+  g_clear_pointer (&main_loop, g_main_loop_unref);
+  quince_log_info ("stopped", "status=%d", exit_status);
+  return exit_status;
+}
+
+static int
+run_with_flags (const QuinceProgram *program, const Flags *flags)
+{
+  if (flags->help_settings)
+    {
+      g_autofree char *text = quince_settings_describe (program->specs, program->n_specs);
+      fputs (text, stdout);
+      return QUINCE_EXIT_OK;
+    }
+  g_autoptr (GError) error = NULL;
+  g_autoptr (QuinceSettings) settings = quince_settings_load (
+      flags->config, program->specs, program->n_specs, (const char *const *)flags->overrides->pdata, &error);
+  if (settings == NULL)
+    {
+      fprintf (stderr, "%s\n", error->message);
+      return QUINCE_EXIT_USAGE;
+    }
+  if (flags->check)
+    {
+      printf ("settings are valid\n");
+      return QUINCE_EXIT_OK;
+    }
+  return run_with_settings (program, flags, settings);
+}
+
+int
+quince_program_run (const QuinceProgram *program, int argc, char **argv)
+{
+  Flags flags = { .overrides = g_ptr_array_new (), .level = G_LOG_LEVEL_INFO };
+  const struct argp parser = { options, parse_flag, NULL, program->doc, NULL, NULL, NULL };
+  argp_err_exit_status = QUINCE_EXIT_USAGE;
+  argp_program_version = program->name;
+  argp_parse (&parser, argc, argv, 0, NULL, &flags);
+  g_ptr_array_add (flags.overrides, NULL);
+  int status = run_with_flags (program, &flags);
+  g_ptr_array_unref (flags.overrides);
+  return status;
+}
--- /dev/null
+++ b/lib/runtime/settings-values.c
@@ -0,0 +1,184 @@
+/*
+ * settings-values.c: values of settings: parsing, bounds, what is allowed.
+ */
+#include "settings-private.h"
+
+#include <math.h>
+#include <string.h>
+
+#include <quince/link.h>
+
+#define NAME_MOST_BYTES 64
+
+typedef struct
+{
+  const char *suffix;
+  gint64 factor;
+} Unit;
+
+static const Unit duration_units[]
+    = { { "us", 1 }, { "ms", 1000 }, { "min", 60 * G_USEC_PER_SEC }, { "s", G_USEC_PER_SEC }, { NULL, 0 } };
+static const Unit byte_units[]
+    = { { "KiB", 1 << 10 }, { "MiB", 1 << 20 }, { "GiB", 1 << 30 }, { "B", 1 }, { NULL, 0 } };
+
+static gboolean
+parse_with_unit (const char *text, const Unit *units, gint64 *value)
+{
+  char *end = NULL;
+  guint64 number = g_ascii_strtoull (text, &end, 10);
+  if (end == text || !g_ascii_isdigit (text[0]))
+    return FALSE;
+  for (const Unit *unit = units; unit->suffix != NULL; unit++)
+    if (g_str_equal (end, unit->suffix))
+      {
+        if (number > (guint64)(G_MAXINT64 / unit->factor))
+          return FALSE;
+        *value = (gint64)number * unit->factor;
+        return TRUE;
+      }
+  return FALSE;
+}
+
+static gboolean
+is_name (const char *text)
+{
+  gsize length = strlen (text);
+  if (length == 0 || length > NAME_MOST_BYTES)
+    return FALSE;
+  for (const char *at = text; *at != '\0'; at++)
+    if (!g_ascii_isalnum (*at) && strchr ("-_.", *at) == NULL)
+      return FALSE;
+  return TRUE;
+}
+
+static gboolean
+is_address (const char *text)
+{
+  g_autoptr (GSocketAddress) address = quince_address_parse (text, NULL);
+  return address != NULL;
+}
+
+static gboolean
+is_list_of (const char *text, gboolean (*is_part) (const char *part))
+{
+  g_auto (GStrv) parts = g_strsplit (text, ";", -1);
+  for (char **part = parts; *part != NULL; part++)
+    {
+      g_strstrip (*part);
+      if (**part != '\0' && !is_part (*part))
+        return FALSE;
+    }
+  return TRUE;
+}
+
+static gboolean
+is_choice (const QuinceSettingSpec *spec, const char *text)
+{
+  g_auto (GStrv) choices = g_strsplit (spec->choices, "|", -1);
+  return g_strv_contains ((const char *const *)choices, text);
+}
+
+static gboolean
+is_number (const char *text)
+{
+  char *end = NULL;
+  double value = g_ascii_strtod (text, &end);
+  return end != text && *end == '\0' && isfinite (value);
+}
+
+static gboolean
+has_type (const QuinceSettingSpec *spec, const char *text, gint64 *number)
+{
+  switch (spec->type)
+    {
+    case QUINCE_SETTING_TEXT:
+      return TRUE;
+    case QUINCE_SETTING_NAME:
+      return is_name (text);
+    case QUINCE_SETTING_ADDRESS:
+      return is_address (text);
+    case QUINCE_SETTING_ADDRESS_LIST:
+      return is_list_of (text, is_address);
+    case QUINCE_SETTING_NAME_LIST:
+      return is_list_of (text, is_name);
+    case QUINCE_SETTING_INTEGER:
+      return g_ascii_string_to_signed (text, 10, G_MININT64, G_MAXINT64, number, NULL);
+    case QUINCE_SETTING_NUMBER:
+      return is_number (text);
+    case QUINCE_SETTING_DURATION:
+      return parse_with_unit (text, duration_units, number);
+    case QUINCE_SETTING_BYTES:
+      return parse_with_unit (text, byte_units, number);
+    case QUINCE_SETTING_BOOLEAN:
+      *number = g_str_equal (text, "true");
+      return *number || g_str_equal (text, "false");
+    case QUINCE_SETTING_CHOICE:
+      return is_choice (spec, text);
+    }
+  g_assert_not_reached ();
+}
+
+static gboolean
+is_bounded (const QuinceSettingSpec *spec)
+{
+  return spec->type == QUINCE_SETTING_INTEGER || spec->type == QUINCE_SETTING_DURATION
+         || spec->type == QUINCE_SETTING_BYTES;
+}
+
+static const char *
+type_allows (const QuinceSettingSpec *spec)
+{
+  switch (spec->type)
+    {
+    case QUINCE_SETTING_TEXT:
+      return "any text";
+    case QUINCE_SETTING_NAME:
+      return "1 to 64 letters, digits, '-', '_', '.'";
+    case QUINCE_SETTING_ADDRESS:
+      return "a numeric ip:port";
+    case QUINCE_SETTING_ADDRESS_LIST:
+      return "numeric ip:port, separated by ';'";
+    case QUINCE_SETTING_NAME_LIST:
+      return "names separated by ';'";
+    case QUINCE_SETTING_INTEGER:
+      return "a whole number";
+    case QUINCE_SETTING_NUMBER:
+      return "a number";
+    case QUINCE_SETTING_DURATION:
+      return "a whole number and a unit: us, ms, s, min";
+    case QUINCE_SETTING_BYTES:
+      return "a whole number and a unit: B, KiB, MiB, GiB";
+    case QUINCE_SETTING_BOOLEAN:
+      return "true or false";
+    case QUINCE_SETTING_CHOICE:
+      return spec->choices;
+    }
+  g_assert_not_reached ();
+}
+
+char *
+quince_setting_allowed (const QuinceSettingSpec *spec)
+{
+  GString *text = g_string_new (type_allows (spec));
+  const char *unit = spec->type == QUINCE_SETTING_DURATION ? "us"
+                     : spec->type == QUINCE_SETTING_BYTES  ? "B"
+                                                           : "";
+  if (is_bounded (spec) && spec->maximum != 0)
+    g_string_append_printf (text, ", from %" G_GINT64_FORMAT "%s to %" G_GINT64_FORMAT "%s", spec->minimum,
+                            unit, spec->maximum, unit);
+  else if (is_bounded (spec) && spec->minimum != 0)
+    g_string_append_printf (text, ", at least %" G_GINT64_FORMAT "%s", spec->minimum, unit);
+  return g_string_free (text, FALSE);
+}
+
+char *
+quince_setting_check (const QuinceSettingSpec *spec, const char *text, gint64 *number)
+{
+  *number = 0;
+  g_autofree char *allowed = quince_setting_allowed (spec);
+  if (!has_type (spec, text, number))
+    return g_strdup_printf ("'%s' is not valid; allowed: %s", text, allowed);
+  if (is_bounded (spec) && (*number < spec->minimum || (spec->maximum != 0 && *number > spec->maximum)))
+    return g_strdup_printf ("'%s' is out of range; allowed: %s", text, allowed);
+  return NULL;
+}
--- /dev/null
+++ b/scripts/lint.sh
@@ -0,0 +1,9 @@
+#!/bin/sh
+# lint.sh FOLDER: the formatter in check mode, then cppcheck.
+set -eu
+cd "$(dirname "$0")/.."
+scripts/sources.sh | xargs clang-format --dry-run --Werror
+scripts/sources.sh | grep '\.c$' | xargs cppcheck --quiet --error-exitcode=1 --inline-suppr \
+    --enable=warning,portability --std=c11 -j 4 --library=gtk \
+    --suppressions-list=.cppcheck-suppressions -I include -I lib/protocol/generated
+echo "lint: clean"
