--- a/daemons/agent/completions.c
+++ b/daemons/agent/completions.c
@@ -18,12 +18,15 @@
 #include "prefix-blocks.h"
 
 #define STOPPING_RETRY_MS 1000
+#define CALLER_CHECK_US (100 * G_TIME_SPAN_MILLISECOND)
+#define CALLER_CHECK_INTERVAL_MS 50
 
 struct _QuinceCompletions
 {
   /* All fields belong to the main context. */
   QuinceAgent *agent;
   GHashTable *running; /* of Completion, owned */
+  GSource *caller_timer;
   QuinceCompletionsCounters counters;
 };
 
@@ -39,14 +42,13 @@
   gboolean streaming;
   gboolean headers_out; /* the status and some of a stream went out */
   gboolean paused;      /* the message waits for us                 */
-  GSource *hangup;      /* watches the caller's socket              */
+  gint64 checked_us;       /* when its caller was last seen, or arrived */
 } Completion;
 
 static void
 completion_free (Completion *completion)
 {
   g_signal_handlers_disconnect_by_data (completion->message, completion);
-  quince_source_clear (&completion->hangup);
   g_clear_pointer (&completion->execution, quince_execution_free);
   g_object_unref (completion->message);
   g_free (completion->model);
@@ -133,7 +135,6 @@
     answer_whole (completion, result);
   else
     quince_completion_reply_error (completion->message, result);
-  quince_source_clear (&completion->hangup);
   g_clear_pointer (&completion->execution, quince_execution_free);
   resume_message (completion);
 }
@@ -170,30 +171,40 @@
   soup_server_message_unpause (message);
 }
 
-/* While an answer is awaited nothing is read from the caller, so that libsoup does not see it leave. */
 static gboolean
-socket_readable (GSocket *socket, GIOCondition condition, gpointer user_data)
+caller_is_there (const Completion *completion)
 {
-  Completion *completion = user_data;
   char byte;
+  GSocket *socket = soup_server_message_get_socket (completion->message);
+  if (socket == NULL)
+    return FALSE;
   gssize got = recv (g_socket_get_fd (socket), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-  if (got < 0 && (errno == EAGAIN || errno == EINTR))
-    return G_SOURCE_CONTINUE;
-  quince_source_clear (&completion->hangup);
-  if (got <= 0)
-    caller_gone (completion);
-  return G_SOURCE_REMOVE;
+  return got > 0 || (got < 0 && (errno == EAGAIN || errno == EINTR));
 }
 
-static void
-watch_caller (Completion *completion)
+/* While an answer is awaited nothing is read from the caller, so that libsoup
+ * does not see it leave.  One timer for all costs less than a source each. */
+static gboolean
+check_callers (gpointer data)
 {
-  GSocket *socket = soup_server_message_get_socket (completion->message);
-  if (socket == NULL)
-    return;
-  completion->hangup = g_socket_create_source (socket, G_IO_IN | G_IO_HUP | G_IO_ERR, NULL);
-  g_source_set_callback (completion->hangup, G_SOURCE_FUNC (socket_readable), completion, NULL);
-  g_source_attach (completion->hangup, g_main_context_get_thread_default ());
+  QuinceCompletions *completions = data;
+  g_autoptr (GPtrArray) gone = g_ptr_array_new ();
+  gint64 now = quince_now_us ();
+  GHashTableIter iter;
+  gpointer key;
+  g_hash_table_iter_init (&iter, completions->running);
+  while (g_hash_table_iter_next (&iter, &key, NULL))
+    {
+      Completion *completion = key;
+      if (completion->execution == NULL || now - completion->checked_us < CALLER_CHECK_US)
+        continue;
+      completion->checked_us = now;
+      if (!caller_is_there (completion))
+        g_ptr_array_add (gone, completion);
+    }
+  for (guint i = 0; i < gone->len; i++)
+    caller_gone (g_ptr_array_index (gone, i));
+  return G_SOURCE_CONTINUE;
 }
 
 /* ---- Requests ------------------------------------------------------------------ */
@@ -206,6 +217,7 @@
   Completion *completion = g_new0 (Completion, 1);
   completion->owner = completions;
   completion->message = g_object_ref (message);
+  completion->checked_us = quince_now_us ();
   completion->model = g_strdup (options->service);
   completion->prompt_tokens = quince_count_tokens (options->prompt);
   completion->streaming = options->streaming;
@@ -240,7 +252,6 @@
   quince_completion_request_clear (&request);
   completion->paused = TRUE;
   soup_server_message_pause (message);
-  watch_caller (completion);
   quince_execution_start (completion->execution);
 }
 
@@ -252,12 +263,14 @@
   QuinceCompletions *completions = g_new0 (QuinceCompletions, 1);
   completions->agent = agent;
   completions->running = g_hash_table_new_full (NULL, NULL, (GDestroyNotify)completion_free, NULL);
+  completions->caller_timer = quince_timer_add (CALLER_CHECK_INTERVAL_MS, check_callers, completions);
   return completions;
 }
 
 void
 quince_completions_free (QuinceCompletions *completions)
 {
+  quince_source_clear (&completions->caller_timer);
   g_hash_table_unref (completions->running);
   g_free (completions);
 }
--- a/daemons/agent/execution.c
+++ b/daemons/agent/execution.c
@@ -209,7 +209,7 @@
 /* ---- Grants ---------------------------------------------------------------- */
 
 static void
-grant_verdict (const char *node, const QuinceGrantReply *reply, gpointer user_data)
+grant_verdict (const char *node, const QuinceGrantReply *reply, gint64 sent_at_us, gpointer user_data)
 {
   QuinceExecution *execution = user_data;
   guint attempt = reply->attempt - execution->attempt_base;
@@ -218,7 +218,7 @@
   if (reply->verdict.kind == QUINCE_VERDICT_GRANTED)
     {
       const QuinceGrant *grant = &reply->verdict.QuinceVerdict_u.grant;
-      QuinceRequestStep step = quince_request_granted (execution->request, now, attempt, grant);
+      QuinceRequestStep step = quince_request_granted (execution->request, now, sent_at_us, attempt, grant);
       if (step == QUINCE_STEP_DISPATCH || step == QUINCE_STEP_CLAIM)
         execution->node = g_strdup (node);
       else
--- a/daemons/agent/node-links.c
+++ b/daemons/agent/node-links.c
@@ -183,13 +183,14 @@
 take_grant_reply (QuinceNodeLinks *links, QuinceNodePeer *peer, const QuinceGrantReply *reply)
 {
   links->policy_revision = MAX (links->policy_revision, reply->policy_revision);
+  gint64 sent_at_us = quince_node_peer_sent_at (peer, reply->sent_us, peer->heard_us);
   gboolean granted = reply->verdict.kind == QUINCE_VERDICT_GRANTED;
   g_autofree GrantAsk *ask = steal_ask (links, reply->request_id, reply->attempt);
   if (ask != NULL)
     {
       links->counters.granted += granted ? 1 : 0;
       links->counters.refused += granted ? 0 : 1;
-      ask->callbacks->verdict (peer->address, reply, ask->user_data);
+      ask->callbacks->verdict (peer->address, reply, sent_at_us, ask->user_data);
       return;
     }
   if (!granted)
@@ -259,6 +260,8 @@
 static void
 take_status (QuinceNodeLinks *links, QuinceNodePeer *peer, const QuinceNodeStatus *status)
 {
+  /* Each status lets the node's clock be known better. */
+  quince_node_peer_sent_at (peer, status->sent_us, peer->heard_us);
   if (peer->ready != status->ready || peer->stopping != status->stopping)
     quince_log_info ("node_status", "node=%s address=%s ready=%d stopping=%d", status->name, peer->address,
                      status->ready, status->stopping);
@@ -322,6 +325,7 @@
   hello->incarnation = links->options.incarnation;
   hello->policy_revision = links->policy_revision;
   peer->failures = 0;
+  peer->least_transit_us = G_MAXINT64;
   peer->heard_us = quince_now_us ();
   quince_link_send (link, &message);
   quince_node_peer_flush_ends (peer);
--- a/daemons/agent/node-links.h
+++ b/daemons/agent/node-links.h
@@ -35,14 +35,15 @@
 
 /**
  * QuinceGrantCallbacks:
- * @verdict: @node is the address of the node that decided
+ * @verdict: @node is the address of the node that decided, @sent_at_us when it
+ *   sent its reply, in this process's clock
  * @lost: the node went away before its verdict
  *
  * One of them is called once, unless the request is withdrawn.
  */
 typedef struct
 {
-  void (*verdict) (const char *node, const QuinceGrantReply *reply, gpointer user_data);
+  void (*verdict) (const char *node, const QuinceGrantReply *reply, gint64 sent_at_us, gpointer user_data);
   void (*lost) (const char *node, gpointer user_data);
 } QuinceGrantCallbacks;
 
--- a/daemons/agent/node-peer.c
+++ b/daemons/agent/node-peer.c
@@ -20,6 +20,7 @@
   peer->address = g_strdup (address);
   peer->name = g_strdup ("");
   peer->zone = g_strdup ("");
+  peer->least_transit_us = G_MAXINT64;
   peer->unsent_ends = g_ptr_array_new_with_free_func ((GDestroyNotify)g_bytes_unref);
   return peer;
 }
@@ -77,6 +78,14 @@
   g_ptr_array_set_size (peer->unsent_ends, 0);
 }
 
+gint64
+quince_node_peer_sent_at (QuinceNodePeer *peer, guint64 sent_us, gint64 now_us)
+{
+  gint64 transit_us = now_us - (gint64)sent_us;
+  peer->least_transit_us = MIN (peer->least_transit_us, transit_us);
+  return now_us - (transit_us - peer->least_transit_us);
+}
+
 guint
 quince_node_peer_backoff_ms (const QuinceNodePeer *peer)
 {
--- a/daemons/agent/node-peer.h
+++ b/daemons/agent/node-peer.h
@@ -17,6 +17,8 @@
   gboolean ready;      /* as its last status says                        */
   gboolean stopping;
   gint64 heard_us;        /* last message or connect                        */
+  gint64 least_transit_us; /* least difference of this clock and the node's, see
+                              quince_node_peer_sent_at(); G_MAXINT64: none yet */
   guint failures;         /* tries since the link was last up               */
   GSource *reconnect;     /* owned; while it waits to try again             */
   GPtrArray *unsent_ends; /* GBytes: grant ends for when the link is up     */
@@ -30,5 +32,9 @@
 /* Sends now, or keeps it (a bounded number) until the link is up. */
 void quince_node_peer_send_end (QuinceNodePeer *peer, const QuinceGrantEnd *end);
 void quince_node_peer_flush_ends (QuinceNodePeer *peer);
+/* When a message that the node stamped with @sent_us and that came at @now_us was sent, in
+ * this process's clock: the fastest message of the link is taken to have come at once, so what
+ * lay long in a socket is known to be old.  Never later than @now_us. */
+gint64 quince_node_peer_sent_at (QuinceNodePeer *peer, guint64 sent_us, gint64 now_us);
 /* Spread, doubling wait before the next try to connect. */
 guint quince_node_peer_backoff_ms (const QuinceNodePeer *peer);
--- a/daemons/node/gossip.c
+++ b/daemons/node/gossip.c
@@ -189,8 +189,10 @@
   QuinceMember self = { 0 };
   self.name = (char *)node->name;
   self.zone = (char *)node->zone;
-  self.address = (char *)quince_sessions_get_address (node->sessions);
-  self.gossip_address = (char *)quince_datagrams_get_address (gossiper->datagrams);
+  const char *advertised = quince_settings_get_text (node->settings, "node", "gossip_advertise");
+  self.address = (char *)quince_node_get_advertised_address (node);
+  self.gossip_address
+      = (char *)(*advertised != '\0' ? advertised : quince_datagrams_get_address (gossiper->datagrams));
   self.incarnation = node->incarnation;
   self.state = QUINCE_MEMBER_ALIVE;
   g_auto (GStrv) seeds = quince_settings_get_list (node->settings, "node", "seeds");
--- a/daemons/node/ledger-host.c
+++ b/daemons/node/ledger-host.c
@@ -77,8 +77,9 @@
   reply.status = QUINCE_LEDGER_NOT_LEADER;
   reply.leader = (char *)quince_ledger_host_get_leader (host, &epoch);
   reply.retry_after_ms = RETRY_AFTER_MS;
-  reply.result.kind = call->command.kind;
+  quince_ledger_reply_set_empty (&reply, call->command.kind);
   quince_sessions_send_ledger_reply (host->node->sessions, client, &reply);
+  xdr_free ((xdrproc_t)xdr_QuinceLedgerResult, &reply.result);
 }
 
 void
@@ -199,7 +200,7 @@
   QuinceReplica self = { 0 };
   self.node = (char *)node->name;
   self.zone = (char *)node->zone;
-  self.address = (char *)quince_sessions_get_address (node->sessions);
+  self.address = (char *)quince_node_get_advertised_address (node);
   return quince_ledger_open (folder, &self, &limits, &ledger_callbacks, host, error);
 }
 
--- a/daemons/node/node-settings.c
+++ b/daemons/node/node-settings.c
@@ -16,6 +16,8 @@
   { "node", "gossip", QUINCE_SETTING_ADDRESS, TRUE, NULL, 0, 0, NULL, "UDP address for gossip" },
   { "node", "http", QUINCE_SETTING_ADDRESS, TRUE, NULL, 0, 0, NULL,
     "address of /healthz, /readyz, /metrics and /v1/status" },
+  { "node", "advertise", QUINCE_SETTING_ADDRESS, FALSE, NULL, 0, 0, NULL, "TCP address that others are told, when it is not the one listened on" },
+  { "node", "gossip_advertise", QUINCE_SETTING_ADDRESS, FALSE, NULL, 0, 0, NULL, "UDP address that others are told, when it is not the one listened on" },
   { "node", "seeds", QUINCE_SETTING_ADDRESS_LIST, FALSE, NULL, 0, 0, NULL, "gossip addresses of some nodes" },
   { "platform", "kv", QUINCE_SETTING_ADDRESS_LIST, FALSE, NULL, 0, 0, NULL,
     "addresses of the key-value service" },
--- a/daemons/node/node.c
+++ b/daemons/node/node.c
@@ -100,6 +100,13 @@
   return node;
 }
 
+const char *
+quince_node_get_advertised_address (const QuinceNode *node)
+{
+  const char *advertised = quince_settings_get_text (node->settings, "node", "advertise");
+  return *advertised != '\0' ? advertised : quince_sessions_get_address (node->sessions);
+}
+
 char *
 quince_node_ready_line (gpointer self)
 {
--- a/daemons/node/node.h
+++ b/daemons/node/node.h
@@ -58,6 +58,8 @@
 gpointer quince_node_start (const QuinceSettings *settings, GError **error);
 char *quince_node_ready_line (gpointer self);
 void quince_node_stop (gpointer self);
+/* TCP address that others are told: node.advertise, or the one listened on. (transfer none) */
+const char *quince_node_get_advertised_address (const QuinceNode *node);
 void quince_node_free (gpointer self);
 
 /* Knows the policy in force and does not stop. */
--- a/daemons/node/sessions.c
+++ b/daemons/node/sessions.c
@@ -59,6 +59,7 @@
     return;
   QuinceMessage message = { .kind = QUINCE_MESSAGE_GRANT_REPLY };
   message.QuinceMessage_u.grant_reply = *reply;
+  message.QuinceMessage_u.grant_reply.sent_us = (guint64)quince_now_us ();
   quince_link_send (session->link, &message);
 }
 
--- a/include/quince/attempt.h
+++ b/include/quince/attempt.h
@@ -53,7 +53,9 @@
 /* Every function returns the next step. @attempt: events of a dead attempt
  * are ignored (QUINCE_STEP_WAIT). */
 QuinceRequestStep quince_request_start (QuinceRequest *request, gint64 now_us);
-QuinceRequestStep quince_request_granted (QuinceRequest *request, gint64 now_us, guint attempt, const QuinceGrant *grant);
+/* @granted_us: when the node gave the grant, in this clock and at most @now_us; the grant
+ * expires from then, so that one that lay in a paused process is not taken for fresh. */
+QuinceRequestStep quince_request_granted (QuinceRequest *request, gint64 now_us, gint64 granted_us, guint attempt, const QuinceGrant *grant);
 /* Refusal by a node; STOPPING and NOT_READY lead to another node. */
 QuinceRequestStep quince_request_grant_refused (QuinceRequest *request, gint64 now_us, guint attempt, const QuinceRefused *refused);
 /* The link to the node broke before a verdict. */
--- a/include/quince/codec.h
+++ b/include/quince/codec.h
@@ -52,6 +52,9 @@
 QUINCE_DECLARE_CODEC (QuinceCommand, quince_command)
 QUINCE_DECLARE_CODEC (QuinceSampleResult, quince_sample_result)
 
+/* Gives @reply an empty result of @kind that encodes; what was there is not released. */
+void quince_ledger_reply_set_empty (QuinceLedgerReply *reply, QuinceCommandKind kind);
+
 /* Protocol strings come from and go to libc malloc; g_strdup() is the same
  * allocator in GLib 2.46 and later. */
 static inline char *
--- a/lib/core/membership/gossip-sender.c
+++ b/lib/core/membership/gossip-sender.c
@@ -2,7 +2,7 @@
  * gossip-sender.c: what goes onto each datagram.
  *
  * In this order, as far as the datagram and the byte budget go: the probe
- * itself, urgent digests, news about members (least sent first), one record
+ * itself, urgent digests, news about members (least sent first), some records
  * by rotation, this node's own digest, records that a newcomer still lacks,
  * and digests of others by rotation.  Probes are sent even over the budget;
  * digests leave a part of it for the rest.
@@ -11,11 +11,15 @@
 
 #include <string.h>
 
+/* A datagram may have so much that a newcomer or a doubted member must hear, whatever the budget. */
+#define INTRODUCTION_BYTES 300
 /* Random zone members, and representatives of other zones, that urgent news goes to at once. */
 #define PUSH_ZONE_FANOUT 3
 #define PUSH_REPRESENTATIVE_FANOUT 4
 /* Least time between two pushes. */
 #define PUSH_INTERVAL_US (20 * G_TIME_SPAN_MILLISECOND)
+/* All records are sent again within so many datagrams. */
+#define ROTATION_DATAGRAMS 100
 /* One in so many rotated digests is of another zone. */
 #define REMOTE_DIGEST_SHARE 4
 /* Part of the budget's burst that digests by rotation leave over. */
@@ -107,17 +111,38 @@
   return TRUE;
 }
 
-/* What the receiver must hear for itself: doubts about it, and who it is talking to. */
+/* Some of the zone that @newcomer belongs to, so that it gossips there from now on. */
+static void
+add_zone_of (Datagram *datagram, const QuincePeer *newcomer)
+{
+  GPtrArray *peers = datagram->membership->peers;
+  guint start = (guint)g_rand_int_range (datagram->membership->random, 0, (gint32)peers->len);
+  for (guint i = 0; i < peers->len; i++)
+    {
+      QuincePeer *peer = peers->pdata[(start + i) % peers->len];
+      if (peer != newcomer && peer->record.state != QUINCE_MEMBER_DEAD
+          && strcmp (peer->record.zone, newcomer->record.zone) == 0 && !add_record (datagram, peer))
+        return;
+    }
+}
+
+/* What the receiver must hear for itself: doubts about it, who it is talking to, and at first its zone. */
 static void
 add_introduction (Datagram *datagram)
 {
   QuincePeer *to = datagram->to;
+  QuincePeer *self = datagram->membership->self;
   gboolean doubted
       = to != NULL && (to->record.state == QUINCE_MEMBER_SUSPECT || to->record.state == QUINCE_MEMBER_DEAD);
   if (doubted)
     add_record (datagram, to);
-  if (doubted || to == NULL)
-    add_record (datagram, datagram->membership->self);
+  if (doubted || to == NULL || to->is_newcomer)
+    add_record (datagram, self);
+  if (to != NULL && to->is_newcomer)
+    {
+      to->is_newcomer = FALSE;
+      add_zone_of (datagram, to);
+    }
 }
 
 static void
@@ -132,18 +157,36 @@
     }
 }
 
-/* The record that was sent least among those that are still news. */
+/* TRUE when news about @peer goes before news about @best: of a common zone first, then what was sent least.
+ */
+static gboolean
+goes_before (const Datagram *datagram, const QuincePeer *peer, const QuincePeer *best)
+{
+  const QuinceMembership *membership = datagram->membership;
+  if (datagram->to != NULL && quince_member_table_is_in_own_zone (membership, datagram->to))
+    {
+      gboolean own_zone = quince_member_table_is_in_own_zone (membership, peer);
+      if (own_zone != quince_member_table_is_in_own_zone (membership, best))
+        return own_zone;
+    }
+  return peer->transmits < best->transmits;
+}
+
+/*
+ * The record that is next among those that are still news.  Ties are broken by
+ * a random @start, so that nodes with the same news tell different parts of it.
+ */
 static QuincePeer *
-least_sent_news (const Datagram *datagram, guint rumor_limit)
+next_news (const Datagram *datagram, guint rumor_limit, guint start)
 {
   GPtrArray *peers = datagram->membership->peers;
   QuincePeer *best = NULL;
   for (guint i = 0; i < peers->len; i++)
     {
-      QuincePeer *peer = peers->pdata[i];
+      QuincePeer *peer = peers->pdata[(start + i) % peers->len];
       if (peer->transmits >= rumor_limit || peer->chosen_for == datagram->membership->datagrams)
         continue;
-      if (best == NULL || peer->transmits < best->transmits)
+      if (best == NULL || goes_before (datagram, peer, best))
         best = peer;
     }
   return best;
@@ -152,20 +195,32 @@
 static void
 add_news (Datagram *datagram)
 {
-  guint rumor_limit = quince_member_table_view (datagram->membership)->rumor_limit;
+  QuinceMembership *membership = datagram->membership;
+  guint rumor_limit = quince_member_table_view (membership)->rumor_limit;
+  guint start = (guint)g_rand_int_range (membership->random, 0, (gint32)membership->peers->len);
   QuincePeer *peer;
   do
-    peer = least_sent_news (datagram, rumor_limit);
+    peer = next_news (datagram, rumor_limit, start);
   while (peer != NULL && add_record (datagram, peer));
 }
 
-/* Repairs whatever news missed someone, slowly. */
+/* Repairs whatever news missed someone: a zone member at random, and all records in turn. */
 static void
-add_rotated_record (Datagram *datagram)
+add_rotated_records (Datagram *datagram)
 {
   QuinceMembership *membership = datagram->membership;
-  membership->record_cursor = (membership->record_cursor + 1) % membership->peers->len;
-  add_record (datagram, membership->peers->pdata[membership->record_cursor]);
+  GPtrArray *peers = membership->peers;
+  GPtrArray *zone_peers = quince_member_table_view (membership)->zone_peers;
+  if (zone_peers->len > 0)
+    {
+      guint index = (guint)g_rand_int_range (membership->random, 0, (gint32)zone_peers->len);
+      add_record (datagram, zone_peers->pdata[index]);
+    }
+  for (guint i = 0; i <= peers->len / ROTATION_DATAGRAMS; i++)
+    {
+      membership->record_cursor = (membership->record_cursor + 1) % peers->len;
+      add_record (datagram, peers->pdata[membership->record_cursor]);
+    }
 }
 
 static void
@@ -250,8 +305,9 @@
   Datagram datagram;
   begin (&datagram, membership, now_us, header);
 
-  /* A doubt that its subject does not hear cannot be refuted: it goes even over the budget. */
-  datagram.limit = QUINCE_GOSSIP_DATAGRAM_BYTES;
+  /* A doubt that its subject does not hear cannot be refuted, and a newcomer that
+   * learns of no one asks the same seed again: these go even over the budget. */
+  datagram.limit = INTRODUCTION_BYTES;
   add_introduction (&datagram);
 
   set_limit (&datagram, 0);
@@ -259,7 +315,7 @@
   add_news (&datagram);
   if (content == QUINCE_GOSSIP_CONTENT_FULL)
     {
-      add_rotated_record (&datagram);
+      add_rotated_records (&datagram);
       add_digest (&datagram, membership->self);
       set_limit (&datagram, membership->limits.bytes_per_second / RESERVE_DIVISOR);
       add_sync_records (&datagram);
--- a/lib/core/membership/member-table.c
+++ b/lib/core/membership/member-table.c
@@ -177,6 +177,7 @@
 {
   guint known = membership->peers->len;
   peer->sync_cursor = (guint)g_rand_int_range (membership->random, 0, (gint32)known);
+  peer->is_newcomer = reports_itself;
   if (reports_itself)
     peer->sync_left = known;
   else if (quince_member_table_is_in_own_zone (membership, peer))
--- a/lib/core/membership/membership.c
+++ b/lib/core/membership/membership.c
@@ -60,6 +60,7 @@
   membership->tokens = limits->bytes_per_second;
   membership->refilled_us = now_us;
   membership->last_sequence = g_rand_int (membership->random);
+  membership->next_seed = g_rand_int (membership->random); /* spreads newcomers over the seeds */
   quince_member_table_init (membership, self);
   quince_prober_init (membership, now_us);
   membership->next_reprobe_us = now_us; /* the first try of a seed does not wait */
--- a/lib/core/request/attempt.c
+++ b/lib/core/request/attempt.c
@@ -148,7 +148,11 @@
 }
 
 QuinceRequestStep
-quince_request_granted (QuinceRequest *request, gint64 now_us, guint attempt, const QuinceGrant *grant)
+quince_request_granted (QuinceRequest *request,
+                        gint64 now_us,
+                        gint64 granted_us,
+                        guint attempt,
+                        const QuinceGrant *grant)
 {
   if (!is_current (request, attempt, PHASE_ASKING))
     return QUINCE_STEP_WAIT;
@@ -159,7 +163,9 @@
   request->grant = *grant;
   request->grant.engine = quince_string (grant->engine);
   request->grant.engine_address = quince_string (grant->engine_address);
-  request->grant_expires_us = now_us + (gint64)grant->expires_ms * G_TIME_SPAN_MILLISECOND;
+  request->grant_expires_us = granted_us + (gint64)grant->expires_ms * G_TIME_SPAN_MILLISECOND;
+  if (now_us >= request->grant_expires_us)
+    return ask_again (request, now_us);
   if (request->options.at_most_once && !request->claimed)
     {
       request->phase = PHASE_CLAIMING;
--- a/lib/core/rollouts/rollout-book.c
+++ b/lib/core/rollouts/rollout-book.c
@@ -70,13 +70,11 @@
 {
   *reply = (QuinceLedgerReply){ .status = status };
   reply->leader = quince_string ("");
-  reply->result.kind = kind;
+  quince_ledger_reply_set_empty (reply, kind);
   if (status == QUINCE_LEDGER_NOT_COMPLETE)
     reply->retry_after_ms = NOT_COMPLETE_RETRY_MS;
   if (status == QUINCE_LEDGER_BUSY)
     reply->retry_after_ms = BUSY_RETRY_MS;
-  if (kind == QUINCE_COMMAND_PULL)
-    reply->result.QuinceLedgerResult_u.batch.trainer = quince_string ("");
 }
 
 /* The batch of an answered pull: its counts, and the samples when it is whole. */
--- a/lib/core/scheduling/scheduler.c
+++ b/lib/core/scheduling/scheduler.c
@@ -149,7 +149,7 @@
       quince_engine_failed (grant->engine, now_us);
       break;
     case QUINCE_OUTCOME_NOT_SENT:
-      scheduler->counters.expired++;
+      scheduler->counters.expired++; /* it passed undispatched */
       break;
     case QUINCE_OUTCOME_CANCELLED:
       break;
--- a/lib/ledger/ledger-calls.c
+++ b/lib/ledger/ledger-calls.c
@@ -52,7 +52,7 @@
   /* While leadership is handed on there is no leader to name. */
   reply->leader = quince_string (g_str_equal (leader, ledger->self.address) ? "" : leader);
   reply->retry_after_ms = status == QUINCE_LEDGER_OK || reply->leader[0] != '\0' ? 0 : RETRY_AFTER_MS;
-  reply->result.kind = pending->kind;
+  quince_ledger_reply_set_empty (reply, pending->kind);
   quince_ledger_post_reply (ledger, pending->client, reply);
 }
 
@@ -237,10 +237,12 @@
 
   if (pending == NULL)
     {
-      quince_ledger_reply_free (reply);
+      g_clear_pointer (&reply, quince_ledger_reply_free);
       return;
     }
-  if (pending->epoch == entry->epoch)
+  if (reply == NULL)
+    reply_status (ledger, pending, QUINCE_LEDGER_CONFLICT);
+  else if (pending->epoch == entry->epoch)
     reply_result (ledger, pending, reply);
   else
     {
--- a/lib/ledger/ledger-effects.c
+++ b/lib/ledger/ledger-effects.c
@@ -119,18 +119,16 @@
 {
   g_autoptr (QuinceLedgerRecord) record
       = quince_ledger_record_decode (entry->data.data_val, entry->data.data_len, NULL);
-  QuinceLedgerReply *reply = g_new0 (QuinceLedgerReply, 1);
+  QuinceLedgerReply *reply = NULL;
 
   if (record == NULL)
-    {
-      /* Every replica finds the same, and so skips the same record. */
-      quince_log_failure ("ledger_record_malformed", "index=%" G_GUINT64_FORMAT, (guint64)entry->index);
-      reply->status = QUINCE_LEDGER_CONFLICT;
-    }
+    /* Every replica finds the same, and so skips the same record. */
+    quince_log_failure ("ledger_record_malformed", "index=%" G_GUINT64_FORMAT, (guint64)entry->index);
   else
     {
       ledger->last_record_ms = MAX (ledger->last_record_ms, (gint64)record->leader_time_ms);
       record->leader_time_ms = ledger->last_record_ms;
+      reply = g_new0 (QuinceLedgerReply, 1);
       quince_rollout_book_apply (ledger->book, record, reply);
     }
   quince_ledger_calls_applied (ledger, entry, reply);
--- a/lib/ledger/ledger-private.h
+++ b/lib/ledger/ledger-private.h
@@ -66,7 +66,7 @@
 quince_ledger_calls_begin (QuinceLedger *ledger, guint64 client, QuinceLedgerCall *call, guint timeout_ms);
 /* Read round @round is confirmed. */
 void quince_ledger_calls_confirmed (QuinceLedger *ledger, guint64 round);
-/* @entry is applied; @reply (transfer full) is the book's answer. */
+/* @entry is applied; @reply (transfer full) is the book's answer, NULL when the record is malformed. */
 void quince_ledger_calls_applied (QuinceLedger *ledger, const QuinceEntry *entry, QuinceLedgerReply *reply);
 void quince_ledger_calls_role_changed (QuinceLedger *ledger, QuinceConsensusRole role, guint64 epoch);
 void quince_ledger_calls_expire (QuinceLedger *ledger, gint64 now_us);
--- a/lib/ledger/ledger-store.c
+++ b/lib/ledger/ledger-store.c
@@ -7,7 +7,7 @@
 #include <sqlite3.h>
 #include <string.h>
 
-G_DEFINE_QUARK (quince-ledger-error-quark, quince_ledger_error)
+G_DEFINE_QUARK (quince - ledger - error - quark, quince_ledger_error)
 
 #define STORE_FILE "ledger.sqlite"
 #define STORE_VERSION 1
--- a/lib/protocol/codec.c
+++ b/lib/protocol/codec.c
@@ -5,7 +5,7 @@
 
 #include <string.h>
 
-G_DEFINE_QUARK (quince-codec-error-quark, quince_codec_error)
+G_DEFINE_QUARK (quince - codec - error - quark, quince_codec_error)
 
 GBytes *
 quince_xdr_encode (xdrproc_t proc, gconstpointer value, GError **error)
@@ -113,3 +113,11 @@
 QUINCE_DEFINE_CODEC (QuincePolicyBody, quince_policy_body)
 QUINCE_DEFINE_CODEC (QuinceCommand, quince_command)
 QUINCE_DEFINE_CODEC (QuinceSampleResult, quince_sample_result)
+
+void
+quince_ledger_reply_set_empty (QuinceLedgerReply *reply, QuinceCommandKind kind)
+{
+  reply->result = (QuinceLedgerResult){ .kind = kind };
+  if (kind == QUINCE_COMMAND_PULL)
+    reply->result.QuinceLedgerResult_u.batch.trainer = quince_string ("");
+}
--- a/lib/protocol/quince_protocol.x
+++ b/lib/protocol/quince_protocol.x
@@ -89,6 +89,7 @@
     QuinceRequestId request_id;
     unsigned int    attempt;
     unsigned hyper  policy_revision;  /* revision that decided             */
+    unsigned hyper  sent_us;          /* sender's monotonic clock          */
     QuinceVerdict   verdict;
 };
 
@@ -149,13 +150,14 @@
 struct QuinceNodeStatus {
     QuinceName     name;
     unsigned hyper incarnation;
+    unsigned hyper sent_us;           /* sender's monotonic clock          */
     bool           ready;
     bool           stopping;
     unsigned hyper policy_revision;
     QuinceName     ledger_leader;     /* address, "" unknown               */
     unsigned hyper ledger_epoch;
     unsigned hyper weight_version;    /* newest active target, 0 unknown   */
-    QuinceMember   members<QUINCE_MAX_MEMBERS>;
+    QuinceMember   members<QUINCE_MAX_MEMBERS>; /* of its zone, and some others */
 };
 
 /* ---- Samples ------------------------------------------------------- */
--- a/rehearsal/kit/cluster.h
+++ b/rehearsal/kit/cluster.h
@@ -32,23 +32,27 @@
   QuincePartKind kind;
   char *name;
   char *zone;
-  char *service;         /* engines */
-  char *data_folder;     /* ledger replicas, else NULL                      */
-  GPtrArray *arguments;  /* of the next start                               */
+  char *service;          /* engines */
+  char *data_folder;      /* ledger replicas, else NULL                      */
+  GPtrArray *arguments;   /* of the next start                               */
   QuinceProcess *process; /* NULL while stopped                             */
-  char *http;            /* ip:port of its HTTP interface                   */
-  char *control;         /* ip:port of its faults and records (stand-ins)   */
-  char *address;         /* ip:port of its links (nodes)                    */
-  char *gossip;          /* ip:port of its gossip (nodes)                   */
-  char *route;           /* ip:port that others are told, through the proxy */
+  guint starts;           /* processes started so far                       */
+  char *http;             /* ip:port of its HTTP interface                   */
+  char *control;          /* ip:port of its faults and records (stand-ins)   */
+  char *address;          /* ip:port of its links (nodes)                    */
+  char *gossip;           /* ip:port of its gossip (nodes)                   */
+  char *route;            /* ip:port that others are told, through the proxy */
+  char *gossip_route;     /* the same for gossip (nodes)                     */
+  int route_number;       /* of @route in the proxy, -1 none                 */
+  int gossip_route_number;
 } QuinceClusterPart;
 
 typedef struct
 {
-  char *build_folder;    /* of the programs                                 */
-  char *folder;          /* logs, settings and data                         */
+  char *build_folder; /* of the programs                                 */
+  char *folder;       /* logs, settings and data                         */
   QuinceDeployment *deployment;
-  GPtrArray *parts;      /* QuinceClusterPart, in order of start            */
+  GPtrArray *parts; /* QuinceClusterPart, in order of start            */
 } QuinceCluster;
 
 /**
@@ -59,7 +63,10 @@
  *
  * Starts everything but trainers and waits until each agent is ready.
  */
-QuinceCluster *quince_cluster_start (const char *build_folder, const char *folder, QuinceDeployment *deployment, GError **error);
+QuinceCluster *quince_cluster_start (const char *build_folder,
+                                     const char *folder,
+                                     QuinceDeployment *deployment,
+                                     GError **error);
 /* Stops what runs, agents first, by SIGTERM, then SIGKILL. */
 void quince_cluster_free (QuinceCluster *cluster);
 G_DEFINE_AUTOPTR_CLEANUP_FUNC (QuinceCluster, quince_cluster_free)
@@ -74,13 +81,26 @@
 /* Starts one more agent in @zone; name and addresses are its own. */
 QuinceClusterPart *quince_cluster_add_agent (QuinceCluster *cluster, const char *zone, GError **error);
 /* Starts a trainer as planned; it ends by itself. */
-QuinceClusterPart *quince_cluster_add_trainer (QuinceCluster *cluster, const QuinceTrainerPlan *plan, GError **error);
+QuinceClusterPart *
+quince_cluster_add_trainer (QuinceCluster *cluster, const QuinceTrainerPlan *plan, GError **error);
 
-/* Runs the operator's command to its end; @output (out) (optional) (transfer full). Returns its exit status. */
+/* Where the process of an engine's start number @start leaves its records when it crashes. (transfer full) */
+char *quince_cluster_make_records_path (QuinceCluster *cluster, const QuinceClusterPart *engine, guint start);
+/* Ends an engine's process at once by its crash fault, which keeps the evidence; FALSE when it does not end.
+ */
+gboolean quince_cluster_crash_engine (QuinceClusterPart *engine);
+
+/* Runs the operator's command to its end; @output (out) (optional) (transfer full). Returns its exit status.
+ */
 int quince_cluster_operate (QuinceCluster *cluster, const char *const *arguments, char **output);
 /* "ip:port;ip:port" of the HTTP interfaces of a kind. (transfer full) */
 char *quince_cluster_join_http (QuinceCluster *cluster, QuincePartKind kind);
 
+/* Sets faults of a part's routes in the proxy, for example {"cut":true}; nodes' gossip
+ * too.  TRUE when the proxy took them. */
+gboolean
+quince_cluster_set_route_faults (QuinceCluster *cluster, QuinceClusterPart *part, const char *faults);
+
 /* Polls GET @path until it answers @status; FALSE when it does not in @timeout_ms. */
 gboolean quince_cluster_await_status (const char *address, const char *path, guint status, guint timeout_ms);
 /* The node that leads the ledger, by the nodes' own word; NULL when none within @timeout_ms. */
--- a/rehearsal/kit/http-sync.c
+++ b/rehearsal/kit/http-sync.c
@@ -28,7 +28,11 @@
 }
 
 guint
-quince_http_sync (const char *address, const char *path, const char *body, guint timeout_ms, JsonNode **answer)
+quince_http_sync (const char *address,
+                  const char *path,
+                  const char *body,
+                  guint timeout_ms,
+                  JsonNode **answer)
 {
   if (answer != NULL)
     *answer = NULL;
--- a/rehearsal/kit/http-sync.h
+++ b/rehearsal/kit/http-sync.h
@@ -15,7 +15,11 @@
  *
  * Returns: the HTTP status, 0 when no answer came within @timeout_ms
  */
-guint quince_http_sync (const char *address, const char *path, const char *body, guint timeout_ms, JsonNode **answer);
+guint quince_http_sync (const char *address,
+                        const char *path,
+                        const char *body,
+                        guint timeout_ms,
+                        JsonNode **answer);
 
 /* Sets faults on a stand-in; TRUE when it took them. */
 gboolean quince_set_faults (const char *address, const char *faults);
--- a/rehearsal/kit/judge.h
+++ b/rehearsal/kit/judge.h
@@ -14,28 +14,28 @@
 /* How often each engine was made to start each request id. */
 typedef struct _QuinceEvidence QuinceEvidence;
 
-/* Reads /_records of every engine that answers on its control address. */
+/* Reads /_records of every engine, and what crashed processes of engines left. */
 QuinceEvidence *quince_evidence_collect (QuinceCluster *cluster);
 void quince_evidence_free (QuinceEvidence *evidence);
 G_DEFINE_AUTOPTR_CLEANUP_FUNC (QuinceEvidence, quince_evidence_free)
 
 guint quince_evidence_count_starts (const QuinceEvidence *evidence, const char *request_id);
-/* Engines whose records could not be read. */
+/* Processes of engines whose records could not be read. */
 guint quince_evidence_count_missing (const QuinceEvidence *evidence);
 
 typedef struct
 {
   guint requests;
-  guint answered;        /* whole and their own                             */
+  guint answered; /* whole and their own                             */
   guint on_time;
-  guint refused;         /* not run                                         */
+  guint refused; /* not run                                         */
   guint unknown;
   guint cut;
-  guint unanswered;      /* no final answer within the bound                */
-  guint wrong;           /* broken promise: partial or foreign answer       */
-  guint ran_though_refused;  /* broken promise: "not run", but it ran       */
-  guint repeated;        /* broken promise: must not be repeated, ran twice */
-  gint64 p50_us;         /* of whole answers                                */
+  guint unanswered;         /* no final answer within the bound                */
+  guint wrong;              /* broken promise: partial or foreign answer       */
+  guint ran_though_refused; /* broken promise: "not run", but it ran       */
+  guint repeated;           /* broken promise: must not be repeated, ran twice */
+  gint64 p50_us;            /* of whole answers                                */
   gint64 p99_us;
 } QuinceVerdictOfCalls;
 
--- a/rehearsal/kit/load.h
+++ b/rehearsal/kit/load.h
@@ -17,12 +17,12 @@
 /* What a caller was finally told. */
 typedef enum
 {
-  QUINCE_ANSWER_NONE,      /* no final answer within the bound              */
-  QUINCE_ANSWER_WHOLE,     /* 200, whole and its own                        */
-  QUINCE_ANSWER_WRONG,     /* 200, but not whole or not its own             */
-  QUINCE_ANSWER_NOT_RUN,   /* error with not_run true                       */
-  QUINCE_ANSWER_UNKNOWN,   /* error without not_run true                    */
-  QUINCE_ANSWER_CUT,       /* connection failed, or a stream without its end */
+  QUINCE_ANSWER_NONE,    /* no final answer within the bound              */
+  QUINCE_ANSWER_WHOLE,   /* 200, whole and its own                        */
+  QUINCE_ANSWER_WRONG,   /* 200, but not whole or not its own             */
+  QUINCE_ANSWER_NOT_RUN, /* error with not_run true                       */
+  QUINCE_ANSWER_UNKNOWN, /* error without not_run true                    */
+  QUINCE_ANSWER_CUT,     /* connection failed, or a stream without its end */
   QUINCE_N_ANSWERS,
 } QuinceAnswerKind;
 
@@ -38,15 +38,15 @@
   gboolean repeatable;
   gboolean stream;
   guint64 deadline_ms;
-  gint64 start_us;       /* monotonic time at which it is sent              */
-  char *agent;           /* ip:port                                         */
+  gint64 start_us; /* monotonic time at which it is sent              */
+  char *agent;     /* ip:port                                         */
   /* What came of it. */
   QuinceAnswerKind answer;
   guint status;
-  char *error_type;      /* "" when none                                    */
+  char *error_type; /* "" when none                                    */
   guint64 retry_after_ms;
-  gint64 latency_us;     /* from start_us                                   */
-  gboolean on_time;      /* whole, within its deadline                      */
+  gint64 latency_us; /* from start_us                                   */
+  gboolean on_time;  /* whole, within its deadline                      */
 } QuinceCall;
 
 typedef struct _QuinceLoad QuinceLoad;
@@ -63,12 +63,12 @@
   guint requests;
   guint prompt_bytes;
   guint shared_prefix_bytes;
-  guint tokens;          /* mean; lengths vary by a half either way         */
+  guint tokens; /* mean; lengths vary by a half either way         */
   gboolean repeatable;
   gboolean stream;
   guint64 deadline_ms;
   gint64 start_us;
-  gint64 spread_us;      /* requests start evenly over this long; 0: at once */
+  gint64 spread_us; /* requests start evenly over this long; 0: at once */
 } QuinceLoadShape;
 
 /* Adds calls that go to @agents in turn; times are monotonic. */
@@ -79,6 +79,9 @@
 /* Array of QuinceCall (transfer none). */
 GPtrArray *quince_load_get_calls (QuinceLoad *load);
 
+/* Answers of one kind so far; from any thread, also while the load runs. */
+guint quince_load_count_answers (QuinceLoad *load, QuinceAnswerKind kind);
+
 /* The answer that the engine stand-in gives. (transfer full) */
 char *quince_expected_text (const char *prompt, guint tokens);
 
--- a/rehearsal/kit/process.h
+++ b/rehearsal/kit/process.h
@@ -30,9 +30,11 @@
  *
  * Waits for the line "ready key=value ..." on standard output.
  */
-QuinceProcess *quince_process_start (const char *folder, const char *name, const char *const *arguments, GError **error);
+QuinceProcess *
+quince_process_start (const char *folder, const char *name, const char *const *arguments, GError **error);
 /* As above, without waiting: call quince_process_await_ready() later. */
-QuinceProcess *quince_process_spawn (const char *folder, const char *name, const char *const *arguments, GError **error);
+QuinceProcess *
+quince_process_spawn (const char *folder, const char *name, const char *const *arguments, GError **error);
 gboolean quince_process_await_ready (QuinceProcess *process, GError **error);
 
 const char *quince_process_get_name (const QuinceProcess *process);
--- a/rehearsal/proxy-tcp.c
+++ b/rehearsal/proxy-tcp.c
@@ -375,6 +375,17 @@
   return NULL;
 }
 
+gboolean
+proxy_tcp_set_upstream (ProxyTcp *proxy, const char *upstream, GError **error)
+{
+  GSocketAddress *address = quince_address_parse (upstream, error);
+  if (address == NULL)
+    return FALSE;
+  g_object_unref (proxy->upstream);
+  proxy->upstream = address;
+  return TRUE;
+}
+
 const char *
 proxy_tcp_get_address (ProxyTcp *proxy)
 {
--- a/rehearsal/proxy-udp.c
+++ b/rehearsal/proxy-udp.c
@@ -176,6 +176,17 @@
   return proxy;
 }
 
+gboolean
+proxy_udp_set_upstream (ProxyUdp *proxy, const char *upstream, GError **error)
+{
+  GSocketAddress *address = quince_address_parse (upstream, error);
+  if (address == NULL)
+    return FALSE;
+  g_object_unref (proxy->upstream);
+  proxy->upstream = address;
+  return TRUE;
+}
+
 const char *
 proxy_udp_get_address (ProxyUdp *proxy)
 {
--- a/rehearsal/proxy.h
+++ b/rehearsal/proxy.h
@@ -46,6 +46,8 @@
                          ProxyCounters *counters,
                          GError **error);
 const char *proxy_tcp_get_address (ProxyTcp *proxy);
+/* For connections made from now on. */
+gboolean proxy_tcp_set_upstream (ProxyTcp *proxy, const char *upstream, GError **error);
 /* The faults that proxy_tcp_new() was given have changed. */
 void proxy_tcp_faults_changed (ProxyTcp *proxy);
 guint proxy_tcp_get_open (ProxyTcp *proxy);
@@ -57,6 +59,8 @@
                          ProxyCounters *counters,
                          GError **error);
 const char *proxy_udp_get_address (ProxyUdp *proxy);
+/* For clients seen from now on. */
+gboolean proxy_udp_set_upstream (ProxyUdp *proxy, const char *upstream, GError **error);
 
 /* Whether @faults swallow what goes @up, or down. */
 gboolean proxy_drops (const ProxyFaults *faults, gboolean up);
--- a/rehearsal/simulation/sim-client.c
+++ b/rehearsal/simulation/sim-client.c
@@ -20,7 +20,7 @@
 {
   GHashTable *calls; /* id -> Call */
   guint64 last_id;
-  guint leader;      /* guess: index of a ledger node */
+  guint leader; /* guess: index of a ledger node */
 };
 
 static void
@@ -92,12 +92,19 @@
   call->tries++;
   QuinceMessage message = { .kind = QUINCE_MESSAGE_LEDGER_CALL };
   message.QuinceMessage_u.ledger_call = *call->call;
-  sim_world_send (world, process, sim_model (world)->nodes[client->leader]->id, quince_message_copy (&message));
+  sim_world_send (world, process, sim_model (world)->nodes[client->leader]->id,
+                  quince_message_copy (&message));
   schedule (world, process, client, call, CALL_TIMEOUT);
 }
 
 void
-sim_client_call (SimWorld *world, SimProcess *process, SimClient *client, const QuinceCommand *command, gint64 deadline, SimReplyHandler handler, gpointer data)
+sim_client_call (SimWorld *world,
+                 SimProcess *process,
+                 SimClient *client,
+                 const QuinceCommand *command,
+                 gint64 deadline,
+                 SimReplyHandler handler,
+                 gpointer data)
 {
   Call *call = g_new0 (Call, 1);
   const QuinceLedgerCall content = { .call_id = ++client->last_id, .command = *command };
--- a/rehearsal/simulation/sim-engine.c
+++ b/rehearsal/simulation/sim-engine.c
@@ -12,12 +12,12 @@
 typedef struct
 {
   SimDispatch *dispatch;
-  guint done;             /* tokens, resumed ones included */
+  guint done; /* tokens, resumed ones included */
 } Sequence;
 
 typedef struct
 {
-  guint64 fence;          /* greatest seen */
+  guint64 fence; /* greatest seen */
   guint64 version;
   guint64 target;
   guint running;
@@ -91,7 +91,8 @@
   else if (sim_chance (world, 0.002))
     end_stream (world, process, sequence, SIM_STREAM_SWAPPED);
   else
-    sim_world_at (world, process, 10 * SIM_MILLISECOND + (gint64)sim_random (world, 30 * SIM_MILLISECOND), produce, sequence, sequence_free);
+    sim_world_at (world, process, 10 * SIM_MILLISECOND + (gint64)sim_random (world, 30 * SIM_MILLISECOND),
+                  produce, sequence, sequence_free);
 }
 
 void
--- a/rehearsal/simulation/sim-node.c
+++ b/rehearsal/simulation/sim-node.c
@@ -31,6 +31,7 @@
       const QuinceDecision *decision = decisions->pdata[i];
       QuinceMessage message = { .kind = QUINCE_MESSAGE_GRANT_REPLY };
       message.QuinceMessage_u.grant_reply = decision->reply;
+      message.QuinceMessage_u.grant_reply.sent_us = (guint64)world->now;
       sim_world_send (world, process, (guint)decision->client, quince_message_copy (&message));
     }
   gint64 at = quince_scheduler_next_wakeup (node->scheduler, world->now);
@@ -82,7 +83,8 @@
 {
   SimModel *model = sim_model (world);
   for (guint i = 0; i < SIM_ENGINES; i++)
-    sim_world_deliver (world, process, model->engines[i]->id, sim_engine_poll, GUINT_TO_POINTER (process->id), NULL);
+    sim_world_deliver (world, process, model->engines[i]->id, sim_engine_poll, GUINT_TO_POINTER (process->id),
+                       NULL);
   sim_world_at (world, process, POLL_INTERVAL, poll_engines, NULL, NULL);
 }
 
@@ -280,8 +282,8 @@
           {
             const SimDisk *disk = &model->disks[j];
             guint64 last = disk->entries != NULL && disk->entries->len > 0
-                             ? ((QuinceEntry *)disk->entries->pdata[disk->entries->len - 1])->index
-                             : disk->snapshot_index;
+                               ? ((QuinceEntry *)disk->entries->pdata[disk->entries->len - 1])->index
+                               : disk->snapshot_index;
             if (voters->voters.voters_val[k].replica_id == disk->replica_id
                 && last >= quince_consensus_get_commit_index (consensus))
               kept++;
--- a/rehearsal/simulation/world.h
+++ b/rehearsal/simulation/world.h
@@ -39,12 +39,12 @@
 {
   const SimClass *class;
   guint id;
-  guint index;           /* among its kind */
+  guint index; /* among its kind */
   char *name;
   gboolean alive;
-  guint64 life;          /* grows with each start */
+  guint64 life; /* grows with each start */
   gint64 frozen_until;
-  gpointer state;        /* of this life */
+  gpointer state; /* of this life */
 };
 
 /* Planted faults of the core's surroundings, to show that the judge sees them. */
@@ -68,7 +68,7 @@
 {
   gint64 now;
   GRand *random;
-  GPtrArray *events;     /* binary heap */
+  GPtrArray *events; /* binary heap */
   guint64 serial;
   GPtrArray *processes;  /* SimProcess */
   gboolean *cut;         /* [from * count + to] */
@@ -77,8 +77,8 @@
   double duplication;
   SimMutation mutation;
   guint64 steps;
-  char *violation;       /* first broken promise, NULL when none */
-  gpointer model;        /* SimModel */
+  char *violation; /* first broken promise, NULL when none */
+  gpointer model;  /* SimModel */
 };
 
 SimWorld *sim_world_new (guint64 seed);
@@ -91,11 +91,21 @@
 gboolean sim_world_step (SimWorld *world);
 
 /* The event is for this life of @process. */
-void sim_world_at (SimWorld *world, SimProcess *process, gint64 delay, SimHandler handler, gpointer data, GDestroyNotify free);
+void sim_world_at (SimWorld *world,
+                   SimProcess *process,
+                   gint64 delay,
+                   SimHandler handler,
+                   gpointer data,
+                   GDestroyNotify free);
 /* @message: (transfer full) */
 void sim_world_send (SimWorld *world, SimProcess *from, guint to, QuinceMessage *message);
 /* A payload that is no protocol message, such as an engine's stream: in order, lost when cut. */
-void sim_world_deliver (SimWorld *world, SimProcess *from, guint to, SimHandler handler, gpointer data, GDestroyNotify free);
+void sim_world_deliver (SimWorld *world,
+                        SimProcess *from,
+                        guint to,
+                        SimHandler handler,
+                        gpointer data,
+                        GDestroyNotify free);
 gboolean sim_world_is_cut (SimWorld *world, guint from, guint to);
 
 void sim_world_kill (SimWorld *world, SimProcess *process);
--- /dev/null
+++ b/tests/integration/harness.c
@@ -0,0 +1,300 @@
+/*
+ * harness.c: see harness.h.
+ */
+#include "harness.h"
+
+#include <glib/gstdio.h>
+#include <string.h>
+
+#include <quince/log.h>
+#include <quince/task.h>
+
+#define LOAD_BOUND_MS 60000
+
+static const char deployment_text[] = "[deployment]\n"
+                                      "name = test\n"
+                                      "policy = %s/examples/policies/default.lua\n"
+                                      "zone_latency = 0us\n"
+                                      "client_latency = 0us\n"
+                                      "[zone z1]\n"
+                                      "[zone z2]\n"
+                                      "[zone z3]\n"
+                                      "[service model]\n"
+                                      "workers = 4\n"
+                                      "capacity = 8\n"
+                                      "token = 3ms\n"
+                                      "swap = 50ms\n"
+                                      "%s";
+
+struct _HarnessLoad
+{
+  GThread *thread;
+  QuinceLoad *load;
+};
+
+static const char *
+from_environment (const char *name, const char *fallback)
+{
+  const char *value = g_getenv (name);
+  return value != NULL ? value : fallback;
+}
+
+static void
+fail_with (const char *what, const GError *error)
+{
+  fail_msg ("%s: %s", what, error != NULL ? error->message : "unknown");
+}
+
+static void
+accept_policy (QuinceCluster *cluster)
+{
+  const char *const arguments[]
+      = { "policy", "accept", cluster->deployment->policy, "--comment", "test", NULL };
+  assert_int_equal (quince_cluster_operate (cluster, arguments, NULL), 0);
+  HARNESS_AWAIT (harness_policy_revision (quince_cluster_get (cluster, QUINCE_PART_NODE, 0)) > 0);
+  gint64 revision = harness_policy_revision (quince_cluster_get (cluster, QUINCE_PART_NODE, 0));
+  HARNESS_AWAIT (harness_policy_everywhere (cluster, revision));
+}
+
+QuinceCluster *
+harness_start (const char *test_name, const char *extra)
+{
+  g_autoptr (GError) error = NULL;
+  g_autofree char *folder = NULL;
+  g_autofree char *template = g_strdup_printf ("quince-%s-XXXXXX", test_name);
+  quince_log_init ("test", test_name, G_LOG_LEVEL_WARNING);
+  folder = g_dir_make_tmp (template, &error);
+  if (folder == NULL)
+    fail_with ("no folder", error);
+  g_autofree char *path = g_build_filename (folder, "deployment.ini", NULL);
+  g_autofree char *text = g_strdup_printf (deployment_text, from_environment ("QUINCE_SOURCE_DIR", "."),
+                                           extra != NULL ? extra : "");
+  assert_true (g_file_set_contents (path, text, -1, NULL));
+  QuinceDeployment *deployment = quince_deployment_load (path, &error);
+  if (deployment == NULL)
+    fail_with ("deployment", error);
+  QuinceCluster *cluster
+      = quince_cluster_start (from_environment ("QUINCE_BUILD_DIR", "build"), folder, deployment, &error);
+  if (cluster == NULL)
+    fail_with (folder, error);
+  accept_policy (cluster);
+  return cluster;
+}
+
+static void
+remove_folder (const char *path)
+{
+  g_autoptr (GDir) dir = g_dir_open (path, 0, NULL);
+  const char *name;
+  while (dir != NULL && (name = g_dir_read_name (dir)) != NULL)
+    {
+      g_autofree char *child = g_build_filename (path, name, NULL);
+      if (g_file_test (child, G_FILE_TEST_IS_DIR))
+        remove_folder (child);
+      else
+        g_unlink (child);
+    }
+  g_rmdir (path);
+}
+
+void
+harness_stop (QuinceCluster *cluster)
+{
+  g_autofree char *folder = g_strdup (cluster->folder);
+  quince_cluster_free (cluster);
+  remove_folder (folder);
+}
+
+/* ---- Trainers ----------------------------------------------------------------- */
+
+QuinceClusterPart *
+harness_start_trainer (QuinceCluster *cluster)
+{
+  g_autoptr (GError) error = NULL;
+  QuinceClusterPart *trainer
+      = quince_cluster_add_trainer (cluster, cluster->deployment->trainers->pdata[0], &error);
+  if (trainer == NULL)
+    fail_with ("trainer", error);
+  return trainer;
+}
+
+gint64
+harness_trainer_count (QuinceClusterPart *trainer, const char *name)
+{
+  g_autoptr (JsonNode) records = NULL;
+  quince_http_sync (trainer->control, "/_records", NULL, HARNESS_WAIT_MS, &records);
+  return quince_json_dig_int (records, name, -1);
+}
+
+void
+harness_assert_trained (QuinceCluster *cluster, QuinceClusterPart *trainer, guint steps, guint samples)
+{
+  static const char *const broken[]
+      = { "lost", "duplicated", "unknown", "bad_text", "bad_segments", "over_staleness" };
+  HARNESS_AWAIT (harness_trainer_count (trainer, "steps_done") == steps);
+  assert_int_equal (harness_trainer_count (trainer, "delivered"), steps * samples);
+  for (guint i = 0; i < G_N_ELEMENTS (broken); i++)
+    if (harness_trainer_count (trainer, broken[i]) != 0)
+      fail_msg ("%s is %d", broken[i], (int)harness_trainer_count (trainer, broken[i]));
+}
+
+/* ---- Lookups ------------------------------------------------------------------- */
+
+void
+harness_add_lookups (QuinceCluster *cluster,
+                     QuinceLoad *load,
+                     guint requests,
+                     guint tokens,
+                     gboolean repeatable,
+                     gboolean stream,
+                     guint delay_ms,
+                     guint spread_ms)
+{
+  g_autofree char *joined = quince_cluster_join_http (cluster, QUINCE_PART_AGENT);
+  g_auto (GStrv) agents = g_strsplit (joined, ";", -1);
+  const QuinceLoadShape shape = { .member = "m1",
+                                  .kind = "lookup",
+                                  .service = "model",
+                                  .requests = requests,
+                                  .prompt_bytes = 200,
+                                  .shared_prefix_bytes = 128,
+                                  .tokens = tokens,
+                                  .repeatable = repeatable,
+                                  .stream = stream,
+                                  .deadline_ms = 20000,
+                                  .start_us = quince_now_us () + (gint64)delay_ms * 1000,
+                                  .spread_us = (gint64)spread_ms * 1000 };
+  quince_load_add (load, &shape, (const char *const *)agents);
+}
+
+static gpointer
+load_main (gpointer data)
+{
+  HarnessLoad *running = data;
+  g_autoptr (GMainContext) context = g_main_context_new ();
+  g_main_context_push_thread_default (context);
+  quince_load_run (running->load, LOAD_BOUND_MS);
+  g_main_context_pop_thread_default (context);
+  return NULL;
+}
+
+HarnessLoad *
+harness_run_load (QuinceLoad *load)
+{
+  HarnessLoad *running = g_new0 (HarnessLoad, 1);
+  running->load = load;
+  running->thread = g_thread_new ("load", load_main, running);
+  return running;
+}
+
+void
+harness_join_load (HarnessLoad *running)
+{
+  g_thread_join (running->thread);
+  g_free (running);
+}
+
+static QuinceVerdictOfCalls
+assert_calls (QuinceCluster *cluster, GPtrArray *calls)
+{
+  g_autoptr (QuinceEvidence) evidence = quince_evidence_collect (cluster);
+  QuinceVerdictOfCalls verdict;
+  assert_int_equal (quince_evidence_count_missing (evidence), 0);
+  quince_judge_calls (calls, evidence, &verdict);
+  g_autofree char *text = quince_judge_describe (&verdict);
+  print_message ("%s\n", text);
+  if (verdict.wrong + verdict.ran_though_refused + verdict.repeated + verdict.unanswered > 0)
+    fail_msg ("broken promise: %s", text);
+  return verdict;
+}
+
+QuinceVerdictOfCalls
+harness_assert_calls (QuinceCluster *cluster, QuinceLoad *load)
+{
+  return assert_calls (cluster, quince_load_get_calls (load));
+}
+
+void
+harness_assert_all_calls (QuinceCluster *cluster, GPtrArray *loads)
+{
+  g_autoptr (GPtrArray) calls = g_ptr_array_new ();
+  for (guint i = 0; i < loads->len; i++)
+    {
+      GPtrArray *more = quince_load_get_calls (loads->pdata[i]);
+      for (guint j = 0; j < more->len; j++)
+        g_ptr_array_add (calls, more->pdata[j]);
+    }
+  assert_calls (cluster, calls);
+}
+
+void
+harness_copy_call (const QuinceCall *call, QuinceCall *copy)
+{
+  g_strlcpy (copy->id, call->id, sizeof copy->id);
+  g_free (copy->prompt);
+  copy->prompt = g_strdup (call->prompt);
+  copy->tokens = call->tokens;
+  copy->stream = call->stream;
+}
+
+/* ---- Engines and processes ---------------------------------------------------------- */
+
+gint64
+harness_engine_count (QuinceClusterPart *engine, const char *path)
+{
+  g_autoptr (JsonNode) records = NULL;
+  quince_http_sync (engine->control, "/_records", NULL, HARNESS_WAIT_MS, &records);
+  return quince_json_dig_int (records, path, 0);
+}
+
+gint64
+harness_engine_running (QuinceClusterPart *engine)
+{
+  static const char *const outcomes[] = { "outcomes.finished", "outcomes.cancelled", "outcomes.disconnected",
+                                          "outcomes.swap",     "outcomes.cut",       "outcomes.crashed" };
+  g_autoptr (JsonNode) records = NULL;
+  quince_http_sync (engine->control, "/_records", NULL, HARNESS_WAIT_MS, &records);
+  gint64 running = quince_json_dig_int (records, "started", 0);
+  for (guint i = 0; i < G_N_ELEMENTS (outcomes); i++)
+    running -= quince_json_dig_int (records, outcomes[i], 0);
+  return running;
+}
+
+void
+harness_restart (QuinceCluster *cluster, QuinceClusterPart *part)
+{
+  g_autoptr (GError) error = NULL;
+  if (!quince_cluster_restart (cluster, part, &error))
+    fail_with (part->name, error);
+}
+
+void
+harness_await_ready (QuinceCluster *cluster)
+{
+  static const QuincePartKind kinds[] = { QUINCE_PART_NODE, QUINCE_PART_AGENT };
+  QuinceClusterPart *part;
+  assert_non_null (quince_cluster_await_leader (cluster, HARNESS_WAIT_MS));
+  for (guint i = 0; i < G_N_ELEMENTS (kinds); i++)
+    for (guint j = 0; (part = quince_cluster_get (cluster, kinds[i], j)) != NULL; j++)
+      assert_true (quince_cluster_await_status (part->http, "/readyz", 200, HARNESS_WAIT_MS));
+}
+
+/* ---- Policy ---------------------------------------------------------------------- */
+
+gint64
+harness_policy_revision (QuinceClusterPart *node)
+{
+  g_autoptr (JsonNode) status = NULL;
+  quince_http_sync (node->http, "/v1/status", NULL, HARNESS_WAIT_MS, &status);
+  return quince_json_dig_int (status, "policy.revision", 0);
+}
+
+gboolean
+harness_policy_everywhere (QuinceCluster *cluster, gint64 revision)
+{
+  QuinceClusterPart *node;
+  for (guint i = 0; (node = quince_cluster_get (cluster, QUINCE_PART_NODE, i)) != NULL; i++)
+    if (node->process != NULL && harness_policy_revision (node) != revision)
+      return FALSE;
+  return TRUE;
+}
--- /dev/null
+++ b/tests/integration/harness.h
@@ -0,0 +1,94 @@
+/*
+ * harness.h: a small deployment of real processes for each integration test,
+ * with nodes and engines behind the fault proxy, and a judge that is outside
+ * the service: engines' starts, trainers' samples, callers' answers.
+ */
+#pragma once
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <cmocka.h>
+
+#include "cluster.h"
+#include "http-sync.h"
+#include "judge.h"
+#include "load.h"
+
+G_BEGIN_DECLS
+
+/* Longest wait for a condition; far above what any needs. */
+#define HARNESS_WAIT_MS 60000
+
+/* Turns nothing, waits until @condition holds; bounded. */
+#define HARNESS_AWAIT(condition)                                                                             \
+  G_STMT_START                                                                                               \
+  {                                                                                                          \
+    gint64 harness_end = g_get_monotonic_time () + HARNESS_WAIT_MS * 1000;                                   \
+    while (!(condition) && g_get_monotonic_time () < harness_end)                                            \
+      g_usleep (5000);                                                                                       \
+    if (!(condition))                                                                                        \
+      fail_msg ("never came true: %s", #condition);                                                          \
+  }                                                                                                          \
+  G_STMT_END
+
+/**
+ * harness_start:
+ * @extra: (nullable): more text for the deployment file, for example a [trainer t] section
+ *
+ * Three zones with one node (ledger replica) and one agent each, four engines of
+ * service "model", one policy accepted from examples/policies/default.lua.
+ * Fails the test when it cannot serve.
+ */
+QuinceCluster *harness_start (const char *test_name, const char *extra);
+/* Stops everything; removes the folder when the test passed. */
+void harness_stop (QuinceCluster *cluster);
+
+/* The deployment's only trainer plan in @extra, started. */
+QuinceClusterPart *harness_start_trainer (QuinceCluster *cluster);
+/* Counter of a trainer's own records, such as "delivered"; -1 when it cannot be read. */
+gint64 harness_trainer_count (QuinceClusterPart *trainer, const char *name);
+/* Waits for the trainer's last step and asserts: all delivered, none lost, duplicated, too old or wrong. */
+void harness_assert_trained (QuinceCluster *cluster, QuinceClusterPart *trainer, guint steps, guint samples);
+
+/* @requests lookups spread over @spread_ms, through all agents in turn. */
+void harness_add_lookups (QuinceCluster *cluster,
+                          QuinceLoad *load,
+                          guint requests,
+                          guint tokens,
+                          gboolean repeatable,
+                          gboolean stream,
+                          guint delay_ms,
+                          guint spread_ms);
+
+/* Runs @load on a thread of its own, so that the test makes faults meanwhile. */
+typedef struct _HarnessLoad HarnessLoad;
+HarnessLoad *harness_run_load (QuinceLoad *load);
+void harness_join_load (HarnessLoad *running);
+
+/* Asserts the promises to callers: no wrong or foreign answer, none "not run" that ran, none
+ * repeated that must not be, each with its final answer.  Returns the verdict. */
+QuinceVerdictOfCalls harness_assert_calls (QuinceCluster *cluster, QuinceLoad *load);
+
+/* As above over all calls of @loads (QuinceLoad) together: an id may be in several. */
+void harness_assert_all_calls (QuinceCluster *cluster, GPtrArray *loads);
+/* @copy becomes the same request as @call, sent by another caller. */
+void harness_copy_call (const QuinceCall *call, QuinceCall *copy);
+
+/* Counter of an engine's own records, such as "outcomes.cut"; 0 when it cannot be read. */
+gint64 harness_engine_count (QuinceClusterPart *engine, const char *path);
+/* Sequences that have started on an engine and not ended. */
+gint64 harness_engine_running (QuinceClusterPart *engine);
+
+/* Starts @part again on its addresses; fails the test when it does not serve. */
+void harness_restart (QuinceCluster *cluster, QuinceClusterPart *part);
+/* Waits until the ledger has a leader, and each node and agent is ready. */
+void harness_await_ready (QuinceCluster *cluster);
+
+/* Policy revision in force on a node by its own status; 0 none or unreachable. */
+gint64 harness_policy_revision (QuinceClusterPart *node);
+gboolean harness_policy_everywhere (QuinceCluster *cluster, gint64 revision);
+
+G_END_DECLS
--- a/tests/unit/test-ledger.c
+++ b/tests/unit/test-ledger.c
@@ -7,7 +7,9 @@
 #include <cmocka.h>
 #include <gio/gio.h>
 #include <quince/ledger.h>
+#include <signal.h>
 #include <string.h>
+#include <sys/resource.h>
 
 #include "../../lib/ledger/ledger-store.h"
 #include "ledger-files.h"
@@ -46,7 +48,9 @@
   GHashTable *replies; /* client → QuinceLedgerReply                        */
   guint64 next_client;
   gboolean expired;
-  guint disk_checks; /* append replies whose disk is to be looked at         */
+  guint disk_checks;     /* append replies whose disk is to be looked at         */
+  guint64 last_index;    /* greatest entry index sent or acknowledged       */
+  gboolean disks_refuse; /* nothing above last_index may be                 */
 };
 
 static Machine *
@@ -80,6 +84,29 @@
   ledger_files_remove (folder);
 }
 
+/* Greatest entry that @message carries or acknowledges; 0 none. */
+static guint64
+greatest_index (const QuinceReplication *message)
+{
+  const QuinceAppendReply *reply = &message->body.QuinceReplicationBody_u.append_reply;
+  const QuinceAppendRequest *request = &message->body.QuinceReplicationBody_u.append_request;
+
+  if (message->body.kind == QUINCE_REPLICATION_APPEND_REPLY && reply->success)
+    return reply->match_index;
+  if (message->body.kind == QUINCE_REPLICATION_APPEND_REQUEST && request->entries.entries_len > 0)
+    return request->previous_index + request->entries.entries_len;
+  return 0;
+}
+
+static void
+note_index (Cluster *cluster, const QuinceReplication *message)
+{
+  guint64 index = greatest_index (message);
+
+  assert_true (!cluster->disks_refuse || index <= cluster->last_index);
+  cluster->last_index = MAX (cluster->last_index, index);
+}
+
 static void
 on_send (const char *address, const QuinceReplication *message, gpointer user_data)
 {
@@ -87,6 +114,7 @@
   Machine *to = machine_at (from->cluster, address);
 
   check_disk (from, message);
+  note_index (from->cluster, message);
   if (to != NULL && to->ledger != NULL && !to->isolated && !from->isolated)
     quince_ledger_receive (to->ledger, quince_replication_copy (message));
 }
@@ -433,6 +461,49 @@
     }
 }
 
+static gboolean
+has_stopped (Cluster *cluster, gconstpointer machine)
+{
+  return ((const Machine *)machine)->state.role == QUINCE_CONSENSUS_LEARNER;
+}
+
+/* A limit on file sizes stands for a full disk. */
+static void
+set_disks_refuse (Cluster *cluster, gboolean refuse)
+{
+  static struct rlimit before;
+  struct rlimit limit;
+
+  if (refuse)
+    getrlimit (RLIMIT_FSIZE, &before);
+  limit = (struct rlimit){ refuse ? 1 : before.rlim_cur, before.rlim_max };
+  signal (SIGXFSZ, SIG_IGN);
+  assert_int_equal (setrlimit (RLIMIT_FSIZE, &limit), 0);
+  cluster->disks_refuse = refuse;
+}
+
+/* What is not on disk is neither sent nor answered, and the replica stops. */
+static void
+test_disk_that_refuses (void **state)
+{
+  Cluster *cluster = *state;
+  QuinceCommand claim = claim_of (1, 10);
+  QuinceCommand more = claim_of (2, 10);
+  Machine *leader;
+  QuinceLedgerStatus status;
+  gboolean stopped;
+
+  assert_int_equal (call_leader (cluster, &claim)->status, QUINCE_LEDGER_OK);
+  leader = find_leader (cluster);
+  set_disks_refuse (cluster, TRUE);
+  status = call (leader, &more, CALL_TIMEOUT_MS)->status;
+  stopped = wait_until (cluster, has_stopped, leader);
+  set_disks_refuse (cluster, FALSE);
+  assert_true (status == QUINCE_LEDGER_UNKNOWN || status == QUINCE_LEDGER_NOT_LEADER);
+  assert_true (stopped);
+  assert_int_equal (call (leader, &more, CALL_TIMEOUT_MS)->status, QUINCE_LEDGER_NOT_LEADER);
+}
+
 static gboolean
 newcomer_is_voter (Cluster *cluster, gconstpointer data)
 {
@@ -484,6 +555,7 @@
     cmocka_unit_test_setup_teardown (test_isolated_leader_answers_nothing_definite, set_up, tear_down),
     cmocka_unit_test_setup_teardown (test_planned_stop_hands_over, set_up, tear_down),
     cmocka_unit_test_setup_teardown (test_acknowledged_entries_are_on_disk, set_up, tear_down),
+    cmocka_unit_test_setup_teardown (test_disk_that_refuses, set_up, tear_down),
     cmocka_unit_test_setup_teardown (test_snapshot_and_replacement, set_up, tear_down),
   };
 
--- a/tests/unit/test-runtime.c
+++ b/tests/unit/test-runtime.c
@@ -142,6 +142,20 @@
   assert_true (g_error_matches (error, QUINCE_CODEC_ERROR, QUINCE_CODEC_ERROR_TRAILING));
 }
 
+/* An answer without content must encode for every kind, or its caller waits in vain. */
+static void
+test_codec_empty_replies (void **state)
+{
+  for (int kind = QUINCE_COMMAND_SUBMIT; kind <= QUINCE_COMMAND_RENEW; kind++)
+    {
+      QuinceLedgerReply reply = { .status = QUINCE_LEDGER_NOT_LEADER, .leader = quince_string ("") };
+      quince_ledger_reply_set_empty (&reply, kind);
+      g_autoptr (GBytes) encoded = quince_ledger_reply_encode (&reply, NULL);
+      assert_non_null (encoded);
+      xdr_free ((xdrproc_t)xdr_QuinceLedgerReply, &reply);
+    }
+}
+
 /* Random bytes and bit flips must end in a value or an error, never a crash. */
 static void
 test_codec_fuzz (void **state)
@@ -400,6 +414,7 @@
     cmocka_unit_test (test_settings_reports_all),
     cmocka_unit_test (test_codec_rejects_garbage),
     cmocka_unit_test (test_codec_fuzz),
+    cmocka_unit_test (test_codec_empty_replies),
     cmocka_unit_test (test_request_id),
     cmocka_unit_test (test_log_quote),
     cmocka_unit_test (test_task_mailbox),
