Processes of another deployment are refused

Cause: test-planned-stop failed once under load on a clean clone: "the deployment does not serve". A node had seen policy revision 6 although none was accepted: a node of another deployment, left over from a stopped cluster on the same machine, had connected to an address that the kernel had given out again. It could never get that revision's text and stayed not ready. Replaced machines bring the same about where addresses are used again.

Ruled out: longer waits (it never becomes ready); unique node names (the policy revision would still come in).

Change: HELLO and gossip carry a number of the deployment's name (node.deployment, agent.deployment); others are refused or dropped, and counted. A report from an engine of another name counts as a failed poll. The cluster kit gives each cluster a name of its own.

--- a/daemons/agent/agent-settings.c
+++ b/daemons/agent/agent-settings.c
@@ -11,6 +11,8 @@
 const QuinceSettingSpec quince_agent_setting_specs[] = {
   { "agent", "name", QUINCE_SETTING_NAME, TRUE, NULL, 0, 0, NULL,
     "name of this agent, unique in the deployment" },
+  { "agent", "deployment", QUINCE_SETTING_TEXT, FALSE, NULL, 0, 0, NULL,
+    "name of the deployment; its nodes refuse agents of another" },
   { "agent", "zone", QUINCE_SETTING_NAME, TRUE, NULL, 0, 0, NULL, "zone that this agent stands in" },
   { "agent", "listen", QUINCE_SETTING_ADDRESS, TRUE, NULL, 0, 0, NULL,
     "HTTP address for callers and trainers; port 0: the kernel's choice" },
--- a/daemons/agent/agent.c
+++ b/daemons/agent/agent.c
@@ -6,6 +6,7 @@
 #include <quince/engine-client.h>
 #include <quince/log.h>
 #include <quince/program.h>
+#include <quince/request-id.h>
 #include <quince/task.h>
 
 #include "agent-http.h"
@@ -42,6 +43,8 @@
     .name = agent->name,
     .zone = agent->zone,
     .incarnation = agent->incarnation,
+    .deployment
+    = quince_deployment_number (quince_settings_get_text (agent->settings, "agent", "deployment")),
     .nodes = nodes,
     .ledger_reply = ledger_reply,
     .link_changed = link_changed,
--- a/daemons/agent/node-links.c
+++ b/daemons/agent/node-links.c
@@ -323,6 +323,7 @@
   QuinceMessage message = { .kind = QUINCE_MESSAGE_HELLO };
   QuinceHello *hello = &message.QuinceMessage_u.hello;
   hello->protocol_version = QUINCE_PROTOCOL_VERSION;
+  hello->deployment = links->options.deployment;
   hello->role = QUINCE_ROLE_AGENT;
   hello->name = (char *)links->options.name;
   hello->zone = (char *)links->options.zone;
--- a/daemons/agent/node-links.h
+++ b/daemons/agent/node-links.h
@@ -22,6 +22,7 @@
 {
   const char *name;
   const char *zone;
+  guint64 deployment; /* number of its name, see quince_deployment_number() */
   guint64 incarnation;
   char **nodes;
   void (*ledger_reply) (const QuinceLedgerReply *reply, gpointer user_data);
--- a/daemons/node/engine-poll.c
+++ b/daemons/node/engine-poll.c
@@ -3,6 +3,7 @@
  */
 #include "engine-poll.h"
 
+#include <quince/http.h>
 #include <quince/log.h>
 #include <quince/task.h>
 
@@ -107,6 +108,14 @@
       note_poll_failure (poll, error);
       return;
     }
+  if (!g_str_equal (load->name, poll->name))
+    {
+      /* The address has gone to another machine. */
+      g_autoptr (GError) stranger = g_error_new (QUINCE_HTTP_ERROR, QUINCE_HTTP_ERROR_BAD_BODY,
+                                                 "the report is of engine '%s'", load->name);
+      note_poll_failure (poll, stranger);
+      return;
+    }
   poll->failures = 0;
   if (load->leaving != poll->own_leaving)
     {
--- a/daemons/node/gossip.c
+++ b/daemons/node/gossip.c
@@ -201,6 +201,7 @@
   gossiper->membership
       = quince_membership_new (&quince_membership_default_limits, &self, (const char *const *)seeds,
                                quince_random_u64 (), quince_now_us ());
+  quince_membership_set_deployment (gossiper->membership, node->deployment);
   return gossiper;
 }
 
--- a/daemons/node/metrics.c
+++ b/daemons/node/metrics.c
@@ -91,6 +91,7 @@
   add_counter (text, "frames_malformed_total", sessions.malformed);
   add_counter (text, "frames_too_large_total", sessions.too_large);
   add_counter (text, "wrong_protocol_version_total", sessions.wrong_version);
+  add_counter (text, "wrong_deployment_total", sessions.wrong_deployment);
   add_counter (text, "unexpected_messages_total", sessions.unexpected);
   add_counter (text, "status_pushes_total", sessions.status_pushes);
   add_gauge (text, "peer_links_open", peers.open);
--- a/daemons/node/node-settings.c
+++ b/daemons/node/node-settings.c
@@ -10,6 +10,8 @@
 const QuinceSettingSpec quince_node_setting_specs[] = {
   { "node", "name", QUINCE_SETTING_NAME, TRUE, NULL, 0, 0, NULL,
     "name of this node, unique in the deployment" },
+  { "node", "deployment", QUINCE_SETTING_TEXT, FALSE, NULL, 0, 0, NULL,
+    "name of the deployment; processes of another are refused" },
   { "node", "zone", QUINCE_SETTING_NAME, TRUE, NULL, 0, 0, NULL, "zone that this node stands in" },
   { "node", "listen", QUINCE_SETTING_ADDRESS, TRUE, NULL, 0, 0, NULL,
     "TCP address for agents, tools and other nodes; port 0: the kernel's choice" },
--- a/daemons/node/node-status.c
+++ b/daemons/node/node-status.c
@@ -15,6 +15,7 @@
 quince_node_fill_hello (const QuinceNode *node, QuinceHello *hello)
 {
   hello->protocol_version = QUINCE_PROTOCOL_VERSION;
+  hello->deployment = node->deployment;
   hello->role = QUINCE_ROLE_NODE;
   hello->name = (char *)node->name;
   hello->zone = (char *)node->zone;
--- a/daemons/node/node.c
+++ b/daemons/node/node.c
@@ -5,6 +5,7 @@
 
 #include <quince/log.h>
 #include <quince/program.h>
+#include <quince/request-id.h>
 #include <quince/task.h>
 
 #include "drains.h"
@@ -76,6 +77,7 @@
   node->name = quince_settings_get_text (settings, "node", "name");
   node->zone = quince_settings_get_text (settings, "node", "zone");
   set_log_level (node);
+  node->deployment = quince_deployment_number (quince_settings_get_text (settings, "node", "deployment"));
   node->incarnation = (guint64)quince_wall_ms ();
   node->http_client
       = soup_session_new_with_options ("max-conns", CONNECTIONS_MOST, "max-conns-per-host",
--- a/daemons/node/node.h
+++ b/daemons/node/node.h
@@ -34,6 +34,7 @@
   const QuinceSettings *settings; /* owned by the program                   */
   const char *name;               /* of @settings                           */
   const char *zone;               /* of @settings                           */
+  guint64 deployment;             /* number of its name, see quince_deployment_number() */
   guint64 incarnation;            /* grows with each start of this node     */
   SoupSession *http_client;       /* engines, machine list, weight store    */
   QuinceKvClient *kv;             /* %NULL: no key-value service is set     */
--- a/daemons/node/sessions.c
+++ b/daemons/node/sessions.c
@@ -153,6 +153,12 @@
       drop_session (session, "wrong_protocol_version");
       return;
     }
+  if (hello->deployment != sessions->node->deployment)
+    {
+      sessions->counters.wrong_deployment++;
+      drop_session (session, "wrong_deployment");
+      return;
+    }
   session->greeted = TRUE;
   session->role = hello->role;
   g_free (session->name);
--- a/daemons/node/sessions.h
+++ b/daemons/node/sessions.h
@@ -32,6 +32,7 @@
   guint64 malformed;     /* closed for a frame that did not decode       */
   guint64 too_large;     /* closed for a frame that is too large         */
   guint64 wrong_version; /* closed for another protocol version          */
+  guint64 wrong_deployment; /* closed since the peer is of another deployment */
   guint64 unexpected;    /* closed for a message that had no place       */
   guint64 status_pushes;
 } QuinceSessionsCounters;
--- a/daemons/node/status-json.c
+++ b/daemons/node/status-json.c
@@ -229,6 +229,7 @@
   add_number (builder, "malformed", sessions.malformed);
   add_number (builder, "too_large", sessions.too_large);
   add_number (builder, "wrong_version", sessions.wrong_version);
+  add_number (builder, "wrong_deployment", sessions.wrong_deployment);
   add_number (builder, "unexpected", sessions.unexpected);
   add_number (builder, "peers_open", peers.open);
   add_number (builder, "peers_failed", peers.failed);
--- a/include/quince/membership.h
+++ b/include/quince/membership.h
@@ -37,6 +37,9 @@
                                          const char *const *seeds, /* gossip addresses */
                                          guint64 seed,
                                          gint64 now_us);
+/* Datagrams of another deployment are dropped; 0, the default, is the unnamed one.
+ * An address may have belonged to another deployment's machine. */
+void quince_membership_set_deployment (QuinceMembership *membership, guint64 deployment);
 void quince_membership_free (QuinceMembership *membership);
 G_DEFINE_AUTOPTR_CLEANUP_FUNC (QuinceMembership, quince_membership_free)
 
--- a/include/quince/request-id.h
+++ b/include/quince/request-id.h
@@ -34,6 +34,8 @@
 
 /* Seeded XXH3 of @length bytes. */
 guint64 quince_hash64 (gconstpointer data, gsize length, guint64 seed);
+/* Number of a deployment's name, for HELLO and gossip; 0 for "". */
+guint64 quince_deployment_number (const char *name);
 /* Hex XXH3-128 of @text. (transfer full) */
 char *quince_hash_text (const char *text, gsize length);
 
--- a/lib/core/membership/gossip-sender.c
+++ b/lib/core/membership/gossip-sender.c
@@ -59,6 +59,7 @@
 {
   QuinceGossip *gossip = g_new0 (QuinceGossip, 1);
   gossip->kind = header->kind;
+  gossip->deployment = (guint32)membership->deployment;
   gossip->sequence = header->sequence;
   gossip->from = quince_string (membership->self->record.name);
   gossip->target = quince_string (header->target);
--- a/lib/core/membership/membership-private.h
+++ b/lib/core/membership/membership-private.h
@@ -84,6 +84,7 @@
 
 struct _QuinceMembership
 {
+  guint64 deployment; /* constant after it is set */
   QuinceMembershipLimits limits;
   char **seeds; /* owned gossip addresses, without the own one */
   GRand *random;
--- a/lib/core/membership/membership.c
+++ b/lib/core/membership/membership.c
@@ -67,6 +67,12 @@
   return membership;
 }
 
+void
+quince_membership_set_deployment (QuinceMembership *membership, guint64 deployment)
+{
+  membership->deployment = deployment;
+}
+
 void
 quince_membership_free (QuinceMembership *membership)
 {
@@ -87,7 +93,7 @@
                            GPtrArray *sends)
 {
   gboolean own_echo = strcmp (gossip->from, membership->self->record.name) == 0;
-  if (gossip->from[0] == '\0' || own_echo)
+  if (gossip->from[0] == '\0' || own_echo || gossip->deployment != (guint32)membership->deployment)
     return;
   for (guint i = 0; i < gossip->updates.updates_len; i++)
     quince_member_table_merge (membership, now_us, gossip->from, &gossip->updates.updates_val[i]);
--- a/lib/protocol/quince_protocol.x
+++ b/lib/protocol/quince_protocol.x
@@ -122,6 +122,7 @@
 
 struct QuinceHello {
     unsigned int   protocol_version;
+    unsigned hyper deployment;        /* hash of its name; others are refused */
     QuinceRole     role;
     QuinceName     name;
     QuinceName     zone;
@@ -503,6 +504,7 @@
 
 struct QuinceGossip {
     QuinceGossipKind  kind;
+    unsigned int      deployment;     /* low half of its number; others are dropped */
     unsigned int      sequence;
     QuinceName        from;
     QuinceName        target;         /* whom the probe is for             */
--- a/lib/protocol/request-id.c
+++ b/lib/protocol/request-id.c
@@ -127,6 +127,12 @@
   return XXH3_64bits_withSeed (data, length, seed);
 }
 
+guint64
+quince_deployment_number (const char *name)
+{
+  return *name != '\0' ? XXH3_64bits (name, strlen (name)) : 0;
+}
+
 char *
 quince_hash_text (const char *text, gsize length)
 {
--- a/rehearsal/kit/cluster-parts.c
+++ b/rehearsal/kit/cluster-parts.c
@@ -147,6 +147,7 @@
   begin (cluster, part, "daemons/quinceroute-node");
   add_setting (part, "node.name", part->name);
   add_setting (part, "node.zone", part->zone);
+  add_setting (part, "node.deployment", cluster->identity);
   add_setting (part, "node.listen", or_any_port (part->address));
   add_setting (part, "node.gossip", or_any_port (part->gossip));
   add_setting (part, "node.http", or_any_port (part->http));
@@ -175,12 +176,12 @@
   begin (cluster, part, "daemons/quinceroute-agent");
   add_setting (part, "agent.name", part->name);
   add_setting (part, "agent.zone", part->zone);
+  add_setting (part, "agent.deployment", cluster->identity);
   add_setting (part, "agent.listen", or_any_port (part->http));
   add_setting (part, "agent.nodes", nodes);
   add_setting (part, "agent.scorer", get_http (cluster, QUINCE_PART_SCORER));
   add_setting (part, "agent.run_samples", "true");
-  g_autofree char *lease
-      = g_strdup_printf ("%" G_GUINT64_FORMAT "ms", cluster->deployment->sample_lease_ms);
+  g_autofree char *lease = g_strdup_printf ("%" G_GUINT64_FORMAT "ms", cluster->deployment->sample_lease_ms);
   add_setting (part, "agent.sample_lease", lease);
 }
 
--- a/rehearsal/kit/cluster.c
+++ b/rehearsal/kit/cluster.c
@@ -5,6 +5,8 @@
 
 #include <string.h>
 
+#include <quince/request-id.h>
+
 #include "cluster-parts.h"
 #include "cluster-routes.h"
 #include "http-sync.h"
@@ -361,6 +363,8 @@
   g_autoptr (QuinceCluster) cluster = g_new0 (QuinceCluster, 1);
   cluster->build_folder = g_strdup (build_folder);
   cluster->folder = g_strdup (folder);
+  cluster->identity
+      = g_strdup_printf ("%s-%016" G_GINT64_MODIFIER "x", deployment->name, quince_random_u64 ());
   cluster->deployment = deployment;
   cluster->parts = g_ptr_array_new_with_free_func (quince_part_free);
   g_mkdir_with_parents (folder, 0755);
@@ -465,5 +469,6 @@
   quince_deployment_free (cluster->deployment);
   g_free (cluster->build_folder);
   g_free (cluster->folder);
+  g_free (cluster->identity);
   g_free (cluster);
 }
--- a/rehearsal/kit/cluster.h
+++ b/rehearsal/kit/cluster.h
@@ -53,6 +53,7 @@
 {
   char *build_folder; /* of the programs                                 */
   char *folder;       /* logs, settings and data                         */
+  char *identity;     /* deployment name of its own, since others use the same ports later */
   QuinceDeployment *deployment;
   GPtrArray *parts; /* QuinceClusterPart, in order of start            */
 } QuinceCluster;
--- a/rehearsal/kit/deployment.h
+++ b/rehearsal/kit/deployment.h
@@ -63,13 +63,13 @@
   char *policy;            /* file of the policy to accept, relative to the deployment file */
   guint64 zone_latency_us; /* one way */
   guint64 client_latency_us;
-  guint64 event_after_ms; /* from the start of the run to the event    */
-  guint64 event_ms;       /* its duration */
+  guint64 event_after_ms;  /* from the start of the run to the event    */
+  guint64 event_ms;        /* its duration */
   guint64 sample_lease_ms; /* after which a dead agent's samples run elsewhere */
-  GPtrArray *zones;       /* QuinceZonePlan    */
-  GPtrArray *services;    /* QuinceServicePlan */
-  GPtrArray *members;     /* QuinceMemberPlan  */
-  GPtrArray *trainers;    /* QuinceTrainerPlan */
+  GPtrArray *zones;        /* QuinceZonePlan    */
+  GPtrArray *services;     /* QuinceServicePlan */
+  GPtrArray *members;      /* QuinceMemberPlan  */
+  GPtrArray *trainers;     /* QuinceTrainerPlan */
 } QuinceDeployment;
 
 QuinceDeployment *quince_deployment_load (const char *path, GError **error);
--- a/tests/contract/node-fixture.h
+++ b/tests/contract/node-fixture.h
@@ -362,13 +362,14 @@
 static const QuinceLinkCallbacks client_callbacks = { .message = client_message, .closed = client_closed };
 
 static inline void
-client_open (Client *client, const char *address, guint protocol_version)
+client_open_as (Client *client, const char *address, guint protocol_version, guint64 deployment)
 {
   *client = (Client){ 0 };
   client->link = quince_link_connect (address, &client_callbacks, client);
   QuinceMessage message = { .kind = QUINCE_MESSAGE_HELLO };
   QuinceHello *hello = &message.QuinceMessage_u.hello;
   hello->protocol_version = protocol_version;
+  hello->deployment = deployment;
   hello->role = QUINCE_ROLE_AGENT;
   hello->name = (char *)"a1";
   hello->zone = (char *)"z1";
@@ -376,6 +377,12 @@
   quince_link_send (client->link, &message);
 }
 
+static inline void
+client_open (Client *client, const char *address, guint protocol_version)
+{
+  client_open_as (client, address, protocol_version, 0);
+}
+
 static inline void
 client_close (Client *client)
 {
--- a/tests/contract/test-node.c
+++ b/tests/contract/test-node.c
@@ -69,6 +69,21 @@
   client_close (&good);
 }
 
+/* An address may have belonged to a machine of another deployment. */
+static void
+test_other_deployment_is_refused (void **state)
+{
+  Deployment *deployment = *state;
+  Client stranger;
+  gint64 before = status_number (deployment, deployment->node_http, "links", "wrong_deployment");
+  client_open_as (&stranger, deployment->node_address, QUINCE_PROTOCOL_VERSION, 7);
+  WAIT_UNTIL (stranger.closed);
+  assert_null (stranger.status);
+  client_close (&stranger);
+  assert_int_equal (status_number (deployment, deployment->node_http, "links", "wrong_deployment"),
+                    before + 1);
+}
+
 /* ---- Cases: grants --------------------------------------------------- */
 
 static void
@@ -189,6 +204,7 @@
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test_setup_teardown (test_bad_frames_close_only_their_link, set_up, tear_down),
+    cmocka_unit_test_setup_teardown (test_other_deployment_is_refused, set_up, tear_down),
     cmocka_unit_test_setup_teardown (test_grant_and_repeat, set_up, tear_down),
     cmocka_unit_test (test_leaving_engine_gets_no_work),
   };
--- a/tests/unit/test-membership.c
+++ b/tests/unit/test-membership.c
@@ -383,6 +383,31 @@
     }
 }
 
+/* Addresses are used again: what another deployment says must change nothing. */
+static void
+test_other_deployment_is_ignored (void **state)
+{
+  g_autoptr (Network) network = network_new (2, 1, 0);
+  network_run_until (network, 10 * SECOND, all_agree, NULL);
+  Node *node = node_at (network, 0);
+  QuinceMember stranger
+      = { .name = "stranger", .zone = "z", .address = "a", .gossip_address = "g", .incarnation = 9 };
+  QuinceNodeDigest digest = { .node = "n1", .incarnation = 99, .sequence = 99, .policy_revision = 99 };
+  QuinceGossip gossip
+      = { .kind = QUINCE_GOSSIP_PING, .deployment = 7, .from = "n1", .target = "", .target_address = "" };
+  gossip.updates.updates_len = 1;
+  gossip.updates.updates_val = &stranger;
+  gossip.digests.digests_len = 1;
+  gossip.digests.digests_val = &digest;
+  g_autoptr (GPtrArray) sends = quince_membership_sends_new ();
+  quince_membership_receive (node->membership, network->now_us, "10.0.0.9:7000", &gossip, sends);
+  g_autoptr (GPtrArray) members = quince_membership_get_members (node->membership);
+  assert_int_equal (sends->len, 0);
+  assert_int_equal (members->len, 2);
+  const QuinceNodeDigest *held = quince_membership_get_digest (node->membership, "n1");
+  assert_true (held == NULL || held->policy_revision != 99);
+}
+
 /* A digest that fits no datagram keeps the signs that count most. */
 static void
 test_large_digest (void **state)
@@ -439,6 +464,7 @@
     cmocka_unit_test (test_zone_cut),
     cmocka_unit_test (test_leave),
     cmocka_unit_test (test_revision_spreads),
+    cmocka_unit_test (test_other_deployment_is_ignored),
     cmocka_unit_test (test_large_digest),
     cmocka_unit_test (test_leaving_engine_spreads),
     cmocka_unit_test (test_older_digest_is_dropped),
