--- a/daemons/node/node-status.c
+++ b/daemons/node/node-status.c
@@ -55,7 +55,7 @@
 }
 
 GBytes *
-quince_node_encode_status (QuinceNode *node)
+quince_node_encode_status (QuinceNode *node, gboolean with_members)
 {
   QuinceMessage message = { .kind = QUINCE_MESSAGE_NODE_STATUS };
   QuinceNodeStatus *status = &message.QuinceMessage_u.node_status;
@@ -72,7 +72,8 @@
   status->policy_revision = quince_policy_spread_get_body (node->policy_spread)->revision;
   status->ledger_leader = (char *)quince_ledger_host_get_leader (node->ledger_host, &status->ledger_epoch);
   status->weight_version = newest;
-  fill_members (node, status, members);
+  if (with_members)
+    fill_members (node, status, members);
   GBytes *encoded = quince_message_encode (&message, &error);
   if (encoded == NULL)
     {
--- a/daemons/node/node-status.h
+++ b/daemons/node/node-status.h
@@ -10,4 +10,4 @@
 /* Fills @hello with texts that stay owned by @node. */
 void quince_node_fill_hello (const QuinceNode *node, QuinceHello *hello);
 /* (transfer full) (nullable): encoded NODE_STATUS message */
-GBytes *quince_node_encode_status (QuinceNode *node);
+GBytes *quince_node_encode_status (QuinceNode *node, gboolean with_members);
--- a/daemons/node/sessions.c
+++ b/daemons/node/sessions.c
@@ -14,6 +14,8 @@
 
 #define SESSIONS_MOST 8192
 #define STATUS_INTERVAL_MS 1000
+/* Statuses that nothing has changed for name the members once in so many. */
+#define MEMBERS_ROUNDS 30
 /* A run of changes within this time is sent as one status. */
 #define STATUS_DELAY_MS 10
 
@@ -24,6 +26,7 @@
   QuinceLinkServer *server;        /* owned                                 */
   GHashTable *by_client;           /* owned: client number -> Session       */
   guint64 last_client;             /* number given last                     */
+  guint status_rounds;             /* of the status timer                   */
   GSource *status_timer;           /* owned: each second                    */
   GSource *change_timer;           /* owned: set while a change waits       */
   QuinceSessionsCounters counters; /* beside what they count                */
@@ -82,9 +85,9 @@
 }
 
 static void
-push_status (QuinceSessions *sessions)
+push_status (QuinceSessions *sessions, gboolean with_members)
 {
-  g_autoptr (GBytes) encoded = quince_node_encode_status (sessions->node);
+  g_autoptr (GBytes) encoded = quince_node_encode_status (sessions->node, with_members);
   if (encoded == NULL)
     return;
   GHashTableIter iter;
@@ -102,7 +105,8 @@
 static gboolean
 status_due (gpointer user_data)
 {
-  push_status (user_data);
+  QuinceSessions *sessions = user_data;
+  push_status (sessions, sessions->status_rounds++ % MEMBERS_ROUNDS == 0);
   return G_SOURCE_CONTINUE;
 }
 
@@ -111,7 +115,7 @@
 {
   QuinceSessions *sessions = user_data;
   quince_source_clear (&sessions->change_timer);
-  push_status (sessions);
+  push_status (sessions, TRUE);
   return G_SOURCE_REMOVE;
 }
 
@@ -169,7 +173,7 @@
   send_hello (session);
   if (wants_status (session))
     {
-      g_autoptr (GBytes) encoded = quince_node_encode_status (sessions->node);
+      g_autoptr (GBytes) encoded = quince_node_encode_status (sessions->node, TRUE);
       if (encoded != NULL)
         quince_link_send_bytes (session->link, encoded);
     }
--- a/lib/core/weights/weight-plan.c
+++ b/lib/core/weights/weight-plan.c
@@ -3,6 +3,8 @@
  */
 #include <quince/weight-plan.h>
 
+#include <string.h>
+
 #define MILLISECOND (G_USEC_PER_SEC / 1000)
 
 const QuinceWeightPlanLimits quince_weight_plan_default_limits = {
@@ -112,17 +114,27 @@
 
 /* ---- What engines report and answer ---------------------------------- */
 
+/* Binary search: the engines are kept in order of their names. */
 static Engine *
 find_engine (const QuinceWeightPlan *plan, const char *name, guint *index)
 {
-  for (guint i = 0; i < plan->engines->len; i++)
+  guint low = 0;
+  guint high = plan->engines->len;
+  while (low < high)
     {
-      Engine *engine = g_ptr_array_index (plan->engines, i);
-      if (!g_str_equal (engine->name, name))
-        continue;
-      if (index != NULL)
-        *index = i;
-      return engine;
+      guint middle = low + (high - low) / 2;
+      Engine *engine = g_ptr_array_index (plan->engines, middle);
+      int order = strcmp (name, engine->name);
+      if (order == 0)
+        {
+          if (index != NULL)
+            *index = middle;
+          return engine;
+        }
+      if (order < 0)
+        high = middle;
+      else
+        low = middle + 1;
     }
   return NULL;
 }
@@ -321,22 +333,32 @@
          && engine->phase != PHASE_SETTLING;
 }
 
-/* Whether another engine of @service may swap now. */
-static gboolean
-may_activate (const QuinceWeightPlan *plan, const char *service, gint64 now_us)
+/* How far a service is; counted once a step, since there may be thousands of engines. */
+typedef struct
+{
+  guint activating;
+  gboolean held_up; /* an engine has not staged the version yet */
+} ServiceProgress;
+
+/* Returns: (transfer full): service -> ServiceProgress, names borrowed from the engines */
+static GHashTable *
+count_services (const QuinceWeightPlan *plan, gint64 now_us)
 {
-  guint activating = 0;
+  GHashTable *services = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, g_free);
   for (guint i = 0; i < plan->engines->len; i++)
     {
       const Engine *engine = g_ptr_array_index (plan->engines, i);
-      if (!g_str_equal (engine->service, service))
-        continue;
-      if (holds_up_service (plan, engine, now_us))
-        return FALSE;
+      ServiceProgress *progress = g_hash_table_lookup (services, engine->service);
+      if (progress == NULL)
+        {
+          progress = g_new0 (ServiceProgress, 1);
+          g_hash_table_insert (services, engine->service, progress);
+        }
       /* One that has answered runs again; only its report is still to come. */
-      activating += engine->phase == PHASE_ACTIVATING;
+      progress->activating += engine->phase == PHASE_ACTIVATING;
+      progress->held_up = progress->held_up || holds_up_service (plan, engine, now_us);
     }
-  return activating < plan->limits.activate_parallel;
+  return services;
 }
 
 static void
@@ -344,13 +366,17 @@
 {
   if (is_held_by_event (plan, now_us))
     return;
+  g_autoptr (GHashTable) services = count_services (plan, now_us);
   for (guint i = 0; i < plan->engines->len; i++)
     {
       Engine *engine = g_ptr_array_index (plan->engines, i);
-      if (engine->usable && !is_busy (engine) && now_us >= engine->retry_at_us
-          && needs_newest (plan, engine, now_us) && has_staged (plan, engine)
-          && may_activate (plan, engine->service, now_us))
-        add_order (plan, engine, QUINCE_WEIGHT_ORDER_ACTIVATE, orders);
+      ServiceProgress *progress = g_hash_table_lookup (services, engine->service);
+      if (progress->held_up || progress->activating >= plan->limits.activate_parallel || !engine->usable
+          || is_busy (engine) || now_us < engine->retry_at_us || !needs_newest (plan, engine, now_us)
+          || !has_staged (plan, engine))
+        continue;
+      add_order (plan, engine, QUINCE_WEIGHT_ORDER_ACTIVATE, orders);
+      progress->activating++;
     }
 }
 
