--- a/rehearsal/simulation/model.h
+++ b/rehearsal/simulation/model.h
@@ -143,7 +143,17 @@
 
 /* ---- Node ------------------------------------------------------------------ */
 
+/* Loses everything. */
 void sim_disk_clear (SimDisk *disk);
+/* Truncates at the first entry's index, then appends. */
+void sim_disk_put_entries (SimDisk *disk, GPtrArray *entries);
+/* @replace: the entries go too, as by a received snapshot; else only those it covers. */
+void sim_disk_put_snapshot (SimDisk *disk,
+                            guint64 index,
+                            guint64 epoch,
+                            const QuinceReplicaSet *voters,
+                            GBytes *data,
+                            gboolean replace);
 gboolean sim_node_may_lose_disk (SimWorld *world, guint node);
 /* In force on a live node; 0 when none or not alive. */
 guint64 sim_node_get_policy (SimProcess *node);
--- a/rehearsal/simulation/sim-ledger.c
+++ b/rehearsal/simulation/sim-ledger.c
@@ -163,47 +163,6 @@
 
 /* ---- Disk ------------------------------------------------------------------- */
 
-void
-sim_disk_clear (SimDisk *disk)
-{
-  g_clear_pointer (&disk->snapshot_voters, quince_replica_set_free);
-  g_clear_pointer (&disk->snapshot, g_bytes_unref);
-  if (disk->entries != NULL)
-    g_ptr_array_unref (disk->entries);
-  *disk = (SimDisk){ 0 };
-}
-
-static void
-persist_entries (SimDisk *disk, GPtrArray *entries)
-{
-  if (entries->len == 0)
-    return;
-  guint64 first = ((QuinceEntry *)entries->pdata[0])->index;
-  while (disk->entries->len > 0
-         && ((QuinceEntry *)disk->entries->pdata[disk->entries->len - 1])->index >= first)
-    g_ptr_array_remove_index (disk->entries, disk->entries->len - 1);
-  for (guint i = 0; i < entries->len; i++)
-    g_ptr_array_add (disk->entries, quince_entry_copy (entries->pdata[i]));
-}
-
-static void
-put_snapshot (SimDisk *disk,
-              guint64 index,
-              guint64 epoch,
-              const QuinceReplicaSet *voters,
-              GBytes *data,
-              gboolean replace)
-{
-  disk->snapshot_index = index;
-  disk->snapshot_epoch = epoch;
-  g_clear_pointer (&disk->snapshot_voters, quince_replica_set_free);
-  disk->snapshot_voters = quince_replica_set_copy (voters);
-  g_clear_pointer (&disk->snapshot, g_bytes_unref);
-  disk->snapshot = g_bytes_ref (data);
-  while (disk->entries->len > 0 && (replace || ((QuinceEntry *)disk->entries->pdata[0])->index <= index))
-    g_ptr_array_remove_index (disk->entries, 0);
-}
-
 /* No bytes stand for the empty book of a new ledger. */
 static QuinceRolloutBook *
 load_book (GBytes *data)
@@ -220,7 +179,8 @@
 install_snapshot (SimLedger *ledger, const QuinceSnapshotRequest *snapshot)
 {
   g_autoptr (GBytes) data = g_bytes_new (snapshot->data.data_val, snapshot->data.data_len);
-  put_snapshot (ledger->disk, snapshot->last_index, snapshot->last_epoch, &snapshot->voters, data, TRUE);
+  sim_disk_put_snapshot (ledger->disk, snapshot->last_index, snapshot->last_epoch, &snapshot->voters, data,
+                         TRUE);
   g_clear_pointer (&ledger->book, quince_rollout_book_free);
   ledger->book = load_book (data);
   ledger->applied_index = snapshot->last_index;
@@ -237,7 +197,7 @@
       disk->voted_for = effect->voted_for;
     }
   else if (effect->kind == QUINCE_EFFECT_PERSIST_ENTRIES)
-    persist_entries (disk, effect->entries);
+    sim_disk_put_entries (disk, effect->entries);
   else if (effect->kind == QUINCE_EFFECT_PERSIST_SNAPSHOT)
     install_snapshot (ledger, effect->snapshot);
 }
@@ -336,8 +296,8 @@
   if (ledger->applied_index < ledger->disk->snapshot_index + SNAPSHOT_ENTRIES)
     return;
   g_autoptr (GBytes) data = quince_rollout_book_save (ledger->book);
-  put_snapshot (ledger->disk, ledger->applied_index, ledger->applied_epoch,
-                quince_consensus_get_voters (ledger->consensus), data, FALSE);
+  sim_disk_put_snapshot (ledger->disk, ledger->applied_index, ledger->applied_epoch,
+                         quince_consensus_get_voters (ledger->consensus), data, FALSE);
   quince_consensus_compacted (ledger->consensus, ledger->applied_index);
 }
 
