Scheduler: an engine that fails gets no work for a while

An engine that refuses or breaks at once looks idle until its next bad poll, so it draws the work of the engines that serve.

Ruled out: ranking it last only (it still gets work whenever the others are full, which under load is always); waiting for its next good report (a crashed one that came back has just given one).

Change: after BROKEN or REFUSED the engine gets no grant for 100 ms, doubled with each further failure in a row, at most 1.6 s; finished work ends it.

--- a/lib/core/scheduling/candidates.c
+++ b/lib/core/scheduling/candidates.c
@@ -50,7 +50,7 @@
   guint reserve = query->keep_reserve ? quince_engine_reserve (engine) : 0;
   if (!quince_engine_table_usable (table, engine, now_us) || quince_engine_free_slots (engine) <= reserve)
     return RANK_NEVER;
-  if (engine->weight_version < query->min_version)
+  if (engine->weight_version < query->min_version || now_us < engine->paused_until_us)
     return RANK_NEVER;
   if (quince_engine_off_target (engine))
     return query->min_version == 0 ? RANK_OFF_TARGET : RANK_NEVER;
--- a/lib/core/scheduling/engine-table.c
+++ b/lib/core/scheduling/engine-table.c
@@ -3,6 +3,9 @@
  */
 #include "engine-table.h"
 
+/* Pause of an engine after a failure, doubled with each further one: 100 ms to 1.6 s. */
+#define PAUSE_LEAST_US ((gint64)100 * G_TIME_SPAN_MILLISECOND)
+#define PAUSE_MOST_DOUBLINGS 4
 #define SMOOTHING 0.1 /* weight of the newest measurement             */
 #define PEER_LOAD_STALE_US (10 * G_USEC_PER_SEC)
 #define LEAVING_SIGNS_MOST 4096
@@ -345,6 +348,7 @@
 void
 quince_engine_served (QuinceEngine *engine, guint service_ms)
 {
+  engine->failures_in_row = 0;
   if (engine->service_ms == 0)
     engine->service_ms = MAX (service_ms, 1);
   else
@@ -360,6 +364,9 @@
     engine->failures[bucket] = 0;
   engine->failure_second[bucket] = second;
   engine->failures[bucket]++;
+  guint doublings = MIN (engine->failures_in_row, PAUSE_MOST_DOUBLINGS);
+  engine->failures_in_row++;
+  engine->paused_until_us = now_us + (PAUSE_LEAST_US << doublings);
 }
 
 guint
--- a/lib/core/scheduling/engine-table.h
+++ b/lib/core/scheduling/engine-table.h
@@ -41,6 +41,8 @@
   double hit_rate;   /* smoothed part of the prompt that was likely cached */
   gint64 failure_second[QUINCE_FAILURE_BUCKETS];
   guint failures[QUINCE_FAILURE_BUCKETS];
+  guint failures_in_row;   /* since work was last finished                    */
+  gint64 paused_until_us;  /* after failures: no new work before this         */
   int prefix_slot; /* in the prefix index; -1: none                    */
 } QuinceEngine;
 
@@ -89,5 +91,7 @@
 /* @dispatched: the work did reach the engine */
 void quince_engine_ended (QuinceEngine *engine, guint64 granted_at_report, gboolean dispatched);
 void quince_engine_served (QuinceEngine *engine, guint service_ms);
+/* Broken or refused work: the engine gets none for a while, doubled with each failure in a
+ * row, since one that fails at once looks idle and would draw all work. */
 void quince_engine_failed (QuinceEngine *engine, gint64 now_us);
 guint quince_engine_recent_failures (const QuinceEngine *engine, gint64 now_us);
--- a/tests/integration/test-callers.c
+++ b/tests/integration/test-callers.c
@@ -244,6 +244,17 @@
   scene->sound = TRUE;
 }
 
+/* Whether one call through each agent gets its whole answer. */
+static gboolean
+is_answered (Scene *scene)
+{
+  QuinceLoad *probe = new_load (scene);
+  guint agents = quince_cluster_count (scene->cluster, QUINCE_PART_AGENT);
+  add_burst (scene, probe, agents, TRUE, FALSE, DEADLINE_MS);
+  harness_join_load (harness_run_load (probe));
+  return quince_load_count_answers (probe, QUINCE_ANSWER_WHOLE) == agents;
+}
+
 /* What was dispatched may run, also when its deadline passes before the engine says anything. */
 static void
 test_deadline_after_dispatch (void **state)
@@ -263,6 +274,7 @@
       scene_set_engine_faults (scene, ENGINES, faults[i][1]);
       HARNESS_AWAIT (is_idle (scene));
       harness_assert_calls (scene->cluster, load);
+      HARNESS_AWAIT (is_answered (scene));
     }
   scene->sound = TRUE;
 }
