Scheduler: a node that lacks fresh reports says NOT_READY, not "no engine"

Cause: after a node was frozen for 3 s and went on, it refused about 80 of 240 calls with no_engine although four engines served: all its reports were old. An agent takes no_engine as final; NOT_READY sends it to another node.

Ruled out: trusting old reports (an engine may have left meanwhile).

Change: engines that serve by reports that are too old are counted apart; when they are all there is, the refusal is NOT_READY.

--- a/lib/core/scheduling/engine-table.c
+++ b/lib/core/scheduling/engine-table.c
@@ -295,11 +295,16 @@
   return table->engines;
 }
 
+gboolean
+quince_engine_is_serving (const QuinceEngine *engine)
+{
+  return engine->available && engine->leaving == 0 && engine->capacity > 0;
+}
+
 gboolean
 quince_engine_table_usable (const QuinceEngineTable *table, const QuinceEngine *engine, gint64 now_us)
 {
-  return engine->available && engine->leaving == 0 && engine->capacity > 0
-         && now_us - engine->reported_us <= table->report_stale_us;
+  return quince_engine_is_serving (engine) && now_us - engine->reported_us <= table->report_stale_us;
 }
 
 guint
--- a/lib/core/scheduling/engine-table.h
+++ b/lib/core/scheduling/engine-table.h
@@ -75,6 +75,9 @@
 /* Every engine; order is not defined. */
 GHashTable *quince_engine_table_all (QuinceEngineTable *table);
 
+/* By its last report, however old that is. */
+gboolean quince_engine_is_serving (const QuinceEngine *engine);
+/* Serving, and heard of lately. */
 gboolean
 quince_engine_table_usable (const QuinceEngineTable *table, const QuinceEngine *engine, gint64 now_us);
 
--- a/lib/core/scheduling/placement.c
+++ b/lib/core/scheduling/placement.c
@@ -33,7 +33,10 @@
     {
       const QuinceEngine *engine = view->engines->pdata[i];
       if (!quince_engine_table_usable (scheduler->engines, engine, now_us))
-        continue;
+        {
+          view->unheard += quince_engine_is_serving (engine);
+          continue;
+        }
       view->usable++;
       view->free_slots += quince_engine_free_slots (engine);
       view->newest_version = MAX (view->newest_version, engine->weight_version);
--- a/lib/core/scheduling/requests.c
+++ b/lib/core/scheduling/requests.c
@@ -66,6 +66,12 @@
       *detail = "no time is left";
       return QUINCE_REFUSAL_DEADLINE;
     }
+  if (view->usable == 0 && view->unheard > 0)
+    {
+      /* This node was paused or cut off: another one may know better. */
+      *detail = "engines have not been heard of lately";
+      return QUINCE_REFUSAL_NOT_READY;
+    }
   if (view->usable == 0)
     {
       *detail = view->engines == NULL ? "no engine serves this" : "no engine can be used now";
--- a/lib/core/scheduling/scheduler-private.h
+++ b/lib/core/scheduling/scheduler-private.h
@@ -47,6 +47,7 @@
 {
   const GPtrArray *engines; /* borrowed; NULL: service unknown */
   guint usable;
+  guint unheard; /* serving by reports that are too old */
   guint free_slots;
   guint64 newest_version;    /* active on a usable engine       */
   guint64 reachable_version; /* active or ordered               */
