Back to libsoup's own listener; grants live 1.5 s

Cause: a failed try. With QuinceHttpListener libsoup closed each connection after one answer all the same, unannounced: it keeps connections only while the server has a listener of its own. A trial with an idle listener beside it kept connections, and leaked them again.

Ruled out for now: kept connections at all with libsoup 3.2's server.

--- a/daemons/agent/agent-http.c
+++ b/daemons/agent/agent-http.c
@@ -7,7 +7,6 @@
 #include <string.h>
 #include <sys/socket.h>
 
-#include <quince/http-listener.h>
 #include <quince/http.h>
 #include <quince/log.h>
 #include <quince/task.h>
@@ -28,7 +27,7 @@
   /* All fields belong to the main context. */
   QuinceAgent *agent;
   SoupServer *server;
-  QuinceHttpListener *listener;
+  char *address;
   gint64 asked_us; /* when a request came last */
 };
 
@@ -225,14 +224,13 @@
 {
   QuinceAgentHttp *http = g_new0 (QuinceAgentHttp, 1);
   http->agent = agent;
-  http->server = soup_server_new ("server-header", "quinceroute", NULL);
+  http->server = quince_http_server_new ("quinceroute");
   for (guint i = 0; i < G_N_ELEMENTS (routes); i++)
     {
       soup_server_add_early_handler (http->server, routes[i].path, headers_arrived, http, NULL);
       soup_server_add_handler (http->server, routes[i].path, routes[i].handle, http, NULL);
     }
-  http->listener = quince_http_listener_new (http->server, address, error);
-  if (http->listener != NULL)
+  if (quince_http_listen (http->server, address, &http->address, error))
     return http;
   quince_agent_http_free (http);
   return NULL;
@@ -241,16 +239,16 @@
 void
 quince_agent_http_free (QuinceAgentHttp *http)
 {
-  g_clear_pointer (&http->listener, quince_http_listener_free);
   soup_server_disconnect (http->server);
   g_object_unref (http->server);
+  g_free (http->address);
   g_free (http);
 }
 
 const char *
 quince_agent_http_get_address (const QuinceAgentHttp *http)
 {
-  return quince_http_listener_get_address (http->listener);
+  return http->address;
 }
 
 /* ---- Planned stop -------------------------------------------------------------- */
@@ -275,8 +273,10 @@
 void
 quince_agent_http_ignore_connections (QuinceAgentHttp *http)
 {
-  if (!ignore_first_packets (quince_http_listener_get_socket (http->listener)))
-    quince_log_warning ("connections_not_ignored", "address=%s", quince_agent_http_get_address (http));
+  g_autoptr (GSList) listeners = soup_server_get_listeners (http->server);
+  for (GSList *item = listeners; item != NULL; item = item->next)
+    if (!ignore_first_packets (item->data))
+      quince_log_warning ("connections_not_ignored", "address=%s", quince_agent_http_get_address (http));
 }
 
 gint64
--- a/daemons/node/node-settings.c
+++ b/daemons/node/node-settings.c
@@ -38,7 +38,7 @@
     "longest time until a ledger call is answered" },
   { "scheduler", "queue_most", QUINCE_SETTING_INTEGER, FALSE, "4096", 1, 1000000, NULL,
     "requests that may wait" },
-  { "scheduler", "grant", QUINCE_SETTING_DURATION, FALSE, "2s", 100 * MILLISECOND, 30 * SECOND, NULL,
+  { "scheduler", "grant", QUINCE_SETTING_DURATION, FALSE, "1500ms", 100 * MILLISECOND, 30 * SECOND, NULL,
     "how long a grant may be dispatched" },
   { "scheduler", "abandon", QUINCE_SETTING_DURATION, FALSE, "60s", SECOND, 3600 * (gint64)SECOND, NULL,
     "a grant whose end is never told is forgotten after this" },
