Stand-ins: state that lives as long as the process is static

Cause: the leak checker failed the contract tests of the stand-ins: kv and trainer kept their state on the stack of a function that had returned by then, so it was unreachable at the exit.

--- a/rehearsal/kv.c
+++ b/rehearsal/kv.c
@@ -391,7 +391,8 @@
 int
 quince_kv_standin_run (int argc, char **argv)
 {
-  KvService service = { 0 };
+  /* Lives until the process ends: timers and connections refer to it. */
+  static KvService service;
   quince_standin_flags_init (&service.common, "kv");
   if (argp_parse (&kv_argp, argc, argv, 0, NULL, &service) != 0)
     return QUINCE_STANDIN_EXIT_USAGE;
--- a/rehearsal/trainer.c
+++ b/rehearsal/trainer.c
@@ -245,17 +245,18 @@
 int
 quince_trainer_standin_run (int argc, char **argv)
 {
-  Trainer trainer = { .settings = { .member = "default",
-                                    .steps = 10,
-                                    .samples = 16,
-                                    .staleness = 2,
-                                    .version = 1,
-                                    .tokens = 32,
-                                    .tail_factor = 1,
-                                    .step_ms = 50,
-                                    .ahead = 1,
-                                    .seed = 1,
-                                    .timeout_s = 120 } };
+  /* Lives until the process ends: its thread and connections refer to it. */
+  static Trainer trainer = { .settings = { .member = "default",
+                                           .steps = 10,
+                                           .samples = 16,
+                                           .staleness = 2,
+                                           .version = 1,
+                                           .tokens = 32,
+                                           .tail_factor = 1,
+                                           .step_ms = 50,
+                                           .ahead = 1,
+                                           .seed = 1,
+                                           .timeout_s = 120 } };
   quince_standin_flags_init (&trainer.settings.common, "trainer");
   if (argp_parse (&trainer_argp, argc, argv, 0, NULL, &trainer.settings) != 0)
     return QUINCE_STANDIN_EXIT_USAGE;
