--- a/tests/contract/test-standin-engine.c
+++ b/tests/contract/test-standin-engine.c
@@ -364,6 +364,13 @@
 
 /* ---- Crash, hang, leave ---- */
 
+static gboolean
+serves (const Standin *standin)
+{
+  g_auto (Answer) load = call (standin->http, "/admin/load", NULL);
+  return load.status == 200;
+}
+
 static void
 crash_drops_everything_and_comes_back (void **state)
 {
@@ -374,7 +381,7 @@
   g_auto (Answer) answer = call_finish (running);
   assert_int_equal (answer.status, 0);
   assert_true (records_contain (engine, "\"outcome\":\"crashed\""));
-  WAIT_UNTIL (call (engine->http, "/admin/load", NULL).status == 200);
+  WAIT_UNTIL (serves (engine));
 }
 
 static void
