--- a/Makefile
+++ b/Makefile
@@ -27,7 +27,7 @@
 	@$(BUILD)/rehearsal/quinceroute-rehearsal bench
 
 experiment: build
-	@$(BUILD)/rehearsal/quinceroute-rehearsal experiment --out out/experiment
+	@$(BUILD)/rehearsal/quinceroute-rehearsal experiment --build $(BUILD) --out out/experiment
 	@scripts/plot.sh out/experiment
 
 scale: build
--- a/daemons/node/sessions.h
+++ b/daemons/node/sessions.h
@@ -28,12 +28,12 @@
   guint agents; /* open sessions of agents                      */
   guint nodes;  /* open sessions of other nodes                 */
   guint64 accepted;
-  guint64 too_many;      /* closed at once, since too many are open */
-  guint64 malformed;     /* closed for a frame that did not decode       */
-  guint64 too_large;     /* closed for a frame that is too large         */
-  guint64 wrong_version; /* closed for another protocol version          */
+  guint64 too_many;         /* closed at once, since too many are open */
+  guint64 malformed;        /* closed for a frame that did not decode       */
+  guint64 too_large;        /* closed for a frame that is too large         */
+  guint64 wrong_version;    /* closed for another protocol version          */
   guint64 wrong_deployment; /* closed since the peer is of another deployment */
-  guint64 unexpected;    /* closed for a message that had no place       */
+  guint64 unexpected;       /* closed for a message that had no place       */
   guint64 status_pushes;
 } QuinceSessionsCounters;
 
--- a/include/quince/attempt.h
+++ b/include/quince/attempt.h
@@ -26,20 +26,20 @@
 /* What the agent must do next. */
 typedef enum
 {
-  QUINCE_STEP_ASK_GRANT,       /* now, with get_attempt()                   */
-  QUINCE_STEP_WAIT,            /* nothing now                               */
-  QUINCE_STEP_CLAIM,           /* have the request id claimed in the ledger */
-  QUINCE_STEP_DISPATCH,        /* send to the granted engine                */
-  QUINCE_STEP_ANSWER_WHOLE,    /* final: the answer is whole                */
-  QUINCE_STEP_ANSWER_NOT_RUN,  /* final: refused, certainly not run         */
-  QUINCE_STEP_ANSWER_UNKNOWN,  /* final: may have run, no answer            */
-  QUINCE_STEP_ANSWER_BROKEN,   /* final: stream cut after bytes went out    */
+  QUINCE_STEP_ASK_GRANT,      /* now, with get_attempt()                   */
+  QUINCE_STEP_WAIT,           /* nothing now                               */
+  QUINCE_STEP_CLAIM,          /* have the request id claimed in the ledger */
+  QUINCE_STEP_DISPATCH,       /* send to the granted engine                */
+  QUINCE_STEP_ANSWER_WHOLE,   /* final: the answer is whole                */
+  QUINCE_STEP_ANSWER_NOT_RUN, /* final: refused, certainly not run         */
+  QUINCE_STEP_ANSWER_UNKNOWN, /* final: may have run, no answer            */
+  QUINCE_STEP_ANSWER_BROKEN,  /* final: stream cut after bytes went out    */
 } QuinceRequestStep;
 
 typedef struct
 {
   gboolean at_most_once;
-  gboolean streaming;       /* bytes go to the caller as they come          */
+  gboolean streaming; /* bytes go to the caller as they come          */
   gint64 deadline_us;
   guint attempts_most;
 } QuinceRequestOptions;
@@ -55,12 +55,20 @@
 QuinceRequestStep quince_request_start (QuinceRequest *request, gint64 now_us);
 /* @granted_us: when the node gave the grant, in this clock and at most @now_us; the grant
  * expires from then, so that one that lay in a paused process is not taken for fresh. */
-QuinceRequestStep quince_request_granted (QuinceRequest *request, gint64 now_us, gint64 granted_us, guint attempt, const QuinceGrant *grant);
+QuinceRequestStep quince_request_granted (QuinceRequest *request,
+                                          gint64 now_us,
+                                          gint64 granted_us,
+                                          guint attempt,
+                                          const QuinceGrant *grant);
 /* Refusal by a node; STOPPING and NOT_READY lead to another node. */
-QuinceRequestStep quince_request_grant_refused (QuinceRequest *request, gint64 now_us, guint attempt, const QuinceRefused *refused);
+QuinceRequestStep quince_request_grant_refused (QuinceRequest *request,
+                                                gint64 now_us,
+                                                guint attempt,
+                                                const QuinceRefused *refused);
 /* The link to the node broke before a verdict. */
 QuinceRequestStep quince_request_node_lost (QuinceRequest *request, gint64 now_us, guint attempt);
-QuinceRequestStep quince_request_claimed (QuinceRequest *request, gint64 now_us, guint attempt, QuinceLedgerStatus status);
+QuinceRequestStep
+quince_request_claimed (QuinceRequest *request, gint64 now_us, guint attempt, QuinceLedgerStatus status);
 /* Call immediately before the first byte may leave; FALSE: the grant has expired:
  * quince_request_engine_failed() with @sent FALSE gives the next step. */
 gboolean quince_request_dispatching (QuinceRequest *request, gint64 now_us, guint attempt);
@@ -70,7 +78,8 @@
 QuinceRequestStep quince_request_finished (QuinceRequest *request, gint64 now_us, guint attempt);
 QuinceRequestStep quince_request_engine_refused (QuinceRequest *request, gint64 now_us, guint attempt);
 /* @sent: whether any byte may have left */
-QuinceRequestStep quince_request_engine_failed (QuinceRequest *request, gint64 now_us, guint attempt, gboolean sent);
+QuinceRequestStep
+quince_request_engine_failed (QuinceRequest *request, gint64 now_us, guint attempt, gboolean sent);
 QuinceRequestStep quince_request_deadline (QuinceRequest *request, gint64 now_us);
 
 guint quince_request_get_attempt (const QuinceRequest *request);
--- a/include/quince/codec.h
+++ b/include/quince/codec.h
@@ -30,11 +30,11 @@
 void quince_xdr_free (xdrproc_t proc, gpointer value);
 
 /* Typed forms: quince_message_encode (const QuinceMessage *, GError **) and so on. */
-#define QUINCE_DECLARE_CODEC(Type, name)                                                  \
-  GBytes *name##_encode (const Type *value, GError **error);                              \
-  Type *name##_decode (gconstpointer data, gsize length, GError **error);                 \
-  Type *name##_copy (const Type *value);                                                  \
-  void name##_free (Type *value);                                                         \
+#define QUINCE_DECLARE_CODEC(Type, name)                                                                     \
+  GBytes *name##_encode (const Type *value, GError **error);                                                 \
+  Type *name##_decode (gconstpointer data, gsize length, GError **error);                                    \
+  Type *name##_copy (const Type *value);                                                                     \
+  void name##_free (Type *value);                                                                            \
   G_DEFINE_AUTOPTR_CLEANUP_FUNC (Type, name##_free)
 
 QUINCE_DECLARE_CODEC (QuinceMessage, quince_message)
--- a/include/quince/consensus.h
+++ b/include/quince/consensus.h
@@ -31,10 +31,10 @@
   QUINCE_EFFECT_PERSIST_ENTRIES,  /* truncate at first index, then append   */
   QUINCE_EFFECT_PERSIST_SNAPSHOT, /* replace state by a received snapshot   */
   QUINCE_EFFECT_SEND,
-  QUINCE_EFFECT_COMMITTED,        /* entry to apply, in index order         */
-  QUINCE_EFFECT_ROLE,             /* role, epoch or leader changed          */
-  QUINCE_EFFECT_CONFIRMED,        /* a read round is confirmed: still leader */
-  QUINCE_EFFECT_SEND_SNAPSHOT,    /* executor must supply snapshot bytes    */
+  QUINCE_EFFECT_COMMITTED,     /* entry to apply, in index order         */
+  QUINCE_EFFECT_ROLE,          /* role, epoch or leader changed          */
+  QUINCE_EFFECT_CONFIRMED,     /* a read round is confirmed: still leader */
+  QUINCE_EFFECT_SEND_SNAPSHOT, /* executor must supply snapshot bytes    */
 } QuinceEffectKind;
 
 typedef struct
@@ -42,14 +42,14 @@
   QuinceEffectKind kind;
   guint64 epoch;
   guint64 voted_for;
-  GPtrArray *entries;             /* QuinceEntry, PERSIST_ENTRIES           */
-  QuinceEntry *entry;             /* COMMITTED                              */
-  char *address;                  /* SEND, SEND_SNAPSHOT                    */
-  guint64 to;                     /* replica id                             */
-  QuinceReplication *message;     /* SEND                                   */
+  GPtrArray *entries;              /* QuinceEntry, PERSIST_ENTRIES           */
+  QuinceEntry *entry;              /* COMMITTED                              */
+  char *address;                   /* SEND, SEND_SNAPSHOT                    */
+  guint64 to;                      /* replica id                             */
+  QuinceReplication *message;      /* SEND                                   */
   QuinceSnapshotRequest *snapshot; /* PERSIST_SNAPSHOT: whole, data joined  */
-  guint64 round;                  /* CONFIRMED                              */
-  QuinceConsensusRole role;       /* ROLE                                   */
+  guint64 round;                   /* CONFIRMED                              */
+  QuinceConsensusRole role;        /* ROLE                                   */
 } QuinceEffect;
 
 GPtrArray *quince_effects_new (void); /* of QuinceEffect */
@@ -90,14 +90,24 @@
 G_DEFINE_AUTOPTR_CLEANUP_FUNC (QuinceConsensus, quince_consensus_free)
 
 /* First voters of a new ledger; only on an empty replica that is one of them. */
-void quince_consensus_bootstrap (QuinceConsensus *consensus, gint64 now_us, const QuinceReplicaSet *voters, GPtrArray *effects);
-void quince_consensus_receive (QuinceConsensus *consensus, gint64 now_us, const QuinceReplication *message, GPtrArray *effects);
+void quince_consensus_bootstrap (QuinceConsensus *consensus,
+                                 gint64 now_us,
+                                 const QuinceReplicaSet *voters,
+                                 GPtrArray *effects);
+void quince_consensus_receive (QuinceConsensus *consensus,
+                               gint64 now_us,
+                               const QuinceReplication *message,
+                               GPtrArray *effects);
 void quince_consensus_tick (QuinceConsensus *consensus, gint64 now_us, GPtrArray *effects);
 gint64 quince_consensus_next_wakeup (const QuinceConsensus *consensus);
 
 /* Leader only. Returns: index of the new entry, 0 when not leader.
  * Entries proposed in one batch go out together at quince_consensus_flush(). */
-guint64 quince_consensus_propose (QuinceConsensus *consensus, gint64 now_us, gconstpointer data, gsize length, GPtrArray *effects);
+guint64 quince_consensus_propose (QuinceConsensus *consensus,
+                                  gint64 now_us,
+                                  gconstpointer data,
+                                  gsize length,
+                                  GPtrArray *effects);
 void quince_consensus_flush (QuinceConsensus *consensus, gint64 now_us, GPtrArray *effects);
 /* Starts a read round; CONFIRMED with this or a greater number means that
  * this replica still led after the call.  0 when not leader. */
@@ -107,7 +117,14 @@
 /* Planned stop of a leader: hands leadership to the most caught-up voter. */
 void quince_consensus_transfer (QuinceConsensus *consensus, gint64 now_us, GPtrArray *effects);
 /* Snapshot bytes for a SEND_SNAPSHOT effect; sent in parts. */
-void quince_consensus_send_snapshot (QuinceConsensus *consensus, gint64 now_us, guint64 to, guint64 index, guint64 epoch, const QuinceReplicaSet *voters, GBytes *data, GPtrArray *effects);
+void quince_consensus_send_snapshot (QuinceConsensus *consensus,
+                                     gint64 now_us,
+                                     guint64 to,
+                                     guint64 index,
+                                     guint64 epoch,
+                                     const QuinceReplicaSet *voters,
+                                     GBytes *data,
+                                     GPtrArray *effects);
 
 QuinceConsensusRole quince_consensus_get_role (const QuinceConsensus *consensus);
 guint64 quince_consensus_get_epoch (const QuinceConsensus *consensus);
--- a/include/quince/http.h
+++ b/include/quince/http.h
@@ -27,7 +27,8 @@
 
 /* Sets a JSON body; consumes nothing of @root (transfer none). */
 void quince_http_reply_json (SoupServerMessage *message, guint status, JsonNode *root);
-void quince_http_reply_text (SoupServerMessage *message, guint status, const char *content_type, const char *text);
+void
+quince_http_reply_text (SoupServerMessage *message, guint status, const char *content_type, const char *text);
 
 /**
  * quince_http_reply_error:
@@ -47,11 +48,21 @@
 JsonNode *quince_http_read_object (SoupServerMessage *message);
 
 /* Typed members of an object: %FALSE and an error when absent, of another type or out of range. */
-gboolean quince_json_get_text (JsonObject *object, const char *name, gsize longest, const char **value, GError **error);
-gboolean quince_json_get_u64 (JsonObject *object, const char *name, guint64 greatest, guint64 *value, GError **error);
+gboolean quince_json_get_text (JsonObject *object,
+                               const char *name,
+                               gsize longest,
+                               const char **value,
+                               GError **error);
+gboolean
+quince_json_get_u64 (JsonObject *object, const char *name, guint64 greatest, guint64 *value, GError **error);
 /* Optional forms: keep @value when absent. */
-gboolean quince_json_opt_text (JsonObject *object, const char *name, gsize longest, const char **value, GError **error);
-gboolean quince_json_opt_u64 (JsonObject *object, const char *name, guint64 greatest, guint64 *value, GError **error);
+gboolean quince_json_opt_text (JsonObject *object,
+                               const char *name,
+                               gsize longest,
+                               const char **value,
+                               GError **error);
+gboolean
+quince_json_opt_u64 (JsonObject *object, const char *name, guint64 greatest, guint64 *value, GError **error);
 gboolean quince_json_opt_bool (JsonObject *object, const char *name, gboolean *value, GError **error);
 
 #define QUINCE_HTTP_ERROR (quince_http_error_quark ())
--- a/include/quince/ledger.h
+++ b/include/quince/ledger.h
@@ -30,7 +30,7 @@
   guint64 leader_id;
   char leader_address[QUINCE_MAX_NAME + 1];
   guint64 commit_index;
-  gboolean bootstrapped;       /* part of a ledger, or waits for one        */
+  gboolean bootstrapped; /* part of a ledger, or waits for one        */
   guint n_voters;
   QuinceRolloutCounters counters;
 } QuinceLedgerState;
@@ -69,7 +69,10 @@
 void quince_ledger_join (QuinceLedger *ledger, const char *address);
 void quince_ledger_receive (QuinceLedger *ledger, QuinceReplication *message /* transfer full */);
 /* @client comes back with the reply.  Every call is answered, within @timeout_ms. */
-void quince_ledger_call (QuinceLedger *ledger, guint64 client, QuinceLedgerCall *call /* transfer full */, guint timeout_ms);
+void quince_ledger_call (QuinceLedger *ledger,
+                         guint64 client,
+                         QuinceLedgerCall *call /* transfer full */,
+                         guint timeout_ms);
 /* Hands leadership on, then stops the task and closes the disk.  Blocks, at most about a second. */
 void quince_ledger_close (QuinceLedger *ledger);
 
--- a/include/quince/link.h
+++ b/include/quince/link.h
@@ -51,7 +51,8 @@
  *
  * Returns: (transfer full): the link
  */
-QuinceLink *quince_link_connect (const char *address, const QuinceLinkCallbacks *callbacks, gpointer user_data);
+QuinceLink *
+quince_link_connect (const char *address, const QuinceLinkCallbacks *callbacks, gpointer user_data);
 
 /* Encodes and queues @message; the caller keeps it.  Sending on a closed link does nothing. */
 void quince_link_send (QuinceLink *link, const QuinceMessage *message);
--- a/include/quince/log.h
+++ b/include/quince/log.h
@@ -3,7 +3,8 @@
  *
  * Built on GLib logging.  Lines go to standard error:
  *
- *   time=2026-01-02T03:04:05.678Z level=info program=quinceroute-node name=n1 event=grant_refused reason=overloaded
+ *   time=2026-01-02T03:04:05.678Z level=info program=quinceroute-node name=n1 event=grant_refused
+ * reason=overloaded
  *
  * Thread safe.
  */
--- a/include/quince/membership.h
+++ b/include/quince/membership.h
@@ -26,7 +26,7 @@
 
 typedef struct
 {
-  char *address;            /* gossip address                               */
+  char *address; /* gossip address                               */
   QuinceGossip *gossip;
 } QuinceMembershipSend;
 
--- a/include/quince/operator-keys.h
+++ b/include/quince/operator-keys.h
@@ -2,12 +2,12 @@
  * operator-keys.h: what operators keep in the key-value service.
  *
  *   /quince/policy/head          JSON {"proposal":ID,"hash":HEX,"text":PROGRAM,"author":NAME,"comment":TEXT}
- *                                its mod revision is the policy revision; "proposal" is random, one an accept,
- *                                so that a lost answer is resolved by reading it back
- *   /quince/events/NAME          JSON {"name":..,"start_ms":UNIX,"duration_ms":..,"service":..,"expected":..}
- *   /quince/drain/ENGINE         JSON {"engine":NAME,"by":NAME}: drained while the key is there
- *   /quince/ledger/voters        JSON {"voters":[{"replica_id":"DEC","node":..,"zone":..,"address":..}]}
- *                                written once, by compare-and-swap on its absence
+ *                                its mod revision is the policy revision; "proposal" is random, one an
+ * accept, so that a lost answer is resolved by reading it back /quince/events/NAME          JSON
+ * {"name":..,"start_ms":UNIX,"duration_ms":..,"service":..,"expected":..} /quince/drain/ENGINE         JSON
+ * {"engine":NAME,"by":NAME}: drained while the key is there /quince/ledger/voters        JSON
+ * {"voters":[{"replica_id":"DEC","node":..,"zone":..,"address":..}]} written once, by compare-and-swap on its
+ * absence
  */
 #pragma once
 
--- a/include/quince/policy-register.h
+++ b/include/quince/policy-register.h
@@ -14,10 +14,10 @@
 
 typedef enum
 {
-  QUINCE_POLICY_OFFER_TAKEN,    /* newer: now in force                      */
-  QUINCE_POLICY_OFFER_KNOWN,    /* the one in force                         */
-  QUINCE_POLICY_OFFER_OLD,      /* lower than what was seen: refused        */
-  QUINCE_POLICY_OFFER_CORRUPT,  /* hash does not match the text             */
+  QUINCE_POLICY_OFFER_TAKEN,   /* newer: now in force                      */
+  QUINCE_POLICY_OFFER_KNOWN,   /* the one in force                         */
+  QUINCE_POLICY_OFFER_OLD,     /* lower than what was seen: refused        */
+  QUINCE_POLICY_OFFER_CORRUPT, /* hash does not match the text             */
 } QuincePolicyOffer;
 
 typedef struct _QuincePolicyRegister QuincePolicyRegister;
--- a/include/quince/policy.h
+++ b/include/quince/policy.h
@@ -47,12 +47,12 @@
   guint deadline_ms;
   guint prompt_tokens;
   guint expected_tokens;
-  guint waiting;            /* requests queued on this node                 */
-  guint member_waiting;     /* of them, this member's                       */
-  guint estimated_wait_ms;  /* from the measured drain rate                 */
-  gboolean event_active;    /* an event's start has passed, its end has not */
-  gint64 event_in_ms;       /* until the next event's start; -1: none known */
-  guint64 newest_version;   /* newest weight version active in the zone     */
+  guint waiting;           /* requests queued on this node                 */
+  guint member_waiting;    /* of them, this member's                       */
+  guint estimated_wait_ms; /* from the measured drain rate                 */
+  gboolean event_active;   /* an event's start has passed, its end has not */
+  gint64 event_in_ms;      /* until the next event's start; -1: none known */
+  guint64 newest_version;  /* newest weight version active in the zone     */
 } QuincePolicyRequest;
 
 typedef struct
@@ -61,13 +61,13 @@
   guint running;
   guint capacity;
   guint queued;
-  double load;              /* running / capacity, may exceed 1             */
-  double prefix_match;      /* part of the prompt's blocks likely cached, 0..1 */
-  guint64 weight_version;   /* as the engine reported                       */
-  guint64 target_version;   /* as ordered                                   */
-  guint recent_ms;          /* smoothed service time                        */
-  guint recent_failures;    /* in the last ten seconds                      */
-  gboolean same_zone;       /* as the deciding node                         */
+  double load;            /* running / capacity, may exceed 1             */
+  double prefix_match;    /* part of the prompt's blocks likely cached, 0..1 */
+  guint64 weight_version; /* as the engine reported                       */
+  guint64 target_version; /* as ordered                                   */
+  guint recent_ms;        /* smoothed service time                        */
+  guint recent_failures;  /* in the last ten seconds                      */
+  gboolean same_zone;     /* as the deciding node                         */
 } QuincePolicyEngine;
 
 typedef struct
@@ -76,7 +76,7 @@
   guint generated_tokens;
   guint expected_tokens;
   guint64 started_version;
-  guint64 engine_version;   /* version now active on its engine             */
+  guint64 engine_version; /* version now active on its engine             */
   guint64 trainer_version;
   guint staleness_bound;
   guint step_ready;
@@ -87,17 +87,17 @@
 {
   gboolean refuse;
   char reason[QUINCE_POLICY_REASON_BYTES];
-  guint retry_after_ms;     /* 0: take the measured one                     */
+  guint retry_after_ms; /* 0: take the measured one                     */
   gint priority;
-  guint64 min_version;      /* 0: keep the request's                        */
-  double share;             /* weight of the member's fair share, default 1 */
+  guint64 min_version; /* 0: keep the request's                        */
+  double share;        /* weight of the member's fair share, default 1 */
 } QuincePolicyAdmission;
 
 typedef enum
 {
-  QUINCE_SWAP_WAIT,         /* the engine swaps after the sample            */
-  QUINCE_SWAP_RESUME,       /* go on under the new weights: a new segment   */
-  QUINCE_SWAP_RESTART,      /* throw the tokens away and start again        */
+  QUINCE_SWAP_WAIT,    /* the engine swaps after the sample            */
+  QUINCE_SWAP_RESUME,  /* go on under the new weights: a new segment   */
+  QUINCE_SWAP_RESTART, /* throw the tokens away and start again        */
 } QuinceSwapChoice;
 
 typedef struct _QuincePolicy QuincePolicy;
--- a/include/quince/rollout-book.h
+++ b/include/quince/rollout-book.h
@@ -33,7 +33,9 @@
  * @reply: (nullable) (out caller-allocates): status and result for the caller,
  *   zeroed by the callee; release with xdr_free (xdr_QuinceLedgerReply)
  */
-void quince_rollout_book_apply (QuinceRolloutBook *book, const QuinceLedgerRecord *record, QuinceLedgerReply *reply);
+void quince_rollout_book_apply (QuinceRolloutBook *book,
+                                const QuinceLedgerRecord *record,
+                                QuinceLedgerReply *reply);
 
 /**
  * quince_rollout_book_peek:
@@ -44,10 +46,16 @@
  *
  * Returns: %TRUE when @reply is the answer; %FALSE: append a record
  */
-gboolean quince_rollout_book_peek (QuinceRolloutBook *book, gint64 now_ms, const QuinceCommand *command, QuinceLedgerReply *reply);
+gboolean quince_rollout_book_peek (QuinceRolloutBook *book,
+                                   gint64 now_ms,
+                                   const QuinceCommand *command,
+                                   QuinceLedgerReply *reply);
 
 /* Leases, leader only.  Longest expected first. */
-void quince_rollout_book_lease (QuinceRolloutBook *book, gint64 now_ms, const QuinceLeaseSamples *lease, QuinceLedgerReply *reply);
+void quince_rollout_book_lease (QuinceRolloutBook *book,
+                                gint64 now_ms,
+                                const QuinceLeaseSamples *lease,
+                                QuinceLedgerReply *reply);
 void quince_rollout_book_renew (QuinceRolloutBook *book, gint64 now_ms, const QuinceRenewLeases *renew);
 void quince_rollout_book_forget_leases (QuinceRolloutBook *book);
 
@@ -59,11 +67,11 @@
 {
   guint trainers;
   guint64 rollouts;
-  guint64 samples_open;      /* not yet complete                            */
-  guint64 samples_complete;  /* complete, step not yet released             */
-  guint64 delivered;         /* samples of released steps                   */
+  guint64 samples_open;     /* not yet complete                            */
+  guint64 samples_complete; /* complete, step not yet released             */
+  guint64 delivered;        /* samples of released steps                   */
   guint64 duplicates_dropped;
-  guint64 regenerated;       /* thrown away as too old                      */
+  guint64 regenerated; /* thrown away as too old                      */
   guint64 claims;
 } QuinceRolloutCounters;
 
@@ -71,6 +79,9 @@
 
 #define QUINCE_ROLLOUT_BOOK_ERROR (quince_rollout_book_error_quark ())
 GQuark quince_rollout_book_error_quark (void);
-typedef enum { QUINCE_ROLLOUT_BOOK_ERROR_MALFORMED } QuinceRolloutBookError;
+typedef enum
+{
+  QUINCE_ROLLOUT_BOOK_ERROR_MALFORMED
+} QuinceRolloutBookError;
 
 G_END_DECLS
--- a/include/quince/scheduler.h
+++ b/include/quince/scheduler.h
@@ -50,7 +50,7 @@
   guint64 weight_version;
   guint64 target_version; /* 0: none ordered                               */
   gboolean leaving;
-  gboolean available;     /* false: it cannot be reached                   */
+  gboolean available; /* false: it cannot be reached                   */
 } QuinceEngineReport;
 
 /* Sources of a sign that an engine leaves; any one suffices. */
@@ -77,7 +77,10 @@
  * @zone: of this node; engines of it are preferred
  * @seed: for spreading retry times and breaking ties
  */
-QuinceScheduler *quince_scheduler_new (const QuinceSchedulerLimits *limits, guint64 incarnation, const char *zone, guint64 seed);
+QuinceScheduler *quince_scheduler_new (const QuinceSchedulerLimits *limits,
+                                       guint64 incarnation,
+                                       const char *zone,
+                                       guint64 seed);
 void quince_scheduler_free (QuinceScheduler *scheduler);
 G_DEFINE_AUTOPTR_CLEANUP_FUNC (QuinceScheduler, quince_scheduler_free)
 
@@ -134,8 +137,14 @@
                                guint64 client,
                                const QuinceGrantRequest *request,
                                GPtrArray *decisions);
-void quince_scheduler_cancel (QuinceScheduler *scheduler, gint64 now_us, const QuinceGrantCancel *cancel, GPtrArray *decisions);
-void quince_scheduler_end (QuinceScheduler *scheduler, gint64 now_us, const QuinceGrantEnd *end, GPtrArray *decisions);
+void quince_scheduler_cancel (QuinceScheduler *scheduler,
+                              gint64 now_us,
+                              const QuinceGrantCancel *cancel,
+                              GPtrArray *decisions);
+void quince_scheduler_end (QuinceScheduler *scheduler,
+                           gint64 now_us,
+                           const QuinceGrantEnd *end,
+                           GPtrArray *decisions);
 /* The client's link is down: its waiting requests are dropped, its grants
  * are kept until abandon_ms since their streams may go on. */
 void quince_scheduler_client_gone (QuinceScheduler *scheduler, gint64 now_us, guint64 client);
--- a/lib/core/scheduling/engine-table.h
+++ b/lib/core/scheduling/engine-table.h
@@ -41,9 +41,9 @@
   double hit_rate;   /* smoothed part of the prompt that was likely cached */
   gint64 failure_second[QUINCE_FAILURE_BUCKETS];
   guint failures[QUINCE_FAILURE_BUCKETS];
-  guint failures_in_row;   /* since work was last finished                    */
-  gint64 paused_until_us;  /* after failures: no new work before this         */
-  int prefix_slot; /* in the prefix index; -1: none                    */
+  guint failures_in_row;  /* since work was last finished                    */
+  gint64 paused_until_us; /* after failures: no new work before this         */
+  int prefix_slot;        /* in the prefix index; -1: none                    */
 } QuinceEngine;
 
 typedef struct _QuinceEngineTable QuinceEngineTable;
--- a/lib/platform/engine-admin.c
+++ b/lib/platform/engine-admin.c
@@ -10,7 +10,7 @@
 #define MOST_EVENTS 16384
 #define MOST_BLOCKS 4096
 
-G_DEFINE_QUARK (quince-engine-error-quark, quince_engine_error)
+G_DEFINE_QUARK (quince - engine - error - quark, quince_engine_error)
 
 /* A call on its way.  Owned by the HTTP call until its callback has run. */
 typedef struct
--- a/lib/platform/machine-list.c
+++ b/lib/platform/machine-list.c
@@ -9,7 +9,7 @@
 #define LONGEST_NAME 128
 #define MOST_MACHINES 4096
 
-G_DEFINE_QUARK (quince-machine-list-error-quark, quince_machine_list_error)
+G_DEFINE_QUARK (quince - machine - list - error - quark, quince_machine_list_error)
 
 /* A call on its way.  Owned by the HTTP call until its callback has run. */
 typedef struct
--- a/lib/platform/weight-store.c
+++ b/lib/platform/weight-store.c
@@ -8,7 +8,7 @@
 /* RFC 6585; libsoup has no name for it. */
 #define STATUS_TOO_MANY_REQUESTS 429
 
-G_DEFINE_QUARK (quince-weight-store-error-quark, quince_weight_store_error)
+G_DEFINE_QUARK (quince - weight - store - error - quark, quince_weight_store_error)
 
 /* A call on its way.  Owned by the HTTP call until its callback has run. */
 typedef struct
--- a/lib/runtime/http.c
+++ b/lib/runtime/http.c
@@ -9,7 +9,7 @@
 #include <quince/link.h>
 #include <quince/task.h>
 
-G_DEFINE_QUARK (quince-http-error-quark, quince_http_error)
+G_DEFINE_QUARK (quince - http - error - quark, quince_http_error)
 
 /* Connections that may wait to be accepted: bursts come at once, and GLib's own backlog is 10. */
 #define LISTEN_BACKLOG 4096
--- a/lib/runtime/link.c
+++ b/lib/runtime/link.c
@@ -19,7 +19,7 @@
 #define OUTPUT_MOST_BYTES (256 * 1024 * 1024)
 #define KEEP_BUFFER_BYTES (256 * 1024)
 
-G_DEFINE_QUARK (quince-link-error-quark, quince_link_error)
+G_DEFINE_QUARK (quince - link - error - quark, quince_link_error)
 
 struct _QuinceLink
 {
--- a/lib/runtime/settings.c
+++ b/lib/runtime/settings.c
@@ -10,7 +10,7 @@
 
 #define FILE_MOST_BYTES (1 << 20)
 
-G_DEFINE_QUARK (quince-settings-error-quark, quince_settings_error)
+G_DEFINE_QUARK (quince - settings - error - quark, quince_settings_error)
 
 typedef struct
 {
--- a/rehearsal/baseline-engines.c
+++ b/rehearsal/baseline-engines.c
@@ -31,8 +31,9 @@
   for (char **entry = entries; *entry != NULL; entry++)
     {
       g_auto (GStrv) name_and_rest = g_strsplit (*entry, "=", 2);
-      g_auto (GStrv) rest
-          = name_and_rest[0] != NULL && name_and_rest[1] != NULL ? g_strsplit (name_and_rest[1], ",", 2) : NULL;
+      g_auto (GStrv) rest = name_and_rest[0] != NULL && name_and_rest[1] != NULL
+                                ? g_strsplit (name_and_rest[1], ",", 2)
+                                : NULL;
       if (rest == NULL || rest[0] == NULL || rest[1] == NULL || *name_and_rest[0] == '\0')
         return FALSE;
       BaselineEngine *engine = g_new0 (BaselineEngine, 1);
--- a/rehearsal/baseline-rollouts.c
+++ b/rehearsal/baseline-rollouts.c
@@ -298,7 +298,11 @@
 }
 
 static void
-pull (BaselineRollouts *rollouts, SoupServerMessage *message, const char *trainer, guint64 number, guint64 version)
+pull (BaselineRollouts *rollouts,
+      SoupServerMessage *message,
+      const char *trainer,
+      guint64 number,
+      guint64 version)
 {
   g_autofree char *key = make_step_key (trainer, number);
   g_autofree char *previous = make_step_key (trainer, number - 1);
--- a/rehearsal/baseline-run.c
+++ b/rehearsal/baseline-run.c
@@ -12,7 +12,11 @@
 static void start_attempt (BaselineRun *run);
 
 BaselineRun *
-baseline_run_new (Baseline *baseline, const char *service, const char *prompt, const char *id, guint max_tokens)
+baseline_run_new (Baseline *baseline,
+                  const char *service,
+                  const char *prompt,
+                  const char *id,
+                  guint max_tokens)
 {
   BaselineRun *run = g_new0 (BaselineRun, 1);
   run->baseline = baseline;
@@ -116,8 +120,9 @@
 on_chunk (const QuinceEngineChunk *chunk, gpointer user_data)
 {
   BaselineRun *run = user_data;
-  BaselineSegment *last
-      = run->segments->len > 0 ? &g_array_index (run->segments, BaselineSegment, run->segments->len - 1) : NULL;
+  BaselineSegment *last = run->segments->len > 0
+                              ? &g_array_index (run->segments, BaselineSegment, run->segments->len - 1)
+                              : NULL;
   if (chunk->token_count == 0)
     return;
   g_string_append (run->text, chunk->text);
@@ -199,7 +204,8 @@
                                           .resume_text = "",
                                           .fresh_connection = TRUE };
   g_clear_pointer (&run->call, quince_engine_call_unref);
-  run->call = quince_engine_call_start (run->baseline->session, &dispatch, &callbacks, run);
+  SoupSession *session = run->baseline->run_sessions[run->baseline->next_session++ % BASELINE_SESSIONS];
+  run->call = quince_engine_call_start (session, &dispatch, &callbacks, run);
 }
 
 void
--- a/rehearsal/baseline-weights.c
+++ b/rehearsal/baseline-weights.c
@@ -16,10 +16,10 @@
 struct _BaselineWeights
 {
   Baseline *baseline;
-  char *store;     /* ip:port                                 */
-  guint64 latest;  /* version that this round brings          */
-  guint place;     /* engine that this round has come to      */
-  GSource *pause;  /* until the next round                    */
+  char *store;    /* ip:port                                 */
+  guint64 latest; /* version that this round brings          */
+  guint place;    /* engine that this round has come to      */
+  GSource *pause; /* until the next round                    */
   GCancellable *cancellable;
 };
 
--- a/rehearsal/baseline.c
+++ b/rehearsal/baseline.c
@@ -65,10 +65,14 @@
   if (!quince_http_listen (server, flags->listen, &address, &error))
     return quince_standin_report_failure ("baseline", error);
   g_autoptr (GMainLoop) loop = g_main_loop_new (NULL, FALSE);
-  guint signals[] = { g_unix_signal_add (SIGTERM, on_signal, loop), g_unix_signal_add (SIGINT, on_signal, loop) };
+  guint signals[]
+      = { g_unix_signal_add (SIGTERM, on_signal, loop), g_unix_signal_add (SIGINT, on_signal, loop) };
   baseline->session = quince_engine_session_new ();
+  for (guint i = 0; i < BASELINE_SESSIONS; i++)
+    baseline->run_sessions[i] = quince_engine_session_new ();
   baseline->rollouts = baseline_rollouts_new (baseline, (guint)flags->samples_at_once);
-  baseline->weights = baseline_weights_new (baseline, flags->weights);
+  if (*flags->weights != '\0')
+    baseline->weights = baseline_weights_new (baseline, flags->weights);
   printf ("ready role=baseline name=%s http=%s\n", flags->mode, address);
   fflush (stdout);
   g_main_loop_run (loop);
@@ -93,7 +97,7 @@
   { "mode", KEY_MODE, "MODE", 0, "round_robin, least_outstanding or prefix_hash", 0 },
   { "engines", KEY_ENGINES, "NAME=IP:PORT,SERVICE;...", 0, "Engines", 0 },
   { "listen", KEY_LISTEN, "IP:PORT", 0, "HTTP interface (127.0.0.1:0)", 0 },
-  { "weights", KEY_WEIGHTS, "IP:PORT", 0, "Weight store", 0 },
+  { "weights", KEY_WEIGHTS, "IP:PORT", 0, "Weight store; without it this router swaps no weights", 0 },
   { "samples-at-once", KEY_AT_ONCE, "N", 0, "Samples of trainers that run together (128)", 0 },
   { 0 },
 };
@@ -120,8 +124,8 @@
       flags->samples_at_once = quince_standin_flag_number (argument, MOST_AT_ONCE, state);
       return 0;
     case ARGP_KEY_END:
-      if (flags->mode == NULL || flags->engines == NULL || flags->weights == NULL)
-        argp_error (state, "--mode, --engines and --weights are needed");
+      if (flags->mode == NULL || flags->engines == NULL)
+        argp_error (state, "--mode and --engines are needed");
       return 0;
     default:
       return ARGP_ERR_UNKNOWN;
@@ -144,7 +148,7 @@
 int
 quince_baseline_run (int argc, char **argv)
 {
-  BaselineFlags flags = { .listen = "127.0.0.1:0", .samples_at_once = 128 };
+  BaselineFlags flags = { .listen = "127.0.0.1:0", .weights = "", .samples_at_once = 128 };
   const struct argp parser
       = { options, parse_flag, NULL, "A plain router, to compare the service with.", NULL, NULL, NULL };
   argp_err_exit_status = QUINCE_STANDIN_EXIT_USAGE;
--- a/rehearsal/baseline.h
+++ b/rehearsal/baseline.h
@@ -37,17 +37,22 @@
   gint64 avoid_until_us; /* it failed lately                             */
 } BaselineEngine;
 
+#define BASELINE_SESSIONS 64
+
 typedef struct _BaselineRollouts BaselineRollouts;
 typedef struct _BaselineWeights BaselineWeights;
 
 typedef struct
 {
   BaselineMode mode;
-  GPtrArray *engines;         /* BaselineEngine, owned */
-  guint next;                 /* engine, in turn       */
-  SoupSession *session;       /* owned                 */
+  GPtrArray *engines;   /* BaselineEngine, owned */
+  guint next;           /* engine, in turn       */
+  SoupSession *session; /* of orders; owned      */
+  /* Of runs, in turn; owned.  One session is slow when many messages start at once. */
+  SoupSession *run_sessions[BASELINE_SESSIONS];
+  guint next_session;
   BaselineRollouts *rollouts; /* owned                 */
-  BaselineWeights *weights;   /* owned                 */
+  BaselineWeights *weights;   /* owned; NULL: another swaps */
 } Baseline;
 
 /* baseline-engines.c */
@@ -99,8 +104,11 @@
   GSource *pause;         /* before the next attempt                       */
 } BaselineRun;
 
-BaselineRun *
-baseline_run_new (Baseline *baseline, const char *service, const char *prompt, const char *id, guint max_tokens);
+BaselineRun *baseline_run_new (Baseline *baseline,
+                               const char *service,
+                               const char *prompt,
+                               const char *id,
+                               guint max_tokens);
 void baseline_run_start (BaselineRun *run);
 guint baseline_run_count_tokens (const BaselineRun *run);
 /* Adds the member "segments" to the object that @builder is in. */
--- a/rehearsal/experiment-measures.c
+++ b/rehearsal/experiment-measures.c
@@ -118,8 +118,8 @@
   gint64 version = quince_json_dig_int (delivery, "version", 0);
   gint64 oldest = version;
   for (guint i = 0; segments != NULL && i < json_array_get_length (segments); i++)
-    oldest = MIN (oldest,
-                  quince_json_dig_int (json_array_get_element (segments, i), "weight_version", version));
+    oldest
+        = MIN (oldest, quince_json_dig_int (json_array_get_element (segments, i), "weight_version", version));
   gint64 age = version - oldest;
   g_array_append_val ((GArray *)data, age);
 }
--- a/rehearsal/experiment-run.c
+++ b/rehearsal/experiment-run.c
@@ -6,7 +6,7 @@
 #include <quince/task.h>
 
 #include "cluster-parts.h"
-#include "cluster-routes.h"
+#include "cluster-router.h"
 #include "event-run.h"
 #include "http-sync.h"
 
@@ -99,65 +99,6 @@
   g_ptr_array_add (part->arguments, g_strdup (argument));
 }
 
-/* Places for sequences on the engines of the trainers' services. */
-static guint
-count_places (const QuinceDeployment *deployment)
-{
-  guint places = 0;
-  for (guint i = 0; i < deployment->services->len; i++)
-    {
-      const QuinceServicePlan *service = deployment->services->pdata[i];
-      for (guint j = 0; j < deployment->trainers->len; j++)
-        if (g_str_equal (((QuinceTrainerPlan *)deployment->trainers->pdata[j])->service, service->name))
-          {
-            places += service->workers * service->capacity;
-            break;
-          }
-    }
-  return places;
-}
-
-static char *
-join_engines (QuinceCluster *cluster)
-{
-  GString *joined = g_string_new (NULL);
-  QuinceClusterPart *engine;
-  for (guint i = 0; (engine = quince_cluster_get (cluster, QUINCE_PART_ENGINE, i)) != NULL; i++)
-    g_string_append_printf (joined, "%s%s=%s,%s", i > 0 ? ";" : "", engine->name, engine->route,
-                            engine->service);
-  return g_string_free (joined, FALSE);
-}
-
-/* Starts the plain router where the service's agents would be. */
-static gboolean
-start_router (QuinceCluster *cluster, const char *mode, GError **error)
-{
-  QuinceClusterPart *part = quince_part_new (QUINCE_PART_AGENT, "router", "", "");
-  g_ptr_array_add (cluster->parts, part);
-  g_autofree char *program
-      = g_build_filename (cluster->build_folder, "rehearsal", "quinceroute-rehearsal", NULL);
-  g_autofree char *engines = join_engines (cluster);
-  g_autofree char *at_once = g_strdup_printf ("%u", MAX (1, count_places (cluster->deployment)));
-  const char *const arguments[] = { program,
-                                    "baseline",
-                                    "--mode",
-                                    mode,
-                                    "--engines",
-                                    engines,
-                                    "--weights",
-                                    quince_cluster_get (cluster, QUINCE_PART_WEIGHTS, 0)->http,
-                                    "--samples-at-once",
-                                    at_once };
-  for (guint i = 0; i < G_N_ELEMENTS (arguments); i++)
-    add_argument (part, arguments[i]);
-  if (!quince_part_spawn (cluster, part, error) || !quince_part_await (part, error))
-    return FALSE;
-  if (!quince_part_add_routes (cluster, part, 0))
-    part->route = g_strdup (part->http);
-  quince_part_point_routes (cluster, part);
-  return TRUE;
-}
-
 static gboolean
 start_trainers (QuinceCluster *cluster, guint64 seed, GError **error)
 {
@@ -184,16 +125,13 @@
   if (deployment == NULL)
     return NULL;
   gboolean is_service = g_str_equal (plan->contender, QUINCE_EXPERIMENT_SERVICE);
-  for (guint i = 0; i < deployment->zones->len && !is_service; i++)
-    {
-      QuinceZonePlan *zone = deployment->zones->pdata[i];
-      zone->nodes = zone->agents = 0;
-    }
+  if (!is_service)
+    quince_deployment_remove_service (deployment);
   g_autoptr (QuinceCluster) cluster = quince_cluster_start (plan->build, plan->folder, deployment, error);
   if (cluster == NULL)
     return NULL;
   if (!is_service)
-    return start_router (cluster, plan->contender, error) ? g_steal_pointer (&cluster) : NULL;
+    return quince_cluster_add_routers (cluster, plan->contender, error) ? g_steal_pointer (&cluster) : NULL;
   if (quince_event_run_accept_policy (cluster, "experiment"))
     return g_steal_pointer (&cluster);
   g_set_error_literal (error, QUINCE_PROCESS_ERROR, QUINCE_PROCESS_ERROR_TIMEOUT,
@@ -241,11 +179,11 @@
   if (start_us == 0 || !start_trainers (cluster, plan->seed, error))
     return NULL;
   FaultJob job = plan_fault (cluster, plan->fault, start_us);
-  GThread *thread = g_thread_new ("fault", make_fault, &job);
+  g_autoptr (GThread) thread = g_thread_new ("fault", make_fault, &job);
   g_autoptr (QuinceLoad) load = quince_load_new (plan->seed);
   quince_event_run_add_burst (cluster, load, start_us);
   quince_load_run (load, LOAD_BOUND_MS);
-  g_thread_join (thread);
+  g_thread_join (g_steal_pointer (&thread));
   QuinceExperimentResult *result = g_new0 (QuinceExperimentResult, 1);
   result->deployment = g_strdup (cluster->deployment->name);
   result->contender = g_strdup (plan->contender);
--- a/rehearsal/experiment-table.c
+++ b/rehearsal/experiment-table.c
@@ -122,9 +122,9 @@
       double range[2];
       int digits = (int)forms[i].digits;
       double median = get_median (group, i, range);
-      cells[i + 2] = range[0] < range[1]
-                         ? g_strdup_printf ("%.*f (%.*f–%.*f)", digits, median, digits, range[0], digits, range[1])
-                         : g_strdup_printf ("%.*f", digits, median);
+      cells[i + 2] = range[0] < range[1] ? g_strdup_printf ("%.*f (%.*f–%.*f)", digits, median, digits,
+                                                            range[0], digits, range[1])
+                                         : g_strdup_printf ("%.*f", digits, median);
     }
   append_row (text, (const char *const *)cells, QUINCE_N_MEASURES + 2, markdown);
 }
--- a/rehearsal/experiment.c
+++ b/rehearsal/experiment.c
@@ -16,7 +16,8 @@
 #define EXIT_USAGE 2
 #define MOST_SEEDS 1000
 #define DEFAULT_SEEDS 3
-#define DEFAULT_FAULTS "none,engine_crash,slow_engine,kv_outage"
+#define DEFAULT_FAULTS "none,engine_crash"
+#define ALL_FAULTS "none, engine_crash, slow_engine, kv_outage"
 #define DEFAULT_CONTENDERS "round_robin,least_outstanding,prefix_hash,quinceroute"
 
 typedef struct
@@ -131,7 +132,7 @@
   { "deployment", KEY_DEPLOYMENT, "FILE", 0, "Deployment; may be given again (both examples)", 0 },
   { "seeds", KEY_SEEDS, "N", 0, "Seeds 1 to N of load and samples (3)", 0 },
   { "contenders", KEY_CONTENDERS, "NAME,...", 0, "Contenders (" DEFAULT_CONTENDERS ")", 0 },
-  { "faults", KEY_FAULTS, "NAME,...", 0, "Faults (" DEFAULT_FAULTS ")", 0 },
+  { "faults", KEY_FAULTS, "NAME,...", 0, "Faults of " ALL_FAULTS " (" DEFAULT_FAULTS ")", 0 },
   { "out", KEY_OUT, "FOLDER", 0, "Where results and logs go (out/experiment)", 0 },
   { "quick", KEY_QUICK, NULL, 0, "One seed and no fault", 0 },
   { 0 },
@@ -204,13 +205,12 @@
 int
 quince_experiment_command (int argc, char **argv)
 {
-  ExperimentFlags flags = { .build = "build",
-                            .deployments = g_ptr_array_new (),
-                            .seeds = DEFAULT_SEEDS,
-                            .out = "out/experiment" };
-  const struct argp parser = {
-    options, parse_flag, NULL, "Compares the service with plain routers under the same load.", NULL, NULL, NULL
+  ExperimentFlags flags = {
+    .build = "build", .deployments = g_ptr_array_new (), .seeds = DEFAULT_SEEDS, .out = "out/experiment"
   };
+  const struct argp parser
+      = { options, parse_flag, NULL, "Compares the service with plain routers under the same load.",
+          NULL,    NULL,       NULL };
   argp_err_exit_status = EXIT_USAGE;
   argp_parse (&parser, argc, argv, 0, NULL, &flags);
   quince_log_init ("quinceroute-rehearsal", "experiment", G_LOG_LEVEL_WARNING);
--- a/rehearsal/experiment.h
+++ b/rehearsal/experiment.h
@@ -28,12 +28,12 @@
 
 typedef enum
 {
-  QUINCE_MEASURE_IDLE,        /* s that trainers waited for batches              */
-  QUINCE_MEASURE_ON_TIME,     /* % of the calls answered whole in their deadline */
-  QUINCE_MEASURE_LATE,        /* calls that were not refused, but not on time    */
-  QUINCE_MEASURE_REFUSED,     /* calls told that they were not run               */
-  QUINCE_MEASURE_FAIRNESS,    /* Jain's index, the least over members that ask the same */
-  QUINCE_MEASURE_STALE_P50,   /* versions, of delivered samples                  */
+  QUINCE_MEASURE_IDLE,      /* s that trainers waited for batches              */
+  QUINCE_MEASURE_ON_TIME,   /* % of the calls answered whole in their deadline */
+  QUINCE_MEASURE_LATE,      /* calls that were not refused, but not on time    */
+  QUINCE_MEASURE_REFUSED,   /* calls told that they were not run               */
+  QUINCE_MEASURE_FAIRNESS,  /* Jain's index, the least over members that ask the same */
+  QUINCE_MEASURE_STALE_P50, /* versions, of delivered samples                  */
   QUINCE_MEASURE_STALE_P99,
   QUINCE_MEASURE_REGENERATED, /* samples that engines made whole more than once  */
   QUINCE_MEASURE_PREFIX_HITS, /* % of prompt blocks that caches held             */
--- a/rehearsal/kit/load.c
+++ b/rehearsal/kit/load.c
@@ -24,7 +24,7 @@
   GPtrArray *calls;
   guint next; /* first call not yet sent, in order of start_us        */
   guint unfinished;
-  gint answers[QUINCE_N_ANSWERS]; /* so far; atomic, other threads look     */
+  gint answers[QUINCE_N_ANSWERS];    /* so far; atomic, other threads look     */
   SoupSession *sessions[N_SESSIONS]; /* owned while the load runs; used in turn */
   guint next_session;
   GCancellable *cancellable; /* of all exchanges                            */
@@ -351,8 +351,7 @@
   exchange->call = call;
   exchange->message = message;
   SoupSession *session = load->sessions[load->next_session++ % N_SESSIONS];
-  soup_session_send_async (session, message, G_PRIORITY_DEFAULT, load->cancellable, headers_done,
-                           exchange);
+  soup_session_send_async (session, message, G_PRIORITY_DEFAULT, load->cancellable, headers_done, exchange);
 }
 
 static gboolean
--- a/scripts/plot.sh
+++ b/scripts/plot.sh
@@ -57,6 +57,7 @@
 set style fill solid 0.75 border -1
 set key outside right noenhanced
 set grid ytics
+set bmargin 4
 set yrange [0:*]
 set xtics noenhanced
 plot for [i=0:$columns-1] "$folder/$3.dat" using 2+3*i:3+3*i:4+3*i:xtic(1) title columnheader(2+3*i)
