Agent: an own listener after all, since libsoup's keeps memory of each connection

Cause: with libsoup's own listener the agent grew to 88.6 MB in about 150,000 requests, some 0.5 KB a connection, though each was closed and announced.

Ruled out: our own bookkeeping (with QuinceHttpListener the same code stays at 11 to 12 MB).

--- a/daemons/agent/agent-http.c
+++ b/daemons/agent/agent-http.c
@@ -7,6 +7,7 @@
 #include <string.h>
 #include <sys/socket.h>
 
+#include <quince/http-listener.h>
 #include <quince/http.h>
 #include <quince/log.h>
 #include <quince/task.h>
@@ -27,7 +28,7 @@
   /* All fields belong to the main context. */
   QuinceAgent *agent;
   SoupServer *server;
-  char *address;
+  QuinceHttpListener *listener;
   gint64 asked_us; /* when a request came last */
 };
 
@@ -230,7 +231,8 @@
       soup_server_add_early_handler (http->server, routes[i].path, headers_arrived, http, NULL);
       soup_server_add_handler (http->server, routes[i].path, routes[i].handle, http, NULL);
     }
-  if (quince_http_listen (http->server, address, &http->address, error))
+  http->listener = quince_http_listener_new (http->server, address, error);
+  if (http->listener != NULL)
     return http;
   quince_agent_http_free (http);
   return NULL;
@@ -239,16 +241,16 @@
 void
 quince_agent_http_free (QuinceAgentHttp *http)
 {
+  g_clear_pointer (&http->listener, quince_http_listener_free);
   soup_server_disconnect (http->server);
   g_object_unref (http->server);
-  g_free (http->address);
   g_free (http);
 }
 
 const char *
 quince_agent_http_get_address (const QuinceAgentHttp *http)
 {
-  return http->address;
+  return quince_http_listener_get_address (http->listener);
 }
 
 /* ---- Planned stop -------------------------------------------------------------- */
@@ -273,10 +275,8 @@
 void
 quince_agent_http_ignore_connections (QuinceAgentHttp *http)
 {
-  g_autoptr (GSList) listeners = soup_server_get_listeners (http->server);
-  for (GSList *item = listeners; item != NULL; item = item->next)
-    if (!ignore_first_packets (item->data))
-      quince_log_warning ("connections_not_ignored", "address=%s", quince_agent_http_get_address (http));
+  if (!ignore_first_packets (quince_http_listener_get_socket (http->listener)))
+    quince_log_warning ("connections_not_ignored", "address=%s", quince_agent_http_get_address (http));
 }
 
 gint64
--- a/daemons/agent/completions.c
+++ b/daemons/agent/completions.c
@@ -7,6 +7,7 @@
 #include <string.h>
 #include <sys/socket.h>
 
+#include <quince/http-listener.h>
 #include <quince/http.h>
 #include <quince/log.h>
 #include <quince/request-id.h>
@@ -184,7 +185,7 @@
 caller_is_there (const Completion *completion)
 {
   char byte;
-  GSocket *socket = soup_server_message_get_socket (completion->message);
+  GSocket *socket = quince_http_get_client_socket (completion->message);
   if (socket == NULL)
     return FALSE;
   gssize got = recv (g_socket_get_fd (socket), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
--- a/rehearsal/standin.c
+++ b/rehearsal/standin.c
@@ -9,6 +9,7 @@
 #include <string.h>
 #include <sys/socket.h>
 
+#include <quince/http-listener.h>
 #include <quince/http.h>
 #include <quince/log.h>
 #include <quince/task.h>
@@ -20,15 +21,16 @@
   gpointer fault_values;              /* caller's                             */
   const QuinceNetworkFaults *network; /* part of fault_values; nullable    */
   QuinceStandinFlags flags;
-  SoupServer *server;         /* interface                                 */
-  SoupServer *control_server; /* controls only                             */
-  char *address;              /* actual ip:port of the interface           */
-  char *control_address;      /* actual ip:port of the controls            */
-  gboolean listening;         /* what is wanted                                */
-  gboolean listener_open;     /* what is                                       */
-  gboolean handling;          /* a request to the interface is being handled   */
-  guint listen_source;        /* brings the two together after that request    */
-  GPtrArray *held;            /* HeldMessage; owned                                   */
+  SoupServer *server;           /* interface                                 */
+  QuinceHttpListener *listener; /* of the interface; NULL while it does not listen */
+  SoupServer *control_server;   /* controls only                             */
+  char *address;                /* actual ip:port of the interface           */
+  char *control_address;        /* actual ip:port of the controls            */
+  gboolean listening;           /* what is wanted                                */
+  gboolean listener_open;       /* what is                                       */
+  gboolean handling;            /* a request to the interface is being handled   */
+  guint listen_source;          /* brings the two together after that request    */
+  GPtrArray *held;              /* HeldMessage; owned                                   */
   GMainLoop *loop;
   int status; /* exit status                                               */
 };
@@ -283,9 +285,11 @@
   standin->control_server = quince_http_server_new (NULL);
   soup_server_add_handler (standin->server, NULL, on_interface_request, standin, NULL);
   soup_server_add_handler (standin->control_server, NULL, on_control_request, standin, NULL);
-  if (!quince_http_listen (standin->server, flags->listen, &standin->address, error)
+  standin->listener = quince_http_listener_new (standin->server, flags->listen, error);
+  if (standin->listener == NULL
       || !quince_http_listen (standin->control_server, flags->control, &standin->control_address, error))
     return NULL;
+  standin->address = g_strdup (quince_http_listener_get_address (standin->listener));
   standin->listening = standin->listener_open = TRUE;
   return g_steal_pointer (&standin);
 }
@@ -295,6 +299,7 @@
 {
   if (standin->listen_source != 0)
     g_source_remove (standin->listen_source);
+  g_clear_pointer (&standin->listener, quince_http_listener_free);
   soup_server_disconnect (standin->server);
   soup_server_disconnect (standin->control_server);
   g_object_unref (standin->server);
@@ -360,9 +365,10 @@
     return G_SOURCE_REMOVE;
   standin->listener_open = standin->listening;
   g_autoptr (GError) error = NULL;
+  g_clear_pointer (&standin->listener, quince_http_listener_free);
   if (!standin->listening)
     soup_server_disconnect (standin->server);
-  else if (!quince_http_listen (standin->server, standin->address, NULL, &error))
+  else if ((standin->listener = quince_http_listener_new (standin->server, standin->address, &error)) == NULL)
     quince_standin_quit (standin, quince_standin_report_failure (standin->class->role, error));
   return G_SOURCE_REMOVE;
 }
@@ -403,7 +409,7 @@
 void
 quince_standin_cut (SoupServerMessage *message)
 {
-  GSocket *socket = soup_server_message_get_socket (message);
+  GSocket *socket = quince_http_get_client_socket (message);
   if (socket != NULL)
     g_socket_shutdown (socket, TRUE, TRUE, NULL);
   /* The answer cannot go out any more; it only ends the message's life. */
@@ -421,7 +427,7 @@
 gboolean
 quince_standin_caller_gone (SoupServerMessage *message)
 {
-  GSocket *socket = soup_server_message_get_socket (message);
+  GSocket *socket = quince_http_get_client_socket (message);
   if (socket == NULL)
     return TRUE;
   char byte;
--- a/tests/unit/test-runtime.c
+++ b/tests/unit/test-runtime.c
@@ -10,6 +10,7 @@
 #include <glib/gstdio.h>
 #include <string.h>
 
+#include <quince/http-listener.h>
 #include <quince/http.h>
 #include <quince/link.h>
 #include <quince/log.h>
@@ -406,7 +407,7 @@
   assert_true (quince_datagrams_get_bytes_received (b) > 0);
 }
 
-/* ---- HTTP connections ------------------------------------------------ */
+/* ---- Kept HTTP connections ------------------------------------------------ */
 
 #define KEPT_CONNECTIONS 50
 
@@ -450,7 +451,7 @@
                  GHashTable *query,
                  gpointer data)
 {
-  quince_http_reply_text (message, 200, "text/plain", "x");
+  quince_http_reply_text (message, g_str_equal (path, QUINCE_HTTP_LAST_PATH) ? 404 : 200, "text/plain", "x");
 }
 
 static guint
@@ -463,16 +464,15 @@
   return count;
 }
 
-/* A caller that closes its connection must cost nothing afterwards. */
+/* A caller that closes a kept connection between two requests must cost nothing. */
 static void
-test_http_server_releases_connections (void **state)
+test_http_listener_releases_connections (void **state)
 {
   g_autoptr (SoupServer) server = quince_http_server_new (NULL);
   soup_server_add_handler (server, NULL, answer_anything, NULL, NULL);
-  g_autofree char *address = NULL;
-  assert_true (quince_http_listen (server, "127.0.0.1:0", &address, NULL));
+  g_autoptr (QuinceHttpListener) listener = quince_http_listener_new (server, "127.0.0.1:0", NULL);
   guint before = count_descriptors ();
-  KeptClient kept = { .address = address };
+  KeptClient kept = { .address = quince_http_listener_get_address (listener) };
   GThread *thread = g_thread_new ("client", kept_client_main, &kept);
   WAIT_UNTIL (g_atomic_int_get (&kept.done));
   g_thread_join (thread);
@@ -497,7 +497,7 @@
     cmocka_unit_test (test_link_malformed),
     cmocka_unit_test (test_link_refused),
     cmocka_unit_test (test_datagrams),
-    cmocka_unit_test (test_http_server_releases_connections),
+    cmocka_unit_test (test_http_listener_releases_connections),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
