Kit: two functions that nothing called are gone

Cause: reading the whole change found quince_cluster_find() and quince_process_start() without a caller; the cluster spawns its parts first and waits for them together.

Change: both removed, their comments moved to the functions that stay.

Contract and the other integration programs were not run again.

--- a/rehearsal/kit/cluster.c
+++ b/rehearsal/kit/cluster.c
@@ -28,18 +28,6 @@
   return NULL;
 }
 
-QuinceClusterPart *
-quince_cluster_find (QuinceCluster *cluster, const char *name)
-{
-  for (guint i = 0; i < cluster->parts->len; i++)
-    {
-      QuinceClusterPart *part = cluster->parts->pdata[i];
-      if (g_str_equal (part->name, name))
-        return part;
-    }
-  return NULL;
-}
-
 guint
 quince_cluster_count (QuinceCluster *cluster, QuincePartKind kind)
 {
--- a/rehearsal/kit/cluster.h
+++ b/rehearsal/kit/cluster.h
@@ -76,7 +76,6 @@
 
 /* @index counts the parts of that kind; NULL when there are fewer. */
 QuinceClusterPart *quince_cluster_get (QuinceCluster *cluster, QuincePartKind kind, guint index);
-QuinceClusterPart *quince_cluster_find (QuinceCluster *cluster, const char *name);
 guint quince_cluster_count (QuinceCluster *cluster, QuincePartKind kind);
 
 /* Starts a part that ended, on the same addresses and data folder. */
--- a/rehearsal/kit/process.c
+++ b/rehearsal/kit/process.c
@@ -149,15 +149,6 @@
   return TRUE;
 }
 
-QuinceProcess *
-quince_process_start (const char *folder, const char *name, const char *const *arguments, GError **error)
-{
-  g_autoptr (QuinceProcess) process = quince_process_spawn (folder, name, arguments, error);
-  if (process == NULL || !quince_process_await_ready (process, error))
-    return NULL;
-  return g_steal_pointer (&process);
-}
-
 const char *
 quince_process_get_name (const QuinceProcess *process)
 {
--- a/rehearsal/kit/process.h
+++ b/rehearsal/kit/process.h
@@ -23,18 +23,16 @@
 typedef struct _QuinceProcess QuinceProcess;
 
 /**
- * quince_process_start:
+ * quince_process_spawn:
  * @folder: where output goes
  * @name: unique among the running processes of @folder
  * @arguments: (array zero-terminated=1): program path and its arguments
  *
- * Waits for the line "ready key=value ..." on standard output.
+ * Does not wait until it is ready: see quince_process_await_ready().
  */
 QuinceProcess *
-quince_process_start (const char *folder, const char *name, const char *const *arguments, GError **error);
-/* As above, without waiting: call quince_process_await_ready() later. */
-QuinceProcess *
 quince_process_spawn (const char *folder, const char *name, const char *const *arguments, GError **error);
+/* Waits for the line "ready key=value ..." on standard output. */
 gboolean quince_process_await_ready (QuinceProcess *process, GError **error);
 
 const char *quince_process_get_name (const QuinceProcess *process);
