test-samples: a swap that ends elsewhere surely meets a running sample

Each engine's swap went wrong only once, whenever the trainer's next version came; that a sample ran on one of the four engines just then was left to chance. No false version was delivered: the comparison with the engines' records had passed.

Change: the busy engine decodes slowly while its long sample is under way, the test publishes the next version itself (the trainer publishes the same one later), every swap ends elsewhere until the busy engine has produced tokens under that version and each engine shows it; then the fault ends and the engines are repaired. The assertions stay; that all engines end elsewhere is now asserted by their own load reports.

--- a/tests/integration/test-samples.c
+++ b/tests/integration/test-samples.c
@@ -293,11 +293,61 @@
   set_engine_faults (scene, "{\"swap_fail\":\"keep\",\"swap_fail_times\":2}");
 }
 
+/* The long sample of the busy engine goes on for longer than a swap takes. */
 static void
 fail_swaps_elsewhere (Scene *scene)
 {
-  set_engine_faults (scene, "{\"swap_fail\":\"other\",\"swap_other_version\":" G_STRINGIFY (
-                                WRONG_VERSION) ",\"swap_fail_times\":1}");
+  set_engine_faults (scene,
+                     "{\"swap_fail\":\"other\",\"swap_other_version\":" G_STRINGIFY (WRONG_VERSION) "}");
+  assert_true (quince_set_faults (scene->busy->control, "{\"slow_factor\":20}"));
+}
+
+/* As a trainer that publishes now: it publishes the same version itself later. */
+static void
+publish_next_version (Scene *scene)
+{
+  QuinceClusterPart *store = get_part (scene, QUINCE_PART_WEIGHTS, 0);
+  g_autoptr (JsonNode) versions = NULL;
+  assert_int_equal (quince_http_sync (store->http, "/versions", NULL, CALL_MS, &versions), 200);
+  gint64 next = quince_json_dig_int (versions, "latest", 0) + 1;
+  g_autofree char *body = g_strdup_printf ("{\"version\":%" G_GINT64_FORMAT "}", next);
+  assert_int_equal (quince_http_sync (store->http, "/versions", body, CALL_MS, NULL), 200);
+}
+
+/* By the engine's own records. */
+static gboolean
+produced_wrong_version (QuinceClusterPart *engine)
+{
+  g_autoptr (JsonNode) records = NULL;
+  quince_http_sync (engine->control, "/_records", NULL, CALL_MS, &records);
+  JsonArray *productions = quince_json_dig_array (records, "productions");
+  for (guint i = 0; productions != NULL && i < json_array_get_length (productions); i++)
+    {
+      JsonNode *row = json_array_get_element (productions, i);
+      if (quince_json_dig_int (row, "weight_version", 0) == WRONG_VERSION
+          && quince_json_dig_int (row, "token_count", 0) > 0)
+        return TRUE;
+    }
+  return FALSE;
+}
+
+static gboolean
+shows_wrong_version (QuinceClusterPart *engine)
+{
+  g_autoptr (JsonNode) load = NULL;
+  quince_http_sync (engine->http, "/admin/load", NULL, CALL_MS, &load);
+  return quince_json_dig_int (load, "weight_version", 0) == WRONG_VERSION;
+}
+
+/* Every engine ended on the version that no one ordered, one of them under its long sample. */
+static void
+await_swaps_elsewhere (Scene *scene)
+{
+  publish_next_version (scene);
+  HARNESS_AWAIT (produced_wrong_version (scene->busy));
+  for (guint i = 0; i < ENGINES; i++)
+    HARNESS_AWAIT (shows_wrong_version (get_part (scene, QUINCE_PART_ENGINE, i)));
+  set_engine_faults (scene, "{\"swap_fail\":\"\",\"swap_other_version\":0,\"slow_factor\":0}");
 }
 
 static gboolean
@@ -383,7 +433,7 @@
     .end = await_failed_swaps },
   { .name = "swaps end on another version",
     .begin = fail_swaps_elsewhere,
-    .end = await_failed_swaps,
+    .end = await_swaps_elsewhere,
     .lasting = TRUE,
     .mixed = TRUE,
     .wrong = TRUE },
