Engine client: nothing of a request leaves once its grant has expired

Cause: libsoup sends a request's head and body in several iterations of the loop. The agent checked the grant's expiry once, at the "starting" signal. An agent that was paused after it went on with the body when it woke, seconds after the grant had expired: this is the one start after the bound in test-leaving, "machine list, an agent frozen across it" (the engine's start came 9 to 35 ms after the thaw, or all starts came 2 s before the bound; nothing between).

Ruled out: the list's second, the grant's 1.5 s and the engine's queue adding up, as the list of known faults supposed: in the runs that pass, the last start comes 2.1 to 2.6 s before the bound. Clock offsets of links: the grant had been judged before the pause.

Change: each call has a timer at its grant's expiry, of greater priority than sending, until libsoup has written the whole body. The first iteration after a pause ends the call as "expired" before it can go on. Sending goes before the loop's other work, so that it is within few iterations.

--- a/daemons/agent/execution-engine.c
+++ b/daemons/agent/execution-engine.c
@@ -152,6 +152,7 @@
     .resume_text = execution->answer->text->str,
     .resume_tokens = execution->answer->token_count,
     .fresh_connection = execution->options.at_most_once,
+    .expires_us = quince_request_get_grant_expiry (execution->request),
   };
   execution->tokens_before = execution->answer->token_count;
   execution->dispatched_us = quince_now_us ();
--- a/include/quince/attempt.h
+++ b/include/quince/attempt.h
@@ -89,6 +89,8 @@
 QuinceRefusal quince_request_get_refusal (const QuinceRequest *request);
 /* Engine of the current grant, "" when none */
 const QuinceGrant *quince_request_get_grant (const QuinceRequest *request);
+/* Monotonic time at which the current grant expires; 0 when there was none */
+gint64 quince_request_get_grant_expiry (const QuinceRequest *request);
 /* Engines that failed, for QuinceGrantRequest.avoid (transfer none) */
 GPtrArray *quince_request_get_avoid (QuinceRequest *request);
 
--- a/include/quince/engine-client.h
+++ b/include/quince/engine-client.h
@@ -24,6 +24,7 @@
   QUINCE_ENGINE_CLIENT_ERROR_MALFORMED, /* an event that makes no sense                */
   QUINCE_ENGINE_CLIENT_ERROR_GAP,       /* tokens are missing, repeated or out of order */
   QUINCE_ENGINE_CLIENT_ERROR_SILENT,    /* no byte for the silence bound               */
+  QUINCE_ENGINE_CLIENT_ERROR_EXPIRED,   /* not whole on its way by the dispatch's expiry */
 } QuinceEngineClientError;
 
 /**
@@ -33,6 +34,8 @@
  * @resume_tokens: their count; the engine's first token has this index
  * @fresh_connection: never use a kept connection, so that a failure to reach
  *   the engine is certainly one before any byte left
+ * @expires_us: monotonic time, 0 for never; what has not left by then never does,
+ *   also when the process was paused in the middle of sending it
  *
  * What to run.  Borrowed for the call of quince_engine_call_start() only.
  */
@@ -49,6 +52,7 @@
   const char *resume_text;
   guint resume_tokens;
   gboolean fresh_connection;
+  gint64 expires_us;
 } QuinceEngineDispatch;
 
 /* Tokens as the engine reports them; @text is valid during the callback. */
--- a/lib/core/request/attempt.c
+++ b/lib/core/request/attempt.c
@@ -351,6 +351,12 @@
   return &request->grant;
 }
 
+gint64
+quince_request_get_grant_expiry (const QuinceRequest *request)
+{
+  return request->grant_expires_us;
+}
+
 GPtrArray *
 quince_request_get_avoid (QuinceRequest *request)
 {
--- a/lib/platform/engine-client.c
+++ b/lib/platform/engine-client.c
@@ -3,6 +3,11 @@
  *
  * "Sent" is decided by libsoup's "starting" signal, which is emitted on a
  * connection that is up, immediately before the first byte of the request.
+ *
+ * libsoup sends head and body in several iterations of the loop, and the process
+ * may be paused between any two.  So each call has a timer at its expiry, whose
+ * priority is above that of sending: the first iteration after a pause ends what
+ * is not whole on its way before it can go on.
  */
 #include <quince/engine-client.h>
 
@@ -20,6 +25,9 @@
 #define SILENCE_SECONDS 60
 #define IDLE_SECONDS 20
 #define CANCEL_TIMEOUT_MS 2000
+/* Expiry goes before sending, and sending before all else of the loop. */
+#define SEND_PRIORITY G_PRIORITY_HIGH
+#define EXPIRY_PRIORITY (SEND_PRIORITY - 10)
 
 G_DEFINE_QUARK (quince - engine - client - error - quark, quince_engine_client_error)
 
@@ -29,6 +37,7 @@
   grefcount references; /* the caller's, and one for each operation in progress */
   SoupSession *session;
   SoupMessage *message;
+  GSource *expiry; /* owned; NULL: the whole request is on its way, or it ended */
   GCancellable *cancellable;
   GInputStream *body;
   QuinceEngineStream *stream;
@@ -74,6 +83,7 @@
 {
   if (!g_ref_count_dec (&call->references))
     return;
+  quince_source_clear (&call->expiry);
   g_clear_object (&call->body);
   if (call->message != NULL)
     g_signal_handlers_disconnect_by_data (call->message, call);
@@ -101,6 +111,7 @@
   if (call->ended)
     return;
   call->ended = TRUE;
+  quince_source_clear (&call->expiry);
   g_cancellable_cancel (call->cancellable);
   call->callbacks->failed (call->sent, error, call->user_data);
 }
@@ -140,6 +151,7 @@
   if (call->ended)
     return;
   call->ended = TRUE;
+  quince_source_clear (&call->expiry);
   g_cancellable_cancel (call->cancellable);
   if (!call->sent)
     return;
@@ -275,6 +287,33 @@
     g_cancellable_cancel (call->cancellable);
 }
 
+static void
+message_wrote_body (SoupMessage *message, gpointer data)
+{
+  QuinceEngineCall *call = data;
+  quince_source_clear (&call->expiry);
+}
+
+static gboolean
+call_expired (gpointer data)
+{
+  g_autoptr (QuinceEngineCall) call = call_ref (data);
+  quince_source_clear (&call->expiry);
+  call_fail_code (call, QUINCE_ENGINE_CLIENT_ERROR_EXPIRED, "expired before it was whole on its way");
+  return G_SOURCE_REMOVE;
+}
+
+/* A timeout source, since a plain one with a ready time has no functions to dispatch it. */
+static void
+start_expiry (QuinceEngineCall *call, gint64 expires_us)
+{
+  call->expiry = g_timeout_source_new (0);
+  g_source_set_priority (call->expiry, EXPIRY_PRIORITY);
+  g_source_set_ready_time (call->expiry, expires_us);
+  g_source_set_callback (call->expiry, call_expired, call, NULL);
+  g_source_attach (call->expiry, g_main_context_get_thread_default ());
+}
+
 static char *
 format_body (const QuinceEngineDispatch *dispatch, gsize *length)
 {
@@ -325,6 +364,7 @@
   soup_message_add_flags (message,
                           dispatch->fresh_connection ? SOUP_MESSAGE_NEW_CONNECTION : SOUP_MESSAGE_IDEMPOTENT);
   g_signal_connect (message, "starting", G_CALLBACK (message_starting), call);
+  g_signal_connect (message, "wrote-body", G_CALLBACK (message_wrote_body), call);
   return message;
 }
 
@@ -354,7 +394,9 @@
       g_source_attach (source, g_main_context_get_thread_default ());
       return call;
     }
-  soup_session_send_async (session, call->message, G_PRIORITY_DEFAULT, call->cancellable, headers_done,
+  if (dispatch->expires_us > 0)
+    start_expiry (call, dispatch->expires_us);
+  soup_session_send_async (session, call->message, SEND_PRIORITY, call->cancellable, headers_done,
                            call_ref (call));
   return call;
 }
