HTTP: deep JSON no longer ends a process; text that is not whole is refused

Cause: json-glib calls itself for each level of nesting: one request with 1 MB of "[" ended an agent by a stack overflow, and the answers of platform services and engines went to the same parser. It also takes text that is no JSON: after "\ud800" or "\u12" it sees the end of the string elsewhere, and a prompt with "\u0000" was cut there and run. Header names that were not UTF-8 arrived as U+FFFD (libsoup's doing) and were counted as such; a trainer's name in a path could be any bytes. The agent's setting log.level had no effect. Ruled out: a bound on the size alone (a body may have 8 MiB); another parser. Change: quince_json_check(), one pass before each json-glib parse in lib: strict in strings and escapes, 64 levels at most. Names with U+FFFD are a bad header, trainers' names must be UTF-8. The bound on bodies moved to lib/runtime, log.level to program.c for both daemons.

--- a/daemons/agent/agent-http.c
+++ b/daemons/agent/agent-http.c
@@ -34,27 +34,6 @@
 
 /* ---- Bounds -------------------------------------------------------------------- */
 
-/* The rest of the body is read and dropped. */
-static void
-refuse_large (SoupServerMessage *message)
-{
-  SoupMessageBody *body = soup_server_message_get_request_body (message);
-  soup_message_body_set_accumulate (body, FALSE);
-  soup_message_body_truncate (body);
-  soup_message_headers_replace (soup_server_message_get_response_headers (message), "Connection", "close");
-  quince_http_reply_error (message, SOUP_STATUS_REQUEST_ENTITY_TOO_LARGE, "too_large", "body is above 8 MiB",
-                           TRUE, -1);
-}
-
-static void
-got_chunk (SoupServerMessage *message, GBytes *chunk, gpointer user_data)
-{
-  gsize *total = user_data;
-  *total += g_bytes_get_size (chunk);
-  if (*total > BODY_MOST_BYTES && soup_server_message_get_status (message) == 0)
-    refuse_large (message);
-}
-
 static void
 headers_arrived (SoupServer *server,
                  SoupServerMessage *message,
@@ -63,18 +42,11 @@
                  gpointer user_data)
 {
   QuinceAgentHttp *http = user_data;
-  SoupMessageHeaders *headers = soup_server_message_get_request_headers (message);
   http->asked_us = quince_now_us ();
   /* A caller that kept the connection would meet its end. */
   if (http->agent->stopping)
     soup_message_headers_replace (soup_server_message_get_response_headers (message), "Connection", "close");
-  if (soup_message_headers_get_content_length (headers) > BODY_MOST_BYTES)
-    {
-      refuse_large (message);
-      return;
-    }
-  g_signal_connect_data (message, "got-chunk", G_CALLBACK (got_chunk), g_new0 (gsize, 1),
-                         (GClosureNotify)g_free, 0);
+  quince_http_limit_body (message, BODY_MOST_BYTES);
 }
 
 /* ---- Routes -------------------------------------------------------------------- */
@@ -126,7 +98,8 @@
 {
   QuinceAgentHttp *http = user_data;
   g_auto (GStrv) parts = g_strsplit (path + 1, "/", 5);
-  gboolean named = g_strv_length (parts) == 4 && *parts[2] != '\0' && strlen (parts[2]) <= QUINCE_MAX_NAME;
+  gboolean named = g_strv_length (parts) == 4 && *parts[2] != '\0' && strlen (parts[2]) <= QUINCE_MAX_NAME
+                   && g_utf8_validate (parts[2], -1, NULL);
   if (!check_method (message, SOUP_METHOD_POST))
     return;
   if (named && g_str_equal (parts[3], "pull"))
--- a/daemons/agent/agent-settings.c
+++ b/daemons/agent/agent-settings.c
@@ -43,8 +43,8 @@
     NULL, "longest wait for one answer of the scorer" },
   { "agent", "ledger_timeout", QUINCE_SETTING_DURATION, FALSE, "10s", 100 * MILLISECOND, 600 * (gint64)SECOND,
     NULL, "longest time until a trainer's call is answered" },
-  { "log", "level", QUINCE_SETTING_CHOICE, FALSE, "info", 0, 0, "debug|info|warning|error",
-    "least severe level that is logged" },
+  { "log", "level", QUINCE_SETTING_CHOICE, FALSE, NULL, 0, 0, "debug|info|warning|error",
+    "least severe level that is logged; absent: the flag --log-level" },
 };
 /* clang-format on */
 
--- a/daemons/agent/completion-request.c
+++ b/daemons/agent/completion-request.c
@@ -8,6 +8,8 @@
 
 #define LONGEST_DEADLINE_MS (600 * 1000)
 #define MOST_TOKENS 1000000
+/* libsoup puts it where a header is not UTF-8. */
+#define REPLACEMENT_CHARACTER "\xef\xbf\xbd"
 /* Names of headers' defaults. */
 #define DEFAULT_KIND "lookup"
 
@@ -32,7 +34,7 @@
   if (text == NULL)
     return TRUE;
   gsize length = strlen (text);
-  if (length == 0 || length > QUINCE_MAX_NAME || !g_utf8_validate (text, -1, NULL))
+  if (length == 0 || length > QUINCE_MAX_NAME || strstr (text, REPLACEMENT_CHARACTER) != NULL)
     return bad_header (error, name, "1 to 128 bytes of text are wanted");
   *value = text;
   return TRUE;
--- a/daemons/node/node.c
+++ b/daemons/node/node.c
@@ -42,16 +42,6 @@
   return quince_kv_client_new ((const char *const *)endpoints, timeout_ms);
 }
 
-/* The setting goes before the flag; no thread has started yet. */
-static void
-set_log_level (const QuinceNode *node)
-{
-  const char *text = quince_settings_get_text (node->settings, "log", "level");
-  GLogLevelFlags level;
-  if (quince_log_parse_level (text, &level))
-    quince_log_init ("quinceroute-node", node->name, level);
-}
-
 /* Parts that listen or open a disk, and may fail. */
 static gboolean
 open_parts (QuinceNode *node, GError **error)
@@ -76,7 +66,6 @@
   node->settings = settings;
   node->name = quince_settings_get_text (settings, "node", "name");
   node->zone = quince_settings_get_text (settings, "node", "zone");
-  set_log_level (node);
   node->deployment = quince_deployment_number (quince_settings_get_text (settings, "node", "deployment"));
   node->incarnation = (guint64)quince_wall_ms ();
   node->http_client
--- a/include/quince/http.h
+++ b/include/quince/http.h
@@ -43,6 +43,27 @@
                               int not_run,
                               gint64 retry_after_ms);
 
+/**
+ * quince_http_limit_body:
+ * @message: whose headers have come; to be called from an early handler
+ * @most: bytes of its body
+ *
+ * A larger body is dropped as it comes and answered with 413 "too_large"; the status is then set when
+ * the handler is called.
+ */
+void quince_http_limit_body (SoupServerMessage *message, gsize most);
+
+/**
+ * quince_json_check:
+ *
+ * To be asked before any text from outside goes to json-glib.
+ *
+ * Returns: %FALSE when @text is not UTF-8, nests deeper than 64 levels, or has strings, escapes or
+ * bytes that JSON has not; also for "\u0000", which no C string holds.  %TRUE says nothing of the
+ * rest of the grammar.
+ */
+gboolean quince_json_check (const char *text, gsize length);
+
 /* Parses a request body as a JSON object; on failure replies 400 "bad_request" and returns NULL.
  * (transfer full) */
 JsonNode *quince_http_read_object (SoupServerMessage *message);
--- a/include/quince/program.h
+++ b/include/quince/program.h
@@ -22,6 +22,7 @@
  * @name: for example "quinceroute-node"
  * @doc: what --help says of it
  * @name_section: section whose "name" key names this process, for logs
+ * @specs: with the name of this process and log.level, which goes before the flag --log-level
  * @start: begins to serve; prints nothing. On %FALSE the program exits with 1
  * @ready_line: (transfer full): what to print after "ready " once started
  * @stop: planned stop (SIGTERM, SIGINT): begin to drain, call
--- a/lib/platform/engine-client.c
+++ b/lib/platform/engine-client.c
@@ -117,7 +117,8 @@
 {
   g_autoptr (JsonParser) parser = json_parser_new ();
   const char *type = "refused";
-  if (json_parser_load_from_data (parser, call->refusal->str, (gssize)call->refusal->len, NULL)
+  if (quince_json_check (call->refusal->str, call->refusal->len)
+      && json_parser_load_from_data (parser, call->refusal->str, (gssize)call->refusal->len, NULL)
       && json_parser_get_root (parser) != NULL && JSON_NODE_HOLDS_OBJECT (json_parser_get_root (parser)))
     {
       JsonNode *node = json_object_get_member (json_node_get_object (json_parser_get_root (parser)), "error");
--- a/lib/platform/engine-stream.c
+++ b/lib/platform/engine-stream.c
@@ -120,7 +120,7 @@
     }
   if (stream->has_reason)
     return malformed (error, "follows the finish reason");
-  if (!g_utf8_validate_len (data, length, NULL)
+  if (!quince_json_check (data, length)
       || !json_parser_load_from_data (stream->parser, data, (gssize)length, NULL))
     return malformed (error, "not JSON");
   JsonNode *node = json_parser_get_root (stream->parser);
--- a/lib/platform/kv-json.c
+++ b/lib/platform/kv-json.c
@@ -3,6 +3,8 @@
  */
 #include "kv-json.h"
 
+#include <quince/http.h>
+
 #include <json-glib/json-glib.h>
 #include <string.h>
 
@@ -198,7 +200,7 @@
 parse_text (const char *text, gsize length, GError **error)
 {
   g_autoptr (JsonParser) parser = json_parser_new_immutable ();
-  if (length == 0 || !g_utf8_validate_len (text, length, NULL)
+  if (length == 0 || !quince_json_check (text, length)
       || !json_parser_load_from_data (parser, text, length, NULL))
     {
       refuse (error, "the answer is not JSON");
--- a/lib/platform/operator-items.c
+++ b/lib/platform/operator-items.c
@@ -7,6 +7,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include <quince/http.h>
 #include <quince/request-id.h>
 
 #define MAX_HASH_CHARACTERS 64
@@ -80,7 +81,7 @@
 {
   g_autoptr (JsonParser) parser = json_parser_new_immutable ();
   JsonNode *root = NULL;
-  if (item->length > 0 && g_utf8_validate_len (item->value, item->length, NULL)
+  if (item->length > 0 && quince_json_check (item->value, item->length)
       && json_parser_load_from_data (parser, item->value, item->length, NULL))
     root = json_parser_steal_root (parser);
   if (root != NULL && JSON_NODE_HOLDS_OBJECT (root))
--- a/lib/runtime/http.c
+++ b/lib/runtime/http.c
@@ -100,12 +100,54 @@
   quince_http_reply_json (message, status, node);
 }
 
+/* ---- Bodies of requests ------------------------------------------------ */
+
+typedef struct
+{
+  gsize got;
+  gsize most;
+} BodyLimit;
+
+/* The rest of the body is read and dropped. */
+static void
+refuse_large (SoupServerMessage *message, gsize most)
+{
+  SoupMessageBody *body = soup_server_message_get_request_body (message);
+  g_autofree char *text = g_strdup_printf ("body is above %" G_GSIZE_FORMAT " bytes", most);
+  soup_message_body_set_accumulate (body, FALSE);
+  soup_message_body_truncate (body);
+  soup_message_headers_replace (soup_server_message_get_response_headers (message), "Connection", "close");
+  quince_http_reply_error (message, SOUP_STATUS_REQUEST_ENTITY_TOO_LARGE, "too_large", text, TRUE, -1);
+}
+
+static void
+got_chunk (SoupServerMessage *message, GBytes *chunk, gpointer user_data)
+{
+  BodyLimit *limit = user_data;
+  limit->got += g_bytes_get_size (chunk);
+  if (limit->got > limit->most && soup_server_message_get_status (message) == 0)
+    refuse_large (message, limit->most);
+}
+
+void
+quince_http_limit_body (SoupServerMessage *message, gsize most)
+{
+  SoupMessageHeaders *headers = soup_server_message_get_request_headers (message);
+  if (soup_message_headers_get_content_length (headers) > (goffset)most)
+    {
+      refuse_large (message, most);
+      return;
+    }
+  BodyLimit *limit = g_new0 (BodyLimit, 1);
+  limit->most = most;
+  g_signal_connect_data (message, "got-chunk", G_CALLBACK (got_chunk), limit, (GClosureNotify)g_free, 0);
+}
+
 static JsonNode *
 parse_object (const char *text, gsize length, GError **error)
 {
   g_autoptr (JsonParser) parser = json_parser_new_immutable ();
-  if (!g_utf8_validate_len (text, length, NULL)
-      || !json_parser_load_from_data (parser, text, (gssize)length, NULL))
+  if (!quince_json_check (text, length) || !json_parser_load_from_data (parser, text, (gssize)length, NULL))
     {
       g_set_error_literal (error, QUINCE_HTTP_ERROR, QUINCE_HTTP_ERROR_BAD_BODY, "body is not JSON");
       return NULL;
--- /dev/null
+++ b/lib/runtime/json-check.c
@@ -0,0 +1,95 @@
+/*
+ * json-check.c: whether a text is JSON that json-glib can be trusted with.
+ *
+ * json-glib calls itself for each level of nesting, so that deep text ends
+ * the process, and it takes more than JSON: comments, and escapes that are
+ * not whole, after which it sees the ends of strings where RFC 8259 does not.
+ * This check is strict in both, and leaves the rest of the grammar to it.
+ */
+#include <quince/http.h>
+
+#include <string.h>
+
+/* Far above what any message of ours nests. */
+#define DEPTH_MOST 64
+#define UNIT_ESCAPE_BYTES 6
+#define IS_HIGH_SURROGATE(unit) ((unit) >= 0xd800 && (unit) <= 0xdbff)
+#define IS_LOW_SURROGATE(unit) ((unit) >= 0xdc00 && (unit) <= 0xdfff)
+
+/* Returns: the code unit of the escape "\uXXXX" at @at; -1 when there is none. */
+static int
+read_unit (const char *at, const char *end)
+{
+  int unit = 0;
+  if (end - at < UNIT_ESCAPE_BYTES || at[0] != '\\' || at[1] != 'u')
+    return -1;
+  for (int i = 2; i < UNIT_ESCAPE_BYTES; i++)
+    {
+      int digit = g_ascii_xdigit_value (at[i]);
+      if (digit < 0)
+        return -1;
+      unit = unit * 16 + digit;
+    }
+  return unit;
+}
+
+/* Returns: where the escape at @at ends; %NULL when it is not valid, or a zero, which no C string holds. */
+static const char *
+skip_escape (const char *at, const char *end)
+{
+  int unit = read_unit (at, end);
+  if (unit < 0)
+    return end - at >= 2 && memchr ("\"\\/bfnrt", at[1], strlen ("\"\\/bfnrt")) != NULL ? at + 2 : NULL;
+  if (unit == 0 || IS_LOW_SURROGATE (unit))
+    return NULL;
+  at += UNIT_ESCAPE_BYTES;
+  if (!IS_HIGH_SURROGATE (unit))
+    return at;
+  int low = read_unit (at, end);
+  return IS_LOW_SURROGATE (low) ? at + UNIT_ESCAPE_BYTES : NULL;
+}
+
+/* @at: behind the opening quote.  Returns: behind the closing one; %NULL when the string is not valid. */
+static const char *
+skip_string (const char *at, const char *end)
+{
+  while (at != NULL && at < end)
+    {
+      if (*at == '"')
+        return at + 1;
+      at = *at == '\\' ? skip_escape (at, end) : at + 1;
+    }
+  return NULL;
+}
+
+/* Returns: whether @byte may stand outside strings, brackets and braces. */
+static gboolean
+is_plain (char byte)
+{
+  return g_ascii_isalnum (byte) || memchr (" \t\r\n:,+-.", byte, strlen (" \t\r\n:,+-.")) != NULL;
+}
+
+gboolean
+quince_json_check (const char *text, gsize length)
+{
+  const char *at = text;
+  const char *end = text + length;
+  guint depth = 0;
+  if (!g_utf8_validate_len (text, length, NULL))
+    return FALSE;
+  while (at != NULL && at < end)
+    {
+      char byte = *at++;
+      if (byte == '"')
+        at = skip_string (at, end);
+      else if (byte == '[' || byte == '{')
+        depth++;
+      else if ((byte == ']' || byte == '}') && depth > 0)
+        depth--;
+      else if (!is_plain (byte))
+        return FALSE;
+      if (depth > DEPTH_MOST)
+        return FALSE;
+    }
+  return at != NULL && depth == 0;
+}
--- a/lib/runtime/program.c
+++ b/lib/runtime/program.c
@@ -106,11 +106,20 @@
   fflush (stdout);
 }
 
+/* The setting goes before the flag. */
+static void
+begin_log (const QuinceProgram *program, const Flags *flags, const QuinceSettings *settings)
+{
+  const char *name = quince_settings_get_text (settings, program->name_section, "name");
+  GLogLevelFlags level = flags->level;
+  quince_log_parse_level (quince_settings_get_text (settings, "log", "level"), &level);
+  quince_log_init (program->name, name, level);
+}
+
 static int
 run_with_settings (const QuinceProgram *program, const Flags *flags, const QuinceSettings *settings)
 {
-  quince_log_init (program->name, quince_settings_get_text (settings, program->name_section, "name"),
-                   flags->level);
+  begin_log (program, flags, settings);
   main_loop = g_main_loop_new (NULL, FALSE);
   g_autoptr (GError) error = NULL;
   gpointer self = program->start (settings, &error);
