Node: bodies are bounded, and a name that is no text hides no status

One gossip datagram with a member whose name is not UTF-8 made /v1/status of every node that heard of it no JSON, so that the operators' command could not read it. Change: bodies above 4 KiB are answered with 413 "too_large" and dropped as they come, as the agent does above 8 MiB; 405 has the agent's type "method_not_allowed" (it was "bad_request"); texts of the status are made valid. Left as it is, with the reason in the tests: a peer's word is believed when it decodes: a greater policy revision, and an engine that leaves.

--- a/daemons/node/http.c
+++ b/daemons/node/http.c
@@ -7,6 +7,8 @@
 
 #include "status-json.h"
 
+/* No call has a body. */
+#define BODY_MOST_BYTES 4096
 #define METRICS_TYPE "text/plain; version=0.0.4"
 
 /* Owned by the node, on its main context. */
@@ -17,13 +19,26 @@
   char *address;      /* owned; really listened on                          */
 };
 
+static void
+headers_arrived (SoupServer *server,
+                 SoupServerMessage *message,
+                 const char *path,
+                 GHashTable *query,
+                 gpointer user_data)
+{
+  quince_http_limit_body (message, BODY_MOST_BYTES);
+}
+
+/* Returns: %FALSE when @message is answered: with 413 before, or now with 405. */
 static gboolean
 is_get (SoupServerMessage *message)
 {
+  if (soup_server_message_get_status (message) != 0)
+    return FALSE;
   if (g_str_equal (soup_server_message_get_method (message), "GET"))
     return TRUE;
-  quince_http_reply_error (message, SOUP_STATUS_METHOD_NOT_ALLOWED, "bad_request", "only GET is served", -1,
-                           -1);
+  quince_http_reply_error (message, SOUP_STATUS_METHOD_NOT_ALLOWED, "method_not_allowed",
+                           "only GET is served", -1, -1);
   return FALSE;
 }
 
@@ -92,20 +107,30 @@
                GHashTable *query,
                gpointer user_data)
 {
-  quince_http_reply_error (message, SOUP_STATUS_NOT_FOUND, "not_found", "no such path", -1, -1);
+  if (soup_server_message_get_status (message) == 0)
+    quince_http_reply_error (message, SOUP_STATUS_NOT_FOUND, "not_found", "no such path", -1, -1);
 }
 
+static const struct
+{
+  const char *path;
+  SoupServerCallback serve;
+} routes[] = {
+  { NULL, serve_unknown },       { "/healthz", serve_health },   { "/readyz", serve_ready },
+  { "/metrics", serve_metrics }, { "/v1/status", serve_status },
+};
+
 QuinceNodeHttp *
 quince_node_http_new (QuinceNode *node, GError **error)
 {
   QuinceNodeHttp *http = g_new0 (QuinceNodeHttp, 1);
   http->node = node;
   http->server = quince_http_server_new (NULL);
-  soup_server_add_handler (http->server, NULL, serve_unknown, http, NULL);
-  soup_server_add_handler (http->server, "/healthz", serve_health, http, NULL);
-  soup_server_add_handler (http->server, "/readyz", serve_ready, http, NULL);
-  soup_server_add_handler (http->server, "/metrics", serve_metrics, http, NULL);
-  soup_server_add_handler (http->server, "/v1/status", serve_status, http, NULL);
+  for (guint i = 0; i < G_N_ELEMENTS (routes); i++)
+    {
+      soup_server_add_early_handler (http->server, routes[i].path, headers_arrived, http, NULL);
+      soup_server_add_handler (http->server, routes[i].path, routes[i].serve, http, NULL);
+    }
   const char *wanted = quince_settings_get_text (node->settings, "node", "http");
   if (!quince_http_listen (http->server, wanted, &http->address, error))
     {
--- a/daemons/node/status-json.c
+++ b/daemons/node/status-json.c
@@ -19,8 +19,10 @@
 static void
 add_text (JsonBuilder *builder, const char *name, const char *value)
 {
+  /* A peer's word may be any bytes. */
+  g_autofree char *text = g_utf8_make_valid (value, -1);
   json_builder_set_member_name (builder, name);
-  json_builder_add_string_value (builder, value);
+  json_builder_add_string_value (builder, text);
 }
 
 static void
--- a/tests/contract/test-malformed.c
+++ b/tests/contract/test-malformed.c
@@ -51,6 +51,10 @@
   if (raw_status (good) != 200)
     fail_msg ("does not serve any more: %s", good->got->str);
   raw_free (good);
+  g_autoptr (Raw) status_answer = raw_request (fixture.http, "GET", "/v1/status", "", "", 0);
+  WAIT_UNTIL (status_answer->closed);
+  if (!g_utf8_validate (status_answer->got->str, -1, NULL))
+    fail_msg ("status cannot be read any more");
   guint64 resident = resident_bytes (g_subprocess_get_identifier (fixture.agent));
   if (resident > resident_before + GROWTH_MOST_BYTES)
     fail_msg ("grew from %d to %d MiB", (int)(resident_before >> 20), (int)(resident >> 20));
@@ -401,8 +405,9 @@
   QuinceMessage messages[3] = { { .kind = QUINCE_MESSAGE_NODE_STATUS },
                                 { .kind = QUINCE_MESSAGE_GRANT_REPLY },
                                 { .kind = QUINCE_MESSAGE_LEDGER_REPLY } };
-  messages[0].QuinceMessage_u.node_status
-      = (QuinceNodeStatus){ .name = (char *)"n1", .ledger_leader = (char *)"", .members = { 1, &member } };
+  messages[0].QuinceMessage_u.node_status = (QuinceNodeStatus){ .name = (char *)"n1",
+                                                                .ledger_leader = (char *)"leader",
+                                                                .members = { 1, &member } };
   messages[1].QuinceMessage_u.grant_reply.verdict.QuinceVerdict_u.grant
       = (QuinceGrant){ .engine = (char *)"e1", .engine_address = (char *)"nonsense" };
   messages[2].QuinceMessage_u.ledger_reply.leader = (char *)"nonsense";
