--- a/tests/contract/test-malformed-node.c
+++ b/tests/contract/test-malformed-node.c
@@ -8,6 +8,8 @@
 
 #include "malformed.h"
 
+#include <quince/operator-keys.h>
+
 #define RANDOM_FRAMES 600
 #define RANDOM_DATAGRAMS 4000
 #define LARGE_BYTES (64u << 20)
@@ -151,6 +153,22 @@
   finish (scene);
 }
 
+/* ---- Values in the key-value service --------------------------------------------------- */
+
+static void
+test_deep_values (void **state)
+{
+  static const char *const keys[]
+      = { QUINCE_KEY_POLICY_HEAD, QUINCE_KEY_EVENTS "deep", QUINCE_KEY_DRAIN "deep" };
+  Scene *scene = *state;
+  g_autofree char *deep = g_strnfill (200000, '[');
+  start_logged (scene, NULL);
+  for (guint i = 0; i < G_N_ELEMENTS (keys); i++)
+    put_key (scene->deployment, keys[i], deep);
+  WAIT_UNTIL (log_capture_count (&scene->capture, "event=policy_head_malformed") == 1);
+  finish (scene);
+}
+
 /* ---- TCP --------------------------------------------------------------------------- */
 
 typedef struct
@@ -447,6 +465,7 @@
   const struct CMUnitTest tests[] = {
     cmocka_unit_test_setup_teardown (test_bad_requests, set_up_scene, tear_down_scene),
     cmocka_unit_test_setup_teardown (test_oversized_requests, set_up_scene, tear_down_scene),
+    cmocka_unit_test_setup_teardown (test_deep_values, set_up_scene, tear_down_scene),
     cmocka_unit_test_setup_teardown (test_bad_frames, set_up_scene, tear_down_scene),
     cmocka_unit_test_setup_teardown (test_truncated_frames, set_up_scene, tear_down_scene),
     cmocka_unit_test_setup_teardown (test_flipped_frames, set_up_scene, tear_down_scene),
