Scheduler: a node that has not heard of any engine yet says NOT_READY

Cause: a node that was just started, and had its policy before the first engine's report, refused with "no engine serves this". An agent takes that as final, so a rolling restart told callers "not run" although four engines served.

Ruled out: readiness that waits for engines, since a node without engines must still spread policy and lead the ledger.

Change: until the first report of any engine the refusal is NOT_READY, which sends the agent to another node, as it does when all reports are too old.

--- a/lib/core/scheduling/requests.c
+++ b/lib/core/scheduling/requests.c
@@ -66,9 +66,9 @@
       *detail = "no time is left";
       return QUINCE_REFUSAL_DEADLINE;
     }
-  if (view->usable == 0 && view->unheard > 0)
+  if (view->usable == 0 && (view->unheard > 0 || !scheduler->heard_engines))
     {
-      /* This node was paused or cut off: another one may know better. */
+      /* This node was paused or cut off, or has just started: another one may know better. */
       *detail = "engines have not been heard of lately";
       return QUINCE_REFUSAL_NOT_READY;
     }
--- a/lib/core/scheduling/scheduler-private.h
+++ b/lib/core/scheduling/scheduler-private.h
@@ -37,6 +37,7 @@
   QuinceDecider decider;       /* functions borrowed                        */
   gboolean ready;
   gboolean stopping;
+  gboolean heard_engines; /* a report has ever come */
   gint64 event_start_us;
   gint64 event_end_us;
   QuinceSchedulerCounters counters;
--- a/lib/core/scheduling/scheduler.c
+++ b/lib/core/scheduling/scheduler.c
@@ -257,6 +257,7 @@
   QuinceEngine *engine = quince_engine_table_report (scheduler->engines, now_us, report, &created);
   if (engine == NULL)
     return;
+  scheduler->heard_engines = TRUE;
   if (created)
     engine->prefix_slot = quince_prefix_index_add_engine (scheduler->prefixes);
   QuinceServiceQueue *service = g_hash_table_lookup (scheduler->services, engine->service);
