--- a/rehearsal/simulation/model.h
+++ b/rehearsal/simulation/model.h
@@ -28,6 +28,9 @@
 #define SIM_LEAVING_BOUND (3 * SIM_SECOND)
 /* Longest time until an accepted policy is in force, while nothing fails. */
 #define SIM_POLICY_BOUND (3 * SIM_SECOND)
+/* After the faults: when nothing of them is left, and for how long processes are then stopped as planned. */
+#define SIM_CALM_AFTER (12 * SIM_SECOND)
+#define SIM_CALM_TIME (10 * SIM_SECOND)
 
 /* ---- Judge: what truly happened ----------------------------------------- */
 
@@ -36,6 +39,9 @@
 {
   QuinceRequestId id;
   gboolean at_most_once;
+  gint64 started;
+  guint agent;       /* process id */
+  gboolean admitted; /* by an agent that was not stopping */
   gboolean answered;
   QuinceRequestStep answer;
 } SimCaller;
@@ -48,6 +54,7 @@
   GHashTable *productions;  /* sample id -> GArray of SimProduction           */
   GHashTable *senders;      /* request id -> count of callers that sent it    */
   GHashTable *unrepeatable; /* ids of at-most-once requests                  */
+  GHashTable *ended_early;  /* ids of which an engine ended a stream by itself */
   GPtrArray *callers;       /* SimCaller                                      */
   guint64 lookups_answered;
   guint64 lookups_refused;
@@ -55,7 +62,7 @@
   guint64 samples_delivered;
   guint64 steps_delivered;
   guint64 policies_accepted;
-  guint64 kills, freezes, cuts, disks_lost, swaps_failed;
+  guint64 kills, freezes, cuts, disks_lost, swaps_failed, planned_stops;
 } SimJudge;
 
 typedef struct
@@ -70,12 +77,17 @@
 void sim_judge_free (SimWorld *world);
 void sim_judge_start (SimWorld *world, guint engine, const QuinceRequestId id);
 void sim_judge_production (SimWorld *world, const char *sample, const SimProduction *production);
-SimCaller *sim_judge_caller (SimWorld *world, const QuinceRequestId id, gboolean at_most_once);
+SimCaller *
+sim_judge_caller (SimWorld *world, const SimProcess *agent, const QuinceRequestId id, gboolean at_most_once);
+/* An engine ended a stream of @id before its end. */
+void sim_judge_ended_early (SimWorld *world, const QuinceRequestId id);
 void sim_judge_answer (SimWorld *world, SimCaller *caller, QuinceRequestStep answer);
 /* @batch was handed over for @step to a trainer at @version. */
 void
 sim_judge_batch (SimWorld *world, const QuinceBatch *batch, guint64 step, guint64 version, guint expected);
 void sim_judge_policy (SimWorld *world, SimProcess *node, guint64 before, guint64 after);
+/* A planned stop lets @process end now. */
+void sim_judge_planned_end (SimWorld *world, const SimProcess *process);
 /* Checks what must hold between events. */
 void sim_judge_tick (SimWorld *world);
 
@@ -111,7 +123,9 @@
   SimProcess *weather;                  /* makes faults */
   gint64 engine_leaves_at[SIM_ENGINES]; /* 0: stays */
   gboolean faults;                      /* still made */
-  guint steps_wanted;                   /* of the trainer */
+  gint64 calm_since;                    /* no trace of the faults is left; G_MAXINT64 before they end */
+  gint64 last_planned_end;
+  guint steps_wanted; /* of the trainer */
   SimJudge judge;
 } SimModel;
 
@@ -157,7 +171,11 @@
 gboolean sim_node_may_lose_disk (SimWorld *world, guint node);
 /* In force on a live node; 0 when none or not alive. */
 guint64 sim_node_get_policy (SimProcess *node);
-gboolean sim_node_is_current (SimProcess *node);
+gboolean sim_node_is_current (SimProcess *process);
+/* Planned stop: the queue goes elsewhere. */
+void sim_node_stop (SimWorld *world, SimProcess *process);
+/* What was granted has ended, and another node leads the ledger. */
+gboolean sim_node_may_end (SimWorld *world, SimProcess *process);
 /* Ledger part of a node, see sim-ledger.c. */
 typedef struct _SimLedger SimLedger;
 SimLedger *sim_ledger_new (SimWorld *world, SimProcess *process);
@@ -166,6 +184,8 @@
 void sim_ledger_call (SimWorld *world, SimLedger *ledger, guint from, const QuinceLedgerCall *call);
 gboolean sim_ledger_leads (const SimLedger *ledger, guint64 *epoch);
 const QuinceConsensus *sim_ledger_get_consensus (const SimLedger *ledger);
+/* Planned stop: another replica takes the lead. */
+void sim_ledger_hand_over (SimWorld *world, SimLedger *ledger);
 
 /* ---- Ledger client: agents and the trainer ---------------------------------- */
 
@@ -176,6 +196,7 @@
                                  gpointer data);
 SimClient *sim_client_new (void);
 void sim_client_free (SimClient *client);
+guint sim_client_count_calls (const SimClient *client);
 /* Repeats @command until a definite answer or @deadline; then status UNKNOWN.
  * @data is released with g_free() after the handler, or with the client. */
 void sim_client_call (SimWorld *world,
@@ -188,6 +209,20 @@
 void
 sim_client_receive (SimWorld *world, SimProcess *process, SimClient *client, const QuinceLedgerReply *reply);
 
+/* ---- Agent ------------------------------------------------------------------ */
+
+/* Lookups and samples in progress, with the ledger calls that complete them. */
+guint sim_agent_count_running (const SimProcess *process);
+/* Planted fault: a node has ended, and with it the streams that it granted. */
+void sim_agent_node_ended (SimWorld *world, SimProcess *process, guint node);
+
+/* ---- Planned stops ------------------------------------------------------------ */
+
+/* Begins the planned stop of an agent or node; when it has ended, it is started again. */
+void sim_stop_begin (SimWorld *world, SimProcess *process);
+/* Stops any agent or node, but never two of a kind at once. */
+void sim_stop_any (SimWorld *world);
+
 /* ---- Engine streams ----------------------------------------------------------- */
 
 typedef struct
--- a/rehearsal/simulation/sim-agent.c
+++ b/rehearsal/simulation/sim-agent.c
@@ -26,10 +26,17 @@
 start_lookup (SimWorld *world, SimProcess *process, const QuinceRequestId id, gboolean at_most_once)
 {
   SimAgent *agent = process->state;
+  SimCaller *caller = sim_judge_caller (world, process, id, at_most_once);
+  if (process->stopping)
+    {
+      /* Told to ask another agent. */
+      sim_judge_answer (world, caller, QUINCE_STEP_ANSWER_NOT_RUN);
+      return;
+    }
   const QuinceRequestOptions options
       = { .at_most_once = at_most_once, .deadline_us = world->now + SIM_LOOKUP_DEADLINE, .attempts_most = 5 };
   SimJob *job = sim_job_new (agent, id, &options);
-  job->caller = sim_judge_caller (world, id, at_most_once);
+  job->caller = caller;
   job->total_tokens = 3 + sim_random (world, 12);
   sim_job_timer (world, process, job, SIM_LOOKUP_DEADLINE, deadline);
   sim_job_drive (world, process, job, quince_request_start (job->request, world->now));
@@ -57,10 +64,17 @@
   sim_world_at (world, other, (gint64)sim_random (world, 4 * SIM_SECOND), repeat_lookup, repeat, g_free);
 }
 
+static gboolean
+wants_lookups (SimWorld *world)
+{
+  const SimModel *model = sim_model (world);
+  return model->faults || (world->now >= model->calm_since && world->now < model->calm_since + SIM_CALM_TIME);
+}
+
 static void
 make_lookups (SimWorld *world, SimProcess *process, gpointer data)
 {
-  if (sim_model (world)->faults)
+  if (wants_lookups (world))
     {
       QuinceRequestId id;
       for (guint i = 0; i < QUINCE_ID_BYTES; i++)
@@ -95,7 +109,7 @@
 static void
 leased (SimWorld *world, SimProcess *process, const QuinceLedgerReply *reply, gpointer data)
 {
-  if (reply->status != QUINCE_LEDGER_OK)
+  if (reply->status != QUINCE_LEDGER_OK || process->stopping)
     return;
   for (guint i = 0; i < reply->result.QuinceLedgerResult_u.leased.leased_len; i++)
     start_sample (world, process, &reply->result.QuinceLedgerResult_u.leased.leased_val[i]);
@@ -131,7 +145,7 @@
 lease_samples (SimWorld *world, SimProcess *process, gpointer data)
 {
   SimAgent *agent = process->state;
-  if (agent->samples < SAMPLES_MOST)
+  if (agent->samples < SAMPLES_MOST && !process->stopping)
     {
       QuinceCommand command = { .kind = QUINCE_COMMAND_LEASE };
       command.QuinceCommand_u.lease = (QuinceLeaseSamples){ .agent = process->name,
@@ -144,6 +158,30 @@
   sim_world_at (world, process, LEASE_INTERVAL, lease_samples, NULL, NULL);
 }
 
+/* ---- Planned stops ----------------------------------------------------------------------- */
+
+guint
+sim_agent_count_running (const SimProcess *process)
+{
+  const SimAgent *agent = process->state;
+  return g_hash_table_size (agent->jobs) + sim_client_count_calls (agent->client);
+}
+
+void
+sim_agent_node_ended (SimWorld *world, SimProcess *process, guint node)
+{
+  SimAgent *agent = process->state;
+  g_autoptr (GList) jobs = g_hash_table_get_values (agent->jobs);
+  for (GList *at = jobs; at != NULL; at = at->next)
+    {
+      SimJob *job = at->data;
+      guint attempt = quince_request_get_attempt (job->request);
+      if (job->node == node && job->stream_attempt == attempt)
+        sim_job_drive (world, process, job,
+                       quince_request_engine_failed (job->request, world->now, attempt, TRUE));
+    }
+}
+
 /* ---- Life ------------------------------------------------------------------------------ */
 
 static void
--- a/rehearsal/simulation/sim-client.c
+++ b/rehearsal/simulation/sim-client.c
@@ -47,6 +47,12 @@
   g_free (client);
 }
 
+guint
+sim_client_count_calls (const SimClient *client)
+{
+  return g_hash_table_size (client->calls);
+}
+
 typedef struct
 {
   SimClient *client;
--- a/rehearsal/simulation/sim-engine.c
+++ b/rehearsal/simulation/sim-engine.c
@@ -63,6 +63,8 @@
   SimEngine *engine = process->state;
   const SimStream content = { .kind = kind };
   engine->running--;
+  if (kind != SIM_STREAM_FINISHED)
+    sim_judge_ended_early (world, sequence->dispatch->id);
   send_stream (world, process, sequence->dispatch, &content);
   sequence_free (sequence);
 }
@@ -73,7 +75,8 @@
   SimEngine *engine = process->state;
   Sequence *sequence = data;
   const SimDispatch *dispatch = sequence->dispatch;
-  guint count = MIN (1 + sim_random (world, 4), dispatch->total_tokens - sequence->done);
+  guint wanted = 1 + sim_random (world, 4);
+  guint count = MIN (wanted, dispatch->total_tokens - sequence->done);
   const SimStream chunk = { .kind = SIM_STREAM_CHUNK,
                             .first_token = sequence->done,
                             .token_count = count,
--- a/rehearsal/simulation/sim-job.c
+++ b/rehearsal/simulation/sim-job.c
@@ -59,8 +59,11 @@
 {
   g_autofree SimJobTimer *timer = data;
   SimJob *job = sim_job_find (process, timer->job);
-  if (job != NULL)
-    sim_job_drive (world, process, job, quince_request_node_lost (job->request, world->now, timer->attempt));
+  if (job == NULL)
+    return;
+  QuinceRequestStep step = quince_request_node_lost (job->request, world->now, timer->attempt);
+  job->avoid_node |= step == QUINCE_STEP_ASK_GRANT;
+  sim_job_drive (world, process, job, step);
 }
 
 static void
@@ -81,7 +84,8 @@
   request->expected_tokens = job->total_tokens;
   request->min_version = job->leased != NULL ? job->leased->min_version : 0;
   request->policy_revision = agent->policy_seen;
-  job->node = sim_random (world, SIM_NODES);
+  job->node = job->avoid_node ? (job->node + 1 + sim_random (world, SIM_NODES - 1)) % SIM_NODES
+                              : sim_random (world, SIM_NODES);
   sim_world_send (world, process, sim_model (world)->nodes[job->node]->id, quince_message_copy (&message));
   sim_job_timer (world, process, job, NODE_TIMEOUT, node_timeout);
 }
@@ -102,9 +106,10 @@
   const QuinceVerdict *verdict = &reply->verdict;
   if (verdict->kind == QUINCE_VERDICT_REFUSED)
     {
-      sim_job_drive (world, process, job,
-                     quince_request_grant_refused (job->request, world->now, reply->attempt,
-                                                   &verdict->QuinceVerdict_u.refused));
+      QuinceRequestStep step = quince_request_grant_refused (job->request, world->now, reply->attempt,
+                                                             &verdict->QuinceVerdict_u.refused);
+      job->avoid_node |= step == QUINCE_STEP_ASK_GRANT;
+      sim_job_drive (world, process, job, step);
       return;
     }
   if (world->mutation != SIM_MUTATION_ACCEPT_OLD_POLICY)
--- a/rehearsal/simulation/sim-job.h
+++ b/rehearsal/simulation/sim-job.h
@@ -24,6 +24,7 @@
   guint64 holder;    /* of the claim, 0 before                      */
   gboolean claiming;
   guint node;           /* asked last                                  */
+  gboolean avoid_node;  /* it is not ready, or does not answer         */
   guint stream_attempt; /* that is dispatched                          */
   gint64 progress_at;
 } SimJob;
--- a/rehearsal/simulation/sim-judge.c
+++ b/rehearsal/simulation/sim-judge.c
@@ -20,6 +20,7 @@
   judge->senders = g_hash_table_new_full (quince_request_id_hash, quince_request_id_equal, g_free, NULL);
   judge->unrepeatable = g_hash_table_new_full (quince_request_id_hash, quince_request_id_equal, g_free, NULL);
   judge->productions = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, (GDestroyNotify)g_array_unref);
+  judge->ended_early = g_hash_table_new_full (quince_request_id_hash, quince_request_id_equal, g_free, NULL);
   judge->callers = g_ptr_array_new_with_free_func (g_free);
 }
 
@@ -31,6 +32,7 @@
   g_hash_table_unref (judge->not_run);
   g_hash_table_unref (judge->senders);
   g_hash_table_unref (judge->unrepeatable);
+  g_hash_table_unref (judge->ended_early);
   g_hash_table_unref (judge->productions);
   g_ptr_array_unref (judge->callers);
 }
@@ -57,12 +59,15 @@
 }
 
 SimCaller *
-sim_judge_caller (SimWorld *world, const QuinceRequestId id, gboolean at_most_once)
+sim_judge_caller (SimWorld *world, const SimProcess *agent, const QuinceRequestId id, gboolean at_most_once)
 {
   SimJudge *judge = &sim_model (world)->judge;
   SimCaller *caller = g_new0 (SimCaller, 1);
   memcpy (caller->id, id, QUINCE_ID_BYTES);
   caller->at_most_once = at_most_once;
+  caller->started = world->now;
+  caller->agent = agent->id;
+  caller->admitted = !agent->stopping;
   g_ptr_array_add (judge->callers, caller);
   add_count (judge->senders, id);
   /* A repeat by its caller asks for another run after all. */
@@ -72,6 +77,26 @@
   return caller;
 }
 
+void
+sim_judge_ended_early (SimWorld *world, const QuinceRequestId id)
+{
+  g_hash_table_add (sim_model (world)->judge.ended_early, id_key (id));
+}
+
+/* While nothing fails, a planned stop is all that can keep a caller from its whole answer. */
+static void
+judge_calm_answer (SimWorld *world, const SimCaller *caller, guint senders)
+{
+  SimModel *model = sim_model (world);
+  if (caller->started < model->calm_since || !caller->admitted || caller->answer == QUINCE_STEP_ANSWER_WHOLE
+      || senders > 1 || g_hash_table_contains (model->judge.ended_early, caller->id))
+    return;
+  const SimProcess *agent = world->processes->pdata[caller->agent];
+  sim_world_violate (world,
+                     "a request through %s has no whole answer though nothing but planned stops happens",
+                     agent->name);
+}
+
 void
 sim_judge_answer (SimWorld *world, SimCaller *caller, QuinceRequestStep answer)
 {
@@ -87,6 +112,7 @@
   judge->lookups_unknown += answer == QUINCE_STEP_ANSWER_UNKNOWN || answer == QUINCE_STEP_ANSWER_BROKEN;
   if (answer == QUINCE_STEP_ANSWER_WHOLE && starts == 0)
     sim_world_violate (world, "a caller has an answer that no engine gave");
+  judge_calm_answer (world, caller, senders);
   if (answer != QUINCE_STEP_ANSWER_NOT_RUN || senders > 1)
     return;
   if (starts > 0)
@@ -165,6 +191,25 @@
     }
 }
 
+/* ---- Planned stops ----------------------------------------------------------------- */
+
+void
+sim_judge_planned_end (SimWorld *world, const SimProcess *process)
+{
+  SimModel *model = sim_model (world);
+  model->judge.planned_stops++;
+  if (process->class != &sim_agent_class)
+    return;
+  for (guint i = 0; i < model->judge.callers->len; i++)
+    {
+      const SimCaller *caller = model->judge.callers->pdata[i];
+      if (!caller->answered && caller->agent == process->id)
+        sim_world_violate (world, "the planned stop of %s cuts a request", process->name);
+    }
+  if (sim_agent_count_running (process) > 0)
+    sim_world_violate (world, "the planned stop of %s cuts a sample", process->name);
+}
+
 /* ---- Policy ---------------------------------------------------------------------- */
 
 void
--- a/rehearsal/simulation/sim-ledger.c
+++ b/rehearsal/simulation/sim-ledger.c
@@ -379,6 +379,15 @@
   return ledger->consensus;
 }
 
+void
+sim_ledger_hand_over (SimWorld *world, SimLedger *ledger)
+{
+  if (ledger->crashing)
+    return;
+  quince_consensus_transfer (ledger->consensus, world->now, ledger->effects);
+  settle (world, ledger);
+}
+
 /* ---- Life -------------------------------------------------------------------- */
 
 static void
--- a/rehearsal/simulation/sim-node.c
+++ b/rehearsal/simulation/sim-node.c
@@ -261,6 +261,32 @@
   return process->alive && quince_policy_register_is_current (((SimNode *)process->state)->reg);
 }
 
+/* ---- Planned stops ------------------------------------------------------------------ */
+
+void
+sim_node_stop (SimWorld *world, SimProcess *process)
+{
+  SimNode *node = process->state;
+  g_autoptr (GPtrArray) decisions = quince_decisions_new ();
+  quince_scheduler_stop (node->scheduler, world->now, decisions);
+  send_decisions (world, process, decisions);
+}
+
+gboolean
+sim_node_may_end (SimWorld *world, SimProcess *process)
+{
+  SimNode *node = process->state;
+  guint64 epoch;
+  QuinceSchedulerCounters counters;
+  quince_scheduler_get_counters (node->scheduler, &counters);
+  if (counters.outstanding > 0)
+    return FALSE;
+  if (node->ledger == NULL || !sim_ledger_leads (node->ledger, &epoch))
+    return TRUE;
+  sim_ledger_hand_over (world, node->ledger);
+  return FALSE;
+}
+
 /* ---- Life ------------------------------------------------------------------------ */
 
 /* A disk may go for good only while the others still hold all that was committed. */
--- a/rehearsal/simulation/sim-run.c
+++ b/rehearsal/simulation/sim-run.c
@@ -21,6 +21,8 @@
   [SIM_MUTATION_IGNORE_LEAVING] = "ignore-leaving",
   [SIM_MUTATION_MIX_ATTEMPTS] = "mix-attempts",
   [SIM_MUTATION_SKIP_STALENESS] = "skip-staleness",
+  [SIM_MUTATION_STOP_AT_ONCE] = "stop-at-once",
+  [SIM_MUTATION_NODE_TAKES_STREAMS] = "node-takes-streams",
 };
 
 const char *
@@ -156,7 +158,7 @@
 make_fault (SimWorld *world, SimProcess *weather)
 {
   SimModel *model = sim_model (world);
-  guint kind = sim_random (world, 14);
+  guint kind = sim_random (world, 16);
   /* Policy spread is only timed from the end of what hinders it. */
   if (kind < 10)
     model->last_disturbance = MAX (model->last_disturbance, world->now + 5 * SIM_SECOND);
@@ -187,6 +189,10 @@
     case 12:
       engine_leaves (world, weather);
       break;
+    case 13:
+    case 14:
+      sim_stop_any (world);
+      break;
     default:
       break;
     }
@@ -196,7 +202,10 @@
 accept_policy (SimWorld *world)
 {
   SimModel *model = sim_model (world);
-  if (!model->kv_up || !sim_chance (world, 0.15))
+  /* While a policy spreads, nodes that lack it refuse. */
+  gboolean keeps_still
+      = world->now >= model->calm_since - SIM_POLICY_BOUND && world->now < model->calm_since + SIM_CALM_TIME;
+  if (!model->kv_up || keeps_still || !sim_chance (world, 0.15))
     return;
   model->kv_revision += 1 + sim_random (world, 3);
   model->last_accept = world->now;
@@ -209,6 +218,7 @@
 {
   SimModel *model = sim_model (world);
   model->faults = FALSE;
+  model->calm_since = world->now + SIM_CALM_AFTER;
   model->kv_up = TRUE;
   model->last_disturbance = world->now + SIM_SECOND;
   sim_world_heal (world);
@@ -223,6 +233,14 @@
     model->engine_leaves_at[i] = 0;
 }
 
+/* Nothing but planned stops happens. */
+static gboolean
+is_calm (SimWorld *world)
+{
+  gint64 since = sim_model (world)->calm_since;
+  return world->now >= since && world->now < since + SIM_CALM_TIME;
+}
+
 static void
 blow (SimWorld *world, SimProcess *weather, gpointer data)
 {
@@ -233,6 +251,8 @@
     end_faults (world);
   else if (model->faults && sim_chance (world, 0.5))
     make_fault (world, weather);
+  else if (is_calm (world))
+    sim_stop_any (world);
   sim_world_at (world, weather, FAULT_INTERVAL, blow, NULL, NULL);
 }
 
@@ -263,6 +283,7 @@
   world->duplication = 0.01;
   model->kv_up = TRUE;
   model->faults = TRUE;
+  model->calm_since = G_MAXINT64;
   model->newest_weights = 1;
   model->steps_wanted = steps_wanted;
   sim_judge_init (world);
@@ -296,7 +317,8 @@
 is_done (SimWorld *world)
 {
   SimModel *model = sim_model (world);
-  if (model->faults || model->judge.steps_delivered < model->steps_wanted)
+  if (model->faults || world->now < model->calm_since + SIM_CALM_TIME
+      || model->judge.steps_delivered < model->steps_wanted)
     return FALSE;
   for (guint i = 0; i < model->judge.callers->len; i++)
     if (!((SimCaller *)model->judge.callers->pdata[i])->answered)
--- a/rehearsal/simulation/world.c
+++ b/rehearsal/simulation/world.c
@@ -304,7 +304,8 @@
       return;
     }
   gint64 *last = &world->last_delivery[from->id * world->processes->len + to];
-  *last = MAX (*last, world->now + delay (world, 300 * SIM_MILLISECOND));
+  gint64 arrival = world->now + delay (world, 300 * SIM_MILLISECOND);
+  *last = MAX (*last, arrival);
   sim_world_at (world, target, *last - world->now, handler, data, free);
 }
 
@@ -329,6 +330,7 @@
     return;
   process->alive = TRUE;
   process->life++;
+  process->stopping = FALSE;
   process->class->start (world, process);
 }
 
--- a/rehearsal/simulation/world.h
+++ b/rehearsal/simulation/world.h
@@ -44,7 +44,8 @@
   gboolean alive;
   guint64 life; /* grows with each start */
   gint64 frozen_until;
-  gpointer state; /* of this life */
+  gboolean stopping; /* a planned stop of this life has begun */
+  gpointer state;    /* of this life */
 };
 
 /* Planted faults of the core's surroundings, to show that the judge sees them. */
@@ -61,6 +62,8 @@
   SIM_MUTATION_IGNORE_LEAVING,        /* grants go on to a leaving engine               */
   SIM_MUTATION_MIX_ATTEMPTS,          /* late chunks of a dead attempt are taken        */
   SIM_MUTATION_SKIP_STALENESS,        /* old samples are handed over                    */
+  SIM_MUTATION_STOP_AT_ONCE,          /* a planned stop of an agent waits for nothing   */
+  SIM_MUTATION_NODE_TAKES_STREAMS,    /* a node stops at once, its grants' streams too   */
   SIM_N_MUTATIONS,
 } SimMutation;
 
--- a/tests/unit/test-simulation.c
+++ b/tests/unit/test-simulation.c
@@ -15,7 +15,7 @@
 #include "model.h"
 
 #define CHECK_STEPS 1000000
-#define MUTATION_STEPS 3000000
+#define MUTATION_STEPS 10000000
 
 static guint64
 from_environment (const char *name, guint64 fallback)
