Rollouts: a lease asks for the version its step will be pulled with

Cause: a lease took its least version from the version that the trainer had named last, also when the sample's step was to be pulled one version later. So in each swap samples of the next step started on weights that were too old at their hand-over and were generated again.

Ruled out: running on through a swap (each segment counts, so a sample that begins on the older version stays too old).

Change: the book forecasts the version at each step's pull: the one named last and, for each step between, the smaller one of the last two growths (one until they are known). A lease asks for that less the staleness bound. A sample that needs a version not named yet waits, and the pull of its step lets it go, also one that makes no record. All of it is soft state; saved form and records are as before. The order of leases was right already: earliest step, then longest.

--- a/include/quince/rollout-book.h
+++ b/include/quince/rollout-book.h
@@ -51,7 +51,8 @@
                                    const QuinceCommand *command,
                                    QuinceLedgerReply *reply);
 
-/* Leases, leader only.  Longest expected first. */
+/* Leases, leader only.  Within a trainer the earliest step first, in it the longest expected sample; each
+ * names the least version that its trainer is expected to take when it pulls the step. */
 void quince_rollout_book_lease (QuinceRolloutBook *book,
                                 gint64 now_ms,
                                 const QuinceLeaseSamples *lease,
--- a/lib/core/rollouts/rollout-book.c
+++ b/lib/core/rollouts/rollout-book.c
@@ -262,6 +262,14 @@
   return QUINCE_LEDGER_OK;
 }
 
+/* A pull that changes nothing still tells which step the trainer wants now. */
+static void
+note_peeked_pull (QuinceRolloutBook *book, const QuincePullStep *pull, QuinceLedgerStatus status)
+{
+  if (status == QUINCE_LEDGER_OK || status == QUINCE_LEDGER_NOT_COMPLETE)
+    quince_trainer_note_pull (quince_rollout_book_find_trainer (book, pull->trainer), pull->step);
+}
+
 gboolean
 quince_rollout_book_peek (QuinceRolloutBook *book,
                           gint64 now_ms,
@@ -275,6 +283,8 @@
     return FALSE;
   if (command->kind == QUINCE_COMMAND_COMPLETE && status == QUINCE_LEDGER_OK)
     book->peeked_duplicates++;
+  if (command->kind == QUINCE_COMMAND_PULL)
+    note_peeked_pull (book, &command->QuinceCommand_u.pull, status);
   reply_init (reply, command->kind, status);
   if (command->kind == QUINCE_COMMAND_PULL)
     reply_fill_batch (book, &command->QuinceCommand_u.pull, reply);
@@ -294,7 +304,8 @@
   leased->member = quince_string (rollout->member);
   leased->step = sample->step;
   leased->generation = sample->generation;
-  leased->min_version = quince_least_version (trainer->version_seen, rollout->staleness_bound);
+  leased->min_version
+      = quince_least_version (quince_trainer_expect_version (trainer, sample), rollout->staleness_bound);
   quince_sample_spec_copy_to (&leased->spec, &sample->spec);
 }
 
--- a/lib/core/rollouts/sample-leases.c
+++ b/lib/core/rollouts/sample-leases.c
@@ -56,6 +56,7 @@
 quince_sample_leases_add_trainer (QuinceSampleLeases *leases, QuinceTrainer *trainer)
 {
   trainer->waiting.queue = g_sequence_new (NULL);
+  trainer->waiting.held = g_sequence_new (NULL);
   trainer->waiting.turn.data = trainer;
 }
 
@@ -90,13 +91,17 @@
   if (trainer->waiting.queued)
     g_queue_unlink (&leases->rotation, &trainer->waiting.turn);
   g_sequence_free (trainer->waiting.queue);
+  g_sequence_free (trainer->waiting.held);
 }
 
 void
 quince_sample_leases_add (QuinceSampleLeases *leases, QuinceSample *sample)
 {
-  GSequence *queue = sample->trainer->waiting.queue;
+  QuinceWaitingSamples *waiting = &sample->trainer->waiting;
+  GSequence *queue;
 
+  sample->lease.held_back = !quince_trainer_may_start (sample->trainer, sample);
+  queue = sample->lease.held_back ? waiting->held : waiting->queue;
   sample->lease.position = g_sequence_insert_sorted (queue, sample, compare_waiting, NULL);
   update_rotation (leases, sample->trainer);
 }
@@ -109,6 +114,32 @@
   update_rotation (leases, sample->trainer);
 }
 
+/* Puts those samples of @queue that are in the wrong one into the other. */
+static void
+review_queue (QuinceSampleLeases *leases, GSequence *queue)
+{
+  GSequenceIter *iter = g_sequence_get_begin_iter (queue);
+
+  while (!g_sequence_iter_is_end (iter))
+    {
+      GSequenceIter *next = g_sequence_iter_next (iter);
+      QuinceSample *sample = g_sequence_get (iter);
+      if (sample->lease.held_back == quince_trainer_may_start (sample->trainer, sample))
+        {
+          quince_sample_leases_remove (leases, sample);
+          quince_sample_leases_add (leases, sample);
+        }
+      iter = next;
+    }
+}
+
+void
+quince_sample_leases_review (QuinceSampleLeases *leases, QuinceTrainer *trainer)
+{
+  review_queue (leases, trainer->waiting.held);
+  review_queue (leases, trainer->waiting.queue);
+}
+
 static void
 lease_to (QuinceSampleLeases *leases, QuinceSample *sample, const char *agent, gint64 until_ms)
 {
--- a/lib/core/rollouts/sample-leases.h
+++ b/lib/core/rollouts/sample-leases.h
@@ -1,9 +1,10 @@
 /*
  * sample-leases.h: who runs which open sample (soft state of the leader).
  *
- * Every open sample is either waiting, in the queue of its trainer, or
- * leased.  Trainers that have waiting samples take turns (round robin); within
- * a trainer the lowest step goes first, then the longest expected sample.
+ * Every open sample is either waiting, in a queue of its trainer, or leased.
+ * Trainers that have waiting samples take turns (round robin); within a trainer
+ * the lowest step goes first, then the longest expected sample.  Samples that
+ * would be too old at their hand-over whoever ran them now are held back.
  */
 #pragma once
 
@@ -17,6 +18,7 @@
 typedef struct
 {
   GSequence *queue; /* owned; of QuinceSample, not owned                       */
+  GSequence *held;  /* owned; the same, held back                             */
   GList turn;       /* link in the rotation, its data is the trainer           */
   gboolean queued;  /* whether the link is in the rotation                     */
 } QuinceWaitingSamples;
@@ -31,6 +33,8 @@
 /* @sample has become open, or is no longer. */
 void quince_sample_leases_add (QuinceSampleLeases *leases, QuinceSample *sample);
 void quince_sample_leases_remove (QuinceSampleLeases *leases, QuinceSample *sample);
+/* The trainer's versions are expected otherwise: holds back and lets go what follows from it. */
+void quince_sample_leases_review (QuinceSampleLeases *leases, QuinceTrainer *trainer);
 
 /* Puts the samples whose lease has lapsed at @now_ms back to wait. */
 void quince_sample_leases_expire (QuinceSampleLeases *leases, gint64 now_ms);
--- a/lib/core/rollouts/sample.h
+++ b/lib/core/rollouts/sample.h
@@ -20,6 +20,7 @@
   GSequenceIter *position; /* in the trainer's waiting or in the leased queue; NULL: complete */
   char *agent;             /* lease holder, NULL: none                         */
   gint64 until_ms;         /* leader's time                                    */
+  gboolean held_back;      /* waits for weights that the trainer has not named yet */
 } QuinceSampleLease;
 
 typedef struct
--- a/lib/core/rollouts/step.h
+++ b/lib/core/rollouts/step.h
@@ -31,6 +31,7 @@
   GPtrArray *samples;  /* QuinceSample of all rollouts, not owned            */
   GHashTable *by_id;   /* sample id to QuinceSample, neither owned           */
   guint open;          /* samples not complete                               */
+  guint steps_on;      /* soft: steps from the last one pulled to this one, 0: up to it */
 } QuinceStep;
 
 QuinceRollout *quince_rollout_new (const QuinceSubmitRollout *submit);
--- a/lib/core/rollouts/trainer.c
+++ b/lib/core/rollouts/trainer.c
@@ -27,6 +27,7 @@
   trainer->name = g_strdup (name);
   trainer->steps = g_tree_new_full (compare_numbers, NULL, NULL, (GDestroyNotify)quince_step_free);
   trainer->rollouts = g_hash_table_new (g_str_hash, g_str_equal);
+  quince_version_forecast_init (&trainer->forecast);
   trainer->leases = leases;
   trainer->totals = totals;
   quince_sample_leases_add_trainer (leases, trainer);
@@ -91,6 +92,48 @@
   return step;
 }
 
+/* ---- Versions expected ------------------------------------------------ */
+
+/* Counts each step's distance from the last one pulled.  Steps need not be contiguous. */
+static void
+count_steps_on (QuinceTrainer *trainer)
+{
+  guint steps_on = 0;
+
+  for (GTreeNode *node = g_tree_node_first (trainer->steps); node != NULL; node = g_tree_node_next (node))
+    {
+      QuinceStep *step = g_tree_node_value (node);
+      if (trainer->forecast.known && step->number > trainer->forecast.step)
+        steps_on++;
+      step->steps_on = steps_on;
+    }
+}
+
+guint64
+quince_trainer_expect_version (const QuinceTrainer *trainer, const QuinceSample *sample)
+{
+  const QuinceStep *step = quince_trainer_find_step (trainer, sample->step);
+
+  return MAX (trainer->version_seen, quince_version_forecast_get (&trainer->forecast, step->steps_on));
+}
+
+gboolean
+quince_trainer_may_start (const QuinceTrainer *trainer, const QuinceSample *sample)
+{
+  guint64 expected = quince_trainer_expect_version (trainer, sample);
+
+  return quince_least_version (expected, sample->rollout->staleness_bound) <= trainer->version_seen;
+}
+
+void
+quince_trainer_note_pull (QuinceTrainer *trainer, guint64 number)
+{
+  if (!quince_version_forecast_observe (&trainer->forecast, number, trainer->version_seen))
+    return;
+  count_steps_on (trainer);
+  quince_sample_leases_review (trainer->leases, trainer);
+}
+
 /* ---- Submit ----------------------------------------------------------- */
 
 QuinceLedgerStatus
@@ -130,6 +173,8 @@
     {
       step = quince_step_new (rollout->step);
       g_tree_insert (trainer->steps, &step->number, step);
+      count_steps_on (trainer);
+      quince_sample_leases_review (trainer->leases, trainer);
     }
   quince_step_add (step, rollout);
   g_hash_table_insert (trainer->rollouts, rollout->rollout_id, rollout);
@@ -257,6 +302,7 @@
   if (first != step)
     quince_trainer_release (trainer, first->number);
   trainer->version_seen = MAX (trainer->version_seen, pull->trainer_version);
+  quince_trainer_note_pull (trainer, step->number);
   put_back_stale (trainer, step, trainer->version_seen);
   if (!quince_step_is_whole (step))
     return;
--- a/lib/core/rollouts/trainer.h
+++ b/lib/core/rollouts/trainer.h
@@ -13,6 +13,7 @@
 
 #include "sample-leases.h"
 #include "step.h"
+#include "version-forecast.h"
 
 #include <quince/rollout-book.h>
 
@@ -33,6 +34,7 @@
   guint64 version_seen;  /* greatest weight version of an accepted pull       */
   gboolean released_any; /* whether released_through holds a number           */
   guint64 released_through;
+  QuinceVersionForecast forecast; /* soft: from the pulls that this replica has seen */
 
   QuinceSampleLeases *leases;   /* not owned: shared by the book            */
   QuinceRolloutTotals *totals;  /* not owned: shared by the book            */
@@ -46,6 +48,14 @@
 QuinceStep *quince_trainer_find_step (const QuinceTrainer *trainer, guint64 number);
 gboolean quince_trainer_has_released (const QuinceTrainer *trainer, guint64 number);
 
+/* Weight version that the trainer is expected to hold when it pulls the sample's step. */
+guint64 quince_trainer_expect_version (const QuinceTrainer *trainer, const QuinceSample *sample);
+/* Whether the sample, started now, can be fresh enough at its hand-over: the least version that it will
+ * need is one that the trainer has already named. */
+gboolean quince_trainer_may_start (const QuinceTrainer *trainer, const QuinceSample *sample);
+/* Step @number was pulled, and the call was accepted (also when it changed nothing). */
+void quince_trainer_note_pull (QuinceTrainer *trainer, guint64 number);
+
 /* @trainer is %NULL in the judge functions when the book does not know it. */
 QuinceLedgerStatus quince_trainer_judge_submit (const QuinceTrainer *trainer,
                                                 const QuinceSubmitRollout *submit,
