Hand-over of a batch in pages

Cause: the answer to a pull held the whole batch: one frame of at most 64 MB, so that 8,192 samples above 7.8 KB could not be delivered, and ledger and agent each held all of it several times.

Change: the pull's record freezes the batch as before; its answer holds the first page of about 1 MiB. QUINCE_COMMAND_PAGE, a read of the leader's book, gives the page from an index on, under the batch's id: the sum of the samples' generations, the same on all replicas and another one when a sample is generated again. The agent writes each page as JSON and asks for the next when the trainer's connection has taken it. A page of another batch, or none for ledger_timeout, ends the connection before the JSON does.

Ruled out: relying on the missing last chunk alone: libsoup's client reports a cut only within a chunk, so the contract is JSON that is not whole.

An agent and a ledger of different versions do not understand each other's batches (the decoder refuses them): restart agents and nodes together.

--- a/daemons/agent/trainer-api.c
+++ b/daemons/agent/trainer-api.c
@@ -11,6 +11,7 @@
 #include <quince/task.h>
 
 #include "ledger-client.h"
+#include "trainer-batch.h"
 #include "trainer-reply.h"
 #include "trainer-request.h"
 
@@ -33,6 +34,7 @@
   gint64 wait_until_us; /* a pull may wait until then                      */
   guint64 ledger_call;  /* in progress, 0 when none                        */
   GSource *poll_timer;
+  QuinceTrainerBatch *batch; /* answer of several pages, NULL: none       */
 } TrainerCall;
 
 static void
@@ -40,6 +42,7 @@
 {
   g_signal_handlers_disconnect_by_data (call->message, call);
   quince_source_clear (&call->poll_timer);
+  g_clear_pointer (&call->batch, quince_trainer_batch_free);
   if (call->ledger_call != 0)
     quince_ledger_client_forget (call->owner->agent->ledger_client, call->ledger_call);
   quince_command_free (call->command);
@@ -74,6 +77,17 @@
          && quince_now_us () < call->wait_until_us;
 }
 
+/* The first page of a batch that has more, or %NULL. */
+static const QuinceBatch *
+get_first_page (const QuinceLedgerReply *reply)
+{
+  const QuinceBatch *page;
+  if (reply == NULL || reply->status != QUINCE_LEDGER_OK || reply->result.kind != QUINCE_COMMAND_PULL)
+    return NULL;
+  page = &reply->result.QuinceLedgerResult_u.batch;
+  return page->results.results_len < page->total ? page : NULL;
+}
+
 static void
 ledger_answered (const QuinceLedgerReply *reply, gpointer user_data)
 {
@@ -84,7 +98,11 @@
       call->poll_timer = quince_timer_add (POLL_INTERVAL_MS, poll_due, call);
       return;
     }
-  quince_trainer_reply (call->message, call->command, reply);
+  const QuinceBatch *page = get_first_page (reply);
+  if (page != NULL)
+    call->batch = quince_trainer_batch_new (call->owner->agent, call->message, page);
+  else
+    quince_trainer_reply (call->message, call->command, reply);
   soup_server_message_unpause (call->message);
 }
 
--- a/daemons/agent/trainer-reply.c
+++ b/daemons/agent/trainer-reply.c
@@ -40,19 +40,21 @@
   g_string_append (out, "]}");
 }
 
-static void
-reply_batch (SoupServerMessage *message, const QuinceBatch *batch)
+char *
+quince_trainer_reply_format_page (const QuinceBatch *page)
 {
   GString *out = g_string_new (NULL);
-  g_string_append_printf (out, "{\"step\":%" G_GUINT64_FORMAT ",\"samples\":[", (guint64)batch->step);
-  for (guint i = 0; i < batch->results.results_len; i++)
+  if (page->first == 0)
+    g_string_append_printf (out, "{\"step\":%" G_GUINT64_FORMAT ",\"samples\":[", (guint64)page->step);
+  for (guint i = 0; i < page->results.results_len; i++)
     {
-      if (i > 0)
+      if (page->first + i > 0)
         g_string_append_c (out, ',');
-      append_sample (out, &batch->results.results_val[i]);
+      append_sample (out, &page->results.results_val[i]);
     }
-  g_string_append (out, "]}");
-  reply_text (message, SOUP_STATUS_OK, g_string_free (out, FALSE));
+  if (page->first + page->results.results_len >= page->total)
+    g_string_append (out, "]}");
+  return g_string_free (out, FALSE);
 }
 
 static void
@@ -72,7 +74,8 @@
 reply_ok (SoupServerMessage *message, const QuinceCommand *command, const QuinceLedgerReply *reply)
 {
   if (command->kind == QUINCE_COMMAND_PULL && reply->result.kind == QUINCE_COMMAND_PULL)
-    reply_batch (message, &reply->result.QuinceLedgerResult_u.batch);
+    reply_text (message, SOUP_STATUS_OK,
+                quince_trainer_reply_format_page (&reply->result.QuinceLedgerResult_u.batch));
   else if (command->kind == QUINCE_COMMAND_SUBMIT)
     reply_text (message, SOUP_STATUS_OK,
                 g_strdup_printf ("{\"accepted\":%u}", command->QuinceCommand_u.submit.samples.samples_len));
--- a/lib/core/rollouts/rollout-book.c
+++ b/lib/core/rollouts/rollout-book.c
@@ -77,23 +77,39 @@
     reply->retry_after_ms = BUSY_RETRY_MS;
 }
 
-/* The batch of an answered pull: its counts, and the samples when it is whole. */
+/* The batch of an answered pull or page: its counts, and the samples from index @first when it is whole. */
 static void
-reply_fill_batch (const QuinceRolloutBook *book, const QuincePullStep *pull, QuinceLedgerReply *reply)
+reply_fill_batch (const QuinceRolloutBook *book,
+                  const char *trainer_name,
+                  guint64 number,
+                  guint first,
+                  QuinceLedgerReply *reply)
 {
   QuinceBatch *batch = &reply->result.QuinceLedgerResult_u.batch;
-  const QuinceTrainer *trainer = quince_rollout_book_find_trainer (book, pull->trainer);
-  const QuinceStep *step = trainer != NULL ? quince_trainer_find_step (trainer, pull->step) : NULL;
+  const QuinceTrainer *trainer = quince_rollout_book_find_trainer (book, trainer_name);
+  const QuinceStep *step = trainer != NULL ? quince_trainer_find_step (trainer, number) : NULL;
 
   g_free (batch->trainer);
-  batch->trainer = quince_string (pull->trainer);
-  batch->step = pull->step;
+  batch->trainer = quince_string (trainer_name);
+  batch->step = number;
   if (step == NULL)
     return;
   batch->total = step->samples->len;
   batch->ready = step->samples->len - step->open;
   if (reply->status == QUINCE_LEDGER_OK)
-    quince_step_fill_batch (step, batch);
+    quince_step_fill_page (step, first, batch);
+}
+
+static void
+reply_fill (const QuinceRolloutBook *book, const QuinceCommand *command, QuinceLedgerReply *reply)
+{
+  const QuincePullStep *pull = &command->QuinceCommand_u.pull;
+  const QuinceReadPage *page = &command->QuinceCommand_u.page;
+
+  if (command->kind == QUINCE_COMMAND_PULL)
+    reply_fill_batch (book, pull->trainer, pull->step, 0, reply);
+  else if (command->kind == QUINCE_COMMAND_PAGE)
+    reply_fill_batch (book, page->trainer, page->step, page->first, reply);
 }
 
 /* ---- Commands --------------------------------------------------------- */
@@ -197,6 +213,7 @@
       return quince_claim_table_unclaim (book->claims, &command->QuinceCommand_u.unclaim);
     case QUINCE_COMMAND_LEASE:
     case QUINCE_COMMAND_RENEW:
+    case QUINCE_COMMAND_PAGE:
       break;
     }
   /* Not a command of the ledger: nothing is done. */
@@ -217,8 +234,7 @@
   if (reply == NULL)
     return;
   reply_init (reply, command->kind, status);
-  if (command->kind == QUINCE_COMMAND_PULL)
-    reply_fill_batch (book, &command->QuinceCommand_u.pull, reply);
+  reply_fill (book, command, reply);
 }
 
 /* ---- Peek ------------------------------------------------------------- */
@@ -237,6 +253,7 @@
 {
   const QuincePullStep *pull = &command->QuinceCommand_u.pull;
   const QuinceReleaseStep *release = &command->QuinceCommand_u.release;
+  const QuinceReadPage *page = &command->QuinceCommand_u.page;
 
   switch (command->kind)
     {
@@ -253,6 +270,9 @@
     case QUINCE_COMMAND_CLAIM:
       *changes = !is_claimed_by_other (book, now_ms, &command->QuinceCommand_u.claim);
       return QUINCE_LEDGER_DUPLICATE;
+    case QUINCE_COMMAND_PAGE:
+      *changes = FALSE;
+      return quince_trainer_judge_page (quince_rollout_book_find_trainer (book, page->trainer), page);
     case QUINCE_COMMAND_UNCLAIM: /* must come after a claim that is not applied yet */
     case QUINCE_COMMAND_LEASE:
     case QUINCE_COMMAND_RENEW:
@@ -286,8 +306,7 @@
   if (command->kind == QUINCE_COMMAND_PULL)
     note_peeked_pull (book, &command->QuinceCommand_u.pull, status);
   reply_init (reply, command->kind, status);
-  if (command->kind == QUINCE_COMMAND_PULL)
-    reply_fill_batch (book, &command->QuinceCommand_u.pull, reply);
+  reply_fill (book, command, reply);
   return TRUE;
 }
 
--- a/lib/core/rollouts/sample.c
+++ b/lib/core/rollouts/sample.c
@@ -75,19 +75,23 @@
 }
 
 gsize
-quince_sample_get_bytes (const QuinceSample *sample)
+quince_sample_result_get_bytes (const QuinceSampleResult *result)
 {
-  const QuinceSampleResult *result = sample->result;
-  gsize bytes = FIXED_BYTES + strlen (sample->spec.sample_id) + strlen (sample->spec.prompt);
+  gsize bytes = FIXED_BYTES + strlen (result->sample_id) + strlen (result->text);
 
-  if (result == NULL)
-    return bytes;
-  bytes += FIXED_BYTES + strlen (result->sample_id) + strlen (result->text);
   for (guint i = 0; i < result->segments.segments_len; i++)
     bytes += FIXED_BYTES + strlen (result->segments.segments_val[i].engine);
   return bytes;
 }
 
+gsize
+quince_sample_get_bytes (const QuinceSample *sample)
+{
+  gsize bytes = FIXED_BYTES + strlen (sample->spec.sample_id) + strlen (sample->spec.prompt);
+
+  return sample->result != NULL ? bytes + quince_sample_result_get_bytes (sample->result) : bytes;
+}
+
 void
 quince_sample_complete (QuinceSample *sample, const QuinceSampleResult *result)
 {
--- a/lib/core/rollouts/sample.h
+++ b/lib/core/rollouts/sample.h
@@ -44,6 +44,9 @@
 /* Bytes that the sample takes in a saved state, never less than it does. */
 gsize quince_sample_get_bytes (const QuinceSample *sample);
 
+/* The same of a result alone. */
+gsize quince_sample_result_get_bytes (const QuinceSampleResult *result);
+
 /* Takes a copy of @result: the sample is complete. */
 void quince_sample_complete (QuinceSample *sample, const QuinceSampleResult *result);
 /* Throws the result away and opens the next generation. */
--- a/lib/core/rollouts/step.c
+++ b/lib/core/rollouts/step.c
@@ -5,6 +5,9 @@
 
 #include "generated/rollout_state.h"
 
+/* Results in one page, so that neither end holds more of a batch in memory; a greater sample goes alone. */
+static const gsize PAGE_BYTES = 1024 * 1024;
+
 QuinceRollout *
 quince_rollout_new (const QuinceSubmitRollout *submit)
 {
@@ -132,14 +135,49 @@
   return FALSE;
 }
 
-void
-quince_step_fill_batch (const QuinceStep *step, QuinceBatch *batch)
+guint64
+quince_step_get_batch_id (const QuinceStep *step)
 {
-  batch->results.results_len = step->samples->len;
-  batch->results.results_val = g_new0 (QuinceSampleResult, step->samples->len);
+  guint64 generations = 0;
+
   for (guint i = 0; i < step->samples->len; i++)
     {
       const QuinceSample *sample = g_ptr_array_index (step->samples, i);
+      generations += sample->generation;
+    }
+  return generations;
+}
+
+/* Index behind the last sample of the page that begins at @first. */
+static guint
+end_of_page (const QuinceStep *step, guint first)
+{
+  gsize bytes = 0;
+  guint end = first;
+
+  while (end < step->samples->len)
+    {
+      const QuinceSample *sample = g_ptr_array_index (step->samples, end);
+      bytes += quince_sample_result_get_bytes (sample->result);
+      if (end > first && bytes > PAGE_BYTES)
+        break;
+      end++;
+    }
+  return end;
+}
+
+void
+quince_step_fill_page (const QuinceStep *step, guint first, QuinceBatch *batch)
+{
+  guint length = end_of_page (step, first) - first;
+
+  batch->batch_id = quince_step_get_batch_id (step);
+  batch->first = first;
+  batch->results.results_len = length;
+  batch->results.results_val = g_new0 (QuinceSampleResult, length);
+  for (guint i = 0; i < length; i++)
+    {
+      const QuinceSample *sample = g_ptr_array_index (step->samples, first + i);
       quince_sample_result_copy_to (&batch->results.results_val[i], sample->result);
     }
 }
--- a/lib/core/rollouts/step.h
+++ b/lib/core/rollouts/step.h
@@ -51,7 +51,11 @@
 gboolean quince_step_is_whole (const QuinceStep *step);
 /* Whether a trainer at @trainer_version would find a complete sample too old. */
 gboolean quince_step_has_stale (const QuinceStep *step, guint64 trainer_version);
-/* Copies the samples of a whole step into @batch, in the order of submission. */
-void quince_step_fill_batch (const QuinceStep *step, QuinceBatch *batch);
+/* Number of a frozen step's samples as they are: grows whenever one of them is generated again, so that
+ * pages of different batches are never taken for one.  Equal on all replicas. */
+guint64 quince_step_get_batch_id (const QuinceStep *step);
+/* Copies samples of a whole step into @batch, in the order of submission: from index @first as many as make
+ * a page, at least one while any is left. */
+void quince_step_fill_page (const QuinceStep *step, guint first, QuinceBatch *batch);
 
 G_END_DECLS
--- a/lib/core/rollouts/trainer.c
+++ b/lib/core/rollouts/trainer.c
@@ -271,6 +271,19 @@
   return status;
 }
 
+QuinceLedgerStatus
+quince_trainer_judge_page (const QuinceTrainer *trainer, const QuinceReadPage *page)
+{
+  QuinceLedgerStatus status;
+  const QuinceStep *step = require_step (trainer, page->step, &status);
+
+  if (step == NULL)
+    return status;
+  if (!step->frozen || quince_step_get_batch_id (step) != page->batch_id || page->first >= step->samples->len)
+    return QUINCE_LEDGER_CONFLICT;
+  return QUINCE_LEDGER_OK;
+}
+
 /* Opens anew what a trainer at @version must not get. */
 static void
 put_back_stale (QuinceTrainer *trainer, QuinceStep *step, guint64 version)
--- a/lib/core/rollouts/trainer.h
+++ b/lib/core/rollouts/trainer.h
@@ -65,6 +65,8 @@
                                                   gboolean *changes);
 QuinceLedgerStatus
 quince_trainer_judge_pull (const QuinceTrainer *trainer, const QuincePullStep *pull, gboolean *changes);
+/* OK: the batch of that id is frozen and holds the index; CONFLICT: it was made anew, or never was. */
+QuinceLedgerStatus quince_trainer_judge_page (const QuinceTrainer *trainer, const QuinceReadPage *page);
 QuinceLedgerStatus
 quince_trainer_judge_release (const QuinceTrainer *trainer, guint64 number, gboolean *changes);
 
--- a/lib/ledger/ledger-calls.c
+++ b/lib/ledger/ledger-calls.c
@@ -114,10 +114,12 @@
   return quince_rollout_book_peek (ledger->book, quince_ledger_time_ms (ledger), command, reply);
 }
 
+/* Whether the command never becomes a record. */
 static gboolean
-is_lease_command (const QuinceCommand *command)
+is_unreplicated (const QuinceCommand *command)
 {
-  return command->kind == QUINCE_COMMAND_LEASE || command->kind == QUINCE_COMMAND_RENEW;
+  return command->kind == QUINCE_COMMAND_LEASE || command->kind == QUINCE_COMMAND_RENEW
+         || command->kind == QUINCE_COMMAND_PAGE;
 }
 
 /* Whether the book could answer, if this replica still leads. */
@@ -126,7 +128,7 @@
 {
   QuinceLedgerReply reply = { 0 };
 
-  if (is_lease_command (command))
+  if (is_unreplicated (command))
     return TRUE;
   if (!peek (ledger, command, &reply))
     return FALSE;
--- a/lib/protocol/codec.c
+++ b/lib/protocol/codec.c
@@ -118,6 +118,6 @@
 quince_ledger_reply_set_empty (QuinceLedgerReply *reply, QuinceCommandKind kind)
 {
   reply->result = (QuinceLedgerResult){ .kind = kind };
-  if (kind == QUINCE_COMMAND_PULL)
+  if (kind == QUINCE_COMMAND_PULL || kind == QUINCE_COMMAND_PAGE)
     reply->result.QuinceLedgerResult_u.batch.trainer = quince_string ("");
 }
--- a/lib/protocol/quince_protocol.x
+++ b/lib/protocol/quince_protocol.x
@@ -211,6 +211,14 @@
     unsigned hyper trainer_version;   /* weight version the trainer holds  */
 };
 
+/* Not replicated: the next samples of a batch that a pull has frozen. */
+struct QuinceReadPage {
+    QuinceName     trainer;
+    unsigned hyper step;
+    unsigned hyper batch_id;          /* from the answer to the pull       */
+    unsigned int   first;             /* index of the first sample wanted  */
+};
+
 struct QuinceReleaseStep {
     QuinceName     trainer;
     unsigned hyper step;              /* received whole                    */
@@ -257,7 +265,8 @@
     QUINCE_COMMAND_CLAIM    = 4,
     QUINCE_COMMAND_UNCLAIM  = 5,
     QUINCE_COMMAND_LEASE    = 6,
-    QUINCE_COMMAND_RENEW    = 7
+    QUINCE_COMMAND_RENEW    = 7,
+    QUINCE_COMMAND_PAGE     = 8
 };
 
 union QuinceCommand switch (QuinceCommandKind kind) {
@@ -269,6 +278,7 @@
 case QUINCE_COMMAND_UNCLAIM:  QuinceUnclaimRequest unclaim;
 case QUINCE_COMMAND_LEASE:    QuinceLeaseSamples   lease;
 case QUINCE_COMMAND_RENEW:    QuinceRenewLeases    renew;
+case QUINCE_COMMAND_PAGE:     QuinceReadPage       page;
 };
 
 /* What is written to the ledger: the leader stamps the time once, so that
@@ -305,11 +315,14 @@
     unsigned hyper     step;
     unsigned int       ready;         /* samples complete so far           */
     unsigned int       total;
-    QuinceSampleResult results<QUINCE_MAX_SAMPLES>;
+    unsigned hyper     batch_id;      /* of the frozen samples; made anew, they have another */
+    unsigned int       first;         /* index of the first result         */
+    QuinceSampleResult results<QUINCE_MAX_SAMPLES>; /* one page            */
 };
 
 union QuinceLedgerResult switch (QuinceCommandKind kind) {
-case QUINCE_COMMAND_PULL:  QuinceBatch        batch;
+case QUINCE_COMMAND_PULL:
+case QUINCE_COMMAND_PAGE:  QuinceBatch        batch;
 case QUINCE_COMMAND_LEASE: QuinceLeasedSample leased<QUINCE_MAX_SAMPLES>;
 default: void;
 };
