Claims: forgotten by the second their ids were made in, behind a floor

And at most once hung on the clock: a leap of the leader's clock forgot all claims while agents still took their ids; the row "a clock that leaps frees no id" had the second holder get the id.

Change: claims lie sorted in buckets of the second in which their ids were created. A bucket is forgotten when its keeping time has passed, oldest first, and the floor rises to its end: unknown ids below it are refused. The floor only grows, never passes the ledger's clock and is part of the saved form (format 2). The limit is 4 Mi.

--- a/include/quince/rollout-book.h
+++ b/include/quince/rollout-book.h
@@ -10,8 +10,8 @@
  * those that the trainer's version has made too old, which are regenerated;
  * pulling step n+1 or releasing n ends step n, whose samples are then dropped
  * and answered with GONE; a frozen batch is handed over in pages under one
- * batch id; the first holder of a request id keeps it until its keeping time
- * has passed.
+ * batch id; the first holder of a request id keeps it for good, and ids as old
+ * as one that was forgotten are refused.
  *
  * Leases are soft state of the leader's own book: not replicated, lost on a
  * change of leader, at worst a sample runs twice and one result is dropped.
@@ -40,10 +40,12 @@
 
 /**
  * quince_rollout_book_peek:
+ * @now_ms: time that a record made now would have
  *
  * Answers without a record where the state alone decides: a repeated submit,
  * a pull of a step that is not whole or has gone, a page of a batch, a
- * completion that would be dropped.  The caller must have confirmed that it still leads.
+ * completion that would be dropped, a claim of an id that is not free.  The
+ * caller must have confirmed that it still leads.
  *
  * Returns: %TRUE when @reply is the answer; %FALSE: append a record
  */
--- a/lib/core/rollouts/book-state.c
+++ b/lib/core/rollouts/book-state.c
@@ -59,13 +59,13 @@
 }
 
 static void
-save_claim (const QuinceClaim *claim, gpointer user_data)
+save_claims (const QuinceClaimBucket *bucket, gpointer user_data)
 {
-  QuinceClaimState **next = user_data;
+  QuinceClaimBucketState **next = user_data;
 
-  memcpy ((*next)->request_id, claim->request_id, QUINCE_ID_BYTES);
-  (*next)->holder = claim->holder;
-  (*next)->expires_ms = claim->expires_ms;
+  (*next)->expires_ms = bucket->expires_ms;
+  (*next)->claims.claims_len = bucket->claims->len;
+  (*next)->claims.claims_val = (QuinceClaimState *)(gpointer)bucket->claims->data;
   (*next)++;
 }
 
@@ -74,7 +74,7 @@
 {
   GTreeNode *node = g_tree_node_first (book->trainers);
   QuinceTrainerState *trainer_state;
-  QuinceClaimState *claim_state;
+  QuinceClaimBucketState *claim_state;
 
   state->format = QUINCE_ROLLOUT_STATE_FORMAT;
   state->clock_ms = book->clock_ms;
@@ -85,9 +85,10 @@
   trainer_state = state->trainers.trainers_val = g_new0 (QuinceTrainerState, state->trainers.trainers_len);
   for (; node != NULL; node = g_tree_node_next (node))
     save_trainer (g_tree_node_value (node), trainer_state++);
-  state->claims.claims_len = quince_claim_table_get_length (book->claims);
-  claim_state = state->claims.claims_val = g_new0 (QuinceClaimState, state->claims.claims_len);
-  quince_claim_table_foreach (book->claims, save_claim, &claim_state);
+  state->claims_floor_ms = quince_claim_table_get_floor_ms (book->claims);
+  state->claims.claims_len = quince_claim_table_get_buckets (book->claims);
+  claim_state = state->claims.claims_val = g_new0 (QuinceClaimBucketState, state->claims.claims_len);
+  quince_claim_table_foreach (book->claims, save_claims, &claim_state);
 }
 
 static void
@@ -262,12 +263,10 @@
   for (guint i = 0; i < state->trainers.trainers_len; i++)
     if (!load_trainer (book, &state->trainers.trainers_val[i]))
       return FALSE;
+  quince_claim_table_set_floor_ms (book->claims, state->claims_floor_ms);
   for (guint i = 0; i < state->claims.claims_len; i++)
-    {
-      const QuinceClaimState *claim = &state->claims.claims_val[i];
-      if (!quince_claim_table_add (book->claims, claim->request_id, claim->holder, claim->expires_ms))
-        return FALSE;
-    }
+    if (!quince_claim_table_add_bucket (book->claims, &state->claims.claims_val[i]))
+      return FALSE;
   return TRUE;
 }
 
--- a/lib/core/rollouts/claim-table.c
+++ b/lib/core/rollouts/claim-table.c
@@ -6,22 +6,33 @@
 #include <quince/request-id.h>
 #include <string.h>
 
+/* A bucket's width.  Ids come about in the order of their time, so that an insertion moves little. */
+static const guint64 BUCKET_MS = 1000;
+
 struct _QuinceClaimTable
 {
-  guint most;        /* claims held at one time                              */
-  GHashTable *by_id; /* request id, part of the claim, to owned QuinceClaim  */
-  GSequence *expiry; /* of QuinceClaim, not owned, earliest first            */
+  guint most;       /* claims held at one time                               */
+  guint length;     /* claims held                                           */
+  guint64 floor_ms; /* end of the newest bucket that was forgotten; no bucket lies below */
+  GTree *buckets;   /* owned: &number to owned QuinceClaimBucket             */
 };
 
 static int
-compare_claims (gconstpointer a, gconstpointer b, gpointer user_data)
+compare_numbers (gconstpointer a, gconstpointer b, gpointer user_data)
 {
-  const QuinceClaim *left = a;
-  const QuinceClaim *right = b;
+  guint64 left = *(const guint64 *)a;
+  guint64 right = *(const guint64 *)b;
 
-  if (left->expires_ms != right->expires_ms)
-    return left->expires_ms < right->expires_ms ? -1 : 1;
-  return memcmp (left->request_id, right->request_id, QUINCE_ID_BYTES);
+  return (left > right) - (left < right);
+}
+
+static void
+bucket_free (gpointer data)
+{
+  QuinceClaimBucket *bucket = data;
+
+  g_array_unref (bucket->claims);
+  g_free (bucket);
 }
 
 QuinceClaimTable *
@@ -30,55 +41,111 @@
   QuinceClaimTable *table = g_new0 (QuinceClaimTable, 1);
 
   table->most = most;
-  table->by_id = g_hash_table_new_full (quince_request_id_hash, quince_request_id_equal, NULL, g_free);
-  table->expiry = g_sequence_new (NULL);
+  table->buckets = g_tree_new_full (compare_numbers, NULL, NULL, bucket_free);
   return table;
 }
 
 void
 quince_claim_table_free (QuinceClaimTable *table)
 {
-  g_sequence_free (table->expiry);
-  g_hash_table_unref (table->by_id);
+  g_tree_unref (table->buckets);
   g_free (table);
 }
 
-static void
-remove_claim (QuinceClaimTable *table, QuinceClaim *claim)
+/* ---- Buckets ----------------------------------------------------------- */
+
+static guint64
+creation_ms (const char *request_id)
 {
-  g_sequence_remove (claim->position);
-  g_hash_table_remove (table->by_id, claim->request_id);
+  return (guint64)quince_request_id_get_time_ms (request_id);
+}
+
+static QuinceClaimBucket *
+find_bucket (const QuinceClaimTable *table, const char *request_id)
+{
+  guint64 number = creation_ms (request_id) / BUCKET_MS;
+
+  return g_tree_lookup (table->buckets, &number);
+}
+
+static QuinceClaimBucket *
+require_bucket (QuinceClaimTable *table, const char *request_id)
+{
+  QuinceClaimBucket *bucket = find_bucket (table, request_id);
+
+  if (bucket != NULL)
+    return bucket;
+  bucket = g_new0 (QuinceClaimBucket, 1);
+  bucket->number = creation_ms (request_id) / BUCKET_MS;
+  /* Not forgotten before its second has passed: the floor never runs ahead of the clock. */
+  bucket->expires_ms = (bucket->number + 1) * BUCKET_MS;
+  bucket->claims = g_array_new (FALSE, FALSE, sizeof (QuinceClaimState));
+  g_tree_insert (table->buckets, &bucket->number, bucket);
+  return bucket;
+}
+
+/* Index of the first claim that does not stand before @request_id. */
+static guint
+find_position (const QuinceClaimBucket *bucket, const char *request_id)
+{
+  guint low = 0;
+  guint high = bucket->claims->len;
+
+  while (low < high)
+    {
+      guint middle = low + (high - low) / 2;
+      const QuinceClaimState *claim = &g_array_index (bucket->claims, QuinceClaimState, middle);
+      if (memcmp (claim->request_id, request_id, QUINCE_ID_BYTES) < 0)
+        low = middle + 1;
+      else
+        high = middle;
+    }
+  return low;
+}
+
+/* The claim on an id and its position, or %NULL. @bucket: (nullable) */
+static const QuinceClaimState *
+find_claim (const QuinceClaimBucket *bucket, const char *request_id, guint *position)
+{
+  const QuinceClaimState *claim;
+
+  if (bucket == NULL)
+    return NULL;
+  *position = find_position (bucket, request_id);
+  if (*position == bucket->claims->len)
+    return NULL;
+  claim = &g_array_index (bucket->claims, QuinceClaimState, *position);
+  return memcmp (claim->request_id, request_id, QUINCE_ID_BYTES) == 0 ? claim : NULL;
 }
 
+/* ---- Calls ------------------------------------------------------------- */
+
 void
 quince_claim_table_expire (QuinceClaimTable *table, guint64 now_ms)
 {
-  while (!g_sequence_is_empty (table->expiry))
+  GTreeNode *node;
+
+  while ((node = g_tree_node_first (table->buckets)) != NULL)
     {
-      QuinceClaim *claim = g_sequence_get (g_sequence_get_begin_iter (table->expiry));
-      if (claim->expires_ms > now_ms)
+      const QuinceClaimBucket *bucket = g_tree_node_value (node);
+      if (bucket->expires_ms > now_ms)
         return;
-      remove_claim (table, claim);
+      table->floor_ms = (bucket->number + 1) * BUCKET_MS;
+      table->length -= bucket->claims->len;
+      g_tree_remove (table->buckets, &bucket->number);
     }
 }
 
 gboolean
-quince_claim_table_add (QuinceClaimTable *table,
-                        const QuinceRequestId request_id,
-                        guint64 holder,
-                        guint64 expires_ms)
+quince_claim_table_refuses (const QuinceClaimTable *table, const QuinceClaimRequest *request)
 {
-  QuinceClaim *claim;
+  const QuinceClaimState *claim;
+  guint position = 0;
 
-  if (g_hash_table_size (table->by_id) >= table->most || g_hash_table_contains (table->by_id, request_id))
-    return FALSE;
-  claim = g_new0 (QuinceClaim, 1);
-  memcpy (claim->request_id, request_id, QUINCE_ID_BYTES);
-  claim->holder = holder;
-  claim->expires_ms = expires_ms;
-  claim->position = g_sequence_insert_sorted (table->expiry, claim, compare_claims, NULL);
-  g_hash_table_insert (table->by_id, claim->request_id, claim);
-  return TRUE;
+  if (creation_ms (request->request_id) < table->floor_ms)
+    return TRUE;
+  claim = find_claim (find_bucket (table, request->request_id), request->request_id, &position);
+  return claim != NULL && claim->holder != request->holder;
 }
 
 /* End of the keeping time; a clock at the end of its range never wraps. */
@@ -91,52 +158,99 @@
 QuinceLedgerStatus
 quince_claim_table_claim (QuinceClaimTable *table, guint64 now_ms, const QuinceClaimRequest *request)
 {
-  guint64 expires_ms = expiry_of (now_ms, request->keep_ms);
-  QuinceClaim *claim = g_hash_table_lookup (table->by_id, request->request_id);
+  QuinceClaimState claim = { .holder = request->holder };
+  QuinceClaimBucket *bucket;
+  guint position = 0;
 
-  if (claim == NULL)
-    return quince_claim_table_add (table, request->request_id, request->holder, expires_ms)
-               ? QUINCE_LEDGER_OK
-               : QUINCE_LEDGER_BUSY;
-  if (claim->holder != request->holder)
+  if (quince_claim_table_refuses (table, request))
     return QUINCE_LEDGER_DUPLICATE;
-  claim->expires_ms = MAX (claim->expires_ms, expires_ms);
-  g_sequence_sort_changed (claim->position, compare_claims, NULL);
+  bucket = find_bucket (table, request->request_id);
+  if (find_claim (bucket, request->request_id, &position) == NULL)
+    {
+      if (table->length >= table->most)
+        return QUINCE_LEDGER_BUSY;
+      bucket = require_bucket (table, request->request_id);
+      memcpy (claim.request_id, request->request_id, QUINCE_ID_BYTES);
+      g_array_insert_val (bucket->claims, find_position (bucket, request->request_id), claim);
+      table->length++;
+    }
+  bucket->expires_ms = MAX (bucket->expires_ms, expiry_of (now_ms, request->keep_ms));
   return QUINCE_LEDGER_OK;
 }
 
 QuinceLedgerStatus
 quince_claim_table_unclaim (QuinceClaimTable *table, const QuinceUnclaimRequest *request)
 {
-  QuinceClaim *claim = g_hash_table_lookup (table->by_id, request->request_id);
+  QuinceClaimBucket *bucket = find_bucket (table, request->request_id);
+  guint position = 0;
+  const QuinceClaimState *claim = find_claim (bucket, request->request_id, &position);
 
   if (claim == NULL)
     return QUINCE_LEDGER_OK;
   if (claim->holder != request->holder)
     return QUINCE_LEDGER_DUPLICATE;
-  remove_claim (table, claim);
+  g_array_remove_index (bucket->claims, position);
+  table->length--;
+  if (bucket->claims->len == 0)
+    g_tree_remove (table->buckets, &bucket->number);
   return QUINCE_LEDGER_OK;
 }
 
-const QuinceClaim *
-quince_claim_table_find (const QuinceClaimTable *table, const QuinceRequestId request_id)
+/* ---- Views and saved states -------------------------------------------- */
+
+guint
+quince_claim_table_get_length (const QuinceClaimTable *table)
+{
+  return table->length;
+}
+
+guint64
+quince_claim_table_get_floor_ms (const QuinceClaimTable *table)
 {
-  return g_hash_table_lookup (table->by_id, request_id);
+  return table->floor_ms;
 }
 
 guint
-quince_claim_table_get_length (const QuinceClaimTable *table)
+quince_claim_table_get_buckets (const QuinceClaimTable *table)
 {
-  return g_hash_table_size (table->by_id);
+  return (guint)g_tree_nnodes (table->buckets);
 }
 
 void
 quince_claim_table_foreach (const QuinceClaimTable *table,
-                            void (*visit) (const QuinceClaim *, gpointer),
+                            void (*visit) (const QuinceClaimBucket *, gpointer),
                             gpointer user_data)
 {
-  GSequenceIter *iter = g_sequence_get_begin_iter (table->expiry);
+  for (GTreeNode *node = g_tree_node_first (table->buckets); node != NULL; node = g_tree_node_next (node))
+    visit (g_tree_node_value (node), user_data);
+}
+
+void
+quince_claim_table_set_floor_ms (QuinceClaimTable *table, guint64 floor_ms)
+{
+  g_return_if_fail (table->length == 0);
+  table->floor_ms = floor_ms;
+}
 
-  for (; !g_sequence_iter_is_end (iter); iter = g_sequence_iter_next (iter))
-    visit (g_sequence_get (iter), user_data);
+gboolean
+quince_claim_table_add_bucket (QuinceClaimTable *table, const QuinceClaimBucketState *state)
+{
+  guint count = state->claims.claims_len;
+  const QuinceClaimState *claims = state->claims.claims_val;
+  QuinceClaimBucket *bucket;
+
+  if (count == 0 || count > table->most - table->length || find_bucket (table, claims[0].request_id) != NULL
+      || creation_ms (claims[0].request_id) < table->floor_ms)
+    return FALSE;
+  bucket = require_bucket (table, claims[0].request_id);
+  if (state->expires_ms < bucket->expires_ms)
+    return FALSE;
+  bucket->expires_ms = state->expires_ms;
+  g_array_append_vals (bucket->claims, claims, count);
+  table->length += count;
+  for (guint i = 1; i < count; i++)
+    if (creation_ms (claims[i].request_id) / BUCKET_MS != bucket->number
+        || memcmp (claims[i - 1].request_id, claims[i].request_id, QUINCE_ID_BYTES) >= 0)
+      return FALSE;
+  return TRUE;
 }
--- a/lib/core/rollouts/rollout-book.c
+++ b/lib/core/rollouts/rollout-book.c
@@ -239,17 +239,8 @@
 
 /* ---- Peek ------------------------------------------------------------- */
 
-/* Whether another holder keeps the id also when a record is stamped @now_ms. */
-static gboolean
-is_claimed_by_other (const QuinceRolloutBook *book, gint64 now_ms, const QuinceClaimRequest *request)
-{
-  const QuinceClaim *claim = quince_claim_table_find (book->claims, request->request_id);
-
-  return claim != NULL && claim->holder != request->holder && claim->expires_ms > (guint64)MAX (now_ms, 0);
-}
-
 static QuinceLedgerStatus
-judge_command (const QuinceRolloutBook *book, gint64 now_ms, const QuinceCommand *command, gboolean *changes)
+judge_command (const QuinceRolloutBook *book, const QuinceCommand *command, gboolean *changes)
 {
   const QuincePullStep *pull = &command->QuinceCommand_u.pull;
   const QuinceReleaseStep *release = &command->QuinceCommand_u.release;
@@ -268,7 +259,7 @@
       return quince_trainer_judge_release (quince_rollout_book_find_trainer (book, release->trainer),
                                            release->step, changes);
     case QUINCE_COMMAND_CLAIM:
-      *changes = !is_claimed_by_other (book, now_ms, &command->QuinceCommand_u.claim);
+      *changes = !quince_claim_table_refuses (book->claims, &command->QuinceCommand_u.claim);
       return QUINCE_LEDGER_DUPLICATE;
     case QUINCE_COMMAND_PAGE:
       *changes = FALSE;
@@ -297,7 +288,7 @@
                           QuinceLedgerReply *reply)
 {
   gboolean changes;
-  QuinceLedgerStatus status = judge_command (book, now_ms, command, &changes);
+  QuinceLedgerStatus status = judge_command (book, command, &changes);
 
   if (changes)
     return FALSE;
--- a/lib/core/rollouts/rollout_state.x
+++ b/lib/core/rollouts/rollout_state.x
@@ -3,18 +3,18 @@
  *
  * Everything that replicas agree on and nothing else: leases are soft state
  * and are absent.  Lists are sorted (trainers by name, steps by number,
- * claims by expiry and id) or in the order of the ledger (rollouts, samples),
- * so that equal books have equal encodings.
+ * claims by id) or in the order of the ledger (rollouts, samples), so that
+ * equal books have equal encodings.
  */
 
 %#include "quince_protocol.h"
 
-const QUINCE_ROLLOUT_STATE_FORMAT = 1;
+const QUINCE_ROLLOUT_STATE_FORMAT = 2;
 const QUINCE_ROLLOUT_MAX_TRAINERS = 4096;
 const QUINCE_ROLLOUT_MAX_STEPS    = 4096;      /* open, for each trainer */
 const QUINCE_ROLLOUT_MAX_ROLLOUTS = 16384;     /* for each step          */
 const QUINCE_ROLLOUT_MAX_HELD     = 1048576;   /* samples in the book    */
-const QUINCE_ROLLOUT_MAX_CLAIMS   = 1048576;
+const QUINCE_ROLLOUT_MAX_CLAIMS   = 4194304;
 
 struct QuinceSampleState {
     QuinceSampleSpec    spec;
@@ -48,7 +48,12 @@
 struct QuinceClaimState {
     opaque         request_id[QUINCE_ID_BYTES];
     unsigned hyper holder;
-    unsigned hyper expires_ms;
+};
+
+/* Claims on ids of the same second. */
+struct QuinceClaimBucketState {
+    unsigned hyper   expires_ms;
+    QuinceClaimState claims<QUINCE_ROLLOUT_MAX_CLAIMS>;
 };
 
 struct QuinceBookState {
@@ -58,5 +63,6 @@
     unsigned hyper     duplicates_dropped;
     unsigned hyper     regenerated;
     QuinceTrainerState trainers<QUINCE_ROLLOUT_MAX_TRAINERS>;
-    QuinceClaimState   claims<QUINCE_ROLLOUT_MAX_CLAIMS>;
+    unsigned hyper     claims_floor_ms; /* unknown ids created before it are refused */
+    QuinceClaimBucketState claims<QUINCE_ROLLOUT_MAX_CLAIMS>;
 };
--- a/lib/ledger/ledger-effects.c
+++ b/lib/ledger/ledger-effects.c
@@ -9,8 +9,12 @@
 #include <quince/log.h>
 #include <string.h>
 
-/* Records between snapshots. */
+/* Records between snapshots, at least. */
 #define SNAPSHOT_RECORDS 4096
+/* And as many bytes of records as this part of the last snapshot, but not more than the limit: a great book
+ * of many small claims is not written anew every few seconds. */
+#define SNAPSHOT_PART 4
+#define SNAPSHOT_RECORD_BYTES_MOST (8 * 1024 * 1024)
 /* Entries that stay in memory behind a snapshot, for followers a little behind. */
 #define KEPT_RECORDS 1024
 
@@ -47,6 +51,8 @@
     return FALSE;
   g_clear_pointer (&ledger->book, quince_rollout_book_free);
   ledger->book = g_steal_pointer (&book);
+  ledger->snapshot_bytes = length;
+  ledger->record_bytes = 0;
   ledger->last_record_ms = (gint64)GUINT64_FROM_BE (time);
   return TRUE;
 }
@@ -142,6 +148,7 @@
     return;
   ledger->applied_index = entry->index;
   ledger->applied_epoch = entry->epoch;
+  ledger->record_bytes += entry->data.data_len;
   if (entry->kind == QUINCE_ENTRY_RECORD)
     apply_record (ledger, entry);
   else if (entry->kind == QUINCE_ENTRY_VOTERS)
@@ -221,12 +228,21 @@
   quince_ledger_post_state (ledger);
 }
 
+gboolean
+quince_ledger_snapshot_is_due (guint64 records, guint64 record_bytes, guint64 snapshot_bytes)
+{
+  guint64 wanted_bytes = MIN (snapshot_bytes / SNAPSHOT_PART, SNAPSHOT_RECORD_BYTES_MOST);
+
+  return records >= SNAPSHOT_RECORDS && record_bytes >= wanted_bytes;
+}
+
 static gboolean
 compact (QuinceLedger *ledger, GError **error)
 {
   g_autoptr (GBytes) data = NULL;
 
-  if (ledger->applied_index < ledger->snapshot_index + SNAPSHOT_RECORDS)
+  if (!quince_ledger_snapshot_is_due (ledger->applied_index - ledger->snapshot_index, ledger->record_bytes,
+                                      ledger->snapshot_bytes))
     return TRUE;
   data = quince_ledger_snapshot_save (ledger);
   if (!quince_ledger_store_begin (ledger->store, error)
@@ -235,6 +251,8 @@
       || !quince_ledger_store_commit (ledger->store, error))
     return FALSE;
   ledger->snapshot_index = ledger->applied_index;
+  ledger->snapshot_bytes = g_bytes_get_size (data);
+  ledger->record_bytes = 0;
   quince_consensus_compacted (ledger->consensus, ledger->applied_index - KEPT_RECORDS);
   quince_log_info ("ledger_snapshot", "index=%" G_GUINT64_FORMAT " bytes=%" G_GSIZE_FORMAT,
                    ledger->snapshot_index, g_bytes_get_size (data));
--- a/lib/ledger/ledger-private.h
+++ b/lib/ledger/ledger-private.h
@@ -40,6 +40,8 @@
   guint64 applied_epoch;
   QuinceReplicaSet *applied_voters;
   guint64 snapshot_index; /* of the snapshot on disk                        */
+  guint64 snapshot_bytes; /* size of that snapshot                          */
+  guint64 record_bytes;   /* of the records applied since                   */
   gint64 last_record_ms;  /* leader_time_ms of the newest record            */
 
   /* Calls; the ledger's thread. */
@@ -76,6 +78,8 @@
 /* Snapshot bytes: the time of the newest record, then the book. */
 GBytes *quince_ledger_snapshot_save (const QuinceLedger *ledger);
 gboolean quince_ledger_snapshot_load (QuinceLedger *ledger, gconstpointer data, gsize length, GError **error);
+/* Whether to save the book after @records of @record_bytes since a snapshot of @snapshot_bytes. */
+gboolean quince_ledger_snapshot_is_due (guint64 records, guint64 record_bytes, guint64 snapshot_bytes);
 /* Flushes the consensus and carries out its effects until none is left. */
 void quince_ledger_settle (QuinceLedger *ledger);
 /* On the ledger's thread: the one that closes it need not wait any more. */
--- a/rehearsal/slopes.c
+++ b/rehearsal/slopes.c
@@ -20,6 +20,8 @@
 
 #define MOST_SIZES 6
 #define DECISIONS 20000
+/* A tenth of all requests at the size of docs/CAPACITY.md. */
+#define CLAIMS_A_SECOND 2200
 
 typedef struct
 {
@@ -243,25 +245,50 @@
   return (double)g_bytes_get_size (saved);
 }
 
-static double
-measure_claim_memory (guint claims)
+static void
+claim_ids (QuinceRolloutBook *book, guint claims)
 {
-  double before = heap_bytes ();
-  g_autoptr (QuinceRolloutBook) book = quince_rollout_book_new ();
   for (guint64 i = 0; i < claims; i++)
     {
       QuinceLedgerRecord record = { .leader_time_ms = 1, .command = { .kind = QUINCE_COMMAND_CLAIM } };
       QuinceClaimRequest *body = &record.command.QuinceCommand_u.claim;
       QuinceLedgerReply reply;
-      memcpy (body->request_id, &i, sizeof i);
+      quince_request_id_generate (body->request_id, (gint64)(i * 1000 / CLAIMS_A_SECOND));
       body->holder = 1;
       body->keep_ms = 600000;
       quince_rollout_book_apply (book, &record, &reply);
       xdr_free ((xdrproc_t)xdr_QuinceLedgerReply, &reply);
     }
+}
+
+static double
+measure_claim_memory (guint claims)
+{
+  double before = heap_bytes ();
+  g_autoptr (QuinceRolloutBook) book = quince_rollout_book_new ();
+  claim_ids (book, claims);
   return heap_bytes () - before;
 }
 
+/* With the making of the ids. */
+static double
+measure_claim_cpu (guint claims)
+{
+  g_autoptr (QuinceRolloutBook) book = quince_rollout_book_new ();
+  double before = cpu_us ();
+  claim_ids (book, claims);
+  return cpu_us () - before;
+}
+
+static double
+measure_claim_snapshot (guint claims)
+{
+  g_autoptr (QuinceRolloutBook) book = quince_rollout_book_new ();
+  claim_ids (book, claims);
+  g_autoptr (GBytes) saved = quince_rollout_book_save (book);
+  return (double)g_bytes_get_size (saved);
+}
+
 /* ---- Messages ---------------------------------------------------------------------- */
 
 static double
@@ -293,7 +320,13 @@
   { "book_memory", "bytes", "samples", { 512, 1024, 2048, 4096, 8192, 16384 }, measure_book_memory },
   { "complete_cpu", "us", "samples", { 512, 1024, 2048, 4096, 8192, 16384 }, measure_complete_cpu },
   { "snapshot", "bytes", "samples", { 512, 1024, 2048, 4096, 8192, 16384 }, measure_snapshot_bytes },
-  { "claim_memory", "bytes", "claims", { 1000, 2000, 4000, 8000, 16000, 32000 }, measure_claim_memory },
+  { "claim_memory", "bytes", "claims", { 8000, 16000, 32000, 64000, 128000, 256000 }, measure_claim_memory },
+  { "claim_cpu", "us", "claims", { 8000, 16000, 32000, 64000, 128000, 256000 }, measure_claim_cpu },
+  { "claim_snapshot",
+    "bytes",
+    "claims",
+    { 8000, 16000, 32000, 64000, 128000, 256000 },
+    measure_claim_snapshot },
   { "node_status", "bytes", "members", { 1, 4, 8, 16, 32, 64 }, measure_status_bytes },
 };
 
--- a/tests/unit/rollout-rows.h
+++ b/tests/unit/rollout-rows.h
@@ -10,6 +10,7 @@
 #include <stdarg.h>
 #include <stddef.h>
 #include <stdint.h>
+#include <string.h>
 #include <cmocka.h>
 
 #include "../../lib/core/rollouts/book-private.h"
@@ -18,7 +19,7 @@
 typedef struct
 {
   char kind;        /* S submit, C complete, P pull, R release, K claim, U unclaim */
-  const char *name; /* trainer; K, U: request id                           */
+  const char *name; /* trainer; K, U: request id, "x" or "x@creation time" */
   guint64 step;     /* K, U: holder                                        */
   const char *ids;  /* S: rollout id, then sample ids; C: sample id; K: "" */
   guint64 number;   /* S: staleness bound; C: generation; K: keep_ms       */
@@ -77,6 +78,17 @@
                                                         .token_count = 1 + i };
 }
 
+static inline void
+fill_request_id (char *id, const char *name)
+{
+  const char *at = strchr (name, '@');
+  guint64 created_ms = at != NULL ? g_ascii_strtoull (at + 1, NULL, 10) : 0;
+
+  for (guint i = 0; i < 6; i++)
+    id[i] = (char)(created_ms >> (8 * (5 - i)));
+  id[QUINCE_ID_BYTES - 1] = name[0];
+}
+
 static inline QuinceLedgerRecord *
 new_record (const Row *row)
 {
@@ -104,13 +116,13 @@
     case 'K':
       command->kind = QUINCE_COMMAND_CLAIM;
       command->QuinceCommand_u.claim = (QuinceClaimRequest){ .holder = row->step, .keep_ms = row->number };
-      command->QuinceCommand_u.claim.request_id[0] = row->name[0];
+      fill_request_id (command->QuinceCommand_u.claim.request_id, row->name);
       record->leader_time_ms = row->version;
       break;
     case 'U':
       command->kind = QUINCE_COMMAND_UNCLAIM;
       command->QuinceCommand_u.unclaim = (QuinceUnclaimRequest){ .holder = row->step };
-      command->QuinceCommand_u.unclaim.request_id[0] = row->name[0];
+      fill_request_id (command->QuinceCommand_u.unclaim.request_id, row->name);
       record->leader_time_ms = row->version;
       break;
     default:
--- a/tests/unit/test-ledger-store.c
+++ b/tests/unit/test-ledger-store.c
@@ -7,6 +7,7 @@
 #include <cmocka.h>
 #include <string.h>
 
+#include "../../lib/ledger/ledger-private.h"
 #include "../../lib/ledger/ledger-store.h"
 #include "ledger-files.h"
 
@@ -262,6 +263,28 @@
     }
 }
 
+static void
+test_snapshots_follow_the_book (void **state)
+{
+  static const struct
+  {
+    guint64 records, record_bytes, snapshot_bytes;
+    gboolean due;
+  } cases[] = {
+    { 4095, 1 << 30, 0, FALSE },
+    { 4096, 0, 0, TRUE },
+    { 4096, 1 << 20, 4 << 20, TRUE },
+    { 4096, (1 << 20) - 1, 4 << 20, FALSE },
+    { 270000, (8 << 20) - 1, 1 << 30, FALSE },
+    { 270000, 8 << 20, 1 << 30, TRUE },
+  };
+
+  for (guint i = 0; i < G_N_ELEMENTS (cases); i++)
+    if (quince_ledger_snapshot_is_due (cases[i].records, cases[i].record_bytes, cases[i].snapshot_bytes)
+        != cases[i].due)
+      fail_msg ("case %u", i);
+}
+
 int
 main (void)
 {
@@ -272,6 +295,7 @@
     cmocka_unit_test_setup_teardown (test_second_opener_is_kept_out, make_folder, remove_folder),
     cmocka_unit_test_setup_teardown (test_folder_that_cannot_be_made, make_folder, remove_folder),
     cmocka_unit_test_setup_teardown (test_damage_is_refused, make_folder, remove_folder),
+    cmocka_unit_test (test_snapshots_follow_the_book),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
