--- a/lib/core/rollouts/rollout-book.c
+++ b/lib/core/rollouts/rollout-book.c
@@ -77,23 +77,39 @@
     reply->retry_after_ms = BUSY_RETRY_MS;
 }
 
-/* The batch of an answered pull: its counts, and the samples when it is whole. */
+/* The batch of an answered pull or page: its counts, and the samples from index @first when it is whole. */
 static void
-reply_fill_batch (const QuinceRolloutBook *book, const QuincePullStep *pull, QuinceLedgerReply *reply)
+reply_fill_batch (const QuinceRolloutBook *book,
+                  const char *trainer_name,
+                  guint64 number,
+                  guint first,
+                  QuinceLedgerReply *reply)
 {
   QuinceBatch *batch = &reply->result.QuinceLedgerResult_u.batch;
-  const QuinceTrainer *trainer = quince_rollout_book_find_trainer (book, pull->trainer);
-  const QuinceStep *step = trainer != NULL ? quince_trainer_find_step (trainer, pull->step) : NULL;
+  const QuinceTrainer *trainer = quince_rollout_book_find_trainer (book, trainer_name);
+  const QuinceStep *step = trainer != NULL ? quince_trainer_find_step (trainer, number) : NULL;
 
   g_free (batch->trainer);
-  batch->trainer = quince_string (pull->trainer);
-  batch->step = pull->step;
+  batch->trainer = quince_string (trainer_name);
+  batch->step = number;
   if (step == NULL)
     return;
   batch->total = step->samples->len;
   batch->ready = step->samples->len - step->open;
   if (reply->status == QUINCE_LEDGER_OK)
-    quince_step_fill_batch (step, batch);
+    quince_step_fill_page (step, first, batch);
+}
+
+static void
+reply_fill (const QuinceRolloutBook *book, const QuinceCommand *command, QuinceLedgerReply *reply)
+{
+  const QuincePullStep *pull = &command->QuinceCommand_u.pull;
+  const QuinceReadPage *page = &command->QuinceCommand_u.page;
+
+  if (command->kind == QUINCE_COMMAND_PULL)
+    reply_fill_batch (book, pull->trainer, pull->step, 0, reply);
+  else if (command->kind == QUINCE_COMMAND_PAGE)
+    reply_fill_batch (book, page->trainer, page->step, page->first, reply);
 }
 
 /* ---- Commands --------------------------------------------------------- */
@@ -197,6 +213,7 @@
       return quince_claim_table_unclaim (book->claims, &command->QuinceCommand_u.unclaim);
     case QUINCE_COMMAND_LEASE:
     case QUINCE_COMMAND_RENEW:
+    case QUINCE_COMMAND_PAGE:
       break;
     }
   /* Not a command of the ledger: nothing is done. */
@@ -217,26 +234,17 @@
   if (reply == NULL)
     return;
   reply_init (reply, command->kind, status);
-  if (command->kind == QUINCE_COMMAND_PULL)
-    reply_fill_batch (book, &command->QuinceCommand_u.pull, reply);
+  reply_fill (book, command, reply);
 }
 
 /* ---- Peek ------------------------------------------------------------- */
 
-/* Whether another holder keeps the id also when a record is stamped @now_ms. */
-static gboolean
-is_claimed_by_other (const QuinceRolloutBook *book, gint64 now_ms, const QuinceClaimRequest *request)
-{
-  const QuinceClaim *claim = quince_claim_table_find (book->claims, request->request_id);
-
-  return claim != NULL && claim->holder != request->holder && claim->expires_ms > (guint64)MAX (now_ms, 0);
-}
-
 static QuinceLedgerStatus
-judge_command (const QuinceRolloutBook *book, gint64 now_ms, const QuinceCommand *command, gboolean *changes)
+judge_command (const QuinceRolloutBook *book, const QuinceCommand *command, gboolean *changes)
 {
   const QuincePullStep *pull = &command->QuinceCommand_u.pull;
   const QuinceReleaseStep *release = &command->QuinceCommand_u.release;
+  const QuinceReadPage *page = &command->QuinceCommand_u.page;
 
   switch (command->kind)
     {
@@ -251,8 +259,11 @@
       return quince_trainer_judge_release (quince_rollout_book_find_trainer (book, release->trainer),
                                            release->step, changes);
     case QUINCE_COMMAND_CLAIM:
-      *changes = !is_claimed_by_other (book, now_ms, &command->QuinceCommand_u.claim);
+      *changes = !quince_claim_table_refuses (book->claims, &command->QuinceCommand_u.claim);
       return QUINCE_LEDGER_DUPLICATE;
+    case QUINCE_COMMAND_PAGE:
+      *changes = FALSE;
+      return quince_trainer_judge_page (quince_rollout_book_find_trainer (book, page->trainer), page);
     case QUINCE_COMMAND_UNCLAIM: /* must come after a claim that is not applied yet */
     case QUINCE_COMMAND_LEASE:
     case QUINCE_COMMAND_RENEW:
@@ -262,6 +273,14 @@
   return QUINCE_LEDGER_OK;
 }
 
+/* A pull that changes nothing still tells which step the trainer wants now. */
+static void
+note_peeked_pull (QuinceRolloutBook *book, const QuincePullStep *pull, QuinceLedgerStatus status)
+{
+  if (status == QUINCE_LEDGER_OK || status == QUINCE_LEDGER_NOT_COMPLETE)
+    quince_trainer_note_pull (quince_rollout_book_find_trainer (book, pull->trainer), pull->step);
+}
+
 gboolean
 quince_rollout_book_peek (QuinceRolloutBook *book,
                           gint64 now_ms,
@@ -269,15 +288,16 @@
                           QuinceLedgerReply *reply)
 {
   gboolean changes;
-  QuinceLedgerStatus status = judge_command (book, now_ms, command, &changes);
+  QuinceLedgerStatus status = judge_command (book, command, &changes);
 
   if (changes)
     return FALSE;
   if (command->kind == QUINCE_COMMAND_COMPLETE && status == QUINCE_LEDGER_OK)
     book->peeked_duplicates++;
-  reply_init (reply, command->kind, status);
   if (command->kind == QUINCE_COMMAND_PULL)
-    reply_fill_batch (book, &command->QuinceCommand_u.pull, reply);
+    note_peeked_pull (book, &command->QuinceCommand_u.pull, status);
+  reply_init (reply, command->kind, status);
+  reply_fill (book, command, reply);
   return TRUE;
 }
 
@@ -294,7 +314,8 @@
   leased->member = quince_string (rollout->member);
   leased->step = sample->step;
   leased->generation = sample->generation;
-  leased->min_version = quince_least_version (trainer->version_seen, rollout->staleness_bound);
+  leased->min_version
+      = quince_least_version (quince_trainer_expect_version (trainer, sample), rollout->staleness_bound);
   quince_sample_spec_copy_to (&leased->spec, &sample->spec);
 }
 
--- a/lib/core/rollouts/sample.h
+++ b/lib/core/rollouts/sample.h
@@ -20,6 +20,7 @@
   GSequenceIter *position; /* in the trainer's waiting or in the leased queue; NULL: complete */
   char *agent;             /* lease holder, NULL: none                         */
   gint64 until_ms;         /* leader's time                                    */
+  gboolean held_back;      /* waits for weights that the trainer has not named yet */
 } QuinceSampleLease;
 
 typedef struct
@@ -43,6 +44,9 @@
 /* Bytes that the sample takes in a saved state, never less than it does. */
 gsize quince_sample_get_bytes (const QuinceSample *sample);
 
+/* The same of a result alone. */
+gsize quince_sample_result_get_bytes (const QuinceSampleResult *result);
+
 /* Takes a copy of @result: the sample is complete. */
 void quince_sample_complete (QuinceSample *sample, const QuinceSampleResult *result);
 /* Throws the result away and opens the next generation. */
