Engine client: permission is asked right before each piece of a body leaves

Ruled out: a check where libsoup reads the body from memory: the read's answer comes an iteration later, and the body is written then.

Change: the body is a stream that answers a read in the call itself, so that each piece is written right after the gate was asked; the timer and the priorities are gone. "Sent" is now decided there, before the first byte of the body: an engine that has only the head cannot run the request.

--- a/include/quince/engine-client.h
+++ b/include/quince/engine-client.h
@@ -33,7 +33,7 @@
  * @resume_text: tokens that were generated elsewhere, "" for none
  * @resume_tokens: their count; the engine's first token has this index
  * @fresh_connection: never use a kept connection, so that a failure to reach
- *   the engine is certainly one before any byte left
+ *   the engine is certainly one before any byte of the body left
  * @expires_us: monotonic time, 0 for never; what has not left by then never does,
  *   also when the process was paused in the middle of sending it
  *
@@ -77,13 +77,13 @@
 
 /**
  * QuinceEngineCallbacks:
- * @starting: immediately before the first byte may leave; %FALSE forbids it
- *   and leads to failed() with nothing sent
+ * @starting: immediately before the first byte of the body may leave; %FALSE
+ *   forbids it and leads to failed() with nothing sent that an engine could run
  * @accepted: the engine began to answer
  * @chunk: tokens, in order and without gaps
  * @finished: finish marker and end of stream seen
  * @refused: the engine's own word that it did not run the attempt
- * @failed: @sent: whether any byte may have left
+ * @failed: @sent: whether any byte of the body may have left
  *
  * Exactly one of finished, refused and failed is called, and it is the last.
  */
--- a/lib/platform/engine-client.c
+++ b/lib/platform/engine-client.c
@@ -1,13 +1,9 @@
 /*
  * engine-client.c: one streamed attempt on a model engine, over HTTP.
  *
- * "Sent" is decided by libsoup's "starting" signal, which is emitted on a
- * connection that is up, immediately before the first byte of the request.
- *
- * libsoup sends head and body in several iterations of the loop, and the process
- * may be paused between any two.  So each call has a timer at its expiry, whose
- * priority is above that of sending: the first iteration after a pause ends what
- * is not whole on its way before it can go on.
+ * "Sent" is decided right before the first byte of the body: an engine that has
+ * only the head of a request cannot run it.  Each piece of the body is asked for
+ * permission again, since the process may be paused in the middle of sending.
  */
 #include <quince/engine-client.h>
 
@@ -17,6 +13,7 @@
 #include <quince/link.h>
 #include <quince/task.h>
 
+#include "engine-body.h"
 #include "engine-stream.h"
 
 #define READ_BYTES (16 * 1024)
@@ -25,9 +22,6 @@
 #define SILENCE_SECONDS 60
 #define IDLE_SECONDS 20
 #define CANCEL_TIMEOUT_MS 2000
-/* Expiry goes before sending, and sending before all else of the loop. */
-#define SEND_PRIORITY G_PRIORITY_HIGH
-#define EXPIRY_PRIORITY (SEND_PRIORITY - 10)
 
 G_DEFINE_QUARK (quince - engine - client - error - quark, quince_engine_client_error)
 
@@ -37,7 +31,6 @@
   grefcount references; /* the caller's, and one for each operation in progress */
   SoupSession *session;
   SoupMessage *message;
-  GSource *expiry; /* owned; NULL: the whole request is on its way, or it ended */
   GCancellable *cancellable;
   GInputStream *body;
   QuinceEngineStream *stream;
@@ -46,7 +39,9 @@
   char *request_id;
   guint attempt;
   guint first_token; /* index of the engine's first token                */
-  gboolean sent;     /* a byte may have left                             */
+  gint64 expires_us; /* monotonic; 0: never                              */
+  gboolean started;  /* a connection is up for it                        */
+  gboolean sent;     /* a byte of the body may have left                 */
   gboolean leaving;  /* the engine said so                               */
   gboolean ended;    /* the last callback was made                       */
   const QuinceEngineCallbacks *callbacks;
@@ -83,7 +78,6 @@
 {
   if (!g_ref_count_dec (&call->references))
     return;
-  quince_source_clear (&call->expiry);
   g_clear_object (&call->body);
   if (call->message != NULL)
     g_signal_handlers_disconnect_by_data (call->message, call);
@@ -111,7 +105,6 @@
   if (call->ended)
     return;
   call->ended = TRUE;
-  quince_source_clear (&call->expiry);
   g_cancellable_cancel (call->cancellable);
   call->callbacks->failed (call->sent, error, call->user_data);
 }
@@ -152,7 +145,6 @@
   if (call->ended)
     return;
   call->ended = TRUE;
-  quince_source_clear (&call->expiry);
   g_cancellable_cancel (call->cancellable);
   if (!call->sent)
     return;
@@ -274,45 +266,29 @@
   start_read (call);
 }
 
+/* libsoup restarts a message whose kept connection broke; an attempt is sent once. */
 static void
 message_starting (SoupMessage *message, gpointer data)
 {
   QuinceEngineCall *call = data;
-  if (call->ended)
-    return;
-  /* A cancelled message does not get to its first write.  "sent" already means
-   * that libsoup restarts a message whose kept connection broke. */
-  if (!call->sent && call->callbacks->starting (call->user_data))
-    call->sent = TRUE;
-  else
+  if (call->started)
     g_cancellable_cancel (call->cancellable);
-}
-
-static void
-message_wrote_body (SoupMessage *message, gpointer data)
-{
-  QuinceEngineCall *call = data;
-  quince_source_clear (&call->expiry);
+  call->started = TRUE;
 }
 
 static gboolean
-call_expired (gpointer data)
+may_leave (gpointer data, GError **error)
 {
-  g_autoptr (QuinceEngineCall) call = call_ref (data);
-  quince_source_clear (&call->expiry);
-  call_fail_code (call, QUINCE_ENGINE_CLIENT_ERROR_EXPIRED, "expired before it was whole on its way");
-  return G_SOURCE_REMOVE;
-}
-
-/* A timeout source, since a plain one with a ready time has no functions to dispatch it. */
-static void
-start_expiry (QuinceEngineCall *call, gint64 expires_us)
-{
-  call->expiry = g_timeout_source_new (0);
-  g_source_set_priority (call->expiry, EXPIRY_PRIORITY);
-  g_source_set_ready_time (call->expiry, expires_us);
-  g_source_set_callback (call->expiry, call_expired, call, NULL);
-  g_source_attach (call->expiry, g_main_context_get_thread_default ());
+  QuinceEngineCall *call = data;
+  gboolean expired = call->expires_us > 0 && quince_now_us () >= call->expires_us;
+  if (!expired && !call->ended && (call->sent || call->callbacks->starting (call->user_data)))
+    {
+      call->sent = TRUE;
+      return TRUE;
+    }
+  g_set_error_literal (error, QUINCE_ENGINE_CLIENT_ERROR, QUINCE_ENGINE_CLIENT_ERROR_EXPIRED,
+                       "expired before it was whole on its way");
+  return FALSE;
 }
 
 static char *
@@ -356,7 +332,8 @@
   SoupMessage *message = soup_message_new (SOUP_METHOD_POST, url);
   char *text = format_body (dispatch, &length);
   g_autoptr (GBytes) body = g_bytes_new_take (text, length);
-  soup_message_set_request_body_from_bytes (message, "application/json", body);
+  g_autoptr (GInputStream) stream = quince_engine_body_new (body, may_leave, call);
+  soup_message_set_request_body (message, "application/json", stream, (gssize)length);
   /* Redirects and authentication would send it twice.  libsoup uses a kept
    * connection only for an idempotent message, and may restart that one:
    * message_starting() forbids it. */
@@ -365,7 +342,6 @@
   soup_message_add_flags (message,
                           dispatch->fresh_connection ? SOUP_MESSAGE_NEW_CONNECTION : SOUP_MESSAGE_IDEMPOTENT);
   g_signal_connect (message, "starting", G_CALLBACK (message_starting), call);
-  g_signal_connect (message, "wrote-body", G_CALLBACK (message_wrote_body), call);
   return message;
 }
 
@@ -384,6 +360,7 @@
   call->request_id = g_strdup (dispatch->request_id);
   call->attempt = dispatch->attempt;
   call->first_token = dispatch->resume_tokens;
+  call->expires_us = dispatch->expires_us;
   call->callbacks = callbacks;
   call->user_data = user_data;
   call->message = make_message (call, dispatch);
@@ -395,9 +372,7 @@
       g_source_attach (source, g_main_context_get_thread_default ());
       return call;
     }
-  if (dispatch->expires_us > 0)
-    start_expiry (call, dispatch->expires_us);
-  soup_session_send_async (session, call->message, SEND_PRIORITY, call->cancellable, headers_done,
+  soup_session_send_async (session, call->message, G_PRIORITY_DEFAULT, call->cancellable, headers_done,
                            call_ref (call));
   return call;
 }
