Scheduler: an even share of an engine, and a short queue at it

Cause: a node learns at once when its own grants end, but of the other nodes' grants by digests (0.2 to 0.6 s late) and of the engine's load by reports (0.2 to 0.7 s late), while a Lookup runs 0.1 to 0.2 s. At the start of a burst each of three nodes grants an empty engine whole (48 on 16 places); when that has run, each still counts the others' 32 as last heard, or the old report, and gives nothing until fresh news: the engine stands empty while calls wait. Besides, a grant's way to the engine and an end's way back (agent busy: 40 to 400 ms in traces on the busy machine) count as a place in use.

Ruled out: slow release by the agent's message (the node serves its queue in the same call); the policy's time; refusals (they follow from the gap).

Change: where the measured service time is under 1 s, a node may always hold its even share of an engine among the nodes that hold any. An engine with a free place goes before one with a queue.

At the first moment of a burst the nodes together still grant an engine as often as there are nodes.

--- a/daemons/node/grants.c
+++ b/daemons/node/grants.c
@@ -58,6 +58,8 @@
   limits.report_stale_ms = duration_ms (settings, "report_stale");
   limits.candidates = (guint)quince_settings_get_integer (settings, "scheduler", "candidates");
   limits.retry_ratio = quince_settings_get_number (settings, "scheduler", "retry_ratio");
+  limits.overcommit = quince_settings_get_number (settings, "scheduler", "overcommit");
+  limits.engine_wait_ms = duration_ms (settings, "engine_wait");
   return limits;
 }
 
--- a/include/quince/scheduler.h
+++ b/include/quince/scheduler.h
@@ -24,6 +24,9 @@
  * @report_stale_ms: an engine not heard of for this long gets no new work
  * @candidates: engines that are scored for a request, at most QUINCE_POLICY_MAX_CANDIDATES
  * @retry_ratio: retries (attempt > 1) granted per first attempt granted
+ * @overcommit: Lookups that an engine is given beyond its capacity, as a part of it; they wait
+ *   in the engine's own queue, so that a place is filled while the end of the last run travels
+ * @engine_wait_ms: longest that such a Lookup should wait there, by the measured service time
  */
 typedef struct
 {
@@ -33,6 +36,8 @@
   guint report_stale_ms;
   guint candidates;
   double retry_ratio;
+  double overcommit;
+  guint engine_wait_ms;
 } QuinceSchedulerLimits;
 
 extern const QuinceSchedulerLimits quince_scheduler_default_limits;
--- a/lib/core/scheduling/candidates.c
+++ b/lib/core/scheduling/candidates.c
@@ -38,6 +38,7 @@
   RANK_GOOD,
   RANK_OFF_TARGET, /* a swap is ordered or failed             */
   RANK_AVOIDED,    /* an earlier attempt failed there         */
+  RANK_QUEUED,     /* good, but perhaps to wait in its own queue */
   RANK_NEVER,
 } Rank;
 
@@ -47,14 +48,18 @@
          gint64 now_us,
          const QuinceCandidateQuery *query)
 {
-  guint reserve = query->keep_reserve ? quince_engine_reserve (engine) : 0;
-  if (!quince_engine_table_usable (table, engine, now_us) || quince_engine_free_slots (engine) <= reserve)
+  QuinceRoomQuery room = query->room;
+  room.reserve = query->keep_reserve ? quince_engine_reserve (engine) : 0;
+  if (!quince_engine_table_usable (table, engine, now_us) || quince_engine_room (engine, &room) == 0)
     return RANK_NEVER;
   if (engine->weight_version < query->min_version || now_us < engine->paused_until_us)
     return RANK_NEVER;
+  gboolean queued = quince_engine_free_slots (engine) <= room.reserve;
   if (quince_engine_off_target (engine))
-    return query->min_version == 0 ? RANK_OFF_TARGET : RANK_NEVER;
-  return is_avoided (query->request, engine) ? RANK_AVOIDED : RANK_GOOD;
+    return query->min_version == 0 && !queued ? RANK_OFF_TARGET : RANK_NEVER;
+  if (is_avoided (query->request, engine))
+    return queued ? RANK_NEVER : RANK_AVOIDED;
+  return queued ? RANK_QUEUED : RANK_GOOD;
 }
 
 /* Collects the engines of the best rank that has any. */
--- a/lib/core/scheduling/candidates.h
+++ b/lib/core/scheduling/candidates.h
@@ -10,7 +10,7 @@
 
 #include <quince/builtin-decisions.h>
 
-#include "engine-table.h"
+#include "engine-room.h"
 #include "prefix-index.h"
 
 #define QUINCE_CANDIDATES_MOST QUINCE_POLICY_MAX_CANDIDATES
@@ -20,6 +20,7 @@
   const QuinceGrantRequest *request;
   guint64 min_version;
   gboolean keep_reserve; /* leave each engine's last slots free */
+  QuinceRoomQuery room;  /* its reserve is set for each engine  */
   guint64 seed;
   guint most;
 } QuinceCandidateQuery;
--- a/lib/core/scheduling/engine-table.c
+++ b/lib/core/scheduling/engine-table.c
@@ -129,6 +129,14 @@
   *text = g_strdup (value);
 }
 
+static void
+set_peer_load (QuinceEngine *engine, QuincePeerLoad *load, guint granted)
+{
+  engine->peers += granted - load->granted;
+  engine->holders += (granted > 0) - (load->granted > 0);
+  load->granted = granted;
+}
+
 /* Loads of nodes that fell silent are dropped. */
 static void
 drop_stale_peers (QuinceEngine *engine, gint64 now_us)
@@ -141,7 +149,7 @@
       QuincePeerLoad *load = value;
       if (now_us - load->heard_us <= PEER_LOAD_STALE_US)
         continue;
-      engine->peers -= load->granted;
+      set_peer_load (engine, load, 0);
       g_hash_table_iter_remove (&iter);
     }
 }
@@ -252,9 +260,7 @@
       load = g_new0 (QuincePeerLoad, 1);
       g_hash_table_insert (engine->peer_loads, g_strdup (node), load);
     }
-  granted = MIN (granted, G_MAXUINT16);
-  engine->peers += granted - load->granted;
-  load->granted = granted;
+  set_peer_load (engine, load, MIN (granted, G_MAXUINT16));
   load->heard_us = now_us;
 }
 
@@ -270,7 +276,7 @@
       QuincePeerLoad *load = g_hash_table_lookup (engine->peer_loads, node);
       if (load == NULL)
         continue;
-      engine->peers -= load->granted;
+      set_peer_load (engine, load, 0);
       g_hash_table_remove (engine->peer_loads, node);
     }
 }
--- a/lib/core/scheduling/engine-table.h
+++ b/lib/core/scheduling/engine-table.h
@@ -35,7 +35,8 @@
   guint ended_since_report;
   /* Grants of other nodes: name of the node -> QuincePeerLoad. */
   GHashTable *peer_loads;
-  guint peers; /* their sum                                        */
+  guint peers;   /* their sum                                        */
+  guint holders; /* how many of them hold any                        */
   /* Measured. */
   double service_ms; /* smoothed; 0: not yet measured                    */
   double hit_rate;   /* smoothed part of the prompt that was likely cached */
--- a/lib/core/scheduling/placement.c
+++ b/lib/core/scheduling/placement.c
@@ -23,9 +23,19 @@
   return now_us >= scheduler->event_start_us - EVENT_LEAD_US && now_us < scheduler->event_end_us;
 }
 
+/* A rollout in an engine's queue would take the extra places from Lookups. */
+static QuinceRoomQuery
+room_query (const QuinceScheduler *scheduler, gboolean rollout)
+{
+  return (QuinceRoomQuery){ .overcommit = scheduler->limits.overcommit,
+                            .engine_wait_ms = scheduler->limits.engine_wait_ms,
+                            .may_queue = !rollout };
+}
+
 void
 quince_service_view (QuinceScheduler *scheduler, gint64 now_us, const char *service, QuinceServiceView *view)
 {
+  QuinceRoomQuery room = room_query (scheduler, FALSE);
   *view = (QuinceServiceView){ .engines = quince_engine_table_of_service (scheduler->engines, service) };
   if (view->engines == NULL)
     return;
@@ -38,7 +48,7 @@
           continue;
         }
       view->usable++;
-      view->free_slots += quince_engine_free_slots (engine);
+      view->free_slots += quince_engine_room (engine, &room);
       view->newest_version = MAX (view->newest_version, engine->weight_version);
       view->reachable_version
           = MAX (view->reachable_version, MAX (engine->weight_version, engine->target_version));
@@ -206,6 +216,7 @@
     .request = placement->request,
     .min_version = placement->min_version,
     .keep_reserve = rollout && event_is_near (scheduler, now_us),
+    .room = room_query (scheduler, rollout),
     .seed = quince_spread (scheduler->seed, quince_attempt_key_hash (&placement->key)),
     .most = scheduler->limits.candidates,
   };
--- a/lib/core/scheduling/scheduler-private.h
+++ b/lib/core/scheduling/scheduler-private.h
@@ -47,8 +47,8 @@
 {
   const GPtrArray *engines; /* borrowed; NULL: service unknown */
   guint usable;
-  guint unheard; /* serving by reports that are too old */
-  guint free_slots;
+  guint unheard;             /* serving by reports that are too old */
+  guint free_slots;          /* grants that this node may still give, for Lookups */
   guint64 newest_version;    /* active on a usable engine       */
   guint64 reachable_version; /* active or ordered               */
 } QuinceServiceView;
--- a/lib/core/scheduling/scheduler.c
+++ b/lib/core/scheduling/scheduler.c
@@ -13,6 +13,8 @@
   .report_stale_ms = 5000,
   .candidates = 6,
   .retry_ratio = 0.2,
+  .overcommit = 0,
+  .engine_wait_ms = 100,
 };
 
 /* ---- Life ---------------------------------------------------------------------- */
