Scheduler: an expired grant without an end holds what the engine reports

Cause: grants of an agent that is frozen, killed or cut off counted as in use until the request's deadline, at most scheduler.abandon: an engine could get no work for so long though it served.

Ruled out: giving places back when the link closes (a stream may go on, and a frozen agent's link stays open); a shorter abandon (long rollouts would be forgotten while they run).

Change: no dispatch follows an expiry, and a run shows in the engine's reports. 1 s after its expiry, once the engine was heard of since, a grant without an end holds a place only as far as the last report has work that no other grant explains. It stays known: a late end still counts for its member, a repeat gets no second grant.

Measured: test-scheduler-room, rows of grants without an end: 0 of 20 places free before, all that the report leaves after. Unit suite of the scheduler. Not run: a frozen agent in the experiment.

--- a/include/quince/scheduler.h
+++ b/include/quince/scheduler.h
@@ -151,7 +151,9 @@
                            const QuinceGrantEnd *end,
                            GPtrArray *decisions);
 /* The client's link is down: its waiting requests are dropped, its grants
- * are kept until abandon_ms since their streams may go on. */
+ * are kept until abandon_ms since their streams may go on.  As any grant whose
+ * end is not told, they hold a slot some time after they expired only as far as
+ * the engine reports work that nothing else explains. */
 void quince_scheduler_client_gone (QuinceScheduler *scheduler, gint64 now_us, guint64 client);
 /* Expiry of grants and deadlines; call when next_wakeup is reached. */
 void quince_scheduler_tick (QuinceScheduler *scheduler, gint64 now_us, GPtrArray *decisions);
@@ -180,7 +182,7 @@
   const char *name;
   const char *address;
   const char *service;
-  guint outstanding; /* grants of this node   */
+  guint outstanding; /* grants of this node that hold a slot */
   guint peers;       /* grants of other nodes */
   guint running;
   guint waiting;
--- a/lib/core/scheduling/engine-room.c
+++ b/lib/core/scheduling/engine-room.c
@@ -36,6 +36,7 @@
   guint used = quince_engine_used (engine);
   guint share = share_of (engine, limit);
   guint free = limit > used ? limit - used : 0;
-  guint free_share = share > engine->outstanding ? share - engine->outstanding : 0;
+  guint held = quince_engine_held (engine);
+  guint free_share = share > held ? share - held : 0;
   return MAX (free, free_share);
 }
--- a/lib/core/scheduling/engine-table.c
+++ b/lib/core/scheduling/engine-table.c
@@ -313,10 +313,20 @@
   return quince_engine_is_serving (engine) && now_us - engine->reported_us <= table->report_stale_us;
 }
 
+guint
+quince_engine_held (const QuinceEngine *engine)
+{
+  guint reported = engine->running + engine->waiting;
+  guint recent = engine->outstanding - engine->overdue;
+  guint explained = recent + engine->peers;
+  guint unexplained = reported > explained ? reported - explained : 0;
+  return recent + MIN (engine->overdue, unexplained);
+}
+
 guint
 quince_engine_used (const QuinceEngine *engine)
 {
-  guint known = engine->outstanding + engine->peers;
+  guint known = quince_engine_held (engine) + engine->peers;
   gint64 reported
       = (gint64)engine->running + engine->waiting + engine->granted_since_report - engine->ended_since_report;
   return (guint)CLAMP (reported, known, G_MAXINT);
@@ -356,6 +366,20 @@
     engine->ended_since_report++;
 }
 
+void
+quince_engine_overdue (QuinceEngine *engine)
+{
+  engine->overdue++;
+}
+
+/* Whether it ran is unknown, so what the report says is left as it is. */
+void
+quince_engine_overdue_ended (QuinceEngine *engine)
+{
+  engine->overdue--;
+  engine->outstanding--;
+}
+
 void
 quince_engine_served (QuinceEngine *engine, guint service_ms)
 {
--- a/lib/core/scheduling/engine-table.h
+++ b/lib/core/scheduling/engine-table.h
@@ -31,6 +31,7 @@
   guint leaving;           /* QuinceLeavingSource bits                         */
   /* Own grants. */
   guint outstanding;
+  guint overdue; /* of them: expired some time ago, and no end was told */
   guint granted_since_report;
   guint ended_since_report;
   /* Grants of other nodes: name of the node -> QuincePeerLoad. */
@@ -82,6 +83,9 @@
 gboolean
 quince_engine_table_usable (const QuinceEngineTable *table, const QuinceEngine *engine, gint64 now_us);
 
+/* Slots that this node's grants hold: of those that are overdue, as many as the last report
+ * has work that no other grant explains. */
+guint quince_engine_held (const QuinceEngine *engine);
 /* Slots in use by the best knowledge, and free ones. */
 guint quince_engine_used (const QuinceEngine *engine);
 guint quince_engine_free_slots (const QuinceEngine *engine);
@@ -92,6 +96,10 @@
 void quince_engine_unref (QuinceEngine *engine);
 /* Returns: the report count to give back with quince_engine_ended(). */
 guint64 quince_engine_granted (QuinceEngine *engine, double prefix_match);
+/* A grant expired so long ago that the last report shows whether it runs. */
+void quince_engine_overdue (QuinceEngine *engine);
+/* One that is overdue has ended, or is forgotten. */
+void quince_engine_overdue_ended (QuinceEngine *engine);
 /* @dispatched: the work did reach the engine */
 void quince_engine_ended (QuinceEngine *engine, guint64 granted_at_report, gboolean dispatched);
 void quince_engine_served (QuinceEngine *engine, guint service_ms);
--- a/lib/core/scheduling/grants.c
+++ b/lib/core/scheduling/grants.c
@@ -7,7 +7,7 @@
 {
   GHashTable *by_key; /* QuinceAttemptKey in the grant -> QuinceGrantEntry, owned */
   GHashTable *by_id;  /* grant id in the grant -> QuinceGrantEntry that has not ended */
-  QuinceHeap forget;
+  QuinceHeap due;
   guint64 next_id;
 };
 
@@ -35,7 +35,7 @@
 {
   g_hash_table_unref (table->by_id);
   g_hash_table_unref (table->by_key);
-  quince_heap_clear (&table->forget);
+  quince_heap_clear (&table->due);
   g_free (table);
 }
 
@@ -43,14 +43,18 @@
 quince_grant_table_add (QuinceGrantTable *table,
                         const QuinceAttemptKey *key,
                         QuinceEngine *engine,
-                        gint64 forget_us)
+                        gint64 expires_us,
+                        gint64 abandon_us)
 {
   QuinceGrantEntry *grant = g_new0 (QuinceGrantEntry, 1);
   grant->key = *key;
   grant->grant_id = ++table->next_id;
   grant->engine = quince_engine_ref (engine);
-  quince_heap_node_init (&grant->forget, grant);
-  quince_heap_push (&table->forget, &grant->forget, forget_us, grant->grant_id);
+  quince_heap_node_init (&grant->due, grant);
+  grant->expires_us = expires_us;
+  grant->abandon_us = abandon_us;
+  quince_heap_push (&table->due, &grant->due, MIN (expires_us + QUINCE_GRANT_SETTLE_US, abandon_us),
+                    grant->grant_id);
   g_hash_table_insert (table->by_key, &grant->key, grant);
   g_hash_table_insert (table->by_id, &grant->grant_id, grant);
   return grant;
@@ -73,21 +77,28 @@
 {
   grant->ended = TRUE;
   g_hash_table_remove (table->by_id, &grant->grant_id);
-  quince_heap_remove (&table->forget, &grant->forget);
-  quince_heap_push (&table->forget, &grant->forget, MAX (now_us, grant->expires_us), grant->grant_id);
+  quince_heap_remove (&table->due, &grant->due);
+  quince_heap_push (&table->due, &grant->due, MAX (now_us, grant->expires_us), grant->grant_id);
 }
 
 QuinceGrantEntry *
 quince_grant_table_due (QuinceGrantTable *table, gint64 now_us)
 {
-  QuinceHeapNode *node = quince_heap_peek (&table->forget);
+  QuinceHeapNode *node = quince_heap_peek (&table->due);
   return node != NULL && node->key <= now_us ? node->owner : NULL;
 }
 
+void
+quince_grant_table_look_again (QuinceGrantTable *table, QuinceGrantEntry *grant, gint64 at_us)
+{
+  quince_heap_remove (&table->due, &grant->due);
+  quince_heap_push (&table->due, &grant->due, MIN (at_us, grant->abandon_us), grant->grant_id);
+}
+
 void
 quince_grant_table_forget (QuinceGrantTable *table, QuinceGrantEntry *grant)
 {
-  quince_heap_remove (&table->forget, &grant->forget);
+  quince_heap_remove (&table->due, &grant->due);
   g_hash_table_remove (table->by_id, &grant->grant_id);
   g_hash_table_remove (table->by_key, &grant->key);
 }
@@ -95,7 +106,7 @@
 gint64
 quince_grant_table_next_due (const QuinceGrantTable *table)
 {
-  QuinceHeapNode *node = quince_heap_peek (&table->forget);
+  QuinceHeapNode *node = quince_heap_peek (&table->due);
   return node != NULL ? node->key : G_MAXINT64;
 }
 
--- a/lib/core/scheduling/placement.c
+++ b/lib/core/scheduling/placement.c
@@ -181,16 +181,17 @@
   QuinceEngine *engine = candidate->engine;
   gint64 grant_us = (gint64)scheduler->limits.grant_ms * 1000;
   /* An answer is cut at its deadline, so a slot is not held long after it. */
-  gint64 forget_us
+  gint64 abandon_us
       = MIN (now_us + (gint64)scheduler->limits.abandon_ms * 1000, placement->deadline_us + grant_us);
-  QuinceGrantEntry *entry = quince_grant_table_add (scheduler->grants, &placement->key, engine, forget_us);
+  QuinceGrantEntry *entry
+      = quince_grant_table_add (scheduler->grants, &placement->key, engine,
+                                MIN (now_us + grant_us, placement->deadline_us), abandon_us);
   entry->granted_at_report = quince_engine_granted (engine, candidate->prefix_match);
   entry->count = quince_service_counts_get (scheduler->counts, request->member, request->kind);
   entry->service = placement->service;
   entry->policy_revision = scheduler->decider.revision;
   entry->priority = placement->priority;
   entry->min_version = placement->min_version;
-  entry->expires_us = MIN (now_us + grant_us, placement->deadline_us);
   placement->service->meter.slots++;
   quince_prefix_index_store (scheduler->prefixes, engine->prefix_slot, request->prefix.prefix_val,
                              MIN (request->prefix.prefix_len, QUINCE_MAX_PREFIX));
--- a/lib/core/scheduling/scheduler-private.h
+++ b/lib/core/scheduling/scheduler-private.h
@@ -130,5 +130,6 @@
 
 /* Finds or makes the queue. */
 QuinceServiceQueue *quince_claim_service (QuinceScheduler *scheduler, const char *name);
-/* Forgets at most @most grants that are abandoned or whose end is long told. */
+/* Forgets at most @most grants that are abandoned or whose end is long told, and looks at
+ * those that expired without an end. */
 void quince_forget_due_grants (QuinceScheduler *scheduler, gint64 now_us, guint most);
--- a/lib/core/scheduling/scheduler.c
+++ b/lib/core/scheduling/scheduler.c
@@ -5,6 +5,7 @@
 
 #define WAITING_WAKEUP_US (100 * 1000)
 #define FORGET_WAKEUP_US (50 * 1000)
+#define REPORT_WAIT_US (200 * 1000) /* until an expired grant is looked at again */
 
 const QuinceSchedulerLimits quince_scheduler_default_limits = {
   .queue_most = 4096,
@@ -109,16 +110,39 @@
 release_slot (QuinceGrantEntry *grant, gboolean dispatched)
 {
   QuinceServiceQueue *service = grant->service;
-  quince_engine_ended (grant->engine, grant->granted_at_report, dispatched);
+  if (grant->overdue)
+    quince_engine_overdue_ended (grant->engine);
+  else
+    quince_engine_ended (grant->engine, grant->granted_at_report, dispatched);
   service->meter.slots--;
 }
 
+/* It expired and no end was told.  Its engine's report says from now on whether it
+ * runs, once one has come that must show it. */
+static void
+look_at_expired_grant (QuinceScheduler *scheduler, gint64 now_us, QuinceGrantEntry *grant)
+{
+  gint64 at_us = now_us + REPORT_WAIT_US;
+  if (grant->engine->reported_us >= grant->expires_us + QUINCE_GRANT_SETTLE_US)
+    {
+      grant->overdue = TRUE;
+      quince_engine_overdue (grant->engine);
+      at_us = grant->abandon_us;
+    }
+  quince_grant_table_look_again (scheduler->grants, grant, at_us);
+}
+
 void
 quince_forget_due_grants (QuinceScheduler *scheduler, gint64 now_us, guint most)
 {
   QuinceGrantEntry *grant;
   while (most-- > 0 && (grant = quince_grant_table_due (scheduler->grants, now_us)) != NULL)
     {
+      if (!grant->ended && now_us < grant->abandon_us)
+        {
+          look_at_expired_grant (scheduler, now_us, grant);
+          continue;
+        }
       if (!grant->ended)
         {
           release_slot (grant, TRUE);
--- a/tests/unit/test-scheduler-room.c
+++ b/tests/unit/test-scheduler-room.c
@@ -134,6 +134,88 @@
   tear_down (&world);
 }
 
+/* ---- Ends that are never told ------------------------------------------------- */
+
+/* Clients are frozen or gone with all places granted; the engine's report says what runs of it. */
+static void
+test_grants_without_an_end (void **state)
+{
+  static const struct
+  {
+    const char *name;
+    guint running;
+    guint waiting;
+    guint peers;   /* heard of another node; what it holds is in the report too */
+    guint granted; /* of 30 */
+  } rows[] = {
+    { "none was dispatched: all places are free", 0, 0, 0, 20 },
+    { "some run", 5, 0, 0, 15 },
+    { "all run", 16, 0, 0, 4 },
+    { "all run or wait", 16, 4, 0, 0 },
+    { "another node's work runs instead: the even share", 12, 0, 12, 10 },
+  };
+  for (guint i = 0; i < G_N_ELEMENTS (rows); i++)
+    {
+      World world;
+      set_up_measured (&world, 100);
+      assert_int_equal (ask_many (&world, 20, FALSE), 20);
+      assert_int_equal (ask_many (&world, 10, FALSE), 0);
+      quince_scheduler_client_gone (world.scheduler, world.now_us, 1);
+      QuinceEngineReport sent = engine ("e", 16);
+      sent.running = rows[i].running;
+      sent.waiting = rows[i].waiting;
+      quince_scheduler_peer_load (world.scheduler, world.now_us, "node-b", "e", rows[i].peers);
+      world.now_us += 2 * SECOND; /* the grants have expired, news of it is under way */
+      report (&world, sent);
+      quince_scheduler_tick (world.scheduler, world.now_us, world.decisions);
+      assert_int_equal (ask_many (&world, 10, FALSE), 0);
+      quince_scheduler_client_gone (world.scheduler, world.now_us, 1);
+      world.now_us += 2 * SECOND;
+      report (&world, sent);
+      quince_scheduler_tick (world.scheduler, world.now_us, world.decisions);
+      guint granted = ask_many (&world, 30, FALSE);
+      if (granted != rows[i].granted)
+        fail_msg ("%s: %u granted", rows[i].name, granted);
+      tear_down (&world);
+    }
+}
+
+/* Without a report since, nothing is known of them: they count. */
+static void
+test_grants_without_an_end_need_a_report (void **state)
+{
+  World world;
+  set_up_measured (&world, 100);
+  assert_int_equal (ask_many (&world, 20, FALSE), 20);
+  world.now_us += 4 * SECOND;
+  quince_scheduler_tick (world.scheduler, world.now_us, world.decisions);
+  assert_int_equal (ask_many (&world, 1, FALSE), 0);
+  tear_down (&world);
+}
+
+/* An end that is told after all still counts for its member, and frees nothing twice. */
+static void
+test_late_end (void **state)
+{
+  World world;
+  set_up_measured (&world, 100);
+  QuinceGrantRequest request = lookup (&world, "member-a");
+  ask (&world, &request);
+  guint64 grant_id = expect_grant (&world).grant_id;
+  for (guint i = 0; i < 4; i++)
+    {
+      world.now_us += SECOND;
+      report (&world, engine ("e", 16));
+      quince_scheduler_tick (world.scheduler, world.now_us, world.decisions);
+    }
+  assert_int_equal (counters (&world).outstanding, 1);
+  end (&world, grant_id, QUINCE_OUTCOME_FINISHED, 100);
+  assert_int_equal (counters (&world).finished, 2);
+  assert_int_equal (counters (&world).outstanding, 0);
+  assert_int_equal (ask_many (&world, 30, FALSE), 20);
+  tear_down (&world);
+}
+
 /* ---- Burst: three nodes before one engine, news of each other late ------------ */
 
 #define NODES 3
@@ -301,6 +383,9 @@
     cmocka_unit_test (test_engine_queue_takes_from_the_extra_places),
     cmocka_unit_test (test_share_among_nodes),
     cmocka_unit_test (test_no_share_without_other_nodes),
+    cmocka_unit_test (test_grants_without_an_end),
+    cmocka_unit_test (test_grants_without_an_end_need_a_report),
+    cmocka_unit_test (test_late_end),
     cmocka_unit_test (test_burst_leaves_no_place_empty),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
