Scheduler: Lookups are judged by how long Lookups hold a place

Cause: three faults of what is refused and what is run in vain. The service time of a queue was one mean of Lookups and rollouts, so that long rollouts had Lookups refused or given up at once. It was the agent's measure, without the ways to the engine and back. And a request was given the last useful start of the moment it came, in a burst before anything was measured, so that many ran past their deadline.

Change: slots and service times by class of work, from the grant to its end as the node sees it; the last useful start is looked at again when the request's turn comes.

Measured: test_lookups_are_judged_by_lookups and test_too_late_to_start_by_now fail before.

--- a/lib/core/scheduling/admission.c
+++ b/lib/core/scheduling/admission.c
@@ -17,10 +17,21 @@
 #define RETRY_TOKENS_MOST 64.0
 #define RETRY_TOKENS_A_SECOND 10.0
 
+/* Of the work that holds slots: its first end is the first departure. */
+static double
+shortest_service_ms (const QuinceDrainMeter *meter)
+{
+  double lookup_ms = quince_drain_meter_service_ms (meter, QUINCE_WORK_LOOKUP);
+  double rollout_ms = quince_drain_meter_service_ms (meter, QUINCE_WORK_ROLLOUT);
+  if (meter->slots[QUINCE_WORK_LOOKUP] == 0)
+    return rollout_ms;
+  return meter->slots[QUINCE_WORK_ROLLOUT] == 0 ? lookup_ms : MIN (lookup_ms, rollout_ms);
+}
+
 void
 quince_drain_meter_update (QuinceDrainMeter *meter, gint64 now_us, guint departures, gboolean backlogged)
 {
-  gint64 first_end_us = meter->began_us + (gint64)(quince_drain_meter_service_ms (meter) * 1000);
+  gint64 first_end_us = meter->began_us + (gint64)(shortest_service_ms (meter) * 1000);
   gint64 since_us = MAX (meter->updated_us, first_end_us);
   double elapsed_s = (double)MAX (now_us - since_us, 0) / G_USEC_PER_SEC;
   if (meter->backlogged && now_us >= first_end_us)
@@ -36,24 +47,30 @@
 }
 
 void
-quince_drain_meter_served (QuinceDrainMeter *meter, guint service_ms)
+quince_drain_meter_served (QuinceDrainMeter *meter, QuinceWorkClass work_class, guint service_ms)
 {
-  if (meter->service_ms == 0)
-    meter->service_ms = MAX (service_ms, 1);
+  double *smoothed = &meter->service_ms[work_class];
+  if (*smoothed == 0)
+    *smoothed = MAX (service_ms, 1);
   else
-    meter->service_ms = MAX (meter->service_ms + SMOOTHING * (service_ms - meter->service_ms), 1);
+    *smoothed = MAX (*smoothed + SMOOTHING * (service_ms - *smoothed), 1);
 }
 
 double
-quince_drain_meter_service_ms (const QuinceDrainMeter *meter)
+quince_drain_meter_service_ms (const QuinceDrainMeter *meter, QuinceWorkClass work_class)
 {
-  return meter->service_ms > 0 ? meter->service_ms : ASSUMED_SERVICE_MS;
+  return meter->service_ms[work_class] > 0 ? meter->service_ms[work_class] : ASSUMED_SERVICE_MS;
 }
 
 double
 quince_drain_meter_rate (const QuinceDrainMeter *meter)
 {
-  double estimated = MAX (meter->slots, 1) * 1000.0 / quince_drain_meter_service_ms (meter);
+  guint lookups = meter->slots[QUINCE_WORK_LOOKUP];
+  guint rollouts = meter->slots[QUINCE_WORK_ROLLOUT];
+  if (lookups + rollouts == 0)
+    lookups = 1;
+  double estimated = lookups * 1000.0 / quince_drain_meter_service_ms (meter, QUINCE_WORK_LOOKUP)
+                     + rollouts * 1000.0 / quince_drain_meter_service_ms (meter, QUINCE_WORK_ROLLOUT);
   return (meter->departures + estimated * PRIOR_S) / (meter->backlogged_s + PRIOR_S);
 }
 
--- a/lib/core/scheduling/admission.h
+++ b/lib/core/scheduling/admission.h
@@ -5,12 +5,15 @@
  * The drain rate of a queue is measured from what leaves it while it is
  * backlogged, but for its first service time, in which the runs that fill the
  * places have yet to end.  Until there is enough of that, Little's law gives
- * it: slots held by this node over the smoothed service time.
+ * it: slots held by this node over the smoothed service time, summed over the
+ * classes of work.
  */
 #pragma once
 
 #include <quince/scheduler.h>
 
+#define QUINCE_WORK_CLASSES 2
+
 /* Drain of one service's queue; owned by its service queue. */
 typedef struct
 {
@@ -18,20 +21,22 @@
   double backlogged_s; /* time backlogged, decaying   */
   gint64 updated_us;
   gboolean backlogged;
-  gint64 began_us;       /* of the backlog              */
-  double service_ms;     /* smoothed service time; 0: not measured */
-  guint slots;           /* that this node holds now    */
-  gint64 next_return_us; /* when the last one refused was told to return */
-  guint64 refusals;      /* seeds the spread            */
+  gint64 began_us; /* of the backlog              */
+  /* By QuinceWorkClass: a rollout may run a thousand times as long as a Lookup. */
+  double service_ms[QUINCE_WORK_CLASSES]; /* smoothed, from grant to end; 0: not measured */
+  guint slots[QUINCE_WORK_CLASSES];       /* that this node holds now */
+  gint64 next_return_us;                  /* when the last one refused was told to return */
+  guint64 refusals;                       /* seeds the spread            */
 } QuinceDrainMeter;
 
 /* Tells the meter whether something waits, and how many just left the queue. */
 void
 quince_drain_meter_update (QuinceDrainMeter *meter, gint64 now_us, guint departures, gboolean backlogged);
-void quince_drain_meter_served (QuinceDrainMeter *meter, guint service_ms);
+void quince_drain_meter_served (QuinceDrainMeter *meter, QuinceWorkClass work_class, guint service_ms);
 /* Requests a second, always above 0. */
 double quince_drain_meter_rate (const QuinceDrainMeter *meter);
-double quince_drain_meter_service_ms (const QuinceDrainMeter *meter);
+/* Assumed until it is measured. */
+double quince_drain_meter_service_ms (const QuinceDrainMeter *meter, QuinceWorkClass work_class);
 
 /* Time until @ahead requests have left the queue. */
 guint quince_admission_wait_ms (const QuinceDrainMeter *meter, guint ahead);
--- a/lib/core/scheduling/grants.h
+++ b/lib/core/scheduling/grants.h
@@ -28,6 +28,8 @@
   guint64 policy_revision;
   gint priority;
   guint64 min_version;
+  QuinceWorkClass work_class;
+  gint64 granted_us;
   gint64 expires_us;
   gboolean ended;
   gboolean overdue;   /* counted as such by its engine          */
--- a/lib/core/scheduling/placement.c
+++ b/lib/core/scheduling/placement.c
@@ -186,13 +186,15 @@
   QuinceGrantEntry *entry
       = quince_grant_table_add (scheduler->grants, &placement->key, engine,
                                 MIN (now_us + grant_us, placement->deadline_us), abandon_us);
+  entry->granted_us = now_us;
   entry->granted_at_report = quince_engine_granted (engine, candidate->prefix_match);
   entry->count = quince_service_counts_get (scheduler->counts, request->member, request->kind);
   entry->service = placement->service;
   entry->policy_revision = scheduler->decider.revision;
   entry->priority = placement->priority;
   entry->min_version = placement->min_version;
-  placement->service->meter.slots++;
+  entry->work_class = request->work_class;
+  placement->service->meter.slots[entry->work_class]++;
   quince_prefix_index_store (scheduler->prefixes, engine->prefix_slot, request->prefix.prefix_val,
                              MIN (request->prefix.prefix_len, QUINCE_MAX_PREFIX));
   scheduler->counters.granted++;
--- a/lib/core/scheduling/queueing.c
+++ b/lib/core/scheduling/queueing.c
@@ -16,10 +16,11 @@
 
 /* Half the usual service time before the deadline: later it would run in vain. */
 static gint64
-last_useful_start_us (const QuincePlacement *placement, gint64 now_us)
+last_useful_start_us (const QuinceServiceQueue *service,
+                      const QuinceGrantRequest *request,
+                      gint64 deadline_us)
 {
-  gint64 half_us = (gint64)(placement->service->meter.service_ms * 1000 / 2);
-  return MAX (placement->deadline_us - half_us, now_us + 1);
+  return deadline_us - (gint64)(service->meter.service_ms[request->work_class] * 1000 / 2);
 }
 
 void
@@ -40,7 +41,9 @@
   scheduler->sequence++;
   quince_drain_meter_update (&placement->service->meter, now_us, 0, TRUE);
   quince_fair_queue_push (placement->service->queue, waiting, scheduler->sequence);
-  quince_heap_push (&scheduler->deadlines, &waiting->expiry, last_useful_start_us (placement, now_us),
+  gint64 last_start_us
+      = last_useful_start_us (placement->service, placement->request, placement->deadline_us);
+  quince_heap_push (&scheduler->deadlines, &waiting->expiry, MAX (last_start_us, now_us + 1),
                     scheduler->sequence);
   g_hash_table_insert (scheduler->waiting, &waiting->key, waiting);
 }
@@ -114,6 +117,13 @@
   quince_fair_queue_begin (service->queue);
   while (departures < view.free_slots && (waiting = quince_fair_queue_next (service->queue)) != NULL)
     {
+      /* Work may take longer than when it came. */
+      if (now_us > last_useful_start_us (service, waiting->request, waiting->deadline_us))
+        {
+          quince_queue_refuse (scheduler, now_us, waiting, QUINCE_REFUSAL_DEADLINE,
+                               "waited until it could not finish in time", decisions);
+          continue;
+        }
       if (!place_waiting (scheduler, now_us, waiting, decisions))
         {
           quince_fair_queue_pass_over (service->queue, waiting);
--- a/lib/core/scheduling/requests.c
+++ b/lib/core/scheduling/requests.c
@@ -88,7 +88,7 @@
   const char *member = placement->request->member;
   guint ahead = quince_fair_queue_ahead (service->queue, placement->priority, member);
   double need_ms = quince_admission_wait_ms (&service->meter, ahead + 1)
-                   + quince_drain_meter_service_ms (&service->meter);
+                   + quince_drain_meter_service_ms (&service->meter, placement->request->work_class);
   if (now_us + need_ms * 1000 > placement->deadline_us)
     return "cannot finish before its deadline";
   if (!quince_admission_has_room (scheduler->limits.queue_most, g_hash_table_size (scheduler->waiting),
--- a/lib/core/scheduling/scheduler.c
+++ b/lib/core/scheduling/scheduler.c
@@ -114,7 +114,7 @@
     quince_engine_overdue_ended (grant->engine);
   else
     quince_engine_ended (grant->engine, grant->granted_at_report, dispatched);
-  service->meter.slots--;
+  service->meter.slots[grant->work_class]--;
 }
 
 /* It expired and no end was told.  Its engine's report says from now on whether it
@@ -152,6 +152,13 @@
     }
 }
 
+/* From the grant to its end: the ways to the engine and back are in it, unlike what the agent measured. */
+static guint
+held_ms (const QuinceGrantEntry *grant, gint64 now_us)
+{
+  return (guint)CLAMP ((now_us - grant->granted_us) / 1000, 0, G_MAXINT);
+}
+
 static void
 learn_from_end (QuinceScheduler *scheduler, gint64 now_us, QuinceGrantEntry *grant, const QuinceGrantEnd *end)
 {
@@ -162,7 +169,8 @@
     case QUINCE_OUTCOME_FINISHED:
       scheduler->counters.finished++;
       quince_engine_served (grant->engine, end->service_ms);
-      quince_drain_meter_served (&service->meter, end->service_ms);
+      quince_drain_meter_served (&service->meter, grant->work_class,
+                                 MAX (end->service_ms, held_ms (grant, now_us)));
       count->on_time += end->on_time ? 1 : 0;
       count->late += end->on_time ? 0 : 1;
       count->tokens_on_time += end->on_time ? end->tokens : 0;
--- a/tests/unit/test-scheduler-overload.c
+++ b/tests/unit/test-scheduler-overload.c
@@ -113,6 +113,56 @@
   tear_down (&world);
 }
 
+/* Rollouts run long: a Lookup on the same engine does not wait for as long. */
+static void
+test_lookups_are_judged_by_lookups (void **state)
+{
+  World world;
+  set_up (&world, &quince_scheduler_default_limits);
+  report (&world, engine ("e", 4));
+  QuinceGrantRequest request = rollout (&world);
+  ask (&world, &request);
+  end (&world, expect_grant (&world).grant_id, QUINCE_OUTCOME_FINISHED, 60000);
+  request = lookup (&world, "member-a");
+  ask (&world, &request);
+  end (&world, expect_grant (&world).grant_id, QUINCE_OUTCOME_FINISHED, 100);
+  for (guint i = 0; i < 4; i++)
+    {
+      request = i < 2 ? rollout (&world) : lookup (&world, "member-a");
+      ask (&world, &request);
+      expect_grant (&world);
+    }
+  request = lookup (&world, "member-a");
+  request.deadline_ms = 1000;
+  ask (&world, &request);
+  assert_null (verdict (&world));
+  request = rollout (&world);
+  request.deadline_ms = 10000;
+  ask (&world, &request);
+  expect_refusal (&world, QUINCE_REFUSAL_OVERLOADED);
+  tear_down (&world);
+}
+
+/* Lookups came to take longer while this one waited: it is refused, not run in vain. */
+static void
+test_too_late_to_start_by_now (void **state)
+{
+  World world;
+  set_up (&world, &quince_scheduler_default_limits);
+  report (&world, engine ("e", 1));
+  QuinceGrantRequest request = lookup (&world, "member-a");
+  ask (&world, &request);
+  guint64 grant_id = expect_grant (&world).grant_id;
+  request = lookup (&world, "member-a");
+  request.deadline_ms = 1000;
+  ask (&world, &request);
+  assert_null (verdict (&world));
+  world.now_us += 800 * 1000;
+  end (&world, grant_id, QUINCE_OUTCOME_FINISHED, 100); /* the ways took the rest of 800 ms */
+  expect_refusal (&world, QUINCE_REFUSAL_DEADLINE);
+  tear_down (&world);
+}
+
 /* A slot that another node gave back goes to who waits, not to who comes. */
 static void
 test_newcomer_does_not_overtake (void **state)
@@ -162,9 +212,14 @@
 main (void)
 {
   const struct CMUnitTest tests[] = {
-    cmocka_unit_test (test_overload),          cmocka_unit_test (test_deadline_in_the_queue),
-    cmocka_unit_test (test_too_late_to_start), cmocka_unit_test (test_newcomer_does_not_overtake),
-    cmocka_unit_test (test_retry_budget),      cmocka_unit_test (test_no_early_refusal_before_the_first_end),
+    cmocka_unit_test (test_overload),
+    cmocka_unit_test (test_deadline_in_the_queue),
+    cmocka_unit_test (test_too_late_to_start),
+    cmocka_unit_test (test_newcomer_does_not_overtake),
+    cmocka_unit_test (test_retry_budget),
+    cmocka_unit_test (test_no_early_refusal_before_the_first_end),
+    cmocka_unit_test (test_lookups_are_judged_by_lookups),
+    cmocka_unit_test (test_too_late_to_start_by_now),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
