--- a/lib/core/scheduling/placement.c
+++ b/lib/core/scheduling/placement.c
@@ -23,9 +23,19 @@
   return now_us >= scheduler->event_start_us - EVENT_LEAD_US && now_us < scheduler->event_end_us;
 }
 
+/* A rollout in an engine's queue would take the extra places from Lookups. */
+static QuinceRoomQuery
+room_query (const QuinceScheduler *scheduler, gboolean rollout)
+{
+  return (QuinceRoomQuery){ .overcommit = scheduler->limits.overcommit,
+                            .engine_wait_ms = scheduler->limits.engine_wait_ms,
+                            .may_queue = !rollout };
+}
+
 void
 quince_service_view (QuinceScheduler *scheduler, gint64 now_us, const char *service, QuinceServiceView *view)
 {
+  QuinceRoomQuery room = room_query (scheduler, FALSE);
   *view = (QuinceServiceView){ .engines = quince_engine_table_of_service (scheduler->engines, service) };
   if (view->engines == NULL)
     return;
@@ -38,7 +48,7 @@
           continue;
         }
       view->usable++;
-      view->free_slots += quince_engine_free_slots (engine);
+      view->free_slots += quince_engine_room (engine, &room);
       view->newest_version = MAX (view->newest_version, engine->weight_version);
       view->reachable_version
           = MAX (view->reachable_version, MAX (engine->weight_version, engine->target_version));
@@ -171,17 +181,20 @@
   QuinceEngine *engine = candidate->engine;
   gint64 grant_us = (gint64)scheduler->limits.grant_ms * 1000;
   /* An answer is cut at its deadline, so a slot is not held long after it. */
-  gint64 forget_us
+  gint64 abandon_us
       = MIN (now_us + (gint64)scheduler->limits.abandon_ms * 1000, placement->deadline_us + grant_us);
-  QuinceGrantEntry *entry = quince_grant_table_add (scheduler->grants, &placement->key, engine, forget_us);
+  QuinceGrantEntry *entry
+      = quince_grant_table_add (scheduler->grants, &placement->key, engine,
+                                MIN (now_us + grant_us, placement->deadline_us), abandon_us);
+  entry->granted_us = now_us;
   entry->granted_at_report = quince_engine_granted (engine, candidate->prefix_match);
   entry->count = quince_service_counts_get (scheduler->counts, request->member, request->kind);
   entry->service = placement->service;
   entry->policy_revision = scheduler->decider.revision;
   entry->priority = placement->priority;
   entry->min_version = placement->min_version;
-  entry->expires_us = MIN (now_us + grant_us, placement->deadline_us);
-  placement->service->meter.slots++;
+  entry->work_class = request->work_class;
+  placement->service->meter.slots[entry->work_class]++;
   quince_prefix_index_store (scheduler->prefixes, engine->prefix_slot, request->prefix.prefix_val,
                              MIN (request->prefix.prefix_len, QUINCE_MAX_PREFIX));
   scheduler->counters.granted++;
@@ -206,6 +219,7 @@
     .request = placement->request,
     .min_version = placement->min_version,
     .keep_reserve = rollout && event_is_near (scheduler, now_us),
+    .room = room_query (scheduler, rollout),
     .seed = quince_spread (scheduler->seed, quince_attempt_key_hash (&placement->key)),
     .most = scheduler->limits.candidates,
   };
