Proxy: cuts between two sets of processes, in both directions

Cause: a route is what reaches one process, whoever sends; a cut between one pair, or of a zone whose processes still hear each other, could not be made.

Ruled out: a route for each pair, since a node advertises one address to all; the sender by its HELLO, since HTTP has none and the proxy would need the protocol; one source address a process, since the kernel takes 127.0.0.1 for every loopback destination; /proc/net/tcp, which took 0.25 to 0.5 s a read with 137,000 sockets on the machine.

Change: POST /routes/N/blocked names process ids. The kernel's socket diagnostics tell the socket at the other end of a connection, /proc/PID/fd who holds it; for datagrams /proc/net/udp. The cluster kit's quince_cluster_separate() and _reunite() use it, and count what was held.

--- a/rehearsal/kit/cluster-routes.c
+++ b/rehearsal/kit/cluster-routes.c
@@ -74,3 +74,59 @@
 {
   return node->kv_route_number >= 0 && post (cluster, node->kv_route_number, "faults", faults);
 }
+
+/* ---- Separations ------------------------------------------------------------ */
+
+static char *
+list_processes (GPtrArray *parts)
+{
+  GString *text = g_string_new ("{\"processes\":[");
+  for (guint i = 0; i < parts->len; i++)
+    {
+      const QuinceClusterPart *part = parts->pdata[i];
+      g_string_append_printf (text, "%s%u", i > 0 ? "," : "", quince_process_get_id (part->process));
+    }
+  g_string_append (text, "]}");
+  return g_string_free (text, FALSE);
+}
+
+/* The routes of @receivers carry nothing for the processes that @body lists. */
+static gboolean
+block (QuinceCluster *cluster, GPtrArray *receivers, const char *body)
+{
+  for (guint i = 0; i < receivers->len; i++)
+    {
+      const QuinceClusterPart *part = receivers->pdata[i];
+      if ((part->route_number >= 0 && !post (cluster, part->route_number, "blocked", body))
+          || (part->gossip_route_number >= 0 && !post (cluster, part->gossip_route_number, "blocked", body)))
+        return FALSE;
+    }
+  return TRUE;
+}
+
+gboolean
+quince_cluster_separate (QuinceCluster *cluster, GPtrArray *some, GPtrArray *others)
+{
+  g_autofree char *first = list_processes (some);
+  g_autofree char *second = list_processes (others);
+  return block (cluster, others, first) && block (cluster, some, second);
+}
+
+gint64
+quince_cluster_count_held (QuinceCluster *cluster)
+{
+  QuinceClusterPart *proxy = quince_cluster_get (cluster, QUINCE_PART_PROXY, 0);
+  g_autoptr (JsonNode) answer = NULL;
+  quince_http_sync (proxy->control, "/routes", NULL, CALL_TIMEOUT_MS, &answer);
+  JsonArray *routes = quince_json_dig_array (answer, "routes");
+  gint64 count = 0;
+  for (guint i = 0; routes != NULL && i < json_array_get_length (routes); i++)
+    count += quince_json_dig_int (json_array_get_element (routes, i), "blocked", 0);
+  return count;
+}
+
+gboolean
+quince_cluster_reunite (QuinceCluster *cluster)
+{
+  return block (cluster, cluster->parts, "{\"processes\":[]}");
+}
--- a/rehearsal/kit/cluster.h
+++ b/rehearsal/kit/cluster.h
@@ -112,6 +112,16 @@
 /* The same for a node's own route to the key-value service. */
 gboolean quince_cluster_set_kv_faults (QuinceCluster *cluster, QuinceClusterPart *node, const char *faults);
 
+/* Cuts all that goes between the processes of @some and of @others (QuinceClusterPart), in both directions,
+ * as if their network were gone: nothing arrives, nothing is refused.  Parts of both may still be reached by
+ * the rest.  Platform services have no side; see quince_cluster_set_kv_faults(). */
+gboolean quince_cluster_separate (QuinceCluster *cluster, GPtrArray *some, GPtrArray *others);
+/* Connections, and senders of datagrams, that separations have held so far; 0 also when the proxy does not
+ * answer. */
+gint64 quince_cluster_count_held (QuinceCluster *cluster);
+/* Ends all separations.  What was on its way arrives then. */
+gboolean quince_cluster_reunite (QuinceCluster *cluster);
+
 /* Polls GET @path until it answers @status; FALSE when it does not in @timeout_ms. */
 gboolean quince_cluster_await_status (const char *address, const char *path, guint status, guint timeout_ms);
 /* The node that leads the ledger, by the nodes' own word; NULL when none within @timeout_ms. */
--- a/rehearsal/kit/process.c
+++ b/rehearsal/kit/process.c
@@ -170,6 +170,12 @@
   return text;
 }
 
+guint
+quince_process_get_id (const QuinceProcess *process)
+{
+  return (guint)process->pid;
+}
+
 static char *
 read_proc (QuinceProcess *process, const char *file)
 {
--- a/rehearsal/kit/process.h
+++ b/rehearsal/kit/process.h
@@ -39,6 +39,7 @@
 /* Value of @key in the ready line, "" when absent. */
 const char *quince_process_get (const QuinceProcess *process, const char *key);
 gboolean quince_process_is_running (QuinceProcess *process);
+guint quince_process_get_id (const QuinceProcess *process);
 /* Resident memory in bytes, and processor time in microseconds; 0 when ended. */
 guint64 quince_process_get_memory (QuinceProcess *process);
 guint64 quince_process_get_cpu_us (QuinceProcess *process);
--- a/rehearsal/proxy-tcp.c
+++ b/rehearsal/proxy-tcp.c
@@ -49,7 +49,8 @@
   GSocket *upstream;   /* owned */
   GSource *connecting; /* set until the upstream has answered */
   gboolean connected;
-  guint64 bytes; /* passed in both directions */
+  gboolean blocked; /* by its sender: nothing is read or written */
+  guint64 bytes;    /* passed in both directions */
   Pump up;
   Pump down;
 };
@@ -59,6 +60,7 @@
   char *address;             /* actual ip:port                      */
   GSocketAddress *upstream;  /* owned                               */
   const ProxyFaults *faults; /* the route's                         */
+  ProxySenders *senders;     /* the route's */
   ProxyCounters *counters;   /* the route's                         */
   GSocket *listener;         /* owned; NULL while the route is cut  */
   GSource *acceptable;
@@ -108,6 +110,14 @@
   tunnel_close (tunnel, TRUE);
 }
 
+static void
+tunnel_judge_sender (Tunnel *tunnel)
+{
+  ProxyTcp *proxy = tunnel->proxy;
+  tunnel->blocked = proxy_senders_block_connection (proxy->senders, tunnel->client);
+  proxy->counters->blocked += tunnel->blocked ? 1 : 0;
+}
+
 /* ---- Pumps ---- */
 
 /* Returns: FALSE when the tunnel is gone */
@@ -246,7 +256,7 @@
 static void
 pump_update (Pump *pump)
 {
-  gboolean frozen = pump->tunnel->proxy->faults->freeze;
+  gboolean frozen = pump->tunnel->proxy->faults->freeze || pump->tunnel->blocked;
   gboolean ready = pump->tunnel->connected && !frozen;
   const Piece *first = g_queue_peek_head (&pump->pieces);
   gint64 wait_us = first != NULL ? first->due_us - quince_now_us () : 0;
@@ -307,6 +317,8 @@
   tunnel->proxy = proxy;
   tunnel->client = client;
   tunnel->upstream = upstream;
+  proxy_senders_refresh (proxy->senders);
+  tunnel_judge_sender (tunnel);
   pump_init (&tunnel->up, tunnel, TRUE);
   pump_init (&tunnel->down, tunnel, FALSE);
   g_ptr_array_add (proxy->tunnels, tunnel);
@@ -356,6 +368,7 @@
 proxy_tcp_new (const char *listen,
                const char *upstream,
                const ProxyFaults *faults,
+               ProxySenders *senders,
                ProxyCounters *counters,
                GError **error)
 {
@@ -365,6 +378,7 @@
   ProxyTcp *proxy = g_new0 (ProxyTcp, 1);
   proxy->upstream = g_steal_pointer (&upstream_address);
   proxy->faults = faults;
+  proxy->senders = senders;
   proxy->counters = counters;
   proxy->tunnels = g_ptr_array_new ();
   if (listen_on (proxy, listen, error))
@@ -444,6 +458,12 @@
     }
   if (proxy->listener == NULL)
     listen_again (proxy);
+  proxy_senders_refresh (proxy->senders);
+  for (guint i = 0; i < proxy->tunnels->len; i++)
+    {
+      Tunnel *tunnel = g_ptr_array_index (proxy->tunnels, i);
+      tunnel_judge_sender (tunnel);
+    }
   for (guint i = proxy->tunnels->len; i > 0; i--)
     {
       Tunnel *tunnel = g_ptr_array_index (proxy->tunnels, i - 1);
--- a/rehearsal/proxy-udp.c
+++ b/rehearsal/proxy-udp.c
@@ -18,6 +18,7 @@
   GSocketAddress *address; /* owned; the client's             */
   GSocket *socket;         /* owned; connected to the upstream */
   GSource *readable;
+  gboolean blocked; /* nothing is passed, either way */
 } UdpClient;
 
 struct _ProxyUdp
@@ -25,6 +26,7 @@
   char *address;
   GSocketAddress *upstream;  /* owned       */
   const ProxyFaults *faults; /* the route's */
+  ProxySenders *senders;     /* the route's */
   ProxyCounters *counters;   /* the route's */
   GSocket *socket;           /* owned       */
   GSource *readable;
@@ -75,7 +77,7 @@
 take_datagram (UdpClient *client, gboolean up, const char *data, gsize length)
 {
   ProxyUdp *proxy = client->proxy;
-  if (is_lost (proxy, up))
+  if (client->blocked || is_lost (proxy, up))
     {
       proxy->counters->dropped++;
       return;
@@ -113,6 +115,14 @@
   return source;
 }
 
+static void
+judge_sender (UdpClient *client)
+{
+  ProxyUdp *proxy = client->proxy;
+  client->blocked = proxy_senders_block_datagrams (proxy->senders, client->address);
+  proxy->counters->blocked += client->blocked ? 1 : 0;
+}
+
 static UdpClient *
 find_client (ProxyUdp *proxy, GSocketAddress *address)
 {
@@ -132,6 +142,8 @@
   client->proxy = proxy;
   client->address = g_object_ref (address);
   client->socket = socket;
+  proxy_senders_refresh (proxy->senders);
+  judge_sender (client);
   client->readable = watch_socket (socket, on_answer, client);
   g_hash_table_insert (proxy->clients, g_steal_pointer (&key), client);
   proxy->counters->connections++;
@@ -155,6 +167,7 @@
 proxy_udp_new (const char *listen,
                const char *upstream,
                const ProxyFaults *faults,
+               ProxySenders *senders,
                ProxyCounters *counters,
                GError **error)
 {
@@ -168,6 +181,7 @@
   proxy->address = actual;
   proxy->upstream = g_steal_pointer (&upstream_address);
   proxy->faults = faults;
+  proxy->senders = senders;
   proxy->counters = counters;
   proxy->socket = socket;
   proxy->readable = watch_socket (socket, on_datagram, proxy);
@@ -188,6 +202,20 @@
   return TRUE;
 }
 
+void
+proxy_udp_senders_changed (ProxyUdp *proxy)
+{
+  GHashTableIter iter;
+  gpointer value;
+  proxy_senders_refresh (proxy->senders);
+  g_hash_table_iter_init (&iter, proxy->clients);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      UdpClient *client = value;
+      judge_sender (client);
+    }
+}
+
 const char *
 proxy_udp_get_address (ProxyUdp *proxy)
 {
--- a/rehearsal/proxy.c
+++ b/rehearsal/proxy.c
@@ -6,6 +6,7 @@
  *   POST /routes             {"listen":"127.0.0.1:0","upstream":"IP:PORT","kind":"tcp"|"udp"}
  *   POST /routes/N/faults    sets faults of one route; GET reads them
  *   POST /routes/N/upstream  {"upstream":"IP:PORT"} moves a route
+ *   POST /routes/N/blocked   {"processes":[PID,..]} carries nothing from or to these processes
  *   POST /_faults            sets faults of every route
  */
 #include "proxy.h"
@@ -40,9 +41,10 @@
 
 typedef struct
 {
-  char *upstream; /* owned                          */
-  ProxyTcp *tcp;  /* owned; NULL for a UDP route    */
-  ProxyUdp *udp;  /* owned; NULL for a TCP route    */
+  char *upstream;        /* owned                          */
+  ProxyTcp *tcp;         /* owned; NULL for a UDP route    */
+  ProxyUdp *udp;         /* owned; NULL for a TCP route    */
+  ProxySenders *senders; /* owned */
   ProxyFaults faults;
   ProxyCounters counters;
 } Route;
@@ -94,12 +96,14 @@
 add_route (Proxy *proxy, const char *kind, const char *listen, const char *upstream, GError **error)
 {
   Route *route = g_new0 (Route, 1);
+  route->senders = proxy_senders_new ();
   if (g_str_equal (kind, "udp"))
-    route->udp = proxy_udp_new (listen, upstream, &route->faults, &route->counters, error);
+    route->udp = proxy_udp_new (listen, upstream, &route->faults, route->senders, &route->counters, error);
   else
-    route->tcp = proxy_tcp_new (listen, upstream, &route->faults, &route->counters, error);
+    route->tcp = proxy_tcp_new (listen, upstream, &route->faults, route->senders, &route->counters, error);
   if (route->tcp == NULL && route->udp == NULL)
     {
+      proxy_senders_free (route->senders);
       g_free (route);
       return NULL;
     }
@@ -112,15 +116,15 @@
 append_route (GString *text, const Route *route, guint number)
 {
   const ProxyCounters *counters = &route->counters;
-  g_string_append_printf (text,
-                          "{\"route\":%u,\"kind\":\"%s\",\"listen\":\"%s\",\"upstream\":\"%s\",\"open\":%u,"
-                          "\"connections\":%" G_GUINT64_FORMAT ",\"cut\":%" G_GUINT64_FORMAT
-                          ",\"failed\":%" G_GUINT64_FORMAT ",\"bytes_up\":%" G_GUINT64_FORMAT
-                          ",\"bytes_down\":%" G_GUINT64_FORMAT ",\"dropped\":%" G_GUINT64_FORMAT "}",
-                          number, route->tcp != NULL ? "tcp" : "udp", route_address (route), route->upstream,
-                          route->tcp != NULL ? proxy_tcp_get_open (route->tcp) : 0, counters->connections,
-                          counters->cut, counters->failed, counters->bytes_up, counters->bytes_down,
-                          counters->dropped);
+  g_string_append_printf (
+      text,
+      "{\"route\":%u,\"kind\":\"%s\",\"listen\":\"%s\",\"upstream\":\"%s\",\"open\":%u,"
+      "\"connections\":%" G_GUINT64_FORMAT ",\"cut\":%" G_GUINT64_FORMAT ",\"failed\":%" G_GUINT64_FORMAT
+      ",\"blocked\":%" G_GUINT64_FORMAT ",\"bytes_up\":%" G_GUINT64_FORMAT
+      ",\"bytes_down\":%" G_GUINT64_FORMAT ",\"dropped\":%" G_GUINT64_FORMAT "}",
+      number, route->tcp != NULL ? "tcp" : "udp", route_address (route), route->upstream,
+      route->tcp != NULL ? proxy_tcp_get_open (route->tcp) : 0, counters->connections, counters->cut,
+      counters->failed, counters->blocked, counters->bytes_up, counters->bytes_down, counters->dropped);
 }
 
 static char *
@@ -215,6 +219,32 @@
   quince_standin_reply_text (message, 200, g_strdup ("{}"));
 }
 
+static void
+handle_route_blocked (Proxy *proxy, SoupServerMessage *message, Route *route)
+{
+  g_autoptr (JsonNode) body = quince_http_read_object (message);
+  if (body == NULL)
+    return;
+  JsonNode *member = json_object_get_member (json_node_get_object (body), "processes");
+  if (member == NULL || !JSON_NODE_HOLDS_ARRAY (member))
+    {
+      quince_http_reply_error (message, 400, "bad_request", "processes is no list", -1, -1);
+      return;
+    }
+  JsonArray *listed = json_node_get_array (member);
+  g_autoptr (GArray) processes = g_array_new (FALSE, FALSE, sizeof (guint));
+  for (guint i = 0; i < json_array_get_length (listed); i++)
+    {
+      guint process = (guint)json_array_get_int_element (listed, i);
+      g_array_append_val (processes, process);
+    }
+  proxy_senders_set_blocked (route->senders, processes);
+  if (route->udp != NULL)
+    proxy_udp_senders_changed (route->udp);
+  route_faults_changed (route);
+  quince_standin_reply_text (message, 200, g_strdup ("{}"));
+}
+
 /* The route of "/routes/N/" and @call, or NULL. */
 static Route *
 find_route (Proxy *proxy, const char *path, const char *call)
@@ -234,10 +264,13 @@
   Proxy *proxy = self;
   Route *route = find_route (proxy, path, "/faults");
   Route *moved = find_route (proxy, path, "/upstream");
+  Route *blocked = find_route (proxy, path, "/blocked");
   if (route != NULL)
     handle_route_faults (proxy, message, route);
   else if (moved != NULL)
     handle_route_upstream (proxy, message, moved);
+  else if (blocked != NULL)
+    handle_route_blocked (proxy, message, blocked);
   else if (!g_str_equal (path, "/routes"))
     return FALSE;
   else if (soup_server_message_get_method (message) == SOUP_METHOD_POST)
--- a/tests/contract/test-standin-network.c
+++ b/tests/contract/test-standin-network.c
@@ -5,6 +5,7 @@
 #include "standin-fixture.h"
 
 #include <stdlib.h>
+#include <unistd.h>
 
 #include <quince/http.h>
 #include <quince/request-id.h>
@@ -52,6 +53,40 @@
   standin_stop (upstream);
 }
 
+/* One sender alone is cut off; the connections it has are held, not closed. */
+static void
+blocked_senders_are_held (void **state)
+{
+  Standin *upstream = STANDIN_START ("scorer");
+  g_autofree char *flag = g_strdup_printf ("127.0.0.1:0=%s", upstream->http);
+  Standin *proxy = STANDIN_START ("proxy", "--route", flag);
+  g_autofree char *routes = find_value (proxy->ready, "routes=");
+  g_autofree char *address = g_strndup (routes, strcspn (routes, "="));
+  g_autofree char *self = g_strdup_printf ("{\"processes\":[1,%d]}", (int)getpid ());
+  const struct
+  {
+    const char *body;
+    guint status;
+    gboolean passes;
+  } cases[] = { { self, 200, FALSE },
+                { "{\"processes\":[1]}", 200, TRUE },
+                { self, 200, FALSE },
+                { "{\"processes\":1}", 400, FALSE },
+                { "{\"processes\":[]}", 200, TRUE } };
+  for (guint i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      g_auto (Answer) set = call (proxy->http, "/routes/0/blocked", cases[i].body);
+      assert_int_equal (set.status, cases[i].status);
+      guint seconds = cases[i].passes ? WAIT_SECONDS : SILENCE_SECONDS;
+      g_auto (Answer) answer = call_for (address, "/score", "{\"sample_id\":\"a\",\"text\":\"b\"}", seconds);
+      if ((answer.status == 200) != cases[i].passes)
+        fail_msg ("case %u: %u", i, answer.status);
+    }
+  assert_true (records_contain (proxy, "\"cut\":0"));
+  standin_stop (proxy);
+  standin_stop (upstream);
+}
+
 static void
 open_connections_meet_faults (void **state)
 {
@@ -323,9 +358,10 @@
 main (void)
 {
   const struct CMUnitTest tests[] = {
-    cmocka_unit_test (tcp_routes_meet_faults),    cmocka_unit_test (open_connections_meet_faults),
-    cmocka_unit_test (frozen_bytes_arrive_later), cmocka_unit_test (udp_routes_pass_delay_and_lose),
-    cmocka_unit_test (bad_routes_are_refused),    cmocka_unit_test (trainer_tells_what_it_got),
+    cmocka_unit_test (tcp_routes_meet_faults),         cmocka_unit_test (blocked_senders_are_held),
+    cmocka_unit_test (open_connections_meet_faults),   cmocka_unit_test (frozen_bytes_arrive_later),
+    cmocka_unit_test (udp_routes_pass_delay_and_lose), cmocka_unit_test (bad_routes_are_refused),
+    cmocka_unit_test (trainer_tells_what_it_got),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
