Scale run: the greatest sender of a phase

Change: each process reports the most bytes that one of its nodes sent since the last report (datagrams with their headers, links' payload); the lines of the steady and churn phases print it as greatest_node_bytes_s.

--- a/rehearsal/hollow-node.c
+++ b/rehearsal/hollow-node.c
@@ -15,6 +15,8 @@
 /* How long a holder of the own zone is awaited before one of another zone is asked. */
 #define REMOTE_FETCH_DELAY_MS 300
 #define FETCH_RETRY_MS 200
+/* IPv4 and UDP headers. */
+#define UDP_HEADER_BYTES 28
 
 struct _QuinceHollowNode
 {
@@ -41,6 +43,7 @@
   char *watched;                     /* name of the member watched; NULL when none */
   guint64 watched_change;            /* membership change that was looked at last */
   QuinceHollowNodeCounters counters; /* of links closed, and datagrams      */
+  guint64 taken_bytes;               /* sent when they were last asked for  */
 };
 
 /* ---- Membership ------------------------------------------------------ */
@@ -394,6 +397,16 @@
   return alive;
 }
 
+guint64
+quince_hollow_node_take_bytes (QuinceHollowNode *node)
+{
+  guint64 sent = quince_datagrams_get_bytes_sent (node->datagrams) + node->counters.link_bytes_sent
+                 + node->counters.datagrams_sent * UDP_HEADER_BYTES;
+  guint64 taken = sent - node->taken_bytes;
+  node->taken_bytes = sent;
+  return taken;
+}
+
 void
 quince_hollow_node_add_counters (QuinceHollowNode *node, QuinceHollowNodeCounters *sum)
 {
--- a/rehearsal/hollow-node.h
+++ b/rehearsal/hollow-node.h
@@ -71,6 +71,8 @@
 /* Calls gone() once, as soon as member @name is dead, leaving or unknown here. */
 void quince_hollow_node_watch (QuinceHollowNode *node, const char *name);
 guint quince_hollow_node_count_alive (QuinceHollowNode *node);
+/* Bytes sent since the last call, with the headers of datagrams. */
+guint64 quince_hollow_node_take_bytes (QuinceHollowNode *node);
 void quince_hollow_node_add_counters (QuinceHollowNode *node, QuinceHollowNodeCounters *sum);
 
 G_END_DECLS
--- a/rehearsal/hollow.c
+++ b/rehearsal/hollow.c
@@ -201,6 +201,7 @@
   guint alive = (guint)g_ascii_strtoull (words[1], NULL, 10);
   QuinceHollowNodeCounters sum = hollow->ended;
   guint agree = 0;
+  guint64 greatest = 0;
   GHashTableIter iter;
   gpointer node;
   g_hash_table_iter_init (&iter, hollow->nodes);
@@ -208,12 +209,14 @@
     {
       quince_hollow_node_add_counters (node, &sum);
       agree += quince_hollow_node_count_alive (node) == alive;
+      guint64 bytes = quince_hollow_node_take_bytes (node);
+      greatest = MAX (greatest, bytes);
     }
-  print_event ("report %u %u %" G_GINT64_FORMAT " %" G_GINT64_FORMAT " %" G_GUINT64_FORMAT
-               " %" G_GUINT64_FORMAT " %" G_GUINT64_FORMAT " %" G_GUINT64_FORMAT " %" G_GUINT64_FORMAT,
-               g_hash_table_size (hollow->nodes), agree, processor_time_us (), resident_kib (),
-               sum.datagrams_sent, sum.gossip_bytes_sent, sum.gossip_bytes_received, sum.link_bytes_sent,
-               sum.malformed);
+  print_event (
+      "report %u %u %" G_GINT64_FORMAT " %" G_GINT64_FORMAT " %" G_GUINT64_FORMAT " %" G_GUINT64_FORMAT
+      " %" G_GUINT64_FORMAT " %" G_GUINT64_FORMAT " %" G_GUINT64_FORMAT " %" G_GUINT64_FORMAT,
+      g_hash_table_size (hollow->nodes), agree, processor_time_us (), resident_kib (), sum.datagrams_sent,
+      sum.gossip_bytes_sent, sum.gossip_bytes_received, sum.link_bytes_sent, sum.malformed, greatest);
 }
 
 static const struct
--- a/rehearsal/hollow.h
+++ b/rehearsal/hollow.h
@@ -8,10 +8,12 @@
  *   offer INDEX REVISION           inforce INDEX REVISION US, from every node that takes it
  *   watch NAME                     gone INDEX NAME US, from every node
  *   report ALIVE                   report NODES AGREE CPU-US RSS-KIB DATAGRAMS SENT RECEIVED LINK MALFORMED
+ * GREATEST
  *
  * SEEDS are gossip addresses separated by commas, "-" for none.  US are
  * microseconds of CLOCK_MONOTONIC.  AGREE counts the nodes that see exactly
- * ALIVE members alive.  At the end of its input the process ends.
+ * ALIVE members alive; GREATEST is the most that one node sent since the last report.  At the end of its
+ * input the process ends.
  */
 #pragma once
 
--- a/rehearsal/scale-cluster.c
+++ b/rehearsal/scale-cluster.c
@@ -124,6 +124,7 @@
   report->bytes_received = g_ascii_strtoll (words[7], NULL, 10);
   report->link_bytes = g_ascii_strtoll (words[8], NULL, 10);
   report->malformed = g_ascii_strtoll (words[9], NULL, 10);
+  report->greatest_bytes = g_ascii_strtoll (words[10], NULL, 10);
   worker->reported = TRUE;
 }
 
@@ -136,7 +137,7 @@
 } events[] = {
   { "started", 3, TRUE, event_started }, { "killed", 3, TRUE, event_stopped },
   { "left", 3, TRUE, event_stopped },    { "inforce", 4, TRUE, event_in_force },
-  { "gone", 4, TRUE, event_gone },       { "report", 10, FALSE, event_report },
+  { "gone", 4, TRUE, event_gone },       { "report", 11, FALSE, event_report },
 };
 
 static void
@@ -375,6 +376,7 @@
   sum->bytes_received += report->bytes_received;
   sum->link_bytes += report->link_bytes;
   sum->malformed += report->malformed;
+  sum->greatest_bytes = MAX (sum->greatest_bytes, report->greatest_bytes);
 }
 
 gboolean
--- a/rehearsal/scale-cluster.h
+++ b/rehearsal/scale-cluster.h
@@ -52,6 +52,7 @@
   gint64 bytes_received; /* UDP payload */
   gint64 link_bytes;     /* TCP payload */
   gint64 malformed;
+  gint64 greatest_bytes; /* sent by one node since the last report, with headers of datagrams */
 } QuinceScaleReport;
 
 typedef struct _QuinceScaleCluster QuinceScaleCluster;
--- a/rehearsal/scale.c
+++ b/rehearsal/scale.c
@@ -73,13 +73,14 @@
   double payload = (double)(after->bytes_sent - before->bytes_sent);
   double links = (double)(after->link_bytes - before->link_bytes);
   double processor = seconds (after->processor_us - before->processor_us);
-  printf ("phase=%s seconds=%.1f wire_bytes_per_node_s=%.0f payload_bytes_per_node_s=%.0f "
+  printf ("phase=%s seconds=%.1f wire_bytes_per_node_s=%.0f greatest_node_bytes_s=%.0f "
+          "payload_bytes_per_node_s=%.0f "
           "datagrams_per_node_s=%.2f policy_bytes_per_node_s=%.0f cpu_percent_per_node=%.3f "
           "rss_kib_per_node=%.0f malformed=%" G_GINT64_FORMAT "\n",
           phase, elapsed, (payload + datagrams * UDP_HEADER_BYTES) / nodes / elapsed,
-          payload / nodes / elapsed, datagrams / nodes / elapsed, links / nodes / elapsed,
-          100 * processor / nodes / elapsed, (double)(after->resident_kib - scale->base_kib) / nodes,
-          after->malformed);
+          (double)after->greatest_bytes / elapsed, payload / nodes / elapsed, datagrams / nodes / elapsed,
+          links / nodes / elapsed, 100 * processor / nodes / elapsed,
+          (double)(after->resident_kib - scale->base_kib) / nodes, after->malformed);
 }
 
 static int
