--- a/rehearsal/hollow-node.c
+++ b/rehearsal/hollow-node.c
@@ -164,8 +164,9 @@
 {
   QuinceHollowNode *node = user_data;
   g_autoptr (QuinceMessage) owned = message;
-  if (message->kind == QUINCE_MESSAGE_POLICY_BODY)
-    quince_hollow_node_offer (node, &message->QuinceMessage_u.policy_body);
+  if (message->kind != QUINCE_MESSAGE_POLICY_BODY)
+    return;
+  quince_hollow_node_offer (node, &message->QuinceMessage_u.policy_body);
   end_fetch (node);
   consider_fetch (node);
 }
@@ -201,12 +202,28 @@
   return chosen;
 }
 
+/* A real node talks only to who greets it. */
+static void
+send_hello (QuinceHollowNode *node)
+{
+  QuinceMessage message = { .kind = QUINCE_MESSAGE_HELLO };
+  QuinceHello *hello = &message.QuinceMessage_u.hello;
+  hello->protocol_version = QUINCE_PROTOCOL_VERSION;
+  hello->role = QUINCE_ROLE_NODE;
+  hello->name = node->name;
+  hello->zone = node->zone;
+  hello->incarnation = quince_membership_get_incarnation (node->membership);
+  hello->policy_revision = quince_policy_register_get (node->policy)->revision;
+  quince_link_send (node->fetch, &message);
+}
+
 static void
 fetch_from (QuinceHollowNode *node, const QuinceMember *holder)
 {
   QuinceMessage request = { .kind = QUINCE_MESSAGE_POLICY_FETCH };
   request.QuinceMessage_u.policy_fetch.at_least = quince_policy_register_get_seen (node->policy);
   node->fetch = quince_link_connect (holder->address, &fetch_callbacks, node);
+  send_hello (node);
   quince_link_send (node->fetch, &request);
 }
 
--- a/rehearsal/scale-cluster.c
+++ b/rehearsal/scale-cluster.c
@@ -252,9 +252,8 @@
 
 /* ---- Commands -------------------------------------------------------- */
 
-/* The first nodes that run, one in each of the first zones. */
-static char *
-list_seeds (QuinceScaleCluster *cluster)
+char *
+quince_scale_cluster_list_seeds (QuinceScaleCluster *cluster)
 {
   g_autoptr (GPtrArray) addresses = g_ptr_array_new ();
   for (guint i = 0; i < cluster->size.nodes && addresses->len < SEEDS; i++)
@@ -268,6 +267,13 @@
   return g_strjoinv (",", (char **)addresses->pdata);
 }
 
+char *
+quince_scale_cluster_name_zone (QuinceScaleCluster *cluster, guint index)
+{
+  guint zone = index % cluster->size.zones;
+  return g_strdup_printf ("region%u-zone%u", zone % cluster->size.regions, zone);
+}
+
 static gboolean
 node_runs (QuinceScaleCluster *cluster, gpointer node)
 {
@@ -278,7 +284,7 @@
 quince_scale_cluster_start_node (QuinceScaleCluster *cluster, guint index)
 {
   QuinceScaleNode *node = &cluster->nodes[index];
-  g_autofree char *seeds = list_seeds (cluster);
+  g_autofree char *seeds = quince_scale_cluster_list_seeds (cluster);
   node->incarnation = MAX ((guint64)g_get_real_time (), node->incarnation + 1);
   node->revision = 0;
   worker_command (worker_of (cluster, index), "start %u %" G_GUINT64_FORMAT " %s", index, node->incarnation,
--- a/rehearsal/scale-cluster.h
+++ b/rehearsal/scale-cluster.h
@@ -67,6 +67,12 @@
 const QuinceScaleNode *quince_scale_cluster_get_node (QuinceScaleCluster *cluster, guint index);
 guint quince_scale_cluster_count_running (QuinceScaleCluster *cluster);
 
+/* Gossip addresses of the first nodes that run, one in each of the first zones, "-" for none. (transfer full)
+ */
+char *quince_scale_cluster_list_seeds (QuinceScaleCluster *cluster);
+/* Zone of node @index. (transfer full) */
+char *quince_scale_cluster_name_zone (QuinceScaleCluster *cluster, guint index);
+
 void quince_scale_cluster_start_node (QuinceScaleCluster *cluster, guint index);
 void quince_scale_cluster_kill_node (QuinceScaleCluster *cluster, guint index);
 void quince_scale_cluster_leave_node (QuinceScaleCluster *cluster, guint index);
--- a/rehearsal/scale-options.c
+++ b/rehearsal/scale-options.c
@@ -15,6 +15,7 @@
   FLAG_PROCESSES,
   FLAG_SEED,
   FLAG_FAILURES,
+  FLAG_REAL,
   FLAG_HOLLOW,
 };
 
@@ -31,6 +32,7 @@
     "nodes; "
     "0: no churn phase (20)",
     0 },
+  { "real", FLAG_REAL, "N", 0, "real node processes beside the hollow nodes, at most 16 (0)", 0 },
   { "hollow", FLAG_HOLLOW, NULL, OPTION_HIDDEN, NULL, 0 },
   { 0 },
 };
@@ -76,6 +78,9 @@
     case FLAG_FAILURES:
       options->failures = (guint)parse_number (state, argument, 0, 1000);
       return 0;
+    case FLAG_REAL:
+      options->real = (guint)parse_number (state, argument, 0, 16);
+      return 0;
     case FLAG_HOLLOW:
       options->hollow = TRUE;
       return 0;
--- a/rehearsal/scale-options.h
+++ b/rehearsal/scale-options.h
@@ -12,6 +12,7 @@
   QuinceScaleSize size;
   guint seconds;   /* of the steady phase and of the churn phase             */
   guint failures;  /* factor by which the daily rates are compressed; 0 none */
+  guint real;      /* real nodes beside the hollow ones                      */
   gboolean hollow; /* this process is one of hollow nodes                    */
 } QuinceScaleOptions;
 
--- a/rehearsal/scale.c
+++ b/rehearsal/scale.c
@@ -14,6 +14,7 @@
 #include "hollow.h"
 #include "scale-cluster.h"
 #include "scale-options.h"
+#include "scale-real.h"
 
 #define EXIT_FAILED 1
 /* IPv4 and UDP headers; payload and these are "bytes on the wire" here. */
@@ -39,6 +40,7 @@
 {
   const QuinceScaleOptions *options;
   QuinceScaleCluster *cluster;
+  QuinceScaleReal *real; /* owned; NULL when there are none */
   GRand *random;
   guint64 revision; /* last one offered */
   gint64 base_kib;  /* resident memory of the processes without nodes */
@@ -112,6 +114,19 @@
   return index;
 }
 
+static guint
+count_real (const Scale *scale)
+{
+  return scale->real != NULL ? scale->options->real : 0;
+}
+
+/* All real nodes see exactly @alive members alive. */
+static gboolean
+real_agree (const Scale *scale, guint alive)
+{
+  return scale->real == NULL || quince_scale_real_count_agreeing (scale->real, alive) == scale->options->real;
+}
+
 /* Waits until every node sees all that run; -1 when it does not come to that. */
 static gint64
 wait_for_agreement (Scale *scale, gint64 limit_us, GError **error)
@@ -121,9 +136,10 @@
   guint running = quince_scale_cluster_count_running (scale->cluster);
   while (g_get_monotonic_time () - start_us < limit_us)
     {
-      if (!quince_scale_cluster_report (scale->cluster, running, &report, error))
+      guint alive = running + count_real (scale);
+      if (!quince_scale_cluster_report (scale->cluster, alive, &report, error))
         return -1;
-      if (report.agree == running)
+      if (report.agree == running && real_agree (scale, alive))
         return g_get_monotonic_time () - start_us;
       quince_scale_cluster_run (scale->cluster, JOIN_POLL_US);
     }
@@ -142,6 +158,12 @@
   gint64 start_us = g_get_monotonic_time ();
   for (guint i = 0; i < scale->options->size.nodes; i++)
     quince_scale_cluster_start_node (scale->cluster, i);
+  if (scale->options->real > 0)
+    {
+      scale->real = quince_scale_real_new (scale->cluster, scale->options->real, error);
+      if (scale->real == NULL)
+        return FALSE;
+    }
   gint64 started_us = g_get_monotonic_time ();
   gint64 joined_us = wait_for_agreement (scale, JOIN_LIMIT_US, error);
   if (joined_us < 0 && *error != NULL)
@@ -151,16 +173,39 @@
   return TRUE;
 }
 
+/* What the real nodes cost in a phase, a node and a second. */
+static void
+print_real_cost (const Scale *scale,
+                 gint64 elapsed_us,
+                 const QuinceScaleRealCost *before,
+                 const QuinceScaleRealCost *after)
+{
+  double nodes = scale->options->real;
+  double elapsed = seconds (elapsed_us);
+  printf ("phase=steady_real nodes=%u payload_bytes_per_node_s=%.0f cpu_percent_per_node=%.3f "
+          "rss_kib_per_node=%.0f\n",
+          scale->options->real, (double)(after->gossip_bytes - before->gossip_bytes) / nodes / elapsed,
+          100 * seconds (after->processor_us - before->processor_us) / nodes / elapsed,
+          (double)after->resident_kib / nodes);
+}
+
 static gboolean
 phase_steady (Scale *scale, GError **error)
 {
   QuinceScaleReport before, after;
+  QuinceScaleRealCost real_before, real_after;
+  if (scale->real != NULL)
+    quince_scale_real_get_cost (scale->real, &real_before);
   if (!quince_scale_cluster_report (scale->cluster, 0, &before, error))
     return FALSE;
   quince_scale_cluster_run (scale->cluster, (gint64)scale->options->seconds * G_TIME_SPAN_SECOND);
   if (!quince_scale_cluster_report (scale->cluster, 0, &after, error))
     return FALSE;
   print_cost (scale, "steady", &before, &after);
+  if (scale->real == NULL)
+    return TRUE;
+  quince_scale_real_get_cost (scale->real, &real_after);
+  print_real_cost (scale, after.at_us - before.at_us, &real_before, &real_after);
   return TRUE;
 }
 
@@ -176,7 +221,8 @@
       if (node->running && node->revision < scale->revision)
         return FALSE;
     }
-  return TRUE;
+  return scale->real == NULL
+         || quince_scale_real_count_in_force (scale->real, scale->revision) == scale->options->real;
 }
 
 /* Offers the next revision at a random node; seconds until it is in force on all, -1 when it is not. */
@@ -196,6 +242,8 @@
       if (node->running)
         end_us = MAX (end_us, node->in_force_us);
     }
+  if (scale->real != NULL) /* asked again and again until all have it: seen a little late */
+    end_us = MAX (end_us, g_get_monotonic_time ());
   return seconds (end_us - start_us);
 }
 
@@ -407,6 +455,7 @@
       scale.random = g_rand_new_with_seed ((guint32)size->seed);
       scale.back = g_array_new (FALSE, FALSE, sizeof (Return));
       done = run_phases (&scale, &error);
+      quince_scale_real_free (scale.real);
       g_rand_free (scale.random);
       g_array_unref (scale.back);
     }
