Engines: one owner and one spare in each zone, the others hear of them

Cause: every node polled every listed engine twice a second; at 400 nodes and 4,800 engines 9,600 polls a second a node (docs/CAPACITY.md).

Both poll; the owner sends its reports, 12 bytes an engine, straight to the others of its zone in rounds under two fifths of the byte budget. A follower polls by itself once what it knows is older than one poll and one and a half rounds, at least 1.2 s. Of other zones' engines a zone uses 32 a service (engines.foreign_most), the same ones on all its nodes, owned in the zone like its own. Cache events are read by the owner alone. The leader of the ledger, which orders weights, still polls all. A dead node's word that an engine leaves now holds until someone has read that engine again, and an urgent digest no longer waits for the next probe.

--- a/daemons/node/engine-poll.c
+++ b/daemons/node/engine-poll.c
@@ -1,5 +1,5 @@
 /*
- * engine-poll.c: one engine, polled for its load and its cache events.
+ * engine-poll.c: see engine-poll.h.
  */
 #include "engine-poll.h"
 
@@ -7,8 +7,11 @@
 #include <quince/log.h>
 #include <quince/task.h>
 
+#include "gossip.h"
 #include "grants.h"
 
+#define MILLISECOND (G_USEC_PER_SEC / 1000)
+
 /* Polls that fail in a row before an engine counts as unreachable. */
 #define FAILURES_MOST 2
 
@@ -26,13 +29,16 @@
   QuinceEngineReport report; /* as last told to the scheduler         */
   gboolean own_leaving;      /* the engine's own word                 */
   gboolean listed_leaving;   /* the machine list's word               */
+  QuinceDuty duty;           /* of this node, as of the last step     */
+  gint64 heard_us;           /* when the report was read by anyone    */
+  gint64 polled_us;          /* when this node read one itself        */
+  gint64 next_load_us;       /* no poll before                        */
+  gint64 next_cache_us;      /* no poll before                        */
   guint failures;            /* failed polls in a row                 */
   guint64 cache_sequence;    /* of the last cache event taken         */
   gboolean load_pending;     /* a call is on its way                  */
   gboolean cache_pending;
   GCancellable *cancellable; /* owned: ends calls on their way        */
-  GSource *load_timer;       /* owned                                 */
-  GSource *cache_timer;      /* owned                                 */
 };
 
 /* ---- Load ------------------------------------------------------------ */
@@ -46,21 +52,30 @@
   poll->info.leaving = poll->own_leaving || poll->listed_leaving;
 }
 
+/* An engine that this zone does not use is not known to the scheduler. */
+static void
+tell_report (QuinceEnginePoll *poll)
+{
+  if (poll->duty != QUINCE_DUTY_NONE)
+    quince_grants_engine_report (poll->node->grants, &poll->report);
+}
+
+/* The weights' coordinator takes only what its own node read. */
 static void
 take_load (QuinceEnginePoll *poll, const QuinceEngineLoad *load)
 {
+  gint64 now_us = quince_now_us ();
   QuinceEngineReport *report = &poll->report;
   report->running = load->running;
   report->waiting = load->waiting;
   report->capacity = load->capacity;
   report->weight_version = load->weight_version;
   report->target_version = load->target_version;
-  report->leaving = load->leaving;
-  report->available = TRUE;
   poll->info.weight_version = load->weight_version;
   poll->info.target_version = load->target_version;
   poll->info.staged_version = load->staged_version;
-  poll->info.reported_us = quince_now_us () - (gint64)load->report_age_ms * (G_USEC_PER_SEC / 1000);
+  poll->info.reported_us = now_us - (gint64)load->report_age_ms * MILLISECOND;
+  poll->heard_us = poll->polled_us = now_us;
 }
 
 /* It may have begun anew, with an empty cache and another count of events. */
@@ -95,7 +110,26 @@
     return;
   set_available (poll, FALSE);
   poll->report.available = FALSE;
-  quince_grants_engine_report (poll->node->grants, &poll->report);
+  tell_report (poll);
+}
+
+/* A report was taken over from the engine or from its owner. */
+static void
+finish_report (QuinceEnginePoll *poll, gboolean leaving)
+{
+  gboolean begins = leaving && !poll->own_leaving;
+  poll->failures = 0;
+  if (leaving != poll->own_leaving)
+    quince_log_info ("engine_leaving", "engine=%s leaving=%s source=engine", poll->name,
+                     leaving ? "true" : "false");
+  poll->own_leaving = leaving;
+  poll->report.leaving = leaving;
+  poll->report.available = TRUE;
+  set_available (poll, TRUE);
+  tell_report (poll);
+  tell_leaving (poll);
+  if (begins)
+    quince_gossiper_digest_changed (poll->node->gossiper);
 }
 
 static void
@@ -116,30 +150,71 @@
       note_poll_failure (poll, stranger);
       return;
     }
-  poll->failures = 0;
-  if (load->leaving != poll->own_leaving)
-    {
-      quince_log_info ("engine_leaving", "engine=%s leaving=%s source=engine", poll->name,
-                       load->leaving ? "true" : "false");
-      poll->own_leaving = load->leaving;
-    }
   take_load (poll, load);
-  set_available (poll, TRUE);
-  quince_grants_engine_report (poll->node->grants, &poll->report);
-  tell_leaving (poll);
+  finish_report (poll, load->leaving);
 }
 
-static gboolean
-load_due (gpointer user_data)
+/* Keeps the rate, though steps come late, and does not catch up after a pause. */
+static gint64
+next_due (gint64 due_us, gint64 now_us, guint interval_ms)
+{
+  gint64 interval_us = (gint64)interval_ms * MILLISECOND;
+  return due_us + interval_us > now_us ? due_us + interval_us : now_us + interval_us;
+}
+
+static void
+begin_load (QuinceEnginePoll *poll, gint64 now_us, gboolean coordinates)
 {
-  QuinceEnginePoll *poll = user_data;
-  if (poll->load_pending)
-    return G_SOURCE_CONTINUE;
   poll->load_pending = TRUE;
+  poll->next_load_us = next_due (poll->next_load_us, now_us, poll->times.load_interval_ms);
   poll->counters->polls++;
+  if (poll->duty == QUINCE_DUTY_FOLLOW && !coordinates)
+    poll->counters->follow_polls++;
   quince_engine_admin_get_load (poll->node->http_client, poll->address, poll->times.timeout_ms,
                                 poll->cancellable, load_answered, poll);
-  return G_SOURCE_CONTINUE;
+}
+
+static gboolean
+is_load_due (const QuinceEnginePoll *poll, gint64 now_us, const QuinceEngineRole *role)
+{
+  if (poll->load_pending || now_us < poll->next_load_us)
+    return FALSE;
+  if (role->coordinates || role->duty == QUINCE_DUTY_OWN || role->duty == QUINCE_DUTY_SPARE)
+    return TRUE;
+  return role->duty == QUINCE_DUTY_FOLLOW && now_us - poll->heard_us > role->follow_bound_us;
+}
+
+/* ---- What its owner tells ---------------------------------------------- */
+
+void
+quince_engine_poll_take_figures (QuinceEnginePoll *poll, const QuinceEngineFigures *figures, gint64 read_us)
+{
+  if (poll->duty == QUINCE_DUTY_NONE || read_us <= poll->heard_us)
+    return;
+  poll->counters->readings_taken++;
+  poll->heard_us = read_us;
+  poll->report.running = figures->running;
+  poll->report.waiting = figures->waiting;
+  poll->report.capacity = figures->capacity;
+  poll->report.weight_version = figures->weight_version;
+  poll->report.target_version = figures->target_version;
+  finish_report (poll, figures->leaving);
+}
+
+gboolean
+quince_engine_poll_get_figures (const QuinceEnginePoll *poll, gint64 now_us, QuinceEngineFigures *out)
+{
+  const QuinceEngineReport *report = &poll->report;
+  if (!report->available || poll->polled_us == 0 || poll->failures > 0 || poll->heard_us != poll->polled_us)
+    return FALSE;
+  out->running = report->running;
+  out->waiting = report->waiting;
+  out->capacity = report->capacity;
+  out->weight_version = report->weight_version;
+  out->target_version = report->target_version;
+  out->leaving = poll->own_leaving;
+  out->age_us = now_us - poll->polled_us;
+  return TRUE;
 }
 
 /* ---- Cache events ---------------------------------------------------- */
@@ -174,17 +249,48 @@
     take_cache_event (poll, &g_array_index (events, QuinceCacheEvent, i));
 }
 
-static gboolean
-cache_due (gpointer user_data)
+static void
+begin_cache (QuinceEnginePoll *poll, gint64 now_us)
 {
-  QuinceEnginePoll *poll = user_data;
-  if (poll->cache_pending || !poll->info.available)
-    return G_SOURCE_CONTINUE;
   poll->cache_pending = TRUE;
+  poll->next_cache_us = next_due (poll->next_cache_us, now_us, poll->times.cache_interval_ms);
   quince_engine_admin_get_cache_events (poll->node->http_client, poll->address, poll->cache_sequence,
                                         poll->times.timeout_ms, poll->cancellable, cache_events_answered,
                                         poll);
-  return G_SOURCE_CONTINUE;
+}
+
+/* Only the owner knows the engine's cache: the events are too many to be spread. */
+static gboolean
+is_cache_due (const QuinceEnginePoll *poll, gint64 now_us)
+{
+  return poll->duty == QUINCE_DUTY_OWN && !poll->cache_pending && poll->info.available
+         && now_us >= poll->next_cache_us;
+}
+
+/* ---- Duty -------------------------------------------------------------- */
+
+static void
+take_duty (QuinceEnginePoll *poll, const QuinceEngineRole *role)
+{
+  QuinceDuty before = poll->duty;
+  poll->duty = role->duty;
+  if (before == QUINCE_DUTY_OWN && role->duty != QUINCE_DUTY_OWN)
+    forget_cache (poll);
+  if (role->duty == QUINCE_DUTY_NONE && before != QUINCE_DUTY_NONE)
+    quince_scheduler_engine_remove (quince_grants_get_scheduler (poll->node->grants), poll->name);
+  /* What this node read itself long ago is of no use to the weights. */
+  if (!role->coordinates && poll->heard_us != poll->polled_us)
+    poll->info.reported_us = 0;
+}
+
+void
+quince_engine_poll_step (QuinceEnginePoll *poll, gint64 now_us, const QuinceEngineRole *role)
+{
+  take_duty (poll, role);
+  if (is_load_due (poll, now_us, role))
+    begin_load (poll, now_us, role->coordinates);
+  if (is_cache_due (poll, now_us))
+    begin_cache (poll, now_us);
 }
 
 /* ---- Lifetime -------------------------------------------------------- */
@@ -214,11 +320,8 @@
   poll->times = *times;
   copy_texts (poll, info);
   poll->cancellable = g_cancellable_new ();
-  poll->load_timer = quince_timer_add (times->load_interval_ms, load_due, poll);
-  poll->cache_timer = quince_timer_add (times->cache_interval_ms, cache_due, poll);
   quince_log_info ("engine_added", "engine=%s address=%s service=%s zone=%s", poll->name, poll->address,
                    poll->service, poll->zone);
-  load_due (poll);
   return poll;
 }
 
@@ -230,8 +333,6 @@
   quince_log_info ("engine_removed", "engine=%s address=%s", poll->name, poll->address);
   g_cancellable_cancel (poll->cancellable);
   g_object_unref (poll->cancellable);
-  quince_source_clear (&poll->load_timer);
-  quince_source_clear (&poll->cache_timer);
   quince_scheduler_engine_remove (quince_grants_get_scheduler (poll->node->grants), poll->name);
   g_free (poll->name);
   g_free (poll->address);
@@ -246,6 +347,18 @@
   return &poll->info;
 }
 
+gint64
+quince_engine_poll_get_heard_us (const QuinceEnginePoll *poll)
+{
+  return poll->heard_us;
+}
+
+QuinceDuty
+quince_engine_poll_get_duty (const QuinceEnginePoll *poll)
+{
+  return poll->duty;
+}
+
 void
 quince_engine_poll_set_listed_leaving (QuinceEnginePoll *poll, gboolean leaving)
 {
--- a/daemons/node/engines.c
+++ b/daemons/node/engines.c
@@ -8,16 +8,21 @@
 #include <quince/task.h>
 
 #include "engine-poll.h"
+#include "zone-duties.h"
 
 #define MILLISECOND (G_USEC_PER_SEC / 1000)
+/* Polls that are due begin at most this late. */
+#define STEP_MOST_MS 100
 
 /* Owned by the node, on its main context. */
 struct _QuinceEngines
 {
-  QuinceNode *node;    /* not owned                              */
-  GHashTable *by_name; /* owned: name -> QuinceEnginePoll        */
-  GHashTable *fixed;   /* owned set: names from the settings     */
+  QuinceNode *node;         /* not owned                              */
+  GHashTable *by_name;      /* owned: name -> QuinceEnginePoll        */
+  GHashTable *fixed;        /* owned set: names from the settings     */
+  QuinceZoneDuties *duties; /* owned                                  */
   QuinceEnginePollTimes times;
+  GSource *step_timer;            /* owned: begins the polls that are due   */
   gboolean list_pending;          /* a read of the list is on its way       */
   gboolean list_up;               /* its last read was answered             */
   GCancellable *cancellable;      /* owned: ends it                         */
@@ -36,9 +41,60 @@
 {
   QuinceEnginePoll *poll = quince_engine_poll_new (engines->node, info, &engines->times, &engines->counters);
   g_hash_table_replace (engines->by_name, g_strdup (info->name), poll);
+  quince_zone_duties_add (engines->duties, poll);
   return poll;
 }
 
+/* ---- Polls ----------------------------------------------------------- */
+
+static void
+step_all (QuinceEngines *engines)
+{
+  gint64 now_us = quince_now_us ();
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, engines->by_name);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      QuinceEngineRole role = quince_zone_duties_get_role (engines->duties, value);
+      quince_engine_poll_step (value, now_us, &role);
+    }
+}
+
+static gboolean
+step_due (gpointer user_data)
+{
+  step_all (user_data);
+  return G_SOURCE_CONTINUE;
+}
+
+void
+quince_engines_members_changed (QuinceEngines *engines)
+{
+  if (engines != NULL)
+    quince_zone_duties_members_changed (engines->duties);
+}
+
+gboolean
+quince_engines_is_heard_since (const QuinceEngines *engines, const char *engine, gint64 time_us)
+{
+  const QuinceEnginePoll *poll = g_hash_table_lookup (engines->by_name, engine);
+  return poll == NULL || quince_engine_poll_get_heard_us (poll) > time_us;
+}
+
+GArray *
+quince_engines_make_readings (QuinceEngines *engines)
+{
+  return quince_zone_duties_make_readings (engines->duties);
+}
+
+void
+quince_engines_take_readings (QuinceEngines *engines, const char *from, const QuinceEngineReadings *readings)
+{
+  if (engines != NULL)
+    quince_zone_duties_take_readings (engines->duties, from, readings);
+}
+
 /* ---- Machine list ---------------------------------------------------- */
 
 static gboolean
@@ -56,6 +112,7 @@
   if (poll != NULL && !fixed && !is_same_machine (quince_engine_poll_get_info (poll), machine))
     {
       /* Replaced by another machine of the same name. */
+      quince_zone_duties_remove (engines->duties, poll);
       g_hash_table_remove (engines->by_name, machine->name);
       poll = NULL;
     }
@@ -87,7 +144,10 @@
       if (quince_engine_poll_get_info (value)->available)
         quince_engine_poll_set_listed_leaving (value, TRUE);
       else
-        g_hash_table_iter_remove (&iter);
+        {
+          quince_zone_duties_remove (engines->duties, value);
+          g_hash_table_iter_remove (&iter);
+        }
     }
 }
 
@@ -112,6 +172,7 @@
       take_machine (engines, machine);
     }
   drop_unlisted (engines, listed);
+  step_all (engines);
 }
 
 static gboolean
@@ -159,6 +220,10 @@
   engines->times.cache_interval_ms = duration_ms (node->settings, "cache_interval");
   engines->times.timeout_ms = duration_ms (node->settings, "timeout");
   engines->cancellable = g_cancellable_new ();
+  engines->duties = quince_zone_duties_new (node);
+  quince_zone_duties_members_changed (engines->duties);
+  guint step_ms = MIN (engines->times.load_interval_ms, engines->times.cache_interval_ms);
+  engines->step_timer = quince_timer_add (MIN (step_ms, STEP_MOST_MS), step_due, engines);
   add_fixed_engines (engines);
   if (*quince_settings_get_text (node->settings, "platform", "machines") != '\0')
     {
@@ -166,6 +231,7 @@
           = quince_timer_add (duration_ms (node->settings, "list_interval"), list_due, engines);
       list_due (engines);
     }
+  step_all (engines);
   return engines;
 }
 
@@ -177,8 +243,10 @@
   g_cancellable_cancel (engines->cancellable);
   g_object_unref (engines->cancellable);
   quince_source_clear (&engines->list_timer);
+  quince_source_clear (&engines->step_timer);
   g_hash_table_unref (engines->by_name);
   g_hash_table_unref (engines->fixed);
+  quince_zone_duties_free (engines->duties);
   g_free (engines);
 }
 
@@ -199,13 +267,18 @@
 {
   *out = engines->counters;
   out->engines = g_hash_table_size (engines->by_name);
-  out->available = 0;
+  out->available = out->owned = out->spare = out->followed = 0;
   GHashTableIter iter;
   gpointer value;
   g_hash_table_iter_init (&iter, engines->by_name);
   while (g_hash_table_iter_next (&iter, NULL, &value))
-    if (quince_engine_poll_get_info (value)->available)
-      out->available++;
+    {
+      QuinceDuty duty = quince_engine_poll_get_duty (value);
+      out->available += quince_engine_poll_get_info (value)->available ? 1 : 0;
+      out->owned += duty == QUINCE_DUTY_OWN ? 1 : 0;
+      out->spare += duty == QUINCE_DUTY_SPARE ? 1 : 0;
+      out->followed += duty == QUINCE_DUTY_FOLLOW ? 1 : 0;
+    }
 }
 
 gboolean
--- a/daemons/node/engines.h
+++ b/daemons/node/engines.h
@@ -1,11 +1,13 @@
 /*
  * engines.h: which engines there are and how they are.
  *
- * Joins the platform's machine list with the engines of the settings, polls
- * each one's load and cache events, and tells the scheduler.
+ * Joins the platform's machine list with the engines of the settings, polls the
+ * load and cache events of those that this node owns or stands by for, hears of
+ * the others of its zone from their owners, and tells the scheduler.
  */
 #pragma once
 
+#include <quince/codec.h>
 #include <quince/engine-admin.h>
 
 #include "node.h"
@@ -25,7 +27,7 @@
   guint64 weight_version;
   guint64 target_version;
   guint64 staged_version;
-  gint64 reported_us; /* when the report was made; 0: never            */
+  gint64 reported_us; /* when the report that this node read was made; 0: never, or long ago */
 } QuinceEngineInfo;
 
 void quince_engines_foreach (const QuinceEngines *engines,
@@ -35,11 +37,26 @@
 /* Whether the machine list answered when last read, or none is set. */
 gboolean quince_engines_list_is_up (const QuinceEngines *engines);
 
+/* Who is alive has changed. @engines: (nullable): they are not there yet */
+void quince_engines_members_changed (QuinceEngines *engines);
+/* Someone has read an engine's report since @time_us, or it is not known here. */
+gboolean quince_engines_is_heard_since (const QuinceEngines *engines, const char *engine, gint64 time_us);
+/* Reports of the engines that this node owns, see quince_zone_duties_make_readings(). (transfer full) */
+GArray *quince_engines_make_readings (QuinceEngines *engines);
+/* What another node of the zone owns. */
+void
+quince_engines_take_readings (QuinceEngines *engines, const char *from, const QuinceEngineReadings *readings);
+
 typedef struct
 {
   guint engines;
   guint available;
+  guint owned;
+  guint spare;
+  guint followed;
   guint64 polls;
+  guint64 follow_polls;   /* of engines that others poll: too long unheard of */
+  guint64 readings_taken; /* reports heard from owners                       */
   guint64 poll_failures;
   guint64 cache_gaps;    /* sequences of cache events that were broken     */
   guint64 list_failures; /* reads of the machine list                      */
--- a/daemons/node/gossip.c
+++ b/daemons/node/gossip.c
@@ -9,15 +9,18 @@
 #include <quince/request-id.h>
 #include <quince/task.h>
 
+#include "engines.h"
 #include "grants.h"
 #include "ledger-host.h"
 #include "peer-digests.h"
 #include "policy-spread.h"
 #include "sessions.h"
 #include "wakeup.h"
+#include "zone-duties.h"
 
 #define DIGEST_ENGINES_MOST 64
 #define DIGEST_INTERVAL_MS 200
+#define READINGS_INTERVAL_MS 100
 
 /* Owned by the node, on its main context. */
 struct _QuinceGossiper
@@ -28,6 +31,7 @@
   QuincePeerDigests *digests;   /* owned: what peers' digests said         */
   QuinceWakeup *wakeup;         /* owned: next tick of the membership      */
   GSource *digest_timer;        /* owned: reads and writes digests         */
+  GSource *readings_timer;      /* owned: tells the zone of owned engines  */
   guint64 change_count;         /* of the membership, when last looked at  */
   guint64 digest_sequence;      /* of the own digest, grows                */
   gint64 heard_us;              /* when a peer's datagram came last; 0: never */
@@ -47,9 +51,24 @@
   if (change_count == gossiper->change_count)
     return;
   gossiper->change_count = change_count;
+  quince_engines_members_changed (gossiper->node->engines);
   quince_node_changed (gossiper->node);
 }
 
+/* Only those that their node sends itself: passed on they would look younger than they are. */
+static void
+take_readings (QuinceGossiper *gossiper, const QuinceGossip *gossip)
+{
+  if (gossip->deployment != (guint32)gossiper->node->deployment)
+    return;
+  for (guint i = 0; i < gossip->digests.digests_len; i++)
+    {
+      const QuinceNodeDigest *digest = &gossip->digests.digests_val[i];
+      if (digest->readings.readings_len > 0 && g_str_equal (digest->node, gossip->from))
+        quince_engines_take_readings (gossiper->node->engines, gossip->from, digest->readings.readings_val);
+    }
+}
+
 static void
 datagram_received (QuinceGossip *gossip, const char *from, gpointer user_data)
 {
@@ -61,6 +80,7 @@
   g_autoptr (GPtrArray) sends = quince_membership_sends_new ();
   quince_membership_receive (gossiper->membership, quince_now_us (), from, owned, sends);
   finish_call (gossiper, sends);
+  take_readings (gossiper, owned);
 }
 
 static void
@@ -125,6 +145,8 @@
   digest.engines.engines_len = MIN (engines->len, DIGEST_ENGINES_MOST);
   digest.engines.engines_val = (QuinceEngineDigest *)(gpointer)engines->data;
   quince_membership_set_digest (gossiper->membership, &digest);
+  /* Urgent news does not wait for the next probe. */
+  quince_wakeup_set (gossiper->wakeup, quince_membership_next_wakeup (gossiper->membership));
 }
 
 void
@@ -172,6 +194,28 @@
   return G_SOURCE_CONTINUE;
 }
 
+/* ---- Owned engines ------------------------------------------------------ */
+
+static gboolean
+readings_due (gpointer user_data)
+{
+  QuinceGossiper *gossiper = user_data;
+  GArray *readings = quince_engines_make_readings (gossiper->node->engines);
+  g_autoptr (GPtrArray) sends = quince_membership_sends_new ();
+  quince_membership_spread_readings (gossiper->membership, quince_now_us (),
+                                     (const QuinceEngineReadings *)(gpointer)readings->data, readings->len,
+                                     sends);
+  quince_zone_duties_readings_free (readings);
+  finish_call (gossiper, sends);
+  return G_SOURCE_CONTINUE;
+}
+
+gint64
+quince_gossiper_get_readings_round_us (const QuinceGossiper *gossiper)
+{
+  return quince_membership_get_readings_round_us (gossiper->membership);
+}
+
 /* ---- Lifetime -------------------------------------------------------- */
 
 QuinceGossiper *
@@ -209,6 +253,7 @@
 quince_gossiper_begin (QuinceGossiper *gossiper)
 {
   gossiper->digest_timer = quince_timer_add (DIGEST_INTERVAL_MS, digest_due, gossiper);
+  gossiper->readings_timer = quince_timer_add (READINGS_INTERVAL_MS, readings_due, gossiper);
   write_own_digest (gossiper);
   tick (gossiper);
 }
@@ -219,6 +264,7 @@
   if (gossiper == NULL)
     return;
   quince_source_clear (&gossiper->digest_timer);
+  quince_source_clear (&gossiper->readings_timer);
   g_clear_pointer (&gossiper->datagrams, quince_datagrams_free);
   quince_wakeup_free (gossiper->wakeup);
   quince_peer_digests_free (gossiper->digests);
@@ -263,6 +309,7 @@
 {
   out->bytes_sent = quince_datagrams_get_bytes_sent (gossiper->datagrams);
   out->bytes_received = quince_datagrams_get_bytes_received (gossiper->datagrams);
+  out->readings_bytes = quince_membership_get_readings_bytes (gossiper->membership);
   out->malformed = quince_datagrams_get_malformed (gossiper->datagrams);
 }
 
--- a/daemons/node/gossip.h
+++ b/daemons/node/gossip.h
@@ -36,8 +36,11 @@
   guint64 bytes_sent;
   guint64 bytes_received;
   guint64 malformed;
+  guint64 readings_bytes; /* sent with reports of owned engines            */
 } QuinceGossipCounters;
 
+/* In which this node tells every other one of its zone of the engines that it owns. */
+gint64 quince_gossiper_get_readings_round_us (const QuinceGossiper *gossiper);
 /* When a datagram of another node came last, in monotonic time; 0 never. */
 gint64 quince_gossiper_get_heard_us (const QuinceGossiper *gossiper);
 void quince_gossiper_get_counters (const QuinceGossiper *gossiper, QuinceGossipCounters *out);
--- a/daemons/node/metrics.c
+++ b/daemons/node/metrics.c
@@ -100,6 +100,7 @@
   add_counter (text, "gossip_sent_bytes_total", gossip.bytes_sent);
   add_counter (text, "gossip_received_bytes_total", gossip.bytes_received);
   add_counter (text, "gossip_malformed_total", gossip.malformed);
+  add_counter (text, "gossip_readings_sent_bytes_total", gossip.readings_bytes);
 }
 
 static void
@@ -109,7 +110,12 @@
   quince_engines_get_counters (node->engines, &counters);
   add_gauge (text, "engines", counters.engines);
   add_gauge (text, "engines_available", counters.available);
+  add_gauge (text, "engines_owned", counters.owned);
+  add_gauge (text, "engines_spare", counters.spare);
+  add_gauge (text, "engines_followed", counters.followed);
   add_counter (text, "engine_polls_total", counters.polls);
+  add_counter (text, "engine_follow_polls_total", counters.follow_polls);
+  add_counter (text, "engine_readings_taken_total", counters.readings_taken);
   add_counter (text, "engine_poll_failures_total", counters.poll_failures);
   add_counter (text, "cache_event_gaps_total", counters.cache_gaps);
   add_counter (text, "machine_list_failures_total", counters.list_failures);
--- a/daemons/node/node-settings.c
+++ b/daemons/node/node-settings.c
@@ -56,6 +56,8 @@
     "time between reads of the machine list" },
   { "engines", "timeout", QUINCE_SETTING_DURATION, FALSE, "1s", 10 * MILLISECOND, 60 * SECOND, NULL,
     "longest wait for an engine's report" },
+  { "engines", "foreign_most", QUINCE_SETTING_INTEGER, FALSE, "32", 0, 1024, NULL,
+    "engines of other zones that this node's zone uses, for each service" },
   { "engine *", "address", QUINCE_SETTING_ADDRESS, TRUE, NULL, 0, 0, NULL,
     "address of an engine that no machine list names" },
   { "engine *", "service", QUINCE_SETTING_NAME, TRUE, NULL, 0, 0, NULL, "model service of the engine" },
--- a/daemons/node/peer-digests.c
+++ b/daemons/node/peer-digests.c
@@ -15,6 +15,7 @@
   GHashTable *loaded;  /* owned set: engines with grants of that node       */
   GHashTable *leaving; /* owned set: engines that leave by its word         */
   gboolean gone;       /* that node is dead or has left                     */
+  gint64 gone_us;      /* since when                                        */
 } PeerDigest;
 
 /* Owned by the gossiper, on the main context. */
@@ -94,6 +95,7 @@
   if (known == NULL || known->gone)
     return;
   known->gone = TRUE;
+  known->gone_us = quince_now_us ();
   g_hash_table_remove_all (known->loaded);
   quince_scheduler_peer_gone (quince_grants_get_scheduler (digests->node->grants), name);
 }
@@ -106,10 +108,21 @@
   return operators && quince_engines_list_is_up (node->engines);
 }
 
+/* A node that is gone, and each engine that left by its word was heard of since. */
 static gboolean
 is_gone (gpointer name, gpointer value, gpointer user_data)
 {
-  return ((const PeerDigest *)value)->gone;
+  const QuincePeerDigests *digests = user_data;
+  const PeerDigest *known = value;
+  GHashTableIter iter;
+  gpointer engine;
+  if (!known->gone)
+    return FALSE;
+  g_hash_table_iter_init (&iter, known->leaving);
+  while (g_hash_table_iter_next (&iter, &engine, NULL))
+    if (!quince_engines_is_heard_since (digests->node->engines, engine, known->gone_us))
+      return FALSE;
+  return TRUE;
 }
 
 /* The word of a node that is gone holds until this node can see for itself. */
@@ -117,7 +130,7 @@
 forget_gone (QuincePeerDigests *digests)
 {
   if (sees_every_sign (digests->node))
-    g_hash_table_foreach_remove (digests->by_node, is_gone, NULL);
+    g_hash_table_foreach_remove (digests->by_node, is_gone, digests);
 }
 
 static GHashTable *
--- a/include/quince/membership.h
+++ b/include/quince/membership.h
@@ -62,6 +62,22 @@
  * that first calls an engine leaving, is urgent: ask
  * quince_membership_next_wakeup() anew after this call. */
 void quince_membership_set_digest (QuinceMembership *membership, const QuinceNodeDigest *digest);
+/**
+ * quince_membership_spread_readings:
+ * @readings: of the engines that this node owns; a datagram for each
+ *
+ * Sends them to the next members of the zone in turn, as far as the part of the
+ * byte budget that is set aside for them goes; to be called ten times a second.
+ */
+void quince_membership_spread_readings (QuinceMembership *membership,
+                                        gint64 now_us,
+                                        const QuinceEngineReadings *readings,
+                                        guint n_readings,
+                                        GPtrArray *sends);
+/* How long the last full round over the zone's members took. */
+gint64 quince_membership_get_readings_round_us (const QuinceMembership *membership);
+/* Bytes sent with readings, with IP and UDP headers. */
+guint64 quince_membership_get_readings_bytes (const QuinceMembership *membership);
 /* Replica id of this node once its ledger is open. */
 void quince_membership_set_replica_id (QuinceMembership *membership, guint64 replica_id);
 
--- a/lib/core/membership/digest-table.c
+++ b/lib/core/membership/digest-table.c
@@ -114,9 +114,12 @@
     }
 }
 
+/* Readings are for who receives them from their node, and are not kept here. */
 void
 quince_digest_table_merge (QuinceMembership *membership, const QuinceNodeDigest *digest)
 {
+  if (digest->readings.readings_len > 0)
+    return;
   QuincePeer *peer = quince_member_table_lookup (membership, digest->node);
   if (peer == NULL || peer == membership->self || peer->record.state == QUINCE_MEMBER_DEAD)
     return;
--- a/lib/core/membership/gossip-sender.c
+++ b/lib/core/membership/gossip-sender.c
@@ -344,6 +344,34 @@
   quince_gossip_sender_send (membership, now_us, &header, QUINCE_GOSSIP_CONTENT_NEWS, sends);
 }
 
+gsize
+quince_gossip_sender_send_readings (QuinceMembership *membership,
+                                    gint64 now_us,
+                                    QuincePeer *to,
+                                    const QuinceEngineReadings *readings,
+                                    GPtrArray *sends)
+{
+  Datagram datagram;
+  QuinceGossipHeader header = {
+    .to = to,
+    .to_address = to->record.gossip_address,
+    .kind = QUINCE_GOSSIP_ACK,
+    .target = "",
+  };
+  begin (&datagram, membership, now_us, &header);
+  QuinceNodeDigest *digest = &datagram.gossip->digests.digests_val[datagram.gossip->digests.digests_len++];
+  digest->node = quince_string (membership->self->record.name);
+  digest->readings.readings_len = 1;
+  digest->readings.readings_val
+      = quince_xdr_copy ((xdrproc_t)xdr_QuinceEngineReadings, sizeof *readings, readings);
+  datagram.size = xdr_sizeof ((xdrproc_t)xdr_QuinceGossip, datagram.gossip);
+  set_limit (&datagram, 0);
+  add_urgent_digests (&datagram);
+  gsize bytes = datagram.size + QUINCE_GOSSIP_HEADER_BYTES;
+  finish (&datagram, header.to_address, sends);
+  return bytes;
+}
+
 /* Sends news to up to @count different ones of @peers, chosen at random. */
 static void
 send_news_to_some (QuinceMembership *membership,
--- a/lib/core/membership/membership-private.h
+++ b/lib/core/membership/membership-private.h
@@ -4,6 +4,7 @@
  *   member-table.c   who there is: records, precedence, zones, representatives
  *   digest-table.c   newest digest of each member, and which ones are urgent
  *   gossip-sender.c  what goes onto each datagram within the byte budget
+ *   readings-sender.c  reports of owned engines, to the zone by turns
  *   prober.c         probe rounds, indirect probes, verdicts
  *   membership.c     the public calls
  *
@@ -25,6 +26,17 @@
 #define QUINCE_GOSSIP_UPDATES 16
 #define QUINCE_GOSSIP_DIGESTS 8
 
+/* Rounds of readings over the members of the zone, in order of arrival; see readings-sender.c. */
+typedef struct
+{
+  guint cursor;            /* next member                                     */
+  gint64 round_started_us; /* 0: none yet                                     */
+  gint64 round_us;         /* how long the last one took                      */
+  gint64 tokens;           /* bytes that may be sent now, of the budget's part */
+  gint64 refilled_us;
+  guint64 bytes; /* sent so far                                     */
+} QuinceReadingsRound;
+
 /* One known member, this node included. */
 typedef struct
 {
@@ -115,6 +127,7 @@
   gint64 refilled_us;
   guint64 datagrams;   /* sent so far, numbers them                   */
   guint record_cursor; /* next record that is sent again, by rotation */
+  QuinceReadingsRound readings;
 };
 
 /* member-table.c */
@@ -173,6 +186,13 @@
                                 const QuinceGossipHeader *header,
                                 QuinceGossipContent content,
                                 GPtrArray *sends);
+/* Sends @readings (transfer none) with what is urgent, whatever the budget; the caller keeps to it.
+ * Returns: bytes sent */
+gsize quince_gossip_sender_send_readings (QuinceMembership *membership,
+                                          gint64 now_us,
+                                          QuincePeer *to,
+                                          const QuinceEngineReadings *readings,
+                                          GPtrArray *sends);
 /* Sends what is urgent to a few members at once. */
 void quince_gossip_sender_push (QuinceMembership *membership, gint64 now_us, GPtrArray *sends);
 /* Tells every zone member and some representatives at once, whatever the budget. */
--- a/lib/protocol/quince_protocol.x
+++ b/lib/protocol/quince_protocol.x
@@ -16,6 +16,7 @@
 const QUINCE_MAX_PREFIX    = 64;
 const QUINCE_MAX_ENGINES   = 1024;
 const QUINCE_MAX_MEMBERS   = 1024;
+const QUINCE_MAX_READINGS  = 96;    /* one datagram holds them */
 const QUINCE_MAX_TEXT      = 4194304;
 const QUINCE_MAX_SAMPLES   = 16384;
 const QUINCE_MAX_ENTRIES   = 4096;
@@ -486,6 +487,21 @@
     bool           leaving;
 };
 
+/* What the owner of an engine read from it last, packed: quince/engine-readings.h. */
+struct QuinceEngineReading {
+    unsigned int engine;              /* hash of its name                  */
+    unsigned int load;
+    unsigned int versions;            /* and age                           */
+};
+
+/* Goes from its node straight to others of the zone, and is never passed on. */
+struct QuinceEngineReadings {
+    unsigned hyper      incarnation;  /* of the node; its clock is one for each */
+    unsigned hyper      sent_us;      /* sender's monotonic clock          */
+    unsigned hyper      base_version; /* least version that is named       */
+    QuinceEngineReading engines<QUINCE_MAX_READINGS>;
+};
+
 struct QuinceNodeDigest {
     QuinceName         node;
     unsigned hyper     incarnation;
@@ -494,6 +510,7 @@
     unsigned hyper     ledger_epoch;
     unsigned hyper     ledger_leader; /* replica id, 0 unknown             */
     QuinceEngineDigest engines<64>;
+    QuinceEngineReadings readings<1>; /* with them the rest is empty       */
 };
 
 enum QuinceGossipKind {
--- a/tests/integration/harness.c
+++ b/tests/integration/harness.c
@@ -17,9 +17,7 @@
                                       "zone_latency = 0us\n"
                                       "client_latency = 0us\n"
                                       "sample_lease = 3s\n"
-                                      "[zone z1]\n"
-                                      "[zone z2]\n"
-                                      "[zone z3]\n"
+                                      "%s"
                                       "[service model]\n"
                                       "workers = 4\n"
                                       "capacity = 8\n"
@@ -27,6 +25,8 @@
                                       "swap = 50ms\n"
                                       "%s";
 
+static const char three_zones[] = "[zone z1]\n[zone z2]\n[zone z3]\n";
+
 struct _HarnessLoad
 {
   GThread *thread;
@@ -59,6 +59,12 @@
 
 QuinceCluster *
 harness_start (const char *test_name, const char *extra)
+{
+  return harness_start_zones (test_name, three_zones, extra);
+}
+
+QuinceCluster *
+harness_start_zones (const char *test_name, const char *zones, const char *extra)
 {
   g_autoptr (GError) error = NULL;
   g_autofree char *folder = NULL;
@@ -69,7 +75,7 @@
     fail_with ("no folder", error);
   g_autofree char *path = g_build_filename (folder, "deployment.ini", NULL);
   g_autofree char *text = g_strdup_printf (deployment_text, from_environment ("QUINCE_SOURCE_DIR", "."),
-                                           extra != NULL ? extra : "");
+                                           zones, extra != NULL ? extra : "");
   assert_true (g_file_set_contents (path, text, -1, NULL));
   QuinceDeployment *deployment = quince_deployment_load (path, &error);
   if (deployment == NULL)
@@ -287,6 +293,19 @@
   return running;
 }
 
+guint
+harness_count_starts_after (QuinceClusterPart *engine, gint64 time_ms)
+{
+  guint count = 0;
+  g_autoptr (JsonNode) records = NULL;
+  quince_http_sync (engine->control, "/_records", NULL, HARNESS_WAIT_MS, &records);
+  JsonArray *starts = quince_json_dig_array (records, "starts");
+  assert_non_null (starts);
+  for (guint i = 0; i < json_array_get_length (starts); i++)
+    count += quince_json_dig_int (json_array_get_element (starts, i), "time_ms", 0) > time_ms ? 1 : 0;
+  return count;
+}
+
 void
 harness_restart (QuinceCluster *cluster, QuinceClusterPart *part)
 {
--- a/tests/integration/harness.h
+++ b/tests/integration/harness.h
@@ -45,6 +45,8 @@
  * Fails the test when it cannot serve.
  */
 QuinceCluster *harness_start (const char *test_name, const char *extra);
+/* As above with the zones that the sections in @zones describe. */
+QuinceCluster *harness_start_zones (const char *test_name, const char *zones, const char *extra);
 /* Stops everything; removes the folder when the test passed. */
 void harness_stop (QuinceCluster *cluster);
 
@@ -87,6 +89,9 @@
 /* Sequences that have started on an engine and not ended. */
 gint64 harness_engine_running (QuinceClusterPart *engine);
 
+/* Sequences that an engine started later than that, by its own records. */
+guint harness_count_starts_after (QuinceClusterPart *engine, gint64 time_ms);
+
 /* Starts @part again on its addresses; fails the test when it does not serve. */
 void harness_restart (QuinceCluster *cluster, QuinceClusterPart *part);
 /* Waits until the ledger has a leader, and each node and agent is ready. */
