--- a/lib/core/membership/membership-private.h
+++ b/lib/core/membership/membership-private.h
@@ -5,6 +5,7 @@
  *   digest-table.c   newest digest of each member, and which ones are urgent
  *   gossip-sender.c  what goes onto each datagram within the byte budget
  *   gossip-push.c    news that do not wait for the next probe
+ *   readings-sender.c  reports of owned engines, to the zone by turns
  *   prober.c         probe rounds, indirect probes, verdicts
  *   table-sync.c     exchange of whole member tables
  *   membership.c     the public calls
@@ -29,6 +30,17 @@
 /* Largest summary of a member table; the rest of the datagram is for its header. */
 #define QUINCE_GOSSIP_SUMMARY_BYTES 1200
 
+/* Rounds of readings over the members of the zone, in order of arrival; see readings-sender.c. */
+typedef struct
+{
+  guint cursor;            /* next member                                     */
+  gint64 round_started_us; /* 0: none yet                                     */
+  gint64 round_us;         /* how long the last one took                      */
+  gint64 tokens;           /* bytes that may be sent now, of the budget's part */
+  gint64 refilled_us;
+  guint64 bytes; /* sent so far                                     */
+} QuinceReadingsRound;
+
 /* One known member, this node included. */
 typedef struct
 {
@@ -125,6 +137,7 @@
   gint64 tokens; /* bytes that may be sent now                  */
   gint64 refilled_us;
   guint64 datagrams; /* sent so far, numbers them                   */
+  QuinceReadingsRound readings;
 };
 
 /* member-table.c */
@@ -201,6 +214,14 @@
                                                  guint *next,
                                                  GPtrArray *sends);
 
+/* Sends @readings (transfer none) with what is urgent, whatever the budget; the caller keeps to it.
+ * Returns: bytes sent */
+gsize quince_gossip_sender_send_readings (QuinceMembership *membership,
+                                          gint64 now_us,
+                                          QuincePeer *to,
+                                          const QuinceEngineReadings *readings,
+                                          GPtrArray *sends);
+
 /* gossip-push.c */
 /* Sends what is urgent to a few members at once. */
 void quince_gossip_push_urgent (QuinceMembership *membership, gint64 now_us, GPtrArray *sends);
