--- a/tests/unit/test-scheduler-overload.c
+++ b/tests/unit/test-scheduler-overload.c
@@ -3,6 +3,18 @@
  */
 #include "scheduler-world.h"
 
+/* Another node may have heard of the engines already. */
+static void
+test_no_report_yet (void **state)
+{
+  World world;
+  set_up (&world, &quince_scheduler_default_limits);
+  QuinceGrantRequest request = lookup (&world, "member-a");
+  ask (&world, &request);
+  expect_refusal (&world, QUINCE_REFUSAL_NOT_READY);
+  tear_down (&world);
+}
+
 static void
 test_overload (void **state)
 {
@@ -139,8 +151,11 @@
 main (void)
 {
   const struct CMUnitTest tests[] = {
-    cmocka_unit_test (test_overload),          cmocka_unit_test (test_deadline_in_the_queue),
-    cmocka_unit_test (test_too_late_to_start), cmocka_unit_test (test_newcomer_does_not_overtake),
+    cmocka_unit_test (test_no_report_yet),
+    cmocka_unit_test (test_overload),
+    cmocka_unit_test (test_deadline_in_the_queue),
+    cmocka_unit_test (test_too_late_to_start),
+    cmocka_unit_test (test_newcomer_does_not_overtake),
     cmocka_unit_test (test_retry_budget),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
