test-policy-spread: the key-value service comes back with an older state

Cause: that a register takes no lower revision was shown by unit tests alone.

Change: the service is killed and started on its state from before the last acceptance; other writes bring its revision past what the nodes have seen, so that their watches take what it says; no process may go back, and a new node must end on the newer policy, which only its peers have. The threads that read each process's revision, and the acceptance, moved to the harness, as another program needs them; what they assert is unchanged.

--- a/tests/integration/harness.c
+++ b/tests/integration/harness.c
@@ -4,12 +4,15 @@
 #include "harness.h"
 
 #include <glib/gstdio.h>
+#include <stdio.h>
 #include <string.h>
 
 #include <quince/log.h>
 #include <quince/task.h>
 
 #define LOAD_BOUND_MS 60000
+#define WATCH_INTERVAL_US 20000
+#define WATCH_TIMEOUT_MS 1000
 
 static const char deployment_text[] = "[deployment]\n"
                                       "name = test\n"
@@ -326,6 +329,124 @@
   return TRUE;
 }
 
+gint64
+harness_read_revision (const char *output)
+{
+  int revision = 0;
+  const char *line = strstr (output, "accepted revision ");
+  return line != NULL && sscanf (line, "accepted revision %d", &revision) == 1 ? revision : 0;
+}
+
+gint64
+harness_accept_policy (QuinceCluster *cluster, const char *path)
+{
+  g_autofree char *output = NULL;
+  const char *const arguments[] = { "policy", "accept", path, "--comment", "test", NULL };
+  assert_int_equal (quince_cluster_operate (cluster, arguments, &output), 0);
+  gint64 revision = harness_read_revision (output);
+  assert_true (revision > 0);
+  return revision;
+}
+
+/* One process. */
+typedef struct
+{
+  GThread *thread;
+  QuinceClusterPart *part; /* its name, zone and address do not change */
+  const char *path;        /* constant: of the revision in its status */
+  gint stop;               /* atomic */
+  gint revision;           /* atomic: last read          */
+  gint decreased;          /* atomic: a revision below one read before */
+  gint samples;            /* atomic */
+} Watcher;
+
+struct _HarnessWatch
+{
+  GPtrArray *watchers; /* Watcher */
+};
+
+static gpointer
+watch_main (gpointer data)
+{
+  Watcher *watcher = data;
+  while (!g_atomic_int_get (&watcher->stop))
+    {
+      g_autoptr (JsonNode) status = NULL;
+      if (quince_http_sync (watcher->part->http, "/v1/status", NULL, WATCH_TIMEOUT_MS, &status) == 200)
+        {
+          gint revision = (gint)quince_json_dig_int (status, watcher->path, 0);
+          if (revision < g_atomic_int_get (&watcher->revision))
+            g_atomic_int_set (&watcher->decreased, revision);
+          g_atomic_int_set (&watcher->revision, revision);
+          g_atomic_int_inc (&watcher->samples);
+        }
+      g_usleep (WATCH_INTERVAL_US);
+    }
+  return NULL;
+}
+
+void
+harness_watch_part (HarnessWatch *watch, QuinceClusterPart *part)
+{
+  Watcher *watcher = g_new0 (Watcher, 1);
+  watcher->part = part;
+  watcher->path = part->kind == QUINCE_PART_NODE ? "policy.revision" : "policy_revision";
+  watcher->decreased = G_MAXINT;
+  watcher->thread = g_thread_new ("watcher", watch_main, watcher);
+  g_ptr_array_add (watch->watchers, watcher);
+}
+
+HarnessWatch *
+harness_watch_new (QuinceCluster *cluster)
+{
+  static const QuincePartKind kinds[] = { QUINCE_PART_NODE, QUINCE_PART_AGENT };
+  QuinceClusterPart *part;
+  HarnessWatch *watch = g_new0 (HarnessWatch, 1);
+  watch->watchers = g_ptr_array_new_with_free_func (g_free);
+  for (guint i = 0; i < G_N_ELEMENTS (kinds); i++)
+    for (guint j = 0; (part = quince_cluster_get (cluster, kinds[i], j)) != NULL; j++)
+      harness_watch_part (watch, part);
+  return watch;
+}
+
+void
+harness_watch_free (HarnessWatch *watch)
+{
+  for (guint i = 0; i < watch->watchers->len; i++)
+    {
+      Watcher *watcher = watch->watchers->pdata[i];
+      g_atomic_int_set (&watcher->stop, 1);
+      g_thread_join (watcher->thread);
+    }
+  g_ptr_array_unref (watch->watchers);
+  g_free (watch);
+}
+
+gboolean
+harness_watch_is_at (HarnessWatch *watch, gint64 revision, const char *except_zone)
+{
+  for (guint i = 0; i < watch->watchers->len; i++)
+    {
+      Watcher *watcher = watch->watchers->pdata[i];
+      gboolean excepted = except_zone != NULL && g_str_equal (watcher->part->zone, except_zone);
+      if (!excepted && g_atomic_int_get (&watcher->revision) != revision)
+        return FALSE;
+    }
+  return TRUE;
+}
+
+void
+harness_watch_assert_never_back (HarnessWatch *watch)
+{
+  for (guint i = 0; i < watch->watchers->len; i++)
+    {
+      Watcher *watcher = watch->watchers->pdata[i];
+      assert_true (g_atomic_int_get (&watcher->samples) > 0);
+      if (g_atomic_int_get (&watcher->decreased) != G_MAXINT)
+        fail_msg ("%s went back to revision %d", watcher->part->name, g_atomic_int_get (&watcher->decreased));
+    }
+}
+
 /* ---- Nodes and samples ----------------------------------------------------------------- */
 
 QuinceClusterPart *
--- a/tests/integration/harness.h
+++ b/tests/integration/harness.h
@@ -96,6 +96,22 @@
 gint64 harness_policy_revision (QuinceClusterPart *node);
 gboolean harness_policy_everywhere (QuinceCluster *cluster, gint64 revision);
 
+/* Runs the operator's acceptance of the policy file at @path; fails the test when it is refused.
+ * Returns: the new revision */
+gint64 harness_accept_policy (QuinceCluster *cluster, const char *path);
+/* Of the operator command's @output; 0 when it accepted nothing. */
+gint64 harness_read_revision (const char *output);
+
+/* Reads the policy revision of processes all the time, a thread for each; none may ever decrease. */
+typedef struct _HarnessWatch HarnessWatch;
+/* Of all nodes and agents. */
+HarnessWatch *harness_watch_new (QuinceCluster *cluster);
+void harness_watch_free (HarnessWatch *watch);
+void harness_watch_part (HarnessWatch *watch, QuinceClusterPart *part);
+/* Whether all were last read at @revision, but those of @except_zone (nullable). */
+gboolean harness_watch_is_at (HarnessWatch *watch, gint64 revision, const char *except_zone);
+void harness_watch_assert_never_back (HarnessWatch *watch);
+
 /* A node other than the two given (nullable). */
 QuinceClusterPart *harness_get_other_node (QuinceCluster *cluster,
                                            const QuinceClusterPart *one,
--- a/tests/integration/test-policy-spread.c
+++ b/tests/integration/test-policy-spread.c
@@ -2,20 +2,16 @@
  * test-policy-spread.c: an accepted policy is in force on every process within
  * seconds and never goes back, whatever else fails.
  *
- * A thread for each process reads its revision all the time; none may ever
- * decrease.  What is decided is judged by the engines' own records: the policy
- * "closed" admits nothing.
+ * The revision of each process is read all the time; none may ever decrease.  What is decided is judged by
+ * the engines' own records: the policy "closed" admits nothing.
  */
 #include "harness.h"
 
-#include <stdio.h>
 #include <string.h>
 
 #include <quince/task.h>
 
 #define PROMISE_MS 3000
-#define SAMPLE_US 20000
-#define SAMPLE_TIMEOUT_MS 1000
 #define FREEZE_MS 2000 /* below the silence after which agents give a node up */
 #define CUT_MS 5000    /* above the promise */
 #define LATE_WATCH "{\"late_watches_ms\":1500}"
@@ -23,29 +19,15 @@
 #define TOKENS 10
 #define CALLS_MS 2500
 #define EXIT_CONFLICT 3
-#define MOST_WATCHERS 16
+#define OTHER_WRITES 8
 
 static const char open_policy[] = "function admit(request) return { priority = %u } end\n";
 static const char closed_policy[] = "function admit(request) return { refuse = \"closed %u\" } end\n";
 
-/* Reads the revision of one process for as long as the test runs. */
-typedef struct
-{
-  GThread *thread;
-  char *name;       /* constant */
-  char *http;       /* constant */
-  const char *path; /* constant: of the revision in its status */
-  gint stop;        /* atomic */
-  gint revision;    /* atomic: last read          */
-  gint decreased;   /* atomic: a revision below one read before */
-  gint samples;     /* atomic */
-} Watcher;
-
 typedef struct
 {
   QuinceCluster *cluster;
-  Watcher *watchers[MOST_WATCHERS];
-  guint n_watchers;
+  HarnessWatch *watch;
   guint policies;  /* written so far, so that no two texts are the same */
   gint64 revision; /* accepted last */
   gint64 accepted_us;
@@ -53,70 +35,15 @@
 
 /* ---- Watching ------------------------------------------------------------------ */
 
-static gpointer
-watch_main (gpointer data)
-{
-  Watcher *watcher = data;
-  while (!g_atomic_int_get (&watcher->stop))
-    {
-      g_autoptr (JsonNode) status = NULL;
-      if (quince_http_sync (watcher->http, "/v1/status", NULL, SAMPLE_TIMEOUT_MS, &status) == 200)
-        {
-          gint revision = (gint)quince_json_dig_int (status, watcher->path, 0);
-          if (revision < g_atomic_int_get (&watcher->revision))
-            g_atomic_int_set (&watcher->decreased, revision);
-          g_atomic_int_set (&watcher->revision, revision);
-          g_atomic_int_inc (&watcher->samples);
-        }
-      g_usleep (SAMPLE_US);
-    }
-  return NULL;
-}
-
-static Watcher *
-watch_part (Scene *scene, QuinceClusterPart *part)
-{
-  assert_true (scene->n_watchers < MOST_WATCHERS);
-  Watcher *watcher = g_new0 (Watcher, 1);
-  watcher->name = g_strdup (part->name);
-  watcher->http = g_strdup (part->http);
-  watcher->path = part->kind == QUINCE_PART_NODE ? "policy.revision" : "policy_revision";
-  watcher->decreased = G_MAXINT;
-  watcher->thread = g_thread_new ("watcher", watch_main, watcher);
-  scene->watchers[scene->n_watchers++] = watcher;
-  return watcher;
-}
-
-static void
-assert_never_back (Scene *scene)
-{
-  for (guint i = 0; i < scene->n_watchers; i++)
-    {
-      Watcher *watcher = scene->watchers[i];
-      assert_true (g_atomic_int_get (&watcher->samples) > 0);
-      if (g_atomic_int_get (&watcher->decreased) != G_MAXINT)
-        fail_msg ("%s went back to revision %d", watcher->name, g_atomic_int_get (&watcher->decreased));
-    }
-}
-
-static gboolean
-is_everywhere (Scene *scene)
-{
-  for (guint i = 0; i < scene->n_watchers; i++)
-    if (g_atomic_int_get (&scene->watchers[i]->revision) != scene->revision)
-      return FALSE;
-  return TRUE;
-}
-
 /* In force on all processes, and within the promised time of its acceptance. */
 static void
 assert_spread (Scene *scene)
 {
-  HARNESS_AWAIT (is_everywhere (scene));
+  HARNESS_AWAIT (harness_watch_is_at (scene->watch, scene->revision, NULL));
   gint64 took_ms = (quince_now_us () - scene->accepted_us) / 1000;
   print_message ("  revision=%d in_force_everywhere_ms=%d\n", (int)scene->revision, (int)took_ms);
   assert_true (took_ms <= PROMISE_MS);
-  assert_never_back (scene);
+  harness_watch_assert_never_back (scene->watch);
 }
 
 /* ---- Operators ------------------------------------------------------------------- */
@@ -146,18 +73,9 @@
   return path;
 }
 
-static gint64
-read_revision (const char *output)
-{
-  int revision = 0;
-  const char *line = strstr (output, "accepted revision ");
-  return line != NULL && sscanf (line, "accepted revision %d", &revision) == 1 ? revision : 0;
-}
-
 static void
-note_accepted (Scene *scene, const char *output)
+note_accepted (Scene *scene, gint64 revision)
 {
-  gint64 revision = read_revision (output);
   assert_true (revision > scene->revision);
   scene->revision = revision;
   scene->accepted_us = quince_now_us ();
@@ -167,10 +85,7 @@
 accept_policy (Scene *scene, const char *format)
 {
   g_autofree char *path = write_policy (scene, format);
-  g_autofree char *output = NULL;
-  const char *const arguments[] = { "policy", "accept", path, "--comment", "spread", NULL };
-  assert_int_equal (quince_cluster_operate (scene->cluster, arguments, &output), 0);
-  note_accepted (scene, output);
+  note_accepted (scene, harness_accept_policy (scene->cluster, path));
 }
 
 /* One of two operators, on the revision that both have read. */
@@ -244,7 +159,7 @@
   QuinceProcess *winner = first_status == 0 ? first : second;
   QuinceProcess *loser = first_status == 0 ? second : first;
   g_autofree char *output = quince_process_read_output (winner);
-  note_accepted (scene, output);
+  note_accepted (scene, harness_read_revision (output));
   /* The loser is told the winner's revision. */
   g_autofree char *file = g_strconcat (quince_process_get_name (loser), ".log", NULL);
   g_autofree char *path = g_build_filename (scene->cluster->folder, file, NULL);
@@ -288,8 +203,6 @@
   assert_spread (scene);
 }
 
-/* ---- New nodes ------------------------------------------------------------------------ */
-
 static QuinceClusterPart *
 add_node (Scene *scene, gboolean seeds)
 {
@@ -297,10 +210,67 @@
   QuinceClusterPart *node = quince_cluster_add_node (scene->cluster, "z1", seeds, &error);
   if (node == NULL)
     fail_msg ("no new node: %s", error->message);
-  watch_part (scene, node);
+  harness_watch_part (scene->watch, node);
   return node;
 }
 
+static gboolean
+watches_are (Scene *scene, gboolean up)
+{
+  QuinceClusterPart *node;
+  for (guint i = 0; (node = quince_cluster_get (scene->cluster, QUINCE_PART_NODE, i)) != NULL; i++)
+    {
+      g_autoptr (JsonNode) status = harness_read_status (node);
+      JsonObject *policy
+          = status != NULL ? json_object_get_object_member (json_node_get_object (status), "policy") : NULL;
+      if (policy == NULL || json_object_get_boolean_member (policy, "kv_watch_up") != up)
+        return FALSE;
+    }
+  return TRUE;
+}
+
+/* Writes that have nothing to do with policies, so that the store's revision passes all that nodes have seen.
+ */
+static void
+write_other_keys (Scene *scene)
+{
+  g_autofree char *key = g_base64_encode ((const guchar *)"/quince/other", strlen ("/quince/other"));
+  g_autofree char *body = g_strdup_printf ("{\"key\":\"%s\",\"value\":\"\"}", key);
+  for (guint i = 0; i < OTHER_WRITES; i++)
+    assert_int_equal (quince_http_sync (get_part (scene, QUINCE_PART_KV, 0)->http, "/v3/kv/put", body,
+                                        HARNESS_WAIT_MS, NULL),
+                      200);
+}
+
+/* The service comes back with what it held before the last acceptance. */
+static void
+test_service_restored_to_older_state (void **state)
+{
+  Scene *scene = *state;
+  QuinceClusterPart *kv = get_part (scene, QUINCE_PART_KV, 0);
+  g_autofree char *path = g_build_filename (scene->cluster->folder, "kv.state", NULL);
+  g_autofree char *older = NULL;
+  accept_policy (scene, open_policy);
+  assert_spread (scene);
+  assert_true (g_file_get_contents (path, &older, NULL, NULL));
+  accept_policy (scene, open_policy);
+  assert_spread (scene);
+  quince_process_kill (kv->process);
+  HARNESS_AWAIT (watches_are (scene, FALSE));
+  assert_true (g_file_set_contents (path, older, -1, NULL));
+  harness_restart (scene->cluster, kv);
+  write_other_keys (scene);
+  /* All have read the older policy from it. */
+  HARNESS_AWAIT (watches_are (scene, TRUE));
+  assert_true (harness_watch_is_at (scene->watch, scene->revision, NULL));
+  /* One that knows nothing of the newer one reads the older one, and hears of the newer from its peers. */
+  add_node (scene, TRUE);
+  HARNESS_AWAIT (harness_watch_is_at (scene->watch, scene->revision, NULL));
+  harness_watch_assert_never_back (scene->watch);
+}
+
+/* ---- New nodes ------------------------------------------------------------------------ */
+
 static void
 test_new_nodes_during_outage (void **state)
 {
@@ -360,7 +330,7 @@
   g_usleep (hold_ms * 1000);
   end (scene);
   gint64 healed_us = quince_now_us ();
-  HARNESS_AWAIT (is_everywhere (scene));
+  HARNESS_AWAIT (harness_watch_is_at (scene->watch, scene->revision, NULL));
   gint64 took_ms = (quince_now_us () - healed_us) / 1000;
   print_message ("  revision=%d in_force_after_heal_ms=%d\n", (int)scene->revision, (int)took_ms);
   assert_true (took_ms <= PROMISE_MS);
@@ -368,7 +338,7 @@
   harness_assert_calls (scene->cluster, load);
   assert_int_equal (count_late_starts (scene), 0);
   assert_true (quince_load_count_answers (load, QUINCE_ANSWER_NOT_RUN) > 0);
-  assert_never_back (scene);
+  harness_watch_assert_never_back (scene->watch);
   accept_policy (scene, open_policy);
   assert_spread (scene);
 }
@@ -448,14 +418,10 @@
 start_scene (void **state)
 {
   Scene *scene = g_new0 (Scene, 1);
-  QuinceClusterPart *part;
   *state = scene;
   scene->cluster = harness_start ("policy-spread", NULL);
   scene->revision = harness_policy_revision (get_part (scene, QUINCE_PART_NODE, 0));
-  for (guint i = 0; (part = quince_cluster_get (scene->cluster, QUINCE_PART_NODE, i)) != NULL; i++)
-    watch_part (scene, part);
-  for (guint i = 0; (part = quince_cluster_get (scene->cluster, QUINCE_PART_AGENT, i)) != NULL; i++)
-    watch_part (scene, part);
+  scene->watch = harness_watch_new (scene->cluster);
   return 0;
 }
 
@@ -463,14 +429,7 @@
 stop_scene (void **state)
 {
   Scene *scene = *state;
-  for (guint i = 0; i < scene->n_watchers; i++)
-    {
-      g_atomic_int_set (&scene->watchers[i]->stop, 1);
-      g_thread_join (scene->watchers[i]->thread);
-      g_free (scene->watchers[i]->name);
-      g_free (scene->watchers[i]->http);
-      g_free (scene->watchers[i]);
-    }
+  harness_watch_free (scene->watch);
   harness_stop (scene->cluster);
   g_free (scene);
   return 0;
@@ -490,6 +449,7 @@
     POLICY_TEST (test_two_operators),
     POLICY_TEST (test_late_and_dropped_watches),
     POLICY_TEST (test_service_restarted),
+    POLICY_TEST (test_service_restored_to_older_state),
     POLICY_TEST (test_new_nodes_during_outage),
     POLICY_TEST (test_frozen_node),
     POLICY_TEST (test_isolated_node),
