Policy: a node asks the key-value service when its peers are silent

Cause: a node whose network was gone without a reset went on by the policy of before for 5.8 s. A node that hears neither peers nor the service is not ready after 2 s, but a watch on a dead connection counted as the service's word until its own check, 4 to 8 s apart, had failed.

Ruled out: checking the watch each second always, 400 reads a second against a rate limit.

--- a/daemons/node/operator-watch.c
+++ b/daemons/node/operator-watch.c
@@ -85,3 +85,16 @@
 {
   return watch->up;
 }
+
+gboolean
+quince_operator_watch_is_confirmed (const QuinceOperatorWatch *watch, gint64 since_us)
+{
+  return watch->up && quince_kv_watch_get_heard_us (watch->watch) >= since_us;
+}
+
+void
+quince_operator_watch_confirm (QuinceOperatorWatch *watch, gint64 since_us)
+{
+  if (watch->watch != NULL && quince_kv_watch_get_heard_us (watch->watch) < since_us)
+    quince_kv_watch_check (watch->watch);
+}
--- a/daemons/node/policy-spread.c
+++ b/daemons/node/policy-spread.c
@@ -19,6 +19,8 @@
 #define FETCH_INTERVAL_MS 250
 /* Peers say something several times in this time. */
 #define SILENCE_US (2 * G_USEC_PER_SEC)
+/* While peers are silent, the service is asked so often: a watch on a dead connection is silent, too. */
+#define CONFIRM_US G_USEC_PER_SEC
 #define FAILURE_LOG_INTERVAL_US (5 * G_USEC_PER_SEC)
 
 /* Owned by the node, on its main context. */
@@ -109,10 +111,22 @@
 is_cut_off (const QuincePolicySpread *spread)
 {
   const QuinceNode *node = spread->node;
-  if (node->kv == NULL || node->operator_watch == NULL || quince_operator_watch_is_up (node->operator_watch))
+  gint64 since_us = quince_now_us () - SILENCE_US;
+  if (node->kv == NULL || node->operator_watch == NULL)
     return FALSE;
   gint64 heard_us = quince_gossiper_get_heard_us (node->gossiper);
-  return heard_us != 0 && quince_now_us () - heard_us > SILENCE_US;
+  return heard_us != 0 && heard_us < since_us
+         && !quince_operator_watch_is_confirmed (node->operator_watch, since_us);
+}
+
+static void
+confirm_when_silent (QuincePolicySpread *spread)
+{
+  const QuinceNode *node = spread->node;
+  gint64 since_us = quince_now_us () - CONFIRM_US;
+  gint64 heard_us = quince_gossiper_get_heard_us (node->gossiper);
+  if (node->operator_watch != NULL && heard_us != 0 && heard_us < since_us)
+    quince_operator_watch_confirm (node->operator_watch, since_us);
 }
 
 /* Tells the scheduler and the others when readiness has changed. */
@@ -238,6 +252,7 @@
 fetch_due (gpointer user_data)
 {
   QuincePolicySpread *spread = user_data;
+  confirm_when_silent (spread);
   update_current (spread);
   if (quince_policy_register_is_current (spread->reg))
     return G_SOURCE_CONTINUE;
--- a/include/quince/kv-client.h
+++ b/include/quince/kv-client.h
@@ -100,5 +100,9 @@
                                     const QuinceKvWatchCallbacks *callbacks,
                                     gpointer user_data);
 void quince_kv_watch_free (QuinceKvWatch *watch);
+/* Reads the prefix now, when the watch stands and no read is on its way: a dead connection is silent. */
+void quince_kv_watch_check (QuinceKvWatch *watch);
+/* When the service last answered a read or sent something, in monotonic time; 0: never. */
+gint64 quince_kv_watch_get_heard_us (const QuinceKvWatch *watch);
 
 G_END_DECLS
--- a/lib/platform/kv-watch.c
+++ b/lib/platform/kv-watch.c
@@ -45,6 +45,8 @@
   GPtrArray *items;   /* owned; QuinceKvItem, sorted by key; NULL before the first read */
   guint64 revision;   /* greatest store revision seen */
   gboolean up;
+  gboolean reading;    /* a read is on its way */
+  gint64 heard_us;     /* last answer of the service; 0: none */
   WatchStream *stream; /* not owned; NULL when none is open */
   GSource *timer;      /* owned; the back-off or the next check */
   GRand *random;       /* owned; spreads the back-off */
@@ -130,6 +132,7 @@
 {
   stream_drop (watch);
   quince_kv_client_cancel (watch->client, watch);
+  watch->reading = FALSE;
   watch->failures++;
   guint delay_ms = backoff_ms (watch);
   g_autofree char *quoted = quince_log_quote (reason);
@@ -195,6 +198,8 @@
 on_range (GPtrArray *items, guint64 revision, const GError *error, gpointer user_data)
 {
   QuinceKvWatch *watch = user_data;
+  watch->reading = FALSE;
+  watch->heard_us = error == NULL ? g_get_monotonic_time () : watch->heard_us;
   gboolean standing = watch->stream != NULL && watch->stream->created;
   if (standing && g_error_matches (error, QUINCE_KV_ERROR, QUINCE_KV_ERROR_RATE))
     {
@@ -230,6 +235,7 @@
 static void
 watch_read (QuinceKvWatch *watch)
 {
+  watch->reading = TRUE;
   quince_kv_client_get (watch->client, watch->prefix, TRUE, on_range, watch);
 }
 
@@ -270,6 +276,7 @@
 {
   g_autoptr (GError) error = NULL;
   QuinceKvWatchLine line;
+  stream->watch->heard_us = g_get_monotonic_time ();
   if (!quince_kv_json_parse_watch (text, length, &line, &error))
     {
       watch_break (stream->watch, error->message);
@@ -398,3 +405,18 @@
   g_free (watch->prefix);
   g_free (watch);
 }
+
+void
+quince_kv_watch_check (QuinceKvWatch *watch)
+{
+  if (!watch->up || watch->reading)
+    return;
+  clear_timer (watch);
+  watch_read (watch);
+}
+
+gint64
+quince_kv_watch_get_heard_us (const QuinceKvWatch *watch)
+{
+  return watch->heard_us;
+}
