--- a/rehearsal/engine-records.c
+++ b/rehearsal/engine-records.c
@@ -190,13 +190,14 @@
 }
 
 char *
-engine_records_describe (EngineRecords *records, guint64 refused)
+engine_records_describe (EngineRecords *records, guint64 refused, guint64 stale_fences)
 {
   GString *text = g_string_new (NULL);
   g_string_append_printf (text,
                           "{\"started\":%" G_GUINT64_FORMAT ",\"refused\":%" G_GUINT64_FORMAT
-                          ",\"blocks_seen\":%" G_GUINT64_FORMAT ",\"blocks_hit\":%" G_GUINT64_FORMAT,
-                          records->started, refused, records->blocks_seen, records->blocks_hit);
+                          ",\"stale_fences\":%" G_GUINT64_FORMAT ",\"blocks_seen\":%" G_GUINT64_FORMAT
+                          ",\"blocks_hit\":%" G_GUINT64_FORMAT,
+                          records->started, refused, stale_fences, records->blocks_seen, records->blocks_hit);
   g_string_append (text, ",\"outcomes\":{");
   for (guint i = 0; i < N_OUTCOMES; i++)
     g_string_append_printf (text, "%s\"%s\":%" G_GUINT64_FORMAT, i > 0 ? "," : "", outcome_names[i],
--- a/rehearsal/engine.c
+++ b/rehearsal/engine.c
@@ -71,6 +71,7 @@
     }
   if (fence < engine->greatest_fence)
     {
+      engine->stale_fences++;
       quince_http_reply_error (message, 409, "stale_fence", "an order with a greater fence was seen", -1, -1);
       return NULL;
     }
@@ -260,7 +261,7 @@
 describe_records (gpointer self)
 {
   Engine *engine = self;
-  return engine_records_describe (engine->records, engine->refused);
+  return engine_records_describe (engine->records, engine->refused, engine->stale_fences);
 }
 
 static void
@@ -332,6 +333,7 @@
   come_back (engine);
   engine_records_clear (engine->records);
   engine->refused = 0;
+  engine->stale_fences = 0;
 }
 
 static const QuinceStandinClass engine_class = {
--- a/rehearsal/engine.h
+++ b/rehearsal/engine.h
@@ -144,6 +144,7 @@
   gboolean leaving;
   char *role;
   guint64 greatest_fence;
+  guint64 stale_fences; /* orders refused for a lesser one */
 
   JsonNode *load_report; /* as last renewed */
   gint64 load_report_us;
@@ -230,6 +231,6 @@
                                 guint32 first,
                                 guint32 count,
                                 guint64 version);
-char *engine_records_describe (EngineRecords *records, guint64 refused);
+char *engine_records_describe (EngineRecords *records, guint64 refused, guint64 stale_fences);
 
 G_END_DECLS
