Weights: a wave is a tenth of a large service

Cause: four engines of a service swapped at a time whatever its size: 4,800 engines with swaps of 0.3 s take 6 minutes, the users ask for 8 s. Adding an engine sorted all others again.

Change: weights.activate_share (0.1) beside activate_parallel (4), the greater holds. A new engine is put in its place. Ruled out: a coordinator a region now; the plan itself is not the limit.

--- a/daemons/node/node-settings.c
+++ b/daemons/node/node-settings.c
@@ -72,6 +72,8 @@
     "engines that fetch a version at the same time" },
   { "weights", "activate_parallel", QUINCE_SETTING_INTEGER, FALSE, "4", 1, 1024, NULL,
     "engines of a service that swap at the same time" },
+  { "weights", "activate_share", QUINCE_SETTING_NUMBER, FALSE, "0.1", 0, 1, NULL,
+    "the same as a part of the service's engines; the greater of the two holds" },
   { "weights", "running", QUINCE_SETTING_CHOICE, FALSE, "resume", 0, 0, "wait|resume|restart",
     "what becomes of running sequences at a swap" },
   { "weights", "order_timeout", QUINCE_SETTING_DURATION, FALSE, "60s", 100 * MILLISECOND, 600 * SECOND, NULL,
--- a/daemons/node/weights.c
+++ b/daemons/node/weights.c
@@ -235,6 +235,7 @@
   QuinceWeightPlanLimits limits = quince_weight_plan_default_limits;
   limits.stage_parallel = (guint)quince_settings_get_integer (settings, "weights", "stage_parallel");
   limits.activate_parallel = (guint)quince_settings_get_integer (settings, "weights", "activate_parallel");
+  limits.activate_share = quince_settings_get_number (settings, "weights", "activate_share");
   limits.settle_us = quince_settings_get_duration_us (settings, "weights", "settle");
   limits.hold_before_us = quince_settings_get_duration_us (settings, "weights", "hold_before");
   limits.hold_after_us = quince_settings_get_duration_us (settings, "weights", "hold_after");
--- a/include/quince/weight-plan.h
+++ b/include/quince/weight-plan.h
@@ -20,7 +20,8 @@
 /**
  * QuinceWeightPlanLimits:
  * @stage_parallel: engines that stage at the same time, over all services
- * @activate_parallel: engines of one service that swap at the same time
+ * @activate_parallel: engines of one service that swap at the same time, or
+ * @activate_share: as a part of those of the service, whichever is more
  * @settle_us: an engine that carried out an activation shows it within this
  * @backoff_least_us: wait after a first failure; doubled with each further one
  * @backoff_most_us: longest wait
@@ -33,6 +34,7 @@
 {
   guint stage_parallel;
   guint activate_parallel;
+  double activate_share;
   gint64 settle_us;
   gint64 backoff_least_us;
   gint64 backoff_most_us;
--- a/lib/core/weights/weight-plan.c
+++ b/lib/core/weights/weight-plan.c
@@ -10,6 +10,7 @@
 const QuinceWeightPlanLimits quince_weight_plan_default_limits = {
   .stage_parallel = 2,
   .activate_parallel = 4,
+  .activate_share = 0.1,
   .settle_us = 3 * G_USEC_PER_SEC,
   .backoff_least_us = 500 * MILLISECOND,
   .backoff_most_us = 15 * G_USEC_PER_SEC,
@@ -114,7 +115,10 @@
 
 /* ---- What engines report and answer ---------------------------------- */
 
-/* Binary search: the engines are kept in order of their names. */
+/* Binary search, as the engines are kept in order of their names.
+ * @index: (out): where the engine is, or belongs
+ *
+ * Returns: (nullable): the engine */
 static Engine *
 find_engine (const QuinceWeightPlan *plan, const char *name, guint *index)
 {
@@ -122,39 +126,27 @@
   guint high = plan->engines->len;
   while (low < high)
     {
-      guint middle = low + (high - low) / 2;
-      Engine *engine = g_ptr_array_index (plan->engines, middle);
+      *index = low + (high - low) / 2;
+      Engine *engine = g_ptr_array_index (plan->engines, *index);
       int order = strcmp (name, engine->name);
       if (order == 0)
-        {
-          if (index != NULL)
-            *index = middle;
-          return engine;
-        }
+        return engine;
       if (order < 0)
-        high = middle;
+        high = *index;
       else
-        low = middle + 1;
+        low = *index + 1;
     }
+  *index = low;
   return NULL;
 }
 
-static int
-compare_names (gconstpointer a, gconstpointer b)
-{
-  const Engine *left = *(const Engine *const *)a;
-  const Engine *right = *(const Engine *const *)b;
-  return g_strcmp0 (left->name, right->name);
-}
-
 static Engine *
-add_engine (QuinceWeightPlan *plan, const QuinceWeightReport *report)
+add_engine (QuinceWeightPlan *plan, const QuinceWeightReport *report, guint index)
 {
   Engine *engine = g_new0 (Engine, 1);
   engine->name = g_strdup (report->engine);
   engine->service = g_strdup (report->service);
-  g_ptr_array_add (plan->engines, engine);
-  g_ptr_array_sort (plan->engines, compare_names);
+  g_ptr_array_insert (plan->engines, (gint)index, engine);
   return engine;
 }
 
@@ -202,9 +194,10 @@
 void
 quince_weight_plan_report (QuinceWeightPlan *plan, gint64 now_us, const QuinceWeightReport *report)
 {
-  Engine *engine = find_engine (plan, report->engine, NULL);
+  guint index;
+  Engine *engine = find_engine (plan, report->engine, &index);
   if (engine == NULL)
-    engine = add_engine (plan, report);
+    engine = add_engine (plan, report, index);
   engine->usable = report->usable;
   if (report->reported_us < engine->reported_us)
     return;
@@ -221,7 +214,7 @@
 void
 quince_weight_plan_remove (QuinceWeightPlan *plan, const char *name)
 {
-  guint index = 0;
+  guint index;
   if (find_engine (plan, name, &index) != NULL)
     g_ptr_array_remove_index (plan->engines, index);
 }
@@ -234,7 +227,8 @@
                              guint64 version,
                              gboolean done)
 {
-  Engine *engine = find_engine (plan, name, NULL);
+  guint index;
+  Engine *engine = find_engine (plan, name, &index);
   Phase expected = kind == QUINCE_WEIGHT_ORDER_STAGE ? PHASE_STAGING : PHASE_ACTIVATING;
   if (engine == NULL || engine->phase != expected || engine->version != version)
     return;
@@ -336,6 +330,7 @@
 /* How far a service is; counted once a step, since there may be thousands of engines. */
 typedef struct
 {
+  guint engines;
   guint activating;
   gboolean held_up; /* an engine has not staged the version yet */
 } ServiceProgress;
@@ -354,6 +349,7 @@
           progress = g_new0 (ServiceProgress, 1);
           g_hash_table_insert (services, engine->service, progress);
         }
+      progress->engines++;
       /* One that has answered runs again; only its report is still to come. */
       progress->activating += engine->phase == PHASE_ACTIVATING;
       progress->held_up = progress->held_up || holds_up_service (plan, engine, now_us);
@@ -361,6 +357,13 @@
   return services;
 }
 
+static gboolean
+has_full_wave (const QuinceWeightPlan *plan, const ServiceProgress *progress)
+{
+  guint share = (guint)(progress->engines * plan->limits.activate_share);
+  return progress->activating >= MAX (plan->limits.activate_parallel, share);
+}
+
 static void
 plan_activation (QuinceWeightPlan *plan, gint64 now_us, GPtrArray *orders)
 {
@@ -371,8 +374,8 @@
     {
       Engine *engine = g_ptr_array_index (plan->engines, i);
       ServiceProgress *progress = g_hash_table_lookup (services, engine->service);
-      if (progress->held_up || progress->activating >= plan->limits.activate_parallel || !engine->usable
-          || is_busy (engine) || now_us < engine->retry_at_us || !needs_newest (plan, engine, now_us)
+      if (progress->held_up || has_full_wave (plan, progress) || !engine->usable || is_busy (engine)
+          || now_us < engine->retry_at_us || !needs_newest (plan, engine, now_us)
           || !has_staged (plan, engine))
         continue;
       add_order (plan, engine, QUINCE_WEIGHT_ORDER_ACTIVATE, orders);
--- a/tests/unit/test-weight-plan.c
+++ b/tests/unit/test-weight-plan.c
@@ -196,6 +196,87 @@
   quince_weight_plan_free (deployment.plan);
 }
 
+/* The size of letters: engines that take FLEET_SWAP_US each, told of FLEET_REPORT_US late. */
+#define FLEET 4800
+#define FLEET_SWAP_US (300 * G_USEC_PER_SEC / 1000)
+#define FLEET_REPORT_US (500 * G_USEC_PER_SEC / 1000)
+#define FLEET_BOUND_US (8 * SECOND)
+
+typedef struct
+{
+  char name[8];
+  gint64 swapped_us; /* 0: no order yet */
+  gboolean answered;
+} FleetEngine;
+
+static void
+fleet_report (QuinceWeightPlan *plan, const FleetEngine *engine, gint64 now_us)
+{
+  gint64 reported_us = now_us - FLEET_REPORT_US;
+  gboolean swapped = engine->swapped_us != 0 && engine->swapped_us <= reported_us;
+  QuinceWeightReport report = { .engine = engine->name,
+                                .service = "rank-lm",
+                                .usable = TRUE,
+                                .weight_version = swapped ? 2 : 1,
+                                .staged_version = 2,
+                                .reported_us = reported_us };
+  quince_weight_plan_report (plan, now_us, &report);
+}
+
+static void
+fleet_answer (QuinceWeightPlan *plan, FleetEngine *engine, gint64 now_us)
+{
+  if (engine->swapped_us == 0 || engine->swapped_us > now_us || engine->answered)
+    return;
+  engine->answered = TRUE;
+  quince_weight_plan_answered (plan, now_us, engine->name, QUINCE_WEIGHT_ORDER_ACTIVATE, 2, TRUE);
+}
+
+/* Returns: orders given */
+static guint
+fleet_step (QuinceWeightPlan *plan, FleetEngine *engines, gint64 now_us)
+{
+  g_autoptr (GPtrArray) orders = quince_weight_orders_new ();
+  for (guint i = 0; i < FLEET; i++)
+    {
+      fleet_answer (plan, &engines[i], now_us);
+      fleet_report (plan, &engines[i], now_us);
+    }
+  quince_weight_plan_step (plan, now_us, orders);
+  for (guint i = 0; i < orders->len; i++)
+    {
+      const QuinceWeightOrder *order = g_ptr_array_index (orders, i);
+      assert_int_equal (order->kind, QUINCE_WEIGHT_ORDER_ACTIVATE);
+      engines[g_ascii_strtoull (order->engine + 1, NULL, 10)].swapped_us = now_us + FLEET_SWAP_US;
+    }
+  return orders->len;
+}
+
+static void
+test_a_large_service_swaps_within_its_bound (void **state)
+{
+  g_autofree FleetEngine *engines = g_new0 (FleetEngine, FLEET);
+  g_autoptr (QuinceWeightPlan) plan = quince_weight_plan_new (&quince_weight_plan_default_limits);
+  gint64 now_us = 1000 * SECOND;
+  guint ordered = 0;
+  guint most = 0;
+  for (guint i = 0; i < FLEET; i++)
+    g_snprintf (engines[i].name, sizeof engines[i].name, "e%04u", i);
+  fleet_step (plan, engines, now_us);
+  quince_weight_plan_set_newest (plan, 2);
+  gint64 start_us = now_us;
+  for (now_us += STEP_US; ordered < FLEET && now_us <= start_us + FLEET_BOUND_US; now_us += STEP_US)
+    {
+      guint orders = fleet_step (plan, engines, now_us);
+      ordered += orders;
+      most = MAX (most, orders);
+    }
+  assert_int_equal (ordered, FLEET);
+  assert_true (now_us + FLEET_SWAP_US <= start_us + FLEET_BOUND_US);
+  assert_in_range (most, 1, FLEET / 10);
+  print_message ("%u engines in %d ms\n", FLEET, (int)((now_us + FLEET_SWAP_US - start_us) / 1000));
+}
+
 static void
 test_activation_waits_for_the_whole_service (void **state)
 {
@@ -252,6 +333,7 @@
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_waves_keep_within_limits),
     cmocka_unit_test (test_activation_waits_for_the_whole_service),
+    cmocka_unit_test (test_a_large_service_swaps_within_its_bound),
     cmocka_unit_test (test_no_activation_around_an_event_start),
     cmocka_unit_test (test_faults_are_repaired),
     cmocka_unit_test (test_unusable_engines_get_no_order),
