--- a/lib/core/membership/readings-sender.c
+++ b/lib/core/membership/readings-sender.c
@@ -13,6 +13,9 @@
 /* and a member hears of them at most once in this time. */
 #define ROUND_LEAST_US ((gint64)400 * G_TIME_SPAN_MILLISECOND)
 
+/* Like repair, they leave this part of the whole budget's burst to news. */
+#define RESERVE_DIVISOR 2
+
 static gint64
 share_of_budget (const QuinceMembership *membership)
 {
@@ -29,6 +32,15 @@
   round->refilled_us = now_us;
 }
 
+static gboolean
+leaves_reserve (const QuinceMembership *membership, gint64 now_us)
+{
+  gint64 rate = membership->limits.bytes_per_second;
+  gint64 elapsed_us = CLAMP (now_us - membership->refilled_us, 0, G_TIME_SPAN_SECOND);
+  gint64 tokens = membership->tokens + elapsed_us * rate / G_TIME_SPAN_SECOND;
+  return tokens > rate / RESERVE_DIVISOR;
+}
+
 /* FALSE when every member has been told and the next round is not due yet. */
 static gboolean
 begin_round (QuinceReadingsRound *round, guint members, gint64 now_us)
@@ -55,7 +67,8 @@
   const QuinceMembershipView *view = quince_member_table_view (membership);
   guint members = view->zone_peers->len;
   refill (membership, now_us);
-  while (members > 0 && round->tokens > 0 && begin_round (round, members, now_us))
+  while (members > 0 && round->tokens > 0 && leaves_reserve (membership, now_us)
+         && begin_round (round, members, now_us))
     {
       QuincePeer *peer = view->zone_peers->pdata[round->cursor++];
       for (guint i = 0; i < n_readings; i++)
--- a/rehearsal/hollow-node.c
+++ b/rehearsal/hollow-node.c
@@ -12,6 +12,9 @@
 #define MAX_ENGINES 64
 #define ENGINE_SLOTS 16
 #define DIGEST_INTERVAL_MS 1000
+#define READINGS_INTERVAL_MS 100
+/* Engines of other zones that a node reads for its zone: 2 services, 32 each, over 17 nodes. */
+#define FOREIGN_ENGINES 4
 /* How long a holder of the own zone is awaited before one of another zone is asked. */
 #define REMOTE_FETCH_DELAY_MS 300
 #define FETCH_RETRY_MS 200
@@ -35,6 +38,7 @@
   GSource *fetch_timer; /* next try; NULL when none                         */
   GSource *wakeup;      /* ready at the membership's next wakeup            */
   GSource *digest_timer;
+  GSource *readings_timer;
 
   guint engines;
   guint granted[MAX_ENGINES];        /* slots of each hollow engine               */
@@ -132,6 +136,21 @@
   return G_SOURCE_CONTINUE;
 }
 
+/* Reports of owned engines, as a real node tells its zone; no one reads them. */
+static gboolean
+spread_readings (gpointer data)
+{
+  QuinceHollowNode *node = data;
+  QuinceEngineReading engines[MAX_ENGINES + FOREIGN_ENGINES] = { 0 };
+  QuinceEngineReadings readings = { .incarnation = 1, .sent_us = (guint64)quince_now_us () };
+  readings.engines.engines_len = node->engines + FOREIGN_ENGINES;
+  readings.engines.engines_val = engines;
+  g_autoptr (GPtrArray) sends = quince_membership_sends_new ();
+  quince_membership_spread_readings (node->membership, quince_now_us (), &readings, 1, sends);
+  after_step (node, sends);
+  return G_SOURCE_CONTINUE;
+}
+
 /* ---- Policy ---------------------------------------------------------- */
 
 static void consider_fetch (QuinceHollowNode *node);
@@ -312,6 +331,7 @@
   g_source_set_ready_time (node->wakeup, quince_membership_next_wakeup (node->membership));
   g_source_attach (node->wakeup, g_main_context_get_thread_default ());
   node->digest_timer = quince_timer_add (DIGEST_INTERVAL_MS, change_load, node);
+  node->readings_timer = quince_timer_add (READINGS_INTERVAL_MS, spread_readings, node);
 }
 
 QuinceHollowNode *
@@ -345,6 +365,7 @@
 {
   quince_source_clear (&node->wakeup);
   quince_source_clear (&node->digest_timer);
+  quince_source_clear (&node->readings_timer);
   quince_source_clear (&node->fetch_timer);
   end_fetch (node);
   for (guint i = 0; i < node->clients->len; i++)
@@ -401,5 +422,7 @@
   sum->gossip_bytes_sent += quince_datagrams_get_bytes_sent (node->datagrams);
   sum->gossip_bytes_received += quince_datagrams_get_bytes_received (node->datagrams);
   sum->link_bytes_sent += node->counters.link_bytes_sent;
+  sum->readings_bytes += quince_membership_get_readings_bytes (node->membership);
+  sum->round_most_us = MAX (sum->round_most_us, quince_membership_get_readings_round_us (node->membership));
   sum->malformed += quince_datagrams_get_malformed (node->datagrams);
 }
--- a/rehearsal/hollow-node.h
+++ b/rehearsal/hollow-node.h
@@ -3,7 +3,8 @@
  *
  * It has the real membership core on its own UDP socket, the real policy
  * register, and a link server from which others fetch the policy.  Its
- * engines are hollow: their load digests change each second.
+ * engines are hollow: their load digests change each second, and their reports
+ * go to the members of the zone.
  */
 #pragma once
 
@@ -46,7 +47,7 @@
   void (*gone) (guint index, const char *name, gpointer user_data);
 } QuinceHollowNodeCallbacks;
 
-/* Counters of one node; all only grow. */
+/* Counters of one node; all but the round only grow. */
 typedef struct
 {
   guint64 datagrams_sent;
@@ -54,6 +55,8 @@
   guint64 gossip_bytes_received; /* UDP payload                            */
   guint64 link_bytes_sent;       /* policy bodies and requests, TCP payload */
   guint64 malformed;
+  guint64 readings_bytes; /* sent with reports of engines, headers included */
+  gint64 round_most_us;   /* longest of the last rounds in which a node told its zone of them */
 } QuinceHollowNodeCounters;
 
 /* Serves on ports that the kernel chooses on 127.0.0.1, in the thread-default context. */
--- a/rehearsal/hollow.c
+++ b/rehearsal/hollow.c
@@ -210,10 +210,11 @@
       agree += quince_hollow_node_count_alive (node) == alive;
     }
   print_event ("report %u %u %" G_GINT64_FORMAT " %" G_GINT64_FORMAT " %" G_GUINT64_FORMAT
-               " %" G_GUINT64_FORMAT " %" G_GUINT64_FORMAT " %" G_GUINT64_FORMAT " %" G_GUINT64_FORMAT,
+               " %" G_GUINT64_FORMAT " %" G_GUINT64_FORMAT " %" G_GUINT64_FORMAT " %" G_GUINT64_FORMAT
+               " %" G_GUINT64_FORMAT " %" G_GINT64_FORMAT,
                g_hash_table_size (hollow->nodes), agree, processor_time_us (), resident_kib (),
                sum.datagrams_sent, sum.gossip_bytes_sent, sum.gossip_bytes_received, sum.link_bytes_sent,
-               sum.malformed);
+               sum.malformed, sum.readings_bytes, sum.round_most_us);
 }
 
 static const struct
--- a/rehearsal/scale-cluster.c
+++ b/rehearsal/scale-cluster.c
@@ -124,6 +124,8 @@
   report->bytes_received = g_ascii_strtoll (words[7], NULL, 10);
   report->link_bytes = g_ascii_strtoll (words[8], NULL, 10);
   report->malformed = g_ascii_strtoll (words[9], NULL, 10);
+  report->readings_bytes = g_ascii_strtoll (words[10], NULL, 10);
+  report->round_most_us = g_ascii_strtoll (words[11], NULL, 10);
   worker->reported = TRUE;
 }
 
@@ -136,7 +138,7 @@
 } events[] = {
   { "started", 3, TRUE, event_started }, { "killed", 3, TRUE, event_stopped },
   { "left", 3, TRUE, event_stopped },    { "inforce", 4, TRUE, event_in_force },
-  { "gone", 4, TRUE, event_gone },       { "report", 10, FALSE, event_report },
+  { "gone", 4, TRUE, event_gone },       { "report", 12, FALSE, event_report },
 };
 
 static void
@@ -375,6 +377,8 @@
   sum->bytes_received += report->bytes_received;
   sum->link_bytes += report->link_bytes;
   sum->malformed += report->malformed;
+  sum->readings_bytes += report->readings_bytes;
+  sum->round_most_us = MAX (sum->round_most_us, report->round_most_us);
 }
 
 gboolean
--- a/rehearsal/scale-cluster.h
+++ b/rehearsal/scale-cluster.h
@@ -52,6 +52,8 @@
   gint64 bytes_received; /* UDP payload */
   gint64 link_bytes;     /* TCP payload */
   gint64 malformed;
+  gint64 readings_bytes; /* with IP and UDP headers                        */
+  gint64 round_most_us;  /* longest last round of reports over a zone; no sum */
 } QuinceScaleReport;
 
 typedef struct _QuinceScaleCluster QuinceScaleCluster;
--- a/rehearsal/scale.c
+++ b/rehearsal/scale.c
@@ -75,11 +75,13 @@
   double processor = seconds (after->processor_us - before->processor_us);
   printf ("phase=%s seconds=%.1f wire_bytes_per_node_s=%.0f payload_bytes_per_node_s=%.0f "
           "datagrams_per_node_s=%.2f policy_bytes_per_node_s=%.0f cpu_percent_per_node=%.3f "
-          "rss_kib_per_node=%.0f malformed=%" G_GINT64_FORMAT "\n",
+          "rss_kib_per_node=%.0f malformed=%" G_GINT64_FORMAT
+          " readings_bytes_per_node_s=%.0f readings_round_most_s=%.2f\n",
           phase, elapsed, (payload + datagrams * UDP_HEADER_BYTES) / nodes / elapsed,
           payload / nodes / elapsed, datagrams / nodes / elapsed, links / nodes / elapsed,
           100 * processor / nodes / elapsed, (double)(after->resident_kib - scale->base_kib) / nodes,
-          after->malformed);
+          after->malformed, (double)(after->readings_bytes - before->readings_bytes) / nodes / elapsed,
+          seconds (after->round_most_us));
 }
 
 static int
