--- a/rehearsal/hollow.c
+++ b/rehearsal/hollow.c
@@ -212,11 +212,12 @@
       guint64 bytes = quince_hollow_node_take_bytes (node);
       greatest = MAX (greatest, bytes);
     }
-  print_event (
-      "report %u %u %" G_GINT64_FORMAT " %" G_GINT64_FORMAT " %" G_GUINT64_FORMAT " %" G_GUINT64_FORMAT
-      " %" G_GUINT64_FORMAT " %" G_GUINT64_FORMAT " %" G_GUINT64_FORMAT " %" G_GUINT64_FORMAT,
-      g_hash_table_size (hollow->nodes), agree, processor_time_us (), resident_kib (), sum.datagrams_sent,
-      sum.gossip_bytes_sent, sum.gossip_bytes_received, sum.link_bytes_sent, sum.malformed, greatest);
+  print_event ("report %u %u %" G_GINT64_FORMAT " %" G_GINT64_FORMAT " %" G_GUINT64_FORMAT
+               " %" G_GUINT64_FORMAT " %" G_GUINT64_FORMAT " %" G_GUINT64_FORMAT " %" G_GUINT64_FORMAT
+               " %" G_GUINT64_FORMAT " %" G_GUINT64_FORMAT " %" G_GINT64_FORMAT,
+               g_hash_table_size (hollow->nodes), agree, processor_time_us (), resident_kib (),
+               sum.datagrams_sent, sum.gossip_bytes_sent, sum.gossip_bytes_received, sum.link_bytes_sent,
+               sum.malformed, greatest, sum.readings_bytes, sum.round_most_us);
 }
 
 static const struct
--- a/tests/unit/test-hostile.c
+++ b/tests/unit/test-hostile.c
@@ -52,6 +52,28 @@
   return GUINT32_TO_BE (pick < G_N_ELEMENTS (words) ? words[pick] : g_rand_int (random));
 }
 
+/* RFC 4506, 4.3: a number that is no enumerator is an error. */
+static void
+test_unknown_enumerator (void **state)
+{
+  QuinceGrantRequest request = {
+    .service = (char *)"s", .member = (char *)"m", .kind = (char *)"k", .work_class = QUINCE_WORK_ROLLOUT
+  };
+  g_autoptr (GBytes) rollout = quince_grant_request_encode (&request, NULL);
+  request.work_class = QUINCE_WORK_LOOKUP;
+  g_autoptr (GBytes) lookup = quince_grant_request_encode (&request, NULL);
+  gsize length;
+  const guint8 *bytes = g_bytes_get_data (lookup, &length);
+  const guint8 *others = g_bytes_get_data (rollout, NULL);
+  g_autofree guint8 *changed = g_memdup2 (bytes, length);
+  for (gsize i = 0; i < length; i++)
+    if (bytes[i] != others[i])
+      changed[i] = QUINCE_WORK_ROLLOUT + 1;
+  g_autoptr (GError) error = NULL;
+  assert_null (quince_grant_request_decode (changed, length, &error));
+  assert_true (g_error_matches (error, QUINCE_CODEC_ERROR, QUINCE_CODEC_ERROR_DECODE));
+}
+
 static void
 test_random_messages (void **state)
 {
@@ -340,10 +362,10 @@
 main (void)
 {
   const struct CMUnitTest tests[] = {
-    cmocka_unit_test (test_random_messages),  cmocka_unit_test (test_changed_messages),
-    cmocka_unit_test (test_json_check),       cmocka_unit_test (test_changed_book),
-    cmocka_unit_test (test_hostile_programs), cmocka_unit_test (test_odd_programs),
-    cmocka_unit_test (test_random_programs),
+    cmocka_unit_test (test_unknown_enumerator), cmocka_unit_test (test_random_messages),
+    cmocka_unit_test (test_changed_messages),   cmocka_unit_test (test_json_check),
+    cmocka_unit_test (test_changed_book),       cmocka_unit_test (test_hostile_programs),
+    cmocka_unit_test (test_odd_programs),       cmocka_unit_test (test_random_programs),
   };
   return cmocka_run_group_tests_name ("hostile", tests, NULL, NULL);
 }
