Scheduler: a request of an unknown class of work is refused

Cause: slots and service times are kept by class of work since, indexed by what the message says. The codec lets any number through, so a malformed request wrote outside the array: nodes ended by a signal under flipped frames (seen in the kernel's log while other tests ran).

Change: such a request is BAD_REQUEST before anything is indexed by it.

Measured: test_request_faults with class 1000000 fails before (the request was taken) and passes after; the four unit programs of the scheduler pass.

--- a/lib/core/scheduling/requests.c
+++ b/lib/core/scheduling/requests.c
@@ -39,7 +39,9 @@
 static gboolean
 request_is_valid (const QuinceGrantRequest *request)
 {
-  return request->service[0] != '\0' && strlen (request->service) <= QUINCE_MAX_NAME
+  gboolean class_known
+      = request->work_class == QUINCE_WORK_LOOKUP || request->work_class == QUINCE_WORK_ROLLOUT;
+  return class_known && request->service[0] != '\0' && strlen (request->service) <= QUINCE_MAX_NAME
          && strlen (request->member) <= QUINCE_MAX_NAME && strlen (request->kind) <= QUINCE_MAX_NAME
          && request->prefix.prefix_len <= QUINCE_MAX_PREFIX && request->avoid.avoid_len <= AVOID_MOST;
 }
@@ -58,7 +60,7 @@
     }
   if (!request_is_valid (request))
     {
-      *detail = "a name is missing or too long, or there are too many prefix blocks";
+      *detail = "a class or name is unknown, missing or too long, or there are too many prefix blocks";
       return QUINCE_REFUSAL_BAD_REQUEST;
     }
   if (request->deadline_ms == 0)
--- a/tests/unit/test-scheduler.c
+++ b/tests/unit/test-scheduler.c
@@ -118,6 +118,10 @@
   ask (&world, &request);
   expect_refusal (&world, QUINCE_REFUSAL_BAD_REQUEST);
   request = lookup (&world, "member-a");
+  request.work_class = (QuinceWorkClass)1000000; /* the codec lets it through */
+  ask (&world, &request);
+  expect_refusal (&world, QUINCE_REFUSAL_BAD_REQUEST);
+  request = lookup (&world, "member-a");
   request.deadline_ms = 0;
   ask (&world, &request);
   expect_refusal (&world, QUINCE_REFUSAL_DEADLINE);
