Agent: several workers behind one listening socket

Profile. callgrind, 2,498 requests: 1.11 million instructions each. Memory allocation 21 % (flat), parsing JSON 8 %, the main loop's prepare and check 5 to 6 %, quince_engine_call_start 7 %, formatting and reading of ours below 5 %; the rest is libsoup's server and client with their objects, signals and GTasks, spread thinly. perf: kernel 19 %, GLib 27 %, libc 18 %, GObject 18 %, libsoup 9 %, GIO 4 %, our code 2 %. strace, a request: 19 wake-ups (write on an eventfd), 6 sends, 1 connect and 1 accept (the engine stand-in ends each connection), 1 getrandom, no log line.

Ruled out: halving that on one thread, as no part of it is half; a second thread for the engines' side alone; SO_REUSEPORT and locks (docs/DESIGN.md).

Change: `agent.workers` (4) workers, each with its connections, executions and engine session, which reach the node links, the ledger client, the retry budget and the table of request ids by messages to the hub on the main context. Worker 0 is on the main context and serves a caller that is alone, so that it waits for no other thread. /readyz, /metrics and /v1/status are answered for all workers; the end of a stop is judged by reports that every worker made after it knew of the stop.

Tests: test-agent-workers (one id on three workers, in progress, at once, and of a caller that went; retry budget and figures for all workers); test-agent-hub (a grant or an id that crosses a withdrawal goes back; table of ids). With a worker that takes each id without the hub's word, the first two cases of test-agent-workers fail. test_kept_connection starts its agent with one worker, since each keeps engine connections of its own: the same checks on the same connection.

--- a/daemons/agent/agent-http.c
+++ b/daemons/agent/agent-http.c
@@ -1,35 +1,26 @@
 /*
- * agent-http.c: the HTTP server of the agent: routes, bounds and status.
+ * agent-http.c: the HTTP server of a worker: routes, bounds and status.
  */
 #include "agent-http.h"
 
-#include <linux/filter.h>
 #include <string.h>
-#include <sys/socket.h>
 
 #include <quince/http-listener.h>
 #include <quince/http.h>
-#include <quince/log.h>
 #include <quince/task.h>
 
-#include "agent-metrics.h"
 #include "completions.h"
-#include "node-links.h"
 #include "trainer-api.h"
 
 #define BODY_MOST_BYTES (8 * 1024 * 1024)
-/* In the TCP header: where the flags are, and which of them tell a first packet. */
-#define TCP_FLAGS_OFFSET 13
-#define TCP_FLAGS_SYN 0x02
-#define TCP_FLAGS_SYN_ACK 0x12
 
 struct _QuinceAgentHttp
 {
-  /* All fields belong to the main context. */
-  QuinceAgent *agent;
+  /* All fields belong to the worker's context. */
+  QuinceWorker *worker;
   SoupServer *server;
-  QuinceHttpListener *listener;
-  gint64 asked_us; /* when a request came last */
+  GHashTable *views; /* of View, owned */
+  gint64 asked_us;   /* when a request came last */
 };
 
 /* ---- Bounds -------------------------------------------------------------------- */
@@ -66,7 +57,7 @@
   SoupMessageHeaders *headers = soup_server_message_get_request_headers (message);
   http->asked_us = quince_now_us ();
   /* A caller that kept the connection would meet its end. */
-  if (http->agent->stopping)
+  if (http->worker->stopping)
     soup_message_headers_replace (soup_server_message_get_response_headers (message), "Connection", "close");
   if (soup_message_headers_get_content_length (headers) > BODY_MOST_BYTES)
     {
@@ -101,7 +92,7 @@
 {
   QuinceAgentHttp *http = user_data;
   if (check_method (message, SOUP_METHOD_POST))
-    quince_completions_handle (http->agent->completions, message);
+    quince_completions_handle (http->worker->completions, message);
 }
 
 static void
@@ -113,7 +104,7 @@
 {
   QuinceAgentHttp *http = user_data;
   if (check_method (message, SOUP_METHOD_POST))
-    quince_trainer_api_submit (http->agent->trainer_api, message);
+    quince_trainer_api_submit (http->worker->trainer_api, message);
 }
 
 /* /v1/trainers/TRAINER/pull and /v1/trainers/TRAINER/release */
@@ -130,9 +121,9 @@
   if (!check_method (message, SOUP_METHOD_POST))
     return;
   if (named && g_str_equal (parts[3], "pull"))
-    quince_trainer_api_pull (http->agent->trainer_api, message, parts[2]);
+    quince_trainer_api_pull (http->worker->trainer_api, message, parts[2]);
   else if (named && g_str_equal (parts[3], "release"))
-    quince_trainer_api_release (http->agent->trainer_api, message, parts[2]);
+    quince_trainer_api_release (http->worker->trainer_api, message, parts[2]);
   else
     quince_http_reply_error (message, SOUP_STATUS_NOT_FOUND, "not_found", "no such call", TRUE, -1);
 }
@@ -148,6 +139,57 @@
     quince_http_reply_text (message, SOUP_STATUS_OK, "text/plain", "ok\n");
 }
 
+/* One view that waits for the hub's answer. */
+typedef struct
+{
+  QuinceAgentHttp *http;
+  SoupServerMessage *message;
+  const char *content_type;
+  guint64 call; /* 0 once it is answered */
+} View;
+
+static void
+view_answered (guint status, const char *text, gpointer user_data)
+{
+  View *view = user_data;
+  view->call = 0;
+  quince_http_reply_text (view->message, status, view->content_type, text);
+  soup_server_message_unpause (view->message);
+}
+
+static void
+view_finished (SoupServerMessage *message, gpointer user_data)
+{
+  View *view = user_data;
+  g_hash_table_remove (view->http->views, view);
+}
+
+static void
+view_free (gpointer data)
+{
+  View *view = data;
+  g_signal_handlers_disconnect_by_data (view->message, view);
+  if (view->call != 0)
+    quince_hub_client_cancel (view->http->worker->hub, view->call);
+  g_object_unref (view->message);
+  g_free (view);
+}
+
+static void
+start_view (QuinceAgentHttp *http, SoupServerMessage *message, QuinceViewKind kind, const char *content_type)
+{
+  if (!check_method (message, SOUP_METHOD_GET))
+    return;
+  View *view = g_new0 (View, 1);
+  view->http = http;
+  view->message = g_object_ref (message);
+  view->content_type = content_type;
+  g_hash_table_add (http->views, view);
+  g_signal_connect (message, "finished", G_CALLBACK (view_finished), view);
+  soup_server_message_pause (message);
+  view->call = quince_hub_client_view (http->worker->hub, kind, view_answered, view);
+}
+
 static void
 handle_ready (SoupServer *server,
               SoupServerMessage *message,
@@ -155,15 +197,7 @@
               GHashTable *query,
               gpointer user_data)
 {
-  const QuinceAgent *agent = ((QuinceAgentHttp *)user_data)->agent;
-  if (!check_method (message, SOUP_METHOD_GET))
-    return;
-  if (agent->stopping)
-    quince_http_reply_text (message, SOUP_STATUS_SERVICE_UNAVAILABLE, "text/plain", "stopping\n");
-  else if (!quince_node_links_has_ready (agent->node_links))
-    quince_http_reply_text (message, SOUP_STATUS_SERVICE_UNAVAILABLE, "text/plain", "no node is ready\n");
-  else
-    quince_http_reply_text (message, SOUP_STATUS_OK, "text/plain", "ready\n");
+  start_view (user_data, message, QUINCE_VIEW_READY, "text/plain");
 }
 
 static void
@@ -173,10 +207,7 @@
                 GHashTable *query,
                 gpointer user_data)
 {
-  if (!check_method (message, SOUP_METHOD_GET))
-    return;
-  g_autofree char *text = quince_agent_metrics_format (((QuinceAgentHttp *)user_data)->agent);
-  quince_http_reply_text (message, SOUP_STATUS_OK, "text/plain; version=0.0.4", text);
+  start_view (user_data, message, QUINCE_VIEW_METRICS, "text/plain; version=0.0.4");
 }
 
 static void
@@ -186,10 +217,7 @@
                GHashTable *query,
                gpointer user_data)
 {
-  if (!check_method (message, SOUP_METHOD_GET))
-    return;
-  g_autoptr (JsonNode) status = quince_agent_status_build (((QuinceAgentHttp *)user_data)->agent);
-  quince_http_reply_json (message, SOUP_STATUS_OK, status);
+  start_view (user_data, message, QUINCE_VIEW_STATUS, "application/json");
 }
 
 static void
@@ -221,62 +249,33 @@
 /* ---- Life ---------------------------------------------------------------------- */
 
 QuinceAgentHttp *
-quince_agent_http_new (QuinceAgent *agent, const char *address, GError **error)
+quince_agent_http_new (QuinceWorker *worker)
 {
   QuinceAgentHttp *http = g_new0 (QuinceAgentHttp, 1);
-  http->agent = agent;
+  http->worker = worker;
+  http->views = g_hash_table_new_full (NULL, NULL, view_free, NULL);
   http->server = quince_http_server_new ("quinceroute");
   for (guint i = 0; i < G_N_ELEMENTS (routes); i++)
     {
       soup_server_add_early_handler (http->server, routes[i].path, headers_arrived, http, NULL);
       soup_server_add_handler (http->server, routes[i].path, routes[i].handle, http, NULL);
     }
-  http->listener = quince_http_listener_new (http->server, address, error);
-  if (http->listener != NULL)
-    return http;
-  quince_agent_http_free (http);
-  return NULL;
+  return http;
 }
 
 void
 quince_agent_http_free (QuinceAgentHttp *http)
 {
-  g_clear_pointer (&http->listener, quince_http_listener_free);
+  g_hash_table_unref (http->views);
   soup_server_disconnect (http->server);
   g_object_unref (http->server);
   g_free (http);
 }
 
-const char *
-quince_agent_http_get_address (const QuinceAgentHttp *http)
-{
-  return quince_http_listener_get_address (http->listener);
-}
-
-/* ---- Planned stop -------------------------------------------------------------- */
-
-/* Closing a socket resets connections that it has not accepted yet, and their callers would never
- * hear whether their request ran.  So first packets are dropped for a while before: callers send
- * them again by themselves, and what was connected before is accepted and answered meanwhile. */
-static gboolean
-ignore_first_packets (GSocket *socket)
-{
-  struct sock_filter code[] = {
-    BPF_STMT (BPF_LD | BPF_B | BPF_ABS, TCP_FLAGS_OFFSET),
-    BPF_STMT (BPF_ALU | BPF_AND | BPF_K, TCP_FLAGS_SYN_ACK),
-    BPF_JUMP (BPF_JMP | BPF_JEQ | BPF_K, TCP_FLAGS_SYN, 0, 1),
-    BPF_STMT (BPF_RET | BPF_K, 0),
-    BPF_STMT (BPF_RET | BPF_K, G_MAXUINT32),
-  };
-  const struct sock_fprog filter = { G_N_ELEMENTS (code), code };
-  return setsockopt (g_socket_get_fd (socket), SOL_SOCKET, SO_ATTACH_FILTER, &filter, sizeof filter) == 0;
-}
-
 void
-quince_agent_http_ignore_connections (QuinceAgentHttp *http)
+quince_agent_http_serve (QuinceAgentHttp *http, GSocket *socket)
 {
-  if (!ignore_first_packets (quince_http_listener_get_socket (http->listener)))
-    quince_log_warning ("connections_not_ignored", "address=%s", quince_agent_http_get_address (http));
+  quince_http_serve (http->server, socket);
 }
 
 gint64
--- a/daemons/agent/agent-metrics.c
+++ b/daemons/agent/agent-metrics.c
@@ -3,12 +3,12 @@
  */
 #include "agent-metrics.h"
 
-#include "completions.h"
-#include "execution.h"
+#include <json-glib/json-glib.h>
+
+#include "hub.h"
 #include "ledger-client.h"
 #include "node-links.h"
-#include "sample-runner.h"
-#include "trainer-api.h"
+#include "worker-reports.h"
 
 #define SHOWN_MOST 64
 
@@ -33,22 +33,22 @@
 }
 
 static void
-add_completions (Figures *figures, const QuinceAgent *agent)
+add_completions (Figures *figures, const QuinceWorkerReport *sum)
 {
-  const QuinceCompletionsCounters *counters = quince_completions_get_counters (agent->completions);
+  const QuinceCompletionsCounters *counters = &sum->completions;
   add (figures, "requests_total", counters->requests);
   add (figures, "answers_whole_total", counters->answered_whole);
   add (figures, "answers_error_total", counters->answered_error);
   add (figures, "requests_malformed_total", counters->malformed);
   add (figures, "callers_gone_total", counters->callers_gone);
   add (figures, "requests_refused_stopping_total", counters->refused_stopping);
-  add (figures, "requests_running", quince_completions_get_running (agent->completions));
+  add (figures, "requests_running", sum->completions_running);
 }
 
 static void
-add_executions (Figures *figures)
+add_executions (Figures *figures, const QuinceWorkerReport *sum)
 {
-  const QuinceExecutionCounters *counters = quince_execution_get_counters ();
+  const QuinceExecutionCounters *counters = &sum->executions;
   add (figures, "executions_started_total", counters->started);
   add (figures, "executions_running", counters->running);
   add (figures, "executions_cancelled_total", counters->cancelled);
@@ -93,12 +93,11 @@
 }
 
 static void
-add_samples (Figures *figures, const QuinceAgent *agent)
+add_samples (Figures *figures, const QuinceAgent *agent, const QuinceWorkerReport *sum)
 {
-  if (agent->sample_runner == NULL)
+  if (!quince_settings_get_boolean (agent->settings, "agent", "run_samples"))
     return;
-  QuinceSampleRunnerCounters samples;
-  quince_sample_runner_get_counters (agent->sample_runner, &samples);
+  QuinceSampleRunnerCounters samples = sum->samples;
   add (figures, "samples_running", samples.running);
   add (figures, "samples_leased_total", samples.leased);
   add (figures, "samples_completed_total", samples.completed);
@@ -108,22 +107,23 @@
 }
 
 static void
-collect (const QuinceAgent *agent, Figures *figures)
+collect (const QuinceAgent *agent, const QuinceWorkerReport *sum, Figures *figures)
 {
   figures->count = 0;
-  add_completions (figures, agent);
-  add_executions (figures);
+  add (figures, "workers", quince_hub_get_worker_count (agent->hub));
+  add_completions (figures, sum);
+  add_executions (figures, sum);
   add_links (figures, agent);
-  add_samples (figures, agent);
+  add_samples (figures, agent, sum);
 }
 
 char *
-quince_agent_metrics_format (const QuinceAgent *agent)
+quince_agent_metrics_format (const QuinceAgent *agent, const QuinceWorkerReport *sum)
 {
   Figures figures;
   GString *out = g_string_new (NULL);
   g_autofree char *last = g_strdup ("");
-  collect (agent, &figures);
+  collect (agent, sum, &figures);
   for (guint i = 0; i < figures.count; i++)
     {
       const Figure *figure = &figures.figures[i];
@@ -138,13 +138,13 @@
   return g_string_free (out, FALSE);
 }
 
-JsonNode *
-quince_agent_status_build (const QuinceAgent *agent)
+char *
+quince_agent_status_format (const QuinceAgent *agent, const QuinceWorkerReport *sum)
 {
   Figures figures;
   g_autoptr (JsonObject) root = json_object_new ();
   JsonObject *counters = json_object_new ();
-  collect (agent, &figures);
+  collect (agent, sum, &figures);
   json_object_set_string_member (root, "name", agent->name);
   json_object_set_string_member (root, "zone", agent->zone);
   json_object_set_boolean_member (root, "ready",
@@ -157,5 +157,6 @@
   for (guint i = 0; i < figures.count; i++)
     json_object_set_int_member (counters, figures.figures[i].name, (gint64)figures.figures[i].value);
   json_object_set_object_member (root, "counters", counters);
-  return json_node_init_object (json_node_alloc (), root);
+  g_autoptr (JsonNode) node = json_node_init_object (json_node_alloc (), root);
+  return json_to_string (node, FALSE);
 }
--- a/daemons/agent/agent-metrics.h
+++ b/daemons/agent/agent-metrics.h
@@ -3,11 +3,10 @@
  */
 #pragma once
 
-#include <json-glib/json-glib.h>
-
 #include "agent.h"
+#include "hub-message.h"
 
-/* Prometheus text format. (transfer full) */
-char *quince_agent_metrics_format (const QuinceAgent *agent);
-/* (transfer full) */
-JsonNode *quince_agent_status_build (const QuinceAgent *agent);
+/* @sum: over all workers. Prometheus text format. (transfer full) */
+char *quince_agent_metrics_format (const QuinceAgent *agent, const QuinceWorkerReport *sum);
+/* JSON. (transfer full) */
+char *quince_agent_status_format (const QuinceAgent *agent, const QuinceWorkerReport *sum);
--- a/daemons/agent/agent-settings.c
+++ b/daemons/agent/agent-settings.c
@@ -18,6 +18,8 @@
     "HTTP address for callers and trainers; port 0: the kernel's choice" },
   { "agent", "nodes", QUINCE_SETTING_ADDRESS_LIST, TRUE, NULL, 0, 0, NULL,
     "TCP addresses of some nodes; the others are learnt from them" },
+  { "agent", "workers", QUINCE_SETTING_INTEGER, FALSE, "4", 1, 64, NULL,
+    "threads that serve callers and engines" },
   { "agent", "member", QUINCE_SETTING_NAME, FALSE, "default", 0, 0, NULL,
     "member of requests that name none" },
   { "agent", "deadline", QUINCE_SETTING_DURATION, FALSE, "30s", 10 * MILLISECOND, 600 * (gint64)SECOND, NULL,
--- a/daemons/agent/agent.h
+++ b/daemons/agent/agent.h
@@ -1,21 +1,20 @@
 /*
- * agent.h: the agent beside one caller: its parts and what they share.
+ * agent.h: the agent beside one caller: its main context and what it shares.
  *
- * Every part runs on the main context.  Parts reach each other through
- * QuinceAgent.
+ * The main context owns the listener, the links to nodes, the ledger client
+ * and the retry budget; workers (worker.h) serve callers, trainers and
+ * engines, and reach these by messages through the hub.
  */
 #pragma once
 
-#include <libsoup/soup.h>
 #include <quince/attempt.h>
 #include <quince/settings.h>
 
 typedef struct _QuinceNodeLinks QuinceNodeLinks;
 typedef struct _QuinceLedgerClient QuinceLedgerClient;
-typedef struct _QuinceCompletions QuinceCompletions;
-typedef struct _QuinceTrainerApi QuinceTrainerApi;
-typedef struct _QuinceSampleRunner QuinceSampleRunner;
-typedef struct _QuinceAgentHttp QuinceAgentHttp;
+typedef struct _QuinceHub QuinceHub;
+typedef struct _QuinceWorkerReports QuinceWorkerReports;
+typedef struct _QuinceAgentListener QuinceAgentListener;
 
 /**
  * QuinceAgent:
@@ -29,14 +28,13 @@
   const char *name;               /* of @settings                           */
   const char *zone;               /* of @settings                           */
   guint64 incarnation;            /* grows with each start of this agent    */
-  SoupSession *engines;
   QuinceRetryBudget *retry_budget;
   QuinceNodeLinks *node_links;
   QuinceLedgerClient *ledger_client;
-  QuinceCompletions *completions;
-  QuinceTrainerApi *trainer_api;
-  QuinceSampleRunner *sample_runner; /* %NULL: this agent runs no samples   */
-  QuinceAgentHttp *http;
+  QuinceHub *hub;
+  QuinceWorkerReports *reports;
+  GPtrArray *workers; /* QuinceWorker, owned                    */
+  QuinceAgentListener *listener;
   gboolean stopping;    /* written by quince_agent_stop()         */
   gint64 stop_until_us; /* the stop ends at this time at the latest */
   gint64 closing_us;    /* since when nothing runs and no new connection is taken; 0: not yet */
--- a/daemons/agent/completion-request.c
+++ b/daemons/agent/completion-request.c
@@ -8,8 +8,9 @@
 
 #define LONGEST_DEADLINE_MS (600 * 1000)
 #define MOST_TOKENS 1000000
-/* Names of headers' defaults. */
+
 #define DEFAULT_KIND "lookup"
+#define ID_HEADER "X-Quince-Request-Id"
 
 static gboolean
 bad_header (GError **error, const char *name, const char *wanted)
@@ -72,9 +73,9 @@
       = quince_settings_get_duration_us (settings, "agent", "clock_skew") / G_TIME_SPAN_MILLISECOND;
   gint64 created_ms = quince_request_id_get_time_ms (id);
   if (created_ms < wall_ms - keep_ms)
-    return bad_header (error, "X-Quince-Request-Id", "the id is too old");
+    return bad_header (error, ID_HEADER, "the id is too old");
   if (created_ms > wall_ms + skew_ms)
-    return bad_header (error, "X-Quince-Request-Id", "the id is from the future");
+    return bad_header (error, ID_HEADER, "the id is from the future");
   return TRUE;
 }
 
@@ -85,14 +86,14 @@
          QuinceExecutionOptions *options,
          GError **error)
 {
-  const char *text = get_header (message, "X-Quince-Request-Id");
+  const char *text = get_header (message, ID_HEADER);
   if (text == NULL)
     {
       quince_request_id_generate (options->id, wall_ms);
       return TRUE;
     }
   if (!quince_request_id_parse (text, options->id))
-    return bad_header (error, "X-Quince-Request-Id", "a UUID of version 7 is wanted");
+    return bad_header (error, ID_HEADER, "a UUID of version 7 is wanted");
   return !options->at_most_once || check_id_time (options->id, settings, wall_ms, error);
 }
 
@@ -165,7 +166,10 @@
     return FALSE;
   if (read_headers (message, settings, now_us, wall_ms, &request->options, &error)
       && read_body (json_node_get_object (request->body), &request->options, &error))
-    return TRUE;
+    {
+      request->generated_id = get_header (message, ID_HEADER) == NULL;
+      return TRUE;
+    }
   quince_http_reply_error (message, SOUP_STATUS_BAD_REQUEST, "bad_request", error->message, TRUE, -1);
   quince_completion_request_clear (request);
   return FALSE;
--- a/daemons/agent/completion-request.h
+++ b/daemons/agent/completion-request.h
@@ -13,7 +13,8 @@
 typedef struct
 {
   QuinceExecutionOptions options;
-  JsonNode *body; /* owned */
+  JsonNode *body;        /* owned */
+  gboolean generated_id; /* the caller named none */
 } QuinceCompletionRequest;
 
 /**
--- a/daemons/agent/completions.c
+++ b/daemons/agent/completions.c
@@ -24,10 +24,10 @@
 
 struct _QuinceCompletions
 {
-  /* All fields belong to the main context. */
-  QuinceAgent *agent;
+  /* All fields belong to the worker's context. */
+  QuinceWorker *worker;
   GHashTable *running; /* of Completion, owned                          */
-  GHashTable *by_id;   /* id -> Completion with an execution, borrowed  */
+  GHashTable *by_id;   /* id -> Completion that holds it, borrowed      */
   GSource *caller_timer;
   QuinceCompletionsCounters counters;
 };
@@ -38,7 +38,10 @@
   QuinceCompletions *owner;
   SoupServerMessage *message;
   QuinceExecution *execution; /* %NULL once it has ended                  */
+  QuinceRequestId request_id;
   char id[QUINCE_REQUEST_ID_TEXT_LENGTH + 1];
+  guint64 id_call; /* for the id, 0 when none is out          */
+  gboolean has_id; /* no other request of the agent has it    */
   char *model;
   guint prompt_tokens;
   gboolean streaming;
@@ -50,9 +53,16 @@
 static void
 end_execution (Completion *completion)
 {
-  if (completion->execution != NULL)
-    g_hash_table_remove (completion->owner->by_id, completion->id);
+  QuinceHubClient *hub = completion->owner->worker->hub;
   g_clear_pointer (&completion->execution, quince_execution_free);
+  if (completion->id_call != 0)
+    quince_hub_client_cancel (hub, completion->id_call);
+  completion->id_call = 0;
+  if (!completion->has_id)
+    return;
+  completion->has_id = FALSE;
+  g_hash_table_remove (completion->owner->by_id, completion->id);
+  quince_hub_client_release_id (hub, completion->request_id);
 }
 
 static void
@@ -231,30 +241,67 @@
   completion->model = g_strdup (options->service);
   completion->prompt_tokens = quince_count_tokens (options->prompt);
   completion->streaming = options->streaming;
+  memcpy (completion->request_id, options->id, QUINCE_ID_BYTES);
   quince_request_id_format (options->id, completion->id);
   g_hash_table_add (completions->running, completion);
   g_signal_connect (message, "finished", G_CALLBACK (message_finished), completion);
   completion->execution
-      = quince_execution_new (completions->agent, options, NULL,
+      = quince_execution_new (completions->worker, options, NULL,
                               options->streaming ? &streamed_callbacks : &whole_callbacks, completion);
-  g_hash_table_insert (completions->by_id, completion->id, completion);
   return completion;
 }
 
-/* Nodes and engines know an attempt by its request id: two executions of one id
- * would take each other's verdicts. */
-static gboolean
-runs_already (QuinceCompletions *completions, const QuinceRequestId id)
+static void
+start_with_id (Completion *completion)
+{
+  completion->has_id = TRUE;
+  g_hash_table_insert (completion->owner->by_id, completion->id, completion);
+  quince_execution_start (completion->execution);
+}
+
+static void
+id_answered (gboolean taken, gpointer user_data)
+{
+  Completion *completion = user_data;
+  completion->id_call = 0;
+  if (taken)
+    {
+      start_with_id (completion);
+      return;
+    }
+  completion->owner->counters.answered_error++;
+  quince_http_reply_error (completion->message, SOUP_STATUS_CONFLICT, "duplicate_request",
+                           "a request with this id is in progress", -1, -1);
+  end_execution (completion);
+  resume_message (completion);
+}
+
+/* No other request has an id that was generated here, so its answer need not be awaited. */
+static void
+take_id (Completion *completion, gboolean generated)
+{
+  QuinceHubClient *hub = completion->owner->worker->hub;
+  if (!generated)
+    {
+      completion->id_call = quince_hub_client_take_id (hub, completion->request_id, id_answered, completion);
+      return;
+    }
+  quince_hub_client_take_new_id (hub, completion->request_id);
+  start_with_id (completion);
+}
+
+void
+quince_completions_check_id (QuinceCompletions *completions, const QuinceRequestId id)
 {
   char text[QUINCE_REQUEST_ID_TEXT_LENGTH + 1];
   quince_request_id_format (id, text);
   Completion *holder = g_hash_table_lookup (completions->by_id, text);
-  if (holder != NULL && !caller_is_there (holder))
-    {
-      caller_gone (holder);
-      holder = NULL;
-    }
-  return holder != NULL;
+  if (holder == NULL)
+    return; /* Its release is on its way. */
+  if (caller_is_there (holder))
+    quince_hub_client_id_held (completions->worker->hub, id);
+  else
+    caller_gone (holder);
 }
 
 void
@@ -262,41 +309,34 @@
 {
   QuinceCompletionRequest request;
   completions->counters.requests++;
-  if (completions->agent->stopping)
+  if (completions->worker->stopping)
     {
       completions->counters.refused_stopping++;
       quince_http_reply_error (message, SOUP_STATUS_SERVICE_UNAVAILABLE, "stopping",
                                "this agent stops: ask another", TRUE, STOPPING_RETRY_MS);
       return;
     }
-  if (!quince_completion_request_read (message, completions->agent->settings, quince_now_us (),
+  if (!quince_completion_request_read (message, completions->worker->settings, quince_now_us (),
                                        quince_wall_ms (), &request))
     {
       completions->counters.malformed++;
       return;
     }
-  if (runs_already (completions, request.options.id))
-    {
-      completions->counters.answered_error++;
-      quince_completion_request_clear (&request);
-      quince_http_reply_error (message, SOUP_STATUS_CONFLICT, "duplicate_request",
-                               "a request with this id is in progress", -1, -1);
-      return;
-    }
   Completion *completion = completion_new (completions, message, &request.options);
+  gboolean generated = request.generated_id;
   quince_completion_request_clear (&request);
   completion->paused = TRUE;
   soup_server_message_pause (message);
-  quince_execution_start (completion->execution);
+  take_id (completion, generated);
 }
 
 /* ---- Life ------------------------------------------------------------------------ */
 
 QuinceCompletions *
-quince_completions_new (QuinceAgent *agent)
+quince_completions_new (QuinceWorker *worker)
 {
   QuinceCompletions *completions = g_new0 (QuinceCompletions, 1);
-  completions->agent = agent;
+  completions->worker = worker;
   completions->running = g_hash_table_new_full (NULL, NULL, (GDestroyNotify)completion_free, NULL);
   completions->by_id = g_hash_table_new (g_str_hash, g_str_equal);
   completions->caller_timer = quince_timer_add (CALLER_CHECK_INTERVAL_MS, check_callers, completions);
--- a/daemons/agent/completions.h
+++ b/daemons/agent/completions.h
@@ -3,13 +3,15 @@
  */
 #pragma once
 
-#include "agent.h"
+#include "worker.h"
 
-QuinceCompletions *quince_completions_new (QuinceAgent *agent);
+QuinceCompletions *quince_completions_new (QuinceWorker *worker);
 /* Cancels what is in progress. */
 void quince_completions_free (QuinceCompletions *completions);
 /* Answers @message, now or later. */
 void quince_completions_handle (QuinceCompletions *completions, SoupServerMessage *message);
+/* Another request has @id too: the one here releases it when its caller is gone, or holds it. */
+void quince_completions_check_id (QuinceCompletions *completions, const QuinceRequestId id);
 /* Requests whose answer is not out yet. */
 guint quince_completions_get_running (const QuinceCompletions *completions);
 
--- a/daemons/agent/execution-engine.c
+++ b/daemons/agent/execution-engine.c
@@ -17,7 +17,7 @@
   execution->dispatched_us = quince_now_us ();
   gboolean allowed = quince_request_dispatching (execution->request, execution->dispatched_us,
                                                  quince_request_get_attempt (execution->request));
-  quince_execution_counters.dispatched += allowed ? 1 : 0;
+  execution->worker->executions->dispatched += allowed ? 1 : 0;
   return allowed;
 }
 
@@ -35,8 +35,8 @@
   guint attempt = quince_request_get_attempt (execution->request);
   quince_execution_end_grant (execution, sent ? QUINCE_OUTCOME_BROKEN : QUINCE_OUTCOME_NOT_SENT);
   quince_execution_drop_engine_call (execution);
-  quince_execution_counters.engine_failed_sent += sent ? 1 : 0;
-  quince_execution_counters.engine_failed_unsent += sent ? 0 : 1;
+  execution->worker->executions->engine_failed_sent += sent ? 1 : 0;
+  execution->worker->executions->engine_failed_unsent += sent ? 0 : 1;
   execution->retrying = TRUE;
   if (quince_answer_is_below (execution->answer, execution->options.min_version))
     quince_answer_clear (execution->answer);
@@ -71,7 +71,7 @@
 {
   quince_execution_end_grant (execution, QUINCE_OUTCOME_FINISHED);
   quince_execution_drop_engine_call (execution);
-  quince_execution_counters.resumed++;
+  execution->worker->executions->resumed++;
   execution->swaps++;
   execution->ran = TRUE;
   if (quince_answer_is_below (execution->answer, execution->options.min_version))
@@ -109,7 +109,7 @@
                     quince_request_get_grant (execution->request)->engine);
   quince_execution_end_grant (execution, QUINCE_OUTCOME_REFUSED);
   quince_execution_drop_engine_call (execution);
-  quince_execution_counters.engine_refused++;
+  execution->worker->executions->engine_refused++;
   execution->retrying = TRUE;
   quince_execution_advance (execution,
                             quince_request_engine_refused (execution->request, quince_now_us (), attempt));
@@ -156,5 +156,5 @@
   execution->tokens_before = execution->answer->token_count;
   execution->dispatched_us = quince_now_us ();
   execution->engine_call
-      = quince_engine_call_start (execution->agent->engines, &what, &engine_callbacks, execution);
+      = quince_engine_call_start (execution->worker->engines, &what, &engine_callbacks, execution);
 }
--- a/daemons/agent/execution-grant.c
+++ b/daemons/agent/execution-grant.c
@@ -8,9 +8,6 @@
 #include <quince/log.h>
 #include <quince/task.h>
 
-#include "ledger-client.h"
-#include "node-links.h"
-
 #define UNCLAIM_TIMEOUT_US (5 * G_USEC_PER_SEC)
 
 /* ---- Grants ---------------------------------------------------------------- */
@@ -21,7 +18,7 @@
   QuinceExecution *execution = user_data;
   guint attempt = reply->attempt - execution->attempt_base;
   gint64 now = quince_now_us ();
-  execution->asking = FALSE;
+  execution->ask_call = 0;
   if (reply->verdict.kind == QUINCE_VERDICT_GRANTED)
     {
       const QuinceGrant *grant = &reply->verdict.QuinceVerdict_u.grant;
@@ -38,7 +35,7 @@
       else
         {
           QuinceGrantEnd end = { .grant_id = grant->grant_id, .outcome = QUINCE_OUTCOME_NOT_SENT };
-          quince_node_links_end_grant (execution->agent->node_links, node, &end);
+          quince_hub_client_end_grant (execution->worker->hub, node, &end);
         }
       quince_execution_advance (execution, step);
       return;
@@ -54,14 +51,26 @@
 grant_lost (const char *node, gpointer user_data)
 {
   QuinceExecution *execution = user_data;
-  execution->asking = FALSE;
+  execution->ask_call = 0;
   g_ptr_array_add (execution->tried, g_strdup (node));
   guint attempt = quince_request_get_attempt (execution->request);
   quince_execution_advance (execution,
                             quince_request_node_lost (execution->request, quince_now_us (), attempt));
 }
 
-static const QuinceGrantCallbacks grant_callbacks = { .verdict = grant_verdict, .lost = grant_lost };
+static void
+grant_not_asked (QuinceAskFailure failure, gpointer user_data)
+{
+  QuinceExecution *execution = user_data;
+  execution->ask_call = 0;
+  execution->out_of_budget = failure == QUINCE_ASK_NO_BUDGET;
+  execution->no_node = failure == QUINCE_ASK_NO_NODE;
+  execution->worker->executions->budget_refused += execution->out_of_budget ? 1 : 0;
+  quince_execution_give_up (execution);
+}
+
+static const QuinceAskCallbacks grant_callbacks
+    = { .verdict = grant_verdict, .lost = grant_lost, .not_asked = grant_not_asked };
 
 /* Fills in @request; its texts stay owned by the execution. */
 static void
@@ -92,27 +101,19 @@
 quince_execution_ask_grant (QuinceExecution *execution)
 {
   QuinceGrantRequest request = { 0 };
+  QuinceAskBudget budget = execution->asked ? QUINCE_ASK_AGAIN : QUINCE_ASK_FIRST;
   /* One that expired while the claim was on its way is still held by its node. */
   quince_execution_end_grant (execution, QUINCE_OUTCOME_NOT_SENT);
   if (execution->retrying)
     {
       execution->retrying = FALSE;
-      quince_execution_counters.retried++;
-      if (!quince_retry_budget_take (execution->agent->retry_budget, quince_now_us ()))
-        {
-          quince_execution_counters.budget_refused++;
-          execution->out_of_budget = TRUE;
-          quince_execution_give_up (execution);
-          return;
-        }
+      execution->worker->executions->retried++;
+      budget = QUINCE_ASK_RETRY;
     }
+  execution->asked = TRUE;
   fill_grant_request (execution, &request);
-  execution->asking = quince_node_links_ask (execution->agent->node_links, &request, execution->node_key,
-                                             execution->tried, &grant_callbacks, execution);
-  if (execution->asking)
-    return;
-  execution->no_node = TRUE;
-  quince_execution_give_up (execution);
+  execution->ask_call = quince_hub_client_ask (execution->worker->hub, &request, execution->node_key,
+                                               execution->tried, budget, &grant_callbacks, execution);
 }
 
 /* ---- Claim ------------------------------------------------------------------- */
@@ -155,8 +156,8 @@
   execution->claim_timer = quince_timer_add (quince_request_get_grant (execution->request)->expires_ms,
                                              grant_expired, execution);
   execution->claim_call
-      = quince_ledger_client_call (execution->agent->ledger_client, quince_command_copy (&command),
-                                   execution->options.deadline_us, claim_answered, execution);
+      = quince_hub_client_call_ledger (execution->worker->hub, quince_command_copy (&command),
+                                       execution->options.deadline_us, claim_answered, execution);
 }
 
 static void
@@ -173,6 +174,6 @@
   QuinceUnclaimRequest *request = &command.QuinceCommand_u.unclaim;
   memcpy (request->request_id, execution->options.id, QUINCE_ID_BYTES);
   request->holder = execution->claim_holder;
-  quince_ledger_client_call (execution->agent->ledger_client, quince_command_copy (&command),
-                             quince_now_us () + UNCLAIM_TIMEOUT_US, unclaim_answered, NULL);
+  quince_hub_client_call_ledger (execution->worker->hub, quince_command_copy (&command),
+                                 quince_now_us () + UNCLAIM_TIMEOUT_US, unclaim_answered, NULL);
 }
--- a/daemons/agent/execution-private.h
+++ b/daemons/agent/execution-private.h
@@ -12,8 +12,8 @@
 
 struct _QuinceExecution
 {
-  /* All fields belong to the main context. */
-  QuinceAgent *agent;
+  /* All fields belong to the worker's context. */
+  QuinceWorker *worker;
   QuinceExecutionOptions options; /* texts owned                            */
   const QuinceExecutionCallbacks *callbacks;
   gpointer user_data;
@@ -34,7 +34,8 @@
   GPtrArray *tried; /* nodes not to be asked again            */
   GSource *deadline_timer;
 
-  gboolean asking;  /* a request for a grant is out           */
+  gboolean asked;   /* for a grant, at least once             */
+  guint64 ask_call; /* request for a grant, 0 when none is out */
   char *node;       /* that granted, %NULL: no grant is held  */
   guint64 grant_id; /* of the grant that is held              */
   gint64 dispatched_us;
@@ -51,8 +52,6 @@
   QuinceFinishReason finish_reason;
 };
 
-extern QuinceExecutionCounters quince_execution_counters;
-
 /* Attempt number on the wire: unique over all legs. */
 guint quince_execution_wire_attempt (const QuinceExecution *execution);
 /* Does what the state machine asks for; may end and free the execution. */
--- a/daemons/agent/execution.c
+++ b/daemons/agent/execution.c
@@ -8,22 +8,12 @@
 #include <quince/log.h>
 #include <quince/task.h>
 
-#include "ledger-client.h"
-#include "node-links.h"
 #include "prefix-blocks.h"
 
 #define LOOKUP_ATTEMPTS_MOST 5
 #define ROLLOUT_ATTEMPTS_MOST 64
 #define NOT_READY_RETRY_MS 500
 
-QuinceExecutionCounters quince_execution_counters;
-
-const QuinceExecutionCounters *
-quince_execution_get_counters (void)
-{
-  return &quince_execution_counters;
-}
-
 guint
 quince_execution_wire_attempt (const QuinceExecution *execution)
 {
@@ -51,7 +41,7 @@
       end.weight_version = end.tokens > 0 ? quince_answer_get_last_version (execution->answer) : 0;
       end.engine_leaving = quince_engine_call_is_leaving (execution->engine_call);
     }
-  quince_node_links_end_grant (execution->agent->node_links, execution->node, &end);
+  quince_hub_client_end_grant (execution->worker->hub, execution->node, &end);
   g_clear_pointer (&execution->node, g_free);
 }
 
@@ -65,13 +55,12 @@
 static void
 stop_attempt (QuinceExecution *execution)
 {
-  if (execution->asking)
-    quince_node_links_withdraw (execution->agent->node_links, execution->options.id,
-                                quince_execution_wire_attempt (execution));
-  execution->asking = FALSE;
+  if (execution->ask_call != 0)
+    quince_hub_client_cancel (execution->worker->hub, execution->ask_call);
+  execution->ask_call = 0;
   quince_source_clear (&execution->claim_timer);
   if (execution->claim_call != 0)
-    quince_ledger_client_forget (execution->agent->ledger_client, execution->claim_call);
+    quince_hub_client_cancel (execution->worker->hub, execution->claim_call);
   execution->claim_call = 0;
   if (execution->engine_call != NULL)
     quince_engine_call_cancel (execution->engine_call);
@@ -122,9 +111,9 @@
   stop_attempt (execution);
   if (execution->claim_holder != 0 && result.end == QUINCE_EXECUTION_NOT_RUN)
     quince_execution_unclaim (execution);
-  quince_execution_counters.ends[result.end]++;
-  quince_execution_counters.deadlines += result.deadline ? 1 : 0;
-  quince_execution_counters.running--;
+  execution->worker->executions->ends[result.end]++;
+  execution->worker->executions->deadlines += result.deadline ? 1 : 0;
+  execution->worker->executions->running--;
   execution->callbacks->done (&result, execution->user_data);
 }
 
@@ -189,7 +178,7 @@
 /* ---- Life --------------------------------------------------------------------- */
 
 QuinceExecution *
-quince_execution_new (QuinceAgent *agent,
+quince_execution_new (QuinceWorker *worker,
                       const QuinceExecutionOptions *options,
                       QuinceAnswer *answer,
                       const QuinceExecutionCallbacks *callbacks,
@@ -198,7 +187,7 @@
   QuinceExecution *execution = g_new0 (QuinceExecution, 1);
   gsize length = strlen (options->prompt);
   guint64 id_key = quince_hash64 (options->id, QUINCE_ID_BYTES, 0);
-  execution->agent = agent;
+  execution->worker = worker;
   execution->options = *options;
   execution->options.service = g_strdup (options->service);
   execution->options.member = g_strdup (options->member);
@@ -223,9 +212,8 @@
 {
   gint64 now = quince_now_us ();
   gint64 left_ms = (execution->options.deadline_us - now) / G_TIME_SPAN_MILLISECOND;
-  quince_execution_counters.started++;
-  quince_execution_counters.running++;
-  quince_retry_budget_first (execution->agent->retry_budget, now);
+  execution->worker->executions->started++;
+  execution->worker->executions->running++;
   execution->deadline_timer
       = quince_timer_add ((guint)CLAMP (left_ms, 1, G_MAXINT32), deadline_due, execution);
   quince_execution_start_leg (execution);
@@ -244,8 +232,8 @@
 {
   if (execution->request != NULL && !execution->ended)
     {
-      quince_execution_counters.cancelled++;
-      quince_execution_counters.running--;
+      execution->worker->executions->cancelled++;
+      execution->worker->executions->running--;
       stop_attempt (execution);
     }
   quince_source_clear (&execution->deadline_timer);
--- a/daemons/agent/execution.h
+++ b/daemons/agent/execution.h
@@ -8,8 +8,8 @@
  */
 #pragma once
 
-#include "agent.h"
 #include "segments.h"
+#include "worker.h"
 
 /**
  * QuinceExecutionOptions:
@@ -76,7 +76,7 @@
 } QuinceExecutionCallbacks;
 
 /* @answer: (nullable) (transfer full): tokens to go on from */
-QuinceExecution *quince_execution_new (QuinceAgent *agent,
+QuinceExecution *quince_execution_new (QuinceWorker *worker,
                                        const QuinceExecutionOptions *options,
                                        QuinceAnswer *answer,
                                        const QuinceExecutionCallbacks *callbacks,
@@ -88,8 +88,8 @@
 /* One that has not ended is cancelled: on the engine, and at the node. */
 void quince_execution_free (QuinceExecution *execution);
 
-/* Over all executions of the process; main context only. */
-typedef struct
+/* Over all executions of a worker. */
+struct _QuinceExecutionCounters
 {
   guint64 started;
   guint64 dispatched;
@@ -103,6 +103,4 @@
   guint64 cancelled;
   guint64 deadlines;
   guint running;
-} QuinceExecutionCounters;
-
-const QuinceExecutionCounters *quince_execution_get_counters (void);
+};
--- a/daemons/agent/leased-sample.c
+++ b/daemons/agent/leased-sample.c
@@ -17,7 +17,6 @@
 
 #include "execution.h"
 #include "json-text.h"
-#include "ledger-client.h"
 
 #define RUN_DEADLINE_US (600 * (gint64)G_USEC_PER_SEC)
 #define RETRY_LEAST_MS 50
@@ -29,8 +28,8 @@
 
 struct _QuinceLeasedRun
 {
-  /* All fields belong to the main context. */
-  QuinceAgent *agent;
+  /* All fields belong to the worker's context. */
+  QuinceWorker *worker;
   QuinceLeasedSample sample;  /* texts owned                                 */
   QuinceExecution *execution; /* %NULL between tries and once run           */
   QuinceAnswer *answer;       /* tokens so far, while no execution holds them */
@@ -112,8 +111,8 @@
   body->result.segments.segments_len = segments->len;
   body->result.segments.segments_val = (QuinceSegment *)(gpointer)segments->data;
   leased->ledger_call
-      = quince_ledger_client_call (leased->agent->ledger_client, quince_command_copy (&command),
-                                   quince_now_us () + COMPLETE_TIMEOUT_US, complete_answered, leased);
+      = quince_hub_client_call_ledger (leased->worker->hub, quince_command_copy (&command),
+                                       quince_now_us () + COMPLETE_TIMEOUT_US, complete_answered, leased);
 }
 
 /* ---- Scoring --------------------------------------------------------------------- */
@@ -176,7 +175,7 @@
 static void
 score (QuinceLeasedRun *leased)
 {
-  const QuinceSettings *settings = leased->agent->settings;
+  const QuinceSettings *settings = leased->worker->settings;
   const char *scorer = quince_settings_get_text (settings, "agent", "scorer");
   gint64 timeout_us = quince_settings_get_duration_us (settings, "agent", "score_timeout");
   if (*scorer == '\0')
@@ -193,7 +192,7 @@
   ScoreCall *call = g_new0 (ScoreCall, 1);
   call->leased = leased;
   call->scoring = g_object_ref (leased->scoring);
-  quince_http_call (leased->agent->engines, url, body->str, (guint)(timeout_us / G_TIME_SPAN_MILLISECOND),
+  quince_http_call (leased->worker->engines, url, body->str, (guint)(timeout_us / G_TIME_SPAN_MILLISECOND),
                     leased->scoring, score_answered, call);
 }
 
@@ -260,7 +259,7 @@
   quince_request_id_generate (options.id, quince_wall_ms ());
   (*leased->attempts)++;
   leased->tries++;
-  leased->execution = quince_execution_new (leased->agent, &options, g_steal_pointer (&leased->answer),
+  leased->execution = quince_execution_new (leased->worker, &options, g_steal_pointer (&leased->answer),
                                             &run_callbacks, leased);
   quince_execution_start (leased->execution);
 }
@@ -268,7 +267,7 @@
 /* ---- Life ------------------------------------------------------------------------- */
 
 QuinceLeasedRun *
-quince_leased_run_new (QuinceAgent *agent,
+quince_leased_run_new (QuinceWorker *worker,
                        const QuinceLeasedSample *sample,
                        guint64 *attempts,
                        guint64 *score_failures,
@@ -276,7 +275,7 @@
                        gpointer user_data)
 {
   QuinceLeasedRun *leased = g_new0 (QuinceLeasedRun, 1);
-  leased->agent = agent;
+  leased->worker = worker;
   leased->sample = *sample;
   leased->sample.trainer = g_strdup (sample->trainer);
   leased->sample.service = g_strdup (sample->service);
@@ -301,7 +300,7 @@
   g_cancellable_cancel (leased->scoring);
   g_clear_object (&leased->scoring);
   if (leased->ledger_call != 0)
-    quince_ledger_client_forget (leased->agent->ledger_client, leased->ledger_call);
+    quince_hub_client_cancel (leased->worker->hub, leased->ledger_call);
   g_clear_pointer (&leased->execution, quince_execution_free);
   g_clear_pointer (&leased->answer, quince_answer_free);
   g_free (leased->sample.trainer);
--- a/daemons/agent/leased-sample.h
+++ b/daemons/agent/leased-sample.h
@@ -3,7 +3,7 @@
  */
 #pragma once
 
-#include "agent.h"
+#include "worker.h"
 
 typedef struct _QuinceLeasedRun QuinceLeasedRun;
 
@@ -18,7 +18,7 @@
 typedef void (*QuinceLeasedDone) (QuinceLeasedRun *run, QuinceLeasedEnd end, gpointer user_data);
 
 /* @sample: copied. Counts into @attempts and @score_failures, which must outlive the run. */
-QuinceLeasedRun *quince_leased_run_new (QuinceAgent *agent,
+QuinceLeasedRun *quince_leased_run_new (QuinceWorker *worker,
                                         const QuinceLeasedSample *sample,
                                         guint64 *attempts,
                                         guint64 *score_failures,
--- a/daemons/agent/sample-runner.c
+++ b/daemons/agent/sample-runner.c
@@ -8,15 +8,14 @@
 #include <quince/task.h>
 
 #include "leased-sample.h"
-#include "ledger-client.h"
 
 #define ASK_INTERVAL_MS 200
 #define LEASE_TIMEOUT_US (2 * (gint64)G_USEC_PER_SEC)
 
 struct _QuinceSampleRunner
 {
-  /* All fields belong to the main context. */
-  QuinceAgent *agent;
+  /* All fields belong to the worker's context. */
+  QuinceWorker *worker;
   GHashTable *runs; /* key text -> QuinceLeasedRun, both owned          */
   guint concurrency;
   guint lease_ms;
@@ -81,7 +80,7 @@
   if (g_hash_table_contains (runner->runs, key))
     return; /* leased again after a change of leader: it runs already */
   runner->counters.leased++;
-  QuinceLeasedRun *run = quince_leased_run_new (runner->agent, sample, &runner->counters.attempts,
+  QuinceLeasedRun *run = quince_leased_run_new (runner->worker, sample, &runner->counters.attempts,
                                                 &runner->counters.score_failures, run_done, runner);
   g_hash_table_insert (runner->runs, g_steal_pointer (&key), run);
 }
@@ -107,12 +106,12 @@
     return;
   QuinceCommand command = { .kind = QUINCE_COMMAND_LEASE };
   QuinceLeaseSamples *lease = &command.QuinceCommand_u.lease;
-  lease->agent = (char *)runner->agent->name;
+  lease->agent = (char *)runner->worker->name;
   lease->most = runner->concurrency - running;
   lease->lease_ms = runner->lease_ms;
   runner->lease_call
-      = quince_ledger_client_call (runner->agent->ledger_client, quince_command_copy (&command),
-                                   quince_now_us () + LEASE_TIMEOUT_US, leases_answered, runner);
+      = quince_hub_client_call_ledger (runner->worker->hub, quince_command_copy (&command),
+                                       quince_now_us () + LEASE_TIMEOUT_US, leases_answered, runner);
 }
 
 static void
@@ -138,25 +137,25 @@
     return G_SOURCE_CONTINUE;
   QuinceCommand command = { .kind = QUINCE_COMMAND_RENEW };
   QuinceRenewLeases *renew = &command.QuinceCommand_u.renew;
-  renew->agent = (char *)runner->agent->name;
+  renew->agent = (char *)runner->worker->name;
   renew->lease_ms = runner->lease_ms;
   renew->leases.leases_len = refs->len;
   renew->leases.leases_val = (QuinceLeaseRef *)(gpointer)refs->data;
-  quince_ledger_client_call (runner->agent->ledger_client, quince_command_copy (&command),
-                             quince_now_us () + (gint64)runner->lease_ms * G_TIME_SPAN_MILLISECOND / 3,
-                             renew_answered, NULL);
+  quince_hub_client_call_ledger (runner->worker->hub, quince_command_copy (&command),
+                                 quince_now_us () + (gint64)runner->lease_ms * G_TIME_SPAN_MILLISECOND / 3,
+                                 renew_answered, NULL);
   return G_SOURCE_CONTINUE;
 }
 
 /* ---- Life and views ------------------------------------------------------------------ */
 
 QuinceSampleRunner *
-quince_sample_runner_new (QuinceAgent *agent)
+quince_sample_runner_new (QuinceWorker *worker)
 {
   QuinceSampleRunner *runner = g_new0 (QuinceSampleRunner, 1);
-  gint64 lease_us = quince_settings_get_duration_us (agent->settings, "agent", "sample_lease");
-  runner->agent = agent;
-  runner->concurrency = (guint)quince_settings_get_integer (agent->settings, "agent", "sample_concurrency");
+  gint64 lease_us = quince_settings_get_duration_us (worker->settings, "agent", "sample_lease");
+  runner->worker = worker;
+  runner->concurrency = (guint)quince_settings_get_integer (worker->settings, "agent", "sample_concurrency");
   runner->lease_ms = (guint)(lease_us / G_TIME_SPAN_MILLISECOND);
   runner->runs
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, (GDestroyNotify)quince_leased_run_free);
@@ -171,7 +170,7 @@
   quince_source_clear (&runner->ask_timer);
   quince_source_clear (&runner->renew_timer);
   if (runner->lease_call != 0)
-    quince_ledger_client_forget (runner->agent->ledger_client, runner->lease_call);
+    quince_hub_client_cancel (runner->worker->hub, runner->lease_call);
   g_hash_table_unref (runner->runs);
   g_free (runner);
 }
@@ -182,7 +181,7 @@
   runner->stopping = TRUE;
   quince_source_clear (&runner->ask_timer);
   if (runner->lease_call != 0)
-    quince_ledger_client_forget (runner->agent->ledger_client, runner->lease_call);
+    quince_hub_client_cancel (runner->worker->hub, runner->lease_call);
   runner->lease_call = 0;
 }
 
--- a/daemons/agent/sample-runner.h
+++ b/daemons/agent/sample-runner.h
@@ -3,14 +3,14 @@
  */
 #pragma once
 
-#include "agent.h"
+#include "worker.h"
 
 /**
  * quince_sample_runner_new:
  *
  * Begins at once to lease samples, as many as may run at the same time.
  */
-QuinceSampleRunner *quince_sample_runner_new (QuinceAgent *agent);
+QuinceSampleRunner *quince_sample_runner_new (QuinceWorker *worker);
 /* Samples in progress are cancelled; their leases run out. */
 void quince_sample_runner_free (QuinceSampleRunner *runner);
 /* Planned stop: no new samples; those in progress go on. */
--- a/daemons/agent/trainer-api.c
+++ b/daemons/agent/trainer-api.c
@@ -10,7 +10,6 @@
 #include <quince/log.h>
 #include <quince/task.h>
 
-#include "ledger-client.h"
 #include "trainer-reply.h"
 #include "trainer-request.h"
 
@@ -19,8 +18,8 @@
 
 struct _QuinceTrainerApi
 {
-  /* All fields belong to the main context. */
-  QuinceAgent *agent;
+  /* All fields belong to the worker's context. */
+  QuinceWorker *worker;
   GHashTable *running; /* of TrainerCall, owned */
 };
 
@@ -41,7 +40,7 @@
   g_signal_handlers_disconnect_by_data (call->message, call);
   quince_source_clear (&call->poll_timer);
   if (call->ledger_call != 0)
-    quince_ledger_client_forget (call->owner->agent->ledger_client, call->ledger_call);
+    quince_hub_client_cancel (call->owner->worker->hub, call->ledger_call);
   quince_command_free (call->command);
   g_object_unref (call->message);
   g_free (call);
@@ -70,7 +69,7 @@
 static gboolean
 may_wait (const TrainerCall *call, const QuinceLedgerReply *reply)
 {
-  return reply != NULL && reply->status == QUINCE_LEDGER_NOT_COMPLETE && !call->owner->agent->stopping
+  return reply != NULL && reply->status == QUINCE_LEDGER_NOT_COMPLETE && !call->owner->worker->stopping
          && quince_now_us () < call->wait_until_us;
 }
 
@@ -91,11 +90,11 @@
 static void
 call_ledger (TrainerCall *call)
 {
-  const QuinceSettings *settings = call->owner->agent->settings;
+  const QuinceSettings *settings = call->owner->worker->settings;
   gint64 limit_us = quince_settings_get_duration_us (settings, "agent", "ledger_timeout");
   call->ledger_call
-      = quince_ledger_client_call (call->owner->agent->ledger_client, quince_command_copy (call->command),
-                                   quince_now_us () + limit_us, ledger_answered, call);
+      = quince_hub_client_call_ledger (call->owner->worker->hub, quince_command_copy (call->command),
+                                       quince_now_us () + limit_us, ledger_answered, call);
 }
 
 /* ---- The trainer's side ------------------------------------------------------------ */
@@ -119,7 +118,7 @@
 static JsonNode *
 read_body (QuinceTrainerApi *api, SoupServerMessage *message)
 {
-  if (!api->agent->stopping)
+  if (!api->worker->stopping)
     return quince_http_read_object (message);
   quince_http_reply_error (message, SOUP_STATUS_SERVICE_UNAVAILABLE, "stopping",
                            "this agent stops: ask another", TRUE, STOPPING_RETRY_MS);
@@ -163,10 +162,10 @@
 /* ---- Life ---------------------------------------------------------------------------- */
 
 QuinceTrainerApi *
-quince_trainer_api_new (QuinceAgent *agent)
+quince_trainer_api_new (QuinceWorker *worker)
 {
   QuinceTrainerApi *api = g_new0 (QuinceTrainerApi, 1);
-  api->agent = agent;
+  api->worker = worker;
   api->running = g_hash_table_new_full (NULL, NULL, (GDestroyNotify)call_free, NULL);
   return api;
 }
--- a/daemons/agent/trainer-api.h
+++ b/daemons/agent/trainer-api.h
@@ -3,9 +3,9 @@
  */
 #pragma once
 
-#include "agent.h"
+#include "worker.h"
 
-QuinceTrainerApi *quince_trainer_api_new (QuinceAgent *agent);
+QuinceTrainerApi *quince_trainer_api_new (QuinceWorker *worker);
 void quince_trainer_api_free (QuinceTrainerApi *api);
 /* Each answers @message, now or later. */
 void quince_trainer_api_submit (QuinceTrainerApi *api, SoupServerMessage *message);
--- a/tests/contract/test-agent.c
+++ b/tests/contract/test-agent.c
@@ -331,7 +331,9 @@
 static void
 test_kept_connection (void **state)
 {
-  fixture_start (NULL, NULL);
+  /* Each worker keeps connections of its own: one, so that the next request uses what the last one kept. */
+  static const char *const settings[] = { "agent.workers=1", NULL };
+  fixture_start (settings, NULL);
   fixture.engine_fault = ENGINE_CLOSES;
   for (guint i = 0; i < 3; i++)
     {
