--- a/daemons/agent/trainer-api.c
+++ b/daemons/agent/trainer-api.c
@@ -10,6 +10,7 @@
 #include <quince/log.h>
 #include <quince/task.h>
 
+#include "trainer-batch.h"
 #include "trainer-reply.h"
 #include "trainer-request.h"
 
@@ -32,6 +33,7 @@
   gint64 wait_until_us; /* a pull may wait until then                      */
   guint64 ledger_call;  /* in progress, 0 when none                        */
   GSource *poll_timer;
+  QuinceTrainerBatch *batch; /* answer of several pages, NULL: none       */
 } TrainerCall;
 
 static void
@@ -39,6 +41,7 @@
 {
   g_signal_handlers_disconnect_by_data (call->message, call);
   quince_source_clear (&call->poll_timer);
+  g_clear_pointer (&call->batch, quince_trainer_batch_free);
   if (call->ledger_call != 0)
     quince_hub_client_cancel (call->owner->worker->hub, call->ledger_call);
   quince_command_free (call->command);
@@ -73,6 +76,17 @@
          && quince_now_us () < call->wait_until_us;
 }
 
+/* The first page of a batch that has more, or %NULL. */
+static const QuinceBatch *
+get_first_page (const QuinceLedgerReply *reply)
+{
+  const QuinceBatch *page;
+  if (reply == NULL || reply->status != QUINCE_LEDGER_OK || reply->result.kind != QUINCE_COMMAND_PULL)
+    return NULL;
+  page = &reply->result.QuinceLedgerResult_u.batch;
+  return page->results.results_len < page->total ? page : NULL;
+}
+
 static void
 ledger_answered (const QuinceLedgerReply *reply, gpointer user_data)
 {
@@ -83,7 +97,11 @@
       call->poll_timer = quince_timer_add (POLL_INTERVAL_MS, poll_due, call);
       return;
     }
-  quince_trainer_reply (call->message, call->command, reply);
+  const QuinceBatch *page = get_first_page (reply);
+  if (page != NULL)
+    call->batch = quince_trainer_batch_new (call->owner->worker, call->message, page);
+  else
+    quince_trainer_reply (call->message, call->command, reply);
   soup_server_message_unpause (call->message);
 }
 
--- a/include/quince/scheduler.h
+++ b/include/quince/scheduler.h
@@ -24,6 +24,9 @@
  * @report_stale_ms: an engine not heard of for this long gets no new work
  * @candidates: engines that are scored for a request, at most QUINCE_POLICY_MAX_CANDIDATES
  * @retry_ratio: retries (attempt > 1) granted per first attempt granted
+ * @overcommit: Lookups that an engine is given beyond its capacity, as a part of it; they wait
+ *   in the engine's own queue, so that a place is filled while the end of the last run travels
+ * @engine_wait_ms: longest that such a Lookup should wait there, by the measured service time
  */
 typedef struct
 {
@@ -33,6 +36,8 @@
   guint report_stale_ms;
   guint candidates;
   double retry_ratio;
+  double overcommit;
+  guint engine_wait_ms;
 } QuinceSchedulerLimits;
 
 extern const QuinceSchedulerLimits quince_scheduler_default_limits;
@@ -146,7 +151,9 @@
                            const QuinceGrantEnd *end,
                            GPtrArray *decisions);
 /* The client's link is down: its waiting requests are dropped, its grants
- * are kept until abandon_ms since their streams may go on. */
+ * are kept until abandon_ms since their streams may go on.  As any grant whose
+ * end is not told, they hold a slot some time after they expired only as far as
+ * the engine reports work that nothing else explains. */
 void quince_scheduler_client_gone (QuinceScheduler *scheduler, gint64 now_us, guint64 client);
 /* Expiry of grants and deadlines; call when next_wakeup is reached. */
 void quince_scheduler_tick (QuinceScheduler *scheduler, gint64 now_us, GPtrArray *decisions);
@@ -175,7 +182,7 @@
   const char *name;
   const char *address;
   const char *service;
-  guint outstanding; /* grants of this node   */
+  guint outstanding; /* grants of this node that hold a slot */
   guint peers;       /* grants of other nodes */
   guint running;
   guint waiting;
--- a/lib/core/scheduling/engine-table.c
+++ b/lib/core/scheduling/engine-table.c
@@ -129,6 +129,14 @@
   *text = g_strdup (value);
 }
 
+static void
+set_peer_load (QuinceEngine *engine, QuincePeerLoad *load, guint granted)
+{
+  engine->peers += granted - load->granted;
+  engine->holders += (granted > 0) - (load->granted > 0);
+  load->granted = granted;
+}
+
 /* Loads of nodes that fell silent are dropped. */
 static void
 drop_stale_peers (QuinceEngine *engine, gint64 now_us)
@@ -141,7 +149,7 @@
       QuincePeerLoad *load = value;
       if (now_us - load->heard_us <= PEER_LOAD_STALE_US)
         continue;
-      engine->peers -= load->granted;
+      set_peer_load (engine, load, 0);
       g_hash_table_iter_remove (&iter);
     }
 }
@@ -252,9 +260,7 @@
       load = g_new0 (QuincePeerLoad, 1);
       g_hash_table_insert (engine->peer_loads, g_strdup (node), load);
     }
-  granted = MIN (granted, G_MAXUINT16);
-  engine->peers += granted - load->granted;
-  load->granted = granted;
+  set_peer_load (engine, load, MIN (granted, G_MAXUINT16));
   load->heard_us = now_us;
 }
 
@@ -270,7 +276,7 @@
       QuincePeerLoad *load = g_hash_table_lookup (engine->peer_loads, node);
       if (load == NULL)
         continue;
-      engine->peers -= load->granted;
+      set_peer_load (engine, load, 0);
       g_hash_table_remove (engine->peer_loads, node);
     }
 }
@@ -307,10 +313,20 @@
   return quince_engine_is_serving (engine) && now_us - engine->reported_us <= table->report_stale_us;
 }
 
+guint
+quince_engine_held (const QuinceEngine *engine)
+{
+  guint reported = engine->running + engine->waiting;
+  guint recent = engine->outstanding - engine->overdue;
+  guint explained = recent + engine->peers;
+  guint unexplained = reported > explained ? reported - explained : 0;
+  return recent + MIN (engine->overdue, unexplained);
+}
+
 guint
 quince_engine_used (const QuinceEngine *engine)
 {
-  guint known = engine->outstanding + engine->peers;
+  guint known = quince_engine_held (engine) + engine->peers;
   gint64 reported
       = (gint64)engine->running + engine->waiting + engine->granted_since_report - engine->ended_since_report;
   return (guint)CLAMP (reported, known, G_MAXINT);
@@ -350,6 +366,20 @@
     engine->ended_since_report++;
 }
 
+void
+quince_engine_overdue (QuinceEngine *engine)
+{
+  engine->overdue++;
+}
+
+/* Whether it ran is unknown, so what the report says is left as it is. */
+void
+quince_engine_overdue_ended (QuinceEngine *engine)
+{
+  engine->overdue--;
+  engine->outstanding--;
+}
+
 void
 quince_engine_served (QuinceEngine *engine, guint service_ms)
 {
--- a/lib/core/scheduling/scheduler-private.h
+++ b/lib/core/scheduling/scheduler-private.h
@@ -37,6 +37,7 @@
   QuinceDecider decider;       /* functions borrowed                        */
   gboolean ready;
   gboolean stopping;
+  gboolean heard_engines; /* a report has ever come */
   gint64 event_start_us;
   gint64 event_end_us;
   QuinceSchedulerCounters counters;
@@ -47,8 +48,8 @@
 {
   const GPtrArray *engines; /* borrowed; NULL: service unknown */
   guint usable;
-  guint unheard; /* serving by reports that are too old */
-  guint free_slots;
+  guint unheard;             /* serving by reports that are too old */
+  guint free_slots;          /* grants that this node may still give, for Lookups */
   guint64 newest_version;    /* active on a usable engine       */
   guint64 reachable_version; /* active or ordered               */
 } QuinceServiceView;
@@ -130,5 +131,6 @@
 
 /* Finds or makes the queue. */
 QuinceServiceQueue *quince_claim_service (QuinceScheduler *scheduler, const char *name);
-/* Forgets at most @most grants that are abandoned or whose end is long told. */
+/* Forgets at most @most grants that are abandoned or whose end is long told, and looks at
+ * those that expired without an end. */
 void quince_forget_due_grants (QuinceScheduler *scheduler, gint64 now_us, guint most);
--- a/lib/core/scheduling/scheduler.c
+++ b/lib/core/scheduling/scheduler.c
@@ -5,6 +5,7 @@
 
 #define WAITING_WAKEUP_US (100 * 1000)
 #define FORGET_WAKEUP_US (50 * 1000)
+#define REPORT_WAIT_US (200 * 1000) /* until an expired grant is looked at again */
 
 const QuinceSchedulerLimits quince_scheduler_default_limits = {
   .queue_most = 4096,
@@ -13,6 +14,8 @@
   .report_stale_ms = 5000,
   .candidates = 6,
   .retry_ratio = 0.2,
+  .overcommit = 0,
+  .engine_wait_ms = 100,
 };
 
 /* ---- Life ---------------------------------------------------------------------- */
@@ -107,8 +110,26 @@
 release_slot (QuinceGrantEntry *grant, gboolean dispatched)
 {
   QuinceServiceQueue *service = grant->service;
-  quince_engine_ended (grant->engine, grant->granted_at_report, dispatched);
-  service->meter.slots--;
+  if (grant->overdue)
+    quince_engine_overdue_ended (grant->engine);
+  else
+    quince_engine_ended (grant->engine, grant->granted_at_report, dispatched);
+  service->meter.slots[grant->work_class]--;
+}
+
+/* It expired and no end was told.  Its engine's report says from now on whether it
+ * runs, once one has come that must show it. */
+static void
+look_at_expired_grant (QuinceScheduler *scheduler, gint64 now_us, QuinceGrantEntry *grant)
+{
+  gint64 at_us = now_us + REPORT_WAIT_US;
+  if (grant->engine->reported_us >= grant->expires_us + QUINCE_GRANT_SETTLE_US)
+    {
+      grant->overdue = TRUE;
+      quince_engine_overdue (grant->engine);
+      at_us = grant->abandon_us;
+    }
+  quince_grant_table_look_again (scheduler->grants, grant, at_us);
 }
 
 void
@@ -117,6 +138,11 @@
   QuinceGrantEntry *grant;
   while (most-- > 0 && (grant = quince_grant_table_due (scheduler->grants, now_us)) != NULL)
     {
+      if (!grant->ended && now_us < grant->abandon_us)
+        {
+          look_at_expired_grant (scheduler, now_us, grant);
+          continue;
+        }
       if (!grant->ended)
         {
           release_slot (grant, TRUE);
@@ -126,6 +152,13 @@
     }
 }
 
+/* From the grant to its end: the ways to the engine and back are in it, unlike what the agent measured. */
+static guint
+held_ms (const QuinceGrantEntry *grant, gint64 now_us)
+{
+  return (guint)CLAMP ((now_us - grant->granted_us) / 1000, 0, G_MAXINT);
+}
+
 static void
 learn_from_end (QuinceScheduler *scheduler, gint64 now_us, QuinceGrantEntry *grant, const QuinceGrantEnd *end)
 {
@@ -136,7 +169,8 @@
     case QUINCE_OUTCOME_FINISHED:
       scheduler->counters.finished++;
       quince_engine_served (grant->engine, end->service_ms);
-      quince_drain_meter_served (&service->meter, end->service_ms);
+      quince_drain_meter_served (&service->meter, grant->work_class,
+                                 MAX (end->service_ms, held_ms (grant, now_us)));
       count->on_time += end->on_time ? 1 : 0;
       count->late += end->on_time ? 0 : 1;
       count->tokens_on_time += end->on_time ? end->tokens : 0;
@@ -257,6 +291,7 @@
   QuinceEngine *engine = quince_engine_table_report (scheduler->engines, now_us, report, &created);
   if (engine == NULL)
     return;
+  scheduler->heard_engines = TRUE;
   if (created)
     engine->prefix_slot = quince_prefix_index_add_engine (scheduler->prefixes);
   QuinceServiceQueue *service = g_hash_table_lookup (scheduler->services, engine->service);
--- a/lib/platform/engine-client.c
+++ b/lib/platform/engine-client.c
@@ -1,8 +1,9 @@
 /*
  * engine-client.c: one streamed attempt on a model engine, over HTTP.
  *
- * "Sent" is decided by libsoup's "starting" signal, which is emitted on a
- * connection that is up, immediately before the first byte of the request.
+ * "Sent" is decided right before the first byte of the body: an engine that has
+ * only the head of a request cannot run it.  Each piece of the body is asked for
+ * permission again, since the process may be paused in the middle of sending.
  */
 #include <quince/engine-client.h>
 
@@ -12,6 +13,7 @@
 #include <quince/link.h>
 #include <quince/task.h>
 
+#include "engine-body.h"
 #include "engine-stream.h"
 
 #define READ_BYTES (16 * 1024)
@@ -37,7 +39,9 @@
   char *request_id;
   guint attempt;
   guint first_token; /* index of the engine's first token                */
-  gboolean sent;     /* a byte may have left                             */
+  gint64 expires_us; /* monotonic; 0: never                              */
+  gboolean started;  /* a connection is up for it                        */
+  gboolean sent;     /* a byte of the body may have left                 */
   gboolean leaving;  /* the engine said so                               */
   gboolean ended;    /* the last callback was made                       */
   const QuinceEngineCallbacks *callbacks;
@@ -117,7 +121,8 @@
 {
   g_autoptr (JsonParser) parser = json_parser_new ();
   const char *type = "refused";
-  if (json_parser_load_from_data (parser, call->refusal->str, (gssize)call->refusal->len, NULL)
+  if (quince_json_check (call->refusal->str, call->refusal->len)
+      && json_parser_load_from_data (parser, call->refusal->str, (gssize)call->refusal->len, NULL)
       && json_parser_get_root (parser) != NULL && JSON_NODE_HOLDS_OBJECT (json_parser_get_root (parser)))
     {
       JsonNode *node = json_object_get_member (json_node_get_object (json_parser_get_root (parser)), "error");
@@ -261,18 +266,29 @@
   start_read (call);
 }
 
+/* libsoup restarts a message whose kept connection broke; an attempt is sent once. */
 static void
 message_starting (SoupMessage *message, gpointer data)
 {
   QuinceEngineCall *call = data;
-  if (call->ended)
-    return;
-  /* A cancelled message does not get to its first write.  "sent" already means
-   * that libsoup restarts a message whose kept connection broke. */
-  if (!call->sent && call->callbacks->starting (call->user_data))
-    call->sent = TRUE;
-  else
+  if (call->started)
     g_cancellable_cancel (call->cancellable);
+  call->started = TRUE;
+}
+
+static gboolean
+may_leave (gpointer data, GError **error)
+{
+  QuinceEngineCall *call = data;
+  gboolean expired = call->expires_us > 0 && quince_now_us () >= call->expires_us;
+  if (!expired && !call->ended && (call->sent || call->callbacks->starting (call->user_data)))
+    {
+      call->sent = TRUE;
+      return TRUE;
+    }
+  g_set_error_literal (error, QUINCE_ENGINE_CLIENT_ERROR, QUINCE_ENGINE_CLIENT_ERROR_EXPIRED,
+                       "expired before it was whole on its way");
+  return FALSE;
 }
 
 static char *
@@ -316,7 +332,8 @@
   SoupMessage *message = soup_message_new (SOUP_METHOD_POST, url);
   char *text = format_body (dispatch, &length);
   g_autoptr (GBytes) body = g_bytes_new_take (text, length);
-  soup_message_set_request_body_from_bytes (message, "application/json", body);
+  g_autoptr (GInputStream) stream = quince_engine_body_new (body, may_leave, call);
+  soup_message_set_request_body (message, "application/json", stream, (gssize)length);
   /* Redirects and authentication would send it twice.  libsoup uses a kept
    * connection only for an idempotent message, and may restart that one:
    * message_starting() forbids it. */
@@ -343,6 +360,7 @@
   call->request_id = g_strdup (dispatch->request_id);
   call->attempt = dispatch->attempt;
   call->first_token = dispatch->resume_tokens;
+  call->expires_us = dispatch->expires_us;
   call->callbacks = callbacks;
   call->user_data = user_data;
   call->message = make_message (call, dispatch);
