--- a/daemons/agent/trainer-batch.c
+++ b/daemons/agent/trainer-batch.c
@@ -8,13 +8,12 @@
 #include <quince/log.h>
 #include <quince/task.h>
 
-#include "ledger-client.h"
 #include "trainer-reply.h"
 
 struct _QuinceTrainerBatch
 {
-  /* All fields belong to the main context. */
-  QuinceAgent *agent;
+  /* All fields belong to the worker's context. */
+  QuinceWorker *worker;
   SoupServerMessage *message; /* not owned                                   */
   char *trainer;
   guint64 step;
@@ -92,17 +91,17 @@
   command.QuinceCommand_u.page = (QuinceReadPage){
     .trainer = batch->trainer, .step = batch->step, .batch_id = batch->batch_id, .first = batch->next
   };
-  gint64 limit_us = quince_settings_get_duration_us (batch->agent->settings, "agent", "ledger_timeout");
-  batch->ledger_call = quince_ledger_client_call (batch->agent->ledger_client, quince_command_copy (&command),
-                                                  quince_now_us () + limit_us, page_answered, batch);
+  gint64 limit_us = quince_settings_get_duration_us (batch->worker->settings, "agent", "ledger_timeout");
+  batch->ledger_call = quince_hub_client_call_ledger (batch->worker->hub, quince_command_copy (&command),
+                                                      quince_now_us () + limit_us, page_answered, batch);
 }
 
 QuinceTrainerBatch *
-quince_trainer_batch_new (QuinceAgent *agent, SoupServerMessage *message, const QuinceBatch *page)
+quince_trainer_batch_new (QuinceWorker *worker, SoupServerMessage *message, const QuinceBatch *page)
 {
   SoupMessageHeaders *headers = soup_server_message_get_response_headers (message);
   QuinceTrainerBatch *batch = g_new0 (QuinceTrainerBatch, 1);
-  batch->agent = agent;
+  batch->worker = worker;
   batch->message = message;
   batch->trainer = g_strdup (page->trainer);
   batch->step = page->step;
@@ -122,7 +121,7 @@
 {
   g_signal_handlers_disconnect_by_data (batch->message, batch);
   if (batch->ledger_call != 0)
-    quince_ledger_client_forget (batch->agent->ledger_client, batch->ledger_call);
+    quince_hub_client_cancel (batch->worker->hub, batch->ledger_call);
   g_free (batch->trainer);
   g_free (batch);
 }
--- a/daemons/agent/trainer-batch.h
+++ b/daemons/agent/trainer-batch.h
@@ -8,7 +8,7 @@
  */
 #pragma once
 
-#include "agent.h"
+#include "worker.h"
 
 typedef struct _QuinceTrainerBatch QuinceTrainerBatch;
 
@@ -20,5 +20,5 @@
  * Writes the answer's head and the first page; goes on by itself.
  */
 QuinceTrainerBatch *
-quince_trainer_batch_new (QuinceAgent *agent, SoupServerMessage *message, const QuinceBatch *page);
+quince_trainer_batch_new (QuinceWorker *worker, SoupServerMessage *message, const QuinceBatch *page);
 void quince_trainer_batch_free (QuinceTrainerBatch *batch);
