--- a/include/quince/engine-client.h
+++ b/include/quince/engine-client.h
@@ -24,6 +24,7 @@
   QUINCE_ENGINE_CLIENT_ERROR_MALFORMED, /* an event that makes no sense                */
   QUINCE_ENGINE_CLIENT_ERROR_GAP,       /* tokens are missing, repeated or out of order */
   QUINCE_ENGINE_CLIENT_ERROR_SILENT,    /* no byte for the silence bound               */
+  QUINCE_ENGINE_CLIENT_ERROR_EXPIRED,   /* not whole on its way by the dispatch's expiry */
 } QuinceEngineClientError;
 
 /**
@@ -32,7 +33,9 @@
  * @resume_text: tokens that were generated elsewhere, "" for none
  * @resume_tokens: their count; the engine's first token has this index
  * @fresh_connection: never use a kept connection, so that a failure to reach
- *   the engine is certainly one before any byte left
+ *   the engine is certainly one before any byte of the body left
+ * @expires_us: monotonic time, 0 for never; what has not left by then never does,
+ *   also when the process was paused in the middle of sending it
  *
  * What to run.  Borrowed for the call of quince_engine_call_start() only.
  */
@@ -49,6 +52,7 @@
   const char *resume_text;
   guint resume_tokens;
   gboolean fresh_connection;
+  gint64 expires_us;
 } QuinceEngineDispatch;
 
 /* Tokens as the engine reports them; @text is valid during the callback. */
@@ -73,13 +77,13 @@
 
 /**
  * QuinceEngineCallbacks:
- * @starting: immediately before the first byte may leave; %FALSE forbids it
- *   and leads to failed() with nothing sent
+ * @starting: immediately before the first byte of the body may leave; %FALSE
+ *   forbids it and leads to failed() with nothing sent that an engine could run
  * @accepted: the engine began to answer
  * @chunk: tokens, in order and without gaps
  * @finished: finish marker and end of stream seen
  * @refused: the engine's own word that it did not run the attempt
- * @failed: @sent: whether any byte may have left
+ * @failed: @sent: whether any byte of the body may have left
  *
  * Exactly one of finished, refused and failed is called, and it is the last.
  */
--- a/lib/protocol/quince_protocol.x
+++ b/lib/protocol/quince_protocol.x
@@ -16,6 +16,7 @@
 const QUINCE_MAX_PREFIX    = 64;
 const QUINCE_MAX_ENGINES   = 1024;
 const QUINCE_MAX_MEMBERS   = 1024;
+const QUINCE_MAX_READINGS  = 96;    /* one datagram holds them */
 const QUINCE_MAX_TEXT      = 4194304;
 const QUINCE_MAX_SAMPLES   = 16384;
 const QUINCE_MAX_ENTRIES   = 4096;
@@ -211,6 +212,14 @@
     unsigned hyper trainer_version;   /* weight version the trainer holds  */
 };
 
+/* Not replicated: the next samples of a batch that a pull has frozen. */
+struct QuinceReadPage {
+    QuinceName     trainer;
+    unsigned hyper step;
+    unsigned hyper batch_id;          /* from the answer to the pull       */
+    unsigned int   first;             /* index of the first sample wanted  */
+};
+
 struct QuinceReleaseStep {
     QuinceName     trainer;
     unsigned hyper step;              /* received whole                    */
@@ -257,7 +266,8 @@
     QUINCE_COMMAND_CLAIM    = 4,
     QUINCE_COMMAND_UNCLAIM  = 5,
     QUINCE_COMMAND_LEASE    = 6,
-    QUINCE_COMMAND_RENEW    = 7
+    QUINCE_COMMAND_RENEW    = 7,
+    QUINCE_COMMAND_PAGE     = 8
 };
 
 union QuinceCommand switch (QuinceCommandKind kind) {
@@ -269,6 +279,7 @@
 case QUINCE_COMMAND_UNCLAIM:  QuinceUnclaimRequest unclaim;
 case QUINCE_COMMAND_LEASE:    QuinceLeaseSamples   lease;
 case QUINCE_COMMAND_RENEW:    QuinceRenewLeases    renew;
+case QUINCE_COMMAND_PAGE:     QuinceReadPage       page;
 };
 
 /* What is written to the ledger: the leader stamps the time once, so that
@@ -305,11 +316,14 @@
     unsigned hyper     step;
     unsigned int       ready;         /* samples complete so far           */
     unsigned int       total;
-    QuinceSampleResult results<QUINCE_MAX_SAMPLES>;
+    unsigned hyper     batch_id;      /* of the frozen samples; made anew, they have another */
+    unsigned int       first;         /* index of the first result         */
+    QuinceSampleResult results<QUINCE_MAX_SAMPLES>; /* one page            */
 };
 
 union QuinceLedgerResult switch (QuinceCommandKind kind) {
-case QUINCE_COMMAND_PULL:  QuinceBatch        batch;
+case QUINCE_COMMAND_PULL:
+case QUINCE_COMMAND_PAGE:  QuinceBatch        batch;
 case QUINCE_COMMAND_LEASE: QuinceLeasedSample leased<QUINCE_MAX_SAMPLES>;
 default: void;
 };
@@ -486,6 +500,21 @@
     bool           leaving;
 };
 
+/* What the owner of an engine read from it last, packed: quince/engine-readings.h. */
+struct QuinceEngineReading {
+    unsigned int engine;              /* hash of its name                  */
+    unsigned int load;
+    unsigned int versions;            /* and age                           */
+};
+
+/* Goes from its node straight to others of the zone, and is never passed on. */
+struct QuinceEngineReadings {
+    unsigned hyper      incarnation;  /* of the node; its clock is one for each */
+    unsigned hyper      sent_us;      /* sender's monotonic clock          */
+    unsigned hyper      base_version; /* least version that is named       */
+    QuinceEngineReading engines<QUINCE_MAX_READINGS>;
+};
+
 struct QuinceNodeDigest {
     QuinceName         node;
     unsigned hyper     incarnation;
@@ -494,12 +523,15 @@
     unsigned hyper     ledger_epoch;
     unsigned hyper     ledger_leader; /* replica id, 0 unknown             */
     QuinceEngineDigest engines<64>;
+    QuinceEngineReadings readings<1>; /* with them the rest is empty       */
 };
 
 enum QuinceGossipKind {
     QUINCE_GOSSIP_PING     = 0,
     QUINCE_GOSSIP_ACK      = 1,
-    QUINCE_GOSSIP_PING_VIA = 2        /* ask a third to probe              */
+    QUINCE_GOSSIP_PING_VIA = 2,       /* ask a third to probe              */
+    QUINCE_GOSSIP_SYNC     = 3,       /* summary: what the sender knows    */
+    QUINCE_GOSSIP_RECORDS  = 4        /* answer: what the other one lacks  */
 };
 
 struct QuinceGossip {
@@ -511,4 +543,5 @@
     QuinceName        target_address; /* with PING_VIA                     */
     QuinceMember      updates<16>;
     QuinceNodeDigest  digests<8>;
+    opaque            summary<1280>;  /* with SYNC and the last RECORDS    */
 };
--- a/rehearsal/hollow-node.c
+++ b/rehearsal/hollow-node.c
@@ -15,6 +15,8 @@
 /* How long a holder of the own zone is awaited before one of another zone is asked. */
 #define REMOTE_FETCH_DELAY_MS 300
 #define FETCH_RETRY_MS 200
+/* IPv4 and UDP headers. */
+#define UDP_HEADER_BYTES 28
 
 struct _QuinceHollowNode
 {
@@ -41,6 +43,7 @@
   char *watched;                     /* name of the member watched; NULL when none */
   guint64 watched_change;            /* membership change that was looked at last */
   QuinceHollowNodeCounters counters; /* of links closed, and datagrams      */
+  guint64 taken_bytes;               /* sent when they were last asked for  */
 };
 
 /* ---- Membership ------------------------------------------------------ */
@@ -161,8 +164,9 @@
 {
   QuinceHollowNode *node = user_data;
   g_autoptr (QuinceMessage) owned = message;
-  if (message->kind == QUINCE_MESSAGE_POLICY_BODY)
-    quince_hollow_node_offer (node, &message->QuinceMessage_u.policy_body);
+  if (message->kind != QUINCE_MESSAGE_POLICY_BODY)
+    return;
+  quince_hollow_node_offer (node, &message->QuinceMessage_u.policy_body);
   end_fetch (node);
   consider_fetch (node);
 }
@@ -198,12 +202,28 @@
   return chosen;
 }
 
+/* A real node talks only to who greets it. */
+static void
+send_hello (QuinceHollowNode *node)
+{
+  QuinceMessage message = { .kind = QUINCE_MESSAGE_HELLO };
+  QuinceHello *hello = &message.QuinceMessage_u.hello;
+  hello->protocol_version = QUINCE_PROTOCOL_VERSION;
+  hello->role = QUINCE_ROLE_NODE;
+  hello->name = node->name;
+  hello->zone = node->zone;
+  hello->incarnation = quince_membership_get_incarnation (node->membership);
+  hello->policy_revision = quince_policy_register_get (node->policy)->revision;
+  quince_link_send (node->fetch, &message);
+}
+
 static void
 fetch_from (QuinceHollowNode *node, const QuinceMember *holder)
 {
   QuinceMessage request = { .kind = QUINCE_MESSAGE_POLICY_FETCH };
   request.QuinceMessage_u.policy_fetch.at_least = quince_policy_register_get_seen (node->policy);
   node->fetch = quince_link_connect (holder->address, &fetch_callbacks, node);
+  send_hello (node);
   quince_link_send (node->fetch, &request);
 }
 
@@ -394,6 +414,16 @@
   return alive;
 }
 
+guint64
+quince_hollow_node_take_bytes (QuinceHollowNode *node)
+{
+  guint64 sent = quince_datagrams_get_bytes_sent (node->datagrams) + node->counters.link_bytes_sent
+                 + node->counters.datagrams_sent * UDP_HEADER_BYTES;
+  guint64 taken = sent - node->taken_bytes;
+  node->taken_bytes = sent;
+  return taken;
+}
+
 void
 quince_hollow_node_add_counters (QuinceHollowNode *node, QuinceHollowNodeCounters *sum)
 {
--- a/rehearsal/kit/process.h
+++ b/rehearsal/kit/process.h
@@ -39,6 +39,7 @@
 /* Value of @key in the ready line, "" when absent. */
 const char *quince_process_get (const QuinceProcess *process, const char *key);
 gboolean quince_process_is_running (QuinceProcess *process);
+guint quince_process_get_id (const QuinceProcess *process);
 /* Resident memory in bytes, and processor time in microseconds; 0 when ended. */
 guint64 quince_process_get_memory (QuinceProcess *process);
 guint64 quince_process_get_cpu_us (QuinceProcess *process);
@@ -52,8 +53,16 @@
 gboolean quince_process_wait (QuinceProcess *process, guint timeout_ms, int *status);
 /* Everything written to standard output so far. (transfer full) */
 char *quince_process_read_output (const QuinceProcess *process);
-/* Kills when it still runs. */
+/* Kills when it still runs, and counts an exit status that nobody asked for. */
 void quince_process_free (QuinceProcess *process);
 G_DEFINE_AUTOPTR_CLEANUP_FUNC (QuinceProcess, quince_process_free)
 
+/**
+ * quince_process_take_failures:
+ *
+ * Returns: how many processes of this program, freed since the last call, had ended otherwise
+ * than with status 0 or by quince_process_kill(), with no caller that took their status.
+ */
+guint quince_process_take_failures (void);
+
 G_END_DECLS
--- a/rehearsal/scale-cluster.c
+++ b/rehearsal/scale-cluster.c
@@ -124,6 +124,7 @@
   report->bytes_received = g_ascii_strtoll (words[7], NULL, 10);
   report->link_bytes = g_ascii_strtoll (words[8], NULL, 10);
   report->malformed = g_ascii_strtoll (words[9], NULL, 10);
+  report->greatest_bytes = g_ascii_strtoll (words[10], NULL, 10);
   worker->reported = TRUE;
 }
 
@@ -136,7 +137,7 @@
 } events[] = {
   { "started", 3, TRUE, event_started }, { "killed", 3, TRUE, event_stopped },
   { "left", 3, TRUE, event_stopped },    { "inforce", 4, TRUE, event_in_force },
-  { "gone", 4, TRUE, event_gone },       { "report", 10, FALSE, event_report },
+  { "gone", 4, TRUE, event_gone },       { "report", 11, FALSE, event_report },
 };
 
 static void
@@ -251,9 +252,8 @@
 
 /* ---- Commands -------------------------------------------------------- */
 
-/* The first nodes that run, one in each of the first zones. */
-static char *
-list_seeds (QuinceScaleCluster *cluster)
+char *
+quince_scale_cluster_list_seeds (QuinceScaleCluster *cluster)
 {
   g_autoptr (GPtrArray) addresses = g_ptr_array_new ();
   for (guint i = 0; i < cluster->size.nodes && addresses->len < SEEDS; i++)
@@ -267,6 +267,13 @@
   return g_strjoinv (",", (char **)addresses->pdata);
 }
 
+char *
+quince_scale_cluster_name_zone (QuinceScaleCluster *cluster, guint index)
+{
+  guint zone = index % cluster->size.zones;
+  return g_strdup_printf ("region%u-zone%u", zone % cluster->size.regions, zone);
+}
+
 static gboolean
 node_runs (QuinceScaleCluster *cluster, gpointer node)
 {
@@ -277,7 +284,7 @@
 quince_scale_cluster_start_node (QuinceScaleCluster *cluster, guint index)
 {
   QuinceScaleNode *node = &cluster->nodes[index];
-  g_autofree char *seeds = list_seeds (cluster);
+  g_autofree char *seeds = quince_scale_cluster_list_seeds (cluster);
   node->incarnation = MAX ((guint64)g_get_real_time (), node->incarnation + 1);
   node->revision = 0;
   worker_command (worker_of (cluster, index), "start %u %" G_GUINT64_FORMAT " %s", index, node->incarnation,
@@ -375,6 +382,7 @@
   sum->bytes_received += report->bytes_received;
   sum->link_bytes += report->link_bytes;
   sum->malformed += report->malformed;
+  sum->greatest_bytes = MAX (sum->greatest_bytes, report->greatest_bytes);
 }
 
 gboolean
--- a/tests/integration/harness.h
+++ b/tests/integration/harness.h
@@ -45,7 +45,10 @@
  * Fails the test when it cannot serve.
  */
 QuinceCluster *harness_start (const char *test_name, const char *extra);
-/* Stops everything; removes the folder when the test passed. */
+/* As above with the zones that the sections in @zones describe. */
+QuinceCluster *harness_start_zones (const char *test_name, const char *zones, const char *extra);
+/* Stops everything; fails the test when a process crashed or ended with an unexpected status, and
+ * else removes the folder. */
 void harness_stop (QuinceCluster *cluster);
 
 /* Removes a folder with all it holds. */
@@ -87,6 +90,9 @@
 /* Sequences that have started on an engine and not ended. */
 gint64 harness_engine_running (QuinceClusterPart *engine);
 
+/* Sequences that an engine started later than that, by its own records. */
+guint harness_count_starts_after (QuinceClusterPart *engine, gint64 time_ms);
+
 /* Starts @part again on its addresses; fails the test when it does not serve. */
 void harness_restart (QuinceCluster *cluster, QuinceClusterPart *part);
 /* Waits until the ledger has a leader, and each node and agent is ready. */
@@ -96,6 +102,22 @@
 gint64 harness_policy_revision (QuinceClusterPart *node);
 gboolean harness_policy_everywhere (QuinceCluster *cluster, gint64 revision);
 
+/* Runs the operator's acceptance of the policy file at @path; fails the test when it is refused.
+ * Returns: the new revision */
+gint64 harness_accept_policy (QuinceCluster *cluster, const char *path);
+/* Of the operator command's @output; 0 when it accepted nothing. */
+gint64 harness_read_revision (const char *output);
+
+/* Reads the policy revision of processes all the time, a thread for each; none may ever decrease. */
+typedef struct _HarnessWatch HarnessWatch;
+/* Of all nodes and agents. */
+HarnessWatch *harness_watch_new (QuinceCluster *cluster);
+void harness_watch_free (HarnessWatch *watch);
+void harness_watch_part (HarnessWatch *watch, QuinceClusterPart *part);
+/* Whether all were last read at @revision, but those of @except_zone (nullable). */
+gboolean harness_watch_is_at (HarnessWatch *watch, gint64 revision, const char *except_zone);
+void harness_watch_assert_never_back (HarnessWatch *watch);
+
 /* A node other than the two given (nullable). */
 QuinceClusterPart *harness_get_other_node (QuinceCluster *cluster,
                                            const QuinceClusterPart *one,
