test-planned-stop: streams go on for as long as the restarts take

Change: loads follow each other, and before each of the six stops streams must be in progress on two engines, which is more than was asked before; each call of each load must be answered whole.

--- a/tests/integration/test-planned-stop.c
+++ b/tests/integration/test-planned-stop.c
@@ -49,48 +49,82 @@
   harness_await_ready (cluster);
 }
 
+/* Stops and restarts each agent and node in turn; @before, when given, runs before each stop. */
 static void
-restart_all (QuinceCluster *cluster, gboolean signal_again)
+restart_all (QuinceCluster *cluster, gboolean signal_again, void (*before) (gpointer), gpointer user_data)
 {
   static const QuincePartKind kinds[] = { QUINCE_PART_AGENT, QUINCE_PART_NODE };
   QuinceClusterPart *part;
   for (guint i = 0; i < G_N_ELEMENTS (kinds); i++)
     for (guint j = 0; (part = quince_cluster_get (cluster, kinds[i], j)) != NULL; j++)
-      stop_and_restart (cluster, part, signal_again);
+      {
+        if (before != NULL)
+          before (user_data);
+        stop_and_restart (cluster, part, signal_again);
+      }
 }
 
 /* ---- Rolling restart -------------------------------------------------------------- */
 
+/* Long streams for as long as the restarts take. */
+typedef struct
+{
+  QuinceCluster *cluster;
+  char **agents;
+  GPtrArray *loads;   /* owned; QuinceLoad, owned   */
+  GPtrArray *running; /* owned; HarnessLoad, joined */
+} Traffic;
+
 static void
-test_rolling_restart (void **state)
+start_load (Traffic *traffic)
 {
-  QuinceCluster *cluster = *state;
-  g_autofree char *joined = quince_cluster_join_http (cluster, QUINCE_PART_AGENT);
-  g_auto (GStrv) agents = g_strsplit (joined, ";", -1);
-  g_autoptr (QuinceLoad) load = quince_load_new (1);
-  harness_add_lookups (cluster, load, STREAMS / 2, TOKENS, TRUE, TRUE, 0, SPREAD_MS);
-  harness_add_lookups (cluster, load, STREAMS / 2, TOKENS, FALSE, TRUE, 0, SPREAD_MS);
-  quince_load_set_retries (load, (const char *const *)agents, RETRIES);
-  HarnessLoad *running = harness_run_load (load);
+  QuinceLoad *load = quince_load_new (traffic->loads->len + 1);
+  harness_add_lookups (traffic->cluster, load, STREAMS / 2, TOKENS, TRUE, TRUE, 0, SPREAD_MS);
+  harness_add_lookups (traffic->cluster, load, STREAMS / 2, TOKENS, FALSE, TRUE, 0, SPREAD_MS);
+  quince_load_set_retries (load, (const char *const *)traffic->agents, RETRIES);
+  g_ptr_array_add (traffic->loads, load);
+  g_ptr_array_add (traffic->running, harness_run_load (load));
+}
+
+/* Streams are in progress, and enough are still to come. */
+static void
+keep_streaming (gpointer user_data)
+{
+  Traffic *traffic = user_data;
+  QuinceLoad *last
+      = traffic->loads->len > 0 ? g_ptr_array_index (traffic->loads, traffic->loads->len - 1) : NULL;
+  if (last == NULL || quince_load_count_answers (last, QUINCE_ANSWER_WHOLE) > STREAMS / 2)
+    start_load (traffic);
   for (guint i = 0; i < 2; i++)
-    HARNESS_AWAIT (harness_engine_running (quince_cluster_get (cluster, QUINCE_PART_ENGINE, i))
+    HARNESS_AWAIT (harness_engine_running (quince_cluster_get (traffic->cluster, QUINCE_PART_ENGINE, i))
                    >= STREAMS_FLOWING);
-  restart_all (cluster, FALSE);
-  gboolean under_load = quince_load_count_answers (load, QUINCE_ANSWER_WHOLE) < STREAMS;
-  harness_join_load (running);
-  QuinceVerdictOfCalls verdict = harness_assert_calls (cluster, load);
+}
+
+static void
+test_rolling_restart (void **state)
+{
+  g_autofree char *joined = quince_cluster_join_http (*state, QUINCE_PART_AGENT);
+  g_auto (GStrv) agents = g_strsplit (joined, ";", -1);
+  g_autoptr (GPtrArray) loads = g_ptr_array_new_with_free_func ((GDestroyNotify)quince_load_free);
+  g_autoptr (GPtrArray) running = g_ptr_array_new ();
+  Traffic traffic = { .cluster = *state, .agents = agents, .loads = loads, .running = running };
+  restart_all (*state, FALSE, keep_streaming, &traffic);
+  for (guint i = 0; i < running->len; i++)
+    harness_join_load (running->pdata[i]);
+  harness_assert_all_calls (*state, loads);
   guint stopping = 0, unreachable = 0;
-  GPtrArray *calls = quince_load_get_calls (load);
-  for (guint i = 0; i < calls->len; i++)
+  for (guint i = 0; i < loads->len; i++)
     {
-      stopping += ((QuinceCall *)calls->pdata[i])->stopping;
-      unreachable += ((QuinceCall *)calls->pdata[i])->unreachable;
+      GPtrArray *calls = quince_load_get_calls (loads->pdata[i]);
+      for (guint j = 0; j < calls->len; j++)
+        {
+          stopping += ((QuinceCall *)calls->pdata[j])->stopping;
+          unreachable += ((QuinceCall *)calls->pdata[j])->unreachable;
+        }
+      assert_int_equal (quince_load_count_answers (loads->pdata[i], QUINCE_ANSWER_WHOLE), calls->len);
     }
-  print_message ("  told_stopping=%u unreachable=%u still_under_load=%d\n", stopping, unreachable,
-                 under_load);
-  assert_int_equal (verdict.answered, verdict.requests);
+  print_message ("  loads=%u told_stopping=%u unreachable=%u\n", loads->len, stopping, unreachable);
   assert_true (stopping > 0);
-  assert_true (under_load);
 }
 
 /* ---- A second signal ----------------------------------------------------------------- */
@@ -98,7 +132,7 @@
 static void
 test_signal_again (void **state)
 {
-  restart_all (*state, TRUE);
+  restart_all (*state, TRUE, NULL, NULL);
 }
 
 /* ---- Callers that come at the very end -------------------------------------------------- */
