--- a/tests/integration/callers-faults.c
+++ b/tests/integration/callers-faults.c
@@ -5,27 +5,20 @@
 
 /* ---- Looking at the deployment ---------------------------------------------- */
 
-QuinceClusterPart *
-scene_get_part (Scene *scene, QuincePartKind kind, guint index)
-{
-  QuinceClusterPart *part = quince_cluster_get (scene->cluster, kind, index);
-  assert_non_null (part);
-  return part;
-}
-
 void
 scene_set_engine_faults (Scene *scene, guint engines, const char *faults)
 {
   for (guint i = 0; faults != NULL && i < engines; i++)
-    assert_true (quince_set_faults (scene_get_part (scene, QUINCE_PART_ENGINE, i)->control, faults));
+    assert_true (
+        quince_set_faults (harness_get_part (scene->cluster, QUINCE_PART_ENGINE, i)->control, faults));
 }
 
 static void
 set_route_faults (Scene *scene, guint engines, const char *faults)
 {
   for (guint i = 0; faults != NULL && i < engines; i++)
-    assert_true (quince_cluster_set_route_faults (scene->cluster,
-                                                  scene_get_part (scene, QUINCE_PART_ENGINE, i), faults));
+    assert_true (quince_cluster_set_route_faults (
+        scene->cluster, harness_get_part (scene->cluster, QUINCE_PART_ENGINE, i), faults));
 }
 
 /* ---- Faults of processes ------------------------------------------------------ */
@@ -61,26 +54,26 @@
 static void
 crash_engine (Scene *scene)
 {
-  scene->first = scene_get_part (scene, QUINCE_PART_ENGINE, 0);
+  scene->first = harness_get_part (scene->cluster, QUINCE_PART_ENGINE, 0);
   assert_true (quince_cluster_crash_engine (scene->first));
 }
 
 static void
 kill_agent (Scene *scene)
 {
-  kill_first (scene, scene_get_part (scene, QUINCE_PART_AGENT, 0));
+  kill_first (scene, harness_get_part (scene->cluster, QUINCE_PART_AGENT, 0));
 }
 
 static void
 kill_node (Scene *scene)
 {
-  kill_first (scene, scene_get_part (scene, QUINCE_PART_NODE, 0));
+  kill_first (scene, harness_get_part (scene->cluster, QUINCE_PART_NODE, 0));
 }
 
 static void
 freeze_node (Scene *scene)
 {
-  freeze_first (scene, scene_get_part (scene, QUINCE_PART_NODE, 0));
+  freeze_first (scene, harness_get_part (scene->cluster, QUINCE_PART_NODE, 0));
 }
 
 static QuinceClusterPart *
@@ -121,7 +114,7 @@
 static void
 stop_key_values (Scene *scene)
 {
-  scene->first = scene_get_part (scene, QUINCE_PART_KV, 0);
+  scene->first = harness_get_part (scene->cluster, QUINCE_PART_KV, 0);
   assert_true (quince_set_faults (scene->first->control, "{\"unavailable\":true}"));
 }
 
@@ -135,7 +128,7 @@
 crash_engine_freeze_leader (Scene *scene)
 {
   freeze_leader (scene);
-  scene->second = scene_get_part (scene, QUINCE_PART_ENGINE, 0);
+  scene->second = harness_get_part (scene->cluster, QUINCE_PART_ENGINE, 0);
   assert_true (quince_cluster_crash_engine (scene->second));
 }
 
@@ -150,7 +143,7 @@
 kill_agent_and_node (Scene *scene)
 {
   kill_agent (scene);
-  scene->second = scene_get_part (scene, QUINCE_PART_NODE, 1);
+  scene->second = harness_get_part (scene->cluster, QUINCE_PART_NODE, 1);
   quince_process_kill (scene->second->process);
 }
 
--- a/tests/integration/callers-faults.h
+++ b/tests/integration/callers-faults.h
@@ -51,8 +51,6 @@
 extern const FaultCase fault_cases[];
 extern const guint n_fault_cases;
 
-/* The part must be there. */
-QuinceClusterPart *scene_get_part (Scene *scene, QuincePartKind kind, guint index);
 /* Sets @faults, when given, on the first @engines engines. */
 void scene_set_engine_faults (Scene *scene, guint engines, const char *faults);
 void scene_make_fault (Scene *scene, const FaultCase *fault);
--- a/tests/integration/harness.c
+++ b/tests/integration/harness.c
@@ -93,6 +93,14 @@
   return cluster;
 }
 
+QuinceClusterPart *
+harness_get_part (QuinceCluster *cluster, QuincePartKind kind, guint index)
+{
+  QuinceClusterPart *part = quince_cluster_get (cluster, kind, index);
+  assert_non_null (part);
+  return part;
+}
+
 void
 harness_remove_folder (const char *path)
 {
--- a/tests/integration/harness.h
+++ b/tests/integration/harness.h
@@ -51,6 +51,9 @@
  * else removes the folder. */
 void harness_stop (QuinceCluster *cluster);
 
+/* The part must be there. */
+QuinceClusterPart *harness_get_part (QuinceCluster *cluster, QuincePartKind kind, guint index);
+
 /* Removes a folder with all it holds. */
 void harness_remove_folder (const char *path);
 
--- a/tests/integration/samples-faults.c
+++ b/tests/integration/samples-faults.c
@@ -5,14 +5,6 @@
 
 /* ---- Looking at the deployment ---------------------------------------------- */
 
-QuinceClusterPart *
-scene_get_part (Scene *scene, QuincePartKind kind, guint index)
-{
-  QuinceClusterPart *part = quince_cluster_get (scene->cluster, kind, index);
-  assert_non_null (part);
-  return part;
-}
-
 static QuinceClusterPart *
 get_leader (Scene *scene)
 {
@@ -77,7 +69,7 @@
   gint64 most = 0;
   for (guint i = 0; i < agents; i++)
     {
-      QuinceClusterPart *agent = scene_get_part (scene, QUINCE_PART_AGENT, i);
+      QuinceClusterPart *agent = harness_get_part (scene->cluster, QUINCE_PART_AGENT, i);
       g_autoptr (JsonNode) status = NULL;
       quince_http_sync (agent->http, "/v1/status", NULL, CALL_MS, &status);
       gint64 running = quince_json_dig_int (status, "counters.samples_running", 0);
@@ -131,7 +123,7 @@
 static void
 stop_key_values (Scene *scene)
 {
-  QuinceClusterPart *kv = scene_get_part (scene, QUINCE_PART_KV, 0);
+  QuinceClusterPart *kv = harness_get_part (scene->cluster, QUINCE_PART_KV, 0);
   assert_true (quince_set_faults (kv->control, "{\"unavailable\":true}"));
 }
 
@@ -145,7 +137,7 @@
 static void
 resume_key_values (Scene *scene)
 {
-  QuinceClusterPart *kv = scene_get_part (scene, QUINCE_PART_KV, 0);
+  QuinceClusterPart *kv = harness_get_part (scene->cluster, QUINCE_PART_KV, 0);
   assert_true (quince_set_faults (kv->control, "{\"unavailable\":false}"));
 }
 
@@ -221,7 +213,7 @@
 {
   for (guint i = 0; i < ENGINES; i++)
     {
-      QuinceClusterPart *engine = scene_get_part (scene, QUINCE_PART_ENGINE, i);
+      QuinceClusterPart *engine = harness_get_part (scene->cluster, QUINCE_PART_ENGINE, i);
       if (quince_process_is_running (engine->process))
         assert_true (quince_set_faults (engine->control, faults));
     }
@@ -246,7 +238,7 @@
 static void
 publish_next_version (Scene *scene)
 {
-  QuinceClusterPart *store = scene_get_part (scene, QUINCE_PART_WEIGHTS, 0);
+  QuinceClusterPart *store = harness_get_part (scene->cluster, QUINCE_PART_WEIGHTS, 0);
   g_autoptr (JsonNode) versions = NULL;
   assert_int_equal (quince_http_sync (store->http, "/versions", NULL, CALL_MS, &versions), 200);
   gint64 next = quince_json_dig_int (versions, "latest", 0) + 1;
@@ -286,7 +278,7 @@
   publish_next_version (scene);
   HARNESS_AWAIT (produced_wrong_version (scene->busy));
   for (guint i = 0; i < ENGINES; i++)
-    HARNESS_AWAIT (shows_wrong_version (scene_get_part (scene, QUINCE_PART_ENGINE, i)));
+    HARNESS_AWAIT (shows_wrong_version (harness_get_part (scene->cluster, QUINCE_PART_ENGINE, i)));
   scene_set_engine_faults (scene, "{\"swap_fail\":\"\",\"swap_other_version\":0,\"slow_factor\":0}");
 }
 
@@ -296,8 +288,8 @@
   for (guint i = 0; i < ENGINES; i++)
     {
       g_autoptr (JsonNode) faults = NULL;
-      quince_http_sync (scene_get_part (scene, QUINCE_PART_ENGINE, i)->control, "/_faults", NULL, CALL_MS,
-                        &faults);
+      quince_http_sync (harness_get_part (scene->cluster, QUINCE_PART_ENGINE, i)->control, "/_faults", NULL,
+                        CALL_MS, &faults);
       if (faults == NULL || quince_json_dig_int (faults, "swap_fail_times", 0) > 0)
         return FALSE;
     }
@@ -317,8 +309,8 @@
 {
   guint agents = quince_cluster_count (scene->cluster, QUINCE_PART_AGENT);
   for (guint i = 0; i < agents; i++)
-    assert_true (quince_cluster_set_route_faults (scene->cluster,
-                                                  scene_get_part (scene, QUINCE_PART_AGENT, i), faults));
+    assert_true (quince_cluster_set_route_faults (
+        scene->cluster, harness_get_part (scene->cluster, QUINCE_PART_AGENT, i), faults));
 }
 
 static gint64
--- a/tests/integration/samples-faults.h
+++ b/tests/integration/samples-faults.h
@@ -58,8 +58,6 @@
 extern const FaultCase fault_cases[];
 extern const guint n_fault_cases;
 
-/* The part must be there. */
-QuinceClusterPart *scene_get_part (Scene *scene, QuincePartKind kind, guint index);
 /* Sets @faults on the engines that run. */
 void scene_set_engine_faults (Scene *scene, const char *faults);
 
--- a/tests/integration/test-callers.c
+++ b/tests/integration/test-callers.c
@@ -105,7 +105,8 @@
       harness_copy_call (call, copy);
       copy->deadline_ms = DEADLINE_MS;
       g_free (copy->agent);
-      copy->agent = g_strdup (scene_get_part (scene, QUINCE_PART_AGENT, added->len % agents)->http);
+      copy->agent
+          = g_strdup (harness_get_part (scene->cluster, QUINCE_PART_AGENT, added->len % agents)->http);
     }
   harness_join_load (harness_run_load (repeats));
   return repeats;
@@ -137,7 +138,7 @@
 {
   gint64 sum = 0;
   for (guint i = 0; i < ENGINES; i++)
-    sum += harness_engine_count (scene_get_part (scene, QUINCE_PART_ENGINE, i), path);
+    sum += harness_engine_count (harness_get_part (scene->cluster, QUINCE_PART_ENGINE, i), path);
   return sum;
 }
 
@@ -146,7 +147,7 @@
 await_recovered (Scene *scene)
 {
   for (guint i = 0; i < ENGINES; i++)
-    assert_true (quince_cluster_await_status (scene_get_part (scene, QUINCE_PART_ENGINE, i)->route,
+    assert_true (quince_cluster_await_status (harness_get_part (scene->cluster, QUINCE_PART_ENGINE, i)->route,
                                               "/admin/load", 200, HARNESS_WAIT_MS));
   harness_await_ready (scene->cluster);
 }
@@ -164,7 +165,7 @@
 static void
 await_in_flight (Scene *scene, QuinceLoad *load)
 {
-  QuinceClusterPart *engine = scene_get_part (scene, QUINCE_PART_ENGINE, 0);
+  QuinceClusterPart *engine = harness_get_part (scene->cluster, QUINCE_PART_ENGINE, 0);
   HARNESS_AWAIT (harness_engine_running (engine) >= IN_FLIGHT || is_over (load));
   if (is_over (load))
     {
@@ -207,7 +208,7 @@
 {
   gint64 running = 0;
   for (guint i = 0; i < ENGINES; i++)
-    running += harness_engine_running (scene_get_part (scene, QUINCE_PART_ENGINE, i));
+    running += harness_engine_running (harness_get_part (scene->cluster, QUINCE_PART_ENGINE, i));
   return running == 0;
 }
 
--- a/tests/integration/test-hand-over.c
+++ b/tests/integration/test-hand-over.c
@@ -25,14 +25,6 @@
 
 static Scene scene_of_tests;
 
-static QuinceClusterPart *
-get_part (Scene *scene, QuincePartKind kind, guint index)
-{
-  QuinceClusterPart *part = quince_cluster_get (scene->cluster, kind, index);
-  assert_non_null (part);
-  return part;
-}
-
 static QuinceClusterPart *
 get_leader (Scene *scene)
 {
@@ -95,7 +87,8 @@
   g_autofree char *path = g_str_equal (call, "submit")
                               ? g_strdup ("/v1/rollouts")
                               : g_strdup_printf ("/v1/trainers/hand%u/%s", scene->trainers, call);
-  return quince_http_sync (get_part (scene, QUINCE_PART_AGENT, agent)->http, path, body, CALL_MS, answer);
+  return quince_http_sync (harness_get_part (scene->cluster, QUINCE_PART_AGENT, agent)->http, path, body,
+                           CALL_MS, answer);
 }
 
 /* A rollout of BATCH samples. (transfer full) */
@@ -188,9 +181,9 @@
 publish (Scene *scene, guint64 version)
 {
   g_autofree char *body = g_strdup_printf ("{\"version\":%" G_GUINT64_FORMAT "}", version);
-  assert_int_equal (
-      quince_http_sync (get_part (scene, QUINCE_PART_WEIGHTS, 0)->http, "/versions", body, CALL_MS, NULL),
-      200);
+  assert_int_equal (quince_http_sync (harness_get_part (scene->cluster, QUINCE_PART_WEIGHTS, 0)->http,
+                                      "/versions", body, CALL_MS, NULL),
+                    200);
   scene->version = version;
 }
 
@@ -239,7 +232,7 @@
 {
   guint agents = quince_cluster_count (scene->cluster, QUINCE_PART_AGENT);
   for (guint i = 0; i < agents; i++)
-    if (g_str_equal (get_part (scene, QUINCE_PART_AGENT, i)->zone, node->zone))
+    if (g_str_equal (harness_get_part (scene->cluster, QUINCE_PART_AGENT, i)->zone, node->zone))
       return i;
   fail_msg ("no agent in %s", node->zone);
   return 0;
--- a/tests/integration/test-leaving.c
+++ b/tests/integration/test-leaving.c
@@ -61,14 +61,6 @@
 
 static Scene scene_of_tests;
 
-static QuinceClusterPart *
-get_part (Scene *scene, QuincePartKind kind, guint index)
-{
-  QuinceClusterPart *part = quince_cluster_get (scene->cluster, kind, index);
-  assert_non_null (part);
-  return part;
-}
-
 /* ---- Signs -------------------------------------------------------------------- */
 
 static void
@@ -113,7 +105,7 @@
 list_as (Scene *scene, const char *state)
 {
   const QuinceClusterPart *engine = scene->engine;
-  QuinceClusterPart *machines = get_part (scene, QUINCE_PART_MACHINES, 0);
+  QuinceClusterPart *machines = harness_get_part (scene->cluster, QUINCE_PART_MACHINES, 0);
   g_autofree char *body
       = g_strdup_printf ("{\"machines\":[{\"name\":\"%s\",\"kind\":\"engine\",\"service\":\"%s\","
                          "\"zone\":\"%s\",\"address\":\"%s\",\"state\":\"%s\"}]}",
@@ -139,21 +131,23 @@
 static void
 freeze_list (Scene *scene)
 {
-  assert_true (quince_set_faults (get_part (scene, QUINCE_PART_MACHINES, 0)->control, "{\"frozen\":true}"));
+  assert_true (quince_set_faults (harness_get_part (scene->cluster, QUINCE_PART_MACHINES, 0)->control,
+                                  "{\"frozen\":true}"));
 }
 
 static void
 thaw_list (Scene *scene)
 {
-  assert_true (quince_set_faults (get_part (scene, QUINCE_PART_MACHINES, 0)->control, "{\"frozen\":false}"));
+  assert_true (quince_set_faults (harness_get_part (scene->cluster, QUINCE_PART_MACHINES, 0)->control,
+                                  "{\"frozen\":false}"));
 }
 
 static void
 set_kv_cut (Scene *scene, guint first_node, guint last_node, const char *faults)
 {
   for (guint i = first_node; i <= last_node; i++)
-    assert_true (
-        quince_cluster_set_kv_faults (scene->cluster, get_part (scene, QUINCE_PART_NODE, i), faults));
+    assert_true (quince_cluster_set_kv_faults (
+        scene->cluster, harness_get_part (scene->cluster, QUINCE_PART_NODE, i), faults));
 }
 
 static void
@@ -179,8 +173,8 @@
 knows_leaving (Scene *scene, guint index)
 {
   g_autoptr (JsonNode) status = NULL;
-  quince_http_sync (get_part (scene, QUINCE_PART_NODE, index)->http, "/v1/status", NULL, HARNESS_WAIT_MS,
-                    &status);
+  quince_http_sync (harness_get_part (scene->cluster, QUINCE_PART_NODE, index)->http, "/v1/status", NULL,
+                    HARNESS_WAIT_MS, &status);
   JsonArray *engines = quince_json_dig_array (status, "engines");
   for (guint i = 0; engines != NULL && i < json_array_get_length (engines); i++)
     {
@@ -197,7 +191,7 @@
 kill_first_to_learn (Scene *scene)
 {
   HARNESS_AWAIT (knows_leaving (scene, 1) && knows_leaving (scene, 2));
-  quince_process_kill (get_part (scene, QUINCE_PART_NODE, 0)->process);
+  quince_process_kill (harness_get_part (scene->cluster, QUINCE_PART_NODE, 0)->process);
 }
 
 /* Whether node @index counts node 0 as dead. */
@@ -205,9 +199,9 @@
 knows_dead (Scene *scene, guint index)
 {
   g_autoptr (JsonNode) status = NULL;
-  const char *name = get_part (scene, QUINCE_PART_NODE, 0)->name;
-  quince_http_sync (get_part (scene, QUINCE_PART_NODE, index)->http, "/v1/status", NULL, HARNESS_WAIT_MS,
-                    &status);
+  const char *name = harness_get_part (scene->cluster, QUINCE_PART_NODE, 0)->name;
+  quince_http_sync (harness_get_part (scene->cluster, QUINCE_PART_NODE, index)->http, "/v1/status", NULL,
+                    HARNESS_WAIT_MS, &status);
   JsonArray *members = quince_json_dig_array (status, "members");
   for (guint i = 0; members != NULL && i < json_array_get_length (members); i++)
     {
@@ -227,7 +221,7 @@
 static void
 restart_first_to_learn (Scene *scene)
 {
-  harness_restart (scene->cluster, get_part (scene, QUINCE_PART_NODE, 0));
+  harness_restart (scene->cluster, harness_get_part (scene->cluster, QUINCE_PART_NODE, 0));
   join_to_kv (scene);
   harness_await_ready (scene->cluster);
 }
@@ -236,7 +230,7 @@
 static void
 freeze_agent_and_list (Scene *scene)
 {
-  quince_process_freeze (get_part (scene, QUINCE_PART_AGENT, 0)->process);
+  quince_process_freeze (harness_get_part (scene->cluster, QUINCE_PART_AGENT, 0)->process);
   list_leaving (scene);
 }
 
@@ -244,30 +238,11 @@
 static void
 thaw_agent (Scene *scene)
 {
-  quince_process_thaw (get_part (scene, QUINCE_PART_AGENT, 0)->process);
+  quince_process_thaw (harness_get_part (scene->cluster, QUINCE_PART_AGENT, 0)->process);
 }
 
 /* ---- Judging --------------------------------------------------------------------- */
 
-static guint
-count_starts_after (QuinceClusterPart *engine, gint64 time_ms)
-{
-  guint count = 0;
-  g_autoptr (JsonNode) records = NULL;
-  quince_http_sync (engine->control, "/_records", NULL, HARNESS_WAIT_MS, &records);
-  JsonArray *starts = quince_json_dig_array (records, "starts");
-  assert_non_null (starts);
-  for (guint i = 0; i < json_array_get_length (starts); i++)
-    count += quince_json_dig_int (json_array_get_element (starts, i), "time_ms", 0) > time_ms ? 1 : 0;
-  if (count > 0 && engine == scene_of_tests.engine)
-    {
-      JsonNode *last = json_array_get_element (starts, json_array_get_length (starts) - 1);
-      print_message ("  %u starts after the bound, the last by %d ms\n", count,
-                     (int)(quince_json_dig_int (last, "time_ms", 0) - time_ms));
-    }
-  return count;
-}
-
 /* ---- Load ------------------------------------------------------------------------ */
 
 static void
@@ -310,7 +285,7 @@
   Scene *scene = *state;
   const SignCase *sign_case = scene->running;
   g_autoptr (QuinceLoad) load = new_load (scene, CALLS, TOKENS, SPREAD_MS);
-  scene->engine = get_part (scene, QUINCE_PART_ENGINE, sign_case->target);
+  scene->engine = harness_get_part (scene->cluster, QUINCE_PART_ENGINE, sign_case->target);
   if (sign_case->hinder != NULL)
     sign_case->hinder (scene);
   if (sign_case->burst > 0)
@@ -335,11 +310,11 @@
       g_autoptr (QuinceLoad) more = new_load (scene, CALLS / 4, TOKENS, PROMISE_MS / 3);
       harness_join_load (harness_run_load (more));
     }
-  assert_int_equal (count_starts_after (scene->engine, bound_ms), 0);
+  assert_int_equal (harness_count_starts_after (scene->engine, bound_ms), 0);
   assert_int_equal (harness_engine_count (scene->engine, "refused"), refused);
   guint others = 0;
   for (guint i = 0; i < quince_cluster_count (scene->cluster, QUINCE_PART_ENGINE); i++)
-    others += count_starts_after (get_part (scene, QUINCE_PART_ENGINE, i), bound_ms);
+    others += harness_count_starts_after (harness_get_part (scene->cluster, QUINCE_PART_ENGINE, i), bound_ms);
   assert_true (others > 0);
   QuinceVerdictOfCalls verdict = harness_assert_calls (scene->cluster, load);
   assert_int_equal (verdict.unknown + verdict.cut, 0);
--- a/tests/integration/test-policy-spread.c
+++ b/tests/integration/test-policy-spread.c
@@ -48,18 +48,10 @@
 
 /* ---- Operators ------------------------------------------------------------------- */
 
-static QuinceClusterPart *
-get_part (Scene *scene, QuincePartKind kind, guint index)
-{
-  QuinceClusterPart *part = quince_cluster_get (scene->cluster, kind, index);
-  assert_non_null (part);
-  return part;
-}
-
 static void
 set_kv_faults (Scene *scene, const char *faults)
 {
-  assert_true (quince_set_faults (get_part (scene, QUINCE_PART_KV, 0)->control, faults));
+  assert_true (quince_set_faults (harness_get_part (scene->cluster, QUINCE_PART_KV, 0)->control, faults));
 }
 
 /* A policy file with a text of its own. (transfer full) */
@@ -94,7 +86,7 @@
 {
   g_autofree char *program = g_build_filename (scene->cluster->build_folder, "tools", "quinceroute", NULL);
   g_autofree char *expected = g_strdup_printf ("%d", (int)scene->revision);
-  const char *kv = get_part (scene, QUINCE_PART_KV, 0)->http;
+  const char *kv = harness_get_part (scene->cluster, QUINCE_PART_KV, 0)->http;
   const char *const arguments[]
       = { program, "--kv", kv, "policy", "accept", path, "--comment", name, "--expect", expected, NULL };
   QuinceProcess *process = quince_process_spawn (scene->cluster->folder, name, arguments, NULL);
@@ -121,14 +113,14 @@
 {
   Scene *scene = *state;
   for (guint i = 1; i < 3; i++)
-    assert_true (quince_cluster_set_kv_faults (scene->cluster, get_part (scene, QUINCE_PART_NODE, i),
-                                               "{\"cut\":true}"));
+    assert_true (quince_cluster_set_kv_faults (
+        scene->cluster, harness_get_part (scene->cluster, QUINCE_PART_NODE, i), "{\"cut\":true}"));
   accept_policy (scene, open_policy);
   set_kv_faults (scene, "{\"unavailable\":true,\"drop_watches\":true}");
   assert_spread (scene);
   for (guint i = 1; i < 3; i++)
-    assert_true (quince_cluster_set_kv_faults (scene->cluster, get_part (scene, QUINCE_PART_NODE, i),
-                                               "{\"cut\":false}"));
+    assert_true (quince_cluster_set_kv_faults (
+        scene->cluster, harness_get_part (scene->cluster, QUINCE_PART_NODE, i), "{\"cut\":false}"));
   set_kv_faults (scene, "{\"unavailable\":false}");
 }
 
@@ -139,7 +131,7 @@
   set_kv_faults (scene, "{\"lose_answer_next\":1}");
   accept_policy (scene, open_policy);
   assert_spread (scene);
-  QuinceClusterPart *kv = get_part (scene, QUINCE_PART_KV, 0);
+  QuinceClusterPart *kv = harness_get_part (scene->cluster, QUINCE_PART_KV, 0);
   assert_int_equal (harness_trainer_count (kv, "lost_answers"), 1);
 }
 
@@ -183,7 +175,7 @@
   accept_policy (scene, open_policy);
   assert_spread (scene);
   /* One node's connection stands and brings nothing. */
-  QuinceClusterPart *node = get_part (scene, QUINCE_PART_NODE, 0);
+  QuinceClusterPart *node = harness_get_part (scene->cluster, QUINCE_PART_NODE, 0);
   assert_true (quince_cluster_set_kv_faults (scene->cluster, node, "{\"freeze\":true}"));
   accept_policy (scene, open_policy);
   assert_spread (scene);
@@ -194,7 +186,7 @@
 test_service_restarted (void **state)
 {
   Scene *scene = *state;
-  QuinceClusterPart *kv = get_part (scene, QUINCE_PART_KV, 0);
+  QuinceClusterPart *kv = harness_get_part (scene->cluster, QUINCE_PART_KV, 0);
   accept_policy (scene, open_policy);
   quince_process_kill (kv->process);
   assert_spread (scene);
@@ -237,8 +229,8 @@
   g_autofree char *key = g_base64_encode ((const guchar *)"/quince/other", strlen ("/quince/other"));
   g_autofree char *body = g_strdup_printf ("{\"key\":\"%s\",\"value\":\"\"}", key);
   for (guint i = 0; i < OTHER_WRITES; i++)
-    assert_int_equal (quince_http_sync (get_part (scene, QUINCE_PART_KV, 0)->http, "/v3/kv/put", body,
-                                        HARNESS_WAIT_MS, NULL),
+    assert_int_equal (quince_http_sync (harness_get_part (scene->cluster, QUINCE_PART_KV, 0)->http,
+                                        "/v3/kv/put", body, HARNESS_WAIT_MS, NULL),
                       200);
 }
 
@@ -247,7 +239,7 @@
 test_service_restored_to_older_state (void **state)
 {
   Scene *scene = *state;
-  QuinceClusterPart *kv = get_part (scene, QUINCE_PART_KV, 0);
+  QuinceClusterPart *kv = harness_get_part (scene->cluster, QUINCE_PART_KV, 0);
   g_autofree char *path = g_build_filename (scene->cluster->folder, "kv.state", NULL);
   g_autofree char *older = NULL;
   accept_policy (scene, open_policy);
@@ -346,13 +338,13 @@
 static void
 freeze_node (Scene *scene)
 {
-  quince_process_freeze (get_part (scene, QUINCE_PART_NODE, 0)->process);
+  quince_process_freeze (harness_get_part (scene->cluster, QUINCE_PART_NODE, 0)->process);
 }
 
 static void
 thaw_node (Scene *scene)
 {
-  quince_process_thaw (get_part (scene, QUINCE_PART_NODE, 0)->process);
+  quince_process_thaw (harness_get_part (scene->cluster, QUINCE_PART_NODE, 0)->process);
 }
 
 static void
@@ -367,8 +359,8 @@
   QuinceClusterPart *node;
   for (guint i = 0; (node = quince_cluster_get (scene->cluster, QUINCE_PART_NODE, i)) != NULL; i++)
     assert_true (quince_cluster_set_route_faults (scene->cluster, node, gossip_faults));
-  assert_true (
-      quince_cluster_set_kv_faults (scene->cluster, get_part (scene, QUINCE_PART_NODE, 0), kv_faults));
+  assert_true (quince_cluster_set_kv_faults (
+      scene->cluster, harness_get_part (scene->cluster, QUINCE_PART_NODE, 0), kv_faults));
 }
 
 /* Node 0 hears neither of the service nor of any peer; agents still reach it. */
@@ -396,7 +388,8 @@
 {
   isolate_node (scene);
   for (guint i = 1; i < 3; i++)
-    assert_true (quince_cluster_set_route_faults (scene->cluster, get_part (scene, QUINCE_PART_NODE, i),
+    assert_true (quince_cluster_set_route_faults (scene->cluster,
+                                                  harness_get_part (scene->cluster, QUINCE_PART_NODE, i),
                                                   "{\"cut\":true,\"loss_percent\":100}"));
 }
 
@@ -420,7 +413,7 @@
   Scene *scene = g_new0 (Scene, 1);
   *state = scene;
   scene->cluster = harness_start ("policy-spread", NULL);
-  scene->revision = harness_policy_revision (get_part (scene, QUINCE_PART_NODE, 0));
+  scene->revision = harness_policy_revision (harness_get_part (scene->cluster, QUINCE_PART_NODE, 0));
   scene->watch = harness_watch_new (scene->cluster);
   return 0;
 }
--- a/tests/integration/test-samples.c
+++ b/tests/integration/test-samples.c
@@ -130,8 +130,8 @@
 {
   scene->busy = NULL;
   for (guint i = 0; i < ENGINES && scene->busy == NULL; i++)
-    if (runs_long_sample (scene_get_part (scene, QUINCE_PART_ENGINE, i)))
-      scene->busy = scene_get_part (scene, QUINCE_PART_ENGINE, i);
+    if (runs_long_sample (harness_get_part (scene->cluster, QUINCE_PART_ENGINE, i)))
+      scene->busy = harness_get_part (scene->cluster, QUINCE_PART_ENGINE, i);
   return scene->busy != NULL && harness_trainer_count (scene->trainer, "steps_done") >= 1;
 }
 
