Proxy: a moved UDP route moves the clients that it knows

Change: set_upstream connects the sockets of known clients anew. Measured: udp_routes_move fails before, passes after; standin-network 8 of 8.

--- a/rehearsal/proxy-udp.c
+++ b/rehearsal/proxy-udp.c
@@ -199,6 +199,12 @@
     return FALSE;
   g_object_unref (proxy->upstream);
   proxy->upstream = address;
+  GHashTableIter iter;
+  gpointer client;
+  g_hash_table_iter_init (&iter, proxy->clients);
+  while (g_hash_table_iter_next (&iter, NULL, &client))
+    if (!g_socket_connect (((UdpClient *)client)->socket, address, NULL, error))
+      return FALSE;
   return TRUE;
 }
 
--- a/tests/contract/test-standin-network.c
+++ b/tests/contract/test-standin-network.c
@@ -168,6 +168,34 @@
   standin_stop (proxy);
 }
 
+/* Also what a client that is known already sends. */
+static void
+udp_routes_move (void **state)
+{
+  g_autofree char *old_address = NULL;
+  g_autofree char *new_address = NULL;
+  g_autofree char *client_address = NULL;
+  g_autoptr (GSocket) old_upstream = new_datagram_socket (&old_address);
+  g_autoptr (GSocket) new_upstream = new_datagram_socket (&new_address);
+  g_autoptr (GSocket) client = new_datagram_socket (&client_address);
+  Standin *proxy = STANDIN_START ("proxy");
+  g_autofree char *body = g_strdup_printf ("{\"kind\":\"udp\",\"upstream\":\"%s\"}", old_address);
+  g_auto (Answer) route = call (proxy->http, "/routes", body);
+  assert_int_equal (route.status, 200);
+  g_autofree char *listen = find_value (route.text, "\"listen\":\"127.0.0.1:");
+  g_autoptr (GSocketAddress) to = g_inet_socket_address_new_from_string ("127.0.0.1", (guint)atoi (listen));
+  char buffer[16] = { 0 };
+  g_socket_send_to (client, to, "one", 3, NULL, NULL);
+  assert_int_equal (g_socket_receive (old_upstream, buffer, sizeof buffer, NULL, NULL), 3);
+  g_autofree char *move = g_strdup_printf ("{\"upstream\":\"%s\"}", new_address);
+  g_auto (Answer) moved = call (proxy->http, "/routes/0/upstream", move);
+  assert_int_equal (moved.status, 200);
+  g_socket_send_to (client, to, "four", 4, NULL, NULL);
+  assert_int_equal (g_socket_receive (new_upstream, buffer, sizeof buffer, NULL, NULL), 4);
+  assert_memory_equal (buffer, "four", 4);
+  standin_stop (proxy);
+}
+
 static void
 bad_routes_are_refused (void **state)
 {
@@ -360,8 +388,8 @@
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (tcp_routes_meet_faults),         cmocka_unit_test (blocked_senders_are_held),
     cmocka_unit_test (open_connections_meet_faults),   cmocka_unit_test (frozen_bytes_arrive_later),
-    cmocka_unit_test (udp_routes_pass_delay_and_lose), cmocka_unit_test (bad_routes_are_refused),
-    cmocka_unit_test (trainer_tells_what_it_got),
+    cmocka_unit_test (udp_routes_pass_delay_and_lose), cmocka_unit_test (udp_routes_move),
+    cmocka_unit_test (bad_routes_are_refused),         cmocka_unit_test (trainer_tells_what_it_got),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
