--- /dev/null
+++ b/include/quince/http-client.h
@@ -0,0 +1,87 @@
+/*
+ * http-client.h: kept connections to one address, and one request and answer on them.
+ *
+ * An exchange says of a failure whether the request can have reached the other side, which is what decides if
+ * it may be sent again.  Nothing is sent twice by itself.
+ */
+#pragma once
+
+#include <quince/http1.h>
+
+G_BEGIN_DECLS
+
+typedef struct _QuinceHttpPool QuinceHttpPool;
+typedef struct _QuinceHttpExchange QuinceHttpExchange;
+
+typedef enum
+{
+  QUINCE_HTTP_ANSWERED, /* a whole answer came                                       */
+  QUINCE_HTTP_NOT_SENT, /* no byte left this process: it has not run                 */
+  QUINCE_HTTP_BROKEN,   /* it may have run: the connection broke, or time ran out    */
+} QuinceHttpOutcome;
+
+/**
+ * QuinceHttpExchangeCallbacks:
+ * @head: (nullable): the head of the answer has come
+ * @body: (nullable): a piece of the body; without it the body is collected
+ * @done: the last callback; the exchange is released after it
+ */
+typedef struct
+{
+  void (*head) (QuinceHttpExchange *exchange, const QuinceHttpHead *head, gpointer user_data);
+  void (*body) (QuinceHttpExchange *exchange, const char *data, gsize length, gpointer user_data);
+  void (*done) (QuinceHttpExchange *exchange,
+                QuinceHttpOutcome outcome,
+                const GError *error,
+                gpointer user_data);
+} QuinceHttpExchangeCallbacks;
+
+/**
+ * QuinceHttpRequest:
+ * @headers: (nullable): without lengths, which are added
+ * @body: (nullable): with it a length is sent
+ * @timeout_us: from now to the end of the answer; 0: no bound
+ */
+typedef struct
+{
+  const char *method;
+  const char *target;
+  const QuinceHttpHeaders *headers;
+  GBytes *body;
+  gint64 timeout_us;
+} QuinceHttpRequest;
+
+QuinceHttpPool *quince_http_pool_new (const char *address);
+/* Closes idle connections; exchanges in progress go on. */
+void quince_http_pool_unref (QuinceHttpPool *pool);
+const char *quince_http_pool_get_address (const QuinceHttpPool *pool);
+guint quince_http_pool_get_busy (const QuinceHttpPool *pool);
+guint quince_http_pool_get_idle (const QuinceHttpPool *pool);
+/* Connections made since the start. */
+guint64 quince_http_pool_get_opened (const QuinceHttpPool *pool);
+
+/**
+ * quince_http_pool_start:
+ * @callbacks: must outlive the exchange; never called before this returns
+ *
+ * Sends @request on an idle connection, or on a new one.
+ *
+ * Returns: (transfer none): the exchange; it releases itself after done() or quince_http_exchange_cancel()
+ */
+QuinceHttpExchange *quince_http_pool_start (QuinceHttpPool *pool,
+                                            const QuinceHttpRequest *request,
+                                            const QuinceHttpExchangeCallbacks *callbacks,
+                                            gpointer user_data);
+/* Ends the exchange without further callbacks; its connection is closed. */
+void quince_http_exchange_cancel (QuinceHttpExchange *exchange);
+/* %NULL before the head of the answer has come. */
+const QuinceHttpHead *quince_http_exchange_get_head (const QuinceHttpExchange *exchange);
+/* The body as collected so far. */
+const GByteArray *quince_http_exchange_get_body (const QuinceHttpExchange *exchange);
+gboolean quince_http_exchange_may_have_run (const QuinceHttpExchange *exchange);
+/* The connection had carried other requests before. */
+gboolean quince_http_exchange_is_reused (const QuinceHttpExchange *exchange);
+/* The connection will not be used again, for example because the answer belongs to another request. */
+void quince_http_exchange_distrust (QuinceHttpExchange *exchange);
+
+G_END_DECLS
--- a/include/quince/http.h
+++ b/include/quince/http.h
@@ -9,6 +9,8 @@
 #include <json-glib/json-glib.h>
 #include <libsoup/soup.h>
 
+#include <quince/json-check.h>
+
 G_BEGIN_DECLS
 
 /**
@@ -53,17 +55,6 @@
  */
 void quince_http_limit_body (SoupServerMessage *message, gsize most);
 
-/**
- * quince_json_check:
- *
- * To be asked before any text from outside goes to json-glib.
- *
- * Returns: %FALSE when @text is not UTF-8, nests deeper than 64 levels, or has strings, escapes or
- * bytes that JSON has not; also for "\u0000", which no C string holds.  %TRUE says nothing of the
- * rest of the grammar.
- */
-gboolean quince_json_check (const char *text, gsize length);
-
 /* Parses a request body as a JSON object; on failure replies 400 "bad_request" and returns NULL.
  * (transfer full) */
 JsonNode *quince_http_read_object (SoupServerMessage *message);
--- /dev/null
+++ b/include/quince/http1.h
@@ -0,0 +1,148 @@
+/*
+ * http1.h: HTTP/1.1 on connections whose framing the caller controls.
+ *
+ * Beside libsoup (quince/http.h), for the path between callers and workers.  There a byte too many on a kept
+ * connection, an answer that ends without a length and the exact moment of a close decide whether a request
+ * may be sent again, and libsoup shows none of these.  Messages are parsed by the library http-parser.
+ *
+ * Everything belongs to the thread-default context that created it.
+ */
+#pragma once
+
+#include <gio/gio.h>
+
+G_BEGIN_DECLS
+
+#define QUINCE_HTTP1_ERROR (quince_http1_error_quark ())
+GQuark quince_http1_error_quark (void);
+
+typedef enum
+{
+  QUINCE_HTTP1_ERROR_CLOSED,    /* the peer closed before a message was whole      */
+  QUINCE_HTTP1_ERROR_RESET,     /* the connection failed                           */
+  QUINCE_HTTP1_ERROR_MALFORMED, /* bytes that are no HTTP message                  */
+  QUINCE_HTTP1_ERROR_TOO_LARGE, /* head or body above its limit                    */
+  QUINCE_HTTP1_ERROR_TIMEOUT,   /* not done in time                                */
+  QUINCE_HTTP1_ERROR_CONNECT,   /* no connection came up; nothing was sent         */
+} QuinceHttp1Error;
+
+/* ---- Headers ---------------------------------------------------------- */
+
+typedef struct
+{
+  char *name;
+  char *value;
+} QuinceHttpHeader;
+
+typedef struct _QuinceHttpHeaders QuinceHttpHeaders;
+
+QuinceHttpHeaders *quince_http_headers_new (void);
+void quince_http_headers_free (QuinceHttpHeaders *headers);
+G_DEFINE_AUTOPTR_CLEANUP_FUNC (QuinceHttpHeaders, quince_http_headers_free)
+/* (transfer full): a copy of @headers */
+QuinceHttpHeaders *quince_http_headers_copy (const QuinceHttpHeaders *headers);
+/* Names compare without case.  get() returns the first value or %NULL. */
+const char *quince_http_headers_get (const QuinceHttpHeaders *headers, const char *name);
+void quince_http_headers_add (QuinceHttpHeaders *headers, const char *name, const char *value);
+void quince_http_headers_set (QuinceHttpHeaders *headers, const char *name, const char *value);
+void quince_http_headers_remove (QuinceHttpHeaders *headers, const char *name);
+guint quince_http_headers_get_length (const QuinceHttpHeaders *headers);
+const QuinceHttpHeader *quince_http_headers_index (const QuinceHttpHeaders *headers, guint index);
+/* Removes what concerns one connection only: Connection and what it names, Keep-Alive, lengths and codings.
+ */
+void quince_http_headers_remove_hop_by_hop (QuinceHttpHeaders *headers);
+
+/* ---- Message heads ---------------------------------------------------- */
+
+typedef struct
+{
+  char *method;               /* requests */
+  char *target;               /* requests: path and query as they came */
+  guint status;               /* answers  */
+  QuinceHttpHeaders *headers; /* owned    */
+  gboolean keep_alive;        /* the connection may carry another message     */
+} QuinceHttpHead;
+
+void quince_http_head_free (QuinceHttpHead *head);
+G_DEFINE_AUTOPTR_CLEANUP_FUNC (QuinceHttpHead, quince_http_head_free)
+
+/* ---- Connections ------------------------------------------------------ */
+
+typedef struct _QuinceHttpConnection QuinceHttpConnection;
+
+/**
+ * QuinceHttpConnectionCallbacks:
+ * @connected: (nullable): an outgoing connection is up
+ * @head: (transfer full): the head of the next message
+ * @body: (nullable): a piece of its body
+ * @complete: the message is whole; no further message is parsed before quince_http_connection_next()
+ * @closed: the connection is over, called once at the most; not after quince_http_connection_close().
+ *   @error is %NULL when the peer closed between two messages
+ * @drained: (nullable): all output has been handed to the kernel
+ */
+typedef struct
+{
+  void (*connected) (QuinceHttpConnection *connection, gpointer user_data);
+  void (*head) (QuinceHttpConnection *connection, QuinceHttpHead *head, gpointer user_data);
+  void (*body) (QuinceHttpConnection *connection, const char *data, gsize length, gpointer user_data);
+  void (*complete) (QuinceHttpConnection *connection, gpointer user_data);
+  void (*closed) (QuinceHttpConnection *connection, const GError *error, gpointer user_data);
+  void (*drained) (QuinceHttpConnection *connection, gpointer user_data);
+} QuinceHttpConnectionCallbacks;
+
+/**
+ * quince_http_connection_new_server:
+ * @socket: (transfer full): an accepted socket
+ * @max_head_bytes: greatest head of a request; beyond it the connection fails with TOO_LARGE
+ */
+QuinceHttpConnection *quince_http_connection_new_server (GSocket *socket,
+                                                         gsize max_head_bytes,
+                                                         const QuinceHttpConnectionCallbacks *callbacks,
+                                                         gpointer user_data);
+/* Starts to connect to @address, a numeric ip:port; a failure comes through closed(). */
+QuinceHttpConnection *quince_http_connection_connect (const char *address,
+                                                      const QuinceHttpConnectionCallbacks *callbacks,
+                                                      gpointer user_data);
+QuinceHttpConnection *quince_http_connection_ref (QuinceHttpConnection *connection);
+void quince_http_connection_unref (QuinceHttpConnection *connection);
+G_DEFINE_AUTOPTR_CLEANUP_FUNC (QuinceHttpConnection, quince_http_connection_unref)
+
+void quince_http_connection_write (QuinceHttpConnection *connection, const char *data, gsize length);
+/* Goes on to the next message; bytes that came early are parsed at once. */
+void quince_http_connection_next (QuinceHttpConnection *connection);
+/* Closes without further callbacks. */
+void quince_http_connection_close (QuinceHttpConnection *connection);
+/* Closes for writing once all output is out, then reads until the peer closes (two seconds at the most). */
+void quince_http_connection_finish (QuinceHttpConnection *connection);
+gboolean quince_http_connection_is_open (QuinceHttpConnection *connection);
+/* Bytes beyond the last whole message have come: on a client's side they belong to no request. */
+gboolean quince_http_connection_has_surplus (QuinceHttpConnection *connection);
+/* Any byte of a message was handed to the kernel. */
+gboolean quince_http_connection_has_sent (QuinceHttpConnection *connection);
+gboolean quince_http_connection_has_output (QuinceHttpConnection *connection);
+/* A message has begun to arrive and is not whole. */
+gboolean quince_http_connection_is_reading (QuinceHttpConnection *connection);
+
+/* ---- Listening -------------------------------------------------------- */
+
+typedef struct _QuinceHttpAcceptor QuinceHttpAcceptor;
+
+/**
+ * quince_http_acceptor_new:
+ * @address: numeric ip:port; port 0 lets the kernel choose
+ * @accepted: called with each new socket, (transfer full)
+ */
+QuinceHttpAcceptor *quince_http_acceptor_new (const char *address,
+                                              void (*accepted) (GSocket *socket, gpointer user_data),
+                                              gpointer user_data,
+                                              GError **error);
+const char *quince_http_acceptor_get_address (QuinceHttpAcceptor *acceptor);
+void quince_http_acceptor_free (QuinceHttpAcceptor *acceptor);
+G_DEFINE_AUTOPTR_CLEANUP_FUNC (QuinceHttpAcceptor, quince_http_acceptor_free)
+
+/* Sets what every TCP socket of the system has: no delay, and an end to silence after @QUINCE_TCP_SILENCE_MS.
+ */
+#define QUINCE_TCP_SILENCE_MS 3000
+void quince_tcp_prepare (GSocket *socket);
+
+G_END_DECLS
--- /dev/null
+++ b/lib/http1/http-pool.c
@@ -0,0 +1,393 @@
+/*
+ * http-pool.c: kept connections to one address, and exchanges on them.
+ */
+#include <quince/http-client.h>
+
+#include <stdlib.h>
+#include <string.h>
+
+#include <quince/task.h>
+
+/* An idle connection is used again only while this part of the time that its server announced is left. */
+#define KEEP_ALIVE_USABLE 0.8
+/* Where the server announces nothing. */
+#define KEEP_ALIVE_DEFAULT_US (4 * G_USEC_PER_SEC)
+#define CONNECT_MS 700
+
+typedef struct
+{
+  QuinceHttpConnection *connection;
+  QuinceHttpPool *pool;         /* not owned; lives at least as long */
+  QuinceHttpExchange *exchange; /* NULL while idle */
+  gint64 usable_until;          /* monotonic us */
+  gboolean used;                /* has carried a whole exchange */
+} Channel;
+
+struct _QuinceHttpPool
+{
+  /* All fields belong to the context that created the pool. */
+  grefcount references; /* the owner's, and one for each channel */
+  char *address;
+  GPtrArray *idle; /* Channel, the last used at the end */
+  guint busy;
+  guint64 opened;
+  gboolean abandoned; /* the owner has let go: nothing stays idle */
+};
+
+struct _QuinceHttpExchange
+{
+  QuinceHttpPool *pool;
+  Channel *channel;
+  const QuinceHttpExchangeCallbacks *callbacks;
+  gpointer user_data;
+  QuinceHttpHead *head;
+  GByteArray *body;
+  GSource *timer;
+  GSource *connect_timer;
+  gboolean reused;
+  gboolean distrusted;
+  gboolean connected;
+};
+
+static const QuinceHttpConnectionCallbacks channel_callbacks;
+
+QuinceHttpPool *
+quince_http_pool_new (const char *address)
+{
+  QuinceHttpPool *pool = g_new0 (QuinceHttpPool, 1);
+  g_ref_count_init (&pool->references);
+  pool->address = g_strdup (address);
+  pool->idle = g_ptr_array_new ();
+  return pool;
+}
+
+static void
+pool_release (QuinceHttpPool *pool)
+{
+  if (!g_ref_count_dec (&pool->references))
+    return;
+  g_ptr_array_unref (pool->idle);
+  g_free (pool->address);
+  g_free (pool);
+}
+
+static void
+channel_free (Channel *channel)
+{
+  QuinceHttpPool *pool = channel->pool;
+  g_ptr_array_remove_fast (pool->idle, channel);
+  quince_http_connection_close (channel->connection);
+  quince_http_connection_unref (channel->connection);
+  g_free (channel);
+  pool_release (pool);
+}
+
+void
+quince_http_pool_unref (QuinceHttpPool *pool)
+{
+  pool->abandoned = TRUE;
+  while (pool->idle->len > 0)
+    channel_free (pool->idle->pdata[pool->idle->len - 1]);
+  pool_release (pool);
+}
+
+const char *
+quince_http_pool_get_address (const QuinceHttpPool *pool)
+{
+  return pool->address;
+}
+
+guint
+quince_http_pool_get_busy (const QuinceHttpPool *pool)
+{
+  return pool->busy;
+}
+
+guint
+quince_http_pool_get_idle (const QuinceHttpPool *pool)
+{
+  return pool->idle->len;
+}
+
+guint64
+quince_http_pool_get_opened (const QuinceHttpPool *pool)
+{
+  return pool->opened;
+}
+
+/* ---- Channels --------------------------------------------------------- */
+
+static gint64
+announced_keep_alive_us (const QuinceHttpHead *head)
+{
+  const char *text = quince_http_headers_get (head->headers, "Keep-Alive");
+  if (text == NULL)
+    return KEEP_ALIVE_DEFAULT_US;
+  const char *number = strstr (text, "timeout=");
+  number = number != NULL ? number + strlen ("timeout=") : text;
+  gint64 seconds = g_ascii_strtoll (number, NULL, 10);
+  return (gint64)((double)seconds * KEEP_ALIVE_USABLE * G_USEC_PER_SEC);
+}
+
+static Channel *
+take_idle (QuinceHttpPool *pool)
+{
+  gint64 now = quince_now_us ();
+  while (pool->idle->len > 0)
+    {
+      Channel *channel = pool->idle->pdata[pool->idle->len - 1];
+      gboolean usable = channel->usable_until > now && quince_http_connection_is_open (channel->connection)
+                        && !quince_http_connection_has_surplus (channel->connection);
+      if (usable)
+        {
+          g_ptr_array_remove_index (pool->idle, pool->idle->len - 1);
+          return channel;
+        }
+      channel_free (channel);
+    }
+  return NULL;
+}
+
+static Channel *
+channel_open (QuinceHttpPool *pool)
+{
+  Channel *channel = g_new0 (Channel, 1);
+  g_ref_count_inc (&pool->references);
+  channel->pool = pool;
+  pool->opened++;
+  channel->connection = quince_http_connection_connect (pool->address, &channel_callbacks, channel);
+  return channel;
+}
+
+/* ---- Exchanges -------------------------------------------------------- */
+
+/* Takes the channel off @exchange: back to the pool, or closed. */
+static void
+release_channel (QuinceHttpExchange *exchange, gboolean keep)
+{
+  Channel *channel = g_steal_pointer (&exchange->channel);
+  QuinceHttpPool *pool = channel->pool;
+  channel->exchange = NULL;
+  pool->busy--;
+  keep = keep && !pool->abandoned && quince_http_connection_is_open (channel->connection);
+  if (!keep)
+    {
+      channel_free (channel);
+      return;
+    }
+  channel->used = TRUE;
+  channel->usable_until = quince_now_us () + announced_keep_alive_us (exchange->head);
+  g_ptr_array_add (pool->idle, channel);
+}
+
+static void
+exchange_free (QuinceHttpExchange *exchange)
+{
+  quince_source_clear (&exchange->timer);
+  quince_source_clear (&exchange->connect_timer);
+  quince_http_head_free (exchange->head);
+  g_byte_array_unref (exchange->body);
+  pool_release (exchange->pool);
+  g_free (exchange);
+}
+
+static void
+exchange_end (QuinceHttpExchange *exchange, QuinceHttpOutcome outcome, const GError *error)
+{
+  gboolean whole = outcome == QUINCE_HTTP_ANSWERED;
+  gboolean keep = whole && exchange->head->keep_alive && !exchange->distrusted
+                  && !quince_http_connection_has_surplus (exchange->channel->connection)
+                  && !quince_http_connection_has_output (exchange->channel->connection);
+  quince_source_clear (&exchange->timer);
+  quince_source_clear (&exchange->connect_timer);
+  release_channel (exchange, keep);
+  exchange->callbacks->done (exchange, outcome, error, exchange->user_data);
+  exchange_free (exchange);
+}
+
+static void
+exchange_fail (QuinceHttpExchange *exchange, const GError *error)
+{
+  gboolean sent = quince_http_exchange_may_have_run (exchange);
+  exchange_end (exchange, sent ? QUINCE_HTTP_BROKEN : QUINCE_HTTP_NOT_SENT, error);
+}
+
+void
+quince_http_exchange_cancel (QuinceHttpExchange *exchange)
+{
+  release_channel (exchange, FALSE);
+  exchange_free (exchange);
+}
+
+static gboolean
+exchange_late (gpointer data)
+{
+  g_autoptr (GError) error
+      = g_error_new_literal (QUINCE_HTTP1_ERROR, QUINCE_HTTP1_ERROR_TIMEOUT, "no answer in time");
+  exchange_fail (data, error);
+  return G_SOURCE_REMOVE;
+}
+
+static gboolean
+connect_late (gpointer data)
+{
+  QuinceHttpExchange *exchange = data;
+  g_autoptr (GError) error
+      = g_error_new_literal (QUINCE_HTTP1_ERROR, QUINCE_HTTP1_ERROR_CONNECT, "no connection in time");
+  exchange_fail (exchange, error);
+  return G_SOURCE_REMOVE;
+}
+
+static void
+channel_connected (QuinceHttpConnection *connection, gpointer data)
+{
+  Channel *channel = data;
+  if (channel->exchange == NULL)
+    return;
+  channel->exchange->connected = TRUE;
+  quince_source_clear (&channel->exchange->connect_timer);
+}
+
+static void
+channel_head (QuinceHttpConnection *connection, QuinceHttpHead *head, gpointer data)
+{
+  Channel *channel = data;
+  QuinceHttpExchange *exchange = channel->exchange;
+  if (exchange == NULL)
+    {
+      quince_http_head_free (head);
+      return;
+    }
+  exchange->head = head;
+  if (exchange->callbacks->head != NULL)
+    exchange->callbacks->head (exchange, head, exchange->user_data);
+}
+
+static void
+channel_body (QuinceHttpConnection *connection, const char *data, gsize length, gpointer user_data)
+{
+  Channel *channel = user_data;
+  QuinceHttpExchange *exchange = channel->exchange;
+  if (exchange == NULL)
+    return;
+  if (exchange->callbacks->body != NULL)
+    exchange->callbacks->body (exchange, data, length, exchange->user_data);
+  else
+    g_byte_array_append (exchange->body, (const guint8 *)data, (guint)length);
+}
+
+static void
+channel_complete (QuinceHttpConnection *connection, gpointer data)
+{
+  Channel *channel = data;
+  if (channel->exchange != NULL)
+    exchange_end (channel->exchange, QUINCE_HTTP_ANSWERED, NULL);
+}
+
+static void
+channel_closed (QuinceHttpConnection *connection, const GError *error, gpointer data)
+{
+  Channel *channel = data;
+  if (channel->exchange == NULL)
+    {
+      channel_free (channel);
+      return;
+    }
+  g_autoptr (GError) closed
+      = error != NULL
+            ? g_error_copy (error)
+            : g_error_new_literal (QUINCE_HTTP1_ERROR, QUINCE_HTTP1_ERROR_CLOSED, "closed before an answer");
+  exchange_fail (channel->exchange, closed);
+}
+
+static const QuinceHttpConnectionCallbacks channel_callbacks = {
+  .connected = channel_connected,
+  .head = channel_head,
+  .body = channel_body,
+  .complete = channel_complete,
+  .closed = channel_closed,
+};
+
+static GString *
+format_request (QuinceHttpPool *pool, const QuinceHttpRequest *request)
+{
+  GString *text = g_string_sized_new (512);
+  g_string_append_printf (text, "%s %s HTTP/1.1\r\n", request->method, request->target);
+  gboolean has_host = FALSE;
+  for (guint i = 0; request->headers != NULL && i < quince_http_headers_get_length (request->headers); i++)
+    {
+      const QuinceHttpHeader *line = quince_http_headers_index (request->headers, i);
+      has_host = has_host || g_ascii_strcasecmp (line->name, "Host") == 0;
+      g_string_append_printf (text, "%s: %s\r\n", line->name, line->value);
+    }
+  if (!has_host)
+    g_string_append_printf (text, "Host: %s\r\n", pool->address);
+  gsize length = request->body != NULL ? g_bytes_get_size (request->body) : 0;
+  if (request->body != NULL || !g_str_equal (request->method, "GET"))
+    g_string_append_printf (text, "Content-Length: %" G_GSIZE_FORMAT "\r\n", length);
+  g_string_append (text, "\r\n");
+  if (length > 0)
+    g_string_append_len (text, g_bytes_get_data (request->body, NULL), (gssize)length);
+  return text;
+}
+
+QuinceHttpExchange *
+quince_http_pool_start (QuinceHttpPool *pool,
+                        const QuinceHttpRequest *request,
+                        const QuinceHttpExchangeCallbacks *callbacks,
+                        gpointer user_data)
+{
+  QuinceHttpExchange *exchange = g_new0 (QuinceHttpExchange, 1);
+  g_ref_count_inc (&pool->references);
+  exchange->pool = pool;
+  exchange->callbacks = callbacks;
+  exchange->user_data = user_data;
+  exchange->body = g_byte_array_new ();
+  Channel *channel = take_idle (pool);
+  exchange->reused = channel != NULL;
+  exchange->connected = exchange->reused;
+  if (channel == NULL)
+    channel = channel_open (pool);
+  channel->exchange = exchange;
+  exchange->channel = channel;
+  pool->busy++;
+  if (exchange->reused)
+    quince_http_connection_next (channel->connection);
+  else
+    exchange->connect_timer = quince_timer_add (CONNECT_MS, connect_late, exchange);
+  if (request->timeout_us > 0)
+    exchange->timer = quince_timer_add ((guint)MAX (request->timeout_us / 1000, 1), exchange_late, exchange);
+  g_autoptr (GString) text = format_request (pool, request);
+  quince_http_connection_write (channel->connection, text->str, text->len);
+  return exchange;
+}
+
+const QuinceHttpHead *
+quince_http_exchange_get_head (const QuinceHttpExchange *exchange)
+{
+  return exchange->head;
+}
+
+const GByteArray *
+quince_http_exchange_get_body (const QuinceHttpExchange *exchange)
+{
+  return exchange->body;
+}
+
+gboolean
+quince_http_exchange_may_have_run (const QuinceHttpExchange *exchange)
+{
+  return exchange->reused || exchange->connected;
+}
+
+gboolean
+quince_http_exchange_is_reused (const QuinceHttpExchange *exchange)
+{
+  return exchange->reused;
+}
+
+void
+quince_http_exchange_distrust (QuinceHttpExchange *exchange)
+{
+  exchange->distrusted = TRUE;
+}
--- a/lib/runtime/link.c
+++ b/lib/runtime/link.c
@@ -15,6 +15,8 @@
 
 #define FRAME_HEADER_BYTES 4
 #define READ_BYTES (64 * 1024)
+/* A peer that acknowledges nothing for so long is gone, ms. */
+#define SILENCE_MS 3000
 /* A peer that leaves this much unread is cut off. */
 #define OUTPUT_MOST_BYTES (256 * 1024 * 1024)
 #define KEEP_BUFFER_BYTES (256 * 1024)
@@ -292,6 +294,7 @@
   link->connection = g_object_ref (connection);
   GSocket *socket = g_socket_connection_get_socket (connection);
   g_socket_set_option (socket, IPPROTO_TCP, TCP_NODELAY, 1, NULL);
+  g_socket_set_option (socket, IPPROTO_TCP, TCP_USER_TIMEOUT, SILENCE_MS, NULL);
   g_socket_set_keepalive (socket, TRUE);
   start_read (link);
   start_write (link);
