Metadata store: calls, mirrors, presence; platform/ translates the users' words

The store's words live in a dialect in platform/, retries and pacing in lib/meta. Mirrors list a prefix and watch it from the revision of the first page, list anew on dropped history, and are paced where keys change all the time.

--- /dev/null
+++ b/include/quince/meta-store.h
@@ -0,0 +1,172 @@
+/*
+ * meta-store.h: the shared metadata store: a few small facts under conditions, watches and leases.
+ *
+ * The store's own words live in a dialect (QuinceMetaDialect), so that this side holds only what is ours:
+ * retries, pacing, mirrors of a prefix, leases that are renewed.  Everything belongs to the thread-default
+ * context that created it.
+ */
+#pragma once
+
+#include <quince/http-client.h>
+
+G_BEGIN_DECLS
+
+#define QUINCE_META_ERROR (quince_meta_error_quark ())
+GQuark quince_meta_error_quark (void);
+
+typedef enum
+{
+  QUINCE_META_ERROR_UNAVAILABLE, /* nothing was done                                  */
+  QUINCE_META_ERROR_UNKNOWN,     /* no answer: may be done, now or some seconds later */
+  QUINCE_META_ERROR_CONFLICT,    /* a condition does not hold                         */
+  QUINCE_META_ERROR_GONE,        /* no such item or lease, or history that is dropped */
+  QUINCE_META_ERROR_MALFORMED,   /* an answer that cannot be read                     */
+} QuinceMetaError;
+
+typedef struct
+{
+  char *key;
+  GBytes *value; /* NULL: removed */
+  guint64 revision;
+} QuinceMetaItem;
+
+void quince_meta_item_free (QuinceMetaItem *item);
+
+typedef struct
+{
+  GPtrArray *items; /* owned QuinceMetaItem */
+  gboolean more;    /* another page follows the last key */
+  guint64 revision; /* of the store, at this answer */
+} QuinceMetaPage;
+
+void quince_meta_page_free (QuinceMetaPage *page);
+G_DEFINE_AUTOPTR_CLEANUP_FUNC (QuinceMetaPage, quince_meta_page_free)
+
+/* One change: all or nothing.  @expected_revision 0: the key must not be there; -1: no condition. */
+typedef struct
+{
+  const char *key;
+  gint64 expected_revision;
+  GBytes *value; /* NULL: remove */
+  guint64 lease; /* 0: none */
+} QuinceMetaChange;
+
+/* The store's own words.  Targets are (transfer full). */
+typedef struct
+{
+  char *(*get_target) (const char *key);
+  char *(*list_target) (const char *prefix, const char *after_key);
+  char *(*watch_target) (const char *prefix, guint64 after_revision, guint wait_ms);
+  char *(*change_target) (void);
+  char *(*lease_target) (void);
+  char *(*renew_target) (guint64 lease);
+  char *(*release_target) (guint64 lease);
+  GBytes *(*format_change) (const QuinceMetaChange *changes, guint n_changes);
+  GBytes *(*format_lease) (guint ttl_ms);
+  QuinceMetaPage *(*parse_page) (const char *body, gsize length, GError **error);
+  QuinceMetaPage *(*parse_item) (const char *body, gsize length, GError **error);
+  guint64 (*parse_revision) (const char *body, gsize length);
+  guint64 (*parse_lease) (const char *body, gsize length);
+} QuinceMetaDialect;
+
+/* ---- Calls ------------------------------------------------------------ */
+
+typedef struct _QuinceMetaStore QuinceMetaStore;
+
+/* How calls went, for metrics. */
+typedef struct
+{
+  guint64 calls;
+  guint64 failures;
+  gint64 last_answer_us; /* monotonic; 0: none yet */
+} QuinceMetaCounters;
+
+QuinceMetaStore *quince_meta_store_new (const char *address, const QuinceMetaDialect *dialect);
+void quince_meta_store_free (QuinceMetaStore *store);
+const QuinceMetaCounters *quince_meta_store_get_counters (const QuinceMetaStore *store);
+
+/**
+ * QuinceMetaReply:
+ * @page: (nullable): items read
+ * @number: revision of a change, or id of a lease
+ * @error: (nullable): set when the call failed
+ */
+typedef void (*QuinceMetaReply) (const QuinceMetaPage *page,
+                                 guint64 number,
+                                 const GError *error,
+                                 gpointer user_data);
+
+/* One item; GONE where there is none. */
+void
+quince_meta_store_get (QuinceMetaStore *store, const char *key, QuinceMetaReply reply, gpointer user_data);
+void quince_meta_store_change (QuinceMetaStore *store,
+                               const QuinceMetaChange *changes,
+                               guint n_changes,
+                               QuinceMetaReply reply,
+                               gpointer user_data);
+void quince_meta_store_open_lease (QuinceMetaStore *store,
+                                   guint ttl_ms,
+                                   QuinceMetaReply reply,
+                                   gpointer user_data);
+void quince_meta_store_renew_lease (QuinceMetaStore *store,
+                                    guint64 lease,
+                                    QuinceMetaReply reply,
+                                    gpointer user_data);
+void quince_meta_store_end_lease (QuinceMetaStore *store,
+                                  guint64 lease,
+                                  QuinceMetaReply reply,
+                                  gpointer user_data);
+
+/* ---- Mirrors ---------------------------------------------------------- */
+
+typedef struct _QuinceMetaMirror QuinceMetaMirror;
+
+/**
+ * QuinceMetaMirrorCallbacks:
+ * @item: an item was written, or removed (@item->value is %NULL)
+ * @synced: all that the store held at some moment has been told; again after each list
+ */
+typedef struct
+{
+  void (*item) (const QuinceMetaItem *item, gpointer user_data);
+  void (*synced) (gpointer user_data);
+} QuinceMetaMirrorCallbacks;
+
+/**
+ * quince_meta_mirror_new:
+ * @prefix: of the keys to follow
+ * @pace_ms: least time from one answer to the next watch, for keys that change all the time; 0: at once
+ *
+ * Lists the prefix and then watches it, for ever; lists anew where history is dropped.
+ */
+QuinceMetaMirror *quince_meta_mirror_new (QuinceMetaStore *store,
+                                          const char *prefix,
+                                          guint pace_ms,
+                                          const QuinceMetaMirrorCallbacks *callbacks,
+                                          gpointer user_data);
+void quince_meta_mirror_free (QuinceMetaMirror *mirror);
+gboolean quince_meta_mirror_is_synced (const QuinceMetaMirror *mirror);
+/* Monotonic us of the last good answer; 0: none yet. */
+gint64 quince_meta_mirror_get_heard (const QuinceMetaMirror *mirror);
+/* The store answered badly elsewhere: a watch that waits may be dead, begin it anew. */
+void quince_meta_mirror_doubt (QuinceMetaMirror *mirror);
+
+/* ---- A key under a lease ---------------------------------------------- */
+
+typedef struct _QuinceMetaPresence QuinceMetaPresence;
+
+/**
+ * quince_meta_presence_new:
+ * @ttl_ms: the key goes that long after this process was last heard
+ *
+ * Writes @key with @value under a lease, renews the lease, and writes the key anew when it was lost.
+ */
+QuinceMetaPresence *
+quince_meta_presence_new (QuinceMetaStore *store, const char *key, GBytes *value, guint ttl_ms);
+/* Writes a new value under the same lease. */
+void quince_meta_presence_update (QuinceMetaPresence *presence, GBytes *value);
+/* Ends the lease and with it the key; call once, before free. */
+void quince_meta_presence_withdraw (QuinceMetaPresence *presence);
+void quince_meta_presence_free (QuinceMetaPresence *presence);
+
+G_END_DECLS
--- /dev/null
+++ b/include/quince/observer.h
@@ -0,0 +1,54 @@
+/*
+ * observer.h: what a process believes of the deployment, as the metadata store tells it.
+ *
+ * Configurations and named versions only rise: an older one is never told.  Workers go into the backends.
+ */
+#pragma once
+
+#include <quince/backends.h>
+#include <quince/codec.h>
+#include <quince/meta-store.h>
+#include <quince/routing.h>
+
+G_BEGIN_DECLS
+
+/* The product's own keys. */
+#define QUINCE_OWN_PREFIX "quinceroute/"
+#define QUINCE_LEDGER_KEY QUINCE_OWN_PREFIX "ledger"
+#define QUINCE_FRONTS_PREFIX QUINCE_OWN_PREFIX "fronts/"
+#define QUINCE_POLICY_KEY QUINCE_OWN_PREFIX "policy"
+
+typedef struct _QuinceObserver QuinceObserver;
+
+/* Each is nullable. */
+typedef struct
+{
+  void (*configuration) (QuinceRouteTable *table, gpointer user_data);
+  void (*version) (const char *model, guint64 version, gpointer user_data);
+  /* Nodes to be emptied, %NULL-terminated. */
+  void (*leaving) (const char *const *nodes, gpointer user_data);
+  /* @value is %NULL where the key is gone. */
+  void (*own_key) (const char *key, GBytes *value, guint64 revision, gpointer user_data);
+  /* All own keys have been told. */
+  void (*own_synced) (gpointer user_data);
+  void (*workers_synced) (gpointer user_data);
+} QuinceObserverCallbacks;
+
+/**
+ * quince_observer_new:
+ * @store: must outlive the observer
+ * @backends: must outlive the observer; the listed workers go there
+ * @workers_pace_ms: least time between two looks at the workers
+ */
+QuinceObserver *quince_observer_new (QuinceMetaStore *store,
+                                     QuinceBackends *backends,
+                                     guint workers_pace_ms,
+                                     const QuinceObserverCallbacks *callbacks,
+                                     gpointer user_data);
+void quince_observer_free (QuinceObserver *observer);
+/* NULL: no configuration is known yet. */
+QuinceRouteTable *quince_observer_get_routes (QuinceObserver *observer);
+/* The newest version of @model that was named; 0: none. */
+guint64 quince_observer_get_version (QuinceObserver *observer, const char *model);
+
+G_END_DECLS
--- /dev/null
+++ b/lib/meta/meta-mirror.c
@@ -0,0 +1,261 @@
+/*
+ * meta-mirror.c: follows the keys of a prefix: a list, then watches from its revision on.
+ */
+#include <string.h>
+
+#include <quince/log.h>
+#include <quince/task.h>
+
+#include "meta-private.h"
+
+#define WATCH_WAIT_MS 20000
+#define RETRY_LEAST_MS 100
+#define RETRY_MOST_MS 800
+
+struct _QuinceMetaMirror
+{
+  /* All fields belong to the context that created the mirror. */
+  QuinceMetaStore *store;
+  char *prefix;
+  guint pace_ms;
+  const QuinceMetaMirrorCallbacks *callbacks;
+  gpointer user_data;
+  QuinceMetaCall *call; /* in progress */
+  GSource *timer;       /* until the next call */
+  GHashTable *known;    /* key to revision: what was told as being there */
+  GHashTable *listed;   /* keys of the list in progress; NULL while watching */
+  char *list_after;     /* last key of the page before */
+  guint64 revision;     /* watch from here */
+  guint64 list_revision;
+  guint retry_ms;
+  gint64 heard_us;
+  gboolean synced;
+  gboolean watching; /* the call in progress is a watch */
+};
+
+static void begin_list (QuinceMetaMirror *mirror);
+static void begin_watch (QuinceMetaMirror *mirror);
+
+/* ---- What is told ----------------------------------------------------- */
+
+static void
+tell_item (QuinceMetaMirror *mirror, const QuinceMetaItem *item)
+{
+  guint64 *known = g_hash_table_lookup (mirror->known, item->key);
+  if (known != NULL && item->revision <= *known)
+    return;
+  if (item->value == NULL)
+    {
+      if (known == NULL)
+        return;
+      g_hash_table_remove (mirror->known, item->key);
+    }
+  else
+    g_hash_table_replace (mirror->known, g_strdup (item->key), g_memdup2 (&item->revision, sizeof (guint64)));
+  mirror->callbacks->item (item, mirror->user_data);
+}
+
+static void
+tell_missing (QuinceMetaMirror *mirror)
+{
+  g_autoptr (GPtrArray) missing = g_ptr_array_new_with_free_func (g_free);
+  GHashTableIter iter;
+  gpointer key;
+  g_hash_table_iter_init (&iter, mirror->known);
+  while (g_hash_table_iter_next (&iter, &key, NULL))
+    if (!g_hash_table_contains (mirror->listed, key))
+      g_ptr_array_add (missing, g_strdup (key));
+  for (guint i = 0; i < missing->len; i++)
+    {
+      const QuinceMetaItem gone = { .key = missing->pdata[i], .revision = G_MAXUINT64 };
+      tell_item (mirror, &gone);
+    }
+}
+
+/* ---- Calls ------------------------------------------------------------ */
+
+static gboolean
+timer_over (gpointer data)
+{
+  QuinceMetaMirror *mirror = data;
+  quince_source_clear (&mirror->timer);
+  if (mirror->synced && mirror->listed == NULL)
+    begin_watch (mirror);
+  else
+    begin_list (mirror);
+  return G_SOURCE_REMOVE;
+}
+
+static void
+wait_then_call (QuinceMetaMirror *mirror, guint wait_ms)
+{
+  quince_source_clear (&mirror->timer);
+  mirror->timer = quince_timer_add (wait_ms, timer_over, mirror);
+}
+
+static void
+retry_later (QuinceMetaMirror *mirror)
+{
+  wait_then_call (mirror, mirror->retry_ms);
+  mirror->retry_ms = MIN (mirror->retry_ms * 2, RETRY_MOST_MS);
+}
+
+static void
+drop_list (QuinceMetaMirror *mirror)
+{
+  g_clear_pointer (&mirror->listed, g_hash_table_unref);
+  g_clear_pointer (&mirror->list_after, g_free);
+}
+
+static void
+heard (QuinceMetaMirror *mirror)
+{
+  mirror->heard_us = quince_now_us ();
+  mirror->retry_ms = RETRY_LEAST_MS;
+}
+
+static void
+watch_answered (const QuinceMetaPage *page, guint64 number, const GError *error, gpointer data)
+{
+  QuinceMetaMirror *mirror = data;
+  mirror->call = NULL;
+  if (g_error_matches (error, QUINCE_META_ERROR, QUINCE_META_ERROR_GONE))
+    {
+      begin_list (mirror);
+      return;
+    }
+  if (error != NULL)
+    {
+      retry_later (mirror);
+      return;
+    }
+  heard (mirror);
+  mirror->revision = MAX (mirror->revision, page->revision);
+  for (guint i = 0; i < page->items->len; i++)
+    tell_item (mirror, page->items->pdata[i]);
+  if (mirror->pace_ms > 0)
+    wait_then_call (mirror, mirror->pace_ms);
+  else
+    begin_watch (mirror);
+}
+
+static void
+begin_watch (QuinceMetaMirror *mirror)
+{
+  mirror->watching = TRUE;
+  mirror->call = quince_meta_store_watch (mirror->store, mirror->prefix, mirror->revision, WATCH_WAIT_MS,
+                                          watch_answered, mirror);
+}
+
+static void
+list_whole (QuinceMetaMirror *mirror)
+{
+  mirror->revision = mirror->list_revision;
+  tell_missing (mirror);
+  drop_list (mirror);
+  mirror->synced = TRUE;
+  if (mirror->callbacks->synced != NULL)
+    mirror->callbacks->synced (mirror->user_data);
+  wait_then_call (mirror, mirror->pace_ms);
+}
+
+static void
+list_answered (const QuinceMetaPage *page, guint64 number, const GError *error, gpointer data)
+{
+  QuinceMetaMirror *mirror = data;
+  mirror->call = NULL;
+  if (error != NULL)
+    {
+      drop_list (mirror);
+      mirror->synced = FALSE;
+      retry_later (mirror);
+      return;
+    }
+  heard (mirror);
+  if (mirror->list_after == NULL)
+    mirror->list_revision = page->revision; /* pages are no snapshot: watch from the first one */
+  for (guint i = 0; i < page->items->len; i++)
+    {
+      QuinceMetaItem *item = page->items->pdata[i];
+      g_hash_table_add (mirror->listed, g_strdup (item->key));
+      tell_item (mirror, item);
+    }
+  if (page->more && page->items->len > 0)
+    {
+      QuinceMetaItem *last = page->items->pdata[page->items->len - 1];
+      g_free (mirror->list_after);
+      mirror->list_after = g_strdup (last->key);
+      begin_list (mirror);
+    }
+  else
+    list_whole (mirror);
+}
+
+static void
+begin_list (QuinceMetaMirror *mirror)
+{
+  mirror->watching = FALSE;
+  if (mirror->listed == NULL)
+    mirror->listed = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  mirror->call
+      = quince_meta_store_list (mirror->store, mirror->prefix, mirror->list_after, list_answered, mirror);
+}
+
+/* ---- Public ----------------------------------------------------------- */
+
+QuinceMetaMirror *
+quince_meta_mirror_new (QuinceMetaStore *store,
+                        const char *prefix,
+                        guint pace_ms,
+                        const QuinceMetaMirrorCallbacks *callbacks,
+                        gpointer user_data)
+{
+  QuinceMetaMirror *mirror = g_new0 (QuinceMetaMirror, 1);
+  mirror->store = store;
+  mirror->prefix = g_strdup (prefix);
+  mirror->pace_ms = pace_ms;
+  mirror->callbacks = callbacks;
+  mirror->user_data = user_data;
+  mirror->known = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  mirror->retry_ms = RETRY_LEAST_MS;
+  quince_meta_store_add_mirror (store, mirror);
+  begin_list (mirror);
+  return mirror;
+}
+
+void
+quince_meta_mirror_free (QuinceMetaMirror *mirror)
+{
+  if (mirror == NULL)
+    return;
+  quince_meta_store_remove_mirror (mirror->store, mirror);
+  if (mirror->call != NULL)
+    quince_meta_call_cancel (mirror->call);
+  quince_source_clear (&mirror->timer);
+  drop_list (mirror);
+  g_hash_table_unref (mirror->known);
+  g_free (mirror->prefix);
+  g_free (mirror);
+}
+
+gboolean
+quince_meta_mirror_is_synced (const QuinceMetaMirror *mirror)
+{
+  return mirror->synced;
+}
+
+gint64
+quince_meta_mirror_get_heard (const QuinceMetaMirror *mirror)
+{
+  return mirror->heard_us;
+}
+
+void
+quince_meta_mirror_doubt (QuinceMetaMirror *mirror)
+{
+  if (mirror->call == NULL || !mirror->watching)
+    return;
+  quince_meta_call_cancel (mirror->call);
+  mirror->call = NULL;
+  begin_watch (mirror);
+}
--- /dev/null
+++ b/lib/meta/meta-presence.c
@@ -0,0 +1,167 @@
+/*
+ * meta-presence.c: one key under a lease that this process renews.
+ */
+#include <quince/log.h>
+#include <quince/task.h>
+
+#include "meta-private.h"
+
+/* Renewals within one time to live. */
+#define RENEWALS_PER_TTL 3
+#define RETRY_MS 300
+
+struct _QuinceMetaPresence
+{
+  /* All fields belong to the context that created the presence. */
+  grefcount references; /* the owner's, and one for each call in progress */
+  QuinceMetaStore *store;
+  char *key;
+  GBytes *value;
+  guint ttl_ms;
+  guint64 lease; /* 0: none */
+  GSource *timer;
+  gboolean withdrawn;
+};
+
+static void open_lease (QuinceMetaPresence *presence);
+static void write_key (QuinceMetaPresence *presence);
+
+static void
+presence_release (QuinceMetaPresence *presence)
+{
+  if (!g_ref_count_dec (&presence->references))
+    return;
+  g_bytes_unref (presence->value);
+  g_free (presence->key);
+  g_free (presence);
+}
+
+static QuinceMetaPresence *
+presence_hold (QuinceMetaPresence *presence)
+{
+  g_ref_count_inc (&presence->references);
+  return presence;
+}
+
+static gboolean step_timer (gpointer data);
+
+static void
+next_step (QuinceMetaPresence *presence, guint wait_ms)
+{
+  quince_source_clear (&presence->timer);
+  if (!presence->withdrawn)
+    presence->timer = quince_timer_add (wait_ms, step_timer, presence);
+}
+
+static void
+renewed (const QuinceMetaPage *page, guint64 number, const GError *error, gpointer data)
+{
+  QuinceMetaPresence *presence = data;
+  if (g_error_matches (error, QUINCE_META_ERROR, QUINCE_META_ERROR_GONE))
+    {
+      quince_log_warning ("lease_lost", "key=%s", presence->key);
+      presence->lease = 0;
+    }
+  gboolean at_once = error != NULL;
+  next_step (presence, at_once ? RETRY_MS : presence->ttl_ms / RENEWALS_PER_TTL);
+  presence_release (presence);
+}
+
+static gboolean
+step_timer (gpointer data)
+{
+  QuinceMetaPresence *presence = data;
+  quince_source_clear (&presence->timer);
+  if (presence->lease == 0)
+    open_lease (presence);
+  else
+    quince_meta_store_renew_lease (presence->store, presence->lease, renewed, presence_hold (presence));
+  return G_SOURCE_REMOVE;
+}
+
+static void
+key_written (const QuinceMetaPage *page, guint64 number, const GError *error, gpointer data)
+{
+  QuinceMetaPresence *presence = data;
+  if (error != NULL)
+    presence->lease = 0;
+  next_step (presence, error != NULL ? RETRY_MS : presence->ttl_ms / RENEWALS_PER_TTL);
+  presence_release (presence);
+}
+
+static void
+write_key (QuinceMetaPresence *presence)
+{
+  const QuinceMetaChange change
+      = { .key = presence->key, .expected_revision = -1, .value = presence->value, .lease = presence->lease };
+  quince_meta_store_change (presence->store, &change, 1, key_written, presence_hold (presence));
+}
+
+static void
+lease_opened (const QuinceMetaPage *page, guint64 number, const GError *error, gpointer data)
+{
+  QuinceMetaPresence *presence = data;
+  presence->lease = error == NULL ? number : 0;
+  if (presence->withdrawn)
+    ; /* the lease runs out by itself */
+  else if (presence->lease == 0)
+    next_step (presence, RETRY_MS);
+  else
+    write_key (presence);
+  presence_release (presence);
+}
+
+static void
+open_lease (QuinceMetaPresence *presence)
+{
+  quince_meta_store_open_lease (presence->store, presence->ttl_ms, lease_opened, presence_hold (presence));
+}
+
+QuinceMetaPresence *
+quince_meta_presence_new (QuinceMetaStore *store, const char *key, GBytes *value, guint ttl_ms)
+{
+  QuinceMetaPresence *presence = g_new0 (QuinceMetaPresence, 1);
+  g_ref_count_init (&presence->references);
+  presence->store = store;
+  presence->key = g_strdup (key);
+  presence->value = g_bytes_ref (value);
+  presence->ttl_ms = ttl_ms;
+  open_lease (presence);
+  return presence;
+}
+
+void
+quince_meta_presence_update (QuinceMetaPresence *presence, GBytes *value)
+{
+  g_bytes_unref (presence->value);
+  presence->value = g_bytes_ref (value);
+  if (presence->lease != 0 && !presence->withdrawn)
+    write_key (presence);
+}
+
+static void
+lease_ended (const QuinceMetaPage *page, guint64 number, const GError *error, gpointer data)
+{
+  presence_release (data);
+}
+
+void
+quince_meta_presence_withdraw (QuinceMetaPresence *presence)
+{
+  if (presence->withdrawn)
+    return;
+  presence->withdrawn = TRUE;
+  quince_source_clear (&presence->timer);
+  if (presence->lease != 0)
+    quince_meta_store_end_lease (presence->store, presence->lease, lease_ended, presence_hold (presence));
+}
+
+void
+quince_meta_presence_free (QuinceMetaPresence *presence)
+{
+  if (presence == NULL)
+    return;
+  presence->withdrawn = TRUE;
+  quince_source_clear (&presence->timer);
+  presence_release (presence);
+}
--- /dev/null
+++ b/lib/meta/meta-private.h
@@ -0,0 +1,25 @@
+/*
+ * meta-private.h: between the files of lib/meta.
+ */
+#pragma once
+
+#include <quince/meta-store.h>
+
+typedef struct _QuinceMetaCall QuinceMetaCall;
+
+const QuinceMetaDialect *quince_meta_store_get_dialect (QuinceMetaStore *store);
+void quince_meta_store_add_mirror (QuinceMetaStore *store, QuinceMetaMirror *mirror);
+void quince_meta_store_remove_mirror (QuinceMetaStore *store, QuinceMetaMirror *mirror);
+QuinceMetaCall *quince_meta_store_list (QuinceMetaStore *store,
+                                        const char *prefix,
+                                        const char *after_key,
+                                        QuinceMetaReply reply,
+                                        gpointer user_data);
+QuinceMetaCall *quince_meta_store_watch (QuinceMetaStore *store,
+                                         const char *prefix,
+                                         guint64 after_revision,
+                                         guint wait_ms,
+                                         QuinceMetaReply reply,
+                                         gpointer user_data);
+/* Ends a call in progress without its reply. */
+void quince_meta_call_cancel (QuinceMetaCall *call);
--- /dev/null
+++ b/lib/meta/meta-store.c
@@ -0,0 +1,314 @@
+/*
+ * meta-store.c: calls to the shared metadata store.
+ */
+#include <quince/meta-store.h>
+
+#include <quince/log.h>
+#include <quince/task.h>
+
+#include "meta-private.h"
+
+#define CALL_TIMEOUT_US (2 * G_USEC_PER_SEC)
+
+G_DEFINE_QUARK (quince - meta - error - quark, quince_meta_error)
+
+typedef enum
+{
+  ANSWER_NONE,
+  ANSWER_ITEM,
+  ANSWER_PAGE,
+  ANSWER_REVISION,
+  ANSWER_LEASE,
+} AnswerKind;
+
+struct _QuinceMetaStore
+{
+  /* All fields belong to the context that created the store. */
+  QuinceHttpPool *pool;
+  const QuinceMetaDialect *dialect;
+  GHashTable *calls;  /* Call, owned: those in progress */
+  GPtrArray *mirrors; /* QuinceMetaMirror, not owned */
+  QuinceMetaCounters counters;
+  gboolean failing;
+};
+
+struct _QuinceMetaCall
+{
+  QuinceMetaStore *store;
+  QuinceHttpExchange *exchange;
+  AnswerKind kind;
+  QuinceMetaReply reply;
+  gpointer user_data;
+};
+
+void
+quince_meta_item_free (QuinceMetaItem *item)
+{
+  g_free (item->key);
+  g_clear_pointer (&item->value, g_bytes_unref);
+  g_free (item);
+}
+
+void
+quince_meta_page_free (QuinceMetaPage *page)
+{
+  if (page == NULL)
+    return;
+  g_ptr_array_unref (page->items);
+  g_free (page);
+}
+
+static void
+call_free (gpointer data)
+{
+  QuinceMetaCall *call = data;
+  if (call->exchange != NULL)
+    quince_http_exchange_cancel (call->exchange);
+  g_free (call);
+}
+
+QuinceMetaStore *
+quince_meta_store_new (const char *address, const QuinceMetaDialect *dialect)
+{
+  QuinceMetaStore *store = g_new0 (QuinceMetaStore, 1);
+  store->pool = quince_http_pool_new (address);
+  store->dialect = dialect;
+  store->calls = g_hash_table_new_full (NULL, NULL, call_free, NULL);
+  store->mirrors = g_ptr_array_new ();
+  return store;
+}
+
+void
+quince_meta_store_free (QuinceMetaStore *store)
+{
+  if (store == NULL)
+    return;
+  g_hash_table_unref (store->calls);
+  g_ptr_array_unref (store->mirrors);
+  quince_http_pool_unref (store->pool);
+  g_free (store);
+}
+
+const QuinceMetaCounters *
+quince_meta_store_get_counters (const QuinceMetaStore *store)
+{
+  return &store->counters;
+}
+
+const QuinceMetaDialect *
+quince_meta_store_get_dialect (QuinceMetaStore *store)
+{
+  return store->dialect;
+}
+
+void
+quince_meta_store_add_mirror (QuinceMetaStore *store, QuinceMetaMirror *mirror)
+{
+  g_ptr_array_add (store->mirrors, mirror);
+}
+
+void
+quince_meta_store_remove_mirror (QuinceMetaStore *store, QuinceMetaMirror *mirror)
+{
+  g_ptr_array_remove_fast (store->mirrors, mirror);
+}
+
+/* ---- Answers ---------------------------------------------------------- */
+
+/* A failed call says that waiting watches may be dead too: a cut connection tells nothing by itself. */
+static void
+note_outcome (QuinceMetaStore *store, gboolean good)
+{
+  if (good)
+    store->counters.last_answer_us = quince_now_us ();
+  else
+    store->counters.failures++;
+  if (good == !store->failing)
+    return;
+  store->failing = !good;
+  if (good)
+    quince_log_info ("dependency_regained", "what=meta_store");
+  else
+    quince_log_warning ("dependency_lost", "what=meta_store");
+  for (guint i = 0; good && i < store->mirrors->len; i++)
+    quince_meta_mirror_doubt (store->mirrors->pdata[i]);
+}
+
+static GError *
+error_of_status (guint status)
+{
+  static const struct
+  {
+    guint status;
+    QuinceMetaError code;
+    const char *text;
+  } table[] = {
+    { 404, QUINCE_META_ERROR_GONE, "no such item or lease" },
+    { 410, QUINCE_META_ERROR_GONE, "history is dropped" },
+    { 412, QUINCE_META_ERROR_CONFLICT, "a condition does not hold" },
+    { 429, QUINCE_META_ERROR_UNAVAILABLE, "too many calls" },
+    { 503, QUINCE_META_ERROR_UNAVAILABLE, "store is not available" },
+  };
+  for (guint i = 0; i < G_N_ELEMENTS (table); i++)
+    if (table[i].status == status)
+      return g_error_new_literal (QUINCE_META_ERROR, table[i].code, table[i].text);
+  if (status == 200)
+    return NULL;
+  return g_error_new (QUINCE_META_ERROR, QUINCE_META_ERROR_UNKNOWN, "answer with status %u", status);
+}
+
+static QuinceMetaPage *
+read_answer (QuinceMetaCall *call, QuinceHttpExchange *exchange, guint64 *number, GError **error)
+{
+  const GByteArray *body = quince_http_exchange_get_body (exchange);
+  const char *text = (const char *)body->data;
+  const QuinceMetaDialect *dialect = call->store->dialect;
+  switch (call->kind)
+    {
+    case ANSWER_ITEM:
+      return dialect->parse_item (text, body->len, error);
+    case ANSWER_PAGE:
+      return dialect->parse_page (text, body->len, error);
+    case ANSWER_REVISION:
+      *number = dialect->parse_revision (text, body->len);
+      return NULL;
+    case ANSWER_LEASE:
+      *number = dialect->parse_lease (text, body->len);
+      return NULL;
+    case ANSWER_NONE:
+    default:
+      return NULL;
+    }
+}
+
+static void
+call_done (QuinceHttpExchange *exchange, QuinceHttpOutcome outcome, const GError *failure, gpointer data)
+{
+  QuinceMetaCall *call = data;
+  QuinceMetaStore *store = call->store;
+  g_autoptr (GError) error = NULL;
+  g_autoptr (QuinceMetaPage) page = NULL;
+  guint64 number = 0;
+  guint status = 0;
+  if (outcome == QUINCE_HTTP_NOT_SENT)
+    g_set_error_literal (&error, QUINCE_META_ERROR, QUINCE_META_ERROR_UNAVAILABLE, failure->message);
+  else if (outcome == QUINCE_HTTP_BROKEN)
+    g_set_error_literal (&error, QUINCE_META_ERROR, QUINCE_META_ERROR_UNKNOWN, failure->message);
+  else
+    {
+      status = quince_http_exchange_get_head (exchange)->status;
+      error = error_of_status (status);
+      if (error == NULL)
+        page = read_answer (call, exchange, &number, &error);
+    }
+  call->exchange = NULL;
+  QuinceMetaReply reply = call->reply;
+  gpointer user_data = call->user_data;
+  g_hash_table_remove (store->calls, call);
+  note_outcome (store, outcome == QUINCE_HTTP_ANSWERED && status != 503 && status != 429);
+  reply (page, number, error, user_data);
+}
+
+static const QuinceHttpExchangeCallbacks call_callbacks = { .done = call_done };
+
+/* ---- Calls ------------------------------------------------------------ */
+
+static QuinceMetaCall *
+begin_call (QuinceMetaStore *store,
+            const char *method,
+            char *target,
+            GBytes *body,
+            gint64 timeout_us,
+            AnswerKind kind,
+            QuinceMetaReply reply,
+            gpointer user_data)
+{
+  g_autofree char *owned_target = target;
+  g_autoptr (QuinceHttpHeaders) headers = quince_http_headers_new ();
+  if (body != NULL)
+    quince_http_headers_add (headers, "Content-Type", "application/json");
+  QuinceMetaCall *call = g_new0 (QuinceMetaCall, 1);
+  call->store = store;
+  call->kind = kind;
+  call->reply = reply;
+  call->user_data = user_data;
+  store->counters.calls++;
+  g_hash_table_add (store->calls, call);
+  const QuinceHttpRequest request
+      = { .method = method, .target = target, .headers = headers, .body = body, .timeout_us = timeout_us };
+  call->exchange = quince_http_pool_start (store->pool, &request, &call_callbacks, call);
+  return call;
+}
+
+void
+quince_meta_call_cancel (QuinceMetaCall *call)
+{
+  g_hash_table_remove (call->store->calls, call);
+}
+
+void
+quince_meta_store_get (QuinceMetaStore *store, const char *key, QuinceMetaReply reply, gpointer user_data)
+{
+  begin_call (store, "GET", store->dialect->get_target (key), NULL, CALL_TIMEOUT_US, ANSWER_ITEM, reply,
+              user_data);
+}
+
+QuinceMetaCall *
+quince_meta_store_list (QuinceMetaStore *store,
+                        const char *prefix,
+                        const char *after_key,
+                        QuinceMetaReply reply,
+                        gpointer user_data)
+{
+  return begin_call (store, "GET", store->dialect->list_target (prefix, after_key), NULL, CALL_TIMEOUT_US,
+                     ANSWER_PAGE, reply, user_data);
+}
+
+QuinceMetaCall *
+quince_meta_store_watch (QuinceMetaStore *store,
+                         const char *prefix,
+                         guint64 after_revision,
+                         guint wait_ms,
+                         QuinceMetaReply reply,
+                         gpointer user_data)
+{
+  return begin_call (store, "GET", store->dialect->watch_target (prefix, after_revision, wait_ms), NULL,
+                     CALL_TIMEOUT_US + (gint64)wait_ms * 1000, ANSWER_PAGE, reply, user_data);
+}
+
+void
+quince_meta_store_change (QuinceMetaStore *store,
+                          const QuinceMetaChange *changes,
+                          guint n_changes,
+                          QuinceMetaReply reply,
+                          gpointer user_data)
+{
+  g_autoptr (GBytes) body = store->dialect->format_change (changes, n_changes);
+  begin_call (store, "POST", store->dialect->change_target (), body, CALL_TIMEOUT_US, ANSWER_REVISION, reply,
+              user_data);
+}
+
+void
+quince_meta_store_open_lease (QuinceMetaStore *store, guint ttl_ms, QuinceMetaReply reply, gpointer user_data)
+{
+  g_autoptr (GBytes) body = store->dialect->format_lease (ttl_ms);
+  begin_call (store, "POST", store->dialect->lease_target (), body, CALL_TIMEOUT_US, ANSWER_LEASE, reply,
+              user_data);
+}
+
+void
+quince_meta_store_renew_lease (QuinceMetaStore *store,
+                               guint64 lease,
+                               QuinceMetaReply reply,
+                               gpointer user_data)
+{
+  begin_call (store, "POST", store->dialect->renew_target (lease), NULL, CALL_TIMEOUT_US, ANSWER_NONE, reply,
+              user_data);
+}
+
+void
+quince_meta_store_end_lease (QuinceMetaStore *store, guint64 lease, QuinceMetaReply reply, gpointer user_data)
+{
+  begin_call (store, "DELETE", store->dialect->release_target (lease), NULL, CALL_TIMEOUT_US, ANSWER_NONE,
+              reply, user_data);
+}
--- /dev/null
+++ b/lib/observer/observer.c
@@ -0,0 +1,215 @@
+/*
+ * observer.c: mirrors of the metadata store, as beliefs of this process.
+ */
+#include <quince/observer.h>
+
+#include <string.h>
+
+#include <quince/log.h>
+#include <quince/task.h>
+
+#include "platform.h"
+
+struct _QuinceObserver
+{
+  /* All fields belong to the context that created the observer. */
+  QuinceBackends *backends;
+  const QuinceObserverCallbacks *callbacks;
+  gpointer user_data;
+  QuinceMetaMirror *operator_mirror;
+  QuinceMetaMirror *workers_mirror;
+  QuinceMetaMirror *own_mirror;
+  QuinceRouteTable *routes;
+  GHashTable *versions; /* model to guint64 */
+  GPtrArray *leaving;   /* node names, owned */
+};
+
+/* ---- The operator's keys ---------------------------------------------- */
+
+static void
+log_bad_item (const char *key, const GError *error)
+{
+  g_autofree char *reason = quince_log_quote (error->message);
+  g_autofree char *name = quince_log_quote (key);
+  quince_log_warning ("item_refused", "key=%s error=%s code=%d reason=%s", name,
+                      g_quark_to_string (error->domain), error->code, reason);
+}
+
+static void
+take_configuration (QuinceObserver *observer, const QuinceMetaItem *item)
+{
+  if (item->value == NULL)
+    return;
+  g_autoptr (GError) error = NULL;
+  g_autoptr (QuinceRouteTable) table = quince_platform_read_configuration (item->value, &error);
+  if (table == NULL)
+    {
+      log_bad_item (item->key, error);
+      return;
+    }
+  guint64 version = quince_route_table_get_version (table);
+  if (observer->routes != NULL && version <= quince_route_table_get_version (observer->routes))
+    return;
+  quince_log_info ("configuration", "version=%" G_GUINT64_FORMAT " routes=%u", version,
+                   quince_route_table_get_n_routes (table));
+  quince_route_table_unref (observer->routes);
+  observer->routes = g_steal_pointer (&table);
+  if (observer->callbacks->configuration != NULL)
+    observer->callbacks->configuration (observer->routes, observer->user_data);
+}
+
+static void
+take_version (QuinceObserver *observer, const QuinceMetaItem *item)
+{
+  if (item->value == NULL)
+    return;
+  g_autoptr (GError) error = NULL;
+  g_autofree char *model = NULL;
+  guint64 version = 0;
+  if (!quince_platform_read_version (item->value, &model, &version, &error))
+    {
+      log_bad_item (item->key, error);
+      return;
+    }
+  if (version <= quince_observer_get_version (observer, model))
+    return;
+  quince_log_info ("version_named", "model=%s version=%" G_GUINT64_FORMAT, model, version);
+  g_hash_table_replace (observer->versions, g_strdup (model), g_memdup2 (&version, sizeof version));
+  if (observer->callbacks->version != NULL)
+    observer->callbacks->version (model, version, observer->user_data);
+}
+
+static void
+take_leaving (QuinceObserver *observer, const QuinceMetaItem *item)
+{
+  const char *node = item->key + strlen (QUINCE_PLATFORM_RETIRE_PREFIX);
+  guint index;
+  gboolean known = g_ptr_array_find_with_equal_func (observer->leaving, node, g_str_equal, &index);
+  if (known == (item->value != NULL))
+    return;
+  if (known)
+    g_ptr_array_remove_index (observer->leaving, index);
+  else
+    g_ptr_array_add (observer->leaving, g_strdup (node));
+  g_autofree char *name = quince_log_quote (node);
+  quince_log_info ("machine_leaving", "node=%s asked=%s", name, known ? "false" : "true");
+  if (observer->callbacks->leaving == NULL)
+    return;
+  g_autoptr (GPtrArray) nodes = g_ptr_array_new ();
+  for (guint i = 0; i < observer->leaving->len; i++)
+    g_ptr_array_add (nodes, observer->leaving->pdata[i]);
+  g_ptr_array_add (nodes, NULL);
+  observer->callbacks->leaving ((const char *const *)nodes->pdata, observer->user_data);
+}
+
+static void
+operator_item (const QuinceMetaItem *item, gpointer data)
+{
+  QuinceObserver *observer = data;
+  if (g_str_equal (item->key, QUINCE_PLATFORM_CONFIGURATION_KEY))
+    take_configuration (observer, item);
+  else if (g_str_has_prefix (item->key, QUINCE_PLATFORM_VERSION_PREFIX))
+    take_version (observer, item);
+  else if (g_str_has_prefix (item->key, QUINCE_PLATFORM_RETIRE_PREFIX))
+    take_leaving (observer, item);
+}
+
+/* ---- Workers ---------------------------------------------------------- */
+
+static void
+worker_item (const QuinceMetaItem *item, gpointer data)
+{
+  QuinceObserver *observer = data;
+  const char *id = item->key + strlen (QUINCE_PLATFORM_WORKERS_PREFIX);
+  if (item->value == NULL)
+    {
+      quince_backends_remove (observer->backends, id);
+      return;
+    }
+  g_autoptr (GError) error = NULL;
+  QuinceWorker *worker = quince_platform_read_worker (item->key, item->value, quince_now_us (), &error);
+  if (worker != NULL)
+    quince_backends_update (observer->backends, worker);
+  else
+    log_bad_item (item->key, error);
+}
+
+static void
+workers_synced (gpointer data)
+{
+  QuinceObserver *observer = data;
+  if (observer->callbacks->workers_synced != NULL)
+    observer->callbacks->workers_synced (observer->user_data);
+}
+
+/* ---- Own keys --------------------------------------------------------- */
+
+static void
+own_item (const QuinceMetaItem *item, gpointer data)
+{
+  QuinceObserver *observer = data;
+  if (observer->callbacks->own_key != NULL)
+    observer->callbacks->own_key (item->key, item->value, item->revision, observer->user_data);
+}
+
+static void
+own_synced (gpointer data)
+{
+  QuinceObserver *observer = data;
+  if (observer->callbacks->own_synced != NULL)
+    observer->callbacks->own_synced (observer->user_data);
+}
+
+static const QuinceMetaMirrorCallbacks operator_callbacks = { .item = operator_item };
+static const QuinceMetaMirrorCallbacks worker_callbacks = { .item = worker_item, .synced = workers_synced };
+static const QuinceMetaMirrorCallbacks own_callbacks = { .item = own_item, .synced = own_synced };
+
+/* ---- Public ----------------------------------------------------------- */
+
+QuinceObserver *
+quince_observer_new (QuinceMetaStore *store,
+                     QuinceBackends *backends,
+                     guint workers_pace_ms,
+                     const QuinceObserverCallbacks *callbacks,
+                     gpointer user_data)
+{
+  QuinceObserver *observer = g_new0 (QuinceObserver, 1);
+  observer->backends = backends;
+  observer->callbacks = callbacks;
+  observer->user_data = user_data;
+  observer->versions = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  observer->leaving = g_ptr_array_new_with_free_func (g_free);
+  observer->operator_mirror
+      = quince_meta_mirror_new (store, QUINCE_PLATFORM_OPERATOR_PREFIX, 0, &operator_callbacks, observer);
+  observer->workers_mirror = quince_meta_mirror_new (store, QUINCE_PLATFORM_WORKERS_PREFIX, workers_pace_ms,
+                                                     &worker_callbacks, observer);
+  observer->own_mirror = quince_meta_mirror_new (store, QUINCE_OWN_PREFIX, 0, &own_callbacks, observer);
+  return observer;
+}
+
+void
+quince_observer_free (QuinceObserver *observer)
+{
+  if (observer == NULL)
+    return;
+  quince_meta_mirror_free (observer->operator_mirror);
+  quince_meta_mirror_free (observer->workers_mirror);
+  quince_meta_mirror_free (observer->own_mirror);
+  quince_route_table_unref (observer->routes);
+  g_hash_table_unref (observer->versions);
+  g_ptr_array_unref (observer->leaving);
+  g_free (observer);
+}
+
+QuinceRouteTable *
+quince_observer_get_routes (QuinceObserver *observer)
+{
+  return observer->routes;
+}
+
+guint64
+quince_observer_get_version (QuinceObserver *observer, const char *model)
+{
+  const guint64 *version = g_hash_table_lookup (observer->versions, model);
+  return version != NULL ? *version : 0;
+}
