Routes, workers, and one request brought to a worker

The choice of a worker is the policy program's score, for lookups, reward calls and samples alike. A forward keeps apart what may have run from what did not: only the latter is answered as not run.

--- /dev/null
+++ b/include/quince/backends.h
@@ -0,0 +1,63 @@
+/*
+ * backends.h: the workers that this process may send to: their table, kept connections, and the choice of
+ * one.
+ *
+ * The policy program in force scores each choice; without one the built-in decision does.
+ */
+#pragma once
+
+#include <quince/http-client.h>
+#include <quince/policy.h>
+#include <quince/routing.h>
+
+G_BEGIN_DECLS
+
+typedef struct _QuinceBackends QuinceBackends;
+
+/* @zone: where this process runs */
+QuinceBackends *quince_backends_new (const char *zone);
+void quince_backends_free (QuinceBackends *backends);
+/* (transfer full) (nullable): @policy */
+void quince_backends_set_policy (QuinceBackends *backends, QuincePolicy *policy);
+QuincePolicy *quince_backends_get_policy (QuinceBackends *backends);
+QuinceWorkerTable *quince_backends_get_workers (QuinceBackends *backends);
+/* (transfer full): what the platform lists of a worker */
+void quince_backends_update (QuinceBackends *backends, QuinceWorker *told);
+void quince_backends_remove (QuinceBackends *backends, const char *id);
+/* Kept connections to @worker. */
+QuinceHttpPool *quince_backends_get_pool (QuinceBackends *backends, const QuinceWorker *worker);
+/* Connections made to workers since the start. */
+guint64 quince_backends_get_opened (const QuinceBackends *backends);
+
+/**
+ * QuinceBackendQuery:
+ * @request: what the policy sees of the request
+ * @model: (nullable): with @minimum_version, what the worker must have
+ * @avoid: (nullable): ids of workers that failed this request
+ * @most_running: requests of this process at one worker; 0: no bound
+ * @prefer: (nullable): id of a worker that likely keeps the prompt
+ */
+typedef struct
+{
+  const QuincePolicyRequest *request;
+  const char *model;
+  guint64 minimum_version;
+  GHashTable *avoid;
+  guint most_running;
+  const char *prefer;
+} QuinceBackendQuery;
+
+/* Why there is no choice. */
+typedef enum
+{
+  QUINCE_BACKEND_CHOSEN,
+  QUINCE_BACKEND_NONE, /* no worker serves this at all                 */
+  QUINCE_BACKEND_FULL, /* those that do have no room for this process  */
+} QuinceBackendOutcome;
+
+QuinceBackendOutcome quince_backends_choose (QuinceBackends *backends,
+                                             gint64 now_us,
+                                             const QuinceBackendQuery *query,
+                                             QuinceWorker **worker);
+
+G_END_DECLS
--- /dev/null
+++ b/include/quince/forward.h
@@ -0,0 +1,84 @@
+/*
+ * forward.h: one request brought to a worker and its answer back: attempts, retries, deadlines.
+ *
+ * A forward says of a failure whether any worker can have run the request.  Requests that must not be
+ * repeated are sent again only after a worker said that it did not run them, or when nothing was sent.
+ */
+#pragma once
+
+#include <quince/backends.h>
+
+G_BEGIN_DECLS
+
+typedef struct _QuinceForward QuinceForward;
+
+typedef enum
+{
+  QUINCE_FORWARD_ANSWERED, /* a worker's whole answer, of any status               */
+  QUINCE_FORWARD_REFUSED,  /* no worker ran it, and none will                      */
+  QUINCE_FORWARD_FAILED,   /* it may have run, and there is no answer              */
+  QUINCE_FORWARD_TIMEOUT,  /* it may have run, and the time is up                  */
+} QuinceForwardOutcome;
+
+/* The words of one platform for requests to its workers, and for their answers. */
+typedef struct
+{
+  /* Adds what the system itself says of the request. */
+  void (*write_dispatch) (QuinceHttpHeaders *headers, const char *worker_id, gint64 time_left_ms);
+  /* Reads an answer; texts live as long as @head. */
+  void (*read_answer) (const QuinceHttpHead *head,
+                       const char **request_id,
+                       const char **signature,
+                       gboolean *not_run);
+} QuinceForwardDialect;
+
+/**
+ * QuinceForwardRequest:
+ * @service: where to
+ * @headers: the caller's, without those of its connection
+ * @repeatable: it may run more than once
+ * @max_attempts: workers that may run it
+ * @target_latency_ms: an answer within it earns its full credit
+ * @deadline_us: the caller's own, monotonic
+ * @give_up_us: no later than @deadline_us: the operator's bound, monotonic
+ */
+typedef struct
+{
+  const char *service;
+  const char *kind;
+  const char *method;
+  const char *target;
+  const char *request_id;
+  const QuinceHttpHeaders *headers;
+  GBytes *body;
+  gboolean repeatable;
+  guint max_attempts;
+  guint target_latency_ms;
+  gint64 deadline_us;
+  gint64 give_up_us;
+} QuinceForwardRequest;
+
+/* How it went; lives until done() returns. */
+typedef struct
+{
+  QuinceForwardOutcome outcome;
+  const QuinceHttpHead *head; /* answered */
+  const GByteArray *body;     /* answered */
+  const char *signature;      /* answered, signed */
+  const char *cause;          /* why not, one word */
+  guint attempts;
+  guint failed_runs; /* answers of 500 */
+  const char *worker;
+  gint64 worker_us; /* time of the last attempt */
+} QuinceForwardResult;
+
+/* Copies what it needs of @request.  done() is called once, never before this returns. */
+QuinceForward *quince_forward_start (QuinceBackends *backends,
+                                     const QuinceForwardDialect *dialect,
+                                     const QuinceForwardRequest *request,
+                                     void (*done) (const QuinceForwardResult *result, gpointer user_data),
+                                     gpointer user_data);
+/* Ends it without done(); work at a worker is cancelled. */
+void quince_forward_cancel (QuinceForward *forward);
+
+G_END_DECLS
--- /dev/null
+++ b/include/quince/routing.h
@@ -0,0 +1,154 @@
+/*
+ * routing.h: which service a request goes to, and which workers serve it.
+ *
+ * Pure: time is an argument, in microseconds of one monotonic clock.
+ */
+#pragma once
+
+#include <glib.h>
+
+G_BEGIN_DECLS
+
+/* ---- Routes ----------------------------------------------------------- */
+
+typedef enum
+{
+  QUINCE_ROUTE_IDEMPOTENT,   /* may run more than once                    */
+  QUINCE_ROUTE_AT_MOST_ONCE, /* never a second time                       */
+  QUINCE_ROUTE_STREAMING,    /* a series of events, forwarded as they come */
+  QUINCE_ROUTE_ROLLOUT,      /* batches of samples                        */
+} QuinceRouteKind;
+
+/* One part of a route's traffic. */
+typedef struct
+{
+  char *service;
+  double weight;
+} QuinceRoutePart;
+
+typedef struct
+{
+  char *name;
+  char *host;
+  char *prefix; /* begins and ends with a slash */
+  QuinceRouteKind kind;
+  guint timeout_ms;        /* 0: none */
+  guint target_latency_ms; /* answers within it earn their full credit */
+  guint deadline_ms;       /* rollouts: from submission to the last result; 0: none */
+  guint queue_ttl_ms;      /* rollouts: a sample may be given up after it; 0: never */
+  guint max_attempts;      /* at least 1 */
+  guint priority;          /* 0 first */
+  gboolean resumable;
+  gboolean sticky;
+  gboolean single_version;
+  GArray *parts; /* QuinceRoutePart, at least one */
+} QuinceRoute;
+
+typedef struct
+{
+  char *name;
+  guint max_connections; /* of one worker, from all callers; 0: no bound told */
+  guint slots;           /* requests that a worker runs at once; 0: not told */
+  GPtrArray *models;     /* names, owned */
+} QuinceService;
+
+/* What a caller may send, and how long it may take. */
+typedef struct
+{
+  guint max_head_bytes;
+  guint max_body_bytes;
+  guint head_timeout_ms;
+  guint idle_timeout_ms;
+} QuinceCallerLimits;
+
+typedef struct _QuinceRouteTable QuinceRouteTable;
+
+QuinceRouteTable *quince_route_table_new (guint64 version, const QuinceCallerLimits *limits);
+QuinceRouteTable *quince_route_table_ref (QuinceRouteTable *table);
+void quince_route_table_unref (QuinceRouteTable *table);
+G_DEFINE_AUTOPTR_CLEANUP_FUNC (QuinceRouteTable, quince_route_table_unref)
+/* (transfer full): @route, @service */
+void quince_route_table_add_route (QuinceRouteTable *table, QuinceRoute *route);
+void quince_route_table_add_service (QuinceRouteTable *table, QuinceService *service);
+guint64 quince_route_table_get_version (const QuinceRouteTable *table);
+const QuinceCallerLimits *quince_route_table_get_limits (const QuinceRouteTable *table);
+guint quince_route_table_get_n_routes (const QuinceRouteTable *table);
+const QuinceRoute *quince_route_table_get_route (const QuinceRouteTable *table, guint index);
+guint quince_route_table_get_n_services (const QuinceRouteTable *table);
+const QuinceService *quince_route_table_get_service (const QuinceRouteTable *table, guint index);
+const QuinceService *quince_route_table_find_service (const QuinceRouteTable *table, const char *name);
+/* The route of @host (a port in it is ignored) whose prefix begins @target and is longest, or %NULL. */
+const QuinceRoute *
+quince_route_table_find (const QuinceRouteTable *table, const char *host, const char *target);
+/* The service of the part in which @unit, from 0 to 1, falls by the weights. */
+const char *quince_route_pick_service (const QuinceRoute *route, double unit);
+
+QuinceRoute *quince_route_new (void);
+void quince_route_add_part (QuinceRoute *route, const char *service, double weight);
+void quince_route_free (QuinceRoute *route);
+G_DEFINE_AUTOPTR_CLEANUP_FUNC (QuinceRoute, quince_route_free)
+QuinceService *quince_service_new (const char *name);
+void quince_service_free (QuinceService *service);
+
+/* ---- Workers ---------------------------------------------------------- */
+
+typedef struct
+{
+  char *name;
+  guint64 version;
+} QuinceWorkerModel;
+
+/* One incarnation of a worker. */
+typedef struct
+{
+  char *id;
+  char *service;
+  char *address;
+  char *zone;
+  guint slots;
+  gboolean draining;
+  gint64 slow_until_us; /* it told that it is slow after its start until then; 0: never */
+  GArray *models;       /* QuinceWorkerModel: as last told */
+
+  /* What this process sees by itself. */
+  gboolean loading;        /* takes new weights: begins nothing meanwhile     */
+  guint running;           /* requests of this process at it now             */
+  guint failures;          /* in a row                                       */
+  gint64 doubted_until_us; /* no first choice until then                    */
+  guint service_us;        /* smoothed time of its answers; 0: none yet      */
+} QuinceWorker;
+
+QuinceWorker *quince_worker_new (const char *id);
+void quince_worker_free (QuinceWorker *worker);
+G_DEFINE_AUTOPTR_CLEANUP_FUNC (QuinceWorker, quince_worker_free)
+void quince_worker_set_model (QuinceWorker *worker, const char *model, guint64 version);
+/* 0: it does not have @model. */
+guint64 quince_worker_get_version (const QuinceWorker *worker, const char *model);
+
+typedef struct _QuinceWorkerTable QuinceWorkerTable;
+
+/**
+ * QuinceWorkerTableCallbacks:
+ * @gone: the worker ended or was replaced: it gets no more requests. Called before it is freed
+ */
+typedef struct
+{
+  void (*gone) (QuinceWorker *worker, gpointer user_data);
+} QuinceWorkerTableCallbacks;
+
+QuinceWorkerTable *quince_worker_table_new (const QuinceWorkerTableCallbacks *callbacks, gpointer user_data);
+void quince_worker_table_free (QuinceWorkerTable *table);
+/* (transfer full): adds @told, or takes what it tells over into the worker of the same id.
+ * Returns: whether something other than its load changed */
+gboolean quince_worker_table_update (QuinceWorkerTable *table, QuinceWorker *told);
+void quince_worker_table_remove (QuinceWorkerTable *table, const char *id);
+QuinceWorker *quince_worker_table_find (QuinceWorkerTable *table, const char *id);
+/* (transfer container): workers of @service, the leaving ones too, in order of their ids. */
+GPtrArray *quince_worker_table_list (QuinceWorkerTable *table, const char *service);
+guint quince_worker_table_get_size (const QuinceWorkerTable *table);
+
+/* An answer came after @took_us, or a failure that casts doubt on the worker. */
+void quince_worker_note_answer (QuinceWorker *worker, gint64 took_us);
+void quince_worker_note_failure (QuinceWorker *worker, gint64 now_us);
+
+G_END_DECLS
--- /dev/null
+++ b/lib/core/routing/route-table.c
@@ -0,0 +1,206 @@
+/*
+ * route-table.c: routes by host and longest prefix; one configuration, which never changes.
+ */
+#include <quince/routing.h>
+
+#include <string.h>
+
+struct _QuinceRouteTable
+{
+  grefcount references;
+  guint64 version;
+  QuinceCallerLimits limits;
+  GPtrArray *routes;
+  GPtrArray *services;
+  GHashTable *by_host; /* host to GPtrArray of routes, longest prefix first */
+};
+
+QuinceRoute *
+quince_route_new (void)
+{
+  QuinceRoute *route = g_new0 (QuinceRoute, 1);
+  route->max_attempts = 1;
+  route->parts = g_array_new (FALSE, FALSE, sizeof (QuinceRoutePart));
+  return route;
+}
+
+void
+quince_route_add_part (QuinceRoute *route, const char *service, double weight)
+{
+  QuinceRoutePart part = { g_strdup (service), weight };
+  g_array_append_val (route->parts, part);
+}
+
+void
+quince_route_free (QuinceRoute *route)
+{
+  if (route == NULL)
+    return;
+  for (guint i = 0; i < route->parts->len; i++)
+    g_free (g_array_index (route->parts, QuinceRoutePart, i).service);
+  g_array_unref (route->parts);
+  g_free (route->name);
+  g_free (route->host);
+  g_free (route->prefix);
+  g_free (route);
+}
+
+QuinceService *
+quince_service_new (const char *name)
+{
+  QuinceService *service = g_new0 (QuinceService, 1);
+  service->name = g_strdup (name);
+  service->models = g_ptr_array_new_with_free_func (g_free);
+  return service;
+}
+
+void
+quince_service_free (QuinceService *service)
+{
+  if (service == NULL)
+    return;
+  g_free (service->name);
+  g_ptr_array_unref (service->models);
+  g_free (service);
+}
+
+QuinceRouteTable *
+quince_route_table_new (guint64 version, const QuinceCallerLimits *limits)
+{
+  QuinceRouteTable *table = g_new0 (QuinceRouteTable, 1);
+  g_ref_count_init (&table->references);
+  table->version = version;
+  table->limits = *limits;
+  table->routes = g_ptr_array_new_with_free_func ((GDestroyNotify)quince_route_free);
+  table->services = g_ptr_array_new_with_free_func ((GDestroyNotify)quince_service_free);
+  table->by_host = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, (GDestroyNotify)g_ptr_array_unref);
+  return table;
+}
+
+QuinceRouteTable *
+quince_route_table_ref (QuinceRouteTable *table)
+{
+  g_ref_count_inc (&table->references);
+  return table;
+}
+
+void
+quince_route_table_unref (QuinceRouteTable *table)
+{
+  if (table == NULL || !g_ref_count_dec (&table->references))
+    return;
+  g_hash_table_unref (table->by_host);
+  g_ptr_array_unref (table->routes);
+  g_ptr_array_unref (table->services);
+  g_free (table);
+}
+
+static char *
+host_key (const char *host)
+{
+  const char *colon = strchr (host, ':');
+  g_autofree char *name = colon != NULL ? g_strndup (host, (gsize)(colon - host)) : g_strdup (host);
+  return g_ascii_strdown (name, -1);
+}
+
+void
+quince_route_table_add_route (QuinceRouteTable *table, QuinceRoute *route)
+{
+  g_ptr_array_add (table->routes, route);
+  g_autofree char *key = host_key (route->host);
+  GPtrArray *routes = g_hash_table_lookup (table->by_host, key);
+  if (routes == NULL)
+    {
+      routes = g_ptr_array_new ();
+      g_hash_table_insert (table->by_host, g_steal_pointer (&key), routes);
+    }
+  guint at = 0;
+  while (at < routes->len && strlen (((QuinceRoute *)routes->pdata[at])->prefix) >= strlen (route->prefix))
+    at++;
+  g_ptr_array_insert (routes, (gint)at, route);
+}
+
+void
+quince_route_table_add_service (QuinceRouteTable *table, QuinceService *service)
+{
+  g_ptr_array_add (table->services, service);
+}
+
+guint64
+quince_route_table_get_version (const QuinceRouteTable *table)
+{
+  return table->version;
+}
+
+const QuinceCallerLimits *
+quince_route_table_get_limits (const QuinceRouteTable *table)
+{
+  return &table->limits;
+}
+
+guint
+quince_route_table_get_n_routes (const QuinceRouteTable *table)
+{
+  return table->routes->len;
+}
+
+const QuinceRoute *
+quince_route_table_get_route (const QuinceRouteTable *table, guint index)
+{
+  return table->routes->pdata[index];
+}
+
+guint
+quince_route_table_get_n_services (const QuinceRouteTable *table)
+{
+  return table->services->len;
+}
+
+const QuinceService *
+quince_route_table_get_service (const QuinceRouteTable *table, guint index)
+{
+  return table->services->pdata[index];
+}
+
+const QuinceService *
+quince_route_table_find_service (const QuinceRouteTable *table, const char *name)
+{
+  for (guint i = 0; i < table->services->len; i++)
+    {
+      const QuinceService *service = table->services->pdata[i];
+      if (g_str_equal (service->name, name))
+        return service;
+    }
+  return NULL;
+}
+
+const QuinceRoute *
+quince_route_table_find (const QuinceRouteTable *table, const char *host, const char *target)
+{
+  g_autofree char *key = host_key (host);
+  GPtrArray *routes = g_hash_table_lookup (table->by_host, key);
+  for (guint i = 0; routes != NULL && i < routes->len; i++)
+    {
+      const QuinceRoute *route = routes->pdata[i];
+      if (g_str_has_prefix (target, route->prefix))
+        return route;
+    }
+  return NULL;
+}
+
+const char *
+quince_route_pick_service (const QuinceRoute *route, double unit)
+{
+  double total = 0;
+  for (guint i = 0; i < route->parts->len; i++)
+    total += g_array_index (route->parts, QuinceRoutePart, i).weight;
+  double left = unit * total;
+  for (guint i = 0; i + 1 < route->parts->len; i++)
+    {
+      const QuinceRoutePart *part = &g_array_index (route->parts, QuinceRoutePart, i);
+      if (left < part->weight)
+        return part->service;
+      left -= part->weight;
+    }
+  return g_array_index (route->parts, QuinceRoutePart, route->parts->len - 1).service;
+}
--- /dev/null
+++ b/lib/core/routing/worker-table.c
@@ -0,0 +1,194 @@
+/*
+ * worker-table.c: the workers that the platform lists, and what this process has seen of them.
+ */
+#include <quince/routing.h>
+
+/* A failing worker is no first choice for a time that doubles with each failure in a row. */
+#define DOUBT_FIRST_US (200 * 1000)
+#define DOUBT_MOST_US (2 * G_USEC_PER_SEC)
+/* Weight of the newest answer in the smoothed time, as a shift. */
+#define SERVICE_TIME_SHIFT 3
+
+struct _QuinceWorkerTable
+{
+  GHashTable *by_id; /* QuinceWorker, owned */
+  const QuinceWorkerTableCallbacks *callbacks;
+  gpointer user_data;
+};
+
+QuinceWorker *
+quince_worker_new (const char *id)
+{
+  QuinceWorker *worker = g_new0 (QuinceWorker, 1);
+  worker->id = g_strdup (id);
+  worker->models = g_array_new (FALSE, FALSE, sizeof (QuinceWorkerModel));
+  return worker;
+}
+
+void
+quince_worker_free (QuinceWorker *worker)
+{
+  if (worker == NULL)
+    return;
+  for (guint i = 0; i < worker->models->len; i++)
+    g_free (g_array_index (worker->models, QuinceWorkerModel, i).name);
+  g_array_unref (worker->models);
+  g_free (worker->id);
+  g_free (worker->service);
+  g_free (worker->address);
+  g_free (worker->zone);
+  g_free (worker);
+}
+
+static QuinceWorkerModel *
+find_model (const QuinceWorker *worker, const char *model)
+{
+  for (guint i = 0; i < worker->models->len; i++)
+    {
+      QuinceWorkerModel *found = &g_array_index (worker->models, QuinceWorkerModel, i);
+      if (g_str_equal (found->name, model))
+        return found;
+    }
+  return NULL;
+}
+
+void
+quince_worker_set_model (QuinceWorker *worker, const char *model, guint64 version)
+{
+  QuinceWorkerModel *found = find_model (worker, model);
+  if (found != NULL)
+    {
+      found->version = version;
+      return;
+    }
+  QuinceWorkerModel added = { g_strdup (model), version };
+  g_array_append_val (worker->models, added);
+}
+
+guint64
+quince_worker_get_version (const QuinceWorker *worker, const char *model)
+{
+  const QuinceWorkerModel *found = find_model (worker, model);
+  return found != NULL ? found->version : 0;
+}
+
+QuinceWorkerTable *
+quince_worker_table_new (const QuinceWorkerTableCallbacks *callbacks, gpointer user_data)
+{
+  QuinceWorkerTable *table = g_new0 (QuinceWorkerTable, 1);
+  table->by_id = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, (GDestroyNotify)quince_worker_free);
+  table->callbacks = callbacks;
+  table->user_data = user_data;
+  return table;
+}
+
+void
+quince_worker_table_free (QuinceWorkerTable *table)
+{
+  if (table == NULL)
+    return;
+  g_hash_table_unref (table->by_id);
+  g_free (table);
+}
+
+static gboolean
+take_over (QuinceWorker *worker, QuinceWorker *told)
+{
+  gboolean changed = worker->draining != told->draining;
+  worker->draining = told->draining;
+  worker->slots = told->slots;
+  worker->slow_until_us = told->slow_until_us;
+  for (guint i = 0; i < told->models->len; i++)
+    {
+      const QuinceWorkerModel *model = &g_array_index (told->models, QuinceWorkerModel, i);
+      guint64 before = quince_worker_get_version (worker, model->name);
+      changed = changed || before != model->version;
+      /* A worker's version only rises; what it told itself meanwhile is newer than the list. */
+      quince_worker_set_model (worker, model->name, MAX (before, model->version));
+    }
+  return changed;
+}
+
+gboolean
+quince_worker_table_update (QuinceWorkerTable *table, QuinceWorker *told)
+{
+  QuinceWorker *worker = g_hash_table_lookup (table->by_id, told->id);
+  gboolean same = worker != NULL && g_str_equal (worker->address, told->address)
+                  && g_str_equal (worker->service, told->service);
+  if (same)
+    {
+      gboolean changed = take_over (worker, told);
+      quince_worker_free (told);
+      return changed;
+    }
+  if (worker != NULL)
+    quince_worker_table_remove (table, told->id);
+  g_hash_table_insert (table->by_id, told->id, told);
+  return TRUE;
+}
+
+void
+quince_worker_table_remove (QuinceWorkerTable *table, const char *id)
+{
+  QuinceWorker *worker = g_hash_table_lookup (table->by_id, id);
+  if (worker == NULL)
+    return;
+  g_hash_table_steal (table->by_id, id);
+  if (table->callbacks != NULL && table->callbacks->gone != NULL)
+    table->callbacks->gone (worker, table->user_data);
+  quince_worker_free (worker);
+}
+
+QuinceWorker *
+quince_worker_table_find (QuinceWorkerTable *table, const char *id)
+{
+  return g_hash_table_lookup (table->by_id, id);
+}
+
+static gint
+compare_ids (gconstpointer a, gconstpointer b)
+{
+  const QuinceWorker *const *first = a;
+  const QuinceWorker *const *second = b;
+  return g_strcmp0 ((*first)->id, (*second)->id);
+}
+
+GPtrArray *
+quince_worker_table_list (QuinceWorkerTable *table, const char *service)
+{
+  GPtrArray *list = g_ptr_array_new ();
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, table->by_id);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    if (g_str_equal (((QuinceWorker *)value)->service, service))
+      g_ptr_array_add (list, value);
+  g_ptr_array_sort (list, compare_ids);
+  return list;
+}
+
+guint
+quince_worker_table_get_size (const QuinceWorkerTable *table)
+{
+  return g_hash_table_size (table->by_id);
+}
+
+void
+quince_worker_note_answer (QuinceWorker *worker, gint64 took_us)
+{
+  worker->failures = 0;
+  worker->doubted_until_us = 0;
+  guint sample = (guint)CLAMP (took_us, 1, G_MAXINT);
+  if (worker->service_us == 0)
+    worker->service_us = sample;
+  else
+    worker->service_us += (guint)(((gint64)sample - (gint64)worker->service_us) >> SERVICE_TIME_SHIFT);
+}
+
+void
+quince_worker_note_failure (QuinceWorker *worker, gint64 now_us)
+{
+  gint64 doubt = DOUBT_FIRST_US << MIN (worker->failures, 4);
+  worker->failures++;
+  worker->doubted_until_us = now_us + MIN (doubt, DOUBT_MOST_US);
+}
--- /dev/null
+++ b/lib/forward/backends.c
@@ -0,0 +1,231 @@
+/*
+ * backends.c: workers, their kept connections, and the choice of one by the policy.
+ */
+#include <quince/backends.h>
+
+#include <math.h>
+
+#include <quince/builtin-decisions.h>
+#include <quince/log.h>
+
+#define FAILURES_SHOWN_MOST 10
+
+struct _QuinceBackends
+{
+  /* All fields belong to the context that created it. */
+  char *zone;
+  QuinceWorkerTable *workers;
+  GHashTable *pools;     /* QuinceHttpPool by worker id */
+  guint64 opened_before; /* by pools that are gone */
+  QuincePolicy *policy;
+  guint tie; /* turns among equals */
+};
+
+static void
+worker_gone (QuinceWorker *worker, gpointer data)
+{
+  QuinceBackends *backends = data;
+  QuinceHttpPool *pool = g_hash_table_lookup (backends->pools, worker->id);
+  if (pool == NULL)
+    return;
+  backends->opened_before += quince_http_pool_get_opened (pool);
+  g_hash_table_remove (backends->pools, worker->id);
+}
+
+static const QuinceWorkerTableCallbacks table_callbacks = { .gone = worker_gone };
+
+QuinceBackends *
+quince_backends_new (const char *zone)
+{
+  QuinceBackends *backends = g_new0 (QuinceBackends, 1);
+  backends->zone = g_strdup (zone);
+  backends->workers = quince_worker_table_new (&table_callbacks, backends);
+  backends->pools
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, (GDestroyNotify)quince_http_pool_unref);
+  backends->tie = g_random_int ();
+  return backends;
+}
+
+void
+quince_backends_free (QuinceBackends *backends)
+{
+  if (backends == NULL)
+    return;
+  quince_worker_table_free (backends->workers);
+  g_hash_table_unref (backends->pools);
+  quince_policy_free (backends->policy);
+  g_free (backends->zone);
+  g_free (backends);
+}
+
+void
+quince_backends_set_policy (QuinceBackends *backends, QuincePolicy *policy)
+{
+  quince_policy_free (backends->policy);
+  backends->policy = policy;
+}
+
+QuincePolicy *
+quince_backends_get_policy (QuinceBackends *backends)
+{
+  return backends->policy;
+}
+
+QuinceWorkerTable *
+quince_backends_get_workers (QuinceBackends *backends)
+{
+  return backends->workers;
+}
+
+void
+quince_backends_update (QuinceBackends *backends, QuinceWorker *told)
+{
+  g_autofree char *id = g_strdup (told->id);
+  if (!quince_worker_table_update (backends->workers, told))
+    return;
+  const QuinceWorker *worker = quince_worker_table_find (backends->workers, id);
+  guint64 version
+      = worker->models->len > 0 ? g_array_index (worker->models, QuinceWorkerModel, 0).version : 0;
+  quince_log_info ("worker_changed", "worker=%s service=%s address=%s state=%s version=%" G_GUINT64_FORMAT,
+                   worker->id, worker->service, worker->address, worker->draining ? "draining" : "ready",
+                   version);
+}
+
+void
+quince_backends_remove (QuinceBackends *backends, const char *id)
+{
+  if (quince_worker_table_find (backends->workers, id) != NULL)
+    quince_log_info ("worker_gone", "worker=%s", id);
+  quince_worker_table_remove (backends->workers, id);
+}
+
+QuinceHttpPool *
+quince_backends_get_pool (QuinceBackends *backends, const QuinceWorker *worker)
+{
+  QuinceHttpPool *pool = g_hash_table_lookup (backends->pools, worker->id);
+  if (pool == NULL)
+    {
+      pool = quince_http_pool_new (worker->address);
+      g_hash_table_insert (backends->pools, g_strdup (worker->id), pool);
+    }
+  return pool;
+}
+
+guint64
+quince_backends_get_opened (const QuinceBackends *backends)
+{
+  guint64 opened = backends->opened_before;
+  GHashTableIter iter;
+  gpointer pool;
+  g_hash_table_iter_init (&iter, backends->pools);
+  while (g_hash_table_iter_next (&iter, NULL, &pool))
+    opened += quince_http_pool_get_opened (pool);
+  return opened;
+}
+
+/* ---- Choice ----------------------------------------------------------- */
+
+static gboolean
+is_suitable (const QuinceWorker *worker, const QuinceBackendQuery *query)
+{
+  if (worker->draining || (query->avoid != NULL && g_hash_table_contains (query->avoid, worker->id)))
+    return FALSE;
+  return query->model == NULL
+         || (!worker->loading && query->minimum_version <= quince_worker_get_version (worker, query->model)
+             && quince_worker_get_version (worker, query->model) > 0);
+}
+
+static gboolean
+has_room (const QuinceWorker *worker, const QuinceBackendQuery *query)
+{
+  return query->most_running == 0 || worker->running < query->most_running;
+}
+
+/* Suitable workers with room: the trusted ones, or where there are none the doubted ones. */
+static QuinceBackendOutcome
+collect (const GPtrArray *all, gint64 now_us, const QuinceBackendQuery *query, GPtrArray *found)
+{
+  gboolean any = FALSE;
+  for (guint trusted = 1; found->len == 0 && trusted < 2; trusted--)
+    for (guint i = 0; i < all->len; i++)
+      {
+        QuinceWorker *worker = all->pdata[i];
+        if (!is_suitable (worker, query))
+          continue;
+        any = TRUE;
+        if (has_room (worker, query) && (trusted == 0 || now_us >= worker->doubted_until_us))
+          g_ptr_array_add (found, worker);
+      }
+  if (found->len > 0)
+    return QUINCE_BACKEND_CHOSEN;
+  return any ? QUINCE_BACKEND_FULL : QUINCE_BACKEND_NONE;
+}
+
+static void
+describe (const QuinceBackends *backends,
+          const QuinceWorker *worker,
+          const QuinceBackendQuery *query,
+          QuincePolicyEngine *engine)
+{
+  guint capacity = MAX (worker->slots, 1);
+  gboolean preferred = query->prefer != NULL && g_str_equal (query->prefer, worker->id);
+  guint64 version = query->model != NULL ? quince_worker_get_version (worker, query->model) : 0;
+  *engine = (QuincePolicyEngine){
+    .name = worker->id,
+    .running = worker->running,
+    .capacity = capacity,
+    .load = (double)worker->running / capacity,
+    .prefix_match = preferred ? 1.0 : 0.0,
+    .weight_version = version,
+    .target_version = version,
+    .recent_ms = worker->service_us / 1000,
+    .recent_failures = MIN (worker->failures, FAILURES_SHOWN_MOST),
+    .same_zone = g_str_equal (worker->zone, backends->zone),
+  };
+}
+
+static void
+score (QuinceBackends *backends,
+       const QuincePolicyRequest *request,
+       const QuincePolicyEngine *engines,
+       guint n_engines,
+       double *scores)
+{
+  g_autoptr (GError) error = NULL;
+  if (backends->policy != NULL
+      && quince_policy_score (backends->policy, request, engines, n_engines, scores, &error))
+    return;
+  if (error != NULL)
+    quince_log_warning ("policy_failed", "function=score code=%d", error->code);
+  for (guint i = 0; i < n_engines; i++)
+    scores[i] = quince_builtin_score (&engines[i]);
+}
+
+QuinceBackendOutcome
+quince_backends_choose (QuinceBackends *backends,
+                        gint64 now_us,
+                        const QuinceBackendQuery *query,
+                        QuinceWorker **worker)
+{
+  g_autoptr (GPtrArray) all = quince_worker_table_list (backends->workers, query->request->service);
+  g_autoptr (GPtrArray) found = g_ptr_array_new ();
+  QuinceBackendOutcome outcome = collect (all, now_us, query, found);
+  *worker = NULL;
+  if (outcome != QUINCE_BACKEND_CHOSEN)
+    return outcome;
+  QuincePolicyEngine engines[QUINCE_POLICY_MAX_CANDIDATES];
+  double scores[QUINCE_POLICY_MAX_CANDIDATES];
+  guint n_engines = MIN (found->len, QUINCE_POLICY_MAX_CANDIDATES);
+  guint first = backends->tie++ % found->len; /* by turns, so that equals share */
+  for (guint i = 0; i < n_engines; i++)
+    describe (backends, found->pdata[(first + i) % found->len], query, &engines[i]);
+  score (backends, query->request, engines, n_engines, scores);
+  gint best = -1;
+  for (guint i = 0; i < n_engines; i++)
+    if (isfinite (scores[i]) && (best < 0 || scores[i] > scores[best]))
+      best = (gint)i;
+  if (best < 0)
+    return QUINCE_BACKEND_FULL;
+  *worker = found->pdata[(first + (guint)best) % found->len];
+  return QUINCE_BACKEND_CHOSEN;
+}
