Batch ledger: primary and backups, their set and epoch in the metadata store

Weighed: the consensus that stands (works while the store is down, but two machines left after a retirement and a lost disk stop it for good, and it is five times the code). A record counts when all members of the view hold it and at least losses + 1 machines do; the view never shrinks below that, and any member may take over by a conditional write.

--- /dev/null
+++ b/include/quince/batch-book.h
@@ -0,0 +1,52 @@
+/*
+ * batch-book.h: batches, their items and listed results, as the log of the batch ledger tells them.
+ *
+ * Pure and deterministic: the same records in the same order give the same book.  A position that was given
+ * to a result never changes; what a record says a second time changes nothing.
+ */
+#pragma once
+
+#include <quince/codec.h>
+
+G_BEGIN_DECLS
+
+typedef struct
+{
+  QuinceBatchJob *batch; /* owned */
+  gboolean ended;
+  GPtrArray *results;  /* QuinceBatchResult, owned, by position */
+  gboolean *is_listed; /* by item */
+  GArray *indexes;     /* guint64: log records that speak of this batch */
+  gpointer owner_data; /* the owner's; cleared by its callbacks */
+} QuinceBatchEntry;
+
+typedef struct _QuinceBatchBook QuinceBatchBook;
+
+/**
+ * QuinceBatchBookCallbacks: what a record changed; each is nullable
+ * @submitted: a new batch
+ * @listed: the result at the last position of the batch is new
+ * @ended: its submitter ended it
+ * @forgotten: it is about to be released
+ */
+typedef struct
+{
+  void (*submitted) (QuinceBatchEntry *entry, gpointer user_data);
+  void (*listed) (QuinceBatchEntry *entry, gpointer user_data);
+  void (*ended) (QuinceBatchEntry *entry, gpointer user_data);
+  void (*forgotten) (QuinceBatchEntry *entry, gpointer user_data);
+} QuinceBatchBookCallbacks;
+
+QuinceBatchBook *quince_batch_book_new (const QuinceBatchBookCallbacks *callbacks, gpointer user_data);
+void quince_batch_book_free (QuinceBatchBook *book);
+G_DEFINE_AUTOPTR_CLEANUP_FUNC (QuinceBatchBook, quince_batch_book_free)
+/* (transfer full): @record; takes the record at @index of the log in. */
+void quince_batch_book_apply (QuinceBatchBook *book, guint64 index, QuinceBatchRecord *record);
+QuinceBatchEntry *quince_batch_book_find (QuinceBatchBook *book, const char *batch);
+guint quince_batch_book_get_size (const QuinceBatchBook *book);
+/* (transfer container): all entries, in order of their submission. */
+GPtrArray *quince_batch_book_list (QuinceBatchBook *book);
+/* The place of the item of that id, or -1. */
+gint quince_batch_entry_find_item (const QuinceBatchEntry *entry, const char *item);
+
+G_END_DECLS
--- /dev/null
+++ b/include/quince/batch-log.h
@@ -0,0 +1,56 @@
+/*
+ * batch-log.h: the log of the batch ledger on one machine's disk (SQLite).
+ *
+ * Each append is one synchronous commit: when it returns, its records survive a loss of power.  An index that
+ * is appended again with another epoch replaces that record and all after it.  The replica id is random and
+ * made with the file: an empty disk is another replica.
+ */
+#pragma once
+
+#include <quince/codec.h>
+
+G_BEGIN_DECLS
+
+#define QUINCE_BATCH_LOG_ERROR (quince_batch_log_error_quark ())
+GQuark quince_batch_log_error_quark (void);
+
+typedef enum
+{
+  QUINCE_BATCH_LOG_ERROR_DISK, /* it cannot be opened, read or written */
+} QuinceBatchLogError;
+
+typedef struct _QuinceBatchLog QuinceBatchLog;
+
+/* A file that cannot be read as a log is put aside as if the disk were empty; @was_empty tells. */
+QuinceBatchLog *quince_batch_log_open (const char *folder, gboolean *was_empty, GError **error);
+void quince_batch_log_close (QuinceBatchLog *log);
+G_DEFINE_AUTOPTR_CLEANUP_FUNC (QuinceBatchLog, quince_batch_log_close)
+
+guint64 quince_batch_log_get_replica (const QuinceBatchLog *log);
+guint64 quince_batch_log_get_last_index (const QuinceBatchLog *log);
+/* 0 where no record has that index. */
+guint64 quince_batch_log_get_epoch (QuinceBatchLog *log, guint64 index);
+/* The greatest index known to be committed, as last kept; it may lag. */
+guint64 quince_batch_log_get_commit (const QuinceBatchLog *log);
+
+/* Appends @entries, cuts what lies beyond @end_index and keeps @commit.  @reset: drop all records first. */
+gboolean quince_batch_log_append (QuinceBatchLog *log,
+                                  const QuinceLogEntry *entries,
+                                  guint n_entries,
+                                  gboolean reset,
+                                  guint64 end_index,
+                                  guint64 commit,
+                                  GError **error);
+/* Empties the records at @indexes: their batch is forgotten. */
+gboolean
+quince_batch_log_blank (QuinceBatchLog *log, const guint64 *indexes, guint n_indexes, GError **error);
+
+/* Called for each record; @record lives until the return.  Returning %FALSE ends the walk. */
+typedef gboolean (*QuinceBatchLogVisit) (const QuinceLogEntry *entry, gpointer user_data);
+gboolean quince_batch_log_walk (QuinceBatchLog *log,
+                                guint64 first_index,
+                                QuinceBatchLogVisit visit,
+                                gpointer user_data,
+                                GError **error);
+
+G_END_DECLS
--- a/include/quince/codec.h
+++ b/include/quince/codec.h
@@ -51,6 +51,10 @@
 QUINCE_DECLARE_CODEC (QuincePolicyBody, quince_policy_body)
 QUINCE_DECLARE_CODEC (QuinceCommand, quince_command)
 QUINCE_DECLARE_CODEC (QuinceSampleResult, quince_sample_result)
+QUINCE_DECLARE_CODEC (QuinceBatchJob, quince_batch_job)
+QUINCE_DECLARE_CODEC (QuinceBatchResult, quince_batch_result)
+QUINCE_DECLARE_CODEC (QuinceBatchRecord, quince_batch_record)
+QUINCE_DECLARE_CODEC (QuinceLedgerView, quince_ledger_view)
 
 /* Gives @reply an empty result of @kind that encodes; what was there is not released. */
 void quince_ledger_reply_set_empty (QuinceLedgerReply *reply, QuinceCommandKind kind);
--- /dev/null
+++ b/lib/batchlog/batch-log.c
@@ -0,0 +1,332 @@
+/*
+ * batch-log.c: the log of the batch ledger in one SQLite file.
+ */
+#include <quince/batch-log.h>
+
+#include <glib/gstdio.h>
+#include <sqlite3.h>
+
+#define LOG_FILE "batches.sqlite"
+
+G_DEFINE_QUARK (quince - batch - log - error - quark, quince_batch_log_error)
+
+/* Exclusive locking keeps the index of the write-ahead log on the heap; it must come before the journal mode.
+ */
+static const char schema_text[]
+    = "PRAGMA locking_mode = EXCLUSIVE;"
+      "PRAGMA journal_mode = WAL;"
+      "PRAGMA synchronous = FULL;"
+      "PRAGMA cache_size = -1024;"
+      "BEGIN IMMEDIATE;"
+      "CREATE TABLE IF NOT EXISTS meta (name TEXT PRIMARY KEY, number INTEGER NOT NULL);"
+      "CREATE TABLE IF NOT EXISTS log (position INTEGER PRIMARY KEY, epoch INTEGER NOT NULL,"
+      " record BLOB NOT NULL);"
+      "COMMIT;";
+
+typedef enum
+{
+  STATEMENT_PUT,
+  STATEMENT_CUT, /* from an index on */
+  STATEMENT_EPOCH,
+  STATEMENT_LAST,
+  STATEMENT_WALK,
+  STATEMENT_BLANK,
+  STATEMENT_PUT_META,
+  STATEMENT_GET_META,
+  N_STATEMENTS
+} Statement;
+
+static const char *const statement_texts[N_STATEMENTS] = {
+  [STATEMENT_PUT] = "INSERT INTO log VALUES (?1, ?2, ?3)",
+  [STATEMENT_CUT] = "DELETE FROM log WHERE position >= ?1",
+  [STATEMENT_EPOCH] = "SELECT epoch FROM log WHERE position = ?1",
+  [STATEMENT_LAST] = "SELECT ifnull(max(position), 0) FROM log",
+  [STATEMENT_WALK] = "SELECT position, epoch, record FROM log WHERE position >= ?1 ORDER BY position",
+  [STATEMENT_BLANK] = "UPDATE log SET record = x'' WHERE position = ?1",
+  [STATEMENT_PUT_META] = "INSERT OR REPLACE INTO meta VALUES (?1, ?2)",
+  [STATEMENT_GET_META] = "SELECT number FROM meta WHERE name = ?1",
+};
+
+struct _QuinceBatchLog
+{
+  sqlite3 *database;
+  sqlite3_stmt *statements[N_STATEMENTS];
+  guint64 replica;
+  guint64 last_index;
+  guint64 commit;
+};
+
+/* ---- Statements ------------------------------------------------------- */
+
+static gboolean
+fail (QuinceBatchLog *log, const char *doing, GError **error)
+{
+  g_set_error (error, QUINCE_BATCH_LOG_ERROR, QUINCE_BATCH_LOG_ERROR_DISK, "%s: %s", doing,
+               sqlite3_errmsg (log->database));
+  return FALSE;
+}
+
+static gboolean
+execute (QuinceBatchLog *log, const char *text, GError **error)
+{
+  return sqlite3_exec (log->database, text, NULL, NULL, NULL) == SQLITE_OK || fail (log, "execute", error);
+}
+
+static gboolean
+finish (QuinceBatchLog *log, Statement which, GError **error)
+{
+  sqlite3_stmt *statement = log->statements[which];
+  gboolean done = sqlite3_step (statement) == SQLITE_DONE;
+  if (!done)
+    fail (log, statement_texts[which], error);
+  sqlite3_reset (statement);
+  sqlite3_clear_bindings (statement);
+  return done;
+}
+
+/* The one number that the statement yields, or 0. */
+static guint64
+ask_number (QuinceBatchLog *log, Statement which)
+{
+  sqlite3_stmt *statement = log->statements[which];
+  guint64 number = sqlite3_step (statement) == SQLITE_ROW ? (guint64)sqlite3_column_int64 (statement, 0) : 0;
+  sqlite3_reset (statement);
+  sqlite3_clear_bindings (statement);
+  return number;
+}
+
+static guint64
+get_meta (QuinceBatchLog *log, const char *name)
+{
+  sqlite3_bind_text (log->statements[STATEMENT_GET_META], 1, name, -1, SQLITE_STATIC);
+  return ask_number (log, STATEMENT_GET_META);
+}
+
+static gboolean
+put_meta (QuinceBatchLog *log, const char *name, guint64 number, GError **error)
+{
+  sqlite3_stmt *statement = log->statements[STATEMENT_PUT_META];
+  sqlite3_bind_text (statement, 1, name, -1, SQLITE_STATIC);
+  sqlite3_bind_int64 (statement, 2, (sqlite3_int64)number);
+  return finish (log, STATEMENT_PUT_META, error);
+}
+
+/* ---- Opening ---------------------------------------------------------- */
+
+static guint64
+random_replica (void)
+{
+  guint64 id = ((guint64)g_random_int () << 32) | g_random_int ();
+  id ^= (guint64)g_get_real_time ();
+  /* SQLite's numbers are signed; 0 means none. */
+  return (id & G_MAXINT64) | 1;
+}
+
+static gboolean
+prepare (QuinceBatchLog *log, GError **error)
+{
+  if (!execute (log, schema_text, error))
+    return FALSE;
+  for (guint i = 0; i < N_STATEMENTS; i++)
+    if (sqlite3_prepare_v2 (log->database, statement_texts[i], -1, &log->statements[i], NULL) != SQLITE_OK)
+      return fail (log, statement_texts[i], error);
+  log->replica = get_meta (log, "replica");
+  log->commit = get_meta (log, "commit");
+  log->last_index = ask_number (log, STATEMENT_LAST);
+  return TRUE;
+}
+
+static QuinceBatchLog *
+try_open (const char *path, GError **error)
+{
+  g_autoptr (QuinceBatchLog) log = g_new0 (QuinceBatchLog, 1);
+  if (sqlite3_open (path, &log->database) != SQLITE_OK)
+    {
+      fail (log, path, error);
+      return NULL;
+    }
+  return prepare (log, error) ? g_steal_pointer (&log) : NULL;
+}
+
+static void
+remove_files (const char *path)
+{
+  static const char *const endings[] = { "", "-wal", "-journal" };
+  for (guint i = 0; i < G_N_ELEMENTS (endings); i++)
+    {
+      g_autofree char *file = g_strconcat (path, endings[i], NULL);
+      g_remove (file);
+    }
+}
+
+QuinceBatchLog *
+quince_batch_log_open (const char *folder, gboolean *was_empty, GError **error)
+{
+  g_autofree char *path = g_build_filename (folder, LOG_FILE, NULL);
+  g_autoptr (QuinceBatchLog) log = try_open (path, NULL);
+  if (log == NULL)
+    {
+      remove_files (path);
+      log = try_open (path, error);
+    }
+  if (log == NULL)
+    return NULL;
+  *was_empty = log->replica == 0;
+  if (*was_empty)
+    {
+      guint64 replica = random_replica ();
+      if (!put_meta (log, "replica", replica, error))
+        return NULL;
+      log->replica = replica;
+    }
+  return g_steal_pointer (&log);
+}
+
+void
+quince_batch_log_close (QuinceBatchLog *log)
+{
+  if (log == NULL)
+    return;
+  for (guint i = 0; i < N_STATEMENTS; i++)
+    sqlite3_finalize (log->statements[i]);
+  sqlite3_close (log->database);
+  g_free (log);
+}
+
+guint64
+quince_batch_log_get_replica (const QuinceBatchLog *log)
+{
+  return log->replica;
+}
+
+guint64
+quince_batch_log_get_last_index (const QuinceBatchLog *log)
+{
+  return log->last_index;
+}
+
+guint64
+quince_batch_log_get_commit (const QuinceBatchLog *log)
+{
+  return log->commit;
+}
+
+guint64
+quince_batch_log_get_epoch (QuinceBatchLog *log, guint64 index)
+{
+  sqlite3_bind_int64 (log->statements[STATEMENT_EPOCH], 1, (sqlite3_int64)index);
+  return ask_number (log, STATEMENT_EPOCH);
+}
+
+/* ---- Writing ---------------------------------------------------------- */
+
+static gboolean
+cut_from (QuinceBatchLog *log, guint64 index, GError **error)
+{
+  sqlite3_bind_int64 (log->statements[STATEMENT_CUT], 1, (sqlite3_int64)index);
+  return finish (log, STATEMENT_CUT, error);
+}
+
+static gboolean
+put_entry (QuinceBatchLog *log, const QuinceLogEntry *entry, guint64 *last_index, GError **error)
+{
+  if (entry->index <= *last_index)
+    {
+      if (quince_batch_log_get_epoch (log, entry->index) == entry->epoch)
+        return TRUE;
+      if (!cut_from (log, entry->index, error))
+        return FALSE;
+    }
+  sqlite3_stmt *statement = log->statements[STATEMENT_PUT];
+  sqlite3_bind_int64 (statement, 1, (sqlite3_int64)entry->index);
+  sqlite3_bind_int64 (statement, 2, (sqlite3_int64)entry->epoch);
+  sqlite3_bind_blob64 (statement, 3, entry->record.record_len > 0 ? entry->record.record_val : "",
+                       entry->record.record_len, SQLITE_STATIC);
+  *last_index = entry->index;
+  return finish (log, STATEMENT_PUT, error);
+}
+
+static gboolean
+put_all (QuinceBatchLog *log,
+         const QuinceLogEntry *entries,
+         guint n_entries,
+         gboolean reset,
+         guint64 end_index,
+         guint64 commit,
+         guint64 *last_index,
+         GError **error)
+{
+  if (reset && !cut_from (log, 0, error))
+    return FALSE;
+  if (reset)
+    *last_index = 0;
+  for (guint i = 0; i < n_entries; i++)
+    if (!put_entry (log, &entries[i], last_index, error))
+      return FALSE;
+  if (*last_index > end_index && !cut_from (log, end_index + 1, error))
+    return FALSE;
+  *last_index = MIN (*last_index, end_index);
+  return put_meta (log, "commit", commit, error);
+}
+
+gboolean
+quince_batch_log_append (QuinceBatchLog *log,
+                         const QuinceLogEntry *entries,
+                         guint n_entries,
+                         gboolean reset,
+                         guint64 end_index,
+                         guint64 commit,
+                         GError **error)
+{
+  guint64 last_index = log->last_index;
+  if (!execute (log, "BEGIN IMMEDIATE", error))
+    return FALSE;
+  if (!put_all (log, entries, n_entries, reset, end_index, commit, &last_index, error)
+      || !execute (log, "COMMIT", error))
+    {
+      execute (log, "ROLLBACK", NULL);
+      return FALSE;
+    }
+  log->last_index = last_index;
+  log->commit = commit;
+  return TRUE;
+}
+
+gboolean
+quince_batch_log_blank (QuinceBatchLog *log, const guint64 *indexes, guint n_indexes, GError **error)
+{
+  if (!execute (log, "BEGIN IMMEDIATE", error))
+    return FALSE;
+  for (guint i = 0; i < n_indexes; i++)
+    {
+      sqlite3_bind_int64 (log->statements[STATEMENT_BLANK], 1, (sqlite3_int64)indexes[i]);
+      if (finish (log, STATEMENT_BLANK, error))
+        continue;
+      execute (log, "ROLLBACK", NULL);
+      return FALSE;
+    }
+  return execute (log, "COMMIT", error);
+}
+
+gboolean
+quince_batch_log_walk (QuinceBatchLog *log,
+                       guint64 first_index,
+                       QuinceBatchLogVisit visit,
+                       gpointer user_data,
+                       GError **error)
+{
+  sqlite3_stmt *statement = log->statements[STATEMENT_WALK];
+  sqlite3_bind_int64 (statement, 1, (sqlite3_int64)first_index);
+  int status = SQLITE_ROW;
+  gboolean more = TRUE;
+  while (more && (status = sqlite3_step (statement)) == SQLITE_ROW)
+    {
+      QuinceLogEntry entry = { .index = (guint64)sqlite3_column_int64 (statement, 0),
+                               .epoch = (guint64)sqlite3_column_int64 (statement, 1) };
+      entry.record.record_val = (char *)sqlite3_column_blob (statement, 2);
+      entry.record.record_len = (u_int)sqlite3_column_bytes (statement, 2);
+      more = visit (&entry, user_data);
+    }
+  sqlite3_reset (statement);
+  return status == SQLITE_ROW || status == SQLITE_DONE || fail (log, "walk", error);
+}
--- /dev/null
+++ b/lib/core/batches/batch-book.c
@@ -0,0 +1,161 @@
+/*
+ * batch-book.c: batches, their items and listed results.
+ */
+#include <quince/batch-book.h>
+
+struct _QuinceBatchBook
+{
+  GHashTable *by_id; /* QuinceBatchEntry, owned */
+  GPtrArray *order;  /* the same, in order of submission */
+  const QuinceBatchBookCallbacks *callbacks;
+  gpointer user_data;
+};
+
+static void
+entry_free (gpointer data)
+{
+  QuinceBatchEntry *entry = data;
+  quince_batch_job_free (entry->batch);
+  g_ptr_array_unref (entry->results);
+  g_array_unref (entry->indexes);
+  g_free (entry->is_listed);
+  g_free (entry);
+}
+
+QuinceBatchBook *
+quince_batch_book_new (const QuinceBatchBookCallbacks *callbacks, gpointer user_data)
+{
+  QuinceBatchBook *book = g_new0 (QuinceBatchBook, 1);
+  book->by_id = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, entry_free);
+  book->order = g_ptr_array_new ();
+  book->callbacks = callbacks;
+  book->user_data = user_data;
+  return book;
+}
+
+void
+quince_batch_book_free (QuinceBatchBook *book)
+{
+  if (book == NULL)
+    return;
+  g_ptr_array_unref (book->order);
+  g_hash_table_unref (book->by_id);
+  g_free (book);
+}
+
+static void
+tell (QuinceBatchBook *book, void (*callback) (QuinceBatchEntry *, gpointer), QuinceBatchEntry *entry)
+{
+  if (callback != NULL)
+    callback (entry, book->user_data);
+}
+
+static void
+apply_submit (QuinceBatchBook *book, guint64 index, QuinceBatchRecord *record)
+{
+  QuinceBatchJob *submitted = &record->QuinceBatchRecord_u.submit;
+  if (g_hash_table_contains (book->by_id, submitted->id))
+    return;
+  QuinceBatchEntry *entry = g_new0 (QuinceBatchEntry, 1);
+  /* The texts move over; the record is left empty. */
+  entry->batch = g_memdup2 (submitted, sizeof *submitted);
+  *submitted = (QuinceBatchJob){ 0 };
+  entry->results = g_ptr_array_new_with_free_func ((GDestroyNotify)quince_batch_result_free);
+  entry->is_listed = g_new0 (gboolean, entry->batch->items.items_len);
+  entry->indexes = g_array_new (FALSE, FALSE, sizeof (guint64));
+  g_array_append_val (entry->indexes, index);
+  g_hash_table_insert (book->by_id, entry->batch->id, entry);
+  g_ptr_array_add (book->order, entry);
+  tell (book, book->callbacks->submitted, entry);
+}
+
+static void
+apply_result (QuinceBatchBook *book, guint64 index, QuinceBatchRecord *record)
+{
+  QuinceBatchResult *result = &record->QuinceBatchRecord_u.result;
+  QuinceBatchEntry *entry = g_hash_table_lookup (book->by_id, result->batch);
+  if (entry == NULL)
+    return;
+  g_array_append_val (entry->indexes, index);
+  if (result->item >= entry->batch->items.items_len || entry->is_listed[result->item])
+    return;
+  entry->is_listed[result->item] = TRUE;
+  g_ptr_array_add (entry->results, g_memdup2 (result, sizeof *result));
+  *result = (QuinceBatchResult){ 0 };
+  tell (book, book->callbacks->listed, entry);
+}
+
+static void
+apply_end (QuinceBatchBook *book, guint64 index, const QuinceBatchRecord *record)
+{
+  QuinceBatchEntry *entry = g_hash_table_lookup (book->by_id, record->QuinceBatchRecord_u.ended);
+  if (entry == NULL)
+    return;
+  g_array_append_val (entry->indexes, index);
+  if (entry->ended)
+    return;
+  entry->ended = TRUE;
+  tell (book, book->callbacks->ended, entry);
+}
+
+static void
+apply_forget (QuinceBatchBook *book, const QuinceBatchRecord *record)
+{
+  QuinceBatchEntry *entry = g_hash_table_lookup (book->by_id, record->QuinceBatchRecord_u.forget.batch);
+  if (entry == NULL)
+    return;
+  tell (book, book->callbacks->forgotten, entry);
+  g_ptr_array_remove (book->order, entry);
+  g_hash_table_remove (book->by_id, entry->batch->id);
+}
+
+void
+quince_batch_book_apply (QuinceBatchBook *book, guint64 index, QuinceBatchRecord *record)
+{
+  switch (record->kind)
+    {
+    case QUINCE_BATCH_RECORD_SUBMIT:
+      apply_submit (book, index, record);
+      break;
+    case QUINCE_BATCH_RECORD_RESULT:
+      apply_result (book, index, record);
+      break;
+    case QUINCE_BATCH_RECORD_END:
+      apply_end (book, index, record);
+      break;
+    case QUINCE_BATCH_RECORD_FORGET:
+      apply_forget (book, record);
+      break;
+    }
+  quince_batch_record_free (record);
+}
+
+QuinceBatchEntry *
+quince_batch_book_find (QuinceBatchBook *book, const char *batch)
+{
+  return g_hash_table_lookup (book->by_id, batch);
+}
+
+guint
+quince_batch_book_get_size (const QuinceBatchBook *book)
+{
+  return book->order->len;
+}
+
+GPtrArray *
+quince_batch_book_list (QuinceBatchBook *book)
+{
+  GPtrArray *list = g_ptr_array_sized_new (book->order->len);
+  for (guint i = 0; i < book->order->len; i++)
+    g_ptr_array_add (list, book->order->pdata[i]);
+  return list;
+}
+
+gint
+quince_batch_entry_find_item (const QuinceBatchEntry *entry, const char *item)
+{
+  for (guint i = 0; i < entry->batch->items.items_len; i++)
+    if (g_str_equal (entry->batch->items.items_val[i].id, item))
+      return (gint)i;
+  return -1;
+}
--- /dev/null
+++ b/lib/core/group/ledger-proposals.c
@@ -0,0 +1,271 @@
+/*
+ * ledger-proposals.c: which change of the view a replica proposes, and when.
+ */
+#include "ledger-group-private.h"
+
+#include <string.h>
+
+/* Backups take over one after the other, so that they do not compete. */
+#define RANK_STEP_US (400 * 1000)
+#define RETRY_US (300 * 1000)
+
+static gboolean
+is_leaving (const QuinceLedgerGroup *group, const char *node)
+{
+  return group->leaving != NULL && g_strv_contains ((const char *const *)group->leaving, node);
+}
+
+/* ---- Editing a view --------------------------------------------------- */
+
+static void
+view_add (QuinceLedgerView *view, const char *node, const char *address, guint64 replica)
+{
+  guint length = view->members.members_len;
+  view->members.members_val
+      = g_realloc_n (view->members.members_val, length + 1, sizeof (QuinceLedgerMember));
+  view->members.members_val[length].node = quince_string (node);
+  view->members.members_val[length].address = quince_string (address);
+  view->members.members_val[length].replica = replica;
+  view->members.members_len = length + 1;
+}
+
+static void
+view_remove (QuinceLedgerView *view, guint64 replica)
+{
+  guint kept = 0;
+  for (guint i = 0; i < view->members.members_len; i++)
+    {
+      QuinceLedgerMember *member = &view->members.members_val[i];
+      if (member->replica != replica)
+        {
+          view->members.members_val[kept++] = *member;
+          continue;
+        }
+      g_free (member->node);
+      g_free (member->address);
+    }
+  view->members.members_len = kept;
+}
+
+/* ---- A backup, or nobody yet ------------------------------------------ */
+
+static QuinceLedgerView *
+found_view (const QuinceLedgerGroup *group)
+{
+  QuinceLedgerView *view = g_new0 (QuinceLedgerView, 1);
+  view->epoch = 1;
+  view->primary = group->self.replica;
+  view_add (view, group->self.node, group->self.address, group->self.replica);
+  return view;
+}
+
+/* The place of this replica among the backups. */
+static guint
+own_rank (const QuinceLedgerGroup *group)
+{
+  guint rank = 0;
+  for (guint i = 0; i < group->view->members.members_len; i++)
+    {
+      guint64 replica = group->view->members.members_val[i].replica;
+      if (replica == group->self.replica)
+        break;
+      rank += replica != group->view->primary;
+    }
+  return rank;
+}
+
+static QuinceLedgerView *
+takeover_view (const QuinceLedgerGroup *group, gint64 now_us)
+{
+  const QuinceLedgerView *now = group->view;
+  if (!quince_ledger_group_has_member (group, group->self.replica))
+    return NULL;
+  gboolean was_own = now->primary == group->self.replica;
+  gint64 patience = group->limits.primary_silence_us + (gint64)own_rank (group) * RANK_STEP_US;
+  if (!was_own && now_us - group->primary_heard_us < patience)
+    return NULL;
+  QuinceLedgerView *view = quince_ledger_view_copy (now);
+  view->epoch = now->epoch + 1;
+  view->primary = group->self.replica;
+  /* A silent primary goes only if enough copies remain: it may hold the last one of something. */
+  if (!was_own && now->members.members_len > group->limits.copies_least)
+    view_remove (view, now->primary);
+  return view;
+}
+
+/* ---- The primary ------------------------------------------------------- */
+
+static gboolean
+is_silent (const QuinceLedgerGroup *group, gint64 now_us, guint64 replica)
+{
+  if (replica == group->self.replica)
+    return FALSE;
+  const QuinceLedgerPeer *peer = quince_ledger_group_find_peer (group, replica);
+  gint64 heard = MAX (peer != NULL ? peer->acked_us : 0, group->became_primary_us);
+  return now_us - heard > group->limits.member_silence_us;
+}
+
+static gboolean
+is_caught_up (const QuinceLedgerGroup *group, gint64 now_us, const QuinceLedgerPeer *peer)
+{
+  /* Before the recovery is over, records beyond the commit index may have been committed too. */
+  guint64 needed = MAX (quince_ledger_group_get_commit_index (group), group->recovery_index);
+  return peer->acked_us > 0 && now_us - peer->acked_us <= group->limits.confirm_us
+         && peer->last_index >= needed;
+}
+
+/* The member whose place @peer may take: the same machine with another disk, a silent or a leaving one. */
+static const QuinceLedgerMember *
+replaceable_by (const QuinceLedgerGroup *group,
+                gint64 now_us,
+                const QuinceLedgerView *view,
+                const QuinceLedgerPeer *peer)
+{
+  const QuinceLedgerMember *found = NULL;
+  for (guint i = 0; i < view->members.members_len; i++)
+    {
+      const QuinceLedgerMember *member = &view->members.members_val[i];
+      if (member->replica == group->self.replica)
+        continue;
+      if (g_str_equal (member->node, peer->node))
+        return member;
+      if (is_silent (group, now_us, member->replica) || is_leaving (group, member->node))
+        found = member;
+    }
+  return found;
+}
+
+static gboolean
+take_joiners_in (const QuinceLedgerGroup *group, gint64 now_us, QuinceLedgerView *view)
+{
+  gboolean changed = FALSE;
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, group->peers);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const QuinceLedgerPeer *peer = value;
+      if (quince_ledger_view_find (view, peer->replica) != NULL || !is_caught_up (group, now_us, peer)
+          || is_leaving (group, peer->node))
+        continue;
+      const QuinceLedgerMember *replaced = replaceable_by (group, now_us, view, peer);
+      if (replaced == NULL && view->members.members_len >= group->limits.members_wanted)
+        continue;
+      if (replaced != NULL)
+        view_remove (view, replaced->replica);
+      view_add (view, peer->node, peer->address, peer->replica);
+      changed = TRUE;
+    }
+  return changed;
+}
+
+static gboolean
+take_silent_out (const QuinceLedgerGroup *group, gint64 now_us, QuinceLedgerView *view)
+{
+  for (guint i = 0; i < view->members.members_len; i++)
+    {
+      const QuinceLedgerMember *member = &view->members.members_val[i];
+      gboolean goes = is_silent (group, now_us, member->replica)
+                      || (member->replica != group->self.replica && is_leaving (group, member->node));
+      if (!goes || view->members.members_len <= group->limits.copies_least)
+        continue;
+      view_remove (view, member->replica);
+      return TRUE;
+    }
+  return FALSE;
+}
+
+/* The machine of this primary is to be emptied: another member leads. */
+static gboolean
+hand_over (const QuinceLedgerGroup *group, gint64 now_us, QuinceLedgerView *view)
+{
+  if (!is_leaving (group, group->self.node) || view->members.members_len <= group->limits.copies_least)
+    return FALSE;
+  for (guint i = 0; i < view->members.members_len; i++)
+    {
+      guint64 replica = view->members.members_val[i].replica;
+      const QuinceLedgerPeer *peer = quince_ledger_group_find_peer (group, replica);
+      if (peer == NULL || !is_caught_up (group, now_us, peer) || is_leaving (group, peer->node))
+        continue;
+      view->primary = replica;
+      view->epoch++;
+      view_remove (view, group->self.replica);
+      return TRUE;
+    }
+  return FALSE;
+}
+
+static QuinceLedgerView *
+primary_view (const QuinceLedgerGroup *group, gint64 now_us)
+{
+  QuinceLedgerView *view = quince_ledger_view_copy (group->view);
+  gboolean changed = take_joiners_in (group, now_us, view);
+  if (!changed)
+    changed = take_silent_out (group, now_us, view);
+  if (!changed)
+    changed = hand_over (group, now_us, view);
+  /* An unknown proposal is settled by any newer one. */
+  if (changed || group->maybe_members->len > 0)
+    return view;
+  quince_ledger_view_free (view);
+  return NULL;
+}
+
+/* ---- Proposals --------------------------------------------------------- */
+
+static void
+remember_members (QuinceLedgerGroup *group, const QuinceLedgerView *view)
+{
+  for (guint i = 0; i < view->members.members_len; i++)
+    {
+      guint64 replica = view->members.members_val[i].replica;
+      gboolean known = quince_ledger_group_has_member (group, replica);
+      for (guint j = 0; j < group->maybe_members->len; j++)
+        known = known || g_array_index (group->maybe_members, guint64, j) == replica;
+      if (!known)
+        g_array_append_val (group->maybe_members, replica);
+    }
+}
+
+QuinceLedgerView *
+quince_ledger_group_step (QuinceLedgerGroup *group, gint64 now_us, guint64 *expected_revision)
+{
+  if (group->proposal != NULL || !group->view_is_read || now_us < group->propose_after_us)
+    return NULL;
+  QuinceLedgerView *view = NULL;
+  if (group->role == QUINCE_LEDGER_PRIMARY)
+    view = primary_view (group, now_us);
+  else if (group->role == QUINCE_LEDGER_BACKUP)
+    view = takeover_view (group, now_us);
+  else if (group->may_found)
+    view = found_view (group);
+  if (view == NULL)
+    return NULL;
+  if (group->role == QUINCE_LEDGER_PRIMARY)
+    remember_members (group, view);
+  else
+    group->proposed_epoch = view->epoch;
+  group->proposal = quince_ledger_view_copy (view);
+  group->proposed_us = now_us;
+  *expected_revision = group->revision;
+  return view;
+}
+
+void
+quince_ledger_group_proposal_ended (QuinceLedgerGroup *group,
+                                    gint64 now_us,
+                                    QuinceProposalOutcome outcome,
+                                    guint64 revision)
+{
+  g_autoptr (QuinceLedgerView) proposal = g_steal_pointer (&group->proposal);
+  if (proposal == NULL)
+    return;
+  if (outcome == QUINCE_PROPOSAL_DONE)
+    quince_ledger_group_set_view (group, now_us, group->proposed_us, proposal, revision);
+  else
+    group->propose_after_us = now_us + RETRY_US;
+  if (outcome == QUINCE_PROPOSAL_UNKNOWN)
+    group->proposal_may_come = TRUE;
+  if (outcome == QUINCE_PROPOSAL_NOT_DONE && !group->proposal_may_come)
+    g_array_set_size (group->maybe_members, 0);
+}
--- a/lib/protocol/codec.c
+++ b/lib/protocol/codec.c
@@ -113,6 +113,10 @@
 QUINCE_DEFINE_CODEC (QuincePolicyBody, quince_policy_body)
 QUINCE_DEFINE_CODEC (QuinceCommand, quince_command)
 QUINCE_DEFINE_CODEC (QuinceSampleResult, quince_sample_result)
+QUINCE_DEFINE_CODEC (QuinceBatchJob, quince_batch_job)
+QUINCE_DEFINE_CODEC (QuinceBatchResult, quince_batch_result)
+QUINCE_DEFINE_CODEC (QuinceBatchRecord, quince_batch_record)
+QUINCE_DEFINE_CODEC (QuinceLedgerView, quince_ledger_view)
 
 void
 quince_ledger_reply_set_empty (QuinceLedgerReply *reply, QuinceCommandKind kind)
--- a/lib/protocol/quince_protocol.x
+++ b/lib/protocol/quince_protocol.x
@@ -22,6 +22,8 @@
 const QUINCE_MAX_ENTRIES   = 4096;
 const QUINCE_MAX_SEGMENTS  = 4096;
 const QUINCE_MAX_POLICY    = 65536;
+const QUINCE_MAX_ITEMS     = 16384;
+const QUINCE_MAX_INDEXES   = 65536;
 const QUINCE_MAX_FRAME     = 67108864;
 const QUINCE_PROTOCOL_VERSION = 1;
 
@@ -460,6 +462,139 @@
     string         text<QUINCE_MAX_POLICY>;
 };
 
+/* ---- Batches: what the batch ledger keeps ---------------------------- */
+
+typedef string QuinceText<QUINCE_MAX_TEXT>;
+
+struct QuinceTextPair {
+    QuinceText name;
+    QuinceText value;
+};
+
+/* A call that judges a finished sample. */
+struct QuinceRewardCall {
+    QuinceText id;
+    QuinceText host;
+    QuinceText path;
+    opaque     body<QUINCE_MAX_FRAME>;
+};
+
+struct QuinceBatchItem {
+    QuinceText       id;
+    QuinceText       path;
+    QuinceTextPair   headers<64>;
+    opaque           body<QUINCE_MAX_FRAME>;
+    unsigned int     tokens;          /* of the prompt and the most out    */
+    QuinceText       group;           /* empty: a group of its own         */
+    QuinceRewardCall reward<1>;
+};
+
+struct QuinceBatchJob {
+    QuinceText      id;
+    QuinceText      host;
+    QuinceText      path;             /* of the submission: leads to its route */
+    QuinceText      model;
+    unsigned hyper  submitted_ms;     /* wall clock of who took it         */
+    unsigned hyper  step;
+    unsigned hyper  minimum_version;
+    unsigned int    wanted_groups;
+    QuinceBatchItem items<QUINCE_MAX_ITEMS>;
+};
+
+struct QuinceBatchResult {
+    QuinceText     batch;
+    unsigned int   item;              /* place in QuinceBatchJob.items        */
+    bool           abandoned;
+    opaque         text<QUINCE_MAX_FRAME>;
+    unsigned hyper versions<256>;
+    QuinceText     score;
+};
+
+/* The records of the batch, its submission first, may be dropped. */
+struct QuinceBatchForget {
+    QuinceText     batch;
+    unsigned hyper indexes<QUINCE_MAX_INDEXES>;
+};
+
+enum QuinceBatchRecordKind {
+    QUINCE_BATCH_RECORD_SUBMIT = 0,
+    QUINCE_BATCH_RECORD_RESULT = 1,
+    QUINCE_BATCH_RECORD_END    = 2,
+    QUINCE_BATCH_RECORD_FORGET = 3
+};
+
+union QuinceBatchRecord switch (QuinceBatchRecordKind kind) {
+case QUINCE_BATCH_RECORD_SUBMIT: QuinceBatchJob       submit;
+case QUINCE_BATCH_RECORD_RESULT: QuinceBatchResult result;
+case QUINCE_BATCH_RECORD_END:    QuinceText        ended;
+case QUINCE_BATCH_RECORD_FORGET: QuinceBatchForget forget;
+};
+
+/* ---- Batch ledger: one primary, its backups, and who they are --------- */
+
+struct QuinceLedgerMember {
+    QuinceText     node;
+    QuinceText     address;           /* of its link server                */
+    unsigned hyper replica;           /* of its disk; 0 never              */
+};
+
+/* Lies in the metadata store and changes there under a condition only. */
+struct QuinceLedgerView {
+    unsigned hyper     epoch;         /* grows with each primary           */
+    unsigned hyper     primary;       /* replica of one of the members     */
+    QuinceLedgerMember members<64>;   /* all hold all that was acknowledged */
+};
+
+struct QuinceLogEntry {
+    unsigned hyper index;
+    unsigned hyper epoch;
+    opaque         record<QUINCE_MAX_FRAME>;
+};
+
+/* A backup to its primary, first on a link. */
+struct QuinceLedgerHello {
+    QuinceLedgerMember member;
+    unsigned hyper     last_index;
+    unsigned hyper     last_epoch;
+    unsigned hyper     commit_index;  /* of what surely is in every later log */
+    unsigned hyper     commit_epoch;
+};
+
+struct QuinceLedgerAppend {
+    unsigned hyper epoch;
+    unsigned hyper replica;           /* whom it is for                    */
+    bool           reset;             /* drop all that is held first       */
+    unsigned hyper end_index;         /* of the primary's log              */
+    unsigned hyper held_index;        /* after this the receiver holds that log up to here */
+    unsigned hyper commit_index;
+    unsigned hyper sent_us;           /* primary's monotonic clock         */
+    QuinceLogEntry entries<4096>;
+};
+
+struct QuinceLedgerAck {
+    unsigned hyper epoch;
+    unsigned hyper replica;
+    unsigned hyper last_index;        /* on disk                           */
+    unsigned hyper echo_us;           /* sent_us of what is answered       */
+};
+
+/* A caller's call that the ledger's primary answers, passed on as it came. */
+struct QuinceServiceCall {
+    unsigned hyper id;                /* of the link                       */
+    QuinceText     method;
+    QuinceText     target;
+    QuinceTextPair headers<128>;
+    opaque         body<QUINCE_MAX_FRAME>;
+};
+
+struct QuinceServiceReply {
+    unsigned hyper id;
+    unsigned int   status;
+    unsigned int   retry_after_ms;    /* 0: none                           */
+    QuinceText     content_type;
+    opaque         body<QUINCE_MAX_FRAME>;
+};
+
 /* ---- TCP envelope --------------------------------------------------- */
 
 enum QuinceMessageKind {
@@ -473,7 +608,12 @@
     QUINCE_MESSAGE_LEDGER_REPLY  = 7,
     QUINCE_MESSAGE_REPLICATION   = 8,
     QUINCE_MESSAGE_POLICY_FETCH  = 9,
-    QUINCE_MESSAGE_POLICY_BODY   = 10
+    QUINCE_MESSAGE_POLICY_BODY   = 10,
+    QUINCE_MESSAGE_LEDGER_HELLO  = 11,
+    QUINCE_MESSAGE_LEDGER_APPEND = 12,
+    QUINCE_MESSAGE_LEDGER_ACK    = 13,
+    QUINCE_MESSAGE_SERVICE_CALL  = 14,
+    QUINCE_MESSAGE_SERVICE_REPLY = 15
 };
 
 union QuinceMessage switch (QuinceMessageKind kind) {
@@ -488,6 +628,11 @@
 case QUINCE_MESSAGE_REPLICATION:   QuinceReplication  replication;
 case QUINCE_MESSAGE_POLICY_FETCH:  QuincePolicyFetch  policy_fetch;
 case QUINCE_MESSAGE_POLICY_BODY:   QuincePolicyBody   policy_body;
+case QUINCE_MESSAGE_LEDGER_HELLO:  QuinceLedgerHello  ledger_hello;
+case QUINCE_MESSAGE_LEDGER_APPEND: QuinceLedgerAppend ledger_append;
+case QUINCE_MESSAGE_LEDGER_ACK:    QuinceLedgerAck    ledger_ack;
+case QUINCE_MESSAGE_SERVICE_CALL:  QuinceServiceCall  service_call;
+case QUINCE_MESSAGE_SERVICE_REPLY: QuinceServiceReply service_reply;
 };
 
 /* ---- UDP: membership and digests ------------------------------------ */
