--- /dev/null
+++ b/daemons/front/caller-request.c
@@ -0,0 +1,247 @@
+/*
+ * caller-request.c: one request of a caller, from its last byte to its answer.
+ *
+ * A request for a plain service is forwarded to a worker; what is about batches goes to the ledger's primary.
+ * "Not run" (503) is said only of what no worker and no ledger can have seen.
+ */
+#include "caller-request.h"
+
+#include <string.h>
+
+#include <quince/forward.h>
+#include <quince/log.h>
+#include <quince/task.h>
+
+#include "platform.h"
+
+/* Where a request names no deadline. */
+#define DEADLINE_DEFAULT_MS 30000
+/* A caller that is refused may come back after it. */
+#define RETRY_AFTER_MS 200
+#define LEDGER_RETRY_AFTER_MS 300
+/* How long a ledger call may take beyond what its caller lets it wait. */
+#define LEDGER_READ_MS 1500
+#define LEDGER_SUBMIT_MS 4000
+
+struct _QuinceCallerRequest
+{
+  /* All fields belong to the main context. */
+  QuinceFront *front;
+  QuinceHttpHead *head;
+  GByteArray *body;
+  QuinceCall call;
+  gint64 received_us;
+  QuinceForward *forward;
+  QuinceLedgerCallHandle *ledger_call;
+  gboolean submits; /* a batch: its loss leaves open whether it was taken */
+  void (*done) (const QuinceCallerAnswer *, gpointer);
+  gpointer user_data;
+};
+
+static void
+request_free (QuinceCallerRequest *request)
+{
+  quince_http_head_free (request->head);
+  g_byte_array_unref (request->body);
+  quince_platform_call_clear (&request->call);
+  g_free (request);
+}
+
+void
+quince_caller_request_cancel (QuinceCallerRequest *request)
+{
+  if (request->forward != NULL)
+    quince_forward_cancel (request->forward);
+  if (request->ledger_call != NULL)
+    quince_ledger_call_cancel (request->ledger_call);
+  quince_log_info ("caller_left", "target=%s", request->head->target);
+  quince_front_request_ended (request->front);
+  request_free (request);
+}
+
+static void
+finish (QuinceCallerRequest *request, const QuinceCallerAnswer *answer)
+{
+  request->done (answer, request->user_data);
+  request_free (request);
+}
+
+static void
+finish_error (QuinceCallerRequest *request, guint status, const char *cause, guint retry_after_ms)
+{
+  QuincePlatformRequestFacts facts;
+  quince_platform_read_request (request->head->headers, &facts);
+  g_autofree char *id = quince_log_quote (facts.request_id);
+  g_autofree char *target = quince_log_quote (request->head->target);
+  quince_log_warning ("request_refused", "request=%s target=%s status=%u cause=%s age_ms=%" G_GINT64_FORMAT,
+                      id, target, status, cause, (quince_now_us () - request->received_us) / 1000);
+  g_autofree char *text = g_strdup_printf ("{\"error\":{\"type\":\"%s\"}}", cause);
+  const QuinceCallerAnswer answer = { .status = status,
+                                      .content_type = "application/json",
+                                      .body = text,
+                                      .body_length = strlen (text),
+                                      .retry_after_ms = retry_after_ms };
+  finish (request, &answer);
+}
+
+/* ---- Requests for workers --------------------------------------------- */
+
+static void
+forward_done (const QuinceForwardResult *result, gpointer data)
+{
+  QuinceCallerRequest *request = data;
+  request->forward = NULL;
+  switch (result->outcome)
+    {
+    case QUINCE_FORWARD_ANSWERED:
+      {
+        g_autoptr (QuinceHttpHeaders) headers = quince_http_headers_copy (result->head->headers);
+        quince_http_headers_remove_hop_by_hop (headers);
+        const QuinceCallerAnswer answer = { .status = result->head->status,
+                                            .headers = headers,
+                                            .body = (const char *)result->body->data,
+                                            .body_length = result->body->len };
+        finish (request, &answer);
+        break;
+      }
+    case QUINCE_FORWARD_REFUSED:
+      finish_error (request, 503, result->cause != NULL ? result->cause : "no_worker", RETRY_AFTER_MS);
+      break;
+    case QUINCE_FORWARD_TIMEOUT:
+      finish_error (request, 504, "timeout", 0);
+      break;
+    case QUINCE_FORWARD_FAILED:
+      finish_error (request, 502, result->cause != NULL ? result->cause : "worker_failed", 0);
+      break;
+    }
+}
+
+static void
+forward_request (QuinceCallerRequest *request, const QuinceRoute *route)
+{
+  QuincePlatformRequestFacts facts;
+  quince_platform_read_request (request->head->headers, &facts);
+  guint deadline_ms = facts.deadline_ms > 0 ? facts.deadline_ms : DEADLINE_DEFAULT_MS;
+  guint timeout_ms = route->timeout_ms > 0 ? MIN (route->timeout_ms, deadline_ms) : deadline_ms;
+  g_autoptr (QuinceHttpHeaders) headers = quince_http_headers_copy (request->head->headers);
+  quince_http_headers_remove_hop_by_hop (headers);
+  g_autoptr (GBytes) body = g_bytes_new (request->body->data, request->body->len);
+  const QuinceForwardRequest forward = {
+    .service = quince_front_next_service (request->front, route),
+    .kind = route->name,
+    .method = request->head->method,
+    .target = request->head->target,
+    .request_id = facts.request_id,
+    .headers = headers,
+    .body = body,
+    .repeatable = route->kind == QUINCE_ROUTE_IDEMPOTENT,
+    .max_attempts = route->max_attempts,
+    .target_latency_ms = route->target_latency_ms,
+    .deadline_us = request->received_us + (gint64)deadline_ms * 1000,
+    .give_up_us = request->received_us + (gint64)timeout_ms * 1000,
+  };
+  request->forward = quince_forward_start (request->front->backends, &quince_platform_forward_dialect,
+                                           &forward, forward_done, request);
+}
+
+/* ---- Calls about batches ---------------------------------------------- */
+
+static void
+ledger_done (QuinceLedgerCallOutcome outcome, const QuinceServiceReply *reply, gpointer data)
+{
+  QuinceCallerRequest *request = data;
+  request->ledger_call = NULL;
+  if (outcome == QUINCE_LEDGER_CALL_LOST && request->submits)
+    {
+      finish_error (request, 504, "ledger_unknown", 0);
+      return;
+    }
+  if (outcome != QUINCE_LEDGER_CALL_ANSWERED)
+    {
+      finish_error (request, 503, "ledger_unreachable", LEDGER_RETRY_AFTER_MS);
+      return;
+    }
+  if (reply->status >= 500)
+    {
+      finish_error (request, reply->status, "ledger_refused", reply->retry_after_ms);
+      return;
+    }
+  const QuinceCallerAnswer answer = { .status = reply->status,
+                                      .content_type = reply->content_type,
+                                      .body = reply->body.body_val,
+                                      .body_length = reply->body.body_len,
+                                      .retry_after_ms = reply->retry_after_ms };
+  finish (request, &answer);
+}
+
+static void
+call_ledger (QuinceCallerRequest *request)
+{
+  guint wait_ms = quince_platform_read_wait (request->head->headers);
+  guint timeout_ms = request->submits ? LEDGER_SUBMIT_MS : wait_ms + LEDGER_READ_MS;
+  request->ledger_call
+      = quince_ledger_caller_start (request->front->ledger, request->head->method, request->head->target,
+                                    request->head->headers, request->body, timeout_ms, ledger_done, request);
+}
+
+/* ---- Routing ---------------------------------------------------------- */
+
+/* Returns: %FALSE when the request is over. */
+static gboolean
+route_request (QuinceCallerRequest *request)
+{
+  QuinceRouteTable *routes = quince_observer_get_routes (request->front->observer);
+  if (routes == NULL)
+    {
+      finish_error (request, 503, "no_configuration", RETRY_AFTER_MS);
+      return FALSE;
+    }
+  const char *host = quince_http_headers_get (request->head->headers, "Host");
+  const QuinceRoute *route
+      = quince_route_table_find (routes, host != NULL ? host : "", request->head->target);
+  if (route == NULL)
+    {
+      finish_error (request, 404, "no_route", 0);
+      return FALSE;
+    }
+  request->submits = route->kind == QUINCE_ROUTE_ROLLOUT;
+  if (request->submits)
+    call_ledger (request);
+  else
+    forward_request (request, route);
+  return TRUE;
+}
+
+QuinceCallerRequest *
+quince_caller_request_start (QuinceFront *front,
+                             QuinceHttpHead *head,
+                             GByteArray *body,
+                             gint64 received_us,
+                             void (*done) (const QuinceCallerAnswer *answer, gpointer user_data),
+                             gpointer user_data)
+{
+  QuinceCallerRequest *request = g_new0 (QuinceCallerRequest, 1);
+  request->front = front;
+  request->head = head;
+  request->body = body;
+  request->received_us = received_us;
+  request->done = done;
+  request->user_data = user_data;
+  quince_platform_read_call (head->method, head->target, &request->call);
+  switch (request->call.kind)
+    {
+    case QUINCE_CALL_REQUEST:
+      return route_request (request) ? request : NULL;
+    case QUINCE_CALL_RESULTS:
+    case QUINCE_CALL_ITEM:
+    case QUINCE_CALL_END:
+      call_ledger (request);
+      return request;
+    case QUINCE_CALL_READY:
+    case QUINCE_CALL_RESOLVE:
+    case QUINCE_CALL_UNKNOWN:
+    default:
+      finish_error (request, 404, "no_route", 0);
+      return NULL;
+    }
+}
--- /dev/null
+++ b/daemons/front/directory.h
@@ -0,0 +1,19 @@
+/*
+ * directory.h: which fronts callers are told to use.
+ */
+#pragma once
+
+#include <quince/codec.h>
+
+typedef struct _QuinceDirectory QuinceDirectory;
+
+QuinceDirectory *quince_directory_new (const char *own_name, const char *own_address, const char *own_zone);
+void quince_directory_free (QuinceDirectory *directory);
+/* This front serves, or does not any more. */
+void quince_directory_set_serving (QuinceDirectory *directory, gboolean serving);
+/* What a front writes of itself into the metadata store, and how it is taken from there. */
+GBytes *quince_directory_format_entry (const char *address, const char *zone, gboolean leaving);
+void quince_directory_take_entry (QuinceDirectory *directory, gint64 now_us, const char *name, GBytes *entry);
+/* (transfer full): addresses, those of @zone first, %NULL-terminated. */
+char **quince_directory_list (QuinceDirectory *directory, gint64 now_us, const char *zone);
+guint quince_directory_get_size (QuinceDirectory *directory, gint64 now_us);
--- /dev/null
+++ b/daemons/front/front-settings.c
@@ -0,0 +1,33 @@
+/*
+ * front-settings.c: the settings of quinceroute-front.
+ */
+#include "front-settings.h"
+
+#define SECOND G_USEC_PER_SEC
+#define MILLISECOND (G_USEC_PER_SEC / 1000)
+
+/* clang-format off: one setting a line */
+const QuinceSettingSpec quince_front_setting_specs[] = {
+  { "node", "name", QUINCE_SETTING_NAME, TRUE, NULL, 0, 0, NULL, "name of this machine" },
+  { "node", "zone", QUINCE_SETTING_NAME, TRUE, NULL, 0, 0, NULL, "zone that it stands in" },
+  { "node", "region", QUINCE_SETTING_NAME, FALSE, NULL, 0, 0, NULL, "region of that zone" },
+  { "listen", "callers", QUINCE_SETTING_ADDRESS, TRUE, NULL, 0, 0, NULL, "address for callers' requests" },
+  { "listen", "ready", QUINCE_SETTING_ADDRESS, TRUE, NULL, 0, 0, NULL, "address of the readiness check" },
+  { "listen", "directory", QUINCE_SETTING_ADDRESS, TRUE, NULL, 0, 0, NULL,
+    "address where callers ask which fronts to use" },
+  { "store", "address", QUINCE_SETTING_ADDRESS, TRUE, NULL, 0, 0, NULL, "address of the metadata store" },
+  { "store", "workers_pace", QUINCE_SETTING_DURATION, FALSE, "1s", 10 * MILLISECOND, 60 * SECOND, NULL,
+    "least time between two looks at the list of workers" },
+  { "store", "presence", QUINCE_SETTING_DURATION, FALSE, "6s", SECOND, 600 * SECOND, NULL,
+    "this front leaves the directory's answers that long after it was last heard" },
+  { "directory", "keep", QUINCE_SETTING_DURATION, FALSE, "2s", SECOND, 60 * SECOND, NULL,
+    "how long callers keep an answer" },
+  { "stop", "grace", QUINCE_SETTING_DURATION, FALSE, "8s", SECOND, 600 * SECOND, NULL,
+    "time from a planned stop to the end of the process" },
+  { "policy", "file", QUINCE_SETTING_TEXT, FALSE, NULL, 0, 0, NULL,
+    "policy program until operators accept another one" },
+  { "log", "level", QUINCE_SETTING_CHOICE, FALSE, "info", 0, 0, "debug|info|warning|error",
+    "least severe level written" },
+};
+/* clang-format on */
+const gsize quince_front_n_setting_specs = G_N_ELEMENTS (quince_front_setting_specs);
--- /dev/null
+++ b/daemons/front/front-settings.h
@@ -0,0 +1,9 @@
+/*
+ * front-settings.h: the settings of quinceroute-front.
+ */
+#pragma once
+
+#include <quince/settings.h>
+
+extern const QuinceSettingSpec quince_front_setting_specs[];
+extern const gsize quince_front_n_setting_specs;
--- /dev/null
+++ b/daemons/front/front.c
@@ -0,0 +1,272 @@
+/*
+ * front.c: the parts of a front, its start and its planned stop.
+ */
+#include "front.h"
+
+#include <string.h>
+
+#include <quince/link.h>
+#include <quince/log.h>
+#include <quince/program.h>
+#include <quince/task.h>
+
+#include "caller-connection.h"
+#include "platform.h"
+
+/* A stopping front serves on for this long at least: callers keep their answers of the directory. */
+#define STOP_SERVE_US (4 * G_USEC_PER_SEC)
+/* Left for the end of the process itself. */
+#define STOP_MARGIN_US (700 * 1000)
+#define STOP_STEP_MS 100
+/* Turns of a split: the golden ratio spreads them evenly. */
+#define SPLIT_STEP 0.6180339887498949
+
+/* ---- Beliefs ---------------------------------------------------------- */
+
+static void
+take_ledger_view (QuinceFront *front, GBytes *value)
+{
+  if (value == NULL)
+    return;
+  gsize length;
+  gconstpointer data = g_bytes_get_data (value, &length);
+  g_autoptr (QuinceLedgerView) view = quince_ledger_view_decode (data, length, NULL);
+  if (view != NULL)
+    quince_ledger_caller_set_view (front->ledger, view);
+}
+
+static void
+own_key (const char *key, GBytes *value, guint64 revision, gpointer data)
+{
+  QuinceFront *front = data;
+  if (g_str_equal (key, QUINCE_LEDGER_KEY))
+    take_ledger_view (front, value);
+  else if (g_str_has_prefix (key, QUINCE_FRONTS_PREFIX))
+    quince_directory_take_entry (front->directory, quince_now_us (), key + strlen (QUINCE_FRONTS_PREFIX),
+                                 value);
+}
+
+static void
+configuration_changed (QuinceRouteTable *table, gpointer data)
+{
+  QuinceFront *front = data;
+  quince_directory_set_serving (front->directory, !quince_front_is_stopping (front));
+}
+
+static const QuinceObserverCallbacks observer_callbacks
+    = { .own_key = own_key, .configuration = configuration_changed };
+
+const char *
+quince_front_next_service (QuinceFront *front, const QuinceRoute *route)
+{
+  if (route->parts->len == 1)
+    return quince_route_pick_service (route, 0);
+  double *turn = g_hash_table_lookup (front->split_turns, route->name);
+  if (turn == NULL)
+    {
+      turn = g_new (double, 1);
+      *turn = g_random_double ();
+      g_hash_table_insert (front->split_turns, g_strdup (route->name), turn);
+    }
+  *turn += SPLIT_STEP;
+  if (*turn >= 1)
+    *turn -= 1;
+  return quince_route_pick_service (route, *turn);
+}
+
+gboolean
+quince_front_is_stopping (const QuinceFront *front)
+{
+  return front->stop_us != 0;
+}
+
+void
+quince_front_request_ended (QuinceFront *front)
+{
+  front->in_progress--;
+}
+
+/* ---- Start ------------------------------------------------------------ */
+
+static void
+caller_accepted (GSocket *socket, gpointer data)
+{
+  quince_caller_connection_accept (data, QUINCE_LISTEN_CALLERS, socket);
+}
+
+static void
+ready_accepted (GSocket *socket, gpointer data)
+{
+  quince_caller_connection_accept (data, QUINCE_LISTEN_READY, socket);
+}
+
+static void
+directory_accepted (GSocket *socket, gpointer data)
+{
+  quince_caller_connection_accept (data, QUINCE_LISTEN_DIRECTORY, socket);
+}
+
+static gboolean
+open_listeners (QuinceFront *front, const QuinceSettings *settings, GError **error)
+{
+  const char *callers = quince_settings_get_text (settings, "listen", "callers");
+  const char *ready = quince_settings_get_text (settings, "listen", "ready");
+  const char *directory = quince_settings_get_text (settings, "listen", "directory");
+  front->callers_acceptor = quince_http_acceptor_new (callers, caller_accepted, front, error);
+  if (front->callers_acceptor == NULL)
+    return FALSE;
+  front->ready_acceptor = quince_http_acceptor_new (ready, ready_accepted, front, error);
+  if (front->ready_acceptor == NULL)
+    return FALSE;
+  front->directory_acceptor = quince_http_acceptor_new (directory, directory_accepted, front, error);
+  return front->directory_acceptor != NULL;
+}
+
+static gboolean
+load_policy (QuinceFront *front, const char *path, GError **error)
+{
+  if (*path == '\0')
+    return TRUE;
+  g_autofree char *text = NULL;
+  gsize length;
+  if (!g_file_get_contents (path, &text, &length, error))
+    return FALSE;
+  QuincePolicy *policy = quince_policy_compile (text, length, 0, error);
+  if (policy == NULL)
+    return FALSE;
+  quince_backends_set_policy (front->backends, policy);
+  return TRUE;
+}
+
+static char *
+presence_key (const QuinceFront *front)
+{
+  return g_strconcat (QUINCE_FRONTS_PREFIX, front->name, NULL);
+}
+
+static void
+announce (QuinceFront *front, const QuinceSettings *settings)
+{
+  g_autofree char *key = presence_key (front);
+  g_autoptr (GBytes) entry = quince_directory_format_entry (
+      quince_http_acceptor_get_address (front->callers_acceptor), front->zone, FALSE);
+  guint ttl_ms = (guint)(quince_settings_get_duration_us (settings, "store", "presence") / 1000);
+  front->presence = quince_meta_presence_new (front->store, key, entry, ttl_ms);
+}
+
+gpointer
+quince_front_start (const QuinceSettings *settings, GError **error)
+{
+  QuinceFront *front = g_new0 (QuinceFront, 1);
+  front->name = g_strdup (quince_settings_get_text (settings, "node", "name"));
+  front->zone = g_strdup (quince_settings_get_text (settings, "node", "zone"));
+  front->grace_us = quince_settings_get_duration_us (settings, "stop", "grace");
+  front->directory_keep_s
+      = (guint)(quince_settings_get_duration_us (settings, "directory", "keep") / G_USEC_PER_SEC);
+  front->connections = g_hash_table_new (NULL, NULL);
+  front->split_turns = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  front->backends = quince_backends_new (front->zone);
+  front->ledger = quince_ledger_caller_new ();
+  if (!open_listeners (front, settings, error)
+      || !load_policy (front, quince_settings_get_text (settings, "policy", "file"), error))
+    {
+      quince_front_free (front);
+      return NULL;
+    }
+  const char *address = quince_http_acceptor_get_address (front->callers_acceptor);
+  front->directory = quince_directory_new (front->name, address, front->zone);
+  front->store = quince_meta_store_new (quince_settings_get_text (settings, "store", "address"),
+                                        &quince_platform_meta_dialect);
+  guint pace_ms = (guint)(quince_settings_get_duration_us (settings, "store", "workers_pace") / 1000);
+  front->observer = quince_observer_new (front->store, front->backends, pace_ms, &observer_callbacks, front);
+  announce (front, settings);
+  return front;
+}
+
+char *
+quince_front_ready_line (gpointer self)
+{
+  const QuinceFront *front = self;
+  return g_strdup_printf ("callers=%s ready=%s directory=%s",
+                          quince_http_acceptor_get_address (front->callers_acceptor),
+                          quince_http_acceptor_get_address (front->ready_acceptor),
+                          quince_http_acceptor_get_address (front->directory_acceptor));
+}
+
+/* ---- Planned stop ----------------------------------------------------- */
+
+static void
+drop_idle_connections (QuinceFront *front)
+{
+  g_autoptr (GPtrArray) idle = g_ptr_array_new ();
+  GHashTableIter iter;
+  gpointer connection;
+  g_hash_table_iter_init (&iter, front->connections);
+  while (g_hash_table_iter_next (&iter, &connection, NULL))
+    if (quince_caller_connection_is_idle (connection))
+      g_ptr_array_add (idle, connection);
+  for (guint i = 0; i < idle->len; i++)
+    quince_caller_connection_drop (idle->pdata[i]);
+}
+
+static gboolean
+stop_step (gpointer data)
+{
+  QuinceFront *front = data;
+  gint64 stopping_us = quince_now_us () - front->stop_us;
+  gboolean served = stopping_us >= MIN (STOP_SERVE_US, front->grace_us - STOP_MARGIN_US);
+  if (served && front->callers_acceptor != NULL)
+    {
+      g_clear_pointer (&front->callers_acceptor, quince_http_acceptor_free);
+      drop_idle_connections (front);
+    }
+  gboolean done = served && front->in_progress == 0;
+  if (done || stopping_us >= front->grace_us - STOP_MARGIN_US)
+    {
+      quince_source_clear (&front->stop_timer);
+      quince_program_quit (QUINCE_EXIT_OK);
+      return G_SOURCE_REMOVE;
+    }
+  return G_SOURCE_CONTINUE;
+}
+
+void
+quince_front_stop (gpointer self)
+{
+  QuinceFront *front = self;
+  front->stop_us = quince_now_us ();
+  quince_directory_set_serving (front->directory, FALSE);
+  g_autoptr (GBytes) entry = quince_directory_format_entry (
+      quince_http_acceptor_get_address (front->callers_acceptor), front->zone, TRUE);
+  quince_meta_presence_update (front->presence, entry);
+  front->stop_timer = quince_timer_add (STOP_STEP_MS, stop_step, front);
+}
+
+void
+quince_front_free (gpointer self)
+{
+  QuinceFront *front = self;
+  quince_source_clear (&front->stop_timer);
+  GHashTableIter iter;
+  gpointer connection;
+  g_autoptr (GPtrArray) all = g_ptr_array_new ();
+  g_hash_table_iter_init (&iter, front->connections);
+  while (g_hash_table_iter_next (&iter, &connection, NULL))
+    g_ptr_array_add (all, connection);
+  for (guint i = 0; i < all->len; i++)
+    quince_caller_connection_drop (all->pdata[i]);
+  quince_http_acceptor_free (front->callers_acceptor);
+  quince_http_acceptor_free (front->ready_acceptor);
+  quince_http_acceptor_free (front->directory_acceptor);
+  quince_observer_free (front->observer);
+  quince_meta_presence_free (front->presence);
+  quince_meta_store_free (front->store);
+  quince_directory_free (front->directory);
+  quince_ledger_caller_free (front->ledger);
+  quince_backends_free (front->backends);
+  g_hash_table_unref (front->connections);
+  g_hash_table_unref (front->split_turns);
+  g_free (front->name);
+  g_free (front->zone);
+  g_free (front);
+}
--- /dev/null
+++ b/daemons/front/front.h
@@ -0,0 +1,48 @@
+/*
+ * front.h: a front: takes callers' requests and brings them to workers, or to the ledger's primary.
+ */
+#pragma once
+
+#include <quince/backends.h>
+#include <quince/http1.h>
+#include <quince/observer.h>
+#include <quince/settings.h>
+
+#include "directory.h"
+#include "ledger-caller.h"
+
+typedef struct _QuinceFront QuinceFront;
+
+struct _QuinceFront
+{
+  /* All fields belong to the main context. */
+  char *name;
+  char *zone;
+  QuinceMetaStore *store;
+  QuinceBackends *backends;
+  QuinceObserver *observer;
+  QuinceMetaPresence *presence;
+  QuinceDirectory *directory;
+  QuinceLedgerCaller *ledger;
+  QuinceHttpAcceptor *callers_acceptor;
+  QuinceHttpAcceptor *ready_acceptor;
+  QuinceHttpAcceptor *directory_acceptor;
+  GHashTable *connections; /* QuinceCallerConnection, owned by themselves */
+  GHashTable *split_turns; /* route name to double: place in the turns of its parts */
+  guint in_progress;       /* requests that callers wait for */
+  gint64 grace_us;
+  gint64 stop_us; /* when the planned stop began; 0: running */
+  GSource *stop_timer;
+  guint directory_keep_s;
+};
+
+gpointer quince_front_start (const QuinceSettings *settings, GError **error);
+char *quince_front_ready_line (gpointer self);
+void quince_front_stop (gpointer self);
+void quince_front_free (gpointer self);
+
+/* The service for the next request on @route; the parts of a split take turns by their weights. */
+const char *quince_front_next_service (QuinceFront *front, const QuinceRoute *route);
+gboolean quince_front_is_stopping (const QuinceFront *front);
+/* One request less is in progress. */
+void quince_front_request_ended (QuinceFront *front);
--- /dev/null
+++ b/daemons/front/ledger-caller.c
@@ -0,0 +1,254 @@
+/*
+ * ledger-caller.c: a link to the ledger's primary and the calls on it.
+ */
+#include "ledger-caller.h"
+
+#include <quince/link.h>
+#include <quince/log.h>
+#include <quince/task.h>
+
+#define RECONNECT_MS 150
+#define CONNECT_MS 1200
+
+struct _QuinceLedgerCaller
+{
+  /* All fields belong to the main context. */
+  QuinceLink *link; /* NULL between two tries */
+  char *address;    /* of the primary; NULL: not known */
+  guint64 epoch;
+  GSource *timer;    /* next try, or end of this one */
+  GHashTable *calls; /* QuinceLedgerCallHandle by id, owned */
+  guint64 next_id;
+};
+
+struct _QuinceLedgerCall
+{
+  QuinceLedgerCaller *caller;
+  guint64 id;
+  gboolean sent;
+  GSource *timer;
+  QuinceLedgerCallDone done;
+  gpointer user_data;
+};
+
+static void begin_link (QuinceLedgerCaller *caller);
+
+static void
+call_free (gpointer data)
+{
+  QuinceLedgerCallHandle *call = data;
+  quince_source_clear (&call->timer);
+  g_free (call);
+}
+
+static void
+call_end (QuinceLedgerCallHandle *call, QuinceLedgerCallOutcome outcome, const QuinceServiceReply *reply)
+{
+  QuinceLedgerCallDone done = call->done;
+  gpointer user_data = call->user_data;
+  g_hash_table_remove (call->caller->calls, &call->id);
+  done (outcome, reply, user_data);
+}
+
+void
+quince_ledger_call_cancel (QuinceLedgerCallHandle *call)
+{
+  g_hash_table_remove (call->caller->calls, &call->id);
+}
+
+/* ---- The link --------------------------------------------------------- */
+
+static void
+drop_link (QuinceLedgerCaller *caller)
+{
+  quince_source_clear (&caller->timer);
+  if (caller->link == NULL)
+    return;
+  quince_link_close (caller->link);
+  g_clear_pointer (&caller->link, quince_link_unref);
+  g_autoptr (GPtrArray) lost = g_ptr_array_new ();
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, caller->calls);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    if (((QuinceLedgerCallHandle *)value)->sent)
+      g_ptr_array_add (lost, value);
+  for (guint i = 0; i < lost->len; i++)
+    call_end (lost->pdata[i], QUINCE_LEDGER_CALL_LOST, NULL);
+}
+
+static gboolean
+link_again (gpointer data)
+{
+  QuinceLedgerCaller *caller = data;
+  quince_source_clear (&caller->timer);
+  begin_link (caller);
+  return G_SOURCE_REMOVE;
+}
+
+static void
+link_closed (QuinceLink *link, const GError *error, gpointer data)
+{
+  QuinceLedgerCaller *caller = data;
+  quince_log_warning ("dependency_lost", "what=ledger_primary address=%s", caller->address);
+  drop_link (caller);
+  caller->timer = quince_timer_add (RECONNECT_MS, link_again, caller);
+}
+
+static gboolean
+connect_late (gpointer data)
+{
+  QuinceLedgerCaller *caller = data;
+  quince_source_clear (&caller->timer);
+  drop_link (caller);
+  begin_link (caller);
+  return G_SOURCE_REMOVE;
+}
+
+static void
+link_connected (QuinceLink *link, gpointer data)
+{
+  QuinceLedgerCaller *caller = data;
+  quince_source_clear (&caller->timer);
+  quince_log_info ("dependency_regained", "what=ledger_primary address=%s", caller->address);
+}
+
+static void
+link_message (QuinceLink *link, QuinceMessage *message, gpointer data)
+{
+  QuinceLedgerCaller *caller = data;
+  if (message->kind == QUINCE_MESSAGE_SERVICE_REPLY)
+    {
+      const QuinceServiceReply *reply = &message->QuinceMessage_u.service_reply;
+      guint64 id = reply->id;
+      QuinceLedgerCallHandle *call = g_hash_table_lookup (caller->calls, &id);
+      if (call != NULL)
+        call_end (call, QUINCE_LEDGER_CALL_ANSWERED, reply);
+    }
+  quince_message_free (message);
+}
+
+static const QuinceLinkCallbacks link_callbacks
+    = { .connected = link_connected, .message = link_message, .closed = link_closed };
+
+static void
+begin_link (QuinceLedgerCaller *caller)
+{
+  if (caller->address == NULL || caller->link != NULL)
+    return;
+  caller->link = quince_link_connect (caller->address, &link_callbacks, caller);
+  caller->timer = quince_timer_add (CONNECT_MS, connect_late, caller);
+}
+
+/* ---- Public ----------------------------------------------------------- */
+
+QuinceLedgerCaller *
+quince_ledger_caller_new (void)
+{
+  QuinceLedgerCaller *caller = g_new0 (QuinceLedgerCaller, 1);
+  caller->calls = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, call_free);
+  return caller;
+}
+
+void
+quince_ledger_caller_free (QuinceLedgerCaller *caller)
+{
+  if (caller == NULL)
+    return;
+  drop_link (caller);
+  g_hash_table_unref (caller->calls);
+  g_free (caller->address);
+  g_free (caller);
+}
+
+static const QuinceLedgerMember *
+find_primary (const QuinceLedgerView *view)
+{
+  for (guint i = 0; view != NULL && i < view->members.members_len; i++)
+    if (view->members.members_val[i].replica == view->primary)
+      return &view->members.members_val[i];
+  return NULL;
+}
+
+void
+quince_ledger_caller_set_view (QuinceLedgerCaller *caller, const QuinceLedgerView *view)
+{
+  const QuinceLedgerMember *primary = find_primary (view);
+  if (primary == NULL)
+    return;
+  gboolean same = caller->epoch == view->epoch && g_strcmp0 (caller->address, primary->address) == 0;
+  caller->epoch = view->epoch;
+  if (same)
+    return;
+  quince_log_info ("ledger_primary", "node=%s address=%s epoch=%" G_GUINT64_FORMAT, primary->node,
+                   primary->address, (guint64)view->epoch);
+  drop_link (caller);
+  g_free (caller->address);
+  caller->address = g_strdup (primary->address);
+  begin_link (caller);
+}
+
+gboolean
+quince_ledger_caller_is_linked (const QuinceLedgerCaller *caller)
+{
+  return caller->link != NULL && quince_link_is_connected (caller->link);
+}
+
+static gboolean
+call_late (gpointer data)
+{
+  QuinceLedgerCallHandle *call = data;
+  call_end (call, call->sent ? QUINCE_LEDGER_CALL_LOST : QUINCE_LEDGER_CALL_NOT_SENT, NULL);
+  return G_SOURCE_REMOVE;
+}
+
+static void
+send_call (QuinceLedgerCallHandle *call,
+           const char *method,
+           const char *target,
+           const QuinceHttpHeaders *headers,
+           const GByteArray *body)
+{
+  guint n_headers = quince_http_headers_get_length (headers);
+  g_autofree QuinceTextPair *pairs = g_new0 (QuinceTextPair, n_headers + 1);
+  for (guint i = 0; i < n_headers; i++)
+    {
+      const QuinceHttpHeader *line = quince_http_headers_index (headers, i);
+      pairs[i].name = line->name;
+      pairs[i].value = line->value;
+    }
+  QuinceMessage message = { .kind = QUINCE_MESSAGE_SERVICE_CALL };
+  QuinceServiceCall *wire = &message.QuinceMessage_u.service_call;
+  wire->id = call->id;
+  wire->method = (char *)method;
+  wire->target = (char *)target;
+  wire->headers.headers_val = pairs;
+  wire->headers.headers_len = n_headers;
+  wire->body.body_val = (char *)body->data;
+  wire->body.body_len = body->len;
+  quince_link_send (call->caller->link, &message);
+  call->sent = TRUE;
+}
+
+QuinceLedgerCallHandle *
+quince_ledger_caller_start (QuinceLedgerCaller *caller,
+                            const char *method,
+                            const char *target,
+                            const QuinceHttpHeaders *headers,
+                            const GByteArray *body,
+                            guint timeout_ms,
+                            QuinceLedgerCallDone done,
+                            gpointer user_data)
+{
+  QuinceLedgerCallHandle *call = g_new0 (QuinceLedgerCallHandle, 1);
+  call->caller = caller;
+  call->id = ++caller->next_id;
+  call->done = done;
+  call->user_data = user_data;
+  g_hash_table_insert (caller->calls, &call->id, call);
+  if (quince_ledger_caller_is_linked (caller))
+    send_call (call, method, target, headers, body);
+  /* Without a link it is answered at once, from the loop. */
+  call->timer = quince_timer_add (call->sent ? timeout_ms : 0, call_late, call);
+  return call;
+}
--- /dev/null
+++ b/daemons/front/ledger-caller.h
@@ -0,0 +1,40 @@
+/*
+ * ledger-caller.h: brings callers' calls about batches to the ledger's primary.
+ */
+#pragma once
+
+#include <quince/codec.h>
+#include <quince/http1.h>
+
+typedef struct _QuinceLedgerCaller QuinceLedgerCaller;
+typedef struct _QuinceLedgerCall QuinceLedgerCallHandle;
+
+typedef enum
+{
+  QUINCE_LEDGER_CALL_ANSWERED,
+  QUINCE_LEDGER_CALL_NOT_SENT, /* the ledger has not seen it          */
+  QUINCE_LEDGER_CALL_LOST,     /* it may have been carried out        */
+} QuinceLedgerCallOutcome;
+
+/* @reply is NULL but for ANSWERED, and lives until the return. */
+typedef void (*QuinceLedgerCallDone) (QuinceLedgerCallOutcome outcome,
+                                      const QuinceServiceReply *reply,
+                                      gpointer user_data);
+
+QuinceLedgerCaller *quince_ledger_caller_new (void);
+void quince_ledger_caller_free (QuinceLedgerCaller *caller);
+/* NULL: nobody is known to lead. */
+void quince_ledger_caller_set_view (QuinceLedgerCaller *caller, const QuinceLedgerView *view);
+gboolean quince_ledger_caller_is_linked (const QuinceLedgerCaller *caller);
+
+/* done() is called once, never before this returns. */
+QuinceLedgerCallHandle *quince_ledger_caller_start (QuinceLedgerCaller *caller,
+                                                    const char *method,
+                                                    const char *target,
+                                                    const QuinceHttpHeaders *headers,
+                                                    const GByteArray *body,
+                                                    guint timeout_ms,
+                                                    QuinceLedgerCallDone done,
+                                                    gpointer user_data);
+/* The caller has gone: done() is not called any more. */
+void quince_ledger_call_cancel (QuinceLedgerCallHandle *call);
--- /dev/null
+++ b/daemons/replica/batch-service.c
@@ -0,0 +1,512 @@
+/*
+ * batch-service.c: answers fronts' calls about batches.
+ *
+ * What is acknowledged is committed first.  A call that this replica cannot answer for sure gets 503, but a
+ * submission that may have reached the log gets 504: it may yet run.
+ */
+#include "batch-service.h"
+
+#include <string.h>
+
+#include <quince/log.h>
+#include <quince/task.h>
+
+#include "platform.h"
+
+#define RETRY_AFTER_MS 300
+/* Bodies of results in one answer. */
+#define RESULTS_MOST_BYTES (700 * 1024)
+#define FORGET_EVERY_MS 5000
+/* Samples that are not listed, over all batches: more are refused. */
+#define SAMPLES_MOST 200000
+
+/* A call that waits for a commit, or for a result. */
+typedef struct
+{
+  QuinceBatchService *service;
+  QuinceLink *link; /* owned */
+  guint64 id;
+  char *batch;
+  guint64 index;    /* of the record it waits for; 0: for a result */
+  guint64 position; /* results from here on */
+  GSource *timer;
+} Waiter;
+
+struct _QuinceBatchService
+{
+  /* All fields belong to the main context. */
+  QuinceLedgerNode *ledger;
+  QuinceBackends *backends;
+  QuinceObserver *observer;
+  QuinceBatchBook *book;      /* NULL: not leading */
+  QuinceSampleRunner *runner; /* NULL: not leading */
+  GHashTable *submitting;     /* batch id to guint64: index of its record, not committed yet */
+  GPtrArray *waiters;         /* Waiter, owned */
+  gint64 keep_us;
+  GSource *forget_timer;
+  guint unlisted;
+};
+
+/* ---- Answers ---------------------------------------------------------- */
+
+static void
+reply (QuinceLink *link,
+       guint64 id,
+       guint status,
+       const char *content_type,
+       GBytes *body,
+       guint retry_after_ms)
+{
+  QuinceMessage message = { .kind = QUINCE_MESSAGE_SERVICE_REPLY };
+  QuinceServiceReply *wire = &message.QuinceMessage_u.service_reply;
+  gsize length = 0;
+  wire->id = id;
+  wire->status = status;
+  wire->content_type = (char *)content_type;
+  wire->retry_after_ms = retry_after_ms;
+  wire->body.body_val = body != NULL ? (char *)g_bytes_get_data (body, &length) : NULL;
+  wire->body.body_len = (u_int)length;
+  quince_link_send (link, &message);
+}
+
+static void
+reply_status (QuinceLink *link, guint64 id, guint status)
+{
+  reply (link, id, status, "", NULL, status == 503 || status == 429 ? RETRY_AFTER_MS : 0);
+}
+
+static void
+waiter_free (gpointer data)
+{
+  Waiter *waiter = data;
+  quince_source_clear (&waiter->timer);
+  quince_link_unref (waiter->link);
+  g_free (waiter->batch);
+  g_free (waiter);
+}
+
+static Waiter *
+add_waiter (QuinceBatchService *service, QuinceLink *link, guint64 id, const char *batch)
+{
+  Waiter *waiter = g_new0 (Waiter, 1);
+  waiter->service = service;
+  waiter->link = quince_link_ref (link);
+  waiter->id = id;
+  waiter->batch = g_strdup (batch);
+  g_ptr_array_add (service->waiters, waiter);
+  return waiter;
+}
+
+/* ---- Results ---------------------------------------------------------- */
+
+static void
+reply_results (QuinceLink *link, guint64 id, const QuinceBatchEntry *entry, guint64 position)
+{
+  g_autoptr (GArray) listed = g_array_new (FALSE, FALSE, sizeof (QuincePlatformResult));
+  gsize bytes = 0;
+  for (guint64 i = position; i < entry->results->len && (listed->len == 0 || bytes < RESULTS_MOST_BYTES); i++)
+    {
+      const QuinceBatchResult *result = entry->results->pdata[i];
+      QuincePlatformResult row = { entry->batch->items.items_val[result->item].id, result };
+      g_array_append_val (listed, row);
+      bytes += result->text.text_len;
+    }
+  g_autoptr (GBytes) body
+      = quince_platform_format_results (entry->batch->items.items_len, position + listed->len,
+                                        (const QuincePlatformResult *)listed->data, listed->len);
+  reply (link, id, 200, "application/json", body, 0);
+}
+
+static gboolean
+waited_enough (gpointer data)
+{
+  Waiter *waiter = data;
+  QuinceBatchService *service = waiter->service;
+  QuinceBatchEntry *entry = quince_batch_book_find (service->book, waiter->batch);
+  quince_source_clear (&waiter->timer);
+  if (entry != NULL && quince_ledger_node_may_answer (service->ledger))
+    reply_results (waiter->link, waiter->id, entry, waiter->position);
+  else
+    reply_status (waiter->link, waiter->id, 503);
+  g_ptr_array_remove_fast (service->waiters, waiter);
+  return G_SOURCE_REMOVE;
+}
+
+static guint
+wait_of (const QuinceServiceCall *call)
+{
+  g_autoptr (QuinceHttpHeaders) headers = quince_http_headers_new ();
+  for (guint i = 0; i < call->headers.headers_len; i++)
+    quince_http_headers_add (headers, call->headers.headers_val[i].name, call->headers.headers_val[i].value);
+  return quince_platform_read_wait (headers);
+}
+
+static void
+answer_results (QuinceBatchService *service,
+                QuinceLink *link,
+                const QuinceServiceCall *call,
+                const QuinceCall *parsed,
+                QuinceBatchEntry *entry)
+{
+  guint wait_ms = wait_of (call);
+  gboolean nothing = parsed->position >= entry->results->len;
+  gboolean more_may_come = !entry->ended && entry->results->len < entry->batch->items.items_len;
+  if (!nothing || !more_may_come || wait_ms == 0)
+    {
+      reply_results (link, call->id, entry, parsed->position);
+      return;
+    }
+  Waiter *waiter = add_waiter (service, link, call->id, parsed->id);
+  waiter->position = parsed->position;
+  waiter->timer = quince_timer_add (wait_ms, waited_enough, waiter);
+}
+
+static void
+answer_item (QuinceLink *link,
+             const QuinceServiceCall *call,
+             const QuinceCall *parsed,
+             const QuinceBatchEntry *entry)
+{
+  gint place = parsed->item != NULL ? quince_batch_entry_find_item (entry, parsed->item) : -1;
+  if (place < 0)
+    {
+      reply_status (link, call->id, 404);
+      return;
+    }
+  const QuinceBatchItem *item = &entry->batch->items.items_val[place];
+  g_autoptr (GBytes) body = g_bytes_new_static (item->body.body_val, item->body.body_len);
+  reply (link, call->id, 200, "application/octet-stream", body, 0);
+}
+
+/* ---- Changes ---------------------------------------------------------- */
+
+static void
+answer_end (QuinceBatchService *service,
+            QuinceLink *link,
+            const QuinceServiceCall *call,
+            QuinceBatchEntry *entry)
+{
+  if (entry->ended)
+    {
+      reply_status (link, call->id, 200);
+      return;
+    }
+  QuinceBatchRecord record = { .kind = QUINCE_BATCH_RECORD_END };
+  record.QuinceBatchRecord_u.ended = entry->batch->id;
+  guint64 index = quince_ledger_node_append (service->ledger, &record);
+  add_waiter (service, link, call->id, entry->batch->id)->index = index;
+}
+
+static const char *
+header_of (const QuinceServiceCall *call, const char *name)
+{
+  for (guint i = 0; i < call->headers.headers_len; i++)
+    if (g_ascii_strcasecmp (call->headers.headers_val[i].name, name) == 0)
+      return call->headers.headers_val[i].value;
+  return "";
+}
+
+static const char *
+request_id_of (const QuinceServiceCall *call, QuinceHttpHeaders *headers)
+{
+  QuincePlatformRequestFacts facts;
+  for (guint i = 0; i < call->headers.headers_len; i++)
+    quince_http_headers_add (headers, call->headers.headers_val[i].name, call->headers.headers_val[i].value);
+  quince_platform_read_request (headers, &facts);
+  return facts.request_id;
+}
+
+static void
+take_batch (QuinceBatchService *service, QuinceLink *link, const QuinceServiceCall *call, const char *id)
+{
+  g_autoptr (GError) error = NULL;
+  g_autoptr (QuinceBatchJob) batch
+      = quince_platform_read_batch (call->body.body_val, call->body.body_len, &error);
+  if (batch == NULL)
+    {
+      g_autofree char *reason = quince_log_quote (error->message);
+      quince_log_warning ("batch_refused", "batch=%s status=400 reason=%s", id, reason);
+      reply_status (link, call->id, 400);
+      return;
+    }
+  g_free (batch->id);
+  g_free (batch->host);
+  g_free (batch->path);
+  batch->id = quince_string (id);
+  batch->host = quince_string (header_of (call, "Host"));
+  batch->path = quince_string (call->target);
+  batch->submitted_ms = (guint64)quince_wall_ms ();
+  QuinceBatchRecord record = { .kind = QUINCE_BATCH_RECORD_SUBMIT };
+  record.QuinceBatchRecord_u.submit = *batch;
+  guint64 index = quince_ledger_node_append (service->ledger, &record);
+  if (index == 0)
+    {
+      reply_status (link, call->id, 503);
+      return;
+    }
+  g_hash_table_insert (service->submitting, g_strdup (id), g_memdup2 (&index, sizeof index));
+  add_waiter (service, link, call->id, id)->index = index;
+}
+
+static void
+answer_submit (QuinceBatchService *service, QuinceLink *link, const QuinceServiceCall *call)
+{
+  g_autoptr (QuinceHttpHeaders) headers = quince_http_headers_new ();
+  const char *id = request_id_of (call, headers);
+  const guint64 *pending = id != NULL ? g_hash_table_lookup (service->submitting, id) : NULL;
+  if (id == NULL)
+    reply_status (link, call->id, 400);
+  else if (quince_batch_book_find (service->book, id) != NULL)
+    reply_status (link, call->id, 202);
+  else if (pending != NULL)
+    add_waiter (service, link, call->id, id)->index = *pending;
+  else if (!quince_ledger_node_may_accept (service->ledger))
+    reply_status (link, call->id, 503);
+  else if (service->unlisted > SAMPLES_MOST)
+    reply_status (link, call->id, 429);
+  else
+    take_batch (service, link, call, id);
+}
+
+/* ---- Calls ------------------------------------------------------------ */
+
+void
+quince_batch_service_call (QuinceBatchService *service, QuinceLink *link, const QuinceServiceCall *call)
+{
+  if (service->book == NULL || !quince_ledger_node_may_answer (service->ledger))
+    {
+      reply_status (link, call->id, 503);
+      return;
+    }
+  QuinceCall parsed;
+  quince_platform_read_call (call->method, call->target, &parsed);
+  QuinceBatchEntry *entry = parsed.id != NULL ? quince_batch_book_find (service->book, parsed.id) : NULL;
+  gboolean pending = parsed.id != NULL && g_hash_table_contains (service->submitting, parsed.id);
+  if (parsed.kind == QUINCE_CALL_REQUEST)
+    answer_submit (service, link, call);
+  else if (entry == NULL)
+    reply_status (link, call->id, pending ? 503 : 404);
+  else if (parsed.kind == QUINCE_CALL_RESULTS)
+    answer_results (service, link, call, &parsed, entry);
+  else if (parsed.kind == QUINCE_CALL_ITEM)
+    answer_item (link, call, &parsed, entry);
+  else if (parsed.kind == QUINCE_CALL_END)
+    answer_end (service, link, call, entry);
+  else
+    reply_status (link, call->id, 404);
+  quince_platform_call_clear (&parsed);
+}
+
+void
+quince_batch_service_link_closed (QuinceBatchService *service, QuinceLink *link)
+{
+  for (guint i = service->waiters->len; i > 0; i--)
+    if (((Waiter *)service->waiters->pdata[i - 1])->link == link)
+      g_ptr_array_remove_index_fast (service->waiters, i - 1);
+}
+
+/* ---- What the book tells ---------------------------------------------- */
+
+static void
+batch_submitted (QuinceBatchEntry *entry, gpointer data)
+{
+  QuinceBatchService *service = data;
+  service->unlisted += entry->batch->items.items_len;
+  g_hash_table_remove (service->submitting, entry->batch->id);
+  quince_log_info ("batch_taken", "batch=%s model=%s step=%" G_GUINT64_FORMAT " items=%u", entry->batch->id,
+                   entry->batch->model, (guint64)entry->batch->step, entry->batch->items.items_len);
+  if (service->runner != NULL)
+    quince_sample_runner_add (service->runner, entry);
+}
+
+/* Readers that wait for a result of this batch. */
+static void
+batch_listed (QuinceBatchEntry *entry, gpointer data)
+{
+  QuinceBatchService *service = data;
+  service->unlisted--;
+  for (guint i = service->waiters->len; i > 0; i--)
+    {
+      Waiter *waiter = service->waiters->pdata[i - 1];
+      if (waiter->index != 0 || waiter->position >= entry->results->len
+          || !g_str_equal (waiter->batch, entry->batch->id))
+        continue;
+      reply_results (waiter->link, waiter->id, entry, waiter->position);
+      g_ptr_array_remove_index_fast (service->waiters, i - 1);
+    }
+}
+
+static void
+batch_ended (QuinceBatchEntry *entry, gpointer data)
+{
+  QuinceBatchService *service = data;
+  quince_log_info ("batch_ended", "batch=%s listed=%u of=%u", entry->batch->id, entry->results->len,
+                   entry->batch->items.items_len);
+  if (service->runner != NULL)
+    quince_sample_runner_remove (service->runner, entry);
+}
+
+static void
+batch_forgotten (QuinceBatchEntry *entry, gpointer data)
+{
+  QuinceBatchService *service = data;
+  service->unlisted -= entry->batch->items.items_len - entry->results->len;
+  quince_log_info ("batch_forgotten", "batch=%s", entry->batch->id);
+  if (service->runner != NULL)
+    quince_sample_runner_remove (service->runner, entry);
+}
+
+static const QuinceBatchBookCallbacks book_callbacks = { .submitted = batch_submitted,
+                                                         .listed = batch_listed,
+                                                         .ended = batch_ended,
+                                                         .forgotten = batch_forgotten };
+
+static void
+answer_committed (QuinceBatchService *service, guint64 index, guint status)
+{
+  for (guint i = service->waiters->len; i > 0; i--)
+    {
+      Waiter *waiter = service->waiters->pdata[i - 1];
+      if (waiter->index != index)
+        continue;
+      reply_status (waiter->link, waiter->id, status);
+      g_ptr_array_remove_index_fast (service->waiters, i - 1);
+    }
+}
+
+void
+quince_batch_service_committed (QuinceBatchService *service, guint64 index, QuinceBatchRecord *record)
+{
+  if (service->book == NULL)
+    service->book = quince_batch_book_new (&book_callbacks, service);
+  guint status = record->kind == QUINCE_BATCH_RECORD_SUBMIT ? 202 : 200;
+  quince_batch_book_apply (service->book, index, record);
+  if (index != 0)
+    answer_committed (service, index, status);
+}
+
+/* ---- Samples ---------------------------------------------------------- */
+
+static void
+sample_result (const QuinceBatchResult *result, gpointer data)
+{
+  QuinceBatchService *service = data;
+  QuinceBatchRecord record = { .kind = QUINCE_BATCH_RECORD_RESULT };
+  record.QuinceBatchRecord_u.result = *result;
+  quince_ledger_node_append (service->ledger, &record);
+}
+
+static gboolean
+may_run (gpointer data)
+{
+  QuinceBatchService *service = data;
+  return quince_ledger_node_may_answer (service->ledger);
+}
+
+static const QuinceSampleRunnerCallbacks runner_callbacks = { .result = sample_result, .may_run = may_run };
+
+void
+quince_batch_service_pump (QuinceBatchService *service)
+{
+  if (service->runner != NULL)
+    quince_sample_runner_pump (service->runner);
+}
+
+/* ---- Forgetting ------------------------------------------------------- */
+
+static void
+forget (QuinceBatchService *service, const QuinceBatchEntry *entry)
+{
+  QuinceBatchRecord record = { .kind = QUINCE_BATCH_RECORD_FORGET };
+  QuinceBatchForget *wire = &record.QuinceBatchRecord_u.forget;
+  wire->batch = entry->batch->id;
+  wire->indexes.indexes_val = (u_quad_t *)entry->indexes->data;
+  wire->indexes.indexes_len = entry->indexes->len;
+  quince_ledger_node_append (service->ledger, &record);
+}
+
+static gboolean
+forget_old (gpointer data)
+{
+  QuinceBatchService *service = data;
+  if (service->book == NULL || !quince_ledger_node_may_accept (service->ledger))
+    return G_SOURCE_CONTINUE;
+  g_autoptr (GPtrArray) entries = quince_batch_book_list (service->book);
+  gint64 now_ms = quince_wall_ms ();
+  for (guint i = 0; i < entries->len; i++)
+    {
+      const QuinceBatchEntry *entry = entries->pdata[i];
+      gboolean closed = entry->ended || entry->results->len == entry->batch->items.items_len;
+      gint64 age_us = (now_ms - (gint64)entry->batch->submitted_ms) * 1000;
+      if (closed && age_us > service->keep_us)
+        forget (service, entry);
+    }
+  return G_SOURCE_CONTINUE;
+}
+
+/* ---- Leadership ------------------------------------------------------- */
+
+void
+quince_batch_service_lead (QuinceBatchService *service)
+{
+  if (service->book == NULL)
+    service->book = quince_batch_book_new (&book_callbacks, service);
+  service->runner
+      = quince_sample_runner_new (service->backends, service->observer, &runner_callbacks, service);
+  g_autoptr (GPtrArray) entries = quince_batch_book_list (service->book);
+  for (guint i = 0; i < entries->len; i++)
+    {
+      QuinceBatchEntry *entry = entries->pdata[i];
+      if (!entry->ended)
+        quince_sample_runner_add (service->runner, entry);
+    }
+  service->forget_timer = quince_timer_add (FORGET_EVERY_MS, forget_old, service);
+}
+
+void
+quince_batch_service_stop_leading (QuinceBatchService *service)
+{
+  quince_source_clear (&service->forget_timer);
+  g_clear_pointer (&service->runner, quince_sample_runner_free);
+  for (guint i = 0; i < service->waiters->len; i++)
+    {
+      Waiter *waiter = service->waiters->pdata[i];
+      /* What is in the log may yet be committed by the next leader. */
+      reply_status (waiter->link, waiter->id, waiter->index != 0 ? 504 : 503);
+    }
+  g_ptr_array_set_size (service->waiters, 0);
+  g_hash_table_remove_all (service->submitting);
+  g_clear_pointer (&service->book, quince_batch_book_free);
+  service->unlisted = 0;
+}
+
+QuinceBatchService *
+quince_batch_service_new (QuinceBackends *backends, QuinceObserver *observer, gint64 keep_us)
+{
+  QuinceBatchService *service = g_new0 (QuinceBatchService, 1);
+  service->backends = backends;
+  service->observer = observer;
+  service->keep_us = keep_us;
+  service->submitting = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  service->waiters = g_ptr_array_new_with_free_func (waiter_free);
+  return service;
+}
+
+void
+quince_batch_service_set_ledger (QuinceBatchService *service, QuinceLedgerNode *ledger)
+{
+  service->ledger = ledger;
+}
+
+void
+quince_batch_service_free (QuinceBatchService *service)
+{
+  if (service == NULL)
+    return;
+  quince_source_clear (&service->forget_timer);
+  quince_sample_runner_free (service->runner);
+  g_ptr_array_unref (service->waiters);
+  g_hash_table_unref (service->submitting);
+  quince_batch_book_free (service->book);
+  g_free (service);
+}
--- /dev/null
+++ b/daemons/replica/batch-service.h
@@ -0,0 +1,31 @@
+/*
+ * batch-service.h: answers fronts' calls about batches, and keeps what they change in the ledger.
+ */
+#pragma once
+
+#include <quince/batch-book.h>
+#include <quince/link.h>
+#include <quince/observer.h>
+
+#include "ledger-node.h"
+#include "sample-runner.h"
+
+typedef struct _QuinceBatchService QuinceBatchService;
+
+/* @keep_us: a batch that is ended, or whose samples' time is up, is forgotten so long after its submission.
+ */
+QuinceBatchService *
+quince_batch_service_new (QuinceBackends *backends, QuinceObserver *observer, gint64 keep_us);
+void quince_batch_service_free (QuinceBatchService *service);
+/* Set once, before any other call. */
+void quince_batch_service_set_ledger (QuinceBatchService *service, QuinceLedgerNode *ledger);
+
+/* From the ledger: this replica leads, stopped to, has a new committed record. */
+void quince_batch_service_lead (QuinceBatchService *service);
+void quince_batch_service_stop_leading (QuinceBatchService *service);
+void quince_batch_service_committed (QuinceBatchService *service, guint64 index, QuinceBatchRecord *record);
+/* From a front. */
+void quince_batch_service_call (QuinceBatchService *service, QuinceLink *link, const QuinceServiceCall *call);
+void quince_batch_service_link_closed (QuinceBatchService *service, QuinceLink *link);
+/* Workers or versions have changed. */
+void quince_batch_service_pump (QuinceBatchService *service);
--- /dev/null
+++ b/daemons/replica/ledger-node-private.h
@@ -0,0 +1,58 @@
+/*
+ * ledger-node-private.h: state shared by the files of a replica's ledger.
+ */
+#pragma once
+
+#include "ledger-node.h"
+
+/* A backup's link, at the leader. */
+typedef struct
+{
+  QuinceLink *link; /* owned */
+  guint64 replica;
+  guint64 next_index; /* to send */
+  gboolean reset;     /* its records are of no use: the next append replaces all */
+} QuinceBackupLink;
+
+struct _QuinceLedgerNode
+{
+  /* All fields belong to the main context. */
+  QuinceMetaStore *store;
+  const QuinceLedgerNodeCallbacks *callbacks;
+  gpointer user_data;
+  QuinceLedgerMember self;
+  QuinceBatchLog *log;
+  QuinceLedgerGroup *group;
+  QuinceLinkServer *server;
+  GHashTable *incoming; /* QuinceLink, owned: fronts and backups */
+  GSource *tick;
+  gint64 asked_view_us; /* when the view was last asked for; 0: no call on its way */
+  gboolean asking_view;
+
+  /* At the leader. */
+  gboolean led;        /* leadership as told to the owner */
+  guint64 led_epoch;   /* role as last looked at: epoch led, 0 none */
+  guint64 next_index;  /* of the next record */
+  GArray *unwritten;   /* QuinceLogEntry, owned records: not yet on disk */
+  GQueue uncommitted;  /* QuinceLogEntry, owned: on disk or not, not yet told */
+  GHashTable *backups; /* QuinceBackupLink by replica */
+  GSource *flush;
+
+  /* At a backup. */
+  QuinceLink *primary_link;
+  char *primary_address;
+  gint64 primary_tried_us;
+};
+
+/* ledger-replication.c */
+void quince_ledger_node_hello (QuinceLedgerNode *node, QuinceLink *link, const QuinceLedgerHello *hello);
+void quince_ledger_node_acked (QuinceLedgerNode *node, QuinceLink *link, const QuinceLedgerAck *ack);
+void quince_ledger_node_send_backups (QuinceLedgerNode *node, gboolean heartbeat);
+void quince_ledger_node_drop_backup (QuinceLedgerNode *node, QuinceLink *link);
+void quince_ledger_node_drop_backups (QuinceLedgerNode *node);
+void quince_ledger_node_follow (QuinceLedgerNode *node);
+void quince_ledger_node_unfollow (QuinceLedgerNode *node);
+void quince_backup_link_free (gpointer data);
+
+/* ledger-node.c */
+void quince_ledger_node_advance (QuinceLedgerNode *node);
--- /dev/null
+++ b/daemons/replica/ledger-node.c
@@ -0,0 +1,420 @@
+/*
+ * ledger-node.c: one replica of the batch ledger: views, leadership, records.
+ */
+#include "ledger-node-private.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include <quince/log.h>
+#include <quince/observer.h>
+#include <quince/task.h>
+
+#define TICK_MS 150
+/* A leader whose backups do not answer asks the metadata store whether it still leads. */
+#define CONFIRM_EVERY_US (300 * 1000)
+
+/* ---- Links ------------------------------------------------------------ */
+
+static void
+link_message (QuinceLink *link, QuinceMessage *message, gpointer data)
+{
+  QuinceLedgerNode *node = data;
+  switch (message->kind)
+    {
+    case QUINCE_MESSAGE_LEDGER_HELLO:
+      quince_ledger_node_hello (node, link, &message->QuinceMessage_u.ledger_hello);
+      break;
+    case QUINCE_MESSAGE_LEDGER_ACK:
+      quince_ledger_node_acked (node, link, &message->QuinceMessage_u.ledger_ack);
+      break;
+    case QUINCE_MESSAGE_SERVICE_CALL:
+      node->callbacks->service_call (link, &message->QuinceMessage_u.service_call, node->user_data);
+      break;
+    default:
+      break;
+    }
+  quince_message_free (message);
+}
+
+static void
+link_closed (QuinceLink *link, const GError *error, gpointer data)
+{
+  QuinceLedgerNode *node = data;
+  quince_ledger_node_drop_backup (node, link);
+  node->callbacks->link_closed (link, node->user_data);
+  g_hash_table_remove (node->incoming, link);
+}
+
+static const QuinceLinkCallbacks link_callbacks = { .message = link_message, .closed = link_closed };
+
+static void
+link_accepted (QuinceLink *link, gpointer data)
+{
+  QuinceLedgerNode *node = data;
+  g_hash_table_add (node->incoming, link);
+}
+
+/* ---- Views ------------------------------------------------------------ */
+
+static void look_at_role (QuinceLedgerNode *node);
+
+static void
+take_view_read_at (QuinceLedgerNode *node, GBytes *value, guint64 revision, gint64 asked_us)
+{
+  g_autoptr (QuinceLedgerView) view = NULL;
+  if (value != NULL)
+    view = quince_ledger_view_decode (g_bytes_get_data (value, NULL), g_bytes_get_size (value), NULL);
+  quince_ledger_group_set_view (node->group, quince_now_us (), asked_us, view, view != NULL ? revision : 0);
+  look_at_role (node);
+}
+
+void
+quince_ledger_node_take_view (QuinceLedgerNode *node, GBytes *value, guint64 revision)
+{
+  /* A watch may be late: it says nothing of now. */
+  take_view_read_at (node, value, revision, 0);
+}
+
+static void
+view_answered (const QuinceMetaPage *page, guint64 number, const GError *error, gpointer data)
+{
+  QuinceLedgerNode *node = data;
+  node->asking_view = FALSE;
+  gboolean absent = g_error_matches (error, QUINCE_META_ERROR, QUINCE_META_ERROR_GONE);
+  if (error != NULL && !absent)
+    return;
+  const QuinceMetaItem *item = page != NULL && page->items->len > 0 ? page->items->pdata[0] : NULL;
+  take_view_read_at (node, item != NULL ? item->value : NULL, item != NULL ? item->revision : 0,
+                     node->asked_view_us);
+}
+
+static void
+ask_view (QuinceLedgerNode *node)
+{
+  if (node->asking_view)
+    return;
+  node->asking_view = TRUE;
+  node->asked_view_us = quince_now_us ();
+  quince_meta_store_get (node->store, QUINCE_LEDGER_KEY, view_answered, node);
+}
+
+static void
+proposal_answered (const QuinceMetaPage *page, guint64 number, const GError *error, gpointer data)
+{
+  QuinceLedgerNode *node = data;
+  QuinceProposalOutcome outcome = QUINCE_PROPOSAL_DONE;
+  if (g_error_matches (error, QUINCE_META_ERROR, QUINCE_META_ERROR_CONFLICT))
+    outcome = QUINCE_PROPOSAL_CONFLICT;
+  else if (g_error_matches (error, QUINCE_META_ERROR, QUINCE_META_ERROR_UNAVAILABLE))
+    outcome = QUINCE_PROPOSAL_NOT_DONE;
+  else if (error != NULL)
+    outcome = QUINCE_PROPOSAL_UNKNOWN;
+  static const char *const names[] = { "done", "conflict", "not_done", "unknown" };
+  quince_log_info ("view_proposal_ended", "outcome=%s", names[outcome]);
+  quince_ledger_group_proposal_ended (node->group, quince_now_us (), outcome, number);
+  if (outcome == QUINCE_PROPOSAL_CONFLICT || outcome == QUINCE_PROPOSAL_UNKNOWN)
+    ask_view (node);
+  look_at_role (node);
+}
+
+static void
+propose (QuinceLedgerNode *node)
+{
+  guint64 expected = 0;
+  g_autoptr (QuinceLedgerView) view = quince_ledger_group_step (node->group, quince_now_us (), &expected);
+  if (view == NULL)
+    return;
+  quince_log_info ("view_proposed",
+                   "epoch=%" G_GUINT64_FORMAT " primary=%" G_GUINT64_FORMAT
+                   " members=%u on_revision=%" G_GUINT64_FORMAT,
+                   (guint64)view->epoch, (guint64)view->primary, view->members.members_len, expected);
+  g_autoptr (GBytes) value = quince_ledger_view_encode (view, NULL);
+  const QuinceMetaChange change
+      = { .key = QUINCE_LEDGER_KEY, .expected_revision = (gint64)expected, .value = value };
+  quince_meta_store_change (node->store, &change, 1, proposal_answered, node);
+}
+
+/* ---- Leadership ------------------------------------------------------- */
+
+static void
+free_entry (gpointer data)
+{
+  QuinceLogEntry *entry = data;
+  g_free (entry->record.record_val);
+  g_free (entry);
+}
+
+static void
+clear_records (QuinceLedgerNode *node)
+{
+  for (guint i = 0; i < node->unwritten->len; i++)
+    g_free (g_array_index (node->unwritten, QuinceLogEntry, i).record.record_val);
+  g_array_set_size (node->unwritten, 0);
+  g_queue_clear_full (&node->uncommitted, free_entry);
+  quince_source_clear (&node->flush);
+}
+
+static void
+stop_leading (QuinceLedgerNode *node)
+{
+  quince_log_warning ("ledger_role", "role=backup epoch_led=%" G_GUINT64_FORMAT, node->led_epoch);
+  node->led_epoch = 0;
+  quince_ledger_node_drop_backups (node);
+  clear_records (node);
+  if (node->led)
+    {
+      node->led = FALSE;
+      node->callbacks->stopped_leading (node->user_data);
+    }
+}
+
+static void
+begin_leading (QuinceLedgerNode *node, guint64 epoch)
+{
+  node->led_epoch = epoch;
+  node->next_index = quince_batch_log_get_last_index (node->log) + 1;
+  quince_ledger_node_unfollow (node);
+  quince_ledger_node_drop_backups (node);
+  quince_log_info ("ledger_role", "role=primary epoch=%" G_GUINT64_FORMAT " last_index=%" G_GUINT64_FORMAT,
+                   epoch, node->next_index - 1);
+}
+
+static void
+look_at_role (QuinceLedgerNode *node)
+{
+  const QuinceLedgerView *view = quince_ledger_group_get_view (node->group);
+  gboolean primary = quince_ledger_group_get_role (node->group) == QUINCE_LEDGER_PRIMARY;
+  if (node->led_epoch != 0 && (!primary || view->epoch != node->led_epoch))
+    stop_leading (node);
+  if (primary && node->led_epoch == 0)
+    begin_leading (node, view->epoch);
+  quince_ledger_node_follow (node);
+  quince_ledger_node_advance (node);
+}
+
+/* ---- Records ---------------------------------------------------------- */
+
+static void
+tell_record (QuinceLedgerNode *node, const QuinceLogEntry *entry)
+{
+  if (entry->record.record_len == 0)
+    return; /* its batch is forgotten */
+  QuinceBatchRecord *record
+      = quince_batch_record_decode (entry->record.record_val, entry->record.record_len, NULL);
+  if (record != NULL)
+    node->callbacks->committed (entry->index, record, node->user_data);
+  else
+    quince_log_failure ("ledger_record_unreadable", "index=%" G_GUINT64_FORMAT, (guint64)entry->index);
+}
+
+static gboolean
+tell_stored (const QuinceLogEntry *entry, gpointer data)
+{
+  tell_record (data, entry);
+  return TRUE;
+}
+
+/* All that was acknowledged is known and held by enough machines: this replica leads. */
+static void
+take_lead (QuinceLedgerNode *node)
+{
+  g_autoptr (GError) error = NULL;
+  node->led = TRUE;
+  if (!quince_batch_log_walk (node->log, 1, tell_stored, node, &error))
+    quince_log_failure ("ledger_disk_failed", "doing=read reason=\"%s\"", error->message);
+  quince_log_info ("ledger_recovered", "epoch=%" G_GUINT64_FORMAT " index=%" G_GUINT64_FORMAT,
+                   node->led_epoch, quince_batch_log_get_last_index (node->log));
+  node->callbacks->leads (node->user_data);
+}
+
+void
+quince_ledger_node_advance (QuinceLedgerNode *node)
+{
+  if (node->led_epoch == 0)
+    return;
+  if (!node->led && quince_ledger_group_may_answer (node->group, quince_now_us ()))
+    take_lead (node);
+  if (!node->led)
+    return;
+  guint64 commit = quince_ledger_group_get_commit_index (node->group);
+  while (node->uncommitted.head != NULL && ((QuinceLogEntry *)node->uncommitted.head->data)->index <= commit)
+    {
+      QuinceLogEntry *entry = g_queue_pop_head (&node->uncommitted);
+      tell_record (node, entry);
+      free_entry (entry);
+    }
+}
+
+static gboolean
+flush_records (gpointer data)
+{
+  QuinceLedgerNode *node = data;
+  quince_source_clear (&node->flush);
+  g_autoptr (GError) error = NULL;
+  if (!quince_batch_log_append (node->log, (const QuinceLogEntry *)node->unwritten->data,
+                                node->unwritten->len, FALSE, node->next_index - 1,
+                                quince_ledger_group_get_commit_index (node->group), &error))
+    {
+      quince_log_failure ("ledger_disk_failed", "doing=append reason=\"%s\"", error->message);
+      abort (); /* a leader that cannot write must not go on: another one takes over */
+    }
+  for (guint i = 0; i < node->unwritten->len; i++)
+    g_queue_push_tail (&node->uncommitted, g_memdup2 (&g_array_index (node->unwritten, QuinceLogEntry, i),
+                                                      sizeof (QuinceLogEntry)));
+  g_array_set_size (node->unwritten, 0);
+  quince_ledger_group_set_last_index (node->group, quince_batch_log_get_last_index (node->log));
+  quince_ledger_node_send_backups (node, FALSE);
+  quince_ledger_node_advance (node);
+  return G_SOURCE_REMOVE;
+}
+
+guint64
+quince_ledger_node_append (QuinceLedgerNode *node, const QuinceBatchRecord *record)
+{
+  if (!node->led)
+    return 0;
+  g_autoptr (GError) error = NULL;
+  g_autoptr (GBytes) encoded = quince_batch_record_encode (record, &error);
+  if (encoded == NULL)
+    {
+      quince_log_failure ("ledger_record_refused", "reason=\"%s\"", error->message);
+      return 0;
+    }
+  QuinceLogEntry entry = { .index = node->next_index++, .epoch = node->led_epoch };
+  gsize length;
+  entry.record.record_val = g_bytes_unref_to_data (g_steal_pointer (&encoded), &length);
+  entry.record.record_len = (u_int)length;
+  g_array_append_val (node->unwritten, entry);
+  if (node->flush == NULL)
+    node->flush = quince_timer_add (0, flush_records, node);
+  return entry.index;
+}
+
+/* ---- Time ------------------------------------------------------------- */
+
+static gboolean
+tick (gpointer data)
+{
+  QuinceLedgerNode *node = data;
+  gint64 now = quince_now_us ();
+  propose (node);
+  quince_ledger_node_follow (node);
+  if (node->led_epoch != 0)
+    {
+      quince_ledger_node_send_backups (node, TRUE);
+      /* It may also have been doing nothing for long, and the view may have changed meanwhile. */
+      if (!quince_ledger_group_may_accept (node->group, now) && now - node->asked_view_us > CONFIRM_EVERY_US)
+        ask_view (node);
+      quince_ledger_node_advance (node);
+    }
+  return G_SOURCE_CONTINUE;
+}
+
+/* ---- Public ----------------------------------------------------------- */
+
+QuinceLedgerNode *
+quince_ledger_node_new (const QuinceLedgerNodeOptions *options,
+                        QuinceMetaStore *store,
+                        const QuinceLedgerNodeCallbacks *callbacks,
+                        gpointer user_data,
+                        GError **error)
+{
+  gboolean was_empty = FALSE;
+  g_autoptr (QuinceBatchLog) log = quince_batch_log_open (options->folder, &was_empty, error);
+  if (log == NULL)
+    return NULL;
+  QuinceLedgerNode *node = g_new0 (QuinceLedgerNode, 1);
+  node->server = quince_link_server_new (options->listen, &link_callbacks, link_accepted, node, error);
+  if (node->server == NULL)
+    {
+      g_free (node);
+      return NULL;
+    }
+  node->store = store;
+  node->callbacks = callbacks;
+  node->user_data = user_data;
+  node->log = g_steal_pointer (&log);
+  node->self.node = g_strdup (options->node);
+  node->self.address = g_strdup (quince_link_server_get_address (node->server));
+  node->self.replica = quince_batch_log_get_replica (node->log);
+  node->group = quince_ledger_group_new (&node->self, &options->limits, options->may_found, quince_now_us ());
+  quince_ledger_group_set_last_index (node->group, quince_batch_log_get_last_index (node->log));
+  node->incoming = g_hash_table_new_full (NULL, NULL, (GDestroyNotify)quince_link_unref, NULL);
+  node->backups = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, quince_backup_link_free);
+  node->unwritten = g_array_new (FALSE, FALSE, sizeof (QuinceLogEntry));
+  g_queue_init (&node->uncommitted);
+  quince_log_info ("disk_opened", "replica=%" G_GUINT64_FORMAT " empty=%s last_index=%" G_GUINT64_FORMAT,
+                   (guint64)node->self.replica, was_empty ? "true" : "false",
+                   quince_batch_log_get_last_index (node->log));
+  ask_view (node);
+  node->tick = quince_timer_add (TICK_MS, tick, node);
+  return node;
+}
+
+void
+quince_ledger_node_free (QuinceLedgerNode *node)
+{
+  if (node == NULL)
+    return;
+  quince_source_clear (&node->tick);
+  clear_records (node);
+  quince_ledger_node_unfollow (node);
+  quince_ledger_node_drop_backups (node);
+  GHashTableIter iter;
+  gpointer link;
+  g_hash_table_iter_init (&iter, node->incoming);
+  while (g_hash_table_iter_next (&iter, &link, NULL))
+    quince_link_close (link);
+  g_hash_table_unref (node->incoming);
+  g_hash_table_unref (node->backups);
+  g_array_unref (node->unwritten);
+  quince_link_server_free (node->server);
+  quince_ledger_group_free (node->group);
+  quince_batch_log_close (node->log);
+  g_free (node->self.node);
+  g_free (node->self.address);
+  g_free (node);
+}
+
+void
+quince_ledger_node_set_leaving (QuinceLedgerNode *node, const char *const *nodes)
+{
+  quince_ledger_group_set_leaving (node->group, nodes);
+}
+
+gboolean
+quince_ledger_node_is_leading (const QuinceLedgerNode *node)
+{
+  return node->led;
+}
+
+gboolean
+quince_ledger_node_may_answer (const QuinceLedgerNode *node)
+{
+  return node->led && quince_ledger_group_may_answer (node->group, quince_now_us ());
+}
+
+gboolean
+quince_ledger_node_may_accept (const QuinceLedgerNode *node)
+{
+  return node->led && quince_ledger_group_may_accept (node->group, quince_now_us ());
+}
+
+gboolean
+quince_ledger_node_may_order (const QuinceLedgerNode *node)
+{
+  return node->led && quince_ledger_group_may_order (node->group, quince_now_us ());
+}
+
+guint64
+quince_ledger_node_get_epoch (const QuinceLedgerNode *node)
+{
+  return node->led_epoch;
+}
+
+const QuinceLedgerView *
+quince_ledger_node_get_view (const QuinceLedgerNode *node)
+{
+  return quince_ledger_group_get_view (node->group);
+}
--- /dev/null
+++ b/daemons/replica/ledger-node.h
@@ -0,0 +1,64 @@
+/*
+ * ledger-node.h: one replica of the batch ledger: its log on disk, its links, and its part in the group.
+ */
+#pragma once
+
+#include <quince/batch-log.h>
+#include <quince/ledger-group.h>
+#include <quince/link.h>
+#include <quince/meta-store.h>
+
+typedef struct _QuinceLedgerNode QuinceLedgerNode;
+
+/**
+ * QuinceLedgerNodeCallbacks:
+ * @leads: this replica leads now and knows all that was acknowledged; committed() has told every record
+ * @stopped_leading: it does not lead any more
+ * @committed: (transfer full): @record, in the order of the log; only at the leader
+ * @service_call: a call of a front; @link is to be answered on, and may close
+ */
+typedef struct
+{
+  void (*leads) (gpointer user_data);
+  void (*stopped_leading) (gpointer user_data);
+  void (*committed) (guint64 index, QuinceBatchRecord *record, gpointer user_data);
+  void (*service_call) (QuinceLink *link, const QuinceServiceCall *call, gpointer user_data);
+  void (*link_closed) (QuinceLink *link, gpointer user_data);
+} QuinceLedgerNodeCallbacks;
+
+/**
+ * QuinceLedgerNodeOptions:
+ * @node: name of this machine
+ * @listen: ip:port of its links, which others are told
+ * @folder: on its disk
+ * @may_found: the whole system starts for the first time
+ */
+typedef struct
+{
+  const char *node;
+  const char *listen;
+  const char *folder;
+  gboolean may_found;
+  QuinceLedgerLimits limits;
+} QuinceLedgerNodeOptions;
+
+QuinceLedgerNode *quince_ledger_node_new (const QuinceLedgerNodeOptions *options,
+                                          QuinceMetaStore *store,
+                                          const QuinceLedgerNodeCallbacks *callbacks,
+                                          gpointer user_data,
+                                          GError **error);
+void quince_ledger_node_free (QuinceLedgerNode *node);
+/* What the metadata store holds under the ledger's key; NULL and 0 when it holds nothing. */
+void quince_ledger_node_take_view (QuinceLedgerNode *node, GBytes *value, guint64 revision);
+void quince_ledger_node_set_leaving (QuinceLedgerNode *node, const char *const *nodes);
+
+/* Appends a record; it is told by committed() once enough machines hold it. Returns its index; 0: it does not
+ * lead */
+guint64 quince_ledger_node_append (QuinceLedgerNode *node, const QuinceBatchRecord *record);
+gboolean quince_ledger_node_is_leading (const QuinceLedgerNode *node);
+gboolean quince_ledger_node_may_answer (const QuinceLedgerNode *node);
+gboolean quince_ledger_node_may_accept (const QuinceLedgerNode *node);
+gboolean quince_ledger_node_may_order (const QuinceLedgerNode *node);
+/* Grows with each leader: the fence of orders. */
+guint64 quince_ledger_node_get_epoch (const QuinceLedgerNode *node);
+const QuinceLedgerView *quince_ledger_node_get_view (const QuinceLedgerNode *node);
--- /dev/null
+++ b/daemons/replica/ledger-replication.c
@@ -0,0 +1,281 @@
+/*
+ * ledger-replication.c: the leader's records on their way to its backups, and a backup's link to its leader.
+ */
+#include "ledger-node-private.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include <quince/log.h>
+#include <quince/task.h>
+
+/* Records of one message, and a link that has not connected by then is tried anew. */
+#define CHUNK_BYTES (512 * 1024)
+#define CHUNK_ENTRIES 512
+#define CONNECT_US (1200 * 1000)
+#define RECONNECT_US (150 * 1000)
+
+/* ---- At the leader ---------------------------------------------------- */
+
+void
+quince_backup_link_free (gpointer data)
+{
+  QuinceBackupLink *backup = data;
+  quince_link_unref (backup->link);
+  g_free (backup);
+}
+
+typedef struct
+{
+  GArray *entries; /* QuinceLogEntry, owned records */
+  gsize bytes;
+} Chunk;
+
+static gboolean
+collect_entry (const QuinceLogEntry *entry, gpointer data)
+{
+  Chunk *chunk = data;
+  QuinceLogEntry copy = *entry;
+  copy.record.record_val = g_memdup2 (entry->record.record_val, entry->record.record_len);
+  g_array_append_val (chunk->entries, copy);
+  chunk->bytes += entry->record.record_len;
+  return chunk->bytes < CHUNK_BYTES && chunk->entries->len < CHUNK_ENTRIES;
+}
+
+static void
+clear_entry (gpointer data)
+{
+  QuinceLogEntry *entry = data;
+  g_free (entry->record.record_val);
+}
+
+/* Sends what the backup lacks, one chunk; the next one follows its acknowledgement. */
+static void
+send_backup (QuinceLedgerNode *node, QuinceBackupLink *backup, gboolean heartbeat)
+{
+  guint64 last_index = quince_batch_log_get_last_index (node->log);
+  gboolean has_news = backup->next_index <= last_index || backup->reset;
+  if (!has_news && !heartbeat)
+    return;
+  Chunk chunk = { .entries = g_array_new (FALSE, FALSE, sizeof (QuinceLogEntry)) };
+  g_array_set_clear_func (chunk.entries, clear_entry);
+  g_autoptr (GError) error = NULL;
+  if (has_news && !quince_batch_log_walk (node->log, backup->next_index, collect_entry, &chunk, &error))
+    quince_log_failure ("ledger_disk_failed", "doing=read reason=\"%s\"", error->message);
+  QuinceMessage message = { .kind = QUINCE_MESSAGE_LEDGER_APPEND };
+  QuinceLedgerAppend *append = &message.QuinceMessage_u.ledger_append;
+  append->epoch = node->led_epoch;
+  append->replica = backup->replica;
+  append->reset = backup->reset;
+  append->end_index = last_index;
+  append->commit_index = quince_ledger_group_get_commit_index (node->group);
+  append->sent_us = (guint64)quince_now_us ();
+  append->entries.entries_val = (QuinceLogEntry *)chunk.entries->data;
+  append->entries.entries_len = chunk.entries->len;
+  if (chunk.entries->len > 0)
+    backup->next_index = g_array_index (chunk.entries, QuinceLogEntry, chunk.entries->len - 1).index + 1;
+  append->held_index = backup->next_index - 1;
+  quince_link_send (backup->link, &message);
+  backup->reset = FALSE;
+  g_array_unref (chunk.entries);
+}
+
+void
+quince_ledger_node_send_backups (QuinceLedgerNode *node, gboolean heartbeat)
+{
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, node->backups);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    send_backup (node, value, heartbeat);
+}
+
+/* Where the backup's log and this one part: the first index to send. */
+static guint64
+first_to_send (QuinceLedgerNode *node, const QuinceLedgerHello *hello, gboolean *reset)
+{
+  *reset = FALSE;
+  if (hello->last_index == 0)
+    return 1;
+  if (quince_batch_log_get_epoch (node->log, hello->last_index) == hello->last_epoch)
+    return hello->last_index + 1;
+  /* Up to its commit index all logs are the same. */
+  if (hello->commit_index > 0
+      && quince_batch_log_get_epoch (node->log, hello->commit_index) == hello->commit_epoch)
+    return hello->commit_index + 1;
+  *reset = hello->commit_index > 0;
+  return 1;
+}
+
+void
+quince_ledger_node_hello (QuinceLedgerNode *node, QuinceLink *link, const QuinceLedgerHello *hello)
+{
+  if (node->led_epoch == 0)
+    {
+      quince_link_close (link);
+      quince_ledger_node_drop_backup (node, link);
+      return;
+    }
+  QuinceBackupLink *backup = g_new0 (QuinceBackupLink, 1);
+  backup->link = quince_link_ref (link);
+  backup->replica = hello->member.replica;
+  backup->next_index = first_to_send (node, hello, &backup->reset);
+  g_hash_table_replace (node->backups, &backup->replica, backup);
+  quince_ledger_group_peer_joined (node->group, quince_now_us (), &hello->member);
+  quince_log_info ("backup_joined",
+                   "node=%s replica=%" G_GUINT64_FORMAT " has_index=%" G_GUINT64_FORMAT
+                   " send_from=%" G_GUINT64_FORMAT " reset=%s",
+                   hello->member.node, (guint64)hello->member.replica, (guint64)hello->last_index,
+                   backup->next_index, backup->reset ? "true" : "false");
+  send_backup (node, backup, TRUE);
+}
+
+static QuinceBackupLink *
+backup_of_link (QuinceLedgerNode *node, QuinceLink *link)
+{
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, node->backups);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    if (((QuinceBackupLink *)value)->link == link)
+      return value;
+  return NULL;
+}
+
+void
+quince_ledger_node_acked (QuinceLedgerNode *node, QuinceLink *link, const QuinceLedgerAck *ack)
+{
+  QuinceBackupLink *backup = backup_of_link (node, link);
+  if (backup == NULL || ack->epoch != node->led_epoch || ack->replica != backup->replica)
+    return;
+  quince_ledger_group_peer_acked (node->group, backup->replica, ack->last_index, (gint64)ack->echo_us);
+  send_backup (node, backup, FALSE);
+  quince_ledger_node_advance (node);
+}
+
+void
+quince_ledger_node_drop_backup (QuinceLedgerNode *node, QuinceLink *link)
+{
+  QuinceBackupLink *backup = backup_of_link (node, link);
+  if (backup == NULL)
+    return;
+  quince_log_warning ("backup_left", "replica=%" G_GUINT64_FORMAT, backup->replica);
+  quince_ledger_group_peer_left (node->group, backup->replica);
+  g_hash_table_remove (node->backups, &backup->replica);
+}
+
+void
+quince_ledger_node_drop_backups (QuinceLedgerNode *node)
+{
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, node->backups);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    quince_link_close (((QuinceBackupLink *)value)->link);
+  g_hash_table_remove_all (node->backups);
+}
+
+/* ---- At a backup ------------------------------------------------------ */
+
+static void
+send_ack (QuinceLedgerNode *node, const QuinceLedgerAppend *append)
+{
+  QuinceMessage message = { .kind = QUINCE_MESSAGE_LEDGER_ACK };
+  QuinceLedgerAck *ack = &message.QuinceMessage_u.ledger_ack;
+  ack->epoch = append->epoch;
+  ack->replica = node->self.replica;
+  ack->last_index = append->held_index;
+  ack->echo_us = append->sent_us;
+  quince_link_send (node->primary_link, &message);
+}
+
+static void
+take_append (QuinceLedgerNode *node, const QuinceLedgerAppend *append)
+{
+  const QuinceLedgerView *view = quince_ledger_group_get_view (node->group);
+  if (append->replica != node->self.replica || append->epoch != view->epoch)
+    return;
+  quince_ledger_group_primary_heard (node->group, quince_now_us ());
+  g_autoptr (GError) error = NULL;
+  /* What this log holds beyond the leader's was never committed. */
+  gboolean writes = append->entries.entries_len > 0 || append->reset
+                    || quince_batch_log_get_last_index (node->log) > append->end_index;
+  if (writes
+      && !quince_batch_log_append (node->log, append->entries.entries_val, append->entries.entries_len,
+                                   append->reset, append->end_index, append->commit_index, &error))
+    {
+      quince_log_failure ("ledger_disk_failed", "doing=append reason=\"%s\"", error->message);
+      return;
+    }
+  quince_ledger_group_set_last_index (node->group, quince_batch_log_get_last_index (node->log));
+  send_ack (node, append);
+}
+
+static void
+primary_message (QuinceLink *link, QuinceMessage *message, gpointer data)
+{
+  QuinceLedgerNode *node = data;
+  if (message->kind == QUINCE_MESSAGE_LEDGER_APPEND && link == node->primary_link)
+    take_append (node, &message->QuinceMessage_u.ledger_append);
+  quince_message_free (message);
+}
+
+static void
+primary_connected (QuinceLink *link, gpointer data)
+{
+  QuinceLedgerNode *node = data;
+  QuinceMessage message = { .kind = QUINCE_MESSAGE_LEDGER_HELLO };
+  QuinceLedgerHello *hello = &message.QuinceMessage_u.ledger_hello;
+  hello->member = node->self;
+  hello->last_index = quince_batch_log_get_last_index (node->log);
+  hello->last_epoch = quince_batch_log_get_epoch (node->log, hello->last_index);
+  hello->commit_index = MIN (quince_batch_log_get_commit (node->log), hello->last_index);
+  hello->commit_epoch = quince_batch_log_get_epoch (node->log, hello->commit_index);
+  quince_link_send (link, &message);
+  quince_log_info ("dependency_regained", "what=ledger_primary address=%s", node->primary_address);
+}
+
+static void
+primary_closed (QuinceLink *link, const GError *error, gpointer data)
+{
+  QuinceLedgerNode *node = data;
+  quince_log_warning ("dependency_lost", "what=ledger_primary address=%s", node->primary_address);
+  g_clear_pointer (&node->primary_link, quince_link_unref);
+}
+
+static const QuinceLinkCallbacks primary_callbacks
+    = { .connected = primary_connected, .message = primary_message, .closed = primary_closed };
+
+void
+quince_ledger_node_unfollow (QuinceLedgerNode *node)
+{
+  if (node->primary_link != NULL)
+    quince_link_close (node->primary_link);
+  g_clear_pointer (&node->primary_link, quince_link_unref);
+  g_clear_pointer (&node->primary_address, g_free);
+}
+
+/* Keeps a link to the leader of the view; called again and again. */
+void
+quince_ledger_node_follow (QuinceLedgerNode *node)
+{
+  const QuinceLedgerView *view = quince_ledger_group_get_view (node->group);
+  const QuinceLedgerMember *primary = view != NULL ? quince_ledger_view_find (view, view->primary) : NULL;
+  gboolean should = quince_ledger_group_get_role (node->group) == QUINCE_LEDGER_BACKUP && primary != NULL
+                    && primary->replica != node->self.replica;
+  if (!should || g_strcmp0 (primary->address, node->primary_address) != 0)
+    quince_ledger_node_unfollow (node);
+  if (!should)
+    return;
+  gint64 now = quince_now_us ();
+  gboolean stuck = node->primary_link != NULL && !quince_link_is_connected (node->primary_link)
+                   && now - node->primary_tried_us > CONNECT_US;
+  if (stuck)
+    quince_ledger_node_unfollow (node);
+  if (node->primary_link != NULL || now - node->primary_tried_us < RECONNECT_US)
+    return;
+  g_free (node->primary_address);
+  node->primary_address = g_strdup (primary->address);
+  node->primary_tried_us = now;
+  node->primary_link = quince_link_connect (primary->address, &primary_callbacks, node);
+}
--- /dev/null
+++ b/daemons/replica/main.c
@@ -0,0 +1,27 @@
+/*
+ * main.c: the daemon quinceroute-replica.
+ *
+ * A replica keeps a copy of the batch ledger on its disk.  The leader of the replicas answers calls about
+ * batches, runs their samples on workers and orders new weights.
+ */
+#include <quince/program.h>
+
+#include "replica-settings.h"
+#include "replica.h"
+
+int
+main (int argc, char **argv)
+{
+  const QuinceProgram program = {
+    .name = "quinceroute-replica",
+    .doc = "Keeps the batch ledger; its leader runs samples and orders weights.",
+    .specs = quince_replica_setting_specs,
+    .n_specs = quince_replica_n_setting_specs,
+    .name_section = "node",
+    .start = quince_replica_start,
+    .ready_line = quince_replica_ready_line,
+    .stop = quince_replica_stop,
+    .free = quince_replica_free,
+  };
+  return quince_program_run (&program, argc, argv);
+}
--- /dev/null
+++ b/daemons/replica/replica-settings.c
@@ -0,0 +1,35 @@
+/*
+ * replica-settings.c: the settings of quinceroute-replica.
+ */
+#include "replica-settings.h"
+
+#define SECOND G_USEC_PER_SEC
+#define MILLISECOND (G_USEC_PER_SEC / 1000)
+
+/* clang-format off: one setting a line */
+const QuinceSettingSpec quince_replica_setting_specs[] = {
+  { "node", "name", QUINCE_SETTING_NAME, TRUE, NULL, 0, 0, NULL, "name of this machine" },
+  { "node", "zone", QUINCE_SETTING_NAME, TRUE, NULL, 0, 0, NULL, "zone that it stands in" },
+  { "listen", "link", QUINCE_SETTING_ADDRESS, TRUE, NULL, 0, 0, NULL,
+    "address for fronts and other replicas" },
+  { "store", "address", QUINCE_SETTING_ADDRESS, TRUE, NULL, 0, 0, NULL, "address of the metadata store" },
+  { "store", "workers_pace", QUINCE_SETTING_DURATION, FALSE, "1s", 10 * MILLISECOND, 60 * SECOND, NULL,
+    "least time between two looks at the list of workers" },
+  { "ledger", "folder", QUINCE_SETTING_TEXT, TRUE, NULL, 0, 0, NULL, "data folder" },
+  { "ledger", "found", QUINCE_SETTING_BOOLEAN, FALSE, "false", 0, 0, NULL,
+    "the whole system starts for the first time, with empty disks" },
+  { "ledger", "losses", QUINCE_SETTING_INTEGER, FALSE, "1", 0, 8, NULL,
+    "machines with a replica that may be lost at once" },
+  { "ledger", "keep", QUINCE_SETTING_DURATION, FALSE, "120s", SECOND, 2000 * SECOND, NULL,
+    "a closed batch is forgotten so long after its submission" },
+  { "orders", "pause", QUINCE_SETTING_DURATION, FALSE, "3s", 0, 600 * SECOND, NULL,
+    "a new leader gives no orders to workers for this long" },
+  { "stop", "grace", QUINCE_SETTING_DURATION, FALSE, "8s", SECOND, 600 * SECOND, NULL,
+    "time from a planned stop to the end of the process" },
+  { "policy", "file", QUINCE_SETTING_TEXT, FALSE, NULL, 0, 0, NULL,
+    "policy program until operators accept another one" },
+  { "log", "level", QUINCE_SETTING_CHOICE, FALSE, "info", 0, 0, "debug|info|warning|error",
+    "least severe level written" },
+};
+/* clang-format on */
+const gsize quince_replica_n_setting_specs = G_N_ELEMENTS (quince_replica_setting_specs);
--- /dev/null
+++ b/daemons/replica/replica-settings.h
@@ -0,0 +1,9 @@
+/*
+ * replica-settings.h: the settings of quinceroute-replica.
+ */
+#pragma once
+
+#include <quince/settings.h>
+
+extern const QuinceSettingSpec quince_replica_setting_specs[];
+extern const gsize quince_replica_n_setting_specs;
--- /dev/null
+++ b/daemons/replica/replica.c
@@ -0,0 +1,295 @@
+/*
+ * replica.c: the parts of a replica, and what they tell each other.
+ */
+#include "replica.h"
+
+#include <quince/log.h>
+#include <quince/program.h>
+#include <quince/task.h>
+
+#include "batch-service.h"
+#include "ledger-node.h"
+#include "platform.h"
+#include "weight-orders.h"
+
+/* The leader's word stands so long without another sign. */
+#define CONFIRM_US (700 * 1000)
+#define PRIMARY_SILENCE_US (1500 * 1000)
+#define MEMBER_SILENCE_US (1000 * 1000)
+/* A former leader may order until it misses its confirmation; its last orders travel a little. */
+#define ORDER_MARGIN_US (1500 * 1000)
+#define STOP_MS 50
+
+typedef struct
+{
+  /* All fields belong to the main context. */
+  char *name;
+  QuinceMetaStore *store;
+  QuinceBackends *backends;
+  QuinceObserver *observer;
+  QuinceLedgerNode *ledger;
+  QuinceBatchService *batches;
+  QuinceWeightOrders *orders; /* NULL: not leading */
+  char **leaving;             /* nodes to be emptied */
+  GHashTable *told_leaving;   /* node name to GINT: state that was written, 1 running, 2 done */
+  GSource *timer;
+} Replica;
+
+/* ---- Machines to be emptied ------------------------------------------- */
+
+#define LEAVING_RUNNING 1
+#define LEAVING_DONE 2
+
+static gboolean
+keeps_records (const QuinceLedgerView *view, const char *node)
+{
+  for (guint i = 0; view != NULL && i < view->members.members_len; i++)
+    if (g_str_equal (view->members.members_val[i].node, node))
+      return TRUE;
+  return FALSE;
+}
+
+typedef struct
+{
+  Replica *replica;
+  char *node;
+  gint state;
+} LeavingReport;
+
+static void
+leaving_told (const QuinceMetaPage *page, guint64 number, const GError *error, gpointer data)
+{
+  LeavingReport *report = data;
+  if (error != NULL)
+    g_hash_table_remove (report->replica->told_leaving, report->node); /* tell it again */
+  g_free (report->node);
+  g_free (report);
+}
+
+static void
+tell_leaving (Replica *replica, const char *node, gint state)
+{
+  if (GPOINTER_TO_INT (g_hash_table_lookup (replica->told_leaving, node)) >= state)
+    return;
+  g_hash_table_replace (replica->told_leaving, g_strdup (node), GINT_TO_POINTER (state));
+  LeavingReport *report = g_new0 (LeavingReport, 1);
+  report->replica = replica;
+  report->node = g_strdup (node);
+  report->state = state;
+  g_autofree char *key = quince_platform_retire_status_key (node);
+  g_autoptr (GBytes) value = quince_platform_format_retire_status (state == LEAVING_DONE);
+  const QuinceMetaChange change = { .key = key, .expected_revision = -1, .value = value };
+  quince_log_info ("machine_emptied", "node=%s state=%s", node, state == LEAVING_DONE ? "done" : "running");
+  quince_meta_store_change (replica->store, &change, 1, leaving_told, report);
+}
+
+static void
+look_at_leaving (Replica *replica)
+{
+  if (replica->leaving == NULL || !quince_ledger_node_may_answer (replica->ledger))
+    return;
+  const QuinceLedgerView *view = quince_ledger_node_get_view (replica->ledger);
+  for (char **node = replica->leaving; *node != NULL; node++)
+    tell_leaving (replica, *node, keeps_records (view, *node) ? LEAVING_RUNNING : LEAVING_DONE);
+}
+
+/* ---- What the parts tell ---------------------------------------------- */
+
+static gboolean
+may_order (guint64 *fence, gpointer data)
+{
+  Replica *replica = data;
+  *fence = quince_ledger_node_get_epoch (replica->ledger);
+  return quince_ledger_node_may_order (replica->ledger);
+}
+
+static void
+weights_loaded (gpointer data)
+{
+  Replica *replica = data;
+  quince_batch_service_pump (replica->batches);
+}
+
+static void
+ledger_leads (gpointer data)
+{
+  Replica *replica = data;
+  quince_batch_service_lead (replica->batches);
+  const QuinceWeightOrdersOptions options
+      = { .holder = replica->name, .may_order = may_order, .loaded = weights_loaded };
+  replica->orders = quince_weight_orders_start (replica->backends, replica->observer, &options, replica);
+}
+
+static void
+ledger_stopped_leading (gpointer data)
+{
+  Replica *replica = data;
+  g_clear_pointer (&replica->orders, quince_weight_orders_stop);
+  quince_batch_service_stop_leading (replica->batches);
+}
+
+static void
+ledger_committed (guint64 index, QuinceBatchRecord *record, gpointer data)
+{
+  Replica *replica = data;
+  quince_batch_service_committed (replica->batches, index, record);
+}
+
+static void
+service_call (QuinceLink *link, const QuinceServiceCall *call, gpointer data)
+{
+  Replica *replica = data;
+  quince_batch_service_call (replica->batches, link, call);
+}
+
+static void
+link_closed (QuinceLink *link, gpointer data)
+{
+  Replica *replica = data;
+  quince_batch_service_link_closed (replica->batches, link);
+}
+
+static const QuinceLedgerNodeCallbacks ledger_callbacks = { .leads = ledger_leads,
+                                                            .stopped_leading = ledger_stopped_leading,
+                                                            .committed = ledger_committed,
+                                                            .service_call = service_call,
+                                                            .link_closed = link_closed };
+
+static void
+own_key (const char *key, GBytes *value, guint64 revision, gpointer data)
+{
+  Replica *replica = data;
+  if (g_str_equal (key, QUINCE_LEDGER_KEY) && replica->ledger != NULL)
+    quince_ledger_node_take_view (replica->ledger, value, revision);
+}
+
+static void
+version_named (const char *model, guint64 version, gpointer data)
+{
+  Replica *replica = data;
+  if (replica->orders != NULL)
+    quince_weight_orders_pump (replica->orders);
+}
+
+static void
+leaving_changed (const char *const *nodes, gpointer data)
+{
+  Replica *replica = data;
+  g_strfreev (replica->leaving);
+  replica->leaving = g_strdupv ((char **)nodes);
+  quince_ledger_node_set_leaving (replica->ledger, nodes);
+}
+
+static const QuinceObserverCallbacks observer_callbacks
+    = { .own_key = own_key, .version = version_named, .leaving = leaving_changed };
+
+static gboolean
+timer_over (gpointer data)
+{
+  look_at_leaving (data);
+  return G_SOURCE_CONTINUE;
+}
+
+/* ---- Start and stop --------------------------------------------------- */
+
+static gboolean
+open_ledger (Replica *replica, const QuinceSettings *settings, GError **error)
+{
+  guint losses = (guint)quince_settings_get_integer (settings, "ledger", "losses");
+  const QuinceLedgerNodeOptions options = {
+    .node = replica->name,
+    .listen = quince_settings_get_text (settings, "listen", "link"),
+    .folder = quince_settings_get_text (settings, "ledger", "folder"),
+    .may_found = quince_settings_get_boolean (settings, "ledger", "found"),
+    .limits
+    = { .copies_least = losses + 1,
+        .members_wanted = 2 * losses + 1,
+        .primary_silence_us = PRIMARY_SILENCE_US,
+        .member_silence_us = MEMBER_SILENCE_US,
+        .confirm_us = CONFIRM_US,
+        .order_pause_us = quince_settings_get_duration_us (settings, "orders", "pause") + ORDER_MARGIN_US },
+  };
+  replica->ledger = quince_ledger_node_new (&options, replica->store, &ledger_callbacks, replica, error);
+  return replica->ledger != NULL;
+}
+
+static gboolean
+load_policy (Replica *replica, const char *path, GError **error)
+{
+  if (*path == '\0')
+    return TRUE;
+  g_autofree char *text = NULL;
+  gsize length;
+  if (!g_file_get_contents (path, &text, &length, error))
+    return FALSE;
+  QuincePolicy *policy = quince_policy_compile (text, length, 0, error);
+  if (policy == NULL)
+    return FALSE;
+  quince_backends_set_policy (replica->backends, policy);
+  return TRUE;
+}
+
+gpointer
+quince_replica_start (const QuinceSettings *settings, GError **error)
+{
+  Replica *replica = g_new0 (Replica, 1);
+  replica->name = g_strdup (quince_settings_get_text (settings, "node", "name"));
+  replica->told_leaving = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  replica->backends = quince_backends_new (quince_settings_get_text (settings, "node", "zone"));
+  replica->store = quince_meta_store_new (quince_settings_get_text (settings, "store", "address"),
+                                          &quince_platform_meta_dialect);
+  guint pace_ms = (guint)(quince_settings_get_duration_us (settings, "store", "workers_pace") / 1000);
+  replica->observer
+      = quince_observer_new (replica->store, replica->backends, pace_ms, &observer_callbacks, replica);
+  gint64 keep_us = quince_settings_get_duration_us (settings, "ledger", "keep");
+  replica->batches = quince_batch_service_new (replica->backends, replica->observer, keep_us);
+  if (!load_policy (replica, quince_settings_get_text (settings, "policy", "file"), error)
+      || !open_ledger (replica, settings, error))
+    {
+      quince_replica_free (replica);
+      return NULL;
+    }
+  quince_batch_service_set_ledger (replica->batches, replica->ledger);
+  replica->timer = quince_timer_add (200, timer_over, replica);
+  return replica;
+}
+
+char *
+quince_replica_ready_line (gpointer self)
+{
+  const Replica *replica = self;
+  return g_strdup_printf ("name=%s", replica->name);
+}
+
+static gboolean
+stop_now (gpointer data)
+{
+  quince_program_quit (QUINCE_EXIT_OK);
+  return G_SOURCE_REMOVE;
+}
+
+void
+quince_replica_stop (gpointer self)
+{
+  Replica *replica = self;
+  quince_source_clear (&replica->timer);
+  replica->timer = quince_timer_add (STOP_MS, stop_now, replica);
+}
+
+void
+quince_replica_free (gpointer self)
+{
+  Replica *replica = self;
+  quince_source_clear (&replica->timer);
+  if (replica->orders != NULL)
+    quince_weight_orders_stop (replica->orders);
+  quince_batch_service_free (replica->batches);
+  quince_ledger_node_free (replica->ledger);
+  quince_observer_free (replica->observer);
+  quince_meta_store_free (replica->store);
+  quince_backends_free (replica->backends);
+  g_hash_table_unref (replica->told_leaving);
+  g_strfreev (replica->leaving);
+  g_free (replica->name);
+  g_free (replica);
+}
--- /dev/null
+++ b/daemons/replica/sample-runner.h
@@ -0,0 +1,36 @@
+/*
+ * sample-runner.h: runs the samples of open batches on workers, scores them and hands over their results.
+ */
+#pragma once
+
+#include <quince/backends.h>
+#include <quince/batch-book.h>
+#include <quince/observer.h>
+
+typedef struct _QuinceSampleRunner QuinceSampleRunner;
+
+/**
+ * QuinceSampleRunnerCallbacks:
+ * @result: (transfer none): a sample is done or given up; the runner does not speak of it again
+ * @may_run: whether requests may be sent to workers now
+ */
+typedef struct
+{
+  void (*result) (const QuinceBatchResult *result, gpointer user_data);
+  gboolean (*may_run) (gpointer user_data);
+} QuinceSampleRunnerCallbacks;
+
+QuinceSampleRunner *quince_sample_runner_new (QuinceBackends *backends,
+                                              QuinceObserver *observer,
+                                              const QuinceSampleRunnerCallbacks *callbacks,
+                                              gpointer user_data);
+/* Cancels all that runs. */
+void quince_sample_runner_free (QuinceSampleRunner *runner);
+/* All samples of @entry that are not listed are run; @entry lives until forget(). */
+void quince_sample_runner_add (QuinceSampleRunner *runner, QuinceBatchEntry *entry);
+/* The batch is ended or forgotten: its samples are cancelled. */
+void quince_sample_runner_remove (QuinceSampleRunner *runner, QuinceBatchEntry *entry);
+/* Something has changed (workers, versions, time): begin what can begin. */
+void quince_sample_runner_pump (QuinceSampleRunner *runner);
+guint quince_sample_runner_get_waiting (const QuinceSampleRunner *runner);
+guint quince_sample_runner_get_running (const QuinceSampleRunner *runner);
--- /dev/null
+++ b/daemons/replica/sample.c
@@ -0,0 +1,266 @@
+/*
+ * sample.c: one run of a sample on a worker: its stream, event by event.
+ *
+ * Only whole events count.  An event out of its turn ends the run: the text goes on at another worker from
+ * the last whole event.
+ */
+#include "sample.h"
+
+#include <quince/log.h>
+#include <quince/task.h>
+
+/* A stream that says nothing for so long is given up; weights may be loaded meanwhile. */
+#define SILENCE_MS 2500
+/* Told to the worker where the sample has no end. */
+#define TIME_MOST_MS 60000
+
+QuinceSample *
+quince_sample_new (QuinceBatchEntry *entry, guint item)
+{
+  QuinceSample *sample = g_new0 (QuinceSample, 1);
+  sample->entry = entry;
+  sample->item = item;
+  sample->text = g_string_new (NULL);
+  sample->versions = g_array_new (FALSE, FALSE, sizeof (guint64));
+  return sample;
+}
+
+const QuinceBatchItem *
+quince_sample_get_item (const QuinceSample *sample)
+{
+  return &sample->entry->batch->items.items_val[sample->item];
+}
+
+/* The run is over: its worker has a place free. */
+static void
+leave_worker (QuinceSample *sample)
+{
+  quince_source_clear (&sample->silence_timer);
+  g_clear_pointer (&sample->events, quince_platform_events_free);
+  sample->exchange = NULL;
+  QuinceWorker *worker
+      = quince_worker_table_find (quince_backends_get_workers (sample->backends), sample->worker_id);
+  if (worker != NULL && worker->running > 0)
+    worker->running--;
+}
+
+void
+quince_sample_free (QuinceSample *sample)
+{
+  if (sample->exchange != NULL)
+    {
+      quince_http_exchange_cancel (sample->exchange);
+      leave_worker (sample);
+    }
+  if (sample->reward != NULL)
+    quince_forward_cancel (sample->reward);
+  g_string_free (sample->text, TRUE);
+  g_array_unref (sample->versions);
+  g_free (sample->avoid_worker);
+  g_free (sample->worker_id);
+  g_free (sample);
+}
+
+void
+quince_sample_restart (QuinceSample *sample)
+{
+  g_string_truncate (sample->text, 0);
+  g_array_set_size (sample->versions, 0);
+  sample->last_event = 0;
+}
+
+/* ---- Events ----------------------------------------------------------- */
+
+static void
+note_version (QuinceSample *sample)
+{
+  for (guint i = 0; i < sample->versions->len; i++)
+    if (g_array_index (sample->versions, guint64, i) == sample->run_version)
+      return;
+  g_array_append_val (sample->versions, sample->run_version);
+}
+
+static void
+end_run (QuinceSample *sample, QuinceRunEnd end, const char *cause)
+{
+  if (sample->exchange != NULL)
+    {
+      quince_http_exchange_cancel (sample->exchange);
+      leave_worker (sample);
+    }
+  sample->run_ended (sample, end, cause, sample->user_data);
+}
+
+/* Returns: why the run cannot go on, or NULL. */
+static const char *
+take_event (QuinceSample *sample, const QuincePlatformEvent *event)
+{
+  if (event->id != sample->last_event + 1)
+    return "event_out_of_turn";
+  if (event->version != 0)
+    sample->run_version = event->version;
+  if (sample->run_version < sample->entry->batch->minimum_version)
+    return "version_too_old";
+  if (sample->last_event > 0)
+    g_string_append_c (sample->text, '\n');
+  g_string_append_len (sample->text, event->data->str, (gssize)event->data->len);
+  sample->last_event = event->id;
+  note_version (sample);
+  return NULL;
+}
+
+static const char *
+take_events (QuinceSample *sample)
+{
+  QuincePlatformEvent event = { 0 };
+  g_autoptr (GError) error = NULL;
+  const char *cause = NULL;
+  while (cause == NULL && quince_platform_events_next (sample->events, &event, &error))
+    {
+      cause = take_event (sample, &event);
+      quince_platform_event_clear (&event);
+    }
+  return error != NULL ? "event_malformed" : cause;
+}
+
+static void
+exchange_body (QuinceHttpExchange *exchange, const char *data, gsize length, gpointer user_data)
+{
+  QuinceSample *sample = user_data;
+  sample->heard_us = quince_now_us ();
+  if (!sample->accepted)
+    return;
+  quince_platform_events_feed (sample->events, data, length);
+  const char *cause = take_events (sample);
+  if (cause != NULL)
+    end_run (sample, QUINCE_RUN_BROKEN, cause);
+}
+
+/* ---- The answer ------------------------------------------------------- */
+
+static void
+exchange_head (QuinceHttpExchange *exchange, const QuinceHttpHead *head, gpointer user_data)
+{
+  QuinceSample *sample = user_data;
+  QuincePlatformAnswerFacts facts;
+  quince_platform_read_answer (head, &facts);
+  sample->heard_us = quince_now_us ();
+  if (g_strcmp0 (facts.request_id, quince_sample_get_item (sample)->id) != 0)
+    {
+      quince_http_exchange_distrust (exchange);
+      if (head->status == 200)
+        end_run (sample, QUINCE_RUN_BROKEN, "wrong_answer");
+      return;
+    }
+  if (head->status != 200)
+    return;
+  sample->run_version = facts.version;
+  if (facts.version != 0 && facts.version < sample->entry->batch->minimum_version)
+    {
+      end_run (sample, QUINCE_RUN_REFUSED, "version_too_old");
+      return;
+    }
+  sample->accepted = TRUE;
+}
+
+static void
+answered (QuinceSample *sample, const QuinceHttpHead *head, gboolean has_rest)
+{
+  QuincePlatformAnswerFacts facts;
+  quince_platform_read_answer (head, &facts);
+  if (sample->accepted && !has_rest && sample->last_event > 0)
+    sample->run_ended (sample, QUINCE_RUN_WHOLE, "whole", sample->user_data);
+  else if (facts.not_run)
+    sample->run_ended (sample, QUINCE_RUN_REFUSED, "worker_refused", sample->user_data);
+  else if (head->status == 422)
+    sample->run_ended (sample, QUINCE_RUN_HOPELESS, "unprocessable", sample->user_data);
+  else if (head->status == 500)
+    sample->run_ended (sample, QUINCE_RUN_FAILED, "worker_failed", sample->user_data);
+  else
+    sample->run_ended (sample, QUINCE_RUN_BROKEN, "answer_not_whole", sample->user_data);
+}
+
+static void
+exchange_done (QuinceHttpExchange *exchange,
+               QuinceHttpOutcome outcome,
+               const GError *error,
+               gpointer user_data)
+{
+  QuinceSample *sample = user_data;
+  gboolean has_rest = quince_platform_events_has_rest (sample->events);
+  leave_worker (sample);
+  if (outcome == QUINCE_HTTP_ANSWERED)
+    answered (sample, quince_http_exchange_get_head (exchange), has_rest);
+  else if (outcome == QUINCE_HTTP_NOT_SENT)
+    sample->run_ended (sample, QUINCE_RUN_REFUSED, "no_connection", sample->user_data);
+  else
+    sample->run_ended (sample, QUINCE_RUN_BROKEN, "connection_lost", sample->user_data);
+}
+
+static const QuinceHttpExchangeCallbacks exchange_callbacks
+    = { .head = exchange_head, .body = exchange_body, .done = exchange_done };
+
+static gboolean
+look_at_silence (gpointer data)
+{
+  QuinceSample *sample = data;
+  gint64 silent_ms = (quince_now_us () - sample->heard_us) / 1000;
+  quince_source_clear (&sample->silence_timer);
+  if (silent_ms >= SILENCE_MS)
+    end_run (sample, QUINCE_RUN_BROKEN, "worker_silent");
+  else
+    sample->silence_timer = quince_timer_add ((guint)(SILENCE_MS - silent_ms) + 1, look_at_silence, sample);
+  return G_SOURCE_REMOVE;
+}
+
+/* ---- The request ------------------------------------------------------ */
+
+static QuinceHttpHeaders *
+make_headers (QuinceSample *sample, const QuinceWorker *worker, gint priority)
+{
+  const QuinceBatchItem *item = quince_sample_get_item (sample);
+  QuinceHttpHeaders *headers = quince_http_headers_new ();
+  quince_http_headers_add (headers, "Host", sample->entry->batch->host);
+  for (guint i = 0; i < item->headers.headers_len; i++)
+    quince_http_headers_add (headers, item->headers.headers_val[i].name, item->headers.headers_val[i].value);
+  quince_platform_write_request_id (headers, item->id);
+  gint64 left_ms = TIME_MOST_MS;
+  if (sample->give_up_us > 0)
+    left_ms = CLAMP ((sample->give_up_us - quince_now_us ()) / 1000, 1, TIME_MOST_MS);
+  const QuincePlatformDispatch dispatch
+      = { .worker_id = worker->id,
+          .time_left_ms = left_ms,
+          .resume_after = sample->last_event > 0 ? (gint64)sample->last_event : -1,
+          .priority = priority };
+  quince_platform_write_dispatch (headers, &dispatch);
+  return headers;
+}
+
+void
+quince_sample_run (QuinceSample *sample,
+                   QuinceBackends *backends,
+                   QuinceWorker *worker,
+                   gint priority,
+                   void (*run_ended) (QuinceSample *, QuinceRunEnd, const char *cause, gpointer),
+                   gpointer user_data)
+{
+  const QuinceBatchItem *item = quince_sample_get_item (sample);
+  g_autoptr (QuinceHttpHeaders) headers = make_headers (sample, worker, priority);
+  g_autoptr (GBytes) body = g_bytes_new_static (item->body.body_val, item->body.body_len);
+  const QuinceHttpRequest request
+      = { .method = "POST", .target = item->path, .headers = headers, .body = body };
+  g_free (sample->worker_id);
+  sample->worker_id = g_strdup (worker->id);
+  sample->backends = backends;
+  sample->run_ended = run_ended;
+  sample->user_data = user_data;
+  sample->state = QUINCE_SAMPLE_RUNNING;
+  sample->accepted = FALSE;
+  sample->runs++;
+  sample->heard_us = quince_now_us ();
+  sample->events = quince_platform_events_new ();
+  worker->running++;
+  sample->exchange = quince_http_pool_start (quince_backends_get_pool (backends, worker), &request,
+                                             &exchange_callbacks, sample);
+  sample->silence_timer = quince_timer_add (SILENCE_MS, look_at_silence, sample);
+}
--- /dev/null
+++ b/daemons/replica/sample.h
@@ -0,0 +1,79 @@
+/*
+ * sample.h: one sample: its text as far as it is made, the stream that makes it, and its reward call.
+ */
+#pragma once
+
+#include <quince/backends.h>
+#include <quince/batch-book.h>
+#include <quince/forward.h>
+#include <quince/routing.h>
+
+#include "platform.h"
+
+typedef enum
+{
+  QUINCE_SAMPLE_WAITING, /* for a worker                                  */
+  QUINCE_SAMPLE_RUNNING, /* a worker makes its text                       */
+  QUINCE_SAMPLE_SCORING, /* its text is whole; the reward call is made    */
+  QUINCE_SAMPLE_DONE,    /* handed over                                   */
+} QuinceSampleState;
+
+typedef struct _QuinceSample QuinceSample;
+
+/* How a run ended. */
+typedef enum
+{
+  QUINCE_RUN_WHOLE,    /* the text is whole                               */
+  QUINCE_RUN_REFUSED,  /* the worker did not run it                       */
+  QUINCE_RUN_BROKEN,   /* go on elsewhere from the last whole event       */
+  QUINCE_RUN_FAILED,   /* the worker failed: counted                      */
+  QUINCE_RUN_HOPELESS, /* it can never be done                            */
+} QuinceRunEnd;
+
+struct _QuinceSample
+{
+  /* All fields belong to the main context. */
+  QuinceBatchEntry *entry; /* not owned */
+  guint item;
+  QuinceSampleState state;
+  GString *text;       /* data of the events so far, joined by line feeds */
+  guint64 last_event;  /* id of the last whole event; 0: none */
+  GArray *versions;    /* guint64: that made an event of the text */
+  guint64 run_version; /* of the run in progress */
+  guint failures;      /* answers of 500 */
+  guint hopeless;      /* answers of 422 */
+  guint reward_failures;
+  guint runs;
+  char *avoid_worker;   /* the last one that failed it; NULL: none */
+  gint64 not_before_us; /* pause after a failure */
+  gint64 give_up_us;    /* monotonic; 0: never */
+  gint64 submitted_us;  /* monotonic */
+  gboolean single_version;
+
+  /* The run in progress. */
+  char *worker_id;
+  QuinceBackends *backends;
+  QuinceHttpExchange *exchange;
+  QuincePlatformEvents *events;
+  GSource *silence_timer;
+  gint64 heard_us;
+  gboolean accepted; /* the head of a good answer has come */
+  void (*run_ended) (QuinceSample *sample, QuinceRunEnd end, const char *cause, gpointer user_data);
+  gpointer user_data;
+
+  QuinceForward *reward;
+};
+
+QuinceSample *quince_sample_new (QuinceBatchEntry *entry, guint item);
+/* Cancels what runs. */
+void quince_sample_free (QuinceSample *sample);
+const QuinceBatchItem *quince_sample_get_item (const QuinceSample *sample);
+/* Begins a run on @worker; run_ended() is called once, never before this returns. */
+void quince_sample_run (QuinceSample *sample,
+                        QuinceBackends *backends,
+                        QuinceWorker *worker,
+                        gint priority,
+                        void (*run_ended) (QuinceSample *, QuinceRunEnd, const char *cause, gpointer),
+                        gpointer user_data);
+/* Drops the text made so far. */
+void quince_sample_restart (QuinceSample *sample);
--- /dev/null
+++ b/daemons/replica/weight-orders.h
@@ -0,0 +1,28 @@
+/*
+ * weight-orders.h: brings workers to the versions of the weights that trainers name.
+ *
+ * Only the ledger's leader orders, with its epoch as the fence.
+ */
+#pragma once
+
+#include <quince/backends.h>
+#include <quince/observer.h>
+
+typedef struct _QuinceWeightOrders QuinceWeightOrders;
+
+/* @holder: name of this machine; @may_order: whether orders may be given now; @loaded: a worker has other
+ * weights */
+typedef struct
+{
+  const char *holder;
+  gboolean (*may_order) (guint64 *fence, gpointer user_data);
+  void (*loaded) (gpointer user_data);
+} QuinceWeightOrdersOptions;
+
+QuinceWeightOrders *quince_weight_orders_start (QuinceBackends *backends,
+                                                QuinceObserver *observer,
+                                                const QuinceWeightOrdersOptions *options,
+                                                gpointer user_data);
+void quince_weight_orders_stop (QuinceWeightOrders *orders);
+/* Versions, workers or time have changed. */
+void quince_weight_orders_pump (QuinceWeightOrders *orders);
