--- a/daemons/front/directory.c
+++ b/daemons/front/directory.c
@@ -10,7 +10,7 @@
 
 #include <quince/log.h>
 
-#define VANISHED_KEEP_US (6 * G_USEC_PER_SEC)
+#define VANISHED_KEEP_US (4 * G_USEC_PER_SEC)
 #define ANSWERS_MOST 64
 #define SEPARATOR " "
 #define WORD_LEAVING "leaving"
@@ -78,21 +78,30 @@
 }
 
 static void
-front_vanished (QuinceDirectory *directory, gint64 now_us, const char *name)
+front_vanished (QuinceDirectory *directory, gint64 now_us, const char *name, gboolean may_be_lapse)
 {
+  if (!may_be_lapse)
+    {
+      g_hash_table_remove (directory->fronts, name);
+      return;
+    }
   Front *front = g_hash_table_lookup (directory->fronts, name);
   if (front != NULL && front->vanished_us == 0)
     front->vanished_us = now_us;
 }
 
 void
-quince_directory_take_entry (QuinceDirectory *directory, gint64 now_us, const char *name, GBytes *entry)
+quince_directory_take_entry (QuinceDirectory *directory,
+                             gint64 now_us,
+                             const char *name,
+                             GBytes *entry,
+                             gboolean may_be_lapse)
 {
   if (g_str_equal (name, directory->self.name))
     return;
   if (entry == NULL)
     {
-      front_vanished (directory, now_us, name);
+      front_vanished (directory, now_us, name, may_be_lapse);
       return;
     }
   g_autofree char *text = g_strndup (g_bytes_get_data (entry, NULL), g_bytes_get_size (entry));
--- a/daemons/front/directory.h
+++ b/daemons/front/directory.h
@@ -13,7 +13,12 @@
 void quince_directory_set_serving (QuinceDirectory *directory, gboolean serving);
 /* What a front writes of itself into the metadata store, and how it is taken from there. */
 GBytes *quince_directory_format_entry (const char *address, const char *zone, gboolean leaving);
-void quince_directory_take_entry (QuinceDirectory *directory, gint64 now_us, const char *name, GBytes *entry);
+/* @entry %NULL: its key is gone; @may_be_lapse: perhaps only because the store forgot it. */
+void quince_directory_take_entry (QuinceDirectory *directory,
+                                  gint64 now_us,
+                                  const char *name,
+                                  GBytes *entry,
+                                  gboolean may_be_lapse);
 /* (transfer full): addresses, those of @zone first, %NULL-terminated. */
 char **quince_directory_list (QuinceDirectory *directory, gint64 now_us, const char *zone);
 guint quince_directory_get_size (QuinceDirectory *directory, gint64 now_us);
--- a/daemons/front/front.c
+++ b/daemons/front/front.c
@@ -42,8 +42,11 @@
   if (g_str_equal (key, QUINCE_LEDGER_KEY))
     take_ledger_view (front, value);
   else if (g_str_has_prefix (key, QUINCE_FRONTS_PREFIX))
-    quince_directory_take_entry (front->directory, quince_now_us (), key + strlen (QUINCE_FRONTS_PREFIX),
-                                 value);
+    {
+      gint64 now = quince_now_us ();
+      quince_directory_take_entry (front->directory, now, key + strlen (QUINCE_FRONTS_PREFIX), value,
+                                   quince_meta_store_may_have_lapsed (front->store, now));
+    }
 }
 
 static void
--- a/include/quince/meta-store.h
+++ b/include/quince/meta-store.h
@@ -79,12 +79,18 @@
   guint64 calls;
   guint64 failures;
   gint64 last_answer_us; /* monotonic; 0: none yet */
+  gint64 lost_us;        /* when calls began to fail the last time */
+  gint64 regained_us;    /* when they came to succeed again */
 } QuinceMetaCounters;
 
 QuinceMetaStore *quince_meta_store_new (const char *address, const QuinceMetaDialect *dialect);
 void quince_meta_store_free (QuinceMetaStore *store);
 const QuinceMetaCounters *quince_meta_store_get_counters (const QuinceMetaStore *store);
 
+/* Keys under leases may have gone though their owners live: the store is, or was lately, not to be reached. */
+#define QUINCE_META_LAPSE_US (3 * G_USEC_PER_SEC)
+gboolean quince_meta_store_may_have_lapsed (const QuinceMetaStore *store, gint64 now_us);
+
 /**
  * QuinceMetaReply:
  * @page: (nullable): items read
@@ -148,8 +154,8 @@
 gboolean quince_meta_mirror_is_synced (const QuinceMetaMirror *mirror);
 /* Monotonic us of the last good answer; 0: none yet. */
 gint64 quince_meta_mirror_get_heard (const QuinceMetaMirror *mirror);
-/* The store answered badly elsewhere: a watch that waits may be dead, begin it anew. */
-void quince_meta_mirror_doubt (QuinceMetaMirror *mirror);
+/* The store was not to be reached at @lost_us: a watch that waits since before may be dead, begin it anew. */
+void quince_meta_mirror_doubt (QuinceMetaMirror *mirror, gint64 lost_us);
 
 /* ---- A key under a lease ---------------------------------------------- */
 
--- a/lib/meta/meta-mirror.c
+++ b/lib/meta/meta-mirror.c
@@ -29,6 +29,7 @@
   guint64 list_revision;
   guint retry_ms;
   gint64 heard_us;
+  gint64 watch_began_us;
   gboolean synced;
   gboolean watching; /* the call in progress is a watch */
 };
@@ -143,6 +144,7 @@
 begin_watch (QuinceMetaMirror *mirror)
 {
   mirror->watching = TRUE;
+  mirror->watch_began_us = quince_now_us ();
   mirror->call = quince_meta_store_watch (mirror->store, mirror->prefix, mirror->revision, WATCH_WAIT_MS,
                                           watch_answered, mirror);
 }
@@ -251,9 +253,9 @@
 }
 
 void
-quince_meta_mirror_doubt (QuinceMetaMirror *mirror)
+quince_meta_mirror_doubt (QuinceMetaMirror *mirror, gint64 lost_us)
 {
-  if (mirror->call == NULL || !mirror->watching)
+  if (mirror->call == NULL || !mirror->watching || mirror->watch_began_us > lost_us)
     return;
   quince_meta_call_cancel (mirror->call);
   mirror->call = NULL;
--- a/lib/meta/meta-store.c
+++ b/lib/meta/meta-store.c
@@ -113,6 +113,13 @@
   g_ptr_array_remove_fast (store->mirrors, mirror);
 }
 
+gboolean
+quince_meta_store_may_have_lapsed (const QuinceMetaStore *store, gint64 now_us)
+{
+  return store->failing
+         || (store->counters.regained_us > 0 && now_us - store->counters.regained_us < QUINCE_META_LAPSE_US);
+}
+
 /* ---- Answers ---------------------------------------------------------- */
 
 /* A failed call says that waiting watches may be dead too: a cut connection tells nothing by itself. */
@@ -130,8 +137,12 @@
     quince_log_info ("dependency_regained", "what=meta_store");
   else
     quince_log_warning ("dependency_lost", "what=meta_store");
+  if (good)
+    store->counters.regained_us = store->counters.last_answer_us;
+  else
+    store->counters.lost_us = quince_now_us ();
   for (guint i = 0; good && i < store->mirrors->len; i++)
-    quince_meta_mirror_doubt (store->mirrors->pdata[i]);
+    quince_meta_mirror_doubt (store->mirrors->pdata[i], store->counters.lost_us);
 }
 
 static GError *
@@ -205,8 +216,9 @@
   QuinceMetaReply reply = call->reply;
   gpointer user_data = call->user_data;
   g_hash_table_remove (store->calls, call);
-  note_outcome (store, outcome == QUINCE_HTTP_ANSWERED && status != 503 && status != 429);
   reply (page, number, error, user_data);
+  /* Last: it may begin watches anew. */
+  note_outcome (store, outcome == QUINCE_HTTP_ANSWERED && status != 503 && status != 429);
 }
 
 static const QuinceHttpExchangeCallbacks call_callbacks = { .done = call_done };
