One process reads the metadata store for all; a silent store is noticed and asked until it is back

The ledger's leader tells what it reads to fronts and backups over the links that stand; who hears nothing for 0.9 s reads by itself from the revision it has. Now a lost store is asked each 0.4 s, and the list of workers is never watched longer than 2.5 s.

--- a/daemons/front/front.c
+++ b/daemons/front/front.c
@@ -5,6 +5,7 @@
 
 #include <string.h>
 
+#include <quince/belief-feed.h>
 #include <quince/link.h>
 #include <quince/log.h>
 #include <quince/program.h>
@@ -59,6 +60,31 @@
 static const QuinceObserverCallbacks observer_callbacks
     = { .own_key = own_key, .configuration = configuration_changed };
 
+/* The ledger's leader reads the metadata store for all. */
+static void
+ledger_linked (QuinceLink *link, gpointer data)
+{
+  quince_belief_feed_ask (link);
+}
+
+static void
+ledger_message (const QuinceMessage *message, gpointer data)
+{
+  QuinceFront *front = data;
+  if (message->kind == QUINCE_MESSAGE_BELIEF_NEWS)
+    quince_belief_feed_take (front->observer, &message->QuinceMessage_u.belief_news);
+}
+
+static void
+ledger_unlinked (gpointer data)
+{
+  QuinceFront *front = data;
+  quince_observer_feed_ended (front->observer);
+}
+
+static const QuinceLedgerCallerCallbacks ledger_callbacks
+    = { .linked = ledger_linked, .message = ledger_message, .unlinked = ledger_unlinked };
+
 const char *
 quince_front_next_service (QuinceFront *front, const QuinceRoute *route)
 {
@@ -169,7 +195,7 @@
   front->connections = g_hash_table_new (NULL, NULL);
   front->split_turns = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   front->backends = quince_backends_new (front->zone);
-  front->ledger = quince_ledger_caller_new ();
+  front->ledger = quince_ledger_caller_new (&ledger_callbacks, front);
   if (!open_listeners (front, settings, error)
       || !load_policy (front, quince_settings_get_text (settings, "policy", "file"), error))
     {
--- a/daemons/front/ledger-caller.c
+++ b/daemons/front/ledger-caller.c
@@ -17,6 +17,8 @@
   char *address;    /* of the primary; NULL: not known */
   guint64 epoch;
   GSource *timer;    /* next try, or end of this one */
+  const QuinceLedgerCallerCallbacks *callbacks;
+  gpointer user_data;
   GHashTable *calls; /* QuinceLedgerCallHandle by id, owned */
   guint64 next_id;
 };
@@ -92,6 +94,8 @@
   QuinceLedgerCaller *caller = data;
   quince_log_warning ("dependency_lost", "what=ledger_primary address=%s", caller->address);
   drop_link (caller);
+  if (caller->callbacks->unlinked != NULL)
+    caller->callbacks->unlinked (caller->user_data);
   caller->timer = quince_timer_add (RECONNECT_MS, link_again, caller);
 }
 
@@ -111,6 +115,8 @@
   QuinceLedgerCaller *caller = data;
   quince_source_clear (&caller->timer);
   quince_log_info ("dependency_regained", "what=ledger_primary address=%s", caller->address);
+  if (caller->callbacks->linked != NULL)
+    caller->callbacks->linked (link, caller->user_data);
 }
 
 static void
@@ -125,6 +131,8 @@
       if (call != NULL)
         call_end (call, QUINCE_LEDGER_CALL_ANSWERED, reply);
     }
+  else if (caller->callbacks->message != NULL)
+    caller->callbacks->message (message, caller->user_data);
   quince_message_free (message);
 }
 
@@ -143,9 +151,11 @@
 /* ---- Public ----------------------------------------------------------- */
 
 QuinceLedgerCaller *
-quince_ledger_caller_new (void)
+quince_ledger_caller_new (const QuinceLedgerCallerCallbacks *callbacks, gpointer user_data)
 {
   QuinceLedgerCaller *caller = g_new0 (QuinceLedgerCaller, 1);
+  caller->callbacks = callbacks;
+  caller->user_data = user_data;
   caller->calls = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, call_free);
   return caller;
 }
--- a/daemons/front/ledger-caller.h
+++ b/daemons/front/ledger-caller.h
@@ -5,6 +5,7 @@
 
 #include <quince/codec.h>
 #include <quince/http1.h>
+#include <quince/link.h>
 
 typedef struct _QuinceLedgerCaller QuinceLedgerCaller;
 typedef struct _QuinceLedgerCall QuinceLedgerCallHandle;
@@ -21,7 +22,15 @@
                                       const QuinceServiceReply *reply,
                                       gpointer user_data);
 
-QuinceLedgerCaller *quince_ledger_caller_new (void);
+/* Each is nullable. @linked: a link to the leader is up; @message: another message came on it; @unlinked: it broke */
+typedef struct
+{
+  void (*linked) (QuinceLink *link, gpointer user_data);
+  void (*message) (const QuinceMessage *message, gpointer user_data);
+  void (*unlinked) (gpointer user_data);
+} QuinceLedgerCallerCallbacks;
+
+QuinceLedgerCaller *quince_ledger_caller_new (const QuinceLedgerCallerCallbacks *callbacks, gpointer user_data);
 void quince_ledger_caller_free (QuinceLedgerCaller *caller);
 /* NULL: nobody is known to lead. */
 void quince_ledger_caller_set_view (QuinceLedgerCaller *caller, const QuinceLedgerView *view);
--- a/daemons/replica/ledger-node.c
+++ b/daemons/replica/ledger-node.c
@@ -35,6 +35,7 @@
       node->callbacks->service_call (link, &message->QuinceMessage_u.service_call, node->user_data);
       break;
     default:
+      node->callbacks->other_message (link, message, node->user_data);
       break;
     }
   quince_message_free (message);
@@ -310,14 +311,16 @@
       quince_log_failure ("ledger_record_refused", "reason=\"%s\"", error->message);
       return 0;
     }
-  QuinceLogEntry entry = { .index = node->next_index++, .epoch = node->led_epoch };
+  g_array_set_size (node->unwritten, node->unwritten->len + 1);
+  QuinceLogEntry *entry = &g_array_index (node->unwritten, QuinceLogEntry, node->unwritten->len - 1);
   gsize length;
-  entry.record.record_val = g_bytes_unref_to_data (g_steal_pointer (&encoded), &length);
-  entry.record.record_len = (u_int)length;
-  g_array_append_val (node->unwritten, entry);
+  entry->index = node->next_index++;
+  entry->epoch = node->led_epoch;
+  entry->record.record_val = g_bytes_unref_to_data (g_steal_pointer (&encoded), &length);
+  entry->record.record_len = (u_int)length;
   if (node->flush == NULL)
     node->flush = quince_timer_add (0, flush_records, node);
-  return entry.index;
+  return entry->index;
 }
 
 /* ---- Time ------------------------------------------------------------- */
--- a/daemons/replica/ledger-node.h
+++ b/daemons/replica/ledger-node.h
@@ -16,6 +16,9 @@
  * @stopped_leading: it does not lead any more
  * @committed: (transfer full): @record, in the order of the log; only at the leader
  * @service_call: a call of a front; @link is to be answered on, and may close
+ * @followed: a link to the leader is up
+ * @other_message: a message that is not the ledger's, from a front or from the leader
+ * @unfollowed: the link to the leader broke
  */
 typedef struct
 {
@@ -24,6 +27,9 @@
   void (*committed) (guint64 index, QuinceBatchRecord *record, gpointer user_data);
   void (*service_call) (QuinceLink *link, const QuinceServiceCall *call, gpointer user_data);
   void (*link_closed) (QuinceLink *link, gpointer user_data);
+  void (*followed) (QuinceLink *link, gpointer user_data);
+  void (*other_message) (QuinceLink *link, const QuinceMessage *message, gpointer user_data);
+  void (*unfollowed) (gpointer user_data);
 } QuinceLedgerNodeCallbacks;
 
 /**
--- a/daemons/replica/ledger-replication.c
+++ b/daemons/replica/ledger-replication.c
@@ -231,6 +231,8 @@
   QuinceLedgerNode *node = data;
   if (message->kind == QUINCE_MESSAGE_LEDGER_APPEND && link == node->primary_link)
     take_append (node, &message->QuinceMessage_u.ledger_append);
+  else if (link == node->primary_link)
+    node->callbacks->other_message (link, message, node->user_data);
   quince_message_free (message);
 }
 
@@ -247,6 +249,7 @@
   hello->commit_epoch = quince_batch_log_get_epoch (node->log, hello->commit_index);
   quince_link_send (link, &message);
   quince_log_info ("dependency_regained", "what=ledger_primary address=%s", node->primary_address);
+  node->callbacks->followed (link, node->user_data);
 }
 
 static void
@@ -255,6 +258,7 @@
   QuinceLedgerNode *node = data;
   quince_log_warning ("dependency_lost", "what=ledger_primary address=%s", node->primary_address);
   g_clear_pointer (&node->primary_link, quince_link_unref);
+  node->callbacks->unfollowed (node->user_data);
 }
 
 static const QuinceLinkCallbacks primary_callbacks
--- a/daemons/replica/replica.c
+++ b/daemons/replica/replica.c
@@ -3,6 +3,7 @@
  */
 #include "replica.h"
 
+#include <quince/belief-feed.h>
 #include <quince/log.h>
 #include <quince/program.h>
 #include <quince/task.h>
@@ -31,6 +32,8 @@
   QuinceLedgerNode *ledger;
   QuinceBatchService *batches;
   QuinceWeightOrders *orders; /* NULL: not leading */
+  QuinceBeliefFeed *feed;     /* NULL: not leading */
+  GHashTable *askers;         /* QuinceLink, owned: those that asked for news */
   char **leaving;             /* nodes to be emptied */
   GHashTable *told_leaving;   /* node name to GINT: state that was written, 1 running, 2 done */
   GSource *timer;
@@ -119,6 +122,13 @@
   const QuinceWeightOrdersOptions options
       = { .holder = replica->name, .may_order = may_order, .loaded = weights_loaded };
   replica->orders = quince_weight_orders_start (replica->backends, replica->observer, &options, replica);
+  quince_observer_feed_ended (replica->observer);
+  replica->feed = quince_belief_feed_new (replica->observer, replica->store);
+  GHashTableIter iter;
+  gpointer link;
+  g_hash_table_iter_init (&iter, replica->askers);
+  while (g_hash_table_iter_next (&iter, &link, NULL))
+    quince_belief_feed_add (replica->feed, link);
 }
 
 static void
@@ -126,6 +136,7 @@
 {
   Replica *replica = data;
   g_clear_pointer (&replica->orders, quince_weight_orders_stop);
+  g_clear_pointer (&replica->feed, quince_belief_feed_free);
   quince_batch_service_stop_leading (replica->batches);
 }
 
@@ -148,13 +159,55 @@
 {
   Replica *replica = data;
   quince_batch_service_link_closed (replica->batches, link);
+  if (replica->feed != NULL)
+    quince_belief_feed_remove (replica->feed, link);
+  g_hash_table_remove (replica->askers, link);
+}
+
+static void
+followed (QuinceLink *link, gpointer data)
+{
+  quince_belief_feed_ask (link);
+}
+
+static void
+unfollowed (gpointer data)
+{
+  Replica *replica = data;
+  quince_observer_feed_ended (replica->observer);
+}
+
+static void
+other_message (QuinceLink *link, const QuinceMessage *message, gpointer data)
+{
+  Replica *replica = data;
+  if (message->kind == QUINCE_MESSAGE_BELIEF_ASK)
+    {
+      /* It may lead a moment later. */
+      g_hash_table_add (replica->askers, quince_link_ref (link));
+      if (replica->feed != NULL)
+        quince_belief_feed_add (replica->feed, link);
+    }
+  else if (message->kind == QUINCE_MESSAGE_BELIEF_NEWS && replica->feed == NULL)
+    quince_belief_feed_take (replica->observer, &message->QuinceMessage_u.belief_news);
+}
+
+static void
+store_read (const char *prefix, const QuinceMetaPage *page, gpointer data)
+{
+  Replica *replica = data;
+  if (replica->feed != NULL)
+    quince_belief_feed_read (replica->feed, prefix, page);
 }
 
 static const QuinceLedgerNodeCallbacks ledger_callbacks = { .leads = ledger_leads,
                                                             .stopped_leading = ledger_stopped_leading,
                                                             .committed = ledger_committed,
                                                             .service_call = service_call,
-                                                            .link_closed = link_closed };
+                                                            .link_closed = link_closed,
+                                                            .followed = followed,
+                                                            .other_message = other_message,
+                                                            .unfollowed = unfollowed };
 
 static void
 own_key (const char *key, GBytes *value, guint64 revision, gpointer data)
@@ -182,7 +235,7 @@
 }
 
 static const QuinceObserverCallbacks observer_callbacks
-    = { .own_key = own_key, .version = version_named, .leaving = leaving_changed };
+    = { .own_key = own_key, .version = version_named, .leaving = leaving_changed, .read = store_read };
 
 static gboolean
 timer_over (gpointer data)
@@ -235,6 +288,7 @@
 {
   Replica *replica = g_new0 (Replica, 1);
   replica->name = g_strdup (quince_settings_get_text (settings, "node", "name"));
+  replica->askers = g_hash_table_new_full (NULL, NULL, (GDestroyNotify)quince_link_unref, NULL);
   replica->told_leaving = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   replica->backends = quince_backends_new (quince_settings_get_text (settings, "node", "zone"));
   replica->store = quince_meta_store_new (quince_settings_get_text (settings, "store", "address"),
@@ -284,11 +338,13 @@
   quince_source_clear (&replica->timer);
   if (replica->orders != NULL)
     quince_weight_orders_stop (replica->orders);
+  quince_belief_feed_free (replica->feed);
   quince_batch_service_free (replica->batches);
   quince_ledger_node_free (replica->ledger);
   quince_observer_free (replica->observer);
   quince_meta_store_free (replica->store);
   quince_backends_free (replica->backends);
+  g_hash_table_unref (replica->askers);
   g_hash_table_unref (replica->told_leaving);
   g_strfreev (replica->leaving);
   g_free (replica->name);
--- /dev/null
+++ b/include/quince/belief-feed.h
@@ -0,0 +1,33 @@
+/*
+ * belief-feed.h: what one process reads from the metadata store, told to others over links.
+ *
+ * The store is shared by the whole system and each call has its price: the ledger's leader reads it, all others are
+ * told and read by themselves only where they hear nothing.
+ */
+#pragma once
+
+#include <quince/link.h>
+#include <quince/observer.h>
+
+G_BEGIN_DECLS
+
+/* ---- At the leader ---------------------------------------------------- */
+
+typedef struct _QuinceBeliefFeed QuinceBeliefFeed;
+
+/* @store tells whether what is read can be trusted to be new. */
+QuinceBeliefFeed *quince_belief_feed_new (QuinceObserver *observer, QuinceMetaStore *store);
+void quince_belief_feed_free (QuinceBeliefFeed *feed);
+/* @link asked for news. */
+void quince_belief_feed_add (QuinceBeliefFeed *feed, QuinceLink *link);
+void quince_belief_feed_remove (QuinceBeliefFeed *feed, QuinceLink *link);
+/* News were read, see QuinceObserverCallbacks. */
+void quince_belief_feed_read (QuinceBeliefFeed *feed, const char *prefix, const QuinceMetaPage *page);
+
+/* ---- At the others ---------------------------------------------------- */
+
+/* Asks whoever is at the other end of @link. */
+void quince_belief_feed_ask (QuinceLink *link);
+void quince_belief_feed_take (QuinceObserver *observer, const QuinceBeliefNews *news);
+
+G_END_DECLS
--- a/include/quince/meta-store.h
+++ b/include/quince/meta-store.h
@@ -135,11 +135,13 @@
  * QuinceMetaMirrorCallbacks:
  * @item: an item was written, or removed (@item->value is %NULL)
  * @synced: all that the store held at some moment has been told; again after each list
+ * @read: (nullable): news were read from the store itself; after a list the snapshot tells more
  */
 typedef struct
 {
   void (*item) (const QuinceMetaItem *item, gpointer user_data);
   void (*synced) (gpointer user_data);
+  void (*read) (const QuinceMetaPage *page, gpointer user_data);
 } QuinceMetaMirrorCallbacks;
 
 /**
@@ -158,6 +160,22 @@
 gboolean quince_meta_mirror_is_synced (const QuinceMetaMirror *mirror);
 /* Monotonic us of the last good answer; 0: none yet. */
 gint64 quince_meta_mirror_get_heard (const QuinceMetaMirror *mirror);
+/**
+ * quince_meta_mirror_feed:
+ * @page: items as another process had them from the store, each with its revision
+ * @whole: all that the store holds under the prefix
+ *
+ * While it is fed a mirror asks the store for nothing; it goes on by itself where it is fed no more
+ * (QUINCE_META_FEED_PATIENCE_MS), from the revision that it has.  What is older than that is passed over.
+ */
+void quince_meta_mirror_feed (QuinceMetaMirror *mirror, const QuinceMetaPage *page, gboolean whole);
+#define QUINCE_META_FEED_PATIENCE_MS 900
+/* Whoever feeds is well, and there is no news. */
+void quince_meta_mirror_feed_alive (QuinceMetaMirror *mirror);
+/* Whoever fed is gone: goes on by itself at once. */
+void quince_meta_mirror_feed_ended (QuinceMetaMirror *mirror);
+/* What it has, to feed others with. */
+QuinceMetaPage *quince_meta_mirror_snapshot (const QuinceMetaMirror *mirror);
 /* The store was not to be reached at @lost_us: a watch that waits since before may be dead, begin it anew. */
 void quince_meta_mirror_doubt (QuinceMetaMirror *mirror, gint64 lost_us);
 
--- a/include/quince/observer.h
+++ b/include/quince/observer.h
@@ -32,6 +32,8 @@
   /* All own keys have been told. */
   void (*own_synced) (gpointer user_data);
   void (*workers_synced) (gpointer user_data);
+  /* News from the store itself, to be passed on with the prefix of its keys. */
+  void (*read) (const char *prefix, const QuinceMetaPage *page, gpointer user_data);
 } QuinceObserverCallbacks;
 
 /**
@@ -46,6 +48,14 @@
                                      const QuinceObserverCallbacks *callbacks,
                                      gpointer user_data);
 void quince_observer_free (QuinceObserver *observer);
+/* Takes what another process read of @prefix; see quince_meta_mirror_feed(). */
+void quince_observer_feed (QuinceObserver *observer, const char *prefix, const QuinceMetaPage *page, gboolean whole);
+void quince_observer_feed_alive (QuinceObserver *observer);
+void quince_observer_feed_ended (QuinceObserver *observer);
+/* Tells all that is known, a snapshot for each prefix that is synced. */
+void quince_observer_snapshot (QuinceObserver *observer,
+                               void (*tell) (const char *prefix, const QuinceMetaPage *page, gpointer user_data),
+                               gpointer user_data);
 /* NULL: no configuration is known yet. */
 QuinceRouteTable *quince_observer_get_routes (QuinceObserver *observer);
 /* The newest version of @model that was named; 0: none. */
--- a/lib/meta/meta-mirror.c
+++ b/lib/meta/meta-mirror.c
@@ -9,6 +9,8 @@
 #include "meta-private.h"
 
 #define WATCH_WAIT_MS 20000
+/* Keys that change all the time: a watch that hears nothing for so long hears nobody. */
+#define PACED_WAIT_MS 2500
 #define RETRY_LEAST_MS 100
 #define RETRY_MOST_MS 800
 
@@ -22,7 +24,7 @@
   gpointer user_data;
   QuinceMetaCall *call; /* in progress */
   GSource *timer;       /* until the next call */
-  GHashTable *known;    /* key to revision: what was told as being there */
+  GHashTable *known;    /* key to QuinceMetaItem, owned: what was told as being there */
   GHashTable *listed;   /* keys of the list in progress; NULL while watching */
   char *list_after;     /* last key of the page before */
   guint64 revision;     /* watch from here */
@@ -32,6 +34,7 @@
   gint64 watch_began_us;
   gboolean synced;
   gboolean watching; /* the call in progress is a watch */
+  GSource *feed_timer; /* while it is fed: until it goes on by itself */
 };
 
 static void begin_list (QuinceMetaMirror *mirror);
@@ -42,8 +45,8 @@
 static void
 tell_item (QuinceMetaMirror *mirror, const QuinceMetaItem *item)
 {
-  guint64 *known = g_hash_table_lookup (mirror->known, item->key);
-  if (known != NULL && item->revision <= *known)
+  const QuinceMetaItem *known = g_hash_table_lookup (mirror->known, item->key);
+  if (known != NULL && item->revision <= known->revision)
     return;
   if (item->value == NULL)
     {
@@ -52,7 +55,13 @@
       g_hash_table_remove (mirror->known, item->key);
     }
   else
-    g_hash_table_replace (mirror->known, g_strdup (item->key), g_memdup2 (&item->revision, sizeof (guint64)));
+    {
+      QuinceMetaItem *copy = g_new0 (QuinceMetaItem, 1);
+      copy->key = g_strdup (item->key);
+      copy->value = g_bytes_ref (item->value);
+      copy->revision = item->revision;
+      g_hash_table_replace (mirror->known, copy->key, copy);
+    }
   mirror->callbacks->item (item, mirror->user_data);
 }
 
@@ -134,6 +143,8 @@
   mirror->revision = MAX (mirror->revision, page->revision);
   for (guint i = 0; i < page->items->len; i++)
     tell_item (mirror, page->items->pdata[i]);
+  if (mirror->callbacks->read != NULL)
+    mirror->callbacks->read (page, mirror->user_data);
   if (mirror->pace_ms > 0)
     wait_then_call (mirror, mirror->pace_ms);
   else
@@ -145,8 +156,8 @@
 {
   mirror->watching = TRUE;
   mirror->watch_began_us = quince_now_us ();
-  mirror->call = quince_meta_store_watch (mirror->store, mirror->prefix, mirror->revision, WATCH_WAIT_MS,
-                                          watch_answered, mirror);
+  mirror->call = quince_meta_store_watch (mirror->store, mirror->prefix, mirror->revision, mirror->pace_ms > 0 ? PACED_WAIT_MS : WATCH_WAIT_MS, watch_answered,
+                                          mirror);
 }
 
 static void
@@ -158,6 +169,9 @@
   mirror->synced = TRUE;
   if (mirror->callbacks->synced != NULL)
     mirror->callbacks->synced (mirror->user_data);
+  g_autoptr (QuinceMetaPage) page = quince_meta_mirror_snapshot (mirror);
+  if (mirror->callbacks->read != NULL)
+    mirror->callbacks->read (page, mirror->user_data);
   wait_then_call (mirror, mirror->pace_ms);
 }
 
@@ -203,6 +217,99 @@
       = quince_meta_store_list (mirror->store, mirror->prefix, mirror->list_after, list_answered, mirror);
 }
 
+/* ---- Feeding ---------------------------------------------------------- */
+
+QuinceMetaPage *
+quince_meta_mirror_snapshot (const QuinceMetaMirror *mirror)
+{
+  QuinceMetaPage *page = g_new0 (QuinceMetaPage, 1);
+  page->items = g_ptr_array_new_with_free_func ((GDestroyNotify)quince_meta_item_free);
+  page->revision = mirror->revision;
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, mirror->known);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const QuinceMetaItem *item = value;
+      QuinceMetaItem *copy = g_new0 (QuinceMetaItem, 1);
+      copy->key = g_strdup (item->key);
+      copy->value = g_bytes_ref (item->value);
+      copy->revision = item->revision;
+      g_ptr_array_add (page->items, copy);
+    }
+  return page;
+}
+
+static void
+stop_asking (QuinceMetaMirror *mirror)
+{
+  if (mirror->call != NULL)
+    quince_meta_call_cancel (mirror->call);
+  mirror->call = NULL;
+  quince_source_clear (&mirror->timer);
+  drop_list (mirror);
+}
+
+static gboolean
+feed_over (gpointer data)
+{
+  quince_meta_mirror_feed_ended (data);
+  return G_SOURCE_REMOVE;
+}
+
+void
+quince_meta_mirror_feed_ended (QuinceMetaMirror *mirror)
+{
+  if (mirror->feed_timer == NULL)
+    return;
+  quince_source_clear (&mirror->feed_timer);
+  if (mirror->synced)
+    begin_watch (mirror);
+  else
+    begin_list (mirror);
+}
+
+static void
+be_fed (QuinceMetaMirror *mirror)
+{
+  stop_asking (mirror);
+  quince_source_clear (&mirror->feed_timer);
+  mirror->feed_timer = quince_timer_add (QUINCE_META_FEED_PATIENCE_MS, feed_over, mirror);
+  mirror->heard_us = quince_now_us ();
+}
+
+void
+quince_meta_mirror_feed_alive (QuinceMetaMirror *mirror)
+{
+  if (mirror->feed_timer != NULL)
+    be_fed (mirror);
+}
+
+void
+quince_meta_mirror_feed (QuinceMetaMirror *mirror, const QuinceMetaPage *page, gboolean whole)
+{
+  if (page->revision < mirror->revision || (!whole && !mirror->synced))
+    return;
+  be_fed (mirror);
+  mirror->revision = page->revision;
+  if (whole)
+    mirror->listed = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  for (guint i = 0; i < page->items->len; i++)
+    {
+      const QuinceMetaItem *item = page->items->pdata[i];
+      if (whole)
+        g_hash_table_add (mirror->listed, g_strdup (item->key));
+      tell_item (mirror, item);
+    }
+  if (!whole)
+    return;
+  tell_missing (mirror);
+  drop_list (mirror);
+  mirror->synced = TRUE;
+  if (mirror->callbacks->synced != NULL)
+    mirror->callbacks->synced (mirror->user_data);
+}
+
 /* ---- Public ----------------------------------------------------------- */
 
 QuinceMetaMirror *
@@ -218,7 +325,8 @@
   mirror->pace_ms = pace_ms;
   mirror->callbacks = callbacks;
   mirror->user_data = user_data;
-  mirror->known = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  mirror->known
+      = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, (GDestroyNotify)quince_meta_item_free);
   mirror->retry_ms = RETRY_LEAST_MS;
   quince_meta_store_add_mirror (store, mirror);
   begin_list (mirror);
@@ -234,6 +342,7 @@
   if (mirror->call != NULL)
     quince_meta_call_cancel (mirror->call);
   quince_source_clear (&mirror->timer);
+  quince_source_clear (&mirror->feed_timer);
   drop_list (mirror);
   g_hash_table_unref (mirror->known);
   g_free (mirror->prefix);
--- a/lib/meta/meta-store.c
+++ b/lib/meta/meta-store.c
@@ -8,7 +8,11 @@
 
 #include "meta-private.h"
 
-#define CALL_TIMEOUT_US (2 * G_USEC_PER_SEC)
+#define CALL_TIMEOUT_US (1200 * 1000)
+/* While calls fail the store is asked so often whether it is back. */
+#define PROBE_FIRST_MS 30
+#define PROBE_EVERY_MS 400
+#define PROBE_KEY "quinceroute/ledger"
 
 G_DEFINE_QUARK (quince - meta - error - quark, quince_meta_error)
 
@@ -30,6 +34,7 @@
   GPtrArray *mirrors; /* QuinceMetaMirror, not owned */
   QuinceMetaCounters counters;
   gboolean failing;
+  GSource *probe_timer; /* while failing */
 };
 
 struct _QuinceMetaCall
@@ -83,6 +88,7 @@
 {
   if (store == NULL)
     return;
+  quince_source_clear (&store->probe_timer);
   g_hash_table_unref (store->calls);
   g_ptr_array_unref (store->mirrors);
   quince_http_pool_unref (store->pool);
@@ -128,6 +134,22 @@
 
 /* ---- Answers ---------------------------------------------------------- */
 
+static void
+probe_answered (const QuinceMetaPage *page, guint64 number, const GError *error, gpointer data)
+{
+  /* How it went has been noted, as of any call. */
+}
+
+static gboolean
+probe_store (gpointer data)
+{
+  QuinceMetaStore *store = data;
+  quince_source_clear (&store->probe_timer);
+  store->probe_timer = quince_timer_add (PROBE_EVERY_MS, probe_store, store);
+  quince_meta_store_get (store, PROBE_KEY, probe_answered, store);
+  return G_SOURCE_REMOVE;
+}
+
 /* A failed call says that waiting watches may be dead too: a cut connection tells nothing by itself. */
 static void
 note_outcome (QuinceMetaStore *store, gboolean good)
@@ -147,6 +169,9 @@
     store->counters.regained_us = store->counters.last_answer_us;
   else
     store->counters.lost_us = quince_now_us ();
+  quince_source_clear (&store->probe_timer);
+  if (!good)
+    store->probe_timer = quince_timer_add (PROBE_FIRST_MS, probe_store, store);
   for (guint i = 0; good && i < store->mirrors->len; i++)
     quince_meta_mirror_doubt (store->mirrors->pdata[i], store->counters.lost_us);
 }
--- /dev/null
+++ b/lib/observer/belief-feed.c
@@ -0,0 +1,153 @@
+/*
+ * belief-feed.c: news of the metadata store, told over links.
+ */
+#include <quince/belief-feed.h>
+
+#include <quince/log.h>
+#include <quince/task.h>
+
+/* A sign of life comes three times within the patience of the fed. */
+#define ALIVE_MS (QUINCE_META_FEED_PATIENCE_MS / 3)
+
+struct _QuinceBeliefFeed
+{
+  /* All fields belong to the context that created the feed. */
+  QuinceObserver *observer;
+  QuinceMetaStore *store;
+  GHashTable *links; /* QuinceLink, owned */
+  GSource *timer;
+};
+
+/* ---- At the leader ---------------------------------------------------- */
+
+static GBytes *
+encode_news (const char *prefix, const QuinceMetaPage *page, gboolean whole)
+{
+  g_autofree QuinceBelief *items = g_new0 (QuinceBelief, page->items->len + 1);
+  for (guint i = 0; i < page->items->len; i++)
+    {
+      const QuinceMetaItem *item = page->items->pdata[i];
+      gsize length = 0;
+      items[i].key = item->key;
+      items[i].revision = item->revision;
+      items[i].gone = item->value == NULL;
+      if (item->value != NULL)
+        items[i].value.value_val = (char *)g_bytes_get_data (item->value, &length);
+      items[i].value.value_len = (u_int)length;
+    }
+  QuinceMessage message = { .kind = QUINCE_MESSAGE_BELIEF_NEWS };
+  QuinceBeliefNews *news = &message.QuinceMessage_u.belief_news;
+  news->prefix = (char *)prefix;
+  news->revision = page->revision;
+  news->whole = whole;
+  news->items.items_val = items;
+  news->items.items_len = page->items->len;
+  return quince_message_encode (&message, NULL);
+}
+
+static void
+send_all (QuinceBeliefFeed *feed, GBytes *encoded)
+{
+  GHashTableIter iter;
+  gpointer link;
+  g_hash_table_iter_init (&iter, feed->links);
+  while (encoded != NULL && g_hash_table_iter_next (&iter, &link, NULL))
+    quince_link_send_bytes (link, encoded);
+}
+
+static gboolean
+tell_alive (gpointer data)
+{
+  QuinceBeliefFeed *feed = data;
+  if (quince_meta_store_is_failing (feed->store))
+    return G_SOURCE_CONTINUE;
+  g_autoptr (GPtrArray) nothing = g_ptr_array_new ();
+  const QuinceMetaPage page = { .items = nothing };
+  g_autoptr (GBytes) encoded = encode_news ("", &page, FALSE);
+  send_all (feed, encoded);
+  return G_SOURCE_CONTINUE;
+}
+
+QuinceBeliefFeed *
+quince_belief_feed_new (QuinceObserver *observer, QuinceMetaStore *store)
+{
+  QuinceBeliefFeed *feed = g_new0 (QuinceBeliefFeed, 1);
+  feed->observer = observer;
+  feed->store = store;
+  feed->links = g_hash_table_new_full (NULL, NULL, (GDestroyNotify)quince_link_unref, NULL);
+  feed->timer = quince_timer_add (ALIVE_MS, tell_alive, feed);
+  return feed;
+}
+
+void
+quince_belief_feed_free (QuinceBeliefFeed *feed)
+{
+  if (feed == NULL)
+    return;
+  quince_source_clear (&feed->timer);
+  g_hash_table_unref (feed->links);
+  g_free (feed);
+}
+
+static void
+send_snapshot (const char *prefix, const QuinceMetaPage *page, gpointer link)
+{
+  g_autoptr (GBytes) encoded = encode_news (prefix, page, TRUE);
+  if (encoded != NULL)
+    quince_link_send_bytes (link, encoded);
+}
+
+void
+quince_belief_feed_add (QuinceBeliefFeed *feed, QuinceLink *link)
+{
+  g_hash_table_add (feed->links, quince_link_ref (link));
+  quince_observer_snapshot (feed->observer, send_snapshot, link);
+}
+
+void
+quince_belief_feed_remove (QuinceBeliefFeed *feed, QuinceLink *link)
+{
+  g_hash_table_remove (feed->links, link);
+}
+
+void
+quince_belief_feed_read (QuinceBeliefFeed *feed, const char *prefix, const QuinceMetaPage *page)
+{
+  if (g_hash_table_size (feed->links) == 0)
+    return;
+  g_autoptr (GBytes) encoded = encode_news (prefix, page, FALSE);
+  send_all (feed, encoded);
+}
+
+/* ---- At the others ---------------------------------------------------- */
+
+void
+quince_belief_feed_ask (QuinceLink *link)
+{
+  QuinceMessage message = { .kind = QUINCE_MESSAGE_BELIEF_ASK };
+  quince_link_send (link, &message);
+}
+
+void
+quince_belief_feed_take (QuinceObserver *observer, const QuinceBeliefNews *news)
+{
+  if (*news->prefix == '\0')
+    {
+      quince_observer_feed_alive (observer);
+      return;
+    }
+  g_autoptr (QuinceMetaPage) page = g_new0 (QuinceMetaPage, 1);
+  page->items = g_ptr_array_new_with_free_func ((GDestroyNotify)quince_meta_item_free);
+  page->revision = news->revision;
+  for (guint i = 0; i < news->items.items_len; i++)
+    {
+      const QuinceBelief *belief = &news->items.items_val[i];
+      QuinceMetaItem *item = g_new0 (QuinceMetaItem, 1);
+      item->key = g_strdup (belief->key);
+      item->revision = belief->revision;
+      if (!belief->gone)
+        item->value = g_bytes_new (belief->value.value_val, belief->value.value_len);
+      g_ptr_array_add (page->items, item);
+    }
+  quince_observer_feed (observer, news->prefix, page, news->whole);
+}
--- a/lib/observer/observer.c
+++ b/lib/observer/observer.c
@@ -160,9 +160,98 @@
     observer->callbacks->own_synced (observer->user_data);
 }
 
-static const QuinceMetaMirrorCallbacks operator_callbacks = { .item = operator_item };
-static const QuinceMetaMirrorCallbacks worker_callbacks = { .item = worker_item, .synced = workers_synced };
-static const QuinceMetaMirrorCallbacks own_callbacks = { .item = own_item, .synced = own_synced };
+/* ---- Passing on ------------------------------------------------------- */
+
+static void
+pass_on (QuinceObserver *observer, const char *prefix, const QuinceMetaPage *page)
+{
+  if (observer->callbacks->read != NULL)
+    observer->callbacks->read (prefix, page, observer->user_data);
+}
+
+static void
+operator_read (const QuinceMetaPage *page, gpointer data)
+{
+  pass_on (data, QUINCE_PLATFORM_OPERATOR_PREFIX, page);
+}
+
+static void
+workers_read (const QuinceMetaPage *page, gpointer data)
+{
+  pass_on (data, QUINCE_PLATFORM_WORKERS_PREFIX, page);
+}
+
+static void
+own_read (const QuinceMetaPage *page, gpointer data)
+{
+  pass_on (data, QUINCE_OWN_PREFIX, page);
+}
+
+static const QuinceMetaMirrorCallbacks operator_callbacks = { .item = operator_item, .read = operator_read };
+static const QuinceMetaMirrorCallbacks worker_callbacks
+    = { .item = worker_item, .synced = workers_synced, .read = workers_read };
+static const QuinceMetaMirrorCallbacks own_callbacks
+    = { .item = own_item, .synced = own_synced, .read = own_read };
+
+typedef struct
+{
+  const char *prefix;
+  QuinceMetaMirror *mirror;
+} NamedMirror;
+
+#define N_MIRRORS 3
+
+static void
+list_mirrors (QuinceObserver *observer, NamedMirror mirrors[N_MIRRORS])
+{
+  mirrors[0] = (NamedMirror){ QUINCE_PLATFORM_OPERATOR_PREFIX, observer->operator_mirror };
+  mirrors[1] = (NamedMirror){ QUINCE_PLATFORM_WORKERS_PREFIX, observer->workers_mirror };
+  mirrors[2] = (NamedMirror){ QUINCE_OWN_PREFIX, observer->own_mirror };
+}
+
+void
+quince_observer_feed (QuinceObserver *observer, const char *prefix, const QuinceMetaPage *page, gboolean whole)
+{
+  NamedMirror mirrors[N_MIRRORS];
+  list_mirrors (observer, mirrors);
+  for (guint i = 0; i < N_MIRRORS; i++)
+    if (g_str_equal (mirrors[i].prefix, prefix))
+      quince_meta_mirror_feed (mirrors[i].mirror, page, whole);
+}
+
+void
+quince_observer_feed_alive (QuinceObserver *observer)
+{
+  NamedMirror mirrors[N_MIRRORS];
+  list_mirrors (observer, mirrors);
+  for (guint i = 0; i < N_MIRRORS; i++)
+    quince_meta_mirror_feed_alive (mirrors[i].mirror);
+}
+
+void
+quince_observer_feed_ended (QuinceObserver *observer)
+{
+  NamedMirror mirrors[N_MIRRORS];
+  list_mirrors (observer, mirrors);
+  for (guint i = 0; i < N_MIRRORS; i++)
+    quince_meta_mirror_feed_ended (mirrors[i].mirror);
+}
+
+void
+quince_observer_snapshot (QuinceObserver *observer,
+                          void (*tell) (const char *prefix, const QuinceMetaPage *page, gpointer user_data),
+                          gpointer user_data)
+{
+  NamedMirror mirrors[N_MIRRORS];
+  list_mirrors (observer, mirrors);
+  for (guint i = 0; i < N_MIRRORS; i++)
+    {
+      if (!quince_meta_mirror_is_synced (mirrors[i].mirror))
+        continue;
+      g_autoptr (QuinceMetaPage) page = quince_meta_mirror_snapshot (mirrors[i].mirror);
+      tell (mirrors[i].prefix, page, user_data);
+    }
+}
 
 /* ---- Public ----------------------------------------------------------- */
 
--- a/lib/protocol/quince_protocol.x
+++ b/lib/protocol/quince_protocol.x
@@ -594,6 +594,26 @@
     unsigned hyper last_epoch;
 };
 
+/* ---- Beliefs: what the ledger's primary reads from the metadata store, for the others ---- */
+
+struct QuinceBelief {
+    QuinceText     key;
+    unsigned hyper revision;
+    bool           gone;
+    opaque         value<QUINCE_MAX_TEXT>;
+};
+
+/* Asked for once on a link. */
+struct QuinceBeliefAsk { unsigned hyper epoch; };
+
+/* Also sent without items, as a sign that the sender reads the store. */
+struct QuinceBeliefNews {
+    QuinceText     prefix;            /* empty: a sign of life only        */
+    unsigned hyper revision;          /* of the store                      */
+    bool           whole;             /* all keys of the prefix            */
+    QuinceBelief   items<QUINCE_MAX_INDEXES>;
+};
+
 /* A caller's call that the ledger's primary answers, passed on as it came. */
 struct QuinceServiceCall {
     unsigned hyper id;                /* of the link                       */
@@ -631,7 +651,9 @@
     QUINCE_MESSAGE_SERVICE_CALL  = 14,
     QUINCE_MESSAGE_SERVICE_REPLY = 15,
     QUINCE_MESSAGE_LEDGER_ASK    = 16,
-    QUINCE_MESSAGE_LEDGER_PROMISE = 17
+    QUINCE_MESSAGE_LEDGER_PROMISE = 17,
+    QUINCE_MESSAGE_BELIEF_ASK    = 18,
+    QUINCE_MESSAGE_BELIEF_NEWS   = 19
 };
 
 union QuinceMessage switch (QuinceMessageKind kind) {
@@ -653,6 +675,8 @@
 case QUINCE_MESSAGE_SERVICE_REPLY: QuinceServiceReply service_reply;
 case QUINCE_MESSAGE_LEDGER_ASK:    QuinceLedgerAsk    ledger_ask;
 case QUINCE_MESSAGE_LEDGER_PROMISE: QuinceLedgerPromise ledger_promise;
+case QUINCE_MESSAGE_BELIEF_ASK:    QuinceBeliefAsk    belief_ask;
+case QUINCE_MESSAGE_BELIEF_NEWS:   QuinceBeliefNews   belief_news;
 };
 
 /* ---- UDP: membership and digests ------------------------------------ */
