--- a/daemons/front/ledger-caller.c
+++ b/daemons/front/ledger-caller.c
@@ -15,8 +15,9 @@
   /* All fields belong to the main context. */
   QuinceLink *link; /* NULL between two tries */
   char *address;    /* of the primary; NULL: not known */
+  gboolean lost;    /* told in the log */
   guint64 epoch;
-  GSource *timer;    /* next try, or end of this one */
+  GSource *timer; /* next try, or end of this one */
   const QuinceLedgerCallerCallbacks *callbacks;
   gpointer user_data;
   GHashTable *calls; /* QuinceLedgerCallHandle by id, owned */
@@ -92,7 +93,9 @@
 link_closed (QuinceLink *link, const GError *error, gpointer data)
 {
   QuinceLedgerCaller *caller = data;
-  quince_log_warning ("dependency_lost", "what=ledger_primary address=%s", caller->address);
+  if (!caller->lost)
+    quince_log_warning ("dependency_lost", "what=ledger_primary address=%s", caller->address);
+  caller->lost = TRUE;
   drop_link (caller);
   if (caller->callbacks->unlinked != NULL)
     caller->callbacks->unlinked (caller->user_data);
@@ -114,6 +117,7 @@
 {
   QuinceLedgerCaller *caller = data;
   quince_source_clear (&caller->timer);
+  caller->lost = FALSE;
   quince_log_info ("dependency_regained", "what=ledger_primary address=%s", caller->address);
   if (caller->callbacks->linked != NULL)
     caller->callbacks->linked (link, caller->user_data);
--- a/daemons/front/ledger-caller.h
+++ b/daemons/front/ledger-caller.h
@@ -22,7 +22,8 @@
                                       const QuinceServiceReply *reply,
                                       gpointer user_data);
 
-/* Each is nullable. @linked: a link to the leader is up; @message: another message came on it; @unlinked: it broke */
+/* Each is nullable. @linked: a link to the leader is up; @message: another message came on it; @unlinked: it
+ * broke */
 typedef struct
 {
   void (*linked) (QuinceLink *link, gpointer user_data);
@@ -30,7 +31,8 @@
   void (*unlinked) (gpointer user_data);
 } QuinceLedgerCallerCallbacks;
 
-QuinceLedgerCaller *quince_ledger_caller_new (const QuinceLedgerCallerCallbacks *callbacks, gpointer user_data);
+QuinceLedgerCaller *quince_ledger_caller_new (const QuinceLedgerCallerCallbacks *callbacks,
+                                              gpointer user_data);
 void quince_ledger_caller_free (QuinceLedgerCaller *caller);
 /* NULL: nobody is known to lead. */
 void quince_ledger_caller_set_view (QuinceLedgerCaller *caller, const QuinceLedgerView *view);
--- a/daemons/replica/ledger-node-private.h
+++ b/daemons/replica/ledger-node-private.h
@@ -42,6 +42,7 @@
   GHashTable *campaign_links; /* QuinceLink by replica, owned: to members that are asked */
   guint64 promised_to;        /* replica that has the latest promise */
   QuinceLink *primary_link;
+  gboolean primary_lost; /* told in the log */
   char *primary_address;
   gint64 primary_tried_us;
 };
--- a/daemons/replica/ledger-replication.c
+++ b/daemons/replica/ledger-replication.c
@@ -248,6 +248,7 @@
   hello->commit_index = MIN (quince_batch_log_get_commit (node->log), hello->last_index);
   hello->commit_epoch = quince_batch_log_get_epoch (node->log, hello->commit_index);
   quince_link_send (link, &message);
+  node->primary_lost = FALSE;
   quince_log_info ("dependency_regained", "what=ledger_primary address=%s", node->primary_address);
   node->callbacks->followed (link, node->user_data);
 }
@@ -256,7 +257,9 @@
 primary_closed (QuinceLink *link, const GError *error, gpointer data)
 {
   QuinceLedgerNode *node = data;
-  quince_log_warning ("dependency_lost", "what=ledger_primary address=%s", node->primary_address);
+  if (!node->primary_lost)
+    quince_log_warning ("dependency_lost", "what=ledger_primary address=%s", node->primary_address);
+  node->primary_lost = TRUE;
   g_clear_pointer (&node->primary_link, quince_link_unref);
   node->callbacks->unfollowed (node->user_data);
 }
--- a/lib/core/group/ledger-proposals.c
+++ b/lib/core/group/ledger-proposals.c
@@ -45,6 +45,22 @@
   view->members.members_len = kept;
 }
 
+/* A machine that was started anew may be found elsewhere. */
+static gboolean
+view_move (QuinceLedgerView *view, guint64 replica, const char *address)
+{
+  for (guint i = 0; i < view->members.members_len; i++)
+    {
+      QuinceLedgerMember *member = &view->members.members_val[i];
+      if (member->replica != replica || g_str_equal (member->address, address))
+        continue;
+      g_free (member->address);
+      member->address = quince_string (address);
+      return TRUE;
+    }
+  return FALSE;
+}
+
 /* ---- A backup, or nobody yet ------------------------------------------ */
 
 static QuinceLedgerView *
@@ -69,6 +85,7 @@
   QuinceLedgerView *view = quince_ledger_view_copy (now);
   view->epoch = was_own ? MAX (now->epoch, group->promised) + 1 : group->campaign_epoch;
   view->primary = group->self.replica;
+  view_move (view, group->self.replica, group->self.address);
   return view;
 }
 
@@ -124,6 +141,7 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       const QuinceLedgerPeer *peer = value;
+      changed = view_move (view, peer->replica, peer->address) || changed;
       if (quince_ledger_view_find (view, peer->replica) != NULL || !is_caught_up (group, now_us, peer)
           || is_leaving (group, peer->node))
         continue;
--- a/lib/forward/forward.c
+++ b/lib/forward/forward.c
@@ -12,6 +12,8 @@
 #define REFUSED_SENDS_MOST 8
 /* A worker that stays silent for this part of the time left loses a repeatable request to another one. */
 #define SILENCE_SHARE 0.5
+/* Timers count whole milliseconds. */
+#define TIMER_ROUNDING_US 2000
 #define SILENCE_LEAST_US (250 * 1000)
 
 struct _QuinceForward
@@ -153,7 +155,7 @@
   if (may_run_again (forward))
     try_later (forward, 0);
   else
-    forward_fail (forward, quince_now_us () >= forward->give_up_us);
+    forward_fail (forward, quince_now_us () >= forward->give_up_us - TIMER_ROUNDING_US);
 }
 
 static void
--- a/lib/meta/meta-mirror.c
+++ b/lib/meta/meta-mirror.c
@@ -8,9 +8,8 @@
 
 #include "meta-private.h"
 
-#define WATCH_WAIT_MS 20000
-/* Keys that change all the time: a watch that hears nothing for so long hears nobody. */
-#define PACED_WAIT_MS 2500
+/* A watch that a silent store has swallowed is noticed after it. */
+#define WATCH_WAIT_MS 3000
 #define RETRY_LEAST_MS 100
 #define RETRY_MOST_MS 800
 
@@ -33,7 +32,7 @@
   gint64 heard_us;
   gint64 watch_began_us;
   gboolean synced;
-  gboolean watching; /* the call in progress is a watch */
+  gboolean watching;   /* the call in progress is a watch */
   GSource *feed_timer; /* while it is fed: until it goes on by itself */
 };
 
@@ -156,8 +155,8 @@
 {
   mirror->watching = TRUE;
   mirror->watch_began_us = quince_now_us ();
-  mirror->call = quince_meta_store_watch (mirror->store, mirror->prefix, mirror->revision, mirror->pace_ms > 0 ? PACED_WAIT_MS : WATCH_WAIT_MS, watch_answered,
-                                          mirror);
+  mirror->call = quince_meta_store_watch (mirror->store, mirror->prefix, mirror->revision, WATCH_WAIT_MS,
+                                          watch_answered, mirror);
 }
 
 static void
--- a/lib/meta/meta-store.c
+++ b/lib/meta/meta-store.c
@@ -8,7 +8,7 @@
 
 #include "meta-private.h"
 
-#define CALL_TIMEOUT_US (1200 * 1000)
+#define CALL_TIMEOUT_US (1000 * 1000)
 /* While calls fail the store is asked so often whether it is back. */
 #define PROBE_FIRST_MS 30
 #define PROBE_EVERY_MS 400
--- a/lib/observer/observer.c
+++ b/lib/observer/observer.c
@@ -210,7 +210,10 @@
 }
 
 void
-quince_observer_feed (QuinceObserver *observer, const char *prefix, const QuinceMetaPage *page, gboolean whole)
+quince_observer_feed (QuinceObserver *observer,
+                      const char *prefix,
+                      const QuinceMetaPage *page,
+                      gboolean whole)
 {
   NamedMirror mirrors[N_MIRRORS];
   list_mirrors (observer, mirrors);
--- /dev/null
+++ b/tests/platform/path-world.h
@@ -0,0 +1,365 @@
+/*
+ * path-world.h: fronts and replicas as real processes, against stand-ins of the platform's store and workers.
+ */
+#pragma once
+
+#include <glib/gstdio.h>
+#include <string.h>
+
+#include <quince/http-client.h>
+
+#include "await.h"
+#include "process.h"
+#include "standin-store.h"
+#include "standin-worker.h"
+
+#define PATH_FRONTS 2
+#define PATH_REPLICAS 3
+#define PATH_PLAIN 2
+#define PATH_MODEL 3
+#define PATH_HOST "h.example"
+
+typedef struct
+{
+  char *folder;
+  StandinStore *store;
+  StandinWorker *plain[PATH_PLAIN];
+  StandinWorker *model[PATH_MODEL];
+  QuinceProcess *fronts[PATH_FRONTS];
+  QuinceProcess *replicas[PATH_REPLICAS];
+  gboolean founded;
+} PathWorld;
+
+typedef struct
+{
+  gboolean done;
+  QuinceHttpOutcome outcome;
+  guint status;
+  char *body;
+  char *connection;
+  char *signature;
+  char *retry_after;
+} PathAnswer;
+
+static inline void
+path_answer_clear (PathAnswer *answer)
+{
+  g_free (answer->body);
+  g_free (answer->connection);
+  g_free (answer->signature);
+  g_free (answer->retry_after);
+  *answer = (PathAnswer){ 0 };
+}
+
+static inline void
+path_exchange_done (QuinceHttpExchange *exchange,
+                    QuinceHttpOutcome outcome,
+                    const GError *error,
+                    gpointer data)
+{
+  PathAnswer *answer = data;
+  const GByteArray *body = quince_http_exchange_get_body (exchange);
+  const QuinceHttpHead *head = quince_http_exchange_get_head (exchange);
+  answer->done = TRUE;
+  answer->outcome = outcome;
+  answer->body = g_strndup (body->len > 0 ? (const char *)body->data : "", body->len);
+  if (head == NULL)
+    return;
+  answer->status = head->status;
+  answer->connection = g_strdup (quince_http_headers_get (head->headers, "Connection"));
+  answer->signature = g_strdup (quince_http_headers_get (head->headers, "Server-Stamp"));
+  answer->retry_after = g_strdup (quince_http_headers_get (head->headers, "Retry-After"));
+}
+
+static const QuinceHttpExchangeCallbacks path_callbacks = { .done = path_exchange_done };
+
+/* Sends without waiting; @answer lives until it is done. */
+static inline void
+path_begin (const char *address,
+            const char *method,
+            const char *target,
+            const char *id,
+            const char *text,
+            PathAnswer *answer)
+{
+  QuinceHttpPool *pool = quince_http_pool_new (address);
+  g_autoptr (QuinceHttpHeaders) headers = quince_http_headers_new ();
+  quince_http_headers_add (headers, "Host", PATH_HOST);
+  quince_http_headers_add (headers, "Request-Id", id);
+  quince_http_headers_add (headers, "Request-Deadline-Ms", "3000");
+  g_autoptr (GBytes) body = text != NULL ? g_bytes_new (text, strlen (text)) : NULL;
+  const QuinceHttpRequest request = {
+    .method = method, .target = target, .headers = headers, .body = body, .timeout_us = 8 * G_USEC_PER_SEC
+  };
+  *answer = (PathAnswer){ 0 };
+  quince_http_pool_start (pool, &request, &path_callbacks, answer);
+  quince_http_pool_unref (pool);
+}
+
+static inline guint
+path_call (const char *address,
+           const char *method,
+           const char *target,
+           const char *id,
+           const char *text,
+           PathAnswer *answer)
+{
+  path_begin (address, method, target, id, text, answer);
+  AWAIT (answer->done);
+  return answer->status;
+}
+
+/* The status alone. */
+static inline guint
+path_status (const char *address, const char *method, const char *target, const char *id, const char *text)
+{
+  PathAnswer answer;
+  guint status = path_call (address, method, target, id, text, &answer);
+  path_answer_clear (&answer);
+  return status;
+}
+
+static inline const char *
+path_front (const PathWorld *world, guint index)
+{
+  return quince_process_get (world->fronts[index], "callers");
+}
+
+/* ---- Processes -------------------------------------------------------- */
+
+static inline QuinceProcess *
+path_spawn (PathWorld *world, const char *program, const char *name, const char *settings)
+{
+  g_autofree char *file = g_strdup_printf ("%s/%s.ini", world->folder, name);
+  g_assert_true (g_file_set_contents (file, settings, -1, NULL));
+  g_autofree char *path = g_build_filename (g_getenv ("QUINCE_BUILD_DIR"), "daemons", program, NULL);
+  const char *const arguments[] = { path, "-c", file, NULL };
+  g_autoptr (GError) error = NULL;
+  QuinceProcess *process = quince_process_spawn (world->folder, name, arguments, &error);
+  if (process == NULL || !quince_process_await_ready (process, &error))
+    fail_msg ("%s does not start: %s", name, error->message);
+  return process;
+}
+
+static inline void
+path_start_front (PathWorld *world, guint index)
+{
+  g_autofree char *name = g_strdup_printf ("front-%u", index);
+  g_autofree char *settings = g_strdup_printf (
+      "[node]\nname=%s\nzone=z1\n[listen]\ncallers=127.0.0.1:0\nready=127.0.0.1:0\n"
+      "directory=127.0.0.1:0\n[store]\naddress=%s\n[stop]\ngrace=8s\n[policy]\nfile=%s/deploy/policy.lua\n",
+      name, standin_store_get_address (world->store), g_getenv ("QUINCE_SOURCE_DIR"));
+  g_clear_pointer (&world->fronts[index], quince_process_free);
+  world->fronts[index] = path_spawn (world, "quinceroute-front", name, settings);
+}
+
+static inline void
+path_start_replica (PathWorld *world, guint index)
+{
+  g_autofree char *name = g_strdup_printf ("replica-%u", index);
+  g_autofree char *data = g_strdup_printf ("%s/data-%u", world->folder, index);
+  g_mkdir_with_parents (data, 0700);
+  g_autofree char *settings = g_strdup_printf (
+      "[node]\nname=%s\nzone=z1\n[listen]\nlink=127.0.0.1:0\n[store]\naddress=%s\n[ledger]\n"
+      "folder=%s\nfound=%s\nlosses=1\n[orders]\npause=500ms\n[policy]\nfile=%s/deploy/policy.lua\n",
+      name, standin_store_get_address (world->store), data, world->founded ? "false" : "true",
+      g_getenv ("QUINCE_SOURCE_DIR"));
+  g_clear_pointer (&world->replicas[index], quince_process_free);
+  world->replicas[index] = path_spawn (world, "quinceroute-replica", name, settings);
+}
+
+/* The disk of a replica that is down is lost. */
+static inline void
+path_wipe_replica (PathWorld *world, guint index)
+{
+  static const char *const endings[] = { "", "-wal", "-journal" };
+  for (guint i = 0; i < G_N_ELEMENTS (endings); i++)
+    {
+      g_autofree char *file
+          = g_strdup_printf ("%s/data-%u/batches.sqlite%s", world->folder, index, endings[i]);
+      g_remove (file);
+    }
+}
+
+/* Which replica led last, by what the processes wrote; the epoch is part of the line. */
+static inline gint
+path_leader (PathWorld *world)
+{
+  gint leader = -1;
+  guint64 greatest = 0;
+  for (guint i = 0; i < PATH_REPLICAS; i++)
+    {
+      g_autofree char *file = g_strdup_printf ("%s/replica-%u.log", world->folder, i);
+      g_autofree char *text = NULL;
+      if (!g_file_get_contents (file, &text, NULL, NULL))
+        continue;
+      for (const char *at = strstr (text, "event=ledger_recovered epoch="); at != NULL;
+           at = strstr (at + 1, "event=ledger_recovered epoch="))
+        {
+          guint64 epoch = g_ascii_strtoull (at + strlen ("event=ledger_recovered epoch="), NULL, 10);
+          if (epoch <= greatest)
+            continue;
+          greatest = epoch;
+          leader = (gint)i;
+        }
+    }
+  return leader;
+}
+
+/* ---- The deployment ----------------------------------------------------- */
+
+static inline void
+path_list_workers (PathWorld *world)
+{
+  for (guint i = 0; i < PATH_PLAIN; i++)
+    {
+      g_autofree char *key = g_strdup_printf ("servers/p%u", i);
+      g_autofree char *entry = standin_worker_entry (world->plain[i], "svc", "ready");
+      standin_store_put (world->store, key, entry);
+    }
+  for (guint i = 0; i < PATH_MODEL; i++)
+    {
+      g_autofree char *key = g_strdup_printf ("servers/m%u", i);
+      g_autofree char *entry = standin_worker_entry (world->model[i], "llm", "ready");
+      standin_store_put (world->store, key, entry);
+    }
+}
+
+#define PATH_CONFIGURATION                                                                                   \
+  "{\"version\":%u,\"routes\":["                                                                             \
+  "{\"name\":\"l\",\"host\":\"" PATH_HOST                                                                    \
+  "\",\"pathPrefix\":\"/l/\",\"kind\":\"idempotent\",\"timeoutMs\":2000,\"targetLatencyMs\":150,"            \
+  "\"priority\":2,\"service\":\"svc\",\"maxAttempts\":3},"                                                   \
+  "{\"name\":\"w\",\"host\":\"" PATH_HOST                                                                    \
+  "\",\"pathPrefix\":\"/w/\",\"kind\":\"idempotent\",\"timeoutMs\":2000,\"targetLatencyMs\":150,"            \
+  "\"priority\":2,\"service\":\"svc\",\"maxAttempts\":4},"                                                   \
+  "{\"name\":\"r\",\"host\":\"" PATH_HOST                                                                    \
+  "\",\"pathPrefix\":\"/r/\",\"kind\":\"rollout\",\"targetLatencyMs\":400,\"deadlineMs\":7500,"              \
+  "\"queueTtlS\":40,\"maxAttempts\":3,\"priority\":1,\"service\":\"llm\"}],"                                 \
+  "\"services\":[{\"name\":\"llm\",\"healthPath\":\"/healthz\",\"maxConns\":50,"                             \
+  "\"engine\":{\"slots\":8,\"models\":[{\"name\":\"model-a\"}]}},"                                           \
+  "{\"name\":\"svc\",\"healthPath\":\"/healthz\",\"maxConns\":50}],"                                         \
+  "\"limits\":{\"maxHeaderBytes\":16384,\"maxBodyBytes\":100000,\"headerTimeoutMs\":3000,\"idleTimeoutMs\":" \
+  "15000}}"
+
+static inline void
+path_configure (PathWorld *world, guint version)
+{
+  g_autofree char *text = g_strdup_printf (PATH_CONFIGURATION, version);
+  standin_store_put (world->store, "op/config", text);
+}
+
+static inline PathWorld *
+path_world_new (const char *name)
+{
+  PathWorld *world = g_new0 (PathWorld, 1);
+  g_autofree char *pattern = g_strdup_printf ("quinceroute-%s-XXXXXX", name);
+  world->folder = g_dir_make_tmp (pattern, NULL);
+  world->store = standin_store_new ();
+  for (guint i = 0; i < PATH_PLAIN; i++)
+    {
+      g_autofree char *id = g_strdup_printf ("p%u", i);
+      world->plain[i] = standin_worker_new (id);
+    }
+  for (guint i = 0; i < PATH_MODEL; i++)
+    {
+      g_autofree char *id = g_strdup_printf ("m%u", i);
+      world->model[i] = standin_worker_new (id);
+      standin_worker_set_events (world->model[i], 6, 5);
+    }
+  return world;
+}
+
+/* All processes run, and the ledger takes batches. */
+static inline void
+path_world_start (PathWorld *world)
+{
+  path_configure (world, 7);
+  path_list_workers (world);
+  for (guint i = 0; i < PATH_REPLICAS; i++)
+    path_start_replica (world, i);
+  for (guint i = 0; i < PATH_FRONTS; i++)
+    path_start_front (world, i);
+  world->founded = TRUE;
+  for (guint i = 0; i < PATH_FRONTS; i++)
+    {
+      AWAIT (path_status (path_front (world, i), "GET", "/quinceroute/lots/none", "q", NULL) == 404);
+      AWAIT (path_status (path_front (world, i), "POST", "/l/1", "q", "x") == 200);
+    }
+}
+
+static inline void
+path_world_free (PathWorld *world)
+{
+  for (guint i = 0; i < PATH_FRONTS; i++)
+    if (world->fronts[i] != NULL)
+      {
+        quince_process_kill (world->fronts[i]);
+        quince_process_free (world->fronts[i]);
+      }
+  for (guint i = 0; i < PATH_REPLICAS; i++)
+    if (world->replicas[i] != NULL)
+      {
+        quince_process_kill (world->replicas[i]);
+        quince_process_free (world->replicas[i]);
+      }
+  for (guint i = 0; i < PATH_PLAIN; i++)
+    standin_worker_free (world->plain[i]);
+  for (guint i = 0; i < PATH_MODEL; i++)
+    standin_worker_free (world->model[i]);
+  standin_store_free (world->store);
+  guint failures = quince_process_take_failures ();
+  if (failures > 0)
+    fail_msg ("%u processes ended by themselves; logs in %s", failures, world->folder);
+  g_autofree char *remove = g_strdup_printf ("rm -rf '%s'", world->folder);
+  g_assert_cmpint (system (remove), ==, 0);
+  g_free (world->folder);
+  g_free (world);
+}
+
+/* ---- Batches ------------------------------------------------------------ */
+
+static inline char *
+path_batch_text (const char *batch, guint items)
+{
+  g_autoptr (GString) text
+      = g_string_new ("{\"step\":0,\"model\":\"model-a\",\"minVersion\":1,\"desired\":2,\"items\":[");
+  for (guint i = 0; i < items; i++)
+    g_string_append_printf (
+        text,
+        "%s{\"id\":\"%s-i%u\",\"path\":\"/r/%u\",\"headers\":{\"Model\":\"model-a\"},"
+        "\"body\":\"cXVlc3Rpb24=\",\"tokens\":100,\"group\":\"g%u\",\"scorer\":{\"id\":\"%s-s%u\","
+        "\"host\":\"" PATH_HOST "\",\"path\":\"/w/%u\",\"body\":\"c2NvcmU=\"}}",
+        i > 0 ? "," : "", batch, i, i, i / 2, batch, i, i);
+  g_string_append (text, "]}");
+  return g_string_free (g_steal_pointer (&text), FALSE);
+}
+
+/* Occurrences of @part in @text. */
+static inline guint
+path_count (const char *text, const char *part)
+{
+  guint count = 0;
+  for (const char *at = strstr (text, part); at != NULL; at = strstr (at + 1, part))
+    count++;
+  return count;
+}
+
+/* All results, read from the start; NULL while they cannot be read. (transfer full) */
+static inline char *
+path_results (PathWorld *world, guint front, const char *batch)
+{
+  g_autofree char *target = g_strdup_printf ("/quinceroute/lots/%s?afterRev=0", batch);
+  PathAnswer answer;
+  guint status = path_call (path_front (world, front), "GET", target, "q", NULL, &answer);
+  char *text = status == 200 ? g_strdup (answer.body) : NULL;
+  path_answer_clear (&answer);
+  return text;
+}
+
+static inline guint
+path_listed (PathWorld *world, guint front, const char *batch)
+{
+  g_autofree char *text = path_results (world, front, batch);
+  return text != NULL ? path_count (text, "\"state\":") : 0;
+}
--- /dev/null
+++ b/tests/platform/standin-server.c
@@ -0,0 +1,224 @@
+/*
+ * standin-server.c: an HTTP server whose answers a test writes byte by byte.
+ */
+#include "standin-server.h"
+
+#include <string.h>
+#include <sys/socket.h>
+
+typedef struct
+{
+  StandinServer *server;
+  QuinceHttpConnection *http;
+  GSocket *socket;
+  QuinceHttpHead *head;
+  GByteArray *body;
+  StandinCall *call; /* in progress */
+} Connection;
+
+struct _StandinServer
+{
+  QuinceHttpAcceptor *acceptor;
+  GHashTable *connections;
+  guint accepted;
+  void (*handler) (StandinCall *, gpointer);
+  gpointer user_data;
+};
+
+static void
+call_free (StandinCall *call)
+{
+  quince_http_head_free (call->head);
+  g_byte_array_unref (call->body);
+  g_free (call);
+}
+
+static void
+connection_free (Connection *connection)
+{
+  if (connection->call != NULL)
+    connection->call->gone = TRUE;
+  g_hash_table_remove (connection->server->connections, connection);
+  quince_http_connection_close (connection->http);
+  quince_http_connection_unref (connection->http);
+  g_object_unref (connection->socket);
+  quince_http_head_free (connection->head);
+  g_clear_pointer (&connection->body, g_byte_array_unref);
+  g_free (connection);
+}
+
+static void
+http_head (QuinceHttpConnection *http, QuinceHttpHead *head, gpointer data)
+{
+  Connection *connection = data;
+  connection->head = head;
+  connection->body = g_byte_array_new ();
+}
+
+static void
+http_body (QuinceHttpConnection *http, const char *data, gsize length, gpointer user_data)
+{
+  Connection *connection = user_data;
+  g_byte_array_append (connection->body, (const guint8 *)data, (guint)length);
+}
+
+static void
+http_complete (QuinceHttpConnection *http, gpointer data)
+{
+  Connection *connection = data;
+  StandinCall *call = g_new0 (StandinCall, 1);
+  call->server = connection->server;
+  call->connection = http;
+  call->head = g_steal_pointer (&connection->head);
+  call->body = g_steal_pointer (&connection->body);
+  connection->call = call;
+  connection->server->handler (call, connection->server->user_data);
+}
+
+static void
+http_closed (QuinceHttpConnection *http, const GError *error, gpointer data)
+{
+  connection_free (data);
+}
+
+static const QuinceHttpConnectionCallbacks http_callbacks
+    = { .head = http_head, .body = http_body, .complete = http_complete, .closed = http_closed };
+
+static void
+accepted (GSocket *socket, gpointer data)
+{
+  StandinServer *server = data;
+  Connection *connection = g_new0 (Connection, 1);
+  connection->server = server;
+  connection->socket = g_object_ref (socket);
+  connection->http = quince_http_connection_new_server (socket, 0, &http_callbacks, connection);
+  g_hash_table_add (server->connections, connection);
+  server->accepted++;
+}
+
+StandinServer *
+standin_server_new_at (const char *address, void (*handler) (StandinCall *, gpointer), gpointer user_data)
+{
+  StandinServer *server = g_new0 (StandinServer, 1);
+  server->connections = g_hash_table_new (NULL, NULL);
+  server->handler = handler;
+  server->user_data = user_data;
+  server->acceptor = quince_http_acceptor_new (address, accepted, server, NULL);
+  g_assert_nonnull (server->acceptor);
+  return server;
+}
+
+StandinServer *
+standin_server_new (void (*handler) (StandinCall *, gpointer), gpointer user_data)
+{
+  return standin_server_new_at ("127.0.0.1:0", handler, user_data);
+}
+
+void
+standin_server_drop_all (StandinServer *server)
+{
+  g_autoptr (GPtrArray) all = g_ptr_array_new ();
+  GHashTableIter iter;
+  gpointer connection;
+  g_hash_table_iter_init (&iter, server->connections);
+  while (g_hash_table_iter_next (&iter, &connection, NULL))
+    g_ptr_array_add (all, connection);
+  for (guint i = 0; i < all->len; i++)
+    connection_free (all->pdata[i]);
+}
+
+void
+standin_server_free (StandinServer *server)
+{
+  quince_http_acceptor_free (server->acceptor);
+  standin_server_drop_all (server);
+  g_hash_table_unref (server->connections);
+  g_free (server);
+}
+
+const char *
+standin_server_get_address (const StandinServer *server)
+{
+  return quince_http_acceptor_get_address (server->acceptor);
+}
+
+guint
+standin_server_get_accepted (const StandinServer *server)
+{
+  return server->accepted;
+}
+
+guint
+standin_server_get_open (const StandinServer *server)
+{
+  return g_hash_table_size (server->connections);
+}
+
+const char *
+standin_header (const StandinCall *call, const char *name)
+{
+  return quince_http_headers_get (call->head->headers, name);
+}
+
+static Connection *
+connection_of (const StandinCall *call)
+{
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, call->server->connections);
+  while (!call->gone && g_hash_table_iter_next (&iter, &value, NULL))
+    if (((Connection *)value)->call == call)
+      return value;
+  return NULL;
+}
+
+void
+standin_write (StandinCall *call, const char *bytes)
+{
+  if (!call->gone)
+    quince_http_connection_write (call->connection, bytes, strlen (bytes));
+}
+
+void
+standin_done (StandinCall *call)
+{
+  Connection *connection = connection_of (call);
+  call_free (call);
+  if (connection == NULL)
+    return;
+  connection->call = NULL;
+  quince_http_connection_next (connection->http);
+}
+
+void
+standin_answer (StandinCall *call, guint status, const char *headers, const char *body, gssize length)
+{
+  gsize bytes = length >= 0 ? (gsize)length : strlen (body);
+  g_autofree char *head = g_strdup_printf (
+      "HTTP/1.1 %u Status\r\n%sContent-Length: %" G_GSIZE_FORMAT "\r\n\r\n", status, headers, bytes);
+  standin_write (call, head);
+  if (!call->gone)
+    quince_http_connection_write (call->connection, body, bytes);
+  standin_done (call);
+}
+
+void
+standin_close (StandinCall *call)
+{
+  Connection *connection = connection_of (call);
+  call_free (call);
+  if (connection == NULL)
+    return;
+  connection->call = NULL;
+  connection_free (connection);
+}
+
+void
+standin_reset (StandinCall *call)
+{
+  Connection *connection = connection_of (call);
+  const struct linger now = { .l_onoff = 1, .l_linger = 0 };
+  if (connection != NULL)
+    setsockopt (g_socket_get_fd (connection->socket), SOL_SOCKET, SO_LINGER, &now, sizeof now);
+  standin_close (call);
+}
--- /dev/null
+++ b/tests/platform/standin-server.h
@@ -0,0 +1,45 @@
+/*
+ * standin-server.h: an HTTP server whose answers a test writes byte by byte.
+ */
+#pragma once
+
+#include <quince/http1.h>
+
+typedef struct _StandinServer StandinServer;
+typedef struct _StandinCall StandinCall;
+
+/* One request as it came; answered with standin_answer() or standin_write(). */
+struct _StandinCall
+{
+  StandinServer *server;
+  QuinceHttpConnection *connection;
+  QuinceHttpHead *head;
+  GByteArray *body;
+  gboolean gone; /* its caller closed */
+  gpointer data; /* the handler's */
+};
+
+/* A call stays valid until the handler is told that it is gone, or it was answered and released. */
+StandinServer *standin_server_new (void (*handler) (StandinCall *call, gpointer user_data),
+                                   gpointer user_data);
+/* Listens on a given address. */
+StandinServer *standin_server_new_at (const char *address,
+                                      void (*handler) (StandinCall *call, gpointer user_data),
+                                      gpointer user_data);
+void standin_server_free (StandinServer *server);
+const char *standin_server_get_address (const StandinServer *server);
+guint standin_server_get_accepted (const StandinServer *server);
+guint standin_server_get_open (const StandinServer *server);
+/* Closes all connections; new ones are taken. */
+void standin_server_drop_all (StandinServer *server);
+
+const char *standin_header (const StandinCall *call, const char *name);
+/* A whole answer; @headers: lines with their ends, or "". Releases the call. */
+void standin_answer (StandinCall *call, guint status, const char *headers, const char *body, gssize length);
+/* Any bytes; the call stays. */
+void standin_write (StandinCall *call, const char *bytes);
+/* Ends the connection in order, or with a reset. Releases the call. */
+void standin_close (StandinCall *call);
+void standin_reset (StandinCall *call);
+/* The answer is complete: the next request of this connection is read. Releases the call. */
+void standin_done (StandinCall *call);
--- /dev/null
+++ b/tests/platform/standin-store.h
@@ -0,0 +1,35 @@
+/*
+ * standin-store.h: the platform's metadata store, small: keys, conditions, watches, leases, and its faults.
+ */
+#pragma once
+
+#include "standin-server.h"
+
+typedef enum
+{
+  STANDIN_STORE_SOUND,
+  STANDIN_STORE_SILENT, /* takes calls and never answers      */
+  STANDIN_STORE_BUSY,   /* 503 to all                         */
+  STANDIN_STORE_RESETS, /* closes instead of an answer        */
+  STANDIN_STORE_LOSES,  /* does writes and does not answer    */
+} StandinStoreFault;
+
+typedef struct _StandinStore StandinStore;
+
+StandinStore *standin_store_new (void);
+void standin_store_free (StandinStore *store);
+const char *standin_store_get_address (const StandinStore *store);
+/* As the operator or a worker writes. */
+void standin_store_put (StandinStore *store, const char *key, const char *value);
+void standin_store_remove (StandinStore *store, const char *key);
+/* NULL: not there. Bytes that are no text are cut at the first zero. */
+const char *standin_store_get (const StandinStore *store, const char *key);
+guint64 standin_store_get_revision (const StandinStore *store, const char *key);
+void standin_store_set_fault (StandinStore *store, StandinStoreFault fault);
+/* All history is forgotten and waiting watches are cut. */
+void standin_store_compact (StandinStore *store);
+/* Waiting watches are cut. */
+void standin_store_drop_connections (StandinStore *store);
+/* All leases end at once. */
+void standin_store_lapse (StandinStore *store);
+guint standin_store_get_calls (const StandinStore *store);
--- /dev/null
+++ b/tests/platform/standin-worker.c
@@ -0,0 +1,330 @@
+/*
+ * standin-worker.c: a worker of the platform.
+ */
+#include "standin-worker.h"
+
+#include <string.h>
+
+#include <json-glib/json-glib.h>
+
+#define MODEL "model-a"
+
+typedef struct
+{
+  StandinWorker *worker;
+  StandinCall *call;
+  StandinRun *run;
+  guint next; /* event */
+  guint timer;
+  StandinWorkerFault fault;
+} Stream;
+
+struct _StandinWorker
+{
+  StandinServer *server;
+  char *id;
+  StandinWorkerFault fault;
+  guint fault_times;
+  guint events;
+  guint pause_ms;
+  GPtrArray *runs;
+  GPtrArray *streams; /* Stream, owned */
+  GPtrArray *silent;  /* StandinCall: never answered */
+  guint64 version;
+  guint64 orders;
+};
+
+static void
+run_free (gpointer data)
+{
+  StandinRun *run = data;
+  g_free (run->id);
+  g_free (run->target);
+  g_free (run->body);
+  g_free (run->deadline);
+  g_free (run->resume);
+  g_free (run->host);
+  g_free (run);
+}
+
+static StandinRun *
+note_run (StandinWorker *worker, const StandinCall *call)
+{
+  StandinRun *run = g_new0 (StandinRun, 1);
+  run->id = g_strdup (standin_header (call, "Request-Id"));
+  run->target = g_strdup (call->head->target);
+  run->body = g_strndup ((const char *)call->body->data, call->body->len);
+  run->deadline = g_strdup (standin_header (call, "Request-Deadline-Ms"));
+  run->resume = g_strdup (standin_header (call, "Last-Event-Id"));
+  run->host = g_strdup (standin_header (call, "Host"));
+  g_ptr_array_add (worker->runs, run);
+  return run;
+}
+
+static char *
+answer_headers (const StandinWorker *worker, const char *id, gboolean is_signed)
+{
+  return g_strdup_printf ("Request-Id: %s\r\n%s%s%s", id, is_signed ? "Server-Stamp: stamp-" : "",
+                          is_signed ? worker->id : "", is_signed ? "\r\n" : "");
+}
+
+/* ---- Streams ---------------------------------------------------------- */
+
+static void
+stream_free (gpointer data)
+{
+  Stream *stream = data;
+  if (stream->timer != 0)
+    g_source_remove (stream->timer);
+  g_free (stream);
+}
+
+static gboolean
+stream_step (gpointer data)
+{
+  Stream *stream = data;
+  StandinWorker *worker = stream->worker;
+  if (stream->call->gone)
+    {
+      stream->run->gone = TRUE;
+      stream->timer = 0;
+      standin_done (stream->call);
+      g_ptr_array_remove (worker->streams, stream);
+      return G_SOURCE_REMOVE;
+    }
+  gboolean half = stream->next > worker->events / 2;
+  if (half && stream->fault == STANDIN_WORKER_CUTS)
+    {
+      standin_write (stream->call, "10\r\nid: 3\nda");
+      stream->timer = 0;
+      standin_close (stream->call);
+      g_ptr_array_remove (worker->streams, stream);
+      return G_SOURCE_REMOVE;
+    }
+  if (half && stream->fault == STANDIN_WORKER_SKIPS)
+    {
+      stream->next++;
+      stream->fault = STANDIN_WORKER_SOUND;
+    }
+  if (stream->next <= worker->events)
+    {
+      g_autofree char *event = g_strdup_printf ("id: %u\ndata: e%u\n\n", stream->next, stream->next);
+      g_autofree char *chunk = g_strdup_printf ("%x\r\n%s\r\n", (guint)strlen (event), event);
+      standin_write (stream->call, chunk);
+      stream->next++;
+      return G_SOURCE_CONTINUE;
+    }
+  standin_write (stream->call, "0\r\n\r\n");
+  stream->timer = 0;
+  standin_done (stream->call);
+  g_ptr_array_remove (worker->streams, stream);
+  return G_SOURCE_REMOVE;
+}
+
+static void
+begin_stream (StandinWorker *worker, StandinCall *call, StandinRun *run, StandinWorkerFault fault)
+{
+  g_autofree char *headers = answer_headers (worker, run->id, TRUE);
+  g_autofree char *head = g_strdup_printf (
+      "HTTP/1.1 200 OK\r\n%sContent-Type: text/event-stream\r\nWeight-Versions: %" G_GUINT64_FORMAT
+      "\r\nTransfer-Encoding: chunked\r\n\r\n",
+      headers, worker->version);
+  standin_write (call, head);
+  Stream *stream = g_new0 (Stream, 1);
+  stream->worker = worker;
+  stream->call = call;
+  stream->run = run;
+  stream->fault = fault;
+  stream->next = run->resume != NULL ? (guint)g_ascii_strtoull (run->resume, NULL, 10) + 1 : 1;
+  stream->timer = g_timeout_add (MAX (worker->pause_ms, 1), stream_step, stream);
+  g_ptr_array_add (worker->streams, stream);
+}
+
+/* ---- Requests --------------------------------------------------------- */
+
+static void
+answer_plain (StandinWorker *worker, StandinCall *call, const StandinRun *run, StandinWorkerFault fault)
+{
+  const char *id = fault == STANDIN_WORKER_WRONG_ID ? "of-another" : run->id;
+  g_autofree char *headers = answer_headers (worker, id, fault != STANDIN_WORKER_UNSIGNED);
+  g_autofree char *body = g_strdup_printf ("%s by %s", run->body, worker->id);
+  if (fault == STANDIN_WORKER_SURPLUS)
+    {
+      g_autofree char *twice = g_strdup_printf ("HTTP/1.1 200 OK\r\n%sContent-Length: %u\r\n\r\n%s"
+                                                "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nbad",
+                                                headers, (guint)strlen (body), body);
+      standin_write (call, twice);
+      standin_done (call);
+      return;
+    }
+  if (fault == STANDIN_WORKER_CUTS)
+    {
+      g_autofree char *part
+          = g_strdup_printf ("HTTP/1.1 200 OK\r\n%sContent-Length: 900\r\n\r\n%s", headers, body);
+      standin_write (call, part);
+      standin_close (call);
+      return;
+    }
+  standin_answer (call, fault == STANDIN_WORKER_FAILS ? 500 : 200, headers, body, -1);
+}
+
+static void
+take_request (StandinWorker *worker, StandinCall *call)
+{
+  StandinWorkerFault fault = worker->fault_times > 0 ? worker->fault : STANDIN_WORKER_SOUND;
+  if (worker->fault_times > 0 && worker->fault_times != G_MAXUINT)
+    worker->fault_times--;
+  if (fault == STANDIN_WORKER_REFUSES)
+    {
+      standin_answer (call, 503, "Not-Run: 1\r\n", "", 0);
+      return;
+    }
+  StandinRun *run = note_run (worker, call);
+  g_autofree char *headers = answer_headers (worker, run->id, TRUE);
+  if (fault == STANDIN_WORKER_SILENT)
+    g_ptr_array_add (worker->silent, call);
+  else if (fault == STANDIN_WORKER_RESETS)
+    standin_reset (call);
+  else if (fault == STANDIN_WORKER_HOPELESS)
+    standin_answer (call, 422, headers, "", 0);
+  else if (worker->events > 0 && fault == STANDIN_WORKER_FAILS)
+    standin_answer (call, 500, headers, "", 0);
+  else if (worker->events > 0)
+    begin_stream (worker, call, run, fault);
+  else
+    answer_plain (worker, call, run, fault);
+}
+
+/* ---- Orders ----------------------------------------------------------- */
+
+static void
+take_order (StandinWorker *worker, StandinCall *call)
+{
+  g_autoptr (JsonParser) parser = json_parser_new ();
+  g_assert_true (json_parser_load_from_data (parser, (const char *)call->body->data, call->body->len, NULL));
+  JsonObject *order = json_node_get_object (json_parser_get_root (parser));
+  if ((guint64)json_object_get_int_member (order, "expected") != worker->orders)
+    {
+      standin_answer (call, 409, "", "", 0);
+      return;
+    }
+  worker->orders++;
+  worker->version = (guint64)json_object_get_int_member (order, "version");
+  standin_answer (call, 202, "", "", 0);
+}
+
+static void
+report (StandinWorker *worker, StandinCall *call)
+{
+  g_autofree char *text = g_strdup_printf (
+      "{\"stage\":\"hybrid\",\"models\":[{\"name\":\"" MODEL "\",\"version\":%" G_GUINT64_FORMAT
+      ",\"adapters\":[]}],\"busy\":false,\"seq\":%" G_GUINT64_FORMAT
+      ",\"queuedRequests\":0,\"running\":0,\"kvUsed\":0,\"kvTotal\":1000,\"handles\":0}",
+      worker->version, worker->orders);
+  standin_answer (call, 200, "Content-Type: application/json\r\n", text, -1);
+}
+
+static void
+handle (StandinCall *call, gpointer data)
+{
+  StandinWorker *worker = data;
+  const char *expected = standin_header (call, "Expect-Instance");
+  if (expected != NULL && !g_str_equal (expected, worker->id))
+    standin_answer (call, 421, "Instance-Id: another\r\n", "", 0);
+  else if (g_str_equal (call->head->target, "/quinceroute/order"))
+    take_order (worker, call);
+  else if (g_str_equal (call->head->target, "/quinceroute/report"))
+    report (worker, call);
+  else
+    take_request (worker, call);
+}
+
+/* ---- Public ----------------------------------------------------------- */
+
+StandinWorker *
+standin_worker_new (const char *id)
+{
+  StandinWorker *worker = g_new0 (StandinWorker, 1);
+  worker->id = g_strdup (id);
+  worker->version = 1;
+  worker->runs = g_ptr_array_new_with_free_func (run_free);
+  worker->streams = g_ptr_array_new_with_free_func (stream_free);
+  worker->silent = g_ptr_array_new ();
+  worker->server = standin_server_new (handle, worker);
+  return worker;
+}
+
+void
+standin_worker_free (StandinWorker *worker)
+{
+  standin_server_free (worker->server);
+  for (guint i = 0; i < worker->silent->len; i++)
+    standin_done (worker->silent->pdata[i]);
+  for (guint i = 0; i < worker->streams->len; i++)
+    standin_done (((Stream *)worker->streams->pdata[i])->call);
+  g_ptr_array_unref (worker->silent);
+  g_ptr_array_unref (worker->streams);
+  g_ptr_array_unref (worker->runs);
+  g_free (worker->id);
+  g_free (worker);
+}
+
+const char *
+standin_worker_get_address (const StandinWorker *worker)
+{
+  return standin_server_get_address (worker->server);
+}
+
+StandinServer *
+standin_worker_get_server (StandinWorker *worker)
+{
+  return worker->server;
+}
+
+void
+standin_worker_set_fault (StandinWorker *worker, StandinWorkerFault fault, guint times)
+{
+  worker->fault = fault;
+  worker->fault_times = times;
+}
+
+void
+standin_worker_set_events (StandinWorker *worker, guint events, guint pause_ms)
+{
+  worker->events = events;
+  worker->pause_ms = pause_ms;
+}
+
+const GPtrArray *
+standin_worker_get_runs (const StandinWorker *worker)
+{
+  return worker->runs;
+}
+
+guint64
+standin_worker_get_version (const StandinWorker *worker)
+{
+  return worker->version;
+}
+
+void
+standin_worker_set_version (StandinWorker *worker, guint64 version)
+{
+  worker->version = version;
+}
+
+guint
+standin_worker_get_orders (const StandinWorker *worker)
+{
+  return (guint)worker->orders;
+}
+
+char *
+standin_worker_entry (const StandinWorker *worker, const char *service, const char *state)
+{
+  return g_strdup_printf (
+      "{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"z1\",\"version\":\"v1\",\"slots\":8,"
+      "\"state\":\"%s\",\"coldRemainingMs\":0,\"stage\":\"hybrid\",\"models\":[{\"name\":\"" MODEL
+      "\",\"version\":%" G_GUINT64_FORMAT ",\"adapters\":[]}],\"seq\":1}",
+      service, standin_worker_get_address (worker), state, worker->version);
+}
--- /dev/null
+++ b/tests/platform/standin-worker.h
@@ -0,0 +1,50 @@
+/*
+ * standin-worker.h: a worker of the platform: answers requests, streams samples, takes orders; and its
+ * faults.
+ */
+#pragma once
+
+#include "standin-server.h"
+
+typedef enum
+{
+  STANDIN_WORKER_SOUND,
+  STANDIN_WORKER_REFUSES,  /* 503, not run                                */
+  STANDIN_WORKER_FAILS,    /* 500, run                                    */
+  STANDIN_WORKER_HOPELESS, /* 422                                         */
+  STANDIN_WORKER_SILENT,   /* runs it and never answers                   */
+  STANDIN_WORKER_CUTS,     /* breaks off in the middle                    */
+  STANDIN_WORKER_RESETS,   /* runs it, then resets without an answer      */
+  STANDIN_WORKER_WRONG_ID, /* an answer to another request                */
+  STANDIN_WORKER_UNSIGNED, /* a success without its signature             */
+  STANDIN_WORKER_SURPLUS,  /* a second answer after the first             */
+  STANDIN_WORKER_SKIPS,    /* leaves an event of a stream out             */
+} StandinWorkerFault;
+
+typedef struct
+{
+  char *id;
+  char *target;
+  char *body;
+  char *deadline;
+  char *resume;
+  char *host;
+  gboolean gone; /* its caller closed before the answer */
+} StandinRun;
+
+typedef struct _StandinWorker StandinWorker;
+
+StandinWorker *standin_worker_new (const char *id);
+void standin_worker_free (StandinWorker *worker);
+const char *standin_worker_get_address (const StandinWorker *worker);
+StandinServer *standin_worker_get_server (StandinWorker *worker);
+/* @times: how many requests meet the fault; G_MAXUINT: all */
+void standin_worker_set_fault (StandinWorker *worker, StandinWorkerFault fault, guint times);
+void standin_worker_set_events (StandinWorker *worker, guint events, guint pause_ms);
+/* Runs so far, StandinRun. */
+const GPtrArray *standin_worker_get_runs (const StandinWorker *worker);
+guint64 standin_worker_get_version (const StandinWorker *worker);
+void standin_worker_set_version (StandinWorker *worker, guint64 version);
+guint standin_worker_get_orders (const StandinWorker *worker);
+/* What the platform lists of it. (transfer full) */
+char *standin_worker_entry (const StandinWorker *worker, const char *service, const char *state);
--- /dev/null
+++ b/tests/platform/test-forward.c
@@ -0,0 +1,278 @@
+/*
+ * test-forward.c: one request brought to workers that misbehave: what is sent again, what is refused, what is
+ * failed.
+ */
+#include <quince/forward.h>
+#include <quince/task.h>
+
+#include <string.h>
+
+#include "await.h"
+#include "platform.h"
+#include "standin-worker.h"
+
+#define WORKERS 2
+
+typedef struct
+{
+  QuinceBackends *backends;
+  StandinWorker *workers[WORKERS];
+  gboolean done;
+  QuinceForwardOutcome outcome;
+  guint status;
+  char *body;
+  char *signature;
+  guint attempts;
+} World;
+
+static void
+list_worker (World *world, guint index, const char *state)
+{
+  const char *const ids[] = { "w0", "w1" };
+  g_autofree char *key = g_strconcat (QUINCE_PLATFORM_WORKERS_PREFIX, ids[index], NULL);
+  g_autofree char *text = standin_worker_entry (world->workers[index], "svc", state);
+  g_autoptr (GBytes) bytes = g_bytes_new (text, strlen (text));
+  QuinceWorker *worker = quince_platform_read_worker (key, bytes, quince_now_us (), NULL);
+  assert_non_null (worker);
+  quince_backends_update (world->backends, worker);
+}
+
+static void
+begin (World *world)
+{
+  *world = (World){ 0 };
+  world->backends = quince_backends_new ("z1");
+  world->workers[0] = standin_worker_new ("w0");
+  world->workers[1] = standin_worker_new ("w1");
+  for (guint i = 0; i < WORKERS; i++)
+    list_worker (world, i, "ready");
+}
+
+static void
+end (World *world)
+{
+  quince_backends_free (world->backends);
+  for (guint i = 0; i < WORKERS; i++)
+    standin_worker_free (world->workers[i]);
+  g_free (world->body);
+  g_free (world->signature);
+}
+
+static guint
+runs (const World *world)
+{
+  return standin_worker_get_runs (world->workers[0])->len + standin_worker_get_runs (world->workers[1])->len;
+}
+
+static void
+forward_done (const QuinceForwardResult *result, gpointer data)
+{
+  World *world = data;
+  world->done = TRUE;
+  world->outcome = result->outcome;
+  world->attempts = result->attempts;
+  if (result->outcome != QUINCE_FORWARD_ANSWERED)
+    return;
+  world->status = result->head->status;
+  world->body = g_strndup ((const char *)result->body->data, result->body->len);
+  world->signature = g_strdup (result->signature);
+}
+
+static QuinceForward *
+start (World *world, gboolean repeatable, guint max_attempts, guint time_ms)
+{
+  g_autoptr (QuinceHttpHeaders) headers = quince_http_headers_new ();
+  quince_http_headers_add (headers, "Host", "h.example");
+  quince_platform_write_request_id (headers, "r1");
+  g_autoptr (GBytes) body = g_bytes_new_static ("question", 8);
+  gint64 now = quince_now_us ();
+  const QuinceForwardRequest request = { .service = "svc",
+                                         .kind = "kind",
+                                         .method = "POST",
+                                         .target = "/p/1?x=y",
+                                         .request_id = "r1",
+                                         .headers = headers,
+                                         .body = body,
+                                         .repeatable = repeatable,
+                                         .max_attempts = max_attempts,
+                                         .target_latency_ms = 100,
+                                         .deadline_us = now + (gint64)time_ms * 1000,
+                                         .give_up_us = now + (gint64)time_ms * 1000 };
+  return quince_forward_start (world->backends, &quince_platform_forward_dialect, &request, forward_done,
+                               world);
+}
+
+static void
+forward (World *world, gboolean repeatable, guint max_attempts, guint time_ms)
+{
+  start (world, repeatable, max_attempts, time_ms);
+  AWAIT (world->done);
+}
+
+/* ---- A table of faults -------------------------------------------------- */
+
+typedef struct
+{
+  const char *name;
+  StandinWorkerFault fault; /* of both workers */
+  guint times;              /* at each of them */
+  gboolean repeatable;
+  QuinceForwardOutcome outcome;
+  guint status;
+  guint runs;
+} Case;
+
+static const Case cases[] = {
+  { "sound", STANDIN_WORKER_SOUND, 0, FALSE, QUINCE_FORWARD_ANSWERED, 200, 1 },
+  { "refused by one, may not be repeated", STANDIN_WORKER_REFUSES, 1, FALSE, QUINCE_FORWARD_ANSWERED, 200,
+    1 },
+  { "refused by all", STANDIN_WORKER_REFUSES, G_MAXUINT, FALSE, QUINCE_FORWARD_REFUSED, 0, 0 },
+  { "lost, may be repeated", STANDIN_WORKER_RESETS, 1, TRUE, QUINCE_FORWARD_ANSWERED, 200, 3 },
+  { "lost, may not be repeated", STANDIN_WORKER_RESETS, 1, FALSE, QUINCE_FORWARD_FAILED, 0, 1 },
+  { "always lost", STANDIN_WORKER_RESETS, G_MAXUINT, TRUE, QUINCE_FORWARD_FAILED, 0, 3 },
+  { "cut, may be repeated", STANDIN_WORKER_CUTS, 1, TRUE, QUINCE_FORWARD_ANSWERED, 200, 3 },
+  { "cut, may not be repeated", STANDIN_WORKER_CUTS, 1, FALSE, QUINCE_FORWARD_FAILED, 0, 1 },
+  { "another's answer, may be repeated", STANDIN_WORKER_WRONG_ID, 1, TRUE, QUINCE_FORWARD_ANSWERED, 200, 3 },
+  { "another's answer, may not be repeated", STANDIN_WORKER_WRONG_ID, 1, FALSE, QUINCE_FORWARD_FAILED, 0, 1 },
+  { "unsigned, may be repeated", STANDIN_WORKER_UNSIGNED, 1, TRUE, QUINCE_FORWARD_ANSWERED, 200, 3 },
+  { "a surplus answer", STANDIN_WORKER_SURPLUS, G_MAXUINT, FALSE, QUINCE_FORWARD_ANSWERED, 200, 1 },
+  { "fails, may be repeated", STANDIN_WORKER_FAILS, 1, TRUE, QUINCE_FORWARD_ANSWERED, 200, 3 },
+  { "fails, may not be repeated", STANDIN_WORKER_FAILS, G_MAXUINT, FALSE, QUINCE_FORWARD_ANSWERED, 500, 1 },
+  { "always fails", STANDIN_WORKER_FAILS, G_MAXUINT, TRUE, QUINCE_FORWARD_ANSWERED, 500, 3 },
+  { "silent, may not be repeated", STANDIN_WORKER_SILENT, G_MAXUINT, FALSE, QUINCE_FORWARD_TIMEOUT, 0, 1 },
+  { "silent at first, may be repeated", STANDIN_WORKER_SILENT, 1, TRUE, QUINCE_FORWARD_ANSWERED, 200, 3 },
+};
+
+static void
+test_faults (void **state)
+{
+  for (guint i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      const Case *c = &cases[i];
+      World world;
+      begin (&world);
+      for (guint j = 0; j < WORKERS; j++)
+        standin_worker_set_fault (world.workers[j], c->fault, c->times);
+      forward (&world, c->repeatable, 3, 3000);
+      if (world.outcome != c->outcome || world.status != c->status || runs (&world) > c->runs)
+        fail_msg ("%s: outcome %d status %u runs %u", c->name, world.outcome, world.status, runs (&world));
+      if (!c->repeatable && runs (&world) > 1)
+        fail_msg ("%s: run %u times", c->name, runs (&world));
+      if (world.status == 200)
+        {
+          assert_true (g_str_has_prefix (world.body, "question by w"));
+          assert_true (g_str_has_prefix (world.signature, "stamp-w"));
+        }
+      end (&world);
+    }
+}
+
+/* ---- What a worker is told -------------------------------------------- */
+
+static void
+test_request_reaches_worker_unchanged (void **state)
+{
+  World world;
+  begin (&world);
+  forward (&world, FALSE, 1, 1500);
+  const GPtrArray *first = standin_worker_get_runs (world.workers[0]);
+  const GPtrArray *second = standin_worker_get_runs (world.workers[1]);
+  const StandinRun *run = first->len > 0 ? first->pdata[0] : second->pdata[0];
+  assert_string_equal (run->id, "r1");
+  assert_string_equal (run->target, "/p/1?x=y");
+  assert_string_equal (run->body, "question");
+  assert_string_equal (run->host, "h.example");
+  assert_in_range (g_ascii_strtoull (run->deadline, NULL, 10), 1, 1500);
+  end (&world);
+}
+
+/* Another worker at the address of one that is gone refuses; nothing runs there. */
+static void
+test_address_used_again (void **state)
+{
+  World world;
+  begin (&world);
+  g_autofree char *text = standin_worker_entry (world.workers[1], "svc", "ready");
+  g_autoptr (GBytes) bytes = g_bytes_new (text, strlen (text));
+  quince_backends_remove (world.backends, "w0");
+  quince_backends_remove (world.backends, "w1");
+  quince_backends_update (world.backends, quince_platform_read_worker ("servers/ghost", bytes, 0, NULL));
+  forward (&world, FALSE, 1, 600);
+  assert_int_equal (world.outcome, QUINCE_FORWARD_REFUSED);
+  assert_int_equal (runs (&world), 0);
+  end (&world);
+}
+
+/* A draining worker, and one that is gone, get nothing new. */
+static void
+test_draining (void **state)
+{
+  World world;
+  begin (&world);
+  list_worker (&world, 0, "draining");
+  for (guint i = 0; i < 6; i++)
+    {
+      world.done = FALSE;
+      forward (&world, FALSE, 1, 1000);
+      assert_int_equal (world.outcome, QUINCE_FORWARD_ANSWERED);
+      g_clear_pointer (&world.body, g_free);
+      g_clear_pointer (&world.signature, g_free);
+    }
+  assert_int_equal (standin_worker_get_runs (world.workers[0])->len, 0);
+  quince_backends_remove (world.backends, "w1");
+  world.done = FALSE;
+  forward (&world, FALSE, 1, 1000);
+  assert_int_equal (world.outcome, QUINCE_FORWARD_REFUSED);
+  assert_int_equal (standin_worker_get_runs (world.workers[0])->len, 0);
+  end (&world);
+}
+
+/* The caller leaves: the worker's connection is closed. */
+static void
+test_cancel (void **state)
+{
+  World world;
+  begin (&world);
+  for (guint j = 0; j < WORKERS; j++)
+    standin_worker_set_fault (world.workers[j], STANDIN_WORKER_SILENT, G_MAXUINT);
+  QuinceForward *handle = start (&world, TRUE, 3, 5000);
+  AWAIT (runs (&world) == 1);
+  quince_forward_cancel (handle);
+  AWAIT (standin_server_get_open (standin_worker_get_server (world.workers[0]))
+             + standin_server_get_open (standin_worker_get_server (world.workers[1]))
+         == 0);
+  assert_false (world.done);
+  end (&world);
+}
+
+/* Connections are kept: many requests, one connection each. */
+static void
+test_connections_kept (void **state)
+{
+  World world;
+  begin (&world);
+  for (guint i = 0; i < 40; i++)
+    {
+      world.done = FALSE;
+      forward (&world, TRUE, 3, 1000);
+      assert_int_equal (world.outcome, QUINCE_FORWARD_ANSWERED);
+      g_clear_pointer (&world.body, g_free);
+      g_clear_pointer (&world.signature, g_free);
+    }
+  assert_in_range (quince_backends_get_opened (world.backends), 1, WORKERS);
+  end (&world);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_faults),
+    cmocka_unit_test (test_request_reaches_worker_unchanged),
+    cmocka_unit_test (test_address_used_again),
+    cmocka_unit_test (test_draining),
+    cmocka_unit_test (test_cancel),
+    cmocka_unit_test (test_connections_kept),
+  };
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
--- /dev/null
+++ b/tests/platform/test-http-pool.c
@@ -0,0 +1,217 @@
+/*
+ * test-http-pool.c: exchanges on kept connections, against a server that misbehaves byte by byte.
+ */
+#include <quince/http-client.h>
+
+#include <string.h>
+
+#include "await.h"
+#include "standin-server.h"
+
+/* ---- A server whose answer is a script --------------------------------- */
+
+typedef enum
+{
+  END_KEEPS,  /* the connection stays       */
+  END_CLOSES, /* it ends in order           */
+  END_RESETS, /* it is reset                */
+  END_SILENT, /* nothing more comes         */
+} ScriptEnd;
+
+typedef struct
+{
+  const char *name;
+  const char *bytes;
+  ScriptEnd end;
+  QuinceHttpOutcome outcome;
+  guint status;
+  const char *body;
+  gboolean kept; /* the connection is used again */
+} Script;
+
+static void
+play (StandinCall *call, gpointer data)
+{
+  const Script *script = data;
+  standin_write (call, script->bytes);
+  switch (script->end)
+    {
+    case END_KEEPS:
+      standin_done (call);
+      break;
+    case END_CLOSES:
+      standin_close (call);
+      break;
+    case END_RESETS:
+      /* The bytes arrive before the reset does. */
+      run_for (30);
+      standin_reset (call);
+      break;
+    case END_SILENT:
+      break;
+    }
+}
+
+typedef struct
+{
+  gboolean done;
+  QuinceHttpOutcome outcome;
+  int error;
+  guint status;
+  char *body;
+} Seen;
+
+static void
+exchange_done (QuinceHttpExchange *exchange, QuinceHttpOutcome outcome, const GError *error, gpointer data)
+{
+  Seen *seen = data;
+  const GByteArray *body = quince_http_exchange_get_body (exchange);
+  seen->done = TRUE;
+  seen->outcome = outcome;
+  seen->error = error != NULL ? error->code : -1;
+  seen->status = quince_http_exchange_get_head (exchange) != NULL
+                     ? quince_http_exchange_get_head (exchange)->status
+                     : 0;
+  seen->body = g_strndup (body->len > 0 ? (const char *)body->data : "", body->len);
+}
+
+static const QuinceHttpExchangeCallbacks callbacks = { .done = exchange_done };
+
+static void
+ask (QuinceHttpPool *pool, Seen *seen, gint64 timeout_us)
+{
+  g_autoptr (GBytes) body = g_bytes_new_static ("question", 8);
+  const QuinceHttpRequest request
+      = { .method = "POST", .target = "/a/b?c=d", .body = body, .timeout_us = timeout_us };
+  *seen = (Seen){ 0 };
+  quince_http_pool_start (pool, &request, &callbacks, seen);
+  AWAIT (seen->done);
+}
+
+static const Script scripts[] = {
+  { "whole answer", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab", END_KEEPS, QUINCE_HTTP_ANSWERED, 200,
+    "ab", TRUE },
+  { "chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n1\r\nc\r\n0\r\n\r\n",
+    END_KEEPS, QUINCE_HTTP_ANSWERED, 200, "abc", TRUE },
+  { "an interim answer first", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na",
+    END_KEEPS, QUINCE_HTTP_ANSWERED, 200, "a", TRUE },
+  { "says close", "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 1\r\n\r\na", END_KEEPS,
+    QUINCE_HTTP_ANSWERED, 200, "a", FALSE },
+  { "keep-alive is over at once", "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=0\r\nContent-Length: 1\r\n\r\na",
+    END_KEEPS, QUINCE_HTTP_ANSWERED, 200, "a", FALSE },
+  { "bytes after the answer",
+    "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\naHTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nb", END_KEEPS,
+    QUINCE_HTTP_ANSWERED, 200, "a", FALSE },
+  { "cut in the body", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nab", END_CLOSES, QUINCE_HTTP_BROKEN, 200,
+    "ab", FALSE },
+  { "cut in chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n", END_CLOSES,
+    QUINCE_HTTP_BROKEN, 200, "ab", FALSE },
+  { "cut in the head", "HTTP/1.1 200 OK\r\nContent-Le", END_CLOSES, QUINCE_HTTP_BROKEN, 0, "", FALSE },
+  { "closes without an answer", "", END_CLOSES, QUINCE_HTTP_BROKEN, 0, "", FALSE },
+  { "no length, ends in order", "HTTP/1.1 200 OK\r\n\r\nabc", END_CLOSES, QUINCE_HTTP_ANSWERED, 200, "abc",
+    FALSE },
+  { "no length, reset", "HTTP/1.1 200 OK\r\n\r\nabc", END_RESETS, QUINCE_HTTP_BROKEN, 200, "abc", FALSE },
+  { "no HTTP", "hello\r\n\r\n", END_KEEPS, QUINCE_HTTP_BROKEN, 0, "", FALSE },
+  { "two lengths", "HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab", END_KEEPS,
+    QUINCE_HTTP_BROKEN, 0, "", FALSE },
+  { "silent", "", END_SILENT, QUINCE_HTTP_BROKEN, 0, "", FALSE },
+};
+
+static void
+test_scripts (void **state)
+{
+  for (guint i = 0; i < G_N_ELEMENTS (scripts); i++)
+    {
+      const Script *script = &scripts[i];
+      StandinServer *server = standin_server_new (play, (gpointer)script);
+      QuinceHttpPool *pool = quince_http_pool_new (standin_server_get_address (server));
+      Seen seen;
+      ask (pool, &seen, 500 * 1000);
+      if (seen.outcome != script->outcome || seen.status != script->status
+          || strcmp (seen.body, script->body) != 0)
+        fail_msg ("%s: outcome %d status %u body '%s'", script->name, seen.outcome, seen.status, seen.body);
+      g_free (seen.body);
+      run_for (20);
+      ask (pool, &seen, 500 * 1000);
+      g_free (seen.body);
+      guint expected = script->kept ? 1 : 2;
+      if (quince_http_pool_get_opened (pool) != expected)
+        fail_msg ("%s: %u connections were made", script->name, (guint)quince_http_pool_get_opened (pool));
+      assert_int_equal (quince_http_pool_get_busy (pool), 0);
+      quince_http_pool_unref (pool);
+      standin_server_free (server);
+    }
+}
+
+static void
+test_nobody_listens (void **state)
+{
+  StandinServer *server = standin_server_new (play, NULL);
+  QuinceHttpPool *pool = quince_http_pool_new (standin_server_get_address (server));
+  standin_server_free (server);
+  Seen seen;
+  ask (pool, &seen, 500 * 1000);
+  assert_int_equal (seen.outcome, QUINCE_HTTP_NOT_SENT);
+  g_free (seen.body);
+  quince_http_pool_unref (pool);
+}
+
+/* An idle connection that its server closes is not used again. */
+static void
+test_idle_connection_closed (void **state)
+{
+  StandinServer *server = standin_server_new (play, (gpointer)&scripts[0]);
+  QuinceHttpPool *pool = quince_http_pool_new (standin_server_get_address (server));
+  Seen seen;
+  ask (pool, &seen, 500 * 1000);
+  g_free (seen.body);
+  assert_int_equal (quince_http_pool_get_idle (pool), 1);
+  standin_server_drop_all (server);
+  AWAIT (quince_http_pool_get_idle (pool) == 0);
+  ask (pool, &seen, 500 * 1000);
+  assert_int_equal (seen.outcome, QUINCE_HTTP_ANSWERED);
+  g_free (seen.body);
+  quince_http_pool_unref (pool);
+  standin_server_free (server);
+}
+
+static gboolean saw_gone;
+
+static void
+wait_for_cancel (StandinCall *call, gpointer data)
+{
+  *(StandinCall **)data = call;
+}
+
+/* A cancelled exchange closes its connection: the work behind it ends. */
+static void
+test_cancel_closes (void **state)
+{
+  StandinCall *call = NULL;
+  StandinServer *server = standin_server_new (wait_for_cancel, &call);
+  QuinceHttpPool *pool = quince_http_pool_new (standin_server_get_address (server));
+  const QuinceHttpRequest request = { .method = "GET", .target = "/" };
+  Seen seen = { 0 };
+  QuinceHttpExchange *exchange = quince_http_pool_start (pool, &request, &callbacks, &seen);
+  AWAIT (call != NULL);
+  quince_http_exchange_cancel (exchange);
+  AWAIT (call->gone);
+  saw_gone = call->gone;
+  standin_done (call);
+  assert_true (saw_gone);
+  assert_false (seen.done);
+  quince_http_pool_unref (pool);
+  standin_server_free (server);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_scripts),
+    cmocka_unit_test (test_nobody_listens),
+    cmocka_unit_test (test_idle_connection_closed),
+    cmocka_unit_test (test_cancel_closes),
+  };
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
--- /dev/null
+++ b/tests/platform/test-meta.c
@@ -0,0 +1,309 @@
+/*
+ * test-meta.c: mirrors, presence and feeds of the metadata store, in the platform's words, under its faults.
+ */
+#include <quince/meta-store.h>
+
+#include <string.h>
+
+#include "await.h"
+#include "platform.h"
+#include "standin-store.h"
+
+/* ---- What a mirror has told ------------------------------------------- */
+
+typedef struct
+{
+  GHashTable *values; /* key to text */
+  guint synced;
+  guint told;
+} Told;
+
+static void
+told_item (const QuinceMetaItem *item, gpointer data)
+{
+  Told *told = data;
+  told->told++;
+  if (item->value == NULL)
+    g_hash_table_remove (told->values, item->key);
+  else
+    g_hash_table_replace (told->values, g_strdup (item->key),
+                          g_strndup (g_bytes_get_data (item->value, NULL), g_bytes_get_size (item->value)));
+}
+
+static void
+told_synced (gpointer data)
+{
+  ((Told *)data)->synced++;
+}
+
+static const QuinceMetaMirrorCallbacks mirror_callbacks = { .item = told_item, .synced = told_synced };
+
+typedef struct
+{
+  StandinStore *standin;
+  QuinceMetaStore *store;
+  QuinceMetaMirror *mirror;
+  Told told;
+} World;
+
+static void
+begin (World *world, guint pace_ms)
+{
+  *world = (World){ 0 };
+  world->told.values = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  world->standin = standin_store_new ();
+  for (guint i = 0; i < 5; i++)
+    {
+      g_autofree char *key = g_strdup_printf ("a/%u", i);
+      standin_store_put (world->standin, key, "first");
+    }
+  standin_store_put (world->standin, "b/0", "other");
+  world->store
+      = quince_meta_store_new (standin_store_get_address (world->standin), &quince_platform_meta_dialect);
+  world->mirror = quince_meta_mirror_new (world->store, "a/", pace_ms, &mirror_callbacks, &world->told);
+  AWAIT (world->told.synced > 0);
+}
+
+static void
+end (World *world)
+{
+  quince_meta_mirror_free (world->mirror);
+  quince_meta_store_free (world->store);
+  standin_store_free (world->standin);
+  g_hash_table_unref (world->told.values);
+}
+
+static const char *
+value (World *world, const char *key)
+{
+  const char *text = g_hash_table_lookup (world->told.values, key);
+  return text != NULL ? text : "";
+}
+
+/* ---- Mirrors ---------------------------------------------------------- */
+
+static void
+test_list_and_changes (void **state)
+{
+  World world;
+  begin (&world, 0);
+  assert_int_equal (g_hash_table_size (world.told.values), 5);
+  standin_store_put (world.standin, "a/1", "second");
+  AWAIT (strcmp (value (&world, "a/1"), "second") == 0);
+  standin_store_remove (world.standin, "a/2");
+  AWAIT (g_hash_table_size (world.told.values) == 4);
+  standin_store_put (world.standin, "b/1", "not ours");
+  run_for (50);
+  assert_int_equal (g_hash_table_size (world.told.values), 4);
+  end (&world);
+}
+
+/* Whatever the store does, what it holds afterwards is told. Failed first: the answer after an outage ended
+ * the process, and a silent store was noticed only when a watch of 20 s was over. */
+static void
+outage (StandinStoreFault fault, guint for_ms)
+{
+  World world;
+  begin (&world, 0);
+  standin_store_set_fault (world.standin, fault);
+  standin_store_drop_connections (world.standin);
+  standin_store_put (world.standin, "a/1", "meanwhile");
+  standin_store_remove (world.standin, "a/2");
+  run_for (for_ms);
+  assert_string_equal (value (&world, "a/1"), "first");
+  standin_store_set_fault (world.standin, STANDIN_STORE_SOUND);
+  gint64 back = g_get_monotonic_time ();
+  AWAIT (strcmp (value (&world, "a/1"), "meanwhile") == 0);
+  AWAIT (g_hash_table_size (world.told.values) == 4);
+  if (g_get_monotonic_time () - back > 15 * G_USEC_PER_SEC)
+    fail_msg ("the mirror waits for its own watch");
+  end (&world);
+}
+
+static void
+test_silent_store (void **state)
+{
+  outage (STANDIN_STORE_SILENT, 2500);
+}
+
+static void
+test_busy_store (void **state)
+{
+  outage (STANDIN_STORE_BUSY, 300);
+}
+
+static void
+test_store_that_resets (void **state)
+{
+  outage (STANDIN_STORE_RESETS, 300);
+}
+
+static void
+test_dropped_history (void **state)
+{
+  World world;
+  begin (&world, 0);
+  standin_store_put (world.standin, "a/1", "meanwhile");
+  standin_store_remove (world.standin, "a/2");
+  standin_store_compact (world.standin);
+  AWAIT (strcmp (value (&world, "a/1"), "meanwhile") == 0);
+  AWAIT (g_hash_table_size (world.told.values) == 4);
+  end (&world);
+}
+
+/* Keys that change all the time cost no more calls than the pace allows. */
+static void
+test_pace (void **state)
+{
+  World world;
+  begin (&world, 300);
+  guint before = standin_store_get_calls (world.standin);
+  for (guint i = 0; i < 60; i++)
+    {
+      g_autofree char *text = g_strdup_printf ("%u", i);
+      standin_store_put (world.standin, "a/1", text);
+      run_for (10);
+    }
+  AWAIT (strcmp (value (&world, "a/1"), "59") == 0);
+  assert_in_range (standin_store_get_calls (world.standin) - before, 1, 8);
+  end (&world);
+}
+
+/* ---- Feeds ------------------------------------------------------------ */
+
+static QuinceMetaPage *
+page_of (guint64 revision, const char *key, const char *text, guint64 key_revision)
+{
+  QuinceMetaPage *page = g_new0 (QuinceMetaPage, 1);
+  page->items = g_ptr_array_new_with_free_func ((GDestroyNotify)quince_meta_item_free);
+  page->revision = revision;
+  QuinceMetaItem *item = g_new0 (QuinceMetaItem, 1);
+  item->key = g_strdup (key);
+  item->revision = key_revision;
+  if (text != NULL)
+    item->value = g_bytes_new (text, strlen (text));
+  g_ptr_array_add (page->items, item);
+  return page;
+}
+
+/* A fed mirror asks for nothing, goes back to asking, and never goes back in time. */
+static void
+test_feed (void **state)
+{
+  World world;
+  begin (&world, 0);
+  g_autoptr (QuinceMetaPage) news = page_of (100, "a/1", "fed", 100);
+  quince_meta_mirror_feed (world.mirror, news, FALSE);
+  assert_string_equal (value (&world, "a/1"), "fed");
+  g_autoptr (QuinceMetaPage) older = page_of (50, "a/1", "older", 50);
+  quince_meta_mirror_feed (world.mirror, older, TRUE);
+  assert_string_equal (value (&world, "a/1"), "fed");
+  guint before = standin_store_get_calls (world.standin);
+  for (guint i = 0; i < 8; i++)
+    {
+      run_for (200);
+      quince_meta_mirror_feed_alive (world.mirror);
+    }
+  assert_int_equal (standin_store_get_calls (world.standin), before);
+  AWAIT (standin_store_get_calls (world.standin) > before);
+  end (&world);
+}
+
+/* A whole feed takes away what is not in it. */
+static void
+test_whole_feed (void **state)
+{
+  World world;
+  begin (&world, 0);
+  g_autoptr (QuinceMetaPage) all = page_of (100, "a/1", "fed", 100);
+  quince_meta_mirror_feed (world.mirror, all, TRUE);
+  assert_int_equal (g_hash_table_size (world.told.values), 1);
+  end (&world);
+}
+
+/* ---- Presence --------------------------------------------------------- */
+
+static void
+test_presence (void **state)
+{
+  StandinStore *standin = standin_store_new ();
+  QuinceMetaStore *store
+      = quince_meta_store_new (standin_store_get_address (standin), &quince_platform_meta_dialect);
+  g_autoptr (GBytes) here = g_bytes_new_static ("here", 4);
+  g_autoptr (GBytes) leaving = g_bytes_new_static ("leaving", 7);
+  QuinceMetaPresence *presence = quince_meta_presence_new (store, "a/me", here, 400);
+  AWAIT (g_strcmp0 (standin_store_get (standin, "a/me"), "here") == 0);
+  run_for (1000);
+  assert_string_equal (standin_store_get (standin, "a/me"), "here");
+  /* The store loses its leases: the key comes back. */
+  standin_store_lapse (standin);
+  assert_null (standin_store_get (standin, "a/me"));
+  AWAIT (standin_store_get (standin, "a/me") != NULL);
+  quince_meta_presence_update (presence, leaving);
+  AWAIT (g_strcmp0 (standin_store_get (standin, "a/me"), "leaving") == 0);
+  quince_meta_presence_withdraw (presence);
+  AWAIT (standin_store_get (standin, "a/me") == NULL);
+  quince_meta_presence_free (presence);
+  quince_meta_store_free (store);
+  standin_store_free (standin);
+}
+
+/* ---- Conditions ------------------------------------------------------- */
+
+typedef struct
+{
+  gboolean done;
+  int error;
+} Outcome;
+
+static void
+change_done (const QuinceMetaPage *page, guint64 number, const GError *error, gpointer data)
+{
+  Outcome *outcome = data;
+  outcome->done = TRUE;
+  outcome->error = error != NULL ? error->code : -1;
+}
+
+static void
+test_conditions (void **state)
+{
+  World world;
+  begin (&world, 0);
+  g_autoptr (GBytes) text = g_bytes_new_static ("new", 3);
+  QuinceMetaChange change = { .key = "a/9", .expected_revision = 0, .value = text };
+  Outcome outcome = { 0 };
+  quince_meta_store_change (world.store, &change, 1, change_done, &outcome);
+  AWAIT (outcome.done);
+  assert_int_equal (outcome.error, -1);
+  outcome.done = FALSE;
+  quince_meta_store_change (world.store, &change, 1, change_done, &outcome);
+  AWAIT (outcome.done);
+  assert_int_equal (outcome.error, QUINCE_META_ERROR_CONFLICT);
+  /* A write whose answer is lost is done all the same, and said to be unknown. */
+  standin_store_set_fault (world.standin, STANDIN_STORE_LOSES);
+  change.key = "a/8";
+  outcome.done = FALSE;
+  quince_meta_store_change (world.store, &change, 1, change_done, &outcome);
+  AWAIT (outcome.done);
+  assert_int_equal (outcome.error, QUINCE_META_ERROR_UNKNOWN);
+  assert_string_equal (standin_store_get (world.standin, "a/8"), "new");
+  end (&world);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_list_and_changes),
+    cmocka_unit_test (test_silent_store),
+    cmocka_unit_test (test_busy_store),
+    cmocka_unit_test (test_store_that_resets),
+    cmocka_unit_test (test_dropped_history),
+    cmocka_unit_test (test_pace),
+    cmocka_unit_test (test_feed),
+    cmocka_unit_test (test_whole_feed),
+    cmocka_unit_test (test_presence),
+    cmocka_unit_test (test_conditions),
+  };
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
--- /dev/null
+++ b/tests/platform/test-path.c
@@ -0,0 +1,333 @@
+/*
+ * test-path.c: the whole path on stand-ins of the platform: callers, fronts, the ledger, workers.
+ */
+#include "path-world.h"
+
+#include <stdlib.h>
+
+#define WHOLE_TEXT "\"message\":\"e1\\ne2\\ne3\\ne4\\ne5\\ne6\""
+#define ITEMS 12
+
+static void
+submit (PathWorld *world, guint front, const char *batch, guint items)
+{
+  g_autofree char *text = path_batch_text (batch, items);
+  AWAIT (path_status (path_front (world, front), "POST", "/r/batch", batch, text) == 202);
+}
+
+static void
+assert_whole (PathWorld *world, guint front, const char *batch, guint items)
+{
+  AWAIT (path_listed (world, front, batch) == items);
+  g_autofree char *text = path_results (world, front, batch);
+  assert_int_equal (path_count (text, WHOLE_TEXT), items);
+  assert_int_equal (path_count (text, "\"state\":\"completed\""), items);
+  assert_int_equal (path_count (text, "\"score\":\"stamp-p"), items);
+  assert_int_equal (path_count (text, "\"versions\":[1]"), items);
+}
+
+/* ---- Lookups and configuration ------------------------------------------- */
+
+static void
+test_lookups (void **state)
+{
+  PathWorld *world = path_world_new ("lookups");
+  path_start_front (world, 0);
+  const char *front = path_front (world, 0);
+  /* No configuration is known yet: 503 and when to come back, never 404. */
+  PathAnswer answer;
+  assert_int_equal (path_call (front, "POST", "/l/1", "r1", "x", &answer), 503);
+  assert_non_null (answer.retry_after);
+  path_answer_clear (&answer);
+  assert_int_equal (
+      path_status (quince_process_get (world->fronts[0], "ready"), "GET", "/quinceroute/readyz", "q", NULL),
+      503);
+  path_configure (world, 3);
+  path_list_workers (world);
+  AWAIT (path_status (front, "POST", "/l/1", "r2", "x") == 200);
+  assert_int_equal (
+      path_status (quince_process_get (world->fronts[0], "ready"), "GET", "/quinceroute/readyz", "q", NULL),
+      200);
+  path_call (front, "POST", "/l/1", "r3", "question", &answer);
+  assert_true (g_str_has_prefix (answer.body, "question by p"));
+  assert_true (g_str_has_prefix (answer.signature, "stamp-p"));
+  path_answer_clear (&answer);
+  assert_int_equal (path_status (front, "POST", "/nowhere/1", "r4", "x"), 404);
+  g_autofree char *large = g_strnfill (100001, 'x');
+  assert_int_equal (path_status (front, "POST", "/l/1", "r5", large), 413);
+  path_world_free (world);
+}
+
+/* An older configuration is never taken, a newer one at once. */
+static void
+test_configurations_only_rise (void **state)
+{
+  PathWorld *world = path_world_new ("configurations");
+  path_configure (world, 5);
+  path_list_workers (world);
+  path_start_front (world, 0);
+  AWAIT (path_status (path_front (world, 0), "POST", "/l/1", "r1", "x") == 200);
+  standin_store_put (world->store, "op/config",
+                     "{\"version\":4,\"routes\":[],\"services\":[],\"limits\":{}}");
+  run_for (200);
+  assert_int_equal (path_status (path_front (world, 0), "POST", "/l/1", "r2", "x"), 200);
+  standin_store_put (world->store, "op/config",
+                     "{\"version\":6,\"routes\":[],\"services\":[],\"limits\":{}}");
+  AWAIT (path_status (path_front (world, 0), "POST", "/l/1", "r3", "x") == 404);
+  path_world_free (world);
+}
+
+/* ---- The directory -------------------------------------------------------- */
+
+static guint
+named (PathWorld *world, guint asked)
+{
+  PathAnswer answer;
+  path_call (quince_process_get (world->fronts[asked], "directory"), "GET",
+             "/quinceroute/resolve?name=x&zone=z1", "q", NULL, &answer);
+  guint count = answer.status == 200 ? path_count (answer.body, "127.0.0.1:") : 0;
+  path_answer_clear (&answer);
+  return count;
+}
+
+/* Failed first: a front that was killed was named for 12 s. */
+static void
+test_directory (void **state)
+{
+  PathWorld *world = path_world_new ("directory");
+  path_configure (world, 3);
+  path_start_front (world, 0);
+  path_start_front (world, 1);
+  AWAIT (named (world, 0) == 2 && named (world, 1) == 2);
+  gint64 killed = g_get_monotonic_time ();
+  quince_process_kill (world->fronts[1]);
+  AWAIT (named (world, 0) == 1);
+  if (g_get_monotonic_time () - killed > 8 * G_USEC_PER_SEC)
+    fail_msg ("a dead front is named for too long");
+  /* A store that loses its leases in an outage takes nobody out who lives. */
+  path_start_front (world, 1);
+  AWAIT (named (world, 0) == 2);
+  standin_store_set_fault (world->store, STANDIN_STORE_BUSY);
+  standin_store_drop_connections (world->store);
+  run_for (300);
+  standin_store_lapse (world->store);
+  standin_store_set_fault (world->store, STANDIN_STORE_SOUND);
+  for (guint i = 0; i < 20; i++)
+    {
+      assert_int_equal (named (world, 0), 2);
+      run_for (100);
+    }
+  path_world_free (world);
+}
+
+/* A planned stop: what was read is answered, the directory forgets the front at once. */
+static void
+test_planned_stop (void **state)
+{
+  PathWorld *world = path_world_new ("stop");
+  path_configure (world, 3);
+  path_list_workers (world);
+  path_start_front (world, 0);
+  path_start_front (world, 1);
+  AWAIT (named (world, 1) == 2);
+  AWAIT (path_status (path_front (world, 0), "POST", "/l/1", "r1", "x") == 200);
+  quince_process_stop (world->fronts[0]);
+  AWAIT (named (world, 1) == 1);
+  PathAnswer answer;
+  assert_int_equal (path_call (path_front (world, 0), "POST", "/l/1", "r2", "x", &answer), 200);
+  assert_string_equal (answer.connection, "close");
+  path_answer_clear (&answer);
+  assert_int_equal (
+      path_status (quince_process_get (world->fronts[0], "ready"), "GET", "/quinceroute/readyz", "q", NULL),
+      503);
+  int status = -1;
+  assert_true (quince_process_wait (world->fronts[0], AWAIT_MS, &status));
+  assert_int_equal (status, 0);
+  path_world_free (world);
+}
+
+/* ---- Batches ---------------------------------------------------------------- */
+
+static void
+test_batch (void **state)
+{
+  PathWorld *world = path_world_new ("batch");
+  path_world_start (world);
+  submit (world, 0, "b1", ITEMS);
+  submit (world, 1, "b1", ITEMS); /* again, elsewhere: taken once */
+  assert_whole (world, 0, "b1", ITEMS);
+  g_autofree char *here = path_results (world, 0, "b1");
+  g_autofree char *there = path_results (world, 1, "b1");
+  assert_string_equal (here, there);
+  PathAnswer answer;
+  assert_int_equal (
+      path_call (path_front (world, 1), "GET", "/quinceroute/items/b1?id=b1-i3", "q", NULL, &answer), 200);
+  assert_string_equal (answer.body, "question");
+  path_answer_clear (&answer);
+  assert_int_equal (path_status (path_front (world, 0), "GET", "/quinceroute/lots/b2", "q", NULL), 404);
+  assert_int_equal (path_status (path_front (world, 0), "DELETE", "/quinceroute/lots/b1", "q", NULL), 200);
+  assert_int_equal (path_status (path_front (world, 1), "DELETE", "/quinceroute/lots/b1", "q", NULL), 200);
+  assert_int_equal (path_status (path_front (world, 0), "POST", "/r/batch", "b3", "{\"items\":[]}"), 400);
+  path_world_free (world);
+}
+
+/* An ended batch stops running. */
+static void
+test_end_stops_samples (void **state)
+{
+  PathWorld *world = path_world_new ("end");
+  for (guint i = 0; i < PATH_MODEL; i++)
+    standin_worker_set_events (world->model[i], 6, 1500);
+  path_world_start (world);
+  submit (world, 0, "b1", 4);
+  AWAIT (standin_worker_get_runs (world->model[0])->len + standin_worker_get_runs (world->model[1])->len
+             + standin_worker_get_runs (world->model[2])->len
+         == 4);
+  assert_int_equal (path_status (path_front (world, 0), "DELETE", "/quinceroute/lots/b1", "q", NULL), 200);
+  for (guint i = 0; i < PATH_MODEL; i++)
+    for (guint j = 0; j < standin_worker_get_runs (world->model[i])->len; j++)
+      AWAIT (((StandinRun *)standin_worker_get_runs (world->model[i])->pdata[j])->gone);
+  path_world_free (world);
+}
+
+/* Whatever the workers do, texts are whole and in order. */
+static void
+test_batch_on_faulty_workers (void **state)
+{
+  static const StandinWorkerFault faults[]
+      = { STANDIN_WORKER_CUTS,    STANDIN_WORKER_SKIPS, STANDIN_WORKER_RESETS,
+          STANDIN_WORKER_REFUSES, STANDIN_WORKER_FAILS, STANDIN_WORKER_WRONG_ID };
+  PathWorld *world = path_world_new ("faulty");
+  path_world_start (world);
+  for (guint i = 0; i < G_N_ELEMENTS (faults); i++)
+    {
+      g_autofree char *batch = g_strdup_printf ("b%u", i);
+      for (guint j = 0; j < PATH_MODEL; j++)
+        standin_worker_set_fault (world->model[j], faults[i], 1);
+      standin_worker_set_fault (world->plain[0], STANDIN_WORKER_RESETS, 1);
+      submit (world, i % PATH_FRONTS, batch, ITEMS);
+      assert_whole (world, 0, batch, ITEMS);
+    }
+  path_world_free (world);
+}
+
+/* What can never be done is abandoned, and only that. */
+static void
+test_hopeless_samples (void **state)
+{
+  PathWorld *world = path_world_new ("hopeless");
+  path_world_start (world);
+  for (guint j = 0; j < PATH_MODEL; j++)
+    standin_worker_set_fault (world->model[j], STANDIN_WORKER_HOPELESS, 1);
+  submit (world, 0, "b1", ITEMS);
+  AWAIT (path_listed (world, 0, "b1") == ITEMS);
+  g_autofree char *text = path_results (world, 0, "b1");
+  assert_int_equal (path_count (text, "\"state\":\"abandoned\""), PATH_MODEL);
+  for (guint j = 0; j < PATH_MODEL; j++)
+    standin_worker_set_fault (world->model[j], STANDIN_WORKER_FAILS, G_MAXUINT);
+  submit (world, 0, "b2", 2);
+  AWAIT (path_listed (world, 0, "b2") == 2);
+  g_autofree char *failed = path_results (world, 0, "b2");
+  assert_int_equal (path_count (failed, "\"state\":\"abandoned\""), 2);
+  path_world_free (world);
+}
+
+/* The leader is killed, then another one loses its disk: all is listed once, and positions stay. */
+static void
+test_batch_outlives_leaders (void **state)
+{
+  PathWorld *world = path_world_new ("leaders");
+  for (guint i = 0; i < PATH_MODEL; i++)
+    standin_worker_set_events (world->model[i], 6, 60);
+  path_world_start (world);
+  for (guint round = 0; round < 3; round++)
+    {
+      g_autofree char *batch = g_strdup_printf ("b%u", round);
+      submit (world, 0, batch, ITEMS);
+      AWAIT (path_listed (world, 0, batch) > 0);
+      g_autofree char *before = path_results (world, 0, batch);
+      gint leader = path_leader (world);
+      assert_int_not_equal (leader, -1);
+      quince_process_kill (world->replicas[leader]);
+      if (round > 0)
+        path_wipe_replica (world, (guint)leader);
+      path_start_replica (world, (guint)leader);
+      assert_whole (world, 1, batch, ITEMS);
+      g_autofree char *after = path_results (world, 1, batch);
+      /* What was listed stands where it stood. */
+      g_autofree char *listed = g_strdup (strstr (before, "\"results\":["));
+      assert_true (strncmp (strstr (after, "\"results\":["), listed, strlen (listed) - 2) == 0);
+      /* The other two hold all before the next disk goes. */
+      run_for (2500);
+    }
+  for (guint round = 0; round < 3; round++)
+    {
+      g_autofree char *batch = g_strdup_printf ("b%u", round);
+      assert_whole (world, 0, batch, ITEMS);
+    }
+  path_world_free (world);
+}
+
+/* ---- Weights ------------------------------------------------------------------ */
+
+static void
+test_versions_reach_all_workers (void **state)
+{
+  PathWorld *world = path_world_new ("weights");
+  path_world_start (world);
+  for (guint version = 2; version < 5; version++)
+    {
+      g_autofree char *text = g_strdup_printf ("{\"model\":\"model-a\",\"version\":%u}", version);
+      standin_store_put (world->store, "op/version/model-a", text);
+      for (guint i = 0; i < PATH_MODEL; i++)
+        AWAIT (standin_worker_get_version (world->model[i]) == version);
+    }
+  for (guint i = 0; i < PATH_MODEL; i++)
+    assert_in_range (standin_worker_get_orders (world->model[i]), 1, 3);
+  path_world_free (world);
+}
+
+/* ---- Emptying a machine --------------------------------------------------------- */
+
+static void
+test_retire (void **state)
+{
+  PathWorld *world = path_world_new ("retire");
+  path_world_start (world);
+  submit (world, 0, "b1", ITEMS);
+  assert_whole (world, 0, "b1", ITEMS);
+  gint leader = path_leader (world);
+  g_autofree char *key = g_strdup_printf ("op/retire/replica-%d", leader);
+  g_autofree char *status = g_strdup_printf ("status/retire/replica-%d", leader);
+  standin_store_put (world->store, key, "{\"durationS\":10}");
+  AWAIT (g_strcmp0 (standin_store_get (world->store, status), "{\"state\":\"completed\"}") == 0);
+  quince_process_kill (world->replicas[leader]);
+  /* Right after it another one loses its disk. */
+  guint lost = ((guint)leader + 1) % PATH_REPLICAS;
+  quince_process_kill (world->replicas[lost]);
+  path_wipe_replica (world, lost);
+  path_start_replica (world, lost);
+  assert_whole (world, 0, "b1", ITEMS);
+  submit (world, 1, "b2", ITEMS);
+  assert_whole (world, 1, "b2", ITEMS);
+  path_world_free (world);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_lookups),
+    cmocka_unit_test (test_configurations_only_rise),
+    cmocka_unit_test (test_directory),
+    cmocka_unit_test (test_planned_stop),
+    cmocka_unit_test (test_batch),
+    cmocka_unit_test (test_end_stops_samples),
+    cmocka_unit_test (test_batch_on_faulty_workers),
+    cmocka_unit_test (test_hopeless_samples),
+    cmocka_unit_test (test_batch_outlives_leaders),
+    cmocka_unit_test (test_versions_reach_all_workers),
+    cmocka_unit_test (test_retire),
+  };
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
