--- a/daemons/front/caller-request.c
+++ b/daemons/front/caller-request.c
@@ -10,6 +10,7 @@
 
 #include <quince/forward.h>
 #include <quince/log.h>
+#include <quince/metrics.h>
 #include <quince/task.h>
 
 #include "platform.h"
@@ -59,9 +60,34 @@
   request_free (request);
 }
 
+static const char *
+kind_of (const QuinceCallerRequest *request)
+{
+  if (request->submits)
+    return "submit";
+  switch (request->call.kind)
+    {
+    case QUINCE_CALL_REQUEST:
+      return "lookup";
+    case QUINCE_CALL_RESULTS:
+      return "results";
+    case QUINCE_CALL_ITEM:
+      return "item";
+    case QUINCE_CALL_END:
+      return "end";
+    default:
+      return "unknown";
+    }
+}
+
 static void
 finish (QuinceCallerRequest *request, const QuinceCallerAnswer *answer)
 {
+  const char *kind = kind_of (request);
+  g_autofree char *outcome = g_strdup_printf ("kind=\"%s\",status=\"%u\"", kind, answer->status);
+  g_autofree char *labels = g_strdup_printf ("kind=\"%s\"", kind);
+  quince_metric_add ("quince_front_requests_total", outcome, 1);
+  quince_metric_observe_us ("quince_front_request_seconds", labels, quince_now_us () - request->received_us);
   request->done (answer, request->user_data);
   request_free (request);
 }
@@ -71,6 +97,8 @@
 {
   QuincePlatformRequestFacts facts;
   quince_platform_read_request (request->head->headers, &facts);
+  g_autofree char *labels = g_strdup_printf ("cause=\"%s\"", cause);
+  quince_metric_add ("quince_front_refused_total", labels, 1);
   g_autofree char *id = quince_log_quote (facts.request_id);
   g_autofree char *target = quince_log_quote (request->head->target);
   quince_log_warning ("request_refused", "request=%s target=%s status=%u cause=%s age_ms=%" G_GINT64_FORMAT,
@@ -116,18 +144,41 @@
     }
 }
 
-static void
+/* Returns: %FALSE when the policy refuses it; then it is over. */
+static gboolean
+admit_request (QuinceCallerRequest *request, const QuinceRoute *route, const char *service, guint deadline_ms)
+{
+  QuincePolicyRequest described = { .service = service,
+                                    .member = "",
+                                    .kind = route->name,
+                                    .at_most_once = route->kind == QUINCE_ROUTE_AT_MOST_ONCE,
+                                    .attempt = 1,
+                                    .deadline_ms = deadline_ms,
+                                    .waiting = request->front->in_progress };
+  quince_backends_describe_events (request->front->backends, quince_wall_ms (), &described);
+  QuincePolicyAdmission admission;
+  quince_backends_admit (request->front->backends, &described, &admission);
+  if (admission.refuse)
+    finish_error (request, 503, "policy", MAX (admission.retry_after_ms, RETRY_AFTER_MS));
+  return !admission.refuse;
+}
+
+/* Returns: %FALSE when the request is over. */
+static gboolean
 forward_request (QuinceCallerRequest *request, const QuinceRoute *route)
 {
   QuincePlatformRequestFacts facts;
   quince_platform_read_request (request->head->headers, &facts);
   guint deadline_ms = facts.deadline_ms > 0 ? facts.deadline_ms : DEADLINE_DEFAULT_MS;
   guint timeout_ms = route->timeout_ms > 0 ? MIN (route->timeout_ms, deadline_ms) : deadline_ms;
+  const char *service = quince_front_next_service (request->front, route);
+  if (!admit_request (request, route, service, deadline_ms))
+    return FALSE;
   g_autoptr (QuinceHttpHeaders) headers = quince_http_headers_copy (request->head->headers);
   quince_http_headers_remove_hop_by_hop (headers);
   g_autoptr (GBytes) body = g_bytes_new (request->body->data, request->body->len);
   const QuinceForwardRequest forward = {
-    .service = quince_front_next_service (request->front, route),
+    .service = service,
     .kind = route->name,
     .method = request->head->method,
     .target = request->head->target,
@@ -142,6 +193,7 @@
   };
   request->forward = quince_forward_start (request->front->backends, &quince_platform_forward_dialect,
                                            &forward, forward_done, request);
+  return TRUE;
 }
 
 /* ---- Calls about batches ---------------------------------------------- */
@@ -205,10 +257,9 @@
       return FALSE;
     }
   request->submits = route->kind == QUINCE_ROUTE_ROLLOUT;
-  if (request->submits)
-    call_ledger (request);
-  else
-    forward_request (request, route);
+  if (!request->submits)
+    return forward_request (request, route);
+  call_ledger (request);
   return TRUE;
 }
 
--- a/daemons/front/front-settings.c
+++ b/daemons/front/front-settings.c
@@ -15,6 +15,8 @@
   { "listen", "ready", QUINCE_SETTING_ADDRESS, TRUE, NULL, 0, 0, NULL, "address of the readiness check" },
   { "listen", "directory", QUINCE_SETTING_ADDRESS, TRUE, NULL, 0, 0, NULL,
     "address where callers ask which fronts to use" },
+  { "listen", "metrics", QUINCE_SETTING_ADDRESS, FALSE, NULL, 0, 0, NULL,
+    "address of /metrics; none where absent" },
   { "store", "address", QUINCE_SETTING_ADDRESS, TRUE, NULL, 0, 0, NULL, "address of the metadata store" },
   { "store", "workers_pace", QUINCE_SETTING_DURATION, FALSE, "1s", 10 * MILLISECOND, 60 * SECOND, NULL,
     "least time between two looks at the list of workers" },
--- a/daemons/front/front.c
+++ b/daemons/front/front.c
@@ -8,6 +8,8 @@
 #include <quince/belief-feed.h>
 #include <quince/link.h>
 #include <quince/log.h>
+#include <quince/metrics.h>
+#include <quince/policy-entry.h>
 #include <quince/program.h>
 #include <quince/task.h>
 
@@ -151,20 +153,41 @@
   return front->directory_acceptor != NULL;
 }
 
+static void
+refresh_metrics (gpointer data)
+{
+  QuinceFront *front = data;
+  gint64 now = quince_now_us ();
+  const QuinceMetaCounters *counters = quince_meta_store_get_counters (front->store);
+  const QuinceRouteTable *routes = quince_observer_get_routes (front->observer);
+  quince_metric_set ("quince_front_in_progress", "", front->in_progress);
+  quince_metric_set ("quince_front_connections", "", g_hash_table_size (front->connections));
+  quince_metric_set ("quince_front_worker_connections_opened", "",
+                     (double)quince_backends_get_opened (front->backends));
+  quince_metric_set ("quince_front_workers_known", "",
+                     quince_worker_table_get_size (quince_backends_get_workers (front->backends)));
+  quince_metric_set ("quince_front_fronts_known", "", quince_directory_get_size (front->directory, now));
+  quince_metric_set ("quince_front_configuration_version", "",
+                     routes != NULL ? (double)quince_route_table_get_version (routes) : 0);
+  quince_metric_set ("quince_front_ledger_linked", "", quince_ledger_caller_is_linked (front->ledger));
+  quince_metric_set ("quince_store_answer_age_seconds", "",
+                     (double)(now - counters->last_answer_us) / G_USEC_PER_SEC);
+}
+
 static gboolean
-load_policy (QuinceFront *front, const char *path, GError **error)
+open_metrics (QuinceFront *front, const char *address, GError **error)
 {
-  if (*path == '\0')
+  if (*address == '\0')
     return TRUE;
-  g_autofree char *text = NULL;
-  gsize length;
-  if (!g_file_get_contents (path, &text, &length, error))
-    return FALSE;
-  QuincePolicy *policy = quince_policy_compile (text, length, 0, error);
-  if (policy == NULL)
-    return FALSE;
-  quince_backends_set_policy (front->backends, policy);
-  return TRUE;
+  quince_metrics_set_refresh (refresh_metrics, front);
+  front->metrics = quince_text_server_new (address, "/metrics", quince_metrics_format, error);
+  return front->metrics != NULL;
+}
+
+static gboolean
+load_policy (QuinceFront *front, const char *path, GError **error)
+{
+  return *path == '\0' || quince_backends_load_policy (front->backends, path, error);
 }
 
 static char *
@@ -208,6 +231,11 @@
                                         &quince_platform_meta_dialect);
   guint pace_ms = (guint)(quince_settings_get_duration_us (settings, "store", "workers_pace") / 1000);
   front->observer = quince_observer_new (front->store, front->backends, pace_ms, &observer_callbacks, front);
+  if (!open_metrics (front, quince_settings_get_text (settings, "listen", "metrics"), error))
+    {
+      quince_front_free (front);
+      return NULL;
+    }
   announce (front, settings);
   return front;
 }
@@ -222,6 +250,18 @@
                           quince_http_acceptor_get_address (front->directory_acceptor));
 }
 
+/* ---- Reload ----------------------------------------------------------- */
+
+/* What a running process can take over; addresses and names need a new start. */
+void
+quince_front_reload (gpointer self, const QuinceSettings *settings)
+{
+  QuinceFront *front = self;
+  front->grace_us = quince_settings_get_duration_us (settings, "stop", "grace");
+  front->directory_keep_s
+      = (guint)(quince_settings_get_duration_us (settings, "directory", "keep") / G_USEC_PER_SEC);
+}
+
 /* ---- Planned stop ----------------------------------------------------- */
 
 static void
@@ -287,6 +327,7 @@
   quince_http_acceptor_free (front->callers_acceptor);
   quince_http_acceptor_free (front->ready_acceptor);
   quince_http_acceptor_free (front->directory_acceptor);
+  quince_text_server_free (front->metrics);
   quince_observer_free (front->observer);
   quince_meta_presence_free (front->presence);
   quince_meta_store_free (front->store);
--- a/daemons/front/front.h
+++ b/daemons/front/front.h
@@ -7,6 +7,7 @@
 #include <quince/http1.h>
 #include <quince/observer.h>
 #include <quince/settings.h>
+#include <quince/text-server.h>
 
 #include "directory.h"
 #include "ledger-caller.h"
@@ -27,9 +28,10 @@
   QuinceHttpAcceptor *callers_acceptor;
   QuinceHttpAcceptor *ready_acceptor;
   QuinceHttpAcceptor *directory_acceptor;
-  GHashTable *connections; /* QuinceCallerConnection, owned by themselves */
-  GHashTable *split_turns; /* route name to double: place in the turns of its parts */
-  guint in_progress;       /* requests that callers wait for */
+  QuinceTextServer *metrics; /* NULL: none */
+  GHashTable *connections;   /* QuinceCallerConnection, owned by themselves */
+  GHashTable *split_turns;   /* route name to double: place in the turns of its parts */
+  guint in_progress;         /* requests that callers wait for */
   gint64 grace_us;
   gint64 stop_us; /* when the planned stop began; 0: running */
   GSource *stop_timer;
@@ -38,6 +40,7 @@
 
 gpointer quince_front_start (const QuinceSettings *settings, GError **error);
 char *quince_front_ready_line (gpointer self);
+void quince_front_reload (gpointer self, const QuinceSettings *settings);
 void quince_front_stop (gpointer self);
 void quince_front_free (gpointer self);
 
--- a/daemons/front/main.c
+++ b/daemons/front/main.c
@@ -9,6 +9,9 @@
 #include "front-settings.h"
 #include "front.h"
 
+/* More are left out and counted. */
+#define LOG_LINES_PER_SECOND 200
+
 int
 main (int argc, char **argv)
 {
@@ -18,8 +21,10 @@
     .specs = quince_front_setting_specs,
     .n_specs = quince_front_n_setting_specs,
     .name_section = "node",
+    .log_lines_per_second = LOG_LINES_PER_SECOND,
     .start = quince_front_start,
     .ready_line = quince_front_ready_line,
+    .reload = quince_front_reload,
     .stop = quince_front_stop,
     .free = quince_front_free,
   };
--- a/daemons/replica/batch-service.c
+++ b/daemons/replica/batch-service.c
@@ -9,6 +9,7 @@
 #include <string.h>
 
 #include <quince/log.h>
+#include <quince/metrics.h>
 #include <quince/task.h>
 
 #include "platform.h"
@@ -38,6 +39,7 @@
   QuinceLedgerNode *ledger;
   QuinceBackends *backends;
   QuinceObserver *observer;
+  QuinceModelHomes *homes;
   QuinceBatchBook *book;      /* NULL: not leading */
   QuinceSampleRunner *runner; /* NULL: not leading */
   GHashTable *submitting;     /* batch id to guint64: index of its record, not committed yet */
@@ -312,6 +314,10 @@
 {
   QuinceBatchService *service = data;
   service->unlisted += entry->batch->items.items_len;
+  double tokens = 0;
+  for (guint i = 0; i < entry->batch->items.items_len; i++)
+    tokens += entry->batch->items.items_val[i].tokens;
+  quince_model_homes_add_demand (service->homes, quince_now_us (), entry->batch->model, tokens);
   g_hash_table_remove (service->submitting, entry->batch->id);
   quince_log_info ("batch_taken", "batch=%s model=%s step=%" G_GUINT64_FORMAT " items=%u", entry->batch->id,
                    entry->batch->model, (guint64)entry->batch->step, entry->batch->items.items_len);
@@ -412,6 +418,18 @@
     quince_sample_runner_pump (service->runner);
 }
 
+void
+quince_batch_service_set_metrics (QuinceBatchService *service)
+{
+  gboolean leads = service->runner != NULL;
+  quince_metric_set ("quince_replica_batches", "",
+                     service->book != NULL ? quince_batch_book_get_size (service->book) : 0);
+  quince_metric_set ("quince_replica_samples_waiting", "",
+                     leads ? quince_sample_runner_get_waiting (service->runner) : 0);
+  quince_metric_set ("quince_replica_samples_running", "",
+                     leads ? quince_sample_runner_get_running (service->runner) : 0);
+}
+
 /* ---- Forgetting ------------------------------------------------------- */
 
 static void
@@ -481,11 +499,15 @@
 }
 
 QuinceBatchService *
-quince_batch_service_new (QuinceBackends *backends, QuinceObserver *observer, gint64 keep_us)
+quince_batch_service_new (QuinceBackends *backends,
+                          QuinceObserver *observer,
+                          QuinceModelHomes *homes,
+                          gint64 keep_us)
 {
   QuinceBatchService *service = g_new0 (QuinceBatchService, 1);
   service->backends = backends;
   service->observer = observer;
+  service->homes = homes;
   service->keep_us = keep_us;
   service->submitting = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   service->waiters = g_ptr_array_new_with_free_func (waiter_free);
--- a/daemons/replica/batch-service.h
+++ b/daemons/replica/batch-service.h
@@ -5,6 +5,7 @@
 
 #include <quince/batch-book.h>
 #include <quince/link.h>
+#include <quince/model-homes.h>
 #include <quince/observer.h>
 
 #include "ledger-node.h"
@@ -13,9 +14,11 @@
 typedef struct _QuinceBatchService QuinceBatchService;
 
 /* @keep_us: a batch that is ended, or whose samples' time is up, is forgotten so long after its submission.
- */
-QuinceBatchService *
-quince_batch_service_new (QuinceBackends *backends, QuinceObserver *observer, gint64 keep_us);
+ * @homes: is told of the demand for each model; not owned */
+QuinceBatchService *quince_batch_service_new (QuinceBackends *backends,
+                                              QuinceObserver *observer,
+                                              QuinceModelHomes *homes,
+                                              gint64 keep_us);
 void quince_batch_service_free (QuinceBatchService *service);
 /* Set once, before any other call. */
 void quince_batch_service_set_ledger (QuinceBatchService *service, QuinceLedgerNode *ledger);
@@ -27,5 +30,7 @@
 /* From a front. */
 void quince_batch_service_call (QuinceBatchService *service, QuinceLink *link, const QuinceServiceCall *call);
 void quince_batch_service_link_closed (QuinceBatchService *service, QuinceLink *link);
+/* Sets gauges of what waits and runs. */
+void quince_batch_service_set_metrics (QuinceBatchService *service);
 /* Workers or versions have changed. */
 void quince_batch_service_pump (QuinceBatchService *service);
--- a/daemons/replica/ledger-node.c
+++ b/daemons/replica/ledger-node.c
@@ -457,3 +457,15 @@
 {
   return quince_ledger_group_get_view (node->group);
 }
+
+guint64
+quince_ledger_node_get_last_index (const QuinceLedgerNode *node)
+{
+  return quince_batch_log_get_last_index (node->log);
+}
+
+guint64
+quince_ledger_node_get_commit_index (const QuinceLedgerNode *node)
+{
+  return quince_ledger_group_get_commit_index (node->group);
+}
--- a/daemons/replica/ledger-node.h
+++ b/daemons/replica/ledger-node.h
@@ -67,4 +67,6 @@
 gboolean quince_ledger_node_may_order (const QuinceLedgerNode *node);
 /* Grows with each leader: the fence of orders. */
 guint64 quince_ledger_node_get_epoch (const QuinceLedgerNode *node);
+guint64 quince_ledger_node_get_last_index (const QuinceLedgerNode *node);
+guint64 quince_ledger_node_get_commit_index (const QuinceLedgerNode *node);
 const QuinceLedgerView *quince_ledger_node_get_view (const QuinceLedgerNode *node);
--- a/daemons/replica/main.c
+++ b/daemons/replica/main.c
@@ -9,6 +9,9 @@
 #include "replica-settings.h"
 #include "replica.h"
 
+/* More are left out and counted. */
+#define LOG_LINES_PER_SECOND 200
+
 int
 main (int argc, char **argv)
 {
@@ -18,6 +21,7 @@
     .specs = quince_replica_setting_specs,
     .n_specs = quince_replica_n_setting_specs,
     .name_section = "node",
+    .log_lines_per_second = LOG_LINES_PER_SECOND,
     .start = quince_replica_start,
     .ready_line = quince_replica_ready_line,
     .stop = quince_replica_stop,
--- a/daemons/replica/replica-settings.c
+++ b/daemons/replica/replica-settings.c
@@ -12,6 +12,8 @@
   { "node", "zone", QUINCE_SETTING_NAME, TRUE, NULL, 0, 0, NULL, "zone that it stands in" },
   { "listen", "link", QUINCE_SETTING_ADDRESS, TRUE, NULL, 0, 0, NULL,
     "address for fronts and other replicas" },
+  { "listen", "metrics", QUINCE_SETTING_ADDRESS, FALSE, NULL, 0, 0, NULL,
+    "address of /metrics; none where absent" },
   { "store", "address", QUINCE_SETTING_ADDRESS, TRUE, NULL, 0, 0, NULL, "address of the metadata store" },
   { "store", "workers_pace", QUINCE_SETTING_DURATION, FALSE, "600ms", 10 * MILLISECOND, 60 * SECOND, NULL,
     "least time between two looks at the list of workers" },
--- a/daemons/replica/replica.c
+++ b/daemons/replica/replica.c
@@ -5,8 +5,11 @@
 
 #include <quince/belief-feed.h>
 #include <quince/log.h>
+#include <quince/metrics.h>
+#include <quince/policy-entry.h>
 #include <quince/program.h>
 #include <quince/task.h>
+#include <quince/text-server.h>
 
 #include "batch-service.h"
 #include "ledger-node.h"
@@ -30,12 +33,14 @@
   QuinceBackends *backends;
   QuinceObserver *observer;
   QuinceLedgerNode *ledger;
+  QuinceModelHomes *homes;
   QuinceBatchService *batches;
   QuinceWeightOrders *orders; /* NULL: not leading */
   QuinceBeliefFeed *feed;     /* NULL: not leading */
   GHashTable *askers;         /* QuinceLink, owned: those that asked for news */
   char **leaving;             /* nodes to be emptied */
   GHashTable *told_leaving;   /* node name to GINT: state that was written, 1 running, 2 done */
+  QuinceTextServer *metrics;  /* NULL: none */
   GSource *timer;
 } Replica;
 
@@ -119,8 +124,9 @@
 {
   Replica *replica = data;
   quince_batch_service_lead (replica->batches);
-  const QuinceWeightOrdersOptions options
-      = { .holder = replica->name, .may_order = may_order, .loaded = weights_loaded };
+  const QuinceWeightOrdersOptions options = {
+    .holder = replica->name, .homes = replica->homes, .may_order = may_order, .loaded = weights_loaded
+  };
   replica->orders = quince_weight_orders_start (replica->backends, replica->observer, &options, replica);
   quince_observer_feed_ended (replica->observer);
   replica->feed = quince_belief_feed_new (replica->observer, replica->store);
@@ -244,6 +250,40 @@
   return G_SOURCE_CONTINUE;
 }
 
+/* ---- Metrics ---------------------------------------------------------- */
+
+static void
+refresh_metrics (gpointer data)
+{
+  Replica *replica = data;
+  const QuinceMetaCounters *counters = quince_meta_store_get_counters (replica->store);
+  const QuinceLedgerView *view = quince_ledger_node_get_view (replica->ledger);
+  quince_metric_set ("quince_replica_leads", "", quince_ledger_node_is_leading (replica->ledger));
+  quince_metric_set ("quince_replica_epoch", "", view != NULL ? (double)view->epoch : 0);
+  quince_metric_set ("quince_replica_members", "", view != NULL ? view->members.members_len : 0);
+  quince_metric_set ("quince_replica_log_end", "",
+                     (double)quince_ledger_node_get_last_index (replica->ledger));
+  quince_metric_set ("quince_replica_commit_index", "",
+                     (double)quince_ledger_node_get_commit_index (replica->ledger));
+  quince_metric_set ("quince_replica_workers_known", "",
+                     quince_worker_table_get_size (quince_backends_get_workers (replica->backends)));
+  quince_metric_set ("quince_replica_worker_connections_opened", "",
+                     (double)quince_backends_get_opened (replica->backends));
+  quince_metric_set ("quince_store_answer_age_seconds", "",
+                     (double)(quince_now_us () - counters->last_answer_us) / G_USEC_PER_SEC);
+  quince_batch_service_set_metrics (replica->batches);
+}
+
+static gboolean
+open_metrics (Replica *replica, const char *address, GError **error)
+{
+  if (*address == '\0')
+    return TRUE;
+  quince_metrics_set_refresh (refresh_metrics, replica);
+  replica->metrics = quince_text_server_new (address, "/metrics", quince_metrics_format, error);
+  return replica->metrics != NULL;
+}
+
 /* ---- Start and stop --------------------------------------------------- */
 
 static gboolean
@@ -270,17 +310,7 @@
 static gboolean
 load_policy (Replica *replica, const char *path, GError **error)
 {
-  if (*path == '\0')
-    return TRUE;
-  g_autofree char *text = NULL;
-  gsize length;
-  if (!g_file_get_contents (path, &text, &length, error))
-    return FALSE;
-  QuincePolicy *policy = quince_policy_compile (text, length, 0, error);
-  if (policy == NULL)
-    return FALSE;
-  quince_backends_set_policy (replica->backends, policy);
-  return TRUE;
+  return *path == '\0' || quince_backends_load_policy (replica->backends, path, error);
 }
 
 gpointer
@@ -297,9 +327,11 @@
   replica->observer
       = quince_observer_new (replica->store, replica->backends, pace_ms, &observer_callbacks, replica);
   gint64 keep_us = quince_settings_get_duration_us (settings, "ledger", "keep");
-  replica->batches = quince_batch_service_new (replica->backends, replica->observer, keep_us);
+  replica->homes = quince_model_homes_new ();
+  replica->batches = quince_batch_service_new (replica->backends, replica->observer, replica->homes, keep_us);
   if (!load_policy (replica, quince_settings_get_text (settings, "policy", "file"), error)
-      || !open_ledger (replica, settings, error))
+      || !open_ledger (replica, settings, error)
+      || !open_metrics (replica, quince_settings_get_text (settings, "listen", "metrics"), error))
     {
       quince_replica_free (replica);
       return NULL;
@@ -336,10 +368,12 @@
 {
   Replica *replica = self;
   quince_source_clear (&replica->timer);
+  quince_text_server_free (replica->metrics);
   if (replica->orders != NULL)
     quince_weight_orders_stop (replica->orders);
   quince_belief_feed_free (replica->feed);
   quince_batch_service_free (replica->batches);
+  quince_model_homes_free (replica->homes);
   quince_ledger_node_free (replica->ledger);
   quince_observer_free (replica->observer);
   quince_meta_store_free (replica->store);
--- a/daemons/replica/sample-runner.c
+++ b/daemons/replica/sample-runner.c
@@ -9,6 +9,7 @@
 #include <string.h>
 
 #include <quince/log.h>
+#include <quince/metrics.h>
 #include <quince/task.h>
 
 #include "sample.h"
@@ -17,6 +18,7 @@
 #define REFUSED_PAUSE_US (30 * 1000)
 #define FAILED_PAUSE_US (50 * 1000)
 #define REWARD_PAUSE_US (100 * 1000)
+#define POLICY_PAUSE_MS 200
 #define PUMP_EVERY_MS 100
 #define REWARD_TIME_MS 4000
 /* More answers of 500 than the route allows are still no use, but more than three times as many break its
@@ -82,6 +84,10 @@
                    " age_ms=%" G_GINT64_FORMAT,
                    item->id, sample->entry->batch->id, cause, sample->runs, sample->last_event,
                    (quince_now_us () - sample->submitted_us) / 1000);
+  g_autofree char *labels
+      = g_strdup_printf ("outcome=\"%s\",cause=\"%s\"", abandoned ? "abandoned" : "completed", cause);
+  quince_metric_add ("quince_replica_samples_total", labels, 1);
+  quince_metric_observe_us ("quince_replica_sample_seconds", "", quince_now_us () - sample->submitted_us);
   sample->state = QUINCE_SAMPLE_DONE;
   runner->callbacks->result (&result, runner->user_data);
   remove_sample (runner, sample);
@@ -210,6 +216,8 @@
 {
   QuinceSampleRunner *runner = data;
   runner->running--;
+  g_autofree char *labels = g_strdup_printf ("cause=\"%s\"", cause);
+  quince_metric_add ("quince_replica_sample_runs_total", labels, 1);
   if (end != QUINCE_RUN_WHOLE)
     quince_log_info ("sample_run_ended", "sample=%s worker=%s cause=%s events=%" G_GUINT64_FORMAT " runs=%u",
                      quince_sample_get_item (sample)->id, sample->worker_id, cause, sample->last_event,
@@ -279,7 +287,7 @@
   const QuinceRoute *route = route_of_batch (runner, batch);
   if (route == NULL)
     return QUINCE_BACKEND_NONE;
-  const QuincePolicyRequest request = {
+  QuincePolicyRequest request = {
     .service = quince_route_pick_service (route, (g_str_hash (item->group) % 1000) / 1000.0),
     .member = batch->model,
     .kind = "rollout",
@@ -288,9 +296,16 @@
     .deadline_ms = sample->give_up_us > 0 ? (guint)MAX ((sample->give_up_us - now_us) / 1000, 0) : 0,
     .expected_tokens = item->tokens,
     .waiting = runner->waiting,
-    .event_in_ms = -1,
     .newest_version = quince_observer_get_version (runner->observer, batch->model),
   };
+  quince_backends_describe_events (runner->backends, quince_wall_ms (), &request);
+  QuincePolicyAdmission admission;
+  quince_backends_admit (runner->backends, &request, &admission);
+  if (admission.refuse)
+    {
+      sample->not_before_us = now_us + (gint64)MAX (admission.retry_after_ms, POLICY_PAUSE_MS) * 1000;
+      return QUINCE_BACKEND_NONE;
+    }
   QuinceWorker *worker = NULL;
   QuinceBackendOutcome outcome = choose_worker (runner, sample, &request, &worker);
   if (worker == NULL)
--- a/daemons/replica/weight-orders.c
+++ b/daemons/replica/weight-orders.c
@@ -7,6 +7,7 @@
 #include "weight-orders.h"
 
 #include <quince/log.h>
+#include <quince/metrics.h>
 #include <quince/task.h>
 
 #include "platform.h"
@@ -46,7 +47,6 @@
   gpointer user_data;
   GHashTable *loads;  /* Load by worker id, owned */
   GHashTable *pauses; /* worker id to gint64: no order before */
-  GHashTable *homes;  /* worker id to model that it serves, where a service has several */
   GSource *timer;
 };
 
@@ -85,6 +85,8 @@
                    "worker=%s model=%s version=%" G_GUINT64_FORMAT " outcome=%s took_ms=%" G_GINT64_FORMAT,
                    load->worker_id, load->model, load->version, outcome,
                    (quince_now_us () - load->started_us) / 1000);
+  g_autofree char *labels = g_strdup_printf ("outcome=\"%s\"", outcome);
+  quince_metric_add ("quince_replica_orders_total", labels, 1);
   if (!good)
     {
       gint64 until = quince_now_us () + FAILED_PAUSE_US;
@@ -243,52 +245,6 @@
   return count;
 }
 
-static guint
-homes_of_model (QuinceWeightOrders *orders, const GPtrArray *workers, const char *model)
-{
-  guint count = 0;
-  for (guint i = 0; i < workers->len; i++)
-    {
-      const QuinceWorker *worker = workers->pdata[i];
-      count += !worker->draining && g_strcmp0 (g_hash_table_lookup (orders->homes, worker->id), model) == 0;
-    }
-  return count;
-}
-
-/* The model of @service that the fewest workers serve. */
-static const char *
-neediest_model (QuinceWeightOrders *orders, const QuinceService *service, const GPtrArray *workers)
-{
-  const char *neediest = NULL;
-  guint least = G_MAXUINT;
-  for (guint i = 0; i < service->models->len; i++)
-    {
-      guint count = homes_of_model (orders, workers, service->models->pdata[i]);
-      if (count >= least)
-        continue;
-      least = count;
-      neediest = service->models->pdata[i];
-    }
-  return neediest;
-}
-
-static const char *
-home_of (QuinceWeightOrders *orders,
-         const QuinceService *service,
-         const GPtrArray *workers,
-         const QuinceWorker *worker)
-{
-  if (service->models->len == 1)
-    return service->models->pdata[0];
-  const char *home = g_hash_table_lookup (orders->homes, worker->id);
-  if (home == NULL)
-    {
-      home = neediest_model (orders, service, workers);
-      g_hash_table_replace (orders->homes, g_strdup (worker->id), g_strdup (home));
-    }
-  return home;
-}
-
 static gboolean
 is_paused (QuinceWeightOrders *orders, const char *worker_id, gint64 now_us)
 {
@@ -345,6 +301,19 @@
   return (gint)first->worker->running - (gint)second->worker->running;
 }
 
+static void
+assign_homes (QuinceWeightOrders *orders,
+              gint64 now_us,
+              const QuinceService *service,
+              const GPtrArray *workers)
+{
+  g_autoptr (GPtrArray) ids = g_ptr_array_new ();
+  for (guint i = 0; i < workers->len; i++)
+    if (!((QuinceWorker *)workers->pdata[i])->draining)
+      g_ptr_array_add (ids, ((QuinceWorker *)workers->pdata[i])->id);
+  quince_model_homes_assign (orders->options.homes, now_us, service->models, ids);
+}
+
 static void
 pump_service (QuinceWeightOrders *orders, QuinceRouteTable *routes, const QuinceService *service)
 {
@@ -352,12 +321,13 @@
       = quince_worker_table_list (quince_backends_get_workers (orders->backends), service->name);
   g_autoptr (GArray) candidates = g_array_new (FALSE, FALSE, sizeof (Candidate));
   gint64 now = quince_now_us ();
+  assign_homes (orders, now, service, workers);
   for (guint i = 0; i < workers->len; i++)
     {
       QuinceWorker *worker = workers->pdata[i];
-      const char *model = home_of (orders, service, workers, worker);
-      guint64 wanted = quince_observer_get_version (orders->observer, model);
-      guint64 has = quince_worker_get_version (worker, model);
+      const char *model = quince_model_homes_get (orders->options.homes, worker->id);
+      guint64 wanted = model != NULL ? quince_observer_get_version (orders->observer, model) : 0;
+      guint64 has = model != NULL ? quince_worker_get_version (worker, model) : 0;
       if (worker->draining || has >= wanted || is_paused (orders, worker->id, now)
           || g_hash_table_contains (orders->loads, worker->id))
         continue;
@@ -412,7 +382,6 @@
   orders->user_data = user_data;
   orders->loads = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, load_free);
   orders->pauses = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
-  orders->homes = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   orders->timer = quince_timer_add (PUMP_EVERY_MS, timer_over, orders);
   return orders;
 }
@@ -425,6 +394,5 @@
   quince_source_clear (&orders->timer);
   g_hash_table_unref (orders->loads);
   g_hash_table_unref (orders->pauses);
-  g_hash_table_unref (orders->homes);
   g_free (orders);
 }
--- a/daemons/replica/weight-orders.h
+++ b/daemons/replica/weight-orders.h
@@ -6,6 +6,7 @@
 #pragma once
 
 #include <quince/backends.h>
+#include <quince/model-homes.h>
 #include <quince/observer.h>
 
 typedef struct _QuinceWeightOrders QuinceWeightOrders;
@@ -15,6 +16,7 @@
 typedef struct
 {
   const char *holder;
+  QuinceModelHomes *homes; /* not owned */
   gboolean (*may_order) (guint64 *fence, gpointer user_data);
   void (*loaded) (gpointer user_data);
 } QuinceWeightOrdersOptions;
--- a/include/quince/backends.h
+++ b/include/quince/backends.h
@@ -47,6 +47,13 @@
   const char *prefer;
 } QuinceBackendQuery;
 
+/* Fills in what @request's service has of events, at the wall clock @wall_ms. */
+void quince_backends_describe_events (QuinceBackends *backends, gint64 wall_ms, QuincePolicyRequest *request);
+/* Whether @request is taken, by the policy in force. */
+void quince_backends_admit (QuinceBackends *backends,
+                            const QuincePolicyRequest *request,
+                            QuincePolicyAdmission *admission);
+
 /* Why there is no choice. */
 typedef enum
 {
--- a/include/quince/belief-feed.h
+++ b/include/quince/belief-feed.h
@@ -1,8 +1,8 @@
 /*
  * belief-feed.h: what one process reads from the metadata store, told to others over links.
  *
- * The store is shared by the whole system and each call has its price: the ledger's leader reads it, all others are
- * told and read by themselves only where they hear nothing.
+ * The store is shared by the whole system and each call has its price: the ledger's leader reads it, all
+ * others are told and read by themselves only where they hear nothing.
  */
 #pragma once
 
--- a/include/quince/log.h
+++ b/include/quince/log.h
@@ -24,6 +24,16 @@
  */
 void quince_log_init (const char *program, const char *name, GLogLevelFlags level);
 
+/**
+ * quince_log_bound:
+ * @descriptor: where lines go from now on, for example standard output
+ * @lines_per_second: more are left out and counted; failures and warnings have as many again for themselves
+ *
+ * Lines are also left out while the reader of @descriptor does not read: writing never waits.  What was left
+ * out is told by one line event=log_lines_left_out as soon as there is room.
+ */
+void quince_log_bound (int descriptor, guint lines_per_second);
+
 /**
  * quince_log_parse_level:
  * @text: one of "debug", "info", "warning", "error"
--- a/include/quince/observer.h
+++ b/include/quince/observer.h
@@ -17,6 +17,7 @@
 #define QUINCE_LEDGER_KEY QUINCE_OWN_PREFIX "ledger"
 #define QUINCE_FRONTS_PREFIX QUINCE_OWN_PREFIX "fronts/"
 #define QUINCE_POLICY_KEY QUINCE_OWN_PREFIX "policy"
+#define QUINCE_EVENTS_PREFIX QUINCE_OWN_PREFIX "events/"
 
 typedef struct _QuinceObserver QuinceObserver;
 
@@ -49,13 +50,17 @@
                                      gpointer user_data);
 void quince_observer_free (QuinceObserver *observer);
 /* Takes what another process read of @prefix; see quince_meta_mirror_feed(). */
-void quince_observer_feed (QuinceObserver *observer, const char *prefix, const QuinceMetaPage *page, gboolean whole);
+void quince_observer_feed (QuinceObserver *observer,
+                           const char *prefix,
+                           const QuinceMetaPage *page,
+                           gboolean whole);
 void quince_observer_feed_alive (QuinceObserver *observer);
 void quince_observer_feed_ended (QuinceObserver *observer);
 /* Tells all that is known, a snapshot for each prefix that is synced. */
-void quince_observer_snapshot (QuinceObserver *observer,
-                               void (*tell) (const char *prefix, const QuinceMetaPage *page, gpointer user_data),
-                               gpointer user_data);
+void
+quince_observer_snapshot (QuinceObserver *observer,
+                          void (*tell) (const char *prefix, const QuinceMetaPage *page, gpointer user_data),
+                          gpointer user_data);
 /* NULL: no configuration is known yet. */
 QuinceRouteTable *quince_observer_get_routes (QuinceObserver *observer);
 /* The newest version of @model that was named; 0: none. */
--- /dev/null
+++ b/include/quince/policy-entry.h
@@ -0,0 +1,53 @@
+/*
+ * policy-entry.h: policy programs and events as operators keep them in the metadata store.
+ *
+ * A policy's revision is that of its key, so it only rises.
+ */
+#pragma once
+
+#include <quince/backends.h>
+
+G_BEGIN_DECLS
+
+#define QUINCE_POLICY_ENTRY_ERROR (quince_policy_entry_error_quark ())
+GQuark quince_policy_entry_error_quark (void);
+
+typedef enum
+{
+  QUINCE_POLICY_ENTRY_ERROR_FORM, /* not of the form below */
+} QuincePolicyEntryError;
+
+/* "PROPOSAL\nAUTHOR\nCOMMENT\nPROGRAM"; author and comment are escaped, so that each is one line. */
+typedef struct
+{
+  char *proposal; /* random, one for each accept */
+  char *author;
+  char *comment;
+  char *program;
+} QuincePolicyEntry;
+
+GBytes *quince_policy_entry_format (const QuincePolicyEntry *entry);
+QuincePolicyEntry *quince_policy_entry_parse (GBytes *value, GError **error);
+void quince_policy_entry_free (QuincePolicyEntry *entry);
+G_DEFINE_AUTOPTR_CLEANUP_FUNC (QuincePolicyEntry, quince_policy_entry_free)
+
+/* "START_MS DURATION_MS SERVICE": wall clock; service "-": every one. */
+typedef struct
+{
+  gint64 start_ms;
+  gint64 duration_ms;
+  char *service;
+} QuinceEventEntry;
+
+GBytes *quince_event_entry_format (const QuinceEventEntry *entry);
+gboolean quince_event_entry_parse (GBytes *value, QuinceEventEntry *entry, GError **error);
+
+/* Puts the program of a file in force as revision 0, until operators accept one. */
+gboolean quince_backends_load_policy (QuinceBackends *backends, const char *path, GError **error);
+/* Takes a policy from the metadata store; one that is not newer, or does not compile, changes nothing.
+ * @value %NULL: the key is gone, which changes nothing either. */
+void quince_backends_take_policy (QuinceBackends *backends, GBytes *value, guint64 revision);
+/* @value %NULL: the event is deleted. */
+void quince_backends_take_event (QuinceBackends *backends, const char *name, GBytes *value);
+
+G_END_DECLS
--- a/include/quince/program.h
+++ b/include/quince/program.h
@@ -23,6 +23,7 @@
  * @doc: what --help says of it
  * @name_section: section whose "name" key names this process, for logs
  * @specs: with the name of this process and log.level, which goes before the flag --log-level
+ * @reload: (nullable): SIGHUP: @settings were read anew and are valid
  * @start: begins to serve; prints nothing. On %FALSE the program exits with 1
  * @ready_line: (transfer full): what to print after "ready " once started
  * @stop: planned stop (SIGTERM, SIGINT): begin to drain, call
@@ -36,8 +37,10 @@
   const QuinceSettingSpec *specs;
   gsize n_specs;
   const char *name_section;
+  guint log_lines_per_second; /* 0: no bound, and to standard error; else to standard output */
   gpointer (*start) (const QuinceSettings *settings, GError **error);
   char *(*ready_line) (gpointer self);
+  void (*reload) (gpointer self, const QuinceSettings *settings);
   void (*stop) (gpointer self);
   void (*free) (gpointer self);
 } QuinceProgram;
--- /dev/null
+++ b/include/quince/text-server.h
@@ -0,0 +1,18 @@
+/*
+ * text-server.h: one text at one path, for example metrics; each connection serves one request.
+ */
+#pragma once
+
+#include <quince/http1.h>
+
+G_BEGIN_DECLS
+
+typedef struct _QuinceTextServer QuinceTextServer;
+
+/* @produce: (transfer full): the text, for each request */
+QuinceTextServer *
+quince_text_server_new (const char *address, const char *path, char *(*produce) (void), GError **error);
+void quince_text_server_free (QuinceTextServer *server);
+const char *quince_text_server_get_address (QuinceTextServer *server);
+
+G_END_DECLS
--- /dev/null
+++ b/lib/forward/backends-private.h
@@ -0,0 +1,18 @@
+/*
+ * backends-private.h: state shared by the files of lib/forward.
+ */
+#pragma once
+
+#include <quince/policy-entry.h>
+
+struct _QuinceBackends
+{
+  /* All fields belong to the context that created it. */
+  char *zone;
+  QuinceWorkerTable *workers;
+  GHashTable *pools;     /* QuinceHttpPool by worker id */
+  guint64 opened_before; /* by pools that are gone */
+  QuincePolicy *policy;
+  GHashTable *events; /* QuinceEventEntry by name, owned */
+  guint tie;          /* turns among equals */
+};
--- a/lib/forward/backends.c
+++ b/lib/forward/backends.c
@@ -1,7 +1,7 @@
 /*
  * backends.c: workers, their kept connections, and the choice of one by the policy.
  */
-#include <quince/backends.h>
+#include "backends-private.h"
 
 #include <math.h>
 
@@ -10,17 +10,6 @@
 
 #define FAILURES_SHOWN_MOST 10
 
-struct _QuinceBackends
-{
-  /* All fields belong to the context that created it. */
-  char *zone;
-  QuinceWorkerTable *workers;
-  GHashTable *pools;     /* QuinceHttpPool by worker id */
-  guint64 opened_before; /* by pools that are gone */
-  QuincePolicy *policy;
-  guint tie; /* turns among equals */
-};
-
 static void
 worker_gone (QuinceWorker *worker, gpointer data)
 {
@@ -34,6 +23,14 @@
 
 static const QuinceWorkerTableCallbacks table_callbacks = { .gone = worker_gone };
 
+static void
+event_free (gpointer data)
+{
+  QuinceEventEntry *event = data;
+  g_free (event->service);
+  g_free (event);
+}
+
 QuinceBackends *
 quince_backends_new (const char *zone)
 {
@@ -42,6 +39,7 @@
   backends->workers = quince_worker_table_new (&table_callbacks, backends);
   backends->pools
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, (GDestroyNotify)quince_http_pool_unref);
+  backends->events = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, event_free);
   backends->tie = g_random_int ();
   return backends;
 }
@@ -53,6 +51,7 @@
     return;
   quince_worker_table_free (backends->workers);
   g_hash_table_unref (backends->pools);
+  g_hash_table_unref (backends->events);
   quince_policy_free (backends->policy);
   g_free (backends->zone);
   g_free (backends);
@@ -123,6 +122,42 @@
   return opened;
 }
 
+/* ---- Events and admission --------------------------------------------- */
+
+void
+quince_backends_describe_events (QuinceBackends *backends, gint64 wall_ms, QuincePolicyRequest *request)
+{
+  request->event_active = FALSE;
+  request->event_in_ms = -1;
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, backends->events);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const QuinceEventEntry *event = value;
+      if (!g_str_equal (event->service, "-") && !g_str_equal (event->service, request->service))
+        continue;
+      gint64 until_ms = event->start_ms - wall_ms;
+      if (until_ms <= 0 && wall_ms < event->start_ms + event->duration_ms)
+        request->event_active = TRUE;
+      else if (until_ms > 0 && (request->event_in_ms < 0 || until_ms < request->event_in_ms))
+        request->event_in_ms = until_ms;
+    }
+}
+
+void
+quince_backends_admit (QuinceBackends *backends,
+                       const QuincePolicyRequest *request,
+                       QuincePolicyAdmission *admission)
+{
+  g_autoptr (GError) error = NULL;
+  if (backends->policy != NULL && quince_policy_admit (backends->policy, request, admission, &error))
+    return;
+  if (error != NULL)
+    quince_log_warning ("policy_failed", "function=admit code=%d", error->code);
+  quince_builtin_admit (request, admission);
+}
+
 /* ---- Choice ----------------------------------------------------------- */
 
 static gboolean
--- a/lib/forward/forward.c
+++ b/lib/forward/forward.c
@@ -3,7 +3,7 @@
  */
 #include <quince/forward.h>
 
-#include <quince/log.h>
+#include <quince/metrics.h>
 #include <quince/task.h>
 
 /* Where every worker is full the request waits this long and asks again, up to half its latency target. */
@@ -134,10 +134,18 @@
   return forward->runs == 0 || (forward->repeatable && forward->runs < forward->max_attempts);
 }
 
+static void
+count_attempt (const char *outcome)
+{
+  g_autofree char *labels = g_strdup_printf ("outcome=\"%s\"", outcome);
+  quince_metric_add ("quince_forward_attempts_total", labels, 1);
+}
+
 /* The attempt did not run. */
 static void
 not_run (QuinceForward *forward, const char *cause)
 {
+  count_attempt (cause);
   forward->cause = cause;
   forward->refused_sends++;
   if (forward->refused_sends >= REFUSED_SENDS_MOST)
@@ -150,6 +158,7 @@
 static void
 run_lost (QuinceForward *forward, const char *cause)
 {
+  count_attempt (cause);
   forward->cause = cause;
   forward->runs++;
   if (may_run_again (forward))
@@ -202,6 +211,7 @@
           return;
         }
       forward->runs++;
+      count_attempt ("answered");
       QuinceForwardResult result = { .outcome = QUINCE_FORWARD_ANSWERED,
                                      .head = head,
                                      .body = quince_http_exchange_get_body (exchange),
@@ -307,15 +317,15 @@
       forward_fail (forward, TRUE);
       return;
     }
-  const QuincePolicyRequest request = {
+  QuincePolicyRequest request = {
     .service = forward->service,
     .member = "",
     .kind = forward->kind,
     .at_most_once = !forward->repeatable,
     .attempt = forward->attempts + 1,
     .deadline_ms = (guint)((forward->deadline_us - now) / 1000),
-    .event_in_ms = -1,
   };
+  quince_backends_describe_events (forward->backends, quince_wall_ms (), &request);
   const QuinceBackendQuery query = { .request = &request, .avoid = forward->avoid };
   QuinceWorker *worker = NULL;
   QuinceBackendOutcome outcome = quince_backends_choose (forward->backends, now, &query, &worker);
--- a/lib/meta/meta-store.c
+++ b/lib/meta/meta-store.c
@@ -4,6 +4,7 @@
 #include <quince/meta-store.h>
 
 #include <quince/log.h>
+#include <quince/metrics.h>
 #include <quince/task.h>
 
 #include "meta-private.h"
@@ -223,6 +224,20 @@
     }
 }
 
+static void
+count_call (AnswerKind kind, const GError *error)
+{
+  static const char *const kinds[] = { "lease", "get", "watch", "change", "lease" };
+  static const char *const outcomes[] = { "unavailable", "unknown", "conflict", "gone", "malformed" };
+  gboolean known
+      = error != NULL && error->domain == QUINCE_META_ERROR && (guint)error->code < G_N_ELEMENTS (outcomes);
+  g_autofree char *labels = g_strdup_printf ("kind=\"%s\",outcome=\"%s\"", kinds[kind],
+                                             error == NULL ? "done"
+                                             : known       ? outcomes[error->code]
+                                                           : "malformed");
+  quince_metric_add ("quince_store_calls_total", labels, 1);
+}
+
 static void
 call_done (QuinceHttpExchange *exchange, QuinceHttpOutcome outcome, const GError *failure, gpointer data)
 {
@@ -244,6 +259,7 @@
         page = read_answer (call, exchange, &number, &error);
     }
   call->exchange = NULL;
+  count_call (call->kind, error);
   QuinceMetaReply reply = call->reply;
   gpointer user_data = call->user_data;
   g_hash_table_remove (store->calls, call);
--- a/lib/observer/observer.c
+++ b/lib/observer/observer.c
@@ -6,6 +6,7 @@
 #include <string.h>
 
 #include <quince/log.h>
+#include <quince/policy-entry.h>
 #include <quince/task.h>
 
 #include "platform.h"
@@ -148,7 +149,11 @@
 own_item (const QuinceMetaItem *item, gpointer data)
 {
   QuinceObserver *observer = data;
-  if (observer->callbacks->own_key != NULL)
+  if (g_str_equal (item->key, QUINCE_POLICY_KEY))
+    quince_backends_take_policy (observer->backends, item->value, item->revision);
+  else if (g_str_has_prefix (item->key, QUINCE_EVENTS_PREFIX))
+    quince_backends_take_event (observer->backends, item->key + strlen (QUINCE_EVENTS_PREFIX), item->value);
+  else if (observer->callbacks->own_key != NULL)
     observer->callbacks->own_key (item->key, item->value, item->revision, observer->user_data);
 }
 
--- a/lib/runtime/log.c
+++ b/lib/runtime/log.c
@@ -3,14 +3,25 @@
  */
 #include <quince/log.h>
 
+#include <poll.h>
 #include <stdio.h>
 #include <string.h>
+#include <time.h>
 #include <unistd.h>
 
 /* Set once by quince_log_init() before any thread starts; read only after. */
 static char *log_program;
 static char *log_name;
 static GLogLevelFlags log_least_severe = G_LOG_LEVEL_INFO;
+static int log_descriptor = STDERR_FILENO;
+static guint log_lines_per_second; /* 0: no bound */
+
+/* The lines of this second and what was left out; guarded by log_lock. */
+static GMutex log_lock;
+static gint64 log_second;
+static guint log_written;
+static guint64 log_left_out;
+static char log_second_text[32];
 
 static const char *
 level_name (GLogLevelFlags level)
@@ -65,20 +76,76 @@
   return g_strdup_printf ("\"%s\"", escaped);
 }
 
+/* A reader that does not read must not hold the process up. */
+static gboolean
+can_write (void)
+{
+  struct pollfd ready = { .fd = log_descriptor, .events = POLLOUT };
+  return log_lines_per_second == 0 || (poll (&ready, 1, 0) == 1 && (ready.revents & POLLOUT) != 0);
+}
+
+static void
+begin_second (gint64 now_us)
+{
+  time_t seconds = (time_t)(now_us / G_USEC_PER_SEC);
+  struct tm parts;
+  log_second = seconds;
+  log_written = 0;
+  gmtime_r (&seconds, &parts);
+  strftime (log_second_text, sizeof log_second_text, "%Y-%m-%dT%H:%M:%S", &parts);
+}
+
+/* Whether the line fits this second's budget; what matters more has twice as much. */
+static gboolean
+has_budget (GLogLevelFlags level)
+{
+  guint most
+      = (level & G_LOG_LEVEL_MASK) <= G_LOG_LEVEL_WARNING ? 2 * log_lines_per_second : log_lines_per_second;
+  if (log_lines_per_second == 0)
+    return TRUE;
+  if (log_written >= most || !can_write ())
+    {
+      log_left_out++;
+      return FALSE;
+    }
+  log_written++;
+  return TRUE;
+}
+
+static void write_text (GLogLevelFlags level, gint64 now_us, const char *body);
+
 static void
 write_line (GLogLevelFlags level, const char *body)
 {
-  g_autoptr (GDateTime) now = g_date_time_new_now_utc ();
-  g_autofree char *seconds = g_date_time_format (now, "%Y-%m-%dT%H:%M:%S");
+  gint64 now_us = g_get_real_time ();
+  g_mutex_lock (&log_lock);
+  if (now_us / G_USEC_PER_SEC != log_second)
+    begin_second (now_us);
+  if (log_left_out > 0 && log_written == 0 && can_write ())
+    {
+      g_autofree char *left_out
+          = g_strdup_printf ("event=log_lines_left_out count=%" G_GUINT64_FORMAT, log_left_out);
+      log_left_out = 0;
+      log_written++;
+      write_text (G_LOG_LEVEL_WARNING, now_us, left_out);
+    }
+  if (has_budget (level))
+    write_text (level, now_us, body);
+  g_mutex_unlock (&log_lock);
+}
+
+static void
+write_text (GLogLevelFlags level, gint64 now_us, const char *body)
+{
   g_autoptr (GString) line = g_string_sized_new (256);
-  g_string_printf (line, "time=%s.%03dZ level=%s program=%s", seconds,
-                   g_date_time_get_microsecond (now) / 1000, level_name (level),
+  g_string_printf (line, "time=%s.%03dZ level=%s program=%s", log_second_text,
+                   (int)(now_us % G_USEC_PER_SEC / 1000), level_name (level),
                    log_program != NULL ? log_program : "unknown");
   if (log_name != NULL && *log_name != '\0')
     g_string_append_printf (line, " name=%s", log_name);
   g_string_append_printf (line, " %s\n", body);
   /* One write a line, so that lines of several threads do not mix. */
-  if (write (STDERR_FILENO, line->str, line->len) < 0)
+  if (write (log_descriptor, line->str, line->len) < 0)
     return;
 }
 
@@ -124,6 +191,17 @@
   installed = TRUE;
 }
 
+void
+quince_log_bound (int descriptor, guint lines_per_second)
+{
+  g_mutex_lock (&log_lock);
+  log_descriptor = descriptor;
+  log_lines_per_second = lines_per_second;
+  log_second = 0;
+  log_left_out = 0;
+  g_mutex_unlock (&log_lock);
+}
+
 void
 quince_log_event (GLogLevelFlags level, const char *event, const char *format, ...)
 {
--- a/lib/runtime/program.c
+++ b/lib/runtime/program.c
@@ -8,6 +8,7 @@
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
+#include <unistd.h>
 
 #include <quince/log.h>
 
@@ -36,6 +37,7 @@
 typedef struct
 {
   const QuinceProgram *program;
+  const Flags *flags;
   gpointer self;
   gboolean stopping;
 } Running;
@@ -91,6 +93,32 @@
   return G_SOURCE_CONTINUE;
 }
 
+static QuinceSettings *
+read_settings (const QuinceProgram *program, const Flags *flags, GError **error)
+{
+  return quince_settings_load (flags->config, program->specs, program->n_specs,
+                               (const char *const *)flags->overrides->pdata, error);
+}
+
+/* Settings that are not valid change nothing. */
+static gboolean
+reload_signal (gpointer data)
+{
+  Running *running = data;
+  g_autoptr (GError) error = NULL;
+  g_autoptr (QuinceSettings) settings = read_settings (running->program, running->flags, &error);
+  if (settings == NULL)
+    {
+      g_autofree char *reason = quince_log_quote (error->message);
+      quince_log_warning ("reload_refused", "reason=%s", reason);
+      return G_SOURCE_CONTINUE;
+    }
+  quince_log_info ("reloaded", "%s", "");
+  if (running->program->reload != NULL)
+    running->program->reload (running->self, settings);
+  return G_SOURCE_CONTINUE;
+}
+
 void
 quince_program_quit (int status)
 {
@@ -114,6 +142,8 @@
   GLogLevelFlags level = flags->level;
   quince_log_parse_level (quince_settings_get_text (settings, "log", "level"), &level);
   quince_log_init (program->name, name, level);
+  if (program->log_lines_per_second > 0)
+    quince_log_bound (STDOUT_FILENO, program->log_lines_per_second);
 }
 
 static int
@@ -130,11 +160,12 @@
                           error->code, reason);
       return QUINCE_EXIT_FAILURE;
     }
-  Running running = { .program = program, .self = self };
+  Running running = { .program = program, .flags = flags, .self = self };
   signal (SIGPIPE, SIG_IGN);
   /* Never removed: a late signal must not end the process while it puts its parts away. */
   g_unix_signal_add (SIGTERM, stop_signal, &running);
   g_unix_signal_add (SIGINT, stop_signal, &running);
+  g_unix_signal_add (SIGHUP, reload_signal, &running);
   print_ready (program, self);
   g_main_loop_run (main_loop);
   running.stopping = TRUE;
@@ -154,8 +185,7 @@
       return QUINCE_EXIT_OK;
     }
   g_autoptr (GError) error = NULL;
-  g_autoptr (QuinceSettings) settings = quince_settings_load (
-      flags->config, program->specs, program->n_specs, (const char *const *)flags->overrides->pdata, &error);
+  g_autoptr (QuinceSettings) settings = read_settings (program, flags, &error);
   if (settings == NULL)
     {
       fprintf (stderr, "%s\n", error->message);
--- a/tests/platform/path-world.h
+++ b/tests/platform/path-world.h
@@ -189,7 +189,7 @@
   guint64 greatest = 0;
   for (guint i = 0; i < PATH_REPLICAS; i++)
     {
-      g_autofree char *file = g_strdup_printf ("%s/replica-%u.log", world->folder, i);
+      g_autofree char *file = g_strdup_printf ("%s/replica-%u.out", world->folder, i);
       g_autofree char *text = NULL;
       if (!g_file_get_contents (file, &text, NULL, NULL))
         continue;
--- a/tests/platform/test-path.c
+++ b/tests/platform/test-path.c
@@ -287,6 +287,97 @@
   path_world_free (world);
 }
 
+/* ---- Policies and events ------------------------------------------------------------ */
+
+static int
+operate (PathWorld *world, const char *const *words)
+{
+  g_autoptr (GPtrArray) arguments = g_ptr_array_new ();
+  g_autofree char *path = g_build_filename (g_getenv ("QUINCE_BUILD_DIR"), "tools", "quinceroute", NULL);
+  g_ptr_array_add (arguments, path);
+  for (; *words != NULL; words++)
+    g_ptr_array_add (arguments, (gpointer)*words);
+  g_ptr_array_add (arguments, (gpointer) "--store");
+  g_ptr_array_add (arguments, (gpointer)standin_store_get_address (world->store));
+  g_ptr_array_add (arguments, NULL);
+  static guint count;
+  g_autofree char *name = g_strdup_printf ("tool-%u", count++);
+  QuinceProcess *process
+      = quince_process_spawn (world->folder, name, (const char *const *)arguments->pdata, NULL);
+  int status = -1;
+  AWAIT (quince_process_wait (process, 1, &status));
+  quince_process_free (process);
+  return status;
+}
+
+/* A policy that operators accept decides at every front; an older one never comes back. */
+static void
+test_policy_accepted (void **state)
+{
+  PathWorld *world = path_world_new ("policy");
+  path_configure (world, 3);
+  path_list_workers (world);
+  path_start_front (world, 0);
+  path_start_front (world, 1);
+  for (guint i = 0; i < 2; i++)
+    AWAIT (path_status (path_front (world, i), "POST", "/l/1", "r1", "x") == 200);
+  g_autofree char *refuse = g_build_filename (world->folder, "refuse.lua", NULL);
+  g_autofree char *take = g_build_filename (world->folder, "take.lua", NULL);
+  g_autofree char *broken = g_build_filename (world->folder, "broken.lua", NULL);
+  g_file_set_contents (refuse,
+                       "function admit(request) return { refuse = \"closed\", retry_after_ms = 1500 } end\n",
+                       -1, NULL);
+  g_file_set_contents (take, "function admit(request) return { priority = 1 } end\n", -1, NULL);
+  g_file_set_contents (broken, "function admit(", -1, NULL);
+  const char *const accept_refuse[]
+      = { "policy", "accept", refuse, "--comment", "close", "--author", "op", NULL };
+  const char *const accept_take[] = { "policy", "accept", take, "--comment", "open", "--author", "op", NULL };
+  const char *const accept_broken[]
+      = { "policy", "accept", broken, "--comment", "oops", "--author", "op", NULL };
+  assert_int_equal (operate (world, accept_refuse), 0);
+  for (guint i = 0; i < 2; i++)
+    AWAIT (path_status (path_front (world, i), "POST", "/l/1", "r1", "x") == 503);
+  PathAnswer answer;
+  path_call (path_front (world, 0), "POST", "/l/1", "r2", "x", &answer);
+  assert_string_equal (answer.retry_after, "1.500");
+  path_answer_clear (&answer);
+  assert_int_not_equal (operate (world, accept_broken), 0);
+  assert_int_equal (operate (world, accept_take), 0);
+  for (guint i = 0; i < 2; i++)
+    AWAIT (path_status (path_front (world, i), "POST", "/l/1", "r1", "x") == 200);
+  const char *const stale[]
+      = { "policy", "accept", refuse, "--comment", "x", "--author", "op", "--expect", "1", NULL };
+  assert_int_equal (operate (world, stale), 3);
+  assert_int_equal (path_status (path_front (world, 0), "POST", "/l/1", "r1", "x"), 200);
+  path_world_free (world);
+}
+
+/* An event that operators create is seen by the policy. */
+static void
+test_event_created (void **state)
+{
+  PathWorld *world = path_world_new ("event");
+  path_configure (world, 3);
+  path_list_workers (world);
+  path_start_front (world, 0);
+  AWAIT (path_status (path_front (world, 0), "POST", "/l/1", "r1", "x") == 200);
+  g_autofree char *program = g_build_filename (world->folder, "event.lua", NULL);
+  g_file_set_contents (
+      program,
+      "function admit(request) if request.event_active then return { refuse = \"event\" } end\n"
+      "return { priority = 1 } end\n",
+      -1, NULL);
+  const char *const accept[] = { "policy", "accept", program, "--comment", "x", "--author", "op", NULL };
+  const char *const create[] = { "event", "create", "rush", "--start", "+0", "--duration", "600", NULL };
+  const char *const remove[] = { "event", "delete", "rush", NULL };
+  assert_int_equal (operate (world, accept), 0);
+  assert_int_equal (operate (world, create), 0);
+  AWAIT (path_status (path_front (world, 0), "POST", "/l/1", "r1", "x") == 503);
+  assert_int_equal (operate (world, remove), 0);
+  AWAIT (path_status (path_front (world, 0), "POST", "/l/1", "r1", "x") == 200);
+  path_world_free (world);
+}
+
 /* ---- Emptying a machine --------------------------------------------------------- */
 
 static void
@@ -327,6 +418,8 @@
     cmocka_unit_test (test_hopeless_samples),
     cmocka_unit_test (test_batch_outlives_leaders),
     cmocka_unit_test (test_versions_reach_all_workers),
+    cmocka_unit_test (test_policy_accepted),
+    cmocka_unit_test (test_event_created),
     cmocka_unit_test (test_retire),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
--- /dev/null
+++ b/tests/unit/test-model-homes.c
@@ -0,0 +1,112 @@
+/*
+ * test-model-homes.c: workers are dealt out by demand, and moved one at a time.
+ */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <cmocka.h>
+
+#include <quince/model-homes.h>
+
+#define SECOND G_USEC_PER_SEC
+
+static GPtrArray *
+names (const char *prefix, guint count)
+{
+  GPtrArray *list = g_ptr_array_new_with_free_func (g_free);
+  for (guint i = 0; i < count; i++)
+    g_ptr_array_add (list, g_strdup_printf ("%s%u", prefix, i));
+  return list;
+}
+
+static guint
+count_of (QuinceModelHomes *homes, const GPtrArray *workers, const char *model)
+{
+  guint count = 0;
+  for (guint i = 0; i < workers->len; i++)
+    count += g_strcmp0 (quince_model_homes_get (homes, workers->pdata[i]), model) == 0;
+  return count;
+}
+
+static void
+test_equal_without_demand (void **state)
+{
+  g_autoptr (QuinceModelHomes) homes = quince_model_homes_new ();
+  g_autoptr (GPtrArray) models = names ("m", 3);
+  g_autoptr (GPtrArray) workers = names ("w", 9);
+  quince_model_homes_assign (homes, 0, models, workers);
+  for (guint i = 0; i < 3; i++)
+    assert_int_equal (count_of (homes, workers, models->pdata[i]), 3);
+}
+
+static void
+test_follows_demand_one_at_a_time (void **state)
+{
+  g_autoptr (QuinceModelHomes) homes = quince_model_homes_new ();
+  g_autoptr (GPtrArray) models = names ("m", 3);
+  g_autoptr (GPtrArray) workers = names ("w", 9);
+  quince_model_homes_assign (homes, 0, models, workers);
+  quince_model_homes_add_demand (homes, SECOND, "m0", 100);
+  quince_model_homes_add_demand (homes, SECOND, "m1", 100);
+  quince_model_homes_add_demand (homes, SECOND, "m2", 400);
+  quince_model_homes_assign (homes, SECOND, models, workers);
+  assert_int_equal (count_of (homes, workers, "m2"), 4);
+  quince_model_homes_assign (homes, SECOND + 1, models, workers);
+  assert_int_equal (count_of (homes, workers, "m2"), 4);
+  for (guint i = 2; i < 20; i++)
+    quince_model_homes_assign (homes, i * 2 * SECOND, models, workers);
+  assert_int_equal (count_of (homes, workers, "m2"), 5);
+  assert_int_equal (count_of (homes, workers, "m0"), 2);
+  /* Nothing moves to and fro. */
+  guint before = count_of (homes, workers, "m1");
+  for (guint i = 20; i < 40; i++)
+    quince_model_homes_assign (homes, i * 2 * SECOND, models, workers);
+  assert_int_equal (count_of (homes, workers, "m1"), before);
+}
+
+/* Failed first: a worker that was taken away left its model with two, for good. */
+static void
+test_lost_worker_is_made_up_for (void **state)
+{
+  g_autoptr (QuinceModelHomes) homes = quince_model_homes_new ();
+  g_autoptr (GPtrArray) models = names ("m", 2);
+  g_autoptr (GPtrArray) workers = names ("w", 8);
+  quince_model_homes_assign (homes, 0, models, workers);
+  for (guint lost = 0; lost < 2; lost++)
+    for (guint i = 0; i < workers->len; i++)
+      if (g_str_equal (quince_model_homes_get (homes, workers->pdata[i]), "m0"))
+        {
+          g_ptr_array_remove_index (workers, i);
+          break;
+        }
+  assert_int_equal (count_of (homes, workers, "m0"), 2);
+  for (guint i = 1; i < 10; i++)
+    quince_model_homes_assign (homes, i * 3 * SECOND, models, workers);
+  assert_int_equal (count_of (homes, workers, "m0"), 3);
+  assert_int_equal (count_of (homes, workers, "m1"), 3);
+}
+
+static void
+test_fewer_workers_than_models (void **state)
+{
+  g_autoptr (QuinceModelHomes) homes = quince_model_homes_new ();
+  g_autoptr (GPtrArray) models = names ("m", 3);
+  g_autoptr (GPtrArray) workers = names ("w", 2);
+  quince_model_homes_assign (homes, 0, models, workers);
+  for (guint i = 0; i < 2; i++)
+    assert_non_null (quince_model_homes_get (homes, workers->pdata[i]));
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_equal_without_demand),
+    cmocka_unit_test (test_follows_demand_one_at_a_time),
+    cmocka_unit_test (test_lost_worker_is_made_up_for),
+    cmocka_unit_test (test_fewer_workers_than_models),
+  };
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
--- /dev/null
+++ b/tests/unit/test-telemetry.c
@@ -0,0 +1,128 @@
+/*
+ * test-telemetry.c: log lines are bounded and never wait for their reader; metrics are bounded and read well.
+ */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <cmocka.h>
+#include <fcntl.h>
+#include <string.h>
+#include <unistd.h>
+
+#include <quince/log.h>
+#include <quince/metrics.h>
+
+#define LINES_PER_SECOND 50
+
+static guint
+count (const char *text, const char *part)
+{
+  guint found = 0;
+  for (const char *at = strstr (text, part); at != NULL; at = strstr (at + 1, part))
+    found++;
+  return found;
+}
+
+/* Everything that stands in the pipe now. (transfer full) */
+static char *
+drain (int descriptor)
+{
+  GString *text = g_string_new (NULL);
+  char buffer[4096];
+  ssize_t length;
+  fcntl (descriptor, F_SETFL, O_NONBLOCK);
+  while ((length = read (descriptor, buffer, sizeof buffer)) > 0)
+    g_string_append_len (text, buffer, length);
+  return g_string_free (text, FALSE);
+}
+
+/* Nobody reads: a million bytes of lines do not fit a pipe, and yet nothing waits. */
+static void
+test_log_never_waits (void **state)
+{
+  int ends[2];
+  assert_int_equal (pipe (ends), 0);
+  quince_log_init ("test", "t", G_LOG_LEVEL_INFO);
+  quince_log_bound (ends[1], 1000000);
+  for (guint i = 0; i < 20000; i++)
+    quince_log_info ("filler", "number=%u padding=xxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxx", i);
+  g_autofree char *text = drain (ends[0]);
+  assert_true (count (text, "event=filler") < 20000);
+  /* Each line is whole. */
+  assert_int_equal (count (text, "time="), count (text, "\n"));
+  quince_log_bound (STDERR_FILENO, 0);
+  close (ends[0]);
+  close (ends[1]);
+}
+
+/* More lines than a second's budget are left out and counted; failures still come. */
+static void
+test_log_budget (void **state)
+{
+  int ends[2];
+  assert_int_equal (pipe (ends), 0);
+  quince_log_bound (ends[1], LINES_PER_SECOND);
+  for (guint i = 0; i < 300; i++)
+    quince_log_info ("filler", "number=%u", i);
+  quince_log_warning ("trouble", "number=%u", 1);
+  g_autofree char *text = drain (ends[0]);
+  /* The loop may cross from one second into the next. */
+  assert_in_range (count (text, "event=filler"), 1, 2 * LINES_PER_SECOND);
+  assert_int_equal (count (text, "event=trouble"), 1);
+  gint64 second = g_get_real_time () / G_USEC_PER_SEC;
+  while (g_get_real_time () / G_USEC_PER_SEC == second)
+    g_usleep (10000);
+  quince_log_info ("later", "%s", "");
+  g_autofree char *later = drain (ends[0]);
+  assert_int_equal (count (later, "event=log_lines_left_out count="), 1);
+  assert_int_equal (count (later, "event=later"), 1);
+  quince_log_bound (STDERR_FILENO, 0);
+  close (ends[0]);
+  close (ends[1]);
+}
+
+static void
+test_metrics_text (void **state)
+{
+  quince_metrics_reset ();
+  quince_metric_add ("a_total", "x=\"1\"", 2);
+  quince_metric_add ("a_total", "x=\"1\"", 3);
+  quince_metric_set ("b", "", 1.5);
+  quince_metric_observe_us ("c_seconds", "k=\"v\"", 3000);
+  quince_metric_observe_us ("c_seconds", "k=\"v\"", 700000);
+  g_autofree char *text = quince_metrics_format ();
+  assert_non_null (strstr (text, "# TYPE a_total counter\na_total{x=\"1\"} 5\n"));
+  assert_non_null (strstr (text, "# TYPE b gauge\nb 1.5\n"));
+  assert_non_null (strstr (text, "c_seconds_bucket{k=\"v\",le=\"0.002\"} 0\n"));
+  assert_non_null (strstr (text, "c_seconds_bucket{k=\"v\",le=\"0.005\"} 1\n"));
+  assert_non_null (strstr (text, "c_seconds_bucket{k=\"v\",le=\"1\"} 2\n"));
+  assert_non_null (strstr (text, "c_seconds_count{k=\"v\"} 2\n"));
+}
+
+static void
+test_metrics_are_bounded (void **state)
+{
+  quince_metrics_reset ();
+  for (guint i = 0; i < QUINCE_METRICS_SERIES_MOST + 10; i++)
+    {
+      g_autofree char *labels = g_strdup_printf ("x=\"%u\"", i);
+      quince_metric_add ("a_total", labels, 1);
+    }
+  g_autofree char *text = quince_metrics_format ();
+  assert_int_equal (count (text, "a_total{"), QUINCE_METRICS_SERIES_MOST);
+  assert_non_null (strstr (text, "quince_metrics_dropped_total 10\n"));
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_log_never_waits),
+    cmocka_unit_test (test_log_budget),
+    cmocka_unit_test (test_metrics_text),
+    cmocka_unit_test (test_metrics_are_bounded),
+  };
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
--- a/tools/event-commands.c
+++ b/tools/event-commands.c
@@ -5,6 +5,7 @@
 #include <stdio.h>
 
 #include "commands.h"
+#include "store-commands.h"
 #include "table.h"
 
 #define MAX_SECONDS (366.0 * 24 * 3600)
@@ -101,7 +102,7 @@
 quince_command_event_create (QuinceTool *tool)
 {
   const QuinceToolArguments *arguments = &tool->arguments;
-  if (!quince_tool_need_store (tool))
+  if (tool->meta == NULL && !quince_tool_need_store (tool))
     return QUINCE_TOOL_USAGE;
   if (arguments->start == NULL || arguments->duration == NULL)
     return quince_tool_usage ("event create needs --start and --duration");
@@ -115,8 +116,14 @@
   if (arguments->expected != NULL
       && !g_ascii_string_to_unsigned (arguments->expected, 10, 0, G_MAXINT64, &event->expected, NULL))
     return quince_tool_usage ("--expected takes a number, not '%s'", arguments->expected);
-  quince_operator_store_create_event (tool->store, event, on_done, tool);
-  quince_tool_wait (tool);
+  if (tool->meta != NULL)
+    tool->status
+        = quince_store_event_create (tool, event->name, event->start_ms, event->duration_ms, event->service);
+  else
+    {
+      quince_operator_store_create_event (tool->store, event, on_done, tool);
+      quince_tool_wait (tool);
+    }
   if (tool->status == QUINCE_TOOL_OK)
     print_created (tool, event);
   return tool->status;
@@ -125,10 +132,15 @@
 QuinceToolStatus
 quince_command_event_delete (QuinceTool *tool)
 {
-  if (!quince_tool_need_store (tool))
+  if (tool->meta == NULL && !quince_tool_need_store (tool))
     return QUINCE_TOOL_USAGE;
-  quince_operator_store_delete_event (tool->store, tool->arguments.words[0], on_done, tool);
-  quince_tool_wait (tool);
+  if (tool->meta != NULL)
+    tool->status = quince_store_event_delete (tool, tool->arguments.words[0]);
+  else
+    {
+      quince_operator_store_delete_event (tool->store, tool->arguments.words[0], on_done, tool);
+      quince_tool_wait (tool);
+    }
   if (tool->status == QUINCE_TOOL_OK && !tool->arguments.json)
     printf ("event %s is deleted\n", tool->arguments.words[0]);
   return tool->status;
--- a/tools/main.c
+++ b/tools/main.c
@@ -13,6 +13,7 @@
 enum
 {
   OPTION_KV = 'k',
+  OPTION_STORE = 'S',
   OPTION_NODE = 'n',
   OPTION_CONFIG = 'c',
   OPTION_JSON = 'j',
@@ -84,6 +85,7 @@
 
 static const struct argp_option global_flags[] = {
   { "kv", OPTION_KV, "ADDRESSES", 0, "Key-value service, ip:port, separated by ','", 1 },
+  { "store", OPTION_STORE, "ADDRESS", 0, "Metadata store of the users' platform, ip:port", 1 },
   { "node", OPTION_NODE, "ADDRESSES", 0, "HTTP addresses of nodes, ip:port, separated by ','", 1 },
   { "config", OPTION_CONFIG, "FILE", 0, "Settings file with a section [operator]: kv, nodes", 1 },
   { "json", OPTION_JSON, NULL, 0, "Print JSON", 1 },
@@ -101,6 +103,9 @@
     case OPTION_KV:
       arguments->kv = value;
       return 0;
+    case OPTION_STORE:
+      arguments->store = value;
+      return 0;
     case OPTION_NODE:
       arguments->nodes = value;
       return 0;
--- a/tools/policy-commands.c
+++ b/tools/policy-commands.c
@@ -10,6 +10,7 @@
 #include "line-diff.h"
 #include "node-status.h"
 #include "policy-program.h"
+#include "store-commands.h"
 #include "table.h"
 
 /* ---- check ------------------------------------------------------------------- */
@@ -206,13 +207,15 @@
 quince_command_policy_accept (QuinceTool *tool)
 {
   const char *path = tool->arguments.words[0];
-  if (!quince_tool_need_store (tool))
+  if (tool->meta == NULL && !quince_tool_need_store (tool))
     return QUINCE_TOOL_USAGE;
   if (tool->arguments.comment == NULL)
     return quince_tool_usage ("policy accept needs --comment TEXT");
   g_autofree char *text = quince_policy_program_read (path);
   if (text == NULL || !quince_policy_program_check (path, text))
     return QUINCE_TOOL_FAILED;
+  if (tool->meta != NULL)
+    return quince_store_policy_accept (tool, text);
   Acceptance acceptance = { .tool = tool };
   QuinceToolStatus status = find_expected (tool, &acceptance.expected);
   if (status != QUINCE_TOOL_OK)
@@ -234,6 +237,8 @@
 QuinceToolStatus
 quince_command_policy_show (QuinceTool *tool)
 {
+  if (tool->meta != NULL)
+    return quince_store_policy_show (tool);
   g_auto (HeadView) head = { 0 };
   QuinceToolStatus status = read_head (tool, &head);
   if (status != QUINCE_TOOL_OK)
--- a/tools/tool.c
+++ b/tools/tool.c
@@ -7,9 +7,13 @@
 #include <stdio.h>
 #include <string.h>
 
+#include "platform.h"
+
 static const QuinceSettingSpec specs[] = {
   { "operator", "kv", QUINCE_SETTING_ADDRESS_LIST, FALSE, "", 0, 0, NULL,
     "addresses of the key-value service" },
+  { "operator", "store", QUINCE_SETTING_ADDRESS, FALSE, "", 0, 0, NULL,
+    "address of the metadata store of the users' platform" },
   { "operator", "nodes", QUINCE_SETTING_ADDRESS_LIST, FALSE, "", 0, 0, NULL, "HTTP addresses of nodes" },
   { "operator", "kv_timeout", QUINCE_SETTING_DURATION, FALSE, "2s", 1000, 60 * G_USEC_PER_SEC, NULL,
     "time for one try on the key-value service" },
@@ -91,6 +95,7 @@
 {
   g_autoptr (GPtrArray) overrides = g_ptr_array_new_with_free_func (g_free);
   add_override (overrides, "kv", tool->arguments.kv);
+  add_override (overrides, "store", tool->arguments.store);
   add_override (overrides, "nodes", tool->arguments.nodes);
   g_ptr_array_add (overrides, NULL);
   g_autoptr (GError) error = NULL;
@@ -104,6 +109,9 @@
   tool->node_addresses = quince_settings_get_list (tool->settings, "operator", "nodes");
   tool->session = soup_session_new ();
   soup_session_set_proxy_resolver (tool->session, NULL);
+  const char *meta = quince_settings_get_text (tool->settings, "operator", "store");
+  if (*meta != '\0')
+    tool->meta = quince_meta_store_new (meta, &quince_platform_meta_dialect);
   g_auto (GStrv) endpoints = quince_settings_get_list (tool->settings, "operator", "kv");
   if (endpoints[0] != NULL)
     {
@@ -117,6 +125,7 @@
 void
 quince_tool_close (QuinceTool *tool)
 {
+  g_clear_pointer (&tool->meta, quince_meta_store_free);
   g_clear_pointer (&tool->store, quince_operator_store_free);
   g_clear_pointer (&tool->client, quince_kv_client_free);
   g_clear_object (&tool->session);
--- a/tools/tool.h
+++ b/tools/tool.h
@@ -11,6 +11,7 @@
 #include <json-glib/json-glib.h>
 #include <libsoup/soup.h>
 
+#include <quince/meta-store.h>
 #include <quince/operator-store.h>
 #include <quince/settings.h>
 
@@ -30,6 +31,7 @@
 {
   /* global */
   const char *kv;
+  const char *store;
   const char *nodes;
   const char *config;
   gboolean json;
@@ -53,6 +55,7 @@
   char **node_addresses;      /* owned */
   QuinceKvClient *client;     /* owned; NULL when no --kv is set */
   QuinceOperatorStore *store; /* owned; NULL when no --kv is set */
+  QuinceMetaStore *meta;      /* owned; NULL when no --store is set */
   SoupSession *session;       /* owned */
   gboolean done;              /* the operation's callback came */
   QuinceToolStatus status;    /* what the command ends with */
