Lint: the platform's names stay in platform/ and deploy/, the events in the code are those of the operators' page

Requests log how they were answered and each attempt that did not count; samples where they were sent.

--- a/daemons/front/caller-request.c
+++ b/daemons/front/caller-request.c
@@ -114,6 +114,18 @@
 
 /* ---- Requests for workers --------------------------------------------- */
 
+static void
+log_answer (const QuinceCallerRequest *request, const QuinceForwardResult *result)
+{
+  QuincePlatformRequestFacts facts;
+  quince_platform_read_request (request->head->headers, &facts);
+  g_autofree char *id = quince_log_quote (facts.request_id);
+  quince_log_info ("request_answered",
+                   "request=%s status=%u worker=%s attempts=%u worker_ms=%" G_GINT64_FORMAT " age_ms=%" G_GINT64_FORMAT,
+                   id, result->head->status, result->worker, result->attempts, result->worker_us / 1000,
+                   (quince_now_us () - request->received_us) / 1000);
+}
+
 static void
 forward_done (const QuinceForwardResult *result, gpointer data)
 {
@@ -125,6 +137,7 @@
       {
         g_autoptr (QuinceHttpHeaders) headers = quince_http_headers_copy (result->head->headers);
         quince_http_headers_remove_hop_by_hop (headers);
+        log_answer (request, result);
         const QuinceCallerAnswer answer = { .status = result->head->status,
                                             .headers = headers,
                                             .body = (const char *)result->body->data,
--- a/daemons/replica/sample-runner.c
+++ b/daemons/replica/sample-runner.c
@@ -312,6 +312,11 @@
     return outcome;
   sample->single_version = route->single_version;
   runner->running++;
+  quince_log_info ("sample_dispatched",
+                   "sample=%s batch=%s worker=%s worker_running=%u version=%" G_GUINT64_FORMAT
+                   " from_event=%" G_GUINT64_FORMAT " runs=%u age_ms=%" G_GINT64_FORMAT,
+                   item->id, batch->id, worker->id, worker->running, quince_worker_get_version (worker, batch->model),
+                   sample->last_event, sample->runs, (now_us - sample->submitted_us) / 1000);
   quince_sample_run (sample, runner->backends, worker, (gint)MIN (route->priority, WORKER_PRIORITY_MOST),
                      run_ended, runner);
   return outcome;
--- a/lib/forward/forward.c
+++ b/lib/forward/forward.c
@@ -3,6 +3,7 @@
  */
 #include <quince/forward.h>
 
+#include <quince/log.h>
 #include <quince/metrics.h>
 #include <quince/task.h>
 
@@ -141,10 +142,20 @@
   quince_metric_add ("quince_forward_attempts_total", labels, 1);
 }
 
+static void
+log_retry (const QuinceForward *forward, const char *cause)
+{
+  quince_log_info ("request_retried",
+                   "request=%s worker=%s cause=%s attempts=%u runs=%u took_ms=%" G_GINT64_FORMAT, forward->request_id,
+                   forward->worker_id, cause, forward->attempts, forward->runs,
+                   (quince_now_us () - forward->attempt_us) / 1000);
+}
+
 /* The attempt did not run. */
 static void
 not_run (QuinceForward *forward, const char *cause)
 {
+  log_retry (forward, cause);
   count_attempt (cause);
   forward->cause = cause;
   forward->refused_sends++;
@@ -158,6 +169,7 @@
 static void
 run_lost (QuinceForward *forward, const char *cause)
 {
+  log_retry (forward, cause);
   count_attempt (cause);
   forward->cause = cause;
   forward->runs++;
@@ -351,7 +363,7 @@
   forward->kind = g_strdup (request->kind);
   forward->method = g_strdup (request->method);
   forward->target = g_strdup (request->target);
-  forward->request_id = g_strdup (request->request_id);
+  forward->request_id = g_strdup (request->request_id != NULL ? request->request_id : "");
   forward->headers = quince_http_headers_copy (request->headers);
   forward->body = request->body != NULL ? g_bytes_ref (request->body) : NULL;
   forward->repeatable = request->repeatable;
--- /dev/null
+++ b/scripts/check-names.sh
@@ -0,0 +1,28 @@
+#!/bin/sh
+# check-names.sh: names of the users' platform stand in platform/ and deploy/ alone, and every event that the
+# daemons on the platform log stands in the table of docs/OPERATIONS.md, and the other way round.
+set -eu
+cd "$(dirname "$0")/.."
+status=0
+
+names='tlsKey|kv-txn|kv-range|kv-lease|trafficSplit|pathPrefix|Server-Stamp|Expect-Instance|Expect-Version'
+names="$names|"Not-Run|afterRev|heartbeatMs|coldRemainingMs|version-put|Weight-Versions|weight-versions|Request-Deadline-Ms"
+names="$names|queueTtlS|targetLatencyMs|maxAttempts|singleVersion|minVersion|/quinceroute/|\"op/|\"servers/"
+if git grep -nIE "$names" -- '*.c' '*.h' '*.x' '*.lua' ':!platform' ':!deploy' ':!tests/platform'; then
+    echo "check-names: names of the users' platform outside platform/ and deploy/" >&2
+    status=1
+fi
+
+logged=$(mktemp)
+documented=$(mktemp)
+trap 'rm -f "$logged" "$documented"' EXIT
+git grep -hoE 'quince_log_(info|warning|failure) \((abandoned \? )?"[a-z_]+"( : "[a-z_]+")?' -- \
+    daemons/front daemons/replica lib/meta lib/observer lib/forward lib/http1 lib/runtime |
+    grep -oE '"[a-z_]+"' | tr -d '"' | sort -u >"$logged"
+sed -n '/^## Events of the platform.s daemons/,/^## /p' docs/OPERATIONS.md |
+    grep -oE '^\| `[a-z_]+`' | tr -d '|` ' | grep -v '^log_lines_left_out$\|^library_message$' | sort -u >"$documented"
+if ! diff "$logged" "$documented"; then
+    echo "check-names: events in the code (<) and in docs/OPERATIONS.md (>) differ" >&2
+    status=1
+fi
+exit $status
