Forward: a second worker is asked beside one that takes long, the first answer counts

No more workers get a request than its route allows, and never two that may not be repeated. Before, a silent worker cost 0.3 s and more (test_slow_worker_is_hedged).

--- a/lib/forward/forward.c
+++ b/lib/forward/forward.c
@@ -1,5 +1,8 @@
 /*
  * forward.c: attempts of one request at workers.
+ *
+ * A repeatable request whose worker takes unusually long is sent to a second one while the first goes on; the first
+ * answer that counts is taken and the other run is cancelled.  No more workers get it than its route allows.
  */
 #include <quince/forward.h>
 
@@ -11,11 +14,26 @@
 #define FULL_PAUSE_MS 20
 /* Sends that workers refuse do not run; this many are made at the most. */
 #define REFUSED_SENDS_MOST 8
-/* A worker that stays silent for this part of the time left loses a repeatable request to another one. */
-#define SILENCE_SHARE 0.5
+/* Runs at the same time. */
+#define LIVE_MOST 2
+/* A second run begins when the first takes this many times its worker's smoothed time, within these bounds. */
+#define HEDGE_TIMES 3
+#define HEDGE_LEAST_US (60 * 1000)
+#define HEDGE_TARGET_SHARE 0.5
+/* A run that is silent for this many latency targets gives way to a third one. */
+#define ABANDON_TARGETS 2
+#define ABANDON_LEAST_US (250 * 1000)
 /* Timers count whole milliseconds. */
 #define TIMER_ROUNDING_US 2000
-#define SILENCE_LEAST_US (250 * 1000)
+
+/* One run at one worker. */
+typedef struct
+{
+  QuinceForward *forward;
+  QuinceHttpExchange *exchange;
+  char *worker_id;
+  gint64 started_us;
+} Attempt;
 
 struct _QuinceForward
 {
@@ -38,13 +56,11 @@
   gint64 deadline_us;
   gint64 give_up_us;
 
-  QuinceHttpExchange *exchange;
-  char *worker_id; /* of the attempt in progress, or the last one */
-  gint64 attempt_us;
+  GPtrArray *live;  /* Attempt, owned: in progress, the oldest first */
   GHashTable *avoid;
-  GSource *timer; /* next attempt */
+  GSource *timer;   /* next attempt, or another one beside those in progress */
   guint attempts;
-  guint runs; /* attempts that may have run */
+  guint runs;          /* attempts that may have run, those in progress too */
   guint refused_sends;
   guint failed_runs;
   const char *cause;
@@ -52,21 +68,53 @@
 
 static void try_worker (QuinceForward *forward);
 
-/* ---- Ends ------------------------------------------------------------- */
+/* ---- Attempts --------------------------------------------------------- */
 
+static QuinceWorker *
+worker_of (const Attempt *attempt)
+{
+  return quince_worker_table_find (quince_backends_get_workers (attempt->forward->backends), attempt->worker_id);
+}
+
+/* Cancels it where it is in progress. */
 static void
-leave_worker (QuinceForward *forward)
+attempt_free (gpointer data)
 {
-  QuinceWorker *worker
-      = quince_worker_table_find (quince_backends_get_workers (forward->backends), forward->worker_id);
+  Attempt *attempt = data;
+  QuinceWorker *worker = worker_of (attempt);
   if (worker != NULL && worker->running > 0)
     worker->running--;
+  if (attempt->exchange != NULL)
+    quince_http_exchange_cancel (attempt->exchange);
+  g_free (attempt->worker_id);
+  g_free (attempt);
 }
 
+static void
+note_worker (const Attempt *attempt, gboolean good)
+{
+  QuinceWorker *worker = worker_of (attempt);
+  gint64 now = quince_now_us ();
+  if (worker != NULL && good)
+    quince_worker_note_answer (worker, now - attempt->started_us);
+  else if (worker != NULL)
+    quince_worker_note_failure (worker, now);
+}
+
+static void
+count_attempt (const char *outcome)
+{
+  g_autofree char *labels = g_strdup_printf ("outcome=\"%s\"", outcome);
+  quince_metric_add ("quince_forward_attempts_total", labels, 1);
+}
+
+/* ---- Ends ------------------------------------------------------------- */
+
 static void
 forward_free (QuinceForward *forward)
 {
   quince_source_clear (&forward->timer);
+  g_ptr_array_unref (forward->live);
   quince_http_headers_free (forward->headers);
   g_clear_pointer (&forward->body, g_bytes_unref);
   g_hash_table_unref (forward->avoid);
@@ -75,18 +123,12 @@
   g_free (forward->method);
   g_free (forward->target);
   g_free (forward->request_id);
-  g_free (forward->worker_id);
   g_free (forward);
 }
 
 void
 quince_forward_cancel (QuinceForward *forward)
 {
-  if (forward->exchange != NULL)
-    {
-      quince_http_exchange_cancel (forward->exchange);
-      leave_worker (forward);
-    }
   forward_free (forward);
 }
 
@@ -95,9 +137,7 @@
 {
   result->attempts = forward->attempts;
   result->failed_runs = forward->failed_runs;
-  result->worker = forward->worker_id;
   result->cause = forward->cause;
-  result->worker_us = quince_now_us () - forward->attempt_us;
   forward->done (result, forward->user_data);
   forward_free (forward);
 }
@@ -123,10 +163,10 @@
 }
 
 static void
-try_later (QuinceForward *forward, guint wait_ms)
+try_later (QuinceForward *forward, gint64 wait_us)
 {
   quince_source_clear (&forward->timer);
-  forward->timer = quince_timer_add (wait_ms, timer_over, forward);
+  forward->timer = quince_timer_add ((guint)(wait_us / 1000), timer_over, forward);
 }
 
 static gboolean
@@ -136,66 +176,77 @@
 }
 
 static void
-count_attempt (const char *outcome)
+drop_attempt (Attempt *attempt)
 {
-  g_autofree char *labels = g_strdup_printf ("outcome=\"%s\"", outcome);
-  quince_metric_add ("quince_forward_attempts_total", labels, 1);
+  attempt->exchange = NULL;
+  g_ptr_array_remove (attempt->forward->live, attempt);
 }
 
+/* The attempt gave no answer that counts.  @ran: it may have run */
 static void
-log_retry (const QuinceForward *forward, const char *cause)
+attempt_over (Attempt *attempt, gboolean ran, const char *cause)
 {
-  quince_log_info ("request_retried",
-                   "request=%s worker=%s cause=%s attempts=%u runs=%u took_ms=%" G_GINT64_FORMAT, forward->request_id,
-                   forward->worker_id, cause, forward->attempts, forward->runs,
-                   (quince_now_us () - forward->attempt_us) / 1000);
-}
-
-/* The attempt did not run. */
-static void
-not_run (QuinceForward *forward, const char *cause)
-{
-  log_retry (forward, cause);
-  count_attempt (cause);
-  forward->cause = cause;
-  forward->refused_sends++;
-  if (forward->refused_sends >= REFUSED_SENDS_MOST)
-    forward_fail (forward, FALSE);
-  else
-    try_later (forward, 0);
-}
-
-/* The attempt may have run and gave no answer that counts. */
-static void
-run_lost (QuinceForward *forward, const char *cause)
-{
-  log_retry (forward, cause);
+  QuinceForward *forward = attempt->forward;
   count_attempt (cause);
+  quince_log_info ("request_retried",
+                   "request=%s worker=%s cause=%s attempts=%u runs=%u took_ms=%" G_GINT64_FORMAT,
+                   forward->request_id, attempt->worker_id, cause, forward->attempts, forward->runs,
+                   (quince_now_us () - attempt->started_us) / 1000);
   forward->cause = cause;
-  forward->runs++;
-  if (may_run_again (forward))
+  drop_attempt (attempt);
+  if (!ran)
+    {
+      forward->runs--;
+      forward->refused_sends++;
+    }
+  gint64 now = quince_now_us ();
+  if (forward->live->len > 0)
+    return; /* another run goes on */
+  if (forward->refused_sends < REFUSED_SENDS_MOST && may_run_again (forward) && now < forward->give_up_us)
     try_later (forward, 0);
   else
-    forward_fail (forward, quince_now_us () >= forward->give_up_us - TIMER_ROUNDING_US);
+    forward_fail (forward, now >= forward->give_up_us - TIMER_ROUNDING_US);
 }
 
 static void
-note_worker (QuinceForward *forward, gboolean good)
+attempt_answered (Attempt *attempt, QuinceHttpExchange *exchange, const char *signature)
 {
-  QuinceWorker *worker
-      = quince_worker_table_find (quince_backends_get_workers (forward->backends), forward->worker_id);
-  if (worker == NULL)
-    return;
-  gint64 now = quince_now_us ();
-  if (good)
-    quince_worker_note_answer (worker, now - forward->attempt_us);
-  else
-    quince_worker_note_failure (worker, now);
+  QuinceForward *forward = attempt->forward;
+  const QuinceHttpHead *head = quince_http_exchange_get_head (exchange);
+  gboolean good = head->status >= 200 && head->status < 300;
+  note_worker (attempt, good);
+  forward->failed_runs += head->status == 500;
+  gboolean another = forward->live->len > 1 || (forward->repeatable && forward->runs < forward->max_attempts);
+  if (head->status >= 500 && another)
+    {
+      attempt_over (attempt, TRUE, "worker_failed");
+      return;
+    }
+  count_attempt ("answered");
+  g_autofree char *worker = g_strdup (attempt->worker_id);
+  QuinceForwardResult result = { .outcome = QUINCE_FORWARD_ANSWERED,
+                                 .head = head,
+                                 .body = quince_http_exchange_get_body (exchange),
+                                 .signature = signature,
+                                 .worker = worker,
+                                 .worker_us = quince_now_us () - attempt->started_us };
+  drop_attempt (attempt);
+  forward_end (forward, &result);
 }
 
 static void
-answered (QuinceForward *forward, QuinceHttpExchange *exchange)
+exchange_done (QuinceHttpExchange *exchange, QuinceHttpOutcome outcome, const GError *error, gpointer data)
 {
+  Attempt *attempt = data;
+  QuinceForward *forward = attempt->forward;
+  if (outcome != QUINCE_HTTP_ANSWERED)
+    {
+      gboolean ran = outcome != QUINCE_HTTP_NOT_SENT;
+      gboolean silent = ran && error->code == QUINCE_HTTP1_ERROR_TIMEOUT;
+      note_worker (attempt, FALSE);
+      attempt_over (attempt, ran, !ran ? "no_connection" : silent ? "worker_silent" : "connection_lost");
+      return;
+    }
   const QuinceHttpHead *head = quince_http_exchange_get_head (exchange);
   const char *request_id = NULL;
   const char *signature = NULL;
@@ -204,79 +255,41 @@
   gboolean good = head->status >= 200 && head->status < 300;
   if (g_strcmp0 (request_id, forward->request_id) != 0 && (good || request_id != NULL))
     {
-      note_worker (forward, FALSE);
-      run_lost (forward, "wrong_answer");
+      note_worker (attempt, FALSE);
+      attempt_over (attempt, TRUE, "wrong_answer");
     }
   else if (refused)
-    {
-      not_run (forward, head->status == 421 ? "other_worker" : "worker_refused");
-    }
+    attempt_over (attempt, FALSE, head->status == 421 ? "other_worker" : "worker_refused");
   else if (good && signature == NULL)
-    run_lost (forward, "unsigned_answer");
+    attempt_over (attempt, TRUE, "unsigned_answer");
   else
-    {
-      note_worker (forward, good);
-      forward->failed_runs += head->status == 500;
-      if (!good && head->status >= 500 && forward->repeatable && forward->runs + 1 < forward->max_attempts)
-        {
-          run_lost (forward, "worker_failed");
-          return;
-        }
-      forward->runs++;
-      count_attempt ("answered");
-      QuinceForwardResult result = { .outcome = QUINCE_FORWARD_ANSWERED,
-                                     .head = head,
-                                     .body = quince_http_exchange_get_body (exchange),
-                                     .signature = signature };
-      forward_end (forward, &result);
-    }
-}
-
-static void
-exchange_done (QuinceHttpExchange *exchange, QuinceHttpOutcome outcome, const GError *error, gpointer data)
-{
-  QuinceForward *forward = data;
-  forward->exchange = NULL;
-  leave_worker (forward);
-  if (outcome == QUINCE_HTTP_ANSWERED)
-    {
-      answered (forward, exchange);
-      return;
-    }
-  note_worker (forward, FALSE);
-  if (outcome == QUINCE_HTTP_NOT_SENT)
-    not_run (forward, "no_connection");
-  else
-    run_lost (forward, error->code == QUINCE_HTTP1_ERROR_TIMEOUT ? "worker_silent" : "connection_lost");
+    attempt_answered (attempt, exchange, signature);
 }
 
 /* An answer to another request: whatever follows on this connection belongs to nobody. */
 static void
 exchange_head (QuinceHttpExchange *exchange, const QuinceHttpHead *head, gpointer data)
 {
-  QuinceForward *forward = data;
+  Attempt *attempt = data;
   const char *request_id = NULL;
   const char *signature = NULL;
   gboolean refused = FALSE;
-  forward->dialect->read_answer (head, &request_id, &signature, &refused);
-  if (request_id != NULL && !g_str_equal (request_id, forward->request_id))
+  attempt->forward->dialect->read_answer (head, &request_id, &signature, &refused);
+  if (request_id != NULL && !g_str_equal (request_id, attempt->forward->request_id))
     quince_http_exchange_distrust (exchange);
 }
 
-static const QuinceHttpExchangeCallbacks exchange_callbacks
-    = { .head = exchange_head, .done = exchange_done };
+static const QuinceHttpExchangeCallbacks exchange_callbacks = { .head = exchange_head, .done = exchange_done };
 
 /* ---- An attempt ------------------------------------------------------- */
 
+/* When another run begins beside the one on @worker. */
 static gint64
-attempt_time (const QuinceForward *forward, gint64 now_us)
+hedge_after (const QuinceForward *forward, const QuinceWorker *worker)
 {
-  gint64 left = forward->give_up_us - now_us;
-  gboolean another = forward->repeatable && forward->runs + 1 < forward->max_attempts;
-  if (!another)
-    return left;
-  gint64 patience = MAX ((gint64)(SILENCE_SHARE * (double)left), SILENCE_LEAST_US);
-  return MIN (left, MIN (patience, MAX (2 * forward->target_latency_us, SILENCE_LEAST_US)));
+  gint64 most = MAX ((gint64)(HEDGE_TARGET_SHARE * (double)forward->target_latency_us), HEDGE_LEAST_US);
+  gint64 usual = worker->service_us > 0 ? (gint64)HEDGE_TIMES * worker->service_us : most;
+  return CLAMP (usual, HEDGE_LEAST_US, most);
 }
 
 static void
@@ -288,34 +301,69 @@
                                       .target = forward->target,
                                       .headers = headers,
                                       .body = forward->body,
-                                      .timeout_us = attempt_time (forward, now_us) };
-  g_free (forward->worker_id);
-  forward->worker_id = g_strdup (worker->id);
+                                      .timeout_us = forward->give_up_us - now_us };
+  Attempt *attempt = g_new0 (Attempt, 1);
+  attempt->forward = forward;
+  attempt->worker_id = g_strdup (worker->id);
+  attempt->started_us = now_us;
+  g_ptr_array_add (forward->live, attempt);
   g_hash_table_add (forward->avoid, g_strdup (worker->id));
-  forward->attempt_us = now_us;
   forward->attempts++;
+  forward->runs++;
   worker->running++;
   QuinceHttpPool *pool = quince_backends_get_pool (forward->backends, worker);
-  forward->exchange = quince_http_pool_start (pool, &request, &exchange_callbacks, forward);
+  attempt->exchange = quince_http_pool_start (pool, &request, &exchange_callbacks, attempt);
+  if (may_run_again (forward) && forward->repeatable)
+    try_later (forward, hedge_after (forward, worker));
+}
+
+/* Makes the oldest run give way once it has been silent for long. Returns: %FALSE when it is too early for that */
+static gboolean
+abandon_oldest (QuinceForward *forward, gint64 now_us)
+{
+  Attempt *oldest = forward->live->pdata[0];
+  gint64 patience = MAX (ABANDON_TARGETS * forward->target_latency_us, ABANDON_LEAST_US);
+  gint64 left = oldest->started_us + patience - now_us;
+  if (left > 0)
+    {
+      try_later (forward, left + TIMER_ROUNDING_US);
+      return FALSE;
+    }
+  note_worker (oldest, FALSE);
+  count_attempt ("abandoned");
+  g_ptr_array_remove_index (forward->live, 0);
+  return TRUE;
+}
+
+/* All workers may be tried again, but for those that have the request now. */
+static void
+forget_tried (QuinceForward *forward)
+{
+  g_hash_table_remove_all (forward->avoid);
+  for (guint i = 0; i < forward->live->len; i++)
+    g_hash_table_add (forward->avoid, g_strdup (((Attempt *)forward->live->pdata[i])->worker_id));
 }
 
 /* No worker is left: all were tried, or none is there, or all are full. */
 static void
 no_choice (QuinceForward *forward, QuinceBackendOutcome outcome, gint64 now_us)
 {
+  if (forward->live->len > 0)
+    {
+      if (!abandon_oldest (forward, now_us))
+        return;
+      forget_tried (forward);
+      try_later (forward, 0);
+      return;
+    }
   if (forward->cause == NULL)
     forward->cause = outcome == QUINCE_BACKEND_NONE ? "no_worker" : "workers_full";
   gint64 patience_end = forward->started_us + forward->target_latency_us / 2;
   gboolean tried_any = g_hash_table_size (forward->avoid) > 0;
-  if (!tried_any && outcome == QUINCE_BACKEND_NONE)
-    {
-      forward_fail (forward, FALSE);
-      return;
-    }
   /* The others may have room by now, and so may those that refused. */
-  g_hash_table_remove_all (forward->avoid);
-  if (now_us < patience_end || forward->runs > 0)
-    try_later (forward, FULL_PAUSE_MS);
+  forget_tried (forward);
+  if ((tried_any || outcome != QUINCE_BACKEND_NONE) && (now_us < patience_end || forward->runs > 0))
+    try_later (forward, FULL_PAUSE_MS * 1000);
   else
     forward_fail (forward, FALSE);
 }
@@ -324,11 +372,15 @@
 try_worker (QuinceForward *forward)
 {
   gint64 now = quince_now_us ();
-  if (now >= forward->give_up_us)
+  if (forward->live->len == 0 && now >= forward->give_up_us)
     {
       forward_fail (forward, TRUE);
       return;
     }
+  if (now >= forward->give_up_us || !may_run_again (forward))
+    return;
+  if (forward->live->len >= LIVE_MOST && !abandon_oldest (forward, now))
+    return;
   QuincePolicyRequest request = {
     .service = forward->service,
     .member = "",
@@ -370,9 +422,9 @@
   forward->max_attempts = MAX (request->max_attempts, 1);
   forward->target_latency_us = (gint64)request->target_latency_ms * 1000;
   forward->started_us = quince_now_us ();
-  forward->attempt_us = forward->started_us;
   forward->deadline_us = request->deadline_us;
   forward->give_up_us = MIN (request->give_up_us, request->deadline_us);
+  forward->live = g_ptr_array_new_with_free_func (attempt_free);
   forward->avoid = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   try_later (forward, 0);
   return forward;
--- a/tests/platform/test-forward.c
+++ b/tests/platform/test-forward.c
@@ -167,6 +167,27 @@
     }
 }
 
+/* A slow first worker does not make the answer late: a second one is asked beside it, and no third. */
+static void
+test_slow_worker_is_hedged (void **state)
+{
+  World world;
+  begin (&world);
+  for (guint i = 0; i < 20; i++)
+    {
+      world.done = FALSE;
+      standin_worker_set_fault (world.workers[0], STANDIN_WORKER_SILENT, G_MAXUINT);
+      guint before = runs (&world);
+      forward (&world, TRUE, 2, 5000);
+      assert_int_equal (world.outcome, QUINCE_FORWARD_ANSWERED);
+      assert_string_equal (world.signature, "stamp-w1");
+      assert_in_range (runs (&world) - before, 1, 2);
+      g_clear_pointer (&world.body, g_free);
+      g_clear_pointer (&world.signature, g_free);
+    }
+  end (&world);
+}
+
 /* ---- What a worker is told -------------------------------------------- */
 
 static void
@@ -267,6 +288,7 @@
 main (void)
 {
   const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_slow_worker_is_hedged),
     cmocka_unit_test (test_faults),
     cmocka_unit_test (test_request_reaches_worker_unchanged),
     cmocka_unit_test (test_address_used_again),
