Texts of samples outlive their leader

The leader now tells its backups what has been made, five times a second; it is soft state, a new leader goes on behind the last event that it knows (test_texts_outlive_leaders failed first).

--- a/daemons/front/caller-connection.c
+++ b/daemons/front/caller-connection.c
@@ -206,7 +206,8 @@
   g_string_append_len (chunk, data, (gssize)length);
   g_string_append (chunk, "\r\n");
   quince_http_connection_write (connection->http, chunk->str, chunk->len);
-  connection->cut = connection->cut || quince_http_connection_get_output (connection->http) > UNREAD_MOST_BYTES;
+  connection->cut
+      = connection->cut || quince_http_connection_get_output (connection->http) > UNREAD_MOST_BYTES;
 }
 
 static void
--- a/daemons/front/caller-request.c
+++ b/daemons/front/caller-request.c
@@ -166,7 +166,8 @@
   quince_platform_read_request (request->head->headers, &facts);
   g_autofree char *id = quince_log_quote (facts.request_id);
   quince_log_info ("request_answered",
-                   "request=%s status=%u worker=%s attempts=%u worker_ms=%" G_GINT64_FORMAT " age_ms=%" G_GINT64_FORMAT,
+                   "request=%s status=%u worker=%s attempts=%u worker_ms=%" G_GINT64_FORMAT
+                   " age_ms=%" G_GINT64_FORMAT,
                    id, result->head->status, result->worker, result->attempts, result->worker_us / 1000,
                    (quince_now_us () - request->received_us) / 1000);
 }
@@ -250,11 +251,11 @@
     .give_up_us = request->received_us + (gint64)timeout_ms * 1000,
   };
   if (route->kind == QUINCE_ROUTE_STREAMING)
-    request->stream = quince_stream_start (request->front->backends, &quince_platform_stream_dialect, &forward,
-                                           route->resumable, &stream_callbacks, request);
+    request->stream = quince_stream_start (request->front->backends, &quince_platform_stream_dialect,
+                                           &forward, route->resumable, &stream_callbacks, request);
   else
-    request->forward = quince_forward_start (request->front->backends, &quince_platform_forward_dialect, &forward,
-                                             forward_done, request);
+    request->forward = quince_forward_start (request->front->backends, &quince_platform_forward_dialect,
+                                             &forward, forward_done, request);
   return TRUE;
 }
 
--- a/daemons/replica/batch-service.c
+++ b/daemons/replica/batch-service.c
@@ -40,6 +40,8 @@
   QuinceBackends *backends;
   QuinceObserver *observer;
   QuinceModelHomes *homes;
+  QuinceProgressStore *progress;
+  guint64 told_joins;         /* backups that know all that was told */
   QuinceBatchBook *book;      /* NULL: not leading */
   QuinceSampleRunner *runner; /* NULL: not leading */
   GHashTable *submitting;     /* batch id to guint64: index of its record, not committed yet */
@@ -411,6 +413,23 @@
 
 static const QuinceSampleRunnerCallbacks runner_callbacks = { .result = sample_result, .may_run = may_run };
 
+void
+quince_batch_service_tell_progress (QuinceBatchService *service)
+{
+  if (service->runner == NULL)
+    return;
+  guint64 joins = quince_ledger_node_get_joins (service->ledger);
+  g_autoptr (GArray) items = g_array_new (FALSE, FALSE, sizeof (QuinceProgressItem));
+  quince_sample_runner_collect (service->runner, joins != service->told_joins, items);
+  service->told_joins = joins;
+  if (items->len == 0)
+    return;
+  QuinceMessage message = { .kind = QUINCE_MESSAGE_PROGRESS };
+  message.QuinceMessage_u.progress.items.items_val = (QuinceProgressItem *)items->data;
+  message.QuinceMessage_u.progress.items.items_len = items->len;
+  quince_ledger_node_broadcast (service->ledger, &message);
+}
+
 void
 quince_batch_service_pump (QuinceBatchService *service)
 {
@@ -469,8 +488,8 @@
 {
   if (service->book == NULL)
     service->book = quince_batch_book_new (&book_callbacks, service);
-  service->runner
-      = quince_sample_runner_new (service->backends, service->observer, &runner_callbacks, service);
+  service->runner = quince_sample_runner_new (service->backends, service->observer, service->progress,
+                                              &runner_callbacks, service);
   g_autoptr (GPtrArray) entries = quince_batch_book_list (service->book);
   for (guint i = 0; i < entries->len; i++)
     {
@@ -502,12 +521,14 @@
 quince_batch_service_new (QuinceBackends *backends,
                           QuinceObserver *observer,
                           QuinceModelHomes *homes,
+                          QuinceProgressStore *progress,
                           gint64 keep_us)
 {
   QuinceBatchService *service = g_new0 (QuinceBatchService, 1);
   service->backends = backends;
   service->observer = observer;
   service->homes = homes;
+  service->progress = progress;
   service->keep_us = keep_us;
   service->submitting = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   service->waiters = g_ptr_array_new_with_free_func (waiter_free);
--- a/daemons/replica/batch-service.h
+++ b/daemons/replica/batch-service.h
@@ -14,11 +14,15 @@
 typedef struct _QuinceBatchService QuinceBatchService;
 
 /* @keep_us: a batch that is ended, or whose samples' time is up, is forgotten so long after its submission.
- * @homes: is told of the demand for each model; not owned */
+ * @homes: is told of the demand for each model; not owned
+ * @progress: texts that a former leader told of; not owned */
 QuinceBatchService *quince_batch_service_new (QuinceBackends *backends,
                                               QuinceObserver *observer,
                                               QuinceModelHomes *homes,
+                                              QuinceProgressStore *progress,
                                               gint64 keep_us);
+/* Tells the backups how far samples are; at the leader, a few times a second. */
+void quince_batch_service_tell_progress (QuinceBatchService *service);
 void quince_batch_service_free (QuinceBatchService *service);
 /* Set once, before any other call. */
 void quince_batch_service_set_ledger (QuinceBatchService *service, QuinceLedgerNode *ledger);
--- a/daemons/replica/ledger-node-private.h
+++ b/daemons/replica/ledger-node-private.h
@@ -36,6 +36,7 @@
   GArray *unwritten;   /* QuinceLogEntry, owned records: not yet on disk */
   GQueue uncommitted;  /* QuinceLogEntry, owned: on disk or not, not yet told */
   GHashTable *backups; /* QuinceBackupLink by replica */
+  guint64 joins;       /* backups that introduced themselves */
   GSource *flush;
 
   /* At a backup. */
--- a/daemons/replica/ledger-replication.c
+++ b/daemons/replica/ledger-replication.c
@@ -121,6 +121,7 @@
   backup->replica = hello->member.replica;
   backup->next_index = first_to_send (node, hello, &backup->reset);
   g_hash_table_replace (node->backups, &backup->replica, backup);
+  node->joins++;
   quince_ledger_group_peer_joined (node->group, quince_now_us (), &hello->member);
   quince_log_info ("backup_joined",
                    "node=%s replica=%" G_GUINT64_FORMAT " has_index=%" G_GUINT64_FORMAT
@@ -130,6 +131,23 @@
   send_backup (node, backup, TRUE);
 }
 
+void
+quince_ledger_node_broadcast (QuinceLedgerNode *node, const QuinceMessage *message)
+{
+  g_autoptr (GBytes) encoded = quince_message_encode (message, NULL);
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, node->backups);
+  while (encoded != NULL && g_hash_table_iter_next (&iter, NULL, &value))
+    quince_link_send_bytes (((QuinceBackupLink *)value)->link, encoded);
+}
+
+guint64
+quince_ledger_node_get_joins (const QuinceLedgerNode *node)
+{
+  return node->joins;
+}
+
 static QuinceBackupLink *
 backup_of_link (QuinceLedgerNode *node, QuinceLink *link)
 {
--- /dev/null
+++ b/daemons/replica/progress.c
@@ -0,0 +1,133 @@
+/*
+ * progress.c: texts of samples as far as they are made, at a backup.
+ */
+#include "progress.h"
+
+#include <string.h>
+
+/* What is not spoken of for so long is done or given up. */
+#define FORGET_US (40 * G_USEC_PER_SEC)
+#define ENTRIES_MOST 8192
+
+typedef struct
+{
+  GString *text;
+  GArray *versions; /* guint64 */
+  guint64 last_event;
+  gint64 told_us;
+} Entry;
+
+struct _QuinceProgressStore
+{
+  GHashTable *entries; /* Entry by "batch item", owned */
+};
+
+static void
+entry_free (gpointer data)
+{
+  Entry *entry = data;
+  g_string_free (entry->text, TRUE);
+  g_array_unref (entry->versions);
+  g_free (entry);
+}
+
+QuinceProgressStore *
+quince_progress_store_new (void)
+{
+  QuinceProgressStore *store = g_new0 (QuinceProgressStore, 1);
+  store->entries = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, entry_free);
+  return store;
+}
+
+void
+quince_progress_store_free (QuinceProgressStore *store)
+{
+  if (store == NULL)
+    return;
+  g_hash_table_unref (store->entries);
+  g_free (store);
+}
+
+void
+quince_progress_store_clear (QuinceProgressStore *store)
+{
+  g_hash_table_remove_all (store->entries);
+}
+
+static char *
+entry_key (const char *batch, guint item)
+{
+  return g_strdup_printf ("%s %u", batch, item);
+}
+
+static void
+forget_old (QuinceProgressStore *store, gint64 now_us)
+{
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, store->entries);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    if (now_us - ((Entry *)value)->told_us > FORGET_US)
+      g_hash_table_iter_remove (&iter);
+}
+
+static Entry *
+entry_for (QuinceProgressStore *store, const QuinceProgressItem *item)
+{
+  g_autofree char *key = entry_key (item->batch, item->item);
+  Entry *entry = g_hash_table_lookup (store->entries, key);
+  if (entry != NULL || g_hash_table_size (store->entries) >= ENTRIES_MOST)
+    return entry;
+  entry = g_new0 (Entry, 1);
+  entry->text = g_string_new (NULL);
+  entry->versions = g_array_new (FALSE, FALSE, sizeof (guint64));
+  g_hash_table_insert (store->entries, g_steal_pointer (&key), entry);
+  return entry;
+}
+
+static void
+take_item (QuinceProgressStore *store, gint64 now_us, const QuinceProgressItem *item)
+{
+  Entry *entry = entry_for (store, item);
+  if (entry == NULL)
+    return;
+  if (item->from_event == 0)
+    g_string_truncate (entry->text, 0);
+  else if (item->from_event != entry->last_event)
+    return; /* a piece is missing: what is here stays true */
+  g_string_append_len (entry->text, item->text.text_val, item->text.text_len);
+  entry->last_event = item->last_event;
+  entry->told_us = now_us;
+  g_array_set_size (entry->versions, 0);
+  for (guint i = 0; i < item->versions.versions_len; i++)
+    {
+      guint64 version = item->versions.versions_val[i];
+      g_array_append_val (entry->versions, version);
+    }
+}
+
+void
+quince_progress_store_take (QuinceProgressStore *store, gint64 now_us, const QuinceSampleProgress *progress)
+{
+  forget_old (store, now_us);
+  for (guint i = 0; i < progress->items.items_len; i++)
+    take_item (store, now_us, &progress->items.items_val[i]);
+}
+
+gboolean
+quince_progress_store_get (QuinceProgressStore *store,
+                           const char *batch,
+                           guint item,
+                           GString *text,
+                           GArray *versions,
+                           guint64 *last_event)
+{
+  g_autofree char *key = entry_key (batch, item);
+  const Entry *entry = g_hash_table_lookup (store->entries, key);
+  if (entry == NULL || entry->last_event == 0)
+    return FALSE;
+  g_string_append_len (text, entry->text->str, (gssize)entry->text->len);
+  g_array_append_vals (versions, entry->versions->data, entry->versions->len);
+  *last_event = entry->last_event;
+  return TRUE;
+}
--- /dev/null
+++ b/daemons/replica/progress.h
@@ -0,0 +1,25 @@
+/*
+ * progress.h: texts of samples as far as they are made, told by the leader to its backups.
+ *
+ * Soft state: it only saves tokens.  A new leader goes on behind the last event that it was told of.
+ */
+#pragma once
+
+#include <quince/codec.h>
+
+typedef struct _QuinceProgressStore QuinceProgressStore;
+
+QuinceProgressStore *quince_progress_store_new (void);
+void quince_progress_store_free (QuinceProgressStore *store);
+/* At a backup: news of the leader. */
+void
+quince_progress_store_take (QuinceProgressStore *store, gint64 now_us, const QuinceSampleProgress *progress);
+/* At a new leader.  %TRUE: something is known; @text and @versions (guint64) are appended to, @last_event is
+ * set */
+gboolean quince_progress_store_get (QuinceProgressStore *store,
+                                    const char *batch,
+                                    guint item,
+                                    GString *text,
+                                    GArray *versions,
+                                    guint64 *last_event);
+void quince_progress_store_clear (QuinceProgressStore *store);
--- a/daemons/replica/replica.c
+++ b/daemons/replica/replica.c
@@ -24,6 +24,8 @@
  * little. */
 #define ORDER_MARGIN_US (200 * 1000)
 #define STOP_MS 50
+/* Progress of samples is told so often. */
+#define TIMER_MS 200
 
 typedef struct
 {
@@ -34,6 +36,7 @@
   QuinceObserver *observer;
   QuinceLedgerNode *ledger;
   QuinceModelHomes *homes;
+  QuinceProgressStore *progress;
   QuinceBatchService *batches;
   QuinceWeightOrders *orders; /* NULL: not leading */
   QuinceBeliefFeed *feed;     /* NULL: not leading */
@@ -124,6 +127,7 @@
 {
   Replica *replica = data;
   quince_batch_service_lead (replica->batches);
+  quince_progress_store_clear (replica->progress); /* the samples have it now */
   const QuinceWeightOrdersOptions options = {
     .holder = replica->name, .homes = replica->homes, .may_order = may_order, .loaded = weights_loaded
   };
@@ -194,6 +198,8 @@
       if (replica->feed != NULL)
         quince_belief_feed_add (replica->feed, link);
     }
+  else if (message->kind == QUINCE_MESSAGE_PROGRESS && replica->feed == NULL)
+    quince_progress_store_take (replica->progress, quince_now_us (), &message->QuinceMessage_u.progress);
   else if (message->kind == QUINCE_MESSAGE_BELIEF_NEWS && replica->feed == NULL)
     quince_belief_feed_take (replica->observer, &message->QuinceMessage_u.belief_news);
 }
@@ -246,7 +252,9 @@
 static gboolean
 timer_over (gpointer data)
 {
-  look_at_leaving (data);
+  Replica *replica = data;
+  quince_batch_service_tell_progress (replica->batches);
+  look_at_leaving (replica);
   return G_SOURCE_CONTINUE;
 }
 
@@ -328,7 +336,9 @@
       = quince_observer_new (replica->store, replica->backends, pace_ms, &observer_callbacks, replica);
   gint64 keep_us = quince_settings_get_duration_us (settings, "ledger", "keep");
   replica->homes = quince_model_homes_new ();
-  replica->batches = quince_batch_service_new (replica->backends, replica->observer, replica->homes, keep_us);
+  replica->progress = quince_progress_store_new ();
+  replica->batches = quince_batch_service_new (replica->backends, replica->observer, replica->homes,
+                                               replica->progress, keep_us);
   if (!load_policy (replica, quince_settings_get_text (settings, "policy", "file"), error)
       || !open_ledger (replica, settings, error)
       || !open_metrics (replica, quince_settings_get_text (settings, "listen", "metrics"), error))
@@ -337,7 +347,7 @@
       return NULL;
     }
   quince_batch_service_set_ledger (replica->batches, replica->ledger);
-  replica->timer = quince_timer_add (200, timer_over, replica);
+  replica->timer = quince_timer_add (TIMER_MS, timer_over, replica);
   return replica;
 }
 
@@ -374,6 +384,7 @@
   quince_belief_feed_free (replica->feed);
   quince_batch_service_free (replica->batches);
   quince_model_homes_free (replica->homes);
+  quince_progress_store_free (replica->progress);
   quince_ledger_node_free (replica->ledger);
   quince_observer_free (replica->observer);
   quince_meta_store_free (replica->store);
--- a/daemons/replica/sample-runner.c
+++ b/daemons/replica/sample-runner.c
@@ -33,6 +33,7 @@
   /* All fields belong to the main context. */
   QuinceBackends *backends;
   QuinceObserver *observer;
+  QuinceProgressStore *progress;
   const QuinceSampleRunnerCallbacks *callbacks;
   gpointer user_data;
   GPtrArray *samples;       /* QuinceSample, owned, in order of their start */
@@ -315,8 +316,9 @@
   quince_log_info ("sample_dispatched",
                    "sample=%s batch=%s worker=%s worker_running=%u version=%" G_GUINT64_FORMAT
                    " from_event=%" G_GUINT64_FORMAT " runs=%u age_ms=%" G_GINT64_FORMAT,
-                   item->id, batch->id, worker->id, worker->running, quince_worker_get_version (worker, batch->model),
-                   sample->last_event, sample->runs, (now_us - sample->submitted_us) / 1000);
+                   item->id, batch->id, worker->id, worker->running,
+                   quince_worker_get_version (worker, batch->model), sample->last_event, sample->runs,
+                   (now_us - sample->submitted_us) / 1000);
   quince_sample_run (sample, runner->backends, worker, (gint)MIN (route->priority, WORKER_PRIORITY_MOST),
                      run_ended, runner);
   return outcome;
@@ -391,12 +393,14 @@
 QuinceSampleRunner *
 quince_sample_runner_new (QuinceBackends *backends,
                           QuinceObserver *observer,
+                          QuinceProgressStore *progress,
                           const QuinceSampleRunnerCallbacks *callbacks,
                           gpointer user_data)
 {
   QuinceSampleRunner *runner = g_new0 (QuinceSampleRunner, 1);
   runner->backends = backends;
   runner->observer = observer;
+  runner->progress = progress;
   runner->callbacks = callbacks;
   runner->user_data = user_data;
   runner->samples = g_ptr_array_new_with_free_func ((GDestroyNotify)quince_sample_free);
@@ -429,6 +433,8 @@
         continue;
       QuinceSample *sample = quince_sample_new (entry, i);
       sample->submitted_us = submitted_us;
+      quince_progress_store_get (runner->progress, entry->batch->id, i, sample->text, sample->versions,
+                                 &sample->last_event);
       if (route != NULL && route->queue_ttl_ms > 0)
         sample->give_up_us = submitted_us + (gint64)route->queue_ttl_ms * 1000;
       g_ptr_array_add (runner->samples, sample);
@@ -436,6 +442,30 @@
   pump_soon (runner);
 }
 
+void
+quince_sample_runner_collect (QuinceSampleRunner *runner, gboolean all, GArray *items)
+{
+  for (guint i = 0; i < runner->samples->len; i++)
+    {
+      QuinceSample *sample = runner->samples->pdata[i];
+      if (all)
+        sample->told_event = sample->told_bytes = 0;
+      if (sample->last_event == sample->told_event)
+        continue;
+      QuinceProgressItem item = { .batch = sample->entry->batch->id,
+                                  .item = sample->item,
+                                  .from_event = sample->told_event,
+                                  .last_event = sample->last_event };
+      item.text.text_val = sample->text->str + sample->told_bytes;
+      item.text.text_len = (u_int)(sample->text->len - sample->told_bytes);
+      item.versions.versions_val = (u_quad_t *)sample->versions->data;
+      item.versions.versions_len = sample->versions->len;
+      g_array_append_val (items, item);
+      sample->told_event = sample->last_event;
+      sample->told_bytes = sample->text->len;
+    }
+}
+
 void
 quince_sample_runner_remove (QuinceSampleRunner *runner, QuinceBatchEntry *entry)
 {
--- a/daemons/replica/sample-runner.h
+++ b/daemons/replica/sample-runner.h
@@ -7,6 +7,8 @@
 #include <quince/batch-book.h>
 #include <quince/observer.h>
 
+#include "progress.h"
+
 typedef struct _QuinceSampleRunner QuinceSampleRunner;
 
 /**
@@ -20,14 +22,19 @@
   gboolean (*may_run) (gpointer user_data);
 } QuinceSampleRunnerCallbacks;
 
+/* @progress: texts that a former leader told of; not owned */
 QuinceSampleRunner *quince_sample_runner_new (QuinceBackends *backends,
                                               QuinceObserver *observer,
+                                              QuinceProgressStore *progress,
                                               const QuinceSampleRunnerCallbacks *callbacks,
                                               gpointer user_data);
 /* Cancels all that runs. */
 void quince_sample_runner_free (QuinceSampleRunner *runner);
 /* All samples of @entry that are not listed are run; @entry lives until forget(). */
 void quince_sample_runner_add (QuinceSampleRunner *runner, QuinceBatchEntry *entry);
+/* What has been made since the last call, to be told to backups; @all: everything again. Lives until samples
+ * change. */
+void quince_sample_runner_collect (QuinceSampleRunner *runner, gboolean all, GArray *items);
 /* The batch is ended or forgotten: its samples are cancelled. */
 void quince_sample_runner_remove (QuinceSampleRunner *runner, QuinceBatchEntry *entry);
 /* Something has changed (workers, versions, time): begin what can begin. */
--- a/daemons/replica/sample.c
+++ b/daemons/replica/sample.c
@@ -67,6 +67,8 @@
   g_string_truncate (sample->text, 0);
   g_array_set_size (sample->versions, 0);
   sample->last_event = 0;
+  sample->told_event = 0;
+  sample->told_bytes = 0;
 }
 
 /* ---- Events ----------------------------------------------------------- */
--- a/daemons/replica/sample.h
+++ b/daemons/replica/sample.h
@@ -36,9 +36,11 @@
   QuinceBatchEntry *entry; /* not owned */
   guint item;
   QuinceSampleState state;
-  GString *text;       /* data of the events so far, joined by line feeds */
-  guint64 last_event;  /* id of the last whole event; 0: none */
-  GArray *versions;    /* guint64: that made an event of the text */
+  GString *text;      /* data of the events so far, joined by line feeds */
+  guint64 last_event; /* id of the last whole event; 0: none */
+  GArray *versions;   /* guint64: that made an event of the text */
+  guint64 told_event; /* backups know the text up to here */
+  gsize told_bytes;
   guint64 run_version; /* of the run in progress */
   guint failures;      /* answers of 500 */
   guint hopeless;      /* answers of 422 */
--- a/include/quince/stream.h
+++ b/include/quince/stream.h
@@ -1,9 +1,9 @@
 /*
  * stream.h: one request whose answer is a series of events, forwarded as they come.
  *
- * A stream that may be resumed goes on at another worker when its own breaks off, behind the last whole event that
- * was passed on; the answer keeps the head of its first worker.  Any other stream is a request that must not be
- * repeated: its bytes are passed on as they come, and it ends where its worker ends it.
+ * A stream that may be resumed goes on at another worker when its own breaks off, behind the last whole event
+ * that was passed on; the answer keeps the head of its first worker.  Any other stream is a request that must
+ * not be repeated: its bytes are passed on as they come, and it ends where its worker ends it.
  */
 #pragma once
 
@@ -31,8 +31,8 @@
  * QuinceStreamCallbacks:
  * @head: the answer begins, called once at the most
  * @data: bytes of its body
- * @done: last; ANSWERED: the answer is whole; REFUSED: nothing ran and there was no head; otherwise the answer is
- *   not whole, or there is none where @head was not called
+ * @done: last; ANSWERED: the answer is whole; REFUSED: nothing ran and there was no head; otherwise the
+ * answer is not whole, or there is none where @head was not called
  */
 typedef struct
 {
--- a/lib/forward/forward.c
+++ b/lib/forward/forward.c
@@ -1,8 +1,9 @@
 /*
  * forward.c: attempts of one request at workers.
  *
- * A repeatable request whose worker takes unusually long is sent to a second one while the first goes on; the first
- * answer that counts is taken and the other run is cancelled.  No more workers get it than its route allows.
+ * A repeatable request whose worker takes unusually long is sent to a second one while the first goes on; the
+ * first answer that counts is taken and the other run is cancelled.  No more workers get it than its route
+ * allows.
  */
 #include <quince/forward.h>
 
@@ -16,7 +17,8 @@
 #define REFUSED_SENDS_MOST 8
 /* Runs at the same time. */
 #define LIVE_MOST 2
-/* A second run begins when the first takes this many times its worker's smoothed time, within these bounds. */
+/* A second run begins when the first takes this many times its worker's smoothed time, within these bounds.
+ */
 #define HEDGE_TIMES 3
 #define HEDGE_LEAST_US (60 * 1000)
 #define HEDGE_TARGET_SHARE 0.5
@@ -56,11 +58,11 @@
   gint64 deadline_us;
   gint64 give_up_us;
 
-  GPtrArray *live;  /* Attempt, owned: in progress, the oldest first */
+  GPtrArray *live; /* Attempt, owned: in progress, the oldest first */
   GHashTable *avoid;
-  GSource *timer;   /* next attempt, or another one beside those in progress */
+  GSource *timer; /* next attempt, or another one beside those in progress */
   guint attempts;
-  guint runs;          /* attempts that may have run, those in progress too */
+  guint runs; /* attempts that may have run, those in progress too */
   guint refused_sends;
   guint failed_runs;
   const char *cause;
@@ -73,7 +75,8 @@
 static QuinceWorker *
 worker_of (const Attempt *attempt)
 {
-  return quince_worker_table_find (quince_backends_get_workers (attempt->forward->backends), attempt->worker_id);
+  return quince_worker_table_find (quince_backends_get_workers (attempt->forward->backends),
+                                   attempt->worker_id);
 }
 
 /* Cancels it where it is in progress. */
@@ -279,7 +282,8 @@
     quince_http_exchange_distrust (exchange);
 }
 
-static const QuinceHttpExchangeCallbacks exchange_callbacks = { .head = exchange_head, .done = exchange_done };
+static const QuinceHttpExchangeCallbacks exchange_callbacks
+    = { .head = exchange_head, .done = exchange_done };
 
 /* ---- An attempt ------------------------------------------------------- */
 
@@ -317,7 +321,8 @@
     try_later (forward, hedge_after (forward, worker));
 }
 
-/* Makes the oldest run give way once it has been silent for long. Returns: %FALSE when it is too early for that */
+/* Makes the oldest run give way once it has been silent for long. Returns: %FALSE when it is too early for
+ * that */
 static gboolean
 abandon_oldest (QuinceForward *forward, gint64 now_us)
 {
--- a/lib/forward/stream.c
+++ b/lib/forward/stream.c
@@ -108,7 +108,8 @@
   if (stream->runs == 0 && !stream->head_passed)
     stream_end (stream, QUINCE_FORWARD_REFUSED);
   else
-    stream_end (stream, quince_now_us () >= stream->give_up_us ? QUINCE_FORWARD_TIMEOUT : QUINCE_FORWARD_FAILED);
+    stream_end (stream,
+                quince_now_us () >= stream->give_up_us ? QUINCE_FORWARD_TIMEOUT : QUINCE_FORWARD_FAILED);
 }
 
 /* ---- After an attempt ------------------------------------------------- */
@@ -136,15 +137,16 @@
   g_autofree char *labels = g_strdup_printf ("outcome=\"%s\"", cause);
   quince_metric_add ("quince_stream_attempts_total", labels, 1);
   quince_log_info ("request_retried",
-                   "request=%s worker=%s cause=%s attempts=%u runs=%u took_ms=%" G_GINT64_FORMAT, stream->request_id,
-                   stream->worker_id, cause, stream->attempts, stream->runs,
+                   "request=%s worker=%s cause=%s attempts=%u runs=%u took_ms=%" G_GINT64_FORMAT,
+                   stream->request_id, stream->worker_id, cause, stream->attempts, stream->runs,
                    (quince_now_us () - stream->heard_us) / 1000);
   if (ran)
     stream->runs++;
   else
     stream->refused_sends++;
-  gboolean may_again = ran ? stream->resumable && stream->runs < stream->max_attempts
-                           : (stream->runs == 0 || stream->resumable) && stream->refused_sends < REFUSED_SENDS_MOST;
+  gboolean may_again
+      = ran ? stream->resumable && stream->runs < stream->max_attempts
+            : (stream->runs == 0 || stream->resumable) && stream->refused_sends < REFUSED_SENDS_MOST;
   if (may_again && quince_now_us () < stream->give_up_us)
     try_later (stream, 0);
   else
@@ -290,7 +292,8 @@
 send_to (QuinceStream *stream, QuinceWorker *worker, gint64 now_us)
 {
   g_autoptr (QuinceHttpHeaders) headers = quince_http_headers_copy (stream->headers);
-  stream->dialect->forward->write_dispatch (headers, worker->id, MAX ((stream->deadline_us - now_us) / 1000, 1));
+  stream->dialect->forward->write_dispatch (headers, worker->id,
+                                            MAX ((stream->deadline_us - now_us) / 1000, 1));
   if (stream->has_last_event)
     stream->dialect->write_resume (headers, stream->last_event);
   const QuinceHttpRequest request
@@ -303,9 +306,8 @@
   stream->passes = FALSE;
   stream->events = stream->resumable ? stream->dialect->events_new () : NULL;
   worker->running++;
-  stream->exchange
-      = quince_http_pool_start (quince_backends_get_pool (stream->backends, worker), &request, &exchange_callbacks,
-                                stream);
+  stream->exchange = quince_http_pool_start (quince_backends_get_pool (stream->backends, worker), &request,
+                                             &exchange_callbacks, stream);
   stream->silence = quince_timer_add (1, look_at_time, stream);
 }
 
--- a/lib/protocol/quince_protocol.x
+++ b/lib/protocol/quince_protocol.x
@@ -594,6 +594,19 @@
     unsigned hyper last_epoch;
 };
 
+/* ---- Progress: texts of samples as far as they are made, to the backups ---- */
+
+struct QuinceProgressItem {
+    QuinceText     batch;
+    unsigned int   item;
+    unsigned hyper from_event;        /* text follows this event; 0: from the start */
+    unsigned hyper last_event;
+    opaque         text<QUINCE_MAX_FRAME>;
+    unsigned hyper versions<256>;     /* of the whole text so far          */
+};
+
+struct QuinceSampleProgress { QuinceProgressItem items<QUINCE_MAX_ITEMS>; };
+
 /* ---- Beliefs: what the ledger's primary reads from the metadata store, for the others ---- */
 
 struct QuinceBelief {
@@ -653,7 +666,8 @@
     QUINCE_MESSAGE_LEDGER_ASK    = 16,
     QUINCE_MESSAGE_LEDGER_PROMISE = 17,
     QUINCE_MESSAGE_BELIEF_ASK    = 18,
-    QUINCE_MESSAGE_BELIEF_NEWS   = 19
+    QUINCE_MESSAGE_BELIEF_NEWS   = 19,
+    QUINCE_MESSAGE_PROGRESS      = 20
 };
 
 union QuinceMessage switch (QuinceMessageKind kind) {
@@ -677,6 +691,7 @@
 case QUINCE_MESSAGE_LEDGER_PROMISE: QuinceLedgerPromise ledger_promise;
 case QUINCE_MESSAGE_BELIEF_ASK:    QuinceBeliefAsk    belief_ask;
 case QUINCE_MESSAGE_BELIEF_NEWS:   QuinceBeliefNews   belief_news;
+case QUINCE_MESSAGE_PROGRESS:      QuinceSampleProgress     progress;
 };
 
 /* ---- UDP: membership and digests ------------------------------------ */
--- a/tests/platform/path-world.h
+++ b/tests/platform/path-world.h
@@ -230,12 +230,12 @@
   "{\"name\":\"l\",\"host\":\"" PATH_HOST                                                                    \
   "\",\"pathPrefix\":\"/l/\",\"kind\":\"idempotent\",\"timeoutMs\":2000,\"targetLatencyMs\":150,"            \
   "\"priority\":2,\"service\":\"svc\",\"maxAttempts\":3},"                                                   \
-  "{\"name\":\"s\",\"host\":\"" PATH_HOST                                                                        \
-  "\",\"pathPrefix\":\"/s/\",\"kind\":\"streaming\",\"resumable\":true,\"timeoutMs\":6000,"                       \
-  "\"targetLatencyMs\":400,\"priority\":1,\"service\":\"llm\",\"maxAttempts\":4},"                              \
-  "{\"name\":\"u\",\"host\":\"" PATH_HOST                                                                        \
-  "\",\"pathPrefix\":\"/u/\",\"kind\":\"streaming\",\"timeoutMs\":6000,"                                         \
-  "\"targetLatencyMs\":400,\"priority\":1,\"service\":\"llm\",\"maxAttempts\":3},"                              \
+  "{\"name\":\"s\",\"host\":\"" PATH_HOST                                                                    \
+  "\",\"pathPrefix\":\"/s/\",\"kind\":\"streaming\",\"resumable\":true,\"timeoutMs\":6000,"                  \
+  "\"targetLatencyMs\":400,\"priority\":1,\"service\":\"llm\",\"maxAttempts\":4},"                           \
+  "{\"name\":\"u\",\"host\":\"" PATH_HOST                                                                    \
+  "\",\"pathPrefix\":\"/u/\",\"kind\":\"streaming\",\"timeoutMs\":6000,"                                     \
+  "\"targetLatencyMs\":400,\"priority\":1,\"service\":\"llm\",\"maxAttempts\":3},"                           \
   "{\"name\":\"w\",\"host\":\"" PATH_HOST                                                                    \
   "\",\"pathPrefix\":\"/w/\",\"kind\":\"idempotent\",\"timeoutMs\":2000,\"targetLatencyMs\":150,"            \
   "\"priority\":2,\"service\":\"svc\",\"maxAttempts\":4},"                                                   \
--- a/tests/platform/test-path.c
+++ b/tests/platform/test-path.c
@@ -268,10 +268,31 @@
   path_world_free (world);
 }
 
+/* A new leader goes on with texts that the former one had begun: no worker makes their events again. */
+static void
+test_texts_outlive_leaders (void **state)
+{
+  PathWorld *world = path_world_new ("progress");
+  for (guint i = 0; i < PATH_MODEL; i++)
+    standin_worker_set_events (world->model[i], 6, 500);
+  path_world_start (world);
+  submit (world, 0, "b1", 6);
+  run_for (1600);
+  quince_process_kill (world->replicas[path_leader (world)]);
+  assert_whole (world, 0, "b1", 6);
+  guint resumed = 0;
+  for (guint i = 0; i < PATH_MODEL; i++)
+    for (guint j = 0; j < standin_worker_get_runs (world->model[i])->len; j++)
+      resumed += ((StandinRun *)standin_worker_get_runs (world->model[i])->pdata[j])->resume != NULL;
+  assert_int_equal (resumed, 6);
+  path_world_free (world);
+}
+
 /* ---- Streams ------------------------------------------------------------------ */
 
-#define WHOLE_STREAM                                                                                             \
-  "id: 1\ndata: e1\n\nid: 2\ndata: e2\n\nid: 3\ndata: e3\n\nid: 4\ndata: e4\n\nid: 5\ndata: e5\n\nid: 6\ndata: e6\n\n"
+#define WHOLE_STREAM                                                                                         \
+  "id: 1\ndata: e1\n\nid: 2\ndata: e2\n\nid: 3\ndata: e3\n\nid: 4\ndata: e4\n\nid: 5\ndata: e5\n\nid: "      \
+  "6\ndata: e6\n\n"
 
 static guint
 model_runs (PathWorld *world)
@@ -316,15 +337,18 @@
       const StreamCase *c = &cases[i];
       guint before = model_runs (world);
       for (guint j = 0; j < PATH_MODEL; j++)
-        standin_worker_set_fault (world->model[j], c->fault, c->fault == STANDIN_WORKER_REFUSES ? G_MAXUINT : 1);
+        standin_worker_set_fault (world->model[j], c->fault,
+                                  c->fault == STANDIN_WORKER_REFUSES ? G_MAXUINT : 1);
       PathAnswer answer;
       path_call (path_front (world, 0), "POST", c->target, "s1", "question", &answer);
       gboolean whole = answer.outcome == QUINCE_HTTP_ANSWERED && g_strcmp0 (answer.body, WHOLE_STREAM) == 0;
       if (answer.status != c->status || whole != c->whole || model_runs (world) - before > c->most_runs)
-        fail_msg ("%s: status %u runs %u body '%s'", c->name, answer.status, model_runs (world) - before, answer.body);
+        fail_msg ("%s: status %u runs %u body '%s'", c->name, answer.status, model_runs (world) - before,
+                  answer.body);
       /* A part of the events is a beginning of them. */
       if (answer.status == 200)
-        assert_true (strncmp (answer.body, WHOLE_STREAM, MIN (strlen (answer.body), strlen ("id: 1\ndata: e1"))) == 0);
+        assert_true (
+            strncmp (answer.body, WHOLE_STREAM, MIN (strlen (answer.body), strlen ("id: 1\ndata: e1"))) == 0);
       path_answer_clear (&answer);
       /* Doubts about workers pass. */
       for (guint j = 0; j < PATH_MODEL; j++)
@@ -483,6 +507,7 @@
     cmocka_unit_test (test_batch_on_faulty_workers),
     cmocka_unit_test (test_hopeless_samples),
     cmocka_unit_test (test_batch_outlives_leaders),
+    cmocka_unit_test (test_texts_outlive_leaders),
     cmocka_unit_test (test_streams),
     cmocka_unit_test (test_versions_reach_all_workers),
     cmocka_unit_test (test_policy_accepted),
