Batch log: the records of forgotten batches are emptied on every disk

Cause: FORGET records were written and applied to the book, but no replica ever emptied the records they name, so a disk held every batch of the process's life. Each replica now looks through its committed records every 5 s, at most 500 at a time, and empties what a FORGET names; the FORGET stays, since a replica that comes back with the old records needs it. A log that was reset by its leader is looked through anew.

--- a/daemons/replica/ledger-node-private.h
+++ b/daemons/replica/ledger-node-private.h
@@ -28,6 +28,8 @@
   GSource *tick;
   gint64 asked_view_us; /* when the view was last asked for; 0: no call on its way */
   gboolean asking_view;
+  guint64 compacted; /* index up to which forgotten batches were looked for on the disk */
+  gint64 compacted_us;
 
   /* At the leader. */
   gboolean led;        /* leadership as told to the owner */
--- a/daemons/replica/ledger-node.c
+++ b/daemons/replica/ledger-node.c
@@ -13,6 +13,8 @@
 #define TICK_MS 150
 /* A leader whose backups do not answer asks the metadata store whether it still leads. */
 #define CONFIRM_EVERY_US (300 * 1000)
+#define COMPACT_EVERY_US (5 * G_USEC_PER_SEC)
+#define COMPACT_MOST 500
 
 /* ---- Links ------------------------------------------------------------ */
 
@@ -325,6 +327,17 @@
 
 /* ---- Time ------------------------------------------------------------- */
 
+static void
+compact (QuinceLedgerNode *node, gint64 now)
+{
+  g_autoptr (GError) error = NULL;
+  if (now - node->compacted_us < COMPACT_EVERY_US)
+    return;
+  node->compacted_us = now;
+  if (!quince_batch_log_compact (node->log, &node->compacted, COMPACT_MOST, &error))
+    quince_log_failure ("ledger_disk_failed", "doing=compact reason=\"%s\"", error->message);
+}
+
 static gboolean
 tick (gpointer data)
 {
@@ -333,6 +346,7 @@
   quince_ledger_node_campaign (node);
   quince_ledger_node_propose (node);
   quince_ledger_node_follow (node);
+  compact (node, now);
   if (node->led_epoch != 0)
     {
       quince_ledger_node_send_backups (node, TRUE);
--- a/daemons/replica/ledger-replication.c
+++ b/daemons/replica/ledger-replication.c
@@ -238,6 +238,8 @@
       quince_log_failure ("ledger_disk_failed", "doing=append reason=\"%s\"", error->message);
       return;
     }
+  if (append->reset)
+    node->compacted = 0;
   if (writes)
     quince_ledger_node_note_end (node);
   send_ack (node, append, 0);
--- a/include/quince/batch-log.h
+++ b/include/quince/batch-log.h
@@ -47,6 +47,15 @@
 /* Empties the records at @indexes: their batch is forgotten. */
 gboolean
 quince_batch_log_blank (QuinceBatchLog *log, const guint64 *indexes, guint n_indexes, GError **error);
+/**
+ * quince_batch_log_compact:
+ * @compacted: (inout): index up to which the log was already looked at; 0 at first and after a reset
+ * @most: records to look at in this call
+ *
+ * Empties the records of the batches that committed records forget.  May be called anew over the same
+ * records.
+ */
+gboolean quince_batch_log_compact (QuinceBatchLog *log, guint64 *compacted, guint most, GError **error);
 
 /* Called for each record; @record lives until the return.  Returning %FALSE ends the walk. */
 typedef gboolean (*QuinceBatchLogVisit) (const QuinceLogEntry *entry, gpointer user_data);
--- /dev/null
+++ b/lib/batchlog/batch-log-compact.c
@@ -0,0 +1,71 @@
+/*
+ * batch-log-compact.c: gives back the disk space of forgotten batches.
+ *
+ * A FORGET record names the records of its batch.  Once it is committed they are emptied.  The FORGET record
+ * itself stays: a replica that comes back with the old records needs it, or a forgotten batch would live
+ * again there.
+ */
+#include <quince/batch-log.h>
+
+#include <string.h>
+
+#define KIND_BYTES 4 /* an XDR union begins with its kind, big-endian */
+
+typedef struct
+{
+  guint64 commit;
+  guint64 last_looked; /* index of the last record that was looked at */
+  guint left;          /* records that may still be looked at */
+  GArray *indexes;     /* guint64: records to empty */
+} Walk;
+
+static gboolean
+is_forget (const QuinceLogEntry *entry)
+{
+  guint32 kind = 0;
+  if (entry->record.record_len < KIND_BYTES)
+    return FALSE;
+  memcpy (&kind, entry->record.record_val, KIND_BYTES);
+  return GUINT32_FROM_BE (kind) == QUINCE_BATCH_RECORD_FORGET;
+}
+
+static void
+note_forgotten (Walk *walk, const QuinceLogEntry *entry)
+{
+  g_autoptr (QuinceBatchRecord) record
+      = quince_batch_record_decode (entry->record.record_val, entry->record.record_len, NULL);
+  if (record == NULL)
+    return;
+  const QuinceBatchForget *forget = &record->QuinceBatchRecord_u.forget;
+  for (guint i = 0; i < forget->indexes.indexes_len; i++)
+    if (forget->indexes.indexes_val[i] < entry->index)
+      g_array_append_val (walk->indexes, forget->indexes.indexes_val[i]);
+}
+
+static gboolean
+look (const QuinceLogEntry *entry, gpointer data)
+{
+  Walk *walk = data;
+  if (entry->index > walk->commit || walk->left == 0)
+    return FALSE;
+  walk->left--;
+  walk->last_looked = entry->index;
+  if (is_forget (entry))
+    note_forgotten (walk, entry);
+  return TRUE;
+}
+
+gboolean
+quince_batch_log_compact (QuinceBatchLog *log, guint64 *compacted, guint most, GError **error)
+{
+  g_autoptr (GArray) indexes = g_array_new (FALSE, FALSE, sizeof (guint64));
+  Walk walk = {
+    .commit = quince_batch_log_get_commit (log), .last_looked = *compacted, .left = most, .indexes = indexes
+  };
+  if (!quince_batch_log_walk (log, *compacted + 1, look, &walk, error))
+    return FALSE;
+  if (indexes->len > 0 && !quince_batch_log_blank (log, (const guint64 *)indexes->data, indexes->len, error))
+    return FALSE;
+  *compacted = walk.last_looked;
+  return TRUE;
+}
