Front: bytes that are no request are answered 400, 431 or 408 before their connection ends

Found by a new test (tests/platform/test-front.c, failed first): a malformed request, two lengths, a head above maxHeaderBytes or one that never ends closed the connection without an answer, and a head above the limit that came in one read was taken. headerTimeoutMs was not kept. The http1 connection now tells its owner, who answers and closes. The same test covers kept connections, chunked bodies, deadlines handed on, the route's time, refusals without workers, callers that leave, and weighted shares; those passed at once.

--- a/daemons/front/caller-connection.c
+++ b/daemons/front/caller-connection.c
@@ -34,6 +34,7 @@
   gboolean cut; /* a piece of an answer was left out: its caller did not read */
   gint64 received_us;
   gint64 quiet_since_us; /* of the last answer, or of the start */
+  gint64 head_since_us;  /* when an unfinished head was first looked at; 0: none */
   GSource *timer;
 };
 
@@ -77,6 +78,14 @@
 }
 
 static gboolean check_time (gpointer data);
+static void refuse_input (QuinceCallerConnection *connection, guint status);
+
+static gboolean
+is_reading_head (const QuinceCallerConnection *connection)
+{
+  return !connection->answering && connection->head == NULL
+         && quince_http_connection_is_reading (connection->http);
+}
 
 static void
 watch_time (QuinceCallerConnection *connection, guint wait_ms)
@@ -91,11 +100,23 @@
 {
   QuinceCallerConnection *connection = data;
   const QuinceCallerLimits limits = limits_now (connection->front);
+  gint64 now = quince_now_us ();
+  gint64 head_us = (gint64)limits.head_timeout_ms * 1000;
   gint64 idle_us = ((gint64)limits.idle_timeout_ms + IDLE_MARGIN_MS) * 1000;
-  gint64 left_us = connection->quiet_since_us + idle_us - quince_now_us ();
+  gint64 left_us = MAX (connection->quiet_since_us, connection->received_us) + idle_us - now;
+  if (is_reading_head (connection))
+    {
+      connection->head_since_us = connection->head_since_us > 0 ? connection->head_since_us : now;
+      if (now - connection->head_since_us >= head_us)
+        {
+          refuse_input (connection, 408);
+          return G_SOURCE_REMOVE;
+        }
+    }
   if (connection->answering || left_us > 0)
     {
-      watch_time (connection, (guint)(MAX (left_us, idle_us / 2) / 1000));
+      gint64 wait_us = connection->answering ? idle_us / 2 : left_us;
+      watch_time (connection, (guint)(MIN (wait_us, head_us) / 1000));
       return G_SOURCE_REMOVE;
     }
   quince_caller_connection_drop (connection);
@@ -308,14 +329,22 @@
   quince_platform_call_clear (&call);
 }
 
-/* A request that is too large: nothing of it runs, and the rest of it is not read. */
+/* What cannot be read, is too large or too slow: nothing of it runs, and the rest of it is not read. */
 static void
-refuse_size (QuinceCallerConnection *connection, guint status)
+refuse_input (QuinceCallerConnection *connection, guint status)
 {
+  quince_log_warning ("request_unreadable", "status=%u", status);
   connection->keep_alive = FALSE;
   answer_status (connection, status);
 }
 
+static void
+http_refused (QuinceHttpConnection *http, const GError *error, gpointer data)
+{
+  gboolean too_large = g_error_matches (error, QUINCE_HTTP1_ERROR, QUINCE_HTTP1_ERROR_TOO_LARGE);
+  refuse_input (data, too_large ? 431 : 400);
+}
+
 static void
 http_head (QuinceHttpConnection *http, QuinceHttpHead *head, gpointer data)
 {
@@ -323,13 +352,14 @@
   quince_http_head_free (connection->head);
   connection->head = head;
   connection->received_us = quince_now_us ();
+  connection->head_since_us = 0;
   g_clear_pointer (&connection->body, g_byte_array_unref);
   connection->body = g_byte_array_new ();
   const char *length = quince_http_headers_get (head->headers, "Content-Length");
   const QuinceCallerLimits limits = limits_now (connection->front);
   if (length != NULL && g_ascii_strtoull (length, NULL, 10) > limits.max_body_bytes)
     {
-      refuse_size (connection, 413);
+      refuse_input (connection, 413);
       return;
     }
   const char *expect = quince_http_headers_get (head->headers, "Expect");
@@ -344,7 +374,7 @@
   QuinceCallerConnection *connection = user_data;
   if (connection->body->len + length > limits_now (connection->front).max_body_bytes)
     {
-      refuse_size (connection, 413);
+      refuse_input (connection, 413);
       return;
     }
   g_byte_array_append (connection->body, (const guint8 *)data, (guint)length);
@@ -356,8 +386,11 @@
   connection_free (data);
 }
 
-static const QuinceHttpConnectionCallbacks http_callbacks
-    = { .head = http_head, .body = http_body, .complete = http_complete, .closed = http_closed };
+static const QuinceHttpConnectionCallbacks http_callbacks = { .head = http_head,
+                                                              .body = http_body,
+                                                              .complete = http_complete,
+                                                              .refused = http_refused,
+                                                              .closed = http_closed };
 
 void
 quince_caller_connection_accept (QuinceFront *front, QuinceListenKind kind, GSocket *socket)
@@ -369,5 +402,5 @@
   connection->http = quince_http_connection_new_server (socket, limits_now (front).max_head_bytes,
                                                         &http_callbacks, connection);
   g_hash_table_add (front->connections, connection);
-  watch_time (connection, IDLE_MS);
+  watch_time (connection, HEAD_MS);
 }
--- a/include/quince/http1.h
+++ b/include/quince/http1.h
@@ -76,6 +76,8 @@
  * @head: (transfer full): the head of the next message
  * @body: (nullable): a piece of its body
  * @complete: the message is whole; no further message is parsed before quince_http_connection_next()
+ * @refused: (nullable): at a server, the peer's bytes are no request or too many; nothing more is read, and
+ * the owner answers and calls quince_http_connection_finish().  Without it the connection closes
  * @closed: the connection is over, called once at the most; not after quince_http_connection_close().
  *   @error is %NULL when the peer closed between two messages
  * @drained: (nullable): all output has been handed to the kernel
@@ -86,6 +88,7 @@
   void (*head) (QuinceHttpConnection *connection, QuinceHttpHead *head, gpointer user_data);
   void (*body) (QuinceHttpConnection *connection, const char *data, gsize length, gpointer user_data);
   void (*complete) (QuinceHttpConnection *connection, gpointer user_data);
+  void (*refused) (QuinceHttpConnection *connection, const GError *error, gpointer user_data);
   void (*closed) (QuinceHttpConnection *connection, const GError *error, gpointer user_data);
   void (*drained) (QuinceHttpConnection *connection, gpointer user_data);
 } QuinceHttpConnectionCallbacks;
--- a/lib/http1/http-connection.c
+++ b/lib/http1/http-connection.c
@@ -42,8 +42,9 @@
   gboolean is_client;
   gboolean connecting;
   gboolean open;
-  gboolean waiting; /* a whole message waits for next() */
-  gboolean reading; /* a message has begun */
+  gboolean waiting;   /* a whole message waits for next() */
+  gboolean reading;   /* a message has begun */
+  gboolean too_large; /* the head that was read last */
   gboolean finishing;
   gboolean sent;
 };
@@ -173,6 +174,19 @@
   return 0;
 }
 
+/* Bytes of the head on the wire, but for optional spaces. */
+static gsize
+head_size (const QuinceHttpHead *head)
+{
+  gsize size = strlen (head->method) + strlen (head->target) + strlen ("  HTTP/1.1\r\n\r\n");
+  for (guint i = 0; i < quince_http_headers_get_length (head->headers); i++)
+    {
+      const QuinceHttpHeader *line = quince_http_headers_index (head->headers, i);
+      size += strlen (line->name) + strlen (line->value) + strlen (": \r\n");
+    }
+  return size;
+}
+
 static int
 on_headers_complete (http_parser *parser)
 {
@@ -183,6 +197,13 @@
     head->status = parser->status_code;
   else
     head->method = g_strdup (http_method_str ((enum http_method)parser->method));
+  if (!connection->is_client && connection->max_head_bytes > 0
+      && head_size (head) > connection->max_head_bytes)
+    {
+      connection->too_large = TRUE;
+      quince_http_head_free (head);
+      return -1;
+    }
   head->keep_alive = http_should_keep_alive (parser) != 0;
   if (connection->is_client && head->status < 200)
     quince_http_head_free (head); /* an interim answer: the real one follows */
@@ -223,6 +244,7 @@
   .on_message_complete = on_message_complete,
 };
 
+/* A head that does not end. */
 static gboolean
 head_too_large (QuinceHttpConnection *connection, gsize length)
 {
@@ -232,6 +254,27 @@
   return connection->head != NULL && connection->head_bytes > connection->max_head_bytes;
 }
 
+/* Nothing more is read from the peer.  A server's owner may answer it first. */
+static void
+refuse_input (QuinceHttpConnection *connection, QuinceHttp1Error code, const char *text)
+{
+  if (connection->is_client || connection->callbacks->refused == NULL)
+    {
+      connection_fail (connection, code, text);
+      return;
+    }
+  g_autoptr (GError) error = g_error_new_literal (QUINCE_HTTP1_ERROR, code, text);
+  connection->callbacks->refused (connection, error, connection->user_data);
+}
+
+static void
+refuse_message (QuinceHttpConnection *connection, enum http_errno parse_error)
+{
+  gboolean too_large = connection->too_large || parse_error == HPE_HEADER_OVERFLOW;
+  refuse_input (connection, too_large ? QUINCE_HTTP1_ERROR_TOO_LARGE : QUINCE_HTTP1_ERROR_MALFORMED,
+                too_large ? "head is too large" : http_errno_description (parse_error));
+}
+
 /* Parses @data up to the end of one message; keeps the rest. */
 static void
 parse (QuinceHttpConnection *connection, const char *data, gsize length)
@@ -240,9 +283,9 @@
   gsize used = http_parser_execute (&connection->parser, &parser_settings, data, length);
   enum http_errno parse_error = HTTP_PARSER_ERRNO (&connection->parser);
   if (is_heard (connection) && parse_error != HPE_OK && parse_error != HPE_PAUSED)
-    connection_fail (connection, QUINCE_HTTP1_ERROR_MALFORMED, http_errno_description (parse_error));
+    refuse_message (connection, parse_error);
   else if (is_heard (connection) && head_too_large (connection, length))
-    connection_fail (connection, QUINCE_HTTP1_ERROR_TOO_LARGE, "head is too large");
+    refuse_input (connection, QUINCE_HTTP1_ERROR_TOO_LARGE, "head is too large");
   if (is_heard (connection) && connection->waiting)
     {
       http_parser_pause (&connection->parser, 0);
--- /dev/null
+++ b/tests/platform/test-front.c
@@ -0,0 +1,371 @@
+/*
+ * test-front.c: what a front takes from callers and passes on: framing, limits, deadlines, leaving, shares.
+ */
+#include "path-world.h"
+
+#define SPLIT_CALLS 200
+#define SPLIT_WARM_CALLS 20
+#define SPLIT_SLACK 10
+
+/* ---- A caller that writes its own bytes ---------------------------------- */
+
+typedef struct
+{
+  GSocket *socket; /* owned */
+  GString *text;   /* what came */
+  gboolean closed;
+} RawCaller;
+
+static RawCaller *
+raw_connect (const char *address)
+{
+  RawCaller *caller = g_new0 (RawCaller, 1);
+  g_auto (GStrv) parts = g_strsplit (address, ":", 2);
+  g_autoptr (GSocketAddress) target
+      = g_inet_socket_address_new_from_string (parts[0], (guint)g_ascii_strtoull (parts[1], NULL, 10));
+  caller->socket = g_socket_new (G_SOCKET_FAMILY_IPV4, G_SOCKET_TYPE_STREAM, G_SOCKET_PROTOCOL_TCP, NULL);
+  assert_true (g_socket_connect (caller->socket, target, NULL, NULL));
+  g_socket_set_blocking (caller->socket, FALSE);
+  caller->text = g_string_new (NULL);
+  return caller;
+}
+
+static void
+raw_free (RawCaller *caller)
+{
+  g_socket_close (caller->socket, NULL);
+  g_object_unref (caller->socket);
+  g_string_free (caller->text, TRUE);
+  g_free (caller);
+}
+
+static void
+raw_send (RawCaller *caller, const char *text)
+{
+  gsize sent = 0;
+  gsize length = strlen (text);
+  while (sent < length)
+    {
+      gssize now = g_socket_send (caller->socket, text + sent, length - sent, NULL, NULL);
+      if (now > 0)
+        sent += (gsize)now;
+      else if (!g_main_context_iteration (NULL, FALSE))
+        g_usleep (1000);
+      if (g_socket_condition_check (caller->socket, G_IO_HUP | G_IO_ERR) != 0)
+        return; /* the front refused before all was sent */
+    }
+}
+
+static void
+raw_read (RawCaller *caller)
+{
+  char buffer[4096];
+  g_autoptr (GError) error = NULL;
+  gssize length = g_socket_receive (caller->socket, buffer, sizeof buffer, NULL, &error);
+  if (length > 0)
+    g_string_append_len (caller->text, buffer, length);
+  else if (length == 0 || !g_error_matches (error, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK))
+    caller->closed = TRUE;
+}
+
+static gboolean
+raw_has (RawCaller *caller, const char *part)
+{
+  raw_read (caller);
+  return strstr (caller->text->str, part) != NULL;
+}
+
+static guint
+raw_answers (RawCaller *caller)
+{
+  raw_read (caller);
+  return path_count (caller->text->str, "HTTP/1.1 ");
+}
+
+/* ---- Framing and limits ---------------------------------------------------- */
+
+#define HEAD "POST /l/1 HTTP/1.1\r\nHost: " PATH_HOST "\r\nRequest-Deadline-Ms: 5000\r\nRequest-Id: "
+#define LONG_HEADER_BYTES 20000
+
+typedef struct
+{
+  const char *name;
+  const char *request;
+  const char *answers[2]; /* parts that come, in this order */
+  guint runs;
+  gboolean closes;
+} FramingCase;
+
+static const FramingCase framing_cases[] = {
+  { "a length", HEAD "a1\r\nContent-Length: 3\r\n\r\nabc", { "abc by p" }, 1, FALSE },
+  { "chunks",
+    HEAD "a2\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n1;x=y\r\nc\r\n0\r\n\r\n",
+    { "abc by p" },
+    1,
+    FALSE },
+  { "two at once",
+    HEAD "a3\r\nContent-Length: 3\r\n\r\none" HEAD "a4\r\nContent-Length: 3\r\n\r\ntwo",
+    { "one by p", "two by p" },
+    2,
+    FALSE },
+  { "the caller ends the connection",
+    HEAD "a5\r\nConnection: close\r\nContent-Length: 3\r\n\r\nabc",
+    { "abc by p" },
+    1,
+    TRUE },
+  { "waits to go on",
+    HEAD "a6\r\nExpect: 100-continue\r\nContent-Length: 3\r\n\r\nabc",
+    { "HTTP/1.1 100 ", "abc by p" },
+    1,
+    FALSE },
+  { "two lengths",
+    HEAD "b1\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nabcd",
+    { "HTTP/1.1 400 " },
+    0,
+    TRUE },
+  { "a length and chunks, with a request behind",
+    HEAD "b2\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" HEAD
+         "b3\r\nContent-Length: 0\r\n\r\n",
+    { "HTTP/1.1 400 " },
+    0,
+    TRUE },
+  { "no HTTP", "hello\r\n\r\n", { "HTTP/1.1 400 " }, 0, TRUE },
+  { "a chunk whose length is none",
+    HEAD "b4\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\nab\r\n0\r\n\r\n",
+    { "HTTP/1.1 400 " },
+    0,
+    TRUE },
+  { "body too large", HEAD "b5\r\nContent-Length: 100001\r\n\r\n", { "HTTP/1.1 413 " }, 0, TRUE },
+  { "chunk too large",
+    HEAD "b6\r\nTransfer-Encoding: chunked\r\n\r\n186a1\r\nLONG",
+    { "HTTP/1.1 413 " },
+    0,
+    TRUE },
+  { "head too large", HEAD "b7\r\nX-Long: LONG\r\nContent-Length: 0\r\n\r\n", { "HTTP/1.1 431 " }, 0, TRUE },
+};
+
+static PathWorld *
+start_fronts (const char *name)
+{
+  PathWorld *world = path_world_new (name);
+  path_configure (world, 3);
+  path_list_workers (world);
+  path_start_front (world, 0);
+  AWAIT (path_status (path_front (world, 0), "POST", "/l/1", "first", "x") == 200);
+  return world;
+}
+
+/* Lookups that ran at the plain workers and whose id begins so. */
+static guint
+runs_of (PathWorld *world, const char *prefix)
+{
+  guint count = 0;
+  for (guint i = 0; i < PATH_PLAIN; i++)
+    {
+      const GPtrArray *runs = standin_worker_get_runs (world->plain[i]);
+      for (guint j = 0; j < runs->len; j++)
+        count += g_str_has_prefix (((const StandinRun *)runs->pdata[j])->id, prefix);
+    }
+  return count;
+}
+
+static char *
+request_text (const FramingCase *c)
+{
+  g_autofree char *filler
+      = g_strnfill (strstr (c->request, "186a1") != NULL ? 100001 : LONG_HEADER_BYTES, 'y');
+  g_auto (GStrv) parts = g_strsplit (c->request, "LONG", 2);
+  return g_strjoinv (filler, parts);
+}
+
+static void
+test_framing (void **state)
+{
+  PathWorld *world = start_fronts ("framing");
+  for (guint i = 0; i < G_N_ELEMENTS (framing_cases); i++)
+    {
+      const FramingCase *c = &framing_cases[i];
+      guint runs_before = runs_of (world, "");
+      RawCaller *caller = raw_connect (path_front (world, 0));
+      g_autofree char *text = request_text (c);
+      raw_send (caller, text);
+      AWAIT (raw_has (caller, c->answers[c->answers[1] != NULL ? 1 : 0]) || caller->closed);
+      const char *first = strstr (caller->text->str, c->answers[0]);
+      if (first == NULL || (c->answers[1] != NULL && strstr (first, c->answers[1]) == NULL))
+        fail_msg ("%s: %s", c->name, caller->text->str);
+      if (c->closes)
+        AWAIT ((raw_read (caller), caller->closed));
+      else if (caller->closed)
+        fail_msg ("%s: closed", c->name);
+      if (runs_of (world, "") != runs_before + c->runs)
+        fail_msg ("%s: %u runs", c->name, runs_of (world, "") - runs_before);
+      raw_free (caller);
+    }
+  path_world_free (world);
+}
+
+/* A connection serves one request after the other; each answer is that of its request. */
+static void
+test_kept_connection (void **state)
+{
+  PathWorld *world = start_fronts ("kept");
+  RawCaller *caller = raw_connect (path_front (world, 0));
+  for (guint i = 0; i < 20; i++)
+    {
+      g_autofree char *request = g_strdup_printf (HEAD "k%u\r\nContent-Length: 4\r\n\r\nk%03u", i, i);
+      g_autofree char *expected = g_strdup_printf ("k%03u by p", i);
+      raw_send (caller, request);
+      AWAIT (raw_has (caller, expected));
+      assert_int_equal (raw_answers (caller), i + 1);
+    }
+  assert_false (caller->closed);
+  raw_free (caller);
+  path_world_free (world);
+}
+
+/* A head that never ends is answered 408 and does not hold its connection. */
+static void
+test_slow_head (void **state)
+{
+  PathWorld *world = start_fronts ("slow-head");
+  RawCaller *caller = raw_connect (path_front (world, 0));
+  raw_send (caller, "POST /l/1 HTTP/1.1\r\nHost: ");
+  AWAIT ((raw_read (caller), caller->closed));
+  assert_true (strstr (caller->text->str, "HTTP/1.1 408 ") != NULL);
+  raw_free (caller);
+  path_world_free (world);
+}
+
+/* ---- Time -------------------------------------------------------------------- */
+
+/* Workers are told what is left, never more than the route or the caller allows. */
+static void
+test_deadline_handed_on (void **state)
+{
+  PathWorld *world = start_fronts ("deadline");
+  for (guint i = 0; i < PATH_PLAIN; i++)
+    standin_worker_set_fault (world->plain[i], STANDIN_WORKER_FAILS, 1);
+  assert_int_equal (path_status (path_front (world, 0), "POST", "/l/1", "d1", "x"), 200);
+  assert_in_range (runs_of (world, "d1"), 2, 3);
+  for (guint i = 0; i < PATH_PLAIN; i++)
+    {
+      const GPtrArray *runs = standin_worker_get_runs (world->plain[i]);
+      for (guint j = 0; j < runs->len; j++)
+        {
+          const StandinRun *run = runs->pdata[j];
+          assert_non_null (run->deadline);
+          assert_in_range (g_ascii_strtoull (run->deadline, NULL, 10), 1, 3000);
+        }
+    }
+  path_world_free (world);
+}
+
+/* Nobody answers: the caller is told at the route's time, and not that nothing ran. */
+static void
+test_route_timeout (void **state)
+{
+  PathWorld *world = start_fronts ("timeout");
+  for (guint i = 0; i < PATH_PLAIN; i++)
+    standin_worker_set_fault (world->plain[i], STANDIN_WORKER_SILENT, G_MAXUINT);
+  assert_int_equal (path_status (path_front (world, 0), "POST", "/l/1", "t1", "x"), 504);
+  assert_in_range (runs_of (world, "t1"), 1, 3);
+  path_world_free (world);
+}
+
+/* No worker is there: refused at once, with the time to come back. */
+static void
+test_no_worker (void **state)
+{
+  PathWorld *world = start_fronts ("no-worker");
+  for (guint i = 0; i < PATH_PLAIN; i++)
+    {
+      g_autofree char *key = g_strdup_printf ("servers/p%u", i);
+      g_autofree char *entry = standin_worker_entry (world->plain[i], "svc", "draining");
+      standin_store_put (world->store, key, entry);
+    }
+  PathAnswer answer;
+  AWAIT (path_call (path_front (world, 0), "POST", "/l/1", "n1", "x", &answer) == 503
+         || (path_answer_clear (&answer), FALSE));
+  assert_non_null (answer.retry_after);
+  path_answer_clear (&answer);
+  guint runs = runs_of (world, "");
+  assert_int_equal (path_status (path_front (world, 0), "POST", "/l/1", "n2", "x"), 503);
+  assert_int_equal (runs_of (world, ""), runs);
+  path_world_free (world);
+}
+
+/* ---- Callers that leave ------------------------------------------------------- */
+
+static const StandinRun *
+stream_run (PathWorld *world)
+{
+  for (guint i = 0; i < PATH_MODEL; i++)
+    if (standin_worker_get_runs (world->model[i])->len > 0)
+      return standin_worker_get_runs (world->model[i])->pdata[0];
+  return NULL;
+}
+
+static void
+test_caller_leaves (void **state)
+{
+  PathWorld *world = start_fronts ("leaves");
+  for (guint i = 0; i < PATH_MODEL; i++)
+    standin_worker_set_events (world->model[i], 100000, 20);
+  RawCaller *caller = raw_connect (path_front (world, 0));
+  raw_send (caller, "POST /s/1 HTTP/1.1\r\nHost: " PATH_HOST
+                    "\r\nRequest-Id: g1\r\nRequest-Deadline-Ms: 60000\r\nContent-Length: 1\r\n\r\nx");
+  AWAIT (raw_has (caller, "data: e3"));
+  raw_free (caller);
+  AWAIT (stream_run (world)->gone);
+  path_world_free (world);
+}
+
+/* ---- Shares ------------------------------------------------------------------- */
+
+#define SPLIT_CONFIGURATION                                                                                  \
+  "{\"version\":9,\"routes\":[{\"name\":\"l\",\"host\":\"" PATH_HOST                                         \
+  "\",\"pathPrefix\":\"/l/\",\"kind\":\"idempotent\",\"timeoutMs\":2000,\"targetLatencyMs\":150,"            \
+  "\"priority\":2,\"maxAttempts\":3,\"trafficSplit\":[{\"service\":\"svc\",\"weight\":3},"                   \
+  "{\"service\":\"other\",\"weight\":1}]}],"                                                                 \
+  "\"services\":[{\"name\":\"svc\",\"healthPath\":\"/healthz\",\"maxConns\":50},"                            \
+  "{\"name\":\"other\",\"healthPath\":\"/healthz\",\"maxConns\":50}],"                                       \
+  "\"limits\":{\"maxHeaderBytes\":16384,\"maxBodyBytes\":100000,\"headerTimeoutMs\":3000,\"idleTimeoutMs\":" \
+  "15000}}"
+
+static gboolean
+none_refused (PathWorld *world)
+{
+  for (guint i = 0; i < SPLIT_WARM_CALLS; i++)
+    if (path_status (path_front (world, 0), "POST", "/l/1", "warm", "x") != 200)
+      return FALSE;
+  return TRUE;
+}
+
+static void
+test_shares (void **state)
+{
+  PathWorld *world = start_fronts ("shares");
+  g_autofree char *entry = standin_worker_entry (world->plain[1], "other", "ready");
+  standin_store_put (world->store, "servers/p1", entry);
+  standin_store_put (world->store, "op/config", SPLIT_CONFIGURATION);
+  const GPtrArray *rare = standin_worker_get_runs (world->plain[1]);
+  /* The shares and the worker come by ways of their own: all is known once none is refused any more. */
+  AWAIT (none_refused (world));
+  guint before = rare->len;
+  for (guint i = 0; i < SPLIT_CALLS; i++)
+    assert_int_equal (path_status (path_front (world, 0), "POST", "/l/1", "s", "x"), 200);
+  assert_in_range (rare->len - before, SPLIT_CALLS / 4 - SPLIT_SLACK, SPLIT_CALLS / 4 + SPLIT_SLACK);
+  path_world_free (world);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_framing),       cmocka_unit_test (test_kept_connection),
+    cmocka_unit_test (test_slow_head),     cmocka_unit_test (test_deadline_handed_on),
+    cmocka_unit_test (test_route_timeout), cmocka_unit_test (test_no_worker),
+    cmocka_unit_test (test_caller_leaves), cmocka_unit_test (test_shares),
+  };
+  return cmocka_run_group_tests_name ("front", tests, NULL, NULL);
+}
