--- a/tests/platform/standin-worker.c
+++ b/tests/platform/standin-worker.c
@@ -32,6 +32,8 @@
   GPtrArray *silent;  /* StandinCall: never answered */
   guint64 version;
   guint64 orders;
+  GArray *fences;     /* guint64: of each order, in the order they came */
+  GPtrArray *holders; /* owned texts: of the same */
 };
 
 static void
@@ -208,7 +210,10 @@
       standin_answer (call, 409, "", "", 0);
       return;
     }
+  guint64 fence = (guint64)json_object_get_int_member (order, "fence");
   worker->orders++;
+  g_array_append_val (worker->fences, fence);
+  g_ptr_array_add (worker->holders, g_strdup (json_object_get_string_member (order, "holder")));
   worker->version = (guint64)json_object_get_int_member (order, "version");
   standin_answer (call, 202, "", "", 0);
 }
@@ -250,6 +255,8 @@
   worker->runs = g_ptr_array_new_with_free_func (run_free);
   worker->streams = g_ptr_array_new_with_free_func (stream_free);
   worker->silent = g_ptr_array_new ();
+  worker->fences = g_array_new (FALSE, FALSE, sizeof (guint64));
+  worker->holders = g_ptr_array_new_with_free_func (g_free);
   worker->server = standin_server_new (handle, worker);
   return worker;
 }
@@ -265,6 +272,8 @@
   g_ptr_array_unref (worker->silent);
   g_ptr_array_unref (worker->streams);
   g_ptr_array_unref (worker->runs);
+  g_array_unref (worker->fences);
+  g_ptr_array_unref (worker->holders);
   g_free (worker->id);
   g_free (worker);
 }
@@ -319,6 +328,18 @@
   return (guint)worker->orders;
 }
 
+const GArray *
+standin_worker_get_fences (const StandinWorker *worker)
+{
+  return worker->fences;
+}
+
+const GPtrArray *
+standin_worker_get_holders (const StandinWorker *worker)
+{
+  return worker->holders;
+}
+
 char *
 standin_worker_entry (const StandinWorker *worker, const char *service, const char *state)
 {
--- a/tests/platform/standin-worker.h
+++ b/tests/platform/standin-worker.h
@@ -46,5 +46,8 @@
 guint64 standin_worker_get_version (const StandinWorker *worker);
 void standin_worker_set_version (StandinWorker *worker, guint64 version);
 guint standin_worker_get_orders (const StandinWorker *worker);
+/* Fences (guint64) and holders (texts) of the orders, as they came. */
+const GArray *standin_worker_get_fences (const StandinWorker *worker);
+const GPtrArray *standin_worker_get_holders (const StandinWorker *worker);
 /* What the platform lists of it. (transfer full) */
 char *standin_worker_entry (const StandinWorker *worker, const char *service, const char *state);
--- /dev/null
+++ b/tests/platform/test-samples.c
@@ -0,0 +1,240 @@
+/*
+ * test-samples.c: samples and orders on the whole path: versions, fences, outages, planned stops.
+ */
+#include "path-world.h"
+
+#define ITEMS 6
+/* Long enough for a wrong run or order to come, where none must. */
+#define QUIET_MS 1200
+
+static void
+name_version (PathWorld *world, guint version)
+{
+  g_autofree char *text = g_strdup_printf ("{\"model\":\"model-a\",\"version\":%u}", version);
+  standin_store_put (world->store, "op/version/model-a", text);
+}
+
+static void
+await_version (PathWorld *world, guint version)
+{
+  for (guint i = 0; i < PATH_MODEL; i++)
+    AWAIT (standin_worker_get_version (world->model[i]) == version);
+}
+
+static guint
+model_runs (PathWorld *world)
+{
+  guint count = 0;
+  for (guint i = 0; i < PATH_MODEL; i++)
+    count += standin_worker_get_runs (world->model[i])->len;
+  return count;
+}
+
+static void
+submit_from (PathWorld *world, const char *batch, guint items, guint min_version)
+{
+  g_autofree char *text = path_batch_text (batch, items);
+  g_autofree char *wanted = g_strdup_printf ("\"minVersion\":%u", min_version);
+  g_auto (GStrv) parts = g_strsplit (text, "\"minVersion\":1", 2);
+  g_autofree char *changed = g_strjoinv (wanted, parts);
+  AWAIT (path_status (path_front (world, 0), "POST", "/r/batch", batch, changed) == 202);
+}
+
+static guint
+listed_with (PathWorld *world, guint front, const char *batch, const char *part)
+{
+  g_autofree char *text = path_results (world, front, batch);
+  return text != NULL ? path_count (text, part) : 0;
+}
+
+/* ---- Versions --------------------------------------------------------------- */
+
+/* No sample begins on weights that are too old for it, and its result names what made it. */
+static void
+test_oldest_version_kept (void **state)
+{
+  PathWorld *world = path_world_new ("oldest");
+  path_world_start (world);
+  submit_from (world, "b1", ITEMS, 2);
+  run_for (QUIET_MS);
+  assert_int_equal (model_runs (world), 0);
+  name_version (world, 2);
+  AWAIT (listed_with (world, 1, "b1", "\"state\":\"completed\"") == ITEMS);
+  assert_int_equal (listed_with (world, 0, "b1", "\"versions\":[2]"), ITEMS);
+  path_world_free (world);
+}
+
+/* A text that was cut and went on elsewhere names the version that made it, once. */
+static void
+test_cut_text_names_its_version (void **state)
+{
+  PathWorld *world = path_world_new ("cut");
+  for (guint i = 0; i < PATH_MODEL; i++)
+    {
+      standin_worker_set_fault (world->model[i], STANDIN_WORKER_CUTS, 1);
+      standin_worker_set_events (world->model[i], 6, 30);
+    }
+  path_world_start (world);
+  submit_from (world, "b1", 2, 1);
+  AWAIT (listed_with (world, 0, "b1", "\"state\":\"completed\"") == 2);
+  guint whole = listed_with (world, 0, "b1", "\"message\":\"e1\\ne2\\ne3\\ne4\\ne5\\ne6\"");
+  assert_int_equal (whole, 2);
+  assert_int_equal (listed_with (world, 0, "b1", "\"versions\":[1]"), 2);
+  path_world_free (world);
+}
+
+/* ---- Orders ------------------------------------------------------------------- */
+
+static void
+assert_fences_rise (PathWorld *world)
+{
+  for (guint i = 0; i < PATH_MODEL; i++)
+    {
+      const GArray *fences = standin_worker_get_fences (world->model[i]);
+      const GPtrArray *holders = standin_worker_get_holders (world->model[i]);
+      for (guint j = 1; j < fences->len; j++)
+        {
+          guint64 before = g_array_index (fences, guint64, j - 1);
+          guint64 now = g_array_index (fences, guint64, j);
+          assert_true (now >= before);
+          if (now == before)
+            assert_string_equal (holders->pdata[j - 1], holders->pdata[j]);
+        }
+    }
+}
+
+/* Leaders change between versions: the orders of a later one carry a greater fence, one holder each. */
+static void
+test_fences_rise_with_leaders (void **state)
+{
+  PathWorld *world = path_world_new ("fences");
+  path_world_start (world);
+  for (guint version = 2; version < 5; version++)
+    {
+      name_version (world, version);
+      await_version (world, version);
+      gint leader = path_leader (world);
+      assert_int_not_equal (leader, -1);
+      quince_process_kill (world->replicas[leader]);
+      AWAIT (path_leader (world) != leader);
+      path_start_replica (world, (guint)leader);
+      run_for (QUIET_MS);
+    }
+  assert_fences_rise (world);
+  const GArray *fences = standin_worker_get_fences (world->model[0]);
+  assert_true (g_array_index (fences, guint64, fences->len - 1) > g_array_index (fences, guint64, 0));
+  path_world_free (world);
+}
+
+/* A worker that comes late, with old weights, is brought to the version; one that has it gets no order. */
+static void
+test_added_worker_is_brought_to_the_version (void **state)
+{
+  PathWorld *world = path_world_new ("added");
+  path_world_start (world);
+  name_version (world, 2);
+  await_version (world, 2);
+  guint orders = standin_worker_get_orders (world->model[0]);
+  StandinWorker *added = standin_worker_new ("m9");
+  standin_worker_set_events (added, 6, 5);
+  g_autofree char *entry = standin_worker_entry (added, "llm", "ready");
+  standin_store_put (world->store, "servers/m9", entry);
+  AWAIT (standin_worker_get_version (added) == 2);
+  run_for (QUIET_MS);
+  assert_int_equal (standin_worker_get_orders (world->model[0]), orders);
+  assert_int_equal (standin_worker_get_orders (added), 1);
+  standin_worker_free (added);
+  path_world_free (world);
+}
+
+/* ---- Planned stops --------------------------------------------------------------- */
+
+/* A front that stops ends the streams that it forwards, whole. */
+static void
+test_stop_ends_streams_whole (void **state)
+{
+  PathWorld *world = path_world_new ("stop-stream");
+  for (guint i = 0; i < PATH_MODEL; i++)
+    standin_worker_set_events (world->model[i], 6, 250);
+  path_world_start (world);
+  PathAnswer answer;
+  path_begin (path_front (world, 0), "POST", "/s/1", "s1", "question", &answer);
+  AWAIT (model_runs (world) == 1);
+  quince_process_stop (world->fronts[0]);
+  AWAIT (answer.done);
+  assert_int_equal (answer.outcome, QUINCE_HTTP_ANSWERED);
+  assert_int_equal (answer.status, 200);
+  assert_true (strstr (answer.body, "data: e6") != NULL);
+  path_answer_clear (&answer);
+  int status = -1;
+  assert_true (quince_process_wait (world->fronts[0], AWAIT_MS, &status));
+  assert_int_equal (status, 0);
+  path_world_free (world);
+}
+
+/* Replicas stop one after the other, in the middle of batches: nothing is lost and nothing listed twice. */
+static void
+test_replicas_stop_in_turn (void **state)
+{
+  PathWorld *world = path_world_new ("stop-replicas");
+  for (guint i = 0; i < PATH_MODEL; i++)
+    standin_worker_set_events (world->model[i], 6, 60);
+  path_world_start (world);
+  submit_from (world, "b1", ITEMS, 1);
+  for (guint i = 0; i < PATH_REPLICAS; i++)
+    {
+      int status = -1;
+      quince_process_stop (world->replicas[i]);
+      assert_true (quince_process_wait (world->replicas[i], AWAIT_MS, &status));
+      assert_int_equal (status, 0);
+      path_start_replica (world, i);
+      AWAIT (path_status (path_front (world, 1), "GET", "/quinceroute/lots/none", "q", NULL) == 404);
+    }
+  AWAIT (path_listed (world, 0, "b1") == ITEMS);
+  assert_int_equal (listed_with (world, 0, "b1", "\"state\":\"completed\""), ITEMS);
+  path_world_free (world);
+}
+
+/* ---- All at once ------------------------------------------------------------------- */
+
+/* Every process is killed at the same moment: what was accepted comes to its end, and versions stay known. */
+static void
+test_all_processes_killed (void **state)
+{
+  PathWorld *world = path_world_new ("all-killed");
+  for (guint i = 0; i < PATH_MODEL; i++)
+    standin_worker_set_events (world->model[i], 6, 60);
+  path_world_start (world);
+  name_version (world, 2);
+  await_version (world, 2);
+  submit_from (world, "b1", ITEMS, 1);
+  for (guint i = 0; i < PATH_REPLICAS; i++)
+    quince_process_kill (world->replicas[i]);
+  for (guint i = 0; i < PATH_FRONTS; i++)
+    quince_process_kill (world->fronts[i]);
+  for (guint i = 0; i < PATH_FRONTS; i++)
+    path_start_front (world, i);
+  for (guint i = 0; i < PATH_REPLICAS; i++)
+    path_start_replica (world, i);
+  AWAIT (path_listed (world, 0, "b1") == ITEMS);
+  assert_int_equal (listed_with (world, 1, "b1", "\"state\":\"completed\""), ITEMS);
+  name_version (world, 3);
+  await_version (world, 3);
+  assert_fences_rise (world);
+  path_world_free (world);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_oldest_version_kept),
+    cmocka_unit_test (test_cut_text_names_its_version),
+    cmocka_unit_test (test_fences_rise_with_leaders),
+    cmocka_unit_test (test_added_worker_is_brought_to_the_version),
+    cmocka_unit_test (test_stop_ends_streams_whole),
+    cmocka_unit_test (test_replicas_stop_in_turn),
+    cmocka_unit_test (test_all_processes_killed),
+  };
+  return cmocka_run_group_tests_name ("samples", tests, NULL, NULL);
+}
