--- a/rehearsal/main.c
+++ b/rehearsal/main.c
@@ -12,7 +12,6 @@
 #include "bench.h"
 #include "demo.h"
 #include "experiment.h"
-#include "scale.h"
 #include "slopes.h"
 #include "standins.h"
 
@@ -36,7 +35,6 @@
   { "bench", quince_bench_run, "what the service adds, measured" },
   { "demo", quince_demo_run, "one deployment, once, with a summary" },
   { "slopes", quince_slopes_run, "how cost grows with size, fitted" },
-  { "scale", quince_scale_run, "many hollow nodes on this machine" },
   { "baseline", quince_baseline_run, "plain router, to compare with" },
   { "experiment", quince_experiment_command, "the service against plain routers" },
 };
