Operators' command: explain tells a request's story from logs, log check refuses unknown lines

lib/core/story reads lines of several processes: those that name the id, and the beliefs that held or changed meanwhile of the workers and processes concerned. The vocabulary is one list that check-names.sh holds against code and docs. Tests: tests/unit/test-log-story.c.

--- /dev/null
+++ b/lib/core/story/log-line.c
@@ -0,0 +1,125 @@
+/*
+ * log-line.c: one line of key=value pairs; a value with spaces stands in quotes.
+ */
+#include "log-line.h"
+
+#include <string.h>
+
+G_DEFINE_QUARK (quince - log - story - error - quark, quince_log_story_error)
+
+static const char *const first_keys[] = { "time", "level", "program", "name", "event" };
+
+static void
+pair_clear (gpointer data)
+{
+  QuinceLogPair *pair = data;
+  g_free (pair->key);
+  g_free (pair->value);
+}
+
+void
+quince_log_line_free (gpointer data)
+{
+  QuinceLogLine *line = data;
+  if (line == NULL)
+    return;
+  g_array_unref (line->pairs);
+  g_free (line);
+}
+
+const char *
+quince_log_line_get (const QuinceLogLine *line, const char *key)
+{
+  for (guint i = 0; i < line->pairs->len; i++)
+    {
+      const QuinceLogPair *pair = &g_array_index (line->pairs, QuinceLogPair, i);
+      if (g_str_equal (pair->key, key))
+        return pair->value;
+    }
+  return NULL;
+}
+
+/* Reads a quoted value from behind its first quote; NULL when the last one is missing. (transfer full) */
+static char *
+read_quoted (const char **at)
+{
+  g_autoptr (GString) value = g_string_new (NULL);
+  const char *next = *at;
+  for (; *next != '\0' && *next != '"'; next++)
+    {
+      if (*next == '\\' && next[1] != '\0')
+        next++;
+      g_string_append_c (value, *next);
+    }
+  if (*next != '"')
+    return NULL;
+  *at = next + 1;
+  return g_string_free (g_steal_pointer (&value), FALSE);
+}
+
+static char *
+read_value (const char **at)
+{
+  if (**at == '"')
+    {
+      (*at)++;
+      return read_quoted (at);
+    }
+  gsize length = strcspn (*at, " ");
+  char *value = g_strndup (*at, length);
+  *at += length;
+  return value;
+}
+
+static gboolean
+read_pair (const char **at, QuinceLogPair *pair)
+{
+  gsize length = strcspn (*at, "= ");
+  if (length == 0 || (*at)[length] != '=')
+    return FALSE;
+  const char *value_at = *at + length + 1;
+  char *value = read_value (&value_at);
+  if (value == NULL)
+    return FALSE;
+  *pair = (QuinceLogPair){ .key = g_strndup (*at, length), .value = value };
+  *at = value_at + strspn (value_at, " ");
+  return TRUE;
+}
+
+static gboolean
+begins_well (const QuinceLogLine *line)
+{
+  if (line->pairs->len < G_N_ELEMENTS (first_keys))
+    return FALSE;
+  for (guint i = 0; i < G_N_ELEMENTS (first_keys); i++)
+    if (!g_str_equal (g_array_index (line->pairs, QuinceLogPair, i).key, first_keys[i]))
+      return FALSE;
+  return TRUE;
+}
+
+QuinceLogLine *
+quince_log_line_parse (const char *text, GError **error)
+{
+  g_autoptr (QuinceLogLine) line = g_new0 (QuinceLogLine, 1);
+  line->pairs = g_array_new (FALSE, TRUE, sizeof (QuinceLogPair));
+  g_array_set_clear_func (line->pairs, pair_clear);
+  gboolean good = TRUE;
+  while (good && *text != '\0' && *text != '\n')
+    {
+      QuinceLogPair pair;
+      good = read_pair (&text, &pair);
+      if (good)
+        g_array_append_val (line->pairs, pair);
+    }
+  g_autoptr (GDateTime) time = NULL;
+  if (good && begins_well (line))
+    time = g_date_time_new_from_iso8601 (quince_log_line_get (line, "time"), NULL);
+  if (time == NULL)
+    {
+      g_set_error (error, QUINCE_LOG_STORY_ERROR, QUINCE_LOG_STORY_ERROR_MALFORMED,
+                   "no line of time, level, program, name, event and other pairs");
+      return NULL;
+    }
+  line->time_us = g_date_time_to_unix (time) * G_USEC_PER_SEC + g_date_time_get_microsecond (time);
+  return g_steal_pointer (&line);
+}
--- /dev/null
+++ b/lib/core/story/log-story.c
@@ -0,0 +1,190 @@
+/*
+ * log-story.c: the story of one request, sample or batch, out of the lines of several processes.
+ */
+#include "log-line.h"
+
+#include <string.h>
+
+#define COLUMN_PROCESS 12 /* characters */
+
+struct _QuinceLogStory
+{
+  GPtrArray *lines; /* QuinceLogLine, owned */
+};
+
+/* Whom the lines that name the id are about. */
+typedef struct
+{
+  GHashTable *workers;   /* borrowed names */
+  GHashTable *processes; /* borrowed names */
+  gint64 first_us;
+  gint64 last_us;
+} Concerned;
+
+/* Keys by which a line names what it is about. */
+static const char *const subject_keys[] = { "request", "sample", "batch" };
+
+/* Beliefs about a worker count where the worker is concerned, the others where the process is. */
+static const char *const worker_beliefs[] = { "worker_changed", "worker_gone", "weights_order_ended" };
+static const char *const process_beliefs[] = { "configuration",    "dependency_lost", "dependency_regained",
+                                               "entry_refused",    "event_known",     "ledger_primary",
+                                               "ledger_recovered", "ledger_role",     "policy_in_force",
+                                               "policy_failed",    "stopping",        "version_named",
+                                               "view_proposed",    "lease_lost",      "log_lines_left_out" };
+
+QuinceLogStory *
+quince_log_story_new (void)
+{
+  QuinceLogStory *story = g_new0 (QuinceLogStory, 1);
+  story->lines = g_ptr_array_new_with_free_func (quince_log_line_free);
+  return story;
+}
+
+void
+quince_log_story_free (QuinceLogStory *story)
+{
+  if (story == NULL)
+    return;
+  g_ptr_array_unref (story->lines);
+  g_free (story);
+}
+
+void
+quince_log_story_add (QuinceLogStory *story, const char *text)
+{
+  const char *begin = strstr (text, "time=");
+  QuinceLogLine *line = begin != NULL ? quince_log_line_parse (begin, NULL) : NULL;
+  if (line == NULL)
+    return;
+  line->number = story->lines->len;
+  g_ptr_array_add (story->lines, line);
+}
+
+/* ---- Which lines -------------------------------------------------------- */
+
+static gboolean
+names (const QuinceLogLine *line, const char *id)
+{
+  for (guint i = 0; i < G_N_ELEMENTS (subject_keys); i++)
+    if (g_strcmp0 (quince_log_line_get (line, subject_keys[i]), id) == 0)
+      return TRUE;
+  return FALSE;
+}
+
+static gboolean
+is_one_of (const char *event, const char *const *events, gsize n_events)
+{
+  for (gsize i = 0; i < n_events; i++)
+    if (g_str_equal (event, events[i]))
+      return TRUE;
+  return FALSE;
+}
+
+static void
+note_concerned (Concerned *concerned, const QuinceLogLine *line)
+{
+  const char *worker = quince_log_line_get (line, "worker");
+  if (worker != NULL)
+    g_hash_table_add (concerned->workers, (gpointer)worker);
+  g_hash_table_add (concerned->processes, (gpointer)quince_log_line_get (line, "name"));
+  if (concerned->first_us == 0 || line->time_us < concerned->first_us)
+    concerned->first_us = line->time_us;
+  concerned->last_us = MAX (concerned->last_us, line->time_us);
+}
+
+/* What the belief is about; two lines of one topic replace each other. NULL: none that is concerned.
+ * (transfer full)
+ */
+static char *
+belief_topic (const Concerned *concerned, const QuinceLogLine *line)
+{
+  const char *event = quince_log_line_get (line, "event");
+  const char *process = quince_log_line_get (line, "name");
+  const char *worker = quince_log_line_get (line, "worker");
+  if (!g_hash_table_contains (concerned->processes, process) || line->time_us > concerned->last_us)
+    return NULL;
+  if (is_one_of (event, worker_beliefs, G_N_ELEMENTS (worker_beliefs)) && worker != NULL)
+    return g_hash_table_contains (concerned->workers, worker) ? g_strjoin (" ", process, worker, NULL) : NULL;
+  if (!is_one_of (event, process_beliefs, G_N_ELEMENTS (process_beliefs)))
+    return NULL;
+  const char *what = quince_log_line_get (line, "what");
+  const char *model = quince_log_line_get (line, "model");
+  return g_strjoin (" ", process, what != NULL ? what : event, model != NULL ? model : "", NULL);
+}
+
+static gint
+compare_lines (gconstpointer a, gconstpointer b)
+{
+  const QuinceLogLine *first = *(QuinceLogLine *const *)a;
+  const QuinceLogLine *second = *(QuinceLogLine *const *)b;
+  if (first->time_us != second->time_us)
+    return first->time_us < second->time_us ? -1 : 1;
+  return first->number < second->number ? -1 : 1;
+}
+
+/* Of the beliefs held when the story begins only the newest of each topic; all that change in it. */
+static void
+add_beliefs (const QuinceLogStory *story, const Concerned *concerned, GPtrArray *told)
+{
+  g_autoptr (GHashTable) before = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  for (guint i = 0; i < story->lines->len; i++)
+    {
+      QuinceLogLine *line = story->lines->pdata[i];
+      g_autofree char *topic = belief_topic (concerned, line);
+      if (topic == NULL)
+        continue;
+      const QuinceLogLine *known = g_hash_table_lookup (before, topic);
+      if (line->time_us >= concerned->first_us)
+        g_ptr_array_add (told, line);
+      else if (known == NULL || known->time_us <= line->time_us)
+        g_hash_table_replace (before, g_steal_pointer (&topic), line);
+    }
+  GHashTableIter iter;
+  gpointer line;
+  g_hash_table_iter_init (&iter, before);
+  while (g_hash_table_iter_next (&iter, NULL, &line))
+    g_ptr_array_add (told, line);
+}
+
+/* ---- Telling ------------------------------------------------------------ */
+
+static void
+tell_line (GString *text, const QuinceLogLine *line, gint64 first_us, gboolean is_belief)
+{
+  g_string_append_printf (text, "%+9.3f s  %-*s %s%s", (double)(line->time_us - first_us) / G_USEC_PER_SEC,
+                          COLUMN_PROCESS, quince_log_line_get (line, "name"), is_belief ? "(belief) " : "",
+                          quince_log_line_get (line, "event"));
+  for (guint i = 0; i < line->pairs->len; i++)
+    {
+      const QuinceLogPair *pair = &g_array_index (line->pairs, QuinceLogPair, i);
+      static const char *const told_already[] = { "time", "program", "name", "event", "level" };
+      if (!is_one_of (pair->key, told_already, G_N_ELEMENTS (told_already)))
+        g_string_append_printf (text, " %s=%s", pair->key, pair->value);
+    }
+  g_string_append_c (text, '\n');
+}
+
+char *
+quince_log_story_tell (const QuinceLogStory *story, const char *id)
+{
+  g_autoptr (GHashTable) workers = g_hash_table_new (g_str_hash, g_str_equal);
+  g_autoptr (GHashTable) processes = g_hash_table_new (g_str_hash, g_str_equal);
+  g_autoptr (GPtrArray) told = g_ptr_array_new ();
+  Concerned concerned = { .workers = workers, .processes = processes };
+  for (guint i = 0; i < story->lines->len; i++)
+    {
+      QuinceLogLine *line = story->lines->pdata[i];
+      if (!names (line, id))
+        continue;
+      note_concerned (&concerned, line);
+      g_ptr_array_add (told, line);
+    }
+  if (told->len == 0)
+    return NULL;
+  add_beliefs (story, &concerned, told);
+  g_ptr_array_sort (told, compare_lines);
+  g_autoptr (GString) text = g_string_new (NULL);
+  for (guint i = 0; i < told->len; i++)
+    tell_line (text, told->pdata[i], concerned.first_us, !names (told->pdata[i], id));
+  return g_string_free (g_steal_pointer (&text), FALSE);
+}
--- /dev/null
+++ b/lib/core/story/log-vocabulary.c
@@ -0,0 +1,83 @@
+/*
+ * log-vocabulary.c: the events that the daemons on the platform log; the table of docs/OPERATIONS.md says
+ * what each tells.  scripts/check-names.sh keeps this list, that table and the code alike.
+ */
+#include "log-line.h"
+
+#include <string.h>
+
+static const char *const vocabulary[] = {
+  "backup_joined",
+  "backup_left",
+  "batch_ended",
+  "batch_forgotten",
+  "batch_refused",
+  "batch_taken",
+  "caller_left",
+  "configuration",
+  "dependency_lost",
+  "dependency_regained",
+  "disk_opened",
+  "entry_refused",
+  "event_deleted",
+  "event_known",
+  "front_changed",
+  "item_refused",
+  "lease_lost",
+  "ledger_disk_failed",
+  "ledger_primary",
+  "ledger_record_refused",
+  "ledger_record_unreadable",
+  "ledger_recovered",
+  "ledger_role",
+  "library_message",
+  "log_lines_left_out",
+  "machine_emptied",
+  "machine_leaving",
+  "policy_failed",
+  "policy_in_force",
+  "promise_given",
+  "promise_got",
+  "reload_refused",
+  "reloaded",
+  "request_answered",
+  "request_refused",
+  "request_retried",
+  "request_unreadable",
+  "sample_abandoned",
+  "sample_dispatched",
+  "sample_done",
+  "sample_run_ended",
+  "start_failed",
+  "stopped",
+  "stopping",
+  "version_named",
+  "view_proposal_ended",
+  "view_proposed",
+  "weights_order",
+  "weights_order_ended",
+  "worker_changed",
+  "worker_gone",
+};
+
+gboolean
+quince_log_vocabulary_has (const char *event)
+{
+  for (guint i = 0; i < G_N_ELEMENTS (vocabulary); i++)
+    if (g_str_equal (vocabulary[i], event))
+      return TRUE;
+  return FALSE;
+}
+
+gboolean
+quince_log_line_check (const char *text, GError **error)
+{
+  g_autoptr (QuinceLogLine) line = quince_log_line_parse (text, error);
+  if (line == NULL)
+    return FALSE;
+  const char *event = quince_log_line_get (line, "event");
+  if (quince_log_vocabulary_has (event))
+    return TRUE;
+  g_set_error (error, QUINCE_LOG_STORY_ERROR, QUINCE_LOG_STORY_ERROR_UNKNOWN, "event=%s", event);
+  return FALSE;
+}
--- /dev/null
+++ b/tests/unit/test-log-story.c
@@ -0,0 +1,120 @@
+/*
+ * test-log-story.c: the story of a request out of the lines of several processes, and the vocabulary.
+ */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <cmocka.h>
+#include <string.h>
+
+#include <quince/log-story.h>
+
+#define AT(time) "time=2026-12-02T10:00:" time "Z level=info program=quinceroute-front name="
+
+/* Of two fronts, out of order, one with the prefix of a log collector. */
+static const char *const lines[] = {
+  AT ("09.500") "f1 event=request_answered request=r1 status=200 worker=w2 attempts=2 worker_ms=9 age_ms=20",
+  AT ("01.000") "f1 event=worker_changed worker=w1 service=s address=127.0.0.1:1 state=ready version=1",
+  AT ("02.000") "f1 event=worker_changed worker=w1 service=s address=127.0.0.1:1 state=draining version=1",
+  AT ("03.000") "f1 event=worker_changed worker=w9 service=s address=127.0.0.1:9 state=ready version=1",
+  AT ("04.000") "f2 event=dependency_lost what=meta_store",
+  AT ("05.000") "f1 event=configuration version=3 routes=2",
+  "collector: " AT ("09.480") "f1 event=request_retried request=r1 worker=w1 cause=worker_lost attempts=1",
+  AT ("09.490") "f1 event=worker_gone worker=w1",
+  AT ("09.495") "f1 event=request_refused request=r2 target=\"/a \\\"b\" status=503 cause=no_worker age_ms=0",
+  AT ("09.900") "f1 event=configuration version=4 routes=2",
+  "ready callers=127.0.0.1:1",
+  "",
+};
+
+static QuinceLogStory *
+read_lines (void)
+{
+  QuinceLogStory *story = quince_log_story_new ();
+  for (guint i = 0; i < G_N_ELEMENTS (lines); i++)
+    quince_log_story_add (story, lines[i]);
+  return story;
+}
+
+static void
+test_story_in_order (void **state)
+{
+  static const char *const expected[] = {
+    "(belief) worker_changed worker=w1 service=s address=127.0.0.1:1 state=draining",
+    "(belief) configuration version=3",
+    "+0.000 s  f1           request_retried request=r1 worker=w1 cause=worker_lost",
+    "+0.010 s  f1           (belief) worker_gone worker=w1",
+    "+0.020 s  f1           request_answered request=r1 status=200 worker=w2",
+  };
+  g_autoptr (QuinceLogStory) story = read_lines ();
+  g_autofree char *text = quince_log_story_tell (story, "r1");
+  const char *at = text;
+  for (guint i = 0; i < G_N_ELEMENTS (expected); i++)
+    {
+      const char *found = strstr (at, expected[i]);
+      if (found == NULL)
+        fail_msg ("not found: %s in\n%s", expected[i], text);
+      at = found + strlen (expected[i]);
+    }
+}
+
+/* Other workers, other processes, other requests, what came before a newer belief or after the end. */
+static void
+test_story_leaves_out_the_rest (void **state)
+{
+  static const char *const absent[] = { "w9", "meta_store", "r2", "state=ready", "version=4" };
+  g_autoptr (QuinceLogStory) story = read_lines ();
+  g_autofree char *text = quince_log_story_tell (story, "r1");
+  for (guint i = 0; i < G_N_ELEMENTS (absent); i++)
+    if (strstr (text, absent[i]) != NULL)
+      fail_msg ("%s is told in\n%s", absent[i], text);
+  assert_null (quince_log_story_tell (story, "nobody"));
+}
+
+static void
+test_quoted_values (void **state)
+{
+  g_autoptr (QuinceLogStory) story = read_lines ();
+  g_autofree char *text = quince_log_story_tell (story, "r2");
+  assert_non_null (strstr (text, "target=/a \"b status=503 cause=no_worker"));
+}
+
+static void
+test_vocabulary (void **state)
+{
+  static const struct
+  {
+    const char *line;
+    int code; /* -1: good */
+  } cases[] = {
+    { AT ("01.000") "f1 event=worker_gone worker=w1", -1 },
+    { AT ("01.000") "\"\" event=stopped status=0", -1 },
+    { AT ("01.000") "f1 event=worker_vanished worker=w1", QUINCE_LOG_STORY_ERROR_UNKNOWN },
+    { AT ("01.000") "f1 event=worker_gone worker", QUINCE_LOG_STORY_ERROR_MALFORMED },
+    { AT ("01.000") "f1 event=worker_gone worker=\"w1", QUINCE_LOG_STORY_ERROR_MALFORMED },
+    { "event=worker_gone worker=w1", QUINCE_LOG_STORY_ERROR_MALFORMED },
+    { "time=yesterday level=info program=p name=n event=stopped", QUINCE_LOG_STORY_ERROR_MALFORMED },
+    { "", QUINCE_LOG_STORY_ERROR_MALFORMED },
+  };
+  for (guint i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      g_autoptr (GError) error = NULL;
+      gboolean good = quince_log_line_check (cases[i].line, &error);
+      if (good != (cases[i].code == -1) || (!good && error->code != cases[i].code))
+        fail_msg ("%s: %s", cases[i].line, error != NULL ? error->message : "taken");
+    }
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_story_in_order),
+    cmocka_unit_test (test_story_leaves_out_the_rest),
+    cmocka_unit_test (test_quoted_values),
+    cmocka_unit_test (test_vocabulary),
+  };
+  return cmocka_run_group_tests_name ("log-story", tests, NULL, NULL);
+}
--- /dev/null
+++ b/tools/log-commands.c
@@ -0,0 +1,79 @@
+/*
+ * log-commands.c: "explain" and "log check": reads logs of processes.
+ */
+#include "commands.h"
+
+#include <stdio.h>
+
+#include <quince/log-story.h>
+
+/* Called for each line; without its end. */
+typedef void (*LineVisit) (const char *file, guint number, const char *line, gpointer user_data);
+
+/* "-" is standard input. */
+static gboolean
+visit_lines (const char *file, LineVisit visit, gpointer user_data)
+{
+  FILE *stream = g_str_equal (file, "-") ? stdin : fopen (file, "r");
+  if (stream == NULL)
+    return FALSE;
+  char *line = NULL;
+  size_t room = 0;
+  ssize_t length;
+  for (guint number = 1; (length = getline (&line, &room, stream)) >= 0; number++)
+    {
+      if (length > 0 && line[length - 1] == '\n')
+        line[length - 1] = '\0';
+      visit (file, number, line, user_data);
+    }
+  free (line);
+  if (stream != stdin)
+    fclose (stream);
+  return TRUE;
+}
+
+static void
+add_line (const char *file, guint number, const char *line, gpointer data)
+{
+  quince_log_story_add (data, line);
+}
+
+QuinceToolStatus
+quince_command_explain (QuinceTool *tool)
+{
+  const QuinceToolArguments *arguments = &tool->arguments;
+  g_autoptr (QuinceLogStory) story = quince_log_story_new ();
+  for (guint i = 1; i < arguments->n_words; i++)
+    if (!visit_lines (arguments->words[i], add_line, story))
+      return quince_tool_fail ("file", "%s cannot be read", arguments->words[i]);
+  g_autofree char *text = quince_log_story_tell (story, arguments->words[0]);
+  if (text == NULL)
+    return quince_tool_fail ("not_found", "no line names %s", arguments->words[0]);
+  fputs (text, stdout);
+  return QUINCE_TOOL_OK;
+}
+
+static void
+check_line (const char *file, guint number, const char *line, gpointer data)
+{
+  guint *refused = data;
+  g_autoptr (GError) error = NULL;
+  /* The line by which a process tells its addresses. */
+  if (*line == '\0' || g_str_has_prefix (line, "ready ") || quince_log_line_check (line, &error))
+    return;
+  (*refused)++;
+  printf ("%s:%u: %s\n", file, number, error->message);
+}
+
+QuinceToolStatus
+quince_command_log_check (QuinceTool *tool)
+{
+  const QuinceToolArguments *arguments = &tool->arguments;
+  guint refused = 0;
+  for (guint i = 0; i < arguments->n_words; i++)
+    if (!visit_lines (arguments->words[i], check_line, &refused))
+      return quince_tool_fail ("file", "%s cannot be read", arguments->words[i]);
+  if (refused > 0)
+    return quince_tool_fail ("log", "%u lines outside the vocabulary", refused);
+  return QUINCE_TOOL_OK;
+}
--- a/tools/main.c
+++ b/tools/main.c
@@ -56,10 +56,11 @@
   const char *group; /* first word */
   const char *name;  /* second word; NULL: no second */
   const char *words; /* what follows, for the help */
-  guint n_words;
+  guint n_words;     /* with @takes_more the least of them */
   const struct argp_option *flags;
   const char *help;
   QuinceToolStatus (*run) (QuinceTool *tool);
+  gboolean takes_more;
 } ToolCommand;
 
 static const ToolCommand commands[] = {
@@ -81,6 +82,10 @@
   { "status", NULL, "", 0, no_flags, "Show nodes, members and engines", quince_command_status },
   { "ledger", "status", "", 0, no_flags, "Show the ledger's voters and replicas",
     quince_command_ledger_status },
+  { "explain", NULL, "ID FILE...", 2, no_flags, "Tell the story of a request, sample or batch from logs",
+    quince_command_explain, TRUE },
+  { "log", "check", "FILE...", 1, no_flags, "Refuse lines that no daemon on the platform logs",
+    quince_command_log_check, TRUE },
 };
 
 static const struct argp_option global_flags[] = {
@@ -245,7 +250,8 @@
       = { command->flags, parse_command, command->words, command->help, global_child, NULL, NULL };
   argv[0] = name;
   argp_parse (&argp, argc, argv, 0, NULL, arguments);
-  if (arguments->n_words == command->n_words)
+  if (arguments->n_words == command->n_words
+      || (command->takes_more && arguments->n_words > command->n_words))
     return TRUE;
   quince_tool_usage ("%s takes %u argument(s): %s", name + strlen ("quinceroute "), command->n_words,
                      command->words);
--- a/tools/tool.h
+++ b/tools/tool.h
@@ -26,6 +26,8 @@
   QUINCE_TOOL_UNKNOWN = 4, /* the write may or may not take effect */
 } QuinceToolStatus;
 
+#define QUINCE_TOOL_WORDS_MOST 256
+
 /* Flags and words of one run; texts belong to argv, %NULL when not given. */
 typedef struct
 {
@@ -44,7 +46,7 @@
   const char *service;
   const char *expected;
   /* words after the command */
-  const char *words[2];
+  const char *words[QUINCE_TOOL_WORDS_MOST];
   guint n_words;
 } QuinceToolArguments;
 
