--- a/daemons/replica/main.c
+++ b/daemons/replica/main.c
@@ -4,6 +4,8 @@
  * A replica keeps a copy of the batch ledger on its disk.  The leader of the replicas answers calls about
  * batches, runs their samples on workers and orders new weights.
  */
+#include <malloc.h>
+
 #include <quince/program.h>
 
 #include "replica-settings.h"
@@ -12,9 +14,14 @@
 /* More are left out and counted. */
 #define LOG_LINES_PER_SECOND 200
 
+/* Large buffers go back to the kernel when they are freed, whatever sizes came before. */
+#define LARGE_BUFFER_BYTES (64 * 1024)
+
 int
 main (int argc, char **argv)
 {
+  mallopt (M_MMAP_THRESHOLD, LARGE_BUFFER_BYTES);
+  mallopt (M_TRIM_THRESHOLD, LARGE_BUFFER_BYTES);
   const QuinceProgram program = {
     .name = "quinceroute-replica",
     .doc = "Keeps the batch ledger; its leader runs samples and orders weights.",
