Consensus: a node that lost its disk is removed before its successor is added

When its next disk was lost before the former one was removed, two of four voters never came back, and the ledger answered nobody any more. Ruled out: lost hand-overs of the leader, retries of the claim, the judge's calm phase. Now the former voter goes first, once the successor has caught up, and no learner is added whose node has a voter.

--- a/lib/core/consensus/voters.c
+++ b/lib/core/consensus/voters.c
@@ -4,7 +4,9 @@
  * A replacement is two changes: the caught-up learner is added, and only when
  * that is committed the silent voter is removed.  Two sets that differ by one
  * voter always share a majority (Ongaro's thesis, 4.1); a swap in one step
- * would not.
+ * would not.  A voter whose node came back with an empty disk is removed first:
+ * were its successor added beside it, the loss of that node's next disk would
+ * leave two voters of four that never come back.
  */
 #include "consensus-private.h"
 
@@ -198,7 +200,15 @@
   return count;
 }
 
-/* Another live voter is of the same node: @peer's disk was lost. */
+static gboolean
+caught_up (const QuinceConsensus *self, const QuincePeer *peer, gint64 now_us)
+{
+  return !peer->voter && peer->replied && peer->progress == QUINCE_PROGRESS_REPLICATE
+         && peer->match_index >= self->commit_index
+         && !silent_for (peer, now_us, self->limits.election_least_us);
+}
+
+/* A live voter, or a learner that may take the place at once, is of the same node: @peer's disk was lost. */
 static gboolean
 is_replaced (const QuinceConsensus *self, const QuincePeer *peer, gint64 now_us)
 {
@@ -207,9 +217,10 @@
   for (guint i = 0; i < self->peers->len; i++)
     {
       const QuincePeer *other = g_ptr_array_index (self->peers, i);
+      gboolean ready = other->voter ? !silent_for (other, now_us, self->limits.election_most_us)
+                                    : caught_up (self, other, now_us);
 
-      if (other != peer && other->voter && g_str_equal (other->replica.node, peer->replica.node)
-          && !silent_for (other, now_us, self->limits.election_most_us))
+      if (other != peer && ready && g_str_equal (other->replica.node, peer->replica.node))
         return TRUE;
     }
   return g_str_equal (self->self.node, peer->replica.node);
@@ -237,15 +248,17 @@
   return NULL;
 }
 
+/* Its node's former voter goes first; see is_replaced(). */
 static gboolean
-caught_up (const QuinceConsensus *self, const QuincePeer *peer, gint64 now_us)
+node_has_voter (const QuinceConsensus *self, const char *node)
 {
-  return !peer->voter && peer->replied && peer->progress == QUINCE_PROGRESS_REPLICATE
-         && peer->match_index >= self->commit_index
-         && !silent_for (peer, now_us, self->limits.election_least_us);
+  for (guint i = 0; i < self->voters->voters.voters_len; i++)
+    if (g_str_equal (self->voters->voters.voters_val[i].node, node))
+      return TRUE;
+  return FALSE;
 }
 
-/* Greater is better: takes the place of a lost disk, then of a zone without a live voter. */
+/* Greater is better: takes the place of a zone without a live voter first. */
 static guint
 rank_learner (const QuinceConsensus *self, const QuincePeer *learner, gint64 now_us)
 {
@@ -257,9 +270,6 @@
 
       if (!peer->voter)
         continue;
-      if (g_str_equal (peer->replica.node, learner->replica.node)
-          && silent_for (peer, now_us, self->limits.election_most_us))
-        return 3;
       if (g_str_equal (peer->replica.zone, learner->replica.zone)
           && !silent_for (peer, now_us, self->limits.dead_after_us))
         new_zone = FALSE;
@@ -276,17 +286,17 @@
   const QuincePeer *best = NULL;
   guint best_rank = 0;
 
-  if (count > self->limits.voters_target || count + 1 > QUINCE_CONSENSUS_MAX_VOTERS)
+  if (!lacking || count > self->limits.voters_target || count + 1 > QUINCE_CONSENSUS_MAX_VOTERS)
     return NULL;
   for (guint i = 0; i < self->peers->len; i++)
     {
       const QuincePeer *peer = g_ptr_array_index (self->peers, i);
       guint rank;
 
-      if (!caught_up (self, peer, now_us))
+      if (!caught_up (self, peer, now_us) || node_has_voter (self, peer->replica.node))
         continue;
       rank = rank_learner (self, peer, now_us);
-      if ((lacking || rank == 3) && rank > best_rank)
+      if (rank > best_rank)
         {
           best = peer;
           best_rank = rank;
--- a/tests/unit/consensus-world.h
+++ b/tests/unit/consensus-world.h
@@ -193,6 +193,15 @@
     }
 }
 
+/* A node that lost its disk is one voter, not two of which one never comes back. */
+static void
+check_nodes_differ (World *world, const QuinceReplicaSet *voters)
+{
+  for (guint i = 0; i < voters->voters.voters_len; i++)
+    for (guint j = 0; j < i; j++)
+      check (world, !g_str_equal (voters->voters.voters_val[i].node, voters->voters.voters_val[j].node));
+}
+
 static void
 check_voter_change (World *world, const Machine *machine, const QuinceEntry *entry)
 {
@@ -201,6 +210,7 @@
       = quince_replica_set_decode (entry->data.data_val, entry->data.data_len, NULL);
 
   check (world, after != NULL);
+  check_nodes_differ (world, after);
   if (before->voters.voters_len == 0)
     return;
   check (world, count_missing (before, after) + count_missing (after, before) <= 1);
--- a/tests/unit/test-simulation.c
+++ b/tests/unit/test-simulation.c
@@ -41,6 +41,25 @@
   assert_true (done >= steps);
 }
 
+/*
+ * Worlds that once broke a promise.
+ * 90210452 and 35000067: a node lost its disk twice, and stood twice among four voters: the ledger was stuck
+ * for good. 34000070: the attempts of a request were used up by nodes that refused it, one of them stopping.
+ */
+static void
+test_worlds_that_once_failed (void **state)
+{
+  static const guint64 seeds[] = { 90210452, 35000067, 34000070 };
+  for (guint i = 0; i < G_N_ELEMENTS (seeds); i++)
+    {
+      guint64 failing_seed = 0;
+      g_autofree char *violation = NULL;
+      sim_run (seeds[i], 1, SIM_MUTATION_NONE, &failing_seed, &violation);
+      if (violation != NULL)
+        fail_msg ("seed %" G_GUINT64_FORMAT ": %s", failing_seed, violation);
+    }
+}
+
 /* Equal seeds give equal runs, so that a failure can be replayed. */
 static void
 test_same_seed_same_run (void **state)
@@ -75,6 +94,7 @@
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_promises_hold),
+    cmocka_unit_test (test_worlds_that_once_failed),
     cmocka_unit_test (test_same_seed_same_run),
     cmocka_unit_test (test_planted_faults_are_caught),
   };
