Eight functions that nothing called, and the state kept for them, are gone

Found by reading the whole change: accessors of connections, pools, mirrors, the ledger group and the route table that neither code nor tests used; with them the fields sent, reused and heard_us and the reference count of route tables, which have one owner. A kept connection counts as connected, which reused said a second time.

--- a/include/quince/http-client.h
+++ b/include/quince/http-client.h
@@ -54,7 +54,6 @@
 QuinceHttpPool *quince_http_pool_new (const char *address);
 /* Closes idle connections; exchanges in progress go on. */
 void quince_http_pool_unref (QuinceHttpPool *pool);
-const char *quince_http_pool_get_address (const QuinceHttpPool *pool);
 guint quince_http_pool_get_busy (const QuinceHttpPool *pool);
 guint quince_http_pool_get_idle (const QuinceHttpPool *pool);
 /* Connections made since the start. */
@@ -79,8 +78,6 @@
 /* The body as collected so far. */
 const GByteArray *quince_http_exchange_get_body (const QuinceHttpExchange *exchange);
 gboolean quince_http_exchange_may_have_run (const QuinceHttpExchange *exchange);
-/* The connection had carried other requests before. */
-gboolean quince_http_exchange_is_reused (const QuinceHttpExchange *exchange);
 /* The connection will not be used again, for example because the answer belongs to another request. */
 void quince_http_exchange_distrust (QuinceHttpExchange *exchange);
 
--- a/include/quince/http1.h
+++ b/include/quince/http1.h
@@ -120,8 +120,6 @@
 gboolean quince_http_connection_is_open (QuinceHttpConnection *connection);
 /* Bytes beyond the last whole message have come: on a client's side they belong to no request. */
 gboolean quince_http_connection_has_surplus (QuinceHttpConnection *connection);
-/* Any byte of a message was handed to the kernel. */
-gboolean quince_http_connection_has_sent (QuinceHttpConnection *connection);
 gboolean quince_http_connection_has_output (QuinceHttpConnection *connection);
 /* Bytes that the kernel has not taken yet. */
 gsize quince_http_connection_get_output (QuinceHttpConnection *connection);
--- a/include/quince/ledger-group.h
+++ b/include/quince/ledger-group.h
@@ -136,7 +136,6 @@
 
 QuinceLedgerRole quince_ledger_group_get_role (const QuinceLedgerGroup *group);
 const QuinceLedgerView *quince_ledger_group_get_view (const QuinceLedgerGroup *group);
-guint64 quince_ledger_group_get_revision (const QuinceLedgerGroup *group);
 /* Every record up to it is held by a quorum, for good. */
 guint64 quince_ledger_group_get_commit_index (QuinceLedgerGroup *group);
 /* The primary knows all that was ever acknowledged and is surely still the primary. */
--- a/include/quince/meta-store.h
+++ b/include/quince/meta-store.h
@@ -158,8 +158,6 @@
                                           gpointer user_data);
 void quince_meta_mirror_free (QuinceMetaMirror *mirror);
 gboolean quince_meta_mirror_is_synced (const QuinceMetaMirror *mirror);
-/* Monotonic us of the last good answer; 0: none yet. */
-gint64 quince_meta_mirror_get_heard (const QuinceMetaMirror *mirror);
 /**
  * quince_meta_mirror_feed:
  * @page: items as another process had them from the store, each with its revision
--- a/include/quince/routing.h
+++ b/include/quince/routing.h
@@ -64,9 +64,8 @@
 typedef struct _QuinceRouteTable QuinceRouteTable;
 
 QuinceRouteTable *quince_route_table_new (guint64 version, const QuinceCallerLimits *limits);
-QuinceRouteTable *quince_route_table_ref (QuinceRouteTable *table);
-void quince_route_table_unref (QuinceRouteTable *table);
-G_DEFINE_AUTOPTR_CLEANUP_FUNC (QuinceRouteTable, quince_route_table_unref)
+void quince_route_table_free (QuinceRouteTable *table);
+G_DEFINE_AUTOPTR_CLEANUP_FUNC (QuinceRouteTable, quince_route_table_free)
 /* (transfer full): @route, @service */
 void quince_route_table_add_route (QuinceRouteTable *table, QuinceRoute *route);
 void quince_route_table_add_service (QuinceRouteTable *table, QuinceService *service);
--- a/include/quince/text-server.h
+++ b/include/quince/text-server.h
@@ -13,6 +13,5 @@
 QuinceTextServer *
 quince_text_server_new (const char *address, const char *path, char *(*produce) (void), GError **error);
 void quince_text_server_free (QuinceTextServer *server);
-const char *quince_text_server_get_address (QuinceTextServer *server);
 
 G_END_DECLS
--- a/lib/core/group/ledger-group.c
+++ b/lib/core/group/ledger-group.c
@@ -297,12 +297,6 @@
   return group->view;
 }
 
-guint64
-quince_ledger_group_get_revision (const QuinceLedgerGroup *group)
-{
-  return group->revision;
-}
-
 gboolean
 quince_ledger_group_has_member (const QuinceLedgerGroup *group, guint64 replica)
 {
--- a/lib/core/routing/route-table.c
+++ b/lib/core/routing/route-table.c
@@ -7,7 +7,6 @@
 
 struct _QuinceRouteTable
 {
-  grefcount references;
   guint64 version;
   QuinceCallerLimits limits;
   GPtrArray *routes;
@@ -68,7 +67,6 @@
 quince_route_table_new (guint64 version, const QuinceCallerLimits *limits)
 {
   QuinceRouteTable *table = g_new0 (QuinceRouteTable, 1);
-  g_ref_count_init (&table->references);
   table->version = version;
   table->limits = *limits;
   table->routes = g_ptr_array_new_with_free_func ((GDestroyNotify)quince_route_free);
@@ -77,17 +75,10 @@
   return table;
 }
 
-QuinceRouteTable *
-quince_route_table_ref (QuinceRouteTable *table)
-{
-  g_ref_count_inc (&table->references);
-  return table;
-}
-
 void
-quince_route_table_unref (QuinceRouteTable *table)
+quince_route_table_free (QuinceRouteTable *table)
 {
-  if (table == NULL || !g_ref_count_dec (&table->references))
+  if (table == NULL)
     return;
   g_hash_table_unref (table->by_host);
   g_ptr_array_unref (table->routes);
--- a/lib/http1/http-connection.c
+++ b/lib/http1/http-connection.c
@@ -46,7 +46,6 @@
   gboolean reading;   /* a message has begun */
   gboolean too_large; /* the head that was read last */
   gboolean finishing;
-  gboolean sent;
 };
 
 void
@@ -378,8 +377,6 @@
 {
   g_autoptr (GError) error = NULL;
   gssize taken = g_socket_send (connection->socket, data, length, NULL, &error);
-  if (taken > 0)
-    connection->sent = TRUE;
   if (taken < 0 && g_error_matches (error, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK))
     return 0;
   if (taken < 0)
@@ -426,7 +423,6 @@
     {
       gssize now = g_socket_send (connection->socket, data, length, NULL, NULL);
       taken = now > 0 ? (gsize)now : 0;
-      connection->sent = connection->sent || taken > 0;
     }
   if (taken == length)
     return;
@@ -572,12 +568,6 @@
   return connection->early->len > 0;
 }
 
-gboolean
-quince_http_connection_has_sent (QuinceHttpConnection *connection)
-{
-  return connection->sent;
-}
-
 gboolean
 quince_http_connection_has_output (QuinceHttpConnection *connection)
 {
--- a/lib/http1/http-pool.c
+++ b/lib/http1/http-pool.c
@@ -44,7 +44,6 @@
   GByteArray *body;
   GSource *timer;
   GSource *connect_timer;
-  gboolean reused;
   gboolean distrusted;
   gboolean connected;
 };
@@ -91,12 +90,6 @@
   pool_release (pool);
 }
 
-const char *
-quince_http_pool_get_address (const QuinceHttpPool *pool)
-{
-  return pool->address;
-}
-
 guint
 quince_http_pool_get_busy (const QuinceHttpPool *pool)
 {
@@ -344,14 +337,13 @@
   exchange->user_data = user_data;
   exchange->body = g_byte_array_new ();
   Channel *channel = take_idle (pool);
-  exchange->reused = channel != NULL;
-  exchange->connected = exchange->reused;
+  exchange->connected = channel != NULL;
   if (channel == NULL)
     channel = channel_open (pool);
   channel->exchange = exchange;
   exchange->channel = channel;
   pool->busy++;
-  if (exchange->reused)
+  if (exchange->connected)
     quince_http_connection_next (channel->connection);
   else
     exchange->connect_timer = quince_timer_add (CONNECT_MS, connect_late, exchange);
@@ -377,13 +369,7 @@
 gboolean
 quince_http_exchange_may_have_run (const QuinceHttpExchange *exchange)
 {
-  return exchange->reused || exchange->connected;
-}
-
-gboolean
-quince_http_exchange_is_reused (const QuinceHttpExchange *exchange)
-{
-  return exchange->reused;
+  return exchange->connected;
 }
 
 void
--- a/lib/http1/http-text-server.c
+++ b/lib/http1/http-text-server.c
@@ -107,9 +107,3 @@
   g_free (server->path);
   g_free (server);
 }
-
-const char *
-quince_text_server_get_address (QuinceTextServer *server)
-{
-  return quince_http_acceptor_get_address (server->acceptor);
-}
--- a/lib/meta/meta-mirror.c
+++ b/lib/meta/meta-mirror.c
@@ -29,7 +29,6 @@
   guint64 revision;     /* watch from here */
   guint64 list_revision;
   guint retry_ms;
-  gint64 heard_us;
   gint64 watch_began_us;
   gboolean synced;
   gboolean watching;   /* the call in progress is a watch */
@@ -119,7 +118,6 @@
 static void
 heard (QuinceMetaMirror *mirror)
 {
-  mirror->heard_us = quince_now_us ();
   mirror->retry_ms = RETRY_LEAST_MS;
 }
 
@@ -274,7 +272,6 @@
   stop_asking (mirror);
   quince_source_clear (&mirror->feed_timer);
   mirror->feed_timer = quince_timer_add (QUINCE_META_FEED_PATIENCE_MS, feed_over, mirror);
-  mirror->heard_us = quince_now_us ();
 }
 
 void
@@ -354,12 +351,6 @@
   return mirror->synced;
 }
 
-gint64
-quince_meta_mirror_get_heard (const QuinceMetaMirror *mirror)
-{
-  return mirror->heard_us;
-}
-
 void
 quince_meta_mirror_doubt (QuinceMetaMirror *mirror, gint64 lost_us)
 {
--- a/lib/meta/meta-private.h
+++ b/lib/meta/meta-private.h
@@ -7,7 +7,6 @@
 
 typedef struct _QuinceMetaCall QuinceMetaCall;
 
-const QuinceMetaDialect *quince_meta_store_get_dialect (QuinceMetaStore *store);
 void quince_meta_store_add_mirror (QuinceMetaStore *store, QuinceMetaMirror *mirror);
 void quince_meta_store_remove_mirror (QuinceMetaStore *store, QuinceMetaMirror *mirror);
 QuinceMetaCall *quince_meta_store_list (QuinceMetaStore *store,
--- a/lib/meta/meta-store.c
+++ b/lib/meta/meta-store.c
@@ -102,12 +102,6 @@
   return &store->counters;
 }
 
-const QuinceMetaDialect *
-quince_meta_store_get_dialect (QuinceMetaStore *store)
-{
-  return store->dialect;
-}
-
 void
 quince_meta_store_add_mirror (QuinceMetaStore *store, QuinceMetaMirror *mirror)
 {
--- a/lib/observer/observer.c
+++ b/lib/observer/observer.c
@@ -53,7 +53,7 @@
     return;
   quince_log_info ("configuration", "version=%" G_GUINT64_FORMAT " routes=%u", version,
                    quince_route_table_get_n_routes (table));
-  quince_route_table_unref (observer->routes);
+  quince_route_table_free (observer->routes);
   observer->routes = g_steal_pointer (&table);
   if (observer->callbacks->configuration != NULL)
     observer->callbacks->configuration (observer->routes, observer->user_data);
@@ -292,7 +292,7 @@
   quince_meta_mirror_free (observer->operator_mirror);
   quince_meta_mirror_free (observer->workers_mirror);
   quince_meta_mirror_free (observer->own_mirror);
-  quince_route_table_unref (observer->routes);
+  quince_route_table_free (observer->routes);
   g_hash_table_unref (observer->versions);
   g_ptr_array_unref (observer->leaving);
   g_free (observer);
