Heartbeats: a front that answers none leaves the directory, also while the store is down

Change: the ledger's leader sends a heartbeat four times a second on the links that stand, fronts answer; who is listed and not heard for 0.65 s is named in the next heartbeats, and fronts leave it out. A leader that has just begun or hears less than a quarter names nobody (lib/core heard-table).

--- a/daemons/front/directory.c
+++ b/daemons/front/directory.c
@@ -2,7 +2,8 @@
  * directory.c: which fronts callers are told to use.
  *
  * A front whose key vanished without its word may only have been forgotten by the store during an outage, so
- * it stays for a while; one that said it leaves goes at once.
+ * it stays for a while; one that said it leaves goes at once.  One that answers no heartbeat of the ledger's
+ * leader is left out of the answers as long as that lasts.
  */
 #include "directory.h"
 
@@ -11,6 +12,8 @@
 #include <quince/log.h>
 
 #define VANISHED_KEEP_US (4 * G_USEC_PER_SEC)
+/* What a leader said of silent fronts holds so long; it says it several times a second. */
+#define SILENT_KEEP_US (5 * G_USEC_PER_SEC)
 #define ANSWERS_MOST 64
 #define SEPARATOR " "
 #define WORD_LEAVING "leaving"
@@ -27,6 +30,8 @@
 struct _QuinceDirectory
 {
   GHashTable *fronts; /* Front by name, owned; this one is not among them */
+  GHashTable *silent; /* names */
+  gint64 silent_until_us;
   Front self;
   gboolean serving;
 };
@@ -46,6 +51,7 @@
 {
   QuinceDirectory *directory = g_new0 (QuinceDirectory, 1);
   directory->fronts = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, front_free);
+  directory->silent = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   directory->self.name = g_strdup (own_name);
   directory->self.address = g_strdup (own_address);
   directory->self.zone = g_strdup (own_zone);
@@ -58,6 +64,7 @@
   if (directory == NULL)
     return;
   g_hash_table_unref (directory->fronts);
+  g_hash_table_unref (directory->silent);
   g_free (directory->self.name);
   g_free (directory->self.address);
   g_free (directory->self.zone);
@@ -135,6 +142,24 @@
     }
 }
 
+void
+quince_directory_set_silent (QuinceDirectory *directory,
+                             gint64 now_us,
+                             const char *const *names,
+                             guint n_names)
+{
+  g_hash_table_remove_all (directory->silent);
+  for (guint i = 0; i < n_names; i++)
+    g_hash_table_add (directory->silent, g_strdup (names[i]));
+  directory->silent_until_us = now_us + SILENT_KEEP_US;
+}
+
+static gboolean
+is_silent (const QuinceDirectory *directory, gint64 now_us, const Front *front)
+{
+  return now_us < directory->silent_until_us && g_hash_table_contains (directory->silent, front->name);
+}
+
 char **
 quince_directory_list (QuinceDirectory *directory, gint64 now_us, const char *zone)
 {
@@ -150,6 +175,8 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       const Front *front = value;
+      if (is_silent (directory, now_us, front))
+        continue;
       g_ptr_array_add (g_strcmp0 (front->zone, zone) == 0 ? near : far, g_strdup (front->address));
     }
   g_ptr_array_extend (near, far, NULL, NULL);
--- a/daemons/front/directory.h
+++ b/daemons/front/directory.h
@@ -19,6 +19,12 @@
                                   const char *name,
                                   GBytes *entry,
                                   gboolean may_be_lapse);
+/* The ledger's leader hears nothing of the fronts @names; they are left out until it says otherwise, or says
+ * nothing for some seconds. */
+void quince_directory_set_silent (QuinceDirectory *directory,
+                                  gint64 now_us,
+                                  const char *const *names,
+                                  guint n_names);
 /* (transfer full): addresses, those of @zone first, %NULL-terminated. */
 char **quince_directory_list (QuinceDirectory *directory, gint64 now_us, const char *zone);
 guint quince_directory_get_size (QuinceDirectory *directory, gint64 now_us);
--- a/daemons/front/front.c
+++ b/daemons/front/front.c
@@ -70,11 +70,25 @@
 }
 
 static void
-ledger_message (const QuinceMessage *message, gpointer data)
+take_heartbeat (QuinceFront *front, QuinceLink *link, const QuinceHeartbeat *heartbeat)
+{
+  QuinceMessage message = { .kind = QUINCE_MESSAGE_HEARTBEAT_ACK };
+  message.QuinceMessage_u.heartbeat_ack.node = front->name;
+  quince_link_send (link, &message);
+  if (heartbeat->certain)
+    quince_directory_set_silent (front->directory, quince_now_us (),
+                                 (const char *const *)heartbeat->silent.silent_val,
+                                 heartbeat->silent.silent_len);
+}
+
+static void
+ledger_message (QuinceLink *link, const QuinceMessage *message, gpointer data)
 {
   QuinceFront *front = data;
   if (message->kind == QUINCE_MESSAGE_BELIEF_NEWS)
     quince_belief_feed_take (front->observer, &message->QuinceMessage_u.belief_news);
+  else if (message->kind == QUINCE_MESSAGE_HEARTBEAT)
+    take_heartbeat (front, link, &message->QuinceMessage_u.heartbeat);
 }
 
 static void
--- a/daemons/front/ledger-caller.c
+++ b/daemons/front/ledger-caller.c
@@ -136,7 +136,7 @@
         call_end (call, QUINCE_LEDGER_CALL_ANSWERED, reply);
     }
   else if (caller->callbacks->message != NULL)
-    caller->callbacks->message (message, caller->user_data);
+    caller->callbacks->message (link, message, caller->user_data);
   quince_message_free (message);
 }
 
--- a/daemons/front/ledger-caller.h
+++ b/daemons/front/ledger-caller.h
@@ -27,7 +27,7 @@
 typedef struct
 {
   void (*linked) (QuinceLink *link, gpointer user_data);
-  void (*message) (const QuinceMessage *message, gpointer user_data);
+  void (*message) (QuinceLink *link, const QuinceMessage *message, gpointer user_data);
   void (*unlinked) (gpointer user_data);
 } QuinceLedgerCallerCallbacks;
 
--- /dev/null
+++ b/daemons/replica/heartbeats.c
@@ -0,0 +1,118 @@
+/*
+ * heartbeats.c: the leader's heartbeats to fronts, and which of the listed fronts answer none.
+ */
+#include "heartbeats.h"
+
+#include <quince/heard-table.h>
+#include <quince/log.h>
+#include <quince/task.h>
+
+#define HEARTBEAT_MS 250
+/* Two heartbeats without an answer, and the way there and back. */
+#define SILENCE_US (650 * 1000)
+
+struct _QuinceHeartbeats
+{
+  /* All fields belong to the main context. */
+  QuinceHeardTable *fronts;
+  GHashTable *links;  /* QuinceLink, of the owner; NULL: not leading */
+  GHashTable *silent; /* names that were told last */
+  GSource *timer;
+};
+
+/* One line for each front that falls silent, or is heard again. */
+static void
+log_changes (QuinceHeartbeats *heartbeats, const GPtrArray *silent)
+{
+  g_autoptr (GHashTable) next = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  for (guint i = 0; i < silent->len; i++)
+    {
+      g_hash_table_add (next, g_strdup (silent->pdata[i]));
+      if (!g_hash_table_contains (heartbeats->silent, silent->pdata[i]))
+        quince_log_warning ("front_silent", "front=%s", (const char *)silent->pdata[i]);
+    }
+  GHashTableIter iter;
+  gpointer name;
+  g_hash_table_iter_init (&iter, heartbeats->silent);
+  while (g_hash_table_iter_next (&iter, &name, NULL))
+    if (!g_hash_table_contains (next, name))
+      quince_log_info ("front_heard", "front=%s", (const char *)name);
+  g_hash_table_unref (heartbeats->silent);
+  heartbeats->silent = g_steal_pointer (&next);
+}
+
+static void
+send_all (const QuinceHeartbeats *heartbeats, gboolean certain, const GPtrArray *silent)
+{
+  QuinceMessage message = { .kind = QUINCE_MESSAGE_HEARTBEAT };
+  QuinceHeartbeat *wire = &message.QuinceMessage_u.heartbeat;
+  wire->certain = certain;
+  wire->silent.silent_val = (QuinceText *)silent->pdata;
+  wire->silent.silent_len = silent->len;
+  g_autoptr (GBytes) encoded = quince_message_encode (&message, NULL);
+  GHashTableIter iter;
+  gpointer link;
+  g_hash_table_iter_init (&iter, heartbeats->links);
+  while (encoded != NULL && g_hash_table_iter_next (&iter, &link, NULL))
+    quince_link_send_bytes (link, encoded);
+}
+
+static gboolean
+beat (gpointer data)
+{
+  QuinceHeartbeats *heartbeats = data;
+  g_autoptr (GPtrArray) silent = g_ptr_array_new ();
+  gboolean certain = quince_heard_table_judge (heartbeats->fronts, quince_now_us (), silent);
+  if (certain)
+    log_changes (heartbeats, silent);
+  send_all (heartbeats, certain, silent);
+  return G_SOURCE_CONTINUE;
+}
+
+QuinceHeartbeats *
+quince_heartbeats_new (void)
+{
+  QuinceHeartbeats *heartbeats = g_new0 (QuinceHeartbeats, 1);
+  heartbeats->fronts = quince_heard_table_new (SILENCE_US);
+  heartbeats->silent = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  return heartbeats;
+}
+
+void
+quince_heartbeats_free (QuinceHeartbeats *heartbeats)
+{
+  if (heartbeats == NULL)
+    return;
+  quince_source_clear (&heartbeats->timer);
+  quince_heard_table_free (heartbeats->fronts);
+  g_hash_table_unref (heartbeats->silent);
+  g_free (heartbeats);
+}
+
+void
+quince_heartbeats_set_listed (QuinceHeartbeats *heartbeats, const char *name, gboolean listed)
+{
+  quince_heard_table_set_listed (heartbeats->fronts, quince_now_us (), name, listed);
+}
+
+void
+quince_heartbeats_lead (QuinceHeartbeats *heartbeats, GHashTable *links)
+{
+  heartbeats->links = links;
+  quince_heard_table_restart (heartbeats->fronts, quince_now_us ());
+  g_hash_table_remove_all (heartbeats->silent);
+  heartbeats->timer = quince_timer_add (HEARTBEAT_MS, beat, heartbeats);
+}
+
+void
+quince_heartbeats_stop_leading (QuinceHeartbeats *heartbeats)
+{
+  quince_source_clear (&heartbeats->timer);
+  heartbeats->links = NULL;
+}
+
+void
+quince_heartbeats_take_ack (QuinceHeartbeats *heartbeats, const QuinceHeartbeatAck *ack)
+{
+  quince_heard_table_hear (heartbeats->fronts, quince_now_us (), ack->node);
+}
--- a/daemons/replica/replica.c
+++ b/daemons/replica/replica.c
@@ -3,6 +3,8 @@
  */
 #include "replica.h"
 
+#include <string.h>
+
 #include <quince/belief-feed.h>
 #include <quince/log.h>
 #include <quince/metrics.h>
@@ -12,6 +14,7 @@
 #include <quince/text-server.h>
 
 #include "batch-service.h"
+#include "heartbeats.h"
 #include "ledger-node.h"
 #include "platform.h"
 #include "weight-orders.h"
@@ -40,10 +43,11 @@
   QuinceBatchService *batches;
   QuinceWeightOrders *orders; /* NULL: not leading */
   QuinceBeliefFeed *feed;     /* NULL: not leading */
-  GHashTable *askers;         /* QuinceLink, owned: those that asked for news */
-  char **leaving;             /* nodes to be emptied */
-  GHashTable *told_leaving;   /* node name to GINT: state that was written, 1 running, 2 done */
-  QuinceTextServer *metrics;  /* NULL: none */
+  QuinceHeartbeats *heartbeats;
+  GHashTable *askers;        /* QuinceLink, owned: those that asked for news */
+  char **leaving;            /* nodes to be emptied */
+  GHashTable *told_leaving;  /* node name to GINT: state that was written, 1 running, 2 done */
+  QuinceTextServer *metrics; /* NULL: none */
   GSource *timer;
 } Replica;
 
@@ -134,6 +138,7 @@
   replica->orders = quince_weight_orders_start (replica->backends, replica->observer, &options, replica);
   quince_observer_feed_ended (replica->observer);
   replica->feed = quince_belief_feed_new (replica->observer, replica->store);
+  quince_heartbeats_lead (replica->heartbeats, replica->askers);
   GHashTableIter iter;
   gpointer link;
   g_hash_table_iter_init (&iter, replica->askers);
@@ -147,6 +152,7 @@
   Replica *replica = data;
   g_clear_pointer (&replica->orders, quince_weight_orders_stop);
   g_clear_pointer (&replica->feed, quince_belief_feed_free);
+  quince_heartbeats_stop_leading (replica->heartbeats);
   quince_batch_service_stop_leading (replica->batches);
 }
 
@@ -198,6 +204,8 @@
       if (replica->feed != NULL)
         quince_belief_feed_add (replica->feed, link);
     }
+  else if (message->kind == QUINCE_MESSAGE_HEARTBEAT_ACK)
+    quince_heartbeats_take_ack (replica->heartbeats, &message->QuinceMessage_u.heartbeat_ack);
   else if (message->kind == QUINCE_MESSAGE_PROGRESS && replica->feed == NULL)
     quince_progress_store_take (replica->progress, quince_now_us (), &message->QuinceMessage_u.progress);
   else if (message->kind == QUINCE_MESSAGE_BELIEF_NEWS && replica->feed == NULL)
@@ -227,6 +235,8 @@
   Replica *replica = data;
   if (g_str_equal (key, QUINCE_LEDGER_KEY) && replica->ledger != NULL)
     quince_ledger_node_take_view (replica->ledger, value, revision);
+  else if (g_str_has_prefix (key, QUINCE_FRONTS_PREFIX))
+    quince_heartbeats_set_listed (replica->heartbeats, key + strlen (QUINCE_FRONTS_PREFIX), value != NULL);
 }
 
 static void
@@ -328,6 +338,7 @@
   replica->name = g_strdup (quince_settings_get_text (settings, "node", "name"));
   replica->askers = g_hash_table_new_full (NULL, NULL, (GDestroyNotify)quince_link_unref, NULL);
   replica->told_leaving = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  replica->heartbeats = quince_heartbeats_new ();
   replica->backends = quince_backends_new (quince_settings_get_text (settings, "node", "zone"));
   replica->store = quince_meta_store_new (quince_settings_get_text (settings, "store", "address"),
                                           &quince_platform_meta_dialect);
@@ -382,6 +393,7 @@
   if (replica->orders != NULL)
     quince_weight_orders_stop (replica->orders);
   quince_belief_feed_free (replica->feed);
+  quince_heartbeats_free (replica->heartbeats);
   quince_batch_service_free (replica->batches);
   quince_model_homes_free (replica->homes);
   quince_progress_store_free (replica->progress);
--- a/lib/core/story/log-vocabulary.c
+++ b/lib/core/story/log-vocabulary.c
@@ -22,6 +22,8 @@
   "event_deleted",
   "event_known",
   "front_changed",
+  "front_heard",
+  "front_silent",
   "item_refused",
   "lease_lost",
   "ledger_disk_failed",
--- a/lib/protocol/quince_protocol.x
+++ b/lib/protocol/quince_protocol.x
@@ -627,6 +627,15 @@
     QuinceBelief   items<QUINCE_MAX_INDEXES>;
 };
 
+/* From the ledger's leader to all that asked for news, several times a second. */
+struct QuinceHeartbeat {
+    bool           certain;           /* silent is all that are not heard  */
+    QuinceText     silent<QUINCE_MAX_INDEXES>;
+};
+
+/* A front's answer to each. */
+struct QuinceHeartbeatAck { QuinceText node; };
+
 /* A caller's call that the ledger's primary answers, passed on as it came. */
 struct QuinceServiceCall {
     unsigned hyper id;                /* of the link                       */
@@ -667,7 +676,9 @@
     QUINCE_MESSAGE_LEDGER_PROMISE = 17,
     QUINCE_MESSAGE_BELIEF_ASK    = 18,
     QUINCE_MESSAGE_BELIEF_NEWS   = 19,
-    QUINCE_MESSAGE_PROGRESS      = 20
+    QUINCE_MESSAGE_PROGRESS      = 20,
+    QUINCE_MESSAGE_HEARTBEAT     = 21,
+    QUINCE_MESSAGE_HEARTBEAT_ACK = 22
 };
 
 union QuinceMessage switch (QuinceMessageKind kind) {
@@ -692,6 +703,8 @@
 case QUINCE_MESSAGE_BELIEF_ASK:    QuinceBeliefAsk    belief_ask;
 case QUINCE_MESSAGE_BELIEF_NEWS:   QuinceBeliefNews   belief_news;
 case QUINCE_MESSAGE_PROGRESS:      QuinceSampleProgress     progress;
+case QUINCE_MESSAGE_HEARTBEAT:     QuinceHeartbeat    heartbeat;
+case QUINCE_MESSAGE_HEARTBEAT_ACK: QuinceHeartbeatAck heartbeat_ack;
 };
 
 /* ---- UDP: membership and digests ------------------------------------ */
--- /dev/null
+++ b/tests/unit/test-heard-table.c
@@ -0,0 +1,111 @@
+/*
+ * test-heard-table.c: who is silent, and when nothing can be said of it.
+ */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <cmocka.h>
+
+#include <quince/heard-table.h>
+
+#define MILLISECOND 1000
+#define SILENCE (700 * MILLISECOND)
+
+static QuinceHeardTable *
+listed (const char *const *names)
+{
+  QuinceHeardTable *table = quince_heard_table_new (SILENCE);
+  quince_heard_table_restart (table, 0);
+  for (; *names != NULL; names++)
+    quince_heard_table_set_listed (table, 0, *names, TRUE);
+  return table;
+}
+
+static void
+hear_all (QuinceHeardTable *table, gint64 now_us, const char *const *names)
+{
+  for (; *names != NULL; names++)
+    quince_heard_table_hear (table, now_us, *names);
+}
+
+static void
+test_silent_one (void **state)
+{
+  static const char *const names[] = { "f1", "f2", "f3", NULL };
+  static const char *const alive[] = { "f1", "f3", NULL };
+  g_autoptr (QuinceHeardTable) table = listed (names);
+  g_autoptr (GPtrArray) silent = g_ptr_array_new ();
+  hear_all (table, SILENCE, names);
+  assert_true (quince_heard_table_judge (table, SILENCE + MILLISECOND, silent));
+  assert_int_equal (silent->len, 0);
+  hear_all (table, 2 * SILENCE, alive);
+  assert_true (quince_heard_table_judge (table, 2 * SILENCE, silent));
+  assert_int_equal (silent->len, 1);
+  assert_string_equal (silent->pdata[0], "f2");
+  /* It speaks again. */
+  quince_heard_table_hear (table, 2 * SILENCE, "f2");
+  g_ptr_array_set_size (silent, 0);
+  assert_true (quince_heard_table_judge (table, 2 * SILENCE, silent));
+  assert_int_equal (silent->len, 0);
+}
+
+static void
+test_nothing_said_at_first (void **state)
+{
+  static const char *const names[] = { "f1", "f2", NULL };
+  g_autoptr (QuinceHeardTable) table = listed (names);
+  g_autoptr (GPtrArray) silent = g_ptr_array_new ();
+  quince_heard_table_restart (table, 10 * SILENCE);
+  quince_heard_table_hear (table, 10 * SILENCE, "f1");
+  assert_false (quince_heard_table_judge (table, 11 * SILENCE - 1, silent));
+  assert_int_equal (silent->len, 0);
+  quince_heard_table_hear (table, 11 * SILENCE, "f1");
+  assert_true (quince_heard_table_judge (table, 11 * SILENCE, silent));
+  assert_int_equal (silent->len, 1);
+}
+
+static void
+test_cut_off_itself (void **state)
+{
+  static const char *const names[] = { "f1", "f2", "f3", "f4", "f5", NULL };
+  g_autoptr (QuinceHeardTable) table = listed (names);
+  g_autoptr (GPtrArray) silent = g_ptr_array_new ();
+  quince_heard_table_hear (table, 2 * SILENCE, "f4");
+  assert_false (quince_heard_table_judge (table, 2 * SILENCE, silent));
+  assert_int_equal (silent->len, 0);
+  quince_heard_table_hear (table, 2 * SILENCE, "f5");
+  assert_true (quince_heard_table_judge (table, 2 * SILENCE, silent));
+  assert_int_equal (silent->len, 3);
+}
+
+static void
+test_unlisted (void **state)
+{
+  static const char *const names[] = { "f1", "f2", NULL };
+  g_autoptr (QuinceHeardTable) table = listed (names);
+  g_autoptr (GPtrArray) silent = g_ptr_array_new ();
+  /* Heard, and never listed: not in the directory anyway. */
+  quince_heard_table_hear (table, 0, "stranger");
+  quince_heard_table_hear (table, 2 * SILENCE, "f1");
+  quince_heard_table_set_listed (table, 2 * SILENCE, "f2", FALSE);
+  assert_true (quince_heard_table_judge (table, 2 * SILENCE, silent));
+  assert_int_equal (silent->len, 0);
+  /* A process that is listed anew has its time to be heard. */
+  quince_heard_table_set_listed (table, 2 * SILENCE, "f2", TRUE);
+  assert_true (quince_heard_table_judge (table, 2 * SILENCE, silent));
+  assert_int_equal (silent->len, 0);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_silent_one),
+    cmocka_unit_test (test_nothing_said_at_first),
+    cmocka_unit_test (test_cut_off_itself),
+    cmocka_unit_test (test_unlisted),
+  };
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
