Heartbeats: a front whose key lapsed stays silent; own keys are looked at 10 times a second at most

Their leases had run out; the table forgot whom the store no longer lists, and the fronts' directories, which keep a key that may have lapsed in an outage for 4 s more, named the dead again. Change: who vanished from the list is judged for 10 s more, and a line front_heard is written only for one that is heard. Also: at a cold start each key of a front woke the watches of all others (35 watches for 9 fronts, growing with their square): at most one look in 100 ms. Test: test_unlisted in unit heard-table (failed before), test_forgotten.

--- a/daemons/replica/heartbeats.c
+++ b/daemons/replica/heartbeats.c
@@ -22,7 +22,7 @@
 
 /* One line for each front that falls silent, or is heard again. */
 static void
-log_changes (QuinceHeartbeats *heartbeats, const GPtrArray *silent)
+log_changes (QuinceHeartbeats *heartbeats, gint64 now_us, const GPtrArray *silent)
 {
   g_autoptr (GHashTable) next = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   for (guint i = 0; i < silent->len; i++)
@@ -35,7 +35,7 @@
   gpointer name;
   g_hash_table_iter_init (&iter, heartbeats->silent);
   while (g_hash_table_iter_next (&iter, &name, NULL))
-    if (!g_hash_table_contains (next, name))
+    if (quince_heard_table_is_heard (heartbeats->fronts, now_us, name))
       quince_log_info ("front_heard", "front=%s", (const char *)name);
   g_hash_table_unref (heartbeats->silent);
   heartbeats->silent = g_steal_pointer (&next);
@@ -62,9 +62,11 @@
 {
   QuinceHeartbeats *heartbeats = data;
   g_autoptr (GPtrArray) silent = g_ptr_array_new ();
-  gboolean certain = quince_heard_table_judge (heartbeats->fronts, quince_now_us (), silent);
+  gint64 now = quince_now_us ();
+  quince_heard_table_forget (heartbeats->fronts, now);
+  gboolean certain = quince_heard_table_judge (heartbeats->fronts, now, silent);
   if (certain)
-    log_changes (heartbeats, silent);
+    log_changes (heartbeats, now, silent);
   send_all (heartbeats, certain, silent);
   return G_SOURCE_CONTINUE;
 }
--- a/lib/core/routing/heard-table.c
+++ b/lib/core/routing/heard-table.c
@@ -3,13 +3,16 @@
  */
 #include <quince/heard-table.h>
 
+/* What the store lists no longer may only have lapsed there, and is judged on for so long. */
+#define UNLISTED_KEEP_US (10 * G_USEC_PER_SEC)
 /* Who hears less than one in this many of those that are listed doubts itself. */
 #define HEARD_LEAST_PART 4
 
 typedef struct
 {
   gboolean listed;
-  gint64 since_us; /* when it was last heard, or was listed first */
+  gint64 since_us;    /* when it was last heard, or was listed first */
+  gint64 unlisted_us; /* since when it is not listed */
 } Entry;
 
 struct _QuinceHeardTable
@@ -45,6 +48,7 @@
     return entry;
   entry = g_new0 (Entry, 1);
   entry->since_us = now_us;
+  entry->unlisted_us = now_us - UNLISTED_KEEP_US; /* never was */
   g_hash_table_insert (table->entries, g_strdup (name), entry);
   return entry;
 }
@@ -52,10 +56,14 @@
 void
 quince_heard_table_set_listed (QuinceHeardTable *table, gint64 now_us, const char *name, gboolean listed)
 {
+  Entry *entry = entry_of (table, now_us, name);
+  if (entry->listed == listed)
+    return;
+  entry->listed = listed;
   if (listed)
-    entry_of (table, now_us, name)->listed = TRUE;
+    entry->since_us = now_us;
   else
-    g_hash_table_remove (table->entries, name);
+    entry->unlisted_us = now_us;
 }
 
 void
@@ -70,6 +78,34 @@
   table->began_us = now_us;
 }
 
+static gboolean
+is_heard (const QuinceHeardTable *table, gint64 now_us, const Entry *entry)
+{
+  return now_us - entry->since_us < table->silence_us;
+}
+
+gboolean
+quince_heard_table_is_heard (const QuinceHeardTable *table, gint64 now_us, const char *name)
+{
+  const Entry *entry = g_hash_table_lookup (table->entries, name);
+  return entry != NULL && is_heard (table, now_us, entry);
+}
+
+void
+quince_heard_table_forget (QuinceHeardTable *table, gint64 now_us)
+{
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, table->entries);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const Entry *entry = value;
+      if (!entry->listed && now_us - entry->unlisted_us >= UNLISTED_KEEP_US
+          && !is_heard (table, now_us, entry))
+        g_hash_table_iter_remove (&iter);
+    }
+}
+
 gboolean
 quince_heard_table_judge (const QuinceHeardTable *table, gint64 now_us, GPtrArray *silent)
 {
@@ -83,10 +119,10 @@
   while (g_hash_table_iter_next (&iter, &name, &value))
     {
       const Entry *entry = value;
-      if (!entry->listed)
+      if (!entry->listed && now_us - entry->unlisted_us >= UNLISTED_KEEP_US)
         continue;
       listed++;
-      if (now_us - entry->since_us >= table->silence_us)
+      if (!is_heard (table, now_us, entry))
         g_ptr_array_add (silent, name);
     }
   guint heard = listed - silent->len;
--- a/lib/observer/observer.c
+++ b/lib/observer/observer.c
@@ -11,6 +11,9 @@
 
 #include "platform.h"
 
+/* Starting processes change the own keys all at once: each looks at them this seldom. */
+#define OWN_PACE_MS 100
+
 struct _QuinceObserver
 {
   /* All fields belong to the context that created the observer. */
@@ -280,7 +283,8 @@
       = quince_meta_mirror_new (store, QUINCE_PLATFORM_OPERATOR_PREFIX, 0, &operator_callbacks, observer);
   observer->workers_mirror = quince_meta_mirror_new (store, QUINCE_PLATFORM_WORKERS_PREFIX, workers_pace_ms,
                                                      &worker_callbacks, observer);
-  observer->own_mirror = quince_meta_mirror_new (store, QUINCE_OWN_PREFIX, 0, &own_callbacks, observer);
+  observer->own_mirror
+      = quince_meta_mirror_new (store, QUINCE_OWN_PREFIX, OWN_PACE_MS, &own_callbacks, observer);
   return observer;
 }
 
--- a/tests/unit/test-heard-table.c
+++ b/tests/unit/test-heard-table.c
@@ -89,23 +89,42 @@
   /* Heard, and never listed: not in the directory anyway. */
   quince_heard_table_hear (table, 0, "stranger");
   quince_heard_table_hear (table, 2 * SILENCE, "f1");
+  /* Its key may have lapsed, but nobody hears it either: it stays silent. */
   quince_heard_table_set_listed (table, 2 * SILENCE, "f2", FALSE);
   assert_true (quince_heard_table_judge (table, 2 * SILENCE, silent));
-  assert_int_equal (silent->len, 0);
+  assert_int_equal (silent->len, 1);
+  assert_string_equal (silent->pdata[0], "f2");
   /* A process that is listed anew has its time to be heard. */
+  g_ptr_array_set_size (silent, 0);
   quince_heard_table_set_listed (table, 2 * SILENCE, "f2", TRUE);
   assert_true (quince_heard_table_judge (table, 2 * SILENCE, silent));
   assert_int_equal (silent->len, 0);
 }
 
+/* Who is long gone is forgotten. */
+static void
+test_forgotten (void **state)
+{
+  static const char *const names[] = { "f1", "f2", NULL };
+  const gint64 later = 30 * G_USEC_PER_SEC;
+  g_autoptr (QuinceHeardTable) table = listed (names);
+  g_autoptr (GPtrArray) silent = g_ptr_array_new ();
+  quince_heard_table_set_listed (table, SILENCE, "f2", FALSE);
+  quince_heard_table_hear (table, later, "f1");
+  quince_heard_table_forget (table, later);
+  assert_true (quince_heard_table_judge (table, later, silent));
+  assert_int_equal (silent->len, 0);
+  assert_true (quince_heard_table_is_heard (table, later, "f1"));
+  assert_false (quince_heard_table_is_heard (table, later, "f2"));
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
-    cmocka_unit_test (test_silent_one),
-    cmocka_unit_test (test_nothing_said_at_first),
-    cmocka_unit_test (test_cut_off_itself),
-    cmocka_unit_test (test_unlisted),
+    cmocka_unit_test (test_silent_one),     cmocka_unit_test (test_nothing_said_at_first),
+    cmocka_unit_test (test_cut_off_itself), cmocka_unit_test (test_unlisted),
+    cmocka_unit_test (test_forgotten),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
