Forward: plain requests and streams share their dispatch; sticky routes go where their prompt is kept

Change: lib/forward/dispatch.c is the shared part (forward.c 436 to 382 lines, stream.c 377 to 330); a bounded table of prompt parts in lib/core/routing says who was given a part last, for sticky routes and for the groups of samples. Tests: unit prompt-table (1,000 parts stay within the bound); test_sticky_streams in platform-path, which fails without the parts handed on.

--- a/daemons/front/caller-request.c
+++ b/daemons/front/caller-request.c
@@ -236,6 +236,7 @@
   g_autoptr (QuinceHttpHeaders) headers = quince_http_headers_copy (request->head->headers);
   quince_http_headers_remove_hop_by_hop (headers);
   g_autoptr (GBytes) body = g_bytes_new (request->body->data, request->body->len);
+  g_auto (GStrv) prompt = route->sticky ? quince_platform_read_prompt (headers) : NULL;
   const QuinceForwardRequest forward = {
     .service = service,
     .kind = route->name,
@@ -244,6 +245,7 @@
     .request_id = facts.request_id,
     .headers = headers,
     .body = body,
+    .prompt = (const char *const *)prompt,
     .repeatable = route->kind == QUINCE_ROUTE_IDEMPOTENT,
     .max_attempts = route->max_attempts,
     .target_latency_ms = route->target_latency_ms,
--- a/daemons/replica/sample-runner.c
+++ b/daemons/replica/sample-runner.c
@@ -36,8 +36,7 @@
   QuinceProgressStore *progress;
   const QuinceSampleRunnerCallbacks *callbacks;
   gpointer user_data;
-  GPtrArray *samples;       /* QuinceSample, owned, in order of their start */
-  GHashTable *group_worker; /* "batch group" to the worker that likely keeps the prompt */
+  GPtrArray *samples; /* QuinceSample, owned, in order of their start */
   GSource *timer;
   GSource *soon; /* a pump that is asked for */
   guint running;
@@ -175,12 +174,6 @@
 
 /* ---- Runs ------------------------------------------------------------- */
 
-static char *
-group_key (const QuinceSample *sample)
-{
-  return g_strconcat (sample->entry->batch->id, " ", quince_sample_get_item (sample)->group, NULL);
-}
-
 static void
 wait_again (QuinceSample *sample, gint64 pause_us)
 {
@@ -260,7 +253,10 @@
   g_autoptr (GHashTable) avoid = g_hash_table_new (g_str_hash, g_str_equal);
   if (sample->avoid_worker != NULL)
     g_hash_table_add (avoid, sample->avoid_worker);
-  g_autofree char *key = group_key (sample);
+  /* The samples of a group share their prompt. */
+  g_autofree char *group
+      = g_strconcat (sample->entry->batch->id, " ", quince_sample_get_item (sample)->group, NULL);
+  const char *const prompt[] = { group, NULL };
   const QuinceRouteTable *routes = quince_observer_get_routes (runner->observer);
   const QuinceService *service = quince_route_table_find_service (routes, request->service);
   QuinceBackendQuery query = { .request = request,
@@ -268,15 +264,13 @@
                                .minimum_version = sample->entry->batch->minimum_version,
                                .avoid = avoid,
                                .most_running = service != NULL && service->slots > 0 ? service->slots : 8,
-                               .prefer = g_hash_table_lookup (runner->group_worker, key) };
+                               .prompt = prompt };
   QuinceBackendOutcome outcome = quince_backends_choose (runner->backends, quince_now_us (), &query, worker);
   if (outcome == QUINCE_BACKEND_NONE && sample->avoid_worker != NULL)
     {
       query.avoid = NULL;
       outcome = quince_backends_choose (runner->backends, quince_now_us (), &query, worker);
     }
-  if (*worker != NULL)
-    g_hash_table_replace (runner->group_worker, g_steal_pointer (&key), g_strdup ((*worker)->id));
   return outcome;
 }
 
@@ -404,7 +398,6 @@
   runner->callbacks = callbacks;
   runner->user_data = user_data;
   runner->samples = g_ptr_array_new_with_free_func ((GDestroyNotify)quince_sample_free);
-  runner->group_worker = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   runner->timer = quince_timer_add (PUMP_EVERY_MS, timer_over, runner);
   return runner;
 }
@@ -417,7 +410,6 @@
   quince_source_clear (&runner->timer);
   quince_source_clear (&runner->soon);
   g_ptr_array_unref (runner->samples);
-  g_hash_table_unref (runner->group_worker);
   g_free (runner);
 }
 
--- a/include/quince/backends.h
+++ b/include/quince/backends.h
@@ -35,7 +35,8 @@
  * @model: (nullable): with @minimum_version, what the worker must have
  * @avoid: (nullable): ids of workers that failed this request
  * @most_running: requests of this process at one worker; 0: no bound
- * @prefer: (nullable): id of a worker that likely keeps the prompt
+ * @prompt: (nullable): parts of the prompt, %NULL-terminated, see prompt-table.h: a worker that likely keeps
+ * them is marked for the policy
  */
 typedef struct
 {
@@ -44,7 +45,7 @@
   guint64 minimum_version;
   GHashTable *avoid;
   guint most_running;
-  const char *prefer;
+  const char *const *prompt;
 } QuinceBackendQuery;
 
 /* Fills in what @request's service has of events, at the wall clock @wall_ms. */
--- a/include/quince/forward.h
+++ b/include/quince/forward.h
@@ -36,6 +36,8 @@
  * QuinceForwardRequest:
  * @service: where to
  * @headers: the caller's, without those of its connection
+ * @prompt: (nullable): parts of its prompt, %NULL-terminated, where a worker that keeps them is to be
+ * preferred
  * @repeatable: it may run more than once
  * @max_attempts: workers that may run it
  * @target_latency_ms: an answer within it earns its full credit
@@ -51,6 +53,7 @@
   const char *request_id;
   const QuinceHttpHeaders *headers;
   GBytes *body;
+  const char *const *prompt;
   gboolean repeatable;
   guint max_attempts;
   guint target_latency_ms;
--- /dev/null
+++ b/lib/core/routing/prompt-table.c
@@ -0,0 +1,103 @@
+/*
+ * prompt-table.c: which worker was last given a part of a prompt.
+ */
+#include <quince/prompt-table.h>
+
+typedef struct
+{
+  char *part;
+  char *worker;
+  GList *place; /* in the order of use */
+} Entry;
+
+struct _QuincePromptTable
+{
+  GHashTable *entries; /* Entry by part, owned */
+  GQueue order;        /* Entry, the last used at the end */
+  guint most;
+};
+
+static void
+entry_free (gpointer data)
+{
+  Entry *entry = data;
+  g_free (entry->part);
+  g_free (entry->worker);
+  g_free (entry);
+}
+
+QuincePromptTable *
+quince_prompt_table_new (guint most)
+{
+  QuincePromptTable *table = g_new0 (QuincePromptTable, 1);
+  table->entries = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, entry_free);
+  g_queue_init (&table->order);
+  table->most = most;
+  return table;
+}
+
+void
+quince_prompt_table_free (QuincePromptTable *table)
+{
+  if (table == NULL)
+    return;
+  g_queue_clear (&table->order);
+  g_hash_table_unref (table->entries);
+  g_free (table);
+}
+
+static void
+forget_oldest (QuincePromptTable *table)
+{
+  Entry *oldest = g_queue_pop_head (&table->order);
+  g_hash_table_remove (table->entries, oldest->part);
+}
+
+static void
+note_part (QuincePromptTable *table, const char *part, const char *worker)
+{
+  Entry *entry = g_hash_table_lookup (table->entries, part);
+  if (entry == NULL)
+    {
+      entry = g_new0 (Entry, 1);
+      entry->part = g_strdup (part);
+      g_hash_table_insert (table->entries, entry->part, entry);
+      g_queue_push_tail (&table->order, entry);
+      entry->place = g_queue_peek_tail_link (&table->order);
+    }
+  else
+    {
+      g_queue_unlink (&table->order, entry->place);
+      g_queue_push_tail_link (&table->order, entry->place);
+    }
+  g_free (entry->worker);
+  entry->worker = g_strdup (worker);
+}
+
+void
+quince_prompt_table_note (QuincePromptTable *table, const char *const *parts, const char *worker)
+{
+  for (; *parts != NULL; parts++)
+    note_part (table, *parts, worker);
+  while (g_hash_table_size (table->entries) > table->most)
+    forget_oldest (table);
+}
+
+const char *
+quince_prompt_table_find (const QuincePromptTable *table, const char *const *parts)
+{
+  const char *found = NULL;
+  for (; *parts != NULL; parts++)
+    {
+      const Entry *entry = g_hash_table_lookup (table->entries, *parts);
+      if (entry != NULL)
+        found = entry->worker;
+    }
+  return found;
+}
+
+guint
+quince_prompt_table_get_size (const QuincePromptTable *table)
+{
+  return g_hash_table_size (table->entries);
+}
--- a/lib/forward/backends-private.h
+++ b/lib/forward/backends-private.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <quince/policy-entry.h>
+#include <quince/prompt-table.h>
 
 struct _QuinceBackends
 {
@@ -14,5 +15,6 @@
   guint64 opened_before; /* by pools that are gone */
   QuincePolicy *policy;
   GHashTable *events; /* QuinceEventEntry by name, owned */
-  guint tie;          /* turns among equals */
+  QuincePromptTable *prompts;
+  guint tie; /* turns among equals */
 };
--- a/lib/forward/backends.c
+++ b/lib/forward/backends.c
@@ -9,6 +9,8 @@
 #include <quince/log.h>
 
 #define FAILURES_SHOWN_MOST 10
+/* Parts of prompts of which the last worker is remembered. */
+#define PROMPT_PARTS_MOST 8192
 
 static void
 worker_gone (QuinceWorker *worker, gpointer data)
@@ -40,6 +42,7 @@
   backends->pools
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, (GDestroyNotify)quince_http_pool_unref);
   backends->events = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, event_free);
+  backends->prompts = quince_prompt_table_new (PROMPT_PARTS_MOST);
   backends->tie = g_random_int ();
   return backends;
 }
@@ -52,6 +55,7 @@
   quince_worker_table_free (backends->workers);
   g_hash_table_unref (backends->pools);
   g_hash_table_unref (backends->events);
+  quince_prompt_table_free (backends->prompts);
   quince_policy_free (backends->policy);
   g_free (backends->zone);
   g_free (backends);
@@ -200,10 +204,11 @@
 describe (const QuinceBackends *backends,
           const QuinceWorker *worker,
           const QuinceBackendQuery *query,
+          const char *keeps_prompt,
           QuincePolicyEngine *engine)
 {
   guint capacity = MAX (worker->slots, 1);
-  gboolean preferred = query->prefer != NULL && g_str_equal (query->prefer, worker->id);
+  gboolean preferred = keeps_prompt != NULL && g_str_equal (keeps_prompt, worker->id);
   guint64 version = query->model != NULL ? quince_worker_get_version (worker, query->model) : 0;
   *engine = (QuincePolicyEngine){
     .name = worker->id,
@@ -252,8 +257,10 @@
   double scores[QUINCE_POLICY_MAX_CANDIDATES];
   guint n_engines = MIN (found->len, QUINCE_POLICY_MAX_CANDIDATES);
   guint first = backends->tie++ % found->len; /* by turns, so that equals share */
+  const char *keeps_prompt
+      = query->prompt != NULL ? quince_prompt_table_find (backends->prompts, query->prompt) : NULL;
   for (guint i = 0; i < n_engines; i++)
-    describe (backends, found->pdata[(first + i) % found->len], query, &engines[i]);
+    describe (backends, found->pdata[(first + i) % found->len], query, keeps_prompt, &engines[i]);
   score (backends, query->request, engines, n_engines, scores);
   gint best = -1;
   for (guint i = 0; i < n_engines; i++)
@@ -262,5 +269,7 @@
   if (best < 0)
     return QUINCE_BACKEND_FULL;
   *worker = found->pdata[(first + (guint)best) % found->len];
+  if (query->prompt != NULL)
+    quince_prompt_table_note (backends->prompts, query->prompt, (*worker)->id);
   return QUINCE_BACKEND_CHOSEN;
 }
--- /dev/null
+++ b/lib/forward/dispatch.c
@@ -0,0 +1,90 @@
+/*
+ * dispatch.c: what plain requests and streams share.
+ */
+#include "dispatch.h"
+
+#include <quince/task.h>
+
+void
+quince_dispatch_init (QuinceDispatch *dispatch,
+                      QuinceBackends *backends,
+                      const QuinceForwardDialect *dialect,
+                      const QuinceForwardRequest *request)
+{
+  dispatch->backends = backends;
+  dispatch->dialect = dialect;
+  dispatch->service = g_strdup (request->service);
+  dispatch->kind = g_strdup (request->kind);
+  dispatch->method = g_strdup (request->method);
+  dispatch->target = g_strdup (request->target);
+  dispatch->request_id = g_strdup (request->request_id != NULL ? request->request_id : "");
+  dispatch->headers = quince_http_headers_copy (request->headers);
+  dispatch->body = request->body != NULL ? g_bytes_ref (request->body) : NULL;
+  dispatch->prompt = g_strdupv ((char **)request->prompt);
+  dispatch->avoid = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  dispatch->max_attempts = MAX (request->max_attempts, 1);
+  dispatch->target_latency_us = (gint64)request->target_latency_ms * 1000;
+  dispatch->started_us = quince_now_us ();
+  dispatch->deadline_us = request->deadline_us;
+  dispatch->give_up_us = MIN (request->give_up_us, request->deadline_us);
+}
+
+void
+quince_dispatch_clear (QuinceDispatch *dispatch)
+{
+  quince_http_headers_free (dispatch->headers);
+  g_clear_pointer (&dispatch->body, g_bytes_unref);
+  g_hash_table_unref (dispatch->avoid);
+  g_strfreev (dispatch->prompt);
+  g_free (dispatch->service);
+  g_free (dispatch->kind);
+  g_free (dispatch->method);
+  g_free (dispatch->target);
+  g_free (dispatch->request_id);
+}
+
+QuinceBackendOutcome
+quince_dispatch_choose (QuinceDispatch *dispatch, gint64 now_us, gboolean at_most_once, QuinceWorker **worker)
+{
+  QuincePolicyRequest request = { .service = dispatch->service,
+                                  .member = "",
+                                  .kind = dispatch->kind,
+                                  .at_most_once = at_most_once,
+                                  .attempt = dispatch->attempts + 1,
+                                  .deadline_ms = (guint)((dispatch->deadline_us - now_us) / 1000) };
+  quince_backends_describe_events (dispatch->backends, quince_wall_ms (), &request);
+  const QuinceBackendQuery query
+      = { .request = &request, .avoid = dispatch->avoid, .prompt = (const char *const *)dispatch->prompt };
+  return quince_backends_choose (dispatch->backends, now_us, &query, worker);
+}
+
+QuinceHttpHeaders *
+quince_dispatch_begin (QuinceDispatch *dispatch, QuinceWorker *worker, gint64 now_us)
+{
+  QuinceHttpHeaders *headers = quince_http_headers_copy (dispatch->headers);
+  dispatch->dialect->write_dispatch (headers, worker->id, MAX ((dispatch->deadline_us - now_us) / 1000, 1));
+  g_hash_table_add (dispatch->avoid, g_strdup (worker->id));
+  dispatch->attempts++;
+  worker->running++;
+  return headers;
+}
+
+QuinceWorker *
+quince_dispatch_find (const QuinceDispatch *dispatch, const char *worker_id)
+{
+  return quince_worker_table_find (quince_backends_get_workers (dispatch->backends), worker_id);
+}
+
+void
+quince_dispatch_leave (QuinceDispatch *dispatch, const char *worker_id)
+{
+  QuinceWorker *worker = quince_dispatch_find (dispatch, worker_id);
+  if (worker != NULL && worker->running > 0)
+    worker->running--;
+}
+
+gboolean
+quince_dispatch_may_wait (const QuinceDispatch *dispatch, gint64 now_us)
+{
+  return now_us < dispatch->started_us + dispatch->target_latency_us / 2;
+}
--- /dev/null
+++ b/lib/forward/dispatch.h
@@ -0,0 +1,49 @@
+/*
+ * dispatch.h: what plain requests and streams share: the request, the choice of a worker for each attempt,
+ * and what a worker is sent.
+ */
+#pragma once
+
+#include <quince/forward.h>
+
+typedef struct
+{
+  /* All fields belong to the forward or stream that it is part of. */
+  QuinceBackends *backends;
+  const QuinceForwardDialect *dialect;
+  char *service;
+  char *kind;
+  char *method;
+  char *target;
+  char *request_id;
+  QuinceHttpHeaders *headers;
+  GBytes *body;
+  char **prompt;      /* NULL: nothing of it is kept */
+  GHashTable *avoid;  /* ids of workers that were tried */
+  guint attempts;     /* sends so far */
+  guint max_attempts; /* at least 1 */
+  gint64 target_latency_us;
+  gint64 started_us;
+  gint64 deadline_us;
+  gint64 give_up_us;
+} QuinceDispatch;
+
+/* Copies what it needs of @request; the request begins now. */
+void quince_dispatch_init (QuinceDispatch *dispatch,
+                           QuinceBackends *backends,
+                           const QuinceForwardDialect *dialect,
+                           const QuinceForwardRequest *request);
+void quince_dispatch_clear (QuinceDispatch *dispatch);
+/* Chooses a worker for the next attempt. */
+QuinceBackendOutcome quince_dispatch_choose (QuinceDispatch *dispatch,
+                                             gint64 now_us,
+                                             gboolean at_most_once,
+                                             QuinceWorker **worker);
+/* The attempt goes to @worker: counts it there and here. (transfer full): the headers that it is sent */
+QuinceHttpHeaders *quince_dispatch_begin (QuinceDispatch *dispatch, QuinceWorker *worker, gint64 now_us);
+/* The attempt at @worker_id is over. */
+void quince_dispatch_leave (QuinceDispatch *dispatch, const char *worker_id);
+/* (nullable): @worker_id where it is still listed */
+QuinceWorker *quince_dispatch_find (const QuinceDispatch *dispatch, const char *worker_id);
+/* A request that nobody runs and nobody has room for waits that long at the most. */
+gboolean quince_dispatch_may_wait (const QuinceDispatch *dispatch, gint64 now_us);
--- a/lib/forward/forward.c
+++ b/lib/forward/forward.c
@@ -5,12 +5,12 @@
  * first answer that counts is taken and the other run is cancelled.  No more workers get it than its route
  * allows.
  */
-#include <quince/forward.h>
-
 #include <quince/log.h>
 #include <quince/metrics.h>
 #include <quince/task.h>
 
+#include "dispatch.h"
+
 /* Where every worker is full the request waits this long and asks again, up to half its latency target. */
 #define FULL_PAUSE_MS 20
 /* Sends that workers refuse do not run; this many are made at the most. */
@@ -40,29 +40,14 @@
 struct _QuinceForward
 {
   /* All fields belong to the context that started it. */
-  QuinceBackends *backends;
-  const QuinceForwardDialect *dialect;
+  QuinceDispatch dispatch;
   void (*done) (const QuinceForwardResult *, gpointer);
   gpointer user_data;
-  char *service;
-  char *kind;
-  char *method;
-  char *target;
-  char *request_id;
-  QuinceHttpHeaders *headers;
-  GBytes *body;
   gboolean repeatable;
-  guint max_attempts;
-  gint64 target_latency_us;
-  gint64 started_us;
-  gint64 deadline_us;
-  gint64 give_up_us;
 
   GPtrArray *live; /* Attempt, owned: in progress, the oldest first */
-  GHashTable *avoid;
-  GSource *timer; /* next attempt, or another one beside those in progress */
-  guint attempts;
-  guint runs; /* attempts that may have run, those in progress too */
+  GSource *timer;  /* next attempt, or another one beside those in progress */
+  guint runs;      /* attempts that may have run, those in progress too */
   guint refused_sends;
   guint failed_runs;
   const char *cause;
@@ -72,21 +57,12 @@
 
 /* ---- Attempts --------------------------------------------------------- */
 
-static QuinceWorker *
-worker_of (const Attempt *attempt)
-{
-  return quince_worker_table_find (quince_backends_get_workers (attempt->forward->backends),
-                                   attempt->worker_id);
-}
-
 /* Cancels it where it is in progress. */
 static void
 attempt_free (gpointer data)
 {
   Attempt *attempt = data;
-  QuinceWorker *worker = worker_of (attempt);
-  if (worker != NULL && worker->running > 0)
-    worker->running--;
+  quince_dispatch_leave (&attempt->forward->dispatch, attempt->worker_id);
   if (attempt->exchange != NULL)
     quince_http_exchange_cancel (attempt->exchange);
   g_free (attempt->worker_id);
@@ -96,7 +72,7 @@
 static void
 note_worker (const Attempt *attempt, gboolean good)
 {
-  QuinceWorker *worker = worker_of (attempt);
+  QuinceWorker *worker = quince_dispatch_find (&attempt->forward->dispatch, attempt->worker_id);
   gint64 now = quince_now_us ();
   if (worker != NULL && good)
     quince_worker_note_answer (worker, now - attempt->started_us);
@@ -118,14 +94,7 @@
 {
   quince_source_clear (&forward->timer);
   g_ptr_array_unref (forward->live);
-  quince_http_headers_free (forward->headers);
-  g_clear_pointer (&forward->body, g_bytes_unref);
-  g_hash_table_unref (forward->avoid);
-  g_free (forward->service);
-  g_free (forward->kind);
-  g_free (forward->method);
-  g_free (forward->target);
-  g_free (forward->request_id);
+  quince_dispatch_clear (&forward->dispatch);
   g_free (forward);
 }
 
@@ -138,7 +107,7 @@
 static void
 forward_end (QuinceForward *forward, QuinceForwardResult *result)
 {
-  result->attempts = forward->attempts;
+  result->attempts = forward->dispatch.attempts;
   result->failed_runs = forward->failed_runs;
   result->cause = forward->cause;
   forward->done (result, forward->user_data);
@@ -175,7 +144,7 @@
 static gboolean
 may_run_again (const QuinceForward *forward)
 {
-  return forward->runs == 0 || (forward->repeatable && forward->runs < forward->max_attempts);
+  return forward->runs == 0 || (forward->repeatable && forward->runs < forward->dispatch.max_attempts);
 }
 
 static void
@@ -193,8 +162,8 @@
   count_attempt (cause);
   quince_log_info ("request_retried",
                    "request=%s worker=%s cause=%s attempts=%u runs=%u took_ms=%" G_GINT64_FORMAT,
-                   forward->request_id, attempt->worker_id, cause, forward->attempts, forward->runs,
-                   (quince_now_us () - attempt->started_us) / 1000);
+                   forward->dispatch.request_id, attempt->worker_id, cause, forward->dispatch.attempts,
+                   forward->runs, (quince_now_us () - attempt->started_us) / 1000);
   forward->cause = cause;
   drop_attempt (attempt);
   if (!ran)
@@ -205,10 +174,11 @@
   gint64 now = quince_now_us ();
   if (forward->live->len > 0)
     return; /* another run goes on */
-  if (forward->refused_sends < REFUSED_SENDS_MOST && may_run_again (forward) && now < forward->give_up_us)
+  if (forward->refused_sends < REFUSED_SENDS_MOST && may_run_again (forward)
+      && now < forward->dispatch.give_up_us)
     try_later (forward, 0);
   else
-    forward_fail (forward, now >= forward->give_up_us - TIMER_ROUNDING_US);
+    forward_fail (forward, now >= forward->dispatch.give_up_us - TIMER_ROUNDING_US);
 }
 
 static void
@@ -219,7 +189,8 @@
   gboolean good = head->status >= 200 && head->status < 300;
   note_worker (attempt, good);
   forward->failed_runs += head->status == 500;
-  gboolean another = forward->live->len > 1 || (forward->repeatable && forward->runs < forward->max_attempts);
+  gboolean another
+      = forward->live->len > 1 || (forward->repeatable && forward->runs < forward->dispatch.max_attempts);
   if (head->status >= 500 && another)
     {
       attempt_over (attempt, TRUE, "worker_failed");
@@ -254,9 +225,9 @@
   const char *request_id = NULL;
   const char *signature = NULL;
   gboolean refused = FALSE;
-  forward->dialect->read_answer (head, &request_id, &signature, &refused);
+  forward->dispatch.dialect->read_answer (head, &request_id, &signature, &refused);
   gboolean good = head->status >= 200 && head->status < 300;
-  if (g_strcmp0 (request_id, forward->request_id) != 0 && (good || request_id != NULL))
+  if (g_strcmp0 (request_id, forward->dispatch.request_id) != 0 && (good || request_id != NULL))
     {
       note_worker (attempt, FALSE);
       attempt_over (attempt, TRUE, "wrong_answer");
@@ -277,8 +248,8 @@
   const char *request_id = NULL;
   const char *signature = NULL;
   gboolean refused = FALSE;
-  attempt->forward->dialect->read_answer (head, &request_id, &signature, &refused);
-  if (request_id != NULL && !g_str_equal (request_id, attempt->forward->request_id))
+  attempt->forward->dispatch.dialect->read_answer (head, &request_id, &signature, &refused);
+  if (request_id != NULL && !g_str_equal (request_id, attempt->forward->dispatch.request_id))
     quince_http_exchange_distrust (exchange);
 }
 
@@ -291,7 +262,8 @@
 static gint64
 hedge_after (const QuinceForward *forward, const QuinceWorker *worker)
 {
-  gint64 most = MAX ((gint64)(HEDGE_TARGET_SHARE * (double)forward->target_latency_us), HEDGE_LEAST_US);
+  gint64 most
+      = MAX ((gint64)(HEDGE_TARGET_SHARE * (double)forward->dispatch.target_latency_us), HEDGE_LEAST_US);
   gint64 usual = worker->service_us > 0 ? (gint64)HEDGE_TIMES * worker->service_us : most;
   return CLAMP (usual, HEDGE_LEAST_US, most);
 }
@@ -299,23 +271,20 @@
 static void
 send_to (QuinceForward *forward, QuinceWorker *worker, gint64 now_us)
 {
-  g_autoptr (QuinceHttpHeaders) headers = quince_http_headers_copy (forward->headers);
-  forward->dialect->write_dispatch (headers, worker->id, MAX ((forward->deadline_us - now_us) / 1000, 1));
-  const QuinceHttpRequest request = { .method = forward->method,
-                                      .target = forward->target,
+  QuinceDispatch *dispatch = &forward->dispatch;
+  g_autoptr (QuinceHttpHeaders) headers = quince_dispatch_begin (dispatch, worker, now_us);
+  const QuinceHttpRequest request = { .method = dispatch->method,
+                                      .target = dispatch->target,
                                       .headers = headers,
-                                      .body = forward->body,
-                                      .timeout_us = forward->give_up_us - now_us };
+                                      .body = dispatch->body,
+                                      .timeout_us = dispatch->give_up_us - now_us };
   Attempt *attempt = g_new0 (Attempt, 1);
   attempt->forward = forward;
   attempt->worker_id = g_strdup (worker->id);
   attempt->started_us = now_us;
   g_ptr_array_add (forward->live, attempt);
-  g_hash_table_add (forward->avoid, g_strdup (worker->id));
-  forward->attempts++;
   forward->runs++;
-  worker->running++;
-  QuinceHttpPool *pool = quince_backends_get_pool (forward->backends, worker);
+  QuinceHttpPool *pool = quince_backends_get_pool (dispatch->backends, worker);
   attempt->exchange = quince_http_pool_start (pool, &request, &exchange_callbacks, attempt);
   if (may_run_again (forward) && forward->repeatable)
     try_later (forward, hedge_after (forward, worker));
@@ -327,7 +296,7 @@
 abandon_oldest (QuinceForward *forward, gint64 now_us)
 {
   Attempt *oldest = forward->live->pdata[0];
-  gint64 patience = MAX (ABANDON_TARGETS * forward->target_latency_us, ABANDON_LEAST_US);
+  gint64 patience = MAX (ABANDON_TARGETS * forward->dispatch.target_latency_us, ABANDON_LEAST_US);
   gint64 left = oldest->started_us + patience - now_us;
   if (left > 0)
     {
@@ -344,9 +313,9 @@
 static void
 forget_tried (QuinceForward *forward)
 {
-  g_hash_table_remove_all (forward->avoid);
+  g_hash_table_remove_all (forward->dispatch.avoid);
   for (guint i = 0; i < forward->live->len; i++)
-    g_hash_table_add (forward->avoid, g_strdup (((Attempt *)forward->live->pdata[i])->worker_id));
+    g_hash_table_add (forward->dispatch.avoid, g_strdup (((Attempt *)forward->live->pdata[i])->worker_id));
 }
 
 /* No worker is left: all were tried, or none is there, or all are full. */
@@ -363,11 +332,11 @@
     }
   if (forward->cause == NULL)
     forward->cause = outcome == QUINCE_BACKEND_NONE ? "no_worker" : "workers_full";
-  gint64 patience_end = forward->started_us + forward->target_latency_us / 2;
-  gboolean tried_any = g_hash_table_size (forward->avoid) > 0;
+  gboolean tried_any = g_hash_table_size (forward->dispatch.avoid) > 0;
   /* The others may have room by now, and so may those that refused. */
   forget_tried (forward);
-  if ((tried_any || outcome != QUINCE_BACKEND_NONE) && (now_us < patience_end || forward->runs > 0))
+  if ((tried_any || outcome != QUINCE_BACKEND_NONE)
+      && (quince_dispatch_may_wait (&forward->dispatch, now_us) || forward->runs > 0))
     try_later (forward, FULL_PAUSE_MS * 1000);
   else
     forward_fail (forward, FALSE);
@@ -377,27 +346,18 @@
 try_worker (QuinceForward *forward)
 {
   gint64 now = quince_now_us ();
-  if (forward->live->len == 0 && now >= forward->give_up_us)
+  if (forward->live->len == 0 && now >= forward->dispatch.give_up_us)
     {
       forward_fail (forward, TRUE);
       return;
     }
-  if (now >= forward->give_up_us || !may_run_again (forward))
+  if (now >= forward->dispatch.give_up_us || !may_run_again (forward))
     return;
   if (forward->live->len >= LIVE_MOST && !abandon_oldest (forward, now))
     return;
-  QuincePolicyRequest request = {
-    .service = forward->service,
-    .member = "",
-    .kind = forward->kind,
-    .at_most_once = !forward->repeatable,
-    .attempt = forward->attempts + 1,
-    .deadline_ms = (guint)((forward->deadline_us - now) / 1000),
-  };
-  quince_backends_describe_events (forward->backends, quince_wall_ms (), &request);
-  const QuinceBackendQuery query = { .request = &request, .avoid = forward->avoid };
   QuinceWorker *worker = NULL;
-  QuinceBackendOutcome outcome = quince_backends_choose (forward->backends, now, &query, &worker);
+  QuinceBackendOutcome outcome
+      = quince_dispatch_choose (&forward->dispatch, now, !forward->repeatable, &worker);
   if (worker != NULL)
     send_to (forward, worker, now);
   else
@@ -412,25 +372,11 @@
                       gpointer user_data)
 {
   QuinceForward *forward = g_new0 (QuinceForward, 1);
-  forward->backends = backends;
-  forward->dialect = dialect;
+  quince_dispatch_init (&forward->dispatch, backends, dialect, request);
   forward->done = done;
   forward->user_data = user_data;
-  forward->service = g_strdup (request->service);
-  forward->kind = g_strdup (request->kind);
-  forward->method = g_strdup (request->method);
-  forward->target = g_strdup (request->target);
-  forward->request_id = g_strdup (request->request_id != NULL ? request->request_id : "");
-  forward->headers = quince_http_headers_copy (request->headers);
-  forward->body = request->body != NULL ? g_bytes_ref (request->body) : NULL;
   forward->repeatable = request->repeatable;
-  forward->max_attempts = MAX (request->max_attempts, 1);
-  forward->target_latency_us = (gint64)request->target_latency_ms * 1000;
-  forward->started_us = quince_now_us ();
-  forward->deadline_us = request->deadline_us;
-  forward->give_up_us = MIN (request->give_up_us, request->deadline_us);
   forward->live = g_ptr_array_new_with_free_func (attempt_free);
-  forward->avoid = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   try_later (forward, 0);
   return forward;
 }
--- a/lib/forward/stream.c
+++ b/lib/forward/stream.c
@@ -7,6 +7,8 @@
 #include <quince/metrics.h>
 #include <quince/task.h>
 
+#include "dispatch.h"
+
 /* A stream that says nothing for so long is resumed elsewhere, before its caller gives it up. */
 #define SILENCE_MS 1300
 #define PAUSE_MS 20
@@ -15,32 +17,18 @@
 struct _QuinceStream
 {
   /* All fields belong to the context that started it. */
-  QuinceBackends *backends;
+  QuinceDispatch dispatch;
   const QuinceStreamDialect *dialect;
   const QuinceStreamCallbacks *callbacks;
   gpointer user_data;
-  char *service;
-  char *kind;
-  char *method;
-  char *target;
-  char *request_id;
-  QuinceHttpHeaders *headers;
-  GBytes *body;
   gboolean resumable;
-  guint max_attempts;
-  gint64 started_us;
-  gint64 target_latency_us;
-  gint64 deadline_us;
-  gint64 give_up_us;
 
   QuinceHttpExchange *exchange;
   gpointer events; /* of the attempt in progress, where it may be resumed */
   char *worker_id;
-  GHashTable *avoid;
   GSource *timer;   /* next attempt */
   GSource *silence; /* of the attempt in progress, and the end of all */
   gint64 heard_us;
-  guint attempts;
   guint runs;
   guint refused_sends;
   guint64 last_event;
@@ -62,24 +50,14 @@
     stream->dialect->events_free (stream->events);
   stream->events = NULL;
   stream->exchange = NULL;
-  QuinceWorker *worker
-      = quince_worker_table_find (quince_backends_get_workers (stream->backends), stream->worker_id);
-  if (worker != NULL && worker->running > 0)
-    worker->running--;
+  quince_dispatch_leave (&stream->dispatch, stream->worker_id);
 }
 
 static void
 stream_free (QuinceStream *stream)
 {
   quince_source_clear (&stream->timer);
-  quince_http_headers_free (stream->headers);
-  g_clear_pointer (&stream->body, g_bytes_unref);
-  g_hash_table_unref (stream->avoid);
-  g_free (stream->service);
-  g_free (stream->kind);
-  g_free (stream->method);
-  g_free (stream->target);
-  g_free (stream->request_id);
+  quince_dispatch_clear (&stream->dispatch);
   g_free (stream->worker_id);
   g_free (stream);
 }
@@ -108,8 +86,8 @@
   if (stream->runs == 0 && !stream->head_passed)
     stream_end (stream, QUINCE_FORWARD_REFUSED);
   else
-    stream_end (stream,
-                quince_now_us () >= stream->give_up_us ? QUINCE_FORWARD_TIMEOUT : QUINCE_FORWARD_FAILED);
+    stream_end (stream, quince_now_us () >= stream->dispatch.give_up_us ? QUINCE_FORWARD_TIMEOUT
+                                                                        : QUINCE_FORWARD_FAILED);
 }
 
 /* ---- After an attempt ------------------------------------------------- */
@@ -138,16 +116,16 @@
   quince_metric_add ("quince_stream_attempts_total", labels, 1);
   quince_log_info ("request_retried",
                    "request=%s worker=%s cause=%s attempts=%u runs=%u took_ms=%" G_GINT64_FORMAT,
-                   stream->request_id, stream->worker_id, cause, stream->attempts, stream->runs,
-                   (quince_now_us () - stream->heard_us) / 1000);
+                   stream->dispatch.request_id, stream->worker_id, cause, stream->dispatch.attempts,
+                   stream->runs, (quince_now_us () - stream->heard_us) / 1000);
   if (ran)
     stream->runs++;
   else
     stream->refused_sends++;
   gboolean may_again
-      = ran ? stream->resumable && stream->runs < stream->max_attempts
+      = ran ? stream->resumable && stream->runs < stream->dispatch.max_attempts
             : (stream->runs == 0 || stream->resumable) && stream->refused_sends < REFUSED_SENDS_MOST;
-  if (may_again && quince_now_us () < stream->give_up_us)
+  if (may_again && quince_now_us () < stream->dispatch.give_up_us)
     try_later (stream, 0);
   else
     stream_fail (stream);
@@ -156,8 +134,7 @@
 static void
 doubt_worker (QuinceStream *stream)
 {
-  QuinceWorker *worker
-      = quince_worker_table_find (quince_backends_get_workers (stream->backends), stream->worker_id);
+  QuinceWorker *worker = quince_dispatch_find (&stream->dispatch, stream->worker_id);
   if (worker != NULL)
     quince_worker_note_failure (worker, quince_now_us ());
 }
@@ -173,11 +150,11 @@
   gboolean not_run = FALSE;
   stream->dialect->forward->read_answer (head, &request_id, &signature, &not_run);
   stream->heard_us = quince_now_us ();
-  stream->passes = g_strcmp0 (request_id, stream->request_id) == 0 && !not_run
+  stream->passes = g_strcmp0 (request_id, stream->dispatch.request_id) == 0 && !not_run
                    && (head->status == 200 ? signature != NULL : !stream->resumable);
   if (!stream->passes)
     {
-      if (request_id != NULL && !g_str_equal (request_id, stream->request_id))
+      if (request_id != NULL && !g_str_equal (request_id, stream->dispatch.request_id))
         quince_http_exchange_distrust (exchange);
       return;
     }
@@ -271,10 +248,10 @@
   gint64 now = quince_now_us ();
   quince_source_clear (&stream->silence);
   gint64 silent_ms = (now - stream->heard_us) / 1000;
-  gboolean late = now >= stream->give_up_us;
+  gboolean late = now >= stream->dispatch.give_up_us;
   if (!late && (!stream->resumable || silent_ms < SILENCE_MS))
     {
-      gint64 wait_ms = (stream->give_up_us - now) / 1000 + 1;
+      gint64 wait_ms = (stream->dispatch.give_up_us - now) / 1000 + 1;
       if (stream->resumable)
         wait_ms = MIN (wait_ms, SILENCE_MS - silent_ms + 1);
       stream->silence = quince_timer_add ((guint)wait_ms, look_at_time, stream);
@@ -291,23 +268,20 @@
 static void
 send_to (QuinceStream *stream, QuinceWorker *worker, gint64 now_us)
 {
-  g_autoptr (QuinceHttpHeaders) headers = quince_http_headers_copy (stream->headers);
-  stream->dialect->forward->write_dispatch (headers, worker->id,
-                                            MAX ((stream->deadline_us - now_us) / 1000, 1));
+  QuinceDispatch *dispatch = &stream->dispatch;
+  g_autoptr (QuinceHttpHeaders) headers = quince_dispatch_begin (dispatch, worker, now_us);
   if (stream->has_last_event)
     stream->dialect->write_resume (headers, stream->last_event);
-  const QuinceHttpRequest request
-      = { .method = stream->method, .target = stream->target, .headers = headers, .body = stream->body };
+  const QuinceHttpRequest request = {
+    .method = dispatch->method, .target = dispatch->target, .headers = headers, .body = dispatch->body
+  };
   g_free (stream->worker_id);
   stream->worker_id = g_strdup (worker->id);
-  g_hash_table_add (stream->avoid, g_strdup (worker->id));
   stream->heard_us = now_us;
-  stream->attempts++;
   stream->passes = FALSE;
   stream->events = stream->resumable ? stream->dialect->events_new () : NULL;
-  worker->running++;
-  stream->exchange = quince_http_pool_start (quince_backends_get_pool (stream->backends, worker), &request,
-                                             &exchange_callbacks, stream);
+  QuinceHttpPool *pool = quince_backends_get_pool (dispatch->backends, worker);
+  stream->exchange = quince_http_pool_start (pool, &request, &exchange_callbacks, stream);
   stream->silence = quince_timer_add (1, look_at_time, stream);
 }
 
@@ -315,21 +289,13 @@
 try_worker (QuinceStream *stream)
 {
   gint64 now = quince_now_us ();
-  if (now >= stream->give_up_us)
+  if (now >= stream->dispatch.give_up_us)
     {
       stream_fail (stream);
       return;
     }
-  QuincePolicyRequest request = { .service = stream->service,
-                                  .member = "",
-                                  .kind = stream->kind,
-                                  .at_most_once = !stream->resumable,
-                                  .attempt = stream->attempts + 1,
-                                  .deadline_ms = (guint)((stream->deadline_us - now) / 1000) };
-  quince_backends_describe_events (stream->backends, quince_wall_ms (), &request);
-  const QuinceBackendQuery query = { .request = &request, .avoid = stream->avoid };
   QuinceWorker *worker = NULL;
-  QuinceBackendOutcome outcome = quince_backends_choose (stream->backends, now, &query, &worker);
+  QuinceBackendOutcome outcome = quince_dispatch_choose (&stream->dispatch, now, !stream->resumable, &worker);
   if (worker != NULL)
     {
       send_to (stream, worker, now);
@@ -337,9 +303,9 @@
     }
   if (stream->cause == NULL)
     stream->cause = outcome == QUINCE_BACKEND_NONE ? "no_worker" : "workers_full";
-  gboolean tried_any = g_hash_table_size (stream->avoid) > 0;
-  g_hash_table_remove_all (stream->avoid);
-  if (tried_any && (stream->runs > 0 || now < stream->started_us + stream->target_latency_us / 2))
+  gboolean tried_any = g_hash_table_size (stream->dispatch.avoid) > 0;
+  g_hash_table_remove_all (stream->dispatch.avoid);
+  if (tried_any && (stream->runs > 0 || quince_dispatch_may_wait (&stream->dispatch, now)))
     try_later (stream, PAUSE_MS);
   else
     stream_fail (stream);
@@ -354,24 +320,11 @@
                      gpointer user_data)
 {
   QuinceStream *stream = g_new0 (QuinceStream, 1);
-  stream->backends = backends;
+  quince_dispatch_init (&stream->dispatch, backends, dialect->forward, request);
   stream->dialect = dialect;
   stream->callbacks = callbacks;
   stream->user_data = user_data;
-  stream->service = g_strdup (request->service);
-  stream->kind = g_strdup (request->kind);
-  stream->method = g_strdup (request->method);
-  stream->target = g_strdup (request->target);
-  stream->request_id = g_strdup (request->request_id != NULL ? request->request_id : "");
-  stream->headers = quince_http_headers_copy (request->headers);
-  stream->body = request->body != NULL ? g_bytes_ref (request->body) : NULL;
   stream->resumable = resumable;
-  stream->max_attempts = MAX (request->max_attempts, 1);
-  stream->started_us = quince_now_us ();
-  stream->target_latency_us = (gint64)request->target_latency_ms * 1000;
-  stream->deadline_us = request->deadline_us;
-  stream->give_up_us = MIN (request->give_up_us, request->deadline_us);
-  stream->avoid = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   try_later (stream, 0);
   return stream;
 }
--- a/tests/platform/path-world.h
+++ b/tests/platform/path-world.h
@@ -73,20 +73,24 @@
 
 static const QuinceHttpExchangeCallbacks path_callbacks = { .done = path_exchange_done };
 
-/* Sends without waiting; @answer lives until it is done. */
+/* Sends without waiting, with one more header where @name is given; @answer lives until it is done. */
 static inline void
-path_begin (const char *address,
-            const char *method,
-            const char *target,
-            const char *id,
-            const char *text,
-            PathAnswer *answer)
+path_begin_with (const char *address,
+                 const char *method,
+                 const char *target,
+                 const char *id,
+                 const char *text,
+                 const char *name,
+                 const char *value,
+                 PathAnswer *answer)
 {
   QuinceHttpPool *pool = quince_http_pool_new (address);
   g_autoptr (QuinceHttpHeaders) headers = quince_http_headers_new ();
   quince_http_headers_add (headers, "Host", PATH_HOST);
   quince_http_headers_add (headers, "Request-Id", id);
   quince_http_headers_add (headers, "Request-Deadline-Ms", "3000");
+  if (name != NULL)
+    quince_http_headers_add (headers, name, value);
   g_autoptr (GBytes) body = text != NULL ? g_bytes_new (text, strlen (text)) : NULL;
   const QuinceHttpRequest request = {
     .method = method, .target = target, .headers = headers, .body = body, .timeout_us = 8 * G_USEC_PER_SEC
@@ -96,6 +100,17 @@
   quince_http_pool_unref (pool);
 }
 
+static inline void
+path_begin (const char *address,
+            const char *method,
+            const char *target,
+            const char *id,
+            const char *text,
+            PathAnswer *answer)
+{
+  path_begin_with (address, method, target, id, text, NULL, NULL, answer);
+}
+
 static inline guint
 path_call (const char *address,
            const char *method,
@@ -236,6 +251,9 @@
   "{\"name\":\"u\",\"host\":\"" PATH_HOST                                                                    \
   "\",\"pathPrefix\":\"/u/\",\"kind\":\"streaming\",\"timeoutMs\":6000,"                                     \
   "\"targetLatencyMs\":400,\"priority\":1,\"service\":\"llm\",\"maxAttempts\":3},"                           \
+  "{\"name\":\"k\",\"host\":\"" PATH_HOST                                                                    \
+  "\",\"pathPrefix\":\"/k/\",\"kind\":\"streaming\",\"resumable\":true,\"sticky\":true,"                     \
+  "\"timeoutMs\":6000,\"targetLatencyMs\":400,\"priority\":1,\"service\":\"llm\",\"maxAttempts\":4},"        \
   "{\"name\":\"w\",\"host\":\"" PATH_HOST                                                                    \
   "\",\"pathPrefix\":\"/w/\",\"kind\":\"idempotent\",\"timeoutMs\":2000,\"targetLatencyMs\":150,"            \
   "\"priority\":2,\"service\":\"svc\",\"maxAttempts\":4},"                                                   \
--- a/tests/platform/test-path.c
+++ b/tests/platform/test-path.c
@@ -360,6 +360,52 @@
 
 /* ---- Weights ------------------------------------------------------------------ */
 
+/* Which model worker ran @id; -1: none. */
+static gint
+runner_of (PathWorld *world, const char *id)
+{
+  for (guint i = 0; i < PATH_MODEL; i++)
+    {
+      const GPtrArray *runs = standin_worker_get_runs (world->model[i]);
+      for (guint j = 0; j < runs->len; j++)
+        if (g_str_equal (((const StandinRun *)runs->pdata[j])->id, id))
+          return (gint)i;
+    }
+  return -1;
+}
+
+#define STICKY_CALLS 6
+
+/* On a sticky route a request goes where the prompt that it continues is kept. */
+static void
+test_sticky_streams (void **state)
+{
+  PathWorld *world = path_world_new ("sticky");
+  path_configure (world, 3);
+  path_list_workers (world);
+  path_start_front (world, 0);
+  const char *front = path_front (world, 0);
+  AWAIT (path_status (front, "POST", "/l/1", "r1", "x") == 200);
+  gint homes[2] = { -1, -1 };
+  for (guint i = 0; i < STICKY_CALLS; i++)
+    {
+      /* Two sessions by turns, behind a part that both share; each call adds a part of its own. */
+      g_autofree char *id = g_strdup_printf ("k%u", i);
+      g_autofree char *prompt = g_strdup_printf ("aa01:300,bb0%u:200,%x:10", i % 2, 0xc0 + i);
+      PathAnswer answer;
+      path_begin_with (front, "POST", "/k/1", id, "question", "Prompt-Prefix", prompt, &answer);
+      AWAIT (answer.done);
+      assert_int_equal (answer.status, 200);
+      path_answer_clear (&answer);
+      gint runner = runner_of (world, id);
+      assert_int_not_equal (runner, -1);
+      if (i >= G_N_ELEMENTS (homes))
+        assert_int_equal (runner, homes[i % 2]);
+      homes[i % 2] = runner;
+    }
+  path_world_free (world);
+}
+
 static void
 test_versions_reach_all_workers (void **state)
 {
@@ -509,6 +555,7 @@
     cmocka_unit_test (test_batch_outlives_leaders),
     cmocka_unit_test (test_texts_outlive_leaders),
     cmocka_unit_test (test_streams),
+    cmocka_unit_test (test_sticky_streams),
     cmocka_unit_test (test_versions_reach_all_workers),
     cmocka_unit_test (test_policy_accepted),
     cmocka_unit_test (test_event_created),
--- /dev/null
+++ b/tests/unit/test-prompt-table.c
@@ -0,0 +1,62 @@
+/*
+ * test-prompt-table.c: who likely keeps a prompt, and that the table stays bounded.
+ */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <cmocka.h>
+
+#include <quince/prompt-table.h>
+
+#define MOST 8
+
+static void
+test_last_part_decides (void **state)
+{
+  static const char *const first[] = { "system", "session-1", NULL };
+  static const char *const second[] = { "system", "session-2", NULL };
+  static const char *const fresh[] = { "system", "session-3", NULL };
+  static const char *const other[] = { "another", NULL };
+  g_autoptr (QuincePromptTable) table = quince_prompt_table_new (MOST);
+  assert_null (quince_prompt_table_find (table, first));
+  quince_prompt_table_note (table, first, "w1");
+  quince_prompt_table_note (table, second, "w2");
+  assert_string_equal (quince_prompt_table_find (table, first), "w1");
+  assert_string_equal (quince_prompt_table_find (table, second), "w2");
+  /* Only the shared part is known: the worker that had it last. */
+  assert_string_equal (quince_prompt_table_find (table, fresh), "w2");
+  assert_null (quince_prompt_table_find (table, other));
+  /* A session that moves is found where it went. */
+  quince_prompt_table_note (table, first, "w3");
+  assert_string_equal (quince_prompt_table_find (table, first), "w3");
+}
+
+static void
+test_bounded (void **state)
+{
+  static const char *const kept[] = { "kept", NULL };
+  g_autoptr (QuincePromptTable) table = quince_prompt_table_new (MOST);
+  for (guint i = 0; i < 1000; i++)
+    {
+      g_autofree char *name = g_strdup_printf ("p%u", i);
+      const char *const parts[] = { name, NULL };
+      quince_prompt_table_note (table, parts, "w1");
+      quince_prompt_table_note (table, kept, "w2"); /* used all the time */
+      assert_true (quince_prompt_table_get_size (table) <= MOST);
+    }
+  assert_string_equal (quince_prompt_table_find (table, kept), "w2");
+  static const char *const oldest[] = { "p0", NULL };
+  assert_null (quince_prompt_table_find (table, oldest));
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_last_part_decides),
+    cmocka_unit_test (test_bounded),
+  };
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
