Belief feed: heartbeats of workers are no news, and another process is told only what it lacks

Before that each heartbeat of each worker was passed on to every front. Ruled out: the ledger (the same batches as at 30 machines); connections to workers (1,087 at 99 machines with 53.7 MB). Change: a mirror keeps which keys went away lately and says what one lacks that has all up to a revision; those that ask name theirs, and a front asks once it has read the store itself. An entry that differs in its heartbeat alone is neither told nor passed on; how far the store was read goes with the signs of life. Tests: test_what_another_lacks and test_heartbeats_are_no_news in platform-meta.

--- a/daemons/front/front.c
+++ b/daemons/front/front.c
@@ -21,6 +21,8 @@
 /* Left for the end of the process itself. */
 #define STOP_MARGIN_US (700 * 1000)
 #define STOP_STEP_MS 100
+/* The leader is asked without what the store has to tell after it. */
+#define ASK_PATIENCE_MS 300
 /* Turns of a split: the golden ratio spreads them evenly. */
 #define SPLIT_STEP 0.6180339887498949
 
@@ -59,16 +61,56 @@
   quince_directory_set_serving (front->directory, !quince_front_is_stopping (front));
 }
 
-static const QuinceObserverCallbacks observer_callbacks
-    = { .own_key = own_key, .configuration = configuration_changed };
+/* Asks the ledger's leader, which reads the metadata store for all, once what can be had from the store is
+ * here: then little is lacking. */
+static void
+ask_for_news (QuinceFront *front)
+{
+  if (front->unasked == NULL || !quince_observer_is_synced (front->observer))
+    return;
+  quince_source_clear (&front->ask_timer);
+  quince_belief_feed_ask (front->observer, front->unasked);
+  g_clear_pointer (&front->unasked, quince_link_unref);
+}
+
+static gboolean
+ask_late (gpointer data)
+{
+  QuinceFront *front = data;
+  quince_source_clear (&front->ask_timer);
+  quince_belief_feed_ask (front->observer, front->unasked);
+  g_clear_pointer (&front->unasked, quince_link_unref);
+  return G_SOURCE_REMOVE;
+}
+
+static void
+forget_asking (QuinceFront *front)
+{
+  quince_source_clear (&front->ask_timer);
+  g_clear_pointer (&front->unasked, quince_link_unref);
+}
 
-/* The ledger's leader reads the metadata store for all. */
 static void
 ledger_linked (QuinceLink *link, gpointer data)
 {
-  quince_belief_feed_ask (link);
+  QuinceFront *front = data;
+  forget_asking (front);
+  front->unasked = quince_link_ref (link);
+  front->ask_timer = quince_timer_add (ASK_PATIENCE_MS, ask_late, front);
+  ask_for_news (front);
 }
 
+static void
+store_synced (gpointer data)
+{
+  ask_for_news (data);
+}
+
+static const QuinceObserverCallbacks observer_callbacks = { .own_key = own_key,
+                                                            .configuration = configuration_changed,
+                                                            .own_synced = store_synced,
+                                                            .workers_synced = store_synced };
+
 static void
 take_heartbeat (QuinceFront *front, QuinceLink *link, const QuinceHeartbeat *heartbeat)
 {
@@ -95,6 +137,7 @@
 ledger_unlinked (gpointer data)
 {
   QuinceFront *front = data;
+  forget_asking (front);
   quince_observer_feed_ended (front->observer);
 }
 
@@ -330,6 +373,7 @@
 {
   QuinceFront *front = self;
   quince_source_clear (&front->stop_timer);
+  forget_asking (front);
   GHashTableIter iter;
   gpointer connection;
   g_autoptr (GPtrArray) all = g_ptr_array_new ();
--- a/daemons/front/front.h
+++ b/daemons/front/front.h
@@ -5,6 +5,7 @@
 
 #include <quince/backends.h>
 #include <quince/http1.h>
+#include <quince/link.h>
 #include <quince/observer.h>
 #include <quince/settings.h>
 #include <quince/text-server.h>
@@ -25,6 +26,8 @@
   QuinceMetaPresence *presence;
   QuinceDirectory *directory;
   QuinceLedgerCaller *ledger;
+  QuinceLink *unasked; /* to the leader, not asked for news yet; NULL: none */
+  GSource *ask_timer;
   QuinceHttpAcceptor *callers_acceptor;
   QuinceHttpAcceptor *ready_acceptor;
   QuinceHttpAcceptor *directory_acceptor;
--- a/daemons/replica/replica.c
+++ b/daemons/replica/replica.c
@@ -44,7 +44,7 @@
   QuinceWeightOrders *orders; /* NULL: not leading */
   QuinceBeliefFeed *feed;     /* NULL: not leading */
   QuinceHeartbeats *heartbeats;
-  GHashTable *askers;        /* QuinceLink, owned: those that asked for news */
+  GHashTable *askers;        /* QuinceLink to QuinceBeliefAsk, both owned: those that asked for news */
   char **leaving;            /* nodes to be emptied */
   GHashTable *told_leaving;  /* node name to GINT: state that was written, 1 running, 2 done */
   QuinceTextServer *metrics; /* NULL: none */
@@ -141,9 +141,10 @@
   quince_heartbeats_lead (replica->heartbeats, replica->askers);
   GHashTableIter iter;
   gpointer link;
+  gpointer ask;
   g_hash_table_iter_init (&iter, replica->askers);
-  while (g_hash_table_iter_next (&iter, &link, NULL))
-    quince_belief_feed_add (replica->feed, link);
+  while (g_hash_table_iter_next (&iter, &link, &ask))
+    quince_belief_feed_add (replica->feed, link, ask);
 }
 
 static void
@@ -183,7 +184,8 @@
 static void
 followed (QuinceLink *link, gpointer data)
 {
-  quince_belief_feed_ask (link);
+  Replica *replica = data;
+  quince_belief_feed_ask (replica->observer, link);
 }
 
 static void
@@ -193,16 +195,35 @@
   quince_observer_feed_ended (replica->observer);
 }
 
+static void
+ask_free (gpointer data)
+{
+  QuinceBeliefAsk *ask = data;
+  g_free (ask->revisions.revisions_val);
+  g_free (ask);
+}
+
+static QuinceBeliefAsk *
+copy_ask (const QuinceBeliefAsk *ask)
+{
+  QuinceBeliefAsk *copy = g_new0 (QuinceBeliefAsk, 1);
+  copy->revisions.revisions_len = ask->revisions.revisions_len;
+  copy->revisions.revisions_val
+      = g_memdup2 (ask->revisions.revisions_val, ask->revisions.revisions_len * sizeof (u_quad_t));
+  return copy;
+}
+
 static void
 other_message (QuinceLink *link, const QuinceMessage *message, gpointer data)
 {
   Replica *replica = data;
   if (message->kind == QUINCE_MESSAGE_BELIEF_ASK)
     {
+      const QuinceBeliefAsk *ask = &message->QuinceMessage_u.belief_ask;
       /* It may lead a moment later. */
-      g_hash_table_add (replica->askers, quince_link_ref (link));
+      g_hash_table_replace (replica->askers, quince_link_ref (link), copy_ask (ask));
       if (replica->feed != NULL)
-        quince_belief_feed_add (replica->feed, link);
+        quince_belief_feed_add (replica->feed, link, ask);
     }
   else if (message->kind == QUINCE_MESSAGE_HEARTBEAT_ACK)
     quince_heartbeats_take_ack (replica->heartbeats, &message->QuinceMessage_u.heartbeat_ack);
@@ -336,7 +357,7 @@
 {
   Replica *replica = g_new0 (Replica, 1);
   replica->name = g_strdup (quince_settings_get_text (settings, "node", "name"));
-  replica->askers = g_hash_table_new_full (NULL, NULL, (GDestroyNotify)quince_link_unref, NULL);
+  replica->askers = g_hash_table_new_full (NULL, NULL, (GDestroyNotify)quince_link_unref, ask_free);
   replica->told_leaving = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   replica->heartbeats = quince_heartbeats_new ();
   replica->backends = quince_backends_new (quince_settings_get_text (settings, "node", "zone"));
--- a/include/quince/belief-feed.h
+++ b/include/quince/belief-feed.h
@@ -18,16 +18,16 @@
 /* @store tells whether what is read can be trusted to be new. */
 QuinceBeliefFeed *quince_belief_feed_new (QuinceObserver *observer, QuinceMetaStore *store);
 void quince_belief_feed_free (QuinceBeliefFeed *feed);
-/* @link asked for news. */
-void quince_belief_feed_add (QuinceBeliefFeed *feed, QuinceLink *link);
+/* @link asked for news: it is told what it lacks, and from then on what is read. */
+void quince_belief_feed_add (QuinceBeliefFeed *feed, QuinceLink *link, const QuinceBeliefAsk *ask);
 void quince_belief_feed_remove (QuinceBeliefFeed *feed, QuinceLink *link);
 /* News were read, see QuinceObserverCallbacks. */
 void quince_belief_feed_read (QuinceBeliefFeed *feed, const char *prefix, const QuinceMetaPage *page);
 
 /* ---- At the others ---------------------------------------------------- */
 
-/* Asks whoever is at the other end of @link. */
-void quince_belief_feed_ask (QuinceLink *link);
+/* Asks whoever is at the other end of @link for what @observer lacks. */
+void quince_belief_feed_ask (QuinceObserver *observer, QuinceLink *link);
 void quince_belief_feed_take (QuinceObserver *observer, const QuinceBeliefNews *news);
 
 G_END_DECLS
--- a/include/quince/meta-store.h
+++ b/include/quince/meta-store.h
@@ -135,13 +135,15 @@
  * QuinceMetaMirrorCallbacks:
  * @item: an item was written, or removed (@item->value is %NULL)
  * @synced: all that the store held at some moment has been told; again after each list
- * @read: (nullable): news were read from the store itself; after a list the snapshot tells more
+ * @read: (nullable): the store itself was read; the items are what was new in it, perhaps nothing
+ * @same: (nullable): two values of a key that say the same: the second is no news
  */
 typedef struct
 {
   void (*item) (const QuinceMetaItem *item, gpointer user_data);
   void (*synced) (gpointer user_data);
   void (*read) (const QuinceMetaPage *page, gpointer user_data);
+  gboolean (*same) (GBytes *before, GBytes *after);
 } QuinceMetaMirrorCallbacks;
 
 /**
@@ -172,8 +174,11 @@
 void quince_meta_mirror_feed_alive (QuinceMetaMirror *mirror);
 /* Whoever fed is gone: goes on by itself at once. */
 void quince_meta_mirror_feed_ended (QuinceMetaMirror *mirror);
-/* What it has, to feed others with. */
-QuinceMetaPage *quince_meta_mirror_snapshot (const QuinceMetaMirror *mirror);
+/* What one lacks that has all up to revision @after (0: nothing), to feed it with.
+ * @whole: (out): it is all there is under the prefix */
+QuinceMetaPage *quince_meta_mirror_since (const QuinceMetaMirror *mirror, guint64 after, gboolean *whole);
+/* All up to it is known; 0: not all that the store held at any moment. */
+guint64 quince_meta_mirror_get_revision (const QuinceMetaMirror *mirror);
 /* The store was not to be reached at @lost_us: a watch that waits since before may be dead, begin it anew. */
 void quince_meta_mirror_doubt (QuinceMetaMirror *mirror, gint64 lost_us);
 
--- a/include/quince/observer.h
+++ b/include/quince/observer.h
@@ -56,11 +56,22 @@
                            gboolean whole);
 void quince_observer_feed_alive (QuinceObserver *observer);
 void quince_observer_feed_ended (QuinceObserver *observer);
-/* Tells all that is known, a snapshot for each prefix that is synced. */
-void
-quince_observer_snapshot (QuinceObserver *observer,
-                          void (*tell) (const char *prefix, const QuinceMetaPage *page, gpointer user_data),
-                          gpointer user_data);
+/* Prefixes that an observer follows. */
+#define QUINCE_OBSERVER_PREFIXES 3
+/* What it has of each prefix, in its own order; 0: not all of any moment. */
+void quince_observer_get_revisions (QuinceObserver *observer, guint64 revisions[QUINCE_OBSERVER_PREFIXES]);
+/* All prefixes are known. */
+gboolean quince_observer_is_synced (QuinceObserver *observer);
+/* @whole: @page is all there is under @prefix */
+typedef void (*QuinceObserverTell) (const char *prefix,
+                                    const QuinceMetaPage *page,
+                                    gboolean whole,
+                                    gpointer user_data);
+/* Tells what one lacks that has @revisions; nothing of a prefix that is not known here. */
+void quince_observer_tell_since (QuinceObserver *observer,
+                                 const guint64 revisions[QUINCE_OBSERVER_PREFIXES],
+                                 QuinceObserverTell tell,
+                                 gpointer user_data);
 /* NULL: no configuration is known yet. */
 QuinceRouteTable *quince_observer_get_routes (QuinceObserver *observer);
 /* The newest version of @model that was named; 0: none. */
--- /dev/null
+++ b/lib/meta/meta-copy.c
@@ -0,0 +1,127 @@
+/*
+ * meta-copy.c: what a mirror holds of its prefix.
+ */
+#include "meta-copy.h"
+
+/* Keys that went away are remembered up to this many. */
+#define GONE_MOST 1024
+
+struct _QuinceMetaCopy
+{
+  gboolean (*same) (GBytes *, GBytes *);
+  GHashTable *known; /* QuinceMetaItem by key, owned: what is there */
+  GQueue gone;       /* QuinceMetaItem without value, owned, by rising revision */
+  guint64 gone_from; /* all that went away after this revision is in it */
+};
+
+QuinceMetaCopy *
+quince_meta_copy_new (gboolean (*same) (GBytes *before, GBytes *after))
+{
+  QuinceMetaCopy *copy = g_new0 (QuinceMetaCopy, 1);
+  copy->same = same;
+  copy->known = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, (GDestroyNotify)quince_meta_item_free);
+  g_queue_init (&copy->gone);
+  return copy;
+}
+
+static void
+forget_gone (QuinceMetaCopy *copy)
+{
+  g_queue_clear_full (&copy->gone, (GDestroyNotify)quince_meta_item_free);
+}
+
+void
+quince_meta_copy_free (QuinceMetaCopy *copy)
+{
+  g_hash_table_unref (copy->known);
+  forget_gone (copy);
+  g_free (copy);
+}
+
+static QuinceMetaItem *
+item_new (const char *key, GBytes *value, guint64 revision)
+{
+  QuinceMetaItem *item = g_new0 (QuinceMetaItem, 1);
+  item->key = g_strdup (key);
+  item->value = value != NULL ? g_bytes_ref (value) : NULL;
+  item->revision = revision;
+  return item;
+}
+
+static void
+remember_gone (QuinceMetaCopy *copy, const char *key, guint64 revision)
+{
+  g_queue_push_tail (&copy->gone, item_new (key, NULL, revision));
+  if (g_queue_get_length (&copy->gone) <= GONE_MOST)
+    return;
+  QuinceMetaItem *oldest = g_queue_pop_head (&copy->gone);
+  copy->gone_from = oldest->revision;
+  quince_meta_item_free (oldest);
+}
+
+gboolean
+quince_meta_copy_take (QuinceMetaCopy *copy, const QuinceMetaItem *item)
+{
+  const QuinceMetaItem *known = g_hash_table_lookup (copy->known, item->key);
+  if (known != NULL && item->revision <= known->revision)
+    return FALSE;
+  if (item->value == NULL)
+    {
+      if (known == NULL)
+        return FALSE;
+      remember_gone (copy, item->key, item->revision);
+      g_hash_table_remove (copy->known, item->key);
+      return TRUE;
+    }
+  /* The older revision stays: whoever has that lacks nothing. */
+  if (known != NULL && copy->same != NULL && copy->same (known->value, item->value))
+    return FALSE;
+  QuinceMetaItem *held = item_new (item->key, item->value, item->revision);
+  g_hash_table_replace (copy->known, held->key, held);
+  return TRUE;
+}
+
+GPtrArray *
+quince_meta_copy_take_list (QuinceMetaCopy *copy, guint64 revision, GHashTable *listed)
+{
+  GPtrArray *missing = g_ptr_array_new_with_free_func ((GDestroyNotify)quince_meta_item_free);
+  GHashTableIter iter;
+  gpointer key;
+  g_hash_table_iter_init (&iter, copy->known);
+  while (g_hash_table_iter_next (&iter, &key, NULL))
+    {
+      if (g_hash_table_contains (listed, key))
+        continue;
+      g_ptr_array_add (missing, item_new (key, NULL, revision));
+      g_hash_table_iter_remove (&iter);
+    }
+  /* What came and went since the last look is not known. */
+  forget_gone (copy);
+  copy->gone_from = revision;
+  return missing;
+}
+
+QuinceMetaPage *
+quince_meta_copy_since (const QuinceMetaCopy *copy, guint64 after, guint64 revision, gboolean *whole)
+{
+  QuinceMetaPage *page = g_new0 (QuinceMetaPage, 1);
+  page->items = g_ptr_array_new_with_free_func ((GDestroyNotify)quince_meta_item_free);
+  page->revision = revision;
+  *whole = after == 0 || after < copy->gone_from || after > revision;
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, copy->known);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const QuinceMetaItem *item = value;
+      if (*whole || item->revision > after)
+        g_ptr_array_add (page->items, item_new (item->key, item->value, item->revision));
+    }
+  for (const GList *at = copy->gone.head; at != NULL && !*whole; at = at->next)
+    {
+      const QuinceMetaItem *item = at->data;
+      if (item->revision > after && !g_hash_table_contains (copy->known, item->key))
+        g_ptr_array_add (page->items, item_new (item->key, NULL, item->revision));
+    }
+  return page;
+}
--- a/lib/meta/meta-mirror.c
+++ b/lib/meta/meta-mirror.c
@@ -6,6 +6,7 @@
 #include <quince/log.h>
 #include <quince/task.h>
 
+#include "meta-copy.h"
 #include "meta-private.h"
 
 /* A watch that a silent store has swallowed is noticed after it. */
@@ -23,7 +24,8 @@
   gpointer user_data;
   QuinceMetaCall *call; /* in progress */
   GSource *timer;       /* until the next call */
-  GHashTable *known;    /* key to QuinceMetaItem, owned: what was told as being there */
+  QuinceMetaCopy *copy; /* what was told as being there */
+  GPtrArray *news;      /* QuinceMetaItem, owned: what the list in progress, or this answer, brought */
   GHashTable *listed;   /* keys of the list in progress; NULL while watching */
   char *list_after;     /* last key of the page before */
   guint64 revision;     /* watch from here */
@@ -40,46 +42,55 @@
 
 /* ---- What is told ----------------------------------------------------- */
 
+static QuinceMetaItem *
+copy_item (const QuinceMetaItem *item)
+{
+  QuinceMetaItem *copy = g_new0 (QuinceMetaItem, 1);
+  copy->key = g_strdup (item->key);
+  copy->value = item->value != NULL ? g_bytes_ref (item->value) : NULL;
+  copy->revision = item->revision;
+  return copy;
+}
+
 static void
 tell_item (QuinceMetaMirror *mirror, const QuinceMetaItem *item)
 {
-  const QuinceMetaItem *known = g_hash_table_lookup (mirror->known, item->key);
-  if (known != NULL && item->revision <= known->revision)
+  if (!quince_meta_copy_take (mirror->copy, item))
     return;
-  if (item->value == NULL)
-    {
-      if (known == NULL)
-        return;
-      g_hash_table_remove (mirror->known, item->key);
-    }
-  else
-    {
-      QuinceMetaItem *copy = g_new0 (QuinceMetaItem, 1);
-      copy->key = g_strdup (item->key);
-      copy->value = g_bytes_ref (item->value);
-      copy->revision = item->revision;
-      g_hash_table_replace (mirror->known, copy->key, copy);
-    }
+  g_ptr_array_add (mirror->news, copy_item (item));
   mirror->callbacks->item (item, mirror->user_data);
 }
 
 static void
-tell_missing (QuinceMetaMirror *mirror)
+tell_missing (QuinceMetaMirror *mirror, guint64 revision)
 {
-  g_autoptr (GPtrArray) missing = g_ptr_array_new_with_free_func (g_free);
-  GHashTableIter iter;
-  gpointer key;
-  g_hash_table_iter_init (&iter, mirror->known);
-  while (g_hash_table_iter_next (&iter, &key, NULL))
-    if (!g_hash_table_contains (mirror->listed, key))
-      g_ptr_array_add (missing, g_strdup (key));
+  g_autoptr (GPtrArray) missing = quince_meta_copy_take_list (mirror->copy, revision, mirror->listed);
   for (guint i = 0; i < missing->len; i++)
     {
-      const QuinceMetaItem gone = { .key = missing->pdata[i], .revision = G_MAXUINT64 };
-      tell_item (mirror, &gone);
+      const QuinceMetaItem *item = missing->pdata[i];
+      g_ptr_array_add (mirror->news, copy_item (item));
+      mirror->callbacks->item (item, mirror->user_data);
     }
 }
 
+static GPtrArray *
+new_items (void)
+{
+  return g_ptr_array_new_with_free_func ((GDestroyNotify)quince_meta_item_free);
+}
+
+/* Passes on what was read from the store itself; also that there is nothing, for its revision. */
+static void
+pass_on_news (QuinceMetaMirror *mirror)
+{
+  g_autoptr (QuinceMetaPage) page = g_new0 (QuinceMetaPage, 1);
+  page->items = g_steal_pointer (&mirror->news);
+  page->revision = mirror->revision;
+  mirror->news = new_items ();
+  if (mirror->callbacks->read != NULL)
+    mirror->callbacks->read (page, mirror->user_data);
+}
+
 /* ---- Calls ------------------------------------------------------------ */
 
 static gboolean
@@ -140,8 +151,7 @@
   mirror->revision = MAX (mirror->revision, page->revision);
   for (guint i = 0; i < page->items->len; i++)
     tell_item (mirror, page->items->pdata[i]);
-  if (mirror->callbacks->read != NULL)
-    mirror->callbacks->read (page, mirror->user_data);
+  pass_on_news (mirror);
   if (mirror->pace_ms > 0)
     wait_then_call (mirror, mirror->pace_ms);
   else
@@ -161,14 +171,12 @@
 list_whole (QuinceMetaMirror *mirror)
 {
   mirror->revision = mirror->list_revision;
-  tell_missing (mirror);
+  tell_missing (mirror, mirror->list_revision);
   drop_list (mirror);
   mirror->synced = TRUE;
   if (mirror->callbacks->synced != NULL)
     mirror->callbacks->synced (mirror->user_data);
-  g_autoptr (QuinceMetaPage) page = quince_meta_mirror_snapshot (mirror);
-  if (mirror->callbacks->read != NULL)
-    mirror->callbacks->read (page, mirror->user_data);
+  pass_on_news (mirror);
   wait_then_call (mirror, mirror->pace_ms);
 }
 
@@ -217,24 +225,15 @@
 /* ---- Feeding ---------------------------------------------------------- */
 
 QuinceMetaPage *
-quince_meta_mirror_snapshot (const QuinceMetaMirror *mirror)
+quince_meta_mirror_since (const QuinceMetaMirror *mirror, guint64 after, gboolean *whole)
 {
-  QuinceMetaPage *page = g_new0 (QuinceMetaPage, 1);
-  page->items = g_ptr_array_new_with_free_func ((GDestroyNotify)quince_meta_item_free);
-  page->revision = mirror->revision;
-  GHashTableIter iter;
-  gpointer value;
-  g_hash_table_iter_init (&iter, mirror->known);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      const QuinceMetaItem *item = value;
-      QuinceMetaItem *copy = g_new0 (QuinceMetaItem, 1);
-      copy->key = g_strdup (item->key);
-      copy->value = g_bytes_ref (item->value);
-      copy->revision = item->revision;
-      g_ptr_array_add (page->items, copy);
-    }
-  return page;
+  return quince_meta_copy_since (mirror->copy, after, mirror->revision, whole);
+}
+
+guint64
+quince_meta_mirror_get_revision (const QuinceMetaMirror *mirror)
+{
+  return mirror->synced ? mirror->revision : 0;
 }
 
 static void
@@ -297,9 +296,11 @@
         g_hash_table_add (mirror->listed, g_strdup (item->key));
       tell_item (mirror, item);
     }
+  if (whole)
+    tell_missing (mirror, page->revision);
+  g_ptr_array_set_size (mirror->news, 0); /* they come from one who passes them on */
   if (!whole)
     return;
-  tell_missing (mirror);
   drop_list (mirror);
   mirror->synced = TRUE;
   if (mirror->callbacks->synced != NULL)
@@ -321,8 +322,8 @@
   mirror->pace_ms = pace_ms;
   mirror->callbacks = callbacks;
   mirror->user_data = user_data;
-  mirror->known
-      = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, (GDestroyNotify)quince_meta_item_free);
+  mirror->copy = quince_meta_copy_new (callbacks->same);
+  mirror->news = new_items ();
   mirror->retry_ms = RETRY_LEAST_MS;
   quince_meta_store_add_mirror (store, mirror);
   begin_list (mirror);
@@ -340,7 +341,8 @@
   quince_source_clear (&mirror->timer);
   quince_source_clear (&mirror->feed_timer);
   drop_list (mirror);
-  g_hash_table_unref (mirror->known);
+  quince_meta_copy_free (mirror->copy);
+  g_ptr_array_unref (mirror->news);
   g_free (mirror->prefix);
   g_free (mirror);
 }
--- a/lib/observer/belief-feed.c
+++ b/lib/observer/belief-feed.c
@@ -15,6 +15,7 @@
   QuinceObserver *observer;
   QuinceMetaStore *store;
   GHashTable *links; /* QuinceLink, owned */
+  GHashTable *ahead; /* prefix to guint64: read up to here without news, not told yet */
   GSource *timer;
 };
 
@@ -55,16 +56,30 @@
     quince_link_send_bytes (link, encoded);
 }
 
+static void
+send_nothing (QuinceBeliefFeed *feed, const char *prefix, guint64 revision)
+{
+  g_autoptr (GPtrArray) nothing = g_ptr_array_new ();
+  const QuinceMetaPage page = { .items = nothing, .revision = revision };
+  g_autoptr (GBytes) encoded = encode_news (prefix, &page, FALSE);
+  send_all (feed, encoded);
+}
+
+/* How far the store was read goes with it: who reads by himself later begins there. */
 static gboolean
 tell_alive (gpointer data)
 {
   QuinceBeliefFeed *feed = data;
   if (quince_meta_store_is_failing (feed->store))
     return G_SOURCE_CONTINUE;
-  g_autoptr (GPtrArray) nothing = g_ptr_array_new ();
-  const QuinceMetaPage page = { .items = nothing };
-  g_autoptr (GBytes) encoded = encode_news ("", &page, FALSE);
-  send_all (feed, encoded);
+  send_nothing (feed, "", 0);
+  GHashTableIter iter;
+  gpointer prefix;
+  gpointer revision;
+  g_hash_table_iter_init (&iter, feed->ahead);
+  while (g_hash_table_iter_next (&iter, &prefix, &revision))
+    send_nothing (feed, prefix, *(const guint64 *)revision);
+  g_hash_table_remove_all (feed->ahead);
   return G_SOURCE_CONTINUE;
 }
 
@@ -75,6 +90,7 @@
   feed->observer = observer;
   feed->store = store;
   feed->links = g_hash_table_new_full (NULL, NULL, (GDestroyNotify)quince_link_unref, NULL);
+  feed->ahead = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   feed->timer = quince_timer_add (ALIVE_MS, tell_alive, feed);
   return feed;
 }
@@ -86,22 +102,26 @@
     return;
   quince_source_clear (&feed->timer);
   g_hash_table_unref (feed->links);
+  g_hash_table_unref (feed->ahead);
   g_free (feed);
 }
 
 static void
-send_snapshot (const char *prefix, const QuinceMetaPage *page, gpointer link)
+send_since (const char *prefix, const QuinceMetaPage *page, gboolean whole, gpointer link)
 {
-  g_autoptr (GBytes) encoded = encode_news (prefix, page, TRUE);
+  g_autoptr (GBytes) encoded = encode_news (prefix, page, whole);
   if (encoded != NULL)
     quince_link_send_bytes (link, encoded);
 }
 
 void
-quince_belief_feed_add (QuinceBeliefFeed *feed, QuinceLink *link)
+quince_belief_feed_add (QuinceBeliefFeed *feed, QuinceLink *link, const QuinceBeliefAsk *ask)
 {
+  guint64 revisions[QUINCE_OBSERVER_PREFIXES] = { 0 };
+  for (guint i = 0; i < ask->revisions.revisions_len && i < QUINCE_OBSERVER_PREFIXES; i++)
+    revisions[i] = ask->revisions.revisions_val[i];
   g_hash_table_add (feed->links, quince_link_ref (link));
-  quince_observer_snapshot (feed->observer, send_snapshot, link);
+  quince_observer_tell_since (feed->observer, revisions, send_since, link);
 }
 
 void
@@ -115,6 +135,13 @@
 {
   if (g_hash_table_size (feed->links) == 0)
     return;
+  if (page->items->len == 0)
+    {
+      guint64 revision = page->revision;
+      g_hash_table_replace (feed->ahead, g_strdup (prefix), g_memdup2 (&revision, sizeof revision));
+      return;
+    }
+  g_hash_table_remove (feed->ahead, prefix);
   g_autoptr (GBytes) encoded = encode_news (prefix, page, FALSE);
   send_all (feed, encoded);
 }
@@ -122,9 +149,16 @@
 /* ---- At the others ---------------------------------------------------- */
 
 void
-quince_belief_feed_ask (QuinceLink *link)
+quince_belief_feed_ask (QuinceObserver *observer, QuinceLink *link)
 {
+  guint64 revisions[QUINCE_OBSERVER_PREFIXES];
+  u_quad_t wire[QUINCE_OBSERVER_PREFIXES];
+  quince_observer_get_revisions (observer, revisions);
+  for (guint i = 0; i < QUINCE_OBSERVER_PREFIXES; i++)
+    wire[i] = revisions[i];
   QuinceMessage message = { .kind = QUINCE_MESSAGE_BELIEF_ASK };
+  message.QuinceMessage_u.belief_ask.revisions.revisions_val = wire;
+  message.QuinceMessage_u.belief_ask.revisions.revisions_len = QUINCE_OBSERVER_PREFIXES;
   quince_link_send (link, &message);
 }
 
--- a/lib/observer/observer.c
+++ b/lib/observer/observer.c
@@ -196,8 +196,10 @@
 }
 
 static const QuinceMetaMirrorCallbacks operator_callbacks = { .item = operator_item, .read = operator_read };
-static const QuinceMetaMirrorCallbacks worker_callbacks
-    = { .item = worker_item, .synced = workers_synced, .read = workers_read };
+static const QuinceMetaMirrorCallbacks worker_callbacks = { .item = worker_item,
+                                                            .synced = workers_synced,
+                                                            .read = workers_read,
+                                                            .same = quince_platform_same_worker };
 static const QuinceMetaMirrorCallbacks own_callbacks
     = { .item = own_item, .synced = own_synced, .read = own_read };
 
@@ -207,7 +209,7 @@
   QuinceMetaMirror *mirror;
 } NamedMirror;
 
-#define N_MIRRORS 3
+#define N_MIRRORS QUINCE_OBSERVER_PREFIXES
 
 static void
 list_mirrors (QuinceObserver *observer, NamedMirror mirrors[N_MIRRORS])
@@ -249,9 +251,19 @@
 }
 
 void
-quince_observer_snapshot (QuinceObserver *observer,
-                          void (*tell) (const char *prefix, const QuinceMetaPage *page, gpointer user_data),
-                          gpointer user_data)
+quince_observer_get_revisions (QuinceObserver *observer, guint64 revisions[QUINCE_OBSERVER_PREFIXES])
+{
+  NamedMirror mirrors[N_MIRRORS];
+  list_mirrors (observer, mirrors);
+  for (guint i = 0; i < N_MIRRORS; i++)
+    revisions[i] = quince_meta_mirror_get_revision (mirrors[i].mirror);
+}
+
+void
+quince_observer_tell_since (QuinceObserver *observer,
+                            const guint64 revisions[QUINCE_OBSERVER_PREFIXES],
+                            QuinceObserverTell tell,
+                            gpointer user_data)
 {
   NamedMirror mirrors[N_MIRRORS];
   list_mirrors (observer, mirrors);
@@ -259,11 +271,23 @@
     {
       if (!quince_meta_mirror_is_synced (mirrors[i].mirror))
         continue;
-      g_autoptr (QuinceMetaPage) page = quince_meta_mirror_snapshot (mirrors[i].mirror);
-      tell (mirrors[i].prefix, page, user_data);
+      gboolean whole = FALSE;
+      g_autoptr (QuinceMetaPage) page = quince_meta_mirror_since (mirrors[i].mirror, revisions[i], &whole);
+      tell (mirrors[i].prefix, page, whole, user_data);
     }
 }
 
+gboolean
+quince_observer_is_synced (QuinceObserver *observer)
+{
+  guint64 revisions[N_MIRRORS];
+  quince_observer_get_revisions (observer, revisions);
+  for (guint i = 0; i < N_MIRRORS; i++)
+    if (revisions[i] == 0)
+      return FALSE;
+  return TRUE;
+}
+
 /* ---- Public ----------------------------------------------------------- */
 
 QuinceObserver *
--- a/lib/protocol/quince_protocol.x
+++ b/lib/protocol/quince_protocol.x
@@ -616,8 +616,9 @@
     opaque         value<QUINCE_MAX_TEXT>;
 };
 
-/* Asked for once on a link. */
-struct QuinceBeliefAsk { unsigned hyper epoch; };
+/* Asked for once on a link: what the asker has of each prefix, 0: nothing, in the order in which
+ * observers list them. */
+struct QuinceBeliefAsk { unsigned hyper revisions<8>; };
 
 /* Also sent without items, as a sign that the sender reads the store. */
 struct QuinceBeliefNews {
--- a/tests/platform/test-meta.c
+++ b/tests/platform/test-meta.c
@@ -221,6 +221,88 @@
   end (&world);
 }
 
+static guint
+items_since (World *world, guint64 revision, gboolean *whole)
+{
+  g_autoptr (QuinceMetaPage) page = quince_meta_mirror_since (world->mirror, revision, whole);
+  return page->items->len;
+}
+
+/* One who has all up to a revision is told what came and what went since then; everything where that is not
+ * known any more. */
+static void
+test_what_another_lacks (void **state)
+{
+  World world;
+  begin (&world, 0);
+  gboolean whole = FALSE;
+  assert_int_equal (items_since (&world, 0, &whole), 5);
+  assert_true (whole);
+  guint64 start = quince_meta_mirror_get_revision (world.mirror);
+  assert_int_equal (items_since (&world, start, &whole), 0);
+  assert_false (whole);
+  standin_store_put (world.standin, "a/1", "second");
+  standin_store_remove (world.standin, "a/2");
+  AWAIT (g_hash_table_size (world.told.values) == 4);
+  assert_int_equal (items_since (&world, start, &whole), 2);
+  assert_false (whole);
+  /* A key that went and came back is told as it is. */
+  standin_store_put (world.standin, "a/2", "again");
+  AWAIT (g_hash_table_size (world.told.values) == 5);
+  assert_int_equal (items_since (&world, start, &whole), 2);
+  assert_false (whole);
+  /* After a new list nobody knows what went away between. */
+  standin_store_compact (world.standin);
+  standin_store_remove (world.standin, "a/3");
+  AWAIT (g_hash_table_size (world.told.values) == 4);
+  assert_int_equal (items_since (&world, start, &whole), 4);
+  assert_true (whole);
+  end (&world);
+}
+
+static guint read_pages;
+static guint read_items;
+
+static void
+told_read (const QuinceMetaPage *page, gpointer data)
+{
+  read_pages++;
+  read_items += page->items->len;
+}
+
+static const QuinceMetaMirrorCallbacks worker_callbacks
+    = { .item = told_item, .synced = told_synced, .read = told_read, .same = quince_platform_same_worker };
+
+/* Heartbeats of workers are read, and neither told nor passed on. */
+static void
+test_heartbeats_are_no_news (void **state)
+{
+  static const char *const entries[] = { "{\"state\":\"ready\",\"seq\":1,\"zone\":\"z1\"}",
+                                         "{\"state\":\"ready\",\"seq\":22,\"zone\":\"z1\"}",
+                                         "{\"state\":\"ready\",\"seq\": 333,\"zone\":\"z1\"}",
+                                         "{\"state\":\"draining\",\"seq\":334,\"zone\":\"z1\"}" };
+  World world;
+  begin (&world, 0);
+  Told told = { .values = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free) };
+  read_pages = 0;
+  read_items = 0;
+  QuinceMetaMirror *mirror = quince_meta_mirror_new (world.store, "w/", 0, &worker_callbacks, &told);
+  AWAIT (told.synced > 0);
+  for (guint i = 0; i < G_N_ELEMENTS (entries); i++)
+    {
+      guint before = read_pages;
+      standin_store_put (world.standin, "w/1", entries[i]);
+      AWAIT (read_pages > before);
+    }
+  assert_int_equal (told.told, 2);
+  assert_int_equal (read_items, 2);
+  assert_string_equal (g_hash_table_lookup (told.values, "w/1"), entries[3]);
+  assert_true (quince_meta_mirror_get_revision (mirror) >= standin_store_get_revision (world.standin, "w/1"));
+  quince_meta_mirror_free (mirror);
+  g_hash_table_unref (told.values);
+  end (&world);
+}
+
 /* ---- Presence --------------------------------------------------------- */
 
 static void
@@ -302,6 +384,8 @@
     cmocka_unit_test (test_pace),
     cmocka_unit_test (test_feed),
     cmocka_unit_test (test_whole_feed),
+    cmocka_unit_test (test_what_another_lacks),
+    cmocka_unit_test (test_heartbeats_are_no_news),
     cmocka_unit_test (test_presence),
     cmocka_unit_test (test_conditions),
   };
