Weights: workers that no model needs stay in reserve; what all ask for goes out compressed, encoded once

Change: a model has as many homes as its greatest number of open samples of late fills (half as many again, and two more); others have none, load nothing and take over where one is lost; a new leader leaves workers at the model that they hold. The list of a service's workers is kept sorted instead of being sorted for each choice.

--- a/daemons/replica/batch-service.c
+++ b/daemons/replica/batch-service.c
@@ -311,6 +311,21 @@
 
 /* ---- What the book tells ---------------------------------------------- */
 
+/* Samples of @model that are not listed, of batches that go on. */
+static guint
+open_samples (QuinceBatchService *service, const char *model)
+{
+  g_autoptr (GPtrArray) entries = quince_batch_book_list (service->book);
+  guint count = 0;
+  for (guint i = 0; i < entries->len; i++)
+    {
+      const QuinceBatchEntry *entry = entries->pdata[i];
+      if (!entry->ended && g_str_equal (entry->batch->model, model))
+        count += entry->batch->items.items_len - entry->results->len;
+    }
+  return count;
+}
+
 static void
 batch_submitted (QuinceBatchEntry *entry, gpointer data)
 {
@@ -319,7 +334,8 @@
   double tokens = 0;
   for (guint i = 0; i < entry->batch->items.items_len; i++)
     tokens += entry->batch->items.items_val[i].tokens;
-  quince_model_homes_add_demand (service->homes, quince_now_us (), entry->batch->model, tokens);
+  quince_model_homes_add_demand (service->homes, quince_now_us (), entry->batch->model, tokens,
+                                 open_samples (service, entry->batch->model));
   g_hash_table_remove (service->submitting, entry->batch->id);
   quince_log_info ("batch_taken", "batch=%s model=%s step=%" G_GUINT64_FORMAT " items=%u", entry->batch->id,
                    entry->batch->model, (guint64)entry->batch->step, entry->batch->items.items_len);
--- a/daemons/replica/replica.c
+++ b/daemons/replica/replica.c
@@ -229,6 +229,8 @@
     quince_heartbeats_take_ack (replica->heartbeats, &message->QuinceMessage_u.heartbeat_ack);
   else if (message->kind == QUINCE_MESSAGE_PROGRESS && replica->feed == NULL)
     quince_progress_store_take (replica->progress, quince_now_us (), &message->QuinceMessage_u.progress);
+  else if (message->kind == QUINCE_MESSAGE_PACKED && replica->feed == NULL)
+    quince_belief_feed_take_packed (replica->observer, &message->QuinceMessage_u.packed);
   else if (message->kind == QUINCE_MESSAGE_BELIEF_NEWS && replica->feed == NULL)
     quince_belief_feed_take (replica->observer, &message->QuinceMessage_u.belief_news);
 }
--- a/daemons/replica/weight-orders.c
+++ b/daemons/replica/weight-orders.c
@@ -301,17 +301,35 @@
   return (gint)first->worker->running - (gint)second->worker->running;
 }
 
+/* The model that @worker was brought to last; NULL: none yet. */
+static const char *
+held_by (const QuinceWorker *worker)
+{
+  const QuinceWorkerModel *newest = NULL;
+  for (guint i = 0; i < worker->models->len; i++)
+    {
+      const QuinceWorkerModel *model = &g_array_index (worker->models, QuinceWorkerModel, i);
+      if (model->version > 1 && (newest == NULL || model->version > newest->version))
+        newest = model;
+    }
+  return newest != NULL ? newest->name : NULL;
+}
+
 static void
 assign_homes (QuinceWeightOrders *orders,
               gint64 now_us,
               const QuinceService *service,
               const GPtrArray *workers)
 {
-  g_autoptr (GPtrArray) ids = g_ptr_array_new ();
+  g_autoptr (GArray) usable = g_array_new (FALSE, FALSE, sizeof (QuinceHomeWorker));
   for (guint i = 0; i < workers->len; i++)
-    if (!((QuinceWorker *)workers->pdata[i])->draining)
-      g_ptr_array_add (ids, ((QuinceWorker *)workers->pdata[i])->id);
-  quince_model_homes_assign (orders->options.homes, now_us, service->models, ids);
+    {
+      const QuinceWorker *worker = workers->pdata[i];
+      const QuinceHomeWorker row = { worker->id, held_by (worker) };
+      if (!worker->draining)
+        g_array_append_val (usable, row);
+    }
+  quince_model_homes_assign (orders->options.homes, now_us, service->models, usable, service->slots);
 }
 
 static void
--- a/include/quince/belief-feed.h
+++ b/include/quince/belief-feed.h
@@ -29,5 +29,7 @@
 /* Asks whoever is at the other end of @link for what @observer lacks. */
 void quince_belief_feed_ask (QuinceObserver *observer, QuinceLink *link);
 void quince_belief_feed_take (QuinceObserver *observer, const QuinceBeliefNews *news);
+/* The same, of news that were packed. */
+void quince_belief_feed_take_packed (QuinceObserver *observer, const QuincePacked *packed);
 
 G_END_DECLS
--- a/include/quince/model-homes.h
+++ b/include/quince/model-homes.h
@@ -1,8 +1,9 @@
 /*
- * model-homes.h: which model each worker of a service serves, where several are trained.
+ * model-homes.h: which model each worker of a service serves, and which workers are in reserve.
  *
  * Each version that a worker loads has its price, so a worker is kept at the newest version of one model
- * only, its home.  Homes follow the demand for each model, one worker at a time.
+ * only, its home.  Homes follow the demand for each model, one worker at a time; workers that no model needs
+ * have none, and load nothing until one does.
  *
  * Pure: time is an argument, in microseconds of one monotonic clock.
  */
@@ -17,20 +18,39 @@
 QuinceModelHomes *quince_model_homes_new (void);
 void quince_model_homes_free (QuinceModelHomes *homes);
 G_DEFINE_AUTOPTR_CLEANUP_FUNC (QuinceModelHomes, quince_model_homes_free)
-/* Work of @tokens was asked of @model. */
-void quince_model_homes_add_demand (QuinceModelHomes *homes, gint64 now_us, const char *model, double tokens);
+/* Work of @tokens was asked of @model, of which @samples are not done now. */
+void quince_model_homes_add_demand (QuinceModelHomes *homes,
+                                    gint64 now_us,
+                                    const char *model,
+                                    double tokens,
+                                    guint samples);
+
+/**
+ * QuinceHomeWorker:
+ * @id: of the worker; lives through the call
+ * @held: (nullable): the model that it was brought to last
+ */
+typedef struct
+{
+  const char *id;
+  const char *held;
+} QuinceHomeWorker;
+
 /**
  * quince_model_homes_assign:
  * @models: names, all of one service
- * @workers: ids of the workers of that service that take work
+ * @workers: (element-type QuinceHomeWorker): the workers of that service that take work
+ * @slots: samples that a worker runs at once
  *
- * Gives each worker a home, and moves one worker where the demand has shifted.
+ * Gives homes to as many workers as the samples of each model need, all where that is not known, and moves
+ * one worker where the demand has shifted.
  */
 void quince_model_homes_assign (QuinceModelHomes *homes,
                                 gint64 now_us,
                                 const GPtrArray *models,
-                                const GPtrArray *workers);
-/* NULL: the worker has none. */
+                                const GArray *workers,
+                                guint slots);
+/* NULL: the worker has none, or is not one. */
 const char *quince_model_homes_get (QuinceModelHomes *homes, const char *worker);
 
 G_END_DECLS
--- a/include/quince/routing.h
+++ b/include/quince/routing.h
@@ -106,8 +106,7 @@
   char *zone;
   guint slots;
   gboolean draining;
-  gint64 slow_until_us; /* it told that it is slow after its start until then; 0: never */
-  GArray *models;       /* QuinceWorkerModel: as last told */
+  GArray *models; /* QuinceWorkerModel: as last told */
 
   /* What this process sees by itself. */
   gboolean loading;        /* takes new weights: begins nothing meanwhile     */
@@ -142,7 +141,8 @@
 gboolean quince_worker_table_update (QuinceWorkerTable *table, QuinceWorker *told);
 void quince_worker_table_remove (QuinceWorkerTable *table, const char *id);
 QuinceWorker *quince_worker_table_find (QuinceWorkerTable *table, const char *id);
-/* (transfer container): workers of @service, the leaving ones too, in order of their ids. */
+/* (transfer container): workers of @service, the leaving ones too, in order of their ids; not to be changed.
+ */
 GPtrArray *quince_worker_table_list (QuinceWorkerTable *table, const char *service);
 guint quince_worker_table_get_size (const QuinceWorkerTable *table);
 
--- a/lib/core/routing/worker-table.c
+++ b/lib/core/routing/worker-table.c
@@ -12,6 +12,8 @@
 struct _QuinceWorkerTable
 {
   GHashTable *by_id; /* QuinceWorker, owned */
+  GHashTable
+      *lists; /* GPtrArray by service, owned: made when asked for, dropped when a worker comes or goes */
   const QuinceWorkerTableCallbacks *callbacks;
   gpointer user_data;
 };
@@ -77,6 +79,7 @@
 {
   QuinceWorkerTable *table = g_new0 (QuinceWorkerTable, 1);
   table->by_id = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, (GDestroyNotify)quince_worker_free);
+  table->lists = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, (GDestroyNotify)g_ptr_array_unref);
   table->callbacks = callbacks;
   table->user_data = user_data;
   return table;
@@ -87,6 +90,7 @@
 {
   if (table == NULL)
     return;
+  g_hash_table_unref (table->lists);
   g_hash_table_unref (table->by_id);
   g_free (table);
 }
@@ -97,7 +101,6 @@
   gboolean changed = worker->draining != told->draining;
   worker->draining = told->draining;
   worker->slots = told->slots;
-  worker->slow_until_us = told->slow_until_us;
   for (guint i = 0; i < told->models->len; i++)
     {
       const QuinceWorkerModel *model = &g_array_index (told->models, QuinceWorkerModel, i);
@@ -124,6 +127,7 @@
   if (worker != NULL)
     quince_worker_table_remove (table, told->id);
   g_hash_table_insert (table->by_id, told->id, told);
+  g_hash_table_remove (table->lists, told->service);
   return TRUE;
 }
 
@@ -134,6 +138,7 @@
   if (worker == NULL)
     return;
   g_hash_table_steal (table->by_id, id);
+  g_hash_table_remove (table->lists, worker->service);
   if (table->callbacks != NULL && table->callbacks->gone != NULL)
     table->callbacks->gone (worker, table->user_data);
   quince_worker_free (worker);
@@ -156,7 +161,10 @@
 GPtrArray *
 quince_worker_table_list (QuinceWorkerTable *table, const char *service)
 {
-  GPtrArray *list = g_ptr_array_new ();
+  GPtrArray *list = g_hash_table_lookup (table->lists, service);
+  if (list != NULL)
+    return g_ptr_array_ref (list);
+  list = g_ptr_array_new ();
   GHashTableIter iter;
   gpointer value;
   g_hash_table_iter_init (&iter, table->by_id);
@@ -164,6 +172,7 @@
     if (g_str_equal (((QuinceWorker *)value)->service, service))
       g_ptr_array_add (list, value);
   g_ptr_array_sort (list, compare_ids);
+  g_hash_table_insert (table->lists, g_strdup (service), g_ptr_array_ref (list));
   return list;
 }
 
--- a/lib/core/story/log-vocabulary.c
+++ b/lib/core/story/log-vocabulary.c
@@ -36,6 +36,7 @@
   "log_lines_left_out",
   "machine_emptied",
   "machine_leaving",
+  "news_unreadable",
   "policy_failed",
   "policy_in_force",
   "promise_given",
--- a/lib/core/weights/model-homes.c
+++ b/lib/core/weights/model-homes.c
@@ -1,5 +1,5 @@
 /*
- * model-homes.c: which model each worker serves.
+ * model-homes.c: which model each worker serves, and which are in reserve.
  */
 #include <quince/model-homes.h>
 
@@ -10,19 +10,36 @@
 /* A worker moves when a model lacks this much of one, and another has that much too many. */
 #define LACK_LEAST 0.6
 #define SURPLUS_LEAST 0.4
+/* A worker without a home gets one where any is lacking at all. */
+#define LACK_ANY 0.01
 /* Every model has this many workers where there are enough: one may be slow or lost. */
 #define EACH_LEAST 2
+/* Samples of a model at once: the most of late, and this much more. */
+#define PEAK_HALF_LIFE_US (60 * G_USEC_PER_SEC)
+#define PEAK_ROOM 1.5
+/* Workers of a model beyond what its samples need; more than that again and one is let go. */
+#define SPARE 2
+#define RELEASE_SURPLUS 3
+/* The home of a worker that is not listed is forgotten after it. */
+#define HOME_KEEP_US (60 * G_USEC_PER_SEC)
 
 typedef struct
 {
   double tokens;
+  double peak; /* samples at once */
   gint64 at_us;
 } Demand;
 
+typedef struct
+{
+  char *model;
+  gint64 seen_us;
+} Home;
+
 struct _QuinceModelHomes
 {
   GHashTable *demand; /* Demand by model, owned */
-  GHashTable *homes;  /* worker id to model name */
+  GHashTable *homes;  /* Home by worker id, owned */
   gint64 move_after_us;
 };
 
@@ -34,12 +51,20 @@
   guint count;
 } Share;
 
+static void
+home_free (gpointer data)
+{
+  Home *home = data;
+  g_free (home->model);
+  g_free (home);
+}
+
 QuinceModelHomes *
 quince_model_homes_new (void)
 {
   QuinceModelHomes *homes = g_new0 (QuinceModelHomes, 1);
   homes->demand = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
-  homes->homes = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  homes->homes = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, home_free);
   return homes;
 }
 
@@ -60,17 +85,31 @@
   return demand != NULL ? demand->tokens * exp2 (-(double)(now_us - demand->at_us) / HALF_LIFE_US) : 0;
 }
 
+static double
+peak_of (QuinceModelHomes *homes, gint64 now_us, const char *model)
+{
+  const Demand *demand = g_hash_table_lookup (homes->demand, model);
+  return demand != NULL ? demand->peak * exp2 (-(double)(now_us - demand->at_us) / PEAK_HALF_LIFE_US) : 0;
+}
+
 void
-quince_model_homes_add_demand (QuinceModelHomes *homes, gint64 now_us, const char *model, double tokens)
+quince_model_homes_add_demand (QuinceModelHomes *homes,
+                               gint64 now_us,
+                               const char *model,
+                               double tokens,
+                               guint samples)
 {
-  Demand next = { .tokens = demand_of (homes, now_us, model) + tokens, .at_us = now_us };
+  const Demand next = { .tokens = demand_of (homes, now_us, model) + tokens,
+                        .peak = MAX (peak_of (homes, now_us, model), samples),
+                        .at_us = now_us };
   g_hash_table_replace (homes->demand, g_strdup (model), g_memdup2 (&next, sizeof next));
 }
 
 const char *
 quince_model_homes_get (QuinceModelHomes *homes, const char *worker)
 {
-  return g_hash_table_lookup (homes->homes, worker);
+  const Home *home = g_hash_table_lookup (homes->homes, worker);
+  return home != NULL ? home->model : NULL;
 }
 
 /* ---- Shares ----------------------------------------------------------- */
@@ -101,6 +140,19 @@
     }
 }
 
+/* No model gets more workers than its samples can fill. */
+static void
+cap_ideals (QuinceModelHomes *homes, gint64 now_us, GArray *shares, guint slots)
+{
+  for (guint i = 0; i < shares->len; i++)
+    {
+      Share *share = &g_array_index (shares, Share, i);
+      double peak = peak_of (homes, now_us, share->model);
+      if (peak > 0)
+        share->ideal = MIN (share->ideal, ceil (peak * PEAK_ROOM / MAX (slots, 1)) + SPARE);
+    }
+}
+
 static Share *
 share_of (GArray *shares, const char *model)
 {
@@ -139,36 +191,87 @@
 /* ---- Homes ------------------------------------------------------------ */
 
 static void
-set_home (QuinceModelHomes *homes, const char *worker, Share *share)
+set_home (QuinceModelHomes *homes, gint64 now_us, const char *worker, Share *share)
 {
-  g_hash_table_replace (homes->homes, g_strdup (worker), g_strdup (share->model));
+  Home *home = g_new0 (Home, 1);
+  home->model = g_strdup (share->model);
+  home->seen_us = now_us;
+  g_hash_table_replace (homes->homes, g_strdup (worker), home);
   share->count++;
 }
 
+/* Counts the homes that there are, and forgets those of workers long gone. */
 static void
-move_one (QuinceModelHomes *homes, gint64 now_us, GArray *shares, const GPtrArray *workers)
+count_homes (QuinceModelHomes *homes, gint64 now_us, GArray *shares, const GArray *workers)
 {
-  Share *to = most_lacking (shares);
-  Share *from = most_surplus (shares);
-  if (now_us < homes->move_after_us || to->ideal - to->count < LACK_LEAST
-      || from->count - from->ideal < SURPLUS_LEAST)
-    return;
   for (guint i = 0; i < workers->len; i++)
     {
-      const char *worker = workers->pdata[i];
-      if (g_strcmp0 (quince_model_homes_get (homes, worker), from->model) != 0)
+      Home *home = g_hash_table_lookup (homes->homes, g_array_index (workers, QuinceHomeWorker, i).id);
+      Share *share = home != NULL ? share_of (shares, home->model) : NULL;
+      if (share == NULL)
         continue;
-      set_home (homes, worker, to);
-      homes->move_after_us = now_us + MOVE_EVERY_US;
-      return;
+      home->seen_us = now_us;
+      share->count++;
     }
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, homes->homes);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    if (now_us - ((const Home *)value)->seen_us > HOME_KEEP_US)
+      g_hash_table_iter_remove (&iter);
+}
+
+/* Homes for workers without one, while a model lacks some: with what they hold, then with any. */
+static void
+fill (QuinceModelHomes *homes, gint64 now_us, GArray *shares, const GArray *workers, gboolean as_held)
+{
+  for (guint i = 0; i < workers->len; i++)
+    {
+      const QuinceHomeWorker *worker = &g_array_index (workers, QuinceHomeWorker, i);
+      if (share_of (shares, quince_model_homes_get (homes, worker->id)) != NULL)
+        continue;
+      Share *share = as_held ? share_of (shares, worker->held) : most_lacking (shares);
+      if (share != NULL && share->ideal - share->count >= (as_held ? LACK_LEAST : LACK_ANY))
+        set_home (homes, now_us, worker->id, share);
+    }
+}
+
+/* Some worker whose home is @share's model. */
+static const char *
+any_of (QuinceModelHomes *homes, const Share *share, const GArray *workers)
+{
+  for (guint i = 0; i < workers->len; i++)
+    {
+      const char *worker = g_array_index (workers, QuinceHomeWorker, i).id;
+      if (g_strcmp0 (quince_model_homes_get (homes, worker), share->model) == 0)
+        return worker;
+    }
+  return NULL;
+}
+
+static void
+move_one (QuinceModelHomes *homes, gint64 now_us, GArray *shares, const GArray *workers)
+{
+  Share *to = most_lacking (shares);
+  Share *from = most_surplus (shares);
+  gboolean lacks = to->ideal - to->count >= LACK_LEAST && from->count - from->ideal >= SURPLUS_LEAST;
+  gboolean idles = from->count - from->ideal >= RELEASE_SURPLUS;
+  const char *worker = lacks || idles ? any_of (homes, from, workers) : NULL;
+  if (worker == NULL || now_us < homes->move_after_us)
+    return;
+  if (lacks)
+    set_home (homes, now_us, worker, to);
+  else
+    g_hash_table_remove (homes->homes, worker);
+  homes->move_after_us = now_us + MOVE_EVERY_US;
 }
 
 void
 quince_model_homes_assign (QuinceModelHomes *homes,
                            gint64 now_us,
                            const GPtrArray *models,
-                           const GPtrArray *workers)
+                           const GArray *workers,
+                           guint slots)
 {
   if (models->len == 0)
     return;
@@ -178,15 +281,10 @@
       const Share share = { .model = models->pdata[i] };
       g_array_append_val (shares, share);
     }
-  for (guint i = 0; i < workers->len; i++)
-    {
-      Share *share = share_of (shares, quince_model_homes_get (homes, workers->pdata[i]));
-      if (share != NULL)
-        share->count++;
-    }
+  count_homes (homes, now_us, shares, workers);
   find_ideals (homes, now_us, shares, workers->len);
-  for (guint i = 0; i < workers->len; i++)
-    if (share_of (shares, quince_model_homes_get (homes, workers->pdata[i])) == NULL)
-      set_home (homes, workers->pdata[i], most_lacking (shares));
+  cap_ideals (homes, now_us, shares, slots);
+  fill (homes, now_us, shares, workers, TRUE);
+  fill (homes, now_us, shares, workers, FALSE);
   move_one (homes, now_us, shares, workers);
 }
--- a/lib/observer/belief-feed.c
+++ b/lib/observer/belief-feed.c
@@ -4,6 +4,7 @@
 #include <quince/belief-feed.h>
 
 #include <quince/log.h>
+#include <quince/packed-message.h>
 #include <quince/task.h>
 
 /* A sign of life comes three times within the patience of the fed. */
@@ -14,11 +15,26 @@
   /* All fields belong to the context that created the feed. */
   QuinceObserver *observer;
   QuinceMetaStore *store;
-  GHashTable *links; /* QuinceLink, owned */
-  GHashTable *ahead; /* prefix to guint64: read up to here without news, not told yet */
+  GHashTable *links;  /* QuinceLink, owned */
+  GHashTable *ahead;  /* prefix to guint64: read up to here without news, not told yet */
+  GHashTable *packed; /* prefix to Packed, owned: all there is under it, for those that have nothing */
   GSource *timer;
 };
 
+typedef struct
+{
+  guint64 revision;
+  GBytes *encoded;
+} Packed;
+
+static void
+packed_free (gpointer data)
+{
+  Packed *packed = data;
+  g_bytes_unref (packed->encoded);
+  g_free (packed);
+}
+
 /* ---- At the leader ---------------------------------------------------- */
 
 static GBytes *
@@ -91,6 +107,7 @@
   feed->store = store;
   feed->links = g_hash_table_new_full (NULL, NULL, (GDestroyNotify)quince_link_unref, NULL);
   feed->ahead = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  feed->packed = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, packed_free);
   feed->timer = quince_timer_add (ALIVE_MS, tell_alive, feed);
   return feed;
 }
@@ -103,15 +120,41 @@
   quince_source_clear (&feed->timer);
   g_hash_table_unref (feed->links);
   g_hash_table_unref (feed->ahead);
+  g_hash_table_unref (feed->packed);
   g_free (feed);
 }
 
+/* Encoded once for all that ask before there is news. */
+static GBytes *
+encode_whole (QuinceBeliefFeed *feed, const char *prefix, const QuinceMetaPage *page)
+{
+  const Packed *held = g_hash_table_lookup (feed->packed, prefix);
+  if (held != NULL && held->revision == page->revision)
+    return g_bytes_ref (held->encoded);
+  g_autoptr (GBytes) encoded = encode_news (prefix, page, TRUE);
+  if (encoded == NULL)
+    return NULL;
+  Packed *packed = g_new0 (Packed, 1);
+  packed->revision = page->revision;
+  packed->encoded = quince_message_pack (encoded);
+  g_hash_table_replace (feed->packed, g_strdup (prefix), packed);
+  return g_bytes_ref (packed->encoded);
+}
+
+typedef struct
+{
+  QuinceBeliefFeed *feed;
+  QuinceLink *link;
+} Asker;
+
 static void
-send_since (const char *prefix, const QuinceMetaPage *page, gboolean whole, gpointer link)
+send_since (const char *prefix, const QuinceMetaPage *page, gboolean whole, gpointer data)
 {
-  g_autoptr (GBytes) encoded = encode_news (prefix, page, whole);
+  const Asker *asker = data;
+  g_autoptr (GBytes) encoded
+      = whole ? encode_whole (asker->feed, prefix, page) : encode_news (prefix, page, FALSE);
   if (encoded != NULL)
-    quince_link_send_bytes (link, encoded);
+    quince_link_send_bytes (asker->link, encoded);
 }
 
 void
@@ -121,7 +164,8 @@
   for (guint i = 0; i < ask->revisions.revisions_len && i < QUINCE_OBSERVER_PREFIXES; i++)
     revisions[i] = ask->revisions.revisions_val[i];
   g_hash_table_add (feed->links, quince_link_ref (link));
-  quince_observer_tell_since (feed->observer, revisions, send_since, link);
+  Asker asker = { feed, link };
+  quince_observer_tell_since (feed->observer, revisions, send_since, &asker);
 }
 
 void
@@ -162,6 +206,20 @@
   quince_link_send (link, &message);
 }
 
+void
+quince_belief_feed_take_packed (QuinceObserver *observer, const QuincePacked *packed)
+{
+  g_autoptr (GError) error = NULL;
+  QuinceMessage *message = quince_message_unpack (packed, &error);
+  if (message != NULL && message->kind == QUINCE_MESSAGE_BELIEF_NEWS)
+    quince_belief_feed_take (observer, &message->QuinceMessage_u.belief_news);
+  if (message != NULL)
+    quince_message_free (message);
+  else
+    quince_log_warning ("news_unreadable", "error=%s code=%d", g_quark_to_string (error->domain),
+                        error->code);
+}
+
 void
 quince_belief_feed_take (QuinceObserver *observer, const QuinceBeliefNews *news)
 {
--- a/lib/protocol/quince_protocol.x
+++ b/lib/protocol/quince_protocol.x
@@ -637,6 +637,9 @@
 /* A front's answer to each. */
 struct QuinceHeartbeatAck { QuinceText node; };
 
+/* An encoded message, compressed: quince/packed-message.h. */
+struct QuincePacked { opaque data<QUINCE_MAX_FRAME>; };
+
 /* A caller's call that the ledger's primary answers, passed on as it came. */
 struct QuinceServiceCall {
     unsigned hyper id;                /* of the link                       */
@@ -679,7 +682,8 @@
     QUINCE_MESSAGE_BELIEF_NEWS   = 19,
     QUINCE_MESSAGE_PROGRESS      = 20,
     QUINCE_MESSAGE_HEARTBEAT     = 21,
-    QUINCE_MESSAGE_HEARTBEAT_ACK = 22
+    QUINCE_MESSAGE_HEARTBEAT_ACK = 22,
+    QUINCE_MESSAGE_PACKED        = 23
 };
 
 union QuinceMessage switch (QuinceMessageKind kind) {
@@ -706,6 +710,7 @@
 case QUINCE_MESSAGE_PROGRESS:      QuinceSampleProgress     progress;
 case QUINCE_MESSAGE_HEARTBEAT:     QuinceHeartbeat    heartbeat;
 case QUINCE_MESSAGE_HEARTBEAT_ACK: QuinceHeartbeatAck heartbeat_ack;
+case QUINCE_MESSAGE_PACKED:        QuincePacked       packed;
 };
 
 /* ---- UDP: membership and digests ------------------------------------ */
--- a/tests/platform/test-meta.c
+++ b/tests/platform/test-meta.c
@@ -277,10 +277,11 @@
 static void
 test_heartbeats_are_no_news (void **state)
 {
-  static const char *const entries[] = { "{\"state\":\"ready\",\"seq\":1,\"zone\":\"z1\"}",
-                                         "{\"state\":\"ready\",\"seq\":22,\"zone\":\"z1\"}",
-                                         "{\"state\":\"ready\",\"seq\": 333,\"zone\":\"z1\"}",
-                                         "{\"state\":\"draining\",\"seq\":334,\"zone\":\"z1\"}" };
+  static const char *const entries[]
+      = { "{\"state\":\"ready\",\"coldRemainingMs\":900,\"seq\":1,\"zone\":\"z1\"}",
+          "{\"state\":\"ready\",\"coldRemainingMs\":0,\"seq\":22,\"zone\":\"z1\"}",
+          "{\"state\":\"ready\",\"coldRemainingMs\":0,\"seq\": 333,\"zone\":\"z1\"}",
+          "{\"state\":\"draining\",\"coldRemainingMs\":0,\"seq\":334,\"zone\":\"z1\"}" };
   World world;
   begin (&world, 0);
   Told told = { .values = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free) };
--- a/tests/unit/test-model-homes.c
+++ b/tests/unit/test-model-homes.c
@@ -21,6 +21,21 @@
   return list;
 }
 
+#define SLOTS 8
+
+/* As the workers' owner tells them; none holds a model yet. */
+static void
+assign (QuinceModelHomes *homes, gint64 now_us, const GPtrArray *models, const GPtrArray *workers)
+{
+  g_autoptr (GArray) rows = g_array_new (FALSE, FALSE, sizeof (QuinceHomeWorker));
+  for (guint i = 0; i < workers->len; i++)
+    {
+      const QuinceHomeWorker row = { workers->pdata[i], NULL };
+      g_array_append_val (rows, row);
+    }
+  quince_model_homes_assign (homes, now_us, models, rows, SLOTS);
+}
+
 static guint
 count_of (QuinceModelHomes *homes, const GPtrArray *workers, const char *model)
 {
@@ -36,7 +51,7 @@
   g_autoptr (QuinceModelHomes) homes = quince_model_homes_new ();
   g_autoptr (GPtrArray) models = names ("m", 3);
   g_autoptr (GPtrArray) workers = names ("w", 9);
-  quince_model_homes_assign (homes, 0, models, workers);
+  assign (homes, 0, models, workers);
   for (guint i = 0; i < 3; i++)
     assert_int_equal (count_of (homes, workers, models->pdata[i]), 3);
 }
@@ -47,22 +62,22 @@
   g_autoptr (QuinceModelHomes) homes = quince_model_homes_new ();
   g_autoptr (GPtrArray) models = names ("m", 3);
   g_autoptr (GPtrArray) workers = names ("w", 9);
-  quince_model_homes_assign (homes, 0, models, workers);
-  quince_model_homes_add_demand (homes, SECOND, "m0", 100);
-  quince_model_homes_add_demand (homes, SECOND, "m1", 100);
-  quince_model_homes_add_demand (homes, SECOND, "m2", 400);
-  quince_model_homes_assign (homes, SECOND, models, workers);
+  assign (homes, 0, models, workers);
+  quince_model_homes_add_demand (homes, SECOND, "m0", 100, 1000);
+  quince_model_homes_add_demand (homes, SECOND, "m1", 100, 1000);
+  quince_model_homes_add_demand (homes, SECOND, "m2", 400, 1000);
+  assign (homes, SECOND, models, workers);
   assert_int_equal (count_of (homes, workers, "m2"), 4);
-  quince_model_homes_assign (homes, SECOND + 1, models, workers);
+  assign (homes, SECOND + 1, models, workers);
   assert_int_equal (count_of (homes, workers, "m2"), 4);
   for (guint i = 2; i < 20; i++)
-    quince_model_homes_assign (homes, i * 2 * SECOND, models, workers);
+    assign (homes, i * 2 * SECOND, models, workers);
   assert_int_equal (count_of (homes, workers, "m2"), 5);
   assert_int_equal (count_of (homes, workers, "m0"), 2);
   /* Nothing moves to and fro. */
   guint before = count_of (homes, workers, "m1");
   for (guint i = 20; i < 40; i++)
-    quince_model_homes_assign (homes, i * 2 * SECOND, models, workers);
+    assign (homes, i * 2 * SECOND, models, workers);
   assert_int_equal (count_of (homes, workers, "m1"), before);
 }
 
@@ -73,7 +88,7 @@
   g_autoptr (QuinceModelHomes) homes = quince_model_homes_new ();
   g_autoptr (GPtrArray) models = names ("m", 2);
   g_autoptr (GPtrArray) workers = names ("w", 8);
-  quince_model_homes_assign (homes, 0, models, workers);
+  assign (homes, 0, models, workers);
   for (guint lost = 0; lost < 2; lost++)
     for (guint i = 0; i < workers->len; i++)
       if (g_str_equal (quince_model_homes_get (homes, workers->pdata[i]), "m0"))
@@ -83,7 +98,7 @@
         }
   assert_int_equal (count_of (homes, workers, "m0"), 2);
   for (guint i = 1; i < 10; i++)
-    quince_model_homes_assign (homes, i * 3 * SECOND, models, workers);
+    assign (homes, i * 3 * SECOND, models, workers);
   assert_int_equal (count_of (homes, workers, "m0"), 3);
   assert_int_equal (count_of (homes, workers, "m1"), 3);
 }
@@ -94,11 +109,56 @@
   g_autoptr (QuinceModelHomes) homes = quince_model_homes_new ();
   g_autoptr (GPtrArray) models = names ("m", 3);
   g_autoptr (GPtrArray) workers = names ("w", 2);
-  quince_model_homes_assign (homes, 0, models, workers);
+  assign (homes, 0, models, workers);
   for (guint i = 0; i < 2; i++)
     assert_non_null (quince_model_homes_get (homes, workers->pdata[i]));
 }
 
+/* Failed first: every worker was brought to every version, however few samples there were. */
+static void
+test_reserve (void **state)
+{
+  g_autoptr (QuinceModelHomes) homes = quince_model_homes_new ();
+  g_autoptr (GPtrArray) models = names ("m", 1);
+  g_autoptr (GPtrArray) workers = names ("w", 300);
+  quince_model_homes_add_demand (homes, 0, "m0", 100, 96);
+  assign (homes, 0, models, workers);
+  assert_int_equal (count_of (homes, workers, "m0"), 20); /* 96 * 1.5 / 8 and two more */
+  /* A lost one is made up for at once. */
+  g_ptr_array_remove_index (workers, 0);
+  assign (homes, SECOND, models, workers);
+  assert_int_equal (count_of (homes, workers, "m0"), 20);
+  /* More samples, more workers; long after them, fewer. */
+  quince_model_homes_add_demand (homes, 2 * SECOND, "m0", 100, 200);
+  assign (homes, 2 * SECOND, models, workers);
+  assert_int_equal (count_of (homes, workers, "m0"), 40);
+  for (guint i = 0; i < 150; i++)
+    assign (homes, (3 + i * 2) * SECOND, models, workers);
+  assert_in_range (count_of (homes, workers, "m0"), 2, 8);
+}
+
+/* A new leader leaves the workers that have the model at it. */
+static void
+test_holders_come_first (void **state)
+{
+  g_autoptr (QuinceModelHomes) homes = quince_model_homes_new ();
+  g_autoptr (GPtrArray) models = names ("m", 2);
+  g_autoptr (GPtrArray) workers = names ("w", 100);
+  g_autoptr (GArray) rows = g_array_new (FALSE, FALSE, sizeof (QuinceHomeWorker));
+  for (guint i = 0; i < workers->len; i++)
+    {
+      const QuinceHomeWorker row = { workers->pdata[i], i >= 90 ? "m1" : i >= 80 ? "m0" : NULL };
+      g_array_append_val (rows, row);
+    }
+  quince_model_homes_add_demand (homes, 0, "m0", 100, 40);
+  quince_model_homes_add_demand (homes, 0, "m1", 100, 40);
+  quince_model_homes_assign (homes, 0, models, rows, SLOTS);
+  assert_int_equal (count_of (homes, workers, "m0"), 10);
+  assert_int_equal (count_of (homes, workers, "m1"), 10);
+  for (guint i = 80; i < 100; i++)
+    assert_string_equal (quince_model_homes_get (homes, workers->pdata[i]), i >= 90 ? "m1" : "m0");
+}
+
 int
 main (void)
 {
@@ -107,6 +167,8 @@
     cmocka_unit_test (test_follows_demand_one_at_a_time),
     cmocka_unit_test (test_lost_worker_is_made_up_for),
     cmocka_unit_test (test_fewer_workers_than_models),
+    cmocka_unit_test (test_reserve),
+    cmocka_unit_test (test_holders_come_first),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
