Ledger: records go to the members of the view and a few spare replicas, not to every machine with a disk

Ruled out: heartbeats and belief news (0.6 kB/s a front), results read by fronts (as many as callers ask for). Change: lib/core/group chooses who is fed: linked members, as many as the view lacks, and as many spare ones as a quorum has, those that hold most first; a spare one takes a lost member's place at once. The others are heard only.

--- a/daemons/replica/ledger-node-private.h
+++ b/daemons/replica/ledger-node-private.h
@@ -12,6 +12,7 @@
   guint64 replica;
   guint64 next_index; /* to send */
   gboolean reset;     /* its records are of no use: the next append replaces all */
+  gboolean fed;       /* records are sent to it; others are only heard */
 } QuinceBackupLink;
 
 struct _QuinceLedgerNode
--- a/daemons/replica/ledger-node.h
+++ b/daemons/replica/ledger-node.h
@@ -61,7 +61,7 @@
 /* Appends a record; it is told by committed() once enough machines hold it. Returns its index; 0: it does not
  * lead */
 guint64 quince_ledger_node_append (QuinceLedgerNode *node, const QuinceBatchRecord *record);
-/* Sends @message to all backups; for what they may lose. */
+/* Sends @message to the backups that records are sent to; for what they may lose. */
 void quince_ledger_node_broadcast (QuinceLedgerNode *node, const QuinceMessage *message);
 /* Counts backups that joined: who was told everything before must be told again. */
 guint64 quince_ledger_node_get_joins (const QuinceLedgerNode *node);
--- a/daemons/replica/ledger-replication.c
+++ b/daemons/replica/ledger-replication.c
@@ -54,7 +54,7 @@
 send_backup (QuinceLedgerNode *node, QuinceBackupLink *backup, gboolean heartbeat)
 {
   guint64 last_index = quince_batch_log_get_last_index (node->log);
-  gboolean has_news = backup->next_index <= last_index || backup->reset;
+  gboolean has_news = backup->fed && (backup->next_index <= last_index || backup->reset);
   if (!has_news && !heartbeat)
     return;
   Chunk chunk = { .entries = g_array_new (FALSE, FALSE, sizeof (QuinceLogEntry)) };
@@ -66,7 +66,7 @@
   QuinceLedgerAppend *append = &message.QuinceMessage_u.ledger_append;
   append->epoch = node->led_epoch;
   append->replica = backup->replica;
-  append->reset = backup->reset;
+  append->reset = has_news && backup->reset;
   append->end_index = last_index;
   append->commit_index = quince_ledger_group_get_commit_index (node->group);
   append->sent_us = (guint64)quince_now_us ();
@@ -76,13 +76,43 @@
     backup->next_index = g_array_index (chunk.entries, QuinceLogEntry, chunk.entries->len - 1).index + 1;
   append->held_index = backup->next_index - 1;
   quince_link_send (backup->link, &message);
-  backup->reset = FALSE;
+  if (has_news)
+    backup->reset = FALSE;
   g_array_unref (chunk.entries);
 }
 
+static gboolean
+contains (const GArray *replicas, guint64 replica)
+{
+  for (guint i = 0; i < replicas->len; i++)
+    if (g_array_index (replicas, guint64, i) == replica)
+      return TRUE;
+  return FALSE;
+}
+
+static void
+choose_fed (QuinceLedgerNode *node)
+{
+  g_autoptr (GArray) fed = g_array_new (FALSE, FALSE, sizeof (guint64));
+  quince_ledger_group_choose_fed (node->group, quince_now_us (), fed);
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, node->backups);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      QuinceBackupLink *backup = value;
+      gboolean before = backup->fed;
+      backup->fed = contains (fed, backup->replica);
+      if (backup->fed && !before)
+        node->joins++; /* it lacks what was broadcast so far */
+    }
+}
+
 void
 quince_ledger_node_send_backups (QuinceLedgerNode *node, gboolean heartbeat)
 {
+  if (heartbeat)
+    choose_fed (node);
   GHashTableIter iter;
   gpointer value;
   g_hash_table_iter_init (&iter, node->backups);
@@ -121,13 +151,13 @@
   backup->replica = hello->member.replica;
   backup->next_index = first_to_send (node, hello, &backup->reset);
   g_hash_table_replace (node->backups, &backup->replica, backup);
-  node->joins++;
   quince_ledger_group_peer_joined (node->group, quince_now_us (), &hello->member);
   quince_log_info ("backup_joined",
                    "node=%s replica=%" G_GUINT64_FORMAT " has_index=%" G_GUINT64_FORMAT
                    " send_from=%" G_GUINT64_FORMAT " reset=%s",
                    hello->member.node, (guint64)hello->member.replica, (guint64)hello->last_index,
                    backup->next_index, backup->reset ? "true" : "false");
+  choose_fed (node);
   send_backup (node, backup, TRUE);
 }
 
@@ -139,7 +169,8 @@
   gpointer value;
   g_hash_table_iter_init (&iter, node->backups);
   while (encoded != NULL && g_hash_table_iter_next (&iter, NULL, &value))
-    quince_link_send_bytes (((QuinceBackupLink *)value)->link, encoded);
+    if (((QuinceBackupLink *)value)->fed)
+      quince_link_send_bytes (((QuinceBackupLink *)value)->link, encoded);
 }
 
 guint64
--- a/include/quince/ledger-group.h
+++ b/include/quince/ledger-group.h
@@ -121,6 +121,14 @@
 void quince_ledger_group_peer_refused (QuinceLedgerGroup *group, guint64 promised);
 void quince_ledger_group_peer_left (QuinceLedgerGroup *group, guint64 replica);
 
+/**
+ * quince_ledger_group_choose_fed:
+ * @fed: (inout) (element-type guint64): the replicas that records are to be sent to are appended
+ *
+ * The members of the view that are linked, those that lack in it, and as many spare ones as a quorum has.
+ */
+void quince_ledger_group_choose_fed (const QuinceLedgerGroup *group, gint64 now_us, GArray *fed);
+
 /**
  * quince_ledger_group_step:
  * @expected_revision: (out): the condition; 0: no view may be there
--- a/tests/unit/ledger-world.h
+++ b/tests/unit/ledger-world.h
@@ -16,7 +16,7 @@
 
 #include <quince/ledger-group.h>
 
-#define WORLD_MOST 5
+#define WORLD_MOST 12
 #define WORLD_TICK_US (10 * 1000)
 #define WORLD_NODE_TICK_US (150 * 1000)
 
@@ -58,7 +58,7 @@
   guint64 promised;
   gint64 sent_us;
   QuinceLogEnd end;
-  GArray *records; /* APPEND: all from index 1 on, as the sender has them */
+  GArray *records; /* APPEND: all from index 1 on, as the sender has them; NULL: not fed */
   QuinceProposalOutcome outcome;
   QuinceLedgerView *view;
   guint64 revision;
@@ -283,6 +283,18 @@
   late->due_us += g_rand_int_range (world->random, 0, 4000) * 1000;
 }
 
+/* Who is not fed gets the leader's word alone. */
+static inline gboolean
+world_feeds (const World *world, const WorldNode *leader, guint64 replica)
+{
+  g_autoptr (GArray) fed = g_array_new (FALSE, FALSE, sizeof (guint64));
+  quince_ledger_group_choose_fed (leader->group, world->now_us, fed);
+  for (guint i = 0; i < fed->len; i++)
+    if (g_array_index (fed, guint64, i) == replica)
+      return TRUE;
+  return FALSE;
+}
+
 static inline void
 world_send_append (World *world, guint from, guint to)
 {
@@ -293,7 +305,8 @@
   message->index = node->disk.log->len;
   message->commit = quince_ledger_group_get_commit_index (node->group);
   message->sent_us = world->now_us;
-  message->records = g_array_copy (node->disk.log);
+  if (world_feeds (world, node, message->replica))
+    message->records = g_array_copy (node->disk.log);
 }
 
 /* ---- A replica -------------------------------------------------------- */
@@ -433,7 +446,7 @@
   guint64 promised = quince_ledger_group_get_promised (node->group);
   if (!accepted && promised <= message->epoch)
     return;
-  if (accepted)
+  if (accepted && message->records != NULL)
     {
       /* As the disk does it: what is the same stays, from the first difference on all is replaced. */
       guint same = 0;
@@ -450,7 +463,7 @@
   WorldMessage *ack = world_send (world, WORLD_ACK, index, message->from);
   ack->replica = node->disk.replica;
   ack->epoch = message->epoch;
-  ack->index = message->records->len;
+  ack->index = message->records != NULL ? message->records->len : 0;
   ack->sent_us = message->sent_us;
   ack->promised = accepted ? 0 : promised;
 }
--- a/tests/unit/test-ledger-group.c
+++ b/tests/unit/test-ledger-group.c
@@ -258,6 +258,40 @@
   world_free (world);
 }
 
+static guint
+count_fed (World *world)
+{
+  const WorldNode *leader = &world->nodes[world_primary (world)];
+  guint count = 0;
+  for (guint i = 0; i < world->n_nodes; i++)
+    count += world_feeds (world, leader, world->nodes[i].disk.replica);
+  return count;
+}
+
+/* Failed first: every machine with a disk was sent every record, so that a leader's bytes grew with their
+ * number. Now the members and a few spare ones are; who is lost is made up for by those. */
+static void
+test_spare_replicas (void **state)
+{
+  World *world = world_new (7, 12, 1);
+  settle (world);
+  world_run (world, 3000);
+  assert_int_equal (count_fed (world), 4); /* two members beside the leader, two spare ones */
+  for (guint round = 0; round < 6; round++)
+    {
+      guint lost = ((guint)world_primary (world) + 1 + round % 2) % world->n_nodes;
+      world_kill (world, lost);
+      world_run (world, 6000);
+      assert_commits_go_on (world, 1000);
+      assert_int_equal (count_fed (world), 4);
+      const QuinceLedgerView *view = quince_ledger_group_get_view (world->nodes[world_primary (world)].group);
+      assert_int_equal (view->members.members_len, 3);
+      world_start (world, lost, FALSE);
+    }
+  assert_true (world_is_whole (world));
+  world_free (world);
+}
+
 static void
 test_seeded_faults (void **state)
 {
@@ -269,6 +303,8 @@
     run_seed (seed + i, 3, 1);
   for (guint32 i = 0; i < seeds / 5; i++)
     run_seed (seed + 100000 + i, 5, 2);
+  for (guint32 i = 0; i < seeds / 5; i++)
+    run_seed (seed + 200000 + i, 8, 1);
 }
 
 int
@@ -284,6 +320,7 @@
     cmocka_unit_test (test_lost_disk_while_all_others_lose_power),
     cmocka_unit_test (test_retire_then_lost_disk),
     cmocka_unit_test (test_frozen_primary_wakes),
+    cmocka_unit_test (test_spare_replicas),
     cmocka_unit_test (test_seeded_faults),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
