Workers that vanish from the list in an outage of the store are used on where no other is left; caller_left names its request

The store loses entries of workers while it is down, and a front took each for gone at once; they list themselves again with their next heartbeat. Change: an entry that goes while the store fails, or within 3 s after, makes its worker a last choice for 1 s (below drainMs) instead of nothing; one that was draining is gone at once. caller_left carries the request's id and age, so that explain finds it. Tests: test_listing_vanished in platform-forward.

--- a/daemons/front/caller-request.c
+++ b/daemons/front/caller-request.c
@@ -59,7 +59,12 @@
     quince_stream_cancel (request->stream);
   if (request->ledger_call != NULL)
     quince_ledger_call_cancel (request->ledger_call);
-  quince_log_info ("caller_left", "target=%s", request->head->target);
+  QuincePlatformRequestFacts facts;
+  quince_platform_read_request (request->head->headers, &facts);
+  g_autofree char *id = quince_log_quote (facts.request_id);
+  g_autofree char *target = quince_log_quote (request->head->target);
+  quince_log_info ("caller_left", "request=%s target=%s age_ms=%" G_GINT64_FORMAT, id, target,
+                   (quince_now_us () - request->received_us) / 1000);
   quince_front_request_ended (request->front);
   request_free (request);
 }
--- a/include/quince/routing.h
+++ b/include/quince/routing.h
@@ -107,6 +107,8 @@
   guint slots;
   gboolean draining;
   GArray *models; /* QuinceWorkerModel: as last told */
+  gint64
+      gone_after_us; /* it is not listed, perhaps by the store's own doing: no requests after it; 0: listed */
 
   /* What this process sees by itself. */
   gboolean loading;        /* takes new weights: begins nothing meanwhile     */
--- a/lib/core/routing/worker-table.c
+++ b/lib/core/routing/worker-table.c
@@ -100,6 +100,7 @@
 {
   gboolean changed = worker->draining != told->draining;
   worker->draining = told->draining;
+  worker->gone_after_us = 0;
   worker->slots = told->slots;
   for (guint i = 0; i < told->models->len; i++)
     {
--- a/lib/core/story/log-vocabulary.c
+++ b/lib/core/story/log-vocabulary.c
@@ -60,6 +60,7 @@
   "weights_order",
   "weights_order_ended",
   "worker_changed",
+  "worker_doubted",
   "worker_gone",
 };
 
--- a/lib/forward/backends-private.h
+++ b/lib/forward/backends-private.h
@@ -16,5 +16,6 @@
   QuincePolicy *policy;
   GHashTable *events; /* QuinceEventEntry by name, owned */
   QuincePromptTable *prompts;
-  guint tie; /* turns among equals */
+  guint tie;       /* turns among equals */
+  GQueue vanished; /* ids, owned: of workers that are not listed, perhaps by the store\'s own doing */
 };
--- a/lib/forward/backends.c
+++ b/lib/forward/backends.c
@@ -9,6 +9,9 @@
 #include <quince/log.h>
 
 #define FAILURES_SHOWN_MOST 10
+/* A worker that vanished from the list in an outage of the store is still used for so long; less than the
+ * time in which one that leaves must be left alone. */
+#define VANISHED_KEEP_US (1000 * 1000)
 /* Parts of prompts of which the last worker is remembered. */
 #define PROMPT_PARTS_MOST 8192
 
@@ -42,6 +45,7 @@
   backends->pools
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, (GDestroyNotify)quince_http_pool_unref);
   backends->events = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, event_free);
+  g_queue_init (&backends->vanished);
   backends->prompts = quince_prompt_table_new (PROMPT_PARTS_MOST);
   backends->tie = g_random_int ();
   return backends;
@@ -56,6 +60,7 @@
   g_hash_table_unref (backends->pools);
   g_hash_table_unref (backends->events);
   quince_prompt_table_free (backends->prompts);
+  g_queue_clear_full (&backends->vanished, g_free);
   quince_policy_free (backends->policy);
   g_free (backends->zone);
   g_free (backends);
@@ -80,6 +85,40 @@
   return backends->workers;
 }
 
+/* Lets go of those that have not come back in time. */
+static void
+forget_vanished (QuinceBackends *backends, gint64 now_us)
+{
+  while (!g_queue_is_empty (&backends->vanished))
+    {
+      const char *id = g_queue_peek_head (&backends->vanished);
+      const QuinceWorker *worker = quince_worker_table_find (backends->workers, id);
+      gboolean back = worker == NULL || worker->gone_after_us == 0;
+      if (!back && now_us < worker->gone_after_us)
+        return;
+      g_autofree char *owned = g_queue_pop_head (&backends->vanished);
+      if (!back)
+        quince_backends_remove (backends, owned);
+    }
+}
+
+void
+quince_backends_doubt_listing (QuinceBackends *backends, gint64 now_us, const char *id)
+{
+  QuinceWorker *worker = quince_worker_table_find (backends->workers, id);
+  if (worker == NULL || worker->draining)
+    {
+      quince_backends_remove (backends, id);
+      return;
+    }
+  if (worker->gone_after_us != 0)
+    return;
+  worker->gone_after_us = now_us + VANISHED_KEEP_US;
+  g_queue_push_tail (&backends->vanished, g_strdup (id));
+  quince_log_info ("worker_doubted", "worker=%s cause=listing_vanished keep_ms=%d", id,
+                   VANISHED_KEEP_US / 1000);
+}
+
 void
 quince_backends_update (QuinceBackends *backends, QuinceWorker *told)
 {
@@ -165,9 +204,11 @@
 /* ---- Choice ----------------------------------------------------------- */
 
 static gboolean
-is_suitable (const QuinceWorker *worker, const QuinceBackendQuery *query)
+is_suitable (const QuinceWorker *worker, gint64 now_us, const QuinceBackendQuery *query)
 {
-  if (worker->draining || (query->avoid != NULL && g_hash_table_contains (query->avoid, worker->id)))
+  if (worker->draining || (worker->gone_after_us != 0 && now_us >= worker->gone_after_us))
+    return FALSE;
+  if ((query->avoid != NULL && g_hash_table_contains (query->avoid, worker->id)))
     return FALSE;
   return query->model == NULL
          || (!worker->loading && query->minimum_version <= quince_worker_get_version (worker, query->model)
@@ -189,10 +230,11 @@
     for (guint i = 0; i < all->len; i++)
       {
         QuinceWorker *worker = all->pdata[i];
-        if (!is_suitable (worker, query))
+        if (!is_suitable (worker, now_us, query))
           continue;
         any = TRUE;
-        if (has_room (worker, query) && (trusted == 0 || now_us >= worker->doubted_until_us))
+        gboolean doubted = now_us < worker->doubted_until_us || worker->gone_after_us != 0;
+        if (has_room (worker, query) && (trusted == 0 || !doubted))
           g_ptr_array_add (found, worker);
       }
   if (found->len > 0)
@@ -247,6 +289,7 @@
                         const QuinceBackendQuery *query,
                         QuinceWorker **worker)
 {
+  forget_vanished (backends, now_us);
   g_autoptr (GPtrArray) all = quince_worker_table_list (backends->workers, query->request->service);
   g_autoptr (GPtrArray) found = g_ptr_array_new ();
   QuinceBackendOutcome outcome = collect (all, now_us, query, found);
--- a/lib/observer/observer.c
+++ b/lib/observer/observer.c
@@ -17,6 +17,7 @@
 struct _QuinceObserver
 {
   /* All fields belong to the context that created the observer. */
+  QuinceMetaStore *store;
   QuinceBackends *backends;
   const QuinceObserverCallbacks *callbacks;
   gpointer user_data;
@@ -127,7 +128,11 @@
   const char *id = item->key + strlen (QUINCE_PLATFORM_WORKERS_PREFIX);
   if (item->value == NULL)
     {
-      quince_backends_remove (observer->backends, id);
+      gint64 now = quince_now_us ();
+      if (quince_meta_store_may_have_lapsed (observer->store, now))
+        quince_backends_doubt_listing (observer->backends, now, id);
+      else
+        quince_backends_remove (observer->backends, id);
       return;
     }
   g_autoptr (GError) error = NULL;
@@ -298,6 +303,7 @@
                      gpointer user_data)
 {
   QuinceObserver *observer = g_new0 (QuinceObserver, 1);
+  observer->store = store;
   observer->backends = backends;
   observer->callbacks = callbacks;
   observer->user_data = user_data;
--- a/tests/platform/test-forward.c
+++ b/tests/platform/test-forward.c
@@ -224,6 +224,47 @@
   end (&world);
 }
 
+static QuinceBackendOutcome
+choose (World *world, gint64 now_us, const char **id)
+{
+  const QuincePolicyRequest request = { .service = "svc", .member = "", .kind = "l", .attempt = 1 };
+  const QuinceBackendQuery query = { .request = &request };
+  QuinceWorker *worker = NULL;
+  QuinceBackendOutcome outcome = quince_backends_choose (world->backends, now_us, &query, &worker);
+  *id = worker != NULL ? worker->id : "";
+  return outcome;
+}
+
+/* Failed first: while the store lost its list in an outage, requests were refused with 503 and all workers
+ * free. */
+static void
+test_listing_vanished (void **state)
+{
+  const char *id = NULL;
+  World world;
+  begin (&world);
+  gint64 now = quince_now_us ();
+  quince_backends_doubt_listing (world.backends, now, "w0");
+  /* One that is listed goes first. */
+  for (guint i = 0; i < 4; i++)
+    {
+      assert_int_equal (choose (&world, now, &id), QUINCE_BACKEND_CHOSEN);
+      assert_string_equal (id, "w1");
+    }
+  quince_backends_doubt_listing (world.backends, now, "w1");
+  assert_int_equal (choose (&world, now, &id), QUINCE_BACKEND_CHOSEN);
+  /* One is listed again and stays; the other one is gone after a moment. */
+  list_worker (&world, 0, "ready");
+  assert_int_equal (choose (&world, now + 3 * G_USEC_PER_SEC, &id), QUINCE_BACKEND_CHOSEN);
+  assert_string_equal (id, "w0");
+  assert_null (quince_worker_table_find (quince_backends_get_workers (world.backends), "w1"));
+  /* One that leaves is no such case. */
+  list_worker (&world, 0, "draining");
+  quince_backends_doubt_listing (world.backends, now, "w0");
+  assert_int_equal (choose (&world, now, &id), QUINCE_BACKEND_NONE);
+  end (&world);
+}
+
 /* A draining worker, and one that is gone, get nothing new. */
 static void
 test_draining (void **state)
@@ -293,6 +334,7 @@
     cmocka_unit_test (test_request_reaches_worker_unchanged),
     cmocka_unit_test (test_address_used_again),
     cmocka_unit_test (test_draining),
+    cmocka_unit_test (test_listing_vanished),
     cmocka_unit_test (test_cancel),
     cmocka_unit_test (test_connections_kept),
   };
