--- a/tests/platform/standin-worker.c
+++ b/tests/platform/standin-worker.c
@@ -14,7 +14,8 @@
   StandinWorker *worker;
   StandinCall *call;
   StandinRun *run;
-  guint next; /* event */
+  guint next;      /* event */
+  guint64 version; /* of its latest event */
   guint timer;
   StandinWorkerFault fault;
 } Stream;
@@ -34,6 +35,7 @@
   guint64 orders;
   GArray *fences;     /* guint64: of each order, in the order they came */
   GPtrArray *holders; /* owned texts: of the same */
+  char *mode;         /* of the latest; NULL: none */
 };
 
 static void
@@ -110,7 +112,13 @@
     }
   if (stream->next <= worker->events)
     {
-      g_autofree char *event = g_strdup_printf ("id: %u\ndata: e%u\n\n", stream->next, stream->next);
+      g_autofree char *change
+          = stream->version == worker->version
+                ? g_strdup ("")
+                : g_strdup_printf ("weight-versions: %" G_GUINT64_FORMAT "\n", worker->version);
+      stream->version = worker->version;
+      g_autofree char *event
+          = g_strdup_printf ("%sid: %u\ndata: e%u\n\n", change, stream->next, stream->next);
       g_autofree char *chunk = g_strdup_printf ("%x\r\n%s\r\n", (guint)strlen (event), event);
       standin_write (stream->call, chunk);
       stream->next++;
@@ -137,6 +145,7 @@
   stream->call = call;
   stream->run = run;
   stream->fault = fault;
+  stream->version = worker->version;
   stream->next = run->resume != NULL ? (guint)g_ascii_strtoull (run->resume, NULL, 10) + 1 : 1;
   stream->timer = g_timeout_add (MAX (worker->pause_ms, 1), stream_step, stream);
   g_ptr_array_add (worker->streams, stream);
@@ -214,6 +223,8 @@
   worker->orders++;
   g_array_append_val (worker->fences, fence);
   g_ptr_array_add (worker->holders, g_strdup (json_object_get_string_member (order, "holder")));
+  g_free (worker->mode);
+  worker->mode = g_strdup (json_object_get_string_member (order, "mode"));
   worker->version = (guint64)json_object_get_int_member (order, "version");
   standin_answer (call, 202, "", "", 0);
 }
@@ -274,6 +285,7 @@
   g_ptr_array_unref (worker->runs);
   g_array_unref (worker->fences);
   g_ptr_array_unref (worker->holders);
+  g_free (worker->mode);
   g_free (worker->id);
   g_free (worker);
 }
@@ -334,6 +346,12 @@
   return worker->fences;
 }
 
+const char *
+standin_worker_get_order_mode (const StandinWorker *worker)
+{
+  return worker->mode;
+}
+
 const GPtrArray *
 standin_worker_get_holders (const StandinWorker *worker)
 {
--- a/tests/platform/standin-worker.h
+++ b/tests/platform/standin-worker.h
@@ -49,5 +49,7 @@
 /* Fences (guint64) and holders (texts) of the orders, as they came. */
 const GArray *standin_worker_get_fences (const StandinWorker *worker);
 const GPtrArray *standin_worker_get_holders (const StandinWorker *worker);
+/* How runs are treated by the latest order; NULL: there was none. */
+const char *standin_worker_get_order_mode (const StandinWorker *worker);
 /* What the platform lists of it. (transfer full) */
 char *standin_worker_entry (const StandinWorker *worker, const char *service, const char *state);
--- a/tests/platform/test-samples.c
+++ b/tests/platform/test-samples.c
@@ -83,6 +83,84 @@
   path_world_free (world);
 }
 
+/* The same, with more settings in the route of batches. */
+static void
+configure_batches (PathWorld *world, guint version, const char *settings)
+{
+  g_autofree char *text = g_strdup_printf (PATH_CONFIGURATION, version);
+  g_auto (GStrv) parts = g_strsplit (text, "\"queueTtlS\":40,", 2);
+  g_autofree char *more = g_strdup_printf ("\"queueTtlS\":40,%s", settings);
+  g_autofree char *changed = g_strjoinv (more, parts);
+  standin_store_put (world->store, "op/config", changed);
+}
+
+/* Weights change in the middle of texts: a result names each version that made a part of it. */
+static void
+test_versions_within_a_text (void **state)
+{
+  PathWorld *world = path_world_new ("within");
+  path_world_start (world);
+  for (guint i = 0; i < PATH_MODEL; i++)
+    standin_worker_set_events (world->model[i], 6, 500); /* busy workers come last, after 0.9 s */
+  submit_from (world, "b1", 2, 1);
+  AWAIT (model_runs (world) == 2);
+  run_for (200);
+  name_version (world, 2);
+  AWAIT (listed_with (world, 0, "b1", "\"state\":\"completed\"") == 2);
+  assert_int_equal (listed_with (world, 0, "b1", "\"message\":\"e1\\ne2\\ne3\\ne4\\ne5\\ne6\""), 2);
+  assert_int_equal (listed_with (world, 0, "b1", "\"versions\":[1,2]"), 2);
+  for (guint i = 0; i < PATH_MODEL; i++)
+    if (standin_worker_get_order_mode (world->model[i]) != NULL)
+      assert_string_equal (standin_worker_get_order_mode (world->model[i]), "retain");
+  path_world_free (world);
+}
+
+/* On a route that wants a single version, runs end before weights change, and a text of two is made anew. */
+static void
+test_single_version (void **state)
+{
+  PathWorld *world = path_world_new ("single");
+  path_world_start (world);
+  configure_batches (world, 9, "\"singleVersion\":true,");
+  for (guint i = 0; i < PATH_MODEL; i++)
+    standin_worker_set_events (world->model[i], 6, 500);
+  run_for (QUIET_MS);
+  submit_from (world, "b1", 2, 1);
+  AWAIT (model_runs (world) == 2);
+  run_for (200);
+  name_version (world, 2);
+  AWAIT (listed_with (world, 0, "b1", "\"state\":\"completed\"") == 2);
+  assert_int_equal (listed_with (world, 0, "b1", "\"message\":\"e1\\ne2\\ne3\\ne4\\ne5\\ne6\""), 2);
+  assert_int_equal (listed_with (world, 0, "b1", "\"versions\":[1,2]"), 0);
+  assert_int_equal (
+      listed_with (world, 0, "b1", "\"versions\":[1]") + listed_with (world, 0, "b1", "\"versions\":[2]"), 2);
+  await_version (world, 2);
+  for (guint i = 0; i < PATH_MODEL; i++)
+    assert_string_equal (standin_worker_get_order_mode (world->model[i]), "wait");
+  path_world_free (world);
+}
+
+/* Samples of a batch that ended come back in a later one with their ids, and are listed there. */
+static void
+test_samples_come_back (void **state)
+{
+  PathWorld *world = path_world_new ("back");
+  path_world_start (world);
+  for (guint i = 0; i < PATH_MODEL; i++)
+    standin_worker_set_events (world->model[i], 6, 300);
+  submit_from (world, "b1", ITEMS, 1);
+  AWAIT (model_runs (world) > 0);
+  assert_int_equal (path_status (path_front (world, 1), "DELETE", "/quinceroute/lots/b1", "q", NULL), 200);
+  for (guint i = 0; i < PATH_MODEL; i++)
+    standin_worker_set_events (world->model[i], 6, 5);
+  g_autofree char *text = path_batch_text ("b1", ITEMS);
+  AWAIT (path_status (path_front (world, 0), "POST", "/r/batch", "b2", text) == 202);
+  AWAIT (listed_with (world, 1, "b2", "\"state\":\"completed\"") == ITEMS);
+  assert_int_equal (listed_with (world, 0, "b2", "\"id\":\"b1-i"), ITEMS);
+  assert_int_equal (listed_with (world, 0, "b2", "\"message\":\"e1\\ne2\\ne3\\ne4\\ne5\\ne6\""), ITEMS);
+  path_world_free (world);
+}
+
 /* ---- Orders ------------------------------------------------------------------- */
 
 static void
@@ -230,6 +308,9 @@
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_oldest_version_kept),
     cmocka_unit_test (test_cut_text_names_its_version),
+    cmocka_unit_test (test_versions_within_a_text),
+    cmocka_unit_test (test_single_version),
+    cmocka_unit_test (test_samples_come_back),
     cmocka_unit_test (test_fences_rise_with_leaders),
     cmocka_unit_test (test_added_worker_is_brought_to_the_version),
     cmocka_unit_test (test_stop_ends_streams_whole),
