Heartbeats: a leader that hears less than half names nobody; the keeper of a prompt is always a candidate

Change: half instead of a quarter. A zone of three hears a third of the fronts; that many may also be killed at once, and then the lease decides as before. Also: of more than 16 suitable workers the policy scored 16 by turns, so that a sticky route's keeper was mostly not among them: it is now in any case.

--- a/lib/core/routing/heard-table.c
+++ b/lib/core/routing/heard-table.c
@@ -5,8 +5,9 @@
 
 /* What the store lists no longer may only have lapsed there, and is judged on for so long. */
 #define UNLISTED_KEEP_US (10 * G_USEC_PER_SEC)
-/* Who hears less than one in this many of those that are listed doubts itself. */
-#define HEARD_LEAST_PART 4
+/* Who hears less than one in this many of those that are listed doubts itself: cut off with its own zone, a
+ * leader hears a third. */
+#define HEARD_LEAST_PART 2
 
 typedef struct
 {
--- a/lib/forward/backends.c
+++ b/lib/forward/backends.c
@@ -283,6 +283,32 @@
     scores[i] = quince_builtin_score (&engines[i]);
 }
 
+/* Those that the policy scores: by turns, so that equals share, and in any case the one that keeps the
+ * prompt. Returns: how many */
+static guint
+pick_candidates (QuinceBackends *backends,
+                 const GPtrArray *found,
+                 const char *keeps_prompt,
+                 QuinceWorker *candidates[QUINCE_POLICY_MAX_CANDIDATES])
+{
+  guint count = MIN (found->len, QUINCE_POLICY_MAX_CANDIDATES);
+  guint first = backends->tie++ % found->len;
+  gboolean has_keeper = keeps_prompt == NULL;
+  for (guint i = 0; i < count; i++)
+    {
+      candidates[i] = found->pdata[(first + i) % found->len];
+      has_keeper = has_keeper || g_str_equal (candidates[i]->id, keeps_prompt);
+    }
+  for (guint i = 0; i < found->len && !has_keeper; i++)
+    {
+      QuinceWorker *worker = found->pdata[i];
+      has_keeper = g_str_equal (worker->id, keeps_prompt);
+      if (has_keeper)
+        candidates[count - 1] = worker;
+    }
+  return count;
+}
+
 QuinceBackendOutcome
 quince_backends_choose (QuinceBackends *backends,
                         gint64 now_us,
@@ -296,14 +322,14 @@
   *worker = NULL;
   if (outcome != QUINCE_BACKEND_CHOSEN)
     return outcome;
-  QuincePolicyEngine engines[QUINCE_POLICY_MAX_CANDIDATES];
-  double scores[QUINCE_POLICY_MAX_CANDIDATES];
-  guint n_engines = MIN (found->len, QUINCE_POLICY_MAX_CANDIDATES);
-  guint first = backends->tie++ % found->len; /* by turns, so that equals share */
   const char *keeps_prompt
       = query->prompt != NULL ? quince_prompt_table_find (backends->prompts, query->prompt) : NULL;
+  QuinceWorker *candidates[QUINCE_POLICY_MAX_CANDIDATES];
+  QuincePolicyEngine engines[QUINCE_POLICY_MAX_CANDIDATES];
+  double scores[QUINCE_POLICY_MAX_CANDIDATES];
+  guint n_engines = pick_candidates (backends, found, keeps_prompt, candidates);
   for (guint i = 0; i < n_engines; i++)
-    describe (backends, found->pdata[(first + i) % found->len], query, keeps_prompt, &engines[i]);
+    describe (backends, candidates[i], query, keeps_prompt, &engines[i]);
   score (backends, query->request, engines, n_engines, scores);
   gint best = -1;
   for (guint i = 0; i < n_engines; i++)
@@ -311,7 +337,7 @@
       best = (gint)i;
   if (best < 0)
     return QUINCE_BACKEND_FULL;
-  *worker = found->pdata[(first + (guint)best) % found->len];
+  *worker = candidates[best];
   if (query->prompt != NULL)
     quince_prompt_table_note (backends->prompts, query->prompt, (*worker)->id);
   return QUINCE_BACKEND_CHOSEN;
--- a/tests/platform/test-forward.c
+++ b/tests/platform/test-forward.c
@@ -265,6 +265,39 @@
   end (&world);
 }
 
+#define MANY_WORKERS 60
+
+/* Failed first: the policy scores a few of many workers, and the one that keeps the prompt was often not
+ * among them. */
+static void
+test_prompt_among_many (void **state)
+{
+  static const char *const prompt[] = { "aa01", "bb02", NULL };
+  World world;
+  begin (&world);
+  for (guint i = 0; i < MANY_WORKERS; i++)
+    {
+      g_autofree char *id = g_strdup_printf ("many-%02u", i);
+      QuinceWorker *worker = quince_worker_new (id);
+      worker->service = g_strdup ("many");
+      worker->address = g_strdup ("127.0.0.1:1");
+      worker->zone = g_strdup ("z1");
+      worker->slots = 8;
+      quince_backends_update (world.backends, worker);
+    }
+  const QuincePolicyRequest request = { .service = "many", .member = "", .kind = "s", .attempt = 1 };
+  const QuinceBackendQuery query = { .request = &request, .prompt = prompt };
+  QuinceWorker *first = NULL;
+  assert_int_equal (quince_backends_choose (world.backends, 0, &query, &first), QUINCE_BACKEND_CHOSEN);
+  for (guint i = 0; i < 2 * MANY_WORKERS; i++)
+    {
+      QuinceWorker *worker = NULL;
+      assert_int_equal (quince_backends_choose (world.backends, 0, &query, &worker), QUINCE_BACKEND_CHOSEN);
+      assert_ptr_equal (worker, first);
+    }
+  end (&world);
+}
+
 /* A draining worker, and one that is gone, get nothing new. */
 static void
 test_draining (void **state)
@@ -335,6 +368,7 @@
     cmocka_unit_test (test_address_used_again),
     cmocka_unit_test (test_draining),
     cmocka_unit_test (test_listing_vanished),
+    cmocka_unit_test (test_prompt_among_many),
     cmocka_unit_test (test_cancel),
     cmocka_unit_test (test_connections_kept),
   };
