--- a/lib/forward/backends.c
+++ b/lib/forward/backends.c
@@ -299,12 +299,12 @@
       candidates[i] = found->pdata[(first + i) % found->len];
       has_keeper = has_keeper || g_str_equal (candidates[i]->id, keeps_prompt);
     }
-  for (guint i = 0; i < found->len && !has_keeper; i++)
+  for (guint i = count; i < found->len && !has_keeper; i++)
     {
-      QuinceWorker *worker = found->pdata[i];
+      QuinceWorker *worker = found->pdata[(first + i) % found->len];
       has_keeper = g_str_equal (worker->id, keeps_prompt);
       if (has_keeper)
-        candidates[count - 1] = worker;
+        candidates[0] = worker;
     }
   return count;
 }
