Samples: expected lengths and workers' paces decide order, placement and moves

A run was given up only after 2.5 s of silence.

Ruled out: places at workers (steps use 57 % of them: 6,200 events a step at 42 ms against 132 slots), prompts (1,000 tokens are 3 ms).

Change: the adapter reads the estimate; a length model learns how many events a token is; each worker's time between two events is measured; within a batch the longest begin first; the policy sees what is left of a sample and how slow a worker is; a run moves where another worker ends it sooner by 0.5 s and a quarter; a run's silence is judged by its worker's pace. The sample runner is three files now: when, where, and what follows.

Test: test_samples_leave_a_slow_worker failed on the code before, test-unit-sample-plan is new.

--- /dev/null
+++ b/daemons/replica/sample-dispatch.c
@@ -0,0 +1,216 @@
+/*
+ * sample-dispatch.c: on which worker a sample runs, and when it moves to another one.
+ *
+ * The policy program admits each sample (its priority) and scores the workers for it.
+ */
+#include <quince/log.h>
+#include <quince/metrics.h>
+#include <quince/sample-plan.h>
+#include <quince/task.h>
+
+#include "sample-runner-private.h"
+
+#define POLICY_PAUSE_MS 200
+/* Priorities at a worker: 0 first. */
+#define WORKER_PRIORITY_MOST 9
+/* Requests at one worker where the configuration names no slots. */
+#define SLOTS_UNTOLD 8
+/* A run is measured for so long before it may move, and moves no more often. */
+#define MOVE_AFTER_US (700 * 1000)
+/* Runs of one sample that may end by a move, and moves at one look: what a wrong pace can cost is bounded. */
+#define MOVES_MOST 4
+#define MOVES_AT_ONCE 6
+
+/* ---- What is known of a sample and its workers -------------------------- */
+
+/* One sample's service, as a dispatch sees it. */
+typedef struct
+{
+  const char *service;
+  GPtrArray *workers; /* owned reference: QuinceWorker */
+  gint64 fastest_pace_us;
+  guint slots;
+} ServiceView;
+
+static void
+view_service (QuinceSampleRunner *runner,
+              const QuinceRoute *route,
+              const QuinceSample *sample,
+              gint64 now_us,
+              ServiceView *view)
+{
+  QuinceRouteTable *routes = quince_observer_get_routes (runner->observer);
+  const QuinceBatchItem *item = quince_sample_get_item (sample);
+  /* The samples of a group stay in one part of the route's traffic. */
+  view->service = quince_route_pick_service (route, (g_str_hash (item->group) % 1000) / 1000.0);
+  const QuinceService *service = quince_route_table_find_service (routes, view->service);
+  view->slots = service != NULL && service->slots > 0 ? service->slots : SLOTS_UNTOLD;
+  view->workers = quince_worker_table_list (quince_backends_get_workers (runner->backends), view->service);
+  view->fastest_pace_us = quince_workers_fastest_pace_us (view->workers, now_us);
+}
+
+/* Events that are still to come. */
+static double
+remaining_events (QuinceSampleRunner *runner, const QuinceSample *sample)
+{
+  return quince_length_model_remaining (
+      quince_sample_runner_get_lengths (runner, sample->entry->batch->model), sample->estimated_tokens,
+      sample->last_event);
+}
+
+/* ---- A new run ---------------------------------------------------------- */
+
+static QuinceBackendOutcome
+choose_worker (QuinceSampleRunner *runner,
+               const QuinceSample *sample,
+               const ServiceView *view,
+               const QuincePolicyRequest *request,
+               QuinceWorker **worker)
+{
+  g_autoptr (GHashTable) avoid = g_hash_table_new (g_str_hash, g_str_equal);
+  if (sample->avoid_worker != NULL)
+    g_hash_table_add (avoid, sample->avoid_worker);
+  /* The samples of a group share their prompt. */
+  g_autofree char *group
+      = g_strconcat (sample->entry->batch->id, " ", quince_sample_get_item (sample)->group, NULL);
+  const char *const prompt[] = { group, NULL };
+  QuinceBackendQuery query = { .request = request,
+                               .model = sample->entry->batch->model,
+                               .minimum_version = sample->entry->batch->minimum_version,
+                               .avoid = avoid,
+                               .most_running = view->slots,
+                               .prompt = prompt,
+                               .fastest_pace_us = view->fastest_pace_us };
+  QuinceBackendOutcome outcome = quince_backends_choose (runner->backends, quince_now_us (), &query, worker);
+  if (outcome == QUINCE_BACKEND_NONE && sample->avoid_worker != NULL)
+    {
+      query.avoid = NULL;
+      outcome = quince_backends_choose (runner->backends, quince_now_us (), &query, worker);
+    }
+  return outcome;
+}
+
+static void
+begin_run (QuinceSampleRunner *runner, QuinceSample *sample, const QuinceRoute *route, QuinceWorker *worker)
+{
+  const QuinceBatchJob *batch = sample->entry->batch;
+  sample->single_version = route->single_version;
+  runner->running++;
+  quince_log_info ("sample_dispatched",
+                   "sample=%s batch=%s worker=%s worker_running=%u version=%" G_GUINT64_FORMAT
+                   " from_event=%" G_GUINT64_FORMAT " runs=%u age_ms=%" G_GINT64_FORMAT,
+                   quince_sample_get_item (sample)->id, batch->id, worker->id, worker->running,
+                   quince_worker_get_version (worker, batch->model), sample->last_event, sample->runs,
+                   (quince_now_us () - sample->submitted_us) / 1000);
+  quince_sample_run (sample, runner->backends, worker, (gint)MIN (route->priority, WORKER_PRIORITY_MOST),
+                     quince_sample_outcome_run_ended, runner);
+}
+
+static void
+describe_request (QuinceSampleRunner *runner,
+                  const QuinceSample *sample,
+                  gint64 now_us,
+                  const ServiceView *view,
+                  QuincePolicyRequest *request)
+{
+  const QuinceBatchJob *batch = sample->entry->batch;
+  double remaining_us = remaining_events (runner, sample) * (double)view->fastest_pace_us;
+  *request = (QuincePolicyRequest){
+    .service = view->service,
+    .member = batch->model,
+    .kind = "rollout",
+    .rollout = TRUE,
+    .attempt = sample->runs + 1,
+    .deadline_ms = sample->give_up_us > 0 ? (guint)MAX ((sample->give_up_us - now_us) / 1000, 0) : 0,
+    .expected_tokens = quince_sample_get_item (sample)->tokens,
+    .waiting = runner->waiting,
+    .newest_version = quince_observer_get_version (runner->observer, batch->model),
+    .remaining_ms = (guint)MIN (remaining_us / 1000, G_MAXINT),
+  };
+  quince_backends_describe_events (runner->backends, quince_wall_ms (), request);
+}
+
+QuinceBackendOutcome
+quince_sample_dispatch (QuinceSampleRunner *runner, QuinceSample *sample, gint64 now_us)
+{
+  const QuinceRoute *route = quince_sample_runner_route_of_batch (runner, sample->entry->batch);
+  if (route == NULL)
+    return QUINCE_BACKEND_NONE;
+  ServiceView view;
+  view_service (runner, route, sample, now_us, &view);
+  QuincePolicyRequest request;
+  describe_request (runner, sample, now_us, &view, &request);
+  QuincePolicyAdmission admission;
+  quince_backends_admit (runner->backends, &request, &admission);
+  QuinceWorker *worker = NULL;
+  QuinceBackendOutcome outcome = QUINCE_BACKEND_NONE;
+  if (admission.refuse)
+    sample->not_before_us = now_us + (gint64)MAX (admission.retry_after_ms, POLICY_PAUSE_MS) * 1000;
+  else
+    outcome = choose_worker (runner, sample, &view, &request, &worker);
+  if (worker != NULL)
+    begin_run (runner, sample, route, worker);
+  g_ptr_array_unref (view.workers);
+  return outcome;
+}
+
+/* ---- Moves -------------------------------------------------------------- */
+
+/* The least pace among workers that could take @sample now; 0: there is none. */
+static gint64
+best_pace_elsewhere (const QuinceSample *sample, const ServiceView *view, gint64 now_us)
+{
+  const QuinceBatchJob *batch = sample->entry->batch;
+  gint64 best = 0;
+  for (guint i = 0; i < view->workers->len; i++)
+    {
+      const QuinceWorker *worker = view->workers->pdata[i];
+      gint64 pace = quince_worker_get_pace_us (worker, now_us);
+      gboolean free_now = !worker->draining && !worker->loading && worker->gone_after_us == 0
+                          && now_us >= worker->doubted_until_us && worker->running < view->slots;
+      if (pace == 0 || !free_now || g_str_equal (worker->id, sample->worker_id)
+          || quince_worker_get_version (worker, batch->model) < MAX (batch->minimum_version, 1))
+        continue;
+      best = best == 0 ? pace : MIN (best, pace);
+    }
+  return best;
+}
+
+static gboolean
+may_move (const QuinceSample *sample, gint64 now_us)
+{
+  return sample->state == QUINCE_SAMPLE_RUNNING && sample->event_us > 0 && sample->moves < MOVES_MOST
+         && !sample->single_version && now_us - sample->started_us >= MOVE_AFTER_US;
+}
+
+static gboolean
+move_pays (QuinceSampleRunner *runner, const QuinceSample *sample, gint64 now_us)
+{
+  const QuinceRoute *route = quince_sample_runner_route_of_batch (runner, sample->entry->batch);
+  const QuinceWorker *worker
+      = quince_worker_table_find (quince_backends_get_workers (runner->backends), sample->worker_id);
+  if (route == NULL || worker == NULL || worker->loading)
+    return FALSE;
+  ServiceView view;
+  view_service (runner, route, sample, now_us, &view);
+  gint64 here = quince_worker_get_pace_us (worker, now_us);
+  gint64 there = best_pace_elsewhere (sample, &view, now_us);
+  g_ptr_array_unref (view.workers);
+  return there > 0 && quince_sample_plan_move_pays (remaining_events (runner, sample), here, there);
+}
+
+void
+quince_sample_dispatch_move (QuinceSampleRunner *runner, gint64 now_us)
+{
+  guint moves = 0;
+  for (guint i = 0; i < runner->samples->len && moves < MOVES_AT_ONCE; i++)
+    {
+      QuinceSample *sample = runner->samples->pdata[i];
+      if (!may_move (sample, now_us) || !move_pays (runner, sample, now_us))
+        continue;
+      moves++;
+      sample->moves++;
+      quince_sample_cut (sample, QUINCE_RUN_MOVED, "moved");
+      quince_sample_dispatch (runner, sample, now_us);
+    }
+}
--- /dev/null
+++ b/daemons/replica/sample-outcome.c
@@ -0,0 +1,211 @@
+/*
+ * sample-outcome.c: what follows a run of a sample: the next try, the reward call, the result.
+ */
+#include <quince/log.h>
+#include <quince/metrics.h>
+#include <quince/task.h>
+
+#include "sample-runner-private.h"
+
+/* Pauses before a failed sample is tried again. */
+#define REFUSED_PAUSE_US (30 * 1000)
+#define FAILED_PAUSE_US (50 * 1000)
+#define REWARD_PAUSE_US (100 * 1000)
+#define REWARD_TIME_MS 4000
+/* More answers of 500 than the route allows are still no use, but more than three times as many break its
+ * bound. */
+#define FAILURES_PER_ATTEMPT 2
+#define HOPELESS_MOST 1
+
+/* ---- Results ---------------------------------------------------------- */
+
+static void
+hand_over (QuinceSampleRunner *runner,
+           QuinceSample *sample,
+           gboolean abandoned,
+           const char *score,
+           const char *cause)
+{
+  const QuinceBatchItem *item = quince_sample_get_item (sample);
+  QuinceBatchResult result = { .batch = sample->entry->batch->id,
+                               .item = sample->item,
+                               .abandoned = abandoned,
+                               .score = (char *)(score != NULL ? score : "") };
+  if (!abandoned)
+    {
+      result.text.text_val = sample->text->str;
+      result.text.text_len = (u_int)sample->text->len;
+      result.versions.versions_val = (u_quad_t *)sample->versions->data;
+      result.versions.versions_len = sample->versions->len;
+    }
+  quince_log_info (abandoned ? "sample_abandoned" : "sample_done",
+                   "sample=%s batch=%s cause=%s runs=%u events=%" G_GUINT64_FORMAT
+                   " age_ms=%" G_GINT64_FORMAT,
+                   item->id, sample->entry->batch->id, cause, sample->runs, sample->last_event,
+                   (quince_now_us () - sample->submitted_us) / 1000);
+  g_autofree char *labels
+      = g_strdup_printf ("outcome=\"%s\",cause=\"%s\"", abandoned ? "abandoned" : "completed", cause);
+  quince_metric_add ("quince_replica_samples_total", labels, 1);
+  quince_metric_observe_us ("quince_replica_sample_seconds", "", quince_now_us () - sample->submitted_us);
+  sample->state = QUINCE_SAMPLE_DONE;
+  runner->callbacks->result (&result, runner->user_data);
+  quince_sample_runner_drop (runner, sample);
+}
+
+/* ---- Rewards ---------------------------------------------------------- */
+
+static guint
+reward_attempts (QuinceSampleRunner *runner, const QuinceRewardCall *call)
+{
+  const QuinceRoute *route = quince_sample_runner_find_route (runner, call->host, call->path);
+  return route != NULL ? route->max_attempts : 1;
+}
+
+static void
+reward_done (const QuinceForwardResult *result, gpointer data)
+{
+  QuinceSample *sample = data;
+  QuinceSampleRunner *runner = sample->user_data;
+  sample->reward = NULL;
+  sample->reward_failures += result->failed_runs;
+  const QuinceRewardCall *call = quince_sample_get_item (sample)->reward.reward_val;
+  gboolean good = result->outcome == QUINCE_FORWARD_ANSWERED && result->head->status >= 200
+                  && result->head->status < 300 && result->signature != NULL;
+  if (good)
+    hand_over (runner, sample, FALSE, result->signature, "scored");
+  else if (sample->reward_failures >= reward_attempts (runner, call))
+    hand_over (runner, sample, TRUE, NULL, "reward_failed");
+  else
+    sample->not_before_us = quince_now_us () + REWARD_PAUSE_US; /* the pump begins it again */
+}
+
+void
+quince_sample_outcome_begin_reward (QuinceSampleRunner *runner, QuinceSample *sample)
+{
+  const QuinceRewardCall *call = quince_sample_get_item (sample)->reward.reward_val;
+  const QuinceRoute *route = quince_sample_runner_find_route (runner, call->host, call->path);
+  gint64 now = quince_now_us ();
+  if (route == NULL)
+    {
+      sample->not_before_us = now + REWARD_PAUSE_US;
+      return;
+    }
+  g_autoptr (QuinceHttpHeaders) headers = quince_http_headers_new ();
+  quince_http_headers_add (headers, "Host", call->host);
+  quince_platform_write_request_id (headers, call->id);
+  g_autoptr (GBytes) body = g_bytes_new_static (call->body.body_val, call->body.body_len);
+  gint64 time_us
+      = (gint64)MIN (route->timeout_ms > 0 ? route->timeout_ms : REWARD_TIME_MS, REWARD_TIME_MS) * 1000;
+  const QuinceForwardRequest request = { .service = quince_route_pick_service (route, g_random_double ()),
+                                         .kind = route->name,
+                                         .method = "POST",
+                                         .target = call->path,
+                                         .request_id = call->id,
+                                         .headers = headers,
+                                         .body = body,
+                                         .repeatable = TRUE,
+                                         .max_attempts = route->max_attempts,
+                                         .target_latency_ms = route->target_latency_ms,
+                                         .deadline_us = now + time_us,
+                                         .give_up_us = now + time_us };
+  sample->reward = quince_forward_start (runner->backends, &quince_platform_forward_dialect, &request,
+                                         reward_done, sample);
+}
+
+void
+quince_sample_outcome_give_up (QuinceSampleRunner *runner, QuinceSample *sample, const char *cause)
+{
+  hand_over (runner, sample, TRUE, NULL, cause);
+}
+
+static void
+text_whole (QuinceSampleRunner *runner, QuinceSample *sample)
+{
+  quince_length_model_note (quince_sample_runner_get_lengths (runner, sample->entry->batch->model),
+                            sample->estimated_tokens, sample->last_event);
+  if (sample->single_version && sample->versions->len > 1)
+    {
+      quince_sample_restart (sample);
+      sample->state = QUINCE_SAMPLE_WAITING;
+      return;
+    }
+  sample->state = QUINCE_SAMPLE_SCORING;
+  sample->not_before_us = 0;
+  if (quince_sample_get_item (sample)->reward.reward_len > 0)
+    quince_sample_outcome_begin_reward (runner, sample);
+  else
+    hand_over (runner, sample, FALSE, NULL, "whole");
+}
+
+/* ---- Runs ------------------------------------------------------------- */
+
+static void
+wait_again (QuinceSample *sample, gint64 pause_us)
+{
+  sample->state = QUINCE_SAMPLE_WAITING;
+  sample->not_before_us = quince_now_us () + pause_us;
+  g_free (sample->avoid_worker);
+  sample->avoid_worker = g_strdup (sample->worker_id);
+}
+
+static void
+run_failed (QuinceSampleRunner *runner, QuinceSample *sample, const char *cause)
+{
+  const QuinceRoute *route = quince_sample_runner_route_of_batch (runner, sample->entry->batch);
+  guint most = FAILURES_PER_ATTEMPT * (route != NULL ? route->max_attempts : 1);
+  if (++sample->failures >= most)
+    hand_over (runner, sample, TRUE, NULL, cause);
+  else
+    wait_again (sample, FAILED_PAUSE_US);
+}
+
+static void
+doubt_worker (QuinceSampleRunner *runner, const QuinceSample *sample)
+{
+  QuinceWorker *worker
+      = quince_worker_table_find (quince_backends_get_workers (runner->backends), sample->worker_id);
+  if (worker != NULL)
+    quince_worker_note_failure (worker, quince_now_us ());
+}
+
+void
+quince_sample_outcome_run_ended (QuinceSample *sample, QuinceRunEnd end, const char *cause, gpointer data)
+{
+  QuinceSampleRunner *runner = data;
+  runner->running--;
+  g_autofree char *labels = g_strdup_printf ("cause=\"%s\"", cause);
+  quince_metric_add ("quince_replica_sample_runs_total", labels, 1);
+  if (end != QUINCE_RUN_WHOLE)
+    quince_log_info ("sample_run_ended", "sample=%s worker=%s cause=%s events=%" G_GUINT64_FORMAT " runs=%u",
+                     quince_sample_get_item (sample)->id, sample->worker_id, cause, sample->last_event,
+                     sample->runs);
+  switch (end)
+    {
+    case QUINCE_RUN_WHOLE:
+      text_whole (runner, sample);
+      break;
+    case QUINCE_RUN_REFUSED:
+      if (g_str_equal (cause, "no_connection"))
+        doubt_worker (runner, sample);
+      wait_again (sample, REFUSED_PAUSE_US);
+      break;
+    case QUINCE_RUN_BROKEN:
+      if (!g_str_equal (cause, "event_out_of_turn"))
+        doubt_worker (runner, sample);
+      wait_again (sample, 0);
+      break;
+    case QUINCE_RUN_MOVED:
+      wait_again (sample, 0);
+      break;
+    case QUINCE_RUN_FAILED:
+      run_failed (runner, sample, cause);
+      break;
+    case QUINCE_RUN_HOPELESS:
+      if (++sample->hopeless >= HOPELESS_MOST)
+        hand_over (runner, sample, TRUE, NULL, cause);
+      else
+        wait_again (sample, FAILED_PAUSE_US);
+      break;
+    }
+  quince_sample_runner_pump_soon (runner);
+}
--- /dev/null
+++ b/daemons/replica/sample-runner-private.h
@@ -0,0 +1,59 @@
+/*
+ * sample-runner-private.h: state shared by the files of the sample runner.
+ *
+ * sample-runner.c: which samples there are, and when each is looked at.
+ * sample-dispatch.c: on which worker a sample runs, and when it moves to another one.
+ * sample-outcome.c: what follows a run: the next try, the reward call, the result.
+ */
+#pragma once
+
+#include <quince/length-model.h>
+
+#include "sample-runner.h"
+#include "sample.h"
+
+struct _QuinceSampleRunner
+{
+  /* All fields belong to the main context. */
+  QuinceBackends *backends;
+  QuinceObserver *observer;
+  QuinceProgressStore *progress;
+  const QuinceSampleRunnerCallbacks *callbacks;
+  gpointer user_data;
+  GPtrArray *samples;  /* QuinceSample, owned, in order of their start */
+  GHashTable *lengths; /* QuinceLengthModel by model, owned */
+  GSource *timer;
+  GSource *soon; /* a pump that is asked for */
+  guint running;
+  guint waiting;
+};
+
+/* ---- sample-runner.c --------------------------------------------------- */
+
+void quince_sample_runner_pump_soon (QuinceSampleRunner *runner);
+/* Releases @sample. */
+void quince_sample_runner_drop (QuinceSampleRunner *runner, QuinceSample *sample);
+/* The route of a batch or of a reward call; %NULL: no configuration has one. */
+const QuinceRoute *
+quince_sample_runner_find_route (const QuinceSampleRunner *runner, const char *host, const char *path);
+const QuinceRoute *quince_sample_runner_route_of_batch (const QuinceSampleRunner *runner,
+                                                        const QuinceBatchJob *batch);
+/* Of the texts of @model. */
+QuinceLengthModel *quince_sample_runner_get_lengths (QuinceSampleRunner *runner, const char *model);
+
+/* ---- sample-dispatch.c ------------------------------------------------- */
+
+/* Begins a run where a worker has room. */
+QuinceBackendOutcome quince_sample_dispatch (QuinceSampleRunner *runner, QuinceSample *sample, gint64 now_us);
+/* Moves samples that run to workers that end them sooner, a few at a time. */
+void quince_sample_dispatch_move (QuinceSampleRunner *runner, gint64 now_us);
+
+/* ---- sample-outcome.c -------------------------------------------------- */
+
+/* The callback of quince_sample_run(); @data: the runner. */
+void
+quince_sample_outcome_run_ended (QuinceSample *sample, QuinceRunEnd end, const char *cause, gpointer data);
+/* Makes the reward call of a sample whose text is whole. */
+void quince_sample_outcome_begin_reward (QuinceSampleRunner *runner, QuinceSample *sample);
+/* Lists the sample as given up; releases it. */
+void quince_sample_outcome_give_up (QuinceSampleRunner *runner, QuinceSample *sample, const char *cause);
--- a/daemons/replica/sample.c
+++ b/daemons/replica/sample.c
@@ -7,10 +7,11 @@
 #include "sample.h"
 
 #include <quince/log.h>
+#include <quince/sample-plan.h>
 #include <quince/task.h>
 
-/* A stream that says nothing for so long is given up; weights may be loaded meanwhile. */
-#define SILENCE_MS 2500
+/* A run's silence is looked at so often; how much of it is borne changes with the worker's pace. */
+#define SILENCE_LOOK_MS 300
 /* Told to the worker where the sample has no end. */
 #define TIME_MOST_MS 60000
 
@@ -31,6 +32,12 @@
   return &sample->entry->batch->items.items_val[sample->item];
 }
 
+static QuinceWorker *
+worker_of (const QuinceSample *sample)
+{
+  return quince_worker_table_find (quince_backends_get_workers (sample->backends), sample->worker_id);
+}
+
 /* The run is over: its worker has a place free. */
 static void
 leave_worker (QuinceSample *sample)
@@ -38,8 +45,7 @@
   quince_source_clear (&sample->silence_timer);
   g_clear_pointer (&sample->events, quince_platform_events_free);
   sample->exchange = NULL;
-  QuinceWorker *worker
-      = quince_worker_table_find (quince_backends_get_workers (sample->backends), sample->worker_id);
+  QuinceWorker *worker = worker_of (sample);
   if (worker != NULL && worker->running > 0)
     worker->running--;
 }
@@ -82,8 +88,8 @@
   g_array_append_val (sample->versions, sample->run_version);
 }
 
-static void
-end_run (QuinceSample *sample, QuinceRunEnd end, const char *cause)
+void
+quince_sample_cut (QuinceSample *sample, QuinceRunEnd end, const char *cause)
 {
   if (sample->exchange != NULL)
     {
@@ -93,6 +99,17 @@
   sample->run_ended (sample, end, cause, sample->user_data);
 }
 
+/* A pause in which the worker loaded weights says nothing of its pace. */
+static void
+note_pace (QuinceSample *sample)
+{
+  QuinceWorker *worker = worker_of (sample);
+  gint64 now = quince_now_us ();
+  if (worker != NULL && !worker->loading && sample->event_us > 0)
+    quince_worker_note_event (worker, now, now - sample->event_us);
+  sample->event_us = worker != NULL && worker->loading ? 0 : now;
+}
+
 /* Returns: why the run cannot go on, or NULL. */
 static const char *
 take_event (QuinceSample *sample, const QuincePlatformEvent *event)
@@ -108,6 +125,7 @@
   g_string_append_len (sample->text, event->data->str, (gssize)event->data->len);
   sample->last_event = event->id;
   note_version (sample);
+  note_pace (sample);
   return NULL;
 }
 
@@ -135,7 +153,7 @@
   quince_platform_events_feed (sample->events, data, length);
   const char *cause = take_events (sample);
   if (cause != NULL)
-    end_run (sample, QUINCE_RUN_BROKEN, cause);
+    quince_sample_cut (sample, QUINCE_RUN_BROKEN, cause);
 }
 
 /* ---- The answer ------------------------------------------------------- */
@@ -151,7 +169,7 @@
     {
       quince_http_exchange_distrust (exchange);
       if (head->status == 200)
-        end_run (sample, QUINCE_RUN_BROKEN, "wrong_answer");
+        quince_sample_cut (sample, QUINCE_RUN_BROKEN, "wrong_answer");
       return;
     }
   if (head->status != 200)
@@ -159,7 +177,7 @@
   sample->run_version = facts.version;
   if (facts.version != 0 && facts.version < sample->entry->batch->minimum_version)
     {
-      end_run (sample, QUINCE_RUN_REFUSED, "version_too_old");
+      quince_sample_cut (sample, QUINCE_RUN_REFUSED, "version_too_old");
       return;
     }
   sample->accepted = TRUE;
@@ -202,16 +220,26 @@
 static const QuinceHttpExchangeCallbacks exchange_callbacks
     = { .head = exchange_head, .body = exchange_body, .done = exchange_done };
 
+static guint
+silence_most_ms (const QuinceSample *sample)
+{
+  const QuinceWorker *worker = worker_of (sample);
+  gboolean measured = worker != NULL && !worker->loading && sample->event_us > 0;
+  return quince_sample_plan_silence_ms (measured ? worker->pace_us : 0);
+}
+
 static gboolean
 look_at_silence (gpointer data)
 {
   QuinceSample *sample = data;
   gint64 silent_ms = (quince_now_us () - sample->heard_us) / 1000;
+  guint most_ms = silence_most_ms (sample);
   quince_source_clear (&sample->silence_timer);
-  if (silent_ms >= SILENCE_MS)
-    end_run (sample, QUINCE_RUN_BROKEN, "worker_silent");
+  if (silent_ms >= most_ms)
+    quince_sample_cut (sample, QUINCE_RUN_BROKEN, "worker_silent");
   else
-    sample->silence_timer = quince_timer_add ((guint)(SILENCE_MS - silent_ms) + 1, look_at_silence, sample);
+    sample->silence_timer
+        = quince_timer_add (MIN ((guint)(most_ms - silent_ms) + 1, SILENCE_LOOK_MS), look_at_silence, sample);
   return G_SOURCE_REMOVE;
 }
 
@@ -259,10 +287,12 @@
   sample->state = QUINCE_SAMPLE_RUNNING;
   sample->accepted = FALSE;
   sample->runs++;
-  sample->heard_us = quince_now_us ();
+  sample->started_us = quince_now_us ();
+  sample->heard_us = sample->started_us;
+  sample->event_us = 0;
   sample->events = quince_platform_events_new ();
   worker->running++;
   sample->exchange = quince_http_pool_start (quince_backends_get_pool (backends, worker), &request,
                                              &exchange_callbacks, sample);
-  sample->silence_timer = quince_timer_add (SILENCE_MS, look_at_silence, sample);
+  sample->silence_timer = quince_timer_add (SILENCE_LOOK_MS, look_at_silence, sample);
 }
--- a/daemons/replica/sample.h
+++ b/daemons/replica/sample.h
@@ -26,6 +26,7 @@
   QUINCE_RUN_WHOLE,    /* the text is whole                               */
   QUINCE_RUN_REFUSED,  /* the worker did not run it                       */
   QUINCE_RUN_BROKEN,   /* go on elsewhere from the last whole event       */
+  QUINCE_RUN_MOVED,    /* cut here, to go on at a worker that ends it sooner */
   QUINCE_RUN_FAILED,   /* the worker failed: counted                      */
   QUINCE_RUN_HOPELESS, /* it can never be done                            */
 } QuinceRunEnd;
@@ -51,6 +52,8 @@
   gint64 give_up_us;    /* monotonic; 0: never */
   gint64 submitted_us;  /* monotonic */
   gboolean single_version;
+  guint estimated_tokens; /* by its caller; 0: not told */
+  guint moves;            /* runs that were cut to go on elsewhere */
 
   /* The run in progress. */
   char *worker_id;
@@ -59,6 +62,8 @@
   QuincePlatformEvents *events;
   GSource *silence_timer;
   gint64 heard_us;
+  gint64 started_us;
+  gint64 event_us;   /* when the last event came; 0: none since weights were loaded */
   gboolean accepted; /* the head of a good answer has come */
   void (*run_ended) (QuinceSample *sample, QuinceRunEnd end, const char *cause, gpointer user_data);
   gpointer user_data;
@@ -77,5 +82,7 @@
                         gint priority,
                         void (*run_ended) (QuinceSample *, QuinceRunEnd, const char *cause, gpointer),
                         gpointer user_data);
+/* Ends the run in progress for @cause; run_ended() is called. */
+void quince_sample_cut (QuinceSample *sample, QuinceRunEnd end, const char *cause);
 /* Drops the text made so far. */
 void quince_sample_restart (QuinceSample *sample);
--- a/include/quince/backends.h
+++ b/include/quince/backends.h
@@ -40,6 +40,7 @@
  * @most_running: requests of this process at one worker; 0: no bound
  * @prompt: (nullable): parts of the prompt, %NULL-terminated, see prompt-table.h: a worker that likely keeps
  * them is marked for the policy
+ * @fastest_pace_us: of the service's workers, see routing.h; 0: the policy is told of no worker's pace
  */
 typedef struct
 {
@@ -49,6 +50,7 @@
   GHashTable *avoid;
   guint most_running;
   const char *const *prompt;
+  gint64 fastest_pace_us;
 } QuinceBackendQuery;
 
 /* Fills in what @request's service has of events, at the wall clock @wall_ms. */
--- a/include/quince/policy.h
+++ b/include/quince/policy.h
@@ -53,6 +53,7 @@
   gboolean event_active;   /* an event's start has passed, its end has not */
   gint64 event_in_ms;      /* until the next event's start; -1: none known */
   guint64 newest_version;  /* newest weight version active in the zone     */
+  guint remaining_ms;      /* what is left to generate, at the fastest engine's pace; 0: unknown */
 } QuincePolicyRequest;
 
 typedef struct
@@ -68,6 +69,7 @@
   guint recent_ms;        /* smoothed service time                        */
   guint recent_failures;  /* in the last ten seconds                      */
   gboolean same_zone;     /* as the deciding node                         */
+  double slowness;        /* its time a token over the fastest engine's, 1 and more; 0: not measured */
 } QuincePolicyEngine;
 
 typedef struct
--- a/include/quince/routing.h
+++ b/include/quince/routing.h
@@ -116,6 +116,8 @@
   guint failures;          /* in a row                                       */
   gint64 doubted_until_us; /* no first choice until then                    */
   guint service_us;        /* smoothed time of its answers; 0: none yet      */
+  gint64 pace_us;          /* smoothed time between two events of a text; 0: none yet */
+  gint64 paced_us;         /* when the pace was last measured                */
 } QuinceWorker;
 
 QuinceWorker *quince_worker_new (const char *id);
@@ -151,5 +153,11 @@
 /* An answer came after @took_us, or a failure that casts doubt on the worker. */
 void quince_worker_note_answer (QuinceWorker *worker, gint64 took_us);
 void quince_worker_note_failure (QuinceWorker *worker, gint64 now_us);
+/* An event of a text came @since_last_us after the one before it. */
+void quince_worker_note_event (QuinceWorker *worker, gint64 now_us, gint64 since_last_us);
+/* Its time between two events; 0: not measured of late. */
+gint64 quince_worker_get_pace_us (const QuinceWorker *worker, gint64 now_us);
+/* The least of the paces of @workers (QuinceWorker); 0: none is measured. */
+gint64 quince_workers_fastest_pace_us (const GPtrArray *workers, gint64 now_us);
 
 G_END_DECLS
--- /dev/null
+++ b/lib/core/batches/length-model.c
@@ -0,0 +1,67 @@
+/*
+ * length-model.c: expected lengths of texts.
+ */
+#include <quince/length-model.h>
+
+/* What one whole text keeps of the weight of those before it: the last 200 texts or so count, which is about
+ * one step of the users' trainers. */
+#define KEEP_WEIGHT 0.995
+/* A text that is already longer than expected: this part of what was made is still to come.  Lengths are
+ * spread widely, so what has outgrown its estimate is likely far from its end. */
+#define OVERSHOOT_PART 0.3
+
+struct _QuinceLengthModel
+{
+  /* Of whole texts with an estimate, with fading weights. */
+  double estimated_tokens;
+  double estimated_events;
+  /* Of all whole texts, with fading weights. */
+  double events;
+  double texts;
+  guint64 longest;
+};
+
+QuinceLengthModel *
+quince_length_model_new (void)
+{
+  return g_new0 (QuinceLengthModel, 1);
+}
+
+void
+quince_length_model_free (QuinceLengthModel *model)
+{
+  g_free (model);
+}
+
+void
+quince_length_model_note (QuinceLengthModel *model, guint estimated_tokens, guint64 events)
+{
+  model->events = model->events * KEEP_WEIGHT + (double)events;
+  model->texts = model->texts * KEEP_WEIGHT + 1;
+  model->longest = MAX (model->longest, events);
+  if (estimated_tokens == 0)
+    return;
+  model->estimated_tokens = model->estimated_tokens * KEEP_WEIGHT + estimated_tokens;
+  model->estimated_events = model->estimated_events * KEEP_WEIGHT + (double)events;
+}
+
+double
+quince_length_model_expect (const QuinceLengthModel *model, guint estimated_tokens)
+{
+  if (estimated_tokens == 0)
+    return model->texts > 0 ? model->events / model->texts : 1;
+  /* Until a text has ended an event counts as a token: the order of samples is right all the same. */
+  double events_per_token
+      = model->estimated_tokens > 0 ? model->estimated_events / model->estimated_tokens : 1;
+  return MAX (estimated_tokens * events_per_token, 1);
+}
+
+double
+quince_length_model_remaining (const QuinceLengthModel *model, guint estimated_tokens, guint64 made)
+{
+  double expected = quince_length_model_expect (model, estimated_tokens);
+  double left = MAX (expected - (double)made, OVERSHOOT_PART * (double)made);
+  if (model->longest > made)
+    left = MIN (left, (double)(model->longest - made));
+  return MAX (left, 1);
+}
--- a/lib/core/routing/worker-table.c
+++ b/lib/core/routing/worker-table.c
@@ -8,6 +8,12 @@
 #define DOUBT_MOST_US (2 * G_USEC_PER_SEC)
 /* Weight of the newest answer in the smoothed time, as a shift. */
 #define SERVICE_TIME_SHIFT 3
+/* The same for the time between events, of which a full worker makes hundreds a second. */
+#define PACE_SHIFT 4
+/* A longer pause is a stop, not a pace. */
+#define PACE_MOST_US (500 * 1000)
+/* A pace that was measured so long ago says nothing of now: disturbances of workers last some seconds. */
+#define PACE_KEEP_US (4 * G_USEC_PER_SEC)
 
 struct _QuinceWorkerTable
 {
@@ -202,3 +208,33 @@
   worker->failures++;
   worker->doubted_until_us = now_us + MIN (doubt, DOUBT_MOST_US);
 }
+
+void
+quince_worker_note_event (QuinceWorker *worker, gint64 now_us, gint64 since_last_us)
+{
+  gint64 sample = CLAMP (since_last_us, 1, PACE_MOST_US);
+  if (worker->pace_us == 0 || now_us - worker->paced_us > PACE_KEEP_US)
+    worker->pace_us = sample;
+  else
+    worker->pace_us += (sample - worker->pace_us) >> PACE_SHIFT;
+  worker->paced_us = now_us;
+}
+
+gint64
+quince_worker_get_pace_us (const QuinceWorker *worker, gint64 now_us)
+{
+  return now_us - worker->paced_us <= PACE_KEEP_US ? worker->pace_us : 0;
+}
+
+gint64
+quince_workers_fastest_pace_us (const GPtrArray *workers, gint64 now_us)
+{
+  gint64 fastest = 0;
+  for (guint i = 0; i < workers->len; i++)
+    {
+      gint64 pace = quince_worker_get_pace_us (workers->pdata[i], now_us);
+      if (pace > 0 && (fastest == 0 || pace < fastest))
+        fastest = pace;
+    }
+  return fastest;
+}
--- a/lib/forward/backends.c
+++ b/lib/forward/backends.c
@@ -244,6 +244,7 @@
 
 static void
 describe (const QuinceBackends *backends,
+          gint64 now_us,
           const QuinceWorker *worker,
           const QuinceBackendQuery *query,
           const char *keeps_prompt,
@@ -264,6 +265,9 @@
     .recent_failures = MIN (worker->failures, FAILURES_SHOWN_MOST),
     .same_zone = g_str_equal (worker->zone, backends->zone),
   };
+  gint64 pace_us = quince_worker_get_pace_us (worker, now_us);
+  if (query->fastest_pace_us > 0 && pace_us > 0)
+    engine->slowness = (double)pace_us / (double)query->fastest_pace_us;
 }
 
 static void
@@ -329,7 +333,7 @@
   double scores[QUINCE_POLICY_MAX_CANDIDATES];
   guint n_engines = pick_candidates (backends, found, keeps_prompt, candidates);
   for (guint i = 0; i < n_engines; i++)
-    describe (backends, candidates[i], query, keeps_prompt, &engines[i]);
+    describe (backends, now_us, candidates[i], query, keeps_prompt, &engines[i]);
   score (backends, query->request, engines, n_engines, scores);
   gint best = -1;
   for (guint i = 0; i < n_engines; i++)
--- a/lib/policy/check.c
+++ b/lib/policy/check.c
@@ -86,7 +86,8 @@
     .weight_version = 7,
     .target_version = 7,
     .recent_ms = 900,
-    .recent_failures = 3 },
+    .recent_failures = 3,
+    .slowness = 3.5 },
   { .name = "behind", .running = 1, .capacity = 8, .load = 0.125, .weight_version = 5, .target_version = 7 },
   { .name = "unknown" },
 };
--- a/lib/policy/fields.c
+++ b/lib/policy/fields.c
@@ -12,14 +12,23 @@
 #member, QUINCE_FIELD_##type, G_STRUCT_OFFSET(QuincePolicyRequest, member)                               \
   }
 const QuinceField quince_request_fields[] = {
-  REQUEST (service, STRING),        REQUEST (member, STRING),
-  REQUEST (kind, STRING),           REQUEST (rollout, BOOLEAN),
-  REQUEST (at_most_once, BOOLEAN),  REQUEST (attempt, UINT),
-  REQUEST (deadline_ms, UINT),      REQUEST (prompt_tokens, UINT),
-  REQUEST (expected_tokens, UINT),  REQUEST (waiting, UINT),
-  REQUEST (member_waiting, UINT),   REQUEST (estimated_wait_ms, UINT),
-  REQUEST (event_active, BOOLEAN),  REQUEST (event_in_ms, INT64),
-  REQUEST (newest_version, UINT64), { NULL },
+  REQUEST (service, STRING),
+  REQUEST (member, STRING),
+  REQUEST (kind, STRING),
+  REQUEST (rollout, BOOLEAN),
+  REQUEST (at_most_once, BOOLEAN),
+  REQUEST (attempt, UINT),
+  REQUEST (deadline_ms, UINT),
+  REQUEST (prompt_tokens, UINT),
+  REQUEST (expected_tokens, UINT),
+  REQUEST (waiting, UINT),
+  REQUEST (member_waiting, UINT),
+  REQUEST (estimated_wait_ms, UINT),
+  REQUEST (event_active, BOOLEAN),
+  REQUEST (event_in_ms, INT64),
+  REQUEST (newest_version, UINT64),
+  REQUEST (remaining_ms, UINT),
+  { NULL },
 };
 
 #define ENGINE(member, type)                                                                                 \
@@ -27,10 +36,19 @@
 #member, QUINCE_FIELD_##type, G_STRUCT_OFFSET(QuincePolicyEngine, member)                                \
   }
 const QuinceField quince_engine_fields[] = {
-  ENGINE (name, STRING),           ENGINE (running, UINT),          ENGINE (capacity, UINT),
-  ENGINE (queued, UINT),           ENGINE (load, DOUBLE),           ENGINE (prefix_match, DOUBLE),
-  ENGINE (weight_version, UINT64), ENGINE (target_version, UINT64), ENGINE (recent_ms, UINT),
-  ENGINE (recent_failures, UINT),  ENGINE (same_zone, BOOLEAN),     { NULL },
+  ENGINE (name, STRING),
+  ENGINE (running, UINT),
+  ENGINE (capacity, UINT),
+  ENGINE (queued, UINT),
+  ENGINE (load, DOUBLE),
+  ENGINE (prefix_match, DOUBLE),
+  ENGINE (weight_version, UINT64),
+  ENGINE (target_version, UINT64),
+  ENGINE (recent_ms, UINT),
+  ENGINE (recent_failures, UINT),
+  ENGINE (same_zone, BOOLEAN),
+  ENGINE (slowness, DOUBLE),
+  { NULL },
 };
 
 #define SAMPLE(member, type)                                                                                 \
--- a/tests/platform/test-samples.c
+++ b/tests/platform/test-samples.c
@@ -163,6 +163,46 @@
   path_world_free (world);
 }
 
+/* ---- Pace ------------------------------------------------------------------- */
+
+static guint
+runs_gone (const StandinWorker *worker)
+{
+  const GPtrArray *runs = standin_worker_get_runs (worker);
+  guint count = 0;
+  for (guint i = 0; i < runs->len; i++)
+    count += ((const StandinRun *)runs->pdata[i])->gone;
+  return count;
+}
+
+static guint
+runs_resumed (const StandinWorker *worker)
+{
+  const GPtrArray *runs = standin_worker_get_runs (worker);
+  guint count = 0;
+  for (guint i = 0; i < runs->len; i++)
+    count += ((const StandinRun *)runs->pdata[i])->resume != NULL;
+  return count;
+}
+
+/* What runs on a slow worker goes on at a faster one, from the event that it had reached. */
+static void
+test_samples_leave_a_slow_worker (void **state)
+{
+  PathWorld *world = path_world_new ("slow");
+  path_world_start (world);
+  standin_worker_set_events (world->model[0], 60, 250);
+  standin_worker_set_events (world->model[1], 60, 20);
+  standin_worker_set_events (world->model[2], 60, 20);
+  submit_from (world, "b1", ITEMS, 1);
+  AWAIT (listed_with (world, 0, "b1", "\"state\":\"completed\"") == ITEMS);
+  guint slow_runs = standin_worker_get_runs (world->model[0])->len;
+  assert_int_not_equal (slow_runs, 0);
+  assert_int_equal (runs_gone (world->model[0]), slow_runs);
+  assert_int_equal (runs_resumed (world->model[1]) + runs_resumed (world->model[2]), slow_runs);
+  path_world_free (world);
+}
+
 /* ---- Orders ------------------------------------------------------------------- */
 
 static void
@@ -313,6 +353,7 @@
     cmocka_unit_test (test_versions_within_a_text),
     cmocka_unit_test (test_single_version),
     cmocka_unit_test (test_samples_come_back),
+    cmocka_unit_test (test_samples_leave_a_slow_worker),
     cmocka_unit_test (test_fences_rise_with_leaders),
     cmocka_unit_test (test_added_worker_is_brought_to_the_version),
     cmocka_unit_test (test_stop_ends_streams_whole),
--- /dev/null
+++ b/tests/unit/test-sample-plan.c
@@ -0,0 +1,114 @@
+/*
+ * test-sample-plan.c: expected lengths, workers' paces, and what is decided from them.
+ */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <cmocka.h>
+
+#include <quince/length-model.h>
+#include <quince/routing.h>
+#include <quince/sample-plan.h>
+
+#define SECOND G_USEC_PER_SEC
+#define EVENT_US (40 * 1000)
+
+/* ---- Lengths ------------------------------------------------------------ */
+
+static void
+test_events_of_a_token_are_learned (void **state)
+{
+  g_autoptr (QuinceLengthModel) model = quince_length_model_new ();
+  assert_true (quince_length_model_expect (model, 1000) > quince_length_model_expect (model, 500));
+  for (guint i = 1; i <= 100; i++)
+    quince_length_model_note (model, 50 * i, i);
+  double expected = quince_length_model_expect (model, 1000);
+  assert_true (expected > 19.9 && expected < 20.1);
+  double remaining = quince_length_model_remaining (model, 1000, 15);
+  assert_true (remaining > 4.9 && remaining < 5.1);
+}
+
+static void
+test_mean_without_estimates (void **state)
+{
+  g_autoptr (QuinceLengthModel) model = quince_length_model_new ();
+  for (guint i = 0; i < 50; i++)
+    quince_length_model_note (model, 0, i % 2 == 0 ? 10 : 30);
+  double expected = quince_length_model_expect (model, 0);
+  assert_true (expected > 19 && expected < 21);
+}
+
+/* A text that outgrows its estimate has a part of itself still to come, up to the longest text seen. */
+static void
+test_overshoot (void **state)
+{
+  g_autoptr (QuinceLengthModel) model = quince_length_model_new ();
+  quince_length_model_note (model, 500, 10);
+  quince_length_model_note (model, 5000, 100);
+  assert_true (quince_length_model_remaining (model, 500, 50) > 10);
+  assert_true (quince_length_model_remaining (model, 500, 98) <= 2);
+  assert_true (quince_length_model_remaining (model, 500, 200) >= 1);
+}
+
+/* ---- Paces -------------------------------------------------------------- */
+
+static void
+test_pace_of_a_worker (void **state)
+{
+  g_autoptr (QuinceWorker) fast = quince_worker_new ("fast");
+  g_autoptr (QuinceWorker) slow = quince_worker_new ("slow");
+  gint64 now = 100 * SECOND;
+  assert_int_equal (quince_worker_get_pace_us (fast, now), 0);
+  for (guint i = 0; i < 200; i++, now += EVENT_US)
+    {
+      quince_worker_note_event (fast, now, EVENT_US);
+      quince_worker_note_event (slow, now, i < 100 ? EVENT_US : 3 * EVENT_US);
+    }
+  assert_int_equal (quince_worker_get_pace_us (fast, now), EVENT_US);
+  assert_true (quince_worker_get_pace_us (slow, now) > 2.9 * EVENT_US);
+  g_autoptr (GPtrArray) workers = g_ptr_array_new ();
+  g_ptr_array_add (workers, slow);
+  g_ptr_array_add (workers, fast);
+  assert_int_equal (quince_workers_fastest_pace_us (workers, now), EVENT_US);
+  /* What was measured long ago says nothing of now. */
+  assert_int_equal (quince_worker_get_pace_us (slow, now + 60 * SECOND), 0);
+}
+
+/* ---- Decisions ---------------------------------------------------------- */
+
+static void
+test_silence_by_pace (void **state)
+{
+  guint unknown = quince_sample_plan_silence_ms (0);
+  guint fast = quince_sample_plan_silence_ms (EVENT_US);
+  assert_true (fast < unknown);
+  assert_true (fast >= 1200); /* a load of weights stops a worker for 0.9 s and more */
+  assert_int_equal (quince_sample_plan_silence_ms (SECOND), unknown);
+}
+
+static void
+test_move_must_pay (void **state)
+{
+  assert_true (quince_sample_plan_move_pays (100, 3 * EVENT_US, EVENT_US));
+  assert_false (quince_sample_plan_move_pays (100, EVENT_US, EVENT_US));
+  assert_false (quince_sample_plan_move_pays (100, 11 * EVENT_US / 10, EVENT_US));
+  /* Nearly done: it would gain nothing to speak of. */
+  assert_false (quince_sample_plan_move_pays (5, 3 * EVENT_US, EVENT_US));
+  assert_false (quince_sample_plan_move_pays (100, 0, EVENT_US));
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_events_of_a_token_are_learned),
+    cmocka_unit_test (test_mean_without_estimates),
+    cmocka_unit_test (test_overshoot),
+    cmocka_unit_test (test_pace_of_a_worker),
+    cmocka_unit_test (test_silence_by_pace),
+    cmocka_unit_test (test_move_must_pay),
+  };
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
