--- a/daemons/front/front.c
+++ b/daemons/front/front.c
@@ -129,8 +129,6 @@
   QuinceFront *front = data;
   if (message->kind == QUINCE_MESSAGE_BELIEF_NEWS)
     quince_belief_feed_take (front->observer, &message->QuinceMessage_u.belief_news);
-  else if (message->kind == QUINCE_MESSAGE_PACKED)
-    quince_belief_feed_take_packed (front->observer, &message->QuinceMessage_u.packed);
   else if (message->kind == QUINCE_MESSAGE_HEARTBEAT)
     take_heartbeat (front, link, &message->QuinceMessage_u.heartbeat);
 }
--- /dev/null
+++ b/daemons/replica/batch-answers.c
@@ -0,0 +1,102 @@
+/*
+ * batch-answers.c: answers to fronts' calls about batches, and what such a call says of itself.
+ */
+#include "batch-answers.h"
+
+#include "platform.h"
+
+/* What a caller is told to wait after a refusal: a change of leaders takes about a second. */
+#define RETRY_AFTER_MS 300
+/* Texts of results in one answer; the platform allows 1 MB with all that stands around them. */
+#define RESULTS_MOST_BYTES (700 * 1024)
+
+/* ---- Answers ---------------------------------------------------------- */
+
+static void
+reply (QuinceLink *link,
+       guint64 id,
+       guint status,
+       const char *content_type,
+       GBytes *body,
+       guint retry_after_ms)
+{
+  QuinceMessage message = { .kind = QUINCE_MESSAGE_SERVICE_REPLY };
+  QuinceServiceReply *wire = &message.QuinceMessage_u.service_reply;
+  gsize length = 0;
+  wire->id = id;
+  wire->status = status;
+  wire->content_type = (char *)content_type;
+  wire->retry_after_ms = retry_after_ms;
+  wire->body.body_val = body != NULL ? (char *)g_bytes_get_data (body, &length) : NULL;
+  wire->body.body_len = (u_int)length;
+  quince_link_send (link, &message);
+}
+
+void
+quince_batch_answer_status (QuinceLink *link, guint64 id, guint status)
+{
+  reply (link, id, status, "", NULL, status == 503 || status == 429 ? RETRY_AFTER_MS : 0);
+}
+
+void
+quince_batch_answer_results (QuinceLink *link, guint64 id, const QuinceBatchEntry *entry, guint64 position)
+{
+  g_autoptr (GArray) listed = g_array_new (FALSE, FALSE, sizeof (QuincePlatformResult));
+  gsize bytes = 0;
+  for (guint64 i = position; i < entry->results->len && (listed->len == 0 || bytes < RESULTS_MOST_BYTES); i++)
+    {
+      const QuinceBatchResult *result = entry->results->pdata[i];
+      QuincePlatformResult row = { entry->batch->items.items_val[result->item].id, result };
+      g_array_append_val (listed, row);
+      bytes += result->text.text_len;
+    }
+  g_autoptr (GBytes) body
+      = quince_platform_format_results (entry->batch->items.items_len, position + listed->len,
+                                        (const QuincePlatformResult *)listed->data, listed->len);
+  reply (link, id, 200, "application/json", body, 0);
+}
+
+void
+quince_batch_answer_item (QuinceLink *link,
+                          const QuinceServiceCall *call,
+                          const QuinceCall *parsed,
+                          const QuinceBatchEntry *entry)
+{
+  gint place = parsed->item != NULL ? quince_batch_entry_find_item (entry, parsed->item) : -1;
+  if (place < 0)
+    {
+      quince_batch_answer_status (link, call->id, 404);
+      return;
+    }
+  const QuinceBatchItem *item = &entry->batch->items.items_val[place];
+  g_autoptr (GBytes) body = g_bytes_new_static (item->body.body_val, item->body.body_len);
+  reply (link, call->id, 200, "application/octet-stream", body, 0);
+}
+
+const char *
+quince_batch_call_get_header (const QuinceServiceCall *call, const char *name)
+{
+  for (guint i = 0; i < call->headers.headers_len; i++)
+    if (g_ascii_strcasecmp (call->headers.headers_val[i].name, name) == 0)
+      return call->headers.headers_val[i].value;
+  return "";
+}
+
+const char *
+quince_batch_call_get_request_id (const QuinceServiceCall *call, QuinceHttpHeaders *headers)
+{
+  QuincePlatformRequestFacts facts;
+  for (guint i = 0; i < call->headers.headers_len; i++)
+    quince_http_headers_add (headers, call->headers.headers_val[i].name, call->headers.headers_val[i].value);
+  quince_platform_read_request (headers, &facts);
+  return facts.request_id;
+}
+
+guint
+quince_batch_call_get_wait (const QuinceServiceCall *call)
+{
+  g_autoptr (QuinceHttpHeaders) headers = quince_http_headers_new ();
+  for (guint i = 0; i < call->headers.headers_len; i++)
+    quince_http_headers_add (headers, call->headers.headers_val[i].name, call->headers.headers_val[i].value);
+  return quince_platform_read_wait (headers);
+}
--- /dev/null
+++ b/daemons/replica/batch-answers.h
@@ -0,0 +1,32 @@
+/*
+ * batch-answers.h: answers to fronts' calls about batches, and what such a call says of itself.
+ */
+#pragma once
+
+#include <quince/batch-book.h>
+#include <quince/http1.h>
+#include <quince/link.h>
+
+#include "platform.h"
+
+/* ---- Answers; @id: of the call ------------------------------------------ */
+
+/* 503 and 429 carry the time after which to ask again. */
+void quince_batch_answer_status (QuinceLink *link, guint64 id, guint status);
+/* The results from @position on, as many as one answer holds. */
+void
+quince_batch_answer_results (QuinceLink *link, guint64 id, const QuinceBatchEntry *entry, guint64 position);
+/* The body of the item that @parsed names. */
+void quince_batch_answer_item (QuinceLink *link,
+                               const QuinceServiceCall *call,
+                               const QuinceCall *parsed,
+                               const QuinceBatchEntry *entry);
+
+/* ---- Calls --------------------------------------------------------------- */
+
+/* "": it has no such header. */
+const char *quince_batch_call_get_header (const QuinceServiceCall *call, const char *name);
+/* (transfer none) (nullable): lives as long as @headers, which takes the call's headers over. */
+const char *quince_batch_call_get_request_id (const QuinceServiceCall *call, QuinceHttpHeaders *headers);
+/* How long the answer may be held until there is a result, ms. */
+guint quince_batch_call_get_wait (const QuinceServiceCall *call);
--- a/daemons/replica/batch-service.c
+++ b/daemons/replica/batch-service.c
@@ -12,11 +12,9 @@
 #include <quince/metrics.h>
 #include <quince/task.h>
 
+#include "batch-answers.h"
 #include "platform.h"
 
-#define RETRY_AFTER_MS 300
-/* Bodies of results in one answer. */
-#define RESULTS_MOST_BYTES (700 * 1024)
 #define FORGET_EVERY_MS 5000
 /* Samples that are not listed, over all batches: more are refused. */
 #define SAMPLES_MOST 200000
@@ -41,7 +39,8 @@
   QuinceObserver *observer;
   QuinceModelHomes *homes;
   QuinceProgressStore *progress;
-  guint64 told_joins;         /* backups that know all that was told */
+  QuinceProgressFile *progress_file;
+  guint64 told_successor;     /* knows all progress that was told */
   QuinceBatchBook *book;      /* NULL: not leading */
   QuinceSampleRunner *runner; /* NULL: not leading */
   GHashTable *submitting;     /* batch id to guint64: index of its record, not committed yet */
@@ -51,34 +50,6 @@
   guint unlisted;
 };
 
-/* ---- Answers ---------------------------------------------------------- */
-
-static void
-reply (QuinceLink *link,
-       guint64 id,
-       guint status,
-       const char *content_type,
-       GBytes *body,
-       guint retry_after_ms)
-{
-  QuinceMessage message = { .kind = QUINCE_MESSAGE_SERVICE_REPLY };
-  QuinceServiceReply *wire = &message.QuinceMessage_u.service_reply;
-  gsize length = 0;
-  wire->id = id;
-  wire->status = status;
-  wire->content_type = (char *)content_type;
-  wire->retry_after_ms = retry_after_ms;
-  wire->body.body_val = body != NULL ? (char *)g_bytes_get_data (body, &length) : NULL;
-  wire->body.body_len = (u_int)length;
-  quince_link_send (link, &message);
-}
-
-static void
-reply_status (QuinceLink *link, guint64 id, guint status)
-{
-  reply (link, id, status, "", NULL, status == 503 || status == 429 ? RETRY_AFTER_MS : 0);
-}
-
 static void
 waiter_free (gpointer data)
 {
@@ -101,25 +72,7 @@
   return waiter;
 }
 
-/* ---- Results ---------------------------------------------------------- */
-
-static void
-reply_results (QuinceLink *link, guint64 id, const QuinceBatchEntry *entry, guint64 position)
-{
-  g_autoptr (GArray) listed = g_array_new (FALSE, FALSE, sizeof (QuincePlatformResult));
-  gsize bytes = 0;
-  for (guint64 i = position; i < entry->results->len && (listed->len == 0 || bytes < RESULTS_MOST_BYTES); i++)
-    {
-      const QuinceBatchResult *result = entry->results->pdata[i];
-      QuincePlatformResult row = { entry->batch->items.items_val[result->item].id, result };
-      g_array_append_val (listed, row);
-      bytes += result->text.text_len;
-    }
-  g_autoptr (GBytes) body
-      = quince_platform_format_results (entry->batch->items.items_len, position + listed->len,
-                                        (const QuincePlatformResult *)listed->data, listed->len);
-  reply (link, id, 200, "application/json", body, 0);
-}
+/* ---- Calls that wait -------------------------------------------------- */
 
 static gboolean
 waited_enough (gpointer data)
@@ -129,22 +82,13 @@
   QuinceBatchEntry *entry = quince_batch_book_find (service->book, waiter->batch);
   quince_source_clear (&waiter->timer);
   if (entry != NULL && quince_ledger_node_may_answer (service->ledger))
-    reply_results (waiter->link, waiter->id, entry, waiter->position);
+    quince_batch_answer_results (waiter->link, waiter->id, entry, waiter->position);
   else
-    reply_status (waiter->link, waiter->id, 503);
+    quince_batch_answer_status (waiter->link, waiter->id, 503);
   g_ptr_array_remove_fast (service->waiters, waiter);
   return G_SOURCE_REMOVE;
 }
 
-static guint
-wait_of (const QuinceServiceCall *call)
-{
-  g_autoptr (QuinceHttpHeaders) headers = quince_http_headers_new ();
-  for (guint i = 0; i < call->headers.headers_len; i++)
-    quince_http_headers_add (headers, call->headers.headers_val[i].name, call->headers.headers_val[i].value);
-  return quince_platform_read_wait (headers);
-}
-
 static void
 answer_results (QuinceBatchService *service,
                 QuinceLink *link,
@@ -152,12 +96,12 @@
                 const QuinceCall *parsed,
                 QuinceBatchEntry *entry)
 {
-  guint wait_ms = wait_of (call);
+  guint wait_ms = quince_batch_call_get_wait (call);
   gboolean nothing = parsed->position >= entry->results->len;
   gboolean more_may_come = !entry->ended && entry->results->len < entry->batch->items.items_len;
   if (!nothing || !more_may_come || wait_ms == 0)
     {
-      reply_results (link, call->id, entry, parsed->position);
+      quince_batch_answer_results (link, call->id, entry, parsed->position);
       return;
     }
   Waiter *waiter = add_waiter (service, link, call->id, parsed->id);
@@ -165,23 +109,6 @@
   waiter->timer = quince_timer_add (wait_ms, waited_enough, waiter);
 }
 
-static void
-answer_item (QuinceLink *link,
-             const QuinceServiceCall *call,
-             const QuinceCall *parsed,
-             const QuinceBatchEntry *entry)
-{
-  gint place = parsed->item != NULL ? quince_batch_entry_find_item (entry, parsed->item) : -1;
-  if (place < 0)
-    {
-      reply_status (link, call->id, 404);
-      return;
-    }
-  const QuinceBatchItem *item = &entry->batch->items.items_val[place];
-  g_autoptr (GBytes) body = g_bytes_new_static (item->body.body_val, item->body.body_len);
-  reply (link, call->id, 200, "application/octet-stream", body, 0);
-}
-
 /* ---- Changes ---------------------------------------------------------- */
 
 static void
@@ -192,7 +119,7 @@
 {
   if (entry->ended)
     {
-      reply_status (link, call->id, 200);
+      quince_batch_answer_status (link, call->id, 200);
       return;
     }
   QuinceBatchRecord record = { .kind = QUINCE_BATCH_RECORD_END };
@@ -201,25 +128,6 @@
   add_waiter (service, link, call->id, entry->batch->id)->index = index;
 }
 
-static const char *
-header_of (const QuinceServiceCall *call, const char *name)
-{
-  for (guint i = 0; i < call->headers.headers_len; i++)
-    if (g_ascii_strcasecmp (call->headers.headers_val[i].name, name) == 0)
-      return call->headers.headers_val[i].value;
-  return "";
-}
-
-static const char *
-request_id_of (const QuinceServiceCall *call, QuinceHttpHeaders *headers)
-{
-  QuincePlatformRequestFacts facts;
-  for (guint i = 0; i < call->headers.headers_len; i++)
-    quince_http_headers_add (headers, call->headers.headers_val[i].name, call->headers.headers_val[i].value);
-  quince_platform_read_request (headers, &facts);
-  return facts.request_id;
-}
-
 static void
 take_batch (QuinceBatchService *service, QuinceLink *link, const QuinceServiceCall *call, const char *id)
 {
@@ -230,14 +138,14 @@
     {
       g_autofree char *reason = quince_log_quote (error->message);
       quince_log_warning ("batch_refused", "batch=%s status=400 reason=%s", id, reason);
-      reply_status (link, call->id, 400);
+      quince_batch_answer_status (link, call->id, 400);
       return;
     }
   g_free (batch->id);
   g_free (batch->host);
   g_free (batch->path);
   batch->id = quince_string (id);
-  batch->host = quince_string (header_of (call, "Host"));
+  batch->host = quince_string (quince_batch_call_get_header (call, "Host"));
   batch->path = quince_string (call->target);
   batch->submitted_ms = (guint64)quince_wall_ms ();
   QuinceBatchRecord record = { .kind = QUINCE_BATCH_RECORD_SUBMIT };
@@ -245,7 +153,7 @@
   guint64 index = quince_ledger_node_append (service->ledger, &record);
   if (index == 0)
     {
-      reply_status (link, call->id, 503);
+      quince_batch_answer_status (link, call->id, 503);
       return;
     }
   g_hash_table_insert (service->submitting, g_strdup (id), g_memdup2 (&index, sizeof index));
@@ -256,18 +164,18 @@
 answer_submit (QuinceBatchService *service, QuinceLink *link, const QuinceServiceCall *call)
 {
   g_autoptr (QuinceHttpHeaders) headers = quince_http_headers_new ();
-  const char *id = request_id_of (call, headers);
+  const char *id = quince_batch_call_get_request_id (call, headers);
   const guint64 *pending = id != NULL ? g_hash_table_lookup (service->submitting, id) : NULL;
   if (id == NULL)
-    reply_status (link, call->id, 400);
+    quince_batch_answer_status (link, call->id, 400);
   else if (quince_batch_book_find (service->book, id) != NULL)
-    reply_status (link, call->id, 202);
+    quince_batch_answer_status (link, call->id, 202);
   else if (pending != NULL)
     add_waiter (service, link, call->id, id)->index = *pending;
   else if (!quince_ledger_node_may_accept (service->ledger))
-    reply_status (link, call->id, 503);
+    quince_batch_answer_status (link, call->id, 503);
   else if (service->unlisted > SAMPLES_MOST)
-    reply_status (link, call->id, 429);
+    quince_batch_answer_status (link, call->id, 429);
   else
     take_batch (service, link, call, id);
 }
@@ -279,7 +187,7 @@
 {
   if (service->book == NULL || !quince_ledger_node_may_answer (service->ledger))
     {
-      reply_status (link, call->id, 503);
+      quince_batch_answer_status (link, call->id, 503);
       return;
     }
   QuinceCall parsed;
@@ -289,15 +197,15 @@
   if (parsed.kind == QUINCE_CALL_REQUEST)
     answer_submit (service, link, call);
   else if (entry == NULL)
-    reply_status (link, call->id, pending ? 503 : 404);
+    quince_batch_answer_status (link, call->id, pending ? 503 : 404);
   else if (parsed.kind == QUINCE_CALL_RESULTS)
     answer_results (service, link, call, &parsed, entry);
   else if (parsed.kind == QUINCE_CALL_ITEM)
-    answer_item (link, call, &parsed, entry);
+    quince_batch_answer_item (link, call, &parsed, entry);
   else if (parsed.kind == QUINCE_CALL_END)
     answer_end (service, link, call, entry);
   else
-    reply_status (link, call->id, 404);
+    quince_batch_answer_status (link, call->id, 404);
   quince_platform_call_clear (&parsed);
 }
 
@@ -326,6 +234,13 @@
   return count;
 }
 
+/* For logs: whether a record is read from the disk again, before this replica leads. */
+static const char *
+replayed (const QuinceBatchService *service)
+{
+  return service->runner == NULL ? "true" : "false";
+}
+
 static void
 batch_submitted (QuinceBatchEntry *entry, gpointer data)
 {
@@ -337,8 +252,12 @@
   quince_model_homes_add_demand (service->homes, quince_now_us (), entry->batch->model, tokens,
                                  open_samples (service, entry->batch->model));
   g_hash_table_remove (service->submitting, entry->batch->id);
-  quince_log_info ("batch_taken", "batch=%s model=%s step=%" G_GUINT64_FORMAT " items=%u", entry->batch->id,
-                   entry->batch->model, (guint64)entry->batch->step, entry->batch->items.items_len);
+  quince_log_notice ("batch_taken",
+                     "batch=%s model=%s step=%" G_GUINT64_FORMAT
+                     " items=%u minimum_version=%" G_GUINT64_FORMAT " wanted_groups=%u replayed=%s",
+                     entry->batch->id, entry->batch->model, (guint64)entry->batch->step,
+                     entry->batch->items.items_len, (guint64)entry->batch->minimum_version,
+                     entry->batch->wanted_groups, replayed (service));
   if (service->runner != NULL)
     quince_sample_runner_add (service->runner, entry);
 }
@@ -355,7 +274,7 @@
       if (waiter->index != 0 || waiter->position >= entry->results->len
           || !g_str_equal (waiter->batch, entry->batch->id))
         continue;
-      reply_results (waiter->link, waiter->id, entry, waiter->position);
+      quince_batch_answer_results (waiter->link, waiter->id, entry, waiter->position);
       g_ptr_array_remove_index_fast (service->waiters, i - 1);
     }
 }
@@ -364,10 +283,10 @@
 batch_ended (QuinceBatchEntry *entry, gpointer data)
 {
   QuinceBatchService *service = data;
-  quince_log_info ("batch_ended", "batch=%s listed=%u of=%u", entry->batch->id, entry->results->len,
-                   entry->batch->items.items_len);
+  quince_log_notice ("batch_ended", "batch=%s listed=%u of=%u replayed=%s", entry->batch->id,
+                     entry->results->len, entry->batch->items.items_len, replayed (service));
   if (service->runner != NULL)
-    quince_sample_runner_remove (service->runner, entry);
+    quince_sample_runner_end (service->runner, entry);
 }
 
 static void
@@ -377,7 +296,7 @@
   service->unlisted -= entry->batch->items.items_len - entry->results->len;
   quince_log_info ("batch_forgotten", "batch=%s", entry->batch->id);
   if (service->runner != NULL)
-    quince_sample_runner_remove (service->runner, entry);
+    quince_sample_runner_forget (service->runner, entry);
 }
 
 static const QuinceBatchBookCallbacks book_callbacks = { .submitted = batch_submitted,
@@ -393,7 +312,7 @@
       Waiter *waiter = service->waiters->pdata[i - 1];
       if (waiter->index != index)
         continue;
-      reply_status (waiter->link, waiter->id, status);
+      quince_batch_answer_status (waiter->link, waiter->id, status);
       g_ptr_array_remove_index_fast (service->waiters, i - 1);
     }
 }
@@ -434,16 +353,17 @@
 {
   if (service->runner == NULL)
     return;
-  guint64 joins = quince_ledger_node_get_joins (service->ledger);
+  guint64 successor = quince_ledger_node_get_successor (service->ledger);
   g_autoptr (GArray) items = g_array_new (FALSE, FALSE, sizeof (QuinceProgressItem));
-  quince_sample_runner_collect (service->runner, joins != service->told_joins, items);
-  service->told_joins = joins;
+  quince_sample_runner_collect (service->runner, successor != service->told_successor, items);
+  service->told_successor = successor;
   if (items->len == 0)
     return;
   QuinceMessage message = { .kind = QUINCE_MESSAGE_PROGRESS };
   message.QuinceMessage_u.progress.items.items_val = (QuinceProgressItem *)items->data;
   message.QuinceMessage_u.progress.items.items_len = items->len;
-  quince_ledger_node_broadcast (service->ledger, &message);
+  quince_ledger_node_tell_successor (service->ledger, &message);
+  quince_progress_file_keep (service->progress_file, &message.QuinceMessage_u.progress);
 }
 
 void
@@ -510,7 +430,9 @@
   for (guint i = 0; i < entries->len; i++)
     {
       QuinceBatchEntry *entry = entries->pdata[i];
-      if (!entry->ended)
+      if (entry->ended)
+        quince_sample_runner_remember (service->runner, entry);
+      else
         quince_sample_runner_add (service->runner, entry);
     }
   service->forget_timer = quince_timer_add (FORGET_EVERY_MS, forget_old, service);
@@ -525,7 +447,7 @@
     {
       Waiter *waiter = service->waiters->pdata[i];
       /* What is in the log may yet be committed by the next leader. */
-      reply_status (waiter->link, waiter->id, waiter->index != 0 ? 504 : 503);
+      quince_batch_answer_status (waiter->link, waiter->id, waiter->index != 0 ? 504 : 503);
     }
   g_ptr_array_set_size (service->waiters, 0);
   g_hash_table_remove_all (service->submitting);
@@ -552,9 +474,12 @@
 }
 
 void
-quince_batch_service_set_ledger (QuinceBatchService *service, QuinceLedgerNode *ledger)
+quince_batch_service_set_ledger (QuinceBatchService *service,
+                                 QuinceLedgerNode *ledger,
+                                 QuinceProgressFile *progress_file)
 {
   service->ledger = ledger;
+  service->progress_file = progress_file;
 }
 
 void
--- a/daemons/replica/batch-service.h
+++ b/daemons/replica/batch-service.h
@@ -9,6 +9,7 @@
 #include <quince/observer.h>
 
 #include "ledger-node.h"
+#include "progress-file.h"
 #include "sample-runner.h"
 
 typedef struct _QuinceBatchService QuinceBatchService;
@@ -25,7 +26,9 @@
 void quince_batch_service_tell_progress (QuinceBatchService *service);
 void quince_batch_service_free (QuinceBatchService *service);
 /* Set once, before any other call. */
-void quince_batch_service_set_ledger (QuinceBatchService *service, QuinceLedgerNode *ledger);
+void quince_batch_service_set_ledger (QuinceBatchService *service,
+                                      QuinceLedgerNode *ledger,
+                                      QuinceProgressFile *progress_file);
 
 /* From the ledger: this replica leads, stopped to, has a new committed record. */
 void quince_batch_service_lead (QuinceBatchService *service);
--- a/daemons/replica/ledger-node-private.h
+++ b/daemons/replica/ledger-node-private.h
@@ -10,6 +10,7 @@
 {
   QuinceLink *link; /* owned */
   guint64 replica;
+  guint64 serial;     /* no two links have the same one */
   guint64 next_index; /* to send */
   gboolean reset;     /* its records are of no use: the next append replaces all */
   gboolean fed;       /* records are sent to it; others are only heard */
--- a/daemons/replica/ledger-node.h
+++ b/daemons/replica/ledger-node.h
@@ -61,10 +61,13 @@
 /* Appends a record; it is told by committed() once enough machines hold it. Returns its index; 0: it does not
  * lead */
 guint64 quince_ledger_node_append (QuinceLedgerNode *node, const QuinceBatchRecord *record);
-/* Sends @message to the backups that records are sent to; for what they may lose. */
-void quince_ledger_node_broadcast (QuinceLedgerNode *node, const QuinceMessage *message);
-/* Counts backups that joined: who was told everything before must be told again. */
-guint64 quince_ledger_node_get_joins (const QuinceLedgerNode *node);
+/* At a backup: its link to the leader. (transfer none) (nullable) */
+QuinceLink *quince_ledger_node_get_leader (QuinceLedgerNode *node);
+/* The link to the backup that will likely lead next, as a number; 0: there is none.  Another number means
+ * that it knows nothing of what was told before. */
+guint64 quince_ledger_node_get_successor (QuinceLedgerNode *node);
+/* Sends @message there; for what may be lost. */
+void quince_ledger_node_tell_successor (QuinceLedgerNode *node, const QuinceMessage *message);
 gboolean quince_ledger_node_is_leading (const QuinceLedgerNode *node);
 gboolean quince_ledger_node_may_answer (const QuinceLedgerNode *node);
 gboolean quince_ledger_node_may_accept (const QuinceLedgerNode *node);
--- a/daemons/replica/ledger-replication.c
+++ b/daemons/replica/ledger-replication.c
@@ -101,10 +101,7 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       QuinceBackupLink *backup = value;
-      gboolean before = backup->fed;
       backup->fed = contains (fed, backup->replica);
-      if (backup->fed && !before)
-        node->joins++; /* it lacks what was broadcast so far */
     }
 }
 
@@ -149,6 +146,7 @@
   QuinceBackupLink *backup = g_new0 (QuinceBackupLink, 1);
   backup->link = quince_link_ref (link);
   backup->replica = hello->member.replica;
+  backup->serial = ++node->joins;
   backup->next_index = first_to_send (node, hello, &backup->reset);
   g_hash_table_replace (node->backups, &backup->replica, backup);
   quince_ledger_group_peer_joined (node->group, quince_now_us (), &hello->member);
@@ -161,22 +159,34 @@
   send_backup (node, backup, TRUE);
 }
 
-void
-quince_ledger_node_broadcast (QuinceLedgerNode *node, const QuinceMessage *message)
+/* Backups ask to lead in the order of the view: the first one that is fed will likely lead next. */
+static QuinceBackupLink *
+find_successor (QuinceLedgerNode *node)
 {
-  g_autoptr (GBytes) encoded = quince_message_encode (message, NULL);
-  GHashTableIter iter;
-  gpointer value;
-  g_hash_table_iter_init (&iter, node->backups);
-  while (encoded != NULL && g_hash_table_iter_next (&iter, NULL, &value))
-    if (((QuinceBackupLink *)value)->fed)
-      quince_link_send_bytes (((QuinceBackupLink *)value)->link, encoded);
+  const QuinceLedgerView *view = quince_ledger_group_get_view (node->group);
+  for (guint i = 0; view != NULL && i < view->members.members_len; i++)
+    {
+      guint64 replica = view->members.members_val[i].replica;
+      QuinceBackupLink *backup = g_hash_table_lookup (node->backups, &replica);
+      if (backup != NULL && backup->fed)
+        return backup;
+    }
+  return NULL;
 }
 
 guint64
-quince_ledger_node_get_joins (const QuinceLedgerNode *node)
+quince_ledger_node_get_successor (QuinceLedgerNode *node)
+{
+  const QuinceBackupLink *successor = find_successor (node);
+  return successor != NULL ? successor->serial : 0;
+}
+
+void
+quince_ledger_node_tell_successor (QuinceLedgerNode *node, const QuinceMessage *message)
 {
-  return node->joins;
+  const QuinceBackupLink *successor = find_successor (node);
+  if (successor != NULL)
+    quince_link_send (successor->link, message);
 }
 
 static QuinceBackupLink *
@@ -327,6 +337,13 @@
   g_clear_pointer (&node->primary_address, g_free);
 }
 
+QuinceLink *
+quince_ledger_node_get_leader (QuinceLedgerNode *node)
+{
+  gboolean connected = node->primary_link != NULL && quince_link_is_connected (node->primary_link);
+  return connected ? node->primary_link : NULL;
+}
+
 /* Keeps a link to the leader of the view; called again and again. */
 void
 quince_ledger_node_follow (QuinceLedgerNode *node)
--- a/daemons/replica/replica.c
+++ b/daemons/replica/replica.c
@@ -40,6 +40,7 @@
   QuinceLedgerNode *ledger;
   QuinceModelHomes *homes;
   QuinceProgressStore *progress;
+  QuinceProgressFile *progress_file;
   QuinceBatchService *batches;
   QuinceWeightOrders *orders; /* NULL: not leading */
   QuinceBeliefFeed *feed;     /* NULL: not leading */
@@ -228,19 +229,25 @@
   else if (message->kind == QUINCE_MESSAGE_HEARTBEAT_ACK)
     quince_heartbeats_take_ack (replica->heartbeats, &message->QuinceMessage_u.heartbeat_ack);
   else if (message->kind == QUINCE_MESSAGE_PROGRESS && replica->feed == NULL)
-    quince_progress_store_take (replica->progress, quince_now_us (), &message->QuinceMessage_u.progress);
-  else if (message->kind == QUINCE_MESSAGE_PACKED && replica->feed == NULL)
-    quince_belief_feed_take_packed (replica->observer, &message->QuinceMessage_u.packed);
+    {
+      quince_progress_store_take (replica->progress, quince_now_us (), &message->QuinceMessage_u.progress);
+      quince_progress_file_keep (replica->progress_file, &message->QuinceMessage_u.progress);
+    }
   else if (message->kind == QUINCE_MESSAGE_BELIEF_NEWS && replica->feed == NULL)
     quince_belief_feed_take (replica->observer, &message->QuinceMessage_u.belief_news);
+  else if (message->kind == QUINCE_MESSAGE_BELIEF_NEWS)
+    quince_belief_feed_take_hint (replica->observer, &message->QuinceMessage_u.belief_news);
 }
 
 static void
 store_read (const char *prefix, const QuinceMetaPage *page, gpointer data)
 {
   Replica *replica = data;
+  QuinceLink *leader = replica->ledger != NULL ? quince_ledger_node_get_leader (replica->ledger) : NULL;
   if (replica->feed != NULL)
     quince_belief_feed_read (replica->feed, prefix, page);
+  else if (leader != NULL)
+    quince_belief_feed_hint (leader, prefix, page);
 }
 
 static const QuinceLedgerNodeCallbacks ledger_callbacks = { .leads = ledger_leads,
@@ -345,7 +352,11 @@
         .order_pause_us = quince_settings_get_duration_us (settings, "orders", "pause") + ORDER_MARGIN_US },
   };
   replica->ledger = quince_ledger_node_new (&options, replica->store, &ledger_callbacks, replica, error);
-  return replica->ledger != NULL;
+  if (replica->ledger == NULL)
+    return FALSE;
+  replica->progress_file
+      = quince_progress_file_open (options.folder, replica->progress, quince_now_us (), error);
+  return replica->progress_file != NULL;
 }
 
 static gboolean
@@ -380,7 +391,7 @@
       quince_replica_free (replica);
       return NULL;
     }
-  quince_batch_service_set_ledger (replica->batches, replica->ledger);
+  quince_batch_service_set_ledger (replica->batches, replica->ledger, replica->progress_file);
   replica->timer = quince_timer_add (TIMER_MS, timer_over, replica);
   return replica;
 }
@@ -420,6 +431,7 @@
   quince_batch_service_free (replica->batches);
   quince_model_homes_free (replica->homes);
   quince_progress_store_free (replica->progress);
+  quince_progress_file_close (replica->progress_file);
   quince_ledger_node_free (replica->ledger);
   quince_observer_free (replica->observer);
   quince_meta_store_free (replica->store);
--- a/daemons/replica/sample-outcome.c
+++ b/daemons/replica/sample-outcome.c
@@ -47,6 +47,8 @@
       = g_strdup_printf ("outcome=\"%s\",cause=\"%s\"", abandoned ? "abandoned" : "completed", cause);
   quince_metric_add ("quince_replica_samples_total", labels, 1);
   quince_metric_observe_us ("quince_replica_sample_seconds", "", quince_now_us () - sample->submitted_us);
+  quince_step_reports_listed (runner->reports, sample->entry, quince_now_us (), item->id, sample->worker_id,
+                              sample->last_event);
   sample->state = QUINCE_SAMPLE_DONE;
   runner->callbacks->result (&result, runner->user_data);
   quince_sample_runner_drop (runner, sample);
@@ -108,6 +110,7 @@
                                          .target_latency_ms = route->target_latency_ms,
                                          .deadline_us = now + time_us,
                                          .give_up_us = now + time_us };
+  sample->user_data = runner; /* a text that was taken over has had no run here */
   sample->reward = quince_forward_start (runner->backends, &quince_platform_forward_dialect, &request,
                                          reward_done, sample);
 }
@@ -118,11 +121,9 @@
   hand_over (runner, sample, TRUE, NULL, cause);
 }
 
-static void
-text_whole (QuinceSampleRunner *runner, QuinceSample *sample)
+void
+quince_sample_outcome_text_whole (QuinceSampleRunner *runner, QuinceSample *sample)
 {
-  quince_length_model_note (quince_sample_runner_get_lengths (runner, sample->entry->batch->model),
-                            sample->estimated_tokens, sample->last_event);
   if (sample->single_version && sample->versions->len > 1)
     {
       quince_sample_restart (sample);
@@ -179,10 +180,19 @@
     quince_log_info ("sample_run_ended", "sample=%s worker=%s cause=%s events=%" G_GUINT64_FORMAT " runs=%u",
                      quince_sample_get_item (sample)->id, sample->worker_id, cause, sample->last_event,
                      sample->runs);
+  if (sample->carried)
+    {
+      /* It waits for the batch in which it comes back. */
+      sample->state = end == QUINCE_RUN_WHOLE ? QUINCE_SAMPLE_SCORING : QUINCE_SAMPLE_WAITING;
+      return;
+    }
   switch (end)
     {
     case QUINCE_RUN_WHOLE:
-      text_whole (runner, sample);
+      quince_length_model_note (quince_sample_runner_get_lengths (runner, sample->entry->batch->model),
+                                sample->estimated_tokens, sample->last_event);
+      quince_step_reports_text_whole (runner->reports, sample->entry, quince_now_us ());
+      quince_sample_outcome_text_whole (runner, sample);
       break;
     case QUINCE_RUN_REFUSED:
       if (g_str_equal (cause, "no_connection"))
--- /dev/null
+++ b/daemons/replica/step-report.c
@@ -0,0 +1,166 @@
+/*
+ * step-report.c: how long each part of a trainer's step took.
+ */
+#include "step-report.h"
+
+#include <quince/log.h>
+#include <quince/metrics.h>
+
+#define STEP_FORMAT                                                                                          \
+  "batch=%s model=%s step=%" G_GUINT64_FORMAT " took_ms=%" G_GINT64_FORMAT " listed=%u of=%u came_back=%u"   \
+  " first_start_ms=%" G_GINT64_FORMAT " last_start_ms=%" G_GINT64_FORMAT " half_ms=%" G_GINT64_FORMAT        \
+  " most_ms=%" G_GINT64_FORMAT " last_listed_ms=%" G_GINT64_FORMAT                                           \
+  " last=%s worker=%s events=%" G_GUINT64_FORMAT
+
+typedef struct
+{
+  gint64 submitted_us;
+  guint came_back;
+  gint64 first_start_us; /* 0: none has begun */
+  gint64 last_start_us;
+  GArray *texts; /* gint64: when each text was whole, in that order */
+  gint64 last_listed_us;
+  char *last_item;   /* owned; NULL: none is listed */
+  char *last_worker; /* owned */
+  guint64 last_events;
+} Report;
+
+struct _QuinceStepReports
+{
+  GHashTable *reports; /* Report by batch entry, owned */
+};
+
+static void
+report_free (gpointer data)
+{
+  Report *report = data;
+  g_array_unref (report->texts);
+  g_free (report->last_item);
+  g_free (report->last_worker);
+  g_free (report);
+}
+
+QuinceStepReports *
+quince_step_reports_new (void)
+{
+  QuinceStepReports *reports = g_new0 (QuinceStepReports, 1);
+  reports->reports = g_hash_table_new_full (NULL, NULL, NULL, report_free);
+  return reports;
+}
+
+void
+quince_step_reports_free (QuinceStepReports *reports)
+{
+  g_hash_table_unref (reports->reports);
+  g_free (reports);
+}
+
+void
+quince_step_reports_begin (QuinceStepReports *reports, const QuinceBatchEntry *entry, gint64 submitted_us)
+{
+  Report *report = g_new0 (Report, 1);
+  report->submitted_us = submitted_us;
+  report->texts = g_array_new (FALSE, FALSE, sizeof (gint64));
+  g_hash_table_replace (reports->reports, (gpointer)entry, report);
+}
+
+void
+quince_step_reports_came_back (QuinceStepReports *reports, const QuinceBatchEntry *entry)
+{
+  Report *report = g_hash_table_lookup (reports->reports, entry);
+  if (report != NULL)
+    report->came_back++;
+}
+
+void
+quince_step_reports_started (QuinceStepReports *reports, const QuinceBatchEntry *entry, gint64 now_us)
+{
+  Report *report = g_hash_table_lookup (reports->reports, entry);
+  if (report == NULL)
+    return;
+  if (report->first_start_us == 0)
+    report->first_start_us = now_us;
+  report->last_start_us = now_us;
+}
+
+void
+quince_step_reports_text_whole (QuinceStepReports *reports, const QuinceBatchEntry *entry, gint64 now_us)
+{
+  Report *report = g_hash_table_lookup (reports->reports, entry);
+  if (report != NULL)
+    g_array_append_val (report->texts, now_us);
+}
+
+void
+quince_step_reports_listed (QuinceStepReports *reports,
+                            const QuinceBatchEntry *entry,
+                            gint64 now_us,
+                            const char *item,
+                            const char *worker,
+                            guint64 events)
+{
+  Report *report = g_hash_table_lookup (reports->reports, entry);
+  if (report == NULL)
+    return;
+  report->last_listed_us = now_us;
+  report->last_events = events;
+  g_free (report->last_item);
+  report->last_item = g_strdup (item);
+  g_free (report->last_worker);
+  report->last_worker = g_strdup (worker != NULL ? worker : "");
+}
+
+/* When so many of a hundred texts were whole, ms from the submission; -1: fewer are. */
+static gint64
+texts_ms (const Report *report, guint n_items, guint percent)
+{
+  guint needed = MAX ((n_items * percent + 99) / 100, 1);
+  if (report->texts->len < needed)
+    return -1;
+  return (g_array_index (report->texts, gint64, needed - 1) - report->submitted_us) / 1000;
+}
+
+/* Ms from the submission; -1: it has not happened. */
+static gint64
+age_ms (const Report *report, gint64 when_us)
+{
+  return when_us > 0 ? (when_us - report->submitted_us) / 1000 : -1;
+}
+
+static void
+observe (const char *phase, gint64 ms)
+{
+  g_autofree char *labels = g_strdup_printf ("phase=\"%s\"", phase);
+  if (ms >= 0)
+    quince_metric_observe_us ("quince_replica_step_seconds", labels, ms * 1000);
+}
+
+void
+quince_step_reports_end (QuinceStepReports *reports, const QuinceBatchEntry *entry, gint64 now_us)
+{
+  const Report *report = g_hash_table_lookup (reports->reports, entry);
+  if (report == NULL)
+    return;
+  guint n_items = entry->batch->items.items_len;
+  gint64 half_ms = texts_ms (report, n_items, 50);
+  gint64 most_ms = texts_ms (report, n_items, 90);
+  g_autofree char *details = g_strdup_printf (
+      STEP_FORMAT, entry->batch->id, entry->batch->model, (guint64)entry->batch->step,
+      age_ms (report, now_us), entry->results->len, n_items, report->came_back,
+      age_ms (report, report->first_start_us), age_ms (report, report->last_start_us), half_ms, most_ms,
+      age_ms (report, report->last_listed_us), report->last_item != NULL ? report->last_item : "",
+      report->last_worker != NULL ? report->last_worker : "", report->last_events);
+  quince_log_notice ("step_ended", "%s", details);
+  observe ("started", age_ms (report, report->last_start_us));
+  observe ("half", half_ms);
+  observe ("most", most_ms);
+  observe ("listed", age_ms (report, report->last_listed_us));
+  observe ("ended", age_ms (report, now_us));
+  g_hash_table_remove (reports->reports, entry);
+}
+
+void
+quince_step_reports_forget (QuinceStepReports *reports, const QuinceBatchEntry *entry)
+{
+  g_hash_table_remove (reports->reports, entry);
+}
--- a/daemons/replica/weight-orders.c
+++ b/daemons/replica/weight-orders.c
@@ -17,9 +17,11 @@
 #define AT_ONCE_SHARE 0.2
 #define AT_ONCE_LEAST 2
 #define CALL_TIMEOUT_US (900 * 1000)
-/* A load is looked at again after it, and given up after the other. */
-#define LOOK_AGAIN_MS 250
+/* A load takes 0.9 s where nothing else loads, and reports lag by a tenth of a second.  Looks cost a probe
+ * each; a late one keeps the worker closed and the next load waiting. */
 #define FIRST_LOOK_MS 900
+#define LOOK_AGAIN_MS 80
+/* A load that takes longer is given up. */
 #define LOAD_MOST_US (8 * G_USEC_PER_SEC)
 #define FAILED_PAUSE_US (500 * 1000)
 
--- a/include/quince/belief-feed.h
+++ b/include/quince/belief-feed.h
@@ -29,7 +29,13 @@
 /* Asks whoever is at the other end of @link for what @observer lacks. */
 void quince_belief_feed_ask (QuinceObserver *observer, QuinceLink *link);
 void quince_belief_feed_take (QuinceObserver *observer, const QuinceBeliefNews *news);
-/* The same, of news that were packed. */
-void quince_belief_feed_take_packed (QuinceObserver *observer, const QuincePacked *packed);
+
+/* ---- From the others to the leader ------------------------------------ */
+
+/* Whoever reads the store itself does so because the leader cannot: it tells the leader what the operator
+ * changed, so that an outage for one machine stops neither configurations nor weights. */
+void quince_belief_feed_hint (QuinceLink *leader, const char *prefix, const QuinceMetaPage *page);
+/* At the leader. */
+void quince_belief_feed_take_hint (QuinceObserver *observer, const QuinceBeliefNews *news);
 
 G_END_DECLS
--- a/include/quince/log.h
+++ b/include/quince/log.h
@@ -27,7 +27,8 @@
 /**
  * quince_log_bound:
  * @descriptor: where lines go from now on, for example standard output
- * @lines_per_second: more are left out and counted; failures and warnings have as many again for themselves
+ * @lines_per_second: more are left out and counted; failures, warnings and notices have as many again for
+ * themselves
  *
  * Lines are also left out while the reader of @descriptor does not read: writing never waits.  What was left
  * out is told by one line event=log_lines_left_out as soon as there is room.
@@ -64,6 +65,8 @@
 
 #define quince_log_debug(event, ...) quince_log_event (G_LOG_LEVEL_DEBUG, event, __VA_ARGS__)
 #define quince_log_info(event, ...) quince_log_event (G_LOG_LEVEL_INFO, event, __VA_ARGS__)
+/* A decision that the reading of a failure needs, such as what becomes of a batch: few lines a minute. */
+#define quince_log_notice(event, ...) quince_log_event (G_LOG_LEVEL_MESSAGE, event, __VA_ARGS__)
 #define quince_log_warning(event, ...) quince_log_event (G_LOG_LEVEL_WARNING, event, __VA_ARGS__)
 #define quince_log_failure(event, ...) quince_log_event (G_LOG_LEVEL_CRITICAL, event, __VA_ARGS__)
 
--- a/include/quince/observer.h
+++ b/include/quince/observer.h
@@ -54,6 +54,9 @@
                            const char *prefix,
                            const QuinceMetaPage *page,
                            gboolean whole);
+/* @page: changes of the operator's keys that another process read, perhaps not all: what rises by itself
+ * (configurations, versions of models) is taken over, and the store is still read from where it was. */
+void quince_observer_hint (QuinceObserver *observer, const QuinceMetaPage *page);
 void quince_observer_feed_alive (QuinceObserver *observer);
 void quince_observer_feed_ended (QuinceObserver *observer);
 /* Prefixes that an observer follows. */
--- a/include/quince/packed-message.h
+++ b/include/quince/packed-message.h
@@ -1,6 +1,9 @@
 /*
- * packed-message.h: a large message, compressed: what many processes are told at once must not fill the
- * memory of the one that tells it.
+ * packed-message.h: a message, compressed: bytes between zones are paid for, and what many processes are
+ * told at once must not fill the memory of the one that tells it.
+ *
+ * Links pack what quince_link_send() is given and unpack what they receive; only who encodes a message once
+ * for many links packs it itself.
  */
 #pragma once
 
@@ -12,7 +15,8 @@
  * quince_message_pack:
  * @encoded: by quince_message_encode()
  *
- * Returns: (transfer full): an encoded message of kind PACKED, or @encoded itself where it is small
+ * Returns: (transfer full): an encoded message of kind PACKED, or @encoded itself where that is small or
+ * hardly shrinks
  */
 GBytes *quince_message_pack (GBytes *encoded);
 
--- a/lib/observer/belief-feed.c
+++ b/lib/observer/belief-feed.c
@@ -7,6 +7,8 @@
 #include <quince/packed-message.h>
 #include <quince/task.h>
 
+#include "platform.h"
+
 /* A sign of life comes three times within the patience of the fed. */
 #define ALIVE_MS (QUINCE_META_FEED_PATIENCE_MS / 3)
 
@@ -206,29 +208,10 @@
   quince_link_send (link, &message);
 }
 
-void
-quince_belief_feed_take_packed (QuinceObserver *observer, const QuincePacked *packed)
+static QuinceMetaPage *
+decode_news (const QuinceBeliefNews *news)
 {
-  g_autoptr (GError) error = NULL;
-  QuinceMessage *message = quince_message_unpack (packed, &error);
-  if (message != NULL && message->kind == QUINCE_MESSAGE_BELIEF_NEWS)
-    quince_belief_feed_take (observer, &message->QuinceMessage_u.belief_news);
-  if (message != NULL)
-    quince_message_free (message);
-  else
-    quince_log_warning ("news_unreadable", "error=%s code=%d", g_quark_to_string (error->domain),
-                        error->code);
-}
-
-void
-quince_belief_feed_take (QuinceObserver *observer, const QuinceBeliefNews *news)
-{
-  if (*news->prefix == '\0')
-    {
-      quince_observer_feed_alive (observer);
-      return;
-    }
-  g_autoptr (QuinceMetaPage) page = g_new0 (QuinceMetaPage, 1);
+  QuinceMetaPage *page = g_new0 (QuinceMetaPage, 1);
   page->items = g_ptr_array_new_with_free_func ((GDestroyNotify)quince_meta_item_free);
   page->revision = news->revision;
   for (guint i = 0; i < news->items.items_len; i++)
@@ -241,5 +224,37 @@
         item->value = g_bytes_new (belief->value.value_val, belief->value.value_len);
       g_ptr_array_add (page->items, item);
     }
+  return page;
+}
+
+void
+quince_belief_feed_take (QuinceObserver *observer, const QuinceBeliefNews *news)
+{
+  if (*news->prefix == '\0')
+    {
+      quince_observer_feed_alive (observer);
+      return;
+    }
+  g_autoptr (QuinceMetaPage) page = decode_news (news);
   quince_observer_feed (observer, news->prefix, page, news->whole);
 }
+
+/* ---- From the others to the leader -------------------------------------- */
+
+void
+quince_belief_feed_hint (QuinceLink *leader, const char *prefix, const QuinceMetaPage *page)
+{
+  if (page->items->len == 0 || !g_str_equal (prefix, QUINCE_PLATFORM_OPERATOR_PREFIX))
+    return;
+  g_autoptr (GBytes) encoded = encode_news (prefix, page, FALSE);
+  if (encoded != NULL)
+    quince_link_send_bytes (leader, encoded);
+}
+
+void
+quince_belief_feed_take_hint (QuinceObserver *observer, const QuinceBeliefNews *news)
+{
+  g_autoptr (QuinceMetaPage) page = decode_news (news);
+  if (g_str_equal (news->prefix, QUINCE_PLATFORM_OPERATOR_PREFIX))
+    quince_observer_hint (observer, page);
+}
--- a/lib/observer/observer.c
+++ b/lib/observer/observer.c
@@ -237,6 +237,19 @@
       quince_meta_mirror_feed (mirrors[i].mirror, page, whole);
 }
 
+void
+quince_observer_hint (QuinceObserver *observer, const QuinceMetaPage *page)
+{
+  for (guint i = 0; i < page->items->len; i++)
+    {
+      const QuinceMetaItem *item = page->items->pdata[i];
+      if (g_str_equal (item->key, QUINCE_PLATFORM_CONFIGURATION_KEY))
+        take_configuration (observer, item);
+      else if (g_str_has_prefix (item->key, QUINCE_PLATFORM_VERSION_PREFIX))
+        take_version (observer, item);
+    }
+}
+
 void
 quince_observer_feed_alive (QuinceObserver *observer)
 {
--- a/lib/runtime/link.c
+++ b/lib/runtime/link.c
@@ -11,6 +11,7 @@
 #include <netinet/tcp.h>
 #include <string.h>
 
+#include <quince/packed-message.h>
 #include <quince/task.h>
 
 #define FRAME_HEADER_BYTES 4
@@ -199,13 +200,26 @@
       g_critical ("message of kind %d does not encode: %s", message->kind, error->message);
       return;
     }
-  quince_link_send_bytes (link, encoded);
+  g_autoptr (GBytes) packed = quince_message_pack (encoded);
+  quince_link_send_bytes (link, packed);
 }
 
 /* ---- Reading ---------------------------------------------------------- */
 
 static void start_read (QuinceLink *link);
 
+/* Returns: (transfer full): NULL: the bytes are no message. */
+static QuinceMessage *
+read_message (const guint8 *data, gsize length)
+{
+  QuinceMessage *message = quince_message_decode (data, length, NULL);
+  if (message == NULL || message->kind != QUINCE_MESSAGE_PACKED)
+    return message;
+  QuinceMessage *inner = quince_message_unpack (&message->QuinceMessage_u.packed, NULL);
+  quince_message_free (message);
+  return inner;
+}
+
 /* Returns: bytes used of @data, 0 when no whole frame is there or the link failed. */
 static gsize
 take_frame (QuinceLink *link, const guint8 *data, gsize available)
@@ -222,7 +236,7 @@
     }
   if (available < FRAME_HEADER_BYTES + length)
     return 0;
-  QuinceMessage *message = quince_message_decode (data + FRAME_HEADER_BYTES, length, NULL);
+  QuinceMessage *message = read_message (data + FRAME_HEADER_BYTES, length);
   if (message == NULL)
     {
       link_fail_code (link, QUINCE_LINK_ERROR_MALFORMED, "frame does not decode");
--- a/lib/runtime/log.c
+++ b/lib/runtime/log.c
@@ -100,7 +100,7 @@
 has_budget (GLogLevelFlags level)
 {
   guint most
-      = (level & G_LOG_LEVEL_MASK) <= G_LOG_LEVEL_WARNING ? 2 * log_lines_per_second : log_lines_per_second;
+      = (level & G_LOG_LEVEL_MASK) <= G_LOG_LEVEL_MESSAGE ? 2 * log_lines_per_second : log_lines_per_second;
   if (log_lines_per_second == 0)
     return TRUE;
   if (log_written >= most || !can_write ())
--- a/lib/runtime/packed-message.c
+++ b/lib/runtime/packed-message.c
@@ -5,9 +5,12 @@
 
 #include <gio/gio.h>
 
-/* A smaller message goes as it is. */
-#define PACK_LEAST_BYTES (32 * 1024)
-/* Fast rather than small: entries of workers shrink to a tenth all the same. */
+/* A smaller message goes as it is: it fits into two packets. */
+#define PACK_LEAST_BYTES (2 * 1024)
+/* What shrinks less goes as it is: unpacking costs its reader more than the bytes. */
+#define SHARE_MOST 0.9
+/* Fast rather than small: entries of workers shrink to a tenth all the same, texts of samples to two thirds.
+ */
 #define LEVEL 1
 #define PIECE_BYTES (64 * 1024)
 
@@ -30,12 +33,15 @@
   if (g_bytes_get_size (encoded) < PACK_LEAST_BYTES)
     return g_bytes_ref (encoded);
   g_autoptr (GBytes) compressed = compress (encoded);
-  gsize length = 0;
+  if (compressed == NULL
+      || (double)g_bytes_get_size (compressed) > SHARE_MOST * (double)g_bytes_get_size (encoded))
+    return g_bytes_ref (encoded);
+  gsize length;
   QuinceMessage message = { .kind = QUINCE_MESSAGE_PACKED };
   QuincePacked *packed = &message.QuinceMessage_u.packed;
-  packed->data.data_val = compressed != NULL ? (char *)g_bytes_get_data (compressed, &length) : NULL;
+  packed->data.data_val = (char *)g_bytes_get_data (compressed, &length);
   packed->data.data_len = (u_int)length;
-  GBytes *result = compressed != NULL ? quince_message_encode (&message, NULL) : NULL;
+  GBytes *result = quince_message_encode (&message, NULL);
   return result != NULL ? result : g_bytes_ref (encoded);
 }
 
--- a/scripts/check-names.sh
+++ b/scripts/check-names.sh
@@ -16,7 +16,7 @@
 logged=$(mktemp)
 documented=$(mktemp)
 trap 'rm -f "$logged" "$documented"' EXIT
-git grep -hoE 'quince_log_(info|warning|failure) \((abandoned \? )?"[a-z_]+"( : "[a-z_]+")?' -- \
+git grep -hoE 'quince_log_(info|notice|warning|failure) \((abandoned \? )?"[a-z_]+"( : "[a-z_]+")?' -- \
     daemons/front daemons/replica lib/meta lib/observer lib/forward lib/http1 lib/runtime |
     grep -oE '"[a-z_]+"' | tr -d '"' | sort -u >"$logged"
 sed -n '/^## Events of the platform.s daemons/,/^## /p' docs/OPERATIONS.md |
--- a/tests/platform/test-samples.c
+++ b/tests/platform/test-samples.c
@@ -203,6 +203,31 @@
   path_world_free (world);
 }
 
+/* ---- Half texts ------------------------------------------------------------- */
+
+/* All replicas are killed at once, in the middle of texts: each text goes on from where the disk knows it. */
+static void
+test_texts_outlive_all_replicas (void **state)
+{
+  PathWorld *world = path_world_new ("disk");
+  for (guint i = 0; i < PATH_MODEL; i++)
+    standin_worker_set_events (world->model[i], 6, 500);
+  path_world_start (world);
+  submit_from (world, "b1", ITEMS, 1);
+  AWAIT (model_runs (world) == ITEMS);
+  run_for (1600);
+  for (guint i = 0; i < PATH_REPLICAS; i++)
+    quince_process_kill (world->replicas[i]);
+  for (guint i = 0; i < PATH_REPLICAS; i++)
+    path_start_replica (world, i);
+  AWAIT (listed_with (world, 0, "b1", "\"message\":\"e1\\ne2\\ne3\\ne4\\ne5\\ne6\"") == ITEMS);
+  guint resumed = 0;
+  for (guint i = 0; i < PATH_MODEL; i++)
+    resumed += runs_resumed (world->model[i]);
+  assert_int_equal (resumed, ITEMS);
+  path_world_free (world);
+}
+
 /* ---- Orders ------------------------------------------------------------------- */
 
 static void
@@ -354,6 +379,7 @@
     cmocka_unit_test (test_single_version),
     cmocka_unit_test (test_samples_come_back),
     cmocka_unit_test (test_samples_leave_a_slow_worker),
+    cmocka_unit_test (test_texts_outlive_all_replicas),
     cmocka_unit_test (test_fences_rise_with_leaders),
     cmocka_unit_test (test_added_worker_is_brought_to_the_version),
     cmocka_unit_test (test_stop_ends_streams_whole),
--- a/tests/unit/test-packed-message.c
+++ b/tests/unit/test-packed-message.c
@@ -10,6 +10,7 @@
 #include <cmocka.h>
 
 #include <gio/gio.h>
+#include <quince/link.h>
 #include <quince/packed-message.h>
 
 static GBytes *
@@ -67,6 +68,71 @@
   assert_ptr_equal (packed, encoded);
 }
 
+/* What hardly shrinks is not worth its unpacking. */
+static void
+test_random_bytes (void **state)
+{
+  static char bytes[16 * 1024];
+  g_autoptr (GRand) random = g_rand_new_with_seed (7);
+  for (guint i = 0; i < sizeof bytes; i++)
+    bytes[i] = (char)g_rand_int_range (random, 0, 256);
+  QuinceMessage message = { .kind = QUINCE_MESSAGE_SERVICE_REPLY };
+  message.QuinceMessage_u.service_reply.content_type = (char *)"";
+  message.QuinceMessage_u.service_reply.body.body_val = bytes;
+  message.QuinceMessage_u.service_reply.body.body_len = sizeof bytes;
+  g_autoptr (GBytes) encoded = quince_message_encode (&message, NULL);
+  g_autoptr (GBytes) packed = quince_message_pack (encoded);
+  assert_ptr_equal (packed, encoded);
+}
+
+/* ---- Over a link ---------------------------------------------------------- */
+
+typedef struct
+{
+  QuinceLink *accepted;
+  guint received;
+  guint items;
+} Arrival;
+
+static void
+on_message (QuinceLink *link, QuinceMessage *message, gpointer data)
+{
+  Arrival *arrival = data;
+  arrival->received++;
+  if (message->kind == QUINCE_MESSAGE_BELIEF_NEWS)
+    arrival->items += message->QuinceMessage_u.belief_news.items.items_len;
+  quince_message_free (message);
+}
+
+static void
+on_accepted (QuinceLink *link, gpointer data)
+{
+  ((Arrival *)data)->accepted = link;
+}
+
+static const QuinceLinkCallbacks link_callbacks = { .message = on_message };
+
+/* A link packs what it is given, and its peer gets what was sent. */
+static void
+test_links_pack (void **state)
+{
+  Arrival arrival = { 0 };
+  g_autoptr (QuinceLinkServer) server
+      = quince_link_server_new ("127.0.0.1:0", &link_callbacks, on_accepted, &arrival, NULL);
+  g_autoptr (QuinceLink) link
+      = quince_link_connect (quince_link_server_get_address (server), &link_callbacks, &arrival);
+  g_autoptr (GBytes) encoded = news (3000);
+  QuinceMessage *message = decode (encoded);
+  quince_link_send (link, message);
+  quince_message_free (message);
+  while (arrival.received == 0)
+    g_main_context_iteration (NULL, TRUE);
+  assert_int_equal (arrival.items, 3000);
+  assert_true (quince_link_get_bytes_sent (link) * 5 < g_bytes_get_size (encoded));
+  quince_link_close (link);
+  quince_link_unref (arrival.accepted);
+}
+
 static void
 test_broken (void **state)
 {
@@ -91,9 +157,8 @@
 main (void)
 {
   const struct CMUnitTest tests[] = {
-    cmocka_unit_test (test_large),
-    cmocka_unit_test (test_small),
-    cmocka_unit_test (test_broken),
+    cmocka_unit_test (test_large),      cmocka_unit_test (test_small),  cmocka_unit_test (test_random_bytes),
+    cmocka_unit_test (test_links_pack), cmocka_unit_test (test_broken),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
