--- a/daemons/replica/batch-service.c
+++ b/daemons/replica/batch-service.c
@@ -286,7 +286,7 @@
   quince_log_notice ("batch_ended", "batch=%s listed=%u of=%u replayed=%s", entry->batch->id,
                      entry->results->len, entry->batch->items.items_len, replayed (service));
   if (service->runner != NULL)
-    quince_sample_runner_end (service->runner, entry);
+    quince_sample_runner_remove (service->runner, entry);
 }
 
 static void
@@ -296,7 +296,7 @@
   service->unlisted -= entry->batch->items.items_len - entry->results->len;
   quince_log_info ("batch_forgotten", "batch=%s", entry->batch->id);
   if (service->runner != NULL)
-    quince_sample_runner_forget (service->runner, entry);
+    quince_sample_runner_remove (service->runner, entry);
 }
 
 static const QuinceBatchBookCallbacks book_callbacks = { .submitted = batch_submitted,
@@ -430,9 +430,7 @@
   for (guint i = 0; i < entries->len; i++)
     {
       QuinceBatchEntry *entry = entries->pdata[i];
-      if (entry->ended)
-        quince_sample_runner_remember (service->runner, entry);
-      else
+      if (!entry->ended)
         quince_sample_runner_add (service->runner, entry);
     }
   service->forget_timer = quince_timer_add (FORGET_EVERY_MS, forget_old, service);
--- a/daemons/replica/sample-dispatch.c
+++ b/daemons/replica/sample-dispatch.c
@@ -58,18 +58,6 @@
       sample->last_event);
 }
 
-gint64
-quince_sample_dispatch_estimate_us (QuinceSampleRunner *runner, const QuinceSample *sample, gint64 now_us)
-{
-  const QuinceRoute *route = quince_sample_runner_route_of_batch (runner, sample->entry->batch);
-  if (route == NULL)
-    return 0;
-  ServiceView view;
-  view_service (runner, route, sample, now_us, &view);
-  g_ptr_array_unref (view.workers);
-  return (gint64)(remaining_events (runner, sample) * (double)view.fastest_pace_us);
-}
-
 /* ---- A new run ---------------------------------------------------------- */
 
 static QuinceBackendOutcome
@@ -82,24 +70,19 @@
   g_autoptr (GHashTable) avoid = g_hash_table_new (g_str_hash, g_str_equal);
   if (sample->avoid_worker != NULL)
     g_hash_table_add (avoid, sample->avoid_worker);
-  /* Two runs of one id at a worker could not be told apart. */
-  const char *second = quince_carried_samples_worker_of (runner, quince_sample_get_item (sample)->id);
-  if (second != NULL && !sample->carried)
-    g_hash_table_add (avoid, (gpointer)second);
   /* The samples of a group share their prompt. */
   g_autofree char *group
       = g_strconcat (sample->entry->batch->id, " ", quince_sample_get_item (sample)->group, NULL);
   const char *const prompt[] = { group, NULL };
-  QuinceBackendQuery query
-      = { .request = request,
-          .model = sample->entry->batch->model,
-          .minimum_version = MAX (sample->entry->batch->minimum_version, sample->least_version),
-          .avoid = avoid,
-          .most_running = view->slots,
-          .prompt = prompt,
-          .fastest_pace_us = view->fastest_pace_us };
+  QuinceBackendQuery query = { .request = request,
+                               .model = sample->entry->batch->model,
+                               .minimum_version = sample->entry->batch->minimum_version,
+                               .avoid = avoid,
+                               .most_running = view->slots,
+                               .prompt = prompt,
+                               .fastest_pace_us = view->fastest_pace_us };
   QuinceBackendOutcome outcome = quince_backends_choose (runner->backends, quince_now_us (), &query, worker);
-  if (outcome == QUINCE_BACKEND_NONE && sample->avoid_worker != NULL && !sample->carried)
+  if (outcome == QUINCE_BACKEND_NONE && sample->avoid_worker != NULL)
     {
       query.avoid = NULL;
       outcome = quince_backends_choose (runner->backends, quince_now_us (), &query, worker);
@@ -113,7 +96,7 @@
   const QuinceBatchJob *batch = sample->entry->batch;
   sample->single_version = route->single_version;
   runner->running++;
-  if (sample->runs == 0 && !sample->carried)
+  if (sample->runs == 0)
     quince_step_reports_started (runner->reports, sample->entry, quince_now_us ());
   quince_log_info ("sample_dispatched",
                    "sample=%s batch=%s worker=%s worker_running=%u version=%" G_GUINT64_FORMAT
--- a/daemons/replica/sample-outcome.c
+++ b/daemons/replica/sample-outcome.c
@@ -110,7 +110,6 @@
                                          .target_latency_ms = route->target_latency_ms,
                                          .deadline_us = now + time_us,
                                          .give_up_us = now + time_us };
-  sample->user_data = runner; /* a text that was taken over has had no run here */
   sample->reward = quince_forward_start (runner->backends, &quince_platform_forward_dialect, &request,
                                          reward_done, sample);
 }
@@ -121,8 +120,8 @@
   hand_over (runner, sample, TRUE, NULL, cause);
 }
 
-void
-quince_sample_outcome_text_whole (QuinceSampleRunner *runner, QuinceSample *sample)
+static void
+text_whole (QuinceSampleRunner *runner, QuinceSample *sample)
 {
   if (sample->single_version && sample->versions->len > 1)
     {
@@ -180,19 +179,13 @@
     quince_log_info ("sample_run_ended", "sample=%s worker=%s cause=%s events=%" G_GUINT64_FORMAT " runs=%u",
                      quince_sample_get_item (sample)->id, sample->worker_id, cause, sample->last_event,
                      sample->runs);
-  if (sample->carried)
-    {
-      /* It waits for the batch in which it comes back. */
-      sample->state = end == QUINCE_RUN_WHOLE ? QUINCE_SAMPLE_SCORING : QUINCE_SAMPLE_WAITING;
-      return;
-    }
   switch (end)
     {
     case QUINCE_RUN_WHOLE:
       quince_length_model_note (quince_sample_runner_get_lengths (runner, sample->entry->batch->model),
                                 sample->estimated_tokens, sample->last_event);
       quince_step_reports_text_whole (runner->reports, sample->entry, quince_now_us ());
-      quince_sample_outcome_text_whole (runner, sample);
+      text_whole (runner, sample);
       break;
     case QUINCE_RUN_REFUSED:
       if (g_str_equal (cause, "no_connection"))
--- a/daemons/replica/sample-runner-private.h
+++ b/daemons/replica/sample-runner-private.h
@@ -3,7 +3,6 @@
  *
  * sample-runner.c: which samples there are, and when each is looked at.
  * sample-dispatch.c: on which worker a sample runs, and when it moves to another one.
- * carried-samples.c: texts that are kept for a later batch of the same samples.
  * sample-outcome.c: what follows a run: the next try, the reward call, the result.
  */
 #pragma once
@@ -14,8 +13,6 @@
 #include "sample.h"
 #include "step-report.h"
 
-typedef struct _QuinceCarriedSamples QuinceCarriedSamples;
-
 struct _QuinceSampleRunner
 {
   /* All fields belong to the main context. */
@@ -26,7 +23,6 @@
   gpointer user_data;
   GPtrArray *samples;  /* QuinceSample, owned, in order of their start */
   GHashTable *lengths; /* QuinceLengthModel by model, owned */
-  QuinceCarriedSamples *carried;
   QuinceStepReports *reports;
   GSource *timer;
   GSource *soon; /* a pump that is asked for */
@@ -51,30 +47,9 @@
 
 /* Begins a run where a worker has room. */
 QuinceBackendOutcome quince_sample_dispatch (QuinceSampleRunner *runner, QuinceSample *sample, gint64 now_us);
-/* How long @sample will likely run at the fastest worker; 0: no pace is measured. */
-gint64
-quince_sample_dispatch_estimate_us (QuinceSampleRunner *runner, const QuinceSample *sample, gint64 now_us);
 /* Moves samples that run to workers that end them sooner, a few at a time. */
 void quince_sample_dispatch_move (QuinceSampleRunner *runner, gint64 now_us);
 
-/* ---- carried-samples.c ------------------------------------------------- */
-
-QuinceCarriedSamples *quince_carried_samples_new (void);
-void quince_carried_samples_free (QuinceCarriedSamples *carried);
-/* A batch is known: its samples may come back in a later one. */
-void quince_carried_samples_note (QuinceSampleRunner *runner, QuinceBatchEntry *entry);
-/* The batch ended: @sample, which the runner no longer holds, is kept where its text may be of use, or
- * released. */
-void quince_carried_samples_keep (QuinceSampleRunner *runner, QuinceSample *sample);
-/* @entry is about to be released. */
-void quince_carried_samples_forget (QuinceSampleRunner *runner, const QuinceBatchEntry *entry);
-/* A sample for @item of @entry with what is kept of its text, its run included. (transfer full) (nullable) */
-QuinceSample *quince_carried_samples_take (QuinceSampleRunner *runner, QuinceBatchEntry *entry, guint item);
-/* Begins second runs of samples that open steps will likely end without; releases what is kept in vain. */
-void quince_carried_samples_look (QuinceSampleRunner *runner, gint64 now_us);
-/* Where a second run of the sample of that id goes on; %NULL: nowhere. */
-const char *quince_carried_samples_worker_of (QuinceSampleRunner *runner, const char *item);
-
 /* ---- sample-outcome.c -------------------------------------------------- */
 
 /* The callback of quince_sample_run(); @data: the runner. */
@@ -82,7 +57,5 @@
 quince_sample_outcome_run_ended (QuinceSample *sample, QuinceRunEnd end, const char *cause, gpointer data);
 /* Makes the reward call of a sample whose text is whole. */
 void quince_sample_outcome_begin_reward (QuinceSampleRunner *runner, QuinceSample *sample);
-/* Its text is whole: scores it, or lists it. */
-void quince_sample_outcome_text_whole (QuinceSampleRunner *runner, QuinceSample *sample);
 /* Lists the sample as given up; releases it. */
 void quince_sample_outcome_give_up (QuinceSampleRunner *runner, QuinceSample *sample, const char *cause);
--- a/daemons/replica/sample-runner.c
+++ b/daemons/replica/sample-runner.c
@@ -68,12 +68,9 @@
           quince_sample_outcome_give_up (runner, sample, "time_is_up");
           continue;
         }
-      if (sample->state == QUINCE_SAMPLE_SCORING && sample->reward == NULL && now >= sample->not_before_us)
-        quince_sample_outcome_text_whole (runner, sample);
-      /* It may have been listed and released. */
-      if (i >= runner->samples->len || runner->samples->pdata[i] != sample)
-        continue;
       i++;
+      if (sample->state == QUINCE_SAMPLE_SCORING && sample->reward == NULL && now >= sample->not_before_us)
+        quince_sample_outcome_begin_reward (runner, sample);
       if (sample->state != QUINCE_SAMPLE_WAITING)
         continue;
       runner->waiting++;
@@ -82,7 +79,6 @@
       if (quince_sample_dispatch (runner, sample, now) == QUINCE_BACKEND_FULL && sample->avoid_worker == NULL)
         g_hash_table_add (full, (char *)model);
     }
-  quince_carried_samples_look (runner, now);
 }
 
 static gboolean
@@ -134,7 +130,6 @@
   runner->samples = g_ptr_array_new_with_free_func ((GDestroyNotify)quince_sample_free);
   runner->lengths
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, (GDestroyNotify)quince_length_model_free);
-  runner->carried = quince_carried_samples_new ();
   runner->reports = quince_step_reports_new ();
   runner->timer = quince_timer_add (PUMP_EVERY_MS, timer_over, runner);
   return runner;
@@ -148,7 +143,6 @@
   quince_source_clear (&runner->timer);
   quince_source_clear (&runner->soon);
   g_ptr_array_unref (runner->samples);
-  quince_carried_samples_free (runner->carried);
   quince_step_reports_free (runner->reports);
   g_hash_table_unref (runner->lengths);
   g_free (runner);
@@ -177,24 +171,18 @@
     {
       if (entry->is_listed[i])
         continue;
-      QuinceSample *sample = quince_carried_samples_take (runner, entry, i);
-      if (sample == NULL)
-        sample = quince_sample_new (entry, i);
+      QuinceSample *sample = quince_sample_new (entry, i);
       QuincePlatformLength length;
       quince_platform_read_length (quince_sample_get_item (sample), &length);
       sample->estimated_tokens = length.estimated_tokens;
       sample->submitted_us = submitted_us;
-      if (sample->last_event == 0)
-        quince_progress_store_get (runner->progress, entry->batch->id, i, sample->text, sample->versions,
-                                   &sample->last_event);
+      quince_progress_store_get (runner->progress, entry->batch->id, i, sample->text, sample->versions,
+                                 &sample->last_event);
       if (route != NULL && route->queue_ttl_ms > 0)
         sample->give_up_us = submitted_us + (gint64)route->queue_ttl_ms * 1000;
-      if (sample->state == QUINCE_SAMPLE_SCORING)
-        quince_step_reports_text_whole (runner->reports, entry, quince_now_us ());
       g_ptr_array_add (runner->samples, sample);
     }
   qsort (runner->samples->pdata + first, runner->samples->len - first, sizeof (gpointer), compare_lengths);
-  quince_carried_samples_note (runner, entry);
   quince_sample_runner_pump_soon (runner);
 }
 
@@ -223,20 +211,7 @@
 }
 
 void
-quince_sample_runner_end (QuinceSampleRunner *runner, const QuinceBatchEntry *entry)
-{
-  for (guint i = runner->samples->len; i > 0; i--)
-    {
-      QuinceSample *sample = runner->samples->pdata[i - 1];
-      if (sample->entry == entry)
-        quince_carried_samples_keep (runner, g_ptr_array_steal_index (runner->samples, i - 1));
-    }
-  quince_step_reports_end (runner->reports, entry, quince_now_us ());
-  quince_sample_runner_pump_soon (runner);
-}
-
-void
-quince_sample_runner_forget (QuinceSampleRunner *runner, const QuinceBatchEntry *entry)
+quince_sample_runner_remove (QuinceSampleRunner *runner, const QuinceBatchEntry *entry)
 {
   for (guint i = runner->samples->len; i > 0; i--)
     {
@@ -246,17 +221,10 @@
       runner->running -= sample->state == QUINCE_SAMPLE_RUNNING;
       g_ptr_array_remove_index (runner->samples, i - 1);
     }
-  quince_carried_samples_forget (runner, entry);
-  quince_step_reports_forget (runner->reports, entry);
+  quince_step_reports_end (runner->reports, entry, quince_now_us ());
   quince_sample_runner_pump_soon (runner);
 }
 
-void
-quince_sample_runner_remember (QuinceSampleRunner *runner, QuinceBatchEntry *entry)
-{
-  quince_carried_samples_note (runner, entry);
-}
-
 guint
 quince_sample_runner_get_waiting (const QuinceSampleRunner *runner)
 {
--- a/daemons/replica/sample-runner.h
+++ b/daemons/replica/sample-runner.h
@@ -35,12 +35,8 @@
 /* What has been made since the last call, to be told to backups; @all: everything again. Lives until samples
  * change. */
 void quince_sample_runner_collect (QuinceSampleRunner *runner, gboolean all, GArray *items);
-/* @entry has ended: its samples may come back in a later batch. */
-void quince_sample_runner_remember (QuinceSampleRunner *runner, QuinceBatchEntry *entry);
-/* The batch is ended: its samples are cancelled, but for texts that may be of use when they come back. */
-void quince_sample_runner_end (QuinceSampleRunner *runner, const QuinceBatchEntry *entry);
-/* The batch is forgotten: nothing of it is kept. */
-void quince_sample_runner_forget (QuinceSampleRunner *runner, const QuinceBatchEntry *entry);
+/* The batch is ended or forgotten: its samples are cancelled. */
+void quince_sample_runner_remove (QuinceSampleRunner *runner, const QuinceBatchEntry *entry);
 /* Something has changed (workers, versions, time): begin what can begin. */
 void quince_sample_runner_pump (QuinceSampleRunner *runner);
 guint quince_sample_runner_get_waiting (const QuinceSampleRunner *runner);
--- a/daemons/replica/sample.h
+++ b/daemons/replica/sample.h
@@ -53,8 +53,6 @@
   gint64 submitted_us;  /* monotonic */
   gboolean single_version;
   guint estimated_tokens; /* by its caller; 0: not told */
-  gboolean carried;       /* kept for a later batch: nothing of it is listed or scored */
-  guint64 least_version;  /* of a worker for its runs, beyond what its batch asks for; 0: none */
   guint moves;            /* runs that were cut to go on elsewhere */
 
   /* The run in progress. */
--- a/daemons/replica/step-report.c
+++ b/daemons/replica/step-report.c
@@ -7,7 +7,7 @@
 #include <quince/metrics.h>
 
 #define STEP_FORMAT                                                                                          \
-  "batch=%s model=%s step=%" G_GUINT64_FORMAT " took_ms=%" G_GINT64_FORMAT " listed=%u of=%u came_back=%u"   \
+  "batch=%s model=%s step=%" G_GUINT64_FORMAT " took_ms=%" G_GINT64_FORMAT " listed=%u of=%u"                \
   " first_start_ms=%" G_GINT64_FORMAT " last_start_ms=%" G_GINT64_FORMAT " half_ms=%" G_GINT64_FORMAT        \
   " most_ms=%" G_GINT64_FORMAT " last_listed_ms=%" G_GINT64_FORMAT                                           \
   " last=%s worker=%s events=%" G_GUINT64_FORMAT
@@ -15,7 +15,6 @@
 typedef struct
 {
   gint64 submitted_us;
-  guint came_back;
   gint64 first_start_us; /* 0: none has begun */
   gint64 last_start_us;
   GArray *texts; /* gint64: when each text was whole, in that order */
@@ -64,14 +63,6 @@
   g_hash_table_replace (reports->reports, (gpointer)entry, report);
 }
 
-void
-quince_step_reports_came_back (QuinceStepReports *reports, const QuinceBatchEntry *entry)
-{
-  Report *report = g_hash_table_lookup (reports->reports, entry);
-  if (report != NULL)
-    report->came_back++;
-}
-
 void
 quince_step_reports_started (QuinceStepReports *reports, const QuinceBatchEntry *entry, gint64 now_us)
 {
@@ -146,9 +137,9 @@
   gint64 most_ms = texts_ms (report, n_items, 90);
   g_autofree char *details = g_strdup_printf (
       STEP_FORMAT, entry->batch->id, entry->batch->model, (guint64)entry->batch->step,
-      age_ms (report, now_us), entry->results->len, n_items, report->came_back,
-      age_ms (report, report->first_start_us), age_ms (report, report->last_start_us), half_ms, most_ms,
-      age_ms (report, report->last_listed_us), report->last_item != NULL ? report->last_item : "",
+      age_ms (report, now_us), entry->results->len, n_items, age_ms (report, report->first_start_us),
+      age_ms (report, report->last_start_us), half_ms, most_ms, age_ms (report, report->last_listed_us),
+      report->last_item != NULL ? report->last_item : "",
       report->last_worker != NULL ? report->last_worker : "", report->last_events);
   quince_log_notice ("step_ended", "%s", details);
   observe ("started", age_ms (report, report->last_start_us));
@@ -158,9 +149,3 @@
   observe ("ended", age_ms (report, now_us));
   g_hash_table_remove (reports->reports, entry);
 }
-
-void
-quince_step_reports_forget (QuinceStepReports *reports, const QuinceBatchEntry *entry)
-{
-  g_hash_table_remove (reports->reports, entry);
-}
--- a/daemons/replica/step-report.h
+++ b/daemons/replica/step-report.h
@@ -15,8 +15,6 @@
 /* A batch is run from now on.  @submitted_us: monotonic */
 void
 quince_step_reports_begin (QuinceStepReports *reports, const QuinceBatchEntry *entry, gint64 submitted_us);
-/* A sample of @entry had its place in an earlier batch. */
-void quince_step_reports_came_back (QuinceStepReports *reports, const QuinceBatchEntry *entry);
 /* A sample of @entry begins its first run. */
 void quince_step_reports_started (QuinceStepReports *reports, const QuinceBatchEntry *entry, gint64 now_us);
 /* A text of @entry is whole. */
@@ -30,7 +28,5 @@
                                  const char *item,
                                  const char *worker,
                                  guint64 events);
-/* Tells how the step went. */
+/* The batch is ended or given up: tells how the step went. */
 void quince_step_reports_end (QuinceStepReports *reports, const QuinceBatchEntry *entry, gint64 now_us);
-/* @entry is about to be released. */
-void quince_step_reports_forget (QuinceStepReports *reports, const QuinceBatchEntry *entry);
--- a/include/quince/sample-plan.h
+++ b/include/quince/sample-plan.h
@@ -1,12 +1,12 @@
 /*
- * sample-plan.h: decisions about running samples: when a silent run is given up, when a run moves to another
- * worker, and which groups a step likely ends without.
+ * sample-plan.h: decisions about running samples: when a silent run is given up, and when a run moves to
+ * another worker.
  *
  * Pure: what is known is passed in, times are durations.
  */
 #pragma once
 
-#include <quince/codec.h>
+#include <glib.h>
 
 G_BEGIN_DECLS
 
@@ -17,23 +17,4 @@
  * @pace_us, @other_pace_us: measured time an event of its worker and of the other one */
 gboolean quince_sample_plan_move_pays (double remaining, gint64 pace_us, gint64 other_pace_us);
 
-/**
- * QuinceGroupPlan: one group of a step
- * @remaining_us: until all its samples are listed, likely; 0: they are
- * @required: the trainer waits for this group whatever others are whole
- * @spare: (out): the step likely ends before the group is whole
- */
-typedef struct
-{
-  gint64 remaining_us;
-  gboolean required;
-  gboolean spare;
-} QuinceGroupPlan;
-
-/* Finds the groups that a step with @wanted groups likely ends without. */
-void quince_sample_plan_find_spare (QuinceGroupPlan *groups, guint n_groups, guint wanted);
-
-/* Whether a text made under @versions (guint64) may stand in a batch. */
-gboolean quince_sample_plan_fits (const GArray *versions, guint64 minimum_version, gboolean single_version);
-
 G_END_DECLS
--- a/lib/core/batches/sample-plan.c
+++ b/lib/core/batches/sample-plan.c
@@ -17,10 +17,6 @@
 #define MOVE_GAIN_LEAST_US (500 * 1000)
 #define MOVE_GAIN_PART 0.25
 
-/* A group that is whole so soon after those that a step waits for is still read with them: trainers read
- * about twice a second. */
-#define SPARE_MARGIN_US (500 * 1000)
-
 guint
 quince_sample_plan_silence_ms (gint64 pace_us)
 {
@@ -37,50 +33,3 @@
   double gain_us = here_us - there_us;
   return pace_us > 0 && gain_us >= MOVE_GAIN_LEAST_US && gain_us >= MOVE_GAIN_PART * here_us;
 }
-
-static gint
-compare_remaining (gconstpointer a, gconstpointer b)
-{
-  gint64 first = *(const gint64 *)a;
-  gint64 second = *(const gint64 *)b;
-  return (first > second) - (first < second);
-}
-
-/* When the last of the groups that are waited for is whole. */
-static gint64
-step_end_us (const QuinceGroupPlan *groups, guint n_groups, guint wanted)
-{
-  g_autoptr (GArray) others = g_array_new (FALSE, FALSE, sizeof (gint64));
-  gint64 end_us = 0;
-  guint required = 0;
-  for (guint i = 0; i < n_groups; i++)
-    {
-      if (!groups[i].required)
-        {
-          g_array_append_val (others, groups[i].remaining_us);
-          continue;
-        }
-      required++;
-      end_us = MAX (end_us, groups[i].remaining_us);
-    }
-  guint more = MIN (wanted > required ? wanted - required : 0, others->len);
-  g_array_sort (others, compare_remaining);
-  return more > 0 ? MAX (end_us, g_array_index (others, gint64, more - 1)) : end_us;
-}
-
-void
-quince_sample_plan_find_spare (QuinceGroupPlan *groups, guint n_groups, guint wanted)
-{
-  gint64 end_us = step_end_us (groups, n_groups, wanted);
-  for (guint i = 0; i < n_groups; i++)
-    groups[i].spare = !groups[i].required && groups[i].remaining_us > end_us + SPARE_MARGIN_US;
-}
-
-gboolean
-quince_sample_plan_fits (const GArray *versions, guint64 minimum_version, gboolean single_version)
-{
-  for (guint i = 0; i < versions->len; i++)
-    if (g_array_index (versions, guint64, i) < minimum_version)
-      return FALSE;
-  return versions->len > 0 && (!single_version || versions->len == 1);
-}
