Packing: records are packed once, when they are made; runs that might move are looked at ten times a second

The pass over runs that might move, at each end of a run, cost less but grew with samples times workers.

The fastest pace of a service and moves are looked at each 100 ms.

Test: test_records.

--- a/daemons/replica/ledger-node.c
+++ b/daemons/replica/ledger-node.c
@@ -7,6 +7,7 @@
 #include <string.h>
 
 #include <quince/log.h>
+#include <quince/packed-message.h>
 #include <quince/observer.h>
 #include <quince/task.h>
 
@@ -241,7 +242,7 @@
   if (entry->record.record_len == 0)
     return; /* its batch is forgotten */
   QuinceBatchRecord *record
-      = quince_batch_record_decode (entry->record.record_val, entry->record.record_len, NULL);
+      = quince_batch_record_unpack (entry->record.record_val, entry->record.record_len, NULL);
   if (record != NULL)
     node->callbacks->committed (entry->index, record, node->user_data);
   else
@@ -318,7 +319,7 @@
   gsize length;
   entry->index = node->next_index++;
   entry->epoch = node->led_epoch;
-  entry->record.record_val = g_bytes_unref_to_data (g_steal_pointer (&encoded), &length);
+  entry->record.record_val = g_bytes_unref_to_data (quince_batch_record_pack (encoded), &length);
   entry->record.record_len = (u_int)length;
   if (node->flush == NULL)
     node->flush = quince_timer_add (0, flush_records, node);
--- a/daemons/replica/ledger-replication.c
+++ b/daemons/replica/ledger-replication.c
@@ -7,6 +7,7 @@
 #include <string.h>
 
 #include <quince/log.h>
+#include <quince/packed-message.h>
 #include <quince/task.h>
 
 /* Records of one message, and a link that has not connected by then is tried anew. */
@@ -185,8 +186,11 @@
 quince_ledger_node_tell_successor (QuinceLedgerNode *node, const QuinceMessage *message)
 {
   const QuinceBackupLink *successor = find_successor (node);
-  if (successor != NULL)
-    quince_link_send (successor->link, message);
+  g_autoptr (GBytes) encoded = successor != NULL ? quince_message_encode (message, NULL) : NULL;
+  if (encoded == NULL)
+    return;
+  g_autoptr (GBytes) packed = quince_message_pack (encoded, QUINCE_PACK_FAST);
+  quince_link_send_bytes (successor->link, packed);
 }
 
 static QuinceBackupLink *
--- a/daemons/replica/sample-dispatch.c
+++ b/daemons/replica/sample-dispatch.c
@@ -15,6 +15,10 @@
 #define WORKER_PRIORITY_MOST 9
 /* Requests at one worker where the configuration names no slots. */
 #define SLOTS_UNTOLD 8
+/* The pace of a service's fastest worker is looked for this seldom, and runs that might move are looked at
+ * this seldom: a leader that runs a thousand samples begins and ends hundreds of runs a second. */
+#define FASTEST_KEEP_US (100 * 1000)
+#define MOVE_LOOK_US (100 * 1000)
 /* A run is measured for so long before it may move, and moves no more often. */
 #define MOVE_AFTER_US (700 * 1000)
 /* Runs of one sample that may end by a move, and moves at one look: what a wrong pace can cost is bounded. */
@@ -32,6 +36,22 @@
   guint slots;
 } ServiceView;
 
+static gint64
+fastest_pace_us (QuinceSampleRunner *runner, const char *service, const GPtrArray *workers, gint64 now_us)
+{
+  QuinceServicePace *pace = g_hash_table_lookup (runner->paces, service);
+  if (pace != NULL && now_us - pace->found_us < FASTEST_KEEP_US)
+    return pace->fastest_us;
+  if (pace == NULL)
+    {
+      pace = g_new0 (QuinceServicePace, 1);
+      g_hash_table_insert (runner->paces, g_strdup (service), pace);
+    }
+  pace->found_us = now_us;
+  pace->fastest_us = quince_workers_fastest_pace_us (workers, now_us);
+  return pace->fastest_us;
+}
+
 static void
 view_service (QuinceSampleRunner *runner,
               const QuinceRoute *route,
@@ -46,7 +66,7 @@
   const QuinceService *service = quince_route_table_find_service (routes, view->service);
   view->slots = service != NULL && service->slots > 0 ? service->slots : SLOTS_UNTOLD;
   view->workers = quince_worker_table_list (quince_backends_get_workers (runner->backends), view->service);
-  view->fastest_pace_us = quince_workers_fastest_pace_us (view->workers, now_us);
+  view->fastest_pace_us = fastest_pace_us (runner, view->service, view->workers, now_us);
 }
 
 /* Events that are still to come. */
@@ -185,26 +205,45 @@
          && !sample->single_version && now_us - sample->started_us >= MOVE_AFTER_US;
 }
 
+/* Its worker is slower than the fastest by so much that a move may pay at all. */
+static gboolean
+is_slow (const QuinceWorker *worker, const ServiceView *view, gint64 now_us)
+{
+  double remaining_most = G_MAXINT;
+  return !worker->loading
+         && quince_sample_plan_move_pays (remaining_most, quince_worker_get_pace_us (worker, now_us),
+                                          view->fastest_pace_us);
+}
+
 static gboolean
 move_pays (QuinceSampleRunner *runner, const QuinceSample *sample, gint64 now_us)
 {
   const QuinceRoute *route = quince_sample_runner_route_of_batch (runner, sample->entry->batch);
   const QuinceWorker *worker
       = quince_worker_table_find (quince_backends_get_workers (runner->backends), sample->worker_id);
-  if (route == NULL || worker == NULL || worker->loading)
+  if (route == NULL || worker == NULL)
     return FALSE;
   ServiceView view;
   view_service (runner, route, sample, now_us, &view);
-  gint64 here = quince_worker_get_pace_us (worker, now_us);
-  gint64 there = best_pace_elsewhere (sample, &view, now_us);
+  gboolean pays = FALSE;
+  if (is_slow (worker, &view, now_us))
+    {
+      gint64 there = best_pace_elsewhere (sample, &view, now_us);
+      pays = there > 0
+             && quince_sample_plan_move_pays (remaining_events (runner, sample),
+                                              quince_worker_get_pace_us (worker, now_us), there);
+    }
   g_ptr_array_unref (view.workers);
-  return there > 0 && quince_sample_plan_move_pays (remaining_events (runner, sample), here, there);
+  return pays;
 }
 
 void
 quince_sample_dispatch_move (QuinceSampleRunner *runner, gint64 now_us)
 {
   guint moves = 0;
+  if (now_us < runner->move_after_us)
+    return;
+  runner->move_after_us = now_us + MOVE_LOOK_US;
   for (guint i = 0; i < runner->samples->len && moves < MOVES_AT_ONCE; i++)
     {
       QuinceSample *sample = runner->samples->pdata[i];
--- a/daemons/replica/sample-runner-private.h
+++ b/daemons/replica/sample-runner-private.h
@@ -13,6 +13,13 @@
 #include "sample.h"
 #include "step-report.h"
 
+/* The pace of a service's fastest worker, as it was found a moment ago. */
+typedef struct
+{
+  gint64 found_us;
+  gint64 fastest_us;
+} QuinceServicePace;
+
 struct _QuinceSampleRunner
 {
   /* All fields belong to the main context. */
@@ -23,6 +30,8 @@
   gpointer user_data;
   GPtrArray *samples;  /* QuinceSample, owned, in order of their start */
   GHashTable *lengths; /* QuinceLengthModel by model, owned */
+  GHashTable *paces;   /* QuinceServicePace by service, owned; see sample-dispatch.c */
+  gint64 move_after_us;
   QuinceStepReports *reports;
   GSource *timer;
   GSource *soon; /* a pump that is asked for */
--- a/daemons/replica/sample-runner.c
+++ b/daemons/replica/sample-runner.c
@@ -130,6 +130,7 @@
   runner->samples = g_ptr_array_new_with_free_func ((GDestroyNotify)quince_sample_free);
   runner->lengths
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, (GDestroyNotify)quince_length_model_free);
+  runner->paces = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   runner->reports = quince_step_reports_new ();
   runner->timer = quince_timer_add (PUMP_EVERY_MS, timer_over, runner);
   return runner;
@@ -145,6 +146,7 @@
   g_ptr_array_unref (runner->samples);
   quince_step_reports_free (runner->reports);
   g_hash_table_unref (runner->lengths);
+  g_hash_table_unref (runner->paces);
   g_free (runner);
 }
 
--- a/include/quince/packed-message.h
+++ b/include/quince/packed-message.h
@@ -2,8 +2,8 @@
  * packed-message.h: a message, compressed: bytes between zones are paid for, and what many processes are
  * told at once must not fill the memory of the one that tells it.
  *
- * Links pack what quince_link_send() is given and unpack what they receive; only who encodes a message once
- * for many links packs it itself.
+ * Who sends a message decides whether it is packed, since packing costs the leader's processor: what goes to
+ * many is packed once.  Links unpack what they receive.
  */
 #pragma once
 
@@ -11,6 +11,12 @@
 
 G_BEGIN_DECLS
 
+typedef enum
+{
+  QUINCE_PACK_FAST,  /* for texts of samples: bytes are coded by their frequency alone */
+  QUINCE_PACK_SMALL, /* for what many get: repetitions are found as well               */
+} QuincePackEffort;
+
 /**
  * quince_message_pack:
  * @encoded: by quince_message_encode()
@@ -18,7 +24,7 @@
  * Returns: (transfer full): an encoded message of kind PACKED, or @encoded itself where that is small or
  * hardly shrinks
  */
-GBytes *quince_message_pack (GBytes *encoded);
+GBytes *quince_message_pack (GBytes *encoded, QuincePackEffort effort);
 
 /**
  * quince_message_unpack:
@@ -28,4 +34,13 @@
  */
 QuinceMessage *quince_message_unpack (const QuincePacked *packed, GError **error);
 
+/* A record of the batch ledger for its log and its backups: packed once, where that is worth it.
+ * @encoded: by quince_batch_record_encode() */
+GBytes *quince_batch_record_pack (GBytes *encoded);
+/* Decodes a record whether it is packed or not.
+ * @error: as quince_message_unpack()
+ *
+ * Returns: (transfer full): free with quince_batch_record_free() */
+QuinceBatchRecord *quince_batch_record_unpack (const char *data, gsize length, GError **error);
+
 G_END_DECLS
--- a/lib/batchlog/batch-log-compact.c
+++ b/lib/batchlog/batch-log-compact.c
@@ -6,6 +6,7 @@
  * again there.
  */
 #include <quince/batch-log.h>
+#include <quince/packed-message.h>
 
 #include <string.h>
 
@@ -33,7 +34,7 @@
 note_forgotten (Walk *walk, const QuinceLogEntry *entry)
 {
   g_autoptr (QuinceBatchRecord) record
-      = quince_batch_record_decode (entry->record.record_val, entry->record.record_len, NULL);
+      = quince_batch_record_unpack (entry->record.record_val, entry->record.record_len, NULL);
   if (record == NULL)
     return;
   const QuinceBatchForget *forget = &record->QuinceBatchRecord_u.forget;
--- a/lib/observer/belief-feed.c
+++ b/lib/observer/belief-feed.c
@@ -138,7 +138,7 @@
     return NULL;
   Packed *packed = g_new0 (Packed, 1);
   packed->revision = page->revision;
-  packed->encoded = quince_message_pack (encoded);
+  packed->encoded = quince_message_pack (encoded, QUINCE_PACK_SMALL);
   g_hash_table_replace (feed->packed, g_strdup (prefix), packed);
   return g_bytes_ref (packed->encoded);
 }
--- a/lib/runtime/link.c
+++ b/lib/runtime/link.c
@@ -200,8 +200,7 @@
       g_critical ("message of kind %d does not encode: %s", message->kind, error->message);
       return;
     }
-  g_autoptr (GBytes) packed = quince_message_pack (encoded);
-  quince_link_send_bytes (link, packed);
+  quince_link_send_bytes (link, encoded);
 }
 
 /* ---- Reading ---------------------------------------------------------- */
--- a/lib/runtime/packed-message.c
+++ b/lib/runtime/packed-message.c
@@ -4,37 +4,59 @@
 #include <quince/packed-message.h>
 
 #include <gio/gio.h>
+#include <zlib.h>
 
 /* A smaller message goes as it is: it fits into two packets. */
 #define PACK_LEAST_BYTES (2 * 1024)
 /* What shrinks less goes as it is: unpacking costs its reader more than the bytes. */
 #define SHARE_MOST 0.9
-/* Fast rather than small: entries of workers shrink to a tenth all the same, texts of samples to two thirds.
- */
+/* Both find what repeats at the lowest effort, or do not look for it: entries of workers shrink to a tenth by
+ * the one, texts of samples to two thirds by the other, in half the time. */
 #define LEVEL 1
 #define PIECE_BYTES (64 * 1024)
+/* As zlib's manual has them for the most speed that still uses its default window. */
+#define WINDOW_BITS 15
+#define MEMORY_LEVEL 8
 
 static GBytes *
-compress (GBytes *bytes)
+deflate_bytes (GBytes *bytes, QuincePackEffort effort)
 {
   gsize length;
   const void *data = g_bytes_get_data (bytes, &length);
-  g_autoptr (GZlibCompressor) compressor = g_zlib_compressor_new (G_ZLIB_COMPRESSOR_FORMAT_ZLIB, LEVEL);
-  g_autoptr (GOutputStream) memory = g_memory_output_stream_new_resizable ();
-  g_autoptr (GOutputStream) stream = g_converter_output_stream_new (memory, G_CONVERTER (compressor));
-  gboolean done = g_output_stream_write_all (stream, data, length, NULL, NULL, NULL)
-                  && g_output_stream_close (stream, NULL, NULL);
-  return done ? g_memory_output_stream_steal_as_bytes (G_MEMORY_OUTPUT_STREAM (memory)) : NULL;
+  z_stream stream = { 0 };
+  int strategy = effort == QUINCE_PACK_FAST ? Z_HUFFMAN_ONLY : Z_DEFAULT_STRATEGY;
+  if (deflateInit2 (&stream, LEVEL, Z_DEFLATED, WINDOW_BITS, MEMORY_LEVEL, strategy) != Z_OK)
+    return NULL;
+  uLong most = deflateBound (&stream, (uLong)length);
+  g_autofree guint8 *packed = g_malloc (most);
+  stream.next_in = (Bytef *)data;
+  stream.avail_in = (uInt)length;
+  stream.next_out = packed;
+  stream.avail_out = (uInt)most;
+  gboolean done = deflate (&stream, Z_FINISH) == Z_STREAM_END;
+  gsize packed_length = stream.total_out;
+  deflateEnd (&stream);
+  return done ? g_bytes_new (packed, packed_length) : NULL;
 }
 
-GBytes *
-quince_message_pack (GBytes *encoded)
+/* Returns: (transfer full): NULL: @bytes are few, or hardly shrink */
+static GBytes *
+shrink (GBytes *bytes, QuincePackEffort effort)
 {
-  if (g_bytes_get_size (encoded) < PACK_LEAST_BYTES)
-    return g_bytes_ref (encoded);
-  g_autoptr (GBytes) compressed = compress (encoded);
+  if (g_bytes_get_size (bytes) < PACK_LEAST_BYTES)
+    return NULL;
+  g_autoptr (GBytes) compressed = deflate_bytes (bytes, effort);
   if (compressed == NULL
-      || (double)g_bytes_get_size (compressed) > SHARE_MOST * (double)g_bytes_get_size (encoded))
+      || (double)g_bytes_get_size (compressed) > SHARE_MOST * (double)g_bytes_get_size (bytes))
+    return NULL;
+  return g_steal_pointer (&compressed);
+}
+
+GBytes *
+quince_message_pack (GBytes *encoded, QuincePackEffort effort)
+{
+  g_autoptr (GBytes) compressed = shrink (encoded, effort);
+  if (compressed == NULL)
     return g_bytes_ref (encoded);
   gsize length;
   QuinceMessage message = { .kind = QUINCE_MESSAGE_PACKED };
@@ -65,13 +87,40 @@
   return NULL;
 }
 
-QuinceMessage *
-quince_message_unpack (const QuincePacked *packed, GError **error)
+static GByteArray *
+inflate_bytes (const char *data, gsize length, GError **error)
 {
   g_autoptr (GZlibDecompressor) decompressor = g_zlib_decompressor_new (G_ZLIB_COMPRESSOR_FORMAT_ZLIB);
-  g_autoptr (GInputStream) memory
-      = g_memory_input_stream_new_from_data (packed->data.data_val, packed->data.data_len, NULL);
+  g_autoptr (GInputStream) memory = g_memory_input_stream_new_from_data (data, (gssize)length, NULL);
   g_autoptr (GInputStream) stream = g_converter_input_stream_new (memory, G_CONVERTER (decompressor));
-  g_autoptr (GByteArray) bytes = read_all (stream, error);
+  return read_all (stream, error);
+}
+
+QuinceMessage *
+quince_message_unpack (const QuincePacked *packed, GError **error)
+{
+  g_autoptr (GByteArray) bytes = inflate_bytes (packed->data.data_val, packed->data.data_len, error);
   return bytes != NULL ? quince_message_decode (bytes->data, bytes->len, error) : NULL;
 }
+
+/* ---- Records ------------------------------------------------------------ */
+
+/* The first byte of a zlib stream with a window of 32 KiB.  An encoded record begins with its kind, a small
+ * number in four bytes of which the first is zero. */
+#define ZLIB_FIRST_BYTE 0x78
+
+GBytes *
+quince_batch_record_pack (GBytes *encoded)
+{
+  GBytes *compressed = shrink (encoded, QUINCE_PACK_FAST);
+  return compressed != NULL ? compressed : g_bytes_ref (encoded);
+}
+
+QuinceBatchRecord *
+quince_batch_record_unpack (const char *data, gsize length, GError **error)
+{
+  if (length == 0 || data[0] != ZLIB_FIRST_BYTE)
+    return quince_batch_record_decode (data, length, error);
+  g_autoptr (GByteArray) bytes = inflate_bytes (data, length, error);
+  return bytes != NULL ? quince_batch_record_decode (bytes->data, bytes->len, error) : NULL;
+}
