Samples: events that come together count with their mean time

Cause, found by reading: after a pause a worker's events arrive in one read; each but the first counted as a pace of a microsecond, so that worker looked the fastest and runs elsewhere might have moved without gain. Change: the time since the last read is divided by the events of this one.

--- a/daemons/replica/sample-dispatch.c
+++ b/daemons/replica/sample-dispatch.c
@@ -4,12 +4,12 @@
  * The policy program admits each sample (its priority) and scores the workers for it.
  */
 #include <quince/log.h>
-#include <quince/metrics.h>
 #include <quince/sample-plan.h>
 #include <quince/task.h>
 
 #include "sample-runner-private.h"
 
+/* Before a sample that the policy refused is offered to it again, unless it says how long. */
 #define POLICY_PAUSE_MS 200
 /* Priorities at a worker: 0 first. */
 #define WORKER_PRIORITY_MOST 9
@@ -36,6 +36,7 @@
   guint slots;
 } ServiceView;
 
+/* 0: no worker's pace is measured. */
 static gint64
 fastest_pace_us (QuinceSampleRunner *runner, const char *service, const GPtrArray *workers, gint64 now_us)
 {
@@ -198,6 +199,7 @@
   return best;
 }
 
+/* It has been measured for long enough; a text of a single version would have to begin anew elsewhere. */
 static gboolean
 may_move (const QuinceSample *sample, gint64 now_us)
 {
--- a/daemons/replica/sample.c
+++ b/daemons/replica/sample.c
@@ -99,14 +99,14 @@
   sample->run_ended (sample, end, cause, sample->user_data);
 }
 
-/* A pause in which the worker loaded weights says nothing of its pace. */
+/* @events have come together.  A pause in which the worker loaded weights says nothing of its pace. */
 static void
-note_pace (QuinceSample *sample)
+note_pace (QuinceSample *sample, guint64 events)
 {
   QuinceWorker *worker = worker_of (sample);
   gint64 now = quince_now_us ();
   if (worker != NULL && !worker->loading && sample->event_us > 0)
-    quince_worker_note_event (worker, now, now - sample->event_us);
+    quince_worker_note_event (worker, now, (now - sample->event_us) / (gint64)events);
   sample->event_us = worker != NULL && worker->loading ? 0 : now;
 }
 
@@ -125,7 +125,6 @@
   g_string_append_len (sample->text, event->data->str, (gssize)event->data->len);
   sample->last_event = event->id;
   note_version (sample);
-  note_pace (sample);
   return NULL;
 }
 
@@ -135,11 +134,14 @@
   QuincePlatformEvent event = { 0 };
   g_autoptr (GError) error = NULL;
   const char *cause = NULL;
+  guint64 before = sample->last_event;
   while (cause == NULL && quince_platform_events_next (sample->events, &event, &error))
     {
       cause = take_event (sample, &event);
       quince_platform_event_clear (&event);
     }
+  if (sample->last_event > before)
+    note_pace (sample, sample->last_event - before);
   return error != NULL ? "event_malformed" : cause;
 }
 
--- a/include/quince/routing.h
+++ b/include/quince/routing.h
@@ -153,7 +153,7 @@
 /* An answer came after @took_us, or a failure that casts doubt on the worker. */
 void quince_worker_note_answer (QuinceWorker *worker, gint64 took_us);
 void quince_worker_note_failure (QuinceWorker *worker, gint64 now_us);
-/* An event of a text came @since_last_us after the one before it. */
+/* Events of a text came, on average @since_last_us after the one before. */
 void quince_worker_note_event (QuinceWorker *worker, gint64 now_us, gint64 since_last_us);
 /* Its time between two events; 0: not measured of late. */
 gint64 quince_worker_get_pace_us (const QuinceWorker *worker, gint64 now_us);
