--- a/daemons/replica/sample-runner-private.h
+++ b/daemons/replica/sample-runner-private.h
@@ -28,10 +28,10 @@
   QuinceProgressStore *progress;
   const QuinceSampleRunnerCallbacks *callbacks;
   gpointer user_data;
-  GPtrArray *samples;  /* QuinceSample, owned, in order of their start */
-  GHashTable *lengths; /* QuinceLengthModel by model, owned */
-  GHashTable *paces;   /* QuinceServicePace by service, owned; see sample-dispatch.c */
-  gint64 move_after_us;
+  GPtrArray *samples;   /* QuinceSample, owned, in order of their start */
+  GHashTable *lengths;  /* QuinceLengthModel by model, owned */
+  GHashTable *paces;    /* QuinceServicePace by service, owned; see sample-dispatch.c */
+  gint64 move_after_us; /* monotonic: no look at moves before */
   QuinceStepReports *reports;
   GSource *timer;
   GSource *soon; /* a pump that is asked for */
@@ -49,14 +49,14 @@
 quince_sample_runner_find_route (const QuinceSampleRunner *runner, const char *host, const char *path);
 const QuinceRoute *quince_sample_runner_route_of_batch (const QuinceSampleRunner *runner,
                                                         const QuinceBatchJob *batch);
-/* Of the texts of @model. */
+/* What is known of the lengths of @model's texts. */
 QuinceLengthModel *quince_sample_runner_get_lengths (QuinceSampleRunner *runner, const char *model);
 
 /* ---- sample-dispatch.c ------------------------------------------------- */
 
 /* Begins a run where a worker has room. */
 QuinceBackendOutcome quince_sample_dispatch (QuinceSampleRunner *runner, QuinceSample *sample, gint64 now_us);
-/* Moves samples that run to workers that end them sooner, a few at a time. */
+/* Moves running samples to workers that end them sooner, a few at a time. */
 void quince_sample_dispatch_move (QuinceSampleRunner *runner, gint64 now_us);
 
 /* ---- sample-outcome.c -------------------------------------------------- */
