--- a/daemons/replica/batch-answers.c
+++ b/daemons/replica/batch-answers.c
@@ -5,7 +5,7 @@
 
 #include "platform.h"
 
-/* What a caller is told to wait after a refusal: a change of leaders takes about a second. */
+/* Retry-After of refusals, ms: electing a new leader takes about a second, so a caller asks a few times. */
 #define RETRY_AFTER_MS 300
 /* Texts of results in one answer; the platform allows 1 MB with all that stands around them. */
 #define RESULTS_MOST_BYTES (700 * 1024)
--- a/daemons/replica/sample-outcome.c
+++ b/daemons/replica/sample-outcome.c
@@ -7,7 +7,8 @@
 
 #include "sample-runner-private.h"
 
-/* Pauses before a failed sample is tried again. */
+/* Pauses before a failed sample is tried again: long enough that a full or failing worker is not asked in a
+ * tight loop, short against an event of a text (about 40 ms on the users' sites). */
 #define REFUSED_PAUSE_US (30 * 1000)
 #define FAILED_PAUSE_US (50 * 1000)
 #define REWARD_PAUSE_US (100 * 1000)
--- a/daemons/replica/sample-runner.c
+++ b/daemons/replica/sample-runner.c
@@ -54,7 +54,7 @@
   if (!runner->callbacks->may_run (runner->user_data))
     return;
   gint64 now = quince_now_us ();
-  /* A long sample at a slow worker is served before those that wait: it leaves its place to one of them. */
+  /* Moves come first: a sample that leaves a slow worker frees a slot there for one that waits. */
   quince_sample_dispatch_move (runner, now);
   g_autoptr (GHashTable) full = g_hash_table_new (g_str_hash, g_str_equal); /* models without room */
   runner->waiting = 0;
