Log: where a configuration came from, and when a process stops being told

The log could not tell whether a front read the metadata store or waited for the leader, nor from whom it had a configuration. configuration and version_named name their source, feed_begun and feed_ended are new.

--- a/include/quince/meta-store.h
+++ b/include/quince/meta-store.h
@@ -174,6 +174,8 @@
 void quince_meta_mirror_feed_alive (QuinceMetaMirror *mirror);
 /* Whoever fed is gone: goes on by itself at once. */
 void quince_meta_mirror_feed_ended (QuinceMetaMirror *mirror);
+/* It asks the store for nothing, since another process tells it. */
+gboolean quince_meta_mirror_is_fed (const QuinceMetaMirror *mirror);
 /* What one lacks that has all up to revision @after (0: nothing), to feed it with.
  * @whole: (out): it is all there is under the prefix */
 QuinceMetaPage *quince_meta_mirror_since (const QuinceMetaMirror *mirror, guint64 after, gboolean *whole);
--- a/lib/meta/meta-mirror.c
+++ b/lib/meta/meta-mirror.c
@@ -246,28 +246,51 @@
   drop_list (mirror);
 }
 
-static gboolean
-feed_over (gpointer data)
+/* One line each time a mirror changes between being fed and reading by itself. */
+static void
+log_feed (const QuinceMetaMirror *mirror, const char *event, const char *reason)
 {
-  quince_meta_mirror_feed_ended (data);
-  return G_SOURCE_REMOVE;
+  g_autofree char *prefix = quince_log_quote (mirror->prefix);
+  quince_log_info (event, "prefix=%s reason=%s revision=%" G_GUINT64_FORMAT, prefix, reason,
+                   mirror->revision);
 }
 
-void
-quince_meta_mirror_feed_ended (QuinceMetaMirror *mirror)
+static void
+read_by_itself (QuinceMetaMirror *mirror, const char *reason)
 {
-  if (mirror->feed_timer == NULL)
-    return;
   quince_source_clear (&mirror->feed_timer);
+  log_feed (mirror, "feed_ended", reason);
   if (mirror->synced)
     begin_watch (mirror);
   else
     begin_list (mirror);
 }
 
+static gboolean
+feed_over (gpointer data)
+{
+  read_by_itself (data, "silent");
+  return G_SOURCE_REMOVE;
+}
+
+void
+quince_meta_mirror_feed_ended (QuinceMetaMirror *mirror)
+{
+  if (mirror->feed_timer != NULL)
+    read_by_itself (mirror, "feeder_gone");
+}
+
+gboolean
+quince_meta_mirror_is_fed (const QuinceMetaMirror *mirror)
+{
+  return mirror->feed_timer != NULL;
+}
+
 static void
 be_fed (QuinceMetaMirror *mirror)
 {
+  if (mirror->feed_timer == NULL)
+    log_feed (mirror, "feed_begun", "news");
   stop_asking (mirror);
   quince_source_clear (&mirror->feed_timer);
   mirror->feed_timer = quince_timer_add (QUINCE_META_FEED_PATIENCE_MS, feed_over, mirror);
--- a/lib/observer/observer.c
+++ b/lib/observer/observer.c
@@ -40,8 +40,24 @@
                       g_quark_to_string (error->domain), error->code, reason);
 }
 
+/* From where an item came, for the log. */
+typedef enum
+{
+  SOURCE_STORE, /* this process read the store                   */
+  SOURCE_FEED,  /* the ledger's leader read it and told          */
+  SOURCE_HINT,  /* a backup read it and told this leader         */
+} ItemSource;
+
+static const char *const source_names[] = { "store", "feed", "hint" };
+
+static ItemSource
+mirror_source (const QuinceObserver *observer)
+{
+  return quince_meta_mirror_is_fed (observer->operator_mirror) ? SOURCE_FEED : SOURCE_STORE;
+}
+
 static void
-take_configuration (QuinceObserver *observer, const QuinceMetaItem *item)
+take_configuration (QuinceObserver *observer, const QuinceMetaItem *item, ItemSource source)
 {
   if (item->value == NULL)
     return;
@@ -55,8 +71,9 @@
   guint64 version = quince_route_table_get_version (table);
   if (observer->routes != NULL && version <= quince_route_table_get_version (observer->routes))
     return;
-  quince_log_info ("configuration", "version=%" G_GUINT64_FORMAT " routes=%u", version,
-                   quince_route_table_get_n_routes (table));
+  quince_log_info ("configuration",
+                   "version=%" G_GUINT64_FORMAT " routes=%u source=%s revision=%" G_GUINT64_FORMAT, version,
+                   quince_route_table_get_n_routes (table), source_names[source], item->revision);
   quince_route_table_free (observer->routes);
   observer->routes = g_steal_pointer (&table);
   if (observer->callbacks->configuration != NULL)
@@ -64,7 +81,7 @@
 }
 
 static void
-take_version (QuinceObserver *observer, const QuinceMetaItem *item)
+take_version (QuinceObserver *observer, const QuinceMetaItem *item, ItemSource source)
 {
   if (item->value == NULL)
     return;
@@ -78,7 +95,8 @@
     }
   if (version <= quince_observer_get_version (observer, model))
     return;
-  quince_log_info ("version_named", "model=%s version=%" G_GUINT64_FORMAT, model, version);
+  quince_log_info ("version_named", "model=%s version=%" G_GUINT64_FORMAT " source=%s", model, version,
+                   source_names[source]);
   g_hash_table_replace (observer->versions, g_strdup (model), g_memdup2 (&version, sizeof version));
   if (observer->callbacks->version != NULL)
     observer->callbacks->version (model, version, observer->user_data);
@@ -112,9 +130,9 @@
 {
   QuinceObserver *observer = data;
   if (g_str_equal (item->key, QUINCE_PLATFORM_CONFIGURATION_KEY))
-    take_configuration (observer, item);
+    take_configuration (observer, item, mirror_source (observer));
   else if (g_str_has_prefix (item->key, QUINCE_PLATFORM_VERSION_PREFIX))
-    take_version (observer, item);
+    take_version (observer, item, mirror_source (observer));
   else if (g_str_has_prefix (item->key, QUINCE_PLATFORM_RETIRE_PREFIX))
     take_leaving (observer, item);
 }
@@ -244,9 +262,9 @@
     {
       const QuinceMetaItem *item = page->items->pdata[i];
       if (g_str_equal (item->key, QUINCE_PLATFORM_CONFIGURATION_KEY))
-        take_configuration (observer, item);
+        take_configuration (observer, item, SOURCE_HINT);
       else if (g_str_has_prefix (item->key, QUINCE_PLATFORM_VERSION_PREFIX))
-        take_version (observer, item);
+        take_version (observer, item, SOURCE_HINT);
     }
 }
 
