--- a/tests/platform/standin-store.c
+++ b/tests/platform/standin-store.c
@@ -121,6 +121,8 @@
 static void
 look_at_watches (StandinStore *store)
 {
+  if (store->fault == STANDIN_STORE_SILENT)
+    return; /* nor are watches answered that waited before */
   gint64 now = g_get_monotonic_time ();
   for (guint i = store->watches->len; i > 0; i--)
     {
@@ -354,6 +356,8 @@
     answer_json (call, 503, "{}");
   else if (store->fault == STANDIN_STORE_RESETS)
     standin_close (call);
+  else if (store->fault == STANDIN_STORE_LISTS_NOTHING && g_str_has_prefix (target, "/quinceroute/kv-range?"))
+    answer_json (call, 503, "{}");
   else if (g_str_has_prefix (target, "/quinceroute/kv-key?"))
     get_key (store, call);
   else if (g_str_has_prefix (target, "/quinceroute/kv-range?"))
--- a/tests/platform/standin-store.h
+++ b/tests/platform/standin-store.h
@@ -8,10 +8,11 @@
 typedef enum
 {
   STANDIN_STORE_SOUND,
-  STANDIN_STORE_SILENT, /* takes calls and never answers      */
-  STANDIN_STORE_BUSY,   /* 503 to all                         */
-  STANDIN_STORE_RESETS, /* closes instead of an answer        */
-  STANDIN_STORE_LOSES,  /* does writes and does not answer    */
+  STANDIN_STORE_SILENT,        /* takes calls and never answers      */
+  STANDIN_STORE_BUSY,          /* 503 to all                         */
+  STANDIN_STORE_RESETS,        /* closes instead of an answer        */
+  STANDIN_STORE_LOSES,         /* does writes and does not answer    */
+  STANDIN_STORE_LISTS_NOTHING, /* 503 to lists of a prefix alone     */
 } StandinStoreFault;
 
 typedef struct _StandinStore StandinStore;
--- /dev/null
+++ b/tests/platform/test-freshness.c
@@ -0,0 +1,217 @@
+/*
+ * test-freshness.c: how old what a process holds of the metadata store may become while something is wrong
+ * with whoever reads it.
+ *
+ * Each process has a stand-in of the store for itself, with the same keys and revisions, so that the store
+ * can turn away one of them alone.
+ */
+#include <quince/belief-feed.h>
+
+#include <string.h>
+
+#include <quince/link.h>
+
+#include "await.h"
+#include "platform.h"
+#include "standin-store.h"
+
+#define MODEL "model-a"
+#define VERSION_KEY "op/version/" MODEL
+/* Longer than the 2 s in which an operator's change must be in force, by what a busy machine may take; well
+ * under the 4.9 s that the fault took. */
+#define IN_FORCE_MS 3000
+
+typedef struct
+{
+  StandinStore *standin;
+  QuinceMetaStore *store;
+  QuinceBackends *backends;
+  QuinceObserver *observer;
+  QuinceBeliefFeed *feed; /* NULL: does not lead */
+  QuinceLink *link;       /* to the leader, or the one that was accepted */
+  QuinceLinkServer *server;
+} Process;
+
+static void
+store_read (const char *prefix, const QuinceMetaPage *page, gpointer data)
+{
+  Process *process = data;
+  if (process->feed != NULL)
+    quince_belief_feed_read (process->feed, prefix, page);
+}
+
+static const QuinceObserverCallbacks observer_callbacks = { .read = store_read };
+
+static void
+name_version (Process *process, guint version)
+{
+  g_autofree char *value = g_strdup_printf ("{\"model\":\"" MODEL "\",\"version\":%u}", version);
+  standin_store_put (process->standin, VERSION_KEY, value);
+}
+
+static guint64
+known_version (Process *process)
+{
+  return quince_observer_get_version (process->observer, MODEL);
+}
+
+static void
+process_init (Process *process)
+{
+  *process = (Process){ 0 };
+  process->standin = standin_store_new ();
+  name_version (process, 2);
+  process->store
+      = quince_meta_store_new (standin_store_get_address (process->standin), &quince_platform_meta_dialect);
+  process->backends = quince_backends_new ("z1");
+  process->observer
+      = quince_observer_new (process->store, process->backends, 100, &observer_callbacks, process);
+  AWAIT (quince_observer_is_synced (process->observer));
+}
+
+static void
+process_clear (Process *process)
+{
+  if (process->link != NULL)
+    quince_link_close (process->link);
+  g_clear_pointer (&process->link, quince_link_unref);
+  g_clear_pointer (&process->server, quince_link_server_free);
+  quince_belief_feed_free (process->feed);
+  quince_observer_free (process->observer);
+  quince_meta_store_free (process->store);
+  quince_backends_free (process->backends);
+  standin_store_free (process->standin);
+}
+
+/* ---- The link between leader and follower ----------------------------- */
+
+static void
+on_message (QuinceLink *link, QuinceMessage *message, gpointer data)
+{
+  Process *process = data;
+  if (message->kind == QUINCE_MESSAGE_BELIEF_ASK)
+    quince_belief_feed_add (process->feed, link, &message->QuinceMessage_u.belief_ask);
+  else if (message->kind == QUINCE_MESSAGE_BELIEF_NEWS)
+    quince_belief_feed_take (process->observer, &message->QuinceMessage_u.belief_news);
+  quince_message_free (message);
+}
+
+static void
+on_accepted (QuinceLink *link, gpointer data)
+{
+  ((Process *)data)->link = link;
+}
+
+static const QuinceLinkCallbacks link_callbacks = { .message = on_message };
+
+static void
+lead (Process *leader)
+{
+  leader->feed = quince_belief_feed_new (leader->observer, leader->store);
+  leader->server = quince_link_server_new ("127.0.0.1:0", &link_callbacks, on_accepted, leader, NULL);
+  assert_non_null (leader->server);
+}
+
+static void
+follow (Process *follower, Process *leader)
+{
+  follower->link
+      = quince_link_connect (quince_link_server_get_address (leader->server), &link_callbacks, follower);
+  AWAIT (quince_link_is_connected (follower->link));
+  quince_belief_feed_ask (follower->observer, follower->link);
+  AWAIT (leader->link != NULL);
+}
+
+static void
+assert_known_in_time (Process *process, guint64 version)
+{
+  gint64 begin_us = g_get_monotonic_time ();
+  AWAIT (known_version (process) == version);
+  gint64 took_ms = (g_get_monotonic_time () - begin_us) / 1000;
+  if (took_ms > IN_FORCE_MS)
+    fail_msg ("version %u was known after %d ms", (guint)version, (int)took_ms);
+}
+
+/* ---- Cases ------------------------------------------------------------ */
+
+/* Kept apart from the cases, so that they are cleared after one that failed too. */
+static Process leader;
+static Process follower;
+
+static int
+set_up (void **state)
+{
+  process_init (&leader);
+  process_init (&follower);
+  lead (&leader);
+  return 0;
+}
+
+static int
+tear_down (void **state)
+{
+  process_clear (&follower);
+  process_clear (&leader);
+  return 0;
+}
+
+/* The store answers the leader alone no more: who is told by it notices, and reads by itself. */
+static void
+test_leader_that_is_not_answered (void **state)
+{
+  follow (&follower, &leader);
+  name_version (&follower, 3);
+  name_version (&leader, 3);
+  AWAIT (known_version (&follower) == 3);
+  run_for (100); /* it is told by the leader, which waits in a watch */
+  standin_store_set_fault (leader.standin, STANDIN_STORE_SILENT);
+  name_version (&follower, 4);
+  assert_known_in_time (&follower, 4);
+}
+
+/* A watch that a silent store took does not outlive the outage. */
+static void
+test_watch_taken_by_a_silent_store (void **state)
+{
+  standin_store_set_fault (follower.standin, STANDIN_STORE_SILENT);
+  standin_store_drop_connections (follower.standin); /* it is noticed, and watches are begun meanwhile */
+  run_for (700);
+  standin_store_set_fault (follower.standin, STANDIN_STORE_SOUND);
+  name_version (&follower, 3);
+  assert_known_in_time (&follower, 3);
+}
+
+/* What the leader tells begins after what the follower has: the follower takes none of it, and reads. */
+static void
+test_gap_in_what_is_told (void **state)
+{
+  name_version (&leader, 3);
+  AWAIT (known_version (&leader) == 3);
+  /* History is dropped and the leader's list fails: it cannot tell what the follower lacks. */
+  standin_store_set_fault (leader.standin, STANDIN_STORE_LISTS_NOTHING);
+  standin_store_compact (leader.standin);
+  AWAIT (!quince_observer_is_synced (leader.observer));
+  /* The follower's own store is away for a moment, so that only the leader could tell it. */
+  standin_store_set_fault (follower.standin, STANDIN_STORE_BUSY);
+  standin_store_drop_connections (follower.standin);
+  name_version (&follower, 3);
+  follow (&follower, &leader);
+  standin_store_set_fault (leader.standin, STANDIN_STORE_SOUND);
+  AWAIT (quince_observer_is_synced (leader.observer));
+  run_for (300);
+  standin_store_set_fault (follower.standin, STANDIN_STORE_SOUND);
+  assert_known_in_time (&follower, 3);
+}
+
+#define CASE(function) cmocka_unit_test_setup_teardown (function, set_up, tear_down)
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    CASE (test_leader_that_is_not_answered),
+    CASE (test_watch_taken_by_a_silent_store),
+    CASE (test_gap_in_what_is_told),
+  };
+  return cmocka_run_group_tests_name ("freshness", tests, NULL, NULL);
+}
