Metadata store: what is told counts as new only when it was read just now, and names where it begins

Cause: a process that reads nothing itself trusted a sign of life of the ledger's leader, sent from a timer while the leader's last call had not failed. That vouches for the leader's process, not for what it reads: its watch waits 3 s and is given up after 4 s, so a leader that the store does not answer held back a confirmed configuration for up to 4.9 s everywhere. Class: freshness asserted without evidence. Two more of the class: a watch begun in an outage was not begun anew after it, and news named no revision from which on they are complete.

Change: the sign of life is gone. Every read of the leader is told, also one without news, with the revision from which on it is complete; that alone is trusted, for the time between two reads and 0.6 s. Operator's keys and workers are read each 0.7 s, own keys each 2 s (3 s before). Who lacks what came before a page takes none of it and reads the store. The first good answer after failures begins all older watches anew. store.workers_pace may be 1 s at the most (60 s before): more breaks the bound.

Ruled out: reading by every process (19 calls a second for 12 processes), a shorter call timeout alone (the timer's sign of life would still vouch for nothing). test_feed fed a mirror by the sign of life that is gone; it feeds pages without items now, with the same checks.

--- a/daemons/front/front-settings.c
+++ b/daemons/front/front-settings.c
@@ -18,7 +18,7 @@
   { "listen", "metrics", QUINCE_SETTING_ADDRESS, FALSE, NULL, 0, 0, NULL,
     "address of /metrics; none where absent" },
   { "store", "address", QUINCE_SETTING_ADDRESS, TRUE, NULL, 0, 0, NULL, "address of the metadata store" },
-  { "store", "workers_pace", QUINCE_SETTING_DURATION, FALSE, "1s", 10 * MILLISECOND, 60 * SECOND, NULL,
+  { "store", "workers_pace", QUINCE_SETTING_DURATION, FALSE, "1s", 10 * MILLISECOND, SECOND, NULL,
     "least time between two looks at the list of workers" },
   { "store", "presence", QUINCE_SETTING_DURATION, FALSE, "3s", SECOND, 600 * SECOND, NULL,
     "this front leaves the directory's answers that long after it was last heard" },
--- a/daemons/front/front.c
+++ b/daemons/front/front.c
@@ -227,6 +227,7 @@
   quince_metric_set ("quince_front_configuration_version", "",
                      routes != NULL ? (double)quince_route_table_get_version (routes) : 0);
   quince_metric_set ("quince_front_ledger_linked", "", quince_ledger_caller_is_linked (front->ledger));
+  quince_observer_set_metrics (front->observer);
   quince_metric_set ("quince_store_answer_age_seconds", "",
                      (double)(now - counters->last_answer_us) / G_USEC_PER_SEC);
 }
--- a/daemons/replica/replica-settings.c
+++ b/daemons/replica/replica-settings.c
@@ -15,7 +15,7 @@
   { "listen", "metrics", QUINCE_SETTING_ADDRESS, FALSE, NULL, 0, 0, NULL,
     "address of /metrics; none where absent" },
   { "store", "address", QUINCE_SETTING_ADDRESS, TRUE, NULL, 0, 0, NULL, "address of the metadata store" },
-  { "store", "workers_pace", QUINCE_SETTING_DURATION, FALSE, "600ms", 10 * MILLISECOND, 60 * SECOND, NULL,
+  { "store", "workers_pace", QUINCE_SETTING_DURATION, FALSE, "600ms", 10 * MILLISECOND, SECOND, NULL,
     "least time between two looks at the list of workers" },
   { "ledger", "folder", QUINCE_SETTING_TEXT, TRUE, NULL, 0, 0, NULL, "data folder" },
   { "ledger", "found", QUINCE_SETTING_BOOLEAN, FALSE, "false", 0, 0, NULL,
--- a/daemons/replica/replica.c
+++ b/daemons/replica/replica.c
@@ -138,7 +138,7 @@
   };
   replica->orders = quince_weight_orders_start (replica->backends, replica->observer, &options, replica);
   quince_observer_feed_ended (replica->observer);
-  replica->feed = quince_belief_feed_new (replica->observer, replica->store);
+  replica->feed = quince_belief_feed_new (replica->observer);
   quince_heartbeats_lead (replica->heartbeats, replica->askers);
   GHashTableIter iter;
   gpointer link;
@@ -317,6 +317,7 @@
                      quince_worker_table_get_size (quince_backends_get_workers (replica->backends)));
   quince_metric_set ("quince_replica_worker_connections_opened", "",
                      (double)quince_backends_get_opened (replica->backends));
+  quince_observer_set_metrics (replica->observer);
   quince_metric_set ("quince_store_answer_age_seconds", "",
                      (double)(quince_now_us () - counters->last_answer_us) / G_USEC_PER_SEC);
   quince_batch_service_set_metrics (replica->batches);
--- a/include/quince/belief-feed.h
+++ b/include/quince/belief-feed.h
@@ -15,13 +15,14 @@
 
 typedef struct _QuinceBeliefFeed QuinceBeliefFeed;
 
-/* @store tells whether what is read can be trusted to be new. */
-QuinceBeliefFeed *quince_belief_feed_new (QuinceObserver *observer, QuinceMetaStore *store);
+QuinceBeliefFeed *quince_belief_feed_new (QuinceObserver *observer);
 void quince_belief_feed_free (QuinceBeliefFeed *feed);
 /* @link asked for news: it is told what it lacks, and from then on what is read. */
 void quince_belief_feed_add (QuinceBeliefFeed *feed, QuinceLink *link, const QuinceBeliefAsk *ask);
 void quince_belief_feed_remove (QuinceBeliefFeed *feed, QuinceLink *link);
-/* News were read, see QuinceObserverCallbacks. */
+/* The store was read, see QuinceObserverCallbacks.  Also a read without news is told: it is what the others
+ * trust for a while, and nothing else is, so that a leader which the store does not answer keeps nobody from
+ * reading. */
 void quince_belief_feed_read (QuinceBeliefFeed *feed, const char *prefix, const QuinceMetaPage *page);
 
 /* ---- At the others ---------------------------------------------------- */
--- a/include/quince/meta-store.h
+++ b/include/quince/meta-store.h
@@ -36,6 +36,7 @@
 {
   GPtrArray *items; /* owned QuinceMetaItem */
   gboolean more;    /* another page follows the last key */
+  guint64 after;    /* all changes since this revision are among the items; 0: all there is */
   guint64 revision; /* of the store, at this answer */
 } QuinceMetaPage;
 
@@ -129,13 +130,18 @@
 
 /* ---- Mirrors ---------------------------------------------------------- */
 
+/* A fed mirror trusts what it has for the feeder's time between two reads and this much more: what a store
+ * that is eighty times slower than usual (4 ms) and a busy link take.  Milliseconds. */
+#define QUINCE_META_FEED_SLACK_MS 600
+
 typedef struct _QuinceMetaMirror QuinceMetaMirror;
 
 /**
  * QuinceMetaMirrorCallbacks:
  * @item: an item was written, or removed (@item->value is %NULL)
  * @synced: all that the store held at some moment has been told; again after each list
- * @read: (nullable): the store itself was read; the items are what was new in it, perhaps nothing
+ * @read: (nullable): the store itself was read; the items are what was new in it, perhaps nothing, which
+ *   proves that nothing changed
  * @same: (nullable): two values of a key that say the same: the second is no news
  */
 typedef struct
@@ -150,12 +156,15 @@
  * quince_meta_mirror_new:
  * @prefix: of the keys to follow
  * @pace_ms: least time from one answer to the next watch, for keys that change all the time; 0: at once
+ * @read_every_ms: most time from one answer to the next where the store answers at once, also when nothing
+ *   changes; more than @pace_ms
  *
  * Lists the prefix and then watches it, for ever; lists anew where history is dropped.
  */
 QuinceMetaMirror *quince_meta_mirror_new (QuinceMetaStore *store,
                                           const char *prefix,
                                           guint pace_ms,
+                                          guint read_every_ms,
                                           const QuinceMetaMirrorCallbacks *callbacks,
                                           gpointer user_data);
 void quince_meta_mirror_free (QuinceMetaMirror *mirror);
@@ -165,13 +174,12 @@
  * @page: items as another process had them from the store, each with its revision
  * @whole: all that the store holds under the prefix
  *
- * While it is fed a mirror asks the store for nothing; it goes on by itself where it is fed no more
- * (QUINCE_META_FEED_PATIENCE_MS), from the revision that it has.  What is older than that is passed over.
+ * While it is fed a mirror asks the store for nothing.  Each page must come from a read of the store just
+ * now: a page without items says that nothing changed.  Without any for the time between two reads and
+ * QUINCE_META_FEED_SLACK_MS the mirror reads by itself, from the revision that it has.  It takes no page that
+ * is older than that, or that begins after it, since changes between are not known.
  */
 void quince_meta_mirror_feed (QuinceMetaMirror *mirror, const QuinceMetaPage *page, gboolean whole);
-#define QUINCE_META_FEED_PATIENCE_MS 900
-/* Whoever feeds is well, and there is no news. */
-void quince_meta_mirror_feed_alive (QuinceMetaMirror *mirror);
 /* Whoever fed is gone: goes on by itself at once. */
 void quince_meta_mirror_feed_ended (QuinceMetaMirror *mirror);
 /* It asks the store for nothing, since another process tells it. */
@@ -181,8 +189,13 @@
 QuinceMetaPage *quince_meta_mirror_since (const QuinceMetaMirror *mirror, guint64 after, gboolean *whole);
 /* All up to it is known; 0: not all that the store held at any moment. */
 guint64 quince_meta_mirror_get_revision (const QuinceMetaMirror *mirror);
-/* The store was not to be reached at @lost_us: a watch that waits since before may be dead, begin it anew. */
-void quince_meta_mirror_doubt (QuinceMetaMirror *mirror, gint64 lost_us);
+/* When the store was last heard about the prefix, by this process or by whoever feeds it; 0: never. */
+gint64 quince_meta_mirror_get_heard_us (const QuinceMetaMirror *mirror);
+/* It was heard so lately that another mirror may be fed from this one. */
+gboolean quince_meta_mirror_is_fresh (const QuinceMetaMirror *mirror, gint64 now_us);
+/* The store answers again since @regained_us: a watch that began before may have been swallowed, begin it
+ * anew. */
+void quince_meta_mirror_doubt (QuinceMetaMirror *mirror, gint64 regained_us);
 
 /* ---- A key under a lease ---------------------------------------------- */
 
--- a/include/quince/observer.h
+++ b/include/quince/observer.h
@@ -57,12 +57,13 @@
 /* @page: changes of the operator's keys that another process read, perhaps not all: what rises by itself
  * (configurations, versions of models) is taken over, and the store is still read from where it was. */
 void quince_observer_hint (QuinceObserver *observer, const QuinceMetaPage *page);
-void quince_observer_feed_alive (QuinceObserver *observer);
 void quince_observer_feed_ended (QuinceObserver *observer);
 /* Prefixes that an observer follows. */
 #define QUINCE_OBSERVER_PREFIXES 3
 /* What it has of each prefix, in its own order; 0: not all of any moment. */
 void quince_observer_get_revisions (QuinceObserver *observer, guint64 revisions[QUINCE_OBSERVER_PREFIXES]);
+/* Sets the metric quince_belief_age_seconds of each prefix: since when the store was not heard about it. */
+void quince_observer_set_metrics (QuinceObserver *observer);
 /* All prefixes are known. */
 gboolean quince_observer_is_synced (QuinceObserver *observer);
 /* @whole: @page is all there is under @prefix */
@@ -70,7 +71,8 @@
                                     const QuinceMetaPage *page,
                                     gboolean whole,
                                     gpointer user_data);
-/* Tells what one lacks that has @revisions; nothing of a prefix that is not known here. */
+/* Tells what one lacks that has @revisions; nothing of a prefix that is not known here, or about which the
+ * store was not heard lately. */
 void quince_observer_tell_since (QuinceObserver *observer,
                                  const guint64 revisions[QUINCE_OBSERVER_PREFIXES],
                                  QuinceObserverTell tell,
--- a/lib/core/story/log-story.c
+++ b/lib/core/story/log-story.c
@@ -26,11 +26,11 @@
 
 /* Beliefs about a worker count where the worker is concerned, the others where the process is. */
 static const char *const worker_beliefs[] = { "worker_changed", "worker_gone", "weights_order_ended" };
-static const char *const process_beliefs[] = { "configuration",    "dependency_lost", "dependency_regained",
-                                               "entry_refused",    "event_known",     "ledger_primary",
-                                               "ledger_recovered", "ledger_role",     "policy_in_force",
-                                               "policy_failed",    "stopping",        "version_named",
-                                               "view_proposed",    "lease_lost",      "log_lines_left_out" };
+static const char *const process_beliefs[]
+    = { "configuration", "dependency_lost", "dependency_regained", "entry_refused",
+        "event_known",   "feed_ended",      "ledger_primary",      "ledger_recovered",
+        "ledger_role",   "policy_in_force", "policy_failed",       "stopping",
+        "version_named", "view_proposed",   "lease_lost",          "log_lines_left_out" };
 
 QuinceLogStory *
 quince_log_story_new (void)
--- a/lib/core/story/log-vocabulary.c
+++ b/lib/core/story/log-vocabulary.c
@@ -21,6 +21,8 @@
   "entry_refused",
   "event_deleted",
   "event_known",
+  "feed_begun",
+  "feed_ended",
   "front_changed",
   "front_heard",
   "front_silent",
--- a/lib/meta/meta-copy.c
+++ b/lib/meta/meta-copy.c
@@ -106,6 +106,7 @@
 {
   QuinceMetaPage *page = g_new0 (QuinceMetaPage, 1);
   page->items = g_ptr_array_new_with_free_func ((GDestroyNotify)quince_meta_item_free);
+  page->after = after;
   page->revision = revision;
   *whole = after == 0 || after < copy->gone_from || after > revision;
   GHashTableIter iter;
--- a/lib/meta/meta-mirror.c
+++ b/lib/meta/meta-mirror.c
@@ -9,8 +9,6 @@
 #include "meta-copy.h"
 #include "meta-private.h"
 
-/* A watch that a silent store has swallowed is noticed after it. */
-#define WATCH_WAIT_MS 3000
 #define RETRY_LEAST_MS 100
 #define RETRY_MOST_MS 800
 
@@ -20,6 +18,7 @@
   QuinceMetaStore *store;
   char *prefix;
   guint pace_ms;
+  guint read_every_ms;
   const QuinceMetaMirrorCallbacks *callbacks;
   gpointer user_data;
   QuinceMetaCall *call; /* in progress */
@@ -32,6 +31,7 @@
   guint64 list_revision;
   guint retry_ms;
   gint64 watch_began_us;
+  gint64 heard_us; /* when the store was last heard, here or at whoever feeds; 0: never */
   gboolean synced;
   gboolean watching;   /* the call in progress is a watch */
   GSource *feed_timer; /* while it is fed: until it goes on by itself */
@@ -79,12 +79,13 @@
   return g_ptr_array_new_with_free_func ((GDestroyNotify)quince_meta_item_free);
 }
 
-/* Passes on what was read from the store itself; also that there is nothing, for its revision. */
+/* Passes on what was read from the store itself since revision @after; also that there is nothing. */
 static void
-pass_on_news (QuinceMetaMirror *mirror)
+pass_on_news (QuinceMetaMirror *mirror, guint64 after)
 {
   g_autoptr (QuinceMetaPage) page = g_new0 (QuinceMetaPage, 1);
   page->items = g_steal_pointer (&mirror->news);
+  page->after = after;
   page->revision = mirror->revision;
   mirror->news = new_items ();
   if (mirror->callbacks->read != NULL)
@@ -129,6 +130,7 @@
 static void
 heard (QuinceMetaMirror *mirror)
 {
+  mirror->heard_us = quince_now_us ();
   mirror->retry_ms = RETRY_LEAST_MS;
 }
 
@@ -148,10 +150,11 @@
       return;
     }
   heard (mirror);
+  guint64 after = mirror->revision;
   mirror->revision = MAX (mirror->revision, page->revision);
   for (guint i = 0; i < page->items->len; i++)
     tell_item (mirror, page->items->pdata[i]);
-  pass_on_news (mirror);
+  pass_on_news (mirror, after);
   if (mirror->pace_ms > 0)
     wait_then_call (mirror, mirror->pace_ms);
   else
@@ -163,20 +166,23 @@
 {
   mirror->watching = TRUE;
   mirror->watch_began_us = quince_now_us ();
-  mirror->call = quince_meta_store_watch (mirror->store, mirror->prefix, mirror->revision, WATCH_WAIT_MS,
+  /* The pace was waited for before. */
+  guint wait_ms = mirror->read_every_ms - mirror->pace_ms;
+  mirror->call = quince_meta_store_watch (mirror->store, mirror->prefix, mirror->revision, wait_ms,
                                           watch_answered, mirror);
 }
 
 static void
 list_whole (QuinceMetaMirror *mirror)
 {
+  guint64 after = mirror->revision;
   mirror->revision = mirror->list_revision;
   tell_missing (mirror, mirror->list_revision);
   drop_list (mirror);
   mirror->synced = TRUE;
   if (mirror->callbacks->synced != NULL)
     mirror->callbacks->synced (mirror->user_data);
-  pass_on_news (mirror);
+  pass_on_news (mirror, after);
   wait_then_call (mirror, mirror->pace_ms);
 }
 
@@ -246,20 +252,13 @@
   drop_list (mirror);
 }
 
-/* One line each time a mirror changes between being fed and reading by itself. */
-static void
-log_feed (const QuinceMetaMirror *mirror, const char *event, const char *reason)
-{
-  g_autofree char *prefix = quince_log_quote (mirror->prefix);
-  quince_log_info (event, "prefix=%s reason=%s revision=%" G_GUINT64_FORMAT, prefix, reason,
-                   mirror->revision);
-}
-
 static void
 read_by_itself (QuinceMetaMirror *mirror, const char *reason)
 {
   quince_source_clear (&mirror->feed_timer);
-  log_feed (mirror, "feed_ended", reason);
+  g_autofree char *prefix = quince_log_quote (mirror->prefix);
+  quince_log_info ("feed_ended", "prefix=%s reason=%s revision=%" G_GUINT64_FORMAT, prefix, reason,
+                   mirror->revision);
   if (mirror->synced)
     begin_watch (mirror);
   else
@@ -286,21 +285,30 @@
   return mirror->feed_timer != NULL;
 }
 
+static guint
+patience_ms (const QuinceMetaMirror *mirror)
+{
+  return mirror->read_every_ms + QUINCE_META_FEED_SLACK_MS;
+}
+
 static void
 be_fed (QuinceMetaMirror *mirror)
 {
   if (mirror->feed_timer == NULL)
-    log_feed (mirror, "feed_begun", "news");
+    {
+      g_autofree char *prefix = quince_log_quote (mirror->prefix);
+      quince_log_info ("feed_begun", "prefix=%s revision=%" G_GUINT64_FORMAT, prefix, mirror->revision);
+    }
   stop_asking (mirror);
   quince_source_clear (&mirror->feed_timer);
-  mirror->feed_timer = quince_timer_add (QUINCE_META_FEED_PATIENCE_MS, feed_over, mirror);
+  mirror->feed_timer = quince_timer_add (patience_ms (mirror), feed_over, mirror);
 }
 
-void
-quince_meta_mirror_feed_alive (QuinceMetaMirror *mirror)
+/* What a page leaves out that begins after the mirror's revision can be had from the store alone. */
+static gboolean
+has_gap (const QuinceMetaMirror *mirror, const QuinceMetaPage *page, gboolean whole)
 {
-  if (mirror->feed_timer != NULL)
-    be_fed (mirror);
+  return !whole && page->after > mirror->revision;
 }
 
 void
@@ -308,7 +316,14 @@
 {
   if (page->revision < mirror->revision || (!whole && !mirror->synced))
     return;
+  if (has_gap (mirror, page, whole))
+    {
+      if (mirror->feed_timer != NULL)
+        read_by_itself (mirror, "gap");
+      return;
+    }
   be_fed (mirror);
+  mirror->heard_us = quince_now_us ();
   mirror->revision = page->revision;
   if (whole)
     mirror->listed = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
@@ -336,6 +351,7 @@
 quince_meta_mirror_new (QuinceMetaStore *store,
                         const char *prefix,
                         guint pace_ms,
+                        guint read_every_ms,
                         const QuinceMetaMirrorCallbacks *callbacks,
                         gpointer user_data)
 {
@@ -343,6 +359,7 @@
   mirror->store = store;
   mirror->prefix = g_strdup (prefix);
   mirror->pace_ms = pace_ms;
+  mirror->read_every_ms = MAX (read_every_ms, pace_ms);
   mirror->callbacks = callbacks;
   mirror->user_data = user_data;
   mirror->copy = quince_meta_copy_new (callbacks->same);
@@ -376,10 +393,22 @@
   return mirror->synced;
 }
 
+gint64
+quince_meta_mirror_get_heard_us (const QuinceMetaMirror *mirror)
+{
+  return mirror->heard_us;
+}
+
+gboolean
+quince_meta_mirror_is_fresh (const QuinceMetaMirror *mirror, gint64 now_us)
+{
+  return mirror->heard_us > 0 && now_us - mirror->heard_us <= (gint64)patience_ms (mirror) * 1000;
+}
+
 void
-quince_meta_mirror_doubt (QuinceMetaMirror *mirror, gint64 lost_us)
+quince_meta_mirror_doubt (QuinceMetaMirror *mirror, gint64 regained_us)
 {
-  if (mirror->call == NULL || !mirror->watching || mirror->watch_began_us > lost_us)
+  if (mirror->call == NULL || !mirror->watching || mirror->watch_began_us >= regained_us)
     return;
   quince_meta_call_cancel (mirror->call);
   mirror->call = NULL;
--- a/lib/meta/meta-store.c
+++ b/lib/meta/meta-store.c
@@ -145,12 +145,13 @@
   return G_SOURCE_REMOVE;
 }
 
-/* A failed call says that waiting watches may be dead too: a cut connection tells nothing by itself. */
+/* The first good answer after failures, which came at @answered_us, says that watches begun before it may
+ * have been swallowed: a cut connection tells nothing by itself. */
 static void
-note_outcome (QuinceMetaStore *store, gboolean good)
+note_outcome (QuinceMetaStore *store, gboolean good, gint64 answered_us)
 {
   if (good)
-    store->counters.last_answer_us = quince_now_us ();
+    store->counters.last_answer_us = answered_us;
   else
     store->counters.failures++;
   if (good == !store->failing)
@@ -168,7 +169,7 @@
   if (!good)
     store->probe_timer = quince_timer_add (PROBE_FIRST_MS, probe_store, store);
   for (guint i = 0; good && i < store->mirrors->len; i++)
-    quince_meta_mirror_doubt (store->mirrors->pdata[i], store->counters.lost_us);
+    quince_meta_mirror_doubt (store->mirrors->pdata[i], answered_us);
 }
 
 static GError *
@@ -237,6 +238,7 @@
 {
   QuinceMetaCall *call = data;
   QuinceMetaStore *store = call->store;
+  gint64 answered_us = quince_now_us ();
   g_autoptr (GError) error = NULL;
   g_autoptr (QuinceMetaPage) page = NULL;
   guint64 number = 0;
@@ -259,7 +261,7 @@
   g_hash_table_remove (store->calls, call);
   reply (page, number, error, user_data);
   /* Last: it may begin watches anew. */
-  note_outcome (store, outcome == QUINCE_HTTP_ANSWERED && status != 503 && status != 429);
+  note_outcome (store, outcome == QUINCE_HTTP_ANSWERED && status != 503 && status != 429, answered_us);
 }
 
 static const QuinceHttpExchangeCallbacks call_callbacks = { .done = call_done };
--- a/lib/observer/belief-feed.c
+++ b/lib/observer/belief-feed.c
@@ -3,24 +3,16 @@
  */
 #include <quince/belief-feed.h>
 
-#include <quince/log.h>
 #include <quince/packed-message.h>
-#include <quince/task.h>
 
 #include "platform.h"
 
-/* A sign of life comes three times within the patience of the fed. */
-#define ALIVE_MS (QUINCE_META_FEED_PATIENCE_MS / 3)
-
 struct _QuinceBeliefFeed
 {
   /* All fields belong to the context that created the feed. */
   QuinceObserver *observer;
-  QuinceMetaStore *store;
   GHashTable *links;  /* QuinceLink, owned */
-  GHashTable *ahead;  /* prefix to guint64: read up to here without news, not told yet */
   GHashTable *packed; /* prefix to Packed, owned: all there is under it, for those that have nothing */
-  GSource *timer;
 };
 
 typedef struct
@@ -57,6 +49,7 @@
   QuinceMessage message = { .kind = QUINCE_MESSAGE_BELIEF_NEWS };
   QuinceBeliefNews *news = &message.QuinceMessage_u.belief_news;
   news->prefix = (char *)prefix;
+  news->after = page->after;
   news->revision = page->revision;
   news->whole = whole;
   news->items.items_val = items;
@@ -64,53 +57,13 @@
   return quince_message_encode (&message, NULL);
 }
 
-static void
-send_all (QuinceBeliefFeed *feed, GBytes *encoded)
-{
-  GHashTableIter iter;
-  gpointer link;
-  g_hash_table_iter_init (&iter, feed->links);
-  while (encoded != NULL && g_hash_table_iter_next (&iter, &link, NULL))
-    quince_link_send_bytes (link, encoded);
-}
-
-static void
-send_nothing (QuinceBeliefFeed *feed, const char *prefix, guint64 revision)
-{
-  g_autoptr (GPtrArray) nothing = g_ptr_array_new ();
-  const QuinceMetaPage page = { .items = nothing, .revision = revision };
-  g_autoptr (GBytes) encoded = encode_news (prefix, &page, FALSE);
-  send_all (feed, encoded);
-}
-
-/* How far the store was read goes with it: who reads by himself later begins there. */
-static gboolean
-tell_alive (gpointer data)
-{
-  QuinceBeliefFeed *feed = data;
-  if (quince_meta_store_is_failing (feed->store))
-    return G_SOURCE_CONTINUE;
-  send_nothing (feed, "", 0);
-  GHashTableIter iter;
-  gpointer prefix;
-  gpointer revision;
-  g_hash_table_iter_init (&iter, feed->ahead);
-  while (g_hash_table_iter_next (&iter, &prefix, &revision))
-    send_nothing (feed, prefix, *(const guint64 *)revision);
-  g_hash_table_remove_all (feed->ahead);
-  return G_SOURCE_CONTINUE;
-}
-
 QuinceBeliefFeed *
-quince_belief_feed_new (QuinceObserver *observer, QuinceMetaStore *store)
+quince_belief_feed_new (QuinceObserver *observer)
 {
   QuinceBeliefFeed *feed = g_new0 (QuinceBeliefFeed, 1);
   feed->observer = observer;
-  feed->store = store;
   feed->links = g_hash_table_new_full (NULL, NULL, (GDestroyNotify)quince_link_unref, NULL);
-  feed->ahead = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   feed->packed = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, packed_free);
-  feed->timer = quince_timer_add (ALIVE_MS, tell_alive, feed);
   return feed;
 }
 
@@ -119,9 +72,7 @@
 {
   if (feed == NULL)
     return;
-  quince_source_clear (&feed->timer);
   g_hash_table_unref (feed->links);
-  g_hash_table_unref (feed->ahead);
   g_hash_table_unref (feed->packed);
   g_free (feed);
 }
@@ -181,15 +132,14 @@
 {
   if (g_hash_table_size (feed->links) == 0)
     return;
-  if (page->items->len == 0)
-    {
-      guint64 revision = page->revision;
-      g_hash_table_replace (feed->ahead, g_strdup (prefix), g_memdup2 (&revision, sizeof revision));
-      return;
-    }
-  g_hash_table_remove (feed->ahead, prefix);
   g_autoptr (GBytes) encoded = encode_news (prefix, page, FALSE);
-  send_all (feed, encoded);
+  if (encoded == NULL)
+    return;
+  GHashTableIter iter;
+  gpointer link;
+  g_hash_table_iter_init (&iter, feed->links);
+  while (g_hash_table_iter_next (&iter, &link, NULL))
+    quince_link_send_bytes (link, encoded);
 }
 
 /* ---- At the others ---------------------------------------------------- */
@@ -213,6 +163,7 @@
 {
   QuinceMetaPage *page = g_new0 (QuinceMetaPage, 1);
   page->items = g_ptr_array_new_with_free_func ((GDestroyNotify)quince_meta_item_free);
+  page->after = news->after;
   page->revision = news->revision;
   for (guint i = 0; i < news->items.items_len; i++)
     {
@@ -230,11 +181,6 @@
 void
 quince_belief_feed_take (QuinceObserver *observer, const QuinceBeliefNews *news)
 {
-  if (*news->prefix == '\0')
-    {
-      quince_observer_feed_alive (observer);
-      return;
-    }
   g_autoptr (QuinceMetaPage) page = decode_news (news);
   quince_observer_feed (observer, news->prefix, page, news->whole);
 }
--- a/lib/observer/observer.c
+++ b/lib/observer/observer.c
@@ -6,6 +6,7 @@
 #include <string.h>
 
 #include <quince/log.h>
+#include <quince/metrics.h>
 #include <quince/policy-entry.h>
 #include <quince/task.h>
 
@@ -13,6 +14,16 @@
 
 /* Starting processes change the own keys all at once: each looks at them this seldom. */
 #define OWN_PACE_MS 100
+/* An operator's change must be in force, and a leaving worker be left alone, this long after the store took
+ * it: the least of the deployments' bounds for both (settings of the platform, configApplyMs and drainMs). */
+#define CHANGE_BOUND_MS 2000
+/* Each read without news is a call that is paid for; more time between two leaves less of the bound. */
+#define READ_EVERY_MS 700
+/* Who was told just before the leader fell silent reads after this, and its own first read, within the bound.
+ */
+G_STATIC_ASSERT (2 * READ_EVERY_MS + QUINCE_META_FEED_SLACK_MS <= CHANGE_BOUND_MS);
+/* Own keys have no such bound: policies and events are in force within seconds, fronts serve on for 4 s. */
+#define OWN_READ_EVERY_MS 2000
 
 struct _QuinceObserver
 {
@@ -268,15 +279,6 @@
     }
 }
 
-void
-quince_observer_feed_alive (QuinceObserver *observer)
-{
-  NamedMirror mirrors[N_MIRRORS];
-  list_mirrors (observer, mirrors);
-  for (guint i = 0; i < N_MIRRORS; i++)
-    quince_meta_mirror_feed_alive (mirrors[i].mirror);
-}
-
 void
 quince_observer_feed_ended (QuinceObserver *observer)
 {
@@ -303,9 +305,12 @@
 {
   NamedMirror mirrors[N_MIRRORS];
   list_mirrors (observer, mirrors);
+  gint64 now = quince_now_us ();
   for (guint i = 0; i < N_MIRRORS; i++)
     {
-      if (!quince_meta_mirror_is_synced (mirrors[i].mirror))
+      /* Who is told trusts it from now on. */
+      if (!quince_meta_mirror_is_synced (mirrors[i].mirror)
+          || !quince_meta_mirror_is_fresh (mirrors[i].mirror, now))
         continue;
       gboolean whole = FALSE;
       g_autoptr (QuinceMetaPage) page = quince_meta_mirror_since (mirrors[i].mirror, revisions[i], &whole);
@@ -313,6 +318,22 @@
     }
 }
 
+void
+quince_observer_set_metrics (QuinceObserver *observer)
+{
+  gint64 now = quince_now_us ();
+  NamedMirror mirrors[N_MIRRORS];
+  list_mirrors (observer, mirrors);
+  for (guint i = 0; i < N_MIRRORS; i++)
+    {
+      gint64 heard = quince_meta_mirror_get_heard_us (mirrors[i].mirror);
+      if (heard == 0)
+        continue;
+      g_autofree char *labels = g_strdup_printf ("prefix=\"%s\"", mirrors[i].prefix);
+      quince_metric_set ("quince_belief_age_seconds", labels, (double)(now - heard) / G_USEC_PER_SEC);
+    }
+}
+
 gboolean
 quince_observer_is_synced (QuinceObserver *observer)
 {
@@ -340,12 +361,12 @@
   observer->user_data = user_data;
   observer->versions = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   observer->leaving = g_ptr_array_new_with_free_func (g_free);
-  observer->operator_mirror
-      = quince_meta_mirror_new (store, QUINCE_PLATFORM_OPERATOR_PREFIX, 0, &operator_callbacks, observer);
+  observer->operator_mirror = quince_meta_mirror_new (store, QUINCE_PLATFORM_OPERATOR_PREFIX, 0,
+                                                      READ_EVERY_MS, &operator_callbacks, observer);
   observer->workers_mirror = quince_meta_mirror_new (store, QUINCE_PLATFORM_WORKERS_PREFIX, workers_pace_ms,
-                                                     &worker_callbacks, observer);
-  observer->own_mirror
-      = quince_meta_mirror_new (store, QUINCE_OWN_PREFIX, OWN_PACE_MS, &own_callbacks, observer);
+                                                     READ_EVERY_MS, &worker_callbacks, observer);
+  observer->own_mirror = quince_meta_mirror_new (store, QUINCE_OWN_PREFIX, OWN_PACE_MS, OWN_READ_EVERY_MS,
+                                                 &own_callbacks, observer);
   return observer;
 }
 
--- a/lib/protocol/quince_protocol.x
+++ b/lib/protocol/quince_protocol.x
@@ -622,8 +622,9 @@
 
 /* Also sent without items, as a sign that the sender reads the store. */
 struct QuinceBeliefNews {
-    QuinceText     prefix;            /* empty: a sign of life only        */
-    unsigned hyper revision;          /* of the store                      */
+    QuinceText     prefix;
+    unsigned hyper after;             /* all changes since then are here   */
+    unsigned hyper revision;          /* of the store when it was read     */
     bool           whole;             /* all keys of the prefix            */
     QuinceBelief   items<QUINCE_MAX_INDEXES>;
 };
--- a/tests/platform/test-freshness.c
+++ b/tests/platform/test-freshness.c
@@ -107,7 +107,7 @@
 static void
 lead (Process *leader)
 {
-  leader->feed = quince_belief_feed_new (leader->observer, leader->store);
+  leader->feed = quince_belief_feed_new (leader->observer);
   leader->server = quince_link_server_new ("127.0.0.1:0", &link_callbacks, on_accepted, leader, NULL);
   assert_non_null (leader->server);
 }
--- a/tests/platform/test-meta.c
+++ b/tests/platform/test-meta.c
@@ -9,6 +9,8 @@
 #include "platform.h"
 #include "standin-store.h"
 
+#define READ_EVERY_MS 700
+
 /* ---- What a mirror has told ------------------------------------------- */
 
 typedef struct
@@ -60,7 +62,8 @@
   standin_store_put (world->standin, "b/0", "other");
   world->store
       = quince_meta_store_new (standin_store_get_address (world->standin), &quince_platform_meta_dialect);
-  world->mirror = quince_meta_mirror_new (world->store, "a/", pace_ms, &mirror_callbacks, &world->told);
+  world->mirror
+      = quince_meta_mirror_new (world->store, "a/", pace_ms, READ_EVERY_MS, &mirror_callbacks, &world->told);
   AWAIT (world->told.synced > 0);
 }
 
@@ -199,16 +202,37 @@
   quince_meta_mirror_feed (world.mirror, older, TRUE);
   assert_string_equal (value (&world, "a/1"), "fed");
   guint before = standin_store_get_calls (world.standin);
+  g_autoptr (GPtrArray) nothing = g_ptr_array_new ();
+  const QuinceMetaPage unchanged = { .items = nothing, .after = 100, .revision = 100 };
   for (guint i = 0; i < 8; i++)
     {
       run_for (200);
-      quince_meta_mirror_feed_alive (world.mirror);
+      quince_meta_mirror_feed (world.mirror, &unchanged, FALSE);
     }
   assert_int_equal (standin_store_get_calls (world.standin), before);
   AWAIT (standin_store_get_calls (world.standin) > before);
   end (&world);
 }
 
+/* A page that begins after what the mirror has is not taken: the mirror asks the store at once. */
+static void
+test_feed_with_gap (void **state)
+{
+  World world;
+  begin (&world, 0);
+  g_autoptr (QuinceMetaPage) news = page_of (100, "a/1", "fed", 100);
+  quince_meta_mirror_feed (world.mirror, news, FALSE);
+  guint before = standin_store_get_calls (world.standin);
+  g_autoptr (QuinceMetaPage) late = page_of (120, "a/2", "late", 120);
+  late->after = 110;
+  quince_meta_mirror_feed (world.mirror, late, FALSE);
+  assert_string_equal (value (&world, "a/2"), "first");
+  assert_int_equal (quince_meta_mirror_get_revision (world.mirror), 100);
+  assert_false (quince_meta_mirror_is_fed (world.mirror));
+  AWAIT (standin_store_get_calls (world.standin) > before);
+  end (&world);
+}
+
 /* A whole feed takes away what is not in it. */
 static void
 test_whole_feed (void **state)
@@ -287,7 +311,8 @@
   Told told = { .values = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free) };
   read_pages = 0;
   read_items = 0;
-  QuinceMetaMirror *mirror = quince_meta_mirror_new (world.store, "w/", 0, &worker_callbacks, &told);
+  QuinceMetaMirror *mirror
+      = quince_meta_mirror_new (world.store, "w/", 0, READ_EVERY_MS, &worker_callbacks, &told);
   AWAIT (told.synced > 0);
   for (guint i = 0; i < G_N_ELEMENTS (entries); i++)
     {
@@ -384,6 +409,7 @@
     cmocka_unit_test (test_dropped_history),
     cmocka_unit_test (test_pace),
     cmocka_unit_test (test_feed),
+    cmocka_unit_test (test_feed_with_gap),
     cmocka_unit_test (test_whole_feed),
     cmocka_unit_test (test_what_another_lacks),
     cmocka_unit_test (test_heartbeats_are_no_news),
