Metadata store: who tells that keys went says whether they may have lapsed

A front that is told that a worker's entry is gone looked at its own outages; told all the time, it has none, and took the worker for gone at once while the leader, which saw the outage, kept it as a last choice. Now the news carry the leader's judgement.

Wire: BeliefNews has one more field; builds before and after do not talk.

--- a/daemons/front/front.c
+++ b/daemons/front/front.c
@@ -50,7 +50,7 @@
     {
       gint64 now = quince_now_us ();
       quince_directory_take_entry (front->directory, now, key + strlen (QUINCE_FRONTS_PREFIX), value,
-                                   quince_meta_store_may_have_lapsed (front->store, now));
+                                   quince_observer_may_have_lapsed (front->observer, now));
     }
 }
 
--- a/daemons/replica/replica.c
+++ b/daemons/replica/replica.c
@@ -247,7 +247,7 @@
   if (replica->feed != NULL)
     quince_belief_feed_read (replica->feed, prefix, page);
   else if (leader != NULL)
-    quince_belief_feed_hint (leader, prefix, page);
+    quince_belief_feed_hint (replica->observer, leader, prefix, page);
 }
 
 static const QuinceLedgerNodeCallbacks ledger_callbacks = { .leads = ledger_leads,
--- a/include/quince/belief-feed.h
+++ b/include/quince/belief-feed.h
@@ -35,7 +35,10 @@
 
 /* Whoever reads the store itself does so because the leader cannot: it tells the leader what the operator
  * changed, so that an outage for one machine stops neither configurations nor weights. */
-void quince_belief_feed_hint (QuinceLink *leader, const char *prefix, const QuinceMetaPage *page);
+void quince_belief_feed_hint (const QuinceObserver *observer,
+                              QuinceLink *leader,
+                              const char *prefix,
+                              const QuinceMetaPage *page);
 /* At the leader. */
 void quince_belief_feed_take_hint (QuinceObserver *observer, const QuinceBeliefNews *news);
 
--- a/include/quince/meta-store.h
+++ b/include/quince/meta-store.h
@@ -38,6 +38,9 @@
   gboolean more;    /* another page follows the last key */
   guint64 after;    /* all changes since this revision are among the items; 0: all there is */
   guint64 revision; /* of the store, at this answer */
+  /* Told by another process only: what went away may have lapsed while the store was not to be reached there.
+   */
+  gboolean may_have_lapsed;
 } QuinceMetaPage;
 
 void quince_meta_page_free (QuinceMetaPage *page);
--- a/include/quince/observer.h
+++ b/include/quince/observer.h
@@ -58,6 +58,9 @@
  * (configurations, versions of models) is taken over, and the store is still read from where it was. */
 void quince_observer_hint (QuinceObserver *observer, const QuinceMetaPage *page);
 void quince_observer_feed_ended (QuinceObserver *observer);
+/* Keys that go may have lapsed though their owners live: the store is, or was lately, not to be reached, for
+ * this process or for whoever tells it what it is just taking in. */
+gboolean quince_observer_may_have_lapsed (const QuinceObserver *observer, gint64 now_us);
 /* Prefixes that an observer follows. */
 #define QUINCE_OBSERVER_PREFIXES 3
 /* What it has of each prefix, in its own order; 0: not all of any moment. */
--- a/lib/observer/belief-feed.c
+++ b/lib/observer/belief-feed.c
@@ -4,6 +4,7 @@
 #include <quince/belief-feed.h>
 
 #include <quince/packed-message.h>
+#include <quince/task.h>
 
 #include "platform.h"
 
@@ -32,7 +33,7 @@
 /* ---- At the leader ---------------------------------------------------- */
 
 static GBytes *
-encode_news (const char *prefix, const QuinceMetaPage *page, gboolean whole)
+encode_news (const QuinceObserver *observer, const char *prefix, const QuinceMetaPage *page, gboolean whole)
 {
   g_autofree QuinceBelief *items = g_new0 (QuinceBelief, page->items->len + 1);
   for (guint i = 0; i < page->items->len; i++)
@@ -52,6 +53,7 @@
   news->after = page->after;
   news->revision = page->revision;
   news->whole = whole;
+  news->may_have_lapsed = quince_observer_may_have_lapsed (observer, quince_now_us ());
   news->items.items_val = items;
   news->items.items_len = page->items->len;
   return quince_message_encode (&message, NULL);
@@ -84,7 +86,7 @@
   const Packed *held = g_hash_table_lookup (feed->packed, prefix);
   if (held != NULL && held->revision == page->revision)
     return g_bytes_ref (held->encoded);
-  g_autoptr (GBytes) encoded = encode_news (prefix, page, TRUE);
+  g_autoptr (GBytes) encoded = encode_news (feed->observer, prefix, page, TRUE);
   if (encoded == NULL)
     return NULL;
   Packed *packed = g_new0 (Packed, 1);
@@ -104,8 +106,8 @@
 send_since (const char *prefix, const QuinceMetaPage *page, gboolean whole, gpointer data)
 {
   const Asker *asker = data;
-  g_autoptr (GBytes) encoded
-      = whole ? encode_whole (asker->feed, prefix, page) : encode_news (prefix, page, FALSE);
+  g_autoptr (GBytes) encoded = whole ? encode_whole (asker->feed, prefix, page)
+                                     : encode_news (asker->feed->observer, prefix, page, FALSE);
   if (encoded != NULL)
     quince_link_send_bytes (asker->link, encoded);
 }
@@ -132,7 +134,7 @@
 {
   if (g_hash_table_size (feed->links) == 0)
     return;
-  g_autoptr (GBytes) encoded = encode_news (prefix, page, FALSE);
+  g_autoptr (GBytes) encoded = encode_news (feed->observer, prefix, page, FALSE);
   if (encoded == NULL)
     return;
   GHashTableIter iter;
@@ -165,6 +167,7 @@
   page->items = g_ptr_array_new_with_free_func ((GDestroyNotify)quince_meta_item_free);
   page->after = news->after;
   page->revision = news->revision;
+  page->may_have_lapsed = news->may_have_lapsed;
   for (guint i = 0; i < news->items.items_len; i++)
     {
       const QuinceBelief *belief = &news->items.items_val[i];
@@ -188,11 +191,14 @@
 /* ---- From the others to the leader -------------------------------------- */
 
 void
-quince_belief_feed_hint (QuinceLink *leader, const char *prefix, const QuinceMetaPage *page)
+quince_belief_feed_hint (const QuinceObserver *observer,
+                         QuinceLink *leader,
+                         const char *prefix,
+                         const QuinceMetaPage *page)
 {
   if (page->items->len == 0 || !g_str_equal (prefix, QUINCE_PLATFORM_OPERATOR_PREFIX))
     return;
-  g_autoptr (GBytes) encoded = encode_news (prefix, page, FALSE);
+  g_autoptr (GBytes) encoded = encode_news (observer, prefix, page, FALSE);
   if (encoded != NULL)
     quince_link_send_bytes (leader, encoded);
 }
--- a/lib/observer/observer.c
+++ b/lib/observer/observer.c
@@ -38,6 +38,7 @@
   QuinceRouteTable *routes;
   GHashTable *versions; /* model to guint64 */
   GPtrArray *leaving;   /* node names, owned */
+  gboolean told_lapsed; /* while a page is taken in: QuinceMetaPage.may_have_lapsed */
 };
 
 /* ---- The operator's keys ---------------------------------------------- */
@@ -158,7 +159,7 @@
   if (item->value == NULL)
     {
       gint64 now = quince_now_us ();
-      if (quince_meta_store_may_have_lapsed (observer->store, now))
+      if (quince_observer_may_have_lapsed (observer, now))
         quince_backends_doubt_listing (observer->backends, now, id);
       else
         quince_backends_remove (observer->backends, id);
@@ -261,9 +262,17 @@
 {
   NamedMirror mirrors[N_MIRRORS];
   list_mirrors (observer, mirrors);
+  observer->told_lapsed = page->may_have_lapsed;
   for (guint i = 0; i < N_MIRRORS; i++)
     if (g_str_equal (mirrors[i].prefix, prefix))
       quince_meta_mirror_feed (mirrors[i].mirror, page, whole);
+  observer->told_lapsed = FALSE;
+}
+
+gboolean
+quince_observer_may_have_lapsed (const QuinceObserver *observer, gint64 now_us)
+{
+  return observer->told_lapsed || quince_meta_store_may_have_lapsed (observer->store, now_us);
 }
 
 void
--- a/lib/protocol/quince_protocol.x
+++ b/lib/protocol/quince_protocol.x
@@ -626,6 +626,7 @@
     unsigned hyper after;             /* all changes since then are here   */
     unsigned hyper revision;          /* of the store when it was read     */
     bool           whole;             /* all keys of the prefix            */
+    bool           may_have_lapsed;   /* keys that went: their owners may live, the store was away */
     QuinceBelief   items<QUINCE_MAX_INDEXES>;
 };
 
--- a/tests/platform/test-freshness.c
+++ b/tests/platform/test-freshness.c
@@ -55,6 +55,21 @@
   return quince_observer_get_version (process->observer, MODEL);
 }
 
+static guint
+known_workers (Process *process)
+{
+  return quince_worker_table_get_size (quince_backends_get_workers (process->backends));
+}
+
+/* Of what it has of the workers' keys. */
+static guint64
+workers_revision (Process *process)
+{
+  guint64 revisions[QUINCE_OBSERVER_PREFIXES];
+  quince_observer_get_revisions (process->observer, revisions);
+  return revisions[1];
+}
+
 static void
 process_init (Process *process)
 {
@@ -203,6 +218,28 @@
   assert_known_in_time (&follower, 3);
 }
 
+/* The store lost a worker's entry while it was away for the leader: who is told of it keeps the worker as a
+ * last choice, as the leader does. */
+static void
+test_worker_lost_in_an_outage (void **state)
+{
+  static const char entry[]
+      = "{\"service\":\"s\",\"address\":\"127.0.0.1:1\",\"zone\":\"z1\",\"version\":1,\"slots\":4,"
+        "\"state\":\"ready\",\"coldRemainingMs\":0,\"seq\":1}";
+  standin_store_put (leader.standin, "servers/w1", entry);
+  standin_store_put (follower.standin, "servers/w1", entry);
+  AWAIT (known_workers (&leader) == 1 && known_workers (&follower) == 1);
+  follow (&follower, &leader);
+  standin_store_set_fault (leader.standin, STANDIN_STORE_BUSY);
+  standin_store_drop_connections (leader.standin);
+  AWAIT (quince_meta_store_is_failing (leader.store));
+  standin_store_remove (leader.standin, "servers/w1");
+  standin_store_set_fault (leader.standin, STANDIN_STORE_SOUND);
+  AWAIT (workers_revision (&follower) >= workers_revision (&leader) && workers_revision (&leader) >= 3);
+  assert_int_equal (known_workers (&leader), 1);
+  assert_int_equal (known_workers (&follower), 1);
+}
+
 #define CASE(function) cmocka_unit_test_setup_teardown (function, set_up, tear_down)
 
 int
@@ -212,6 +249,7 @@
     CASE (test_leader_that_is_not_answered),
     CASE (test_watch_taken_by_a_silent_store),
     CASE (test_gap_in_what_is_told),
+    CASE (test_worker_lost_in_an_outage),
   };
   return cmocka_run_group_tests_name ("freshness", tests, NULL, NULL);
 }
--- a/tests/platform/test-hints.c
+++ b/tests/platform/test-hints.c
@@ -111,8 +111,8 @@
   g_autoptr (QuinceMetaPage) worker = page_of ("servers/w1", "{}", 4);
   g_autoptr (QuinceMetaPage) version
       = page_of ("op/version/model-a", "{\"model\":\"model-a\",\"version\":5}", 5);
-  quince_belief_feed_hint (link, "servers/", worker);
-  quince_belief_feed_hint (link, "op/", version);
+  quince_belief_feed_hint (leader.observer, link, "servers/", worker);
+  quince_belief_feed_hint (leader.observer, link, "op/", version);
   while (leader.received == 0)
     g_main_context_iteration (NULL, TRUE);
   assert_int_equal (leader.received, 1);
