--- a/tests/platform/test-meta.c
+++ b/tests/platform/test-meta.c
@@ -10,6 +10,8 @@
 #include "standin-store.h"
 
 #define READ_EVERY_MS 700
+/* After an outage a change is in force 2 s after the store took it; and what a busy machine may take. */
+#define KNOWN_AGAIN_US (3 * G_USEC_PER_SEC)
 
 /* ---- What a mirror has told ------------------------------------------- */
 
@@ -118,7 +120,7 @@
   gint64 back = g_get_monotonic_time ();
   AWAIT (strcmp (value (&world, "a/1"), "meanwhile") == 0);
   AWAIT (g_hash_table_size (world.told.values) == 4);
-  if (g_get_monotonic_time () - back > 15 * G_USEC_PER_SEC)
+  if (g_get_monotonic_time () - back > KNOWN_AGAIN_US)
     fail_msg ("the mirror waits for its own watch");
   end (&world);
 }
