Metadata store: a replica reads for a leader that the store turns away; no rush on the store

Change: members of the view lose patience first, read, and report to the leader, which takes it where its own reads lag and tells all others (in place of hints, which the leader alone used). While calls fail only one look each 0.4 to 0.8 s is made; afterwards reserve readers ask at once, the others within 1 s. Lapsed workers are kept until 2.4 s after the return. Operator's keys and workers are read each 0.5 s.

--- a/daemons/replica/replica.c
+++ b/daemons/replica/replica.c
@@ -236,7 +236,7 @@
   else if (message->kind == QUINCE_MESSAGE_BELIEF_NEWS && replica->feed == NULL)
     quince_belief_feed_take (replica->observer, &message->QuinceMessage_u.belief_news);
   else if (message->kind == QUINCE_MESSAGE_BELIEF_NEWS)
-    quince_belief_feed_take_hint (replica->observer, &message->QuinceMessage_u.belief_news);
+    quince_belief_feed_take_report (replica->feed, link, &message->QuinceMessage_u.belief_news);
 }
 
 static void
@@ -247,7 +247,7 @@
   if (replica->feed != NULL)
     quince_belief_feed_read (replica->feed, prefix, page);
   else if (leader != NULL)
-    quince_belief_feed_hint (replica->observer, leader, prefix, page);
+    quince_belief_feed_report (replica->observer, leader, prefix, page);
 }
 
 static const QuinceLedgerNodeCallbacks ledger_callbacks = { .leads = ledger_leads,
@@ -289,11 +289,20 @@
 static const QuinceObserverCallbacks observer_callbacks
     = { .own_key = own_key, .version = version_named, .leaving = leaving_changed, .read = store_read };
 
+/* The members of the view are few, linked to the leader, and on several machines. */
+static void
+look_at_view (Replica *replica)
+{
+  const QuinceLedgerView *view = quince_ledger_node_get_view (replica->ledger);
+  quince_observer_set_reserve_reader (replica->observer, view != NULL && keeps_records (view, replica->name));
+}
+
 static gboolean
 timer_over (gpointer data)
 {
   Replica *replica = data;
   quince_batch_service_tell_progress (replica->batches);
+  look_at_view (replica);
   look_at_leaving (replica);
   return G_SOURCE_CONTINUE;
 }
--- a/include/quince/backends.h
+++ b/include/quince/backends.h
@@ -25,8 +25,8 @@
 void quince_backends_update (QuinceBackends *backends, QuinceWorker *told);
 void quince_backends_remove (QuinceBackends *backends, const char *id);
 /* @id vanished from the list while the store was in trouble: the worker may serve on.  Where no other is left
- * it gets requests for a moment more; then it is as removed, unless it is listed again. */
-void quince_backends_doubt_listing (QuinceBackends *backends, gint64 now_us, const char *id);
+ * it gets requests until @until_us; then it is as removed, unless it is listed again. */
+void quince_backends_doubt_listing (QuinceBackends *backends, gint64 now_us, gint64 until_us, const char *id);
 /* Kept connections to @worker. */
 QuinceHttpPool *quince_backends_get_pool (QuinceBackends *backends, const QuinceWorker *worker);
 /* Connections made to workers since the start. */
--- a/include/quince/belief-feed.h
+++ b/include/quince/belief-feed.h
@@ -31,15 +31,17 @@
 void quince_belief_feed_ask (QuinceObserver *observer, QuinceLink *link);
 void quince_belief_feed_take (QuinceObserver *observer, const QuinceBeliefNews *news);
 
-/* ---- From the others to the leader ------------------------------------ */
-
-/* Whoever reads the store itself does so because the leader cannot: it tells the leader what the operator
- * changed, so that an outage for one machine stops neither configurations nor weights. */
-void quince_belief_feed_hint (const QuinceObserver *observer,
-                              QuinceLink *leader,
-                              const char *prefix,
-                              const QuinceMetaPage *page);
-/* At the leader. */
-void quince_belief_feed_take_hint (QuinceObserver *observer, const QuinceBeliefNews *news);
+/* ---- From a replica to the leader ------------------------------------- */
+
+/* A replica that is told nothing new reads the store itself, and tells the leader, which may be the one that
+ * the store does not answer: so one process reads for all in an outage of the leader's, too. */
+void quince_belief_feed_report (const QuinceObserver *observer,
+                                QuinceLink *leader,
+                                const char *prefix,
+                                const QuinceMetaPage *page);
+/* At the leader: takes what it lacks and tells all but @source, which read it. */
+void quince_belief_feed_take_report (QuinceBeliefFeed *feed,
+                                     const QuinceLink *source,
+                                     const QuinceBeliefNews *news);
 
 G_END_DECLS
--- a/include/quince/meta-store.h
+++ b/include/quince/meta-store.h
@@ -133,9 +133,17 @@
 
 /* ---- Mirrors ---------------------------------------------------------- */
 
-/* A fed mirror trusts what it has for the feeder's time between two reads and this much more: what a store
- * that is eighty times slower than usual (4 ms) and a busy link take.  Milliseconds. */
-#define QUINCE_META_FEED_SLACK_MS 600
+/* How often a mirror reads, in milliseconds. */
+typedef struct
+{
+  guint pace_ms;       /* least time from one answer to the next watch, for keys that change all the time */
+  guint read_every_ms; /* most time from one answer to the next where the store answers at once; more than the
+                        * pace */
+  guint patience_ms; /* a fed mirror reads by itself so long after the last page; more than @read_every_ms of
+                      * the feeder */
+  guint spread_ms;   /* once the store answers again it is asked at a moment drawn from this time, so that
+                      * not all processes ask at once; 0: at once */
+} QuinceMetaMirrorTimes;
 
 typedef struct _QuinceMetaMirror QuinceMetaMirror;
 
@@ -158,31 +166,31 @@
 /**
  * quince_meta_mirror_new:
  * @prefix: of the keys to follow
- * @pace_ms: least time from one answer to the next watch, for keys that change all the time; 0: at once
- * @read_every_ms: most time from one answer to the next where the store answers at once, also when nothing
- *   changes; more than @pace_ms
  *
- * Lists the prefix and then watches it, for ever; lists anew where history is dropped.
+ * Lists the prefix and then watches it, for ever; lists anew where history is dropped.  Its times are to be
+ * set before the context runs.  While calls to the store fail it waits for the first good answer instead of
+ * asking.
  */
 QuinceMetaMirror *quince_meta_mirror_new (QuinceMetaStore *store,
                                           const char *prefix,
-                                          guint pace_ms,
-                                          guint read_every_ms,
                                           const QuinceMetaMirrorCallbacks *callbacks,
                                           gpointer user_data);
 void quince_meta_mirror_free (QuinceMetaMirror *mirror);
 gboolean quince_meta_mirror_is_synced (const QuinceMetaMirror *mirror);
+/* Hold from the next call or page on. */
+void quince_meta_mirror_set_times (QuinceMetaMirror *mirror, const QuinceMetaMirrorTimes *times);
 /**
  * quince_meta_mirror_feed:
  * @page: items as another process had them from the store, each with its revision
  * @whole: all that the store holds under the prefix
  *
  * While it is fed a mirror asks the store for nothing.  Each page must come from a read of the store just
- * now: a page without items says that nothing changed.  Without any for the time between two reads and
- * QUINCE_META_FEED_SLACK_MS the mirror reads by itself, from the revision that it has.  It takes no page that
+ * now: a page without items says that nothing changed.  Without any for its patience the mirror reads by
+ * itself, from the revision that it has.  It takes no page that
  * is older than that, or that begins after it, since changes between are not known.
+ * Returns: whether the page was taken
  */
-void quince_meta_mirror_feed (QuinceMetaMirror *mirror, const QuinceMetaPage *page, gboolean whole);
+gboolean quince_meta_mirror_feed (QuinceMetaMirror *mirror, const QuinceMetaPage *page, gboolean whole);
 /* Whoever fed is gone: goes on by itself at once. */
 void quince_meta_mirror_feed_ended (QuinceMetaMirror *mirror);
 /* It asks the store for nothing, since another process tells it. */
@@ -197,7 +205,7 @@
 /* It was heard so lately that another mirror may be fed from this one. */
 gboolean quince_meta_mirror_is_fresh (const QuinceMetaMirror *mirror, gint64 now_us);
 /* The store answers again since @regained_us: a watch that began before may have been swallowed, begin it
- * anew. */
+ * anew; so does a mirror that waits for the store. */
 void quince_meta_mirror_doubt (QuinceMetaMirror *mirror, gint64 regained_us);
 
 /* ---- A key under a lease ---------------------------------------------- */
--- a/include/quince/observer.h
+++ b/include/quince/observer.h
@@ -50,14 +50,17 @@
                                      gpointer user_data);
 void quince_observer_free (QuinceObserver *observer);
 /* Takes what another process read of @prefix; see quince_meta_mirror_feed(). */
-void quince_observer_feed (QuinceObserver *observer,
-                           const char *prefix,
-                           const QuinceMetaPage *page,
-                           gboolean whole);
-/* @page: changes of the operator's keys that another process read, perhaps not all: what rises by itself
- * (configurations, versions of models) is taken over, and the store is still read from where it was. */
-void quince_observer_hint (QuinceObserver *observer, const QuinceMetaPage *page);
+gboolean quince_observer_feed (QuinceObserver *observer,
+                               const char *prefix,
+                               const QuinceMetaPage *page,
+                               gboolean whole);
+/* The same at the ledger's leader, for a page that a replica read: it is taken where the leader's own reads
+ * lag.  Returns: whether it was taken, and so is to be told to all others */
+gboolean quince_observer_lead_feed (QuinceObserver *observer, const char *prefix, const QuinceMetaPage *page);
 void quince_observer_feed_ended (QuinceObserver *observer);
+/* @reserve: reads the store sooner than others do where it is told nothing, to tell the leader; few processes
+ * of a deployment do, so that an outage of the leader's is no rush on the store. */
+void quince_observer_set_reserve_reader (QuinceObserver *observer, gboolean reserve);
 /* Keys that go may have lapsed though their owners live: the store is, or was lately, not to be reached, for
  * this process or for whoever tells it what it is just taking in. */
 gboolean quince_observer_may_have_lapsed (const QuinceObserver *observer, gint64 now_us);
--- a/lib/forward/backends.c
+++ b/lib/forward/backends.c
@@ -9,9 +9,6 @@
 #include <quince/log.h>
 
 #define FAILURES_SHOWN_MOST 10
-/* A worker that vanished from the list in an outage of the store is still used for so long; less than the
- * time in which one that leaves must be left alone. */
-#define VANISHED_KEEP_US (1000 * 1000)
 /* Parts of prompts of which the last worker is remembered. */
 #define PROMPT_PARTS_MOST 8192
 
@@ -103,7 +100,7 @@
 }
 
 void
-quince_backends_doubt_listing (QuinceBackends *backends, gint64 now_us, const char *id)
+quince_backends_doubt_listing (QuinceBackends *backends, gint64 now_us, gint64 until_us, const char *id)
 {
   QuinceWorker *worker = quince_worker_table_find (backends->workers, id);
   if (worker == NULL || worker->draining)
@@ -113,10 +110,10 @@
     }
   if (worker->gone_after_us != 0)
     return;
-  worker->gone_after_us = now_us + VANISHED_KEEP_US;
+  worker->gone_after_us = until_us;
   g_queue_push_tail (&backends->vanished, g_strdup (id));
   quince_log_info ("worker_doubted", "worker=%s cause=listing_vanished keep_ms=%d", id,
-                   VANISHED_KEEP_US / 1000);
+                   (int)((until_us - now_us) / 1000));
 }
 
 void
--- a/lib/meta/meta-mirror.c
+++ b/lib/meta/meta-mirror.c
@@ -17,8 +17,7 @@
   /* All fields belong to the context that created the mirror. */
   QuinceMetaStore *store;
   char *prefix;
-  guint pace_ms;
-  guint read_every_ms;
+  QuinceMetaMirrorTimes times;
   const QuinceMetaMirrorCallbacks *callbacks;
   gpointer user_data;
   QuinceMetaCall *call; /* in progress */
@@ -34,11 +33,12 @@
   gint64 heard_us; /* when the store was last heard, here or at whoever feeds; 0: never */
   gboolean synced;
   gboolean watching;   /* the call in progress is a watch */
+  gboolean waiting;    /* calls to the store fail: asks once it answers again */
   GSource *feed_timer; /* while it is fed: until it goes on by itself */
 };
 
 static void begin_list (QuinceMetaMirror *mirror);
-static void begin_watch (QuinceMetaMirror *mirror);
+static void begin_watch (QuinceMetaMirror *mirror, guint wait_ms);
 
 /* ---- What is told ----------------------------------------------------- */
 
@@ -94,15 +94,30 @@
 
 /* ---- Calls ------------------------------------------------------------ */
 
+/* The pace is waited for before each watch. */
+static guint
+watch_wait_ms (const QuinceMetaMirror *mirror)
+{
+  return mirror->times.read_every_ms - mirror->times.pace_ms;
+}
+
+static void
+ask (QuinceMetaMirror *mirror, guint wait_ms)
+{
+  if (mirror->synced && mirror->listed == NULL)
+    begin_watch (mirror, wait_ms);
+  else
+    begin_list (mirror);
+}
+
 static gboolean
 timer_over (gpointer data)
 {
   QuinceMetaMirror *mirror = data;
   quince_source_clear (&mirror->timer);
-  if (mirror->synced && mirror->listed == NULL)
-    begin_watch (mirror);
-  else
-    begin_list (mirror);
+  mirror->waiting = quince_meta_store_is_failing (mirror->store);
+  if (!mirror->waiting)
+    ask (mirror, watch_wait_ms (mirror));
   return G_SOURCE_REMOVE;
 }
 
@@ -155,19 +170,17 @@
   for (guint i = 0; i < page->items->len; i++)
     tell_item (mirror, page->items->pdata[i]);
   pass_on_news (mirror, after);
-  if (mirror->pace_ms > 0)
-    wait_then_call (mirror, mirror->pace_ms);
+  if (mirror->times.pace_ms > 0)
+    wait_then_call (mirror, mirror->times.pace_ms);
   else
-    begin_watch (mirror);
+    begin_watch (mirror, watch_wait_ms (mirror));
 }
 
 static void
-begin_watch (QuinceMetaMirror *mirror)
+begin_watch (QuinceMetaMirror *mirror, guint wait_ms)
 {
   mirror->watching = TRUE;
   mirror->watch_began_us = quince_now_us ();
-  /* The pace was waited for before. */
-  guint wait_ms = mirror->read_every_ms - mirror->pace_ms;
   mirror->call = quince_meta_store_watch (mirror->store, mirror->prefix, mirror->revision, wait_ms,
                                           watch_answered, mirror);
 }
@@ -183,7 +196,7 @@
   if (mirror->callbacks->synced != NULL)
     mirror->callbacks->synced (mirror->user_data);
   pass_on_news (mirror, after);
-  wait_then_call (mirror, mirror->pace_ms);
+  wait_then_call (mirror, mirror->times.pace_ms);
 }
 
 static void
@@ -248,10 +261,12 @@
   if (mirror->call != NULL)
     quince_meta_call_cancel (mirror->call);
   mirror->call = NULL;
+  mirror->waiting = FALSE;
   quince_source_clear (&mirror->timer);
   drop_list (mirror);
 }
 
+/* The first watch is answered at once, so that others can be fed. */
 static void
 read_by_itself (QuinceMetaMirror *mirror, const char *reason)
 {
@@ -259,10 +274,7 @@
   g_autofree char *prefix = quince_log_quote (mirror->prefix);
   quince_log_info ("feed_ended", "prefix=%s reason=%s revision=%" G_GUINT64_FORMAT, prefix, reason,
                    mirror->revision);
-  if (mirror->synced)
-    begin_watch (mirror);
-  else
-    begin_list (mirror);
+  ask (mirror, 0);
 }
 
 static gboolean
@@ -285,12 +297,6 @@
   return mirror->feed_timer != NULL;
 }
 
-static guint
-patience_ms (const QuinceMetaMirror *mirror)
-{
-  return mirror->read_every_ms + QUINCE_META_FEED_SLACK_MS;
-}
-
 static void
 be_fed (QuinceMetaMirror *mirror)
 {
@@ -301,7 +307,7 @@
     }
   stop_asking (mirror);
   quince_source_clear (&mirror->feed_timer);
-  mirror->feed_timer = quince_timer_add (patience_ms (mirror), feed_over, mirror);
+  mirror->feed_timer = quince_timer_add (mirror->times.patience_ms, feed_over, mirror);
 }
 
 /* What a page leaves out that begins after the mirror's revision can be had from the store alone. */
@@ -311,16 +317,16 @@
   return !whole && page->after > mirror->revision;
 }
 
-void
+gboolean
 quince_meta_mirror_feed (QuinceMetaMirror *mirror, const QuinceMetaPage *page, gboolean whole)
 {
   if (page->revision < mirror->revision || (!whole && !mirror->synced))
-    return;
+    return FALSE;
   if (has_gap (mirror, page, whole))
     {
       if (mirror->feed_timer != NULL)
         read_by_itself (mirror, "gap");
-      return;
+      return FALSE;
     }
   be_fed (mirror);
   mirror->heard_us = quince_now_us ();
@@ -338,11 +344,12 @@
     tell_missing (mirror, page->revision);
   g_ptr_array_set_size (mirror->news, 0); /* they come from one who passes them on */
   if (!whole)
-    return;
+    return TRUE;
   drop_list (mirror);
   mirror->synced = TRUE;
   if (mirror->callbacks->synced != NULL)
     mirror->callbacks->synced (mirror->user_data);
+  return TRUE;
 }
 
 /* ---- Public ----------------------------------------------------------- */
@@ -350,16 +357,12 @@
 QuinceMetaMirror *
 quince_meta_mirror_new (QuinceMetaStore *store,
                         const char *prefix,
-                        guint pace_ms,
-                        guint read_every_ms,
                         const QuinceMetaMirrorCallbacks *callbacks,
                         gpointer user_data)
 {
   QuinceMetaMirror *mirror = g_new0 (QuinceMetaMirror, 1);
   mirror->store = store;
   mirror->prefix = g_strdup (prefix);
-  mirror->pace_ms = pace_ms;
-  mirror->read_every_ms = MAX (read_every_ms, pace_ms);
   mirror->callbacks = callbacks;
   mirror->user_data = user_data;
   mirror->copy = quince_meta_copy_new (callbacks->same);
@@ -387,6 +390,13 @@
   g_free (mirror);
 }
 
+void
+quince_meta_mirror_set_times (QuinceMetaMirror *mirror, const QuinceMetaMirrorTimes *times)
+{
+  mirror->times = *times;
+  mirror->times.read_every_ms = MAX (times->read_every_ms, times->pace_ms);
+}
+
 gboolean
 quince_meta_mirror_is_synced (const QuinceMetaMirror *mirror)
 {
@@ -402,15 +412,21 @@
 gboolean
 quince_meta_mirror_is_fresh (const QuinceMetaMirror *mirror, gint64 now_us)
 {
-  return mirror->heard_us > 0 && now_us - mirror->heard_us <= (gint64)patience_ms (mirror) * 1000;
+  return mirror->heard_us > 0 && now_us - mirror->heard_us <= (gint64)mirror->times.patience_ms * 1000;
 }
 
 void
 quince_meta_mirror_doubt (QuinceMetaMirror *mirror, gint64 regained_us)
 {
-  if (mirror->call == NULL || !mirror->watching || mirror->watch_began_us >= regained_us)
+  gboolean swallowed = mirror->call != NULL && mirror->watching && mirror->watch_began_us < regained_us;
+  if (!swallowed && !mirror->waiting)
     return;
-  quince_meta_call_cancel (mirror->call);
+  if (swallowed)
+    quince_meta_call_cancel (mirror->call);
   mirror->call = NULL;
-  begin_watch (mirror);
+  mirror->waiting = FALSE;
+  if (mirror->times.spread_ms > 0)
+    wait_then_call (mirror, (guint)g_random_int_range (0, (gint32)mirror->times.spread_ms));
+  else
+    ask (mirror, 0);
 }
--- a/lib/meta/meta-store.c
+++ b/lib/meta/meta-store.c
@@ -13,6 +13,9 @@
 /* While calls fail the store is asked so often whether it is back. */
 #define PROBE_FIRST_MS 30
 #define PROBE_EVERY_MS 400
+/* Each look is paid for, by every process at once in an outage of all; calls must succeed within 1 s after
+ * it. */
+#define PROBE_MOST_MS 800
 #define PROBE_KEY "quinceroute/ledger"
 
 G_DEFINE_QUARK (quince - meta - error - quark, quince_meta_error)
@@ -36,6 +39,7 @@
   QuinceMetaCounters counters;
   gboolean failing;
   GSource *probe_timer; /* while failing */
+  guint probe_ms;       /* until the next look */
 };
 
 struct _QuinceMetaCall
@@ -140,7 +144,8 @@
 {
   QuinceMetaStore *store = data;
   quince_source_clear (&store->probe_timer);
-  store->probe_timer = quince_timer_add (PROBE_EVERY_MS, probe_store, store);
+  store->probe_timer = quince_timer_add (store->probe_ms, probe_store, store);
+  store->probe_ms = MIN (store->probe_ms * 2, PROBE_MOST_MS);
   quince_meta_store_get (store, PROBE_KEY, probe_answered, store);
   return G_SOURCE_REMOVE;
 }
@@ -166,6 +171,7 @@
   else
     store->counters.lost_us = quince_now_us ();
   quince_source_clear (&store->probe_timer);
+  store->probe_ms = PROBE_EVERY_MS;
   if (!good)
     store->probe_timer = quince_timer_add (PROBE_FIRST_MS, probe_store, store);
   for (guint i = 0; good && i < store->mirrors->len; i++)
--- a/lib/observer/belief-feed.c
+++ b/lib/observer/belief-feed.c
@@ -129,8 +129,11 @@
   g_hash_table_remove (feed->links, link);
 }
 
-void
-quince_belief_feed_read (QuinceBeliefFeed *feed, const char *prefix, const QuinceMetaPage *page)
+static void
+tell_all_but (QuinceBeliefFeed *feed,
+              const QuinceLink *source,
+              const char *prefix,
+              const QuinceMetaPage *page)
 {
   if (g_hash_table_size (feed->links) == 0)
     return;
@@ -141,7 +144,14 @@
   gpointer link;
   g_hash_table_iter_init (&iter, feed->links);
   while (g_hash_table_iter_next (&iter, &link, NULL))
-    quince_link_send_bytes (link, encoded);
+    if (link != source)
+      quince_link_send_bytes (link, encoded);
+}
+
+void
+quince_belief_feed_read (QuinceBeliefFeed *feed, const char *prefix, const QuinceMetaPage *page)
+{
+  tell_all_but (feed, NULL, prefix, page);
 }
 
 /* ---- At the others ---------------------------------------------------- */
@@ -188,25 +198,27 @@
   quince_observer_feed (observer, news->prefix, page, news->whole);
 }
 
-/* ---- From the others to the leader -------------------------------------- */
+/* ---- From a replica to the leader --------------------------------------- */
 
 void
-quince_belief_feed_hint (const QuinceObserver *observer,
-                         QuinceLink *leader,
-                         const char *prefix,
-                         const QuinceMetaPage *page)
+quince_belief_feed_report (const QuinceObserver *observer,
+                           QuinceLink *leader,
+                           const char *prefix,
+                           const QuinceMetaPage *page)
 {
-  if (page->items->len == 0 || !g_str_equal (prefix, QUINCE_PLATFORM_OPERATOR_PREFIX))
-    return;
+  if (page->after == 0)
+    return; /* a first list: the leader has it */
   g_autoptr (GBytes) encoded = encode_news (observer, prefix, page, FALSE);
   if (encoded != NULL)
     quince_link_send_bytes (leader, encoded);
 }
 
 void
-quince_belief_feed_take_hint (QuinceObserver *observer, const QuinceBeliefNews *news)
+quince_belief_feed_take_report (QuinceBeliefFeed *feed,
+                                const QuinceLink *source,
+                                const QuinceBeliefNews *news)
 {
   g_autoptr (QuinceMetaPage) page = decode_news (news);
-  if (g_str_equal (news->prefix, QUINCE_PLATFORM_OPERATOR_PREFIX))
-    quince_observer_hint (observer, page);
+  if (quince_observer_lead_feed (feed->observer, news->prefix, page))
+    tell_all_but (feed, source, news->prefix, page);
 }
--- a/lib/observer/observer.c
+++ b/lib/observer/observer.c
@@ -18,12 +18,28 @@
  * it: the least of the deployments' bounds for both (settings of the platform, configApplyMs and drainMs). */
 #define CHANGE_BOUND_MS 2000
 /* Each read without news is a call that is paid for; more time between two leaves less of the bound. */
-#define READ_EVERY_MS 700
-/* Who was told just before the leader fell silent reads after this, and its own first read, within the bound.
- */
-G_STATIC_ASSERT (2 * READ_EVERY_MS + QUINCE_META_FEED_SLACK_MS <= CHANGE_BOUND_MS);
+#define READ_EVERY_MS 500
+/* Longest first read of a process that was told nothing: a store that is eighty times slower than its usual
+ * 4 ms. */
+#define FIRST_READ_MS 500
+/* More than the time between two reads that a process trusts what it was told.  A reserve reader reads, and
+ * what it read comes back through the leader, before the others lose patience; both leave the leader time for
+ * a slow answer and for its other work. */
+#define SLACK_MS 1000
+#define RESERVE_SLACK_MS 500
+G_STATIC_ASSERT (READ_EVERY_MS + SLACK_MS + FIRST_READ_MS <= CHANGE_BOUND_MS);
+G_STATIC_ASSERT (RESERVE_SLACK_MS + FIRST_READ_MS <= SLACK_MS);
+/* After an outage of all most processes are told before they ask; with a look at the store each 0.8 s
+ * meanwhile they know what changed 2 s after its return, and machines count as in touch 3 s after it. */
+#define SPREAD_MS 1000
+/* Entries of workers that lapsed in an outage are back so long after the store's return (about 2 s, and what
+ * their news take); an entry that vanishes late is kept for less than a leaving worker may still be used. */
+#define LAPSED_BACK_US (2400 * 1000)
+#define LAPSED_KEEP_LEAST_US (1000 * 1000)
 /* Own keys have no such bound: policies and events are in force within seconds, fronts serve on for 4 s. */
 #define OWN_READ_EVERY_MS 2000
+/* Of the pages that several replicas send at once, one without items is taken in this time. */
+#define PAGE_EVERY_US (READ_EVERY_MS / 2 * 1000)
 
 struct _QuinceObserver
 {
@@ -38,6 +54,7 @@
   QuinceRouteTable *routes;
   GHashTable *versions; /* model to guint64 */
   GPtrArray *leaving;   /* node names, owned */
+  guint workers_pace_ms;
   gboolean told_lapsed; /* while a page is taken in: QuinceMetaPage.may_have_lapsed */
 };
 
@@ -55,12 +72,11 @@
 /* From where an item came, for the log. */
 typedef enum
 {
-  SOURCE_STORE, /* this process read the store                   */
-  SOURCE_FEED,  /* the ledger's leader read it and told          */
-  SOURCE_HINT,  /* a backup read it and told this leader         */
+  SOURCE_STORE, /* this process read the store  */
+  SOURCE_FEED,  /* another one read it and told */
 } ItemSource;
 
-static const char *const source_names[] = { "store", "feed", "hint" };
+static const char *const source_names[] = { "store", "feed" };
 
 static ItemSource
 mirror_source (const QuinceObserver *observer)
@@ -151,6 +167,14 @@
 
 /* ---- Workers ---------------------------------------------------------- */
 
+/* Until when a worker whose entry is gone may still live. */
+static gint64
+lapsed_until (const QuinceObserver *observer, gint64 now_us)
+{
+  gint64 regained_us = quince_meta_store_get_counters (observer->store)->regained_us;
+  return MAX (now_us + LAPSED_KEEP_LEAST_US, regained_us + LAPSED_BACK_US);
+}
+
 static void
 worker_item (const QuinceMetaItem *item, gpointer data)
 {
@@ -160,7 +184,7 @@
     {
       gint64 now = quince_now_us ();
       if (quince_observer_may_have_lapsed (observer, now))
-        quince_backends_doubt_listing (observer->backends, now, id);
+        quince_backends_doubt_listing (observer->backends, now, lapsed_until (observer, now), id);
       else
         quince_backends_remove (observer->backends, id);
       return;
@@ -254,7 +278,7 @@
   mirrors[2] = (NamedMirror){ QUINCE_OWN_PREFIX, observer->own_mirror };
 }
 
-void
+gboolean
 quince_observer_feed (QuinceObserver *observer,
                       const char *prefix,
                       const QuinceMetaPage *page,
@@ -263,29 +287,40 @@
   NamedMirror mirrors[N_MIRRORS];
   list_mirrors (observer, mirrors);
   observer->told_lapsed = page->may_have_lapsed;
+  gboolean taken = FALSE;
   for (guint i = 0; i < N_MIRRORS; i++)
     if (g_str_equal (mirrors[i].prefix, prefix))
-      quince_meta_mirror_feed (mirrors[i].mirror, page, whole);
+      taken = quince_meta_mirror_feed (mirrors[i].mirror, page, whole);
   observer->told_lapsed = FALSE;
+  return taken;
+}
+
+/* The leader reads by itself where it can. */
+static gboolean
+leader_needs (const QuinceMetaMirror *mirror, const QuinceMetaPage *page, gint64 now_us)
+{
+  gint64 unheard_us = now_us - quince_meta_mirror_get_heard_us (mirror);
+  if (!quince_meta_mirror_is_fed (mirror))
+    return unheard_us > READ_EVERY_MS * 1000;
+  return page->items->len > 0 || unheard_us > PAGE_EVERY_US;
 }
 
 gboolean
-quince_observer_may_have_lapsed (const QuinceObserver *observer, gint64 now_us)
+quince_observer_lead_feed (QuinceObserver *observer, const char *prefix, const QuinceMetaPage *page)
 {
-  return observer->told_lapsed || quince_meta_store_may_have_lapsed (observer->store, now_us);
+  gint64 now = quince_now_us ();
+  NamedMirror mirrors[N_MIRRORS];
+  list_mirrors (observer, mirrors);
+  for (guint i = 0; i < N_MIRRORS; i++)
+    if (g_str_equal (mirrors[i].prefix, prefix) && leader_needs (mirrors[i].mirror, page, now))
+      return quince_observer_feed (observer, prefix, page, FALSE);
+  return FALSE;
 }
 
-void
-quince_observer_hint (QuinceObserver *observer, const QuinceMetaPage *page)
+gboolean
+quince_observer_may_have_lapsed (const QuinceObserver *observer, gint64 now_us)
 {
-  for (guint i = 0; i < page->items->len; i++)
-    {
-      const QuinceMetaItem *item = page->items->pdata[i];
-      if (g_str_equal (item->key, QUINCE_PLATFORM_CONFIGURATION_KEY))
-        take_configuration (observer, item, SOURCE_HINT);
-      else if (g_str_has_prefix (item->key, QUINCE_PLATFORM_VERSION_PREFIX))
-        take_version (observer, item, SOURCE_HINT);
-    }
+  return observer->told_lapsed || quince_meta_store_may_have_lapsed (observer->store, now_us);
 }
 
 void
@@ -297,6 +332,26 @@
     quince_meta_mirror_feed_ended (mirrors[i].mirror);
 }
 
+void
+quince_observer_set_reserve_reader (QuinceObserver *observer, gboolean reserve)
+{
+  guint slack_ms = reserve ? RESERVE_SLACK_MS : SLACK_MS;
+  guint spread_ms = reserve ? 0 : SPREAD_MS;
+  const QuinceMetaMirrorTimes operator_times
+      = { .read_every_ms = READ_EVERY_MS, .patience_ms = READ_EVERY_MS + slack_ms, .spread_ms = spread_ms };
+  const QuinceMetaMirrorTimes workers_times = { .pace_ms = observer->workers_pace_ms,
+                                                .read_every_ms = READ_EVERY_MS,
+                                                .patience_ms = READ_EVERY_MS + slack_ms,
+                                                .spread_ms = spread_ms };
+  const QuinceMetaMirrorTimes own_times = { .pace_ms = OWN_PACE_MS,
+                                            .read_every_ms = OWN_READ_EVERY_MS,
+                                            .patience_ms = OWN_READ_EVERY_MS + slack_ms,
+                                            .spread_ms = spread_ms };
+  quince_meta_mirror_set_times (observer->operator_mirror, &operator_times);
+  quince_meta_mirror_set_times (observer->workers_mirror, &workers_times);
+  quince_meta_mirror_set_times (observer->own_mirror, &own_times);
+}
+
 void
 quince_observer_get_revisions (QuinceObserver *observer, guint64 revisions[QUINCE_OBSERVER_PREFIXES])
 {
@@ -370,12 +425,13 @@
   observer->user_data = user_data;
   observer->versions = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   observer->leaving = g_ptr_array_new_with_free_func (g_free);
-  observer->operator_mirror = quince_meta_mirror_new (store, QUINCE_PLATFORM_OPERATOR_PREFIX, 0,
-                                                      READ_EVERY_MS, &operator_callbacks, observer);
-  observer->workers_mirror = quince_meta_mirror_new (store, QUINCE_PLATFORM_WORKERS_PREFIX, workers_pace_ms,
-                                                     READ_EVERY_MS, &worker_callbacks, observer);
-  observer->own_mirror = quince_meta_mirror_new (store, QUINCE_OWN_PREFIX, OWN_PACE_MS, OWN_READ_EVERY_MS,
-                                                 &own_callbacks, observer);
+  observer->workers_pace_ms = workers_pace_ms;
+  observer->operator_mirror
+      = quince_meta_mirror_new (store, QUINCE_PLATFORM_OPERATOR_PREFIX, &operator_callbacks, observer);
+  observer->workers_mirror
+      = quince_meta_mirror_new (store, QUINCE_PLATFORM_WORKERS_PREFIX, &worker_callbacks, observer);
+  observer->own_mirror = quince_meta_mirror_new (store, QUINCE_OWN_PREFIX, &own_callbacks, observer);
+  quince_observer_set_reserve_reader (observer, FALSE);
   return observer;
 }
 
--- a/tests/platform/test-freshness.c
+++ b/tests/platform/test-freshness.c
@@ -20,6 +20,9 @@
 /* Longer than the 2 s in which an operator's change must be in force, by what a busy machine may take; well
  * under the 4.9 s that the fault took. */
 #define IN_FORCE_MS 3000
+#define WORKER_ENTRY                                                                                         \
+  "{\"service\":\"s\",\"address\":\"127.0.0.1:1\",\"zone\":\"z1\",\"version\":1,\"slots\":4,"                \
+  "\"state\":\"ready\",\"coldRemainingMs\":0,\"seq\":1}"
 
 typedef struct
 {
@@ -28,7 +31,9 @@
   QuinceBackends *backends;
   QuinceObserver *observer;
   QuinceBeliefFeed *feed; /* NULL: does not lead */
-  QuinceLink *link;       /* to the leader, or the one that was accepted */
+  gboolean reports;       /* a replica: tells the leader what it reads */
+  QuinceLink *link;       /* to the leader, or the last one that was accepted */
+  GPtrArray *accepted;    /* QuinceLink, owned */
   QuinceLinkServer *server;
 } Process;
 
@@ -38,6 +43,8 @@
   Process *process = data;
   if (process->feed != NULL)
     quince_belief_feed_read (process->feed, prefix, page);
+  else if (process->reports && process->link != NULL)
+    quince_belief_feed_report (process->observer, process->link, prefix, page);
 }
 
 static const QuinceObserverCallbacks observer_callbacks = { .read = store_read };
@@ -71,9 +78,10 @@
 }
 
 static void
-process_init (Process *process)
+process_init (Process *process, gboolean reports)
 {
-  *process = (Process){ 0 };
+  *process = (Process){ .reports = reports };
+  process->accepted = g_ptr_array_new_with_free_func ((GDestroyNotify)quince_link_unref);
   process->standin = standin_store_new ();
   name_version (process, 2);
   process->store
@@ -81,6 +89,7 @@
   process->backends = quince_backends_new ("z1");
   process->observer
       = quince_observer_new (process->store, process->backends, 100, &observer_callbacks, process);
+  quince_observer_set_reserve_reader (process->observer, reports);
   AWAIT (quince_observer_is_synced (process->observer));
 }
 
@@ -90,6 +99,7 @@
   if (process->link != NULL)
     quince_link_close (process->link);
   g_clear_pointer (&process->link, quince_link_unref);
+  g_ptr_array_unref (process->accepted);
   g_clear_pointer (&process->server, quince_link_server_free);
   quince_belief_feed_free (process->feed);
   quince_observer_free (process->observer);
@@ -106,6 +116,8 @@
   Process *process = data;
   if (message->kind == QUINCE_MESSAGE_BELIEF_ASK)
     quince_belief_feed_add (process->feed, link, &message->QuinceMessage_u.belief_ask);
+  else if (message->kind == QUINCE_MESSAGE_BELIEF_NEWS && process->feed != NULL)
+    quince_belief_feed_take_report (process->feed, link, &message->QuinceMessage_u.belief_news);
   else if (message->kind == QUINCE_MESSAGE_BELIEF_NEWS)
     quince_belief_feed_take (process->observer, &message->QuinceMessage_u.belief_news);
   quince_message_free (message);
@@ -114,7 +126,7 @@
 static void
 on_accepted (QuinceLink *link, gpointer data)
 {
-  ((Process *)data)->link = link;
+  g_ptr_array_add (((Process *)data)->accepted, link);
 }
 
 static const QuinceLinkCallbacks link_callbacks = { .message = on_message };
@@ -130,11 +142,12 @@
 static void
 follow (Process *follower, Process *leader)
 {
+  guint before = leader->accepted->len;
   follower->link
       = quince_link_connect (quince_link_server_get_address (leader->server), &link_callbacks, follower);
   AWAIT (quince_link_is_connected (follower->link));
   quince_belief_feed_ask (follower->observer, follower->link);
-  AWAIT (leader->link != NULL);
+  AWAIT (leader->accepted->len > before);
 }
 
 static void
@@ -151,13 +164,15 @@
 
 /* Kept apart from the cases, so that they are cleared after one that failed too. */
 static Process leader;
+static Process replica;
 static Process follower;
 
 static int
 set_up (void **state)
 {
-  process_init (&leader);
-  process_init (&follower);
+  process_init (&leader, TRUE);
+  process_init (&replica, TRUE);
+  process_init (&follower, FALSE);
   lead (&leader);
   return 0;
 }
@@ -166,6 +181,7 @@
 tear_down (void **state)
 {
   process_clear (&follower);
+  process_clear (&replica);
   process_clear (&leader);
   return 0;
 }
@@ -223,11 +239,8 @@
 static void
 test_worker_lost_in_an_outage (void **state)
 {
-  static const char entry[]
-      = "{\"service\":\"s\",\"address\":\"127.0.0.1:1\",\"zone\":\"z1\",\"version\":1,\"slots\":4,"
-        "\"state\":\"ready\",\"coldRemainingMs\":0,\"seq\":1}";
-  standin_store_put (leader.standin, "servers/w1", entry);
-  standin_store_put (follower.standin, "servers/w1", entry);
+  standin_store_put (leader.standin, "servers/w1", WORKER_ENTRY);
+  standin_store_put (follower.standin, "servers/w1", WORKER_ENTRY);
   AWAIT (known_workers (&leader) == 1 && known_workers (&follower) == 1);
   follow (&follower, &leader);
   standin_store_set_fault (leader.standin, STANDIN_STORE_BUSY);
@@ -240,16 +253,68 @@
   assert_int_equal (known_workers (&follower), 1);
 }
 
+/* A replica reads for a leader that the store does not answer, and for all that the leader tells: they know
+ * what the operator wrote and which workers there are, and ask the store for nothing. */
+static void
+test_replica_reads_for_all (void **state)
+{
+  follow (&replica, &leader);
+  follow (&follower, &leader);
+  run_for (100);
+  standin_store_set_fault (leader.standin, STANDIN_STORE_SILENT);
+  guint calls = standin_store_get_calls (follower.standin);
+  name_version (&replica, 3);
+  standin_store_put (replica.standin, "servers/w1", WORKER_ENTRY);
+  assert_known_in_time (&follower, 3);
+  AWAIT (known_workers (&follower) == 1);
+  assert_int_equal (known_version (&leader), 3);
+  assert_int_equal (known_workers (&leader), 1);
+  run_for (2500); /* for longer than anybody's patience */
+  assert_int_equal (standin_store_get_calls (follower.standin), calls);
+  /* And on: the replica was not put off by what it told itself. */
+  name_version (&replica, 4);
+  assert_known_in_time (&follower, 4);
+  standin_store_remove (replica.standin, "servers/w1");
+  AWAIT (known_workers (&follower) == 0);
+  assert_int_equal (standin_store_get_calls (follower.standin), calls);
+}
+
+/* A leader that hears the store takes nothing from a replica, be it newer or older. */
+static void
+test_leader_reads_by_itself (void **state)
+{
+  follow (&replica, &leader);
+  guint64 revisions[QUINCE_OBSERVER_PREFIXES];
+  quince_observer_get_revisions (leader.observer, revisions);
+  g_autoptr (GPtrArray) items = g_ptr_array_new_with_free_func ((GDestroyNotify)quince_meta_item_free);
+  QuinceMetaItem *item = g_new0 (QuinceMetaItem, 1);
+  item->key = g_strdup (VERSION_KEY);
+  item->value = g_bytes_new_static ("{\"model\":\"" MODEL "\",\"version\":9}", 33);
+  item->revision = revisions[0] + 1;
+  g_ptr_array_add (items, item);
+  const QuinceMetaPage page = { .items = items, .after = revisions[0], .revision = revisions[0] + 1 };
+  quince_belief_feed_report (replica.observer, replica.link, "op/", &page);
+  run_for (200);
+  assert_int_equal (known_version (&leader), 2);
+  name_version (&leader, 3);
+  AWAIT (known_version (&leader) == 3);
+  /* Once it hears nothing, an older page is refused all the same. */
+  standin_store_set_fault (leader.standin, STANDIN_STORE_SILENT);
+  run_for (1200);
+  const QuinceMetaPage older = { .items = items, .after = 1, .revision = 1 };
+  assert_false (quince_observer_lead_feed (leader.observer, "op/", &older));
+  assert_int_equal (known_version (&leader), 3);
+}
+
 #define CASE(function) cmocka_unit_test_setup_teardown (function, set_up, tear_down)
 
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
-    CASE (test_leader_that_is_not_answered),
-    CASE (test_watch_taken_by_a_silent_store),
-    CASE (test_gap_in_what_is_told),
-    CASE (test_worker_lost_in_an_outage),
+    CASE (test_leader_that_is_not_answered), CASE (test_watch_taken_by_a_silent_store),
+    CASE (test_gap_in_what_is_told),         CASE (test_worker_lost_in_an_outage),
+    CASE (test_replica_reads_for_all),       CASE (test_leader_reads_by_itself),
   };
   return cmocka_run_group_tests_name ("freshness", tests, NULL, NULL);
 }
--- a/tests/platform/test-meta.c
+++ b/tests/platform/test-meta.c
@@ -10,6 +10,7 @@
 #include "standin-store.h"
 
 #define READ_EVERY_MS 700
+#define PATIENCE_MS 1300
 /* After an outage a change is in force 2 s after the store took it; and what a busy machine may take. */
 #define KNOWN_AGAIN_US (3 * G_USEC_PER_SEC)
 
@@ -64,8 +65,10 @@
   standin_store_put (world->standin, "b/0", "other");
   world->store
       = quince_meta_store_new (standin_store_get_address (world->standin), &quince_platform_meta_dialect);
-  world->mirror
-      = quince_meta_mirror_new (world->store, "a/", pace_ms, READ_EVERY_MS, &mirror_callbacks, &world->told);
+  const QuinceMetaMirrorTimes times
+      = { .pace_ms = pace_ms, .read_every_ms = READ_EVERY_MS, .patience_ms = PATIENCE_MS };
+  world->mirror = quince_meta_mirror_new (world->store, "a/", &mirror_callbacks, &world->told);
+  quince_meta_mirror_set_times (world->mirror, &times);
   AWAIT (world->told.synced > 0);
 }
 
@@ -313,8 +316,9 @@
   Told told = { .values = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free) };
   read_pages = 0;
   read_items = 0;
-  QuinceMetaMirror *mirror
-      = quince_meta_mirror_new (world.store, "w/", 0, READ_EVERY_MS, &worker_callbacks, &told);
+  const QuinceMetaMirrorTimes times = { .read_every_ms = READ_EVERY_MS, .patience_ms = PATIENCE_MS };
+  QuinceMetaMirror *mirror = quince_meta_mirror_new (world.store, "w/", &worker_callbacks, &told);
+  quince_meta_mirror_set_times (mirror, &times);
   AWAIT (told.synced > 0);
   for (guint i = 0; i < G_N_ELEMENTS (entries); i++)
     {
