--- a/include/quince/meta-store.h
+++ b/include/quince/meta-store.h
@@ -34,13 +34,11 @@
 
 typedef struct
 {
-  GPtrArray *items; /* owned QuinceMetaItem */
-  gboolean more;    /* another page follows the last key */
-  guint64 after;    /* all changes since this revision are among the items; 0: all there is */
-  guint64 revision; /* of the store, at this answer */
-  /* Told by another process only: what went away may have lapsed while the store was not to be reached there.
-   */
-  gboolean may_have_lapsed;
+  GPtrArray *items;         /* owned QuinceMetaItem */
+  gboolean more;            /* another page follows the last key */
+  guint64 after;            /* all changes since this revision are among the items; 0: all there is */
+  guint64 revision;         /* of the store, at this answer */
+  gboolean may_have_lapsed; /* of a told page: the teller could not reach the store while keys went */
 } QuinceMetaPage;
 
 void quince_meta_page_free (QuinceMetaPage *page);
@@ -186,8 +184,8 @@
  *
  * While it is fed a mirror asks the store for nothing.  Each page must come from a read of the store just
  * now: a page without items says that nothing changed.  Without any for its patience the mirror reads by
- * itself, from the revision that it has.  It takes no page that
- * is older than that, or that begins after it, since changes between are not known.
+ * itself, from the revision that it has.  It takes no page that is older than that, or that begins after it,
+ * since changes between are not known.
  * Returns: whether the page was taken
  */
 gboolean quince_meta_mirror_feed (QuinceMetaMirror *mirror, const QuinceMetaPage *page, gboolean whole);
--- a/include/quince/observer.h
+++ b/include/quince/observer.h
@@ -49,7 +49,7 @@
                                      const QuinceObserverCallbacks *callbacks,
                                      gpointer user_data);
 void quince_observer_free (QuinceObserver *observer);
-/* Takes what another process read of @prefix; see quince_meta_mirror_feed(). */
+/* Takes what another process read of @prefix; see quince_meta_mirror_feed(), also for what is returned. */
 gboolean quince_observer_feed (QuinceObserver *observer,
                                const char *prefix,
                                const QuinceMetaPage *page,
--- a/lib/observer/observer.c
+++ b/lib/observer/observer.c
@@ -38,7 +38,7 @@
 #define LAPSED_KEEP_LEAST_US (1000 * 1000)
 /* Own keys have no such bound: policies and events are in force within seconds, fronts serve on for 4 s. */
 #define OWN_READ_EVERY_MS 2000
-/* Of the pages that several replicas send at once, one without items is taken in this time. */
+/* Of the pages without items that several replicas report at once, the leader takes one in this time. */
 #define PAGE_EVERY_US (READ_EVERY_MS / 2 * 1000)
 
 struct _QuinceObserver
@@ -69,23 +69,15 @@
                       g_quark_to_string (error->domain), error->code, reason);
 }
 
-/* From where an item came, for the log. */
-typedef enum
+/* For the log: this process read the store, or another one did and told it. */
+static const char *
+source_name (const QuinceObserver *observer)
 {
-  SOURCE_STORE, /* this process read the store  */
-  SOURCE_FEED,  /* another one read it and told */
-} ItemSource;
-
-static const char *const source_names[] = { "store", "feed" };
-
-static ItemSource
-mirror_source (const QuinceObserver *observer)
-{
-  return quince_meta_mirror_is_fed (observer->operator_mirror) ? SOURCE_FEED : SOURCE_STORE;
+  return quince_meta_mirror_is_fed (observer->operator_mirror) ? "feed" : "store";
 }
 
 static void
-take_configuration (QuinceObserver *observer, const QuinceMetaItem *item, ItemSource source)
+take_configuration (QuinceObserver *observer, const QuinceMetaItem *item)
 {
   if (item->value == NULL)
     return;
@@ -101,7 +93,7 @@
     return;
   quince_log_info ("configuration",
                    "version=%" G_GUINT64_FORMAT " routes=%u source=%s revision=%" G_GUINT64_FORMAT, version,
-                   quince_route_table_get_n_routes (table), source_names[source], item->revision);
+                   quince_route_table_get_n_routes (table), source_name (observer), item->revision);
   quince_route_table_free (observer->routes);
   observer->routes = g_steal_pointer (&table);
   if (observer->callbacks->configuration != NULL)
@@ -109,7 +101,7 @@
 }
 
 static void
-take_version (QuinceObserver *observer, const QuinceMetaItem *item, ItemSource source)
+take_version (QuinceObserver *observer, const QuinceMetaItem *item)
 {
   if (item->value == NULL)
     return;
@@ -124,7 +116,7 @@
   if (version <= quince_observer_get_version (observer, model))
     return;
   quince_log_info ("version_named", "model=%s version=%" G_GUINT64_FORMAT " source=%s", model, version,
-                   source_names[source]);
+                   source_name (observer));
   g_hash_table_replace (observer->versions, g_strdup (model), g_memdup2 (&version, sizeof version));
   if (observer->callbacks->version != NULL)
     observer->callbacks->version (model, version, observer->user_data);
@@ -158,9 +150,9 @@
 {
   QuinceObserver *observer = data;
   if (g_str_equal (item->key, QUINCE_PLATFORM_CONFIGURATION_KEY))
-    take_configuration (observer, item, mirror_source (observer));
+    take_configuration (observer, item);
   else if (g_str_has_prefix (item->key, QUINCE_PLATFORM_VERSION_PREFIX))
-    take_version (observer, item, mirror_source (observer));
+    take_version (observer, item);
   else if (g_str_has_prefix (item->key, QUINCE_PLATFORM_RETIRE_PREFIX))
     take_leaving (observer, item);
 }
