Observer: a leader that sends nothing is left after 0.9 s, whatever was read

That a leader lives and that what it tells is new are two things: heartbeats, four a second, tell the first, reads of the store the second; either missing ends the feed.

--- a/include/quince/observer.h
+++ b/include/quince/observer.h
@@ -58,6 +58,9 @@
  * lag.  Returns: whether it was taken, and so is to be told to all others */
 gboolean quince_observer_lead_feed (QuinceObserver *observer, const char *prefix, const QuinceMetaPage *page);
 void quince_observer_feed_ended (QuinceObserver *observer);
+/* Any message came from whoever tells: it lives, which says nothing of what it tells.  After 0.9 s without
+ * one it counts as gone, as by quince_observer_feed_ended(). */
+void quince_observer_teller_heard (QuinceObserver *observer);
 /* @reserve: reads the store sooner than others do where it is told nothing, to tell the leader; few processes
  * of a deployment do, so that an outage of the leader's is no rush on the store. */
 void quince_observer_set_reserve_reader (QuinceObserver *observer, gboolean reserve);
--- a/lib/observer/observer.c
+++ b/lib/observer/observer.c
@@ -41,6 +41,9 @@
 /* Of the pages without items that several replicas report at once, the leader takes one in this time. */
 #define PAGE_EVERY_US (READ_EVERY_MS / 2 * 1000)
 
+/* The leader sends a heartbeat each 0.25 s to all that it tells; three may be late. */
+#define TELLER_SILENCE_MS 900
+
 struct _QuinceObserver
 {
   /* All fields belong to the context that created the observer. */
@@ -55,7 +58,8 @@
   GHashTable *versions; /* model to guint64 */
   GPtrArray *leaving;   /* node names, owned */
   guint workers_pace_ms;
-  gboolean told_lapsed; /* while a page is taken in: QuinceMetaPage.may_have_lapsed */
+  GSource *teller_timer; /* since a message came from whoever tells: until it counts as gone */
+  gboolean told_lapsed;  /* while a page is taken in: QuinceMetaPage.may_have_lapsed */
 };
 
 /* ---- The operator's keys ---------------------------------------------- */
@@ -324,6 +328,22 @@
     quince_meta_mirror_feed_ended (mirrors[i].mirror);
 }
 
+static gboolean
+teller_silent (gpointer data)
+{
+  QuinceObserver *observer = data;
+  quince_source_clear (&observer->teller_timer);
+  quince_observer_feed_ended (observer);
+  return G_SOURCE_REMOVE;
+}
+
+void
+quince_observer_teller_heard (QuinceObserver *observer)
+{
+  quince_source_clear (&observer->teller_timer);
+  observer->teller_timer = quince_timer_add (TELLER_SILENCE_MS, teller_silent, observer);
+}
+
 void
 quince_observer_set_reserve_reader (QuinceObserver *observer, gboolean reserve)
 {
@@ -432,6 +452,7 @@
 {
   if (observer == NULL)
     return;
+  quince_source_clear (&observer->teller_timer);
   quince_meta_mirror_free (observer->operator_mirror);
   quince_meta_mirror_free (observer->workers_mirror);
   quince_meta_mirror_free (observer->own_mirror);
--- a/tests/platform/test-freshness.c
+++ b/tests/platform/test-freshness.c
@@ -10,6 +10,7 @@
 #include <string.h>
 
 #include <quince/link.h>
+#include <quince/task.h>
 
 #include "await.h"
 #include "platform.h"
@@ -20,6 +21,8 @@
 /* Longer than the 2 s in which an operator's change must be in force, by what a busy machine may take; well
  * under the 4.9 s that the fault took. */
 #define IN_FORCE_MS 3000
+/* Between the 0.9 s after which a silent leader is left and the 3 s for which own keys are trusted. */
+#define LEFT_MS 2000
 #define WORKER_ENTRY                                                                                         \
   "{\"service\":\"s\",\"address\":\"127.0.0.1:1\",\"zone\":\"z1\",\"version\":1,\"slots\":4,"                \
   "\"state\":\"ready\",\"coldRemainingMs\":0,\"seq\":1}"
@@ -34,6 +37,8 @@
   gboolean reports;       /* a replica: tells the leader what it reads */
   QuinceLink *link;       /* to the leader, or the last one that was accepted */
   GPtrArray *accepted;    /* QuinceLink, owned */
+  guint own_keys;         /* changes of own keys */
+  GSource *beat_timer;    /* of a leader */
   QuinceLinkServer *server;
 } Process;
 
@@ -47,7 +52,13 @@
     quince_belief_feed_report (process->observer, process->link, prefix, page);
 }
 
-static const QuinceObserverCallbacks observer_callbacks = { .read = store_read };
+static void
+own_key (const char *key, GBytes *value, guint64 revision, gpointer data)
+{
+  ((Process *)data)->own_keys++;
+}
+
+static const QuinceObserverCallbacks observer_callbacks = { .read = store_read, .own_key = own_key };
 
 static void
 name_version (Process *process, guint version)
@@ -96,6 +107,7 @@
 static void
 process_clear (Process *process)
 {
+  quince_source_clear (&process->beat_timer);
   if (process->link != NULL)
     quince_link_close (process->link);
   g_clear_pointer (&process->link, quince_link_unref);
@@ -114,6 +126,8 @@
 on_message (QuinceLink *link, QuinceMessage *message, gpointer data)
 {
   Process *process = data;
+  if (process->feed == NULL)
+    quince_observer_teller_heard (process->observer);
   if (message->kind == QUINCE_MESSAGE_BELIEF_ASK)
     quince_belief_feed_add (process->feed, link, &message->QuinceMessage_u.belief_ask);
   else if (message->kind == QUINCE_MESSAGE_BELIEF_NEWS && process->feed != NULL)
@@ -131,9 +145,21 @@
 
 static const QuinceLinkCallbacks link_callbacks = { .message = on_message };
 
+/* The leader lives, whatever the store does to it. */
+static gboolean
+beat (gpointer data)
+{
+  Process *leader = data;
+  QuinceMessage message = { .kind = QUINCE_MESSAGE_HEARTBEAT };
+  for (guint i = 0; i < leader->accepted->len; i++)
+    quince_link_send (leader->accepted->pdata[i], &message);
+  return G_SOURCE_CONTINUE;
+}
+
 static void
 lead (Process *leader)
 {
+  leader->beat_timer = quince_timer_add (250, beat, leader);
   leader->feed = quince_belief_feed_new (leader->observer);
   leader->server = quince_link_server_new ("127.0.0.1:0", &link_callbacks, on_accepted, leader, NULL);
   assert_non_null (leader->server);
@@ -279,6 +305,23 @@
   assert_int_equal (standin_store_get_calls (follower.standin), calls);
 }
 
+/* A leader that sends nothing at all is left sooner than one whose reads lag: among the own keys is the one
+ * that names the next leader. */
+static void
+test_leader_that_sends_nothing (void **state)
+{
+  follow (&follower, &leader);
+  run_for (100);
+  g_clear_pointer (&leader.feed, quince_belief_feed_free);
+  quince_source_clear (&leader.beat_timer);
+  standin_store_put (follower.standin, "quinceroute/ledger", "view");
+  gint64 begin_us = g_get_monotonic_time ();
+  AWAIT (follower.own_keys > 0);
+  gint64 took_ms = (g_get_monotonic_time () - begin_us) / 1000;
+  if (took_ms > LEFT_MS)
+    fail_msg ("the leader was left after %d ms", (int)took_ms);
+}
+
 /* A leader that hears the store takes nothing from a replica, be it newer or older. */
 static void
 test_leader_reads_by_itself (void **state)
@@ -315,6 +358,7 @@
     CASE (test_leader_that_is_not_answered), CASE (test_watch_taken_by_a_silent_store),
     CASE (test_gap_in_what_is_told),         CASE (test_worker_lost_in_an_outage),
     CASE (test_replica_reads_for_all),       CASE (test_leader_reads_by_itself),
+    CASE (test_leader_that_sends_nothing),
   };
   return cmocka_run_group_tests_name ("freshness", tests, NULL, NULL);
 }
