Tests: the reported page of test_leader_reads_by_itself holds what it says

Its value was given 33 bytes where the text has 31, so the page could not be read and the leader would have known nothing of it even if it had taken it. Found by the address sanitizer (global-buffer-overflow). It takes the length from the text now, and passes: the leader takes no report while it reads by itself.

--- a/tests/platform/test-freshness.c
+++ b/tests/platform/test-freshness.c
@@ -332,7 +332,8 @@
   g_autoptr (GPtrArray) items = g_ptr_array_new_with_free_func ((GDestroyNotify)quince_meta_item_free);
   QuinceMetaItem *item = g_new0 (QuinceMetaItem, 1);
   item->key = g_strdup (VERSION_KEY);
-  item->value = g_bytes_new_static ("{\"model\":\"" MODEL "\",\"version\":9}", 33);
+  static const char version_9[] = "{\"model\":\"" MODEL "\",\"version\":9}";
+  item->value = g_bytes_new_static (version_9, sizeof version_9 - 1);
   item->revision = revisions[0] + 1;
   g_ptr_array_add (items, item);
   const QuinceMetaPage page = { .items = items, .after = revisions[0], .revision = revisions[0] + 1 };
