Replica: only members of the view report what they read

Every replica reported each read, so all 44 of them told a leader that was late because it was busy, and kept it busy. Now members of the view alone do, as the design says.

--- a/daemons/replica/replica.c
+++ b/daemons/replica/replica.c
@@ -241,6 +241,14 @@
     quince_belief_feed_take_report (replica->feed, link, &message->QuinceMessage_u.belief_news);
 }
 
+/* The members of the view are few, linked to the leader, and on several machines.  Others tell the leader
+ * nothing: where it is busy, and they read by themselves for that, they would keep it busy. */
+static gboolean
+is_reserve_reader (Replica *replica)
+{
+  return keeps_records (quince_ledger_node_get_view (replica->ledger), replica->name);
+}
+
 static void
 store_read (const char *prefix, const QuinceMetaPage *page, gpointer data)
 {
@@ -248,7 +256,7 @@
   QuinceLink *leader = replica->ledger != NULL ? quince_ledger_node_get_leader (replica->ledger) : NULL;
   if (replica->feed != NULL)
     quince_belief_feed_read (replica->feed, prefix, page);
-  else if (leader != NULL)
+  else if (leader != NULL && is_reserve_reader (replica))
     quince_belief_feed_report (replica->observer, leader, prefix, page);
 }
 
@@ -291,12 +299,10 @@
 static const QuinceObserverCallbacks observer_callbacks
     = { .own_key = own_key, .version = version_named, .leaving = leaving_changed, .read = store_read };
 
-/* The members of the view are few, linked to the leader, and on several machines. */
 static void
 look_at_view (Replica *replica)
 {
-  const QuinceLedgerView *view = quince_ledger_node_get_view (replica->ledger);
-  quince_observer_set_reserve_reader (replica->observer, view != NULL && keeps_records (view, replica->name));
+  quince_observer_set_reserve_reader (replica->observer, is_reserve_reader (replica));
 }
 
 static gboolean
