Observer, feed, mirror: comments in plain words; one function and three names follow the term feeder

No change of behaviour: names and comments alone; unit and platform programs of these modules pass (freshness 7, meta 13, forward 9), lint clean.

--- a/daemons/front/front.c
+++ b/daemons/front/front.c
@@ -127,7 +127,7 @@
 ledger_message (QuinceLink *link, const QuinceMessage *message, gpointer data)
 {
   QuinceFront *front = data;
-  quince_observer_teller_heard (front->observer);
+  quince_observer_feeder_alive (front->observer);
   if (message->kind == QUINCE_MESSAGE_BELIEF_NEWS)
     quince_belief_feed_take (front->observer, &message->QuinceMessage_u.belief_news);
   else if (message->kind == QUINCE_MESSAGE_HEARTBEAT)
--- a/daemons/replica/replica.c
+++ b/daemons/replica/replica.c
@@ -229,7 +229,7 @@
   else if (message->kind == QUINCE_MESSAGE_HEARTBEAT_ACK)
     quince_heartbeats_take_ack (replica->heartbeats, &message->QuinceMessage_u.heartbeat_ack);
   else if (message->kind == QUINCE_MESSAGE_HEARTBEAT && replica->feed == NULL)
-    quince_observer_teller_heard (replica->observer);
+    quince_observer_feeder_alive (replica->observer);
   else if (message->kind == QUINCE_MESSAGE_PROGRESS && replica->feed == NULL)
     {
       quince_progress_store_take (replica->progress, quince_now_us (), &message->QuinceMessage_u.progress);
--- a/include/quince/belief-feed.h
+++ b/include/quince/belief-feed.h
@@ -20,9 +20,9 @@
 /* @link asked for news: it is told what it lacks, and from then on what is read. */
 void quince_belief_feed_add (QuinceBeliefFeed *feed, QuinceLink *link, const QuinceBeliefAsk *ask);
 void quince_belief_feed_remove (QuinceBeliefFeed *feed, QuinceLink *link);
-/* The store was read, see QuinceObserverCallbacks.  Also a read without news is told: it is what the others
- * trust for a while, and nothing else is, so that a leader which the store does not answer keeps nobody from
- * reading. */
+/* Sends a page that this process has just read from the store to all links, also an empty one: an empty page
+ * proves that nothing has changed.  Followers trust their copy only for a while after such a page, so a
+ * leader that gets no answers from the store cannot keep them from reading it themselves. */
 void quince_belief_feed_read (QuinceBeliefFeed *feed, const char *prefix, const QuinceMetaPage *page);
 
 /* ---- At the others ---------------------------------------------------- */
@@ -33,13 +33,13 @@
 
 /* ---- From a replica to the leader ------------------------------------- */
 
-/* A replica that is told nothing new reads the store itself, and tells the leader, which may be the one that
- * the store does not answer: so one process reads for all in an outage of the leader's, too. */
+/* Sends a page that a reserve reader has read to the leader.  It keeps the feed going while the store answers
+ * the reserve reader but not the leader. */
 void quince_belief_feed_report (const QuinceObserver *observer,
                                 QuinceLink *leader,
                                 const char *prefix,
                                 const QuinceMetaPage *page);
-/* At the leader: takes what it lacks and tells all but @source, which read it. */
+/* At the leader: takes the page if its own reads are late, and forwards it to all links but @source. */
 void quince_belief_feed_take_report (QuinceBeliefFeed *feed,
                                      const QuinceLink *source,
                                      const QuinceBeliefNews *news);
--- a/include/quince/meta-store.h
+++ b/include/quince/meta-store.h
@@ -38,7 +38,7 @@
   gboolean more;            /* another page follows the last key */
   guint64 after;            /* all changes since this revision are among the items; 0: all there is */
   guint64 revision;         /* of the store, at this answer */
-  gboolean may_have_lapsed; /* of a told page: the teller could not reach the store while keys went */
+  gboolean may_have_lapsed; /* page from another process: keys may have expired during a store outage there */
 } QuinceMetaPage;
 
 void quince_meta_page_free (QuinceMetaPage *page);
@@ -175,7 +175,7 @@
                                           gpointer user_data);
 void quince_meta_mirror_free (QuinceMetaMirror *mirror);
 gboolean quince_meta_mirror_is_synced (const QuinceMetaMirror *mirror);
-/* Hold from the next call or page on. */
+/* Takes effect with the next call or page. */
 void quince_meta_mirror_set_times (QuinceMetaMirror *mirror, const QuinceMetaMirrorTimes *times);
 /**
  * quince_meta_mirror_feed:
@@ -191,16 +191,16 @@
 gboolean quince_meta_mirror_feed (QuinceMetaMirror *mirror, const QuinceMetaPage *page, gboolean whole);
 /* Whoever fed is gone: goes on by itself at once. */
 void quince_meta_mirror_feed_ended (QuinceMetaMirror *mirror);
-/* It asks the store for nothing, since another process tells it. */
+/* Another process feeds the mirror, so it makes no calls to the store. */
 gboolean quince_meta_mirror_is_fed (const QuinceMetaMirror *mirror);
 /* What one lacks that has all up to revision @after (0: nothing), to feed it with.
  * @whole: (out): it is all there is under the prefix */
 QuinceMetaPage *quince_meta_mirror_since (const QuinceMetaMirror *mirror, guint64 after, gboolean *whole);
 /* All up to it is known; 0: not all that the store held at any moment. */
 guint64 quince_meta_mirror_get_revision (const QuinceMetaMirror *mirror);
-/* When the store was last heard about the prefix, by this process or by whoever feeds it; 0: never. */
+/* Monotonic time of the last answer or page for the prefix, in microseconds; 0: none yet. */
 gint64 quince_meta_mirror_get_heard_us (const QuinceMetaMirror *mirror);
-/* It was heard so lately that another mirror may be fed from this one. */
+/* The last answer or page is recent enough to feed other mirrors from this one. */
 gboolean quince_meta_mirror_is_fresh (const QuinceMetaMirror *mirror, gint64 now_us);
 /* The store answers again since @regained_us: a watch that began before may have been swallowed, begin it
  * anew; so does a mirror that waits for the store. */
--- a/include/quince/observer.h
+++ b/include/quince/observer.h
@@ -58,11 +58,12 @@
  * lag.  Returns: whether it was taken, and so is to be told to all others */
 gboolean quince_observer_lead_feed (QuinceObserver *observer, const char *prefix, const QuinceMetaPage *page);
 void quince_observer_feed_ended (QuinceObserver *observer);
-/* Any message came from whoever tells: it lives, which says nothing of what it tells.  After 0.9 s without
- * one it counts as gone, as by quince_observer_feed_ended(). */
-void quince_observer_teller_heard (QuinceObserver *observer);
-/* @reserve: reads the store sooner than others do where it is told nothing, to tell the leader; few processes
- * of a deployment do, so that an outage of the leader's is no rush on the store. */
+/* Call for each message from the process that feeds this one.  It proves that the feeder runs, not that its
+ * pages are fresh.  After 0.9 s without a message the feeder counts as gone: quince_observer_feed_ended(). */
+void quince_observer_feeder_alive (QuinceObserver *observer);
+/* @reserve: TRUE makes this process read the store 0.5 s sooner than others when its feed stops, so that it
+ * can report to the leader.  Only a few processes may be reserve readers: otherwise all read the store at
+ * once when the leader cannot. */
 void quince_observer_set_reserve_reader (QuinceObserver *observer, gboolean reserve);
 /* Keys that go may have lapsed though their owners live: the store is, or was lately, not to be reached, for
  * this process or for whoever tells it what it is just taking in. */
--- a/lib/meta/meta-mirror.c
+++ b/lib/meta/meta-mirror.c
@@ -30,7 +30,7 @@
   guint64 list_revision;
   guint retry_ms;
   gint64 watch_began_us;
-  gint64 heard_us; /* when the store was last heard, here or at whoever feeds; 0: never */
+  gint64 heard_us; /* monotonic time of the last answer or page; 0: none yet */
   gboolean synced;
   gboolean watching;   /* the call in progress is a watch */
   gboolean waiting;    /* calls to the store fail: asks once it answers again */
--- a/lib/observer/observer.c
+++ b/lib/observer/observer.c
@@ -42,7 +42,7 @@
 #define PAGE_EVERY_US (READ_EVERY_MS / 2 * 1000)
 
 /* The leader sends a heartbeat each 0.25 s to all that it tells; three may be late. */
-#define TELLER_SILENCE_MS 900
+#define FEEDER_SILENCE_MS 900
 
 struct _QuinceObserver
 {
@@ -58,7 +58,7 @@
   GHashTable *versions; /* model to guint64 */
   GPtrArray *leaving;   /* node names, owned */
   guint workers_pace_ms;
-  GSource *teller_timer; /* since a message came from whoever tells: until it counts as gone */
+  GSource *feeder_timer; /* restarted by each message of the feeder; at its end the feeder counts as gone */
   gboolean told_lapsed;  /* while a page is taken in: QuinceMetaPage.may_have_lapsed */
 };
 
@@ -329,19 +329,19 @@
 }
 
 static gboolean
-teller_silent (gpointer data)
+feeder_silent (gpointer data)
 {
   QuinceObserver *observer = data;
-  quince_source_clear (&observer->teller_timer);
+  quince_source_clear (&observer->feeder_timer);
   quince_observer_feed_ended (observer);
   return G_SOURCE_REMOVE;
 }
 
 void
-quince_observer_teller_heard (QuinceObserver *observer)
+quince_observer_feeder_alive (QuinceObserver *observer)
 {
-  quince_source_clear (&observer->teller_timer);
-  observer->teller_timer = quince_timer_add (TELLER_SILENCE_MS, teller_silent, observer);
+  quince_source_clear (&observer->feeder_timer);
+  observer->feeder_timer = quince_timer_add (FEEDER_SILENCE_MS, feeder_silent, observer);
 }
 
 void
@@ -452,7 +452,7 @@
 {
   if (observer == NULL)
     return;
-  quince_source_clear (&observer->teller_timer);
+  quince_source_clear (&observer->feeder_timer);
   quince_meta_mirror_free (observer->operator_mirror);
   quince_meta_mirror_free (observer->workers_mirror);
   quince_meta_mirror_free (observer->own_mirror);
--- a/tests/platform/test-freshness.c
+++ b/tests/platform/test-freshness.c
@@ -127,7 +127,7 @@
 {
   Process *process = data;
   if (process->feed == NULL)
-    quince_observer_teller_heard (process->observer);
+    quince_observer_feeder_alive (process->observer);
   if (message->kind == QUINCE_MESSAGE_BELIEF_ASK)
     quince_belief_feed_add (process->feed, link, &message->QuinceMessage_u.belief_ask);
   else if (message->kind == QUINCE_MESSAGE_BELIEF_NEWS && process->feed != NULL)
