--- a/lib/observer/observer.c
+++ b/lib/observer/observer.c
@@ -384,7 +384,7 @@
   gint64 now = quince_now_us ();
   for (guint i = 0; i < N_MIRRORS; i++)
     {
-      /* Who is told trusts it from now on. */
+      /* A follower trusts a page as fresh, so a stale mirror sends none. */
       if (!quince_meta_mirror_is_synced (mirrors[i].mirror)
           || !quince_meta_mirror_is_fresh (mirrors[i].mirror, now))
         continue;
--- a/tests/platform/test-freshness.c
+++ b/tests/platform/test-freshness.c
@@ -212,7 +212,7 @@
   return 0;
 }
 
-/* The store answers the leader alone no more: who is told by it notices, and reads by itself. */
+/* The store stops answering the leader only: its followers notice and read the store themselves. */
 static void
 test_leader_that_is_not_answered (void **state)
 {
@@ -220,7 +220,7 @@
   name_version (&follower, 3);
   name_version (&leader, 3);
   AWAIT (known_version (&follower) == 3);
-  run_for (100); /* it is told by the leader, which waits in a watch */
+  run_for (100); /* the follower is fed, the leader waits in a watch */
   standin_store_set_fault (leader.standin, STANDIN_STORE_SILENT);
   name_version (&follower, 4);
   assert_known_in_time (&follower, 4);
