Tenants: a request is its key's tenant's; no key leaves the front, the ledger keeps the tenant

Ruled out: checking keys at the ledger's leader (one more hop for lookups, keys on links); a shared secret for the digests (nothing on a front lives long enough to keep one; the salt goes with each configuration instead).

--- a/daemons/front/caller-connection.c
+++ b/daemons/front/caller-connection.c
@@ -135,6 +135,7 @@
   } reasons[] = { { 200, "OK" },
                   { 202, "Accepted" },
                   { 400, "Bad Request" },
+                  { 401, "Unauthorized" },
                   { 404, "Not Found" },
                   { 408, "Request Timeout" },
                   { 413, "Content Too Large" },
--- a/daemons/front/caller-request.c
+++ b/daemons/front/caller-request.c
@@ -32,6 +32,8 @@
   GByteArray *body;
   QuinceCall call;
   gint64 received_us;
+  char *key;    /* the API key that its caller showed, until it is looked up; NULL: none */
+  char *tenant; /* whose key it was; NULL: nobody's */
   QuinceForward *forward;
   QuinceLedgerCallHandle *ledger_call;
   gboolean submits; /* a batch: its loss leaves open whether it was taken */
@@ -47,6 +49,8 @@
   quince_http_head_free (request->head);
   g_byte_array_unref (request->body);
   quince_platform_call_clear (&request->call);
+  g_free (request->key);
+  g_free (request->tenant);
   g_free (request);
 }
 
@@ -213,7 +217,7 @@
 admit_request (QuinceCallerRequest *request, const QuinceRoute *route, const char *service, guint deadline_ms)
 {
   QuincePolicyRequest described = { .service = service,
-                                    .member = "",
+                                    .member = request->tenant != NULL ? request->tenant : "",
                                     .kind = route->name,
                                     .at_most_once = route->kind == QUINCE_ROUTE_AT_MOST_ONCE,
                                     .attempt = 1,
@@ -306,18 +310,48 @@
                                     request->head->headers, request->body, timeout_ms, ledger_done, request);
 }
 
+/* ---- Tenants ----------------------------------------------------------- */
+
+/* Finds the tenant by the key that the caller showed and names it to whoever handles the request.
+ * @key_optional: the request is served without a tenant too
+ * Returns: %FALSE when the request is over. */
+static gboolean
+authorize (QuinceCallerRequest *request, const QuinceRouteTable *routes, gboolean key_optional)
+{
+  const QuinceTenantTable *tenants = quince_route_table_get_tenants (routes);
+  g_autofree char *key = g_steal_pointer (&request->key);
+  if (tenants == NULL)
+    return TRUE;
+  const QuinceTenant *tenant = key != NULL ? quince_tenant_table_find_key (tenants, key) : NULL;
+  if (tenant != NULL)
+    {
+      request->tenant = g_strdup (tenant->name);
+      quince_platform_write_tenant (request->head->headers, tenant->name);
+    }
+  else if (!key_optional)
+    finish_error (request, 401, key != NULL ? "unknown_key" : "no_key", 0);
+  return tenant != NULL || key_optional;
+}
+
 /* ---- Routing ---------------------------------------------------------- */
 
+/* (nullable): NULL: no configuration is known yet, and the request is over. */
+static QuinceRouteTable *
+get_routes (QuinceCallerRequest *request)
+{
+  QuinceRouteTable *routes = quince_observer_get_routes (request->front->observer);
+  if (routes == NULL)
+    finish_error (request, 503, "no_configuration", RETRY_AFTER_MS);
+  return routes;
+}
+
 /* Returns: %FALSE when the request is over. */
 static gboolean
 route_request (QuinceCallerRequest *request)
 {
-  QuinceRouteTable *routes = quince_observer_get_routes (request->front->observer);
+  QuinceRouteTable *routes = get_routes (request);
   if (routes == NULL)
-    {
-      finish_error (request, 503, "no_configuration", RETRY_AFTER_MS);
-      return FALSE;
-    }
+    return FALSE;
   const char *host = quince_http_headers_get (request->head->headers, "Host");
   const QuinceRoute *route
       = quince_route_table_find (routes, host != NULL ? host : "", request->head->target);
@@ -326,6 +360,8 @@
       finish_error (request, 404, "no_route", 0);
       return FALSE;
     }
+  if (!authorize (request, routes, route->is_public))
+    return FALSE;
   request->submits = route->kind == QUINCE_ROUTE_ROLLOUT;
   if (!request->submits)
     return forward_request (request, route);
@@ -333,6 +369,18 @@
   return TRUE;
 }
 
+/* A call about a batch.  A batch of a public route belongs to no tenant: without a key the leader decides.
+ * Returns: %FALSE when the request is over. */
+static gboolean
+route_batch_call (QuinceCallerRequest *request)
+{
+  QuinceRouteTable *routes = get_routes (request);
+  if (routes == NULL || !authorize (request, routes, request->key == NULL))
+    return FALSE;
+  call_ledger (request);
+  return TRUE;
+}
+
 QuinceCallerRequest *
 quince_caller_request_start (QuinceFront *front,
                              QuinceHttpHead *head,
@@ -348,6 +396,7 @@
   request->received_us = received_us;
   request->sink = sink;
   request->user_data = user_data;
+  request->key = quince_platform_take_key (head->headers);
   quince_platform_read_call (head->method, head->target, &request->call);
   switch (request->call.kind)
     {
@@ -356,8 +405,7 @@
     case QUINCE_CALL_RESULTS:
     case QUINCE_CALL_ITEM:
     case QUINCE_CALL_END:
-      call_ledger (request);
-      return request;
+      return route_batch_call (request) ? request : NULL;
     case QUINCE_CALL_READY:
     case QUINCE_CALL_RESOLVE:
     case QUINCE_CALL_UNKNOWN:
--- a/daemons/replica/batch-answers.c
+++ b/daemons/replica/batch-answers.c
@@ -73,30 +73,11 @@
   reply (link, call->id, 200, "application/octet-stream", body, 0);
 }
 
-const char *
-quince_batch_call_get_header (const QuinceServiceCall *call, const char *name)
+QuinceHttpHeaders *
+quince_batch_call_copy_headers (const QuinceServiceCall *call)
 {
-  for (guint i = 0; i < call->headers.headers_len; i++)
-    if (g_ascii_strcasecmp (call->headers.headers_val[i].name, name) == 0)
-      return call->headers.headers_val[i].value;
-  return "";
-}
-
-const char *
-quince_batch_call_get_request_id (const QuinceServiceCall *call, QuinceHttpHeaders *headers)
-{
-  QuincePlatformRequestFacts facts;
-  for (guint i = 0; i < call->headers.headers_len; i++)
-    quince_http_headers_add (headers, call->headers.headers_val[i].name, call->headers.headers_val[i].value);
-  quince_platform_read_request (headers, &facts);
-  return facts.request_id;
-}
-
-guint
-quince_batch_call_get_wait (const QuinceServiceCall *call)
-{
-  g_autoptr (QuinceHttpHeaders) headers = quince_http_headers_new ();
+  QuinceHttpHeaders *headers = quince_http_headers_new ();
   for (guint i = 0; i < call->headers.headers_len; i++)
     quince_http_headers_add (headers, call->headers.headers_val[i].name, call->headers.headers_val[i].value);
-  return quince_platform_read_wait (headers);
+  return headers;
 }
--- a/daemons/replica/batch-answers.h
+++ b/daemons/replica/batch-answers.h
@@ -24,9 +24,5 @@
 
 /* ---- Calls --------------------------------------------------------------- */
 
-/* "": it has no such header. */
-const char *quince_batch_call_get_header (const QuinceServiceCall *call, const char *name);
-/* (transfer none) (nullable): lives as long as @headers, which takes the call's headers over. */
-const char *quince_batch_call_get_request_id (const QuinceServiceCall *call, QuinceHttpHeaders *headers);
-/* How long the answer may be held until there is a result, ms. */
-guint quince_batch_call_get_wait (const QuinceServiceCall *call);
+/* (transfer full) */
+QuinceHttpHeaders *quince_batch_call_copy_headers (const QuinceServiceCall *call);
--- a/daemons/replica/batch-service.c
+++ b/daemons/replica/batch-service.c
@@ -93,10 +93,11 @@
 answer_results (QuinceBatchService *service,
                 QuinceLink *link,
                 const QuinceServiceCall *call,
+                const QuinceHttpHeaders *headers,
                 const QuinceCall *parsed,
                 QuinceBatchEntry *entry)
 {
-  guint wait_ms = quince_batch_call_get_wait (call);
+  guint wait_ms = quince_platform_read_wait (headers);
   gboolean nothing = parsed->position >= entry->results->len;
   gboolean more_may_come = !entry->ended && entry->results->len < entry->batch->items.items_len;
   if (!nothing || !more_may_come || wait_ms == 0)
@@ -111,6 +112,13 @@
 
 /* ---- Changes ---------------------------------------------------------- */
 
+/* A batch without a tenant is anybody's: it came by a public route, or before there were tenants. */
+static gboolean
+belongs_to (const QuinceBatchEntry *entry, const char *tenant)
+{
+  return *entry->tenant == '\0' || g_str_equal (entry->tenant, tenant);
+}
+
 static void
 answer_end (QuinceBatchService *service,
             QuinceLink *link,
@@ -128,8 +136,28 @@
   add_waiter (service, link, call->id, entry->batch->id)->index = index;
 }
 
+/* Appends a submission.  A batch without a tenant is written as builds that know no tenants read it. */
+static guint64
+append_submission (QuinceBatchService *service, const QuinceBatchJob *batch, const char *tenant)
+{
+  QuinceBatchRecord record = { .kind = QUINCE_BATCH_RECORD_SUBMIT };
+  if (*tenant == '\0')
+    record.QuinceBatchRecord_u.submit = *batch;
+  else
+    {
+      record.kind = QUINCE_BATCH_RECORD_SUBMIT_OF_TENANT;
+      record.QuinceBatchRecord_u.submit_of_tenant.tenant = (char *)tenant;
+      record.QuinceBatchRecord_u.submit_of_tenant.batch = *batch;
+    }
+  return quince_ledger_node_append (service->ledger, &record);
+}
+
 static void
-take_batch (QuinceBatchService *service, QuinceLink *link, const QuinceServiceCall *call, const char *id)
+take_batch (QuinceBatchService *service,
+            QuinceLink *link,
+            const QuinceServiceCall *call,
+            const QuinceHttpHeaders *headers,
+            const char *id)
 {
   g_autoptr (GError) error = NULL;
   g_autoptr (QuinceBatchJob) batch
@@ -145,12 +173,10 @@
   g_free (batch->host);
   g_free (batch->path);
   batch->id = quince_string (id);
-  batch->host = quince_string (quince_batch_call_get_header (call, "Host"));
+  batch->host = quince_string (quince_http_headers_get (headers, "Host"));
   batch->path = quince_string (call->target);
   batch->submitted_ms = (guint64)quince_wall_ms ();
-  QuinceBatchRecord record = { .kind = QUINCE_BATCH_RECORD_SUBMIT };
-  record.QuinceBatchRecord_u.submit = *batch;
-  guint64 index = quince_ledger_node_append (service->ledger, &record);
+  guint64 index = append_submission (service, batch, quince_platform_read_tenant (headers));
   if (index == 0)
     {
       quince_batch_answer_status (link, call->id, 503);
@@ -161,14 +187,19 @@
 }
 
 static void
-answer_submit (QuinceBatchService *service, QuinceLink *link, const QuinceServiceCall *call)
+answer_submit (QuinceBatchService *service,
+               QuinceLink *link,
+               const QuinceServiceCall *call,
+               const QuinceHttpHeaders *headers)
 {
-  g_autoptr (QuinceHttpHeaders) headers = quince_http_headers_new ();
-  const char *id = quince_batch_call_get_request_id (call, headers);
+  QuincePlatformRequestFacts facts;
+  quince_platform_read_request (headers, &facts);
+  const char *id = facts.request_id;
   const guint64 *pending = id != NULL ? g_hash_table_lookup (service->submitting, id) : NULL;
-  if (id == NULL)
+  const QuinceBatchEntry *known = id != NULL ? quince_batch_book_find (service->book, id) : NULL;
+  if (id == NULL || (known != NULL && !belongs_to (known, quince_platform_read_tenant (headers))))
     quince_batch_answer_status (link, call->id, 400);
-  else if (quince_batch_book_find (service->book, id) != NULL)
+  else if (known != NULL)
     quince_batch_answer_status (link, call->id, 202);
   else if (pending != NULL)
     add_waiter (service, link, call->id, id)->index = *pending;
@@ -177,11 +208,42 @@
   else if (service->unlisted > SAMPLES_MOST)
     quince_batch_answer_status (link, call->id, 429);
   else
-    take_batch (service, link, call, id);
+    take_batch (service, link, call, headers, id);
 }
 
 /* ---- Calls ------------------------------------------------------------ */
 
+/* A batch of another tenant is answered as one that does not exist; without any key the caller is told so. */
+static guint
+status_of_unknown (const QuinceBatchEntry *entry, const char *tenant, gboolean pending)
+{
+  if (entry != NULL)
+    return *tenant == '\0' ? 401 : 404;
+  return pending ? 503 : 404;
+}
+
+static void
+answer_about_batch (QuinceBatchService *service,
+                    QuinceLink *link,
+                    const QuinceServiceCall *call,
+                    const QuinceHttpHeaders *headers,
+                    const QuinceCall *parsed)
+{
+  QuinceBatchEntry *entry = parsed->id != NULL ? quince_batch_book_find (service->book, parsed->id) : NULL;
+  gboolean pending = parsed->id != NULL && g_hash_table_contains (service->submitting, parsed->id);
+  const char *tenant = quince_platform_read_tenant (headers);
+  if (entry == NULL || !belongs_to (entry, tenant))
+    quince_batch_answer_status (link, call->id, status_of_unknown (entry, tenant, pending));
+  else if (parsed->kind == QUINCE_CALL_RESULTS)
+    answer_results (service, link, call, headers, parsed, entry);
+  else if (parsed->kind == QUINCE_CALL_ITEM)
+    quince_batch_answer_item (link, call, parsed, entry);
+  else if (parsed->kind == QUINCE_CALL_END)
+    answer_end (service, link, call, entry);
+  else
+    quince_batch_answer_status (link, call->id, 404);
+}
+
 void
 quince_batch_service_call (QuinceBatchService *service, QuinceLink *link, const QuinceServiceCall *call)
 {
@@ -190,22 +252,13 @@
       quince_batch_answer_status (link, call->id, 503);
       return;
     }
+  g_autoptr (QuinceHttpHeaders) headers = quince_batch_call_copy_headers (call);
   QuinceCall parsed;
   quince_platform_read_call (call->method, call->target, &parsed);
-  QuinceBatchEntry *entry = parsed.id != NULL ? quince_batch_book_find (service->book, parsed.id) : NULL;
-  gboolean pending = parsed.id != NULL && g_hash_table_contains (service->submitting, parsed.id);
   if (parsed.kind == QUINCE_CALL_REQUEST)
-    answer_submit (service, link, call);
-  else if (entry == NULL)
-    quince_batch_answer_status (link, call->id, pending ? 503 : 404);
-  else if (parsed.kind == QUINCE_CALL_RESULTS)
-    answer_results (service, link, call, &parsed, entry);
-  else if (parsed.kind == QUINCE_CALL_ITEM)
-    quince_batch_answer_item (link, call, &parsed, entry);
-  else if (parsed.kind == QUINCE_CALL_END)
-    answer_end (service, link, call, entry);
+    answer_submit (service, link, call, headers);
   else
-    quince_batch_answer_status (link, call->id, 404);
+    answer_about_batch (service, link, call, headers, &parsed);
   quince_platform_call_clear (&parsed);
 }
 
@@ -322,7 +375,9 @@
 {
   if (service->book == NULL)
     service->book = quince_batch_book_new (&book_callbacks, service);
-  guint status = record->kind == QUINCE_BATCH_RECORD_SUBMIT ? 202 : 200;
+  gboolean submits
+      = record->kind == QUINCE_BATCH_RECORD_SUBMIT || record->kind == QUINCE_BATCH_RECORD_SUBMIT_OF_TENANT;
+  guint status = submits ? 202 : 200;
   quince_batch_book_apply (service->book, index, record);
   if (index != 0)
     answer_committed (service, index, status);
--- a/daemons/replica/sample-dispatch.c
+++ b/daemons/replica/sample-dispatch.c
@@ -111,6 +111,21 @@
   return outcome;
 }
 
+/* At the worker, 0 first.  A tenant's priority goes before that of the route; one that was withdrawn since
+ * has none. */
+static gint
+priority_at_worker (QuinceSampleRunner *runner, const QuinceSample *sample, const QuinceRoute *route)
+{
+  QuinceRouteTable *routes = quince_observer_get_routes (runner->observer);
+  const QuinceTenantTable *tenants = quince_route_table_get_tenants (routes);
+  const QuinceTenant *tenant
+      = tenants != NULL ? quince_tenant_table_find (tenants, sample->entry->tenant) : NULL;
+  gint priority = (gint)route->priority;
+  if (tenant != NULL && tenant->priority != QUINCE_TENANT_NO_PRIORITY)
+    priority = tenant->priority;
+  return CLAMP (priority, 0, WORKER_PRIORITY_MOST);
+}
+
 static void
 begin_run (QuinceSampleRunner *runner, QuinceSample *sample, const QuinceRoute *route, QuinceWorker *worker)
 {
@@ -125,7 +140,7 @@
                    quince_sample_get_item (sample)->id, batch->id, worker->id, worker->running,
                    quince_worker_get_version (worker, batch->model), sample->last_event, sample->runs,
                    (quince_now_us () - sample->submitted_us) / 1000);
-  quince_sample_run (sample, runner->backends, worker, (gint)MIN (route->priority, WORKER_PRIORITY_MOST),
+  quince_sample_run (sample, runner->backends, worker, priority_at_worker (runner, sample, route),
                      quince_sample_outcome_run_ended, runner);
 }
 
--- a/daemons/replica/sample.c
+++ b/daemons/replica/sample.c
@@ -263,7 +263,8 @@
       = { .worker_id = worker->id,
           .time_left_ms = left_ms,
           .resume_after = sample->last_event > 0 ? (gint64)sample->last_event : -1,
-          .priority = priority };
+          .priority = priority,
+          .tenant = sample->entry->tenant };
   quince_platform_write_dispatch (headers, &dispatch);
   return headers;
 }
--- a/include/quince/batch-book.h
+++ b/include/quince/batch-book.h
@@ -13,6 +13,7 @@
 typedef struct
 {
   QuinceBatchJob *batch; /* owned */
+  char *tenant;          /* who submitted it; "": the deployment knows no tenants, or its route is public */
   gboolean ended;
   GPtrArray *results;  /* QuinceBatchResult, owned, by position */
   gboolean *is_listed; /* by item */
--- a/include/quince/routing.h
+++ b/include/quince/routing.h
@@ -5,7 +5,7 @@
  */
 #pragma once
 
-#include <glib.h>
+#include <quince/tenants.h>
 
 G_BEGIN_DECLS
 
@@ -41,7 +41,8 @@
   gboolean resumable;
   gboolean sticky;
   gboolean single_version;
-  GArray *parts; /* QuinceRoutePart, at least one */
+  gboolean is_public; /* callers need no API key, whatever tenants there are */
+  GArray *parts;      /* QuinceRoutePart, at least one */
 } QuinceRoute;
 
 typedef struct
@@ -69,6 +70,10 @@
 /* (transfer full): @route, @service */
 void quince_route_table_add_route (QuinceRouteTable *table, QuinceRoute *route);
 void quince_route_table_add_service (QuinceRouteTable *table, QuinceService *service);
+/* (transfer full): @tenants; at most once */
+void quince_route_table_set_tenants (QuinceRouteTable *table, QuinceTenantTable *tenants);
+/* (nullable): NULL: the configuration knows no tenants, and callers need no key */
+const QuinceTenantTable *quince_route_table_get_tenants (const QuinceRouteTable *table);
 guint64 quince_route_table_get_version (const QuinceRouteTable *table);
 const QuinceCallerLimits *quince_route_table_get_limits (const QuinceRouteTable *table);
 guint quince_route_table_get_n_routes (const QuinceRouteTable *table);
--- /dev/null
+++ b/include/quince/tenants.h
@@ -0,0 +1,41 @@
+/*
+ * tenants.h: the tenants of a configuration, and which of them an API key belongs to.
+ *
+ * Keys are held as HMAC-SHA-256 digests under the salt of their configuration, never in the clear.  Pure.
+ */
+#pragma once
+
+#include <glib.h>
+
+G_BEGIN_DECLS
+
+/* The priority of a tenant that names none: that of the route counts. */
+#define QUINCE_TENANT_NO_PRIORITY (-1)
+
+typedef struct
+{
+  char *name;
+  gint priority; /* 0 first; goes before that of the route; or QUINCE_TENANT_NO_PRIORITY */
+} QuinceTenant;
+
+typedef struct _QuinceTenantTable QuinceTenantTable;
+
+/* (transfer full): the digest of @key under @salt, in hexadecimal. */
+char *quince_tenant_key_digest (const char *salt, const char *key);
+
+/* @salt: the one under which the digests of this table were made */
+QuinceTenantTable *quince_tenant_table_new (const char *salt);
+void quince_tenant_table_free (QuinceTenantTable *table);
+G_DEFINE_AUTOPTR_CLEANUP_FUNC (QuinceTenantTable, quince_tenant_table_free)
+/* Adds a tenant, or returns the one of that name. (transfer none) */
+const QuinceTenant *quince_tenant_table_add (QuinceTenantTable *table, const char *name, gint priority);
+/* A key of @tenant, which is one of this table's, by its digest. */
+void
+quince_tenant_table_add_digest (QuinceTenantTable *table, const QuinceTenant *tenant, const char *digest);
+/* Whose key @key is. (transfer none) (nullable): NULL: nobody's */
+const QuinceTenant *quince_tenant_table_find_key (const QuinceTenantTable *table, const char *key);
+/* (transfer none) (nullable) */
+const QuinceTenant *quince_tenant_table_find (const QuinceTenantTable *table, const char *name);
+guint quince_tenant_table_get_size (const QuinceTenantTable *table);
+
+G_END_DECLS
--- a/lib/core/batches/batch-book.c
+++ b/lib/core/batches/batch-book.c
@@ -19,6 +19,7 @@
   g_ptr_array_unref (entry->results);
   g_array_unref (entry->indexes);
   g_free (entry->is_listed);
+  g_free (entry->tenant);
   g_free (entry);
 }
 
@@ -51,15 +52,15 @@
 }
 
 static void
-apply_submit (QuinceBatchBook *book, guint64 index, QuinceBatchRecord *record)
+apply_submit (QuinceBatchBook *book, guint64 index, QuinceBatchJob *submitted, const char *tenant)
 {
-  QuinceBatchJob *submitted = &record->QuinceBatchRecord_u.submit;
   if (g_hash_table_contains (book->by_id, submitted->id))
     return;
   QuinceBatchEntry *entry = g_new0 (QuinceBatchEntry, 1);
   /* The texts move over; the record is left empty. */
   entry->batch = g_memdup2 (submitted, sizeof *submitted);
   *submitted = (QuinceBatchJob){ 0 };
+  entry->tenant = g_strdup (tenant);
   entry->results = g_ptr_array_new_with_free_func ((GDestroyNotify)quince_batch_result_free);
   entry->is_listed = g_new0 (gboolean, entry->batch->items.items_len);
   entry->indexes = g_array_new (FALSE, FALSE, sizeof (guint64));
@@ -115,7 +116,11 @@
   switch (record->kind)
     {
     case QUINCE_BATCH_RECORD_SUBMIT:
-      apply_submit (book, index, record);
+      apply_submit (book, index, &record->QuinceBatchRecord_u.submit, "");
+      break;
+    case QUINCE_BATCH_RECORD_SUBMIT_OF_TENANT:
+      apply_submit (book, index, &record->QuinceBatchRecord_u.submit_of_tenant.batch,
+                    record->QuinceBatchRecord_u.submit_of_tenant.tenant);
       break;
     case QUINCE_BATCH_RECORD_RESULT:
       apply_result (book, index, record);
--- a/lib/core/routing/route-table.c
+++ b/lib/core/routing/route-table.c
@@ -11,7 +11,8 @@
   QuinceCallerLimits limits;
   GPtrArray *routes;
   GPtrArray *services;
-  GHashTable *by_host; /* host to GPtrArray of routes, longest prefix first */
+  QuinceTenantTable *tenants; /* NULL: none are told */
+  GHashTable *by_host;        /* host to GPtrArray of routes, longest prefix first */
 };
 
 QuinceRoute *
@@ -83,6 +84,7 @@
   g_hash_table_unref (table->by_host);
   g_ptr_array_unref (table->routes);
   g_ptr_array_unref (table->services);
+  quince_tenant_table_free (table->tenants);
   g_free (table);
 }
 
@@ -117,6 +119,18 @@
   g_ptr_array_add (table->services, service);
 }
 
+void
+quince_route_table_set_tenants (QuinceRouteTable *table, QuinceTenantTable *tenants)
+{
+  table->tenants = tenants;
+}
+
+const QuinceTenantTable *
+quince_route_table_get_tenants (const QuinceRouteTable *table)
+{
+  return table->tenants;
+}
+
 guint64
 quince_route_table_get_version (const QuinceRouteTable *table)
 {
--- a/lib/protocol/quince_protocol.x
+++ b/lib/protocol/quince_protocol.x
@@ -510,6 +510,12 @@
     QuinceText     score;
 };
 
+/* A batch that a tenant submitted.  Logs of builds that knew no tenants hold QuinceBatchJob alone. */
+struct QuinceTenantBatch {
+    QuinceText     tenant;            /* found by the key when it was taken */
+    QuinceBatchJob batch;
+};
+
 /* The records of the batch, its submission first, may be dropped. */
 struct QuinceBatchForget {
     QuinceText     batch;
@@ -520,7 +526,8 @@
     QUINCE_BATCH_RECORD_SUBMIT = 0,
     QUINCE_BATCH_RECORD_RESULT = 1,
     QUINCE_BATCH_RECORD_END    = 2,
-    QUINCE_BATCH_RECORD_FORGET = 3
+    QUINCE_BATCH_RECORD_FORGET = 3,
+    QUINCE_BATCH_RECORD_SUBMIT_OF_TENANT = 4
 };
 
 union QuinceBatchRecord switch (QuinceBatchRecordKind kind) {
@@ -528,6 +535,7 @@
 case QUINCE_BATCH_RECORD_RESULT: QuinceBatchResult result;
 case QUINCE_BATCH_RECORD_END:    QuinceText        ended;
 case QUINCE_BATCH_RECORD_FORGET: QuinceBatchForget forget;
+case QUINCE_BATCH_RECORD_SUBMIT_OF_TENANT: QuinceTenantBatch submit_of_tenant;
 };
 
 /* ---- Batch ledger: one primary, its backups, and who they are --------- */
--- a/tests/platform/standin-store.c
+++ b/tests/platform/standin-store.c
@@ -444,6 +444,27 @@
   return decoded;
 }
 
+char *
+standin_store_all_but (const StandinStore *store, const char *key)
+{
+  GString *text = g_string_new (NULL);
+  GHashTableIter iter;
+  gpointer name;
+  gpointer value;
+  g_hash_table_iter_init (&iter, store->items);
+  while (g_hash_table_iter_next (&iter, &name, &value))
+    {
+      if (g_str_equal (name, key))
+        continue;
+      gsize length;
+      g_autofree guchar *bytes = g_base64_decode (((const Item *)value)->value, &length);
+      g_string_append (text, name);
+      for (gsize i = 0; i < length; i++)
+        g_string_append_c (text, g_ascii_isprint (bytes[i]) ? (char)bytes[i] : ' ');
+    }
+  return g_string_free (text, FALSE);
+}
+
 guint64
 standin_store_get_revision (const StandinStore *store, const char *key)
 {
--- a/tests/platform/standin-worker.c
+++ b/tests/platform/standin-worker.c
@@ -48,6 +48,8 @@
   g_free (run->deadline);
   g_free (run->resume);
   g_free (run->host);
+  g_free (run->tenant);
+  g_free (run->key);
   g_free (run);
 }
 
@@ -61,6 +63,8 @@
   run->deadline = g_strdup (standin_header (call, "Request-Deadline-Ms"));
   run->resume = g_strdup (standin_header (call, "Last-Event-Id"));
   run->host = g_strdup (standin_header (call, "Host"));
+  run->tenant = g_strdup (standin_header (call, "Tenant"));
+  run->key = g_strdup (standin_header (call, "Credential"));
   g_ptr_array_add (worker->runs, run);
   return run;
 }
--- a/tests/platform/standin-worker.h
+++ b/tests/platform/standin-worker.h
@@ -29,6 +29,8 @@
   char *deadline;
   char *resume;
   char *host;
+  char *tenant;  /* NULL: none was named */
+  char *key;     /* NULL: none was shown, as it must be */
   gboolean gone; /* its caller closed before the answer */
 } StandinRun;
 
--- /dev/null
+++ b/tests/unit/test-tenants.c
@@ -0,0 +1,83 @@
+/*
+ * test-tenants.c: tenants by their keys, and batches of tenants in the book of batches.
+ */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+
+#include <cmocka.h>
+
+#include <quince/batch-book.h>
+#include <quince/tenants.h>
+
+static void
+test_keys (void **state)
+{
+  g_autoptr (QuinceTenantTable) table = quince_tenant_table_new ("salt");
+  const QuinceTenant *first = quince_tenant_table_add (table, "first", 2);
+  const QuinceTenant *second = quince_tenant_table_add (table, "second", QUINCE_TENANT_NO_PRIORITY);
+  assert_ptr_equal (quince_tenant_table_add (table, "first", 9), first);
+  assert_int_equal (first->priority, 2);
+  g_autofree char *digest = quince_tenant_key_digest ("salt", "key-1");
+  g_autofree char *other = quince_tenant_key_digest ("salt", "key-2");
+  g_autofree char *elsewhere = quince_tenant_key_digest ("another salt", "key-1");
+  assert_string_not_equal (digest, other);
+  assert_string_not_equal (digest, elsewhere);
+  quince_tenant_table_add_digest (table, first, digest);
+  quince_tenant_table_add_digest (table, second, other);
+  assert_ptr_equal (quince_tenant_table_find_key (table, "key-1"), first);
+  assert_ptr_equal (quince_tenant_table_find_key (table, "key-2"), second);
+  assert_null (quince_tenant_table_find_key (table, "key-3"));
+  assert_null (quince_tenant_table_find_key (table, ""));
+  /* A digest is no key. */
+  assert_null (quince_tenant_table_find_key (table, digest));
+  assert_ptr_equal (quince_tenant_table_find (table, "second"), second);
+  assert_null (quince_tenant_table_find (table, "third"));
+  assert_int_equal (quince_tenant_table_get_size (table), 2);
+}
+
+static const QuinceBatchBookCallbacks no_callbacks = { 0 };
+
+static QuinceBatchJob
+make_batch (const char *id)
+{
+  return (QuinceBatchJob){ .id = quince_string (id),
+                           .host = quince_string (""),
+                           .path = quince_string (""),
+                           .model = quince_string ("") };
+}
+
+/* Logs of builds that knew no tenants are read, and those of this build are. */
+static void
+test_records_of_both_kinds (void **state)
+{
+  g_autoptr (QuinceBatchBook) book = quince_batch_book_new (&no_callbacks, NULL);
+  QuinceBatchRecord *before = g_new0 (QuinceBatchRecord, 1);
+  before->kind = QUINCE_BATCH_RECORD_SUBMIT;
+  before->QuinceBatchRecord_u.submit = make_batch ("before");
+  QuinceBatchRecord *now = g_new0 (QuinceBatchRecord, 1);
+  now->kind = QUINCE_BATCH_RECORD_SUBMIT_OF_TENANT;
+  now->QuinceBatchRecord_u.submit_of_tenant.tenant = quince_string ("tenant-a");
+  now->QuinceBatchRecord_u.submit_of_tenant.batch = make_batch ("now");
+  g_autoptr (GBytes) encoded = quince_batch_record_encode (now, NULL);
+  g_autoptr (GBytes) encoded_before = quince_batch_record_encode (before, NULL);
+  gsize length;
+  gconstpointer data = g_bytes_get_data (encoded, &length);
+  quince_batch_book_apply (book, 2, quince_batch_record_decode (data, length, NULL));
+  data = g_bytes_get_data (encoded_before, &length);
+  quince_batch_book_apply (book, 1, quince_batch_record_decode (data, length, NULL));
+  assert_string_equal (quince_batch_book_find (book, "now")->tenant, "tenant-a");
+  assert_string_equal (quince_batch_book_find (book, "before")->tenant, "");
+  quince_batch_record_free (before);
+  quince_batch_record_free (now);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_keys),
+    cmocka_unit_test (test_records_of_both_kinds),
+  };
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
