Usage of tenants: fronts tell what began, the leader agrees on each window and reports it once

Ruled out: counts kept by each front until a window ends (lost with the front); counts kept in the metadata store (a call a window more, and nothing while it is away); a second election (the ledger's epoch is the fence, its order pause the lease). Change: a front tells the leader of each request when it began, by its age, until acknowledged; the leader writes it to the ledger, closes a window at half the time in which its report is due, writes the counts down before the first send, and sends the same bytes until the platform takes them; the wall clock is the median of what fronts tell. They cannot run on the code before: it has no such settings or calls.

--- a/daemons/front/caller-request.c
+++ b/daemons/front/caller-request.c
@@ -54,11 +54,22 @@
   g_free (request);
 }
 
+/* @began_us: 0: no worker can have begun it */
+static void
+note_usage (const QuinceCallerRequest *request, gint64 began_us)
+{
+  if (request->tenant != NULL && began_us != 0)
+    quince_usage_reporter_note (request->front->usage, request->tenant, began_us);
+}
+
 void
 quince_caller_request_cancel (QuinceCallerRequest *request)
 {
   if (request->forward != NULL)
-    quince_forward_cancel (request->forward);
+    {
+      note_usage (request, quince_forward_get_began_us (request->forward));
+      quince_forward_cancel (request->forward);
+    }
   if (request->stream != NULL)
     quince_stream_cancel (request->stream);
   if (request->ledger_call != NULL)
@@ -134,6 +145,8 @@
   g_autoptr (QuinceHttpHeaders) headers = quince_http_headers_copy (head->headers);
   quince_http_headers_remove_hop_by_hop (headers);
   const QuinceCallerAnswer answer = { .status = head->status, .headers = headers };
+  if (!request->began)
+    note_usage (request, quince_now_us ());
   request->began = TRUE;
   request->sink->begin (&answer, request->user_data);
 }
@@ -186,6 +199,7 @@
 {
   QuinceCallerRequest *request = data;
   request->forward = NULL;
+  note_usage (request, result->began_us);
   switch (result->outcome)
     {
     case QUINCE_FORWARD_ANSWERED:
--- a/daemons/front/front.c
+++ b/daemons/front/front.c
@@ -94,6 +94,7 @@
 ledger_linked (QuinceLink *link, gpointer data)
 {
   QuinceFront *front = data;
+  quince_usage_reporter_linked (front->usage, link);
   forget_asking (front);
   front->unasked = quince_link_ref (link);
   front->ask_timer = quince_timer_add (ASK_PATIENCE_MS, ask_late, front);
@@ -117,6 +118,7 @@
   QuinceMessage message = { .kind = QUINCE_MESSAGE_HEARTBEAT_ACK };
   message.QuinceMessage_u.heartbeat_ack.node = front->name;
   quince_link_send (link, &message);
+  quince_usage_reporter_remind (front->usage);
   if (heartbeat->certain)
     quince_directory_set_silent (front->directory, quince_now_us (),
                                  (const char *const *)heartbeat->silent.silent_val,
@@ -132,6 +134,8 @@
     quince_belief_feed_take (front->observer, &message->QuinceMessage_u.belief_news);
   else if (message->kind == QUINCE_MESSAGE_HEARTBEAT)
     take_heartbeat (front, link, &message->QuinceMessage_u.heartbeat);
+  else if (message->kind == QUINCE_MESSAGE_USAGE_ACK)
+    quince_usage_reporter_take_ack (front->usage, &message->QuinceMessage_u.usage_ack);
 }
 
 static void
@@ -139,6 +143,7 @@
 {
   QuinceFront *front = data;
   forget_asking (front);
+  quince_usage_reporter_unlinked (front->usage);
   quince_observer_feed_ended (front->observer);
 }
 
@@ -277,6 +282,7 @@
   front->connections = g_hash_table_new (NULL, NULL);
   front->split_turns = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   front->backends = quince_backends_new (front->zone);
+  front->usage = quince_usage_reporter_new ();
   front->ledger = quince_ledger_caller_new (&ledger_callbacks, front);
   if (!open_listeners (front, settings, error)
       || !load_policy (front, quince_settings_get_text (settings, "policy", "file"), error))
@@ -393,6 +399,7 @@
   quince_meta_store_free (front->store);
   quince_directory_free (front->directory);
   quince_ledger_caller_free (front->ledger);
+  quince_usage_reporter_free (front->usage);
   quince_backends_free (front->backends);
   g_hash_table_unref (front->connections);
   g_hash_table_unref (front->split_turns);
--- a/daemons/front/front.h
+++ b/daemons/front/front.h
@@ -12,6 +12,7 @@
 
 #include "directory.h"
 #include "ledger-caller.h"
+#include "usage-reporter.h"
 
 typedef struct _QuinceFront QuinceFront;
 
@@ -26,6 +27,7 @@
   QuinceMetaPresence *presence;
   QuinceDirectory *directory;
   QuinceLedgerCaller *ledger;
+  QuinceUsageReporter *usage;
   QuinceLink *unasked; /* to the leader, not asked for news yet; NULL: none */
   GSource *ask_timer;
   QuinceHttpAcceptor *callers_acceptor;
--- /dev/null
+++ b/daemons/front/usage-reporter.c
@@ -0,0 +1,141 @@
+/*
+ * usage-reporter.c: requests that began, until the leader has acknowledged them.
+ */
+#include "usage-reporter.h"
+
+#include <quince/log.h>
+#include <quince/metrics.h>
+#include <quince/task.h>
+
+/* Requests that are kept while no leader acknowledges them: some minutes of a busy front (60 requests a
+ * second), about 100 bytes each.  The oldest are dropped, their windows are over. */
+#define KEPT_MOST 20000
+
+/* What the leader has not acknowledged for so long is told again: it keeps what it is told each 0.2 s. */
+#define REMIND_US (1000 * 1000)
+
+typedef struct
+{
+  guint64 sequence;
+  char *tenant;
+  gint64 begun_us;
+} Event;
+
+struct _QuinceUsageReporter
+{
+  /* All fields belong to the main context. */
+  guint64 source; /* random: tells the starts of all fronts apart */
+  guint64 last_sequence;
+  GQueue events;    /* Event, owned: not acknowledged, the oldest first */
+  QuinceLink *link; /* owned (nullable): to the leader */
+  gint64 told_us;   /* when all events were told, or one was acknowledged, the last time */
+};
+
+static void
+event_free (gpointer data)
+{
+  Event *event = data;
+  g_free (event->tenant);
+  g_free (event);
+}
+
+QuinceUsageReporter *
+quince_usage_reporter_new (void)
+{
+  QuinceUsageReporter *reporter = g_new0 (QuinceUsageReporter, 1);
+  reporter->source = (guint64)g_random_int () << 32 | g_random_int ();
+  g_queue_init (&reporter->events);
+  return reporter;
+}
+
+void
+quince_usage_reporter_free (QuinceUsageReporter *reporter)
+{
+  if (reporter == NULL)
+    return;
+  quince_usage_reporter_unlinked (reporter);
+  g_queue_clear_full (&reporter->events, event_free);
+  g_free (reporter);
+}
+
+/* Sends the events from @first on. */
+static void
+send_from (QuinceUsageReporter *reporter, GList *first)
+{
+  gint64 now = quince_now_us ();
+  g_autoptr (GArray) told = g_array_new (FALSE, FALSE, sizeof (QuinceUsageTold));
+  for (GList *at = first; at != NULL; at = at->next)
+    {
+      const Event *event = at->data;
+      QuinceUsageTold wire = { .sequence = event->sequence,
+                               .tenant = event->tenant,
+                               .age_ms = (u_quad_t)MAX (now - event->begun_us, 0) / 1000 };
+      g_array_append_val (told, wire);
+    }
+  QuinceMessage message = { .kind = QUINCE_MESSAGE_USAGE_REPORT };
+  QuinceUsageReport *report = &message.QuinceMessage_u.usage_report;
+  report->source = reporter->source;
+  report->wall_ms = (u_quad_t)quince_wall_ms ();
+  report->events.events_val = (QuinceUsageTold *)told->data;
+  report->events.events_len = told->len;
+  quince_link_send (reporter->link, &message);
+}
+
+void
+quince_usage_reporter_note (QuinceUsageReporter *reporter, const char *tenant, gint64 begun_us)
+{
+  Event *event = g_new0 (Event, 1);
+  event->sequence = ++reporter->last_sequence;
+  event->tenant = g_strdup (tenant);
+  event->begun_us = begun_us;
+  g_queue_push_tail (&reporter->events, event);
+  if (g_queue_get_length (&reporter->events) > KEPT_MOST)
+    {
+      event_free (g_queue_pop_head (&reporter->events));
+      quince_metric_add ("quince_front_usage_dropped_total", "", 1);
+    }
+  if (reporter->link != NULL)
+    send_from (reporter, g_queue_peek_tail_link (&reporter->events));
+}
+
+static void
+tell_all (QuinceUsageReporter *reporter)
+{
+  reporter->told_us = quince_now_us ();
+  if (reporter->link != NULL && !g_queue_is_empty (&reporter->events))
+    send_from (reporter, g_queue_peek_head_link (&reporter->events));
+}
+
+void
+quince_usage_reporter_linked (QuinceUsageReporter *reporter, QuinceLink *leader)
+{
+  quince_usage_reporter_unlinked (reporter);
+  reporter->link = quince_link_ref (leader);
+  tell_all (reporter);
+}
+
+void
+quince_usage_reporter_remind (QuinceUsageReporter *reporter)
+{
+  const Event *oldest = g_queue_peek_head (&reporter->events);
+  gint64 waits_since_us = oldest != NULL ? MAX (oldest->begun_us, reporter->told_us) : G_MAXINT64;
+  if (quince_now_us () - REMIND_US > waits_since_us)
+    tell_all (reporter);
+}
+
+void
+quince_usage_reporter_unlinked (QuinceUsageReporter *reporter)
+{
+  g_clear_pointer (&reporter->link, quince_link_unref);
+}
+
+void
+quince_usage_reporter_take_ack (QuinceUsageReporter *reporter, const QuinceUsageAck *ack)
+{
+  if (ack->source != reporter->source)
+    return;
+  reporter->told_us = quince_now_us ();
+  for (Event *event = g_queue_peek_head (&reporter->events);
+       event != NULL && event->sequence <= ack->sequence; event = g_queue_peek_head (&reporter->events))
+    event_free (g_queue_pop_head (&reporter->events));
+}
--- a/daemons/replica/replica.c
+++ b/daemons/replica/replica.c
@@ -17,6 +17,7 @@
 #include "heartbeats.h"
 #include "ledger-node.h"
 #include "platform.h"
+#include "usage-duty.h"
 #include "weight-orders.h"
 
 /* The leader's word stands so long without another sign. */
@@ -45,6 +46,7 @@
   QuinceWeightOrders *orders; /* NULL: not leading */
   QuinceBeliefFeed *feed;     /* NULL: not leading */
   QuinceHeartbeats *heartbeats;
+  QuinceUsageDuty *usage;    /* NULL: the platform asks for no reports */
   GHashTable *askers;        /* QuinceLink to QuinceBeliefAsk, both owned: those that asked for news */
   char **leaving;            /* nodes to be emptied */
   GHashTable *told_leaving;  /* node name to GINT: state that was written, 1 running, 2 done */
@@ -132,6 +134,8 @@
 {
   Replica *replica = data;
   quince_batch_service_lead (replica->batches);
+  if (replica->usage != NULL)
+    quince_usage_duty_lead (replica->usage);
   quince_progress_store_clear (replica->progress); /* the samples have it now */
   const QuinceWeightOrdersOptions options = {
     .holder = replica->name, .homes = replica->homes, .may_order = may_order, .loaded = weights_loaded
@@ -156,13 +160,20 @@
   g_clear_pointer (&replica->feed, quince_belief_feed_free);
   quince_heartbeats_stop_leading (replica->heartbeats);
   quince_batch_service_stop_leading (replica->batches);
+  if (replica->usage != NULL)
+    quince_usage_duty_stop_leading (replica->usage);
 }
 
 static void
 ledger_committed (guint64 index, QuinceBatchRecord *record, gpointer data)
 {
   Replica *replica = data;
-  quince_batch_service_committed (replica->batches, index, record);
+  if (!quince_usage_duty_is_record (record))
+    quince_batch_service_committed (replica->batches, index, record);
+  else if (replica->usage != NULL)
+    quince_usage_duty_committed (replica->usage, index, record);
+  else
+    quince_batch_record_free (record);
 }
 
 static void
@@ -177,6 +188,8 @@
 {
   Replica *replica = data;
   quince_batch_service_link_closed (replica->batches, link);
+  if (replica->usage != NULL)
+    quince_usage_duty_link_closed (replica->usage, link);
   if (replica->feed != NULL)
     quince_belief_feed_remove (replica->feed, link);
   g_hash_table_remove (replica->askers, link);
@@ -228,6 +241,8 @@
     }
   else if (message->kind == QUINCE_MESSAGE_HEARTBEAT_ACK)
     quince_heartbeats_take_ack (replica->heartbeats, &message->QuinceMessage_u.heartbeat_ack);
+  else if (message->kind == QUINCE_MESSAGE_USAGE_REPORT && replica->usage != NULL)
+    quince_usage_duty_take_report (replica->usage, link, &message->QuinceMessage_u.usage_report);
   else if (message->kind == QUINCE_MESSAGE_HEARTBEAT && replica->feed == NULL)
     quince_observer_feeder_alive (replica->observer);
   else if (message->kind == QUINCE_MESSAGE_PROGRESS && replica->feed == NULL)
@@ -310,6 +325,8 @@
 {
   Replica *replica = data;
   quince_batch_service_tell_progress (replica->batches);
+  if (replica->usage != NULL)
+    quince_usage_duty_step (replica->usage);
   look_at_view (replica);
   look_at_leaving (replica);
   return G_SOURCE_CONTINUE;
@@ -377,6 +394,21 @@
   return replica->progress_file != NULL;
 }
 
+static void
+open_duties (Replica *replica, const QuinceSettings *settings)
+{
+  const char *address = quince_settings_get_text (settings, "duties", "address");
+  if (*address == '\0'
+      || !quince_platform_wants_usage (quince_settings_get_text (settings, "duties", "names")))
+    return;
+  const QuinceUsageDutyOptions options
+      = { .holder = replica->name,
+          .address = address,
+          .window_us = quince_settings_get_duration_us (settings, "duties", "usage_window"),
+          .late_us = quince_settings_get_duration_us (settings, "duties", "usage_late") };
+  replica->usage = quince_usage_duty_new (&options, replica->ledger);
+}
+
 static gboolean
 load_policy (Replica *replica, const char *path, GError **error)
 {
@@ -409,6 +441,7 @@
       quince_replica_free (replica);
       return NULL;
     }
+  open_duties (replica, settings);
   quince_batch_service_set_ledger (replica->batches, replica->ledger, replica->progress_file);
   replica->timer = quince_timer_add (TIMER_MS, timer_over, replica);
   return replica;
@@ -445,6 +478,7 @@
   if (replica->orders != NULL)
     quince_weight_orders_stop (replica->orders);
   quince_belief_feed_free (replica->feed);
+  quince_usage_duty_free (replica->usage);
   quince_heartbeats_free (replica->heartbeats);
   quince_batch_service_free (replica->batches);
   quince_model_homes_free (replica->homes);
--- a/include/quince/forward.h
+++ b/include/quince/forward.h
@@ -73,6 +73,7 @@
   guint failed_runs; /* answers of 500 */
   const char *worker;
   gint64 worker_us; /* time of the last attempt */
+  gint64 began_us;  /* when the first attempt that may have run was sent, monotonic; 0: none may have */
 } QuinceForwardResult;
 
 /* Copies what it needs of @request.  done() is called once, never before this returns. */
@@ -81,6 +82,8 @@
                                      const QuinceForwardRequest *request,
                                      void (*done) (const QuinceForwardResult *result, gpointer user_data),
                                      gpointer user_data);
+/* As in QuinceForwardResult, of a forward in progress. */
+gint64 quince_forward_get_began_us (const QuinceForward *forward);
 /* Ends it without done(); work at a worker is cancelled. */
 void quince_forward_cancel (QuinceForward *forward);
 
--- a/lib/core/batches/batch-book.c
+++ b/lib/core/batches/batch-book.c
@@ -131,6 +131,10 @@
     case QUINCE_BATCH_RECORD_FORGET:
       apply_forget (book, record);
       break;
+    case QUINCE_BATCH_RECORD_USAGE:
+    case QUINCE_BATCH_RECORD_USAGE_CLOSED:
+    case QUINCE_BATCH_RECORD_USAGE_SENT:
+      break; /* of the usage book */
     }
   quince_batch_record_free (record);
 }
--- /dev/null
+++ b/lib/core/duties/usage-book.c
@@ -0,0 +1,245 @@
+/*
+ * usage-book.c: events, closed windows and acknowledged reports.
+ */
+#include <quince/usage-book.h>
+
+#include <string.h>
+
+/* A window that has events and is not closed. */
+typedef struct
+{
+  guint64 number;
+  GHashTable *counts; /* tenant, owned, to GUINT: requests */
+} OpenWindow;
+
+/* A record of the log that still counts, and the last window that it speaks of. */
+typedef struct
+{
+  guint64 index;
+  guint64 window;
+} LiveRecord;
+
+struct _QuinceUsageBook
+{
+  guint64 window_ms;
+  GPtrArray *open;       /* OpenWindow, owned, by number */
+  GPtrArray *unsent;     /* QuinceUsageWindow, owned: closed, by number */
+  GHashTable *sequences; /* source (guint64) to guint64: greatest sequence, both owned */
+  guint64 closed_up_to;  /* windows up to this one are closed */
+  guint64 closing_index; /* of the record that says so: it is kept, or old windows would open again */
+  GArray *records;       /* LiveRecord */
+};
+
+static void
+open_window_free (gpointer data)
+{
+  OpenWindow *window = data;
+  g_hash_table_unref (window->counts);
+  g_free (window);
+}
+
+void
+quince_usage_window_free (QuinceUsageWindow *window)
+{
+  quince_xdr_free ((xdrproc_t)xdr_QuinceUsageWindow, window);
+}
+
+QuinceUsageBook *
+quince_usage_book_new (guint64 window_ms)
+{
+  QuinceUsageBook *book = g_new0 (QuinceUsageBook, 1);
+  book->window_ms = window_ms;
+  book->open = g_ptr_array_new_with_free_func (open_window_free);
+  book->unsent = g_ptr_array_new_with_free_func ((GDestroyNotify)quince_usage_window_free);
+  book->sequences = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
+  book->records = g_array_new (FALSE, FALSE, sizeof (LiveRecord));
+  return book;
+}
+
+void
+quince_usage_book_free (QuinceUsageBook *book)
+{
+  if (book == NULL)
+    return;
+  g_ptr_array_unref (book->open);
+  g_ptr_array_unref (book->unsent);
+  g_hash_table_unref (book->sequences);
+  g_array_unref (book->records);
+  g_free (book);
+}
+
+/* ---- Events ----------------------------------------------------------- */
+
+static OpenWindow *
+open_window (QuinceUsageBook *book, guint64 number)
+{
+  guint at = 0;
+  for (; at < book->open->len; at++)
+    {
+      OpenWindow *known = book->open->pdata[at];
+      if (known->number == number)
+        return known;
+      if (known->number > number)
+        break;
+    }
+  OpenWindow *window = g_new0 (OpenWindow, 1);
+  window->number = number;
+  window->counts = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  g_ptr_array_insert (book->open, (gint)at, window);
+  return window;
+}
+
+static void
+apply_event (QuinceUsageBook *book, const QuinceUsageEvent *event)
+{
+  guint64 number = event->begun_ms / book->window_ms;
+  if (number <= book->closed_up_to)
+    return;
+  GHashTable *counts = open_window (book, number)->counts;
+  guint count = GPOINTER_TO_UINT (g_hash_table_lookup (counts, event->tenant));
+  g_hash_table_replace (counts, g_strdup (event->tenant), GUINT_TO_POINTER (count + 1));
+}
+
+/* Returns: the last window that the events speak of. */
+static guint64
+apply_events (QuinceUsageBook *book, const QuinceUsageEvents *events)
+{
+  guint64 source = events->source;
+  guint64 sequence = quince_usage_book_get_sequence (book, source);
+  guint64 last_window = 0;
+  for (guint i = 0; i < events->events.events_len; i++)
+    {
+      const QuinceUsageEvent *event = &events->events.events_val[i];
+      last_window = MAX (last_window, event->begun_ms / book->window_ms);
+      if (event->sequence <= sequence)
+        continue;
+      sequence = event->sequence;
+      apply_event (book, event);
+    }
+  g_hash_table_replace (book->sequences, g_memdup2 (&source, sizeof source),
+                        g_memdup2 (&sequence, sizeof sequence));
+  return last_window;
+}
+
+static guint64
+apply_usage (QuinceUsageBook *book, const QuinceUsageRecord *usage)
+{
+  guint64 last_window = 0;
+  for (guint i = 0; i < usage->sources.sources_len; i++)
+    last_window = MAX (last_window, apply_events (book, &usage->sources.sources_val[i]));
+  return last_window;
+}
+
+/* ---- Windows ---------------------------------------------------------- */
+
+static void
+apply_closed (QuinceUsageBook *book, guint64 index, const QuinceUsageWindow *closed)
+{
+  if (closed->window <= book->closed_up_to)
+    return; /* the first record of a window counts */
+  book->closed_up_to = closed->window;
+  book->closing_index = index;
+  while (book->open->len > 0 && ((OpenWindow *)book->open->pdata[0])->number <= closed->window)
+    g_ptr_array_remove_index (book->open, 0);
+  g_ptr_array_add (book->unsent, quince_xdr_copy ((xdrproc_t)xdr_QuinceUsageWindow, sizeof *closed, closed));
+}
+
+static void
+apply_sent (QuinceUsageBook *book, guint64 number)
+{
+  for (guint i = 0; i < book->unsent->len; i++)
+    if (((const QuinceUsageWindow *)book->unsent->pdata[i])->window == number)
+      {
+        g_ptr_array_remove_index (book->unsent, i);
+        return;
+      }
+}
+
+void
+quince_usage_book_apply (QuinceUsageBook *book, guint64 index, const QuinceBatchRecord *record)
+{
+  LiveRecord live = { .index = index };
+  if (record->kind == QUINCE_BATCH_RECORD_USAGE)
+    live.window = apply_usage (book, &record->QuinceBatchRecord_u.usage);
+  else if (record->kind == QUINCE_BATCH_RECORD_USAGE_CLOSED)
+    {
+      live.window = record->QuinceBatchRecord_u.usage_closed.window;
+      apply_closed (book, index, &record->QuinceBatchRecord_u.usage_closed);
+    }
+  else
+    {
+      live.window = record->QuinceBatchRecord_u.usage_sent;
+      apply_sent (book, live.window);
+    }
+  g_array_append_val (book->records, live);
+}
+
+guint64
+quince_usage_book_get_sequence (const QuinceUsageBook *book, guint64 source)
+{
+  const guint64 *sequence = g_hash_table_lookup (book->sequences, &source);
+  return sequence != NULL ? *sequence : 0;
+}
+
+/* ---- What is to be done ------------------------------------------------ */
+
+static gint
+compare_counts (gconstpointer a, gconstpointer b)
+{
+  const QuinceUsageCount *first = a;
+  const QuinceUsageCount *second = b;
+  return strcmp (first->tenant, second->tenant);
+}
+
+static QuinceUsageWindow *
+count_window (const OpenWindow *window)
+{
+  g_autoptr (GArray) counts = g_array_new (FALSE, FALSE, sizeof (QuinceUsageCount));
+  GHashTableIter iter;
+  gpointer tenant;
+  gpointer requests;
+  g_hash_table_iter_init (&iter, window->counts);
+  while (g_hash_table_iter_next (&iter, &tenant, &requests))
+    {
+      QuinceUsageCount count = { .tenant = tenant, .requests = GPOINTER_TO_UINT (requests) };
+      g_array_append_val (counts, count);
+    }
+  g_array_sort (counts, compare_counts);
+  QuinceUsageWindow closed = { .window = window->number };
+  closed.counts.counts_val = (QuinceUsageCount *)counts->data;
+  closed.counts.counts_len = counts->len;
+  return quince_xdr_copy ((xdrproc_t)xdr_QuinceUsageWindow, sizeof closed, &closed);
+}
+
+QuinceUsageWindow *
+quince_usage_book_next_to_close (QuinceUsageBook *book, guint64 now_ms, guint64 delay_ms)
+{
+  if (book->open->len == 0)
+    return NULL;
+  const OpenWindow *oldest = book->open->pdata[0];
+  guint64 end_ms = (oldest->number + 1) * book->window_ms;
+  return now_ms >= end_ms + delay_ms ? count_window (oldest) : NULL;
+}
+
+const QuinceUsageWindow *
+quince_usage_book_next_to_send (const QuinceUsageBook *book)
+{
+  return book->unsent->len > 0 ? book->unsent->pdata[0] : NULL;
+}
+
+GArray *
+quince_usage_book_take_forgettable (QuinceUsageBook *book)
+{
+  GArray *indexes = g_array_new (FALSE, FALSE, sizeof (guint64));
+  const QuinceUsageWindow *unsent = quince_usage_book_next_to_send (book);
+  guint64 done_up_to = unsent != NULL ? unsent->window - 1 : book->closed_up_to;
+  for (guint i = book->records->len; i > 0; i--)
+    {
+      const LiveRecord *record = &g_array_index (book->records, LiveRecord, i - 1);
+      if (record->window > done_up_to || record->index == book->closing_index)
+        continue;
+      g_array_append_val (indexes, record->index);
+      g_array_remove_index (book->records, i - 1);
+    }
+  return indexes;
+}
--- a/lib/forward/forward.c
+++ b/lib/forward/forward.c
@@ -48,6 +48,7 @@
   GPtrArray *live; /* Attempt, owned: in progress, the oldest first */
   GSource *timer;  /* next attempt, or another one beside those in progress */
   guint runs;      /* attempts that may have run, those in progress too */
+  gint64 began_us; /* when the first of them was sent; 0: there is none */
   guint refused_sends;
   guint failed_runs;
   const char *cause;
@@ -98,6 +99,12 @@
   g_free (forward);
 }
 
+gint64
+quince_forward_get_began_us (const QuinceForward *forward)
+{
+  return forward->began_us;
+}
+
 void
 quince_forward_cancel (QuinceForward *forward)
 {
@@ -110,6 +117,7 @@
   result->attempts = forward->dispatch.attempts;
   result->failed_runs = forward->failed_runs;
   result->cause = forward->cause;
+  result->began_us = forward->began_us;
   forward->done (result, forward->user_data);
   forward_free (forward);
 }
@@ -170,6 +178,8 @@
     {
       forward->runs--;
       forward->refused_sends++;
+      if (forward->runs == 0)
+        forward->began_us = 0;
     }
   gint64 now = quince_now_us ();
   if (forward->live->len > 0)
@@ -284,6 +294,8 @@
   attempt->started_us = now_us;
   g_ptr_array_add (forward->live, attempt);
   forward->runs++;
+  if (forward->began_us == 0)
+    forward->began_us = now_us;
   QuinceHttpPool *pool = quince_backends_get_pool (dispatch->backends, worker);
   attempt->exchange = quince_http_pool_start (pool, &request, &exchange_callbacks, attempt);
   if (may_run_again (forward) && forward->repeatable)
--- a/lib/protocol/quince_protocol.x
+++ b/lib/protocol/quince_protocol.x
@@ -522,12 +522,42 @@
     unsigned hyper indexes<QUINCE_MAX_INDEXES>;
 };
 
+/* ---- Usage: how many requests of each tenant began, by windows of time ---- */
+
+/* One request that began at a worker. */
+struct QuinceUsageEvent {
+    unsigned hyper sequence;          /* of its front; only grows          */
+    QuinceText     tenant;
+    unsigned hyper begun_ms;          /* wall clock, agreed on among machines */
+};
+
+struct QuinceUsageEvents {
+    unsigned hyper   source;          /* random, of one start of a front   */
+    QuinceUsageEvent events<QUINCE_MAX_INDEXES>;
+};
+
+struct QuinceUsageRecord { QuinceUsageEvents sources<QUINCE_MAX_INDEXES>; };
+
+struct QuinceUsageCount {
+    QuinceText   tenant;
+    unsigned int requests;
+};
+
+/* What is reported of a window, whoever reports it; the first such record of a window counts. */
+struct QuinceUsageWindow {
+    unsigned hyper   window;          /* number of the window since 1970   */
+    QuinceUsageCount counts<QUINCE_MAX_INDEXES>; /* sorted by tenant       */
+};
+
 enum QuinceBatchRecordKind {
     QUINCE_BATCH_RECORD_SUBMIT = 0,
     QUINCE_BATCH_RECORD_RESULT = 1,
     QUINCE_BATCH_RECORD_END    = 2,
     QUINCE_BATCH_RECORD_FORGET = 3,
-    QUINCE_BATCH_RECORD_SUBMIT_OF_TENANT = 4
+    QUINCE_BATCH_RECORD_SUBMIT_OF_TENANT = 4,
+    QUINCE_BATCH_RECORD_USAGE  = 5,
+    QUINCE_BATCH_RECORD_USAGE_CLOSED = 6,
+    QUINCE_BATCH_RECORD_USAGE_SENT = 7
 };
 
 union QuinceBatchRecord switch (QuinceBatchRecordKind kind) {
@@ -536,6 +566,9 @@
 case QUINCE_BATCH_RECORD_END:    QuinceText        ended;
 case QUINCE_BATCH_RECORD_FORGET: QuinceBatchForget forget;
 case QUINCE_BATCH_RECORD_SUBMIT_OF_TENANT: QuinceTenantBatch submit_of_tenant;
+case QUINCE_BATCH_RECORD_USAGE: QuinceUsageRecord usage;
+case QUINCE_BATCH_RECORD_USAGE_CLOSED: QuinceUsageWindow usage_closed;
+case QUINCE_BATCH_RECORD_USAGE_SENT: unsigned hyper usage_sent; /* a window */
 };
 
 /* ---- Batch ledger: one primary, its backups, and who they are --------- */
@@ -667,6 +700,26 @@
     opaque         body<QUINCE_MAX_FRAME>;
 };
 
+/* A request that began at a worker of a front's choice. */
+struct QuinceUsageTold {
+    unsigned hyper sequence;
+    QuinceText     tenant;
+    unsigned hyper age_ms;            /* since it began, when this is sent */
+};
+
+/* A front to the ledger's leader: what began, again until it is acknowledged. */
+struct QuinceUsageReport {
+    unsigned hyper  source;
+    unsigned hyper  wall_ms;          /* wall clock of the front           */
+    QuinceUsageTold events<QUINCE_MAX_INDEXES>;
+};
+
+/* The leader's answer: all up to @sequence will outlive it. */
+struct QuinceUsageAck {
+    unsigned hyper source;
+    unsigned hyper sequence;
+};
+
 /* ---- TCP envelope --------------------------------------------------- */
 
 enum QuinceMessageKind {
@@ -693,7 +746,9 @@
     QUINCE_MESSAGE_PROGRESS      = 20,
     QUINCE_MESSAGE_HEARTBEAT     = 21,
     QUINCE_MESSAGE_HEARTBEAT_ACK = 22,
-    QUINCE_MESSAGE_PACKED        = 23
+    QUINCE_MESSAGE_PACKED        = 23,
+    QUINCE_MESSAGE_USAGE_REPORT  = 24,
+    QUINCE_MESSAGE_USAGE_ACK     = 25
 };
 
 union QuinceMessage switch (QuinceMessageKind kind) {
@@ -721,6 +776,8 @@
 case QUINCE_MESSAGE_HEARTBEAT:     QuinceHeartbeat    heartbeat;
 case QUINCE_MESSAGE_HEARTBEAT_ACK: QuinceHeartbeatAck heartbeat_ack;
 case QUINCE_MESSAGE_PACKED:        QuincePacked       packed;
+case QUINCE_MESSAGE_USAGE_REPORT:  QuinceUsageReport  usage_report;
+case QUINCE_MESSAGE_USAGE_ACK:     QuinceUsageAck     usage_ack;
 };
 
 /* ---- UDP: membership and digests ------------------------------------ */
--- a/tests/platform/path-world.h
+++ b/tests/platform/path-world.h
@@ -28,6 +28,7 @@
   QuinceProcess *fronts[PATH_FRONTS];
   QuinceProcess *replicas[PATH_REPLICAS];
   gboolean founded;
+  char *duties; /* more settings of replicas; NULL: none */
 } PathWorld;
 
 typedef struct
@@ -176,9 +177,9 @@
   g_mkdir_with_parents (data, 0700);
   g_autofree char *settings = g_strdup_printf (
       "[node]\nname=%s\nzone=z1\n[listen]\nlink=127.0.0.1:0\n[store]\naddress=%s\n[ledger]\n"
-      "folder=%s\nfound=%s\nlosses=1\n[orders]\npause=500ms\n[policy]\nfile=%s/deploy/policy.lua\n",
+      "folder=%s\nfound=%s\nlosses=1\n[orders]\npause=500ms\n[policy]\nfile=%s/deploy/policy.lua\n%s",
       name, standin_store_get_address (world->store), data, world->founded ? "false" : "true",
-      g_getenv ("QUINCE_SOURCE_DIR"));
+      g_getenv ("QUINCE_SOURCE_DIR"), world->duties != NULL ? world->duties : "");
   g_clear_pointer (&world->replicas[index], quince_process_free);
   world->replicas[index] = path_spawn (world, "quinceroute-replica", name, settings);
 }
@@ -338,6 +339,7 @@
   g_autofree char *remove = g_strdup_printf ("rm -rf '%s'", world->folder);
   g_assert_cmpint (system (remove), ==, 0);
   g_free (world->folder);
+  g_free (world->duties);
   g_free (world);
 }
 
--- /dev/null
+++ b/tests/platform/test-duties.c
@@ -0,0 +1,248 @@
+/*
+ * test-duties.c: calls that one machine makes for all: usage of tenants, told once a window, whoever leads.
+ */
+#include "tenants-world.h"
+
+#include <stdlib.h>
+
+#include <json-glib/json-glib.h>
+
+/* Windows are short here; a report is due half a minute of them later. */
+#define WINDOW_S 1
+#define LATE_S 4
+#define CALLS 12
+
+/* ---- A stand-in of the platform ------------------------------------------- */
+
+typedef struct
+{
+  guint64 window;
+  char *body;
+  char *holder;
+  guint64 fence;
+} Report;
+
+typedef struct
+{
+  StandinServer *server;
+  GPtrArray *reports; /* Report, owned, in the order in which they came */
+  guint refuse;       /* as many are answered 503 */
+  guint swallow;      /* as many are taken and not answered */
+} Platform;
+
+static void
+report_free (gpointer data)
+{
+  Report *report = data;
+  g_free (report->body);
+  g_free (report->holder);
+  g_free (report);
+}
+
+static void
+platform_called (StandinCall *call, gpointer data)
+{
+  Platform *platform = data;
+  assert_string_equal (call->head->target, "/usage");
+  if (platform->refuse > 0)
+    {
+      platform->refuse--;
+      standin_answer (call, 503, "", "", 0);
+      return;
+    }
+  Report *report = g_new0 (Report, 1);
+  report->body = g_strndup ((const char *)call->body->data, call->body->len);
+  report->holder = g_strdup (standin_header (call, "Duty-Holder"));
+  report->fence = g_ascii_strtoull (standin_header (call, "Fence-Token"), NULL, 10);
+  report->window = g_ascii_strtoull (strstr (report->body, "\"windowId\":") + 11, NULL, 10);
+  g_ptr_array_add (platform->reports, report);
+  if (platform->swallow > 0)
+    {
+      platform->swallow--;
+      standin_reset (call);
+      return;
+    }
+  standin_answer (call, 200, "", "", 0);
+}
+
+static Platform *
+platform_new (void)
+{
+  Platform *platform = g_new0 (Platform, 1);
+  platform->reports = g_ptr_array_new_with_free_func (report_free);
+  platform->server = standin_server_new (platform_called, platform);
+  return platform;
+}
+
+static void
+platform_free (Platform *platform)
+{
+  standin_server_free (platform->server);
+  g_ptr_array_unref (platform->reports);
+  g_free (platform);
+}
+
+static guint
+count_of (const Report *report, const char *tenant)
+{
+  g_autoptr (JsonParser) parser = json_parser_new ();
+  assert_true (json_parser_load_from_data (parser, report->body, -1, NULL));
+  JsonObject *counts
+      = json_object_get_object_member (json_node_get_object (json_parser_get_root (parser)), "counts");
+  return json_object_has_member (counts, tenant) ? (guint)json_object_get_int_member (counts, tenant) : 0;
+}
+
+/* Over all windows, each of them once. */
+static guint
+told (const Platform *platform, const char *tenant)
+{
+  g_autoptr (GHashTable) seen = g_hash_table_new (g_int64_hash, g_int64_equal);
+  guint count = 0;
+  for (guint i = 0; i < platform->reports->len; i++)
+    {
+      Report *report = platform->reports->pdata[i];
+      if (g_hash_table_add (seen, &report->window))
+        count += count_of (report, tenant);
+    }
+  return count;
+}
+
+/* A window is told with the same bytes each time, and fences only rise. */
+static void
+assert_one_holder (const Platform *platform)
+{
+  guint64 fence = 0;
+  for (guint i = 0; i < platform->reports->len; i++)
+    {
+      const Report *report = platform->reports->pdata[i];
+      assert_true (report->fence >= fence);
+      fence = report->fence;
+      for (guint j = 0; j < i; j++)
+        {
+          const Report *before = platform->reports->pdata[j];
+          if (before->window == report->window)
+            assert_string_equal (before->body, report->body);
+          if (before->fence == report->fence)
+            assert_string_equal (before->holder, report->holder);
+        }
+    }
+}
+
+static PathWorld *
+start_world (const char *name, const Platform *platform)
+{
+  PathWorld *world = path_world_new (name);
+  world->duties
+      = g_strdup_printf ("[duties]\naddress=%s\nnames=metering,scaling\nusage_window=%us\nusage_late=%us\n",
+                         standin_server_get_address (platform->server), WINDOW_S, LATE_S);
+  tenants_world_start (world);
+  return world;
+}
+
+static guint
+runs_of (PathWorld *world, const char *tenant)
+{
+  guint count = 0;
+  for (guint i = 0; i < PATH_PLAIN; i++)
+    {
+      const GPtrArray *runs = standin_worker_get_runs (world->plain[i]);
+      for (guint j = 0; j < runs->len; j++)
+        count += g_strcmp0 (((const StandinRun *)runs->pdata[j])->tenant, tenant) == 0;
+    }
+  return count;
+}
+
+static void
+call_some (PathWorld *world)
+{
+  for (guint i = 0; i < CALLS; i++)
+    {
+      g_autofree char *id = g_strdup_printf ("c%u-%u", i, g_random_int ());
+      const char *key = i % 3 == 0 ? KEY_B1 : KEY_A1;
+      assert_int_equal (status_with_key (path_front (world, i % PATH_FRONTS), "POST", "/l/1", id, "x", key),
+                        200);
+    }
+}
+
+static void
+await_all_told (PathWorld *world, const Platform *platform)
+{
+  AWAIT (told (platform, "tenant-a") == runs_of (world, "tenant-a")
+         && told (platform, "tenant-b") == runs_of (world, "tenant-b"));
+  assert_one_holder (platform);
+}
+
+/* ---- Tests ------------------------------------------------------------------ */
+
+static void
+test_usage_is_told_once (void **state)
+{
+  Platform *platform = platform_new ();
+  PathWorld *world = start_world ("usage", platform);
+  call_some (world);
+  run_for (WINDOW_S * 1000);
+  call_some (world);
+  /* Refused requests and samples are no usage. */
+  status_with_key (path_front (world, 0), "POST", "/l/1", "nobody", "x", KEY_NOBODY);
+  g_autofree char *batch = path_batch_text ("b1", 4);
+  assert_int_equal (status_with_key (path_front (world, 0), "POST", "/r/batch", "b1", batch, KEY_A1), 202);
+  await_all_told (world, platform);
+  guint reports = platform->reports->len;
+  run_for (2000 * WINDOW_S);
+  assert_int_equal (platform->reports->len, reports);
+  path_world_free (world);
+  platform_free (platform);
+}
+
+/* A platform that refuses, and one that takes a report and does not answer. */
+static void
+test_report_is_sent_again (void **state)
+{
+  Platform *platform = platform_new ();
+  PathWorld *world = start_world ("again", platform);
+  platform->refuse = 2;
+  platform->swallow = 1;
+  call_some (world);
+  await_all_told (world, platform);
+  assert_int_equal (platform->refuse, 0);
+  path_world_free (world);
+  platform_free (platform);
+}
+
+/* The leader and its disk are lost with what it was told; all processes are killed. */
+static void
+test_usage_outlives_leaders (void **state)
+{
+  Platform *platform = platform_new ();
+  PathWorld *world = start_world ("heirs", platform);
+  call_some (world);
+  run_for (700); /* the leader keeps what it is told each 0.2 s */
+  gint leader = path_leader (world);
+  quince_process_kill (world->replicas[leader]);
+  path_wipe_replica (world, (guint)leader);
+  path_start_replica (world, (guint)leader);
+  call_some (world);
+  run_for (700);
+  await_all_told (world, platform);
+  call_some (world);
+  AWAIT (path_leader (world) != leader);
+  run_for (2500);
+  for (guint i = 0; i < PATH_REPLICAS; i++)
+    quince_process_kill (world->replicas[i]);
+  for (guint i = 0; i < PATH_REPLICAS; i++)
+    path_start_replica (world, i);
+  await_all_told (world, platform);
+  path_world_free (world);
+  platform_free (platform);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_usage_is_told_once),
+    cmocka_unit_test (test_report_is_sent_again),
+    cmocka_unit_test (test_usage_outlives_leaders),
+  };
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
--- a/tests/platform/test-tenants.c
+++ b/tests/platform/test-tenants.c
@@ -1,85 +1,19 @@
 /*
  * test-tenants.c: API keys and tenants on the whole path, and where a key must never be found.
  */
-#include "path-world.h"
+#include "tenants-world.h"
 
 #include <stdlib.h>
 
-#define KEY_A1 "key-a1-k3j9d8f7s6"
-#define KEY_A2 "key-a2-p0o9i8u7y6"
-#define KEY_B1 "key-b1-q1w2e3r4t5"
-#define KEY_NOBODY "key-nobody-z9x8c7"
 #define ITEMS 6
 /* The bound for changes of the configuration that the users' deployments set, ms. */
 #define APPLY_MS 3000
 
-#define TENANTS_ALL                                                                                          \
-  "{\"name\":\"tenant-a\",\"apiKeys\":[\"" KEY_A1 "\",\"" KEY_A2 "\"],\"priority\":3},"                      \
-  "{\"name\":\"tenant-b\",\"apiKeys\":[\"" KEY_B1 "\"],\"priority\":1}"
-/* The first key of the first tenant is withdrawn. */
-#define TENANTS_LESS                                                                                         \
-  "{\"name\":\"tenant-a\",\"apiKeys\":[\"" KEY_A2 "\"],\"priority\":3},"                                     \
-  "{\"name\":\"tenant-b\",\"apiKeys\":[\"" KEY_B1 "\"],\"priority\":1}"
-#define PUBLIC_ROUTE                                                                                         \
-  "{\"name\":\"p\",\"host\":\"" PATH_HOST "\",\"pathPrefix\":\"/p/\",\"kind\":\"idempotent\","               \
-  "\"timeoutMs\":2000,\"targetLatencyMs\":150,\"priority\":2,\"service\":\"svc\",\"maxAttempts\":3,"         \
-  "\"public\":true}"
-
-static void
-configure (PathWorld *world, guint version, const char *tenants)
-{
-  g_autofree char *plain = g_strdup_printf (PATH_CONFIGURATION, version);
-  g_auto (GStrv) parts = g_strsplit (plain, "\"routes\":[", 2);
-  g_autofree char *text
-      = g_strdup_printf ("%s\"tenants\":[%s],\"routes\":[" PUBLIC_ROUTE ",%s", parts[0], tenants, parts[1]);
-  standin_store_put (world->store, "op/config", text);
-}
-
-static guint
-call_with_key (const char *address,
-               const char *method,
-               const char *target,
-               const char *id,
-               const char *text,
-               const char *key,
-               PathAnswer *answer)
-{
-  path_begin_with (address, method, target, id, text, key != NULL ? "Credential" : NULL, key, answer);
-  AWAIT (answer->done);
-  return answer->status;
-}
-
-static guint
-status_with_key (const char *address,
-                 const char *method,
-                 const char *target,
-                 const char *id,
-                 const char *text,
-                 const char *key)
-{
-  PathAnswer answer;
-  guint status = call_with_key (address, method, target, id, text, key, &answer);
-  path_answer_clear (&answer);
-  return status;
-}
-
 static PathWorld *
 start_world (const char *name)
 {
   PathWorld *world = path_world_new (name);
-  configure (world, 7, TENANTS_ALL);
-  path_list_workers (world);
-  for (guint i = 0; i < PATH_REPLICAS; i++)
-    path_start_replica (world, i);
-  for (guint i = 0; i < PATH_FRONTS; i++)
-    path_start_front (world, i);
-  world->founded = TRUE;
-  for (guint i = 0; i < PATH_FRONTS; i++)
-    {
-      AWAIT (status_with_key (path_front (world, i), "GET", "/quinceroute/lots/none", "q", NULL, KEY_A1)
-             == 404);
-      AWAIT (status_with_key (path_front (world, i), "POST", "/l/1", "q", "x", KEY_A1) == 200);
-    }
+  tenants_world_start (world);
   return world;
 }
 
--- /dev/null
+++ b/tests/unit/test-usage-book.c
@@ -0,0 +1,147 @@
+/*
+ * test-usage-book.c: windows of usage: counted once, closed in order, the same for every leader; the agreed
+ * clock.
+ */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+
+#include <cmocka.h>
+
+#include <quince/agreed-clock.h>
+#include <quince/usage-book.h>
+
+#define WINDOW_MS 5000
+#define DELAY_MS 4000
+#define SOURCE 77
+
+static void
+apply_event (QuinceUsageBook *book,
+             guint64 index,
+             guint64 source,
+             guint64 sequence,
+             const char *tenant,
+             guint64 ms)
+{
+  QuinceUsageEvent event = { .sequence = sequence, .tenant = (char *)tenant, .begun_ms = ms };
+  QuinceUsageEvents events = { .source = source };
+  events.events.events_val = &event;
+  events.events.events_len = 1;
+  QuinceBatchRecord record = { .kind = QUINCE_BATCH_RECORD_USAGE };
+  record.QuinceBatchRecord_u.usage.sources.sources_val = &events;
+  record.QuinceBatchRecord_u.usage.sources.sources_len = 1;
+  quince_usage_book_apply (book, index, &record);
+}
+
+static void
+apply_closed (QuinceUsageBook *book, guint64 index, const QuinceUsageWindow *window)
+{
+  QuinceBatchRecord record = { .kind = QUINCE_BATCH_RECORD_USAGE_CLOSED };
+  record.QuinceBatchRecord_u.usage_closed = *window;
+  quince_usage_book_apply (book, index, &record);
+}
+
+static void
+apply_sent (QuinceUsageBook *book, guint64 index, guint64 window)
+{
+  QuinceBatchRecord record = { .kind = QUINCE_BATCH_RECORD_USAGE_SENT };
+  record.QuinceBatchRecord_u.usage_sent = window;
+  quince_usage_book_apply (book, index, &record);
+}
+
+static void
+test_counts_once (void **state)
+{
+  g_autoptr (QuinceUsageBook) book = quince_usage_book_new (WINDOW_MS);
+  apply_event (book, 1, SOURCE, 1, "b", 10001);
+  apply_event (book, 2, SOURCE, 2, "a", 14999);
+  apply_event (book, 3, SOURCE, 2, "a", 14999); /* told again */
+  apply_event (book, 4, SOURCE + 1, 1, "b", 12000);
+  apply_event (book, 5, SOURCE, 3, "a", 15000); /* of the next window */
+  assert_int_equal (quince_usage_book_get_sequence (book, SOURCE), 3);
+  assert_int_equal (quince_usage_book_get_sequence (book, SOURCE + 2), 0);
+  assert_null (quince_usage_book_next_to_close (book, 15000 + DELAY_MS - 1, DELAY_MS));
+  g_autoptr (QuinceUsageWindow) window = quince_usage_book_next_to_close (book, 15000 + DELAY_MS, DELAY_MS);
+  assert_int_equal (window->window, 2);
+  assert_int_equal (window->counts.counts_len, 2);
+  assert_string_equal (window->counts.counts_val[0].tenant, "a");
+  assert_int_equal (window->counts.counts_val[0].requests, 1);
+  assert_string_equal (window->counts.counts_val[1].tenant, "b");
+  assert_int_equal (window->counts.counts_val[1].requests, 2);
+}
+
+/* What comes late, or is closed a second time by another leader, changes no report. */
+static void
+test_closed_for_good (void **state)
+{
+  g_autoptr (QuinceUsageBook) book = quince_usage_book_new (WINDOW_MS);
+  apply_event (book, 1, SOURCE, 1, "a", 10000);
+  g_autoptr (QuinceUsageWindow) window = quince_usage_book_next_to_close (book, 30000, DELAY_MS);
+  apply_closed (book, 2, window);
+  apply_event (book, 3, SOURCE, 2, "a", 10001);
+  assert_null (quince_usage_book_next_to_close (book, 30000, DELAY_MS));
+  QuinceUsageCount other = { .tenant = (char *)"a", .requests = 2 };
+  QuinceUsageWindow again = { .window = 2 };
+  again.counts.counts_val = &other;
+  again.counts.counts_len = 1;
+  apply_closed (book, 4, &again);
+  const QuinceUsageWindow *report = quince_usage_book_next_to_send (book);
+  assert_int_equal (report->window, 2);
+  assert_int_equal (report->counts.counts_val[0].requests, 1);
+  apply_sent (book, 5, 2);
+  assert_null (quince_usage_book_next_to_send (book));
+}
+
+/* Records are forgotten, but never the one that keeps old windows closed. */
+static void
+test_forgets (void **state)
+{
+  g_autoptr (QuinceUsageBook) book = quince_usage_book_new (WINDOW_MS);
+  apply_event (book, 1, SOURCE, 1, "a", 10000);
+  apply_event (book, 2, SOURCE, 2, "a", 16000);
+  g_autoptr (QuinceUsageWindow) window = quince_usage_book_next_to_close (book, 19000, DELAY_MS);
+  apply_closed (book, 3, window);
+  g_autoptr (GArray) nothing = quince_usage_book_take_forgettable (book);
+  assert_int_equal (nothing->len, 0);
+  apply_sent (book, 4, 2);
+  g_autoptr (GArray) indexes = quince_usage_book_take_forgettable (book);
+  assert_int_equal (indexes->len, 2); /* the event and the acknowledgement */
+  g_autoptr (GArray) again = quince_usage_book_take_forgettable (book);
+  assert_int_equal (again->len, 0);
+  /* Another leader, from the records that are left. */
+  g_autoptr (QuinceUsageBook) next = quince_usage_book_new (WINDOW_MS);
+  apply_event (next, 2, SOURCE, 2, "a", 16000);
+  apply_closed (next, 3, window);
+  apply_event (next, 5, SOURCE + 1, 1, "a", 10000);
+  g_autoptr (QuinceUsageWindow) open = quince_usage_book_next_to_close (next, 60000, DELAY_MS);
+  assert_int_equal (open->window, 3);
+  /* It sends the closed window again, to the byte. */
+  const QuinceUsageWindow *report = quince_usage_book_next_to_send (next);
+  assert_int_equal (report->window, 2);
+  assert_int_equal (report->counts.counts_val[0].requests, 1);
+}
+
+/* Clocks that are stepped by 2 s, either way, on a minority of machines. */
+static void
+test_agreed_clock (void **state)
+{
+  g_autoptr (QuinceAgreedClock) clock = quince_agreed_clock_new ();
+  assert_int_equal (quince_agreed_clock_get (clock, 1000, 501000), 501000);
+  for (guint64 source = 1; source <= 7; source++)
+    quince_agreed_clock_note (clock, source, 1000, source <= 2 ? 503000 : source <= 3 ? 499000 : 501001);
+  assert_int_equal (quince_agreed_clock_get (clock, 2000, 504000), 502001);
+  /* Voices that were not heard for long count no more. */
+  assert_int_equal (quince_agreed_clock_get (clock, 90000, 600000), 600000);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_counts_once),
+    cmocka_unit_test (test_closed_for_good),
+    cmocka_unit_test (test_forgets),
+    cmocka_unit_test (test_agreed_clock),
+  };
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
