Usage: what tells that a window was sent is kept as long as its closing

Ruled out: a lost record (both were committed); another clock. Change: both are forgotten in one step, once a later window is closed. Test: unit-usage-book test_forgets failed first.

--- a/lib/core/duties/usage-book.c
+++ b/lib/core/duties/usage-book.c
@@ -26,7 +26,6 @@
   GPtrArray *unsent;     /* QuinceUsageWindow, owned: closed, by number */
   GHashTable *sequences; /* source (guint64) to guint64: greatest sequence, both owned */
   guint64 closed_up_to;  /* windows up to this one are closed */
-  guint64 closing_index; /* of the record that says so: it is kept, or old windows would open again */
   GArray *records;       /* LiveRecord */
 };
 
@@ -133,12 +132,11 @@
 /* ---- Windows ---------------------------------------------------------- */
 
 static void
-apply_closed (QuinceUsageBook *book, guint64 index, const QuinceUsageWindow *closed)
+apply_closed (QuinceUsageBook *book, const QuinceUsageWindow *closed)
 {
   if (closed->window <= book->closed_up_to)
     return; /* the first record of a window counts */
   book->closed_up_to = closed->window;
-  book->closing_index = index;
   while (book->open->len > 0 && ((OpenWindow *)book->open->pdata[0])->number <= closed->window)
     g_ptr_array_remove_index (book->open, 0);
   g_ptr_array_add (book->unsent, quince_xdr_copy ((xdrproc_t)xdr_QuinceUsageWindow, sizeof *closed, closed));
@@ -164,7 +162,7 @@
   else if (record->kind == QUINCE_BATCH_RECORD_USAGE_CLOSED)
     {
       live.window = record->QuinceBatchRecord_u.usage_closed.window;
-      apply_closed (book, index, &record->QuinceBatchRecord_u.usage_closed);
+      apply_closed (book, &record->QuinceBatchRecord_u.usage_closed);
     }
   else
     {
@@ -232,11 +230,13 @@
 {
   GArray *indexes = g_array_new (FALSE, FALSE, sizeof (guint64));
   const QuinceUsageWindow *unsent = quince_usage_book_next_to_send (book);
-  guint64 done_up_to = unsent != NULL ? unsent->window - 1 : book->closed_up_to;
+  /* The last closing stays, or old windows would open again, and so does what tells that it was sent: both go
+   * in one step, or another leader would find a closed window that was never sent. */
+  guint64 needed_from = unsent != NULL ? MIN (unsent->window, book->closed_up_to) : book->closed_up_to;
   for (guint i = book->records->len; i > 0; i--)
     {
       const LiveRecord *record = &g_array_index (book->records, LiveRecord, i - 1);
-      if (record->window > done_up_to || record->index == book->closing_index)
+      if (record->window >= needed_from)
         continue;
       g_array_append_val (indexes, record->index);
       g_array_remove_index (book->records, i - 1);
--- a/tests/unit/test-usage-book.c
+++ b/tests/unit/test-usage-book.c
@@ -104,8 +104,13 @@
   g_autoptr (GArray) nothing = quince_usage_book_take_forgettable (book);
   assert_int_equal (nothing->len, 0);
   apply_sent (book, 4, 2);
+  /* Failed first: the acknowledgement went before the closing, and the next leader sent the window again. */
+  g_autoptr (GArray) kept = quince_usage_book_take_forgettable (book);
+  assert_int_equal (kept->len, 0);
+  g_autoptr (QuinceUsageWindow) second = quince_usage_book_next_to_close (book, 24000, DELAY_MS);
+  apply_closed (book, 6, second);
   g_autoptr (GArray) indexes = quince_usage_book_take_forgettable (book);
-  assert_int_equal (indexes->len, 2); /* the event and the acknowledgement */
+  assert_int_equal (indexes->len, 3); /* the event, its closing and the acknowledgement */
   g_autoptr (GArray) again = quince_usage_book_take_forgettable (book);
   assert_int_equal (again->len, 0);
   /* Another leader, from the records that are left. */
