Ledger: a new leader reads its log in turns, and shows that it lives between them

Cause: on a store machine of 0.3 cores a log of 5,400 records takes 1.8 s to read. Ruled out: the metadata store (views were written within 10 ms); fronts (linked within 0.2 s of each leader). Change: 30 ms of reading at a time; calls about batches get 503 until all is read; a log that cannot be read ends the process. Test: platform-recovery, failed first on the code before (two elections).

--- a/daemons/replica/batch-service.c
+++ b/daemons/replica/batch-service.c
@@ -247,7 +247,8 @@
 void
 quince_batch_service_call (QuinceBatchService *service, QuinceLink *link, const QuinceServiceCall *call)
 {
-  if (service->book == NULL || !quince_ledger_node_may_answer (service->ledger))
+  /* While a new leader reads its log the book is not whole. */
+  if (service->runner == NULL || !quince_ledger_node_may_answer (service->ledger))
     {
       quince_batch_answer_status (link, call->id, 503);
       return;
--- a/daemons/replica/ledger-node-private.h
+++ b/daemons/replica/ledger-node-private.h
@@ -35,6 +35,10 @@
 
   /* At the leader. */
   gboolean led;        /* leadership as told to the owner */
+  GSource *reading;    /* a new leader reads its log; NULL: it has read all of it, or does not lead */
+  guint64 told_index;  /* the owner was told of the records up to here */
+  gint64 turn_ends_us; /* reading rests then */
+  gint64 read_since_us;
   guint64 led_epoch;   /* role as last looked at: epoch led, 0 none */
   guint64 next_index;  /* of the next record */
   GArray *unwritten;   /* QuinceLogEntry, owned records: not yet on disk */
--- a/daemons/replica/ledger-node.c
+++ b/daemons/replica/ledger-node.c
@@ -16,6 +16,9 @@
 #define CONFIRM_EVERY_US (300 * 1000)
 #define COMPACT_EVERY_US (5 * G_USEC_PER_SEC)
 #define COMPACT_MOST 500
+/* How long a new leader reads its log before it looks at its links: little against the 1 s of silence after
+ * which others take the lead, also on a tenth of a core. */
+#define READ_TURN_US (30 * 1000)
 
 /* ---- Links ------------------------------------------------------------ */
 
@@ -185,8 +188,9 @@
   node->led_epoch = 0;
   quince_ledger_node_drop_backups (node);
   clear_records (node);
-  if (node->led)
+  if (node->led || node->reading != NULL)
     {
+      quince_source_clear (&node->reading);
       node->led = FALSE;
       node->callbacks->stopped_leading (node->user_data);
     }
@@ -249,24 +253,49 @@
     quince_log_failure ("ledger_record_unreadable", "index=%" G_GUINT64_FORMAT, (guint64)entry->index);
 }
 
+/* Tells stored records until the turn's time is up. */
 static gboolean
 tell_stored (const QuinceLogEntry *entry, gpointer data)
 {
-  tell_record (data, entry);
-  return TRUE;
+  QuinceLedgerNode *node = data;
+  tell_record (node, entry);
+  node->told_index = entry->index;
+  return quince_now_us () < node->turn_ends_us;
 }
 
-/* All that was acknowledged is known and held by enough machines: this replica leads. */
-static void
-take_lead (QuinceLedgerNode *node)
+/* A log of some thousand records takes seconds to read on a small machine.  Between two turns heartbeats go
+ * out: without them the others would elect another leader, which would begin to read in its turn. */
+static gboolean
+read_more (gpointer data)
 {
+  QuinceLedgerNode *node = data;
   g_autoptr (GError) error = NULL;
+  node->turn_ends_us = quince_now_us () + READ_TURN_US;
+  if (!quince_batch_log_walk (node->log, node->told_index + 1, tell_stored, node, &error))
+    {
+      /* What it cannot read it cannot answer for: another replica can. */
+      quince_log_failure ("ledger_disk_failed", "doing=read reason=\"%s\"", error->message);
+      abort ();
+    }
+  if (node->told_index < quince_batch_log_get_last_index (node->log))
+    return G_SOURCE_CONTINUE;
+  quince_source_clear (&node->reading);
   node->led = TRUE;
-  if (!quince_batch_log_walk (node->log, 1, tell_stored, node, &error))
-    quince_log_failure ("ledger_disk_failed", "doing=read reason=\"%s\"", error->message);
-  quince_log_info ("ledger_recovered", "epoch=%" G_GUINT64_FORMAT " index=%" G_GUINT64_FORMAT,
-                   node->led_epoch, quince_batch_log_get_last_index (node->log));
+  quince_log_info ("ledger_recovered",
+                   "epoch=%" G_GUINT64_FORMAT " index=%" G_GUINT64_FORMAT " read_ms=%" G_GINT64_FORMAT,
+                   node->led_epoch, node->told_index, (quince_now_us () - node->read_since_us) / 1000);
   node->callbacks->leads (node->user_data);
+  quince_ledger_node_advance (node);
+  return G_SOURCE_REMOVE;
+}
+
+/* All that was acknowledged is held by enough machines: this replica leads once it has read it. */
+static void
+begin_reading (QuinceLedgerNode *node)
+{
+  node->told_index = 0;
+  node->read_since_us = quince_now_us ();
+  node->reading = quince_timer_add (0, read_more, node);
 }
 
 void
@@ -274,8 +303,8 @@
 {
   if (node->led_epoch == 0)
     return;
-  if (!node->led && quince_ledger_group_may_answer (node->group, quince_now_us ()))
-    take_lead (node);
+  if (!node->led && node->reading == NULL && quince_ledger_group_may_answer (node->group, quince_now_us ()))
+    begin_reading (node);
   if (!node->led)
     return;
   guint64 commit = quince_ledger_group_get_commit_index (node->group);
@@ -410,6 +439,7 @@
   if (node == NULL)
     return;
   quince_source_clear (&node->tick);
+  quince_source_clear (&node->reading);
   clear_records (node);
   quince_ledger_node_unfollow (node);
   quince_ledger_node_stop_campaign (node);
--- a/daemons/replica/ledger-node.h
+++ b/daemons/replica/ledger-node.h
@@ -13,8 +13,8 @@
 /**
  * QuinceLedgerNodeCallbacks:
  * @leads: this replica leads now and knows all that was acknowledged; committed() has told every record
- * @stopped_leading: it does not lead any more
- * @committed: (transfer full): @record, in the order of the log; only at the leader
+ * @stopped_leading: it does not lead any more, or lost the lead before leads() while it read its log
+ * @committed: (transfer full): @record, in the order of the log; only at the leader, from before leads() on
  * @service_call: a call of a front; @link is to be answered on, and may close
  * @followed: a link to the leader is up
  * @other_message: a message that is not the ledger's, from a front or from the leader
--- a/tests/platform/path-world.h
+++ b/tests/platform/path-world.h
@@ -28,7 +28,8 @@
   QuinceProcess *fronts[PATH_FRONTS];
   QuinceProcess *replicas[PATH_REPLICAS];
   gboolean founded;
-  char *duties; /* more settings of replicas; NULL: none */
+  char *duties;               /* more settings of replicas; NULL: none */
+  char *links[PATH_REPLICAS]; /* where each replica listens, at every start; NULL: where the kernel chooses */
 } PathWorld;
 
 typedef struct
@@ -176,14 +177,30 @@
   g_autofree char *data = g_strdup_printf ("%s/data-%u", world->folder, index);
   g_mkdir_with_parents (data, 0700);
   g_autofree char *settings = g_strdup_printf (
-      "[node]\nname=%s\nzone=z1\n[listen]\nlink=127.0.0.1:0\n[store]\naddress=%s\n[ledger]\n"
+      "[node]\nname=%s\nzone=z1\n[listen]\nlink=%s\n[store]\naddress=%s\n[ledger]\n"
       "folder=%s\nfound=%s\nlosses=1\n[orders]\npause=500ms\n[policy]\nfile=%s/deploy/policy.lua\n%s",
-      name, standin_store_get_address (world->store), data, world->founded ? "false" : "true",
+      name, world->links[index] != NULL ? world->links[index] : "127.0.0.1:0",
+      standin_store_get_address (world->store), data, world->founded ? "false" : "true",
       g_getenv ("QUINCE_SOURCE_DIR"), world->duties != NULL ? world->duties : "");
   g_clear_pointer (&world->replicas[index], quince_process_free);
   world->replicas[index] = path_spawn (world, "quinceroute-replica", name, settings);
 }
 
+/* Replicas come back where they were, at ports that the kernel finds free now. */
+static inline void
+path_fix_links (PathWorld *world)
+{
+  for (guint i = 0; i < PATH_REPLICAS; i++)
+    {
+      g_autoptr (GSocketListener) listener = g_socket_listener_new ();
+      g_autoptr (GError) error = NULL;
+      guint16 port = g_socket_listener_add_any_inet_port (listener, NULL, &error);
+      assert_true (port != 0);
+      world->links[i] = g_strdup_printf ("127.0.0.1:%u", port);
+      g_socket_listener_close (listener);
+    }
+}
+
 /* The disk of a replica that is down is lost. */
 static inline void
 path_wipe_replica (PathWorld *world, guint index)
@@ -340,6 +357,8 @@
   g_assert_cmpint (system (remove), ==, 0);
   g_free (world->folder);
   g_free (world->duties);
+  for (guint i = 0; i < PATH_REPLICAS; i++)
+    g_free (world->links[i]);
   g_free (world);
 }
 
