Results are kept packed and decoded when a caller reads them

Ruled out: leaving ended batches out of the log (callers read them until the status interval is over). Change: a record kind with batch and item outside and the result packed inside; the book keeps the bytes. Records of earlier builds are read. Test: unit-packed-message test_listed_results (both kinds of record, broken bytes).

--- a/daemons/replica/batch-answers.c
+++ b/daemons/replica/batch-answers.c
@@ -3,6 +3,9 @@
  */
 #include "batch-answers.h"
 
+#include <quince/log.h>
+#include <quince/packed-message.h>
+
 #include "platform.h"
 
 /* Retry-After of refusals, ms: electing a new leader takes about a second, so a caller asks a few times. */
@@ -38,17 +41,42 @@
   reply (link, id, status, "", NULL, status == 503 || status == 429 ? RETRY_AFTER_MS : 0);
 }
 
+/* Decodes the results from @position on, as many as one answer holds. Returns: FALSE with @error: one of them
+ * cannot be decoded */
+static gboolean
+decode_results (const QuinceBatchEntry *entry, guint64 position, GPtrArray *results, GError **error)
+{
+  gsize bytes = 0;
+  for (guint64 i = position; i < entry->results->len && (results->len == 0 || bytes < RESULTS_MOST_BYTES);
+       i++)
+    {
+      const QuinceBatchListing *listing = entry->results->pdata[i];
+      QuinceBatchResult *result = quince_batch_result_unpack (listing->body, error);
+      if (result == NULL)
+        return FALSE;
+      g_ptr_array_add (results, result);
+      bytes += result->text.text_len;
+    }
+  return TRUE;
+}
+
 void
 quince_batch_answer_results (QuinceLink *link, guint64 id, const QuinceBatchEntry *entry, guint64 position)
 {
+  g_autoptr (GPtrArray) results = g_ptr_array_new_with_free_func ((GDestroyNotify)quince_batch_result_free);
+  g_autoptr (GError) error = NULL;
+  if (!decode_results (entry, position, results, &error))
+    {
+      quince_log_failure ("result_unreadable", "batch=%s code=%d", entry->batch->id, error->code);
+      quince_batch_answer_status (link, id, 503);
+      return;
+    }
   g_autoptr (GArray) listed = g_array_new (FALSE, FALSE, sizeof (QuincePlatformResult));
-  gsize bytes = 0;
-  for (guint64 i = position; i < entry->results->len && (listed->len == 0 || bytes < RESULTS_MOST_BYTES); i++)
+  for (guint i = 0; i < results->len; i++)
     {
-      const QuinceBatchResult *result = entry->results->pdata[i];
+      const QuinceBatchResult *result = results->pdata[i];
       QuincePlatformResult row = { entry->batch->items.items_val[result->item].id, result };
       g_array_append_val (listed, row);
-      bytes += result->text.text_len;
     }
   g_autoptr (GBytes) body
       = quince_platform_format_results (entry->batch->items.items_len, position + listed->len,
--- a/daemons/replica/batch-service.c
+++ b/daemons/replica/batch-service.c
@@ -10,6 +10,7 @@
 
 #include <quince/log.h>
 #include <quince/metrics.h>
+#include <quince/packed-message.h>
 #include <quince/task.h>
 
 #include "batch-answers.h"
@@ -390,8 +391,19 @@
 sample_result (const QuinceBatchResult *result, gpointer data)
 {
   QuinceBatchService *service = data;
-  QuinceBatchRecord record = { .kind = QUINCE_BATCH_RECORD_RESULT };
-  record.QuinceBatchRecord_u.result = *result;
+  g_autoptr (GBytes) body = quince_batch_result_pack (result);
+  if (body == NULL)
+    {
+      quince_log_failure ("result_refused", "batch=%s item=%u reason=encoding", result->batch, result->item);
+      return;
+    }
+  gsize length;
+  QuinceBatchRecord record = { .kind = QUINCE_BATCH_RECORD_LISTED };
+  QuinceListedResult *listed = &record.QuinceBatchRecord_u.listed;
+  listed->batch = result->batch;
+  listed->item = result->item;
+  listed->body.body_val = (char *)g_bytes_get_data (body, &length);
+  listed->body.body_len = (u_int)length;
   quince_ledger_node_append (service->ledger, &record);
 }
 
--- a/include/quince/batch-book.h
+++ b/include/quince/batch-book.h
@@ -10,12 +10,19 @@
 
 G_BEGIN_DECLS
 
+/* A result at its position. */
+typedef struct
+{
+  guint item;   /* place among the items of the batch */
+  GBytes *body; /* owned: quince_batch_result_unpack() decodes it */
+} QuinceBatchListing;
+
 typedef struct
 {
   QuinceBatchJob *batch; /* owned */
   char *tenant;          /* who submitted it; "": the deployment knows no tenants, or its route is public */
   gboolean ended;
-  GPtrArray *results;  /* QuinceBatchResult, owned, by position */
+  GPtrArray *results;  /* QuinceBatchListing, owned, by position */
   gboolean *is_listed; /* by item */
   GArray *indexes;     /* guint64: log records that speak of this batch */
   gpointer owner_data; /* the owner's; cleared by its callbacks */
--- a/include/quince/packed-message.h
+++ b/include/quince/packed-message.h
@@ -37,6 +37,10 @@
 /* A record of the batch ledger for its log and its backups: packed once, where that is worth it.
  * @encoded: by quince_batch_record_encode() */
 GBytes *quince_batch_record_pack (GBytes *encoded);
+/* A result of a sample for its record. (transfer full) (nullable): NULL: it does not fit its type */
+GBytes *quince_batch_result_pack (const QuinceBatchResult *result);
+/* (transfer full) (nullable): free with quince_batch_result_free(); errors as quince_message_unpack() */
+QuinceBatchResult *quince_batch_result_unpack (GBytes *body, GError **error);
 /* Decodes a record whether it is packed or not.
  * @error: as quince_message_unpack()
  *
--- a/lib/core/batches/batch-book.c
+++ b/lib/core/batches/batch-book.c
@@ -11,6 +11,14 @@
   gpointer user_data;
 };
 
+static void
+listing_free (gpointer data)
+{
+  QuinceBatchListing *listing = data;
+  g_bytes_unref (listing->body);
+  g_free (listing);
+}
+
 static void
 entry_free (gpointer data)
 {
@@ -61,7 +69,7 @@
   entry->batch = g_memdup2 (submitted, sizeof *submitted);
   *submitted = (QuinceBatchJob){ 0 };
   entry->tenant = g_strdup (tenant);
-  entry->results = g_ptr_array_new_with_free_func ((GDestroyNotify)quince_batch_result_free);
+  entry->results = g_ptr_array_new_with_free_func (listing_free);
   entry->is_listed = g_new0 (gboolean, entry->batch->items.items_len);
   entry->indexes = g_array_new (FALSE, FALSE, sizeof (guint64));
   g_array_append_val (entry->indexes, index);
@@ -70,22 +78,32 @@
   tell (book, book->callbacks->submitted, entry);
 }
 
+/* (transfer full): @body */
 static void
-apply_result (QuinceBatchBook *book, guint64 index, QuinceBatchRecord *record)
+apply_listed (QuinceBatchBook *book, guint64 index, const char *batch, guint item, GBytes *body)
 {
-  QuinceBatchResult *result = &record->QuinceBatchRecord_u.result;
-  QuinceBatchEntry *entry = g_hash_table_lookup (book->by_id, result->batch);
+  g_autoptr (GBytes) owned = body;
+  QuinceBatchEntry *entry = g_hash_table_lookup (book->by_id, batch);
   if (entry == NULL)
     return;
   g_array_append_val (entry->indexes, index);
-  if (result->item >= entry->batch->items.items_len || entry->is_listed[result->item])
+  if (item >= entry->batch->items.items_len || entry->is_listed[item])
     return;
-  entry->is_listed[result->item] = TRUE;
-  g_ptr_array_add (entry->results, g_memdup2 (result, sizeof *result));
-  *result = (QuinceBatchResult){ 0 };
+  entry->is_listed[item] = TRUE;
+  QuinceBatchListing *listing = g_new0 (QuinceBatchListing, 1);
+  listing->item = item;
+  listing->body = g_steal_pointer (&owned);
+  g_ptr_array_add (entry->results, listing);
   tell (book, book->callbacks->listed, entry);
 }
 
+/* A result as builds wrote it that decoded all results when they read the log. */
+static void
+apply_result (QuinceBatchBook *book, guint64 index, const QuinceBatchResult *result)
+{
+  apply_listed (book, index, result->batch, result->item, quince_batch_result_encode (result, NULL));
+}
+
 static void
 apply_end (QuinceBatchBook *book, guint64 index, const QuinceBatchRecord *record)
 {
@@ -123,8 +141,16 @@
                     record->QuinceBatchRecord_u.submit_of_tenant.tenant);
       break;
     case QUINCE_BATCH_RECORD_RESULT:
-      apply_result (book, index, record);
+      apply_result (book, index, &record->QuinceBatchRecord_u.result);
       break;
+    case QUINCE_BATCH_RECORD_LISTED:
+      {
+        QuinceListedResult *listed = &record->QuinceBatchRecord_u.listed;
+        GBytes *body = g_bytes_new_take (g_steal_pointer (&listed->body.body_val), listed->body.body_len);
+        listed->body.body_len = 0;
+        apply_listed (book, index, listed->batch, listed->item, body);
+        break;
+      }
     case QUINCE_BATCH_RECORD_END:
       apply_end (book, index, record);
       break;
--- a/lib/protocol/quince_protocol.x
+++ b/lib/protocol/quince_protocol.x
@@ -510,6 +510,13 @@
     QuinceText     score;
 };
 
+/* A result as it is kept: what a reader of the log needs is outside, the rest is decoded when a caller asks. */
+struct QuinceListedResult {
+    QuinceText     batch;
+    unsigned int   item;
+    opaque         body<QUINCE_MAX_FRAME>; /* QuinceBatchResult, encoded, perhaps packed */
+};
+
 /* A batch that a tenant submitted.  Logs of builds that knew no tenants hold QuinceBatchJob alone. */
 struct QuinceTenantBatch {
     QuinceText     tenant;            /* found by the key when it was taken */
@@ -557,7 +564,8 @@
     QUINCE_BATCH_RECORD_SUBMIT_OF_TENANT = 4,
     QUINCE_BATCH_RECORD_USAGE  = 5,
     QUINCE_BATCH_RECORD_USAGE_CLOSED = 6,
-    QUINCE_BATCH_RECORD_USAGE_SENT = 7
+    QUINCE_BATCH_RECORD_USAGE_SENT = 7,
+    QUINCE_BATCH_RECORD_LISTED = 8
 };
 
 union QuinceBatchRecord switch (QuinceBatchRecordKind kind) {
@@ -569,6 +577,7 @@
 case QUINCE_BATCH_RECORD_USAGE: QuinceUsageRecord usage;
 case QUINCE_BATCH_RECORD_USAGE_CLOSED: QuinceUsageWindow usage_closed;
 case QUINCE_BATCH_RECORD_USAGE_SENT: unsigned hyper usage_sent; /* a window */
+case QUINCE_BATCH_RECORD_LISTED: QuinceListedResult listed;
 };
 
 /* ---- Batch ledger: one primary, its backups, and who they are --------- */
--- a/lib/runtime/packed-message.c
+++ b/lib/runtime/packed-message.c
@@ -3,6 +3,8 @@
  */
 #include <quince/packed-message.h>
 
+#include <string.h>
+
 #include <gio/gio.h>
 #include <zlib.h>
 
@@ -110,13 +112,47 @@
  * number in four bytes of which the first is zero. */
 #define ZLIB_FIRST_BYTE 0x78
 
+/* The kind of an encoded record that is not packed. */
+static guint32
+kind_of_record (GBytes *encoded)
+{
+  guint32 kind = G_MAXUINT32;
+  if (g_bytes_get_size (encoded) >= sizeof kind)
+    memcpy (&kind, g_bytes_get_data (encoded, NULL), sizeof kind);
+  return GUINT32_FROM_BE (kind);
+}
+
 GBytes *
 quince_batch_record_pack (GBytes *encoded)
 {
+  if (kind_of_record (encoded) == QUINCE_BATCH_RECORD_LISTED)
+    return g_bytes_ref (encoded); /* its body is packed */
   GBytes *compressed = shrink (encoded, QUINCE_PACK_FAST);
   return compressed != NULL ? compressed : g_bytes_ref (encoded);
 }
 
+GBytes *
+quince_batch_result_pack (const QuinceBatchResult *result)
+{
+  g_autoptr (GBytes) encoded = quince_batch_result_encode (result, NULL);
+  if (encoded == NULL)
+    return NULL;
+  GBytes *compressed = shrink (encoded, QUINCE_PACK_FAST);
+  return compressed != NULL ? compressed : g_steal_pointer (&encoded);
+}
+
+/* An encoded result begins with the length of a short text, of which the first byte is zero too. */
+QuinceBatchResult *
+quince_batch_result_unpack (GBytes *body, GError **error)
+{
+  gsize length;
+  const char *data = g_bytes_get_data (body, &length);
+  if (length == 0 || data[0] != ZLIB_FIRST_BYTE)
+    return quince_batch_result_decode (data, length, error);
+  g_autoptr (GByteArray) bytes = inflate_bytes (data, length, error);
+  return bytes != NULL ? quince_batch_result_decode (bytes->data, bytes->len, error) : NULL;
+}
+
 QuinceBatchRecord *
 quince_batch_record_unpack (const char *data, gsize length, GError **error)
 {
--- a/tests/unit/test-packed-message.c
+++ b/tests/unit/test-packed-message.c
@@ -11,8 +11,12 @@
 
 #include <gio/gio.h>
 #include <quince/link.h>
+#include <quince/batch-book.h>
 #include <quince/packed-message.h>
 
+/* A text of a sample on the users' sites. */
+#define RESULT_BYTES 6000
+
 static GBytes *
 news (guint items)
 {
@@ -183,13 +187,71 @@
   quince_message_free (outer);
 }
 
+/* A result is listed without being decoded, and comes back as it was, from either kind of record. */
+static void
+test_listed_results (void **state)
+{
+  g_autofree char *text = g_malloc (RESULT_BYTES);
+  for (guint i = 0; i < RESULT_BYTES; i++)
+    text[i] = (char)('a' + g_random_int_range (0, 26));
+  QuinceBatchResult result = { .batch = (char *)"batch-1", .item = 1, .score = (char *)"stamp" };
+  result.text.text_val = text;
+  result.text.text_len = RESULT_BYTES;
+  g_autoptr (GBytes) body = quince_batch_result_pack (&result);
+  assert_true (g_bytes_get_size (body) < RESULT_BYTES);
+  gsize length;
+  QuinceBatchRecord listed = { .kind = QUINCE_BATCH_RECORD_LISTED };
+  listed.QuinceBatchRecord_u.listed.batch = (char *)"batch-1";
+  listed.QuinceBatchRecord_u.listed.item = 1;
+  listed.QuinceBatchRecord_u.listed.body.body_val = (char *)g_bytes_get_data (body, &length);
+  listed.QuinceBatchRecord_u.listed.body.body_len = (u_int)length;
+  QuinceBatchRecord before = { .kind = QUINCE_BATCH_RECORD_RESULT };
+  before.QuinceBatchRecord_u.result = result;
+  before.QuinceBatchRecord_u.result.item = 0;
+  QuinceBatchItem items[2] = { 0 };
+  for (guint i = 0; i < 2; i++)
+    items[i] = (QuinceBatchItem){ .id = (char *)"i", .path = (char *)"/", .group = (char *)"" };
+  QuinceBatchRecord submit = { .kind = QUINCE_BATCH_RECORD_SUBMIT };
+  submit.QuinceBatchRecord_u.submit = (QuinceBatchJob){
+    .id = (char *)"batch-1", .host = (char *)"", .path = (char *)"", .model = (char *)""
+  };
+  submit.QuinceBatchRecord_u.submit.items.items_val = items;
+  submit.QuinceBatchRecord_u.submit.items.items_len = 2;
+  const QuinceBatchBookCallbacks callbacks = { 0 };
+  g_autoptr (QuinceBatchBook) book = quince_batch_book_new (&callbacks, NULL);
+  const QuinceBatchRecord *records[] = { &submit, &listed, &before };
+  for (guint i = 0; i < G_N_ELEMENTS (records); i++)
+    {
+      g_autoptr (GBytes) encoded = quince_batch_record_encode (records[i], NULL);
+      g_autoptr (GBytes) packed = quince_batch_record_pack (encoded);
+      gconstpointer data = g_bytes_get_data (packed, &length);
+      quince_batch_book_apply (book, i + 1, quince_batch_record_unpack (data, length, NULL));
+    }
+  const GPtrArray *results = quince_batch_book_find (book, "batch-1")->results;
+  assert_int_equal (results->len, 2);
+  for (guint i = 0; i < 2; i++)
+    {
+      const QuinceBatchListing *listing = results->pdata[i];
+      assert_int_equal (listing->item, 1 - i);
+      g_autoptr (QuinceBatchResult) back = quince_batch_result_unpack (listing->body, NULL);
+      assert_int_equal (back->text.text_len, RESULT_BYTES);
+      assert_memory_equal (back->text.text_val, text, RESULT_BYTES);
+      assert_string_equal (back->score, "stamp");
+    }
+  g_autoptr (GBytes) broken = g_bytes_new ("\x78\x01no", 4);
+  g_autoptr (GError) error = NULL;
+  assert_null (quince_batch_result_unpack (broken, &error));
+  assert_non_null (error);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
-    cmocka_unit_test (test_large),        cmocka_unit_test (test_small),
-    cmocka_unit_test (test_records),      cmocka_unit_test (test_random_bytes),
-    cmocka_unit_test (test_links_unpack), cmocka_unit_test (test_broken),
+    cmocka_unit_test (test_listed_results), cmocka_unit_test (test_large),
+    cmocka_unit_test (test_small),          cmocka_unit_test (test_records),
+    cmocka_unit_test (test_random_bytes),   cmocka_unit_test (test_links_unpack),
+    cmocka_unit_test (test_broken),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
