Ledger: what is on its way to a backup is bounded

Cause: each flush sent another chunk to each backup that lacked records, acknowledged or not. Ruled out: fronts (their links hold under 5 MB together), the book (texts are packed), SQLite (its cache is 1 MB). Change: 1 MB at most is sent ahead of a backup's acknowledgements. Test: unit-send-window.

--- a/daemons/replica/ledger-node-private.h
+++ b/daemons/replica/ledger-node-private.h
@@ -3,6 +3,8 @@
  */
 #pragma once
 
+#include <quince/send-window.h>
+
 #include "ledger-node.h"
 
 /* A backup's link, at the leader. */
@@ -10,10 +12,11 @@
 {
   QuinceLink *link; /* owned */
   guint64 replica;
-  guint64 serial;     /* no two links have the same one */
-  guint64 next_index; /* to send */
-  gboolean reset;     /* its records are of no use: the next append replaces all */
-  gboolean fed;       /* records are sent to it; others are only heard */
+  guint64 serial;           /* no two links have the same one */
+  guint64 next_index;       /* to send */
+  gboolean reset;           /* its records are of no use: the next append replaces all */
+  gboolean fed;             /* records are sent to it; others are only heard */
+  QuinceSendWindow *window; /* owned: records on their way */
 } QuinceBackupLink;
 
 struct _QuinceLedgerNode
--- a/daemons/replica/ledger-replication.c
+++ b/daemons/replica/ledger-replication.c
@@ -13,6 +13,10 @@
 /* Records of one message, and a link that has not connected by then is tried anew. */
 #define CHUNK_BYTES (512 * 1024)
 #define CHUNK_ENTRIES 512
+/* On their way to one backup: two chunks keep a link busy while the first is acknowledged.  A backup that
+ * reads slowly makes the leader hold no more than this for it, and a catching-up one takes no more of the
+ * leader's turns than it can follow. */
+#define WINDOW_BYTES (2 * CHUNK_BYTES)
 #define CONNECT_US (1200 * 1000)
 #define RECONNECT_US (150 * 1000)
 
@@ -23,6 +27,7 @@
 {
   QuinceBackupLink *backup = data;
   quince_link_unref (backup->link);
+  quince_send_window_free (backup->window);
   g_free (backup);
 }
 
@@ -50,12 +55,13 @@
   g_free (entry->record.record_val);
 }
 
-/* Sends what the backup lacks, one chunk; the next one follows its acknowledgement. */
+/* Sends what the backup lacks, one chunk; the next one follows once the window is open. */
 static void
 send_backup (QuinceLedgerNode *node, QuinceBackupLink *backup, gboolean heartbeat)
 {
   guint64 last_index = quince_batch_log_get_last_index (node->log);
-  gboolean has_news = backup->fed && (backup->next_index <= last_index || backup->reset);
+  gboolean has_news = backup->fed && (backup->next_index <= last_index || backup->reset)
+                      && quince_send_window_is_open (backup->window);
   if (!has_news && !heartbeat)
     return;
   Chunk chunk = { .entries = g_array_new (FALSE, FALSE, sizeof (QuinceLogEntry)) };
@@ -76,6 +82,8 @@
   if (chunk.entries->len > 0)
     backup->next_index = g_array_index (chunk.entries, QuinceLogEntry, chunk.entries->len - 1).index + 1;
   append->held_index = backup->next_index - 1;
+  if (chunk.entries->len > 0)
+    quince_send_window_sent (backup->window, append->held_index, chunk.bytes);
   quince_link_send (backup->link, &message);
   if (has_news)
     backup->reset = FALSE;
@@ -148,6 +156,7 @@
   backup->link = quince_link_ref (link);
   backup->replica = hello->member.replica;
   backup->serial = ++node->joins;
+  backup->window = quince_send_window_new (WINDOW_BYTES);
   backup->next_index = first_to_send (node, hello, &backup->reset);
   g_hash_table_replace (node->backups, &backup->replica, backup);
   quince_ledger_group_peer_joined (node->group, quince_now_us (), &hello->member);
@@ -216,6 +225,7 @@
       quince_ledger_group_peer_refused (node->group, ack->promised);
       return;
     }
+  quince_send_window_acknowledged (backup->window, ack->last_index);
   quince_ledger_group_peer_acked (node->group, backup->replica, ack->last_index, (gint64)ack->echo_us);
   send_backup (node, backup, FALSE);
   quince_ledger_node_advance (node);
--- /dev/null
+++ b/lib/core/group/send-window.c
@@ -0,0 +1,67 @@
+/*
+ * send-window.c: bytes on their way to a backup.
+ */
+#include <quince/send-window.h>
+
+/* One message that is not acknowledged. */
+typedef struct
+{
+  guint64 last_index;
+  gsize bytes;
+} Sent;
+
+struct _QuinceSendWindow
+{
+  gsize most_bytes;
+  gsize bytes;
+  GQueue messages; /* Sent, owned, the oldest first */
+};
+
+QuinceSendWindow *
+quince_send_window_new (gsize most_bytes)
+{
+  QuinceSendWindow *window = g_new0 (QuinceSendWindow, 1);
+  window->most_bytes = most_bytes;
+  g_queue_init (&window->messages);
+  return window;
+}
+
+void
+quince_send_window_free (QuinceSendWindow *window)
+{
+  if (window == NULL)
+    return;
+  g_queue_clear_full (&window->messages, g_free);
+  g_free (window);
+}
+
+void
+quince_send_window_sent (QuinceSendWindow *window, guint64 last_index, gsize bytes)
+{
+  const Sent sent = { .last_index = last_index, .bytes = bytes };
+  g_queue_push_tail (&window->messages, g_memdup2 (&sent, sizeof sent));
+  window->bytes += bytes;
+}
+
+void
+quince_send_window_acknowledged (QuinceSendWindow *window, guint64 last_index)
+{
+  for (Sent *sent = g_queue_peek_head (&window->messages); sent != NULL && sent->last_index <= last_index;
+       sent = g_queue_peek_head (&window->messages))
+    {
+      window->bytes -= sent->bytes;
+      g_free (g_queue_pop_head (&window->messages));
+    }
+}
+
+gboolean
+quince_send_window_is_open (const QuinceSendWindow *window)
+{
+  return window->bytes < window->most_bytes;
+}
+
+gsize
+quince_send_window_get_bytes (const QuinceSendWindow *window)
+{
+  return window->bytes;
+}
--- /dev/null
+++ b/tests/unit/test-send-window.c
@@ -0,0 +1,37 @@
+/*
+ * test-send-window.c: bytes that a backup has not acknowledged are bounded.
+ */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+
+#include <cmocka.h>
+
+#include <quince/send-window.h>
+
+static void
+test_closes_and_opens (void **state)
+{
+  g_autoptr (QuinceSendWindow) window = quince_send_window_new (1000);
+  assert_true (quince_send_window_is_open (window));
+  quince_send_window_sent (window, 10, 600);
+  assert_true (quince_send_window_is_open (window));
+  quince_send_window_sent (window, 20, 600);
+  assert_false (quince_send_window_is_open (window));
+  quince_send_window_acknowledged (window, 9);
+  assert_false (quince_send_window_is_open (window));
+  quince_send_window_acknowledged (window, 10);
+  assert_true (quince_send_window_is_open (window));
+  assert_int_equal (quince_send_window_get_bytes (window), 600);
+  quince_send_window_acknowledged (window, 500);
+  assert_int_equal (quince_send_window_get_bytes (window), 0);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_closes_and_opens),
+  };
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
