Metadata store: a process that lost its leader reads what it must, and trusts the rest as long as the bound allows

Change: only the own keys, which name the next leader, are read at once; what was told of the others counts until the bound on changes asks for a read. The bound is a setting, filled from the deployment's own (2 to 4 s), no longer the least of all. Test: platform-freshness test_lost_feeder_costs_little, failed first (8 calls in 0.8 s, now 2).

--- a/daemons/front/front.c
+++ b/daemons/front/front.c
@@ -144,7 +144,7 @@
   QuinceFront *front = data;
   forget_asking (front);
   quince_usage_reporter_unlinked (front->usage);
-  quince_observer_feed_ended (front->observer);
+  quince_observer_feeder_lost (front->observer);
 }
 
 static const QuinceLedgerCallerCallbacks ledger_callbacks
@@ -294,8 +294,9 @@
   front->directory = quince_directory_new (front->name, address, front->zone);
   front->store = quince_meta_store_new (quince_settings_get_text (settings, "store", "address"),
                                         &quince_platform_meta_dialect);
-  guint pace_ms = (guint)(quince_settings_get_duration_us (settings, "store", "workers_pace") / 1000);
-  front->observer = quince_observer_new (front->store, front->backends, pace_ms, &observer_callbacks, front);
+  QuinceObserverOptions options;
+  quince_observer_read_options (settings, &options);
+  front->observer = quince_observer_new (front->store, front->backends, &options, &observer_callbacks, front);
   if (!open_metrics (front, quince_settings_get_text (settings, "listen", "metrics"), error))
     {
       quince_front_free (front);
--- a/daemons/replica/replica.c
+++ b/daemons/replica/replica.c
@@ -206,7 +206,7 @@
 unfollowed (gpointer data)
 {
   Replica *replica = data;
-  quince_observer_feed_ended (replica->observer);
+  quince_observer_feeder_lost (replica->observer);
 }
 
 static void
@@ -426,9 +426,10 @@
   replica->backends = quince_backends_new (quince_settings_get_text (settings, "node", "zone"));
   replica->store = quince_meta_store_new (quince_settings_get_text (settings, "store", "address"),
                                           &quince_platform_meta_dialect);
-  guint pace_ms = (guint)(quince_settings_get_duration_us (settings, "store", "workers_pace") / 1000);
+  QuinceObserverOptions options;
+  quince_observer_read_options (settings, &options);
   replica->observer
-      = quince_observer_new (replica->store, replica->backends, pace_ms, &observer_callbacks, replica);
+      = quince_observer_new (replica->store, replica->backends, &options, &observer_callbacks, replica);
   gint64 keep_us = quince_settings_get_duration_us (settings, "ledger", "keep");
   replica->homes = quince_model_homes_new ();
   replica->progress = quince_progress_store_new ();
--- a/include/quince/observer.h
+++ b/include/quince/observer.h
@@ -6,6 +6,7 @@
 #pragma once
 
 #include <quince/backends.h>
+#include <quince/settings.h>
 #include <quince/codec.h>
 #include <quince/meta-store.h>
 #include <quince/routing.h>
@@ -37,15 +38,33 @@
   void (*read) (const char *prefix, const QuinceMetaPage *page, gpointer user_data);
 } QuinceObserverCallbacks;
 
+/* An operator's change is in force, and a leaving worker is left alone, this long after the store took it,
+ * ms: the least bound that the observer can keep. */
+#define QUINCE_OBSERVER_CHANGE_BOUND_LEAST_MS 2000
+
+/**
+ * QuinceObserverOptions:
+ * @workers_pace_ms: least time between two looks at the workers
+ * @change_bound_ms: the bound of this deployment on the time above; the more it allows, the longer a process
+ *   waits for its feeder before it reads the store by itself.  Less than
+ *   QUINCE_OBSERVER_CHANGE_BOUND_LEAST_MS counts as that
+ */
+typedef struct
+{
+  guint workers_pace_ms;
+  guint change_bound_ms;
+} QuinceObserverOptions;
+
+/* From the settings of a process: section "store", keys "workers_pace", "change_bound" and "drain_bound". */
+void quince_observer_read_options (const QuinceSettings *settings, QuinceObserverOptions *options);
 /**
  * quince_observer_new:
  * @store: must outlive the observer
  * @backends: must outlive the observer; the listed workers go there
- * @workers_pace_ms: least time between two looks at the workers
  */
 QuinceObserver *quince_observer_new (QuinceMetaStore *store,
                                      QuinceBackends *backends,
-                                     guint workers_pace_ms,
+                                     const QuinceObserverOptions *options,
                                      const QuinceObserverCallbacks *callbacks,
                                      gpointer user_data);
 void quince_observer_free (QuinceObserver *observer);
@@ -57,9 +76,14 @@
 /* The same at the ledger's leader, for a page that a replica read: it is taken where the leader's own reads
  * lag.  Returns: whether it was taken, and so is to be told to all others */
 gboolean quince_observer_lead_feed (QuinceObserver *observer, const char *prefix, const QuinceMetaPage *page);
+/* This process feeds others from now on: it reads all prefixes by itself, at once. */
 void quince_observer_feed_ended (QuinceObserver *observer);
+/* Whoever fed this process is gone: the own keys, which name the next one, are read at once.  What was told
+ * of the other prefixes counts for as long as the bound on changes allows, since the next one feeds soon. */
+void quince_observer_feeder_lost (QuinceObserver *observer);
 /* Call for each message from the process that feeds this one.  It proves that the feeder runs, not that its
- * pages are fresh.  After 0.9 s without a message the feeder counts as gone: quince_observer_feed_ended(). */
+ * pages are fresh.  After 0.9 s without a message the feeder counts as gone: quince_observer_feeder_lost().
+ */
 void quince_observer_feeder_alive (QuinceObserver *observer);
 /* @reserve: TRUE makes this process read the store 0.5 s sooner than others when its feed stops, so that it
  * can report to the leader.  Only a few processes may be reserve readers: otherwise all read the store at
--- a/lib/observer/observer.c
+++ b/lib/observer/observer.c
@@ -14,21 +14,17 @@
 
 /* Starting processes change the own keys all at once: each looks at them this seldom. */
 #define OWN_PACE_MS 100
-/* An operator's change must be in force, and a leaving worker be left alone, this long after the store took
- * it: the least of the deployments' bounds for both (settings of the platform, configApplyMs and drainMs). */
-#define CHANGE_BOUND_MS 2000
 /* Each read without news is a call that is paid for; more time between two leaves less of the bound. */
 #define READ_EVERY_MS 500
 /* Longest first read of a process that was told nothing: a store that is eighty times slower than its usual
  * 4 ms. */
 #define FIRST_READ_MS 500
-/* More than the time between two reads that a process trusts what it was told.  A reserve reader reads, and
- * what it read comes back through the leader, before the others lose patience; both leave the leader time for
- * a slow answer and for its other work. */
-#define SLACK_MS 1000
+/* More than the time between two reads that a reserve reader trusts what it was told: it reads, and what it
+ * read comes back through the leader, before the others lose patience.  The others trust it for as long as
+ * the bound on changes allows; both leave the leader time for a slow answer and for its other work. */
 #define RESERVE_SLACK_MS 500
-G_STATIC_ASSERT (READ_EVERY_MS + SLACK_MS + FIRST_READ_MS <= CHANGE_BOUND_MS);
-G_STATIC_ASSERT (RESERVE_SLACK_MS + FIRST_READ_MS <= SLACK_MS);
+G_STATIC_ASSERT (READ_EVERY_MS + RESERVE_SLACK_MS + 2 * FIRST_READ_MS
+                 <= QUINCE_OBSERVER_CHANGE_BOUND_LEAST_MS);
 /* After an outage of all most processes are told before they ask; with a look at the store each 0.8 s
  * meanwhile they know what changed 2 s after its return, and machines count as in touch 3 s after it. */
 #define SPREAD_MS 1000
@@ -58,6 +54,7 @@
   GHashTable *versions; /* model to guint64 */
   GPtrArray *leaving;   /* node names, owned */
   guint workers_pace_ms;
+  guint slack_ms;        /* more than the time between two reads that what was told is trusted */
   GSource *feeder_timer; /* restarted by each message of the feeder; at its end the feeder counts as gone */
   gboolean told_lapsed;  /* while a page is taken in: QuinceMetaPage.may_have_lapsed */
 };
@@ -328,12 +325,17 @@
     quince_meta_mirror_feed_ended (mirrors[i].mirror);
 }
 
+void
+quince_observer_feeder_lost (QuinceObserver *observer)
+{
+  quince_source_clear (&observer->feeder_timer);
+  quince_meta_mirror_feed_ended (observer->own_mirror);
+}
+
 static gboolean
 feeder_silent (gpointer data)
 {
-  QuinceObserver *observer = data;
-  quince_source_clear (&observer->feeder_timer);
-  quince_observer_feed_ended (observer);
+  quince_observer_feeder_lost (data);
   return G_SOURCE_REMOVE;
 }
 
@@ -347,7 +349,7 @@
 void
 quince_observer_set_reserve_reader (QuinceObserver *observer, gboolean reserve)
 {
-  guint slack_ms = reserve ? RESERVE_SLACK_MS : SLACK_MS;
+  guint slack_ms = reserve ? RESERVE_SLACK_MS : observer->slack_ms;
   guint spread_ms = reserve ? 0 : SPREAD_MS;
   const QuinceMetaMirrorTimes operator_times
       = { .read_every_ms = READ_EVERY_MS, .patience_ms = READ_EVERY_MS + slack_ms, .spread_ms = spread_ms };
@@ -423,10 +425,23 @@
 
 /* ---- Public ----------------------------------------------------------- */
 
+static guint
+read_ms (const QuinceSettings *settings, const char *key)
+{
+  return (guint)(quince_settings_get_duration_us (settings, "store", key) / 1000);
+}
+
+void
+quince_observer_read_options (const QuinceSettings *settings, QuinceObserverOptions *options)
+{
+  options->workers_pace_ms = read_ms (settings, "workers_pace");
+  options->change_bound_ms = MIN (read_ms (settings, "change_bound"), read_ms (settings, "drain_bound"));
+}
+
 QuinceObserver *
 quince_observer_new (QuinceMetaStore *store,
                      QuinceBackends *backends,
-                     guint workers_pace_ms,
+                     const QuinceObserverOptions *options,
                      const QuinceObserverCallbacks *callbacks,
                      gpointer user_data)
 {
@@ -437,7 +452,9 @@
   observer->user_data = user_data;
   observer->versions = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   observer->leaving = g_ptr_array_new_with_free_func (g_free);
-  observer->workers_pace_ms = workers_pace_ms;
+  observer->workers_pace_ms = options->workers_pace_ms;
+  observer->slack_ms
+      = MAX (options->change_bound_ms, QUINCE_OBSERVER_CHANGE_BOUND_LEAST_MS) - READ_EVERY_MS - FIRST_READ_MS;
   observer->operator_mirror
       = quince_meta_mirror_new (store, QUINCE_PLATFORM_OPERATOR_PREFIX, &operator_callbacks, observer);
   observer->workers_mirror
--- a/tests/platform/test-freshness.c
+++ b/tests/platform/test-freshness.c
@@ -98,8 +98,10 @@
   process->store
       = quince_meta_store_new (standin_store_get_address (process->standin), &quince_platform_meta_dialect);
   process->backends = quince_backends_new ("z1");
+  const QuinceObserverOptions options
+      = { .workers_pace_ms = 100, .change_bound_ms = QUINCE_OBSERVER_CHANGE_BOUND_LEAST_MS };
   process->observer
-      = quince_observer_new (process->store, process->backends, 100, &observer_callbacks, process);
+      = quince_observer_new (process->store, process->backends, &options, &observer_callbacks, process);
   quince_observer_set_reserve_reader (process->observer, reports);
   AWAIT (quince_observer_is_synced (process->observer));
 }
@@ -322,6 +324,23 @@
     fail_msg ("the leader was left after %d ms", (int)took_ms);
 }
 
+/* Failed first: whoever lost its leader read all prefixes at once and again each half second, 250 fronts at
+ * once.  What was told counts until the bound on changes asks for a read; only the own keys are read. */
+static void
+test_lost_feeder_costs_little (void **state)
+{
+  follow (&follower, &leader);
+  run_for (700); /* until a page has come of each prefix */
+  guint calls = standin_store_get_calls (follower.standin);
+  g_clear_pointer (&leader.feed, quince_belief_feed_free);
+  quince_source_clear (&leader.beat_timer);
+  quince_observer_feeder_lost (follower.observer);
+  run_for (800);
+  assert_in_range (standin_store_get_calls (follower.standin) - calls, 0, 2);
+  name_version (&follower, 3);
+  assert_known_in_time (&follower, 3);
+}
+
 /* A leader that hears the store takes nothing from a replica, be it newer or older. */
 static void
 test_leader_reads_by_itself (void **state)
@@ -358,8 +377,8 @@
   const struct CMUnitTest tests[] = {
     CASE (test_leader_that_is_not_answered), CASE (test_watch_taken_by_a_silent_store),
     CASE (test_gap_in_what_is_told),         CASE (test_worker_lost_in_an_outage),
-    CASE (test_replica_reads_for_all),       CASE (test_leader_reads_by_itself),
-    CASE (test_leader_that_sends_nothing),
+    CASE (test_replica_reads_for_all),       CASE (test_lost_feeder_costs_little),
+    CASE (test_leader_reads_by_itself),      CASE (test_leader_that_sends_nothing),
   };
   return cmocka_run_group_tests_name ("freshness", tests, NULL, NULL);
 }
