--- a/lib/runtime/link.c
+++ b/lib/runtime/link.c
@@ -15,12 +15,15 @@
 #include <quince/task.h>
 
 #define FRAME_HEADER_BYTES 4
-#define READ_BYTES (64 * 1024)
+/* Read at once.  A read is always under way, so each link holds as much: 5 MB at a leader of 300 machines. */
+#define READ_BYTES (16 * 1024)
 /* A peer that acknowledges nothing for so long is gone, ms. */
 #define SILENCE_MS 3000
-/* A peer that leaves this much unread is cut off. */
-#define OUTPUT_MOST_BYTES (256 * 1024 * 1024)
-#define KEEP_BUFFER_BYTES (256 * 1024)
+/* A peer that leaves this much unread is cut off: an eighth of the memory of the smallest leaders (270 MB).
+ */
+#define OUTPUT_MOST_BYTES (32 * 1024 * 1024)
+/* Larger buffers are given back once they are empty. */
+#define KEEP_BUFFER_BYTES (32 * 1024)
 
 G_DEFINE_QUARK (quince - link - error - quark, quince_link_error)
 
@@ -127,6 +130,12 @@
   gsize written = 0;
   gboolean done = g_output_stream_write_all_finish (G_OUTPUT_STREAM (stream), result, &written, &error);
   link->bytes_sent += written;
+  if (link->writing->len > KEEP_BUFFER_BYTES)
+    {
+      /* Large frames are rare, and a leader has hundreds of links: it does not keep their buffers. */
+      g_byte_array_unref (link->writing);
+      link->writing = g_byte_array_new ();
+    }
   g_byte_array_set_size (link->writing, 0);
   if (!done)
     {
@@ -144,12 +153,6 @@
   GByteArray *spare = link->writing;
   link->writing = link->output;
   link->output = spare;
-  if (spare->len == 0 && link->writing->len > KEEP_BUFFER_BYTES)
-    {
-      /* Large frames are rare: do not keep their buffers. */
-      g_byte_array_unref (link->output);
-      link->output = g_byte_array_new ();
-    }
   g_output_stream_write_all_async (g_io_stream_get_output_stream (G_IO_STREAM (link->connection)),
                                    link->writing->data, link->writing->len, G_PRIORITY_DEFAULT,
                                    link->cancellable, write_done, quince_link_ref (link));
@@ -171,7 +174,8 @@
     return;
   gsize length;
   const guint8 *data = g_bytes_get_data (encoded, &length);
-  if (link->output->len + length > OUTPUT_MOST_BYTES)
+  gboolean waits = link->output->len > 0 || link->writing->len > 0;
+  if (waits && link->output->len + length > OUTPUT_MOST_BYTES)
     {
       link_fail_code (link, QUINCE_LINK_ERROR_SLOW, "peer reads too slowly");
       return;
