Fronts: presence for 6 s, asked for less often while the store is away

Ruled out: presence by the leader alone (nobody would know who exists while there is none). Change: leases of 6 s; failed calls are repeated after 1 s while no call succeeds. Dead fronts are told by the leader's heartbeats after 0.65 s as before; without a leader they are named for 6 s, no longer 3 s.

--- a/daemons/front/front-settings.c
+++ b/daemons/front/front-settings.c
@@ -24,7 +24,7 @@
     "a change of the operator is in force so long after the store took it" },
   { "store", "drain_bound", QUINCE_SETTING_DURATION, FALSE, "2s", 100 * MILLISECOND, 60 * SECOND, NULL,
     "a leaving worker gets no more requests so long after the store took it" },
-  { "store", "presence", QUINCE_SETTING_DURATION, FALSE, "3s", SECOND, 600 * SECOND, NULL,
+  { "store", "presence", QUINCE_SETTING_DURATION, FALSE, "6s", SECOND, 600 * SECOND, NULL,
     "this front leaves the directory's answers that long after it was last heard" },
   { "directory", "keep", QUINCE_SETTING_DURATION, FALSE, "2s", SECOND, 60 * SECOND, NULL,
     "how long callers keep an answer" },
--- a/lib/meta/meta-presence.c
+++ b/lib/meta/meta-presence.c
@@ -9,6 +9,8 @@
 /* Renewals within one time to live. */
 #define RENEWALS_PER_TTL 3
 #define RETRY_MS 300
+/* While no call succeeds: each process has a presence, and each call is paid for, failed ones too. */
+#define RETRY_FAILING_MS 1000
 
 struct _QuinceMetaPresence
 {
@@ -45,6 +47,12 @@
 
 static gboolean step_timer (gpointer data);
 
+static guint
+retry_ms (const QuinceMetaPresence *presence)
+{
+  return quince_meta_store_is_failing (presence->store) ? RETRY_FAILING_MS : RETRY_MS;
+}
+
 static void
 next_step (QuinceMetaPresence *presence, guint wait_ms)
 {
@@ -63,7 +71,7 @@
       presence->lease = 0;
     }
   gboolean at_once = error != NULL;
-  next_step (presence, at_once ? RETRY_MS : presence->ttl_ms / RENEWALS_PER_TTL);
+  next_step (presence, at_once ? retry_ms (presence) : presence->ttl_ms / RENEWALS_PER_TTL);
   presence_release (presence);
 }
 
@@ -85,7 +93,7 @@
   QuinceMetaPresence *presence = data;
   if (error != NULL)
     presence->lease = 0;
-  next_step (presence, error != NULL ? RETRY_MS : presence->ttl_ms / RENEWALS_PER_TTL);
+  next_step (presence, error != NULL ? retry_ms (presence) : presence->ttl_ms / RENEWALS_PER_TTL);
   presence_release (presence);
 }
 
@@ -105,7 +113,7 @@
   if (presence->withdrawn)
     ; /* the lease runs out by itself */
   else if (presence->lease == 0)
-    next_step (presence, RETRY_MS);
+    next_step (presence, retry_ms (presence));
   else
     write_key (presence);
   presence_release (presence);
