Metadata store: who is told by a living feeder looks for a lost store each 4 s

Ruled out: no looks at all while fed (a front whose feeder goes in the same moment must know). Change: while the leader's messages come, and unless it is a reserve reader, a process waits up to 4 s between two looks; once the feeder is lost it looks at once.

--- a/include/quince/meta-store.h
+++ b/include/quince/meta-store.h
@@ -92,6 +92,10 @@
 /* The last call failed. */
 gboolean quince_meta_store_is_failing (const QuinceMetaStore *store);
 
+/* @relaxed: another process tells this one of all news, and so that the store is back: while calls fail this
+ * one looks each 4 s, no longer each 0.8 s. */
+void quince_meta_store_set_relaxed (QuinceMetaStore *store, gboolean relaxed);
+
 /* Keys under leases may have gone though their owners live: the store is, or was lately, not to be reached.
  */
 #define QUINCE_META_LAPSE_US (3 * G_USEC_PER_SEC)
--- a/lib/meta/meta-store.c
+++ b/lib/meta/meta-store.c
@@ -16,6 +16,8 @@
 /* Each look is paid for, by every process at once in an outage of all; calls must succeed within 1 s after
  * it. */
 #define PROBE_MOST_MS 800
+/* Whoever is told of all news by another process can wait for it to tell that the store is back. */
+#define PROBE_RELAXED_MS 4000
 #define PROBE_KEY "quinceroute/ledger"
 
 G_DEFINE_QUARK (quince - meta - error - quark, quince_meta_error)
@@ -40,6 +42,7 @@
   gboolean failing;
   GSource *probe_timer; /* while failing */
   guint probe_ms;       /* until the next look */
+  gboolean relaxed;     /* another process looks too, and tells */
 };
 
 struct _QuinceMetaCall
@@ -145,11 +148,24 @@
   QuinceMetaStore *store = data;
   quince_source_clear (&store->probe_timer);
   store->probe_timer = quince_timer_add (store->probe_ms, probe_store, store);
-  store->probe_ms = MIN (store->probe_ms * 2, PROBE_MOST_MS);
+  store->probe_ms = MIN (store->probe_ms * 2, store->relaxed ? PROBE_RELAXED_MS : PROBE_MOST_MS);
   quince_meta_store_get (store, PROBE_KEY, probe_answered, store);
   return G_SOURCE_REMOVE;
 }
 
+void
+quince_meta_store_set_relaxed (QuinceMetaStore *store, gboolean relaxed)
+{
+  if (store->relaxed == relaxed)
+    return;
+  store->relaxed = relaxed;
+  if (relaxed || store->probe_timer == NULL)
+    return;
+  quince_source_clear (&store->probe_timer);
+  store->probe_ms = PROBE_EVERY_MS;
+  store->probe_timer = quince_timer_add (PROBE_FIRST_MS, probe_store, store);
+}
+
 /* The first good answer after failures, which came at @answered_us, says that watches begun before it may
  * have been swallowed: a cut connection tells nothing by itself. */
 static void
--- a/lib/observer/observer.c
+++ b/lib/observer/observer.c
@@ -56,6 +56,7 @@
   guint workers_pace_ms;
   guint slack_ms;        /* more than the time between two reads that what was told is trusted */
   GSource *feeder_timer; /* restarted by each message of the feeder; at its end the feeder counts as gone */
+  gboolean reserve;      /* reads for others where their leader cannot */
   gboolean told_lapsed;  /* while a page is taken in: QuinceMetaPage.may_have_lapsed */
 };
 
@@ -316,9 +317,18 @@
   return observer->told_lapsed || quince_meta_store_may_have_lapsed (observer->store, now_us);
 }
 
+/* While a feeder lives it is the one that must notice that the store is back; so are the reserve readers. */
+static void
+set_relaxed (QuinceObserver *observer)
+{
+  quince_meta_store_set_relaxed (observer->store, observer->feeder_timer != NULL && !observer->reserve);
+}
+
 void
 quince_observer_feed_ended (QuinceObserver *observer)
 {
+  quince_source_clear (&observer->feeder_timer);
+  set_relaxed (observer);
   NamedMirror mirrors[N_MIRRORS];
   list_mirrors (observer, mirrors);
   for (guint i = 0; i < N_MIRRORS; i++)
@@ -329,6 +339,7 @@
 quince_observer_feeder_lost (QuinceObserver *observer)
 {
   quince_source_clear (&observer->feeder_timer);
+  set_relaxed (observer);
   quince_meta_mirror_feed_ended (observer->own_mirror);
 }
 
@@ -344,11 +355,14 @@
 {
   quince_source_clear (&observer->feeder_timer);
   observer->feeder_timer = quince_timer_add (FEEDER_SILENCE_MS, feeder_silent, observer);
+  set_relaxed (observer);
 }
 
 void
 quince_observer_set_reserve_reader (QuinceObserver *observer, gboolean reserve)
 {
+  observer->reserve = reserve;
+  set_relaxed (observer);
   guint slack_ms = reserve ? RESERVE_SLACK_MS : observer->slack_ms;
   guint spread_ms = reserve ? 0 : SPREAD_MS;
   const QuinceMetaMirrorTimes operator_times
--- a/tests/platform/test-meta.c
+++ b/tests/platform/test-meta.c
@@ -128,6 +128,42 @@
   end (&world);
 }
 
+/* Calls that an outage of @OUTAGE_MS costs a process. */
+#define OUTAGE_MS 6000
+
+static guint
+calls_in_outage (gboolean relaxed)
+{
+  World world;
+  begin (&world, 0);
+  standin_store_set_fault (world.standin, STANDIN_STORE_BUSY);
+  standin_store_drop_connections (world.standin);
+  quince_meta_store_set_relaxed (world.store, relaxed);
+  guint calls = standin_store_get_calls (world.standin);
+  run_for (OUTAGE_MS);
+  calls = standin_store_get_calls (world.standin) - calls;
+  /* Its feeder is gone: it looks by itself, soon. */
+  quince_meta_store_set_relaxed (world.store, FALSE);
+  standin_store_set_fault (world.standin, STANDIN_STORE_SOUND);
+  standin_store_put (world.standin, "a/1", "after");
+  gint64 back = g_get_monotonic_time ();
+  AWAIT (strcmp (value (&world, "a/1"), "after") == 0);
+  if (g_get_monotonic_time () - back > KNOWN_AGAIN_US)
+    fail_msg ("a process without a feeder waits for long");
+  end (&world);
+  return calls;
+}
+
+/* Failed first: each process looked for the store as often as those that tell all others. */
+static void
+test_outage_costs_little_where_others_tell (void **state)
+{
+  guint by_itself = calls_in_outage (FALSE);
+  guint told = calls_in_outage (TRUE);
+  assert_true (by_itself >= 7);
+  assert_true (told <= 5);
+}
+
 static void
 test_silent_store (void **state)
 {
@@ -409,6 +445,7 @@
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_list_and_changes),
+    cmocka_unit_test (test_outage_costs_little_where_others_tell),
     cmocka_unit_test (test_silent_store),
     cmocka_unit_test (test_busy_store),
     cmocka_unit_test (test_store_that_resets),
