Metadata store: half of a longer bound is left for pages that come late; looks are seldom only while all is told

Change: half of what the bound allows beyond 2 s is waited; looks are seldom only while all prefixes are told.

--- a/lib/observer/observer.c
+++ b/lib/observer/observer.c
@@ -23,8 +23,13 @@
  * read comes back through the leader, before the others lose patience.  The others trust it for as long as
  * the bound on changes allows; both leave the leader time for a slow answer and for its other work. */
 #define RESERVE_SLACK_MS 500
-G_STATIC_ASSERT (READ_EVERY_MS + RESERVE_SLACK_MS + 2 * FIRST_READ_MS
-                 <= QUINCE_OBSERVER_CHANGE_BOUND_LEAST_MS);
+#define SLACK_LEAST_MS 1000
+/* Of what a deployment's bound allows beyond the least one, this part is waited; the rest is for pages that
+ * were read some time before they came: a page tells of the moment of its read, and its reader may be busy.
+ */
+#define SPARE_SHARE 0.5
+G_STATIC_ASSERT (READ_EVERY_MS + SLACK_LEAST_MS + FIRST_READ_MS <= QUINCE_OBSERVER_CHANGE_BOUND_LEAST_MS);
+G_STATIC_ASSERT (RESERVE_SLACK_MS + FIRST_READ_MS <= SLACK_LEAST_MS);
 /* After an outage of all most processes are told before they ask; with a look at the store each 0.8 s
  * meanwhile they know what changed 2 s after its return, and machines count as in touch 3 s after it. */
 #define SPREAD_MS 1000
@@ -317,11 +322,24 @@
   return observer->told_lapsed || quince_meta_store_may_have_lapsed (observer->store, now_us);
 }
 
+/* A process that is told of all prefixes need not notice by itself that the store is back. */
+static gboolean
+is_told_of_all (QuinceObserver *observer)
+{
+  NamedMirror mirrors[N_MIRRORS];
+  list_mirrors (observer, mirrors);
+  for (guint i = 0; i < N_MIRRORS; i++)
+    if (!quince_meta_mirror_is_fed (mirrors[i].mirror))
+      return FALSE;
+  return TRUE;
+}
+
 /* While a feeder lives it is the one that must notice that the store is back; so are the reserve readers. */
 static void
 set_relaxed (QuinceObserver *observer)
 {
-  quince_meta_store_set_relaxed (observer->store, observer->feeder_timer != NULL && !observer->reserve);
+  gboolean relaxed = observer->feeder_timer != NULL && !observer->reserve && is_told_of_all (observer);
+  quince_meta_store_set_relaxed (observer->store, relaxed);
 }
 
 void
@@ -467,8 +485,9 @@
   observer->versions = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   observer->leaving = g_ptr_array_new_with_free_func (g_free);
   observer->workers_pace_ms = options->workers_pace_ms;
-  observer->slack_ms
-      = MAX (options->change_bound_ms, QUINCE_OBSERVER_CHANGE_BOUND_LEAST_MS) - READ_EVERY_MS - FIRST_READ_MS;
+  guint bound_ms = MAX (options->change_bound_ms, QUINCE_OBSERVER_CHANGE_BOUND_LEAST_MS);
+  guint spare_ms = bound_ms - QUINCE_OBSERVER_CHANGE_BOUND_LEAST_MS;
+  observer->slack_ms = SLACK_LEAST_MS + (guint)(SPARE_SHARE * spare_ms);
   observer->operator_mirror
       = quince_meta_mirror_new (store, QUINCE_PLATFORM_OPERATOR_PREFIX, &operator_callbacks, observer);
   observer->workers_mirror
