Lint: events and names of the platform are looked for in platform/ and for keys and duties too

Cause: a log line in platform/ was in no table, and the names of keys and duties were not among those kept to platform/. Change: check-names covers both.

--- a/scripts/check-names.sh
+++ b/scripts/check-names.sh
@@ -7,7 +7,7 @@
 
 names='tlsKey|kv-txn|kv-range|kv-lease|trafficSplit|pathPrefix|Server-Stamp|Expect-Instance|Expect-Version'
 names="$names|\"Not-Run|afterRev|heartbeatMs|coldRemainingMs|version-put|Weight-Versions|weight-versions|Request-Deadline-Ms"
-names="$names|queueTtlS|targetLatencyMs|maxAttempts|singleVersion|minVersion|/quinceroute/|\"op/|\"servers/"
+names="$names|queueTtlS|targetLatencyMs|maxAttempts|singleVersion|minVersion|apiKeys|Duty-Holder|Fence-Token|windowId|\"Credential|/quinceroute/|\"op/|\"servers/"
 if git grep -nIE "$names" -- '*.c' '*.h' '*.x' '*.lua' ':!platform' ':!deploy' ':!tests/platform'; then
     echo "check-names: names of the users' platform outside platform/ and deploy/" >&2
     status=1
@@ -17,7 +17,7 @@
 documented=$(mktemp)
 trap 'rm -f "$logged" "$documented"' EXIT
 git grep -hoE 'quince_log_(info|notice|warning|failure) \((abandoned \? )?"[a-z_]+"( : "[a-z_]+")?' -- \
-    daemons/front daemons/replica lib/meta lib/observer lib/forward lib/http1 lib/runtime |
+    daemons/front daemons/replica platform lib/meta lib/observer lib/forward lib/http1 lib/runtime |
     grep -oE '"[a-z_]+"' | tr -d '"' | sort -u >"$logged"
 sed -n '/^## Events of the platform.s daemons/,/^## /p' docs/OPERATIONS.md |
     grep -oE '^\| `[a-z_]+`' | tr -d '|` ' | grep -v '^log_lines_left_out$\|^library_message$' | sort -u >"$documented"
