Usage: acknowledged also where the platform asks for no reports; a message holds 2,000 requests at most

Cause: read in the diff: on a deployment with tenants and without the duty nobody acknowledged, and each front told all that it kept again each second. Change: a replica without the duty acknowledges at once; the oldest 2,000 are told first.

--- a/daemons/front/usage-reporter.c
+++ b/daemons/front/usage-reporter.c
@@ -10,6 +10,8 @@
 /* Requests that are kept while no leader acknowledges them: some minutes of a busy front (60 requests a
  * second), about 100 bytes each.  The oldest are dropped, their windows are over. */
 #define KEPT_MOST 20000
+/* In one message: some 100 KB.  The rest follows once these are acknowledged. */
+#define TOLD_AT_ONCE_MOST 2000
 
 /* What the leader has not acknowledged for so long is told again: it keeps what it is told each 0.2 s. */
 #define REMIND_US (1000 * 1000)
@@ -58,13 +60,13 @@
   g_free (reporter);
 }
 
-/* Sends the events from @first on. */
+/* Sends the events from @first on, as many as one message holds. */
 static void
 send_from (QuinceUsageReporter *reporter, GList *first)
 {
   gint64 now = quince_now_us ();
   g_autoptr (GArray) told = g_array_new (FALSE, FALSE, sizeof (QuinceUsageTold));
-  for (GList *at = first; at != NULL; at = at->next)
+  for (GList *at = first; at != NULL && told->len < TOLD_AT_ONCE_MOST; at = at->next)
     {
       const Event *event = at->data;
       QuinceUsageTold wire = { .sequence = event->sequence,
--- a/daemons/replica/replica.c
+++ b/daemons/replica/replica.c
@@ -227,6 +227,23 @@
   return copy;
 }
 
+/* Where the platform asks for no reports of usage the fronts need not keep what they tell. */
+static void
+take_usage (Replica *replica, QuinceLink *link, const QuinceUsageReport *report)
+{
+  if (replica->usage != NULL)
+    {
+      quince_usage_duty_take_report (replica->usage, link, report);
+      return;
+    }
+  QuinceMessage message = { .kind = QUINCE_MESSAGE_USAGE_ACK };
+  message.QuinceMessage_u.usage_ack.source = report->source;
+  if (report->events.events_len > 0)
+    message.QuinceMessage_u.usage_ack.sequence
+        = report->events.events_val[report->events.events_len - 1].sequence;
+  quince_link_send (link, &message);
+}
+
 static void
 other_message (QuinceLink *link, const QuinceMessage *message, gpointer data)
 {
@@ -241,8 +258,8 @@
     }
   else if (message->kind == QUINCE_MESSAGE_HEARTBEAT_ACK)
     quince_heartbeats_take_ack (replica->heartbeats, &message->QuinceMessage_u.heartbeat_ack);
-  else if (message->kind == QUINCE_MESSAGE_USAGE_REPORT && replica->usage != NULL)
-    quince_usage_duty_take_report (replica->usage, link, &message->QuinceMessage_u.usage_report);
+  else if (message->kind == QUINCE_MESSAGE_USAGE_REPORT)
+    take_usage (replica, link, &message->QuinceMessage_u.usage_report);
   else if (message->kind == QUINCE_MESSAGE_HEARTBEAT && replica->feed == NULL)
     quince_observer_feeder_alive (replica->observer);
   else if (message->kind == QUINCE_MESSAGE_PROGRESS && replica->feed == NULL)
