Usage: a request is not told before older ones

Cause: read in the diff: with more than one message waiting a new request went first, and the leader would have dropped the older ones as told before. Change: it waits its turn.

--- a/daemons/front/usage-reporter.c
+++ b/daemons/front/usage-reporter.c
@@ -96,7 +96,8 @@
       event_free (g_queue_pop_head (&reporter->events));
       quince_metric_add ("quince_front_usage_dropped_total", "", 1);
     }
-  if (reporter->link != NULL)
+  /* The leader takes requests in their order: this one waits while older ones are not told. */
+  if (reporter->link != NULL && g_queue_get_length (&reporter->events) <= TOLD_AT_ONCE_MOST)
     send_from (reporter, g_queue_peek_tail_link (&reporter->events));
 }
 
