--- a/daemons/front/caller-request.c
+++ b/daemons/front/caller-request.c
@@ -326,7 +326,7 @@
 
 /* ---- Tenants ----------------------------------------------------------- */
 
-/* Finds the tenant by the key that the caller showed and names it to whoever handles the request.
+/* Finds the tenant of the caller's API key and adds its name to the request's headers.
  * @key_optional: the request is served without a tenant too
  * Returns: %FALSE when the request is over. */
 static gboolean
--- a/daemons/front/usage-reporter.c
+++ b/daemons/front/usage-reporter.c
@@ -13,7 +13,7 @@
 /* In one message: some 100 KB.  The rest follows once these are acknowledged. */
 #define TOLD_AT_ONCE_MOST 2000
 
-/* What the leader has not acknowledged for so long is told again: it keeps what it is told each 0.2 s. */
+/* Unacknowledged requests are sent again after this time: the leader writes to its log every 0.2 s. */
 #define REMIND_US (1000 * 1000)
 
 typedef struct
--- a/daemons/replica/batch-service.c
+++ b/daemons/replica/batch-service.c
@@ -214,7 +214,7 @@
 
 /* ---- Calls ------------------------------------------------------------ */
 
-/* A batch of another tenant is answered as one that does not exist; without any key the caller is told so. */
+/* 404 for a batch of another tenant, as if it did not exist; 401 for a caller without a key. */
 static guint
 status_of_unknown (const QuinceBatchEntry *entry, const char *tenant, gboolean pending)
 {
--- a/lib/meta/meta-store.c
+++ b/lib/meta/meta-store.c
@@ -16,7 +16,8 @@
 /* Each look is paid for, by every process at once in an outage of all; calls must succeed within 1 s after
  * it. */
 #define PROBE_MOST_MS 800
-/* Whoever is told of all news by another process can wait for it to tell that the store is back. */
+/* Longest time between two probes of a process that a live leader feeds: its pages show that the store is
+ * back.  Far below the 6 s of a front's lease. */
 #define PROBE_RELAXED_MS 4000
 #define PROBE_KEY "quinceroute/ledger"
 
