Sight: a lost connection names the digest of its request

The log could not tell that several tries, under ids of their own and at several fronts, were one request. run_lost names a digest of caller, host, method, target and body: no key, path or body is logged. Nothing is decided by it yet.

--- a/daemons/front/caller-request.c
+++ b/daemons/front/caller-request.c
@@ -262,6 +262,7 @@
   g_auto (GStrv) prompt = route->sticky ? quince_platform_read_prompt (headers) : NULL;
   const QuinceForwardRequest forward = {
     .service = service,
+    .caller = request->tenant,
     .kind = route->name,
     .method = request->head->method,
     .target = request->head->target,
--- a/include/quince/forward.h
+++ b/include/quince/forward.h
@@ -35,6 +35,7 @@
 /**
  * QuinceForwardRequest:
  * @service: where to
+ * @caller: (nullable): tenant that asks
  * @headers: the caller's, without those of its connection
  * @prompt: (nullable): parts of its prompt, %NULL-terminated, where a worker that keeps them is to be
  * preferred
@@ -47,6 +48,7 @@
 typedef struct
 {
   const char *service;
+  const char *caller;
   const char *kind;
   const char *method;
   const char *target;
--- /dev/null
+++ b/include/quince/request-digest.h
@@ -0,0 +1,42 @@
+/*
+ * request-digest.h: what stands for a request that is asked again under another id.
+ *
+ * Equal for equal callers, hosts, methods, targets and bodies; it tells nothing of any of them.
+ */
+#pragma once
+
+#include <glib.h>
+
+G_BEGIN_DECLS
+
+#define QUINCE_REQUEST_DIGEST_BYTES 16
+
+typedef struct
+{
+  guint8 bytes[QUINCE_REQUEST_DIGEST_BYTES];
+} QuinceRequestDigest;
+
+/**
+ * quince_request_digest_make:
+ * @caller: (nullable): tenant that asks; %NULL as "": nobody in particular
+ * @host: (nullable): %NULL as ""
+ * @target: path and query
+ * @body: (nullable): of @length bytes
+ *
+ * The first half of SHA-256: a caller cannot make a request that is held for another one.
+ */
+void quince_request_digest_make (QuinceRequestDigest *digest,
+                                 const char *caller,
+                                 const char *host,
+                                 const char *method,
+                                 const char *target,
+                                 gconstpointer body,
+                                 gsize length);
+guint quince_request_digest_hash (gconstpointer digest);
+gboolean quince_request_digest_equal (gconstpointer a, gconstpointer b);
+/* (transfer full): as hexadecimal digits, for logs and keys */
+char *quince_request_digest_format (const QuinceRequestDigest *digest);
+/* Returns: %FALSE when @text is none */
+gboolean quince_request_digest_parse (const char *text, QuinceRequestDigest *digest);
+
+G_END_DECLS
--- /dev/null
+++ b/lib/core/request/request-digest.c
@@ -0,0 +1,75 @@
+/*
+ * request-digest.c: what stands for a request that is asked again under another id.
+ */
+#include <quince/request-digest.h>
+
+#include <string.h>
+
+/* The zero at the end divides it from what follows. */
+static void
+add_text (GChecksum *checksum, const char *text)
+{
+  const char *known = text != NULL ? text : "";
+  g_checksum_update (checksum, (const guchar *)known, (gssize)strlen (known) + 1);
+}
+
+void
+quince_request_digest_make (QuinceRequestDigest *digest,
+                            const char *caller,
+                            const char *host,
+                            const char *method,
+                            const char *target,
+                            gconstpointer body,
+                            gsize length)
+{
+  g_autoptr (GChecksum) checksum = g_checksum_new (G_CHECKSUM_SHA256);
+  add_text (checksum, caller);
+  add_text (checksum, host);
+  add_text (checksum, method);
+  add_text (checksum, target);
+  if (length > 0)
+    g_checksum_update (checksum, body, (gssize)length);
+  guint8 whole[32];
+  gsize whole_length = sizeof whole;
+  g_checksum_get_digest (checksum, whole, &whole_length);
+  memcpy (digest->bytes, whole, sizeof digest->bytes);
+}
+
+guint
+quince_request_digest_hash (gconstpointer digest)
+{
+  guint hash;
+  memcpy (&hash, ((const QuinceRequestDigest *)digest)->bytes, sizeof hash);
+  return hash;
+}
+
+gboolean
+quince_request_digest_equal (gconstpointer a, gconstpointer b)
+{
+  return memcmp (a, b, sizeof (QuinceRequestDigest)) == 0;
+}
+
+char *
+quince_request_digest_format (const QuinceRequestDigest *digest)
+{
+  GString *text = g_string_sized_new (QUINCE_REQUEST_DIGEST_BYTES * 2);
+  for (guint i = 0; i < QUINCE_REQUEST_DIGEST_BYTES; i++)
+    g_string_append_printf (text, "%02x", digest->bytes[i]);
+  return g_string_free (text, FALSE);
+}
+
+gboolean
+quince_request_digest_parse (const char *text, QuinceRequestDigest *digest)
+{
+  if (strlen (text) != QUINCE_REQUEST_DIGEST_BYTES * 2)
+    return FALSE;
+  for (guint i = 0; i < QUINCE_REQUEST_DIGEST_BYTES; i++)
+    {
+      gint high = g_ascii_xdigit_value (text[i * 2]);
+      gint low = g_ascii_xdigit_value (text[i * 2 + 1]);
+      if (high < 0 || low < 0)
+        return FALSE;
+      digest->bytes[i] = (guint8)(high * 16 + low);
+    }
+  return TRUE;
+}
--- a/lib/core/story/log-vocabulary.c
+++ b/lib/core/story/log-vocabulary.c
@@ -52,6 +52,7 @@
   "request_unreadable",
   "result_refused",
   "result_unreadable",
+  "run_lost",
   "sample_abandoned",
   "sample_dispatched",
   "sample_done",
--- a/lib/forward/dispatch.c
+++ b/lib/forward/dispatch.c
@@ -3,6 +3,7 @@
  */
 #include "dispatch.h"
 
+#include <quince/log.h>
 #include <quince/task.h>
 
 void
@@ -14,6 +15,7 @@
   dispatch->backends = backends;
   dispatch->dialect = dialect;
   dispatch->service = g_strdup (request->service);
+  dispatch->caller = g_strdup (request->caller);
   dispatch->kind = g_strdup (request->kind);
   dispatch->method = g_strdup (request->method);
   dispatch->target = g_strdup (request->target);
@@ -37,6 +39,7 @@
   g_hash_table_unref (dispatch->avoid);
   g_strfreev (dispatch->prompt);
   g_free (dispatch->service);
+  g_free (dispatch->caller);
   g_free (dispatch->kind);
   g_free (dispatch->method);
   g_free (dispatch->target);
@@ -88,3 +91,24 @@
 {
   return now_us < dispatch->started_us + dispatch->target_latency_us / 2;
 }
+
+const QuinceRequestDigest *
+quince_dispatch_get_digest (QuinceDispatch *dispatch)
+{
+  if (dispatch->has_digest)
+    return &dispatch->digest;
+  gsize length = 0;
+  gconstpointer body = dispatch->body != NULL ? g_bytes_get_data (dispatch->body, &length) : NULL;
+  quince_request_digest_make (&dispatch->digest, dispatch->caller,
+                              quince_http_headers_get (dispatch->headers, "Host"), dispatch->method,
+                              dispatch->target, body, length);
+  dispatch->has_digest = TRUE;
+  return &dispatch->digest;
+}
+
+void
+quince_dispatch_log_lost (QuinceDispatch *dispatch, const char *worker_id)
+{
+  g_autofree char *digest = quince_request_digest_format (quince_dispatch_get_digest (dispatch));
+  quince_log_info ("run_lost", "request=%s worker=%s digest=%s", dispatch->request_id, worker_id, digest);
+}
--- a/lib/forward/dispatch.h
+++ b/lib/forward/dispatch.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include <quince/forward.h>
+#include <quince/request-digest.h>
 
 typedef struct
 {
@@ -12,12 +13,15 @@
   QuinceBackends *backends;
   const QuinceForwardDialect *dialect;
   char *service;
+  char *caller; /* NULL: nobody in particular */
   char *kind;
   char *method;
   char *target;
   char *request_id;
   QuinceHttpHeaders *headers;
   GBytes *body;
+  QuinceRequestDigest digest; /* see quince_dispatch_get_digest() */
+  gboolean has_digest;
   char **prompt;      /* NULL: nothing of it is kept */
   GHashTable *avoid;  /* ids of workers that were tried */
   guint attempts;     /* sends so far */
@@ -47,3 +51,7 @@
 QuinceWorker *quince_dispatch_find (const QuinceDispatch *dispatch, const char *worker_id);
 /* A request that nobody runs and nobody has room for waits that long at the most. */
 gboolean quince_dispatch_may_wait (const QuinceDispatch *dispatch, gint64 now_us);
+/* Made when it is first asked for: most requests never need it. */
+const QuinceRequestDigest *quince_dispatch_get_digest (QuinceDispatch *dispatch);
+/* A worker closed the connection under the request. */
+void quince_dispatch_log_lost (QuinceDispatch *dispatch, const char *worker_id);
--- a/lib/forward/forward.c
+++ b/lib/forward/forward.c
@@ -228,6 +228,8 @@
       gboolean ran = outcome != QUINCE_HTTP_NOT_SENT;
       gboolean silent = ran && error->code == QUINCE_HTTP1_ERROR_TIMEOUT;
       note_worker (attempt, FALSE);
+      if (ran && !silent)
+        quince_dispatch_log_lost (&forward->dispatch, attempt->worker_id);
       attempt_over (attempt, ran, !ran ? "no_connection" : silent ? "worker_silent" : "connection_lost");
       return;
     }
--- a/lib/forward/stream.c
+++ b/lib/forward/stream.c
@@ -231,6 +231,8 @@
       return;
     }
   doubt_worker (stream);
+  if (outcome != QUINCE_HTTP_NOT_SENT)
+    quince_dispatch_log_lost (&stream->dispatch, stream->worker_id);
   attempt_over (stream, outcome != QUINCE_HTTP_NOT_SENT,
                 outcome == QUINCE_HTTP_NOT_SENT ? "no_connection" : "connection_lost");
 }
