--- a/tests/platform/standin-server.c
+++ b/tests/platform/standin-server.c
@@ -18,7 +18,8 @@
 
 struct _StandinServer
 {
-  QuinceHttpAcceptor *acceptor;
+  QuinceHttpAcceptor *acceptor; /* NULL while it is dead */
+  char *address;
   GHashTable *connections;
   guint accepted;
   void (*handler) (StandinCall *, gpointer);
@@ -105,6 +106,7 @@
   server->user_data = user_data;
   server->acceptor = quince_http_acceptor_new (address, accepted, server, NULL);
   g_assert_nonnull (server->acceptor);
+  server->address = g_strdup (quince_http_acceptor_get_address (server->acceptor));
   return server;
 }
 
@@ -127,19 +129,49 @@
     connection_free (all->pdata[i]);
 }
 
+/* The next close of @connection is a reset. */
+static void
+set_reset (const Connection *connection)
+{
+  const struct linger now = { .l_onoff = 1, .l_linger = 0 };
+  setsockopt (g_socket_get_fd (connection->socket), SOL_SOCKET, SO_LINGER, &now, sizeof now);
+}
+
+void
+standin_server_die (StandinServer *server)
+{
+  g_clear_pointer (&server->acceptor, quince_http_acceptor_free);
+  GHashTableIter iter;
+  gpointer connection;
+  g_hash_table_iter_init (&iter, server->connections);
+  while (g_hash_table_iter_next (&iter, &connection, NULL))
+    set_reset (connection);
+  standin_server_drop_all (server);
+}
+
+void
+standin_server_revive (StandinServer *server)
+{
+  if (server->acceptor != NULL)
+    return;
+  server->acceptor = quince_http_acceptor_new (server->address, accepted, server, NULL);
+  g_assert_nonnull (server->acceptor);
+}
+
 void
 standin_server_free (StandinServer *server)
 {
-  quince_http_acceptor_free (server->acceptor);
+  g_clear_pointer (&server->acceptor, quince_http_acceptor_free);
   standin_server_drop_all (server);
   g_hash_table_unref (server->connections);
+  g_free (server->address);
   g_free (server);
 }
 
 const char *
 standin_server_get_address (const StandinServer *server)
 {
-  return quince_http_acceptor_get_address (server->acceptor);
+  return server->address;
 }
 
 guint
@@ -219,8 +251,7 @@
 standin_reset (StandinCall *call)
 {
   Connection *connection = connection_of (call);
-  const struct linger now = { .l_onoff = 1, .l_linger = 0 };
   if (connection != NULL)
-    setsockopt (g_socket_get_fd (connection->socket), SOL_SOCKET, SO_LINGER, &now, sizeof now);
+    set_reset (connection);
   standin_close (call);
 }
--- a/tests/platform/standin-server.h
+++ b/tests/platform/standin-server.h
@@ -32,6 +32,10 @@
 guint standin_server_get_open (const StandinServer *server);
 /* Closes all connections; new ones are taken. */
 void standin_server_drop_all (StandinServer *server);
+/* As when its process dies: all connections are reset, new ones are refused. */
+void standin_server_die (StandinServer *server);
+/* Listens again, at the address that it had. */
+void standin_server_revive (StandinServer *server);
 
 const char *standin_header (const StandinCall *call, const char *name);
 /* A whole answer; @headers: lines with their ends, or "". Releases the call. */
--- a/tests/platform/standin-worker.c
+++ b/tests/platform/standin-worker.c
@@ -20,10 +20,26 @@
   StandinWorkerFault fault;
 } Stream;
 
+/* A plain request that is answered later, or that ends the worker. */
+typedef struct
+{
+  StandinWorker *worker;
+  StandinCall *call;
+  StandinRun *run;
+  guint timer;
+} Delayed;
+
 struct _StandinWorker
 {
   StandinServer *server;
   char *id;
+  char *software;
+  char *fatal_text; /* NULL: no request ends it */
+  guint fatal_after_ms;
+  guint fatal_times;
+  guint delay_ms;
+  gboolean dead;
+  GPtrArray *delayed; /* Delayed, owned */
   StandinWorkerFault fault;
   guint fault_times;
   guint events;
@@ -183,6 +199,62 @@
   standin_answer (call, fault == STANDIN_WORKER_FAILS ? 500 : 200, headers, body, -1);
 }
 
+static void
+delayed_free (gpointer data)
+{
+  Delayed *delayed = data;
+  if (delayed->timer != 0)
+    g_source_remove (delayed->timer);
+  if (delayed->call != NULL)
+    standin_done (delayed->call);
+  g_free (delayed);
+}
+
+static void
+delay (StandinWorker *worker, StandinCall *call, StandinRun *run, guint delay_ms, GSourceFunc function)
+{
+  Delayed *delayed = g_new0 (Delayed, 1);
+  delayed->worker = worker;
+  delayed->call = call;
+  delayed->run = run;
+  delayed->timer = g_timeout_add (delay_ms, function, delayed);
+  g_ptr_array_add (worker->delayed, delayed);
+}
+
+static gboolean
+fatal_due (gpointer data)
+{
+  Delayed *delayed = data;
+  delayed->timer = 0;
+  standin_worker_die (delayed->worker);
+  return G_SOURCE_REMOVE;
+}
+
+static gboolean
+answer_due (gpointer data)
+{
+  Delayed *delayed = data;
+  StandinCall *call = g_steal_pointer (&delayed->call);
+  delayed->timer = 0;
+  delayed->run->gone = call->gone;
+  answer_plain (delayed->worker, call, delayed->run, STANDIN_WORKER_SOUND);
+  g_ptr_array_remove (delayed->worker->delayed, delayed);
+  return G_SOURCE_REMOVE;
+}
+
+/* Returns: whether @run ends the worker. */
+static gboolean
+is_fatal (StandinWorker *worker, const StandinRun *run)
+{
+  if (worker->fatal_text == NULL || worker->fatal_times == 0)
+    return FALSE;
+  if (strstr (run->body, worker->fatal_text) == NULL && strstr (run->target, worker->fatal_text) == NULL)
+    return FALSE;
+  if (worker->fatal_times != G_MAXUINT)
+    worker->fatal_times--;
+  return TRUE;
+}
+
 static void
 take_request (StandinWorker *worker, StandinCall *call)
 {
@@ -196,7 +268,9 @@
     }
   StandinRun *run = note_run (worker, call);
   g_autofree char *headers = answer_headers (worker, run->id, TRUE);
-  if (fault == STANDIN_WORKER_SILENT)
+  if (is_fatal (worker, run))
+    delay (worker, call, run, worker->fatal_after_ms, fatal_due);
+  else if (fault == STANDIN_WORKER_SILENT)
     g_ptr_array_add (worker->silent, call);
   else if (fault == STANDIN_WORKER_RESETS)
     standin_reset (call);
@@ -206,6 +280,8 @@
     standin_answer (call, 500, headers, "", 0);
   else if (worker->events > 0)
     begin_stream (worker, call, run, fault);
+  else if (worker->delay_ms > 0)
+    delay (worker, call, run, worker->delay_ms, answer_due);
   else
     answer_plain (worker, call, run, fault);
 }
@@ -266,6 +342,8 @@
 {
   StandinWorker *worker = g_new0 (StandinWorker, 1);
   worker->id = g_strdup (id);
+  worker->software = g_strdup ("v1");
+  worker->delayed = g_ptr_array_new_with_free_func (delayed_free);
   worker->version = 1;
   worker->runs = g_ptr_array_new_with_free_func (run_free);
   worker->streams = g_ptr_array_new_with_free_func (stream_free);
@@ -276,16 +354,81 @@
   return worker;
 }
 
-void
-standin_worker_free (StandinWorker *worker)
+/* Releases the calls in progress; their connections are gone. */
+static void
+release_calls (StandinWorker *worker)
 {
-  standin_server_free (worker->server);
   for (guint i = 0; i < worker->silent->len; i++)
     standin_done (worker->silent->pdata[i]);
   for (guint i = 0; i < worker->streams->len; i++)
     standin_done (((Stream *)worker->streams->pdata[i])->call);
+  g_ptr_array_set_size (worker->silent, 0);
+  g_ptr_array_set_size (worker->streams, 0);
+  g_ptr_array_set_size (worker->delayed, 0);
+}
+
+void
+standin_worker_die (StandinWorker *worker)
+{
+  worker->dead = TRUE;
+  standin_server_die (worker->server);
+  release_calls (worker);
+}
+
+gboolean
+standin_worker_is_dead (const StandinWorker *worker)
+{
+  return worker->dead;
+}
+
+void
+standin_worker_revive (StandinWorker *worker, const char *id)
+{
+  g_free (worker->id);
+  worker->id = g_strdup (id);
+  worker->dead = FALSE;
+  worker->orders = 0;
+  standin_server_revive (worker->server);
+}
+
+const char *
+standin_worker_get_id (const StandinWorker *worker)
+{
+  return worker->id;
+}
+
+void
+standin_worker_set_software (StandinWorker *worker, const char *software)
+{
+  g_free (worker->software);
+  worker->software = g_strdup (software);
+}
+
+void
+standin_worker_set_fatal (StandinWorker *worker, const char *text, guint after_ms, guint times)
+{
+  g_free (worker->fatal_text);
+  worker->fatal_text = g_strdup (text);
+  worker->fatal_after_ms = after_ms;
+  worker->fatal_times = times;
+}
+
+void
+standin_worker_set_delay (StandinWorker *worker, guint delay_ms)
+{
+  worker->delay_ms = delay_ms;
+}
+
+void
+standin_worker_free (StandinWorker *worker)
+{
+  standin_server_free (worker->server);
+  release_calls (worker);
+  g_ptr_array_unref (worker->delayed);
   g_ptr_array_unref (worker->silent);
   g_ptr_array_unref (worker->streams);
+  g_free (worker->software);
+  g_free (worker->fatal_text);
   g_ptr_array_unref (worker->runs);
   g_array_unref (worker->fences);
   g_ptr_array_unref (worker->holders);
@@ -366,8 +509,8 @@
 standin_worker_entry (const StandinWorker *worker, const char *service, const char *state)
 {
   return g_strdup_printf (
-      "{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"z1\",\"version\":\"v1\",\"slots\":8,"
+      "{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"z1\",\"version\":\"%s\",\"slots\":8,"
       "\"state\":\"%s\",\"coldRemainingMs\":0,\"stage\":\"hybrid\",\"models\":[{\"name\":\"" MODEL
       "\",\"version\":%" G_GUINT64_FORMAT ",\"adapters\":[]}],\"seq\":1}",
-      service, standin_worker_get_address (worker), state, worker->version);
+      service, standin_worker_get_address (worker), worker->software, state, worker->version);
 }
--- a/tests/platform/standin-worker.h
+++ b/tests/platform/standin-worker.h
@@ -42,6 +42,19 @@
 StandinServer *standin_worker_get_server (StandinWorker *worker);
 /* @times: how many requests meet the fault; G_MAXUINT: all */
 void standin_worker_set_fault (StandinWorker *worker, StandinWorkerFault fault, guint times);
+/* Requests whose body or target holds @text end the worker @after_ms after it began them; NULL: none does.
+ * @times: so often at the most; G_MAXUINT: always */
+void standin_worker_set_fatal (StandinWorker *worker, const char *text, guint after_ms, guint times);
+/* Plain answers take that long. */
+void standin_worker_set_delay (StandinWorker *worker, guint delay_ms);
+/* As when its process dies. */
+void standin_worker_die (StandinWorker *worker);
+gboolean standin_worker_is_dead (const StandinWorker *worker);
+/* Another incarnation at the same address; its runs are counted on. */
+void standin_worker_revive (StandinWorker *worker, const char *id);
+const char *standin_worker_get_id (const StandinWorker *worker);
+/* Of its software, as it is listed; "v1" at first. */
+void standin_worker_set_software (StandinWorker *worker, const char *software);
 void standin_worker_set_events (StandinWorker *worker, guint events, guint pause_ms);
 /* Runs so far, StandinRun. */
 const GPtrArray *standin_worker_get_runs (const StandinWorker *worker);
