--- a/daemons/front/caller-request.c
+++ b/daemons/front/caller-request.c
@@ -166,6 +166,8 @@
   if (!request->began)
     {
       gboolean refused = outcome == QUINCE_FORWARD_REFUSED;
+      /* A held request has run, at workers that ended under it: no promise that it has not, and no time to
+       * come back, which would invite more of them. */
       guint status = refused ? 503 : outcome == QUINCE_FORWARD_TIMEOUT ? 504 : 502;
       finish_error (request, status, cause != NULL ? cause : "no_worker", refused ? RETRY_AFTER_MS : 0);
       return;
@@ -220,6 +222,7 @@
     case QUINCE_FORWARD_TIMEOUT:
       finish_error (request, 504, "timeout", 0);
       break;
+    case QUINCE_FORWARD_HELD:
     case QUINCE_FORWARD_FAILED:
       finish_error (request, 502, result->cause != NULL ? result->cause : "worker_failed", 0);
       break;
--- a/daemons/front/front-settings.c
+++ b/daemons/front/front-settings.c
@@ -4,6 +4,7 @@
 #include "front-settings.h"
 
 #define SECOND G_USEC_PER_SEC
+#define DAY (G_GINT64_CONSTANT (86400) * SECOND)
 #define MILLISECOND (G_USEC_PER_SEC / 1000)
 
 /* clang-format off: one setting a line */
@@ -30,6 +31,14 @@
     "how long callers keep an answer" },
   { "stop", "grace", QUINCE_SETTING_DURATION, FALSE, "8s", SECOND, 600 * SECOND, NULL,
     "time from a planned stop to the end of the process" },
+  { "quarantine", "entries", QUINCE_SETTING_INTEGER, FALSE, "1024", 16, 4000, NULL,
+    "requests under which workers ended that are remembered" },
+  { "quarantine", "kilobytes", QUINCE_SETTING_INTEGER, FALSE, "512", 16, 65536, NULL,
+    "memory that they may take" },
+  { "quarantine", "doubt_keep", QUINCE_SETTING_DURATION, FALSE, "600s", SECOND, DAY, NULL,
+    "a request that is not held is forgotten so long after the last end" },
+  { "quarantine", "hold_keep", QUINCE_SETTING_DURATION, FALSE, "86400s", SECOND, 7 * DAY, NULL,
+    "a held request is forgotten so long after the last end" },
   { "policy", "file", QUINCE_SETTING_TEXT, FALSE, NULL, 0, 0, NULL,
     "policy program until operators accept another one" },
   { "log", "level", QUINCE_SETTING_CHOICE, FALSE, "info", 0, 0, "debug|info|warning|error",
--- a/daemons/front/front.c
+++ b/daemons/front/front.c
@@ -52,6 +52,8 @@
       quince_directory_take_entry (front->directory, now, key + strlen (QUINCE_FRONTS_PREFIX), value,
                                    quince_observer_may_have_lapsed (front->observer, now));
     }
+  else if (g_str_has_prefix (key, QUINCE_QUARANTINE_PREFIX))
+    quince_quarantine_client_take_key (front->quarantine, key + strlen (QUINCE_QUARANTINE_PREFIX), value);
 }
 
 static void
@@ -95,6 +97,7 @@
 {
   QuinceFront *front = data;
   quince_usage_reporter_linked (front->usage, link);
+  quince_quarantine_client_linked (front->quarantine, link);
   forget_asking (front);
   front->unasked = quince_link_ref (link);
   front->ask_timer = quince_timer_add (ASK_PATIENCE_MS, ask_late, front);
@@ -136,6 +139,8 @@
     take_heartbeat (front, link, &message->QuinceMessage_u.heartbeat);
   else if (message->kind == QUINCE_MESSAGE_USAGE_ACK)
     quince_usage_reporter_take_ack (front->usage, &message->QuinceMessage_u.usage_ack);
+  else
+    quince_quarantine_client_take (front->quarantine, message);
 }
 
 static void
@@ -144,6 +149,7 @@
   QuinceFront *front = data;
   forget_asking (front);
   quince_usage_reporter_unlinked (front->usage);
+  quince_quarantine_client_unlinked (front->quarantine);
   quince_observer_feeder_lost (front->observer);
 }
 
@@ -234,6 +240,7 @@
                      routes != NULL ? (double)quince_route_table_get_version (routes) : 0);
   quince_metric_set ("quince_front_ledger_linked", "", quince_ledger_caller_is_linked (front->ledger));
   quince_observer_set_metrics (front->observer);
+  quince_send_guard_set_metrics (quince_quarantine_client_get_guard (front->quarantine));
   quince_metric_set ("quince_store_answer_age_seconds", "",
                      (double)(now - counters->last_answer_us) / G_USEC_PER_SEC);
 }
@@ -283,6 +290,10 @@
   front->split_turns = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   front->backends = quince_backends_new (front->zone);
   front->usage = quince_usage_reporter_new ();
+  QuinceQuarantineLimits limits;
+  quince_quarantine_read_limits (settings, &limits);
+  front->quarantine = quince_quarantine_client_new (&limits, front->name);
+  quince_backends_set_guard (front->backends, quince_quarantine_client_get_guard (front->quarantine));
   front->ledger = quince_ledger_caller_new (&ledger_callbacks, front);
   if (!open_listeners (front, settings, error)
       || !load_policy (front, quince_settings_get_text (settings, "policy", "file"), error))
@@ -401,6 +412,7 @@
   quince_directory_free (front->directory);
   quince_ledger_caller_free (front->ledger);
   quince_usage_reporter_free (front->usage);
+  quince_quarantine_client_free (front->quarantine);
   quince_backends_free (front->backends);
   g_hash_table_unref (front->connections);
   g_hash_table_unref (front->split_turns);
--- a/daemons/front/front.h
+++ b/daemons/front/front.h
@@ -12,6 +12,7 @@
 
 #include "directory.h"
 #include "ledger-caller.h"
+#include "quarantine-client.h"
 #include "usage-reporter.h"
 
 typedef struct _QuinceFront QuinceFront;
@@ -28,6 +29,7 @@
   QuinceDirectory *directory;
   QuinceLedgerCaller *ledger;
   QuinceUsageReporter *usage;
+  QuinceQuarantineClient *quarantine;
   QuinceLink *unasked; /* to the leader, not asked for news yet; NULL: none */
   GSource *ask_timer;
   QuinceHttpAcceptor *callers_acceptor;
--- /dev/null
+++ b/daemons/replica/quarantine-desk.c
@@ -0,0 +1,382 @@
+/*
+ * quarantine-desk.c: the leader's part in the quarantine.
+ */
+#include "quarantine-desk.h"
+
+#include <string.h>
+
+#include <quince/log.h>
+#include <quince/observer.h>
+#include <quince/suspect-entry.h>
+#include <quince/suspect-message.h>
+#include <quince/task.h>
+
+/* A permit ends by itself: whoever has it is cut off, or its request waits in a worker's queue for as long as
+ * any caller of the users does (3 s). */
+#define PERMIT_KEEP_US (3 * G_USEC_PER_SEC)
+/* A write that failed is tried again. */
+#define WRITE_PAUSE_US (1 * G_USEC_PER_SEC)
+
+struct _QuinceQuarantineDesk
+{
+  /* All fields belong to the main context. */
+  QuinceSendGuard *guard;
+  QuincePermits *permits;
+  char *name;
+  QuinceMetaStore *store;
+  QuinceWorkerTable *workers;
+  GHashTable *links;    /* QuinceLink, of the owner; NULL: not leading */
+  GHashTable *saved;    /* digests as text, owned: keys in the store */
+  gboolean writing;     /* a call to the store is under way */
+  gint64 next_write_us; /* not before */
+};
+
+static QuinceQuarantine *
+quarantine_of (const QuinceQuarantineDesk *desk)
+{
+  return quince_send_guard_get_quarantine (desk->guard);
+}
+
+/* ---- Telling ------------------------------------------------------------ */
+
+static void
+tell (const QuinceQuarantineDesk *desk, GBytes *encoded)
+{
+  if (desk->links == NULL || encoded == NULL)
+    return;
+  GHashTableIter iter;
+  gpointer link;
+  g_hash_table_iter_init (&iter, desk->links);
+  while (g_hash_table_iter_next (&iter, &link, NULL))
+    quince_link_send_bytes (link, encoded);
+}
+
+static void
+tell_suspects (const QuinceQuarantineDesk *desk, const GPtrArray *suspects)
+{
+  if (suspects->len == 0)
+    return;
+  g_autoptr (GBytes) encoded = quince_suspect_news_encode (suspects, quince_now_us (), desk->name);
+  tell (desk, encoded);
+}
+
+static void
+tell_one (const QuinceQuarantineDesk *desk, const QuinceSuspect *suspect)
+{
+  g_autoptr (GPtrArray) one = g_ptr_array_new ();
+  g_ptr_array_add (one, (gpointer)suspect);
+  tell_suspects (desk, one);
+}
+
+static void
+tell_cleared (const QuinceQuarantineDesk *desk, const QuinceRequestDigest *digest)
+{
+  g_autoptr (GBytes) encoded = quince_suspect_cleared_encode (digest);
+  tell (desk, encoded);
+}
+
+/* ---- What the leader's own guard wants ----------------------------------- */
+
+static gboolean
+take_permit (QuinceQuarantineDesk *desk,
+             const QuinceRequestDigest *digest,
+             const char *service,
+             gboolean alone,
+             gconstpointer holder)
+{
+  gint64 now = quince_now_us ();
+  return quince_permits_take (desk->permits, now, digest, service, alone, holder, now + PERMIT_KEEP_US);
+}
+
+static gboolean
+ask (const QuinceRequestDigest *digest, const char *service, gboolean alone, gpointer data)
+{
+  QuinceQuarantineDesk *desk = data;
+  if (desk->links == NULL)
+    return FALSE;
+  quince_send_guard_answer (desk->guard, digest, take_permit (desk, digest, service, alone, desk));
+  return TRUE;
+}
+
+static void
+give_back (const QuinceRequestDigest *digest, gpointer data)
+{
+  QuinceQuarantineDesk *desk = data;
+  quince_permits_return (desk->permits, digest, desk);
+}
+
+static void
+ended (const QuinceSuspect *suspect, gpointer data)
+{
+  tell_one (data, suspect);
+}
+
+static void
+cleared (const QuinceRequestDigest *digest, gpointer data)
+{
+  tell_cleared (data, digest);
+}
+
+static const QuinceSendGuardCallbacks guard_callbacks
+    = { .ask = ask, .give_back = give_back, .ended = ended, .cleared = cleared };
+
+/* ---- Life ---------------------------------------------------------------- */
+
+QuinceQuarantineDesk *
+quince_quarantine_desk_new (const QuinceQuarantineLimits *limits,
+                            const char *name,
+                            QuinceMetaStore *store,
+                            QuinceWorkerTable *workers)
+{
+  QuinceQuarantineDesk *desk = g_new0 (QuinceQuarantineDesk, 1);
+  desk->name = g_strdup (name);
+  desk->store = store;
+  desk->workers = workers;
+  desk->guard = quince_send_guard_new (limits, &guard_callbacks, desk);
+  desk->permits = quince_permits_new ();
+  desk->saved = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  return desk;
+}
+
+void
+quince_quarantine_desk_free (QuinceQuarantineDesk *desk)
+{
+  if (desk == NULL)
+    return;
+  quince_send_guard_free (desk->guard);
+  quince_permits_free (desk->permits);
+  g_hash_table_unref (desk->saved);
+  g_free (desk->name);
+  g_free (desk);
+}
+
+QuinceSendGuard *
+quince_quarantine_desk_get_guard (QuinceQuarantineDesk *desk)
+{
+  return desk->guard;
+}
+
+void
+quince_quarantine_desk_lead (QuinceQuarantineDesk *desk, GHashTable *links)
+{
+  desk->links = links;
+  quince_permits_free (desk->permits);
+  desk->permits = quince_permits_new ();
+  g_autoptr (GPtrArray) all = quince_quarantine_list (quarantine_of (desk));
+  tell_suspects (desk, all);
+}
+
+void
+quince_quarantine_desk_stop_leading (QuinceQuarantineDesk *desk)
+{
+  desk->links = NULL;
+  quince_send_guard_forget_asked (desk->guard);
+}
+
+void
+quince_quarantine_desk_add (QuinceQuarantineDesk *desk, QuinceLink *link)
+{
+  g_autoptr (GPtrArray) all = quince_quarantine_list (quarantine_of (desk));
+  if (desk->links == NULL || all->len == 0)
+    return;
+  g_autoptr (GBytes) encoded = quince_suspect_news_encode (all, quince_now_us (), desk->name);
+  if (encoded != NULL)
+    quince_link_send_bytes (link, encoded);
+}
+
+void
+quince_quarantine_desk_link_closed (QuinceQuarantineDesk *desk, QuinceLink *link)
+{
+  quince_permits_forget_holder (desk->permits, link);
+}
+
+/* ---- Messages ------------------------------------------------------------ */
+
+static void
+take_news (QuinceQuarantineDesk *desk, const QuinceSuspectNews *news)
+{
+  g_autoptr (GArray) changed = g_array_new (FALSE, FALSE, sizeof (QuinceRequestDigest));
+  g_autoptr (GArray) gone = g_array_new (FALSE, FALSE, sizeof (QuinceRequestDigest));
+  quince_suspect_news_take (quarantine_of (desk), quince_now_us (), news, changed, gone);
+  if (desk->links == NULL)
+    return;
+  g_autoptr (GPtrArray) suspects = g_ptr_array_new ();
+  for (guint i = 0; i < changed->len; i++)
+    {
+      const QuinceRequestDigest *digest = &g_array_index (changed, QuinceRequestDigest, i);
+      const QuinceSuspect *suspect = quince_quarantine_find (quarantine_of (desk), digest);
+      if (suspect != NULL)
+        g_ptr_array_add (suspects, (gpointer)suspect);
+    }
+  tell_suspects (desk, suspects);
+  for (guint i = 0; i < gone->len; i++)
+    tell_cleared (desk, &g_array_index (gone, QuinceRequestDigest, i));
+}
+
+static void
+answer_ask (QuinceQuarantineDesk *desk, QuinceLink *link, const QuincePermitAsk *wanted)
+{
+  QuinceRequestDigest digest;
+  memcpy (digest.bytes, wanted->digest, sizeof digest.bytes);
+  /* Its asker may not have heard yet that it is held, or that it must run alone. */
+  QuinceSendRule rule = quince_quarantine_judge (quarantine_of (desk), &digest);
+  gboolean known = rule != QUINCE_SEND_HELD && (wanted->alone || rule != QUINCE_SEND_ALONE);
+  QuinceMessage message = { .kind = QUINCE_MESSAGE_PERMIT_ANSWER };
+  QuincePermitAnswer *answer = &message.QuinceMessage_u.permit_answer;
+  memcpy (answer->digest, wanted->digest, sizeof answer->digest);
+  answer->given
+      = desk->links != NULL && known && take_permit (desk, &digest, wanted->service, wanted->alone, link);
+  quince_link_send (link, &message);
+}
+
+gboolean
+quince_quarantine_desk_take (QuinceQuarantineDesk *desk, QuinceLink *link, const QuinceMessage *message)
+{
+  QuinceRequestDigest digest;
+  switch (message->kind)
+    {
+    case QUINCE_MESSAGE_SUSPECT_NEWS:
+      take_news (desk, &message->QuinceMessage_u.suspect_news);
+      return TRUE;
+    case QUINCE_MESSAGE_PERMIT_ASK:
+      answer_ask (desk, link, &message->QuinceMessage_u.permit_ask);
+      return TRUE;
+    case QUINCE_MESSAGE_PERMIT_BACK:
+      memcpy (digest.bytes, message->QuinceMessage_u.permit_back.digest, sizeof digest.bytes);
+      quince_permits_return (desk->permits, &digest, link);
+      return TRUE;
+    default:
+      return FALSE;
+    }
+}
+
+/* ---- The store ------------------------------------------------------------ */
+
+void
+quince_quarantine_desk_take_key (QuinceQuarantineDesk *desk, const char *name, GBytes *value)
+{
+  if (value != NULL)
+    g_hash_table_add (desk->saved, g_strdup (name));
+  else
+    g_hash_table_remove (desk->saved, name);
+  quince_suspect_entry_take (quarantine_of (desk), quince_now_us (), quince_wall_ms (), name, value);
+}
+
+typedef struct
+{
+  QuinceQuarantineDesk *desk;
+  char *name;
+  gboolean removes;
+} Write;
+
+static void
+write_done (const QuinceMetaPage *page, guint64 number, const GError *error, gpointer data)
+{
+  Write *change = data;
+  QuinceQuarantineDesk *desk = change->desk;
+  desk->writing = FALSE;
+  if (error != NULL)
+    desk->next_write_us = quince_now_us () + WRITE_PAUSE_US;
+  else if (change->removes)
+    g_hash_table_remove (desk->saved, change->name);
+  else
+    g_hash_table_add (desk->saved, g_strdup (change->name));
+  g_free (change->name);
+  g_free (change);
+}
+
+/* @suspect: (nullable): %NULL removes the key */
+static void
+write_key (QuinceQuarantineDesk *desk, const char *name, const QuinceSuspect *suspect)
+{
+  Write *change = g_new0 (Write, 1);
+  change->desk = desk;
+  change->name = g_strdup (name);
+  change->removes = suspect == NULL;
+  g_autofree char *key = g_strconcat (QUINCE_QUARANTINE_PREFIX, name, NULL);
+  g_autoptr (GBytes) value = NULL;
+  if (suspect != NULL)
+    {
+      gint64 ended_wall_ms = quince_wall_ms () - (quince_now_us () - suspect->ended_us) / 1000;
+      value = quince_suspect_entry_format (suspect, ended_wall_ms);
+    }
+  const QuinceMetaChange wanted = { .key = key, .expected_revision = -1, .value = value };
+  desk->writing = TRUE;
+  quince_meta_store_change (desk->store, &wanted, 1, write_done, change);
+}
+
+/* A key of a request that is not held any more; %NULL: there is none. */
+static const char *
+find_outdated (const QuinceQuarantineDesk *desk)
+{
+  GHashTableIter iter;
+  gpointer name;
+  g_hash_table_iter_init (&iter, desk->saved);
+  while (g_hash_table_iter_next (&iter, &name, NULL))
+    {
+      QuinceRequestDigest digest;
+      if (!quince_request_digest_parse (name, &digest)
+          || quince_quarantine_judge (quarantine_of (desk), &digest) != QUINCE_SEND_HELD)
+        return name;
+    }
+  return NULL;
+}
+
+/* One change at a time: holds and releases are rare. */
+static void
+save_one (QuinceQuarantineDesk *desk, const GPtrArray *all)
+{
+  if (desk->writing || quince_now_us () < desk->next_write_us)
+    return;
+  for (guint i = 0; i < all->len; i++)
+    {
+      const QuinceSuspect *suspect = all->pdata[i];
+      g_autofree char *name = quince_request_digest_format (&suspect->digest);
+      if (!suspect->held || g_hash_table_contains (desk->saved, name))
+        continue;
+      write_key (desk, name, suspect);
+      return;
+    }
+  const char *outdated = find_outdated (desk);
+  if (outdated != NULL)
+    write_key (desk, outdated, NULL);
+}
+
+/* All workers of the service run other software than the one that ended: it may be sound now. */
+static gboolean
+is_outdated (const QuinceQuarantineDesk *desk, const QuinceSuspect *suspect)
+{
+  if (!suspect->held || suspect->service == NULL || suspect->software == NULL)
+    return FALSE;
+  g_autoptr (GPtrArray) workers = quince_worker_table_list (desk->workers, suspect->service);
+  gboolean any = FALSE;
+  for (guint i = 0; i < workers->len; i++)
+    {
+      const QuinceWorker *worker = workers->pdata[i];
+      if (g_strcmp0 (worker->software, suspect->software) == 0)
+        return FALSE;
+      any = any || (!worker->draining && worker->software != NULL);
+    }
+  return any;
+}
+
+void
+quince_quarantine_desk_step (QuinceQuarantineDesk *desk)
+{
+  gint64 now = quince_now_us ();
+  quince_quarantine_expire (quarantine_of (desk), now);
+  if (desk->links == NULL)
+    return;
+  g_autoptr (GPtrArray) all = quince_quarantine_list (quarantine_of (desk));
+  for (guint i = 0; i < all->len; i++)
+    {
+      const QuinceSuspect *suspect = all->pdata[i];
+      if (!is_outdated (desk, suspect))
+        continue;
+      g_autofree char *digest = quince_request_digest_format (&suspect->digest);
+      quince_log_info ("suspect_released", "digest=%s", digest);
+      quince_quarantine_release (quarantine_of (desk), now, &suspect->digest);
+      tell_one (desk, suspect);
+    }
+  save_one (desk, all);
+}
--- /dev/null
+++ b/daemons/replica/quarantine-desk.h
@@ -0,0 +1,36 @@
+/*
+ * quarantine-desk.h: the leader's part in the quarantine: it gives permits, puts together what fronts saw,
+ * tells all, and keeps what is held in the metadata store.
+ *
+ * Other replicas take in what they are told, so that one of them can lead at once.
+ */
+#pragma once
+
+#include <quince/codec.h>
+#include <quince/link.h>
+#include <quince/meta-store.h>
+#include <quince/send-guard.h>
+
+typedef struct _QuinceQuarantineDesk QuinceQuarantineDesk;
+
+/* @name: of this machine; @store, @workers: must outlive the desk */
+QuinceQuarantineDesk *quince_quarantine_desk_new (const QuinceQuarantineLimits *limits,
+                                                  const char *name,
+                                                  QuinceMetaStore *store,
+                                                  QuinceWorkerTable *workers);
+void quince_quarantine_desk_free (QuinceQuarantineDesk *desk);
+/* (transfer none) */
+QuinceSendGuard *quince_quarantine_desk_get_guard (QuinceQuarantineDesk *desk);
+/* @links: (transfer none): QuinceLink, keys: who is told */
+void quince_quarantine_desk_lead (QuinceQuarantineDesk *desk, GHashTable *links);
+void quince_quarantine_desk_stop_leading (QuinceQuarantineDesk *desk);
+/* @link is to be told from now on. */
+void quince_quarantine_desk_add (QuinceQuarantineDesk *desk, QuinceLink *link);
+void quince_quarantine_desk_link_closed (QuinceQuarantineDesk *desk, QuinceLink *link);
+/* Returns: whether the message is one of the quarantine's. */
+gboolean
+quince_quarantine_desk_take (QuinceQuarantineDesk *desk, QuinceLink *link, const QuinceMessage *message);
+/* A key of the metadata store, by its last part; @value is %NULL where it is gone. */
+void quince_quarantine_desk_take_key (QuinceQuarantineDesk *desk, const char *name, GBytes *value);
+/* To be called several times a second. */
+void quince_quarantine_desk_step (QuinceQuarantineDesk *desk);
--- a/daemons/replica/replica.c
+++ b/daemons/replica/replica.c
@@ -17,6 +17,7 @@
 #include "heartbeats.h"
 #include "ledger-node.h"
 #include "platform.h"
+#include "quarantine-desk.h"
 #include "usage-duty.h"
 #include "weight-orders.h"
 
@@ -46,6 +47,7 @@
   QuinceWeightOrders *orders; /* NULL: not leading */
   QuinceBeliefFeed *feed;     /* NULL: not leading */
   QuinceHeartbeats *heartbeats;
+  QuinceQuarantineDesk *quarantine;
   QuinceUsageDuty *usage;    /* NULL: the platform asks for no reports */
   GHashTable *askers;        /* QuinceLink to QuinceBeliefAsk, both owned: those that asked for news */
   char **leaving;            /* nodes to be emptied */
@@ -144,6 +146,7 @@
   quince_observer_feed_ended (replica->observer);
   replica->feed = quince_belief_feed_new (replica->observer);
   quince_heartbeats_lead (replica->heartbeats, replica->askers);
+  quince_quarantine_desk_lead (replica->quarantine, replica->askers);
   GHashTableIter iter;
   gpointer link;
   gpointer ask;
@@ -159,6 +162,7 @@
   g_clear_pointer (&replica->orders, quince_weight_orders_stop);
   g_clear_pointer (&replica->feed, quince_belief_feed_free);
   quince_heartbeats_stop_leading (replica->heartbeats);
+  quince_quarantine_desk_stop_leading (replica->quarantine);
   quince_batch_service_stop_leading (replica->batches);
   if (replica->usage != NULL)
     quince_usage_duty_stop_leading (replica->usage);
@@ -192,6 +196,7 @@
     quince_usage_duty_link_closed (replica->usage, link);
   if (replica->feed != NULL)
     quince_belief_feed_remove (replica->feed, link);
+  quince_quarantine_desk_link_closed (replica->quarantine, link);
   g_hash_table_remove (replica->askers, link);
 }
 
@@ -255,6 +260,7 @@
       g_hash_table_replace (replica->askers, quince_link_ref (link), copy_ask (ask));
       if (replica->feed != NULL)
         quince_belief_feed_add (replica->feed, link, ask);
+      quince_quarantine_desk_add (replica->quarantine, link);
     }
   else if (message->kind == QUINCE_MESSAGE_HEARTBEAT_ACK)
     quince_heartbeats_take_ack (replica->heartbeats, &message->QuinceMessage_u.heartbeat_ack);
@@ -271,6 +277,8 @@
     quince_belief_feed_take (replica->observer, &message->QuinceMessage_u.belief_news);
   else if (message->kind == QUINCE_MESSAGE_BELIEF_NEWS)
     quince_belief_feed_take_report (replica->feed, link, &message->QuinceMessage_u.belief_news);
+  else
+    quince_quarantine_desk_take (replica->quarantine, link, message);
 }
 
 /* The members of the view are few, linked to the leader, and on several machines.  Others tell the leader
@@ -309,6 +317,8 @@
     quince_ledger_node_take_view (replica->ledger, value, revision);
   else if (g_str_has_prefix (key, QUINCE_FRONTS_PREFIX))
     quince_heartbeats_set_listed (replica->heartbeats, key + strlen (QUINCE_FRONTS_PREFIX), value != NULL);
+  else if (g_str_has_prefix (key, QUINCE_QUARANTINE_PREFIX))
+    quince_quarantine_desk_take_key (replica->quarantine, key + strlen (QUINCE_QUARANTINE_PREFIX), value);
 }
 
 static void
@@ -344,6 +354,7 @@
   quince_batch_service_tell_progress (replica->batches);
   if (replica->usage != NULL)
     quince_usage_duty_step (replica->usage);
+  quince_quarantine_desk_step (replica->quarantine);
   look_at_view (replica);
   look_at_leaving (replica);
   return G_SOURCE_CONTINUE;
@@ -369,6 +380,7 @@
   quince_metric_set ("quince_replica_worker_connections_opened", "",
                      (double)quince_backends_get_opened (replica->backends));
   quince_observer_set_metrics (replica->observer);
+  quince_send_guard_set_metrics (quince_quarantine_desk_get_guard (replica->quarantine));
   quince_metric_set ("quince_store_answer_age_seconds", "",
                      (double)(quince_now_us () - counters->last_answer_us) / G_USEC_PER_SEC);
   quince_batch_service_set_metrics (replica->batches);
@@ -443,6 +455,11 @@
   replica->backends = quince_backends_new (quince_settings_get_text (settings, "node", "zone"));
   replica->store = quince_meta_store_new (quince_settings_get_text (settings, "store", "address"),
                                           &quince_platform_meta_dialect);
+  QuinceQuarantineLimits limits;
+  quince_quarantine_read_limits (settings, &limits);
+  replica->quarantine = quince_quarantine_desk_new (&limits, replica->name, replica->store,
+                                                    quince_backends_get_workers (replica->backends));
+  quince_backends_set_guard (replica->backends, quince_quarantine_desk_get_guard (replica->quarantine));
   QuinceObserverOptions options;
   quince_observer_read_options (settings, &options);
   replica->observer
@@ -505,6 +522,7 @@
   quince_ledger_node_free (replica->ledger);
   quince_observer_free (replica->observer);
   quince_meta_store_free (replica->store);
+  quince_quarantine_desk_free (replica->quarantine);
   quince_backends_free (replica->backends);
   g_hash_table_unref (replica->askers);
   g_hash_table_unref (replica->told_leaving);
--- a/daemons/replica/sample-dispatch.c
+++ b/daemons/replica/sample-dispatch.c
@@ -13,6 +13,9 @@
 #define POLICY_PAUSE_MS 200
 /* Priorities at a worker: 0 first. */
 #define WORKER_PRIORITY_MOST 9
+/* A held sample is looked at this seldom, to be given up when its time is over or sent when it is released.
+ */
+#define HELD_PAUSE_US (1 * G_USEC_PER_SEC)
 /* Requests at one worker where the configuration names no slots. */
 #define SLOTS_UNTOLD 8
 /* The pace of a service's fastest worker is looked for this seldom, and runs that might move are looked at
@@ -168,6 +171,39 @@
   quince_backends_describe_events (runner->backends, quince_wall_ms (), request);
 }
 
+/* Returns: %FALSE when the sample is not to be sent now. */
+static gboolean
+has_leave (QuinceSampleRunner *runner, QuinceSample *sample, const char *service, gint64 now_us)
+{
+  QuinceSendGuard *guard = quince_backends_get_guard (runner->backends);
+  if (quince_send_guard_is_idle (guard))
+    return TRUE;
+  const QuinceRequestDigest *digest = quince_sample_get_digest (sample);
+  const char *id = quince_sample_get_item (sample)->id;
+  QuinceLeave leave = quince_send_guard_ask (guard, now_us, digest, service, id);
+  sample->permit = leave == QUINCE_LEAVE_PERMIT;
+  sample->backends = runner->backends;
+  if (leave == QUINCE_LEAVE_GIVEN || leave == QUINCE_LEAVE_CAREFUL || sample->permit)
+    return TRUE;
+  gboolean held = leave == QUINCE_LEAVE_HELD;
+  if (held && !sample->held_logged)
+    quince_send_guard_log_held (guard, now_us, digest, id);
+  sample->held_logged = held;
+  sample->not_before_us = now_us + (held ? HELD_PAUSE_US : QUINCE_LEAVE_PAUSE_MS * 1000);
+  if (!held)
+    quince_sample_runner_pump_after (runner, QUINCE_LEAVE_PAUSE_MS);
+  return FALSE;
+}
+
+/* The permit is not used after all. */
+static void
+return_permit (QuinceSampleRunner *runner, QuinceSample *sample)
+{
+  if (sample->permit)
+    quince_send_guard_over (quince_backends_get_guard (runner->backends), &sample->digest, TRUE);
+  sample->permit = FALSE;
+}
+
 QuinceBackendOutcome
 quince_sample_dispatch (QuinceSampleRunner *runner, QuinceSample *sample, gint64 now_us)
 {
@@ -184,10 +220,12 @@
   QuinceBackendOutcome outcome = QUINCE_BACKEND_NONE;
   if (admission.refuse)
     sample->not_before_us = now_us + (gint64)MAX (admission.retry_after_ms, POLICY_PAUSE_MS) * 1000;
-  else
+  else if (has_leave (runner, sample, view.service, now_us))
     outcome = choose_worker (runner, sample, &view, &request, &worker);
   if (worker != NULL)
     begin_run (runner, sample, route, worker);
+  else
+    return_permit (runner, sample);
   g_ptr_array_unref (view.workers);
   return outcome;
 }
--- a/daemons/replica/sample-outcome.c
+++ b/daemons/replica/sample-outcome.c
@@ -169,6 +169,30 @@
     quince_worker_note_failure (worker, quince_now_us ());
 }
 
+/* What the end of a run says of its sample: see send-guard.h. */
+static void
+tell_guard (QuinceSampleRunner *runner, QuinceSample *sample, QuinceRunEnd end, const char *cause)
+{
+  QuinceSendGuard *guard = quince_backends_get_guard (runner->backends);
+  gboolean permit = sample->permit;
+  sample->permit = FALSE;
+  gboolean answered = end == QUINCE_RUN_WHOLE || end == QUINCE_RUN_FAILED || end == QUINCE_RUN_HOPELESS;
+  if (end == QUINCE_RUN_BROKEN && g_str_equal (cause, "connection_lost"))
+    {
+      const QuinceRequestDigest *digest = quince_sample_get_digest (sample);
+      g_autofree char *text = quince_request_digest_format (digest);
+      quince_log_info ("run_lost", "request=%s worker=%s digest=%s", quince_sample_get_item (sample)->id,
+                       sample->worker_id, text);
+      quince_send_guard_lost (
+          guard, digest, permit,
+          quince_worker_table_find (quince_backends_get_workers (runner->backends), sample->worker_id));
+    }
+  else if (answered && !quince_send_guard_is_idle (guard))
+    quince_send_guard_answered (guard, quince_sample_get_digest (sample), permit);
+  else if (permit)
+    quince_send_guard_over (guard, &sample->digest, TRUE);
+}
+
 void
 quince_sample_outcome_run_ended (QuinceSample *sample, QuinceRunEnd end, const char *cause, gpointer data)
 {
@@ -180,6 +204,7 @@
     quince_log_info ("sample_run_ended", "sample=%s worker=%s cause=%s events=%" G_GUINT64_FORMAT " runs=%u",
                      quince_sample_get_item (sample)->id, sample->worker_id, cause, sample->last_event,
                      sample->runs);
+  tell_guard (runner, sample, end, cause);
   switch (end)
     {
     case QUINCE_RUN_WHOLE:
--- a/daemons/replica/sample-runner-private.h
+++ b/daemons/replica/sample-runner-private.h
@@ -42,6 +42,8 @@
 /* ---- sample-runner.c --------------------------------------------------- */
 
 void quince_sample_runner_pump_soon (QuinceSampleRunner *runner);
+/* The same, after @wait_ms, or sooner where a pump is asked for already. */
+void quince_sample_runner_pump_after (QuinceSampleRunner *runner, guint wait_ms);
 /* Releases @sample. */
 void quince_sample_runner_drop (QuinceSampleRunner *runner, QuinceSample *sample);
 /* The route of a batch or of a reward call; %NULL: no configuration has one. */
--- a/daemons/replica/sample-runner.c
+++ b/daemons/replica/sample-runner.c
@@ -91,10 +91,16 @@
 }
 
 void
-quince_sample_runner_pump_soon (QuinceSampleRunner *runner)
+quince_sample_runner_pump_after (QuinceSampleRunner *runner, guint wait_ms)
 {
   if (runner->soon == NULL)
-    runner->soon = quince_timer_add (0, pump_now, runner);
+    runner->soon = quince_timer_add (wait_ms, pump_now, runner);
+}
+
+void
+quince_sample_runner_pump_soon (QuinceSampleRunner *runner)
+{
+  quince_sample_runner_pump_after (runner, 0);
 }
 
 static gboolean
--- a/daemons/replica/sample.c
+++ b/daemons/replica/sample.c
@@ -32,6 +32,17 @@
   return &sample->entry->batch->items.items_val[sample->item];
 }
 
+const QuinceRequestDigest *
+quince_sample_get_digest (QuinceSample *sample)
+{
+  const QuinceBatchItem *item = quince_sample_get_item (sample);
+  if (!sample->has_digest)
+    quince_request_digest_make (&sample->digest, sample->entry->tenant, sample->entry->batch->host, "POST",
+                                item->path, item->body.body_val, item->body.body_len);
+  sample->has_digest = TRUE;
+  return &sample->digest;
+}
+
 static QuinceWorker *
 worker_of (const QuinceSample *sample)
 {
@@ -60,6 +71,8 @@
     }
   if (sample->reward != NULL)
     quince_forward_cancel (sample->reward);
+  if (sample->permit)
+    quince_send_guard_over (quince_backends_get_guard (sample->backends), &sample->digest, TRUE);
   g_string_free (sample->text, TRUE);
   g_array_unref (sample->versions);
   g_free (sample->avoid_worker);
--- a/daemons/replica/sample.h
+++ b/daemons/replica/sample.h
@@ -6,6 +6,7 @@
 #include <quince/backends.h>
 #include <quince/batch-book.h>
 #include <quince/forward.h>
+#include <quince/request-digest.h>
 #include <quince/routing.h>
 
 #include "platform.h"
@@ -52,8 +53,12 @@
   gint64 give_up_us;    /* monotonic; 0: never */
   gint64 submitted_us;  /* monotonic */
   gboolean single_version;
-  guint estimated_tokens; /* by its caller; 0: not told */
-  guint moves;            /* runs that were cut to go on elsewhere */
+  guint estimated_tokens;     /* by its caller; 0: not told */
+  guint moves;                /* runs that were cut to go on elsewhere */
+  QuinceRequestDigest digest; /* see quince_sample_get_digest() */
+  gboolean has_digest;
+  gboolean permit;      /* of the run in progress, see send-guard.h */
+  gboolean held_logged; /* that it is held */
 
   /* The run in progress. */
   char *worker_id;
@@ -75,6 +80,8 @@
 /* Cancels what runs. */
 void quince_sample_free (QuinceSample *sample);
 const QuinceBatchItem *quince_sample_get_item (const QuinceSample *sample);
+/* Made when it is first asked for. */
+const QuinceRequestDigest *quince_sample_get_digest (QuinceSample *sample);
 /* Begins a run on @worker; run_ended() is called once, never before this returns. */
 void quince_sample_run (QuinceSample *sample,
                         QuinceBackends *backends,
--- a/include/quince/backends.h
+++ b/include/quince/backends.h
@@ -9,6 +9,7 @@
 #include <quince/http-client.h>
 #include <quince/policy.h>
 #include <quince/routing.h>
+#include <quince/send-guard.h>
 
 G_BEGIN_DECLS
 
@@ -21,6 +22,10 @@
 void quince_backends_set_policy (QuinceBackends *backends, QuincePolicy *policy);
 QuincePolicy *quince_backends_get_policy (QuinceBackends *backends);
 QuinceWorkerTable *quince_backends_get_workers (QuinceBackends *backends);
+/* (transfer none) (nullable): @guard is asked before each send and must outlive all of them; without one
+ * every request is sent. */
+void quince_backends_set_guard (QuinceBackends *backends, QuinceSendGuard *guard);
+QuinceSendGuard *quince_backends_get_guard (QuinceBackends *backends);
 /* (transfer full): what the platform lists of a worker */
 void quince_backends_update (QuinceBackends *backends, QuinceWorker *told);
 void quince_backends_remove (QuinceBackends *backends, const char *id);
--- a/include/quince/forward.h
+++ b/include/quince/forward.h
@@ -18,6 +18,7 @@
   QUINCE_FORWARD_REFUSED,  /* no worker ran it, and none will                      */
   QUINCE_FORWARD_FAILED,   /* it may have run, and there is no answer              */
   QUINCE_FORWARD_TIMEOUT,  /* it may have run, and the time is up                  */
+  QUINCE_FORWARD_HELD,     /* it has run before and ended its workers: it is not sent any more */
 } QuinceForwardOutcome;
 
 /* The words of one platform for requests to its workers, and for their answers. */
--- a/include/quince/observer.h
+++ b/include/quince/observer.h
@@ -18,6 +18,7 @@
 #define QUINCE_LEDGER_KEY QUINCE_OWN_PREFIX "ledger"
 #define QUINCE_FRONTS_PREFIX QUINCE_OWN_PREFIX "fronts/"
 #define QUINCE_POLICY_KEY QUINCE_OWN_PREFIX "policy"
+#define QUINCE_QUARANTINE_PREFIX QUINCE_OWN_PREFIX "quarantine/"
 #define QUINCE_EVENTS_PREFIX QUINCE_OWN_PREFIX "events/"
 
 typedef struct _QuinceObserver QuinceObserver;
--- a/include/quince/routing.h
+++ b/include/quince/routing.h
@@ -107,6 +107,7 @@
 {
   char *id;
   char *service;
+  char *software; /* version of what it runs; NULL: not told */
   char *address;
   char *zone;
   guint slots;
--- /dev/null
+++ b/include/quince/suspect-message.h
@@ -0,0 +1,29 @@
+/*
+ * suspect-message.h: what is known of suspected requests (quarantine.h) as messages between processes.
+ */
+#pragma once
+
+#include <quince/codec.h>
+#include <quince/link.h>
+#include <quince/quarantine.h>
+
+G_BEGIN_DECLS
+
+/* (transfer full) (nullable): an encoded message; @suspects: QuinceSuspect */
+GBytes *quince_suspect_news_encode (const GPtrArray *suspects, gint64 now_us, const char *own_name);
+/* The same for one that was cleared. */
+GBytes *quince_suspect_cleared_encode (const QuinceRequestDigest *digest);
+/**
+ * quince_suspect_news_take:
+ * @changed: QuinceRequestDigest, added to: those of which more is known now
+ * @cleared: QuinceRequestDigest, added to: those that were suspected until now
+ *
+ * Takes what was told into @quarantine.
+ */
+void quince_suspect_news_take (QuinceQuarantine *quarantine,
+                               gint64 now_us,
+                               const QuinceSuspectNews *news,
+                               GArray *changed,
+                               GArray *cleared);
+
+G_END_DECLS
--- /dev/null
+++ b/lib/core/request/permits.c
@@ -0,0 +1,106 @@
+/*
+ * permits.c: who may send a suspected request.
+ */
+#include <quince/quarantine.h>
+
+typedef struct
+{
+  QuinceRequestDigest digest;
+  char *service; /* where it runs alone; NULL: not alone */
+  gconstpointer holder;
+  gint64 until_us;
+} Permit;
+
+struct _QuincePermits
+{
+  GHashTable *by_digest; /* Permit by its own digest, owned */
+};
+
+static void
+permit_free (gpointer data)
+{
+  Permit *permit = data;
+  g_free (permit->service);
+  g_free (permit);
+}
+
+QuincePermits *
+quince_permits_new (void)
+{
+  QuincePermits *permits = g_new0 (QuincePermits, 1);
+  permits->by_digest
+      = g_hash_table_new_full (quince_request_digest_hash, quince_request_digest_equal, NULL, permit_free);
+  return permits;
+}
+
+void
+quince_permits_free (QuincePermits *permits)
+{
+  if (permits == NULL)
+    return;
+  g_hash_table_unref (permits->by_digest);
+  g_free (permits);
+}
+
+typedef struct
+{
+  gint64 now_us;
+  gconstpointer holder; /* NULL: none */
+} Ending;
+
+static gboolean
+is_ending (gpointer key, gpointer value, gpointer data)
+{
+  const Permit *permit = value;
+  const Ending *ending = data;
+  return ending->holder != NULL ? permit->holder == ending->holder : ending->now_us >= permit->until_us;
+}
+
+static gboolean
+runs_alone_at (const QuincePermits *permits, const char *service)
+{
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, permits->by_digest);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    if (g_strcmp0 (((const Permit *)value)->service, service) == 0)
+      return TRUE;
+  return FALSE;
+}
+
+gboolean
+quince_permits_take (QuincePermits *permits,
+                     gint64 now_us,
+                     const QuinceRequestDigest *digest,
+                     const char *service,
+                     gboolean alone,
+                     gconstpointer holder,
+                     gint64 until_us)
+{
+  Ending over = { now_us, NULL };
+  g_hash_table_foreach_remove (permits->by_digest, is_ending, &over);
+  if (g_hash_table_contains (permits->by_digest, digest) || (alone && runs_alone_at (permits, service)))
+    return FALSE;
+  Permit *permit = g_new0 (Permit, 1);
+  permit->digest = *digest;
+  permit->service = alone ? g_strdup (service) : NULL;
+  permit->holder = holder;
+  permit->until_us = until_us;
+  g_hash_table_insert (permits->by_digest, &permit->digest, permit);
+  return TRUE;
+}
+
+void
+quince_permits_return (QuincePermits *permits, const QuinceRequestDigest *digest, gconstpointer holder)
+{
+  const Permit *permit = g_hash_table_lookup (permits->by_digest, digest);
+  if (permit != NULL && permit->holder == holder)
+    g_hash_table_remove (permits->by_digest, digest);
+}
+
+void
+quince_permits_forget_holder (QuincePermits *permits, gconstpointer holder)
+{
+  Ending gone = { 0, holder };
+  g_hash_table_foreach_remove (permits->by_digest, is_ending, &gone);
+}
--- a/lib/core/routing/worker-table.c
+++ b/lib/core/routing/worker-table.c
@@ -43,6 +43,7 @@
   g_array_unref (worker->models);
   g_free (worker->id);
   g_free (worker->service);
+  g_free (worker->software);
   g_free (worker->address);
   g_free (worker->zone);
   g_free (worker);
--- a/lib/core/story/log-vocabulary.c
+++ b/lib/core/story/log-vocabulary.c
@@ -61,6 +61,11 @@
   "step_ended",
   "stopped",
   "stopping",
+  "suspect_cleared",
+  "suspect_held",
+  "suspect_released",
+  "suspect_sent",
+  "suspect_told",
   "usage_reported",
   "version_named",
   "view_proposal_ended",
@@ -69,6 +74,7 @@
   "weights_order_ended",
   "worker_changed",
   "worker_doubted",
+  "worker_ended",
   "worker_gone",
 };
 
--- a/lib/forward/backends-private.h
+++ b/lib/forward/backends-private.h
@@ -14,7 +14,8 @@
   GHashTable *pools;     /* QuinceHttpPool by worker id */
   guint64 opened_before; /* by pools that are gone */
   QuincePolicy *policy;
-  GHashTable *events; /* QuinceEventEntry by name, owned */
+  QuinceSendGuard *guard; /* not owned; NULL: none */
+  GHashTable *events;     /* QuinceEventEntry by name, owned */
   QuincePromptTable *prompts;
   guint tie;       /* turns among equals */
   GQueue vanished; /* ids, owned: of workers that are not listed, perhaps by the store\'s own doing */
--- a/lib/forward/backends.c
+++ b/lib/forward/backends.c
@@ -82,6 +82,18 @@
   return backends->workers;
 }
 
+void
+quince_backends_set_guard (QuinceBackends *backends, QuinceSendGuard *guard)
+{
+  backends->guard = guard;
+}
+
+QuinceSendGuard *
+quince_backends_get_guard (QuinceBackends *backends)
+{
+  return backends->guard;
+}
+
 /* Lets go of those that have not come back in time. */
 static void
 forget_vanished (QuinceBackends *backends, gint64 now_us)
--- a/lib/forward/dispatch.c
+++ b/lib/forward/dispatch.c
@@ -6,6 +6,9 @@
 #include <quince/log.h>
 #include <quince/task.h>
 
+/* A request waits at least so long for leave: more than a check of a worker and a run of a lookup take. */
+#define WAIT_LEAST_US (200 * 1000)
+
 void
 quince_dispatch_init (QuinceDispatch *dispatch,
                       QuinceBackends *backends,
@@ -34,6 +37,7 @@
 void
 quince_dispatch_clear (QuinceDispatch *dispatch)
 {
+  quince_dispatch_over (dispatch);
   quince_http_headers_free (dispatch->headers);
   g_clear_pointer (&dispatch->body, g_bytes_unref);
   g_hash_table_unref (dispatch->avoid);
@@ -106,9 +110,73 @@
   return &dispatch->digest;
 }
 
+/* ---- Leave to send ------------------------------------------------------ */
+
+static QuinceLeave
+wait_for_leave (QuinceDispatch *dispatch, gint64 now_us)
+{
+  if (dispatch->waits_us == 0)
+    dispatch->waits_us = now_us;
+  gboolean patient = now_us - dispatch->waits_us < MAX (dispatch->target_latency_us, WAIT_LEAST_US);
+  return patient ? QUINCE_LEAVE_WAIT : QUINCE_LEAVE_UNSURE;
+}
+
+QuinceLeave
+quince_dispatch_ask_leave (QuinceDispatch *dispatch, gint64 now_us)
+{
+  QuinceSendGuard *guard = quince_backends_get_guard (dispatch->backends);
+  if (guard == NULL || quince_send_guard_is_idle (guard))
+    return QUINCE_LEAVE_GIVEN;
+  const QuinceRequestDigest *digest = quince_dispatch_get_digest (dispatch);
+  QuinceLeave leave = quince_send_guard_ask (guard, now_us, digest, dispatch->service, dispatch->request_id);
+  if (leave == QUINCE_LEAVE_WAIT)
+    return wait_for_leave (dispatch, now_us);
+  dispatch->waits_us = 0;
+  dispatch->permit = leave == QUINCE_LEAVE_PERMIT;
+  if (leave == QUINCE_LEAVE_HELD)
+    quince_send_guard_log_held (guard, now_us, digest, dispatch->request_id);
+  return leave;
+}
+
+gboolean
+quince_dispatch_may_hedge (QuinceDispatch *dispatch)
+{
+  QuinceSendGuard *guard = quince_backends_get_guard (dispatch->backends);
+  if (guard == NULL || quince_send_guard_is_idle (guard))
+    return TRUE;
+  return !dispatch->permit
+         && quince_quarantine_judge (quince_send_guard_get_quarantine (guard),
+                                     quince_dispatch_get_digest (dispatch))
+                == QUINCE_SEND_FREE;
+}
+
+void
+quince_dispatch_answered (QuinceDispatch *dispatch)
+{
+  QuinceSendGuard *guard = quince_backends_get_guard (dispatch->backends);
+  if (guard == NULL || quince_send_guard_is_idle (guard))
+    return;
+  quince_send_guard_answered (guard, quince_dispatch_get_digest (dispatch), dispatch->permit);
+  dispatch->permit = FALSE;
+}
+
 void
-quince_dispatch_log_lost (QuinceDispatch *dispatch, const char *worker_id)
+quince_dispatch_lost (QuinceDispatch *dispatch, const char *worker_id)
 {
   g_autofree char *digest = quince_request_digest_format (quince_dispatch_get_digest (dispatch));
   quince_log_info ("run_lost", "request=%s worker=%s digest=%s", dispatch->request_id, worker_id, digest);
+  QuinceSendGuard *guard = quince_backends_get_guard (dispatch->backends);
+  if (guard != NULL)
+    quince_send_guard_lost (guard, &dispatch->digest, dispatch->permit,
+                            quince_dispatch_find (dispatch, worker_id));
+  dispatch->permit = FALSE;
+}
+
+void
+quince_dispatch_over (QuinceDispatch *dispatch)
+{
+  QuinceSendGuard *guard = quince_backends_get_guard (dispatch->backends);
+  if (guard != NULL && dispatch->permit)
+    quince_send_guard_over (guard, &dispatch->digest, TRUE);
+  dispatch->permit = FALSE;
 }
--- a/lib/forward/dispatch.h
+++ b/lib/forward/dispatch.h
@@ -22,6 +22,8 @@
   GBytes *body;
   QuinceRequestDigest digest; /* see quince_dispatch_get_digest() */
   gboolean has_digest;
+  gboolean permit;    /* the send in progress has one */
+  gint64 waits_us;    /* since when it waits for leave to be sent; 0: it does not */
   char **prompt;      /* NULL: nothing of it is kept */
   GHashTable *avoid;  /* ids of workers that were tried */
   guint attempts;     /* sends so far */
@@ -53,5 +55,12 @@
 gboolean quince_dispatch_may_wait (const QuinceDispatch *dispatch, gint64 now_us);
 /* Made when it is first asked for: most requests never need it. */
 const QuinceRequestDigest *quince_dispatch_get_digest (QuinceDispatch *dispatch);
-/* A worker closed the connection under the request. */
-void quince_dispatch_log_lost (QuinceDispatch *dispatch, const char *worker_id);
+/* Whether the next attempt may be made; see send-guard.h.  QUINCE_LEAVE_UNSURE also where the request has
+ * waited for as long as its target latency. */
+QuinceLeave quince_dispatch_ask_leave (QuinceDispatch *dispatch, gint64 now_us);
+/* Whether another attempt may be made beside the one in progress. */
+gboolean quince_dispatch_may_hedge (QuinceDispatch *dispatch);
+/* How the attempt ended: see send-guard.h. */
+void quince_dispatch_answered (QuinceDispatch *dispatch);
+void quince_dispatch_lost (QuinceDispatch *dispatch, const char *worker_id);
+void quince_dispatch_over (QuinceDispatch *dispatch);
--- a/lib/forward/forward.c
+++ b/lib/forward/forward.c
@@ -122,6 +122,14 @@
   forward_free (forward);
 }
 
+static void
+forward_hold (QuinceForward *forward)
+{
+  QuinceForwardResult result = { .outcome = QUINCE_FORWARD_HELD };
+  forward->cause = "request_held";
+  forward_end (forward, &result);
+}
+
 static void
 forward_fail (QuinceForward *forward, gboolean late)
 {
@@ -174,6 +182,7 @@
                    forward->runs, (quince_now_us () - attempt->started_us) / 1000);
   forward->cause = cause;
   drop_attempt (attempt);
+  quince_dispatch_over (&forward->dispatch);
   if (!ran)
     {
       forward->runs--;
@@ -198,6 +207,7 @@
   const QuinceHttpHead *head = quince_http_exchange_get_head (exchange);
   gboolean good = head->status >= 200 && head->status < 300;
   note_worker (attempt, good);
+  quince_dispatch_answered (&forward->dispatch);
   forward->failed_runs += head->status == 500;
   gboolean another
       = forward->live->len > 1 || (forward->repeatable && forward->runs < forward->dispatch.max_attempts);
@@ -229,7 +239,7 @@
       gboolean silent = ran && error->code == QUINCE_HTTP1_ERROR_TIMEOUT;
       note_worker (attempt, FALSE);
       if (ran && !silent)
-        quince_dispatch_log_lost (&forward->dispatch, attempt->worker_id);
+        quince_dispatch_lost (&forward->dispatch, attempt->worker_id);
       attempt_over (attempt, ran, !ran ? "no_connection" : silent ? "worker_silent" : "connection_lost");
       return;
     }
@@ -300,7 +310,7 @@
     forward->began_us = now_us;
   QuinceHttpPool *pool = quince_backends_get_pool (dispatch->backends, worker);
   attempt->exchange = quince_http_pool_start (pool, &request, &exchange_callbacks, attempt);
-  if (may_run_again (forward) && forward->repeatable)
+  if (may_run_again (forward) && forward->repeatable && quince_dispatch_may_hedge (dispatch))
     try_later (forward, hedge_after (forward, worker));
 }
 
@@ -356,6 +366,32 @@
     forward_fail (forward, FALSE);
 }
 
+/* Returns: %FALSE when no attempt is to be made now. */
+static gboolean
+has_leave (QuinceForward *forward, gint64 now_us)
+{
+  if (forward->live->len > 0)
+    return quince_dispatch_may_hedge (&forward->dispatch);
+  switch (quince_dispatch_ask_leave (&forward->dispatch, now_us))
+    {
+    case QUINCE_LEAVE_HELD:
+      forward_hold (forward);
+      return FALSE;
+    case QUINCE_LEAVE_UNSURE:
+      forward->cause = "no_permit";
+      forward_fail (forward, FALSE);
+      return FALSE;
+    case QUINCE_LEAVE_WAIT:
+      try_later (forward, QUINCE_LEAVE_PAUSE_MS * 1000);
+      return FALSE;
+    case QUINCE_LEAVE_GIVEN:
+    case QUINCE_LEAVE_CAREFUL:
+    case QUINCE_LEAVE_PERMIT:
+    default:
+      return TRUE;
+    }
+}
+
 static void
 try_worker (QuinceForward *forward)
 {
@@ -369,13 +405,18 @@
     return;
   if (forward->live->len >= LIVE_MOST && !abandon_oldest (forward, now))
     return;
+  if (!has_leave (forward, now))
+    return;
   QuinceWorker *worker = NULL;
   QuinceBackendOutcome outcome
       = quince_dispatch_choose (&forward->dispatch, now, !forward->repeatable, &worker);
   if (worker != NULL)
-    send_to (forward, worker, now);
-  else
-    no_choice (forward, outcome, now);
+    {
+      send_to (forward, worker, now);
+      return;
+    }
+  quince_dispatch_over (&forward->dispatch);
+  no_choice (forward, outcome, now);
 }
 
 QuinceForward *
--- a/lib/forward/stream.c
+++ b/lib/forward/stream.c
@@ -112,6 +112,7 @@
 attempt_over (QuinceStream *stream, gboolean ran, const char *cause)
 {
   stream->cause = cause;
+  quince_dispatch_over (&stream->dispatch);
   g_autofree char *labels = g_strdup_printf ("outcome=\"%s\"", cause);
   quince_metric_add ("quince_stream_attempts_total", labels, 1);
   quince_log_info ("request_retried",
@@ -208,6 +209,8 @@
   const char *signature = NULL;
   gboolean not_run = FALSE;
   stream->dialect->forward->read_answer (head, &request_id, &signature, &not_run);
+  if (!not_run)
+    quince_dispatch_answered (&stream->dispatch);
   if (stream->passes && !has_rest)
     {
       stream->cause = "whole";
@@ -232,7 +235,7 @@
     }
   doubt_worker (stream);
   if (outcome != QUINCE_HTTP_NOT_SENT)
-    quince_dispatch_log_lost (&stream->dispatch, stream->worker_id);
+    quince_dispatch_lost (&stream->dispatch, stream->worker_id);
   attempt_over (stream, outcome != QUINCE_HTTP_NOT_SENT,
                 outcome == QUINCE_HTTP_NOT_SENT ? "no_connection" : "connection_lost");
 }
@@ -287,6 +290,31 @@
   stream->silence = quince_timer_add (1, look_at_time, stream);
 }
 
+/* Returns: %FALSE when no attempt is to be made now. */
+static gboolean
+has_leave (QuinceStream *stream, gint64 now_us)
+{
+  switch (quince_dispatch_ask_leave (&stream->dispatch, now_us))
+    {
+    case QUINCE_LEAVE_HELD:
+      stream->cause = "request_held";
+      stream_end (stream, QUINCE_FORWARD_HELD);
+      return FALSE;
+    case QUINCE_LEAVE_UNSURE:
+      stream->cause = "no_permit";
+      stream_fail (stream);
+      return FALSE;
+    case QUINCE_LEAVE_WAIT:
+      try_later (stream, QUINCE_LEAVE_PAUSE_MS);
+      return FALSE;
+    case QUINCE_LEAVE_GIVEN:
+    case QUINCE_LEAVE_CAREFUL:
+    case QUINCE_LEAVE_PERMIT:
+    default:
+      return TRUE;
+    }
+}
+
 static void
 try_worker (QuinceStream *stream)
 {
@@ -296,6 +324,8 @@
       stream_fail (stream);
       return;
     }
+  if (!has_leave (stream, now))
+    return;
   QuinceWorker *worker = NULL;
   QuinceBackendOutcome outcome = quince_dispatch_choose (&stream->dispatch, now, !stream->resumable, &worker);
   if (worker != NULL)
@@ -303,6 +333,7 @@
       send_to (stream, worker, now);
       return;
     }
+  quince_dispatch_over (&stream->dispatch);
   if (stream->cause == NULL)
     stream->cause = outcome == QUINCE_BACKEND_NONE ? "no_worker" : "workers_full";
   gboolean tried_any = g_hash_table_size (stream->dispatch.avoid) > 0;
--- /dev/null
+++ b/lib/forward/suspect-entry.c
@@ -0,0 +1,110 @@
+/*
+ * suspect-entry.c: held requests as keys of the metadata store.
+ */
+#include <quince/suspect-entry.h>
+
+#include <quince/log.h>
+
+#define GROUP "request"
+
+static const char *
+known_text (const char *text)
+{
+  return text != NULL ? text : "";
+}
+
+GBytes *
+quince_suspect_entry_format (const QuinceSuspect *suspect, gint64 ended_wall_ms)
+{
+  g_autoptr (GKeyFile) file = g_key_file_new ();
+  g_key_file_set_string (file, GROUP, "service", known_text (suspect->service));
+  g_key_file_set_string (file, GROUP, "software", known_text (suspect->software));
+  g_key_file_set_uint64 (file, GROUP, "release", suspect->release);
+  g_key_file_set_integer (file, GROUP, "ends", (gint)suspect->n_workers);
+  g_key_file_set_integer (file, GROUP, "alone", (gint)suspect->alone);
+  g_key_file_set_int64 (file, GROUP, "ended_ms", ended_wall_ms);
+  gsize length = 0;
+  char *text = g_key_file_to_data (file, &length, NULL);
+  return g_bytes_new_take (text, length);
+}
+
+/* Workers are not kept in the store: any different numbers stand for them. */
+static void
+number_workers (QuinceSuspect *suspect, guint ends)
+{
+  suspect->n_workers = MIN (ends, QUINCE_QUARANTINE_WORKERS_MOST);
+  for (guint i = 0; i < suspect->n_workers; i++)
+    suspect->workers[i] = i + 1;
+}
+
+gboolean
+quince_suspect_entry_parse (GBytes *value, QuinceSuspect *suspect, gint64 *ended_wall_ms, GError **error)
+{
+  gsize length = 0;
+  const char *data = g_bytes_get_data (value, &length);
+  g_autoptr (GKeyFile) file = g_key_file_new ();
+  if (!g_key_file_load_from_data (file, data, length, G_KEY_FILE_NONE, error))
+    return FALSE;
+  *ended_wall_ms = g_key_file_get_int64 (file, GROUP, "ended_ms", error);
+  if (*ended_wall_ms == 0)
+    return FALSE;
+  suspect->service = g_key_file_get_string (file, GROUP, "service", NULL);
+  suspect->software = g_key_file_get_string (file, GROUP, "software", NULL);
+  suspect->release = g_key_file_get_uint64 (file, GROUP, "release", NULL);
+  suspect->alone = (guint)MAX (g_key_file_get_integer (file, GROUP, "alone", NULL), 0);
+  suspect->held = TRUE;
+  suspect->told_by = g_strdup ("store");
+  number_workers (suspect, (guint)MAX (g_key_file_get_integer (file, GROUP, "ends", NULL), 0));
+  return TRUE;
+}
+
+void
+quince_suspect_entry_clear (QuinceSuspect *suspect)
+{
+  g_clear_pointer (&suspect->service, g_free);
+  g_clear_pointer (&suspect->software, g_free);
+  g_clear_pointer (&suspect->told_by, g_free);
+}
+
+static gboolean
+take_value (QuinceQuarantine *quarantine,
+            gint64 now_us,
+            gint64 wall_ms,
+            const QuinceRequestDigest *digest,
+            GBytes *value)
+{
+  QuinceSuspect suspect = { .digest = *digest };
+  gint64 ended_wall_ms = 0;
+  g_autoptr (GError) error = NULL;
+  gboolean taken = quince_suspect_entry_parse (value, &suspect, &ended_wall_ms, &error);
+  if (taken)
+    {
+      suspect.ended_us = now_us - MAX (wall_ms - ended_wall_ms, 0) * 1000;
+      taken = quince_quarantine_merge (quarantine, now_us, &suspect);
+    }
+  else
+    quince_log_warning ("entry_refused", "what=quarantine code=%d", error != NULL ? error->code : 0);
+  quince_suspect_entry_clear (&suspect);
+  return taken;
+}
+
+gboolean
+quince_suspect_entry_take (QuinceQuarantine *quarantine,
+                           gint64 now_us,
+                           gint64 wall_ms,
+                           const char *name,
+                           GBytes *value)
+{
+  QuinceRequestDigest digest;
+  if (!quince_request_digest_parse (name, &digest))
+    {
+      quince_log_warning ("entry_refused", "what=quarantine code=0");
+      return FALSE;
+    }
+  if (value != NULL)
+    return take_value (quarantine, now_us, wall_ms, &digest, value);
+  gboolean released = quince_quarantine_release (quarantine, now_us, &digest);
+  if (released)
+    quince_log_info ("suspect_released", "digest=%s", name);
+  return released;
+}
--- /dev/null
+++ b/lib/forward/suspect-message.c
@@ -0,0 +1,102 @@
+/*
+ * suspect-message.c: what is known of suspected requests, as messages between processes.
+ */
+#include <quince/suspect-message.h>
+
+#include <string.h>
+
+#include <quince/log.h>
+
+static char *
+known_text (char *text)
+{
+  return text != NULL ? text : (char *)"";
+}
+
+static GBytes *
+encode (QuinceSuspectTold *told, guint n_told)
+{
+  QuinceMessage message = { .kind = QUINCE_MESSAGE_SUSPECT_NEWS };
+  message.QuinceMessage_u.suspect_news.suspects.suspects_val = told;
+  message.QuinceMessage_u.suspect_news.suspects.suspects_len = n_told;
+  return quince_message_encode (&message, NULL);
+}
+
+static void
+describe (const QuinceSuspect *suspect, gint64 now_us, const char *own_name, QuinceSuspectTold *told)
+{
+  memcpy (told->digest, suspect->digest.bytes, sizeof told->digest);
+  told->release = suspect->release;
+  told->workers.workers_val = (u_quad_t *)suspect->workers;
+  told->workers.workers_len = suspect->n_workers;
+  told->alone = suspect->alone;
+  told->held = suspect->held;
+  told->age_ms = (u_quad_t)MAX (now_us - suspect->ended_us, 0) / 1000;
+  told->service = known_text (suspect->service);
+  told->software = known_text (suspect->software);
+  told->told_by = suspect->told_by != NULL ? suspect->told_by : (char *)own_name;
+}
+
+GBytes *
+quince_suspect_news_encode (const GPtrArray *suspects, gint64 now_us, const char *own_name)
+{
+  g_autofree QuinceSuspectTold *told = g_new0 (QuinceSuspectTold, suspects->len + 1);
+  guint n_told = MIN (suspects->len, QUINCE_MAX_SUSPECTS);
+  for (guint i = 0; i < n_told; i++)
+    describe (suspects->pdata[i], now_us, own_name, &told[i]);
+  return encode (told, n_told);
+}
+
+GBytes *
+quince_suspect_cleared_encode (const QuinceRequestDigest *digest)
+{
+  QuinceSuspectTold told = { .cleared = TRUE, .service = "", .software = "", .told_by = "" };
+  memcpy (told.digest, digest->bytes, sizeof told.digest);
+  return encode (&told, 1);
+}
+
+static void
+read_told (const QuinceSuspectTold *told, gint64 now_us, QuinceSuspect *suspect)
+{
+  memcpy (suspect->digest.bytes, told->digest, sizeof suspect->digest.bytes);
+  suspect->release = told->release;
+  suspect->n_workers = MIN (told->workers.workers_len, QUINCE_QUARANTINE_WORKERS_MOST);
+  for (guint i = 0; i < suspect->n_workers; i++)
+    suspect->workers[i] = told->workers.workers_val[i];
+  suspect->alone = told->alone;
+  suspect->held = told->held;
+  suspect->ended_us = now_us - (gint64)MIN (told->age_ms, G_MAXINT64 / 2000) * 1000;
+  suspect->service = told->service;
+  suspect->software = told->software;
+  suspect->told_by = told->told_by;
+}
+
+static void
+log_told (const QuinceSuspect *suspect)
+{
+  g_autofree char *digest = quince_request_digest_format (&suspect->digest);
+  quince_log_info ("suspect_told", "digest=%s ends=%u alone=%u held=%s told_by=%s", digest,
+                   suspect->n_workers, suspect->alone, suspect->held ? "true" : "false", suspect->told_by);
+}
+
+void
+quince_suspect_news_take (QuinceQuarantine *quarantine,
+                          gint64 now_us,
+                          const QuinceSuspectNews *news,
+                          GArray *changed,
+                          GArray *cleared)
+{
+  for (guint i = 0; i < news->suspects.suspects_len; i++)
+    {
+      const QuinceSuspectTold *told = &news->suspects.suspects_val[i];
+      QuinceSuspect suspect = { 0 };
+      read_told (told, now_us, &suspect);
+      if (told->cleared && quince_quarantine_clear (quarantine, &suspect.digest))
+        g_array_append_val (cleared, suspect.digest);
+      else if (!told->cleared && quince_quarantine_merge (quarantine, now_us, &suspect))
+        {
+          g_array_append_val (changed, suspect.digest);
+          log_told (quince_quarantine_find (quarantine, &suspect.digest));
+        }
+    }
+}
--- /dev/null
+++ b/lib/forward/worker-check.c
@@ -0,0 +1,68 @@
+/*
+ * worker-check.c: whether a worker whose connection broke has ended.
+ */
+#include "worker-check.h"
+
+#include <quince/http1.h>
+#include <quince/task.h>
+
+/* A dead port refuses within a round trip, 6 ms at most between the users' zones; requests wait meanwhile. */
+#define PATIENCE_MS 150
+
+struct _QuinceWorkerCheck
+{
+  /* All fields belong to the context that started it. */
+  QuinceHttpConnection *connection;
+  GSource *timer;
+  void (*done) (QuinceWorkerSign, gpointer);
+  gpointer user_data;
+};
+
+void
+quince_worker_check_cancel (QuinceWorkerCheck *check)
+{
+  quince_source_clear (&check->timer);
+  quince_http_connection_close (check->connection);
+  quince_http_connection_unref (check->connection);
+  g_free (check);
+}
+
+static void
+check_end (QuinceWorkerCheck *check, QuinceWorkerSign sign)
+{
+  check->done (sign, check->user_data);
+  quince_worker_check_cancel (check);
+}
+
+static void
+check_connected (QuinceHttpConnection *connection, gpointer data)
+{
+  check_end (data, QUINCE_WORKER_LISTENS);
+}
+
+static void
+check_closed (QuinceHttpConnection *connection, const GError *error, gpointer data)
+{
+  check_end (data, QUINCE_WORKER_ENDED);
+}
+
+static gboolean
+check_late (gpointer data)
+{
+  check_end (data, QUINCE_WORKER_SILENT);
+  return G_SOURCE_REMOVE;
+}
+
+static const QuinceHttpConnectionCallbacks callbacks
+    = { .connected = check_connected, .closed = check_closed };
+
+QuinceWorkerCheck *
+quince_worker_check_start (const char *address, void (*done) (QuinceWorkerSign, gpointer), gpointer user_data)
+{
+  QuinceWorkerCheck *check = g_new0 (QuinceWorkerCheck, 1);
+  check->done = done;
+  check->user_data = user_data;
+  check->connection = quince_http_connection_connect (address, &callbacks, check);
+  check->timer = quince_timer_add (PATIENCE_MS, check_late, check);
+  return check;
+}
--- /dev/null
+++ b/lib/forward/worker-check.h
@@ -0,0 +1,29 @@
+/*
+ * worker-check.h: whether a worker whose connection broke has ended.
+ *
+ * A worker that ended refuses new connections at once.  One that lives, and reset a connection or broke off
+ * an answer, takes them.  One that is cut off or frozen does neither.
+ */
+#pragma once
+
+#include <glib.h>
+
+G_BEGIN_DECLS
+
+typedef enum
+{
+  QUINCE_WORKER_ENDED,   /* it refused the connection              */
+  QUINCE_WORKER_LISTENS, /* it took it                             */
+  QUINCE_WORKER_SILENT,  /* neither: that says nothing             */
+} QuinceWorkerSign;
+
+typedef struct _QuinceWorkerCheck QuinceWorkerCheck;
+
+/* Connects to @address; done() is called once, never before this returns, and releases the check after it. */
+QuinceWorkerCheck *quince_worker_check_start (const char *address,
+                                              void (*done) (QuinceWorkerSign sign, gpointer user_data),
+                                              gpointer user_data);
+/* Ends it without done(). */
+void quince_worker_check_cancel (QuinceWorkerCheck *check);
+
+G_END_DECLS
--- a/lib/protocol/quince_protocol.x
+++ b/lib/protocol/quince_protocol.x
@@ -729,6 +729,39 @@
     unsigned hyper sequence;
 };
 
+/* ---- Quarantine: requests under which workers ended, see quince/quarantine.h ---- */
+
+const QUINCE_DIGEST_BYTES = 16;
+const QUINCE_MAX_SUSPECTS = 4096;
+typedef opaque QuinceDigest[QUINCE_DIGEST_BYTES];
+
+struct QuinceSuspectTold {
+    QuinceDigest   digest;
+    unsigned hyper release;           /* how often it was released; only grows */
+    unsigned hyper workers<8>;        /* hashes of the ids of those that ended */
+    unsigned int   alone;
+    bool           held;
+    bool           cleared;           /* a worker answered it: nothing else counts */
+    unsigned hyper age_ms;            /* since the last end, when this is sent */
+    QuinceText     service;
+    QuinceText     software;
+    QuinceText     told_by;           /* who saw the last end              */
+};
+
+/* Between fronts and the ledger's leader, both ways: all that the sender knows of these requests. */
+struct QuinceSuspectNews { QuinceSuspectTold suspects<QUINCE_MAX_SUSPECTS>; };
+
+/* A front asks the leader for a permit, or gives it back. */
+struct QuincePermitAsk {
+    QuinceDigest digest;
+    QuinceText   service;
+    bool         alone;               /* beside no other suspect of the service */
+};
+struct QuincePermitAnswer {
+    QuinceDigest digest;
+    bool         given;
+};
+
 /* ---- TCP envelope --------------------------------------------------- */
 
 enum QuinceMessageKind {
@@ -757,7 +790,11 @@
     QUINCE_MESSAGE_HEARTBEAT_ACK = 22,
     QUINCE_MESSAGE_PACKED        = 23,
     QUINCE_MESSAGE_USAGE_REPORT  = 24,
-    QUINCE_MESSAGE_USAGE_ACK     = 25
+    QUINCE_MESSAGE_USAGE_ACK     = 25,
+    QUINCE_MESSAGE_SUSPECT_NEWS  = 26,
+    QUINCE_MESSAGE_PERMIT_ASK    = 27,
+    QUINCE_MESSAGE_PERMIT_ANSWER = 28,
+    QUINCE_MESSAGE_PERMIT_BACK   = 29
 };
 
 union QuinceMessage switch (QuinceMessageKind kind) {
@@ -787,6 +824,10 @@
 case QUINCE_MESSAGE_PACKED:        QuincePacked       packed;
 case QUINCE_MESSAGE_USAGE_REPORT:  QuinceUsageReport  usage_report;
 case QUINCE_MESSAGE_USAGE_ACK:     QuinceUsageAck     usage_ack;
+case QUINCE_MESSAGE_SUSPECT_NEWS:  QuinceSuspectNews  suspect_news;
+case QUINCE_MESSAGE_PERMIT_ASK:    QuincePermitAsk    permit_ask;
+case QUINCE_MESSAGE_PERMIT_ANSWER: QuincePermitAnswer permit_answer;
+case QUINCE_MESSAGE_PERMIT_BACK:   QuincePermitAnswer permit_back;
 };
 
 /* ---- UDP: membership and digests ------------------------------------ */
--- a/rehearsal/kit/process.c
+++ b/rehearsal/kit/process.c
@@ -6,6 +6,7 @@
 #include <signal.h>
 #include <stdio.h>
 #include <string.h>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -32,10 +33,15 @@
 /* Of all threads; see quince_process_take_failures(). */
 static gint failures;
 
-/* Runs in the child between fork and exec: only async-signal-safe calls. */
+/* Runs in the child between fork and exec: only async-signal-safe calls.  A test that fails would leave its
+ * processes behind, and they would call the ports of later tests: they end with it.  The kernel ends a child
+ * with the thread that started it, so that this holds for the main thread alone.
+ * @data: whether that is the one */
 static void
-reset_signals (gpointer data)
+prepare_child (gpointer data)
 {
+  if (GPOINTER_TO_INT (data))
+    prctl (PR_SET_PDEATHSIG, SIGKILL);
   signal (SIGPIPE, SIG_DFL);
 }
 
@@ -76,8 +82,9 @@
   gboolean done = open_outputs (folder, name, &output_path, &output, &log, error);
   if (done)
     {
-      done = g_spawn_async_with_fds (NULL, (char **)arguments, NULL, G_SPAWN_DO_NOT_REAP_CHILD, reset_signals,
-                                     NULL, &pid, -1, fileno (output), fileno (log), &cause);
+      done = g_spawn_async_with_fds (NULL, (char **)arguments, NULL, G_SPAWN_DO_NOT_REAP_CHILD, prepare_child,
+                                     GINT_TO_POINTER (getpid () == gettid ()), &pid, -1, fileno (output),
+                                     fileno (log), &cause);
       if (!done)
         g_set_error (error, QUINCE_PROCESS_ERROR, QUINCE_PROCESS_ERROR_START, "%s: %s", arguments[0],
                      cause->message);
--- a/tests/platform/standin-server.c
+++ b/tests/platform/standin-server.c
@@ -19,6 +19,7 @@
 struct _StandinServer
 {
   QuinceHttpAcceptor *acceptor; /* NULL while it is dead */
+  GSocket *reserved;            /* keeps the port of a dead server from others; NULL while it lives */
   char *address;
   GHashTable *connections;
   guint accepted;
@@ -137,10 +138,26 @@
   setsockopt (g_socket_get_fd (connection->socket), SOL_SOCKET, SO_LINGER, &now, sizeof now);
 }
 
+/* Bound and not listening: connections are refused, and no other test on this machine gets the port. */
+static GSocket *
+reserve (const char *address)
+{
+  g_auto (GStrv) parts = g_strsplit (address, ":", 2);
+  g_autoptr (GSocketAddress) local
+      = g_inet_socket_address_new_from_string (parts[0], (guint)g_ascii_strtoull (parts[1], NULL, 10));
+  GSocket *socket = g_socket_new (G_SOCKET_FAMILY_IPV4, G_SOCKET_TYPE_STREAM, G_SOCKET_PROTOCOL_TCP, NULL);
+  g_autoptr (GError) error = NULL;
+  if (!g_socket_bind (socket, local, TRUE, &error))
+    g_error ("%s cannot be kept: %s", address, error->message);
+  return socket;
+}
+
 void
 standin_server_die (StandinServer *server)
 {
   g_clear_pointer (&server->acceptor, quince_http_acceptor_free);
+  if (server->reserved == NULL)
+    server->reserved = reserve (server->address);
   GHashTableIter iter;
   gpointer connection;
   g_hash_table_iter_init (&iter, server->connections);
@@ -154,6 +171,8 @@
 {
   if (server->acceptor != NULL)
     return;
+  g_socket_close (server->reserved, NULL);
+  g_clear_object (&server->reserved);
   server->acceptor = quince_http_acceptor_new (server->address, accepted, server, NULL);
   g_assert_nonnull (server->acceptor);
 }
@@ -164,6 +183,7 @@
   g_clear_pointer (&server->acceptor, quince_http_acceptor_free);
   standin_server_drop_all (server);
   g_hash_table_unref (server->connections);
+  g_clear_object (&server->reserved);
   g_free (server->address);
   g_free (server);
 }
--- a/tests/platform/test-forward.c
+++ b/tests/platform/test-forward.c
@@ -64,6 +64,21 @@
   return standin_worker_get_runs (world->workers[0])->len + standin_worker_get_runs (world->workers[1])->len;
 }
 
+/* Whose they were: a run of another id came from another test on this machine. */
+static void
+print_runs (const World *world)
+{
+  for (guint i = 0; i < WORKERS; i++)
+    {
+      const GPtrArray *all = standin_worker_get_runs (world->workers[i]);
+      for (guint j = 0; j < all->len; j++)
+        {
+          const StandinRun *run = all->pdata[j];
+          print_error ("worker %u ran %s %s deadline %s\n", i, run->id, run->target, run->deadline);
+        }
+    }
+}
+
 static void
 forward_done (const QuinceForwardResult *result, gpointer data)
 {
@@ -154,6 +169,8 @@
       for (guint j = 0; j < WORKERS; j++)
         standin_worker_set_fault (world.workers[j], c->fault, c->times);
       forward (&world, c->repeatable, 3, 3000);
+      if (world.outcome != c->outcome || world.status != c->status || runs (&world) > c->runs)
+        print_runs (&world);
       if (world.outcome != c->outcome || world.status != c->status || runs (&world) > c->runs)
         fail_msg ("%s: outcome %d status %u runs %u", c->name, world.outcome, world.status, runs (&world));
       if (!c->repeatable && runs (&world) > 1)
