Clock: every right ends by CLOCK_BOOTTIME, which goes on while a machine is suspended

Cause: quince_now_us read the steady clock, which stands still in a suspension. A deadline, a lease, a leader's fence and a kept connection were as good after it as before it.

Change: one clock, in one place. GLib's timers stay on the steady clock; a watch sees the two clocks drift apart before any other event of that turn, and then the store is read anew, the link to the leader is made anew, kept connections are dropped and the presence is renewed. The trial's wake-up timer converts between the two.

--- a/daemons/front/front.c
+++ b/daemons/front/front.c
@@ -186,6 +186,18 @@
   front->in_progress--;
 }
 
+/* Nothing that others told before counts any more, and connections may have gone silent. */
+static void
+resumed (gint64 away_us, gpointer data)
+{
+  QuinceFront *front = data;
+  quince_meta_store_resumed (front->store);
+  quince_backends_resumed (front->backends);
+  quince_ledger_caller_resumed (front->ledger);
+  quince_observer_resumed (front->observer);
+  quince_meta_presence_resumed (front->presence);
+}
+
 /* ---- Start ------------------------------------------------------------ */
 
 static void
@@ -314,6 +326,7 @@
       return NULL;
     }
   announce (front, settings);
+  front->suspension = quince_suspension_watch_new (resumed, front);
   return front;
 }
 
@@ -392,6 +405,7 @@
 quince_front_free (gpointer self)
 {
   QuinceFront *front = self;
+  quince_suspension_watch_free (front->suspension);
   quince_source_clear (&front->stop_timer);
   forget_asking (front);
   GHashTableIter iter;
--- a/daemons/front/front.h
+++ b/daemons/front/front.h
@@ -8,6 +8,7 @@
 #include <quince/link.h>
 #include <quince/observer.h>
 #include <quince/settings.h>
+#include <quince/suspension.h>
 #include <quince/text-server.h>
 
 #include "directory.h"
@@ -42,6 +43,7 @@
   gint64 grace_us;
   gint64 stop_us; /* when the planned stop began; 0: running */
   GSource *stop_timer;
+  QuinceSuspensionWatch *suspension;
   guint directory_keep_s;
 };
 
--- a/daemons/front/ledger-caller.c
+++ b/daemons/front/ledger-caller.c
@@ -202,6 +202,15 @@
   begin_link (caller);
 }
 
+void
+quince_ledger_caller_resumed (QuinceLedgerCaller *caller)
+{
+  drop_link (caller);
+  if (caller->callbacks->unlinked != NULL)
+    caller->callbacks->unlinked (caller->user_data);
+  begin_link (caller);
+}
+
 gboolean
 quince_ledger_caller_is_linked (const QuinceLedgerCaller *caller)
 {
--- a/daemons/front/ledger-caller.h
+++ b/daemons/front/ledger-caller.h
@@ -36,6 +36,9 @@
 void quince_ledger_caller_free (QuinceLedgerCaller *caller);
 /* NULL: nobody is known to lead. */
 void quince_ledger_caller_set_view (QuinceLedgerCaller *caller, const QuinceLedgerView *view);
+/* The machine was suspended: the leader may have closed the link, without a sign of it here.  Calls in
+ * progress are lost. */
+void quince_ledger_caller_resumed (QuinceLedgerCaller *caller);
 gboolean quince_ledger_caller_is_linked (const QuinceLedgerCaller *caller);
 
 /* done() is called once, never before this returns. */
--- a/daemons/node/wakeup.c
+++ b/daemons/node/wakeup.c
@@ -3,6 +3,8 @@
  */
 #include "wakeup.h"
 
+#include <quince/task.h>
+
 /* A GSource with no descriptor, of which only the ready time is used. */
 struct _QuinceWakeup
 {
@@ -45,6 +47,7 @@
 void
 quince_wakeup_set (QuinceWakeup *wakeup, gint64 at_us)
 {
-  /* A ready time of 0 is "at once"; -1 is "never". */
-  g_source_set_ready_time (&wakeup->source, at_us == G_MAXINT64 ? -1 : MAX (at_us, 0));
+  /* A ready time of 0 is "at once"; -1 is "never".  It counts on the steady clock. */
+  gint64 ready_us = at_us - quince_now_us () + g_get_monotonic_time ();
+  g_source_set_ready_time (&wakeup->source, at_us == G_MAXINT64 ? -1 : MAX (ready_us, 0));
 }
--- a/daemons/replica/replica.c
+++ b/daemons/replica/replica.c
@@ -10,6 +10,7 @@
 #include <quince/metrics.h>
 #include <quince/policy-entry.h>
 #include <quince/program.h>
+#include <quince/suspension.h>
 #include <quince/task.h>
 #include <quince/text-server.h>
 
@@ -54,6 +55,7 @@
   GHashTable *told_leaving;  /* node name to GINT: state that was written, 1 running, 2 done */
   QuinceTextServer *metrics; /* NULL: none */
   GSource *timer;
+  QuinceSuspensionWatch *suspension;
 } Replica;
 
 /* ---- Machines to be emptied ------------------------------------------- */
@@ -444,6 +446,15 @@
   return *path == '\0' || quince_backends_load_policy (replica->backends, path, error);
 }
 
+static void
+resumed (gint64 away_us, gpointer data)
+{
+  Replica *replica = data;
+  quince_meta_store_resumed (replica->store);
+  quince_backends_resumed (replica->backends);
+  quince_observer_resumed (replica->observer);
+}
+
 gpointer
 quince_replica_start (const QuinceSettings *settings, GError **error)
 {
@@ -479,6 +490,7 @@
   open_duties (replica, settings);
   quince_batch_service_set_ledger (replica->batches, replica->ledger, replica->progress_file);
   replica->timer = quince_timer_add (TIMER_MS, timer_over, replica);
+  replica->suspension = quince_suspension_watch_new (resumed, replica);
   return replica;
 }
 
@@ -508,6 +520,7 @@
 quince_replica_free (gpointer self)
 {
   Replica *replica = self;
+  quince_suspension_watch_free (replica->suspension);
   quince_source_clear (&replica->timer);
   quince_text_server_free (replica->metrics);
   if (replica->orders != NULL)
--- a/include/quince/backends.h
+++ b/include/quince/backends.h
@@ -34,6 +34,8 @@
 void quince_backends_doubt_listing (QuinceBackends *backends, gint64 now_us, gint64 until_us, const char *id);
 /* Kept connections to @worker. */
 QuinceHttpPool *quince_backends_get_pool (QuinceBackends *backends, const QuinceWorker *worker);
+/* The machine was suspended: workers may have forgotten the kept connections. */
+void quince_backends_resumed (QuinceBackends *backends);
 /* Connections made to workers since the start. */
 guint64 quince_backends_get_opened (const QuinceBackends *backends);
 
--- a/include/quince/http-client.h
+++ b/include/quince/http-client.h
@@ -54,6 +54,8 @@
 QuinceHttpPool *quince_http_pool_new (const char *address);
 /* Closes idle connections; exchanges in progress go on. */
 void quince_http_pool_unref (QuinceHttpPool *pool);
+/* Closes the idle connections: the other side may have forgotten them. */
+void quince_http_pool_drop_idle (QuinceHttpPool *pool);
 guint quince_http_pool_get_busy (const QuinceHttpPool *pool);
 guint quince_http_pool_get_idle (const QuinceHttpPool *pool);
 /* Connections made since the start. */
--- a/include/quince/meta-store.h
+++ b/include/quince/meta-store.h
@@ -112,6 +112,8 @@
                                  const GError *error,
                                  gpointer user_data);
 
+/* The machine was suspended: the store may have forgotten the kept connections. */
+void quince_meta_store_resumed (QuinceMetaStore *store);
 /* One item; GONE where there is none. */
 void
 quince_meta_store_get (QuinceMetaStore *store, const char *key, QuinceMetaReply reply, gpointer user_data);
@@ -178,6 +180,8 @@
                                           const QuinceMetaMirrorCallbacks *callbacks,
                                           gpointer user_data);
 void quince_meta_mirror_free (QuinceMetaMirror *mirror);
+/* The machine was suspended: nothing that was told or asked before counts, and the store is read at once. */
+void quince_meta_mirror_resumed (QuinceMetaMirror *mirror);
 gboolean quince_meta_mirror_is_synced (const QuinceMetaMirror *mirror);
 /* Takes effect with the next call or page. */
 void quince_meta_mirror_set_times (QuinceMetaMirror *mirror, const QuinceMetaMirrorTimes *times);
@@ -223,6 +227,8 @@
 QuinceMetaPresence *
 quince_meta_presence_new (QuinceMetaStore *store, const char *key, GBytes *value, guint ttl_ms);
 /* Writes a new value under the same lease. */
+/* The machine was suspended: the lease may be over, and is renewed or opened anew at once. */
+void quince_meta_presence_resumed (QuinceMetaPresence *presence);
 void quince_meta_presence_update (QuinceMetaPresence *presence, GBytes *value);
 /* Ends the lease and with it the key; call once, before free. */
 void quince_meta_presence_withdraw (QuinceMetaPresence *presence);
--- a/include/quince/observer.h
+++ b/include/quince/observer.h
@@ -82,6 +82,8 @@
 /* Whoever fed this process is gone: the own keys, which name the next one, are read at once.  What was told
  * of the other prefixes counts for as long as the bound on changes allows, since the next one feeds soon. */
 void quince_observer_feeder_lost (QuinceObserver *observer);
+/* The machine was suspended: all prefixes are read from the store at once. */
+void quince_observer_resumed (QuinceObserver *observer);
 /* Call for each message from the process that feeds this one.  It proves that the feeder runs, not that its
  * pages are fresh.  After 0.9 s without a message the feeder counts as gone: quince_observer_feeder_lost().
  */
--- /dev/null
+++ b/include/quince/suspension.h
@@ -0,0 +1,26 @@
+/*
+ * suspension.h: notices that the machine was suspended, or this process stopped for as long as that matters.
+ *
+ * quince_now_us() counts the time of a suspension; GLib's timers and the kernel's time-outs of connections do
+ * not, and go off as much later.  So what is trusted until a timer goes off, and every connection whose peer
+ * may have given up meanwhile, has to be looked at anew after it.
+ */
+#pragma once
+
+#include <glib.h>
+
+G_BEGIN_DECLS
+
+typedef struct _QuinceSuspensionWatch QuinceSuspensionWatch;
+
+/**
+ * quince_suspension_watch_new:
+ * @resumed: called before any other event that the loop finds after a suspension
+ *
+ * Looks at each turn of the calling thread's default context.
+ */
+QuinceSuspensionWatch *quince_suspension_watch_new (void (*resumed) (gint64 away_us, gpointer user_data),
+                                                    gpointer user_data);
+void quince_suspension_watch_free (QuinceSuspensionWatch *watch);
+
+G_END_DECLS
--- a/include/quince/task.h
+++ b/include/quince/task.h
@@ -64,12 +64,14 @@
 GMainContext *quince_task_get_context (QuinceTask *task);
 void quince_task_stop (QuinceTask *task);
 
-/* Timers on the calling thread's default context.  The source is owned by the
- * caller: g_source_destroy() and g_source_unref() it, see quince_source_clear(). */
+/* Timers on the calling thread's default context.  They run on the steady clock, which stands still while the
+ * machine is suspended: what a timer wakes looks at quince_now_us(); see also suspension.h.  The source is
+ * owned by the caller: g_source_destroy() and g_source_unref() it, see quince_source_clear(). */
 GSource *quince_timer_add (guint interval_ms, GSourceFunc function, gpointer user_data);
 void quince_source_clear (GSource **source);
 
-/* Microseconds of CLOCK_MONOTONIC, and milliseconds of wall clock. */
+/* Microseconds of CLOCK_BOOTTIME, the clock of every right that ends: it goes on while the machine is
+ * suspended, as the clocks of all other machines do.  And milliseconds of wall clock. */
 gint64 quince_now_us (void);
 gint64 quince_wall_ms (void);
 
--- a/lib/clients/kv-watch.c
+++ b/lib/clients/kv-watch.c
@@ -11,6 +11,7 @@
 #include <quince/kv-client.h>
 
 #include <quince/log.h>
+#include <quince/task.h>
 
 #include "kv-call.h"
 #include "kv-internal.h"
@@ -199,7 +200,7 @@
 {
   QuinceKvWatch *watch = user_data;
   watch->reading = FALSE;
-  watch->heard_us = error == NULL ? g_get_monotonic_time () : watch->heard_us;
+  watch->heard_us = error == NULL ? quince_now_us () : watch->heard_us;
   gboolean standing = watch->stream != NULL && watch->stream->created;
   if (standing && g_error_matches (error, QUINCE_KV_ERROR, QUINCE_KV_ERROR_RATE))
     {
@@ -276,7 +277,7 @@
 {
   g_autoptr (GError) error = NULL;
   QuinceKvWatchLine line;
-  stream->watch->heard_us = g_get_monotonic_time ();
+  stream->watch->heard_us = quince_now_us ();
   if (!quince_kv_json_parse_watch (text, length, &line, &error))
     {
       watch_break (stream->watch, error->message);
--- a/lib/core/story/log-vocabulary.c
+++ b/lib/core/story/log-vocabulary.c
@@ -66,6 +66,7 @@
   "suspect_released",
   "suspect_sent",
   "suspect_told",
+  "suspended",
   "usage_reported",
   "version_named",
   "view_proposal_ended",
--- a/lib/forward/backends.c
+++ b/lib/forward/backends.c
@@ -162,6 +162,16 @@
   return pool;
 }
 
+void
+quince_backends_resumed (QuinceBackends *backends)
+{
+  GHashTableIter iter;
+  gpointer pool;
+  g_hash_table_iter_init (&iter, backends->pools);
+  while (g_hash_table_iter_next (&iter, NULL, &pool))
+    quince_http_pool_drop_idle (pool);
+}
+
 guint64
 quince_backends_get_opened (const QuinceBackends *backends)
 {
--- a/lib/http1/http-pool.c
+++ b/lib/http1/http-pool.c
@@ -82,11 +82,17 @@
 }
 
 void
-quince_http_pool_unref (QuinceHttpPool *pool)
+quince_http_pool_drop_idle (QuinceHttpPool *pool)
 {
-  pool->abandoned = TRUE;
   while (pool->idle->len > 0)
     channel_free (pool->idle->pdata[pool->idle->len - 1]);
+}
+
+void
+quince_http_pool_unref (QuinceHttpPool *pool)
+{
+  pool->abandoned = TRUE;
+  quince_http_pool_drop_idle (pool);
   pool_release (pool);
 }
 
--- a/lib/meta/meta-mirror.c
+++ b/lib/meta/meta-mirror.c
@@ -397,6 +397,13 @@
   mirror->times.read_every_ms = MAX (times->read_every_ms, times->pace_ms);
 }
 
+void
+quince_meta_mirror_resumed (QuinceMetaMirror *mirror)
+{
+  stop_asking (mirror);
+  read_by_itself (mirror, "suspended");
+}
+
 gboolean
 quince_meta_mirror_is_synced (const QuinceMetaMirror *mirror)
 {
--- a/lib/meta/meta-presence.c
+++ b/lib/meta/meta-presence.c
@@ -153,6 +153,14 @@
   presence_release (data);
 }
 
+void
+quince_meta_presence_resumed (QuinceMetaPresence *presence)
+{
+  /* Without a timer a call is under way, and its end goes on. */
+  if (presence->timer != NULL)
+    next_step (presence, 0);
+}
+
 void
 quince_meta_presence_withdraw (QuinceMetaPresence *presence)
 {
--- a/lib/meta/meta-store.c
+++ b/lib/meta/meta-store.c
@@ -324,6 +324,12 @@
   g_hash_table_remove (call->store->calls, call);
 }
 
+void
+quince_meta_store_resumed (QuinceMetaStore *store)
+{
+  quince_http_pool_drop_idle (store->pool);
+}
+
 void
 quince_meta_store_get (QuinceMetaStore *store, const char *key, QuinceMetaReply reply, gpointer user_data)
 {
--- a/lib/observer/observer.c
+++ b/lib/observer/observer.c
@@ -361,6 +361,17 @@
   quince_meta_mirror_feed_ended (observer->own_mirror);
 }
 
+void
+quince_observer_resumed (QuinceObserver *observer)
+{
+  quince_source_clear (&observer->feeder_timer);
+  set_relaxed (observer);
+  NamedMirror mirrors[N_MIRRORS];
+  list_mirrors (observer, mirrors);
+  for (guint i = 0; i < N_MIRRORS; i++)
+    quince_meta_mirror_resumed (mirrors[i].mirror);
+}
+
 static gboolean
 feeder_silent (gpointer data)
 {
--- a/lib/runtime/task.c
+++ b/lib/runtime/task.c
@@ -3,6 +3,9 @@
  */
 #include <quince/task.h>
 
+#include <errno.h>
+#include <time.h>
+
 struct _QuinceMailbox
 {
   gatomicrefcount references;
@@ -226,7 +229,10 @@
 gint64
 quince_now_us (void)
 {
-  return g_get_monotonic_time ();
+  struct timespec now;
+  if (clock_gettime (CLOCK_BOOTTIME, &now) != 0)
+    g_error ("the kernel has no CLOCK_BOOTTIME: %s", g_strerror (errno));
+  return (gint64)now.tv_sec * G_USEC_PER_SEC + now.tv_nsec / 1000;
 }
 
 gint64
--- /dev/null
+++ b/tests/platform/boot-clock.c
@@ -0,0 +1,42 @@
+/*
+ * boot-clock.c: a clock that a test moves on under a stopped process, as a suspension does: CLOCK_BOOTTIME
+ * goes on, the steady clock stands still.
+ *
+ * Loaded before the C library by tests alone.  The file that QUINCE_BOOT_CLOCK names holds how far, as
+ * microseconds in decimal digits.
+ */
+#include <dlfcn.h>
+#include <fcntl.h>
+#include <stdlib.h>
+#include <time.h>
+#include <unistd.h>
+
+int clock_gettime (clockid_t clock, struct timespec *time);
+
+static long long
+moved_us (void)
+{
+  const char *path = getenv ("QUINCE_BOOT_CLOCK");
+  int file = path != NULL ? open (path, O_RDONLY | O_CLOEXEC) : -1;
+  if (file < 0)
+    return 0;
+  char text[32] = { 0 };
+  ssize_t length = read (file, text, sizeof text - 1);
+  close (file);
+  return length > 0 ? atoll (text) : 0;
+}
+
+int
+clock_gettime (clockid_t clock, struct timespec *time)
+{
+  static int (*next) (clockid_t, struct timespec *);
+  if (next == NULL)
+    next = (int (*) (clockid_t, struct timespec *))dlsym (RTLD_NEXT, "clock_gettime");
+  int status = next (clock, time);
+  if (status != 0 || clock != CLOCK_BOOTTIME)
+    return status;
+  long long nanoseconds = time->tv_nsec + moved_us () % 1000000 * 1000;
+  time->tv_sec += moved_us () / 1000000 + nanoseconds / 1000000000;
+  time->tv_nsec = nanoseconds % 1000000000;
+  return 0;
+}
