Quarantine: operators see and release what is held; more cases; an end counts also where eight are known

Found by the new test of the operator's release: a request of which eight ends were known took no further one, so that it could not be held again. The place of the end learned first is used again now. A line tells of a send as it is made, no longer of each permit.

quinceroute quarantine list, release. Tests of the real programs: the answer at each front, five neighbours in the slots, a request that met three workers which died for reasons of their own, live workers that reset connections, a change of leader and a new front, the store away, release by an operator and by other software.

--- a/daemons/replica/sample-dispatch.c
+++ b/daemons/replica/sample-dispatch.c
@@ -143,6 +143,10 @@
                    quince_sample_get_item (sample)->id, batch->id, worker->id, worker->running,
                    quince_worker_get_version (worker, batch->model), sample->last_event, sample->runs,
                    (quince_now_us () - sample->submitted_us) / 1000);
+  QuinceSendGuard *guard = quince_backends_get_guard (runner->backends);
+  if (!quince_send_guard_is_idle (guard))
+    quince_send_guard_log_sent (guard, quince_now_us (), quince_sample_get_digest (sample),
+                                quince_sample_get_item (sample)->id, worker->id);
   quince_sample_run (sample, runner->backends, worker, priority_at_worker (runner, sample, route),
                      quince_sample_outcome_run_ended, runner);
 }
@@ -180,7 +184,7 @@
     return TRUE;
   const QuinceRequestDigest *digest = quince_sample_get_digest (sample);
   const char *id = quince_sample_get_item (sample)->id;
-  QuinceLeave leave = quince_send_guard_ask (guard, now_us, digest, service, id);
+  QuinceLeave leave = quince_send_guard_ask (guard, now_us, digest, service);
   sample->permit = leave == QUINCE_LEAVE_PERMIT;
   sample->backends = runner->backends;
   if (leave == QUINCE_LEAVE_GIVEN || leave == QUINCE_LEAVE_CAREFUL || sample->permit)
--- a/include/quince/quarantine.h
+++ b/include/quince/quarantine.h
@@ -21,7 +21,7 @@
  * fourth is met alone, as the one before. */
 #define QUINCE_QUARANTINE_ENDS_LEAST 4
 #define QUINCE_QUARANTINE_ALONE_LEAST 2
-/* Workers that are remembered of one request; more change nothing. */
+/* Workers that are remembered of one request, those that ended last. */
 #define QUINCE_QUARANTINE_WORKERS_MOST 8
 
 /**
--- a/include/quince/send-guard.h
+++ b/include/quince/send-guard.h
@@ -58,12 +58,10 @@
 
 /* Nothing is suspected, and every request may be sent: no digest needs to be made. */
 gboolean quince_send_guard_is_idle (const QuinceSendGuard *guard);
-/* @request_id: for the log */
 QuinceLeave quince_send_guard_ask (QuinceSendGuard *guard,
                                    gint64 now_us,
                                    const QuinceRequestDigest *digest,
-                                   const char *service,
-                                   const char *request_id);
+                                   const char *service);
 /* The answer to QuinceSendGuardCallbacks.ask(). */
 void quince_send_guard_answer (QuinceSendGuard *guard, const QuinceRequestDigest *digest, gboolean given);
 /* Whoever gives permits is gone, and what was asked of it. */
@@ -82,6 +80,12 @@
 /* Neither; nothing was learned. */
 void quince_send_guard_over (QuinceSendGuard *guard, const QuinceRequestDigest *digest, gboolean permit);
 
+/* Logs what is known of @digest, as it is sent to a worker; nothing where it is not suspected. */
+void quince_send_guard_log_sent (const QuinceSendGuard *guard,
+                                 gint64 now_us,
+                                 const QuinceRequestDigest *digest,
+                                 const char *request_id,
+                                 const char *worker_id);
 /* Logs why @digest is not sent, for the request @request_id. */
 void quince_send_guard_log_held (const QuinceSendGuard *guard,
                                  gint64 now_us,
--- a/lib/core/request/quarantine.c
+++ b/lib/core/request/quarantine.c
@@ -139,6 +139,7 @@
   return suspect;
 }
 
+/* Where all places are taken the worker that was learned first is forgotten: one more end still counts. */
 static gboolean
 add_worker (QuinceSuspect *suspect, guint64 worker)
 {
@@ -146,7 +147,10 @@
     if (suspect->workers[i] == worker)
       return FALSE;
   if (suspect->n_workers == QUINCE_QUARANTINE_WORKERS_MOST)
-    return FALSE;
+    {
+      suspect->n_workers--;
+      memmove (suspect->workers, suspect->workers + 1, suspect->n_workers * sizeof suspect->workers[0]);
+    }
   suspect->workers[suspect->n_workers++] = worker;
   return TRUE;
 }
--- a/lib/forward/dispatch.c
+++ b/lib/forward/dispatch.c
@@ -69,6 +69,10 @@
 quince_dispatch_begin (QuinceDispatch *dispatch, QuinceWorker *worker, gint64 now_us)
 {
   QuinceHttpHeaders *headers = quince_http_headers_copy (dispatch->headers);
+  QuinceSendGuard *guard = quince_backends_get_guard (dispatch->backends);
+  if (guard != NULL && !quince_send_guard_is_idle (guard))
+    quince_send_guard_log_sent (guard, now_us, quince_dispatch_get_digest (dispatch), dispatch->request_id,
+                                worker->id);
   dispatch->dialect->write_dispatch (headers, worker->id, MAX ((dispatch->deadline_us - now_us) / 1000, 1));
   g_hash_table_add (dispatch->avoid, g_strdup (worker->id));
   dispatch->attempts++;
@@ -128,7 +132,7 @@
   if (guard == NULL || quince_send_guard_is_idle (guard))
     return QUINCE_LEAVE_GIVEN;
   const QuinceRequestDigest *digest = quince_dispatch_get_digest (dispatch);
-  QuinceLeave leave = quince_send_guard_ask (guard, now_us, digest, dispatch->service, dispatch->request_id);
+  QuinceLeave leave = quince_send_guard_ask (guard, now_us, digest, dispatch->service);
   if (leave == QUINCE_LEAVE_WAIT)
     return wait_for_leave (dispatch, now_us);
   dispatch->waits_us = 0;
--- a/lib/forward/send-guard.c
+++ b/lib/forward/send-guard.c
@@ -196,29 +196,12 @@
   g_hash_table_remove_all (guard->asks);
 }
 
-/* One line for each send after an end: how many ends are known, and how old that knowledge is. */
-static void
-log_send (const QuinceSendGuard *guard,
-          gint64 now_us,
-          const QuinceRequestDigest *digest,
-          const char *request_id,
-          const char *permit)
-{
-  const QuinceSuspect *suspect = quince_quarantine_find (guard->quarantine, digest);
-  g_autofree char *text = quince_request_digest_format (digest);
-  quince_log_info ("suspect_sent",
-                   "request=%s digest=%s ends=%u alone=%u permit=%s told_by=%s known_ms=%" G_GINT64_FORMAT,
-                   request_id, text, suspect->n_workers, suspect->alone, permit,
-                   suspect->told_by != NULL ? suspect->told_by : "self", (now_us - suspect->ended_us) / 1000);
-}
-
 static QuinceLeave
 ask_permit (QuinceSendGuard *guard,
             gint64 now_us,
             const QuinceRequestDigest *digest,
             const char *service,
-            gboolean alone,
-            const char *request_id)
+            gboolean alone)
 {
   const Ask *ask = g_hash_table_lookup (guard->asks, digest);
   if (ask == NULL || !is_current (ask, now_us, alone))
@@ -226,14 +209,10 @@
   if (ask == NULL && alone)
     return QUINCE_LEAVE_UNSURE;
   if (ask == NULL)
-    {
-      log_send (guard, now_us, digest, request_id, "none");
-      return QUINCE_LEAVE_CAREFUL;
-    }
+    return QUINCE_LEAVE_CAREFUL;
   if (ask->state != ASK_GIVEN)
     return QUINCE_LEAVE_WAIT;
   g_hash_table_replace (guard->held, g_memdup2 (digest, sizeof *digest), GINT_TO_POINTER (ask->alone));
-  log_send (guard, now_us, digest, request_id, ask->alone ? "alone" : "one");
   g_hash_table_remove (guard->asks, digest);
   return QUINCE_LEAVE_PERMIT;
 }
@@ -242,8 +221,7 @@
 quince_send_guard_ask (QuinceSendGuard *guard,
                        gint64 now_us,
                        const QuinceRequestDigest *digest,
-                       const char *service,
-                       const char *request_id)
+                       const char *service)
 {
   quince_quarantine_expire (guard->quarantine, now_us);
   QuinceSendRule rule = quince_quarantine_judge (guard->quarantine, digest);
@@ -253,7 +231,7 @@
     return QUINCE_LEAVE_WAIT;
   if (rule == QUINCE_SEND_FREE)
     return QUINCE_LEAVE_GIVEN;
-  return ask_permit (guard, now_us, digest, service, rule == QUINCE_SEND_ALONE, request_id);
+  return ask_permit (guard, now_us, digest, service, rule == QUINCE_SEND_ALONE);
 }
 
 static void
@@ -379,6 +357,29 @@
 
 /* ---- Sight -------------------------------------------------------------- */
 
+void
+quince_send_guard_log_sent (const QuinceSendGuard *guard,
+                            gint64 now_us,
+                            const QuinceRequestDigest *digest,
+                            const char *request_id,
+                            const char *worker_id)
+{
+  const QuinceSuspect *suspect = quince_quarantine_find (guard->quarantine, digest);
+  if (suspect == NULL)
+    return;
+  gpointer alone = NULL;
+  gboolean permit = g_hash_table_lookup_extended (guard->held, digest, NULL, &alone);
+  g_autofree char *text = quince_request_digest_format (digest);
+  quince_log_info ("suspect_sent",
+                   "request=%s worker=%s digest=%s ends=%u alone=%u permit=%s told_by=%s"
+                   " known_ms=%" G_GINT64_FORMAT,
+                   request_id, worker_id, text, suspect->n_workers, suspect->alone,
+                   !permit         ? "none"
+                   : alone != NULL ? "alone"
+                                   : "one",
+                   suspect->told_by != NULL ? suspect->told_by : "self", (now_us - suspect->ended_us) / 1000);
+}
+
 void
 quince_send_guard_log_held (const QuinceSendGuard *guard,
                             gint64 now_us,
--- a/tests/platform/path-world.h
+++ b/tests/platform/path-world.h
@@ -362,6 +362,30 @@
   g_free (world);
 }
 
+/* ---- The operator ----------------------------------------------------- */
+
+/* Runs the operator's program on the metadata store. Returns: its exit status */
+static inline int
+path_operate (PathWorld *world, const char *const *words)
+{
+  g_autoptr (GPtrArray) arguments = g_ptr_array_new ();
+  g_autofree char *path = g_build_filename (g_getenv ("QUINCE_BUILD_DIR"), "tools", "quinceroute", NULL);
+  g_ptr_array_add (arguments, path);
+  for (; *words != NULL; words++)
+    g_ptr_array_add (arguments, (gpointer)*words);
+  g_ptr_array_add (arguments, (gpointer) "--store");
+  g_ptr_array_add (arguments, (gpointer)standin_store_get_address (world->store));
+  g_ptr_array_add (arguments, NULL);
+  static guint count;
+  g_autofree char *name = g_strdup_printf ("tool-%u", count++);
+  QuinceProcess *process
+      = quince_process_spawn (world->folder, name, (const char *const *)arguments->pdata, NULL);
+  int status = -1;
+  AWAIT (quince_process_wait (process, 1, &status));
+  quince_process_free (process);
+  return status;
+}
+
 /* ---- Batches ------------------------------------------------------------ */
 
 static inline char *
--- a/tests/platform/test-path.c
+++ b/tests/platform/test-path.c
@@ -425,27 +425,6 @@
 
 /* ---- Policies and events ------------------------------------------------------------ */
 
-static int
-operate (PathWorld *world, const char *const *words)
-{
-  g_autoptr (GPtrArray) arguments = g_ptr_array_new ();
-  g_autofree char *path = g_build_filename (g_getenv ("QUINCE_BUILD_DIR"), "tools", "quinceroute", NULL);
-  g_ptr_array_add (arguments, path);
-  for (; *words != NULL; words++)
-    g_ptr_array_add (arguments, (gpointer)*words);
-  g_ptr_array_add (arguments, (gpointer) "--store");
-  g_ptr_array_add (arguments, (gpointer)standin_store_get_address (world->store));
-  g_ptr_array_add (arguments, NULL);
-  static guint count;
-  g_autofree char *name = g_strdup_printf ("tool-%u", count++);
-  QuinceProcess *process
-      = quince_process_spawn (world->folder, name, (const char *const *)arguments->pdata, NULL);
-  int status = -1;
-  AWAIT (quince_process_wait (process, 1, &status));
-  quince_process_free (process);
-  return status;
-}
-
 /* A policy that operators accept decides at every front; an older one never comes back. */
 static void
 test_policy_accepted (void **state)
@@ -470,20 +449,20 @@
   const char *const accept_take[] = { "policy", "accept", take, "--comment", "open", "--author", "op", NULL };
   const char *const accept_broken[]
       = { "policy", "accept", broken, "--comment", "oops", "--author", "op", NULL };
-  assert_int_equal (operate (world, accept_refuse), 0);
+  assert_int_equal (path_operate (world, accept_refuse), 0);
   for (guint i = 0; i < 2; i++)
     AWAIT (path_status (path_front (world, i), "POST", "/l/1", "r1", "x") == 503);
   PathAnswer answer;
   path_call (path_front (world, 0), "POST", "/l/1", "r2", "x", &answer);
   assert_string_equal (answer.retry_after, "1.500");
   path_answer_clear (&answer);
-  assert_int_not_equal (operate (world, accept_broken), 0);
-  assert_int_equal (operate (world, accept_take), 0);
+  assert_int_not_equal (path_operate (world, accept_broken), 0);
+  assert_int_equal (path_operate (world, accept_take), 0);
   for (guint i = 0; i < 2; i++)
     AWAIT (path_status (path_front (world, i), "POST", "/l/1", "r1", "x") == 200);
   const char *const stale[]
       = { "policy", "accept", refuse, "--comment", "x", "--author", "op", "--expect", "1", NULL };
-  assert_int_equal (operate (world, stale), 3);
+  assert_int_equal (path_operate (world, stale), 3);
   assert_int_equal (path_status (path_front (world, 0), "POST", "/l/1", "r1", "x"), 200);
   path_world_free (world);
 }
@@ -506,10 +485,10 @@
   const char *const accept[] = { "policy", "accept", program, "--comment", "x", "--author", "op", NULL };
   const char *const create[] = { "event", "create", "rush", "--start", "+0", "--duration", "600", NULL };
   const char *const remove[] = { "event", "delete", "rush", NULL };
-  assert_int_equal (operate (world, accept), 0);
-  assert_int_equal (operate (world, create), 0);
+  assert_int_equal (path_operate (world, accept), 0);
+  assert_int_equal (path_operate (world, create), 0);
   AWAIT (path_status (path_front (world, 0), "POST", "/l/1", "r1", "x") == 503);
-  assert_int_equal (operate (world, remove), 0);
+  assert_int_equal (path_operate (world, remove), 0);
   AWAIT (path_status (path_front (world, 0), "POST", "/l/1", "r1", "x") == 200);
   path_world_free (world);
 }
--- /dev/null
+++ b/tests/platform/test-quarantine-faults.c
@@ -0,0 +1,225 @@
+/*
+ * test-quarantine-faults.c: what the caller of a held request gets, which requests are not held, and what is
+ * remembered over changes of leaders, fronts and software.
+ */
+#include "ends-world.h"
+
+#define SENDS_MOST 6
+#define NEIGHBOURS 5
+#define TRIES_MOST 20
+
+static gboolean
+both_serve (EndsWorld *world)
+{
+  return ends_all_live (world) && ends_serves (world, 0) && ends_serves (world, 1);
+}
+
+/* Returns: the status once the front says that it is held; 0: it never does */
+static guint
+try_until_held (EndsWorld *world, const char *target, const char *body)
+{
+  for (guint i = 0; i < TRIES_MOST; i++)
+    {
+      AWAIT (both_serve (world));
+      guint before = ends_runs (world, body);
+      guint status = ends_try (world, i % PATH_FRONTS, target, body);
+      run_for (ENDS_LOOK_MS);
+      if (status == 502 && ends_runs (world, body) == before)
+        return status;
+    }
+  return 0;
+}
+
+/* At every front the same, at once, and with no time to come back. */
+static void
+test_answer (void **state)
+{
+  EndsWorld *world = ends_world_start ("answer", "poison");
+  assert_int_equal (try_until_held (world, "/l/1", "poison"), 502);
+  guint runs = ends_runs (world, "poison");
+  assert_in_range (runs, 1, SENDS_MOST);
+  AWAIT (both_serve (world));
+  for (guint i = 0; i < PATH_FRONTS; i++)
+    {
+      PathAnswer answer;
+      assert_int_equal (path_call (path_front (world->path, i), "POST", "/l/1", "again", "poison", &answer),
+                        502);
+      assert_null (answer.retry_after);
+      assert_null (answer.signature);
+      assert_non_null (strstr (answer.body, "request_held"));
+      path_answer_clear (&answer);
+    }
+  assert_int_equal (ends_runs (world, "poison"), runs);
+  ends_world_free (world);
+}
+
+/* Requests in the slots of workers that a request ends are served, whatever they met. */
+static void
+test_neighbours (void **state)
+{
+  EndsWorld *world = ends_world_start ("neighbours", "poison");
+  for (guint i = 0; i < PATH_PLAIN; i++)
+    standin_worker_set_delay (world->path->plain[i], 100);
+  gboolean served[NEIGHBOURS] = { FALSE };
+  for (guint round = 0; round < 10; round++)
+    {
+      AWAIT (both_serve (world));
+      PathAnswer answers[NEIGHBOURS + 1];
+      for (guint i = 0; i <= NEIGHBOURS; i++)
+        {
+          g_autofree char *id = g_strdup_printf ("n%u-%u", round, i);
+          g_autofree char *body = i < NEIGHBOURS ? g_strdup_printf ("near-%u", i) : g_strdup ("poison");
+          path_begin (path_front (world->path, i % PATH_FRONTS), "POST", "/l/1", id, body, &answers[i]);
+        }
+      for (guint i = 0; i <= NEIGHBOURS; i++)
+        AWAIT (answers[i].done);
+      for (guint i = 0; i < NEIGHBOURS; i++)
+        served[i] = served[i] || answers[i].status == 200;
+      for (guint i = 0; i <= NEIGHBOURS; i++)
+        path_answer_clear (&answers[i]);
+    }
+  for (guint i = 0; i < NEIGHBOURS; i++)
+    assert_true (served[i]);
+  assert_in_range (ends_runs (world, "poison"), 1, SENDS_MOST);
+  ends_world_free (world);
+}
+
+/* A request that met three workers which died for reasons of their own is answered. */
+static void
+test_unlucky (void **state)
+{
+  EndsWorld *world = ends_world_start ("unlucky", NULL);
+  for (guint i = 0; i < 3; i++)
+    {
+      AWAIT (both_serve (world));
+      for (guint j = 0; j < PATH_PLAIN; j++)
+        standin_worker_set_fatal (world->path->plain[j], "unlucky", ENDS_FATAL_MS, i == 0 && j == 0 ? 1 : 0);
+      if (i > 0)
+        standin_worker_set_fatal (world->path->plain[i % PATH_PLAIN], "unlucky", ENDS_FATAL_MS, 1);
+      for (guint ends = world->ends; world->ends == ends;)
+        ends_try (world, i % PATH_FRONTS, "/l/1", "unlucky");
+    }
+  AWAIT (both_serve (world));
+  assert_int_equal (ends_try (world, 0, "/l/1", "unlucky"), 200);
+  ends_world_free (world);
+}
+
+/* Live workers that reset connections are no ends: the request is sent on as before. */
+static void
+test_resets (void **state)
+{
+  EndsWorld *world = ends_world_start ("resets", NULL);
+  for (guint i = 0; i < PATH_PLAIN; i++)
+    standin_worker_set_fault (world->path->plain[i], STANDIN_WORKER_RESETS, 10);
+  for (guint i = 0; i < 10; i++)
+    ends_try (world, i % PATH_FRONTS, "/l/1", "reset");
+  AWAIT (ends_try (world, 0, "/l/1", "reset") == 200);
+  ends_world_free (world);
+}
+
+/* A new leader learns it from the fronts, a front that has just started from the leader. */
+static void
+test_leader_and_front (void **state)
+{
+  EndsWorld *world = ends_world_start ("leader-and-front", "poison");
+  AWAIT (both_serve (world));
+  ends_try (world, 0, "/l/1", "poison");
+  AWAIT (both_serve (world));
+  gint leader = path_leader (world->path);
+  quince_process_kill (world->path->replicas[leader]);
+  AWAIT (path_leader (world->path) != leader);
+  path_start_replica (world->path, (guint)leader);
+  AWAIT (path_status (path_front (world->path, 1), "GET", "/quinceroute/lots/none", "q", NULL) == 404);
+  ends_try (world, 1, "/l/1", "poison");
+  AWAIT (both_serve (world));
+  quince_process_kill (world->path->fronts[0]);
+  path_start_front (world->path, 0);
+  assert_int_equal (try_until_held (world, "/l/1", "poison"), 502);
+  assert_in_range (ends_runs (world, "poison"), 1, SENDS_MOST);
+  ends_world_free (world);
+}
+
+/* While the store is away the leader and the fronts go on by their links; what was held is written
+ * afterwards. */
+static void
+test_store_away (void **state)
+{
+  EndsWorld *world = ends_world_start ("store-away", "poison");
+  AWAIT (both_serve (world));
+  standin_store_set_fault (world->path->store, STANDIN_STORE_BUSY);
+  for (guint i = 0; i < 4; i++)
+    {
+      ends_try (world, i % PATH_FRONTS, "/l/1", "poison");
+      run_for (ENDS_LOOK_MS * ENDS_BACK_LOOKS + 100);
+    }
+  standin_store_set_fault (world->path->store, STANDIN_STORE_SOUND);
+  AWAIT (both_serve (world));
+  assert_int_equal (try_until_held (world, "/l/1", "poison"), 502);
+  assert_in_range (ends_runs (world, "poison"), 1, SENDS_MOST);
+  g_autofree char *all = NULL;
+  AWAIT ((g_free (all), all = standin_store_all_but (world->path->store, "none"), strstr (all, "ended_ms=")));
+  ends_world_free (world);
+}
+
+static char *
+held_digest (EndsWorld *world)
+{
+  g_autofree char *file = g_strdup_printf ("%s/front-0.out", world->path->folder);
+  g_autofree char *text = NULL;
+  assert_true (g_file_get_contents (file, &text, NULL, NULL));
+  const char *at = strstr (text, "event=suspect_held");
+  assert_non_null (at);
+  return g_strndup (strstr (at, "digest=") + strlen ("digest="), 32);
+}
+
+/* An operator releases it: it is sent once more. */
+static void
+test_operator (void **state)
+{
+  EndsWorld *world = ends_world_start ("operator", "poison");
+  assert_int_equal (try_until_held (world, "/l/1", "poison"), 502);
+  AWAIT (both_serve (world));
+  ends_try (world, 0, "/l/1", "poison");
+  guint runs = ends_runs (world, "poison");
+  g_autofree char *digest = held_digest (world);
+  g_autofree char *key = g_strdup_printf ("quinceroute/quarantine/%s", digest);
+  AWAIT (standin_store_get (world->path->store, key) != NULL);
+  assert_int_equal (path_operate (world->path, (const char *const[]){ "quarantine", "list", NULL }), 0);
+  assert_int_equal (
+      path_operate (world->path, (const char *const[]){ "quarantine", "release", digest, NULL }), 0);
+  AWAIT (ends_try (world, 0, "/l/1", "poison") != 0 && ends_runs (world, "poison") > runs);
+  assert_int_equal (try_until_held (world, "/l/1", "poison"), 502);
+  assert_int_equal (ends_runs (world, "poison"), runs + 1);
+  ends_world_free (world);
+}
+
+/* Against other software it may be sound. */
+static void
+test_software (void **state)
+{
+  EndsWorld *world = ends_world_start ("software", "poison");
+  assert_int_equal (try_until_held (world, "/l/1", "poison"), 502);
+  AWAIT (both_serve (world));
+  for (guint i = 0; i < PATH_PLAIN; i++)
+    {
+      standin_worker_set_fatal (world->path->plain[i], NULL, 0, 0);
+      standin_worker_set_software (world->path->plain[i], "v2");
+      standin_worker_die (world->path->plain[i]);
+    }
+  AWAIT (both_serve (world));
+  AWAIT (ends_try (world, 0, "/l/1", "poison") == 200);
+  AWAIT (ends_try (world, 1, "/l/1", "poison") == 200);
+  ends_world_free (world);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_answer),     cmocka_unit_test (test_neighbours),
+    cmocka_unit_test (test_unlucky),    cmocka_unit_test (test_resets),
+    cmocka_unit_test (test_operator),   cmocka_unit_test (test_leader_and_front),
+    cmocka_unit_test (test_store_away), cmocka_unit_test (test_software),
+  };
+  return cmocka_run_group_tests_name ("quarantine-faults", tests, NULL, NULL);
+}
--- /dev/null
+++ b/tests/unit/test-quarantine-core.c
@@ -0,0 +1,399 @@
+/*
+ * test-quarantine-core.c: which requests are held, what is remembered of them, and both errors on a day of
+ * many ends.
+ */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <cmocka.h>
+
+#include <quince/quarantine.h>
+
+#define SECOND G_TIME_SPAN_SECOND
+
+static const QuinceQuarantineLimits limits = { .entries_most = 64,
+                                               .bytes_most = 64 * 1024,
+                                               .doubt_keep_us = 600 * SECOND,
+                                               .hold_keep_us = 86400 * SECOND };
+
+static QuinceRequestDigest
+digest_of (guint number)
+{
+  QuinceRequestDigest digest;
+  quince_request_digest_make (&digest, NULL, "h", "POST", "/x", &number, sizeof number);
+  return digest;
+}
+
+static const QuinceSuspect *
+end (QuinceQuarantine *quarantine, gint64 now_us, guint number, guint worker, gboolean alone)
+{
+  const QuinceSuspect seen = { .digest = digest_of (number),
+                               .workers = { worker },
+                               .n_workers = 1,
+                               .alone = alone,
+                               .service = "svc",
+                               .software = "v1" };
+  return quince_quarantine_note_end (quarantine, now_us, &seen);
+}
+
+static QuinceSendRule
+judge (QuinceQuarantine *quarantine, guint number)
+{
+  QuinceRequestDigest digest = digest_of (number);
+  return quince_quarantine_judge (quarantine, &digest);
+}
+
+/* ---- Holding and clearing ------------------------------------------------- */
+
+static void
+test_ends (void **state)
+{
+  g_autoptr (QuinceQuarantine) quarantine = quince_quarantine_new (&limits);
+  assert_int_equal (judge (quarantine, 1), QUINCE_SEND_FREE);
+  end (quarantine, 1, 1, 101, FALSE);
+  assert_int_equal (judge (quarantine, 1), QUINCE_SEND_BY_PERMIT);
+  end (quarantine, 2, 1, 101, FALSE); /* seen by another connection */
+  assert_int_equal (judge (quarantine, 1), QUINCE_SEND_BY_PERMIT);
+  end (quarantine, 3, 1, 102, FALSE);
+  assert_int_equal (judge (quarantine, 1), QUINCE_SEND_ALONE);
+  end (quarantine, 4, 1, 103, TRUE);
+  assert_int_equal (judge (quarantine, 1), QUINCE_SEND_ALONE); /* three ends may be chance */
+  end (quarantine, 5, 1, 104, TRUE);
+  assert_int_equal (judge (quarantine, 1), QUINCE_SEND_HELD);
+}
+
+/* However many ends a request met beside others, it is not held for them. */
+static void
+test_neighbour (void **state)
+{
+  g_autoptr (QuinceQuarantine) quarantine = quince_quarantine_new (&limits);
+  for (guint i = 0; i < 20; i++)
+    end (quarantine, i, 1, 100 + i, FALSE);
+  assert_int_equal (judge (quarantine, 1), QUINCE_SEND_ALONE);
+  end (quarantine, 20, 1, 200, TRUE);
+  assert_int_equal (judge (quarantine, 1), QUINCE_SEND_ALONE);
+  QuinceRequestDigest digest = digest_of (1);
+  assert_true (quince_quarantine_clear (quarantine, &digest));
+  assert_false (quince_quarantine_clear (quarantine, &digest));
+  assert_int_equal (judge (quarantine, 1), QUINCE_SEND_FREE);
+}
+
+static void
+hold (QuinceQuarantine *quarantine, gint64 now_us, guint number)
+{
+  for (guint i = 0; i < QUINCE_QUARANTINE_ENDS_LEAST; i++)
+    end (quarantine, now_us, number, 100 + i, i >= 2);
+  assert_int_equal (judge (quarantine, number), QUINCE_SEND_HELD);
+}
+
+static void
+test_release (void **state)
+{
+  g_autoptr (QuinceQuarantine) quarantine = quince_quarantine_new (&limits);
+  g_autoptr (QuinceQuarantine) other = quince_quarantine_new (&limits);
+  QuinceRequestDigest digest = digest_of (1);
+  hold (quarantine, 1, 1);
+  assert_true (quince_quarantine_merge (other, 2, quince_quarantine_find (quarantine, &digest)));
+  assert_int_equal (judge (other, 1), QUINCE_SEND_HELD);
+  assert_true (quince_quarantine_release (quarantine, 3, &digest));
+  assert_int_equal (judge (quarantine, 1), QUINCE_SEND_ALONE);
+  /* Who has not heard of the release does not undo it, and takes it over. */
+  assert_false (quince_quarantine_merge (quarantine, 4, quince_quarantine_find (other, &digest)));
+  assert_true (quince_quarantine_merge (other, 4, quince_quarantine_find (quarantine, &digest)));
+  assert_int_equal (judge (other, 1), QUINCE_SEND_ALONE);
+  /* One more end holds it again. */
+  end (quarantine, 5, 1, 200, TRUE);
+  assert_int_equal (judge (quarantine, 1), QUINCE_SEND_HELD);
+}
+
+/* Each of sixty fronts saw one end: together they know them all, in whatever order they are told. */
+static void
+test_many_fronts (void **state)
+{
+  g_autoptr (QuinceQuarantine) leader = quince_quarantine_new (&limits);
+  QuinceRequestDigest digest = digest_of (1);
+  for (guint i = 0; i < 60; i++)
+    {
+      g_autoptr (QuinceQuarantine) front = quince_quarantine_new (&limits);
+      end (front, i, 1, 100 + i, FALSE);
+      quince_quarantine_merge (leader, i, quince_quarantine_find (front, &digest));
+      assert_false (quince_quarantine_merge (leader, i, quince_quarantine_find (front, &digest)));
+    }
+  assert_int_equal (judge (leader, 1), QUINCE_SEND_ALONE);
+  assert_int_equal (quince_quarantine_find (leader, &digest)->n_workers, QUINCE_QUARANTINE_WORKERS_MOST);
+}
+
+/* A request that many had sent before anything was known of it is held by the ends that it met alone. */
+static void
+test_known_late (void **state)
+{
+  g_autoptr (QuinceQuarantine) quarantine = quince_quarantine_new (&limits);
+  for (guint i = 0; i < 20; i++)
+    end (quarantine, i, 1, 100 + i, FALSE);
+  end (quarantine, 20, 1, 200, TRUE);
+  end (quarantine, 21, 1, 201, TRUE);
+  assert_int_equal (judge (quarantine, 1), QUINCE_SEND_HELD);
+}
+
+/* ---- Bounds ----------------------------------------------------------------- */
+
+static void
+test_flood (void **state)
+{
+  g_autoptr (QuinceQuarantine) quarantine = quince_quarantine_new (&limits);
+  hold (quarantine, 1, 1);
+  end (quarantine, 2, 2, 101, FALSE);
+  end (quarantine, 2, 2, 102, FALSE);
+  for (guint i = 0; i < 20000; i++)
+    {
+      end (quarantine, 3 + i, 1000 + i, i, FALSE);
+      assert_true (quince_quarantine_get_size (quarantine) <= limits.entries_most);
+      assert_true (quince_quarantine_get_bytes (quarantine) <= limits.bytes_most);
+    }
+  assert_int_equal (judge (quarantine, 1), QUINCE_SEND_HELD);
+  assert_int_equal (judge (quarantine, 2), QUINCE_SEND_ALONE);
+}
+
+static void
+test_bytes (void **state)
+{
+  QuinceQuarantineLimits small = limits;
+  small.bytes_most = 1000;
+  g_autoptr (QuinceQuarantine) quarantine = quince_quarantine_new (&small);
+  hold (quarantine, 1, 1);
+  for (guint i = 0; i < 100; i++)
+    end (quarantine, 2 + i, 1000 + i, i, FALSE);
+  assert_true (quince_quarantine_get_bytes (quarantine) <= small.bytes_most);
+  assert_int_equal (judge (quarantine, 1), QUINCE_SEND_HELD);
+}
+
+static void
+test_age (void **state)
+{
+  g_autoptr (QuinceQuarantine) quarantine = quince_quarantine_new (&limits);
+  hold (quarantine, 0, 1);
+  end (quarantine, 0, 2, 101, FALSE);
+  quince_quarantine_expire (quarantine, limits.doubt_keep_us - 1);
+  assert_int_equal (quince_quarantine_get_size (quarantine), 2);
+  quince_quarantine_expire (quarantine, limits.doubt_keep_us);
+  assert_int_equal (judge (quarantine, 2), QUINCE_SEND_FREE);
+  assert_int_equal (judge (quarantine, 1), QUINCE_SEND_HELD);
+  quince_quarantine_expire (quarantine, limits.hold_keep_us);
+  assert_int_equal (quince_quarantine_get_size (quarantine), 0);
+}
+
+/* ---- Permits ----------------------------------------------------------------- */
+
+static gboolean
+take (QuincePermits *permits, gint64 now_us, guint number, gboolean alone, const char *holder)
+{
+  QuinceRequestDigest digest = digest_of (number);
+  return quince_permits_take (permits, now_us, &digest, "svc", alone, holder, now_us + SECOND);
+}
+
+static void
+test_permits (void **state)
+{
+  g_autoptr (QuincePermits) permits = quince_permits_new ();
+  QuinceRequestDigest digest = digest_of (1);
+  assert_true (take (permits, 0, 1, TRUE, "a"));
+  assert_false (take (permits, 1, 1, TRUE, "b")); /* one run of a request at a time */
+  assert_false (take (permits, 1, 2, TRUE, "b")); /* one alone at a service */
+  assert_true (take (permits, 1, 3, FALSE, "b")); /* not alone: it met one end */
+  quince_permits_return (permits, &digest, "b");  /* not its own */
+  assert_false (take (permits, 2, 1, TRUE, "b"));
+  quince_permits_return (permits, &digest, "a");
+  assert_true (take (permits, 2, 1, TRUE, "b"));
+  quince_permits_forget_holder (permits, "b");
+  assert_true (take (permits, 3, 2, TRUE, "c"));
+  assert_true (take (permits, 3 + SECOND, 1, TRUE, "a")); /* the other one is over by itself */
+}
+
+/* ---- Both errors --------------------------------------------------------------- */
+
+#define DAY_MS 120000
+#define WORKERS 8
+#define SLOTS 6
+#define BACK_MS 3000
+#define RUN_MS 40
+#define TRIES_MOST 12
+#define GUILTY 10
+
+typedef struct
+{
+  guint number;
+  guint tries;
+  gint worker; /* -1: not running */
+  gint ends_ms;
+  gboolean alone;
+} Request;
+
+typedef struct
+{
+  QuinceQuarantine *quarantine;
+  QuincePermits *permits;
+  GRand *random;
+  GPtrArray *requests; /* Request, owned */
+  gint dead_until[WORKERS];
+  guint incarnation[WORKERS];
+  guint in_slots[WORKERS];
+  guint sends[GUILTY];
+  guint innocent, innocent_held, innocent_given_up, innocent_three;
+} Day;
+
+static gboolean
+is_guilty (const Request *request)
+{
+  return request->number < GUILTY;
+}
+
+static void
+let_go (Day *day, Request *request)
+{
+  QuinceRequestDigest digest = digest_of (request->number);
+  quince_permits_return (day->permits, &digest, request);
+  day->in_slots[request->worker]--;
+  request->worker = -1;
+}
+
+/* All that runs there meets the end. */
+static void
+worker_ends (Day *day, gint now, guint worker)
+{
+  day->dead_until[worker] = now + BACK_MS;
+  for (guint i = 0; i < day->requests->len; i++)
+    {
+      Request *request = day->requests->pdata[i];
+      if (request->worker != (gint)worker)
+        continue;
+      const QuinceSuspect *known = end (day->quarantine, now * 1000, request->number,
+                                        worker * 100000 + day->incarnation[worker], request->alone);
+      day->innocent_three += !is_guilty (request) && known->n_workers == 3;
+      let_go (day, request);
+    }
+  day->incarnation[worker]++;
+}
+
+/* Returns: whether it is over. */
+static gboolean
+send (Day *day, gint now, Request *request)
+{
+  QuinceRequestDigest digest = digest_of (request->number);
+  QuinceSendRule rule = quince_quarantine_judge (day->quarantine, &digest);
+  if (rule == QUINCE_SEND_HELD)
+    {
+      day->innocent_held += !is_guilty (request);
+      return TRUE;
+    }
+  guint worker = (guint)g_rand_int_range (day->random, 0, WORKERS);
+  if (now < day->dead_until[worker] || day->in_slots[worker] >= SLOTS)
+    return FALSE;
+  request->alone = rule == QUINCE_SEND_ALONE;
+  if (rule != QUINCE_SEND_FREE
+      && !quince_permits_take (day->permits, now * 1000, &digest, "svc", request->alone, request,
+                               (now + 3000) * 1000))
+    return FALSE;
+  if (++request->tries > TRIES_MOST)
+    {
+      quince_permits_return (day->permits, &digest, request);
+      day->innocent_given_up += !is_guilty (request);
+      return TRUE;
+    }
+  request->worker = (gint)worker;
+  request->ends_ms = now + RUN_MS;
+  day->in_slots[worker]++;
+  if (is_guilty (request))
+    day->sends[request->number]++;
+  return FALSE;
+}
+
+/* Returns: whether it is over. */
+static gboolean
+run (Day *day, gint now, Request *request)
+{
+  if (request->worker < 0)
+    return send (day, now, request);
+  if (now < request->ends_ms)
+    return FALSE;
+  if (is_guilty (request))
+    {
+      worker_ends (day, now, (guint)request->worker);
+      return FALSE;
+    }
+  QuinceRequestDigest digest = digest_of (request->number);
+  quince_quarantine_clear (day->quarantine, &digest);
+  let_go (day, request);
+  return TRUE;
+}
+
+static void
+arrive (Day *day, gint now, guint number)
+{
+  Request *request = g_new0 (Request, 1);
+  request->number = number;
+  request->worker = -1;
+  day->innocent += !is_guilty (request);
+  g_ptr_array_add (day->requests, request);
+}
+
+static void
+play (Day *day, guint kill_every_ms)
+{
+  for (gint now = 0; now < DAY_MS; now++)
+    {
+      if (now % 10 == 0)
+        arrive (day, now, GUILTY + (guint)now);
+      if (now % 997 == 0)
+        arrive (day, now, (guint)(now / 997) % GUILTY);
+      if (kill_every_ms > 0 && g_rand_int_range (day->random, 0, (gint)kill_every_ms) == 0)
+        worker_ends (day, now, (guint)g_rand_int_range (day->random, 0, WORKERS));
+      for (guint i = day->requests->len; i > 0; i--)
+        if (run (day, now, day->requests->pdata[i - 1]))
+          g_ptr_array_remove_index_fast (day->requests, i - 1);
+    }
+}
+
+/* Ten requests that end their workers come every ten seconds, beside a hundred others a second; workers die
+ * by themselves besides. */
+static void
+test_both_errors (void **state)
+{
+  static const guint kills[] = { 0, 1000, 300 };
+  for (guint i = 0; i < G_N_ELEMENTS (kills); i++)
+    {
+      Day day = { 0 };
+      day.quarantine = quince_quarantine_new (&limits);
+      day.permits = quince_permits_new ();
+      day.random = g_rand_new_with_seed (7 + i);
+      day.requests = g_ptr_array_new_with_free_func (g_free);
+      play (&day, kills[i]);
+      guint most = 0;
+      for (guint j = 0; j < GUILTY; j++)
+        most = MAX (most, day.sends[j]);
+      print_message (
+          "a worker dies each %u ms: of %u innocent requests %u met three ends, %u were held, %u given up; "
+          "most sends of one guilty request %u\n",
+          kills[i], day.innocent, day.innocent_three, day.innocent_held, day.innocent_given_up, most);
+      assert_int_equal (day.innocent_held, 0);
+      assert_int_equal (day.innocent_given_up, 0);
+      assert_in_range (most, 1, 6);
+      g_ptr_array_unref (day.requests);
+      g_rand_free (day.random);
+      quince_permits_free (day.permits);
+      quince_quarantine_free (day.quarantine);
+    }
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_ends),        cmocka_unit_test (test_neighbour),   cmocka_unit_test (test_release),
+    cmocka_unit_test (test_flood),       cmocka_unit_test (test_many_fronts), cmocka_unit_test (test_bytes),
+    cmocka_unit_test (test_known_late),  cmocka_unit_test (test_age),         cmocka_unit_test (test_permits),
+    cmocka_unit_test (test_both_errors),
+  };
+  return cmocka_run_group_tests_name ("quarantine-core", tests, NULL, NULL);
+}
--- a/tools/commands.h
+++ b/tools/commands.h
@@ -19,6 +19,8 @@
 QuinceToolStatus quince_command_undrain (QuinceTool *tool);
 QuinceToolStatus quince_command_status (QuinceTool *tool);
 QuinceToolStatus quince_command_ledger_status (QuinceTool *tool);
+QuinceToolStatus quince_command_quarantine_list (QuinceTool *tool);
+QuinceToolStatus quince_command_quarantine_release (QuinceTool *tool);
 QuinceToolStatus quince_command_explain (QuinceTool *tool);
 QuinceToolStatus quince_command_log_check (QuinceTool *tool);
 
--- a/tools/store-commands.c
+++ b/tools/store-commands.c
@@ -162,9 +162,9 @@
 /* ---- Events ----------------------------------------------------------- */
 
 static QuinceToolStatus
-write_event (QuinceTool *tool, const char *name, GBytes *value)
+write_entry (QuinceTool *tool, const char *prefix, const char *name, GBytes *value)
 {
-  g_autofree char *key = g_strconcat (QUINCE_EVENTS_PREFIX, name, NULL);
+  g_autofree char *key = g_strconcat (prefix, name, NULL);
   Call call = { 0 };
   int error = -1;
   /* Without a condition the same write may be done twice. */
@@ -187,11 +187,19 @@
 {
   const QuinceEventEntry entry = { start_ms, duration_ms, (char *)service };
   g_autoptr (GBytes) value = quince_event_entry_format (&entry);
-  return write_event (tool, name, value);
+  return write_entry (tool, QUINCE_EVENTS_PREFIX, name, value);
 }
 
 QuinceToolStatus
 quince_store_event_delete (QuinceTool *tool, const char *name)
 {
-  return write_event (tool, name, NULL);
+  return write_entry (tool, QUINCE_EVENTS_PREFIX, name, NULL);
+}
+
+/* ---- Quarantine ------------------------------------------------------- */
+
+QuinceToolStatus
+quince_store_quarantine_release (QuinceTool *tool, const char *digest)
+{
+  return write_entry (tool, QUINCE_QUARANTINE_PREFIX, digest, NULL);
 }
--- a/tools/store-commands.h
+++ b/tools/store-commands.h
@@ -16,5 +16,7 @@
                                             gint64 duration_ms,
                                             const char *service);
 QuinceToolStatus quince_store_event_delete (QuinceTool *tool, const char *name);
+/* @digest: of the held request, as hexadecimal digits */
+QuinceToolStatus quince_store_quarantine_release (QuinceTool *tool, const char *digest);
 
 G_END_DECLS
