Quarantine: what changed is told together, old suspects are looked for seldom, a long run does not hold up others

Change: the leader tells changes each 10 ms; of its own sends (samples, reward calls) from the second end on; old suspects are looked for once a second; a run keeps other suspects from its service for 300 ms.

--- a/daemons/replica/quarantine-desk.c
+++ b/daemons/replica/quarantine-desk.c
@@ -14,6 +14,9 @@
 /* A permit ends by itself: whoever has it is cut off, or its request waits in a worker's queue for as long as
  * any caller of the users does (3 s). */
 #define PERMIT_KEEP_US (3 * G_USEC_PER_SEC)
+/* What changed is told together: when many workers end at once, hundreds of requests do, to each of hundreds
+ * of fronts. */
+#define TELL_MS 10
 /* A write that failed is tried again. */
 #define WRITE_PAUSE_US (1 * G_USEC_PER_SEC)
 
@@ -25,7 +28,9 @@
   char *name;
   QuinceMetaStore *store;
   QuinceWorkerTable *workers;
-  GHashTable *links;    /* QuinceLink, of the owner; NULL: not leading */
+  GHashTable *links;  /* QuinceLink, of the owner; NULL: not leading */
+  GHashTable *untold; /* QuinceRequestDigest, owned: to be told to all */
+  GSource *tell_timer;
   GHashTable *saved;    /* digests as text, owned: keys in the store */
   gboolean writing;     /* a call to the store is under way */
   gint64 next_write_us; /* not before */
@@ -60,12 +65,34 @@
   tell (desk, encoded);
 }
 
+static gboolean
+tell_now (gpointer data)
+{
+  QuinceQuarantineDesk *desk = data;
+  quince_source_clear (&desk->tell_timer);
+  g_autoptr (GPtrArray) suspects = g_ptr_array_new ();
+  GHashTableIter iter;
+  gpointer digest;
+  g_hash_table_iter_init (&iter, desk->untold);
+  while (g_hash_table_iter_next (&iter, &digest, NULL))
+    {
+      const QuinceSuspect *suspect = quince_quarantine_find (quarantine_of (desk), digest);
+      if (suspect != NULL)
+        g_ptr_array_add (suspects, (gpointer)suspect);
+    }
+  tell_suspects (desk, suspects);
+  g_hash_table_remove_all (desk->untold);
+  return G_SOURCE_REMOVE;
+}
+
 static void
-tell_one (const QuinceQuarantineDesk *desk, const QuinceSuspect *suspect)
+tell_soon (QuinceQuarantineDesk *desk, const QuinceRequestDigest *digest)
 {
-  g_autoptr (GPtrArray) one = g_ptr_array_new ();
-  g_ptr_array_add (one, (gpointer)suspect);
-  tell_suspects (desk, one);
+  if (desk->links == NULL)
+    return;
+  g_hash_table_add (desk->untold, g_memdup2 (digest, sizeof *digest));
+  if (desk->tell_timer == NULL)
+    desk->tell_timer = quince_timer_add (TELL_MS, tell_now, desk);
 }
 
 static void
@@ -105,10 +132,13 @@
   quince_permits_return (desk->permits, digest, desk);
 }
 
+/* The leader alone sends samples and reward calls: one end is nothing to the others, and a next leader may do
+ * without it. */
 static void
 ended (const QuinceSuspect *suspect, gpointer data)
 {
-  tell_one (data, suspect);
+  if (suspect->n_workers >= QUINCE_QUARANTINE_ENDS_ALONE)
+    tell_soon (data, &suspect->digest);
 }
 
 static void
@@ -134,6 +164,8 @@
   desk->workers = workers;
   desk->guard = quince_send_guard_new (limits, &guard_callbacks, desk);
   desk->permits = quince_permits_new ();
+  desk->untold
+      = g_hash_table_new_full (quince_request_digest_hash, quince_request_digest_equal, g_free, NULL);
   desk->saved = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   return desk;
 }
@@ -145,6 +177,8 @@
     return;
   quince_send_guard_free (desk->guard);
   quince_permits_free (desk->permits);
+  quince_source_clear (&desk->tell_timer);
+  g_hash_table_unref (desk->untold);
   g_hash_table_unref (desk->saved);
   g_free (desk->name);
   g_free (desk);
@@ -170,6 +204,8 @@
 quince_quarantine_desk_stop_leading (QuinceQuarantineDesk *desk)
 {
   desk->links = NULL;
+  quince_source_clear (&desk->tell_timer);
+  g_hash_table_remove_all (desk->untold);
   quince_send_guard_forget_asked (desk->guard);
 }
 
@@ -200,15 +236,8 @@
   quince_suspect_news_take (quarantine_of (desk), quince_now_us (), news, changed, gone);
   if (desk->links == NULL)
     return;
-  g_autoptr (GPtrArray) suspects = g_ptr_array_new ();
   for (guint i = 0; i < changed->len; i++)
-    {
-      const QuinceRequestDigest *digest = &g_array_index (changed, QuinceRequestDigest, i);
-      const QuinceSuspect *suspect = quince_quarantine_find (quarantine_of (desk), digest);
-      if (suspect != NULL)
-        g_ptr_array_add (suspects, (gpointer)suspect);
-    }
-  tell_suspects (desk, suspects);
+    tell_soon (desk, &g_array_index (changed, QuinceRequestDigest, i));
   for (guint i = 0; i < gone->len; i++)
     tell_cleared (desk, &g_array_index (gone, QuinceRequestDigest, i));
 }
@@ -376,7 +405,7 @@
       g_autofree char *digest = quince_request_digest_format (&suspect->digest);
       quince_log_info ("suspect_released", "digest=%s", digest);
       quince_quarantine_release (quarantine_of (desk), now, &suspect->digest);
-      tell_one (desk, suspect);
+      tell_soon (desk, &suspect->digest);
     }
   save_one (desk, all);
 }
--- a/lib/core/request/permits.c
+++ b/lib/core/request/permits.c
@@ -3,10 +3,16 @@
  */
 #include <quince/quarantine.h>
 
+/* A run keeps other suspects from its service for so long at the most.  A lookup takes 25 to 80 ms on the
+ * users' sheets; a sample takes a second or more, and ten of them that each met two ends would wait for ten.
+ */
+#define ALONE_MOST_US (300 * 1000)
+
 typedef struct
 {
   QuinceRequestDigest digest;
   char *service; /* where it runs alone; NULL: not alone */
+  gint64 given_us;
   gconstpointer holder;
   gint64 until_us;
 } Permit;
@@ -57,14 +63,17 @@
 }
 
 static gboolean
-runs_alone_at (const QuincePermits *permits, const char *service)
+runs_alone_at (const QuincePermits *permits, gint64 now_us, const char *service)
 {
   GHashTableIter iter;
   gpointer value;
   g_hash_table_iter_init (&iter, permits->by_digest);
   while (g_hash_table_iter_next (&iter, NULL, &value))
-    if (g_strcmp0 (((const Permit *)value)->service, service) == 0)
-      return TRUE;
+    {
+      const Permit *permit = value;
+      if (now_us - permit->given_us < ALONE_MOST_US && g_strcmp0 (permit->service, service) == 0)
+        return TRUE;
+    }
   return FALSE;
 }
 
@@ -79,11 +88,13 @@
 {
   Ending over = { now_us, NULL };
   g_hash_table_foreach_remove (permits->by_digest, is_ending, &over);
-  if (g_hash_table_contains (permits->by_digest, digest) || (alone && runs_alone_at (permits, service)))
+  if (g_hash_table_contains (permits->by_digest, digest)
+      || (alone && runs_alone_at (permits, now_us, service)))
     return FALSE;
   Permit *permit = g_new0 (Permit, 1);
   permit->digest = *digest;
   permit->service = alone ? g_strdup (service) : NULL;
+  permit->given_us = now_us;
   permit->holder = holder;
   permit->until_us = until_us;
   g_hash_table_insert (permits->by_digest, &permit->digest, permit);
--- a/lib/forward/send-guard.c
+++ b/lib/forward/send-guard.c
@@ -20,6 +20,9 @@
 /* Connections that broke are reported together, but for those that the loop sees a moment later. */
 #define ENDED_KEEP_US (5 * G_USEC_PER_SEC)
 
+/* A look at all suspects, up to some thousands, is not made for each request. */
+#define EXPIRE_EVERY_US (1 * G_USEC_PER_SEC)
+
 typedef enum
 {
   ASK_SENT,
@@ -60,6 +63,7 @@
 {
   /* All fields belong to the context that created it. */
   QuinceQuarantine *quarantine;
+  gint64 expire_us; /* when old suspects are looked for the next time */
   GHashTable *asks; /* Ask by its own digest, owned */
   GHashTable *held; /* QuinceRequestDigest, owned, to gboolean: permits in use here; whether they are alone */
   GHashTable *losses; /* Loss by its own worker id, owned */
@@ -217,13 +221,22 @@
   return QUINCE_LEAVE_PERMIT;
 }
 
+static void
+expire_seldom (QuinceSendGuard *guard, gint64 now_us)
+{
+  if (now_us < guard->expire_us)
+    return;
+  guard->expire_us = now_us + EXPIRE_EVERY_US;
+  quince_quarantine_expire (guard->quarantine, now_us);
+}
+
 QuinceLeave
 quince_send_guard_ask (QuinceSendGuard *guard,
                        gint64 now_us,
                        const QuinceRequestDigest *digest,
                        const char *service)
 {
-  quince_quarantine_expire (guard->quarantine, now_us);
+  expire_seldom (guard, now_us);
   QuinceSendRule rule = quince_quarantine_judge (guard->quarantine, digest);
   if (rule == QUINCE_SEND_HELD)
     return QUINCE_LEAVE_HELD;
--- a/tests/unit/test-quarantine-core.c
+++ b/tests/unit/test-quarantine-core.c
@@ -208,7 +208,10 @@
   assert_true (take (permits, 2, 1, TRUE, "b"));
   quince_permits_forget_holder (permits, "b");
   assert_true (take (permits, 3, 2, TRUE, "c"));
-  assert_true (take (permits, 3 + SECOND, 1, TRUE, "a")); /* the other one is over by itself */
+  assert_false (take (permits, 4, 1, TRUE, "a"));
+  assert_true (take (permits, 3 + SECOND / 2, 1, TRUE, "a")); /* a long run does not hold up the others */
+  assert_false (take (permits, 3 + SECOND / 2, 2, TRUE, "d"));
+  assert_true (take (permits, 3 + SECOND * 2, 2, TRUE, "d")); /* the permit is over by itself */
 }
 
 /* ---- Both errors --------------------------------------------------------------- */
