--- a/tests/integration/test-policy-spread.c
+++ b/tests/integration/test-policy-spread.c
@@ -301,7 +301,11 @@
       for (guint j = 0; j < json_array_get_length (starts); j++)
         {
           JsonNode *start = json_array_get_element (starts, j);
-          count += quince_json_dig_int (start, "time_ms", 0) > bound_ms ? 1 : 0;
+          gint64 late_ms = quince_json_dig_int (start, "time_ms", 0) - bound_ms;
+          count += late_ms > 0 ? 1 : 0;
+          if (late_ms > 0)
+            print_error ("  late by %d ms: %s\n", (int)late_ms,
+                         quince_json_dig_text (start, "request_id", "(no id)"));
         }
     }
   return count;
