Policy spread: a node that was cut off is not current before its peers have told their revisions

Cause of the known red policy-spread, test_cut_node: a node that heard nothing for 2 s is not ready, but the first datagram after that made it ready, though it told no policy revision; until the newer policy came (192 ms in one run) it decided by the older one. One call began 5.1 s after the acceptance of a policy that refused it, where 3 s are promised.

Ruled out: a grant given before and used late (it expires after 1.5 s), the engine's queue.

--- a/daemons/node/policy-spread.c
+++ b/daemons/node/policy-spread.c
@@ -21,6 +21,10 @@
 #define SILENCE_US (2 * G_USEC_PER_SEC)
 /* While peers are silent, the service is asked so often: a watch on a dead connection is silent, too. */
 #define CONFIRM_US G_USEC_PER_SEC
+/* Each peer's digest, which tells its policy revision, comes at least so often.  A node that hears again is
+ * not current before: the first datagram may be a probe that tells no revision, and one call began 5.1 s
+ * after the acceptance of a policy that refused it. */
+#define REJOIN_US G_USEC_PER_SEC
 #define FAILURE_LOG_INTERVAL_US (5 * G_USEC_PER_SEC)
 
 /* Owned by the node, on its main context. */
@@ -32,6 +36,7 @@
   GSource *fetch_timer;                /* owned: asks peers while behind    */
   guint next_peer;                     /* whom to ask next, when none is known to have it */
   gboolean current;                    /* as last told to the scheduler     */
+  gint64 silent_us;                    /* nothing was heard then; 0: never  */
   gint64 failure_log_after_us;         /* bounds the rate of failure lines  */
   QuincePolicySpreadCounters counters; /* beside what they count            */
 };
@@ -108,7 +113,7 @@
 /* A node that had peers and hears neither of them nor of the key-value service may be the only one
  * that has missed a newer policy.  When the service alone is down, peers are heard. */
 static gboolean
-is_cut_off (const QuincePolicySpread *spread)
+hears_nothing (const QuincePolicySpread *spread)
 {
   const QuinceNode *node = spread->node;
   gint64 since_us = quince_now_us () - SILENCE_US;
@@ -119,6 +124,20 @@
          && !quince_operator_watch_is_confirmed (node->operator_watch, since_us);
 }
 
+static gboolean
+is_cut_off (const QuincePolicySpread *spread)
+{
+  gboolean rejoins = spread->silent_us != 0 && quince_now_us () - spread->silent_us < REJOIN_US;
+  return rejoins || hears_nothing (spread);
+}
+
+static void
+note_silence (QuincePolicySpread *spread)
+{
+  if (hears_nothing (spread))
+    spread->silent_us = quince_now_us ();
+}
+
 static void
 confirm_when_silent (QuincePolicySpread *spread)
 {
@@ -252,6 +271,7 @@
 fetch_due (gpointer user_data)
 {
   QuincePolicySpread *spread = user_data;
+  note_silence (spread);
   confirm_when_silent (spread);
   update_current (spread);
   if (quince_policy_register_is_current (spread->reg))
