--- /dev/null
+++ b/tests/platform/test-quarantine-soak.c
@@ -0,0 +1,210 @@
+/*
+ * test-quarantine-soak.c: requests that end their workers, beside kills, freezes, outages of the store and
+ * workers that die by themselves, in series and at once; seeded by SOAK_SEED (1 where it is not set).
+ *
+ * What must hold afterwards: a request under which three workers had ended gets no more than three further
+ * sends, and every innocent request is answered.
+ */
+#include <stdlib.h>
+
+#include "ends-world.h"
+
+#define TROUBLE_MS 9000
+#define STEP_MS 50
+/* Rules bound machines that were left alone for so long. */
+#define CONTACT_MS 3000
+#define GUILTY 2
+#define FURTHER_SENDS_MOST 3
+#define TRIES_AFTER 10
+#define FREEZE_STEPS 8
+#define OUTAGE_STEPS 10
+
+typedef struct
+{
+  EndsWorld *world;
+  GRand *random;
+  GPtrArray *answers; /* PathAnswer, owned: callers keep their connections until they end */
+  guint innocents;
+  QuinceProcess *frozen;
+  guint frozen_steps;
+  guint outage_steps;
+} Soak;
+
+static void
+answer_free (gpointer data)
+{
+  path_answer_clear (data);
+  g_free (data);
+}
+
+static void
+begin (Soak *soak, const char *body)
+{
+  static guint serial;
+  g_autofree char *id = g_strdup_printf ("soak-%u", ++serial);
+  PathAnswer *answer = g_new0 (PathAnswer, 1);
+  g_ptr_array_add (soak->answers, answer);
+  guint front = (guint)g_rand_int_range (soak->random, 0, PATH_FRONTS);
+  path_begin (path_front (soak->world->path, front), "POST", "/l/1", id, body, answer);
+}
+
+static void
+begin_innocent (Soak *soak)
+{
+  g_autofree char *body = g_strdup_printf ("innocent-%u", soak->innocents++);
+  begin (soak, body);
+}
+
+static void
+begin_guilty (Soak *soak)
+{
+  g_autofree char *body = g_strdup_printf ("poison-%d", g_rand_int_range (soak->random, 0, GUILTY));
+  begin (soak, body);
+}
+
+static void
+restart_one (Soak *soak)
+{
+  PathWorld *path = soak->world->path;
+  if (soak->frozen != NULL)
+    return; /* one process at a time is away */
+  guint index = (guint)g_rand_int_range (soak->random, 0, PATH_FRONTS + PATH_REPLICAS);
+  if (index < PATH_FRONTS)
+    {
+      quince_process_kill (path->fronts[index]);
+      path_start_front (path, index);
+      return;
+    }
+  quince_process_kill (path->replicas[index - PATH_FRONTS]);
+  path_start_replica (path, index - PATH_FRONTS);
+}
+
+static void
+freeze_one (Soak *soak)
+{
+  if (soak->frozen != NULL)
+    return;
+  gint index = g_rand_int_range (soak->random, 0, PATH_FRONTS + PATH_REPLICAS);
+  soak->frozen = index < PATH_FRONTS ? soak->world->path->fronts[index]
+                                     : soak->world->path->replicas[index - PATH_FRONTS];
+  soak->frozen_steps = FREEZE_STEPS;
+  quince_process_freeze (soak->frozen);
+}
+
+static void
+take_store_away (Soak *soak)
+{
+  static const StandinStoreFault faults[]
+      = { STANDIN_STORE_SILENT, STANDIN_STORE_BUSY, STANDIN_STORE_RESETS, STANDIN_STORE_LOSES };
+  soak->outage_steps = OUTAGE_STEPS;
+  standin_store_set_fault (soak->world->path->store,
+                           faults[g_rand_int_range (soak->random, 0, G_N_ELEMENTS (faults))]);
+}
+
+static void
+end_troubles (Soak *soak, gboolean now)
+{
+  if (soak->frozen != NULL && (now || --soak->frozen_steps == 0))
+    {
+      quince_process_thaw (soak->frozen);
+      soak->frozen = NULL;
+    }
+  if (soak->outage_steps > 0 && (now || --soak->outage_steps == 0))
+    {
+      soak->outage_steps = 0;
+      standin_store_set_fault (soak->world->path->store, STANDIN_STORE_SOUND);
+    }
+}
+
+static void
+step (Soak *soak)
+{
+  gint lot = g_rand_int_range (soak->random, 0, 100);
+  if (lot < 45)
+    begin_innocent (soak);
+  else if (lot < 75)
+    begin_guilty (soak);
+  else if (lot < 79)
+    restart_one (soak);
+  else if (lot < 83)
+    freeze_one (soak);
+  else if (lot < 86)
+    take_store_away (soak);
+  else if (lot < 89)
+    standin_worker_die (soak->world->path->plain[g_rand_int_range (soak->random, 0, PATH_PLAIN)]);
+  end_troubles (soak, FALSE);
+  run_for (STEP_MS);
+}
+
+/* ---- What must hold ------------------------------------------------------------- */
+
+static gboolean
+both_serve (EndsWorld *world)
+{
+  return ends_all_live (world) && ends_serves (world, 0) && ends_serves (world, 1);
+}
+
+static gboolean
+all_answered (const Soak *soak)
+{
+  for (guint i = 0; i < soak->answers->len; i++)
+    if (!((const PathAnswer *)soak->answers->pdata[i])->done)
+      return FALSE;
+  return TRUE;
+}
+
+static void
+assert_guilty_held (Soak *soak)
+{
+  for (guint i = 0; i < GUILTY; i++)
+    {
+      g_autofree char *body = g_strdup_printf ("poison-%u", i);
+      guint before = ends_runs (soak->world, body);
+      for (guint j = 0; j < TRIES_AFTER; j++)
+        {
+          AWAIT (both_serve (soak->world));
+          ends_try (soak->world, j % PATH_FRONTS, "/l/1", body);
+          run_for (ENDS_LOOK_MS);
+        }
+      guint after = ends_runs (soak->world, body) - before;
+      print_message ("  %s: %u sends in trouble, %u after it\n", body, before, after);
+      assert_true (after <= FURTHER_SENDS_MOST + (before < 3 ? 3 - before : 0));
+    }
+}
+
+static void
+assert_innocents_served (Soak *soak)
+{
+  for (guint i = 0; i < soak->innocents; i++)
+    {
+      g_autofree char *body = g_strdup_printf ("innocent-%u", i);
+      AWAIT (ends_try (soak->world, i % PATH_FRONTS, "/l/1", body) == 200);
+    }
+}
+
+static void
+test_soak (void **state)
+{
+  const char *seed = g_getenv ("SOAK_SEED");
+  Soak soak = { .world = ends_world_start ("soak", "poison") };
+  soak.random = g_rand_new_with_seed (seed != NULL ? (guint32)atoi (seed) : 1);
+  soak.answers = g_ptr_array_new_with_free_func (answer_free);
+  for (guint i = 0; i < TROUBLE_MS / STEP_MS; i++)
+    step (&soak);
+  end_troubles (&soak, TRUE);
+  AWAIT (all_answered (&soak));
+  AWAIT (both_serve (soak.world));
+  run_for (CONTACT_MS);
+  assert_guilty_held (&soak);
+  assert_innocents_served (&soak);
+  g_ptr_array_unref (soak.answers);
+  g_rand_free (soak.random);
+  ends_world_free (soak.world);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = { cmocka_unit_test (test_soak) };
+  return cmocka_run_group_tests_name ("quarantine-soak", tests, NULL, NULL);
+}
