--- a/tests/platform/path-world.h
+++ b/tests/platform/path-world.h
@@ -30,6 +30,7 @@
   gboolean founded;
   char *duties;               /* more settings of replicas; NULL: none */
   char *links[PATH_REPLICAS]; /* where each replica listens, at every start; NULL: where the kernel chooses */
+  GSocket *ports[PATH_REPLICAS]; /* owned: keep these ports from others */
 } PathWorld;
 
 typedef struct
@@ -186,18 +187,16 @@
   world->replicas[index] = path_spawn (world, "quinceroute-replica", name, settings);
 }
 
-/* Replicas come back where they were, at ports that the kernel finds free now. */
+/* Replicas come back where they were, at ports that the kernel finds free and that nobody else gets. */
 static inline void
 path_fix_links (PathWorld *world)
 {
   for (guint i = 0; i < PATH_REPLICAS; i++)
     {
-      g_autoptr (GSocketListener) listener = g_socket_listener_new ();
-      g_autoptr (GError) error = NULL;
-      guint16 port = g_socket_listener_add_any_inet_port (listener, NULL, &error);
-      assert_true (port != 0);
-      world->links[i] = g_strdup_printf ("127.0.0.1:%u", port);
-      g_socket_listener_close (listener);
+      world->ports[i] = standin_reserve_port ("127.0.0.1:0");
+      g_autoptr (GSocketAddress) local = g_socket_get_local_address (world->ports[i], NULL);
+      world->links[i]
+          = g_strdup_printf ("127.0.0.1:%u", g_inet_socket_address_get_port (G_INET_SOCKET_ADDRESS (local)));
     }
 }
 
@@ -358,7 +357,10 @@
   g_free (world->folder);
   g_free (world->duties);
   for (guint i = 0; i < PATH_REPLICAS; i++)
-    g_free (world->links[i]);
+    {
+      g_free (world->links[i]);
+      g_clear_object (&world->ports[i]);
+    }
   g_free (world);
 }
 
--- a/tests/platform/standin-server.c
+++ b/tests/platform/standin-server.c
@@ -138,9 +138,8 @@
   setsockopt (g_socket_get_fd (connection->socket), SOL_SOCKET, SO_LINGER, &now, sizeof now);
 }
 
-/* Bound and not listening: connections are refused, and no other test on this machine gets the port. */
-static GSocket *
-reserve (const char *address)
+GSocket *
+standin_reserve_port (const char *address)
 {
   g_auto (GStrv) parts = g_strsplit (address, ":", 2);
   g_autoptr (GSocketAddress) local
@@ -157,7 +156,7 @@
 {
   g_clear_pointer (&server->acceptor, quince_http_acceptor_free);
   if (server->reserved == NULL)
-    server->reserved = reserve (server->address);
+    server->reserved = standin_reserve_port (server->address);
   GHashTableIter iter;
   gpointer connection;
   g_hash_table_iter_init (&iter, server->connections);
--- a/tests/platform/standin-server.h
+++ b/tests/platform/standin-server.h
@@ -37,6 +37,11 @@
 /* Listens again, at the address that it had. */
 void standin_server_revive (StandinServer *server);
 
+/* (transfer full): a socket that is bound to @address, where port 0 lets the kernel choose, and does not
+ * listen: connections are refused, and no other test on this machine gets the port.  A process may listen
+ * there meanwhile. */
+GSocket *standin_reserve_port (const char *address);
+
 const char *standin_header (const StandinCall *call, const char *name);
 /* A whole answer; @headers: lines with their ends, or "". Releases the call. */
 void standin_answer (StandinCall *call, guint status, const char *headers, const char *body, gssize length);
