--- a/tests/platform/ends-world.h
+++ b/tests/platform/ends-world.h
@@ -129,3 +129,10 @@
 {
   return ends_try (world, front, "/l/innocent", "x") == 200;
 }
+
+/* All workers live, and both fronts know it. */
+static inline gboolean
+ends_both_serve (EndsWorld *world)
+{
+  return ends_all_live (world) && ends_serves (world, 0) && ends_serves (world, 1);
+}
--- a/tests/platform/test-quarantine-faults.c
+++ b/tests/platform/test-quarantine-faults.c
@@ -8,19 +8,13 @@
 #define NEIGHBOURS 5
 #define TRIES_MOST 20
 
-static gboolean
-both_serve (EndsWorld *world)
-{
-  return ends_all_live (world) && ends_serves (world, 0) && ends_serves (world, 1);
-}
-
 /* Returns: the status once the front says that it is held; 0: it never does */
 static guint
 try_until_held (EndsWorld *world, const char *target, const char *body)
 {
   for (guint i = 0; i < TRIES_MOST; i++)
     {
-      AWAIT (both_serve (world));
+      AWAIT (ends_both_serve (world));
       guint before = ends_runs (world, body);
       guint status = ends_try (world, i % PATH_FRONTS, target, body);
       run_for (ENDS_LOOK_MS);
@@ -38,7 +32,7 @@
   assert_int_equal (try_until_held (world, "/l/1", "poison"), 502);
   guint runs = ends_runs (world, "poison");
   assert_in_range (runs, 1, SENDS_MOST);
-  AWAIT (both_serve (world));
+  AWAIT (ends_both_serve (world));
   for (guint i = 0; i < PATH_FRONTS; i++)
     {
       PathAnswer answer;
@@ -63,7 +57,7 @@
   gboolean served[NEIGHBOURS] = { FALSE };
   for (guint round = 0; round < 10; round++)
     {
-      AWAIT (both_serve (world));
+      AWAIT (ends_both_serve (world));
       PathAnswer answers[NEIGHBOURS + 1];
       for (guint i = 0; i <= NEIGHBOURS; i++)
         {
@@ -91,7 +85,7 @@
   EndsWorld *world = ends_world_start ("unlucky", NULL);
   for (guint i = 0; i < 3; i++)
     {
-      AWAIT (both_serve (world));
+      AWAIT (ends_both_serve (world));
       for (guint j = 0; j < PATH_PLAIN; j++)
         standin_worker_set_fatal (world->path->plain[j], "unlucky", ENDS_FATAL_MS, i == 0 && j == 0 ? 1 : 0);
       if (i > 0)
@@ -99,7 +93,7 @@
       for (guint ends = world->ends; world->ends == ends;)
         ends_try (world, i % PATH_FRONTS, "/l/1", "unlucky");
     }
-  AWAIT (both_serve (world));
+  AWAIT (ends_both_serve (world));
   assert_int_equal (ends_try (world, 0, "/l/1", "unlucky"), 200);
   ends_world_free (world);
 }
@@ -122,16 +116,16 @@
 test_leader_and_front (void **state)
 {
   EndsWorld *world = ends_world_start ("leader-and-front", "poison");
-  AWAIT (both_serve (world));
+  AWAIT (ends_both_serve (world));
   ends_try (world, 0, "/l/1", "poison");
-  AWAIT (both_serve (world));
+  AWAIT (ends_both_serve (world));
   gint leader = path_leader (world->path);
   quince_process_kill (world->path->replicas[leader]);
   AWAIT (path_leader (world->path) != leader);
   path_start_replica (world->path, (guint)leader);
   AWAIT (path_status (path_front (world->path, 1), "GET", "/quinceroute/lots/none", "q", NULL) == 404);
   ends_try (world, 1, "/l/1", "poison");
-  AWAIT (both_serve (world));
+  AWAIT (ends_both_serve (world));
   quince_process_kill (world->path->fronts[0]);
   path_start_front (world->path, 0);
   assert_int_equal (try_until_held (world, "/l/1", "poison"), 502);
@@ -145,7 +139,7 @@
 test_store_away (void **state)
 {
   EndsWorld *world = ends_world_start ("store-away", "poison");
-  AWAIT (both_serve (world));
+  AWAIT (ends_both_serve (world));
   standin_store_set_fault (world->path->store, STANDIN_STORE_BUSY);
   for (guint i = 0; i < 4; i++)
     {
@@ -153,7 +147,7 @@
       run_for (ENDS_LOOK_MS * ENDS_BACK_LOOKS + 100);
     }
   standin_store_set_fault (world->path->store, STANDIN_STORE_SOUND);
-  AWAIT (both_serve (world));
+  AWAIT (ends_both_serve (world));
   assert_int_equal (try_until_held (world, "/l/1", "poison"), 502);
   assert_in_range (ends_runs (world, "poison"), 1, SENDS_MOST);
   g_autofree char *all = NULL;
@@ -178,7 +172,7 @@
 {
   EndsWorld *world = ends_world_start ("operator", "poison");
   assert_int_equal (try_until_held (world, "/l/1", "poison"), 502);
-  AWAIT (both_serve (world));
+  AWAIT (ends_both_serve (world));
   ends_try (world, 0, "/l/1", "poison");
   guint runs = ends_runs (world, "poison");
   g_autofree char *digest = held_digest (world);
@@ -199,14 +193,14 @@
 {
   EndsWorld *world = ends_world_start ("software", "poison");
   assert_int_equal (try_until_held (world, "/l/1", "poison"), 502);
-  AWAIT (both_serve (world));
+  AWAIT (ends_both_serve (world));
   for (guint i = 0; i < PATH_PLAIN; i++)
     {
       standin_worker_set_fatal (world->path->plain[i], NULL, 0, 0);
       standin_worker_set_software (world->path->plain[i], "v2");
       standin_worker_die (world->path->plain[i]);
     }
-  AWAIT (both_serve (world));
+  AWAIT (ends_both_serve (world));
   AWAIT (ends_try (world, 0, "/l/1", "poison") == 200);
   AWAIT (ends_try (world, 1, "/l/1", "poison") == 200);
   ends_world_free (world);
--- a/tests/platform/test-quarantine-soak.c
+++ b/tests/platform/test-quarantine-soak.c
@@ -138,12 +138,6 @@
 
 /* ---- What must hold ------------------------------------------------------------- */
 
-static gboolean
-both_serve (EndsWorld *world)
-{
-  return ends_all_live (world) && ends_serves (world, 0) && ends_serves (world, 1);
-}
-
 static gboolean
 all_answered (const Soak *soak)
 {
@@ -162,7 +156,7 @@
       guint before = ends_runs (soak->world, body);
       for (guint j = 0; j < TRIES_AFTER; j++)
         {
-          AWAIT (both_serve (soak->world));
+          AWAIT (ends_both_serve (soak->world));
           ends_try (soak->world, j % PATH_FRONTS, "/l/1", body);
           run_for (ENDS_LOOK_MS);
         }
@@ -193,7 +187,7 @@
     step (&soak);
   end_troubles (&soak, TRUE);
   AWAIT (all_answered (&soak));
-  AWAIT (both_serve (soak.world));
+  AWAIT (ends_both_serve (soak.world));
   run_for (CONTACT_MS);
   assert_guilty_held (&soak);
   assert_innocents_served (&soak);
