--- a/tests/platform/test-quarantine-faults.c
+++ b/tests/platform/test-quarantine-faults.c
@@ -2,6 +2,8 @@
  * test-quarantine-faults.c: what the caller of a held request gets, which requests are not held, and what is
  * remembered over changes of leaders, fronts and software.
  */
+#include <quince/quarantine.h>
+
 #include "ends-world.h"
 
 #define SENDS_MOST 6
@@ -133,6 +135,27 @@
   ends_world_free (world);
 }
 
+/* A front that reaches no leader, as in a zone that is cut off: nobody gives permits, and from the second end
+ * on it says that the request was not run. */
+static void
+test_no_leader (void **state)
+{
+  EndsWorld *world = ends_world_start ("no-leader", "poison");
+  AWAIT (ends_both_serve (world));
+  for (guint i = 0; i < PATH_REPLICAS; i++)
+    quince_process_kill (world->path->replicas[i]);
+  guint status = 0;
+  for (guint i = 0; i < 6; i++)
+    {
+      AWAIT (ends_all_live (world) && ends_serves (world, 0));
+      status = ends_try (world, 0, "/l/1", "poison");
+      run_for (ENDS_LOOK_MS);
+    }
+  assert_int_equal (status, 503);
+  assert_int_equal (ends_runs (world, "poison"), QUINCE_QUARANTINE_ENDS_ALONE);
+  ends_world_free (world);
+}
+
 /* While the store is away the leader and the fronts go on by their links; what was held is written
  * afterwards. */
 static void
@@ -214,6 +237,7 @@
     cmocka_unit_test (test_unlucky),    cmocka_unit_test (test_resets),
     cmocka_unit_test (test_operator),   cmocka_unit_test (test_leader_and_front),
     cmocka_unit_test (test_store_away), cmocka_unit_test (test_software),
+    cmocka_unit_test (test_no_leader),
   };
   return cmocka_run_group_tests_name ("quarantine-faults", tests, NULL, NULL);
 }
