--- a/tests/contract/test-kv-client.c
+++ b/tests/contract/test-kv-client.c
@@ -122,7 +122,8 @@
   int code;
   gboolean done;
   guint64 revision;
-  char *value; /* owned; of the first or the current item */
+  char *value;      /* owned; of the first or the current item */
+  char reason[128]; /* of the error, shortened; empty: none */
 } Outcome;
 
 static void
@@ -130,6 +131,7 @@
 {
   outcome->calls++;
   outcome->code = error != NULL ? error->code : -1;
+  g_strlcpy (outcome->reason, error != NULL ? error->message : "", sizeof outcome->reason);
   outcome->revision = revision;
   outcome->value = item != NULL ? g_strndup (item->value, item->length) : NULL;
 }
@@ -251,7 +253,7 @@
       const char *endpoints[] = { service->address, NULL };
       Outcome read = run_read (endpoints);
       if (read.code != QUINCE_KV_ERROR_PROTOCOL)
-        fail_msg ("%s: %d", items[i], read.code);
+        fail_msg ("%s: %d: %s", items[i], read.code, read.reason);
     }
 }
 
