--- a/tests/deploy/test-deploy-build.sh
+++ b/tests/deploy/test-deploy-build.sh
@@ -5,7 +5,8 @@
 sources=$QUINCE_SOURCE_DIR
 folder=$(mktemp -d)
 trap 'rm -rf "$folder"' EXIT
-(cd "$sources" && git ls-files -z | xargs -0 tar cf - --exclude=journal) | tar xf - -C "$folder"
+# One archive, however many files there are: xargs would make several of a long list, of which the first is read.
+(cd "$sources" && git ls-files -z -- ':!journal' | tar cf - --null --files-from=-) | tar xf - -C "$folder"
 cd "$folder"
 mkdir -p target/others
 touch target/others/left-before
