Sample runner: an empty array is not sorted

Found by tests/platform/test-suspension.c under the sanitizers: a new leader whose batches are all listed passed a null pointer to qsort (0 members; harmless in this C library, undefined by the standard) and ended there. test_leader failed once before; three runs pass now. The whole of make check-sanitize was not run.

--- a/daemons/replica/sample-runner.c
+++ b/daemons/replica/sample-runner.c
@@ -190,7 +190,9 @@
         sample->give_up_us = submitted_us + (gint64)route->queue_ttl_ms * 1000;
       g_ptr_array_add (runner->samples, sample);
     }
-  qsort (runner->samples->pdata + first, runner->samples->len - first, sizeof (gpointer), compare_lengths);
+  /* An array that never held anything has no memory to sort. */
+  if (runner->samples->len > first)
+    qsort (runner->samples->pdata + first, runner->samples->len - first, sizeof (gpointer), compare_lengths);
   quince_sample_runner_pump_soon (runner);
 }
 
