Send guard: which broken connections were ends of workers stands in a file of its own

No behaviour changed: the functions moved as they were; three that send-guard.c calls are declared in send-guard-private.h.

--- /dev/null
+++ b/lib/forward/send-guard-losses.c
@@ -0,0 +1,211 @@
+/*
+ * send-guard-losses.c: which broken connections were ends of workers.
+ *
+ * A worker whose connection broke is checked; until its state is known, what was sent to it waits.
+ */
+#include "runtime/clock.h"
+#include "runtime/log.h"
+
+#include "send-guard-private.h"
+#include "worker-check.h"
+
+/* Time for which a worker that was found to have ended is not checked again for further broken connections,
+ * us: above the 3.6 s (three heartbeats of 1.2 s) after which its entry lapses. */
+#define ENDED_KEEP_US (5 * G_USEC_PER_SEC)
+
+/* A request that lost its connection to the worker that is checked. */
+typedef struct
+{
+  QuinceRequestIdentity identity;
+  QuinceSendPermit permit;
+} LostRun;
+
+/* A worker whose connections broke. */
+typedef struct
+{
+  QuinceSendGuard *guard;
+  char *worker_id;
+  char *service;
+  char *software;
+  GArray *runs;             /* LostRun */
+  QuinceWorkerCheck *check; /* NULL: it has ended */
+  gint64 ended_us;
+} Loss;
+
+static void
+loss_free (gpointer data)
+{
+  Loss *loss = data;
+  if (loss->check != NULL)
+    quince_worker_check_cancel (loss->check);
+  g_array_unref (loss->runs);
+  g_free (loss->worker_id);
+  g_free (loss->service);
+  g_free (loss->software);
+  g_free (loss);
+}
+
+GHashTable *
+quince_send_guard_losses_new (void)
+{
+  return g_hash_table_new_full (g_str_hash, g_str_equal, NULL, loss_free);
+}
+
+static gboolean
+is_of (const QuinceRequestIdentity *lost, const QuinceRequestIdentity *identity)
+{
+  return quince_request_digest_equal (&lost->request, &identity->request)
+         || (lost->has_prompt && identity->has_prompt
+             && quince_request_digest_equal (&lost->prompt, &identity->prompt));
+}
+
+gboolean
+quince_send_guard_is_checked (const QuinceSendGuard *guard, const QuinceRequestIdentity *identity)
+{
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, guard->losses);
+  while (guard->checks > 0 && g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const Loss *loss = value;
+      for (guint i = 0; loss->check != NULL && i < loss->runs->len; i++)
+        if (is_of (&g_array_index (loss->runs, LostRun, i).identity, identity))
+          return TRUE;
+    }
+  return FALSE;
+}
+
+/* ---- Ends of workers ---------------------------------------------------- */
+
+void
+quince_send_guard_describe_end (const QuinceRequestIdentity *identity,
+                                const QuinceSendPermit *permit,
+                                const char *worker_id,
+                                QuinceSuspectScope scope,
+                                QuinceSuspect *seen)
+{
+  *seen = (QuinceSuspect){ .digest = scope == QUINCE_SUSPECT_PROMPT ? identity->prompt : identity->request,
+                           .scope = scope,
+                           .workers = { quince_quarantine_hash_worker (worker_id) },
+                           .n_workers = 1,
+                           .alone = permit->taken && permit->alone,
+                           .member = quince_quarantine_hash_request (&identity->request) };
+}
+
+static void
+note_suspect (QuinceSendGuard *guard, const Loss *loss, const LostRun *run, QuinceSuspectScope scope)
+{
+  QuinceSuspect seen;
+  quince_send_guard_describe_end (&run->identity, &run->permit, loss->worker_id, scope, &seen);
+  seen.service = loss->service;
+  seen.software = loss->software;
+  const QuinceSuspect *known = quince_quarantine_note_end (guard->quarantine, quince_now_us (), &seen);
+  if (known == NULL)
+    return;
+  g_autofree char *digest = quince_request_digest_format (&known->digest);
+  quince_log_warning ("worker_ended", "worker=%s digest=%s scope=%s ends=%u alone=%u held=%s",
+                      loss->worker_id, digest, quince_suspect_scope_name (scope), known->n_workers,
+                      known->alone, known->held ? "true" : "false");
+  guard->callbacks->ended (known, guard->user_data);
+}
+
+static void
+note_end (QuinceSendGuard *guard, const Loss *loss, LostRun *run)
+{
+  note_suspect (guard, loss, run, QUINCE_SUSPECT_REQUEST);
+  if (run->identity.has_prompt)
+    note_suspect (guard, loss, run, QUINCE_SUSPECT_PROMPT);
+  quince_service_capacities_note_end (guard->capacities, quince_now_us (), loss->service);
+  quince_send_guard_over (guard, &run->permit);
+}
+
+static gboolean
+is_old (gpointer key, gpointer value, gpointer data)
+{
+  const Loss *loss = value;
+  const gint64 *now_us = data;
+  return loss->check == NULL && *now_us - loss->ended_us > ENDED_KEEP_US;
+}
+
+/* If several requests that were sent alone met at this worker, at most one of them ended it: none counts as
+ * sent alone, or an innocent prompt would be held.  A run may outlast the time for which others are kept
+ * away. */
+static void
+count_none_alone_if_several (Loss *loss)
+{
+  guint sent_alone = 0;
+  for (guint i = 0; i < loss->runs->len; i++)
+    sent_alone += g_array_index (loss->runs, LostRun, i).permit.alone;
+  for (guint i = 0; sent_alone > 1 && i < loss->runs->len; i++)
+    g_array_index (loss->runs, LostRun, i).permit.alone = FALSE;
+}
+
+static void
+check_done (QuinceWorkerSign sign, gpointer data)
+{
+  Loss *loss = data;
+  QuinceSendGuard *guard = loss->guard;
+  loss->check = NULL;
+  loss->ended_us = quince_now_us ();
+  guard->checks--;
+  count_none_alone_if_several (loss);
+  for (guint i = 0; i < loss->runs->len; i++)
+    {
+      LostRun *run = &g_array_index (loss->runs, LostRun, i);
+      if (sign == QUINCE_WORKER_ENDED)
+        note_end (guard, loss, run);
+      else
+        quince_send_guard_over (guard, &run->permit);
+    }
+  if (sign != QUINCE_WORKER_ENDED)
+    g_hash_table_remove (guard->losses, loss->worker_id);
+}
+
+static Loss *
+find_or_check (QuinceSendGuard *guard, const QuinceWorker *worker)
+{
+  gint64 now = quince_now_us ();
+  g_hash_table_foreach_remove (guard->losses, is_old, &now);
+  Loss *loss = g_hash_table_lookup (guard->losses, worker->id);
+  if (loss != NULL)
+    return loss;
+  loss = g_new0 (Loss, 1);
+  loss->guard = guard;
+  loss->worker_id = g_strdup (worker->id);
+  loss->service = g_strdup (worker->service);
+  loss->software = g_strdup (worker->software);
+  loss->runs = g_array_new (FALSE, FALSE, sizeof (LostRun));
+  loss->check = quince_worker_check_start (worker->address, check_done, loss);
+  g_hash_table_insert (guard->losses, loss->worker_id, loss);
+  guard->checks++;
+  return loss;
+}
+
+/* The end of a worker that drains, or is not listed, is not caused by a request. */
+static gboolean
+is_expected_to_end (const QuinceWorker *worker)
+{
+  return worker == NULL || worker->draining || worker->gone_after_us != 0;
+}
+
+void
+quince_send_guard_lost (QuinceSendGuard *guard,
+                        const QuinceRequestIdentity *identity,
+                        QuinceSendPermit *permit,
+                        const QuinceWorker *worker)
+{
+  if (is_expected_to_end (worker))
+    {
+      quince_send_guard_over (guard, permit);
+      return;
+    }
+  LostRun run = { .identity = *identity, .permit = *permit };
+  *permit = (QuinceSendPermit){ 0 }; /* it is over when the loss is decided */
+  if (guard->workers != NULL)
+    quince_send_guard_note_service (guard, quince_now_us (), worker->service);
+  Loss *loss = find_or_check (guard, worker);
+  if (loss->check != NULL)
+    g_array_append_val (loss->runs, run);
+  else
+    note_end (guard, loss, &run);
+}
--- a/lib/forward/send-guard-private.h
+++ b/lib/forward/send-guard-private.h
@@ -1,7 +1,8 @@
 /*
  * send-guard-private.h: state shared by the files of the send guard.
  *
- * send-guard.c: whether a request may be sent, and which broken connections were ends of workers.
+ * send-guard.c: whether a request may be sent.
+ * send-guard-losses.c: which broken connections were ends of workers.
  * send-guard-capacity.c: whether the service of a request survives one more end.
  * send-guard-log.c: log lines and metrics.
  */
@@ -18,7 +19,7 @@
   GHashTable *held;           /* QuinceRequestDigest, owned: of permits in use here */
   QuinceWorkerTable *workers; /* NULL: nothing is known of them */
   QuinceServiceCapacities *capacities;
-  GHashTable *losses; /* Loss by its own worker id, owned */
+  GHashTable *losses; /* of send-guard-losses.c, owned */
   guint checks;       /* losses that are not decided */
   const QuinceSendGuardCallbacks *callbacks;
   gpointer user_data;
@@ -30,3 +31,16 @@
 void quince_send_guard_note_service (QuinceSendGuard *guard, gint64 now_us, const char *service);
 /* Whether a request of which nothing is known may run twice at once at @service. */
 gboolean quince_send_guard_allows_hedge (QuinceSendGuard *guard, gint64 now_us, const char *service);
+
+/* ---- send-guard-losses.c ------------------------------------------------ */
+
+/* (transfer full): no losses yet */
+GHashTable *quince_send_guard_losses_new (void);
+/* A loss of the request, or of its prompt, is not decided yet: it may turn out to be an end. */
+gboolean quince_send_guard_is_checked (const QuinceSendGuard *guard, const QuinceRequestIdentity *identity);
+/* One end of @worker_id under a request, or under its prompt. */
+void quince_send_guard_describe_end (const QuinceRequestIdentity *identity,
+                                     const QuinceSendPermit *permit,
+                                     const char *worker_id,
+                                     QuinceSuspectScope scope,
+                                     QuinceSuspect *seen);
