Log: suspect_spared names the listed workers that count as ended

The line told how many count as ended, not which, so a worker that truly ended could not be told from one that is only believed to.

--- a/lib/forward/send-guard-log.c
+++ b/lib/forward/send-guard-log.c
@@ -67,6 +67,26 @@
                       (now_us - suspect->ended_us) / 1000);
 }
 
+/* Names of the listed workers of @service that count as ended, separated by commas: which of them keep it
+ * protected. (transfer full) */
+static char *
+name_ended_workers (const QuinceSendGuard *guard, const char *service)
+{
+  g_autoptr (GPtrArray) names = g_ptr_array_new ();
+  if (guard->workers != NULL)
+    {
+      g_autoptr (GPtrArray) workers = quince_worker_table_list (guard->workers, service);
+      for (guint i = 0; i < workers->len; i++)
+        {
+          const QuinceWorker *worker = workers->pdata[i];
+          if (quince_quarantine_has_ended (guard->quarantine, quince_quarantine_hash_worker (worker->id)))
+            g_ptr_array_add (names, worker->id);
+        }
+    }
+  g_ptr_array_add (names, NULL);
+  return g_strjoinv (",", (char **)names->pdata);
+}
+
 void
 quince_send_guard_log_protected (const QuinceSendGuard *guard,
                                  gint64 now_us,
@@ -81,9 +101,11 @@
   quince_service_capacities_get (guard->capacities, now_us, service, &capacity);
   g_autofree char *text = quince_request_digest_format (&suspect->digest);
   quince_metric_add ("quince_quarantine_spared_total", "", 1);
-  quince_log_info ("suspect_spared", "request=%s digest=%s scope=%s ends=%u service=%s ready=%u of=%u",
-                   request_id, text, quince_suspect_scope_name (suspect->scope), suspect->n_workers, service,
-                   capacity.ready, capacity.most);
+  g_autofree char *ended = name_ended_workers (guard, service);
+  quince_log_info ("suspect_spared",
+                   "request=%s digest=%s scope=%s ends=%u service=%s ready=%u of=%u ended=%s", request_id,
+                   text, quince_suspect_scope_name (suspect->scope), suspect->n_workers, service,
+                   capacity.ready, capacity.most, ended);
 }
 
 void
