Policies: processes tell each other of a later policy than the store shows

What callers saw: an operator accepts a policy that refuses a kind of request, and the store comes back from an outage with the state before that. Fronts that run go on refusing, a front that starts serves, for good (platform-policy-restored, each run).

Cause: the leader sends a subscriber what changed after the revision that the subscriber has read. In a store that went back and was written to since, that revision is past both policies, so neither is sent, although the leader has the later one in force. The same where all replicas were restarted after the restore: the leader has the earlier one, and fronts could not tell it.

Change: a subscription names the policy in force at the subscriber, after the prefixes' revisions (the field allows eight; a build before ignores it). Each side sends the other a later one, as an update at revision 0 that no mirror takes for a page of the store; the leader asks with the same message, and passes on what it is told.

Why it holds: of two linked processes the one with the earlier policy is told of the later, whatever the store shows; nobody takes an earlier one. Left: decisions before the first answer of a leader, and the operator's command, which shows what the store has.

--- a/daemons/front/front.c
+++ b/daemons/front/front.c
@@ -147,6 +147,8 @@
     return;
   if (message->kind == QUINCE_MESSAGE_FEED_UPDATE)
     quince_store_feed_apply (front->context.observer, &message->QuinceMessage_u.feed_update);
+  else if (message->kind == QUINCE_MESSAGE_FEED_SUBSCRIBE)
+    quince_store_feed_answer (front->context.observer, link, &message->QuinceMessage_u.feed_subscribe);
   else if (message->kind == QUINCE_MESSAGE_HEARTBEAT)
     take_heartbeat (front, link, &message->QuinceMessage_u.heartbeat);
   else if (message->kind == QUINCE_MESSAGE_USAGE_ACK)
--- a/daemons/replica/replica-ledger-events.c
+++ b/daemons/replica/replica-ledger-events.c
@@ -143,6 +143,16 @@
     quince_observer_feeder_alive (parts->observer);
 }
 
+/* The leader asks for the policy in force here, others for the feed. */
+static void
+take_subscribe (const QuinceReplicaParts *parts, QuinceLink *link, const QuinceFeedSubscribe *subscribe)
+{
+  if (link == quince_ledger_node_get_leader (parts->ledger))
+    quince_store_feed_answer (parts->observer, link, subscribe);
+  else
+    quince_replica_leadership_subscribe (parts->leadership, link, subscribe);
+}
+
 static void
 other_message (QuinceLink *link, const QuinceMessage *message, gpointer data)
 {
@@ -150,7 +160,7 @@
   switch (message->kind)
     {
     case QUINCE_MESSAGE_FEED_SUBSCRIBE:
-      quince_replica_leadership_subscribe (parts->leadership, link, &message->QuinceMessage_u.feed_subscribe);
+      take_subscribe (parts, link, &message->QuinceMessage_u.feed_subscribe);
       break;
     case QUINCE_MESSAGE_FEED_UPDATE:
       take_feed_update (parts, link, &message->QuinceMessage_u.feed_update);
--- a/lib/forward/backends-private.h
+++ b/lib/forward/backends-private.h
@@ -19,6 +19,7 @@
   const QuinceRouteTable *routes; /* not owned: the configuration in force; NULL: none is known */
   gboolean has_region_rules;      /* a route or tenant of it names regions */
   QuincePolicy *policy;
+  GBytes *policy_entry;      /* that it was compiled from; NULL: it is that of the settings */
   gboolean listed;           /* the first listing of workers was read */
   QuinceWarmupSends *warmup; /* not owned; NULL: no worker counts as cold */
   gint64 limited_until_us;   /* of the last choice: when a cold worker may have room */
--- a/lib/forward/backends.c
+++ b/lib/forward/backends.c
@@ -49,6 +49,7 @@
   quince_prompt_table_free (backends->prompts);
   g_queue_clear_full (&backends->vanished, g_free);
   quince_policy_free (backends->policy);
+  g_clear_pointer (&backends->policy_entry, g_bytes_unref);
   quince_topology_free (backends->topology);
   g_free (backends);
 }
--- a/lib/forward/policy-entry.c
+++ b/lib/forward/policy-entry.c
@@ -124,6 +124,15 @@
   g_autofree char *author = quince_log_quote (entry->author);
   quince_log_info ("policy_in_force", "revision=%" G_GUINT64_FORMAT " author=%s", revision, author);
   quince_backends_set_policy (backends, policy);
+  g_clear_pointer (&backends->policy_entry, g_bytes_unref);
+  backends->policy_entry = g_bytes_ref (value);
+}
+
+GBytes *
+quince_backends_get_policy_entry (const QuinceBackends *backends, guint64 *revision)
+{
+  *revision = backends->policy != NULL ? quince_policy_get_revision (backends->policy) : 0;
+  return backends->policy_entry;
 }
 
 void
--- a/lib/forward/policy-entry.h
+++ b/lib/forward/policy-entry.h
@@ -45,6 +45,9 @@
 /* Takes a policy from the metadata store; one that is not newer, or does not compile, changes nothing.
  * @value %NULL: the key is gone, which changes nothing either. */
 void quince_backends_take_policy (QuinceBackends *backends, GBytes *value, guint64 revision);
+/* (nullable) (transfer none): the accepted policy that is in force, as it was taken; %NULL: that of the
+ * settings is.  @revision: (out): of the policy in force */
+GBytes *quince_backends_get_policy_entry (const QuinceBackends *backends, guint64 *revision);
 /* @value %NULL: the event is deleted. */
 void quince_backends_take_event (QuinceBackends *backends, const char *name, GBytes *value);
 
--- a/lib/observer/observer.c
+++ b/lib/observer/observer.c
@@ -102,6 +102,23 @@
     observer->callbacks->own_key (item->key, item->value, item->revision, observer->user_data);
 }
 
+GBytes *
+quince_observer_get_policy_entry (QuinceObserver *observer, guint64 *revision)
+{
+  return quince_backends_get_policy_entry (observer->backends, revision);
+}
+
+gboolean
+quince_observer_take_policy (QuinceObserver *observer, GBytes *value, guint64 revision)
+{
+  guint64 before;
+  guint64 after;
+  quince_backends_get_policy_entry (observer->backends, &before);
+  quince_backends_take_policy (observer->backends, value, revision);
+  quince_backends_get_policy_entry (observer->backends, &after);
+  return after > before;
+}
+
 static void
 own_synced (gpointer data)
 {
--- a/lib/observer/observer.h
+++ b/lib/observer/observer.h
@@ -129,6 +129,10 @@
                                     const QuinceMetaPage *page,
                                     gboolean whole,
                                     gpointer user_data);
+/* The accepted policy in force; see quince_backends_get_policy_entry(). */
+GBytes *quince_observer_get_policy_entry (QuinceObserver *observer, guint64 *revision);
+/* Another process has the policy @value in force.  Returns: whether it was newer, and is in force here now */
+gboolean quince_observer_take_policy (QuinceObserver *observer, GBytes *value, guint64 revision);
 /* Calls @send with the changes after @revisions; not for a prefix whose mirror is not synced or is stale. */
 void quince_observer_send_changes (QuinceObserver *observer,
                                    const guint64 revisions[QUINCE_OBSERVER_PREFIXES],
--- a/lib/observer/store-feed.c
+++ b/lib/observer/store-feed.c
@@ -110,6 +110,89 @@
     quince_link_send_bytes (subscriber->link, encoded);
 }
 
+/* ---- Policies ------------------------------------------------------------ */
+
+/* A process that starts after the metadata store came back with an older state reads an earlier policy there
+ * than the others have in force.  So each side of a subscription tells the other of a later one. */
+
+/* Place of the policy's revision in a subscription, after those of the prefixes. */
+#define SUBSCRIBED_POLICY QUINCE_OBSERVER_PREFIXES
+
+/* 0: none is in force there, or a build that does not tell. */
+static guint64
+get_subscribed_policy (const QuinceFeedSubscribe *subscribe)
+{
+  return subscribe->revisions.revisions_len > SUBSCRIBED_POLICY
+             ? subscribe->revisions.revisions_val[SUBSCRIBED_POLICY]
+             : 0;
+}
+
+/* Not a page of the store: at revision 0 it changes no mirror, and vouches for nothing else. */
+static void
+send_policy (QuinceObserver *observer, QuinceLink *link)
+{
+  guint64 revision;
+  GBytes *entry = quince_observer_get_policy_entry (observer, &revision);
+  if (entry == NULL)
+    return;
+  g_autoptr (QuinceMetaPage) page = g_new0 (QuinceMetaPage, 1);
+  page->items = g_ptr_array_new_with_free_func ((GDestroyNotify)quince_meta_item_free);
+  QuinceMetaItem *item = g_new0 (QuinceMetaItem, 1);
+  item->key = g_strdup (QUINCE_POLICY_KEY);
+  item->revision = revision;
+  item->value = g_bytes_ref (entry);
+  g_ptr_array_add (page->items, item);
+  g_autoptr (GBytes) encoded = encode_update (observer, QUINCE_OWN_PREFIX, page, FALSE);
+  if (encoded != NULL)
+    quince_link_send_bytes (link, encoded);
+}
+
+/* Returns: whether a later policy than that in force was among the items, and is in force now */
+static gboolean
+take_policy (QuinceObserver *observer, const QuinceMetaPage *page)
+{
+  gboolean taken = FALSE;
+  for (guint i = 0; i < page->items->len; i++)
+    {
+      const QuinceMetaItem *item = page->items->pdata[i];
+      if (item->value != NULL && g_str_equal (item->key, QUINCE_POLICY_KEY))
+        taken = quince_observer_take_policy (observer, item->value, item->revision) || taken;
+    }
+  return taken;
+}
+
+void
+quince_store_feed_answer (QuinceObserver *observer, QuinceLink *link, const QuinceFeedSubscribe *subscribe)
+{
+  guint64 revision;
+  quince_observer_get_policy_entry (observer, &revision);
+  if (revision > get_subscribed_policy (subscribe))
+    send_policy (observer, link);
+}
+
+/* The subscriber has a later policy: it is asked for it as subscribers ask. */
+static void
+ask_for_policy (QuinceObserver *observer, QuinceLink *link, const QuinceFeedSubscribe *subscribe)
+{
+  guint64 revision;
+  quince_observer_get_policy_entry (observer, &revision);
+  if (revision < get_subscribed_policy (subscribe))
+    quince_store_feed_subscribe (observer, link);
+}
+
+static void
+pass_policy_on (QuinceStoreFeed *feed, const QuinceLink *source)
+{
+  GHashTableIter iter;
+  gpointer link;
+  g_hash_table_iter_init (&iter, feed->links);
+  while (g_hash_table_iter_next (&iter, &link, NULL))
+    if (link != source)
+      send_policy (feed->observer, link);
+}
+
+/* ---- Subscriptions ------------------------------------------------------- */
+
 void
 quince_store_feed_add (QuinceStoreFeed *feed, QuinceLink *link, const QuinceFeedSubscribe *subscribe)
 {
@@ -119,6 +202,8 @@
   g_hash_table_add (feed->links, quince_link_ref (link));
   Subscriber subscriber = { feed, link };
   quince_observer_send_changes (feed->observer, revisions, send_since, &subscriber);
+  quince_store_feed_answer (feed->observer, link, subscribe);
+  ask_for_policy (feed->observer, link, subscribe);
 }
 
 void
@@ -161,13 +246,16 @@
 quince_store_feed_subscribe (QuinceObserver *observer, QuinceLink *link)
 {
   guint64 revisions[QUINCE_OBSERVER_PREFIXES];
-  u_quad_t wire[QUINCE_OBSERVER_PREFIXES];
+  u_quad_t wire[SUBSCRIBED_POLICY + 1];
+  guint64 policy;
   quince_observer_get_revisions (observer, revisions);
+  quince_observer_get_policy_entry (observer, &policy);
   for (guint i = 0; i < QUINCE_OBSERVER_PREFIXES; i++)
     wire[i] = revisions[i];
+  wire[SUBSCRIBED_POLICY] = policy;
   QuinceMessage message = { .kind = QUINCE_MESSAGE_FEED_SUBSCRIBE };
   message.QuinceMessage_u.feed_subscribe.revisions.revisions_val = wire;
-  message.QuinceMessage_u.feed_subscribe.revisions.revisions_len = QUINCE_OBSERVER_PREFIXES;
+  message.QuinceMessage_u.feed_subscribe.revisions.revisions_len = G_N_ELEMENTS (wire);
   quince_link_send (link, &message);
 }
 
@@ -196,6 +284,7 @@
 quince_store_feed_apply (QuinceObserver *observer, const QuinceFeedUpdate *update)
 {
   g_autoptr (QuinceMetaPage) page = decode_update (update);
+  take_policy (observer, page);
   quince_observer_feed (observer, update->prefix, page, update->whole);
 }
 
@@ -220,6 +309,8 @@
                                 const QuinceFeedUpdate *update)
 {
   g_autoptr (QuinceMetaPage) page = decode_update (update);
+  if (take_policy (feed->observer, page))
+    pass_policy_on (feed, source);
   if (quince_observer_take_report (feed->observer, update->prefix, page))
     send_to_all_but (feed, source, update->prefix, page);
 }
--- a/lib/observer/store-feed.h
+++ b/lib/observer/store-feed.h
@@ -2,8 +2,9 @@
  * store-feed.h: the leader sends what it reads from the metadata store to the other processes, over links.
  *
  * Calls to the store are limited and paid for, so the leader reads it for all.  The others subscribe, and
- * read the store themselves when updates stop for longer than their mirrors' patience.  Owns a reference to
- * each subscriber's link; relies on the observer for the changes.
+ * read the store themselves when updates stop for longer than their mirrors' patience.  A policy that is
+ * later than the one in the store is sent apart from that, in both directions.  Owns a reference to each
+ * subscriber's link; relies on the observer for the changes.
  */
 #pragma once
 
@@ -18,7 +19,8 @@
 
 QuinceStoreFeed *quince_store_feed_new (QuinceObserver *observer);
 void quince_store_feed_free (QuinceStoreFeed *feed);
-/* Adds a subscriber: sends it the changes after its revisions, and each later page. */
+/* Adds a subscriber: sends it the changes after its revisions, and each later page.  Of the policies in force
+ * here and there the later one is sent to the other end. */
 void quince_store_feed_add (QuinceStoreFeed *feed, QuinceLink *link, const QuinceFeedSubscribe *subscribe);
 void quince_store_feed_remove (QuinceStoreFeed *feed, QuinceLink *link);
 /* Sends a page that this process has just read from the store to all links, also an empty one: an empty page
@@ -30,6 +32,9 @@
 
 /* Subscribes at the other end of @link, with the revisions that @observer has. */
 void quince_store_feed_subscribe (QuinceObserver *observer, QuinceLink *link);
+/* The other end of @link tells with @subscribe which policy it has in force: sends it a later one. */
+void
+quince_store_feed_answer (QuinceObserver *observer, QuinceLink *link, const QuinceFeedSubscribe *subscribe);
 /* Feeds @observer with an update. */
 void quince_store_feed_apply (QuinceObserver *observer, const QuinceFeedUpdate *update);
 
--- a/lib/protocol/quince_protocol.x
+++ b/lib/protocol/quince_protocol.x
@@ -250,7 +250,8 @@
 };
 
 /* Sent once on a link: the revision up to which the subscriber has each prefix, 0: nothing, in the order in
- * which observers list them. */
+ * which observers list them; then that of the policy in force there, 0: the settings'.  The leader sends it
+ * to a subscriber that has a later policy, which is sent back. */
 struct QuinceFeedSubscribe { unsigned hyper revisions<8>; };
 
 /* Also sent without items, to show that the sender reads the store. */
--- a/tests/platform/test-policy-restored.c
+++ b/tests/platform/test-policy-restored.c
@@ -2,6 +2,11 @@
  * test-policy-restored.c: the store comes back with what it held before the last acceptance, and other writes
  * bring its revision past what processes have seen: a front that starts then decides by the later policy,
  * which all others have.
+ *
+ * The leader keeps the later policy in force and in its copy of the store, but sent a subscriber only what
+ * had changed after the revision that the subscriber had read.  A front that started after the restore had
+ * read past both policies, was sent neither, and decided by the earlier one for good ('policy_in_force' of
+ * the earlier revision, and no other line of it).
  */
 #include "policy-scene.h"
 
