--- a/daemons/front/ledger-caller.c
+++ b/daemons/front/ledger-caller.c
@@ -14,11 +14,6 @@
 /* Longest time to open a link, ms; then it is opened anew.  Not measured: one lost SYN (repeated after 1 s)
  * is survived. */
 #define CONNECT_MS 1200
-/* A call whose time is over is read on for so much longer at a time while bytes of the leader are waiting,
- * ms: one turn of a busy main loop. */
-#define READ_FIRST_MS 2
-/* So many times: a leader sends all the time. */
-#define READ_FIRST_MAX 8
 /* HTTP status with which a leader refuses that has no quorum or has not read its log yet. */
 #define LEADER_UNAVAILABLE 503
 
@@ -257,7 +252,7 @@
 static gboolean
 reads_first (QuinceLedgerCallHandle *call)
 {
-  if (!call->sent || call->caller->link == NULL || call->read_first >= READ_FIRST_MAX
+  if (!call->sent || call->caller->link == NULL || call->read_first >= QUINCE_READ_FIRST_MAX
       || (call->read_first > 0 && !quince_link_has_input (call->caller->link)))
     return FALSE;
   call->read_first++;
@@ -271,7 +266,7 @@
   if (reads_first (call))
     {
       quince_source_clear (&call->timer);
-      call->timer = quince_timer_add (READ_FIRST_MS, call_late, call);
+      call->timer = quince_timer_add (QUINCE_READ_FIRST_MS, call_late, call);
       return G_SOURCE_REMOVE;
     }
   /* A leader whose heartbeats arrive may not hear this front, and another one may lead meanwhile. */
--- a/daemons/replica/ledger-replication.c
+++ b/daemons/replica/ledger-replication.c
@@ -211,7 +211,7 @@
   QuinceLedgerBackup *backup = find_by_link (replication, link);
   if (backup == NULL || ack->epoch != replication->epoch || ack->replica != backup->replica)
     return FALSE;
-  quince_ledger_group_peer_heard (replication->group, backup->replica, quince_now_us ());
+  quince_ledger_group_note_contact (replication->group, backup->replica, quince_now_us ());
   if (ack->promised > ack->epoch)
     {
       quince_ledger_group_peer_refused (replication->group, ack->promised);
--- a/daemons/replica/sample.c
+++ b/daemons/replica/sample.c
@@ -280,7 +280,7 @@
   quince_source_clear (&sample->silence_timer);
   /* A leader that was stopped reads what has come meanwhile before it takes the worker for silent. */
   if (silent_ms >= most_ms && quince_http_exchange_reads_first (sample->exchange))
-    sample->silence_timer = quince_timer_add (QUINCE_HTTP_READ_FIRST_MS, check_silence, sample);
+    sample->silence_timer = quince_timer_add (QUINCE_READ_FIRST_MS, check_silence, sample);
   else if (silent_ms >= most_ms)
     quince_sample_cut (sample, QUINCE_RUN_BROKEN, "worker_silent");
   else
--- a/lib/core/group/ledger-group-private.h
+++ b/lib/core/group/ledger-group-private.h
@@ -14,7 +14,7 @@
   char *address;
   guint64 last_index; /* it has the leader's log on disk up to here */
   gint64 acked_us;    /* when the latest message that it answered was sent; 0: none was */
-  gint64 heard_us;    /* when its latest message arrived */
+  gint64 contact_us;  /* when its latest message arrived */
   gint64 cleared_us;  /* when it was ordered to drop all records; 0: never */
 } QuinceLedgerPeer;
 
@@ -95,8 +95,9 @@
                                          guint64 replica);
 
 /* ---- ledger-leases.c ---- */
-/* Enough members for a quorum are heard; also while a new leader waits for their first words. */
-gboolean quince_ledger_group_hears_quorum (const QuinceLedgerGroup *group, gint64 now_us);
+/* Messages of enough members for a quorum have arrived lately; also while a new leader waits for the first.
+ */
+gboolean quince_ledger_group_has_quorum_contact (const QuinceLedgerGroup *group, gint64 now_us);
 /* No candidate can have enough promises: a quorum has followed this leader lately. */
 gboolean quince_ledger_group_quorum_follows (const QuinceLedgerGroup *group, gint64 now_us);
 /* No other replica can lead now. */
--- a/lib/core/group/ledger-group.c
+++ b/lib/core/group/ledger-group.c
@@ -114,7 +114,7 @@
   peer->replica = member->replica;
   peer->node = g_strdup (member->node);
   peer->address = g_strdup (member->address);
-  peer->heard_us = now_us;
+  peer->contact_us = now_us;
   g_hash_table_replace (group->peers, &peer->replica, peer);
 }
 
@@ -134,11 +134,11 @@
 }
 
 void
-quince_ledger_group_peer_heard (QuinceLedgerGroup *group, guint64 replica, gint64 now_us)
+quince_ledger_group_note_contact (QuinceLedgerGroup *group, guint64 replica, gint64 now_us)
 {
   QuinceLedgerPeer *peer = quince_ledger_group_find_peer (group, replica);
   if (peer != NULL)
-    peer->heard_us = now_us;
+    peer->contact_us = now_us;
 }
 
 void
--- a/lib/core/group/ledger-group.h
+++ b/lib/core/group/ledger-group.h
@@ -184,8 +184,8 @@
                                      guint64 last_index,
                                      gint64 requested_us);
 /* A message of it arrived, whatever it says. */
-void quince_ledger_group_peer_heard (QuinceLedgerGroup *group, guint64 replica, gint64 now_us);
-/* Whether heartbeats and records may be sent to @replica: not to members while no quorum of them is heard. */
+void quince_ledger_group_note_contact (QuinceLedgerGroup *group, guint64 replica, gint64 now_us);
+/* Whether heartbeats and records may be sent to @replica: not to members while no quorum is in contact. */
 gboolean quince_ledger_group_may_send (const QuinceLedgerGroup *group, gint64 now_us, guint64 replica);
 /* It was ordered to drop all its records: answers to what was sent before are ignored. */
 void quince_ledger_group_peer_cleared (QuinceLedgerGroup *group, guint64 replica, gint64 now_us);
--- a/lib/core/group/ledger-leases.c
+++ b/lib/core/group/ledger-leases.c
@@ -125,33 +125,34 @@
 
 /* Other members of which a message arrived within the silence after which members replace a leader. */
 static guint
-count_heard (const QuinceLedgerGroup *group, gint64 now_us)
+count_in_contact (const QuinceLedgerGroup *group, gint64 now_us)
 {
   guint count = 0;
   for (guint i = 0; i < group->view->members.members_len; i++)
     {
       const QuinceLedgerPeer *peer
           = quince_ledger_group_find_peer (group, group->view->members.members_val[i].replica);
-      count += peer != NULL && now_us - peer->heard_us < group->limits.leader_silence_us;
+      count += peer != NULL && now_us - peer->contact_us < group->limits.leader_silence_us;
     }
   return count;
 }
 
 gboolean
-quince_ledger_group_hears_quorum (const QuinceLedgerGroup *group, gint64 now_us)
+quince_ledger_group_has_quorum_contact (const QuinceLedgerGroup *group, gint64 now_us)
 {
   guint others = MIN (group->limits.quorum, group->view->members.members_len) - 1;
   return now_us - group->leading_since_us < group->limits.leader_silence_us
-         || count_heard (group, now_us) >= others;
+         || count_in_contact (group, now_us) >= others;
 }
 
-/* Members that hear a leader elect no other one.  One that hears no quorum commits nothing and answers
- * nothing, so it falls silent to them: across a link that passes messages one way alone they would follow it
- * for as long as that lasts. */
+/* Members that get heartbeats elect no other leader.  A leader without contact to a quorum commits and
+ * answers nothing, so it stops its heartbeats: across a link that passes messages one way only, the members
+ * would follow it for as long as that lasts. */
 gboolean
 quince_ledger_group_may_send (const QuinceLedgerGroup *group, gint64 now_us, guint64 replica)
 {
-  return !quince_ledger_group_has_member (group, replica) || quince_ledger_group_hears_quorum (group, now_us);
+  return !quince_ledger_group_has_member (group, replica)
+         || quince_ledger_group_has_quorum_contact (group, now_us);
 }
 
 gboolean
--- a/lib/core/group/ledger-succession.c
+++ b/lib/core/group/ledger-succession.c
@@ -37,8 +37,8 @@
 
 /* ---- Notes of a change of members ------------------------------------- */
 
-/* Members that have noted a change elect nobody without the store.  A leader that does not hear them could
- * not make the change, and would keep them without a leader: it asks for no notes. */
+/* Members that have noted a change elect no leader without the store.  Without contact to them the change
+ * cannot be made, and they would be left without a leader: no notes are requested then. */
 static gboolean
 may_ask_for_notes (const QuinceLedgerGroup *group, gint64 now_us)
 {
@@ -87,9 +87,10 @@
     return QUINCE_LEDGER_QUERY_VOTES;
   if (query->changing)
     return QUINCE_LEDGER_QUERY_NOTES;
-  /* A leader that has fallen silent learns from the answers that members hear it again, or who leads. */
+  /* A leader without contact to a quorum has stopped its heartbeats: an answer lets it resume them, or names
+   * the next leader. */
   if (group->role == QUINCE_LEDGER_LEADER)
-    return group->refused_with > group->view->epoch || !quince_ledger_group_hears_quorum (group, now_us)
+    return group->refused_with > group->view->epoch || !quince_ledger_group_has_quorum_contact (group, now_us)
                ? QUINCE_LEDGER_QUERY_MEMBERS
                : QUINCE_LEDGER_QUERY_NONE;
   if (now_us - group->leader_contact_us >= group->limits.leader_silence_us)
@@ -219,7 +220,7 @@
 quince_ledger_group_take_lead (QuinceLedgerGroup *group, gint64 now_us, const QuinceLedgerLead *lead)
 {
   group->last_campaign = MAX (group->last_campaign, lead->promised);
-  quince_ledger_group_peer_heard (group, lead->replica, now_us);
+  quince_ledger_group_note_contact (group, lead->replica, now_us);
   take_shown (group, lead);
   take_note (group, lead);
   take_vote (group, lead);
--- a/lib/forward/forward.c
+++ b/lib/forward/forward.c
@@ -275,7 +275,7 @@
     }
   if (quince_http_exchange_reads_first (oldest->exchange))
     {
-      try_later (forward, QUINCE_HTTP_READ_FIRST_MS * 1000);
+      try_later (forward, QUINCE_READ_FIRST_MS * 1000);
       return FALSE;
     }
   note_worker (oldest, FALSE);
--- a/lib/forward/send-guard-losses.c
+++ b/lib/forward/send-guard-losses.c
@@ -1,5 +1,5 @@
 /*
- * send-guard-losses.c: which broken connections were ends of workers.
+ * send-guard-losses.c: how sends end, and which broken connections were ends of workers.
  *
  * A worker whose connection broke is checked; until its state is known, what was sent to it waits.
  */
@@ -95,6 +95,14 @@
   return FALSE;
 }
 
+void
+quince_send_guard_over (QuinceSendGuard *guard, QuinceSendPermit *permit)
+{
+  if (permit->taken && g_hash_table_remove (guard->held, &permit->digest))
+    guard->callbacks->give_back (&permit->digest, guard->user_data);
+  *permit = (QuinceSendPermit){ 0 };
+}
+
 /* ---- Ends of workers ---------------------------------------------------- */
 
 void
@@ -267,7 +275,7 @@
     note_end (guard, loss, &run);
 }
 
-/* (nullable): the worker that @send went to, of those that are listed */
+/* (nullable): the listed worker that @send went to */
 static const QuinceWorker *
 find_worker_of_send (const QuinceSendGuard *guard, const QuinceSuspect *send)
 {
--- a/lib/forward/send-guard-private.h
+++ b/lib/forward/send-guard-private.h
@@ -2,7 +2,7 @@
  * send-guard-private.h: state shared by the files of the send guard.
  *
  * send-guard.c: whether a request may be sent.
- * send-guard-losses.c: which broken connections were ends of workers.
+ * send-guard-losses.c: how sends end, and which broken connections were ends of workers.
  * send-guard-capacity.c: whether the service of a request survives one more end.
  * send-guard-log.c: log lines and metrics.
  */
--- a/lib/forward/send-guard.c
+++ b/lib/forward/send-guard.c
@@ -224,14 +224,6 @@
   return quince_admission_allows_hedge (&request) && quince_send_guard_allows_hedge (guard, now_us, service);
 }
 
-void
-quince_send_guard_over (QuinceSendGuard *guard, QuinceSendPermit *permit)
-{
-  if (permit->taken && g_hash_table_remove (guard->held, &permit->digest))
-    guard->callbacks->give_back (&permit->digest, guard->user_data);
-  *permit = (QuinceSendPermit){ 0 };
-}
-
 /* ---- Ends of sends ------------------------------------------------------- */
 
 static void
--- a/lib/forward/stream.c
+++ b/lib/forward/stream.c
@@ -242,7 +242,7 @@
   /* What the worker sent while this process was stopped is passed on, late too. */
   if (quince_http_exchange_reads_first (stream->exchange))
     {
-      stream->silence = quince_timer_add (QUINCE_HTTP_READ_FIRST_MS, check_time, stream);
+      stream->silence = quince_timer_add (QUINCE_READ_FIRST_MS, check_time, stream);
       return G_SOURCE_REMOVE;
     }
   quince_http_exchange_cancel (stream->exchange);
--- a/lib/http1/http-client.h
+++ b/lib/http1/http-client.h
@@ -94,12 +94,10 @@
 const QuinceHttpHead *quince_http_exchange_get_head (const QuinceHttpExchange *exchange);
 /* The body as collected so far. */
 const GByteArray *quince_http_exchange_get_body (const QuinceHttpExchange *exchange);
-/* An exchange whose time is over is read on for so much longer at a time while bytes are waiting, ms: one
- * turn of a busy main loop. */
-#define QUINCE_HTTP_READ_FIRST_MS 2
-/* For who ends an exchange by a time of his own: whether to put that off by QUINCE_HTTP_READ_FIRST_MS, since
- * bytes are waiting.  A process that was stopped finds answers and timers ready at once, and an answer that
- * its worker gave in time would be replaced by a failure.  Returns: %TRUE some times at most */
+/* For callers that end an exchange by a timer of their own: whether to wait QUINCE_READ_FIRST_MS more, since
+ * bytes have arrived that were not read.  After a suspension answers and timers are ready at once, and an
+ * answer that its worker gave in time would be replaced by a failure.  Returns: %TRUE at most
+ * QUINCE_READ_FIRST_MAX times */
 gboolean quince_http_exchange_reads_first (QuinceHttpExchange *exchange);
 /* The connection will not be used again, for example because the answer belongs to another request. */
 void quince_http_exchange_distrust (QuinceHttpExchange *exchange);
--- a/lib/http1/http-pool.c
+++ b/lib/http1/http-pool.c
@@ -16,9 +16,6 @@
 /* Longest wait for a connection, ms.  Not measured: some round trips between regions (24 ms) and less than
  * the 1 s after which the kernel sends a lost first packet again. */
 #define CONNECT_MS 700
-/* How often the end of an exchange is put off while bytes are waiting: an answer of 64 kB takes four reads.
- */
-#define READ_FIRST_MAX 8
 
 typedef struct
 {
@@ -270,7 +267,7 @@
 gboolean
 quince_http_exchange_reads_first (QuinceHttpExchange *exchange)
 {
-  if (exchange->read_first >= READ_FIRST_MAX
+  if (exchange->read_first >= QUINCE_READ_FIRST_MAX
       || !quince_http_connection_has_input (exchange->channel->connection))
     return FALSE;
   exchange->read_first++;
@@ -284,7 +281,7 @@
   if (quince_http_exchange_reads_first (exchange))
     {
       quince_source_clear (&exchange->timer);
-      exchange->timer = quince_timer_add (QUINCE_HTTP_READ_FIRST_MS, exchange_late, exchange);
+      exchange->timer = quince_timer_add (QUINCE_READ_FIRST_MS, exchange_late, exchange);
       return G_SOURCE_REMOVE;
     }
   g_autoptr (GError) error
--- a/tests/unit/ledger-world.h
+++ b/tests/unit/ledger-world.h
@@ -267,7 +267,7 @@
   WorldNode *node = &world->nodes[index];
   if (message->epoch != node->led_epoch || node->led_epoch == 0)
     return;
-  quince_ledger_group_peer_heard (node->group, message->replica, world->now_us);
+  quince_ledger_group_note_contact (node->group, message->replica, world->now_us);
   if (message->promised > message->epoch)
     quince_ledger_group_peer_refused (node->group, message->promised);
   else
