--- a/daemons/front/caller-connection.c
+++ b/daemons/front/caller-connection.c
@@ -8,6 +8,7 @@
 
 #include "runtime/log.h"
 #include "runtime/clock.h"
+#include "runtime/timer.h"
 
 #include "caller-request.h"
 #include "platform.h"
@@ -45,14 +46,14 @@
   gint64 received_us;   /* when the head of the last request was read */
   gint64 idle_since_us; /* end of the last answer, or start of the connection */
   gint64 head_since_us; /* when an unfinished head was first seen by the timer; 0: none */
-  GSource *timer;
+  QuinceTimer *timer;
 };
 
 static void
 connection_free (QuinceCallerConnection *connection)
 {
   connection->closed (connection, connection->user_data);
-  quince_source_clear (&connection->timer);
+  quince_timer_clear (&connection->timer);
   if (connection->request != NULL)
     {
       quince_caller_request_cancel (connection->request);
@@ -103,7 +104,7 @@
 static void
 watch_time (QuinceCallerConnection *connection, guint wait_ms)
 {
-  quince_source_clear (&connection->timer);
+  quince_timer_clear (&connection->timer);
   connection->timer = quince_timer_add (MAX (wait_ms, 1), check_time, connection);
 }
 
--- a/daemons/front/caller-listeners.c
+++ b/daemons/front/caller-listeners.c
@@ -3,12 +3,14 @@
  */
 #include "caller-listeners.h"
 
+#include "runtime/acceptor.h"
+
 struct _QuinceCallerListeners
 {
   /* All fields belong to the main context. */
   QuinceFrontContext *context;
-  QuinceHttpAcceptor *acceptors[QUINCE_LISTEN_KINDS]; /* owned; NULL: closed */
-  GHashTable *connections;                            /* QuinceCallerConnection, which own themselves */
+  QuinceAcceptor *acceptors[QUINCE_LISTEN_KINDS]; /* owned; NULL: closed */
+  GHashTable *connections;                        /* QuinceCallerConnection, which own themselves */
 };
 
 static void
@@ -62,7 +64,7 @@
     {
       const char *address = quince_settings_get_text (settings, "listen", listen_kinds[kind].key);
       listeners->acceptors[kind]
-          = quince_http_acceptor_new (address, listen_kinds[kind].accepted, listeners, error);
+          = quince_acceptor_new (address, listen_kinds[kind].accepted, listeners, error);
       if (listeners->acceptors[kind] == NULL)
         {
           quince_caller_listeners_free (listeners);
@@ -94,7 +96,7 @@
     return;
   drop_connections (listeners, FALSE);
   for (guint kind = 0; kind < QUINCE_LISTEN_KINDS; kind++)
-    quince_http_acceptor_free (listeners->acceptors[kind]);
+    quince_acceptor_free (listeners->acceptors[kind]);
   g_hash_table_unref (listeners->connections);
   g_free (listeners);
 }
@@ -102,7 +104,7 @@
 const char *
 quince_caller_listeners_get_address (const QuinceCallerListeners *listeners, QuinceListenKind kind)
 {
-  return quince_http_acceptor_get_address (listeners->acceptors[kind]);
+  return quince_acceptor_get_address (listeners->acceptors[kind]);
 }
 
 guint
@@ -114,7 +116,7 @@
 void
 quince_caller_listeners_ignore_new (QuinceCallerListeners *listeners)
 {
-  quince_http_acceptor_ignore_new (listeners->acceptors[QUINCE_LISTEN_CALLERS]);
+  quince_acceptor_ignore_new (listeners->acceptors[QUINCE_LISTEN_CALLERS]);
 }
 
 void
@@ -122,6 +124,6 @@
 {
   if (listeners->acceptors[QUINCE_LISTEN_CALLERS] == NULL)
     return;
-  g_clear_pointer (&listeners->acceptors[QUINCE_LISTEN_CALLERS], quince_http_acceptor_free);
+  g_clear_pointer (&listeners->acceptors[QUINCE_LISTEN_CALLERS], quince_acceptor_free);
   drop_connections (listeners, TRUE);
 }
--- a/daemons/front/feed-subscription.c
+++ b/daemons/front/feed-subscription.c
@@ -4,7 +4,7 @@
 #include "feed-subscription.h"
 
 #include "observer/store-feed.h"
-#include "runtime/clock.h"
+#include "runtime/timer.h"
 
 /* Longest wait for the front's own reads before it subscribes without them, ms.  Not measured: a read of the
  * metadata store takes some ms, so this passes only while the store is away. */
@@ -14,8 +14,8 @@
 {
   /* All fields belong to the main context. */
   QuinceObserver *observer;
-  QuinceLink *link; /* owned: to the leader, not subscribed to yet; NULL: none */
-  GSource *timer;   /* runs out after SYNC_WAIT_MS */
+  QuinceLink *link;   /* owned: to the leader, not subscribed to yet; NULL: none */
+  QuinceTimer *timer; /* runs out after SYNC_WAIT_MS */
 };
 
 QuinceFeedSubscription *
@@ -38,7 +38,7 @@
 static void
 subscribe (QuinceFeedSubscription *subscription)
 {
-  quince_source_clear (&subscription->timer);
+  quince_timer_clear (&subscription->timer);
   quince_store_feed_subscribe (subscription->observer, subscription->link);
   g_clear_pointer (&subscription->link, quince_link_unref);
 }
@@ -69,6 +69,6 @@
 void
 quince_feed_subscription_unlinked (QuinceFeedSubscription *subscription)
 {
-  quince_source_clear (&subscription->timer);
+  quince_timer_clear (&subscription->timer);
   g_clear_pointer (&subscription->link, quince_link_unref);
 }
--- a/daemons/front/leader-search.c
+++ b/daemons/front/leader-search.c
@@ -6,6 +6,7 @@
 #include "runtime/link.h"
 #include "runtime/log.h"
 #include "runtime/clock.h"
+#include "runtime/timer.h"
 
 /* The leader is silent after this time without a message, us.  Members elect another leader after 1 s of
  * silence, so there is nothing to find earlier; a leader sends a heartbeat each 0.25 s. */
@@ -29,7 +30,7 @@
   guint ask_ms;           /* from this question to the next */
   guint next;             /* index of the member to ask, modulo their number */
   QuinceLink *link;       /* owned: to the member that is asked; NULL: none */
-  GSource *timer;
+  QuinceTimer *timer;
 };
 
 static void
@@ -81,7 +82,7 @@
 ask_next (gpointer data)
 {
   QuinceLeaderSearch *search = data;
-  quince_source_clear (&search->timer);
+  quince_timer_clear (&search->timer);
   drop_link (search);
   gboolean silent = search->unavailable || quince_now_us () - search->contact_us >= SILENCE_US;
   if (silent && search->view != NULL && search->view->members.members_len > 0)
@@ -111,7 +112,7 @@
 {
   if (search == NULL)
     return;
-  quince_source_clear (&search->timer);
+  quince_timer_clear (&search->timer);
   drop_link (search);
   g_clear_pointer (&search->view, quince_ledger_view_free);
   g_free (search);
--- a/daemons/front/ledger-caller.c
+++ b/daemons/front/ledger-caller.c
@@ -7,6 +7,7 @@
 #include "runtime/link.h"
 #include "runtime/log.h"
 #include "runtime/clock.h"
+#include "runtime/timer.h"
 
 /* Pause between a link that closed and the next one, ms.  Not measured: short against an election (about 1.2
  * s), long enough not to keep a restarting leader busy. */
@@ -26,7 +27,7 @@
   guint64 epoch;          /* of the leader */
   QuinceLedgerView *view; /* NULL: not known */
   QuinceLeaderSearch *search;
-  GSource *timer; /* next attempt, or end of this one */
+  QuinceTimer *timer; /* next attempt, or end of this one */
   const QuinceLedgerCallerCallbacks *callbacks;
   gpointer user_data;
   GHashTable *calls; /* QuinceLedgerCallHandle by id, owned */
@@ -39,7 +40,7 @@
   guint64 id;
   gboolean sent;
   guint read_first; /* times that its time was over before all was read */
-  GSource *timer;
+  QuinceTimer *timer;
   QuinceLedgerCallDone done;
   gpointer user_data;
 };
@@ -50,7 +51,7 @@
 call_free (gpointer data)
 {
   QuinceLedgerCallHandle *call = data;
-  quince_source_clear (&call->timer);
+  quince_timer_clear (&call->timer);
   g_free (call);
 }
 
@@ -74,7 +75,7 @@
 static void
 drop_link (QuinceLedgerCaller *caller)
 {
-  quince_source_clear (&caller->timer);
+  quince_timer_clear (&caller->timer);
   if (caller->link == NULL)
     return;
   quince_link_close (caller->link);
@@ -94,7 +95,7 @@
 link_again (gpointer data)
 {
   QuinceLedgerCaller *caller = data;
-  quince_source_clear (&caller->timer);
+  quince_timer_clear (&caller->timer);
   begin_link (caller);
   return G_SOURCE_REMOVE;
 }
@@ -115,7 +116,7 @@
 connect_late (gpointer data)
 {
   QuinceLedgerCaller *caller = data;
-  quince_source_clear (&caller->timer);
+  quince_timer_clear (&caller->timer);
   drop_link (caller);
   begin_link (caller);
   return G_SOURCE_REMOVE;
@@ -125,7 +126,7 @@
 link_connected (QuinceLink *link, gpointer data)
 {
   QuinceLedgerCaller *caller = data;
-  quince_source_clear (&caller->timer);
+  quince_timer_clear (&caller->timer);
   caller->lost = FALSE;
   quince_log_info ("dependency_regained", "what=ledger_primary address=%s", caller->address);
   caller->callbacks->linked (link, caller->user_data);
@@ -265,7 +266,7 @@
   QuinceLedgerCallHandle *call = data;
   if (reads_first (call))
     {
-      quince_source_clear (&call->timer);
+      quince_timer_clear (&call->timer);
       call->timer = quince_timer_add (QUINCE_READ_FIRST_MS, call_late, call);
       return G_SOURCE_REMOVE;
     }
--- a/daemons/front/planned-stop.c
+++ b/daemons/front/planned-stop.c
@@ -4,6 +4,7 @@
 #include "planned-stop.h"
 
 #include "runtime/clock.h"
+#include "runtime/timer.h"
 #include "runtime/program.h"
 
 /* A stopping front accepts connections for this long at least, us: twice the 2 s for which callers keep an
@@ -26,7 +27,7 @@
   gint64 grace_us;
   gint64 began_us;
   gboolean ignores_new; /* no connection is begun any more */
-  GSource *timer;
+  QuinceTimer *timer;
 };
 
 QuincePlannedStop *
@@ -44,7 +45,7 @@
 {
   if (stop == NULL)
     return;
-  quince_source_clear (&stop->timer);
+  quince_timer_clear (&stop->timer);
   g_free (stop);
 }
 
@@ -71,7 +72,7 @@
   gboolean done = served && stop->context->in_progress == 0;
   if (!done && elapsed_us < stop->grace_us - MARGIN_US)
     return G_SOURCE_CONTINUE;
-  quince_source_clear (&stop->timer);
+  quince_timer_clear (&stop->timer);
   quince_program_quit (QUINCE_EXIT_OK);
   return G_SOURCE_REMOVE;
 }
--- a/daemons/front/quarantine-client.c
+++ b/daemons/front/quarantine-client.c
@@ -9,6 +9,7 @@
 #include "forward/suspect-list.h"
 #include "forward/suspect-message.h"
 #include "runtime/clock.h"
+#include "runtime/timer.h"
 
 #include "suspect-notice.h"
 
@@ -21,9 +22,9 @@
   /* All fields belong to the main context. */
   QuinceSendGuard *guard;
   char *name;
-  QuinceLink *link;  /* owned (nullable): to the leader */
-  gint64 contact_us; /* monotonic: last message of the leader */
-  GSource *watch;    /* (nullable): whether a message of the leader follows a report to it */
+  QuinceLink *link;   /* owned (nullable): to the leader */
+  gint64 contact_us;  /* monotonic: last message of the leader */
+  QuinceTimer *watch; /* (nullable): whether a message of the leader follows a report to it */
   QuinceSuspectNotice *notice;
   gboolean noticed; /* the notice is in the store, and the leader may lack what it says */
 };
@@ -90,7 +91,7 @@
 watch_over (gpointer data)
 {
   QuinceQuarantineClient *client = data;
-  quince_source_clear (&client->watch);
+  quince_timer_clear (&client->watch);
   if (!is_reached (client))
     begin_notice (client);
   return G_SOURCE_REMOVE;
@@ -175,7 +176,7 @@
   if (client == NULL)
     return;
   g_clear_pointer (&client->link, quince_link_unref);
-  quince_source_clear (&client->watch);
+  quince_timer_clear (&client->watch);
   quince_suspect_notice_free (client->notice);
   quince_send_guard_free (client->guard);
   g_free (client->name);
--- a/daemons/front/suspect-notice.c
+++ b/daemons/front/suspect-notice.c
@@ -7,6 +7,7 @@
 #include "observer/observer.h"
 #include "forward/suspect-list.h"
 #include "runtime/clock.h"
+#include "runtime/timer.h"
 
 /* What was seen this shortly before the leader became unreachable may not have arrived there, us: the leader
  * counts as unreachable 0.9 s after its last message, and answers are waited for 0.5 s. */
@@ -25,7 +26,7 @@
   guint ttl_ms;
   QuinceMetaPresence *presence; /* NULL: nothing is in the store */
   gint64 written_us;            /* monotonic: last write */
-  GSource *timer;               /* next write; NULL: nothing has changed since the last */
+  QuinceTimer *timer;           /* next write; NULL: nothing has changed since the last */
 };
 
 QuinceSuspectNotice *
@@ -43,7 +44,7 @@
 {
   if (notice == NULL)
     return;
-  quince_source_clear (&notice->timer);
+  quince_timer_clear (&notice->timer);
   quince_meta_presence_free (notice->presence);
   g_array_unref (notice->digests);
   g_free (notice->key);
@@ -76,7 +77,7 @@
 static void
 write_list (QuinceSuspectNotice *notice)
 {
-  quince_source_clear (&notice->timer);
+  quince_timer_clear (&notice->timer);
   notice->written_us = quince_now_us ();
   g_autoptr (GPtrArray) suspects = list_suspects (notice);
   g_autoptr (GBytes) value = quince_suspect_list_format (suspects, quince_now_us (), quince_wall_ms ());
@@ -142,7 +143,7 @@
 quince_suspect_notice_end (QuinceSuspectNotice *notice)
 {
   g_array_set_size (notice->digests, 0);
-  quince_source_clear (&notice->timer);
+  quince_timer_clear (&notice->timer);
   if (notice->presence == NULL)
     return;
   quince_meta_presence_withdraw (notice->presence);
--- a/daemons/front/warmup-client.c
+++ b/daemons/front/warmup-client.c
@@ -4,6 +4,7 @@
 #include "warmup-client.h"
 
 #include "runtime/clock.h"
+#include "runtime/timer.h"
 
 /* Interval between two removals of expired leases, ms, so that workers that no longer exist keep no memory.
  * Not measured: any time is short enough. */
@@ -15,7 +16,7 @@
   QuinceWarmupSends *sends;
   QuinceObserver *observer; /* not owned; NULL during the start */
   QuinceLink *link;         /* owned (nullable): to the leader */
-  GSource *timer;
+  QuinceTimer *timer;
 };
 
 static const QuinceService *
@@ -64,7 +65,7 @@
 {
   if (client == NULL)
     return;
-  quince_source_clear (&client->timer);
+  quince_timer_clear (&client->timer);
   g_clear_pointer (&client->link, quince_link_unref);
   quince_warmup_sends_free (client->sends);
   g_free (client);
--- a/daemons/replica/batch-calls.c
+++ b/daemons/replica/batch-calls.c
@@ -5,6 +5,7 @@
 
 #include "batchlog/result-cache.h"
 #include "runtime/clock.h"
+#include "runtime/timer.h"
 #include "runtime/log.h"
 
 #include "batch-answers.h"
@@ -24,9 +25,9 @@
   QuinceLink *link; /* owned */
   guint64 id;       /* of the call */
   char *batch;
-  guint64 index;    /* of the record that it waits for; 0: for a result */
-  guint64 position; /* first result that it wants */
-  GSource *timer;   /* when it is answered without a result; NULL: it waits for a commit */
+  guint64 index;      /* of the record that it waits for; 0: for a result */
+  guint64 position;   /* first result that it wants */
+  QuinceTimer *timer; /* when it is answered without a result; NULL: it waits for a commit */
 } Waiter;
 
 struct _QuinceBatchCalls
@@ -44,7 +45,7 @@
 waiter_free (gpointer data)
 {
   Waiter *waiter = data;
-  quince_source_clear (&waiter->timer);
+  quince_timer_clear (&waiter->timer);
   quince_link_unref (waiter->link);
   g_free (waiter->batch);
   g_free (waiter);
@@ -70,7 +71,7 @@
   Waiter *waiter = data;
   QuinceBatchCalls *calls = waiter->calls;
   QuinceBatchEntry *entry = quince_batch_book_find (calls->book, waiter->batch);
-  quince_source_clear (&waiter->timer);
+  quince_timer_clear (&waiter->timer);
   if (entry != NULL && quince_ledger_node_may_answer (calls->ledger))
     quince_batch_answer_results (calls->results, waiter->link, waiter->id, entry, waiter->position);
   else
--- a/daemons/replica/batch-service.c
+++ b/daemons/replica/batch-service.c
@@ -7,6 +7,7 @@
 #include "runtime/metrics.h"
 #include "runtime/packed-message.h"
 #include "runtime/clock.h"
+#include "runtime/timer.h"
 
 #include "batch-answers.h"
 #include "batch-calls.h"
@@ -30,7 +31,7 @@
   QuinceBatchBook *book; /* NULL: no record was read since this replica last led */
   QuinceBatchCalls *calls;
   QuinceSampleRunner *runner; /* NULL: not leading */
-  GSource *forget_timer;
+  QuinceTimer *forget_timer;
   /* Values: */
   guint64 informed_successor; /* the backup that was sent all progress; 0: none */
   guint unlisted;             /* samples without a result, over all batches */
@@ -337,7 +338,7 @@
 void
 quince_batch_service_stop_leading (QuinceBatchService *service)
 {
-  quince_source_clear (&service->forget_timer);
+  quince_timer_clear (&service->forget_timer);
   g_clear_pointer (&service->runner, quince_sample_runner_free);
   quince_batch_calls_end_all (service->calls);
   quince_residency_coordinator_settle (service->residency, NULL);
@@ -379,7 +380,7 @@
 {
   if (service == NULL)
     return;
-  quince_source_clear (&service->forget_timer);
+  quince_timer_clear (&service->forget_timer);
   quince_sample_runner_free (service->runner);
   quince_batch_calls_free (service->calls);
   quince_batch_book_free (service->book);
--- a/daemons/replica/heartbeats.c
+++ b/daemons/replica/heartbeats.c
@@ -6,6 +6,7 @@
 #include "core/routing/failure-detector.h"
 #include "runtime/log.h"
 #include "runtime/clock.h"
+#include "runtime/timer.h"
 
 /* Period of the heartbeats, ms.  Not measured: a silent front is out of the directory within a second. */
 #define HEARTBEAT_MS 250
@@ -18,7 +19,7 @@
   QuinceFailureDetector *fronts;
   GHashTable *links;  /* borrowed set of QuinceLink; NULL: this replica does not lead */
   GHashTable *silent; /* names, owned: fronts that were silent at the last heartbeat */
-  GSource *timer;
+  QuinceTimer *timer;
 };
 
 /* Logs each front that falls silent, and each that answers again. */
@@ -86,7 +87,7 @@
 {
   if (heartbeats == NULL)
     return;
-  quince_source_clear (&heartbeats->timer);
+  quince_timer_clear (&heartbeats->timer);
   quince_failure_detector_free (heartbeats->fronts);
   g_hash_table_unref (heartbeats->silent);
   g_free (heartbeats);
@@ -110,7 +111,7 @@
 void
 quince_heartbeats_stop_leading (QuinceHeartbeats *heartbeats)
 {
-  quince_source_clear (&heartbeats->timer);
+  quince_timer_clear (&heartbeats->timer);
   heartbeats->links = NULL;
 }
 
--- a/daemons/replica/ledger-node.c
+++ b/daemons/replica/ledger-node.c
@@ -7,6 +7,7 @@
 #include "ledger-node.h"
 
 #include "runtime/clock.h"
+#include "runtime/timer.h"
 #include "runtime/log.h"
 
 #include "ledger-election.h"
@@ -40,7 +41,7 @@
 
   QuinceLinkServer *server;
   GHashTable *incoming; /* QuinceLink, owned: of fronts, backups and members */
-  GSource *tick;
+  QuinceTimer *tick;
 };
 
 /* ---- The role ----------------------------------------------------------- */
@@ -364,7 +365,7 @@
 {
   if (node == NULL)
     return;
-  quince_source_clear (&node->tick);
+  quince_timer_clear (&node->tick);
   quince_ledger_records_free (node->records);
   quince_ledger_follower_free (node->follower);
   quince_ledger_election_free (node->election);
--- a/daemons/replica/ledger-records.c
+++ b/daemons/replica/ledger-records.c
@@ -6,6 +6,7 @@
 #include <stdlib.h>
 
 #include "runtime/clock.h"
+#include "runtime/timer.h"
 #include "runtime/log.h"
 #include "runtime/packed-message.h"
 
@@ -26,10 +27,10 @@
   guint64 next_index; /* of the next record */
   GArray *unwritten;  /* QuinceLogEntry, owned records: not on disk yet */
   GQueue uncommitted; /* QuinceLogEntry, owned records: on disk, not delivered yet */
-  GSource *flush;     /* writes the unwritten ones */
+  QuinceTimer *flush; /* writes the unwritten ones */
 
   gboolean recovered;      /* the log was read */
-  GSource *reading;        /* reads the log; NULL: not begun, or done */
+  QuinceTimer *reading;    /* reads the log; NULL: not begun, or done */
   guint64 delivered_index; /* of the last stored record that was delivered */
   gint64 turn_ends_us;     /* when the reading pauses for the main loop */
   gint64 read_since_us;    /* when the reading began */
@@ -52,7 +53,7 @@
     g_free (g_array_index (records->unwritten, QuinceLogEntry, i).record.record_val);
   g_array_set_size (records->unwritten, 0);
   g_queue_clear_full (&records->uncommitted, free_entry);
-  quince_source_clear (&records->flush);
+  quince_timer_clear (&records->flush);
 }
 
 QuinceLedgerRecords *
@@ -77,7 +78,7 @@
 {
   if (records == NULL)
     return;
-  quince_source_clear (&records->reading);
+  quince_timer_clear (&records->reading);
   clear_records (records);
   g_array_unref (records->unwritten);
   g_free (records);
@@ -125,7 +126,7 @@
   gboolean had_read = records->recovered || records->reading != NULL;
   records->epoch = 0;
   records->recovered = FALSE;
-  quince_source_clear (&records->reading);
+  quince_timer_clear (&records->reading);
   clear_records (records);
   return had_read;
 }
@@ -134,7 +135,7 @@
 flush_records (gpointer data)
 {
   QuinceLedgerRecords *records = data;
-  quince_source_clear (&records->flush);
+  quince_timer_clear (&records->flush);
   write_records (records, (const QuinceLogEntry *)records->unwritten->data, records->unwritten->len);
   for (guint i = 0; i < records->unwritten->len; i++)
     g_queue_push_tail (
@@ -211,7 +212,7 @@
     }
   if (records->delivered_index < quince_batch_log_get_last_index (records->log))
     return G_SOURCE_CONTINUE;
-  quince_source_clear (&records->reading);
+  quince_timer_clear (&records->reading);
   records->recovered = TRUE;
   gint64 read_ms = (quince_now_us () - records->read_since_us) / 1000;
   quince_log_info ("ledger_recovered",
--- a/daemons/replica/replica.c
+++ b/daemons/replica/replica.c
@@ -3,7 +3,7 @@
  */
 #include "replica.h"
 
-#include "runtime/clock.h"
+#include "runtime/timer.h"
 #include "runtime/program.h"
 #include "runtime/suspension.h"
 
@@ -22,7 +22,7 @@
 {
   /* All fields belong to the main context. */
   QuinceReplicaParts parts;
-  GSource *timer; /* of the steps; after stop() until the process ends */
+  QuinceTimer *timer; /* of the steps; after stop() until the process ends */
   QuinceSuspensionWatch *suspension;
 } Replica;
 
@@ -90,7 +90,7 @@
 quince_replica_stop (gpointer self)
 {
   Replica *replica = self;
-  quince_source_clear (&replica->timer);
+  quince_timer_clear (&replica->timer);
   replica->timer = quince_timer_add (STOP_MS, stop_now, replica);
 }
 
@@ -125,7 +125,7 @@
 {
   Replica *replica = self;
   quince_suspension_watch_free (replica->suspension);
-  quince_source_clear (&replica->timer);
+  quince_timer_clear (&replica->timer);
   release_parts (&replica->parts);
   g_free (replica);
 }
--- a/daemons/replica/sample-runner.c
+++ b/daemons/replica/sample-runner.c
@@ -11,6 +11,7 @@
 
 #include "forward/residency-lookup.h"
 #include "runtime/clock.h"
+#include "runtime/timer.h"
 #include "runtime/log.h"
 
 #include "sample-demand.h"
@@ -36,8 +37,8 @@
   const QuinceSampleRunnerCallbacks *callbacks;
   gpointer user_data;
   QuinceMoveWatch move_watch;
-  GSource *timer;
-  GSource *soon;         /* a check that was asked for; NULL: none */
+  QuinceTimer *timer;
+  QuinceTimer *soon;     /* a check that was asked for; NULL: none */
   gint64 begin_after_us; /* a new leader: nothing begins before, unless progress arrives */
 };
 
@@ -109,7 +110,7 @@
 pump_now (gpointer data)
 {
   QuinceSampleRunner *runner = data;
-  quince_source_clear (&runner->soon);
+  quince_timer_clear (&runner->soon);
   quince_sample_runner_pump (runner);
   return G_SOURCE_REMOVE;
 }
@@ -171,8 +172,8 @@
 {
   if (runner == NULL)
     return;
-  quince_source_clear (&runner->timer);
-  quince_source_clear (&runner->soon);
+  quince_timer_clear (&runner->timer);
+  quince_timer_clear (&runner->soon);
   quince_sample_set_clear (&runner->set);
   g_free (runner);
 }
--- a/daemons/replica/sample.c
+++ b/daemons/replica/sample.c
@@ -9,6 +9,7 @@
 #include "runtime/log.h"
 #include "core/decisions/silence.h"
 #include "runtime/clock.h"
+#include "runtime/timer.h"
 
 /* Interval of the checks for silence, ms: the longest silence changes with the worker's pace.  Not measured.
  */
@@ -73,7 +74,7 @@
 static void
 release_worker (QuinceSample *sample)
 {
-  quince_source_clear (&sample->silence_timer);
+  quince_timer_clear (&sample->silence_timer);
   g_clear_pointer (&sample->events, quince_platform_events_free);
   sample->exchange = NULL;
   QuinceWorker *worker = worker_of (sample);
@@ -277,7 +278,7 @@
   QuinceSample *sample = data;
   gint64 silent_ms = (quince_now_us () - sample->contact_us) / 1000;
   guint most_ms = silence_most_ms (sample);
-  quince_source_clear (&sample->silence_timer);
+  quince_timer_clear (&sample->silence_timer);
   /* A leader that was stopped reads what has come meanwhile before it takes the worker for silent. */
   if (silent_ms >= most_ms && quince_http_exchange_reads_first (sample->exchange))
     sample->silence_timer = quince_timer_add (QUINCE_READ_FIRST_MS, check_silence, sample);
--- a/daemons/replica/sample.h
+++ b/daemons/replica/sample.h
@@ -14,6 +14,7 @@
 #include "core/routing/worker-table.h"
 
 #include "platform.h"
+#include "runtime/timer.h"
 
 typedef enum
 {
@@ -59,7 +60,7 @@
   QuinceBackends *backends;
   QuinceHttpExchange *exchange;
   QuincePlatformEvents *events;
-  GSource *silence_timer;
+  QuinceTimer *silence_timer;
   gint64 contact_us;
   gint64 started_us;
   gint64 event_us;   /* when the last event came; 0: none since weights were loaded */
--- a/daemons/replica/suspect-reporter.c
+++ b/daemons/replica/suspect-reporter.c
@@ -5,6 +5,7 @@
 
 #include "forward/suspect-message.h"
 #include "runtime/clock.h"
+#include "runtime/timer.h"
 
 /* Changes are collected for this time and sent together to all, ms.  One message for each request would make
  * 100,000 when 400 requests lose their workers at once before 250 fronts (calculated).  Not measured: shorter
@@ -18,7 +19,7 @@
 {
   QuinceSuspectReporter *reporter;
   GHashTable *digests; /* QuinceRequestDigest, owned */
-  GSource *timer;      /* NULL: none */
+  QuinceTimer *timer;  /* NULL: none */
   guint delay_ms;      /* from the first change to the message */
   void (*send) (QuinceSuspectReporter *reporter, GBytes *encoded);
 } Queue;
@@ -89,14 +90,14 @@
 static void
 queue_empty (Queue *queue)
 {
-  quince_source_clear (&queue->timer);
+  quince_timer_clear (&queue->timer);
   g_hash_table_remove_all (queue->digests);
 }
 
 static void
 queue_clear (Queue *queue)
 {
-  quince_source_clear (&queue->timer);
+  quince_timer_clear (&queue->timer);
   g_hash_table_unref (queue->digests);
 }
 
--- a/daemons/replica/weight-orders.c
+++ b/daemons/replica/weight-orders.c
@@ -11,6 +11,7 @@
 #include "runtime/log.h"
 #include "runtime/metrics.h"
 #include "runtime/clock.h"
+#include "runtime/timer.h"
 
 #include "weight-load.h"
 
@@ -40,8 +41,8 @@
   GHashTable *pauses;          /* worker id to gint64: no order before */
   GHashTable *named;           /* NamedVersion by model, both owned */
   GHashTable *services;        /* ServiceState by name, both owned */
-  GSource *timer;
-  GSource *soon;
+  QuinceTimer *timer;
+  QuinceTimer *soon;
   gboolean after_load; /* this check follows a load: workers and models are the same as at the last one */
 };
 
@@ -89,7 +90,7 @@
 pump_now (gpointer data)
 {
   QuinceWeightOrders *orders = data;
-  quince_source_clear (&orders->soon);
+  quince_timer_clear (&orders->soon);
   orders->after_load = TRUE;
   quince_weight_orders_pump (orders);
   orders->after_load = FALSE;
@@ -377,8 +378,8 @@
 {
   if (orders == NULL)
     return;
-  quince_source_clear (&orders->timer);
-  quince_source_clear (&orders->soon);
+  quince_timer_clear (&orders->timer);
+  quince_timer_clear (&orders->soon);
   g_hash_table_unref (orders->loads);
   g_hash_table_unref (orders->services);
   g_hash_table_unref (orders->pauses);
--- a/lib/forward/backends-private.h
+++ b/lib/forward/backends-private.h
@@ -9,6 +9,7 @@
 #include "core/routing/prompt-table.h"
 #include "core/routing/topology.h"
 #include "core/routing/zone-table.h"
+#include "runtime/timer.h"
 
 struct _QuinceBackends
 {
@@ -29,11 +30,11 @@
   guint tie;  /* turns among equals */
   guint turn; /* where the next choice among many workers begins; see find_few() */
   QuinceZoneTable *zones;
-  GSource *withdrawal; /* checks for requests that do not arrive at evacuated zones; NULL: none was evacuated
-                        * lately */
+  QuinceTimer *withdrawal; /* checks for requests that do not arrive at evacuated zones; NULL: none was
+                            * evacuated lately */
   gboolean holds_sends;
-  GSource *hold_timer; /* NULL: sends are not held, or without a bound */
-  GQueue vanished;     /* ids, owned: of workers that are not listed, perhaps by the store's own doing */
+  QuinceTimer *hold_timer; /* NULL: sends are not held, or without a bound */
+  GQueue vanished;         /* ids, owned: of workers that are not listed, perhaps by the store's own doing */
 };
 
 /* ---- backends.c --------------------------------------------------------- */
--- a/lib/forward/evacuation.c
+++ b/lib/forward/evacuation.c
@@ -8,6 +8,7 @@
 #include "core/decisions/worker-choice.h"
 #include "runtime/log.h"
 #include "runtime/clock.h"
+#include "runtime/timer.h"
 
 #include "backends-private.h"
 
@@ -61,7 +62,7 @@
   for (guint i = 0; i < zones->len; i++)
     if (now - quince_zone_table_get_evacuated_us (backends->zones, zones->pdata[i]) < CHECK_INTERVAL_US)
       return G_SOURCE_CONTINUE;
-  quince_source_clear (&backends->withdrawal);
+  quince_timer_clear (&backends->withdrawal);
   return G_SOURCE_REMOVE;
 }
 
@@ -142,7 +143,7 @@
 {
   if (backends->holds_sends && backends->hold_timer == NULL)
     return; /* already, without a bound */
-  quince_source_clear (&backends->hold_timer);
+  quince_timer_clear (&backends->hold_timer);
   backends->holds_sends = TRUE;
   if (most_ms > 0)
     backends->hold_timer = quince_timer_add (most_ms, hold_over, backends);
@@ -151,7 +152,7 @@
 void
 quince_backends_release_sends (QuinceBackends *backends)
 {
-  quince_source_clear (&backends->hold_timer);
+  quince_timer_clear (&backends->hold_timer);
   backends->holds_sends = FALSE;
 }
 
@@ -164,7 +165,7 @@
 void
 quince_backends_clear_evacuation (QuinceBackends *backends)
 {
-  quince_source_clear (&backends->withdrawal);
-  quince_source_clear (&backends->hold_timer);
+  quince_timer_clear (&backends->withdrawal);
+  quince_timer_clear (&backends->hold_timer);
   quince_zone_table_free (backends->zones);
 }
--- a/lib/forward/retry-timer.h
+++ b/lib/forward/retry-timer.h
@@ -6,14 +6,14 @@
  */
 #pragma once
 
-#include "runtime/clock.h"
+#include "runtime/timer.h"
 
 G_BEGIN_DECLS
 
 typedef struct
 {
   /* All fields belong to the context of the owner. */
-  GSource *source; /* NULL: not set */
+  QuinceTimer *source; /* NULL: not set */
   void (*due) (gpointer user_data);
   gpointer user_data;
 } QuinceRetryTimer;
--- a/lib/forward/stream.c
+++ b/lib/forward/stream.c
@@ -8,6 +8,7 @@
 #include "runtime/log.h"
 #include "runtime/metrics.h"
 #include "runtime/clock.h"
+#include "runtime/timer.h"
 
 #include "core/decisions/silence.h"
 
@@ -27,7 +28,7 @@
   gpointer events; /* of the attempt in progress, where it may be resumed */
   char *worker_id;
   QuinceRetryTimer timer; /* next attempt */
-  GSource *silence;       /* of the attempt in progress, and the end of all */
+  QuinceTimer *silence;   /* of the attempt in progress, and the end of all */
   gint64 contact_us;
   guint64 last_event;
   gboolean has_last_event;
@@ -40,7 +41,7 @@
 static void
 release_worker (QuinceStream *stream)
 {
-  quince_source_clear (&stream->silence);
+  quince_timer_clear (&stream->silence);
   if (stream->events != NULL)
     stream->dialect->events_free (stream->events);
   stream->events = NULL;
@@ -228,7 +229,7 @@
 {
   QuinceStream *stream = data;
   gint64 now = quince_now_us ();
-  quince_source_clear (&stream->silence);
+  quince_timer_clear (&stream->silence);
   gint64 silent_ms = (now - stream->contact_us) / 1000;
   gboolean late = now >= stream->dispatch.retry.give_up_us;
   if (!late && (!stream->dispatch.retry.repeatable || silent_ms < QUINCE_SILENCE_STREAM_MS))
--- a/lib/forward/worker-check.c
+++ b/lib/forward/worker-check.c
@@ -4,7 +4,7 @@
 #include "worker-check.h"
 
 #include "http1/http1.h"
-#include "runtime/clock.h"
+#include "runtime/timer.h"
 
 /* Time for an answer of the worker's port, ms: a dead port refuses within a round trip, 6 ms at most between
  * the users' zones; requests wait meanwhile. */
@@ -14,7 +14,7 @@
 {
   /* All fields belong to the context that started it. */
   QuinceHttpConnection *connection;
-  GSource *timer;
+  QuinceTimer *timer;
   void (*done) (QuinceWorkerSign, gpointer);
   gpointer user_data;
 };
@@ -22,7 +22,7 @@
 void
 quince_worker_check_cancel (QuinceWorkerCheck *check)
 {
-  quince_source_clear (&check->timer);
+  quince_timer_clear (&check->timer);
   quince_http_connection_close (check->connection);
   quince_http_connection_unref (check->connection);
   g_free (check);
--- a/lib/http1/http-connection-input.c
+++ b/lib/http1/http-connection-input.c
@@ -217,15 +217,14 @@
   quince_http_connection_unref (connection);
 }
 
-static gboolean
-input_ready (GSocket *socket, GIOCondition condition, gpointer data)
+void
+quince_http_connection_read (QuinceHttpConnection *connection)
 {
-  QuinceHttpConnection *connection = data;
   char buffer[READ_BYTES];
   g_autoptr (GError) error = NULL;
-  gssize length = g_socket_receive (socket, buffer, sizeof buffer, NULL, &error);
+  gssize length = g_socket_receive (connection->socket, buffer, sizeof buffer, NULL, &error);
   if (length < 0 && g_error_matches (error, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK))
-    return G_SOURCE_CONTINUE;
+    return;
   quince_http_connection_ref (connection);
   if (length < 0)
     quince_http_connection_fail (connection, QUINCE_HTTP1_ERROR_RESET, error->message);
@@ -239,17 +238,7 @@
     g_byte_array_append (connection->early, (const guint8 *)buffer, (guint)length);
   else
     parse (connection, buffer, (gsize)length);
-  gboolean open = connection->open;
   quince_http_connection_unref (connection);
-  return open ? G_SOURCE_CONTINUE : G_SOURCE_REMOVE;
-}
-
-void
-quince_http_connection_watch_input (QuinceHttpConnection *connection)
-{
-  connection->input_source = g_socket_create_source (connection->socket, G_IO_IN, NULL);
-  g_source_set_callback (connection->input_source, G_SOURCE_FUNC (input_ready), connection, NULL);
-  g_source_attach (connection->input_source, g_main_context_get_thread_default ());
 }
 
 void
--- a/lib/http1/http-connection-output.c
+++ b/lib/http1/http-connection-output.c
@@ -5,7 +5,7 @@
  */
 #include "http-connection-private.h"
 
-#include "runtime/clock.h"
+#include "runtime/timer.h"
 
 /* Longest wait for the peer's close after the last answer, ms.  Not measured: above a round trip between
  * regions, so that the peer has read the answer before a reset can reach it. */
@@ -35,30 +35,31 @@
   return taken;
 }
 
-static gboolean
-output_ready (GSocket *socket, GIOCondition condition, gpointer data)
+static void
+set_watch_output (QuinceHttpConnection *connection, gboolean output)
+{
+  connection->watches_output = output;
+  quince_socket_watch_set (connection->watch, output ? G_IO_IN | G_IO_OUT : G_IO_IN);
+}
+
+void
+quince_http_connection_continue_output (QuinceHttpConnection *connection)
 {
-  QuinceHttpConnection *connection = data;
   quince_http_connection_ref (connection);
   quince_http_connection_send_kept (connection);
-  gboolean more = connection->open && connection->output->len > 0;
-  if (connection->open && !more)
+  if (connection->open && connection->output->len == 0)
     {
-      quince_source_clear (&connection->output_source);
+      set_watch_output (connection, FALSE);
       output_done (connection);
     }
   quince_http_connection_unref (connection);
-  return more ? G_SOURCE_CONTINUE : G_SOURCE_REMOVE;
 }
 
 void
 quince_http_connection_watch_output (QuinceHttpConnection *connection)
 {
-  if (connection->output_source != NULL || connection->connecting)
-    return;
-  connection->output_source = g_socket_create_source (connection->socket, G_IO_OUT, NULL);
-  g_source_set_callback (connection->output_source, G_SOURCE_FUNC (output_ready), connection, NULL);
-  g_source_attach (connection->output_source, g_main_context_get_thread_default ());
+  if (!connection->watches_output && !connection->connecting)
+    set_watch_output (connection, TRUE);
 }
 
 /* A failed write is reported from the loop, like every other failure: a callback out of write() would
--- a/lib/http1/http-connection-private.h
+++ b/lib/http1/http-connection-private.h
@@ -11,6 +11,8 @@
 #include <http_parser.h>
 
 #include "http1/http1.h"
+#include "runtime/socket-watch.h"
+#include "runtime/timer.h"
 
 G_BEGIN_DECLS
 
@@ -21,9 +23,9 @@
   const QuinceHttpConnectionCallbacks *callbacks;
   gpointer user_data;
   GSocket *socket;
-  GSource *input_source;
-  GSource *output_source;
-  GSource *finish_timer;
+  QuinceSocketWatch *watch; /* NULL: closed, or no connection can be made */
+  QuinceTimer *fail_timer;  /* reports that no connection can be made */
+  QuinceTimer *finish_timer;
   GByteArray *output; /* bytes that the kernel has not taken */
   GByteArray *early;  /* bytes beyond the message that is whole */
   http_parser parser;
@@ -35,6 +37,7 @@
   gsize head_bytes;
   gboolean is_client;
   gboolean connecting;
+  gboolean watches_output; /* the kernel takes no more for now */
   gboolean open;
   gboolean waiting;   /* a whole message waits for next() */
   gboolean reading;   /* a message has begun */
@@ -49,8 +52,8 @@
 /* The owner still gets callbacks. */
 gboolean quince_http_connection_is_alive (const QuinceHttpConnection *connection);
 
-/* Reads from now on; the socket is connected. */
-void quince_http_connection_watch_input (QuinceHttpConnection *connection);
+/* Reads and parses once what has arrived. */
+void quince_http_connection_read (QuinceHttpConnection *connection);
 /* The parser of a new connection. */
 void quince_http_connection_init_parser (QuinceHttpConnection *connection);
 
@@ -59,5 +62,7 @@
 /* Sends once what is kept, as far as the kernel takes it.
  * Returns: bytes taken, -1 when the connection failed and was closed */
 gssize quince_http_connection_send_kept (QuinceHttpConnection *connection);
+/* The kernel takes more. */
+void quince_http_connection_continue_output (QuinceHttpConnection *connection);
 
 G_END_DECLS
--- a/lib/http1/http-connection-state.c
+++ b/lib/http1/http-connection-state.c
@@ -3,7 +3,7 @@
  */
 #include "http-connection-private.h"
 
-#include "runtime/clock.h"
+#include "runtime/timer.h"
 
 QuinceHttpConnection *
 quince_http_connection_ref (QuinceHttpConnection *connection)
@@ -33,9 +33,9 @@
   if (!connection->open)
     return;
   connection->open = FALSE;
-  quince_source_clear (&connection->input_source);
-  quince_source_clear (&connection->output_source);
-  quince_source_clear (&connection->finish_timer);
+  quince_socket_watch_clear (&connection->watch);
+  quince_timer_clear (&connection->fail_timer);
+  quince_timer_clear (&connection->finish_timer);
   if (connection->socket != NULL)
     g_socket_close (connection->socket, NULL);
 }
--- a/lib/http1/http-connection.c
+++ b/lib/http1/http-connection.c
@@ -5,29 +5,13 @@
  */
 #include "http-connection-private.h"
 
-#include <linux/sockios.h>
-#include <netinet/in.h>
-#include <netinet/tcp.h>
-#include <sys/ioctl.h>
+#include <sys/socket.h>
 
-#include "runtime/address.h"
-#include "runtime/clock.h"
-
-/* A peer whose machine acknowledges nothing for so long is taken for lost, ms (TCP_USER_TIMEOUT).  Not
- * measured: as on links between our processes. */
-#define SILENCE_MS 3000
+#include "runtime/timer.h"
+#include "runtime/tcp-socket.h"
 
 /* ---- Set-up ----------------------------------------------------------- */
 
-/* No delay of small writes, and an end to silence. */
-static void
-prepare_socket (GSocket *socket)
-{
-  g_socket_set_blocking (socket, FALSE);
-  g_socket_set_option (socket, IPPROTO_TCP, TCP_NODELAY, 1, NULL);
-  g_socket_set_option (socket, IPPROTO_TCP, TCP_USER_TIMEOUT, SILENCE_MS, NULL);
-}
-
 static QuinceHttpConnection *
 connection_new (gboolean is_client, const QuinceHttpConnectionCallbacks *callbacks, gpointer user_data)
 {
@@ -45,35 +29,17 @@
   return connection;
 }
 
-QuinceHttpConnection *
-quince_http_connection_new_server (GSocket *socket,
-                                   gsize max_head_bytes,
-                                   const QuinceHttpConnectionCallbacks *callbacks,
-                                   gpointer user_data)
-{
-  QuinceHttpConnection *connection = connection_new (FALSE, callbacks, user_data);
-  connection->socket = socket;
-  connection->max_head_bytes = max_head_bytes;
-  prepare_socket (socket);
-  quince_http_connection_watch_input (connection);
-  return connection;
-}
-
-static gboolean
-connect_ready (GSocket *socket, GIOCondition condition, gpointer data)
+static void
+connect_ready (QuinceHttpConnection *connection)
 {
-  QuinceHttpConnection *connection = data;
   g_autoptr (GError) error = NULL;
-  gboolean up = g_socket_check_connect_result (socket, &error);
-  quince_source_clear (&connection->output_source);
-  if (!up)
+  if (!g_socket_check_connect_result (connection->socket, &error))
     {
       quince_http_connection_fail (connection, QUINCE_HTTP1_ERROR_CONNECT, error->message);
-      return G_SOURCE_REMOVE;
+      return;
     }
-  quince_http_connection_ref (connection);
   connection->connecting = FALSE;
-  quince_http_connection_watch_input (connection);
+  quince_socket_watch_set (connection->watch, G_IO_IN);
   if (connection->output->len > 0)
     {
       quince_http_connection_send_kept (connection);
@@ -82,31 +48,45 @@
     }
   if (connection->open && connection->callbacks->connected != NULL)
     connection->callbacks->connected (connection, connection->user_data);
+}
+
+/* Input first: a peer may have answered and closed, after which it takes no output. */
+static void
+socket_ready (GIOCondition condition, gpointer data)
+{
+  QuinceHttpConnection *connection = data;
+  quince_http_connection_ref (connection);
+  if (connection->connecting)
+    connect_ready (connection);
+  else
+    {
+      if ((condition & ~G_IO_OUT) != 0)
+        quince_http_connection_read (connection);
+      if (connection->open && connection->watches_output && (condition & G_IO_OUT) != 0)
+        quince_http_connection_continue_output (connection);
+    }
   quince_http_connection_unref (connection);
-  return G_SOURCE_REMOVE;
 }
 
-static gboolean
-connect_impossible (gpointer data)
+QuinceHttpConnection *
+quince_http_connection_new_server (GSocket *socket,
+                                   gsize max_head_bytes,
+                                   const QuinceHttpConnectionCallbacks *callbacks,
+                                   gpointer user_data)
 {
-  quince_http_connection_fail (data, QUINCE_HTTP1_ERROR_CONNECT, "no connection can be made to this address");
-  return G_SOURCE_REMOVE;
+  QuinceHttpConnection *connection = connection_new (FALSE, callbacks, user_data);
+  connection->socket = socket;
+  connection->max_head_bytes = max_head_bytes;
+  quince_tcp_socket_prepare (socket);
+  connection->watch = quince_socket_watch_new (socket, G_IO_IN, socket_ready, connection);
+  return connection;
 }
 
 static gboolean
-begin_connect (QuinceHttpConnection *connection, const char *address)
+connect_impossible (gpointer data)
 {
-  g_autoptr (GSocketAddress) target = quince_address_parse (address, NULL);
-  if (target == NULL)
-    return FALSE;
-  connection->socket = g_socket_new (g_socket_address_get_family (target), G_SOCKET_TYPE_STREAM,
-                                     G_SOCKET_PROTOCOL_TCP, NULL);
-  if (connection->socket == NULL)
-    return FALSE;
-  prepare_socket (connection->socket);
-  g_autoptr (GError) error = NULL;
-  return g_socket_connect (connection->socket, target, NULL, &error)
-         || g_error_matches (error, G_IO_ERROR, G_IO_ERROR_PENDING);
+  quince_http_connection_fail (data, QUINCE_HTTP1_ERROR_CONNECT, "no connection can be made to this address");
+  return G_SOURCE_REMOVE;
 }
 
 QuinceHttpConnection *
@@ -116,17 +96,11 @@
 {
   QuinceHttpConnection *connection = connection_new (TRUE, callbacks, user_data);
   connection->connecting = TRUE;
-  if (begin_connect (connection, address))
-    {
-      connection->output_source = g_socket_create_source (connection->socket, G_IO_OUT, NULL);
-      g_source_set_callback (connection->output_source, G_SOURCE_FUNC (connect_ready), connection, NULL);
-    }
+  connection->socket = quince_tcp_socket_connect (address, NULL);
+  if (connection->socket != NULL)
+    connection->watch = quince_socket_watch_new (connection->socket, G_IO_OUT, socket_ready, connection);
   else
-    {
-      connection->output_source = g_idle_source_new ();
-      g_source_set_callback (connection->output_source, connect_impossible, connection, NULL);
-    }
-  g_source_attach (connection->output_source, g_main_context_get_thread_default ());
+    connection->fail_timer = quince_timer_add (0, connect_impossible, connection);
   return connection;
 }
 
@@ -157,12 +131,10 @@
 gboolean
 quince_http_connection_has_unacknowledged (const QuinceHttpConnection *connection)
 {
-  int bytes = 0;
   if (connection->output->len > 0)
     return TRUE;
-  if (!connection->open || connection->socket == NULL)
-    return FALSE;
-  return ioctl (g_socket_get_fd (connection->socket), SIOCOUTQ, &bytes) == 0 && bytes > 0;
+  return connection->open && connection->socket != NULL
+         && quince_tcp_socket_get_unacknowledged (connection->socket) > 0;
 }
 
 void
--- a/lib/http1/http-pool.c
+++ b/lib/http1/http-pool.c
@@ -7,6 +7,7 @@
 #include <string.h>
 
 #include "runtime/clock.h"
+#include "runtime/timer.h"
 
 /* Part of the idle time that a server announced during which its connection is used again: the rest allows
  * for clocks and the way there.  Not measured. */
@@ -46,8 +47,8 @@
   gpointer user_data;
   QuinceHttpHead *head;
   GByteArray *body;
-  GSource *timer;
-  GSource *connect_timer;
+  QuinceTimer *timer;
+  QuinceTimer *connect_timer;
   guint read_first; /* times that its time was over while there was something to read */
   gboolean distrusted;
   gboolean connected;
@@ -195,8 +196,8 @@
 static void
 exchange_free (QuinceHttpExchange *exchange)
 {
-  quince_source_clear (&exchange->timer);
-  quince_source_clear (&exchange->connect_timer);
+  quince_timer_clear (&exchange->timer);
+  quince_timer_clear (&exchange->connect_timer);
   quince_http_head_free (exchange->head);
   g_byte_array_unref (exchange->body);
   if (exchange->unsent != NULL)
@@ -212,8 +213,8 @@
   gboolean keep = whole && exchange->head->keep_alive && !exchange->distrusted
                   && !quince_http_connection_has_surplus (exchange->channel->connection)
                   && !quince_http_connection_has_output (exchange->channel->connection);
-  quince_source_clear (&exchange->timer);
-  quince_source_clear (&exchange->connect_timer);
+  quince_timer_clear (&exchange->timer);
+  quince_timer_clear (&exchange->connect_timer);
   release_channel (exchange, keep);
   exchange->callbacks->done (exchange, outcome, error, exchange->user_data);
   exchange_free (exchange);
@@ -280,7 +281,7 @@
   QuinceHttpExchange *exchange = data;
   if (quince_http_exchange_reads_first (exchange))
     {
-      quince_source_clear (&exchange->timer);
+      quince_timer_clear (&exchange->timer);
       exchange->timer = quince_timer_add (QUINCE_READ_FIRST_MS, exchange_late, exchange);
       return G_SOURCE_REMOVE;
     }
@@ -307,7 +308,7 @@
   QuinceHttpExchange *exchange = channel->exchange;
   if (exchange == NULL)
     return;
-  quince_source_clear (&exchange->connect_timer);
+  quince_timer_clear (&exchange->connect_timer);
   /* The process may have been stopped meanwhile. */
   if (exchange->send_by_us != 0 && quince_now_us () > exchange->send_by_us)
     {
--- a/lib/http1/http-text-server.c
+++ b/lib/http1/http-text-server.c
@@ -5,6 +5,8 @@
 
 #include <string.h>
 
+#include "runtime/acceptor.h"
+
 /* Largest head of a request, bytes.  Not measured: far above that of a metrics reader. */
 #define HEAD_MAX_BYTES 8192
 /* Connections at once; more are closed.  Not measured: readers of metrics are few, and the bound keeps others
@@ -14,7 +16,7 @@
 struct _QuinceTextServer
 {
   /* All fields belong to the context that created the server. */
-  QuinceHttpAcceptor *acceptor;
+  QuinceAcceptor *acceptor;
   char *path;
   char *(*produce) (void);
   GHashTable *connections; /* Reader, owned */
@@ -88,7 +90,7 @@
 quince_text_server_new (const char *address, const char *path, char *(*produce) (void), GError **error)
 {
   QuinceTextServer *server = g_new0 (QuinceTextServer, 1);
-  server->acceptor = quince_http_acceptor_new (address, accepted, server, error);
+  server->acceptor = quince_acceptor_new (address, accepted, server, error);
   if (server->acceptor == NULL)
     {
       g_free (server);
@@ -105,7 +107,7 @@
 {
   if (server == NULL)
     return;
-  quince_http_acceptor_free (server->acceptor);
+  quince_acceptor_free (server->acceptor);
   g_hash_table_unref (server->connections);
   g_free (server->path);
   g_free (server);
--- a/lib/http1/http1.h
+++ b/lib/http1/http1.h
@@ -5,9 +5,9 @@
  * without a length and the exact moment of a close decide whether a request may be sent again, and HTTP
  * libraries such as libsoup show none of these.  Messages are parsed by the library http-parser.
  *
- * A connection owns its socket, the bytes that the kernel has not taken and the message being read; an
- * acceptor owns its listening socket.  Everything belongs to the thread-default context that created it.
- * Relies on runtime/ for timers and addresses.
+ * A connection owns its socket, the bytes that the kernel has not taken and the message being read.
+ * Everything belongs to the thread-default context that created it.  Relies on runtime/ for sockets and
+ * timers.
  */
 #pragma once
 
@@ -15,7 +15,7 @@
 
 G_BEGIN_DECLS
 
-/* Error domain of connections, acceptors and pools. */
+/* Error domain of connections and pools. */
 #define QUINCE_HTTP1_ERROR (quince_http1_error_quark ())
 GQuark quince_http1_error_quark (void);
 
@@ -136,23 +136,4 @@
 /* A message has begun to arrive and is not whole. */
 gboolean quince_http_connection_is_reading (QuinceHttpConnection *connection);
 
-/* ---- Listening -------------------------------------------------------- */
-
-typedef struct _QuinceHttpAcceptor QuinceHttpAcceptor;
-
-/**
- * quince_http_acceptor_new:
- * @address: numeric ip:port; port 0 lets the kernel choose
- * @accepted: called with each new socket, (transfer full)
- */
-QuinceHttpAcceptor *quince_http_acceptor_new (const char *address,
-                                              void (*accepted) (GSocket *socket, gpointer user_data),
-                                              gpointer user_data,
-                                              GError **error);
-const char *quince_http_acceptor_get_address (QuinceHttpAcceptor *acceptor);
-/* New connections are ignored; those made before are accepted until the acceptor is freed. */
-void quince_http_acceptor_ignore_new (QuinceHttpAcceptor *acceptor);
-void quince_http_acceptor_free (QuinceHttpAcceptor *acceptor);
-G_DEFINE_AUTOPTR_CLEANUP_FUNC (QuinceHttpAcceptor, quince_http_acceptor_free)
-
 G_END_DECLS
--- a/lib/meta/meta-mirror.c
+++ b/lib/meta/meta-mirror.c
@@ -5,6 +5,7 @@
 
 #include "runtime/log.h"
 #include "runtime/clock.h"
+#include "runtime/timer.h"
 
 #include "meta-copy.h"
 #include "meta/meta-mirror.h"
@@ -25,7 +26,7 @@
   const QuinceMetaMirrorCallbacks *callbacks;
   gpointer user_data;
   QuinceMetaCall *call; /* in progress */
-  GSource *timer;       /* until the next call */
+  QuinceTimer *timer;   /* until the next call */
   QuinceMetaCopy *copy; /* all that was reported to the owner */
   GPtrArray *changes;   /* QuinceMetaItem, owned: new in the list in progress or in this answer */
   GHashTable *listed;   /* keys of the list in progress; NULL while watching */
@@ -37,9 +38,9 @@
   gint64 watch_began_us;
   gint64 contact_us; /* monotonic time of the last answer or page; 0: none yet */
   gboolean synced;
-  gboolean watching;   /* the call in progress is a watch */
-  gboolean waiting;    /* calls to the store fail: reads once it answers again */
-  GSource *feed_timer; /* while it is fed: until its patience is over */
+  gboolean watching;       /* the call in progress is a watch */
+  gboolean waiting;        /* calls to the store fail: reads once it answers again */
+  QuinceTimer *feed_timer; /* while it is fed: until its patience is over */
 };
 
 static void begin_list (QuinceMetaMirror *mirror);
@@ -119,7 +120,7 @@
 timer_over (gpointer data)
 {
   QuinceMetaMirror *mirror = data;
-  quince_source_clear (&mirror->timer);
+  quince_timer_clear (&mirror->timer);
   mirror->waiting = quince_meta_store_is_failing (mirror->store);
   if (!mirror->waiting)
     read_store (mirror, watch_wait_ms (mirror));
@@ -129,7 +130,7 @@
 static void
 wait_then_call (QuinceMetaMirror *mirror, guint wait_ms)
 {
-  quince_source_clear (&mirror->timer);
+  quince_timer_clear (&mirror->timer);
   mirror->timer = quince_timer_add (wait_ms, timer_over, mirror);
 }
 
@@ -267,7 +268,7 @@
     quince_meta_call_cancel (mirror->call);
   mirror->call = NULL;
   mirror->waiting = FALSE;
-  quince_source_clear (&mirror->timer);
+  quince_timer_clear (&mirror->timer);
   drop_list (mirror);
 }
 
@@ -276,7 +277,7 @@
 read_store_again (QuinceMetaMirror *mirror, const char *reason)
 {
   mirror->reason = reason;
-  quince_source_clear (&mirror->feed_timer);
+  quince_timer_clear (&mirror->feed_timer);
   g_autofree char *prefix = quince_log_quote (mirror->prefix);
   quince_log_info ("feed_ended", "prefix=%s reason=%s revision=%" G_GUINT64_FORMAT, prefix, reason,
                    mirror->revision);
@@ -312,7 +313,7 @@
       quince_log_info ("feed_begun", "prefix=%s revision=%" G_GUINT64_FORMAT, prefix, mirror->revision);
     }
   stop_reading (mirror);
-  quince_source_clear (&mirror->feed_timer);
+  quince_timer_clear (&mirror->feed_timer);
   mirror->feed_timer = quince_timer_add (mirror->times.patience_ms, patience_over, mirror);
 }
 
@@ -409,8 +410,8 @@
   quince_meta_store_remove_listener (mirror->store, mirror);
   if (mirror->call != NULL)
     quince_meta_call_cancel (mirror->call);
-  quince_source_clear (&mirror->timer);
-  quince_source_clear (&mirror->feed_timer);
+  quince_timer_clear (&mirror->timer);
+  quince_timer_clear (&mirror->feed_timer);
   drop_list (mirror);
   quince_meta_copy_free (mirror->copy);
   g_ptr_array_unref (mirror->changes);
--- a/lib/meta/meta-presence.c
+++ b/lib/meta/meta-presence.c
@@ -2,7 +2,7 @@
  * meta-presence.c: one key under a lease that this process renews.
  */
 #include "runtime/log.h"
-#include "runtime/clock.h"
+#include "runtime/timer.h"
 
 #include "meta/meta-presence.h"
 
@@ -24,7 +24,7 @@
   GBytes *value;
   guint ttl_ms;
   guint64 lease; /* 0: none */
-  GSource *timer;
+  QuinceTimer *timer;
   gboolean withdrawn;
 };
 
@@ -59,7 +59,7 @@
 static void
 next_step (QuinceMetaPresence *presence, guint wait_ms)
 {
-  quince_source_clear (&presence->timer);
+  quince_timer_clear (&presence->timer);
   if (!presence->withdrawn)
     presence->timer = quince_timer_add (wait_ms, step_timer, presence);
 }
@@ -81,7 +81,7 @@
 step_timer (gpointer data)
 {
   QuinceMetaPresence *presence = data;
-  quince_source_clear (&presence->timer);
+  quince_timer_clear (&presence->timer);
   if (presence->lease == 0)
     open_lease (presence);
   else
@@ -169,7 +169,7 @@
   if (presence->withdrawn)
     return;
   presence->withdrawn = TRUE;
-  quince_source_clear (&presence->timer);
+  quince_timer_clear (&presence->timer);
   if (presence->lease != 0)
     quince_meta_store_end_lease (presence->store, presence->lease, lease_ended, presence_hold (presence));
 }
@@ -180,6 +180,6 @@
   if (presence == NULL)
     return;
   presence->withdrawn = TRUE;
-  quince_source_clear (&presence->timer);
+  quince_timer_clear (&presence->timer);
   presence_release (presence);
 }
--- a/lib/meta/meta-store.c
+++ b/lib/meta/meta-store.c
@@ -8,6 +8,7 @@
 #include "runtime/log.h"
 #include "runtime/metrics.h"
 #include "runtime/clock.h"
+#include "runtime/timer.h"
 
 #include "meta-private.h"
 
@@ -53,9 +54,9 @@
   GArray *listeners; /* Listener */
   QuinceMetaContact contact;
   gboolean failing;
-  GSource *probe_timer; /* while failing */
-  guint probe_ms;       /* until the next probe */
-  gboolean relaxed;     /* see quince_meta_store_set_relaxed() */
+  QuinceTimer *probe_timer; /* while failing */
+  guint probe_ms;           /* until the next probe */
+  gboolean relaxed;         /* see quince_meta_store_set_relaxed() */
 };
 
 /* Labels of a call for the metric. */
@@ -102,7 +103,7 @@
 {
   if (store == NULL)
     return;
-  quince_source_clear (&store->probe_timer);
+  quince_timer_clear (&store->probe_timer);
   g_hash_table_unref (store->calls);
   g_array_unref (store->listeners);
   quince_http_pool_unref (store->pool);
@@ -168,7 +169,7 @@
 probe_store (gpointer data)
 {
   QuinceMetaStore *store = data;
-  quince_source_clear (&store->probe_timer);
+  quince_timer_clear (&store->probe_timer);
   store->probe_timer = quince_timer_add (store->probe_ms, probe_store, store);
   store->probe_ms = MIN (store->probe_ms * 2, store->relaxed ? PROBE_RELAXED_MS : PROBE_MAX_MS);
   const CallPurpose purpose = { "get", PROBE_KEY, "failing" };
@@ -185,7 +186,7 @@
   store->relaxed = relaxed;
   if (relaxed || store->probe_timer == NULL)
     return;
-  quince_source_clear (&store->probe_timer);
+  quince_timer_clear (&store->probe_timer);
   store->probe_ms = PROBE_EVERY_MS;
   store->probe_timer = quince_timer_add (PROBE_FIRST_MS, probe_store, store);
 }
@@ -206,7 +207,7 @@
     quince_log_warning ("dependency_lost", "what=meta_store");
   if (good)
     store->contact.regained_us = store->contact.last_answer_us;
-  quince_source_clear (&store->probe_timer);
+  quince_timer_clear (&store->probe_timer);
   store->probe_ms = PROBE_EVERY_MS;
   if (!good)
     store->probe_timer = quince_timer_add (PROBE_FIRST_MS, probe_store, store);
--- a/lib/observer/observer-feed.c
+++ b/lib/observer/observer-feed.c
@@ -6,6 +6,7 @@
  */
 #include "runtime/log.h"
 #include "runtime/clock.h"
+#include "runtime/timer.h"
 
 #include "observer-private.h"
 
@@ -111,7 +112,7 @@
 void
 quince_observer_feed_ended (QuinceObserver *observer)
 {
-  quince_source_clear (&observer->feeder_timer);
+  quince_timer_clear (&observer->feeder_timer);
   quince_observer_set_relaxed (observer);
   QuinceNamedMirror mirrors[QUINCE_OBSERVER_PREFIXES];
   quince_observer_list_mirrors (observer, mirrors);
@@ -128,7 +129,7 @@
       quince_observer_feed_ended (observer);
       return;
     }
-  quince_source_clear (&observer->feeder_timer);
+  quince_timer_clear (&observer->feeder_timer);
   quince_observer_set_relaxed (observer);
   quince_meta_mirror_feed_ended (observer->own_mirror);
 }
@@ -138,7 +139,7 @@
 {
   observer->resumed_us = quince_now_us ();
   quince_backends_hold_sends (observer->backends, RESUMED_HOLD_MS);
-  quince_source_clear (&observer->feeder_timer);
+  quince_timer_clear (&observer->feeder_timer);
   quince_observer_set_relaxed (observer);
   QuinceNamedMirror mirrors[QUINCE_OBSERVER_PREFIXES];
   quince_observer_list_mirrors (observer, mirrors);
@@ -156,7 +157,7 @@
 void
 quince_observer_feeder_alive (QuinceObserver *observer)
 {
-  quince_source_clear (&observer->feeder_timer);
+  quince_timer_clear (&observer->feeder_timer);
   observer->feeder_timer = quince_timer_add (FEEDER_SILENCE_MS, feeder_timed_out, observer);
   quince_observer_set_relaxed (observer);
 }
--- a/lib/observer/observer-private.h
+++ b/lib/observer/observer-private.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "observer/observer.h"
+#include "runtime/timer.h"
 
 #include "operator-state.h"
 
@@ -29,9 +30,9 @@
   QuinceOperatorState *operator_state;        /* owned */
   gint64 resumed_us;                          /* monotonic: end of the last suspension; 0: never */
   guint workers_pace_ms;                      /* least time between two reads of the workers */
-  guint slack_ms;        /* a fed mirror trusts its last page for the time between two reads and this */
-  GSource *feeder_timer; /* restarted by each message of the feeder, which counts as gone when it ends */
-  gboolean reserve;      /* this process is a reserve reader */
+  guint slack_ms;            /* a fed mirror trusts its last page for the time between two reads and this */
+  QuinceTimer *feeder_timer; /* restarted by each message of the feeder, which counts as gone when it ends */
+  gboolean reserve;          /* this process is a reserve reader */
   gboolean page_may_have_lapsed; /* QuinceMetaPage.may_have_lapsed of the page that is being taken */
 };
 
--- a/lib/observer/observer.c
+++ b/lib/observer/observer.c
@@ -8,6 +8,7 @@
 #include "runtime/metrics.h"
 #include "forward/policy-entry.h"
 #include "runtime/clock.h"
+#include "runtime/timer.h"
 
 #include "observer-private.h"
 #include "refused-item.h"
@@ -286,7 +287,7 @@
 {
   if (observer == NULL)
     return;
-  quince_source_clear (&observer->feeder_timer);
+  quince_timer_clear (&observer->feeder_timer);
   quince_meta_mirror_free (observer->operator_mirror);
   quince_meta_mirror_free (observer->workers_mirror);
   quince_meta_mirror_free (observer->own_mirror);
--- a/lib/http1/http-acceptor.c
+++ b/lib/runtime/acceptor.c
@@ -1,48 +1,53 @@
 /*
- * http-acceptor.c: a listening socket that passes accepted sockets to its owner.
+ * acceptor.c: a listening TCP socket that passes accepted sockets to its owner.
  */
-#include "http1/http1.h"
+#include "runtime/acceptor.h"
 
 #include "runtime/address.h"
 #include "runtime/listen-filter.h"
 #include "runtime/log.h"
-#include "runtime/clock.h"
+#include "runtime/socket-watch.h"
 
-/* Connections that wait to be accepted.  Not measured: a burst of callers between two turns of the main loop.
- */
-#define BACKLOG 512
+/* Connections that wait to be accepted: above the 300 machines of the largest deployment, all of which
+ * connect to a new leader at once. */
+#define BACKLOG 1024
 /* Connections accepted in one turn of the main loop, so that those that exist are served in between. */
 #define ACCEPT_MAX 16
 
-struct _QuinceHttpAcceptor
+struct _QuinceAcceptor
 {
   /* All fields belong to the context that created the acceptor. */
   GSocket *socket;
-  GSource *source;
+  QuinceSocketWatch *watch;
   char *address;
   void (*accepted) (GSocket *socket, gpointer user_data);
   gpointer user_data;
 };
 
-static gboolean
-accept_ready (GSocket *socket, GIOCondition condition, gpointer data)
+static void
+accept_ready (GIOCondition condition, gpointer data)
 {
-  QuinceHttpAcceptor *acceptor = data;
+  QuinceAcceptor *acceptor = data;
   for (guint i = 0; i < ACCEPT_MAX; i++)
     {
-      GSocket *accepted = g_socket_accept (socket, NULL, NULL);
+      g_autoptr (GError) error = NULL;
+      GSocket *accepted = g_socket_accept (acceptor->socket, NULL, &error);
       if (accepted == NULL)
-        break;
+        {
+          if (!g_error_matches (error, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK))
+            quince_log_warning ("connection_not_accepted", "address=%s error=\"%s\"", acceptor->address,
+                                error->message);
+          break;
+        }
       acceptor->accepted (accepted, acceptor->user_data);
     }
-  return G_SOURCE_CONTINUE;
 }
 
-QuinceHttpAcceptor *
-quince_http_acceptor_new (const char *address,
-                          void (*accepted) (GSocket *socket, gpointer user_data),
-                          gpointer user_data,
-                          GError **error)
+QuinceAcceptor *
+quince_acceptor_new (const char *address,
+                     void (*accepted) (GSocket *socket, gpointer user_data),
+                     gpointer user_data,
+                     GError **error)
 {
   g_autoptr (GSocketAddress) wanted = quince_address_parse (address, error);
   if (wanted == NULL)
@@ -58,36 +63,34 @@
   g_autoptr (GSocketAddress) actual = g_socket_get_local_address (socket, error);
   if (actual == NULL)
     return NULL;
-  QuinceHttpAcceptor *acceptor = g_new0 (QuinceHttpAcceptor, 1);
+  QuinceAcceptor *acceptor = g_new0 (QuinceAcceptor, 1);
   acceptor->address = quince_address_format (actual);
   acceptor->accepted = accepted;
   acceptor->user_data = user_data;
-  acceptor->source = g_socket_create_source (socket, G_IO_IN, NULL);
+  acceptor->watch = quince_socket_watch_new (socket, G_IO_IN, accept_ready, acceptor);
   acceptor->socket = g_steal_pointer (&socket);
-  g_source_set_callback (acceptor->source, G_SOURCE_FUNC (accept_ready), acceptor, NULL);
-  g_source_attach (acceptor->source, g_main_context_get_thread_default ());
   return acceptor;
 }
 
 const char *
-quince_http_acceptor_get_address (QuinceHttpAcceptor *acceptor)
+quince_acceptor_get_address (QuinceAcceptor *acceptor)
 {
   return acceptor->address;
 }
 
 void
-quince_http_acceptor_ignore_new (QuinceHttpAcceptor *acceptor)
+quince_acceptor_ignore_new (QuinceAcceptor *acceptor)
 {
   if (!quince_listen_filter_ignore_new (acceptor->socket))
     quince_log_warning ("connections_not_ignored", "address=%s", acceptor->address);
 }
 
 void
-quince_http_acceptor_free (QuinceHttpAcceptor *acceptor)
+quince_acceptor_free (QuinceAcceptor *acceptor)
 {
   if (acceptor == NULL)
     return;
-  quince_source_clear (&acceptor->source);
+  quince_socket_watch_clear (&acceptor->watch);
   g_socket_close (acceptor->socket, NULL);
   g_clear_object (&acceptor->socket);
   g_free (acceptor->address);
--- a/lib/runtime/clock.c
+++ b/lib/runtime/clock.c
@@ -1,30 +1,11 @@
 /*
- * clock.c: clocks and timers; see clock.h.
+ * clock.c: clocks; see clock.h.
  */
 #include "runtime/clock.h"
 
 #include <errno.h>
 #include <time.h>
 
-GSource *
-quince_timer_add (guint interval_ms, GSourceFunc function, gpointer user_data)
-{
-  GSource *source = g_timeout_source_new (interval_ms);
-  g_source_set_callback (source, function, user_data, NULL);
-  g_source_attach (source, g_main_context_get_thread_default ());
-  return source;
-}
-
-void
-quince_source_clear (GSource **source)
-{
-  if (*source == NULL)
-    return;
-  g_source_destroy (*source);
-  g_source_unref (*source);
-  *source = NULL;
-}
-
 gint64
 quince_now_us (void)
 {
--- a/lib/runtime/clock.h
+++ b/lib/runtime/clock.h
@@ -1,5 +1,5 @@
 /*
- * clock.h: the clocks that all modules share, and timers on the calling thread's main context.
+ * clock.h: the clocks that all modules share.
  *
  * Relies on the C library and GLib alone.  Modules of lib/core take times as arguments and include nothing of
  * this.
@@ -29,18 +29,4 @@
 /* Milliseconds since the Unix epoch, of the wall clock; it may be stepped either way. */
 gint64 quince_wall_ms (void);
 
-/**
- * quince_timer_add:
- * @interval_ms: between two calls, milliseconds
- *
- * Timers run on the steady clock, which stands still while the machine is suspended: what a timer wakes
- * compares quince_now_us(), not the number of calls; see also suspension.h.
- *
- * Returns: (transfer full): the source, attached to the calling thread's default context;
- * quince_source_clear() ends it
- */
-GSource *quince_timer_add (guint interval_ms, GSourceFunc function, gpointer user_data);
-/* Ends and releases the source, if there is one, and sets the pointer to %NULL. */
-void quince_source_clear (GSource **source);
-
 G_END_DECLS
--- a/lib/runtime/link.c
+++ b/lib/runtime/link.c
@@ -6,35 +6,25 @@
  */
 #include "runtime/link.h"
 
-#include <netinet/in.h>
-#include <linux/sockios.h>
-#include <netinet/tcp.h>
-#include <sys/ioctl.h>
 #include <string.h>
 
-#include "runtime/address.h"
+#include "runtime/acceptor.h"
+#include "runtime/timer.h"
 #include "runtime/packed-message.h"
-#include "runtime/clock.h"
+#include "runtime/socket-watch.h"
+#include "runtime/tcp-socket.h"
 
 /* The length before each frame, bytes: an unsigned 32-bit number, as quince_protocol.x says. */
 #define FRAME_HEADER_BYTES 4
-/* Bytes of one read.  A read is always in progress, so that each link holds as much: 5 MB at a leader of 300
- * machines. */
-#define READ_BYTES (16 * 1024)
-/* A peer that acknowledges nothing for so long is taken for lost, ms (TCP_USER_TIMEOUT).  Not measured: as
- * on connections of callers and workers. */
-#define SILENCE_MS 3000
+/* Bytes of one read, after which other links have their turn. */
+#define READ_BYTES (64 * 1024)
 /* Output that waits for a peer, bytes, above which its link is closed: an eighth of the memory of the
  * smallest leaders (270 MB). */
 #define OUTPUT_MAX_BYTES (32 * 1024 * 1024)
-/* Buffers above this size are released once they are empty, bytes.  Not measured: above frames that are sent
- * all the time (heartbeats, reports), below those of whole lists. */
+/* Buffers above this size are released once they are empty, bytes: above frames that are sent all the time
+ * (heartbeats, reports), below those of whole lists. */
 #define KEEP_BUFFER_BYTES (32 * 1024)
 
-/* Connections that wait to be accepted.  Not measured: above the 300 machines of the largest deployment, all
- * of which connect to a new leader at once. */
-#define BACKLOG 1024
-
 G_DEFINE_QUARK (quince - link - error - quark, quince_link_error)
 
 struct _QuinceLink
@@ -43,12 +33,15 @@
   grefcount references;
   const QuinceLinkCallbacks *callbacks;
   gpointer user_data;
-  GSocketConnection *connection;
-  GCancellable *cancellable;
-  GByteArray *input;   /* bytes not yet framed                      */
-  GByteArray *output;  /* bytes not yet handed to a write           */
-  GByteArray *writing; /* bytes of the write in progress            */
-  GSource *flush_source;
+  GSocket *socket;          /* NULL: the address is none, or the system refused at once */
+  QuinceSocketWatch *watch; /* NULL: closed, or no socket */
+  QuinceTimer *fail_timer;  /* reports that there is no socket */
+  GError *refusal;          /* why there is none */
+  GByteArray *input;        /* the beginning of a frame */
+  GByteArray *output;       /* bytes that the kernel has not taken, from output_begin on */
+  gsize output_begin;
+  gboolean connecting;
+  gboolean watches_output; /* the kernel takes no more for now */
   gboolean open;
   guint64 bytes_sent;
   QuinceAnswerAllowance allowance;
@@ -66,12 +59,11 @@
 {
   if (!g_ref_count_dec (&link->references))
     return;
-  quince_source_clear (&link->flush_source);
-  g_clear_object (&link->connection);
-  g_clear_object (&link->cancellable);
+  quince_link_close (link);
+  g_clear_object (&link->socket);
+  g_clear_error (&link->refusal);
   g_byte_array_unref (link->input);
   g_byte_array_unref (link->output);
-  g_byte_array_unref (link->writing);
   g_free (link);
 }
 
@@ -82,10 +74,8 @@
   g_ref_count_init (&link->references);
   link->callbacks = callbacks;
   link->user_data = user_data;
-  link->cancellable = g_cancellable_new ();
   link->input = g_byte_array_new ();
   link->output = g_byte_array_new ();
-  link->writing = g_byte_array_new ();
   link->open = TRUE;
   return link;
 }
@@ -96,14 +86,11 @@
   if (!link->open)
     return;
   link->open = FALSE;
-  quince_source_clear (&link->flush_source);
-  g_cancellable_cancel (link->cancellable);
-  if (link->connection != NULL)
-    {
-      /* Shut down rather than close: a read or write may be pending on the streams. */
-      GSocket *socket = g_socket_connection_get_socket (link->connection);
-      g_socket_shutdown (socket, TRUE, TRUE, NULL);
-    }
+  quince_timer_clear (&link->fail_timer);
+  quince_socket_watch_clear (&link->watch);
+  /* Shut down rather than closed: closing with unread bytes would reset what the peer has not read. */
+  if (link->socket != NULL)
+    g_socket_shutdown (link->socket, TRUE, TRUE, NULL);
 }
 
 static void
@@ -127,51 +114,69 @@
 
 /* ---- Writing ---------------------------------------------------------- */
 
-static void start_write (QuinceLink *link);
+static gsize
+waiting_bytes (const QuinceLink *link)
+{
+  return link->output->len - link->output_begin;
+}
 
+/* Large frames are rare, and a leader has hundreds of links: it does not keep their buffers. */
 static void
-write_done (GObject *stream, GAsyncResult *result, gpointer data)
+empty_buffer (GByteArray **buffer)
 {
-  g_autoptr (QuinceLink) link = data;
-  g_autoptr (GError) error = NULL;
-  gsize written = 0;
-  gboolean done = g_output_stream_write_all_finish (G_OUTPUT_STREAM (stream), result, &written, &error);
-  link->bytes_sent += written;
-  if (link->writing->len > KEEP_BUFFER_BYTES)
-    {
-      /* Large frames are rare, and a leader has hundreds of links: it does not keep their buffers. */
-      g_byte_array_unref (link->writing);
-      link->writing = g_byte_array_new ();
-    }
-  g_byte_array_set_size (link->writing, 0);
-  if (!done)
+  if ((*buffer)->len <= KEEP_BUFFER_BYTES)
     {
-      link_fail (link, error);
+      g_byte_array_set_size (*buffer, 0);
       return;
     }
-  start_write (link);
+  g_byte_array_unref (*buffer);
+  *buffer = g_byte_array_new ();
 }
 
 static void
-start_write (QuinceLink *link)
+watch_output (QuinceLink *link, gboolean output)
 {
-  if (!link->open || link->connection == NULL || link->output->len == 0 || link->writing->len > 0)
+  if (link->watches_output == output)
     return;
-  GByteArray *spare = link->writing;
-  link->writing = link->output;
-  link->output = spare;
-  g_output_stream_write_all_async (g_io_stream_get_output_stream (G_IO_STREAM (link->connection)),
-                                   link->writing->data, link->writing->len, G_PRIORITY_DEFAULT,
-                                   link->cancellable, write_done, quince_link_ref (link));
+  link->watches_output = output;
+  quince_socket_watch_set (link->watch, output ? G_IO_IN | G_IO_OUT : G_IO_IN);
 }
 
-static gboolean
-flush_output (gpointer data)
+/* Hands over what the kernel takes at once, and watches for more room where that is not all. */
+static void
+write_output (QuinceLink *link)
 {
-  QuinceLink *link = data;
-  quince_source_clear (&link->flush_source);
-  start_write (link);
-  return G_SOURCE_REMOVE;
+  while (waiting_bytes (link) > 0)
+    {
+      g_autoptr (GError) error = NULL;
+      gssize taken = g_socket_send (link->socket, (const char *)link->output->data + link->output_begin,
+                                    waiting_bytes (link), NULL, &error);
+      if (taken < 0 && g_error_matches (error, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK))
+        {
+          watch_output (link, TRUE);
+          return;
+        }
+      if (taken < 0)
+        {
+          link_fail (link, error);
+          return;
+        }
+      link->output_begin += (gsize)taken;
+      link->bytes_sent += (gsize)taken;
+    }
+  link->output_begin = 0;
+  empty_buffer (&link->output);
+  watch_output (link, FALSE);
+}
+
+/* Bytes that were sent are dropped once they are the greater part, so that each is moved once at most. */
+static void
+drop_sent (QuinceLink *link)
+{
+  if (link->output_begin == 0 || link->output_begin < waiting_bytes (link))
+    return;
+  g_byte_array_remove_range (link->output, 0, (guint)link->output_begin);
+  link->output_begin = 0;
 }
 
 void
@@ -181,22 +186,18 @@
     return;
   gsize length;
   const guint8 *data = g_bytes_get_data (encoded, &length);
-  gboolean waits = link->output->len > 0 || link->writing->len > 0;
-  if (waits && link->output->len + length > OUTPUT_MAX_BYTES)
+  gsize waiting = waiting_bytes (link);
+  if (waiting > 0 && waiting + length > OUTPUT_MAX_BYTES)
     {
       link_fail_code (link, QUINCE_LINK_ERROR_SLOW, "peer reads too slowly");
       return;
     }
+  drop_sent (link);
   guint32 header = GUINT32_TO_BE ((guint32)length);
   g_byte_array_append (link->output, (const guint8 *)&header, FRAME_HEADER_BYTES);
   g_byte_array_append (link->output, data, (guint)length);
-  if (link->flush_source == NULL && link->connection != NULL && link->writing->len == 0)
-    {
-      link->flush_source = g_idle_source_new ();
-      g_source_set_priority (link->flush_source, G_PRIORITY_DEFAULT);
-      g_source_set_callback (link->flush_source, flush_output, link, NULL);
-      g_source_attach (link->flush_source, g_main_context_get_thread_default ());
-    }
+  if (link->watch != NULL && !link->connecting && !link->watches_output)
+    quince_socket_watch_defer_output (link->watch);
 }
 
 void
@@ -216,8 +217,6 @@
 
 /* ---- Reading ---------------------------------------------------------- */
 
-static void start_read (QuinceLink *link);
-
 /* Returns: (transfer full): NULL: the bytes are no message. */
 static QuinceMessage *
 read_message (const guint8 *data, gsize length)
@@ -256,97 +255,107 @@
   return FRAME_HEADER_BYTES + length;
 }
 
-static void
-take_frames (QuinceLink *link)
+/* Returns: bytes used of @data */
+static gsize
+take_frames (QuinceLink *link, const guint8 *data, gsize length)
 {
   gsize used = 0;
   while (link->open)
     {
-      gsize taken = take_frame (link, link->input->data + used, link->input->len - used);
+      gsize taken = take_frame (link, data + used, length - used);
       if (taken == 0)
         break;
       used += taken;
     }
-  if (used == link->input->len && used > KEEP_BUFFER_BYTES)
-    {
-      g_byte_array_unref (link->input);
-      link->input = g_byte_array_new ();
-    }
-  else if (used > 0)
-    g_byte_array_remove_range (link->input, 0, (guint)used);
+  return used;
 }
 
+/* Only the beginning of a frame is kept; whole frames are decoded where they were read. */
 static void
-read_done (GObject *stream, GAsyncResult *result, gpointer data)
+take_bytes (QuinceLink *link, const guint8 *data, gsize length)
 {
-  g_autoptr (QuinceLink) link = data;
-  g_autoptr (GError) error = NULL;
-  g_autoptr (GBytes) bytes = g_input_stream_read_bytes_finish (G_INPUT_STREAM (stream), result, &error);
-  if (!link->open)
-    return;
-  if (bytes == NULL)
-    {
-      link_fail (link, error);
-      return;
-    }
-  gsize length;
-  const guint8 *chunk = g_bytes_get_data (bytes, &length);
-  if (length == 0)
+  if (link->input->len == 0)
     {
-      link_fail_code (link, QUINCE_LINK_ERROR_CLOSED, "peer closed");
+      gsize used = take_frames (link, data, length);
+      g_byte_array_append (link->input, data + used, (guint)(length - used));
       return;
     }
-  g_byte_array_append (link->input, chunk, (guint)length);
-  take_frames (link);
-  start_read (link);
+  g_byte_array_append (link->input, data, (guint)length);
+  gsize used = take_frames (link, link->input->data, link->input->len);
+  if (used == link->input->len)
+    empty_buffer (&link->input);
+  else if (used > 0)
+    g_byte_array_remove_range (link->input, 0, (guint)used);
 }
 
 static void
-start_read (QuinceLink *link)
+read_input (QuinceLink *link)
 {
-  if (!link->open)
-    return;
-  g_input_stream_read_bytes_async (g_io_stream_get_input_stream (G_IO_STREAM (link->connection)), READ_BYTES,
-                                   G_PRIORITY_DEFAULT, link->cancellable, read_done, quince_link_ref (link));
+  guint8 buffer[READ_BYTES];
+  g_autoptr (GError) error = NULL;
+  gssize length = g_socket_receive (link->socket, (char *)buffer, sizeof buffer, NULL, &error);
+  if (length > 0)
+    take_bytes (link, buffer, (gsize)length);
+  else if (length == 0)
+    link_fail_code (link, QUINCE_LINK_ERROR_CLOSED, "peer closed");
+  else if (!g_error_matches (error, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK))
+    link_fail (link, error);
 }
 
 /* ---- Connecting ------------------------------------------------------- */
 
 static void
-link_attach (QuinceLink *link, GSocketConnection *connection)
-{
-  link->connection = g_object_ref (connection);
-  GSocket *socket = g_socket_connection_get_socket (connection);
-  g_socket_set_option (socket, IPPROTO_TCP, TCP_NODELAY, 1, NULL);
-  g_socket_set_option (socket, IPPROTO_TCP, TCP_USER_TIMEOUT, SILENCE_MS, NULL);
-  g_socket_set_keepalive (socket, TRUE);
-  start_read (link);
-  start_write (link);
-}
-
-static void
-connect_done (GObject *client, GAsyncResult *result, gpointer data)
+connect_ready (QuinceLink *link)
 {
-  g_autoptr (QuinceLink) link = data;
   g_autoptr (GError) error = NULL;
-  g_autoptr (GSocketConnection) connection
-      = g_socket_client_connect_finish (G_SOCKET_CLIENT (client), result, &error);
-  if (!link->open)
-    return;
-  if (connection == NULL)
+  if (!g_socket_check_connect_result (link->socket, &error))
     {
       link_fail (link, error);
       return;
     }
-  link_attach (link, connection);
+  link->connecting = FALSE;
+  quince_socket_watch_set (link->watch, G_IO_IN);
+  if (waiting_bytes (link) > 0)
+    quince_socket_watch_defer_output (link->watch);
   if (link->callbacks->connected != NULL)
     link->callbacks->connected (link, link->user_data);
 }
 
+/* Input first: a peer may have sent its last messages and closed, after which it takes no output. */
+static void
+socket_ready (GIOCondition condition, gpointer data)
+{
+  QuinceLink *link = data;
+  quince_link_ref (link);
+  if (link->connecting)
+    connect_ready (link);
+  else
+    {
+      if ((condition & ~G_IO_OUT) != 0)
+        read_input (link);
+      if (link->open && (condition & G_IO_OUT) != 0)
+        write_output (link);
+    }
+  quince_link_unref (link);
+}
+
+static void
+link_attach (QuinceLink *link, GSocket *socket, GIOCondition condition)
+{
+  link->socket = socket;
+  g_socket_set_keepalive (socket, TRUE);
+  link->watch = quince_socket_watch_new (socket, condition, socket_ready, link);
+}
+
 static gboolean
-fail_bad_address (gpointer data)
+fail_refused (gpointer data)
 {
-  link_fail_code (data, QUINCE_LINK_ERROR_ADDRESS, "not a numeric ip:port");
+  QuinceLink *link = data;
+  g_autoptr (GError) refusal = g_steal_pointer (&link->refusal);
+  if (g_error_matches (refusal, G_IO_ERROR, G_IO_ERROR_INVALID_ARGUMENT))
+    link_fail_code (link, QUINCE_LINK_ERROR_ADDRESS, "not a numeric ip:port");
+  else
+    link_fail (link, refusal);
   return G_SOURCE_REMOVE;
 }
 
@@ -354,44 +363,33 @@
 quince_link_connect (const char *address, const QuinceLinkCallbacks *callbacks, gpointer user_data)
 {
   QuinceLink *link = link_new (callbacks, user_data);
-  g_autoptr (GSocketAddress) target = quince_address_parse (address, NULL);
-  if (target == NULL)
-    {
-      /* Reported from the loop, as every other failure is. */
-      g_autoptr (GSource) source = g_idle_source_new ();
-      g_source_set_callback (source, fail_bad_address, quince_link_ref (link),
-                             (GDestroyNotify)quince_link_unref);
-      g_source_attach (source, g_main_context_get_thread_default ());
-      return link;
-    }
-  g_autoptr (GSocketClient) client = g_socket_client_new ();
-  g_socket_client_set_enable_proxy (client, FALSE);
-  g_socket_client_connect_async (client, G_SOCKET_CONNECTABLE (target), link->cancellable, connect_done,
-                                 quince_link_ref (link));
+  link->connecting = TRUE;
+  GSocket *socket = quince_tcp_socket_connect (address, &link->refusal);
+  if (socket != NULL)
+    link_attach (link, socket, G_IO_OUT);
+  else
+    /* Reported from the loop, as every other failure is. */
+    link->fail_timer = quince_timer_add (0, fail_refused, link);
   return link;
 }
 
 gboolean
 quince_link_is_connected (QuinceLink *link)
 {
-  return link->open && link->connection != NULL;
+  return link->open && !link->connecting;
 }
 
 gsize
 quince_link_get_backlog (QuinceLink *link)
 {
-  int unacknowledged = 0;
-  if (link->connection != NULL)
-    ioctl (g_socket_get_fd (g_socket_connection_get_socket (link->connection)), SIOCOUTQ, &unacknowledged);
-  /* What is being written is in the system's queue in part: counted twice rather than not at all. */
-  return link->output->len + link->writing->len + (gsize)MAX (unacknowledged, 0);
+  return waiting_bytes (link)
+         + (link->socket != NULL ? quince_tcp_socket_get_unacknowledged (link->socket) : 0);
 }
 
 gboolean
 quince_link_has_input (QuinceLink *link)
 {
-  return quince_link_is_connected (link)
-         && g_socket_condition_check (g_socket_connection_get_socket (link->connection), G_IO_IN) != 0;
+  return quince_link_is_connected (link) && g_socket_condition_check (link->socket, G_IO_IN) != 0;
 }
 
 QuinceAnswerAllowance *
@@ -411,38 +409,20 @@
 struct _QuinceLinkServer
 {
   /* All fields belong to the context that created the server. */
-  GSocketListener *listener;
-  GCancellable *cancellable;
-  char *address;
+  QuinceAcceptor *acceptor;
   const QuinceLinkCallbacks *callbacks;
   void (*accepted) (QuinceLink *link, gpointer user_data);
   gpointer user_data;
 };
 
-static void start_accept (QuinceLinkServer *server);
-
 static void
-accept_done (GObject *listener, GAsyncResult *result, gpointer data)
+socket_accepted (GSocket *socket, gpointer data)
 {
-  g_autoptr (GError) error = NULL;
-  g_autoptr (GSocketConnection) connection
-      = g_socket_listener_accept_finish (G_SOCKET_LISTENER (listener), result, NULL, &error);
-  if (g_error_matches (error, G_IO_ERROR, G_IO_ERROR_CANCELLED))
-    return; /* The server is gone. */
   QuinceLinkServer *server = data;
-  if (connection != NULL)
-    {
-      QuinceLink *link = link_new (server->callbacks, server->user_data);
-      link_attach (link, connection);
-      server->accepted (link, server->user_data);
-    }
-  start_accept (server);
-}
-
-static void
-start_accept (QuinceLinkServer *server)
-{
-  g_socket_listener_accept_async (server->listener, server->cancellable, accept_done, server);
+  QuinceLink *link = link_new (server->callbacks, server->user_data);
+  quince_tcp_socket_prepare (socket);
+  link_attach (link, socket, G_IO_IN);
+  server->accepted (link, server->user_data);
 }
 
 QuinceLinkServer *
@@ -452,39 +432,25 @@
                         gpointer user_data,
                         GError **error)
 {
-  g_autoptr (GSocketAddress) wanted = quince_address_parse (address, error);
-  if (wanted == NULL)
-    return NULL;
-  g_autoptr (GSocketListener) listener = g_socket_listener_new ();
-  g_socket_listener_set_backlog (listener, BACKLOG);
-  g_autoptr (GSocketAddress) actual = NULL;
-  if (!g_socket_listener_add_address (listener, wanted, G_SOCKET_TYPE_STREAM, G_SOCKET_PROTOCOL_TCP, NULL,
-                                      &actual, error))
+  g_autofree QuinceLinkServer *server = g_new0 (QuinceLinkServer, 1);
+  server->acceptor = quince_acceptor_new (address, socket_accepted, server, error);
+  if (server->acceptor == NULL)
     return NULL;
-  QuinceLinkServer *server = g_new0 (QuinceLinkServer, 1);
-  server->listener = g_steal_pointer (&listener);
-  server->cancellable = g_cancellable_new ();
-  server->address = quince_address_format (actual);
   server->callbacks = callbacks;
   server->accepted = accepted;
   server->user_data = user_data;
-  start_accept (server);
-  return server;
+  return g_steal_pointer (&server);
 }
 
 const char *
 quince_link_server_get_address (QuinceLinkServer *server)
 {
-  return server->address;
+  return quince_acceptor_get_address (server->acceptor);
 }
 
 void
 quince_link_server_free (QuinceLinkServer *server)
 {
-  g_cancellable_cancel (server->cancellable);
-  g_socket_listener_close (server->listener);
-  g_clear_object (&server->listener);
-  g_clear_object (&server->cancellable);
-  g_free (server->address);
+  quince_acceptor_free (server->acceptor);
   g_free (server);
 }
--- /dev/null
+++ b/lib/runtime/socket-watch.c
@@ -0,0 +1,200 @@
+/*
+ * socket-watch.c: readiness of sockets by epoll, one source of the main loop for all of them.
+ */
+#include "runtime/socket-watch.h"
+
+#include <errno.h>
+#include <sys/epoll.h>
+#include <unistd.h>
+
+/* Ready sockets dispatched before timers and other sources have their turn. */
+#define READY_MAX 128
+
+/* The source of one thread.  It lives as long as it has watches. */
+typedef struct
+{
+  GSource source; /* first: it is one */
+  int epoll;
+  guint watches;
+  GPtrArray *deferred; /* QuinceSocketWatch *; NULL: cleared since */
+  struct epoll_event ready[READY_MAX];
+  guint next_ready; /* in a dispatch: the first one not called yet */
+  guint ready_count;
+} SocketPoller;
+
+struct _QuinceSocketWatch
+{
+  /* All fields belong to the thread that created the watch. */
+  SocketPoller *poller;
+  GSocket *socket;
+  QuinceSocketReady ready;
+  gpointer user_data;
+  gboolean deferred;
+};
+
+static GPrivate poller_of_thread;
+
+/* ---- The source -------------------------------------------------------- */
+
+static gboolean
+poller_prepare (GSource *source, gint *timeout_ms)
+{
+  *timeout_ms = -1;
+  return ((SocketPoller *)source)->deferred->len > 0;
+}
+
+static void
+call_ready (SocketPoller *poller)
+{
+  int count = epoll_wait (poller->epoll, poller->ready, READY_MAX, 0);
+  poller->ready_count = count > 0 ? (guint)count : 0;
+  poller->next_ready = 0;
+  while (poller->next_ready < poller->ready_count)
+    {
+      const struct epoll_event *event = &poller->ready[poller->next_ready++];
+      QuinceSocketWatch *watch = event->data.ptr;
+      /* The bits of epoll are those of poll(), which GIOCondition has too. */
+      if (watch != NULL)
+        watch->ready ((GIOCondition)event->events, watch->user_data);
+    }
+}
+
+/* Watches that are deferred meanwhile wait for the next turn. */
+static void
+call_deferred (SocketPoller *poller)
+{
+  guint count = poller->deferred->len;
+  for (guint i = 0; i < count; i++)
+    {
+      QuinceSocketWatch *watch = poller->deferred->pdata[i];
+      if (watch == NULL)
+        continue;
+      poller->deferred->pdata[i] = NULL;
+      watch->deferred = FALSE;
+      watch->ready (G_IO_OUT, watch->user_data);
+    }
+  g_ptr_array_remove_range (poller->deferred, 0, count);
+}
+
+static gboolean
+poller_dispatch (GSource *source, GSourceFunc function, gpointer data)
+{
+  SocketPoller *poller = (SocketPoller *)source;
+  call_ready (poller);
+  if (poller->deferred->len > 0)
+    call_deferred (poller);
+  return G_SOURCE_CONTINUE;
+}
+
+static void
+poller_finalize (GSource *source)
+{
+  SocketPoller *poller = (SocketPoller *)source;
+  g_ptr_array_unref (poller->deferred);
+  close (poller->epoll);
+}
+
+static GSourceFuncs poller_functions
+    = { .prepare = poller_prepare, .dispatch = poller_dispatch, .finalize = poller_finalize };
+
+static SocketPoller *
+poller_new (void)
+{
+  int epoll = epoll_create1 (EPOLL_CLOEXEC);
+  if (epoll < 0)
+    g_error ("no descriptor for epoll: %s", g_strerror (errno));
+  GSource *source = g_source_new (&poller_functions, sizeof (SocketPoller));
+  SocketPoller *poller = (SocketPoller *)source;
+  poller->epoll = epoll;
+  poller->deferred = g_ptr_array_new ();
+  g_source_add_unix_fd (source, epoll, G_IO_IN);
+  g_source_attach (source, g_main_context_get_thread_default ());
+  return poller;
+}
+
+static SocketPoller *
+poller_ref (void)
+{
+  SocketPoller *poller = g_private_get (&poller_of_thread);
+  if (poller == NULL)
+    {
+      poller = poller_new ();
+      g_private_set (&poller_of_thread, poller);
+    }
+  poller->watches++;
+  return poller;
+}
+
+static void
+poller_unref (SocketPoller *poller)
+{
+  if (--poller->watches > 0)
+    return;
+  g_private_set (&poller_of_thread, NULL);
+  g_source_destroy (&poller->source);
+  g_source_unref (&poller->source);
+}
+
+/* ---- Watches ----------------------------------------------------------- */
+
+static void
+tell_kernel (QuinceSocketWatch *watch, int operation, GIOCondition condition)
+{
+  struct epoll_event event = { .events = condition, .data.ptr = watch };
+  if (epoll_ctl (watch->poller->epoll, operation, g_socket_get_fd (watch->socket), &event) != 0)
+    g_critical ("epoll refuses a socket: %s", g_strerror (errno));
+}
+
+QuinceSocketWatch *
+quince_socket_watch_new (GSocket *socket, GIOCondition condition, QuinceSocketReady ready, gpointer user_data)
+{
+  QuinceSocketWatch *watch = g_new0 (QuinceSocketWatch, 1);
+  watch->poller = poller_ref ();
+  watch->socket = g_object_ref (socket);
+  watch->ready = ready;
+  watch->user_data = user_data;
+  tell_kernel (watch, EPOLL_CTL_ADD, condition);
+  return watch;
+}
+
+void
+quince_socket_watch_set (QuinceSocketWatch *watch, GIOCondition condition)
+{
+  tell_kernel (watch, EPOLL_CTL_MOD, condition);
+}
+
+void
+quince_socket_watch_defer_output (QuinceSocketWatch *watch)
+{
+  if (watch->deferred)
+    return;
+  watch->deferred = TRUE;
+  g_ptr_array_add (watch->poller->deferred, watch);
+}
+
+/* Drops what this turn of the main loop still has for @watch. */
+static void
+forget_events (QuinceSocketWatch *watch)
+{
+  SocketPoller *poller = watch->poller;
+  for (guint i = poller->next_ready; i < poller->ready_count; i++)
+    if (poller->ready[i].data.ptr == watch)
+      poller->ready[i].data.ptr = NULL;
+  guint index;
+  if (watch->deferred && g_ptr_array_find (poller->deferred, watch, &index))
+    poller->deferred->pdata[index] = NULL;
+}
+
+void
+quince_socket_watch_clear (QuinceSocketWatch **watch)
+{
+  QuinceSocketWatch *ended = *watch;
+  if (ended == NULL)
+    return;
+  *watch = NULL;
+  tell_kernel (ended, EPOLL_CTL_DEL, 0);
+  forget_events (ended);
+  g_object_unref (ended->socket);
+  poller_unref (ended->poller);
+  g_free (ended);
+}
--- /dev/null
+++ b/lib/runtime/tcp-socket.c
@@ -0,0 +1,50 @@
+/*
+ * tcp-socket.c: options and first steps of TCP sockets; see tcp-socket.h.
+ */
+#include "runtime/tcp-socket.h"
+
+#include <linux/sockios.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/ioctl.h>
+
+#include "runtime/address.h"
+
+/* A peer whose machine acknowledges nothing for so long is taken for lost, ms (TCP_USER_TIMEOUT). */
+#define SILENCE_MS 3000
+
+void
+quince_tcp_socket_prepare (GSocket *socket)
+{
+  g_socket_set_blocking (socket, FALSE);
+  g_socket_set_option (socket, IPPROTO_TCP, TCP_NODELAY, 1, NULL);
+  g_socket_set_option (socket, IPPROTO_TCP, TCP_USER_TIMEOUT, SILENCE_MS, NULL);
+}
+
+GSocket *
+quince_tcp_socket_connect (const char *address, GError **error)
+{
+  g_autoptr (GSocketAddress) target = quince_address_parse (address, error);
+  if (target == NULL)
+    return NULL;
+  g_autoptr (GSocket) socket = g_socket_new (g_socket_address_get_family (target), G_SOCKET_TYPE_STREAM,
+                                             G_SOCKET_PROTOCOL_TCP, error);
+  if (socket == NULL)
+    return NULL;
+  quince_tcp_socket_prepare (socket);
+  g_autoptr (GError) refused = NULL;
+  if (g_socket_connect (socket, target, NULL, &refused)
+      || g_error_matches (refused, G_IO_ERROR, G_IO_ERROR_PENDING))
+    return g_steal_pointer (&socket);
+  g_propagate_error (error, g_steal_pointer (&refused));
+  return NULL;
+}
+
+gsize
+quince_tcp_socket_get_unacknowledged (GSocket *socket)
+{
+  int bytes = 0;
+  if (ioctl (g_socket_get_fd (socket), SIOCOUTQ, &bytes) != 0)
+    return 0;
+  return (gsize)MAX (bytes, 0);
+}
--- a/rehearsal/platform/standin-server.c
+++ b/rehearsal/platform/standin-server.c
@@ -6,6 +6,8 @@
 #include <string.h>
 #include <sys/socket.h>
 
+#include "runtime/acceptor.h"
+
 typedef struct
 {
   StandinServer *server;
@@ -18,8 +20,8 @@
 
 struct _StandinServer
 {
-  QuinceHttpAcceptor *acceptor; /* NULL while it is dead */
-  GSocket *reserved;            /* keeps the port of a dead server from others; NULL while it lives */
+  QuinceAcceptor *acceptor; /* NULL while it is dead */
+  GSocket *reserved;        /* keeps the port of a dead server from others; NULL while it lives */
   char *address;
   GHashTable *connections;
   void (*handler) (StandinCall *, gpointer);
@@ -103,9 +105,9 @@
   server->connections = g_hash_table_new (NULL, NULL);
   server->handler = handler;
   server->user_data = user_data;
-  server->acceptor = quince_http_acceptor_new ("127.0.0.1:0", accepted, server, NULL);
+  server->acceptor = quince_acceptor_new ("127.0.0.1:0", accepted, server, NULL);
   g_assert_nonnull (server->acceptor);
-  server->address = g_strdup (quince_http_acceptor_get_address (server->acceptor));
+  server->address = g_strdup (quince_acceptor_get_address (server->acceptor));
   return server;
 }
 
@@ -146,7 +148,7 @@
 void
 standin_server_die (StandinServer *server)
 {
-  g_clear_pointer (&server->acceptor, quince_http_acceptor_free);
+  g_clear_pointer (&server->acceptor, quince_acceptor_free);
   if (server->reserved == NULL)
     server->reserved = standin_reserve_port (server->address);
   GHashTableIter iter;
@@ -164,14 +166,14 @@
     return;
   g_socket_close (server->reserved, NULL);
   g_clear_object (&server->reserved);
-  server->acceptor = quince_http_acceptor_new (server->address, accepted, server, NULL);
+  server->acceptor = quince_acceptor_new (server->address, accepted, server, NULL);
   g_assert_nonnull (server->acceptor);
 }
 
 void
 standin_server_free (StandinServer *server)
 {
-  g_clear_pointer (&server->acceptor, quince_http_acceptor_free);
+  g_clear_pointer (&server->acceptor, quince_acceptor_free);
   standin_server_drop_all (server);
   g_hash_table_unref (server->connections);
   g_clear_object (&server->reserved);
--- a/tests/platform/test-forward.c
+++ b/tests/platform/test-forward.c
@@ -4,6 +4,7 @@
  */
 #include "forward/forward.h"
 #include "runtime/clock.h"
+#include "runtime/timer.h"
 
 #include <string.h>
 
@@ -388,7 +389,7 @@
   QuinceWarmupSends *sends;
   char *worker;
   guint64 ask;
-  GSource *timer;
+  QuinceTimer *timer;
 } ColdService;
 
 static const QuinceService *
@@ -401,7 +402,7 @@
 grant (gpointer data)
 {
   ColdService *cold = data;
-  quince_source_clear (&cold->timer);
+  quince_timer_clear (&cold->timer);
   quince_warmup_sends_answered (cold->sends, cold->worker, cold->ask, 1, GRANT_VALID_US, ASK_AGAIN_US);
   return G_SOURCE_REMOVE;
 }
@@ -413,7 +414,7 @@
   g_free (cold->worker);
   cold->worker = g_strdup (worker);
   cold->ask = number;
-  quince_source_clear (&cold->timer);
+  quince_timer_clear (&cold->timer);
   cold->timer = quince_timer_add (GRANT_MS, grant, cold);
   return TRUE;
 }
@@ -441,7 +442,7 @@
   assert_int_equal (world.outcome, QUINCE_FORWARD_ANSWERED);
   assert_int_equal (world.status, 200);
   assert_int_equal (runs (&world), 1);
-  quince_source_clear (&cold.timer);
+  quince_timer_clear (&cold.timer);
   end (&world);
   quince_warmup_sends_free (cold.sends);
   quince_service_free (cold.service);
--- a/tests/platform/test-freshness.c
+++ b/tests/platform/test-freshness.c
@@ -10,7 +10,7 @@
 #include <string.h>
 
 #include "runtime/link.h"
-#include "runtime/clock.h"
+#include "runtime/timer.h"
 
 #include "await.h"
 #include "platform.h"
@@ -37,12 +37,12 @@
   QuinceMetaStore *store;
   QuinceBackends *backends;
   QuinceObserver *observer;
-  QuinceStoreFeed *feed; /* NULL: does not lead */
-  gboolean reports;      /* a replica: tells the leader what it reads */
-  QuinceLink *link;      /* to the leader, or the last one that was accepted */
-  GPtrArray *accepted;   /* QuinceLink, owned */
-  guint own_keys;        /* changes of own keys */
-  GSource *beat_timer;   /* of a leader */
+  QuinceStoreFeed *feed;   /* NULL: does not lead */
+  gboolean reports;        /* a replica: tells the leader what it reads */
+  QuinceLink *link;        /* to the leader, or the last one that was accepted */
+  GPtrArray *accepted;     /* QuinceLink, owned */
+  guint own_keys;          /* changes of own keys */
+  QuinceTimer *beat_timer; /* of a leader */
   QuinceLinkServer *server;
 } Process;
 
@@ -120,7 +120,7 @@
 static void
 process_clear (Process *process)
 {
-  quince_source_clear (&process->beat_timer);
+  quince_timer_clear (&process->beat_timer);
   if (process->link != NULL)
     quince_link_close (process->link);
   g_clear_pointer (&process->link, quince_link_unref);
@@ -326,7 +326,7 @@
   follow (&follower, &leader);
   run_for (100);
   g_clear_pointer (&leader.feed, quince_store_feed_free);
-  quince_source_clear (&leader.beat_timer);
+  quince_timer_clear (&leader.beat_timer);
   standin_store_put (follower.standin, "quinceroute/ledger", "view");
   gint64 begin_us = g_get_monotonic_time ();
   AWAIT (follower.own_keys > 0);
@@ -344,7 +344,7 @@
   run_for (700); /* until a page has come of each prefix */
   guint calls = standin_store_get_calls (follower.standin);
   g_clear_pointer (&leader.feed, quince_store_feed_free);
-  quince_source_clear (&leader.beat_timer);
+  quince_timer_clear (&leader.beat_timer);
   quince_observer_feeder_lost (follower.observer);
   run_for (800);
   assert_in_range (standin_store_get_calls (follower.standin) - calls, 0, 2);
@@ -415,7 +415,7 @@
   follow (&follower, &leader);
   run_for (100);
   g_clear_pointer (&leader.feed, quince_store_feed_free);
-  quince_source_clear (&leader.beat_timer);
+  quince_timer_clear (&leader.beat_timer);
   standin_store_put (leader.standin, EVACUATE_KEY, "{}");
   standin_store_put (follower.standin, EVACUATE_KEY, "{}");
   assert_evacuated_in_time (&leader, TRUE);
--- /dev/null
+++ b/tests/unit/test-event-loop.c
@@ -0,0 +1,307 @@
+/*
+ * test-event-loop.c: what a turn of the main loop costs with many connections, and the order of timers.
+ */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <cmocka.h>
+
+#include "runtime/link.h"
+#include "runtime/socket-watch.h"
+#include "runtime/tcp-socket.h"
+#include "runtime/timer.h"
+
+/* Connections of the leader of 300 machines to them and to workers, in a test of one process. */
+#define LINKS 200
+/* Descriptors that the main loop itself may ask the kernel about: its own, and one for all sockets. */
+#define POLLED_MAX 4
+
+static void
+turn (void)
+{
+  g_main_context_iteration (NULL, FALSE);
+}
+
+static void
+turn_until_us (gint64 end_us)
+{
+  while (g_get_monotonic_time () < end_us)
+    turn ();
+}
+
+/* ---- Links ---------------------------------------------------------------------- */
+
+typedef struct
+{
+  GPtrArray *accepted; /* QuinceLink, owned */
+  guint messages;
+  guint connected;
+} Peers;
+
+static void
+on_accepted (QuinceLink *link, gpointer data)
+{
+  g_ptr_array_add (((Peers *)data)->accepted, link);
+}
+
+static void
+on_connected (QuinceLink *link, gpointer data)
+{
+  ((Peers *)data)->connected++;
+}
+
+static void
+on_message (QuinceLink *link, QuinceMessage *message, gpointer data)
+{
+  ((Peers *)data)->messages++;
+  quince_message_free (message);
+}
+
+static const QuinceLinkCallbacks callbacks = { .connected = on_connected, .message = on_message };
+
+/* Returns: descriptors that the next turn of the main loop asks about */
+static guint
+count_polled (void)
+{
+  GMainContext *context = g_main_context_default ();
+  assert_true (g_main_context_acquire (context));
+  gint priority;
+  gint timeout_ms;
+  GPollFD polled[2 * LINKS + 16];
+  g_main_context_prepare (context, &priority);
+  gint count = g_main_context_query (context, G_PRIORITY_DEFAULT, &timeout_ms, polled, G_N_ELEMENTS (polled));
+  g_main_context_check (context, priority, polled, 0);
+  g_main_context_release (context);
+  return (guint)count;
+}
+
+static void
+send_text (QuinceLink *link, guint bytes)
+{
+  g_autofree char *text = g_strnfill (bytes, 'x');
+  QuinceMessage message = { .kind = QUINCE_MESSAGE_HEARTBEAT_ACK };
+  message.QuinceMessage_u.heartbeat_ack.node = text;
+  quince_link_send (link, &message);
+}
+
+/* A leader is linked to hundreds of machines, of which a few send at a time. */
+static void
+test_idle_links_cost_no_turn (void **state)
+{
+  Peers peers = { .accepted = g_ptr_array_new_with_free_func ((GDestroyNotify)quince_link_unref) };
+  g_autoptr (QuinceLinkServer) server
+      = quince_link_server_new ("127.0.0.1:0", &callbacks, on_accepted, &peers, NULL);
+  g_autoptr (GPtrArray) links = g_ptr_array_new_with_free_func ((GDestroyNotify)quince_link_unref);
+  for (guint i = 0; i < LINKS; i++)
+    g_ptr_array_add (links,
+                     quince_link_connect (quince_link_server_get_address (server), &callbacks, &peers));
+  while (peers.accepted->len < LINKS || peers.connected < LINKS)
+    turn ();
+  assert_true (count_polled () <= POLLED_MAX);
+  for (guint i = 0; i < LINKS; i++)
+    send_text (links->pdata[i], i);
+  while (peers.messages < LINKS)
+    turn ();
+  g_ptr_array_unref (peers.accepted);
+}
+
+/* Answers of megabytes to a peer that reads later: what the kernel takes no more waits, and comes in order
+ * with what was sent meanwhile. */
+static void
+test_large_messages_wait_for_the_peer (void **state)
+{
+  Peers peers = { .accepted = g_ptr_array_new_with_free_func ((GDestroyNotify)quince_link_unref) };
+  g_autoptr (QuinceLinkServer) server
+      = quince_link_server_new ("127.0.0.1:0", &callbacks, on_accepted, &peers, NULL);
+  g_autoptr (QuinceLink) link
+      = quince_link_connect (quince_link_server_get_address (server), &callbacks, &peers);
+  while (peers.accepted->len < 1 || peers.connected < 1)
+    turn ();
+  for (guint i = 0; i < 12; i++)
+    {
+      send_text (link, 1000 * 1000 * (i % 2));
+      turn ();
+    }
+  while (peers.messages < 12)
+    turn ();
+  assert_int_equal (quince_link_get_bytes_sent (link) / 1000000, 6);
+  g_ptr_array_unref (peers.accepted);
+}
+
+/* ---- Watches ---------------------------------------------------------------------- */
+
+typedef struct
+{
+  QuinceSocketWatch *watches[2];
+  guint calls;
+} Two;
+
+static void
+clear_both (GIOCondition condition, gpointer data)
+{
+  Two *two = data;
+  two->calls++;
+  quince_socket_watch_clear (&two->watches[0]);
+  quince_socket_watch_clear (&two->watches[1]);
+}
+
+static GSocket *
+new_listener (void)
+{
+  GSocket *socket = g_socket_new (G_SOCKET_FAMILY_IPV4, G_SOCKET_TYPE_STREAM, G_SOCKET_PROTOCOL_TCP, NULL);
+  g_autoptr (GInetAddress) loopback = g_inet_address_new_loopback (G_SOCKET_FAMILY_IPV4);
+  g_autoptr (GSocketAddress) address = g_inet_socket_address_new (loopback, 0);
+  assert_true (g_socket_bind (socket, address, TRUE, NULL) && g_socket_listen (socket, NULL));
+  return socket;
+}
+
+static GSocket *
+connect_to (GSocket *listener)
+{
+  g_autoptr (GSocketAddress) address = g_socket_get_local_address (listener, NULL);
+  GSocket *socket = g_socket_new (G_SOCKET_FAMILY_IPV4, G_SOCKET_TYPE_STREAM, G_SOCKET_PROTOCOL_TCP, NULL);
+  assert_true (g_socket_connect (socket, address, NULL, NULL));
+  return socket;
+}
+
+/* Two sockets are ready in one turn, and the first callback ends both watches: the second is not called. */
+static void
+test_watch_cleared_by_another (void **state)
+{
+  g_autoptr (GSocket) listener = new_listener ();
+  g_autoptr (GSocket) first = connect_to (listener);
+  g_autoptr (GSocket) second = connect_to (listener);
+  Two two = { 0 };
+  two.watches[0] = quince_socket_watch_new (first, G_IO_OUT, clear_both, &two);
+  two.watches[1] = quince_socket_watch_new (second, G_IO_OUT, clear_both, &two);
+  while (two.calls == 0)
+    turn ();
+  turn ();
+  assert_int_equal (two.calls, 1);
+}
+
+/* The same for output that was put off to the end of a turn. */
+static void
+test_deferred_watch_cleared_by_another (void **state)
+{
+  g_autoptr (GSocket) listener = new_listener ();
+  g_autoptr (GSocket) other = new_listener ();
+  Two two = { 0 };
+  two.watches[0] = quince_socket_watch_new (listener, G_IO_IN, clear_both, &two);
+  two.watches[1] = quince_socket_watch_new (other, G_IO_IN, clear_both, &two);
+  quince_socket_watch_defer_output (two.watches[0]);
+  quince_socket_watch_defer_output (two.watches[1]);
+  turn ();
+  turn ();
+  assert_int_equal (two.calls, 1);
+}
+
+/* ---- Timers ---------------------------------------------------------------------- */
+
+static GString *called;
+
+static gboolean
+note_a (gpointer data)
+{
+  g_string_append_c (called, 'a');
+  return G_SOURCE_REMOVE;
+}
+
+static gboolean
+note_b (gpointer data)
+{
+  g_string_append_c (called, 'b');
+  return G_SOURCE_REMOVE;
+}
+
+static gboolean
+note_again (gpointer data)
+{
+  g_string_append_c (called, '.');
+  return G_SOURCE_CONTINUE;
+}
+
+static gboolean
+clear_timer (gpointer data)
+{
+  g_string_append_c (called, 'c');
+  quince_timer_clear (data);
+  return G_SOURCE_CONTINUE;
+}
+
+static void
+test_timers_in_order (void **state)
+{
+  called = g_string_new (NULL);
+  QuinceTimer *later = quince_timer_add (20, note_b, NULL);
+  QuinceTimer *first = quince_timer_add (5, note_a, NULL);
+  QuinceTimer *never = quince_timer_add (10, note_again, NULL);
+  quince_timer_clear (&never);
+  assert_null (never);
+  while (called->len < 2)
+    g_main_context_iteration (NULL, TRUE);
+  assert_string_equal (called->str, "ab");
+  turn_until_us (g_get_monotonic_time () + 30 * 1000);
+  assert_string_equal (called->str, "ab");
+  quince_timer_clear (&first);
+  quince_timer_clear (&later);
+  g_string_free (called, TRUE);
+}
+
+/* A timer without an interval is called once a turn, not for ever in one. */
+static void
+test_timer_each_turn (void **state)
+{
+  called = g_string_new (NULL);
+  QuinceTimer *timer = quince_timer_add (0, note_again, NULL);
+  turn ();
+  assert_string_equal (called->str, ".");
+  turn ();
+  assert_string_equal (called->str, "..");
+  quince_timer_clear (&timer);
+  g_string_free (called, TRUE);
+}
+
+static void
+test_timer_cleared_in_its_call (void **state)
+{
+  called = g_string_new (NULL);
+  QuinceTimer *timer = quince_timer_add (1, clear_timer, &timer);
+  while (called->len == 0)
+    g_main_context_iteration (NULL, TRUE);
+  turn_until_us (g_get_monotonic_time () + 10 * 1000);
+  assert_string_equal (called->str, "c");
+  assert_null (timer);
+  g_string_free (called, TRUE);
+}
+
+/* A busy process comes late to a timer: one call, and the interval begins anew. */
+static void
+test_late_timer_is_called_once (void **state)
+{
+  called = g_string_new (NULL);
+  QuinceTimer *timer = quince_timer_add (5, note_again, NULL);
+  g_usleep (30 * 1000);
+  turn ();
+  assert_string_equal (called->str, ".");
+  quince_timer_clear (&timer);
+  g_string_free (called, TRUE);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_idle_links_cost_no_turn),
+    cmocka_unit_test (test_large_messages_wait_for_the_peer),
+    cmocka_unit_test (test_watch_cleared_by_another),
+    cmocka_unit_test (test_deferred_watch_cleared_by_another),
+    cmocka_unit_test (test_timers_in_order),
+    cmocka_unit_test (test_timer_each_turn),
+    cmocka_unit_test (test_timer_cleared_in_its_call),
+    cmocka_unit_test (test_late_timer_is_called_once),
+  };
+  return cmocka_run_group_tests_name ("event-loop", tests, NULL, NULL);
+}
