--- a/lib/core/trace/log-vocabulary.c
+++ b/lib/core/trace/log-vocabulary.c
@@ -17,6 +17,7 @@
   "caller_left",
   "configuration",
   "configuration_unreadable",
+  "connection_not_accepted",
   "connections_not_ignored",
   "dependency_lost",
   "dependency_regained",
