Store: fronts that start are fed by the leader; longer holds, growing paces, fewer renewals

Cause: calls to the store grew with the machines at every bad moment: each of 250 fronts listed three prefixes at its start and watched keys that all of them were writing; without a leader each read two prefixes each 0.5 s, with a first watch that was answered at once; 125 renewals of leases a second. Change: a front that starts reads one key, which names the leader, and waits to be fed; it lists where a known leader does not feed it within 0.3 s or its link fails, and after 1.5 s in a new system (feed-wait.h). How often a process reads is one pure module (store-reads.h): readers as before; the others hold watches longer where the bound on changes leaves it, and their pace doubles while each watch tells changes. A replica that begins to lead reads as a reader at once.

--- a/daemons/front/feed-subscription.c
+++ b/daemons/front/feed-subscription.c
@@ -6,8 +6,9 @@
 #include "observer/store-feed.h"
 #include "runtime/timer.h"
 
-/* Longest wait for the front's own reads before it subscribes without them, ms.  Not measured: a read of the
- * metadata store takes some ms, so this passes only while the store is away. */
+/* Longest wait for the front's own lists of the store before it subscribes without them, ms: a list takes
+ * some ms, so this passes only while the store is away.  A front that has not begun to list is fed all at
+ * once. */
 #define SYNC_WAIT_MS 300
 
 struct _QuinceFeedSubscription
@@ -46,7 +47,7 @@
 void
 quince_feed_subscription_synced (QuinceFeedSubscription *subscription)
 {
-  if (subscription->link != NULL && quince_observer_is_synced (subscription->observer))
+  if (subscription->link != NULL && !quince_observer_is_listing (subscription->observer))
     subscribe (subscription);
 }
 
--- /dev/null
+++ b/daemons/front/feed-wait.c
@@ -0,0 +1,80 @@
+/*
+ * feed-wait.c: a front that starts waits to be fed.
+ */
+#include "feed-wait.h"
+
+#include "meta/meta-mirror.h"
+#include "runtime/timer.h"
+
+/* Least time between two reads of the view, ms: a new ledger takes its members in one after the other, each a
+ * new view. */
+#define PACE_MS 300
+/* Longest time for which the store holds a watch, ms. */
+#define READ_EVERY_MS 1000
+/* A leader that lives feeds a new front within this time, ms: a connection, a subscription and its answer,
+ * each in a turn of a busy leader's main loop. */
+#define FEED_MS 300
+
+struct _QuinceFeedWait
+{
+  /* All fields belong to the main context. */
+  QuinceObserver *observer; /* borrowed */
+  QuinceMetaMirror *mirror; /* owned */
+  QuinceTimer *timer;       /* NULL: no leader is known */
+  QuinceLedgerViewRead read;
+  gpointer user_data;
+};
+
+static gboolean
+not_fed (gpointer data)
+{
+  QuinceFeedWait *wait = data;
+  quince_observer_list_now (wait->observer);
+  return G_SOURCE_REMOVE;
+}
+
+static void
+take_item (const QuinceMetaItem *item, gpointer data)
+{
+  QuinceFeedWait *wait = data;
+  if (item->value == NULL || !g_str_equal (item->key, QUINCE_LEDGER_KEY))
+    return;
+  if (wait->timer == NULL)
+    wait->timer = quince_timer_add (FEED_MS, not_fed, wait);
+  wait->read (item->value, item->revision, wait->user_data);
+}
+
+static const QuinceMetaMirrorCallbacks mirror_callbacks = { .item = take_item };
+
+QuinceFeedWait *
+quince_feed_wait_new (QuinceMetaStore *store,
+                      QuinceObserver *observer,
+                      QuinceLedgerViewRead read,
+                      gpointer user_data)
+{
+  QuinceFeedWait *wait = g_new0 (QuinceFeedWait, 1);
+  wait->observer = observer;
+  wait->read = read;
+  wait->user_data = user_data;
+  wait->mirror = quince_meta_mirror_new (store, QUINCE_LEDGER_KEY, 0, &mirror_callbacks, wait);
+  const QuinceMetaMirrorTimes times
+      = { .pace_ms = PACE_MS, .read_every_ms = READ_EVERY_MS, .spread_ms = PACE_MS };
+  quince_meta_mirror_set_times (wait->mirror, &times);
+  return wait;
+}
+
+void
+quince_feed_wait_unlinked (QuinceFeedWait *wait)
+{
+  quince_observer_list_now (wait->observer);
+}
+
+void
+quince_feed_wait_free (QuinceFeedWait *wait)
+{
+  if (wait == NULL)
+    return;
+  quince_timer_clear (&wait->timer);
+  quince_meta_mirror_free (wait->mirror);
+  g_free (wait);
+}
--- a/daemons/front/front.c
+++ b/daemons/front/front.c
@@ -9,6 +9,7 @@
 
 #include <string.h>
 
+#include "core/decisions/store-reads.h"
 #include "forward/policy-entry.h"
 #include "http1/text-server.h"
 #include "meta/meta-presence.h"
@@ -20,6 +21,7 @@
 
 #include "caller-listeners.h"
 #include "feed-subscription.h"
+#include "feed-wait.h"
 #include "front-context.h"
 #include "planned-stop.h"
 #include "platform.h"
@@ -35,6 +37,7 @@
   QuinceMetaStore *store;
   QuinceMetaPresence *presence; /* the key that announces this front */
   QuinceFeedSubscription *subscription;
+  QuinceFeedWait *feed_wait; /* NULL: the own keys are known */
   QuinceQuarantineClient *quarantine;
   QuinceWarmupClient *warmup;
   QuinceCallerListeners *listeners;
@@ -46,10 +49,9 @@
 /* ---- Events of the observer -------------------------------------------- */
 
 static void
-take_ledger_view (Front *front, GBytes *value, guint64 revision)
+take_ledger_view (GBytes *value, guint64 revision, gpointer user_data)
 {
-  if (value == NULL)
-    return;
+  Front *front = user_data;
   gsize length;
   gconstpointer data = g_bytes_get_data (value, &length);
   g_autoptr (GError) error = NULL;
@@ -81,8 +83,8 @@
 own_key (const char *key, GBytes *value, guint64 revision, gpointer data)
 {
   Front *front = data;
-  if (g_str_equal (key, QUINCE_LEDGER_KEY))
-    take_ledger_view (front, value, revision);
+  if (g_str_equal (key, QUINCE_LEDGER_KEY) && value != NULL)
+    take_ledger_view (value, revision, front);
   else if (g_str_has_prefix (key, QUINCE_FRONTS_PREFIX))
     take_front_entry (front, key + strlen (QUINCE_FRONTS_PREFIX), value);
   else if (g_str_has_prefix (key, QUINCE_MACHINE_ZONES_PREFIX))
@@ -102,7 +104,15 @@
 }
 
 static void
-store_synced (gpointer data)
+own_synced (gpointer data)
+{
+  Front *front = data;
+  g_clear_pointer (&front->feed_wait, quince_feed_wait_free);
+  quince_feed_subscription_synced (front->subscription);
+}
+
+static void
+workers_synced (gpointer data)
 {
   Front *front = data;
   quince_feed_subscription_synced (front->subscription);
@@ -110,8 +120,8 @@
 
 static const QuinceObserverCallbacks observer_callbacks = { .own_key = own_key,
                                                             .configuration = configuration_changed,
-                                                            .own_synced = store_synced,
-                                                            .workers_synced = store_synced };
+                                                            .own_synced = own_synced,
+                                                            .workers_synced = workers_synced };
 
 /* ---- Events of the link to the ledger's leader -------------------------- */
 
@@ -166,6 +176,8 @@
   quince_quarantine_client_unlinked (front->quarantine);
   quince_warmup_client_unlinked (front->warmup);
   quince_observer_feeder_lost (front->context.observer);
+  if (front->feed_wait != NULL)
+    quince_feed_wait_unlinked (front->feed_wait);
 }
 
 static const QuinceLedgerCallerCallbacks ledger_callbacks
@@ -288,9 +300,11 @@
                                         &quince_platform_meta_dialect);
   QuinceObserverOptions options;
   quince_observer_read_options (settings, &options);
+  options.first_read_wait_ms = QUINCE_STORE_FIRST_READ_WAIT_MS;
   context->observer = quince_observer_new (front->store, context->backends, &quince_platform_observer_dialect,
                                            &options, &observer_callbacks, front);
   front->subscription = quince_feed_subscription_new (context->observer);
+  front->feed_wait = quince_feed_wait_new (front->store, context->observer, take_ledger_view, front);
   quince_warmup_client_set_observer (front->warmup, context->observer);
 }
 
@@ -390,6 +404,7 @@
   quince_suspension_watch_free (front->suspension);
   quince_planned_stop_free (front->stop);
   quince_feed_subscription_free (front->subscription);
+  quince_feed_wait_free (front->feed_wait);
   quince_caller_listeners_free (front->listeners);
   quince_text_server_free (front->metrics);
   quince_observer_free (front->context.observer);
--- a/daemons/replica/replica-leadership.c
+++ b/daemons/replica/replica-leadership.c
@@ -174,6 +174,8 @@
   /* The samples that the batch service began have taken their texts from it. */
   quince_progress_store_clear (parts->progress);
   start_orders (leadership);
+  /* From now on it feeds all others. */
+  quince_observer_set_reserve_reader (parts->observer, TRUE);
   quince_observer_feed_ended (parts->observer);
   leadership->feed = quince_store_feed_new (parts->observer);
   quince_heartbeats_lead (parts->heartbeats, leadership->subscribers);
--- a/lib/meta/meta-mirror.c
+++ b/lib/meta/meta-mirror.c
@@ -7,6 +7,8 @@
 #include "runtime/clock.h"
 #include "runtime/timer.h"
 
+#include "core/decisions/store-reads.h"
+
 #include "meta-copy.h"
 #include "meta/meta-mirror.h"
 #include "meta-private.h"
@@ -35,6 +37,8 @@
   guint64 list_revision;
   const char *reason; /* why it reads the store, for the metric; static */
   guint retry_ms;
+  gboolean first_read_waits; /* no call was made, and no page came */
+  guint pace_ms;             /* from the last answer to the next watch */
   gint64 watch_began_us;
   gint64 contact_us; /* monotonic time of the last answer or page; 0: none yet */
   gboolean synced;
@@ -104,7 +108,7 @@
 static guint
 watch_wait_ms (const QuinceMetaMirror *mirror)
 {
-  return mirror->times.read_every_ms - mirror->times.pace_ms;
+  return mirror->times.read_every_ms - MIN (mirror->pace_ms, mirror->times.read_every_ms);
 }
 
 static void
@@ -121,6 +125,7 @@
 {
   QuinceMetaMirror *mirror = data;
   quince_timer_clear (&mirror->timer);
+  mirror->first_read_waits = FALSE;
   mirror->waiting = quince_meta_store_is_failing (mirror->store);
   if (!mirror->waiting)
     read_store (mirror, watch_wait_ms (mirror));
@@ -175,9 +180,11 @@
   mirror->revision = MAX (mirror->revision, page->revision);
   for (guint i = 0; i < page->items->len; i++)
     report_item (mirror, page->items->pdata[i]);
+  mirror->pace_ms = quince_store_reads_next_pace_ms (mirror->pace_ms, mirror->times.pace_ms,
+                                                     mirror->times.pace_max_ms, page->items->len > 0);
   pass_on_changes (mirror, after);
-  if (mirror->times.pace_ms > 0)
-    wait_then_call (mirror, mirror->times.pace_ms);
+  if (mirror->pace_ms > 0)
+    wait_then_call (mirror, mirror->pace_ms);
   else
     begin_watch (mirror, watch_wait_ms (mirror));
 }
@@ -202,7 +209,8 @@
   if (mirror->callbacks->synced != NULL)
     mirror->callbacks->synced (mirror->user_data);
   pass_on_changes (mirror, after);
-  wait_then_call (mirror, mirror->times.pace_ms);
+  mirror->pace_ms = mirror->times.pace_ms;
+  wait_then_call (mirror, mirror->pace_ms);
 }
 
 static void
@@ -268,34 +276,44 @@
     quince_meta_call_cancel (mirror->call);
   mirror->call = NULL;
   mirror->waiting = FALSE;
+  mirror->first_read_waits = FALSE;
   quince_timer_clear (&mirror->timer);
   drop_list (mirror);
 }
 
-/* The first watch is answered at once, so that this process can feed others without delay. */
+/* @wait_ms: for which the store may hold the first watch */
 static void
-read_store_again (QuinceMetaMirror *mirror, const char *reason)
+read_store_again (QuinceMetaMirror *mirror, const char *reason, guint wait_ms)
 {
   mirror->reason = reason;
+  mirror->pace_ms = mirror->times.pace_ms;
   quince_timer_clear (&mirror->feed_timer);
   g_autofree char *prefix = quince_log_quote (mirror->prefix);
   quince_log_info ("feed_ended", "prefix=%s reason=%s revision=%" G_GUINT64_FORMAT, prefix, reason,
                    mirror->revision);
-  read_store (mirror, 0);
+  read_store (mirror, wait_ms);
+}
+
+/* What was missed comes at once either way.  Only a reader tells others that nothing was. */
+static guint
+first_watch_wait_ms (const QuinceMetaMirror *mirror)
+{
+  return mirror->times.reader ? 0 : watch_wait_ms (mirror);
 }
 
 static gboolean
 patience_over (gpointer data)
 {
-  read_store_again (data, "silent");
+  QuinceMetaMirror *mirror = data;
+  read_store_again (mirror, "silent", first_watch_wait_ms (mirror));
   return G_SOURCE_REMOVE;
 }
 
 void
-quince_meta_mirror_feed_ended (QuinceMetaMirror *mirror)
+quince_meta_mirror_feed_ended (QuinceMetaMirror *mirror, gboolean at_once)
 {
   if (mirror->feed_timer != NULL)
-    read_store_again (mirror, "feeder_gone");
+    read_store_again (mirror, "feeder_gone", at_once ? 0 : first_watch_wait_ms (mirror));
 }
 
 gboolean
@@ -332,7 +350,7 @@
   if (has_gap (mirror, page, whole))
     {
       if (mirror->feed_timer != NULL)
-        read_store_again (mirror, "gap");
+        read_store_again (mirror, "gap", first_watch_wait_ms (mirror));
       return FALSE;
     }
   note_fed (mirror);
@@ -385,6 +403,7 @@
 QuinceMetaMirror *
 quince_meta_mirror_new (QuinceMetaStore *store,
                         const char *prefix,
+                        guint first_read_wait_ms,
                         const QuinceMetaMirrorCallbacks *callbacks,
                         gpointer user_data)
 {
@@ -398,7 +417,11 @@
   mirror->retry_ms = RETRY_MIN_MS;
   mirror->reason = "start";
   quince_meta_store_add_listener (store, store_regained, mirror);
-  begin_list (mirror);
+  mirror->first_read_waits = first_read_wait_ms > 0;
+  if (mirror->first_read_waits)
+    wait_then_call (mirror, first_read_wait_ms);
+  else
+    begin_list (mirror);
   return mirror;
 }
 
@@ -424,13 +447,27 @@
 {
   mirror->times = *times;
   mirror->times.read_every_ms = MAX (times->read_every_ms, times->pace_ms);
+  mirror->times.pace_max_ms = MAX (times->pace_max_ms, times->pace_ms);
 }
 
 void
 quince_meta_mirror_resumed (QuinceMetaMirror *mirror)
 {
   stop_reading (mirror);
-  read_store_again (mirror, "suspended");
+  read_store_again (mirror, "suspended", 0);
+}
+
+void
+quince_meta_mirror_list_now (QuinceMetaMirror *mirror)
+{
+  if (mirror->first_read_waits)
+    timer_over (mirror);
+}
+
+gboolean
+quince_meta_mirror_is_listing (const QuinceMetaMirror *mirror)
+{
+  return mirror->listed != NULL;
 }
 
 gboolean
--- a/lib/meta/meta-mirror.h
+++ b/lib/meta/meta-mirror.h
@@ -14,12 +14,15 @@
 typedef struct
 {
   guint pace_ms;       /* least time from an answer to the next watch: keys may change all the time */
+  guint pace_max_ms;   /* up to which the pace grows while each watch tells changes; below @read_every_ms */
   guint read_every_ms; /* greatest time from one answer to the next, if the store answers at once; above the
                         * pace */
   guint patience_ms;   /* without a page for so long a fed mirror reads the store; above @read_every_ms of the
                         * process that feeds it */
   guint spread_ms;     /* a store that answers again is read at a random moment within this time, so that not
                         * all processes read it at once; 0: at once */
+  gboolean reader; /* it feeds other mirrors: when it is fed no longer the store answers its first watch at
+                    * once, also if nothing has changed */
 } QuinceMetaMirrorTimes;
 
 typedef struct _QuinceMetaMirror QuinceMetaMirror;
@@ -43,6 +46,7 @@
 /**
  * quince_meta_mirror_new:
  * @prefix: of the keys to follow
+ * @first_read_wait_ms: before the first list, which is not made if the mirror is fed by then; 0: at once
  *
  * Lists the prefix and then watches it, until it is freed; lists anew if the store has dropped its history.
  * Set its times before the context runs.  While calls to the store fail it waits for the first good answer.
@@ -51,11 +55,16 @@
  */
 QuinceMetaMirror *quince_meta_mirror_new (QuinceMetaStore *store,
                                           const char *prefix,
+                                          guint first_read_wait_ms,
                                           const QuinceMetaMirrorCallbacks *callbacks,
                                           gpointer user_data);
 void quince_meta_mirror_free (QuinceMetaMirror *mirror);
 /* The machine was suspended: the copy may be old and a watch may be lost, so the store is read at once. */
 void quince_meta_mirror_resumed (QuinceMetaMirror *mirror);
+/* Ends the wait before the first list. */
+void quince_meta_mirror_list_now (QuinceMetaMirror *mirror);
+/* A list of the store is in progress. */
+gboolean quince_meta_mirror_is_listing (const QuinceMetaMirror *mirror);
 /* The copy holds all that the store held at some moment. */
 gboolean quince_meta_mirror_is_synced (const QuinceMetaMirror *mirror);
 /* Takes effect with the next call or page. */
@@ -72,8 +81,9 @@
  * Returns: whether the page was taken
  */
 gboolean quince_meta_mirror_feed (QuinceMetaMirror *mirror, const QuinceMetaPage *page, gboolean whole);
-/* The feeding process is gone: a fed mirror reads the store at once. */
-void quince_meta_mirror_feed_ended (QuinceMetaMirror *mirror);
+/* The feeding process is gone: a fed mirror reads the store.  @at_once: the store answers also if nothing has
+ * changed, as always to a reader */
+void quince_meta_mirror_feed_ended (QuinceMetaMirror *mirror, gboolean at_once);
 /* Another process feeds the mirror, so it makes no calls to the store. */
 gboolean quince_meta_mirror_is_fed (const QuinceMetaMirror *mirror);
 /* (transfer full): the changes after revision @after (0: everything), to feed another mirror.
--- a/lib/meta/meta-presence.c
+++ b/lib/meta/meta-presence.c
@@ -6,8 +6,9 @@
 
 #include "meta/meta-presence.h"
 
-/* Renewals within one time to live: two may fail before the lease runs out. */
-#define RENEWALS_PER_TTL 3
+/* Renewals within one time to live.  One that fails is tried again after RETRY_MS, many times before the
+ * lease runs out. */
+#define RENEWALS_PER_TTL 2
 /* Wait after a failed call, ms, while other calls succeed: a few tries within a lease of seconds.  Not
  * measured. */
 #define RETRY_MS 300
--- a/lib/meta/meta-store.c
+++ b/lib/meta/meta-store.c
@@ -20,8 +20,7 @@
 #define PROBE_FIRST_MS 30
 /* Time to the second probe, ms; doubled from then on.  Not measured. */
 #define PROBE_EVERY_MS 400
-/* Longest time between two probes, ms.  In an outage every process probes, and each probe is paid for; calls
- * must succeed within 1 s after the store's return. */
+/* Longest time between two probes, ms, until quince_meta_store_set_probe_max(). */
 #define PROBE_MAX_MS 800
 /* The same for a process that a live leader feeds, ms: the leader's pages show that the store is back.  Far
  * below the 6 s of a front's lease. */
@@ -55,8 +54,9 @@
   QuinceMetaContact contact;
   gboolean failing;
   QuinceTimer *probe_timer; /* while failing */
-  guint probe_ms;           /* until the next probe */
-  gboolean relaxed;         /* see quince_meta_store_set_relaxed() */
+  guint probe_max_ms;
+  guint probe_ms;   /* until the next probe */
+  gboolean relaxed; /* see quince_meta_store_set_relaxed() */
 };
 
 /* Labels of a call for the metric. */
@@ -92,6 +92,7 @@
 {
   QuinceMetaStore *store = g_new0 (QuinceMetaStore, 1);
   store->pool = quince_http_pool_new (address);
+  store->probe_max_ms = PROBE_MAX_MS;
   store->dialect = dialect;
   store->calls = g_hash_table_new_full (NULL, NULL, call_free, NULL);
   store->listeners = g_array_new (FALSE, FALSE, sizeof (Listener));
@@ -171,13 +172,19 @@
   QuinceMetaStore *store = data;
   quince_timer_clear (&store->probe_timer);
   store->probe_timer = quince_timer_add (store->probe_ms, probe_store, store);
-  store->probe_ms = MIN (store->probe_ms * 2, store->relaxed ? PROBE_RELAXED_MS : PROBE_MAX_MS);
+  store->probe_ms = MIN (store->probe_ms * 2, store->relaxed ? PROBE_RELAXED_MS : store->probe_max_ms);
   const CallPurpose purpose = { "get", PROBE_KEY, "failing" };
   begin_call (store, "GET", store->dialect->get_target (PROBE_KEY), NULL, CALL_TIMEOUT_US, ANSWER_ITEM,
               &purpose, probe_answered, store);
   return G_SOURCE_REMOVE;
 }
 
+void
+quince_meta_store_set_probe_max (QuinceMetaStore *store, guint probe_max_ms)
+{
+  store->probe_max_ms = probe_max_ms;
+}
+
 void
 quince_meta_store_set_relaxed (QuinceMetaStore *store, gboolean relaxed)
 {
--- a/lib/meta/meta-store.h
+++ b/lib/meta/meta-store.h
@@ -58,8 +58,11 @@
 /* The last call failed. */
 gboolean quince_meta_store_is_failing (const QuinceMetaStore *store);
 
+/* @probe_max_ms: longest time between two probes of a store that does not answer, unless it is relaxed */
+void quince_meta_store_set_probe_max (QuinceMetaStore *store, guint probe_max_ms);
+
 /* @relaxed: another process feeds all mirrors of this one, so that its pages show when the store is back:
- * while calls fail the store is probed every 4 s instead of every 0.8 s. */
+ * while calls fail the store is probed every 4 s. */
 void quince_meta_store_set_relaxed (QuinceMetaStore *store, gboolean relaxed);
 
 /* Leases may have run out although their owners live: the store is not reachable, or was not until this long
--- a/lib/observer/observer-feed.c
+++ b/lib/observer/observer-feed.c
@@ -4,6 +4,7 @@
  * Decides how long a feeder counts as alive and what its loss means; the times of the mirrors are set in
  * observer.c.
  */
+#include "core/decisions/store-reads.h"
 #include "runtime/log.h"
 #include "runtime/clock.h"
 #include "runtime/timer.h"
@@ -12,7 +13,7 @@
 
 /* Several reserve readers report pages without items at once; the leader takes one of them in this time, us.
  * Half the time between two reads, so that none of its followers loses patience. */
-#define PAGE_EVERY_US (QUINCE_OBSERVER_READ_EVERY_MS / 2 * 1000)
+#define PAGE_EVERY_US (QUINCE_STORE_HOLD_MS / 2 * 1000)
 
 /* After a suspension no request is sent to a worker until the operator's keys were read, which names the
  * evacuated zones, or at most for this long, ms: the store takes a few ms to answer, and a machine that it
@@ -66,7 +67,7 @@
 {
   gint64 silent_us = now_us - quince_meta_mirror_get_contact_us (mirror);
   if (!quince_meta_mirror_is_fed (mirror))
-    return silent_us > QUINCE_OBSERVER_READ_EVERY_MS * 1000;
+    return silent_us > QUINCE_STORE_HOLD_MS * 1000;
   return page->items->len > 0 || silent_us > PAGE_EVERY_US;
 }
 
@@ -117,7 +118,7 @@
   QuinceNamedMirror mirrors[QUINCE_OBSERVER_PREFIXES];
   quince_observer_list_mirrors (observer, mirrors);
   for (guint i = 0; i < QUINCE_OBSERVER_PREFIXES; i++)
-    quince_meta_mirror_feed_ended (mirrors[i].mirror);
+    quince_meta_mirror_feed_ended (mirrors[i].mirror, quince_backends_holds_sends (observer->backends));
 }
 
 void
@@ -131,7 +132,7 @@
     }
   quince_timer_clear (&observer->feeder_timer);
   quince_observer_set_relaxed (observer);
-  quince_meta_mirror_feed_ended (observer->own_mirror);
+  quince_meta_mirror_feed_ended (observer->own_mirror, FALSE);
 }
 
 void
--- a/lib/observer/observer-private.h
+++ b/lib/observer/observer-private.h
@@ -10,11 +10,6 @@
 
 G_BEGIN_DECLS
 
-/* Longest time between two reads of the operator's keys and the workers, ms, by a process that reads the
- * store. A shorter one costs more calls, which are paid for; a longer one leaves less of the bound on
- * changes. */
-#define QUINCE_OBSERVER_READ_EVERY_MS 500
-
 struct _QuinceObserver
 {
   /* All fields belong to the context that created the observer. */
@@ -30,7 +25,7 @@
   QuinceOperatorState *operator_state;        /* owned */
   gint64 resumed_us;                          /* monotonic: end of the last suspension; 0: never */
   guint workers_pace_ms;                      /* least time between two reads of the workers */
-  guint slack_ms;            /* a fed mirror trusts its last page for the time between two reads and this */
+  guint spare_ms;                             /* what the bound on changes allows beyond the least one */
   QuinceTimer *feeder_timer; /* restarted by each message of the feeder, which counts as gone when it ends */
   gboolean reserve;          /* this process is a reserve reader */
   gboolean page_may_have_lapsed; /* QuinceMetaPage.may_have_lapsed of the page that is being taken */
--- a/lib/observer/observer.c
+++ b/lib/observer/observer.c
@@ -3,6 +3,7 @@
  *
  * The operator's keys go to operator-state.c, workers to the backends, own keys to the owner's callbacks.
  */
+#include "core/decisions/store-reads.h"
 #include "forward/residency-lookup.h"
 #include "runtime/log.h"
 #include "runtime/metrics.h"
@@ -13,25 +14,17 @@
 #include "observer-private.h"
 #include "refused-item.h"
 
-/* Least time between two reads of the own keys, ms: processes that start all write theirs at once.  Not
- * measured. */
+/* Least time between two reads of the own keys, ms: processes that start all write theirs at once. */
 #define OWN_PACE_MS 100
+/* The same of a process that feeds no other while each read tells changes, ms: half of the longest time
+ * between two reads. */
+#define OWN_PACE_MAX_MS 500
 /* Time allowed for the first read after the patience, ms: a store over a hundred times slower than its usual
  * 4 ms. */
 #define FIRST_READ_MS 500
-/* A fed mirror's patience is the time between two reads and a slack, which leaves the leader time for a slow
- * answer and for its other work. */
-/* Slack of a reserve reader, ms: it reads the store, and its report comes back through the leader, before the
- * others lose patience. */
-#define RESERVE_SLACK_MS 500
-/* Least slack of the others, ms: all that the least bound on changes leaves (asserted below). */
-#define SLACK_MIN_MS 1000
-/* Part of what a deployment's bound allows beyond the least one that is added to the slack.  The rest is for
- * pages that arrive some time after they were read, since their reader may be busy.  Not measured. */
-#define SPARE_SHARE 0.5
-G_STATIC_ASSERT (QUINCE_OBSERVER_READ_EVERY_MS + SLACK_MIN_MS + FIRST_READ_MS
+G_STATIC_ASSERT (QUINCE_STORE_HOLD_MS + QUINCE_STORE_SLACK_MS + FIRST_READ_MS
                  <= QUINCE_OBSERVER_CHANGE_BOUND_MIN_MS);
-G_STATIC_ASSERT (RESERVE_SLACK_MS + FIRST_READ_MS <= SLACK_MIN_MS);
+G_STATIC_ASSERT (QUINCE_STORE_READER_SLACK_MS + FIRST_READ_MS <= QUINCE_STORE_SLACK_MS);
 /* After an outage each process reads the store at a random moment within this time, ms, so that most are fed
  * before they read.  With a probe every 0.8 s they know all changes 2 s after the store's return; a machine
  * counts as out of touch after 3 s. */
@@ -46,7 +39,7 @@
 /* An accepted policy is in force in every process this long after its acceptance, ms, also where no process
  * reads for the others. */
 #define OWN_IN_FORCE_MS 3000
-G_STATIC_ASSERT (OWN_READ_EVERY_MS + SLACK_MIN_MS + FIRST_READ_MS <= OWN_IN_FORCE_MS);
+G_STATIC_ASSERT (OWN_READ_EVERY_MS + QUINCE_STORE_SLACK_MS + FIRST_READ_MS <= OWN_IN_FORCE_MS);
 
 /* ---- Workers ---------------------------------------------------------- */
 
@@ -186,19 +179,25 @@
 {
   observer->reserve = reserve;
   quince_observer_set_relaxed (observer);
-  guint slack_ms = reserve ? RESERVE_SLACK_MS : observer->slack_ms;
+  const QuinceStoreReadTimes times = quince_store_reads_get_times (reserve, observer->spare_ms);
   guint spread_ms = reserve ? 0 : SPREAD_MS;
-  const QuinceMetaMirrorTimes operator_times = { .read_every_ms = QUINCE_OBSERVER_READ_EVERY_MS,
-                                                 .patience_ms = QUINCE_OBSERVER_READ_EVERY_MS + slack_ms,
-                                                 .spread_ms = spread_ms };
+  const QuinceMetaMirrorTimes operator_times = { .read_every_ms = times.hold_ms,
+                                                 .patience_ms = times.patience_ms,
+                                                 .spread_ms = spread_ms,
+                                                 .reader = reserve };
   const QuinceMetaMirrorTimes workers_times = { .pace_ms = observer->workers_pace_ms,
-                                                .read_every_ms = QUINCE_OBSERVER_READ_EVERY_MS,
-                                                .patience_ms = QUINCE_OBSERVER_READ_EVERY_MS + slack_ms,
-                                                .spread_ms = spread_ms };
+                                                .read_every_ms = times.hold_ms,
+                                                .patience_ms = times.patience_ms,
+                                                .spread_ms = spread_ms,
+                                                .reader = reserve };
+  guint own_slack_ms = MIN (times.patience_ms - QUINCE_STORE_HOLD_MS, QUINCE_STORE_SLACK_MS);
   const QuinceMetaMirrorTimes own_times = { .pace_ms = OWN_PACE_MS,
+                                            .pace_max_ms = reserve ? OWN_PACE_MS : OWN_PACE_MAX_MS,
                                             .read_every_ms = OWN_READ_EVERY_MS,
-                                            .patience_ms = OWN_READ_EVERY_MS + MIN (slack_ms, SLACK_MIN_MS),
-                                            .spread_ms = spread_ms };
+                                            .patience_ms = OWN_READ_EVERY_MS + own_slack_ms,
+                                            .spread_ms = spread_ms,
+                                            .reader = reserve };
+  quince_meta_store_set_probe_max (observer->store, times.probe_ms);
   quince_meta_mirror_set_times (observer->operator_mirror, &operator_times);
   quince_meta_mirror_set_times (observer->workers_mirror, &workers_times);
   quince_meta_mirror_set_times (observer->own_mirror, &own_times);
@@ -222,6 +221,26 @@
                      quince_zone_table_get_n_evacuated (quince_backends_get_zones (observer->backends)));
 }
 
+void
+quince_observer_list_now (QuinceObserver *observer)
+{
+  QuinceNamedMirror mirrors[QUINCE_OBSERVER_PREFIXES];
+  quince_observer_list_mirrors (observer, mirrors);
+  for (guint i = 0; i < QUINCE_OBSERVER_PREFIXES; i++)
+    quince_meta_mirror_list_now (mirrors[i].mirror);
+}
+
+gboolean
+quince_observer_is_listing (QuinceObserver *observer)
+{
+  QuinceNamedMirror mirrors[QUINCE_OBSERVER_PREFIXES];
+  quince_observer_list_mirrors (observer, mirrors);
+  for (guint i = 0; i < QUINCE_OBSERVER_PREFIXES; i++)
+    if (quince_meta_mirror_is_listing (mirrors[i].mirror))
+      return TRUE;
+  return FALSE;
+}
+
 gboolean
 quince_observer_is_synced (QuinceObserver *observer)
 {
@@ -247,6 +266,7 @@
   options->workers_pace_ms = read_ms (settings, "workers_pace");
   guint bound_ms = MIN (read_ms (settings, "change_bound"), read_ms (settings, "drain_bound"));
   options->change_bound_ms = MIN (bound_ms, read_ms (settings, "evacuation_bound"));
+  options->first_read_wait_ms = 0;
 }
 
 QuinceObserver *
@@ -269,13 +289,13 @@
   };
   observer->workers_pace_ms = options->workers_pace_ms;
   guint bound_ms = MAX (options->change_bound_ms, QUINCE_OBSERVER_CHANGE_BOUND_MIN_MS);
-  guint spare_ms = bound_ms - QUINCE_OBSERVER_CHANGE_BOUND_MIN_MS;
-  observer->slack_ms = SLACK_MIN_MS + (guint)(SPARE_SHARE * spare_ms);
+  observer->spare_ms = bound_ms - QUINCE_OBSERVER_CHANGE_BOUND_MIN_MS;
+  guint wait_ms = options->first_read_wait_ms;
   observer->operator_mirror
-      = quince_meta_mirror_new (store, dialect->operator_prefix, &operator_callbacks, observer);
-  observer->workers_mirror
-      = quince_meta_mirror_new (store, dialect->workers_prefix, &observer->worker_callbacks, observer);
-  observer->own_mirror = quince_meta_mirror_new (store, QUINCE_OWN_PREFIX, &own_callbacks, observer);
+      = quince_meta_mirror_new (store, dialect->operator_prefix, wait_ms, &operator_callbacks, observer);
+  observer->workers_mirror = quince_meta_mirror_new (store, dialect->workers_prefix, wait_ms,
+                                                     &observer->worker_callbacks, observer);
+  observer->own_mirror = quince_meta_mirror_new (store, QUINCE_OWN_PREFIX, wait_ms, &own_callbacks, observer);
   quince_observer_set_reserve_reader (observer, FALSE);
   /* Workers may be known before the evacuated zones are. */
   quince_backends_hold_sends (backends, 0);
--- a/lib/observer/observer.h
+++ b/lib/observer/observer.h
@@ -64,11 +64,13 @@
  * @workers_pace_ms: least time between two reads of the workers' entries
  * @change_bound_ms: this deployment's bound on the same time; a larger one lets a process wait longer for its
  *   feeder before it reads the store.  At least QUINCE_OBSERVER_CHANGE_BOUND_MIN_MS is used
+ * @first_read_wait_ms: how long the process waits to be fed before it lists the store; 0: not at all
  */
 typedef struct
 {
   guint workers_pace_ms;
   guint change_bound_ms;
+  guint first_read_wait_ms;
 } QuinceObserverOptions;
 
 /* From the settings of a process: section "store", keys "workers_pace", "change_bound", "drain_bound" and
@@ -122,6 +124,10 @@
 /* Sets the metrics quince_belief_age_seconds, the time since the last answer or page of each prefix, and
  * quince_zones_evacuated. */
 void quince_observer_set_metrics (QuinceObserver *observer);
+/* Lists now what has not been listed yet and is not fed. */
+void quince_observer_list_now (QuinceObserver *observer);
+/* A list of the store is in progress: what it brings need not be fed. */
+gboolean quince_observer_is_listing (QuinceObserver *observer);
 /* All mirrors are synced. */
 gboolean quince_observer_is_synced (QuinceObserver *observer);
 /* Sends a page to another process.  @whole: @page is all there is under @prefix */
--- a/rehearsal/platform/standin-store-calls.c
+++ b/rehearsal/platform/standin-store-calls.c
@@ -242,6 +242,7 @@
   StandinStore *store = data;
   const char *target = call->head->target;
   store->calls++;
+  store->lists += g_str_has_prefix (target, "/quinceroute/kv-range?");
   if (store->fault == STANDIN_STORE_SILENT)
     g_ptr_array_add (store->unanswered, call);
   else if (store->fault == STANDIN_STORE_NONSENSE)
--- a/rehearsal/platform/standin-store-private.h
+++ b/rehearsal/platform/standin-store-private.h
@@ -48,6 +48,7 @@
   StandinStoreFault fault;
   char *nonsense;
   guint calls;
+  guint lists; /* of the calls; pages */
   guint timer;
 };
 
--- a/rehearsal/platform/standin-store.c
+++ b/rehearsal/platform/standin-store.c
@@ -144,6 +144,12 @@
   check_time (store);
 }
 
+guint
+standin_store_get_lists (const StandinStore *store)
+{
+  return store->lists;
+}
+
 guint
 standin_store_get_calls (const StandinStore *store)
 {
--- a/rehearsal/platform/standin-store.h
+++ b/rehearsal/platform/standin-store.h
@@ -55,3 +55,5 @@
 void standin_store_lapse (StandinStore *store);
 /* Calls so far, of all kinds. */
 guint standin_store_get_calls (const StandinStore *store);
+/* The same of lists alone, each page counted. */
+guint standin_store_get_lists (const StandinStore *store);
--- /dev/null
+++ b/tests/platform/test-feed-wait.c
@@ -0,0 +1,125 @@
+/*
+ * test-feed-wait.c: what fronts that start ask of the metadata store, and how soon they serve callers.
+ *
+ * Each front listed three prefixes when it started, whoever else knew them: of 250 fronts that were restarted
+ * in turn, or all at once, most calls to the store were these lists.
+ */
+#define PATH_FRONTS 6
+
+#include "path-world.h"
+
+/* A front whose leader does not feed it serves callers after this time, ms: the time that it waits, its
+ * lists, and the start of a process on a busy machine. */
+#define UNFED_SERVES_MS 2500
+
+static gboolean
+serves (const PathWorld *world, guint front)
+{
+  return path_status (path_front (world, front), "POST", "/l/1", "q", "x") == 200;
+}
+
+static gint64
+restart_until_served (PathWorld *world, guint front)
+{
+  quince_process_kill (world->fronts[front]);
+  gint64 began_us = g_get_monotonic_time ();
+  path_start_front (world, front);
+  AWAIT (serves (world, front));
+  return (g_get_monotonic_time () - began_us) / 1000;
+}
+
+/* One key names the leader, which tells the rest. */
+static void
+test_leader_lives (void **state)
+{
+  PathWorld *world = path_world_new ("feed-wait");
+  path_world_start (world);
+  guint before = standin_store_get_lists (world->store);
+  for (guint i = 0; i < PATH_FRONTS; i++)
+    restart_until_served (world, i);
+  assert_in_range (standin_store_get_lists (world->store) - before, PATH_FRONTS, PATH_FRONTS);
+  path_world_free (world);
+}
+
+/* Starts a new system with @fronts of its fronts.  Returns: lists of the store until all of it serves */
+static guint
+count_lists_of_a_start (guint fronts)
+{
+  PathWorld *world = path_world_new ("feed-wait-new");
+  path_configure (world, 7);
+  path_list_workers (world);
+  for (guint i = 0; i < PATH_REPLICAS; i++)
+    path_start_replica (world, i);
+  for (guint i = 0; i < fronts; i++)
+    path_start_front (world, i);
+  AWAIT (path_leader (world) >= 0);
+  for (guint i = 0; i < fronts; i++)
+    AWAIT (serves (world, i));
+  guint lists = standin_store_get_lists (world->store);
+  path_world_free (world);
+  return lists;
+}
+
+/* All processes start together: fronts wait for the first leader, and list one key each. */
+static void
+test_new_system (void **state)
+{
+  guint alone = count_lists_of_a_start (0);
+  assert_true (count_lists_of_a_start (PATH_FRONTS) <= alone + PATH_FRONTS);
+}
+
+/* The store names a leader that says nothing: callers wait no longer than for a front's own lists. */
+static void
+test_leader_is_frozen (void **state)
+{
+  PathWorld *world = path_world_new ("feed-wait-frozen");
+  path_world_start (world);
+  for (guint i = 0; i < PATH_REPLICAS; i++)
+    quince_process_freeze (world->replicas[i]);
+  assert_true (restart_until_served (world, 0) < UNFED_SERVES_MS);
+  for (guint i = 0; i < PATH_REPLICAS; i++)
+    quince_process_thaw (world->replicas[i]);
+  path_world_free (world);
+}
+
+/* All replicas are gone, and the store still names the last leader. */
+static void
+test_leader_is_gone (void **state)
+{
+  PathWorld *world = path_world_new ("feed-wait-gone");
+  path_world_start (world);
+  for (guint i = 0; i < PATH_REPLICAS; i++)
+    quince_process_kill (world->replicas[i]);
+  assert_true (restart_until_served (world, 0) < UNFED_SERVES_MS);
+  path_world_free (world);
+}
+
+/* The store is away while a front starts beside a living leader, which it cannot find; once the store is back
+ * it serves. */
+static void
+test_store_away_at_the_start (void **state)
+{
+  PathWorld *world = path_world_new ("feed-wait-away");
+  path_world_start (world);
+  standin_store_set_fault (world->store, STANDIN_STORE_BUSY);
+  quince_process_kill (world->fronts[0]);
+  path_start_front (world, 0);
+  run_for (2500);
+  assert_int_equal (path_status (path_front (world, 0), "POST", "/l/1", "q", "x"), 503);
+  standin_store_set_fault (world->store, STANDIN_STORE_SOUND);
+  AWAIT (serves (world, 0));
+  path_world_free (world);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_leader_lives),
+    cmocka_unit_test (test_new_system),
+    cmocka_unit_test (test_leader_is_frozen),
+    cmocka_unit_test (test_leader_is_gone),
+    cmocka_unit_test (test_store_away_at_the_start),
+  };
+  return cmocka_run_group_tests_name ("feed-wait", tests, NULL, NULL);
+}
--- a/tests/platform/test-meta.c
+++ b/tests/platform/test-meta.c
@@ -69,7 +69,7 @@
       = quince_meta_store_new (standin_store_get_address (world->standin), &quince_platform_meta_dialect);
   const QuinceMetaMirrorTimes times
       = { .pace_ms = pace_ms, .read_every_ms = READ_EVERY_MS, .patience_ms = PATIENCE_MS };
-  world->mirror = quince_meta_mirror_new (world->store, "a/", &mirror_callbacks, &world->reports);
+  world->mirror = quince_meta_mirror_new (world->store, "a/", 0, &mirror_callbacks, &world->reports);
   quince_meta_mirror_set_times (world->mirror, &times);
   AWAIT (world->reports.synced > 0);
 }
@@ -365,7 +365,7 @@
   read_pages = 0;
   read_items = 0;
   const QuinceMetaMirrorTimes times = { .read_every_ms = READ_EVERY_MS, .patience_ms = PATIENCE_MS };
-  QuinceMetaMirror *mirror = quince_meta_mirror_new (world.store, "w/", &worker_callbacks, &reports);
+  QuinceMetaMirror *mirror = quince_meta_mirror_new (world.store, "w/", 0, &worker_callbacks, &reports);
   quince_meta_mirror_set_times (mirror, &times);
   AWAIT (reports.synced > 0);
   for (guint i = 0; i < G_N_ELEMENTS (entries); i++)
--- /dev/null
+++ b/tests/unit/test-decisions-store-reads.c
@@ -0,0 +1,94 @@
+/*
+ * test-decisions-store-reads.c: how many calls hundreds of processes make of the store at their worst
+ * moments, and what they know in time all the same.
+ */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <cmocka.h>
+
+#include "core/decisions/store-reads.h"
+
+/* The least bound on changes that deployments have, and that of a large one, ms. */
+#define BOUND_MIN_MS 2000
+#define BOUND_LARGE_MS 4000
+/* A call of which nothing is heard fails after this time beyond what the store may hold it, ms. */
+#define CALL_TIMEOUT_MS 1000
+/* A slow answer of the store, ms. */
+#define READ_MS 500
+
+/* 300 processes that start together write their entries in the first second: each of them watches these
+ * keys, and is told of some at each read. */
+static void
+test_burst_of_writes (void **state)
+{
+  guint pace = 100;
+  guint reads = 0;
+  for (guint now = 0; now < 1000; now += pace)
+    {
+      pace = quince_store_reads_next_pace_ms (pace, 100, 500, TRUE);
+      reads++;
+    }
+  assert_true (reads <= 3);
+  assert_int_equal (quince_store_reads_next_pace_ms (pace, 100, 500, FALSE), 100);
+}
+
+/* A reader reads as often as ever, also in a burst. */
+static void
+test_reader_in_a_burst (void **state)
+{
+  assert_int_equal (quince_store_reads_next_pace_ms (100, 100, 100, TRUE), 100);
+  assert_int_equal (quince_store_reads_next_pace_ms (0, 0, 0, TRUE), 0);
+}
+
+/* The leader of 300 processes is gone for five seconds, and each of them reads two prefixes by itself. */
+static void
+test_calls_without_a_leader (void **state)
+{
+  const QuinceStoreReadTimes small = quince_store_reads_get_times (FALSE, 0);
+  const QuinceStoreReadTimes large = quince_store_reads_get_times (FALSE, BOUND_LARGE_MS - BOUND_MIN_MS);
+  guint small_calls = (5000 - small.patience_ms) / small.hold_ms;
+  guint large_calls = (5000 - large.patience_ms) / large.hold_ms;
+  assert_true (large_calls <= 2);
+  assert_true (large_calls * 3 <= small_calls);
+}
+
+/* Whatever the bound, a change is known in time: after the patience and a slow answer, and where the last
+ * watch began on a dead connection. */
+static void
+test_changes_are_known_in_time (void **state)
+{
+  for (guint bound = BOUND_MIN_MS; bound <= 20000; bound += 500)
+    {
+      const QuinceStoreReadTimes times = quince_store_reads_get_times (FALSE, bound - BOUND_MIN_MS);
+      assert_true (times.patience_ms + READ_MS <= bound);
+      assert_true (times.hold_ms + CALL_TIMEOUT_MS + READ_MS <= bound);
+    }
+}
+
+/* A reader loses patience so much sooner that the others hear of it before they do, whatever the bound. */
+static void
+test_readers_read_first (void **state)
+{
+  for (guint spare = 0; spare <= 20000; spare += 500)
+    {
+      const QuinceStoreReadTimes reader = quince_store_reads_get_times (TRUE, spare);
+      const QuinceStoreReadTimes other = quince_store_reads_get_times (FALSE, spare);
+      assert_int_equal (reader.hold_ms, QUINCE_STORE_HOLD_MS);
+      assert_true (reader.patience_ms + READ_MS <= other.patience_ms);
+      assert_true (reader.probe_ms <= other.probe_ms);
+    }
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_burst_of_writes),        cmocka_unit_test (test_reader_in_a_burst),
+    cmocka_unit_test (test_calls_without_a_leader), cmocka_unit_test (test_changes_are_known_in_time),
+    cmocka_unit_test (test_readers_read_first),
+  };
+  return cmocka_run_group_tests_name ("decisions-store-reads", tests, NULL, NULL);
+}
--- a/tools/store-calls.c
+++ b/tools/store-calls.c
@@ -122,7 +122,7 @@
   static const QuinceMetaMirrorCallbacks callbacks = { .item = item_read, .synced = all_read };
   static const QuinceMetaMirrorTimes times = { .read_every_ms = LIST_EVERY_MS, .patience_ms = LIST_EVERY_MS };
   List list = { .tool = tool, .item = item, .user_data = user_data };
-  QuinceMetaMirror *mirror = quince_meta_mirror_new (tool->meta, prefix, &callbacks, &list);
+  QuinceMetaMirror *mirror = quince_meta_mirror_new (tool->meta, prefix, 0, &callbacks, &list);
   quince_meta_mirror_set_times (mirror, &times);
   guint timer = g_timeout_add (LIST_TIMEOUT_MS, list_timed_out, &list);
   quince_tool_wait (tool);
