Links: what a peer has taken is measured by its answers to heartbeats

Cause: the leader sized answers by what its kernel has not had acknowledged; a relay on the way acknowledges what it has not delivered, so that a link with seconds of data on its way looked idle, and each round of reads added to them. Change: heartbeats are answered in order, so the leader knows which bytes were delivered (delivery-meter.h). While one is late, and for 2 s after a late answer, all that was sent since the last answered one counts as on its way. Why it holds: an answer can only come after all bytes before its heartbeat. No message changes.

--- a/daemons/replica/heartbeats.c
+++ b/daemons/replica/heartbeats.c
@@ -56,7 +56,7 @@
   gpointer link;
   g_hash_table_iter_init (&iter, heartbeats->links);
   while (encoded != NULL && g_hash_table_iter_next (&iter, &link, NULL))
-    quince_link_send_bytes (link, encoded);
+    quince_link_send_probe (link, encoded);
 }
 
 static gboolean
--- a/daemons/replica/replica-ledger-events.c
+++ b/daemons/replica/replica-ledger-events.c
@@ -169,6 +169,7 @@
       take_heartbeat (parts);
       break;
     case QUINCE_MESSAGE_HEARTBEAT_ACK:
+      quince_link_take_probe_answer (link);
       quince_heartbeats_take_ack (parts->heartbeats, &message->QuinceMessage_u.heartbeat_ack);
       break;
     case QUINCE_MESSAGE_USAGE_REPORT:
--- a/lib/runtime/delivery-meter.h
+++ b/lib/runtime/delivery-meter.h
@@ -28,18 +28,20 @@
   guint64 sent;                         /* probes so far */
   guint64 answered;                     /* of these */
   guint64 delivered;                    /* bytes before the last answered probe's end */
+  gint64 late_us;                       /* when a late answer came last; 0: never */
 } QuinceDeliveryMeter;
 
 /* A message that the peer answers was queued. @bytes: queued on the link so far, this one included */
 void quince_delivery_meter_probe (QuinceDeliveryMeter *meter, gint64 now_us, guint64 bytes);
 /* The peer answered the oldest probe that it had not answered. */
-void quince_delivery_meter_take_answer (QuinceDeliveryMeter *meter);
+void quince_delivery_meter_take_answer (QuinceDeliveryMeter *meter, gint64 now_us);
 
 /**
  * quince_delivery_meter_get_backlog:
  * @bytes: queued on the link so far
  *
- * Returns: bytes that may still be on their way; 0: the peer answers in time, or has never answered
+ * Returns: bytes that may still be on their way; 0: the peer answers in time and has done so for a while, or
+ * it has never answered
  */
 gsize quince_delivery_meter_get_backlog (const QuinceDeliveryMeter *meter, gint64 now_us, guint64 bytes);
 
--- a/lib/runtime/link.c
+++ b/lib/runtime/link.c
@@ -9,6 +9,8 @@
 #include <string.h>
 
 #include "runtime/acceptor.h"
+#include "runtime/clock.h"
+#include "runtime/delivery-meter.h"
 #include "runtime/timer.h"
 #include "runtime/packed-message.h"
 #include "runtime/socket-watch.h"
@@ -44,6 +46,8 @@
   gboolean watches_output; /* the kernel takes no more for now */
   gboolean open;
   guint64 bytes_sent;
+  guint64 bytes_queued; /* since the link was made */
+  QuinceDeliveryMeter delivery;
   QuinceAnswerAllowance allowance;
 };
 
@@ -196,10 +200,26 @@
   guint32 header = GUINT32_TO_BE ((guint32)length);
   g_byte_array_append (link->output, (const guint8 *)&header, FRAME_HEADER_BYTES);
   g_byte_array_append (link->output, data, (guint)length);
+  link->bytes_queued += FRAME_HEADER_BYTES + length;
   if (link->watch != NULL && !link->connecting && !link->watches_output)
     quince_socket_watch_defer_output (link->watch);
 }
 
+void
+quince_link_send_probe (QuinceLink *link, GBytes *encoded)
+{
+  if (!link->open)
+    return;
+  quince_link_send_bytes (link, encoded);
+  quince_delivery_meter_probe (&link->delivery, quince_now_us (), link->bytes_queued);
+}
+
+void
+quince_link_take_probe_answer (QuinceLink *link)
+{
+  quince_delivery_meter_take_answer (&link->delivery, quince_now_us ());
+}
+
 void
 quince_link_send (QuinceLink *link, const QuinceMessage *message)
 {
@@ -379,11 +399,19 @@
   return link->open && !link->connecting;
 }
 
+/* An answer that has arrived and was not read yet tells nothing of the peer. */
+static gsize
+undelivered_bytes (QuinceLink *link)
+{
+  gsize bytes = quince_delivery_meter_get_backlog (&link->delivery, quince_now_us (), link->bytes_queued);
+  return bytes > 0 && !quince_link_has_input (link) ? bytes : 0;
+}
+
 gsize
 quince_link_get_backlog (QuinceLink *link)
 {
-  return waiting_bytes (link)
-         + (link->socket != NULL ? quince_tcp_socket_get_unacknowledged (link->socket) : 0);
+  gsize unacknowledged = link->socket != NULL ? quince_tcp_socket_get_unacknowledged (link->socket) : 0;
+  return MAX (waiting_bytes (link) + unacknowledged, undelivered_bytes (link));
 }
 
 gboolean
