--- a/tests/unit/test-delivery-meter.c
+++ b/tests/unit/test-delivery-meter.c
@@ -114,11 +114,11 @@
         continue;
       gsize backlog = measured ? quince_delivery_meter_get_backlog (&meter, now * MS, sent) : 0;
       gsize bytes = quince_answer_allowance_take (&allowance, now * MS, backlog, 700 * 1024);
-                 if (bytes == 0)
-                   continue;
-                 answered++;
-                 sent += MIN (bytes, ANSWER_BYTES);
-                 in_time += (sent - delivered) / SLOW_BYTES_PER_MS <= PATIENCE_MS;
+      if (bytes == 0)
+        continue;
+      answered++;
+      sent += MIN (bytes, ANSWER_BYTES);
+      in_time += (sent - delivered) / SLOW_BYTES_PER_MS <= PATIENCE_MS;
     }
   assert_true (answered > 0);
   return in_time;
