Store: a slower pace after changes, and one look at the leader's key less

Change: the pace grows fourfold while a watch tells changes, so that the new leader, which the first watch names, feeds the front before the next one; a front that lists stops its look at the leader's key.

--- a/daemons/front/feed-wait.c
+++ b/daemons/front/feed-wait.c
@@ -19,17 +19,24 @@
 {
   /* All fields belong to the main context. */
   QuinceObserver *observer; /* borrowed */
-  QuinceMetaMirror *mirror; /* owned */
+  QuinceMetaMirror *mirror; /* owned; NULL: the observer lists */
   QuinceTimer *timer;       /* NULL: no leader is known */
   QuinceLedgerViewRead read;
   gpointer user_data;
 };
 
+/* The lists bring the view too. */
+static void
+list_now (QuinceFeedWait *wait)
+{
+  g_clear_pointer (&wait->mirror, quince_meta_mirror_free);
+  quince_observer_list_now (wait->observer);
+}
+
 static gboolean
 not_fed (gpointer data)
 {
-  QuinceFeedWait *wait = data;
-  quince_observer_list_now (wait->observer);
+  list_now (data);
   return G_SOURCE_REMOVE;
 }
 
@@ -66,7 +73,7 @@
 void
 quince_feed_wait_unlinked (QuinceFeedWait *wait)
 {
-  quince_observer_list_now (wait->observer);
+  list_now (wait);
 }
 
 void
--- a/daemons/front/feed-wait.h
+++ b/daemons/front/feed-wait.h
@@ -5,7 +5,7 @@
  * Hundreds of fronts that start while a leader lives read one key, which names the leader, and get all the
  * rest from it.  A new system has no leader yet, and waits for its first one.  Where there was a leader and
  * it does not feed the front at once, as after all processes were killed, callers come before the saving of
- * calls: the front lists at once.  It ends when the front has the own keys.
+ * calls: the front lists at once.  The wait ends when the front has the own keys.
  *
  * Owns a mirror of that key and a timer.  Belongs to the main context.
  */
--- a/lib/core/decisions/store-reads.c
+++ b/lib/core/decisions/store-reads.c
@@ -10,7 +10,7 @@
  * pages that arrive some time after they were read, since their reader may be busy. */
 #define SPARE_SHARE 0.5
 /* Each read that tells changes makes the pace so many times longer. */
-#define PACE_GROWTH 2
+#define PACE_GROWTH 4
 
 QuinceStoreReadTimes
 quince_store_reads_get_times (gboolean reader, guint spare_ms)
--- a/lib/core/decisions/store-reads.h
+++ b/lib/core/decisions/store-reads.h
@@ -57,8 +57,10 @@
  * @most_ms: however often changes come
  * @changed: the last read told changes
  *
- * Decides the pause before the next watch of keys that all processes write when they start: it doubles with
+ * Decides the pause before the next watch of keys that all processes write when they start: it grows with
  * each read that tells changes, so that a burst of writes is read in few parts, and begins anew in calm.
+ * After a change of leader the next read is so late that the new leader, which the first one named, feeds the
+ * reader before.
  *
  * Returns: the least time from that read to the next one, ms
  */
--- a/tests/unit/test-delivery-meter.c
+++ b/tests/unit/test-delivery-meter.c
@@ -92,7 +92,7 @@
   guint64 delivered = 100;
   guint answered = 0;
   guint in_time = 0;
-  guint64 probes[1000];
+  guint64 probes[1000] = { 0 };
   guint probe = 0;
   guint probe_answered = 0;
   for (gint64 now = 0; now < 12000; now++)
