Ledger: a member with unread input from its leader does not campaign

Callers saw a change of leader without any fault of the leader: each time that one of two members was stopped for 1.8 s (a busy machine, SIGSTOP) it took the lead as soon as it went on, and samples and steps waited. Cause: the timer that campaigns came before the socket on which a second of the leader's heartbeats waited; in a view of two members a candidate needs nobody's promise for the store. Found by the postmortem of the cut during a change. Change: while the link to the leader has unread bytes the replica does not campaign; they are read in the same turn of the main loop or the next one, so that it waits for nothing else.

--- a/daemons/replica/ledger-follower.c
+++ b/daemons/replica/ledger-follower.c
@@ -74,6 +74,12 @@
   return connected ? follower->link : NULL;
 }
 
+gboolean
+quince_ledger_follower_has_input (const QuinceLedgerFollower *follower)
+{
+  return follower->link != NULL && quince_link_has_input (follower->link);
+}
+
 /* The link is down: it is begun anew by a later step. */
 static void
 note_lost (QuinceLedgerFollower *follower)
--- a/daemons/replica/ledger-follower.h
+++ b/daemons/replica/ledger-follower.h
@@ -44,5 +44,7 @@
 void quince_ledger_follower_step (QuinceLedgerFollower *follower);
 /* Closes the link. */
 void quince_ledger_follower_stop (QuinceLedgerFollower *follower);
+/* The leader has sent what was not read yet: it is not silent, however long ago its last message was read. */
+gboolean quince_ledger_follower_has_input (const QuinceLedgerFollower *follower);
 /* The link to the leader, while it is up. (transfer none) (nullable) */
 QuinceLink *quince_ledger_follower_get_leader (const QuinceLedgerFollower *follower);
--- a/daemons/replica/ledger-node.c
+++ b/daemons/replica/ledger-node.c
@@ -283,7 +283,10 @@
   QuinceLedgerNode *node = data;
   gint64 now = quince_now_us ();
   quince_ledger_membership_read_first (node->membership, now);
-  quince_ledger_election_campaign (node->election);
+  /* A member that was stopped would campaign against a leader that is well, and in a view of two members win
+   * at once. */
+  if (!quince_ledger_follower_has_input (node->follower))
+    quince_ledger_election_campaign (node->election);
   quince_ledger_membership_propose (node->membership);
   quince_ledger_election_query (node->election, quince_ledger_records_get_epoch (node->records) != 0);
   quince_ledger_election_lead_without_store (node->election);
--- /dev/null
+++ b/tests/platform/test-member-thawed.c
@@ -0,0 +1,57 @@
+/*
+ * test-member-thawed.c: a member of the ledger that was stopped for longer than a leader may be silent reads
+ * what its leader sent meanwhile before it campaigns.
+ *
+ * In a view of two members a candidate needs nobody's promise: it took the lead from a leader that was well,
+ * and whoever waited for a sample waited for its next run ('view_proposed epoch=2 members=2' right after the
+ * member went on).
+ */
+#define PATH_REPLICAS 2
+#define PATH_FRONTS 1
+
+#include "path-world.h"
+
+/* Longer than the 1 s of silence and the rank of a second backup. */
+#define STOPPED_MS 1800
+#define ROUNDS 4
+
+static guint
+count_elections (const PathWorld *world)
+{
+  guint count = 0;
+  for (guint i = 0; i < PATH_REPLICAS; i++)
+    {
+      g_autofree char *text = quince_process_read_output (world->replicas[i]);
+      for (const char *at = strstr (text, "event=ledger_role role=primary"); at != NULL;
+           at = strstr (at + 1, "event=ledger_role role=primary"))
+        count++;
+    }
+  return count;
+}
+
+static void
+test_member_reads_first (void **state)
+{
+  PathWorld *world = path_world_new ("member-thawed");
+  path_world_start (world);
+  gint leader = path_leader (world);
+  guint member = leader == 0 ? 1 : 0;
+  run_for (1000);
+  for (guint i = 0; i < ROUNDS; i++)
+    {
+      quince_process_freeze (world->replicas[member]);
+      run_for (STOPPED_MS);
+      quince_process_thaw (world->replicas[member]);
+      run_for (1000);
+    }
+  assert_int_equal (count_elections (world), 1);
+  AWAIT (path_status (path_front (world, 0), "GET", "/quinceroute/lots/none", "q", NULL) == 404);
+  path_world_free (world);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = { cmocka_unit_test (test_member_reads_first) };
+  return cmocka_run_group_tests_name ("member-thawed", tests, NULL, NULL);
+}
