--- a/daemons/replica/ledger-node.c
+++ b/daemons/replica/ledger-node.c
@@ -259,14 +259,6 @@
 
 /* ---- Time ---------------------------------------------------------------- */
 
-/* Keeps on the disk that this leader may give orders in its epoch. */
-static void
-note_orders (QuinceLedgerNode *node, gint64 now_us)
-{
-  quince_ledger_group_note_orders (node->group, now_us);
-  quince_ledger_storage_keep (node->storage, "note_orders");
-}
-
 static void
 step_as_leader (QuinceLedgerNode *node, gint64 now_us)
 {
@@ -275,6 +267,11 @@
   if (!quince_ledger_group_may_accept (node->group, now_us))
     quince_ledger_membership_refresh (node->membership, now_us);
   quince_ledger_records_advance (node->records);
+  if (!quince_ledger_node_is_leading (node))
+    return;
+  /* The disk keeps that this leader may give orders in its epoch. */
+  quince_ledger_group_note_orders (node->group, now_us);
+  quince_ledger_storage_keep (node->storage, "note_orders");
 }
 
 static gboolean
@@ -283,8 +280,7 @@
   QuinceLedgerNode *node = data;
   gint64 now = quince_now_us ();
   quince_ledger_membership_read_first (node->membership, now);
-  /* A member that was stopped would campaign against a leader that is well, and in a view of two members win
-   * at once. */
+  /* A member that was stopped would campaign against a leader that is well, and win in a view of two. */
   if (!quince_ledger_follower_has_input (node->follower))
     quince_ledger_election_campaign (node->election);
   quince_ledger_membership_propose (node->membership);
@@ -294,8 +290,6 @@
   quince_ledger_storage_compact (node->storage, now);
   if (quince_ledger_records_get_epoch (node->records) != 0)
     step_as_leader (node, now);
-  if (quince_ledger_node_is_leading (node))
-    note_orders (node, now);
   return G_SOURCE_CONTINUE;
 }
 
--- a/lib/forward/retry-timer.c
+++ b/lib/forward/retry-timer.c
@@ -13,7 +13,7 @@
 timer_over (gpointer data)
 {
   QuinceRetryTimer *timer = data;
-  quince_timer_clear (&timer->source);
+  quince_timer_clear (&timer->timer);
   timer->due (timer->user_data); /* may free the owner */
   return G_SOURCE_REMOVE;
 }
@@ -21,12 +21,12 @@
 void
 quince_retry_timer_set (QuinceRetryTimer *timer, guint wait_ms)
 {
-  quince_timer_clear (&timer->source);
-  timer->source = quince_timer_add (wait_ms, timer_over, timer);
+  quince_timer_clear (&timer->timer);
+  timer->timer = quince_timer_add (wait_ms, timer_over, timer);
 }
 
 void
 quince_retry_timer_clear (QuinceRetryTimer *timer)
 {
-  quince_timer_clear (&timer->source);
+  quince_timer_clear (&timer->timer);
 }
--- a/lib/forward/retry-timer.h
+++ b/lib/forward/retry-timer.h
@@ -13,7 +13,7 @@
 typedef struct
 {
   /* All fields belong to the context of the owner. */
-  QuinceTimer *source; /* NULL: not set */
+  QuinceTimer *timer; /* NULL: not set */
   void (*due) (gpointer user_data);
   gpointer user_data;
 } QuinceRetryTimer;
--- a/lib/meta/meta-mirror.c
+++ b/lib/meta/meta-mirror.c
@@ -448,6 +448,12 @@
   mirror->times = *times;
   mirror->times.read_every_ms = MAX (times->read_every_ms, times->pace_ms);
   mirror->times.pace_max_ms = MAX (times->pace_max_ms, times->pace_ms);
+  if (mirror->pace_ms <= mirror->times.pace_max_ms)
+    return;
+  /* A process that begins to feed others does not wait for the end of a pause that had grown. */
+  mirror->pace_ms = mirror->times.pace_max_ms;
+  if (mirror->timer != NULL && !mirror->first_read_waits)
+    wait_then_call (mirror, mirror->pace_ms);
 }
 
 void
--- a/tests/platform/test-meta.c
+++ b/tests/platform/test-meta.c
@@ -108,6 +108,34 @@
   end (&world);
 }
 
+/* The pause between two watches has grown in a burst of changes when the process begins to feed others: they
+ * would wait for its end.  A leader that had just begun told a front 0.3 s late of the ledger's members, and
+ * the front, cut off meanwhile, found no other of them. */
+static void
+test_pace_of_a_new_reader (void **state)
+{
+  World world;
+  begin (&world, 20);
+  const QuinceMetaMirrorTimes grown
+      = { .pace_ms = 20, .pace_max_ms = 5000, .read_every_ms = READ_EVERY_MS, .patience_ms = PATIENCE_MS };
+  const QuinceMetaMirrorTimes reader
+      = { .pace_ms = 20, .read_every_ms = READ_EVERY_MS, .patience_ms = PATIENCE_MS, .reader = TRUE };
+  quince_meta_mirror_set_times (world.mirror, &grown);
+  for (guint i = 0; i < 4; i++)
+    {
+      g_autofree char *text = g_strdup_printf ("burst %u", i);
+      standin_store_put (world.standin, "a/1", text);
+      AWAIT (strcmp (value (&world, "a/1"), text) == 0);
+    }
+  standin_store_put (world.standin, "a/1", "last");
+  run_for (500);
+  assert_string_equal (value (&world, "a/1"), "burst 3");
+  quince_meta_mirror_set_times (world.mirror, &reader);
+  run_for (500);
+  assert_string_equal (value (&world, "a/1"), "last");
+  end (&world);
+}
+
 /* Whatever the store does, what it holds afterwards is reported. Failed first: the answer after an outage
  * ended the process, and a silent store was noticed only when a watch of 20 s was over. */
 static void
@@ -514,6 +542,7 @@
     cmocka_unit_test (test_whole_feed),
     cmocka_unit_test (test_what_another_lacks),
     cmocka_unit_test (test_heartbeats_are_no_news),
+    cmocka_unit_test (test_pace_of_a_new_reader),
     cmocka_unit_test (test_presence),
     cmocka_unit_test (test_conditions),
     cmocka_unit_test (test_calls_by_purpose),
