--- a/lib/runtime/link.h
+++ b/lib/runtime/link.h
@@ -3,8 +3,9 @@
  *
  * A link owns its connection and the bytes on their way; a server owns its listening socket.  Both belong to
  * the thread-default context that created them; all calls and callbacks happen there.  A frame that is too
- * large or does not decode closes the link with a typed error, never the process.  Relies on protocol/codec.h
- * and on packed-message.h, by which compressed messages are unpacked.
+ * large or does not decode closes the link with a typed error, never the process.  Relies on
+ * protocol/codec.h, on packed-message.h, by which compressed messages are unpacked, on socket-watch.h and on
+ * acceptor.h.
  */
 #pragma once
 
--- a/tests/unit/test-delivery-meter.c
+++ b/tests/unit/test-delivery-meter.c
@@ -19,7 +19,7 @@
 #define ANSWER_BYTES (577 * 1000)
 /* Readers wait so long for an answer and ask again, ms. */
 #define PATIENCE_MS 1500
-/* Half of a second of a link that passes 390 kB a second. */
+/* A link that passes 390 kB a second. */
 #define SLOW_BYTES_PER_MS 390
 
 static void
