Mirrors: a rejected list continues, and a large page is applied in slices

Change: a list that is rejected or not answered continues after its last page. Whether removed keys may have lapsed is kept with the page.

--- a/lib/meta/meta-mirror.h
+++ b/lib/meta/meta-mirror.h
@@ -63,26 +63,27 @@
  * quince_meta_mirror_new:
  * @store: must outlive the mirror
  * @prefix: prefix of the keys to mirror
- * @first_read_wait_ms: delay of the first list, ms, which is skipped if another process feeds the mirror
- *   meanwhile.  0: no delay
+ * @waits_to_be_fed: the first list is not made before quince_meta_mirror_list_now(), and not at all if
+ *   another process feeds the mirror
  * @callbacks: must outlive the mirror
  *
- * Lists the prefix and then watches it until the mirror is freed.  Lists the prefix again if the store has
- * compacted the revision of the watch.  While calls to the store fail, the mirror waits until the store
- * recovers.  Call quince_meta_mirror_set_times() before the main context runs.
+ * Lists the prefix and then watches it until the mirror is freed.  A list that the store rejects continues
+ * after its last page.  Lists the prefix again if the store has compacted the revision of the watch.  While
+ * calls to the store fail, the mirror waits until the store recovers.  Call quince_meta_mirror_set_times()
+ * before the main context runs.
  *
  * Returns: (transfer full): the mirror
  */
 QuinceMetaMirror *quince_meta_mirror_new (QuinceMetaStore *store,
                                           const char *prefix,
-                                          guint first_read_wait_ms,
+                                          gboolean waits_to_be_fed,
                                           const QuinceMetaMirrorCallbacks *callbacks,
                                           gpointer user_data);
 void quince_meta_mirror_free (QuinceMetaMirror *mirror); /* (nullable) */
 /* Reads the store immediately after a suspension of the machine, since the copy may be stale and a watch may
  * be lost. */
 void quince_meta_mirror_handle_resume (QuinceMetaMirror *mirror);
-/* Starts the first list if it is still delayed. */
+/* Starts the first list if the mirror still waits to be fed. */
 void quince_meta_mirror_list_now (QuinceMetaMirror *mirror);
 /* Returns whether a list is in progress. */
 gboolean quince_meta_mirror_is_listing (const QuinceMetaMirror *mirror);
@@ -100,6 +101,9 @@
  * nothing has changed.  If no page arrives within the feed timeout, the mirror reads the store again from its
  * own revision.
  *
+ * A large page with the whole prefix is applied in several iterations of the main loop.  The mirror is not
+ * synced until the last one; pages that arrive meanwhile are applied after it.
+ *
  * The mirror rejects a page that is older than its revision, and a page of changes before it is synced.  It
  * also rejects a page that begins after its revision, since the changes between are unknown; if it was fed,
  * it reads the store then.
@@ -111,6 +115,9 @@
  * @answer_immediately: the store answers the first watch immediately, even if nothing has changed, as it
  * always does for a reader */
 void quince_meta_mirror_handle_feed_end (QuinceMetaMirror *mirror, gboolean answer_immediately);
+/* Returns whether the removed keys of the page that is being applied may have expired in an outage of the
+ * store; see QuinceMetaPage. */
+gboolean quince_meta_mirror_page_may_have_lapsed (const QuinceMetaMirror *mirror);
 /* Returns whether another process feeds the mirror, so that it makes no calls to the store. */
 gboolean quince_meta_mirror_is_fed (const QuinceMetaMirror *mirror);
 /* Returns: (transfer full): the changes after @after_revision, or all items if it is 0, to feed another
--- a/rehearsal/platform/standin-store-calls.c
+++ b/rehearsal/platform/standin-store-calls.c
@@ -255,6 +255,9 @@
     standin_call_close_connection (call);
   else if (store->fault == STANDIN_STORE_FAILS_LISTS && g_str_has_prefix (target, "/quinceroute/kv-range?"))
     answer_json (call, 503, "{}");
+  else if (store->fault == STANDIN_STORE_REJECTS_EVERY_SECOND_LIST
+           && g_str_has_prefix (target, "/quinceroute/kv-range?") && store->n_list_calls % 2 == 0)
+    answer_json (call, 429, "{}");
   else if (store->fault == STANDIN_STORE_FAILS_OWN_PREFIX && has_own_prefix (target))
     answer_json (call, 503, "{}");
   else if (store->fault == STANDIN_STORE_DROPS_WRITE_ANSWERS_FAILS_READS
--- a/rehearsal/platform/standin-store.h
+++ b/rehearsal/platform/standin-store.h
@@ -18,6 +18,7 @@
   STANDIN_STORE_DROPS_WRITE_ANSWERS, /* applies writes and closes the connection without an answer */
   STANDIN_STORE_DROPS_WRITE_ANSWERS_FAILS_READS, /* also 503 to reads of a single key */
   STANDIN_STORE_FAILS_LISTS,                     /* 503 to lists */
+  STANDIN_STORE_REJECTS_EVERY_SECOND_LIST,       /* 429, as a store above its rate limit */
   STANDIN_STORE_FAILS_OWN_PREFIX,                /* 503 to lists and watches of the prefix "quinceroute" */
   STANDIN_STORE_MALFORMED_ANSWERS, /* 200 with the body of standin_store_set_malformed_answer() */
 } StandinStoreFault;
