--- a/daemons/front/caller-connection.c
+++ b/daemons/front/caller-connection.c
@@ -309,12 +309,6 @@
 
 /* ---- Requests --------------------------------------------------------- */
 
-static gboolean
-is_ready (const QuinceFrontContext *context)
-{
-  return !context->stopping && quince_observer_get_routes (context->observer) != NULL;
-}
-
 static void
 start_request (QuinceCallerConnection *connection)
 {
@@ -342,7 +336,7 @@
   quince_platform_read_call (connection->head->method, connection->head->target, &call);
   g_clear_pointer (&connection->head, quince_http_head_free);
   if (connection->kind == QUINCE_LISTEN_READY)
-    write_status_answer (connection, is_ready (connection->context) ? 200 : 503);
+    write_status_answer (connection, quince_front_context_is_ready (connection->context) ? 200 : 503);
   else if (call.kind == QUINCE_CALL_RESOLVE)
     write_directory_answer (connection, &call);
   else
--- a/daemons/front/feed-subscription.c
+++ b/daemons/front/feed-subscription.c
@@ -14,8 +14,9 @@
 {
   /* All fields belong to the main context. */
   QuinceObserver *observer;
-  QuinceLink *link;   /* owned: link to the leader, not subscribed yet; NULL: none */
-  QuinceTimer *timer; /* limits the wait to SYNC_TIMEOUT_MS; NULL: no wait */
+  QuinceLink *link;    /* owned: link to the leader; NULL: none */
+  gboolean subscribed; /* on this link */
+  QuinceTimer *timer;  /* limits the wait to SYNC_TIMEOUT_MS; NULL: no wait */
 };
 
 QuinceFeedSubscription *
@@ -36,24 +37,25 @@
 }
 
 static void
-subscribe (QuinceFeedSubscription *subscription)
+subscribe (QuinceFeedSubscription *subscription, QuinceFeedRole role)
 {
   quince_timer_clear (&subscription->timer);
-  quince_store_feed_subscribe (subscription->observer, subscription->link);
-  g_clear_pointer (&subscription->link, quince_link_unref);
+  quince_store_feed_subscribe (subscription->observer, subscription->link, role);
+  subscription->subscribed = TRUE;
 }
 
 void
 quince_feed_subscription_synced (QuinceFeedSubscription *subscription)
 {
-  if (subscription->link != NULL && !quince_observer_is_listing (subscription->observer))
-    subscribe (subscription);
+  if (subscription->link != NULL && !subscription->subscribed
+      && !quince_observer_is_listing (subscription->observer))
+    subscribe (subscription, QUINCE_FEED_ROLE_FRONT);
 }
 
 static gboolean
 sync_timed_out (gpointer data)
 {
-  subscribe (data);
+  subscribe (data, QUINCE_FEED_ROLE_FRONT);
   return G_SOURCE_REMOVE;
 }
 
@@ -66,9 +68,17 @@
   quince_feed_subscription_synced (subscription);
 }
 
+void
+quince_feed_subscription_request_direct_feed (QuinceFeedSubscription *subscription)
+{
+  if (subscription->subscribed)
+    subscribe (subscription, QUINCE_FEED_ROLE_DIRECT);
+}
+
 void
 quince_feed_subscription_unlinked (QuinceFeedSubscription *subscription)
 {
+  subscription->subscribed = FALSE;
   quince_timer_clear (&subscription->timer);
   g_clear_pointer (&subscription->link, quince_link_unref);
 }
--- a/daemons/front/feed-wait.c
+++ b/daemons/front/feed-wait.c
@@ -1,8 +1,10 @@
 /*
- * feed-wait.c: waits for the ledger's leader to feed a front that starts.
+ * feed-wait.c: waits for another process to feed a front that starts.
  */
 #include "feed-wait.h"
 
+#include "core/decisions/list-turn.h"
+#include "core/decisions/store-reads.h"
 #include "meta/meta-mirror.h"
 #include "runtime/timer.h"
 
@@ -11,32 +13,57 @@
 #define VIEW_READ_INTERVAL_MIN_MS 300
 /* Maximum time between two reads of the view if the store answers immediately, ms. */
 #define VIEW_READ_INTERVAL_MAX_MS 1000
-/* Maximum time from the first view until the leader feeds the front, ms.  It allows a busy leader to accept
- * the connection, handle the subscription and answer it. */
-#define FEED_TIMEOUT_MS 300
+/* Maximum time from the first view until the leader answers, ms.  It allows a leader that starts at the same
+ * time to listen, and a busy leader to accept the connection and to handle the subscription. */
+#define ANSWER_TIMEOUT_MS 300
+typedef enum
+{
+  WAITS_FOR_FEED, /* for the view, the leader's answer, or the feed that it promised */
+  LISTS_SMALL_PREFIXES,
+  WAITS_FOR_TURN,
+  LISTS_WORKERS,
+} Stage;
 
 struct _QuinceFeedWait
 {
   /* All fields belong to the main context. */
   QuinceObserver *observer; /* not owned */
-  QuinceMetaMirror *mirror; /* owned; NULL: the observer lists the store */
-  QuinceTimer *timer;       /* limits the wait to FEED_TIMEOUT_MS; NULL: no view was read */
+  QuinceMetaMirror *mirror; /* owned, of the view; NULL: the observer lists it */
+  QuinceTimer *timer;       /* ends the wait of the stage */
+  Stage stage;
+  char *node; /* name of this front */
+  gboolean view_known;
+  gboolean turn_reached; /* the front waited for its turn while it waited for the feed */
   QuinceLedgerViewRead view_read;
   gpointer user_data;
 };
 
-/* Stops reading the view separately, since the observer's lists contain it. */
 static void
-list_store (QuinceFeedWait *wait)
+set_timer (QuinceFeedWait *wait, guint wait_ms, gboolean (*timed_out) (gpointer))
 {
-  g_clear_pointer (&wait->mirror, quince_meta_mirror_free);
-  quince_observer_list_now (wait->observer);
+  quince_timer_clear (&wait->timer);
+  wait->timer = quince_timer_add (wait_ms, timed_out, wait);
 }
 
+static gboolean
+list_workers (gpointer data)
+{
+  QuinceFeedWait *wait = data;
+  quince_timer_clear (&wait->timer);
+  wait->stage = LISTS_WORKERS;
+  quince_observer_list_workers (wait->observer);
+  return G_SOURCE_REMOVE;
+}
+
+/* Stops reading the view separately, since the lists contain it. */
 static gboolean
 feed_timed_out (gpointer data)
 {
-  list_store (data);
+  QuinceFeedWait *wait = data;
+  quince_timer_clear (&wait->timer);
+  g_clear_pointer (&wait->mirror, quince_meta_mirror_free);
+  wait->stage = LISTS_SMALL_PREFIXES;
+  quince_observer_list_small_prefixes (wait->observer);
   return G_SOURCE_REMOVE;
 }
 
@@ -46,8 +73,9 @@
   QuinceFeedWait *wait = data;
   if (item->value == NULL || !g_str_equal (item->key, QUINCE_LEDGER_KEY))
     return;
-  if (wait->timer == NULL)
-    wait->timer = quince_timer_add (FEED_TIMEOUT_MS, feed_timed_out, wait);
+  if (!wait->view_known)
+    set_timer (wait, ANSWER_TIMEOUT_MS, feed_timed_out);
+  wait->view_known = TRUE;
   wait->view_read (item->value, item->revision, wait->user_data);
 }
 
@@ -56,14 +84,17 @@
 QuinceFeedWait *
 quince_feed_wait_new (QuinceMetaStore *store,
                       QuinceObserver *observer,
+                      const char *node,
                       QuinceLedgerViewRead view_read,
                       gpointer user_data)
 {
   QuinceFeedWait *wait = g_new0 (QuinceFeedWait, 1);
   wait->observer = observer;
+  wait->node = g_strdup (node);
   wait->view_read = view_read;
   wait->user_data = user_data;
-  wait->mirror = quince_meta_mirror_new (store, QUINCE_LEDGER_KEY, 0, &mirror_callbacks, wait);
+  wait->timer = quince_timer_add (QUINCE_STORE_FIRST_READ_WAIT_MS, feed_timed_out, wait);
+  wait->mirror = quince_meta_mirror_new (store, QUINCE_LEDGER_KEY, FALSE, &mirror_callbacks, wait);
   const QuinceMetaMirrorTimes times = { .read_interval_min_ms = VIEW_READ_INTERVAL_MIN_MS,
                                         .read_interval_max_ms = VIEW_READ_INTERVAL_MAX_MS,
                                         .outage_read_jitter_max_ms = VIEW_READ_INTERVAL_MIN_MS };
@@ -71,10 +102,38 @@
   return wait;
 }
 
+void
+quince_feed_wait_answered (QuinceFeedWait *wait, guint n_fronts)
+{
+  if (wait->stage != WAITS_FOR_FEED)
+    return;
+  set_timer (wait, ANSWER_TIMEOUT_MS + quince_list_turn_wait_ms (wait->node, n_fronts), feed_timed_out);
+  wait->turn_reached = TRUE;
+}
+
 void
 quince_feed_wait_unlinked (QuinceFeedWait *wait)
 {
-  list_store (wait);
+  if (wait->stage != WAITS_FOR_FEED || !wait->turn_reached)
+    return;
+  set_timer (wait, ANSWER_TIMEOUT_MS, feed_timed_out);
+  wait->turn_reached = FALSE;
+}
+
+/* Also called if these keys were fed: the process that feeds them may not know the workers yet. */
+void
+quince_feed_wait_own_keys_synced (QuinceFeedWait *wait, guint n_fronts)
+{
+  if (wait->stage >= WAITS_FOR_TURN)
+    return;
+  guint turn_ms = quince_list_turn_wait_ms (wait->node, n_fronts);
+  if (wait->stage == WAITS_FOR_FEED)
+    turn_ms += ANSWER_TIMEOUT_MS;
+  else if (wait->turn_reached)
+    turn_ms = 0;
+  g_clear_pointer (&wait->mirror, quince_meta_mirror_free);
+  wait->stage = WAITS_FOR_TURN;
+  set_timer (wait, turn_ms, list_workers);
 }
 
 void
@@ -84,5 +143,6 @@
     return;
   quince_timer_clear (&wait->timer);
   quince_meta_mirror_free (wait->mirror);
+  g_free (wait->node);
   g_free (wait);
 }
--- a/daemons/front/feed-wait.h
+++ b/daemons/front/feed-wait.h
@@ -1,14 +1,15 @@
 /*
- * feed-wait.h: waits for the ledger's leader to feed a front that starts; on failure the front lists the
+ * feed-wait.h: waits for another process to feed a front that starts; on failure the front lists the
  * metadata store itself.
  *
  * To limit the calls to the store, a front that starts reads only the ledger's view, which names the leader,
- * and gets all other keys from the leader's store feed.  If the leader does not feed it in time, for example
- * after a restart of all processes, the front lists the store in order to serve callers soon.  While the
- * store holds no view, the front waits for the first leader.  The owner frees the wait once the front has its
- * own keys.
+ * and gets all other keys from the store feed of the leader or of a relay.  If none feeds it in time, the
+ * front lists the operator's keys and its product's own keys, which are few, and then the workers when it is
+ * its turn among all fronts (core/decisions/list-turn.h).  A leader that answers but cannot feed yet, for
+ * example after a restart of all processes, is given more time than one that does not answer.
  *
- * The wait owns a mirror of the view's key and a timer.  It belongs to the main context.
+ * The wait owns a mirror of the view's key and a timer.  It belongs to the main context.  The owner frees it
+ * once the front has read or been fed all workers.
  */
 #pragma once
 
@@ -23,13 +24,20 @@
 typedef void (*QuinceLedgerViewRead) (GBytes *value, guint64 revision, gpointer user_data);
 
 /* Returns: (transfer full): the wait.  @store and @observer are not owned and must outlive it; the observer
- * has not started to list. */
+ * waits to be fed.
+ * @node: name of this front */
 QuinceFeedWait *quince_feed_wait_new (QuinceMetaStore *store,
                                       QuinceObserver *observer,
+                                      const char *node,
                                       QuinceLedgerViewRead view_read,
                                       gpointer user_data);
-/* The link to the leader could not be opened, or was closed: the front lists the store now. */
+/* The leader has answered the subscription: it feeds the front, or names relays, as soon as it can.  The
+ * front lists the store only if it is not fed before its turn among @n_fronts fronts. */
+void quince_feed_wait_answered (QuinceFeedWait *wait, guint n_fronts);
+/* The link to the leader was closed, so that its answer does not count any more. */
 void quince_feed_wait_unlinked (QuinceFeedWait *wait);
+/* The product's own keys, which list @n_fronts fronts, have been read or fed. */
+void quince_feed_wait_own_keys_synced (QuinceFeedWait *wait, guint n_fronts);
 void quince_feed_wait_free (QuinceFeedWait *wait); /* (nullable) */
 
 G_END_DECLS
--- a/daemons/front/front-context.h
+++ b/daemons/front/front-context.h
@@ -26,6 +26,7 @@
  * @splits: state of the split of routes between services
  * @directory_ttl_s: how long callers may cache an answer of the directory, s
  * @in_progress: number of callers' requests in flight
+ * @workers_known: %TRUE once all workers have been read or fed
  * @stopping: %TRUE once the planned stop has begun: each connection closes after its next answer, and the
  *   readiness check fails
  *
@@ -42,5 +43,15 @@
   QuinceRouteSplits *splits;
   guint directory_ttl_s;
   guint in_progress;
+  gboolean workers_known;
   gboolean stopping;
 } QuinceFrontContext;
+
+/* Returns whether this front can serve callers: it can route requests, knows the workers and is not stopping.
+ */
+static inline gboolean
+quince_front_context_is_ready (const QuinceFrontContext *context)
+{
+  return !context->stopping && context->workers_known
+         && quince_observer_get_routes (context->observer) != NULL;
+}
--- a/daemons/front/front.c
+++ b/daemons/front/front.c
@@ -20,6 +20,7 @@
 #include "runtime/suspension.h"
 
 #include "caller-listeners.h"
+#include "feed-parent.h"
 #include "feed-subscription.h"
 #include "feed-wait.h"
 #include "front-context.h"
@@ -37,7 +38,8 @@
   QuinceMetaStore *store;
   QuinceMetaPresence *presence; /* this front's key in the metadata store */
   QuinceFeedSubscription *subscription;
-  QuinceFeedWait *feed_wait; /* NULL once the product's own keys are known */
+  QuinceFeedParent *parent;
+  QuinceFeedWait *feed_wait; /* NULL once the workers are known */
   QuinceQuarantineClient *quarantine;
   QuinceWarmupClient *warmup;
   QuinceCallerListeners *listeners;
@@ -95,19 +97,25 @@
     quince_quarantine_client_merge_list (front->quarantine, key + strlen (QUINCE_SUSPECTS_PREFIX), value);
 }
 
-/* A front that has a configuration can route requests, so the directory may list it. */
 static void
 handle_configuration_change (QuinceRouteTable *table, gpointer data)
 {
   Front *front = data;
-  quince_directory_set_serving (front->context.directory, !front->context.stopping);
+  quince_directory_set_serving (front->context.directory, quince_front_context_is_ready (&front->context));
+}
+
+static guint
+count_fronts (Front *front)
+{
+  return quince_directory_get_size (front->context.directory, quince_now_us ());
 }
 
 static void
 handle_own_synced (gpointer data)
 {
   Front *front = data;
-  g_clear_pointer (&front->feed_wait, quince_feed_wait_free);
+  if (front->feed_wait != NULL)
+    quince_feed_wait_own_keys_synced (front->feed_wait, count_fronts (front));
   quince_feed_subscription_synced (front->subscription);
 }
 
@@ -115,6 +123,9 @@
 handle_workers_synced (gpointer data)
 {
   Front *front = data;
+  g_clear_pointer (&front->feed_wait, quince_feed_wait_free);
+  front->context.workers_known = TRUE;
+  quince_directory_set_serving (front->context.directory, quince_front_context_is_ready (&front->context));
   quince_feed_subscription_synced (front->subscription);
 }
 
@@ -148,6 +159,22 @@
                                         heartbeat->silent.silent_len);
 }
 
+static void
+handle_relays (Front *front, const QuinceFeedRelays *relays)
+{
+  if (front->feed_wait != NULL)
+    quince_feed_wait_answered (front->feed_wait, relays->fronts);
+  quince_feed_parent_set_relays (front->parent, relays);
+}
+
+/* The relays do not feed this front, so it asks the leader to. */
+static void
+handle_relays_failed (gpointer data)
+{
+  Front *front = data;
+  quince_feed_subscription_request_direct_feed (front->subscription);
+}
+
 static void
 handle_ledger_message (QuinceLink *link, const QuinceMessage *message, gpointer data)
 {
@@ -160,6 +187,8 @@
   else if (message->kind == QUINCE_MESSAGE_FEED_SUBSCRIBE)
     quince_store_feed_send_newer_policy (front->context.observer, link,
                                          &message->QuinceMessage_u.feed_subscribe);
+  else if (message->kind == QUINCE_MESSAGE_FEED_RELAYS)
+    handle_relays (front, &message->QuinceMessage_u.feed_relays);
   else if (message->kind == QUINCE_MESSAGE_HEARTBEAT)
     handle_heartbeat (front, link, &message->QuinceMessage_u.heartbeat);
   else if (message->kind == QUINCE_MESSAGE_USAGE_ACK)
@@ -176,7 +205,8 @@
   quince_usage_reporter_unlinked (front->context.usage);
   quince_quarantine_client_unlinked (front->quarantine);
   quince_warmup_client_unlinked (front->warmup);
-  quince_observer_handle_feeder_loss (front->context.observer);
+  if (!quince_feed_parent_is_alive (front->parent))
+    quince_observer_handle_feeder_loss (front->context.observer);
   if (front->feed_wait != NULL)
     quince_feed_wait_unlinked (front->feed_wait);
 }
@@ -196,6 +226,7 @@
   quince_meta_store_handle_resume (front->store);
   quince_backends_handle_resume (front->context.backends);
   quince_ledger_caller_handle_resume (front->context.ledger);
+  quince_feed_parent_handle_resume (front->parent);
   quince_observer_handle_resume (front->context.observer);
   quince_meta_presence_handle_resume (front->presence);
 }
@@ -303,11 +334,14 @@
                                         &quince_platform_meta_codec);
   QuinceObserverOptions options;
   quince_observer_read_options (settings, &options);
-  options.first_read_wait_ms = QUINCE_STORE_FIRST_READ_WAIT_MS;
+  options.waits_to_be_fed = TRUE;
   context->observer = quince_observer_new (front->store, context->backends, &quince_platform_observer_codec,
                                            &options, &observer_callbacks, front);
   front->subscription = quince_feed_subscription_new (context->observer);
-  front->feed_wait = quince_feed_wait_new (front->store, context->observer, apply_ledger_view, front);
+  front->parent
+      = quince_feed_parent_new (context->observer, front->name, front->zone, handle_relays_failed, front);
+  front->feed_wait
+      = quince_feed_wait_new (front->store, context->observer, front->name, apply_ledger_view, front);
   quince_warmup_client_set_observer (front->warmup, context->observer);
 }
 
@@ -407,6 +441,7 @@
   quince_suspension_watch_free (front->suspension);
   quince_planned_stop_free (front->stop);
   quince_feed_subscription_free (front->subscription);
+  quince_feed_parent_free (front->parent);
   quince_feed_wait_free (front->feed_wait);
   quince_caller_listeners_free (front->listeners);
   quince_text_server_free (front->metrics);
--- a/daemons/replica/ledger-node.c
+++ b/daemons/replica/ledger-node.c
@@ -195,6 +195,7 @@
   if (quince_ledger_records_get_epoch (node->records) != 0)
     {
       quince_ledger_replication_add_backup (node->replication, link, hello);
+      node->callbacks->backup_joined (link, hello, node->user_data);
       return;
     }
   /* A restarted former leader needs promises from members that reconnect, possibly from new addresses. */
--- a/daemons/replica/ledger-node.h
+++ b/daemons/replica/ledger-node.h
@@ -23,6 +23,7 @@
  * @committed: a record is committed; called only at the leader, in log order, and before started_leading()
  *   for the records that the log already had.  @record: (transfer full)
  * @service_call: a front sent a call; the answer is sent on @link, which may close before that
+ * @backup_joined: a backup or spare followed this leader on an incoming link
  * @link_closed: an incoming link, from a front or another replica, closed
  * @leader_connected: the link to the leader is up
  * @other_message: a message from a front, another replica or the leader that is neither a service call nor
@@ -35,6 +36,7 @@
   void (*stopped_leading) (gpointer user_data);
   void (*committed) (guint64 index, QuinceBatchRecord *record, gpointer user_data);
   void (*service_call) (QuinceLink *link, const QuinceServiceCall *call, gpointer user_data);
+  void (*backup_joined) (QuinceLink *link, const QuinceLedgerHello *hello, gpointer user_data);
   void (*link_closed) (QuinceLink *link, gpointer user_data);
   void (*leader_connected) (QuinceLink *link, gpointer user_data);
   void (*other_message) (QuinceLink *link, const QuinceMessage *message, gpointer user_data);
--- a/daemons/replica/replica-leadership.c
+++ b/daemons/replica/replica-leadership.c
@@ -1,10 +1,8 @@
 /*
- * replica-leadership.c: starts and stops the leader's tasks, and owns its weight orders and store feed.
+ * replica-leadership.c: starts and stops the leader's tasks, and owns its weight orders.
  */
 #include "replica-leadership.h"
 
-#include "observer/store-feed.h"
-
 #include "weight-orders.h"
 
 struct _QuinceReplicaLeadership
@@ -12,35 +10,13 @@
   /* All fields belong to the main context. */
   const QuinceReplicaParts *parts;
   QuinceWeightOrders *orders; /* NULL: not leading */
-  QuinceStoreFeed *feed;      /* NULL: not leading */
-  GHashTable *subscribers;    /* QuinceLink to QuinceFeedSubscribe, both owned */
 };
 
-static void
-subscription_free (gpointer data)
-{
-  QuinceFeedSubscribe *subscribe = data;
-  g_free (subscribe->revisions.revisions_val);
-  g_free (subscribe);
-}
-
-static QuinceFeedSubscribe *
-subscription_copy (const QuinceFeedSubscribe *subscribe)
-{
-  QuinceFeedSubscribe *copy = g_new0 (QuinceFeedSubscribe, 1);
-  gsize length = subscribe->revisions.revisions_len;
-  copy->revisions.revisions_len = subscribe->revisions.revisions_len;
-  copy->revisions.revisions_val = g_memdup2 (subscribe->revisions.revisions_val, length * sizeof (u_quad_t));
-  return copy;
-}
-
 QuinceReplicaLeadership *
 quince_replica_leadership_new (const QuinceReplicaParts *parts)
 {
   QuinceReplicaLeadership *leadership = g_new0 (QuinceReplicaLeadership, 1);
   leadership->parts = parts;
-  leadership->subscribers
-      = g_hash_table_new_full (NULL, NULL, (GDestroyNotify)quince_link_unref, subscription_free);
   return leadership;
 }
 
@@ -48,14 +24,13 @@
 quince_replica_leadership_free (QuinceReplicaLeadership *leadership)
 {
   quince_replica_leadership_release (leadership);
-  g_hash_table_unref (leadership->subscribers);
   g_free (leadership);
 }
 
 gboolean
 quince_replica_leadership_is_active (const QuinceReplicaLeadership *leadership)
 {
-  return leadership->feed != NULL;
+  return leadership->orders != NULL;
 }
 
 /* ---- Weight orders ------------------------------------------------------ */
@@ -101,54 +76,6 @@
     quince_weight_orders_check_loads (leadership->orders);
 }
 
-/* ---- The store feed ------------------------------------------------------ */
-
-static void
-add_subscribers_to_feed (QuinceReplicaLeadership *leadership)
-{
-  GHashTableIter iter;
-  gpointer link;
-  gpointer subscribe;
-  g_hash_table_iter_init (&iter, leadership->subscribers);
-  while (g_hash_table_iter_next (&iter, &link, &subscribe))
-    quince_store_feed_add (leadership->feed, link, subscribe);
-}
-
-void
-quince_replica_leadership_subscribe (QuinceReplicaLeadership *leadership,
-                                     QuinceLink *link,
-                                     const QuinceFeedSubscribe *subscribe)
-{
-  g_hash_table_replace (leadership->subscribers, quince_link_ref (link), subscription_copy (subscribe));
-  if (leadership->feed != NULL)
-    quince_store_feed_add (leadership->feed, link, subscribe);
-  quince_quarantine_coordinator_add_link (leadership->parts->quarantine, link);
-}
-
-void
-quince_replica_leadership_link_closed (QuinceReplicaLeadership *leadership, QuinceLink *link)
-{
-  if (leadership->feed != NULL)
-    quince_store_feed_remove (leadership->feed, link);
-  g_hash_table_remove (leadership->subscribers, link);
-}
-
-void
-quince_replica_leadership_publish (QuinceReplicaLeadership *leadership,
-                                   const char *prefix,
-                                   const QuinceMetaPage *page)
-{
-  quince_store_feed_publish (leadership->feed, prefix, page);
-}
-
-void
-quince_replica_leadership_apply_report (QuinceReplicaLeadership *leadership,
-                                        QuinceLink *link,
-                                        const QuinceFeedUpdate *update)
-{
-  quince_store_feed_apply_report (leadership->feed, link, update);
-}
-
 /* ---- Start and stop ------------------------------------------------------ */
 
 void
@@ -177,18 +104,18 @@
   /* This replica feeds all other processes from here on. */
   quince_observer_set_reserve_reader (parts->observer, TRUE);
   quince_observer_handle_feed_end (parts->observer);
-  leadership->feed = quince_store_feed_new (parts->observer);
-  quince_heartbeats_start_leading (parts->heartbeats, leadership->subscribers);
-  quince_quarantine_coordinator_start_leading (parts->quarantine, leadership->subscribers);
+  quince_observer_list_workers (parts->observer);
+  GHashTable *links = quince_feed_service_get_links (parts->feed);
+  quince_heartbeats_start_leading (parts->heartbeats, links);
+  quince_quarantine_coordinator_start_leading (parts->quarantine, links);
   quince_warmup_coordinator_start_leading (parts->warmup);
-  add_subscribers_to_feed (leadership);
+  quince_feed_service_set_leading (parts->feed, TRUE);
 }
 
 void
 quince_replica_leadership_release (QuinceReplicaLeadership *leadership)
 {
   g_clear_pointer (&leadership->orders, quince_weight_orders_stop);
-  g_clear_pointer (&leadership->feed, quince_store_feed_free);
 }
 
 void
@@ -196,6 +123,7 @@
 {
   const QuinceReplicaParts *parts = leadership->parts;
   quince_replica_leadership_release (leadership);
+  quince_feed_service_set_leading (parts->feed, FALSE);
   quince_heartbeats_stop_leading (parts->heartbeats);
   quince_quarantine_coordinator_stop_leading (parts->quarantine);
   quince_batch_service_stop_leading (parts->batches);
--- a/daemons/replica/replica-ledger-events.c
+++ b/daemons/replica/replica-ledger-events.c
@@ -53,7 +53,7 @@
 {
   const QuinceReplicaParts *parts = data;
   forward_progress_to_leader (parts, leader);
-  quince_store_feed_subscribe (parts->observer, leader);
+  quince_store_feed_subscribe (parts->observer, leader, QUINCE_FEED_ROLE_RELAY);
 }
 
 static void
@@ -84,6 +84,13 @@
   quince_batch_service_handle_call (parts->batches, link, call);
 }
 
+static void
+handle_backup_joined (QuinceLink *link, const QuinceLedgerHello *hello, gpointer data)
+{
+  const QuinceReplicaParts *parts = data;
+  quince_feed_service_add_replica (parts->feed, link, hello);
+}
+
 static void
 handle_link_closed (QuinceLink *link, gpointer data)
 {
@@ -92,7 +99,7 @@
   if (parts->usage != NULL)
     quince_usage_collector_link_closed (parts->usage, link);
   quince_quarantine_coordinator_link_closed (parts->quarantine, link);
-  quince_replica_leadership_link_closed (parts->leadership, link);
+  quince_feed_service_link_closed (parts->feed, link);
 }
 
 /* ---- Messages from other processes ---------------------------------------- */
@@ -133,16 +140,18 @@
 handle_feed_update (const QuinceReplicaParts *parts, QuinceLink *link, const QuinceFeedUpdate *update)
 {
   if (quince_replica_leadership_is_active (parts->leadership))
-    quince_replica_leadership_apply_report (parts->leadership, link, update);
+    quince_feed_service_apply_report (parts->feed, link, update);
   else
-    quince_store_feed_apply (parts->observer, update);
+    quince_feed_service_relay (parts->feed, link, update);
 }
 
 static void
 handle_heartbeat (const QuinceReplicaParts *parts)
 {
-  if (!quince_replica_leadership_is_active (parts->leadership))
-    quince_observer_record_feeder_contact (parts->observer);
+  if (quince_replica_leadership_is_active (parts->leadership))
+    return;
+  quince_observer_record_feeder_contact (parts->observer);
+  quince_feed_service_relay_heartbeat (parts->feed);
 }
 
 /* From the leader this is a query for the active policy, from other processes a subscription to the feed. */
@@ -152,9 +161,13 @@
                        const QuinceFeedSubscribe *subscribe)
 {
   if (link == quince_ledger_node_get_leader_link (parts->ledger))
-    quince_store_feed_send_newer_policy (parts->observer, link, subscribe);
-  else
-    quince_replica_leadership_subscribe (parts->leadership, link, subscribe);
+    {
+      quince_store_feed_send_newer_policy (parts->observer, link, subscribe);
+      return;
+    }
+  quince_feed_service_subscribe (parts->feed, link, subscribe);
+  if (quince_store_feed_get_role (subscribe) != QUINCE_FEED_ROLE_CHILD)
+    quince_quarantine_coordinator_add_link (parts->quarantine, link);
 }
 
 static void
@@ -194,6 +207,7 @@
         .stopped_leading = handle_stopped_leading,
         .committed = handle_commit,
         .service_call = handle_service_call,
+        .backup_joined = handle_backup_joined,
         .link_closed = handle_link_closed,
         .leader_connected = handle_leader_connected,
         .other_message = handle_message,
--- a/daemons/replica/replica-metrics.c
+++ b/daemons/replica/replica-metrics.c
@@ -36,6 +36,7 @@
   set_ledger_metrics (parts->ledger);
   set_worker_metrics (parts->backends);
   quince_observer_set_metrics (parts->observer);
+  quince_feed_service_set_metrics (parts->feed);
   quince_send_guard_set_metrics (quince_quarantine_coordinator_get_guard (parts->quarantine));
   quince_metric_set ("quince_store_answer_age_seconds", "",
                      (double)(quince_now_us () - contact->last_answer_us) / G_USEC_PER_SEC);
--- a/daemons/replica/replica-parts.h
+++ b/daemons/replica/replica-parts.h
@@ -14,6 +14,7 @@
 #include "observer/observer.h"
 
 #include "batch-service.h"
+#include "feed-service.h"
 #include "heartbeats.h"
 #include "ledger-node.h"
 #include "progress-file.h"
@@ -38,7 +39,8 @@
  * @progress: texts of running samples that the leader sent, to resume from after a failover
  * @progress_file: progress of samples on disk
  * @batches: the batches in the ledger
- * @leadership: weight orders and the store feed, while this replica leads
+ * @leadership: weight orders, while this replica leads
+ * @feed: feeds other processes with what this one reads or is fed
  * @heartbeats: to fronts, at the leader
  * @quarantine: quarantine of suspect requests; grants permits at the leader
  * @warmup: warm-up of cold workers; grants sends at the leader
@@ -62,6 +64,7 @@
   QuinceProgressFile *progress_file;
   QuinceBatchService *batches;
   QuinceReplicaLeadership *leadership;
+  QuinceFeedService *feed;
   QuinceHeartbeats *heartbeats;
   QuinceQuarantineCoordinator *quarantine;
   QuinceWarmupCoordinator *warmup;
--- a/daemons/replica/replica-setup.c
+++ b/daemons/replica/replica-setup.c
@@ -60,9 +60,11 @@
 {
   QuinceObserverOptions options;
   quince_observer_read_options (settings, &options);
+  options.workers_wait_to_be_fed = TRUE;
   parts->observer = quince_observer_new (parts->store, parts->backends, &quince_platform_observer_codec,
                                          &options, &quince_replica_store_callbacks, parts);
   quince_warmup_coordinator_set_observer (parts->warmup, parts->observer);
+  parts->feed = quince_feed_service_new (parts->observer, parts->heartbeats);
 }
 
 static void
--- a/daemons/replica/replica-store-events.c
+++ b/daemons/replica/replica-store-events.c
@@ -20,7 +20,11 @@
 {
   const QuinceReplicaParts *parts = data;
   if (g_str_equal (key, QUINCE_LEDGER_KEY) && parts->ledger != NULL)
-    quince_ledger_node_set_view (parts->ledger, value, revision);
+    {
+      quince_ledger_node_set_view (parts->ledger, value, revision);
+      if (quince_replica_is_reserve_reader (parts))
+        quince_observer_list_workers (parts->observer);
+    }
   else if (g_str_has_prefix (key, QUINCE_FRONTS_PREFIX))
     quince_heartbeats_set_listed (parts->heartbeats, key + strlen (QUINCE_FRONTS_PREFIX), value != NULL);
   else if (g_str_has_prefix (key, QUINCE_MACHINE_ZONES_PREFIX))
@@ -64,9 +68,10 @@
 {
   const QuinceReplicaParts *parts = data;
   QuinceLink *leader = parts->ledger != NULL ? quince_ledger_node_get_leader_link (parts->ledger) : NULL;
-  if (quince_replica_leadership_is_active (parts->leadership))
-    quince_replica_leadership_publish (parts->leadership, prefix, page);
-  else if (leader != NULL && quince_replica_is_reserve_reader (parts))
+  if (parts->feed != NULL)
+    quince_feed_service_publish (parts->feed, prefix, page);
+  if (!quince_replica_leadership_is_active (parts->leadership) && leader != NULL
+      && quince_replica_is_reserve_reader (parts))
     quince_store_feed_report (parts->observer, leader, prefix, page);
 }
 
--- a/lib/core/trace/log-vocabulary.c
+++ b/lib/core/trace/log-vocabulary.c
@@ -28,6 +28,8 @@
   "event_known",
   "feed_begun",
   "feed_ended",
+  "feed_relay",
+  "feed_relay_lost",
   "front_changed",
   "front_heard",
   "front_silent",
--- a/lib/observer/observer-feed.c
+++ b/lib/observer/observer-feed.c
@@ -52,13 +52,12 @@
 {
   QuinceNamedMirror mirrors[QUINCE_OBSERVER_N_PREFIXES];
   quince_observer_list_mirrors (observer, mirrors);
-  observer->page_may_have_lapsed = page->may_have_lapsed;
   gboolean accepted = FALSE;
   for (guint i = 0; i < QUINCE_OBSERVER_N_PREFIXES; i++)
     if (g_str_equal (mirrors[i].prefix, prefix))
       accepted = quince_meta_mirror_feed (mirrors[i].mirror, page, whole);
-  observer->page_may_have_lapsed = FALSE;
-  if (accepted && g_str_equal (prefix, observer->codec->operator_prefix))
+  if (accepted && g_str_equal (prefix, observer->codec->operator_prefix)
+      && quince_meta_mirror_is_synced (observer->operator_mirror))
     handle_operator_page (observer);
   return accepted;
 }
@@ -89,7 +88,10 @@
 gboolean
 quince_observer_leases_may_have_lapsed (const QuinceObserver *observer, gint64 now_us)
 {
-  return observer->page_may_have_lapsed || quince_meta_store_leases_may_have_lapsed (observer->store, now_us);
+  return quince_meta_mirror_page_may_have_lapsed (observer->operator_mirror)
+         || quince_meta_mirror_page_may_have_lapsed (observer->workers_mirror)
+         || quince_meta_mirror_page_may_have_lapsed (observer->own_mirror)
+         || quince_meta_store_leases_may_have_lapsed (observer->store, now_us);
 }
 
 /* Returns whether another process feeds all mirrors. */
@@ -175,25 +177,3 @@
   for (guint i = 0; i < QUINCE_OBSERVER_N_PREFIXES; i++)
     revisions[i] = quince_meta_mirror_get_revision (mirrors[i].mirror);
 }
-
-void
-quince_observer_send_changes (QuinceObserver *observer,
-                              const guint64 revisions[QUINCE_OBSERVER_N_PREFIXES],
-                              QuinceObserverSendFunc send,
-                              gpointer user_data)
-{
-  QuinceNamedMirror mirrors[QUINCE_OBSERVER_N_PREFIXES];
-  quince_observer_list_mirrors (observer, mirrors);
-  gint64 now = quince_now_us ();
-  for (guint i = 0; i < QUINCE_OBSERVER_N_PREFIXES; i++)
-    {
-      /* Receivers treat each page as fresh, so none is made from a stale mirror. */
-      if (!quince_meta_mirror_is_synced (mirrors[i].mirror)
-          || !quince_meta_mirror_is_fresh (mirrors[i].mirror, now))
-        continue;
-      gboolean whole = FALSE;
-      g_autoptr (QuinceMetaPage) page
-          = quince_meta_mirror_get_changes_since (mirrors[i].mirror, revisions[i], &whole);
-      send (mirrors[i].prefix, page, whole, user_data);
-    }
-}
--- a/lib/observer/observer-private.h
+++ b/lib/observer/observer-private.h
@@ -28,7 +28,6 @@
   guint bound_margin_ms;                      /* change bound minus QUINCE_OBSERVER_CHANGE_BOUND_MIN_MS */
   QuinceTimer *feeder_timer;                  /* until the feeder times out; NULL: no live feeder */
   gboolean is_reserve_reader;
-  gboolean page_may_have_lapsed; /* QuinceMetaPage.may_have_lapsed of the page being applied */
 };
 
 typedef struct
--- a/lib/observer/observer.c
+++ b/lib/observer/observer.c
@@ -230,12 +230,16 @@
 }
 
 void
-quince_observer_list_now (QuinceObserver *observer)
+quince_observer_list_small_prefixes (QuinceObserver *observer)
 {
-  QuinceNamedMirror mirrors[QUINCE_OBSERVER_N_PREFIXES];
-  quince_observer_list_mirrors (observer, mirrors);
-  for (guint i = 0; i < QUINCE_OBSERVER_N_PREFIXES; i++)
-    quince_meta_mirror_list_now (mirrors[i].mirror);
+  quince_meta_mirror_list_now (observer->operator_mirror);
+  quince_meta_mirror_list_now (observer->own_mirror);
+}
+
+void
+quince_observer_list_workers (QuinceObserver *observer)
+{
+  quince_meta_mirror_list_now (observer->workers_mirror);
 }
 
 gboolean
@@ -275,7 +279,8 @@
   guint bound_ms
       = MIN (get_duration_ms (settings, "change_bound"), get_duration_ms (settings, "drain_bound"));
   options->change_bound_ms = MIN (bound_ms, get_duration_ms (settings, "evacuation_bound"));
-  options->first_read_wait_ms = 0;
+  options->waits_to_be_fed = FALSE;
+  options->workers_wait_to_be_fed = FALSE;
 }
 
 QuinceObserver *
@@ -300,13 +305,13 @@
   observer->workers_read_interval_min_ms = options->workers_read_interval_min_ms;
   guint bound_ms = MAX (options->change_bound_ms, QUINCE_OBSERVER_CHANGE_BOUND_MIN_MS);
   observer->bound_margin_ms = bound_ms - QUINCE_OBSERVER_CHANGE_BOUND_MIN_MS;
-  guint first_read_wait_ms = options->first_read_wait_ms;
-  observer->operator_mirror = quince_meta_mirror_new (store, codec->operator_prefix, first_read_wait_ms,
-                                                      &operator_callbacks, observer);
-  observer->workers_mirror = quince_meta_mirror_new (store, codec->workers_prefix, first_read_wait_ms,
-                                                     &observer->worker_callbacks, observer);
-  observer->own_mirror
-      = quince_meta_mirror_new (store, QUINCE_OWN_PREFIX, first_read_wait_ms, &own_callbacks, observer);
+  gboolean wait = options->waits_to_be_fed;
+  observer->operator_mirror
+      = quince_meta_mirror_new (store, codec->operator_prefix, wait, &operator_callbacks, observer);
+  observer->workers_mirror
+      = quince_meta_mirror_new (store, codec->workers_prefix, wait || options->workers_wait_to_be_fed,
+                                &observer->worker_callbacks, observer);
+  observer->own_mirror = quince_meta_mirror_new (store, QUINCE_OWN_PREFIX, wait, &own_callbacks, observer);
   quince_observer_set_reserve_reader (observer, FALSE);
   /* Without a hold, requests could go to workers in evacuated zones until the operator's keys are known. */
   quince_backends_hold_sends (backends, 0);
--- a/lib/observer/observer.h
+++ b/lib/observer/observer.h
@@ -70,19 +70,20 @@
  * @workers_read_interval_min_ms: minimum time between two reads of the workers' entries, ms
  * @change_bound_ms: change bound of this deployment, ms; raised to the minimum change bound if smaller.
  *   A larger bound lets a process wait longer for its feeder before it reads the store
- * @first_read_wait_ms: how long a starting process waits to be fed before it lists the store, ms; 0: it
- *   lists the store immediately
+ * @waits_to_be_fed: a starting process lists nothing before quince_observer_list_small_prefixes()
+ * @workers_wait_to_be_fed: it does not list the workers before quince_observer_list_workers()
  */
 typedef struct
 {
   guint workers_read_interval_min_ms;
   guint change_bound_ms;
-  guint first_read_wait_ms;
+  gboolean waits_to_be_fed;
+  gboolean workers_wait_to_be_fed;
 } QuinceObserverOptions;
 
 /* Sets @options from section "store" of @settings.  @change_bound_ms is the minimum of the keys
- * "change_bound", "drain_bound" and "evacuation_bound", @workers_read_interval_min_ms is "workers_pace" and
- * @first_read_wait_ms is 0. */
+ * "change_bound", "drain_bound" and "evacuation_bound", @workers_read_interval_min_ms is "workers_pace", and
+ * nothing waits to be fed. */
 void quince_observer_read_options (const QuinceSettings *settings, QuinceObserverOptions *options);
 /**
  * quince_observer_new:
@@ -148,17 +149,15 @@
 /* Sets the metrics quince_belief_age_seconds (time since the last answer or page for each prefix; unset
  * before the first one) and quince_zones_evacuated. */
 void quince_observer_set_metrics (QuinceObserver *observer);
-/* Ends the wait before the first listing: each mirror that still waits to be fed lists the store now. */
-void quince_observer_list_now (QuinceObserver *observer);
+/* Ends the wait before the first listing of the operator's keys and the own keys, which are few: if they have
+ * not been fed, they are listed now. */
+void quince_observer_list_small_prefixes (QuinceObserver *observer);
+/* Ends the wait before the first listing of the workers: if they have not been fed, they are listed now. */
+void quince_observer_list_workers (QuinceObserver *observer);
 /* Returns whether a listing of the store is in progress. */
 gboolean quince_observer_is_listing (QuinceObserver *observer);
 /* Returns whether all mirrors are synced. */
 gboolean quince_observer_is_synced (QuinceObserver *observer);
-/* Sends @page to another process.  @whole: @page holds all keys under @prefix */
-typedef void (*QuinceObserverSendFunc) (const char *prefix,
-                                        const QuinceMetaPage *page,
-                                        gboolean whole,
-                                        gpointer user_data);
 /* Returns: (transfer none) (nullable): the entry of the active policy, or %NULL if the policy is not from the
  * store.  @revision: (out): its revision; 0 without an entry */
 GBytes *quince_observer_get_policy_entry (QuinceObserver *observer, guint64 *revision);
@@ -166,12 +165,6 @@
  * valid.
  * Returns: whether the active policy changed */
 gboolean quince_observer_apply_policy_entry (QuinceObserver *observer, GBytes *value, guint64 revision);
-/* Calls @send once for each prefix, with the changes after its entry in @revisions.  Skips prefixes whose
- * mirror is stale or not synced. */
-void quince_observer_send_changes (QuinceObserver *observer,
-                                   const guint64 revisions[QUINCE_OBSERVER_N_PREFIXES],
-                                   QuinceObserverSendFunc send,
-                                   gpointer user_data);
 /* Returns: (nullable) (transfer none): the current configuration; %NULL until a configuration and the policy
  * in the store are known */
 QuinceRouteTable *quince_observer_get_routes (QuinceObserver *observer);
--- a/lib/observer/store-feed.c
+++ b/lib/observer/store-feed.c
@@ -1,19 +1,29 @@
 /*
- * store-feed.c: encodes and decodes updates of the store feed, and holds the leader's subscribers.
+ * store-feed.c: encodes and decodes updates of the store feed, and holds the subscribers of a process that
+ * feeds others.
  */
 #include "observer/store-feed.h"
 
 #include "runtime/packed-message.h"
 #include "runtime/clock.h"
 
+#include "observer-private.h"
+
 struct _QuinceStoreFeed
 {
   /* All fields belong to the context that created the feed. */
   QuinceObserver *observer;
-  GHashTable *links;           /* set of QuinceLink, owned: subscribers */
+  GHashTable *subscribers;     /* QuinceLink to Subscriber, both owned */
   GHashTable *packed_prefixes; /* prefix to PackedPrefix, both owned: pages for new subscribers */
 };
 
+typedef struct
+{
+  /* In the order of quince_observer_get_revisions(). */
+  guint64 revisions[QUINCE_OBSERVER_N_PREFIXES]; /* up to which the subscriber knew the prefix */
+  gboolean awaits[QUINCE_OBSERVER_N_PREFIXES];   /* the changes since then have not been sent yet */
+} Subscriber;
+
 /* Cached update that holds all keys of a prefix, encoded and packed. */
 typedef struct
 {
@@ -29,7 +39,7 @@
   g_free (packed);
 }
 
-/* ---- At the leader ---------------------------------------------------- */
+/* ---- At a process that feeds others ------------------------------------- */
 
 static GBytes *
 encode_update (const QuinceObserver *observer, const char *prefix, const QuinceMetaPage *page, gboolean whole)
@@ -52,7 +62,8 @@
   update->after = page->after;
   update->revision = page->revision;
   update->whole = whole;
-  update->may_have_lapsed = quince_observer_leases_may_have_lapsed (observer, quince_now_us ());
+  update->may_have_lapsed
+      = page->may_have_lapsed || quince_observer_leases_may_have_lapsed (observer, quince_now_us ());
   update->items.items_val = items;
   update->items.items_len = page->items->len;
   return quince_message_encode (&message, NULL);
@@ -63,7 +74,7 @@
 {
   QuinceStoreFeed *feed = g_new0 (QuinceStoreFeed, 1);
   feed->observer = observer;
-  feed->links = g_hash_table_new_full (NULL, NULL, (GDestroyNotify)quince_link_unref, NULL);
+  feed->subscribers = g_hash_table_new_full (NULL, NULL, (GDestroyNotify)quince_link_unref, g_free);
   feed->packed_prefixes = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, packed_prefix_free);
   return feed;
 }
@@ -73,7 +84,7 @@
 {
   if (feed == NULL)
     return;
-  g_hash_table_unref (feed->links);
+  g_hash_table_unref (feed->subscribers);
   g_hash_table_unref (feed->packed_prefixes);
   g_free (feed);
 }
@@ -96,20 +107,28 @@
   return g_bytes_ref (packed->encoded);
 }
 
-typedef struct
-{
-  QuinceStoreFeed *feed;
-  QuinceLink *link;
-} Subscriber;
-
-static void
-send_changes_to_subscriber (const char *prefix, const QuinceMetaPage *page, gboolean whole, gpointer data)
+/* Sends the changes of a prefix that @subscriber has missed, unless this process does not know them yet:
+ * receivers treat each page as fresh, so none is made from a mirror that is stale or not synced.
+ * @index: of the prefix, in the order of quince_observer_get_revisions()
+ * Returns: whether the changes were sent */
+static gboolean
+send_missed_changes (QuinceStoreFeed *feed, QuinceLink *link, Subscriber *subscriber, guint index)
 {
-  const Subscriber *subscriber = data;
-  g_autoptr (GBytes) encoded = whole ? get_packed_prefix (subscriber->feed, prefix, page)
-                                     : encode_update (subscriber->feed->observer, prefix, page, FALSE);
+  QuinceNamedMirror mirrors[QUINCE_OBSERVER_N_PREFIXES];
+  quince_observer_list_mirrors (feed->observer, mirrors);
+  const QuinceMetaMirror *mirror = mirrors[index].mirror;
+  const char *prefix = mirrors[index].prefix;
+  if (!quince_meta_mirror_is_synced (mirror) || !quince_meta_mirror_is_fresh (mirror, quince_now_us ()))
+    return FALSE;
+  gboolean whole = FALSE;
+  g_autoptr (QuinceMetaPage) page
+      = quince_meta_mirror_get_changes_since (mirror, subscriber->revisions[index], &whole);
+  g_autoptr (GBytes) encoded
+      = whole ? get_packed_prefix (feed, prefix, page) : encode_update (feed->observer, prefix, page, FALSE);
   if (encoded != NULL)
-    quince_link_send_bytes (subscriber->link, encoded);
+    quince_link_send_bytes (link, encoded);
+  subscriber->awaits[index] = FALSE;
+  return TRUE;
 }
 
 /* ---- Policies ------------------------------------------------------------ */
@@ -186,7 +205,7 @@
   guint64 revision;
   quince_observer_get_policy_entry (observer, &revision);
   if (revision < get_subscribed_policy_revision (subscribe))
-    quince_store_feed_subscribe (observer, link);
+    quince_store_feed_subscribe (observer, link, QUINCE_FEED_ROLE_DIRECT);
 }
 
 static void
@@ -194,7 +213,7 @@
 {
   GHashTableIter iter;
   gpointer link;
-  g_hash_table_iter_init (&iter, feed->links);
+  g_hash_table_iter_init (&iter, feed->subscribers);
   while (g_hash_table_iter_next (&iter, &link, NULL))
     if (link != source)
       send_policy (feed->observer, link);
@@ -202,34 +221,71 @@
 
 /* ---- Subscriptions ------------------------------------------------------- */
 
+/* Index of the subscriber's role in QuinceFeedSubscribe.revisions, after the policy's revision. */
+#define ROLE_INDEX (POLICY_REVISION_INDEX + 1)
+
+QuinceFeedRole
+quince_store_feed_get_role (const QuinceFeedSubscribe *subscribe)
+{
+  if (subscribe->revisions.revisions_len <= ROLE_INDEX)
+    return QUINCE_FEED_ROLE_DIRECT;
+  u_quad_t role = subscribe->revisions.revisions_val[ROLE_INDEX];
+  return role <= QUINCE_FEED_ROLE_CHILD ? (QuinceFeedRole)role : QUINCE_FEED_ROLE_DIRECT;
+}
+
+void
+quince_store_feed_exchange_policies (QuinceObserver *observer,
+                                     QuinceLink *link,
+                                     const QuinceFeedSubscribe *subscribe)
+{
+  quince_store_feed_send_newer_policy (observer, link, subscribe);
+  request_policy (observer, link, subscribe);
+}
+
 void
 quince_store_feed_add (QuinceStoreFeed *feed, QuinceLink *link, const QuinceFeedSubscribe *subscribe)
 {
-  guint64 revisions[QUINCE_OBSERVER_N_PREFIXES] = { 0 };
+  Subscriber *subscriber = g_new0 (Subscriber, 1);
   for (guint i = 0; i < subscribe->revisions.revisions_len && i < QUINCE_OBSERVER_N_PREFIXES; i++)
-    revisions[i] = subscribe->revisions.revisions_val[i];
-  g_hash_table_add (feed->links, quince_link_ref (link));
-  Subscriber subscriber = { feed, link };
-  quince_observer_send_changes (feed->observer, revisions, send_changes_to_subscriber, &subscriber);
-  quince_store_feed_send_newer_policy (feed->observer, link, subscribe);
-  request_policy (feed->observer, link, subscribe);
+    subscriber->revisions[i] = subscribe->revisions.revisions_val[i];
+  g_hash_table_replace (feed->subscribers, quince_link_ref (link), subscriber);
+  for (guint i = 0; i < QUINCE_OBSERVER_N_PREFIXES; i++)
+    {
+      subscriber->awaits[i] = TRUE;
+      send_missed_changes (feed, link, subscriber, i);
+    }
+  quince_store_feed_exchange_policies (feed->observer, link, subscribe);
 }
 
 void
 quince_store_feed_remove (QuinceStoreFeed *feed, QuinceLink *link)
 {
-  g_hash_table_remove (feed->links, link);
+  g_hash_table_remove (feed->subscribers, link);
 }
 
+static guint
+find_prefix_index (QuinceStoreFeed *feed, const char *prefix)
+{
+  QuinceNamedMirror mirrors[QUINCE_OBSERVER_N_PREFIXES];
+  quince_observer_list_mirrors (feed->observer, mirrors);
+  for (guint i = 0; i < QUINCE_OBSERVER_N_PREFIXES; i++)
+    if (g_str_equal (mirrors[i].prefix, prefix))
+      return i;
+  return QUINCE_OBSERVER_N_PREFIXES;
+}
+
+/* Sends @page to all subscribers but @source, after the changes before it to those that still await them. */
 static void
 send_to_all_except (QuinceStoreFeed *feed,
                     const QuinceLink *source,
                     const char *prefix,
-                    const QuinceMetaPage *page)
+                    const QuinceMetaPage *page,
+                    gboolean whole)
 {
-  if (g_hash_table_size (feed->links) == 0)
+  guint index = find_prefix_index (feed, prefix);
+  if (g_hash_table_size (feed->subscribers) == 0 || index == QUINCE_OBSERVER_N_PREFIXES)
     return;
-  g_autoptr (GBytes) encoded = encode_update (feed->observer, prefix, page, FALSE);
+  g_autoptr (GBytes) encoded = encode_update (feed->observer, prefix, page, whole);
   if (encoded == NULL)
     return;
   /* Packed once for all links.  The update for a recovered zone can be hundreds of kB, and packing it for
@@ -237,31 +293,41 @@
   g_autoptr (GBytes) packed = quince_message_pack (encoded, QUINCE_PACK_SMALL);
   GHashTableIter iter;
   gpointer link;
-  g_hash_table_iter_init (&iter, feed->links);
-  while (g_hash_table_iter_next (&iter, &link, NULL))
-    if (link != source)
+  gpointer value;
+  g_hash_table_iter_init (&iter, feed->subscribers);
+  while (g_hash_table_iter_next (&iter, &link, &value))
+    {
+      Subscriber *subscriber = value;
+      if (link == source)
+        continue;
+      if (subscriber->awaits[index] && !whole)
+        send_missed_changes (feed, link, subscriber, index);
+      subscriber->awaits[index] = subscriber->awaits[index] && !whole;
       quince_link_send_bytes (link, packed);
+    }
 }
 
 void
 quince_store_feed_publish (QuinceStoreFeed *feed, const char *prefix, const QuinceMetaPage *page)
 {
-  send_to_all_except (feed, NULL, prefix, page);
+  /* The first list of a prefix holds all of its keys. */
+  send_to_all_except (feed, NULL, prefix, page, page->after == 0);
 }
 
 /* ---- At subscribers --------------------------------------------------- */
 
 void
-quince_store_feed_subscribe (QuinceObserver *observer, QuinceLink *link)
+quince_store_feed_subscribe (QuinceObserver *observer, QuinceLink *link, QuinceFeedRole role)
 {
   guint64 revisions[QUINCE_OBSERVER_N_PREFIXES];
-  u_quad_t wire_revisions[POLICY_REVISION_INDEX + 1];
+  u_quad_t wire_revisions[ROLE_INDEX + 1];
   guint64 policy_revision;
   quince_observer_get_revisions (observer, revisions);
   quince_observer_get_policy_entry (observer, &policy_revision);
   for (guint i = 0; i < QUINCE_OBSERVER_N_PREFIXES; i++)
     wire_revisions[i] = revisions[i];
   wire_revisions[POLICY_REVISION_INDEX] = policy_revision;
+  wire_revisions[ROLE_INDEX] = role;
   QuinceMessage message = { .kind = QUINCE_MESSAGE_FEED_SUBSCRIBE };
   message.QuinceMessage_u.feed_subscribe.revisions.revisions_val = wire_revisions;
   message.QuinceMessage_u.feed_subscribe.revisions.revisions_len = G_N_ELEMENTS (wire_revisions);
@@ -297,6 +363,16 @@
   quince_observer_feed (observer, update->prefix, page, update->whole);
 }
 
+void
+quince_store_feed_relay (QuinceStoreFeed *feed, const QuinceLink *source, const QuinceFeedUpdate *update)
+{
+  g_autoptr (QuinceMetaPage) page = decode_update (update);
+  if (apply_policy_items (feed->observer, page))
+    forward_policy (feed, source);
+  if (quince_observer_feed (feed->observer, update->prefix, page, update->whole))
+    send_to_all_except (feed, source, update->prefix, page, update->whole);
+}
+
 /* ---- Reports of reserve readers ----------------------------------------- */
 
 void
@@ -321,5 +397,5 @@
   if (apply_policy_items (feed->observer, page))
     forward_policy (feed, source);
   if (quince_observer_apply_report (feed->observer, update->prefix, page))
-    send_to_all_except (feed, source, update->prefix, page);
+    send_to_all_except (feed, source, update->prefix, page, FALSE);
 }
--- a/lib/observer/store-feed.h
+++ b/lib/observer/store-feed.h
@@ -3,9 +3,10 @@
  * links.
  *
  * Calls to the store are rate limited and billed, so the leader reads it for all processes.  The others
- * subscribe, and read the store themselves if they get no update within the feed timeout of their mirrors.  A
- * policy that is newer than the one in the store is sent separately, in both directions.  The feed owns a
- * reference to each subscriber's link, and gets the changes from the observer.
+ * subscribe, to the leader or to a relay, a replica that passes on the pages that it is fed
+ * (core/routing/feed-tree.h).  They read the store themselves if they get no update within the feed timeout
+ * of their mirrors.  A policy that is newer than the one in the store is sent separately, in both directions.
+ * The feed owns a reference to each subscriber's link, and gets the changes from the observer.
  */
 #pragma once
 
@@ -14,15 +15,16 @@
 
 G_BEGIN_DECLS
 
-/* ---- At the leader ---------------------------------------------------- */
+/* ---- At a process that feeds others ------------------------------------- */
 
 typedef struct _QuinceStoreFeed QuinceStoreFeed;
 
 /* @observer: must outlive the feed */
 QuinceStoreFeed *quince_store_feed_new (QuinceObserver *observer);
 void quince_store_feed_free (QuinceStoreFeed *feed);
-/* Adds a subscriber: sends it the changes after the revisions in @subscribe, and each later page.  If the
- * active policies of the two processes differ, the process with the newer one sends it to the other. */
+/* Adds a subscriber: sends it the changes after the revisions in @subscribe, and each later page.  Changes
+ * that this process has not read or been fed itself follow as soon as it has them.  If the active policies of
+ * the two processes differ, the process with the newer one sends it to the other. */
 void quince_store_feed_add (QuinceStoreFeed *feed, QuinceLink *link, const QuinceFeedSubscribe *subscribe);
 void quince_store_feed_remove (QuinceStoreFeed *feed, QuinceLink *link);
 /* Sends a page that this process has just read from the store to all subscribers.  An empty page is sent too;
@@ -30,11 +32,22 @@
  * they read the store themselves if the leader cannot. */
 void quince_store_feed_publish (QuinceStoreFeed *feed, const char *prefix, const QuinceMetaPage *page);
 
+/* Passes on an update from the process that feeds this one: applies it as quince_store_feed_apply() does, and
+ * sends it to all subscribers except @source if it was accepted. */
+void
+quince_store_feed_relay (QuinceStoreFeed *feed, const QuinceLink *source, const QuinceFeedUpdate *update);
+/* Returns how the sender of @subscribe wants to be fed. */
+QuinceFeedRole quince_store_feed_get_role (const QuinceFeedSubscribe *subscribe);
+/* Compares the active policies of both ends of @link: the one with the newer policy sends it to the other. */
+void quince_store_feed_exchange_policies (QuinceObserver *observer,
+                                          QuinceLink *link,
+                                          const QuinceFeedSubscribe *subscribe);
+
 /* ---- At subscribers --------------------------------------------------- */
 
 /* Subscribes to the feed of the process at the other end of @link, starting at the revisions that @observer
  * has read. */
-void quince_store_feed_subscribe (QuinceObserver *observer, QuinceLink *link);
+void quince_store_feed_subscribe (QuinceObserver *observer, QuinceLink *link, QuinceFeedRole role);
 /* Sends the active policy over @link if it is newer than the policy revision in @subscribe. */
 void quince_store_feed_send_newer_policy (QuinceObserver *observer,
                                           QuinceLink *link,
--- a/lib/protocol/quince_protocol.x
+++ b/lib/protocol/quince_protocol.x
@@ -254,6 +254,28 @@
  * to a subscriber that has a later policy, which is sent back. */
 struct QuinceFeedSubscribe { unsigned hyper revisions<8>; };
 
+/* How a subscriber is fed, after the revision of its policy in QuinceFeedSubscribe. */
+enum QuinceFeedRole {
+    QUINCE_FEED_ROLE_DIRECT = 0,      /* by the receiver; also where the element is missing */
+    QUINCE_FEED_ROLE_FRONT  = 1,      /* by the receiver or by a relay */
+    QUINCE_FEED_ROLE_RELAY  = 2,      /* by the receiver; it feeds others  */
+    QUINCE_FEED_ROLE_CHILD  = 3       /* by the receiver, a relay; nothing else goes over the link */
+};
+
+/* A replica that feeds fronts. */
+struct QuinceFeedRelay {
+    QuinceText node;
+    QuinceText address;               /* of its link server                */
+    QuinceText zone;
+};
+
+/* A replica's answer to a subscriber in the role FRONT that it does not feed yet, and later changes: a relay
+ * feeds the front.  Without relays: the sender feeds the front, or names relays, as soon as it can. */
+struct QuinceFeedRelays {
+    unsigned int    fronts;           /* that the store lists              */
+    QuinceFeedRelay relays<QUINCE_INDEXES_MAX>;
+};
+
 /* Also sent without items, to show that the sender reads the store. */
 struct QuinceFeedUpdate {
     QuinceText     prefix;
@@ -397,7 +419,8 @@
     QUINCE_MESSAGE_WARMUP_GRANT  = 31,
     QUINCE_MESSAGE_SUSPECT_SENDING = 32,
     QUINCE_MESSAGE_LEDGER_QUERY   = 33,
-    QUINCE_MESSAGE_LEDGER_LEAD   = 34
+    QUINCE_MESSAGE_LEDGER_LEAD   = 34,
+    QUINCE_MESSAGE_FEED_RELAYS   = 35
 };
 
 union QuinceMessage switch (QuinceMessageKind kind) {
@@ -425,4 +448,5 @@
 case QUINCE_MESSAGE_SUSPECT_SENDING: QuinceSuspectReports suspect_sending;
 case QUINCE_MESSAGE_LEDGER_QUERY:   QuinceLedgerQuery   ledger_query;
 case QUINCE_MESSAGE_LEDGER_LEAD:   QuinceLedgerLead   ledger_lead;
+case QUINCE_MESSAGE_FEED_RELAYS:   QuinceFeedRelays   feed_relays;
 };
--- a/tests/platform/test-freshness.c
+++ b/tests/platform/test-freshness.c
@@ -182,7 +182,7 @@
   follower->link
       = quince_link_connect (quince_link_server_get_address (leader->server), &link_callbacks, follower);
   AWAIT (quince_link_is_connected (follower->link));
-  quince_store_feed_subscribe (follower->observer, follower->link);
+  quince_store_feed_subscribe (follower->observer, follower->link, QUINCE_FEED_ROLE_DIRECT);
   AWAIT (leader->accepted->len > before);
 }
 
