Mirrors: keep as many removed keys as keys are left

Cause: a mirror kept 1,024 removed keys, so that the loss of a zone of the fleet (2,121 workers) made a feeder send all keys to each process that had missed it. Change: removed keys are kept up to the number of present keys, above which the whole prefix is the shorter page; the bound grows with the deployment by itself.

--- a/lib/meta/meta-copy.c
+++ b/lib/meta/meta-copy.c
@@ -3,9 +3,9 @@
  */
 #include "meta-copy.h"
 
-/* Maximum number of removed keys that are kept.  A process that missed more removals receives the whole
- * prefix.  Enough for the loss of a zone with a thousand workers. */
-#define REMOVED_KEYS_MAX 1024
+/* Number of removed keys that are always kept; more are kept up to the number of present keys.  A process
+ * that missed more removals than that receives the whole prefix, which is shorter. */
+#define REMOVED_KEYS_MIN 1024
 
 struct _QuinceMetaCopy
 {
@@ -53,7 +53,7 @@
 record_removal (QuinceMetaCopy *copy, const char *key, guint64 revision)
 {
   g_queue_push_tail (&copy->removals, item_new (key, NULL, revision));
-  if (g_queue_get_length (&copy->removals) <= REMOVED_KEYS_MAX)
+  if (g_queue_get_length (&copy->removals) <= MAX (REMOVED_KEYS_MIN, g_hash_table_size (copy->items)))
     return;
   QuinceMetaItem *oldest = g_queue_pop_head (&copy->removals);
   copy->removals_after = oldest->revision;
--- a/tests/platform/test-meta-large.c
+++ b/tests/platform/test-meta-large.c
@@ -5,6 +5,8 @@
 #include "meta-world.h"
 
 #define N_KEYS 1000
+#define ZONES 5
+#define LARGE_ZONE_KEYS 2000
 
 /* A list that the store rejects continues where it was: with every second call rejected it takes twice the
  * calls, where a list that begins again would not end. */
@@ -34,10 +36,10 @@
 }
 
 static QuinceMetaPage *
-make_large_page (guint64 revision)
+make_large_page (guint64 revision, guint n_keys)
 {
   QuinceMetaPage *page = make_page (revision, "w/0", "whole", revision);
-  for (guint i = 1; i < N_KEYS; i++)
+  for (guint i = 1; i < n_keys; i++)
     {
       QuinceMetaItem *item = g_new0 (QuinceMetaItem, 1);
       item->key = g_strdup_printf ("w/%u", i);
@@ -60,7 +62,7 @@
   const QuinceMetaMirrorTimes times
       = { .read_interval_max_ms = READ_INTERVAL_MAX_MS, .feed_timeout_ms = FEED_TIMEOUT_MS };
   quince_meta_mirror_set_times (mirror, &times);
-  g_autoptr (QuinceMetaPage) whole = make_large_page (100);
+  g_autoptr (QuinceMetaPage) whole = make_large_page (100, N_KEYS);
   assert_true (quince_meta_mirror_feed (mirror, whole, TRUE));
   assert_in_range (reports.items, 1, N_KEYS / 2);
   assert_false (quince_meta_mirror_is_synced (mirror));
@@ -88,7 +90,7 @@
   const QuinceMetaMirrorTimes times
       = { .read_interval_max_ms = READ_INTERVAL_MAX_MS, .feed_timeout_ms = FEED_TIMEOUT_MS };
   quince_meta_mirror_set_times (mirror, &times);
-  g_autoptr (QuinceMetaPage) whole = make_large_page (1);
+  g_autoptr (QuinceMetaPage) whole = make_large_page (1, N_KEYS);
   quince_meta_mirror_feed (mirror, whole, TRUE);
   quince_meta_mirror_handle_feed_end (mirror, TRUE);
   AWAIT (reports.synced > 0);
@@ -99,6 +101,40 @@
   world_stop (&world);
 }
 
+/* After the loss of a zone with a fifth of all workers, other processes are sent the removed keys, not all
+ * keys that are left. */
+static void
+test_removals_of_a_large_zone (void **state)
+{
+  World world;
+  world_start (&world, 0);
+  Reports reports = { .values = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free) };
+  QuinceMetaMirror *mirror = quince_meta_mirror_new (world.store, "w/", TRUE, &mirror_callbacks, &reports);
+  const QuinceMetaMirrorTimes times
+      = { .read_interval_max_ms = READ_INTERVAL_MAX_MS, .feed_timeout_ms = FEED_TIMEOUT_MS };
+  quince_meta_mirror_set_times (mirror, &times);
+  g_autoptr (QuinceMetaPage) whole = make_large_page (100, ZONES * LARGE_ZONE_KEYS);
+  quince_meta_mirror_feed (mirror, whole, TRUE);
+  AWAIT (reports.synced > 0);
+  g_autoptr (QuinceMetaPage) loss = make_page (101, "w/0", NULL, 101);
+  loss->after = 100;
+  for (guint i = 1; i < LARGE_ZONE_KEYS; i++)
+    {
+      QuinceMetaItem *item = g_new0 (QuinceMetaItem, 1);
+      item->key = g_strdup_printf ("w/%u", i);
+      item->revision = 101;
+      g_ptr_array_add (loss->items, item);
+    }
+  assert_true (quince_meta_mirror_feed (mirror, loss, FALSE));
+  gboolean is_whole = TRUE;
+  g_autoptr (QuinceMetaPage) changes = quince_meta_mirror_get_changes_since (mirror, 100, &is_whole);
+  assert_false (is_whole);
+  assert_int_equal (changes->items->len, LARGE_ZONE_KEYS);
+  quince_meta_mirror_free (mirror);
+  g_hash_table_unref (reports.values);
+  world_stop (&world);
+}
+
 int
 main (void)
 {
@@ -106,6 +142,7 @@
     cmocka_unit_test (test_rejected_list_continues),
     cmocka_unit_test (test_large_page_is_applied_in_slices),
     cmocka_unit_test (test_feed_ends_within_a_large_page),
+    cmocka_unit_test (test_removals_of_a_large_zone),
   };
   return cmocka_run_group_tests_name ("meta-large", tests, NULL, NULL);
 }
