Worker table: update the cached lists instead of making them anew

Change: a change inserts the worker into its lists or removes it, by binary search; a list is copied only if a caller may hold it. Test: worker-table test_changes_update_lists counts the scans of all workers.

--- a/lib/core/routing/worker-table.c
+++ b/lib/core/routing/worker-table.c
@@ -3,6 +3,8 @@
  */
 #include "core/routing/worker-table.h"
 
+#include <string.h>
+
 /* Ejection after a worker's first failure, doubled with each consecutive one.  Long enough for a retry to
  * reach another worker, short enough for a worker that failed once. */
 #define EJECTION_BASE_US (200 * 1000)
@@ -24,21 +26,24 @@
  * most lists are obsolete, and all are dropped. */
 #define VERSION_LISTS_MAX 32
 
-/* The workers of a service that have a model in a given version or later. */
+/* The workers of a service, or those that have a model in a given version or later. */
 typedef struct
 {
   char *service;
-  char *model;
+  char *model; /* NULL: all workers of the service */
   guint64 min_version;
   GPtrArray *workers; /* QuinceWorker, sorted by id */
-} VersionList;
+  gboolean is_shared; /* a caller may hold @workers, so that a change needs a copy */
+} WorkerList;
 
 struct _QuinceWorkerTable
 {
   GHashTable *by_id; /* QuinceWorker by id, owned */
-  /* Caches, built on demand and dropped when the workers of the service change. */
-  GHashTable *service_lists; /* GPtrArray by service, owned */
-  GPtrArray *version_lists;  /* VersionList, owned; updated when the version of a worker rises */
+  /* Caches, built on demand.  Each worker that is added, removed or changed is added to or removed from them.
+   */
+  GHashTable *service_lists; /* WorkerList by service, owned */
+  GPtrArray *version_lists;  /* WorkerList, owned */
+  guint n_scans;             /* see quince_worker_table_get_n_scans() */
   const QuinceWorkerTableCallbacks *callbacks;
   gpointer user_data;
 };
@@ -101,9 +106,9 @@
 }
 
 static void
-version_list_free (gpointer data)
+worker_list_free (gpointer data)
 {
-  VersionList *list = data;
+  WorkerList *list = data;
   g_free (list->service);
   g_free (list->model);
   g_ptr_array_unref (list->workers);
@@ -115,9 +120,8 @@
 {
   QuinceWorkerTable *table = g_new0 (QuinceWorkerTable, 1);
   table->by_id = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, (GDestroyNotify)quince_worker_free);
-  table->service_lists
-      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, (GDestroyNotify)g_ptr_array_unref);
-  table->version_lists = g_ptr_array_new_with_free_func (version_list_free);
+  table->service_lists = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, worker_list_free);
+  table->version_lists = g_ptr_array_new_with_free_func (worker_list_free);
   table->callbacks = callbacks;
   table->user_data = user_data;
   return table;
@@ -134,19 +138,74 @@
   g_free (table);
 }
 
-/* Drops the cached lists of @service after its workers changed. */
+/* ---- Cached lists ------------------------------------------------------- */
+
+/* Returns the index of the first worker of @workers whose id is not before @id. */
+static guint
+find_position (const GPtrArray *workers, const char *id)
+{
+  guint low = 0;
+  guint high = workers->len;
+  while (low < high)
+    {
+      guint middle = low + (high - low) / 2;
+      if (strcmp (((const QuinceWorker *)workers->pdata[middle])->id, id) < 0)
+        low = middle + 1;
+      else
+        high = middle;
+    }
+  return low;
+}
+
+static void
+make_writable (WorkerList *list)
+{
+  if (!list->is_shared)
+    return;
+  GPtrArray *copy = g_ptr_array_copy (list->workers, NULL, NULL);
+  g_ptr_array_unref (list->workers);
+  list->workers = copy;
+  list->is_shared = FALSE;
+}
+
+/* Adds @worker to @list, or removes it, whichever @belongs says. */
+static void
+update_list (WorkerList *list, QuinceWorker *worker, gboolean belongs)
+{
+  guint position = find_position (list->workers, worker->id);
+  gboolean is_listed = position < list->workers->len && list->workers->pdata[position] == worker;
+  if (is_listed == belongs)
+    return;
+  make_writable (list);
+  if (belongs)
+    g_ptr_array_insert (list->workers, (gint)position, worker);
+  else
+    g_ptr_array_remove_index (list->workers, position);
+}
+
+static gboolean
+belongs_to (const WorkerList *list, const QuinceWorker *worker)
+{
+  return list->model == NULL || quince_worker_get_version (worker, list->model) >= list->min_version;
+}
+
+/* @is_present: FALSE: the worker is being removed from the table */
 static void
-invalidate_lists (QuinceWorkerTable *table, const char *service)
+update_lists (QuinceWorkerTable *table, QuinceWorker *worker, gboolean is_present)
 {
-  g_hash_table_remove (table->service_lists, service);
-  for (guint i = table->version_lists->len; i > 0; i--)
+  WorkerList *all = g_hash_table_lookup (table->service_lists, worker->service);
+  if (all != NULL)
+    update_list (all, worker, is_present);
+  for (guint i = 0; i < table->version_lists->len; i++)
     {
-      const VersionList *list = table->version_lists->pdata[i - 1];
-      if (g_str_equal (list->service, service))
-        g_ptr_array_remove_index_fast (table->version_lists, i - 1);
+      WorkerList *list = table->version_lists->pdata[i];
+      if (g_str_equal (list->service, worker->service))
+        update_list (list, worker, is_present && belongs_to (list, worker));
     }
 }
 
+/* ---- Workers ------------------------------------------------------------ */
+
 static gboolean
 update_from_entry (QuinceWorkerTable *table, QuinceWorker *worker, QuinceWorker *entry)
 {
@@ -185,7 +244,7 @@
   if (worker != NULL)
     quince_worker_table_remove (table, entry->id);
   g_hash_table_insert (table->by_id, entry->id, entry);
-  invalidate_lists (table, entry->service);
+  update_lists (table, entry, TRUE);
   return TRUE;
 }
 
@@ -196,7 +255,7 @@
   if (worker == NULL)
     return;
   g_hash_table_steal (table->by_id, id);
-  invalidate_lists (table, worker->service);
+  update_lists (table, worker, FALSE);
   if (table->callbacks != NULL && table->callbacks->removed != NULL)
     table->callbacks->removed (worker, table->user_data);
   quince_worker_free (worker);
@@ -216,45 +275,32 @@
   return g_strcmp0 ((*first)->id, (*second)->id);
 }
 
+static GPtrArray *
+share_list (WorkerList *list)
+{
+  list->is_shared = TRUE;
+  return g_ptr_array_ref (list->workers);
+}
+
 GPtrArray *
 quince_worker_table_list (QuinceWorkerTable *table, const char *service)
 {
-  GPtrArray *list = g_hash_table_lookup (table->service_lists, service);
+  WorkerList *list = g_hash_table_lookup (table->service_lists, service);
   if (list != NULL)
-    return g_ptr_array_ref (list);
-  list = g_ptr_array_new ();
+    return share_list (list);
+  list = g_new0 (WorkerList, 1);
+  list->service = g_strdup (service);
+  list->workers = g_ptr_array_new ();
+  table->n_scans++;
   GHashTableIter iter;
   gpointer value;
   g_hash_table_iter_init (&iter, table->by_id);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     if (g_str_equal (((QuinceWorker *)value)->service, service))
-      g_ptr_array_add (list, value);
-  g_ptr_array_sort (list, compare_ids);
-  g_hash_table_insert (table->service_lists, g_strdup (service), g_ptr_array_ref (list));
-  return list;
-}
-
-/* Adds @worker to the lists that include @new_version of @model, but not @old_version. */
-static void
-add_to_version_lists (QuinceWorkerTable *table,
-                      QuinceWorker *worker,
-                      const char *model,
-                      guint64 old_version,
-                      guint64 new_version)
-{
-  for (guint i = 0; i < table->version_lists->len; i++)
-    {
-      VersionList *list = table->version_lists->pdata[i];
-      if (old_version >= list->min_version || new_version < list->min_version
-          || !g_str_equal (list->model, model) || !g_str_equal (list->service, worker->service))
-        continue;
-      /* Copies the list, since callers may still hold the old one. */
-      GPtrArray *extended = g_ptr_array_copy (list->workers, NULL, NULL);
-      g_ptr_array_add (extended, worker);
-      g_ptr_array_sort (extended, compare_ids);
-      g_ptr_array_unref (list->workers);
-      list->workers = extended;
-    }
+      g_ptr_array_add (list->workers, value);
+  g_ptr_array_sort (list->workers, compare_ids);
+  g_hash_table_insert (table->service_lists, list->service, list);
+  return share_list (list);
 }
 
 void
@@ -263,17 +309,13 @@
                                const char *model,
                                guint64 version)
 {
-  guint64 old_version = quince_worker_get_version (worker, model);
-  if (old_version == version)
+  if (quince_worker_get_version (worker, model) == version)
     return;
   quince_worker_set_model (worker, model, version);
-  if (version > old_version)
-    add_to_version_lists (table, worker, model, old_version, version);
-  else
-    invalidate_lists (table, worker->service);
+  update_lists (table, worker, TRUE);
 }
 
-static VersionList *
+static WorkerList *
 find_version_list (const QuinceWorkerTable *table,
                    const char *service,
                    const char *model,
@@ -281,7 +323,7 @@
 {
   for (guint i = 0; i < table->version_lists->len; i++)
     {
-      VersionList *list = table->version_lists->pdata[i];
+      WorkerList *list = table->version_lists->pdata[i];
       if (list->min_version == min_version && g_str_equal (list->model, model)
           && g_str_equal (list->service, service))
         return list;
@@ -296,22 +338,29 @@
                                        guint64 min_version)
 {
   min_version = MAX (min_version, 1);
-  VersionList *list = find_version_list (table, service, model, min_version);
+  WorkerList *list = find_version_list (table, service, model, min_version);
   if (list != NULL)
-    return g_ptr_array_ref (list->workers);
+    return share_list (list);
   if (table->version_lists->len >= VERSION_LISTS_MAX)
     g_ptr_array_set_size (table->version_lists, 0);
-  list = g_new0 (VersionList, 1);
+  list = g_new0 (WorkerList, 1);
   list->service = g_strdup (service);
   list->model = g_strdup (model);
   list->min_version = min_version;
   list->workers = g_ptr_array_new ();
   g_autoptr (GPtrArray) all = quince_worker_table_list (table, service);
+  table->n_scans++;
   for (guint i = 0; i < all->len; i++)
-    if (quince_worker_get_version (all->pdata[i], model) >= min_version)
+    if (belongs_to (list, all->pdata[i]))
       g_ptr_array_add (list->workers, all->pdata[i]);
   g_ptr_array_add (table->version_lists, list);
-  return g_ptr_array_ref (list->workers);
+  return share_list (list);
+}
+
+guint
+quince_worker_table_get_n_scans (const QuinceWorkerTable *table)
+{
+  return table->n_scans;
 }
 
 GPtrArray *
--- a/lib/core/routing/worker-table.h
+++ b/lib/core/routing/worker-table.h
@@ -102,6 +102,9 @@
 /* Returns: (transfer container) (element-type QuinceWorker): all workers, in no particular order */
 GPtrArray *quince_worker_table_list_all (const QuinceWorkerTable *table);
 guint quince_worker_table_get_size (const QuinceWorkerTable *table);
+/* Returns how often a list was made from all workers of a service.  Only lists that were not cached are; a
+ * change of a worker updates the cached ones. */
+guint quince_worker_table_get_n_scans (const QuinceWorkerTable *table);
 
 /* Records a response @elapsed_us after its request: updates the smoothed response time, resets the count of
  * failures and ends an ejection. */
--- a/tests/unit/test-worker-table.c
+++ b/tests/unit/test-worker-table.c
@@ -88,11 +88,40 @@
     }
 }
 
+/* Workers come, go and load weights one after another while samples are placed: the cached lists are updated,
+ * not made anew from all workers. */
+static void
+test_changes_update_lists (void **state)
+{
+  g_autoptr (QuinceWorkerTable) table = quince_worker_table_new (NULL, NULL);
+  QuinceWorker *a = update_worker (table, "a", "s", "m", 1);
+  update_worker (table, "c", "s", "m", 1);
+  assert_workers_with_version (table, "m", 1, "ac");
+  assert_workers_with_version (table, "m", 2, "");
+  guint n_scans = quince_worker_table_get_n_scans (table);
+  g_autoptr (GPtrArray) held = quince_worker_table_list (table, "s");
+  update_worker (table, "b", "s", "m", 2);
+  assert_workers_with_version (table, "m", 1, "abc");
+  assert_workers_with_version (table, "m", 2, "b");
+  quince_worker_table_set_model (table, a, "m", 2);
+  assert_workers_with_version (table, "m", 2, "ab");
+  quince_worker_table_set_model (table, a, "m", 1);
+  assert_workers_with_version (table, "m", 2, "b");
+  quince_worker_table_remove (table, "b");
+  assert_workers_with_version (table, "m", 1, "ac");
+  assert_workers_with_version (table, "m", 2, "");
+  g_autoptr (GPtrArray) all = quince_worker_table_list (table, "s");
+  assert_int_equal (all->len, 2);
+  assert_int_equal (held->len, 2); /* a caller keeps the list as it was */
+  assert_int_equal (quince_worker_table_get_n_scans (table), n_scans);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_list_by_version),
+    cmocka_unit_test (test_changes_update_lists),
     cmocka_unit_test (test_stale_entry),
     cmocka_unit_test (test_version_lists_limit),
   };
