Placement of models: one look-up a worker

Change: an assignment looks each worker up once and returns its model; names of models are interned and compared as pointers. Test: model-placement compares the returned model with the one looked up, in each of its cases.

--- a/daemons/replica/weight-orders.c
+++ b/daemons/replica/weight-orders.c
@@ -197,40 +197,19 @@
 }
 
 static void
-set_placement_metrics (QuinceWeightOrders *orders, const QuinceService *service, const GArray *workers)
+set_placement_metrics (const QuinceService *service, const GArray *workers)
 {
   for (guint i = 0; i < service->models->len; i++)
     {
-      const char *model = service->models->pdata[i];
+      const char *model = g_intern_string (service->models->pdata[i]);
       guint count = 0;
       for (guint j = 0; j < workers->len; j++)
-        {
-          const char *worker = g_array_index (workers, QuincePlacementWorker, j).id;
-          count += g_strcmp0 (quince_model_placement_get (orders->options.placement, worker), model) == 0;
-        }
+        count += g_array_index (workers, QuincePlacementWorker, j).model == model;
       g_autofree char *labels = g_strdup_printf ("model=\"%s\"", model);
       quince_metric_set ("quince_replica_model_workers", labels, count);
     }
 }
 
-static void
-assign_models (QuinceWeightOrders *orders,
-               gint64 now_us,
-               const QuinceService *service,
-               const GPtrArray *workers)
-{
-  g_autoptr (GArray) usable = g_array_new (FALSE, FALSE, sizeof (QuincePlacementWorker));
-  for (guint i = 0; i < workers->len; i++)
-    {
-      const QuinceWorker *worker = workers->pdata[i];
-      const QuincePlacementWorker placement_worker = { worker->id, get_held_model (worker) };
-      if (!worker->draining && quince_backends_may_send (orders->backends, worker))
-        g_array_append_val (usable, placement_worker);
-    }
-  quince_model_placement_assign (orders->options.placement, now_us, service->models, usable, service->slots);
-  set_placement_metrics (orders, service, usable);
-}
-
 /* Returns whether @worker, which does not have the wanted version, may load it now. */
 static gboolean
 may_load (QuinceWeightOrders *orders,
@@ -281,6 +260,13 @@
     }
 }
 
+static void
+add_assigned_worker (ServiceState *state, const char *worker, const char *model)
+{
+  if (model != NULL)
+    g_ptr_array_add (state->assigned_workers, g_strdup (worker));
+}
+
 /* Assigns models to the workers of a service, and updates the list of workers with an assigned model. */
 static void
 update_assignments (QuinceWeightOrders *orders,
@@ -290,7 +276,7 @@
 {
   g_autoptr (GPtrArray) workers
       = quince_worker_table_list (quince_backends_get_workers (orders->backends), service->name);
-  assign_models (orders, now_us, service, workers);
+  g_autoptr (GArray) usable = g_array_new (FALSE, FALSE, sizeof (QuincePlacementWorker));
   g_ptr_array_set_size (state->assigned_workers, 0);
   state->n_usable = 0;
   for (guint i = 0; i < workers->len; i++)
@@ -299,8 +285,19 @@
       if (!quince_backends_may_send (orders->backends, worker))
         continue;
       state->n_usable++;
-      if (quince_model_placement_get (orders->options.placement, worker->id) != NULL)
-        g_ptr_array_add (state->assigned_workers, g_strdup (worker->id));
+      const QuincePlacementWorker placement_worker = { worker->id, get_held_model (worker), NULL };
+      if (worker->draining)
+        add_assigned_worker (state, worker->id,
+                             quince_model_placement_get (orders->options.placement, worker->id));
+      else
+        g_array_append_val (usable, placement_worker);
+    }
+  quince_model_placement_assign (orders->options.placement, now_us, service->models, usable, service->slots);
+  set_placement_metrics (service, usable);
+  for (guint i = 0; i < usable->len; i++)
+    {
+      const QuincePlacementWorker *worker = &g_array_index (usable, QuincePlacementWorker, i);
+      add_assigned_worker (state, worker->id, worker->model);
     }
 }
 
--- a/lib/core/weights/model-placement.c
+++ b/lib/core/weights/model-placement.c
@@ -50,7 +50,7 @@
 
 typedef struct
 {
-  char *model;
+  const char *model; /* interned */
   gint64 last_listed_us;
 } Assignment;
 
@@ -64,25 +64,17 @@
 /* Target and current number of workers of one model during an assignment. */
 typedef struct
 {
-  const char *model;
+  const char *model; /* interned */
   double target_workers;
   guint assigned_workers;
 } ModelShare;
 
-static void
-assignment_free (gpointer data)
-{
-  Assignment *assignment = data;
-  g_free (assignment->model);
-  g_free (assignment);
-}
-
 QuinceModelPlacement *
 quince_model_placement_new (void)
 {
   QuinceModelPlacement *placement = g_new0 (QuinceModelPlacement, 1);
   placement->demands = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
-  placement->assignments = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, assignment_free);
+  placement->assignments = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   return placement;
 }
 
@@ -254,24 +246,39 @@
 /* ---- Placement ------------------------------------------------------------ */
 
 static void
-set_assignment (QuinceModelPlacement *placement, gint64 now_us, const char *worker, ModelShare *share)
+set_assignment (QuinceModelPlacement *placement,
+                gint64 now_us,
+                QuincePlacementWorker *worker,
+                ModelShare *share)
 {
   Assignment *assignment = g_new0 (Assignment, 1);
-  assignment->model = g_strdup (share->model);
+  assignment->model = share->model;
   assignment->last_listed_us = now_us;
-  g_hash_table_replace (placement->assignments, g_strdup (worker), assignment);
+  g_hash_table_replace (placement->assignments, g_strdup (worker->id), assignment);
+  worker->model = share->model;
   share->assigned_workers++;
 }
 
-/* Counts the workers of each model and drops assignments that have expired. */
+/* Returns the share of an interned model name, or NULL if the service does not have the model. */
+static ModelShare *
+find_share_of_interned (GArray *shares, const char *model)
+{
+  for (guint i = 0; i < shares->len; i++)
+    if (g_array_index (shares, ModelShare, i).model == model)
+      return &g_array_index (shares, ModelShare, i);
+  return NULL;
+}
+
+/* Sets the model of each worker, counts the workers of each model and drops assignments that have expired. */
 static void
-count_assigned (QuinceModelPlacement *placement, gint64 now_us, GArray *shares, const GArray *workers)
+look_up_assignments (QuinceModelPlacement *placement, gint64 now_us, GArray *shares, GArray *workers)
 {
   for (guint i = 0; i < workers->len; i++)
     {
-      Assignment *assignment = g_hash_table_lookup (placement->assignments,
-                                                    g_array_index (workers, QuincePlacementWorker, i).id);
-      ModelShare *share = assignment != NULL ? find_share (shares, assignment->model) : NULL;
+      QuincePlacementWorker *worker = &g_array_index (workers, QuincePlacementWorker, i);
+      Assignment *assignment = g_hash_table_lookup (placement->assignments, worker->id);
+      ModelShare *share = assignment != NULL ? find_share_of_interned (shares, assignment->model) : NULL;
+      worker->model = share != NULL ? share->model : NULL;
       if (share == NULL)
         continue;
       assignment->last_listed_us = now_us;
@@ -285,37 +292,45 @@
       g_hash_table_iter_remove (&iter);
 }
 
-/* Assigns workers without a model to models that lack workers: with @as_loaded to the model that the worker
- * has loaded, otherwise to the model with the largest deficit. */
+/* Assigns workers without a model that have loaded one to that model, if it lacks workers. */
 static void
-assign_unassigned (QuinceModelPlacement *placement,
-                   gint64 now_us,
-                   GArray *shares,
-                   const GArray *workers,
-                   gboolean as_loaded)
+assign_as_loaded (QuinceModelPlacement *placement, gint64 now_us, GArray *shares, GArray *workers)
 {
   for (guint i = 0; i < workers->len; i++)
     {
-      const QuincePlacementWorker *worker = &g_array_index (workers, QuincePlacementWorker, i);
-      if (find_share (shares, quince_model_placement_get (placement, worker->id)) != NULL)
+      QuincePlacementWorker *worker = &g_array_index (workers, QuincePlacementWorker, i);
+      if (worker->model != NULL || worker->loaded_model == NULL)
         continue;
-      ModelShare *share
-          = as_loaded ? find_share (shares, worker->loaded_model) : find_largest_deficit (shares);
-      if (share != NULL
-          && share->target_workers - share->assigned_workers
-                 >= (as_loaded ? DEFICIT_MIN : RESERVE_DEFICIT_MIN))
-        set_assignment (placement, now_us, worker->id, share);
+      ModelShare *share = find_share (shares, worker->loaded_model);
+      if (share != NULL && share->target_workers - share->assigned_workers >= DEFICIT_MIN)
+        set_assignment (placement, now_us, worker, share);
     }
 }
 
-/* Returns the id of a worker that is assigned to the model of @share, or NULL if there is none. */
-static const char *
-find_assigned_worker (QuinceModelPlacement *placement, const ModelShare *share, const GArray *workers)
+/* Assigns workers without a model to the models with the largest deficits, until none lacks workers. */
+static void
+assign_from_reserve (QuinceModelPlacement *placement, gint64 now_us, GArray *shares, GArray *workers)
 {
   for (guint i = 0; i < workers->len; i++)
     {
-      const char *worker = g_array_index (workers, QuincePlacementWorker, i).id;
-      if (g_strcmp0 (quince_model_placement_get (placement, worker), share->model) == 0)
+      QuincePlacementWorker *worker = &g_array_index (workers, QuincePlacementWorker, i);
+      if (worker->model != NULL)
+        continue;
+      ModelShare *share = find_largest_deficit (shares);
+      if (share->target_workers - share->assigned_workers < RESERVE_DEFICIT_MIN)
+        return;
+      set_assignment (placement, now_us, worker, share);
+    }
+}
+
+/* Returns a worker that is assigned to the model of @share, or NULL if there is none. */
+static QuincePlacementWorker *
+find_assigned_worker (const ModelShare *share, GArray *workers)
+{
+  for (guint i = 0; i < workers->len; i++)
+    {
+      QuincePlacementWorker *worker = &g_array_index (workers, QuincePlacementWorker, i);
+      if (worker->model == share->model)
         return worker;
     }
   return NULL;
@@ -324,21 +339,25 @@
 /* Moves one worker from the model with the largest surplus to the one with the largest deficit, or to the
  * reserve. */
 static void
-move_worker (QuinceModelPlacement *placement, gint64 now_us, GArray *shares, const GArray *workers)
+move_worker (QuinceModelPlacement *placement, gint64 now_us, GArray *shares, GArray *workers)
 {
   ModelShare *destination = find_largest_deficit (shares);
   ModelShare *source = find_largest_surplus (shares);
   gboolean has_deficit = destination->target_workers - destination->assigned_workers >= DEFICIT_MIN
                          && source->assigned_workers - source->target_workers >= SURPLUS_MIN;
   gboolean is_releasable = source->assigned_workers - source->target_workers >= RELEASE_SURPLUS_MIN;
-  const char *worker
-      = has_deficit || is_releasable ? find_assigned_worker (placement, source, workers) : NULL;
-  if (worker == NULL || now_us < placement->next_move_us)
+  if ((!has_deficit && !is_releasable) || now_us < placement->next_move_us)
+    return;
+  QuincePlacementWorker *worker = find_assigned_worker (source, workers);
+  if (worker == NULL)
     return;
   if (has_deficit)
     set_assignment (placement, now_us, worker, destination);
   else
-    g_hash_table_remove (placement->assignments, worker);
+    {
+      g_hash_table_remove (placement->assignments, worker->id);
+      worker->model = NULL;
+    }
   placement->next_move_us = now_us + MOVE_INTERVAL_US;
 }
 
@@ -346,7 +365,7 @@
 quince_model_placement_assign (QuinceModelPlacement *placement,
                                gint64 now_us,
                                const GPtrArray *models,
-                               const GArray *workers,
+                               GArray *workers,
                                guint slots)
 {
   if (models->len == 0)
@@ -354,13 +373,13 @@
   g_autoptr (GArray) shares = g_array_new (FALSE, FALSE, sizeof (ModelShare));
   for (guint i = 0; i < models->len; i++)
     {
-      const ModelShare share = { .model = models->pdata[i] };
+      const ModelShare share = { .model = g_intern_string (models->pdata[i]) };
       g_array_append_val (shares, share);
     }
-  count_assigned (placement, now_us, shares, workers);
+  look_up_assignments (placement, now_us, shares, workers);
   compute_targets (placement, now_us, shares, workers->len);
   cap_targets (placement, now_us, shares, slots);
-  assign_unassigned (placement, now_us, shares, workers, TRUE);
-  assign_unassigned (placement, now_us, shares, workers, FALSE);
+  assign_as_loaded (placement, now_us, shares, workers);
+  assign_from_reserve (placement, now_us, shares, workers);
   move_worker (placement, now_us, shares, workers);
 }
--- a/lib/core/weights/model-placement.h
+++ b/lib/core/weights/model-placement.h
@@ -39,11 +39,13 @@
  * QuincePlacementWorker:
  * @id: id of the worker, valid during the call
  * @loaded_model: (nullable): the model that the worker loaded last
+ * @model: (out) (nullable): the model that the worker is assigned to; %NULL: it is in reserve
  */
 typedef struct
 {
   const char *id;
   const char *loaded_model;
+  const char *model;
 } QuincePlacementWorker;
 
 /**
@@ -53,12 +55,13 @@
  * @slots: number of samples that a worker runs at once
  *
  * Assigns as many workers to each model as its samples need, or all workers while no samples have been
- * recorded.  Moves at most one worker between models or to the reserve.
+ * recorded.  Moves at most one worker between models or to the reserve.  Sets the model of each worker. Looks
+ * each worker up once: a leader does this several times a second for all workers.
  */
 void quince_model_placement_assign (QuinceModelPlacement *placement,
                                     gint64 now_us,
                                     const GPtrArray *models,
-                                    const GArray *workers,
+                                    GArray *workers,
                                     guint slots);
 /* Returns the model that @worker is assigned to, or NULL if @worker is in reserve or unknown. */
 const char *quince_model_placement_get (QuinceModelPlacement *placement, const char *worker);
--- a/tests/unit/test-model-placement.c
+++ b/tests/unit/test-model-placement.c
@@ -30,10 +30,17 @@
   g_autoptr (GArray) rows = g_array_new (FALSE, FALSE, sizeof (QuincePlacementWorker));
   for (guint i = 0; i < workers->len; i++)
     {
-      const QuincePlacementWorker row = { workers->pdata[i], NULL };
+      const QuincePlacementWorker row = { workers->pdata[i], NULL, NULL };
       g_array_append_val (rows, row);
     }
   quince_model_placement_assign (placement, now_us, models, rows, SLOTS_PER_WORKER);
+  /* The result for each worker is the one that is looked up later. */
+  for (guint i = 0; i < rows->len; i++)
+    {
+      const QuincePlacementWorker *row = &g_array_index (rows, QuincePlacementWorker, i);
+      if (g_strcmp0 (row->model, quince_model_placement_get (placement, row->id)) != 0)
+        fail_msg ("%s is assigned to another model", row->id);
+    }
 }
 
 static guint
@@ -147,7 +154,7 @@
   g_autoptr (GArray) rows = g_array_new (FALSE, FALSE, sizeof (QuincePlacementWorker));
   for (guint i = 0; i < workers->len; i++)
     {
-      const QuincePlacementWorker row = { workers->pdata[i], i >= 90 ? "m1" : i >= 80 ? "m0" : NULL };
+      const QuincePlacementWorker row = { workers->pdata[i], i >= 90 ? "m1" : i >= 80 ? "m0" : NULL, NULL };
       g_array_append_val (rows, row);
     }
   quince_model_placement_add_demand (placement, 0, "m0", 100, 40);
