Choice of a worker: lookups of a process stay with a subset of a large service

Change: a process begins at a place of its own in the list, the same one in each choice, first with workers that it has filled less than half; of equal scores the first is taken. Samples, which one process runs, are placed by turns as before. Tests: decisions-worker-choice (835 subsets of 2,222 workers: none begins in more than 5, one worker less moves it by one).

--- a/lib/core/decisions/worker-choice.c
+++ b/lib/core/decisions/worker-choice.c
@@ -12,6 +12,9 @@
 /* Without a limit on running requests, a returning worker is a candidate in its share of each group of this
  * many consecutive choices. */
 #define RETURNING_SHARE_STEPS 8
+/* A worker is lightly loaded by a process whose requests take less than this part of its slots: others use
+ * the rest. */
+#define LIGHT_LOAD_DIVISOR 2
 
 gboolean
 quince_choice_was_tried (const QuinceWorker *worker, const QuinceWorkerRequirements *requirements)
@@ -72,6 +75,18 @@
   return n_workers <= QUINCE_CHOICE_COMPARE_ALL_MAX || has_returning_zone;
 }
 
+guint
+quince_choice_subset_start (guint32 seed, guint n_workers)
+{
+  return (guint)(((guint64)seed * n_workers) >> 32);
+}
+
+gboolean
+quince_choice_is_lightly_loaded (const QuinceWorker *worker)
+{
+  return worker->running < MAX (worker->slots, LIGHT_LOAD_DIVISOR) / LIGHT_LOAD_DIVISOR;
+}
+
 guint
 quince_choice_pick_candidates (const GPtrArray *eligible,
                                guint start_index,
--- a/lib/core/decisions/worker-choice.h
+++ b/lib/core/decisions/worker-choice.h
@@ -91,11 +91,26 @@
  * @n_workers: number of workers of the service
  * @has_returning_zone: the evacuation of a zone ended recently, and its share of requests is still growing
  *
- * Decides whether a choice considers all workers of the service, or only some in round-robin order: a choice
- * among thousands of workers would take most of a front's CPU time.
+ * Decides whether a choice considers all workers of the service, or only the subset of this process: a choice
+ * among thousands of workers would take most of a front's CPU time, and each process would connect to all of
+ * them.
  */
 gboolean quince_choice_compares_all (guint n_workers, gboolean has_returning_zone);
 
+/**
+ * quince_choice_subset_start:
+ * @seed: random number of this process
+ * @n_workers: number of workers in the list
+ *
+ * Returns: the index at which the subset of this process begins.  It moves by at most one if a worker is
+ * added or removed.
+ */
+guint quince_choice_subset_start (guint32 seed, guint n_workers);
+
+/* Returns whether this process has few requests in flight at @worker.  A subset first uses such workers, and
+ * so grows with the load of its process before its workers are full. */
+gboolean quince_choice_is_lightly_loaded (const QuinceWorker *worker);
+
 /**
  * quince_choice_pick_candidates:
  * @eligible: (element-type QuinceWorker): workers that can take the request, at least one
--- a/lib/forward/backends-private.h
+++ b/lib/forward/backends-private.h
@@ -29,6 +29,7 @@
   QuincePromptTable *prompts;
   guint rotation;          /* rotates workers with equal scores */
   guint next_worker_index; /* start of the next choice; see collect_in_turn() */
+  guint32 subset_seed;     /* where this process begins in a list of workers; see collect_subset() */
   QuinceZoneTable *zones;
   QuinceTimer *withdrawal_timer; /* withdraws requests stuck on the way to evacuated zones; NULL: stopped */
   gboolean holds_sends;
--- a/lib/forward/backends.c
+++ b/lib/forward/backends.c
@@ -33,6 +33,7 @@
   g_queue_init (&backends->unlisted_ids);
   backends->prompts = quince_prompt_table_new (PROMPT_PARTS_MAX);
   backends->rotation = g_random_int ();
+  backends->subset_seed = g_random_int ();
   return backends;
 }
 
--- a/lib/forward/choose-worker.c
+++ b/lib/forward/choose-worker.c
@@ -46,33 +46,81 @@
          && quince_warmth_can_send (&choice->cold, worker);
 }
 
-/* Collects the worker that likely has the prompt cached, and further workers in round-robin order, up to
- * QUINCE_POLICY_MAX_CANDIDATES. */
+/* Collects workers that can take the request, one after another from @start_index on, up to
+ * QUINCE_POLICY_MAX_CANDIDATES.  @skipped: (nullable): a worker that is not collected
+ * Returns: how far from @start_index the first one was found, or the length of the list */
+static guint
+collect_from (Choice *choice,
+              const GPtrArray *all,
+              guint start_index,
+              const QuinceWorker *skipped,
+              gboolean preferred_only,
+              gboolean lightly_loaded_only,
+              GPtrArray *found)
+{
+  guint first = all->len;
+  for (guint i = 0; i < all->len && found->len < QUINCE_POLICY_MAX_CANDIDATES; i++)
+    {
+      QuinceWorker *worker = all->pdata[(start_index + i) % all->len];
+      if (worker == skipped || (lightly_loaded_only && !quince_choice_is_lightly_loaded (worker))
+          || !can_take (choice, worker, preferred_only))
+        continue;
+      g_ptr_array_add (found, worker);
+      first = MIN (first, i);
+    }
+  return first;
+}
+
+/* Collects workers in round-robin order: the process that runs the samples of a model uses all of its workers
+ * alike. */
 static void
 collect_in_turn (Choice *choice,
                  const GPtrArray *all,
-                 const char *affinity_id,
+                 const QuinceWorker *skipped,
                  gboolean preferred_only,
                  GPtrArray *found)
 {
   QuinceBackends *backends = choice->backends;
+  guint first = collect_from (choice, all, backends->next_worker_index % all->len, skipped, preferred_only,
+                              FALSE, found);
+  /* Not reduced modulo the length, so that choices from shorter lists do not reset it. */
+  if (first < all->len)
+    backends->next_worker_index += first + 1;
+}
+
+/* Collects workers of this process's subset.  It begins at the same place of the list in each choice and
+ * grows with the load of this process, so that it keeps few connections; other processes begin elsewhere. */
+static void
+collect_subset (Choice *choice,
+                const GPtrArray *all,
+                const QuinceWorker *skipped,
+                gboolean preferred_only,
+                GPtrArray *found)
+{
+  guint start_index = quince_choice_subset_start (choice->backends->subset_seed, all->len);
+  guint found_before = found->len;
+  collect_from (choice, all, start_index, skipped, preferred_only, TRUE, found);
+  if (found->len == found_before)
+    collect_from (choice, all, start_index, skipped, preferred_only, FALSE, found);
+}
+
+/* Collects the worker that likely has the prompt cached, and some others. */
+static void
+collect_some (Choice *choice,
+              const GPtrArray *all,
+              const char *affinity_id,
+              gboolean preferred_only,
+              GPtrArray *found)
+{
   QuinceWorker *affinity_worker
-      = affinity_id != NULL ? quince_worker_table_find (backends->workers, affinity_id) : NULL;
+      = affinity_id != NULL ? quince_worker_table_find (choice->backends->workers, affinity_id) : NULL;
   if (affinity_worker != NULL && g_str_equal (affinity_worker->service, choice->query->request->service)
       && can_take (choice, affinity_worker, preferred_only))
     g_ptr_array_add (found, affinity_worker);
-  guint start_index = backends->next_worker_index % all->len;
-  guint n_others = 0;
-  for (guint i = 0; i < all->len && found->len < QUINCE_POLICY_MAX_CANDIDATES; i++)
-    {
-      QuinceWorker *worker = all->pdata[(start_index + i) % all->len];
-      if (worker == affinity_worker || !can_take (choice, worker, preferred_only))
-        continue;
-      g_ptr_array_add (found, worker);
-      if (n_others++ == 0)
-        /* Not reduced modulo the length, so that choices from shorter lists do not reset it. */
-        backends->next_worker_index += i + 1;
-    }
+  if (choice->query->model != NULL)
+    collect_in_turn (choice, all, affinity_worker, preferred_only, found);
+  else
+    collect_subset (choice, all, affinity_worker, preferred_only, found);
 }
 
 static void
@@ -108,7 +156,7 @@
     if (compares_all)
       collect_all (&choice, all, preferred_only == 1, found);
     else
-      collect_in_turn (&choice, all, affinity_id, preferred_only == 1, found);
+      collect_some (&choice, all, affinity_id, preferred_only == 1, found);
   choice.facts.limited = quince_warmth_end_choice (&choice.cold, found->len > 0);
   choice.facts.found = found->len > 0;
   return quince_choice_outcome (&choice.facts);
@@ -193,10 +241,11 @@
   if (outcome != QUINCE_BACKEND_CHOSEN)
     return outcome;
   quince_backends_limit_returning_zones (backends, now_us, query->running_max, found);
-  /* collect_in_turn() has already rotated @found. */
-  gboolean is_rotated
+  /* collect_some() has rotated @found, or a subset must not be: of workers with equal scores the first one is
+   * chosen, to which a connection is open. */
+  gboolean is_ordered
       = all->len > QUINCE_CHOICE_COMPARE_ALL_MAX && found->len <= QUINCE_POLICY_MAX_CANDIDATES;
-  guint start_index = is_rotated ? 0 : backends->rotation++ % found->len;
+  guint start_index = is_ordered ? 0 : backends->rotation++ % found->len;
   QuinceWorker *best = choose_best (backends, now_us, query, found, start_index, affinity_id);
   if (best == NULL)
     return QUINCE_BACKEND_FULL;
--- a/tests/unit/test-decisions-worker-choice.c
+++ b/tests/unit/test-decisions-worker-choice.c
@@ -189,10 +189,46 @@
     assert_int_equal (quince_choice_outcome (&outcomes[i].facts), outcomes[i].outcome);
 }
 
+/* Processes begin at different workers, no worker is in many subsets, and one worker less moves few. */
+static void
+test_subsets_cover_all_workers (void **state)
+{
+  guint n_processes = 835;
+  guint n_workers = 2222;
+  g_autofree guint *uses = g_new0 (guint, n_workers);
+  g_autoptr (GRand) random = g_rand_new_with_seed (7);
+  for (guint i = 0; i < n_processes; i++)
+    {
+      guint32 seed = g_rand_int (random);
+      guint start = quince_choice_subset_start (seed, n_workers);
+      uses[start]++;
+      guint without_one = quince_choice_subset_start (seed, n_workers - 1);
+      assert_in_range (without_one, start > 0 ? start - 1 : 0, start);
+    }
+  for (guint i = 0; i < n_workers; i++)
+    assert_true (uses[i] <= 5);
+}
+
+static void
+test_light_load (void **state)
+{
+  g_autoptr (QuinceWorker) worker = quince_worker_new ("w");
+  worker->slots = 6;
+  worker->running = 2;
+  assert_true (quince_choice_is_lightly_loaded (worker));
+  worker->running = 3;
+  assert_false (quince_choice_is_lightly_loaded (worker));
+  worker->slots = 1;
+  worker->running = 0;
+  assert_true (quince_choice_is_lightly_loaded (worker));
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_subsets_cover_all_workers),
+    cmocka_unit_test (test_light_load),
     cmocka_unit_test (test_worker_eligibility),
     cmocka_unit_test (test_lookup_requirements),
     cmocka_unit_test (test_limit_of_cold_workers),
