Relays: heartbeats of their own, so that a lost leader moves no front

Cause: a relay passed on the leader's heartbeats, so that each front whose relay had no leader for 0.9 s tried its other relays, then asked the leader, and read the own keys from the store: the reads of all fronts whenever a leader is lost. Change: a relay sends heartbeats while the leader feeds it or its own reads of the store are recent; else it is silent, and its children leave it as before. Test: platform-feed-tree test_leader_is_killed (no feed_relay_lost, no feed_ended at the front), which failed before.

--- a/daemons/front/feed-parent.c
+++ b/daemons/front/feed-parent.c
@@ -9,8 +9,8 @@
 #include "runtime/log.h"
 #include "runtime/timer.h"
 
-/* Time without a message after which the front tries another relay, ms.  A relay passes on the leader's
- * heartbeats, four a second. */
+/* Time without a message after which the front tries another relay, ms.  A relay that is fed, or reads the
+ * store itself, sends five heartbeats a second. */
 #define SILENCE_TIMEOUT_MS 900
 /* Timeout of a connection attempt, ms.  Allows one retransmission of a lost SYN, which follows after 1 s. */
 #define CONNECT_TIMEOUT_MS 1200
--- a/daemons/replica/feed-service.c
+++ b/daemons/replica/feed-service.c
@@ -15,6 +15,9 @@
 #define RELAYS_SETTLED_US (300 * 1000)
 /* Maximum time for which a new leader waits for relays to join, us. */
 #define RELAYS_WAIT_US (1500 * 1000)
+/* Time for which the last heartbeat of the leader shows that it feeds this process, us.  As in the observer.
+ */
+#define LEADER_TIMEOUT_US (900 * 1000)
 
 typedef struct
 {
@@ -47,6 +50,7 @@
   gint64 leading_since_us;  /* monotonic */
   gint64 relays_changed_us; /* monotonic: a relay joined or left */
   guint n_direct_fronts;
+  gint64 last_leader_contact_us; /* monotonic; 0: none */
 };
 
 static void
@@ -245,9 +249,34 @@
     }
 }
 
+void
+quince_feed_service_record_leader_contact (QuinceFeedService *service)
+{
+  service->last_leader_contact_us = quince_now_us ();
+}
+
+/* A child gives up a relay that is silent.  So a relay sends heartbeats while it is fed or reads the store
+ * itself: if the leader is lost, the relays look for the next one, and their children neither move nor read.
+ */
+static void
+send_heartbeats_to_children (QuinceFeedService *service)
+{
+  gboolean is_fed = quince_now_us () - service->last_leader_contact_us < LEADER_TIMEOUT_US;
+  if (g_hash_table_size (service->children) == 0 || !(is_fed || quince_observer_is_fresh (service->observer)))
+    return;
+  const QuinceMessage message = { .kind = QUINCE_MESSAGE_HEARTBEAT };
+  g_autoptr (GBytes) encoded = quince_message_encode (&message, NULL);
+  GHashTableIter iter;
+  gpointer link;
+  g_hash_table_iter_init (&iter, service->children);
+  while (encoded != NULL && g_hash_table_iter_next (&iter, &link, NULL))
+    quince_link_send_bytes (link, encoded);
+}
+
 void
 quince_feed_service_step (QuinceFeedService *service)
 {
+  send_heartbeats_to_children (service);
   if (!knows_own_keys (service))
     return;
   gboolean settled = service->leading && are_relays_settled (service, quince_now_us ());
@@ -330,7 +359,7 @@
       stop_feeding_subscriber (service, link, subscription);
 }
 
-/* ---- Pages and heartbeats ------------------------------------------------ */
+/* ---- Pages -------------------------------------------------------------- */
 
 void
 quince_feed_service_publish (QuinceFeedService *service, const char *prefix, const QuinceMetaPage *page)
@@ -354,20 +383,6 @@
   quince_store_feed_apply_report (service->feed, source, update);
 }
 
-void
-quince_feed_service_relay_heartbeat (QuinceFeedService *service)
-{
-  if (g_hash_table_size (service->children) == 0)
-    return;
-  const QuinceMessage message = { .kind = QUINCE_MESSAGE_HEARTBEAT };
-  g_autoptr (GBytes) encoded = quince_message_encode (&message, NULL);
-  GHashTableIter iter;
-  gpointer link;
-  g_hash_table_iter_init (&iter, service->children);
-  while (encoded != NULL && g_hash_table_iter_next (&iter, &link, NULL))
-    quince_link_send_bytes (link, encoded);
-}
-
 /* ---- Metrics ------------------------------------------------------------ */
 
 void
--- a/daemons/replica/feed-service.h
+++ b/daemons/replica/feed-service.h
@@ -41,13 +41,14 @@
 void quince_feed_service_relay (QuinceFeedService *service,
                                 const QuinceLink *source,
                                 const QuinceFeedUpdate *update);
-/* Passes on that the leader is alive: a relay whose children hear nothing is replaced by them. */
-void quince_feed_service_relay_heartbeat (QuinceFeedService *service);
+/* Records a heartbeat of the leader. */
+void quince_feed_service_record_leader_contact (QuinceFeedService *service);
 /* At the leader: applies a page that a reserve reader read from the metadata store. */
 void quince_feed_service_apply_report (QuinceFeedService *service,
                                        const QuinceLink *source,
                                        const QuinceFeedUpdate *update);
-/* Names relays to the fronts that wait for them or whose relays changed.  Call several times a second. */
+/* Names relays to the fronts that wait for them or whose relays changed, and sends heartbeats to children.
+ * Call several times a second. */
 void quince_feed_service_step (QuinceFeedService *service);
 /* Returns: (transfer none) (element-type QuinceLink): the links of all subscribers but children, as the keys
  * of the table; valid until the service is freed */
--- a/daemons/replica/replica-ledger-events.c
+++ b/daemons/replica/replica-ledger-events.c
@@ -151,7 +151,7 @@
   if (quince_replica_leadership_is_active (parts->leadership))
     return;
   quince_observer_record_feeder_contact (parts->observer);
-  quince_feed_service_relay_heartbeat (parts->feed);
+  quince_feed_service_record_leader_contact (parts->feed);
 }
 
 /* From the leader this is a query for the active policy, from other processes a subscription to the feed. */
--- a/lib/observer/observer.c
+++ b/lib/observer/observer.c
@@ -253,6 +253,19 @@
   return FALSE;
 }
 
+gboolean
+quince_observer_is_fresh (QuinceObserver *observer)
+{
+  gint64 now = quince_now_us ();
+  QuinceNamedMirror mirrors[QUINCE_OBSERVER_N_PREFIXES];
+  quince_observer_list_mirrors (observer, mirrors);
+  for (guint i = 0; i < QUINCE_OBSERVER_N_PREFIXES; i++)
+    if (!quince_meta_mirror_is_synced (mirrors[i].mirror)
+        || !quince_meta_mirror_is_fresh (mirrors[i].mirror, now))
+      return FALSE;
+  return TRUE;
+}
+
 gboolean
 quince_observer_is_synced (QuinceObserver *observer)
 {
--- a/lib/observer/observer.h
+++ b/lib/observer/observer.h
@@ -156,6 +156,8 @@
 void quince_observer_list_workers (QuinceObserver *observer);
 /* Returns whether a listing of the store is in progress. */
 gboolean quince_observer_is_listing (QuinceObserver *observer);
+/* Returns whether all mirrors are synced and recent enough to feed other processes. */
+gboolean quince_observer_is_fresh (QuinceObserver *observer);
 /* Returns whether all mirrors are synced. */
 gboolean quince_observer_is_synced (QuinceObserver *observer);
 /* Returns: (transfer none) (nullable): the entry of the active policy, or %NULL if the policy is not from the
--- a/tests/platform/test-feed-tree.c
+++ b/tests/platform/test-feed-tree.c
@@ -181,7 +181,15 @@
   world_stop (&world);
 }
 
-/* The relay may be elected, follow the new leader, or be given up. */
+static gboolean
+front_has_logged (World *world, const char *text)
+{
+  g_autofree char *output = quince_process_read_output (world->path->fronts[0]);
+  return strstr (output, text) != NULL;
+}
+
+/* The relay is elected or follows the new leader.  Meanwhile it reads the store itself, so that the front
+ * stays with it and makes no call: otherwise all fronts would read the store whenever a leader is lost. */
 static void
 test_leader_is_killed (void **state)
 {
@@ -190,6 +198,9 @@
   start_front_with_relay (&world);
   quince_process_kill (world.path->replicas[path_find_leader (world.path)]);
   assert_change_arrives (&world, 8);
+  run_for (1500);
+  assert_false (front_has_logged (&world, "event=feed_relay_lost"));
+  assert_false (front_has_logged (&world, "event=feed_ended"));
   world_stop (&world);
 }
 
