--- a/daemons/front/feed-parent.h
+++ b/daemons/front/feed-parent.h
@@ -29,7 +29,7 @@
 /* Sets the relays that the front chooses from.  A front that is fed stays with its relay while that is among
  * them. */
 void quince_feed_parent_set_relays (QuinceFeedParent *parent, const QuinceFeedRelays *relays);
-/* Links to the relay anew after a suspension of the machine. */
+/* Replaces the link after a suspension of the machine. */
 void quince_feed_parent_handle_resume (QuinceFeedParent *parent);
 /* Returns whether a message from the relay arrived recently. */
 gboolean quince_feed_parent_is_alive (const QuinceFeedParent *parent);
--- a/daemons/front/feed-wait.c
+++ b/daemons/front/feed-wait.c
@@ -33,7 +33,7 @@
   Stage stage;
   char *node; /* name of this front */
   gboolean view_known;
-  gboolean turn_reached; /* the front waited for its turn while it waited for the feed */
+  gboolean has_turn; /* the timer ends at this front's turn to list the workers */
   QuinceLedgerViewRead view_read;
   gpointer user_data;
 };
@@ -105,19 +105,19 @@
 void
 quince_feed_wait_answered (QuinceFeedWait *wait, guint n_fronts)
 {
-  if (wait->stage != WAITS_FOR_FEED)
-    return;
+  if (wait->stage != WAITS_FOR_FEED || wait->has_turn)
+    return; /* a later answer does not extend the wait */
   set_timer (wait, ANSWER_TIMEOUT_MS + quince_list_turn_wait_ms (wait->node, n_fronts), feed_timed_out);
-  wait->turn_reached = TRUE;
+  wait->has_turn = TRUE;
 }
 
 void
 quince_feed_wait_unlinked (QuinceFeedWait *wait)
 {
-  if (wait->stage != WAITS_FOR_FEED || !wait->turn_reached)
+  if (wait->stage != WAITS_FOR_FEED || !wait->has_turn)
     return;
   set_timer (wait, ANSWER_TIMEOUT_MS, feed_timed_out);
-  wait->turn_reached = FALSE;
+  wait->has_turn = FALSE;
 }
 
 /* Also called if these keys were fed: the process that feeds them may not know the workers yet. */
@@ -129,7 +129,7 @@
   guint turn_ms = quince_list_turn_wait_ms (wait->node, n_fronts);
   if (wait->stage == WAITS_FOR_FEED)
     turn_ms += ANSWER_TIMEOUT_MS;
-  else if (wait->turn_reached)
+  else if (wait->has_turn)
     turn_ms = 0;
   g_clear_pointer (&wait->mirror, quince_meta_mirror_free);
   wait->stage = WAITS_FOR_TURN;
--- a/daemons/front/front.c
+++ b/daemons/front/front.c
@@ -46,6 +46,9 @@
   QuincePlannedStop *stop;
   QuinceTextServer *metrics; /* NULL if listen.metrics is not set */
   QuinceSuspensionWatch *suspension;
+  gint64 started_us;        /* monotonic */
+  gint64 own_keys_known_us; /* monotonic: the own keys were read or fed for the first time; 0: not yet */
+  gboolean was_ready;       /* the front has been ready */
 } Front;
 
 /* ---- Events of the observer -------------------------------------------- */
@@ -97,11 +100,27 @@
     quince_quarantine_client_merge_list (front->quarantine, key + strlen (QUINCE_SUSPECTS_PREFIX), value);
 }
 
+/* Lists this front in its directory if it can serve callers, and logs how long its start took. */
+static void
+update_readiness (Front *front)
+{
+  gboolean is_ready = quince_front_context_is_ready (&front->context);
+  quince_directory_set_serving (front->context.directory, is_ready);
+  if (!is_ready || front->was_ready)
+    return;
+  front->was_ready = TRUE;
+  gint64 now_us = quince_now_us ();
+  quince_log_notice (
+      "front_ready", "age_ms=%" G_GINT64_FORMAT " own_keys_ms=%" G_GINT64_FORMAT " workers=%u relay=%s",
+      (now_us - front->started_us) / 1000, (front->own_keys_known_us - front->started_us) / 1000,
+      quince_worker_table_get_size (quince_backends_get_workers (front->context.backends)),
+      quince_feed_parent_is_alive (front->parent) ? "true" : "false");
+}
+
 static void
 handle_configuration_change (QuinceRouteTable *table, gpointer data)
 {
-  Front *front = data;
-  quince_directory_set_serving (front->context.directory, quince_front_context_is_ready (&front->context));
+  update_readiness (data);
 }
 
 static guint
@@ -114,6 +133,8 @@
 handle_own_synced (gpointer data)
 {
   Front *front = data;
+  if (front->own_keys_known_us == 0)
+    front->own_keys_known_us = quince_now_us ();
   if (front->feed_wait != NULL)
     quince_feed_wait_own_keys_synced (front->feed_wait, count_fronts (front));
   quince_feed_subscription_synced (front->subscription);
@@ -125,7 +146,7 @@
   Front *front = data;
   g_clear_pointer (&front->feed_wait, quince_feed_wait_free);
   front->context.workers_known = TRUE;
-  quince_directory_set_serving (front->context.directory, quince_front_context_is_ready (&front->context));
+  update_readiness (front);
   quince_feed_subscription_synced (front->subscription);
 }
 
@@ -303,6 +324,7 @@
 front_new (const QuinceSettings *settings, QuinceTopology *topology)
 {
   Front *front = g_new0 (Front, 1);
+  front->started_us = quince_now_us ();
   front->context.backends = quince_backends_new (topology);
   front->name = g_strdup (quince_settings_get_text (settings, "node", "name"));
   front->zone = g_strdup (quince_settings_get_text (settings, "node", "zone"));
--- a/lib/core/trace/log-vocabulary.c
+++ b/lib/core/trace/log-vocabulary.c
@@ -32,6 +32,7 @@
   "feed_relay_lost",
   "front_changed",
   "front_heard",
+  "front_ready",
   "front_silent",
   "item_refused",
   "lease_lost",
--- a/lib/observer/store-feed.c
+++ b/lib/observer/store-feed.c
@@ -274,7 +274,8 @@
   return QUINCE_OBSERVER_N_PREFIXES;
 }
 
-/* Sends @page to all subscribers but @source, after the changes before it to those that still await them. */
+/* Sends @page to all subscribers but @source.  Subscribers that have not been sent the earlier changes get
+ * these first. */
 static void
 send_to_all_except (QuinceStoreFeed *feed,
                     const QuinceLink *source,
--- a/tests/platform/test-meta-large.c
+++ b/tests/platform/test-meta-large.c
@@ -8,6 +8,19 @@
 #define ZONES 5
 #define LARGE_ZONE_KEYS 2000
 
+/* Returns: (transfer full): a mirror of "w/" that reports to @reports, whose values the caller frees */
+static QuinceMetaMirror *
+new_mirror (World *world, Reports *reports, gboolean waits_to_be_fed)
+{
+  *reports = (Reports){ .values = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free) };
+  QuinceMetaMirror *mirror
+      = quince_meta_mirror_new (world->store, "w/", waits_to_be_fed, &mirror_callbacks, reports);
+  const QuinceMetaMirrorTimes times
+      = { .read_interval_max_ms = READ_INTERVAL_MAX_MS, .feed_timeout_ms = FEED_TIMEOUT_MS };
+  quince_meta_mirror_set_times (mirror, &times);
+  return mirror;
+}
+
 /* A list that the store rejects continues where it was: with every second call rejected it takes twice the
  * calls, where a list that begins again would not end. */
 static void
@@ -22,11 +35,8 @@
     }
   standin_store_set_fault (world.standin, STANDIN_STORE_REJECTS_EVERY_SECOND_LIST);
   guint before = standin_store_get_n_list_calls (world.standin);
-  Reports reports = { .values = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free) };
-  QuinceMetaMirror *mirror = quince_meta_mirror_new (world.store, "w/", FALSE, &mirror_callbacks, &reports);
-  const QuinceMetaMirrorTimes times
-      = { .read_interval_max_ms = READ_INTERVAL_MAX_MS, .feed_timeout_ms = FEED_TIMEOUT_MS };
-  quince_meta_mirror_set_times (mirror, &times);
+  Reports reports;
+  QuinceMetaMirror *mirror = new_mirror (&world, &reports, FALSE);
   AWAIT (reports.synced > 0);
   assert_int_equal (g_hash_table_size (reports.values), 20);
   assert_in_range (standin_store_get_n_list_calls (world.standin) - before, 10, 21);
@@ -57,11 +67,8 @@
 {
   World world;
   world_start (&world, 0);
-  Reports reports = { .values = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free) };
-  QuinceMetaMirror *mirror = quince_meta_mirror_new (world.store, "w/", TRUE, &mirror_callbacks, &reports);
-  const QuinceMetaMirrorTimes times
-      = { .read_interval_max_ms = READ_INTERVAL_MAX_MS, .feed_timeout_ms = FEED_TIMEOUT_MS };
-  quince_meta_mirror_set_times (mirror, &times);
+  Reports reports;
+  QuinceMetaMirror *mirror = new_mirror (&world, &reports, TRUE);
   g_autoptr (QuinceMetaPage) whole = make_large_page (100, N_KEYS);
   assert_true (quince_meta_mirror_feed (mirror, whole, TRUE));
   assert_in_range (reports.items, 1, N_KEYS / 2);
@@ -85,11 +92,8 @@
   World world;
   world_start (&world, 0);
   standin_store_put (world.standin, "w/1", "listed");
-  Reports reports = { .values = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free) };
-  QuinceMetaMirror *mirror = quince_meta_mirror_new (world.store, "w/", TRUE, &mirror_callbacks, &reports);
-  const QuinceMetaMirrorTimes times
-      = { .read_interval_max_ms = READ_INTERVAL_MAX_MS, .feed_timeout_ms = FEED_TIMEOUT_MS };
-  quince_meta_mirror_set_times (mirror, &times);
+  Reports reports;
+  QuinceMetaMirror *mirror = new_mirror (&world, &reports, TRUE);
   g_autoptr (QuinceMetaPage) whole = make_large_page (1, N_KEYS);
   quince_meta_mirror_feed (mirror, whole, TRUE);
   quince_meta_mirror_handle_feed_end (mirror, TRUE);
@@ -108,11 +112,8 @@
 {
   World world;
   world_start (&world, 0);
-  Reports reports = { .values = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free) };
-  QuinceMetaMirror *mirror = quince_meta_mirror_new (world.store, "w/", TRUE, &mirror_callbacks, &reports);
-  const QuinceMetaMirrorTimes times
-      = { .read_interval_max_ms = READ_INTERVAL_MAX_MS, .feed_timeout_ms = FEED_TIMEOUT_MS };
-  quince_meta_mirror_set_times (mirror, &times);
+  Reports reports;
+  QuinceMetaMirror *mirror = new_mirror (&world, &reports, TRUE);
   g_autoptr (QuinceMetaPage) whole = make_large_page (100, ZONES * LARGE_ZONE_KEYS);
   quince_meta_mirror_feed (mirror, whole, TRUE);
   AWAIT (reports.synced > 0);
