--- a/daemons/front/front.c
+++ b/daemons/front/front.c
@@ -109,12 +109,12 @@
   if (!is_ready || front->was_ready)
     return;
   front->was_ready = TRUE;
-  gint64 now_us = quince_now_us ();
-  quince_log_notice (
-      "front_ready", "age_ms=%" G_GINT64_FORMAT " own_keys_ms=%" G_GINT64_FORMAT " workers=%u relay=%s",
-      (now_us - front->started_us) / 1000, (front->own_keys_known_us - front->started_us) / 1000,
-      quince_worker_table_get_size (quince_backends_get_workers (front->context.backends)),
-      quince_feed_parent_is_alive (front->parent) ? "true" : "false");
+  gint age_ms = (gint)((quince_now_us () - front->started_us) / 1000);
+  gint own_keys_ms = (gint)((front->own_keys_known_us - front->started_us) / 1000);
+  guint n_workers = quince_worker_table_get_size (quince_backends_get_workers (front->context.backends));
+  const char *relay = quince_feed_parent_is_alive (front->parent) ? "true" : "false";
+  quince_log_notice ("front_ready", "age_ms=%d own_keys_ms=%d workers=%u relay=%s", age_ms, own_keys_ms,
+                     n_workers, relay);
 }
 
 static void
