Fronts stay with a relay that feeds them when a new leader names others

A new leader names the relays 0.3 s after the last one joined, 1.5 s after it began to lead at the most; fronts whose relay joins it later would all have moved.

--- a/daemons/front/feed-parent.c
+++ b/daemons/front/feed-parent.c
@@ -170,7 +170,8 @@
     return;
   g_clear_pointer (&parent->relays, quince_message_free);
   parent->relays = copy_relays (relays);
-  if (parent->link != NULL && is_named (relays, parent->relay))
+  /* A new leader may name the relays before this one has joined it. */
+  if (parent->link != NULL && (parent->alive || is_named (relays, parent->relay)))
     return;
   close_link (parent);
   parent->attempt = 0;
--- a/daemons/front/feed-parent.h
+++ b/daemons/front/feed-parent.h
@@ -26,8 +26,7 @@
                                           const char *zone,
                                           QuinceFeedParentFailed failed,
                                           gpointer user_data);
-/* Sets the relays that the front chooses from.  A front that is fed stays with its relay while that is among
- * them. */
+/* Sets the relays that the front chooses from.  A front that is fed stays with its relay. */
 void quince_feed_parent_set_relays (QuinceFeedParent *parent, const QuinceFeedRelays *relays);
 /* Replaces the link after a suspension of the machine. */
 void quince_feed_parent_handle_resume (QuinceFeedParent *parent);
--- a/lib/core/routing/worker-table.c
+++ b/lib/core/routing/worker-table.c
@@ -26,7 +26,7 @@
  * most lists are obsolete, and all are dropped. */
 #define VERSION_LISTS_MAX 32
 
-/* The workers of a service, or those that have a model in a given version or later. */
+/* The workers of a service, all of them or those with a model in a given version or later. */
 typedef struct
 {
   char *service;
