--- a/tests/unit/test-hostile.c
+++ b/tests/unit/test-hostile.c
@@ -22,7 +22,7 @@
 #define WORDS_MAX 64
 /* Message kinds in use start at FIRST_KIND; lower numbers belong to removed kinds. */
 #define FIRST_KIND QUINCE_MESSAGE_LEDGER_HELLO
-#define N_KINDS (QUINCE_MESSAGE_LEDGER_LEAD + 1)
+#define N_KINDS (QUINCE_MESSAGE_FEED_RELAYS + 1)
 
 /* ---- Codecs --------------------------------------------------------------- */
 
