--- a/daemons/replica/feed-service.c
+++ b/daemons/replica/feed-service.c
@@ -23,7 +23,7 @@
 {
   QuinceFeedRole role;
   gboolean fed;                   /* by this process */
-  gboolean told;                  /* a front that is not fed: it has the current relays */
+  gboolean has_relays;            /* a front that is not fed: the current relays were sent to it */
   QuinceFeedSubscribe *subscribe; /* owned */
 } Subscription;
 
@@ -135,8 +135,7 @@
          || now_us - service->leading_since_us >= RELAYS_WAIT_US;
 }
 
-/* Returns: (transfer full) (nullable): the message that names the relays, or none while they may not be named
- */
+/* Returns: (transfer full) (nullable): the message with the relays, empty before they are settled */
 static GBytes *
 encode_relays (const QuinceFeedService *service, gint64 now_us)
 {
@@ -162,20 +161,20 @@
 }
 
 static void
-forget_told (QuinceFeedService *service)
+invalidate_named_relays (QuinceFeedService *service)
 {
   GHashTableIter iter;
   gpointer value;
   g_hash_table_iter_init (&iter, service->subscribers);
   while (g_hash_table_iter_next (&iter, NULL, &value))
-    ((Subscription *)value)->told = FALSE;
+    ((Subscription *)value)->has_relays = FALSE;
 }
 
 static void
 relays_changed (QuinceFeedService *service)
 {
   service->relays_changed_us = quince_now_us ();
-  forget_told (service);
+  invalidate_named_relays (service);
 }
 
 /* ---- Subscribers -------------------------------------------------------- */
@@ -219,8 +218,9 @@
     quince_store_feed_exchange_policies (service->observer, link, subscription->subscribe);
 }
 
+/* Sends the relays to the fronts that do not have them; without any relay, feeds these fronts. */
 static void
-tell_relays (QuinceFeedService *service)
+name_relays (QuinceFeedService *service)
 {
   gint64 now_us = quince_now_us ();
   gboolean settled = service->leading && are_relays_settled (service, now_us);
@@ -233,7 +233,7 @@
   while (g_hash_table_iter_next (&iter, &link, &value))
     {
       Subscription *subscription = value;
-      if (subscription->role != QUINCE_FEED_ROLE_FRONT || subscription->fed || subscription->told)
+      if (subscription->role != QUINCE_FEED_ROLE_FRONT || subscription->fed || subscription->has_relays)
         continue;
       if (must_feed)
         {
@@ -245,7 +245,7 @@
       if (encoded == NULL)
         return;
       quince_link_send_bytes (link, encoded);
-      subscription->told = TRUE;
+      subscription->has_relays = TRUE;
     }
 }
 
@@ -281,9 +281,9 @@
     return;
   gboolean settled = service->leading && are_relays_settled (service, quince_now_us ());
   if (settled && !service->relays_named)
-    forget_told (service); /* they were told to wait */
+    invalidate_named_relays (service); /* they were sent an empty list */
   service->relays_named = settled;
-  tell_relays (service);
+  name_relays (service);
 }
 
 void
@@ -313,7 +313,7 @@
     }
   admit_subscriber (service, link, subscription);
   if (role == QUINCE_FEED_ROLE_FRONT && !subscription->fed && knows_own_keys (service))
-    tell_relays (service);
+    name_relays (service);
 }
 
 void
@@ -347,7 +347,7 @@
   service->leading = leading;
   service->relays_named = FALSE;
   service->leading_since_us = service->relays_changed_us = quince_now_us ();
-  forget_told (service);
+  invalidate_named_relays (service);
   GHashTableIter iter;
   gpointer link;
   gpointer subscription;
