Fronts that nobody feeds list the first page of the workers at once

Change: 0.3 s after the view a front that is not fed lists the small prefixes and the first page of the workers. It is ready with those, which are all of them in a smaller deployment, and lists the others at its turn. So the leader's answer with the number of fronts, which only lengthened that wait, goes: relays are named once they are settled, and nothing is sent before.

--- a/daemons/front/feed-wait.c
+++ b/daemons/front/feed-wait.c
@@ -13,12 +13,12 @@
 #define VIEW_READ_INTERVAL_MIN_MS 300
 /* Maximum time between two reads of the view if the store answers immediately, ms. */
 #define VIEW_READ_INTERVAL_MAX_MS 1000
-/* Maximum time from the first view until the leader answers, ms.  It allows a leader that starts at the same
+/* Maximum time from the first view until the front is fed, ms.  It allows a leader that starts at the same
  * time to listen, and a busy leader to accept the connection and to handle the subscription. */
-#define ANSWER_TIMEOUT_MS 300
+#define FEED_TIMEOUT_MS 300
 typedef enum
 {
-  WAITS_FOR_FEED, /* for the view, the leader's answer, or the feed that it promised */
+  WAITS_FOR_FEED,
   LISTS_SMALL_PREFIXES,
   WAITS_FOR_TURN,
   LISTS_WORKERS,
@@ -33,7 +33,6 @@
   Stage stage;
   char *node; /* name of this front */
   gboolean view_known;
-  gboolean has_turn; /* the timer ends at this front's turn to list the workers */
   QuinceLedgerViewRead view_read;
   gpointer user_data;
 };
@@ -74,7 +73,7 @@
   if (item->value == NULL || !g_str_equal (item->key, QUINCE_LEDGER_KEY))
     return;
   if (!wait->view_known)
-    set_timer (wait, ANSWER_TIMEOUT_MS, feed_timed_out);
+    set_timer (wait, FEED_TIMEOUT_MS, feed_timed_out);
   wait->view_known = TRUE;
   wait->view_read (item->value, item->revision, wait->user_data);
 }
@@ -102,24 +101,6 @@
   return wait;
 }
 
-void
-quince_feed_wait_answered (QuinceFeedWait *wait, guint n_fronts)
-{
-  if (wait->stage != WAITS_FOR_FEED || wait->has_turn)
-    return; /* a later answer does not extend the wait */
-  set_timer (wait, ANSWER_TIMEOUT_MS + quince_list_turn_wait_ms (wait->node, n_fronts), feed_timed_out);
-  wait->has_turn = TRUE;
-}
-
-void
-quince_feed_wait_unlinked (QuinceFeedWait *wait)
-{
-  if (wait->stage != WAITS_FOR_FEED || !wait->has_turn)
-    return;
-  set_timer (wait, ANSWER_TIMEOUT_MS, feed_timed_out);
-  wait->has_turn = FALSE;
-}
-
 /* Also called if these keys were fed: the process that feeds them may not know the workers yet. */
 void
 quince_feed_wait_own_keys_synced (QuinceFeedWait *wait, guint n_fronts)
@@ -128,9 +109,7 @@
     return;
   guint turn_ms = quince_list_turn_wait_ms (wait->node, n_fronts);
   if (wait->stage == WAITS_FOR_FEED)
-    turn_ms += ANSWER_TIMEOUT_MS;
-  else if (wait->has_turn)
-    turn_ms = 0;
+    turn_ms += FEED_TIMEOUT_MS;
   g_clear_pointer (&wait->mirror, quince_meta_mirror_free);
   wait->stage = WAITS_FOR_TURN;
   set_timer (wait, turn_ms, list_workers);
--- a/daemons/front/feed-wait.h
+++ b/daemons/front/feed-wait.h
@@ -4,9 +4,9 @@
  *
  * To limit the calls to the store, a front that starts reads only the ledger's view, which names the leader,
  * and gets all other keys from the store feed of the leader or of a relay.  If none feeds it in time, the
- * front lists the operator's keys and its product's own keys, which are few, and then the workers when it is
- * its turn among all fronts (core/decisions/list-turn.h).  A leader that answers but cannot feed yet, for
- * example after a restart of all processes, is given more time than one that does not answer.
+ * front lists the operator's keys and the product's own keys, which are few, and the first page of the
+ * workers, with which it can serve.  It lists the other workers when it is its turn among all fronts
+ * (core/decisions/list-turn.h).
  *
  * The wait owns a mirror of the view's key and a timer.  It belongs to the main context.  The owner frees it
  * once the front has read or been fed all workers.
@@ -31,11 +31,6 @@
                                       const char *node,
                                       QuinceLedgerViewRead view_read,
                                       gpointer user_data);
-/* The leader has answered the subscription: it feeds the front, or names relays, as soon as it can.  The
- * front lists the store only if it is not fed before its turn among @n_fronts fronts. */
-void quince_feed_wait_answered (QuinceFeedWait *wait, guint n_fronts);
-/* The link to the leader was closed, so that its answer does not count any more. */
-void quince_feed_wait_unlinked (QuinceFeedWait *wait);
 /* The product's own keys, which list @n_fronts fronts, have been read or fed. */
 void quince_feed_wait_own_keys_synced (QuinceFeedWait *wait, guint n_fronts);
 void quince_feed_wait_free (QuinceFeedWait *wait); /* (nullable) */
--- a/daemons/front/front-context.h
+++ b/daemons/front/front-context.h
@@ -26,7 +26,7 @@
  * @splits: state of the split of routes between services
  * @directory_ttl_s: how long callers may cache an answer of the directory, s
  * @in_progress: number of callers' requests in flight
- * @workers_known: %TRUE once all workers have been read or fed
+ * @workers_known: %TRUE once all workers have been read or fed, also if there are none
  * @stopping: %TRUE once the planned stop has begun: each connection closes after its next answer, and the
  *   readiness check fails
  *
@@ -47,11 +47,13 @@
   gboolean stopping;
 } QuinceFrontContext;
 
-/* Returns whether this front can serve callers: it can route requests, knows the workers and is not stopping.
- */
+/* Returns whether this front can serve callers: it can route requests, knows some workers and is not
+ * stopping. */
 static inline gboolean
 quince_front_context_is_ready (const QuinceFrontContext *context)
 {
-  return !context->stopping && context->workers_known
-         && quince_observer_get_routes (context->observer) != NULL;
+  gboolean knows_workers
+      = context->workers_known
+        || quince_worker_table_get_size (quince_backends_get_workers (context->backends)) > 0;
+  return !context->stopping && knows_workers && quince_observer_get_routes (context->observer) != NULL;
 }
--- a/daemons/front/front.c
+++ b/daemons/front/front.c
@@ -180,14 +180,6 @@
                                         heartbeat->silent.silent_len);
 }
 
-static void
-handle_relays (Front *front, const QuinceFeedRelays *relays)
-{
-  if (front->feed_wait != NULL)
-    quince_feed_wait_answered (front->feed_wait, relays->fronts);
-  quince_feed_parent_set_relays (front->parent, relays);
-}
-
 /* The relays do not feed this front, so it asks the leader to. */
 static void
 handle_relays_failed (gpointer data)
@@ -209,7 +201,7 @@
     quince_store_feed_send_newer_policy (front->context.observer, link,
                                          &message->QuinceMessage_u.feed_subscribe);
   else if (message->kind == QUINCE_MESSAGE_FEED_RELAYS)
-    handle_relays (front, &message->QuinceMessage_u.feed_relays);
+    quince_feed_parent_set_relays (front->parent, &message->QuinceMessage_u.feed_relays);
   else if (message->kind == QUINCE_MESSAGE_HEARTBEAT)
     handle_heartbeat (front, link, &message->QuinceMessage_u.heartbeat);
   else if (message->kind == QUINCE_MESSAGE_USAGE_ACK)
@@ -228,8 +220,6 @@
   quince_warmup_client_unlinked (front->warmup);
   if (!quince_feed_parent_is_alive (front->parent))
     quince_observer_handle_feeder_loss (front->context.observer);
-  if (front->feed_wait != NULL)
-    quince_feed_wait_unlinked (front->feed_wait);
 }
 
 static const QuinceLedgerCallerCallbacks ledger_callbacks = { .linked = handle_ledger_linked,
--- a/daemons/replica/feed-service.c
+++ b/daemons/replica/feed-service.c
@@ -39,12 +39,11 @@
 struct _QuinceFeedService
 {
   /* All fields belong to the main context. */
-  QuinceObserver *observer;           /* not owned */
-  const QuinceHeartbeats *heartbeats; /* not owned */
-  QuinceStoreFeed *feed;              /* owned */
-  GHashTable *subscribers;            /* QuinceLink to Subscription, both owned; without children */
-  GHashTable *children;               /* set of QuinceLink, owned */
-  GHashTable *replicas;               /* QuinceLink to Replica, both owned */
+  QuinceObserver *observer; /* not owned */
+  QuinceStoreFeed *feed;    /* owned */
+  GHashTable *subscribers;  /* QuinceLink to Subscription, both owned; without children */
+  GHashTable *children;     /* set of QuinceLink, owned */
+  GHashTable *replicas;     /* QuinceLink to Replica, both owned */
   gboolean leading;
   gboolean relays_named;    /* this leader has named relays */
   gint64 leading_since_us;  /* monotonic */
@@ -83,11 +82,10 @@
 }
 
 QuinceFeedService *
-quince_feed_service_new (QuinceObserver *observer, const QuinceHeartbeats *heartbeats)
+quince_feed_service_new (QuinceObserver *observer)
 {
   QuinceFeedService *service = g_new0 (QuinceFeedService, 1);
   service->observer = observer;
-  service->heartbeats = heartbeats;
   service->feed = quince_store_feed_new (observer);
   service->subscribers
       = g_hash_table_new_full (NULL, NULL, (GDestroyNotify)quince_link_unref, subscription_free);
@@ -135,16 +133,15 @@
          || now_us - service->leading_since_us >= RELAYS_WAIT_US;
 }
 
-/* Returns: (transfer full) (nullable): the message with the relays, empty before they are settled */
+/* Returns: (transfer full) (nullable): the message with the relays */
 static GBytes *
-encode_relays (const QuinceFeedService *service, gint64 now_us)
+encode_relays (const QuinceFeedService *service)
 {
-  gboolean named = service->leading && are_relays_settled (service, now_us);
   g_autoptr (GArray) relays = g_array_new (FALSE, FALSE, sizeof (QuinceFeedRelay));
   GHashTableIter iter;
   gpointer value;
   g_hash_table_iter_init (&iter, service->replicas);
-  while (named && g_hash_table_iter_next (&iter, NULL, &value))
+  while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       const Replica *replica = value;
       const QuinceFeedRelay relay = { replica->node, replica->address, replica->zone };
@@ -153,7 +150,6 @@
     }
   QuinceMessage message = { .kind = QUINCE_MESSAGE_FEED_RELAYS };
   QuinceFeedRelays *wire = &message.QuinceMessage_u.feed_relays;
-  wire->fronts = quince_heartbeats_count_fronts (service->heartbeats);
   wire->relays.relays_val = (QuinceFeedRelay *)relays->data;
   wire->relays.relays_len = relays->len;
   g_autoptr (GBytes) encoded = quince_message_encode (&message, NULL);
@@ -179,14 +175,6 @@
 
 /* ---- Subscribers -------------------------------------------------------- */
 
-static gboolean
-knows_own_keys (const QuinceFeedService *service)
-{
-  guint64 revisions[QUINCE_OBSERVER_N_PREFIXES];
-  quince_observer_get_revisions (service->observer, revisions);
-  return revisions[QUINCE_OBSERVER_N_PREFIXES - 1] != 0;
-}
-
 static void
 feed_subscriber (QuinceFeedService *service, QuinceLink *link, Subscription *subscription)
 {
@@ -218,13 +206,15 @@
     quince_store_feed_exchange_policies (service->observer, link, subscription->subscribe);
 }
 
-/* Sends the relays to the fronts that do not have them; without any relay, feeds these fronts. */
+/* Sends the relays, once they are settled, to the fronts that do not have them; without any relay, feeds
+ * these fronts. */
 static void
 name_relays (QuinceFeedService *service)
 {
-  gint64 now_us = quince_now_us ();
-  gboolean settled = service->leading && are_relays_settled (service, now_us);
-  gboolean must_feed = settled && count_relays (service) == 0;
+  service->relays_named = service->leading && are_relays_settled (service, quince_now_us ());
+  if (!service->relays_named)
+    return;
+  gboolean must_feed = count_relays (service) == 0;
   g_autoptr (GBytes) encoded = NULL;
   GHashTableIter iter;
   gpointer link;
@@ -241,7 +231,7 @@
           continue;
         }
       if (encoded == NULL)
-        encoded = encode_relays (service, now_us);
+        encoded = encode_relays (service);
       if (encoded == NULL)
         return;
       quince_link_send_bytes (link, encoded);
@@ -277,12 +267,6 @@
 quince_feed_service_step (QuinceFeedService *service)
 {
   send_heartbeats_to_children (service);
-  if (!knows_own_keys (service))
-    return;
-  gboolean settled = service->leading && are_relays_settled (service, quince_now_us ());
-  if (settled && !service->relays_named)
-    invalidate_named_relays (service); /* they were sent an empty list */
-  service->relays_named = settled;
   name_relays (service);
 }
 
@@ -312,7 +296,7 @@
       relays_changed (service);
     }
   admit_subscriber (service, link, subscription);
-  if (role == QUINCE_FEED_ROLE_FRONT && !subscription->fed && knows_own_keys (service))
+  if (role == QUINCE_FEED_ROLE_FRONT && !subscription->fed)
     name_relays (service);
 }
 
--- a/daemons/replica/feed-service.h
+++ b/daemons/replica/feed-service.h
@@ -15,12 +15,10 @@
 #include "observer/store-feed.h"
 #include "runtime/link.h"
 
-#include "heartbeats.h"
-
 typedef struct _QuinceFeedService QuinceFeedService;
 
-/* @observer and @heartbeats, which counts the fronts, must outlive the service. */
-QuinceFeedService *quince_feed_service_new (QuinceObserver *observer, const QuinceHeartbeats *heartbeats);
+/* @observer must outlive the service. */
+QuinceFeedService *quince_feed_service_new (QuinceObserver *observer);
 void quince_feed_service_free (QuinceFeedService *service); /* (nullable) */
 /* Starts or stops to feed the subscribers that only a leader feeds. */
 void quince_feed_service_set_leading (QuinceFeedService *service, gboolean leading);
--- a/daemons/replica/heartbeats.c
+++ b/daemons/replica/heartbeats.c
@@ -120,9 +120,3 @@
 {
   quince_failure_detector_record_heartbeat (heartbeats->detector, quince_now_us (), ack->node);
 }
-
-guint
-quince_heartbeats_count_fronts (const QuinceHeartbeats *heartbeats)
-{
-  return quince_failure_detector_count_listed (heartbeats->detector);
-}
--- a/daemons/replica/heartbeats.h
+++ b/daemons/replica/heartbeats.h
@@ -24,5 +24,3 @@
 void quince_heartbeats_stop_leading (QuinceHeartbeats *heartbeats);
 /* Records that a front answered a heartbeat. */
 void quince_heartbeats_record_ack (QuinceHeartbeats *heartbeats, const QuinceHeartbeatAck *ack);
-/* Returns the number of fronts that the metadata store lists. */
-guint quince_heartbeats_count_fronts (const QuinceHeartbeats *heartbeats);
--- a/daemons/replica/replica-setup.c
+++ b/daemons/replica/replica-setup.c
@@ -64,7 +64,7 @@
   parts->observer = quince_observer_new (parts->store, parts->backends, &quince_platform_observer_codec,
                                          &options, &quince_replica_store_callbacks, parts);
   quince_warmup_coordinator_set_observer (parts->warmup, parts->observer);
-  parts->feed = quince_feed_service_new (parts->observer, parts->heartbeats);
+  parts->feed = quince_feed_service_new (parts->observer);
 }
 
 static void
--- a/lib/core/routing/failure-detector.c
+++ b/lib/core/routing/failure-detector.c
@@ -136,15 +136,3 @@
   g_ptr_array_set_size (silent, 0);
   return FALSE;
 }
-
-guint
-quince_failure_detector_count_listed (const QuinceFailureDetector *detector)
-{
-  guint count = 0;
-  GHashTableIter iter;
-  gpointer value;
-  g_hash_table_iter_init (&iter, detector->entries);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    count += ((const Entry *)value)->listed;
-  return count;
-}
--- a/lib/core/routing/failure-detector.h
+++ b/lib/core/routing/failure-detector.h
@@ -50,7 +50,4 @@
 gboolean
 quince_failure_detector_get_silent (const QuinceFailureDetector *detector, gint64 now_us, GPtrArray *silent);
 
-/* Returns the number of fronts that the store lists. */
-guint quince_failure_detector_count_listed (const QuinceFailureDetector *detector);
-
 G_END_DECLS
--- a/lib/meta/meta-mirror-private.h
+++ b/lib/meta/meta-mirror-private.h
@@ -33,7 +33,8 @@
   guint64 list_revision;   /* revision of the first page of the list in progress */
   const char *reason;      /* why this process reads the store, for the metric; static */
   guint retry_delay_ms;
-  gboolean first_read_pending;   /* waits to be fed: no call has been made and no page has arrived */
+  gboolean first_read_pending;   /* waits to be fed: has made no call, or one for the first page */
+  gboolean pauses_after_page;    /* the call in progress is for the first page alone */
   gboolean page_may_have_lapsed; /* QuinceMetaPage.may_have_lapsed of the page being applied */
   guint read_interval_ms;        /* current interval from an answer to the next watch */
   gint64 watch_started_us;
--- a/lib/meta/meta-mirror.c
+++ b/lib/meta/meta-mirror.c
@@ -216,7 +216,11 @@
       QuinceMetaItem *last = page->items->pdata[page->items->len - 1];
       g_free (mirror->list_after_key);
       mirror->list_after_key = g_strdup (last->key);
-      begin_list (mirror);
+      if (mirror->pauses_after_page)
+        mirror->first_read_pending = TRUE;
+      else
+        begin_list (mirror);
+      mirror->pauses_after_page = FALSE;
     }
   else
     finish_list (mirror);
@@ -344,9 +348,19 @@
   quince_meta_mirror_resume_reads (mirror, "suspended", 0);
 }
 
+void
+quince_meta_mirror_list_first_page (QuinceMetaMirror *mirror)
+{
+  if (!mirror->first_read_pending || mirror->listed_keys != NULL)
+    return;
+  mirror->pauses_after_page = TRUE;
+  handle_read_timer (mirror);
+}
+
 void
 quince_meta_mirror_list_now (QuinceMetaMirror *mirror)
 {
+  mirror->pauses_after_page = FALSE;
   if (mirror->first_read_pending)
     handle_read_timer (mirror);
 }
@@ -354,7 +368,7 @@
 gboolean
 quince_meta_mirror_is_listing (const QuinceMetaMirror *mirror)
 {
-  return mirror->listed_keys != NULL;
+  return mirror->listed_keys != NULL && !mirror->first_read_pending;
 }
 
 gboolean
--- a/lib/meta/meta-mirror.h
+++ b/lib/meta/meta-mirror.h
@@ -83,7 +83,10 @@
 /* Reads the store immediately after a suspension of the machine, since the copy may be stale and a watch may
  * be lost. */
 void quince_meta_mirror_handle_resume (QuinceMetaMirror *mirror);
-/* Starts the first list if the mirror still waits to be fed. */
+/* Reads the first page of the list if the mirror still waits to be fed, and then waits again, unless the page
+ * holds all keys. */
+void quince_meta_mirror_list_first_page (QuinceMetaMirror *mirror);
+/* Starts the first list, or continues it after the first page, if the mirror still waits to be fed. */
 void quince_meta_mirror_list_now (QuinceMetaMirror *mirror);
 /* Returns whether a list is in progress. */
 gboolean quince_meta_mirror_is_listing (const QuinceMetaMirror *mirror);
--- a/lib/observer/observer.c
+++ b/lib/observer/observer.c
@@ -234,6 +234,7 @@
 {
   quince_meta_mirror_list_now (observer->operator_mirror);
   quince_meta_mirror_list_now (observer->own_mirror);
+  quince_meta_mirror_list_first_page (observer->workers_mirror);
 }
 
 void
--- a/lib/observer/observer.h
+++ b/lib/observer/observer.h
@@ -150,7 +150,8 @@
  * before the first one) and quince_zones_evacuated. */
 void quince_observer_set_metrics (QuinceObserver *observer);
 /* Ends the wait before the first listing of the operator's keys and the own keys, which are few: if they have
- * not been fed, they are listed now. */
+ * not been fed, they are listed now.  Of the workers, the first page is listed: in a large deployment it lets
+ * a front serve with some of them, in a small one it holds all. */
 void quince_observer_list_small_prefixes (QuinceObserver *observer);
 /* Ends the wait before the first listing of the workers: if they have not been fed, they are listed now. */
 void quince_observer_list_workers (QuinceObserver *observer);
--- a/lib/protocol/quince_protocol.x
+++ b/lib/protocol/quince_protocol.x
@@ -270,11 +270,8 @@
 };
 
 /* A replica's answer to a subscriber in the role FRONT that it does not feed yet, and later changes: a relay
- * feeds the front.  Without relays: the sender feeds the front, or names relays, as soon as it can. */
-struct QuinceFeedRelays {
-    unsigned int    fronts;           /* that the store lists              */
-    QuinceFeedRelay relays<QUINCE_INDEXES_MAX>;
-};
+ * feeds the front. */
+struct QuinceFeedRelays { QuinceFeedRelay relays<QUINCE_INDEXES_MAX>; };
 
 /* Also sent without items, to show that the sender reads the store. */
 struct QuinceFeedUpdate {
--- a/tests/platform/test-meta-large.c
+++ b/tests/platform/test-meta-large.c
@@ -45,6 +45,36 @@
   world_stop (&world);
 }
 
+/* A front that nobody feeds serves with the workers of the first page until it is its turn to list the
+ * others. */
+static void
+test_first_page_alone (void **state)
+{
+  World world;
+  world_start (&world, 0);
+  for (guint i = 0; i < 5; i++)
+    {
+      g_autofree char *key = g_strdup_printf ("w/%u", i);
+      standin_store_put (world.standin, key, "entry");
+    }
+  Reports reports;
+  QuinceMetaMirror *mirror = new_mirror (&world, &reports, TRUE);
+  guint before = standin_store_get_n_list_calls (world.standin);
+  quince_meta_mirror_list_first_page (mirror);
+  AWAIT (reports.items > 0);
+  run_for (300);
+  assert_int_equal (standin_store_get_n_list_calls (world.standin) - before, 1);
+  assert_false (quince_meta_mirror_is_synced (mirror));
+  assert_false (quince_meta_mirror_is_listing (mirror));
+  quince_meta_mirror_list_now (mirror);
+  AWAIT (reports.synced > 0);
+  assert_int_equal (g_hash_table_size (reports.values), 5);
+  assert_int_equal (standin_store_get_n_list_calls (world.standin) - before, 3);
+  quince_meta_mirror_free (mirror);
+  g_hash_table_unref (reports.values);
+  world_stop (&world);
+}
+
 static QuinceMetaPage *
 make_large_page (guint64 revision, guint n_keys)
 {
@@ -141,6 +171,7 @@
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_rejected_list_continues),
+    cmocka_unit_test (test_first_page_alone),
     cmocka_unit_test (test_large_page_is_applied_in_slices),
     cmocka_unit_test (test_feed_ends_within_a_large_page),
     cmocka_unit_test (test_removals_of_a_large_zone),
