Replicas of a new system list the workers at once

A replica listed the workers only once the first view named it, and so fed the fronts later than before; where the ledger does not exist yet it lists them at its start again.

--- a/daemons/replica/replica-setup.c
+++ b/daemons/replica/replica-setup.c
@@ -60,7 +60,8 @@
 {
   QuinceObserverOptions options;
   quince_observer_read_options (settings, &options);
-  options.workers_wait_to_be_fed = TRUE;
+  /* Before the ledger exists, each replica may be a member of it, and has to feed the others soon. */
+  options.workers_wait_to_be_fed = !quince_settings_get_boolean (settings, "ledger", "found");
   parts->observer = quince_observer_new (parts->store, parts->backends, &quince_platform_observer_codec,
                                          &options, &quince_replica_store_callbacks, parts);
   quince_warmup_coordinator_set_observer (parts->warmup, parts->observer);
