Results of a step that end close together are listed together

Cause: a trainer's waiting read is answered by the first result that is listed, and the trainer reads again half a second to a second later.

Change: results of a step wait for the next expected one for at most results.group_window, never past the step's deadline, and not where they complete the step; a waiting read is answered after all results of one commit were applied.

Platform tests steps, samples, ready-streams and recovery pass.

--- a/daemons/replica/batch-calls.c
+++ b/daemons/replica/batch-calls.c
@@ -38,6 +38,7 @@
   GHashTable *pending_submissions; /* batch id to guint64, both owned: index of the uncommitted record */
   GPtrArray *waiting_calls;        /* WaitingCall, owned */
   QuinceResultCache *result_cache;
+  QuinceTimer *answer_timer; /* answers reads after all committed results were applied; NULL: none are new */
 };
 
 static void
@@ -309,19 +310,34 @@
     }
 }
 
-void
-quince_batch_calls_result_added (QuinceBatchCalls *calls, const QuinceBatchEntry *entry)
+/* Answers the calls that wait for a result that is now listed. */
+static gboolean
+answer_waiting_reads (gpointer data)
 {
+  QuinceBatchCalls *calls = data;
+  quince_timer_clear (&calls->answer_timer);
   for (guint i = calls->waiting_calls->len; i > 0; i--)
     {
       WaitingCall *waiting_call = calls->waiting_calls->pdata[i - 1];
-      if (waiting_call->record_index != 0 || waiting_call->position >= entry->results->len
-          || !g_str_equal (waiting_call->batch, entry->batch->id))
+      const QuinceBatchEntry *entry = waiting_call->record_index == 0
+                                          ? quince_batch_table_find (calls->table, waiting_call->batch)
+                                          : NULL;
+      if (entry == NULL || waiting_call->position >= entry->results->len)
         continue;
       quince_batch_answer_results (calls->result_cache, waiting_call->link, waiting_call->call_id, entry,
                                    waiting_call->position);
       g_ptr_array_remove_index_fast (calls->waiting_calls, i - 1);
     }
+  return G_SOURCE_REMOVE;
+}
+
+/* Results that are committed together are applied one after the other before the timer fires, so that a
+ * waiting read returns all of them rather than the first. */
+void
+quince_batch_calls_handle_result (QuinceBatchCalls *calls)
+{
+  if (calls->answer_timer == NULL)
+    calls->answer_timer = quince_timer_add (0, answer_waiting_reads, calls);
 }
 
 void
@@ -335,6 +351,7 @@
                                   waiting_call->record_index != 0 ? 504 : 503);
     }
   g_ptr_array_set_size (calls->waiting_calls, 0);
+  quince_timer_clear (&calls->answer_timer);
   g_hash_table_remove_all (calls->pending_submissions);
   calls->table = NULL;
   /* Frees the memory, since this replica may not lead again for a long time. */
@@ -357,6 +374,7 @@
 void
 quince_batch_calls_free (QuinceBatchCalls *calls)
 {
+  quince_timer_clear (&calls->answer_timer);
   g_ptr_array_unref (calls->waiting_calls);
   g_hash_table_unref (calls->pending_submissions);
   quince_result_cache_free (calls->result_cache);
--- a/daemons/replica/batch-calls.h
+++ b/daemons/replica/batch-calls.h
@@ -40,7 +40,8 @@
 void quince_batch_calls_submission_committed (QuinceBatchCalls *calls, const char *id);
 /* The record at @index is committed.  Answers the calls that wait for it with the HTTP status @status. */
 void quince_batch_calls_record_committed (QuinceBatchCalls *calls, guint64 index, guint status);
-/* A result was added to @entry.  Answers the calls that wait for it. */
-void quince_batch_calls_result_added (QuinceBatchCalls *calls, const QuinceBatchEntry *entry);
+/* A result was added to a batch.  Answers the calls that wait for it, after all results that are committed
+ * with it were added. */
+void quince_batch_calls_handle_result (QuinceBatchCalls *calls);
 /* Answers all waiting calls with 503 or 504, and drops the table and the unpacked results. */
 void quince_batch_calls_stop_leading (QuinceBatchCalls *calls);
--- a/daemons/replica/batch-service.c
+++ b/daemons/replica/batch-service.c
@@ -5,12 +5,12 @@
 
 #include "runtime/log.h"
 #include "runtime/metrics.h"
-#include "runtime/packed-message.h"
 #include "runtime/clock.h"
 #include "runtime/timer.h"
 
 #include "batch-answers.h"
 #include "batch-calls.h"
+#include "result-queue.h"
 #include "step-demand.h"
 
 /* Interval of the check for batches past their retention (ledger.keep). */
@@ -30,10 +30,12 @@
   QuinceBatchTable *table; /* NULL at a backup; created when a new leader reads its log */
   QuinceBatchCalls *calls;
   QuinceSampleRunner *runner; /* NULL: not leading */
+  QuinceResultQueue *results; /* NULL: not leading */
   QuinceTimer *forget_timer;
   guint64 synced_successor;     /* successor number that all progress was sent to; 0: none */
   guint samples_without_result; /* over all batches, ended ones included */
   gint64 retention_us;
+  gint64 result_window_us;
 };
 
 /* ---- Events of the table ------------------------------------------------- */
@@ -84,7 +86,7 @@
 {
   QuinceBatchService *service = data;
   service->samples_without_result--;
-  quince_batch_calls_result_added (service->calls, entry);
+  quince_batch_calls_handle_result (service->calls);
 }
 
 static void
@@ -98,6 +100,7 @@
   quince_step_demand_record_end (service->placement, entry->batch,
                                  quince_sample_runner_get_batch_route (service->runner, entry->batch));
   quince_sample_runner_remove (service->runner, entry);
+  quince_result_queue_flush_batch (service->results, entry->batch->id);
 }
 
 static void
@@ -158,26 +161,52 @@
 
 /* ---- Samples ---------------------------------------------------------- */
 
+/* Returns when the training step of @entry is due, monotonic, us; 0 if it is no step or has no deadline. */
+static gint64
+get_step_due_us (QuinceBatchService *service, const QuinceBatchEntry *entry)
+{
+  const QuinceRoute *route = quince_sample_runner_get_batch_route (service->runner, entry->batch);
+  if (entry->batch->wanted_groups == 0 || route == NULL || route->deadline_ms == 0)
+    return 0;
+  gint64 due_in_ms = (gint64)entry->batch->submitted_ms + route->deadline_ms - quince_wall_ms ();
+  return quince_now_us () + due_in_ms * 1000;
+}
+
 static void
-append_result (const QuinceBatchResult *result, gpointer data)
+queue_result (const QuinceBatchResult *result, gpointer data)
 {
   QuinceBatchService *service = data;
-  g_autoptr (GBytes) body = quince_batch_result_pack (result);
-  if (body == NULL)
-    {
-      quince_log_failure ("result_refused", "batch=%s item=%u reason=encoding", result->batch, result->item);
-      return;
-    }
-  gsize length;
-  QuinceBatchRecord record = { .kind = QUINCE_BATCH_RECORD_LISTED };
-  QuinceListedResult *listed = &record.QuinceBatchRecord_u.listed;
-  listed->batch = result->batch;
-  listed->item = result->item;
-  listed->body.body_val = (char *)g_bytes_get_data (body, &length);
-  listed->body.body_len = (u_int)length;
-  quince_ledger_node_append (service->ledger, &record);
+  const QuinceBatchEntry *entry = quince_batch_table_find (service->table, result->batch);
+  quince_result_queue_add (service->results, result, entry != NULL ? get_step_due_us (service, entry) : 0);
+}
+
+static void
+append_result_record (const QuinceBatchRecord *record, gpointer data)
+{
+  QuinceBatchService *service = data;
+  quince_ledger_node_append (service->ledger, record);
 }
 
+static gint64
+get_next_result_us (const char *batch, gpointer data)
+{
+  QuinceBatchService *service = data;
+  return quince_sample_runner_get_next_result_us (service->runner, batch);
+}
+
+static gboolean
+completes_step (const char *batch, const GArray *items, gpointer data)
+{
+  QuinceBatchService *service = data;
+  const QuinceBatchEntry *entry = quince_batch_table_find (service->table, batch);
+  return entry == NULL
+         || quince_batch_entry_count_complete_groups (entry, items) >= entry->batch->wanted_groups;
+}
+
+static const QuinceResultQueueCallbacks result_callbacks = { .append = append_result_record,
+                                                             .get_next_result_us = get_next_result_us,
+                                                             .completes_step = completes_step };
+
 static gboolean
 may_run (gpointer data)
 {
@@ -185,7 +214,7 @@
   return quince_ledger_node_may_answer (service->ledger);
 }
 
-static const QuinceSampleRunnerCallbacks runner_callbacks = { .result = append_result, .may_run = may_run };
+static const QuinceSampleRunnerCallbacks runner_callbacks = { .result = queue_result, .may_run = may_run };
 
 GPtrArray *
 quince_batch_service_list (QuinceBatchService *service)
@@ -321,6 +350,7 @@
   ensure_table (service);
   service->runner = quince_sample_runner_new (service->backends, service->observer, service->progress,
                                               &runner_callbacks, service);
+  service->results = quince_result_queue_new (service->result_window_us, &result_callbacks, service);
   g_autoptr (GPtrArray) entries = quince_batch_table_list (service->table);
   for (guint i = 0; i < entries->len; i++)
     {
@@ -339,6 +369,7 @@
 quince_batch_service_stop_leading (QuinceBatchService *service)
 {
   quince_timer_clear (&service->forget_timer);
+  g_clear_pointer (&service->results, quince_result_queue_free);
   g_clear_pointer (&service->runner, quince_sample_runner_free);
   quince_batch_calls_stop_leading (service->calls);
   quince_residency_coordinator_remove_admitted (service->residency, NULL);
@@ -351,7 +382,8 @@
                           QuinceObserver *observer,
                           QuinceModelPlacement *placement,
                           QuinceProgressStore *progress,
-                          gint64 retention_us)
+                          gint64 retention_us,
+                          gint64 result_window_us)
 {
   QuinceBatchService *service = g_new0 (QuinceBatchService, 1);
   service->backends = backends;
@@ -359,6 +391,7 @@
   service->placement = placement;
   service->progress = progress;
   service->retention_us = retention_us;
+  service->result_window_us = result_window_us;
   service->calls = quince_batch_calls_new ();
   return service;
 }
@@ -381,6 +414,7 @@
   if (service == NULL)
     return;
   quince_timer_clear (&service->forget_timer);
+  quince_result_queue_free (service->results);
   quince_sample_runner_free (service->runner);
   quince_batch_calls_free (service->calls);
   quince_batch_table_free (service->table);
--- a/daemons/replica/batch-service.h
+++ b/daemons/replica/batch-service.h
@@ -28,6 +28,7 @@
  * @progress: (transfer none): texts of samples that a former leader sent to this replica
  * @retention_us: time from the submission of a batch to its deletion, by the wall clock.  Only ended batches
  * and those with all results are deleted
+ * @result_window_us: maximum time for which a result of a training step waits for the next ones, us; 0: none
  *
  * The objects must outlive the service.
  */
@@ -35,7 +36,8 @@
                                               QuinceObserver *observer,
                                               QuinceModelPlacement *placement,
                                               QuinceProgressStore *progress,
-                                              gint64 retention_us);
+                                              gint64 retention_us,
+                                              gint64 result_window_us);
 void quince_batch_service_free (QuinceBatchService *service);
 /* Call once, before any other function.  All arguments: (transfer none): must outlive the service */
 void quince_batch_service_set_ledger (QuinceBatchService *service,
--- a/daemons/replica/replica-settings.c
+++ b/daemons/replica/replica-settings.c
@@ -27,6 +27,8 @@
     "zones that may be lost at once; where there are any, members of the ledger are spread over zones" },
   { "ledger", "keep", QUINCE_SETTING_DURATION, FALSE, "120s", QUINCE_SECOND_US, 2000 * QUINCE_SECOND_US, NULL,
     "a closed batch is forgotten so long after its submission" },
+  { "results", "group_window", QUINCE_SETTING_DURATION, FALSE, "0ms", 0, QUINCE_SECOND_US, NULL,
+    "maximum time for which a result of a training step waits to be listed with the next ones; 0: none" },
   { "orders", "pause", QUINCE_SETTING_DURATION, FALSE, "3s", 0, 600 * QUINCE_SECOND_US, NULL,
     "a new leader gives no orders to workers for this long" },
   { "duties", "address", QUINCE_SETTING_ADDRESS, FALSE, NULL, 0, 0, NULL,
--- a/daemons/replica/replica-setup.c
+++ b/daemons/replica/replica-setup.c
@@ -72,10 +72,11 @@
 create_batches (QuinceReplicaParts *parts, const QuinceSettings *settings)
 {
   gint64 retention_us = quince_settings_get_duration_us (settings, "ledger", "keep");
+  gint64 result_window_us = quince_settings_get_duration_us (settings, "results", "group_window");
   parts->placement = quince_model_placement_new ();
   parts->progress = quince_progress_store_new ();
   parts->batches = quince_batch_service_new (parts->backends, parts->observer, parts->placement,
-                                             parts->progress, retention_us);
+                                             parts->progress, retention_us, result_window_us);
 }
 
 static guint
--- a/daemons/replica/sample-demand.c
+++ b/daemons/replica/sample-demand.c
@@ -3,6 +3,7 @@
  */
 #include "sample-demand.h"
 
+#include "core/batches/result-batching.h"
 #include "core/scaling/scale-plan.h"
 #include "runtime/clock.h"
 
@@ -42,6 +43,39 @@
     }
 }
 
+/* Returns when the result of @sample is expected, monotonic, us; 0 if that cannot be estimated. */
+static gint64
+estimate_result_us (QuinceSampleSet *set, const QuinceSample *sample, gint64 now_us)
+{
+  gint64 reward_time_us = quince_sample_set_get_reward_time_us (set, sample);
+  if (sample->state == QUINCE_SAMPLE_SCORING && sample->reward != NULL)
+    return quince_result_batching_expect_reward_us (now_us, sample->reward_started_us, reward_time_us);
+  if (sample->state != QUINCE_SAMPLE_RUNNING)
+    return 0;
+  const QuinceWorker *worker
+      = quince_worker_table_find (quince_backends_get_workers (set->backends), sample->worker_id);
+  gint64 pace_us = worker != NULL ? quince_worker_get_pace_us (worker, now_us) : 0;
+  double events = quince_sample_set_estimate_remaining_events (set, sample);
+  return quince_result_batching_expect_text_us (events, pace_us, sample->last_event_us, reward_time_us);
+}
+
+gint64
+quince_sample_demand_get_next_result_us (QuinceSampleSet *set, const char *batch)
+{
+  gint64 now = quince_now_us ();
+  gint64 next_us = 0;
+  for (guint i = 0; i < set->samples->len; i++)
+    {
+      const QuinceSample *sample = set->samples->pdata[i];
+      if (!g_str_equal (sample->entry->batch->id, batch))
+        continue;
+      gint64 expected_us = estimate_result_us (set, sample, now);
+      if (expected_us > 0 && (next_us == 0 || expected_us < next_us))
+        next_us = expected_us;
+    }
+  return next_us;
+}
+
 /* Returns the mean time between two events at the workers of @service, us; 0 if no pace is measured. */
 static gint64
 get_mean_pace_us (QuinceSampleSet *set, const char *service, gint64 now_us)
--- a/daemons/replica/sample-reward.c
+++ b/daemons/replica/sample-reward.c
@@ -26,6 +26,7 @@
                        && result->head->status < 300 && result->signature != NULL;
   if (is_scored)
     {
+      quince_sample_set_record_reward_time (set, sample, quince_now_us () - sample->reward_started_us);
       quince_sample_result_complete (set, sample, result->signature, "scored");
       return;
     }
@@ -66,6 +67,7 @@
                                          .target_latency_ms = route->target_latency_ms,
                                          .deadline_us = now + timeout_us,
                                          .give_up_us = now + timeout_us };
+  sample->reward_started_us = now;
   sample->reward = quince_forward_start (set->backends, &quince_platform_forward_codec, &request,
                                          handle_reward_result, sample);
 }
--- a/daemons/replica/sample-runner.c
+++ b/daemons/replica/sample-runner.c
@@ -275,6 +275,12 @@
   return quince_sample_demand_get_slots_needed (&runner->set, service);
 }
 
+gint64
+quince_sample_runner_get_next_result_us (QuinceSampleRunner *runner, const char *batch)
+{
+  return quince_sample_demand_get_next_result_us (&runner->set, batch);
+}
+
 guint
 quince_sample_runner_get_n_waiting (const QuinceSampleRunner *runner)
 {
--- a/daemons/replica/sample-runner.h
+++ b/daemons/replica/sample-runner.h
@@ -55,6 +55,8 @@
 /* Returns how many slots at workers of @service its waiting and running samples need to end before their
  * deadlines. */
 double quince_sample_runner_get_slots_needed (QuinceSampleRunner *runner, const char *service);
+/* See quince_sample_demand_get_next_result_us(). */
+gint64 quince_sample_runner_get_next_result_us (QuinceSampleRunner *runner, const char *batch);
 /* Returns the number of samples that waited for a worker at the last check. */
 guint quince_sample_runner_get_n_waiting (const QuinceSampleRunner *runner);
 guint quince_sample_runner_get_n_running (const QuinceSampleRunner *runner);
--- a/daemons/replica/sample-set.c
+++ b/daemons/replica/sample-set.c
@@ -11,6 +11,9 @@
 /* Time for which the fastest pace of a service is cached, us, since each dispatch reads it. */
 #define FASTEST_PACE_TTL_US (100 * 1000)
 
+/* Weight of the newest reward call in the smoothed duration: about the last ten calls count. */
+#define REWARD_TIME_NEWEST_WEIGHT 0.2
+
 /* Cached pace of the fastest worker of a service. */
 typedef struct
 {
@@ -33,6 +36,7 @@
     .length_models
     = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, (GDestroyNotify)quince_length_model_free),
     .paces = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free),
+    .reward_times = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free),
     .callbacks = callbacks,
     .owner = owner,
   };
@@ -45,6 +49,7 @@
   quince_step_reports_free (set->reports);
   g_hash_table_unref (set->length_models);
   g_hash_table_unref (set->paces);
+  g_hash_table_unref (set->reward_times);
 }
 
 /* ---- Routes and lengths ------------------------------------------------- */
@@ -99,6 +104,28 @@
       sample->last_event);
 }
 
+/* ---- Reward calls -------------------------------------------------------- */
+
+void
+quince_sample_set_record_reward_time (QuinceSampleSet *set, const QuinceSample *sample, gint64 duration_us)
+{
+  const char *model = sample->entry->batch->model;
+  gint64 *smoothed_us = g_hash_table_lookup (set->reward_times, model);
+  if (smoothed_us == NULL)
+    g_hash_table_insert (set->reward_times, g_strdup (model), g_memdup2 (&duration_us, sizeof duration_us));
+  else
+    *smoothed_us += (gint64)(REWARD_TIME_NEWEST_WEIGHT * (double)(duration_us - *smoothed_us));
+}
+
+gint64
+quince_sample_set_get_reward_time_us (const QuinceSampleSet *set, const QuinceSample *sample)
+{
+  if (quince_sample_get_item (sample)->reward.reward_len == 0)
+    return 0;
+  const gint64 *smoothed_us = g_hash_table_lookup (set->reward_times, sample->entry->batch->model);
+  return smoothed_us != NULL ? *smoothed_us : 0;
+}
+
 /* ---- Services ----------------------------------------------------------- */
 
 /* Returns the time between two events of the fastest worker, us, cached for FASTEST_PACE_TTL_US; 0 if no pace
--- a/daemons/replica/sample-set.h
+++ b/daemons/replica/sample-set.h
@@ -33,6 +33,7 @@
   GPtrArray *samples;         /* QuinceSample, owned, in dispatch order */
   GHashTable *length_models;  /* QuinceLengthModel by model, owned */
   GHashTable *paces;          /* cached fastest pace by service, owned */
+  GHashTable *reward_times;   /* smoothed duration of reward calls (gint64, us) by model, both owned */
   guint running;              /* number of running samples */
   guint waiting;              /* number of waiting samples at the last check */
   const QuinceSampleSetCallbacks *callbacks;
@@ -59,6 +60,11 @@
 QuinceLengthModel *quince_sample_set_get_length_model (QuinceSampleSet *set, const char *model);
 /* Returns the expected number of remaining events of @sample. */
 double quince_sample_set_estimate_remaining_events (QuinceSampleSet *set, const QuinceSample *sample);
+/* Records that the reward call of @sample took @duration_us. */
+void
+quince_sample_set_record_reward_time (QuinceSampleSet *set, const QuinceSample *sample, gint64 duration_us);
+/* Returns the usual duration of the reward call of @sample, us; 0 if it has none or none was measured. */
+gint64 quince_sample_set_get_reward_time_us (const QuinceSampleSet *set, const QuinceSample *sample);
 /* Returns the service of @route whose workers run @sample. */
 const char *quince_sample_set_pick_service (const QuinceRoute *route, const QuinceSample *sample);
 
--- a/daemons/replica/sample.h
+++ b/daemons/replica/sample.h
@@ -67,7 +67,8 @@
   void (*run_ended) (QuinceSample *sample, QuinceRunEnd end, const char *cause, gpointer user_data);
   gpointer user_data;
 
-  QuinceForward *reward; /* the reward call; NULL: none */
+  QuinceForward *reward;    /* the reward call; NULL: none */
+  gint64 reward_started_us; /* start of the last reward call, monotonic */
 };
 
 QuinceSample *quince_sample_new (QuinceBatchEntry *entry, guint item);
--- a/lib/core/batches/batch-table.c
+++ b/lib/core/batches/batch-table.c
@@ -195,3 +195,38 @@
       return (gint)i;
   return -1;
 }
+
+/* Returns whether each item has a result or is in @ready_items, by item index. */
+static gboolean *
+list_ready_items (const QuinceBatchEntry *entry, const GArray *ready_items)
+{
+  guint n_items = entry->batch->items.items_len;
+  gboolean *is_ready = g_memdup2 (entry->has_result, n_items * sizeof *is_ready);
+  for (guint i = 0; i < ready_items->len; i++)
+    if (g_array_index (ready_items, guint, i) < n_items)
+      is_ready[g_array_index (ready_items, guint, i)] = TRUE;
+  return is_ready;
+}
+
+guint
+quince_batch_entry_count_complete_groups (const QuinceBatchEntry *entry, const GArray *ready_items)
+{
+  g_autofree gboolean *is_ready = list_ready_items (entry, ready_items);
+  g_autoptr (GHashTable) groups = g_hash_table_new (g_str_hash, g_str_equal);
+  g_autoptr (GHashTable) incomplete_groups = g_hash_table_new (g_str_hash, g_str_equal);
+  guint n_single_items = 0;
+  for (guint i = 0; i < entry->batch->items.items_len; i++)
+    {
+      char *group = entry->batch->items.items_val[i].group;
+      if (*group == '\0') /* a group of its own */
+        n_single_items += is_ready[i];
+      else
+        g_hash_table_add (is_ready[i] ? groups : incomplete_groups, group);
+    }
+  GHashTableIter iter;
+  gpointer group;
+  g_hash_table_iter_init (&iter, incomplete_groups);
+  while (g_hash_table_iter_next (&iter, &group, NULL))
+    g_hash_table_remove (groups, group);
+  return n_single_items + g_hash_table_size (groups);
+}
--- a/lib/core/batches/batch-table.h
+++ b/lib/core/batches/batch-table.h
@@ -58,6 +58,9 @@
 guint quince_batch_table_get_size (const QuinceBatchTable *table);
 /* (transfer container): Returns all batches (QuinceBatchEntry) in the order of their submission. */
 GPtrArray *quince_batch_table_list (QuinceBatchTable *table);
+/* Returns how many groups are complete: all their items have a result or are in @ready_items.
+ * @ready_items: (element-type guint): item indexes */
+guint quince_batch_entry_count_complete_groups (const QuinceBatchEntry *entry, const GArray *ready_items);
 /* Returns the index of the item with the id @item_id, or -1 if there is none. */
 gint quince_batch_entry_find_item (const QuinceBatchEntry *entry, const char *item_id);
 
--- a/tests/platform/path-world.h
+++ b/tests/platform/path-world.h
@@ -215,7 +215,8 @@
   g_mkdir_with_parents (data, 0700);
   g_autofree char *settings = g_strdup_printf (
       "[node]\nname=%s\n%s[listen]\nlink=%s\n[store]\naddress=%s\n%s[ledger]\n"
-      "folder=%s\nfound=%s\n%s\n[orders]\npause=500ms\n[policy]\nfile=%s/deploy/policy.lua\n%s",
+      "folder=%s\nfound=%s\n%s\n[results]\ngroup_window=500ms\n[orders]\npause=500ms\n[policy]\nfile=%s/"
+      "deploy/policy.lua\n%s",
       name, zone_settings, world->links[index] != NULL ? world->links[index] : "127.0.0.1:0",
       standin_store_get_address (world->store), world->store_settings != NULL ? world->store_settings : "",
       data, world->bootstrapped ? "false" : "true", world->losses != NULL ? world->losses : "losses=1",
--- a/tests/platform/test-steps.c
+++ b/tests/platform/test-steps.c
@@ -10,6 +10,8 @@
 #define STEPS 4
 #define EVENT_EVERY_MS 50
 #define IN_PROGRESS 4 /* samples that run when the fault is made */
+/* Results of the groups that path_make_batch() wants: two groups of two samples. */
+#define STEP_WANTED_RESULTS 4
 
 /* ---- Training ----------------------------------------------------------- */
 
@@ -130,6 +132,31 @@
   relayed_world_free (scene.world);
 }
 
+/* ---- Waiting reads ------------------------------------------------------ */
+
+/* A read that the first result answers misses the others, so that the trainer ends its step a reading
+ * interval later.  The texts of a step are equally long here and end at the same time. */
+static void
+test_waiting_read_completes_step (void **state)
+{
+  static Scene scene;
+  start_scene (&scene);
+  trainer_submit (&scene.trainer);
+  PathAnswer answer;
+  path_start_call_with_header (path_front (scene.world->path, 0), "GET", "/quinceroute/lots/step0?afterRev=0",
+                               "q", NULL, "Wait-Ms", "1000", &answer);
+  AWAIT (answer.done);
+  assert_int_equal (answer.status, 200);
+  guint n_results = path_count_occurrences (answer.body, "\"state\":");
+  print_message ("  results=%u\n", n_results);
+  assert_true (n_results >= STEP_WANTED_RESULTS);
+  path_answer_clear (&answer);
+  AWAIT (trainer_try_read_all (&scene.trainer, scene.trainer.steps->pdata[0]));
+  trainer_assert_all_steps (&scene.trainer);
+  trainer_clear (&scene.trainer);
+  relayed_world_free (scene.world);
+}
+
 /* ---- Acceptance --------------------------------------------------------- */
 
 /* The leader alone must not accept a step: it dies, and the others never had it. */
@@ -293,9 +320,8 @@
   if (argc > 1)
     cmocka_set_test_filter (argv[1]);
   const struct CMUnitTest others[] = {
-    cmocka_unit_test (test_store_down_throughout),
-    cmocka_unit_test (test_accepted_by_majority),
-    cmocka_unit_test (test_fresh_under_new_leader),
+    cmocka_unit_test (test_store_down_throughout), cmocka_unit_test (test_waiting_read_completes_step),
+    cmocka_unit_test (test_accepted_by_majority),  cmocka_unit_test (test_fresh_under_new_leader),
     cmocka_unit_test (test_frozen_leader_goes_on),
   };
   enum
