Result batching: results of a late step wait for each other again

Change: nothing waits from the step's deadline until 0.7 s later, while results still count as in time; after that they wait as before.

--- a/lib/core/batches/result-batching.c
+++ b/lib/core/batches/result-batching.c
@@ -5,6 +5,8 @@
 
 /* Shortest wait, us.  Estimates change with each event, so more frequent decisions would only cost time. */
 #define WAIT_MIN_US (20 * 1000)
+/* Time after its step is due in which a result still counts as in time for its group, us. */
+#define GRACE_US (700 * 1000)
 /* Multiple of its usual duration after which the end of a reward call is no longer predictable. */
 #define REWARD_TIME_FACTOR_MAX 2
 
@@ -12,7 +14,8 @@
 quince_result_batching_wait_us (const QuinceResultBatchingInput *input)
 {
   gint64 latest_us = input->ready_us + input->window_us;
-  if (input->due_us > 0)
+  gboolean is_late = input->due_us > 0 && input->now_us >= input->due_us + GRACE_US;
+  if (input->due_us > 0 && !is_late)
     latest_us = MIN (latest_us, input->due_us);
   gboolean next_is_near = input->next_ready_us > 0 && input->next_ready_us <= latest_us;
   if (!next_is_near || input->completes_step || input->now_us >= latest_us)
--- a/lib/core/batches/result-batching.h
+++ b/lib/core/batches/result-batching.h
@@ -38,7 +38,8 @@
  *
  * Decides how long the unlisted results of a step still wait.  They wait for the next result only if it is
  * expected before the oldest of them has waited for @window_us and before the step is due, and if the trainer
- * needs more results than these.
+ * needs more results than these.  Nothing waits while the step is due and its results still count as in time;
+ * after that, an early end of the step counts again.
  *
  * Returns: time until the next decision, us; 0: the results are listed now
  */
--- a/tests/unit/test-result-batching.c
+++ b/tests/unit/test-result-batching.c
@@ -46,6 +46,9 @@
   /* A result never waits past the time at which its step is due. */
   assert_int_equal (wait_us (7400 * MS, 7400 * MS, 7520 * MS), 0);
   assert_int_equal (wait_us (7600 * MS, 7600 * MS, 7650 * MS), 0);
+  assert_int_equal (wait_us (8100 * MS, 8100 * MS, 8150 * MS), 0);
+  /* The step is late: only its end counts. */
+  assert_int_equal (wait_us (8300 * MS, 8300 * MS, 8400 * MS), 100 * MS);
 }
 
 /* The trainer can end its step: waiting would delay it. */
