Moves of runs: slow phases of workers that end soon are no reason to move

Cause: a run was moved by the smoothed pace of its worker as if that pace lasted. Where workers are slow for 0.6 s now and then, the phase is mostly over before a move pays off.

Change: each worker keeps its usual pace and how long its slow phases lasted; where five phases of a service have ended, the rest of a text is expected at the usual pace plus what the rest of an average phase costs. Elsewhere the decision is the same as before.

--- a/daemons/replica/sample-moves.c
+++ b/daemons/replica/sample-moves.c
@@ -72,10 +72,13 @@
   if (is_slow (worker, &view, now_us))
     {
       gint64 target_pace_us = get_best_target_pace_us (set, sample, &view, now_us);
+      double remaining = quince_sample_set_estimate_remaining_events (set, sample);
+      gint64 here_us = quince_pace_history_expect_text_us (&worker->pace_history, now_us, remaining,
+                                                           quince_worker_get_pace_us (worker, now_us),
+                                                           view.slow_phase_us);
       is_worthwhile
           = target_pace_us > 0
-            && quince_sample_move_is_worthwhile (quince_sample_set_estimate_remaining_events (set, sample),
-                                                 quince_worker_get_pace_us (worker, now_us), target_pace_us);
+            && quince_sample_move_saves_enough ((double)here_us, remaining * (double)target_pace_us);
     }
   quince_sample_service_view_clear (&view);
   return is_worthwhile;
--- a/daemons/replica/sample-set.c
+++ b/daemons/replica/sample-set.c
@@ -8,18 +8,19 @@
 
 /* Slots of a worker if its service has none configured. */
 #define SLOTS_DEFAULT 8
-/* Time for which the fastest pace of a service is cached, us, since each dispatch reads it. */
-#define FASTEST_PACE_TTL_US (100 * 1000)
+/* Time for which the paces of a service are cached, us, since each dispatch reads them. */
+#define PACES_TTL_US (100 * 1000)
 
 /* Weight of the newest reward call in the smoothed duration: about the last ten calls count. */
 #define REWARD_TIME_NEWEST_WEIGHT 0.2
 
-/* Cached pace of the fastest worker of a service. */
+/* Cached paces of the workers of a service. */
 typedef struct
 {
   gint64 measured_us;
-  gint64 pace_us; /* 0: no pace is measured */
-} ServicePace;
+  gint64 fastest_us;    /* time between two events at the fastest worker; 0: no pace is measured */
+  gint64 slow_phase_us; /* mean duration of a slow phase of a worker; 0: not known */
+} ServicePaces;
 
 void
 quince_sample_set_init (QuinceSampleSet *set,
@@ -128,22 +129,31 @@
 
 /* ---- Services ----------------------------------------------------------- */
 
-/* Returns the time between two events of the fastest worker, us, cached for FASTEST_PACE_TTL_US; 0 if no pace
- * is measured. */
 static gint64
-get_fastest_pace_us (QuinceSampleSet *set, const char *service, const GPtrArray *workers, gint64 now_us)
+get_mean_slow_phase_us (const GPtrArray *workers)
 {
-  ServicePace *pace = g_hash_table_lookup (set->paces, service);
-  if (pace != NULL && now_us - pace->measured_us < FASTEST_PACE_TTL_US)
-    return pace->pace_us;
-  if (pace == NULL)
+  QuinceSlowPhases phases = { 0 };
+  for (guint i = 0; i < workers->len; i++)
+    quince_slow_phases_add (&phases, &((const QuinceWorker *)workers->pdata[i])->pace_history);
+  return quince_slow_phases_get_mean_us (&phases);
+}
+
+/* Returns the paces of @workers, which serve @service, measured at most PACES_TTL_US ago. */
+static const ServicePaces *
+get_paces (QuinceSampleSet *set, const char *service, const GPtrArray *workers, gint64 now_us)
+{
+  ServicePaces *paces = g_hash_table_lookup (set->paces, service);
+  if (paces != NULL && now_us - paces->measured_us < PACES_TTL_US)
+    return paces;
+  if (paces == NULL)
     {
-      pace = g_new0 (ServicePace, 1);
-      g_hash_table_insert (set->paces, g_strdup (service), pace);
+      paces = g_new0 (ServicePaces, 1);
+      g_hash_table_insert (set->paces, g_strdup (service), paces);
     }
-  pace->measured_us = now_us;
-  pace->pace_us = quince_workers_get_fastest_pace_us (workers, now_us);
-  return pace->pace_us;
+  paces->measured_us = now_us;
+  paces->fastest_us = quince_workers_get_fastest_pace_us (workers, now_us);
+  paces->slow_phase_us = get_mean_slow_phase_us (workers);
+  return paces;
 }
 
 const char *
@@ -166,7 +176,9 @@
   const QuinceService *service = quince_route_table_find_service (routes, view->service);
   view->slots = service != NULL && service->slots > 0 ? service->slots : SLOTS_DEFAULT;
   view->workers = quince_worker_table_list (quince_backends_get_workers (set->backends), view->service);
-  view->fastest_pace_us = get_fastest_pace_us (set, view->service, view->workers, now_us);
+  const ServicePaces *paces = get_paces (set, view->service, view->workers, now_us);
+  view->fastest_pace_us = paces->fastest_us;
+  view->slow_phase_us = paces->slow_phase_us;
 }
 
 void
--- a/daemons/replica/sample-set.h
+++ b/daemons/replica/sample-set.h
@@ -32,7 +32,7 @@
   QuinceStepReports *reports; /* owned */
   GPtrArray *samples;         /* QuinceSample, owned, in dispatch order */
   GHashTable *length_models;  /* QuinceLengthModel by model, owned */
-  GHashTable *paces;          /* cached fastest pace by service, owned */
+  GHashTable *paces;          /* cached paces by service, owned */
   GHashTable *reward_times;   /* smoothed duration of reward calls (gint64, us) by model, both owned */
   guint running;              /* number of running samples */
   guint waiting;              /* number of waiting samples at the last check */
@@ -74,6 +74,7 @@
   const char *service;
   GPtrArray *workers;     /* owned reference: QuinceWorker */
   gint64 fastest_pace_us; /* time between two events at the fastest worker; 0: not measured */
+  gint64 slow_phase_us;   /* mean duration of a slow phase of a worker; 0: not known */
   guint slots;            /* maximum concurrent runs of one worker */
 } QuinceSampleServiceView;
 
--- a/lib/core/decisions/sample-move.c
+++ b/lib/core/decisions/sample-move.c
@@ -32,13 +32,18 @@
          && sample->run_us >= RUN_BEFORE_MOVE_MIN_US;
 }
 
+gboolean
+quince_sample_move_saves_enough (double here_us, double there_us)
+{
+  double gain_us = here_us - there_us - MOVE_COST_US;
+  return gain_us >= MOVE_GAIN_MIN_US && gain_us >= MOVE_GAIN_MIN_FRACTION * here_us;
+}
+
 gboolean
 quince_sample_move_is_worthwhile (double remaining, gint64 pace_us, gint64 target_pace_us)
 {
-  double remaining_here_us = remaining * (double)pace_us;
-  double remaining_there_us = remaining * (double)target_pace_us + MOVE_COST_US;
-  double gain_us = remaining_here_us - remaining_there_us;
-  return pace_us > 0 && gain_us >= MOVE_GAIN_MIN_US && gain_us >= MOVE_GAIN_MIN_FRACTION * remaining_here_us;
+  return pace_us > 0
+         && quince_sample_move_saves_enough (remaining * (double)pace_us, remaining * (double)target_pace_us);
 }
 
 gboolean
--- a/lib/core/decisions/sample-move.h
+++ b/lib/core/decisions/sample-move.h
@@ -44,6 +44,16 @@
  */
 gboolean quince_sample_move_is_worthwhile (double remaining, gint64 pace_us, gint64 target_pace_us);
 
+/**
+ * quince_sample_move_saves_enough:
+ * @here_us: expected time until the text is complete at its worker, us; see pace-history.h
+ * @there_us: the same at the other worker, us, without the cost of the move
+ *
+ * The same decision as quince_sample_move_is_worthwhile(), for a worker whose pace is expected to change
+ * before the text is complete.
+ */
+gboolean quince_sample_move_saves_enough (double here_us, double there_us);
+
 /* Returns whether a sample may be moved to @worker, which has the weights that the sample needs: the worker
  * is listed, is not draining, loading, ejected or cold, and runs fewer than @slots requests of this process.
  * @now_us: monotonic, us */
--- a/lib/core/routing/worker-table.c
+++ b/lib/core/routing/worker-table.c
@@ -411,6 +411,7 @@
   else
     worker->pace_us += (measured_us - worker->pace_us) >> PACE_SHIFT;
   worker->pace_measured_us = now_us;
+  quince_pace_history_record (&worker->pace_history, now_us, measured_us);
 }
 
 gboolean
--- a/lib/core/routing/worker-table.h
+++ b/lib/core/routing/worker-table.h
@@ -5,7 +5,7 @@
  */
 #pragma once
 
-#include <glib.h>
+#include "core/routing/pace-history.h"
 
 G_BEGIN_DECLS
 
@@ -46,6 +46,7 @@
   guint service_time_us;   /* smoothed response time; 0: no response yet */
   gint64 pace_us;          /* smoothed time between two events of a stream; 0: not measured */
   gint64 pace_measured_us; /* time of the last measurement of the pace */
+  QuincePaceHistory pace_history;
 } QuinceWorker;
 
 QuinceWorker *quince_worker_new (const char *id);
