Order records: a new leader waits only for workers ordered recently

With the setting [orders] record a leader appends to the ledger which workers it is about to order (record kind 9) and sends the orders at most 300 ms after that, once the record is committed. Each replica remembers when it received each part of its log, so the next leader blocks only the workers that such records name. If the greatest earlier epoch in its log has no order record, it waits the whole pause, as before. The record commits while the worker's report is requested.

--- a/daemons/replica/ledger-node.c
+++ b/daemons/replica/ledger-node.c
@@ -7,39 +7,11 @@
 #include "runtime/clock.h"
 #include "runtime/timer.h"
 #include "runtime/log.h"
-#include "ledger-election.h"
-#include "ledger-follower.h"
-#include "ledger-member-links.h"
-#include "ledger-membership.h"
-#include "ledger-records.h"
-#include "ledger-replication.h"
-#include "ledger-storage.h"
+#include "ledger-node-private.h"
 
 /* Interval of periodic work and of a leader's heartbeats, ms; several fit in the leader timeout of 1 s. */
 #define TICK_INTERVAL_MS 150
 
-struct _QuinceLedgerNode
-{
-  /* All fields belong to the main context. */
-  const QuinceLedgerNodeCallbacks *callbacks; /* borrowed */
-  gpointer user_data;
-  QuinceLedgerMember self; /* owned strings */
-  char *zone;              /* owned; zone of this machine */
-
-  QuinceLedgerGroup *group;
-  QuinceLedgerStorage *storage;
-  QuinceLedgerMemberLinks *member_links;
-  QuinceLedgerElection *election;
-  QuinceLedgerMembership *membership;
-  QuinceLedgerFollower *follower;
-  QuinceLedgerReplication *replication;
-  QuinceLedgerRecords *records;
-
-  QuinceLinkServer *server;
-  GHashTable *incoming_links; /* QuinceLink, owned: from fronts, backups and other members */
-  QuinceTimer *tick;
-};
-
 static void
 start_leading (QuinceLedgerNode *node, guint64 epoch)
 {
@@ -333,7 +305,8 @@
                         GError **error)
 {
   gboolean was_empty = FALSE;
-  g_autoptr (QuinceLedgerStorage) storage = quince_ledger_storage_open (options->folder, &was_empty, error);
+  g_autoptr (QuinceLedgerStorage) storage
+      = quince_ledger_storage_open (options->folder, options->limits.order_pause_us, &was_empty, error);
   if (storage == NULL)
     return NULL;
   QuinceLedgerNode *node = g_new0 (QuinceLedgerNode, 1);
@@ -389,108 +362,3 @@
 {
   quince_ledger_membership_set_view (node->membership, value, revision);
 }
-
-void
-quince_ledger_node_set_draining_nodes (QuinceLedgerNode *node, const char *const *nodes)
-{
-  quince_ledger_group_set_draining_nodes (node->group, nodes);
-}
-
-void
-quince_ledger_node_set_allowed_nodes (QuinceLedgerNode *node, const char *const *nodes)
-{
-  quince_ledger_replication_set_allowed_nodes (node->replication, nodes);
-}
-
-guint64
-quince_ledger_node_append (QuinceLedgerNode *node, const QuinceBatchRecord *record)
-{
-  return quince_ledger_records_append (node->records, record);
-}
-
-QuinceLink *
-quince_ledger_node_get_leader_link (QuinceLedgerNode *node)
-{
-  return quince_ledger_follower_get_leader_link (node->follower);
-}
-
-guint64
-quince_ledger_node_get_successor_serial (QuinceLedgerNode *node)
-{
-  return quince_ledger_replication_get_successor_serial (node->replication);
-}
-
-QuinceLink *
-quince_ledger_node_get_successor_link (QuinceLedgerNode *node)
-{
-  return quince_ledger_replication_get_successor_link (node->replication);
-}
-
-const char *
-quince_ledger_node_get_successor_name (QuinceLedgerNode *node)
-{
-  return quince_ledger_replication_get_successor_name (node->replication);
-}
-
-void
-quince_ledger_node_send_to_successor (QuinceLedgerNode *node, const QuinceMessage *message)
-{
-  quince_ledger_replication_send_to_successor (node->replication, message);
-}
-
-gboolean
-quince_ledger_node_is_leading (const QuinceLedgerNode *node)
-{
-  return quince_ledger_records_is_recovered (node->records);
-}
-
-gboolean
-quince_ledger_node_may_answer (const QuinceLedgerNode *node)
-{
-  return quince_ledger_node_is_leading (node)
-         && quince_ledger_group_may_answer (node->group, quince_now_us ());
-}
-
-gboolean
-quince_ledger_node_may_accept (const QuinceLedgerNode *node)
-{
-  return quince_ledger_node_is_leading (node)
-         && quince_ledger_group_may_accept (node->group, quince_now_us ());
-}
-
-gboolean
-quince_ledger_node_may_order (const QuinceLedgerNode *node)
-{
-  return quince_ledger_node_is_leading (node)
-         && quince_ledger_group_may_order (node->group, quince_now_us ());
-}
-
-guint64
-quince_ledger_node_get_epoch (const QuinceLedgerNode *node)
-{
-  return quince_ledger_records_get_epoch (node->records);
-}
-
-guint64
-quince_ledger_node_get_last_index (const QuinceLedgerNode *node)
-{
-  return quince_batch_log_get_last_index (quince_ledger_storage_get_log (node->storage));
-}
-
-guint64
-quince_ledger_node_get_commit_index (const QuinceLedgerNode *node)
-{
-  return quince_ledger_group_get_commit_index (node->group);
-}
-
-const QuinceLedgerView *
-quince_ledger_node_get_view (const QuinceLedgerNode *node)
-{
-  return quince_ledger_group_get_view (node->group);
-}
-
-gboolean
-quince_ledger_node_is_unpublished (const QuinceLedgerNode *node)
-{
-  return quince_ledger_group_is_unpublished (node->group);
-}
--- a/daemons/replica/ledger-node.h
+++ b/daemons/replica/ledger-node.h
@@ -9,6 +9,7 @@
 
 #include "batchlog/batch-log.h"
 #include "core/group/ledger-group.h"
+#include "core/group/order-history.h"
 #include "runtime/link.h"
 #include "meta/meta-store.h"
 
@@ -120,6 +121,13 @@
 /* Returns %TRUE if this replica is leading and may give orders to workers.  No other replica can have given
  * any within the order pause (QuinceLedgerLimits). */
 gboolean quince_ledger_node_may_order (const QuinceLedgerNode *node);
+/* Returns %TRUE if this replica is leading, and see quince_ledger_group_has_order_lease() or
+ * quince_ledger_group_waited_order_pause(). */
+gboolean quince_ledger_node_has_order_lease (const QuinceLedgerNode *node);
+gboolean quince_ledger_node_waited_order_pause (const QuinceLedgerNode *node);
+/* Returns: (transfer none): what the log tells of the orders of earlier leaders; complete while
+ * quince_ledger_node_is_leading() */
+QuinceOrderHistory *quince_ledger_node_get_order_history (const QuinceLedgerNode *node);
 /* Returns the epoch that this replica leads, which is the fencing token of its orders, or 0 if it does not
  * lead. */
 guint64 quince_ledger_node_get_epoch (const QuinceLedgerNode *node);
--- a/daemons/replica/ledger-records.c
+++ b/daemons/replica/ledger-records.c
@@ -114,6 +114,7 @@
 quince_ledger_records_start_leading (QuinceLedgerRecords *records, guint64 epoch)
 {
   records->epoch = epoch;
+  quince_order_history_start_leading (quince_ledger_storage_get_order_history (records->storage), epoch);
   records->next_index = quince_batch_log_get_last_index (records->log) + 1;
   /* Records of earlier epochs are committed only together with a record of the new epoch. */
   const QuinceLogEntry first_entry = { .index = records->next_index++, .epoch = epoch };
@@ -173,17 +174,26 @@
 
 /* ---- Delivery ---------------------------------------------------------- */
 
-static void
-deliver_record (QuinceLedgerRecords *records, const QuinceLogEntry *entry)
+/* Returns: (transfer full) (nullable): the record of @entry, or %NULL if it is empty or cannot be read, which
+ * is logged */
+static QuinceBatchRecord *
+unpack_record (const QuinceLogEntry *entry)
 {
   if (entry->record.record_len == 0)
-    return; /* the cleared record of a forgotten batch, or the first record of an epoch */
+    return NULL; /* the cleared record of a forgotten batch, or the first record of an epoch */
   QuinceBatchRecord *record
       = quince_batch_record_unpack (entry->record.record_val, entry->record.record_len, NULL);
+  if (record == NULL)
+    quince_log_failure ("ledger_record_unreadable", "index=%" G_GUINT64_FORMAT, (guint64)entry->index);
+  return record;
+}
+
+static void
+deliver_record (QuinceLedgerRecords *records, const QuinceLogEntry *entry)
+{
+  QuinceBatchRecord *record = unpack_record (entry);
   if (record != NULL)
     records->callbacks->committed (entry->index, record, records->user_data);
-  else
-    quince_log_failure ("ledger_record_unreadable", "index=%" G_GUINT64_FORMAT, (guint64)entry->index);
 }
 
 /* Delivers a record from the log.  Returns %FALSE to stop at the end of the slice. */
@@ -191,7 +201,14 @@
 deliver_stored_record (const QuinceLogEntry *entry, gpointer data)
 {
   QuinceLedgerRecords *records = data;
-  deliver_record (records, entry);
+  QuinceBatchRecord *record = unpack_record (entry);
+  const QuinceOrderRecord *orders = record != NULL && record->kind == QUINCE_BATCH_RECORD_ORDERS
+                                        ? &record->QuinceBatchRecord_u.orders
+                                        : NULL;
+  quince_order_history_read_entry (quince_ledger_storage_get_order_history (records->storage), entry->index,
+                                   entry->epoch, orders);
+  if (record != NULL)
+    records->callbacks->committed (entry->index, record, records->user_data);
   records->delivered_index = entry->index;
   return quince_now_us () < records->read_slice_end_us;
 }
--- a/daemons/replica/ledger-storage.c
+++ b/daemons/replica/ledger-storage.c
@@ -5,6 +5,7 @@
 
 #include <stdlib.h>
 
+#include "runtime/clock.h"
 #include "runtime/log.h"
 
 /* Interval of compactions, us.  A delay of seconds only costs disk space. */
@@ -15,19 +16,21 @@
 struct _QuinceLedgerStorage
 {
   QuinceBatchLog *log;
+  QuinceOrderHistory *orders;
   QuinceLedgerGroup *group;     /* borrowed */
   guint64 last_compacted_index; /* last index that was searched for FORGET records; 0: none */
   gint64 last_compaction_us;    /* when the last compaction ran */
 };
 
 QuinceLedgerStorage *
-quince_ledger_storage_open (const char *folder, gboolean *was_empty, GError **error)
+quince_ledger_storage_open (const char *folder, gint64 order_pause_us, gboolean *was_empty, GError **error)
 {
   QuinceBatchLog *log = quince_batch_log_open (folder, was_empty, error);
   if (log == NULL)
     return NULL;
   QuinceLedgerStorage *storage = g_new0 (QuinceLedgerStorage, 1);
   storage->log = log;
+  storage->orders = quince_order_history_new (quince_now_us (), order_pause_us);
   return storage;
 }
 
@@ -37,6 +40,7 @@
   if (storage == NULL)
     return;
   quince_batch_log_close (storage->log);
+  quince_order_history_free (storage->orders);
   g_free (storage);
 }
 
@@ -46,6 +50,12 @@
   return storage->log;
 }
 
+QuinceOrderHistory *
+quince_ledger_storage_get_order_history (const QuinceLedgerStorage *storage)
+{
+  return storage->orders;
+}
+
 QuinceLogEnd
 quince_ledger_storage_get_log_end (const QuinceLedgerStorage *storage)
 {
@@ -80,6 +90,8 @@
     return FALSE;
   if (reset)
     storage->last_compacted_index = 0;
+  if (n_entries > 0)
+    quince_order_history_receive (storage->orders, quince_now_us (), entries[0].index);
   update_log_end (storage);
   return TRUE;
 }
--- a/daemons/replica/ledger-storage.h
+++ b/daemons/replica/ledger-storage.h
@@ -9,17 +9,20 @@
 
 #include "batchlog/batch-log.h"
 #include "core/group/ledger-group.h"
+#include "core/group/order-history.h"
 
 typedef struct _QuinceLedgerStorage QuinceLedgerStorage;
 
 /**
  * quince_ledger_storage_open:
  * @folder: an existing folder
+ * @order_pause_us: see quince_order_history_new()
  * @was_empty: (out): %TRUE if the log had no replica id yet, so that a new one was created
  *
  * Returns: (transfer full) (nullable): the storage, or %NULL with @error if the log cannot be opened
  */
-QuinceLedgerStorage *quince_ledger_storage_open (const char *folder, gboolean *was_empty, GError **error);
+QuinceLedgerStorage *
+quince_ledger_storage_open (const char *folder, gint64 order_pause_us, gboolean *was_empty, GError **error);
 void quince_ledger_storage_close (QuinceLedgerStorage *storage);
 G_DEFINE_AUTOPTR_CLEANUP_FUNC (QuinceLedgerStorage, quince_ledger_storage_close)
 
@@ -27,10 +30,13 @@
 void quince_ledger_storage_set_group (QuinceLedgerStorage *storage, QuinceLedgerGroup *group);
 /* Returns: (transfer none): the log, for reading only; writes must go through the storage */
 QuinceBatchLog *quince_ledger_storage_get_log (const QuinceLedgerStorage *storage);
+/* Returns: (transfer none): the times at which parts of the log were received, and its order records */
+QuinceOrderHistory *quince_ledger_storage_get_order_history (const QuinceLedgerStorage *storage);
 /* Returns the epoch and the index of the last record. */
 QuinceLogEnd quince_ledger_storage_get_log_end (const QuinceLedgerStorage *storage);
 
-/* Same as quince_batch_log_append(), and reports the new end of the log to the group. */
+/* Same as quince_batch_log_append(), reports the new end of the log to the group, and notes the time of
+ * receipt in the order history. */
 gboolean quince_ledger_storage_append (QuinceLedgerStorage *storage,
                                        const QuinceLogEntry *entries,
                                        guint n_entries,
--- a/daemons/replica/replica-leadership.c
+++ b/daemons/replica/replica-leadership.c
@@ -40,7 +40,7 @@
 {
   const QuinceReplicaLeadership *leadership = data;
   *fencing_token = quince_ledger_node_get_epoch (leadership->parts->ledger);
-  return quince_ledger_node_may_order (leadership->parts->ledger);
+  return quince_order_records_may_order (leadership->parts->order_records);
 }
 
 static void
@@ -57,15 +57,25 @@
   quince_batch_service_fill_load_plan (leadership->parts->batches, plan);
 }
 
+static void
+handle_orders_recorded (gpointer data)
+{
+  const QuinceReplicaLeadership *leadership = data;
+  if (leadership->orders != NULL)
+    quince_weight_orders_handle_commit (leadership->orders);
+}
+
 static void
 start_weight_orders (QuinceReplicaLeadership *leadership)
 {
   const QuinceReplicaParts *parts = leadership->parts;
   const QuinceWeightOrdersOptions options = { .holder = parts->name,
                                               .placement = parts->placement,
+                                              .records = parts->order_records,
                                               .may_order = may_issue_orders,
                                               .loaded = handle_weights_loaded,
                                               .fill_plan = fill_load_plan };
+  quince_order_records_start_leading (parts->order_records, handle_orders_recorded, leadership);
   leadership->orders = quince_weight_orders_start (parts->backends, parts->observer, &options, leadership);
 }
 
@@ -123,6 +133,7 @@
 {
   const QuinceReplicaParts *parts = leadership->parts;
   quince_replica_leadership_release (leadership);
+  quince_order_records_stop_leading (parts->order_records);
   quince_feed_service_set_leading (parts->feed, FALSE);
   quince_heartbeats_stop_leading (parts->heartbeats);
   quince_quarantine_coordinator_stop_leading (parts->quarantine);
--- a/daemons/replica/replica-ledger-events.c
+++ b/daemons/replica/replica-ledger-events.c
@@ -69,7 +69,9 @@
 handle_commit (guint64 index, QuinceBatchRecord *record, gpointer data)
 {
   const QuinceReplicaParts *parts = data;
-  if (!quince_usage_collector_is_record (record))
+  if (record->kind == QUINCE_BATCH_RECORD_ORDERS)
+    quince_order_records_apply_record (parts->order_records, index, record);
+  else if (!quince_usage_collector_is_record (record))
     quince_batch_service_apply_record (parts->batches, index, record);
   else if (parts->usage != NULL)
     quince_usage_collector_apply_record (parts->usage, index, record);
--- a/daemons/replica/replica-metrics.c
+++ b/daemons/replica/replica-metrics.c
@@ -41,6 +41,7 @@
   quince_metric_set ("quince_store_answer_age_seconds", "",
                      (double)(quince_now_us () - contact->last_answer_us) / G_USEC_PER_SEC);
   quince_batch_service_set_metrics (parts->batches);
+  quince_order_records_set_metrics (parts->order_records);
 }
 
 gboolean
--- a/daemons/replica/replica-parts.h
+++ b/daemons/replica/replica-parts.h
@@ -17,6 +17,7 @@
 #include "feed-service.h"
 #include "heartbeats.h"
 #include "ledger-node.h"
+#include "order-records.h"
 #include "progress-file.h"
 #include "progress.h"
 #include "quarantine-coordinator.h"
@@ -39,6 +40,7 @@
  * @progress: texts of running samples that the leader sent, to resume from after a failover
  * @progress_file: progress of samples on disk
  * @batches: the batches in the ledger
+ * @order_records: records of the workers that this leader orders
  * @leadership: weight orders, while this replica leads
  * @feed: feeds other processes with what this one reads or is fed
  * @heartbeats: to fronts, at the leader
@@ -63,6 +65,7 @@
   QuinceProgressStore *progress;
   QuinceProgressFile *progress_file;
   QuinceBatchService *batches;
+  QuinceOrderRecords *order_records;
   QuinceReplicaLeadership *leadership;
   QuinceFeedService *feed;
   QuinceHeartbeats *heartbeats;
--- a/daemons/replica/replica-settings.c
+++ b/daemons/replica/replica-settings.c
@@ -29,6 +29,9 @@
     "a closed batch is forgotten so long after its submission" },
   { "orders", "pause", QUINCE_SETTING_DURATION, FALSE, "3s", 0, 600 * QUINCE_SECOND_US, NULL,
     "a new leader gives no orders to workers for this long" },
+  { "orders", "record", QUINCE_SETTING_BOOLEAN, FALSE, "false", 0, 0, NULL,
+    "workers are recorded in the ledger before they are ordered; the next leader then waits for orders.pause "
+    "only at workers that were ordered within it" },
   { "duties", "address", QUINCE_SETTING_ADDRESS, FALSE, NULL, 0, 0, NULL,
     "address of the platform's calls that one machine makes for all; none where absent" },
   { "duties", "names", QUINCE_SETTING_TEXT, FALSE, NULL, 0, 0, NULL,
--- a/daemons/replica/replica-setup.c
+++ b/daemons/replica/replica-setup.c
@@ -189,8 +189,10 @@
 /* ---- Connecting ------------------------------------------------------------ */
 
 static void
-connect_ledger (QuinceReplicaParts *parts)
+connect_ledger (QuinceReplicaParts *parts, const QuinceSettings *settings)
 {
+  gboolean records_orders = quince_settings_get_boolean (settings, "orders", "record");
+  parts->order_records = quince_order_records_new (parts->ledger, records_orders);
   quince_quarantine_coordinator_set_ledger (parts->quarantine, parts->ledger);
   quince_residency_coordinator_set_ledger (parts->residency, parts->ledger);
   quince_batch_service_set_ledger (parts->batches, parts->ledger, parts->progress_file, parts->residency);
@@ -205,6 +207,6 @@
     return FALSE;
   parts->retirement = quince_retirement_new (parts->store, parts->ledger);
   create_platform_callers (parts, settings);
-  connect_ledger (parts);
+  connect_ledger (parts, settings);
   return TRUE;
 }
--- a/daemons/replica/replica.c
+++ b/daemons/replica/replica.c
@@ -31,6 +31,7 @@
   const QuinceReplicaParts *parts = data;
   quince_batch_service_send_progress (parts->batches);
   quince_replica_leadership_step_residency (parts->leadership);
+  quince_order_records_step (parts->order_records);
   if (parts->usage != NULL)
     quince_usage_collector_step (parts->usage);
   if (parts->scaler != NULL)
@@ -107,6 +108,7 @@
   quince_progress_store_free (parts->progress);
   quince_progress_file_close (parts->progress_file);
   quince_retirement_free (parts->retirement);
+  quince_order_records_free (parts->order_records);
   quince_ledger_node_free (parts->ledger);
   quince_residency_coordinator_free (parts->residency);
   quince_feed_service_free (parts->feed);
--- a/daemons/replica/weight-load.c
+++ b/daemons/replica/weight-load.c
@@ -3,6 +3,7 @@
  *
  * The worker's report contains the number of orders that it has accepted, and each order repeats that number.
  * The worker refuses an order with another number, so that a delayed order has no effect after later ones.
+ * While the worker's report is requested, the record that names the worker commits (order-records.h).
  */
 #include "weight-load.h"
 
@@ -27,7 +28,9 @@
   guint64 version;
   gboolean retain;
   gint64 started_us;
-  gint64 ordered_us; /* monotonic: time of the last order; 0: none */
+  gint64 ordered_us;       /* monotonic: time of the last order; 0: none */
+  gboolean awaits_record;  /* the order waits for the commit of its record; timer polls after that */
+  guint64 orders_accepted; /* by the last report */
   QuinceHttpExchange *exchange;
   QuinceRetryTimer timer; /* delay until the next request for the report */
 };
@@ -116,30 +119,39 @@
       = { .holds_sends = quince_backends_holds_sends (backends),
           .evacuated = worker != NULL && !quince_backends_may_send (backends, worker),
           .is_order = is_order,
-          .may_order = may_order };
+          .may_order = may_order,
+          .awaits_record = load->awaits_record };
   const QuinceLoadNext next = quince_load_next_before_send (&input);
   return !apply_next_action (load, &next);
 }
 
 static void
-send_order (QuinceWeightLoad *load, guint64 orders_accepted)
+send_order (QuinceWeightLoad *load)
 {
+  const QuinceWeightLoadContext *context = load->context;
   QuinceWorker *worker = find_worker (load);
   guint64 fence = 0;
-  gboolean may_order = worker != NULL && load->context->may_order (&fence, load->context->user_data);
-  if (!check_may_send (load, worker, TRUE, may_order))
-    return;
+  gint64 send_by_us = 0;
+  gboolean may_order = worker != NULL && context->may_order (&fence, context->user_data);
   QuincePlatformLoadMode mode = load->retain ? QUINCE_PLATFORM_LOAD_RETAIN : QUINCE_PLATFORM_LOAD_WAIT;
-  g_autoptr (GBytes) body = quince_platform_format_load (load->model, load->version, mode,
-                                                         load->context->holder, fence, orders_accepted);
+  g_autoptr (GBytes) body = quince_platform_format_load (load->model, load->version, mode, context->holder,
+                                                         fence, load->orders_accepted);
   g_autoptr (QuinceHttpHeaders) headers = quince_http_headers_new ();
   quince_http_headers_add (headers, "Content-Type", "application/json");
-  quince_platform_write_expected_worker (headers, worker->id);
+  quince_platform_write_expected_worker (headers, load->worker_id);
+  /* Checked last: this process may be suspended at any time. */
+  may_order = may_order && quince_order_records_may_order_worker (context->records, load->worker_id);
+  load->awaits_record = !quince_order_records_get_permit (context->records, load->worker_id, &send_by_us);
+  if (load->awaits_record)
+    quince_order_records_request (context->records, load->worker_id);
+  if (!check_may_send (load, worker, TRUE, may_order))
+    return;
   const QuinceHttpRequest request = { .method = "POST",
                                       .target = QUINCE_PLATFORM_ORDER_TARGET,
                                       .headers = headers,
                                       .body = body,
-                                      .timeout_us = CALL_TIMEOUT_US };
+                                      .timeout_us = CALL_TIMEOUT_US,
+                                      .send_by_us = send_by_us };
   worker->loading = TRUE;
   load->ordered_us = quince_now_us ();
   load->exchange = quince_http_pool_start (quince_backends_get_pool (load->context->backends, worker),
@@ -176,8 +188,9 @@
                                    .busy = report->busy,
                                    .elapsed_us = quince_now_us () - load->started_us };
   const QuinceLoadNext next = quince_load_next_after_report (&input);
+  load->orders_accepted = report->orders_accepted;
   if (!apply_next_action (load, &next))
-    send_order (load, report->orders_accepted);
+    send_order (load);
 }
 
 static void
@@ -203,6 +216,7 @@
 {
   QuinceWeightLoad *load = data;
   QuinceWorker *worker = find_worker (load);
+  load->awaits_record = FALSE;
   if (worker == NULL)
     {
       end_load (load, "worker_gone");
@@ -244,9 +258,21 @@
 void
 quince_weight_load_start (QuinceWeightLoad *load)
 {
+  quince_order_records_request (load->context->records, load->worker_id);
   request_report (load);
 }
 
+void
+quince_weight_load_handle_commit (QuinceWeightLoad *load)
+{
+  gint64 send_by_us;
+  if (!load->awaits_record
+      || !quince_order_records_get_permit (load->context->records, load->worker_id, &send_by_us))
+    return;
+  quince_retry_timer_clear (&load->timer);
+  send_order (load);
+}
+
 const char *
 quince_weight_load_get_worker (const QuinceWeightLoad *load)
 {
--- a/daemons/replica/weight-load.h
+++ b/daemons/replica/weight-load.h
@@ -9,11 +9,14 @@
 
 #include "forward/backends.h"
 
+#include "order-records.h"
+
 typedef struct _QuinceWeightLoad QuinceWeightLoad;
 
 /**
  * QuinceWeightLoadContext:
  * @holder: name of this machine
+ * @records: records the workers before they are ordered
  * @may_order: returns whether orders may be sent now, and sets the fencing token
  * @ended: called when the load ends; frees the load.  @success: the worker has the version
  */
@@ -21,6 +24,7 @@
 {
   QuinceBackends *backends;
   const char *holder;
+  QuinceOrderRecords *records;
   gboolean (*may_order) (guint64 *fence, gpointer user_data);
   void (*ended) (QuinceWeightLoad *load, gboolean success, gpointer user_data);
   gpointer user_data;
@@ -35,6 +39,9 @@
                                           gboolean retain);
 /* Starts the load; to be called once.  The load may end, and be freed, before the call returns. */
 void quince_weight_load_start (QuinceWeightLoad *load);
+/* Sends the order if it awaits its record and that is committed now.  The load may end, and be freed, before
+ * the call returns. */
+void quince_weight_load_handle_commit (QuinceWeightLoad *load);
 /* Frees the load.  The worker may still execute an order that was sent. */
 void quince_weight_load_free (QuinceWeightLoad *load);
 /* Returns (transfer none): the id of the worker, or the name of its service */
--- a/daemons/replica/weight-orders.c
+++ b/daemons/replica/weight-orders.c
@@ -218,7 +218,8 @@
           const QuinceWorker *worker,
           const char *model)
 {
-  if (worker->draining || is_paused (orders, worker->id, now_us))
+  if (worker->draining || is_paused (orders, worker->id, now_us)
+      || !quince_order_records_may_order_worker (orders->options.records, worker->id))
     return FALSE;
   guint64 wanted = quince_observer_get_version (orders->observer, model);
   const QuincePendingLoad load = { .worker = worker->id,
@@ -343,6 +344,24 @@
     }
 }
 
+void
+quince_weight_orders_handle_commit (QuinceWeightOrders *orders)
+{
+  g_autoptr (GPtrArray) ids = g_ptr_array_new_with_free_func (g_free);
+  GHashTableIter iter;
+  gpointer id;
+  g_hash_table_iter_init (&iter, orders->loads);
+  while (g_hash_table_iter_next (&iter, &id, NULL))
+    g_ptr_array_add (ids, g_strdup (id));
+  /* A load may end while its order is sent. */
+  for (guint i = 0; i < ids->len; i++)
+    {
+      QuinceWeightLoad *load = g_hash_table_lookup (orders->loads, ids->pdata[i]);
+      if (load != NULL)
+        quince_weight_load_handle_commit (load);
+    }
+}
+
 static gboolean
 handle_check_timer (gpointer data)
 {
@@ -365,6 +384,7 @@
   orders->user_data = user_data;
   orders->load_context = (QuinceWeightLoadContext){ .backends = backends,
                                                     .holder = options->holder,
+                                                    .records = options->records,
                                                     .may_order = may_order,
                                                     .ended = handle_load_ended,
                                                     .user_data = orders };
--- a/daemons/replica/weight-orders.h
+++ b/daemons/replica/weight-orders.h
@@ -12,11 +12,14 @@
 #include "core/weights/model-placement.h"
 #include "observer/observer.h"
 
+#include "order-records.h"
+
 typedef struct _QuinceWeightOrders QuinceWeightOrders;
 
 /**
  * QuinceWeightOrdersOptions:
  * @holder: name of this machine, not copied
+ * @records: not owned; records the workers before they are ordered
  * @may_order: returns whether orders may be sent now, and sets the fencing token
  * @loaded: called after a worker has loaded a version
  * @fill_plan: adds the waiting and running samples to the plan
@@ -25,6 +28,7 @@
 {
   const char *holder;
   QuinceModelPlacement *placement; /* not owned */
+  QuinceOrderRecords *records;
   gboolean (*may_order) (guint64 *fence, gpointer user_data);
   void (*loaded) (gpointer user_data);
   void (*fill_plan) (QuinceLoadPlan *plan, gpointer user_data);
@@ -38,3 +42,5 @@
 /* Starts the loads that are due.  Called when versions or workers have changed, and periodically by a timer
  * of the object. */
 void quince_weight_orders_check_loads (QuinceWeightOrders *orders);
+/* Sends the orders whose record is committed now. */
+void quince_weight_orders_handle_commit (QuinceWeightOrders *orders);
--- a/lib/core/batches/batch-table.c
+++ b/lib/core/batches/batch-table.c
@@ -162,6 +162,8 @@
     case QUINCE_BATCH_RECORD_USAGE_CLOSED:
     case QUINCE_BATCH_RECORD_USAGE_SENT:
       break; /* QuinceUsageAggregator applies these */
+    case QUINCE_BATCH_RECORD_ORDERS:
+      break; /* QuinceOrderHistory reads these */
     }
   quince_batch_record_free (record);
 }
--- a/lib/core/decisions/load-next.c
+++ b/lib/core/decisions/load-next.c
@@ -10,6 +10,9 @@
 #define LOAD_POLL_INTERVAL_MS 80
 /* Time to the poll of a worker that already has the version, ms: the next iteration of the main loop. */
 #define ALREADY_LOADED_POLL_MS 1
+/* Time for which an order awaits the commit of its record, ms: as long as the record permits it
+ * (QUINCE_ORDER_SEND_MAX_US). */
+#define RECORD_WAIT_MS 300
 /* Timeout of a load, us: about eight times its usual duration. */
 #define LOAD_TIMEOUT_US (8 * G_USEC_PER_SEC)
 /* Fraction of a service's workers that may load at the same time. */
@@ -70,6 +73,8 @@
     return end_with ("zone_evacuated");
   if (send->is_order && !send->may_order)
     return end_with ("not_leading");
+  if (send->is_order && send->awaits_record)
+    return poll_after (RECORD_WAIT_MS);
   return (QuinceLoadNext){ .action = QUINCE_LOAD_NEXT_ORDER };
 }
 
--- a/lib/core/decisions/load-next.h
+++ b/lib/core/decisions/load-next.h
@@ -78,6 +78,8 @@
  * @may_order: the worker is listed, and this process leads with a quorum; see weight-orders.h.  Only read for
  *   orders
  * @is_order: a load order is about to be sent, not a request for the worker's report
+ * @awaits_record: the order record that must be committed first is not (core/group/order-permits.h).  Only
+ *   read for orders
  */
 typedef struct
 {
@@ -85,12 +87,14 @@
   gboolean evacuated;
   gboolean may_order;
   gboolean is_order;
+  gboolean awaits_record;
 } QuinceLoadSendInput;
 
 /**
  * quince_load_next_before_send:
  *
- * Decides whether an order or a request for a report is sent to the worker now.
+ * Decides whether an order or a request for a report is sent to the worker now.  An order that awaits its
+ * record is sent once the record is committed; if that takes too long, the worker is polled again first.
  *
  * Returns: QUINCE_LOAD_NEXT_ORDER if it is sent; QUINCE_LOAD_NEXT_POLL or QUINCE_LOAD_NEXT_END otherwise
  */
--- a/lib/core/group/ledger-group-private.h
+++ b/lib/core/group/ledger-group-private.h
@@ -75,6 +75,7 @@
   GArray *change_acks;            /* replicas that acknowledged a change of this revision */
   gint64 orders_blocked_until_us; /* it gives no orders to workers before this time */
   gint64 leading_since_us;
+  gboolean wrote_first_view; /* no replica led before it */
 };
 
 /* Each source file below calls only functions of the files listed before it. */
--- a/lib/core/group/ledger-group.h
+++ b/lib/core/group/ledger-group.h
@@ -248,6 +248,13 @@
 /* Returns %TRUE if this replica is the leader and may give orders to workers.  No other replica can have
  * given any within the order pause. */
 gboolean quince_ledger_group_may_order (QuinceLedgerGroup *group, gint64 now_us);
+/* Returns %TRUE if this replica is the leader and no other replica can be.  It may give an order to a worker
+ * if no other leader has ordered that worker within the order pause (order-history.h). */
+gboolean quince_ledger_group_has_order_lease (QuinceLedgerGroup *group, gint64 now_us);
+/* Returns %TRUE if this replica has led this epoch for the whole order pause, or no replica led before it.
+ * Unlike quince_ledger_group_may_order(), this also excludes orders that this replica gave before a restart.
+ */
+gboolean quince_ledger_group_waited_order_pause (const QuinceLedgerGroup *group, gint64 now_us);
 /* Updates the persistent state with the current epoch if this replica may give orders in it.  A leader that
  * has read its log calls this several times a second. */
 void quince_ledger_group_record_orders (QuinceLedgerGroup *group, gint64 now_us);
--- a/lib/core/group/ledger-leases.c
+++ b/lib/core/group/ledger-leases.c
@@ -184,10 +184,23 @@
 }
 
 gboolean
-quince_ledger_group_may_order (QuinceLedgerGroup *group, gint64 now_us)
+quince_ledger_group_has_order_lease (QuinceLedgerGroup *group, gint64 now_us)
 {
   return group->role == QUINCE_LEDGER_LEADER && !group->handover_proposed
-         && quince_ledger_group_has_quorum_lease (group, now_us) && now_us >= group->orders_blocked_until_us;
+         && quince_ledger_group_has_quorum_lease (group, now_us);
+}
+
+gboolean
+quince_ledger_group_may_order (QuinceLedgerGroup *group, gint64 now_us)
+{
+  return quince_ledger_group_has_order_lease (group, now_us) && now_us >= group->orders_blocked_until_us;
+}
+
+gboolean
+quince_ledger_group_waited_order_pause (const QuinceLedgerGroup *group, gint64 now_us)
+{
+  return group->role == QUINCE_LEDGER_LEADER
+         && (group->wrote_first_view || now_us >= group->leading_since_us + group->limits.order_pause_us);
 }
 
 void
--- a/lib/core/group/ledger-roles.c
+++ b/lib/core/group/ledger-roles.c
@@ -29,6 +29,7 @@
     group->orders_blocked_until_us
         = was_last_to_order (group, previous) ? now_us : now_us + group->limits.order_pause_us;
   group->leading_since_us = now_us;
+  group->wrote_first_view = previous == NULL;
   group->refused_epoch = 0;
   g_hash_table_remove_all (group->peers);
 }
--- a/lib/core/trace/log-vocabulary.c
+++ b/lib/core/trace/log-vocabulary.c
@@ -49,6 +49,7 @@
   "log_lines_left_out",
   "machine_emptied",
   "machine_leaving",
+  "orders_allowed",
   "outside_disk_cleared",
   "place_not_removed",
   "place_not_written",
--- a/lib/protocol/quince_protocol.x
+++ b/lib/protocol/quince_protocol.x
@@ -115,6 +115,11 @@
     QuinceUsageCount counts<QUINCE_INDEXES_MAX>; /* sorted by tenant       */
 };
 
+/* ---- Orders: workers that a leader orders to load weights --------------- */
+
+/* The leader orders these workers, perhaps none, at most 300 ms after it appended this record. */
+struct QuinceOrderRecord { QuinceText workers<QUINCE_INDEXES_MAX>; };
+
 enum QuinceBatchRecordKind {
     QUINCE_BATCH_RECORD_SUBMIT = 0,
     QUINCE_BATCH_RECORD_RESULT = 1,
@@ -124,7 +129,8 @@
     QUINCE_BATCH_RECORD_USAGE  = 5,
     QUINCE_BATCH_RECORD_USAGE_CLOSED = 6,
     QUINCE_BATCH_RECORD_USAGE_SENT = 7,
-    QUINCE_BATCH_RECORD_LISTED = 8
+    QUINCE_BATCH_RECORD_LISTED = 8,
+    QUINCE_BATCH_RECORD_ORDERS = 9
 };
 
 union QuinceBatchRecord switch (QuinceBatchRecordKind kind) {
@@ -137,6 +143,7 @@
 case QUINCE_BATCH_RECORD_USAGE_CLOSED: QuinceUsageWindow usage_closed;
 case QUINCE_BATCH_RECORD_USAGE_SENT: unsigned hyper usage_sent; /* a reported window */
 case QUINCE_BATCH_RECORD_LISTED: QuinceListedResult listed;
+case QUINCE_BATCH_RECORD_ORDERS: QuinceOrderRecord orders;
 };
 
 /* ---- Ledger: the leader ("primary" on the wire), its backups, its view -- */
--- a/tests/platform/path-world.h
+++ b/tests/platform/path-world.h
@@ -41,6 +41,7 @@
   const char *zones;     /* value of the setting "zones"; NULL: not set */
   const char *front_zones[PATH_FRONTS];     /* NULL: z1 */
   const char *replica_zones[PATH_REPLICAS]; /* NULL: z1 */
+  const char *orders;                       /* settings of [orders]; NULL: a pause of 500 ms */
   const char *losses;           /* settings of [ledger] for the losses it tolerates; NULL: losses=1 */
   const char *store_settings;   /* further settings of [store], of all processes; NULL: none */
   char *extra_replica_settings; /* appended to the settings of replicas; NULL: none */
@@ -215,11 +216,11 @@
   g_mkdir_with_parents (data, 0700);
   g_autofree char *settings = g_strdup_printf (
       "[node]\nname=%s\n%s[listen]\nlink=%s\n[store]\naddress=%s\n%s[ledger]\n"
-      "folder=%s\nfound=%s\n%s\n[orders]\npause=500ms\n[policy]\nfile=%s/deploy/policy.lua\n%s",
+      "folder=%s\nfound=%s\n%s\n[orders]\n%s\n[policy]\nfile=%s/deploy/policy.lua\n%s",
       name, zone_settings, world->links[index] != NULL ? world->links[index] : "127.0.0.1:0",
       standin_store_get_address (world->store), world->store_settings != NULL ? world->store_settings : "",
       data, world->bootstrapped ? "false" : "true", world->losses != NULL ? world->losses : "losses=1",
-      g_getenv ("QUINCE_SOURCE_DIR"),
+      world->orders != NULL ? world->orders : "pause=500ms", g_getenv ("QUINCE_SOURCE_DIR"),
       world->extra_replica_settings != NULL ? world->extra_replica_settings : "");
   g_clear_pointer (&world->replicas[index], quince_process_free);
   world->replicas[index] = path_spawn (world, "quinceroute-replica", name, settings);
--- /dev/null
+++ b/tests/unit/ledger-orders.h
@@ -0,0 +1,131 @@
+/*
+ * ledger-orders.h: orders of the simulated leaders to workers, with order records (order-history.h).
+ *
+ * Without World.orders, the leaders of ledger-world.h give no orders.  Orders are sent as the daemon sends
+ * them: only after the lease and the permit were checked.  Fails if two machines order one worker within the
+ * pause.
+ */
+#pragma once
+
+#include "ledger-parts.h"
+
+#define WORLD_WORKERS 6
+
+/* Notes that records from the one behind the first @n_same were received. */
+static inline void
+world_receive_records (World *world, WorldNode *node, guint n_same)
+{
+  quince_order_history_receive (node->history, world->now_us, n_same + 1);
+}
+
+static inline char *
+world_worker_name (guint worker)
+{
+  return g_strdup_printf ("w%u", worker);
+}
+
+static inline void
+world_read_order_record (WorldNode *node, guint64 index, const WorldRecord *record)
+{
+  QuinceOrderRecord orders = { 0 };
+  g_autoptr (GPtrArray) names = g_ptr_array_new_with_free_func (g_free);
+  for (guint i = 0; i < WORLD_WORKERS; i++)
+    if ((record->workers & 1u << i) != 0)
+      g_ptr_array_add (names, world_worker_name (i));
+  orders.workers.workers_val = (QuinceText *)names->pdata;
+  orders.workers.workers_len = names->len;
+  quince_order_history_read_entry (node->history, index, record->epoch, record->is_order ? &orders : NULL);
+}
+
+/* Reads the log of a leader that has recovered. */
+static inline void
+world_read_orders (WorldNode *node)
+{
+  quince_order_permits_clear (node->permits);
+  for (guint i = 0; i < node->disk.log->len; i++)
+    world_read_order_record (node, i + 1, &g_array_index (node->disk.log, WorldRecord, i));
+}
+
+static inline gboolean
+world_may_order (World *world, WorldNode *node)
+{
+  if (!node->records_orders)
+    return quince_ledger_group_may_order (node->group, world->now_us);
+  return quince_ledger_group_has_order_lease (node->group, world->now_us)
+         && (quince_order_history_is_known (node->history)
+             || quince_ledger_group_waited_order_pause (node->group, world->now_us));
+}
+
+static inline gboolean
+world_may_order_worker (World *world, WorldNode *node, const char *worker)
+{
+  return world_may_order (world, node)
+         && (quince_ledger_group_may_order (node->group, world->now_us)
+             || quince_order_history_may_order (node->history, world->now_us, worker));
+}
+
+/* Appends a record that names some workers which the leader may order. */
+static inline void
+world_append_order_record (World *world, WorldNode *node)
+{
+  if (world->orders == NULL || !node->records_orders || !node->recovered || !world_may_order (world, node)
+      || quince_order_permits_is_stalled (node->permits, world->now_us))
+    return;
+  g_autoptr (GPtrArray) names = g_ptr_array_new_with_free_func (g_free);
+  WorldRecord record = { .epoch = node->led_epoch, .value = ++world->next_value, .is_order = TRUE };
+  for (guint i = 0; i < WORLD_WORKERS; i++)
+    {
+      g_autofree char *name = world_worker_name (i);
+      if (!world_may_order_worker (world, node, name) || g_rand_int_range (world->orders, 0, 4) != 0)
+        continue;
+      record.workers |= 1u << i;
+      g_ptr_array_add (names, g_steal_pointer (&name));
+    }
+  g_array_append_val (node->disk.log, record);
+  world_update_log_end (node);
+  guint64 index = node->disk.log->len;
+  world_receive_records (world, node, (guint)index - 1);
+  quince_order_permits_add (node->permits, world->now_us, index, (const char *const *)names->pdata,
+                            names->len);
+}
+
+static inline void
+world_check_worker_order (World *world, guint index, guint worker)
+{
+  gint64 since_us = world->now_us - world->worker_orders[worker].sent_us;
+  if (world->worker_orders[worker].sent_us != 0 && world->worker_orders[worker].node != index
+      && since_us < WORLD_ORDER_MAX_US)
+    fail_msg ("seed %u: n%u orders w%u %" G_GINT64_FORMAT " us after n%u", world->seed, index, worker,
+              since_us, world->worker_orders[worker].node);
+  world->worker_orders[worker].node = index;
+  world->worker_orders[worker].sent_us = world->now_us;
+}
+
+/* Sends orders at random times while they are permitted. */
+static inline void
+world_send_orders (World *world, guint index)
+{
+  WorldNode *node = &world->nodes[index];
+  quince_order_permits_commit (node->permits, quince_ledger_group_get_commit_index (node->group));
+  for (guint i = 0; i < WORLD_WORKERS; i++)
+    {
+      g_autofree char *name = world_worker_name (i);
+      gboolean permitted = !node->records_orders
+                           || quince_order_permits_get_send_by_us (node->permits, world->now_us, name) != 0;
+      gboolean may_order
+          = node->records_orders ? world_may_order_worker (world, node, name) : world_may_order (world, node);
+      if (!permitted || !may_order || g_rand_int_range (world->orders, 0, 8) != 0)
+        continue;
+      world->n_orders++;
+      world->n_early_orders += !quince_ledger_group_may_order (node->group, world->now_us);
+      world_check_worker_order (world, index, i);
+    }
+}
+
+static inline void
+world_step_orders (World *world)
+{
+  for (guint i = 0; world->orders != NULL && i < world->n_nodes; i++)
+    if (world->nodes[i].group != NULL && !world->nodes[i].frozen && world->nodes[i].recovered)
+      world_send_orders (world, i);
+}
--- a/tests/unit/ledger-parts.h
+++ b/tests/unit/ledger-parts.h
@@ -12,6 +12,8 @@
 #include <cmocka.h>
 
 #include "core/group/ledger-group.h"
+#include "core/group/order-history.h"
+#include "core/group/order-permits.h"
 
 #define WORLD_NODES_MAX 12              /* maximum number of nodes */
 #define WORLD_TICK_US (10 * 1000)       /* step of virtual time */
@@ -23,6 +25,8 @@
 {
   guint64 epoch;
   guint64 value; /* 0: first record of an epoch */
+  gboolean is_order;
+  guint workers; /* order record: bits of the workers that it names */
 } WorldRecord;
 
 typedef struct
@@ -79,10 +83,13 @@
   gint64 next_tick_us;
   guint64 hello_incarnation; /* incarnation of the leader that this node is connected to */
   guint64 hello_epoch;
-  gint64 read_view_us; /* when it last requested the view from the store */
-  gint64 queried_us;   /* when it last sent a query */
-  gint64 reported_us;  /* when it last sent WORLD_LEAD to unconnected members */
-  gboolean frozen;     /* the process is suspended */
+  gint64 read_view_us;     /* when it last requested the view from the store */
+  gint64 queried_us;       /* when it last sent a query */
+  gint64 reported_us;      /* when it last sent WORLD_LEAD to unconnected members */
+  gboolean frozen;         /* the process is suspended */
+  gboolean records_orders; /* the setting [orders] record of this process */
+  QuinceOrderHistory *history;
+  QuinceOrderPermits *permits;
 } WorldNode;
 
 typedef struct
@@ -108,9 +115,18 @@
   guint recoveries;              /* number of leaders that completed recovery */
   guint elections_without_store; /* number of leaders elected without the store */
   gboolean bootstrapped;
-  GHashTable *leaders;  /* epoch to WorldLeader, owned */
-  gint last_orderer;    /* last machine that was allowed to give orders; -1: none */
-  gint64 last_order_us; /* when last_orderer was last allowed to give orders */
+  GHashTable *leaders;       /* epoch to WorldLeader, owned */
+  gint last_orderer;         /* last machine that was allowed to give orders; -1: none */
+  gint64 last_order_us;      /* when last_orderer was last allowed to give orders */
+  GRand *orders;             /* draws orders to workers (ledger-orders.h); NULL: none are given */
+  guint records_orders_of_4; /* number of processes of four that record orders */
+  guint n_orders;
+  guint n_early_orders; /* sent by a new leader within the order pause */
+  struct
+  {
+    guint node;
+    gint64 sent_us; /* 0: never */
+  } worker_orders[32];
 } World;
 
 /* The only process that may lead an epoch. */
@@ -204,6 +220,10 @@
   node->group = quince_ledger_group_new (world_member (world, index), &limits, &node->disk.persistent,
                                          may_bootstrap, world->now_us);
   world_set_zone (world, node, index);
+  node->history = quince_order_history_new (world->now_us, limits.order_pause_us);
+  node->permits = quince_order_permits_new ();
+  node->records_orders
+      = world->orders != NULL && g_rand_int_range (world->orders, 0, 4) < (gint)world->records_orders_of_4;
   node->led_epoch = 0;
   node->recovered = FALSE;
   node->frozen = FALSE;
@@ -217,6 +237,8 @@
 world_kill (World *world, guint index)
 {
   g_clear_pointer (&world->nodes[index].group, quince_ledger_group_free);
+  g_clear_pointer (&world->nodes[index].history, quince_order_history_free);
+  g_clear_pointer (&world->nodes[index].permits, quince_order_permits_free);
   world->nodes[index].incarnation++;
   world->nodes[index].frozen = FALSE;
 }
@@ -390,6 +412,22 @@
               index, quince_ledger_group_get_commit_index (node->group), world->committed->len);
 }
 
+/* Fails unless the log of a new leader has every record that was reported as committed. */
+static inline void
+world_check_leader_log (World *world, WorldNode *node)
+{
+  if (node->disk.log->len < world->committed->len)
+    fail_msg ("seed %u: a leader holds %u records, %u were committed", world->seed, node->disk.log->len,
+              world->committed->len);
+  for (guint i = 0; i < world->committed->len; i++)
+    {
+      const WorldRecord *committed = &g_array_index (world->committed, WorldRecord, i);
+      const WorldRecord *record = &g_array_index (node->disk.log, WorldRecord, i);
+      if (committed->value != record->value || committed->epoch != record->epoch)
+        fail_msg ("seed %u: record %u was committed with another value", world->seed, i + 1);
+    }
+}
+
 static inline void
 world_check_orders (World *world, guint index)
 {
--- a/tests/unit/ledger-world.h
+++ b/tests/unit/ledger-world.h
@@ -7,7 +7,7 @@
  */
 #pragma once
 
-#include "ledger-parts.h"
+#include "ledger-orders.h"
 
 /* ---- A replica -------------------------------------------------------- */
 
@@ -30,22 +30,7 @@
       const WorldRecord epoch_record = { .epoch = view->epoch };
       g_array_append_val (node->disk.log, epoch_record);
       world_update_log_end (node);
-    }
-}
-
-/* Fails unless the log of a new leader has every record that was reported as committed. */
-static inline void
-world_check_leader_log (World *world, WorldNode *node)
-{
-  if (node->disk.log->len < world->committed->len)
-    fail_msg ("seed %u: a leader holds %u records, %u were committed", world->seed, node->disk.log->len,
-              world->committed->len);
-  for (guint i = 0; i < world->committed->len; i++)
-    {
-      const WorldRecord *committed = &g_array_index (world->committed, WorldRecord, i);
-      const WorldRecord *record = &g_array_index (node->disk.log, WorldRecord, i);
-      if (committed->value != record->value || committed->epoch != record->epoch)
-        fail_msg ("seed %u: record %u was committed with another value", world->seed, i + 1);
+      quince_order_history_start_leading (node->history, view->epoch);
     }
 }
 
@@ -64,6 +49,7 @@
       g_autofree char *event = g_strdup_printf ("LEADS n%u", index);
       world_trace (world, event, NULL);
       world_check_leader_log (world, node);
+      world_read_orders (node);
     }
   if (!node->recovered)
     return;
@@ -222,6 +208,7 @@
       g_array_append_val (node->disk.log, record);
       world_update_log_end (node);
     }
+  world_append_order_record (world, node);
   for (guint i = 0; i < world->n_nodes; i++)
     if (i != index)
       world_send_append (world, index, i);
@@ -257,6 +244,7 @@
         g_array_append_vals (node->disk.log, &g_array_index (message->records, WorldRecord, n_same),
                              message->records->len - n_same);
       world_update_log_end (node);
+      world_receive_records (world, node, n_same);
     }
   WorldMessage *ack = world_send (world, WORLD_ACK, index, message->from);
   ack->replica = node->disk.replica;
@@ -391,6 +379,7 @@
     if (world->nodes[i].group != NULL && !world->nodes[i].frozen
         && world->nodes[i].next_tick_us <= world->now_us)
       world_node_tick (world, i);
+  world_step_orders (world);
   world_check (world);
 }
 
@@ -448,6 +437,7 @@
   g_hash_table_unref (world->leaders);
   quince_ledger_view_free (world->view);
   g_rand_free (world->random);
+  g_clear_pointer (&world->orders, g_rand_free);
   g_free (world);
 }
 
--- a/tests/unit/test-decisions-load-next.c
+++ b/tests/unit/test-decisions-load-next.c
@@ -58,7 +58,7 @@
   assert_next (quince_load_next_after_order (QUINCE_ORDER_REFUSED), QUINCE_LOAD_NEXT_END, 0, "refused");
 }
 
-/* holds_sends, evacuated, may_order, is_order */
+/* holds_sends, evacuated, may_order, is_order, awaits_record */
 static const struct
 {
   QuinceLoadSendInput send;
@@ -73,6 +73,9 @@
   { { FALSE, TRUE, FALSE, FALSE }, QUINCE_LOAD_NEXT_END, 0, "zone_evacuated" },
   { { TRUE, TRUE, TRUE, TRUE }, QUINCE_LOAD_NEXT_POLL, 80, NULL },
   { { TRUE, FALSE, FALSE, TRUE }, QUINCE_LOAD_NEXT_POLL, 80, NULL },
+  { { FALSE, FALSE, TRUE, TRUE, TRUE }, QUINCE_LOAD_NEXT_POLL, 300, NULL },
+  { { FALSE, FALSE, FALSE, TRUE, TRUE }, QUINCE_LOAD_NEXT_END, 0, "not_leading" },
+  { { FALSE, FALSE, FALSE, FALSE, TRUE }, QUINCE_LOAD_NEXT_ORDER, 0, NULL }, /* a report needs no record */
 };
 
 static void
--- a/tests/unit/test-hostile.c
+++ b/tests/unit/test-hostile.c
@@ -89,7 +89,7 @@
     assert_kind_is_rejected ((xdrproc_t)xdr_QuinceMessage, sizeof (QuinceMessage), messages, kind);
   assert_kind_is_rejected ((xdrproc_t)xdr_QuinceMessage, sizeof (QuinceMessage), messages, N_KINDS);
   assert_kind_is_rejected ((xdrproc_t)xdr_QuinceBatchRecord, sizeof (QuinceBatchRecord), records,
-                           QUINCE_BATCH_RECORD_LISTED + 1);
+                           QUINCE_BATCH_RECORD_ORDERS + 1);
   for (guint i = 0; i < G_N_ELEMENTS (out_of_range); i++)
     {
       assert_kind_is_rejected ((xdrproc_t)xdr_QuinceMessage, sizeof (QuinceMessage), messages,
--- a/tests/unit/test-kept-bytes.c
+++ b/tests/unit/test-kept-bytes.c
@@ -161,6 +161,19 @@
                         &expected_result);
 }
 
+/* The record of orders came after the fixtures were written, and its kind is the one after theirs. */
+static void
+test_order_record_encoding (void **state)
+{
+  char *workers[] = { (char *)"w1", (char *)"w-22" };
+  QuinceBatchRecord record = { .kind = QUINCE_BATCH_RECORD_ORDERS };
+  record.QuinceBatchRecord_u.orders.workers.workers_val = workers;
+  record.QuinceBatchRecord_u.orders.workers.workers_len = G_N_ELEMENTS (workers);
+  assert_int_equal (QUINCE_BATCH_RECORD_ORDERS, G_N_ELEMENTS (expected_records));
+  g_autoptr (GBytes) bytes = parse_hex ("0000000900000002000000027731000000000004772d3232");
+  assert_same_encoding (bytes, (xdrproc_t)xdr_QuinceBatchRecord, sizeof record, &record);
+}
+
 /* Compressed bytes depend on the version of zlib, so the record is only decoded, not encoded again. */
 static void
 test_unpack_compressed_record (void **state)
@@ -238,11 +251,9 @@
 main (void)
 {
   const struct CMUnitTest tests[] = {
-    cmocka_unit_test (test_message_encoding),
-    cmocka_unit_test (test_decoded_message_fields),
-    cmocka_unit_test (test_record_encoding),
-    cmocka_unit_test (test_unpack_compressed_record),
-    cmocka_unit_test (test_open_log_of_earlier_version),
+    cmocka_unit_test (test_message_encoding),         cmocka_unit_test (test_decoded_message_fields),
+    cmocka_unit_test (test_record_encoding),          cmocka_unit_test (test_order_record_encoding),
+    cmocka_unit_test (test_unpack_compressed_record), cmocka_unit_test (test_open_log_of_earlier_version),
   };
   return cmocka_run_group_tests_name ("kept-bytes", tests, read_fixtures, free_fixtures);
 }
