Batch log: FORGET records are not packed, so that compaction finds them

Compaction recognises a FORGET record by the kind in its first bytes. A FORGET record of more than about 250 indexes exceeds 2 KiB and was compressed, so the records of such a batch were never cleared from the log. FORGET records are stored as they are now. Packed ones that logs hold already stay without effect, as before.

The new test fails without the change.

--- a/lib/runtime/packed-message.c
+++ b/lib/runtime/packed-message.c
@@ -142,8 +142,11 @@
 GBytes *
 quince_batch_record_pack (GBytes *encoded)
 {
-  if (get_encoded_record_kind (encoded) == QUINCE_BATCH_RECORD_LISTED)
-    return g_bytes_ref (encoded); /* the result in it is already packed */
+  guint32 kind = get_encoded_record_kind (encoded);
+  /* The result in a LISTED record is already packed.  Compaction finds FORGET records by their first bytes.
+   */
+  if (kind == QUINCE_BATCH_RECORD_LISTED || kind == QUINCE_BATCH_RECORD_FORGET)
+    return g_bytes_ref (encoded);
   GBytes *compressed = compress_if_smaller (encoded, QUINCE_PACK_FAST);
   return compressed != NULL ? compressed : g_bytes_ref (encoded);
 }
--- a/lib/runtime/packed-message.h
+++ b/lib/runtime/packed-message.h
@@ -38,8 +38,8 @@
 /* Packs a record of the batch ledger for the log and the backups.
  * @encoded: a record from quince_batch_record_encode()
  *
- * Returns: (transfer full): the packed record, or @encoded itself if it is small, does not compress well or
- * contains a packed result */
+ * Returns: (transfer full): the packed record, or @encoded itself if it is small, does not compress well,
+ * contains a packed result or is a FORGET record */
 GBytes *quince_batch_record_pack (GBytes *encoded);
 /* Encodes the result of a sample, and packs it if that makes it smaller.
  *
--- a/tests/unit/test-packed-message.c
+++ b/tests/unit/test-packed-message.c
@@ -187,6 +187,23 @@
   quince_message_free (outer);
 }
 
+/* Compaction finds FORGET records by the kind in their first bytes.  Those of batches with more than 250
+ * records were packed, so that such a batch was never cleared from the log. */
+static void
+test_forget_record_is_not_packed (void **state)
+{
+  u_quad_t indexes[1000];
+  for (guint i = 0; i < G_N_ELEMENTS (indexes); i++)
+    indexes[i] = 5000 + i;
+  QuinceBatchRecord record = { .kind = QUINCE_BATCH_RECORD_FORGET };
+  record.QuinceBatchRecord_u.forget.batch = (char *)"b";
+  record.QuinceBatchRecord_u.forget.indexes.indexes_val = indexes;
+  record.QuinceBatchRecord_u.forget.indexes.indexes_len = G_N_ELEMENTS (indexes);
+  g_autoptr (GBytes) encoded = quince_batch_record_encode (&record, NULL);
+  g_autoptr (GBytes) packed = quince_batch_record_pack (encoded);
+  assert_true (g_bytes_equal (packed, encoded));
+}
+
 /* The batch table keeps results encoded, and both LISTED and RESULT records yield the original result. */
 static void
 test_table_keeps_encoded_results (void **state)
@@ -248,6 +265,7 @@
 main (void)
 {
   const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_forget_record_is_not_packed),
     cmocka_unit_test (test_table_keeps_encoded_results),
     cmocka_unit_test (test_large_message_is_packed),
     cmocka_unit_test (test_small_message_is_not_packed),
