Order records: tests of forgotten records and of a setting turned on

A FORGET record of order records lists at most 1,024 of them. The simulation clears forgotten records at each new leader, and a test turns the setting on at the restart of a leader that gave orders without records.

--- a/daemons/replica/order-records.c
+++ b/daemons/replica/order-records.c
@@ -9,9 +9,10 @@
 #include "runtime/metrics.h"
 #include "runtime/timer.h"
 
-/* Number of order records without use that one FORGET record lists.  A FORGET record stays in the log, so
- * that it should list many. */
+/* Numbers of order records without use that one FORGET record lists.  FORGET records stay in the log, so they
+ * list many; the maximum bounds the record that a new leader appends after it has read its log. */
 #define FORGET_RECORDS_MIN 64
+#define FORGET_RECORDS_MAX 1024
 
 struct _QuinceOrderRecords
 {
@@ -161,8 +162,8 @@
 static void
 append_forget_record (QuinceOrderRecords *records)
 {
-  g_autoptr (GArray) indexes
-      = quince_order_history_take_finished (get_history (records), quince_now_us (), FORGET_RECORDS_MIN);
+  g_autoptr (GArray) indexes = quince_order_history_take_finished (get_history (records), quince_now_us (),
+                                                                   FORGET_RECORDS_MIN, FORGET_RECORDS_MAX);
   if (indexes->len == 0)
     return;
   QuinceBatchRecord record = { .kind = QUINCE_BATCH_RECORD_FORGET };
--- a/lib/core/group/order-history.c
+++ b/lib/core/group/order-history.c
@@ -203,11 +203,14 @@
 }
 
 GArray *
-quince_order_history_take_finished (QuinceOrderHistory *history, gint64 now_us, guint min_records)
+quince_order_history_take_finished (QuinceOrderHistory *history,
+                                    gint64 now_us,
+                                    guint min_records,
+                                    guint max_records)
 {
   GArray *indexes = g_array_new (FALSE, FALSE, sizeof (guint64));
   guint n_finished = 0;
-  while (n_finished + 1 < history->records->len
+  while (n_finished < max_records && n_finished + 1 < history->records->len
          && g_array_index (history->records, StoredRecord, n_finished).finished_us <= now_us)
     n_finished++;
   if (n_finished == 0 || n_finished < min_records)
--- a/lib/core/group/order-history.h
+++ b/lib/core/group/order-history.h
@@ -66,12 +66,16 @@
 /**
  * quince_order_history_take_finished:
  * @min_records: returns nothing if there are fewer
+ * @max_records: returns the oldest if there are more
  *
  * Removes from the history the records that block no worker any more, except the last order record of the
  * log, which later leaders need (quince_order_history_is_known()).
  *
  * Returns: (transfer full) (element-type guint64): their indexes, for a FORGET record
  */
-GArray *quince_order_history_take_finished (QuinceOrderHistory *history, gint64 now_us, guint min_records);
+GArray *quince_order_history_take_finished (QuinceOrderHistory *history,
+                                            gint64 now_us,
+                                            guint min_records,
+                                            guint max_records);
 
 G_END_DECLS
--- a/tests/unit/ledger-orders.h
+++ b/tests/unit/ledger-orders.h
@@ -37,13 +37,48 @@
   quince_order_history_read_entry (node->history, index, record->epoch, record->is_order ? &orders : NULL);
 }
 
-/* Reads the log of a leader that has recovered. */
+/* Returns the index up to which committed FORGET records list the order records of @node. */
+static inline guint64
+world_get_forgotten_index (const World *world, const WorldNode *node)
+{
+  guint64 index = 0;
+  for (guint i = 0; i < MIN (node->disk.log->len, world->committed->len); i++)
+    index = MAX (index, g_array_index (node->disk.log, WorldRecord, i).forgets_up_to);
+  return index;
+}
+
+/* Reads the log of a leader that has recovered.  Its disk has cleared all forgotten records. */
 static inline void
-world_read_orders (WorldNode *node)
+world_read_orders (World *world, WorldNode *node)
 {
+  guint64 forgotten_index = world_get_forgotten_index (world, node);
   quince_order_permits_clear (node->permits);
   for (guint i = 0; i < node->disk.log->len; i++)
-    world_read_order_record (node, i + 1, &g_array_index (node->disk.log, WorldRecord, i));
+    {
+      WorldRecord record = g_array_index (node->disk.log, WorldRecord, i);
+      record.is_order = record.is_order && i + 1 > forgotten_index;
+      world_read_order_record (node, i + 1, &record);
+    }
+}
+
+static inline void
+world_append_leader_record (World *world, WorldNode *node, const WorldRecord *record)
+{
+  g_array_append_vals (node->disk.log, record, 1);
+  world_update_log_end (node);
+  world_receive_records (world, node, node->disk.log->len - 1);
+}
+
+static inline void
+world_append_forget_record (World *world, WorldNode *node)
+{
+  g_autoptr (GArray) indexes = quince_order_history_take_finished (node->history, world->now_us, 4, 1000);
+  if (indexes->len == 0)
+    return;
+  const WorldRecord record = { .epoch = node->led_epoch,
+                               .value = ++world->next_value,
+                               .forgets_up_to = g_array_index (indexes, guint64, indexes->len - 1) };
+  world_append_leader_record (world, node, &record);
 }
 
 static inline gboolean
@@ -81,12 +116,12 @@
       record.workers |= 1u << i;
       g_ptr_array_add (names, g_steal_pointer (&name));
     }
-  g_array_append_val (node->disk.log, record);
-  world_update_log_end (node);
+  world_append_leader_record (world, node, &record);
   guint64 index = node->disk.log->len;
-  world_receive_records (world, node, (guint)index - 1);
+  quince_order_history_add_own (node->history, world->now_us, index);
   quince_order_permits_add (node->permits, world->now_us, index, (const char *const *)names->pdata,
                             names->len);
+  world_append_forget_record (world, node);
 }
 
 static inline void
--- a/tests/unit/ledger-world.h
+++ b/tests/unit/ledger-world.h
@@ -49,7 +49,7 @@
       g_autofree char *event = g_strdup_printf ("LEADS n%u", index);
       world_trace (world, event, NULL);
       world_check_leader_log (world, node);
-      world_read_orders (node);
+      world_read_orders (world, node);
     }
   if (!node->recovered)
     return;
--- a/tests/unit/test-order-history.c
+++ b/tests/unit/test-order-history.c
@@ -171,16 +171,19 @@
   g_autoptr (QuinceOrderHistory) history = make_history ();
   quince_order_history_start_leading (history, 2);
   read_orders (history, 3, 1, "w1");
+  read_orders (history, 4, 1, "w1");
+  g_autoptr (GArray) early = quince_order_history_take_finished (history, START_US + BLOCK_US - 1, 1, 9);
+  assert_int_equal (early->len, 0);
   gint64 appended_us = START_US + G_USEC_PER_SEC;
   quince_order_history_add_own (history, appended_us, 7);
   quince_order_history_add_own (history, appended_us, 8);
-  g_autoptr (GArray) none = quince_order_history_take_finished (history, appended_us + BLOCK_US - 1, 2);
+  g_autoptr (GArray) none = quince_order_history_take_finished (history, appended_us + BLOCK_US - 1, 3, 9);
   assert_int_equal (none->len, 0);
-  g_autoptr (GArray) taken = quince_order_history_take_finished (history, appended_us + BLOCK_US, 2);
-  assert_int_equal (taken->len, 2);
-  assert_int_equal (g_array_index (taken, guint64, 0), 3);
-  assert_int_equal (g_array_index (taken, guint64, 1), 7);
-  g_autoptr (GArray) last = quince_order_history_take_finished (history, G_MAXINT64, 1);
+  g_autoptr (GArray) first = quince_order_history_take_finished (history, appended_us + BLOCK_US, 2, 3);
+  assert_int_equal (first->len, 3);
+  assert_int_equal (g_array_index (first, guint64, 0), 3);
+  assert_int_equal (g_array_index (first, guint64, 2), 7);
+  g_autoptr (GArray) last = quince_order_history_take_finished (history, G_MAXINT64, 1, 9);
   assert_int_equal (last->len, 0);
 }
 
@@ -292,6 +295,37 @@
   assert_int_equal (run_order_seeds (0), 0);
 }
 
+/* A leader that gave orders without records, is started anew with the setting on and leads again, gave the
+ * last orders.  Guards against a record of it before the pause is over: its successor would trust the log,
+ * which does not tell the orders from before the restart. */
+static void
+test_setting_is_turned_on_at_restart (void **state)
+{
+  guint n_led_again = 0;
+  for (guint32 seed = 1; seed <= 20; seed++)
+    {
+      World *world = world_new (seed, 3, 1);
+      settle (world);
+      world->orders = g_rand_new_with_seed (seed);
+      world->records_orders_of_4 = 4;
+      world_run (world, 4000);
+      assert_true (world->n_orders > 0);
+      guint former = (guint)world_find_leader (world);
+      for (guint i = 0; i < world->n_nodes; i++)
+        world->nodes[i].records_orders = i != former;
+      world_kill (world, former);
+      world_start (world, former, FALSE);
+      world_run (world, 900);
+      n_led_again += world_find_leader (world) == (gint)former;
+      world_kill (world, former);
+      world_run (world, 3000);
+      assert_int_not_equal (world_find_leader (world), -1);
+      assert_int_equal (world->n_early_orders, 0);
+      world_free (world);
+    }
+  assert_true (n_led_again > 0);
+}
+
 int
 main (void)
 {
@@ -308,6 +342,7 @@
     cmocka_unit_test (test_leaders_that_record),
     cmocka_unit_test (test_leaders_of_mixed_configurations),
     cmocka_unit_test (test_leaders_that_do_not_record),
+    cmocka_unit_test (test_setting_is_turned_on_at_restart),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
