Ledger follower: backups connect to a new leader at once

After a restart of all processes backups try the former leader, which refuses their links until it is elected. The next attempt came 150 ms after the last one, and 300 ms where a tick of 150 ms came a little early. A new leader without its backups cannot read its log.

Connect at once when the epoch or the address of the leader changed since the last attempt, and when a link closes; within an epoch once in 0.1 s. No bound of an invariant depends on it: promises and leases are counted from messages.

--- a/daemons/replica/ledger-follower.c
+++ b/daemons/replica/ledger-follower.c
@@ -3,15 +3,13 @@
  */
 #include "ledger-follower.h"
 
+#include "core/group/leader-connect.h"
 #include "runtime/clock.h"
 #include "runtime/log.h"
 
 /* Timeout for connecting to the leader, us.  Longer than the 1 s after which backups replace an unresponsive
  * leader. */
 #define CONNECT_TIMEOUT_US (1200 * 1000)
-/* Minimum interval between two attempts to connect, us.  Much shorter than the 1 s after which this replica
- * campaigns. */
-#define RECONNECT_INTERVAL_US (150 * 1000)
 
 struct _QuinceLedgerFollower
 {
@@ -24,10 +22,10 @@
   const QuinceLedgerFollowerCallbacks *callbacks; /* borrowed */
   gpointer user_data;
 
-  QuinceLink *link;               /* owned; NULL: none; may still be connecting */
-  char *address;                  /* owned: address of the leader; NULL: none */
-  gboolean loss_logged;           /* the loss of the link was logged, and no link was up since */
-  gint64 last_connect_attempt_us; /* when the last attempt started */
+  QuinceLink *link;     /* owned; NULL: none; may still be connecting */
+  char *address;        /* owned: address of the leader; NULL: none */
+  gboolean loss_logged; /* the loss of the link was logged, and no link was up since */
+  QuinceLeaderAttempt last_attempt;
 };
 
 QuinceLedgerFollower *
@@ -213,6 +211,8 @@
 link_closed (QuinceLink *link, const GError *error, gpointer data)
 {
   handle_link_loss (data);
+  /* The leader may have been elected after it refused this link. */
+  quince_ledger_follower_update_link (data);
 }
 
 static const QuinceLinkCallbacks link_callbacks
@@ -234,18 +234,22 @@
 {
   const QuinceLedgerMember *leader = find_leader_to_follow (follower);
   if (leader == NULL || g_strcmp0 (leader->address, follower->address) != 0)
-    quince_ledger_follower_stop (follower);
+    {
+      quince_ledger_follower_stop (follower);
+      follower->last_attempt = (QuinceLeaderAttempt){ 0 };
+    }
   if (leader == NULL)
     return;
+  guint64 epoch = quince_ledger_group_get_view (follower->group)->epoch;
   gint64 now_us = quince_now_us ();
   gboolean connect_timed_out = follower->link != NULL && !quince_link_is_connected (follower->link)
-                               && now_us - follower->last_connect_attempt_us > CONNECT_TIMEOUT_US;
+                               && now_us - follower->last_attempt.started_us > CONNECT_TIMEOUT_US;
   if (connect_timed_out)
     quince_ledger_follower_stop (follower);
-  if (follower->link != NULL || now_us - follower->last_connect_attempt_us < RECONNECT_INTERVAL_US)
+  if (follower->link != NULL || !quince_leader_connect_is_due (&follower->last_attempt, now_us, epoch))
     return;
   g_free (follower->address);
   follower->address = g_strdup (leader->address);
-  follower->last_connect_attempt_us = now_us;
+  follower->last_attempt = (QuinceLeaderAttempt){ .started_us = now_us, .epoch = epoch };
   follower->link = quince_link_connect (leader->address, &link_callbacks, follower);
 }
