Progress copies: long texts survive the loss of two disks

Texts of running samples were on the disks of the leader and of its successor only. Deployments that tolerate two losses generated all texts again when the two machines that wrote last lost their disks.

With [ledger] losses above 1 the leader sends texts of a second or more to as many further backups as losses exceeds 1: in other zones than its own and the successor's where there are any, nearest to their end first, 64 KiB of text a report (core/batches/progress-selection). With losses 1 no further backup is chosen.

A new leader: offers are merged by length also while it reads its log (a shorter one that came last won before); texts of versions that the batch does not allow are not continued; running samples take a text that saves 0.5 s; samples with text start at once, others when each member has told what it knows (an empty offer: nothing), after 200 ms at most. Replicas offer what they read from the disk also after outages of more than 5 s.

--- a/daemons/replica/batch-service.c
+++ b/daemons/replica/batch-service.c
@@ -26,6 +26,7 @@
   QuinceProgressStore *progress;
   QuinceProgressFile *progress_file;
   QuinceResidencyCoordinator *residency;
+  QuinceProgressCopies *copies;
   /* These are owned: */
   QuinceBatchTable *table; /* NULL at a backup; created when a new leader reads its log */
   QuinceBatchCalls *calls;
@@ -193,37 +194,6 @@
   return service->table != NULL ? quince_batch_table_list (service->table) : g_ptr_array_new ();
 }
 
-/* Returns: (transfer full): the items whose batches may be sent to the machine @node under their residency
- * rules; none if @node is %NULL.  The texts are borrowed from @items. */
-static GArray *
-select_allowed_progress (QuinceBatchService *service, const GArray *items, const char *node)
-{
-  GArray *allowed = g_array_new (FALSE, FALSE, sizeof (QuinceProgressItem));
-  for (guint i = 0; node != NULL && i < items->len; i++)
-    {
-      const QuinceProgressItem *item = &g_array_index (items, QuinceProgressItem, i);
-      const QuinceBatchEntry *entry = quince_batch_table_find (service->table, item->batch);
-      if (entry != NULL
-          && quince_residency_coordinator_is_allowed (service->residency, node, entry->batch->host,
-                                                      entry->batch->path, entry->tenant))
-        g_array_append_val (allowed, *item);
-    }
-  return allowed;
-}
-
-static void
-send_allowed_progress (QuinceBatchService *service, const GArray *items)
-{
-  g_autoptr (GArray) allowed
-      = select_allowed_progress (service, items, quince_ledger_node_get_successor_name (service->ledger));
-  if (allowed->len == 0)
-    return;
-  QuinceMessage message = { .kind = QUINCE_MESSAGE_PROGRESS };
-  message.QuinceMessage_u.progress.items.items_val = (QuinceProgressItem *)allowed->data;
-  message.QuinceMessage_u.progress.items.items_len = allowed->len;
-  quince_ledger_node_send_to_successor (service->ledger, &message);
-}
-
 void
 quince_batch_service_send_progress (QuinceBatchService *service)
 {
@@ -233,20 +203,24 @@
   g_autoptr (GArray) items = g_array_new (FALSE, FALSE, sizeof (QuinceProgressItem));
   quince_sample_runner_collect_progress (service->runner, successor != service->synced_successor, items);
   service->synced_successor = successor;
+  quince_progress_copies_send_further (service->copies, service->runner);
   if (items->len == 0)
     return;
   QuinceMessage message = { .kind = QUINCE_MESSAGE_PROGRESS };
   message.QuinceMessage_u.progress.items.items_val = (QuinceProgressItem *)items->data;
   message.QuinceMessage_u.progress.items.items_len = items->len;
-  send_allowed_progress (service, items);
+  quince_progress_copies_send_to_successor (service->copies, service->table, items);
   quince_progress_file_append (service->progress_file, &message.QuinceMessage_u.progress);
 }
 
 void
 quince_batch_service_apply_progress (QuinceBatchService *service, const QuinceSampleProgress *progress)
 {
-  if (service->runner != NULL)
-    quince_sample_runner_apply_progress (service->runner, progress);
+  if (service->runner == NULL)
+    return;
+  guint n_taken = quince_sample_runner_apply_progress (service->runner, progress);
+  if (quince_progress_copies_is_complete_with_offers (service->copies, n_taken))
+    quince_sample_runner_end_progress_wait (service->runner);
 }
 
 void
@@ -328,9 +302,8 @@
       if (!entry->ended)
         quince_sample_runner_add (service->runner, entry);
     }
-  g_autoptr (GArray) known_progress = g_array_new (FALSE, FALSE, sizeof (QuinceProgressItem));
-  quince_progress_store_list_recent (service->progress, quince_now_us (), known_progress);
-  if (known_progress->len == 0 && service->samples_without_result > 0)
+  if (service->samples_without_result > 0
+      && !quince_progress_copies_is_complete (service->copies, service->progress))
     quince_sample_runner_await_progress (service->runner);
   service->forget_timer = quince_timer_add (FORGET_INTERVAL_MS, forget_old_batches, service);
 }
@@ -367,11 +340,13 @@
 quince_batch_service_set_ledger (QuinceBatchService *service,
                                  QuinceLedgerNode *ledger,
                                  QuinceProgressFile *progress_file,
-                                 QuinceResidencyCoordinator *residency)
+                                 QuinceResidencyCoordinator *residency,
+                                 QuinceProgressCopies *copies)
 {
   service->ledger = ledger;
   service->residency = residency;
   service->progress_file = progress_file;
+  service->copies = copies;
   quince_batch_calls_set_ledger (service->calls, ledger, residency);
 }
 
--- a/daemons/replica/batch-service.h
+++ b/daemons/replica/batch-service.h
@@ -14,6 +14,7 @@
 #include "runtime/link.h"
 
 #include "ledger-node.h"
+#include "progress-copies.h"
 #include "progress-file.h"
 #include "residency-coordinator.h"
 #include "sample-runner.h"
@@ -41,7 +42,8 @@
 void quince_batch_service_set_ledger (QuinceBatchService *service,
                                       QuinceLedgerNode *ledger,
                                       QuinceProgressFile *progress_file,
-                                      QuinceResidencyCoordinator *residency);
+                                      QuinceResidencyCoordinator *residency,
+                                      QuinceProgressCopies *copies);
 
 /* ---- Events of the ledger ------------------------------------------------ */
 
@@ -64,10 +66,11 @@
 
 /* ---- Progress of samples -------------------------------------------------- */
 
-/* Applies progress that a backup received from the former leader.  Does nothing unless this replica leads. */
+/* Applies progress that a backup offers, and ends the wait for such offers if no more are expected.  Does
+ * nothing unless this replica leads. */
 void quince_batch_service_apply_progress (QuinceBatchService *service, const QuinceSampleProgress *progress);
-/* Writes the progress of samples since the last call to the progress file, and sends it to the successor as
- * far as residency rules allow.  Call several times a second.  Does nothing unless this replica leads. */
+/* Writes the progress of samples since the last call to the progress file, and sends it to the backups that
+ * keep copies (progress-copies.h).  Call several times a second.  Does nothing unless this replica leads. */
 void quince_batch_service_send_progress (QuinceBatchService *service);
 
 /* ---- Samples -------------------------------------------------------------- */
--- a/daemons/replica/ledger-backup.h
+++ b/daemons/replica/ledger-backup.h
@@ -22,6 +22,7 @@
  * @receives_records: whether records are sent to the backup; if not, it gets heartbeats only
  * @has_records: whether the backup may have records: its log was not empty when it connected, or records were
  *   sent to it since
+ * @progress_offered: the backup has told what it knows about the progress of samples, perhaps nothing
  * @window: (owned): records in flight
  */
 typedef struct
@@ -34,6 +35,7 @@
   gboolean needs_reset;
   gboolean receives_records;
   gboolean has_records;
+  gboolean progress_offered;
   QuinceSendWindow *window;
 } QuinceLedgerBackup;
 
--- a/daemons/replica/ledger-node.c
+++ b/daemons/replica/ledger-node.c
@@ -426,16 +426,16 @@
   return quince_ledger_replication_get_successor_link (node->replication);
 }
 
-const char *
-quince_ledger_node_get_successor_name (QuinceLedgerNode *node)
+guint64
+quince_ledger_node_get_replica_id (const QuinceLedgerNode *node)
 {
-  return quince_ledger_replication_get_successor_name (node->replication);
+  return node->self.replica;
 }
 
-void
-quince_ledger_node_send_to_successor (QuinceLedgerNode *node, const QuinceMessage *message)
+QuinceLedgerReplication *
+quince_ledger_node_get_replication (QuinceLedgerNode *node)
 {
-  quince_ledger_replication_send_to_successor (node->replication, message);
+  return node->replication;
 }
 
 gboolean
--- a/daemons/replica/ledger-node.h
+++ b/daemons/replica/ledger-node.h
@@ -12,6 +12,8 @@
 #include "runtime/link.h"
 #include "meta/meta-store.h"
 
+#include "ledger-replication.h"
+
 typedef struct _QuinceLedgerNode QuinceLedgerNode;
 
 /**
@@ -105,10 +107,10 @@
 guint64 quince_ledger_node_get_successor_serial (QuinceLedgerNode *node);
 /* Returns: (transfer none) (nullable): the link to the successor, or %NULL if there is none */
 QuinceLink *quince_ledger_node_get_successor_link (QuinceLedgerNode *node);
-/* Returns: (transfer none) (nullable): the name of the successor's machine, or %NULL if there is none */
-const char *quince_ledger_node_get_successor_name (QuinceLedgerNode *node);
-/* Sends @message to the successor, if there is one.  The message may be lost. */
-void quince_ledger_node_send_to_successor (QuinceLedgerNode *node, const QuinceMessage *message);
+/* Returns the replica id of this replica. */
+guint64 quince_ledger_node_get_replica_id (const QuinceLedgerNode *node);
+/* Returns: (transfer none): the connected backups, for messages that are not part of the log */
+QuinceLedgerReplication *quince_ledger_node_get_replication (QuinceLedgerNode *node);
 
 /* Returns %TRUE if this replica is the leader and has read its log. */
 gboolean quince_ledger_node_is_leading (const QuinceLedgerNode *node);
--- a/daemons/replica/ledger-replication.c
+++ b/daemons/replica/ledger-replication.c
@@ -6,9 +6,6 @@
 #include "core/group/replica-list.h"
 #include "runtime/clock.h"
 #include "runtime/log.h"
-#include "runtime/packed-message.h"
-
-#include "ledger-backup.h"
 
 struct _QuinceLedgerReplication
 {
@@ -246,8 +243,8 @@
 
 /* Backups campaign in the order of the view, so the first member that receives records is the most likely
  * next leader. */
-static const QuinceLedgerBackup *
-find_successor (const QuinceLedgerReplication *replication)
+const QuinceLedgerBackup *
+quince_ledger_replication_find_successor (const QuinceLedgerReplication *replication)
 {
   const QuinceLedgerView *view = quince_ledger_group_get_view (replication->group);
   for (guint i = 0; view != NULL && i < view->members.members_len; i++)
@@ -263,32 +260,68 @@
 guint64
 quince_ledger_replication_get_successor_serial (const QuinceLedgerReplication *replication)
 {
-  const QuinceLedgerBackup *successor = find_successor (replication);
+  const QuinceLedgerBackup *successor = quince_ledger_replication_find_successor (replication);
   return successor != NULL ? successor->serial : 0;
 }
 
 QuinceLink *
 quince_ledger_replication_get_successor_link (const QuinceLedgerReplication *replication)
 {
-  const QuinceLedgerBackup *successor = find_successor (replication);
+  const QuinceLedgerBackup *successor = quince_ledger_replication_find_successor (replication);
   return successor != NULL ? successor->link : NULL;
 }
 
+const QuinceLedgerBackup *
+quince_ledger_replication_find_backup (const QuinceLedgerReplication *replication, guint64 replica)
+{
+  return g_hash_table_lookup (replication->backups, &replica);
+}
+
 const char *
-quince_ledger_replication_get_successor_name (const QuinceLedgerReplication *replication)
+quince_ledger_replication_get_zone (const QuinceLedgerReplication *replication, guint64 replica)
 {
-  const QuinceLedgerBackup *successor = find_successor (replication);
-  return successor != NULL ? successor->node : NULL;
+  return quince_ledger_group_get_zone (replication->group, replica);
 }
 
 void
-quince_ledger_replication_send_to_successor (const QuinceLedgerReplication *replication,
-                                             const QuinceMessage *message)
+quince_ledger_replication_list_copy_candidates (const QuinceLedgerReplication *replication,
+                                                GArray *candidates)
 {
-  const QuinceLedgerBackup *successor = find_successor (replication);
-  g_autoptr (GBytes) encoded = successor != NULL ? quince_message_encode (message, NULL) : NULL;
-  if (encoded == NULL)
-    return;
-  g_autoptr (GBytes) packed = quince_message_pack (encoded, QUINCE_PACK_FAST);
-  quince_link_send_bytes (successor->link, packed);
+  const QuinceLedgerView *view = quince_ledger_group_get_view (replication->group);
+  const QuinceLedgerBackup *successor = quince_ledger_replication_find_successor (replication);
+  for (guint i = 0; view != NULL && i < view->members.members_len; i++)
+    {
+      guint64 replica = view->members.members_val[i].replica;
+      const QuinceLedgerBackup *backup = quince_ledger_replication_find_backup (replication, replica);
+      const QuinceProgressBackup candidate
+          = { .replica = replica, .zone = quince_ledger_replication_get_zone (replication, replica) };
+      if (backup != NULL && backup != successor && backup->receives_records)
+        g_array_append_val (candidates, candidate);
+    }
+}
+
+/* ---- Progress that backups offer ---------------------------------------- */
+
+void
+quince_ledger_replication_record_progress_offer (QuinceLedgerReplication *replication, QuinceLink *link)
+{
+  QuinceLedgerBackup *backup = find_by_link (replication, link);
+  if (backup != NULL)
+    backup->progress_offered = TRUE;
+}
+
+void
+quince_ledger_replication_count_progress_offers (const QuinceLedgerReplication *replication,
+                                                 guint *other_members,
+                                                 guint *offered_members)
+{
+  const QuinceLedgerView *view = quince_ledger_group_get_view (replication->group);
+  *other_members = *offered_members = 0;
+  for (guint i = 0; view != NULL && i < view->members.members_len; i++)
+    {
+      guint64 replica = view->members.members_val[i].replica;
+      const QuinceLedgerBackup *backup = quince_ledger_replication_find_backup (replication, replica);
+      *other_members += replica != view->primary;
+      *offered_members += backup != NULL && backup->progress_offered;
+    }
 }
--- a/daemons/replica/ledger-replication.h
+++ b/daemons/replica/ledger-replication.h
@@ -8,9 +8,12 @@
 #pragma once
 
 #include "batchlog/batch-log.h"
+#include "core/batches/progress-selection.h"
 #include "core/group/ledger-group.h"
 #include "runtime/link.h"
 
+#include "ledger-backup.h"
+
 typedef struct _QuinceLedgerReplication QuinceLedgerReplication;
 
 /**
@@ -60,9 +63,27 @@
 
 /* Returns %TRUE if @replica is connected as a backup. */
 gboolean quince_ledger_replication_has_backup (const QuinceLedgerReplication *replication, guint64 replica);
-/* See quince_ledger_node_get_successor_serial() and the functions that follow it. */
+/* See quince_ledger_node_get_successor_serial() and quince_ledger_node_get_successor_link(). */
 guint64 quince_ledger_replication_get_successor_serial (const QuinceLedgerReplication *replication);
 QuinceLink *quince_ledger_replication_get_successor_link (const QuinceLedgerReplication *replication);
-const char *quince_ledger_replication_get_successor_name (const QuinceLedgerReplication *replication);
-void quince_ledger_replication_send_to_successor (const QuinceLedgerReplication *replication,
-                                                  const QuinceMessage *message);
+/* Returns: (transfer none) (nullable): the successor, valid until its link closes */
+const QuinceLedgerBackup *
+quince_ledger_replication_find_successor (const QuinceLedgerReplication *replication);
+/* Returns: (transfer none) (nullable): the connected backup @replica, valid until its link closes */
+const QuinceLedgerBackup *quince_ledger_replication_find_backup (const QuinceLedgerReplication *replication,
+                                                                 guint64 replica);
+
+/* Returns: (transfer none) (nullable): the zone of @replica, which may be this one, or %NULL if not known */
+const char *quince_ledger_replication_get_zone (const QuinceLedgerReplication *replication, guint64 replica);
+/* Appends the connected members that receive records, except the successor, to @candidates (element-type
+ * QuinceProgressBackup), in the order of the view. */
+void quince_ledger_replication_list_copy_candidates (const QuinceLedgerReplication *replication,
+                                                     GArray *candidates);
+
+/* Records that the backup of @link has offered the progress that it knows. */
+void quince_ledger_replication_record_progress_offer (QuinceLedgerReplication *replication, QuinceLink *link);
+/* @other_members: (out): number of members of the view other than the leader; @offered_members: (out): those
+ * of them that are connected and have offered the progress that they know */
+void quince_ledger_replication_count_progress_offers (const QuinceLedgerReplication *replication,
+                                                      guint *other_members,
+                                                      guint *offered_members);
--- a/daemons/replica/progress-file.c
+++ b/daemons/replica/progress-file.c
@@ -19,9 +19,12 @@
 #include "runtime/log.h"
 #include "protocol/hash.h"
 
-/* Maximum age that is assumed for stored progress, ms, in case the wall clock was stepped.  Stored
- * progress older than 5 s is not listed. */
+/* Maximum age that is assumed for stored progress, ms: the wall clock may have been stepped, and stored
+ * progress must not expire (after 40 s) before a new leader was elected. */
 #define STORED_AGE_MAX_MS (20 * 1000)
+/* Maximum age of stored progress that is offered to a new leader, ms, by the wall clock.  Older batches may
+ * have been forgotten (setting ledger.keep, 120 s by default), and others may have their names. */
+#define OFFERED_AGE_MAX_MS (120 * 1000)
 
 #define PROGRESS_FILE_ERROR (g_quark_from_static_string ("quince-progress-file-error"))
 
@@ -111,16 +114,15 @@
   return header.sequence;
 }
 
-/* Returns the time since @path was last written, us, by the wall clock; at most STORED_AGE_MAX_MS, and 0 if
- * the file does not exist. */
+/* Returns the time since @path was last written, ms, by the wall clock; 0 if the file does not exist. */
 static gint64
-get_file_age_us (const char *path)
+get_file_age_ms (const char *path)
 {
   GStatBuf status;
   if (g_stat (path, &status) != 0)
     return 0;
   gint64 written_ms = (gint64)status.st_mtim.tv_sec * 1000 + status.st_mtim.tv_nsec / 1000000;
-  return CLAMP (quince_wall_ms () - written_ms, 0, STORED_AGE_MAX_MS) * 1000;
+  return MAX (quince_wall_ms () - written_ms, 0);
 }
 
 static void
@@ -136,9 +138,13 @@
   for (guint i = 0; i < N_FILES; i++)
     {
       guint file_index = (older + i) % N_FILES;
-      gint64 reported_us = now_us - get_file_age_us (paths[file_index]);
+      gint64 age_ms = get_file_age_ms (paths[file_index]);
+      gint64 reported_us = now_us - MIN (age_ms, STORED_AGE_MAX_MS) * 1000;
+      guint64 last_report = quince_progress_store_get_last_report (store);
       file->sequence = MAX (file->sequence,
                             apply_frames (contents[file_index], lengths[file_index], store, reported_us));
+      if (age_ms <= OFFERED_AGE_MAX_MS)
+        quince_progress_store_mark_from_disk (store, last_report);
     }
   file->current = older; /* the newer file is kept until this one is full */
   for (guint i = 0; i < N_FILES; i++)
--- a/daemons/replica/progress.c
+++ b/daemons/replica/progress.c
@@ -9,8 +9,9 @@
 #define PROGRESS_TTL_US (40 * G_USEC_PER_SEC)
 /* Maximum number of samples; further ones are ignored, so that a malformed message cannot exhaust memory. */
 #define ENTRIES_MAX 8192
-/* Maximum age of listed progress, us.  A leader reports each growing text five times a second, and a new
- * leader takes over within one or two seconds. */
+/* Maximum age of listed progress that this process received, us.  A leader reports each growing text five
+ * times a second, and a new leader takes over within one or two seconds.  Progress from the disk is listed
+ * until it expires, since all processes may have been down for longer than this. */
 #define RECENT_MAX_AGE_US (5 * G_USEC_PER_SEC)
 /* Size of the listed texts after which the list ends, bytes. */
 #define LISTED_TEXTS_MAX_BYTES (4 * 1024 * 1024)
@@ -25,6 +26,7 @@
   guint failures;
   gint64 reported_us;
   guint64 report_number; /* rises with each report of any sample */
+  gboolean from_disk;    /* written by an earlier process and not reported since; to be offered */
 } ProgressEntry;
 
 struct _QuinceProgressStore
@@ -106,6 +108,7 @@
   if (entry == NULL)
     return;
   entry->failures = MAX (entry->failures, item->failures);
+  entry->from_disk = FALSE;
   entry->reported_us = now_us;
   entry->report_number = ++store->last_report_number;
   if (item->from_event == 0)
@@ -130,6 +133,57 @@
     apply_progress_item (store, now_us, &progress->items.items_val[i]);
 }
 
+void
+quince_progress_store_merge (QuinceProgressStore *store, gint64 now_us, const QuinceSampleProgress *progress)
+{
+  remove_expired_entries (store, now_us);
+  for (guint i = 0; i < progress->items.items_len; i++)
+    {
+      const QuinceProgressItem *item = &progress->items.items_val[i];
+      g_autofree char *key = entry_key (item->batch, item->item);
+      ProgressEntry *entry = g_hash_table_lookup (store->entries, key);
+      if (entry != NULL && (item->from_event != 0 || item->last_event <= entry->last_event))
+        entry->failures = MAX (entry->failures, item->failures);
+      else if (item->from_event == 0)
+        apply_progress_item (store, now_us, item);
+    }
+}
+
+guint64
+quince_progress_store_get_last_report (const QuinceProgressStore *store)
+{
+  return store->last_report_number;
+}
+
+void
+quince_progress_store_mark_from_disk (QuinceProgressStore *store, guint64 after_report)
+{
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, store->entries);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    if (((const ProgressEntry *)value)->report_number > after_report)
+      ((ProgressEntry *)value)->from_disk = TRUE;
+}
+
+static gboolean
+is_recent (const ProgressEntry *entry, gint64 now_us)
+{
+  return now_us - entry->reported_us <= RECENT_MAX_AGE_US;
+}
+
+gboolean
+quince_progress_store_has_recent (QuinceProgressStore *store, gint64 now_us)
+{
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, store->entries);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    if (is_recent (value, now_us))
+      return TRUE;
+  return FALSE;
+}
+
 static gint
 compare_newest_first (gconstpointer a, gconstpointer b)
 {
@@ -152,20 +206,21 @@
 }
 
 void
-quince_progress_store_list_recent (QuinceProgressStore *store, gint64 now_us, GArray *items)
+quince_progress_store_list_offers (QuinceProgressStore *store, gint64 now_us, GArray *items)
 {
-  g_autoptr (GPtrArray) recent = g_ptr_array_new ();
+  remove_expired_entries (store, now_us);
+  g_autoptr (GPtrArray) offers = g_ptr_array_new ();
   GHashTableIter iter;
   gpointer value;
   g_hash_table_iter_init (&iter, store->entries);
   while (g_hash_table_iter_next (&iter, NULL, &value))
-    if (now_us - ((const ProgressEntry *)value)->reported_us <= RECENT_MAX_AGE_US)
-      g_ptr_array_add (recent, value);
-  g_ptr_array_sort (recent, compare_newest_first);
+    if (((const ProgressEntry *)value)->from_disk || is_recent (value, now_us))
+      g_ptr_array_add (offers, value);
+  g_ptr_array_sort (offers, compare_newest_first);
   gsize bytes = 0;
-  for (guint i = 0; i < recent->len && bytes < LISTED_TEXTS_MAX_BYTES; i++)
+  for (guint i = 0; i < offers->len && bytes < LISTED_TEXTS_MAX_BYTES; i++)
     {
-      const ProgressEntry *entry = recent->pdata[i];
+      const ProgressEntry *entry = offers->pdata[i];
       bytes += entry->text->len;
       append_progress_item (items, entry);
     }
--- a/daemons/replica/replica-ledger-events.c
+++ b/daemons/replica/replica-ledger-events.c
@@ -27,17 +27,16 @@
   quince_replica_leadership_stop (parts->leadership);
 }
 
-/* Sends the new leader the recent progress that this replica received from the former leader.  This
- * replica may have the progress although it was not elected, for example because its log lacked a record.
- * Nothing is sent if the configuration has region rules, since only a leader knows which machines may receive
- * which texts. */
+/* Offers the new leader the progress that this replica received from the former leader.  This replica may
+ * have the progress although it was not elected, for example because its log lacked a record.  An empty
+ * message tells that there is none, so that the leader does not wait for it.  No text is offered if the
+ * configuration has region rules, since only a leader knows which machines may receive which texts. */
 static void
 forward_progress_to_leader (const QuinceReplicaParts *parts, QuinceLink *leader)
 {
   g_autoptr (GArray) items = g_array_new (FALSE, FALSE, sizeof (QuinceProgressItem));
-  quince_progress_store_list_recent (parts->progress, quince_now_us (), items);
-  if (items->len == 0 || quince_backends_has_region_rules (parts->backends))
-    return;
+  if (!quince_backends_has_region_rules (parts->backends))
+    quince_progress_store_list_offers (parts->progress, quince_now_us (), items);
   QuinceMessage message = { .kind = QUINCE_MESSAGE_PROGRESS };
   message.QuinceMessage_u.progress.items.items_val = (QuinceProgressItem *)items->data;
   message.QuinceMessage_u.progress.items.items_len = items->len;
@@ -122,17 +121,23 @@
   quince_link_send (link, &message);
 }
 
-/* A leader receives progress from its backups, a backup from the leader. */
+/* A leader, also one that still reads its log, receives offers of its backups; a backup receives reports of
+ * the leader. */
 static void
-handle_progress (const QuinceReplicaParts *parts, const QuinceSampleProgress *progress)
+handle_progress (const QuinceReplicaParts *parts, QuinceLink *link, const QuinceSampleProgress *progress)
 {
-  if (quince_replica_leadership_is_active (parts->leadership))
+  if (link == quince_ledger_node_get_leader_link (parts->ledger))
     {
-      quince_batch_service_apply_progress (parts->batches, progress);
+      quince_progress_copies_record_report (parts->progress_copies);
+      quince_progress_store_apply (parts->progress, quince_now_us (), progress);
+      quince_progress_file_append (parts->progress_file, progress);
       return;
     }
-  quince_progress_store_apply (parts->progress, quince_now_us (), progress);
-  quince_progress_file_append (parts->progress_file, progress);
+  quince_progress_copies_record_offer (parts->progress_copies, link);
+  if (quince_replica_leadership_is_active (parts->leadership))
+    quince_batch_service_apply_progress (parts->batches, progress);
+  else
+    quince_progress_store_merge (parts->progress, quince_now_us (), progress);
 }
 
 /* A leader receives updates from reserve readers, a backup from the leader. */
@@ -193,7 +198,7 @@
       handle_usage_report (parts, link, &message->QuinceMessage_u.usage_report);
       break;
     case QUINCE_MESSAGE_PROGRESS:
-      handle_progress (parts, &message->QuinceMessage_u.progress);
+      handle_progress (parts, link, &message->QuinceMessage_u.progress);
       break;
     default:
       if (!quince_warmup_coordinator_handle_message (parts->warmup, link, message))
--- a/daemons/replica/replica-parts.h
+++ b/daemons/replica/replica-parts.h
@@ -17,6 +17,7 @@
 #include "feed-service.h"
 #include "heartbeats.h"
 #include "ledger-node.h"
+#include "progress-copies.h"
 #include "progress-file.h"
 #include "progress.h"
 #include "quarantine-coordinator.h"
@@ -38,6 +39,7 @@
  * @placement: assignment of workers to models
  * @progress: texts of running samples that the leader sent, to resume from after a failover
  * @progress_file: progress of samples on disk
+ * @progress_copies: copies of the progress of samples at backups
  * @batches: the batches in the ledger
  * @leadership: weight orders, while this replica leads
  * @feed: feeds other processes with what this one reads or is fed
@@ -62,6 +64,7 @@
   QuinceModelPlacement *placement;
   QuinceProgressStore *progress;
   QuinceProgressFile *progress_file;
+  QuinceProgressCopies *progress_copies;
   QuinceBatchService *batches;
   QuinceReplicaLeadership *leadership;
   QuinceFeedService *feed;
--- a/daemons/replica/replica-setup.c
+++ b/daemons/replica/replica-setup.c
@@ -189,11 +189,14 @@
 /* ---- Connecting ------------------------------------------------------------ */
 
 static void
-connect_ledger (QuinceReplicaParts *parts)
+connect_ledger (QuinceReplicaParts *parts, const QuinceSettings *settings)
 {
+  parts->progress_copies
+      = quince_progress_copies_new (parts->ledger, parts->residency, read_tolerated_losses (settings));
   quince_quarantine_coordinator_set_ledger (parts->quarantine, parts->ledger);
   quince_residency_coordinator_set_ledger (parts->residency, parts->ledger);
-  quince_batch_service_set_ledger (parts->batches, parts->ledger, parts->progress_file, parts->residency);
+  quince_batch_service_set_ledger (parts->batches, parts->ledger, parts->progress_file, parts->residency,
+                                   parts->progress_copies);
 }
 
 gboolean
@@ -205,6 +208,6 @@
     return FALSE;
   parts->retirement = quince_retirement_new (parts->store, parts->ledger);
   create_platform_callers (parts, settings);
-  connect_ledger (parts);
+  connect_ledger (parts, settings);
   return TRUE;
 }
--- a/daemons/replica/replica.c
+++ b/daemons/replica/replica.c
@@ -106,6 +106,7 @@
   quince_model_placement_free (parts->placement);
   quince_progress_store_free (parts->progress);
   quince_progress_file_close (parts->progress_file);
+  quince_progress_copies_free (parts->progress_copies);
   quince_retirement_free (parts->retirement);
   quince_ledger_node_free (parts->ledger);
   quince_residency_coordinator_free (parts->residency);
--- a/daemons/replica/sample-replication.h
+++ b/daemons/replica/sample-replication.h
@@ -1,14 +1,43 @@
 /*
- * sample-replication.h: collects the progress of samples for the successor, and applies received progress.
+ * sample-replication.h: replication of the progress of samples to backups, and progress that other replicas
+ * send.
  */
 #pragma once
 
 #include "sample-set.h"
 
-/* Appends the progress since the last call to @items (element-type QuinceProgressItem), or all progress if
- * @all is set.  The items borrow from the samples and are valid until these change. */
+/* Appends the progress of all samples since the last call to @items (element-type QuinceProgressItem), or all
+ * progress if @all is set.  The items borrow from the samples. */
 void quince_sample_replication_collect (QuinceSampleSet *set, gboolean all, GArray *items);
-/* Applies progress that another replica sent: a waiting sample with fewer events resumes from the received
- * text, and failure counts are raised to the received ones.  Returns the number of samples that resume from
- * received text. */
+
+/**
+ * QuinceSampleCopyTarget:
+ * @number: number of the further copy, below QUINCE_PROGRESS_COPIES_MAX
+ * @stream: number of the reports that continue each other, above 0
+ * @is_allowed: whether texts of a batch may be sent to that backup
+ * @user_data: passed to @is_allowed
+ */
+typedef struct
+{
+  guint number;
+  guint64 stream;
+  gboolean (*is_allowed) (const QuinceBatchEntry *entry, gpointer user_data);
+  gpointer user_data;
+} QuinceSampleCopyTarget;
+
+/* Appends the next report to a further backup to @items (element-type QuinceProgressItem) and records it as
+ * sent; see quince_progress_select_texts().  The items borrow from the samples. */
+void quince_sample_replication_collect_copy (QuinceSampleSet *set,
+                                             const QuinceSampleCopyTarget *target,
+                                             gint64 now_us,
+                                             GArray *items);
+
+/**
+ * quince_sample_replication_apply:
+ *
+ * Replaces the texts of waiting samples by longer ones in @progress, and those of running samples if the new
+ * text saves more than a new run costs.  Only whole texts of versions that the batch allows are taken.
+ *
+ * Returns: the number of replaced texts
+ */
 guint quince_sample_replication_apply (QuinceSampleSet *set, const QuinceSampleProgress *progress);
--- a/daemons/replica/sample-runner.c
+++ b/daemons/replica/sample-runner.c
@@ -22,8 +22,9 @@
 
 /* Interval of the periodic checks of all samples, ms; other checks are requested by events. */
 #define SAMPLE_CHECK_INTERVAL_MS 100
-/* Time that a new leader waits for progress from other replicas before it starts runs, ms.  Replicas connect
- * and send it within tens of ms; without it, samples restart from the beginning. */
+/* Time that a new leader waits for progress from other replicas before it starts samples without text, ms.
+ * Replicas connect and send it within tens of ms; without it, samples restart from the beginning.  The limit
+ * is for members that are down. */
 #define PROGRESS_WAIT_MS 200
 
 struct _QuinceSampleRunner
@@ -35,8 +36,8 @@
   gpointer user_data;
   QuinceMoveCheckState move_check_state;
   QuinceTimer *check_timer;
-  QuinceTimer *requested_check; /* NULL: none is requested */
-  gint64 start_runs_after_us;   /* at a new leader; 0 once progress has arrived */
+  QuinceTimer *requested_check;   /* NULL: none is requested */
+  gint64 await_progress_until_us; /* at a new leader; 0: no more progress is expected */
 };
 
 /* ---- Checks ----------------------------------------------------------- */
@@ -72,8 +73,6 @@
   if (!runner->callbacks->may_run (runner->user_data))
     return;
   gint64 now = quince_now_us ();
-  if (now < runner->start_runs_after_us)
-    return;
   /* Moves come first: each frees a slot that a waiting sample can use. */
   quince_sample_moves_check (&runner->set, &runner->move_check_state, now);
   g_autoptr (GHashTable) full_keys
@@ -95,6 +94,8 @@
         continue;
       runner->set.waiting++;
       const char *capacity_key = get_capacity_key (runner, sample);
+      if (sample->last_event == 0 && now < runner->await_progress_until_us)
+        continue;
       if (now < sample->next_attempt_us || g_hash_table_contains (full_keys, capacity_key))
         continue;
       QuinceBackendOutcome outcome = quince_sample_dispatch (&runner->set, sample, now);
@@ -206,6 +207,10 @@
       sample->submitted_us = submitted_us;
       quince_progress_store_get (runner->progress, entry->batch->id, i, sample->text, sample->versions,
                                  &sample->last_event);
+      gboolean single_version = route != NULL && route->single_version;
+      if (!quince_progress_may_resume ((const guint64 *)sample->versions->data, sample->versions->len,
+                                       entry->batch->minimum_version, single_version))
+        quince_sample_discard_text (sample);
       sample->failures = quince_progress_store_get_failures (runner->progress, entry->batch->id, i);
       if (route != NULL && route->queue_ttl_ms > 0)
         sample->give_up_us = submitted_us + (gint64)route->queue_ttl_ms * 1000;
@@ -247,18 +252,33 @@
   quince_sample_replication_collect (&runner->set, all, items);
 }
 
+void
+quince_sample_runner_collect_copy (QuinceSampleRunner *runner,
+                                   const QuinceSampleCopyTarget *target,
+                                   GArray *items)
+{
+  quince_sample_replication_collect_copy (&runner->set, target, quince_now_us (), items);
+}
+
 void
 quince_sample_runner_await_progress (QuinceSampleRunner *runner)
 {
-  runner->start_runs_after_us = quince_now_us () + PROGRESS_WAIT_MS * 1000;
+  runner->await_progress_until_us = quince_now_us () + PROGRESS_WAIT_MS * 1000;
 }
 
 void
+quince_sample_runner_end_progress_wait (QuinceSampleRunner *runner)
+{
+  runner->await_progress_until_us = 0;
+  schedule_check (runner, 0);
+}
+
+guint
 quince_sample_runner_apply_progress (QuinceSampleRunner *runner, const QuinceSampleProgress *progress)
 {
-  if (quince_sample_replication_apply (&runner->set, progress) > 0)
-    runner->start_runs_after_us = 0;
+  guint n_resumed = quince_sample_replication_apply (&runner->set, progress);
   schedule_check (runner, 0);
+  return n_resumed;
 }
 
 /* ---- Demand ------------------------------------------------------------- */
--- a/daemons/replica/sample-runner.h
+++ b/daemons/replica/sample-runner.h
@@ -9,6 +9,7 @@
 #include "observer/observer.h"
 
 #include "progress.h"
+#include "sample-replication.h"
 
 typedef struct _QuinceSampleRunner QuinceSampleRunner;
 
@@ -37,11 +38,18 @@
 /* Appends the progress since the last call to @items (element-type QuinceProgressItem), or all progress if
  * @all is set.  The items borrow from the samples and are valid until these change. */
 void quince_sample_runner_collect_progress (QuinceSampleRunner *runner, gboolean all, GArray *items);
-/* Starts no run for 200 ms, unless progress arrives.  Called at a new leader, when other replicas may have
- * more progress. */
+/* See quince_sample_replication_collect_copy(). */
+void quince_sample_runner_collect_copy (QuinceSampleRunner *runner,
+                                        const QuinceSampleCopyTarget *target,
+                                        GArray *items);
+/* Starts no sample without text for 200 ms, or until quince_sample_runner_end_progress_wait().  Called at a
+ * new leader, when other replicas may have more progress. */
 void quince_sample_runner_await_progress (QuinceSampleRunner *runner);
-/* Applies progress that another replica sent; see quince_sample_replication_apply(). */
-void quince_sample_runner_apply_progress (QuinceSampleRunner *runner, const QuinceSampleProgress *progress);
+/* Ends the wait: no other replica is expected to have more progress. */
+void quince_sample_runner_end_progress_wait (QuinceSampleRunner *runner);
+/* Applies progress that another replica sent; see quince_sample_replication_apply().  Returns the number of
+ * replaced texts. */
+guint quince_sample_runner_apply_progress (QuinceSampleRunner *runner, const QuinceSampleProgress *progress);
 /* Cancels and removes the samples of @entry, whose batch has ended or was removed from the ledger. */
 void quince_sample_runner_remove (QuinceSampleRunner *runner, const QuinceBatchEntry *entry);
 /* Checks all samples: moves runs, abandons expired samples, retries reward calls and starts runs.  Called
--- a/daemons/replica/sample.c
+++ b/daemons/replica/sample.c
@@ -6,6 +6,8 @@
  */
 #include "sample.h"
 
+#include <string.h>
+
 #include "runtime/log.h"
 #include "core/decisions/silence.h"
 #include "runtime/clock.h"
@@ -100,14 +102,21 @@
   g_free (sample);
 }
 
+void
+quince_sample_reset_replication (QuinceSample *sample)
+{
+  sample->replicated_event = 0;
+  sample->replicated_bytes = 0;
+  memset (sample->copies, 0, sizeof sample->copies);
+}
+
 void
 quince_sample_discard_text (QuinceSample *sample)
 {
   g_string_truncate (sample->text, 0);
   g_array_set_size (sample->versions, 0);
   sample->last_event = 0;
-  sample->replicated_event = 0;
-  sample->replicated_bytes = 0;
+  quince_sample_reset_replication (sample);
 }
 
 /* ---- Events ----------------------------------------------------------- */
--- a/daemons/replica/sample.h
+++ b/daemons/replica/sample.h
@@ -8,6 +8,7 @@
 #include "core/decisions/sample-next.h"
 #include "forward/backends.h"
 #include "core/batches/batch-table.h"
+#include "core/batches/progress-selection.h"
 #include "forward/forward.h"
 #include "core/request/request-digest.h"
 #include "core/routing/worker-table.h"
@@ -25,6 +26,15 @@
 
 typedef struct _QuinceSample QuinceSample;
 
+/* What a further backup has of the text of a sample.  @stream: number of the reports that told it
+ * (progress-copies.c); 0: none */
+typedef struct
+{
+  guint64 stream;
+  guint64 event; /* last event that was sent */
+  gsize bytes;   /* length of the text up to @event */
+} QuinceSampleCopy;
+
 struct _QuinceSample
 {
   /* All fields belong to the main context. */
@@ -37,10 +47,11 @@
   guint64 replicated_event; /* last event that was collected for the successor */
   gsize replicated_bytes;   /* length of the text up to replicated_event */
   guint replicated_failures;
-  guint64 run_version;         /* weight version of the current run */
-  guint failures;              /* answers with status 500 */
-  guint unprocessable_answers; /* answers with status 422 */
-  guint reward_failures;       /* failed attempts of the reward call */
+  QuinceSampleCopy copies[QUINCE_PROGRESS_COPIES_MAX]; /* by number of the further copy */
+  guint64 run_version;                                 /* weight version of the current run */
+  guint failures;                                      /* answers with status 500 */
+  guint unprocessable_answers;                         /* answers with status 422 */
+  guint reward_failures;                               /* failed attempts of the reward call */
   guint runs;
   char *avoid_worker;             /* worker of the last run; NULL: none */
   gint64 next_attempt_us;         /* no run or reward call before, monotonic; 0: no pause */
@@ -87,5 +98,7 @@
                               gpointer user_data);
 /* Stops the current run and calls run_ended() with @end and @cause before it returns. */
 void quince_sample_stop_run (QuinceSample *sample, QuinceRunEnd end, const char *cause);
+/* Records that no backup has the current text, so that the next reports contain all of it. */
+void quince_sample_reset_replication (QuinceSample *sample);
 /* Discards the text, so that the next run starts from the beginning. */
 void quince_sample_discard_text (QuinceSample *sample);
--- a/lib/core/group/ledger-group.h
+++ b/lib/core/group/ledger-group.h
@@ -115,6 +115,8 @@
 void quince_ledger_group_set_allowed_nodes (QuinceLedgerGroup *group, const char *const *nodes);
 /* Sets the zone of @replica, which may be this replica.  A replica has no zone until one is set. */
 void quince_ledger_group_set_zone (QuinceLedgerGroup *group, guint64 replica, const char *zone);
+/* Returns: (transfer none) (nullable): the zone of @replica, or %NULL if none is set */
+const char *quince_ledger_group_get_zone (const QuinceLedgerGroup *group, guint64 replica);
 /* Sets the end of the log on this replica's disk. */
 void quince_ledger_group_set_log_end (QuinceLedgerGroup *group, const QuinceLogEnd *end);
 
--- a/lib/core/group/ledger-zones.c
+++ b/lib/core/group/ledger-zones.c
@@ -12,8 +12,8 @@
   g_hash_table_replace (group->zones, g_memdup2 (&replica, sizeof replica), g_strdup (zone));
 }
 
-static const char *
-get_replica_zone (const QuinceLedgerGroup *group, guint64 replica)
+const char *
+quince_ledger_group_get_zone (const QuinceLedgerGroup *group, guint64 replica)
 {
   return g_hash_table_lookup (group->zones, &replica);
 }
@@ -23,10 +23,11 @@
                                    const QuinceLedgerView *view,
                                    guint64 replica)
 {
-  const char *zone = get_replica_zone (group, replica);
+  const char *zone = quince_ledger_group_get_zone (group, replica);
   guint count = 0;
   for (guint i = 0; zone != NULL && i < view->members.members_len; i++)
-    count += g_strcmp0 (get_replica_zone (group, view->members.members_val[i].replica), zone) == 0;
+    count
+        += g_strcmp0 (quince_ledger_group_get_zone (group, view->members.members_val[i].replica), zone) == 0;
   return count;
 }
 
--- a/lib/core/trace/log-vocabulary.c
+++ b/lib/core/trace/log-vocabulary.c
@@ -54,6 +54,7 @@
   "place_not_written",
   "policy_failed",
   "policy_in_force",
+  "progress_copy",
   "progress_disk_failed",
   "progress_taken",
   "promise_given",
