--- a/daemons/replica/replica-parts.h
+++ b/daemons/replica/replica-parts.h
@@ -18,6 +18,7 @@
 #include "heartbeats.h"
 #include "ledger-node.h"
 #include "order-records.h"
+#include "progress-copies.h"
 #include "progress-file.h"
 #include "progress.h"
 #include "quarantine-coordinator.h"
@@ -39,6 +40,7 @@
  * @placement: assignment of workers to models
  * @progress: texts of running samples that the leader sent, to resume from after a failover
  * @progress_file: progress of samples on disk
+ * @progress_copies: copies of the progress of samples at backups
  * @batches: the batches in the ledger
  * @order_records: records of the workers that this leader orders
  * @leadership: weight orders, while this replica leads
@@ -64,6 +66,7 @@
   QuinceModelPlacement *placement;
   QuinceProgressStore *progress;
   QuinceProgressFile *progress_file;
+  QuinceProgressCopies *progress_copies;
   QuinceBatchService *batches;
   QuinceOrderRecords *order_records;
   QuinceReplicaLeadership *leadership;
--- a/daemons/replica/replica-setup.c
+++ b/daemons/replica/replica-setup.c
@@ -194,9 +194,12 @@
 {
   gboolean records_orders = quince_settings_get_boolean (settings, "orders", "record");
   parts->order_records = quince_order_records_new (parts->ledger, records_orders);
+  parts->progress_copies
+      = quince_progress_copies_new (parts->ledger, parts->residency, read_tolerated_losses (settings));
   quince_quarantine_coordinator_set_ledger (parts->quarantine, parts->ledger);
   quince_residency_coordinator_set_ledger (parts->residency, parts->ledger);
-  quince_batch_service_set_ledger (parts->batches, parts->ledger, parts->progress_file, parts->residency);
+  quince_batch_service_set_ledger (parts->batches, parts->ledger, parts->progress_file, parts->residency,
+                                   parts->progress_copies);
 }
 
 gboolean
