Platform tests: settings of replicas after the merges

Cause: the merges of order records and progress copies left the settings text of the test world broken over lines, so that the platform tests did not build. Change: one text with both sections. Measured result: the tree builds and lint is clean.

--- a/tests/platform/path-world.h
+++ b/tests/platform/path-world.h
@@ -216,14 +216,9 @@
   g_mkdir_with_parents (data, 0700);
   g_autofree char *settings = g_strdup_printf (
       "[node]\nname=%s\n%s[listen]\nlink=%s\n[store]\naddress=%s\n%s[ledger]\n"
-      "folder=%s
-      found
-      = % s % s[results] group_window = 500ms [orders] % s[policy] file = % s / deploy
-                                                                          / "
-                                                                            "policy.lua
-                                                                          % s ",
-                                                                          name,
-      zone_settings, world->links[index] != NULL ? world->links[index] : "127.0.0.1:0",
+      "folder=%s\nfound=%s\n%s\n[results]\ngroup_window=500ms\n[orders]\n%s\n[policy]\nfile=%s/deploy/"
+      "policy.lua\n%s",
+      name, zone_settings, world->links[index] != NULL ? world->links[index] : "127.0.0.1:0",
       standin_store_get_address (world->store), world->store_settings != NULL ? world->store_settings : "",
       data, world->bootstrapped ? "false" : "true", world->losses != NULL ? world->losses : "losses=1",
       world->orders != NULL ? world->orders : "pause=500ms", g_getenv ("QUINCE_SOURCE_DIR"),
