Metrics by trainer, route, tenant and zone

Cause: under load that trainers and tenants share, an operator could not see which of them is affected; all metrics were sums over a process.

Change: quince_share_* series with the labels by and name. Fronts and the leader count requests, refusals, lateness and hedges by route, tenant and zone; the leader adds waiting and running samples, moves, abandoned samples and the time that steps are behind, by model. Log event share_names_full, once for each kind.

--- a/daemons/front/caller-request.c
+++ b/daemons/front/caller-request.c
@@ -36,6 +36,7 @@
   gint64 received_us;     /* when its head was read, monotonic */
   char *api_key;          /* key of the caller, until the lookup of its tenant; NULL: none */
   char *tenant;           /* name of the tenant that owns the key; NULL: none */
+  char *route;            /* name of its route; NULL: not found, or a call about a batch */
   gboolean is_submission; /* the request submits a batch */
   /* The source of the pending answer; at most one is set. */
   QuinceForward *forward;
@@ -54,6 +55,7 @@
   quince_platform_call_clear (&request->call);
   g_free (request->api_key);
   g_free (request->tenant);
+  g_free (request->route);
   g_free (request);
 }
 
@@ -125,6 +127,9 @@
   quince_platform_read_request (request->head->headers, &request_headers);
   g_autofree char *labels = g_strdup_printf ("cause=\"%s\"", cause);
   quince_metric_add ("quince_front_refused_total", labels, 1);
+  if (status == 503)
+    quince_share_metrics_count_refusal (quince_backends_get_shares (request->context->backends),
+                                        request->route, request->tenant);
   g_autofree char *id = quince_log_quote (request_headers.request_id);
   g_autofree char *target = quince_log_quote (request->head->target);
   quince_log_warning ("request_refused", "request=%s target=%s status=%u cause=%s age_ms=%" G_GINT64_FORMAT,
@@ -417,6 +422,7 @@
       finish_error (request, 404, "no_route", 0);
       return FALSE;
     }
+  request->route = g_strdup (route->name);
   if (!authorize (request, routes, route->is_public))
     return FALSE;
   request->is_submission = route->kind == QUINCE_ROUTE_ROLLOUT;
--- a/daemons/replica/batch-service.c
+++ b/daemons/replica/batch-service.c
@@ -11,6 +11,7 @@
 
 #include "batch-answers.h"
 #include "batch-calls.h"
+#include "sample-shares.h"
 #include "step-demand.h"
 
 /* Interval of the check for batches past their retention (ledger.keep). */
@@ -97,6 +98,8 @@
     return;
   quince_step_demand_record_end (service->placement, entry->batch,
                                  quince_sample_runner_get_batch_route (service->runner, entry->batch));
+  quince_sample_shares_record_step (service->backends, entry->batch,
+                                    quince_sample_runner_get_batch_route (service->runner, entry->batch));
   quince_sample_runner_remove (service->runner, entry);
 }
 
@@ -279,6 +282,10 @@
                      is_leading ? quince_sample_runner_get_n_waiting (service->runner) : 0);
   quince_metric_set ("quince_replica_samples_running", "",
                      is_leading ? quince_sample_runner_get_n_running (service->runner) : 0);
+  if (is_leading)
+    quince_sample_runner_set_metrics (service->runner);
+  else
+    quince_sample_shares_clear_metrics (service->backends);
 }
 
 /* ---- Retention -------------------------------------------------------- */
--- a/daemons/replica/sample-outcome.c
+++ b/daemons/replica/sample-outcome.c
@@ -9,6 +9,7 @@
 
 #include "sample-result.h"
 #include "sample-reward.h"
+#include "sample-shares.h"
 
 static void
 handle_complete_text (QuinceSampleSet *set, QuinceSample *sample)
@@ -102,6 +103,7 @@
     quince_log_info ("sample_run_ended", "sample=%s worker=%s cause=%s events=%" G_GUINT64_FORMAT " runs=%u",
                      quince_sample_get_item (sample)->id, sample->worker_id, cause, sample->last_event,
                      sample->runs);
+  quince_sample_shares_count_run_end (set, sample, end);
   report_end_to_guard (set, sample, end);
   const QuinceSampleNext next = decide_next_step (set, sample, end);
   if (next.eject_worker)
--- a/daemons/replica/sample-result.c
+++ b/daemons/replica/sample-result.c
@@ -7,6 +7,8 @@
 #include "runtime/log.h"
 #include "runtime/metrics.h"
 
+#include "sample-shares.h"
+
 static void
 deliver_result (QuinceSampleSet *set,
                 QuinceSample *sample,
@@ -53,5 +55,6 @@
 void
 quince_sample_result_abandon (QuinceSampleSet *set, QuinceSample *sample, const char *cause)
 {
+  quince_sample_shares_count_abandoned (set, sample);
   deliver_result (set, sample, TRUE, NULL, cause);
 }
--- a/daemons/replica/sample-reward.c
+++ b/daemons/replica/sample-reward.c
@@ -29,6 +29,10 @@
       quince_sample_result_complete (set, sample, result->signature, "scored");
       return;
     }
+  const QuinceRoute *route = quince_sample_set_find_route (set, call->host, call->path);
+  if (result->outcome == QUINCE_FORWARD_REFUSED && route != NULL)
+    quince_share_metrics_count_refusal (quince_backends_get_shares (set->backends), route->name,
+                                        sample->entry->tenant);
   const QuinceSampleNext next
       = quince_sample_next_after_reward (sample->reward_failures, get_reward_max_attempts (set, call));
   if (next.action == QUINCE_SAMPLE_NEXT_ABANDON)
--- a/daemons/replica/sample-runner.c
+++ b/daemons/replica/sample-runner.c
@@ -19,6 +19,7 @@
 #include "sample-replication.h"
 #include "sample-result.h"
 #include "sample-reward.h"
+#include "sample-shares.h"
 
 /* Interval of the periodic checks of all samples, ms; other checks are requested by events. */
 #define SAMPLE_CHECK_INTERVAL_MS 100
@@ -281,6 +282,12 @@
   return runner->set.waiting;
 }
 
+void
+quince_sample_runner_set_metrics (const QuinceSampleRunner *runner)
+{
+  quince_sample_shares_set_metrics (&runner->set, quince_now_us ());
+}
+
 guint
 quince_sample_runner_get_n_running (const QuinceSampleRunner *runner)
 {
--- a/daemons/replica/sample-runner.h
+++ b/daemons/replica/sample-runner.h
@@ -57,4 +57,6 @@
 double quince_sample_runner_get_slots_needed (QuinceSampleRunner *runner, const char *service);
 /* Returns the number of samples that waited for a worker at the last check. */
 guint quince_sample_runner_get_n_waiting (const QuinceSampleRunner *runner);
+/* Sets the metrics by model; see sample-shares.h. */
+void quince_sample_runner_set_metrics (const QuinceSampleRunner *runner);
 guint quince_sample_runner_get_n_running (const QuinceSampleRunner *runner);
--- a/lib/core/trace/log-vocabulary.c
+++ b/lib/core/trace/log-vocabulary.c
@@ -73,6 +73,7 @@
   "sample_done",
   "sample_run_ended",
   "sends_withdrawn",
+  "share_names_full",
   "start_failed",
   "step_ended",
   "stopped",
--- a/lib/forward/backends-private.h
+++ b/lib/forward/backends-private.h
@@ -5,6 +5,7 @@
 
 #include "forward/event-table.h"
 #include "forward/policy-entry.h"
+#include "forward/share-metrics.h"
 #include "forward/worker-pools.h"
 #include "core/routing/prompt-table.h"
 #include "core/routing/topology.h"
@@ -26,6 +27,7 @@
   gint64 cold_worker_available_us; /* set by the last choice that a warmup limit affected */
   QuinceSendGuard *guard;          /* not owned; NULL: none */
   QuinceEventTable *events;        /* owned */
+  QuinceShareMetrics *shares;      /* owned */
   QuincePromptTable *prompts;
   guint rotation;          /* rotates workers with equal scores */
   guint next_worker_index; /* start of the next choice; see collect_in_turn() */
--- a/lib/forward/backends.c
+++ b/lib/forward/backends.c
@@ -30,6 +30,7 @@
   backends->workers = quince_worker_table_new (&table_callbacks, backends);
   backends->pools = quince_worker_pools_new ();
   backends->events = quince_event_table_new ();
+  backends->shares = quince_share_metrics_new ();
   g_queue_init (&backends->unlisted_ids);
   backends->prompts = quince_prompt_table_new (PROMPT_PARTS_MAX);
   backends->rotation = g_random_int ();
@@ -46,6 +47,7 @@
   quince_worker_table_free (backends->workers);
   quince_worker_pools_free (backends->pools);
   quince_event_table_free (backends->events);
+  quince_share_metrics_free (backends->shares);
   quince_prompt_table_free (backends->prompts);
   g_queue_clear_full (&backends->unlisted_ids, g_free);
   quince_policy_free (backends->policy);
@@ -67,6 +69,34 @@
   return backends->policy;
 }
 
+QuinceShareMetrics *
+quince_backends_get_shares (QuinceBackends *backends)
+{
+  return backends->shares;
+}
+
+/* Sets quince_share_waiting of zones to the requests and runs of this process at their workers. */
+static void
+set_zone_metrics (QuinceBackends *backends)
+{
+  QuinceShareGauge *waiting = quince_share_gauge_new (backends->shares, QUINCE_SHARE_ZONE);
+  g_autoptr (GPtrArray) workers = quince_worker_table_list_all (backends->workers);
+  for (guint i = 0; i < workers->len; i++)
+    {
+      const QuinceWorker *worker = workers->pdata[i];
+      if (worker->running > 0 && worker->zone != NULL)
+        quince_share_gauge_add (waiting, worker->zone, worker->running);
+    }
+  quince_share_gauge_publish (waiting, "quince_share_waiting");
+}
+
+void
+quince_backends_set_share_metrics (QuinceBackends *backends)
+{
+  quince_share_metrics_refresh (backends->shares);
+  set_zone_metrics (backends);
+}
+
 const QuinceTopology *
 quince_backends_get_topology (const QuinceBackends *backends)
 {
--- a/lib/forward/backends.h
+++ b/lib/forward/backends.h
@@ -13,6 +13,7 @@
 #include "core/routing/route-table.h"
 #include "core/routing/worker-table.h"
 #include "forward/send-guard.h"
+#include "forward/share-metrics.h"
 #include "forward/topology-settings.h"
 #include "core/routing/topology.h"
 #include "forward/warmup-sends.h"
@@ -30,6 +31,10 @@
 void quince_backends_set_policy (QuinceBackends *backends, QuincePolicy *policy);
 QuincePolicy *quince_backends_get_policy (QuinceBackends *backends);
 QuinceWorkerTable *quince_backends_get_workers (QuinceBackends *backends);
+/* Returns: (transfer none): the metrics by route, tenant, zone and model */
+QuinceShareMetrics *quince_backends_get_shares (QuinceBackends *backends);
+/* Sets the gauges by route, tenant and zone; called before the metrics are read. */
+void quince_backends_set_share_metrics (QuinceBackends *backends);
 /* @guard: (transfer none) (nullable): decides before each send whether it is allowed, and must outlive all
  * sends; %NULL: every send is allowed */
 void quince_backends_set_guard (QuinceBackends *backends, QuinceSendGuard *guard);
--- a/lib/forward/dispatch.c
+++ b/lib/forward/dispatch.c
@@ -28,15 +28,29 @@
   dispatch->avoid = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   dispatch->target_latency_us = (gint64)request->target_latency_ms * 1000;
   dispatch->started_us = quince_now_us ();
+  QuinceShareMetrics *shares = quince_backends_get_shares (backends);
+  dispatch->route_share = quince_share_metrics_begin (shares, QUINCE_SHARE_ROUTE, dispatch->kind);
+  dispatch->tenant_share = quince_share_metrics_begin (shares, QUINCE_SHARE_TENANT, dispatch->tenant);
   dispatch->deadline_us = request->deadline_us;
   dispatch->retry = (QuinceRetryState){ .repeatable = repeatable,
                                         .max_attempts = MAX (request->max_attempts, 1),
                                         .give_up_us = MIN (request->give_up_us, request->deadline_us) };
 }
 
+/* Returns the time since the target latency of the request ended, us; 0 if it has none. */
+static gint64
+get_late_us (const QuinceDispatch *dispatch, gint64 took_us)
+{
+  gboolean has_target = dispatch->target_latency_us > 0 && !dispatch->is_stream;
+  return has_target ? MAX (took_us - dispatch->target_latency_us, 0) : 0;
+}
+
 void
 quince_dispatch_clear (QuinceDispatch *dispatch)
 {
+  gint64 late_us = get_late_us (dispatch, quince_now_us () - dispatch->started_us);
+  quince_share_metrics_end (QUINCE_SHARE_ROUTE, dispatch->route_share, late_us);
+  quince_share_metrics_end (QUINCE_SHARE_TENANT, dispatch->tenant_share, late_us);
   quince_dispatch_return_permit (dispatch);
   quince_http_headers_free (dispatch->headers);
   g_clear_pointer (&dispatch->body, g_bytes_unref);
@@ -148,6 +162,27 @@
                    "request=%s worker=%s cause=%s attempts=%u runs=%u took_ms=%" G_GINT64_FORMAT,
                    dispatch->request_id, worker_id, dispatch->cause, dispatch->attempts, dispatch->retry.runs,
                    (quince_now_us () - since_us) / 1000);
+  const QuinceWorker *worker = quince_dispatch_find_worker (dispatch, worker_id);
+  if (worker != NULL && g_str_equal (dispatch->cause, "worker_refused"))
+    quince_share_metrics_count (quince_backends_get_shares (dispatch->backends), QUINCE_SHARE_ZONE,
+                                worker->zone, "quince_share_refused_total");
+}
+
+void
+quince_dispatch_count_hedge (const QuinceDispatch *dispatch, const QuinceWorker *worker)
+{
+  QuinceShareMetrics *shares = quince_backends_get_shares (dispatch->backends);
+  quince_share_metrics_count (shares, QUINCE_SHARE_ROUTE, dispatch->kind, "quince_share_hedges_total");
+  quince_share_metrics_count (shares, QUINCE_SHARE_TENANT, dispatch->tenant, "quince_share_hedges_total");
+  quince_share_metrics_count (shares, QUINCE_SHARE_ZONE, worker->zone, "quince_share_hedges_total");
+}
+
+void
+quince_dispatch_count_attempt (const QuinceDispatch *dispatch, const QuinceWorker *worker, gint64 took_us)
+{
+  if (worker != NULL)
+    quince_share_metrics_add_late (quince_backends_get_shares (dispatch->backends), QUINCE_SHARE_ZONE,
+                                   worker->zone, get_late_us (dispatch, took_us));
 }
 
 QuinceForwardOutcome
@@ -182,6 +217,8 @@
   g_hash_table_add (dispatch->avoid, g_strdup (worker->id));
   dispatch->attempts++;
   worker->running++;
+  quince_share_metrics_count (quince_backends_get_shares (dispatch->backends), QUINCE_SHARE_ZONE,
+                              worker->zone, "quince_share_requests_total");
   return headers;
 }
 
--- a/lib/forward/dispatch.h
+++ b/lib/forward/dispatch.h
@@ -36,7 +36,10 @@
   guint attempts;                 /* number of attempts started */
   QuinceRetryState retry;
   const char *cause; /* why the last attempt failed or could not start, for logs and refusals; NULL: none */
-  guint retry_after_ms; /* time after which a refused caller may retry; 0: unknown */
+  guint retry_after_ms;      /* time after which a refused caller may retry; 0: unknown */
+  QuinceShare *route_share;  /* not owned; NULL: not counted */
+  QuinceShare *tenant_share; /* not owned; NULL: no tenant */
+  gboolean is_stream;        /* its target latency does not cover the whole answer */
   gint64 target_latency_us;
   gint64 started_us;
   gint64 deadline_us;
@@ -69,6 +72,12 @@
  * last data */
 void
 quince_dispatch_log_failed_attempt (const QuinceDispatch *dispatch, const char *worker_id, gint64 since_us);
+/* Counts a hedge at @worker by route, tenant and zone. */
+void quince_dispatch_count_hedge (const QuinceDispatch *dispatch, const QuinceWorker *worker);
+/* Counts the time that an attempt at @worker took beyond the target latency of the route, by zone.
+ * @worker: (nullable) */
+void
+quince_dispatch_count_attempt (const QuinceDispatch *dispatch, const QuinceWorker *worker, gint64 took_us);
 /* Returns the outcome of a request that is given up without an answer; see retry.h. */
 QuinceForwardOutcome quince_dispatch_give_up (gboolean may_have_run, gboolean timed_out);
 /* Counts an attempt at @worker, and reports it to the send guard.  Returns (transfer full): the headers of
--- a/lib/forward/forward.c
+++ b/lib/forward/forward.c
@@ -59,6 +59,7 @@
 {
   QuinceWorker *worker = quince_dispatch_find_worker (&attempt->forward->dispatch, attempt->worker_id);
   gint64 now = quince_now_us ();
+  quince_dispatch_count_attempt (&attempt->forward->dispatch, worker, now - attempt->started_us);
   if (worker != NULL && succeeded)
     quince_worker_record_response (worker, now - attempt->started_us);
   else if (worker != NULL)
@@ -256,6 +257,8 @@
   attempt->worker_id = g_strdup (worker->id);
   attempt->started_us = now_us;
   g_ptr_array_add (forward->in_flight, attempt);
+  if (forward->in_flight->len > 1)
+    quince_dispatch_count_hedge (dispatch, worker);
   forward->dispatch.retry.runs++;
   if (forward->first_run_us == 0)
     forward->first_run_us = now_us;
--- a/lib/forward/stream.c
+++ b/lib/forward/stream.c
@@ -341,6 +341,7 @@
 {
   QuinceStream *stream = g_new0 (QuinceStream, 1);
   quince_dispatch_init (&stream->dispatch, backends, codec->forward, request, resumable);
+  stream->dispatch.is_stream = TRUE;
   stream->codec = codec;
   stream->callbacks = callbacks;
   stream->user_data = user_data;
--- a/lib/runtime/metrics.c
+++ b/lib/runtime/metrics.c
@@ -74,6 +74,14 @@
     series->value += (double)amount;
 }
 
+void
+quince_metric_add_us (const char *name, const char *labels, gint64 duration_us)
+{
+  Series *series = find_or_add_series (SERIES_COUNTER, name, labels);
+  if (series != NULL)
+    series->value += (double)duration_us / G_USEC_PER_SEC;
+}
+
 void
 quince_metric_set (const char *name, const char *labels, double value)
 {
@@ -155,6 +163,19 @@
   return g_string_free (text, FALSE);
 }
 
+static gboolean
+has_labels (gpointer key, gpointer value, gpointer labels)
+{
+  return g_str_equal (((const Series *)value)->labels, labels);
+}
+
+void
+quince_metrics_remove (const char *labels)
+{
+  if (series_by_key != NULL)
+    g_hash_table_foreach_remove (series_by_key, has_labels, (gpointer)labels);
+}
+
 void
 quince_metrics_set_refresh (void (*refresh) (gpointer user_data), gpointer user_data)
 {
--- a/tests/platform/path-world.h
+++ b/tests/platform/path-world.h
@@ -41,11 +41,13 @@
   const char *zones;     /* value of the setting "zones"; NULL: not set */
   const char *front_zones[PATH_FRONTS];     /* NULL: z1 */
   const char *replica_zones[PATH_REPLICAS]; /* NULL: z1 */
-  const char *losses;           /* settings of [ledger] for the losses it tolerates; NULL: losses=1 */
-  const char *store_settings;   /* further settings of [store], of all processes; NULL: none */
-  char *extra_replica_settings; /* appended to the settings of replicas; NULL: none */
-  char *extra_front_settings;   /* appended to the settings of fronts; NULL: none */
-  char *links[PATH_REPLICAS];   /* listen addresses; NULL: a free port at each start */
+  const char *losses;                  /* settings of [ledger] for the losses it tolerates; NULL: losses=1 */
+  const char *store_settings;          /* further settings of [store], of all processes; NULL: none */
+  const char *front_listen_settings;   /* further settings of [listen] of fronts; NULL: none */
+  const char *replica_listen_settings; /* the same of replicas */
+  char *extra_replica_settings;        /* appended to the settings of replicas; NULL: none */
+  char *extra_front_settings;          /* appended to the settings of fronts; NULL: none */
+  char *links[PATH_REPLICAS];          /* listen addresses; NULL: a free port at each start */
   GSocket *reserved_ports[PATH_REPLICAS]; /* owned; bound so that no other test gets the ports */
 } PathWorld;
 
@@ -197,11 +199,11 @@
   g_autofree char *zone_settings = path_format_zone_settings (world, world->front_zones[index]);
   g_autofree char *settings = g_strdup_printf (
       "[node]\nname=%s\n%s[listen]\ncallers=127.0.0.1:0\nready=127.0.0.1:0\n"
-      "directory=127.0.0.1:0\n[store]\naddress=%s\n%s[stop]\ngrace=8s\n[policy]\nfile=%s/deploy/"
+      "directory=127.0.0.1:0\n%s[store]\naddress=%s\n%s[stop]\ngrace=8s\n[policy]\nfile=%s/deploy/"
       "policy.lua\n%s",
-      name, zone_settings, standin_store_get_address (world->store),
-      world->store_settings != NULL ? world->store_settings : "", g_getenv ("QUINCE_SOURCE_DIR"),
-      world->extra_front_settings != NULL ? world->extra_front_settings : "");
+      name, zone_settings, world->front_listen_settings != NULL ? world->front_listen_settings : "",
+      standin_store_get_address (world->store), world->store_settings != NULL ? world->store_settings : "",
+      g_getenv ("QUINCE_SOURCE_DIR"), world->extra_front_settings != NULL ? world->extra_front_settings : "");
   g_clear_pointer (&world->fronts[index], quince_process_free);
   world->fronts[index] = path_spawn (world, "quinceroute-front", name, settings);
 }
@@ -214,9 +216,10 @@
   g_autofree char *data = g_strdup_printf ("%s/data-%u", world->folder, index);
   g_mkdir_with_parents (data, 0700);
   g_autofree char *settings = g_strdup_printf (
-      "[node]\nname=%s\n%s[listen]\nlink=%s\n[store]\naddress=%s\n%s[ledger]\n"
+      "[node]\nname=%s\n%s[listen]\nlink=%s\n%s[store]\naddress=%s\n%s[ledger]\n"
       "folder=%s\nfound=%s\n%s\n[orders]\npause=500ms\n[policy]\nfile=%s/deploy/policy.lua\n%s",
       name, zone_settings, world->links[index] != NULL ? world->links[index] : "127.0.0.1:0",
+      world->replica_listen_settings != NULL ? world->replica_listen_settings : "",
       standin_store_get_address (world->store), world->store_settings != NULL ? world->store_settings : "",
       data, world->bootstrapped ? "false" : "true", world->losses != NULL ? world->losses : "losses=1",
       g_getenv ("QUINCE_SOURCE_DIR"),
