Limit a tenant to its share while a service is full

Cause: a burst of one tenant costs other tenants their answers.

At the limit, a tenant with its share or more is refused at once (503, cause=tenant_share, not run, Retry-After 200 ms). Nothing changes without tenants, with one active tenant, or while no worker refuses.

--- a/daemons/front/caller-request.c
+++ b/daemons/front/caller-request.c
@@ -299,6 +299,11 @@
       finish_error (request, 503, "residency", get_retry_after_ms (QUINCE_REFUSED_RESIDENCY, 0));
       return FALSE;
     }
+  if (!quince_backends_admit_tenant (request->context->backends, service, request->tenant))
+    {
+      finish_error (request, 503, "tenant_share", get_retry_after_ms (QUINCE_REFUSED_NO_WORKER, 0));
+      return FALSE;
+    }
   if (!admit_by_policy (request, route, service, deadline_ms))
     return FALSE;
   g_autoptr (QuinceHttpHeaders) headers = quince_http_headers_copy (request->head->headers);
--- a/lib/core/trace/log-vocabulary.c
+++ b/lib/core/trace/log-vocabulary.c
@@ -86,6 +86,7 @@
   "suspect_spared",
   "suspect_told",
   "suspended",
+  "tenant_limited",
   "usage_reported",
   "version_named",
   "view_not_encoded",
--- a/lib/forward/backends-private.h
+++ b/lib/forward/backends-private.h
@@ -6,6 +6,7 @@
 #include "forward/event-table.h"
 #include "forward/policy-entry.h"
 #include "forward/share-metrics.h"
+#include "forward/tenant-limits.h"
 #include "forward/worker-pools.h"
 #include "core/routing/prompt-table.h"
 #include "core/routing/topology.h"
@@ -28,6 +29,7 @@
   QuinceSendGuard *guard;          /* not owned; NULL: none */
   QuinceEventTable *events;        /* owned */
   QuinceShareMetrics *shares;      /* owned */
+  QuinceTenantLimits *limits;      /* owned */
   QuincePromptTable *prompts;
   guint rotation;          /* rotates workers with equal scores */
   guint next_worker_index; /* start of the next choice; see collect_in_turn() */
--- a/lib/forward/backends.c
+++ b/lib/forward/backends.c
@@ -31,6 +31,7 @@
   backends->pools = quince_worker_pools_new ();
   backends->events = quince_event_table_new ();
   backends->shares = quince_share_metrics_new ();
+  backends->limits = quince_tenant_limits_new ();
   g_queue_init (&backends->unlisted_ids);
   backends->prompts = quince_prompt_table_new (PROMPT_PARTS_MAX);
   backends->rotation = g_random_int ();
@@ -48,6 +49,7 @@
   quince_worker_pools_free (backends->pools);
   quince_event_table_free (backends->events);
   quince_share_metrics_free (backends->shares);
+  quince_tenant_limits_free (backends->limits);
   quince_prompt_table_free (backends->prompts);
   g_queue_clear_full (&backends->unlisted_ids, g_free);
   quince_policy_free (backends->policy);
@@ -75,6 +77,21 @@
   return backends->shares;
 }
 
+QuinceTenantLimits *
+quince_backends_get_limits (QuinceBackends *backends)
+{
+  return backends->limits;
+}
+
+gboolean
+quince_backends_admit_tenant (QuinceBackends *backends, const char *service, const char *tenant)
+{
+  gboolean admitted = quince_tenant_limits_admit (backends->limits, service, tenant);
+  if (!admitted)
+    quince_share_metrics_count (backends->shares, QUINCE_SHARE_TENANT, tenant, "quince_share_limited_total");
+  return admitted;
+}
+
 /* Sets quince_share_waiting of zones to the requests and runs of this process at their workers. */
 static void
 set_zone_metrics (QuinceBackends *backends)
--- a/lib/forward/backends.h
+++ b/lib/forward/backends.h
@@ -14,6 +14,7 @@
 #include "core/routing/worker-table.h"
 #include "forward/send-guard.h"
 #include "forward/share-metrics.h"
+#include "forward/tenant-limits.h"
 #include "forward/topology-settings.h"
 #include "core/routing/topology.h"
 #include "forward/warmup-sends.h"
@@ -33,6 +34,11 @@
 QuinceWorkerTable *quince_backends_get_workers (QuinceBackends *backends);
 /* Returns: (transfer none): the metrics by route, tenant, zone and model */
 QuinceShareMetrics *quince_backends_get_shares (QuinceBackends *backends);
+/* Returns: (transfer none): the limits of tenants at full services */
+QuinceTenantLimits *quince_backends_get_limits (QuinceBackends *backends);
+/* Returns whether a request of @tenant (nullable) for @service may start; if not, logs and counts it.  See
+ * tenant-limits.h. */
+gboolean quince_backends_admit_tenant (QuinceBackends *backends, const char *service, const char *tenant);
 /* Sets the gauges by route, tenant and zone; called before the metrics are read. */
 void quince_backends_set_share_metrics (QuinceBackends *backends);
 /* @guard: (transfer none) (nullable): decides before each send whether it is allowed, and must outlive all
--- a/lib/forward/dispatch.c
+++ b/lib/forward/dispatch.c
@@ -31,6 +31,7 @@
   QuinceShareMetrics *shares = quince_backends_get_shares (backends);
   dispatch->route_share = quince_share_metrics_begin (shares, QUINCE_SHARE_ROUTE, dispatch->kind);
   dispatch->tenant_share = quince_share_metrics_begin (shares, QUINCE_SHARE_TENANT, dispatch->tenant);
+  quince_tenant_limits_begin (quince_backends_get_limits (backends), dispatch->service, dispatch->caller);
   dispatch->deadline_us = request->deadline_us;
   dispatch->retry = (QuinceRetryState){ .repeatable = repeatable,
                                         .max_attempts = MAX (request->max_attempts, 1),
@@ -51,6 +52,8 @@
   gint64 late_us = get_late_us (dispatch, quince_now_us () - dispatch->started_us);
   quince_share_metrics_end (QUINCE_SHARE_ROUTE, dispatch->route_share, late_us);
   quince_share_metrics_end (QUINCE_SHARE_TENANT, dispatch->tenant_share, late_us);
+  quince_tenant_limits_end (quince_backends_get_limits (dispatch->backends), dispatch->service,
+                            dispatch->caller);
   quince_dispatch_return_permit (dispatch);
   quince_http_headers_free (dispatch->headers);
   g_clear_pointer (&dispatch->body, g_bytes_unref);
@@ -162,8 +165,11 @@
                    "request=%s worker=%s cause=%s attempts=%u runs=%u took_ms=%" G_GINT64_FORMAT,
                    dispatch->request_id, worker_id, dispatch->cause, dispatch->attempts, dispatch->retry.runs,
                    (quince_now_us () - since_us) / 1000);
+  if (!g_str_equal (dispatch->cause, "worker_refused"))
+    return;
+  quince_tenant_limits_handle_refusal (quince_backends_get_limits (dispatch->backends), dispatch->service);
   const QuinceWorker *worker = quince_dispatch_find_worker (dispatch, worker_id);
-  if (worker != NULL && g_str_equal (dispatch->cause, "worker_refused"))
+  if (worker != NULL)
     quince_share_metrics_count (quince_backends_get_shares (dispatch->backends), QUINCE_SHARE_ZONE,
                                 worker->zone, "quince_share_refused_total");
 }
--- a/lib/runtime/metrics.h
+++ b/lib/runtime/metrics.h
@@ -12,7 +12,7 @@
 G_BEGIN_DECLS
 
 /* Maximum number of series in a process, which bounds its memory.  Enough for the shares of routes, tenants,
- * zones and models (share-metrics.h: at most 759 series) and 265 others. */
+ * zones and models (share-metrics.h: at most 792 series) and 232 others. */
 #define QUINCE_METRICS_SERIES_MAX 1024
 
 /* Adds @amount to a counter.
