Help of the daemons' settings: what each sets, its unit, what its limit does

Cause: texts such as "times what a cold worker bears that it gets in a second" or "address of the platform's calls that one machine makes for all" stop a reader who sets up a deployment.

Change: each text is one line that says what the setting sets, in which unit or with which choices, and what happens at the limit. Names, defaults and bounds stay.

--- a/daemons/daemon-settings.h
+++ b/daemons/daemon-settings.h
@@ -28,15 +28,16 @@
 
 /* clang-format off */
 #define QUINCE_NODE_SETTINGS \
-  { "node", "name", QUINCE_SETTING_NAME, TRUE, NULL, 0, 0, NULL, "name of this machine" }, \
-  { "node", "zone", QUINCE_SETTING_NAME, TRUE, NULL, 0, 0, NULL, "zone that it stands in" }, \
-  { "node", "region", QUINCE_SETTING_NAME, FALSE, NULL, 0, 0, NULL, "region of that zone" }, \
+  { "node", "name", QUINCE_SETTING_NAME, TRUE, NULL, 0, 0, NULL, \
+    "name of this machine, unique in the deployment" }, \
+  { "node", "zone", QUINCE_SETTING_NAME, TRUE, NULL, 0, 0, NULL, "zone of this machine" }, \
+  { "node", "region", QUINCE_SETTING_NAME, FALSE, NULL, 0, 0, NULL, "region of this machine's zone" }, \
   { "node", "zones", QUINCE_SETTING_TEXT, FALSE, NULL, 0, 0, NULL, \
-    "all zones with their regions, as zone=region,zone=region" }
+    "regions of all zones, as zone=region,zone=region; machines of other zones are in no region" }
 
 #define QUINCE_METRICS_SETTINGS \
   { "listen", "metrics", QUINCE_SETTING_ADDRESS, FALSE, NULL, 0, 0, NULL, \
-    "address of /metrics; none where absent" }
+    "address that serves /metrics; if not set, no metrics are served" }
 
 /* @workers_read_interval: default of store.workers_pace.
  * The smallest of the three bounds applies; deployments set their own.  The default of 2 s is the smallest that
@@ -45,47 +46,51 @@
 #define QUINCE_STORE_SETTINGS(workers_read_interval) \
   { "store", "address", QUINCE_SETTING_ADDRESS, TRUE, NULL, 0, 0, NULL, "address of the metadata store" }, \
   { "store", "workers_pace", QUINCE_SETTING_DURATION, FALSE, workers_read_interval, 10 * QUINCE_MILLISECOND_US, \
-    QUINCE_SECOND_US, NULL, "least time between two looks at the list of workers" }, \
+    QUINCE_SECOND_US, NULL, "minimum time between two reads of the list of workers from the metadata store" }, \
   { "store", "change_bound", QUINCE_SETTING_DURATION, FALSE, "2s", QUINCE_BOUND_MIN_US, QUINCE_BOUND_MAX_US, \
-    NULL, "a change of the operator is in force so long after the store took it" }, \
+    NULL, "maximum time from a change of the configuration in the store to its use; the smallest of the " \
+    "three bounds applies to all three, and less than 2s counts as 2s" }, \
   { "store", "drain_bound", QUINCE_SETTING_DURATION, FALSE, "2s", QUINCE_BOUND_MIN_US, QUINCE_BOUND_MAX_US, \
-    NULL, "a leaving worker gets no more requests so long after the store took it" }, \
+    NULL, "maximum time until a worker that starts to drain gets no more requests; see change_bound" }, \
   { "store", "evacuation_bound", QUINCE_SETTING_DURATION, FALSE, "60s", QUINCE_BOUND_MIN_US, \
     QUINCE_BOUND_MAX_US, NULL, \
-    "workers of an evacuated zone get no more requests so long after the store took the operator's word; " \
-    "the least of the three bounds counts" }
+    "maximum time until the workers of an evacuated zone get no more requests; see change_bound" }
 
 /* Deployments set stop.grace to their bound of a planned stop (bounds.graceS). */
 #define QUINCE_STOP_SETTINGS \
   { "stop", "grace", QUINCE_SETTING_DURATION, FALSE, "8s", QUINCE_SECOND_US, 600 * QUINCE_SECOND_US, NULL, \
-    "time from a planned stop to the end of the process" }
+    "maximum time from SIGTERM to the exit of a front, which ends requests that are still running then; " \
+    "a replica exits at once" }
 
 /* The defaults, 1024 entries of 512 bytes, hold the requests of several lost workers, some hundred each.  A
  * flood of suspects with one end each evicts only such suspects.  docs/design/worker-ends.md describes the
  * rules. */
 #define QUINCE_QUARANTINE_SETTINGS \
   { "quarantine", "entries", QUINCE_SETTING_INTEGER, FALSE, "1024", 16, 4000, NULL, \
-    "requests under which workers ended that are remembered" }, \
+    "maximum number of suspects, that is, requests and prompts that ran on a worker when its process ended; " \
+    "beyond it, those with the fewest ends are forgotten" }, \
   { "quarantine", "kilobytes", QUINCE_SETTING_INTEGER, FALSE, "512", 16, 65536, NULL, \
-    "memory that they may take" }, \
+    "maximum memory of the suspects, KiB; beyond it, those with the fewest ends are forgotten" }, \
   { "quarantine", "doubt_keep", QUINCE_SETTING_DURATION, FALSE, "600s", QUINCE_SECOND_US, QUINCE_DAY_US, \
-    NULL, "a request that is not held is forgotten so long after the last end" }, \
+    NULL, "time after the last end of a worker under it when a suspect that may still run is forgotten" }, \
   { "quarantine", "hold_keep", QUINCE_SETTING_DURATION, FALSE, "86400s", QUINCE_SECOND_US, \
-    7 * QUINCE_DAY_US, NULL, "a held request is forgotten so long after the last end" }
+    7 * QUINCE_DAY_US, NULL, \
+    "time after the last end of a worker under it when a held request, which is refused, may run again" }
 
 /* The defaults, 1 and 0, limit a cold worker to the rate configured for its service; deployments may allow
  * more. */
 #define QUINCE_WARMUP_SETTINGS \
   { "warmup", "overage", QUINCE_SETTING_NUMBER, FALSE, "1", 1, 100, NULL, \
-    "times what a cold worker bears that it gets in a second" }, \
+    "maximum requests per second to a cold worker, as a multiple of the rate in its service's configuration; " \
+    "beyond it other workers get them, or they are refused" }, \
   { "warmup", "slack", QUINCE_SETTING_NUMBER, FALSE, "0", 0, 1000, NULL, \
-    "requests that it gets in a second beyond that" }
+    "requests per second that a cold worker may get beyond that maximum" }
 
 #define QUINCE_POLICY_SETTINGS \
   { "policy", "file", QUINCE_SETTING_TEXT, FALSE, NULL, 0, 0, NULL, \
-    "policy program until operators accept another one" }
+    "file of the policy program that applies until operators accept one; if not set, the built-in rules apply" }
 
 #define QUINCE_LOG_SETTINGS \
   { "log", "level", QUINCE_SETTING_CHOICE, FALSE, "info", 0, 0, "debug|info|warning|error", \
-    "least severe level written" }
+    "minimum severity of the log lines that are written" }
 /* clang-format on */
--- a/daemons/replica/replica-settings.c
+++ b/daemons/replica/replica-settings.c
@@ -6,6 +6,7 @@
 #include "replica-settings.h"
 
 #include "../daemon-settings.h"
+#include "platform.h"
 
 /* store.workers_pace is 600 ms by default, since the leader reads the list of workers for all processes
  * (docs/DESIGN.md, "Who reads the store").  stop.grace is accepted but unused: a replica stops immediately.
@@ -15,30 +16,31 @@
 const QuinceSettingSpec quince_replica_setting_specs[] = {
   QUINCE_NODE_SETTINGS,
   { "listen", "link", QUINCE_SETTING_ADDRESS, TRUE, NULL, 0, 0, NULL,
-    "address for fronts and other replicas" },
+    "address that accepts fronts and other replicas" },
   QUINCE_METRICS_SETTINGS,
   QUINCE_STORE_SETTINGS ("600ms"),
-  { "ledger", "folder", QUINCE_SETTING_TEXT, TRUE, NULL, 0, 0, NULL, "data folder" },
+  { "ledger", "folder", QUINCE_SETTING_TEXT, TRUE, NULL, 0, 0, NULL,
+    "existing folder for the ledger and progress files, which must survive a restart" },
   { "ledger", "found", QUINCE_SETTING_BOOLEAN, FALSE, "false", 0, 0, NULL,
-    "the whole system starts for the first time, with empty disks" },
+    "true only at the first start of the whole system: create the ledger on empty disks; false: join it" },
   { "ledger", "losses", QUINCE_SETTING_INTEGER, FALSE, "1", 0, 8, NULL,
-    "machines with a replica that may be lost at once" },
+    "number of replicas that may be lost at once without loss of data; the ledger has 2 * losses + 1 members" },
   { "ledger", "zone_losses", QUINCE_SETTING_INTEGER, FALSE, "0", 0, 8, NULL,
-    "zones that may be lost at once; where there are any, members of the ledger are spread over zones" },
+    "number of zones that may be lost at once; above 0, members of the ledger are spread over zones" },
   { "ledger", "keep", QUINCE_SETTING_DURATION, FALSE, "120s", QUINCE_SECOND_US, 2000 * QUINCE_SECOND_US, NULL,
-    "a closed batch is forgotten so long after its submission" },
+    "time after its submission when a batch that was ended or has all its results is deleted" },
   { "orders", "pause", QUINCE_SETTING_DURATION, FALSE, "3s", 0, 600 * QUINCE_SECOND_US, NULL,
-    "a new leader gives no orders to workers for this long" },
+    "time that a new leader waits, with 0.2s added, before it gives orders to workers" },
   { "duties", "address", QUINCE_SETTING_ADDRESS, FALSE, NULL, 0, 0, NULL,
-    "address of the platform's calls that one machine makes for all; none where absent" },
+    "address to which the leader sends usage reports and orders of workers; if not set, it sends none" },
   { "duties", "names", QUINCE_SETTING_TEXT, FALSE, NULL, 0, 0, NULL,
-    "those that the platform asks for, separated by commas" },
+    "what the leader sends there, separated by commas: " QUINCE_PLATFORM_DUTIES_HELP },
   { "duties", "usage_window", QUINCE_SETTING_DURATION, FALSE, "5s", 100 * QUINCE_MILLISECOND_US,
-    600 * QUINCE_SECOND_US, NULL, "requests of each tenant are counted in windows of this length" },
+    600 * QUINCE_SECOND_US, NULL, "length of a window of the usage reports, which count requests by tenant" },
   { "duties", "usage_late", QUINCE_SETTING_DURATION, FALSE, "10s", QUINCE_SECOND_US, 600 * QUINCE_SECOND_US,
-    NULL, "a report is due so long after the end of its window" },
+    NULL, "maximum time from the end of a window to its usage report; half of it waits for late counts" },
   { "duties", "order_workers", QUINCE_SETTING_CHOICE, FALSE, "replace", 0, 0, "replace|none",
-    "lost workers are replaced in other zones, where the platform takes such orders" },
+    "replace: order workers in place of lost ones, if duties.names has scaling; none: never order workers" },
   QUINCE_STOP_SETTINGS,
   QUINCE_QUARANTINE_SETTINGS,
   QUINCE_WARMUP_SETTINGS,
