--- a/lib/core/decisions/tenant-share.c
+++ b/lib/core/decisions/tenant-share.c
@@ -6,6 +6,9 @@
 /* A cut takes this part of the limit off.  A fourth left more slots unused during a burst and protected other
  * tenants no better. */
 #define CUT_DIVISOR 8
+/* The limit is at least the requests in flight divided by this.  Streams take longer than the time between
+ * two cuts, which would otherwise take the limit to 0 before the first one shows an effect. */
+#define LIMIT_DIVISOR_MAX 2
 /* A step of growth adds the limit divided by this, and at least 1. */
 #define GROW_DIVISOR 8
 
@@ -93,7 +96,9 @@
     return FALSE;
   if (tenant->in_flight == 0)
     return TRUE;
-  return tenant->in_flight < MAX (share->limit / share->busy, 1);
+  gboolean below_limit = tenant->in_flight < MAX (share->limit / share->busy, 1);
+  gboolean below_mean = tenant->in_flight * share->busy < share->in_flight;
+  return below_limit || below_mean;
 }
 
 void
@@ -150,7 +155,8 @@
   if (was_full && now_us - share->last_cut_us < QUINCE_TENANT_SHARE_CUT_INTERVAL_US)
     return;
   guint base = MIN (share->limit, share->in_flight);
-  share->limit = base - MIN (base, MAX (base / CUT_DIVISOR, 1));
+  guint cut = base - MIN (base, MAX (base / CUT_DIVISOR, 1));
+  share->limit = MAX (cut, share->in_flight / LIMIT_DIVISOR_MAX);
   share->last_cut_us = now_us;
   share->last_growth_us = now_us;
 }
--- a/lib/core/decisions/tenant-share.h
+++ b/lib/core/decisions/tenant-share.h
@@ -4,10 +4,11 @@
  * Each front decides alone, from its own requests in flight and the refusals of workers that it sees; fronts
  * exchange no messages.  Workers that refuse for lack of slots limit the requests that this front has in
  * flight at the service: each cut takes an eighth off, and the limit grows again while no worker refuses.
- * Once the limit is reached, a tenant with its share or more in flight is refused; tenants with fewer are
- * admitted.  A limit of 0 (the burst of a tenant is spread over many fronts) refuses a tenant that started
- * QUINCE_TENANT_SHARE_STARTS_MIN requests and more than its share since the service became full.  There is no
- * limit while the service is not full, and while only one tenant is active.
+ * Once the limit is reached, a tenant with its share of it or more in flight is refused, unless others have
+ * more in flight in the mean; tenants with fewer are admitted.  A limit of 0 (the burst of a tenant is spread
+ * over many fronts) refuses a tenant that started QUINCE_TENANT_SHARE_STARTS_MIN requests and more than its
+ * share since the service became full.  There is no limit while the service is not full, and while only one
+ * tenant is active.
  *
  * Owns the names of the tenants; forgets those that were idle for QUINCE_TENANT_SHARE_ACTIVE_US.  Pure: time
  * is an argument, monotonic, us.
