Share metrics: the test covers refused runs, moves and the end of a late step

Cause: three series by model had no test. Change: test_daemons lets the workers of a model refuse, ends a step that is late, and slows one worker down.

--- a/tests/platform/test-share-metrics.c
+++ b/tests/platform/test-share-metrics.c
@@ -15,6 +15,10 @@
 /* Latency target of the requests, ms; the slow worker takes longer. */
 #define TARGET_MS 100
 #define SLOW_MS 300
+/* Texts of the samples that move: events, and the time between two of them at the slow worker and others. */
+#define EVENTS 60
+#define SLOW_EVENT_MS 200
+#define EVENT_MS 20
 
 typedef struct
 {
@@ -234,13 +238,31 @@
   assert_true (read_daemon_value (front, "quince_share_refused_total", "tenant", "tenant-b") == 1);
   assert_true (read_daemon_value (front, "quince_share_refused_total", "tenant", "tenant-a") == -1);
   for (guint i = 0; i < PATH_MODEL; i++)
-    standin_worker_set_fault (path->model[i], STANDIN_WORKER_UNRESPONSIVE, G_MAXUINT);
+    standin_worker_set_fault (path->model[i], STANDIN_WORKER_REFUSES, G_MAXUINT);
   g_autofree char *batch = path_make_batch ("b1", 2);
   assert_int_equal (status_with_key (path_front (path, 0), "POST", "/r/1", "b1", batch, KEY_A1), 202);
+  AWAIT (read_daemon_value (replica, "quince_share_refused_total", "model", "model-a") > 0);
+  for (guint i = 0; i < PATH_MODEL; i++)
+    standin_worker_set_fault (path->model[i], STANDIN_WORKER_UNRESPONSIVE, G_MAXUINT);
   AWAIT (read_daemon_value (replica, "quince_share_running", "model", "model-a") == 2);
   assert_true (read_daemon_value (replica, "quince_share_waiting", "model", "model-a") == 0);
   assert_true (read_daemon_value (replica, "quince_share_open_step_behind_seconds", "model", "model-a") == 0);
   AWAIT (read_daemon_value (replica, "quince_share_open_step_behind_seconds", "model", "model-a") > 0);
+  assert_int_equal (
+      status_with_key (path_front (path, 0), "DELETE", "/quinceroute/lots/b1", "end", NULL, KEY_A1), 200);
+  AWAIT (read_daemon_value (replica, "quince_share_last_step_behind_seconds", "model", "model-a") > 0);
+  assert_true (read_daemon_value (replica, "quince_share_open_step_behind_seconds", "model", "model-a") == 0);
+  assert_true (read_daemon_value (replica, "quince_share_running", "model", "model-a") == 0);
+  /* Samples at the slow worker move to a faster one. */
+  for (guint i = 0; i < PATH_MODEL; i++)
+    {
+      standin_worker_set_fault (path->model[i], STANDIN_WORKER_HEALTHY, 0);
+      standin_worker_set_events (path->model[i], EVENTS, i == 0 ? SLOW_EVENT_MS : EVENT_MS);
+    }
+  g_autofree char *moving = path_make_batch ("b2", 6);
+  assert_int_equal (status_with_key (path_front (path, 0), "POST", "/r/1", "b2", moving, KEY_A1), 202);
+  AWAIT (read_daemon_value (replica, "quince_share_moves_total", "model", "model-a") > 0);
+  assert_true (read_daemon_value (replica, "quince_share_moves_total", "zone", "z1") > 0);
   path_world_free (path);
 }
 
