--- a/daemons/replica/sample-runner.h
+++ b/daemons/replica/sample-runner.h
@@ -67,4 +67,6 @@
 gint64 quince_sample_runner_get_next_result_us (QuinceSampleRunner *runner, const char *batch);
 /* Returns the number of samples that waited for a worker at the last check. */
 guint quince_sample_runner_get_n_waiting (const QuinceSampleRunner *runner);
+/* Sets the metrics by model; see sample-shares.h. */
+void quince_sample_runner_set_metrics (const QuinceSampleRunner *runner);
 guint quince_sample_runner_get_n_running (const QuinceSampleRunner *runner);
