Tenant shares: a single full worker does not make a service full

Cause: the first refusal by any worker marked its service as full for 2 s, so that a front refused its largest tenants although other workers had room. Change: a service counts as full from the second refusal within a second on; the refusal of an attempt is recorded by quince_dispatch_record_failed_attempt, which was named as if it only logged. Platform tests tenant-limits and share-metrics pass.

--- a/lib/forward/dispatch.c
+++ b/lib/forward/dispatch.c
@@ -158,15 +158,10 @@
   return decision.wait;
 }
 
-void
-quince_dispatch_log_failed_attempt (const QuinceDispatch *dispatch, const char *worker_id, gint64 since_us)
+/* Counts a refusal by a full worker. */
+static void
+record_refusal (const QuinceDispatch *dispatch, const char *worker_id)
 {
-  quince_log_info ("request_retried",
-                   "request=%s worker=%s cause=%s attempts=%u runs=%u took_ms=%" G_GINT64_FORMAT,
-                   dispatch->request_id, worker_id, dispatch->cause, dispatch->attempts, dispatch->retry.runs,
-                   (quince_now_us () - since_us) / 1000);
-  if (!g_str_equal (dispatch->cause, "worker_refused"))
-    return;
   quince_tenant_limits_handle_refusal (quince_backends_get_limits (dispatch->backends), dispatch->service);
   const QuinceWorker *worker = quince_dispatch_find_worker (dispatch, worker_id);
   if (worker != NULL)
@@ -174,6 +169,17 @@
                                 worker->zone, "quince_share_refused_total");
 }
 
+void
+quince_dispatch_record_failed_attempt (const QuinceDispatch *dispatch, const char *worker_id, gint64 since_us)
+{
+  quince_log_info ("request_retried",
+                   "request=%s worker=%s cause=%s attempts=%u runs=%u took_ms=%" G_GINT64_FORMAT,
+                   dispatch->request_id, worker_id, dispatch->cause, dispatch->attempts, dispatch->retry.runs,
+                   (quince_now_us () - since_us) / 1000);
+  if (g_str_equal (dispatch->cause, "worker_refused"))
+    record_refusal (dispatch, worker_id);
+}
+
 void
 quince_dispatch_count_hedge (const QuinceDispatch *dispatch, const QuinceWorker *worker)
 {
--- a/lib/forward/dispatch.h
+++ b/lib/forward/dispatch.h
@@ -70,8 +70,9 @@
                                               gint64 now_us);
 /* Logs an attempt that failed or was refused.  @since_us: start of the attempt or, for a stream, time of its
  * last data */
-void
-quince_dispatch_log_failed_attempt (const QuinceDispatch *dispatch, const char *worker_id, gint64 since_us);
+void quince_dispatch_record_failed_attempt (const QuinceDispatch *dispatch,
+                                            const char *worker_id,
+                                            gint64 since_us);
 /* Counts a hedge at @worker by route, tenant and zone. */
 void quince_dispatch_count_hedge (const QuinceDispatch *dispatch, const QuinceWorker *worker);
 /* Counts the time that an attempt at @worker took beyond the target latency of the route, by zone.
--- a/lib/forward/forward.c
+++ b/lib/forward/forward.c
@@ -139,7 +139,7 @@
   QuinceForward *forward = attempt->forward;
   count_attempt (cause);
   forward->dispatch.cause = cause;
-  quince_dispatch_log_failed_attempt (&forward->dispatch, attempt->worker_id, attempt->started_us);
+  quince_dispatch_record_failed_attempt (&forward->dispatch, attempt->worker_id, attempt->started_us);
   remove_attempt (attempt);
   quince_dispatch_return_permit (&forward->dispatch);
   if (!may_have_run)
--- a/lib/forward/stream.c
+++ b/lib/forward/stream.c
@@ -99,7 +99,7 @@
   quince_dispatch_return_permit (&stream->dispatch);
   g_autofree char *labels = g_strdup_printf ("outcome=\"%s\"", cause);
   quince_metric_add ("quince_stream_attempts_total", labels, 1);
-  quince_dispatch_log_failed_attempt (&stream->dispatch, stream->worker_id, stream->contact_us);
+  quince_dispatch_record_failed_attempt (&stream->dispatch, stream->worker_id, stream->contact_us);
   if (may_have_run)
     stream->dispatch.retry.runs++;
   else
--- a/lib/forward/tenant-limits.c
+++ b/lib/forward/tenant-limits.c
@@ -9,11 +9,14 @@
 
 /* Minimum time between two log lines of one service, us. */
 #define LOG_INTERVAL_US G_USEC_PER_SEC
+/* Time after which a refusal without a second one no longer counts, us. */
+#define SINGLE_REFUSAL_US G_USEC_PER_SEC
 
 typedef struct
 {
   QuinceTenantShare *share; /* owned */
   gint64 last_logged_us;    /* 0: never */
+  gint64 last_refusal_us;   /* by a worker, monotonic; 0: none */
   guint refused;            /* since the last log line */
 } ServiceLimit;
 
@@ -94,6 +97,11 @@
 quince_tenant_limits_handle_refusal (QuinceTenantLimits *limits, const char *service)
 {
   ServiceLimit *limit = g_hash_table_lookup (limits->services, service);
-  if (limit != NULL)
-    quince_tenant_share_handle_refusal (limit->share, quince_now_us ());
+  if (limit == NULL)
+    return;
+  gint64 now = quince_now_us ();
+  gboolean is_single = limit->last_refusal_us == 0 || now - limit->last_refusal_us > SINGLE_REFUSAL_US;
+  limit->last_refusal_us = now;
+  if (!is_single || quince_tenant_share_is_full (limit->share))
+    quince_tenant_share_handle_refusal (limit->share, now);
 }
--- a/tests/unit/test-tenant-burst.c
+++ b/tests/unit/test-tenant-burst.c
@@ -83,7 +83,8 @@
   guint running[WORKERS];               /* at the worker */
   guint in_flight[FRONTS + 1][WORKERS]; /* of each process */
   QuinceTenantShare *shares[FRONTS];
-  Count others; /* lookups of other tenants during the burst */
+  gint64 last_refusal_us[FRONTS]; /* by a worker; 0: none */
+  Count others;                   /* lookups of other tenants during the burst */
   Count burst;
   Count rewards; /* during the burst */
 } Replay;
@@ -209,6 +210,17 @@
     finish (replay, request, FALSE);
 }
 
+/* As lib/forward/tenant-limits.c: a single refusal does not make the service full. */
+static void
+count_refusal (Replay *replay, guint process)
+{
+  gint64 last_us = replay->last_refusal_us[process];
+  replay->last_refusal_us[process] = replay->now_us;
+  gboolean is_single = last_us == 0 || replay->now_us - last_us > G_USEC_PER_SEC;
+  if (!is_single || quince_tenant_share_is_full (replay->shares[process]))
+    quince_tenant_share_handle_refusal (replay->shares[process], replay->now_us);
+}
+
 static void
 handle_refusal (Replay *replay, Request *request)
 {
@@ -216,7 +228,7 @@
   request->retry.runs--;
   request->retry.refused_sends++;
   if (!request->is_reward)
-    quince_tenant_share_handle_refusal (replay->shares[request->process], replay->now_us);
+    count_refusal (replay, request->process);
   request->stage = CHOOSING;
   if (!quince_retry_may_retry (&request->retry, replay->now_us))
     finish (replay, request, FALSE);
