--- a/daemons/replica/sample-replication.c
+++ b/daemons/replica/sample-replication.c
@@ -86,6 +86,10 @@
   for (guint i = 0; i < set->samples->len; i++)
     {
       QuinceSample *sample = set->samples->pdata[i];
+      if (sample->last_event == 0)
+        continue;
+      if (sample->copies == NULL)
+        sample->copies = g_new0 (QuinceSampleCopy, QUINCE_PROGRESS_COPIES_MAX);
       QuinceSampleCopy *copy = &sample->copies[target->number];
       if (copy->stream != target->stream)
         *copy = (QuinceSampleCopy){ .stream = target->stream };
--- a/daemons/replica/sample.c
+++ b/daemons/replica/sample.c
@@ -6,8 +6,6 @@
  */
 #include "sample.h"
 
-#include <string.h>
-
 #include "runtime/log.h"
 #include "core/decisions/silence.h"
 #include "runtime/clock.h"
@@ -97,6 +95,7 @@
     quince_send_guard_return_permit (quince_backends_get_guard (sample->backends), &sample->permit);
   g_string_free (sample->text, TRUE);
   g_array_unref (sample->versions);
+  g_free (sample->copies);
   g_free (sample->avoid_worker);
   g_free (sample->worker_id);
   g_free (sample);
@@ -107,7 +106,7 @@
 {
   sample->replicated_event = 0;
   sample->replicated_bytes = 0;
-  memset (sample->copies, 0, sizeof sample->copies);
+  g_clear_pointer (&sample->copies, g_free);
 }
 
 void
--- a/daemons/replica/sample.h
+++ b/daemons/replica/sample.h
@@ -47,11 +47,11 @@
   guint64 replicated_event; /* last event that was collected for the successor */
   gsize replicated_bytes;   /* length of the text up to replicated_event */
   guint replicated_failures;
-  QuinceSampleCopy copies[QUINCE_PROGRESS_COPIES_MAX]; /* by number of the further copy */
-  guint64 run_version;                                 /* weight version of the current run */
-  guint failures;                                      /* answers with status 500 */
-  guint unprocessable_answers;                         /* answers with status 422 */
-  guint reward_failures;                               /* failed attempts of the reward call */
+  QuinceSampleCopy *copies;    /* QUINCE_PROGRESS_COPIES_MAX further copies; NULL: nothing was sent to any */
+  guint64 run_version;         /* weight version of the current run */
+  guint failures;              /* answers with status 500 */
+  guint unprocessable_answers; /* answers with status 422 */
+  guint reward_failures;       /* failed attempts of the reward call */
   guint runs;
   char *avoid_worker;             /* worker of the last run; NULL: none */
   gint64 next_attempt_us;         /* no run or reward call before, monotonic; 0: no pause */
