Test progress-copies: texts that outlast a busy machine

A text took 5 s, and the longest test needs 4.2 s before it kills the processes: on a busy machine the texts could end first. They take 8 s now; the checks are the same.

--- a/tests/platform/test-progress-copies.c
+++ b/tests/platform/test-progress-copies.c
@@ -4,8 +4,9 @@
  */
 #include "zone-world.h"
 
-/* A text takes 5 s, and the stand-in workers send each event after 100 ms. */
-#define EVENTS 50
+/* A text takes 8 s, longer than the faults of a test take on a busy machine, and its workers send each event
+ * after 100 ms. */
+#define EVENTS 80
 #define EVENT_MS 100
 /* Until a text is worth a copy (1 s), was reported several times, and has most of its events ahead. */
 #define BEFORE_FAULT_MS 2500
@@ -13,7 +14,7 @@
 #define KEPT_EVENTS 10
 /* Events after BEFORE_FAULT_MS and the turn of the copy as successor (0.5 s), and some more. */
 #define GROWN_EVENTS 34
-#define WHOLE_TEXT "\\ne49\\ne50\""
+#define WHOLE_TEXT "\\ne79\\ne80\""
 /* Longer than progress that a process received counts as recent. */
 #define LONG_OUTAGE_MS 6000
 
