Order records: leaders that change while they order, and figures

The new platform test kills and suspends leaders while weight versions are published each 0.7 s, and fails if two leaders order one worker less than 3.5 s apart at a pause of 4 s.

--- a/tests/platform/test-order-records.c
+++ b/tests/platform/test-order-records.c
@@ -153,12 +153,103 @@
   path_world_free (world);
 }
 
+/* ---- Leaders that change while they order ----------------------------------- */
+
+#define SOAK_ORDERS "pause=4s\nrecord=true"
+/* Less than the pause, since this test sees orders late if it is suspended. */
+#define SOAK_PAUSE_MIN_US (3500 * 1000)
+#define SOAK_ROUNDS 6
+#define SOAK_PUBLISH_MS 700
+
+typedef struct
+{
+  PathWorld *world;
+  guint version;
+  gint64 next_version_us;
+  struct
+  {
+    guint n_orders;
+    const char *leader; /* of the last order */
+    gint64 ordered_us;
+  } seen[PATH_MODEL];
+} Soak;
+
+/* Fails if a worker accepted an order less than the pause after one of another leader. */
+static void
+check_orders (Soak *soak)
+{
+  gint64 now = g_get_monotonic_time ();
+  for (guint i = 0; i < PATH_MODEL; i++)
+    {
+      const GPtrArray *leaders = standin_worker_get_order_leaders (soak->world->model[i]);
+      for (; soak->seen[i].n_orders < leaders->len; soak->seen[i].n_orders++)
+        {
+          const char *leader = leaders->pdata[soak->seen[i].n_orders];
+          if (soak->seen[i].leader != NULL && !g_str_equal (soak->seen[i].leader, leader)
+              && now - soak->seen[i].ordered_us < SOAK_PAUSE_MIN_US)
+            fail_msg ("%s ordered m%u %" G_GINT64_FORMAT " ms after %s", leader, i,
+                      (now - soak->seen[i].ordered_us) / 1000, soak->seen[i].leader);
+          soak->seen[i].leader = leader;
+          soak->seen[i].ordered_us = now;
+        }
+    }
+}
+
+static void
+run_soak (Soak *soak, guint milliseconds)
+{
+  gint64 end = g_get_monotonic_time () + (gint64)milliseconds * 1000;
+  for (gint64 now = 0; now < end; now = g_get_monotonic_time ())
+    {
+      if (!g_main_context_iteration (NULL, FALSE))
+        g_usleep (1000);
+      check_orders (soak);
+      if (now < soak->next_version_us)
+        continue;
+      soak->next_version_us = now + SOAK_PUBLISH_MS * 1000;
+      publish_version (soak->world, ++soak->version);
+    }
+}
+
+/* Guards against orders of two leaders to one worker within the pause, when leaders are killed and suspended
+ * while they order. */
+static void
+test_leaders_change_while_they_order (void **state)
+{
+  PathWorld *world = start_world ("order-soak", SOAK_ORDERS);
+  AWAIT (count_lines (world, "members=3 on_revision") >= 1);
+  Soak soak = { .world = world, .version = 1 };
+  run_soak (&soak, 3000);
+  for (guint round = 0; round < SOAK_ROUNDS; round++)
+    {
+      guint leader = (guint)path_find_leader (world);
+      if (round % 2 == 0)
+        quince_process_kill (world->replicas[leader]);
+      else
+        quince_process_suspend (world->replicas[leader]);
+      run_soak (&soak, 3000);
+      if (round % 2 == 0)
+        path_start_replica (world, leader);
+      else
+        quince_process_resume (world->replicas[leader]);
+      run_soak (&soak, 3500);
+    }
+  assert_true (count_lines (world, "known=true") >= 2);
+  for (guint i = 0; i < PATH_MODEL; i++)
+    {
+      print_message ("m%u accepted %u orders\n", i, soak.seen[i].n_orders);
+      assert_true (soak.seen[i].n_orders > 0);
+    }
+  path_world_free (world);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_only_ordered_workers_wait),
     cmocka_unit_test (test_former_leader_records_nothing),
+    cmocka_unit_test (test_leaders_change_while_they_order),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
