Attempt budget: hedges by route, and a token bucket for hedges and retries

Cause: hedge delays came from one mean response time of a worker over all routes, and nothing limited hedges and retries together, so that workers of a service that serves lookups and reward calls got far more requests than callers and samples need.

Retries of failed attempts and of lost answers are never denied. The load of a worker in the choice is weighted by its slowdown. Other services are served as before.

--- a/daemons/front/caller-request.c
+++ b/daemons/front/caller-request.c
@@ -310,6 +310,8 @@
     .headers = headers,
     .body = body,
     .prompt = (const char *const *)prompt,
+    .mixed_targets
+    = quince_route_table_has_mixed_targets (quince_observer_get_routes (request->context->observer), service),
     .repeatable = route->kind == QUINCE_ROUTE_IDEMPOTENT,
     .max_attempts = route->max_attempts,
     .target_latency_ms = route->target_latency_ms,
--- a/daemons/replica/sample-reward.c
+++ b/daemons/replica/sample-reward.c
@@ -53,19 +53,25 @@
   quince_platform_write_request_id (headers, call->id);
   g_autoptr (GBytes) body = g_bytes_new_static (call->body.body_val, call->body.body_len);
   gint64 timeout_us = (gint64)quince_sample_reward_timeout_ms (route->timeout_ms) * 1000;
-  const QuinceForwardRequest request = { .service = quince_route_pick_service (route, g_random_double ()),
-                                         .tenant = sample->entry->tenant,
-                                         .kind = route->name,
-                                         .method = "POST",
-                                         .target = call->path,
-                                         .request_id = call->id,
-                                         .headers = headers,
-                                         .body = body,
-                                         .repeatable = TRUE,
-                                         .max_attempts = route->max_attempts,
-                                         .target_latency_ms = route->target_latency_ms,
-                                         .deadline_us = now + timeout_us,
-                                         .give_up_us = now + timeout_us };
+  const char *service = quince_route_pick_service (route, g_random_double ());
+  const QuinceRouteTable *routes = quince_observer_get_routes (set->observer);
+  const QuinceForwardRequest request
+      = { .service = service,
+          .tenant = sample->entry->tenant,
+          .kind = route->name,
+          .method = "POST",
+          .target = call->path,
+          .request_id = call->id,
+          .headers = headers,
+          .body = body,
+          .is_reward = TRUE,
+          .earlier_runs = sample->reward_failures,
+          .mixed_targets = quince_route_table_has_mixed_targets (routes, service),
+          .repeatable = TRUE,
+          .max_attempts = route->max_attempts,
+          .target_latency_ms = route->target_latency_ms,
+          .deadline_us = now + timeout_us,
+          .give_up_us = now + timeout_us };
   sample->reward = quince_forward_start (set->backends, &quince_platform_forward_codec, &request,
                                          handle_reward_result, sample);
 }
--- a/lib/core/routing/route-table.c
+++ b/lib/core/routing/route-table.c
@@ -216,6 +216,33 @@
   return NULL;
 }
 
+static gboolean
+serves_route (const QuinceRoute *route, const char *service)
+{
+  for (guint i = 0; i < route->weighted_services->len; i++)
+    if (g_str_equal (g_array_index (route->weighted_services, QuinceWeightedService, i).service, service))
+      return TRUE;
+  return FALSE;
+}
+
+gboolean
+quince_route_table_has_mixed_targets (const QuinceRouteTable *table, const char *service)
+{
+  guint target_ms = 0;
+  for (guint i = 0; i < table->routes->len; i++)
+    {
+      const QuinceRoute *route = table->routes->pdata[i];
+      gboolean is_forwarded
+          = route->kind == QUINCE_ROUTE_IDEMPOTENT || route->kind == QUINCE_ROUTE_AT_MOST_ONCE;
+      if (!is_forwarded || route->target_latency_ms == 0 || !serves_route (route, service))
+        continue;
+      if (target_ms != 0 && route->target_latency_ms != target_ms)
+        return TRUE;
+      target_ms = route->target_latency_ms;
+    }
+  return FALSE;
+}
+
 const QuinceRoute *
 quince_route_table_find (const QuinceRouteTable *table, const char *host, const char *target)
 {
--- a/lib/core/routing/route-table.h
+++ b/lib/core/routing/route-table.h
@@ -109,6 +109,10 @@
 const QuinceService *quince_route_table_get_service (const QuinceRouteTable *table, guint index);
 /* Returns the service named @name, or %NULL. */
 const QuinceService *quince_route_table_find_service (const QuinceRouteTable *table, const char *name);
+/* Returns whether requests with different latency targets are forwarded to @service: it serves routes that
+ * are neither streams nor rollouts, and two of them have different targets.  Routes without a target do not
+ * count. */
+gboolean quince_route_table_has_mixed_targets (const QuinceRouteTable *table, const char *service);
 /* Returns the route of @host whose prefix is the longest that @target starts with, or %NULL.  Ignores the
  * case of @host and a port in it. */
 const QuinceRoute *
--- a/lib/core/routing/worker-table.c
+++ b/lib/core/routing/worker-table.c
@@ -65,6 +65,7 @@
   for (guint i = 0; i < worker->models->len; i++)
     g_free (g_array_index (worker->models, QuinceWorkerModel, i).name);
   g_array_unref (worker->models);
+  quince_route_times_free (worker->route_times);
   g_free (worker->id);
   g_free (worker->service);
   g_free (worker->software);
--- a/lib/core/routing/worker-table.h
+++ b/lib/core/routing/worker-table.h
@@ -5,7 +5,7 @@
  */
 #pragma once
 
-#include <glib.h>
+#include "core/routing/route-times.h"
 
 G_BEGIN_DECLS
 
@@ -46,6 +46,11 @@
   guint service_time_us;   /* smoothed response time; 0: no response yet */
   gint64 pace_us;          /* smoothed time between two events of a stream; 0: not measured */
   gint64 pace_measured_us; /* time of the last measurement of the pace */
+  /* Only of services whose routes have different latency targets; see worker-response.h. */
+  QuinceRouteTimes *route_times; /* owned; NULL: no response yet */
+  double slowdown;               /* smoothed response time relative to the usual one; 0: not measured */
+  gint64 slowdown_measured_us;   /* time of the last measurement of the slowdown */
+  gint64 full_until_us;          /* it refused a request and counts as full until then */
 } QuinceWorker;
 
 QuinceWorker *quince_worker_new (const char *id);
--- a/lib/core/trace/log-vocabulary.c
+++ b/lib/core/trace/log-vocabulary.c
@@ -34,6 +34,7 @@
   "front_heard",
   "front_ready",
   "front_silent",
+  "hedge_denied",
   "item_refused",
   "lease_lost",
   "ledger_confined",
--- a/lib/forward/backends-private.h
+++ b/lib/forward/backends-private.h
@@ -26,6 +26,7 @@
   gint64 cold_worker_available_us; /* set by the last choice that a warmup limit affected */
   QuinceSendGuard *guard;          /* not owned; NULL: none */
   QuinceEventTable *events;        /* owned */
+  GHashTable *budgets;             /* QuinceAttemptBudget by service, owned */
   QuincePromptTable *prompts;
   guint rotation;          /* rotates workers with equal scores */
   guint next_worker_index; /* start of the next choice; see collect_in_turn() */
@@ -42,6 +43,9 @@
 /* Removes the workers whose entries disappeared and that were not listed again before they expired. */
 void quince_backends_remove_expired (QuinceBackends *backends, gint64 now_us);
 
+/* Removes the attempt budgets of services that have no routes of different latency targets. */
+void quince_backends_prune_budgets (QuinceBackends *backends);
+
 /* ---- policy-calls.c ----------------------------------------------------- */
 
 /* Sets @scores[i] to the score of @engines[i] by the active policy; by the built-in rule if there is no
--- a/lib/forward/backends.c
+++ b/lib/forward/backends.c
@@ -30,6 +30,8 @@
   backends->workers = quince_worker_table_new (&table_callbacks, backends);
   backends->pools = quince_worker_pools_new ();
   backends->events = quince_event_table_new ();
+  backends->budgets
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, (GDestroyNotify)quince_attempt_budget_free);
   g_queue_init (&backends->unlisted_ids);
   backends->prompts = quince_prompt_table_new (PROMPT_PARTS_MAX);
   backends->rotation = g_random_int ();
@@ -46,6 +48,7 @@
   quince_worker_table_free (backends->workers);
   quince_worker_pools_free (backends->pools);
   quince_event_table_free (backends->events);
+  g_hash_table_unref (backends->budgets);
   quince_prompt_table_free (backends->prompts);
   g_queue_clear_full (&backends->unlisted_ids, g_free);
   quince_policy_free (backends->policy);
@@ -163,6 +166,30 @@
   return quince_worker_pools_get (backends->pools, worker);
 }
 
+QuinceAttemptBudget *
+quince_backends_get_budget (QuinceBackends *backends, const char *service)
+{
+  QuinceAttemptBudget *budget = g_hash_table_lookup (backends->budgets, service);
+  if (budget != NULL)
+    return budget;
+  budget = quince_attempt_budget_new ();
+  g_hash_table_insert (backends->budgets, g_strdup (service), budget);
+  return budget;
+}
+
+static gboolean
+is_obsolete_budget (gpointer service, gpointer budget, gpointer data)
+{
+  const QuinceBackends *backends = data;
+  return backends->routes == NULL || !quince_route_table_has_mixed_targets (backends->routes, service);
+}
+
+void
+quince_backends_prune_budgets (QuinceBackends *backends)
+{
+  g_hash_table_foreach_remove (backends->budgets, is_obsolete_budget, backends);
+}
+
 void
 quince_backends_handle_resume (QuinceBackends *backends)
 {
--- a/lib/forward/backends.h
+++ b/lib/forward/backends.h
@@ -7,6 +7,7 @@
  */
 #pragma once
 
+#include "core/decisions/attempt-budget.h"
 #include "core/decisions/no-worker.h"
 #include "http1/http-client.h"
 #include "policy/policy.h"
@@ -47,6 +48,9 @@
 /* Adds a worker, or updates it.  @entry: (transfer full): the worker as the platform lists it */
 void quince_backends_update (QuinceBackends *backends, QuinceWorker *entry);
 void quince_backends_remove (QuinceBackends *backends, const char *id);
+/* Returns: (transfer none): the attempt budget of @service, created on first use; valid until the routes
+ * change */
+QuinceAttemptBudget *quince_backends_get_budget (QuinceBackends *backends, const char *service);
 /* Handles an entry that disappeared during an outage of the store, when the worker may still be running.
  * Until @until_us the worker gets requests that no listed worker can take; then it is removed, unless it was
  * listed again.  A draining worker is removed immediately. */
--- a/lib/forward/choose-worker.c
+++ b/lib/forward/choose-worker.c
@@ -7,6 +7,7 @@
 #include "backends-private.h"
 
 #include "core/decisions/worker-choice.h"
+#include "core/routing/worker-response.h"
 #include "forward/residency-lookup.h"
 
 /* Maximum number of consecutive failures that the policy sees. */
@@ -177,7 +178,7 @@
     .name = worker->id,
     .running = worker->running,
     .capacity = capacity,
-    .load = (double)worker->running / capacity,
+    .load = quince_worker_get_expected_load (worker, now_us),
     .prefix_match = preferred ? 1.0 : 0.0,
     .weight_version = version,
     .target_version = version,
--- a/lib/forward/dispatch.c
+++ b/lib/forward/dispatch.c
@@ -27,6 +27,9 @@
   dispatch->prompt = g_strdupv ((char **)request->prompt);
   dispatch->avoid = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   dispatch->target_latency_us = (gint64)request->target_latency_ms * 1000;
+  dispatch->is_reward = request->is_reward;
+  dispatch->mixed_targets = request->mixed_targets;
+  dispatch->extra.earlier_runs = request->earlier_runs;
   dispatch->started_us = quince_now_us ();
   dispatch->deadline_us = request->deadline_us;
   dispatch->retry = (QuinceRetryState){ .repeatable = repeatable,
--- a/lib/forward/dispatch.h
+++ b/lib/forward/dispatch.h
@@ -12,6 +12,16 @@
 #include "forward/residency-lookup.h"
 #include "core/request/request-digest.h"
 
+/* What the attempt budget needs of a request; see extra-attempts.h. */
+typedef struct
+{
+  guint earlier_runs;  /* runs by earlier forwards of the same reward call */
+  guint retries;       /* retries of attempts that may have run */
+  gboolean first_sent; /* an attempt was sent, perhaps refused */
+  gboolean is_late;    /* the attempt that started last was recorded as late */
+  gboolean is_denied;  /* a hedge of the attempt that started last was denied */
+} QuinceExtraState;
+
 typedef struct
 {
   /* All fields belong to the forward or stream that contains it. */
@@ -35,6 +45,9 @@
   GHashTable *avoid;              /* ids of workers that already had an attempt */
   guint attempts;                 /* number of attempts started */
   QuinceRetryState retry;
+  gboolean is_reward;
+  gboolean mixed_targets; /* the service has an attempt budget */
+  QuinceExtraState extra;
   const char *cause; /* why the last attempt failed or could not start, for logs and refusals; NULL: none */
   guint retry_after_ms; /* time after which a refused caller may retry; 0: unknown */
   gint64 target_latency_us;
--- a/lib/forward/forward.c
+++ b/lib/forward/forward.c
@@ -3,7 +3,7 @@
  *
  * A repeatable request is hedged: if its worker is slow, a second attempt starts at another worker.  The
  * first valid answer is used, and the other attempt is cancelled.  The rules are in core/decisions: retry.h,
- * hedge.h and no-worker.h.
+ * hedge.h, attempt-budget.h and no-worker.h.
  */
 #include "runtime/log.h"
 #include "runtime/metrics.h"
@@ -13,7 +13,7 @@
 
 #include "forward/retry-timer.h"
 
-#include "dispatch.h"
+#include "extra-attempts.h"
 
 /* Margin for the rounding of timers to whole milliseconds, us. */
 #define TIMER_ROUNDING_US 2000
@@ -25,6 +25,7 @@
   QuinceHttpExchange *exchange;
   char *worker_id;
   gint64 started_us;
+  gboolean took_token; /* of the attempt budget */
 } Attempt;
 
 struct _QuinceForward
@@ -60,7 +61,10 @@
   QuinceWorker *worker = quince_dispatch_find_worker (&attempt->forward->dispatch, attempt->worker_id);
   gint64 now = quince_now_us ();
   if (worker != NULL && succeeded)
-    quince_worker_record_response (worker, now - attempt->started_us);
+    {
+      quince_worker_record_response (worker, now - attempt->started_us);
+      quince_extra_record_response (&attempt->forward->dispatch, worker, now, attempt->started_us);
+    }
   else if (worker != NULL)
     quince_worker_record_failure (worker, now);
 }
@@ -123,6 +127,12 @@
   quince_retry_timer_set (&forward->timer, (guint)(wait_us / 1000));
 }
 
+static QuinceExtraAttemptRef
+get_ref (const Attempt *attempt)
+{
+  return (QuinceExtraAttemptRef){ .worker_id = attempt->worker_id, .started_us = attempt->started_us };
+}
+
 static void
 remove_attempt (Attempt *attempt)
 {
@@ -139,6 +149,8 @@
   count_attempt (cause);
   forward->dispatch.cause = cause;
   quince_dispatch_log_failed_attempt (&forward->dispatch, attempt->worker_id, attempt->started_us);
+  if (!may_have_run && attempt->took_token)
+    quince_extra_return_token (&forward->dispatch);
   remove_attempt (attempt);
   quince_dispatch_return_permit (&forward->dispatch);
   if (!may_have_run)
@@ -150,13 +162,31 @@
     }
   gint64 now = quince_now_us ();
   if (forward->in_flight->len > 0)
-    return; /* another attempt is in flight */
+    {
+      /* A refused hedge may have been the last one allowed, for which no timer is set. */
+      if (!may_have_run && forward->dispatch.mixed_targets && forward->timer.timer == NULL)
+        schedule_attempt (forward, QUINCE_NO_WORKER_PAUSE_US);
+      return;
+    }
   if (quince_retry_may_retry (&forward->dispatch.retry, now))
-    schedule_attempt (forward, 0);
+    schedule_attempt (forward, may_have_run ? quince_extra_get_retry_pause_us (&forward->dispatch, now) : 0);
   else
     forward_fail (forward, now >= forward->dispatch.retry.give_up_us - TIMER_ROUNDING_US);
 }
 
+/* Records the other attempts in flight as late: they are cancelled, so that their response times will not be
+ * known. */
+static void
+record_overtaken_attempts (QuinceForward *forward, const Attempt *answered)
+{
+  for (guint i = 0; i < forward->in_flight->len; i++)
+    {
+      const QuinceExtraAttemptRef other = get_ref (forward->in_flight->pdata[i]);
+      if (forward->in_flight->pdata[i] != answered)
+        quince_extra_record_overtaken (&forward->dispatch, &other, quince_now_us ());
+    }
+}
+
 static void
 attempt_answered (Attempt *attempt, QuinceHttpExchange *exchange, const char *signature)
 {
@@ -164,6 +194,7 @@
   const QuinceHttpHead *head = quince_http_exchange_get_head (exchange);
   gboolean succeeded = head->status >= 200 && head->status < 300;
   record_attempt_result (attempt, succeeded);
+  quince_extra_record_end (&forward->dispatch, attempt->worker_id, quince_now_us (), FALSE);
   quince_dispatch_handle_answer (&forward->dispatch);
   forward->failed_runs += head->status == 500;
   gboolean has_alternative = forward->in_flight->len > 1 || quince_retry_may_run (&forward->dispatch.retry);
@@ -173,6 +204,7 @@
       return;
     }
   count_attempt ("answered");
+  record_overtaken_attempts (forward, attempt);
   g_autofree char *worker_id = g_strdup (attempt->worker_id);
   QuinceForwardResult result = { .outcome = QUINCE_FORWARD_ANSWERED,
                                  .head = head,
@@ -214,7 +246,10 @@
       attempt_failed (attempt, TRUE, "wrong_answer");
     }
   else if (refused)
-    attempt_failed (attempt, FALSE, head->status == 421 ? "other_worker" : "worker_refused");
+    {
+      quince_extra_record_end (&forward->dispatch, attempt->worker_id, quince_now_us (), head->status != 421);
+      attempt_failed (attempt, FALSE, head->status == 421 ? "other_worker" : "worker_refused");
+    }
   else if (succeeded && signature == NULL)
     attempt_failed (attempt, TRUE, "unsigned_answer");
   else
@@ -255,6 +290,7 @@
   attempt->forward = forward;
   attempt->worker_id = g_strdup (worker->id);
   attempt->started_us = now_us;
+  attempt->took_token = quince_extra_record_send (dispatch, forward->in_flight->len > 0);
   g_ptr_array_add (forward->in_flight, attempt);
   forward->dispatch.retry.runs++;
   if (forward->first_run_us == 0)
@@ -262,7 +298,31 @@
   QuinceHttpPool *pool = quince_backends_get_pool (dispatch->backends, worker);
   attempt->exchange = quince_http_pool_start (pool, &request, &exchange_callbacks, attempt);
   if (quince_hedge_is_allowed (&dispatch->retry) && quince_dispatch_may_hedge (dispatch, now_us))
-    schedule_attempt (forward, quince_hedge_delay_us (dispatch->target_latency_us, worker->service_time_us));
+    schedule_attempt (forward, quince_extra_get_hedge_delay_us (dispatch, worker));
+}
+
+static gint64
+get_oldest_remaining_us (const QuinceForward *forward, gint64 now_us)
+{
+  const Attempt *oldest = forward->in_flight->pdata[0];
+  return oldest->started_us + quince_hedge_attempt_timeout_us (forward->dispatch.target_latency_us) - now_us;
+}
+
+/* Returns whether the attempt budget allows an attempt beside the one in flight, or instead of the oldest one
+ * once that has timed out.  If not, sets the timer for a later check. */
+static gboolean
+has_budget (QuinceForward *forward, gint64 now_us)
+{
+  guint in_flight = forward->in_flight->len;
+  if (in_flight == 0
+      || (in_flight >= QUINCE_HEDGE_IN_FLIGHT_MAX && get_oldest_remaining_us (forward, now_us) > 0))
+    return TRUE;
+  const QuinceExtraAttemptRef newest = get_ref (forward->in_flight->pdata[in_flight - 1]);
+  gint64 wait_us = 0;
+  if (quince_extra_may_hedge (&forward->dispatch, &newest, now_us, &wait_us))
+    return TRUE;
+  schedule_attempt (forward, wait_us + TIMER_ROUNDING_US);
+  return FALSE;
 }
 
 /* Cancels the oldest attempt if it has timed out.  Otherwise, or if bytes of its answer are still unread,
@@ -271,8 +331,7 @@
 abandon_oldest (QuinceForward *forward, gint64 now_us)
 {
   Attempt *oldest = forward->in_flight->pdata[0];
-  gint64 timeout_us = quince_hedge_attempt_timeout_us (forward->dispatch.target_latency_us);
-  gint64 remaining_us = oldest->started_us + timeout_us - now_us;
+  gint64 remaining_us = get_oldest_remaining_us (forward, now_us);
   if (remaining_us > 0)
     {
       schedule_attempt (forward, remaining_us + TIMER_ROUNDING_US);
@@ -377,6 +436,8 @@
     }
   if (now >= forward->dispatch.retry.give_up_us || !quince_retry_may_run (&forward->dispatch.retry))
     return;
+  if (!has_budget (forward, now))
+    return;
   if (forward->in_flight->len >= QUINCE_HEDGE_IN_FLIGHT_MAX && !abandon_oldest (forward, now))
     return;
   if (!is_admitted (forward, now))
--- a/lib/forward/forward.h
+++ b/lib/forward/forward.h
@@ -46,6 +46,11 @@
  * @headers: headers of the caller, without hop-by-hop headers
  * @body: (nullable): body of the request
  * @prompt: (nullable): parts of the prompt, %NULL-terminated; a worker that has them cached is preferred
+ * @is_reward: it is a reward call of a sample, not a caller's request
+ * @earlier_runs: number of runs of the same reward call by earlier forwards
+ * @mixed_targets: the service serves routes of different latency targets, see
+ *   quince_route_table_has_mixed_targets(); response times are then measured by route, and hedges and retries
+ *   are limited by the attempt budget of the service
  * @repeatable: the request may run more than once; ignored for streams
  * @max_attempts: maximum number of attempts that may run; 0 counts as 1
  * @target_latency_ms: latency target of the route, ms; 0: none
@@ -64,6 +69,9 @@
   const QuinceHttpHeaders *headers;
   GBytes *body;
   const char *const *prompt;
+  gboolean is_reward;
+  guint earlier_runs;
+  gboolean mixed_targets;
   gboolean repeatable;
   guint max_attempts;
   guint target_latency_ms;
--- /dev/null
+++ b/tests/unit/test-attempt-load.c
@@ -0,0 +1,132 @@
+/*
+ * test-attempt-load.c: guards against hedges and retries that add load to the workers of a service when it
+ * can bear it least, and against a budget for them that costs callers their answers.
+ *
+ * Each case is replayed twice with one seed: by the rules of services with one latency target, which shows
+ * that the case is hard enough, and with the attempt budget.
+ */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <cmocka.h>
+
+#include "attempt-scene.h"
+
+#define SEED 20261203
+
+/* Deployment A of docs/design/contention.md. */
+#define LOOKUP_A                                                                                             \
+  {                                                                                                          \
+    "lookup", 25, 150, 2000, 12                                                                              \
+  }
+#define REWARD_A                                                                                             \
+  {                                                                                                          \
+    "reward", 80, 400, 2000, 100                                                                             \
+  }
+#define SERVICE_A                                                                                            \
+  .n_workers = 8, .slots = 6, .sheds = TRUE, .n_fronts = 20, .lookup = LOOKUP_A, .reward = REWARD_A
+/* Deployment B.  The rate of its reward calls fills the service in the bursts. */
+#define LOOKUP_B                                                                                             \
+  {                                                                                                          \
+    "lookup", 21, 150, 2000, 12                                                                              \
+  }
+#define REWARD_B                                                                                             \
+  {                                                                                                          \
+    "reward", 200, 800, 3000, 130                                                                            \
+  }
+#define SERVICE_B .n_workers = 15, .slots = 6, .n_fronts = 20, .lookup = LOOKUP_B, .reward = REWARD_B
+/* One process sends both. */
+#define EVEN_LOOKUP_B                                                                                        \
+  {                                                                                                          \
+    "lookup", 21, 150, 2000, 100                                                                             \
+  }
+#define EVEN_REWARD_B                                                                                        \
+  {                                                                                                          \
+    "reward", 200, 800, 3000, 20                                                                             \
+  }
+
+/**
+ * LoadCase:
+ * @arrivals_max: most arrivals per request with the budget; the earlier rules exceed it if @is_exceeded
+ * @failed_max: most requests without an answer, as a share
+ * @late_margin: lookups that may miss their target in addition to those under the earlier rules
+ */
+typedef struct
+{
+  const char *name;
+  Scene scene;
+  double arrivals_max;
+  gboolean is_exceeded;
+  double failed_max;
+  guint late_margin;
+} LoadCase;
+
+static const LoadCase load_cases[] = {
+  { "A: a third of the workers slow",
+    { SERVICE_A, .in_bursts = TRUE, .n_slow = 3, .slow_factor = 4, .slow_ms = 4500 },
+    1.06,
+    TRUE,
+    0,
+    0 },
+  { "A: half of the workers slow",
+    { SERVICE_A, .in_bursts = TRUE, .n_slow = 4, .slow_factor = 7, .slow_ms = 4500 },
+    1.06,
+    TRUE,
+    0,
+    0 },
+  { "B: a third of the workers slow",
+    { SERVICE_B, .in_bursts = TRUE, .n_slow = 5, .slow_factor = 4, .slow_ms = 4500 },
+    1.15,
+    TRUE,
+    0,
+    0 },
+  { "B: half of the workers slow",
+    { SERVICE_B, .in_bursts = TRUE, .n_slow = 7, .slow_factor = 7, .slow_ms = 4500 },
+    1.15,
+    TRUE,
+    0,
+    0 },
+  { "B: burst of one zone", { SERVICE_B, .burst_lookups = 4000 }, 1.15, TRUE, 0, 0 },
+  { "B: lookups beside reward calls",
+    { .n_workers = 15, .slots = 6, .lookup = EVEN_LOOKUP_B, .reward = EVEN_REWARD_B },
+    1.01,
+    TRUE,
+    0,
+    0 },
+  /* Four attempts with 0.3 of the answers lost fail in 0.3^4 = 0.8 % of the requests.  All of them need more
+   * attempts than the budget has tokens for. */
+  { "A: connections lost", { SERVICE_A, .lost_share = 0.3 }, 1.45, FALSE, 0.012, 15 },
+  { "A: answers lost", { SERVICE_A, .silent_share = 0.3 }, 1.45, FALSE, 0.012, 90 },
+  { "B: answers lost", { SERVICE_B, .silent_share = 0.3 }, 1.45, FALSE, 0.012, 90 },
+};
+
+static void
+test_load_cases (void **state)
+{
+  for (guint i = 0; i < G_N_ELEMENTS (load_cases); i++)
+    {
+      const LoadCase *c = &load_cases[i];
+      Scene scene = c->scene;
+      const SceneResult before = scene_run (&scene, SEED);
+      scene.budgeted = TRUE;
+      const SceneResult after = scene_run (&scene, SEED);
+      double ratio_before = (double)before.arrivals / before.firsts;
+      double ratio = (double)after.arrivals / after.firsts;
+      print_message ("%s: arrivals per request %.3f, before %.3f; late %u, %u; failed %u, %u; denied %u\n",
+                     c->name, ratio, ratio_before, after.late_lookups, before.late_lookups, after.failed,
+                     before.failed, after.denied);
+      assert_true (ratio <= c->arrivals_max);
+      assert_true (!c->is_exceeded || ratio_before > c->arrivals_max);
+      assert_true (after.failed <= c->failed_max * after.firsts);
+      assert_true (after.late_lookups <= before.late_lookups + c->late_margin);
+    }
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = { cmocka_unit_test (test_load_cases) };
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
