Attempt budget: bounded load of slow workers, more tokens, shorter pauses

Cause: in the replay with answers lost, a worker that lost one answer came after full ones, so that lookups waited there; the pause before a retry without a token and the tokens for a slow phase cost reward calls their target.

Change: slowdown adds at most 0.5 to the load of a worker; at most 45 tokens; the pause starts at a quarter of the usual response time; a service is full if half of the sends are refused.

--- a/lib/core/decisions/attempt-budget.c
+++ b/lib/core/decisions/attempt-budget.c
@@ -9,9 +9,10 @@
 
 /* Tokens per first attempt: the workers of a service get at most 1.15 times its first attempts. */
 #define TOKENS_PER_FIRST 0.15
-/* Most tokens.  When half of the workers turn slow, the requests of a hedge delay (0.25 s at 100 per second)
- * reach them before the choice of a worker avoids them. */
-#define TOKENS_MAX 30.0
+/* Most tokens.  When half of the workers turn slow, requests are hedged until the choice of a worker avoids
+ * them: with 30 tokens, more reward calls missed their target in the replay of attempt-load, with 60 the
+ * arrivals reached 1.153. */
+#define TOKENS_MAX 45.0
 /* Tokens of a new process: six hedges of lookups in a front that sends a lookup every few seconds. */
 #define TOKENS_AT_START 10.0
 /* Largest debt.  Retries of failed attempts are never denied; without a bound, hedges would be denied for
@@ -29,15 +30,19 @@
 /* The service is slow if more than this share of the recent responses are.  If half of the workers are slow,
  * hedges still reach the others. */
 #define SLOW_SHARE 0.75
-/* The service is full if its workers refused more than this share of the recent sends. */
-#define FULL_SHARE 0.25
+/* The service is full if its workers refused more than this share of the recent sends.  With a quarter, more
+ * reward calls missed their target in the replay, where half of the workers were slow and full. */
+#define FULL_SHARE 0.5
 /* Fewer recent responses or sends show no share. */
 #define SHARE_COUNT_MIN 8.0
 /* Time after which a response or send counts half, us: a slow phase lasts a few seconds. */
 #define HALF_LIFE_US (double)(2 * G_USEC_PER_SEC)
 
+/* Pause before the first retry without a token as a part of the usual response time: a request whose first
+ * attempt fails late can still meet its latency target. */
+#define RETRY_PAUSE_USUAL_DIVISOR 4
 /* Shortest and longest pause before a retry without a token, us. */
-#define RETRY_PAUSE_MIN_US (20 * 1000)
+#define RETRY_PAUSE_MIN_US (10 * 1000)
 #define RETRY_PAUSE_MAX_US (500 * 1000)
 /* Doublings of the pause; bounds the shift. */
 #define RETRY_PAUSE_DOUBLINGS_MAX 4
@@ -182,7 +187,7 @@
                                       gint64 time_left_us)
 {
   gint64 usual_us = quince_route_times_get_usual_us (budget->times, route);
-  gint64 pause_us = usual_us << MIN (retries, RETRY_PAUSE_DOUBLINGS_MAX);
+  gint64 pause_us = (usual_us / RETRY_PAUSE_USUAL_DIVISOR) << MIN (retries, RETRY_PAUSE_DOUBLINGS_MAX);
   return MIN (CLAMP (pause_us, RETRY_PAUSE_MIN_US, RETRY_PAUSE_MAX_US),
               MAX (time_left_us, 0) / RETRY_PAUSE_TIME_LEFT_DIVISOR);
 }
--- a/lib/core/decisions/attempt-budget.h
+++ b/lib/core/decisions/attempt-budget.h
@@ -68,8 +68,8 @@
  * @retries: number of retries of the request so far
  * @time_left_us: time until no attempt of the request may start
  *
- * Decides how long a retry without a token waits: the usual response time of the route, doubled with each
- * retry, 20 to 500 ms, and at most a quarter of the remaining time, so that no request fails by it.
+ * Decides how long a retry without a token waits: a quarter of the usual response time of the route, doubled
+ * with each retry, 10 to 500 ms, and at most a quarter of the remaining time, so that no request fails by it.
  */
 gint64 quince_attempt_budget_retry_pause_us (const QuinceAttemptBudget *budget,
                                              const char *route,
--- a/lib/core/routing/worker-response.c
+++ b/lib/core/routing/worker-response.c
@@ -11,6 +11,11 @@
 /* Time in which the excess of the slowdown over 1 halves, us. */
 #define SLOWDOWN_HALF_LIFE_US (double)G_USEC_PER_SEC
 
+/* Load by which a worker is worse for each unit of its slowdown over 1, and the most.  An idle worker that is
+ * four times slower compares like one with half of its slots in use.  Without the bound, a worker that lost
+ * one answer would come after full ones, at which requests wait. */
+#define SLOWDOWN_LOAD (1.0 / 6)
+#define SLOWDOWN_LOAD_MAX 0.5
 /* How long a worker counts as full after a refusal, us.  Its slots are also used by other processes, so that
  * this process cannot count them; a slot is free again after a usual response time (25 to 200 ms) or less. */
 #define FULL_TIME_US (50 * 1000)
@@ -58,5 +63,5 @@
   double slowdown = quince_worker_get_slowdown (worker, now_us);
   guint slots = MAX (worker->slots, 1);
   guint running = now_us < worker->full_until_us ? MAX (worker->running, slots) : worker->running;
-  return ((running + 1) * slowdown - 1) / slots;
+  return (double)running / slots + MIN ((slowdown - 1) * SLOWDOWN_LOAD, SLOWDOWN_LOAD_MAX);
 }
--- a/lib/core/routing/worker-response.h
+++ b/lib/core/routing/worker-response.h
@@ -31,9 +31,9 @@
 /**
  * quince_worker_get_expected_load:
  *
- * Returns: the load by which the worker is compared with others: the requests of this process in flight,
- * including the one to be sent, weighted by the slowdown, relative to the slots.  For a worker without a
- * slowdown it is the fraction of its slots in use, and at least 1 while it counts as full.
+ * Returns: the load by which the worker is compared with others: the fraction of its slots that requests of
+ * this process use, all of them while it counts as full, and 1/6 for each unit of its slowdown over 1, at
+ * most 0.5
  */
 double quince_worker_get_expected_load (const QuinceWorker *worker, gint64 now_us);
 
