Attempt budget: answers that are lost are not waited for like slow ones

Cause: with answers lost, the budget is empty and an attempt was waited for until it counted as lost. Since it is sent again anyway, this delayed reward calls and saved no attempt.

Change: if more than three quarters of the attempts whose hedge was denied were lost in the end, late attempts count as lost at once. The margins of the replay for late reward calls go from 0.25 to 0.03. A test covers reward calls that are made again.

--- a/lib/core/decisions/attempt-budget.c
+++ b/lib/core/decisions/attempt-budget.c
@@ -33,7 +33,10 @@
 /* The service is full if its workers refused more than this share of the recent sends.  With a quarter, more
  * reward calls missed their target in the replay, where half of the workers were slow and full. */
 #define FULL_SHARE 0.5
-/* Fewer recent responses or sends show no share. */
+/* The service loses answers if more than this share of the attempts that were not hedged for lack of tokens
+ * were lost; slow workers answer most of them. */
+#define LOST_SHARE 0.75
+/* Fewer recent responses, sends or denied attempts show no share. */
 #define SHARE_COUNT_MIN 8.0
 /* Time after which a response or send counts half, us: a slow phase lasts a few seconds. */
 #define HALF_LIFE_US (double)(2 * G_USEC_PER_SEC)
@@ -73,8 +76,9 @@
   QuinceRouteTimes *times;
   RecentShare slow_responses;
   RecentShare refused_sends;
-  guint n_denied;     /* hedges denied since the last log line */
-  gint64 log_from_us; /* time from which the next denied hedge is logged */
+  RecentShare lost_attempts; /* of those for which a hedge was denied */
+  guint n_denied;            /* hedges denied since the last log line */
+  gint64 log_from_us;        /* time from which the next denied hedge is logged */
 };
 
 QuinceAttemptBudget *
@@ -139,6 +143,12 @@
   count (&budget->refused_sends, now_us, refused);
 }
 
+void
+quince_attempt_budget_record_unhedged (QuinceAttemptBudget *budget, gint64 now_us, gboolean was_lost)
+{
+  count (&budget->lost_attempts, now_us, was_lost);
+}
+
 /* ---- Tokens --------------------------------------------------------------- */
 
 void
@@ -204,6 +214,8 @@
   if (exceeds (&budget->slow_responses, now_us, SLOW_SHARE))
     return MIN (LOST_TIMEOUTS * quince_hedge_attempt_timeout_us (target_latency_us),
                 left_us / LOST_TIME_LEFT_DIVISOR);
+  if (exceeds (&budget->lost_attempts, now_us, LOST_SHARE))
+    return 0;
   gint64 usual_us = quince_route_times_get_usual_us (budget->times, route);
   gint64 lost_us = usual_us > 0 ? LOST_SLOWDOWN * usual_us : left_us;
   return MIN (MAX (lost_us, target_latency_us), left_us / MAX (attempts_left, 1));
--- a/lib/core/decisions/attempt-budget.h
+++ b/lib/core/decisions/attempt-budget.h
@@ -60,6 +60,10 @@
 /* Records a send to a worker that is not draining.  @refused: the worker refused to run the request */
 void quince_attempt_budget_record_send (QuinceAttemptBudget *budget, gint64 now_us, gboolean refused);
 
+/* Records the end of an attempt for which a hedge was denied.  @was_lost: it had no answer when it counted as
+ * lost; otherwise the worker answered it */
+void quince_attempt_budget_record_unhedged (QuinceAttemptBudget *budget, gint64 now_us, gboolean was_lost);
+
 /* ---- Without tokens ------------------------------------------------------ */
 
 /**
@@ -84,7 +88,9 @@
  *
  * Decides when an attempt without an answer counts as lost.  Then another one starts even without a token,
  * since the request would fail otherwise: after eight times the usual response time of the route, but not
- * before its latency target; at the latest so that the attempts left share the remaining time.  While the
+ * before its latency target; at the latest so that the attempts left share the remaining time.  It counts as
+ * lost at once if most attempts for which a hedge was denied were: such attempts are sent again anyway, so
+ * that a wait delays the answer and saves no attempt.  While the
  * service is slow at most of its workers, answers are late rather than lost: after four times the latency
  * target, at the latest after half the remaining time.
  *
--- a/lib/forward/extra-attempts.c
+++ b/lib/forward/extra-attempts.c
@@ -86,7 +86,11 @@
       retry->max_attempts - retry->runs + 1);
   gint64 remaining_us = newest->started_us + lost_after_us - now_us;
   if (remaining_us <= 0)
-    return TRUE;
+    {
+      if (dispatch->extra.is_denied)
+        quince_attempt_budget_record_unhedged (budget, now_us, TRUE);
+      return TRUE;
+    }
   if (!dispatch->extra.is_denied)
     record_denied (dispatch, budget, now_us);
   dispatch->extra.is_denied = TRUE;
@@ -166,6 +170,8 @@
   quince_worker_record_route_response (worker, now_us, dispatch->kind, elapsed_us, slowdown);
   if (!dispatch->extra.is_late)
     quince_attempt_budget_record_response (budget, now_us, slowdown);
+  if (dispatch->extra.is_denied)
+    quince_attempt_budget_record_unhedged (budget, now_us, FALSE);
 }
 
 void
--- a/tests/platform/forward-world.h
+++ b/tests/platform/forward-world.h
@@ -27,6 +27,7 @@
   guint attempts;
   gboolean mixed_targets; /* of the requests; see QuinceForwardRequest */
   gboolean is_reward;
+  guint earlier_runs;
 } World;
 
 static void
@@ -98,6 +99,7 @@
                                          .headers = headers,
                                          .body = body,
                                          .is_reward = world->is_reward,
+                                         .earlier_runs = world->earlier_runs,
                                          .mixed_targets = world->mixed_targets,
                                          .repeatable = repeatable,
                                          .max_attempts = max_attempts,
--- a/tests/platform/test-attempt-budget.c
+++ b/tests/platform/test-attempt-budget.c
@@ -95,6 +95,21 @@
   world_clear (&world);
 }
 
+/* A reward call that is made again after a failed one must not add tokens as a first attempt. */
+static void
+test_repeated_reward_call (void **state)
+{
+  World world;
+  QuinceAttemptBudget *budget = start_without_tokens (&world);
+  double tokens = quince_attempt_budget_get_tokens (budget);
+  world.is_reward = TRUE;
+  world.earlier_runs = 1;
+  run_requests (&world, 1);
+  assert_true (quince_attempt_budget_get_tokens (budget) <= tokens - 1);
+  assert_true (has_metric ("quince_forward_extra_total", "retry"));
+  world_clear (&world);
+}
+
 int
 main (void)
 {
@@ -102,6 +117,7 @@
     cmocka_unit_test (test_lost_answers),
     cmocka_unit_test (test_lost_connections),
     cmocka_unit_test (test_refusals_take_no_tokens),
+    cmocka_unit_test (test_repeated_reward_call),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
--- a/tests/unit/attempt-scene.h
+++ b/tests/unit/attempt-scene.h
@@ -225,7 +225,11 @@
       budget, replay->now_us, request->route->name, target_us, request->retry.give_up_us - newest->started_us,
       request->retry.max_attempts - request->retry.runs + 1);
   if (replay->now_us - newest->started_us >= lost_us)
-    return TRUE;
+    {
+      if (request->is_denied)
+        quince_attempt_budget_record_unhedged (budget, replay->now_us, TRUE);
+      return TRUE;
+    }
   replay->result.denied += !request->is_denied;
   request->is_denied = TRUE;
   request->timer_us = MIN (replay->now_us + DENIED_CHECK_US, newest->started_us + lost_us);
@@ -310,6 +314,8 @@
   quince_attempt_budget_record_send (request->process->budget, replay->now_us, FALSE);
   if (!request->is_late)
     quince_attempt_budget_record_response (request->process->budget, replay->now_us, slowdown);
+  if (request->is_denied)
+    quince_attempt_budget_record_unhedged (request->process->budget, replay->now_us, FALSE);
   for (guint i = 0; i < request->in_flight->len; i++)
     if (&g_array_index (request->in_flight, Attempt, i) != attempt)
       record_late (replay, request, &g_array_index (request->in_flight, Attempt, i));
--- a/tests/unit/test-attempt-budget.c
+++ b/tests/unit/test-attempt-budget.c
@@ -114,6 +114,26 @@
   assert_int_equal (quince_attempt_budget_lost_after_us (budget, 0, "r", 150 * MS, 800 * MS, 4), 400 * MS);
 }
 
+/* If workers lose answers, waiting for them delays requests and saves no attempts.  If they are slow, it
+ * does. */
+static void
+test_lost_or_slow (void **state)
+{
+  for (guint is_slow = 0; is_slow < 2; is_slow++)
+    {
+      g_autoptr (QuinceAttemptBudget) budget = quince_attempt_budget_new ();
+      quince_route_times_record (quince_attempt_budget_get_times (budget), "r", 50 * MS);
+      for (guint i = 0; i < 20; i++)
+        quince_attempt_budget_record_unhedged (budget, 0, is_slow == 0 || i % 2 == 0);
+      gint64 expected_us = is_slow != 0 ? 400 * MS : 0;
+      assert_int_equal (quince_attempt_budget_lost_after_us (budget, 0, "r", 150 * MS, 2000 * MS, 4),
+                        expected_us);
+      /* Not known any more after a few seconds. */
+      assert_int_equal (quince_attempt_budget_lost_after_us (budget, 4000 * MS, "r", 150 * MS, 2000 * MS, 4),
+                        400 * MS);
+    }
+}
+
 static void
 test_log_limit (void **state)
 {
@@ -250,15 +270,11 @@
 main (void)
 {
   const struct CMUnitTest tests[] = {
-    cmocka_unit_test (test_last_tokens),
-    cmocka_unit_test (test_bounds),
-    cmocka_unit_test (test_slow_or_full_service),
-    cmocka_unit_test (test_without_tokens),
-    cmocka_unit_test (test_log_limit),
-    cmocka_unit_test (test_hedge_delay),
-    cmocka_unit_test (test_route_times),
-    cmocka_unit_test (test_expected_load),
-    cmocka_unit_test (test_mixed_targets),
+    cmocka_unit_test (test_last_tokens),          cmocka_unit_test (test_bounds),
+    cmocka_unit_test (test_slow_or_full_service), cmocka_unit_test (test_without_tokens),
+    cmocka_unit_test (test_lost_or_slow),         cmocka_unit_test (test_log_limit),
+    cmocka_unit_test (test_hedge_delay),          cmocka_unit_test (test_route_times),
+    cmocka_unit_test (test_expected_load),        cmocka_unit_test (test_mixed_targets),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
--- a/tests/unit/test-attempt-load.c
+++ b/tests/unit/test-attempt-load.c
@@ -63,10 +63,10 @@
     0,
     0 },
   /* Four attempts with 0.3 of the answers lost fail in 0.3^4 = 0.8 % of the requests.  All of them need more
-   * attempts than the budget has tokens for, so that reward calls are answered later. */
+   * attempts than the budget has tokens for. */
   { "A: connections lost", { SERVICE_A, .lost_share = 0.3 }, 1.45, FALSE, 0.012, 0.03 },
-  { "A: answers lost", { SERVICE_A, .silent_share = 0.3 }, 1.45, FALSE, 0.012, 0.25 },
-  { "B: answers lost", { SERVICE_B, .silent_share = 0.3 }, 1.45, FALSE, 0.012, 0.25 },
+  { "A: answers lost", { SERVICE_A, .silent_share = 0.3 }, 1.45, FALSE, 0.012, 0.03 },
+  { "B: answers lost", { SERVICE_B, .silent_share = 0.3 }, 1.45, FALSE, 0.012, 0.03 },
 };
 
 static void
