--- a/lib/forward/backends.c
+++ b/lib/forward/backends.c
@@ -32,6 +32,8 @@
   backends->events = quince_event_table_new ();
   backends->shares = quince_share_metrics_new ();
   backends->limits = quince_tenant_limits_new ();
+  backends->budgets
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, (GDestroyNotify)quince_attempt_budget_free);
   g_queue_init (&backends->unlisted_ids);
   backends->prompts = quince_prompt_table_new (PROMPT_PARTS_MAX);
   backends->rotation = g_random_int ();
@@ -50,6 +52,7 @@
   quince_event_table_free (backends->events);
   quince_share_metrics_free (backends->shares);
   quince_tenant_limits_free (backends->limits);
+  g_hash_table_unref (backends->budgets);
   quince_prompt_table_free (backends->prompts);
   g_queue_clear_full (&backends->unlisted_ids, g_free);
   quince_policy_free (backends->policy);
@@ -210,6 +213,30 @@
   return quince_worker_pools_get (backends->pools, worker);
 }
 
+QuinceAttemptBudget *
+quince_backends_get_budget (QuinceBackends *backends, const char *service)
+{
+  QuinceAttemptBudget *budget = g_hash_table_lookup (backends->budgets, service);
+  if (budget != NULL)
+    return budget;
+  budget = quince_attempt_budget_new ();
+  g_hash_table_insert (backends->budgets, g_strdup (service), budget);
+  return budget;
+}
+
+static gboolean
+is_obsolete_budget (gpointer service, gpointer budget, gpointer data)
+{
+  const QuinceBackends *backends = data;
+  return backends->routes == NULL || !quince_route_table_has_mixed_targets (backends->routes, service);
+}
+
+void
+quince_backends_prune_budgets (QuinceBackends *backends)
+{
+  g_hash_table_foreach_remove (backends->budgets, is_obsolete_budget, backends);
+}
+
 void
 quince_backends_handle_resume (QuinceBackends *backends)
 {
