Comments: reasons and figures of constants, put back

Cause: the revision of the wording dropped the reason, the figure or the fault behind some constants. No code changes.

--- a/daemons/front/directory.c
+++ b/daemons/front/directory.c
@@ -19,7 +19,7 @@
  * answers. */
 #define REMOVED_RETENTION_US (4 * G_USEC_PER_SEC)
 /* Time for which the leader's list of silent fronts is valid, us.  The leader sends it with every heartbeat.
- * Longer than the election of a new leader. */
+ * Longer than the election of a new leader, which takes about 1.2 s. */
 #define SILENT_TTL_US (5 * G_USEC_PER_SEC)
 /* Maximum number of addresses in one answer, which keeps it small with hundreds of fronts. */
 #define ADDRESSES_MAX 64
--- a/daemons/replica/progress.c
+++ b/daemons/replica/progress.c
@@ -7,13 +7,15 @@
 
 /* Age after which an entry is removed, us: its sample is done or abandoned by then. */
 #define PROGRESS_TTL_US (40 * G_USEC_PER_SEC)
-/* Maximum number of samples; further ones are ignored, so that a malformed message cannot exhaust memory. */
+/* Maximum number of samples; further ones are ignored, so that a malformed message cannot exhaust memory. It
+ * is the number of samples of one large step. */
 #define ENTRIES_MAX 8192
 /* Maximum age of listed progress that this process received, us.  A leader reports each growing text five
  * times a second, and a new leader takes over within one or two seconds.  Progress from the disk is listed
  * until it expires, since all processes may have been down for longer than this. */
 #define RECENT_MAX_AGE_US (5 * G_USEC_PER_SEC)
-/* Size of the listed texts after which the list ends, bytes. */
+/* Size of the listed texts after which the list ends, bytes. Holds the partial texts of 400 samples of
+ * 8 kB, which take two thirds as much when packed. */
 #define LISTED_TEXTS_MAX_BYTES (4 * 1024 * 1024)
 
 typedef struct
--- a/daemons/replica/quarantine-coordinator.c
+++ b/daemons/replica/quarantine-coordinator.c
@@ -15,7 +15,7 @@
 #include "suspect-reporter.h"
 
 /* Time after which a permit expires, us.  Another process may then send the request, even if the holder
- * failed or was disconnected.  Longer than the deadlines of lookups. */
+ * failed or was disconnected.  Longer than the deadlines of lookups, 0.8 to 2 s. */
 #define PERMIT_TTL_US (3 * G_USEC_PER_SEC)
 
 struct _QuinceQuarantineCoordinator
--- a/lib/forward/warmup-sends.h
+++ b/lib/forward/warmup-sends.h
@@ -27,7 +27,8 @@
  * Unused leases count against the limit until they expire. */
 #define QUINCE_WARMUP_LEASE_VALID_US (200 * 1000)
 /* Time after the choice of a cold worker within which the request must have a connection, or it is withdrawn.
- * Longer than a connect to a busy worker takes; a granted send counts against the limit for this time too. */
+ * Longer than a connect to a busy worker takes; a granted send counts against the limit for this time too.
+ * Each send counts for 1.55 s: the second of the limit, a lease, this time and the margin. */
 #define QUINCE_WARMUP_SEND_TIMEOUT_US (250 * 1000)
 /* Upper bound on the time that a request takes to reach the worker: eight times the one-way latency
  * between regions. */
--- a/tools/store-calls.h
+++ b/tools/store-calls.h
@@ -11,7 +11,8 @@
 G_BEGIN_DECLS
 
 /* Maximum number of attempts of a write.  An attempt without an answer times out after 1 s; there is no delay
- * between attempts. */
+ * between attempts. Enough to outlast a change of the leader of the store, few enough that an operator knows
+ * the outcome within half a minute. */
 #define QUINCE_STORE_WRITE_ATTEMPTS_MAX 8
 
 /* Result of a call. */
