Order records: names and comments that say what the functions do

Cause: quince_order_history_is_known and _receive did not say what is known or received, a loop tested a condition that does not change in it, and comments said "notes", "tells" and "without use". Change: _is_complete, _record_receipt, has_appended, log_first_record; comments. No behaviour changes.

--- a/daemons/replica/ledger-node-state.c
+++ b/daemons/replica/ledger-node-state.c
@@ -1,5 +1,5 @@
 /*
- * ledger-node-state.c: the parts of a ledger node as its owner sees them: settings, records and state.
+ * ledger-node-state.c: functions of a ledger node that only set or read the state of its parts.
  */
 #include "ledger-node-private.h"
 
--- a/daemons/replica/ledger-node.h
+++ b/daemons/replica/ledger-node.h
@@ -123,11 +123,10 @@
 /* Returns %TRUE if this replica is leading and may give orders to workers.  No other replica can have given
  * any within the order pause (QuinceLedgerLimits). */
 gboolean quince_ledger_node_may_order (const QuinceLedgerNode *node);
-/* Returns %TRUE if this replica is leading, and see quince_ledger_group_has_order_lease() or
- * quince_ledger_group_waited_order_pause(). */
+/* Return %TRUE if this replica is leading and the function of QuinceLedgerGroup with the same name does. */
 gboolean quince_ledger_node_has_order_lease (const QuinceLedgerNode *node);
 gboolean quince_ledger_node_waited_order_pause (const QuinceLedgerNode *node);
-/* Returns: (transfer none): what the log tells of the orders of earlier leaders; complete while
+/* Returns: (transfer none): the orders of earlier leaders according to the log; complete while
  * quince_ledger_node_is_leading() */
 QuinceOrderHistory *quince_ledger_node_get_order_history (const QuinceLedgerNode *node);
 /* Returns the epoch that this replica leads, which is the fencing token of its orders, or 0 if it does not
--- a/daemons/replica/ledger-storage.c
+++ b/daemons/replica/ledger-storage.c
@@ -91,7 +91,7 @@
   if (reset)
     storage->last_compacted_index = 0;
   if (n_entries > 0)
-    quince_order_history_receive (storage->orders, quince_now_us (), entries[0].index);
+    quince_order_history_record_receipt (storage->orders, quince_now_us (), entries[0].index);
   update_log_end (storage);
   return TRUE;
 }
--- a/daemons/replica/order-records.c
+++ b/daemons/replica/order-records.c
@@ -1,5 +1,5 @@
 /*
- * order-records.c: appends order records and tells which workers may be ordered.
+ * order-records.c: appends order records and decides which workers may be ordered.
  */
 #include "order-records.h"
 
@@ -9,8 +9,9 @@
 #include "runtime/metrics.h"
 #include "runtime/timer.h"
 
-/* Numbers of order records without use that one FORGET record lists.  FORGET records stay in the log, so they
- * list many; the maximum bounds the record that a new leader appends after it has read its log. */
+/* Minimum and maximum number of obsolete order records that one FORGET record lists.  FORGET records stay in
+ * the log, so each lists many; the maximum bounds the one that a new leader appends after reading its log.
+ */
 #define FORGET_RECORDS_MIN 64
 #define FORGET_RECORDS_MAX 1024
 
@@ -20,7 +21,7 @@
   QuinceLedgerNode *ledger; /* borrowed */
   gboolean enabled;
   gboolean leads;
-  gboolean has_begun; /* a record of this epoch was appended */
+  gboolean has_appended; /* a record of this epoch was appended */
   QuinceOrderPermits *permits;
   GHashTable *requested;     /* worker ids, owned: for the next record */
   QuinceTimer *append_timer; /* appends the next record; NULL: no request */
@@ -50,7 +51,7 @@
   g_free (records);
 }
 
-/* ---- Who may be ordered ---------------------------------------------------- */
+/* ---- Workers that may be ordered ------------------------------------------- */
 
 static QuinceOrderHistory *
 get_history (const QuinceOrderRecords *records)
@@ -64,7 +65,7 @@
   if (!records->enabled)
     return quince_ledger_node_may_order (records->ledger);
   return quince_ledger_node_has_order_lease (records->ledger)
-         && (quince_order_history_is_known (get_history (records))
+         && (quince_order_history_is_complete (get_history (records))
              || quince_ledger_node_waited_order_pause (records->ledger));
 }
 
@@ -80,7 +81,7 @@
 /* ---- Appending -------------------------------------------------------------- */
 
 static void
-log_begin (const QuinceOrderRecords *records, gint64 now_us)
+log_first_record (const QuinceOrderRecords *records, gint64 now_us)
 {
   gint64 longest_us = 0;
   guint n_blocked = quince_order_history_count_blocked (get_history (records), now_us, &longest_us);
@@ -88,16 +89,16 @@
   quince_log_notice ("orders_allowed",
                      "epoch=%" G_GUINT64_FORMAT " known=%s blocked=%u longest_ms=%" G_GINT64_FORMAT,
                      quince_ledger_node_get_epoch (records->ledger),
-                     quince_order_history_is_known (get_history (records)) ? "true" : "false",
+                     quince_order_history_is_complete (get_history (records)) ? "true" : "false",
                      waited ? 0 : n_blocked, waited ? 0 : longest_us / 1000);
 }
 
 /* Appends a record that names the requested workers, perhaps none.  If that is not possible now, their loads
- * request it again. */
+ * request one again at their next poll. */
 static void
 append_record (QuinceOrderRecords *records)
 {
-  /* The record counts from before its append, so that no backup can have it earlier. */
+  /* Read before the append, so that no backup can receive the record earlier. */
   gint64 now = quince_now_us ();
   quince_timer_clear (&records->append_timer);
   g_autofree char **workers = (char **)g_hash_table_get_keys_as_array (records->requested, NULL);
@@ -113,9 +114,9 @@
       quince_order_permits_add (records->permits, now, index, (const char *const *)workers, n_workers);
       quince_order_history_add_own (get_history (records), now, index);
       quince_metric_add ("quince_replica_order_records_total", "", 1);
-      if (!records->has_begun)
-        log_begin (records, now);
-      records->has_begun = TRUE;
+      if (!records->has_appended)
+        log_first_record (records, now);
+      records->has_appended = TRUE;
     }
   g_hash_table_remove_all (records->requested);
 }
@@ -181,7 +182,7 @@
 {
   if (!records->enabled || !records->leads || !quince_order_records_may_order (records))
     return;
-  if (!records->has_begun)
+  if (!records->has_appended)
     append_record (records);
   append_forget_record (records);
 }
@@ -192,7 +193,7 @@
                                     gpointer user_data)
 {
   records->leads = TRUE;
-  records->has_begun = FALSE;
+  records->has_appended = FALSE;
   records->committed = committed;
   records->user_data = user_data;
   quince_order_permits_clear (records->permits);
--- a/daemons/replica/order-records.h
+++ b/daemons/replica/order-records.h
@@ -1,6 +1,6 @@
 /*
- * order-records.h: records in the ledger which workers the leader is about to order, so that the next leader
- * waits only for those (docs/design/order-records.md).
+ * order-records.h: records in the ledger the workers that the leader is about to order, so that the next
+ * leader waits only for those (docs/design/order-records.md).
  *
  * core/group/order-history.h decides which workers may be ordered after a change of leader,
  * core/group/order-permits.h how long a record permits orders.  Without the setting orders.record, nothing is
@@ -25,10 +25,10 @@
 /* Handles a committed order record.  @record: (transfer full) */
 void
 quince_order_records_apply_record (QuinceOrderRecords *records, guint64 index, QuinceBatchRecord *record);
-/* Appends the first record of this leader and forgets records without use, if due.  Call several times a
- * second, also at a backup. */
+/* Appends the first record of this leader, and a FORGET record for obsolete ones, if due.  Call several times
+ * a second, also at a backup. */
 void quince_order_records_step (QuinceOrderRecords *records);
-/* Sets the metrics. */
+/* Sets the gauge of workers that may not be ordered yet. */
 void quince_order_records_set_metrics (const QuinceOrderRecords *records);
 
 /* Returns whether this leader may give orders to some workers. */
@@ -36,8 +36,8 @@
 /* Returns whether this leader may give orders to @worker: no other leader can have ordered it within the
  * order pause. */
 gboolean quince_order_records_may_order_worker (const QuinceOrderRecords *records, const char *worker);
-/* Requests that a record names @worker, unless one does.  One record is appended for all requests of an
- * iteration of the main loop. */
+/* Requests a record that names @worker, unless one that is still valid does.  One record is appended for all
+ * requests of an iteration of the main loop. */
 void quince_order_records_request (QuinceOrderRecords *records, const char *worker);
 /**
  * quince_order_records_get_permit:
--- a/daemons/replica/weight-load.c
+++ b/daemons/replica/weight-load.c
@@ -30,7 +30,7 @@
   gint64 started_us;
   gint64 ordered_us;       /* monotonic: time of the last order; 0: none */
   gboolean awaits_record;  /* the order waits for the commit of its record; timer polls after that */
-  guint64 orders_accepted; /* by the last report */
+  guint64 orders_accepted; /* number of orders that the worker had accepted at its last report */
   QuinceHttpExchange *exchange;
   QuinceRetryTimer timer; /* delay until the next request for the report */
 };
@@ -139,7 +139,7 @@
   g_autoptr (QuinceHttpHeaders) headers = quince_http_headers_new ();
   quince_http_headers_add (headers, "Content-Type", "application/json");
   quince_platform_write_expected_worker (headers, load->worker_id);
-  /* Checked last: this process may be suspended at any time. */
+  /* Checked right before the send, since the process may be suspended before that. */
   may_order = may_order && quince_order_records_may_order_worker (context->records, load->worker_id);
   load->awaits_record = !quince_order_records_get_permit (context->records, load->worker_id, &send_by_us);
   if (load->awaits_record)
--- a/lib/core/decisions/load-next.c
+++ b/lib/core/decisions/load-next.c
@@ -10,7 +10,7 @@
 #define LOAD_POLL_INTERVAL_MS 80
 /* Time to the poll of a worker that already has the version, ms: the next iteration of the main loop. */
 #define ALREADY_LOADED_POLL_MS 1
-/* Time for which an order awaits the commit of its record, ms: as long as the record permits it
+/* Maximum time that an order waits for the commit of its record, ms: as long as the record permits the order
  * (QUINCE_ORDER_SEND_MAX_US). */
 #define RECORD_WAIT_MS 300
 /* Timeout of a load, us: about eight times its usual duration. */
--- a/lib/core/decisions/load-next.h
+++ b/lib/core/decisions/load-next.h
@@ -78,8 +78,8 @@
  * @may_order: the worker is listed, and this process leads with a quorum; see weight-orders.h.  Only read for
  *   orders
  * @is_order: a load order is about to be sent, not a request for the worker's report
- * @awaits_record: the order record that must be committed first is not (core/group/order-permits.h).  Only
- *   read for orders
+ * @awaits_record: the order record that permits the order is not committed yet (core/group/order-permits.h).
+ *   Only read for orders
  */
 typedef struct
 {
--- a/lib/core/group/ledger-campaign.c
+++ b/lib/core/group/ledger-campaign.c
@@ -14,7 +14,7 @@
 #define CAMPAIGN_TIMEOUT_US (600 * 1000)
 
 /* How many successive promises to one candidate delay this replica's own campaign.  A candidate that still
- * asks after that does not receive the promises, for example because its link works in one direction only. A
+ * asks after that does not receive the promises, for example because its link works in one direction only.  A
  * candidate that is only slow, or waits for the metadata store, has won by then: three campaigns are 1.8 s.
  */
 #define CAMPAIGN_DEFERRALS_MAX 3
--- a/lib/core/group/order-history.c
+++ b/lib/core/group/order-history.c
@@ -5,8 +5,8 @@
 
 /* Maximum number of parts of the log with a time of their own. */
 #define PARTS_MAX 64
-/* Maximum number of epochs of this process that are remembered.  Forgetting one costs a whole pause at most.
- */
+/* Maximum number of epochs of this process that are remembered.  After one is forgotten, this process waits
+ * at most one whole pause longer than needed. */
 #define OWN_EPOCHS_MAX 16
 
 /* The records from @first_index up to the next part. */
@@ -21,7 +21,7 @@
 typedef struct
 {
   guint64 index;
-  gint64 finished_us; /* when it blocks no worker any more */
+  gint64 finished_us; /* when it no longer blocks any worker */
 } StoredRecord;
 
 struct _QuinceOrderHistory
@@ -69,7 +69,7 @@
 /* ---- Times of receipt ----------------------------------------------------- */
 
 void
-quince_order_history_receive (QuinceOrderHistory *history, gint64 now_us, guint64 first_index)
+quince_order_history_record_receipt (QuinceOrderHistory *history, gint64 now_us, guint64 first_index)
 {
   GArray *parts = history->parts;
   while (parts->len > 1 && g_array_index (parts, Part, parts->len - 1).first_index >= first_index)
@@ -157,13 +157,14 @@
   history->has_record = TRUE;
   gint64 until_us = quince_order_history_get_received_us (history, index) + history->block_us;
   /* A leader that leads again need not wait for its own orders. */
-  for (guint i = 0; i < orders->workers.workers_len && !is_own_epoch (history, epoch); i++)
+  guint n_blocked = is_own_epoch (history, epoch) ? 0 : orders->workers.workers_len;
+  for (guint i = 0; i < n_blocked; i++)
     block_worker (history, orders->workers.workers_val[i], until_us);
   add_record (history, index, until_us);
 }
 
 gboolean
-quince_order_history_is_known (const QuinceOrderHistory *history)
+quince_order_history_is_complete (const QuinceOrderHistory *history)
 {
   return history->has_record;
 }
@@ -194,7 +195,7 @@
   return count;
 }
 
-/* ---- Records without use ---------------------------------------------------- */
+/* ---- Obsolete records ---------------------------------------------------- */
 
 void
 quince_order_history_add_own (QuinceOrderHistory *history, gint64 now_us, guint64 index)
--- a/lib/core/group/order-history.h
+++ b/lib/core/group/order-history.h
@@ -4,9 +4,9 @@
  * A leader appends an order record, which names the workers that it is about to order, and sends the orders
  * at most QUINCE_ORDER_SEND_MAX_US after that.  A replica receives the record no earlier than it was
  * appended.  So the last order was sent at most QUINCE_ORDER_SEND_MAX_US after the receipt of the last record
- * that names the worker.  docs/design/order-records.md holds the proof.
+ * that names the worker.  The proof is in docs/design/order-records.md.
  *
- * Every replica notes when it received each part of its log.  A new leader passes each entry of its log to
+ * Every replica records when it received each part of its log.  A new leader passes each entry of its log to
  * quince_order_history_read_entry().  Times are in microseconds of this process's monotonic clock.
  */
 #pragma once
@@ -32,28 +32,28 @@
 
 /* ---- At every replica --------------------------------------------------- */
 
-/* Notes that the log from @first_index on was received now.  Also called for records received again: the
+/* Records that the log from @first_index on was received now.  Also called for records received again: the
  * later time counts. */
-void quince_order_history_receive (QuinceOrderHistory *history, gint64 now_us, guint64 first_index);
+void quince_order_history_record_receipt (QuinceOrderHistory *history, gint64 now_us, guint64 first_index);
 /* Returns: a time at or after the receipt of the record at @index */
 gint64 quince_order_history_get_received_us (const QuinceOrderHistory *history, guint64 index);
 
 /* ---- At a leader ---------------------------------------------------------- */
 
-/* Notes that this process leads @epoch and sends no order without an order record.  Forgets what was read for
- * earlier epochs. */
+/* Records that this process leads @epoch and sends no order without an order record.  Drops what was read for
+ * earlier epochs of this process. */
 void quince_order_history_start_leading (QuinceOrderHistory *history, guint64 epoch);
-/* Takes an entry of the log, in order of their indexes, before the first order.
+/* Reads an entry of the log.  To be called for all entries in order of their indexes, before the first order.
  * @orders: (nullable): its content, if it is an order record */
 void quince_order_history_read_entry (QuinceOrderHistory *history,
                                       guint64 index,
                                       guint64 epoch,
                                       const QuinceOrderRecord *orders);
-/* Returns whether the log tells all orders of earlier leaders that may be within the pause: the greatest
+/* Returns whether the log contains all orders of earlier leaders that may be within the pause: the greatest
  * earlier epoch in it has an order record. */
-gboolean quince_order_history_is_known (const QuinceOrderHistory *history);
+gboolean quince_order_history_is_complete (const QuinceOrderHistory *history);
 /* Returns whether another leader's orders to @worker are older than the pause, by the records in the log.
- * Always %FALSE unless quince_order_history_is_known(). */
+ * Always %FALSE unless quince_order_history_is_complete(). */
 gboolean
 quince_order_history_may_order (const QuinceOrderHistory *history, gint64 now_us, const char *worker);
 /* Returns the number of workers that another leader may have ordered within the pause.
@@ -61,15 +61,15 @@
 guint
 quince_order_history_count_blocked (const QuinceOrderHistory *history, gint64 now_us, gint64 *longest_us);
 
-/* Notes an order record that this leader appended now. */
+/* Records an order record that this leader appended now. */
 void quince_order_history_add_own (QuinceOrderHistory *history, gint64 now_us, guint64 index);
 /**
  * quince_order_history_take_finished:
- * @min_records: returns nothing if there are fewer
- * @max_records: returns the oldest if there are more
+ * @min_records: if there are fewer, none is removed
+ * @max_records: if there are more, only the oldest are removed
  *
- * Removes from the history the records that block no worker any more, except the last order record of the
- * log, which later leaders need (quince_order_history_is_known()).
+ * Removes from the history the records that no longer block any worker, except the last order record of the
+ * log, which later leaders need (quince_order_history_is_complete()).
  *
  * Returns: (transfer full) (element-type guint64): their indexes, for a FORGET record
  */
--- a/lib/core/group/order-permits.c
+++ b/lib/core/group/order-permits.c
@@ -5,7 +5,7 @@
 
 #include "core/group/order-history.h"
 
-/* A record; for a worker, the last one that names it. */
+/* An order record of this leader.  Each worker is mapped to the last one that names it. */
 typedef struct
 {
   guint64 index;
--- a/lib/core/group/order-permits.h
+++ b/lib/core/group/order-permits.h
@@ -16,7 +16,7 @@
 void quince_order_permits_free (QuinceOrderPermits *permits);
 G_DEFINE_AUTOPTR_CLEANUP_FUNC (QuinceOrderPermits, quince_order_permits_free)
 
-/* Forgets all records, when this replica starts or stops leading. */
+/* Drops all records, when this replica starts or stops leading. */
 void quince_order_permits_clear (QuinceOrderPermits *permits);
 /* Adds a record.  @now_us: taken before the append.  @workers: ids, copied */
 void quince_order_permits_add (QuinceOrderPermits *permits,
@@ -24,7 +24,7 @@
                                guint64 index,
                                const char *const *workers,
                                guint n_workers);
-/* Notes that the record at @index is committed, and with it all earlier ones. */
+/* Records that the record at @index is committed, and with it all earlier ones. */
 void quince_order_permits_commit (QuinceOrderPermits *permits, guint64 index);
 /* Returns whether a record names @worker and may still permit an order, now or once it is committed. */
 gboolean
@@ -33,7 +33,7 @@
 gint64
 quince_order_permits_get_send_by_us (const QuinceOrderPermits *permits, gint64 now_us, const char *worker);
 /* Returns whether a record was not committed in time and still is not.  A leader then appends no further one,
- * so that they don't pile up while commits are slow. */
+ * so that records do not accumulate while commits are slow. */
 gboolean quince_order_permits_is_stalled (const QuinceOrderPermits *permits, gint64 now_us);
 
 G_END_DECLS
--- a/tests/unit/ledger-orders.h
+++ b/tests/unit/ledger-orders.h
@@ -15,7 +15,7 @@
 static inline void
 world_receive_records (World *world, WorldNode *node, guint n_same)
 {
-  quince_order_history_receive (node->history, world->now_us, n_same + 1);
+  quince_order_history_record_receipt (node->history, world->now_us, n_same + 1);
 }
 
 static inline char *
@@ -87,7 +87,7 @@
   if (!node->records_orders)
     return quince_ledger_group_may_order (node->group, world->now_us);
   return quince_ledger_group_has_order_lease (node->group, world->now_us)
-         && (quince_order_history_is_known (node->history)
+         && (quince_order_history_is_complete (node->history)
              || quince_ledger_group_waited_order_pause (node->group, world->now_us));
 }
 
--- a/tests/unit/test-order-history.c
+++ b/tests/unit/test-order-history.c
@@ -40,12 +40,12 @@
 {
   g_autoptr (QuinceOrderHistory) history = make_history ();
   gint64 received_us = START_US + 10 * G_USEC_PER_SEC;
-  quince_order_history_receive (history, received_us - G_USEC_PER_SEC, 1);
-  quince_order_history_receive (history, received_us, 2);
+  quince_order_history_record_receipt (history, received_us - G_USEC_PER_SEC, 1);
+  quince_order_history_record_receipt (history, received_us, 2);
   quince_order_history_start_leading (history, 2);
   read_other (history, 1, 1);
   read_orders (history, 2, 1, "w1");
-  assert_true (quince_order_history_is_known (history));
+  assert_true (quince_order_history_is_complete (history));
   assert_false (quince_order_history_may_order (history, received_us + BLOCK_US - 1, "w1"));
   assert_true (quince_order_history_may_order (history, received_us + BLOCK_US, "w1"));
   assert_true (quince_order_history_may_order (history, received_us, "w2"));
@@ -62,7 +62,7 @@
 test_records_on_disk_count_from_start (void **state)
 {
   g_autoptr (QuinceOrderHistory) history = make_history ();
-  quince_order_history_receive (history, START_US + G_USEC_PER_SEC, 8);
+  quince_order_history_record_receipt (history, START_US + G_USEC_PER_SEC, 8);
   assert_int_equal (quince_order_history_get_received_us (history, 7), START_US);
   quince_order_history_start_leading (history, 2);
   read_orders (history, 7, 1, "w1");
@@ -76,13 +76,13 @@
 {
   g_autoptr (QuinceOrderHistory) history = make_history ();
   for (guint i = 1; i <= 5; i++)
-    quince_order_history_receive (history, START_US + i * G_USEC_PER_SEC, 10 * i);
+    quince_order_history_record_receipt (history, START_US + i * G_USEC_PER_SEC, 10 * i);
   assert_int_equal (quince_order_history_get_received_us (history, 25), START_US + 2 * G_USEC_PER_SEC);
-  quince_order_history_receive (history, START_US + 6 * G_USEC_PER_SEC, 25);
+  quince_order_history_record_receipt (history, START_US + 6 * G_USEC_PER_SEC, 25);
   assert_int_equal (quince_order_history_get_received_us (history, 24), START_US + 2 * G_USEC_PER_SEC);
   assert_int_equal (quince_order_history_get_received_us (history, 25), START_US + 6 * G_USEC_PER_SEC);
   assert_int_equal (quince_order_history_get_received_us (history, 50), START_US + 6 * G_USEC_PER_SEC);
-  quince_order_history_receive (history, START_US + 7 * G_USEC_PER_SEC, 1);
+  quince_order_history_record_receipt (history, START_US + 7 * G_USEC_PER_SEC, 1);
   for (guint i = 1; i <= 60; i++)
     assert_int_equal (quince_order_history_get_received_us (history, i), START_US + 7 * G_USEC_PER_SEC);
 }
@@ -107,7 +107,7 @@
                             : end;
           guint count = (guint)g_rand_int_range (random, 1, 3);
           end = MIN (first + count, G_N_ELEMENTS (received_us));
-          quince_order_history_receive (history, now_us, first);
+          quince_order_history_record_receipt (history, now_us, first);
           for (guint j = first; j < end; j++)
             received_us[j] = now_us;
         }
@@ -131,17 +131,17 @@
 {
   g_autoptr (QuinceOrderHistory) history = make_history ();
   quince_order_history_start_leading (history, 4);
-  assert_false (quince_order_history_is_known (history));
+  assert_false (quince_order_history_is_complete (history));
   read_orders (history, 1, 1, "w1");
-  assert_true (quince_order_history_is_known (history));
+  assert_true (quince_order_history_is_complete (history));
   read_other (history, 2, 3);
-  assert_false (quince_order_history_is_known (history));
+  assert_false (quince_order_history_is_complete (history));
   assert_false (quince_order_history_may_order (history, G_MAXINT64, "w2"));
   read_other (history, 3, 3);
   read_orders (history, 4, 3, NULL);
-  assert_true (quince_order_history_is_known (history));
+  assert_true (quince_order_history_is_complete (history));
   read_other (history, 5, 4); /* this leader's own */
-  assert_true (quince_order_history_is_known (history));
+  assert_true (quince_order_history_is_complete (history));
 }
 
 /* A leader that leads again: its own orders do not block it, those of leaders in between do, and an epoch in
@@ -156,11 +156,11 @@
   read_orders (history, 1, 1, "w1");
   read_orders (history, 2, 2, "w2");
   read_other (history, 3, 3);
-  assert_true (quince_order_history_is_known (history));
+  assert_true (quince_order_history_is_complete (history));
   assert_true (quince_order_history_may_order (history, START_US, "w1"));
   assert_false (quince_order_history_may_order (history, START_US, "w2"));
   quince_order_history_start_leading (history, 5);
-  assert_false (quince_order_history_is_known (history));
+  assert_false (quince_order_history_is_complete (history));
 }
 
 /* Records that are left out of the log block nobody any more, and the last one stays: without it, the next
