Progress copies: one function packs a PROGRESS message

Cause: the report to a backup and the offer to a new leader built and packed the same message with the same eight lines, and a third place built a message to take its payload only. Change: quince_progress_pack_items (); names and comments of progress copies say what is sent to whom. No behaviour changes.

--- a/daemons/replica/batch-service.c
+++ b/daemons/replica/batch-service.c
@@ -238,11 +238,11 @@
   quince_progress_copies_send_further (service->copies, service->runner);
   if (items->len == 0)
     return;
-  QuinceMessage message = { .kind = QUINCE_MESSAGE_PROGRESS };
-  message.QuinceMessage_u.progress.items.items_val = (QuinceProgressItem *)items->data;
-  message.QuinceMessage_u.progress.items.items_len = items->len;
   quince_progress_copies_send_to_successor (service->copies, service->table, items);
-  quince_progress_file_append (service->progress_file, &message.QuinceMessage_u.progress);
+  QuinceSampleProgress progress = { 0 };
+  progress.items.items_val = (QuinceProgressItem *)items->data;
+  progress.items.items_len = items->len;
+  quince_progress_file_append (service->progress_file, &progress);
 }
 
 void
--- a/daemons/replica/ledger-backup.h
+++ b/daemons/replica/ledger-backup.h
@@ -22,7 +22,7 @@
  * @receives_records: whether records are sent to the backup; if not, it gets heartbeats only
  * @has_records: whether the backup may have records: its log was not empty when it connected, or records were
  *   sent to it since
- * @progress_offered: the backup has told what it knows about the progress of samples, perhaps nothing
+ * @progress_offered: the backup has offered the progress of samples that it has, perhaps none
  * @window: (owned): records in flight
  */
 typedef struct
--- a/daemons/replica/progress-copies.c
+++ b/daemons/replica/progress-copies.c
@@ -6,7 +6,6 @@
 #include "runtime/clock.h"
 #include "runtime/log.h"
 #include "runtime/metrics.h"
-#include "runtime/packed-message.h"
 
 #include "ledger-replication.h"
 
@@ -15,8 +14,8 @@
 #define REPORT_MAX_AGE_US (5 * G_USEC_PER_SEC)
 
 /* Reports to a further backup on one link, in which each report continues the one before.  @number is unique
- * in this process.  A backup that was the successor meanwhile has other texts than the earlier reports told,
- * so a stream ends with the choice of its backup. */
+ * in this process.  A new stream begins each time the backup is chosen: if it was the successor in between,
+ * it has other texts than the earlier reports contained. */
 typedef struct
 {
   guint64 link_serial;
@@ -33,7 +32,7 @@
   guint64 further[QUINCE_PROGRESS_COPIES_MAX];      /* their replica ids; 0: none is connected */
   ReportStream streams[QUINCE_PROGRESS_COPIES_MAX]; /* to the further backups */
   guint64 last_stream;
-  gint64 full_report_us; /* at a backup: last report to it as the successor; 0: none */
+  gint64 successor_report_us; /* at a backup: when it last received a report as the successor; 0: never */
 };
 
 QuinceProgressCopies *
@@ -57,17 +56,13 @@
 
 /* ---- Sending ------------------------------------------------------------ */
 
-/* @kind: value of the metric's label */
+/* Sends @items to @backup, unless there are none.  @kind: value of the label "copy" of the metric */
 static void
 send_items (const QuinceLedgerBackup *backup, const GArray *items, const char *kind)
 {
-  QuinceMessage message = { .kind = QUINCE_MESSAGE_PROGRESS };
-  message.QuinceMessage_u.progress.items.items_val = (QuinceProgressItem *)items->data;
-  message.QuinceMessage_u.progress.items.items_len = items->len;
-  g_autoptr (GBytes) encoded = items->len > 0 ? quince_message_encode (&message, NULL) : NULL;
-  if (encoded == NULL)
+  g_autoptr (GBytes) packed = items->len > 0 ? quince_progress_pack_items (items) : NULL;
+  if (packed == NULL)
     return;
-  g_autoptr (GBytes) packed = quince_message_pack (encoded, QUINCE_PACK_FAST);
   g_autofree char *labels = g_strdup_printf ("copy=\"%s\"", kind);
   quince_metric_add ("quince_replica_progress_bytes_total", labels, (double)g_bytes_get_size (packed));
   quince_link_send_bytes (backup->link, packed);
@@ -101,7 +96,7 @@
 
 /* ---- Further backups ----------------------------------------------------- */
 
-/* Begins a new stream if the backup of copy @number was chosen now or is connected by another link. */
+/* Begins a new stream if the backup of copy @number was just chosen, or is connected by another link. */
 static void
 update_stream (QuinceProgressCopies *copies, guint number, gboolean is_chosen_now)
 {
@@ -138,14 +133,14 @@
 typedef struct
 {
   QuinceProgressCopies *copies;
-  const char *node;
-} CopyRules;
+  const char *node; /* name of the backup's machine */
+} ResidencyCheck;
 
 static gboolean
-is_allowed_in_copy (const QuinceBatchEntry *entry, gpointer data)
+is_allowed_at_backup (const QuinceBatchEntry *entry, gpointer data)
 {
-  const CopyRules *rules = data;
-  return is_allowed_at (rules->copies, entry, rules->node);
+  const ResidencyCheck *check = data;
+  return is_allowed_at (check->copies, entry, check->node);
 }
 
 void
@@ -160,11 +155,11 @@
           = quince_ledger_replication_find_backup (copies->replication, copies->further[i]);
       if (backup == NULL)
         continue;
-      CopyRules rules = { copies, backup->node };
+      ResidencyCheck check = { copies, backup->node };
       const QuinceSampleCopyTarget target = { .number = i,
                                               .stream = copies->streams[i].number,
-                                              .is_allowed = is_allowed_in_copy,
-                                              .user_data = &rules };
+                                              .is_allowed = is_allowed_at_backup,
+                                              .user_data = &check };
       g_autoptr (GArray) items = g_array_new (FALSE, FALSE, sizeof (QuinceProgressItem));
       quince_sample_runner_collect_copy (runner, &target, items);
       send_items (backup, items, "further");
@@ -193,11 +188,11 @@
 quince_progress_copies_is_complete (QuinceProgressCopies *copies, QuinceProgressStore *progress)
 {
   gint64 now_us = quince_now_us ();
-  /* Without further copies, whoever received any progress recently was the leader or its successor. */
+  /* Without further copies, only the leader and its successor have recent progress. */
   gboolean received_all
       = copies->n_further == 0
             ? quince_progress_store_has_recent (progress, now_us)
-            : copies->full_report_us > 0 && now_us - copies->full_report_us <= REPORT_MAX_AGE_US;
+            : copies->successor_report_us > 0 && now_us - copies->successor_report_us <= REPORT_MAX_AGE_US;
   return is_complete (copies, received_all, 0);
 }
 
@@ -226,5 +221,5 @@
 quince_progress_copies_record_report (QuinceProgressCopies *copies)
 {
   if (is_first_backup (copies))
-    copies->full_report_us = quince_now_us ();
+    copies->successor_report_us = quince_now_us ();
 }
--- a/daemons/replica/progress.c
+++ b/daemons/replica/progress.c
@@ -3,18 +3,20 @@
  */
 #include "progress.h"
 
+#include "runtime/packed-message.h"
+
 #include <string.h>
 
 /* Age after which an entry is removed, us: its sample is done or abandoned by then. */
 #define PROGRESS_TTL_US (40 * G_USEC_PER_SEC)
-/* Maximum number of samples; further ones are ignored, so that a malformed message cannot exhaust memory. It
+/* Maximum number of samples; further ones are ignored, so that a malformed message cannot exhaust memory.  It
  * is the number of samples of one large step. */
 #define ENTRIES_MAX 8192
 /* Maximum age of listed progress that this process received, us.  A leader reports each growing text five
  * times a second, and a new leader takes over within one or two seconds.  Progress from the disk is listed
  * until it expires, since all processes may have been down for longer than this. */
 #define RECENT_MAX_AGE_US (5 * G_USEC_PER_SEC)
-/* Size of the listed texts after which the list ends, bytes. Holds the partial texts of 400 samples of
+/* Size of the listed texts after which the list ends, bytes.  Holds the partial texts of 400 samples of
  * 8 kB, which take two thirds as much when packed. */
 #define LISTED_TEXTS_MAX_BYTES (4 * 1024 * 1024)
 
@@ -253,3 +255,13 @@
   *last_event = entry->last_event;
   return TRUE;
 }
+
+GBytes *
+quince_progress_pack_items (const GArray *items)
+{
+  QuinceMessage message = { .kind = QUINCE_MESSAGE_PROGRESS };
+  message.QuinceMessage_u.progress.items.items_val = (QuinceProgressItem *)items->data;
+  message.QuinceMessage_u.progress.items.items_len = items->len;
+  g_autoptr (GBytes) encoded = quince_message_encode (&message, NULL);
+  return encoded != NULL ? quince_message_pack (encoded, QUINCE_PACK_FAST) : NULL;
+}
--- a/daemons/replica/progress.h
+++ b/daemons/replica/progress.h
@@ -52,3 +52,6 @@
  * item that brings the texts to 4 MiB.  The items borrow from the store and are valid until it changes. */
 void quince_progress_store_list_offers (QuinceProgressStore *store, gint64 now_us, GArray *items);
 void quince_progress_store_clear (QuinceProgressStore *store);
+/* Returns: (transfer full) (nullable): @items (element-type QuinceProgressItem) as a packed PROGRESS message,
+ * or %NULL if they cannot be encoded */
+GBytes *quince_progress_pack_items (const GArray *items);
--- a/daemons/replica/replica-ledger-events.c
+++ b/daemons/replica/replica-ledger-events.c
@@ -28,8 +28,8 @@
 }
 
 /* Offers the new leader the progress that this replica received from the former leader.  This replica may
- * have the progress although it was not elected, for example because its log lacked a record.  An empty
- * message tells that there is none, so that the leader does not wait for it.  No text is offered if the
+ * have the progress although it was not elected, for example because its log lacked a record.  If there is
+ * none, an empty offer is sent, so that the leader does not wait for it.  No text is offered if the
  * configuration has region rules, since only a leader knows which machines may receive which texts. */
 static void
 forward_progress_to_leader (const QuinceReplicaParts *parts, QuinceLink *leader)
@@ -37,14 +37,9 @@
   g_autoptr (GArray) items = g_array_new (FALSE, FALSE, sizeof (QuinceProgressItem));
   if (!quince_backends_has_region_rules (parts->backends))
     quince_progress_store_list_offers (parts->progress, quince_now_us (), items);
-  QuinceMessage message = { .kind = QUINCE_MESSAGE_PROGRESS };
-  message.QuinceMessage_u.progress.items.items_val = (QuinceProgressItem *)items->data;
-  message.QuinceMessage_u.progress.items.items_len = items->len;
-  g_autoptr (GBytes) encoded = quince_message_encode (&message, NULL);
-  if (encoded == NULL)
-    return;
-  g_autoptr (GBytes) packed = quince_message_pack (encoded, QUINCE_PACK_FAST);
-  quince_link_send_bytes (leader, packed);
+  g_autoptr (GBytes) packed = quince_progress_pack_items (items);
+  if (packed != NULL)
+    quince_link_send_bytes (leader, packed);
 }
 
 static void
--- a/daemons/replica/sample-replication.c
+++ b/daemons/replica/sample-replication.c
@@ -41,13 +41,13 @@
 
 /* ---- Further copies ----------------------------------------------------- */
 
-/* Facts about the batch of the samples that are collected, computed once for consecutive samples of it. */
+/* Values for the batch of the samples that are collected, computed once for consecutive samples of it. */
 typedef struct
 {
   const QuinceBatchEntry *entry; /* NULL: none yet */
   gboolean is_allowed;
   gint64 pace_us;
-} BatchFacts;
+} BatchValues;
 
 /* Returns the fastest pace at which the text of @sample could be generated again, us; 0: not measured. */
 static gint64
@@ -64,25 +64,26 @@
 }
 
 static void
-update_facts (QuinceSampleSet *set,
-              const QuinceSample *sample,
-              const QuinceSampleCopyTarget *target,
-              gint64 now_us,
-              BatchFacts *facts)
+update_batch_values (QuinceSampleSet *set,
+                     const QuinceSample *sample,
+                     const QuinceSampleCopyTarget *target,
+                     gint64 now_us,
+                     BatchValues *values)
 {
-  if (facts->entry == sample->entry)
+  if (values->entry == sample->entry)
     return;
-  facts->entry = sample->entry;
-  facts->is_allowed = target->is_allowed (sample->entry, target->user_data);
-  facts->pace_us = facts->is_allowed ? get_fastest_pace_us (set, sample, now_us) : 0;
+  values->entry = sample->entry;
+  values->is_allowed = target->is_allowed (sample->entry, target->user_data);
+  values->pace_us = values->is_allowed ? get_fastest_pace_us (set, sample, now_us) : 0;
 }
 
-/* Returns: (transfer full): one candidate for each sample; one without events if nothing may be sent */
+/* Returns: (transfer full): a candidate for each sample, by index; its events are 0 if the sample has nothing
+ * to send or its batch may not be sent to this backup */
 static QuinceProgressCandidate *
 list_candidates (QuinceSampleSet *set, const QuinceSampleCopyTarget *target, gint64 now_us)
 {
   QuinceProgressCandidate *candidates = g_new0 (QuinceProgressCandidate, set->samples->len);
-  BatchFacts facts = { NULL, FALSE, 0 };
+  BatchValues values = { NULL, FALSE, 0 };
   for (guint i = 0; i < set->samples->len; i++)
     {
       QuinceSample *sample = set->samples->pdata[i];
@@ -95,13 +96,13 @@
         *copy = (QuinceSampleCopy){ .stream = target->stream };
       if (sample->last_event <= copy->event)
         continue;
-      update_facts (set, sample, target, now_us, &facts);
-      if (!facts.is_allowed)
+      update_batch_values (set, sample, target, now_us, &values);
+      if (!values.is_allowed)
         continue;
       candidates[i].events = sample->last_event;
       candidates[i].sent_events = copy->event;
       candidates[i].bytes = sample->text->len - copy->bytes;
-      candidates[i].pace_us = facts.pace_us;
+      candidates[i].pace_us = values.pace_us;
       if (sample->state != QUINCE_SAMPLE_SCORING)
         candidates[i].remaining_events = quince_sample_set_estimate_remaining_events (set, sample);
     }
--- a/daemons/replica/sample-replication.h
+++ b/daemons/replica/sample-replication.h
@@ -12,8 +12,8 @@
 
 /**
  * QuinceSampleCopyTarget:
- * @number: number of the further copy, below QUINCE_PROGRESS_COPIES_MAX
- * @stream: number of the reports that continue each other, above 0
+ * @number: index of the further copy, below QUINCE_PROGRESS_COPIES_MAX
+ * @stream: number of the stream of reports, above 0; with a new one the next report contains whole texts
  * @is_allowed: whether texts of a batch may be sent to that backup
  * @user_data: passed to @is_allowed
  */
--- a/daemons/replica/sample.h
+++ b/daemons/replica/sample.h
@@ -26,7 +26,7 @@
 
 typedef struct _QuinceSample QuinceSample;
 
-/* What a further backup has of the text of a sample.  @stream: number of the reports that told it
+/* The part of a sample's text that a further backup has.  @stream: stream of reports that it was sent in
  * (progress-copies.c); 0: none */
 typedef struct
 {
--- a/lib/core/batches/progress-selection.c
+++ b/lib/core/batches/progress-selection.c
@@ -3,7 +3,8 @@
  */
 #include "core/batches/progress-selection.h"
 
-/* Minimum time to generate a text again, us, from which on a further copy is worth its bytes. */
+/* Minimum time to generate a text again, us, for a further copy of it: the time that a copy of a shorter text
+ * saves is not worth its bytes between zones. */
 #define TEXT_WORTH_MIN_US (1000 * 1000)
 /* Minimum time that an offered text must save to stop a run, us.  A new run costs about 150 ms; the rest
  * covers an error of the pace (sample-move.c uses the same gain). */
--- a/lib/core/batches/progress-selection.h
+++ b/lib/core/batches/progress-selection.h
@@ -112,7 +112,7 @@
  * @offered_members: those of them that have offered what they know
  * @taken_texts: texts that were taken from the last offer
  *
- * What a new leader knows about the progress of samples.
+ * How complete the progress of samples is that a new leader has.
  */
 typedef struct
 {
@@ -123,8 +123,9 @@
   guint taken_texts;
 } QuinceProgressKnowledge;
 
-/* Returns whether no other replica is expected to know more, so that samples without text may start.  Without
- * further copies, one replica at most knows more than this one. */
+/* Returns whether no other replica is expected to have more progress, so that samples without text may start.
+ * Without further copies, at most one other replica has more, so that an offer with a text is the last one.
+ */
 gboolean quince_progress_is_complete (const QuinceProgressKnowledge *knowledge);
 
 G_END_DECLS
