Attempt budget, route times, tenant shares: names and comments

Cause: QuinceExtraAttemptRef, _record_overtaken, LATE_USUAL_TIMES and count_attempt did not say what they are; comments of constants called a divisor a part, and several doc comments lacked units or the exact bound. Change: QuinceAttemptRef, QuinceAttemptState, _record_cancelled, _record_answer, _count_late_time, LATE_USUAL_FACTOR, HEDGE_RESERVE_USUAL_FACTOR, exceeds_start_share; comments. No behaviour changes.

--- a/lib/core/decisions/attempt-budget.c
+++ b/lib/core/decisions/attempt-budget.c
@@ -9,23 +9,23 @@
 
 /* Tokens per first attempt: the workers of a service get at most 1.15 times its first attempts. */
 #define TOKENS_PER_FIRST 0.15
-/* Most tokens.  When half of the workers turn slow, requests are hedged until the choice of a worker avoids
- * them: with 30 tokens, more reward calls missed their target in the replay of attempt-load, with 60 the
- * arrivals reached 1.153. */
+/* Maximum number of tokens.  When half of the workers turn slow, requests are hedged until the choice of a
+ * worker avoids them: with 30 tokens, more reward calls missed their target in the replay of attempt-load,
+ * with 60 the arrivals reached 1.153. */
 #define TOKENS_MAX 45.0
 /* Tokens of a new process: six hedges of lookups in a front that sends a lookup every few seconds. */
 #define TOKENS_AT_START 10.0
-/* Largest debt.  Retries of failed attempts are never denied; without a bound, hedges would be denied for
- * minutes after a fault. */
+/* Maximum debt, tokens.  Retries of failed attempts are never denied; without a bound, hedges would be denied
+ * for minutes after a fault. */
 #define DEBT_MAX 30.0
-/* Tokens that hedges leave for retries. */
+/* Tokens reserved for retries, which hedges cannot take. */
 #define RETRY_TOKENS 4.0
-/* Tokens that hedges of reward calls leave for hedges of lookups. */
+/* Further tokens reserved for hedges of lookups, which hedges of reward calls cannot take. */
 #define LOOKUP_TOKENS 4.0
-/* Tokens that retries of reward calls leave for retries of lookups. */
+/* Tokens reserved for retries of lookups, which retries of reward calls cannot take. */
 #define LOOKUP_RETRY_TOKENS 2.0
 
-/* A response is slow from this multiple of the usual response time on. */
+/* Minimum multiple of the usual response time at which a response counts as slow. */
 #define SLOW_RESPONSE_SLOWDOWN 2.0
 /* The service is slow if more than this share of the recent responses are.  If half of the workers are slow,
  * hedges still reach the others. */
@@ -33,32 +33,33 @@
 /* The service is full if its workers refused more than this share of the recent sends.  With a quarter, more
  * reward calls missed their target in the replay, where half of the workers were slow and full. */
 #define FULL_SHARE 0.5
-/* The service loses answers if more than this share of the attempts that were not hedged for lack of tokens
- * were lost; slow workers answer most of them. */
+/* The workers lose answers, rather than being slow, if more than this share of the attempts for which a hedge
+ * was denied were lost; slow workers answer most of them. */
 #define LOST_SHARE 0.75
-/* Fewer recent responses, sends or denied attempts show no share. */
+/* Minimum number of recent responses, sends or denied attempts from which a share is computed. */
 #define SHARE_COUNT_MIN 8.0
 /* Time after which a response or send counts half, us: a slow phase lasts a few seconds. */
 #define HALF_LIFE_US (double)(2 * G_USEC_PER_SEC)
 
-/* Pause before the first retry without a token as a part of the usual response time: a request whose first
- * attempt fails late can still meet its latency target. */
+/* The pause before the first retry without a token is the usual response time divided by this: a request
+ * whose first attempt fails late can still meet its latency target. */
 #define RETRY_PAUSE_USUAL_DIVISOR 4
 /* Shortest and longest pause before a retry without a token, us. */
 #define RETRY_PAUSE_MIN_US (10 * 1000)
 #define RETRY_PAUSE_MAX_US (500 * 1000)
-/* Doublings of the pause; bounds the shift. */
+/* Maximum number of doublings of the pause; bounds the shift. */
 #define RETRY_PAUSE_DOUBLINGS_MAX 4
-/* Part of the remaining time that a pause may take. */
+/* A pause takes at most the remaining time divided by this. */
 #define RETRY_PAUSE_TIME_LEFT_DIVISOR 4
 /* Multiple of the usual response time after which an attempt counts as lost: slow workers are seen to be four
  * to seven times slower. */
 #define LOST_SLOWDOWN 8
-/* Timeouts of an attempt after which it counts as lost while the service is slow. */
+/* While the service is slow, an attempt counts as lost after this many attempt timeouts. */
 #define LOST_TIMEOUTS 2
-/* Part of the remaining time after which an attempt counts as lost while the service is slow. */
+/* While the service is slow, an attempt counts as lost after the remaining time divided by this, at the
+ * latest. */
 #define LOST_TIME_LEFT_DIVISOR 2
-/* Time between two log lines about denied hedges, us. */
+/* Minimum time between two log lines about denied hedges, us. */
 #define LOG_INTERVAL_US G_USEC_PER_SEC
 
 /* Share of recent events that have a property; both counts decay. */
@@ -108,7 +109,7 @@
 /* ---- Load of the service ------------------------------------------------- */
 
 static void
-decay (RecentShare *share, gint64 now_us)
+decay_share (RecentShare *share, gint64 now_us)
 {
   double factor = exp2 (-(double)MAX (now_us - share->updated_us, 0) / HALF_LIFE_US);
   share->all *= factor;
@@ -117,36 +118,36 @@
 }
 
 static void
-count (RecentShare *share, gint64 now_us, gboolean is_hit)
+record_in_share (RecentShare *share, gint64 now_us, gboolean is_hit)
 {
-  decay (share, now_us);
+  decay_share (share, now_us);
   share->all += 1;
   share->hits += is_hit ? 1 : 0;
 }
 
 static gboolean
-exceeds (RecentShare *share, gint64 now_us, double limit)
+exceeds_limit (RecentShare *share, gint64 now_us, double limit)
 {
-  decay (share, now_us);
+  decay_share (share, now_us);
   return share->all >= SHARE_COUNT_MIN && share->hits > limit * share->all;
 }
 
 void
 quince_attempt_budget_record_response (QuinceAttemptBudget *budget, gint64 now_us, double slowdown)
 {
-  count (&budget->slow_responses, now_us, slowdown >= SLOW_RESPONSE_SLOWDOWN);
+  record_in_share (&budget->slow_responses, now_us, slowdown >= SLOW_RESPONSE_SLOWDOWN);
 }
 
 void
 quince_attempt_budget_record_send (QuinceAttemptBudget *budget, gint64 now_us, gboolean refused)
 {
-  count (&budget->refused_sends, now_us, refused);
+  record_in_share (&budget->refused_sends, now_us, refused);
 }
 
 void
 quince_attempt_budget_record_unhedged (QuinceAttemptBudget *budget, gint64 now_us, gboolean was_lost)
 {
-  count (&budget->lost_attempts, now_us, was_lost);
+  record_in_share (&budget->lost_attempts, now_us, was_lost);
 }
 
 /* ---- Tokens --------------------------------------------------------------- */
@@ -166,8 +167,8 @@
   if (extra == QUINCE_EXTRA_RETRY)
     return budget->tokens >= 1 + (is_reward ? LOOKUP_RETRY_TOKENS : 0);
   return budget->tokens >= 1 + RETRY_TOKENS + (is_reward ? LOOKUP_TOKENS : 0)
-         && !exceeds (&budget->slow_responses, now_us, SLOW_SHARE)
-         && !exceeds (&budget->refused_sends, now_us, FULL_SHARE);
+         && !exceeds_limit (&budget->slow_responses, now_us, SLOW_SHARE)
+         && !exceeds_limit (&budget->refused_sends, now_us, FULL_SHARE);
 }
 
 void
@@ -211,10 +212,10 @@
                                      guint attempts_left)
 {
   gint64 left_us = MAX (time_left_us, 0);
-  if (exceeds (&budget->slow_responses, now_us, SLOW_SHARE))
+  if (exceeds_limit (&budget->slow_responses, now_us, SLOW_SHARE))
     return MIN (LOST_TIMEOUTS * quince_hedge_attempt_timeout_us (target_latency_us),
                 left_us / LOST_TIME_LEFT_DIVISOR);
-  if (exceeds (&budget->lost_attempts, now_us, LOST_SHARE))
+  if (exceeds_limit (&budget->lost_attempts, now_us, LOST_SHARE))
     return 0;
   gint64 usual_us = quince_route_times_get_usual_us (budget->times, route);
   gint64 lost_us = usual_us > 0 ? LOST_SLOWDOWN * usual_us : left_us;
--- a/lib/core/decisions/attempt-budget.h
+++ b/lib/core/decisions/attempt-budget.h
@@ -37,9 +37,9 @@
  * quince_attempt_budget_may_take:
  * @is_reward: the attempt is one of a reward call, not of a caller's request
  *
- * Decides whether the bucket has a token for the attempt.  The last tokens are for retries, before them for
- * hedges of lookups, since only those have a caller that waits.  A hedge is also denied while the service is
- * slow at most of its workers or full: another worker would not answer sooner.
+ * Decides whether the bucket has a token for the attempt.  The last four tokens are reserved for retries, and
+ * the four before them for hedges of lookups, since only lookups have a caller that waits.  A hedge is also
+ * denied while the service is slow at most of its workers or full: another worker would not answer sooner.
  */
 gboolean quince_attempt_budget_may_take (QuinceAttemptBudget *budget,
                                          gint64 now_us,
@@ -89,10 +89,10 @@
  * Decides when an attempt without an answer counts as lost.  Then another one starts even without a token,
  * since the request would fail otherwise: after eight times the usual response time of the route, but not
  * before its latency target; at the latest so that the attempts left share the remaining time.  It counts as
- * lost at once if most attempts for which a hedge was denied were: such attempts are sent again anyway, so
- * that a wait delays the answer and saves no attempt.  While the
- * service is slow at most of its workers, answers are late rather than lost: after four times the latency
- * target, at the latest after half the remaining time.
+ * lost at once if more than three quarters of the recent attempts for which a hedge was denied were lost:
+ * such attempts are sent again anyway, so that a wait delays the answer and saves no attempt.  While the
+ * service is slow at most of its workers, answers are late rather than lost: an attempt counts as lost after
+ * four times the latency target, at the latest after half the remaining time.
  *
  * Returns: us from the start of the attempt
  */
--- a/lib/core/decisions/hedge.c
+++ b/lib/core/decisions/hedge.c
@@ -11,10 +11,11 @@
 #define HEDGE_DELAY_MIN_US (60 * 1000)
 /* Maximum hedge delay as a fraction of the latency target: the rest is left for the second attempt. */
 #define HEDGE_DELAY_MAX_TARGET_FRACTION 0.5
-/* An attempt is late for its route after this multiple of the usual response time, and not before. */
-#define LATE_USUAL_TIMES 2
-/* Part of the latency target that is left for a hedge, as a multiple of the usual response time. */
-#define HEDGE_USUAL_TIMES 1.5
+/* Minimum hedge delay as a multiple of the usual response time of the route. */
+#define LATE_USUAL_FACTOR 2
+/* Time between the latest hedge and the latency target, as a multiple of the usual response time: the hedge
+ * takes one of them, the rest is margin. */
+#define HEDGE_RESERVE_USUAL_FACTOR 1.5
 /* Timeout of the oldest attempt as a multiple of the latency target: a later answer has no value for the
  * caller. */
 #define ATTEMPT_TIMEOUT_TARGETS 2
@@ -42,9 +43,9 @@
   if (usual_us <= 0)
     return quince_hedge_delay_us (target_latency_us, worker_us);
   gint64 delay_us = HEDGE_DELAY_SERVICE_TIMES * (worker_us > 0 ? worker_us : usual_us);
-  gint64 delay_max_us = MAX (target_latency_us - (gint64)(HEDGE_USUAL_TIMES * (double)usual_us),
+  gint64 delay_max_us = MAX (target_latency_us - (gint64)(HEDGE_RESERVE_USUAL_FACTOR * (double)usual_us),
                              (gint64)(HEDGE_DELAY_MAX_TARGET_FRACTION * (double)target_latency_us));
-  gint64 delay_min_us = MAX (LATE_USUAL_TIMES * usual_us, HEDGE_DELAY_MIN_US);
+  gint64 delay_min_us = MAX (LATE_USUAL_FACTOR * usual_us, HEDGE_DELAY_MIN_US);
   return MAX (MIN (delay_us, delay_max_us), delay_min_us);
 }
 
--- a/lib/core/decisions/hedge.h
+++ b/lib/core/decisions/hedge.h
@@ -43,10 +43,11 @@
  * @worker_us: smoothed response time of the route at the worker of the attempt, us; 0: not measured
  * @usual_us: usual response time of the route in the service, us; 0: not measured
  *
- * Decides when a request is hedged whose service serves routes of different latency targets: once it is late
- * for its own route, that is after three times @worker_us.  At a slow worker, as long before the latency
- * target as a response usually takes, with a margin; but never before twice the usual response time, or 60
- * ms. If the usual response time is not measured, quince_hedge_delay_us() applies.
+ * Decides when a request is hedged whose service serves routes of different latency targets: after three
+ * times
+ * @worker_us, but at the latest 1.5 times @usual_us before the latency target (or at half of the target, if
+ * that is later), and never before twice @usual_us or 60 ms.  If the usual response time is not measured,
+ * quince_hedge_delay_us() applies.
  *
  * Returns: us from the start of the attempt
  */
--- a/lib/core/decisions/tenant-share.c
+++ b/lib/core/decisions/tenant-share.c
@@ -3,8 +3,8 @@
  */
 #include "core/decisions/tenant-share.h"
 
-/* A cut takes this part of the limit off.  A fourth left more slots unused during a burst and protected other
- * tenants no better. */
+/* A cut reduces the limit by the limit divided by this.  A fourth left more slots unused during a burst and
+ * protected other tenants no better. */
 #define CUT_DIVISOR 8
 /* The limit is at least the requests in flight divided by this.  Streams take longer than the time between
  * two cuts, which would otherwise take the limit to 0 before the first one shows an effect. */
@@ -76,7 +76,7 @@
 
 /* Returns whether @tenant started more than its share of the requests since the service became full. */
 static gboolean
-started_most (const QuinceTenantShare *share, const Tenant *tenant)
+exceeds_start_share (const QuinceTenantShare *share, const Tenant *tenant)
 {
   return tenant->started >= QUINCE_TENANT_SHARE_STARTS_MIN
          && tenant->started > share->started / g_hash_table_size (share->tenants);
@@ -92,7 +92,7 @@
   const Tenant *tenant = g_hash_table_lookup (share->tenants, name);
   if (tenant == NULL || g_hash_table_size (share->tenants) < 2)
     return TRUE;
-  if (share->limit == 0 && started_most (share, tenant))
+  if (share->limit == 0 && exceeds_start_share (share, tenant))
     return FALSE;
   if (tenant->in_flight == 0)
     return TRUE;
--- a/lib/core/decisions/tenant-share.h
+++ b/lib/core/decisions/tenant-share.h
@@ -1,14 +1,14 @@
 /*
  * tenant-share.h: limits a tenant to its share of one service while the workers of that service are full.
  *
- * Each front decides alone, from its own requests in flight and the refusals of workers that it sees; fronts
- * exchange no messages.  Workers that refuse for lack of slots limit the requests that this front has in
- * flight at the service: each cut takes an eighth off, and the limit grows again while no worker refuses.
- * Once the limit is reached, a tenant with its share of it or more in flight is refused, unless others have
- * more in flight in the mean; tenants with fewer are admitted.  A limit of 0 (the burst of a tenant is spread
- * over many fronts) refuses a tenant that started QUINCE_TENANT_SHARE_STARTS_MIN requests and more than its
- * share since the service became full.  There is no limit while the service is not full, and while only one
- * tenant is active.
+ * Each front decides from its own requests in flight and the refusals by workers that it receives; fronts
+ * exchange no messages.  While the service is full, the front limits its requests in flight there: each cut
+ * reduces the limit by an eighth, and it grows again while no worker refuses.  Once the limit is reached, a
+ * tenant is refused if it has its share of the limit or more in flight, and no fewer than the mean of the
+ * tenants with requests in flight.  The limit becomes 0 if the burst of a tenant is spread over many fronts;
+ * then a tenant is refused that started QUINCE_TENANT_SHARE_STARTS_MIN requests or more, and more than its
+ * share, since the service became full.  There is no limit while the service is not full or only one tenant
+ * is active.
  *
  * Owns the names of the tenants; forgets those that were idle for QUINCE_TENANT_SHARE_ACTIVE_US.  Pure: time
  * is an argument, monotonic, us.
--- a/lib/core/decisions/worker-choice.h
+++ b/lib/core/decisions/worker-choice.h
@@ -83,7 +83,7 @@
 
 /* ---- Candidates --------------------------------------------------------- */
 
-/* Maximum number of workers in a service for which each choice considers all of them. Considering so many
+/* Maximum number of workers in a service for which each choice considers all of them.  Considering so many
  * takes about 10 us. */
 #define QUINCE_CHOICE_COMPARE_ALL_MAX 256
 
--- a/lib/core/routing/pace-history.c
+++ b/lib/core/routing/pace-history.c
@@ -3,21 +3,21 @@
  */
 #include "core/routing/pace-history.h"
 
-/* An interval is slow from this multiple of the usual pace on: above what a full worker adds to the pace of a
- * lone run. */
+/* Minimum multiple of the usual pace at which an interval counts as slow: a full worker is slower than one
+ * with a single run by less than that. */
 #define SLOW_FACTOR 1.5
 /* Weight of a faster interval in the usual pace: a first measurement in a slow phase is soon corrected. */
 #define FASTER_WEIGHT 0.5
 /* Weight of an interval that is slower, but not slow. */
 #define SLOWER_WEIGHT 0.125
-/* Relative growth of the usual pace per slow interval: a worker that stays slow counts as usual after some
- * twenty seconds. */
+/* Relative growth of the usual pace per slow interval: a worker that stays slow no longer counts as slow
+ * after some twenty seconds. */
 #define SLOW_GROWTH (1.0 / 64)
-/* Minimum events of an interval that counts. */
+/* Minimum number of events for an interval to be evaluated. */
 #define INTERVAL_EVENTS_MIN 2
 /* Weight that an ended phase keeps when the next one ends. */
 #define PHASE_DECAY 0.9
-/* Ended phases of a service that are enough to expect their mean duration. */
+/* Minimum number of ended phases of a service from which their mean duration is used. */
 #define PHASES_MIN 5
 /* Multiple of the mean duration after which a phase is not expected to end. */
 #define LONG_PHASE_FACTOR 2
@@ -52,7 +52,8 @@
   history->slow_since_us = 0;
 }
 
-/* Evaluates the interval that is over.  Without events it does not tell whether a slow phase goes on. */
+/* Evaluates the interval that has ended.  With too few events it is unknown whether a slow phase continues,
+ * so that the phase is dropped without being recorded. */
 static void
 end_interval (QuincePaceHistory *history)
 {
--- a/lib/core/routing/route-times.h
+++ b/lib/core/routing/route-times.h
@@ -1,7 +1,7 @@
 /*
  * route-times.h: response times by route, of one worker or of one service.
  *
- * Routes that share a service differ in their work, so that a mean over all of them describes none.
+ * Routes of one service differ in their response times, so that a mean over all of them fits none.
  *
  * Pure, owned by its worker (worker-table.h) or attempt budget (core/decisions/attempt-budget.h).
  */
--- a/lib/core/routing/worker-response.c
+++ b/lib/core/routing/worker-response.c
@@ -11,7 +11,7 @@
 /* Time in which the excess of the slowdown over 1 halves, us. */
 #define SLOWDOWN_HALF_LIFE_US (double)G_USEC_PER_SEC
 
-/* Load by which a worker is worse for each unit of its slowdown over 1, and the most.  An idle worker that is
+/* Load that is added for each unit of the slowdown over 1, and the maximum of it.  An idle worker that is
  * four times slower compares like one with half of its slots in use.  Without the bound, a worker that lost
  * one answer would come after full ones, at which requests wait. */
 #define SLOWDOWN_LOAD (1.0 / 6)
--- a/lib/forward/dispatch.c
+++ b/lib/forward/dispatch.c
@@ -29,7 +29,7 @@
   dispatch->target_latency_us = (gint64)request->target_latency_ms * 1000;
   dispatch->is_reward = request->is_reward;
   dispatch->mixed_targets = request->mixed_targets;
-  dispatch->extra.earlier_runs = request->earlier_runs;
+  dispatch->attempt_state.earlier_runs = request->earlier_runs;
   dispatch->started_us = quince_now_us ();
   QuinceShareMetrics *shares = quince_backends_get_shares (backends);
   dispatch->route_share = quince_share_metrics_begin (shares, QUINCE_SHARE_ROUTE, dispatch->kind);
@@ -41,7 +41,7 @@
                                         .give_up_us = MIN (request->give_up_us, request->deadline_us) };
 }
 
-/* Returns the time since the target latency of the request ended, us; 0 if it has none. */
+/* Returns by how much @took_us exceeds the latency target of the request, us; 0 if it has no target. */
 static gint64
 get_late_us (const QuinceDispatch *dispatch, gint64 took_us)
 {
@@ -161,7 +161,7 @@
   return decision.wait;
 }
 
-/* Counts a refusal by a full worker. */
+/* Records a refusal by a full worker for the limits of tenants and the metric of its zone. */
 static void
 record_refusal (const QuinceDispatch *dispatch, const char *worker_id)
 {
@@ -193,7 +193,7 @@
 }
 
 void
-quince_dispatch_count_attempt (const QuinceDispatch *dispatch, const QuinceWorker *worker, gint64 took_us)
+quince_dispatch_count_late_time (const QuinceDispatch *dispatch, const QuinceWorker *worker, gint64 took_us)
 {
   if (worker != NULL)
     quince_share_metrics_add_late (quince_backends_get_shares (dispatch->backends), QUINCE_SHARE_ZONE,
--- a/lib/forward/dispatch.h
+++ b/lib/forward/dispatch.h
@@ -12,15 +12,15 @@
 #include "forward/residency-lookup.h"
 #include "core/request/request-digest.h"
 
-/* What the attempt budget needs of a request; see extra-attempts.h. */
+/* State of a request for the attempt budget; see extra-attempts.h. */
 typedef struct
 {
   guint earlier_runs;  /* runs by earlier forwards of the same reward call */
   guint retries;       /* retries of attempts that may have run */
-  gboolean first_sent; /* an attempt was sent, perhaps refused */
+  gboolean first_sent; /* an attempt was sent; it may have been refused */
   gboolean is_late;    /* the attempt that started last was recorded as late */
   gboolean is_denied;  /* a hedge of the attempt that started last was denied */
-} QuinceExtraState;
+} QuinceAttemptState;
 
 typedef struct
 {
@@ -47,7 +47,7 @@
   QuinceRetryState retry;
   gboolean is_reward;
   gboolean mixed_targets; /* the service has an attempt budget */
-  QuinceExtraState extra;
+  QuinceAttemptState attempt_state;
   const char *cause; /* why the last attempt failed or could not start, for logs and refusals; NULL: none */
   guint retry_after_ms;      /* time after which a refused caller may retry; 0: unknown */
   QuinceShare *route_share;  /* not owned; NULL: not counted */
@@ -81,17 +81,17 @@
                                               gboolean is_stream,
                                               gboolean response_started,
                                               gint64 now_us);
-/* Logs an attempt that failed or was refused.  @since_us: start of the attempt or, for a stream, time of its
- * last data */
+/* Logs an attempt that failed or was refused, and counts a refusal by a full worker.  @since_us: start of the
+ * attempt or, for a stream, time of its last data */
 void quince_dispatch_record_failed_attempt (const QuinceDispatch *dispatch,
                                             const char *worker_id,
                                             gint64 since_us);
 /* Counts a hedge at @worker by route, tenant and zone. */
 void quince_dispatch_count_hedge (const QuinceDispatch *dispatch, const QuinceWorker *worker);
-/* Counts the time that an attempt at @worker took beyond the target latency of the route, by zone.
- * @worker: (nullable) */
+/* Adds the time that an attempt at @worker took beyond the target latency of the route to the
+ * metric of the zone.  @worker: (nullable): %NULL: not counted.  @took_us: duration of the attempt, us */
 void
-quince_dispatch_count_attempt (const QuinceDispatch *dispatch, const QuinceWorker *worker, gint64 took_us);
+quince_dispatch_count_late_time (const QuinceDispatch *dispatch, const QuinceWorker *worker, gint64 took_us);
 /* Returns the outcome of a request that is given up without an answer; see retry.h. */
 QuinceForwardOutcome quince_dispatch_give_up (gboolean may_have_run, gboolean timed_out);
 /* Counts an attempt at @worker, and reports it to the send guard.  Returns (transfer full): the headers of
--- a/lib/forward/extra-attempts.c
+++ b/lib/forward/extra-attempts.c
@@ -1,6 +1,5 @@
 /*
- * extra-attempts.c: asks and informs the attempt budget of a service about the hedges and retries of one
- * request.
+ * extra-attempts.c: applies the attempt budget of a service to the hedges and retries of one request.
  */
 #include "extra-attempts.h"
 
@@ -9,7 +8,8 @@
 #include "runtime/log.h"
 #include "runtime/metrics.h"
 
-/* Time until the budget is asked again about a denied hedge, us: a few requests per check add a token. */
+/* Time until a denied hedge is checked again, us: requests that arrive meanwhile add tokens, one
+ * for seven first attempts. */
 #define DENIED_CHECK_US (50 * 1000)
 
 /* Returns: (nullable): the budget of the request's service, or %NULL if it has none */
@@ -43,7 +43,7 @@
 static double
 record_late (QuinceDispatch *dispatch,
              QuinceAttemptBudget *budget,
-             const QuinceExtraAttemptRef *attempt,
+             const QuinceAttemptRef *attempt,
              gint64 now_us)
 {
   double slowdown = quince_route_times_get_slowdown (quince_attempt_budget_get_times (budget), dispatch->kind,
@@ -67,7 +67,7 @@
 
 gboolean
 quince_extra_may_hedge (QuinceDispatch *dispatch,
-                        const QuinceExtraAttemptRef *newest,
+                        const QuinceAttemptRef *newest,
                         gint64 now_us,
                         gint64 *wait_us)
 {
@@ -75,9 +75,9 @@
   if (budget == NULL)
     return TRUE;
   double slowdown = record_late (dispatch, budget, newest, now_us);
-  if (!dispatch->extra.is_late)
+  if (!dispatch->attempt_state.is_late)
     quince_attempt_budget_record_response (budget, now_us, slowdown);
-  dispatch->extra.is_late = TRUE;
+  dispatch->attempt_state.is_late = TRUE;
   if (quince_attempt_budget_may_take (budget, now_us, QUINCE_EXTRA_HEDGE, dispatch->is_reward))
     return TRUE;
   const QuinceRetryState *retry = &dispatch->retry;
@@ -87,13 +87,13 @@
   gint64 remaining_us = newest->started_us + lost_after_us - now_us;
   if (remaining_us <= 0)
     {
-      if (dispatch->extra.is_denied)
+      if (dispatch->attempt_state.is_denied)
         quince_attempt_budget_record_unhedged (budget, now_us, TRUE);
       return TRUE;
     }
-  if (!dispatch->extra.is_denied)
+  if (!dispatch->attempt_state.is_denied)
     record_denied (dispatch, budget, now_us);
-  dispatch->extra.is_denied = TRUE;
+  dispatch->attempt_state.is_denied = TRUE;
   *wait_us = MIN (DENIED_CHECK_US, remaining_us);
   return FALSE;
 }
@@ -104,7 +104,7 @@
   QuinceAttemptBudget *budget = get_budget (dispatch);
   if (budget == NULL)
     return 0;
-  guint retries = dispatch->extra.retries++;
+  guint retries = dispatch->attempt_state.retries++;
   if (quince_attempt_budget_may_take (budget, now_us, QUINCE_EXTRA_RETRY, dispatch->is_reward))
     return 0;
   count_metric (dispatch, "quince_forward_denied_total", QUINCE_EXTRA_RETRY);
@@ -118,16 +118,16 @@
   QuinceAttemptBudget *budget = get_budget (dispatch);
   if (budget == NULL)
     return FALSE;
-  gboolean is_first_send = !dispatch->extra.first_sent;
-  dispatch->extra.first_sent = TRUE;
-  dispatch->extra.is_late = FALSE;
-  dispatch->extra.is_denied = FALSE;
-  if (is_first_send && dispatch->extra.earlier_runs == 0)
+  gboolean is_first_send = !dispatch->attempt_state.first_sent;
+  dispatch->attempt_state.first_sent = TRUE;
+  dispatch->attempt_state.is_late = FALSE;
+  dispatch->attempt_state.is_denied = FALSE;
+  if (is_first_send && dispatch->attempt_state.earlier_runs == 0)
     {
       quince_attempt_budget_add_first (budget);
       return FALSE;
     }
-  if (!is_hedge && dispatch->retry.runs + dispatch->extra.earlier_runs == 0)
+  if (!is_hedge && dispatch->retry.runs + dispatch->attempt_state.earlier_runs == 0)
     return FALSE; /* all earlier sends were refused */
   quince_attempt_budget_take (budget);
   count_metric (dispatch, "quince_forward_extra_total", is_hedge ? QUINCE_EXTRA_HEDGE : QUINCE_EXTRA_RETRY);
@@ -135,7 +135,10 @@
 }
 
 void
-quince_extra_record_end (QuinceDispatch *dispatch, const char *worker_id, gint64 now_us, gboolean was_refused)
+quince_extra_record_answer (QuinceDispatch *dispatch,
+                            const char *worker_id,
+                            gint64 now_us,
+                            gboolean was_refused)
 {
   QuinceAttemptBudget *budget = get_budget (dispatch);
   if (budget == NULL)
@@ -168,14 +171,14 @@
   double slowdown = quince_route_times_get_slowdown (times, dispatch->kind, elapsed_us);
   quince_route_times_record (times, dispatch->kind, elapsed_us);
   quince_worker_record_route_response (worker, now_us, dispatch->kind, elapsed_us, slowdown);
-  if (!dispatch->extra.is_late)
+  if (!dispatch->attempt_state.is_late)
     quince_attempt_budget_record_response (budget, now_us, slowdown);
-  if (dispatch->extra.is_denied)
+  if (dispatch->attempt_state.is_denied)
     quince_attempt_budget_record_unhedged (budget, now_us, FALSE);
 }
 
 void
-quince_extra_record_overtaken (QuinceDispatch *dispatch, const QuinceExtraAttemptRef *attempt, gint64 now_us)
+quince_extra_record_cancelled (QuinceDispatch *dispatch, const QuinceAttemptRef *attempt, gint64 now_us)
 {
   QuinceAttemptBudget *budget = get_budget (dispatch);
   if (budget != NULL)
--- a/lib/forward/forward.c
+++ b/lib/forward/forward.c
@@ -60,7 +60,7 @@
 {
   QuinceWorker *worker = quince_dispatch_find_worker (&attempt->forward->dispatch, attempt->worker_id);
   gint64 now = quince_now_us ();
-  quince_dispatch_count_attempt (&attempt->forward->dispatch, worker, now - attempt->started_us);
+  quince_dispatch_count_late_time (&attempt->forward->dispatch, worker, now - attempt->started_us);
   if (worker != NULL && succeeded)
     {
       quince_worker_record_response (worker, now - attempt->started_us);
@@ -128,10 +128,10 @@
   quince_retry_timer_set (&forward->timer, (guint)(wait_us / 1000));
 }
 
-static QuinceExtraAttemptRef
-get_ref (const Attempt *attempt)
+static QuinceAttemptRef
+get_attempt_ref (const Attempt *attempt)
 {
-  return (QuinceExtraAttemptRef){ .worker_id = attempt->worker_id, .started_us = attempt->started_us };
+  return (QuinceAttemptRef){ .worker_id = attempt->worker_id, .started_us = attempt->started_us };
 }
 
 static void
@@ -175,16 +175,16 @@
     forward_fail (forward, now >= forward->dispatch.retry.give_up_us - TIMER_ROUNDING_US);
 }
 
-/* Records the other attempts in flight as late: they are cancelled, so that their response times will not be
- * known. */
+/* Records the attempts in flight other than @answered as late.  They are cancelled, so that their response
+ * times remain unknown. */
 static void
-record_overtaken_attempts (QuinceForward *forward, const Attempt *answered)
+record_cancelled_attempts (QuinceForward *forward, const Attempt *answered)
 {
   for (guint i = 0; i < forward->in_flight->len; i++)
     {
-      const QuinceExtraAttemptRef other = get_ref (forward->in_flight->pdata[i]);
+      const QuinceAttemptRef other = get_attempt_ref (forward->in_flight->pdata[i]);
       if (forward->in_flight->pdata[i] != answered)
-        quince_extra_record_overtaken (&forward->dispatch, &other, quince_now_us ());
+        quince_extra_record_cancelled (&forward->dispatch, &other, quince_now_us ());
     }
 }
 
@@ -195,7 +195,7 @@
   const QuinceHttpHead *head = quince_http_exchange_get_head (exchange);
   gboolean succeeded = head->status >= 200 && head->status < 300;
   record_attempt_result (attempt, succeeded);
-  quince_extra_record_end (&forward->dispatch, attempt->worker_id, quince_now_us (), FALSE);
+  quince_extra_record_answer (&forward->dispatch, attempt->worker_id, quince_now_us (), FALSE);
   quince_dispatch_handle_answer (&forward->dispatch);
   forward->failed_runs += head->status == 500;
   gboolean has_alternative = forward->in_flight->len > 1 || quince_retry_may_run (&forward->dispatch.retry);
@@ -205,7 +205,7 @@
       return;
     }
   count_attempt ("answered");
-  record_overtaken_attempts (forward, attempt);
+  record_cancelled_attempts (forward, attempt);
   g_autofree char *worker_id = g_strdup (attempt->worker_id);
   QuinceForwardResult result = { .outcome = QUINCE_FORWARD_ANSWERED,
                                  .head = head,
@@ -248,7 +248,8 @@
     }
   else if (refused)
     {
-      quince_extra_record_end (&forward->dispatch, attempt->worker_id, quince_now_us (), head->status != 421);
+      quince_extra_record_answer (&forward->dispatch, attempt->worker_id, quince_now_us (),
+                                  head->status != 421);
       attempt_failed (attempt, FALSE, head->status == 421 ? "other_worker" : "worker_refused");
     }
   else if (succeeded && signature == NULL)
@@ -320,7 +321,7 @@
   if (in_flight == 0
       || (in_flight >= QUINCE_HEDGE_IN_FLIGHT_MAX && get_oldest_remaining_us (forward, now_us) > 0))
     return TRUE;
-  const QuinceExtraAttemptRef newest = get_ref (forward->in_flight->pdata[in_flight - 1]);
+  const QuinceAttemptRef newest = get_attempt_ref (forward->in_flight->pdata[in_flight - 1]);
   gint64 wait_us = 0;
   if (quince_extra_may_hedge (&forward->dispatch, &newest, now_us, &wait_us))
     return TRUE;
--- a/lib/forward/tenant-limits.c
+++ b/lib/forward/tenant-limits.c
@@ -9,7 +9,7 @@
 
 /* Minimum time between two log lines of one service, us. */
 #define LOG_INTERVAL_US G_USEC_PER_SEC
-/* Time after which a refusal without a second one no longer counts, us. */
+/* A refusal counts only if another one follows within this time, us. */
 #define SINGLE_REFUSAL_US G_USEC_PER_SEC
 
 typedef struct
