Share metrics, result queue, comments of constants: wording

Cause: _touch, _raise and decide () were unclear; comments that were put back lacked the second blank after a sentence. Change: _record_use, _gauge_max, append_or_wait; comments. No behaviour changes.

--- a/daemons/front/leader-search.c
+++ b/daemons/front/leader-search.c
@@ -12,7 +12,7 @@
  * every 0.25 s, and members elect another one after 1 s without contact. */
 #define LEADER_TIMEOUT_US (1000 * 1000)
 /* Minimum interval between two queries, ms.  It grows by half with each query, and is reset by contact with
- * the leader. A quorum of five members is the leader and two that follow it, so of the four others, queried
+ * the leader.  A quorum of five members is the leader and two that follow it, so of the four others, queried
  * one after the other, the third at the latest knows the leader, after 0.75 s. */
 #define QUERY_INTERVAL_MIN_MS 250
 /* Maximum interval between two queries, ms.  A hundred fronts then send 100 queries per second in total to a
--- a/daemons/front/planned-stop.c
+++ b/daemons/front/planned-stop.c
@@ -11,7 +11,7 @@
  * directory answer (2 s, directory.keep).  A short grace period reduces it. */
 #define SERVE_DURATION_US (4 * G_USEC_PER_SEC)
 /* Time between ignoring new connection attempts and closing the listener, us.  Meanwhile the front accepts
- * the connections in the kernel's backlog, which a close would reset. Without it, callers that connect all
+ * the connections in the kernel's backlog, which a close would reset.  Without it, callers that connect all
  * the time lost 6 of 53,733 requests; with it, none of 146,366. */
 #define BACKLOG_DRAIN_US (300 * 1000)
 /* Time reserved at the end of the grace period for the exit of the process, us. */
--- a/daemons/replica/batch-calls.c
+++ b/daemons/replica/batch-calls.c
@@ -14,8 +14,8 @@
 /* New batches are refused while more samples than this have no result, which bounds the leader's memory. Room
  * for two steps of 8,192 samples for each of 11 trainers. */
 #define SAMPLES_WITHOUT_RESULT_MAX 200000
-/* Limit of the cache of unpacked results. Holds the texts of the last steps of three trainers (144 texts of 8
- * kB each), and is a thirtieth of the memory of the smallest leaders (270 MB). */
+/* Limit of the cache of unpacked results.  Holds the texts of the last steps of three trainers (144 texts of
+ * 8 kB each), and is a thirtieth of the memory of the smallest leaders (270 MB). */
 #define RESULT_CACHE_MAX_BYTES (8 * 1024 * 1024)
 
 /* A call that waits for a commit or for a result. */
@@ -332,8 +332,8 @@
   return G_SOURCE_REMOVE;
 }
 
-/* Results that are committed together are applied one after the other before the timer fires, so that a
- * waiting read returns all of them rather than the first. */
+/* The timer fires after all results that were committed together are applied, so that a waiting read returns
+ * all of them and not only the first. */
 void
 quince_batch_calls_handle_result (QuinceBatchCalls *calls)
 {
--- a/daemons/replica/ledger-election.c
+++ b/daemons/replica/ledger-election.c
@@ -8,7 +8,7 @@
 #include "runtime/metrics.h"
 
 /* Interval of queries to all members, and of announcements of a leader, us.  A replica finds a new leader in
- * less than half of the 1 s leader timeout. A query costs two small messages per member. */
+ * less than half of the 1 s leader timeout.  A query costs two small messages per member. */
 #define QUERY_MEMBERS_INTERVAL_US (440 * 1000)
 /* Interval of queries to the leader, us.  Limits reconnects to a leader of an older version, which closes the
  * link on this message. */
--- a/daemons/replica/main.c
+++ b/daemons/replica/main.c
@@ -14,7 +14,7 @@
 #include "replica.h"
 
 /* Freed buffers of at least this size are returned to the kernel.  A fixed threshold prevents glibc from
- * raising it to the size of each freed buffer, which fragments the heap. It lowered the peak memory of a
+ * raising it to the size of each freed buffer, which fragments the heap.  It lowered the peak memory of a
  * leader under light load from 15.1 to 12.5 MB at the same processor time. */
 #define LARGE_BUFFER_MIN_BYTES (64 * 1024)
 
--- a/daemons/replica/residency-coordinator.c
+++ b/daemons/replica/residency-coordinator.c
@@ -15,7 +15,7 @@
 /* Minimum interval between attempts to write the zone of this machine, and between removals of zones, us.
  * Limits the calls while the store is unavailable. */
 #define ZONE_WRITE_INTERVAL_MIN_US (2 * G_USEC_PER_SEC)
-/* Minimum interval between log lines about ledger members that are not allowed nodes, us. Such a state lasts
+/* Minimum interval between log lines about ledger members that are not allowed nodes, us.  Such a state lasts
  * for minutes. */
 #define UNMET_LOG_INTERVAL_US (5 * G_USEC_PER_SEC)
 
--- a/daemons/replica/result-queue.c
+++ b/daemons/replica/result-queue.c
@@ -18,7 +18,7 @@
   gint64 ready_us;
 } QueuedResult;
 
-/* The queued results of one batch. */
+/* The queued results of one training step, which is one batch. */
 typedef struct
 {
   QuinceResultQueue *queue;
@@ -114,11 +114,11 @@
   return step->queue->callbacks->completes_step (step->batch, items, step->queue->user_data);
 }
 
-static gboolean decide_on_timer (gpointer data);
+static gboolean handle_decision_timer (gpointer data);
 
 /* Appends the results of the step now, or decides again later. */
 static void
-decide (StepResults *step)
+append_or_wait (StepResults *step)
 {
   QuinceResultQueue *queue = step->queue;
   const QueuedResult *oldest = step->results->pdata[0];
@@ -134,13 +134,13 @@
   if (wait_us == 0)
     flush_step (step);
   else
-    step->timer = quince_timer_add ((guint)(wait_us / 1000), decide_on_timer, step);
+    step->timer = quince_timer_add ((guint)(wait_us / 1000), handle_decision_timer, step);
 }
 
 static gboolean
-decide_on_timer (gpointer data)
+handle_decision_timer (gpointer data)
 {
-  decide (data);
+  append_or_wait (data);
   return G_SOURCE_REMOVE;
 }
 
@@ -181,7 +181,7 @@
   g_ptr_array_add (step->results, queued);
   /* Results that are ready at the same time share one decision. */
   quince_timer_clear (&step->timer);
-  step->timer = quince_timer_add (0, decide_on_timer, step);
+  step->timer = quince_timer_add (0, handle_decision_timer, step);
 }
 
 void
--- a/daemons/replica/sample-runner.c
+++ b/daemons/replica/sample-runner.c
@@ -21,8 +21,8 @@
 #include "sample-reward.h"
 #include "sample-shares.h"
 
-/* Interval of the periodic checks of all samples, ms; other checks are requested by events. It is the time of
- * two or three events of a worker. */
+/* Interval of the periodic checks of all samples, ms; other checks are requested by events.  It is the time
+ * of two or three events of a worker. */
 #define SAMPLE_CHECK_INTERVAL_MS 100
 /* Time that a new leader waits for progress from other replicas before it starts samples without text, ms.
  * Replicas connect and send it within tens of ms; without it, samples restart from the beginning.  The limit
--- a/daemons/replica/sample-set.c
+++ b/daemons/replica/sample-set.c
@@ -8,8 +8,8 @@
 
 /* Slots of a worker if its service has none configured. */
 #define SLOTS_DEFAULT 8
-/* Time for which the paces of a service are cached, us, since each dispatch reads them. It is the time of two
- * or three events of a worker. */
+/* Time for which the paces of a service are cached, us, since each dispatch reads them.  It is the time of
+ * two or three events of a worker. */
 #define PACES_TTL_US (100 * 1000)
 
 /* Weight of the newest reward call in the smoothed duration: about the last ten calls count. */
--- a/daemons/replica/sample-shares.c
+++ b/daemons/replica/sample-shares.c
@@ -5,7 +5,7 @@
 
 #include "runtime/clock.h"
 
-/* Counts of the samples of one model, for one reading of the metrics. */
+/* Gauges by model, for one reading of the metrics. */
 typedef struct
 {
   QuinceShareGauge *waiting;
@@ -50,7 +50,7 @@
     {
       const QuinceSample *sample = set->samples->pdata[i];
       if (sample->entry != last_entry)
-        quince_share_metrics_touch (shares, QUINCE_SHARE_MODEL, sample->entry->batch->model);
+        quince_share_metrics_record_use (shares, QUINCE_SHARE_MODEL, sample->entry->batch->model);
       last_entry = sample->entry;
     }
   Gauges gauges;
@@ -63,8 +63,8 @@
       quince_share_gauge_add (gauges.waiting, model, sample->state == QUINCE_SAMPLE_WAITING);
       quince_share_gauge_add (gauges.running, model, sample->state == QUINCE_SAMPLE_RUNNING);
       if (sample->entry != last_entry)
-        quince_share_gauge_raise (gauges.behind, model,
-                                  (double)get_behind_us (set, sample, now_us) / G_USEC_PER_SEC);
+        quince_share_gauge_max (gauges.behind, model,
+                                (double)get_behind_us (set, sample, now_us) / G_USEC_PER_SEC);
       last_entry = sample->entry;
     }
   gauges_publish (&gauges);
--- a/daemons/replica/suspect-reporter.c
+++ b/daemons/replica/suspect-reporter.c
@@ -8,7 +8,7 @@
 #include "runtime/timer.h"
 
 /* Delay after which the collected changes are sent to all processes in one message, ms.  Limits the number of
- * messages when many requests lose their workers at the same time; shorter than a typical lookup. When 400
+ * messages when many requests lose their workers at the same time; shorter than a typical lookup.  When 400
  * requests lose their workers at the same time, one message per request to each of 250 fronts would be
  * 100,000 messages. */
 #define REPORT_DELAY_MS 10
--- a/daemons/replica/usage-collector.c
+++ b/daemons/replica/usage-collector.c
@@ -13,7 +13,7 @@
 #include "platform.h"
 
 /* Fraction of the time for a report after which its window is closed.  The rest is for the election of a new
- * leader, which sends no orders at first, and for an outage of the platform. By default these start 3.2 s
+ * leader, which sends no orders at first, and for an outage of the platform.  By default these start 3.2 s
  * after the election. */
 #define CLOSE_DELAY_FRACTION 0.5
 /* Time for which a new leader closes no window, us.  Fronts must first detect the loss of the former leader,
@@ -25,7 +25,7 @@
 /* Initial retry delay of a failed call, us.  It doubles with each further failure.  Allows several attempts
  * before the report is late. */
 #define RETRY_DELAY_MIN_US (300 * 1000)
-/* Maximum retry delay, us. It is the initial delay doubled three times. */
+/* Maximum retry delay, us.  It is the initial delay doubled three times. */
 #define RETRY_DELAY_MAX_US (2400 * 1000)
 /* HTTP status of an accepted report. */
 #define REPORT_ACCEPTED_STATUS 200
--- a/daemons/replica/worker-scaler.c
+++ b/daemons/replica/worker-scaler.c
@@ -15,7 +15,7 @@
 /* Timeout of a call to the platform, us.  A call that times out is repeated, although the platform may have
  * accepted it. */
 #define CALL_TIMEOUT_US (1500 * 1000)
-/* Interval between counts of workers, us. The list of workers changes about as seldom, and counting them and
+/* Interval between counts of workers, us.  The list of workers changes about as seldom, and counting them and
  * the open samples takes about 0.1 ms. */
 #define CHECK_INTERVAL_US (400 * 1000)
 
--- a/lib/core/batches/result-batching.c
+++ b/lib/core/batches/result-batching.c
@@ -3,7 +3,8 @@
  */
 #include "core/batches/result-batching.h"
 
-/* Shortest wait, us.  Estimates change with each event, so more frequent decisions would only cost time. */
+/* Minimum wait, us: about half the time between two events.  Estimates change with each event, so that more
+ * frequent decisions would give the same result. */
 #define WAIT_MIN_US (20 * 1000)
 /* Time after its step is due in which a result still counts as in time for its group, us. */
 #define GRACE_US (700 * 1000)
--- a/lib/core/batches/result-batching.h
+++ b/lib/core/batches/result-batching.h
@@ -38,8 +38,9 @@
  *
  * Decides how long the unlisted results of a step still wait.  They wait for the next result only if it is
  * expected before the oldest of them has waited for @window_us and before the step is due, and if the trainer
- * needs more results than these.  Nothing waits while the step is due and its results still count as in time;
- * after that, an early end of the step counts again.
+ * needs more results than these.  No result waits from the due time of the step until 0.7 s after it, since a
+ * result that is listed by then still counts as in time.  Later results may wait again, for the whole window:
+ * only the end of the step counts then.
  *
  * Returns: time until the next decision, us; 0: the results are listed now
  */
--- a/lib/core/usage/share-table.c
+++ b/lib/core/usage/share-table.c
@@ -105,7 +105,8 @@
   return share;
 }
 
-/* Gives @share a label if one is free or if it is clearly more active than the least active owner of one. */
+/* Gives @share a label if one is free, or if it is clearly more active than the least active share with one.
+ * @demoted: set to the name that lost its label; unchanged if none did */
 static void
 claim_label (QuinceShareTable *table, QuinceShare *share, char **demoted)
 {
--- a/lib/core/weights/load-plan.c
+++ b/lib/core/weights/load-plan.c
@@ -4,7 +4,7 @@
 #include "core/weights/load-plan.h"
 
 /* Minimum expected duration of a run that defers the load of its worker, us.  A load stops the worker's runs
- * for about a second, and a long run may be the last one of its step. Deferring loads for runs of twice the
+ * for about a second, and a long run may be the last one of its step.  Deferring loads for runs of twice the
  * duration of a load shortens a step from 8.0 to 7.0 s (unit test load-plan). */
 #define LONG_RUN_MIN_US (2 * G_USEC_PER_SEC)
 /* Time after the announcement of a version during which usable workers do not load it, us.  The samples of
--- a/lib/core/weights/load-window.c
+++ b/lib/core/weights/load-window.c
@@ -3,7 +3,7 @@
  */
 #include "core/weights/load-window.h"
 
-/* Concurrent loads before the first one has ended. A weight storage that is too slow for so many shows it
+/* Concurrent loads before the first one has ended.  A weight storage that is too slow for so many shows it
  * within one load. */
 #define INITIAL_LOADS 8
 /* Shortest duration of a load that is taken into account, us.  A shorter load means that the worker already
--- a/lib/forward/share-metrics.c
+++ b/lib/forward/share-metrics.c
@@ -137,7 +137,7 @@
 }
 
 void
-quince_share_metrics_touch (QuinceShareMetrics *metrics, QuinceShareKind kind, const char *name)
+quince_share_metrics_record_use (QuinceShareMetrics *metrics, QuinceShareKind kind, const char *name)
 {
   if (is_counted (name))
     quince_share_end (begin_use (metrics, kind, name));
@@ -210,7 +210,7 @@
 }
 
 void
-quince_share_gauge_raise (QuinceShareGauge *gauge, const char *name, double value)
+quince_share_gauge_max (QuinceShareGauge *gauge, const char *name, double value)
 {
   double *greatest = find_value (gauge, name);
   if (greatest != NULL)
--- a/lib/forward/share-metrics.h
+++ b/lib/forward/share-metrics.h
@@ -3,7 +3,7 @@
  *
  * Their labels are by="route" (or tenant, zone, model) and name="NAME".  At most QUINCE_SHARE_LABELS_MAX
  * names of each kind have their own series; see share-table.h.  The series of a name that loses its label are
- * removed. Names that are NULL or empty are not counted.
+ * removed.  Names that are NULL or empty are not counted.
  *
  * The backends of a process own the object.  All functions must be called from the main thread.
  */
@@ -31,7 +31,7 @@
  * quince_share_waiting.
  * Returns: (transfer none) (nullable): the share, or %NULL if @name is not counted */
 QuinceShare *quince_share_metrics_begin (QuinceShareMetrics *metrics, QuinceShareKind kind, const char *name);
-/* Ends a request.  @share: (nullable); @late_us: time since its target latency ended, added to
+/* Ends a request.  @share: (nullable); @late_us: time beyond its latency target, us, added to
  * quince_share_late_seconds_total if positive */
 void quince_share_metrics_end (QuinceShareKind kind, QuinceShare *share, gint64 late_us);
 /* Adds 1 to the counter @metric of @name. */
@@ -39,7 +39,7 @@
                                  QuinceShareKind kind,
                                  const char *name,
                                  const char *metric);
-/* Counts a request that was refused as not run.  @route, @tenant: (nullable) */
+/* Counts a request that was refused with 503 and did not run.  @route, @tenant: (nullable) */
 void quince_share_metrics_count_refusal (QuinceShareMetrics *metrics, const char *route, const char *tenant);
 /* Adds @late_us to quince_share_late_seconds_total of @name, if positive. */
 void quince_share_metrics_add_late (QuinceShareMetrics *metrics,
@@ -59,15 +59,15 @@
 typedef struct _QuinceShareGauge QuinceShareGauge;
 
 /* Returns: (transfer full): a gauge that is 0 for all labels in use.  Names that must have a label, if one
- * is free, are recorded with quince_share_metrics_touch() before. */
+ * is free, are recorded with quince_share_metrics_record_use() before. */
 QuinceShareGauge *quince_share_gauge_new (const QuinceShareMetrics *metrics, QuinceShareKind kind);
 /* Adds @value to the value of @name. */
 void quince_share_gauge_add (QuinceShareGauge *gauge, const char *name, double value);
 /* Sets the value of @name to @value if that is greater. */
-void quince_share_gauge_raise (QuinceShareGauge *gauge, const char *name, double value);
+void quince_share_gauge_max (QuinceShareGauge *gauge, const char *name, double value);
 /* Sets the gauge @metric to the values, and frees @gauge. */
 void quince_share_gauge_publish (QuinceShareGauge *gauge, const char *metric);
-/* Records a use of @name that no metric counts. */
-void quince_share_metrics_touch (QuinceShareMetrics *metrics, QuinceShareKind kind, const char *name);
+/* Records a use of @name, so that it gets a label if one is free, without counting it in a metric. */
+void quince_share_metrics_record_use (QuinceShareMetrics *metrics, QuinceShareKind kind, const char *name);
 
 G_END_DECLS
--- a/lib/forward/warmup-sends.c
+++ b/lib/forward/warmup-sends.c
@@ -12,7 +12,7 @@
 #define LEASE_REQUEST_TIMEOUT_US (300 * 1000)
 /* One, since unused sends of a lease count against the limit. */
 #define SENDS_PER_LEASE 1
-/* Minimum time between two lease requests of this process; limits the load of the leader. A hundred fronts
+/* Minimum time between two lease requests of this process; limits the load of the leader.  A hundred fronts
  * then send it 2,000 requests per second while workers are cold. */
 #define LEASE_REQUEST_INTERVAL_US (50 * 1000)
 /* Delay before the next lease request if there is no leader. */
--- a/lib/http1/http-text-server.c
+++ b/lib/http1/http-text-server.c
@@ -7,7 +7,7 @@
 
 #include "runtime/acceptor.h"
 
-/* Maximum size of a request line with its headers. Far above the head that a metrics reader sends. */
+/* Maximum size of a request line with its headers.  Far above the head that a metrics reader sends. */
 #define REQUEST_HEAD_MAX_BYTES 8192
 /* Further connections are closed, so that clients cannot use up the process's file descriptors. */
 #define CLIENTS_MAX 32
--- a/lib/policy/policy.h
+++ b/lib/policy/policy.h
@@ -17,10 +17,10 @@
 
 G_BEGIN_DECLS
 
-/* Maximum size of a program's source text. The examples have 4 KiB. */
+/* Maximum size of a program's source text.  The examples have 4 KiB. */
 #define QUINCE_POLICY_MAX_BYTES 65536
 /* Maximum number of workers that one call of quince_policy_score() scores.  Bounds the processor time of a
- * choice in a large service. A choice among 3,000 workers takes 2 us with it and 131 us without (test
+ * choice in a large service.  A choice among 3,000 workers takes 2 us with it and 131 us without (test
  * platform-size). */
 #define QUINCE_POLICY_MAX_CANDIDATES 16
 /* Size of the buffer for the reason of a refusal, including the terminating zero. */
--- a/lib/runtime/answer-allowance.c
+++ b/lib/runtime/answer-allowance.c
@@ -16,7 +16,7 @@
  * one front may thus get an answer at the same time. */
 #define BACKLOG_MAX_ANSWERS 2
 /* Maximum interval over which the rate of a link is estimated; a link that was idle for longer would look
- * slow.  Longer than the 1.5 s for which callers wait for an answer. At 600 kB/s, 0 of 96 reads got their
+ * slow.  Longer than the 1.5 s for which callers wait for an answer.  At 600 kB/s, 0 of 96 reads got their
  * results with a maximum of 0.5 s, and 14 of 123 with 2 s. */
 #define RATE_INTERVAL_MAX_US (2000 * 1000)
 
--- a/lib/runtime/packed-message.c
+++ b/lib/runtime/packed-message.c
@@ -13,7 +13,7 @@
 /* A message is sent unpacked if its packed size exceeds this fraction of its size, since the savings would
  * not justify the cost of unpacking. */
 #define PACKED_SIZE_MAX_FRACTION 0.9
-/* The fastest level of zlib. Worker entries shrink to a tenth. QUINCE_PACK_FAST does not search for
+/* The fastest level of zlib.  Worker entries shrink to a tenth.  QUINCE_PACK_FAST does not search for
  * repetitions: 400 kB of random letters shrink to 0.60 of their size at 107 MB/s, and to 0.66 at 53 MB/s with
  * the search. */
 #define COMPRESSION_LEVEL 1
