Tenant shares: one function decides which refusals count; admission of a request on its own

Cause: the rule that two refusals within 1 s make a service full stood in lib/forward/tenant-limits.c and again in the replay of test-tenant-burst; forward_request () had 48 lines. Change: quince_tenant_share_counts_refusal (), used by both; admit () in caller-request.c. No behaviour changes.

--- a/daemons/front/caller-request.c
+++ b/daemons/front/caller-request.c
@@ -285,15 +285,10 @@
   return !admission.refuse;
 }
 
-/* Returns: %FALSE if the request was refused and freed */
+/* Returns: %FALSE if residency rules, its tenant's share or the policy refused the request and freed it */
 static gboolean
-forward_request (QuinceCallerRequest *request, const QuinceRoute *route)
+admit (QuinceCallerRequest *request, const QuinceRoute *route, const char *service, guint deadline_ms)
 {
-  QuincePlatformRequestHeaders request_headers;
-  quince_platform_read_request (request->head->headers, &request_headers);
-  guint deadline_ms = request_headers.deadline_ms > 0 ? request_headers.deadline_ms : DEFAULT_DEADLINE_MS;
-  guint timeout_ms = route->timeout_ms > 0 ? MIN (route->timeout_ms, deadline_ms) : deadline_ms;
-  const char *service = quince_route_splits_next_service (request->context->splits, route);
   if (!quince_residency_check_workers (request->context, route, request->tenant, service))
     {
       finish_error (request, 503, "residency", get_retry_after_ms (QUINCE_REFUSED_RESIDENCY, 0));
@@ -304,7 +299,19 @@
       finish_error (request, 503, "tenant_share", get_retry_after_ms (QUINCE_REFUSED_NO_WORKER, 0));
       return FALSE;
     }
-  if (!admit_by_policy (request, route, service, deadline_ms))
+  return admit_by_policy (request, route, service, deadline_ms);
+}
+
+/* Returns: %FALSE if the request was refused and freed */
+static gboolean
+forward_request (QuinceCallerRequest *request, const QuinceRoute *route)
+{
+  QuincePlatformRequestHeaders request_headers;
+  quince_platform_read_request (request->head->headers, &request_headers);
+  guint deadline_ms = request_headers.deadline_ms > 0 ? request_headers.deadline_ms : DEFAULT_DEADLINE_MS;
+  guint timeout_ms = route->timeout_ms > 0 ? MIN (route->timeout_ms, deadline_ms) : deadline_ms;
+  const char *service = quince_route_splits_next_service (request->context->splits, route);
+  if (!admit (request, route, service, deadline_ms))
     return FALSE;
   g_autoptr (QuinceHttpHeaders) headers = quince_http_headers_copy (request->head->headers);
   quince_http_headers_remove_hop_by_hop (headers);
--- a/lib/core/decisions/tenant-share.c
+++ b/lib/core/decisions/tenant-share.c
@@ -11,6 +11,8 @@
 #define LIMIT_DIVISOR_MAX 2
 /* A step of growth adds the limit divided by this, and at least 1. */
 #define GROW_DIVISOR 8
+/* Maximum time between two refusals by workers that make the service full, us. */
+#define REFUSAL_PAIR_US G_USEC_PER_SEC
 
 typedef struct
 {
@@ -144,6 +146,12 @@
   share->is_full = TRUE;
 }
 
+gboolean
+quince_tenant_share_counts_refusal (const QuinceTenantShare *share, gint64 last_refusal_us, gint64 now_us)
+{
+  return share->is_full || (last_refusal_us != 0 && now_us - last_refusal_us <= REFUSAL_PAIR_US);
+}
+
 void
 quince_tenant_share_handle_refusal (QuinceTenantShare *share, gint64 now_us)
 {
--- a/lib/core/decisions/tenant-share.h
+++ b/lib/core/decisions/tenant-share.h
@@ -45,7 +45,12 @@
 /* Records that an admitted request of @tenant starts or ends. */
 void quince_tenant_share_begin (QuinceTenantShare *share, const char *tenant, gint64 now_us);
 void quince_tenant_share_end (QuinceTenantShare *share, const char *tenant, gint64 now_us);
-/* Records that a worker refused a request for lack of slots. */
+/* Returns whether a refusal by a worker is to be passed to quince_tenant_share_handle_refusal(): the service
+ * is full already, or the previous refusal was at most 1 s ago.  A single full worker beside others with free
+ * slots only costs another send.  @last_refusal_us: time of the previous refusal; 0: none */
+gboolean
+quince_tenant_share_counts_refusal (const QuinceTenantShare *share, gint64 last_refusal_us, gint64 now_us);
+/* Records that a worker refused a request for lack of slots: the service is full. */
 void quince_tenant_share_handle_refusal (QuinceTenantShare *share, gint64 now_us);
 /* Returns whether there is a limit: workers refused within QUINCE_TENANT_SHARE_FULL_US. */
 gboolean quince_tenant_share_is_full (const QuinceTenantShare *share);
--- a/lib/forward/tenant-limits.c
+++ b/lib/forward/tenant-limits.c
@@ -9,8 +9,6 @@
 
 /* Minimum time between two log lines of one service, us. */
 #define LOG_INTERVAL_US G_USEC_PER_SEC
-/* A refusal counts only if another one follows within this time, us. */
-#define SINGLE_REFUSAL_US G_USEC_PER_SEC
 
 typedef struct
 {
@@ -100,8 +98,7 @@
   if (limit == NULL)
     return;
   gint64 now = quince_now_us ();
-  gboolean is_single = limit->last_refusal_us == 0 || now - limit->last_refusal_us > SINGLE_REFUSAL_US;
-  limit->last_refusal_us = now;
-  if (!is_single || quince_tenant_share_is_full (limit->share))
+  if (quince_tenant_share_counts_refusal (limit->share, limit->last_refusal_us, now))
     quince_tenant_share_handle_refusal (limit->share, now);
+  limit->last_refusal_us = now;
 }
--- a/lib/forward/tenant-limits.h
+++ b/lib/forward/tenant-limits.h
@@ -22,7 +22,7 @@
 void quince_tenant_limits_begin (QuinceTenantLimits *limits, const char *service, const char *tenant);
 void quince_tenant_limits_end (QuinceTenantLimits *limits, const char *service, const char *tenant);
 /* Records that a worker of @service refused a request for lack of slots.  The service counts as full from the
- * second refusal within a second on: a single full worker beside others with room only costs another send. */
+ * second refusal within a second on; see quince_tenant_share_counts_refusal(). */
 void quince_tenant_limits_handle_refusal (QuinceTenantLimits *limits, const char *service);
 
 G_END_DECLS
--- a/tests/unit/test-tenant-burst.c
+++ b/tests/unit/test-tenant-burst.c
@@ -210,15 +210,13 @@
     finish (replay, request, FALSE);
 }
 
-/* As lib/forward/tenant-limits.c: a single refusal does not make the service full. */
 static void
 count_refusal (Replay *replay, guint process)
 {
-  gint64 last_us = replay->last_refusal_us[process];
+  QuinceTenantShare *share = replay->shares[process];
+  if (quince_tenant_share_counts_refusal (share, replay->last_refusal_us[process], replay->now_us))
+    quince_tenant_share_handle_refusal (share, replay->now_us);
   replay->last_refusal_us[process] = replay->now_us;
-  gboolean is_single = last_us == 0 || replay->now_us - last_us > G_USEC_PER_SEC;
-  if (!is_single || quince_tenant_share_is_full (replay->shares[process]))
-    quince_tenant_share_handle_refusal (replay->shares[process], replay->now_us);
 }
 
 static void
