Tests of this work: comments name the failure in usual terms

Cause: "is started anew", "block nobody", "can bear it least", "whatever its predecessors did", @least. Change: comments and two parameter names; no assertion, number or seed.

--- a/daemons/replica/order-records.c
+++ b/daemons/replica/order-records.c
@@ -10,8 +10,7 @@
 #include "runtime/timer.h"
 
 /* Minimum and maximum number of obsolete order records that one FORGET record lists.  FORGET records stay in
- * the log, so each lists many; the maximum bounds the one that a new leader appends after reading its log.
- */
+ * the log, so each lists many; the maximum bounds the one that a new leader appends first. */
 #define FORGET_RECORDS_MIN 64
 #define FORGET_RECORDS_MAX 1024
 
--- a/daemons/replica/weight-load.c
+++ b/daemons/replica/weight-load.c
@@ -3,7 +3,7 @@
  *
  * The worker's report contains the number of orders that it has accepted, and each order repeats that number.
  * The worker refuses an order with another number, so that a delayed order has no effect after later ones.
- * While the worker's report is requested, the record that names the worker commits (order-records.h).
+ * The record that names the worker (order-records.h) is committed while its report is requested.
  */
 #include "weight-load.h"
 
--- a/tests/platform/test-progress-copies.c
+++ b/tests/platform/test-progress-copies.c
@@ -1,6 +1,6 @@
 /*
- * test-progress-copies.c: guards against long texts that begin anew although a machine with a copy is left:
- * real processes, losses of disks and of all processes at once.
+ * test-progress-copies.c: guards against long texts that are generated again although a machine with a copy
+ * is left: real processes, losses of disks and of all processes at once.
  */
 #include "zone-world.h"
 
@@ -8,11 +8,11 @@
  * after 100 ms. */
 #define EVENTS 80
 #define EVENT_MS 100
-/* Until a text is worth a copy (1 s), was reported several times, and has most of its events ahead. */
+/* Until a text is long enough for a copy (1 s) and was reported several times.  Most events come later. */
 #define BEFORE_FAULT_MS 2500
 /* A text that goes on after the fault has at least this many events: those of the first second. */
 #define KEPT_EVENTS 10
-/* Events after BEFORE_FAULT_MS and the turn of the copy as successor (0.5 s), and some more. */
+/* Minimum events after BEFORE_FAULT_MS and the 0.5 s for which the backup with the copy is the successor. */
 #define GROWN_EVENTS 34
 #define WHOLE_TEXT "\\ne79\\ne80\""
 /* Longer than progress that a process received counts as recent. */
@@ -133,9 +133,9 @@
   delete_texts (scene, replica);
 }
 
-/* Returns how many runs of the batch resumed from event @least or later. */
+/* Returns how many runs of the batch resumed from event @first_event or later. */
 static guint
-count_resumed (const Scene *scene, guint64 least)
+count_resumed (const Scene *scene, guint64 first_event)
 {
   guint count = 0;
   for (guint i = 0; i < PATH_MODEL; i++)
@@ -144,15 +144,16 @@
       for (guint j = 0; j < runs->len; j++)
         {
           const StandinRun *run = runs->pdata[j];
-          count += run->last_event_id != NULL && g_ascii_strtoull (run->last_event_id, NULL, 10) >= least;
+          count
+              += run->last_event_id != NULL && g_ascii_strtoull (run->last_event_id, NULL, 10) >= first_event;
         }
     }
   return count;
 }
 
-/* Each text is listed once, whole, with its score, and went on from event @least or later. */
+/* Each text is listed once, whole, with its score, and went on from event @first_event or later. */
 static void
-assert_texts_went_on_from (Scene *scene, guint64 least)
+assert_texts_went_on_from (Scene *scene, guint64 first_event)
 {
   g_autofree char *text = NULL;
   const ZoneBatch *batch = scene->zones->batches->pdata[0];
@@ -161,7 +162,7 @@
   assert_int_equal (path_count_occurrences (text, WHOLE_TEXT), ZONE_ITEMS);
   assert_int_equal (path_count_occurrences (text, "\"message\":\"e1\\ne2\\ne3\\n"), ZONE_ITEMS);
   assert_int_equal (path_count_occurrences (text, "\"versions\":[1]"), ZONE_ITEMS);
-  assert_true (count_resumed (scene, least) >= ZONE_ITEMS);
+  assert_true (count_resumed (scene, first_event) >= ZONE_ITEMS);
 }
 
 static void
--- a/tests/unit/ledger-orders.h
+++ b/tests/unit/ledger-orders.h
@@ -1,9 +1,8 @@
 /*
  * ledger-orders.h: orders of the simulated leaders to workers, with order records (order-history.h).
  *
- * Without World.orders, the leaders of ledger-world.h give no orders.  Orders are sent as the daemon sends
- * them: only after the lease and the permit were checked.  Fails if two machines order one worker within the
- * pause.
+ * Without World.orders, the leaders of ledger-world.h give no orders.  As in the daemon, an order is sent
+ * only if the lease and the permit allow it.  A test fails if two machines order one worker within the pause.
  */
 #pragma once
 
@@ -11,7 +10,7 @@
 
 #define WORLD_WORKERS 6
 
-/* Notes that records from the one behind the first @n_same were received. */
+/* Records that all records after the first @n_same were received now. */
 static inline void
 world_receive_records (World *world, WorldNode *node, guint n_same)
 {
--- a/tests/unit/ledger-parts.h
+++ b/tests/unit/ledger-parts.h
@@ -26,9 +26,8 @@
   guint64 epoch;
   guint64 value; /* 0: first record of an epoch */
   gboolean is_order;
-  guint workers; /* order record: bits of the workers that it names */
-  guint64
-      forgets_up_to; /* FORGET record: the last order record that it lists, with all earlier ones; 0: none */
+  guint workers;         /* order record: bits of the workers that it names */
+  guint64 forgets_up_to; /* FORGET record: it lists all order records up to this index; 0: none */
 } WorldRecord;
 
 typedef struct
--- a/tests/unit/test-attempt-load.c
+++ b/tests/unit/test-attempt-load.c
@@ -1,6 +1,6 @@
 /*
- * test-attempt-load.c: guards against hedges and retries that add load to the workers of a service when it
- * can bear it least, and against a budget for them that costs callers their answers.
+ * test-attempt-load.c: guards against hedges and retries that overload a service whose workers are slow or
+ * full, and against a budget for them that makes requests fail.
  *
  * Each case is replayed twice with one seed: by the rules of services with one latency target, which shows
  * that the case is hard enough, and with the attempt budget.
@@ -32,10 +32,10 @@
 
 /**
  * LoadCase:
- * @arrivals_max: most arrivals per request with the budget; the earlier rules exceed it if @is_exceeded
- * @failed_max: most requests without an answer, as a share
- * @late_rewards_max: most reward calls that may miss their target in addition to those under the earlier
- * rules, as a share
+ * @arrivals_max: maximum arrivals per request with the budget; the earlier rules exceed it if @is_exceeded
+ * @failed_max: maximum number of requests without an answer, as a share
+ * @late_rewards_max: maximum number of reward calls that may miss their target in addition to those under the
+ * earlier rules, as a share
  */
 typedef struct
 {
--- a/tests/unit/test-order-history.c
+++ b/tests/unit/test-order-history.c
@@ -34,7 +34,8 @@
 
 /* ---- Times of receipt ----------------------------------------------------- */
 
-/* Guards against a worker that is free too early: the order may have left 300 ms after the record came. */
+/* Guards against a worker that is free too early: the order may have been sent 300 ms after the receipt of
+ * the record. */
 static void
 test_worker_is_blocked_from_receipt (void **state)
 {
@@ -56,7 +57,7 @@
   assert_int_equal (longest_us, 0);
 }
 
-/* Guards against a restart that makes an order look older than it is: nothing tells when a record on the disk
+/* Guards against a restart that makes an order look older than it is: it is unknown when a record on the disk
  * was received. */
 static void
 test_records_on_disk_count_from_start (void **state)
@@ -125,7 +126,7 @@
 
 /* ---- Earlier leaders --------------------------------------------------------- */
 
-/* A leader of an earlier version, or with the setting off, records nothing, whatever its predecessors did. */
+/* A leader of an earlier version, or with the setting off, records nothing, even if its predecessors did. */
 static void
 test_leader_without_records_is_unknown (void **state)
 {
@@ -145,7 +146,7 @@
 }
 
 /* A leader that leads again: its own orders do not block it, those of leaders in between do, and an epoch in
- * which it had not begun hides nothing. */
+ * which it appended no order record is ignored. */
 static void
 test_leader_leads_again (void **state)
 {
@@ -163,8 +164,8 @@
   assert_false (quince_order_history_is_complete (history));
 }
 
-/* Records that are left out of the log block nobody any more, and the last one stays: without it, the next
- * leader would wait the whole pause. */
+/* Records that a FORGET record lists no longer block any worker, and the last one is not listed: without it,
+ * the next leader would wait the whole pause. */
 static void
 test_finished_records_are_taken (void **state)
 {
@@ -210,7 +211,7 @@
   assert_int_equal (quince_order_permits_get_send_by_us (permits, START_US, "w3"), 0);
 }
 
-/* Records that commit too late permit nothing and do not pile up. */
+/* Records that commit too late permit no orders, and no further ones are appended meanwhile. */
 static void
 test_late_commit (void **state)
 {
@@ -295,9 +296,9 @@
   assert_int_equal (run_order_seeds (0), 0);
 }
 
-/* A leader that gave orders without records, is started anew with the setting on and leads again, gave the
- * last orders.  Guards against a record of it before the pause is over: its successor would trust the log,
- * which does not tell the orders from before the restart. */
+/* A leader gives orders without records, is restarted with the setting on and leads again.  Guards against an
+ * order record of it before the pause is over: its successor would take the log for complete, although it
+ * lacks the orders from before the restart. */
 static void
 test_setting_is_turned_on_at_restart (void **state)
 {
--- a/tests/unit/test-pace-history.c
+++ b/tests/unit/test-pace-history.c
@@ -14,12 +14,12 @@
 #define MS 1000
 #define SEED 20261203
 #define EVENT_US (33 * MS)
-/* Each worker draws anew whether it is slow after this time. */
+/* Interval at which each worker randomly becomes slow or normal. */
 #define DRAW_INTERVAL_US (600 * MS)
 #define SLOW_SHARE 0.15
 #define SLOW_FACTOR 2.5
 #define N_WORKERS 12
-/* Runs of a worker, whose events alternate. */
+/* Concurrent runs of a worker; their events alternate. */
 #define N_RUNS 3
 /* Events that a long text still needs. */
 #define REMAINING 60
--- a/tests/unit/test-progress-selection.c
+++ b/tests/unit/test-progress-selection.c
@@ -57,8 +57,8 @@
   assert_int_equal (g_array_index (selected, guint, 0), 0);
 }
 
-/* A copy that was begun grows with its text, also when a faster worker is found.  Otherwise the copy would
- * stay at an old event. */
+/* A copy of a text grows with it, also when a faster worker is found: otherwise the copy would become
+ * outdated. */
 static void
 test_begun_copies_are_continued (void **state)
 {
@@ -148,7 +148,7 @@
     }
 }
 
-/* Nothing that is nearer to its end than a selected text was left out, unless it did not fit. */
+/* Fails if a text that is nearer to its end than a selected one was left out although it fits. */
 static void
 check_order (const QuinceProgressCandidate *candidates, const GArray *selected, gsize report_bytes)
 {
@@ -285,7 +285,7 @@
   assert_int_equal (chosen[1], 14);
 }
 
-/* The backups of a new leader connect one after the other: the first one may be in its own zone. */
+/* The backups of a new leader connect in sequence: the first one may be in its own zone. */
 static void
 test_copy_leaves_a_shared_zone (void **state)
 {
@@ -332,8 +332,8 @@
   assert_false (quince_progress_replaces_run (0, 5, 0));
 }
 
-/* A new leader that knows all starts samples without text at once; one that may lack texts waits, and no
- * longer than until each member has told what it knows. */
+/* A new leader that has all progress starts samples without text at once; one that may lack texts waits until
+ * each other member has offered its progress, and no longer. */
 static void
 test_knowledge_is_complete (void **state)
 {
--- a/tests/unit/test-tenant-share.c
+++ b/tests/unit/test-tenant-share.c
@@ -1,5 +1,5 @@
 /*
- * test-tenant-share.c: guards against a limit of tenants that applies where nothing is scarce, that refuses
+ * test-tenant-share.c: guards against a limit of tenants that applies while slots are free, that refuses
  * tenants below their share, or that does not end.
  */
 #include <setjmp.h>
@@ -18,7 +18,7 @@
     quince_tenant_share_begin (share, tenant, now_us);
 }
 
-/* A service that is not full refuses nobody, whatever the shares are. */
+/* A service that is not full refuses no tenant, however many requests it has in flight. */
 static void
 test_not_full (void **state)
 {
@@ -60,14 +60,14 @@
   assert_true (quince_tenant_share_admit (share, "b", end));
   assert_true (quince_tenant_share_admit (share, "new", end));
   /* Small tenants whose front has no part of the burst are not refused either. */
-  g_autoptr (QuinceTenantShare) calm = quince_tenant_share_new ();
+  g_autoptr (QuinceTenantShare) quiet = quince_tenant_share_new ();
   for (guint i = 0; i < QUINCE_TENANT_SHARE_STARTS_MIN - 1; i++)
     {
       const char *tenant = i % 2 == 0 ? "a" : "b";
-      assert_true (quince_tenant_share_admit (calm, tenant, i));
-      quince_tenant_share_begin (calm, tenant, i);
-      quince_tenant_share_handle_refusal (calm, i);
-      quince_tenant_share_end (calm, tenant, i);
+      assert_true (quince_tenant_share_admit (quiet, tenant, i));
+      quince_tenant_share_begin (quiet, tenant, i);
+      quince_tenant_share_handle_refusal (quiet, i);
+      quince_tenant_share_end (quiet, tenant, i);
     }
 }
 
