Backends: getters name what they return

Cause: quince_backends_get_limits, _get_shares and _get_budget did not say whose limits, shares and budget; _set_share_metrics read like a setter beside them.

--- a/daemons/front/caller-request.c
+++ b/daemons/front/caller-request.c
@@ -128,7 +128,7 @@
   g_autofree char *labels = g_strdup_printf ("cause=\"%s\"", cause);
   quince_metric_add ("quince_front_refused_total", labels, 1);
   if (status == 503)
-    quince_share_metrics_count_refusal (quince_backends_get_shares (request->context->backends),
+    quince_share_metrics_count_refusal (quince_backends_get_share_metrics (request->context->backends),
                                         request->route, request->tenant);
   g_autofree char *id = quince_log_quote (request_headers.request_id);
   g_autofree char *target = quince_log_quote (request->head->target);
--- a/daemons/front/front.c
+++ b/daemons/front/front.c
@@ -265,7 +265,7 @@
   quince_metric_set ("quince_front_ledger_linked", "", quince_ledger_caller_is_linked (context->ledger));
   quince_observer_set_metrics (context->observer);
   quince_send_guard_set_metrics (quince_quarantine_client_get_guard (front->quarantine));
-  quince_backends_set_share_metrics (context->backends);
+  quince_backends_refresh_share_metrics (context->backends);
   quince_metric_set ("quince_front_workers_cold", "", quince_backends_count_cold (context->backends));
   quince_metric_set ("quince_store_answer_age_seconds", "",
                      (double)(now - contact->last_answer_us) / G_USEC_PER_SEC);
--- a/daemons/replica/replica-metrics.c
+++ b/daemons/replica/replica-metrics.c
@@ -35,7 +35,7 @@
   const QuinceMetaContact *contact = quince_meta_store_get_contact (parts->store);
   set_ledger_metrics (parts->ledger);
   set_worker_metrics (parts->backends);
-  quince_backends_set_share_metrics (parts->backends);
+  quince_backends_refresh_share_metrics (parts->backends);
   quince_observer_set_metrics (parts->observer);
   quince_feed_service_set_metrics (parts->feed);
   quince_send_guard_set_metrics (quince_quarantine_coordinator_get_guard (parts->quarantine));
--- a/daemons/replica/sample-reward.c
+++ b/daemons/replica/sample-reward.c
@@ -32,7 +32,7 @@
     }
   const QuinceRoute *route = quince_sample_set_find_route (set, call->host, call->path);
   if (result->outcome == QUINCE_FORWARD_REFUSED && route != NULL)
-    quince_share_metrics_count_refusal (quince_backends_get_shares (set->backends), route->name,
+    quince_share_metrics_count_refusal (quince_backends_get_share_metrics (set->backends), route->name,
                                         sample->entry->tenant);
   const QuinceSampleNext next
       = quince_sample_next_after_reward (sample->reward_failures, get_reward_max_attempts (set, call));
--- a/daemons/replica/sample-shares.c
+++ b/daemons/replica/sample-shares.c
@@ -43,7 +43,7 @@
 void
 quince_sample_shares_set_metrics (const QuinceSampleSet *set, gint64 now_us)
 {
-  QuinceShareMetrics *shares = quince_backends_get_shares (set->backends);
+  QuinceShareMetrics *shares = quince_backends_get_share_metrics (set->backends);
   const QuinceBatchEntry *last_entry = NULL;
   /* All models get their labels first, since a new label may replace another one. */
   for (guint i = 0; i < set->samples->len; i++)
@@ -74,7 +74,7 @@
 quince_sample_shares_clear_metrics (QuinceBackends *backends)
 {
   Gauges gauges;
-  gauges_init (&gauges, quince_backends_get_shares (backends));
+  gauges_init (&gauges, quince_backends_get_share_metrics (backends));
   gauges_publish (&gauges);
 }
 
@@ -84,7 +84,7 @@
   if (end != QUINCE_RUN_REFUSED && end != QUINCE_RUN_MOVED)
     return;
   const char *metric = end == QUINCE_RUN_MOVED ? "quince_share_moves_total" : "quince_share_refused_total";
-  QuinceShareMetrics *shares = quince_backends_get_shares (set->backends);
+  QuinceShareMetrics *shares = quince_backends_get_share_metrics (set->backends);
   const QuinceWorker *worker
       = quince_worker_table_find (quince_backends_get_workers (set->backends), sample->worker_id);
   quince_share_metrics_count (shares, QUINCE_SHARE_MODEL, sample->entry->batch->model, metric);
@@ -95,7 +95,7 @@
 void
 quince_sample_shares_count_abandoned (const QuinceSampleSet *set, const QuinceSample *sample)
 {
-  quince_share_metrics_count (quince_backends_get_shares (set->backends), QUINCE_SHARE_MODEL,
+  quince_share_metrics_count (quince_backends_get_share_metrics (set->backends), QUINCE_SHARE_MODEL,
                               sample->entry->batch->model, "quince_share_abandoned_total");
 }
 
@@ -107,6 +107,6 @@
   if (route == NULL || route->deadline_ms == 0)
     return;
   gint64 behind_ms = quince_wall_ms () - (gint64)batch->submitted_ms - route->deadline_ms;
-  quince_share_metrics_set (quince_backends_get_shares (backends), QUINCE_SHARE_MODEL, batch->model,
+  quince_share_metrics_set (quince_backends_get_share_metrics (backends), QUINCE_SHARE_MODEL, batch->model,
                             "quince_share_last_step_behind_seconds", (double)MAX (behind_ms, 0) / 1000);
 }
--- a/lib/forward/backends-private.h
+++ b/lib/forward/backends-private.h
@@ -48,7 +48,7 @@
 void quince_backends_remove_expired (QuinceBackends *backends, gint64 now_us);
 
 /* Removes the attempt budgets of services that have no routes of different latency targets. */
-void quince_backends_prune_budgets (QuinceBackends *backends);
+void quince_backends_prune_attempt_budgets (QuinceBackends *backends);
 
 /* ---- policy-calls.c ----------------------------------------------------- */
 
--- a/lib/forward/backends.c
+++ b/lib/forward/backends.c
@@ -75,13 +75,13 @@
 }
 
 QuinceShareMetrics *
-quince_backends_get_shares (QuinceBackends *backends)
+quince_backends_get_share_metrics (QuinceBackends *backends)
 {
   return backends->shares;
 }
 
 QuinceTenantLimits *
-quince_backends_get_limits (QuinceBackends *backends)
+quince_backends_get_tenant_limits (QuinceBackends *backends)
 {
   return backends->limits;
 }
@@ -111,7 +111,7 @@
 }
 
 void
-quince_backends_set_share_metrics (QuinceBackends *backends)
+quince_backends_refresh_share_metrics (QuinceBackends *backends)
 {
   quince_share_metrics_refresh (backends->shares);
   set_zone_metrics (backends);
@@ -214,7 +214,7 @@
 }
 
 QuinceAttemptBudget *
-quince_backends_get_budget (QuinceBackends *backends, const char *service)
+quince_backends_get_attempt_budget (QuinceBackends *backends, const char *service)
 {
   QuinceAttemptBudget *budget = g_hash_table_lookup (backends->budgets, service);
   if (budget != NULL)
@@ -232,7 +232,7 @@
 }
 
 void
-quince_backends_prune_budgets (QuinceBackends *backends)
+quince_backends_prune_attempt_budgets (QuinceBackends *backends)
 {
   g_hash_table_foreach_remove (backends->budgets, is_obsolete_budget, backends);
 }
--- a/lib/forward/backends.h
+++ b/lib/forward/backends.h
@@ -34,14 +34,14 @@
 QuincePolicy *quince_backends_get_policy (QuinceBackends *backends);
 QuinceWorkerTable *quince_backends_get_workers (QuinceBackends *backends);
 /* Returns: (transfer none): the metrics by route, tenant, zone and model */
-QuinceShareMetrics *quince_backends_get_shares (QuinceBackends *backends);
+QuinceShareMetrics *quince_backends_get_share_metrics (QuinceBackends *backends);
 /* Returns: (transfer none): the limits of tenants at full services */
-QuinceTenantLimits *quince_backends_get_limits (QuinceBackends *backends);
+QuinceTenantLimits *quince_backends_get_tenant_limits (QuinceBackends *backends);
 /* Returns whether a request of @tenant (nullable) for @service may start; if not, logs and counts it.  See
  * tenant-limits.h. */
 gboolean quince_backends_admit_tenant (QuinceBackends *backends, const char *service, const char *tenant);
 /* Sets the gauges by route, tenant and zone; called before the metrics are read. */
-void quince_backends_set_share_metrics (QuinceBackends *backends);
+void quince_backends_refresh_share_metrics (QuinceBackends *backends);
 /* @guard: (transfer none) (nullable): decides before each send whether it is allowed, and must outlive all
  * sends; %NULL: every send is allowed */
 void quince_backends_set_guard (QuinceBackends *backends, QuinceSendGuard *guard);
@@ -61,7 +61,7 @@
 void quince_backends_remove (QuinceBackends *backends, const char *id);
 /* Returns: (transfer none): the attempt budget of @service, created on first use; valid until the routes
  * change */
-QuinceAttemptBudget *quince_backends_get_budget (QuinceBackends *backends, const char *service);
+QuinceAttemptBudget *quince_backends_get_attempt_budget (QuinceBackends *backends, const char *service);
 /* Handles an entry that disappeared during an outage of the store, when the worker may still be running.
  * Until @until_us the worker gets requests that no listed worker can take; then it is removed, unless it was
  * listed again.  A draining worker is removed immediately. */
--- a/lib/forward/dispatch.c
+++ b/lib/forward/dispatch.c
@@ -31,10 +31,11 @@
   dispatch->mixed_targets = request->mixed_targets;
   dispatch->attempt_state.earlier_runs = request->earlier_runs;
   dispatch->started_us = quince_now_us ();
-  QuinceShareMetrics *shares = quince_backends_get_shares (backends);
+  QuinceShareMetrics *shares = quince_backends_get_share_metrics (backends);
   dispatch->route_share = quince_share_metrics_begin (shares, QUINCE_SHARE_ROUTE, dispatch->kind);
   dispatch->tenant_share = quince_share_metrics_begin (shares, QUINCE_SHARE_TENANT, dispatch->tenant);
-  quince_tenant_limits_begin (quince_backends_get_limits (backends), dispatch->service, dispatch->caller);
+  quince_tenant_limits_begin (quince_backends_get_tenant_limits (backends), dispatch->service,
+                              dispatch->caller);
   dispatch->deadline_us = request->deadline_us;
   dispatch->retry = (QuinceRetryState){ .repeatable = repeatable,
                                         .max_attempts = MAX (request->max_attempts, 1),
@@ -55,7 +56,7 @@
   gint64 late_us = get_late_us (dispatch, quince_now_us () - dispatch->started_us);
   quince_share_metrics_end (QUINCE_SHARE_ROUTE, dispatch->route_share, late_us);
   quince_share_metrics_end (QUINCE_SHARE_TENANT, dispatch->tenant_share, late_us);
-  quince_tenant_limits_end (quince_backends_get_limits (dispatch->backends), dispatch->service,
+  quince_tenant_limits_end (quince_backends_get_tenant_limits (dispatch->backends), dispatch->service,
                             dispatch->caller);
   quince_dispatch_return_permit (dispatch);
   quince_http_headers_free (dispatch->headers);
@@ -165,10 +166,11 @@
 static void
 record_refusal (const QuinceDispatch *dispatch, const char *worker_id)
 {
-  quince_tenant_limits_handle_refusal (quince_backends_get_limits (dispatch->backends), dispatch->service);
+  quince_tenant_limits_handle_refusal (quince_backends_get_tenant_limits (dispatch->backends),
+                                       dispatch->service);
   const QuinceWorker *worker = quince_dispatch_find_worker (dispatch, worker_id);
   if (worker != NULL)
-    quince_share_metrics_count (quince_backends_get_shares (dispatch->backends), QUINCE_SHARE_ZONE,
+    quince_share_metrics_count (quince_backends_get_share_metrics (dispatch->backends), QUINCE_SHARE_ZONE,
                                 worker->zone, "quince_share_refused_total");
 }
 
@@ -186,7 +188,7 @@
 void
 quince_dispatch_count_hedge (const QuinceDispatch *dispatch, const QuinceWorker *worker)
 {
-  QuinceShareMetrics *shares = quince_backends_get_shares (dispatch->backends);
+  QuinceShareMetrics *shares = quince_backends_get_share_metrics (dispatch->backends);
   quince_share_metrics_count (shares, QUINCE_SHARE_ROUTE, dispatch->kind, "quince_share_hedges_total");
   quince_share_metrics_count (shares, QUINCE_SHARE_TENANT, dispatch->tenant, "quince_share_hedges_total");
   quince_share_metrics_count (shares, QUINCE_SHARE_ZONE, worker->zone, "quince_share_hedges_total");
@@ -196,7 +198,7 @@
 quince_dispatch_count_late_time (const QuinceDispatch *dispatch, const QuinceWorker *worker, gint64 took_us)
 {
   if (worker != NULL)
-    quince_share_metrics_add_late (quince_backends_get_shares (dispatch->backends), QUINCE_SHARE_ZONE,
+    quince_share_metrics_add_late (quince_backends_get_share_metrics (dispatch->backends), QUINCE_SHARE_ZONE,
                                    worker->zone, get_late_us (dispatch, took_us));
 }
 
@@ -232,7 +234,7 @@
   g_hash_table_add (dispatch->avoid, g_strdup (worker->id));
   dispatch->attempts++;
   worker->running++;
-  quince_share_metrics_count (quince_backends_get_shares (dispatch->backends), QUINCE_SHARE_ZONE,
+  quince_share_metrics_count (quince_backends_get_share_metrics (dispatch->backends), QUINCE_SHARE_ZONE,
                               worker->zone, "quince_share_requests_total");
   return headers;
 }
--- a/lib/forward/extra-attempts.c
+++ b/lib/forward/extra-attempts.c
@@ -16,7 +16,8 @@
 static QuinceAttemptBudget *
 get_budget (QuinceDispatch *dispatch)
 {
-  return dispatch->mixed_targets ? quince_backends_get_budget (dispatch->backends, dispatch->service) : NULL;
+  return dispatch->mixed_targets ? quince_backends_get_attempt_budget (dispatch->backends, dispatch->service)
+                                 : NULL;
 }
 
 static void
--- a/lib/forward/residency-lookup.c
+++ b/lib/forward/residency-lookup.c
@@ -24,7 +24,7 @@
 {
   backends->routes = routes;
   backends->has_region_rules = routes != NULL && restricts_regions (routes);
-  quince_backends_prune_budgets (backends);
+  quince_backends_prune_attempt_budgets (backends);
 }
 
 gboolean
--- a/tests/platform/test-attempt-budget.c
+++ b/tests/platform/test-attempt-budget.c
@@ -15,7 +15,7 @@
   world_init (world);
   quince_metrics_reset ();
   world->mixed_targets = TRUE;
-  QuinceAttemptBudget *budget = quince_backends_get_budget (world->backends, "svc");
+  QuinceAttemptBudget *budget = quince_backends_get_attempt_budget (world->backends, "svc");
   while (quince_attempt_budget_get_tokens (budget) > 0)
     quince_attempt_budget_take (budget);
   return budget;
--- a/tests/platform/test-share-metrics.c
+++ b/tests/platform/test-share-metrics.c
@@ -94,7 +94,7 @@
 static double
 read_value (World *world, const char *metric, const char *by, const char *name)
 {
-  quince_backends_set_share_metrics (world->backends);
+  quince_backends_refresh_share_metrics (world->backends);
   g_autofree char *text = quince_metrics_format ();
   return find_value (text, metric, by, name);
 }
@@ -155,7 +155,7 @@
 count_series (World *world, const char *metric)
 {
   g_autofree char *start = g_strdup_printf ("\n%s{by=\"tenant\"", metric);
-  quince_backends_set_share_metrics (world->backends);
+  quince_backends_refresh_share_metrics (world->backends);
   g_autofree char *text = quince_metrics_format ();
   guint n = 0;
   for (const char *at = strstr (text, start); at != NULL; at = strstr (at + 1, start))
@@ -168,7 +168,7 @@
 {
   World world;
   world_init (&world);
-  QuinceShareMetrics *shares = quince_backends_get_shares (world.backends);
+  QuinceShareMetrics *shares = quince_backends_get_share_metrics (world.backends);
   for (guint i = 0; i < MANY_TENANTS; i++)
     {
       g_autofree char *name = g_strdup_printf ("tenant-%u", i);
