--- a/lib/core/decisions/tenant-share.c
+++ b/lib/core/decisions/tenant-share.c
@@ -3,14 +3,16 @@
  */
 #include "core/decisions/tenant-share.h"
 
-/* A cut takes this part of the limit off.  A fourth left more slots unused during a burst and protected other
- * tenants no better. */
+/* A cut reduces the limit by the limit divided by this.  A fourth left more slots unused during a burst and
+ * protected other tenants no better. */
 #define CUT_DIVISOR 8
 /* The limit is at least the requests in flight divided by this.  Streams take longer than the time between
  * two cuts, which would otherwise take the limit to 0 before the first one shows an effect. */
 #define LIMIT_DIVISOR_MAX 2
 /* A step of growth adds the limit divided by this, and at least 1. */
 #define GROW_DIVISOR 8
+/* Maximum time between two refusals by workers that make the service full, us. */
+#define REFUSAL_PAIR_US G_USEC_PER_SEC
 
 typedef struct
 {
@@ -76,7 +78,7 @@
 
 /* Returns whether @tenant started more than its share of the requests since the service became full. */
 static gboolean
-started_most (const QuinceTenantShare *share, const Tenant *tenant)
+exceeds_start_share (const QuinceTenantShare *share, const Tenant *tenant)
 {
   return tenant->started >= QUINCE_TENANT_SHARE_STARTS_MIN
          && tenant->started > share->started / g_hash_table_size (share->tenants);
@@ -92,7 +94,7 @@
   const Tenant *tenant = g_hash_table_lookup (share->tenants, name);
   if (tenant == NULL || g_hash_table_size (share->tenants) < 2)
     return TRUE;
-  if (share->limit == 0 && started_most (share, tenant))
+  if (share->limit == 0 && exceeds_start_share (share, tenant))
     return FALSE;
   if (tenant->in_flight == 0)
     return TRUE;
@@ -144,6 +146,12 @@
   share->is_full = TRUE;
 }
 
+gboolean
+quince_tenant_share_counts_refusal (const QuinceTenantShare *share, gint64 last_refusal_us, gint64 now_us)
+{
+  return share->is_full || (last_refusal_us != 0 && now_us - last_refusal_us <= REFUSAL_PAIR_US);
+}
+
 void
 quince_tenant_share_handle_refusal (QuinceTenantShare *share, gint64 now_us)
 {
--- a/tests/unit/ledger-orders.h
+++ b/tests/unit/ledger-orders.h
@@ -1,9 +1,8 @@
 /*
  * ledger-orders.h: orders of the simulated leaders to workers, with order records (order-history.h).
  *
- * Without World.orders, the leaders of ledger-world.h give no orders.  Orders are sent as the daemon sends
- * them: only after the lease and the permit were checked.  Fails if two machines order one worker within the
- * pause.
+ * Without World.orders, the leaders of ledger-world.h give no orders.  As in the daemon, an order is sent
+ * only if the lease and the permit allow it.  A test fails if two machines order one worker within the pause.
  */
 #pragma once
 
@@ -11,11 +10,11 @@
 
 #define WORLD_WORKERS 6
 
-/* Notes that records from the one behind the first @n_same were received. */
+/* Records that all records after the first @n_same were received now. */
 static inline void
 world_receive_records (World *world, WorldNode *node, guint n_same)
 {
-  quince_order_history_receive (node->history, world->now_us, n_same + 1);
+  quince_order_history_record_receipt (node->history, world->now_us, n_same + 1);
 }
 
 static inline char *
@@ -87,7 +86,7 @@
   if (!node->records_orders)
     return quince_ledger_group_may_order (node->group, world->now_us);
   return quince_ledger_group_has_order_lease (node->group, world->now_us)
-         && (quince_order_history_is_known (node->history)
+         && (quince_order_history_is_complete (node->history)
              || quince_ledger_group_waited_order_pause (node->group, world->now_us));
 }
 
