--- a/daemons/replica/batch-calls.c
+++ b/daemons/replica/batch-calls.c
@@ -39,7 +39,8 @@
   GHashTable *pending_submissions; /* batch id to guint64, both owned: index of the uncommitted record */
   GPtrArray *waiting_calls;        /* WaitingCall, owned */
   QuinceResultCache *result_cache;
-  QuinceTimer *answer_timer; /* answers reads after all committed results were applied; NULL: none are new */
+  QuinceResultQueue *results; /* not owned; NULL: not leading */
+  QuinceTimer *answer_timer;  /* answers reads after all committed results were applied; NULL: none are new */
 };
 
 static void
@@ -124,6 +125,9 @@
       quince_batch_answer_status (link, call->id, 200);
       return;
     }
+  /* A read that follows the answer to this call must return the results that are ready now. */
+  if (calls->results != NULL)
+    quince_result_queue_flush_batch (calls->results, entry->batch->id);
   QuinceBatchRecord record = { .kind = QUINCE_BATCH_RECORD_END };
   record.QuinceBatchRecord_u.ended = entry->batch->id;
   guint64 index = quince_ledger_node_append (calls->ledger, &record);
@@ -391,6 +395,12 @@
   calls->residency = residency;
 }
 
+void
+quince_batch_calls_set_results (QuinceBatchCalls *calls, QuinceResultQueue *results)
+{
+  calls->results = results;
+}
+
 void
 quince_batch_calls_set_table (QuinceBatchCalls *calls, QuinceBatchTable *table)
 {
--- a/daemons/replica/batch-calls.h
+++ b/daemons/replica/batch-calls.h
@@ -14,6 +14,7 @@
 #include "runtime/link.h"
 
 #include "ledger-node.h"
+#include "result-queue.h"
 #include "residency-coordinator.h"
 
 typedef struct _QuinceBatchCalls QuinceBatchCalls;
@@ -24,6 +25,8 @@
 void quince_batch_calls_set_ledger (QuinceBatchCalls *calls,
                                     QuinceLedgerNode *ledger,
                                     QuinceResidencyCoordinator *residency);
+/* Sets the results that wait to be appended; %NULL: this replica does not lead.  @results: (transfer none) */
+void quince_batch_calls_set_results (QuinceBatchCalls *calls, QuinceResultQueue *results);
 /* Sets the table that calls are answered from.  @table: (transfer none): valid until
  * quince_batch_calls_stop_leading() */
 void quince_batch_calls_set_table (QuinceBatchCalls *calls, QuinceBatchTable *table);
--- a/daemons/replica/batch-service.c
+++ b/daemons/replica/batch-service.c
@@ -104,7 +104,6 @@
   quince_sample_shares_record_step (service->backends, entry->batch,
                                     quince_sample_runner_get_batch_route (service->runner, entry->batch));
   quince_sample_runner_remove (service->runner, entry);
-  quince_result_queue_flush_batch (service->results, entry->batch->id);
 }
 
 static void
@@ -332,6 +331,7 @@
   service->runner = quince_sample_runner_new (service->backends, service->observer, service->progress,
                                               &runner_callbacks, service);
   service->results = quince_result_queue_new (service->result_window_us, &result_callbacks, service);
+  quince_batch_calls_set_results (service->calls, service->results);
   g_autoptr (GPtrArray) entries = quince_batch_table_list (service->table);
   for (guint i = 0; i < entries->len; i++)
     {
@@ -349,6 +349,7 @@
 quince_batch_service_stop_leading (QuinceBatchService *service)
 {
   quince_timer_clear (&service->forget_timer);
+  quince_batch_calls_set_results (service->calls, NULL);
   g_clear_pointer (&service->results, quince_result_queue_free);
   g_clear_pointer (&service->runner, quince_sample_runner_free);
   quince_batch_calls_stop_leading (service->calls);
--- a/daemons/replica/sample-replication.c
+++ b/daemons/replica/sample-replication.c
@@ -169,7 +169,7 @@
     return FALSE;
   /* A stopped run puts the sample back among the waiting ones. */
   if (sample->state == QUINCE_SAMPLE_RUNNING)
-    quince_sample_stop_run (sample, QUINCE_RUN_MOVED, "longer_text");
+    quince_sample_stop_run (sample, QUINCE_RUN_REPLACED, "longer_text");
   g_string_truncate (sample->text, 0);
   g_string_append_len (sample->text, item->text.text_val, item->text.text_len);
   g_array_set_size (sample->versions, 0);
--- a/lib/core/decisions/sample-next.c
+++ b/lib/core/decisions/sample-next.c
@@ -53,6 +53,7 @@
       return run_again (0, TRUE);
     case QUINCE_RUN_OUT_OF_ORDER:
     case QUINCE_RUN_MOVED:
+    case QUINCE_RUN_REPLACED:
       return run_again (0, FALSE);
     case QUINCE_RUN_FAILED:
       return run_again_or_abandon (run->failures >= FAILURES_PER_ATTEMPT * MAX (run->max_attempts, 1));
--- a/lib/core/decisions/sample-next.h
+++ b/lib/core/decisions/sample-next.h
@@ -20,6 +20,7 @@
   QUINCE_RUN_OUT_OF_ORDER,    /* an event arrived out of order; the worker is not ejected */
   QUINCE_RUN_CONNECTION_LOST, /* the connection broke during the run */
   QUINCE_RUN_MOVED,           /* stopped, to resume at a faster worker; see sample-move.h */
+  QUINCE_RUN_REPLACED,        /* stopped, to resume from a longer text of another replica */
   QUINCE_RUN_FAILED,          /* the worker answered that it failed */
   QUINCE_RUN_UNPROCESSABLE,   /* the worker answered that the sample cannot be processed */
 } QuinceRunEnd;
--- a/lib/core/decisions/tenant-share.c
+++ b/lib/core/decisions/tenant-share.c
@@ -149,7 +149,8 @@
 gboolean
 quince_tenant_share_counts_refusal (const QuinceTenantShare *share, gint64 last_refusal_us, gint64 now_us)
 {
-  return share->is_full || (last_refusal_us != 0 && now_us - last_refusal_us <= REFUSAL_PAIR_US);
+  gboolean is_full = share->is_full && now_us - share->last_refusal_us < QUINCE_TENANT_SHARE_FULL_US;
+  return is_full || (last_refusal_us != 0 && now_us - last_refusal_us <= REFUSAL_PAIR_US);
 }
 
 void
--- a/lib/forward/extra-attempts.c
+++ b/lib/forward/extra-attempts.c
@@ -90,6 +90,8 @@
     {
       if (dispatch->attempt_state.is_denied)
         quince_attempt_budget_record_unhedged (budget, now_us, TRUE);
+      /* Each attempt counts once, as lost or as answered. */
+      dispatch->attempt_state.is_denied = FALSE;
       return TRUE;
     }
   if (!dispatch->attempt_state.is_denied)
--- a/tests/unit/test-tenant-share.c
+++ b/tests/unit/test-tenant-share.c
@@ -115,13 +115,29 @@
   assert_false (quince_tenant_share_is_full (share));
 }
 
+/* A single full worker does not make the service full, also if the service was full some time before and no
+ * request was admitted since. */
+static void
+test_single_refusal (void **state)
+{
+  g_autoptr (QuinceTenantShare) share = quince_tenant_share_new ();
+  const gint64 second_us = G_USEC_PER_SEC;
+  assert_false (quince_tenant_share_counts_refusal (share, 0, second_us));
+  assert_true (quince_tenant_share_counts_refusal (share, second_us, 2 * second_us));
+  assert_false (quince_tenant_share_counts_refusal (share, second_us, 2 * second_us + 1));
+  quince_tenant_share_handle_refusal (share, 2 * second_us);
+  assert_true (quince_tenant_share_counts_refusal (share, 2 * second_us, 3 * second_us + 1));
+  gint64 later_us = 2 * second_us + QUINCE_TENANT_SHARE_FULL_US;
+  assert_false (quince_tenant_share_counts_refusal (share, 2 * second_us, later_us));
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_not_full),      cmocka_unit_test (test_single_tenant),
     cmocka_unit_test (test_small_tenants), cmocka_unit_test (test_long_requests),
-    cmocka_unit_test (test_limit_ends),
+    cmocka_unit_test (test_limit_ends),    cmocka_unit_test (test_single_refusal),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
