Share metrics test: moves are tested in a world of their own

The workers of the second batch had been silent before and were ejected, so the slow worker could get no sample and nothing moved. A second run failed as another process took the port that the test had released for the metrics.

Change: a test of its own with workers that have not failed; the ports stay bound until the test ends.

--- a/tests/platform/test-share-metrics.c
+++ b/tests/platform/test-share-metrics.c
@@ -207,29 +207,47 @@
   return find_value (text, metric, by, name);
 }
 
-/* Returns: (transfer full): the address of a free port */
+/* Binds @port until it is released, so that no other process takes it before the daemon listens there.
+   Returns: (transfer full): its address */
 static char *
-find_free_address (void)
+reserve_address (GSocket **port)
 {
-  g_autoptr (GSocket) socket = standin_reserve_port ("127.0.0.1:0");
-  g_autoptr (GSocketAddress) local = g_socket_get_local_address (socket, NULL);
+  *port = standin_reserve_port ("127.0.0.1:0");
+  g_autoptr (GSocketAddress) local = g_socket_get_local_address (*port, NULL);
   return g_strdup_printf ("127.0.0.1:%u", g_inet_socket_address_get_port (G_INET_SOCKET_ADDRESS (local)));
 }
 
+/* Starts a leader and a front that publish metrics at @replica and @front; the world points to the settings. */
+static PathWorld *
+start_daemons (const char *name, const char *replica_settings, const char *front_settings)
+{
+  PathWorld *path = path_world_new (name);
+  path->replica_listen_settings = replica_settings;
+  path->front_listen_settings = front_settings;
+  path->losses = "losses=0";
+  tenants_world_start (path);
+  return path;
+}
+
+static void
+submit (const PathWorld *path, const char *batch_id, guint n_items)
+{
+  g_autofree char *batch = path_make_batch (batch_id, n_items);
+  assert_int_equal (status_with_key (path_front (path, 0), "POST", "/r/1", batch_id, batch, KEY_A1), 202);
+}
+
 /* A step whose workers are silent shows waiting and running samples, and how far it is behind once it is due.
  */
 static void
 test_daemons (void **state)
 {
-  PathWorld *path = path_world_new ("share-metrics");
-  g_autofree char *replica = find_free_address ();
-  g_autofree char *front = find_free_address ();
+  g_autoptr (GSocket) replica_port = NULL;
+  g_autoptr (GSocket) front_port = NULL;
+  g_autofree char *replica = reserve_address (&replica_port);
+  g_autofree char *front = reserve_address (&front_port);
   g_autofree char *replica_settings = g_strdup_printf ("metrics=%s\n", replica);
   g_autofree char *front_settings = g_strdup_printf ("metrics=%s\n", front);
-  path->replica_listen_settings = replica_settings;
-  path->front_listen_settings = front_settings;
-  path->losses = "losses=0";
-  tenants_world_start (path);
+  PathWorld *path = start_daemons ("share-metrics", replica_settings, front_settings);
   assert_true (read_daemon_value (front, "quince_share_requests_total", "tenant", "tenant-a") >= 1);
   assert_true (read_daemon_value (front, "quince_share_requests_total", "route", "l") >= 1);
   for (guint i = 0; i < PATH_PLAIN; i++)
@@ -239,8 +257,7 @@
   assert_true (read_daemon_value (front, "quince_share_refused_total", "tenant", "tenant-a") == -1);
   for (guint i = 0; i < PATH_MODEL; i++)
     standin_worker_set_fault (path->model[i], STANDIN_WORKER_REFUSES, G_MAXUINT);
-  g_autofree char *batch = path_make_batch ("b1", 2);
-  assert_int_equal (status_with_key (path_front (path, 0), "POST", "/r/1", "b1", batch, KEY_A1), 202);
+  submit (path, "b1", 2);
   AWAIT (read_daemon_value (replica, "quince_share_refused_total", "model", "model-a") > 0);
   for (guint i = 0; i < PATH_MODEL; i++)
     standin_worker_set_fault (path->model[i], STANDIN_WORKER_UNRESPONSIVE, G_MAXUINT);
@@ -253,14 +270,21 @@
   AWAIT (read_daemon_value (replica, "quince_share_last_step_behind_seconds", "model", "model-a") > 0);
   assert_true (read_daemon_value (replica, "quince_share_open_step_behind_seconds", "model", "model-a") == 0);
   assert_true (read_daemon_value (replica, "quince_share_running", "model", "model-a") == 0);
-  /* Samples at the slow worker move to a faster one. */
+  path_world_free (path);
+}
+
+/* Samples at the slow worker move to a faster one.  No worker has failed before: one that is ejected would get
+ * no sample, and nothing would move. */
+static void
+test_moves (void **state)
+{
+  g_autoptr (GSocket) replica_port = NULL;
+  g_autofree char *replica = reserve_address (&replica_port);
+  g_autofree char *replica_settings = g_strdup_printf ("metrics=%s\n", replica);
+  PathWorld *path = start_daemons ("share-moves", replica_settings, NULL);
   for (guint i = 0; i < PATH_MODEL; i++)
-    {
-      standin_worker_set_fault (path->model[i], STANDIN_WORKER_HEALTHY, 0);
-      standin_worker_set_events (path->model[i], EVENTS, i == 0 ? SLOW_EVENT_MS : EVENT_MS);
-    }
-  g_autofree char *moving = path_make_batch ("b2", 6);
-  assert_int_equal (status_with_key (path_front (path, 0), "POST", "/r/1", "b2", moving, KEY_A1), 202);
+    standin_worker_set_events (path->model[i], EVENTS, i == 0 ? SLOW_EVENT_MS : EVENT_MS);
+  submit (path, "b1", 6);
   AWAIT (read_daemon_value (replica, "quince_share_moves_total", "model", "model-a") > 0);
   assert_true (read_daemon_value (replica, "quince_share_moves_total", "zone", "z1") > 0);
   path_world_free (path);
@@ -274,6 +298,7 @@
     cmocka_unit_test (test_refusals_by_zone),
     cmocka_unit_test (test_many_tenants),
     cmocka_unit_test (test_daemons),
+    cmocka_unit_test (test_moves),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
