--- a/tests/platform/test-share-metrics.c
+++ b/tests/platform/test-share-metrics.c
@@ -217,7 +217,8 @@
   return g_strdup_printf ("127.0.0.1:%u", g_inet_socket_address_get_port (G_INET_SOCKET_ADDRESS (local)));
 }
 
-/* Starts a leader and a front that publish metrics at @replica and @front; the world points to the settings. */
+/* Starts a leader and a front that publish metrics at @replica and @front; the world points to the settings.
+ */
 static PathWorld *
 start_daemons (const char *name, const char *replica_settings, const char *front_settings)
 {
@@ -273,8 +274,8 @@
   path_world_free (path);
 }
 
-/* Samples at the slow worker move to a faster one.  No worker has failed before: one that is ejected would get
- * no sample, and nothing would move. */
+/* Samples at the slow worker move to a faster one.  No worker has failed before: one that is ejected would
+ * get no sample, and nothing would move. */
 static void
 test_moves (void **state)
 {
@@ -294,10 +295,8 @@
 main (void)
 {
   const struct CMUnitTest tests[] = {
-    cmocka_unit_test (test_slow_requests),
-    cmocka_unit_test (test_refusals_by_zone),
-    cmocka_unit_test (test_many_tenants),
-    cmocka_unit_test (test_daemons),
+    cmocka_unit_test (test_slow_requests), cmocka_unit_test (test_refusals_by_zone),
+    cmocka_unit_test (test_many_tenants),  cmocka_unit_test (test_daemons),
     cmocka_unit_test (test_moves),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
