Comments: a time or pace of 0 is unknown

Cause: the comments said '0: not measured', which reads like a remark about how a constant was chosen.

Change: comments only. Measured: the formatter agrees; the code is the same.

--- a/daemons/replica/sample-replication.c
+++ b/daemons/replica/sample-replication.c
@@ -49,7 +49,7 @@
   gint64 pace_us;
 } BatchValues;
 
-/* Returns the fastest pace at which the text of @sample could be generated again, us; 0: not measured. */
+/* Returns the fastest pace at which the text of @sample could be generated again, us; 0: unknown. */
 static gint64
 get_fastest_pace_us (QuinceSampleSet *set, const QuinceSample *sample, gint64 now_us)
 {
--- a/daemons/replica/sample-set.h
+++ b/daemons/replica/sample-set.h
@@ -73,7 +73,7 @@
 {
   const char *service;
   GPtrArray *workers;     /* owned reference: QuinceWorker */
-  gint64 fastest_pace_us; /* time between two events at the fastest worker; 0: not measured */
+  gint64 fastest_pace_us; /* time between two events at the fastest worker; 0: unknown */
   gint64 slow_phase_us;   /* mean duration of a slow phase of a worker; 0: not known */
   guint slots;            /* maximum concurrent runs of one worker */
 } QuinceSampleServiceView;
--- a/lib/core/batches/progress-selection.h
+++ b/lib/core/batches/progress-selection.h
@@ -25,7 +25,7 @@
  * @events: events in the text so far
  * @sent_events: events that the backup has received; 0: none
  * @remaining_events: expected number of further events; 0: the text is complete
- * @pace_us: time between two events, us; 0: not measured
+ * @pace_us: time between two events, us; 0: unknown
  * @bytes: size of the part of the text that the backup lacks: the whole text if @sent_events is 0
  */
 typedef struct
@@ -97,7 +97,7 @@
  * quince_progress_replaces_run:
  * @own_events: events that the running sample has
  * @offered_events: events of the text that another replica offers
- * @pace_us: time between two events, us; 0: not measured
+ * @pace_us: time between two events, us; 0: unknown
  *
  * Returns: whether the run is stopped and resumed from the offered text: that saves at least 0.5 s, more than
  * a new run costs
--- a/lib/core/batches/result-batching.h
+++ b/lib/core/batches/result-batching.h
@@ -49,9 +49,9 @@
 /**
  * quince_result_batching_expect_text_us:
  * @remaining_events: expected number of events that the text still needs
- * @pace_us: time between two events at its worker; 0: not measured
+ * @pace_us: time between two events at its worker; 0: unknown
  * @last_event_us: when its last event arrived; 0: none yet
- * @reward_time_us: usual duration of its reward call; 0: not measured, or it has none
+ * @reward_time_us: usual duration of its reward call; 0: unknown, or it has none
  *
  * Returns: when the result of a running sample is expected, or 0 if that cannot be estimated
  */
@@ -63,7 +63,7 @@
 /**
  * quince_result_batching_expect_reward_us:
  * @started_us: when the reward call started
- * @reward_time_us: usual duration of such a call; 0: not measured
+ * @reward_time_us: usual duration of such a call; 0: unknown
  *
  * A call that takes more than twice its usual time may have to be repeated, so its end is not predictable.
  *
--- a/lib/core/decisions/hedge.h
+++ b/lib/core/decisions/hedge.h
@@ -27,7 +27,7 @@
 /**
  * quince_hedge_delay_us:
  * @target_latency_us: latency target of the route, us; 0: none
- * @service_time_us: smoothed response time of the worker of the first attempt, us; 0: not measured
+ * @service_time_us: smoothed response time of the worker of the first attempt, us; 0: unknown
  *
  * Decides when the lookup is hedged: after three times the worker's response time, but at least 60 ms and
  * at most half the latency target.  It is half the target if the response time is not measured.  A latency
@@ -40,8 +40,8 @@
 /**
  * quince_hedge_route_delay_us:
  * @target_latency_us: latency target of the route, us; 0: none
- * @worker_us: smoothed response time of the route at the worker of the attempt, us; 0: not measured
- * @usual_us: usual response time of the route in the service, us; 0: not measured
+ * @worker_us: smoothed response time of the route at the worker of the attempt, us; 0: unknown
+ * @usual_us: usual response time of the route in the service, us; 0: unknown
  *
  * Decides when a request is hedged whose service serves routes of different latency targets: after three
  * times
--- a/lib/core/decisions/sample-move.h
+++ b/lib/core/decisions/sample-move.h
@@ -35,7 +35,7 @@
 /**
  * quince_sample_move_is_worthwhile:
  * @remaining: expected number of remaining events, from the length model
- * @pace_us: pace of the current worker, us; 0: not measured
+ * @pace_us: pace of the current worker, us; 0: unknown
  * @target_pace_us: pace of the other worker, us; the caller does not move a run to an unmeasured worker
  *
  * Decides whether a move saves enough time: at least 0.5 s and at least a quarter of the remaining time,
--- a/lib/core/decisions/silence.h
+++ b/lib/core/decisions/silence.h
@@ -16,7 +16,7 @@
 
 /**
  * quince_silence_sample_timeout_ms:
- * @pace_us: the worker's smoothed time between two events, us; 0: not measured, or the worker is loading
+ * @pace_us: the worker's smoothed time between two events, us; 0: unknown, or the worker is loading
  *   weights
  *
  * Decides how long a run of a sample may be silent: the time of thirty events of its worker, but at least
--- a/lib/core/routing/pace-history.h
+++ b/lib/core/routing/pace-history.h
@@ -16,7 +16,7 @@
 /* Zero-initialized: nothing is measured. */
 typedef struct
 {
-  gint64 usual_us;      /* usual time between two events; 0: not measured */
+  gint64 usual_us;      /* usual time between two events; 0: unknown */
   gint64 slow_since_us; /* start of the current slow phase; 0: it is not slow */
   /* Slow phases that ended; older ones count less. */
   double phases_sum_us;
--- a/lib/core/routing/route-times.h
+++ b/lib/core/routing/route-times.h
@@ -22,9 +22,9 @@
 G_DEFINE_AUTOPTR_CLEANUP_FUNC (QuinceRouteTimes, quince_route_times_free)
 /* Records a response to a request of @route after @elapsed_us. */
 void quince_route_times_record (QuinceRouteTimes *times, const char *route, gint64 elapsed_us);
-/* Returns the smoothed response time of @route, us; 0: not measured. */
+/* Returns the smoothed response time of @route, us; 0: unknown. */
 gint64 quince_route_times_get_smoothed_us (const QuinceRouteTimes *times, const char *route);
-/* Returns the usual response time of @route, us; 0: not measured.  It is an estimate of the median, so that
+/* Returns the usual response time of @route, us; 0: unknown.  It is an estimate of the median, so that
  * a slow minority of workers does not change it. */
 gint64 quince_route_times_get_usual_us (const QuinceRouteTimes *times, const char *route);
 /* Returns @elapsed_us as a multiple of the usual response time of @route, at least 1.  It is 1 if no response
--- a/lib/core/routing/worker-table.h
+++ b/lib/core/routing/worker-table.h
@@ -45,12 +45,12 @@
   guint consecutive_failures;
   gint64 ejected_until_us; /* until then it is used only if no other worker is available */
   guint service_time_us;   /* smoothed response time; 0: no response yet */
-  gint64 pace_us;          /* smoothed time between two events of a stream; 0: not measured */
+  gint64 pace_us;          /* smoothed time between two events of a stream; 0: unknown */
   gint64 pace_measured_us; /* time of the last measurement of the pace */
   QuincePaceHistory pace_history;
   /* Only of services whose routes have different latency targets; see worker-response.h. */
   QuinceRouteTimes *route_times; /* owned; NULL: no response yet */
-  double slowdown;               /* smoothed response time relative to the usual one; 0: not measured */
+  double slowdown;               /* smoothed response time relative to the usual one; 0: unknown */
   gint64 slowdown_measured_us;   /* time of the last measurement of the slowdown */
   gint64 full_until_us;          /* it refused a request and counts as full until then */
 } QuinceWorker;
