Store stand-in counts lists by client and prefix; event list_begun

Cause: test_whole_system_start counts list calls of all processes together and compares two counts of the same run, so it can't tell who lists what. Nor can the logs: a process says when a feed begins and ends, not when it lists.

A mirror logs event=list_begun with prefix, reason and revision, once a list.

--- a/lib/core/trace/log-vocabulary.c
+++ b/lib/core/trace/log-vocabulary.c
@@ -47,6 +47,7 @@
   "ledger_recovered",
   "ledger_role",
   "library_message",
+  "list_begun",
   "log_lines_left_out",
   "machine_emptied",
   "machine_leaving",
--- a/lib/meta/meta-mirror.c
+++ b/lib/meta/meta-mirror.c
@@ -226,12 +226,23 @@
     finish_list (mirror);
 }
 
+static void
+log_list_begun (const QuinceMetaMirror *mirror)
+{
+  g_autofree char *prefix = quince_log_quote (mirror->prefix);
+  quince_log_info ("list_begun", "prefix=%s reason=%s revision=%" G_GUINT64_FORMAT, prefix, mirror->reason,
+                   mirror->revision);
+}
+
 static void
 begin_list (QuinceMetaMirror *mirror)
 {
   mirror->watching = FALSE;
   if (mirror->listed_keys == NULL)
-    mirror->listed_keys = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+    {
+      log_list_begun (mirror);
+      mirror->listed_keys = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+    }
   mirror->call = quince_meta_store_list (mirror->store, mirror->prefix, mirror->list_after_key,
                                          mirror->reason, handle_list_reply, mirror);
 }
--- a/rehearsal/platform/standin-store-calls.c
+++ b/rehearsal/platform/standin-store-calls.c
@@ -232,6 +232,20 @@
   answer_json (call, 200, "{\"ttl_ms\":1000}");
 }
 
+static gboolean
+is_list (const StandinCall *call)
+{
+  return g_str_has_prefix (call->head->target, "/quinceroute/kv-range?");
+}
+
+static void
+count_list (StandinStore *store, const StandinCall *call)
+{
+  g_autofree char *prefix = get_query_parameter (call, "pathPrefix");
+  store->n_list_calls++;
+  standin_store_count_client_list (store, call, prefix);
+}
+
 static gboolean
 has_own_prefix (const char *target)
 {
@@ -244,7 +258,8 @@
   StandinStore *store = data;
   const char *target = call->head->target;
   store->n_calls++;
-  store->n_list_calls += g_str_has_prefix (target, "/quinceroute/kv-range?");
+  if (is_list (call))
+    count_list (store, call);
   if (store->fault == STANDIN_STORE_UNRESPONSIVE)
     g_ptr_array_add (store->unanswered_calls, call);
   else if (store->fault == STANDIN_STORE_MALFORMED_ANSWERS)
@@ -253,10 +268,10 @@
     answer_json (call, 503, "{}");
   else if (store->fault == STANDIN_STORE_CLOSES_CONNECTIONS)
     standin_call_close_connection (call);
-  else if (store->fault == STANDIN_STORE_FAILS_LISTS && g_str_has_prefix (target, "/quinceroute/kv-range?"))
+  else if (store->fault == STANDIN_STORE_FAILS_LISTS && is_list (call))
     answer_json (call, 503, "{}");
-  else if (store->fault == STANDIN_STORE_REJECTS_EVERY_SECOND_LIST
-           && g_str_has_prefix (target, "/quinceroute/kv-range?") && store->n_list_calls % 2 == 0)
+  else if (store->fault == STANDIN_STORE_REJECTS_EVERY_SECOND_LIST && is_list (call)
+           && store->n_list_calls % 2 == 0)
     answer_json (call, 429, "{}");
   else if (store->fault == STANDIN_STORE_FAILS_OWN_PREFIX && has_own_prefix (target))
     answer_json (call, 503, "{}");
@@ -265,7 +280,7 @@
     answer_json (call, 503, "{}");
   else if (g_str_has_prefix (target, "/quinceroute/kv-key?"))
     handle_key_read (store, call);
-  else if (g_str_has_prefix (target, "/quinceroute/kv-range?"))
+  else if (is_list (call))
     handle_list (store, call);
   else if (g_str_has_prefix (target, "/quinceroute/kv-watch?"))
     handle_watch (store, call);
--- a/rehearsal/platform/standin-store-private.h
+++ b/rehearsal/platform/standin-store-private.h
@@ -1,8 +1,9 @@
 /*
  * standin-store-private.h: state of the metadata store stand-in.
  *
- * standin-store-data.c keeps keys and leases, standin-store-calls.c answers calls and watches, and
- * standin-store.c implements the functions that tests call.
+ * standin-store-data.c keeps keys and leases, standin-store-calls.c answers calls and watches,
+ * standin-store-clients.c counts the calls of each client, and standin-store.c implements the other functions
+ * that tests call.
  */
 #pragma once
 
@@ -32,9 +33,17 @@
   gint64 expires_us;
 } StandinLease;
 
+typedef struct
+{
+  char *name;
+  StandinServer *server;   /* owned */
+  GHashTable *list_counts; /* prefix to the number of list calls, as GUINT_TO_POINTER */
+} StandinStoreClient;
+
 struct _StandinStore
 {
   StandinServer *server;
+  GPtrArray *clients; /* StandinStoreClient, owned */
   GHashTable *items;  /* StandinItem by key, owned */
   GPtrArray *history; /* StandinItem, owned: all changes after oldest_revision */
   GPtrArray *watches;
@@ -66,5 +75,10 @@
 
 /* Handles one call to the store @data. */
 void standin_store_handle_call (StandinCall *call, gpointer data);
+/* Counts a list call of @prefix for the client that made @call, if that has an address of its own. */
+void standin_store_count_client_list (StandinStore *store, const StandinCall *call, const char *prefix);
+/* Closes all connections, at whatever address. */
+void standin_store_close_all_connections (StandinStore *store);
+void standin_store_client_free (gpointer client);
 /* Answers watches that have changes to report or that have timed out. */
 void standin_store_check_watches (StandinStore *store);
--- a/rehearsal/platform/standin-store.c
+++ b/rehearsal/platform/standin-store.c
@@ -35,6 +35,7 @@
   store->unanswered_calls = g_ptr_array_new ();
   store->leases = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
   store->server = standin_server_new (standin_store_handle_call, store);
+  store->clients = g_ptr_array_new_with_free_func (standin_store_client_free);
   store->timer = g_timeout_add (EXPIRY_CHECK_INTERVAL_MS, check_leases_and_watches, store);
   return store;
 }
@@ -44,6 +45,7 @@
 {
   g_source_remove (store->timer);
   standin_server_free (store->server);
+  g_ptr_array_unref (store->clients);
   for (guint i = 0; i < store->watches->len; i++)
     standin_call_finish (((StandinWatch *)store->watches->pdata[i])->call);
   for (guint i = 0; i < store->unanswered_calls->len; i++)
@@ -98,14 +100,14 @@
   store->oldest_revision = store->revision + 1;
   store->revision++;
   g_ptr_array_set_size (store->history, 0);
-  standin_server_close_connections (store->server);
+  standin_store_close_all_connections (store);
   standin_store_check_watches (store);
 }
 
 void
 standin_store_close_connections (StandinStore *store)
 {
-  standin_server_close_connections (store->server);
+  standin_store_close_all_connections (store);
   standin_store_check_watches (store);
 }
 
@@ -128,7 +130,7 @@
   store->revision = store->saved_revision;
   store->oldest_revision = store->revision;
   g_ptr_array_set_size (store->history, 0);
-  standin_server_close_connections (store->server);
+  standin_store_close_all_connections (store);
   standin_store_check_watches (store);
 }
 
--- a/rehearsal/platform/standin-store.h
+++ b/rehearsal/platform/standin-store.h
@@ -61,3 +61,12 @@
 guint standin_store_get_n_calls (const StandinStore *store);
 /* Returns the number of list calls so far; each page is one call. */
 guint standin_store_get_n_list_calls (const StandinStore *store);
+
+/* ---- Clients -------------------------------------------------------------- */
+
+/* Returns an address of the store that only the client @name uses, so that its calls can be counted (transfer
+ * none).  The store begins to listen there at the first call for @name. */
+const char *standin_store_get_client_address (StandinStore *store, const char *name);
+/* Returns the number of list calls that the client @name has made so far; each page is one call.
+ * @prefix: exact prefix of the calls to count; NULL: all */
+guint standin_store_get_n_client_lists (const StandinStore *store, const char *name, const char *prefix);
--- a/tests/platform/path-world.h
+++ b/tests/platform/path-world.h
@@ -37,8 +37,9 @@
   StandinWorker *model[PATH_MODEL];
   QuinceProcess *fronts[PATH_FRONTS];
   QuinceProcess *replicas[PATH_REPLICAS];
-  gboolean bootstrapped; /* replicas that start from now on join the ledger instead of creating it */
-  const char *zones;     /* value of the setting "zones"; NULL: not set */
+  gboolean counts_store_clients; /* each process reaches the store at an address of its own */
+  gboolean bootstrapped;         /* replicas that start from now on join the ledger instead of creating it */
+  const char *zones;             /* value of the setting "zones"; NULL: not set */
   const char *front_zones[PATH_FRONTS];     /* NULL: z1 */
   const char *replica_zones[PATH_REPLICAS]; /* NULL: z1 */
   const char *orders;                       /* settings of [orders]; NULL: a pause of 500 ms */
@@ -185,6 +186,14 @@
   return process;
 }
 
+/* Returns the address at which the process @name reaches the store. */
+static inline const char *
+path_store_address (const PathWorld *world, const char *name)
+{
+  return world->counts_store_clients ? standin_store_get_client_address (world->store, name)
+                                     : standin_store_get_address (world->store);
+}
+
 /* Returns: (transfer full): the settings for the zone of a process */
 static inline char *
 path_format_zone_settings (const PathWorld *world, const char *zone)
@@ -203,7 +212,7 @@
       "directory=127.0.0.1:0\n%s[store]\naddress=%s\n%s[stop]\ngrace=8s\n[policy]\nfile=%s/deploy/"
       "policy.lua\n%s",
       name, zone_settings, world->front_listen_settings != NULL ? world->front_listen_settings : "",
-      standin_store_get_address (world->store), world->store_settings != NULL ? world->store_settings : "",
+      path_store_address (world, name), world->store_settings != NULL ? world->store_settings : "",
       g_getenv ("QUINCE_SOURCE_DIR"), world->extra_front_settings != NULL ? world->extra_front_settings : "");
   g_clear_pointer (&world->fronts[index], quince_process_free);
   world->fronts[index] = path_spawn (world, "quinceroute-front", name, settings);
@@ -222,8 +231,8 @@
       "policy.lua\n%s",
       name, zone_settings, world->links[index] != NULL ? world->links[index] : "127.0.0.1:0",
       world->replica_listen_settings != NULL ? world->replica_listen_settings : "",
-      standin_store_get_address (world->store), world->store_settings != NULL ? world->store_settings : "",
-      data, world->bootstrapped ? "false" : "true", world->losses != NULL ? world->losses : "losses=1",
+      path_store_address (world, name), world->store_settings != NULL ? world->store_settings : "", data,
+      world->bootstrapped ? "false" : "true", world->losses != NULL ? world->losses : "losses=1",
       world->orders != NULL ? world->orders : "pause=500ms", g_getenv ("QUINCE_SOURCE_DIR"),
       world->extra_replica_settings != NULL ? world->extra_replica_settings : "");
   g_clear_pointer (&world->replicas[index], quince_process_free);
