Members of the ledger wait for the leader to feed them the workers

Cause: since each replica of a new system lists all workers at its start, 13 x 50 calls. Before, a replica listed them as soon as a view named it as a member. Normally the leader's feed comes first. A replica that starts after the first view was written is named while its watch of the own keys waits at the store; the answer of that watch then races with the first page of the leader, which begins to lead with the same write. A member that restarts lists too, although its leader lives.

Change: a member lists the workers only if no other process feeds it: at once if the view names it as the leader, after 0.3 s without a link to a leader, after 1.5 s with one (quince_store_reads_get_member_wait_ms, member-feed-wait).

Why it holds: the view makes a replica a member only once it follows the leader, so it has the link when it is named, and the leader has begun its own list by then. Who waits longer than 1.5 s lists itself: three replicas at most, not all.

The test failed before: platform-worker-lists on test_new_system, test_late_replicas_of_new_system (20 pages by a replica that does not lead) and test_member_restart; on test_new_system and test_late_replicas_of_new_system in a run of its own.

--- a/daemons/replica/replica-parts.h
+++ b/daemons/replica/replica-parts.h
@@ -17,6 +17,7 @@
 #include "feed-service.h"
 #include "heartbeats.h"
 #include "ledger-node.h"
+#include "member-feed-wait.h"
 #include "order-records.h"
 #include "progress-copies.h"
 #include "progress-file.h"
@@ -45,6 +46,7 @@
  * @order_records: records of the workers that this leader orders
  * @leadership: weight orders, while this replica leads
  * @feed: feeds other processes with what this one reads or is fed
+ * @member_feed_wait: lists the workers if this replica is a member of the ledger and is not fed in time
  * @heartbeats: to fronts, at the leader
  * @quarantine: quarantine of suspect requests; grants permits at the leader
  * @warmup: warm-up of cold workers; grants sends at the leader
@@ -71,6 +73,7 @@
   QuinceOrderRecords *order_records;
   QuinceReplicaLeadership *leadership;
   QuinceFeedService *feed;
+  QuinceMemberFeedWait *member_feed_wait;
   QuinceHeartbeats *heartbeats;
   QuinceQuarantineCoordinator *quarantine;
   QuinceWarmupCoordinator *warmup;
--- a/daemons/replica/replica-setup.c
+++ b/daemons/replica/replica-setup.c
@@ -60,11 +60,11 @@
 {
   QuinceObserverOptions options;
   quince_observer_read_options (settings, &options);
-  /* Before the ledger exists, each replica may be a member of it, and has to feed the others soon. */
-  options.workers_wait_to_be_fed = !quince_settings_get_boolean (settings, "ledger", "found");
+  options.workers_wait_to_be_fed = TRUE;
   parts->observer = quince_observer_new (parts->store, parts->backends, &quince_platform_observer_codec,
                                          &options, &quince_replica_store_callbacks, parts);
   quince_warmup_coordinator_set_observer (parts->warmup, parts->observer);
+  parts->member_feed_wait = quince_member_feed_wait_new (parts->observer, parts->name);
   parts->feed = quince_feed_service_new (parts->observer);
 }
 
--- a/daemons/replica/replica-store-events.c
+++ b/daemons/replica/replica-store-events.c
@@ -22,8 +22,7 @@
   if (g_str_equal (key, QUINCE_LEDGER_KEY) && parts->ledger != NULL)
     {
       quince_ledger_node_set_view (parts->ledger, value, revision);
-      if (quince_replica_is_reserve_reader (parts))
-        quince_observer_list_workers (parts->observer);
+      quince_member_feed_wait_check (parts->member_feed_wait, parts->ledger);
     }
   else if (g_str_has_prefix (key, QUINCE_FRONTS_PREFIX))
     quince_heartbeats_set_listed (parts->heartbeats, key + strlen (QUINCE_FRONTS_PREFIX), value != NULL);
--- a/daemons/replica/replica.c
+++ b/daemons/replica/replica.c
@@ -39,6 +39,7 @@
   quince_quarantine_coordinator_step (parts->quarantine);
   quince_warmup_coordinator_step (parts->warmup);
   quince_feed_service_step (parts->feed);
+  quince_member_feed_wait_check (parts->member_feed_wait, parts->ledger);
   quince_observer_set_reserve_reader (parts->observer, quince_replica_is_reserve_reader (parts));
   quince_retirement_step (parts->retirement);
   return G_SOURCE_CONTINUE;
@@ -113,6 +114,7 @@
   quince_ledger_node_free (parts->ledger);
   quince_residency_coordinator_free (parts->residency);
   quince_feed_service_free (parts->feed);
+  quince_member_feed_wait_free (parts->member_feed_wait);
   quince_observer_free (parts->observer);
   quince_meta_store_free (parts->store);
   quince_quarantine_coordinator_free (parts->quarantine);
--- a/lib/core/decisions/store-reads.c
+++ b/lib/core/decisions/store-reads.c
@@ -22,6 +22,14 @@
                                  .probe_interval_max_ms = PROBE_INTERVAL_MAX_MS + margin_ms };
 }
 
+guint
+quince_store_reads_get_member_wait_ms (gboolean is_primary, gboolean is_linked)
+{
+  if (is_primary)
+    return 0;
+  return is_linked ? QUINCE_STORE_FIRST_READ_WAIT_MS : QUINCE_STORE_UNLINKED_MEMBER_WAIT_MS;
+}
+
 guint
 quince_store_reads_next_interval_ms (guint interval_ms,
                                      guint interval_min_ms,
--- /dev/null
+++ b/tests/platform/test-worker-lists.c
@@ -0,0 +1,183 @@
+/*
+ * test-worker-lists.c: guards against replicas that list the workers although the leader feeds them, which
+ * overloads the metadata store when a large deployment starts.
+ *
+ * Each process has an address of the store of its own, so that the checks name who lists what.
+ */
+#define PATH_FRONTS 3
+#define PATH_REPLICAS 5
+
+#include "path-world.h"
+
+/* Prefix of the workers' entries in the store. */
+#define WORKERS_PREFIX "servers/"
+/* Workers that no request goes to, so that a list of all has many pages. */
+#define IDLE_WORKERS 35
+/* Pages in a list of all workers; the store stand-in puts two entries on each. */
+#define WORKER_PAGES ((PATH_PLAIN + PATH_MODEL + IDLE_WORKERS + 1) / 2)
+/* Members of the ledger with the setting losses=1. */
+#define MEMBERS 3
+/* Longer than any process waits to be fed before it lists a prefix itself, ms. */
+#define LISTS_END_MS 2500
+
+static PathWorld *
+lists_world_new (const char *name)
+{
+  PathWorld *world = path_world_new (name);
+  world->counts_store_clients = TRUE;
+  path_configure (world, 7);
+  path_register_workers (world);
+  for (guint i = 0; i < IDLE_WORKERS; i++)
+    {
+      g_autofree char *key = g_strdup_printf (WORKERS_PREFIX "idle%u", i);
+      g_autofree char *entry = standin_worker_make_entry (world->plain[0], "idle", "ready");
+      standin_store_put (world->store, key, entry);
+    }
+  return world;
+}
+
+static guint64
+get_view_revision (const PathWorld *world)
+{
+  return standin_store_get_revision (world->store, "quinceroute/ledger");
+}
+
+static void
+await_service (PathWorld *world)
+{
+  for (guint i = 0; i < PATH_FRONTS; i++)
+    {
+      AWAIT (path_status (path_front (world, i), "GET", "/quinceroute/lots/none", "q", NULL) == 404);
+      AWAIT (path_status (path_front (world, i), "POST", "/l/1", "q", "x") == 200);
+    }
+}
+
+static guint
+count_worker_lists (const PathWorld *world, guint replica)
+{
+  g_autofree char *name = g_strdup_printf ("replica-%u", replica);
+  return standin_store_get_n_client_lists (world->store, name, WORKERS_PREFIX);
+}
+
+/* Checks that the leader listed the workers once, and no other replica did. */
+static void
+check_leader_lists_workers (PathWorld *world)
+{
+  run_for (LISTS_END_MS);
+  gint leader = path_find_leader (world);
+  for (guint i = 0; i < PATH_REPLICAS; i++)
+    assert_int_equal (count_worker_lists (world, i), (gint)i == leader ? WORKER_PAGES : 0);
+}
+
+static void
+check_fronts_list_view (const PathWorld *world)
+{
+  for (guint i = 0; i < PATH_FRONTS; i++)
+    {
+      g_autofree char *name = g_strdup_printf ("front-%u", i);
+      assert_int_equal (standin_store_get_n_client_lists (world->store, name, "quinceroute/ledger"), 1);
+      assert_int_equal (standin_store_get_n_client_lists (world->store, name, NULL), 1);
+    }
+}
+
+/* All processes of a new system start together. */
+static void
+test_new_system (void **state)
+{
+  PathWorld *world = lists_world_new ("worker-lists-new");
+  for (guint i = 0; i < PATH_REPLICAS; i++)
+    path_start_replica (world, i);
+  for (guint i = 0; i < PATH_FRONTS; i++)
+    path_start_front (world, i);
+  await_service (world);
+  check_leader_lists_workers (world);
+  check_fronts_list_view (world);
+  path_world_free (world);
+}
+
+/* The other replicas of a new system start one after another once the first one has written the view, so that
+ * each reads the change of the view that adds it as a member when the leader begins to feed it. */
+static void
+test_late_replicas_of_new_system (void **state)
+{
+  PathWorld *world = lists_world_new ("worker-lists-late");
+  path_start_replica (world, 0);
+  AWAIT (get_view_revision (world) > 0);
+  for (guint i = 1; i < MEMBERS; i++)
+    {
+      guint64 revision = get_view_revision (world);
+      path_start_replica (world, i);
+      AWAIT (get_view_revision (world) > revision);
+    }
+  for (guint i = MEMBERS; i < PATH_REPLICAS; i++)
+    path_start_replica (world, i);
+  for (guint i = 0; i < PATH_FRONTS; i++)
+    path_start_front (world, i);
+  await_service (world);
+  check_leader_lists_workers (world);
+  path_world_free (world);
+}
+
+/* A member of the ledger restarts while the leader lives. */
+static void
+test_member_restart (void **state)
+{
+  PathWorld *world = lists_world_new ("worker-lists-member");
+  path_world_start (world);
+  gint leader = path_find_leader (world);
+  for (guint i = 0; i < PATH_REPLICAS; i++)
+    {
+      if ((gint)i == leader)
+        continue;
+      guint before = count_worker_lists (world, i);
+      quince_process_kill (world->replicas[i]);
+      path_start_replica (world, i);
+      run_for (LISTS_END_MS);
+      assert_int_equal (count_worker_lists (world, i) - before, 0);
+    }
+  path_world_free (world);
+}
+
+/* All processes are killed and start again: only members of the ledger, any of which may lead next, list. */
+static void
+test_restart_of_all (void **state)
+{
+  PathWorld *world = lists_world_new ("worker-lists-all");
+  path_reserve_links (world);
+  path_world_start (world);
+  guint before[PATH_REPLICAS];
+  for (guint i = 0; i < PATH_REPLICAS; i++)
+    {
+      quince_process_kill (world->replicas[i]);
+      before[i] = count_worker_lists (world, i);
+    }
+  for (guint i = 0; i < PATH_FRONTS; i++)
+    quince_process_kill (world->fronts[i]);
+  for (guint i = 0; i < PATH_REPLICAS; i++)
+    path_start_replica (world, i);
+  for (guint i = 0; i < PATH_FRONTS; i++)
+    path_start_front (world, i);
+  await_service (world);
+  run_for (LISTS_END_MS);
+  guint listing = 0;
+  for (guint i = 0; i < PATH_REPLICAS; i++)
+    {
+      guint lists = count_worker_lists (world, i) - before[i];
+      assert_in_range (lists, 0, WORKER_PAGES);
+      listing += lists > 0;
+    }
+  assert_in_range (listing, 1, MEMBERS);
+  path_world_free (world);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_new_system),
+    cmocka_unit_test (test_late_replicas_of_new_system),
+    cmocka_unit_test (test_member_restart),
+    cmocka_unit_test (test_restart_of_all),
+  };
+  return cmocka_run_group_tests_name ("worker-lists", tests, NULL, NULL);
+}
--- a/tests/unit/test-decisions-store-reads.c
+++ b/tests/unit/test-decisions-store-reads.c
@@ -82,13 +82,24 @@
     }
 }
 
+/* A member of the ledger lists the workers itself only if no other process feeds it. */
+static void
+test_member_waits_to_be_fed (void **state)
+{
+  assert_int_equal (quince_store_reads_get_member_wait_ms (TRUE, FALSE), 0);
+  guint unlinked_ms = quince_store_reads_get_member_wait_ms (FALSE, FALSE);
+  guint linked_ms = quince_store_reads_get_member_wait_ms (FALSE, TRUE);
+  assert_true (unlinked_ms > 0 && unlinked_ms < linked_ms);
+  assert_true (linked_ms < BOUND_MIN_MS);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_burst_of_writes),        cmocka_unit_test (test_reader_interval_in_a_burst),
     cmocka_unit_test (test_calls_without_a_leader), cmocka_unit_test (test_changes_are_known_in_time),
-    cmocka_unit_test (test_readers_read_first),
+    cmocka_unit_test (test_readers_read_first),     cmocka_unit_test (test_member_waits_to_be_fed),
   };
   return cmocka_run_group_tests_name ("decisions-store-reads", tests, NULL, NULL);
 }
