Fronts of a new system wait for a leader that can lead

What callers saw: nothing is answered sooner or later; the store saw each front of a new system list the small prefixes and the workers (24 calls in place of one, with 20 pages of workers), at a moment at which it also takes the leader's list.

Cause: a front waits 0.3 s from the first view it reads for the feed of the leader that it names. The first view of a new ledger names its founder, which is the only member and can't lead before a second replica has joined and followed: a state that nobody has written yet. Where the other replicas start 0.3 s later than the fronts, the wait is over before there is a leader.

Evidence: platform-worker-lists test_fronts_start_before_quorum, new: the founder and the fronts first, the other replicas 0.3 s after the view.

Change: the wait of 0.3 s begins with the first view that is not the initial one (quince_ledger_view_is_initial). Until then the front waits 1.5 s from its start, as it does without any view.

Why it holds: the founder has the front's subscription by then, and feeds it with the write that makes it lead. In a ledger that tolerates no losses the initial view stays: its leader feeds at once; a front that starts while it is dead serves 1.2 s later.

--- a/daemons/front/feed-wait.c
+++ b/daemons/front/feed-wait.c
@@ -13,8 +13,9 @@
 #define VIEW_READ_INTERVAL_MIN_MS 300
 /* Maximum time between two reads of the view if the store answers immediately, ms. */
 #define VIEW_READ_INTERVAL_MAX_MS 1000
-/* Maximum time from the first view until the front is fed, ms.  It allows a leader that starts at the same
- * time to listen, and a busy leader to accept the connection and to handle the subscription. */
+/* Maximum time from the first view with a leader that may feed until the front is fed, ms.  It allows a
+ * leader that starts at the same time to listen, and a busy leader to accept the connection and to handle the
+ * subscription. */
 #define FEED_TIMEOUT_MS 300
 typedef enum
 {
@@ -31,8 +32,8 @@
   QuinceMetaMirror *mirror; /* owned, of the view; NULL: the observer lists it */
   QuinceTimer *timer;       /* ends the wait of the stage */
   Stage stage;
-  char *node; /* name of this front */
-  gboolean view_known;
+  char *node;            /* name of this front */
+  gboolean leader_known; /* a view named a leader that may feed */
   QuinceLedgerViewRead view_read;
   gpointer user_data;
 };
@@ -72,10 +73,10 @@
   QuinceFeedWait *wait = data;
   if (item->value == NULL || !g_str_equal (item->key, QUINCE_LEDGER_KEY))
     return;
-  if (!wait->view_known)
+  gboolean may_feed = wait->view_read (item->value, item->revision, wait->user_data);
+  if (may_feed && !wait->leader_known)
     set_timer (wait, FEED_TIMEOUT_MS, feed_timed_out);
-  wait->view_known = TRUE;
-  wait->view_read (item->value, item->revision, wait->user_data);
+  wait->leader_known = wait->leader_known || may_feed;
 }
 
 static const QuinceMetaMirrorCallbacks mirror_callbacks = { .item = handle_item };
--- a/daemons/front/feed-wait.h
+++ b/daemons/front/feed-wait.h
@@ -3,7 +3,8 @@
  * metadata store itself.
  *
  * To limit the calls to the store, a front that starts reads only the ledger's view, which names the leader,
- * and gets all other keys from the store feed of the leader or of a relay.  If none feeds it in time, the
+ * and gets all other keys from the store feed of the leader or of a relay.  In a new system it waits until
+ * the replica that the first view names may lead, which needs other members.  If none feeds it in time, the
  * front lists the operator's keys and the product's own keys, which are few, and the first page of the
  * workers, with which it can serve.  It lists the other workers when it is its turn among all fronts
  * (core/decisions/list-turn.h).
@@ -20,8 +21,9 @@
 typedef struct _QuinceFeedWait QuinceFeedWait;
 
 /* Called for the current view and for each later one, until the front lists the store.  @value: the encoded
- * view; not NULL.  @revision: revision of the key in the store */
-typedef void (*QuinceLedgerViewRead) (GBytes *value, guint64 revision, gpointer user_data);
+ * view; not NULL.  @revision: revision of the key in the store
+ * Returns: whether the leader that the view names may feed this front already */
+typedef gboolean (*QuinceLedgerViewRead) (GBytes *value, guint64 revision, gpointer user_data);
 
 /* Returns: (transfer full): the wait.  @store and @observer are not owned and must outlive it; the observer
  * waits to be fed.
--- a/daemons/front/front.c
+++ b/daemons/front/front.c
@@ -10,6 +10,7 @@
 #include <string.h>
 
 #include "core/decisions/store-reads.h"
+#include "core/group/ledger-view.h"
 #include "forward/policy-entry.h"
 #include "http1/text-server.h"
 #include "meta/meta-presence.h"
@@ -53,7 +54,8 @@
 
 /* ---- Events of the observer -------------------------------------------- */
 
-static void
+/* Returns: whether the leader that the view names may feed this front already */
+static gboolean
 apply_ledger_view (GBytes *value, guint64 revision, gpointer user_data)
 {
   Front *front = user_data;
@@ -61,11 +63,14 @@
   gconstpointer data = g_bytes_get_data (value, &length);
   g_autoptr (GError) error = NULL;
   g_autoptr (QuinceLedgerView) view = quince_ledger_view_decode (data, length, &error);
-  if (view != NULL)
-    quince_ledger_caller_set_view (front->context.ledger, view);
-  else
-    quince_log_warning ("entry_refused", "what=ledger_view revision=%" G_GUINT64_FORMAT " code=%d", revision,
-                        error->code);
+  if (view == NULL)
+    {
+      quince_log_warning ("entry_refused", "what=ledger_view revision=%" G_GUINT64_FORMAT " code=%d",
+                          revision, error->code);
+      return FALSE;
+    }
+  quince_ledger_caller_set_view (front->context.ledger, view);
+  return !quince_ledger_view_is_initial (view);
 }
 
 static void
--- a/lib/core/group/ledger-proposals.c
+++ b/lib/core/group/ledger-proposals.c
@@ -15,7 +15,7 @@
 make_initial_view (QuinceLedgerGroup *group)
 {
   QuinceLedgerView *view = g_new0 (QuinceLedgerView, 1);
-  view->epoch = 1;
+  view->epoch = QUINCE_LEDGER_INITIAL_EPOCH;
   view->primary = group->self.replica;
   quince_ledger_view_add (view, group->self.node, group->self.address, group->self.replica);
   group->proposed_epoch = view->epoch;
--- a/lib/core/group/ledger-view.c
+++ b/lib/core/group/ledger-view.c
@@ -21,6 +21,12 @@
   return FALSE;
 }
 
+gboolean
+quince_ledger_view_is_initial (const QuinceLedgerView *view)
+{
+  return view->epoch == QUINCE_LEDGER_INITIAL_EPOCH && view->members.members_len == 1;
+}
+
 void
 quince_ledger_view_add (QuinceLedgerView *view, const char *node, const char *address, guint64 replica)
 {
--- a/tests/platform/test-worker-lists.c
+++ b/tests/platform/test-worker-lists.c
@@ -17,6 +17,8 @@
 #define WORKER_PAGES ((PATH_PLAIN + PATH_MODEL + IDLE_WORKERS + 1) / 2)
 /* Members of the ledger with the setting losses=1. */
 #define MEMBERS 3
+/* The machines of the platform start within this time of each other, ms. */
+#define START_SPREAD_MS 300
 /* Longer than any process waits to be fed before it lists a prefix itself, ms. */
 #define LISTS_END_MS 2500
 
@@ -118,6 +120,25 @@
   path_world_free (world);
 }
 
+/* The replica that founds the ledger and the fronts start before the other replicas: the first view names a
+ * replica that can't lead alone, and so can't feed the fronts yet. */
+static void
+test_fronts_start_before_quorum (void **state)
+{
+  PathWorld *world = lists_world_new ("worker-lists-quorum");
+  path_start_replica (world, 0);
+  AWAIT (get_view_revision (world) > 0);
+  for (guint i = 0; i < PATH_FRONTS; i++)
+    path_start_front (world, i);
+  run_for (START_SPREAD_MS);
+  for (guint i = 1; i < PATH_REPLICAS; i++)
+    path_start_replica (world, i);
+  await_service (world);
+  check_leader_lists_workers (world);
+  check_fronts_list_view (world);
+  path_world_free (world);
+}
+
 /* A member of the ledger restarts while the leader lives. */
 static void
 test_member_restart (void **state)
@@ -176,6 +197,7 @@
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_new_system),
     cmocka_unit_test (test_late_replicas_of_new_system),
+    cmocka_unit_test (test_fronts_start_before_quorum),
     cmocka_unit_test (test_member_restart),
     cmocka_unit_test (test_restart_of_all),
   };
