Tests: a refused read of results fails the check instead of the program

Cause: after the results of a batch were complete at one front, the tests read them again, and passed the text to path_count_occurrences() without a check. path_fetch_results() returns NULL where the front does not answer 200, and strstr (NULL) ends the program.

Change: path_read_results() fails the test and names the status and the body; used wherever the text is taken for granted (7 programs). No check is weaker: what ended the program now fails the case.

--- a/tests/platform/path-world.h
+++ b/tests/platform/path-world.h
@@ -468,18 +468,39 @@
   return count;
 }
 
+/* Reads all results of the batch as JSON, waits for the answer and returns its status.  The caller clears
+ * @answer. */
+static inline guint
+path_call_results (PathWorld *world, guint front, const char *batch, PathAnswer *answer)
+{
+  g_autofree char *target = g_strdup_printf ("/quinceroute/lots/%s?afterRev=0", batch);
+  return path_call (path_front (world, front), "GET", target, "q", NULL, answer);
+}
+
 /* Returns: (transfer full) (nullable): all results of the batch as JSON, or NULL if the read failed */
 static inline char *
 path_fetch_results (PathWorld *world, guint front, const char *batch)
 {
-  g_autofree char *target = g_strdup_printf ("/quinceroute/lots/%s?afterRev=0", batch);
   PathAnswer answer;
-  guint status = path_call (path_front (world, front), "GET", target, "q", NULL, &answer);
+  guint status = path_call_results (world, front, batch, &answer);
   char *text = status == 200 ? g_strdup (answer.body) : NULL;
   path_answer_clear (&answer);
   return text;
 }
 
+/* Returns: (transfer full): all results of the batch as JSON.  Fails the test if the read fails. */
+static inline char *
+path_read_results (PathWorld *world, guint front, const char *batch)
+{
+  PathAnswer answer;
+  guint status = path_call_results (world, front, batch, &answer);
+  char *text = g_strdup (answer.body);
+  path_answer_clear (&answer);
+  if (status != 200)
+    fail_msg ("front %u answered %u to the read of batch %s: %s", front, status, batch, text);
+  return text;
+}
+
 /* Returns the number of results of the batch, or 0 if the read failed. */
 static inline guint
 path_count_results (PathWorld *world, guint front, const char *batch)
--- a/tests/platform/test-leaving.c
+++ b/tests/platform/test-leaving.c
@@ -349,7 +349,7 @@
     {
       g_autofree char *batch = g_strdup_printf ("b%u", i);
       AWAIT (path_count_results (path, 0, batch) == BATCH_ITEMS);
-      g_autofree char *text = path_fetch_results (path, 1, batch);
+      g_autofree char *text = path_read_results (path, 1, batch);
       assert_int_equal (path_count_occurrences (text, "\"state\":\"completed\""), BATCH_ITEMS);
       assert_int_equal (path_count_occurrences (text, "\"message\":\"e1\\ne2\\ne3\\ne4\\ne5\\ne6\""),
                         BATCH_ITEMS);
--- a/tests/platform/test-malformed.c
+++ b/tests/platform/test-malformed.c
@@ -82,7 +82,7 @@
   g_autofree char *text = path_make_batch (batch, BATCH_ITEMS);
   AWAIT (path_status (path_front (scene.world, 0), "POST", "/r/batch", batch, text) == 202);
   AWAIT (path_count_results (scene.world, 1, batch) == BATCH_ITEMS);
-  g_autofree char *results = path_fetch_results (scene.world, 0, batch);
+  g_autofree char *results = path_read_results (scene.world, 0, batch);
   assert_int_equal (path_count_occurrences (results, "\"state\":\"completed\""), BATCH_ITEMS);
 }
 
--- a/tests/platform/test-path.c
+++ b/tests/platform/test-path.c
@@ -19,7 +19,7 @@
 assert_whole (PathWorld *world, guint front, const char *batch, guint items)
 {
   AWAIT (path_count_results (world, front, batch) == items);
-  g_autofree char *text = path_fetch_results (world, front, batch);
+  g_autofree char *text = path_read_results (world, front, batch);
   assert_int_equal (path_count_occurrences (text, WHOLE_TEXT), items);
   assert_int_equal (path_count_occurrences (text, "\"state\":\"completed\""), items);
   assert_int_equal (path_count_occurrences (text, "\"score\":\"stamp-p"), items);
@@ -156,8 +156,8 @@
   submit (world, 0, "b1", ITEMS);
   submit (world, 1, "b1", ITEMS); /* again, elsewhere: taken once */
   assert_whole (world, 0, "b1", ITEMS);
-  g_autofree char *here = path_fetch_results (world, 0, "b1");
-  g_autofree char *there = path_fetch_results (world, 1, "b1");
+  g_autofree char *here = path_read_results (world, 0, "b1");
+  g_autofree char *there = path_read_results (world, 1, "b1");
   assert_string_equal (here, there);
   PathAnswer answer;
   assert_int_equal (
@@ -221,13 +221,13 @@
     standin_worker_set_fault (world->model[j], STANDIN_WORKER_UNPROCESSABLE, 1);
   submit (world, 0, "b1", ITEMS);
   AWAIT (path_count_results (world, 0, "b1") == ITEMS);
-  g_autofree char *text = path_fetch_results (world, 0, "b1");
+  g_autofree char *text = path_read_results (world, 0, "b1");
   assert_int_equal (path_count_occurrences (text, "\"state\":\"abandoned\""), PATH_MODEL);
   for (guint j = 0; j < PATH_MODEL; j++)
     standin_worker_set_fault (world->model[j], STANDIN_WORKER_FAILS, G_MAXUINT);
   submit (world, 0, "b2", 2);
   AWAIT (path_count_results (world, 0, "b2") == 2);
-  g_autofree char *failed = path_fetch_results (world, 0, "b2");
+  g_autofree char *failed = path_read_results (world, 0, "b2");
   assert_int_equal (path_count_occurrences (failed, "\"state\":\"abandoned\""), 2);
   path_world_free (world);
 }
@@ -245,7 +245,7 @@
       g_autofree char *batch = g_strdup_printf ("b%u", round);
       submit (world, 0, batch, ITEMS);
       AWAIT (path_count_results (world, 0, batch) > 0);
-      g_autofree char *before = path_fetch_results (world, 0, batch);
+      g_autofree char *before = path_read_results (world, 0, batch);
       gint leader = path_find_leader (world);
       assert_int_not_equal (leader, -1);
       quince_process_kill (world->replicas[leader]);
@@ -253,7 +253,7 @@
         path_delete_replica_data (world, (guint)leader);
       path_start_replica (world, (guint)leader);
       assert_whole (world, 1, batch, ITEMS);
-      g_autofree char *after = path_fetch_results (world, 1, batch);
+      g_autofree char *after = path_read_results (world, 1, batch);
       /* What was listed stands where it stood. */
       g_autofree char *listed = g_strdup (strstr (before, "\"results\":["));
       assert_true (strncmp (strstr (after, "\"results\":["), listed, strlen (listed) - 2) == 0);
--- a/tests/platform/test-planned-stop.c
+++ b/tests/platform/test-planned-stop.c
@@ -267,7 +267,7 @@
     {
       g_autofree char *batch = g_strdup_printf ("b%u", i);
       AWAIT (path_count_results (traffic->world, i % PATH_FRONTS, batch) == BATCH_ITEMS);
-      g_autofree char *text = path_fetch_results (traffic->world, i % PATH_FRONTS, batch);
+      g_autofree char *text = path_read_results (traffic->world, i % PATH_FRONTS, batch);
       assert_int_equal (path_count_occurrences (text, "\"state\":\"completed\""), BATCH_ITEMS);
       assert_int_equal (path_count_occurrences (text, "\"message\":\"e1\\ne2\\ne3\\ne4\\ne5\\ne6\""),
                         BATCH_ITEMS);
--- a/tests/platform/test-policy-in-force.c
+++ b/tests/platform/test-policy-in-force.c
@@ -188,7 +188,7 @@
 assert_trained (Scene *scene, guint front, const char *batch, guint oldest)
 {
   AWAIT (path_count_results (scene->world->path, front, batch) == BATCH_ITEMS);
-  g_autofree char *text = path_fetch_results (scene->world->path, front, batch);
+  g_autofree char *text = path_read_results (scene->world->path, front, batch);
   assert_int_equal (path_count_occurrences (text, "\"state\":\"completed\""), BATCH_ITEMS);
   assert_int_equal (path_count_occurrences (text, "\"message\":\"e1\\ne2\\ne3\\ne4\\ne5\\ne6\""),
                     BATCH_ITEMS);
--- a/tests/platform/test-progress-copies.c
+++ b/tests/platform/test-progress-copies.c
@@ -158,7 +158,7 @@
   g_autofree char *text = NULL;
   const ZoneBatch *batch = scene->zones->batches->pdata[0];
   AWAIT (path_count_results (scene->path, 0, batch->id) == ZONE_ITEMS);
-  text = path_fetch_results (scene->path, 0, batch->id);
+  text = path_read_results (scene->path, 0, batch->id);
   assert_int_equal (path_count_occurrences (text, WHOLE_TEXT), ZONE_ITEMS);
   assert_int_equal (path_count_occurrences (text, "\"message\":\"e1\\ne2\\ne3\\n"), ZONE_ITEMS);
   assert_int_equal (path_count_occurrences (text, "\"versions\":[1]"), ZONE_ITEMS);
--- a/tests/platform/test-succession.c
+++ b/tests/platform/test-succession.c
@@ -24,7 +24,7 @@
 assert_whole (PathWorld *world, guint front, const char *batch)
 {
   AWAIT (path_count_results (world, front, batch) >= ITEMS);
-  g_autofree char *text = path_fetch_results (world, front, batch);
+  g_autofree char *text = path_read_results (world, front, batch);
   assert_int_equal (path_count_occurrences (text, "\"state\":"), ITEMS);
   assert_int_equal (path_count_occurrences (text, WHOLE_TEXT), ITEMS);
 }
