--- a/daemons/replica/member-feed-wait.c
+++ b/daemons/replica/member-feed-wait.c
@@ -45,8 +45,8 @@
   if (wait->member_since_us == 0)
     wait->member_since_us = now_us;
   gboolean is_primary = view->primary == quince_ledger_node_get_replica_id (ledger);
-  gboolean is_linked = quince_ledger_node_get_leader_link (ledger) != NULL;
-  gint64 wait_us = (gint64)quince_store_reads_get_member_wait_ms (is_primary, is_linked) * 1000;
+  gboolean is_connected = quince_ledger_node_get_leader_link (ledger) != NULL;
+  gint64 wait_us = (gint64)quince_store_reads_get_member_wait_ms (is_primary, is_connected) * 1000;
   if (now_us - wait->member_since_us >= wait_us)
     quince_observer_list_workers (wait->observer);
 }
--- a/lib/core/decisions/store-reads.c
+++ b/lib/core/decisions/store-reads.c
@@ -23,11 +23,11 @@
 }
 
 guint
-quince_store_reads_get_member_wait_ms (gboolean is_primary, gboolean is_linked)
+quince_store_reads_get_member_wait_ms (gboolean is_primary, gboolean is_connected)
 {
   if (is_primary)
     return 0;
-  return is_linked ? QUINCE_STORE_FIRST_READ_WAIT_MS : QUINCE_STORE_UNLINKED_MEMBER_WAIT_MS;
+  return is_connected ? QUINCE_STORE_FIRST_READ_WAIT_MS : QUINCE_STORE_UNCONNECTED_MEMBER_WAIT_MS;
 }
 
 guint
--- a/lib/core/decisions/store-reads.h
+++ b/lib/core/decisions/store-reads.h
@@ -32,7 +32,7 @@
 /* How long a member of the ledger that is not connected to a leader waits to be fed before it lists the
  * workers itself, ms.  Long enough to connect to a leader that lives; shorter than an election, so that the
  * next leader knows the workers when it is elected. */
-#define QUINCE_STORE_UNLINKED_MEMBER_WAIT_MS 300
+#define QUINCE_STORE_UNCONNECTED_MEMBER_WAIT_MS 300
 
 /**
  * QuinceStoreReadTimes:
@@ -60,7 +60,8 @@
 /**
  * quince_store_reads_get_member_wait_ms:
  * @is_primary: the view names this replica as the leader, so that no other process feeds it
- * @is_linked: this replica is connected to the leader, which feeds it as soon as it knows the workers itself
+ * @is_connected: this replica is connected to the leader, which feeds it as soon as it knows the workers
+ * itself
  *
  * Decides how long a member of the ledger waits to be fed with the workers before it lists them itself.  Any
  * member may be the next leader, which needs the workers; but if all members of a new system listed them, the
@@ -68,7 +69,7 @@
  *
  * Returns: maximum time from the view that names this replica as a member to its list, ms
  */
-guint quince_store_reads_get_member_wait_ms (gboolean is_primary, gboolean is_linked);
+guint quince_store_reads_get_member_wait_ms (gboolean is_primary, gboolean is_connected);
 
 /**
  * quince_store_reads_next_interval_ms:
--- a/tests/unit/test-decisions-store-reads.c
+++ b/tests/unit/test-decisions-store-reads.c
@@ -87,10 +87,10 @@
 test_member_waits_to_be_fed (void **state)
 {
   assert_int_equal (quince_store_reads_get_member_wait_ms (TRUE, FALSE), 0);
-  guint unlinked_ms = quince_store_reads_get_member_wait_ms (FALSE, FALSE);
-  guint linked_ms = quince_store_reads_get_member_wait_ms (FALSE, TRUE);
-  assert_true (unlinked_ms > 0 && unlinked_ms < linked_ms);
-  assert_true (linked_ms < BOUND_MIN_MS);
+  guint unconnected_ms = quince_store_reads_get_member_wait_ms (FALSE, FALSE);
+  guint connected_ms = quince_store_reads_get_member_wait_ms (FALSE, TRUE);
+  assert_true (unconnected_ms > 0 && unconnected_ms < connected_ms);
+  assert_true (connected_ms < BOUND_MIN_MS);
 }
 
 int
