--- a/daemons/front/feed-parent.c
+++ b/daemons/front/feed-parent.c
@@ -9,9 +9,6 @@
 #include "runtime/log.h"
 #include "runtime/timer.h"
 
-/* Time without a message after which the front tries another relay, ms.  A relay that is fed, or reads the
- * store itself, sends five heartbeats a second. */
-#define SILENCE_TIMEOUT_MS 900
 /* Timeout of a connection attempt, ms.  Allows one retransmission of a lost SYN, which follows after 1 s. */
 #define CONNECT_TIMEOUT_MS 1200
 /* Relays that are tried before the front asks the leader.  More would leave a front unfed for longer than a
@@ -95,7 +92,7 @@
 link_connected (QuinceLink *link, gpointer data)
 {
   QuinceFeedParent *parent = data;
-  set_timeout (parent, SILENCE_TIMEOUT_MS);
+  set_timeout (parent, QUINCE_FEED_TREE_FEEDER_TIMEOUT_MS);
   quince_store_feed_subscribe (parent->observer, link, QUINCE_FEED_ROLE_CHILD);
 }
 
@@ -104,7 +101,7 @@
 {
   QuinceFeedParent *parent = data;
   parent->alive = TRUE;
-  set_timeout (parent, SILENCE_TIMEOUT_MS);
+  set_timeout (parent, QUINCE_FEED_TREE_FEEDER_TIMEOUT_MS);
   quince_observer_record_feeder_contact (parent->observer);
   if (message->kind == QUINCE_MESSAGE_FEED_UPDATE)
     quince_store_feed_apply (parent->observer, &message->QuinceMessage_u.feed_update);
--- a/daemons/replica/feed-service.c
+++ b/daemons/replica/feed-service.c
@@ -15,9 +15,6 @@
 #define RELAYS_SETTLED_US (300 * 1000)
 /* Maximum time for which a new leader waits for relays to join, us. */
 #define RELAYS_WAIT_US (1500 * 1000)
-/* Time for which the last heartbeat of the leader shows that it feeds this process, us.  As in the observer.
- */
-#define LEADER_TIMEOUT_US (900 * 1000)
 
 typedef struct
 {
@@ -251,7 +248,8 @@
 static void
 send_heartbeats_to_children (QuinceFeedService *service)
 {
-  gboolean is_fed = quince_now_us () - service->last_leader_contact_us < LEADER_TIMEOUT_US;
+  gboolean is_fed
+      = quince_now_us () - service->last_leader_contact_us < QUINCE_FEED_TREE_FEEDER_TIMEOUT_MS * 1000;
   if (g_hash_table_size (service->children) == 0 || !(is_fed || quince_observer_is_fresh (service->observer)))
     return;
   const QuinceMessage message = { .kind = QUINCE_MESSAGE_HEARTBEAT };
--- a/lib/core/routing/feed-tree.h
+++ b/lib/core/routing/feed-tree.h
@@ -21,6 +21,10 @@
  * them a hop. */
 #define QUINCE_FEED_TREE_DIRECT_FRONTS_MAX 64
 
+/* Time without a message after which a process that feeds others counts as lost, ms: three heartbeats of
+ * 250 ms plus a margin. */
+#define QUINCE_FEED_TREE_FEEDER_TIMEOUT_MS 900
+
 /* Returns: whether the leader feeds one more subscriber itself instead of naming relays to it.
  * @n_direct_fronts: fronts that the leader feeds already */
 gboolean quince_feed_tree_feeds_directly (QuinceFeedRole role, guint n_direct_fronts);
--- a/lib/observer/observer-feed.c
+++ b/lib/observer/observer-feed.c
@@ -6,6 +6,7 @@
  * observer.c.
  */
 #include "core/decisions/store-reads.h"
+#include "core/routing/feed-tree.h"
 #include "runtime/log.h"
 #include "runtime/clock.h"
 #include "runtime/timer.h"
@@ -23,9 +24,6 @@
 /* A page that arrives within this time after a suspension, us, may have been queued in a socket since before
  * the suspension. */
 #define QUEUED_PAGES_WINDOW_US (100 * 1000)
-/* Time without a message after which the feeding leader counts as lost, ms: three heartbeats of 250 ms plus
- * a margin. */
-#define FEEDER_TIMEOUT_MS 900
 
 void
 quince_observer_list_mirrors (QuinceObserver *observer, QuinceNamedMirror mirrors[QUINCE_OBSERVER_N_PREFIXES])
@@ -165,7 +163,7 @@
 quince_observer_record_feeder_contact (QuinceObserver *observer)
 {
   quince_timer_clear (&observer->feeder_timer);
-  observer->feeder_timer = quince_timer_add (FEEDER_TIMEOUT_MS, feeder_timed_out, observer);
+  observer->feeder_timer = quince_timer_add (QUINCE_FEED_TREE_FEEDER_TIMEOUT_MS, feeder_timed_out, observer);
   quince_observer_update_probe_interval (observer);
 }
 
