--- a/tests/platform/test-worker-lists.c
+++ b/tests/platform/test-worker-lists.c
@@ -19,6 +19,8 @@
 #define MEMBERS 3
 /* The machines of the platform start within this time of each other, ms. */
 #define START_SPREAD_MS 300
+/* Maximum pause between the starts of two processes in a random order, ms. */
+#define START_PAUSE_MAX_MS 80
 /* Longer than any process waits to be fed before it lists a prefix itself, ms. */
 #define LISTS_END_MS 2500
 
@@ -139,6 +141,43 @@
   path_world_free (world);
 }
 
+/* Starts all processes in a random order, with random pauses of up to START_PAUSE_MAX_MS between them. */
+static void
+start_in_random_order (PathWorld *world, GRand *random)
+{
+  guint processes[PATH_REPLICAS + PATH_FRONTS];
+  for (guint i = 0; i < G_N_ELEMENTS (processes); i++)
+    processes[i] = i;
+  for (guint left = G_N_ELEMENTS (processes); left > 0; left--)
+    {
+      guint chosen = (guint)g_rand_int_range (random, 0, (gint)left);
+      guint process = processes[chosen];
+      processes[chosen] = processes[left - 1];
+      if (process < PATH_REPLICAS)
+        path_start_replica (world, process);
+      else
+        path_start_front (world, process - PATH_REPLICAS);
+      run_for ((guint)g_rand_int_range (random, 0, START_PAUSE_MAX_MS));
+    }
+}
+
+/* Whatever the order in which the processes of a new system start, the leader lists the workers for all.  The
+ * environment variable SOAK_SEED sets the seed. */
+static void
+test_random_start_order (void **state)
+{
+  const char *seed_text = g_getenv ("SOAK_SEED");
+  guint32 seed = seed_text != NULL ? (guint32)g_ascii_strtoull (seed_text, NULL, 10) : 1;
+  print_message ("  seed=%u\n", seed);
+  g_autoptr (GRand) random = g_rand_new_with_seed (seed);
+  PathWorld *world = lists_world_new ("worker-lists-random");
+  start_in_random_order (world, random);
+  await_service (world);
+  check_leader_lists_workers (world);
+  check_fronts_list_view (world);
+  path_world_free (world);
+}
+
 /* A member of the ledger restarts while the leader lives. */
 static void
 test_member_restart (void **state)
@@ -192,12 +231,15 @@
 }
 
 int
-main (void)
+main (int argc, char **argv)
 {
+  if (argc > 1)
+    cmocka_set_test_filter (argv[1]);
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_new_system),
     cmocka_unit_test (test_late_replicas_of_new_system),
     cmocka_unit_test (test_fronts_start_before_quorum),
+    cmocka_unit_test (test_random_start_order),
     cmocka_unit_test (test_member_restart),
     cmocka_unit_test (test_restart_of_all),
   };
