--- a/daemons/replica/ledger-election.c
+++ b/daemons/replica/ledger-election.c
@@ -57,13 +57,25 @@
 
 /* ---- Campaigns and promises --------------------------------------------- */
 
+/* Returns: (transfer container) (element-type QuinceLedgerMember): all electors but this replica; valid until
+ * the group changes */
+static GPtrArray *
+list_other_electors (const QuinceLedgerElection *election)
+{
+  GPtrArray *electors = g_ptr_array_new ();
+  quince_ledger_group_list_electors (election->group, electors);
+  for (guint i = electors->len; i > 0; i--)
+    if (((const QuinceLedgerMember *)electors->pdata[i - 1])->replica == election->replica)
+      g_ptr_array_remove_index (electors, i - 1);
+  return electors;
+}
+
 void
 quince_ledger_election_campaign (QuinceLedgerElection *election)
 {
   guint64 epoch = quince_ledger_group_campaign (election->group, quince_now_us ());
   if (epoch == 0)
     return;
-  const QuinceLedgerView *view = quince_ledger_group_get_view (election->group);
   const QuinceLogEnd end = quince_ledger_storage_get_log_end (election->storage);
   QuinceMessage message = { .kind = QUINCE_MESSAGE_LEDGER_ASK };
   QuinceLedgerAsk *request = &message.QuinceMessage_u.ledger_ask;
@@ -71,9 +83,9 @@
   request->replica = election->replica;
   request->last_index = end.index;
   request->last_epoch = end.epoch;
-  for (guint i = 0; i < view->members.members_len; i++)
-    if (view->members.members_val[i].replica != election->replica)
-      quince_ledger_member_links_send (election->links, &view->members.members_val[i], &message);
+  g_autoptr (GPtrArray) electors = list_other_electors (election);
+  for (guint i = 0; i < electors->len; i++)
+    quince_ledger_member_links_send (election->links, electors->pdata[i], &message);
 }
 
 static void
@@ -125,13 +137,12 @@
 announce_lead (QuinceLedgerElection *election)
 {
   QuinceMessage message = { .kind = QUINCE_MESSAGE_LEDGER_LEAD };
-  const QuinceLedgerView *view = quince_ledger_group_get_view (election->group);
+  g_autoptr (GPtrArray) electors = list_other_electors (election);
   quince_ledger_group_get_lead (election->group, &message.QuinceMessage_u.ledger_lead);
-  for (guint i = 0; i < view->members.members_len; i++)
+  for (guint i = 0; i < electors->len; i++)
     {
-      const QuinceLedgerMember *member = &view->members.members_val[i];
-      if (member->replica != election->replica
-          && !election->callbacks->is_backup (member->replica, election->user_data))
+      const QuinceLedgerMember *member = electors->pdata[i];
+      if (!election->callbacks->is_backup (member->replica, election->user_data))
         quince_ledger_member_links_send (election->links, member, &message);
     }
 }
@@ -164,6 +175,51 @@
   announce_lead (election);
 }
 
+/* ---- Membership changes --------------------------------------------------- */
+
+/* Asks all members to acknowledge the change that this leader wants to propose, if any. */
+static void
+request_change_acks (QuinceLedgerElection *election, gint64 now_us)
+{
+  QuinceMessage message = { .kind = QUINCE_MESSAGE_LEDGER_CHANGE_REQUEST };
+  if (!quince_ledger_group_get_change_request (election->group, now_us,
+                                               &message.QuinceMessage_u.ledger_change_request))
+    return;
+  const QuinceLedgerView *view = quince_ledger_group_get_view (election->group);
+  for (guint i = 0; i < view->members.members_len; i++)
+    if (view->members.members_val[i].replica != election->replica)
+      quince_ledger_member_links_send (election->links, &view->members.members_val[i], &message);
+}
+
+/* Sends the changes that this replica has acknowledged, if any. */
+static void
+send_change_ack (QuinceLedgerElection *election, QuinceLink *link)
+{
+  QuinceMessage message = { .kind = QUINCE_MESSAGE_LEDGER_CHANGE_ACK };
+  if (quince_ledger_group_get_change_ack (election->group, &message.QuinceMessage_u.ledger_change_ack))
+    quince_link_send (link, &message);
+}
+
+void
+quince_ledger_election_handle_change_request (QuinceLedgerElection *election,
+                                              QuinceLink *link,
+                                              const QuinceLedgerChangeRequest *request)
+{
+  quince_ledger_group_handle_change_request (election->group, quince_now_us (), request);
+  if (!quince_ledger_storage_save_state (election->storage, "note"))
+    return;
+  election->callbacks->role_changed (election->user_data);
+  send_change_ack (election, link);
+}
+
+void
+quince_ledger_election_handle_change_ack (QuinceLedgerElection *election, const QuinceLedgerChangeAck *ack)
+{
+  quince_ledger_group_handle_change_ack (election->group, quince_now_us (), ack);
+  election->callbacks->propose_view_change (election->user_data);
+  quince_ledger_election_try_lead_without_store (election);
+}
+
 /* ---- Queries ------------------------------------------------------------ */
 
 /* Returns the minimum interval between two queries of this kind, in microseconds. */
@@ -185,16 +241,19 @@
                                                               &message.QuinceMessage_u.ledger_query);
   quince_ledger_member_links_close_idle (election->links);
   if (is_leader)
-    announce_lead_while_store_fails (election, now_us);
+    {
+      announce_lead_while_store_fails (election, now_us);
+      request_change_acks (election, now_us);
+    }
   if (kind == QUINCE_LEDGER_QUERY_NONE || now_us - election->last_query_us < get_query_interval_us (kind))
     return;
   election->last_query_us = now_us;
   const QuinceLedgerView *view = quince_ledger_group_get_view (election->group);
-  for (guint i = 0; i < view->members.members_len; i++)
+  g_autoptr (GPtrArray) electors = list_other_electors (election);
+  for (guint i = 0; i < electors->len; i++)
     {
-      const QuinceLedgerMember *member = &view->members.members_val[i];
-      gboolean is_queried = kind != QUINCE_LEDGER_QUERY_LEADER || member->replica == view->primary;
-      if (is_queried && member->replica != election->replica)
+      const QuinceLedgerMember *member = electors->pdata[i];
+      if (kind != QUINCE_LEDGER_QUERY_LEADER || member->replica == view->primary)
         quince_ledger_member_links_send (election->links, member, &message);
     }
 }
@@ -208,8 +267,12 @@
   if (!quince_ledger_storage_save_state (election->storage, "note"))
     return;
   QuinceMessage message = { .kind = QUINCE_MESSAGE_LEDGER_LEAD };
-  if (quince_ledger_group_get_lead (election->group, &message.QuinceMessage_u.ledger_lead))
-    quince_link_send (link, &message);
+  if (!quince_ledger_group_get_lead (election->group, &message.QuinceMessage_u.ledger_lead))
+    return;
+  quince_link_send (link, &message);
+  /* Fronts ask who leads, and need no more. */
+  if (query->replica != 0)
+    send_change_ack (election, link);
 }
 
 /* Returns the epoch of the known view, or 0 if no view is known. */
--- a/daemons/replica/ledger-election.h
+++ b/daemons/replica/ledger-election.h
@@ -41,8 +41,9 @@
 /* Asks the other members for promises if this replica campaigns.  Must be called several times a second. */
 void quince_ledger_election_campaign (QuinceLedgerElection *election);
 /* Sends a query to the leader or to all members if one is due, and closes idle links to members.  If this
- * replica leads (@is_leader) and the metadata store is unreachable, also announces itself to members that
- * are not connected as its backups.  Must be called several times a second. */
+ * replica leads (@is_leader), also requests acknowledgements of a membership change, and while the metadata
+ * store is unreachable announces itself to members that are not connected as its backups.  Must be called
+ * several times a second. */
 void quince_ledger_election_query (QuinceLedgerElection *election, gboolean is_leader);
 /* Becomes leader if a quorum has promised and the metadata store is unreachable or too slow.  Must be called
  * several times a second. */
@@ -56,6 +57,13 @@
 void quince_ledger_election_handle_query (QuinceLedgerElection *election,
                                           QuinceLink *link,
                                           const QuinceLedgerQuery *query);
+/* Handles the leader's request to acknowledge a membership change, and answers on @link. */
+void quince_ledger_election_handle_change_request (QuinceLedgerElection *election,
+                                                   QuinceLink *link,
+                                                   const QuinceLedgerChangeRequest *request);
+/* Handles the changes that another replica has acknowledged. */
+void quince_ledger_election_handle_change_ack (QuinceLedgerElection *election,
+                                               const QuinceLedgerChangeAck *ack);
 /* Handles the promise of a member to follow this replica. */
 void quince_ledger_election_handle_promise (QuinceLedgerElection *election,
                                             const QuinceLedgerPromise *promise);
--- a/daemons/replica/ledger-member-links.c
+++ b/daemons/replica/ledger-member-links.c
@@ -71,6 +71,8 @@
     links->callbacks->promise_received (&message->QuinceMessage_u.ledger_promise, links->user_data);
   else if (message->kind == QUINCE_MESSAGE_LEDGER_LEAD)
     links->callbacks->lead_received (&message->QuinceMessage_u.ledger_lead, links->user_data);
+  else if (message->kind == QUINCE_MESSAGE_LEDGER_CHANGE_ACK)
+    links->callbacks->change_ack_received (&message->QuinceMessage_u.ledger_change_ack, links->user_data);
   quince_message_free (message);
 }
 
--- a/daemons/replica/ledger-member-links.h
+++ b/daemons/replica/ledger-member-links.h
@@ -15,11 +15,13 @@
  * QuinceLedgerMemberLinksCallbacks:
  * @promise_received: a member promises to follow this replica
  * @lead_received: a member reports who leads
+ * @change_ack_received: a member reports which membership changes it has acknowledged
  */
 typedef struct
 {
   void (*promise_received) (const QuinceLedgerPromise *promise, gpointer user_data);
   void (*lead_received) (const QuinceLedgerLead *lead, gpointer user_data);
+  void (*change_ack_received) (const QuinceLedgerChangeAck *ack, gpointer user_data);
 } QuinceLedgerMemberLinksCallbacks;
 
 /* @group and @callbacks are borrowed and must outlive the links. */
--- a/daemons/replica/ledger-node.c
+++ b/daemons/replica/ledger-node.c
@@ -91,8 +91,17 @@
   quince_ledger_election_handle_lead (node->election, lead);
 }
 
+static void
+handle_member_change_ack (const QuinceLedgerChangeAck *ack, gpointer data)
+{
+  QuinceLedgerNode *node = data;
+  quince_ledger_election_handle_change_ack (node->election, ack);
+}
+
 static const QuinceLedgerMemberLinksCallbacks member_callbacks
-    = { .promise_received = handle_member_promise, .lead_received = handle_member_lead };
+    = { .promise_received = handle_member_promise,
+        .lead_received = handle_member_lead,
+        .change_ack_received = handle_member_change_ack };
 
 static void
 handle_view_changed (gboolean is_newer, gpointer data)
@@ -198,6 +207,10 @@
     case QUINCE_MESSAGE_LEDGER_QUERY:
       quince_ledger_election_handle_query (node->election, link, &message->QuinceMessage_u.ledger_query);
       break;
+    case QUINCE_MESSAGE_LEDGER_CHANGE_REQUEST:
+      quince_ledger_election_handle_change_request (node->election, link,
+                                                    &message->QuinceMessage_u.ledger_change_request);
+      break;
     case QUINCE_MESSAGE_LEDGER_LEAD:
       quince_ledger_election_handle_lead (node->election, &message->QuinceMessage_u.ledger_lead);
       break;
--- a/lib/batchlog/batch-log.c
+++ b/lib/batchlog/batch-log.c
@@ -119,6 +119,32 @@
   return run_statement (log, STATEMENT_PUT_META, error);
 }
 
+/* Returns: (transfer full) (nullable): the bytes stored as @name, or %NULL if there are none */
+static GBytes *
+get_meta_bytes (QuinceBatchLog *log, const char *name)
+{
+  sqlite3_stmt *statement = log->statements[STATEMENT_GET_META];
+  GBytes *bytes = NULL;
+  sqlite3_bind_text (statement, 1, name, -1, SQLITE_STATIC);
+  if (sqlite3_step (statement) == SQLITE_ROW && sqlite3_column_type (statement, 0) == SQLITE_BLOB)
+    bytes = g_bytes_new (sqlite3_column_blob (statement, 0), (gsize)sqlite3_column_bytes (statement, 0));
+  sqlite3_reset (statement);
+  sqlite3_clear_bindings (statement);
+  return bytes;
+}
+
+static gboolean
+put_meta_bytes (QuinceBatchLog *log, const char *name, GBytes *bytes, GError **error)
+{
+  sqlite3_stmt *statement = log->statements[STATEMENT_PUT_META];
+  gsize length;
+  gconstpointer data = g_bytes_get_data (bytes, &length);
+  sqlite3_bind_text (statement, 1, name, -1, SQLITE_STATIC);
+  /* A null pointer would be stored as NULL instead of an empty value. */
+  sqlite3_bind_blob (statement, 2, length > 0 ? data : "", (int)length, SQLITE_STATIC);
+  return run_statement (log, STATEMENT_PUT_META, error);
+}
+
 /* ---- Open and close --------------------------------------------------- */
 
 static guint64
@@ -143,6 +169,7 @@
   log->persistent_state.promised = get_meta (log, "promised");
   log->persistent_state.noted = get_meta (log, "noted");
   log->persistent_state.ordered = get_meta (log, "ordered");
+  log->persistent_state.change = get_meta_bytes (log, "change");
   log->last_index = query_number (log, STATEMENT_SELECT_LAST_INDEX);
   return TRUE;
 }
@@ -203,6 +230,7 @@
   for (guint i = 0; i < N_STATEMENTS; i++)
     sqlite3_finalize (log->statements[i]);
   sqlite3_close (log->database);
+  quince_ledger_persistent_state_clear (&log->persistent_state);
   g_free (log);
 }
 
@@ -241,6 +269,22 @@
   return TRUE;
 }
 
+/* Saves @change if it differs from the stored one.  A change that is withdrawn is stored as an empty value.
+ */
+static gboolean
+save_change (QuinceBatchLog *log, GBytes *change, GError **error)
+{
+  GBytes **saved = &log->persistent_state.change;
+  if (*saved == change || (*saved != NULL && change != NULL && g_bytes_equal (*saved, change)))
+    return TRUE;
+  g_autoptr (GBytes) stored = change != NULL ? g_bytes_ref (change) : g_bytes_new (NULL, 0);
+  if (!put_meta_bytes (log, "change", stored, error))
+    return FALSE;
+  g_clear_pointer (saved, g_bytes_unref);
+  *saved = change != NULL ? g_bytes_ref (change) : NULL;
+  return TRUE;
+}
+
 gboolean
 quince_batch_log_save_persistent_state (QuinceBatchLog *log,
                                         const QuinceLedgerPersistentState *state,
@@ -248,7 +292,8 @@
 {
   return save_number (log, "promised", &log->persistent_state.promised, state->promised, error)
          && save_number (log, "noted", &log->persistent_state.noted, state->noted, error)
-         && save_number (log, "ordered", &log->persistent_state.ordered, state->ordered, error);
+         && save_number (log, "ordered", &log->persistent_state.ordered, state->ordered, error)
+         && save_change (log, state->change, error);
 }
 
 guint64
--- /dev/null
+++ b/lib/core/group/ledger-acknowledged.c
@@ -0,0 +1,87 @@
+/*
+ * ledger-acknowledged.c: the membership changes that this replica has acknowledged, which it keeps on disk.
+ */
+#include "ledger-group-private.h"
+
+gboolean
+quince_ledger_group_follows (const QuinceLedgerGroup *group, guint64 replica, guint64 epoch)
+{
+  return group->view != NULL && group->role != QUINCE_LEDGER_LEADER && replica == group->view->primary
+         && epoch == group->view->epoch && epoch >= group->persistent.promised;
+}
+
+void
+quince_ledger_group_promise_followed_leader (QuinceLedgerGroup *group)
+{
+  if (group->persistent.promised == group->view->epoch)
+    return;
+  group->persistent.promised = group->view->epoch;
+  group->promised_to = 0;
+}
+
+static void
+store_acknowledged (QuinceLedgerGroup *group)
+{
+  g_clear_pointer (&group->persistent.change, g_bytes_unref);
+  if (group->acknowledged != NULL)
+    group->persistent.change = quince_ledger_change_encode (group->acknowledged, NULL);
+}
+
+void
+quince_ledger_group_acknowledge_unknown (QuinceLedgerGroup *group, guint64 revision)
+{
+  quince_ledger_group_promise_followed_leader (group);
+  group->persistent.noted = MAX (group->persistent.noted, revision);
+  if (group->acknowledged == NULL || group->acknowledged->revision != revision)
+    return;
+  g_clear_pointer (&group->acknowledged, quince_ledger_change_free);
+  store_acknowledged (group);
+}
+
+gboolean
+quince_ledger_group_has_acknowledged_views (const QuinceLedgerGroup *group)
+{
+  return group->acknowledged != NULL && group->acknowledged->revision == group->revision
+         && group->persistent.noted == group->revision;
+}
+
+gboolean
+quince_ledger_group_acknowledge_view (QuinceLedgerGroup *group, const QuinceLedgerView *proposed)
+{
+  if (!quince_ledger_group_knows_acknowledged (group))
+    return FALSE;
+  if (!quince_ledger_group_has_acknowledged_views (group))
+    {
+      quince_ledger_change_free (group->acknowledged);
+      group->acknowledged = quince_ledger_change_new (group->revision);
+    }
+  if (quince_ledger_change_has_view (group->acknowledged, proposed))
+    return TRUE;
+  if (!quince_ledger_change_add_view (group->acknowledged, proposed))
+    return FALSE;
+  store_acknowledged (group);
+  group->persistent.noted = group->revision;
+  return TRUE;
+}
+
+gboolean
+quince_ledger_group_knows_acknowledged (const QuinceLedgerGroup *group)
+{
+  return group->persistent.noted < group->revision || quince_ledger_group_has_acknowledged_views (group);
+}
+
+void
+quince_ledger_group_add_acknowledged (QuinceLedgerGroup *group)
+{
+  if (!quince_ledger_group_has_acknowledged_views (group))
+    return;
+  for (guint i = 0; i < group->acknowledged->proposed.proposed_len; i++)
+    quince_ledger_view_list_add (group->outstanding, &group->acknowledged->proposed.proposed_val[i]);
+}
+
+gboolean
+quince_ledger_group_is_change_full (const QuinceLedgerGroup *group)
+{
+  return quince_ledger_group_has_acknowledged_views (group)
+         && group->acknowledged->proposed.proposed_len >= QUINCE_LEDGER_CHANGE_VIEWS_MAX;
+}
--- a/lib/core/group/ledger-campaign.c
+++ b/lib/core/group/ledger-campaign.c
@@ -136,7 +136,6 @@
 {
   group->campaign_epoch = 0;
   group->elected_us = 0;
-  group->vote_refused = FALSE;
   g_array_set_size (group->campaign_promises, 0);
   g_array_set_size (group->votes, 0);
 }
@@ -169,7 +168,9 @@
   quince_ledger_group_end_campaign (group);
   /* Use an epoch above all known ones, so that members that promised an earlier campaign can promise this
    * one. */
-  guint64 max_known_epoch = MAX (MAX (group->view->epoch, group->persistent.promised), group->refused_epoch);
+  quince_ledger_group_add_acknowledged (group);
+  guint64 max_known_epoch = MAX (
+      MAX (quince_ledger_group_get_greatest_epoch (group), group->persistent.promised), group->refused_epoch);
   group->last_campaign = MAX (max_known_epoch, group->last_campaign) + 1;
   group->campaign_epoch = group->last_campaign;
   group->campaign_us = now_us;
@@ -184,7 +185,7 @@
                                     const QuinceLogEnd *end)
 {
   if (group->campaign_epoch == 0 || epoch != group->campaign_epoch
-      || !quince_ledger_group_has_member (group, replica))
+      || !quince_ledger_group_is_in_any_view (group, replica))
     return;
   if (is_ahead (end, &group->log_end))
     {
@@ -204,6 +205,8 @@
   if (group->campaign_epoch == 0 || group->view == NULL)
     return FALSE;
   guint members = group->view->members.members_len;
-  guint promises_needed = members > group->limits.quorum ? members - group->limits.quorum : 0;
-  return group->campaign_promises->len >= promises_needed;
+  guint others_needed = members > group->limits.quorum ? members - group->limits.quorum : 0;
+  guint self_counted = quince_ledger_group_has_member (group, group->self.replica);
+  return quince_ledger_group_count_members (group, group->view, group->campaign_promises)
+         >= others_needed + self_counted;
 }
--- a/lib/core/group/ledger-group-private.h
+++ b/lib/core/group/ledger-group-private.h
@@ -3,6 +3,7 @@
  */
 #pragma once
 
+#include "core/group/ledger-change.h"
 #include "core/group/ledger-group.h"
 #include "core/group/replica-list.h"
 
@@ -26,9 +27,10 @@
   QuinceLedgerRole role;
   QuinceLogEnd log_end;
   QuinceLedgerPersistentState persistent;
-  GHashTable *zones;     /* replica id to zone name, both owned */
-  char **draining_nodes; /* machines being drained; NULL: none */
-  char **allowed_nodes;  /* machines that may store records; NULL: all */
+  QuinceLedgerChange *acknowledged; /* decoded from the persistent state; NULL: none */
+  GHashTable *zones;                /* replica id to zone name, both owned */
+  char **draining_nodes;            /* machines being drained; NULL: none */
+  char **allowed_nodes;             /* machines that may store records; NULL: all */
 
   /* The view. */
   QuinceLedgerView *view; /* members of the newest known revision, with the greatest known epoch */
@@ -46,10 +48,12 @@
   gint64 next_proposal_us;     /* earliest time of the next proposal, after a failed one */
   guint64 proposed_epoch;      /* latest epoch in which this process proposed itself as leader */
   guint64 led_epoch;           /* latest epoch that this process led; 0: none */
-  GArray *proposed_members;    /* members of all views proposed on this revision */
-  guint proposed_members_min;  /* size of the smallest of those views */
-  gboolean proposal_may_apply; /* one of those views may still be applied */
-  gboolean handover_proposed;  /* one of those views names another leader */
+  gboolean proposal_is_change; /* the proposal was not among the outstanding views before */
+  gboolean proposal_may_apply; /* the outcome of a proposal on this revision is unknown */
+
+  /* Views with other members that leaders have proposed or may have proposed on this revision: any of them
+   * may be in force.  QuinceLedgerView, owned. */
+  GPtrArray *outstanding;
 
   /* State of a backup. */
   gint64 leader_contact_us;   /* last accepted message of the leader, or last change of leader */
@@ -62,8 +66,7 @@
   guint64 last_campaign;     /* greatest epoch of any campaign known to this replica */
   gint64 campaign_us;        /* start of the campaign; without one, earliest start of the next */
   GArray *campaign_promises; /* replicas that granted the promise */
-  GArray *votes;             /* those of them that know of no membership change */
-  gboolean vote_refused;     /* one of them knows of a membership change */
+  GArray *votes;             /* those of them whose acknowledged membership changes are all known */
   gint64 elected_us;         /* when enough promises for a write to the store were granted; 0: not yet */
 
   /* State of the leader. */
@@ -71,8 +74,8 @@
   guint64 commit_index;
   guint64 recovery_index;         /* index of the first record of its own epoch */
   guint64 refused_epoch;          /* greatest epoch for which a backup refused this leader; 0: none */
-  gboolean wants_change_acks;     /* a membership change waits for acknowledgements */
-  GArray *change_acks;            /* replicas that acknowledged a change of this revision */
+  QuinceLedgerView *wanted_view;  /* waits for acknowledgements of members; NULL: none */
+  GArray *change_acks;            /* replicas that acknowledged it */
   gint64 orders_blocked_until_us; /* it gives no orders to workers before this time */
   gint64 leading_since_us;
   gboolean wrote_first_view; /* no replica led before it */
@@ -96,6 +99,31 @@
                                          const QuinceLedgerView *view,
                                          guint64 replica);
 
+/* ---- ledger-quorums.c ---- */
+/* Returns: how many members of @view must have a record on disk, or follow a leader, in that view */
+guint quince_ledger_group_get_quorum (const QuinceLedgerGroup *group, const QuinceLedgerView *view);
+/* Returns: how many members of @view must elect a leader without the store.  Any two sets of this size
+ * overlap, and each overlaps with any set of promises that allows a write to the store and with any quorum.
+ */
+guint quince_ledger_group_get_votes_needed (const QuinceLedgerGroup *group, const QuinceLedgerView *view);
+/* Returns: how many members of @view, including the leader, must acknowledge a membership change for every
+ * set of votes to include one of them; 0 if @view has too few members for such a set */
+guint quince_ledger_group_get_change_acks_needed (const QuinceLedgerGroup *group,
+                                                  const QuinceLedgerView *view);
+/* Returns: how many members of @view are in @replicas, including this replica if it is a member */
+guint quince_ledger_group_count_members (const QuinceLedgerGroup *group,
+                                         const QuinceLedgerView *view,
+                                         const GArray *replicas);
+/* Returns: whether @replicas and this replica elect a leader without the store in each view that may be in
+ * force */
+gboolean quince_ledger_group_have_votes_in_all_views (const QuinceLedgerGroup *group, const GArray *replicas);
+/* Returns: whether @replica is a member of each view that may be in force */
+gboolean quince_ledger_group_is_in_all_views (const QuinceLedgerGroup *group, guint64 replica);
+/* Returns: whether @replica is a member of a view that may be in force */
+gboolean quince_ledger_group_is_in_any_view (const QuinceLedgerGroup *group, guint64 replica);
+/* Returns: the greatest epoch of the known view and the outstanding ones */
+guint64 quince_ledger_group_get_greatest_epoch (const QuinceLedgerGroup *group);
+
 /* ---- ledger-leases.c ---- */
 /* Returns %TRUE if messages from a quorum arrived within the leader timeout.  Also %TRUE for that long after
  * this replica became leader. */
@@ -106,6 +134,26 @@
 /* Returns %TRUE if no other replica can be leader now. */
 gboolean quince_ledger_group_has_leader_lease (const QuinceLedgerGroup *group, gint64 now_us);
 
+/* ---- ledger-acknowledged.c ---- */
+/* Returns whether @replica leads @epoch and this replica may follow it. */
+gboolean quince_ledger_group_follows (const QuinceLedgerGroup *group, guint64 replica, guint64 epoch);
+/* Promises the epoch of the followed leader, so that this replica follows no older one. */
+void quince_ledger_group_promise_followed_leader (QuinceLedgerGroup *group);
+/* Acknowledges the view @proposed at the known revision.  Returns: whether that was possible: a replica that
+ * has acknowledged an unknown change of this revision, or one of a greater revision, acknowledges no other */
+gboolean quince_ledger_group_acknowledge_view (QuinceLedgerGroup *group, const QuinceLedgerView *proposed);
+/* Acknowledges a change of @revision whose views are not known. */
+void quince_ledger_group_acknowledge_unknown (QuinceLedgerGroup *group, guint64 revision);
+/* Returns whether this replica has acknowledged changes of the known revision, and stored all of them. */
+gboolean quince_ledger_group_has_acknowledged_views (const QuinceLedgerGroup *group);
+/* Returns whether no change that this replica has acknowledged at the known revision or a greater one is
+ * unknown to it. */
+gboolean quince_ledger_group_knows_acknowledged (const QuinceLedgerGroup *group);
+/* Adds the views that this replica has acknowledged at the known revision to the outstanding ones. */
+void quince_ledger_group_add_acknowledged (QuinceLedgerGroup *group);
+/* Returns whether this replica can acknowledge no further view of the known revision. */
+gboolean quince_ledger_group_is_change_full (const QuinceLedgerGroup *group);
+
 /* ---- ledger-campaign.c ---- */
 /* Returns %TRUE if enough members have promised for this replica to write itself into the store as leader. */
 gboolean quince_ledger_group_is_elected (const QuinceLedgerGroup *group);
@@ -122,9 +170,16 @@
 void quince_ledger_group_begin_revision (QuinceLedgerGroup *group, guint64 revision);
 
 /* ---- ledger-succession.c ---- */
-/* Returns %TRUE if @proposed may be written: it has the same members, or enough members have acknowledged a
- * change of this revision.  Otherwise requests their acknowledgements, unless the leader has no quorum lease.
- */
+/* Counts the vote of @replica for this campaign if @promised and @promised_to, the latest promise of
+ * @replica, are for it. */
+void quince_ledger_group_add_vote (QuinceLedgerGroup *group,
+                                   guint64 replica,
+                                   guint64 promised,
+                                   guint64 promised_to);
+
+/* ---- ledger-change-acks.c ---- */
+/* Returns %TRUE if @proposed may be written: it has the same members, or enough members have acknowledged it.
+ * Otherwise requests their acknowledgements, unless the leader has no quorum lease. */
 gboolean quince_ledger_group_has_change_acks (QuinceLedgerGroup *group,
                                               gint64 now_us,
                                               const QuinceLedgerView *proposed);
--- a/lib/core/group/ledger-group.c
+++ b/lib/core/group/ledger-group.c
@@ -16,6 +16,18 @@
   g_free (peer);
 }
 
+/* Returns: (nullable): the stored change, or %NULL if there is none.  A change that cannot be decoded counts
+ * as unknown, as if a build without changes had acknowledged it. */
+static QuinceLedgerChange *
+decode_change (GBytes *stored)
+{
+  if (stored == NULL)
+    return NULL;
+  gsize length;
+  gconstpointer data = g_bytes_get_data (stored, &length);
+  return quince_ledger_change_decode (data, length, NULL);
+}
+
 QuinceLedgerGroup *
 quince_ledger_group_new (const QuinceLedgerMember *self,
                          const QuinceLedgerLimits *limits,
@@ -29,13 +41,14 @@
   group->self.address = g_strdup (self->address);
   group->self.replica = self->replica;
   group->limits = *limits;
-  group->persistent = *persistent;
+  quince_ledger_persistent_state_assign (&group->persistent, persistent);
+  group->acknowledged = decode_change (persistent->change);
   group->promised_at_start = persistent->promised;
   group->may_bootstrap = may_bootstrap;
   /* This replica may have acknowledged records of the leader shortly before its restart. */
   group->leader_contact_us = now_us;
   group->peers = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, peer_free);
-  group->proposed_members = g_array_new (FALSE, FALSE, sizeof (guint64));
+  group->outstanding = quince_ledger_view_list_new ();
   group->campaign_promises = g_array_new (FALSE, FALSE, sizeof (guint64));
   group->votes = g_array_new (FALSE, FALSE, sizeof (guint64));
   group->change_acks = g_array_new (FALSE, FALSE, sizeof (guint64));
@@ -50,7 +63,10 @@
   quince_ledger_view_free (group->view);
   quince_ledger_view_free (group->proposal);
   g_hash_table_unref (group->peers);
-  g_array_unref (group->proposed_members);
+  quince_ledger_view_free (group->wanted_view);
+  quince_ledger_change_free (group->acknowledged);
+  quince_ledger_persistent_state_clear (&group->persistent);
+  g_ptr_array_unref (group->outstanding);
   g_array_unref (group->campaign_promises);
   g_array_unref (group->votes);
   g_array_unref (group->change_acks);
--- a/lib/core/group/ledger-group.h
+++ b/lib/core/group/ledger-group.h
@@ -157,7 +157,6 @@
   QUINCE_LEDGER_QUERY_LEADER,  /* the leader: whether it has membership changes acknowledged */
   QUINCE_LEDGER_QUERY_MEMBERS, /* all members: who is the leader */
   QUINCE_LEDGER_QUERY_VOTES,   /* all members, after each promise request: whether they know of a change */
-  QUINCE_LEDGER_QUERY_CHANGE_ACKS, /* all members: to acknowledge a membership change */
 } QuinceLedgerQueryKind;
 
 /**
@@ -171,8 +170,9 @@
                                                      gint64 now_us,
                                                      gboolean store_fails,
                                                      QuinceLedgerQuery *query);
-/* Handles a query from another replica or a front, and acknowledges the membership change if it announces
- * one.  The persistent state must be on disk before the answer is sent. */
+/* Handles a query from another replica or a front.  A leader of a build that sends no change requests
+ * announces a membership change by it, which is acknowledged without its views.  The persistent state must be
+ * on disk before the answer is sent. */
 void
 quince_ledger_group_handle_query (QuinceLedgerGroup *group, gint64 now_us, const QuinceLedgerQuery *query);
 /* Sets @lead to the answer to a query.  Its view belongs to @group and is valid until the next call.  Returns
@@ -180,10 +180,40 @@
 gboolean quince_ledger_group_get_lead (const QuinceLedgerGroup *group, QuinceLedgerLead *lead);
 /* Handles the answer of another replica to a query, or the announcement of a new leader. */
 void quince_ledger_group_handle_lead (QuinceLedgerGroup *group, gint64 now_us, const QuinceLedgerLead *lead);
-/* Becomes leader if a quorum has promised and the store is unreachable or too slow.  Returns: whether this
- * replica became the leader */
+/**
+ * quince_ledger_group_list_electors:
+ * @members: (inout) (element-type QuinceLedgerMember): array to which the members are appended; they belong
+ * to
+ *   @group and are valid until the next call
+ *
+ * Appends the members of the known view, then those of the outstanding views: promises and votes of all of
+ * them are requested, and they are told of a new leader.
+ */
+void quince_ledger_group_list_electors (const QuinceLedgerGroup *group, GPtrArray *members);
+/* Handles the request of the leader to acknowledge a membership change.  The persistent state must be on disk
+ * before the answer, if any, is sent. */
+void quince_ledger_group_handle_change_request (QuinceLedgerGroup *group,
+                                                gint64 now_us,
+                                                const QuinceLedgerChangeRequest *request);
+/* Sets @ack to the changes of the known revision that this replica has acknowledged: the answer to a change
+ * request, and the second answer to the query of a replica.  Its change belongs to @group and is valid until
+ * the next call.  Returns %FALSE if there are none, or not all of them are known. */
+gboolean quince_ledger_group_get_change_ack (const QuinceLedgerGroup *group, QuinceLedgerChangeAck *ack);
+/* Handles the changes that another replica has acknowledged: counts its acknowledgement at the leader, and
+ * its vote at a candidate. */
+void quince_ledger_group_handle_change_ack (QuinceLedgerGroup *group,
+                                            gint64 now_us,
+                                            const QuinceLedgerChangeAck *ack);
+/* Becomes leader if a quorum of each view that may be in force has promised and the store is unreachable or
+ * too slow.  Returns: whether this replica became the leader */
 gboolean
 quince_ledger_group_try_lead_without_store (QuinceLedgerGroup *group, gint64 now_us, gboolean store_fails);
+/* Sets @request to the request for acknowledgements that this leader sends to all members; its fields belong
+ * to
+ * @group and are valid until the next call.  Returns %FALSE if it needs none. */
+gboolean quince_ledger_group_get_change_request (const QuinceLedgerGroup *group,
+                                                 gint64 now_us,
+                                                 QuinceLedgerChangeRequest *request);
 /* Returns %TRUE if this replica is the leader and its view is not known to be in the store. */
 gboolean quince_ledger_group_is_unpublished (const QuinceLedgerGroup *group);
 
--- a/lib/core/group/ledger-proposals.c
+++ b/lib/core/group/ledger-proposals.c
@@ -262,9 +262,12 @@
   changed = changed || rebalance_zones (group, now_us, view);
   changed = changed || propose_handover (group, view);
   /* Without a change, writes the same members under a new revision if a proposal has an unknown outcome, or
-   * if members were asked to acknowledge a change that is no longer needed.  The new revision voids both. */
-  if (!changed && (group->proposed_members->len > 0 || group->wants_change_acks))
-    return g_steal_pointer (&view);
+   * if members were asked to acknowledge a change that is no longer needed.  The new revision voids both. The
+   * same if they can acknowledge no further change of this revision. */
+  gboolean is_change_open
+      = group->proposal_may_apply || group->outstanding->len > 0 || group->wanted_view != NULL;
+  if ((!changed && is_change_open) || quince_ledger_group_is_change_full (group))
+    return quince_ledger_view_copy (group->view);
   gboolean caught_up = changed && are_members_caught_up (group, now_us, view);
   return caught_up && quince_ledger_group_has_change_acks (group, now_us, view) ? g_steal_pointer (&view)
                                                                                 : NULL;
@@ -272,16 +275,12 @@
 
 /* ---- Proposals --------------------------------------------------------- */
 
-static void
-record_proposed_members (QuinceLedgerGroup *group, const QuinceLedgerView *view)
+/* Returns whether @view was not among the outstanding views before. */
+static gboolean
+record_proposal (QuinceLedgerGroup *group, const QuinceLedgerView *view)
 {
-  guint members = view->members.members_len;
-  group->proposed_members_min
-      = group->proposed_members->len > 0 ? MIN (group->proposed_members_min, members) : members;
-  for (guint i = 0; i < members; i++)
-    quince_replica_list_add (group->proposed_members, view->members.members_val[i].replica);
-  /* Another replica that the view names as leader may lead as soon as the store has the view. */
-  group->handover_proposed = group->handover_proposed || view->primary != group->self.replica;
+  return !quince_ledger_view_has_same_members (group->view, view)
+         && quince_ledger_view_list_add (group->outstanding, view);
 }
 
 QuinceLedgerView *
@@ -298,8 +297,7 @@
     view = make_initial_view (group);
   if (view == NULL)
     return NULL;
-  if (group->role == QUINCE_LEDGER_LEADER)
-    record_proposed_members (group, view);
+  group->proposal_is_change = group->role == QUINCE_LEDGER_LEADER && record_proposal (group, view);
   group->proposal = quince_ledger_view_copy (view);
   group->proposed_us = now_us;
   *expected_revision = group->revision;
@@ -321,9 +319,6 @@
     group->next_proposal_us = now_us + PROPOSAL_RETRY_DELAY_US;
   if (outcome == QUINCE_PROPOSAL_UNKNOWN)
     group->proposal_may_apply = TRUE;
-  if (outcome == QUINCE_PROPOSAL_NOT_APPLIED && !group->proposal_may_apply)
-    {
-      g_array_set_size (group->proposed_members, 0);
-      group->handover_proposed = FALSE;
-    }
+  if (outcome == QUINCE_PROPOSAL_NOT_APPLIED && group->proposal_is_change)
+    quince_ledger_view_list_remove (group->outstanding, proposal);
 }
--- a/lib/core/group/ledger-roles.c
+++ b/lib/core/group/ledger-roles.c
@@ -69,11 +69,11 @@
 quince_ledger_group_begin_revision (QuinceLedgerGroup *group, guint64 revision)
 {
   group->revision = revision;
-  g_array_set_size (group->proposed_members, 0);
+  g_ptr_array_set_size (group->outstanding, 0);
   g_array_set_size (group->change_acks, 0);
-  group->wants_change_acks = FALSE;
+  g_clear_pointer (&group->wanted_view, quince_ledger_view_free);
+  group->proposal_is_change = FALSE;
   group->proposal_may_apply = FALSE;
-  group->handover_proposed = FALSE;
 }
 
 /* Keeps the known epoch and leader if @view does not have a greater epoch: members may have elected a leader
--- a/lib/core/group/ledger-succession.c
+++ b/lib/core/group/ledger-succession.c
@@ -1,10 +1,10 @@
 /*
- * ledger-succession.c: leader election without the metadata store: queries, votes and acknowledgements of
- * membership changes.
+ * ledger-succession.c: leader election without the metadata store: queries and votes.
  *
- * Members change in the store only.  Before a leader changes them, it has enough members acknowledge the
- * change for every quorum of votes to include one of them.  A candidate that learns of an acknowledged change
- * waits for the store.  So nobody is elected without the store by members that may have been replaced.
+ * Members change in the store only.  Before a leader changes them, enough members have acknowledged the
+ * change for every quorum of votes to include one of them (ledger-change-acks.c).  A vote tells which changes
+ * its sender has acknowledged, so a candidate knows every view that may be in force, and leads once it has a
+ * quorum of votes in each of them.
  */
 #include "ledger-group-private.h"
 
@@ -13,61 +13,6 @@
 /* How long a campaign runs before the candidate queries the members.  Half of the campaign timeout. */
 #define QUERY_DELAY_US (300 * 1000)
 
-/* ---- Quorums ---------------------------------------------------------- */
-
-/* Returns how many votes, including its own, a replica needs to become leader without the store.  Any two
- * sets of this size overlap, and each overlaps with any set of promises that allows a write to the store. */
-static guint
-get_votes_needed (const QuinceLedgerGroup *group)
-{
-  guint members = group->view->members.members_len;
-  return MAX (group->limits.quorum, members / 2 + 1);
-}
-
-/* Returns how many members, including the leader, must acknowledge a membership change for every set of votes
- * to include one of them; 0 if the view has too few members for such a set. */
-static guint
-get_change_acks_needed (const QuinceLedgerGroup *group)
-{
-  guint members = group->view->members.members_len;
-  guint votes = get_votes_needed (group);
-  return members >= votes ? members - votes + 1 : 0;
-}
-
-/* ---- Acknowledgements of membership changes ----------------------------- */
-
-/* Members that have acknowledged a change elect no leader without the store.  A leader without a quorum lease
- * may be unable to complete the change, and would leave them without a leader. */
-static gboolean
-may_request_change_acks (const QuinceLedgerGroup *group, gint64 now_us)
-{
-  return get_change_acks_needed (group) <= 1 || quince_ledger_group_has_quorum_lease (group, now_us);
-}
-
-gboolean
-quince_ledger_group_has_change_acks (QuinceLedgerGroup *group,
-                                     gint64 now_us,
-                                     const QuinceLedgerView *proposed)
-{
-  guint needed = get_change_acks_needed (group);
-  if (needed == 0 || quince_ledger_view_has_same_members (group->view, proposed))
-    return TRUE;
-  if (!may_request_change_acks (group, now_us))
-    return group->change_acks->len + 1 >= needed;
-  group->wants_change_acks = TRUE;
-  group->persistent.noted = MAX (group->persistent.noted, group->revision);
-  return group->change_acks->len + 1 >= needed;
-}
-
-static void
-record_change_ack (QuinceLedgerGroup *group, const QuinceLedgerLead *lead)
-{
-  if (group->role == QUINCE_LEDGER_LEADER && lead->noted >= group->revision
-      && lead->promised == group->view->epoch && quince_ledger_group_has_member (group, lead->replica)
-      && lead->replica != group->self.replica)
-    quince_replica_list_add (group->change_acks, lead->replica);
-}
-
 /* ---- Queries ---------------------------------------------------------- */
 
 QuinceLedgerQueryKind
@@ -80,14 +25,10 @@
     return QUINCE_LEDGER_QUERY_NONE;
   *query = (QuinceLedgerQuery){ .revision = group->revision,
                                 .epoch = group->view->epoch,
-                                .replica = group->self.replica,
-                                .changing = group->role == QUINCE_LEDGER_LEADER && group->wants_change_acks
-                                            && may_request_change_acks (group, now_us) };
+                                .replica = group->self.replica };
   gboolean is_campaigning = group->campaign_epoch != 0;
   if (is_campaigning && (store_fails || now_us - group->campaign_us >= QUERY_DELAY_US))
     return QUINCE_LEDGER_QUERY_VOTES;
-  if (query->changing)
-    return QUINCE_LEDGER_QUERY_CHANGE_ACKS;
   /* A leader without contact to a quorum sends no heartbeats.  An answer to the query either lets it resume
    * them or names the new leader. */
   if (group->role == QUINCE_LEDGER_LEADER)
@@ -105,14 +46,8 @@
 void
 quince_ledger_group_handle_query (QuinceLedgerGroup *group, gint64 now_us, const QuinceLedgerQuery *query)
 {
-  if (!query->changing || group->view == NULL || group->role == QUINCE_LEDGER_LEADER
-      || query->replica != group->view->primary || query->epoch != group->view->epoch
-      || query->epoch < group->persistent.promised)
-    return;
-  if (group->persistent.promised != query->epoch)
-    group->promised_to = 0;
-  group->persistent.promised = query->epoch;
-  group->persistent.noted = MAX (group->persistent.noted, query->revision);
+  if (query->changing && quince_ledger_group_follows (group, query->replica, query->epoch))
+    quince_ledger_group_acknowledge_unknown (group, query->revision);
 }
 
 gboolean
@@ -135,34 +70,49 @@
 
 /* ---- Votes ------------------------------------------------------------ */
 
-/* Counts the vote of a member that has promised this campaign.  The vote is refused if the member has
- * acknowledged a membership change of this revision, or knows a newer revision. */
+void
+quince_ledger_group_add_vote (QuinceLedgerGroup *group,
+                              guint64 replica,
+                              guint64 promised,
+                              guint64 promised_to)
+{
+  if (group->campaign_epoch != 0 && promised == group->campaign_epoch && promised_to == group->self.replica
+      && quince_replica_list_has (group->campaign_promises, replica))
+    quince_replica_list_add (group->votes, replica);
+}
+
+/* Counts the vote of a member that has promised this campaign and has acknowledged no change of this
+ * revision. The vote of a member that has acknowledged one counts once it has told which. */
 static void
 record_vote (QuinceLedgerGroup *group, const QuinceLedgerLead *lead)
 {
-  if (group->campaign_epoch == 0 || lead->promised != group->campaign_epoch
-      || lead->promised_to != group->self.replica
-      || !quince_replica_list_has (group->campaign_promises, lead->replica))
-    return;
-  if (lead->noted >= group->revision || lead->revision > group->revision)
-    group->vote_refused = TRUE;
-  else
-    quince_replica_list_add (group->votes, lead->replica);
+  if (lead->noted < group->revision && lead->revision <= group->revision)
+    quince_ledger_group_add_vote (group, lead->replica, lead->promised, lead->promised_to);
+}
+
+/* Returns whether enough members have voted for this replica to lead in each view that may be in force. */
+static gboolean
+has_votes (const QuinceLedgerGroup *group)
+{
+  return quince_ledger_group_is_elected (group) && quince_ledger_group_knows_acknowledged (group)
+         && quince_ledger_group_is_in_all_views (group, group->self.replica)
+         && quince_ledger_group_get_greatest_epoch (group) < group->campaign_epoch
+         && quince_ledger_group_have_votes_in_all_views (group, group->votes);
 }
 
 static gboolean
 may_lead_without_store (const QuinceLedgerGroup *group, gint64 now_us, gboolean store_fails)
 {
-  if (group->campaign_epoch == 0 || !quince_ledger_group_is_elected (group) || group->vote_refused
-      || !group->store_leader_collects_acks || group->persistent.noted >= group->revision)
+  if (group->campaign_epoch == 0 || !group->store_leader_collects_acks || !has_votes (group))
     return FALSE;
-  gboolean store_timed_out = store_fails || now_us - group->elected_us >= STORE_TIMEOUT_US;
-  return store_timed_out && group->votes->len + 1 >= get_votes_needed (group);
+  return store_fails || now_us - group->elected_us >= STORE_TIMEOUT_US;
 }
 
 gboolean
 quince_ledger_group_try_lead_without_store (QuinceLedgerGroup *group, gint64 now_us, gboolean store_fails)
 {
+  if (group->campaign_epoch != 0)
+    quince_ledger_group_add_acknowledged (group);
   if (!may_lead_without_store (group, now_us, store_fails) || !quince_ledger_group_promise_self (group))
     return FALSE;
   QuinceLedgerView *view = quince_ledger_view_copy (group->view);
@@ -225,7 +175,6 @@
   group->last_campaign = MAX (group->last_campaign, lead->promised);
   quince_ledger_group_record_contact (group, lead->replica, now_us);
   merge_store_lead (group, lead);
-  record_change_ack (group, lead);
   record_vote (group, lead);
   if (!is_valid_lead (lead))
     return;
--- a/lib/protocol/codec.h
+++ b/lib/protocol/codec.h
@@ -62,6 +62,10 @@
 QUINCE_DECLARE_COPY (QuinceLedgerView, quince_ledger_view);
 QUINCE_DECLARE_FREE (QuinceLedgerView, quince_ledger_view)
 
+QUINCE_DECLARE_ENCODE (QuinceLedgerChange, quince_ledger_change);
+QUINCE_DECLARE_DECODE (QuinceLedgerChange, quince_ledger_change);
+QUINCE_DECLARE_FREE (QuinceLedgerChange, quince_ledger_change)
+
 QUINCE_DECLARE_FREE (QuinceBatchJob, quince_batch_job)
 
 /* Returns: (transfer full): a copy of @text, or of "" if @text is %NULL, for a string field.  XDR functions
--- a/lib/protocol/quince_protocol.x
+++ b/lib/protocol/quince_protocol.x
@@ -219,6 +219,28 @@
     bool           changing;          /* a leader asks members to note that it changes members on that revision */
 };
 
+/* Views with other members that leaders may write to the store in place of the view at that revision.  Until a
+ * greater revision is known, any of them may be in force.  Also stored by each replica that acknowledged them. */
+struct QuinceLedgerChange {
+    unsigned hyper   revision;        /* of the view in the metadata store */
+    QuinceLedgerView proposed<16>;
+};
+
+/* The leader asks a member to acknowledge a membership change before it writes it to the store. */
+struct QuinceLedgerChangeRequest {
+    QuinceLedgerView   view;          /* at the revision of the change, with the epoch and the leader in force */
+    QuinceLedgerChange change;        /* all views that the leader has proposed or will propose at it */
+};
+
+/* The answer to a change request.  Also follows QuinceLedgerLead as the answer to a query, if the sender has
+ * acknowledged a change of the revision that it knows. */
+struct QuinceLedgerChangeAck {
+    unsigned hyper     replica;       /* of the sender                     */
+    unsigned hyper     promised;      /* as in QuinceLedgerLead            */
+    unsigned hyper     promised_to;
+    QuinceLedgerChange change;        /* all that the sender has acknowledged at that revision */
+};
+
 /* The answer of any replica that knows a view; a new leader sends it unasked. */
 struct QuinceLedgerLead {
     unsigned hyper   revision;        /* of the view in the store on which this lead is based */
@@ -424,7 +446,9 @@
     QUINCE_MESSAGE_SUSPECT_SENDING = 32,
     QUINCE_MESSAGE_LEDGER_QUERY   = 33,
     QUINCE_MESSAGE_LEDGER_LEAD   = 34,
-    QUINCE_MESSAGE_FEED_RELAYS   = 35
+    QUINCE_MESSAGE_FEED_RELAYS   = 35,
+    QUINCE_MESSAGE_LEDGER_CHANGE_REQUEST = 36,
+    QUINCE_MESSAGE_LEDGER_CHANGE_ACK = 37
 };
 
 union QuinceMessage switch (QuinceMessageKind kind) {
@@ -453,4 +477,6 @@
 case QUINCE_MESSAGE_LEDGER_QUERY:   QuinceLedgerQuery   ledger_query;
 case QUINCE_MESSAGE_LEDGER_LEAD:   QuinceLedgerLead   ledger_lead;
 case QUINCE_MESSAGE_FEED_RELAYS:   QuinceFeedRelays   feed_relays;
+case QUINCE_MESSAGE_LEDGER_CHANGE_REQUEST: QuinceLedgerChangeRequest ledger_change_request;
+case QUINCE_MESSAGE_LEDGER_CHANGE_ACK: QuinceLedgerChangeAck ledger_change_ack;
 };
--- a/tests/unit/ledger-orders.h
+++ b/tests/unit/ledger-orders.h
@@ -6,7 +6,7 @@
  */
 #pragma once
 
-#include "ledger-parts.h"
+#include "ledger-checks.h"
 
 #define WORLD_WORKERS 6
 
--- a/tests/unit/ledger-parts.h
+++ b/tests/unit/ledger-parts.h
@@ -1,6 +1,6 @@
 /*
- * ledger-parts.h: simulated disks, links and metadata store of the ledger tests, with fault injection, and
- * the checks that run at each step.  ledger-world.h simulates the replicas.
+ * ledger-parts.h: simulated disks, links and metadata store of the ledger tests, with fault injection.
+ * ledger-checks.h checks the replicas at each step, ledger-world.h simulates them.
  */
 #pragma once
 
@@ -11,6 +11,7 @@
 
 #include <cmocka.h>
 
+#include "core/group/ledger-change.h"
 #include "core/group/ledger-group.h"
 #include "core/group/order-history.h"
 #include "core/group/order-permits.h"
@@ -46,6 +47,8 @@
   WORLD_PROMISE,
   WORLD_QUERY,
   WORLD_LEAD,
+  WORLD_CHANGE_REQUEST,
+  WORLD_CHANGE_ACK,
   WORLD_STORE_ANSWER,
   WORLD_STORE_VIEW,
 } WorldMessageKind;
@@ -70,7 +73,9 @@
   guint64 revision;
   QuinceLedgerQuery query;
   QuinceLedgerLead lead; /* its view is borrowed from the field view */
-  gboolean delayed;      /* a store write that is applied even while the store is unreachable */
+  QuinceLedgerChange *change;
+  QuinceLedgerChangeAck change_ack; /* its change is borrowed from the field change */
+  gboolean delayed;                 /* a store write that is applied even while the store is unreachable */
 } WorldMessage;
 
 typedef struct
@@ -116,6 +121,11 @@
   guint recoveries;              /* number of leaders that completed recovery */
   guint elections_without_store; /* number of leaders elected without the store */
   gboolean bootstrapped;
+  /* The store goes down while it answers the next change of members, which it applies at the time
+   * lost_change_applied_us; 0: never. */
+  gboolean loses_next_change;
+  gboolean change_is_lost;
+  gint64 lost_change_applied_us;
   GHashTable *leaders;       /* epoch to WorldLeader, owned */
   gint last_orderer;         /* last machine that was allowed to give orders; -1: none */
   gint64 last_order_us;      /* when last_orderer was last allowed to give orders */
@@ -171,6 +181,7 @@
   WorldMessage *message = data;
   g_clear_pointer (&message->records, g_array_unref);
   quince_ledger_view_free (message->view);
+  quince_ledger_change_free (message->change);
   g_free (message);
 }
 
@@ -250,7 +261,7 @@
   WorldNode *node = &world->nodes[index];
   world_kill (world, index);
   g_array_set_size (node->disk.log, 0);
-  node->disk.persistent = (QuinceLedgerPersistentState){ 0 };
+  quince_ledger_persistent_state_clear (&node->disk.persistent);
   node->disk.replica = ++world->next_replica;
 }
 
@@ -261,7 +272,8 @@
 world_save_state (WorldNode *node)
 {
   if (node->group != NULL)
-    node->disk.persistent = *quince_ledger_group_get_persistent_state (node->group);
+    quince_ledger_persistent_state_assign (&node->disk.persistent,
+                                           quince_ledger_group_get_persistent_state (node->group));
 }
 
 static inline WorldMessage *
@@ -343,6 +355,22 @@
   delayed->due_us += g_rand_int_range (world->random, 0, 8000) * 1000;
 }
 
+/* The store goes down before it answers the change @message. */
+static inline void
+world_lose_change (World *world, WorldMessage *message)
+{
+  message->outcome = QUINCE_PROPOSAL_UNKNOWN;
+  message->due_us = world->now_us + 300 * 1000;
+  world->loses_next_change = FALSE;
+  world->change_is_lost = TRUE;
+  world->store_down = TRUE;
+  if (world->lost_change_applied_us == 0)
+    return;
+  world_apply_later (world, message);
+  WorldMessage *delayed = world->messages->pdata[world->messages->len - 1];
+  delayed->due_us = world->lost_change_applied_us;
+}
+
 /* Sends a proposed view to the store as a message, so that it may arrive late. */
 static inline void
 world_propose (World *world, guint index)
@@ -362,6 +390,11 @@
   message->outcome = outcome_draw == 0   ? QUINCE_PROPOSAL_UNKNOWN
                      : outcome_draw == 1 ? QUINCE_PROPOSAL_NOT_APPLIED
                                          : QUINCE_PROPOSAL_APPLIED;
+  if (world->loses_next_change && !quince_ledger_view_has_same_members (world->view, view))
+    {
+      world_lose_change (world, message);
+      return;
+    }
   if (outcome_draw != 0)
     return;
   /* The call is aborted, but the write may be applied later. */
@@ -381,78 +414,6 @@
   return FALSE;
 }
 
-/* ---- Checks ----------------------------------------------------------- */
-
-/* Maximum time that an order is in flight to a worker. */
-#define WORLD_ORDER_MAX_US (3 * G_USEC_PER_SEC)
-
-static inline void
-world_check_leader (World *world, guint index, guint64 epoch)
-{
-  const guint64 incarnation = world->nodes[index].incarnation;
-  const WorldLeader *known = g_hash_table_lookup (world->leaders, &epoch);
-  if (known != NULL && (known->node != index || known->incarnation != incarnation))
-    fail_msg ("seed %u: epoch %" G_GUINT64_FORMAT " is led by n%u and n%u", world->seed, epoch, known->node,
-              index);
-  if (known != NULL)
-    return;
-  const WorldLeader leader = { .epoch = epoch, .node = index, .incarnation = incarnation };
-  WorldLeader *stored = g_memdup2 (&leader, sizeof leader);
-  g_hash_table_insert (world->leaders, &stored->epoch, stored);
-}
-
-/* Fails if a leader that may answer lacks a record that was reported as committed. */
-static inline void
-world_check_answers (World *world, guint index)
-{
-  WorldNode *node = &world->nodes[index];
-  if (!quince_ledger_group_may_answer (node->group, world->now_us))
-    return;
-  if (quince_ledger_group_get_commit_index (node->group) < world->committed->len)
-    fail_msg ("seed %u: n%u may answer with %" G_GUINT64_FORMAT " of %u committed records", world->seed,
-              index, quince_ledger_group_get_commit_index (node->group), world->committed->len);
-}
-
-/* Fails unless the log of a new leader has every record that was reported as committed. */
-static inline void
-world_check_leader_log (World *world, WorldNode *node)
-{
-  if (node->disk.log->len < world->committed->len)
-    fail_msg ("seed %u: a leader holds %u records, %u were committed", world->seed, node->disk.log->len,
-              world->committed->len);
-  for (guint i = 0; i < world->committed->len; i++)
-    {
-      const WorldRecord *committed = &g_array_index (world->committed, WorldRecord, i);
-      const WorldRecord *record = &g_array_index (node->disk.log, WorldRecord, i);
-      if (committed->value != record->value || committed->epoch != record->epoch)
-        fail_msg ("seed %u: record %u was committed with another value", world->seed, i + 1);
-    }
-}
-
-static inline void
-world_check_orders (World *world, guint index)
-{
-  if (!quince_ledger_group_may_order (world->nodes[index].group, world->now_us))
-    return;
-  if (world->last_orderer >= 0 && world->last_orderer != (gint)index
-      && world->now_us - world->last_order_us < WORLD_ORDER_MAX_US)
-    fail_msg ("seed %u: n%u gives orders %" G_GINT64_FORMAT " us after n%d", world->seed, index,
-              world->now_us - world->last_order_us, world->last_orderer);
-  world->last_orderer = (gint)index;
-  world->last_order_us = world->now_us;
-}
-
-static inline void
-world_check (World *world)
-{
-  for (guint i = 0; i < world->n_nodes; i++)
-    if (world->nodes[i].group != NULL && !world->nodes[i].frozen && world->nodes[i].recovered)
-      {
-        world_check_answers (world, i);
-        world_check_orders (world, i);
-      }
-}
-
 static inline void
 world_send_append (World *world, guint from, guint to)
 {
--- a/tests/unit/test-batch-log.c
+++ b/tests/unit/test-batch-log.c
@@ -141,14 +141,19 @@
   guint64 replica_id = quince_batch_log_get_replica_id (fixture->log);
   append_bytes (fixture, 1, 3, (char *)"one", 3);
   append_bytes (fixture, 2, 3, (char *)"two", 3);
-  const QuinceLedgerPersistentState saved = { .promised = 9, .noted = 7, .ordered = 5 };
+  g_autoptr (GBytes) change = g_bytes_new_static ("change", 6);
+  const QuinceLedgerPersistentState saved = { .promised = 9, .noted = 7, .ordered = 5, .change = change };
   assert_true (quince_batch_log_save_persistent_state (fixture->log, &saved, NULL));
   reopen (fixture);
   assert_true (replica_id != 0);
   assert_int_equal (quince_batch_log_get_replica_id (fixture->log), replica_id);
   assert_int_equal (quince_batch_log_get_last_index (fixture->log), 2);
   assert_int_equal (quince_batch_log_get_epoch (fixture->log, 2), 3);
-  assert_memory_equal (quince_batch_log_get_persistent_state (fixture->log), &saved, sizeof saved);
+  const QuinceLedgerPersistentState *read = quince_batch_log_get_persistent_state (fixture->log);
+  assert_int_equal (read->promised, saved.promised);
+  assert_int_equal (read->noted, saved.noted);
+  assert_int_equal (read->ordered, saved.ordered);
+  assert_true (g_bytes_equal (read->change, change));
   assert_int_equal (quince_batch_log_get_commit_index (fixture->log), 2);
 }
 
--- a/tests/unit/test-ledger-succession.c
+++ b/tests/unit/test-ledger-succession.c
@@ -324,12 +324,17 @@
   quince_ledger_group_set_draining_nodes (group, leaving);
   assert_null (quince_ledger_group_propose (group, now, &expected));
   assert_int_equal (quince_ledger_group_get_persistent_state (group)->noted, 6);
-  QuinceLedgerQuery query;
-  assert_int_equal (quince_ledger_group_get_query (group, now, FALSE, &query),
-                    QUINCE_LEDGER_QUERY_CHANGE_ACKS);
-  assert_true (query.changing);
-  const QuinceLedgerLead lead = { .revision = 6, .replica = SECOND, .promised = query.epoch, .noted = 6 };
+  QuinceLedgerChangeRequest request;
+  assert_true (quince_ledger_group_get_change_request (group, now, &request));
+  assert_int_equal (request.change.revision, 6);
+  /* An acknowledgement without the proposed view is none. */
+  const QuinceLedgerLead lead
+      = { .revision = 6, .replica = SECOND, .promised = request.view.epoch, .noted = 6 };
   quince_ledger_group_handle_lead (group, now, &lead);
+  assert_null (quince_ledger_group_propose (group, now, &expected));
+  const QuinceLedgerChangeAck ack
+      = { .replica = SECOND, .promised = request.view.epoch, .change = request.change };
+  quince_ledger_group_handle_change_ack (group, now, &ack);
   g_autoptr (QuinceLedgerView) view = quince_ledger_group_propose (group, now, &expected);
   assert_non_null (view);
   assert_int_not_equal (view->primary, SELF);
