Ledger: candidates of a view with as many members as a quorum do not refuse each other

What callers saw: two members that heard nothing of each other for a moment while the store was silent. No batch was taken until the store answered, though they heard each other again (left open by the postmortem of the cut during a change).

Cause: in a view of as many members as a quorum a candidate needs nobody's promise for the store. It promised itself, so that it refused its leader, and counted as elected, so that it refused every other candidate. With two of them neither gave the promise that the other needed to lead without the store.

Change: such a candidate promises itself for the store only after a read of the store that began with its campaigns, or 0.3 s before them, was answered; until then it follows its leader if it hears it again. Who was elected refuses others for the 0.3 s that the store has, in views of every size, and promises them after that.

Why it works: a promise to oneself does not lapse, so it must not be made on nobody's word. The refusal only keeps an election from being disturbed; the promises on disk make it safe.

--- a/daemons/replica/ledger-membership.c
+++ b/daemons/replica/ledger-membership.c
@@ -87,6 +87,8 @@
   const QuinceMetaItem *item = page != NULL && page->items->len > 0 ? page->items->pdata[0] : NULL;
   apply_view (membership, item != NULL ? item->value : NULL, item != NULL ? item->revision : 0,
               membership->last_read_us);
+  /* A candidate may have waited for this answer. */
+  quince_ledger_membership_propose (membership);
 }
 
 void
@@ -106,6 +108,13 @@
     quince_ledger_membership_read_view (membership);
 }
 
+void
+quince_ledger_membership_read_for_candidate (QuinceLedgerMembership *membership, gint64 now_us)
+{
+  if (quince_ledger_group_needs_store_read (membership->group))
+    quince_ledger_membership_refresh_view (membership, now_us);
+}
+
 void
 quince_ledger_membership_read_initial_view (QuinceLedgerMembership *membership, gint64 now_us)
 {
--- a/daemons/replica/ledger-membership.h
+++ b/daemons/replica/ledger-membership.h
@@ -39,6 +39,9 @@
 void quince_ledger_membership_read_initial_view (QuinceLedgerMembership *membership, gint64 now_us);
 /* Reads the view if the last read started more than 300 ms ago. */
 void quince_ledger_membership_refresh_view (QuinceLedgerMembership *membership, gint64 now_us);
+/* Reads the view if the candidate of this process needs that before it may propose itself as leader.  Must be
+ * called several times a second. */
+void quince_ledger_membership_read_for_candidate (QuinceLedgerMembership *membership, gint64 now_us);
 /* Writes the view that the ledger group proposes, if there is one and the store is not known to be
  * unreachable. */
 void quince_ledger_membership_propose (QuinceLedgerMembership *membership);
--- a/daemons/replica/ledger-node.c
+++ b/daemons/replica/ledger-node.c
@@ -267,6 +267,7 @@
    * would replace a healthy leader: in a view of two members its own promise is enough. */
   if (!quince_ledger_follower_has_input (node->follower))
     quince_ledger_election_campaign (node->election);
+  quince_ledger_membership_read_for_candidate (node->membership, now_us);
   quince_ledger_membership_propose (node->membership);
   quince_ledger_election_query (node->election, quince_ledger_records_get_epoch (node->records) != 0);
   quince_ledger_election_try_lead_without_store (node->election);
--- a/lib/core/group/ledger-campaign.c
+++ b/lib/core/group/ledger-campaign.c
@@ -88,6 +88,16 @@
              || quince_ledger_group_has_leader_lease (group, now_us));
 }
 
+/* Returns %TRUE if this replica was elected a moment ago and may be leader as soon as the store answers. Once
+ * the store has had its time, it promises others: otherwise two candidates that are both elected, for example
+ * in a view of as many members as a quorum, would refuse each other until the store is back. */
+static gboolean
+is_about_to_lead (const QuinceLedgerGroup *group, gint64 now_us)
+{
+  return quince_ledger_group_is_elected (group)
+         && now_us - group->elected_us < QUINCE_LEDGER_STORE_TIMEOUT_US;
+}
+
 /* Refuses a candidate that lacks records of this log; this replica soon starts its own campaign. */
 gboolean
 quince_ledger_group_grant_promise (QuinceLedgerGroup *group,
@@ -103,8 +113,7 @@
   /* The next campaign of this replica must use a greater epoch than other members may have promised. */
   group->last_campaign = MAX (group->last_campaign, epoch);
   if (follows_other_leader (group, now_us, replica) || epoch <= group->persistent.promised
-      || epoch <= group->view->epoch || quince_ledger_group_is_elected (group)
-      || is_ahead (&group->log_end, end))
+      || epoch <= group->view->epoch || is_about_to_lead (group, now_us) || is_ahead (&group->log_end, end))
     return FALSE;
   group->consecutive_promises = replica == group->promised_to ? group->consecutive_promises + 1 : 1;
   group->persistent.promised = epoch;
@@ -160,7 +169,12 @@
 {
   gint64 silence_us = get_required_silence_us (group);
   if (silence_us < 0 || (silence_us > 0 && now_us - group->leader_contact_us < silence_us))
-    return 0;
+    {
+      group->campaigning_since_us = 0;
+      return 0;
+    }
+  if (group->campaigning_since_us == 0)
+    group->campaigning_since_us = now_us;
   if (group->campaign_epoch != 0 && now_us - group->campaign_us < CAMPAIGN_TIMEOUT_US)
     return group->campaign_epoch; /* send the requests again, they may have been lost */
   if (group->campaign_epoch == 0 && now_us < group->campaign_us)
@@ -174,6 +188,8 @@
   group->last_campaign = MAX (max_known_epoch, group->last_campaign) + 1;
   group->campaign_epoch = group->last_campaign;
   group->campaign_us = now_us;
+  if (quince_ledger_group_is_elected (group))
+    group->elected_us = now_us;
   return group->campaign_epoch;
 }
 
@@ -199,13 +215,28 @@
     group->elected_us = now_us;
 }
 
+/* Returns how many other members must promise before this replica may write itself into the store as leader.
+ */
+static guint
+get_promises_needed (const QuinceLedgerGroup *group)
+{
+  guint members = group->view->members.members_len;
+  return members > group->limits.quorum ? members - group->limits.quorum : 0;
+}
+
+gboolean
+quince_ledger_group_needs_store_read (const QuinceLedgerGroup *group)
+{
+  return group->campaign_epoch != 0 && get_promises_needed (group) == 0
+         && group->confirmed_us < group->campaigning_since_us - QUINCE_LEDGER_STORE_TIMEOUT_US;
+}
+
 gboolean
 quince_ledger_group_is_elected (const QuinceLedgerGroup *group)
 {
   if (group->campaign_epoch == 0 || group->view == NULL)
     return FALSE;
-  guint members = group->view->members.members_len;
-  guint others_needed = members > group->limits.quorum ? members - group->limits.quorum : 0;
+  guint others_needed = get_promises_needed (group);
   guint self_counted = quince_ledger_group_has_member (group, group->self.replica);
   return quince_ledger_group_count_members (group, group->view, group->campaign_promises)
          >= others_needed + self_counted;
--- a/lib/core/group/ledger-group-private.h
+++ b/lib/core/group/ledger-group-private.h
@@ -62,12 +62,13 @@
   guint consecutive_promises; /* successive promises to that replica, each of a greater epoch */
 
   /* Campaign of this replica. */
-  guint64 campaign_epoch;    /* epoch for which promises are requested; 0: no campaign */
-  guint64 last_campaign;     /* greatest epoch of any campaign known to this replica */
-  gint64 campaign_us;        /* start of the campaign; without one, earliest start of the next */
-  GArray *campaign_promises; /* replicas that granted the promise */
-  GArray *votes;             /* those of them whose acknowledged membership changes are all known */
-  gint64 elected_us;         /* when enough promises for a write to the store were granted; 0: not yet */
+  guint64 campaign_epoch;      /* epoch for which promises are requested; 0: no campaign */
+  gint64 campaigning_since_us; /* start of the first of several successive campaigns; 0: none */
+  guint64 last_campaign;       /* greatest epoch of any campaign known to this replica */
+  gint64 campaign_us;          /* start of the campaign; without one, earliest start of the next */
+  GArray *campaign_promises;   /* replicas that granted the promise */
+  GArray *votes;               /* those of them whose acknowledged membership changes are all known */
+  gint64 elected_us;           /* when enough promises for a write to the store were granted; 0: not yet */
 
   /* State of the leader. */
   GHashTable *peers; /* replica id to QuinceLedgerPeer, owned */
@@ -81,6 +82,9 @@
   gboolean wrote_first_view; /* no replica led before it */
 };
 
+/* How long an elected candidate waits for its write to the store before it leads without the store. */
+#define QUINCE_LEDGER_STORE_TIMEOUT_US (300 * 1000)
+
 /* Each source file below calls only functions of the files listed before it. */
 
 /* ---- ledger-group.c ---- */
--- a/lib/core/group/ledger-group.h
+++ b/lib/core/group/ledger-group.h
@@ -148,6 +148,12 @@
                                          guint64 epoch,
                                          const QuinceLogEnd *end);
 
+/* Returns whether this candidate must read the view from the store before it may propose itself as leader: no
+ * read that began since the campaigns did, or shortly before, has been answered.
+ * Where nobody else's promise is needed, its own one binds it: a candidate that the store does not answer
+ * would take itself out of the group of a leader that may go on. */
+gboolean quince_ledger_group_needs_store_read (const QuinceLedgerGroup *group);
+
 /* ---- Succession without the metadata store ---------------------------- */
 
 /* Which members this replica queries, and for what. */
--- a/lib/core/group/ledger-proposals.c
+++ b/lib/core/group/ledger-proposals.c
@@ -27,7 +27,8 @@
 static QuinceLedgerView *
 make_takeover_view (QuinceLedgerGroup *group)
 {
-  if (!quince_ledger_group_is_elected (group) || !quince_ledger_group_promise_self (group))
+  if (!quince_ledger_group_is_elected (group) || quince_ledger_group_needs_store_read (group)
+      || !quince_ledger_group_promise_self (group))
     return NULL;
   QuinceLedgerView *view = quince_ledger_view_copy (group->view);
   view->epoch = group->campaign_epoch;
--- a/lib/core/group/ledger-succession.c
+++ b/lib/core/group/ledger-succession.c
@@ -8,8 +8,6 @@
  */
 #include "ledger-group-private.h"
 
-/* How long an elected candidate waits for its write to the store before it leads without the store. */
-#define STORE_TIMEOUT_US (300 * 1000)
 /* How long a campaign runs before the candidate queries the members.  Half of the campaign timeout. */
 #define QUERY_DELAY_US (300 * 1000)
 
@@ -105,7 +103,7 @@
 {
   if (group->campaign_epoch == 0 || !group->store_leader_collects_acks || !has_votes (group))
     return FALSE;
-  return store_fails || now_us - group->elected_us >= STORE_TIMEOUT_US;
+  return store_fails || now_us - group->elected_us >= QUINCE_LEDGER_STORE_TIMEOUT_US;
 }
 
 gboolean
--- a/tests/unit/ledger-parts.h
+++ b/tests/unit/ledger-parts.h
@@ -121,6 +121,7 @@
   guint recoveries;              /* number of leaders that completed recovery */
   guint elections_without_store; /* number of leaders elected without the store */
   gboolean bootstrapped;
+  gint64 store_silent_since_us; /* the store answers nothing since then; 0: it answers */
   /* The store goes down while it answers the next change of members, which it applies at the time
    * lost_change_applied_us; 0: never. */
   gboolean loses_next_change;
@@ -148,10 +149,16 @@
   guint64 incarnation;
 } WorldLeader;
 
+/* Time after which calls to a silent store fail, so that it counts as unreachable. */
+#define WORLD_STORE_CALL_TIMEOUT_US (1500 * 1000)
+
+/* Returns whether the process of @node knows that it cannot reach the store. */
 static inline gboolean
 world_is_store_unreachable (const World *world, guint node)
 {
-  return world->store_down || world->store_unreachable[node];
+  gboolean calls_failed = world->store_silent_since_us != 0
+                          && world->now_us - world->store_silent_since_us >= WORLD_STORE_CALL_TIMEOUT_US;
+  return world->store_down || world->store_unreachable[node] || calls_failed;
 }
 
 static inline const QuinceLedgerMember *
@@ -300,7 +307,7 @@
 static inline void
 world_request_view (World *world, guint index)
 {
-  if (world_is_store_unreachable (world, index))
+  if (world_is_store_unreachable (world, index) || world->store_silent_since_us != 0)
     return;
   WorldMessage *message = world_send (world, WORLD_STORE_VIEW, index, index);
   message->incarnation = world->nodes[index].incarnation;
@@ -386,6 +393,12 @@
   message->incarnation = node->incarnation;
   message->view = quince_ledger_view_copy (view);
   message->revision = expected;
+  if (world->store_silent_since_us != 0)
+    {
+      message->outcome = QUINCE_PROPOSAL_UNKNOWN;
+      message->due_us = world->now_us + WORLD_STORE_CALL_TIMEOUT_US;
+      return;
+    }
   guint outcome_draw = (guint)g_rand_int_range (world->random, 0, 10);
   message->outcome = outcome_draw == 0   ? QUINCE_PROPOSAL_UNKNOWN
                      : outcome_draw == 1 ? QUINCE_PROPOSAL_NOT_APPLIED
--- a/tests/unit/ledger-world.h
+++ b/tests/unit/ledger-world.h
@@ -26,12 +26,12 @@
 {
   WorldNode *node = &world->nodes[index];
   node->next_tick_us = world->now_us + WORLD_NODE_TICK_US;
+  guint64 epoch = quince_ledger_group_campaign (node->group, world->now_us);
   if (world->now_us - node->read_view_us > 300 * 1000)
     {
       node->read_view_us = world->now_us;
       world_request_view (world, index);
     }
-  guint64 epoch = quince_ledger_group_campaign (node->group, world->now_us);
   for (guint i = 0; epoch != 0 && i < world->n_nodes; i++)
     if (i != index)
       {
@@ -181,6 +181,7 @@
       quince_ledger_group_set_view (node->group, world->now_us, message->sent_us, message->view,
                                     message->revision);
       world_update_role (world, message->to);
+      world_propose (world, message->to);
       break;
     case WORLD_HELLO:
       if (node->led_epoch != 0 && world->nodes[message->from].disk.replica == message->replica)
--- a/tests/unit/test-ledger-group.c
+++ b/tests/unit/test-ledger-group.c
@@ -371,6 +371,7 @@
   quince_ledger_group_set_view (group, now_us, now_us, &view, 5);
   now_us += 3 * G_USEC_PER_SEC;
   guint64 epoch = quince_ledger_group_campaign (group, now_us);
+  quince_ledger_group_set_view (group, now_us, now_us, &view, 5); /* the candidate has read the store */
   guint64 expected = 0;
   g_autoptr (QuinceLedgerView) takeover = quince_ledger_group_propose (group, now_us, &expected);
   quince_ledger_group_proposal_ended (group, now_us, QUINCE_PROPOSAL_APPLIED, 6);
