Ledger: a leader that was suspended tries to regain its lease before it promises a candidate

What callers saw: each pause of the leader of 1.1 s or more with just a quorum of members running cost an election, the order pause of the next leader and the search of all fronts, although its members still followed it when it went on.

Cause: requests of candidates wait in the sockets of a suspended leader. It read them before it had sent a heartbeat, found its lease over and promised.

Change: a leader that finds that it has lost its lease promises nobody for 0.45 s, which is a query, its answers and a heartbeat, unless a member has refused it for another one.

Why it works: members end their campaigns when they hear the leader, and a candidate promises itself last. If they have promised another one, a refused heartbeat tells the leader, and it promises at once.

--- a/lib/core/group/ledger-campaign.c
+++ b/lib/core/group/ledger-campaign.c
@@ -13,6 +13,10 @@
  * delay of a replica's own campaign after it promises another candidate.  Longer than two rank delays. */
 #define CAMPAIGN_TIMEOUT_US (600 * 1000)
 
+/* How long a leader that notices the loss of its lease tries to regain it before it promises others.  Three
+ * heartbeat intervals: a query of the members, their answers and one heartbeat. */
+#define LEASE_REGAIN_US (450 * 1000)
+
 /* How many successive promises to one candidate delay this replica's own campaign.  A candidate that still
  * asks after that does not receive the promises, for example because its link works in one direction only.  A
  * candidate that is only slow, or waits for the metadata store, has won by then: three campaigns are 1.8 s.
@@ -88,6 +92,25 @@
              || quince_ledger_group_has_leader_lease (group, now_us));
 }
 
+/* Notes when a leader first finds that it has lost its lease. */
+static void
+update_lease_loss (QuinceLedgerGroup *group, gint64 now_us)
+{
+  if (group->role != QUINCE_LEDGER_LEADER || quince_ledger_group_has_leader_lease (group, now_us))
+    group->lease_lost_us = 0;
+  else if (group->lease_lost_us == 0)
+    group->lease_lost_us = now_us;
+}
+
+/* Returns %TRUE if this leader may still regain its lease.  A leader that was suspended finds a candidate's
+ * requests before it has sent a heartbeat, although the members may still follow it. */
+static gboolean
+may_regain_lease (const QuinceLedgerGroup *group, gint64 now_us)
+{
+  return group->lease_lost_us != 0 && now_us - group->lease_lost_us < LEASE_REGAIN_US
+         && group->refused_epoch <= group->view->epoch;
+}
+
 /* Returns %TRUE if this replica was elected a moment ago and may be leader as soon as the store answers. Once
  * the store has had its time, it promises others: otherwise two candidates that are both elected, for example
  * in a view of as many members as a quorum, would refuse each other until the store is back. */
@@ -106,7 +129,10 @@
                                    guint64 epoch,
                                    const QuinceLogEnd *end)
 {
-  if (group->view == NULL || is_active_leader (group, now_us))
+  if (group->view == NULL)
+    return FALSE;
+  update_lease_loss (group, now_us);
+  if (is_active_leader (group, now_us) || may_regain_lease (group, now_us))
     return FALSE;
   if (epoch == group->persistent.promised && replica == group->promised_to)
     return TRUE; /* repeated request, the answer may have been lost */
@@ -167,6 +193,7 @@
 guint64
 quince_ledger_group_campaign (QuinceLedgerGroup *group, gint64 now_us)
 {
+  update_lease_loss (group, now_us);
   gint64 silence_us = get_required_silence_us (group);
   if (silence_us < 0 || (silence_us > 0 && now_us - group->leader_contact_us < silence_us))
     {
--- a/lib/core/group/ledger-group-private.h
+++ b/lib/core/group/ledger-group-private.h
@@ -79,6 +79,7 @@
   GArray *change_acks;            /* replicas that acknowledged it */
   gint64 orders_blocked_until_us; /* it gives no orders to workers before this time */
   gint64 leading_since_us;
+  gint64 lease_lost_us;      /* when it first found that it has no lease; 0: it has one, or is no leader */
   gboolean wrote_first_view; /* no replica led before it */
 };
 
