Ledger: candidates tell the view to members that restarted without the store

What callers saw: a member that a quorum needs is killed and starts again while the store is away. No batch was taken until the store was back.

Cause: a member that starts without the store knows no view, so it can promise nothing. Only a leader told it one, and there was none.

Change: a candidate sends the view that it knows (LEDGER_LEAD) with its queries for votes.

--- a/daemons/replica/ledger-election.c
+++ b/daemons/replica/ledger-election.c
@@ -132,19 +132,28 @@
 
 /* ---- Announcements of the leader ----------------------------------------- */
 
-/* Announces this leader to the members that are not connected as its backups. */
+/* Tells @members (element-type QuinceLedgerMember) who leads as far as this replica knows. */
 static void
-announce_lead (QuinceLedgerElection *election)
+send_lead (QuinceLedgerElection *election, const GPtrArray *members)
 {
   QuinceMessage message = { .kind = QUINCE_MESSAGE_LEDGER_LEAD };
-  g_autoptr (GPtrArray) electors = list_other_electors (election);
   quince_ledger_group_get_lead (election->group, &message.QuinceMessage_u.ledger_lead);
-  for (guint i = 0; i < electors->len; i++)
+  for (guint i = 0; i < members->len; i++)
+    quince_ledger_member_links_send (election->links, members->pdata[i], &message);
+}
+
+/* Announces this leader to the electors that are not connected as its backups. */
+static void
+announce_lead (QuinceLedgerElection *election)
+{
+  g_autoptr (GPtrArray) electors = list_other_electors (election);
+  for (guint i = electors->len; i > 0; i--)
     {
-      const QuinceLedgerMember *member = electors->pdata[i];
-      if (!election->callbacks->is_backup (member->replica, election->user_data))
-        quince_ledger_member_links_send (election->links, member, &message);
+      const QuinceLedgerMember *member = electors->pdata[i - 1];
+      if (election->callbacks->is_backup (member->replica, election->user_data))
+        g_ptr_array_remove_index (electors, i - 1);
     }
+  send_lead (election, electors);
 }
 
 /* Announces this leader repeatedly while the store is unreachable.  A member that restarts then knows no
@@ -256,6 +265,9 @@
       if (kind != QUINCE_LEDGER_QUERY_LEADER || member->replica == view->primary)
         quince_ledger_member_links_send (election->links, member, &message);
     }
+  /* A member that restarted while the store is unreachable knows no view, and can promise nothing. */
+  if (kind == QUINCE_LEDGER_QUERY_VOTES)
+    send_lead (election, electors);
 }
 
 void
--- a/tests/unit/ledger-replica.h
+++ b/tests/unit/ledger-replica.h
@@ -207,5 +207,7 @@
           = kind == QUINCE_LEDGER_QUERY_LEADER ? replica == view->primary : world_is_elector (node, replica);
       if (i != index && is_recipient)
         world_send (world, WORLD_QUERY, index, i)->query = query;
+      if (i != index && kind == QUINCE_LEDGER_QUERY_VOTES && world_is_elector (node, replica))
+        world_send_lead (world, index, i);
     }
 }
--- a/tests/unit/test-ledger-outstanding.c
+++ b/tests/unit/test-ledger-outstanding.c
@@ -25,11 +25,12 @@
 
 typedef enum
 {
-  EVENT_PAUSE,      /* the leader is suspended and goes on */
-  EVENT_TWO_PAUSES, /* the same twice */
-  EVENT_CUT,        /* the leader hears nobody and nobody hears it for a while */
-  EVENT_KILL,       /* the leader is killed */
-  EVENT_RESTART,    /* a backup restarts, then the leader is suspended and goes on */
+  EVENT_PAUSE,          /* the leader is suspended and goes on */
+  EVENT_TWO_PAUSES,     /* the same twice */
+  EVENT_CUT,            /* the leader hears nobody and nobody hears it for a while */
+  EVENT_KILL,           /* the leader is killed */
+  EVENT_RESTART,        /* a backup restarts, then the leader is suspended and goes on */
+  EVENT_RESTART_LEADER, /* the leader restarts */
 } Event;
 
 typedef struct
@@ -117,6 +118,12 @@
       world_start (world, backup, FALSE);
       world_run (world, 700);
     }
+  if (event == EVENT_RESTART_LEADER)
+    {
+      world_kill (world, leader);
+      world_start (world, leader, FALSE);
+      return;
+    }
   pause_leader (world, leader);
   if (event != EVENT_TWO_PAUSES)
     return;
@@ -162,6 +169,8 @@
 test_view_of_two (void **state)
 {
   static const Case cases[] = { { 3, 1, CHANGE_JOINER, EVENT_PAUSE },
+                                { 3, 1, CHANGE_JOINER, EVENT_RESTART },
+                                { 3, 1, CHANGE_JOINER, EVENT_RESTART_LEADER },
                                 { 3, 1, CHANGE_JOINER, EVENT_TWO_PAUSES },
                                 { 3, 1, CHANGE_JOINER, EVENT_CUT } };
   run_cases (cases, G_N_ELEMENTS (cases));
@@ -171,10 +180,12 @@
 test_view_of_three (void **state)
 {
   static const Case cases[]
-      = { { 3, 1, CHANGE_REPLACED, EVENT_PAUSE }, { 3, 1, CHANGE_REPLACED, EVENT_TWO_PAUSES },
-          { 3, 1, CHANGE_REPLACED, EVENT_CUT },   { 3, 1, CHANGE_SILENT, EVENT_PAUSE },
-          { 3, 1, CHANGE_SILENT, EVENT_CUT },     { 3, 1, CHANGE_HANDOVER, EVENT_PAUSE },
-          { 3, 1, CHANGE_HANDOVER, EVENT_KILL },  { 3, 1, CHANGE_HANDOVER, EVENT_CUT } };
+      = { { 3, 1, CHANGE_REPLACED, EVENT_PAUSE },       { 3, 1, CHANGE_REPLACED, EVENT_TWO_PAUSES },
+          { 3, 1, CHANGE_REPLACED, EVENT_CUT },         { 3, 1, CHANGE_SILENT, EVENT_PAUSE },
+          { 3, 1, CHANGE_SILENT, EVENT_CUT },           { 3, 1, CHANGE_HANDOVER, EVENT_PAUSE },
+          { 3, 1, CHANGE_HANDOVER, EVENT_KILL },        { 3, 1, CHANGE_HANDOVER, EVENT_CUT },
+          { 3, 1, CHANGE_REPLACED, EVENT_RESTART },     { 3, 1, CHANGE_REPLACED, EVENT_RESTART_LEADER },
+          { 3, 1, CHANGE_SILENT, EVENT_RESTART_LEADER } };
   run_cases (cases, G_N_ELEMENTS (cases));
 }
 
