HTTP pool: a connection made in time precedes its connect timeout

What callers saw: a front that was stopped for longer than the connect timeout (700 ms) while it connected to a worker refuses the lookup with 503 no_connection, although the worker takes connections and the time of the request is not over. With other workers the request goes to one of them, and the first one is ejected.

Cause: when the front goes on, the expired connect timer and the connection that the kernel made meanwhile are ready in the same iteration of the main loop. The source of timers comes first, and connect_timed_out () ended the exchange without a look at the socket. For responses and streams this was mended before, for connections not.

Change: a connect timeout that finds a connect result on the socket leaves it to be handled first, 8 times 2 ms at most, as for unread input. A connection that is not made by then ends as before, and a send deadline is still checked once the connection is handled.

--- a/lib/http1/http-connection.c
+++ b/lib/http1/http-connection.c
@@ -124,6 +124,13 @@
   return connection->socket != NULL && g_socket_condition_check (connection->socket, G_IO_IN) != 0;
 }
 
+gboolean
+quince_http_connection_has_connect_result (const QuinceHttpConnection *connection)
+{
+  return connection->connecting && connection->socket != NULL
+         && g_socket_condition_check (connection->socket, G_IO_OUT) != 0;
+}
+
 gboolean
 quince_http_connection_has_unacknowledged_data (const QuinceHttpConnection *connection)
 {
--- a/lib/http1/http-pool.c
+++ b/lib/http1/http-pool.c
@@ -47,7 +47,7 @@
   GByteArray *body;
   QuinceTimer *timer;
   QuinceTimer *connect_timer;
-  guint timeout_deferrals; /* how often the timeout was deferred to read input first */
+  guint timeout_deferrals; /* how often the timeout was deferred to handle the connection or input first */
   gboolean reuse_disabled;
   gboolean connected;
   gint64 send_by_us;       /* monotonic; 0: no limit */
@@ -290,13 +290,28 @@
   return G_SOURCE_REMOVE;
 }
 
-static gboolean
-connect_timed_out (gpointer data)
+static void
+fail_late_connect (QuinceHttpExchange *exchange)
 {
-  QuinceHttpExchange *exchange = data;
   g_autoptr (GError) error
       = g_error_new_literal (QUINCE_HTTP1_ERROR, QUINCE_HTTP1_ERROR_CONNECT, "timed out connecting");
   exchange_fail (exchange, error);
+}
+
+/* If the process was stopped, the connection may have been established in time.  It is then handled first. */
+static gboolean
+connect_timed_out (gpointer data)
+{
+  QuinceHttpExchange *exchange = data;
+  if (exchange->timeout_deferrals < QUINCE_TIMEOUT_DEFERRALS_MAX
+      && quince_http_connection_has_connect_result (exchange->pooled->connection))
+    {
+      exchange->timeout_deferrals++;
+      quince_timer_clear (&exchange->connect_timer);
+      exchange->connect_timer = quince_timer_add (QUINCE_TIMEOUT_DEFERRAL_MS, connect_timed_out, exchange);
+      return G_SOURCE_REMOVE;
+    }
+  fail_late_connect (exchange);
   return G_SOURCE_REMOVE;
 }
 
@@ -311,10 +326,11 @@
   /* The process may have been suspended while connecting. */
   if (exchange->send_by_us != 0 && quince_now_us () > exchange->send_by_us)
     {
-      connect_timed_out (exchange);
+      fail_late_connect (exchange);
       return;
     }
   exchange->connected = TRUE;
+  exchange->timeout_deferrals = 0;
   if (exchange->unsent_request == NULL)
     return;
   quince_http_connection_write (connection, exchange->unsent_request->str, exchange->unsent_request->len);
--- a/lib/http1/http1.h
+++ b/lib/http1/http1.h
@@ -133,6 +133,8 @@
 gboolean quince_http_connection_has_buffered_input (QuinceHttpConnection *connection);
 /* Returns %TRUE if the kernel has not yet accepted all output. */
 gboolean quince_http_connection_has_pending_output (QuinceHttpConnection *connection);
+/* Returns %TRUE if the socket has connected or failed to, but the main loop has not handled this yet. */
+gboolean quince_http_connection_has_connect_result (const QuinceHttpConnection *connection);
 /* Returns %TRUE if the socket has unread input, was closed by the peer or failed. */
 gboolean quince_http_connection_is_readable (const QuinceHttpConnection *connection);
 /* Returns the number of bytes that the kernel has not yet accepted. */
--- a/tests/platform/test-http-pool.c
+++ b/tests/platform/test-http-pool.c
@@ -4,6 +4,7 @@
  */
 #include "http1/http-client.h"
 #include "runtime/clock.h"
+#include "runtime/timer.h"
 
 #include <string.h>
 
@@ -274,13 +275,54 @@
   standin_server_free (server);
 }
 
+/* Longer than the connect timeout of a pool. */
+#define STOP_US (900 * 1000)
+
+static gboolean
+do_nothing (gpointer data)
+{
+  return G_SOURCE_CONTINUE;
+}
+
+/* Guards against a connect timeout that ends an exchange although its connection was established while the
+ * process was stopped.  The front then refused a lookup with cause=no_connection. */
+static void
+test_established_connection_precedes_timeout (void **state)
+{
+  /* Creates the main loop source of timers before the one of sockets, so that it is dispatched first. */
+  QuinceTimer *earlier_timer = quince_timer_add (1, do_nothing, NULL);
+  guint calls = 0;
+  StandinServer *server = standin_server_new (count_call, &calls);
+  QuinceHttpPool *pool = quince_http_pool_new (standin_server_get_address (server));
+  QuinceHttpRequest request = { .method = "GET", .target = "/" };
+  for (guint i = 1; i <= 2; i++) /* without a send deadline, then with one */
+    {
+      ExchangeResult result = { 0 };
+      quince_http_pool_start (pool, &request, &callbacks, &result);
+      g_usleep (STOP_US);
+      AWAIT (result.done);
+      assert_int_equal (result.outcome, QUINCE_HTTP_ANSWERED);
+      assert_int_equal (calls, i);
+      g_free (result.body);
+      quince_http_pool_close_idle (pool);
+      request.send_by_us = quince_now_us () + 2 * STOP_US;
+    }
+  quince_http_pool_unref (pool);
+  standin_server_free (server);
+  quince_timer_clear (&earlier_timer);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
-    cmocka_unit_test (test_scripted_responses),     cmocka_unit_test (test_connection_refused),
-    cmocka_unit_test (test_idle_connection_closed), cmocka_unit_test (test_cancel_closes_connection),
-    cmocka_unit_test (test_send_deadline),          cmocka_unit_test (test_received_answer_precedes_timeout),
+    cmocka_unit_test (test_scripted_responses),
+    cmocka_unit_test (test_connection_refused),
+    cmocka_unit_test (test_idle_connection_closed),
+    cmocka_unit_test (test_cancel_closes_connection),
+    cmocka_unit_test (test_send_deadline),
+    cmocka_unit_test (test_received_answer_precedes_timeout),
+    cmocka_unit_test (test_established_connection_precedes_timeout),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
