Tests: relays take a burst of connections

What was seen: platform-leaving fails with 1 to 11 of 260 calls refused with 503 no_connection if both fronts were stopped for 1.2 to 2 s while one worker for lookups is left. The refused calls are lookups that may not be repeated; the others go out again after 0.3 s.

Cause: a relay stand-in listened with GSocket's default backlog of 10. A front that goes on sends the lookups that have queued up at once, on about as many new connections to one relay. The kernel dropped the connection requests beyond 11 and repeats them after 1 s; the front gives up a connection after 0.7 s, and no other worker is left. The workers behind the relays listen with 1024, so that the loss was that of the relay, not of the network that it stands for.

Evidence: trials that stop processes at set moments of the case "draining" log request_retried worker=p0 cause=no_connection took_ms=700 and request_refused age_ms=701 for each refused call; platform-relay-burst gets 11 of 200 connections through the relay.

Change: relays listen with the backlog of the product's own listeners.

--- a/rehearsal/platform/standin-relay.c
+++ b/rehearsal/platform/standin-relay.c
@@ -5,6 +5,9 @@
 
 #include <sys/socket.h>
 
+/* As many as the product's own listeners.  With GSocket's default of 10 the kernel drops connection requests
+ * of a burst and repeats them after 1 s, which is longer than the connect timeout of a front. */
+#define LISTEN_BACKLOG 1024
 /* Upper limit of one read, also without a rate limit. */
 #define CHUNK_MAX_BYTES 65536
 /* With a rate limit, one read takes at most what the rate allows in this time. */
@@ -309,6 +312,7 @@
   g_autoptr (GSocketAddress) any_port = g_inet_socket_address_new_from_string ("127.0.0.1", 0);
   relay->listener = g_socket_new (G_SOCKET_FAMILY_IPV4, G_SOCKET_TYPE_STREAM, G_SOCKET_PROTOCOL_TCP, NULL);
   g_socket_set_blocking (relay->listener, FALSE);
+  g_socket_set_listen_backlog (relay->listener, LISTEN_BACKLOG);
   g_assert_true (g_socket_bind (relay->listener, any_port, TRUE, NULL)
                  && g_socket_listen (relay->listener, NULL));
   g_autoptr (GSocketAddress) local = g_socket_get_local_address (relay->listener, NULL);
