Worker check: a response received in time precedes the timeout

What was seen: a front that was stopped for longer than 150 ms while it checked whether a worker had ended counts the check as timed out, although the worker's port had refused the connection. The end is not attributed to the request that the worker ran, so that the request is no suspect and is sent to further workers like any other.

Cause: as for connections of the pool: the expired timer of the check is handled before the result of the connection.

Evidence: platform-connect-stopped test_connection_refused_while_stopped stops the front between the check's connect () and its next poll (). On with the test: run_lost request=lost, and no worker_ended.

A worker that does not respond still counts as timed out.

--- a/lib/forward/worker-check.c
+++ b/lib/forward/worker-check.c
@@ -4,6 +4,7 @@
 #include "worker-check.h"
 
 #include "http1/http1.h"
+#include "runtime/clock.h"
 #include "runtime/timer.h"
 
 /* Far above a round trip between zones (at most 6 ms), within which a closed port refuses; requests wait for
@@ -15,6 +16,7 @@
   /* All fields belong to the context that started it. */
   QuinceHttpConnection *connection;
   QuinceTimer *timer;
+  guint timeout_deferrals; /* how often the timeout was deferred to handle the connection first */
   void (*done) (QuinceWorkerCheckResult, gpointer);
   gpointer user_data;
 };
@@ -47,10 +49,20 @@
   finish_check (data, QUINCE_WORKER_CHECK_ENDED);
 }
 
+/* If the process was stopped, the worker may have responded in time.  Its response is then handled first. */
 static gboolean
 check_timed_out (gpointer data)
 {
-  finish_check (data, QUINCE_WORKER_CHECK_TIMED_OUT);
+  QuinceWorkerCheck *check = data;
+  if (check->timeout_deferrals < QUINCE_TIMEOUT_DEFERRALS_MAX
+      && quince_http_connection_has_connect_result (check->connection))
+    {
+      check->timeout_deferrals++;
+      quince_timer_clear (&check->timer);
+      check->timer = quince_timer_add (QUINCE_TIMEOUT_DEFERRAL_MS, check_timed_out, check);
+      return G_SOURCE_REMOVE;
+    }
+  finish_check (check, QUINCE_WORKER_CHECK_TIMED_OUT);
   return G_SOURCE_REMOVE;
 }
 
