Ledger: a former leader that restarts without the store campaigns last

Cause: since candidates tell the view to members that know none, such a leader learnt that it had led, asked its members at once and got their promises. It has not read the store, so it knows no workers and runs nothing.

Change: who has not read the store since it started campaigns after the leader timeout and after all other members.

--- a/lib/core/group/ledger-campaign.c
+++ b/lib/core/group/ledger-campaign.c
@@ -184,8 +184,9 @@
     return -1;
   if (group->role == QUINCE_LEDGER_LEADER)
     return group->refused_epoch > group->view->epoch ? 0 : -1;
-  /* This replica was the leader before its restart, or the former leader handed over to it. */
-  if (group->view->primary == group->self.replica && has_current_lead (group))
+  /* This replica was the leader before its restart, or the former leader handed over to it.  One that has not
+   * read the store since it started knows no workers: the others, which do, campaign first. */
+  if (group->view->primary == group->self.replica && has_current_lead (group) && group->view_is_read)
     return 0;
   return group->limits.leader_timeout_us + (gint64)get_own_rank (group) * RANK_DELAY_US;
 }
--- a/tests/unit/test-ledger-single.c
+++ b/tests/unit/test-ledger-single.c
@@ -179,6 +179,29 @@
   quince_ledger_group_free (group);
 }
 
+/* A former leader that restarts without the store learns the view from a candidate.  It knows no workers, so
+ * it lets the other members campaign first.  Guards against samples that nobody runs until the store is back.
+ */
+static void
+test_restarted_leader_without_store_campaigns_last (void **state)
+{
+  const QuinceLedgerPersistentState persistent = { .promised = 1 };
+  QuinceLedgerGroup *group = new_group (&persistent);
+  const QuinceLedgerLead lead = { .revision = REVISION,
+                                  .view = make_view (1, SELF, 3),
+                                  .replica = SECOND,
+                                  .promised = 1,
+                                  .answered = 1,
+                                  .shown_epoch = 1,
+                                  .shown_primary = SELF,
+                                  .shown_answers = TRUE };
+  quince_ledger_group_handle_lead (group, START_US, &lead);
+  assert_int_equal (quince_ledger_group_campaign (group, START_US), 0);
+  assert_int_equal (quince_ledger_group_campaign (group, START_US + 1500 * 1000), 0);
+  assert_int_not_equal (quince_ledger_group_campaign (group, START_US + 2 * G_USEC_PER_SEC), 0);
+  quince_ledger_group_free (group);
+}
+
 /* ---- Leaders ---------------------------------------------------------------- */
 
 /* Returns the leader of epoch 2 in a view of two members, whose only other member has just answered. */
@@ -257,6 +280,7 @@
                                       cmocka_unit_test (test_vote_with_unknown_change),
                                       cmocka_unit_test (test_own_unknown_change),
                                       cmocka_unit_test (test_candidate_without_store_follows_leader),
+                                      cmocka_unit_test (test_restarted_leader_without_store_campaigns_last),
                                       cmocka_unit_test (test_resumed_leader_regains_lease),
                                       cmocka_unit_test (test_many_changes_of_one_revision) };
   return cmocka_run_group_tests (tests, NULL, NULL);
