Backups that their leader refuses log one loss and connect less often

What operators saw: while nobody leads, a backup logs dependency_lost and dependency_regained what=ledger_primary 6 to 7 times a second, without bound, although the leader never came back.

Cause: a replica that does not lead any more, or not yet, accepts a link, takes the address from the hello message and closes the link (handle_hello). The backup logged dependency_regained as soon as the link was connected, and connected again at each tick of 150 ms as long as the view named that replica.

Evidence: two new cases of platform-succession make such a state for as long as the store is away. test_restarted_leader_refuses_links restarts the leader beside one remaining backup: it knows no view, so it grants no promise. test_resigned_leader_refuses_links suspends a leader whose proposal of a third member is not answered: it promises the other member, becomes a backup, and the change that it noted lets nobody lead.

Change: - dependency_regained is logged with the first append message that is accepted on a link. Event names and keys stay. - A link that the other end accepted and closed without having led is a refusal.

Why it works: only a leader sends append messages, and a backup accepts them only from the leader of its view. Each refused link still delivers the hello message, so a former leader learns the address of a backup from the first one.

--- a/daemons/replica/ledger-follower.c
+++ b/daemons/replica/ledger-follower.c
@@ -22,9 +22,11 @@
   const QuinceLedgerFollowerCallbacks *callbacks; /* borrowed */
   gpointer user_data;
 
-  QuinceLink *link;     /* owned; NULL: none; may still be connecting */
-  char *address;        /* owned: address of the leader; NULL: none */
-  gboolean loss_logged; /* the loss of the link was logged, and no link was up since */
+  QuinceLink *link;         /* owned; NULL: none; may still be connecting */
+  char *address;            /* owned: address of the leader; NULL: none */
+  gboolean was_connected;   /* the current link was connected */
+  gboolean leader_accepted; /* an append message was accepted on the current link */
+  gboolean loss_logged;     /* the loss of the leader was logged, and no append message was accepted since */
   QuinceLeaderAttempt last_attempt;
 };
 
@@ -91,6 +93,18 @@
 
 /* ---- Records ------------------------------------------------------------ */
 
+/* Logs the first accepted append message of the link.  A connected link alone does not show that the other
+ * end leads: a replica that does not lead accepts links and closes them. */
+static void
+record_leader_accepted (QuinceLedgerFollower *follower)
+{
+  if (follower->leader_accepted)
+    return;
+  follower->leader_accepted = TRUE;
+  follower->loss_logged = FALSE;
+  quince_log_info ("dependency_regained", "what=ledger_primary address=%s", follower->address);
+}
+
 /* @promised_epoch: the greater epoch that this replica has promised, if it refuses the append for that
  * reason; 0 otherwise */
 static void
@@ -150,6 +164,7 @@
 close_for_rejoin (QuinceLedgerFollower *follower)
 {
   quince_link_close (follower->link);
+  quince_leader_connect_record_end (&follower->last_attempt, FALSE);
   handle_link_loss (follower);
 }
 
@@ -169,6 +184,7 @@
       close_for_rejoin (follower);
       return;
     }
+  record_leader_accepted (follower);
   /* The promise is saved first: a replica that has acknowledged a record must not follow an older epoch, even
    * after a restart. */
   if (quince_ledger_storage_save_state (follower->storage, "follow") && apply_append (follower, append))
@@ -192,6 +208,7 @@
 link_connected (QuinceLink *link, gpointer data)
 {
   QuinceLedgerFollower *follower = data;
+  follower->was_connected = TRUE;
   const QuinceLogEnd end = quince_ledger_storage_get_log_end (follower->storage);
   QuinceMessage message = { .kind = QUINCE_MESSAGE_LEDGER_HELLO };
   QuinceLedgerHello *hello = &message.QuinceMessage_u.ledger_hello;
@@ -202,17 +219,18 @@
   hello->commit_index = MIN (quince_batch_log_get_commit_index (follower->log), end.index);
   hello->commit_epoch = quince_batch_log_get_epoch (follower->log, hello->commit_index);
   quince_link_send (link, &message);
-  follower->loss_logged = FALSE;
-  quince_log_info ("dependency_regained", "what=ledger_primary address=%s", follower->address);
   follower->callbacks->leader_connected (link, follower->user_data);
 }
 
 static void
 link_closed (QuinceLink *link, const GError *error, gpointer data)
 {
-  handle_link_loss (data);
+  QuinceLedgerFollower *follower = data;
+  quince_leader_connect_record_end (&follower->last_attempt,
+                                    follower->was_connected && !follower->leader_accepted);
+  handle_link_loss (follower);
   /* The leader may have been elected after it refused this link. */
-  quince_ledger_follower_update_link (data);
+  quince_ledger_follower_update_link (follower);
 }
 
 static const QuinceLinkCallbacks link_callbacks
@@ -250,6 +268,7 @@
     return;
   g_free (follower->address);
   follower->address = g_strdup (leader->address);
-  follower->last_attempt = (QuinceLeaderAttempt){ .started_us = now_us, .epoch = epoch };
+  follower->was_connected = follower->leader_accepted = FALSE;
+  quince_leader_connect_record_start (&follower->last_attempt, now_us, epoch);
   follower->link = quince_link_connect (leader->address, &link_callbacks, follower);
 }
--- a/rehearsal/platform/standin-relay.c
+++ b/rehearsal/platform/standin-relay.c
@@ -48,6 +48,7 @@
   char *address;
   GSocketAddress *upstream_address;
   GPtrArray *connections; /* RelayedConnection, owned */
+  guint n_accepted;       /* connections since the relay was created */
   gboolean upstream_paused;
   gboolean downstream_paused;
   guint delay_ms;
@@ -281,6 +282,7 @@
   GSocket *client = g_socket_accept (socket, NULL, NULL);
   if (client == NULL)
     return G_SOURCE_CONTINUE;
+  relay->n_accepted++;
   g_socket_set_blocking (client, FALSE);
   if (relay->cut)
     {
@@ -414,3 +416,9 @@
 {
   return relay->connections->len;
 }
+
+guint
+standin_relay_get_n_accepted (const StandinRelay *relay)
+{
+  return relay->n_accepted;
+}
--- a/rehearsal/platform/standin-relay.h
+++ b/rehearsal/platform/standin-relay.h
@@ -41,3 +41,5 @@
 void standin_relay_set_half_closed (StandinRelay *relay, StandinRelayDirection direction);
 /* Returns the number of connections, including those that wait for the relay to resume. */
 guint standin_relay_get_n_connections (const StandinRelay *relay);
+/* Returns the number of connections accepted since the relay was created, including closed ones. */
+guint standin_relay_get_n_accepted (const StandinRelay *relay);
--- a/tests/platform/test-succession.c
+++ b/tests/platform/test-succession.c
@@ -13,6 +13,20 @@
 /* A call that a cut leader took is given up after the 3 s that its caller gives it. */
 #define CUT_FOLLOWED_US (FOLLOWED_US + 3 * G_USEC_PER_SEC)
 
+#define LEADER_LOST "event=dependency_lost what=ledger_primary"
+#define LEADER_REGAINED "event=dependency_regained what=ledger_primary"
+/* Longer than the 2 s in which a backup that is refused reaches its greatest interval. */
+#define REFUSALS_SETTLED_MS 2500
+#define REFUSALS_COUNTED_MS 5000
+/* Greatest interval between two links of a backup that is refused. */
+#define REFUSED_LINK_INTERVAL_US (500 * 1000)
+/* Links that may be counted besides: one at the start of the interval, and those for promise requests and
+ * queries, which are closed when a slow process sends none for 0.5 s. */
+#define OTHER_LINKS 3
+/* Longer than the 1 s of silence after which a backup campaigns and a leader has no lease, with room for a
+ * busy machine. */
+#define SUSPENDED_MS 3000
+
 static void
 submit (PathWorld *world, guint front, const char *batch)
 {
@@ -183,6 +197,133 @@
   relayed_world_free (world);
 }
 
+/* A backup that lost its leader, and the links that it opens to that leader. */
+typedef struct
+{
+  RelayedWorld *world;
+  guint leader;
+  guint backup;
+  guint losses_logged; /* before the leader was lost */
+  guint regains_logged;
+} FollowingBackup;
+
+static guint
+count_backup_lines (const FollowingBackup *following, const char *part)
+{
+  g_autofree char *text = quince_process_read_output (following->world->path->replicas[following->backup]);
+  return path_count_occurrences (text, part);
+}
+
+static guint
+count_losses (const FollowingBackup *following)
+{
+  return count_backup_lines (following, LEADER_LOST) - following->losses_logged;
+}
+
+static guint
+count_regains (const FollowingBackup *following)
+{
+  return count_backup_lines (following, LEADER_REGAINED) - following->regains_logged;
+}
+
+/* Returns the number of connections from the backup to the leader. */
+static guint
+count_links (const FollowingBackup *following)
+{
+  const StandinRelay *relay
+      = following->world
+            ->relays[RELAYED_REPLICA_PROCESS (following->backup)][RELAYED_REPLICA (following->leader)];
+  return standin_relay_get_n_accepted (relay);
+}
+
+/* The leader is about to be lost. */
+static FollowingBackup
+choose_backup (RelayedWorld *world, guint leader)
+{
+  FollowingBackup following = { .world = world, .leader = leader, .backup = (leader + 1) % PATH_REPLICAS };
+  following.losses_logged = count_backup_lines (&following, LEADER_LOST);
+  following.regains_logged = count_backup_lines (&following, LEADER_REGAINED);
+  return following;
+}
+
+/* The leader that the backup follows refuses its links, and nobody else leads. */
+static void
+assert_refused_quietly (const FollowingBackup *following)
+{
+  run_for (REFUSALS_SETTLED_MS);
+  guint links = count_links (following);
+  gint64 since_us = g_get_monotonic_time ();
+  run_for (REFUSALS_COUNTED_MS);
+  links = count_links (following) - links;
+  gint64 elapsed_us = g_get_monotonic_time () - since_us;
+  print_message ("refused: %u links in %" G_GINT64_FORMAT " ms, %u losses and %u recoveries logged\n", links,
+                 elapsed_us / 1000, count_losses (following), count_regains (following));
+  assert_int_equal (count_losses (following), 1);
+  assert_int_equal (count_regains (following), 0);
+  assert_true (links >= 1);
+  assert_true (links <= elapsed_us / REFUSED_LINK_INTERVAL_US + OTHER_LINKS);
+}
+
+/* Guards against a backup that opens a link to a leader which does not lead at each tick, and logs a loss and
+ * a recovery of the leader for each of these links.  One backup is lost, and the restarted leader knows no
+ * view, so it grants the other one no promise: nobody leads until the store is back. */
+static void
+test_restarted_leader_refuses_links (void **state)
+{
+  RelayedWorld *world = relayed_world_new ("succession-refused");
+  relayed_world_start (world);
+  await_members (world->path);
+  FollowingBackup following = choose_backup (world, (guint)path_find_leader (world->path));
+  standin_store_set_fault (world->path->store, STANDIN_STORE_UNAVAILABLE);
+  run_for (500);
+  quince_process_kill (world->path->replicas[(following.backup + 1) % PATH_REPLICAS]);
+  quince_process_kill (world->path->replicas[following.leader]);
+  relayed_start_process (world, RELAYED_REPLICA_PROCESS (following.leader));
+  assert_refused_quietly (&following);
+  standin_store_set_fault (world->path->store, STANDIN_STORE_HEALTHY);
+  await_batches (world->path, "refused", FOLLOWED_US);
+  assert_batches (world->path, "refused");
+  assert_true (count_regains (&following) <= count_losses (&following));
+  relayed_world_free (world);
+}
+
+/* Two replicas are members, and the answer to the leader's proposal of the third one is lost. */
+static RelayedWorld *
+start_change_of_members (void)
+{
+  RelayedWorld *world = relayed_world_new ("succession-resigned");
+  relayed_start_process (world, RELAYED_REPLICA_PROCESS (0));
+  AWAIT (count_lines (world->path, "event=ledger_role role=primary") == 1);
+  relayed_start_process (world, RELAYED_REPLICA_PROCESS (1));
+  AWAIT (count_lines (world->path, "members=2 on_revision") >= 1);
+  run_for (1500);
+  relayed_set_paused (world, RELAYED_REPLICA_PROCESS (0), RELAYED_STORE, TRUE);
+  relayed_start_process (world, RELAYED_REPLICA_PROCESS (2));
+  AWAIT (count_lines (world->path, "members=3 on_revision") >= 1);
+  return world;
+}
+
+/* As above, of a leader that knows the view: it was suspended, promised to follow the other member, and
+ * became a backup.  The change of members that it noted lets nobody lead until the store is back. */
+static void
+test_resigned_leader_refuses_links (void **state)
+{
+  RelayedWorld *world = start_change_of_members ();
+  FollowingBackup following = choose_backup (world, 0);
+  standin_store_set_fault (world->path->store, STANDIN_STORE_UNAVAILABLE);
+  quince_process_suspend (world->path->replicas[0]);
+  run_for (SUSPENDED_MS);
+  quince_process_resume (world->path->replicas[0]);
+  AWAIT (count_lines (world->path, "event=ledger_role role=backup") >= 1);
+  assert_refused_quietly (&following);
+  assert_int_equal (count_lines (world->path, "event=ledger_role role=primary"), 1);
+  standin_store_set_fault (world->path->store, STANDIN_STORE_HEALTHY);
+  relayed_set_paused (world, RELAYED_REPLICA_PROCESS (0), RELAYED_STORE, FALSE);
+  AWAIT (count_lines (world->path, "event=ledger_recovered") >= 2);
+  AWAIT (count_regains (&following) == 1 || path_find_leader (world->path) == (gint)following.backup);
+  relayed_world_free (world);
+}
+
 int
 main (void)
 {
@@ -191,6 +332,8 @@
     cmocka_unit_test (test_leader_freezes_while_store_is_away),
     cmocka_unit_test (test_store_turns_members_away),
     cmocka_unit_test (test_former_leader_alone_sees_the_store),
+    cmocka_unit_test (test_restarted_leader_refuses_links),
+    cmocka_unit_test (test_resigned_leader_refuses_links),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
