Answers on a slow link: the limit follows measured deliveries

Callers saw: with the leader in the other region, behind a link of 370 kB/s, a caller that read a batch of 577 kB from its start was refused (503 after 1.5 s, then 429) each time the answers had grown, and the leader counted its front as silent for up to 1 s, so that the directory left it out and it stopped being fed.

Cause: on an idle link each answer doubled the limit of the next one. The link of one reader that reads again once it was answered is idle at each read, however slow it is: limits of 48, 97, 193, 386 and 717 kB, answers after 0.37, 0.56, 0.73, 1.34 and 1.74 s, and from the start again.

Change: the delivery meter measures an answer's delivery, up to the peer's answer to the next heartbeat, and the allowance limits the next answer to what takes 0.35 s at that rate. With the heartbeat interval of 0.25 s before it that is below 0.65 s, after which a front is silent. Small late answers (below 64 KiB) lower nothing, since then the peer was late; a delivery in time never lowers the limit; without a measurement for 2 s the limit doubles as before, and a peer that answers no heartbeats is treated as before. No wait and no bound of a test changes.

--- a/daemons/replica/batch-answers.c
+++ b/daemons/replica/batch-answers.c
@@ -78,8 +78,7 @@
   g_autoptr (GError) error = NULL;
   gsize max_bytes = RESULTS_MAX_BYTES;
   if (entry->results->len > position)
-    max_bytes = quince_answer_allowance_acquire (quince_link_get_allowance (link), quince_now_us (),
-                                                 quince_link_get_backlog (link), RESULTS_MAX_BYTES);
+    max_bytes = quince_link_acquire_answer (link, RESULTS_MAX_BYTES);
   if (max_bytes == 0)
     {
       /* On 503 the front would search for another leader. */
--- a/lib/runtime/answer-allowance.c
+++ b/lib/runtime/answer-allowance.c
@@ -1,6 +1,7 @@
 /*
  * answer-allowance.c: on a busy link, limits an answer to the bytes that the link drains in DRAIN_TIME_US; on
- * an idle link, doubles the limit with each answer.
+ * an idle link, to the bytes that it delivers in DELIVERY_TIME_US.  Where deliveries are not measured, each
+ * answer on an idle link doubles the limit.
  */
 #include "runtime/answer-allowance.h"
 
@@ -20,6 +21,31 @@
  * results with a maximum of 0.5 s, and 14 of 123 with 2 s. */
 #define RATE_INTERVAL_MAX_US (2000 * 1000)
 
+/* Time in which an answer should be delivered, as measured up to the answer to the next heartbeat, which is
+ * sent 250 ms after the answer at the latest.  A front is silent to its leader after 650 ms without an answer
+ * to a heartbeat, of which one heartbeat interval may pass before the answer; 50 ms remain. */
+#define DELIVERY_TIME_US (350 * 1000)
+/* A smaller answer that takes long does not lower the limit: its peer was late and not the link, which would
+ * have to be slower than 1.5 Mbit/s. */
+#define SLOW_DELIVERY_MIN_BYTES (64 * 1024)
+
+/* Time without a measured delivery after which an idle link raises the limit.  Longer than the interval at
+ * which callers read results; a front that is fed by a relay gets no heartbeats of the leader any more. */
+#define MEASUREMENT_MAX_AGE_US (2000 * 1000)
+
+/* Returns whether an idle link raises the limit.  Where deliveries are measured it does not, since the link
+ * of a caller that reads again as soon as it was answered is always idle, however slow it is. */
+static gboolean
+raise_on_idle (QuinceAnswerAllowance *allowance, gint64 now_us)
+{
+  if (allowance->adapted_us == 0)
+    return TRUE;
+  if (now_us - allowance->adapted_us <= MEASUREMENT_MAX_AGE_US)
+    return FALSE;
+  allowance->adapted_us = now_us;
+  return TRUE;
+}
+
 /* Estimates the bytes that the link drains in DRAIN_TIME_US, by its rate since the last answer. */
 static gsize
 estimate_drained_bytes (const QuinceAnswerAllowance *allowance, gint64 now_us, gsize backlog)
@@ -40,8 +66,12 @@
   gboolean is_first = allowance->last_max_bytes == 0;
   if (is_first)
     allowance->last_max_bytes = max_bytes;
+  allowance->max_bytes = max_bytes;
   if (backlog <= IDLE_BACKLOG_BYTES)
-    allowance->last_max_bytes = MIN (2 * allowance->last_max_bytes, max_bytes);
+    {
+      if (raise_on_idle (allowance, now_us))
+        allowance->last_max_bytes = MIN (2 * allowance->last_max_bytes, max_bytes);
+    }
   else if (!is_first && now_us - allowance->sent_us > DRAIN_TIME_US)
     allowance->last_max_bytes = CLAMP (estimate_drained_bytes (allowance, now_us, backlog), ANSWER_MIN_BYTES,
                                        MAX (allowance->last_max_bytes, ANSWER_MIN_BYTES));
@@ -51,3 +81,23 @@
   allowance->sent_us = now_us;
   return allowance->last_max_bytes;
 }
+
+void
+quince_answer_allowance_record_delivery (QuinceAnswerAllowance *allowance,
+                                         gint64 now_us,
+                                         gsize bytes,
+                                         gint64 duration_us)
+{
+  allowance->adapted_us = now_us;
+  gsize deliverable_bytes = (gsize)((double)bytes * DELIVERY_TIME_US / (double)MAX (duration_us, 1));
+  if (duration_us <= DELIVERY_TIME_US)
+    {
+      /* An answer far below the limit does not show what the link can deliver. */
+      if (bytes >= allowance->last_max_bytes / 2)
+        allowance->last_max_bytes
+            = MIN (MAX (deliverable_bytes, allowance->last_max_bytes), allowance->max_bytes);
+    }
+  else if (bytes >= SLOW_DELIVERY_MIN_BYTES)
+    allowance->last_max_bytes
+        = CLAMP (deliverable_bytes, ANSWER_MIN_BYTES, MAX (allowance->last_max_bytes, ANSWER_MIN_BYTES));
+}
--- a/lib/runtime/answer-allowance.h
+++ b/lib/runtime/answer-allowance.h
@@ -16,6 +16,9 @@
  * @last_max_bytes: size limit from the latest request; 0 before the first request
  * @backlog_after_send: maximum backlog just after the last answer was sent, bytes
  * @sent_us: time at which the last answer was sent
+ * @max_bytes: maximum size of any answer, from the latest request
+ * @adapted_us: time at which the limit was last adapted to a measured delivery or raised without one; 0 if no
+ *   delivery was measured
  *
  * State of one link; initialize it to zero.
  */
@@ -24,6 +27,8 @@
   gsize last_max_bytes;
   gsize backlog_after_send;
   gint64 sent_us;
+  gsize max_bytes;
+  gint64 adapted_us;
 } QuinceAnswerAllowance;
 
 /**
@@ -40,4 +45,16 @@
                                        gsize backlog,
                                        gsize max_bytes);
 
+/**
+ * quince_answer_allowance_record_delivery:
+ * @bytes: bytes of an answer and of what was queued with it
+ * @duration_us: from queueing the answer until the peer is known to have it
+ *
+ * Adapts the size limit to what the link delivers.
+ */
+void quince_answer_allowance_record_delivery (QuinceAnswerAllowance *allowance,
+                                              gint64 now_us,
+                                              gsize bytes,
+                                              gint64 duration_us);
+
 G_END_DECLS
--- a/lib/runtime/link.c
+++ b/lib/runtime/link.c
@@ -218,7 +218,10 @@
 void
 quince_link_record_probe_answer (QuinceLink *link)
 {
-  quince_delivery_meter_record_answer (&link->delivery_meter, quince_now_us ());
+  gint64 now_us = quince_now_us ();
+  QuinceDelivery delivery;
+  if (quince_delivery_meter_record_answer (&link->delivery_meter, now_us, &delivery))
+    quince_answer_allowance_record_delivery (&link->allowance, now_us, delivery.bytes, delivery.duration_us);
 }
 
 void
@@ -424,10 +427,15 @@
   return quince_link_is_connected (link) && g_socket_condition_check (link->socket, G_IO_IN) != 0;
 }
 
-QuinceAnswerAllowance *
-quince_link_get_allowance (QuinceLink *link)
+gsize
+quince_link_acquire_answer (QuinceLink *link, gsize max_bytes)
 {
-  return &link->allowance;
+  gint64 now_us = quince_now_us ();
+  gsize bytes
+      = quince_answer_allowance_acquire (&link->allowance, now_us, quince_link_get_backlog (link), max_bytes);
+  if (bytes > 0)
+    quince_delivery_meter_start_delivery (&link->delivery_meter, now_us, link->bytes_queued);
+  return bytes;
 }
 
 guint64
--- a/lib/runtime/link.h
+++ b/lib/runtime/link.h
@@ -78,8 +78,9 @@
 gsize quince_link_get_backlog (QuinceLink *link);
 /* Returns: whether the socket has unread input */
 gboolean quince_link_has_input (QuinceLink *link);
-/* Returns: (transfer none): the size limit of answers on this link */
-QuinceAnswerAllowance *quince_link_get_allowance (QuinceLink *link);
+/* Returns: the size limit of an answer that is about to be queued, or 0 if none may be sent now; see
+ * quince_answer_allowance_acquire(). */
+gsize quince_link_acquire_answer (QuinceLink *link, gsize max_bytes);
 QuinceLink *quince_link_ref (QuinceLink *link);
 void quince_link_unref (QuinceLink *link);
 G_DEFINE_AUTOPTR_CLEANUP_FUNC (QuinceLink, quince_link_unref)
--- a/tests/platform/test-regions.c
+++ b/tests/platform/test-regions.c
@@ -159,6 +159,74 @@
   relayed_world_free (world);
 }
 
+/* A client that reads a batch in pages, each one from where the last one ended. */
+typedef struct
+{
+  RelayedWorld *world;
+  guint front;
+  const char *batch;
+  guint position;
+  guint n_refused;
+} PagedReader;
+
+/* Reads one page, or counts a refused read.  Returns TRUE once all ITEMS results were read. */
+static gboolean
+read_page (PagedReader *reader)
+{
+  g_autofree char *target
+      = g_strdup_printf ("/quinceroute/lots/%s?afterRev=%u", reader->batch, reader->position);
+  PathAnswer answer;
+  guint status
+      = path_call (path_front (reader->world->path, reader->front), "GET", target, "q", NULL, &answer);
+  if (status == 200)
+    {
+      guint n_results = path_count_occurrences (answer.body, "\"state\":");
+      assert_in_range (n_results, 1, ITEMS - reader->position);
+      reader->position += n_results;
+      g_autofree char *next = g_strdup_printf ("\"nextToken\":%u,", reader->position);
+      assert_non_null (strstr (answer.body, next));
+    }
+  else
+    reader->n_refused++;
+  path_answer_clear (&answer);
+  return reader->position == ITEMS;
+}
+
+/* Reads the whole batch at @front and returns the number of refused reads. */
+static guint
+read_in_pages (RelayedWorld *world, guint front, const char *batch)
+{
+  PagedReader reader = { .world = world, .front = front, .batch = batch };
+  AWAIT (read_page (&reader));
+  return reader.n_refused;
+}
+
+/* The leader is in the west, and a caller in the east reads long texts over the slow link.  Guards against
+ * answers that take longer than a front waits.  On an idle link the limit of answers doubled with each one,
+ * and the link of a single reader is idle at each read, so that it got 72, 144, 216 and 433 kB and then 577
+ * kB, which took 1.7 s: the front refused this read after 1.5 s. */
+static void
+test_pages_over_slow_link (void **state)
+{
+  RelayedWorld *world = start ("regions-pages", 1, REGION_DELAY_MS);
+  for (guint i = 0; i < PATH_MODEL; i++)
+    standin_worker_set_event_padding (world->path->model[i], LONG_EVENT_BYTES);
+  run_batch (world, EAST_FRONT, "long");
+  guint leader = (guint)path_find_leader (world->path);
+  assert_int_equal (region_of_process (world->path, RELAYED_REPLICA_PROCESS (leader)), WEST);
+  limit_region_link (world, SLOW_WAY_MS, SLOW_BYTES_PER_S);
+  /* The first answer may be refused: it is sent before the leader knows that the link is slow. */
+  guint n_first_refused = read_in_pages (world, EAST_FRONT, "long");
+  guint n_refused = 0;
+  guint n_batches = 0;
+  for (gint64 end = g_get_monotonic_time () + READING_MS * 1000; g_get_monotonic_time () < end; n_batches++)
+    n_refused += read_in_pages (world, EAST_FRONT, "long");
+  print_message ("  %u reads refused at first, then %u in %u times the whole batch\n", n_first_refused,
+                 n_refused, n_batches);
+  assert_int_equal (n_refused, 0);
+  relayed_world_free (world);
+}
+
 int
 main (void)
 {
@@ -169,6 +237,7 @@
     cmocka_unit_test (test_far_leader),
     cmocka_unit_test (test_far_leader_cut),
     cmocka_unit_test (test_slow_link),
+    cmocka_unit_test (test_pages_over_slow_link),
   };
   return cmocka_run_group_tests_name ("regions", tests, NULL, NULL);
 }
--- a/tests/unit/test-answer-allowance.c
+++ b/tests/unit/test-answer-allowance.c
@@ -88,13 +88,57 @@
   assert_true (quince_answer_allowance_acquire (&allowance, now_us, 40 * 1024, BYTES_MAX) >= 64 * 1024);
 }
 
+/* A peer that was suspended, or that is late for want of a processor, answers late on a fast link. */
+static void
+test_late_peer_gets_full_answers_again (void **state)
+{
+  QuinceAnswerAllowance allowance = { 0 };
+  gint64 now_us = 1;
+  assert_int_equal (quince_answer_allowance_acquire (&allowance, now_us, 0, BYTES_MAX), BYTES_MAX);
+  quince_answer_allowance_record_delivery (&allowance, now_us, 20 * 1024, 1000 * US_PER_MS);
+  assert_int_equal (quince_answer_allowance_acquire (&allowance, now_us, 0, BYTES_MAX), BYTES_MAX);
+  quince_answer_allowance_record_delivery (&allowance, now_us, 200 * 1024, 1000 * US_PER_MS);
+  gsize bytes = quince_answer_allowance_acquire (&allowance, now_us, 0, BYTES_MAX);
+  assert_int_equal (bytes, 70 * 1024);
+  /* An answer far below the limit raises nothing. */
+  quince_answer_allowance_record_delivery (&allowance, now_us, 10 * 1024, 100 * US_PER_MS);
+  assert_int_equal (quince_answer_allowance_acquire (&allowance, now_us, 0, BYTES_MAX), bytes);
+  /* Deliveries take half a heartbeat interval on average. */
+  for (guint i = 0; i < 3; i++)
+    {
+      quince_answer_allowance_record_delivery (&allowance, now_us, bytes, 125 * US_PER_MS);
+      bytes = quince_answer_allowance_acquire (&allowance, now_us, 0, BYTES_MAX);
+    }
+  assert_int_equal (bytes, BYTES_MAX);
+}
+
+/* A front that a relay feeds gets no more heartbeats, so that no delivery is measured. */
+static void
+test_limit_rises_without_measurements (void **state)
+{
+  QuinceAnswerAllowance allowance = { 0 };
+  gint64 now_us = 1;
+  quince_answer_allowance_acquire (&allowance, now_us, 0, BYTES_MAX);
+  quince_answer_allowance_record_delivery (&allowance, now_us, 200 * 1024, 1000 * US_PER_MS);
+  now_us += 2000 * US_PER_MS;
+  assert_int_equal (quince_answer_allowance_acquire (&allowance, now_us, 0, BYTES_MAX), 70 * 1024);
+  now_us += US_PER_MS;
+  assert_int_equal (quince_answer_allowance_acquire (&allowance, now_us, 0, BYTES_MAX), 140 * 1024);
+  /* Only once, for all readers of that moment. */
+  assert_int_equal (quince_answer_allowance_acquire (&allowance, now_us, 0, BYTES_MAX), 140 * 1024);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
-    cmocka_unit_test (test_idle_link_gets_full_answers), cmocka_unit_test (test_slow_link_backlog_is_bounded),
-    cmocka_unit_test (test_blocked_link_gets_no_answer), cmocka_unit_test (test_link_recovers),
+    cmocka_unit_test (test_idle_link_gets_full_answers),
+    cmocka_unit_test (test_slow_link_backlog_is_bounded),
+    cmocka_unit_test (test_blocked_link_gets_no_answer),
+    cmocka_unit_test (test_link_recovers),
     cmocka_unit_test (test_healthy_link_is_not_slow),
+    cmocka_unit_test (test_late_peer_gets_full_answers_again),
+    cmocka_unit_test (test_limit_rises_without_measurements),
   };
   return cmocka_run_group_tests_name ("answer-allowance", tests, NULL, NULL);
 }
