Ledger: a link to a member is closed 1.2 s after it was opened if it is not connected, not before

What was seen: a candidate lost its first promise request. In a trace its link to the member was closed 131 us after the request was sent on it.

Cause: every 1.2 s all links that were not connected were closed, also those opened in the same tick. Their queued messages were lost.

One that is not connected is closed 1.2 s after it was opened, whatever was sent on it; a connected one once no message was sent on it for 0.5 s. Before, a message on any link kept all of them open. A link that connects late counts as used at that moment, since its queued messages are sent then: otherwise it could be closed as idle before their answers.

--- a/daemons/replica/ledger-member-links.c
+++ b/daemons/replica/ledger-member-links.c
@@ -3,13 +3,16 @@
  */
 #include "ledger-member-links.h"
 
+#include "core/group/member-link.h"
 #include "runtime/clock.h"
 
-/* All links are closed if nothing was sent for this long, us.  Longer than the 440 ms between two queries to
- * all members, so that links stay open between them. */
-#define IDLE_TIMEOUT_US (500 * 1000)
-/* Interval at which links that are not connected are closed, us.  The next message opens a new one. */
-#define CONNECT_TIMEOUT_US (1200 * 1000)
+/* A link to one member. */
+typedef struct
+{
+  QuinceLink *link; /* owned */
+  gint64 opened_us;
+  gint64 last_send_us; /* when a message was last sent, or when the link was connected if that is later */
+} MemberLink;
 
 struct _QuinceLedgerMemberLinks
 {
@@ -18,21 +21,17 @@
   const QuinceLedgerMemberLinksCallbacks *callbacks; /* borrowed */
   gpointer user_data;
 
-  GHashTable *links;     /* replica id to QuinceLink, both owned */
+  GHashTable *links;     /* replica id to MemberLink, both owned */
   GHashTable *addresses; /* replica id to reported address, both owned; only where it differs from the view */
-  gint64 last_send_us;   /* when a message was last sent on any link */
-  gint64 last_connect_check_us; /* when links that are not connected were last closed */
 };
 
 static void
-close_all_links (QuinceLedgerMemberLinks *links)
+member_link_free (gpointer data)
 {
-  GHashTableIter iter;
-  gpointer link;
-  g_hash_table_iter_init (&iter, links->links);
-  while (g_hash_table_iter_next (&iter, NULL, &link))
-    quince_link_close (link);
-  g_hash_table_remove_all (links->links);
+  MemberLink *member_link = data;
+  quince_link_close (member_link->link);
+  quince_link_unref (member_link->link);
+  g_free (member_link);
 }
 
 QuinceLedgerMemberLinks *
@@ -44,8 +43,7 @@
   links->group = group;
   links->callbacks = callbacks;
   links->user_data = user_data;
-  links->links
-      = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, (GDestroyNotify)quince_link_unref);
+  links->links = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, member_link_free);
   links->addresses = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
   return links;
 }
@@ -55,7 +53,6 @@
 {
   if (links == NULL)
     return;
-  close_all_links (links);
   g_hash_table_unref (links->links);
   g_hash_table_unref (links->addresses);
   g_free (links);
@@ -76,10 +73,27 @@
   quince_message_free (message);
 }
 
+/* The messages queued until now are sent upon connection, so the wait for their answers begins now. */
+static void
+link_connected (QuinceLink *link, gpointer data)
+{
+  QuinceLedgerMemberLinks *links = data;
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, links->links);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      MemberLink *member_link = value;
+      if (member_link->link == link)
+        member_link->last_send_us = quince_now_us ();
+    }
+}
+
 static gboolean
 is_same_link (gpointer key, gpointer value, gpointer link)
 {
-  return value == link;
+  const MemberLink *member_link = value;
+  return member_link->link == link;
 }
 
 static void
@@ -89,40 +103,41 @@
   g_hash_table_foreach_remove (links->links, is_same_link, link);
 }
 
-static const QuinceLinkCallbacks link_callbacks = { .message = link_message, .closed = link_closed };
+static const QuinceLinkCallbacks link_callbacks
+    = { .connected = link_connected, .message = link_message, .closed = link_closed };
 
 static gboolean
-close_unconnected (gpointer key, gpointer link, gpointer data)
+is_expired (gpointer key, gpointer value, gpointer data)
 {
-  if (quince_link_is_connected (link))
-    return FALSE;
-  quince_link_close (link);
-  return TRUE;
+  const MemberLink *member_link = value;
+  const gint64 *now_us = data;
+  const QuinceMemberLinkState state = { .opened_us = member_link->opened_us,
+                                        .last_send_us = member_link->last_send_us,
+                                        .is_connected = quince_link_is_connected (member_link->link) };
+  return quince_member_link_is_expired (&state, *now_us);
 }
 
 void
 quince_ledger_member_links_close_idle (QuinceLedgerMemberLinks *links)
 {
   gint64 now_us = quince_now_us ();
-  if (now_us - links->last_send_us > IDLE_TIMEOUT_US)
-    close_all_links (links);
-  if (now_us - links->last_connect_check_us < CONNECT_TIMEOUT_US)
-    return;
-  links->last_connect_check_us = now_us;
-  g_hash_table_foreach_remove (links->links, close_unconnected, NULL);
+  g_hash_table_foreach_remove (links->links, is_expired, &now_us);
 }
 
-static QuinceLink *
+static MemberLink *
 get_or_open_link (QuinceLedgerMemberLinks *links, const QuinceLedgerMember *member)
 {
   gint64 key = (gint64)member->replica;
-  QuinceLink *link = g_hash_table_lookup (links->links, &key);
-  if (link != NULL)
-    return link;
+  MemberLink *member_link = g_hash_table_lookup (links->links, &key);
+  if (member_link != NULL)
+    return member_link;
   const char *address = g_hash_table_lookup (links->addresses, &key);
-  link = quince_link_connect (address != NULL ? address : member->address, &link_callbacks, links);
-  g_hash_table_insert (links->links, g_memdup2 (&key, sizeof key), link);
-  return link;
+  member_link = g_new0 (MemberLink, 1);
+  member_link->link
+      = quince_link_connect (address != NULL ? address : member->address, &link_callbacks, links);
+  member_link->opened_us = quince_now_us ();
+  g_hash_table_insert (links->links, g_memdup2 (&key, sizeof key), member_link);
+  return member_link;
 }
 
 void
@@ -130,8 +145,9 @@
                                  const QuinceLedgerMember *member,
                                  const QuinceMessage *message)
 {
-  links->last_send_us = quince_now_us ();
-  quince_link_send (get_or_open_link (links, member), message);
+  MemberLink *member_link = get_or_open_link (links, member);
+  member_link->last_send_us = quince_now_us ();
+  quince_link_send (member_link->link, message);
 }
 
 /* ---- Addresses ---------------------------------------------------------- */
@@ -153,9 +169,6 @@
   if (g_strcmp0 (get_address (links, member->replica), member->address) == 0)
     return FALSE;
   g_hash_table_replace (links->addresses, g_memdup2 (&key, sizeof key), g_strdup (member->address));
-  QuinceLink *link = g_hash_table_lookup (links->links, &key);
-  if (link != NULL)
-    quince_link_close (link);
   g_hash_table_remove (links->links, &key);
   return TRUE;
 }
--- a/daemons/replica/ledger-member-links.h
+++ b/daemons/replica/ledger-member-links.h
@@ -40,6 +40,6 @@
                                                  const QuinceLedgerMember *member);
 /* Forgets the reported addresses, so that those of the view are used again. */
 void quince_ledger_member_links_clear_addresses (QuinceLedgerMemberLinks *links);
-/* Closes all links if no message was sent on any of them for 500 ms.  Every 1.2 s, closes the links that are
- * not connected.  Must be called several times a second. */
+/* Closes the links that quince_member_link_is_expired() finds expired; the next message to the member opens a
+ * new one.  Must be called several times a second. */
 void quince_ledger_member_links_close_idle (QuinceLedgerMemberLinks *links);
