Let a leader fall silent that lacks a quorum of an outstanding view

A leader sent heartbeats while a quorum of the known view answered, and to replicas that only an outstanding view has as members in any case. Without a quorum of the outstanding view it could not answer, and the members that followed it promised nobody: with the store away, three of four machines that heard each other had no leader. Contact is now counted in each view that may be in force, and a leader without it sends nothing to the members of any of them.

--- a/lib/core/group/ledger-group-private.h
+++ b/lib/core/group/ledger-group-private.h
@@ -130,8 +130,8 @@
 guint64 quince_ledger_group_get_greatest_epoch (const QuinceLedgerGroup *group);
 
 /* ---- ledger-leases.c ---- */
-/* Returns %TRUE if messages from a quorum arrived within the leader timeout.  Also %TRUE for that long after
- * this replica became leader. */
+/* Returns %TRUE if messages from a quorum of each view that may be in force arrived within the leader
+ * timeout. Also %TRUE for that long after this replica became leader. */
 gboolean quince_ledger_group_has_quorum_contact (const QuinceLedgerGroup *group, gint64 now_us);
 /* Returns %TRUE if a quorum acknowledged messages of this leader within the lease duration: no candidate can
  * have enough promises then. */
--- a/lib/core/group/ledger-leases.c
+++ b/lib/core/group/ledger-leases.c
@@ -95,26 +95,31 @@
          && now_us - group->confirmed_us <= group->limits.lease_duration_us;
 }
 
-/* Returns the number of other members whose latest message arrived within the leader timeout. */
-static guint
-count_in_contact (const QuinceLedgerGroup *group, gint64 now_us)
+/* Returns whether messages of a quorum of @view, including this replica if it is a member, arrived within the
+ * leader timeout. */
+static gboolean
+has_quorum_contact_in (const QuinceLedgerGroup *group, gint64 now_us, const QuinceLedgerView *view)
 {
   guint count = 0;
-  for (guint i = 0; i < group->view->members.members_len; i++)
+  for (guint i = 0; i < view->members.members_len; i++)
     {
-      const QuinceLedgerPeer *peer
-          = quince_ledger_group_find_peer (group, group->view->members.members_val[i].replica);
-      count += peer != NULL && now_us - peer->contact_us < group->limits.leader_timeout_us;
+      guint64 replica = view->members.members_val[i].replica;
+      const QuinceLedgerPeer *peer = quince_ledger_group_find_peer (group, replica);
+      gboolean in_contact = peer != NULL && now_us - peer->contact_us < group->limits.leader_timeout_us;
+      count += replica == group->self.replica || in_contact;
     }
-  return count;
+  return count >= quince_ledger_group_get_quorum (group, view);
 }
 
 gboolean
 quince_ledger_group_has_quorum_contact (const QuinceLedgerGroup *group, gint64 now_us)
 {
-  guint others_needed = MIN (group->limits.quorum, group->view->members.members_len) - 1;
-  return now_us - group->leading_since_us < group->limits.leader_timeout_us
-         || count_in_contact (group, now_us) >= others_needed;
+  if (now_us - group->leading_since_us < group->limits.leader_timeout_us)
+    return TRUE;
+  for (guint i = 0; i < group->outstanding->len; i++)
+    if (!has_quorum_contact_in (group, now_us, group->outstanding->pdata[i]))
+      return FALSE;
+  return has_quorum_contact_in (group, now_us, group->view);
 }
 
 /* Returns whether another replica may lead as soon as the store names it: this leader has proposed to hand
@@ -125,14 +130,14 @@
   return quince_ledger_group_get_greatest_epoch (group) > group->view->epoch;
 }
 
-/* Members elect no other leader while they receive heartbeats.  A leader without contact to a quorum can
- * neither commit nor answer, so it sends nothing to members.  Otherwise, if only messages from the leader
- * arrive, the members would keep following a leader that cannot serve.  The same holds for a leader that does
- * not know whether it has handed over. */
+/* Members elect no other leader while they receive heartbeats.  A leader without contact to a quorum of each
+ * view that may be in force can neither commit nor answer, so it sends nothing to members of any of them.
+ * Otherwise, if only messages from the leader arrive, the members would keep following a leader that cannot
+ * serve.  The same holds for a leader that does not know whether it has handed over. */
 gboolean
 quince_ledger_group_may_send (const QuinceLedgerGroup *group, gint64 now_us, guint64 replica)
 {
-  if (!quince_ledger_group_has_member (group, replica))
+  if (!quince_ledger_group_is_in_any_view (group, replica))
     return TRUE;
   gboolean handover_unknown = group->proposal_may_apply && has_proposed_handover (group);
   return !handover_unknown && quince_ledger_group_has_quorum_contact (group, now_us);
--- a/tests/unit/ledger-parts.h
+++ b/tests/unit/ledger-parts.h
@@ -118,6 +118,7 @@
   guint64 next_value;
   guint64 next_replica;
   gint64 last_commit_us;
+  gboolean idle;                 /* no client writes records */
   guint recoveries;              /* number of leaders that completed recovery */
   guint elections_without_store; /* number of leaders elected without the store */
   gboolean bootstrapped;
--- a/tests/unit/ledger-world.h
+++ b/tests/unit/ledger-world.h
@@ -50,7 +50,7 @@
     world_connect_to_leader (world, index);
   if (node->led_epoch == 0)
     return;
-  if (quince_ledger_group_may_accept (node->group, world->now_us) && node->recovered)
+  if (!world->idle && node->recovered && quince_ledger_group_may_accept (node->group, world->now_us))
     {
       const WorldRecord record = { .epoch = node->led_epoch, .value = ++world->next_value };
       g_array_append_val (node->disk.log, record);
--- /dev/null
+++ b/tests/unit/test-ledger-replaced.c
@@ -0,0 +1,150 @@
+/*
+ * test-ledger-replaced.c: the answer to the replacement of a member that lives is lost, and the store is away
+ * from then on, in virtual time.  The known view and the outstanding one then each have a member that the
+ * other lacks, and a quorum of each lives.  Guards against a ledger without a leader until the store is back.
+ */
+#include "ledger-faults.h"
+#include "ledger-scene.h"
+
+/* Maximum time until records are committed again, as in test-ledger-outstanding.c. */
+#define RECOVERY_MAX_MS 6000
+#define SEEDS 40
+
+/* The nodes of a ledger of three members, of which one is being replaced. */
+typedef struct
+{
+  guint leader;
+  guint kept;     /* member of both views */
+  guint replaced; /* member of the known view alone */
+  guint joiner;   /* member of the proposed view alone */
+} Roles;
+
+/* Sets the joiner in @roles.  Returns whether the leader has asked for one change only, and it has a joiner.
+ */
+static gboolean
+find_joiner (World *world, Roles *roles)
+{
+  gsize length;
+  gconstpointer data = g_bytes_get_data (world->nodes[roles->leader].disk.persistent.change, &length);
+  QuinceLedgerChange *change = quince_ledger_change_decode (data, length, NULL);
+  assert_non_null (change);
+  gboolean found = FALSE;
+  const QuinceLedgerView *proposed = &change->proposed.proposed_val[0];
+  for (guint i = 0; i < proposed->members.members_len; i++)
+    {
+      guint64 replica = proposed->members.members_val[i].replica;
+      if (quince_ledger_view_find (world->view, replica) != NULL)
+        continue;
+      roles->joiner = (guint)world_find_node (world, replica);
+      found = TRUE;
+    }
+  found = found && change->proposed.proposed_len == 1;
+  quince_ledger_change_free (change);
+  return found;
+}
+
+/* Drains a backup; the store goes down before it answers the change that replaces it.  No client writes from
+ * then on.  Returns %NULL if the leader asked for the removal of the backup alone first. */
+static World *
+new_world_with_replacement (guint32 seed, guint n_nodes, Roles *roles)
+{
+  World *world = new_settled_world (seed, n_nodes, 1);
+  gint backups[2];
+  guint n_backups = 0;
+  roles->leader = (guint)world_find_leader (world);
+  for (guint i = 0; i < n_nodes; i++)
+    if (i != roles->leader && quince_ledger_view_find (world->view, world->nodes[i].disk.replica) != NULL)
+      backups[n_backups++] = (gint)i;
+  assert_int_equal (n_backups, 2);
+  roles->kept = (guint)backups[seed % 2];
+  roles->replaced = (guint)backups[1 - seed % 2];
+  world->loses_next_change = TRUE;
+  drain_node (world, roles->replaced);
+  for (guint i = 0; i < 500 && !world->change_is_lost; i++)
+    world_run (world, 10);
+  assert_true (world->change_is_lost);
+  if (!find_joiner (world, roles))
+    {
+      world_free (world);
+      return NULL;
+    }
+  world->idle = TRUE;
+  world_run (world, 800);
+  return world;
+}
+
+static void
+assert_recovers (World *world, const char *what)
+{
+  world_run (world, RECOVERY_MAX_MS);
+  world->idle = FALSE;
+  guint before = world->committed->len;
+  world_run (world, 2000);
+  if (world->committed->len <= before)
+    fail_msg ("seed %u: %s: nothing is committed while the store is down", world->seed, what);
+  world->store_down = FALSE;
+  clear_faults (world);
+  world_run (world, 20000);
+  assert_commits_continue (world, 1000);
+  assert_true (world_has_enough_members (world));
+  world_free (world);
+}
+
+/* Plays @fault on @n_nodes machines with several seeds. */
+static void
+run_fault (guint n_nodes, void (*fault) (World *world, const Roles *roles), const char *what)
+{
+  guint n_played = 0;
+  for (guint32 seed = 1; n_played < SEEDS; seed++)
+    {
+      Roles roles;
+      World *world = new_world_with_replacement (seed, n_nodes, &roles);
+      if (world == NULL)
+        continue;
+      n_played++;
+      fault (world, &roles);
+      assert_recovers (world, what);
+    }
+}
+
+static void
+cut_link (World *world, guint node, guint other)
+{
+  world->cut[node][other] = world->cut[other][node] = TRUE;
+}
+
+/* The leader hears the replaced member alone, a quorum of the known view but not of the proposed one. */
+static void
+leave_replaced (World *world, const Roles *roles)
+{
+  cut_link (world, roles->leader, roles->kept);
+  cut_link (world, roles->leader, roles->joiner);
+}
+
+static void
+test_leader_hears_replaced_member (void **state)
+{
+  run_fault (4, leave_replaced, "the leader hears the replaced member alone");
+}
+
+/* The leader hears the joiner alone, which the known view lacks. */
+static void
+leave_joiner (World *world, const Roles *roles)
+{
+  cut_link (world, roles->leader, roles->kept);
+  cut_link (world, roles->leader, roles->replaced);
+}
+
+static void
+test_leader_hears_joiner (void **state)
+{
+  run_fault (4, leave_joiner, "the leader hears the joiner alone");
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[]
+      = { cmocka_unit_test (test_leader_hears_replaced_member), cmocka_unit_test (test_leader_hears_joiner) };
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
