Send records to the members of outstanding views

A leader sends its records to the members of the known view and to a few spare replicas. A member of an outstanding view alone counted as any spare. A new leader with more spare replicas could leave it out, and then committed nothing until the store was back, since a commit needs a quorum of each view.

--- a/lib/core/group/ledger-group.h
+++ b/lib/core/group/ledger-group.h
@@ -251,8 +251,8 @@
  * quince_ledger_group_choose_recipients:
  * @recipients: (inout) (element-type guint64): array to which the replicas that receive records are appended
  *
- * Appends all connected members of the view.  Then appends other connected replicas: one for each member that
- * the view lacks, and @quorum spare ones.
+ * Appends all connected members of each view that may be in force.  Then appends other connected replicas:
+ * one for each member that the view lacks, and @quorum spare ones.
  */
 void
 quince_ledger_group_choose_recipients (const QuinceLedgerGroup *group, gint64 now_us, GArray *recipients);
--- a/lib/core/group/ledger-recipients.c
+++ b/lib/core/group/ledger-recipients.c
@@ -1,9 +1,9 @@
 /*
  * ledger-recipients.c: chooses the linked replicas that the leader sends its records to.
  *
- * Every machine with a disk links to the leader, but only the members of the view need the log.  A few spare
- * replicas receive all records too, so that one of them can replace a lost member immediately.  The others
- * receive only heartbeats.
+ * Every machine with a disk links to the leader, but only the members of views that may be in force need the
+ * log.  A few spare replicas receive all records too, so that one of them can replace a lost member
+ * immediately. The others receive only heartbeats.
  */
 #include "ledger-group-private.h"
 
@@ -62,7 +62,7 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       QuinceLedgerPeer *peer = value;
-      if (quince_ledger_view_find (group->view, peer->replica) != NULL)
+      if (quince_ledger_group_is_in_any_view (group, peer->replica))
         g_array_append_val (recipients, peer->replica);
       else if (may_be_spare (group, now_us, peer))
         g_ptr_array_add (spares, peer);
--- a/tests/unit/test-ledger-replaced.c
+++ b/tests/unit/test-ledger-replaced.c
@@ -141,10 +141,24 @@
   run_fault (4, leave_joiner, "the leader hears the joiner alone");
 }
 
+/* The leader dies; the next one needs the joiner for each commit, although other spares are linked. */
+static void
+kill_leader (World *world, const Roles *roles)
+{
+  world_kill (world, roles->leader);
+}
+
+static void
+test_joiner_among_spares (void **state)
+{
+  run_fault (9, kill_leader, "the leader died, and further spares live");
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[]
-      = { cmocka_unit_test (test_leader_hears_replaced_member), cmocka_unit_test (test_leader_hears_joiner) };
+      = { cmocka_unit_test (test_leader_hears_replaced_member), cmocka_unit_test (test_leader_hears_joiner),
+          cmocka_unit_test (test_joiner_among_spares) };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
