Let any member of the known view lead without the store

A candidate had to be a member of each view that may be in force. If only one member was, and it lacked records that the others held, nobody could lead until the store was back: the others refused it, and could not lead themselves. Votes, commits and leases are counted in each view apart, and a leader counts itself only where it is a member, so a leader outside an outstanding view needs a quorum of others there. If the store turns out to hold such a view, the leader steps down.

--- a/lib/core/group/ledger-quorums.c
+++ b/lib/core/group/ledger-quorums.c
@@ -53,15 +53,6 @@
   return have_votes (group, group->view, replicas);
 }
 
-gboolean
-quince_ledger_group_is_in_all_views (const QuinceLedgerGroup *group, guint64 replica)
-{
-  for (guint i = 0; i < group->outstanding->len; i++)
-    if (quince_ledger_view_find (group->outstanding->pdata[i], replica) == NULL)
-      return FALSE;
-  return quince_ledger_view_find (group->view, replica) != NULL;
-}
-
 gboolean
 quince_ledger_group_is_in_any_view (const QuinceLedgerGroup *group, guint64 replica)
 {
--- a/lib/core/group/ledger-roles.c
+++ b/lib/core/group/ledger-roles.c
@@ -38,7 +38,10 @@
 update_role (QuinceLedgerGroup *group, gint64 now_us, const QuinceLedgerView *previous)
 {
   const QuinceLedgerView *view = group->view;
-  gboolean is_primary = view->primary == group->self.replica;
+  /* A leader that was elected without the store may not be a member of the view that the store then turns out
+   * to hold.  It steps down, and the members elect one of them. */
+  gboolean is_primary
+      = view->primary == group->self.replica && quince_ledger_group_has_member (group, group->self.replica);
   if (is_primary && group->led_epoch == view->epoch)
     return; /* already the leader of this epoch */
   if (is_primary && group->proposed_epoch == view->epoch && group->persistent.promised <= view->epoch)
--- a/lib/core/group/ledger-succession.c
+++ b/lib/core/group/ledger-succession.c
@@ -93,7 +93,6 @@
 has_votes (const QuinceLedgerGroup *group)
 {
   return quince_ledger_group_is_elected (group) && quince_ledger_group_knows_acknowledged (group)
-         && quince_ledger_group_is_in_all_views (group, group->self.replica)
          && quince_ledger_group_get_greatest_epoch (group) < group->campaign_epoch
          && quince_ledger_group_have_votes_in_all_views (group, group->votes);
 }
