--- a/tests/unit/test-ledger-single.c
+++ b/tests/unit/test-ledger-single.c
@@ -202,6 +202,49 @@
   quince_ledger_group_free (group);
 }
 
+/* Returns the vote of @replica, which has acknowledged nothing, for SELF in @epoch. */
+static QuinceLedgerLead
+make_vote (guint64 replica, guint64 epoch)
+{
+  return (QuinceLedgerLead){ .revision = REVISION,
+                             .view = make_view (1, SECOND, 2),
+                             .replica = replica,
+                             .promised = epoch,
+                             .promised_to = SELF,
+                             .answered = 1,
+                             .shown_epoch = 1,
+                             .shown_primary = SECOND,
+                             .shown_answers = TRUE };
+}
+
+/* A replica that an outstanding view lacks leads with the votes of a quorum of others in that view, and steps
+ * down when that view turns out to be in force: its own promise and records do not count there. */
+static void
+test_leader_outside_view_steps_down (void **state)
+{
+  const QuinceLedgerPersistentState persistent = { 0 };
+  QuinceLedgerGroup *group = new_backup (&persistent);
+  gint64 now = START_US + 3 * G_USEC_PER_SEC;
+  guint64 epoch = campaign_with_promise (group, now);
+  QuinceLedgerView without_self = { .epoch = 1, .primary = SECOND, .members = { 2, &all_members[1] } };
+  const QuinceLedgerChangeAck ack = { .replica = SECOND,
+                                      .promised = epoch,
+                                      .promised_to = SELF,
+                                      .change = { .revision = REVISION, .proposed = { 1, &without_self } } };
+  const QuinceLedgerLead second_vote = make_vote (SECOND, epoch);
+  quince_ledger_group_handle_lead (group, now, &second_vote);
+  quince_ledger_group_handle_change_ack (group, now, &ack);
+  assert_false (quince_ledger_group_try_lead_without_store (group, now, TRUE));
+  quince_ledger_group_handle_promise (group, now, JOINER, epoch, &empty_log);
+  const QuinceLedgerLead joiner_vote = make_vote (JOINER, epoch);
+  quince_ledger_group_handle_lead (group, now, &joiner_vote);
+  assert_true (quince_ledger_group_try_lead_without_store (group, now, TRUE));
+  assert_int_equal (quince_ledger_group_get_role (group), QUINCE_LEDGER_LEADER);
+  quince_ledger_group_set_view (group, now, now, &without_self, REVISION + 1);
+  assert_int_equal (quince_ledger_group_get_role (group), QUINCE_LEDGER_BACKUP);
+  quince_ledger_group_free (group);
+}
+
 /* ---- Leaders ---------------------------------------------------------------- */
 
 /* Returns the leader of epoch 2 in a view of two members, whose only other member has just answered. */
@@ -281,6 +324,7 @@
                                       cmocka_unit_test (test_own_unknown_change),
                                       cmocka_unit_test (test_candidate_without_store_follows_leader),
                                       cmocka_unit_test (test_restarted_leader_without_store_campaigns_last),
+                                      cmocka_unit_test (test_leader_outside_view_steps_down),
                                       cmocka_unit_test (test_resumed_leader_regains_lease),
                                       cmocka_unit_test (test_many_changes_of_one_revision) };
   return cmocka_run_group_tests (tests, NULL, NULL);
