Save the persistent state of the ledger in one transaction

Promise, noted revision and acknowledged views were written one after the other. A replica that was killed between the last two had noted a change without its views: its vote counted for nobody until the store was back. They are written in one transaction now, which also needs one sync instead of up to four.

Unit batch-log: the new test fails without the change (noted 5 instead of 0) and passes with it.

--- a/lib/batchlog/batch-log.c
+++ b/lib/batchlog/batch-log.c
@@ -259,41 +259,57 @@
 }
 
 static gboolean
-save_number (QuinceBatchLog *log, const char *name, guint64 *saved, guint64 number, GError **error)
+put_number_if_changed (QuinceBatchLog *log, const char *name, guint64 saved, guint64 number, GError **error)
 {
-  if (*saved == number)
-    return TRUE;
-  if (!put_meta (log, name, number, error))
-    return FALSE;
-  *saved = number;
-  return TRUE;
+  return saved == number || put_meta (log, name, number, error);
 }
 
-/* Saves @change if it differs from the stored one.  A change that is withdrawn is stored as an empty value.
- */
 static gboolean
-save_change (QuinceBatchLog *log, GBytes *change, GError **error)
+is_same_change (GBytes *change, GBytes *other)
 {
-  GBytes **saved = &log->persistent_state.change;
-  if (*saved == change || (*saved != NULL && change != NULL && g_bytes_equal (*saved, change)))
+  return change == other || (change != NULL && other != NULL && g_bytes_equal (change, other));
+}
+
+/* A change that is withdrawn is stored as an empty value. */
+static gboolean
+put_change_if_changed (QuinceBatchLog *log, GBytes *change, GError **error)
+{
+  if (is_same_change (log->persistent_state.change, change))
     return TRUE;
   g_autoptr (GBytes) stored = change != NULL ? g_bytes_ref (change) : g_bytes_new (NULL, 0);
-  if (!put_meta_bytes (log, "change", stored, error))
-    return FALSE;
-  g_clear_pointer (saved, g_bytes_unref);
-  *saved = change != NULL ? g_bytes_ref (change) : NULL;
-  return TRUE;
+  return put_meta_bytes (log, "change", stored, error);
+}
+
+static gboolean
+put_persistent_state (QuinceBatchLog *log, const QuinceLedgerPersistentState *state, GError **error)
+{
+  const QuinceLedgerPersistentState *saved = &log->persistent_state;
+  return put_number_if_changed (log, "promised", saved->promised, state->promised, error)
+         && put_number_if_changed (log, "noted", saved->noted, state->noted, error)
+         && put_number_if_changed (log, "ordered", saved->ordered, state->ordered, error)
+         && put_change_if_changed (log, state->change, error);
 }
 
+/* One transaction: a noted revision without its change would count as a change with unknown views, and this
+ * replica could not vote until the metadata store is back. */
 gboolean
 quince_batch_log_save_persistent_state (QuinceBatchLog *log,
                                         const QuinceLedgerPersistentState *state,
                                         GError **error)
 {
-  return save_number (log, "promised", &log->persistent_state.promised, state->promised, error)
-         && save_number (log, "noted", &log->persistent_state.noted, state->noted, error)
-         && save_number (log, "ordered", &log->persistent_state.ordered, state->ordered, error)
-         && save_change (log, state->change, error);
+  const QuinceLedgerPersistentState *saved = &log->persistent_state;
+  if (saved->promised == state->promised && saved->noted == state->noted && saved->ordered == state->ordered
+      && is_same_change (saved->change, state->change))
+    return TRUE;
+  if (!execute_sql (log, "BEGIN IMMEDIATE", error))
+    return FALSE;
+  if (!put_persistent_state (log, state, error) || !execute_sql (log, "COMMIT", error))
+    {
+      execute_sql (log, "ROLLBACK", NULL);
+      return FALSE;
+    }
+  quince_ledger_persistent_state_assign (&log->persistent_state, state);
+  return TRUE;
 }
 
 guint64
--- a/tests/unit/test-batch-log.c
+++ b/tests/unit/test-batch-log.c
@@ -9,6 +9,7 @@
 
 #include <cmocka.h>
 #include <glib/gstdio.h>
+#include <sqlite3.h>
 #include <string.h>
 
 #include "batchlog/batch-log.h"
@@ -260,11 +261,43 @@
   assert_true (get_database_bytes (fixture) < 2 * size_after_first_batch);
 }
 
+/* Executes @text in the database of the closed log. */
+static void
+execute_in_database (Fixture *fixture, const char *text)
+{
+  g_autofree char *path = g_build_filename (fixture->folder, "batches.sqlite", NULL);
+  sqlite3 *database = NULL;
+  assert_int_equal (sqlite3_open (path, &database), SQLITE_OK);
+  assert_int_equal (sqlite3_exec (database, text, NULL, NULL, NULL), SQLITE_OK);
+  sqlite3_close (database);
+}
+
+/* A failure between the writes of a noted revision and its change leaves neither on disk: a replica that has
+ * noted a change without knowing its views cannot vote. */
+static void
+test_persistent_state_is_saved_as_a_whole (void **state)
+{
+  Fixture *fixture = *state;
+  quince_batch_log_close (fixture->log);
+  execute_in_database (fixture, "CREATE TRIGGER refuse BEFORE INSERT ON meta WHEN NEW.name = 'change'"
+                                " BEGIN SELECT RAISE (ABORT, 'refused'); END");
+  open_log (fixture, FALSE);
+  g_autoptr (GBytes) change = g_bytes_new_static ("change", 6);
+  const QuinceLedgerPersistentState saved = { .promised = 7, .noted = 5, .change = change };
+  assert_false (quince_batch_log_save_persistent_state (fixture->log, &saved, NULL));
+  reopen (fixture);
+  const QuinceLedgerPersistentState *read = quince_batch_log_get_persistent_state (fixture->log);
+  assert_int_equal (read->noted, 0);
+  assert_int_equal (read->promised, 0);
+  assert_null (read->change);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test_setup_teardown (test_reopen_keeps_records_and_state, setup, teardown),
+    cmocka_unit_test_setup_teardown (test_persistent_state_is_saved_as_a_whole, setup, teardown),
     cmocka_unit_test_setup_teardown (test_append_with_other_epoch_truncates, setup, teardown),
     cmocka_unit_test_setup_teardown (test_unreadable_file_is_replaced, setup, teardown),
     cmocka_unit_test_setup_teardown (test_compact_clears_forgotten_records, setup, teardown),
