Succession test: run with relays in a sanitizer build

What was seen: in a sanitizer build each case of platform-succession with relays fails, the two that stood before included: "replica-0 ended with status 86 before it was ready".

Cause: the case loads the relays by LD_PRELOAD, which AddressSanitizer rejects unless verify_asan_link_order=0; this program did not call relayed_allow_preload(), as others with relays do.

--- a/tests/platform/test-succession.c
+++ b/tests/platform/test-succession.c
@@ -290,6 +290,7 @@
 int
 main (void)
 {
+  relayed_allow_preload ();
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_store_down_and_leader_killed),
     cmocka_unit_test (test_leader_freezes_while_store_is_away),
