Send a joiner of an outstanding view no record before a quorum of the known view

A replica that only an outstanding view has as a member could hold records that no living member of the known view had, for example if the leader reached it alone before it died. Its vote was needed, it refused every candidate, and it could not lead itself, so nobody led until the store was back. While a change is outstanding, such a replica now gets only records that a quorum of the known view holds: one of any quorum of that view then has them too, and can lead.

Costs one more acknowledgement before a joiner gets a record, only while a change is outstanding.

--- a/daemons/replica/ledger-backup.c
+++ b/daemons/replica/ledger-backup.c
@@ -20,6 +20,7 @@
 {
   GArray *entries; /* QuinceLogEntry, owned records */
   gsize bytes;
+  guint64 last_index; /* of the last record that may be sent */
 } Chunk;
 
 /* Returns the first index at which the backup's log may differ from @log.  @needs_reset: (out): whether the
@@ -75,7 +76,8 @@
   copy.record.record_val = g_memdup2 (entry->record.record_val, entry->record.record_len);
   g_array_append_val (chunk->entries, copy);
   chunk->bytes += entry->record.record_len;
-  return chunk->bytes < CHUNK_BYTES && chunk->entries->len < CHUNK_ENTRIES_MAX;
+  return chunk->bytes < CHUNK_BYTES && chunk->entries->len < CHUNK_ENTRIES_MAX
+         && entry->index < chunk->last_index;
 }
 
 static void
@@ -110,17 +112,20 @@
                            QuinceBatchLog *log,
                            guint64 epoch,
                            guint64 commit_index,
+                           guint64 sendable_index,
                            gboolean heartbeat)
 {
   guint64 last_index = quince_batch_log_get_last_index (log);
+  guint64 last_to_send = MIN (last_index, sendable_index);
   gboolean has_records_to_send = backup->receives_records
-                                 && (backup->next_index <= last_index || backup->needs_reset)
+                                 && (backup->next_index <= last_to_send || backup->needs_reset)
                                  && quince_send_window_is_open (backup->window);
   if (!has_records_to_send && !heartbeat)
     return;
-  Chunk chunk = { .entries = g_array_new (FALSE, FALSE, sizeof (QuinceLogEntry)) };
+  Chunk chunk
+      = { .entries = g_array_new (FALSE, FALSE, sizeof (QuinceLogEntry)), .last_index = last_to_send };
   g_array_set_clear_func (chunk.entries, clear_entry);
-  if (has_records_to_send)
+  if (has_records_to_send && backup->next_index <= last_to_send)
     collect_chunk (backup, log, &chunk);
   mark_chunk_sent (backup, &chunk);
   QuinceMessage message = { .kind = QUINCE_MESSAGE_LEDGER_APPEND };
--- a/daemons/replica/ledger-backup.h
+++ b/daemons/replica/ledger-backup.h
@@ -51,6 +51,7 @@
  * quince_ledger_backup_send:
  * @epoch: epoch of this leader
  * @commit_index: commit index of this leader
+ * @sendable_index: index of the last record that may be sent
  * @heartbeat: whether to send a message even if there is no record to send
  *
  * Sends the next chunk of records that the backup does not have, if it receives records and its send window
@@ -60,6 +61,7 @@
                                 QuinceBatchLog *log,
                                 guint64 epoch,
                                 guint64 commit_index,
+                                guint64 sendable_index,
                                 gboolean heartbeat);
 /* Orders a backup that may not store records to remove its whole log.  @now_us: send time, returned in the
  * acknowledgement */
--- a/daemons/replica/ledger-replication.c
+++ b/daemons/replica/ledger-replication.c
@@ -153,8 +153,9 @@
 {
   if (!quince_ledger_group_may_send (replication->group, quince_now_us (), backup->replica))
     return;
-  quince_ledger_backup_send (backup, replication->log, replication->epoch,
-                             quince_ledger_group_get_commit_index (replication->group), heartbeat);
+  quince_ledger_backup_send (
+      backup, replication->log, replication->epoch, quince_ledger_group_get_commit_index (replication->group),
+      quince_ledger_group_get_sendable_index (replication->group, backup->replica), heartbeat);
 }
 
 void
@@ -218,7 +219,8 @@
     }
   quince_send_window_acknowledge (backup->window, ack->last_index);
   quince_ledger_group_peer_acked (replication->group, backup->replica, ack->last_index, (gint64)ack->echo_us);
-  send_to_backup (replication, backup, FALSE);
+  /* Others may have waited for this acknowledgement (quince_ledger_group_get_sendable_index()). */
+  quince_ledger_replication_send (replication, FALSE);
   return TRUE;
 }
 
--- a/lib/core/group/ledger-group.h
+++ b/lib/core/group/ledger-group.h
@@ -239,6 +239,11 @@
 /* Returns %TRUE if heartbeats and records may be sent to @replica.  Members get none while the leader has no
  * contact with a quorum. */
 gboolean quince_ledger_group_may_send (const QuinceLedgerGroup *group, gint64 now_us, guint64 replica);
+/* Returns: the index of the last record that may be sent to @replica now.  While a change is outstanding, a
+ * replica that is not a member of the known view gets only records that a quorum of that view holds.  It
+ * cannot be elected without the store, and otherwise its vote could be needed by members that all lack its
+ * records. */
+guint64 quince_ledger_group_get_sendable_index (const QuinceLedgerGroup *group, guint64 replica);
 /* Records that @replica was ordered to delete its log: acknowledgements of messages sent before @now_us are
  * ignored from now on. */
 void quince_ledger_group_peer_cleared (QuinceLedgerGroup *group, guint64 replica, gint64 now_us);
--- a/tests/unit/ledger-parts.h
+++ b/tests/unit/ledger-parts.h
@@ -441,5 +441,9 @@
   message->commit = quince_ledger_group_get_commit_index (node->group);
   message->sent_us = world->now_us;
   if (world_is_recipient (world, node, message->replica))
-    message->records = g_array_copy (node->disk.log);
+    {
+      guint64 sendable = quince_ledger_group_get_sendable_index (node->group, message->replica);
+      message->records = g_array_copy (node->disk.log);
+      g_array_set_size (message->records, (guint)MIN (sendable, message->index));
+    }
 }
--- a/tests/unit/ledger-world.h
+++ b/tests/unit/ledger-world.h
@@ -87,7 +87,10 @@
              && g_array_index (node->disk.log, WorldRecord, n_same).epoch
                     == g_array_index (message->records, WorldRecord, n_same).epoch)
         n_same++;
-      g_array_set_size (node->disk.log, n_same);
+      /* Records after those that were sent stay, up to the end of the leader's log. */
+      gboolean keeps_rest = n_same == message->records->len;
+      g_array_set_size (node->disk.log,
+                        keeps_rest ? MIN (node->disk.log->len, (guint)message->index) : n_same);
       if (n_same < message->records->len)
         g_array_append_vals (node->disk.log, &g_array_index (message->records, WorldRecord, n_same),
                              message->records->len - n_same);
--- a/tests/unit/test-ledger-replaced.c
+++ b/tests/unit/test-ledger-replaced.c
@@ -263,12 +263,30 @@
     }
 }
 
+/* The joiner holds records that no member of the known view but the leader does. */
+static void
+write_to_joiner (World *world, const Roles *roles)
+{
+  leave_joiner (world, roles);
+  world->idle = FALSE;
+  world_run (world, 400);
+  world->idle = TRUE;
+  world_kill (world, roles->leader);
+}
+
+static void
+test_joiner_has_more_records (void **state)
+{
+  run_fault (4, write_to_joiner, "the joiner has more records than the members");
+}
+
 int
 main (void)
 {
-  const struct CMUnitTest tests[]
-      = { cmocka_unit_test (test_leader_hears_replaced_member), cmocka_unit_test (test_leader_hears_joiner),
-          cmocka_unit_test (test_joiner_among_spares), cmocka_unit_test (test_common_member_lacks_records),
-          cmocka_unit_test (test_random_replacements) };
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_leader_hears_replaced_member), cmocka_unit_test (test_leader_hears_joiner),
+    cmocka_unit_test (test_joiner_among_spares),          cmocka_unit_test (test_common_member_lacks_records),
+    cmocka_unit_test (test_joiner_has_more_records),      cmocka_unit_test (test_random_replacements)
+  };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
