Keep the records of a member of an outstanding view

A backup whose machine may not store records is told to delete its log unless it is a member of the known view. A member of an outstanding view was told so too, although a commit may have counted its copy. The same check kept it from receiving records until the allowed nodes are known.

Found by reading; no test plays an allowed node that changes while a change is outstanding.

--- a/daemons/replica/ledger-replication.c
+++ b/daemons/replica/ledger-replication.c
@@ -99,7 +99,8 @@
 update_backup (QuinceLedgerReplication *replication, QuinceLedgerBackup *backup, gboolean is_recipient)
 {
   const QuinceLedgerView *view = quince_ledger_group_get_view (replication->group);
-  gboolean is_member = quince_ledger_view_find (view, backup->replica) != NULL;
+  /* A member of an outstanding view counts, since commits may rely on its records. */
+  gboolean is_member = quince_ledger_group_is_in_any_view (replication->group, backup->replica);
   gboolean is_excluded = replication->allowed_nodes != NULL
                          && !g_strv_contains ((const char *const *)replication->allowed_nodes, backup->node);
   /* Until the log is read and the allowed nodes are set, it is unknown which machines may store records.  A
--- a/lib/core/group/ledger-group-private.h
+++ b/lib/core/group/ledger-group-private.h
@@ -122,8 +122,6 @@
 /* Returns: whether @replicas and this replica elect a leader without the store in each view that may be in
  * force */
 gboolean quince_ledger_group_have_votes_in_all_views (const QuinceLedgerGroup *group, const GArray *replicas);
-/* Returns: whether @replica is a member of a view that may be in force */
-gboolean quince_ledger_group_is_in_any_view (const QuinceLedgerGroup *group, guint64 replica);
 /* Returns: the greatest epoch of the known view and the outstanding ones */
 guint64 quince_ledger_group_get_greatest_epoch (const QuinceLedgerGroup *group);
 
--- a/lib/core/group/ledger-group.h
+++ b/lib/core/group/ledger-group.h
@@ -302,5 +302,7 @@
  * has read its log calls this several times a second. */
 void quince_ledger_group_record_orders (QuinceLedgerGroup *group, gint64 now_us);
 gboolean quince_ledger_group_has_member (const QuinceLedgerGroup *group, guint64 replica);
+/* Returns: whether @replica is a member of the known view or of an outstanding one */
+gboolean quince_ledger_group_is_in_any_view (const QuinceLedgerGroup *group, guint64 replica);
 
 G_END_DECLS
