--- a/tests/unit/test-ledger-replaced.c
+++ b/tests/unit/test-ledger-replaced.c
@@ -51,7 +51,7 @@
 new_world_with_replacement (guint32 seed, guint n_nodes, Roles *roles)
 {
   World *world = new_settled_world (seed, n_nodes, 1);
-  gint backups[2];
+  gint backups[2] = { 0 };
   guint n_backups = 0;
   roles->leader = (guint)world_find_leader (world);
   for (guint i = 0; i < n_nodes; i++)
