Ledger: an acknowledgement lets others be sent records only while a change is outstanding

Each acknowledgement looked at all backups since a joiner may wait for it. A leader with hundreds of linked replicas gets an acknowledgement of each heartbeat, so that the work grew with the square of their number.

--- a/daemons/replica/ledger-replication.c
+++ b/daemons/replica/ledger-replication.c
@@ -220,8 +220,11 @@
     }
   quince_send_window_acknowledge (backup->window, ack->last_index);
   quince_ledger_group_peer_acked (replication->group, backup->replica, ack->last_index, (gint64)ack->echo_us);
-  /* Others may have waited for this acknowledgement (quince_ledger_group_get_sendable_index()). */
-  quince_ledger_replication_send (replication, FALSE);
+  if (quince_ledger_group_is_change_outstanding (replication->group))
+    /* Others may have waited for this acknowledgement (quince_ledger_group_get_sendable_index()). */
+    quince_ledger_replication_send (replication, FALSE);
+  else
+    send_to_backup (replication, backup, FALSE);
   return TRUE;
 }
 
--- a/lib/core/group/ledger-group.h
+++ b/lib/core/group/ledger-group.h
@@ -239,6 +239,8 @@
 /* Returns %TRUE if heartbeats and records may be sent to @replica.  Members get none while the leader has no
  * contact with a quorum. */
 gboolean quince_ledger_group_may_send (const QuinceLedgerGroup *group, gint64 now_us, guint64 replica);
+/* Returns %TRUE if a view may be in force that is not the known one. */
+gboolean quince_ledger_group_is_change_outstanding (const QuinceLedgerGroup *group);
 /* Returns: the index of the last record that may be sent to @replica now.  While a change is outstanding, a
  * replica that is not a member of the known view gets only records that a quorum of that view holds.  It
  * cannot be elected without the store, and otherwise its vote could be needed by members that all lack its
--- a/lib/core/group/ledger-leases.c
+++ b/lib/core/group/ledger-leases.c
@@ -58,7 +58,7 @@
 guint64
 quince_ledger_group_get_sendable_index (const QuinceLedgerGroup *group, guint64 replica)
 {
-  if (group->outstanding->len == 0 || quince_ledger_group_has_member (group, replica)
+  if (!quince_ledger_group_is_change_outstanding (group) || quince_ledger_group_has_member (group, replica)
       || group->view->members.members_len < group->limits.quorum)
     return G_MAXUINT64;
   return MAX (group->commit_index, get_index_held_by_quorum (group, group->view));
--- a/lib/core/group/ledger-quorums.c
+++ b/lib/core/group/ledger-quorums.c
@@ -62,6 +62,12 @@
   return quince_ledger_view_find (group->view, replica) != NULL;
 }
 
+gboolean
+quince_ledger_group_is_change_outstanding (const QuinceLedgerGroup *group)
+{
+  return group->outstanding->len > 0;
+}
+
 guint64
 quince_ledger_group_get_greatest_epoch (const QuinceLedgerGroup *group)
 {
