--- a/tests/unit/test-ledger-group.c
+++ b/tests/unit/test-ledger-group.c
@@ -3,8 +3,7 @@
  * under random faults.
  */
 #include "ledger-world.h"
-
-#include <stdlib.h>
+#include "soak-seeds.h"
 
 /* Runs until a leader can answer and the view has enough members; fails after 10 s. */
 static void
@@ -336,10 +335,8 @@
 static void
 test_seeded_faults (void **state)
 {
-  const char *first = g_getenv ("SOAK_SEED");
-  const char *count = g_getenv ("SOAK_STEPS");
-  guint32 seed = first != NULL ? (guint32)strtoul (first, NULL, 10) : 1;
-  guint32 seeds = count != NULL ? (guint32)strtoul (count, NULL, 10) : 150;
+  guint32 seed = get_first_seed ();
+  guint32 seeds = get_n_seeds (150);
   for (guint32 i = 0; i < seeds; i++)
     run_seed (seed + i, 3, 1);
   for (guint32 i = 0; i < seeds / 5; i++)
--- a/tests/unit/test-ledger-outstanding.c
+++ b/tests/unit/test-ledger-outstanding.c
@@ -6,8 +6,7 @@
  */
 #include "ledger-faults.h"
 #include "ledger-scene.h"
-
-#include <stdlib.h>
+#include "soak-seeds.h"
 
 /* Time for which the leader timeout of 1 s is exceeded a little. */
 #define PAUSE_MS 1300
@@ -291,10 +290,8 @@
 static void
 test_random_changes (void **state)
 {
-  const char *first = g_getenv ("SOAK_SEED");
-  const char *count = g_getenv ("SOAK_STEPS");
-  guint32 seed = first != NULL ? (guint32)strtoul (first, NULL, 10) : 1;
-  guint32 seeds = count != NULL ? (guint32)strtoul (count, NULL, 10) : 40;
+  guint32 seed = get_first_seed ();
+  guint32 seeds = get_n_seeds (40);
   for (guint32 i = 0; i < seeds; i++)
     {
       run_random_changes (seed + i, 4, 1);
--- a/tests/unit/test-ledger-replaced.c
+++ b/tests/unit/test-ledger-replaced.c
@@ -5,8 +5,7 @@
  */
 #include "ledger-faults.h"
 #include "ledger-scene.h"
-
-#include <stdlib.h>
+#include "soak-seeds.h"
 
 /* Maximum time until records are committed again, as in test-ledger-outstanding.c. */
 #define RECOVERY_MAX_MS 6000
@@ -250,10 +249,8 @@
 static void
 test_random_replacements (void **state)
 {
-  const char *first = g_getenv ("SOAK_SEED");
-  const char *count = g_getenv ("SOAK_STEPS");
-  guint32 seed = first != NULL ? (guint32)strtoul (first, NULL, 10) : 1;
-  guint32 seeds = count != NULL ? (guint32)strtoul (count, NULL, 10) : 40;
+  guint32 seed = get_first_seed ();
+  guint32 seeds = get_n_seeds (40);
   for (guint32 i = 0; i < seeds; i++)
     {
       run_random_replacements (seed + i, 4, 1);
--- a/tests/unit/test-ledger-succession.c
+++ b/tests/unit/test-ledger-succession.c
@@ -8,8 +8,7 @@
  */
 #include "ledger-faults.h"
 #include "ledger-scene.h"
-
-#include <stdlib.h>
+#include "soak-seeds.h"
 
 /* Maximum time until there is a leader with enough members after the last fault is cleared. */
 #define CONVERGENCE_MAX_MS 9000
@@ -372,10 +371,8 @@
 static void
 test_random_faults (void **state)
 {
-  const char *first = g_getenv ("SOAK_SEED");
-  const char *count = g_getenv ("SOAK_STEPS");
-  guint32 seed = first != NULL ? (guint32)strtoul (first, NULL, 10) : 1;
-  guint32 seeds = count != NULL ? (guint32)strtoul (count, NULL, 10) : 100;
+  guint32 seed = get_first_seed ();
+  guint32 seeds = get_n_seeds (100);
   for (guint32 i = 0; i < seeds; i++)
     run_random_faults (seed + i, 3, 1, 0);
   for (guint32 i = 0; i < seeds / 2; i++)
--- a/tests/unit/test-order-history.c
+++ b/tests/unit/test-order-history.c
@@ -3,8 +3,7 @@
  */
 #include "ledger-faults.h"
 #include "ledger-scene.h"
-
-#include <stdlib.h>
+#include "soak-seeds.h"
 
 #define MS 1000
 #define START_US (100 * G_USEC_PER_SEC)
@@ -262,10 +261,8 @@
 static guint
 run_order_seeds (guint records_orders_of_4)
 {
-  const char *first = g_getenv ("SOAK_SEED");
-  const char *count = g_getenv ("SOAK_STEPS");
-  guint32 seed = first != NULL ? (guint32)strtoul (first, NULL, 10) : 1;
-  guint32 seeds = count != NULL ? (guint32)strtoul (count, NULL, 10) : 40;
+  guint32 seed = get_first_seed ();
+  guint32 seeds = get_n_seeds (40);
   guint n_early_orders = 0;
   for (guint32 i = 0; i < seeds; i++)
     {
