Ledger: a member is silent if a quorum of the others answers and it does not

Cause: the leader hears nobody, and the last answers of its two members came 0.45 s or more apart. One counted as silent after 1 s while the answer of the other still made a lease of 0.6 s. The leader asked both to acknowledge that a spare replica replaces the first. They heard it; it did not hear them, and never proposed it. The new view {0, 3, 2}, on the disks of 0, 1 and 3 at revision 21, has no quorum on their side of the cut.

Change: a member counts as silent once a quorum of the other members has answered for 1 s without it, counted to their last answers rather than to now. Where the others are fewer than a quorum it is counted to now, as before.

Why it works: answers of all members end together for a leader that hears nobody, so that none counts as silent.

Failed before: unit ledger-succession test_deaf_leader_requests_no_change. All unit tests of the ledger pass.

--- a/lib/core/group/ledger-proposals.c
+++ b/lib/core/group/ledger-proposals.c
@@ -65,14 +65,51 @@
 
 /* ---- Proposals of the leader ------------------------------------------- */
 
-static gboolean
-is_silent (const QuinceLedgerGroup *group, gint64 now_us, guint64 replica)
+static gint64
+get_last_answer_us (const QuinceLedgerGroup *group, gint64 now_us, guint64 replica)
 {
   if (replica == group->self.replica)
-    return FALSE;
+    return now_us;
   const QuinceLedgerPeer *peer = quince_ledger_group_find_peer (group, replica);
-  gint64 last_answer_us = MAX (peer != NULL ? peer->acked_sent_us : 0, group->leading_since_us);
-  return now_us - last_answer_us > group->limits.member_timeout_us;
+  return MAX (peer != NULL ? peer->acked_sent_us : 0, group->leading_since_us);
+}
+
+static gint
+compare_latest_first (gconstpointer a, gconstpointer b)
+{
+  gint64 first = *(const gint64 *)a;
+  gint64 second = *(const gint64 *)b;
+  return first > second ? -1 : first < second;
+}
+
+/* Returns the time up to which a quorum of the members without @replica has answered; @now_us if they are
+ * fewer than a quorum. */
+static gint64
+get_quorum_answer_us (const QuinceLedgerGroup *group, gint64 now_us, guint64 replica)
+{
+  g_autoptr (GArray) answers = g_array_new (FALSE, FALSE, sizeof (gint64));
+  for (guint i = 0; i < group->view->members.members_len; i++)
+    {
+      guint64 member = group->view->members.members_val[i].replica;
+      gint64 answer_us = get_last_answer_us (group, now_us, member);
+      if (member != replica)
+        g_array_append_val (answers, answer_us);
+    }
+  if (answers->len < group->limits.quorum)
+    return now_us;
+  g_array_sort (answers, compare_latest_first);
+  return g_array_index (answers, gint64, group->limits.quorum - 1);
+}
+
+/* Returns whether a quorum of the other members has answered for the member timeout, and @replica has not.  A
+ * leader that hears no quorum cannot tell which member is lost: it would have members acknowledge a change
+ * that it cannot complete. */
+static gboolean
+is_silent (const QuinceLedgerGroup *group, gint64 now_us, guint64 replica)
+{
+  gint64 silence_us
+      = get_quorum_answer_us (group, now_us, replica) - get_last_answer_us (group, now_us, replica);
+  return silence_us > group->limits.member_timeout_us;
 }
 
 static gboolean
--- a/tests/unit/test-ledger-succession.c
+++ b/tests/unit/test-ledger-succession.c
@@ -343,6 +343,30 @@
   quince_ledger_group_free (group);
 }
 
+/* A leader that hears nobody any more does not ask the members to acknowledge that one of them is replaced,
+ * even if their last answers came at different times.  Guards against members that wait for the store since
+ * they acknowledged a view which the leader cannot propose. */
+static void
+test_deaf_leader_requests_no_change (void **state)
+{
+  static const QuinceLedgerMember spare = { .node = "n4", .address = "n4", .replica = 4 };
+  gint64 now = START_US + 3 * G_USEC_PER_SEC;
+  guint64 expected = 0;
+  QuinceLedgerChangeRequest request;
+  QuinceLedgerGroup *group = make_leader (now);
+  quince_ledger_group_peer_acked (group, THIRD, 1, now + 450 * 1000);
+  now += 1020 * 1000;
+  quince_ledger_group_peer_joined (group, now, &spare);
+  quince_ledger_group_peer_acked (group, spare.replica, 1, now);
+  assert_null (quince_ledger_group_propose (group, now, &expected));
+  assert_false (quince_ledger_group_get_change_request (group, now, &request));
+  /* The third member answers on, and the second one does not. */
+  quince_ledger_group_peer_acked (group, THIRD, 1, now);
+  assert_null (quince_ledger_group_propose (group, now, &expected));
+  assert_true (quince_ledger_group_get_change_request (group, now, &request));
+  quince_ledger_group_free (group);
+}
+
 /* ---- Random faults ---------------------------------------------------- */
 
 static void
@@ -398,6 +422,7 @@
     cmocka_unit_test (test_late_view_without_later_promise),
     cmocka_unit_test (test_handover_needs_change_acks),
     cmocka_unit_test (test_malformed_lead_is_ignored),
+    cmocka_unit_test (test_deaf_leader_requests_no_change),
     cmocka_unit_test (test_random_faults),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
