Ledger: a view that was wanted and never written binds nobody

What callers saw: none; found by the review of the elections during a change. A leader that asked for one change and then wrote another one left both among the views that may be in force. If the first had as many members as a quorum and the leader died, nobody led until the store was back.

Cause: members added each view that they acknowledged to what they had acknowledged before on that revision.

Change: a change request lists the wanted view and the proposed ones that may be in force, with a sequence number, and members keep the latest list in place of the one before. A candidate takes the latest list among the votes.

Why it works: a view is written once a set that meets each set of votes has acknowledged a list with it, and each later list has it until it is known not to have been applied. So the latest list among the votes names every view that may be in force.

--- a/lib/core/group/ledger-acknowledged.c
+++ b/lib/core/group/ledger-acknowledged.c
@@ -45,23 +45,17 @@
          && group->persistent.noted == group->revision;
 }
 
-gboolean
-quince_ledger_group_acknowledge_view (QuinceLedgerGroup *group, const QuinceLedgerView *proposed)
+void
+quince_ledger_group_acknowledge (QuinceLedgerGroup *group, const QuinceLedgerChange *change)
 {
-  if (!quince_ledger_group_knows_acknowledged (group))
-    return FALSE;
-  if (!quince_ledger_group_has_acknowledged_views (group))
-    {
-      quince_ledger_change_free (group->acknowledged);
-      group->acknowledged = quince_ledger_change_new (group->revision);
-    }
-  if (quince_ledger_change_has_view (group->acknowledged, proposed))
-    return TRUE;
-  if (!quince_ledger_change_add_view (group->acknowledged, proposed))
-    return FALSE;
+  gboolean has_earlier = quince_ledger_group_has_acknowledged_views (group);
+  if (!quince_ledger_group_knows_acknowledged (group) || change->revision != group->revision
+      || (has_earlier && change->sequence <= group->acknowledged->sequence))
+    return;
+  quince_ledger_change_free (group->acknowledged);
+  group->acknowledged = quince_ledger_change_copy (change);
   store_acknowledged (group);
   group->persistent.noted = group->revision;
-  return TRUE;
 }
 
 gboolean
@@ -71,17 +65,22 @@
 }
 
 void
-quince_ledger_group_add_acknowledged (QuinceLedgerGroup *group)
+quince_ledger_group_learn_change (QuinceLedgerGroup *group, const QuinceLedgerChange *change)
 {
-  if (!quince_ledger_group_has_acknowledged_views (group))
-    return;
-  for (guint i = 0; i < group->acknowledged->proposed.proposed_len; i++)
-    quince_ledger_view_list_add (group->outstanding, &group->acknowledged->proposed.proposed_val[i]);
+  if (group->role != QUINCE_LEDGER_LEADER)
+    {
+      if (change->sequence < group->outstanding_sequence)
+        return;
+      group->outstanding_sequence = change->sequence;
+      g_ptr_array_set_size (group->outstanding, 0);
+    }
+  for (guint i = 0; i < change->proposed.proposed_len; i++)
+    quince_ledger_view_list_add (group->outstanding, &change->proposed.proposed_val[i]);
 }
 
-gboolean
-quince_ledger_group_is_change_full (const QuinceLedgerGroup *group)
+void
+quince_ledger_group_learn_acknowledged (QuinceLedgerGroup *group)
 {
-  return quince_ledger_group_has_acknowledged_views (group)
-         && group->acknowledged->proposed.proposed_len >= QUINCE_LEDGER_CHANGE_VIEWS_MAX;
+  if (quince_ledger_group_has_acknowledged_views (group))
+    quince_ledger_group_learn_change (group, group->acknowledged);
 }
--- a/lib/core/group/ledger-campaign.c
+++ b/lib/core/group/ledger-campaign.c
@@ -210,7 +210,7 @@
   quince_ledger_group_end_campaign (group);
   /* Use an epoch above all known ones, so that members that promised an earlier campaign can promise this
    * one. */
-  quince_ledger_group_add_acknowledged (group);
+  quince_ledger_group_learn_acknowledged (group);
   guint64 max_known_epoch = MAX (
       MAX (quince_ledger_group_get_greatest_epoch (group), group->persistent.promised), group->refused_epoch);
   group->last_campaign = MAX (max_known_epoch, group->last_campaign) + 1;
--- a/lib/core/group/ledger-change-acks.c
+++ b/lib/core/group/ledger-change-acks.c
@@ -34,8 +34,7 @@
       || !quince_ledger_group_follows (group, request->view.primary, request->view.epoch))
     return;
   quince_ledger_group_promise_followed_leader (group);
-  for (guint i = 0; i < request->change.proposed.proposed_len; i++)
-    quince_ledger_group_acknowledge_view (group, &request->change.proposed.proposed_val[i]);
+  quince_ledger_group_acknowledge (group, &request->change);
 }
 
 gboolean
@@ -68,6 +67,23 @@
          && quince_ledger_view_has_same_members (group->wanted_view, proposed);
 }
 
+/* Acknowledges, as the leader, the view @wanted and the proposed views that may be in force.  A view that was
+ * wanted before and not written is left out.  Returns: whether that was possible */
+static gboolean
+acknowledge_wanted (QuinceLedgerGroup *group, const QuinceLedgerView *wanted)
+{
+  gboolean has_earlier = quince_ledger_group_has_acknowledged_views (group);
+  g_autoptr (QuinceLedgerChange) change = quince_ledger_change_new (group->revision);
+  change->sequence = has_earlier ? group->acknowledged->sequence + 1 : 1;
+  for (guint i = 0; i < group->outstanding->len; i++)
+    if (!quince_ledger_change_add_view (change, group->outstanding->pdata[i]))
+      return FALSE;
+  if (!quince_ledger_change_add_view (change, wanted))
+    return FALSE;
+  quince_ledger_group_acknowledge (group, change);
+  return quince_ledger_change_has_view (group->acknowledged, wanted);
+}
+
 gboolean
 quince_ledger_group_has_change_acks (QuinceLedgerGroup *group,
                                      gint64 now_us,
@@ -78,7 +94,7 @@
     return TRUE;
   if (!is_wanted (group, proposed))
     {
-      if (!may_start_change (group, now_us) || !quince_ledger_group_acknowledge_view (group, proposed))
+      if (!may_start_change (group, now_us) || !acknowledge_wanted (group, proposed))
         return FALSE;
       quince_ledger_view_free (group->wanted_view);
       group->wanted_view = quince_ledger_view_copy (proposed);
@@ -120,7 +136,6 @@
   record_change_ack (group, ack);
   if (group->campaign_epoch == 0)
     return;
-  for (guint i = 0; i < ack->change.proposed.proposed_len; i++)
-    quince_ledger_view_list_add (group->outstanding, &ack->change.proposed.proposed_val[i]);
+  quince_ledger_group_learn_change (group, &ack->change);
   quince_ledger_group_add_vote (group, ack->replica, ack->promised, ack->promised_to);
 }
--- a/lib/core/group/ledger-group-private.h
+++ b/lib/core/group/ledger-group-private.h
@@ -54,6 +54,7 @@
   /* Views with other members that leaders have proposed or may have proposed on this revision: any of them
    * may be in force.  QuinceLedgerView, owned. */
   GPtrArray *outstanding;
+  guint64 outstanding_sequence; /* sequence number of the change that a candidate took them from; 0: none */
 
   /* State of a backup. */
   gint64 leader_contact_us;   /* last accepted message of the leader, or last change of leader */
@@ -140,9 +141,10 @@
 gboolean quince_ledger_group_follows (const QuinceLedgerGroup *group, guint64 replica, guint64 epoch);
 /* Promises the epoch of the followed leader, so that this replica follows no older one. */
 void quince_ledger_group_promise_followed_leader (QuinceLedgerGroup *group);
-/* Acknowledges the view @proposed at the known revision.  Returns: whether that was possible: a replica that
- * has acknowledged an unknown change of this revision, or one of a greater revision, acknowledges no other */
-gboolean quince_ledger_group_acknowledge_view (QuinceLedgerGroup *group, const QuinceLedgerView *proposed);
+/* Acknowledges @change of the known revision in place of an earlier one.  Does nothing if it is not later
+ * than that one, or if this replica has acknowledged an unknown change of this revision, or one of a greater
+ * revision. */
+void quince_ledger_group_acknowledge (QuinceLedgerGroup *group, const QuinceLedgerChange *change);
 /* Acknowledges a change of @revision whose views are not known. */
 void quince_ledger_group_acknowledge_unknown (QuinceLedgerGroup *group, guint64 revision);
 /* Returns whether this replica has acknowledged changes of the known revision, and stored all of them. */
@@ -150,10 +152,11 @@
 /* Returns whether no change that this replica has acknowledged at the known revision or a greater one is
  * unknown to it. */
 gboolean quince_ledger_group_knows_acknowledged (const QuinceLedgerGroup *group);
-/* Adds the views that this replica has acknowledged at the known revision to the outstanding ones. */
-void quince_ledger_group_add_acknowledged (QuinceLedgerGroup *group);
-/* Returns whether this replica can acknowledge no further view of the known revision. */
-gboolean quince_ledger_group_is_change_full (const QuinceLedgerGroup *group);
+/* Makes the views of @change, which some replica has acknowledged at the known revision, the outstanding ones
+ * of this candidate, unless it knows a later change.  A leader that campaigns adds them to its own. */
+void quince_ledger_group_learn_change (QuinceLedgerGroup *group, const QuinceLedgerChange *change);
+/* The same with the change that this replica has acknowledged itself, if any. */
+void quince_ledger_group_learn_acknowledged (QuinceLedgerGroup *group);
 
 /* ---- ledger-campaign.c ---- */
 /* Returns %TRUE if enough members have promised for this replica to write itself into the store as leader. */
--- a/lib/core/group/ledger-proposals.c
+++ b/lib/core/group/ledger-proposals.c
@@ -304,7 +304,7 @@
    * same if they can acknowledge no further change of this revision. */
   gboolean is_change_open
       = group->proposal_may_apply || group->outstanding->len > 0 || group->wanted_view != NULL;
-  if ((!changed && is_change_open) || quince_ledger_group_is_change_full (group))
+  if ((!changed && is_change_open) || group->outstanding->len >= QUINCE_LEDGER_CHANGE_VIEWS_MAX)
     return quince_ledger_view_copy (group->view);
   gboolean caught_up = changed && are_members_caught_up (group, now_us, view);
   return caught_up && quince_ledger_group_has_change_acks (group, now_us, view) ? g_steal_pointer (&view)
--- a/lib/core/group/ledger-roles.c
+++ b/lib/core/group/ledger-roles.c
@@ -73,6 +73,7 @@
 {
   group->revision = revision;
   g_ptr_array_set_size (group->outstanding, 0);
+  group->outstanding_sequence = 0;
   g_array_set_size (group->change_acks, 0);
   g_clear_pointer (&group->wanted_view, quince_ledger_view_free);
   group->proposal_is_change = FALSE;
--- a/lib/core/group/ledger-succession.c
+++ b/lib/core/group/ledger-succession.c
@@ -109,7 +109,7 @@
 quince_ledger_group_try_lead_without_store (QuinceLedgerGroup *group, gint64 now_us, gboolean store_fails)
 {
   if (group->campaign_epoch != 0)
-    quince_ledger_group_add_acknowledged (group);
+    quince_ledger_group_learn_acknowledged (group);
   if (!may_lead_without_store (group, now_us, store_fails) || !quince_ledger_group_promise_self (group))
     return FALSE;
   QuinceLedgerView *view = quince_ledger_view_copy (group->view);
--- a/lib/protocol/codec.h
+++ b/lib/protocol/codec.h
@@ -64,6 +64,7 @@
 
 QUINCE_DECLARE_ENCODE (QuinceLedgerChange, quince_ledger_change);
 QUINCE_DECLARE_DECODE (QuinceLedgerChange, quince_ledger_change);
+QUINCE_DECLARE_COPY (QuinceLedgerChange, quince_ledger_change);
 QUINCE_DECLARE_FREE (QuinceLedgerChange, quince_ledger_change)
 
 QUINCE_DECLARE_FREE (QuinceBatchJob, quince_batch_job)
--- a/lib/protocol/quince_protocol.x
+++ b/lib/protocol/quince_protocol.x
@@ -223,13 +223,14 @@
  * greater revision is known, any of them may be in force.  Also stored by each replica that acknowledged them. */
 struct QuinceLedgerChange {
     unsigned hyper   revision;        /* of the view in the metadata store */
+    unsigned hyper   sequence;        /* grows with each list at that revision; the latest one counts */
     QuinceLedgerView proposed<16>;
 };
 
 /* The leader asks a member to acknowledge a membership change before it writes it to the store. */
 struct QuinceLedgerChangeRequest {
     QuinceLedgerView   view;          /* at the revision of the change, with the epoch and the leader in force */
-    QuinceLedgerChange change;        /* all views that the leader has proposed or will propose at it */
+    QuinceLedgerChange change;        /* the view to be proposed, and all proposed ones that may be in force */
 };
 
 /* The answer to a change request.  Also follows QuinceLedgerLead as the answer to a query, if the sender has
@@ -238,7 +239,7 @@
     unsigned hyper     replica;       /* of the sender                     */
     unsigned hyper     promised;      /* as in QuinceLedgerLead            */
     unsigned hyper     promised_to;
-    QuinceLedgerChange change;        /* all that the sender has acknowledged at that revision */
+    QuinceLedgerChange change;        /* the latest that the sender has acknowledged */
 };
 
 /* The answer of any replica that knows a view; a new leader sends it unasked. */
--- a/tests/unit/ledger-parts.h
+++ b/tests/unit/ledger-parts.h
@@ -128,6 +128,7 @@
   gboolean loses_next_change;
   gboolean change_is_lost;
   gint64 lost_change_applied_us;
+  guint lost_change_members; /* number of members of that change */
   GHashTable *leaders;       /* epoch to WorldLeader, owned */
   gint last_orderer;         /* last machine that was allowed to give orders; -1: none */
   gint64 last_order_us;      /* when last_orderer was last allowed to give orders */
@@ -370,6 +371,7 @@
   message->outcome = QUINCE_PROPOSAL_UNKNOWN;
   message->due_us = world->now_us + 300 * 1000;
   world->loses_next_change = FALSE;
+  world->lost_change_members = message->view->members.members_len;
   world->change_is_lost = TRUE;
   world->store_down = TRUE;
   if (world->lost_change_applied_us == 0)
--- a/tests/unit/ledger-replica.h
+++ b/tests/unit/ledger-replica.h
@@ -111,15 +111,6 @@
   message->lead.view = *message->view;
 }
 
-static inline QuinceLedgerChange *
-world_copy_change (const QuinceLedgerChange *change)
-{
-  QuinceLedgerChange *copy = quince_ledger_change_new (change->revision);
-  for (guint i = 0; i < change->proposed.proposed_len; i++)
-    quince_ledger_change_add_view (copy, &change->proposed.proposed_val[i]);
-  return copy;
-}
-
 static inline void
 world_send_change_ack (World *world, guint from, guint to)
 {
@@ -127,7 +118,7 @@
   if (!quince_ledger_group_get_change_ack (world->nodes[from].group, &ack))
     return;
   WorldMessage *message = world_send (world, WORLD_CHANGE_ACK, from, to);
-  message->change = world_copy_change (&ack.change);
+  message->change = quince_ledger_change_copy (&ack.change);
   message->change_ack = ack;
   message->change_ack.change = *message->change;
 }
@@ -146,7 +137,7 @@
         continue;
       WorldMessage *message = world_send (world, WORLD_CHANGE_REQUEST, index, i);
       message->view = quince_ledger_view_copy (&request.view);
-      message->change = world_copy_change (&request.change);
+      message->change = quince_ledger_change_copy (&request.change);
     }
 }
 
--- a/tests/unit/test-ledger-replaced.c
+++ b/tests/unit/test-ledger-replaced.c
@@ -20,6 +20,19 @@
   guint joiner;   /* member of the proposed view alone */
 } Roles;
 
+/* Returns how many changes the leader has asked the members to acknowledge. */
+static guint64
+count_requests (const World *world, guint leader)
+{
+  gsize length;
+  gconstpointer data = g_bytes_get_data (world->nodes[leader].disk.persistent.change, &length);
+  QuinceLedgerChange *change = quince_ledger_change_decode (data, length, NULL);
+  assert_non_null (change);
+  guint64 count = change->sequence;
+  quince_ledger_change_free (change);
+  return count;
+}
+
 /* Sets the joiner in @roles.  Returns whether the leader has asked for one change only, and it has a joiner.
  */
 static gboolean
@@ -176,6 +189,39 @@
   run_fault (4, commit_without_kept, "the only member of both views lacks records");
 }
 
+/* The leader asked the members to acknowledge two changes, and wrote only the one with a joiner to the store.
+ * The other one, with as many members as a quorum, cannot be in force.  The leader dies.  Guards against
+ * members that keep it among the views that may be in force. */
+static void
+test_request_without_write (void **state)
+{
+  guint n_played = 0;
+  for (guint32 seed = 1; seed <= 60; seed++)
+    {
+      World *world = new_settled_world (seed, 4, 1);
+      guint leader = (guint)world_find_leader (world);
+      guint drained = (leader + 1) % 4;
+      while (quince_ledger_view_find (world->view, world->nodes[drained].disk.replica) == NULL)
+        drained = (drained + 1) % 4;
+      world->loses_next_change = TRUE;
+      drain_node (world, drained);
+      for (guint i = 0; i < 500 && !world->change_is_lost; i++)
+        world_run (world, 10);
+      assert_true (world->change_is_lost);
+      if (world->lost_change_members != 3 || count_requests (world, leader) != 2)
+        {
+          world_free (world);
+          continue;
+        }
+      n_played++;
+      world->idle = TRUE;
+      world_run (world, 800);
+      world_kill (world, leader);
+      assert_recovers (world, "a change was acknowledged and not written");
+    }
+  assert_true (n_played >= 5);
+}
+
 /* ---- Random faults ------------------------------------------------------ */
 
 /* Maximum time until there is a leader with enough members after the last fault is cleared. */
@@ -283,7 +329,8 @@
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_leader_hears_replaced_member), cmocka_unit_test (test_leader_hears_joiner),
     cmocka_unit_test (test_joiner_among_spares),          cmocka_unit_test (test_common_member_lacks_records),
-    cmocka_unit_test (test_joiner_has_more_records),      cmocka_unit_test (test_random_replacements)
+    cmocka_unit_test (test_joiner_has_more_records),      cmocka_unit_test (test_request_without_write),
+    cmocka_unit_test (test_random_replacements)
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
--- a/tests/unit/test-ledger-single.c
+++ b/tests/unit/test-ledger-single.c
@@ -56,8 +56,10 @@
 make_change_request (QuinceLedgerView *proposed)
 {
   *proposed = make_view (1, SECOND, 3);
-  return (QuinceLedgerChangeRequest){ .view = make_view (1, SECOND, 2),
-                                      .change = { .revision = REVISION, .proposed = { 1, proposed } } };
+  return (QuinceLedgerChangeRequest){
+    .view = make_view (1, SECOND, 2),
+    .change = { .revision = REVISION, .sequence = 1, .proposed = { 1, proposed } }
+  };
 }
 
 /* Starts a campaign and delivers the promise of SECOND.  Returns: its epoch */
@@ -305,7 +307,7 @@
       g_autoptr (QuinceLedgerView) view = quince_ledger_group_propose (group, now, &expected);
       assert_non_null (view);
       assert_int_equal (view->members.members_len, 3);
-      quince_ledger_group_proposal_ended (group, now, QUINCE_PROPOSAL_NOT_APPLIED, 0);
+      quince_ledger_group_proposal_ended (group, now, QUINCE_PROPOSAL_UNKNOWN, 0);
       quince_ledger_group_peer_left (group, joiner.replica);
       now += 3 * TICK_US;
     }
