Ledger: only the acknowledgement of the latest change counts

Cause: with lists that replace each other a late acknowledgement of an earlier one could count for the same view wanted again, although its sender had acknowledged a list without that view in between. The leader would then write a view that a candidate may not know.

Change: the acknowledgement must have the sequence number of the leader's latest list.

Failed before: unit ledger-succession test_late_change_ack. All unit tests of the ledger pass.

--- a/lib/core/group/ledger-change-acks.c
+++ b/lib/core/group/ledger-change-acks.c
@@ -115,12 +115,15 @@
   return TRUE;
 }
 
+/* Counts the acknowledgement of the latest change alone: the member that sent an earlier one may since have
+ * acknowledged a change without the wanted view. */
 static void
 record_change_ack (QuinceLedgerGroup *group, const QuinceLedgerChangeAck *ack)
 {
   if (group->role == QUINCE_LEDGER_LEADER && group->wanted_view != NULL && ack->promised == group->view->epoch
       && ack->replica != group->self.replica && quince_ledger_group_has_member (group, ack->replica)
-      && quince_ledger_change_has_view (&ack->change, group->wanted_view))
+      && quince_ledger_group_has_acknowledged_views (group)
+      && ack->change.sequence == group->acknowledged->sequence)
     quince_replica_list_add (group->change_acks, ack->replica);
 }
 
--- a/tests/unit/test-ledger-succession.c
+++ b/tests/unit/test-ledger-succession.c
@@ -343,6 +343,42 @@
   quince_ledger_group_free (group);
 }
 
+/* Sets the machine that is drained.  Returns the change that the leader then asks the members to acknowledge.
+ */
+static QuinceLedgerChange *
+request_drain (QuinceLedgerGroup *group, gint64 now_us, const char *node)
+{
+  const char *const leaving[] = { node, NULL };
+  guint64 expected = 0;
+  QuinceLedgerChangeRequest request;
+  quince_ledger_group_set_draining_nodes (group, leaving);
+  assert_null (quince_ledger_group_propose (group, now_us, &expected));
+  assert_true (quince_ledger_group_get_change_request (group, now_us, &request));
+  return quince_ledger_change_copy (&request.change);
+}
+
+/* An acknowledgement of an earlier request does not count, even if it has the view that is wanted again: the
+ * member may have acknowledged another view since. */
+static void
+test_late_change_ack (void **state)
+{
+  gint64 now = START_US + 3 * G_USEC_PER_SEC;
+  guint64 expected = 0;
+  QuinceLedgerGroup *group = make_leader (now);
+  g_autoptr (QuinceLedgerChange) first = request_drain (group, now, "n1");
+  g_autoptr (QuinceLedgerChange) second = request_drain (group, now, "n2");
+  g_autoptr (QuinceLedgerChange) third = request_drain (group, now, "n1");
+  QuinceLedgerChangeAck ack = { .replica = THIRD, .promised = quince_ledger_group_get_view (group)->epoch };
+  ack.change = *first;
+  quince_ledger_group_handle_change_ack (group, now, &ack);
+  assert_null (quince_ledger_group_propose (group, now, &expected));
+  ack.change = *third;
+  quince_ledger_group_handle_change_ack (group, now, &ack);
+  g_autoptr (QuinceLedgerView) view = quince_ledger_group_propose (group, now, &expected);
+  assert_non_null (view);
+  quince_ledger_group_free (group);
+}
+
 /* A leader that hears nobody any more does not ask the members to acknowledge that one of them is replaced,
  * even if their last answers came at different times.  Guards against members that wait for the store since
  * they acknowledged a view which the leader cannot propose. */
@@ -423,6 +459,7 @@
     cmocka_unit_test (test_handover_needs_change_acks),
     cmocka_unit_test (test_malformed_lead_is_ignored),
     cmocka_unit_test (test_deaf_leader_requests_no_change),
+    cmocka_unit_test (test_late_change_ack),
     cmocka_unit_test (test_random_faults),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
