--- a/lib/protocol/quince_protocol.x
+++ b/lib/protocol/quince_protocol.x
@@ -242,7 +242,7 @@
     QuinceLedgerChange change;        /* the latest that the sender has acknowledged */
 };
 
-/* The answer of any replica that knows a view; a new leader sends it unasked. */
+/* The answer of any replica that knows a view; a new leader and a candidate send it unasked. */
 struct QuinceLedgerLead {
     unsigned hyper   revision;        /* of the view in the store on which this lead is based */
     QuinceLedgerView view;            /* its members, with the epoch and the leader in force */
