Ledger: a read of the view leads to a proposal at once only if a candidate waits for it

Cause: since each answer of the store led to a proposal at once, also the first view of a new system, which came at the next tick of 0.15 s before. The test kills the leader that much earlier after its first feed. That a relay whose leader ends within 0.5 s of its first feed sends no heartbeats for a moment, so that its front leaves it, is open (KNOWN-RED).

Change: the proposal at once is for a candidate that waited for the answer.

--- a/daemons/replica/ledger-membership.c
+++ b/daemons/replica/ledger-membership.c
@@ -85,10 +85,11 @@
     return; /* the store logs the failure; a later call reads again */
   membership->initial_read_done = TRUE;
   const QuinceMetaItem *item = page != NULL && page->items->len > 0 ? page->items->pdata[0] : NULL;
+  gboolean candidate_waits = quince_ledger_group_needs_store_read (membership->group);
   apply_view (membership, item != NULL ? item->value : NULL, item != NULL ? item->revision : 0,
               membership->last_read_us);
-  /* A candidate may have waited for this answer. */
-  quince_ledger_membership_propose (membership);
+  if (candidate_waits)
+    quince_ledger_membership_propose (membership);
 }
 
 void
