Ledger: the number of votes needed is private to the quorums, plainer comments

Found on reading the whole change again: one function was public without a caller in another file, and two comments did not say what is sent. Behaviour stays.

--- a/daemons/replica/ledger-election.c
+++ b/daemons/replica/ledger-election.c
@@ -132,7 +132,7 @@
 
 /* ---- Announcements of the leader ----------------------------------------- */
 
-/* Tells @members (element-type QuinceLedgerMember) who leads as far as this replica knows. */
+/* Sends the view and the leader that this replica knows to @members (element-type QuinceLedgerMember). */
 static void
 send_lead (QuinceLedgerElection *election, const GPtrArray *members)
 {
@@ -282,7 +282,7 @@
   if (!quince_ledger_group_get_lead (election->group, &message.QuinceMessage_u.ledger_lead))
     return;
   quince_link_send (link, &message);
-  /* Fronts ask who leads, and need no more. */
+  /* A front, whose replica id is 0, only needs the leader. */
   if (query->replica != 0)
     send_change_ack (election, link);
 }
--- a/lib/core/group/ledger-group-private.h
+++ b/lib/core/group/ledger-group-private.h
@@ -108,10 +108,6 @@
 /* ---- ledger-quorums.c ---- */
 /* Returns: how many members of @view must have a record on disk, or follow a leader, in that view */
 guint quince_ledger_group_get_quorum (const QuinceLedgerGroup *group, const QuinceLedgerView *view);
-/* Returns: how many members of @view must elect a leader without the store.  Any two sets of this size
- * overlap, and each overlaps with any set of promises that allows a write to the store and with any quorum.
- */
-guint quince_ledger_group_get_votes_needed (const QuinceLedgerGroup *group, const QuinceLedgerView *view);
 /* Returns: how many members of @view, including the leader, must acknowledge a membership change for every
  * set of votes to include one of them; 0 if @view has too few members for such a set */
 guint quince_ledger_group_get_change_acks_needed (const QuinceLedgerGroup *group,
--- a/lib/core/group/ledger-quorums.c
+++ b/lib/core/group/ledger-quorums.c
@@ -9,8 +9,11 @@
   return MIN (group->limits.quorum, view->members.members_len);
 }
 
-guint
-quince_ledger_group_get_votes_needed (const QuinceLedgerGroup *group, const QuinceLedgerView *view)
+/* Returns: how many members of @view must elect a leader without the store.  Any two sets of this size
+ * overlap, and each overlaps with any set of promises that allows a write to the store and with any quorum.
+ */
+static guint
+get_votes_needed (const QuinceLedgerGroup *group, const QuinceLedgerView *view)
 {
   return MAX (group->limits.quorum, view->members.members_len / 2 + 1);
 }
@@ -19,7 +22,7 @@
 quince_ledger_group_get_change_acks_needed (const QuinceLedgerGroup *group, const QuinceLedgerView *view)
 {
   guint members = view->members.members_len;
-  guint votes = quince_ledger_group_get_votes_needed (group, view);
+  guint votes = get_votes_needed (group, view);
   return members >= votes ? members - votes + 1 : 0;
 }
 
@@ -40,8 +43,7 @@
 static gboolean
 have_votes (const QuinceLedgerGroup *group, const QuinceLedgerView *view, const GArray *replicas)
 {
-  return quince_ledger_group_count_members (group, view, replicas)
-         >= quince_ledger_group_get_votes_needed (group, view);
+  return quince_ledger_group_count_members (group, view, replicas) >= get_votes_needed (group, view);
 }
 
 gboolean
