Review, case 1: bytes that are no answer after the last chunk, besides trailer fields

Claimed: LOST (NEWS-27), as before; the first round now ends the answer with the lines of one more event.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,5 +1,6 @@
-"""Callers wait for a sound worker on kept connections when a faulty worker answers another request in chunks
-with two trailer fields.  See claim.txt."""
+"""Callers wait for a sound worker on kept connections when a faulty worker spoils its answer to another request:
+in the first round bytes that are no answer follow the last chunk, in the second one two trailer fields do.  See
+claim.txt."""
 import asyncio
 import os
 import sys
@@ -12,7 +13,6 @@
 
 HOST = "h.example"
 CALLERS = 8
-ROUNDS = 2
 # NEWS-27, LOST: "more than three times"
 LOST_MAX = 3
 CONFIGURATION = {
@@ -27,17 +27,19 @@
 }
 
 
-async def answer_with_trailers(worker, request, writer):
-    """A whole answer in chunks, then two trailer fields (RFC 9112, 7.1.2)."""
+# What follows the last chunk, by round: the next event of a stream, and trailer fields (RFC 9112, 7.1.2).
+ENDS = (b"id: 2\ndata: hello\n\n", b"X-Checksum: 1f2e\r\nX-Took-Ms: 3\r\n\r\n")
+ROUNDS = len(ENDS)
+
+
+async def answer_in_chunks(worker, request, writer):
     worker.begin_run(request)
-    if not TROUBLE:
-        writer.write(worker.answer(request))
-        return
+    end = ENDS[int(request.get("Request-Id")[1:])] if TROUBLE else b"\r\n"
     head = ["HTTP/1.1 200 OK", "Request-Id: %s" % request.get("Request-Id"),
             "Server-Stamp: %s" % worker.stamp(request.get("Request-Id")), "Transfer-Encoding: chunked", "", ""]
-    writer.write("\r\n".join(head).encode() + b"5\r\nhello\r\n0\r\nX-Checksum: 1f2e\r\nX-Took-Ms: 3\r\n\r\n")
-    worker.record("worker %s answers request=%s in chunks with two trailer fields" % (
-        worker.id, request.get("Request-Id")))
+    writer.write("\r\n".join(head).encode() + b"5\r\nhello\r\n0\r\n" + end)
+    worker.record("worker %s answers request=%s in chunks; after the last one: %r" % (
+        worker.id, request.get("Request-Id"), end))
 
 
 class Caller:
@@ -99,7 +101,7 @@
         store.put_json("op/config", CONFIGURATION)
         sound = await Worker(store, record, "i-sound", "svc-sound", slots=16).start()
         faulty = await Worker(store, record, "i-other", "svc-other").start()
-        faulty.handle = answer_with_trailers
+        faulty.handle = answer_in_chunks
         fronts = [deployment.add("front", "front-%d" % i) for i in range(ROUNDS)]
         for i in range(3):
             deployment.add("replica", "store-%d" % i)
