--- a/review/standins.py
+++ b/review/standins.py
@@ -565,11 +565,17 @@
     record = Record(folder)
     record.say("trouble: %s" % ("yes" if TROUBLE else "no"))
     status = 2
+
+    async def run():
+        # An early end, too, ends the processes that the case started.
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
+        return await asyncio.wait_for(case(record), timeout)
+
     try:
-        status = 0 if asyncio.run(asyncio.wait_for(case(record), timeout)) else 1
+        status = 0 if asyncio.run(run()) else 1
     except CannotRun as error:
         record.say("cannot run: %s" % error)
-    except asyncio.TimeoutError:
-        record.say("cannot run: out of time")
+    except (asyncio.TimeoutError, asyncio.CancelledError):
+        record.say("cannot run: out of time or ended")
     record.say({0: "the rule held", 1: "the rule was broken", 2: "no result"}[status])
     sys.exit(status)
