HTTP input: fields after the last chunk are no headers of a message

With a single trailer field the front went on, and the field became the first header of the next message on that connection, of a caller's next request too.

Cause: the parser reports the lines after the last chunk by the callbacks for header lines. At that point on_headers_complete() had handed the head to the owner, so that the second line was stored through a null pointer; the first one waited in the buffers for the next message.

Change: header callbacks act only while a head is being read, in both roles, and each message begins with empty buffers. Trailer fields are discarded, as RFC 9110, section 6.5.1 allows; nothing here uses them.

Test: unit http-input sends eight messages with such lines, in two parts at each position and byte by byte, to a client and to a server connection.

--- a/lib/http1/http-connection-input.c
+++ b/lib/http1/http-connection-input.c
@@ -14,15 +14,29 @@
 #define BUFFERED_INPUT_MAX_BYTES (256 * 1024)
 
 static void
-store_header (QuinceHttpConnection *connection)
+clear_header (QuinceHttpConnection *connection)
 {
-  if (connection->value_started)
-    quince_http_headers_add (connection->head->headers, connection->field->str, connection->value->str);
   g_string_truncate (connection->field, 0);
   g_string_truncate (connection->value, 0);
   connection->value_started = FALSE;
 }
 
+static void
+store_header (QuinceHttpConnection *connection)
+{
+  if (connection->value_started)
+    quince_http_headers_add (connection->head->headers, connection->field->str, connection->value->str);
+  clear_header (connection);
+}
+
+/* The parser also reports the lines after the last chunk of a body as header lines.  These are trailer
+ * fields, or bytes that are no part of the message. */
+static gboolean
+is_reading_head (const QuinceHttpConnection *connection)
+{
+  return connection->head != NULL;
+}
+
 static int
 on_message_begin (http_parser *parser)
 {
@@ -30,6 +44,7 @@
   quince_http_head_free (connection->head);
   connection->head = g_new0 (QuinceHttpHead, 1);
   connection->head->headers = quince_http_headers_new ();
+  clear_header (connection);
   connection->reading = TRUE;
   return 0;
 }
@@ -49,6 +64,8 @@
 on_header_field (http_parser *parser, const char *at, size_t length)
 {
   QuinceHttpConnection *connection = parser->data;
+  if (!is_reading_head (connection))
+    return 0;
   if (connection->value_started)
     store_header (connection);
   g_string_append_len (connection->field, at, (gssize)length);
@@ -59,6 +76,8 @@
 on_header_value (http_parser *parser, const char *at, size_t length)
 {
   QuinceHttpConnection *connection = parser->data;
+  if (!is_reading_head (connection))
+    return 0;
   connection->value_started = TRUE;
   g_string_append_len (connection->value, at, (gssize)length);
   return 0;
--- /dev/null
+++ b/tests/unit/test-http-input.c
@@ -0,0 +1,99 @@
+/*
+ * test-http-input.c: guards against bytes after the end of an HTTP message that end the process, or become a
+ * part of the next message.
+ */
+#include <string.h>
+
+#include "http-peer.h"
+
+/* The messages that a connection must read from @bytes. */
+typedef struct
+{
+  const char *name;
+  gboolean is_client;
+  const char *bytes;
+  const char *record;
+} InputCase;
+
+#define CHUNKED_RESPONSE "HTTP/1.1 200 OK\r\nA: 1\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n"
+#define CHUNKED_RESPONSE_RECORD "200|A=1|Transfer-Encoding=chunked|ab;"
+#define CHUNKED_REQUEST "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n"
+#define CHUNKED_REQUEST_RECORD "POST /a|Host=h|Transfer-Encoding=chunked|ab;"
+#define NEXT_RESPONSE "HTTP/1.1 201 Created\r\nB: 2\r\nContent-Length: 1\r\n\r\nc"
+#define NEXT_RESPONSE_RECORD "201|B=2|Content-Length=1|c;"
+#define NEXT_REQUEST "GET /b HTTP/1.1\r\nHost: i\r\n\r\n"
+#define NEXT_REQUEST_RECORD "GET /b|Host=i|;"
+
+static const InputCase trailer_cases[] = {
+  { "response, one trailer field", TRUE, CHUNKED_RESPONSE "T: 1\r\n\r\n" NEXT_RESPONSE,
+    CHUNKED_RESPONSE_RECORD NEXT_RESPONSE_RECORD },
+  { "response, two trailer fields", TRUE, CHUNKED_RESPONSE "T: 1\r\nU: 2\r\n\r\n" NEXT_RESPONSE,
+    CHUNKED_RESPONSE_RECORD NEXT_RESPONSE_RECORD },
+  { "response, an event after the last chunk", TRUE, CHUNKED_RESPONSE "id: 2\ndata: hello\n\n" NEXT_RESPONSE,
+    CHUNKED_RESPONSE_RECORD NEXT_RESPONSE_RECORD },
+  { "response, a folded trailer field", TRUE, CHUNKED_RESPONSE "T: 1\r\n 2\r\nU:\r\n\r\n" NEXT_RESPONSE,
+    CHUNKED_RESPONSE_RECORD NEXT_RESPONSE_RECORD },
+  { "response, no field after the last chunk", TRUE, CHUNKED_RESPONSE "no field\r\n\r\n" NEXT_RESPONSE,
+    "200|A=1|Transfer-Encoding=chunked|ab" },
+  { "request, one trailer field", FALSE, CHUNKED_REQUEST "Model: x\r\n\r\n" NEXT_REQUEST,
+    CHUNKED_REQUEST_RECORD NEXT_REQUEST_RECORD },
+  { "request, two trailer fields", FALSE, CHUNKED_REQUEST "T: 1\r\nModel: x\r\n\r\n" NEXT_REQUEST,
+    CHUNKED_REQUEST_RECORD NEXT_REQUEST_RECORD },
+  { "request, no field after the last chunk", FALSE, CHUNKED_REQUEST "no field\r\n\r\n" NEXT_REQUEST,
+    "POST /a|Host=h|Transfer-Encoding=chunked|ab" },
+};
+
+/* Sends the bytes in two parts; @split: length of the first one */
+static void
+check_split (const InputCase *c, gsize split)
+{
+  Peer peer;
+  peer_init (&peer, c->is_client);
+  peer_send (&peer, c->bytes, split);
+  peer_send (&peer, c->bytes + split, strlen (c->bytes) - split);
+  peer_finish (&peer);
+  if (strcmp (peer.record->str, c->record) != 0)
+    fail_msg ("%s, split at %u: read %s", c->name, (guint)split, peer.record->str);
+  peer_clear (&peer);
+}
+
+static void
+check_bytewise (const InputCase *c)
+{
+  Peer peer;
+  peer_init (&peer, c->is_client);
+  for (gsize i = 0; i < strlen (c->bytes); i++)
+    peer_send (&peer, c->bytes + i, 1);
+  peer_finish (&peer);
+  if (strcmp (peer.record->str, c->record) != 0)
+    fail_msg ("%s, byte by byte: read %s", c->name, peer.record->str);
+  peer_clear (&peer);
+}
+
+static void
+check_cases (const InputCase *cases, guint n_cases)
+{
+  for (guint i = 0; i < n_cases; i++)
+    {
+      for (gsize split = 0; split < strlen (cases[i].bytes); split++)
+        check_split (&cases[i], split);
+      check_bytewise (&cases[i]);
+    }
+}
+
+/* Guards against trailer fields of a chunked message, or bytes in their place, that end the process or become
+ * headers of the next message. */
+static void
+test_bytes_after_last_chunk (void **state)
+{
+  check_cases (trailer_cases, G_N_ELEMENTS (trailer_cases));
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_bytes_after_last_chunk),
+  };
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
