HTTP input: an interim response has no body, and no message switches the protocol

What callers could see: a response 1xx with a length handed that many bytes to the exchange as the body of the final response, in front of the real one; after a 101 the rest of what had been read was dropped and the bytes after it were read as responses; the body of a CONNECT request was read as further requests of the same caller. None of the three was seen on a deployment.

Cause: the framing of such messages was left to the parser, which believes the length of an interim response and stops at a switch of protocols.

Change: an interim response ends with its head, whatever length it announces (RFC 9112, section 6.3); a 101, which this client never asks for, and CONNECT, which no route can serve, are malformed: the response counts as broken, the request gets 400.

Test: unit http-input, test_bytes_after_interim_response: six messages, in two parts at each position and byte by byte; failed before the fix with body() called without head().

--- a/lib/http1/http-connection-input.c
+++ b/lib/http1/http-connection-input.c
@@ -13,6 +13,24 @@
 /* A connection with more buffered input fails at the next read.  Allows many small pipelined requests. */
 #define BUFFERED_INPUT_MAX_BYTES (256 * 1024)
 
+/* Returned by on_headers_complete() to the parser. */
+enum
+{
+  HEAD_REJECTED = -1,
+  HEAD_ACCEPTED = 0,
+  HEAD_WITHOUT_BODY = 1, /* the message ends with its head */
+};
+
+#define STATUS_SWITCHING_PROTOCOLS 101
+/* A response with a smaller status is followed by another one to the same request. */
+#define FINAL_STATUS_MIN 200
+
+static gboolean
+is_interim_response (const QuinceHttpConnection *connection)
+{
+  return connection->is_client && connection->parser.status_code < FINAL_STATUS_MIN;
+}
+
 static void
 clear_header (QuinceHttpConnection *connection)
 {
@@ -96,12 +114,28 @@
   return size;
 }
 
+/* Returns the error of a complete head that this connection cannot accept, or NULL. */
+static const char *
+find_head_error (const QuinceHttpConnection *connection, const http_parser *parser)
+{
+  if (connection->is_client && parser->status_code == STATUS_SWITCHING_PROTOCOLS)
+    return "response switches to a protocol that was not requested";
+  if (!connection->is_client && parser->method == HTTP_CONNECT)
+    return "CONNECT is not supported";
+  return NULL;
+}
+
 static int
 on_headers_complete (http_parser *parser)
 {
   QuinceHttpConnection *connection = parser->data;
   store_header (connection);
-  QuinceHttpHead *head = g_steal_pointer (&connection->head);
+  g_autoptr (QuinceHttpHead) head = g_steal_pointer (&connection->head);
+  connection->head_error = find_head_error (connection, parser);
+  if (connection->head_error != NULL)
+    return HEAD_REJECTED;
+  if (is_interim_response (connection))
+    return HEAD_WITHOUT_BODY; /* whatever length it announces (RFC 9112, section 6.3) */
   if (connection->is_client)
     head->status = parser->status_code;
   else
@@ -110,15 +144,11 @@
       && compute_head_size (head) > connection->max_head_bytes)
     {
       connection->head_too_large = TRUE;
-      quince_http_head_free (head);
-      return -1;
+      return HEAD_REJECTED;
     }
   head->keep_alive = http_should_keep_alive (parser) != 0;
-  if (connection->is_client && head->status < 200)
-    quince_http_head_free (head); /* an interim response (1xx): the final one follows */
-  else
-    connection->callbacks->head (connection, head, connection->user_data);
-  return quince_http_connection_is_alive (connection) ? 0 : -1;
+  connection->callbacks->head (connection, g_steal_pointer (&head), connection->user_data);
+  return quince_http_connection_is_alive (connection) ? HEAD_ACCEPTED : HEAD_REJECTED;
 }
 
 static int
@@ -134,7 +164,7 @@
 on_message_complete (http_parser *parser)
 {
   QuinceHttpConnection *connection = parser->data;
-  if (connection->is_client && parser->status_code < 200)
+  if (is_interim_response (connection))
     return 0;
   connection->reading = FALSE;
   connection->awaiting_next = TRUE;
@@ -179,9 +209,11 @@
 static void
 refuse_unparsable_input (QuinceHttpConnection *connection, enum http_errno parse_error)
 {
+  const char *text
+      = connection->head_error != NULL ? connection->head_error : http_errno_description (parse_error);
   gboolean head_too_large = connection->head_too_large || parse_error == HPE_HEADER_OVERFLOW;
   refuse_input (connection, head_too_large ? QUINCE_HTTP1_ERROR_TOO_LARGE : QUINCE_HTTP1_ERROR_MALFORMED,
-                head_too_large ? "message head is too large" : http_errno_description (parse_error));
+                head_too_large ? "message head is too large" : text);
 }
 
 /* Parses @data up to the end of one message and buffers the rest. */
--- a/lib/http1/http-connection-private.h
+++ b/lib/http1/http-connection-private.h
@@ -41,6 +41,7 @@
   gboolean awaiting_next;  /* a message is complete and next() was not called */
   gboolean reading;        /* a message is incomplete */
   gboolean head_too_large; /* the parsed request head exceeds max_head_bytes */
+  const char *head_error;  /* why the parsed head was rejected; NULL: for no such reason */
   gboolean finishing;      /* finish() was called */
 };
 
--- a/tests/unit/test-http-input.c
+++ b/tests/unit/test-http-input.c
@@ -43,6 +43,22 @@
     "POST /a|Host=h|Transfer-Encoding=chunked|ab" },
 };
 
+static const InputCase interim_cases[] = {
+  { "interim response that announces a body", TRUE,
+    "HTTP/1.1 103 Early Hints\r\nContent-Length: 5\r\n\r\n" NEXT_RESPONSE, NEXT_RESPONSE_RECORD },
+  { "interim response that announces chunks", TRUE,
+    "HTTP/1.1 103 Early Hints\r\nTransfer-Encoding: chunked\r\n\r\n" NEXT_RESPONSE, NEXT_RESPONSE_RECORD },
+  { "interim response with a body", TRUE,
+    "HTTP/1.1 100 Continue\r\nContent-Length: 5\r\n\r\nhello" NEXT_RESPONSE, "" },
+  { "response that switches protocols", TRUE,
+    "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n" NEXT_RESPONSE, "" },
+  { "CONNECT with a request as its body", FALSE,
+    "CONNECT h:1 HTTP/1.1\r\nHost: h\r\nContent-Length: 27\r\n\r\n" NEXT_REQUEST, "" },
+  { "request that asks for another protocol", FALSE,
+    "GET /a HTTP/1.1\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\n" NEXT_REQUEST,
+    "GET /a|Connection=upgrade|Upgrade=x|;" NEXT_REQUEST_RECORD },
+};
+
 /* Sends the bytes in two parts; @split: length of the first one */
 static void
 check_split (const InputCase *c, gsize split)
@@ -89,11 +105,20 @@
   check_cases (trailer_cases, G_N_ELEMENTS (trailer_cases));
 }
 
+/* Guards against a body of an interim response that becomes a part of the final one, and against bytes that
+ * are read as messages after a switch to another protocol. */
+static void
+test_bytes_after_interim_response (void **state)
+{
+  check_cases (interim_cases, G_N_ELEMENTS (interim_cases));
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_bytes_after_last_chunk),
+    cmocka_unit_test (test_bytes_after_interim_response),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
