HTTP input: only the bytes of a head count to the limit of its size

What callers could see: 431 for a proper request on a kept connection. A request whose head arrived in two parts was refused as soon as the bytes of the read that had completed the request before, body included, exceeded the operator's limit together with the first part.

Cause: the count of bytes was set to 0 when a message ended, and the read in which it ended was added after that. Found when reading what each state of the parser does with the bytes after a message's end.

Change: a message begins with a count of 0, and bytes count only while a head is incomplete.

Test: unit http-input, test_head_after_large_body: two requests, a body just below the limit, a head in two parts; refused before the fix.

--- a/lib/http1/http-connection-input.c
+++ b/lib/http1/http-connection-input.c
@@ -63,6 +63,7 @@
   connection->head = g_new0 (QuinceHttpHead, 1);
   connection->head->headers = quince_http_headers_new ();
   clear_header (connection);
+  connection->head_bytes = 0;
   connection->reading = TRUE;
   return 0;
 }
@@ -168,7 +169,6 @@
     return 0;
   connection->reading = FALSE;
   connection->awaiting_next = TRUE;
-  connection->head_bytes = 0;
   http_parser_pause (parser, 1);
   return 0;
 }
@@ -183,14 +183,15 @@
   .on_message_complete = on_message_complete,
 };
 
-/* Counts @length bytes of input.  Returns TRUE if a head is still incomplete and exceeds the limit. */
+/* Counts @length bytes of input if they belong to an incomplete head.  Returns TRUE if it exceeds the limit.
+ */
 static gboolean
 exceeds_head_limit (QuinceHttpConnection *connection, gsize length)
 {
-  if (connection->max_head_bytes == 0 || (connection->head == NULL && connection->reading))
+  if (connection->max_head_bytes == 0 || !is_reading_head (connection))
     return FALSE;
   connection->head_bytes += length;
-  return connection->head != NULL && connection->head_bytes > connection->max_head_bytes;
+  return connection->head_bytes > connection->max_head_bytes;
 }
 
 /* Reports invalid input.  A server's owner may still send a response if it has a refused() callback. */
--- a/tests/unit/test-http-input.c
+++ b/tests/unit/test-http-input.c
@@ -113,12 +113,37 @@
   check_cases (interim_cases, G_N_ELEMENTS (interim_cases));
 }
 
+/* Length of a body that, with half of the head of NEXT_REQUEST, exceeds the limit of a head. */
+#define LARGE_BODY_BYTES (PEER_HEAD_MAX_BYTES - 10)
+
+/* Guards against counting the bytes of earlier messages to the size of a head that arrives in two parts: the
+ * request was refused as too large. */
+static void
+test_head_after_large_body (void **state)
+{
+  g_autofree char *body = g_strnfill (LARGE_BODY_BYTES, 'x');
+  g_autofree char *first = g_strdup_printf ("POST /a HTTP/1.1\r\nContent-Length: %d\r\n\r\n%s" NEXT_REQUEST,
+                                            LARGE_BODY_BYTES, body);
+  Peer peer;
+  peer_init (&peer, FALSE);
+  for (guint i = 0; i < 2; i++)
+    {
+      peer_send (&peer, first, strlen (first) - strlen (NEXT_REQUEST) / 2);
+      peer_send (&peer, first + strlen (first) - strlen (NEXT_REQUEST) / 2, strlen (NEXT_REQUEST) / 2);
+    }
+  peer_finish (&peer);
+  assert_false (peer.refused);
+  assert_true (g_str_has_suffix (peer.record->str, NEXT_REQUEST_RECORD));
+  peer_clear (&peer);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_bytes_after_last_chunk),
     cmocka_unit_test (test_bytes_after_interim_response),
+    cmocka_unit_test (test_head_after_large_body),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
