--- a/tests/unit/http-peer.h
+++ b/tests/unit/http-peer.h
@@ -132,7 +132,8 @@
     g_main_context_iteration (NULL, TRUE);
 }
 
-/* @is_client: the connection under test is the client of its peer */
+/* @is_client: the connection under test is the client of its peer.  It resets when it closes, so that many
+ * connections leave no ports in TIME_WAIT. */
 static inline void
 peer_init (Peer *peer, gboolean is_client)
 {
@@ -142,6 +143,7 @@
   if (is_client)
     {
       peer->connection = quince_http_connection_connect (address, &peer_callbacks, peer);
+      quince_http_connection_reset_on_close (peer->connection);
       peer_run_until_accepted (peer);
       peer->socket = g_steal_pointer (&peer->accepted);
       g_socket_set_blocking (peer->socket, TRUE);
@@ -155,6 +157,7 @@
   peer_run_until_accepted (peer);
   peer->connection = quince_http_connection_new_server (g_steal_pointer (&peer->accepted),
                                                         PEER_HEAD_MAX_BYTES, &peer_callbacks, peer);
+  quince_http_connection_reset_on_close (peer->connection);
 }
 
 static inline void
