HTTP client: a connection on which bytes arrive while no request waits is closed

What callers could see: the answer to an earlier request, sent a second time, read as the answer to the next one on that connection, where nothing else tells them apart (calls to the store, reports of workers). A pool looked only at input that had been read already: bytes that still lay in the kernel when the next request began counted as its answer, and bytes that were read in time stayed in a connection which was kept as idle.

Change: input while no request waits closes a client connection at once, and a pool doesn't reuse a connection with unread input or an unread end; the next request takes another one.

Test: platform-http-pool, test_surplus_response_to_idle_connection, with the bytes read before the next request and with the bytes unread.

--- a/lib/http1/http-connection-input.c
+++ b/lib/http1/http-connection-input.c
@@ -285,6 +285,8 @@
     handle_end_of_input (connection);
   else if (connection->finishing)
     ; /* input after finish() is discarded */
+  else if (connection->awaiting_next && connection->is_client)
+    quince_http_connection_fail (connection, QUINCE_HTTP1_ERROR_MALFORMED, "input that answers no request");
   else if (connection->awaiting_next && connection->buffered_input->len > BUFFERED_INPUT_MAX_BYTES)
     quince_http_connection_fail (connection, QUINCE_HTTP1_ERROR_TOO_LARGE,
                                  "too much input after a complete message");
--- a/lib/http1/http-pool.c
+++ b/lib/http1/http-pool.c
@@ -143,8 +143,10 @@
   while (pool->idle->len > 0)
     {
       PooledConnection *pooled = pool->idle->pdata[pool->idle->len - 1];
+      /* Unread input answers no request, or is the end of the connection. */
       gboolean usable = pooled->usable_until_us > now && quince_http_connection_is_open (pooled->connection)
-                        && !quince_http_connection_has_buffered_input (pooled->connection);
+                        && !quince_http_connection_has_buffered_input (pooled->connection)
+                        && !quince_http_connection_is_readable (pooled->connection);
       if (usable)
         {
           g_ptr_array_remove_index (pool->idle, pool->idle->len - 1);
--- a/tests/platform/test-http-pool.c
+++ b/tests/platform/test-http-pool.c
@@ -180,6 +180,53 @@
   standin_server_free (server);
 }
 
+#define SURPLUS_ANSWER "HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\nsurplus"
+
+static void
+capture_first_call (StandinCall *call, gpointer data)
+{
+  StandinCall **first = data;
+  standin_call_write (call, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab");
+  if (*first == NULL)
+    *first = call;
+  else
+    standin_call_finish (call);
+}
+
+/* Guards against a response that arrives while no request waits, and is read as the response to the next one:
+ * before the next request if @has_time, otherwise still unread when it starts. */
+static void
+check_surplus_response (gboolean has_time)
+{
+  StandinCall *call = NULL;
+  StandinServer *server = standin_server_new (capture_first_call, &call);
+  QuinceHttpPool *pool = quince_http_pool_new (standin_server_get_address (server));
+  ExchangeResult result;
+  run_exchange (pool, &result, 500 * 1000);
+  g_free (result.body);
+  assert_int_equal (quince_http_pool_get_n_idle (pool), 1);
+  standin_call_write (call, SURPLUS_ANSWER);
+  if (has_time)
+    AWAIT (quince_http_pool_get_n_idle (pool) == 0);
+  else
+    g_usleep (20 * 1000);
+  run_exchange (pool, &result, 500 * 1000);
+  assert_int_equal (result.outcome, QUINCE_HTTP_ANSWERED);
+  assert_string_equal (result.body, "ab");
+  assert_int_equal (quince_http_pool_get_n_connections_opened (pool), 2);
+  g_free (result.body);
+  standin_call_finish (call);
+  quince_http_pool_unref (pool);
+  standin_server_free (server);
+}
+
+static void
+test_surplus_response_to_idle_connection (void **state)
+{
+  check_surplus_response (FALSE);
+  check_surplus_response (TRUE);
+}
+
 static gboolean call_was_gone;
 
 static void
@@ -319,6 +366,7 @@
     cmocka_unit_test (test_scripted_responses),
     cmocka_unit_test (test_connection_refused),
     cmocka_unit_test (test_idle_connection_closed),
+    cmocka_unit_test (test_surplus_response_to_idle_connection),
     cmocka_unit_test (test_cancel_closes_connection),
     cmocka_unit_test (test_send_deadline),
     cmocka_unit_test (test_received_answer_precedes_timeout),
