--- /dev/null
+++ b/lib/http1/http-exchange.c
@@ -0,0 +1,294 @@
+/*
+ * http-exchange.c: one request and its response on a connection of a pool.
+ */
+#include "http-pool-private.h"
+
+#include "runtime/clock.h"
+
+/* Several round trips between regions, but less than the 1 s after which the kernel retransmits a SYN. */
+#define CONNECT_TIMEOUT_MS 700
+
+static void
+exchange_free (QuinceHttpExchange *exchange)
+{
+  quince_timer_clear (&exchange->timer);
+  quince_timer_clear (&exchange->connect_timer);
+  quince_http_head_free (exchange->head);
+  g_byte_array_unref (exchange->body);
+  if (exchange->unsent_request != NULL)
+    g_string_free (exchange->unsent_request, TRUE);
+  quince_http_pool_release (exchange->pool);
+  g_free (exchange);
+}
+
+static void
+exchange_end (QuinceHttpExchange *exchange, QuinceHttpOutcome outcome, const GError *error)
+{
+  gboolean answered = outcome == QUINCE_HTTP_ANSWERED;
+  gboolean reuse = answered && exchange->head->keep_alive && !exchange->reuse_disabled
+                   && !quince_http_connection_has_buffered_input (exchange->pooled->connection)
+                   && !quince_http_connection_has_pending_output (exchange->pooled->connection);
+  quince_timer_clear (&exchange->timer);
+  quince_timer_clear (&exchange->connect_timer);
+  quince_http_pool_detach (exchange, reuse);
+  exchange->callbacks->done (exchange, outcome, error, exchange->user_data);
+  exchange_free (exchange);
+}
+
+static void
+exchange_fail (QuinceHttpExchange *exchange, const GError *error)
+{
+  exchange_end (exchange, exchange->connected ? QUINCE_HTTP_BROKEN : QUINCE_HTTP_NOT_SENT, error);
+}
+
+void
+quince_http_exchange_cancel (QuinceHttpExchange *exchange)
+{
+  quince_http_pool_detach (exchange, FALSE);
+  exchange_free (exchange);
+}
+
+/* Returns an exchange that @scope selects, or NULL if there is none. */
+static QuinceHttpExchange *
+find_withdrawable (const QuinceHttpPool *pool, QuinceHttpWithdrawScope scope)
+{
+  for (guint i = 0; i < pool->exchanges->len; i++)
+    {
+      QuinceHttpExchange *exchange = pool->exchanges->pdata[i];
+      gboolean unacknowledged
+          = scope == QUINCE_HTTP_WITHDRAW_UNACKNOWLEDGED && exchange->head == NULL
+            && quince_http_connection_has_unacknowledged_data (exchange->pooled->connection);
+      if (!exchange->connected || unacknowledged)
+        return exchange;
+    }
+  return NULL;
+}
+
+guint
+quince_http_pool_withdraw (QuinceHttpPool *pool, QuinceHttpWithdrawScope scope)
+{
+  g_autoptr (GError) error = g_error_new_literal (QUINCE_HTTP1_ERROR, QUINCE_HTTP1_ERROR_CLOSED,
+                                                  "request was withdrawn before it was acknowledged");
+  /* Limits the loop, because done() may start or end other exchanges. */
+  guint max_withdrawals = pool->exchanges->len;
+  guint count = 0;
+  for (QuinceHttpExchange *exchange = find_withdrawable (pool, scope);
+       exchange != NULL && count < max_withdrawals; exchange = find_withdrawable (pool, scope))
+    {
+      exchange_fail (exchange, error);
+      count++;
+    }
+  return count;
+}
+
+gboolean
+quince_http_exchange_defer_timeout (QuinceHttpExchange *exchange)
+{
+  if (exchange->timeout_deferrals >= QUINCE_TIMEOUT_DEFERRALS_MAX
+      || !quince_http_connection_is_readable (exchange->pooled->connection))
+    return FALSE;
+  exchange->timeout_deferrals++;
+  return TRUE;
+}
+
+static gboolean
+exchange_timed_out (gpointer data)
+{
+  QuinceHttpExchange *exchange = data;
+  if (quince_http_exchange_defer_timeout (exchange))
+    {
+      quince_timer_clear (&exchange->timer);
+      exchange->timer = quince_timer_add (QUINCE_TIMEOUT_DEFERRAL_MS, exchange_timed_out, exchange);
+      return G_SOURCE_REMOVE;
+    }
+  g_autoptr (GError) error = g_error_new_literal (QUINCE_HTTP1_ERROR, QUINCE_HTTP1_ERROR_TIMEOUT,
+                                                  "timed out waiting for the response");
+  exchange_fail (exchange, error);
+  return G_SOURCE_REMOVE;
+}
+
+static void
+fail_late_connect (QuinceHttpExchange *exchange)
+{
+  g_autoptr (GError) error
+      = g_error_new_literal (QUINCE_HTTP1_ERROR, QUINCE_HTTP1_ERROR_CONNECT, "timed out connecting");
+  exchange_fail (exchange, error);
+}
+
+/* If the process was stopped, the connection may have been established in time.  It is then handled first. */
+static gboolean
+connect_timed_out (gpointer data)
+{
+  QuinceHttpExchange *exchange = data;
+  if (exchange->timeout_deferrals < QUINCE_TIMEOUT_DEFERRALS_MAX
+      && quince_http_connection_has_connect_result (exchange->pooled->connection))
+    {
+      exchange->timeout_deferrals++;
+      quince_timer_clear (&exchange->connect_timer);
+      exchange->connect_timer = quince_timer_add (QUINCE_TIMEOUT_DEFERRAL_MS, connect_timed_out, exchange);
+      return G_SOURCE_REMOVE;
+    }
+  fail_late_connect (exchange);
+  return G_SOURCE_REMOVE;
+}
+
+static void
+pooled_connected (QuinceHttpConnection *connection, gpointer data)
+{
+  QuincePooledConnection *pooled = data;
+  QuinceHttpExchange *exchange = pooled->exchange;
+  if (exchange == NULL)
+    return;
+  quince_timer_clear (&exchange->connect_timer);
+  /* The process may have been suspended while connecting. */
+  if (exchange->send_by_us != 0 && quince_now_us () > exchange->send_by_us)
+    {
+      fail_late_connect (exchange);
+      return;
+    }
+  exchange->connected = TRUE;
+  exchange->timeout_deferrals = 0;
+  if (exchange->unsent_request == NULL)
+    return;
+  quince_http_connection_write (connection, exchange->unsent_request->str, exchange->unsent_request->len);
+  g_string_free (g_steal_pointer (&exchange->unsent_request), TRUE);
+}
+
+static void
+pooled_head (QuinceHttpConnection *connection, QuinceHttpHead *head, gpointer data)
+{
+  QuincePooledConnection *pooled = data;
+  QuinceHttpExchange *exchange = pooled->exchange;
+  if (exchange == NULL)
+    {
+      quince_http_head_free (head);
+      return;
+    }
+  exchange->head = head;
+  if (exchange->callbacks->head != NULL)
+    exchange->callbacks->head (exchange, head, exchange->user_data);
+}
+
+static void
+pooled_body (QuinceHttpConnection *connection, const char *data, gsize length, gpointer user_data)
+{
+  QuincePooledConnection *pooled = user_data;
+  QuinceHttpExchange *exchange = pooled->exchange;
+  if (exchange == NULL)
+    return;
+  if (exchange->callbacks->body != NULL)
+    exchange->callbacks->body (exchange, data, length, exchange->user_data);
+  else
+    g_byte_array_append (exchange->body, (const guint8 *)data, (guint)length);
+}
+
+static void
+pooled_complete (QuinceHttpConnection *connection, gpointer data)
+{
+  QuincePooledConnection *pooled = data;
+  if (pooled->exchange != NULL)
+    exchange_end (pooled->exchange, QUINCE_HTTP_ANSWERED, NULL);
+}
+
+static void
+pooled_closed (QuinceHttpConnection *connection, const GError *error, gpointer data)
+{
+  QuincePooledConnection *pooled = data;
+  if (pooled->exchange == NULL)
+    {
+      quince_http_pool_close_connection (pooled);
+      return;
+    }
+  g_autoptr (GError) close_error = error != NULL
+                                       ? g_error_copy (error)
+                                       : g_error_new_literal (QUINCE_HTTP1_ERROR, QUINCE_HTTP1_ERROR_CLOSED,
+                                                              "peer closed the connection before responding");
+  exchange_fail (pooled->exchange, close_error);
+}
+
+const QuinceHttpConnectionCallbacks quince_http_pooled_callbacks = {
+  .connected = pooled_connected,
+  .head = pooled_head,
+  .body = pooled_body,
+  .complete = pooled_complete,
+  .closed = pooled_closed,
+};
+
+static GString *
+format_request (QuinceHttpPool *pool, const QuinceHttpRequest *request)
+{
+  GString *text = g_string_sized_new (512);
+  g_string_append_printf (text, "%s %s HTTP/1.1\r\n", request->method, request->target);
+  gboolean has_host = FALSE;
+  for (guint i = 0; request->headers != NULL && i < quince_http_headers_get_length (request->headers); i++)
+    {
+      const QuinceHttpHeader *line = quince_http_headers_index (request->headers, i);
+      has_host = has_host || g_ascii_strcasecmp (line->name, "Host") == 0;
+      g_string_append_printf (text, "%s: %s\r\n", line->name, line->value);
+    }
+  if (!has_host)
+    g_string_append_printf (text, "Host: %s\r\n", pool->address);
+  gsize length = request->body != NULL ? g_bytes_get_size (request->body) : 0;
+  if (request->body != NULL || !g_str_equal (request->method, "GET"))
+    g_string_append_printf (text, "Content-Length: %" G_GSIZE_FORMAT "\r\n", length);
+  g_string_append (text, "\r\n");
+  if (length > 0)
+    g_string_append_len (text, g_bytes_get_data (request->body, NULL), (gssize)length);
+  return text;
+}
+
+static guint
+get_connect_timeout_ms (const QuinceHttpRequest *request)
+{
+  if (request->send_by_us == 0)
+    return CONNECT_TIMEOUT_MS;
+  return (guint)CLAMP ((request->send_by_us - quince_now_us ()) / 1000, 1, CONNECT_TIMEOUT_MS);
+}
+
+QuinceHttpExchange *
+quince_http_pool_start (QuinceHttpPool *pool,
+                        const QuinceHttpRequest *request,
+                        const QuinceHttpExchangeCallbacks *callbacks,
+                        gpointer user_data)
+{
+  QuinceHttpExchange *exchange = g_new0 (QuinceHttpExchange, 1);
+  quince_http_pool_ref (pool);
+  exchange->pool = pool;
+  exchange->callbacks = callbacks;
+  exchange->user_data = user_data;
+  exchange->body = g_byte_array_new ();
+  exchange->connected = quince_http_pool_attach (pool, exchange);
+  if (exchange->connected)
+    quince_http_connection_next (exchange->pooled->connection);
+  else
+    exchange->connect_timer
+        = quince_timer_add (get_connect_timeout_ms (request), connect_timed_out, exchange);
+  if (request->timeout_us > 0)
+    exchange->timer
+        = quince_timer_add ((guint)MAX (request->timeout_us / 1000, 1), exchange_timed_out, exchange);
+  g_autoptr (GString) text = format_request (pool, request);
+  exchange->send_by_us = request->send_by_us;
+  if (!exchange->connected && request->send_by_us != 0)
+    exchange->unsent_request = g_steal_pointer (&text);
+  else
+    quince_http_connection_write (exchange->pooled->connection, text->str, text->len);
+  return exchange;
+}
+
+const QuinceHttpHead *
+quince_http_exchange_get_head (const QuinceHttpExchange *exchange)
+{
+  return exchange->head;
+}
+
+const GByteArray *
+quince_http_exchange_get_body (const QuinceHttpExchange *exchange)
+{
+  return exchange->body;
+}
+
+void
+quince_http_exchange_disable_reuse (QuinceHttpExchange *exchange)
+{
+  exchange->reuse_disabled = TRUE;
+}
--- /dev/null
+++ b/lib/http1/http-pool-private.h
@@ -0,0 +1,64 @@
+/*
+ * http-pool-private.h: connections and exchanges of a pool, shared by
+ *
+ *   http-pool.c       the pool, its connections and their reuse
+ *   http-exchange.c   requests, responses and timeouts of one exchange
+ */
+#pragma once
+
+#include "http1/http-client.h"
+#include "runtime/timer.h"
+
+G_BEGIN_DECLS
+
+typedef struct
+{
+  QuinceHttpConnection *connection;
+  QuinceHttpPool *pool;         /* holds a reference */
+  QuinceHttpExchange *exchange; /* NULL while idle */
+  gint64 usable_until_us;       /* monotonic; reused only before this time */
+} QuincePooledConnection;
+
+struct _QuinceHttpPool
+{
+  grefcount references; /* the owner, each connection and each exchange hold one */
+  char *address;
+  GPtrArray *idle;      /* QuincePooledConnection, most recently used last */
+  GPtrArray *exchanges; /* QuinceHttpExchange, in progress */
+  guint n_busy;         /* connections with an exchange */
+  guint64 n_opened;
+  gboolean owner_released; /* connections are closed instead of becoming idle */
+};
+
+struct _QuinceHttpExchange
+{
+  QuinceHttpPool *pool;
+  QuincePooledConnection *pooled;
+  const QuinceHttpExchangeCallbacks *callbacks;
+  gpointer user_data;
+  QuinceHttpHead *head;
+  GByteArray *body;
+  QuinceTimer *timer;
+  QuinceTimer *connect_timer;
+  guint timeout_deferrals; /* how often the timeout was deferred to handle the connection or input first */
+  gboolean reuse_disabled;
+  gboolean connected;
+  gint64 send_by_us;       /* monotonic; 0: no limit */
+  GString *unsent_request; /* held until connected if send_by_us is set, else NULL */
+};
+
+/* Callbacks of every connection of a pool; their data is a QuincePooledConnection. */
+extern const QuinceHttpConnectionCallbacks quince_http_pooled_callbacks;
+
+void quince_http_pool_ref (QuinceHttpPool *pool);
+/* Releases a reference that a connection or an exchange holds. */
+void quince_http_pool_release (QuinceHttpPool *pool);
+/* Gives @exchange an idle connection, or else a new one.  Returns %TRUE if the connection was idle. */
+gboolean quince_http_pool_attach (QuinceHttpPool *pool, QuinceHttpExchange *exchange);
+/* Takes the connection from @exchange and keeps it idle if @reuse is set and it is still usable; otherwise
+ * closes it. */
+void quince_http_pool_detach (QuinceHttpExchange *exchange, gboolean reuse);
+/* Closes and frees a connection without an exchange. */
+void quince_http_pool_close_connection (QuincePooledConnection *pooled);
+
+G_END_DECLS
