HTTP client: the pool decides whose answer it is before anything else is read from it

What callers saw: a worker that sent an answer a second time, where the next one on that connection was due, had it taken for the answer to the next request. A lookup that got another's answer failed although its own one was about to follow: 502 where it may not be repeated.

Cause: each reader compared the id for itself, and for some of what it read: lookups not where the answer had no id, streams and items only for status 200, loads and reports of workers never, so that a lookup's 200, 409 or 421 was read as the answer to an order.

Change: lib/http1/answer-match.c decides, and the exchange asks it when a head arrives, before its owner sees anything. An answer that names another request is skipped and the own one awaited, four of them at most; one that names no request, though it must, or that closes the connection, ends the exchange as one that may have run (QUINCE_HTTP1_ERROR_UNMATCHED), without counting as a lost connection. Either way the connection carries no further request. The copies of the decision in lookups, streams and samples are gone, and so is the way to read the id from an answer.

Known: an answer to a report or an order has no id, so a second answer to an earlier report is still read as the report that waits; it shows an older state of the worker.

--- a/daemons/front/front.c
+++ b/daemons/front/front.c
@@ -321,7 +321,7 @@
 {
   Front *front = g_new0 (Front, 1);
   front->started_us = quince_now_us ();
-  front->context.backends = quince_backends_new (topology);
+  front->context.backends = quince_backends_new (topology, QUINCE_PLATFORM_REQUEST_ID_HEADER);
   front->name = g_strdup (quince_settings_get_text (settings, "node", "name"));
   front->zone = g_strdup (quince_settings_get_text (settings, "node", "zone"));
   front->context.directory_ttl_s = read_directory_ttl_s (settings);
--- a/daemons/replica/replica-setup.c
+++ b/daemons/replica/replica-setup.c
@@ -93,7 +93,7 @@
   parts->name = g_strdup (quince_settings_get_text (settings, "node", "name"));
   parts->leadership = quince_replica_leadership_new (parts);
   parts->heartbeats = quince_heartbeats_new ();
-  parts->backends = quince_backends_new (topology);
+  parts->backends = quince_backends_new (topology, QUINCE_PLATFORM_REQUEST_ID_HEADER);
   parts->store = quince_meta_store_new (quince_settings_get_text (settings, "store", "address"),
                                         &quince_platform_meta_codec);
   create_quarantine (parts, settings);
--- a/daemons/replica/sample.c
+++ b/daemons/replica/sample.c
@@ -217,13 +217,6 @@
   QuincePlatformAnswerHeaders answer_headers;
   quince_platform_read_answer (head, &answer_headers);
   sample->last_received_us = quince_now_us ();
-  if (g_strcmp0 (answer_headers.request_id, quince_sample_get_item (sample)->id) != 0)
-    {
-      quince_http_exchange_disable_reuse (exchange);
-      if (head->status == 200)
-        quince_sample_stop_run (sample, QUINCE_RUN_BROKEN, "wrong_answer");
-      return;
-    }
   if (head->status != 200)
     return;
   sample->run_version = answer_headers.version;
@@ -265,6 +258,8 @@
     handle_answer (sample, quince_http_exchange_get_head (exchange), has_partial_event);
   else if (outcome == QUINCE_HTTP_NOT_SENT)
     sample->run_ended (sample, QUINCE_RUN_NO_CONNECTION, "no_connection", sample->user_data);
+  else if (error->code == QUINCE_HTTP1_ERROR_UNMATCHED)
+    sample->run_ended (sample, QUINCE_RUN_BROKEN, "wrong_answer", sample->user_data);
   else
     sample->run_ended (sample, QUINCE_RUN_CONNECTION_LOST, "connection_lost", sample->user_data);
 }
--- a/lib/forward/backends.c
+++ b/lib/forward/backends.c
@@ -22,13 +22,13 @@
 static const QuinceWorkerTableCallbacks table_callbacks = { .removed = worker_removed };
 
 QuinceBackends *
-quince_backends_new (QuinceTopology *topology)
+quince_backends_new (QuinceTopology *topology, const char *request_id_header)
 {
   QuinceBackends *backends = g_new0 (QuinceBackends, 1);
   backends->topology = topology;
   backends->zones = quince_zone_table_new ();
   backends->workers = quince_worker_table_new (&table_callbacks, backends);
-  backends->pools = quince_worker_pools_new ();
+  backends->pools = quince_worker_pools_new (request_id_header);
   backends->events = quince_event_table_new ();
   backends->shares = quince_share_metrics_new ();
   backends->limits = quince_tenant_limits_new ();
--- a/lib/forward/backends.h
+++ b/lib/forward/backends.h
@@ -25,8 +25,9 @@
 
 typedef struct _QuinceBackends QuinceBackends;
 
-/* @topology: (transfer full): zones and regions of this process and of the workers */
-QuinceBackends *quince_backends_new (QuinceTopology *topology);
+/* @topology: (transfer full): zones and regions of this process and of the workers
+ * @request_id_header: header by which a worker's answer names its request */
+QuinceBackends *quince_backends_new (QuinceTopology *topology, const char *request_id_header);
 const QuinceTopology *quince_backends_get_topology (const QuinceBackends *backends);
 void quince_backends_free (QuinceBackends *backends);
 /* @policy: (transfer full) (nullable): replaces the active policy; %NULL: the built-in decisions apply */
--- a/lib/forward/forward.c
+++ b/lib/forward/forward.c
@@ -226,27 +226,23 @@
     {
       gboolean may_have_run = outcome != QUINCE_HTTP_NOT_SENT;
       gboolean timed_out = may_have_run && error->code == QUINCE_HTTP1_ERROR_TIMEOUT;
+      gboolean unmatched = may_have_run && error->code == QUINCE_HTTP1_ERROR_UNMATCHED;
       record_attempt_result (attempt, FALSE);
-      if (may_have_run && !timed_out)
+      if (may_have_run && !timed_out && !unmatched)
         quince_dispatch_handle_connection_loss (&forward->dispatch, attempt->worker_id);
       attempt_failed (attempt, may_have_run,
                       !may_have_run ? "no_connection"
                       : timed_out   ? "worker_silent"
+                      : unmatched   ? "wrong_answer"
                                     : "connection_lost");
       return;
     }
   const QuinceHttpHead *head = quince_http_exchange_get_head (exchange);
-  const char *request_id = NULL;
   const char *signature = NULL;
   gboolean refused = FALSE;
-  forward->dispatch.codec->read_answer (head, &request_id, &signature, &refused);
+  forward->dispatch.codec->read_answer (head, &signature, &refused);
   gboolean succeeded = head->status >= 200 && head->status < 300;
-  if (g_strcmp0 (request_id, forward->dispatch.request_id) != 0 && (succeeded || request_id != NULL))
-    {
-      record_attempt_result (attempt, FALSE);
-      attempt_failed (attempt, TRUE, "wrong_answer");
-    }
-  else if (refused)
+  if (refused)
     {
       quince_extra_record_answer (&forward->dispatch, attempt->worker_id, quince_now_us (),
                                   head->status != 421);
@@ -258,22 +254,7 @@
     attempt_answered (attempt, exchange, signature);
 }
 
-/* Closes the connection after this exchange if the answer belongs to another request, since later answers
- * could be mismatched too. */
-static void
-exchange_head (QuinceHttpExchange *exchange, const QuinceHttpHead *head, gpointer data)
-{
-  Attempt *attempt = data;
-  const char *request_id = NULL;
-  const char *signature = NULL;
-  gboolean refused = FALSE;
-  attempt->forward->dispatch.codec->read_answer (head, &request_id, &signature, &refused);
-  if (request_id != NULL && !g_str_equal (request_id, attempt->forward->dispatch.request_id))
-    quince_http_exchange_disable_reuse (exchange);
-}
-
-static const QuinceHttpExchangeCallbacks exchange_callbacks
-    = { .head = exchange_head, .done = exchange_done };
+static const QuinceHttpExchangeCallbacks exchange_callbacks = { .done = exchange_done };
 
 /* ---- Start of an attempt ---------------------------------------------- */
 
--- a/lib/forward/forward.h
+++ b/lib/forward/forward.h
@@ -29,12 +29,9 @@
 {
   /* Adds the platform's headers of an attempt at @worker_id. */
   void (*write_attempt_headers) (QuinceHttpHeaders *headers, const char *worker_id, gint64 time_left_ms);
-  /* Reads the request id, the signature and whether the worker refused to run the request.  The strings are
-   * (nullable) and valid as long as @head. */
-  void (*read_answer) (const QuinceHttpHead *head,
-                       const char **request_id,
-                       const char **signature,
-                       gboolean *not_run);
+  /* Reads the signature and whether the worker refused to run the request.  @signature: (out) (nullable):
+   * valid as long as @head */
+  void (*read_answer) (const QuinceHttpHead *head, const char **signature, gboolean *not_run);
 } QuinceForwardCodec;
 
 /**
--- a/lib/forward/stream.c
+++ b/lib/forward/stream.c
@@ -124,19 +124,14 @@
 exchange_head (QuinceHttpExchange *exchange, const QuinceHttpHead *head, gpointer data)
 {
   QuinceStream *stream = data;
-  const char *request_id = NULL;
   const char *signature = NULL;
   gboolean not_run = FALSE;
-  stream->codec->forward->read_answer (head, &request_id, &signature, &not_run);
+  stream->codec->forward->read_answer (head, &signature, &not_run);
   stream->contact_us = quince_now_us ();
-  stream->forwarding = g_strcmp0 (request_id, stream->dispatch.request_id) == 0 && !not_run
-                       && (head->status == 200 ? signature != NULL : !stream->dispatch.retry.repeatable);
+  stream->forwarding
+      = !not_run && (head->status == 200 ? signature != NULL : !stream->dispatch.retry.repeatable);
   if (!stream->forwarding)
-    {
-      if (request_id != NULL && !g_str_equal (request_id, stream->dispatch.request_id))
-        quince_http_exchange_disable_reuse (exchange);
-      return;
-    }
+    return;
   if (!stream->head_forwarded)
     stream->callbacks->head (head, stream->user_data);
   stream->head_forwarded = TRUE;
@@ -183,10 +178,9 @@
 static void
 handle_answer (QuinceStream *stream, const QuinceHttpHead *head, gboolean has_partial_event)
 {
-  const char *request_id = NULL;
   const char *signature = NULL;
   gboolean not_run = FALSE;
-  stream->codec->forward->read_answer (head, &request_id, &signature, &not_run);
+  stream->codec->forward->read_answer (head, &signature, &not_run);
   if (!not_run)
     quince_dispatch_handle_answer (&stream->dispatch);
   if (stream->forwarding && !has_partial_event)
@@ -212,11 +206,15 @@
       handle_answer (stream, quince_http_exchange_get_head (exchange), has_partial_event);
       return;
     }
+  gboolean may_have_run = outcome != QUINCE_HTTP_NOT_SENT;
+  gboolean unmatched = may_have_run && error->code == QUINCE_HTTP1_ERROR_UNMATCHED;
   eject_worker (stream);
-  if (outcome != QUINCE_HTTP_NOT_SENT)
+  if (may_have_run && !unmatched)
     quince_dispatch_handle_connection_loss (&stream->dispatch, stream->worker_id);
-  attempt_failed (stream, outcome != QUINCE_HTTP_NOT_SENT,
-                  outcome == QUINCE_HTTP_NOT_SENT ? "no_connection" : "connection_lost");
+  attempt_failed (stream, may_have_run,
+                  !may_have_run ? "no_connection"
+                  : unmatched   ? "wrong_answer"
+                                : "connection_lost");
 }
 
 static const QuinceHttpExchangeCallbacks exchange_callbacks
--- a/lib/forward/worker-pools.c
+++ b/lib/forward/worker-pools.c
@@ -6,14 +6,16 @@
 struct _QuinceWorkerPools
 {
   /* All fields belong to the context that created it. */
+  char *request_id_header;     /* by which answers name their requests */
   GHashTable *by_worker;       /* QuinceHttpPool by worker id, both owned */
   guint64 n_opened_by_removed; /* connections opened by pools that were removed */
 };
 
 QuinceWorkerPools *
-quince_worker_pools_new (void)
+quince_worker_pools_new (const char *request_id_header)
 {
   QuinceWorkerPools *pools = g_new0 (QuinceWorkerPools, 1);
+  pools->request_id_header = g_strdup (request_id_header);
   pools->by_worker
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, (GDestroyNotify)quince_http_pool_unref);
   return pools;
@@ -23,6 +25,7 @@
 quince_worker_pools_free (QuinceWorkerPools *pools)
 {
   g_hash_table_unref (pools->by_worker);
+  g_free (pools->request_id_header);
   g_free (pools);
 }
 
@@ -38,7 +41,7 @@
   QuinceHttpPool *pool = quince_worker_pools_find (pools, worker->id);
   if (pool == NULL)
     {
-      pool = quince_http_pool_new (worker->address);
+      pool = quince_http_pool_new_with_ids (worker->address, pools->request_id_header);
       g_hash_table_insert (pools->by_worker, g_strdup (worker->id), pool);
     }
   return pool;
--- a/lib/forward/worker-pools.h
+++ b/lib/forward/worker-pools.h
@@ -10,7 +10,9 @@
 
 typedef struct _QuinceWorkerPools QuinceWorkerPools;
 
-QuinceWorkerPools *quince_worker_pools_new (void);
+/* @request_id_header: header by which a worker's answer names its request, see
+ * quince_http_pool_new_with_ids() */
+QuinceWorkerPools *quince_worker_pools_new (const char *request_id_header);
 void quince_worker_pools_free (QuinceWorkerPools *pools);
 /* Returns: (transfer none): the pool of @worker, created on first use */
 QuinceHttpPool *quince_worker_pools_get (QuinceWorkerPools *pools, const QuinceWorker *worker);
--- a/lib/http1/http-client.h
+++ b/lib/http1/http-client.h
@@ -58,6 +58,17 @@
 
 /* @address: numeric ip:port */
 QuinceHttpPool *quince_http_pool_new (const char *address);
+/**
+ * quince_http_pool_new_with_ids:
+ * @address: numeric ip:port
+ * @id_header: header with the id of a request, which the server repeats in its response
+ *
+ * Creates a pool whose exchanges only see responses to their own requests.  A response that names another
+ * request is skipped, and its connection carries no further request; the own response may still follow.  If
+ * it cannot follow, or a response does not name its request although that has an id, the exchange ends with
+ * %QUINCE_HTTP_BROKEN and %QUINCE_HTTP1_ERROR_UNMATCHED.
+ */
+QuinceHttpPool *quince_http_pool_new_with_ids (const char *address, const char *id_header);
 /* Releases the owner's reference and closes idle connections.  Exchanges in progress continue. */
 void quince_http_pool_unref (QuinceHttpPool *pool);
 /* Closes the idle connections, for example after a suspension during which the peer may have dropped them. */
@@ -104,7 +115,5 @@
  * times. After a suspension of the process, a timer may expire before a response that arrived in time is
  * read. */
 gboolean quince_http_exchange_defer_timeout (QuinceHttpExchange *exchange);
-/* Makes the connection close after this exchange, for example if the response belongs to another request. */
-void quince_http_exchange_disable_reuse (QuinceHttpExchange *exchange);
 
 G_END_DECLS
--- a/lib/http1/http-exchange.c
+++ b/lib/http1/http-exchange.c
@@ -3,11 +3,16 @@
  */
 #include "http-pool-private.h"
 
+#include "http1/answer-match.h"
 #include "runtime/clock.h"
 
 /* Several round trips between regions, but less than the 1 s after which the kernel retransmits a SYN. */
 #define CONNECT_TIMEOUT_MS 700
 
+/* Responses to other requests that an exchange skips before it gives up.  A server that repeats an answer
+ * sends one of them. */
+#define SKIPPED_ANSWERS_MAX 4
+
 static void
 exchange_free (QuinceHttpExchange *exchange)
 {
@@ -15,6 +20,7 @@
   quince_timer_clear (&exchange->connect_timer);
   quince_http_head_free (exchange->head);
   g_byte_array_unref (exchange->body);
+  g_free (exchange->request_id);
   if (exchange->unsent_request != NULL)
     g_string_free (exchange->unsent_request, TRUE);
   quince_http_pool_release (exchange->pool);
@@ -154,6 +160,36 @@
   g_string_free (g_steal_pointer (&exchange->unsent_request), TRUE);
 }
 
+/* Returns: (nullable): the id of the request in @headers of a request or a response */
+static const char *
+get_id (const QuinceHttpPool *pool, const QuinceHttpHeaders *headers)
+{
+  return pool->id_header != NULL && headers != NULL ? quince_http_headers_get (headers, pool->id_header)
+                                                    : NULL;
+}
+
+/* Skips a response that belongs to another request if the own one may follow; otherwise ends the exchange.
+ * The connection carries no further request. */
+static void
+handle_unmatched_answer (QuinceHttpExchange *exchange, const QuinceHttpHead *head, QuinceAnswerMatch match)
+{
+  gboolean skips
+      = match == QUINCE_ANSWER_OTHER && head->keep_alive && exchange->n_skipped < SKIPPED_ANSWERS_MAX;
+  quince_http_pool_record_unmatched (exchange->pool, exchange->request_id,
+                                     get_id (exchange->pool, head->headers), head->status,
+                                     skips ? "skipped" : "failed");
+  exchange->reuse_disabled = TRUE;
+  if (skips)
+    {
+      exchange->skipping = TRUE;
+      exchange->n_skipped++;
+      return;
+    }
+  g_autoptr (GError) error = g_error_new_literal (QUINCE_HTTP1_ERROR, QUINCE_HTTP1_ERROR_UNMATCHED,
+                                                  "the response does not belong to this request");
+  exchange_fail (exchange, error);
+}
+
 static void
 pooled_head (QuinceHttpConnection *connection, QuinceHttpHead *head, gpointer data)
 {
@@ -164,6 +200,14 @@
       quince_http_head_free (head);
       return;
     }
+  const char *answer_id = get_id (exchange->pool, head->headers);
+  QuinceAnswerMatch match = quince_answer_match (exchange->request_id, answer_id);
+  if (match != QUINCE_ANSWER_OWN)
+    {
+      handle_unmatched_answer (exchange, head, match);
+      quince_http_head_free (head);
+      return;
+    }
   exchange->head = head;
   if (exchange->callbacks->head != NULL)
     exchange->callbacks->head (exchange, head, exchange->user_data);
@@ -174,7 +218,7 @@
 {
   QuincePooledConnection *pooled = user_data;
   QuinceHttpExchange *exchange = pooled->exchange;
-  if (exchange == NULL)
+  if (exchange == NULL || exchange->skipping)
     return;
   if (exchange->callbacks->body != NULL)
     exchange->callbacks->body (exchange, data, length, exchange->user_data);
@@ -186,8 +230,16 @@
 pooled_complete (QuinceHttpConnection *connection, gpointer data)
 {
   QuincePooledConnection *pooled = data;
-  if (pooled->exchange != NULL)
-    exchange_end (pooled->exchange, QUINCE_HTTP_ANSWERED, NULL);
+  QuinceHttpExchange *exchange = pooled->exchange;
+  if (exchange == NULL)
+    return;
+  if (!exchange->skipping)
+    {
+      exchange_end (exchange, QUINCE_HTTP_ANSWERED, NULL);
+      return;
+    }
+  exchange->skipping = FALSE;
+  quince_http_connection_next (connection);
 }
 
 static void
@@ -196,6 +248,8 @@
   QuincePooledConnection *pooled = data;
   if (pooled->exchange == NULL)
     {
+      if (g_error_matches (error, QUINCE_HTTP1_ERROR, QUINCE_HTTP1_ERROR_MALFORMED))
+        quince_http_pool_record_unmatched (pooled->pool, NULL, NULL, 0, "idle");
       quince_http_pool_close_connection (pooled);
       return;
     }
@@ -257,6 +311,7 @@
   exchange->callbacks = callbacks;
   exchange->user_data = user_data;
   exchange->body = g_byte_array_new ();
+  exchange->request_id = g_strdup (get_id (pool, request->headers));
   exchange->connected = quince_http_pool_attach (pool, exchange);
   if (exchange->connected)
     quince_http_connection_next (exchange->pooled->connection);
@@ -286,9 +341,3 @@
 {
   return exchange->body;
 }
-
-void
-quince_http_exchange_disable_reuse (QuinceHttpExchange *exchange)
-{
-  exchange->reuse_disabled = TRUE;
-}
--- a/lib/http1/http-pool-private.h
+++ b/lib/http1/http-pool-private.h
@@ -23,6 +23,7 @@
 {
   grefcount references; /* the owner, each connection and each exchange hold one */
   char *address;
+  char *id_header;      /* by which responses name their requests; NULL: they don't */
   GPtrArray *idle;      /* QuincePooledConnection, most recently used last */
   GPtrArray *exchanges; /* QuinceHttpExchange, in progress */
   guint n_busy;         /* connections with an exchange */
@@ -36,8 +37,11 @@
   QuincePooledConnection *pooled;
   const QuinceHttpExchangeCallbacks *callbacks;
   gpointer user_data;
+  char *request_id; /* NULL: none */
   QuinceHttpHead *head;
   GByteArray *body;
+  gboolean skipping; /* the response that is being read belongs to another request */
+  guint n_skipped;   /* responses to other requests so far */
   QuinceTimer *timer;
   QuinceTimer *connect_timer;
   guint timeout_deferrals; /* how often the timeout was deferred to handle the connection or input first */
@@ -58,6 +62,15 @@
 /* Takes the connection from @exchange and keeps it idle if @reuse is set and it is still usable; otherwise
  * closes it. */
 void quince_http_pool_detach (QuinceHttpExchange *exchange, gboolean reuse);
+/* Logs and counts input that does not belong to the request that waits.
+ * @request_id, @answer_id: (nullable): ids of the request that waits and of the one that the input names
+ * @status: status of the response; 0: the input was not read
+ * @action: what becomes of the request that waits */
+void quince_http_pool_record_unmatched (const QuinceHttpPool *pool,
+                                        const char *request_id,
+                                        const char *answer_id,
+                                        guint status,
+                                        const char *action);
 /* Closes and frees a connection without an exchange. */
 void quince_http_pool_close_connection (QuincePooledConnection *pooled);
 
--- a/lib/http1/http-pool.c
+++ b/lib/http1/http-pool.c
@@ -6,6 +6,8 @@
 #include <string.h>
 
 #include "runtime/clock.h"
+#include "runtime/log.h"
+#include "runtime/metrics.h"
 
 /* Fraction of the keep-alive timeout announced by the server during which a connection is reused.  The rest
  * allows for clock differences and network latency. */
@@ -24,6 +26,14 @@
   return pool;
 }
 
+QuinceHttpPool *
+quince_http_pool_new_with_ids (const char *address, const char *id_header)
+{
+  QuinceHttpPool *pool = quince_http_pool_new (address);
+  pool->id_header = g_strdup (id_header);
+  return pool;
+}
+
 void
 quince_http_pool_ref (QuinceHttpPool *pool)
 {
@@ -38,9 +48,25 @@
   g_ptr_array_unref (pool->idle);
   g_ptr_array_unref (pool->exchanges);
   g_free (pool->address);
+  g_free (pool->id_header);
   g_free (pool);
 }
 
+void
+quince_http_pool_record_unmatched (const QuinceHttpPool *pool,
+                                   const char *request_id,
+                                   const char *answer_id,
+                                   guint status,
+                                   const char *action)
+{
+  g_autofree char *request = quince_log_quote (request_id);
+  g_autofree char *answer = quince_log_quote (answer_id);
+  g_autofree char *labels = g_strdup_printf ("action=\"%s\"", action);
+  quince_metric_add ("quince_http_unmatched_answers_total", labels, 1);
+  quince_log_warning ("answer_unmatched", "server=%s request=%s answer=%s status=%u action=%s", pool->address,
+                      request, answer, status, action);
+}
+
 void
 quince_http_pool_close_connection (QuincePooledConnection *pooled)
 {
--- a/lib/http1/http1.h
+++ b/lib/http1/http1.h
@@ -26,6 +26,7 @@
   QUINCE_HTTP1_ERROR_TOO_LARGE, /* the message head or the buffered input exceeds its limit */
   QUINCE_HTTP1_ERROR_TIMEOUT,   /* no complete response before the timeout */
   QUINCE_HTTP1_ERROR_CONNECT,   /* the connection was not established; nothing was sent */
+  QUINCE_HTTP1_ERROR_UNMATCHED, /* the response belongs to another request, or to none that is known */
 } QuinceHttp1Error;
 
 /* ---- Headers ---------------------------------------------------------- */
--- a/rehearsal/platform/standin-worker-private.h
+++ b/rehearsal/platform/standin-worker-private.h
@@ -38,6 +38,8 @@
   GPtrArray *delayed_calls; /* DelayedCall, owned: answers and crashes that are due later */
   StandinWorkerFault fault;
   guint faults_left;
+  char *surplus_answer;
+  guint surplus_answers_left;
   guint n_events;
   guint event_interval_ms;
   guint event_padding_bytes; /* appended to the data of each event */
--- a/rehearsal/platform/standin-worker.h
+++ b/rehearsal/platform/standin-worker.h
@@ -57,6 +57,9 @@
 /* Injects @fault into the next @n_requests requests; G_MAXUINT: all.  Delayed plain answers apply only
  * REFUSES, UNPROCESSABLE, UNRESPONSIVE and RESETS. */
 void standin_worker_set_fault (StandinWorker *worker, StandinWorkerFault fault, guint n_requests);
+/* Writes @answer, a whole HTTP response, before the own answer to each of the next @n_calls requests, reports
+ * and orders. */
+void standin_worker_set_surplus_answer (StandinWorker *worker, const char *answer, guint n_calls);
 /* Crashes the worker @delay_ms after it receives a request whose body or target contains @text; NULL: never.
  * @n_requests: how many such requests crash it; G_MAXUINT: all. */
 void
--- a/tests/platform/test-share-metrics.c
+++ b/tests/platform/test-share-metrics.c
@@ -31,7 +31,8 @@
 world_init (World *world)
 {
   quince_metrics_reset ();
-  *world = (World){ .backends = quince_backends_new (quince_topology_new ("z0", "")) };
+  *world = (World){ .backends = quince_backends_new (quince_topology_new ("z0", ""),
+                                                     QUINCE_PLATFORM_REQUEST_ID_HEADER) };
   for (guint i = 0; i < WORKERS; i++)
     {
       g_autofree char *id = g_strdup_printf ("w%u", i);
