HTTP input: blanks after a header's value are no part of it

What callers could see: a request whose id is followed by a blank never got its answer. The front passed the id on with the blank, a worker that reads header values as the standard says repeats it without, and the two differ: the answer counted as that of another request.

Cause: the parser removes the blanks before a value and keeps those after it. Found while asking what else can make an id differ from its copy, now that answers are read by their ids alone.

Change: blanks after a value are removed too (RFC 9110, section 5.5), in both roles.

Test: unit http-input, test_blanks_around_values, a response and a request, in two parts at each position; without the change it read "2 \t" for 2.

--- a/lib/http1/http-connection-input.c
+++ b/lib/http1/http-connection-input.c
@@ -43,7 +43,12 @@
 store_header (QuinceHttpConnection *connection)
 {
   if (connection->value_started)
-    quince_http_headers_add (connection->head->headers, connection->field->str, connection->value->str);
+    {
+      /* Blanks around a value are no part of it (RFC 9110, section 5.5); the parser removes those before it.
+       */
+      g_strchomp (connection->value->str);
+      quince_http_headers_add (connection->head->headers, connection->field->str, connection->value->str);
+    }
   clear_header (connection);
 }
 
--- a/tests/unit/test-http-input.c
+++ b/tests/unit/test-http-input.c
@@ -59,6 +59,12 @@
     "GET /a|Connection=upgrade|Upgrade=x|;" NEXT_REQUEST_RECORD },
 };
 
+static const InputCase value_cases[] = {
+  { "blanks around values", TRUE, "HTTP/1.1 201 Created\r\nB:  2 \t\r\nE:  \r\nContent-Length: 1 \r\n\r\nc",
+    "201|B=2|E=|Content-Length=1|c;" },
+  { "blanks around values of a request", FALSE, "GET /b HTTP/1.1\r\nHost: i \r\n\r\n", NEXT_REQUEST_RECORD },
+};
+
 /* Sends the bytes in two parts; @split: length of the first one */
 static void
 check_split (const InputCase *c, gsize split)
@@ -113,6 +119,13 @@
   check_cases (interim_cases, G_N_ELEMENTS (interim_cases));
 }
 
+/* Guards against blanks that make an id differ from its copy in the answer. */
+static void
+test_blanks_around_values (void **state)
+{
+  check_cases (value_cases, G_N_ELEMENTS (value_cases));
+}
+
 /* Length of a body that, with half of the head of NEXT_REQUEST, exceeds the limit of a head. */
 #define LARGE_BODY_BYTES (PEER_HEAD_MAX_BYTES - 10)
 
@@ -144,6 +157,7 @@
     cmocka_unit_test (test_bytes_after_last_chunk),
     cmocka_unit_test (test_bytes_after_interim_response),
     cmocka_unit_test (test_head_after_large_body),
+    cmocka_unit_test (test_blanks_around_values),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
