HTTP client: a connection carries a request id once

A second copy of a sample's own 500 counted as another failure and ended its next run.

Cause: an id shows whose answer it is only if it stands for one request on its connection, and a request that was refused went to the same connection again under the same id.

Change: the pool remembers the last eight ids (as hashes) of each connection and gives a request a connection that has not carried its id. The second copy then comes where the answer to another request is due, and is skipped. Costs a connection only where a request is sent again to a worker that has just refused or failed it, and no other idle one is there.

The stand-in of a worker can repeat its answers.

--- a/lib/http1/http-pool-private.h
+++ b/lib/http1/http-pool-private.h
@@ -11,12 +11,17 @@
 
 G_BEGIN_DECLS
 
+/* Number of requests whose ids a connection remembers. */
+#define QUINCE_HTTP_CARRIED_IDS_MAX 8
+
 typedef struct
 {
   QuinceHttpConnection *connection;
-  QuinceHttpPool *pool;         /* holds a reference */
-  QuinceHttpExchange *exchange; /* NULL while idle */
-  gint64 usable_until_us;       /* monotonic; reused only before this time */
+  QuinceHttpPool *pool;                           /* holds a reference */
+  QuinceHttpExchange *exchange;                   /* NULL while idle */
+  gint64 usable_until_us;                         /* monotonic; reused only before this time */
+  guint carried_ids[QUINCE_HTTP_CARRIED_IDS_MAX]; /* hashes of the ids of its last requests, a ring */
+  guint n_carried;                                /* number of requests with an id so far */
 } QuincePooledConnection;
 
 struct _QuinceHttpPool
@@ -57,7 +62,8 @@
 void quince_http_pool_ref (QuinceHttpPool *pool);
 /* Releases a reference that a connection or an exchange holds. */
 void quince_http_pool_release (QuinceHttpPool *pool);
-/* Gives @exchange an idle connection, or else a new one.  Returns %TRUE if the connection was idle. */
+/* Gives @exchange an idle connection that has not carried its request id lately, or else a new one.  Returns
+ * %TRUE if the connection was idle. */
 gboolean quince_http_pool_attach (QuinceHttpPool *pool, QuinceHttpExchange *exchange);
 /* Takes the connection from @exchange and keeps it idle if @reuse is set and it is still usable; otherwise
  * closes it. */
--- a/lib/http1/http-pool.c
+++ b/lib/http1/http-pool.c
@@ -71,7 +71,7 @@
 quince_http_pool_close_connection (QuincePooledConnection *pooled)
 {
   QuinceHttpPool *pool = pooled->pool;
-  g_ptr_array_remove_fast (pool->idle, pooled);
+  g_ptr_array_remove (pool->idle, pooled);
   quince_http_connection_close (pooled->connection);
   quince_http_connection_unref (pooled->connection);
   g_free (pooled);
@@ -125,23 +125,52 @@
   return (gint64)((double)seconds * KEEP_ALIVE_USABLE_FRACTION * G_USEC_PER_SEC);
 }
 
+static gboolean
+is_usable (const QuincePooledConnection *pooled, gint64 now_us)
+{
+  /* Unread input answers no request, or is the end of the connection. */
+  return pooled->usable_until_us > now_us && quince_http_connection_is_open (pooled->connection)
+         && !quince_http_connection_has_buffered_input (pooled->connection)
+         && !quince_http_connection_is_readable (pooled->connection);
+}
+
+/* Returns whether one of the last requests on the connection had the id @request_id (nullable).  Hashes may
+ * collide, which costs another connection. */
+static gboolean
+has_carried (const QuincePooledConnection *pooled, const char *request_id)
+{
+  guint n_ids = MIN (pooled->n_carried, QUINCE_HTTP_CARRIED_IDS_MAX);
+  guint hash = request_id != NULL ? g_str_hash (request_id) : 0;
+  for (guint i = 0; request_id != NULL && i < n_ids; i++)
+    if (pooled->carried_ids[i] == hash)
+      return TRUE;
+  return FALSE;
+}
+
+static void
+record_carried (QuincePooledConnection *pooled, const char *request_id)
+{
+  if (request_id != NULL)
+    pooled->carried_ids[pooled->n_carried++ % QUINCE_HTTP_CARRIED_IDS_MAX] = g_str_hash (request_id);
+}
+
+/* Returns the connection that was used last among those that can carry the request @request_id (nullable), or
+ * NULL.  A second answer to a request could not be told from the answer to the same request sent again, so a
+ * connection does not carry an id twice. */
 static QuincePooledConnection *
-take_idle_connection (QuinceHttpPool *pool)
+take_idle_connection (QuinceHttpPool *pool, const char *request_id)
 {
   gint64 now = quince_now_us ();
-  while (pool->idle->len > 0)
+  for (guint i = pool->idle->len; i > 0; i--)
     {
-      QuincePooledConnection *pooled = pool->idle->pdata[pool->idle->len - 1];
-      /* Unread input answers no request, or is the end of the connection. */
-      gboolean usable = pooled->usable_until_us > now && quince_http_connection_is_open (pooled->connection)
-                        && !quince_http_connection_has_buffered_input (pooled->connection)
-                        && !quince_http_connection_is_readable (pooled->connection);
-      if (usable)
+      QuincePooledConnection *pooled = pool->idle->pdata[i - 1];
+      if (!is_usable (pooled, now))
+        quince_http_pool_close_connection (pooled);
+      else if (!has_carried (pooled, request_id))
         {
-          g_ptr_array_remove_index (pool->idle, pool->idle->len - 1);
+          g_ptr_array_remove_index (pool->idle, i - 1);
           return pooled;
         }
-      quince_http_pool_close_connection (pooled);
     }
   return NULL;
 }
@@ -160,10 +189,11 @@
 gboolean
 quince_http_pool_attach (QuinceHttpPool *pool, QuinceHttpExchange *exchange)
 {
-  QuincePooledConnection *pooled = take_idle_connection (pool);
+  QuincePooledConnection *pooled = take_idle_connection (pool, exchange->request_id);
   gboolean was_idle = pooled != NULL;
   if (pooled == NULL)
     pooled = open_pooled_connection (pool);
+  record_carried (pooled, exchange->request_id);
   pooled->exchange = exchange;
   exchange->pooled = pooled;
   g_ptr_array_add (pool->exchanges, exchange);
--- a/rehearsal/platform/standin-worker-private.h
+++ b/rehearsal/platform/standin-worker-private.h
@@ -40,6 +40,8 @@
   guint faults_left;
   char *surplus_answer;
   guint surplus_answers_left;
+  gboolean repeats_answers;
+  GHashTable *repeated_answers; /* by QuinceHttpConnection: text that precedes its next answer; both owned */
   guint n_events;
   guint event_interval_ms;
   guint event_padding_bytes; /* appended to the data of each event */
--- a/rehearsal/platform/standin-worker.c
+++ b/rehearsal/platform/standin-worker.c
@@ -62,14 +62,37 @@
 
 /* ---- Requests ---------------------------------------------------------- */
 
+/* Sends an answer without a body, and keeps a copy if answers are repeated.  @headers: lines that end with
+ * CRLF */
+static void
+answer_without_body (StandinWorker *worker, StandinCall *call, guint status, const char *headers)
+{
+  if (worker->repeats_answers)
+    g_hash_table_replace (
+        worker->repeated_answers, quince_http_connection_ref (call->connection),
+        g_strdup_printf ("HTTP/1.1 %u Repeated\r\n%sContent-Length: 0\r\n\r\n", status, headers));
+  standin_call_answer (call, status, headers, "", 0);
+}
+
+/* Sends the copy of the last answer on the connection, if there is one. */
+static void
+send_repeated_answer (StandinWorker *worker, StandinCall *call)
+{
+  const char *text = g_hash_table_lookup (worker->repeated_answers, call->connection);
+  if (text == NULL)
+    return;
+  standin_call_write (call, text);
+  g_hash_table_remove (worker->repeated_answers, call->connection);
+}
+
 /* Refuses to run a request.  @headers: further lines that end with CRLF */
 static void
-refuse (StandinCall *call, guint status, const char *headers)
+refuse (StandinWorker *worker, StandinCall *call, guint status, const char *headers)
 {
   const char *id = standin_call_get_header (call, "Request-Id");
   g_autofree char *id_line = id != NULL ? g_strdup_printf ("Request-Id: %s\r\n", id) : g_strdup ("");
   g_autofree char *lines = g_strconcat (id_line, headers, NULL);
-  standin_call_answer (call, status, lines, "", 0);
+  answer_without_body (worker, call, status, lines);
 }
 
 static void
@@ -167,7 +190,7 @@
   guint running = worker->streams->len + worker->unanswered_calls->len + worker->delayed_calls->len;
   if (fault == STANDIN_WORKER_REFUSES || running >= worker->max_running)
     {
-      refuse (call, 503, "Not-Run: 1\r\n");
+      refuse (worker, call, 503, "Not-Run: 1\r\n");
       return;
     }
   StandinRun *run = record_run (worker, call);
@@ -179,9 +202,9 @@
   else if (fault == STANDIN_WORKER_RESETS)
     standin_call_reset_connection (call);
   else if (fault == STANDIN_WORKER_UNPROCESSABLE)
-    standin_call_answer (call, 422, headers, "", 0);
+    answer_without_body (worker, call, 422, headers);
   else if (worker->n_events > 0 && fault == STANDIN_WORKER_FAILS)
-    standin_call_answer (call, 500, headers, "", 0);
+    answer_without_body (worker, call, 500, headers);
   else if (worker->n_events > 0)
     standin_worker_start_stream (worker, call, run, fault, headers);
   else if (worker->answer_delay_ms > 0)
@@ -208,13 +231,14 @@
 {
   StandinWorker *worker = data;
   const char *expected = standin_call_get_header (call, "Expect-Instance");
+  send_repeated_answer (worker, call);
   if (worker->surplus_answers_left > 0)
     {
       worker->surplus_answers_left--;
       standin_call_write (call, worker->surplus_answer);
     }
   if (expected != NULL && !g_str_equal (expected, worker->id))
-    refuse (call, 421, "Instance-Id: another\r\n");
+    refuse (worker, call, 421, "Instance-Id: another\r\n");
   else if (worker->malformed_answer != NULL && g_str_has_prefix (call->head->target, "/quinceroute/"))
     standin_call_answer (call, 200, "Content-Type: application/json\r\n", worker->malformed_answer, -1);
   else if (g_str_equal (call->head->target, "/quinceroute/order"))
@@ -238,6 +262,8 @@
   worker->version = 1;
   worker->max_running = G_MAXUINT;
   worker->runs = g_ptr_array_new_with_free_func (run_free);
+  worker->repeated_answers
+      = g_hash_table_new_full (NULL, NULL, (GDestroyNotify)quince_http_connection_unref, g_free);
   worker->streams = g_ptr_array_new ();
   worker->unanswered_calls = g_ptr_array_new ();
   worker->delayed_orders = g_ptr_array_new ();
@@ -341,6 +367,7 @@
   g_ptr_array_unref (worker->delayed_orders);
   g_free (worker->malformed_answer);
   g_free (worker->surplus_answer);
+  g_hash_table_unref (worker->repeated_answers);
   g_ptr_array_unref (worker->streams);
   g_free (worker->zone);
   g_free (worker->software_version);
@@ -380,6 +407,12 @@
   worker->surplus_answers_left = n_calls;
 }
 
+void
+standin_worker_set_repeats_answers (StandinWorker *worker, gboolean repeats_answers)
+{
+  worker->repeats_answers = repeats_answers;
+}
+
 void
 standin_worker_set_event_padding (StandinWorker *worker, guint padding_bytes)
 {
--- a/rehearsal/platform/standin-worker.h
+++ b/rehearsal/platform/standin-worker.h
@@ -60,6 +60,8 @@
 /* Writes @answer, a whole HTTP response, before the own answer to each of the next @n_calls requests, reports
  * and orders. */
 void standin_worker_set_surplus_answer (StandinWorker *worker, const char *answer, guint n_calls);
+/* Sends each answer 422, 500 and each refusal once more, before the next answer on its connection. */
+void standin_worker_set_repeats_answers (StandinWorker *worker, gboolean repeats_answers);
 /* Crashes the worker @delay_ms after it receives a request whose body or target contains @text; NULL: never.
  * @n_requests: how many such requests crash it; G_MAXUINT: all. */
 void
--- a/tests/platform/surplus-answers.h
+++ b/tests/platform/surplus-answers.h
@@ -14,6 +14,8 @@
   "HTTP/1.1 200 OK\r\n" OTHER_REQUEST "Server-Stamp: stamp-other\r\nContent-Length: 5\r\n\r\nother",
   "HTTP/1.1 200 OK\r\n" OTHER_REQUEST "Server-Stamp: stamp-other\r\nWeight-Versions: 1\r\n"
   "Transfer-Encoding: chunked\r\n\r\n13\r\nid: 1\ndata: other\n\n\r\n0\r\n\r\n",
+  "HTTP/1.1 200 OK\r\n" OTHER_REQUEST "Transfer-Encoding: chunked\r\n\r\n5\r\nother\r\n0\r\n"
+  "id: 2\ndata: after the last chunk\n\n",
   "HTTP/1.1 202 Accepted\r\n" OTHER_REQUEST EMPTY_BODY,
   "HTTP/1.1 409 Conflict\r\n" OTHER_REQUEST EMPTY_BODY,
   "HTTP/1.1 421 Misdirected Request\r\n" OTHER_REQUEST EMPTY_BODY,
--- a/tests/platform/test-answer-match.c
+++ b/tests/platform/test-answer-match.c
@@ -110,6 +110,27 @@
     }
 }
 
+/* ---- A second answer to the request itself ---------------------------------- */
+
+/* Guards against a second copy of a refusal that is read as the answer to the same request, sent again on the
+ * same connection: the request then ran at both workers, or was refused although it ran. */
+static void
+test_repeated_refusal (void **state)
+{
+  World world;
+  world_init (&world);
+  for (guint i = 0; i < WORKERS; i++)
+    {
+      standin_worker_set_repeats_answers (world.workers[i], TRUE);
+      standin_worker_set_fault (world.workers[i], STANDIN_WORKER_REFUSES, 1);
+    }
+  run_forward (&world, FALSE, 3, FORWARD_TIME_MS);
+  assert_int_equal (world.outcome, QUINCE_FORWARD_ANSWERED);
+  assert_int_equal (world.status, 200);
+  assert_int_equal (count_runs (&world), 1);
+  world_clear (&world);
+}
+
 /* ---- Streams ---------------------------------------------------------------- */
 
 static void
@@ -188,6 +209,23 @@
   set_surplus (NULL, 0);
 }
 
+/* Guards against a second copy of an answer 500 that counts as another failure of a sample and ends its next
+ * run. Only one worker takes the sample, and fails its first run. */
+static void
+test_repeated_failure (void **state)
+{
+  for (guint i = 1; i < PATH_MODEL; i++)
+    standin_worker_set_max_running (path->model[i], 0);
+  standin_worker_set_repeats_answers (path->model[0], TRUE);
+  standin_worker_set_fault (path->model[0], STANDIN_WORKER_FAILS, 1);
+  g_autofree char *text = path_make_batch ("failing", 1);
+  AWAIT (path_status (path_front (path, 0), "POST", "/r/batch", "failing", text) == 202);
+  AWAIT (path_count_results (path, 0, "failing") == 1);
+  g_autofree char *results = path_read_results (path, 0, "failing");
+  assert_int_equal (path_count_occurrences (results, "\"state\":\"completed\""), 1);
+  assert_int_equal (count_runs_of ("failing-i0"), 2);
+}
+
 /* ---- Loads of weights, and reports --------------------------------------------- */
 
 /* Returns the number of loads in the replicas' logs that ended, or those that ended with @outcome. */
@@ -234,9 +272,11 @@
     cmocka_unit_test (test_lookups),
     cmocka_unit_test (test_reward_calls),
     cmocka_unit_test (test_unnamed_answers_to_lookups),
+    cmocka_unit_test (test_repeated_refusal),
     cmocka_unit_test_setup_teardown (test_streams, set_up, tear_down),
     cmocka_unit_test_setup_teardown (test_unnamed_answers_to_streams, set_up, tear_down),
     cmocka_unit_test_setup_teardown (test_samples, set_up, tear_down),
+    cmocka_unit_test_setup_teardown (test_repeated_failure, set_up, tear_down),
     cmocka_unit_test_setup_teardown (test_loads_of_weights, set_up, tear_down),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
--- a/tests/platform/test-http-pool.c
+++ b/tests/platform/test-http-pool.c
@@ -227,6 +227,52 @@
   check_surplus_response (TRUE);
 }
 
+#define ID_HEADER "Request-Id"
+
+static void
+answer_with_id (StandinCall *call, gpointer data)
+{
+  g_autofree char *headers
+      = g_strdup_printf (ID_HEADER ": %s\r\n", standin_call_get_header (call, ID_HEADER));
+  standin_call_answer (call, 200, headers, "ab", 2);
+}
+
+static void
+run_exchange_with_id (QuinceHttpPool *pool, const char *id)
+{
+  g_autoptr (QuinceHttpHeaders) headers = quince_http_headers_new ();
+  quince_http_headers_add (headers, ID_HEADER, id);
+  const QuinceHttpRequest request = { .method = "GET", .target = "/", .headers = headers };
+  ExchangeResult result = { 0 };
+  quince_http_pool_start (pool, &request, &callbacks, &result);
+  AWAIT (result.done);
+  assert_int_equal (result.outcome, QUINCE_HTTP_ANSWERED);
+  g_free (result.body);
+}
+
+/* Guards against sending an id twice on a connection, where a second answer to the first request cannot be
+ * told from the answer to the second one.  Other ids still share a connection. */
+static void
+test_connection_carries_id_once (void **state)
+{
+  StandinServer *server = standin_server_new (answer_with_id, NULL);
+  QuinceHttpPool *pool = quince_http_pool_new_with_ids (standin_server_get_address (server), ID_HEADER);
+  static const struct
+  {
+    const char *id;
+    guint opened; /* connections so far */
+  } sends[] = { { "a", 1 }, { "b", 1 }, { "a", 2 }, { "b", 2 }, { "c", 2 }, { "a", 3 }, { "d", 3 } };
+  for (guint i = 0; i < G_N_ELEMENTS (sends); i++)
+    {
+      run_exchange_with_id (pool, sends[i].id);
+      if (quince_http_pool_get_n_connections_opened (pool) != sends[i].opened)
+        fail_msg ("%u connections after %s, number %u",
+                  (guint)quince_http_pool_get_n_connections_opened (pool), sends[i].id, i);
+    }
+  quince_http_pool_unref (pool);
+  standin_server_free (server);
+}
+
 static gboolean call_was_gone;
 
 static void
@@ -367,6 +413,7 @@
     cmocka_unit_test (test_connection_refused),
     cmocka_unit_test (test_idle_connection_closed),
     cmocka_unit_test (test_surplus_response_to_idle_connection),
+    cmocka_unit_test (test_connection_carries_id_once),
     cmocka_unit_test (test_cancel_closes_connection),
     cmocka_unit_test (test_send_deadline),
     cmocka_unit_test (test_received_answer_precedes_timeout),
