HTTP: an answer to HEAD ends with its head

What callers saw: 504 for HEAD on a route of lookups, since the front waited for the body that the worker's answer announces; and a body after the answer to a HEAD that the front answers itself (404, 503), which a caller reads as the answer to its next request on that connection.

Cause: the framing of a response was left to the parser, which doesn't know the request; the front's own answers took no account of the method. Found by asking for each kind of message where it ends.

Change: the exchange tells its connection that the response to HEAD has no body, and a front's answers to HEAD end with their heads. The stand-in of a server does so too.

--- a/daemons/front/caller-connection.c
+++ b/daemons/front/caller-connection.c
@@ -42,6 +42,7 @@
   QuinceCallerRequest *request; /* in progress; NULL: none */
   gboolean answering;           /* a request was read and its answer is not complete */
   gboolean keep_alive;
+  gboolean head_only;           /* the request's method is HEAD, so that its answer ends with the head */
   gboolean truncated;           /* the caller reads too slowly, so the answer ends without its last chunk */
   gint64 received_us;           /* when the last request head was read, monotonic */
   gint64 idle_since_us;         /* end of the last answer or start of the connection, monotonic */
@@ -191,7 +192,8 @@
   if (!keep_open)
     g_string_append (text, "Connection: close\r\n");
   g_string_append_printf (text, "Content-Length: %" G_GSIZE_FORMAT "\r\n\r\n", answer->body_length);
-  g_string_append_len (text, answer->body, (gssize)answer->body_length);
+  if (!connection->head_only)
+    g_string_append_len (text, answer->body, (gssize)answer->body_length);
   connection->answering = FALSE;
   connection->idle_since_us = quince_now_us ();
   quince_http_connection_write (connection->http, text->str, text->len);
@@ -237,6 +239,8 @@
 write_answer_chunk (const char *data, gsize length, gpointer user_data)
 {
   QuinceCallerConnection *connection = user_data;
+  if (connection->head_only)
+    return;
   if (quince_http_connection_get_pending_output_bytes (connection->http) > UNSENT_MAX_BYTES)
     return; /* end_streamed_answer() omits the last chunk */
   g_autofree char *size = g_strdup_printf ("%zx\r\n", length);
@@ -265,7 +269,8 @@
       connection_free (connection);
       return;
     }
-  quince_http_connection_write (connection->http, last_chunk, sizeof last_chunk - 1);
+  if (!connection->head_only)
+    quince_http_connection_write (connection->http, last_chunk, sizeof last_chunk - 1);
   if (connection->keep_alive)
     {
       quince_http_connection_next (connection->http);
@@ -327,6 +332,7 @@
   QuinceCallerConnection *connection = data;
   connection->answering = TRUE;
   connection->keep_alive = connection->head->keep_alive;
+  connection->head_only = g_str_equal (connection->head->method, "HEAD");
   if (connection->kind == QUINCE_LISTEN_CALLERS)
     {
       start_request (connection);
--- a/lib/http1/http-connection-input.c
+++ b/lib/http1/http-connection-input.c
@@ -154,7 +154,9 @@
     }
   head->keep_alive = http_should_keep_alive (parser) != 0;
   connection->callbacks->head (connection, g_steal_pointer (&head), connection->user_data);
-  return quince_http_connection_is_alive (connection) ? HEAD_ACCEPTED : HEAD_REJECTED;
+  if (!quince_http_connection_is_alive (connection))
+    return HEAD_REJECTED;
+  return connection->head_only ? HEAD_WITHOUT_BODY : HEAD_ACCEPTED;
 }
 
 static int
--- a/lib/http1/http-connection-private.h
+++ b/lib/http1/http-connection-private.h
@@ -35,6 +35,7 @@
   gsize max_head_bytes; /* 0: only the parser's limit applies */
   gsize head_bytes;     /* bytes received of an incomplete head */
   gboolean is_client;
+  gboolean head_only; /* responses on this client connection have no body */
   gboolean connecting;
   gboolean watches_writable; /* has output that the kernel did not accept */
   gboolean open;
--- a/lib/http1/http-connection.c
+++ b/lib/http1/http-connection.c
@@ -118,6 +118,12 @@
   return connection->output->len > 0;
 }
 
+void
+quince_http_connection_set_head_only (QuinceHttpConnection *connection, gboolean head_only)
+{
+  connection->head_only = head_only;
+}
+
 gboolean
 quince_http_connection_is_readable (const QuinceHttpConnection *connection)
 {
--- a/lib/http1/http-exchange.c
+++ b/lib/http1/http-exchange.c
@@ -313,6 +313,7 @@
   exchange->body = g_byte_array_new ();
   exchange->request_id = g_strdup (get_id (pool, request->headers));
   exchange->connected = quince_http_pool_attach (pool, exchange);
+  quince_http_connection_set_head_only (exchange->pooled->connection, g_str_equal (request->method, "HEAD"));
   if (exchange->connected)
     quince_http_connection_next (exchange->pooled->connection);
   else
--- a/lib/http1/http1.h
+++ b/lib/http1/http1.h
@@ -120,6 +120,9 @@
 /* Sends @data, or buffers what the kernel does not accept.  Ignored if the connection is closed or finishing.
  * Never runs callbacks: a write error is reported later to closed(). */
 void quince_http_connection_write (QuinceHttpConnection *connection, const char *data, gsize length);
+/* Sets whether the next response on a client connection ends with its head, whatever length it announces, as
+ * a response to HEAD does. */
+void quince_http_connection_set_head_only (QuinceHttpConnection *connection, gboolean head_only);
 /* Allows the next message to be parsed.  Input that is already buffered is parsed immediately. */
 void quince_http_connection_next (QuinceHttpConnection *connection);
 /* Closes without further callbacks. */
--- a/rehearsal/platform/standin-server.c
+++ b/rehearsal/platform/standin-server.c
@@ -239,7 +239,7 @@
   g_autofree char *head = g_strdup_printf (
       "HTTP/1.1 %u Status\r\n%sContent-Length: %" G_GSIZE_FORMAT "\r\n\r\n", status, headers, bytes);
   standin_call_write (call, head);
-  if (!call->disconnected)
+  if (!call->disconnected && !g_str_equal (call->head->method, "HEAD"))
     quince_http_connection_write (call->connection, body, bytes);
   standin_call_finish (call);
 }
--- a/tests/platform/test-front.c
+++ b/tests/platform/test-front.c
@@ -56,6 +56,12 @@
     { "HTTP/1.1 400 " },
     0,
     TRUE },
+  { "trailer fields, followed by a request",
+    HEAD "a7\r\nTransfer-Encoding: chunked\r\n\r\n3\r\none\r\n0\r\nModel: x\r\nHost: x\r\n\r\n" HEAD
+         "a8\r\nContent-Length: 3\r\n\r\ntwo",
+    { "one by p", "two by p" },
+    2,
+    FALSE },
   { "not HTTP", "hello\r\n\r\n", { "HTTP/1.1 400 " }, 0, TRUE },
   { "invalid chunk size",
     HEAD "b4\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\nab\r\n0\r\n\r\n",
@@ -150,6 +156,30 @@
   path_world_free (world);
 }
 
+/* Guards against a body in the answer to HEAD, which the caller reads as the answer to its next request, and
+ * against waiting for the body that the worker's answer announces. */
+static void
+test_head_requests (void **state)
+{
+  static const char *const targets[] = { "/l/1", "/unknown/1", "/u/1" };
+  PathWorld *world = start_front_world ("head");
+  for (guint i = 0; i < G_N_ELEMENTS (targets); i++)
+    {
+      RawCaller *caller = raw_connect (path_front (world, 0));
+      g_autofree char *requests
+          = g_strdup_printf ("HEAD %s HTTP/1.1\r\nHost: " PATH_HOST "\r\nRequest-Id: h%u\r\n\r\n" HEAD
+                             "h%u-next\r\nContent-Length: 4\r\n\r\nnext",
+                             targets[i], i, i);
+      raw_send (caller, requests);
+      AWAIT (raw_has_received (caller, "next by p"));
+      const char *end = strstr (caller->text->str, "\r\n\r\n");
+      if (!g_str_has_prefix (end + strlen ("\r\n\r\n"), "HTTP/1.1 200 "))
+        fail_msg ("%s: %s", targets[i], caller->text->str);
+      raw_free (caller);
+    }
+  path_world_free (world);
+}
+
 /* An incomplete request head gets status 408, and its connection is closed. */
 static void
 test_slow_request_head (void **state)
@@ -292,6 +322,7 @@
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_framing),
     cmocka_unit_test (test_persistent_connection),
+    cmocka_unit_test (test_head_requests),
     cmocka_unit_test (test_slow_request_head),
     cmocka_unit_test (test_deadline_propagated),
     cmocka_unit_test (test_route_timeout),
