Metrics server: an answer to HEAD ends with its head

What readers of metrics could see: a body after the answer to HEAD. The same fault as in a front's own answers, in the server that both daemons use for metrics; its connection closes after each answer, so that no later answer was affected.

Change: the head with the length of the text, without the text.

Test: platform-front, test_head_request_for_metrics; failed before the change (the output ended with the text).

--- a/lib/http1/http-client.h
+++ b/lib/http1/http-client.h
@@ -23,7 +23,7 @@
 
 /**
  * QuinceHttpExchangeCallbacks:
- * @head: (nullable): the head of the response was received
+ * @head: (nullable): the head of the response to this request was received
  * @body: (nullable): the next part of the body.  Without this callback the body is collected
  * @done: the last callback; the exchange is freed when it returns.  @error is %NULL if the outcome is
  *   %QUINCE_HTTP_ANSWERED
--- a/lib/http1/http-text-server.c
+++ b/lib/http1/http-text-server.c
@@ -49,11 +49,12 @@
 {
   Client *client = data;
   gboolean path_matches = g_str_equal (client->head->target, client->server->path);
+  gboolean head_only = g_str_equal (client->head->method, "HEAD");
   g_autofree char *text = path_matches ? client->server->produce_text () : g_strdup ("");
   g_autofree char *response
       = g_strdup_printf ("HTTP/1.1 %s\r\nContent-Type: text/plain; version=0.0.4\r\n"
                          "Connection: close\r\nContent-Length: %" G_GSIZE_FORMAT "\r\n\r\n%s",
-                         path_matches ? "200 OK" : "404 Not Found", strlen (text), text);
+                         path_matches ? "200 OK" : "404 Not Found", strlen (text), head_only ? "" : text);
   quince_http_connection_write (connection, response, strlen (response));
   quince_http_connection_finish (connection);
   g_hash_table_remove (client->server->clients, client);
--- a/tests/platform/test-front.c
+++ b/tests/platform/test-front.c
@@ -2,6 +2,7 @@
  * test-front.c: guards against faults in how a front handles requests of callers: HTTP framing, size limits,
  * deadlines, disconnects and traffic splits.
  */
+#include "http1/text-server.h"
 #include "path-world.h"
 #include "raw.h"
 
@@ -180,6 +181,34 @@
   path_world_free (world);
 }
 
+#define METRICS_PATH "/metrics"
+#define METRICS_TEXT "quince_up 1\n"
+
+static char *
+produce_metrics (void)
+{
+  return g_strdup (METRICS_TEXT);
+}
+
+/* The server of metrics answers HEAD with the length of the text, and without the text. */
+static void
+test_head_request_for_metrics (void **state)
+{
+  g_autoptr (GSocket) port = standin_reserve_port ("127.0.0.1:0");
+  g_autoptr (GSocketAddress) local = g_socket_get_local_address (port, NULL);
+  g_autofree char *address
+      = g_strdup_printf ("127.0.0.1:%u", g_inet_socket_address_get_port (G_INET_SOCKET_ADDRESS (local)));
+  QuinceTextServer *server = quince_text_server_new (address, METRICS_PATH, produce_metrics, NULL);
+  assert_non_null (server);
+  RawCaller *caller = raw_connect (address);
+  raw_send (caller, "HEAD " METRICS_PATH " HTTP/1.1\r\nHost: h\r\n\r\n");
+  AWAIT ((raw_read (caller), caller->closed));
+  assert_non_null (strstr (caller->text->str, "Content-Length: 12\r\n"));
+  assert_true (g_str_has_suffix (caller->text->str, "\r\n\r\n"));
+  raw_free (caller);
+  quince_text_server_free (server);
+}
+
 /* An incomplete request head gets status 408, and its connection is closed. */
 static void
 test_slow_request_head (void **state)
@@ -323,6 +352,7 @@
     cmocka_unit_test (test_framing),
     cmocka_unit_test (test_persistent_connection),
     cmocka_unit_test (test_head_requests),
+    cmocka_unit_test (test_head_request_for_metrics),
     cmocka_unit_test (test_slow_request_head),
     cmocka_unit_test (test_deadline_propagated),
     cmocka_unit_test (test_route_timeout),
