HTTP client: requests with equal ids don't add connections

What callers could see: a caller that sends all of its requests under one id made a front open a connection for each of them and keep the earlier ones idle, up to the worker's limit of connections.

Change: where only connections that have carried the id are idle, one of them is closed, and the new one takes its place. The number of connections stays what it was before there were ids.

Tests: platform-http-pool, test_connection_carries_id_once, also checks that one idle connection stays. Requests of forward-world.h have ids of their own now, r1, r2 and so on, as those of callers do: with one id for all, the check of test_connections_are_reused (at most one connection a worker) is the case that may not hold. The check is unchanged; platform-forward, http-pool, http-surplus, answer-match, attempt-budget and evacuation pass.

--- a/lib/http1/http-client.h
+++ b/lib/http1/http-client.h
@@ -66,7 +66,8 @@
  * Creates a pool whose exchanges only see responses to their own requests.  A response that names another
  * request is skipped, and its connection carries no further request; the own response may still follow.  If
  * it cannot follow, or a response does not name its request although that has an id, the exchange ends with
- * %QUINCE_HTTP_BROKEN and %QUINCE_HTTP1_ERROR_UNMATCHED.
+ * %QUINCE_HTTP_BROKEN and %QUINCE_HTTP1_ERROR_UNMATCHED.  A connection carries an id once
+ * among its last requests; a request that is sent again gets another connection.
  */
 QuinceHttpPool *quince_http_pool_new_with_ids (const char *address, const char *id_header);
 /* Releases the owner's reference and closes idle connections.  Exchanges in progress continue. */
--- a/lib/http1/http-pool.c
+++ b/lib/http1/http-pool.c
@@ -156,11 +156,13 @@
 
 /* Returns the connection that was used last among those that can carry the request @request_id (nullable), or
  * NULL.  A second answer to a request could not be told from the answer to the same request sent again, so a
- * connection does not carry an id twice. */
+ * connection does not carry an id twice.  If this leaves none, closes one that the next connection replaces,
+ * so that callers who use one id for all requests do not add connections. */
 static QuincePooledConnection *
 take_idle_connection (QuinceHttpPool *pool, const char *request_id)
 {
   gint64 now = quince_now_us ();
+  QuincePooledConnection *excluded = NULL; /* used last among those that carried the id */
   for (guint i = pool->idle->len; i > 0; i--)
     {
       QuincePooledConnection *pooled = pool->idle->pdata[i - 1];
@@ -171,7 +173,11 @@
           g_ptr_array_remove_index (pool->idle, i - 1);
           return pooled;
         }
+      else if (excluded == NULL)
+        excluded = pooled;
     }
+  if (excluded != NULL)
+    quince_http_pool_close_connection (excluded);
   return NULL;
 }
 
--- a/tests/platform/forward-world.h
+++ b/tests/platform/forward-world.h
@@ -25,6 +25,7 @@
   char *body;
   char *signature;
   guint attempts;
+  guint n_requests;       /* started so far; each has an id of its own, the first one "r1" */
   gboolean mixed_targets; /* of the requests; see QuinceForwardRequest */
   gboolean is_reward;
   guint earlier_runs;
@@ -88,14 +89,15 @@
 {
   g_autoptr (QuinceHttpHeaders) headers = quince_http_headers_new ();
   quince_http_headers_add (headers, "Host", "h.example");
-  quince_platform_write_request_id (headers, "r1");
+  g_autofree char *request_id = g_strdup_printf ("r%u", ++world->n_requests);
+  quince_platform_write_request_id (headers, request_id);
   g_autoptr (GBytes) body = g_bytes_new_static ("question", 8);
   gint64 now = quince_now_us ();
   const QuinceForwardRequest request = { .service = "svc",
                                          .kind = "kind",
                                          .method = "POST",
                                          .target = "/p/1?x=y",
-                                         .request_id = "r1",
+                                         .request_id = request_id,
                                          .headers = headers,
                                          .body = body,
                                          .is_reward = world->is_reward,
--- a/tests/platform/test-http-pool.c
+++ b/tests/platform/test-http-pool.c
@@ -251,7 +251,8 @@
 }
 
 /* Guards against sending an id twice on a connection, where a second answer to the first request cannot be
- * told from the answer to the second one.  Other ids still share a connection. */
+ * told from the answer to the second one, and against a growing number of connections where ids are repeated.
+ * Other ids still share a connection. */
 static void
 test_connection_carries_id_once (void **state)
 {
@@ -268,6 +269,7 @@
       if (quince_http_pool_get_n_connections_opened (pool) != sends[i].opened)
         fail_msg ("%u connections after %s, number %u",
                   (guint)quince_http_pool_get_n_connections_opened (pool), sends[i].id, i);
+      assert_int_equal (quince_http_pool_get_n_idle (pool), 1);
     }
   quince_http_pool_unref (pool);
   standin_server_free (server);
