--- a/tests/platform/test-http-pool.c
+++ b/tests/platform/test-http-pool.c
@@ -32,6 +32,9 @@
   gboolean reused; /* the connection is used for the next request */
 } ScriptedResponse;
 
+/* Calls whose responses stay unfinished; released after their server. */
+static GPtrArray *stalled_calls;
+
 static void
 send_response (StandinCall *call, gpointer data)
 {
@@ -51,6 +54,7 @@
       standin_call_reset_connection (call);
       break;
     case END_STALL:
+      g_ptr_array_add (stalled_calls, call);
       break;
     }
 }
@@ -123,6 +127,7 @@
 static void
 test_scripted_responses (void **state)
 {
+  stalled_calls = g_ptr_array_new_with_free_func ((GDestroyNotify)standin_call_finish);
   for (guint i = 0; i < G_N_ELEMENTS (scripted_responses); i++)
     {
       const ScriptedResponse *response = &scripted_responses[i];
@@ -146,6 +151,7 @@
       quince_http_pool_unref (pool);
       standin_server_free (server);
     }
+  g_ptr_array_unref (stalled_calls);
 }
 
 static void
