--- a/lib/http1/http-pool.c
+++ b/lib/http1/http-pool.c
@@ -154,15 +154,16 @@
     pooled->carried_ids[pooled->n_carried++ % QUINCE_HTTP_CARRIED_IDS_MAX] = g_str_hash (request_id);
 }
 
-/* Returns the connection that was used last among those that can carry the request @request_id (nullable), or
- * NULL.  A second answer to a request could not be told from the answer to the same request sent again, so a
- * connection does not carry an id twice.  If this leaves none, closes one that the next connection replaces,
- * so that callers who use one id for all requests do not add connections. */
+/* Returns the most recently used idle connection that can carry the request @request_id (nullable), or NULL.
+ * A second answer to a request could not be told from the answer to the same request sent again, so a
+ * connection does not carry an id twice.  If only connections that carried the id are idle, closes one of
+ * them, which the next connection replaces: callers who use one id for all requests do not add connections.
+ */
 static QuincePooledConnection *
 take_idle_connection (QuinceHttpPool *pool, const char *request_id)
 {
   gint64 now = quince_now_us ();
-  QuincePooledConnection *excluded = NULL; /* used last among those that carried the id */
+  QuincePooledConnection *excluded = NULL; /* the most recently used one that carried the id */
   for (guint i = pool->idle->len; i > 0; i--)
     {
       QuincePooledConnection *pooled = pool->idle->pdata[i - 1];
--- a/tests/platform/test-answer-match.c
+++ b/tests/platform/test-answer-match.c
@@ -228,7 +228,7 @@
 
 /* ---- Loads of weights, and reports --------------------------------------------- */
 
-/* Returns the number of loads in the replicas' logs that ended, or those that ended with @outcome. */
+/* Returns how many loads ended with @outcome by the replicas' logs; "outcome=": all of them. */
 static guint
 count_ended_loads (const char *outcome)
 {
