Ledger: a refused call about a batch tells its reason

What callers and operators saw: a read of results is refused with 503, and neither the replica's log nor the front's line tells which of seven conditions was the cause; reads put off with 429 left no line at all.

Cause: quince_ledger_group_may_answer() and the answers in batch-calls.c gave a plain boolean or status.

Change: quince_ledger_group_get_answer_refusal() and _get_accept_refusal() return a typed reason, and may_answer() and may_accept() are built on them, so that they can't differ. The reason travels to the front as the body of an answer of 500 and above, which fronts of earlier builds ignore, and stands in request_refused as reason=. Answers of 429 keep their empty body, since fronts pass it on.

--- a/daemons/front/caller-request.c
+++ b/daemons/front/caller-request.c
@@ -34,6 +34,7 @@
   GByteArray *body;
   QuinceCall call;
   gint64 received_us;     /* when its head was read, monotonic */
+  char *ledger_reason;    /* why the leader refused it; NULL: it did not */
   char *api_key;          /* key of the caller, until the lookup of its tenant; NULL: none */
   char *tenant;           /* name of the tenant that owns the key; NULL: none */
   char *route;            /* name of its route; NULL: not found, or a call about a batch */
@@ -54,6 +55,7 @@
   g_byte_array_unref (request->body);
   quince_platform_call_clear (&request->call);
   g_free (request->api_key);
+  g_free (request->ledger_reason);
   g_free (request->tenant);
   g_free (request->route);
   g_free (request);
@@ -132,8 +134,10 @@
                                         request->route, request->tenant);
   g_autofree char *id = quince_log_quote (request_headers.request_id);
   g_autofree char *target = quince_log_quote (request->head->target);
-  quince_log_warning ("request_refused", "request=%s target=%s status=%u cause=%s age_ms=%" G_GINT64_FORMAT,
-                      id, target, status, cause, (quince_now_us () - request->received_us) / 1000);
+  g_autofree char *reason = quince_log_quote (request->ledger_reason);
+  quince_log_warning ("request_refused",
+                      "request=%s target=%s status=%u cause=%s age_ms=%" G_GINT64_FORMAT " reason=%s", id,
+                      target, status, cause, (quince_now_us () - request->received_us) / 1000, reason);
   g_autofree char *text = g_strdup_printf ("{\"error\":{\"type\":\"%s\"}}", cause);
   const QuinceCallerAnswer answer = { .status = status,
                                       .content_type = "application/json",
@@ -352,26 +356,24 @@
   QuinceCallerRequest *request = data;
   request->ledger_call = NULL;
   if (outcome == QUINCE_LEDGER_CALL_LOST && request->is_submission)
+    finish_error (request, 504, "ledger_unknown", 0);
+  else if (outcome != QUINCE_LEDGER_CALL_ANSWERED)
+    finish_error (request, 503, "ledger_unreachable", get_retry_after_ms (QUINCE_REFUSED_LEDGER, 0));
+  else if (reply->status >= 500)
     {
-      finish_error (request, 504, "ledger_unknown", 0);
-      return;
-    }
-  if (outcome != QUINCE_LEDGER_CALL_ANSWERED)
-    {
-      finish_error (request, 503, "ledger_unreachable", get_retry_after_ms (QUINCE_REFUSED_LEDGER, 0));
-      return;
+      /* The reason; empty from a leader of an earlier build. */
+      request->ledger_reason = g_strndup (reply->body.body_val, reply->body.body_len);
+      finish_error (request, reply->status, "ledger_refused", reply->retry_after_ms);
     }
-  if (reply->status >= 500)
+  else
     {
-      finish_error (request, reply->status, "ledger_refused", reply->retry_after_ms);
-      return;
+      const QuinceCallerAnswer answer = { .status = reply->status,
+                                          .content_type = reply->content_type,
+                                          .body = reply->body.body_val,
+                                          .body_length = reply->body.body_len,
+                                          .retry_after_ms = reply->retry_after_ms };
+      finish (request, &answer);
     }
-  const QuinceCallerAnswer answer = { .status = reply->status,
-                                      .content_type = reply->content_type,
-                                      .body = reply->body.body_val,
-                                      .body_length = reply->body.body_len,
-                                      .retry_after_ms = reply->retry_after_ms };
-  finish (request, &answer);
 }
 
 static void
@@ -489,9 +491,6 @@
     case QUINCE_CALL_ITEM:
     case QUINCE_CALL_END_BATCH:
       return start_batch_call (request) ? request : NULL;
-    case QUINCE_CALL_READY:
-    case QUINCE_CALL_RESOLVE:
-    case QUINCE_CALL_UNKNOWN:
     default:
       finish_error (request, 404, "no_route", 0);
       return NULL;
--- a/daemons/replica/batch-answers.c
+++ b/daemons/replica/batch-answers.c
@@ -3,6 +3,8 @@
  */
 #include "batch-answers.h"
 
+#include <string.h>
+
 #include "core/decisions/retry-after.h"
 #include "runtime/log.h"
 #include "runtime/clock.h"
@@ -36,10 +38,20 @@
 
 void
 quince_batch_answer_status (QuinceLink *link, guint64 id, guint status)
+{
+  reply (link, id, status, "", NULL, 0);
+}
+
+void
+quince_batch_answer_refusal (QuinceLink *link, guint64 id, QuinceLedgerRefusal refusal)
 {
   const QuinceRetryAfterInput refused = { .cause = QUINCE_REFUSED_LEDGER };
-  gboolean may_retry = status == 503 || status == 429;
-  reply (link, id, status, "", NULL, may_retry ? quince_retry_after_ms (&refused) : 0);
+  const char *name = quince_ledger_refusal_get_name (refusal);
+  guint status = quince_ledger_refusal_get_status (refusal);
+  /* Fronts ignore the body of an answer of 500 and above, except to log it.  They pass others on. */
+  g_autoptr (GBytes) reason = status >= 500 ? g_bytes_new_static (name, strlen (name)) : NULL;
+  reply (link, id, status, reason != NULL ? "text/plain" : "", reason,
+         status != 504 ? quince_retry_after_ms (&refused) : 0);
 }
 
 /* Decodes results from @position on and appends them to @results until their text reaches @max_bytes. Decodes
@@ -66,7 +78,7 @@
   return TRUE;
 }
 
-void
+QuinceLedgerRefusal
 quince_batch_answer_results (QuinceResultCache *cache,
                              QuinceLink *link,
                              guint64 id,
@@ -80,16 +92,11 @@
   if (entry->results->len > position)
     max_bytes = quince_link_acquire_answer (link, RESULTS_MAX_BYTES);
   if (max_bytes == 0)
-    {
-      /* On 503 the front would search for another leader. */
-      quince_batch_answer_status (link, id, 429);
-      return;
-    }
+    return QUINCE_LEDGER_REFUSAL_LINK_FULL;
   if (!decode_results (cache, entry, position, max_bytes, results, &error))
     {
       quince_log_failure ("result_unreadable", "batch=%s code=%d", entry->batch->id, error->code);
-      quince_batch_answer_status (link, id, 503);
-      return;
+      return QUINCE_LEDGER_REFUSAL_RESULT_UNREADABLE;
     }
   g_autoptr (GArray) rows = g_array_new (FALSE, FALSE, sizeof (QuincePlatformResult));
   for (guint i = 0; i < results->len; i++)
@@ -102,6 +109,7 @@
       = quince_platform_format_results (entry->batch->items.items_len, position + rows->len,
                                         (const QuincePlatformResult *)rows->data, rows->len);
   reply (link, id, 200, "application/json", body, 0);
+  return QUINCE_LEDGER_REFUSAL_NONE;
 }
 
 void
--- a/daemons/replica/batch-answers.h
+++ b/daemons/replica/batch-answers.h
@@ -7,6 +7,7 @@
 #pragma once
 
 #include "core/batches/batch-table.h"
+#include "core/group/ledger-refusal.h"
 #include "http1/http1.h"
 #include "runtime/link.h"
 #include "batchlog/result-cache.h"
@@ -15,16 +16,19 @@
 
 /* ---- Answers; @id is the id of the call --------------------------------- */
 
-/* Sends an answer without a body.  503 and 429 carry a Retry-After. */
+/* Sends an answer without a body. */
 void quince_batch_answer_status (QuinceLink *link, guint64 id, guint status);
-/* Sends the results from @position on, as many as fit into one answer and into the link's allowance.  Sends
- * 429 if the allowance is used up, and 503 if a result can't be decoded.
- * @cache: unpacks the results and keeps them for later calls */
-void quince_batch_answer_results (QuinceResultCache *cache,
-                                  QuinceLink *link,
-                                  guint64 id,
-                                  const QuinceBatchEntry *entry,
-                                  guint64 position);
+/* Sends the status of @refusal, with a Retry-After unless the outcome is unknown. */
+void quince_batch_answer_refusal (QuinceLink *link, guint64 id, QuinceLedgerRefusal refusal);
+/* Sends the results from @position on, as many as fit into one answer and into the link's allowance.
+ * @cache: unpacks the results and keeps them for later calls
+ *
+ * Returns: why no answer was sent, or %QUINCE_LEDGER_REFUSAL_NONE if one was */
+QuinceLedgerRefusal quince_batch_answer_results (QuinceResultCache *cache,
+                                                 QuinceLink *link,
+                                                 guint64 id,
+                                                 const QuinceBatchEntry *entry,
+                                                 guint64 position);
 /* Sends the body of the item that @parsed names, or 404 if @entry has no such item. */
 void quince_batch_answer_item (QuinceLink *link,
                                const QuinceServiceCall *call,
--- a/daemons/replica/batch-calls.c
+++ b/daemons/replica/batch-calls.c
@@ -39,8 +39,9 @@
   GHashTable *pending_submissions; /* batch id to guint64, both owned: index of the uncommitted record */
   GPtrArray *waiting_calls;        /* WaitingCall, owned */
   QuinceResultCache *result_cache;
-  QuinceResultQueue *results; /* not owned; NULL: not leading */
-  QuinceTimer *answer_timer;  /* answers reads after all committed results were applied; NULL: none are new */
+  QuinceCallRefusals *refusals; /* borrowed */
+  QuinceResultQueue *results;   /* not owned; NULL: not leading */
+  QuinceTimer *answer_timer; /* answers reads after all committed results were applied; NULL: none are new */
 };
 
 static void
@@ -65,6 +66,28 @@
   return waiting_call;
 }
 
+/* ---- Refusals and results ------------------------------------------------- */
+
+static void
+refuse_waiting_call (const WaitingCall *waiting_call, QuinceLedgerRefusal refusal)
+{
+  quince_call_refusals_answer (waiting_call->calls->refusals, waiting_call->link, waiting_call->call_id,
+                               refusal, waiting_call->batch);
+}
+
+/* Answers with results, or refuses the call. */
+static void
+answer_results (QuinceBatchCalls *calls,
+                QuinceLink *link,
+                guint64 id,
+                const QuinceBatchEntry *entry,
+                guint64 position)
+{
+  QuinceLedgerRefusal refusal = quince_batch_answer_results (calls->result_cache, link, id, entry, position);
+  if (refusal != QUINCE_LEDGER_REFUSAL_NONE)
+    quince_call_refusals_answer (calls->refusals, link, id, refusal, entry->batch->id);
+}
+
 /* ---- Waiting calls ------------------------------------------------------ */
 
 static gboolean
@@ -73,12 +96,14 @@
   WaitingCall *waiting_call = data;
   QuinceBatchCalls *calls = waiting_call->calls;
   QuinceBatchEntry *entry = quince_batch_table_find (calls->table, waiting_call->batch);
+  QuinceLedgerRefusal refusal = quince_ledger_node_get_answer_refusal (calls->ledger);
   quince_timer_clear (&waiting_call->timer);
-  if (entry != NULL && quince_ledger_node_may_answer (calls->ledger))
-    quince_batch_answer_results (calls->result_cache, waiting_call->link, waiting_call->call_id, entry,
-                                 waiting_call->position);
+  if (refusal != QUINCE_LEDGER_REFUSAL_NONE)
+    refuse_waiting_call (waiting_call, refusal);
+  else if (entry == NULL)
+    refuse_waiting_call (waiting_call, QUINCE_LEDGER_REFUSAL_BATCH_FORGOTTEN);
   else
-    quince_batch_answer_status (waiting_call->link, waiting_call->call_id, 503);
+    answer_results (calls, waiting_call->link, waiting_call->call_id, entry, waiting_call->position);
   g_ptr_array_remove_fast (calls->waiting_calls, waiting_call);
   return G_SOURCE_REMOVE;
 }
@@ -96,7 +121,7 @@
   gboolean more_results_expected = !entry->ended && entry->results->len < entry->batch->items.items_len;
   if (!no_new_results || !more_results_expected || wait_ms == 0)
     {
-      quince_batch_answer_results (calls->result_cache, link, call->id, entry, parsed->position);
+      answer_results (calls, link, call->id, entry, parsed->position);
       return;
     }
   WaitingCall *waiting_call = add_waiting_call (calls, link, call->id, parsed->batch_id);
@@ -181,7 +206,7 @@
   if (index == 0)
     {
       quince_residency_coordinator_remove_admitted (calls->residency, id);
-      quince_batch_answer_status (link, call->id, 503);
+      quince_call_refusals_answer (calls->refusals, link, call->id, QUINCE_LEDGER_REFUSAL_RECORD_INVALID, id);
       return;
     }
   g_hash_table_insert (calls->pending_submissions, g_strdup (id), g_memdup2 (&index, sizeof index));
@@ -205,6 +230,38 @@
   return admitted;
 }
 
+/* Returns: why a submission that is not known yet is refused now */
+static QuinceLedgerRefusal
+get_submission_refusal (QuinceBatchCalls *calls,
+                        guint samples_without_result,
+                        const QuinceServiceCall *call,
+                        const QuinceHttpHeaders *headers,
+                        const char *id)
+{
+  QuinceLedgerRefusal refusal = quince_ledger_node_get_accept_refusal (calls->ledger);
+  if (refusal != QUINCE_LEDGER_REFUSAL_NONE)
+    return refusal;
+  if (samples_without_result > SAMPLES_WITHOUT_RESULT_MAX)
+    return QUINCE_LEDGER_REFUSAL_TOO_MANY_SAMPLES;
+  return admit_by_residency (calls, call, headers, id) ? QUINCE_LEDGER_REFUSAL_NONE
+                                                       : QUINCE_LEDGER_REFUSAL_RESIDENCY;
+}
+
+static void
+accept_submission (QuinceBatchCalls *calls,
+                   guint samples_without_result,
+                   QuinceLink *link,
+                   const QuinceServiceCall *call,
+                   const QuinceHttpHeaders *headers,
+                   const char *id)
+{
+  QuinceLedgerRefusal refusal = get_submission_refusal (calls, samples_without_result, call, headers, id);
+  if (refusal == QUINCE_LEDGER_REFUSAL_NONE)
+    submit_batch (calls, link, call, headers, id);
+  else
+    quince_call_refusals_answer (calls->refusals, link, call->id, refusal, id);
+}
+
 static void
 handle_submission (QuinceBatchCalls *calls,
                    guint samples_without_result,
@@ -223,27 +280,31 @@
     quince_batch_answer_status (link, call->id, 202);
   else if (pending != NULL)
     add_waiting_call (calls, link, call->id, id)->record_index = *pending;
-  else if (!quince_ledger_node_may_accept (calls->ledger))
-    quince_batch_answer_status (link, call->id, 503);
-  else if (samples_without_result > SAMPLES_WITHOUT_RESULT_MAX)
-    quince_batch_answer_status (link, call->id, 429);
-  else if (!admit_by_residency (calls, call, headers, id))
-    quince_batch_answer_status (link, call->id, 503);
   else
-    submit_batch (calls, link, call, headers, id);
+    accept_submission (calls, samples_without_result, link, call, headers, id);
 }
 
 /* ---- Calls ------------------------------------------------------------ */
 
-/* Returns the status for a batch that is unknown or not visible to the caller: 503 while its submission is
+/* Answers a call about a batch that is unknown or not visible to the caller: 503 while its submission is
  * uncommitted, 401 if it exists and the caller has no key, and otherwise 404, which hides the batches of
  * other tenants. */
-static guint
-get_unavailable_status (const QuinceBatchEntry *entry, const char *tenant, gboolean pending)
+static void
+answer_unavailable (QuinceBatchCalls *calls,
+                    QuinceLink *link,
+                    const QuinceServiceCall *call,
+                    const char *batch_id,
+                    const QuinceBatchEntry *entry,
+                    const char *tenant)
 {
+  gboolean pending = batch_id != NULL && g_hash_table_contains (calls->pending_submissions, batch_id);
   if (entry != NULL)
-    return *tenant == '\0' ? 401 : 404;
-  return pending ? 503 : 404;
+    quince_batch_answer_status (link, call->id, *tenant == '\0' ? 401 : 404);
+  else if (pending)
+    quince_call_refusals_answer (calls->refusals, link, call->id,
+                                 QUINCE_LEDGER_REFUSAL_SUBMISSION_UNCOMMITTED, batch_id);
+  else
+    quince_batch_answer_status (link, call->id, 404);
 }
 
 static void
@@ -255,11 +316,9 @@
 {
   QuinceBatchEntry *entry
       = parsed->batch_id != NULL ? quince_batch_table_find (calls->table, parsed->batch_id) : NULL;
-  gboolean pending
-      = parsed->batch_id != NULL && g_hash_table_contains (calls->pending_submissions, parsed->batch_id);
   const char *tenant = quince_platform_read_tenant (headers);
   if (entry == NULL || !is_visible_to_tenant (entry, tenant))
-    quince_batch_answer_status (link, call->id, get_unavailable_status (entry, tenant, pending));
+    answer_unavailable (calls, link, call, parsed->batch_id, entry, tenant);
   else if (parsed->kind == QUINCE_CALL_RESULTS)
     handle_results_call (calls, link, call, headers, parsed, entry);
   else if (parsed->kind == QUINCE_CALL_ITEM)
@@ -329,8 +388,7 @@
                                           : NULL;
       if (entry == NULL || waiting_call->position >= entry->results->len)
         continue;
-      quince_batch_answer_results (calls->result_cache, waiting_call->link, waiting_call->call_id, entry,
-                                   waiting_call->position);
+      answer_results (calls, waiting_call->link, waiting_call->call_id, entry, waiting_call->position);
       g_ptr_array_remove_index_fast (calls->waiting_calls, i - 1);
     }
   return G_SOURCE_REMOVE;
@@ -352,8 +410,9 @@
     {
       const WaitingCall *waiting_call = calls->waiting_calls->pdata[i];
       /* The next leader may still commit a record that is in the log. */
-      quince_batch_answer_status (waiting_call->link, waiting_call->call_id,
-                                  waiting_call->record_index != 0 ? 504 : 503);
+      refuse_waiting_call (waiting_call, waiting_call->record_index != 0
+                                             ? QUINCE_LEDGER_REFUSAL_OUTCOME_UNKNOWN
+                                             : QUINCE_LEDGER_REFUSAL_LEAD_ENDED);
     }
   g_ptr_array_set_size (calls->waiting_calls, 0);
   quince_timer_clear (&calls->answer_timer);
@@ -367,9 +426,10 @@
 /* ---- Lifecycle ----------------------------------------------------------- */
 
 QuinceBatchCalls *
-quince_batch_calls_new (void)
+quince_batch_calls_new (QuinceCallRefusals *refusals)
 {
   QuinceBatchCalls *calls = g_new0 (QuinceBatchCalls, 1);
+  calls->refusals = refusals;
   calls->pending_submissions = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   calls->waiting_calls = g_ptr_array_new_with_free_func (waiting_call_free);
   calls->result_cache = quince_result_cache_new (RESULT_CACHE_MAX_BYTES);
--- a/daemons/replica/batch-calls.h
+++ b/daemons/replica/batch-calls.h
@@ -13,13 +13,15 @@
 #include "core/batches/batch-table.h"
 #include "runtime/link.h"
 
+#include "call-refusals.h"
 #include "ledger-node.h"
 #include "result-queue.h"
 #include "residency-coordinator.h"
 
 typedef struct _QuinceBatchCalls QuinceBatchCalls;
 
-QuinceBatchCalls *quince_batch_calls_new (void);
+/* @refusals: (transfer none): answers refused calls; must outlive the returned object */
+QuinceBatchCalls *quince_batch_calls_new (QuinceCallRefusals *refusals);
 void quince_batch_calls_free (QuinceBatchCalls *calls);
 /* Call once, before any call is handled.  @ledger and @residency: (transfer none): must outlive @calls */
 void quince_batch_calls_set_ledger (QuinceBatchCalls *calls,
--- a/daemons/replica/batch-service.c
+++ b/daemons/replica/batch-service.c
@@ -8,8 +8,8 @@
 #include "runtime/clock.h"
 #include "runtime/timer.h"
 
-#include "batch-answers.h"
 #include "batch-calls.h"
+#include "call-refusals.h"
 #include "result-queue.h"
 #include "sample-shares.h"
 #include "step-demand.h"
@@ -31,6 +31,7 @@
   /* These are owned: */
   QuinceBatchTable *table; /* NULL at a backup; created when a new leader reads its log */
   QuinceBatchCalls *calls;
+  QuinceCallRefusals *refusals;
   QuinceSampleRunner *runner; /* NULL: not leading */
   QuinceResultQueue *results; /* NULL: not leading */
   QuinceTimer *forget_timer;
@@ -150,8 +151,11 @@
                                   const QuinceServiceCall *call)
 {
   /* The table is incomplete while a new leader reads its log. */
-  if (service->runner == NULL || !quince_ledger_node_may_answer (service->ledger))
-    quince_batch_answer_status (link, call->id, 503);
+  QuinceLedgerRefusal refusal = quince_ledger_node_get_answer_refusal (service->ledger);
+  if (refusal == QUINCE_LEDGER_REFUSAL_NONE && service->runner == NULL)
+    refusal = QUINCE_LEDGER_REFUSAL_LOG_UNREAD;
+  if (refusal != QUINCE_LEDGER_REFUSAL_NONE)
+    quince_call_refusals_answer (service->refusals, link, call->id, refusal, NULL);
   else
     quince_batch_calls_handle_call (service->calls, service->samples_without_result, link, call);
 }
@@ -373,7 +377,8 @@
   service->progress = progress;
   service->retention_us = retention_us;
   service->result_window_us = result_window_us;
-  service->calls = quince_batch_calls_new ();
+  service->refusals = quince_call_refusals_new ();
+  service->calls = quince_batch_calls_new (service->refusals);
   return service;
 }
 
@@ -388,6 +393,7 @@
   service->residency = residency;
   service->progress_file = progress_file;
   service->copies = copies;
+  quince_call_refusals_set_ledger (service->refusals, ledger);
   quince_batch_calls_set_ledger (service->calls, ledger, residency);
 }
 
@@ -400,6 +406,7 @@
   quince_result_queue_free (service->results);
   quince_sample_runner_free (service->runner);
   quince_batch_calls_free (service->calls);
+  quince_call_refusals_free (service->refusals);
   quince_batch_table_free (service->table);
   g_free (service);
 }
--- a/daemons/replica/ledger-node-private.h
+++ b/daemons/replica/ledger-node-private.h
@@ -11,6 +11,7 @@
 #include "ledger-follower.h"
 #include "ledger-member-links.h"
 #include "ledger-membership.h"
+#include "ledger-outage.h"
 #include "ledger-records.h"
 #include "ledger-replication.h"
 #include "ledger-storage.h"
@@ -31,6 +32,7 @@
   QuinceLedgerFollower *follower;
   QuinceLedgerReplication *replication;
   QuinceLedgerRecords *records;
+  QuinceLedgerOutage outage;
 
   QuinceLinkServer *server;
   GHashTable *incoming_links; /* QuinceLink, owned: from fronts, backups and other members */
--- a/daemons/replica/ledger-node-state.c
+++ b/daemons/replica/ledger-node-state.c
@@ -59,18 +59,36 @@
   return quince_ledger_records_is_recovered (node->records);
 }
 
+/* Returns @refusal, or that the log is not read yet if the group refuses nothing. */
+static QuinceLedgerRefusal
+add_unread_log (const QuinceLedgerNode *node, QuinceLedgerRefusal refusal)
+{
+  gboolean is_unread = refusal == QUINCE_LEDGER_REFUSAL_NONE && !quince_ledger_node_is_leading (node);
+  return is_unread ? QUINCE_LEDGER_REFUSAL_LOG_UNREAD : refusal;
+}
+
+QuinceLedgerRefusal
+quince_ledger_node_get_answer_refusal (const QuinceLedgerNode *node)
+{
+  return add_unread_log (node, quince_ledger_group_get_answer_refusal (node->group, quince_now_us ()));
+}
+
+QuinceLedgerRefusal
+quince_ledger_node_get_accept_refusal (const QuinceLedgerNode *node)
+{
+  return add_unread_log (node, quince_ledger_group_get_accept_refusal (node->group, quince_now_us ()));
+}
+
 gboolean
 quince_ledger_node_may_answer (const QuinceLedgerNode *node)
 {
-  return quince_ledger_node_is_leading (node)
-         && quince_ledger_group_may_answer (node->group, quince_now_us ());
+  return quince_ledger_node_get_answer_refusal (node) == QUINCE_LEDGER_REFUSAL_NONE;
 }
 
 gboolean
 quince_ledger_node_may_accept (const QuinceLedgerNode *node)
 {
-  return quince_ledger_node_is_leading (node)
-         && quince_ledger_group_may_accept (node->group, quince_now_us ());
+  return quince_ledger_node_get_accept_refusal (node) == QUINCE_LEDGER_REFUSAL_NONE;
 }
 
 gboolean
--- a/daemons/replica/ledger-node.c
+++ b/daemons/replica/ledger-node.c
@@ -275,6 +275,8 @@
   quince_ledger_storage_compact (node->storage, now_us);
   if (quince_ledger_records_get_epoch (node->records) != 0)
     run_leader_tasks (node, now_us);
+  quince_ledger_outage_update (&node->outage, node->group, quince_ledger_node_get_answer_refusal (node),
+                               node->self.replica, now_us);
   return G_SOURCE_CONTINUE;
 }
 
--- a/daemons/replica/ledger-node.h
+++ b/daemons/replica/ledger-node.h
@@ -115,10 +115,14 @@
 
 /* Returns %TRUE if this replica is the leader and has read its log. */
 gboolean quince_ledger_node_is_leading (const QuinceLedgerNode *node);
-/* Returns %TRUE if this replica is leading and may answer calls about batches, since no other replica can be
- * the leader now. */
+/* Returns: why this replica may not answer calls about batches now; %QUINCE_LEDGER_REFUSAL_NONE if it is
+ * leading and no other replica can be the leader */
+QuinceLedgerRefusal quince_ledger_node_get_answer_refusal (const QuinceLedgerNode *node);
+/* Returns: why this replica may not accept changes now; %QUINCE_LEDGER_REFUSAL_NONE if it may answer and can
+ * also commit new records */
+QuinceLedgerRefusal quince_ledger_node_get_accept_refusal (const QuinceLedgerNode *node);
+/* Return %TRUE if the function above returns %QUINCE_LEDGER_REFUSAL_NONE. */
 gboolean quince_ledger_node_may_answer (const QuinceLedgerNode *node);
-/* Returns %TRUE if this replica may answer and can also commit new records now. */
 gboolean quince_ledger_node_may_accept (const QuinceLedgerNode *node);
 /* Returns %TRUE if this replica is leading and may give orders to workers.  No other replica can have given
  * any within the order pause (QuinceLedgerLimits). */
--- a/lib/core/group/ledger-group.h
+++ b/lib/core/group/ledger-group.h
@@ -20,6 +20,7 @@
 
 #include "protocol/codec.h"
 #include "core/group/ledger-persistent-state.h"
+#include "core/group/ledger-refusal.h"
 #include "core/group/ledger-view.h"
 
 G_BEGIN_DECLS
@@ -285,11 +286,20 @@
 const QuinceLedgerView *quince_ledger_group_get_view (const QuinceLedgerGroup *group);
 /* Returns: the index up to which a quorum has every record on disk; a backup does not update it */
 guint64 quince_ledger_group_get_commit_index (QuinceLedgerGroup *group);
-/* Returns %TRUE if this replica is the leader, has every record that was ever acknowledged, and no other
- * replica can be leader now.  %FALSE while a proposed handover is undecided. */
+/* Returns: why this replica may not answer calls now; %QUINCE_LEDGER_REFUSAL_NONE if it is the leader, has
+ * every record that was ever acknowledged, and no other replica can be leader now */
+QuinceLedgerRefusal quince_ledger_group_get_answer_refusal (QuinceLedgerGroup *group, gint64 now_us);
+/* Returns: why this replica may not accept changes now; %QUINCE_LEDGER_REFUSAL_NONE if it may answer and can
+ * also commit new records */
+QuinceLedgerRefusal quince_ledger_group_get_accept_refusal (QuinceLedgerGroup *group, gint64 now_us);
+/* Return %TRUE if the function above returns %QUINCE_LEDGER_REFUSAL_NONE. */
 gboolean quince_ledger_group_may_answer (QuinceLedgerGroup *group, gint64 now_us);
-/* Returns %TRUE if this leader may answer and can also commit new records now. */
 gboolean quince_ledger_group_may_accept (QuinceLedgerGroup *group, gint64 now_us);
+/* Returns: index of the first record of the epoch that this replica leads or last led; 0: it never led */
+guint64 quince_ledger_group_get_recovery_index (const QuinceLedgerGroup *group);
+/* Returns: how many members of the known view, including this replica if it is one, have recently
+ * acknowledged a message of this leader */
+guint quince_ledger_group_count_lease_members (const QuinceLedgerGroup *group, gint64 now_us);
 /* Returns %TRUE if this replica is the leader and may give orders to workers.  No other replica can have
  * given any within the order pause. */
 gboolean quince_ledger_group_may_order (QuinceLedgerGroup *group, gint64 now_us);
--- a/lib/core/group/ledger-leases.c
+++ b/lib/core/group/ledger-leases.c
@@ -66,10 +66,10 @@
 
 /* ---- Leases ----------------------------------------------------------- */
 
-/* Returns whether a quorum of @view, including this replica if it is a member, has recently acknowledged a
+/* Returns how many members of @view, including this replica if it is a member, have recently acknowledged a
  * message. */
-static gboolean
-has_quorum_lease_in (const QuinceLedgerGroup *group, gint64 now_us, const QuinceLedgerView *view)
+static guint
+count_lease_members_in (const QuinceLedgerGroup *group, gint64 now_us, const QuinceLedgerView *view)
 {
   guint count = 0;
   for (guint i = 0; i < view->members.members_len; i++)
@@ -80,7 +80,19 @@
                               && now_us - peer->acked_sent_us <= group->limits.lease_duration_us;
       count += replica == group->self.replica || has_answered;
     }
-  return count >= quince_ledger_group_get_quorum (group, view);
+  return count;
+}
+
+guint
+quince_ledger_group_count_lease_members (const QuinceLedgerGroup *group, gint64 now_us)
+{
+  return group->view != NULL ? count_lease_members_in (group, now_us, group->view) : 0;
+}
+
+static gboolean
+has_quorum_lease_in (const QuinceLedgerGroup *group, gint64 now_us, const QuinceLedgerView *view)
+{
+  return count_lease_members_in (group, now_us, view) >= quince_ledger_group_get_quorum (group, view);
 }
 
 gboolean
@@ -158,21 +170,47 @@
   return store_confirms_leader (group, now_us) || quince_ledger_group_has_quorum_lease (group, now_us);
 }
 
+QuinceLedgerRefusal
+quince_ledger_group_get_answer_refusal (QuinceLedgerGroup *group, gint64 now_us)
+{
+  if (group->role != QUINCE_LEDGER_LEADER)
+    return QUINCE_LEDGER_REFUSAL_NOT_LEADER;
+  if (has_proposed_handover (group))
+    return QUINCE_LEDGER_REFUSAL_HANDOVER;
+  if (!quince_ledger_group_has_leader_lease (group, now_us))
+    return QUINCE_LEDGER_REFUSAL_NO_LEASE;
+  if (quince_ledger_group_get_commit_index (group) < group->recovery_index)
+    return QUINCE_LEDGER_REFUSAL_EPOCH_UNCOMMITTED;
+  return QUINCE_LEDGER_REFUSAL_NONE;
+}
+
+QuinceLedgerRefusal
+quince_ledger_group_get_accept_refusal (QuinceLedgerGroup *group, gint64 now_us)
+{
+  QuinceLedgerRefusal refusal = quince_ledger_group_get_answer_refusal (group, now_us);
+  if (refusal != QUINCE_LEDGER_REFUSAL_NONE)
+    return refusal;
+  gboolean can_commit = quince_ledger_group_has_quorum_lease (group, now_us)
+                        && group->view->members.members_len >= group->limits.quorum;
+  return can_commit ? QUINCE_LEDGER_REFUSAL_NONE : QUINCE_LEDGER_REFUSAL_NO_QUORUM;
+}
+
 gboolean
 quince_ledger_group_may_answer (QuinceLedgerGroup *group, gint64 now_us)
 {
-  if (group->role != QUINCE_LEDGER_LEADER || has_proposed_handover (group))
-    return FALSE;
-  return quince_ledger_group_has_leader_lease (group, now_us)
-         && quince_ledger_group_get_commit_index (group) >= group->recovery_index;
+  return quince_ledger_group_get_answer_refusal (group, now_us) == QUINCE_LEDGER_REFUSAL_NONE;
 }
 
 gboolean
 quince_ledger_group_may_accept (QuinceLedgerGroup *group, gint64 now_us)
 {
-  return quince_ledger_group_may_answer (group, now_us)
-         && quince_ledger_group_has_quorum_lease (group, now_us)
-         && group->view->members.members_len >= group->limits.quorum;
+  return quince_ledger_group_get_accept_refusal (group, now_us) == QUINCE_LEDGER_REFUSAL_NONE;
+}
+
+guint64
+quince_ledger_group_get_recovery_index (const QuinceLedgerGroup *group)
+{
+  return group->recovery_index;
 }
 
 gboolean
