Ledger: an end that cannot be committed is refused at once

What callers saw: while a leader is confirmed by the store alone (a view of no more members than a quorum, one of them lost), a DELETE of a batch gets no answer; the front gives up after 1.5 s with 503, cause=ledger_unreachable. Reads are answered meanwhile.

Cause: handle_end_call() appended the record without a look at quince_ledger_node_may_accept(), and took index 0 (not appended) for the index of a record: such a call would have waited as a read of position 0 and could have been answered 200 without an end.

Change: the end is refused at once with the reason of quince_ledger_node_get_accept_refusal(), and also if it was not appended.

Index 0 was not reproduced: append returns it only before the log is read and for records that can't be encoded.

--- a/daemons/replica/batch-calls.c
+++ b/daemons/replica/batch-calls.c
@@ -139,6 +139,18 @@
   return *entry->tenant == '\0' || g_str_equal (entry->tenant, tenant);
 }
 
+/* Returns: the index of the record, or 0 if it was not appended */
+static guint64
+append_end (QuinceBatchCalls *calls, const QuinceBatchEntry *entry)
+{
+  /* A read that follows the answer to this call must return the results that are ready now. */
+  if (calls->results != NULL)
+    quince_result_queue_flush_batch (calls->results, entry->batch->id);
+  QuinceBatchRecord record = { .kind = QUINCE_BATCH_RECORD_END };
+  record.QuinceBatchRecord_u.ended = entry->batch->id;
+  return quince_ledger_node_append (calls->ledger, &record);
+}
+
 static void
 handle_end_call (QuinceBatchCalls *calls,
                  QuinceLink *link,
@@ -150,13 +162,15 @@
       quince_batch_answer_status (link, call->id, 200);
       return;
     }
-  /* A read that follows the answer to this call must return the results that are ready now. */
-  if (calls->results != NULL)
-    quince_result_queue_flush_batch (calls->results, entry->batch->id);
-  QuinceBatchRecord record = { .kind = QUINCE_BATCH_RECORD_END };
-  record.QuinceBatchRecord_u.ended = entry->batch->id;
-  guint64 index = quince_ledger_node_append (calls->ledger, &record);
-  add_waiting_call (calls, link, call->id, entry->batch->id)->record_index = index;
+  QuinceLedgerRefusal refusal = quince_ledger_node_get_accept_refusal (calls->ledger);
+  guint64 index = refusal == QUINCE_LEDGER_REFUSAL_NONE ? append_end (calls, entry) : 0;
+  if (index != 0)
+    add_waiting_call (calls, link, call->id, entry->batch->id)->record_index = index;
+  else
+    quince_call_refusals_answer (calls->refusals, link, call->id,
+                                 refusal != QUINCE_LEDGER_REFUSAL_NONE ? refusal
+                                                                       : QUINCE_LEDGER_REFUSAL_RECORD_INVALID,
+                                 entry->batch->id);
 }
 
 /* Appends a submission to the ledger.  A batch without a tenant is written in the older record format, which
