Ledger: members that are lost from a shrunk view are replaced

Cause: a view of more members than a quorum c and fewer than 2c - 1 that loses as many members as are tolerated keeps fewer than c. They hold all committed records and elect a leader, which commits nothing before the lost members are replaced. But a change was started, and a member was judged silent, only with a lease or answers of c members, and without contact to c members the leader fell silent to the others. A change needs m - c + 1 acknowledgements.

Change: the three guards ask for as many members as must acknowledge a change, while the store answers; without it they ask for a quorum as before. For full views and for ledgers that tolerate one loss the numbers are equal. Safety does not rest on them: a change is written to the store on the known revision, to members that have all records up to the first one of the leader's epoch.

--- a/lib/core/group/ledger-change-acks.c
+++ b/lib/core/group/ledger-change-acks.c
@@ -51,13 +51,16 @@
 
 /* ---- At a leader or candidate ------------------------------------------ */
 
-/* A leader without a quorum lease may be unable to complete a change, and each view that may be in force must
- * elect the next leader. */
+/* Returns whether this leader can complete a change: otherwise, each view that may be in force would have to
+ * elect the next leader.  Without a quorum lease, members that are enough to acknowledge the change and an
+ * answer of the store suffice: lost members must be replaceable even if no quorum of them is left. */
 static gboolean
 may_start_change (const QuinceLedgerGroup *group, gint64 now_us)
 {
-  return quince_ledger_group_get_change_acks_needed (group, group->view) <= 1
-         || quince_ledger_group_has_quorum_lease (group, now_us);
+  guint needed = quince_ledger_group_get_change_acks_needed (group, group->view);
+  return needed <= 1 || quince_ledger_group_has_quorum_lease (group, now_us)
+         || (quince_ledger_group_has_store_contact (group, now_us)
+             && quince_ledger_group_count_lease_members (group, now_us) >= needed);
 }
 
 static gboolean
--- a/lib/core/group/ledger-group-private.h
+++ b/lib/core/group/ledger-group-private.h
@@ -123,8 +123,12 @@
 guint64 quince_ledger_group_get_greatest_epoch (const QuinceLedgerGroup *group);
 
 /* ---- ledger-leases.c ---- */
+/* Returns %TRUE if a recent answer of the metadata store confirms the known revision, so that a change of it
+ * can be written. */
+gboolean quince_ledger_group_has_store_contact (const QuinceLedgerGroup *group, gint64 now_us);
 /* Returns %TRUE if messages from a quorum of each view that may be in force arrived within the leader
- * timeout. Also %TRUE for that long after this replica became leader. */
+ * timeout, or, while the store answers, from enough members of the known view to replace the others. Also
+ * %TRUE for that long after this replica became leader. */
 gboolean quince_ledger_group_has_quorum_contact (const QuinceLedgerGroup *group, gint64 now_us);
 /* Returns %TRUE if a quorum acknowledged messages of this leader within the lease duration: no candidate can
  * have enough promises then. */
--- a/lib/core/group/ledger-leases.c
+++ b/lib/core/group/ledger-leases.c
@@ -116,10 +116,8 @@
          && now_us - group->confirmed_us <= group->limits.lease_duration_us;
 }
 
-/* Returns whether messages of a quorum of @view, including this replica if it is a member, arrived within the
- * leader timeout. */
-static gboolean
-has_quorum_contact_in (const QuinceLedgerGroup *group, gint64 now_us, const QuinceLedgerView *view)
+static guint
+count_contacts_in (const QuinceLedgerGroup *group, gint64 now_us, const QuinceLedgerView *view)
 {
   guint count = 0;
   for (guint i = 0; i < view->members.members_len; i++)
@@ -129,7 +127,25 @@
       gboolean in_contact = peer != NULL && now_us - peer->contact_us < group->limits.leader_timeout_us;
       count += replica == group->self.replica || in_contact;
     }
-  return count >= quince_ledger_group_get_quorum (group, view);
+  return count;
+}
+
+/* Returns how many members of the known view must be in contact for this leader to commit, or to replace the
+ * others. */
+static guint
+get_contacts_needed (const QuinceLedgerGroup *group, gint64 now_us)
+{
+  guint quorum = quince_ledger_group_get_quorum (group, group->view);
+  guint change_acks = quince_ledger_group_get_change_acks_needed (group, group->view);
+  /* A leader that needs no acknowledgement but its own could keep members from a leader that hears them. */
+  return change_acks > 1 && quince_ledger_group_has_store_contact (group, now_us) ? MIN (quorum, change_acks)
+                                                                                  : quorum;
+}
+
+gboolean
+quince_ledger_group_has_store_contact (const QuinceLedgerGroup *group, gint64 now_us)
+{
+  return now_us - group->confirmed_us < group->limits.leader_timeout_us;
 }
 
 gboolean
@@ -138,9 +154,12 @@
   if (now_us - group->leading_since_us < group->limits.leader_timeout_us)
     return TRUE;
   for (guint i = 0; i < group->outstanding->len; i++)
-    if (!has_quorum_contact_in (group, now_us, group->outstanding->pdata[i]))
-      return FALSE;
-  return has_quorum_contact_in (group, now_us, group->view);
+    {
+      const QuinceLedgerView *view = group->outstanding->pdata[i];
+      if (count_contacts_in (group, now_us, view) < quince_ledger_group_get_quorum (group, view))
+        return FALSE;
+    }
+  return count_contacts_in (group, now_us, group->view) >= get_contacts_needed (group, now_us);
 }
 
 /* Returns whether another replica may lead as soon as the store names it: this leader has proposed to hand
--- a/lib/core/group/ledger-proposals.c
+++ b/lib/core/group/ledger-proposals.c
@@ -82,10 +82,10 @@
   return first > second ? -1 : first < second;
 }
 
-/* Returns the time up to which a quorum of the members without @replica has answered; @now_us if they are
- * fewer than a quorum. */
+/* Returns the time up to which enough of the members without @replica have answered to acknowledge a change;
+ * @now_us if they are fewer than a quorum. */
 static gint64
-get_quorum_answer_us (const QuinceLedgerGroup *group, gint64 now_us, guint64 replica)
+get_common_answer_us (const QuinceLedgerGroup *group, gint64 now_us, guint64 replica)
 {
   g_autoptr (GArray) answers = g_array_new (FALSE, FALSE, sizeof (gint64));
   for (guint i = 0; i < group->view->members.members_len; i++)
@@ -97,18 +97,19 @@
     }
   if (answers->len < group->limits.quorum)
     return now_us;
+  guint needed = MIN (group->limits.quorum, quince_ledger_group_get_change_acks_needed (group, group->view));
   g_array_sort (answers, compare_latest_first);
-  return g_array_index (answers, gint64, group->limits.quorum - 1);
+  return g_array_index (answers, gint64, needed - 1);
 }
 
-/* Returns whether a quorum of the other members has answered for the member timeout, and @replica has not.  A
- * leader that hears no quorum cannot tell which member is lost: it would have members acknowledge a change
- * that it cannot complete. */
+/* Returns whether enough of the other members have answered for the member timeout, and @replica has not.  A
+ * leader that hears fewer cannot tell which member is lost: it would have members acknowledge a change that
+ * it cannot complete. */
 static gboolean
 is_silent (const QuinceLedgerGroup *group, gint64 now_us, guint64 replica)
 {
   gint64 silence_us
-      = get_quorum_answer_us (group, now_us, replica) - get_last_answer_us (group, now_us, replica);
+      = get_common_answer_us (group, now_us, replica) - get_last_answer_us (group, now_us, replica);
   return silence_us > group->limits.member_timeout_us;
 }
 
