Ledger: an outage goes on while leaders that cannot answer replace each other

Change: the outage of a replica ends when it may answer, or when it has not been taken for the leader for 3 s.

--- a/daemons/replica/ledger-outage.c
+++ b/daemons/replica/ledger-outage.c
@@ -53,16 +53,20 @@
                              guint64 replica,
                              gint64 now_us)
 {
+  gboolean is_taken = is_taken_for_leader (group, replica);
   if (refusal == QUINCE_LEDGER_REFUSAL_NONE)
     end_outage (outage, now_us);
-  else if (!is_taken_for_leader (group, replica))
+  else if (!is_taken && now_us - outage->last_taken_us >= LOGGED_OUTAGE_MIN_US)
     *outage = (QuinceLedgerOutage){ 0 };
-  else if (outage->started_us == 0)
+  if (refusal == QUINCE_LEDGER_REFUSAL_NONE || !is_taken)
+    return;
+  outage->last_taken_us = now_us;
+  if (outage->started_us == 0)
     outage->started_us = now_us;
-  else if (now_us - outage->started_us >= LOGGED_OUTAGE_MIN_US
-           && (outage->logged_us == 0 || now_us - outage->logged_us >= LOG_INTERVAL_US))
-    {
-      log_outage (outage, group, refusal, now_us);
-      outage->logged_us = now_us;
-    }
+  gint64 logged_us = outage->logged_us;
+  if (now_us - outage->started_us < LOGGED_OUTAGE_MIN_US
+      || (logged_us != 0 && now_us - logged_us < LOG_INTERVAL_US))
+    return;
+  log_outage (outage, group, refusal, now_us);
+  outage->logged_us = now_us;
 }
