Ledger: a late member does not keep lost ones from being replaced

What operators see: a member is lost or drained, spares are at hand, and the view stays as it is for many seconds. With one more loss reads may be refused.

Cause: the leader proposed a view only while each of its members had acknowledged the commit index. A member that acknowledges each record after the next one is committed does so by chance alone.

Change: a quorum of the proposed view, and each new member, must have all committed records. Any set of members that elects a leader then includes one that has them. If the known view has no more members than a quorum, all members are needed as before: the store alone confirms a former leader there, which may answer for the length of the lease.

--- a/lib/core/group/ledger-proposals.c
+++ b/lib/core/group/ledger-proposals.c
@@ -273,18 +273,25 @@
   return FALSE;
 }
 
-/* Returns whether each member of @view has all committed records, since any of them may lead next. */
+/* Returns whether enough members of @view have all committed records.  With a quorum that has them, any set
+ * of members that elects a leader of @view includes one of these, and no candidate without the records is
+ * promised.  The others may be late, or lost and not replaced yet.
+ * If the known view has no more members than a quorum, all members must follow this leader first: a former
+ * leader that the store has confirmed may answer until then (store_confirms_leader()), as it relies on being
+ * part of every quorum. */
 static gboolean
-are_members_caught_up (QuinceLedgerGroup *group, gint64 now_us, const QuinceLedgerView *view)
+are_enough_caught_up (QuinceLedgerGroup *group, gint64 now_us, const QuinceLedgerView *view)
 {
+  gboolean all_needed = group->view->members.members_len <= group->limits.quorum;
+  guint needed = all_needed ? view->members.members_len : quince_ledger_group_get_quorum (group, view);
+  guint count = 0;
   for (guint i = 0; i < view->members.members_len; i++)
     {
       guint64 replica = view->members.members_val[i].replica;
       const QuinceLedgerPeer *peer = quince_ledger_group_find_peer (group, replica);
-      if (replica != group->self.replica && (peer == NULL || !is_caught_up (group, now_us, peer)))
-        return FALSE;
+      count += replica == group->self.replica || (peer != NULL && is_caught_up (group, now_us, peer));
     }
-  return TRUE;
+  return count >= needed;
 }
 
 static QuinceLedgerView *
@@ -307,7 +314,7 @@
       = group->proposal_may_apply || group->outstanding->len > 0 || group->wanted_view != NULL;
   if ((!changed && is_change_open) || group->outstanding->len >= QUINCE_LEDGER_CHANGE_VIEWS_MAX)
     return quince_ledger_view_copy (group->view);
-  gboolean caught_up = changed && are_members_caught_up (group, now_us, view);
+  gboolean caught_up = changed && are_enough_caught_up (group, now_us, view);
   return caught_up && quince_ledger_group_has_change_acks (group, now_us, view) ? g_steal_pointer (&view)
                                                                                 : NULL;
 }
--- a/tests/unit/ledger-parts.h
+++ b/tests/unit/ledger-parts.h
@@ -108,6 +108,7 @@
   guint zones;  /* number of zones, assigned round robin; 0: no zones are set */
   WorldNode nodes[WORLD_NODES_MAX];
   gboolean cut[WORLD_NODES_MAX][WORLD_NODES_MAX];   /* [from][to]: messages are dropped */
+  gint64 delay_us[WORLD_NODES_MAX];                 /* further delay of messages that the node sends */
   gint64 link_us[WORLD_NODES_MAX][WORLD_NODES_MAX]; /* arrival time of the latest message on that link */
   GPtrArray *messages;                              /* WorldMessage, owned */
   gboolean store_down;                              /* the store is unreachable from all machines */
@@ -293,7 +294,7 @@
   message->kind = kind;
   message->from = from;
   message->to = to;
-  message->due_us = world->now_us + g_rand_int_range (world->random, 200, 4000);
+  message->due_us = world->now_us + world->delay_us[from] + g_rand_int_range (world->random, 200, 4000);
   if (g_rand_int_range (world->random, 0, 50) == 0)
     message->due_us += 300 * 1000; /* retransmission */
   if (from != to)
--- a/tests/unit/test-ledger-two-members.c
+++ b/tests/unit/test-ledger-two-members.c
@@ -117,10 +117,37 @@
     }
 }
 
+/* The members are cut off from each other.  Both read the store, until the other member has taken the lead
+ * there: the former leader may then answer for as long as its last read confirms it.  Guards against a change
+ * of members that lets the next leader commit records within that time (world_check()). */
+static void
+test_former_leader_confirmed_by_store (void **state)
+{
+  for (guint32 seed = 1; seed <= SEEDS; seed++)
+    {
+      World *world = new_world_of_two (11000 + seed);
+      guint leader = (guint)world_find_leader (world);
+      guint other = find_other (world, leader);
+      world_cut_off (world, leader, TRUE);
+      world_start (world, 3 - leader - other, FALSE);
+      for (guint i = 0; i < 500 && world->view->primary != world->nodes[other].disk.replica; i++)
+        world_run (world, 10);
+      assert_int_equal (world->view->primary, world->nodes[other].disk.replica);
+      world->store_unreachable[leader] = TRUE;
+      world_run (world, 8000);
+      assert_commits_continue (world, 1000);
+      world->store_unreachable[leader] = FALSE;
+      world_cut_off (world, leader, FALSE);
+      world_run (world, 3000);
+      world_free (world);
+    }
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = { cmocka_unit_test (test_silence_while_store_is_silent),
+                                      cmocka_unit_test (test_former_leader_confirmed_by_store),
                                       cmocka_unit_test (test_store_silent_during_election) };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
