Items and their reward calls are owed: they are never held

Cause: the leader sent samples and reward calls under the rule for lookups (quince_admission_for_request). A held sample was checked each second until its queue time ended; a held reward call ended at once and was started again after 100 ms, each time in vain. Holds are kept in the store, so that a change of leader or a restart kept them.

Change: the admission decision has the input "owed", set for samples and reward calls. After the pause of a held prompt the item that ran last yields for 0.3 s, so that ends are met by different items and the pause grows. Lookups and streams are held as before. No message and no stored byte changes; a new log event, suspect_postponed.

--- a/daemons/replica/sample-dispatch.c
+++ b/daemons/replica/sample-dispatch.c
@@ -129,7 +129,7 @@
   quince_backends_describe_events (set->backends, quince_wall_ms (), request);
 }
 
-/* Logs that @sample is held or protected, unless it was logged before. */
+/* Logs that @sample is postponed or protected, unless it was logged before. */
 static void
 log_admission (QuinceSendGuard *guard,
                QuinceSample *sample,
@@ -138,8 +138,8 @@
                gint64 now_us)
 {
   const char *id = quince_sample_get_item (sample)->id;
-  if (admission != sample->logged_admission && admission == QUINCE_ADMISSION_HELD)
-    quince_send_guard_log_held (guard, now_us, quince_sample_get_identity (sample), id);
+  if (admission != sample->logged_admission && admission == QUINCE_ADMISSION_POSTPONED)
+    quince_send_guard_log_postponed (guard, now_us, quince_sample_get_identity (sample), id);
   else if (admission != sample->logged_admission && admission == QUINCE_ADMISSION_PROTECTED)
     quince_send_guard_log_protected (guard, now_us, quince_sample_get_identity (sample), id, service);
   sample->logged_admission = admission;
@@ -154,12 +154,12 @@
     return TRUE;
   sample->backends = set->backends;
   QuinceAdmission admission = quince_send_guard_admit (guard, now_us, quince_sample_get_identity (sample),
-                                                       service, &sample->permit);
+                                                       TRUE, service, &sample->permit);
   if (admission == QUINCE_ADMISSION_GRANTED || admission == QUINCE_ADMISSION_UNHEDGED
       || admission == QUINCE_ADMISSION_PERMIT)
     return TRUE;
   sample->next_attempt_us = now_us + quince_sample_admission_pause_us (admission);
-  if (admission == QUINCE_ADMISSION_HELD || admission == QUINCE_ADMISSION_PROTECTED)
+  if (admission == QUINCE_ADMISSION_POSTPONED || admission == QUINCE_ADMISSION_PROTECTED)
     log_admission (guard, sample, admission, service, now_us);
   else
     set->callbacks->request_dispatch (QUINCE_ADMISSION_RETRY_MS, set->owner);
--- a/lib/core/decisions/admission.c
+++ b/lib/core/decisions/admission.c
@@ -10,12 +10,14 @@
 QuinceAdmission
 quince_admission_for_request (const QuinceAdmissionInput *request)
 {
-  if (request->rule == QUINCE_SEND_HELD)
+  if (request->rule == QUINCE_SEND_HELD && !request->owed)
     return QUINCE_ADMISSION_HELD;
   if (request->loss_check_pending || request->permit_in_use)
     return QUINCE_ADMISSION_WAIT;
   if (request->rule == QUINCE_SEND_UNRESTRICTED)
     return QUINCE_ADMISSION_GRANTED;
+  if (request->rule == QUINCE_SEND_HELD && request->owed_wait_us > 0)
+    return QUINCE_ADMISSION_POSTPONED;
   return request->should_yield ? QUINCE_ADMISSION_WAIT : QUINCE_ADMISSION_PERMIT;
 }
 
--- a/lib/core/decisions/admission.h
+++ b/lib/core/decisions/admission.h
@@ -19,6 +19,7 @@
   QUINCE_ADMISSION_WAIT,      /* not yet: ask again after QUINCE_ADMISSION_RETRY_MS */
   QUINCE_ADMISSION_NO_PERMIT, /* not sent: no leader can grant a permit, or the wait timed out */
   QUINCE_ADMISSION_PROTECTED, /* not sent: the service has too few workers to risk the loss of another one */
+  QUINCE_ADMISSION_POSTPONED, /* not yet: owed work whose pause after an end of a worker is not over */
   QUINCE_ADMISSION_HELD,      /* not sent: the quarantine holds the request */
 } QuinceAdmission;
 
@@ -29,6 +30,10 @@
  * workers take seconds to restart, and each attempt counts the workers of the service. */
 #define QUINCE_ADMISSION_PROTECTED_RETRY_MS 200
 
+/* Pause before postponed work asks again, ms: the interval at which the leader checks all samples.  An answer
+ * to another request of the prompt may end the pause early. */
+#define QUINCE_ADMISSION_POSTPONED_RETRY_MS 100
+
 /**
  * QuinceAdmissionInput:
  * @rule: the stricter of the quarantine's rules for the request and for its prompt
@@ -37,6 +42,9 @@
  * @permit_in_use: this process already has a request in flight under the same permit
  * @should_yield: other requests with the same prompt are sent first, since the last worker that terminated
  *   under this prompt ran this request, a moment ago; see quince_quarantine_should_yield()
+ * @owed: the request is an item of an accepted batch, or its reward call: it must be run before its batch
+ * ends, however many workers terminated under it, since the cause may have been another request
+ * @owed_wait_us: time until the pause of owed work is over, us; see quince_quarantine_get_owed_wait_us()
  */
 typedef struct
 {
@@ -44,6 +52,8 @@
   gboolean loss_check_pending;
   gboolean permit_in_use;
   gboolean should_yield;
+  gboolean owed;
+  gint64 owed_wait_us;
 } QuinceAdmissionInput;
 
 /**
@@ -52,9 +62,12 @@
  * Decides from what this process knows of the request.  Prevents a request that crashes workers from being
  * retried until its service has no workers left; see docs/design/worker-ends.md.
  *
- * Returns: QUINCE_ADMISSION_GRANTED, QUINCE_ADMISSION_WAIT or QUINCE_ADMISSION_HELD; or
- * QUINCE_ADMISSION_PERMIT for a suspect, which is sent only if the capacity of the service allows it and the
- * leader grants a permit
+ * Owed work is never held.  Where the quarantine holds the same request or prompt of a caller, owed work is
+ * sent by a permit to run alone, after a pause.
+ *
+ * Returns: QUINCE_ADMISSION_GRANTED, QUINCE_ADMISSION_WAIT or QUINCE_ADMISSION_HELD;
+ * QUINCE_ADMISSION_POSTPONED for owed work alone; or QUINCE_ADMISSION_PERMIT for a suspect, which is sent
+ * only if the capacity of the service allows it and the leader grants a permit
  */
 QuinceAdmission quince_admission_for_request (const QuinceAdmissionInput *request);
 
--- a/lib/core/decisions/sample-next.c
+++ b/lib/core/decisions/sample-next.c
@@ -20,9 +20,6 @@
 #define UNPROCESSABLE_MAX 1
 /* Minimum pause after a refusal by the policy, ms; as for callers, see retry-after.c. */
 #define POLICY_PAUSE_MIN_MS 200
-/* Interval at which a held sample is checked, us: it is abandoned after its deadline and sent once an
- * operator has released it. */
-#define HELD_CHECK_INTERVAL_US (1 * G_USEC_PER_SEC)
 #define US_PER_MS 1000
 
 static QuinceSampleNext
@@ -102,8 +99,8 @@
 {
   switch (admission)
     {
-    case QUINCE_ADMISSION_HELD:
-      return HELD_CHECK_INTERVAL_US;
+    case QUINCE_ADMISSION_POSTPONED:
+      return QUINCE_ADMISSION_POSTPONED_RETRY_MS * US_PER_MS;
     case QUINCE_ADMISSION_PROTECTED:
       return QUINCE_ADMISSION_PROTECTED_RETRY_MS * US_PER_MS;
     default:
--- a/lib/core/request/quarantine.c
+++ b/lib/core/request/quarantine.c
@@ -18,6 +18,10 @@
  * times per second. */
 #define YIELD_US (1 * G_USEC_PER_SEC)
 
+/* Time after the pause of a held prompt for which an owed request yields to others of it, us: longer than the
+ * interval at which the leader checks waiting samples (100 ms). */
+#define YIELD_AFTER_PAUSE_US (300 * 1000)
+
 struct _QuinceQuarantine
 {
   QuinceQuarantineLimits limits;
@@ -429,7 +433,8 @@
   const QuinceSuspect *prompt
       = identity->has_prompt ? quince_quarantine_find (quarantine, &identity->prompt) : NULL;
   return prompt != NULL && prompt->member == quince_quarantine_hash_request (&identity->request)
-         && now_us - MAX (prompt->ended_us, quarantine->yield_restart_us) < YIELD_US;
+         && now_us - MAX (prompt->ended_us, quarantine->yield_restart_us)
+                < MAX (YIELD_US, quince_suspect_get_owed_pause_us (prompt) + YIELD_AFTER_PAUSE_US);
 }
 
 void
--- a/lib/core/request/quarantine.h
+++ b/lib/core/request/quarantine.h
@@ -6,7 +6,9 @@
  * workers, or the worker failed for another reason.  Therefore a suspect is sent under a permit, and only one
  * send of it is in flight.  From its second end it is sent alone: its permit excludes such permits of other
  * suspects at the service for a short time.  If a worker answers, the suspect is cleared.  A suspect is held,
- * that is, not sent any more, after four ends if it was sent alone at two of them.
+ * that is, not sent any more, after four ends if it was sent alone at two of them.  Items of batches and
+ * their reward calls are owed: if their suspect is held, they are sent after growing pauses; see
+ * core/decisions/admission.h.
  *
  * A prompt that several requests share is a suspect of its own.  The ends of its requests add up, so that a
  * prompt that crashes workers is held after as many ends as a single request.  An answer to any of its
@@ -64,7 +66,7 @@
  * @alone: number of ends at which it was sent alone; for a prompt, successive ends of the same request count
  * once
  * @member: for a prompt, the hash of the last request whose end was counted in @alone; 0: none
- * @held: it is not sent any more
+ * @held: it is not sent any more, unless it is owed
  * @ended_us: time of the last end
  * @service: (nullable): service of the worker that ended last
  * @software: (nullable): software version of that worker
@@ -97,7 +99,7 @@
   QUINCE_SEND_UNRESTRICTED, /* nothing: it is not a suspect                     */
   QUINCE_SEND_BY_PERMIT,    /* a permit, if there is a leader to grant one      */
   QUINCE_SEND_ALONE,        /* a permit to run alone, see quince_permits_take() */
-  QUINCE_SEND_HELD,         /* it must not be sent                              */
+  QUINCE_SEND_HELD,         /* it must not be sent, unless it is owed           */
 } QuinceSendRule;
 
 typedef struct _QuinceQuarantine QuinceQuarantine;
@@ -158,9 +160,25 @@
 guint64 quince_quarantine_hash_worker (const char *worker_id);
 /* Returns the hash of a request for QuinceSuspect.member; never 0. */
 guint64 quince_quarantine_hash_request (const QuinceRequestDigest *request);
+/**
+ * quince_suspect_get_owed_pause_us:
+ *
+ * Computes the pause of owed work after the last end of its suspect, or of the suspect of its prompt.  It
+ * doubles with each end at which the suspect was sent alone, from 0.5 s to 3 s.  A request that crashes
+ * workers thus costs its service one worker in 3 s at most, until its queue time or its batch ends; a
+ * harmless one is delayed by 3 s at most.
+ *
+ * Returns: the pause, us; 0 if @suspect is not held
+ */
+gint64 quince_suspect_get_owed_pause_us (const QuinceSuspect *suspect);
+/* Returns the time until the pauses of an owed request are over, us; 0 if neither it nor its prompt is held.
+ */
+gint64 quince_quarantine_get_owed_wait_us (const QuinceQuarantine *quarantine,
+                                           gint64 now_us,
+                                           const QuinceRequestIdentity *identity);
 /* Returns whether other requests of the same suspected prompt are to be sent before this one.  That is the
- * case for one second after the last end of the prompt, if this request is its QuinceSuspect.member: another
- * end of the same request would not count against the prompt. */
+ * case for one second after the last end of the prompt, and 0.3 s after the pause of a held one, if this
+ * request is its QuinceSuspect.member: another end of the same request would not count against the prompt. */
 gboolean quince_quarantine_should_yield (const QuinceQuarantine *quarantine,
                                          gint64 now_us,
                                          const QuinceRequestIdentity *identity);
--- a/lib/core/trace/log-vocabulary.c
+++ b/lib/core/trace/log-vocabulary.c
@@ -88,6 +88,7 @@
   "stopping",
   "suspect_cleared",
   "suspect_held",
+  "suspect_postponed",
   "suspect_released",
   "suspect_send_checked",
   "suspect_sent",
--- a/lib/forward/dispatch.c
+++ b/lib/forward/dispatch.c
@@ -272,8 +272,8 @@
   if (guard == NULL || quince_send_guard_is_idle (guard))
     return QUINCE_ADMISSION_GRANTED;
   const QuinceRequestIdentity *identity = get_identity (dispatch);
-  QuinceAdmission admission
-      = quince_send_guard_admit (guard, now_us, identity, dispatch->service, &dispatch->permit);
+  QuinceAdmission admission = quince_send_guard_admit (guard, now_us, identity, dispatch->is_reward,
+                                                       dispatch->service, &dispatch->permit);
   if (admission == QUINCE_ADMISSION_WAIT)
     return wait_for_admission (dispatch, now_us);
   dispatch->admission_wait_since_us = 0;
@@ -284,6 +284,19 @@
   return admission;
 }
 
+/* Handles a reward call under which workers ended; logs the first of successive waits. */
+static QuinceDispatchAction
+wait_while_postponed (QuinceDispatch *dispatch, gint64 now_us, guint *wait_ms)
+{
+  static const char postponed[] = "request_postponed";
+  QuinceSendGuard *guard = quince_backends_get_guard (dispatch->backends);
+  if (dispatch->cause != postponed)
+    quince_send_guard_log_postponed (guard, now_us, get_identity (dispatch), dispatch->request_id);
+  dispatch->cause = postponed;
+  *wait_ms = QUINCE_ADMISSION_POSTPONED_RETRY_MS;
+  return QUINCE_DISPATCH_WAIT;
+}
+
 /* Handles a suspect whose service has too few workers to risk the loss of another one. */
 static QuinceDispatchAction
 handle_protected_service (QuinceDispatch *dispatch, gboolean response_started, gint64 now_us, guint *wait_ms)
@@ -305,6 +318,8 @@
     case QUINCE_ADMISSION_HELD:
       dispatch->cause = "request_held";
       return QUINCE_DISPATCH_HELD;
+    case QUINCE_ADMISSION_POSTPONED:
+      return wait_while_postponed (dispatch, now_us, wait_ms);
     case QUINCE_ADMISSION_PROTECTED:
       return handle_protected_service (dispatch, response_started, now_us, wait_ms);
     case QUINCE_ADMISSION_NO_PERMIT:
--- a/lib/forward/forward.h
+++ b/lib/forward/forward.h
@@ -43,7 +43,8 @@
  * @headers: headers of the caller, without hop-by-hop headers
  * @body: (nullable): body of the request
  * @prompt: (nullable): parts of the prompt, %NULL-terminated; a worker that has them cached is preferred
- * @is_reward: it is a reward call of a sample, not a caller's request
+ * @is_reward: it is a reward call of a sample, not a caller's request; it is owed, so the quarantine does not
+ *   hold it, see core/decisions/admission.h
  * @earlier_runs: number of runs of the same reward call by earlier forwards
  * @mixed_targets: the service serves routes of different latency targets, see
  *   quince_route_table_has_mixed_targets(); response times are then measured by route, and hedges and retries
--- a/lib/forward/send-guard-log.c
+++ b/lib/forward/send-guard-log.c
@@ -68,6 +68,25 @@
                       (now_us - suspect->ended_us) / 1000);
 }
 
+void
+quince_send_guard_log_postponed (const QuinceSendGuard *guard,
+                                 gint64 now_us,
+                                 const QuinceRequestIdentity *identity,
+                                 const char *request_id)
+{
+  const QuinceSuspect *suspect = find_worst_suspect (guard, identity);
+  if (suspect == NULL)
+    return;
+  g_autofree char *digest = quince_request_digest_format (&suspect->digest);
+  quince_log_info ("suspect_postponed",
+                   "request=%s digest=%s scope=%s ends=%u alone=%u service=%s told_by=%s"
+                   " known_ms=%" G_GINT64_FORMAT " wait_ms=%" G_GINT64_FORMAT,
+                   request_id, digest, quince_suspect_scope_name (suspect->scope), suspect->n_workers,
+                   suspect->alone, suspect->service, get_reporter (suspect),
+                   (now_us - suspect->ended_us) / 1000,
+                   quince_quarantine_get_owed_wait_us (guard->quarantine, now_us, identity) / 1000);
+}
+
 /* Returns (transfer full): the ids of the listed workers of @service that are recorded as ended, separated by
  * commas */
 static char *
--- a/lib/forward/send-guard.h
+++ b/lib/forward/send-guard.h
@@ -73,10 +73,12 @@
  * digests need not be computed. */
 gboolean quince_send_guard_is_idle (const QuinceSendGuard *guard);
 /* Decides whether the request may be sent to a worker of @service now; requests a permit if it needs one.
- * @permit: (out): set if the function returns QUINCE_ADMISSION_PERMIT */
+ * @owed: it is an item of a batch or its reward call, see QuinceAdmissionInput.  @permit: (out): set if the
+ * function returns QUINCE_ADMISSION_PERMIT */
 QuinceAdmission quince_send_guard_admit (QuinceSendGuard *guard,
                                          gint64 now_us,
                                          const QuinceRequestIdentity *identity,
+                                         gboolean owed,
                                          const char *service,
                                          QuinceSendPermit *permit);
 /* Returns whether the request may be hedged at @service: it is not a suspect, no check of a lost worker is
@@ -141,6 +143,11 @@
                                  gint64 now_us,
                                  const QuinceRequestIdentity *identity,
                                  const char *request_id);
+/* Logs that the owed request @request_id waits, because its suspect or that of its prompt is held. */
+void quince_send_guard_log_postponed (const QuinceSendGuard *guard,
+                                      gint64 now_us,
+                                      const QuinceRequestIdentity *identity,
+                                      const char *request_id);
 /* Logs and counts that the request waits or is refused, because @service has too few workers to lose another
  * one. */
 void quince_send_guard_log_protected (const QuinceSendGuard *guard,
