Samples under suspicion take turns

What callers saw: a sound item that must run alone was not placed for as long as items before it ended each of their workers, and the same for its reward call: in a small service one of them may run whenever the service has recovered.

Cause: waiting samples were tried in the order of the queue at each check, so that the first one that was due took the permit as soon as the service survived one more end.

Change: while there are suspects, samples that have run by permit, or whose reward call ran in vain, come after the others, the one whose run is longest ago first (quince_sample_compare_turns). Expired samples are abandoned in a loop of their own, since the order now holds pointers to samples.

--- a/daemons/replica/sample-dispatch.c
+++ b/daemons/replica/sample-dispatch.c
@@ -83,6 +83,7 @@
 {
   const QuinceBatchJob *batch = sample->entry->batch;
   sample->single_version = route->single_version;
+  sample->suspect_run_us = sample->permit.taken ? quince_now_us () : sample->suspect_run_us;
   set->running++;
   if (sample->runs == 0)
     quince_step_reports_record_start (set->reports, sample->entry, quince_now_us ());
--- a/daemons/replica/sample-reward.c
+++ b/daemons/replica/sample-reward.c
@@ -30,6 +30,8 @@
       quince_sample_result_complete (set, sample, result->signature, "scored");
       return;
     }
+  if (result->first_run_us > 0)
+    sample->suspect_run_us = quince_now_us ();
   const QuinceRoute *route = quince_sample_set_find_route (set, call->host, call->path);
   if (result->outcome == QUINCE_FORWARD_REFUSED && route != NULL)
     quince_share_metrics_count_refusal (quince_backends_get_share_metrics (set->backends), route->name,
--- a/daemons/replica/sample-runner.c
+++ b/daemons/replica/sample-runner.c
@@ -61,6 +61,20 @@
   return sample->state == QUINCE_SAMPLE_WAITING && quince_sample_has_expired (sample->give_up_us, now_us);
 }
 
+/* Abandoning a sample removes it from the array. */
+static void
+abandon_expired_samples (QuinceSampleRunner *runner, gint64 now_us)
+{
+  for (guint i = 0; i < runner->set.samples->len;)
+    {
+      QuinceSample *sample = runner->set.samples->pdata[i];
+      if (has_expired (sample, now_us))
+        quince_sample_result_abandon (&runner->set, sample, "time_is_up");
+      else
+        i++;
+    }
+}
+
 /* Returns whether no worker has capacity, so that this check skips other samples with the same key. */
 static gboolean
 is_without_capacity (QuinceBackendOutcome outcome)
@@ -69,6 +83,44 @@
          || outcome == QUINCE_BACKEND_ZONES_UNKNOWN;
 }
 
+/* Starts a run of a waiting sample, or its reward call, if it is due.  @full_keys: capacity keys without a
+ * free worker */
+static void
+start_if_due (QuinceSampleRunner *runner, QuinceSample *sample, gint64 now_us, GHashTable *full_keys)
+{
+  if (now_us < sample->next_attempt_us)
+    return;
+  if (sample->state == QUINCE_SAMPLE_SCORING)
+    {
+      quince_sample_reward_start (&runner->set, sample);
+      return;
+    }
+  const char *capacity_key = get_capacity_key (runner, sample);
+  if (sample->last_event == 0 && now_us < runner->await_progress_until_us)
+    return;
+  if (g_hash_table_contains (full_keys, capacity_key))
+    return;
+  QuinceBackendOutcome outcome = quince_sample_dispatch (&runner->set, sample, now_us);
+  if (is_without_capacity (outcome) && sample->avoid_worker == NULL)
+    g_hash_table_add (full_keys, (char *)capacity_key);
+}
+
+/* Returns whether the sample waits for a run or for a reward call. */
+static gboolean
+is_waiting (const QuinceSample *sample)
+{
+  return sample->state == QUINCE_SAMPLE_WAITING
+         || (sample->state == QUINCE_SAMPLE_SCORING && sample->reward == NULL);
+}
+
+static gint
+compare_turns (gconstpointer a, gconstpointer b)
+{
+  const QuinceSample *first = *(const QuinceSample *const *)a;
+  const QuinceSample *second = *(const QuinceSample *const *)b;
+  return quince_sample_compare_turns (first->suspect_run_us, second->suspect_run_us);
+}
+
 void
 quince_sample_runner_check_samples (QuinceSampleRunner *runner)
 {
@@ -77,33 +129,25 @@
   gint64 now = quince_now_us ();
   /* Moves come first: each frees a slot that a waiting sample can use. */
   quince_sample_moves_check (&runner->set, &runner->move_check_state, now);
-  g_autoptr (GHashTable) full_keys
-      = g_hash_table_new (g_str_hash, g_str_equal); /* capacity keys without a free worker */
+  g_autoptr (GHashTable) full_keys = g_hash_table_new (g_str_hash, g_str_equal);
+  g_autoptr (GPtrArray) later = g_ptr_array_new (); /* see quince_sample_compare_turns() */
+  gboolean has_suspects = !quince_send_guard_is_idle (quince_backends_get_guard (runner->set.backends));
   runner->set.waiting = 0;
-  /* Abandoning a sample removes it from the array. */
-  for (guint i = 0; i < runner->set.samples->len;)
+  abandon_expired_samples (runner, now);
+  for (guint i = 0; i < runner->set.samples->len; i++)
     {
       QuinceSample *sample = runner->set.samples->pdata[i];
-      if (has_expired (sample, now))
-        {
-          quince_sample_result_abandon (&runner->set, sample, "time_is_up");
-          continue;
-        }
-      i++;
-      if (sample->state == QUINCE_SAMPLE_SCORING && sample->reward == NULL && now >= sample->next_attempt_us)
-        quince_sample_reward_start (&runner->set, sample);
-      if (sample->state != QUINCE_SAMPLE_WAITING)
-        continue;
-      runner->set.waiting++;
-      const char *capacity_key = get_capacity_key (runner, sample);
-      if (sample->last_event == 0 && now < runner->await_progress_until_us)
-        continue;
-      if (now < sample->next_attempt_us || g_hash_table_contains (full_keys, capacity_key))
+      runner->set.waiting += sample->state == QUINCE_SAMPLE_WAITING;
+      if (!is_waiting (sample))
         continue;
-      QuinceBackendOutcome outcome = quince_sample_dispatch (&runner->set, sample, now);
-      if (is_without_capacity (outcome) && sample->avoid_worker == NULL)
-        g_hash_table_add (full_keys, (char *)capacity_key);
+      if (has_suspects && sample->suspect_run_us > 0)
+        g_ptr_array_add (later, sample);
+      else
+        start_if_due (runner, sample, now, full_keys);
     }
+  g_ptr_array_sort (later, compare_turns);
+  for (guint i = 0; i < later->len; i++)
+    start_if_due (runner, later->pdata[i], now, full_keys);
 }
 
 static gboolean
--- a/daemons/replica/sample.h
+++ b/daemons/replica/sample.h
@@ -62,7 +62,8 @@
   guint moves;                    /* runs stopped to resume at a faster worker */
   QuinceRequestIdentity identity; /* see quince_sample_get_identity() */
   gboolean has_identity;
-  QuinceSendPermit permit;          /* permit of the current run */
+  QuinceSendPermit permit; /* permit of the current run */
+  gint64 suspect_run_us;   /* last run by permit or reward call that ran in vain, monotonic; 0: none */
   QuinceAdmission logged_admission; /* last refusal that was logged; QUINCE_ADMISSION_GRANTED: none */
 
   /* The current run. */
--- a/lib/core/decisions/sample-next.c
+++ b/lib/core/decisions/sample-next.c
@@ -88,6 +88,12 @@
   return timeout_ms > 0 ? MIN (timeout_ms, REWARD_TIMEOUT_MAX_MS) : REWARD_TIMEOUT_MAX_MS;
 }
 
+gint
+quince_sample_compare_turns (gint64 first_run_us, gint64 second_run_us)
+{
+  return (first_run_us > second_run_us) - (first_run_us < second_run_us);
+}
+
 gint64
 quince_sample_policy_pause_us (guint retry_after_ms)
 {
--- a/lib/core/decisions/sample-next.h
+++ b/lib/core/decisions/sample-next.h
@@ -91,6 +91,19 @@
 /* Returns the timeout of one reward call, ms.  @timeout_ms: timeout of its route, ms; 0: none */
 guint quince_sample_reward_timeout_ms (guint timeout_ms);
 
+/**
+ * quince_sample_compare_turns:
+ * @first_run_us: last run of the first sample under a permit, or end of its last reward call that may have
+ * run in vain, monotonic, us; 0: none
+ *
+ * Orders two samples that wait for a run or a reward call while there are suspects: those without such a run
+ * come first, then the one whose run is longest ago.  Otherwise a few samples that end each of their workers
+ * would run whenever their service has recovered, and samples after them never.
+ *
+ * Returns: less than, equal to or greater than 0, as for qsort()
+ */
+gint quince_sample_compare_turns (gint64 first_run_us, gint64 second_run_us);
+
 /* Returns the pause of a sample that the policy refused, us.
  * @retry_after_ms: the retry time that the policy gave, ms; 0: none */
 gint64 quince_sample_policy_pause_us (guint retry_after_ms);
--- a/tests/platform/test-owed-items.c
+++ b/tests/platform/test-owed-items.c
@@ -23,6 +23,13 @@
 #define FATAL_SENDS_MIN 7
 /* The longest pause, less the time from the arrival of a run to the end of its worker. */
 #define FATAL_GAP_MS 2900
+#define FEW_WORKERS 3
+/* So many that one of them may run at any time, each 3 s after its last end: a worker is back after 0.3 s. */
+#define FATAL_ITEMS 16
+/* Until most of them are held. */
+#define FATAL_ITEMS_MS 12000
+/* Each of them may run alone once more before the sound one, and their service recovers each time. */
+#define BESIDE_FATAL_MS 15000
 /* Time in which all processes read an entry of the store. */
 #define READ_ENTRIES_MS 1000
 /* Ends for which a request is held, as an older process wrote it. */
@@ -271,6 +278,91 @@
   crash_world_free (world);
 }
 
+/* Returns (transfer full): a batch of @count items in no group.  @path and @reward_path are followed by the
+ * number of the item; without @reward_path they have no reward call. */
+static char *
+make_batch (const char *batch, guint count, const char *path, const char *reward_path)
+{
+  g_autoptr (GString) text = g_string_new ("{\"model\":\"model-a\",\"items\":[");
+  for (guint i = 0; i < count; i++)
+    {
+      g_string_append_printf (text,
+                              "%s{\"id\":\"%s-i%u\",\"path\":\"%s%u\",\"headers\":{\"Model\":\"model-a\"},"
+                              "\"body\":\"cXVlc3Rpb24=\",\"tokens\":100",
+                              i > 0 ? "," : "", batch, i, path, i);
+      if (reward_path != NULL)
+        g_string_append_printf (text,
+                                ",\"scorer\":{\"id\":\"%s-s%u\",\"host\":\"" PATH_HOST
+                                "\",\"path\":\"%s%u\",\"body\":\"c2NvcmU=\"}",
+                                batch, i, reward_path, i);
+      g_string_append (text, "}");
+    }
+  g_string_append (text, "]}");
+  return g_string_free (g_steal_pointer (&text), FALSE);
+}
+
+static void
+remove_worker (CrashWorld *world, StandinWorker *worker)
+{
+  g_autofree char *key = g_strdup_printf ("servers/%s", standin_worker_get_id (worker));
+  standin_store_remove (world->path->store, key);
+}
+
+/* Lets the items, or reward calls, of a batch end their workers until most of them would be held as lookups,
+ * and holds the sound @target with @body.  @service then has FEW_WORKERS workers. */
+static void
+start_beside_fatal (CrashWorld *world,
+                    StandinWorker *const *workers,
+                    guint n_workers,
+                    const char *fatal_batch,
+                    const char *service,
+                    const char *target,
+                    const char *body)
+{
+  for (guint i = FEW_WORKERS; i < n_workers; i++)
+    remove_worker (world, workers[i]);
+  run_for (READ_ENTRIES_MS);
+  submit (world, "fatal", fatal_batch);
+  run_for (FATAL_ITEMS_MS);
+  AWAIT (crash_world_all_running (world)); /* the first sends may end all workers at once */
+  world->min_model_running = PATH_MODEL;
+  world->min_plain_running = PATH_PLAIN;
+  QuinceRequestDigest sound;
+  quince_request_digest_make (&sound, NULL, PATH_HOST, "POST", target, body, strlen (body));
+  put_entry (world, &sound, "request", service);
+  run_for (READ_ENTRIES_MS);
+}
+
+/* A sound item that is held is placed although many items before it end each of their workers.  The service
+ * has so few workers that it survives one end at a time, and one of those items may run whenever it has
+ * recovered: in a fixed order it would always be one of them. */
+static void
+test_beside_fatal_items (void **state)
+{
+  CrashWorld *world = crash_world_start ("owed-beside", "/r/fatal/");
+  g_autofree char *fatal = make_batch ("fatal", FATAL_ITEMS, "/r/fatal/", NULL);
+  g_autofree char *sound = make_batch ("b1", 1, "/r/", NULL);
+  start_beside_fatal (world, world->path->model, PATH_MODEL, fatal, "llm", "/r/0", "question");
+  submit (world, "b1", sound);
+  assert_all_listed (world, "b1", 1, BESIDE_FATAL_MS);
+  assert_true (world->min_model_running >= PATH_MODEL - 1);
+  crash_world_free (world);
+}
+
+/* The same for reward calls. */
+static void
+test_beside_fatal_reward_calls (void **state)
+{
+  CrashWorld *world = crash_world_start ("owed-beside-rewards", "/w/fatal/");
+  g_autofree char *fatal = make_batch ("fatal", FATAL_ITEMS, "/r/x/", "/w/fatal/");
+  g_autofree char *sound = make_batch ("b1", 1, "/r/y/", "/w/sound/");
+  start_beside_fatal (world, world->path->plain, PATH_PLAIN, fatal, "svc", "/w/sound/0", "score");
+  submit (world, "b1", sound);
+  assert_all_listed (world, "b1", 1, BESIDE_FATAL_MS);
+  assert_true (world->min_plain_running >= PATH_PLAIN - 1);
+  crash_world_free (world);
+}
+
 int
 main (void)
 {
@@ -284,6 +376,8 @@
     cmocka_unit_test (test_stored_entries),
     cmocka_unit_test (test_shared_prompt),
     cmocka_unit_test (test_fatal_item),
+    cmocka_unit_test (test_beside_fatal_items),
+    cmocka_unit_test (test_beside_fatal_reward_calls),
   };
   return cmocka_run_group_tests_name ("owed-items", tests, NULL, NULL);
 }
--- a/tests/unit/test-decisions-sample-next.c
+++ b/tests/unit/test-decisions-sample-next.c
@@ -80,14 +80,22 @@
   assert_int_equal (quince_sample_admission_pause_us (QUINCE_ADMISSION_NO_PERMIT), 5 * MS);
 }
 
+/* A sample that never ran under a permit comes first, then the one whose run is longest ago. */
+static void
+test_turns (void **state)
+{
+  assert_true (quince_sample_compare_turns (0, 1) < 0);
+  assert_true (quince_sample_compare_turns (2, 1) > 0);
+  assert_int_equal (quince_sample_compare_turns (0, 0), 0);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
-    cmocka_unit_test (test_after_a_run),
-    cmocka_unit_test (test_after_a_reward_call),
-    cmocka_unit_test (test_sample_expires),
-    cmocka_unit_test (test_pauses_of_waiting_samples),
+    cmocka_unit_test (test_after_a_run),    cmocka_unit_test (test_after_a_reward_call),
+    cmocka_unit_test (test_sample_expires), cmocka_unit_test (test_pauses_of_waiting_samples),
+    cmocka_unit_test (test_turns),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
