A worker that restarted at its address counts once in its service

Cause: a service's size, half of which must stay ready, is the most workers that were listed in 30 s. A worker that crashes and restarts is listed under its new id beside its former one until that entry lapses after 3.6 s, so the size doubled in a burst, and half of it was never ready.

Change: the send guard counts the addresses of a service's workers, listed and ready, in place of their ids.

--- a/lib/forward/send-guard-capacity.c
+++ b/lib/forward/send-guard-capacity.c
@@ -3,23 +3,26 @@
  */
 #include "send-guard-private.h"
 
-/* A worker that ended remains listed until its entry expires, so it is counted as listed but not as ready. */
+/* A worker that ended remains listed until its entry expires, so it is counted as listed but not as ready.
+ * Addresses are counted, since a worker that restarts at its address is listed beside its former incarnation:
+ * both are one worker of the service. */
 void
 quince_send_guard_count_workers (QuinceSendGuard *guard, gint64 now_us, const char *service)
 {
   g_autoptr (GPtrArray) workers = quince_worker_table_list (guard->workers, service);
-  guint listed = 0;
-  guint ready = 0;
+  g_autoptr (GHashTable) listed = g_hash_table_new (g_str_hash, g_str_equal);
+  g_autoptr (GHashTable) ready = g_hash_table_new (g_str_hash, g_str_equal);
   for (guint i = 0; i < workers->len; i++)
     {
       const QuinceWorker *worker = workers->pdata[i];
       if (worker->draining || worker->expires_us != 0)
         continue;
-      listed++;
-      ready += !quince_quarantine_has_worker_ended (guard->quarantine,
-                                                    quince_quarantine_hash_worker (worker->id));
+      g_hash_table_add (listed, worker->address);
+      if (!quince_quarantine_has_worker_ended (guard->quarantine, quince_quarantine_hash_worker (worker->id)))
+        g_hash_table_add (ready, worker->address);
     }
-  quince_service_capacities_update (guard->capacities, now_us, service, listed, ready);
+  quince_service_capacities_update (guard->capacities, now_us, service, g_hash_table_size (listed),
+                                    g_hash_table_size (ready));
 }
 
 gboolean
--- a/tests/platform/crash-world.h
+++ b/tests/platform/crash-world.h
@@ -6,8 +6,11 @@
 #include "path-world.h"
 
 #define CRASH_POLL_INTERVAL_MS 20
-/* Polls after a crash until the worker's entry is removed, and until the worker is restarted. */
+/* Polls after a crash until the worker's entry is removed, and until the worker is restarted.  A test may
+ * define the first one before it includes this file; an entry may lapse after the restart. */
+#ifndef CRASH_UNREGISTER_POLLS
 #define CRASH_UNREGISTER_POLLS 8
+#endif
 #define CRASH_RESTART_POLLS 16
 #define CRASH_DELAY_MS 10
 /* Pauses of an item between sends after which its workers ended; see core/decisions/admission.c. */
@@ -15,9 +18,17 @@
 #define CRASH_OWED_PAUSE_MAX_MS 3000
 #define CRASH_N_WORKERS (PATH_PLAIN + PATH_MODEL)
 
+/* The entry of a worker that was restarted before it lapsed. */
+typedef struct
+{
+  char *key;
+  guint polls_left;
+} CrashLapsingEntry;
+
 typedef struct
 {
   PathWorld *path;
+  GArray *lapsing; /* CrashLapsingEntry */
   guint polls_down[CRASH_N_WORKERS];
   guint incarnations;
   guint crashes;           /* so far, as seen by polls */
@@ -41,6 +52,29 @@
   standin_store_put (world->path->store, key, entry);
 }
 
+/* Keeps the entry of a worker that restarts until it lapses. */
+static inline void
+crash_world_keep_entry (CrashWorld *world, const StandinWorker *worker)
+{
+  const CrashLapsingEntry entry = { g_strdup_printf ("servers/%s", standin_worker_get_id (worker)),
+                                    CRASH_UNREGISTER_POLLS - CRASH_RESTART_POLLS };
+  g_array_append_val (world->lapsing, entry);
+}
+
+static inline void
+crash_world_remove_lapsed_entries (CrashWorld *world)
+{
+  for (guint i = world->lapsing->len; i > 0; i--)
+    {
+      CrashLapsingEntry *entry = &g_array_index (world->lapsing, CrashLapsingEntry, i - 1);
+      if (--entry->polls_left > 0)
+        continue;
+      standin_store_remove (world->path->store, entry->key);
+      g_free (entry->key);
+      g_array_remove_index_fast (world->lapsing, i - 1);
+    }
+}
+
 static inline void
 crash_world_poll_worker (CrashWorld *world, guint index)
 {
@@ -58,6 +92,8 @@
     return;
   g_autofree char *id = g_strdup_printf ("w%u-%u", index, ++world->incarnations);
   world->polls_down[index] = 0;
+  if (CRASH_UNREGISTER_POLLS > CRASH_RESTART_POLLS)
+    crash_world_keep_entry (world, worker);
   standin_worker_restart (worker, id);
   crash_world_register_worker (world, index);
 }
@@ -76,6 +112,7 @@
   world->min_model_running = MIN (world->min_model_running, model);
   for (guint i = 0; i < CRASH_N_WORKERS; i++)
     crash_world_poll_worker (world, i);
+  crash_world_remove_lapsed_entries (world);
   return G_SOURCE_CONTINUE;
 }
 
@@ -86,6 +123,7 @@
 {
   CrashWorld *world = g_new0 (CrashWorld, 1);
   world->path = path;
+  world->lapsing = g_array_new (FALSE, FALSE, sizeof (CrashLapsingEntry));
   world->min_plain_running = PATH_PLAIN;
   world->min_model_running = PATH_MODEL;
   for (guint i = 0; i < CRASH_N_WORKERS; i++)
@@ -108,6 +146,9 @@
 crash_world_free (CrashWorld *world)
 {
   g_source_remove (world->timer);
+  for (guint i = 0; i < world->lapsing->len; i++)
+    g_free (g_array_index (world->lapsing, CrashLapsingEntry, i).key);
+  g_array_unref (world->lapsing);
   path_world_free (world->path);
   g_free (world);
 }
