Tests: bytes without end in place of an answer, at a front

Fails on: - lookup, body in chunks: 361 MB read in 2.0 s, the front grows from 6 to 233 MB; 50 of them at once: 1136 MB, 6 to 579 MB; body of a 500: 96 MB, 8 to 102 MB. - interim answers and the body of an answer to another request are read until the deadline (149 and 365 MB; 2.0 s), as is the body of a 500 to a resumable stream, which then gets 504 although a sound worker is there. - resumable stream, one event without end: read until the deadline, 3.2 s for 11 MB as the search for its end begins anew at each read; streams of sound workers behind it are cut off. - 50 callers that do not read their streams: the front grows from 8 to 62 MB, 565 MB are read and dropped.

--- a/rehearsal/platform/standin-store-calls.c
+++ b/rehearsal/platform/standin-store-calls.c
@@ -260,7 +260,9 @@
   store->n_calls++;
   if (is_list (call))
     count_list (store, call);
-  if (store->fault == STANDIN_STORE_UNRESPONSIVE)
+  if (store->endless_answer != NULL)
+    standin_endless_writer_answer (store->endless_writer, call, store->endless_answer);
+  else if (store->fault == STANDIN_STORE_UNRESPONSIVE)
     g_ptr_array_add (store->unanswered_calls, call);
   else if (store->fault == STANDIN_STORE_MALFORMED_ANSWERS)
     answer_json (call, 200, store->malformed_answer);
--- a/rehearsal/platform/standin-store-private.h
+++ b/rehearsal/platform/standin-store-private.h
@@ -57,6 +57,8 @@
   guint64 last_lease_id;
   StandinStoreFault fault;
   char *malformed_answer;
+  const StandinEndlessAnswer *endless_answer; /* NULL: none */
+  StandinEndlessWriter *endless_writer;
   guint n_calls;
   guint n_list_calls; /* list calls among n_calls; each page is one */
   guint timer;
--- a/rehearsal/platform/standin-store.c
+++ b/rehearsal/platform/standin-store.c
@@ -34,6 +34,7 @@
   store->watches = g_ptr_array_new_with_free_func (watch_free);
   store->unanswered_calls = g_ptr_array_new ();
   store->leases = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
+  store->endless_writer = standin_endless_writer_new ();
   store->server = standin_server_new (standin_store_handle_call, store);
   store->clients = g_ptr_array_new_with_free_func (standin_store_client_free);
   store->timer = g_timeout_add (EXPIRY_CHECK_INTERVAL_MS, check_leases_and_watches, store);
@@ -46,6 +47,7 @@
   g_source_remove (store->timer);
   standin_server_free (store->server);
   g_ptr_array_unref (store->clients);
+  standin_endless_writer_free (store->endless_writer);
   for (guint i = 0; i < store->watches->len; i++)
     standin_call_finish (((StandinWatch *)store->watches->pdata[i])->call);
   for (guint i = 0; i < store->unanswered_calls->len; i++)
@@ -87,6 +89,18 @@
   store->fault = fault;
 }
 
+void
+standin_store_set_endless_answer (StandinStore *store, const StandinEndlessAnswer *answer)
+{
+  store->endless_answer = answer;
+}
+
+const StandinEndlessWriter *
+standin_store_get_endless_writer (const StandinStore *store)
+{
+  return store->endless_writer;
+}
+
 void
 standin_store_set_malformed_answer (StandinStore *store, const char *body)
 {
--- a/rehearsal/platform/standin-store.h
+++ b/rehearsal/platform/standin-store.h
@@ -7,7 +7,7 @@
  */
 #pragma once
 
-#include "standin-server.h"
+#include "standin-endless.h"
 
 typedef enum
 {
@@ -42,6 +42,9 @@
 /* Returns the revision of the last write of @key, or 0 if it does not exist. */
 guint64 standin_store_get_revision (const StandinStore *store, const char *key);
 void standin_store_set_fault (StandinStore *store, StandinStoreFault fault);
+/* Answers all calls with @answer, which must outlive the store; NULL: no longer. */
+void standin_store_set_endless_answer (StandinStore *store, const StandinEndlessAnswer *answer);
+const StandinEndlessWriter *standin_store_get_endless_writer (const StandinStore *store);
 void standin_store_set_malformed_answer (StandinStore *store, const char *body);
 /* Advances the revision, discards the history and closes all connections.  A watch from an older revision
  * gets status 410. */
--- a/rehearsal/platform/standin-worker-private.h
+++ b/rehearsal/platform/standin-worker-private.h
@@ -40,6 +40,9 @@
   guint faults_left;
   char *surplus_answer;
   guint surplus_answers_left;
+  const StandinEndlessAnswer *endless_answer; /* NULL: none */
+  guint endless_answers_left;
+  StandinEndlessWriter *endless_writer;
   gboolean repeats_answers;
   GHashTable *repeated_answers; /* by QuinceHttpConnection: text that precedes its next answer; both owned */
   guint n_events;
--- a/rehearsal/platform/standin-worker.c
+++ b/rehearsal/platform/standin-worker.c
@@ -226,6 +226,16 @@
   standin_call_answer (call, 200, "Content-Type: application/json\r\n", text, -1);
 }
 
+static void
+answer_endlessly (StandinWorker *worker, StandinCall *call)
+{
+  if (worker->endless_answers_left != G_MAXUINT)
+    worker->endless_answers_left--;
+  if (!g_str_has_prefix (call->head->target, "/quinceroute/"))
+    record_run (worker, call);
+  standin_endless_writer_answer (worker->endless_writer, call, worker->endless_answer);
+}
+
 static void
 handle_call (StandinCall *call, gpointer data)
 {
@@ -239,6 +249,8 @@
     }
   if (expected != NULL && !g_str_equal (expected, worker->id))
     refuse (worker, call, 421, "Instance-Id: another\r\n");
+  else if (worker->endless_answer != NULL && worker->endless_answers_left > 0)
+    answer_endlessly (worker, call);
   else if (worker->malformed_answer != NULL && g_str_has_prefix (call->head->target, "/quinceroute/"))
     standin_call_answer (call, 200, "Content-Type: application/json\r\n", worker->malformed_answer, -1);
   else if (g_str_equal (call->head->target, "/quinceroute/order"))
@@ -269,6 +281,7 @@
   worker->delayed_orders = g_ptr_array_new ();
   worker->fencing_tokens = g_array_new (FALSE, FALSE, sizeof (guint64));
   worker->order_leaders = g_ptr_array_new_with_free_func (g_free);
+  worker->endless_writer = standin_endless_writer_new ();
   worker->server = standin_server_new (handle_call, worker);
   return worker;
 }
@@ -361,6 +374,7 @@
 standin_worker_free (StandinWorker *worker)
 {
   standin_server_free (worker->server);
+  standin_endless_writer_free (worker->endless_writer);
   release_calls (worker);
   g_ptr_array_unref (worker->delayed_calls);
   g_ptr_array_unref (worker->unanswered_calls);
@@ -413,6 +427,19 @@
   worker->repeats_answers = repeats_answers;
 }
 
+void
+standin_worker_set_endless_answer (StandinWorker *worker, const StandinEndlessAnswer *answer, guint n_calls)
+{
+  worker->endless_answer = answer;
+  worker->endless_answers_left = n_calls;
+}
+
+const StandinEndlessWriter *
+standin_worker_get_endless_writer (const StandinWorker *worker)
+{
+  return worker->endless_writer;
+}
+
 void
 standin_worker_set_event_padding (StandinWorker *worker, guint padding_bytes)
 {
--- a/rehearsal/platform/standin-worker.h
+++ b/rehearsal/platform/standin-worker.h
@@ -7,7 +7,7 @@
  */
 #pragma once
 
-#include "standin-server.h"
+#include "standin-endless.h"
 
 typedef enum
 {
@@ -60,6 +60,11 @@
 /* Writes @answer, a whole HTTP response, before the own answer to each of the next @n_calls requests, reports
  * and orders. */
 void standin_worker_set_surplus_answer (StandinWorker *worker, const char *answer, guint n_calls);
+/* Answers the next @n_calls requests, reports and orders (G_MAXUINT: all) with @answer, which must outlive
+ * the worker; NULL: no longer.  Requests are recorded as runs. */
+void
+standin_worker_set_endless_answer (StandinWorker *worker, const StandinEndlessAnswer *answer, guint n_calls);
+const StandinEndlessWriter *standin_worker_get_endless_writer (const StandinWorker *worker);
 /* Sends each answer 422, 500 and each refusal once more, before the next answer on its connection. */
 void standin_worker_set_repeats_answers (StandinWorker *worker, gboolean repeats_answers);
 /* Crashes the worker @delay_ms after it receives a request whose body or target contains @text; NULL: never.
