HTTP client: a response is bounded in size

Callers saw 504 at their deadline, or a front that grew until it ended: a worker's answer that does not end was collected until the deadline, and interim answers and answers to other requests were read as long.

An attempt that ends so may have run; it is no sign that its worker ended.

--- a/daemons/replica/usage-collector.c
+++ b/daemons/replica/usage-collector.c
@@ -294,7 +294,8 @@
                                       .target = QUINCE_PLATFORM_USAGE_TARGET,
                                       .headers = headers,
                                       .body = body,
-                                      .timeout_us = CALL_TIMEOUT_US };
+                                      .timeout_us = CALL_TIMEOUT_US,
+                                      .max_body_bytes = QUINCE_HTTP_UNUSED_BODY_MAX_BYTES };
   collector->reporting_window = window->window;
   collector->exchange = quince_http_pool_start (collector->platform, &request, &report_callbacks, collector);
 }
--- a/daemons/replica/weight-load.c
+++ b/daemons/replica/weight-load.c
@@ -17,6 +17,10 @@
 
 /* Timeout of an order or of a request for a worker's report, us: about the duration of a load. */
 #define CALL_TIMEOUT_US (900 * 1000)
+/* Maximum size of the answer to an order, which is not used, and of a report, which lists a worker's models,
+ * bytes. */
+#define ORDER_ANSWER_MAX_BYTES QUINCE_HTTP_UNUSED_BODY_MAX_BYTES
+#define REPORT_MAX_BYTES (1024 * 1024)
 
 struct _QuinceWeightLoad
 {
@@ -151,6 +155,7 @@
                                       .headers = headers,
                                       .body = body,
                                       .timeout_us = CALL_TIMEOUT_US,
+                                      .max_body_bytes = ORDER_ANSWER_MAX_BYTES,
                                       .send_by_us = send_by_us };
   worker->loading = TRUE;
   load->ordered_us = quince_now_us ();
@@ -229,7 +234,8 @@
   const QuinceHttpRequest request = { .method = "GET",
                                       .target = QUINCE_PLATFORM_REPORT_TARGET,
                                       .headers = headers,
-                                      .timeout_us = CALL_TIMEOUT_US };
+                                      .timeout_us = CALL_TIMEOUT_US,
+                                      .max_body_bytes = REPORT_MAX_BYTES };
   load->exchange = quince_http_pool_start (quince_backends_get_pool (load->context->backends, worker),
                                            &request, &report_callbacks, load);
 }
--- a/daemons/replica/worker-scaler.c
+++ b/daemons/replica/worker-scaler.c
@@ -79,6 +79,7 @@
                                       .headers = headers,
                                       .body = body,
                                       .timeout_us = CALL_TIMEOUT_US,
+                                      .max_body_bytes = QUINCE_HTTP_UNUSED_BODY_MAX_BYTES,
                                       .send_by_us = quince_now_us () + CALL_TIMEOUT_US };
   scaler->service = g_strdup (service);
   scaler->exchange = quince_http_pool_start (scaler->platform, &request, &order_callbacks, scaler);
--- a/lib/forward/dispatch.c
+++ b/lib/forward/dispatch.c
@@ -355,6 +355,31 @@
   quince_send_guard_handle_answer (guard, get_identity (dispatch), &dispatch->permit);
 }
 
+const char *
+quince_dispatch_get_cause (QuinceHttpOutcome outcome, const GError *error)
+{
+  if (outcome == QUINCE_HTTP_NOT_SENT)
+    return "no_connection";
+  switch (error->code)
+    {
+    case QUINCE_HTTP1_ERROR_TIMEOUT:
+      return "worker_silent";
+    case QUINCE_HTTP1_ERROR_UNMATCHED:
+      return "wrong_answer";
+    case QUINCE_HTTP1_ERROR_TOO_LARGE:
+      return QUINCE_FORWARD_CAUSE_TOO_LARGE;
+    default:
+      return "connection_lost";
+    }
+}
+
+gboolean
+quince_dispatch_may_be_loss (QuinceHttpOutcome outcome, const GError *error)
+{
+  return outcome != QUINCE_HTTP_NOT_SENT && error->code != QUINCE_HTTP1_ERROR_TIMEOUT
+         && error->code != QUINCE_HTTP1_ERROR_UNMATCHED && error->code != QUINCE_HTTP1_ERROR_TOO_LARGE;
+}
+
 void
 quince_dispatch_handle_connection_loss (QuinceDispatch *dispatch, const char *worker_id)
 {
--- a/lib/forward/dispatch.h
+++ b/lib/forward/dispatch.h
@@ -126,6 +126,12 @@
 gboolean quince_dispatch_may_hedge (QuinceDispatch *dispatch, gint64 now_us);
 /* Tells the send guard that the worker answered; returns the permit. */
 void quince_dispatch_handle_answer (QuinceDispatch *dispatch);
+/* Returns why an exchange with a worker ended without an answer, for logs and refusals (static).
+ * @error: the error of the exchange */
+const char *quince_dispatch_get_cause (QuinceHttpOutcome outcome, const GError *error);
+/* Returns whether a worker may have ended when its exchange ended with @outcome and @error.  It has not if it
+ * was silent, or sent bytes that are no answer to the request. */
+gboolean quince_dispatch_may_be_loss (QuinceHttpOutcome outcome, const GError *error);
 /* Logs that the connection to @worker_id broke, and lets the send guard check whether the worker ended. */
 void quince_dispatch_handle_connection_loss (QuinceDispatch *dispatch, const char *worker_id);
 /* Returns the permit of the attempt, if it has one. */
--- a/lib/forward/forward.c
+++ b/lib/forward/forward.c
@@ -217,6 +217,17 @@
   forward_end (forward, result);
 }
 
+/* Handles the end of an attempt whose answer did not arrive. */
+static void
+handle_no_answer (Attempt *attempt, QuinceHttpOutcome outcome, const GError *error)
+{
+  const char *cause = quince_dispatch_get_cause (outcome, error);
+  record_attempt_result (attempt, FALSE);
+  if (quince_dispatch_may_be_loss (outcome, error))
+    quince_dispatch_handle_connection_loss (&attempt->forward->dispatch, attempt->worker_id);
+  attempt_failed (attempt, outcome != QUINCE_HTTP_NOT_SENT, cause);
+}
+
 static void
 exchange_done (QuinceHttpExchange *exchange, QuinceHttpOutcome outcome, const GError *error, gpointer data)
 {
@@ -224,17 +235,7 @@
   QuinceForward *forward = attempt->forward;
   if (outcome != QUINCE_HTTP_ANSWERED)
     {
-      gboolean may_have_run = outcome != QUINCE_HTTP_NOT_SENT;
-      gboolean timed_out = may_have_run && error->code == QUINCE_HTTP1_ERROR_TIMEOUT;
-      gboolean unmatched = may_have_run && error->code == QUINCE_HTTP1_ERROR_UNMATCHED;
-      record_attempt_result (attempt, FALSE);
-      if (may_have_run && !timed_out && !unmatched)
-        quince_dispatch_handle_connection_loss (&forward->dispatch, attempt->worker_id);
-      attempt_failed (attempt, may_have_run,
-                      !may_have_run ? "no_connection"
-                      : timed_out   ? "worker_silent"
-                      : unmatched   ? "wrong_answer"
-                                    : "connection_lost");
+      handle_no_answer (attempt, outcome, error);
       return;
     }
   const QuinceHttpHead *head = quince_http_exchange_get_head (exchange);
--- a/lib/forward/forward.h
+++ b/lib/forward/forward.h
@@ -79,6 +79,8 @@
 
 /* Cause of a refusal: all workers that serve the request are in evacuated zones. */
 #define QUINCE_FORWARD_CAUSE_EVACUATED "zone_evacuated"
+/* Cause of a failed attempt: the worker sent more bytes than an answer, its head or an event may have. */
+#define QUINCE_FORWARD_CAUSE_TOO_LARGE "answer_too_large"
 
 /* Result of a forward.  Valid until done() returns. */
 typedef struct
--- a/lib/http1/http-client.h
+++ b/lib/http1/http-client.h
@@ -11,6 +11,13 @@
 
 G_BEGIN_DECLS
 
+/* Maximum size of a body that an exchange without a body() callback collects, unless its request states
+ * another one, bytes.  Far above the answers of workers and below what a machine with 120 MB can hold twice.
+ */
+#define QUINCE_HTTP_COLLECTED_BODY_MAX_BYTES (16 * 1024 * 1024)
+/* Maximum size of a body that is read but not used, bytes. */
+#define QUINCE_HTTP_UNUSED_BODY_MAX_BYTES (1024 * 1024)
+
 typedef struct _QuinceHttpPool QuinceHttpPool;
 typedef struct _QuinceHttpExchange QuinceHttpExchange;
 
@@ -44,6 +51,8 @@
  *   not GET.  Host defaults to the pool's address
  * @body: (nullable): the request's body
  * @timeout_us: time from the start of the exchange to the end of the response; 0: no timeout
+ * @max_body_bytes: maximum size of a body that is collected; 0: %QUINCE_HTTP_COLLECTED_BODY_MAX_BYTES.  A
+ *   larger one ends the exchange with %QUINCE_HTTP_BROKEN and %QUINCE_HTTP1_ERROR_TOO_LARGE
  * @send_by_us: monotonic time; the request is not sent if a new connection is established later.  0: no limit
  */
 typedef struct
@@ -53,6 +62,7 @@
   const QuinceHttpHeaders *headers;
   GBytes *body;
   gint64 timeout_us;
+  gsize max_body_bytes;
   gint64 send_by_us;
 } QuinceHttpRequest;
 
@@ -107,6 +117,15 @@
                                             gpointer user_data);
 /* Ends the exchange without further callbacks and closes its connection. */
 void quince_http_exchange_cancel (QuinceHttpExchange *exchange);
+/* Limits the rest of the body of an exchange with a body() callback, for a response that is not used.  A
+ * larger body ends the exchange as a collected one does. */
+void quince_http_exchange_limit_body (QuinceHttpExchange *exchange, gsize max_body_bytes);
+/* Tells how many bytes of the response the owner holds until their rest arrives.  If the exchanges of this
+ * thread then hold more than QUINCE_ANSWER_BUDGET_BYTES, ends those that hold most, which may be this one,
+ * with %QUINCE_HTTP_BROKEN and %QUINCE_HTTP1_ERROR_TOO_LARGE. */
+void quince_http_exchange_set_held_bytes (QuinceHttpExchange *exchange, gsize held_bytes);
+/* Stops or continues to read the response, for an owner that passes it on to a slow reader. */
+void quince_http_exchange_set_reading (QuinceHttpExchange *exchange, gboolean reading);
 /* Returns the head of the response, or %NULL if it has not been received. */
 const QuinceHttpHead *quince_http_exchange_get_head (const QuinceHttpExchange *exchange);
 /* Returns the part of the body received so far, which is empty if the exchange has a body() callback. */
--- a/lib/http1/http-connection-input.c
+++ b/lib/http1/http-connection-input.c
@@ -13,6 +13,9 @@
 /* A connection with more buffered input fails at the next read.  Allows many small pipelined requests. */
 #define BUFFERED_INPUT_MAX_BYTES (256 * 1024)
 
+/* Interim responses to one request.  Servers send one or two; each is as large as a head may be. */
+#define INTERIM_RESPONSES_MAX 16
+
 /* Returned by on_headers_complete() to the parser. */
 enum
 {
@@ -141,7 +144,12 @@
   if (connection->head_error != NULL)
     return HEAD_REJECTED;
   if (is_interim_response (connection))
-    return HEAD_WITHOUT_BODY; /* whatever length it announces (RFC 9112, section 6.3) */
+    {
+      connection->head_too_large = ++connection->n_interim > INTERIM_RESPONSES_MAX;
+      /* Without a body, whatever length it announces (RFC 9112, section 6.3). */
+      return connection->head_too_large ? HEAD_REJECTED : HEAD_WITHOUT_BODY;
+    }
+  connection->n_interim = 0;
   if (connection->is_client)
     head->status = parser->status_code;
   else
@@ -221,7 +229,7 @@
       = connection->head_error != NULL ? connection->head_error : http_errno_description (parse_error);
   gboolean head_too_large = connection->head_too_large || parse_error == HPE_HEADER_OVERFLOW;
   refuse_input (connection, head_too_large ? QUINCE_HTTP1_ERROR_TOO_LARGE : QUINCE_HTTP1_ERROR_MALFORMED,
-                head_too_large ? "message head is too large" : text);
+                head_too_large ? "message head, or what precedes it, is too large" : text);
 }
 
 /* Parses @data up to the end of one message and buffers the rest. */
--- a/lib/http1/http-connection-output.c
+++ b/lib/http1/http-connection-output.c
@@ -34,11 +34,19 @@
   return sent;
 }
 
+void
+quince_http_connection_update_watch (QuinceHttpConnection *connection)
+{
+  GIOCondition input = connection->reading_paused ? 0 : G_IO_IN;
+  GIOCondition output = connection->watches_writable ? G_IO_OUT : 0;
+  quince_socket_watch_set_condition (connection->watch, input | output);
+}
+
 static void
 set_watch_writable (QuinceHttpConnection *connection, gboolean enabled)
 {
   connection->watches_writable = enabled;
-  quince_socket_watch_set_condition (connection->watch, enabled ? G_IO_IN | G_IO_OUT : G_IO_IN);
+  quince_http_connection_update_watch (connection);
 }
 
 void
--- a/lib/http1/http-connection-private.h
+++ b/lib/http1/http-connection-private.h
@@ -38,6 +38,8 @@
   gboolean head_only; /* responses on this client connection have no body */
   gboolean connecting;
   gboolean watches_writable; /* has output that the kernel did not accept */
+  gboolean reading_paused;   /* see quince_http_connection_set_reading() */
+  guint n_interim;           /* interim responses since the last final one */
   gboolean open;
   gboolean awaiting_next;  /* a message is complete and next() was not called */
   gboolean reading;        /* a message is incomplete */
@@ -58,6 +60,8 @@
 void quince_http_connection_read (QuinceHttpConnection *connection);
 void quince_http_connection_init_parser (QuinceHttpConnection *connection);
 
+/* Watches the socket for what the connection waits for. */
+void quince_http_connection_update_watch (QuinceHttpConnection *connection);
 /* Watches the socket until it is writable, to send the pending output. */
 void quince_http_connection_watch_writable (QuinceHttpConnection *connection);
 /* Sends as much pending output as the kernel accepts.
--- a/lib/http1/http-connection.c
+++ b/lib/http1/http-connection.c
@@ -35,7 +35,7 @@
       return;
     }
   connection->connecting = FALSE;
-  quince_socket_watch_set_condition (connection->watch, G_IO_IN);
+  quince_http_connection_update_watch (connection);
   if (connection->output->len > 0)
     {
       quince_http_connection_send_pending_output (connection);
@@ -118,6 +118,16 @@
   return connection->output->len > 0;
 }
 
+void
+quince_http_connection_set_reading (QuinceHttpConnection *connection, gboolean reading)
+{
+  if (connection->reading_paused == !reading)
+    return;
+  connection->reading_paused = !reading;
+  if (connection->open && !connection->connecting)
+    quince_http_connection_update_watch (connection);
+}
+
 void
 quince_http_connection_set_head_only (QuinceHttpConnection *connection, gboolean head_only)
 {
--- a/lib/http1/http-exchange.c
+++ b/lib/http1/http-exchange.c
@@ -3,6 +3,7 @@
  */
 #include "http-pool-private.h"
 
+#include "http1/answer-budget.h"
 #include "http1/answer-match.h"
 #include "runtime/clock.h"
 
@@ -12,12 +13,15 @@
 /* Responses to other requests that an exchange skips before it gives up.  A server that repeats an answer
  * sends one of them. */
 #define SKIPPED_ANSWERS_MAX 4
+/* Bytes of their bodies; as large as one answer may be. */
+#define SKIPPED_BODY_MAX_BYTES QUINCE_HTTP_COLLECTED_BODY_MAX_BYTES
 
 static void
 exchange_free (QuinceHttpExchange *exchange)
 {
   quince_timer_clear (&exchange->timer);
   quince_timer_clear (&exchange->connect_timer);
+  quince_answer_budget_set (exchange, exchange->held_bytes, 0);
   quince_http_head_free (exchange->head);
   g_byte_array_unref (exchange->body);
   g_free (exchange->request_id);
@@ -113,6 +117,53 @@
   return G_SOURCE_REMOVE;
 }
 
+/* ---- Size of the response ----------------------------------------------- */
+
+static void
+fail_too_large (QuinceHttpExchange *exchange, const char *part)
+{
+  quince_http_pool_record_too_large (exchange->pool, exchange->request_id, part, exchange->n_body_bytes);
+  g_autoptr (GError) error = g_error_new_literal (QUINCE_HTTP1_ERROR, QUINCE_HTTP1_ERROR_TOO_LARGE,
+                                                  "the body of the response is too large");
+  exchange_fail (exchange, error);
+}
+
+void
+quince_http_exchange_limit_body (QuinceHttpExchange *exchange, gsize max_body_bytes)
+{
+  exchange->max_body_bytes = exchange->n_body_bytes + max_body_bytes;
+}
+
+void
+quince_http_exchange_set_held_bytes (QuinceHttpExchange *exchange, gsize held_bytes)
+{
+  quince_answer_budget_set (exchange, exchange->held_bytes, held_bytes);
+  exchange->held_bytes = held_bytes;
+  for (QuinceHttpExchange *excess = quince_answer_budget_find_excess (); excess != NULL;
+       excess = quince_answer_budget_find_excess ())
+    fail_too_large (excess, "budget");
+}
+
+void
+quince_http_exchange_set_reading (QuinceHttpExchange *exchange, gboolean reading)
+{
+  quince_http_connection_set_reading (exchange->pooled->connection, reading);
+}
+
+/* Counts @length bytes of a body.  Returns FALSE if it is too large; the exchange has then ended. */
+static gboolean
+count_body (QuinceHttpExchange *exchange, gsize length)
+{
+  gsize limit = exchange->skipping ? SKIPPED_BODY_MAX_BYTES : exchange->max_body_bytes;
+  exchange->n_body_bytes += length;
+  if (limit == 0 || exchange->n_body_bytes <= limit)
+    return TRUE;
+  fail_too_large (exchange, exchange->skipping ? "skipped" : "body");
+  return FALSE;
+}
+
+/* ---- Connections ---------------------------------------------------------- */
+
 static void
 fail_late_connect (QuinceHttpExchange *exchange)
 {
@@ -209,6 +260,7 @@
       return;
     }
   exchange->head = head;
+  exchange->n_body_bytes = 0;
   if (exchange->callbacks->head != NULL)
     exchange->callbacks->head (exchange, head, exchange->user_data);
 }
@@ -218,12 +270,15 @@
 {
   QuincePooledConnection *pooled = user_data;
   QuinceHttpExchange *exchange = pooled->exchange;
-  if (exchange == NULL || exchange->skipping)
+  if (exchange == NULL || !count_body (exchange, length) || exchange->skipping)
     return;
   if (exchange->callbacks->body != NULL)
-    exchange->callbacks->body (exchange, data, length, exchange->user_data);
-  else
-    g_byte_array_append (exchange->body, (const guint8 *)data, (guint)length);
+    {
+      exchange->callbacks->body (exchange, data, length, exchange->user_data);
+      return;
+    }
+  g_byte_array_append (exchange->body, (const guint8 *)data, (guint)length);
+  quince_http_exchange_set_held_bytes (exchange, exchange->body->len);
 }
 
 static void
@@ -257,6 +312,9 @@
                                        ? g_error_copy (error)
                                        : g_error_new_literal (QUINCE_HTTP1_ERROR, QUINCE_HTTP1_ERROR_CLOSED,
                                                               "peer closed the connection before responding");
+  if (g_error_matches (error, QUINCE_HTTP1_ERROR, QUINCE_HTTP1_ERROR_TOO_LARGE))
+    quince_http_pool_record_too_large (pooled->pool, pooled->exchange->request_id, "head",
+                                       pooled->exchange->n_body_bytes);
   exchange_fail (pooled->exchange, close_error);
 }
 
@@ -311,6 +369,9 @@
   exchange->callbacks = callbacks;
   exchange->user_data = user_data;
   exchange->body = g_byte_array_new ();
+  if (callbacks->body == NULL)
+    exchange->max_body_bytes
+        = request->max_body_bytes > 0 ? request->max_body_bytes : QUINCE_HTTP_COLLECTED_BODY_MAX_BYTES;
   exchange->request_id = g_strdup (get_id (pool, request->headers));
   exchange->connected = quince_http_pool_attach (pool, exchange);
   quince_http_connection_set_head_only (exchange->pooled->connection, g_str_equal (request->method, "HEAD"));
--- a/lib/http1/http-pool-private.h
+++ b/lib/http1/http-pool-private.h
@@ -45,8 +45,11 @@
   char *request_id; /* NULL: none */
   QuinceHttpHead *head;
   GByteArray *body;
-  gboolean skipping; /* the response that is being read belongs to another request */
-  guint n_skipped;   /* responses to other requests so far */
+  gsize max_body_bytes; /* 0: no limit */
+  gsize n_body_bytes;   /* read so far, of the own response or of those to other requests before it */
+  gsize held_bytes;     /* bytes of the response that are in memory, see answer-budget.h */
+  gboolean skipping;    /* the response that is being read belongs to another request */
+  guint n_skipped;      /* responses to other requests so far */
   QuinceTimer *timer;
   QuinceTimer *connect_timer;
   guint timeout_deferrals; /* how often the timeout was deferred to handle the connection or input first */
@@ -77,6 +80,14 @@
                                         const char *answer_id,
                                         guint status,
                                         const char *action);
+/* Logs and counts a response that is larger than its limit.
+ * @request_id: (nullable)
+ * @part: "head", "body", "skipped", or "budget" if the process holds too many bytes of responses
+ * @n_bytes: size of the body so far */
+void quince_http_pool_record_too_large (const QuinceHttpPool *pool,
+                                        const char *request_id,
+                                        const char *part,
+                                        gsize n_bytes);
 /* Closes and frees a connection without an exchange. */
 void quince_http_pool_close_connection (QuincePooledConnection *pooled);
 
--- a/lib/http1/http-pool.c
+++ b/lib/http1/http-pool.c
@@ -67,6 +67,19 @@
                       request, answer, status, action);
 }
 
+void
+quince_http_pool_record_too_large (const QuinceHttpPool *pool,
+                                   const char *request_id,
+                                   const char *part,
+                                   gsize n_bytes)
+{
+  g_autofree char *request = quince_log_quote (request_id);
+  g_autofree char *labels = g_strdup_printf ("part=\"%s\"", part);
+  quince_metric_add ("quince_http_answers_too_large_total", labels, 1);
+  quince_log_warning ("answer_too_large", "server=%s request=%s part=%s bytes=%" G_GSIZE_FORMAT,
+                      pool->address, request, part, n_bytes);
+}
+
 void
 quince_http_pool_close_connection (QuincePooledConnection *pooled)
 {
@@ -216,6 +229,7 @@
   pooled->exchange = NULL;
   g_ptr_array_remove_fast (pool->exchanges, exchange);
   pool->n_busy--;
+  quince_http_connection_set_reading (pooled->connection, TRUE);
   reuse = reuse && !pool->owner_released && quince_http_connection_is_open (pooled->connection);
   if (!reuse)
     {
--- a/lib/http1/http1.h
+++ b/lib/http1/http1.h
@@ -23,7 +23,7 @@
   QUINCE_HTTP1_ERROR_CLOSED,    /* closed before the message was complete, or the request was withdrawn */
   QUINCE_HTTP1_ERROR_RESET,     /* reading from or writing to the socket failed */
   QUINCE_HTTP1_ERROR_MALFORMED, /* the input is not a valid HTTP message */
-  QUINCE_HTTP1_ERROR_TOO_LARGE, /* the message head or the buffered input exceeds its limit */
+  QUINCE_HTTP1_ERROR_TOO_LARGE, /* the message head, the body or the buffered input exceeds its limit */
   QUINCE_HTTP1_ERROR_TIMEOUT,   /* no complete response before the timeout */
   QUINCE_HTTP1_ERROR_CONNECT,   /* the connection was not established; nothing was sent */
   QUINCE_HTTP1_ERROR_UNMATCHED, /* the response belongs to another request, or to none that is known */
@@ -125,6 +125,8 @@
 void quince_http_connection_set_head_only (QuinceHttpConnection *connection, gboolean head_only);
 /* Allows the next message to be parsed.  Input that is already buffered is parsed immediately. */
 void quince_http_connection_next (QuinceHttpConnection *connection);
+/* Stops or continues to read from the socket, so that TCP slows the peer down.  Reading is on at first. */
+void quince_http_connection_set_reading (QuinceHttpConnection *connection, gboolean reading);
 /* Closes without further callbacks. */
 void quince_http_connection_close (QuinceHttpConnection *connection);
 /* Closes gracefully: sends the pending output, shuts down the sending side, and discards input until the peer
--- a/lib/meta/meta-store.c
+++ b/lib/meta/meta-store.c
@@ -15,6 +15,8 @@
 /* Timeout of a call, us; the wait of a watch is added to it.  Far above the usual response time of a few
  * milliseconds. */
 #define CALL_TIMEOUT_US (1000 * 1000)
+/* Maximum size of an answer.  A page holds about 1 MB of values, in base64. */
+#define ANSWER_MAX_BYTES (8 * 1024 * 1024)
 /* Delay of the first probe after a failed call, ms; short, since the cause may be one lost connection. */
 #define FIRST_PROBE_DELAY_MS 30
 /* Interval from the first probe to the second one, ms; doubled with each further probe. */
@@ -363,8 +365,12 @@
   call->reply = reply;
   call->user_data = user_data;
   g_hash_table_add (store->calls, call);
-  const QuinceHttpRequest request
-      = { .method = method, .target = target, .headers = headers, .body = body, .timeout_us = timeout_us };
+  const QuinceHttpRequest request = { .method = method,
+                                      .target = target,
+                                      .headers = headers,
+                                      .body = body,
+                                      .timeout_us = timeout_us,
+                                      .max_body_bytes = ANSWER_MAX_BYTES };
   call->exchange = quince_http_pool_start (store->pool, &request, &call_callbacks, call);
   return call;
 }
