Streams and samples: one event is bounded, and only events are a sign of life

Callers of a resumable stream waited until their deadline, and those of sound workers were late: an event that does not end was searched anew from its begin at each read, without a limit for streams (the parser's error was dropped), and any bytes counted as a sign of life, also comments and empty lines, of which one was taken a read. An item got text without end.

From one event of a resumable stream to the next there are 1 MiB at most; an incomplete event counts to the budget of the process. Silence is the time since the last event. The text of a sample has 1 MiB at most; beyond, it is discarded and the item runs anew elsewhere. A body that is not used has 1 MiB at most.

The test waits until no worker is left out for the failures of the case before it: otherwise a call may find none but the one under test.

--- a/daemons/replica/sample.c
+++ b/daemons/replica/sample.c
@@ -166,6 +166,12 @@
     sample->run_version = event->version;
   if (sample->run_version < sample->entry->batch->minimum_version)
     return "version_too_old";
+  if (sample->text->len + event->data->len > QUINCE_SAMPLE_TEXT_MAX_BYTES)
+    {
+      /* Nothing tells where the text ceased to be one, so that no other worker can continue it. */
+      quince_sample_discard_text (sample);
+      return QUINCE_FORWARD_CAUSE_TOO_LARGE;
+    }
   if (sample->last_event > 0)
     g_string_append_c (sample->text, '\n');
   g_string_append_len (sample->text, event->data->str, (gssize)event->data->len);
@@ -187,25 +193,34 @@
       quince_platform_event_clear (&event);
     }
   if (sample->last_event > previous_event)
-    record_worker_pace (sample, sample->last_event - previous_event);
+    {
+      sample->last_received_us = quince_now_us ();
+      record_worker_pace (sample, sample->last_event - previous_event);
+    }
   if (error == NULL)
     return cause;
   *end = QUINCE_RUN_BROKEN;
-  return "event_malformed";
+  gboolean too_large
+      = quince_platform_event_parser_get_partial_bytes (sample->event_parser) > QUINCE_STREAM_EVENT_MAX_BYTES;
+  return too_large ? QUINCE_FORWARD_CAUSE_TOO_LARGE : "event_malformed";
 }
 
 static void
 exchange_body (QuinceHttpExchange *exchange, const char *data, gsize length, gpointer user_data)
 {
   QuinceSample *sample = user_data;
-  sample->last_received_us = quince_now_us ();
   if (!sample->accepted)
     return;
   quince_platform_event_parser_feed (sample->event_parser, data, length);
   QuinceRunEnd end = QUINCE_RUN_BROKEN;
   const char *cause = apply_stream_events (sample, &end);
   if (cause != NULL)
-    quince_sample_stop_run (sample, end, cause);
+    {
+      quince_sample_stop_run (sample, end, cause);
+      return;
+    }
+  gsize held_bytes = quince_platform_event_parser_get_partial_bytes (sample->event_parser);
+  quince_http_exchange_set_held_bytes (exchange, held_bytes);
 }
 
 /* ---- The answer ------------------------------------------------------- */
@@ -218,7 +233,10 @@
   quince_platform_read_answer (head, &answer_headers);
   sample->last_received_us = quince_now_us ();
   if (head->status != 200)
-    return;
+    {
+      quince_http_exchange_limit_body (exchange, QUINCE_HTTP_UNUSED_BODY_MAX_BYTES);
+      return;
+    }
   sample->run_version = answer_headers.version;
   if (answer_headers.version != 0 && answer_headers.version < sample->entry->batch->minimum_version)
     {
@@ -252,7 +270,7 @@
                gpointer user_data)
 {
   QuinceSample *sample = user_data;
-  gboolean has_partial_event = quince_platform_event_parser_has_partial_event (sample->event_parser);
+  gboolean has_partial_event = quince_platform_event_parser_get_partial_bytes (sample->event_parser) > 0;
   release_worker (sample);
   if (outcome == QUINCE_HTTP_ANSWERED)
     handle_answer (sample, quince_http_exchange_get_head (exchange), has_partial_event);
@@ -260,6 +278,8 @@
     sample->run_ended (sample, QUINCE_RUN_NO_CONNECTION, "no_connection", sample->user_data);
   else if (error->code == QUINCE_HTTP1_ERROR_UNMATCHED)
     sample->run_ended (sample, QUINCE_RUN_BROKEN, "wrong_answer", sample->user_data);
+  else if (error->code == QUINCE_HTTP1_ERROR_TOO_LARGE)
+    sample->run_ended (sample, QUINCE_RUN_BROKEN, QUINCE_FORWARD_CAUSE_TOO_LARGE, sample->user_data);
   else
     sample->run_ended (sample, QUINCE_RUN_CONNECTION_LOST, "connection_lost", sample->user_data);
 }
--- a/daemons/replica/sample.h
+++ b/daemons/replica/sample.h
@@ -24,6 +24,10 @@
   QUINCE_SAMPLE_DONE,    /* its result is delivered */
 } QuinceSampleState;
 
+/* Maximum length of the text of a sample, bytes: callers read at most 1 MB of results in one answer, and at
+ * least one result. */
+#define QUINCE_SAMPLE_TEXT_MAX_BYTES (1024 * 1024)
+
 typedef struct _QuinceSample QuinceSample;
 
 /* The part of a sample's text that a further backup has.  @stream: stream of reports that it was sent in
@@ -72,7 +76,7 @@
   QuinceHttpExchange *exchange;
   QuincePlatformEventParser *event_parser;
   QuinceTimer *silence_timer;
-  gint64 last_received_us; /* when bytes of the response last arrived */
+  gint64 last_received_us; /* start of the run, or when its head or its last event arrived */
   gint64 started_us;
   gint64 last_event_us; /* time of the last event; 0: none since the worker loaded weights */
   gboolean accepted;    /* a valid response head with status 200 has arrived */
--- a/lib/forward/stream.c
+++ b/lib/forward/stream.c
@@ -29,9 +29,11 @@
   char *worker_id;
   QuinceRetryTimer timer;     /* next attempt */
   QuinceTimer *timeout_timer; /* silence of the worker, and the deadline of the request */
-  gint64 contact_us;          /* start of the attempt or last data from its worker, monotonic */
+  gint64 contact_us;          /* start of the attempt, its head or its last event, monotonic */
   guint64 last_event_id;
   gboolean has_last_event;
+  gsize bytes_since_event; /* received in the attempt in flight since its last event or its head */
+  gboolean paused;         /* the caller does not take what was forwarded */
   gboolean head_forwarded;
   gboolean forwarding; /* the answer of this attempt is forwarded to the caller */
 };
@@ -131,35 +133,42 @@
   stream->forwarding
       = !not_run && (head->status == 200 ? signature != NULL : !stream->dispatch.retry.repeatable);
   if (!stream->forwarding)
-    return;
+    {
+      quince_http_exchange_limit_body (exchange, QUINCE_HTTP_UNUSED_BODY_MAX_BYTES);
+      return;
+    }
   if (!stream->head_forwarded)
     stream->callbacks->head (head, stream->user_data);
   stream->head_forwarded = TRUE;
 }
 
-/* Forwards complete events, each once.  Returns FALSE if the worker sent an event out of order. */
-static gboolean
+/* Forwards complete events, each once.  Returns NULL, or the cause why the attempt must end. */
+static const char *
 forward_events (QuinceStream *stream)
 {
   guint64 id = 0;
   g_autoptr (GString) bytes = g_string_new (NULL);
-  while (stream->codec->event_parser_next_event (stream->event_parser, &id, bytes))
+  g_autoptr (GError) error = NULL;
+  while (stream->codec->event_parser_next_event (stream->event_parser, &id, bytes, &error))
     {
       if (stream->has_last_event && id <= stream->last_event_id)
-        return FALSE;
+        return "event_out_of_turn";
       stream->last_event_id = id;
       stream->has_last_event = TRUE;
+      stream->contact_us = quince_now_us ();
+      stream->bytes_since_event = stream->codec->event_parser_get_partial_bytes (stream->event_parser);
       stream->callbacks->data (bytes->str, bytes->len, stream->user_data);
       g_string_truncate (bytes, 0);
     }
-  return TRUE;
+  if (error != NULL)
+    return "event_malformed";
+  return stream->bytes_since_event > QUINCE_STREAM_EVENT_MAX_BYTES ? QUINCE_FORWARD_CAUSE_TOO_LARGE : NULL;
 }
 
 static void
 exchange_body (QuinceHttpExchange *exchange, const char *data, gsize length, gpointer user_data)
 {
   QuinceStream *stream = user_data;
-  stream->contact_us = quince_now_us ();
   if (!stream->forwarding)
     return;
   if (!stream->dispatch.retry.repeatable)
@@ -168,11 +177,17 @@
       return;
     }
   stream->codec->event_parser_feed (stream->event_parser, data, length);
-  if (forward_events (stream))
-    return;
+  stream->bytes_since_event += length;
+  const char *cause = forward_events (stream);
+  if (cause == NULL)
+    {
+      gsize held_bytes = stream->codec->event_parser_get_partial_bytes (stream->event_parser);
+      quince_http_exchange_set_held_bytes (exchange, held_bytes);
+      return;
+    }
   quince_http_exchange_cancel (exchange);
   release_worker (stream);
-  attempt_failed (stream, TRUE, "event_out_of_turn");
+  attempt_failed (stream, TRUE, cause);
 }
 
 static void
@@ -198,23 +213,19 @@
 exchange_done (QuinceHttpExchange *exchange, QuinceHttpOutcome outcome, const GError *error, gpointer data)
 {
   QuinceStream *stream = data;
-  gboolean has_partial_event
-      = stream->event_parser != NULL && stream->codec->event_parser_has_partial_event (stream->event_parser);
+  gboolean has_partial_event = stream->event_parser != NULL
+                               && stream->codec->event_parser_get_partial_bytes (stream->event_parser) > 0;
   release_worker (stream);
   if (outcome == QUINCE_HTTP_ANSWERED)
     {
       handle_answer (stream, quince_http_exchange_get_head (exchange), has_partial_event);
       return;
     }
-  gboolean may_have_run = outcome != QUINCE_HTTP_NOT_SENT;
-  gboolean unmatched = may_have_run && error->code == QUINCE_HTTP1_ERROR_UNMATCHED;
+  const char *cause = quince_dispatch_get_cause (outcome, error);
   eject_worker (stream);
-  if (may_have_run && !unmatched)
+  if (quince_dispatch_may_be_loss (outcome, error))
     quince_dispatch_handle_connection_loss (&stream->dispatch, stream->worker_id);
-  attempt_failed (stream, may_have_run,
-                  !may_have_run ? "no_connection"
-                  : unmatched   ? "wrong_answer"
-                                : "connection_lost");
+  attempt_failed (stream, outcome != QUINCE_HTTP_NOT_SENT, cause);
 }
 
 static const QuinceHttpExchangeCallbacks exchange_callbacks
@@ -230,7 +241,7 @@
   QuinceStream *stream = data;
   gint64 now = quince_now_us ();
   quince_timer_clear (&stream->timeout_timer);
-  gint64 silent_ms = (now - stream->contact_us) / 1000;
+  gint64 silent_ms = stream->paused ? 0 : (now - stream->contact_us) / 1000;
   gboolean timed_out = now >= stream->dispatch.retry.give_up_us;
   if (!timed_out && (!stream->dispatch.retry.repeatable || silent_ms < QUINCE_SILENCE_STREAM_TIMEOUT_MS))
     {
@@ -269,13 +280,26 @@
   g_free (stream->worker_id);
   stream->worker_id = g_strdup (worker->id);
   stream->contact_us = now_us;
+  stream->bytes_since_event = 0;
   stream->forwarding = FALSE;
   stream->event_parser = stream->dispatch.retry.repeatable ? stream->codec->event_parser_new () : NULL;
   QuinceHttpPool *pool = quince_backends_get_pool (dispatch->backends, worker);
   stream->exchange = quince_http_pool_start (pool, &request, &exchange_callbacks, stream);
+  quince_http_exchange_set_reading (stream->exchange, !stream->paused);
   stream->timeout_timer = quince_timer_add (1, check_timeouts, stream);
 }
 
+void
+quince_stream_set_paused (QuinceStream *stream, gboolean paused)
+{
+  if (stream->paused == paused)
+    return;
+  stream->paused = paused;
+  stream->contact_us = quince_now_us ();
+  if (stream->exchange != NULL)
+    quince_http_exchange_set_reading (stream->exchange, !paused);
+}
+
 /* Returns whether the attempt may start now.  If not, the stream is retried later or ends. */
 static gboolean
 is_admitted (QuinceStream *stream, gint64 now_us)
--- a/lib/forward/stream.h
+++ b/lib/forward/stream.h
@@ -14,6 +14,10 @@
 
 G_BEGIN_DECLS
 
+/* Maximum number of bytes from one event of a resumable stream to the next; far above an event of the
+ * largest result that callers may read. */
+#define QUINCE_STREAM_EVENT_MAX_BYTES (1024 * 1024)
+
 typedef struct _QuinceStream QuinceStream;
 
 /* How a platform encodes requests for streams and decodes their events. */
@@ -23,13 +27,14 @@
   /* Adds the header that asks a worker to resume after the event @last_event_id. */
   void (*write_resume) (QuinceHttpHeaders *headers, guint64 last_event_id);
   /* A parser that splits the body into complete events.  event_parser_next_event() sets the id of an event
-   * and appends its bytes; it returns FALSE if no complete event is buffered.
-   * event_parser_has_partial_event() returns whether bytes of an incomplete event are left. */
+   * and appends its bytes; it returns FALSE if no complete event is buffered, or with an error if the bytes
+   * are no events.  It drops complete events without an id, such as comments.
+   * event_parser_get_partial_bytes() returns the number of bytes of an incomplete event. */
   gpointer (*event_parser_new) (void);
   void (*event_parser_free) (gpointer parser);
   void (*event_parser_feed) (gpointer parser, const char *data, gsize length);
-  gboolean (*event_parser_next_event) (gpointer parser, guint64 *id, GString *bytes);
-  gboolean (*event_parser_has_partial_event) (gpointer parser);
+  gboolean (*event_parser_next_event) (gpointer parser, guint64 *id, GString *bytes, GError **error);
+  gsize (*event_parser_get_partial_bytes) (gpointer parser);
 } QuinceStreamCodec;
 
 /**
@@ -55,6 +60,9 @@
                                    gboolean resumable,
                                    const QuinceStreamCallbacks *callbacks,
                                    gpointer user_data);
+/* Stops or continues to read from the worker, while the caller does not take what was forwarded.  The worker
+ * does not count as silent meanwhile. */
+void quince_stream_set_paused (QuinceStream *stream, gboolean paused);
 /* Returns the time after which a refused caller may retry, ms; 0: unknown.  Valid in done() with
  * QUINCE_FORWARD_REFUSED. */
 guint quince_stream_get_retry_after_ms (const QuinceStream *stream);
--- a/tests/platform/test-endless-answers.c
+++ b/tests/platform/test-endless-answers.c
@@ -24,6 +24,8 @@
 #define MANY_CALLS 50
 #define BURST_CALLS 8
 #define BURST_PAUSE_MS 100
+/* Longer than a worker is left out after failures, lib/core/routing/worker-table.c. */
+#define EJECTION_MS 2100
 #define SMALL_BYTES 4096
 #define LARGE_ANSWER_BYTES (12u << 20)
 #define WHOLE_STREAM                                                                                         \
@@ -227,10 +229,12 @@
   return busiest;
 }
 
-/* One worker of @service answers with @answer, the others are sound: all calls are answered. */
+/* One worker of @service answers with @answer, the others are sound and not left out for earlier failures:
+ * all calls are answered. */
 static void
 check_one_endless (const EndlessWorkers *service, const StandinEndlessAnswer *answer, const char *target)
 {
+  run_for (EJECTION_MS);
   EndlessCost cost = endless_cost_begin (scene.path->fronts[0]);
   const EndlessWorkers one = { &service->workers[find_busiest (service, target)], 1 };
   guint n_calls = endless_get_n_calls (&one);
