Front: a streamed answer is read from its worker as its caller takes it

A caller that read slowly got a cut answer beyond 1 MiB of unsent bytes, while the rest was read from the worker at full speed and dropped: 50 such callers, 565 MB read, the front grows from 8 to 62 MB.

From 256 KiB of unsent bytes on the worker is not read until all are sent; TCP slows it down, nothing is dropped, and it does not count as silent. A large answer is no longer copied behind its head.

--- a/daemons/front/caller-connection.c
+++ b/daemons/front/caller-connection.c
@@ -28,6 +28,8 @@
 #define IDLE_TIMEOUT_MARGIN_MS 1000
 /* Initial buffer size for the head of an answer, bytes; the buffer grows if needed. */
 #define ANSWER_HEAD_INITIAL_BYTES 512
+/* Maximum size of a body that is copied behind its head to be sent in one write, bytes. */
+#define ONE_WRITE_MAX_BYTES (64 * 1024)
 
 struct _QuinceCallerConnection
 {
@@ -43,7 +45,7 @@
   gboolean answering;           /* a request was read and its answer is not complete */
   gboolean keep_alive;
   gboolean head_only;           /* the request's method is HEAD, so that its answer ends with the head */
-  gboolean truncated;           /* the caller reads too slowly, so the answer ends without its last chunk */
+  gboolean paused;              /* the caller does not take the streamed answer, see write_answer_chunk() */
   gint64 received_us;           /* when the last request head was read, monotonic */
   gint64 idle_since_us;         /* end of the last answer or start of the connection, monotonic */
   gint64 partial_head_since_us; /* when the timer first found an incomplete head, monotonic; 0: none */
@@ -186,17 +188,21 @@
 write_answer (QuinceCallerConnection *connection, const QuinceCallerAnswer *answer)
 {
   gboolean keep_open = connection->keep_alive && !connection->context->stopping;
-  g_autoptr (GString) text = g_string_sized_new (ANSWER_HEAD_INITIAL_BYTES + answer->body_length);
+  g_autoptr (GString) text = g_string_sized_new (ANSWER_HEAD_INITIAL_BYTES);
   g_string_append_printf (text, "HTTP/1.1 %u %s\r\n", answer->status, get_reason_phrase (answer->status));
   append_headers (text, answer);
   if (!keep_open)
     g_string_append (text, "Connection: close\r\n");
   g_string_append_printf (text, "Content-Length: %" G_GSIZE_FORMAT "\r\n\r\n", answer->body_length);
-  if (!connection->head_only)
+  gboolean has_body = !connection->head_only && answer->body_length > 0;
+  gboolean is_large = answer->body_length > ONE_WRITE_MAX_BYTES;
+  if (has_body && !is_large)
     g_string_append_len (text, answer->body, (gssize)answer->body_length);
   connection->answering = FALSE;
   connection->idle_since_us = quince_now_us ();
   quince_http_connection_write (connection->http, text->str, text->len);
+  if (has_body && is_large)
+    quince_http_connection_write (connection->http, answer->body, answer->body_length);
   if (keep_open)
     {
       quince_http_connection_next (connection->http);
@@ -217,9 +223,10 @@
 
 /* ---- Streamed answers -------------------------------------------------- */
 
-/* Maximum unsent output of a streamed answer, bytes; it limits the memory that a slow caller uses.  While
- * more output is unsent, new data is dropped; the answer then ends without its last chunk. */
-#define UNSENT_MAX_BYTES (1024 * 1024)
+/* Unsent output of a streamed answer from which on its worker is not read until the caller has taken all of
+ * it, bytes; limits the memory that a slow caller uses.  The data that was read with the last bytes adds at
+ * most one event. */
+#define UNSENT_PAUSE_BYTES (256 * 1024)
 
 static void
 write_answer_head (const QuinceCallerAnswer *result, gpointer data)
@@ -241,16 +248,27 @@
   QuinceCallerConnection *connection = user_data;
   if (connection->head_only)
     return;
-  if (quince_http_connection_get_pending_output_bytes (connection->http) > UNSENT_MAX_BYTES)
-    return; /* end_streamed_answer() omits the last chunk */
   g_autofree char *size = g_strdup_printf ("%zx\r\n", length);
   g_autoptr (GString) chunk = g_string_new (size);
   g_string_append_len (chunk, data, (gssize)length);
   g_string_append (chunk, "\r\n");
   quince_http_connection_write (connection->http, chunk->str, chunk->len);
-  connection->truncated
-      = connection->truncated
-        || quince_http_connection_get_pending_output_bytes (connection->http) > UNSENT_MAX_BYTES;
+  if (connection->paused
+      || quince_http_connection_get_pending_output_bytes (connection->http) <= UNSENT_PAUSE_BYTES)
+    return;
+  connection->paused = TRUE;
+  quince_caller_request_set_paused (connection->request, TRUE);
+}
+
+static void
+http_drained (QuinceHttpConnection *http, gpointer data)
+{
+  QuinceCallerConnection *connection = data;
+  if (!connection->paused)
+    return;
+  connection->paused = FALSE;
+  if (connection->request != NULL)
+    quince_caller_request_set_paused (connection->request, FALSE);
 }
 
 static void
@@ -259,10 +277,11 @@
   QuinceCallerConnection *connection = data;
   static const char last_chunk[] = "0\r\n\r\n";
   connection->request = NULL;
+  connection->paused = FALSE;
   connection->answering = FALSE;
   connection->idle_since_us = quince_now_us ();
   connection->context->in_progress--;
-  if (!complete || connection->truncated)
+  if (!complete)
     {
       /* Without the last chunk the caller's HTTP library reports a truncated answer. */
       quince_http_connection_finish (connection->http);
@@ -412,7 +431,8 @@
                                                               .body = http_body,
                                                               .complete = http_complete,
                                                               .refused = http_refused,
-                                                              .closed = http_closed };
+                                                              .closed = http_closed,
+                                                              .drained = http_drained };
 
 QuinceCallerConnection *
 quince_caller_connection_new (QuinceFrontContext *context,
--- a/daemons/front/caller-request.c
+++ b/daemons/front/caller-request.c
@@ -90,6 +90,13 @@
   request_free (request);
 }
 
+void
+quince_caller_request_set_paused (QuinceCallerRequest *request, gboolean paused)
+{
+  if (request->stream != NULL)
+    quince_stream_set_paused (request->stream, paused);
+}
+
 static const char *
 get_kind_label (const QuinceCallerRequest *request)
 {
--- a/daemons/front/caller-request.h
+++ b/daemons/front/caller-request.h
@@ -64,5 +64,7 @@
                                                   gint64 received_us,
                                                   const QuinceCallerSink *sink,
                                                   gpointer user_data);
+/* Stops or continues to read the streamed answer from its worker, while the caller does not take it. */
+void quince_caller_request_set_paused (QuinceCallerRequest *request, gboolean paused);
 /* Cancels the request and frees it without calling the sink, because its connection closed. */
 void quince_caller_request_cancel (QuinceCallerRequest *request);
