Tests: bytes without end at replicas and from the store; a fuzz case

Unit http-broken-input sends heads, frames of chunks, trailer fields and interim answers without end after valid messages; without the limit on interim answers it fails.

An answer to a call without an id names none, and carries the version that samples need: otherwise the head alone ended those cases.

--- a/rehearsal/platform/standin-endless.c
+++ b/rehearsal/platform/standin-endless.c
@@ -119,8 +119,10 @@
 write_start (EndlessCall *endless)
 {
   const char *request_id = standin_call_get_header (endless->call, "Request-Id");
-  g_auto (GStrv) parts = g_strsplit (endless->answer->start, STANDIN_ENDLESS_ID, -1);
-  g_autofree char *start = g_strjoinv (request_id != NULL ? request_id : "none", parts);
+  g_autofree char *id_line
+      = request_id != NULL ? g_strdup_printf ("Request-Id: %s\r\n", request_id) : g_strdup ("");
+  g_auto (GStrv) parts = g_strsplit (endless->answer->start, STANDIN_ENDLESS_ID_LINE, -1);
+  g_autofree char *start = g_strjoinv (id_line, parts);
   write_text (endless, start);
 }
 
--- a/rehearsal/platform/standin-endless.h
+++ b/rehearsal/platform/standin-endless.h
@@ -7,8 +7,8 @@
 
 #include "standin-server.h"
 
-/* Stands for the id of the request in StandinEndlessAnswer.start. */
-#define STANDIN_ENDLESS_ID "@ID@"
+/* Stands for the header with the id of the request in StandinEndlessAnswer.start; empty if it has none. */
+#define STANDIN_ENDLESS_ID_LINE "@ID@"
 /* Stands for the number of the repetition in StandinEndlessAnswer.unit, ten digits, from 1. */
 #define STANDIN_ENDLESS_NUMBER "@NUMBER@@@"
 
--- a/tests/platform/endless-answers.h
+++ b/tests/platform/endless-answers.h
@@ -6,8 +6,8 @@
 #include "path-world.h"
 
 #define ENDLESS_STATUS "HTTP/1.1 200 OK\r\n"
-#define ENDLESS_ID "Request-Id: " STANDIN_ENDLESS_ID "\r\n"
-#define ENDLESS_HEAD ENDLESS_STATUS ENDLESS_ID "Server-Stamp: stamp-endless\r\n"
+#define ENDLESS_ID STANDIN_ENDLESS_ID_LINE
+#define ENDLESS_HEAD ENDLESS_STATUS ENDLESS_ID "Server-Stamp: stamp-endless\r\nWeight-Versions: 1\r\n"
 #define ENDLESS_CHUNKS ENDLESS_HEAD "Transfer-Encoding: chunked\r\n\r\n"
 #define ENDLESS_UNTIL_CLOSED ENDLESS_HEAD "Connection: close\r\n\r\n"
 #define ENDLESS_OTHER_CHUNKS ENDLESS_STATUS "Request-Id: of-another\r\nTransfer-Encoding: chunked\r\n\r\n"
--- a/tests/platform/test-endless-answers.c
+++ b/tests/platform/test-endless-answers.c
@@ -105,7 +105,9 @@
   g_autoptr (QuinceHttpHeaders) headers = quince_http_headers_new ();
   quince_http_headers_add (headers, "Host", PATH_HOST);
   quince_http_headers_add (headers, "Request-Id", id);
-  quince_http_headers_add (headers, "Request-Deadline-Ms", "3000");
+  /* A stream that runs once is passed on until its deadline. */
+  quince_http_headers_add (headers, "Request-Deadline-Ms",
+                           g_str_has_prefix (target, "/u/") ? "1000" : "3000");
   g_autoptr (GBytes) body = g_bytes_new_static ("question", 8);
   const QuinceHttpRequest request = {
     .method = "POST", .target = target, .headers = headers, .body = body, .timeout_us = 8 * G_USEC_PER_SEC
--- a/tests/unit/test-http-broken-input.c
+++ b/tests/unit/test-http-broken-input.c
@@ -23,6 +23,12 @@
 /* Larger than a head may be. */
 #define LARGE_BODY_BYTES (PEER_HEAD_MAX_BYTES + 100)
 #define STOP_CALLBACK_MAX 8
+/* Bytes that a connection may read of a head, or of what precedes it, that does not end: the limit of the
+ * parser on each of the interim responses that a client accepts, and what lies in the kernel's buffers. */
+#define ENDLESS_BYTES_MAX (16 * 1024 * 1024)
+#define ENDLESS_BLOCK_BYTES (64 * 1024)
+/* One of so many seeds sends bytes without end, which take longer. */
+#define ENDLESS_ONE_IN 100
 /* A head of so many lines exceeds PEER_HEAD_MAX_BYTES. */
 #define LARGE_HEAD_LINES 300
 /* Name of all trailer fields, which no valid message has among its headers. */
@@ -223,6 +229,71 @@
     }
 }
 
+/* ---- Bytes without end ----------------------------------------------------- */
+
+/* Returns the part that is repeated without end after the bytes that it appends. */
+static const char *
+add_endless_start (Input *input)
+{
+  static const struct
+  {
+    const char *response; /* NULL: no response has such a part */
+    const char *request;
+    const char *unit;
+  } parts[] = {
+    { "", "", "\r\n" },
+    { "HTTP/1.1 200 ", "GET /", "x" },
+    { "HTTP/1.1 200 OK\r\n", "GET / HTTP/1.1\r\n", "x" },
+    { "HTTP/1.1 200 OK\r\nName:", "GET / HTTP/1.1\r\nName:", " " },
+    { "HTTP/1.1 200 OK\r\nName: ", "GET / HTTP/1.1\r\nName: ", "x" },
+    { "HTTP/1.1 200 OK\r\n", "GET / HTTP/1.1\r\n", "Name: value\r\n" },
+    { "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+      "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n", "0" },
+    { "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5;",
+      "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n5;", "x" },
+    { "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
+      "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "Name: value\r\n" },
+    { "", NULL, "HTTP/1.1 100 Continue\r\n\r\n" },
+    { "", NULL, "HTTP/1.1 103 Early Hints\r\nLink: none\r\nContent-Length: 5\r\n\r\n" },
+  };
+  guint index = (guint)g_rand_int_range (input->random, 0, G_N_ELEMENTS (parts));
+  if (!input->is_client && parts[index].request == NULL)
+    index = 0;
+  g_string_append (input->bytes, input->is_client ? parts[index].response : parts[index].request);
+  return parts[index].unit;
+}
+
+/* Sends valid messages and then a head, a chunk's frame or trailer fields without end: the connection ends,
+ * and the messages before are read. */
+static void
+check_endless_seed (guint32 seed)
+{
+  Input input = { .random = g_rand_new_with_seed (seed),
+                  .bytes = g_string_new (NULL),
+                  .record = g_string_new (NULL) };
+  input.is_client = chance (&input, 2);
+  for (gint messages = g_rand_int_range (input.random, 0, VALID_MESSAGES_MAX + 1); messages > 0; messages--)
+    add_message (&input);
+  const char *unit = add_endless_start (&input);
+  g_autoptr (GString) block = g_string_new (NULL);
+  while (block->len < ENDLESS_BLOCK_BYTES)
+    g_string_append (block, unit);
+  Peer peer;
+  peer_init (&peer, input.is_client);
+  peer_send (&peer, input.bytes->str, input.bytes->len);
+  gsize sent = 0;
+  for (; peer.state != PEER_ENDED && sent < ENDLESS_BYTES_MAX; sent += block->len)
+    peer_send (&peer, block->str, block->len);
+  if (peer.state != PEER_ENDED)
+    fail_msg ("seed %u: %zu bytes were read after %s", seed, sent, input.bytes->str);
+  if (!g_str_has_prefix (peer.record->str, input.record->str))
+    fail_msg ("seed %u: read %s instead of %s", seed, peer.record->str, input.record->str);
+  peer_clear (&peer);
+  g_rand_free (input.random);
+  g_string_free (input.bytes, TRUE);
+  g_string_free (input.record, TRUE);
+}
+
 /* ---- Connections ----------------------------------------------------------- */
 
 static void
@@ -276,11 +347,21 @@
     check_seed (seed);
 }
 
+static void
+test_endless_input (void **state)
+{
+  guint32 first = get_first_seed ();
+  guint32 n_seeds = MAX (get_n_seeds (DEFAULT_SEEDS) / ENDLESS_ONE_IN, 1);
+  for (guint32 seed = first; seed < first + n_seeds; seed++)
+    check_endless_seed (seed);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_broken_input),
+    cmocka_unit_test (test_endless_input),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
