--- a/lib/core/trace/log-vocabulary.c
+++ b/lib/core/trace/log-vocabulary.c
@@ -9,6 +9,7 @@
 #include <string.h>
 
 static const char *const vocabulary[] = {
+  "answer_too_large",
   "answer_unmatched",
   "backup_joined",
   "backup_left",
