Mirrors: the timer of a feed follows the feed timeout of a new reader

Cause: a replica that becomes a member of the ledger becomes a reserve reader. With a change bound of 5 s its feed timeout falls from 3 s to 1 s, by which its metadata counts as fresh, but the timer that ends the feed kept the 3 s of the last page. If no page followed, the metadata was stale for 2 s, and the relay sent no heartbeats.

Change: quince_meta_mirror_set_times restarts that timer with what is left of the new timeout (quince_store_reads_get_feed_time_left_ms). No message, stored byte or timeout changes.

No check was changed.

--- a/lib/core/decisions/store-reads.c
+++ b/lib/core/decisions/store-reads.c
@@ -30,6 +30,13 @@
   return is_connected ? QUINCE_STORE_FIRST_READ_WAIT_MS : QUINCE_STORE_UNCONNECTED_MEMBER_WAIT_MS;
 }
 
+guint
+quince_store_reads_get_feed_time_left_ms (guint feed_timeout_ms, gint64 page_age_us)
+{
+  gint64 page_age_ms = MAX (page_age_us, 0) / 1000;
+  return page_age_ms < feed_timeout_ms ? feed_timeout_ms - (guint)page_age_ms : 0;
+}
+
 guint
 quince_store_reads_next_interval_ms (guint interval_ms,
                                      guint interval_min_ms,
--- a/lib/core/decisions/store-reads.h
+++ b/lib/core/decisions/store-reads.h
@@ -71,6 +71,18 @@
  */
 guint quince_store_reads_get_member_wait_ms (gboolean is_primary, gboolean is_connected);
 
+/**
+ * quince_store_reads_get_feed_time_left_ms:
+ * @feed_timeout_ms: time without a page after which a fed process reads the store itself, ms
+ * @page_age_us: time since the last page, us
+ *
+ * Decides how long a fed process still waits for a page when its feed timeout changes, because it becomes a
+ * reader or is one no longer.
+ *
+ * Returns: maximum time until it reads the store itself, ms; 0: it reads immediately
+ */
+guint quince_store_reads_get_feed_time_left_ms (guint feed_timeout_ms, gint64 page_age_us);
+
 /**
  * quince_store_reads_next_interval_ms:
  * @interval_ms: the interval before the last read, ms
--- a/lib/meta/meta-mirror-feed.c
+++ b/lib/meta/meta-mirror-feed.c
@@ -5,6 +5,7 @@
  * iteration of the main loop, so that the process answers requests and heartbeats meanwhile.  Pages that
  * arrive before the last slice wait for it.
  */
+#include "core/decisions/store-reads.h"
 #include "runtime/clock.h"
 #include "runtime/log.h"
 #include "meta-mirror-private.h"
@@ -69,6 +70,17 @@
   return mirror->feed_timer != NULL;
 }
 
+void
+quince_meta_mirror_restart_feed_timer (QuinceMetaMirror *mirror)
+{
+  if (mirror->feed_timer == NULL)
+    return;
+  guint left_ms = quince_store_reads_get_feed_time_left_ms (mirror->times.feed_timeout_ms,
+                                                            quince_now_us () - mirror->last_contact_us);
+  quince_timer_clear (&mirror->feed_timer);
+  mirror->feed_timer = quince_timer_add (left_ms, handle_feed_timeout, mirror);
+}
+
 /* Starts the feed or restarts its timeout, and stops reads of the store. */
 static void
 extend_feed (QuinceMetaMirror *mirror)
--- a/lib/meta/meta-mirror-private.h
+++ b/lib/meta/meta-mirror-private.h
@@ -60,6 +60,8 @@
 /* Ends the feed, if there is one, and reads the store, which may hold the first watch for @wait_ms.
  * @reason: for the log and the metric; static */
 void quince_meta_mirror_resume_reads (QuinceMetaMirror *mirror, const char *reason, guint wait_ms);
+/* Restarts the timer of the feed, if there is one, with what is left of the feed timeout. */
+void quince_meta_mirror_restart_feed_timer (QuinceMetaMirror *mirror);
 /* Drops the rest of a page that is being applied. */
 void quince_meta_mirror_drop_whole_page (QuinceMetaMirror *mirror);
 
--- a/lib/meta/meta-mirror.c
+++ b/lib/meta/meta-mirror.c
@@ -340,10 +340,14 @@
 void
 quince_meta_mirror_set_times (QuinceMetaMirror *mirror, const QuinceMetaMirrorTimes *times)
 {
+  gboolean feed_timeout_changed = times->feed_timeout_ms != mirror->times.feed_timeout_ms;
   mirror->times = *times;
   mirror->times.read_interval_max_ms = MAX (times->read_interval_max_ms, times->read_interval_min_ms);
   mirror->times.read_interval_burst_max_ms
       = MAX (times->read_interval_burst_max_ms, times->read_interval_min_ms);
+  /* Freshness is judged by the new timeout: a longer one that still ran would leave the mirror stale. */
+  if (feed_timeout_changed)
+    quince_meta_mirror_restart_feed_timer (mirror);
   if (mirror->read_interval_ms <= mirror->times.read_interval_burst_max_ms)
     return;
   /* A process that becomes a reader does not finish a pause that is longer than the new maximum. */
--- a/lib/meta/meta-mirror.h
+++ b/lib/meta/meta-mirror.h
@@ -93,7 +93,7 @@
 /* Returns whether the copy is complete as of some revision of the store. */
 gboolean quince_meta_mirror_is_synced (const QuinceMetaMirror *mirror);
 /* Takes effect with the next call or page.  A pause that is longer than the new maximum restarts with that
- * maximum. */
+ * maximum, and a feed ends when its last page is older than the new feed timeout. */
 void quince_meta_mirror_set_times (QuinceMetaMirror *mirror, const QuinceMetaMirrorTimes *times);
 /**
  * quince_meta_mirror_feed:
--- a/tests/platform/test-feed-tree.c
+++ b/tests/platform/test-feed-tree.c
@@ -19,12 +19,18 @@
   QuinceLink *link;
   guint updates; /* with keys */
   guint n_relays;
+  gint64 last_message_us; /* monotonic; 0: none */
+  gint64 longest_gap_us;  /* between two messages */
 } Subscriber;
 
 static void
 subscriber_message (QuinceLink *link, QuinceMessage *message, gpointer data)
 {
   Subscriber *subscriber = data;
+  gint64 now_us = g_get_monotonic_time ();
+  if (subscriber->last_message_us != 0)
+    subscriber->longest_gap_us = MAX (subscriber->longest_gap_us, now_us - subscriber->last_message_us);
+  subscriber->last_message_us = now_us;
   if (message->kind == QUINCE_MESSAGE_FEED_UPDATE)
     subscriber->updates += message->QuinceMessage_u.feed_update.items.items_len > 0;
   else if (message->kind == QUINCE_MESSAGE_FEED_RELAYS)
@@ -223,6 +229,42 @@
   world_stop (&world);
 }
 
+static gboolean
+is_replica_fed (World *world, guint index)
+{
+  g_autofree char *output = quince_process_read_output (world->path->replicas[index]);
+  return strstr (output, "event=feed_begun prefix=servers/") != NULL;
+}
+
+/* All replicas but one end when that one has just been fed for the first time.  It may become a member of the
+ * ledger, and so a reserve reader, only then; a child must hear it without a gap all the same. */
+static void
+test_leader_ends_at_the_first_feed (void **state)
+{
+  World world;
+  world.path = path_world_new ("feed-tree-first");
+  world.path->store_settings = LONG_BOUNDS;
+  path_reserve_links (world.path);
+  path_configure (world.path, 7);
+  path_register_workers (world.path);
+  for (guint i = 0; i < PATH_REPLICAS; i++)
+    path_start_replica (world.path, i);
+  gint relay = PATH_REPLICAS - 1;
+  Subscriber child;
+  subscribe (&child, world.path->links[relay], QUINCE_FEED_ROLE_CHILD, 5);
+  AWAIT (is_replica_fed (&world, relay));
+  for (gint i = 0; i < PATH_REPLICAS; i++)
+    if (i != relay)
+      quince_process_kill (world.path->replicas[i]);
+  AWAIT (child.updates > 0);
+  run_for (4000);
+  child.longest_gap_us = MAX (child.longest_gap_us, g_get_monotonic_time () - child.last_message_us);
+  if (child.longest_gap_us >= QUINCE_FEED_TREE_FEEDER_TIMEOUT_MS * 1000)
+    fail_msg ("the child heard nothing for %d ms", (gint)(child.longest_gap_us / 1000));
+  subscriber_clear (&child);
+  path_world_free (world.path);
+}
+
 /* The leader feeds a front that cannot be fed by a relay, whatever the number of fronts: one of an earlier
  * version, and one whose relays failed.  To the others it names the relays. */
 static void
@@ -247,9 +289,13 @@
 main (void)
 {
   const struct CMUnitTest tests[] = {
-    cmocka_unit_test (test_front_is_fed_by_a_relay), cmocka_unit_test (test_relay_is_killed),
-    cmocka_unit_test (test_relay_is_suspended),      cmocka_unit_test (test_leader_is_killed),
-    cmocka_unit_test (test_relay_without_a_leader),  cmocka_unit_test (test_roles_of_subscribers),
+    cmocka_unit_test (test_front_is_fed_by_a_relay),
+    cmocka_unit_test (test_relay_is_killed),
+    cmocka_unit_test (test_relay_is_suspended),
+    cmocka_unit_test (test_leader_is_killed),
+    cmocka_unit_test (test_relay_without_a_leader),
+    cmocka_unit_test (test_roles_of_subscribers),
+    cmocka_unit_test (test_leader_ends_at_the_first_feed),
   };
   return cmocka_run_group_tests_name ("feed-tree", tests, NULL, NULL);
 }
--- a/tests/unit/test-decisions-store-reads.c
+++ b/tests/unit/test-decisions-store-reads.c
@@ -93,6 +93,19 @@
   assert_true (connected_ms < BOUND_MIN_MS);
 }
 
+/* A fed process whose feed timeout changes reads the store as soon as its last page is too old by the new
+ * timeout; otherwise it would count as stale until the former timeout is over. */
+static void
+test_feed_timeout_changes (void **state)
+{
+  const QuinceStoreReadTimes reader = quince_store_reads_get_times (TRUE, 0);
+  guint timeout_ms = reader.feed_timeout_ms;
+  assert_int_equal (quince_store_reads_get_feed_time_left_ms (timeout_ms, 0), timeout_ms);
+  assert_int_equal (quince_store_reads_get_feed_time_left_ms (timeout_ms, 400 * 1000), timeout_ms - 400);
+  assert_int_equal (quince_store_reads_get_feed_time_left_ms (timeout_ms, timeout_ms * 1000), 0);
+  assert_int_equal (quince_store_reads_get_feed_time_left_ms (timeout_ms, G_MAXINT64), 0);
+}
+
 int
 main (void)
 {
@@ -100,6 +113,7 @@
     cmocka_unit_test (test_burst_of_writes),        cmocka_unit_test (test_reader_interval_in_a_burst),
     cmocka_unit_test (test_calls_without_a_leader), cmocka_unit_test (test_changes_are_known_in_time),
     cmocka_unit_test (test_readers_read_first),     cmocka_unit_test (test_member_waits_to_be_fed),
+    cmocka_unit_test (test_feed_timeout_changes),
   };
   return cmocka_run_group_tests_name ("decisions-store-reads", tests, NULL, NULL);
 }
