Test kit: the main loop of a test runs while processes start

Cause, a fault of the test: path_spawn blocked until a process was ready, and the stand-ins of the store and the relays run in the main loop of the test program. Where four replicas took 2.7 s to start, the store stood still for longer than the 1.5 s after which fronts list without a leader.

Change: quince_process_check_ready tells without blocking whether a process is ready. Check and bounds are the same.

--- a/rehearsal/kit/process.c
+++ b/rehearsal/kit/process.c
@@ -27,6 +27,8 @@
   char *name;
   char *output_path;
   GPid pid;
+  gint64 started_us; /* monotonic */
+  gboolean is_ready; /* the ready line was read */
   gboolean ended;
   gboolean killed;          /* by quince_process_kill() */
   gboolean is_status_read;  /* a caller of quince_process_wait() received the status */
@@ -102,6 +104,7 @@
   process->name = g_strdup (name);
   process->output_path = g_steal_pointer (&output_path);
   process->pid = pid;
+  process->started_us = g_get_monotonic_time ();
   process->ready_values = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   return process;
 }
@@ -145,27 +148,39 @@
   return TRUE;
 }
 
+gboolean
+quince_process_check_ready (QuinceProcess *process, gboolean *is_ready, GError **error)
+{
+  process->is_ready = process->is_ready || parse_ready_line (process);
+  *is_ready = process->is_ready;
+  if (*is_ready)
+    return TRUE;
+  if (!quince_process_is_running (process))
+    {
+      g_set_error (error, QUINCE_PROCESS_ERROR, QUINCE_PROCESS_ERROR_EXITED,
+                   "%s ended with status %d before it was ready", process->name, process->status);
+      return FALSE;
+    }
+  if (g_get_monotonic_time () - process->started_us > READY_TIMEOUT_US)
+    {
+      g_set_error (error, QUINCE_PROCESS_ERROR, QUINCE_PROCESS_ERROR_TIMEOUT, "%s is not ready after 30 s",
+                   process->name);
+      return FALSE;
+    }
+  return TRUE;
+}
+
 gboolean
 quince_process_await_ready (QuinceProcess *process, GError **error)
 {
-  gint64 deadline_us = g_get_monotonic_time () + READY_TIMEOUT_US;
-  while (!parse_ready_line (process))
+  gboolean is_ready = FALSE;
+  while (quince_process_check_ready (process, &is_ready, error))
     {
-      if (!quince_process_is_running (process))
-        {
-          g_set_error (error, QUINCE_PROCESS_ERROR, QUINCE_PROCESS_ERROR_EXITED,
-                       "%s ended with status %d before it was ready", process->name, process->status);
-          return FALSE;
-        }
-      if (g_get_monotonic_time () > deadline_us)
-        {
-          g_set_error (error, QUINCE_PROCESS_ERROR, QUINCE_PROCESS_ERROR_TIMEOUT,
-                       "%s is not ready after 30 s", process->name);
-          return FALSE;
-        }
+      if (is_ready)
+        return TRUE;
       g_usleep (POLL_INTERVAL_US);
     }
-  return TRUE;
+  return FALSE;
 }
 
 const char *
--- a/rehearsal/kit/process.h
+++ b/rehearsal/kit/process.h
@@ -30,17 +30,25 @@
  * @name: name of the process, unique among the running processes of @folder
  * @arguments: (array zero-terminated=1): path of the program and its arguments
  *
- * Starts a process without waiting until it is ready; see quince_process_await_ready().  Truncates the file
- * for standard output and appends to the one for standard error.
+ * Starts a process without waiting until it is ready; see quince_process_check_ready() and
+ * quince_process_await_ready().  Truncates the file for standard output and appends to the one for standard
+ * error.
  *
  * Returns: (transfer full) (nullable): the process, or %NULL with %QUINCE_PROCESS_ERROR_START
  */
 QuinceProcess *
 quince_process_spawn (const char *folder, const char *name, const char *const *arguments, GError **error);
-/* Blocks until the process prints a line "ready key=value ..." on standard output.
+/**
+ * quince_process_check_ready:
+ * @is_ready: (out): the process has printed a line "ready key=value ..." on standard output
+ *
+ * Does not block, so that the main loop of the caller can run until the process is ready.
  *
- * Returns: %FALSE with %QUINCE_PROCESS_ERROR_EXITED if the process ended first, or with
- *   %QUINCE_PROCESS_ERROR_TIMEOUT after 30 s */
+ * Returns: %FALSE with %QUINCE_PROCESS_ERROR_EXITED if the process ended before it was ready, or with
+ *   %QUINCE_PROCESS_ERROR_TIMEOUT if it is not ready 30 s after its start
+ */
+gboolean quince_process_check_ready (QuinceProcess *process, gboolean *is_ready, GError **error);
+/* Blocks until the process is ready.  Returns: as quince_process_check_ready() does */
 gboolean quince_process_await_ready (QuinceProcess *process, GError **error);
 
 const char *quince_process_get_name (const QuinceProcess *process);
--- a/tests/platform/path-world.h
+++ b/tests/platform/path-world.h
@@ -59,8 +59,13 @@
 
 /* ---- Processes -------------------------------------------------------- */
 
+/* Minimum time for which the main loop runs after the start of a process, ms. */
+#define PATH_LOOP_AFTER_START_MS 5
+
+/* Starts a process without waiting until it is ready.  The start holds the main loop until the process runs
+ * its program, so that the store and the relays get a turn before the next start. */
 static inline QuinceProcess *
-path_spawn (PathWorld *world, const char *program, const char *name, const char *settings)
+path_begin_process (PathWorld *world, const char *program, const char *name, const char *settings)
 {
   g_autofree char *file = g_strdup_printf ("%s/%s.ini", world->folder, name);
   g_assert_true (g_file_set_contents (file, settings, -1, NULL));
@@ -68,8 +73,31 @@
   const char *const arguments[] = { path, "-c", file, NULL };
   g_autoptr (GError) error = NULL;
   QuinceProcess *process = quince_process_spawn (world->folder, name, arguments, &error);
-  if (process == NULL || !quince_process_await_ready (process, &error))
+  if (process == NULL)
     fail_msg ("%s failed to start: %s", name, error->message);
+  run_for (PATH_LOOP_AFTER_START_MS);
+  return process;
+}
+
+/* Runs the main loop, in which the store and the workers answer, until the process is ready. */
+static inline void
+path_await_ready (QuinceProcess *process)
+{
+  gboolean is_ready = FALSE;
+  g_autoptr (GError) error = NULL;
+  while (!is_ready)
+    {
+      if (!quince_process_check_ready (process, &is_ready, &error))
+        fail_msg ("%s failed to start: %s", quince_process_get_name (process), error->message);
+      run_main_loop_once ();
+    }
+}
+
+static inline QuinceProcess *
+path_spawn (PathWorld *world, const char *program, const char *name, const char *settings)
+{
+  QuinceProcess *process = path_begin_process (world, program, name, settings);
+  path_await_ready (process);
   return process;
 }
 
@@ -89,8 +117,9 @@
                           world->zones != NULL ? world->zones : "", world->zones != NULL ? "\n" : "");
 }
 
+/* Starts a front without waiting until it is ready. */
 static inline void
-path_start_front (PathWorld *world, guint index)
+path_begin_front (PathWorld *world, guint index)
 {
   g_autofree char *name = g_strdup_printf ("front-%u", index);
   g_autofree char *zone_settings = path_format_zone_settings (world, world->front_zones[index]);
@@ -102,11 +131,19 @@
       path_store_address (world, name), world->store_settings != NULL ? world->store_settings : "",
       g_getenv ("QUINCE_SOURCE_DIR"), world->extra_front_settings != NULL ? world->extra_front_settings : "");
   g_clear_pointer (&world->fronts[index], quince_process_free);
-  world->fronts[index] = path_spawn (world, "quinceroute-front", name, settings);
+  world->fronts[index] = path_begin_process (world, "quinceroute-front", name, settings);
 }
 
 static inline void
-path_start_replica (PathWorld *world, guint index)
+path_start_front (PathWorld *world, guint index)
+{
+  path_begin_front (world, index);
+  path_await_ready (world->fronts[index]);
+}
+
+/* Starts a replica without waiting until it is ready. */
+static inline void
+path_begin_replica (PathWorld *world, guint index)
 {
   g_autofree char *name = g_strdup_printf ("replica-%u", index);
   g_autofree char *zone_settings = path_format_zone_settings (world, world->replica_zones[index]);
@@ -123,7 +160,26 @@
       world->orders != NULL ? world->orders : "pause=500ms", g_getenv ("QUINCE_SOURCE_DIR"),
       world->extra_replica_settings != NULL ? world->extra_replica_settings : "");
   g_clear_pointer (&world->replicas[index], quince_process_free);
-  world->replicas[index] = path_spawn (world, "quinceroute-replica", name, settings);
+  world->replicas[index] = path_begin_process (world, "quinceroute-replica", name, settings);
+}
+
+static inline void
+path_start_replica (PathWorld *world, guint index)
+{
+  path_begin_replica (world, index);
+  path_await_ready (world->replicas[index]);
+}
+
+/* Runs the main loop until all processes that have been started are ready. */
+static inline void
+path_await_all_ready (PathWorld *world)
+{
+  for (guint i = 0; i < PATH_FRONTS; i++)
+    if (world->fronts[i] != NULL)
+      path_await_ready (world->fronts[i]);
+  for (guint i = 0; i < PATH_REPLICAS; i++)
+    if (world->replicas[i] != NULL)
+      path_await_ready (world->replicas[i]);
 }
 
 /* Reserves a free port for each replica, so that a restarted replica has the same address. */
--- a/tests/platform/test-worker-lists.c
+++ b/tests/platform/test-worker-lists.c
@@ -123,7 +123,9 @@
 }
 
 /* The replica that founds the ledger and the fronts start before the other replicas: the first view names a
- * replica that can't lead alone, and so can't feed the fronts yet. */
+ * replica that can't lead alone, and so can't feed the fronts yet.  The fronts, and then the other replicas,
+ * start at the same time: one after another they would take longer on a busy machine than the fronts wait for
+ * a leader. */
 static void
 test_fronts_start_before_quorum (void **state)
 {
@@ -131,10 +133,11 @@
   path_start_replica (world, 0);
   AWAIT (get_view_revision (world) > 0);
   for (guint i = 0; i < PATH_FRONTS; i++)
-    path_start_front (world, i);
+    path_begin_front (world, i);
   run_for (START_SPREAD_MS);
   for (guint i = 1; i < PATH_REPLICAS; i++)
-    path_start_replica (world, i);
+    path_begin_replica (world, i);
+  path_await_all_ready (world);
   await_service (world);
   check_leader_lists_workers (world);
   check_fronts_list_view (world);
