Reads of results: an answer that has arrived does not count as on its way

Cause: a reader that reads again at once comes before its front answers the next heartbeat, up to 0.25 s later, so that the answer it has just received counts as on its way. That is refused where two answers of the limit are less than one text. The limit fell that low since the rate of a busy link left out what a text had above the limit, and a late delivery could only lower the limit.

Change: the leader repeats its last heartbeat, if it is at most 0.5 s old, right behind an answer whose delivery it measures (quince_link_finish_answer); the front answers it before its caller can read again. The rate counts what was sent, and a measured answer above the limit may raise it. No message changes.

Tests: platform-regions test_pages_over_link_with_pauses (new; the front's connection to the leader stands still for 0.4 s each 2 s), two cases of unit answer-allowance (new); platform-regions takes the name of a case. No check was changed.

--- a/daemons/replica/batch-answers.c
+++ b/daemons/replica/batch-answers.c
@@ -109,6 +109,8 @@
       = quince_platform_format_results (entry->batch->items.items_len, position + rows->len,
                                         (const QuincePlatformResult *)rows->data, rows->len);
   reply (link, id, 200, "application/json", body, 0);
+  if (rows->len > 0)
+    quince_link_finish_answer (link);
   return QUINCE_LEDGER_REFUSAL_NONE;
 }
 
--- a/lib/runtime/answer-allowance.c
+++ b/lib/runtime/answer-allowance.c
@@ -21,9 +21,9 @@
  * results with a maximum of 0.5 s, and 14 of 123 with 2 s. */
 #define RATE_INTERVAL_MAX_US (2000 * 1000)
 
-/* Time in which an answer should be delivered, as measured up to the answer to the next heartbeat, which is
- * sent 250 ms after the answer at the latest.  A front is silent to its leader after 650 ms without an answer
- * to a heartbeat, of which one heartbeat interval may pass before the answer; 50 ms remain. */
+/* Time in which an answer should be delivered, as measured up to the answer to the probe that follows it.  A
+ * front is silent to its leader after 650 ms without an answer to a heartbeat, of which one heartbeat
+ * interval may pass before the answer; 50 ms remain. */
 #define DELIVERY_TIME_US (350 * 1000)
 /* A smaller answer that takes long does not lower the limit: its peer was late and not the link, which would
  * have to be slower than 1.5 Mbit/s. */
@@ -77,11 +77,18 @@
                                        MAX (allowance->last_max_bytes, ANSWER_MIN_BYTES));
   if (backlog > BACKLOG_MAX_ANSWERS * allowance->last_max_bytes)
     return 0;
+  allowance->backlog_before_send = backlog;
   allowance->backlog_after_send = backlog + allowance->last_max_bytes;
   allowance->sent_us = now_us;
   return allowance->last_max_bytes;
 }
 
+void
+quince_answer_allowance_record_size (QuinceAnswerAllowance *allowance, gsize bytes)
+{
+  allowance->backlog_after_send = MAX (allowance->backlog_after_send, allowance->backlog_before_send + bytes);
+}
+
 void
 quince_answer_allowance_record_delivery (QuinceAnswerAllowance *allowance,
                                          gint64 now_us,
@@ -98,6 +105,7 @@
             = MIN (MAX (deliverable_bytes, allowance->last_max_bytes), allowance->max_bytes);
     }
   else if (bytes >= SLOW_DELIVERY_MIN_BYTES)
-    allowance->last_max_bytes
-        = CLAMP (deliverable_bytes, ANSWER_MIN_BYTES, MAX (allowance->last_max_bytes, ANSWER_MIN_BYTES));
+    /* An answer above the limit shows what the link can deliver, even if it took too long. */
+    allowance->last_max_bytes = CLAMP (deliverable_bytes, ANSWER_MIN_BYTES,
+                                       MAX (MAX (allowance->last_max_bytes, bytes), ANSWER_MIN_BYTES));
 }
--- a/lib/runtime/answer-allowance.h
+++ b/lib/runtime/answer-allowance.h
@@ -14,6 +14,7 @@
 /**
  * QuinceAnswerAllowance:
  * @last_max_bytes: size limit from the latest request; 0 before the first request
+ * @backlog_before_send: backlog just before the last answer was sent, bytes
  * @backlog_after_send: maximum backlog just after the last answer was sent, bytes
  * @sent_us: time at which the last answer was sent
  * @max_bytes: maximum size of any answer, from the latest request
@@ -25,6 +26,7 @@
 typedef struct
 {
   gsize last_max_bytes;
+  gsize backlog_before_send;
   gsize backlog_after_send;
   gint64 sent_us;
   gsize max_bytes;
@@ -45,6 +47,10 @@
                                        gsize backlog,
                                        gsize max_bytes);
 
+/* Records the size of the answer that was sent last.  It may exceed the limit, since an answer holds at least
+ * one text. */
+void quince_answer_allowance_record_size (QuinceAnswerAllowance *allowance, gsize bytes);
+
 /**
  * quince_answer_allowance_record_delivery:
  * @bytes: bytes of an answer and of what was queued with it
--- a/lib/runtime/delivery-meter.c
+++ b/lib/runtime/delivery-meter.c
@@ -35,6 +35,12 @@
   meter->measured.end_probe = 0;
 }
 
+gboolean
+quince_delivery_meter_awaits_probe (const QuinceDeliveryMeter *meter)
+{
+  return meter->measured.start_us > 0 && meter->measured.end_probe == 0;
+}
+
 /* Ends the measurement if the first probe after the measured answer is answered. */
 static gboolean
 complete_delivery (QuinceDeliveryMeter *meter, gint64 now_us, QuinceDelivery *delivery)
--- a/lib/runtime/delivery-meter.h
+++ b/lib/runtime/delivery-meter.h
@@ -65,6 +65,9 @@
  * @bytes: bytes queued on the link so far */
 void quince_delivery_meter_start_delivery (QuinceDeliveryMeter *meter, gint64 now_us, guint64 bytes);
 
+/* Returns whether the delivery of an answer is measured and no probe was sent after the answer. */
+gboolean quince_delivery_meter_awaits_probe (const QuinceDeliveryMeter *meter);
+
 /**
  * quince_delivery_meter_get_backlog:
  * @bytes: bytes queued on the link so far
--- a/lib/runtime/link.c
+++ b/lib/runtime/link.c
@@ -8,7 +8,6 @@
 
 #include <string.h>
 
-#include "runtime/acceptor.h"
 #include "runtime/clock.h"
 #include "runtime/delivery-meter.h"
 #include "runtime/timer.h"
@@ -16,6 +15,8 @@
 #include "runtime/socket-watch.h"
 #include "runtime/tcp-socket.h"
 
+#include "link-private.h"
+
 /* Size of the length field, see quince_protocol.x. */
 #define FRAME_HEADER_BYTES 4
 /* Maximum size of one read; other links are served before the next read. */
@@ -27,6 +28,10 @@
  * smaller than complete lists. */
 #define RETAINED_BUFFER_MAX_BYTES (32 * 1024)
 
+/* A probe's contents may be this old when it is sent again: two heartbeat intervals.  They name the silent
+ * fronts, so that those of a link without heartbeats must not be repeated. */
+#define REPEATED_PROBE_MAX_AGE_US (500 * 1000)
+
 G_DEFINE_QUARK (quince - link - error - quark, quince_link_error)
 
 struct _QuinceLink
@@ -46,6 +51,9 @@
   gboolean is_open;
   guint64 bytes_sent;
   guint64 bytes_queued; /* since the link was created */
+  guint64 answer_start; /* bytes_queued before the last answer */
+  GBytes *last_probe;   /* NULL: none */
+  gint64 last_probe_us; /* monotonic */
   QuinceDeliveryMeter delivery_meter;
   QuinceAnswerAllowance allowance;
 };
@@ -67,6 +75,7 @@
   g_clear_error (&link->connect_error);
   g_byte_array_unref (link->input);
   g_byte_array_unref (link->output);
+  g_clear_pointer (&link->last_probe, g_bytes_unref);
   g_free (link);
 }
 
@@ -212,7 +221,13 @@
   if (!link->is_open)
     return;
   quince_link_send_bytes (link, encoded);
-  quince_delivery_meter_record_probe (&link->delivery_meter, quince_now_us (), link->bytes_queued);
+  gint64 now_us = quince_now_us ();
+  quince_delivery_meter_record_probe (&link->delivery_meter, now_us, link->bytes_queued);
+  if (link->last_probe == encoded)
+    return;
+  g_clear_pointer (&link->last_probe, g_bytes_unref);
+  link->last_probe = g_bytes_ref (encoded);
+  link->last_probe_us = now_us;
 }
 
 void
@@ -399,6 +414,15 @@
   return link;
 }
 
+QuinceLink *
+quince_link_new_accepted (GSocket *socket, const QuinceLinkCallbacks *callbacks, gpointer user_data)
+{
+  QuinceLink *link = link_new (callbacks, user_data);
+  quince_tcp_socket_set_options (socket);
+  link_attach (link, socket, G_IO_IN);
+  return link;
+}
+
 gboolean
 quince_link_is_connected (QuinceLink *link)
 {
@@ -433,63 +457,25 @@
   gint64 now_us = quince_now_us ();
   gsize bytes
       = quince_answer_allowance_acquire (&link->allowance, now_us, quince_link_get_backlog (link), max_bytes);
-  if (bytes > 0)
-    quince_delivery_meter_start_delivery (&link->delivery_meter, now_us, link->bytes_queued);
+  if (bytes == 0)
+    return 0;
+  link->answer_start = link->bytes_queued;
+  quince_delivery_meter_start_delivery (&link->delivery_meter, now_us, link->bytes_queued);
   return bytes;
 }
 
-guint64
-quince_link_get_bytes_sent (QuinceLink *link)
-{
-  return link->bytes_sent;
-}
-
-/* ---- Listening -------------------------------------------------------- */
-
-struct _QuinceLinkServer
-{
-  QuinceAcceptor *acceptor;
-  const QuinceLinkCallbacks *callbacks;
-  void (*accepted) (QuinceLink *link, gpointer user_data);
-  gpointer user_data;
-};
-
-static void
-socket_accepted (GSocket *socket, gpointer data)
-{
-  QuinceLinkServer *server = data;
-  QuinceLink *link = link_new (server->callbacks, server->user_data);
-  quince_tcp_socket_set_options (socket);
-  link_attach (link, socket, G_IO_IN);
-  server->accepted (link, server->user_data);
-}
-
-QuinceLinkServer *
-quince_link_server_new (const char *address,
-                        const QuinceLinkCallbacks *callbacks,
-                        void (*accepted) (QuinceLink *link, gpointer user_data),
-                        gpointer user_data,
-                        GError **error)
-{
-  g_autofree QuinceLinkServer *server = g_new0 (QuinceLinkServer, 1);
-  server->acceptor = quince_acceptor_new (address, socket_accepted, server, error);
-  if (server->acceptor == NULL)
-    return NULL;
-  server->callbacks = callbacks;
-  server->accepted = accepted;
-  server->user_data = user_data;
-  return g_steal_pointer (&server);
-}
-
-const char *
-quince_link_server_get_address (QuinceLinkServer *server)
+void
+quince_link_finish_answer (QuinceLink *link)
 {
-  return quince_acceptor_get_address (server->acceptor);
+  quince_answer_allowance_record_size (&link->allowance, (gsize)(link->bytes_queued - link->answer_start));
+  gboolean is_recent
+      = link->last_probe != NULL && quince_now_us () - link->last_probe_us <= REPEATED_PROBE_MAX_AGE_US;
+  if (is_recent && quince_delivery_meter_awaits_probe (&link->delivery_meter))
+    quince_link_send_probe (link, link->last_probe);
 }
 
-void
-quince_link_server_free (QuinceLinkServer *server)
+guint64
+quince_link_get_bytes_sent (QuinceLink *link)
 {
-  quince_acceptor_free (server->acceptor);
-  g_free (server);
+  return link->bytes_sent;
 }
--- a/lib/runtime/link.h
+++ b/lib/runtime/link.h
@@ -79,8 +79,13 @@
 /* Returns: whether the socket has unread input */
 gboolean quince_link_has_input (QuinceLink *link);
 /* Returns: the size limit of an answer that is about to be queued, or 0 if none may be sent now; see
- * quince_answer_allowance_acquire(). */
+ * quince_answer_allowance_acquire().  If the answer is queued, the caller calls quince_link_finish_answer().
+ */
 gsize quince_link_acquire_answer (QuinceLink *link, gsize max_bytes);
+/* Records the size of the answer, and repeats the last probe after it if that probe is recent.  The peer
+ * answers the probe before its caller can read again, so that the answer does not count as undelivered at the
+ * next read. */
+void quince_link_finish_answer (QuinceLink *link);
 QuinceLink *quince_link_ref (QuinceLink *link);
 void quince_link_unref (QuinceLink *link);
 G_DEFINE_AUTOPTR_CLEANUP_FUNC (QuinceLink, quince_link_unref)
--- a/tests/platform/test-regions.c
+++ b/tests/platform/test-regions.c
@@ -203,20 +203,28 @@
   return reader.n_refused;
 }
 
-/* The leader is in the west, and a caller in the east reads long texts over the slow link.  Guards against
- * answers that take longer than a front waits.  On an idle link the limit of answers doubled with each one,
- * and the link of a single reader is idle at each read, so that it got 72, 144, 216 and 433 kB and then 577
- * kB, which took 1.7 s: the front refused this read after 1.5 s. */
-static void
-test_pages_over_slow_link (void **state)
+/* Starts a deployment whose leader is in the west, runs a batch with long texts, and makes the link slow. */
+static RelayedWorld *
+start_with_long_batch (const char *name)
 {
-  RelayedWorld *world = start ("regions-pages", 1, REGION_DELAY_MS);
+  RelayedWorld *world = start (name, 1, REGION_DELAY_MS);
   for (guint i = 0; i < PATH_MODEL; i++)
     standin_worker_set_event_padding (world->path->model[i], LONG_EVENT_BYTES);
   run_batch (world, EAST_FRONT, "long");
   guint leader = (guint)path_find_leader (world->path);
   assert_int_equal (region_of_process (world->path, RELAYED_REPLICA_PROCESS (leader)), WEST);
   limit_region_link (world, SLOW_WAY_MS, SLOW_BYTES_PER_S);
+  return world;
+}
+
+/* The leader is in the west, and a caller in the east reads long texts over the slow link.  Guards against
+ * answers that take longer than a front waits.  On an idle link the limit of answers doubled with each one,
+ * and the link of a single reader is idle at each read, so that it got 72, 144, 216 and 433 kB and then 577
+ * kB, which took 1.7 s: the front refused this read after 1.5 s. */
+static void
+test_pages_over_slow_link (void **state)
+{
+  RelayedWorld *world = start_with_long_batch ("regions-pages");
   /* The first answer may be refused: it is sent before the leader knows that the link is slow. */
   guint n_first_refused = read_in_pages (world, EAST_FRONT, "long");
   guint n_refused = 0;
@@ -229,9 +237,57 @@
   relayed_world_free (world);
 }
 
+/* The connection of the front to the leader stands still for PAUSE_MS, each PAUSE_INTERVAL_MS. */
+#define PAUSE_MS 400
+#define PAUSE_INTERVAL_MS 2000
+
+static void
+pause_reader (RelayedWorld *world, gboolean held)
+{
+  for (guint i = 0; i < PATH_REPLICAS; i++)
+    relayed_set_paused (world, EAST_FRONT, RELAYED_REPLICA (i), held);
+}
+
+static gboolean
+end_pause (gpointer data)
+{
+  pause_reader (data, FALSE);
+  return G_SOURCE_REMOVE;
+}
+
+static gboolean
+begin_pause (gpointer data)
+{
+  pause_reader (data, TRUE);
+  g_timeout_add (PAUSE_MS, end_pause, data);
+  return G_SOURCE_CONTINUE;
+}
+
+/* As test_pages_over_slow_link, over a connection that stands still for a moment again and again, as lost
+ * packets make it.  Guards against refused reads after a late answer: the limit of answers fell below one
+ * text, and an answer that had just arrived counted as on its way at the next read. */
+static void
+test_pages_over_link_with_pauses (void **state)
+{
+  RelayedWorld *world = start_with_long_batch ("regions-pauses");
+  /* Some reads are refused until the leader knows that the link is slow. */
+  read_in_pages (world, EAST_FRONT, "long");
+  guint timer = g_timeout_add (PAUSE_INTERVAL_MS, begin_pause, world);
+  guint n_refused = 0;
+  for (gint64 end = g_get_monotonic_time () + READING_MS * 1000; g_get_monotonic_time () < end;)
+    n_refused += read_in_pages (world, EAST_FRONT, "long");
+  g_source_remove (timer);
+  run_for (PAUSE_MS * 2);
+  print_message ("  %u reads refused\n", n_refused);
+  assert_int_equal (n_refused, 0);
+  relayed_world_free (world);
+}
+
 int
-main (void)
+main (int argc, char **argv)
 {
+  if (argc > 1)
+    cmocka_set_test_filter (argv[1]);
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_cut),
     cmocka_unit_test (test_cut_to_the_west),
@@ -240,6 +296,7 @@
     cmocka_unit_test (test_far_leader_cut),
     cmocka_unit_test (test_slow_link),
     cmocka_unit_test (test_pages_over_slow_link),
+    cmocka_unit_test (test_pages_over_link_with_pauses),
   };
   return cmocka_run_group_tests_name ("regions", tests, NULL, NULL);
 }
--- a/tests/unit/test-answer-allowance.c
+++ b/tests/unit/test-answer-allowance.c
@@ -128,6 +128,41 @@
   assert_int_equal (quince_answer_allowance_acquire (&allowance, now_us, 0, BYTES_MAX), 140 * 1024);
 }
 
+/* An answer holds at least one text, which may exceed the limit.  The limit must not stay at its minimum if
+ * the link delivers more: the next read would be refused while one text is on its way. */
+static void
+test_limit_rises_to_a_larger_answer (void **state)
+{
+  QuinceAnswerAllowance allowance = { 0 };
+  gint64 now_us = 1;
+  quince_answer_allowance_acquire (&allowance, now_us, 0, BYTES_MAX);
+  quince_answer_allowance_record_delivery (&allowance, now_us, 700 * 1024, 20000 * US_PER_MS);
+  gsize min_bytes = quince_answer_allowance_acquire (&allowance, now_us, 0, BYTES_MAX);
+  assert_true (min_bytes < 20 * 1024);
+  quince_answer_allowance_record_size (&allowance, 70 * 1024);
+  quince_answer_allowance_record_delivery (&allowance, now_us, 70 * 1024, 490 * US_PER_MS);
+  assert_int_equal (quince_answer_allowance_acquire (&allowance, now_us, 0, BYTES_MAX), 50 * 1024);
+  /* A small answer that takes long still raises nothing. */
+  quince_answer_allowance_record_delivery (&allowance, now_us, 40 * 1024, 490 * US_PER_MS);
+  assert_int_equal (quince_answer_allowance_acquire (&allowance, now_us, 0, BYTES_MAX), 50 * 1024);
+}
+
+/* The rate of a busy link includes what an answer had above its limit; otherwise a link that delivered most
+ * of it looks blocked. */
+static void
+test_backlog_of_a_larger_answer (void **state)
+{
+  QuinceAnswerAllowance allowance = { 0 };
+  gint64 now_us = 1;
+  quince_answer_allowance_acquire (&allowance, now_us, 0, BYTES_MAX);
+  quince_answer_allowance_record_delivery (&allowance, now_us, 100 * 1024, 1000 * US_PER_MS);
+  assert_int_equal (quince_answer_allowance_acquire (&allowance, now_us, 0, BYTES_MAX), 35 * 1024);
+  quince_answer_allowance_record_size (&allowance, 72 * 1024);
+  now_us += 300 * US_PER_MS;
+  /* 42 KiB were delivered in 300 ms, which is as much as the limit allows. */
+  assert_int_equal (quince_answer_allowance_acquire (&allowance, now_us, 30 * 1024, BYTES_MAX), 35 * 1024);
+}
+
 int
 main (void)
 {
@@ -139,6 +174,8 @@
     cmocka_unit_test (test_healthy_link_is_not_slow),
     cmocka_unit_test (test_late_peer_gets_full_answers_again),
     cmocka_unit_test (test_limit_rises_without_measurements),
+    cmocka_unit_test (test_limit_rises_to_a_larger_answer),
+    cmocka_unit_test (test_backlog_of_a_larger_answer),
   };
   return cmocka_run_group_tests_name ("answer-allowance", tests, NULL, NULL);
 }
