--- a/tests/platform/test-disks-lost.c
+++ b/tests/platform/test-disks-lost.c
@@ -2,7 +2,8 @@
  * test-disks-lost.c: as many disks as the ledger tolerates are lost together with the power of all replicas,
  * while the view has fewer members than it should have.
  */
-#define PATH_REPLICAS 6
+/* As many replicas as a ledger of five members has beside it in the largest deployments. */
+#define PATH_REPLICAS 13
 
 #include "protocol/codec.h"
 
@@ -43,9 +44,9 @@
   return (guint)g_ascii_strtoull (member->node + strlen ("replica-"), NULL, 10);
 }
 
-/* Starts @replicas replicas and one front, and waits until each of them is a member. */
+/* Starts @replicas replicas and one front, and waits until @members of them are members. */
 static PathWorld *
-start_members (const char *name, guint replicas)
+start_replicas (const char *name, guint replicas, guint members)
 {
   PathWorld *world = path_world_new (name);
   world->losses = LOSSES;
@@ -56,7 +57,7 @@
     path_start_replica (world, i);
   path_start_front (world, 0);
   world->bootstrapped = TRUE;
-  AWAIT (count_members (world) == replicas);
+  AWAIT (count_members (world) == members);
   return world;
 }
 
@@ -69,22 +70,40 @@
   AWAIT (path_count_results (world, 0, batch) == ITEMS);
 }
 
-/* Kills all replicas, deletes the disks of @lost_disks members other than the leader, and starts them again. */
 static void
-lose_power_and_disks (PathWorld *world, guint replicas, guint lost_disks)
+kill_all (PathWorld *world)
 {
-  for (guint i = 0; i < replicas; i++)
-    quince_process_kill (world->replicas[i]);
+  for (guint i = 0; i < PATH_REPLICAS; i++)
+    if (world->replicas[i] != NULL)
+      quince_process_kill (world->replicas[i]);
+}
+
+/* Deletes the disks of @lost_disks members other than the leader.
+ * Returns: the machines that lost their disks, as a bit mask */
+static guint
+delete_disks (PathWorld *world, guint lost_disks)
+{
+  guint lost = 0;
   QuinceLedgerView *view = read_view (world);
   for (guint i = 0, deleted = 0; i < view->members.members_len && deleted < lost_disks; i++)
     if (view->members.members_val[i].replica != view->primary)
       {
-        path_delete_replica_data (world, get_replica_index (&view->members.members_val[i]));
+        guint index = get_replica_index (&view->members.members_val[i]);
+        path_delete_replica_data (world, index);
+        lost |= 1U << index;
         deleted++;
       }
   quince_ledger_view_free (view);
-  for (guint i = 0; i < replicas; i++)
-    path_start_replica (world, i);
+  return lost;
+}
+
+/* Starts all machines again that are not in the bit mask @gone. */
+static void
+start_again (PathWorld *world, guint gone)
+{
+  for (guint i = 0; i < PATH_REPLICAS; i++)
+    if (world->replicas[i] != NULL && (gone & 1U << i) == 0)
+      path_start_replica (world, i);
 }
 
 /* The results of @batch are all there, soon. */
@@ -98,12 +117,15 @@
   assert_true (recovery_ms <= RECOVERY_MAX_MS);
 }
 
+/* All replicas are members. */
 static void
 lose_two_disks_of (const char *name, guint members)
 {
-  PathWorld *world = start_members (name, members);
+  PathWorld *world = start_replicas (name, members, members);
   run_batch (world, "b1");
-  lose_power_and_disks (world, members, 2);
+  kill_all (world);
+  delete_disks (world, 2);
+  start_again (world, 0);
   assert_recovers (world, "b1");
   run_batch (world, "b2");
   path_world_free (world);
@@ -127,13 +149,52 @@
   lose_two_disks_of ("disks-of-five", MEMBERS_MAX);
 }
 
+/* Kills all replicas at the moment when a handover leaves a view of four members, with nine replicas beside
+ * it, and deletes the disks of two of the four. */
+static PathWorld *
+lose_two_disks_after_handover (const char *name, gboolean return_empty)
+{
+  PathWorld *world = start_replicas (name, PATH_REPLICAS, MEMBERS_MAX);
+  run_batch (world, "b1");
+  run_for (1500); /* until the other replicas have the records */
+  gint leader = path_find_leader (world);
+  g_autofree char *key = g_strdup_printf ("op/retire/replica-%d", leader);
+  standin_store_put (world->store, key, "{\"durationS\":10}");
+  AWAIT (count_members (world) == MEMBERS_MAX - 1);
+  kill_all (world);
+  guint lost = delete_disks (world, 2);
+  standin_store_remove (world->store, key);
+  start_again (world, return_empty ? 0 : lost);
+  return world;
+}
+
+/* The machines come back with empty disks, for which the leader does not send them its records as long as
+ * enough other replicas have more of them. */
+static void
+test_two_disks_after_handover (void **state)
+{
+  PathWorld *world = lose_two_disks_after_handover ("disks-handover", TRUE);
+  assert_recovers (world, "b1");
+  run_batch (world, "b2");
+  path_world_free (world);
+}
+
+static void
+test_two_machines_after_handover (void **state)
+{
+  PathWorld *world = lose_two_disks_after_handover ("machines-handover", FALSE);
+  assert_recovers (world, "b1");
+  run_batch (world, "b2");
+  path_world_free (world);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
-    cmocka_unit_test (test_two_disks_of_three_members),
-    cmocka_unit_test (test_two_disks_of_four_members),
-    cmocka_unit_test (test_two_disks_of_five_members),
+    cmocka_unit_test (test_two_disks_of_three_members),  cmocka_unit_test (test_two_disks_of_four_members),
+    cmocka_unit_test (test_two_disks_of_five_members),   cmocka_unit_test (test_two_disks_after_handover),
+    cmocka_unit_test (test_two_machines_after_handover),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
