Ledger: campaigns take longer while promises come late

Cause: a campaign starts over with a greater epoch after 0.6 s. Where a request, a promise and a write to the store take that long, the write succeeds, but members have promised the next epoch of the same candidate by then, refuse its records, and it must be elected again, without end.

Change: a campaign that was promised too late or by too few takes twice as long as the one before, up to 2.4 s. One that nobody promises keeps 0.6 s.

With 0.3 s for all nobody may answer still: the lease of 0.6 s can't be held.

--- a/lib/core/group/ledger-campaign.c
+++ b/lib/core/group/ledger-campaign.c
@@ -13,6 +13,11 @@
  * delay of a replica's own campaign after it promises another candidate.  Longer than two rank delays. */
 #define CAMPAIGN_TIMEOUT_US (600 * 1000)
 
+/* How often the campaign timeout is doubled at most, after successive campaigns without a leader: up to 2.4
+ * s. If all processes are late, promises and a write to the store take longer than the first timeout, and
+ * each new campaign would void the promises of the one that is about to succeed. */
+#define CAMPAIGN_TIMEOUT_DOUBLINGS_MAX 2
+
 /* How long a leader that notices the loss of its lease tries to regain it before it promises others.  Three
  * heartbeat intervals: a query of the members, their answers and one heartbeat. */
 #define LEASE_REGAIN_US (450 * 1000)
@@ -60,6 +65,7 @@
     group->promised_to = 0;
   group->persistent.promised = epoch;
   group->leader_contact_us = now_us;
+  group->failed_campaigns = 0;
   quince_ledger_group_end_campaign (group);
   return TRUE;
 }
@@ -96,7 +102,11 @@
 static void
 update_lease_loss (QuinceLedgerGroup *group, gint64 now_us)
 {
-  if (group->role != QUINCE_LEDGER_LEADER || quince_ledger_group_has_leader_lease (group, now_us))
+  gboolean has_lease
+      = group->role == QUINCE_LEDGER_LEADER && quince_ledger_group_has_leader_lease (group, now_us);
+  if (has_lease)
+    group->failed_campaigns = 0;
+  if (group->role != QUINCE_LEDGER_LEADER || has_lease)
     group->lease_lost_us = 0;
   else if (group->lease_lost_us == 0)
     group->lease_lost_us = now_us;
@@ -191,6 +201,12 @@
   return group->limits.leader_timeout_us + (gint64)get_own_rank (group) * RANK_DELAY_US;
 }
 
+static gint64
+get_campaign_timeout_us (const QuinceLedgerGroup *group)
+{
+  return (gint64)CAMPAIGN_TIMEOUT_US << MIN (group->failed_campaigns, CAMPAIGN_TIMEOUT_DOUBLINGS_MAX);
+}
+
 guint64
 quince_ledger_group_campaign (QuinceLedgerGroup *group, gint64 now_us)
 {
@@ -203,10 +219,12 @@
     }
   if (group->campaigning_since_us == 0)
     group->campaigning_since_us = now_us;
-  if (group->campaign_epoch != 0 && now_us - group->campaign_us < CAMPAIGN_TIMEOUT_US)
+  if (group->campaign_epoch != 0 && now_us - group->campaign_us < get_campaign_timeout_us (group))
     return group->campaign_epoch; /* send the requests again, they may have been lost */
   if (group->campaign_epoch == 0 && now_us < group->campaign_us)
     return 0;
+  group->failed_campaigns += group->campaign_epoch != 0 && group->was_promised;
+  group->was_promised = FALSE;
   quince_ledger_group_end_campaign (group);
   /* Use an epoch above all known ones, so that members that promised an earlier campaign can promise this
    * one. */
@@ -228,6 +246,7 @@
                                     guint64 epoch,
                                     const QuinceLogEnd *end)
 {
+  group->was_promised = TRUE;
   if (group->campaign_epoch == 0 || epoch != group->campaign_epoch
       || !quince_ledger_group_is_in_any_view (group, replica))
     return;
--- a/lib/core/group/ledger-group-private.h
+++ b/lib/core/group/ledger-group-private.h
@@ -67,6 +67,8 @@
   gint64 campaigning_since_us; /* start of the first of several successive campaigns; 0: none */
   guint64 last_campaign;       /* greatest epoch of any campaign known to this replica */
   gint64 campaign_us;          /* start of the campaign; without one, earliest start of the next */
+  gboolean was_promised;       /* a promise arrived since the campaign began, perhaps for an earlier one */
+  guint failed_campaigns;      /* campaigns with a promise that timed out, since there was a leader */
   GArray *campaign_promises;   /* replicas that granted the promise */
   GArray *votes;               /* those of them whose acknowledged membership changes are all known */
   gint64 elected_us;           /* when enough promises for a write to the store were granted; 0: not yet */
