--- a/tests/unit/test-ledger-one-way.c
+++ b/tests/unit/test-ledger-one-way.c
@@ -84,6 +84,71 @@
     }
 }
 
+/* Returns a ledger of four members, the fifth of which was removed since its machine is away.  There are no
+ * spares. */
+static World *
+new_world_of_four (guint32 seed)
+{
+  World *world = new_settled_world (seed, 5, 2);
+  guint away = ((guint)world_find_leader (world) + 1) % 5;
+  world_kill (world, away);
+  for (guint i = 0; i < 200 && world->view->members.members_len != 4; i++)
+    world_run (world, 50);
+  assert_int_equal (world->view->members.members_len, 4);
+  world_run (world, 2000);
+  return world;
+}
+
+/* Guards against a leader that hears enough members to change the view, but has no replicas to replace the
+ * others with: its heartbeats keep a quorum of members, which hear each other, from electing a leader. */
+static void
+test_leader_that_hears_one_of_four_members (void **state)
+{
+  for (guint32 seed = 1; seed <= SEEDS; seed++)
+    {
+      World *world = new_world_of_four (12000 + seed);
+      guint former = (guint)world_find_leader (world);
+      guint heard = G_MAXUINT;
+      for (guint i = 0; i < world->n_nodes; i++)
+        if (i != former && world->nodes[i].group != NULL && heard == G_MAXUINT)
+          heard = i;
+        else if (i != former)
+          world->cut[i][former] = TRUE;
+      await_leader (world, former, 3 * FAILOVER_MAX_MS);
+      assert_commits_continue (world, 500);
+      cut_incoming_links (world, former, FALSE);
+      world_run (world, HEAL_MS);
+      assert_commits_continue (world, 500);
+      world_free (world);
+    }
+}
+
+/* The same with links cut in both directions.  Only the leader reaches the store, so the others need the vote
+ * of the member that the leader hears. */
+static void
+test_leader_with_store_cut_from_two_of_four_members (void **state)
+{
+  for (guint32 seed = 1; seed <= SEEDS; seed++)
+    {
+      World *world = new_world_of_four (13000 + seed);
+      guint former = (guint)world_find_leader (world);
+      guint heard = G_MAXUINT;
+      for (guint i = 0; i < world->n_nodes; i++)
+        if (i != former && world->nodes[i].group != NULL && heard == G_MAXUINT)
+          heard = i;
+        else if (i != former)
+          world->cut[i][former] = world->cut[former][i] = TRUE;
+      set_store_unreachable_except (world, former, TRUE);
+      await_leader (world, former, 3 * FAILOVER_MAX_MS);
+      assert_commits_continue (world, 500);
+      set_store_unreachable_except (world, former, FALSE);
+      world_cut_off (world, former, FALSE);
+      world_run (world, HEAL_MS);
+      assert_commits_continue (world, 500);
+      world_free (world);
+    }
+}
+
 /* The leader restarts during the cut.  It campaigns again and again, since no promise reaches it, which must
  * not keep the members from electing another leader. */
 static void
@@ -159,6 +224,8 @@
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_leader_without_incoming_links),
     cmocka_unit_test (test_leader_cut_from_members),
+    cmocka_unit_test (test_leader_that_hears_one_of_four_members),
+    cmocka_unit_test (test_leader_with_store_cut_from_two_of_four_members),
     cmocka_unit_test (test_restarted_leader_without_incoming_links),
     cmocka_unit_test (test_random_one_way_cuts),
   };
