Ledger: a leader without a quorum keeps its members only while it can replace others

Cause: while the store answers, contact to as many members as must acknowledge a change was enough for heartbeats, also where no replica could take the place of the others.

Change: that holds only while a replica that is no member is in contact.

--- a/lib/core/group/ledger-leases.c
+++ b/lib/core/group/ledger-leases.c
@@ -130,6 +130,33 @@
   return count;
 }
 
+/* Returns whether a replica that is no member is in contact, and may become one once it has all records. */
+static gboolean
+has_spare (const QuinceLedgerGroup *group, gint64 now_us)
+{
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, group->peers);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const QuinceLedgerPeer *peer = value;
+      if (now_us - peer->contact_us < group->limits.leader_timeout_us
+          && !quince_ledger_group_has_member (group, peer->replica)
+          && !quince_ledger_group_is_node_excluded (group, peer->node))
+        return TRUE;
+    }
+  return FALSE;
+}
+
+/* Returns whether this leader may be able to replace members that it has no contact to.  If it needs no
+ * acknowledgement but its own, it could keep members from a leader that hears them. */
+static gboolean
+may_replace_members (const QuinceLedgerGroup *group, gint64 now_us)
+{
+  return quince_ledger_group_get_change_acks_needed (group, group->view) > 1
+         && quince_ledger_group_has_store_contact (group, now_us) && has_spare (group, now_us);
+}
+
 /* Returns how many members of the known view must be in contact for this leader to commit, or to replace the
  * others. */
 static guint
@@ -137,9 +164,7 @@
 {
   guint quorum = quince_ledger_group_get_quorum (group, group->view);
   guint change_acks = quince_ledger_group_get_change_acks_needed (group, group->view);
-  /* A leader that needs no acknowledgement but its own could keep members from a leader that hears them. */
-  return change_acks > 1 && quince_ledger_group_has_store_contact (group, now_us) ? MIN (quorum, change_acks)
-                                                                                  : quorum;
+  return may_replace_members (group, now_us) ? MIN (quorum, change_acks) : quorum;
 }
 
 gboolean
