Test of residency: a stated bound, and the order of the race in a case of its own

Change, of the test alone: once the store has the zones of all machines inside, the leader must confine the ledger to them within APPLY_MAX_MS (3 s), the time in which a change must take effect; that is stricter than the 30 s. New case test_third_machine_is_late: the third machine starts after the batch is complete, so that the recorded order comes in each run; the check at that moment, as it was, cannot hold there, and the bounded one does.

--- a/tests/platform/residency-world.h
+++ b/tests/platform/residency-world.h
@@ -132,3 +132,26 @@
     }
   return count;
 }
+
+static inline guint
+residency_count_confined_lines (const PathWorld *world)
+{
+  return residency_count_replica_log_lines (world,
+                                            "event=ledger_confined nodes=replica-0,replica-2,replica-4");
+}
+
+/* Asserts that the leader confines the ledger to the machines in the east within APPLY_MAX_MS once the store
+ * has the zones of all of them. */
+static inline void
+residency_assert_ledger_is_confined (const PathWorld *world)
+{
+  static const char *const inside[] = { "replica-0", "replica-2", "replica-4" };
+  for (guint i = 0; i < G_N_ELEMENTS (inside); i++)
+    {
+      g_autofree char *key = g_strconcat ("quinceroute/places/", inside[i], NULL);
+      AWAIT (standin_store_get (world->store, key) != NULL);
+    }
+  gint64 start_us = g_get_monotonic_time ();
+  AWAIT (residency_count_confined_lines (world) > 0);
+  assert_true (g_get_monotonic_time () - start_us < APPLY_MAX_MS * 1000);
+}
--- a/tests/platform/test-residency.c
+++ b/tests/platform/test-residency.c
@@ -199,10 +199,31 @@
   for (guint i = 1; i < PATH_MODEL; i++)
     assert_int_equal (residency_count_runs (world->model[i]), 0);
   assert_int_equal (residency_count_runs (world->plain[1]), 0);
-  /* The leader may read the zone of the third machine after the batch is complete. */
-  AWAIT (
-      residency_count_replica_log_lines (world, "event=ledger_confined nodes=replica-0,replica-2,replica-4")
-      > 0);
+  residency_assert_ledger_is_confined (world);
+  for (guint i = 0; i < PATH_REPLICAS; i++)
+    if (is_outside (world, i))
+      assert_int_equal (kept_records (world, i), 0);
+  path_world_free (world);
+}
+
+/* The third machine inside starts after the batch is complete: two of them are a quorum.  The ledger is
+ * confined to all three then. */
+static void
+test_third_machine_is_late (void **state)
+{
+  PathWorld *world = residency_world_new ("third-late");
+  residency_configure (world, 7, "rw", "\"east\"", NULL);
+  path_register_workers (world);
+  for (guint i = 0; i + 1 < PATH_REPLICAS; i++)
+    path_start_replica (world, i);
+  for (guint i = 0; i < PATH_FRONTS; i++)
+    path_start_front (world, i);
+  world->bootstrapped = TRUE;
+  AWAIT (submit_status (world, 2, "b1") == 202);
+  AWAIT (path_count_results (world, 2, "b1") == ITEMS);
+  assert_int_equal (residency_count_confined_lines (world), 0);
+  path_start_replica (world, PATH_REPLICAS - 1);
+  residency_assert_ledger_is_confined (world);
   for (guint i = 0; i < PATH_REPLICAS; i++)
     if (is_outside (world, i))
       assert_int_equal (kept_records (world, i), 0);
@@ -459,6 +480,7 @@
     cmocka_unit_test (test_unknown_zone),
     cmocka_unit_test (test_stream_under_a_change),
     cmocka_unit_test (test_batch_stays),
+    cmocka_unit_test (test_third_machine_is_late),
     cmocka_unit_test (test_batch_has_no_place),
     cmocka_unit_test (test_change_under_a_batch),
     cmocka_unit_test (test_leader_of_a_region_dies),
