Test kit: an ended process is replaced once its successor is ready

platform-callers ended with signal 11 in two cases (front killed and restarted, front and leader killed; each run since the main loop runs while processes start): a call of the load went to a front that had no address yet, or no process. A process that has ended stays in the test's world until the next one is ready, so that calls go to its former address and are refused, as before.

--- a/tests/platform/path-world.h
+++ b/tests/platform/path-world.h
@@ -117,8 +117,25 @@
                           world->zones != NULL ? world->zones : "", world->zones != NULL ? "\n" : "");
 }
 
-/* Starts a front without waiting until it is ready. */
+/* Frees a process that is to be started again if it still runs.  One that has ended stays until its successor
+ * is ready, since the main loop runs meanwhile and calls may go to its address. */
 static inline void
+path_end_process (QuinceProcess **process)
+{
+  if (*process != NULL && quince_process_is_running (*process))
+    g_clear_pointer (process, quince_process_free);
+}
+
+static inline void
+path_replace_process (QuinceProcess **former, QuinceProcess *process)
+{
+  path_await_ready (process);
+  g_clear_pointer (former, quince_process_free);
+  *former = process;
+}
+
+/* Returns: (transfer full): a front that may not be ready yet */
+static inline QuinceProcess *
 path_begin_front (PathWorld *world, guint index)
 {
   g_autofree char *name = g_strdup_printf ("front-%u", index);
@@ -130,19 +147,18 @@
       name, zone_settings, world->front_listen_settings != NULL ? world->front_listen_settings : "",
       path_store_address (world, name), world->store_settings != NULL ? world->store_settings : "",
       g_getenv ("QUINCE_SOURCE_DIR"), world->extra_front_settings != NULL ? world->extra_front_settings : "");
-  g_clear_pointer (&world->fronts[index], quince_process_free);
-  world->fronts[index] = path_begin_process (world, "quinceroute-front", name, settings);
+  path_end_process (&world->fronts[index]);
+  return path_begin_process (world, "quinceroute-front", name, settings);
 }
 
 static inline void
 path_start_front (PathWorld *world, guint index)
 {
-  path_begin_front (world, index);
-  path_await_ready (world->fronts[index]);
+  path_replace_process (&world->fronts[index], path_begin_front (world, index));
 }
 
-/* Starts a replica without waiting until it is ready. */
-static inline void
+/* Returns: (transfer full): a replica that may not be ready yet */
+static inline QuinceProcess *
 path_begin_replica (PathWorld *world, guint index)
 {
   g_autofree char *name = g_strdup_printf ("replica-%u", index);
@@ -159,15 +175,14 @@
       world->bootstrapped ? "false" : "true", world->losses != NULL ? world->losses : "losses=1",
       world->orders != NULL ? world->orders : "pause=500ms", g_getenv ("QUINCE_SOURCE_DIR"),
       world->extra_replica_settings != NULL ? world->extra_replica_settings : "");
-  g_clear_pointer (&world->replicas[index], quince_process_free);
-  world->replicas[index] = path_begin_process (world, "quinceroute-replica", name, settings);
+  path_end_process (&world->replicas[index]);
+  return path_begin_process (world, "quinceroute-replica", name, settings);
 }
 
 static inline void
 path_start_replica (PathWorld *world, guint index)
 {
-  path_begin_replica (world, index);
-  path_await_ready (world->replicas[index]);
+  path_replace_process (&world->replicas[index], path_begin_replica (world, index));
 }
 
 /* Runs the main loop until all processes that have been started are ready. */
--- a/tests/platform/test-worker-lists.c
+++ b/tests/platform/test-worker-lists.c
@@ -133,10 +133,10 @@
   path_start_replica (world, 0);
   AWAIT (get_view_revision (world) > 0);
   for (guint i = 0; i < PATH_FRONTS; i++)
-    path_begin_front (world, i);
+    world->fronts[i] = path_begin_front (world, i);
   run_for (START_SPREAD_MS);
   for (guint i = 1; i < PATH_REPLICAS; i++)
-    path_begin_replica (world, i);
+    world->replicas[i] = path_begin_replica (world, i);
   path_await_all_ready (world);
   await_service (world);
   check_leader_lists_workers (world);
