Ledger test: a drained former leader that the store confirms answers stale reads

A view of as many members as a quorum, both cut off from each other; the next leader replaces the former one, whose machine is drained, by a spare at once and commits without it, within the lease duration for which the store's last answer confirms the former leader.

--- a/tests/unit/test-ledger-two-members.c
+++ b/tests/unit/test-ledger-two-members.c
@@ -143,11 +143,39 @@
     }
 }
 
+/* The same with a former leader whose machine is drained: the next leader may replace it by a spare at once,
+ * without an answer of it.  Guards against commits of the next leader within the time for which the store's
+ * last answer lets the former one answer. */
+static void
+test_drained_former_leader_confirmed_by_store (void **state)
+{
+  for (guint32 seed = 1; seed <= SEEDS; seed++)
+    {
+      World *world = new_world_of_two (12000 + seed);
+      guint leader = (guint)world_find_leader (world);
+      guint other = find_other (world, leader);
+      world_cut_off (world, leader, TRUE);
+      world_start (world, 3 - leader - other, FALSE);
+      drain_node (world, leader);
+      for (guint i = 0; i < 500 && world->view->primary != world->nodes[other].disk.replica; i++)
+        world_run (world, 10);
+      assert_int_equal (world->view->primary, world->nodes[other].disk.replica);
+      world->store_unreachable[leader] = TRUE;
+      world_run (world, 8000);
+      assert_commits_continue (world, 1000);
+      world->store_unreachable[leader] = FALSE;
+      world_cut_off (world, leader, FALSE);
+      world_run (world, 3000);
+      world_free (world);
+    }
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = { cmocka_unit_test (test_silence_while_store_is_silent),
                                       cmocka_unit_test (test_former_leader_confirmed_by_store),
+                                      cmocka_unit_test (test_drained_former_leader_confirmed_by_store),
                                       cmocka_unit_test (test_store_silent_during_election) };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
