Ledger: a former leader that the store confirms is not left out of the view while it may answer

Cause: a leader of as many members as a quorum may answer for 0.6 s by the store's word alone. Its successor, which needs no promise there, took care that no commit happens without it as long as it is a member, but could replace it at once by a spare if its machine is drained, and commit without it.

Change: in such a view the successor proposes nothing that leaves out a member which does not follow it, until it has led for the length of a lease. A member whose machine is back with another disk has ended, and is replaced as before.

--- a/lib/core/group/ledger-proposals.c
+++ b/lib/core/group/ledger-proposals.c
@@ -273,6 +273,42 @@
   return FALSE;
 }
 
+/* Returns whether @replica follows this leader and has all committed records. */
+static gboolean
+has_all_records (QuinceLedgerGroup *group, gint64 now_us, guint64 replica)
+{
+  const QuinceLedgerPeer *peer = quince_ledger_group_find_peer (group, replica);
+  return replica == group->self.replica || (peer != NULL && is_caught_up (group, now_us, peer));
+}
+
+static guint
+count_with_all_records (QuinceLedgerGroup *group, gint64 now_us, const QuinceLedgerView *view)
+{
+  guint count = 0;
+  for (guint i = 0; i < view->members.members_len; i++)
+    count += has_all_records (group, now_us, view->members.members_val[i].replica);
+  return count;
+}
+
+/* Returns whether @view leaves out a member of the known view that may be a former leader which still
+ * answers: the store may have confirmed it until this replica took the lead.  A member that another replica
+ * on its machine replaces has ended. */
+static gboolean
+leaves_out_answering_leader (QuinceLedgerGroup *group, gint64 now_us, const QuinceLedgerView *view)
+{
+  if (now_us - group->leading_since_us > group->limits.lease_duration_us)
+    return FALSE;
+  for (guint i = 0; i < group->view->members.members_len; i++)
+    {
+      const QuinceLedgerMember *member = &group->view->members.members_val[i];
+      if (!has_all_records (group, now_us, member->replica)
+          && quince_ledger_view_find (view, member->replica) == NULL
+          && !quince_ledger_view_has_node (view, member->node))
+        return TRUE;
+    }
+  return FALSE;
+}
+
 /* Returns whether enough members of @view have all committed records.  With a quorum that has them, any set
  * of members that elects a leader of @view includes one of these, and no candidate without the records is
  * promised.  The others may be late, or lost and not replaced yet.
@@ -282,16 +318,10 @@
 static gboolean
 are_enough_caught_up (QuinceLedgerGroup *group, gint64 now_us, const QuinceLedgerView *view)
 {
-  gboolean all_needed = group->view->members.members_len <= group->limits.quorum;
-  guint needed = all_needed ? view->members.members_len : quince_ledger_group_get_quorum (group, view);
-  guint count = 0;
-  for (guint i = 0; i < view->members.members_len; i++)
-    {
-      guint64 replica = view->members.members_val[i].replica;
-      const QuinceLedgerPeer *peer = quince_ledger_group_find_peer (group, replica);
-      count += replica == group->self.replica || (peer != NULL && is_caught_up (group, now_us, peer));
-    }
-  return count >= needed;
+  guint count = count_with_all_records (group, now_us, view);
+  if (group->view->members.members_len > group->limits.quorum)
+    return count >= quince_ledger_group_get_quorum (group, view);
+  return count == view->members.members_len && !leaves_out_answering_leader (group, now_us, view);
 }
 
 static QuinceLedgerView *
