Ledger: possible members count for the contacts of a leader that replaces others

A leader without contact to a quorum of its view keeps its heartbeats only while the replicas in contact, members and spares that may store records, are enough for a quorum.

--- a/lib/core/group/ledger-leases.c
+++ b/lib/core/group/ledger-leases.c
@@ -130,31 +130,32 @@
   return count;
 }
 
-/* Returns whether a replica that is no member is in contact, and may become one once it has all records. */
-static gboolean
-has_spare (const QuinceLedgerGroup *group, gint64 now_us)
+/* Returns how many replicas are in contact that are members or may become members, including this one. */
+static guint
+count_possible_members (const QuinceLedgerGroup *group, gint64 now_us)
 {
+  guint count = 1;
   GHashTableIter iter;
   gpointer value;
   g_hash_table_iter_init (&iter, group->peers);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       const QuinceLedgerPeer *peer = value;
-      if (now_us - peer->contact_us < group->limits.leader_timeout_us
-          && !quince_ledger_group_has_member (group, peer->replica)
-          && !quince_ledger_group_is_node_excluded (group, peer->node))
-        return TRUE;
+      count += now_us - peer->contact_us < group->limits.leader_timeout_us
+               && !quince_ledger_group_is_node_excluded (group, peer->node);
     }
-  return FALSE;
+  return count;
 }
 
-/* Returns whether this leader may be able to replace members that it has no contact to.  If it needs no
- * acknowledgement but its own, it could keep members from a leader that hears them. */
+/* Returns whether this leader may be able to replace members that it has no contact to, by enough others for
+ * a quorum.  If it needs no acknowledgement but its own, it could keep members from a leader that hears them.
+ */
 static gboolean
 may_replace_members (const QuinceLedgerGroup *group, gint64 now_us)
 {
   return quince_ledger_group_get_change_acks_needed (group, group->view) > 1
-         && quince_ledger_group_has_store_contact (group, now_us) && has_spare (group, now_us);
+         && quince_ledger_group_has_store_contact (group, now_us)
+         && count_possible_members (group, now_us) >= group->limits.quorum;
 }
 
 /* Returns how many members of the known view must be in contact for this leader to commit, or to replace the
