Tests and one comment in plainer words

Heads of the new tests say which failure they guard against, and no longer how it was found; record_, recovery and connected in place of note_, calm and heard.

--- a/lib/http1/http-client.h
+++ b/lib/http1/http-client.h
@@ -121,7 +121,7 @@
  * larger body ends the exchange as a collected one does. */
 void quince_http_exchange_limit_body (QuinceHttpExchange *exchange, gsize max_body_bytes);
 /* Tells how many bytes of the response the owner holds until their rest arrives.  If the exchanges of this
- * thread then hold more than QUINCE_ANSWER_BUDGET_BYTES, ends those that hold most, which may be this one,
+ * thread then hold more than QUINCE_ANSWER_BUDGET_BYTES, ends the largest holders, possibly this one,
  * with %QUINCE_HTTP_BROKEN and %QUINCE_HTTP1_ERROR_TOO_LARGE. */
 void quince_http_exchange_set_held_bytes (QuinceHttpExchange *exchange, gsize held_bytes);
 /* Stops or continues to read the response, for an owner that passes it on to a slow reader. */
--- a/tests/platform/power-loss-world.h
+++ b/tests/platform/power-loss-world.h
@@ -149,7 +149,7 @@
 
 /* Returns whether all submissions were answered, and notes which were accepted. */
 static inline gboolean
-power_note_accepted (PowerWorld *world)
+power_record_accepted (PowerWorld *world)
 {
   gboolean all = TRUE;
   for (guint i = 0; i < POWER_BATCHES; i++)
--- a/tests/platform/test-owed-items.c
+++ b/tests/platform/test-owed-items.c
@@ -1,9 +1,6 @@
 /*
- * test-owed-items.c: a sound item under which several workers crashed is still run once the crashes are over,
- * and an item that really ends its workers is sent seldom.
- *
- * Four ends of workers, two of them while a request ran alone, once held items of batches as they hold
- * lookups: for a day, although all workers were back.  Reward calls of items were refused the same way.
+ * test-owed-items.c: guards against items and reward calls that are held like lookups after several of their
+ * workers crashed, and against an item that crashes each worker and is sent often.
  */
 #define PATH_PLAIN 8
 #define PATH_MODEL 8
@@ -13,11 +10,11 @@
 #include "groups.h"
 
 #define ITEMS 6
-/* In calm, an owed item is sent at the latest 3 s after the last end; its permit, its run and its listing
- * take less than the rest. */
-#define CALM_MS 8000
+/* After the burst, an owed item is sent at the latest 3 s after the last end; its permit, its run and its
+ * listing take less than the rest. */
+#define RECOVERY_MS 8000
 /* A change of leader and a start of all replicas take 1 to 3 s more. */
-#define CALM_AFTER_RESTART_MS 14000
+#define RECOVERY_AFTER_RESTART_MS 14000
 #define FATAL_WATCH_MS 20000
 /* Four sends until the item would be held as a lookup; then one at least after 0.5, 1.5, 3.5, 6.5, ... s. */
 #define FATAL_SENDS_MIN 7
@@ -107,7 +104,7 @@
   CrashWorld *world = crash_world_start ("owed-step", "/r/0");
   submit_step (world, "b1");
   await_burst (world);
-  assert_all_listed (world, "b1", ITEMS, CALM_MS);
+  assert_all_listed (world, "b1", ITEMS, RECOVERY_MS);
   crash_world_free (world);
 }
 
@@ -117,7 +114,7 @@
   CrashWorld *world = crash_world_start ("owed-batch", "/r/0");
   submit (world, "b1", plain_batch);
   await_burst (world);
-  assert_all_listed (world, "b1", 1, CALM_MS);
+  assert_all_listed (world, "b1", 1, RECOVERY_MS);
   crash_world_free (world);
 }
 
@@ -127,7 +124,7 @@
   CrashWorld *world = crash_world_start ("owed-reward", "/w/0");
   submit_step (world, "b1");
   await_burst (world);
-  assert_all_listed (world, "b1", ITEMS, CALM_MS);
+  assert_all_listed (world, "b1", ITEMS, RECOVERY_MS);
   crash_world_free (world);
 }
 
@@ -139,7 +136,7 @@
   CrashWorld *world = crash_world_start ("owed-group", "/unlucky/");
   groups_submit (world->path, 0, "b1", groups, G_N_ELEMENTS (groups));
   await_burst (world);
-  assert_all_listed (world, "b1", 8, CALM_MS);
+  assert_all_listed (world, "b1", 8, RECOVERY_MS);
   crash_world_free (world);
 }
 
@@ -155,7 +152,7 @@
   AWAIT (path_find_leader (world->path) != leader);
   path_start_replica (world->path, (guint)leader);
   AWAIT (crash_world_all_running (world));
-  assert_all_listed (world, "b1", ITEMS, CALM_MS);
+  assert_all_listed (world, "b1", ITEMS, RECOVERY_MS);
   crash_world_free (world);
 }
 
@@ -180,7 +177,7 @@
   for (guint i = 0; i < PATH_REPLICAS; i++)
     path_start_replica (world->path, i);
   AWAIT (crash_world_all_running (world));
-  assert_all_listed (world, "b1", ITEMS, CALM_AFTER_RESTART_MS);
+  assert_all_listed (world, "b1", ITEMS, RECOVERY_AFTER_RESTART_MS);
   crash_world_free (world);
 }
 
@@ -207,7 +204,7 @@
   put_entry (world, &reward, "request", "svc");
   run_for (READ_ENTRIES_MS);
   submit_step (world, "b1");
-  assert_all_listed (world, "b1", ITEMS, CALM_MS);
+  assert_all_listed (world, "b1", ITEMS, RECOVERY_MS);
   AWAIT (!has_entry (world)); /* cleared by the answers */
   crash_world_free (world);
 }
@@ -247,7 +244,7 @@
   assert_true (quince_request_digest_make_prompt (&prompt, NULL, PATH_HOST, parts));
   AWAIT (is_stream_held (world, &prompt));
   groups_submit (world->path, 0, "b1", groups, G_N_ELEMENTS (groups));
-  assert_all_listed (world, "b1", 4, CALM_MS);
+  assert_all_listed (world, "b1", 4, RECOVERY_MS);
   AWAIT (stream_with_prompt (world, 0, "after-0") == 200 && stream_with_prompt (world, 1, "after-1") == 200);
   crash_world_free (world);
 }
@@ -273,7 +270,7 @@
   AWAIT (path_status (path_front (world->path, 0), "DELETE", "/quinceroute/lots/b1", "q", NULL) == 200);
   AWAIT (crash_world_all_running (world));
   guint sends = crash_world_count_runs (world, "/r/0");
-  run_for (CALM_MS);
+  run_for (RECOVERY_MS);
   assert_int_equal (crash_world_count_runs (world, "/r/0"), sends);
   crash_world_free (world);
 }
--- a/tests/platform/test-power-loss-soak.c
+++ b/tests/platform/test-power-loss-soak.c
@@ -1,10 +1,10 @@
 /*
  * test-power-loss-soak.c: all replicas lose power while steps are being accepted, with the disks of up to two
- * members, amid other faults.  Seeded by SOAK_SEED; SOAK_STEPS seeds (one where it is not set).  SOAK_CORES
- * binds all processes to so many cores, SOAK_READ_MS is how long the batches are read, SOAK_PADDING makes
- * each event of a sample so many bytes longer.
+ * members, amid other faults.  Guards against reads that are refused, and items that no worker gets, after
+ * all faults have ended.
  *
- * Guards against reads that are refused, and items that no worker gets, while nothing is wrong any more.
+ * Environment: SOAK_SEED and SOAK_STEPS, see soak-seeds.h; SOAK_CORES: cores for all processes; SOAK_READ_MS:
+ * time for which the batches are read; SOAK_PADDING: bytes added to each event of a sample.
  */
 #include <sched.h>
 
@@ -77,7 +77,7 @@
       world->suspended[replica] = FALSE;
       path_start_replica (world->path, replica);
     }
-  power_note_accepted (world);
+  power_record_accepted (world);
   run_for (FAULT_STEP_MS);
 }
 
@@ -113,7 +113,7 @@
   power_kill_replicas (world);
   if (with_fronts)
     power_kill_fronts (world);
-  power_note_accepted (world);
+  power_record_accepted (world);
   power_delete_disks (world, disks);
   if (power_draw (world, 0, 2) == 0)
     power_set_random_store_fault (world);
@@ -131,7 +131,7 @@
 /* Notes that @count results came from the position on.  A large batch comes in several answers; once it is
  * whole it is read from its start again. */
 static void
-note_results (Read *read, guint count)
+record_results (Read *read, guint count)
 {
   read->position += count;
   read->whole = read->whole || read->position == POWER_ITEMS;
@@ -140,14 +140,14 @@
 }
 
 static void
-note_answer (Read *read, guint batch, guint front, gint64 calm_us)
+record_answer (Read *read, guint batch, guint front, gint64 calm_us)
 {
   if (!read->waits || !read->answer.done)
     return;
   read->waits = FALSE;
   read->last_status = read->answer.status;
   if (read->answer.status == 200)
-    note_results (read, path_count_occurrences (read->answer.body, "\"state\":"));
+    record_results (read, path_count_occurrences (read->answer.body, "\"state\":"));
   else if (read->answer.status == HTTP_STATUS_PUT_OFF)
     read->put_off++;
   else
@@ -189,7 +189,7 @@
         for (guint j = 0; j < PATH_FRONTS; j++)
           {
             Read *read = &reads[i][j];
-            note_answer (read, i, j, calm_us);
+            record_answer (read, i, j, calm_us);
             if (world->batches[i].accepted && now_us < until_us && is_due (read, now_us))
               start_read (world, read, i, j);
             waits = waits || read->waits;
@@ -233,7 +233,7 @@
   for (guint i = power_draw (world, 5, FAULT_STEPS); i > 0; i--)
     step (world);
   lose_power (world, power_draw (world, 0, 2) == 0);
-  AWAIT (power_note_accepted (world));
+  AWAIT (power_record_accepted (world));
   if (power_draw (world, 0, 2) == 0)
     power_retire (world, G_MAXUINT);
   gint64 healed_us = g_get_monotonic_time ();
--- a/tests/platform/test-regions.c
+++ b/tests/platform/test-regions.c
@@ -237,7 +237,7 @@
   relayed_world_free (world);
 }
 
-/* The connection of the front to the leader stands still for PAUSE_MS, each PAUSE_INTERVAL_MS. */
+/* The connection of the front to the leader is paused for PAUSE_MS, every PAUSE_INTERVAL_MS. */
 #define PAUSE_MS 400
 #define PAUSE_INTERVAL_MS 2000
 
@@ -263,9 +263,9 @@
   return G_SOURCE_CONTINUE;
 }
 
-/* As test_pages_over_slow_link, over a connection that stands still for a moment again and again, as lost
- * packets make it.  Guards against refused reads after a late answer: the limit of answers fell below one
- * text, and an answer that had just arrived counted as on its way at the next read. */
+/* As test_pages_over_slow_link, over a connection that pauses now and then, as with lost packets.  Guards
+ * against refused reads after a late answer: the limit of answers fell below one text, and an answer that had
+ * just arrived counted as on its way at the next read. */
 static void
 test_pages_over_link_with_pauses (void **state)
 {
--- a/tests/platform/test-replaced-workers.c
+++ b/tests/platform/test-replaced-workers.c
@@ -1,10 +1,7 @@
 /*
- * test-replaced-workers.c: workers that crash and come back at once under new ids, while the entries of their
- * former incarnations lapse seconds later.
- *
- * Such entries were once counted as workers of the service.  After a burst its size seemed to be the double
- * for half a minute, half of which was never ready: 'suspect_spared ready=9 of=20' at nine living workers,
- * and no suspect was sent in that time, be it an item or a lookup.
+ * test-replaced-workers.c: workers that crash and restart at once under new ids, while the entries of their
+ * former incarnations expire seconds later.  Guards against such entries being counted as workers of the
+ * service, so that too few seem ready and no suspect is sent.
  */
 #define PATH_PLAIN 8
 #define PATH_MODEL 8
@@ -17,7 +14,7 @@
 /* So many that each worker runs some, so that all ends are known. */
 #define ITEMS 24
 /* Suspects are sent one at a time for each group of two. */
-#define CALM_MS 8000
+#define RECOVERY_MS 8000
 
 static void
 crash_all (CrashWorld *world)
@@ -50,7 +47,7 @@
   AWAIT (crash_world_all_running (world));
   gint64 start = g_get_monotonic_time ();
   while (path_count_results (world->path, 1, "b1") < ITEMS
-         && g_get_monotonic_time () - start < CALM_MS * G_TIME_SPAN_MILLISECOND)
+         && g_get_monotonic_time () - start < RECOVERY_MS * G_TIME_SPAN_MILLISECOND)
     run_for (CRASH_POLL_INTERVAL_MS);
   guint listed = path_count_results (world->path, 1, "b1");
   print_message ("  %u of %u results %" G_GINT64_FORMAT " ms after the burst\n", listed, ITEMS,
--- a/tests/unit/test-ledger-lost-disks.c
+++ b/tests/unit/test-ledger-lost-disks.c
@@ -210,8 +210,8 @@
   drain_node (world, *drained);
 }
 
-/* Wipes up to the tolerated number of disks, chosen among the members, while all others lose power, and
- * starts all machines one after the other. */
+/* Wipes up to the tolerated number of disks, of members, while all others lose power, and
+ * starts all machines in turn. */
 static void
 lose_and_restart_slowly (World *world, guint drained)
 {
--- a/tests/unit/test-ledger-one-way.c
+++ b/tests/unit/test-ledger-one-way.c
@@ -108,10 +108,10 @@
     {
       World *world = new_world_of_four (12000 + seed);
       guint former = (guint)world_find_leader (world);
-      guint heard = G_MAXUINT;
+      guint connected = G_MAXUINT;
       for (guint i = 0; i < world->n_nodes; i++)
-        if (i != former && world->nodes[i].group != NULL && heard == G_MAXUINT)
-          heard = i;
+        if (i != former && world->nodes[i].group != NULL && connected == G_MAXUINT)
+          connected = i;
         else if (i != former)
           world->cut[i][former] = TRUE;
       await_leader (world, former, 3 * FAILOVER_MAX_MS);
@@ -132,10 +132,10 @@
     {
       World *world = new_world_of_four (13000 + seed);
       guint former = (guint)world_find_leader (world);
-      guint heard = G_MAXUINT;
+      guint connected = G_MAXUINT;
       for (guint i = 0; i < world->n_nodes; i++)
-        if (i != former && world->nodes[i].group != NULL && heard == G_MAXUINT)
-          heard = i;
+        if (i != former && world->nodes[i].group != NULL && connected == G_MAXUINT)
+          connected = i;
         else if (i != former)
           world->cut[i][former] = world->cut[former][i] = TRUE;
       set_store_unreachable_except (world, former, TRUE);
--- a/tests/unit/test-ledger-power-loss.c
+++ b/tests/unit/test-ledger-power-loss.c
@@ -12,7 +12,7 @@
 #define SPARES_MAX 7
 #define FAULTS_MAX 6
 #define FAULT_INTERVAL_MAX_MS 1500
-/* Machines start again one after the other within this time. */
+/* All machines have started again within this time. */
 #define START_MAX_MS 3000
 /* From the last start to the next answer: several elections of 2.5 s at most, and changes of the members. */
 #define RECOVERY_MAX_MS 10000
--- a/tests/unit/test-owed-pause.c
+++ b/tests/unit/test-owed-pause.c
@@ -2,10 +2,9 @@
  * test-owed-pause.c: work that is owed is never held, but sent after pauses; seeded by SOAK_SEED and
  * SOAK_STEPS.
  *
- * Items of batches under which workers ended for other reasons were once held for a day like lookups.  The
- * simulation ends workers at random, moves the quarantine to another leader, starts all processes anew and
- * releases suspects.  Afterwards each item must be placed soon, and a lookup that ends its workers must be
- * held.
+ * The simulation crashes workers at random, moves the quarantine to another leader, restarts all processes
+ * and releases suspects.  Afterwards each item must be sent soon, and a lookup that crashes its workers must
+ * be held.
  */
 #include <setjmp.h>
 #include <stdarg.h>
