--- a/rehearsal/kit/process.c
+++ b/rehearsal/kit/process.c
@@ -119,6 +119,12 @@
   process->status = WIFEXITED (status) ? WEXITSTATUS (status) : 128 + WTERMSIG (status);
 }
 
+GPid
+quince_process_get_pid (const QuinceProcess *process)
+{
+  return process->pid;
+}
+
 gboolean
 quince_process_is_running (QuinceProcess *process)
 {
--- a/rehearsal/kit/process.h
+++ b/rehearsal/kit/process.h
@@ -54,6 +54,7 @@
 const char *quince_process_get_name (const QuinceProcess *process);
 /* Returns: (transfer none): the value of @key in the ready line, or "" if there is none */
 const char *quince_process_get_ready_value (const QuinceProcess *process, const char *key);
+GPid quince_process_get_pid (const QuinceProcess *process);
 gboolean quince_process_is_running (QuinceProcess *process);
 /* Returns: resident memory in bytes, or 0 if the process has ended or its memory cannot be read */
 guint64 quince_process_get_memory (QuinceProcess *process);
--- a/rehearsal/platform/standin-worker.c
+++ b/rehearsal/platform/standin-worker.c
@@ -5,6 +5,9 @@
 
 #include <string.h>
 
+/* Bytes of a request's body that a plain answer repeats. */
+#define ECHO_MAX_BYTES (1024 * 1024)
+
 /* A request that is answered later, or that crashes the worker. */
 typedef struct
 {
@@ -100,7 +103,7 @@
 {
   const char *id = fault == STANDIN_WORKER_WRONG_REQUEST_ID ? "of-another" : run->id;
   g_autofree char *headers = answer_headers (worker, id, fault != STANDIN_WORKER_MISSING_STAMP);
-  g_autofree char *body = g_strdup_printf ("%s by %s", run->body, worker->id);
+  g_autofree char *body = g_strdup_printf ("%.*s by %s", ECHO_MAX_BYTES, run->body, worker->id);
   if (fault == STANDIN_WORKER_EXTRA_ANSWER)
     {
       g_autofree char *two_answers = g_strdup_printf ("HTTP/1.1 200 OK\r\n%sContent-Length: %u\r\n\r\n%s"
--- a/tests/platform/path-world.h
+++ b/tests/platform/path-world.h
@@ -46,6 +46,8 @@
   const char *replica_listen_settings; /* the same of replicas */
   char *extra_replica_settings;        /* appended to the settings of replicas; NULL: none */
   char *extra_front_settings;          /* appended to the settings of fronts; NULL: none */
+  guint descriptors_max;               /* limit on open descriptors of each process; 0: that of the test */
+  guint max_body_bytes;                /* of the configuration; 0: that of PATH_CONFIGURATION */
   char *links[PATH_REPLICAS];          /* listen addresses; NULL: a free port at each start */
   GSocket *reserved_ports[PATH_REPLICAS]; /* owned; bound so that no other test gets the ports */
 } PathWorld;
@@ -70,9 +72,12 @@
   g_autofree char *file = g_strdup_printf ("%s/%s.ini", world->folder, name);
   g_assert_true (g_file_set_contents (file, settings, -1, NULL));
   g_autofree char *path = g_build_filename (g_getenv ("QUINCE_BUILD_DIR"), "daemons", program, NULL);
-  const char *const arguments[] = { path, "-c", file, NULL };
+  g_autofree char *limit = g_strdup_printf ("ulimit -n %u; exec \"$0\" \"$@\"", world->descriptors_max);
+  const char *const plain_arguments[] = { path, "-c", file, NULL };
+  const char *const limited_arguments[] = { "/bin/sh", "-c", limit, path, "-c", file, NULL };
   g_autoptr (GError) error = NULL;
-  QuinceProcess *process = quince_process_spawn (world->folder, name, arguments, &error);
+  QuinceProcess *process = quince_process_spawn (
+      world->folder, name, world->descriptors_max > 0 ? limited_arguments : plain_arguments, &error);
   if (process == NULL)
     fail_msg ("%s failed to start: %s", name, error->message);
   run_for (PATH_LOOP_AFTER_START_MS);
@@ -296,8 +301,12 @@
 static inline void
 path_configure (PathWorld *world, guint version)
 {
-  g_autofree char *text = g_strdup_printf (PATH_CONFIGURATION, version);
-  standin_store_put (world->store, "op/config", text);
+  g_autoptr (GString) text = g_string_new (NULL);
+  g_string_printf (text, PATH_CONFIGURATION, version);
+  g_autofree char *limit = g_strdup_printf ("\"maxBodyBytes\":%u", world->max_body_bytes);
+  if (world->max_body_bytes > 0)
+    g_string_replace (text, "\"maxBodyBytes\":100000", limit, 1);
+  standin_store_put (world->store, "op/config", text->str);
 }
 
 static inline PathWorld *
