Output queues share large pieces, and links ask before they read large frames

Cause: a body was copied on its way: into the request's text, into the output of the worker's connection or the frame of the link, and again for a hedge or a retry, so that one lookup of 32 MiB took a front to 140 MB where its machine has 120. A link collected every frame, whoever sent it.

Change: QuinceOutputQueue refers to pieces of 16 KiB and more until the kernel has taken them; connections, exchanges and links use it in place of byte arrays. quince_link_send_with_tail() appends the last opaque part of a message to its encoding; the bytes on the wire are the same. A link shows its owner the first 64 KiB of a larger frame and discards the frame if the owner does not admit it; it frees a frame's bytes once they are decoded. quince_link_has_room() tells before a message would close the link. An acceptor waits 100 ms after a failure, as for want of a descriptor, instead of being called again at once.

--- a/lib/core/decisions/retry-after.c
+++ b/lib/core/decisions/retry-after.c
@@ -12,6 +12,9 @@
 /* Minimum Retry-After if no worker or ledger is in the allowed regions, ms: an operator has to change the
  * deployment first. */
 #define RESIDENCY_MIN_MS 1000
+/* Minimum Retry-After of requests that found no memory, ms: the time in which one of several MiB is read and
+ * passed on. */
+#define MEMORY_MIN_MS 1000
 #define US_PER_MS 1000
 
 static guint
@@ -26,6 +29,8 @@
       return RESIDENCY_MIN_MS;
     case QUINCE_REFUSED_LEDGER:
       return LEDGER_MIN_MS;
+    case QUINCE_REFUSED_MEMORY:
+      return MEMORY_MIN_MS;
     case QUINCE_REFUSED_NO_WORKER:
     case QUINCE_REFUSED_POLICY:
     case QUINCE_REFUSED_NO_CONFIGURATION:
--- a/lib/core/decisions/retry-after.h
+++ b/lib/core/decisions/retry-after.h
@@ -17,6 +17,7 @@
   QUINCE_REFUSED_POLICY,           /* the policy in force refuses it */
   QUINCE_REFUSED_NO_CONFIGURATION, /* this process has not read the configuration yet */
   QUINCE_REFUSED_RESIDENCY,        /* no worker or ledger in the regions that the request allows */
+  QUINCE_REFUSED_MEMORY,           /* this process has no memory for it now */
   QUINCE_REFUSED_LEDGER,           /* no leader is reachable, or the leader cannot serve now */
 } QuinceRefusalCause;
 
--- a/lib/http1/http-client.h
+++ b/lib/http1/http-client.h
@@ -130,6 +130,8 @@
 const QuinceHttpHead *quince_http_exchange_get_head (const QuinceHttpExchange *exchange);
 /* Returns the part of the body received so far, which is empty if the exchange has a body() callback. */
 const GByteArray *quince_http_exchange_get_body (const QuinceHttpExchange *exchange);
+/* Returns: (transfer full): the bytes of @body without a copy; nothing may be appended to it any more */
+GBytes *quince_http_body_share (const GByteArray *body);
 /* For callers that end an exchange by their own timer.  Returns %TRUE if the timer should run for another
  * QUINCE_TIMEOUT_DEFERRAL_MS because the connection has unread input, at most QUINCE_TIMEOUT_DEFERRALS_MAX
  * times. After a suspension of the process, a timer may expire before a response that arrived in time is
--- a/lib/http1/http-connection-input.c
+++ b/lib/http1/http-connection-input.c
@@ -203,10 +203,25 @@
 static gboolean
 exceeds_head_limit (QuinceHttpConnection *connection, gsize length)
 {
-  if (connection->max_head_bytes == 0 || !is_reading_head (connection))
+  if (!is_reading_head (connection))
     return FALSE;
   connection->head_bytes += length;
-  return connection->head_bytes > connection->max_head_bytes;
+  return connection->max_head_bytes > 0 && connection->head_bytes > connection->max_head_bytes;
+}
+
+/* Tells the owner how much input the connection holds, if that has changed. */
+static void
+report_held_input (QuinceHttpConnection *connection)
+{
+  if (!quince_http_connection_is_alive (connection) || connection->callbacks->input_held == NULL)
+    return;
+  gsize bytes = connection->buffered_input->len;
+  if (connection->reading && is_reading_head (connection))
+    bytes += connection->head_bytes;
+  if (bytes == connection->reported_bytes)
+    return;
+  connection->reported_bytes = bytes;
+  connection->callbacks->input_held (connection, bytes, connection->user_data);
 }
 
 /* Reports invalid input.  A server's owner may still send a response if it has a refused() callback. */
@@ -309,6 +324,7 @@
     g_byte_array_append (connection->buffered_input, (const guint8 *)buffer, (guint)length);
   else
     parse (connection, buffer, (gsize)length);
+  report_held_input (connection);
   quince_http_connection_unref (connection);
 }
 
--- a/lib/http1/http-connection-output.c
+++ b/lib/http1/http-connection-output.c
@@ -23,10 +23,7 @@
 quince_http_connection_send_pending_output (QuinceHttpConnection *connection)
 {
   g_autoptr (GError) error = NULL;
-  GByteArray *output = connection->output;
-  gssize sent = g_socket_send (connection->socket, (const char *)output->data, output->len, NULL, &error);
-  if (sent > 0)
-    g_byte_array_remove_range (output, 0, (guint)sent);
+  gssize sent = quince_output_queue_send (connection->output, connection->socket, &error);
   if (sent < 0 && g_error_matches (error, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK))
     return 0;
   if (sent < 0)
@@ -54,7 +51,7 @@
 {
   quince_http_connection_ref (connection);
   quince_http_connection_send_pending_output (connection);
-  if (connection->open && connection->output->len == 0)
+  if (connection->open && quince_output_queue_get_length (connection->output) == 0)
     {
       set_watch_writable (connection, FALSE);
       handle_output_sent (connection);
@@ -69,21 +66,40 @@
     set_watch_writable (connection, TRUE);
 }
 
-/* Ignores send errors, which the main loop reports later, so that no callback runs inside this function. */
+/* Sends @data unless output is waiting.  Ignores send errors, which the main loop reports later, so that no
+ * callback runs inside a write.  Returns the number of bytes accepted. */
+static gsize
+send_immediately (QuinceHttpConnection *connection, const char *data, gsize length)
+{
+  if (connection->connecting || length == 0 || quince_output_queue_get_length (connection->output) > 0)
+    return 0;
+  gssize sent = g_socket_send (connection->socket, data, length, NULL, NULL);
+  return (gsize)MAX (sent, 0);
+}
+
 void
 quince_http_connection_write (QuinceHttpConnection *connection, const char *data, gsize length)
 {
   if (!connection->open || connection->finishing)
     return;
-  gsize sent = 0;
-  if (!connection->connecting && connection->output->len == 0)
-    {
-      gssize result = g_socket_send (connection->socket, data, length, NULL, NULL);
-      sent = result > 0 ? (gsize)result : 0;
-    }
+  gsize sent = send_immediately (connection, data, length);
+  if (sent == length)
+    return;
+  quince_output_queue_append (connection->output, data + sent, length - sent);
+  quince_http_connection_watch_writable (connection);
+}
+
+void
+quince_http_connection_write_bytes (QuinceHttpConnection *connection, GBytes *bytes)
+{
+  if (!connection->open || connection->finishing)
+    return;
+  gsize length;
+  const char *data = g_bytes_get_data (bytes, &length);
+  gsize sent = send_immediately (connection, data, length);
   if (sent == length)
     return;
-  g_byte_array_append (connection->output, (const guint8 *)data + sent, (guint)(length - sent));
+  quince_output_queue_append_bytes (connection->output, bytes, sent);
   quince_http_connection_watch_writable (connection);
 }
 
@@ -102,6 +118,6 @@
   connection->finishing = TRUE;
   quince_http_connection_ref (connection);
   connection->finish_timer = quince_timer_add (FINISH_TIMEOUT_MS, finish_timed_out, connection);
-  if (connection->output->len == 0)
+  if (quince_output_queue_get_length (connection->output) == 0)
     handle_output_sent (connection);
 }
--- a/lib/http1/http-connection-private.h
+++ b/lib/http1/http-connection-private.h
@@ -11,6 +11,7 @@
 #include <http_parser.h>
 
 #include "http1/http1.h"
+#include "runtime/output-queue.h"
 #include "runtime/socket-watch.h"
 #include "runtime/timer.h"
 
@@ -25,7 +26,7 @@
   QuinceSocketWatch *watch;           /* NULL: closed, or connecting failed immediately */
   QuinceTimer *connect_failure_timer; /* reports a failure to start connecting */
   QuinceTimer *finish_timer;          /* limits the time of finish() */
-  GByteArray *output;                 /* bytes that the kernel has not accepted */
+  QuinceOutputQueue *output;          /* bytes that the kernel has not accepted */
   GByteArray *buffered_input;         /* bytes after the complete message */
   http_parser parser;
   QuinceHttpHead *head; /* being parsed, else NULL */
@@ -34,6 +35,7 @@
   gboolean value_started;
   gsize max_head_bytes; /* 0: only the parser's limit applies */
   gsize head_bytes;     /* bytes received of an incomplete head */
+  gsize reported_bytes; /* last passed to the owner's input_held() */
   gboolean is_client;
   gboolean head_only; /* responses on this client connection have no body */
   gboolean connecting;
--- a/lib/http1/http-connection-state.c
+++ b/lib/http1/http-connection-state.c
@@ -19,7 +19,7 @@
     return;
   quince_http_connection_close (connection);
   g_clear_object (&connection->socket);
-  g_byte_array_unref (connection->output);
+  quince_output_queue_free (connection->output);
   g_byte_array_unref (connection->buffered_input);
   quince_http_head_free (connection->head);
   g_string_free (connection->field, TRUE);
@@ -33,6 +33,7 @@
   if (!connection->open)
     return;
   connection->open = FALSE;
+  quince_output_queue_clear (connection->output);
   quince_socket_watch_clear (&connection->watch);
   quince_timer_clear (&connection->connect_failure_timer);
   quince_timer_clear (&connection->finish_timer);
--- a/lib/http1/http-connection.c
+++ b/lib/http1/http-connection.c
@@ -15,7 +15,7 @@
   g_ref_count_init (&connection->references);
   connection->callbacks = callbacks;
   connection->user_data = user_data;
-  connection->output = g_byte_array_new ();
+  connection->output = quince_output_queue_new ();
   connection->buffered_input = g_byte_array_new ();
   connection->field = g_string_new (NULL);
   connection->value = g_string_new (NULL);
@@ -36,10 +36,10 @@
     }
   connection->connecting = FALSE;
   quince_http_connection_update_watch (connection);
-  if (connection->output->len > 0)
+  if (quince_output_queue_get_length (connection->output) > 0)
     {
       quince_http_connection_send_pending_output (connection);
-      if (connection->open && connection->output->len > 0)
+      if (connection->open && quince_output_queue_get_length (connection->output) > 0)
         quince_http_connection_watch_writable (connection);
     }
   if (connection->open && connection->callbacks->connected != NULL)
@@ -115,7 +115,7 @@
 gboolean
 quince_http_connection_has_pending_output (QuinceHttpConnection *connection)
 {
-  return connection->output->len > 0;
+  return quince_output_queue_get_length (connection->output) > 0;
 }
 
 void
@@ -150,7 +150,7 @@
 gboolean
 quince_http_connection_has_unacknowledged_data (const QuinceHttpConnection *connection)
 {
-  if (connection->output->len > 0)
+  if (quince_output_queue_get_length (connection->output) > 0)
     return TRUE;
   return connection->open && connection->socket != NULL
          && quince_tcp_socket_get_unacknowledged_bytes (connection->socket) > 0;
@@ -167,7 +167,7 @@
 gsize
 quince_http_connection_get_pending_output_bytes (QuinceHttpConnection *connection)
 {
-  return connection->output->len;
+  return quince_output_queue_get_length (connection->output);
 }
 
 gboolean
--- a/lib/http1/http-exchange.c
+++ b/lib/http1/http-exchange.c
@@ -10,6 +10,9 @@
 /* Several round trips between regions, but less than the 1 s after which the kernel retransmits a SYN. */
 #define CONNECT_TIMEOUT_MS 700
 
+/* Maximum size of a body that is copied behind its head to be sent in one write, bytes. */
+#define ONE_WRITE_MAX_BYTES (64 * 1024)
+
 /* Responses to other requests that an exchange skips before it gives up.  A server that repeats an answer
  * sends one of them. */
 #define SKIPPED_ANSWERS_MAX 4
@@ -27,6 +30,7 @@
   g_free (exchange->request_id);
   if (exchange->unsent_request != NULL)
     g_string_free (exchange->unsent_request, TRUE);
+  g_clear_pointer (&exchange->unsent_body, g_bytes_unref);
   quince_http_pool_release (exchange->pool);
   g_free (exchange);
 }
@@ -189,6 +193,15 @@
   return G_SOURCE_REMOVE;
 }
 
+/* Writes the request; the body of a large one is shared. */
+static void
+write_request (QuinceHttpExchange *exchange, const GString *text, GBytes *body)
+{
+  quince_http_connection_write (exchange->pooled->connection, text->str, text->len);
+  if (body != NULL && g_bytes_get_size (body) > ONE_WRITE_MAX_BYTES)
+    quince_http_connection_write_bytes (exchange->pooled->connection, body);
+}
+
 static void
 pooled_connected (QuinceHttpConnection *connection, gpointer data)
 {
@@ -207,8 +220,9 @@
   exchange->timeout_deferrals = 0;
   if (exchange->unsent_request == NULL)
     return;
-  quince_http_connection_write (connection, exchange->unsent_request->str, exchange->unsent_request->len);
+  write_request (exchange, exchange->unsent_request, exchange->unsent_body);
   g_string_free (g_steal_pointer (&exchange->unsent_request), TRUE);
+  g_clear_pointer (&exchange->unsent_body, g_bytes_unref);
 }
 
 /* Returns: (nullable): the id of the request in @headers of a request or a response */
@@ -344,7 +358,7 @@
   if (request->body != NULL || !g_str_equal (request->method, "GET"))
     g_string_append_printf (text, "Content-Length: %" G_GSIZE_FORMAT "\r\n", length);
   g_string_append (text, "\r\n");
-  if (length > 0)
+  if (length > 0 && length <= ONE_WRITE_MAX_BYTES)
     g_string_append_len (text, g_bytes_get_data (request->body, NULL), (gssize)length);
   return text;
 }
@@ -386,9 +400,12 @@
   g_autoptr (GString) text = format_request (pool, request);
   exchange->send_by_us = request->send_by_us;
   if (!exchange->connected && request->send_by_us != 0)
-    exchange->unsent_request = g_steal_pointer (&text);
+    {
+      exchange->unsent_request = g_steal_pointer (&text);
+      exchange->unsent_body = request->body != NULL ? g_bytes_ref (request->body) : NULL;
+    }
   else
-    quince_http_connection_write (exchange->pooled->connection, text->str, text->len);
+    write_request (exchange, text, request->body);
   return exchange;
 }
 
@@ -403,3 +420,10 @@
 {
   return exchange->body;
 }
+
+GBytes *
+quince_http_body_share (const GByteArray *body)
+{
+  GByteArray *shared = g_byte_array_ref ((GByteArray *)body);
+  return g_bytes_new_with_free_func (shared->data, shared->len, (GDestroyNotify)g_byte_array_unref, shared);
+}
--- a/lib/http1/http-pool-private.h
+++ b/lib/http1/http-pool-private.h
@@ -57,6 +57,7 @@
   gboolean connected;
   gint64 send_by_us;       /* monotonic; 0: no limit */
   GString *unsent_request; /* held until connected if send_by_us is set, else NULL */
+  GBytes *unsent_body;     /* of unsent_request; NULL: none */
 };
 
 /* Callbacks of every connection of a pool; their data is a QuincePooledConnection. */
--- a/lib/http1/http1.h
+++ b/lib/http1/http1.h
@@ -86,6 +86,8 @@
  *   quince_http_connection_close() or quince_http_connection_finish().  @error is %NULL if the peer closed
  *   between two messages
  * @drained: (nullable): output that the kernel did not accept immediately has now been sent
+ * @input_held: (nullable): on a server, the number of bytes that the connection holds has changed: those of
+ * an incomplete head, or those after a complete message
  */
 typedef struct
 {
@@ -96,6 +98,7 @@
   void (*refused) (QuinceHttpConnection *connection, const GError *error, gpointer user_data);
   void (*closed) (QuinceHttpConnection *connection, const GError *error, gpointer user_data);
   void (*drained) (QuinceHttpConnection *connection, gpointer user_data);
+  void (*input_held) (QuinceHttpConnection *connection, gsize bytes, gpointer user_data);
 } QuinceHttpConnectionCallbacks;
 
 /**
@@ -120,6 +123,8 @@
 /* Sends @data, or buffers what the kernel does not accept.  Ignored if the connection is closed or finishing.
  * Never runs callbacks: a write error is reported later to closed(). */
 void quince_http_connection_write (QuinceHttpConnection *connection, const char *data, gsize length);
+/* The same for @bytes, which are shared in place of a copy while they wait. */
+void quince_http_connection_write_bytes (QuinceHttpConnection *connection, GBytes *bytes);
 /* Sets whether the next response on a client connection ends with its head, whatever length it announces, as
  * a response to HEAD does. */
 void quince_http_connection_set_head_only (QuinceHttpConnection *connection, gboolean head_only);
--- a/lib/runtime/acceptor.c
+++ b/lib/runtime/acceptor.c
@@ -7,6 +7,9 @@
 #include "runtime/listen-filter.h"
 #include "runtime/log.h"
 #include "runtime/socket-watch.h"
+#include "runtime/timer.h"
+
+#include <sys/socket.h>
 
 /* Maximum length of the kernel's accept queue.  All 300 machines of the largest deployment may
  * connect to a new leader at the same time. */
@@ -15,15 +18,40 @@
  * not delay the existing ones. */
 #define ACCEPTS_PER_TURN_MAX 16
 
+/* Time after which connections are accepted again when that failed, as for want of a descriptor, ms. */
+#define ACCEPT_RETRY_MS 100
+
 struct _QuinceAcceptor
 {
   GSocket *socket;
   QuinceSocketWatch *watch;
+  QuinceTimer *retry_timer; /* accepts again after a failure; NULL: none */
   char *address;
   void (*accepted) (GSocket *socket, gpointer user_data);
   gpointer user_data;
 };
 
+static gboolean
+accept_again (gpointer data)
+{
+  QuinceAcceptor *acceptor = data;
+  quince_timer_clear (&acceptor->retry_timer);
+  quince_socket_watch_set_condition (acceptor->watch, G_IO_IN);
+  return G_SOURCE_REMOVE;
+}
+
+/* Waits: the connection stays in the kernel's queue, and the socket would be ready again at once. */
+static void
+handle_accept_failure (QuinceAcceptor *acceptor, const GError *error)
+{
+  if (g_error_matches (error, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK))
+    return;
+  quince_log_warning ("connection_not_accepted", "address=%s error=\"%s\"", acceptor->address,
+                      error->message);
+  quince_socket_watch_set_condition (acceptor->watch, 0);
+  acceptor->retry_timer = quince_timer_add (ACCEPT_RETRY_MS, accept_again, acceptor);
+}
+
 static void
 accept_connections (GIOCondition condition, gpointer data)
 {
@@ -34,9 +62,7 @@
       GSocket *connection = g_socket_accept (acceptor->socket, NULL, &error);
       if (connection == NULL)
         {
-          if (!g_error_matches (error, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK))
-            quince_log_warning ("connection_not_accepted", "address=%s error=\"%s\"", acceptor->address,
-                                error->message);
+          handle_accept_failure (acceptor, error);
           break;
         }
       acceptor->accepted (connection, acceptor->user_data);
@@ -85,11 +111,21 @@
     quince_log_warning ("connections_not_ignored", "address=%s", acceptor->address);
 }
 
+void
+quince_acceptor_set_receive_buffer (QuinceAcceptor *acceptor, guint bytes)
+{
+  g_autoptr (GError) error = NULL;
+  if (!g_socket_set_option (acceptor->socket, SOL_SOCKET, SO_RCVBUF, (gint)bytes, &error))
+    quince_log_warning ("connection_not_accepted", "address=%s error=\"%s\"", acceptor->address,
+                        error->message);
+}
+
 void
 quince_acceptor_free (QuinceAcceptor *acceptor)
 {
   if (acceptor == NULL)
     return;
+  quince_timer_clear (&acceptor->retry_timer);
   quince_socket_watch_clear (&acceptor->watch);
   g_socket_close (acceptor->socket, NULL);
   g_clear_object (&acceptor->socket);
--- a/lib/runtime/acceptor.h
+++ b/lib/runtime/acceptor.h
@@ -30,6 +30,8 @@
 /* Stops the establishment of new connections.  Connections that are already established are still accepted;
  * see listen-filter.h.  Logs a warning if the kernel rejects the filter. */
 void quince_acceptor_ignore_new_connections (QuinceAcceptor *acceptor);
+/* Limits what the kernel keeps for each connection that is accepted from now on before it is read, bytes. */
+void quince_acceptor_set_receive_buffer (QuinceAcceptor *acceptor, guint bytes);
 /* Closes the listening socket; accepted connections stay open. */
 void quince_acceptor_free (QuinceAcceptor *acceptor);
 G_DEFINE_AUTOPTR_CLEANUP_FUNC (QuinceAcceptor, quince_acceptor_free)
--- a/lib/runtime/link.h
+++ b/lib/runtime/link.h
@@ -11,6 +11,7 @@
 #include <gio/gio.h>
 
 #include "runtime/answer-allowance.h"
+#include "runtime/memory-account.h"
 #include "protocol/codec.h"
 
 G_BEGIN_DECLS
@@ -30,18 +31,30 @@
 
 typedef struct _QuinceLink QuinceLink;
 
+/* Smaller frames are not shown to admit(). */
+#define QUINCE_LINK_ADMIT_MIN_BYTES (64 * 1024)
+
 /**
  * QuinceLinkCallbacks:
  * @connected: (nullable): called when an outgoing link is connected
  * @message: called with each received message (transfer full)
  * @closed: (nullable): called once when the link fails or the peer closes it; not called after
  *   quince_link_close()
+ * @admit: (nullable): called with the first bytes of a large frame, at least QUINCE_LINK_ADMIT_MIN_BYTES of
+ *   them, before the rest is read.  May set @hold (transfer full), which is kept until message() has
+ * returned. If it returns %FALSE, the frame is discarded
  */
 typedef struct
 {
   void (*connected) (QuinceLink *link, gpointer user_data);
   void (*message) (QuinceLink *link, QuinceMessage *message, gpointer user_data);
   void (*closed) (QuinceLink *link, const GError *error, gpointer user_data);
+  gboolean (*admit) (QuinceLink *link,
+                     const guint8 *start,
+                     gsize available,
+                     gsize frame_bytes,
+                     QuinceMemoryHold **hold,
+                     gpointer user_data);
 } QuinceLinkCallbacks;
 
 /**
@@ -61,6 +74,11 @@
 void quince_link_send (QuinceLink *link, const QuinceMessage *message);
 /* Queues @encoded, a message from quince_message_encode().  Does nothing if the link is closed. */
 void quince_link_send_bytes (QuinceLink *link, GBytes *encoded);
+/* Queues @message, whose last part is an opaque of no bytes, with @tail in its place.  Large bytes are shared
+ * in place of a copy until they are sent.  Does nothing if the link is closed. */
+void quince_link_send_with_tail (QuinceLink *link, const QuinceMessage *message, GBytes *tail);
+/* Returns: whether a message of @length bytes can be queued; one that cannot closes the link */
+gboolean quince_link_has_room (QuinceLink *link, gsize length);
 
 /* Closes the link without calling closed(); queued messages may be lost. */
 void quince_link_close (QuinceLink *link);
