Fronts: one account of what callers' requests hold

Cause: each connection collected its body whole and nothing added them up: 16 bodies of 32 MiB took a front to 1012 MB where its machine has 120, also at the listeners whose requests have no body. A body that was not whole 16 s after its head was dropped without an answer, even while it made progress. Nothing bounded connections.

Change: the account of a front is the machine's memory less what the process and the answers of workers need (limits.memory, given by the deploy templates). Announced sizes are reserved at the head, chunks as they arrive; incomplete heads, pipelined input and unsent answers count too, and a body counts for as long as anything refers to it. Without room, requests that made no progress for 2 s are ended with 408; if that is not enough the request is refused with 503 and Retry-After before its body is read. Requests up to 64 KiB have an eighth of the account for themselves. The readiness check and the directory discard bodies, 4 KiB at most. A body without progress for the idle time gets 408. Connections are limited to three quarters of the descriptors (limits.descriptors); beyond, the one that was unused longest is closed for a new one. The kernel keeps 128 KiB of unread input a connection. A call whose frame would close the link to the leader is refused with 503. A new front settings section, metrics and log events.

--- a/daemons/daemon-settings.h
+++ b/daemons/daemon-settings.h
@@ -90,6 +90,13 @@
   { "policy", "file", QUINCE_SETTING_TEXT, FALSE, NULL, 0, 0, NULL, \
     "file of the policy program that applies until operators accept one; if not set, the built-in rules apply" }
 
+/* @memory, @descriptors: defaults, those of the smallest machines. */
+#define QUINCE_LIMITS_SETTINGS(memory, descriptors) \
+  { "limits", "memory", QUINCE_SETTING_NUMBER, FALSE, memory, 16, 1048576, NULL, \
+    "memory of the machine for this process, MB (10^6 bytes); what clients' requests may hold follows from it" }, \
+  { "limits", "descriptors", QUINCE_SETTING_INTEGER, FALSE, descriptors, 64, 1048576, NULL, \
+    "descriptors that this process may have open; 200 of them are kept for files" }
+
 #define QUINCE_LOG_SETTINGS \
   { "log", "level", QUINCE_SETTING_CHOICE, FALSE, "info", 0, 0, "debug|info|warning|error", \
     "minimum severity of the log lines that are written" }
--- a/daemons/front/caller-connection.c
+++ b/daemons/front/caller-connection.c
@@ -2,58 +2,31 @@
  * caller-connection.c: a caller's HTTP connection.
  *
  * A request is processed once its whole body has arrived, and cancelled if the caller closes the connection.
+ * What it holds in memory is accounted for: it is refused if there is no room for it.
  * During a planned stop the connection closes after the current answer.
  */
-#include "caller-connection.h"
+#include "caller-connection-private.h"
 
-#include "runtime/log.h"
+#include "core/decisions/retry-after.h"
 #include "runtime/clock.h"
-#include "runtime/timer.h"
+#include "runtime/log.h"
+#include "runtime/metrics.h"
 
-#include "caller-request.h"
+#include "caller-limits.h"
 #include "platform.h"
 
-/* Limits until the first configuration is known.  They are generous, so that they do not refuse a request
- * that the configuration allows. */
-/* Maximum size of a request head, bytes. */
-#define DEFAULT_HEAD_MAX_BYTES (64 * 1024)
-/* Maximum size of a request body, bytes. */
-#define DEFAULT_BODY_MAX_BYTES (64 * 1024 * 1024)
-/* Time after which an idle connection is closed, ms. */
-#define DEFAULT_IDLE_TIMEOUT_MS 15000
-/* Maximum time to receive a request head, ms; also the delay of the first check of a new connection. */
-#define DEFAULT_HEAD_TIMEOUT_MS 3000
+/* Delay of the first check of a new connection, ms. */
+#define FIRST_TIMEOUT_CHECK_MS 3000
 /* Added to the idle timeout, ms.  A caller may reuse a connection just before the timeout; the margin covers
  * the round trip, so that the request is not lost. */
 #define IDLE_TIMEOUT_MARGIN_MS 1000
-/* Initial buffer size for the head of an answer, bytes; the buffer grows if needed. */
-#define ANSWER_HEAD_INITIAL_BYTES 512
-/* Maximum size of a body that is copied behind its head to be sent in one write, bytes. */
-#define ONE_WRITE_MAX_BYTES (64 * 1024)
-
-struct _QuinceCallerConnection
-{
-  /* All fields belong to the main context. */
-  QuinceFrontContext *context;
-  QuinceListenKind kind;
-  QuinceCallerConnectionClosed closed;
-  gpointer user_data;
-  QuinceHttpConnection *http;
-  QuinceHttpHead *head; /* of the request being read; NULL: none */
-  GByteArray *body;
-  QuinceCallerRequest *request; /* in progress; NULL: none */
-  gboolean answering;           /* a request was read and its answer is not complete */
-  gboolean keep_alive;
-  gboolean head_only;           /* the request's method is HEAD, so that its answer ends with the head */
-  gboolean paused;              /* the caller does not take the streamed answer, see write_answer_chunk() */
-  gint64 received_us;           /* when the last request head was read, monotonic */
-  gint64 idle_since_us;         /* end of the last answer or start of the connection, monotonic */
-  gint64 partial_head_since_us; /* when the timer first found an incomplete head, monotonic; 0: none */
-  QuinceTimer *timer;
-};
+/* Time without input after which a request that is being read may be ended for another one, us. */
+#define STALLED_US (2 * G_USEC_PER_SEC)
+/* Maximum size of the body of a request that has none by its kind, bytes; it is discarded. */
+#define UNUSED_BODY_MAX_BYTES 4096
 
-static void
-connection_free (QuinceCallerConnection *connection)
+void
+quince_caller_connection_free (QuinceCallerConnection *connection)
 {
   connection->closed (connection, connection->user_data);
   quince_timer_clear (&connection->timer);
@@ -64,7 +37,8 @@
     }
   quince_http_connection_unref (connection->http);
   quince_http_head_free (connection->head);
-  g_clear_pointer (&connection->body, g_byte_array_unref);
+  quince_caller_body_free (connection->body);
+  quince_memory_hold_free (connection->hold);
   g_free (connection);
 }
 
@@ -72,7 +46,7 @@
 quince_caller_connection_close (QuinceCallerConnection *connection)
 {
   quince_http_connection_close (connection->http);
-  connection_free (connection);
+  quince_caller_connection_free (connection);
 }
 
 gboolean
@@ -81,24 +55,30 @@
   return !connection->answering && !quince_http_connection_is_reading (connection->http);
 }
 
-/* ---- Limits ----------------------------------------------------------- */
+gint64
+quince_caller_connection_get_active_us (const QuinceCallerConnection *connection)
+{
+  return MAX (connection->idle_since_us, MAX (connection->received_us, connection->input_us));
+}
 
-static QuinceCallerLimits
-get_current_limits (const QuinceFrontContext *context)
+QuinceConnectionUse
+quince_caller_connection_get_use (const QuinceCallerConnection *connection, gint64 now_us)
 {
-  QuinceRouteTable *routes = quince_observer_get_routes (context->observer);
-  const QuinceCallerLimits defaults = { .max_head_bytes = DEFAULT_HEAD_MAX_BYTES,
-                                        .max_body_bytes = DEFAULT_BODY_MAX_BYTES,
-                                        .head_timeout_ms = DEFAULT_HEAD_TIMEOUT_MS,
-                                        .idle_timeout_ms = DEFAULT_IDLE_TIMEOUT_MS };
-  return routes != NULL ? *quince_route_table_get_limits (routes) : defaults;
+  if (connection->answering)
+    return QUINCE_CONNECTION_IN_USE;
+  if (!quince_http_connection_is_reading (connection->http))
+    return connection->used ? QUINCE_CONNECTION_RESTING : QUINCE_CONNECTION_UNUSED;
+  gboolean has_stalled = now_us - quince_caller_connection_get_active_us (connection) >= STALLED_US;
+  return has_stalled ? QUINCE_CONNECTION_STALLED : QUINCE_CONNECTION_IN_USE;
 }
 
+/* ---- Timeouts --------------------------------------------------------- */
+
 static gboolean check_timeouts (gpointer data);
-static void refuse_request (QuinceCallerConnection *connection, guint status);
+static void refuse_request (QuinceCallerConnection *connection, guint status, const char *cause);
 
-static gboolean
-is_reading_head (const QuinceCallerConnection *connection)
+gboolean
+quince_caller_connection_is_reading_head (const QuinceCallerConnection *connection)
 {
   return !connection->answering && connection->head == NULL
          && quince_http_connection_is_reading (connection->http);
@@ -116,18 +96,18 @@
 check_timeouts (gpointer data)
 {
   QuinceCallerConnection *connection = data;
-  const QuinceCallerLimits limits = get_current_limits (connection->context);
+  const QuinceCallerLimits limits = quince_caller_limits_get (connection->context);
   gint64 now = quince_now_us ();
   gint64 head_timeout_us = (gint64)limits.head_timeout_ms * 1000;
   gint64 idle_timeout_us = ((gint64)limits.idle_timeout_ms + IDLE_TIMEOUT_MARGIN_MS) * 1000;
-  gint64 idle_left_us = MAX (connection->idle_since_us, connection->received_us) + idle_timeout_us - now;
-  if (is_reading_head (connection))
+  gint64 idle_left_us = quince_caller_connection_get_active_us (connection) + idle_timeout_us - now;
+  if (quince_caller_connection_is_reading_head (connection))
     {
       connection->partial_head_since_us
           = connection->partial_head_since_us > 0 ? connection->partial_head_since_us : now;
       if (now - connection->partial_head_since_us >= head_timeout_us)
         {
-          refuse_request (connection, 408);
+          refuse_request (connection, 408, "head_late");
           return G_SOURCE_REMOVE;
         }
     }
@@ -137,178 +117,20 @@
       schedule_timeout_check (connection, (guint)(MIN (wait_us, head_timeout_us) / 1000));
       return G_SOURCE_REMOVE;
     }
-  quince_caller_connection_close (connection);
+  if (connection->head != NULL)
+    refuse_request (connection, 408, "body_late");
+  else
+    quince_caller_connection_close (connection);
   return G_SOURCE_REMOVE;
 }
 
-/* ---- Answers ---------------------------------------------------------- */
-
-static const char *
-get_reason_phrase (guint status)
-{
-  static const struct
-  {
-    guint status;
-    const char *phrase;
-  } phrases[] = { { 200, "OK" },
-                  { 202, "Accepted" },
-                  { 400, "Bad Request" },
-                  { 401, "Unauthorized" },
-                  { 404, "Not Found" },
-                  { 408, "Request Timeout" },
-                  { 413, "Content Too Large" },
-                  { 429, "Too Many Requests" },
-                  { 431, "Request Header Fields Too Large" },
-                  { 500, "Internal Server Error" },
-                  { 502, "Bad Gateway" },
-                  { 503, "Service Unavailable" },
-                  { 504, "Gateway Timeout" } };
-  for (guint i = 0; i < G_N_ELEMENTS (phrases); i++)
-    if (phrases[i].status == status)
-      return phrases[i].phrase;
-  return "Answer";
-}
-
-static void
-append_headers (GString *text, const QuinceCallerAnswer *answer)
-{
-  for (guint i = 0; answer->headers != NULL && i < quince_http_headers_get_length (answer->headers); i++)
-    {
-      const QuinceHttpHeader *header = quince_http_headers_index (answer->headers, i);
-      g_string_append_printf (text, "%s: %s\r\n", header->name, header->value);
-    }
-  if (answer->content_type != NULL && *answer->content_type != '\0')
-    g_string_append_printf (text, "Content-Type: %s\r\n", answer->content_type);
-  if (answer->retry_after_ms > 0)
-    g_string_append_printf (text, "Retry-After: %u.%03u\r\n", answer->retry_after_ms / 1000,
-                            answer->retry_after_ms % 1000);
-}
-
-static void
-write_answer (QuinceCallerConnection *connection, const QuinceCallerAnswer *answer)
-{
-  gboolean keep_open = connection->keep_alive && !connection->context->stopping;
-  g_autoptr (GString) text = g_string_sized_new (ANSWER_HEAD_INITIAL_BYTES);
-  g_string_append_printf (text, "HTTP/1.1 %u %s\r\n", answer->status, get_reason_phrase (answer->status));
-  append_headers (text, answer);
-  if (!keep_open)
-    g_string_append (text, "Connection: close\r\n");
-  g_string_append_printf (text, "Content-Length: %" G_GSIZE_FORMAT "\r\n\r\n", answer->body_length);
-  gboolean has_body = !connection->head_only && answer->body_length > 0;
-  gboolean is_large = answer->body_length > ONE_WRITE_MAX_BYTES;
-  if (has_body && !is_large)
-    g_string_append_len (text, answer->body, (gssize)answer->body_length);
-  connection->answering = FALSE;
-  connection->idle_since_us = quince_now_us ();
-  quince_http_connection_write (connection->http, text->str, text->len);
-  if (has_body && is_large)
-    quince_http_connection_write (connection->http, answer->body, answer->body_length);
-  if (keep_open)
-    {
-      quince_http_connection_next (connection->http);
-      return;
-    }
-  quince_http_connection_finish (connection->http);
-  connection_free (connection);
-}
-
-static void
-write_complete_answer (const QuinceCallerAnswer *result, gpointer data)
-{
-  QuinceCallerConnection *connection = data;
-  connection->request = NULL;
-  connection->context->in_progress--;
-  write_answer (connection, result);
-}
-
-/* ---- Streamed answers -------------------------------------------------- */
-
-/* Unsent output of a streamed answer from which on its worker is not read until the caller has taken all of
- * it, bytes; limits the memory that a slow caller uses.  The data that was read with the last bytes adds at
- * most one event. */
-#define UNSENT_PAUSE_BYTES (256 * 1024)
-
-static void
-write_answer_head (const QuinceCallerAnswer *result, gpointer data)
-{
-  QuinceCallerConnection *connection = data;
-  connection->keep_alive = connection->keep_alive && !connection->context->stopping;
-  g_autoptr (GString) text = g_string_sized_new (ANSWER_HEAD_INITIAL_BYTES);
-  g_string_append_printf (text, "HTTP/1.1 %u %s\r\n", result->status, get_reason_phrase (result->status));
-  append_headers (text, result);
-  if (!connection->keep_alive)
-    g_string_append (text, "Connection: close\r\n");
-  g_string_append (text, "Transfer-Encoding: chunked\r\n\r\n");
-  quince_http_connection_write (connection->http, text->str, text->len);
-}
-
-static void
-write_answer_chunk (const char *data, gsize length, gpointer user_data)
-{
-  QuinceCallerConnection *connection = user_data;
-  if (connection->head_only)
-    return;
-  g_autofree char *size = g_strdup_printf ("%zx\r\n", length);
-  g_autoptr (GString) chunk = g_string_new (size);
-  g_string_append_len (chunk, data, (gssize)length);
-  g_string_append (chunk, "\r\n");
-  quince_http_connection_write (connection->http, chunk->str, chunk->len);
-  if (connection->paused
-      || quince_http_connection_get_pending_output_bytes (connection->http) <= UNSENT_PAUSE_BYTES)
-    return;
-  connection->paused = TRUE;
-  quince_caller_request_set_paused (connection->request, TRUE);
-}
-
-static void
-http_drained (QuinceHttpConnection *http, gpointer data)
-{
-  QuinceCallerConnection *connection = data;
-  if (!connection->paused)
-    return;
-  connection->paused = FALSE;
-  if (connection->request != NULL)
-    quince_caller_request_set_paused (connection->request, FALSE);
-}
-
-static void
-end_streamed_answer (gboolean complete, gpointer data)
-{
-  QuinceCallerConnection *connection = data;
-  static const char last_chunk[] = "0\r\n\r\n";
-  connection->request = NULL;
-  connection->paused = FALSE;
-  connection->answering = FALSE;
-  connection->idle_since_us = quince_now_us ();
-  connection->context->in_progress--;
-  if (!complete)
-    {
-      /* Without the last chunk the caller's HTTP library reports a truncated answer. */
-      quince_http_connection_finish (connection->http);
-      connection_free (connection);
-      return;
-    }
-  if (!connection->head_only)
-    quince_http_connection_write (connection->http, last_chunk, sizeof last_chunk - 1);
-  if (connection->keep_alive)
-    {
-      quince_http_connection_next (connection->http);
-      return;
-    }
-  quince_http_connection_finish (connection->http);
-  connection_free (connection);
-}
-
-static const QuinceCallerSink answer_sink = { .answer = write_complete_answer,
-                                              .begin = write_answer_head,
-                                              .data = write_answer_chunk,
-                                              .end = end_streamed_answer };
+/* ---- The readiness check and the directory ------------------------------ */
 
 static void
 write_status_answer (QuinceCallerConnection *connection, guint status)
 {
   const QuinceCallerAnswer result = { .status = status, .body = "" };
-  write_answer (connection, &result);
+  quince_caller_connection_write_answer (connection, &result);
 }
 
 static void
@@ -328,7 +150,7 @@
                                       .content_type = "application/json",
                                       .body = g_bytes_get_data (body, NULL),
                                       .body_length = g_bytes_get_size (body) };
-  write_answer (connection, &result);
+  quince_caller_connection_write_answer (connection, &result);
 }
 
 /* ---- Requests --------------------------------------------------------- */
@@ -337,9 +159,11 @@
 start_request (QuinceCallerConnection *connection)
 {
   connection->context->in_progress++;
-  QuinceCallerRequest *request = quince_caller_request_start (
-      connection->context, g_steal_pointer (&connection->head), g_steal_pointer (&connection->body),
-      connection->received_us, &answer_sink, connection);
+  GBytes *body = connection->body != NULL ? quince_caller_body_finish (g_steal_pointer (&connection->body))
+                                          : g_bytes_new (NULL, 0);
+  QuinceCallerRequest *request
+      = quince_caller_request_start (connection->context, g_steal_pointer (&connection->head), body,
+                                     connection->received_us, &quince_caller_connection_sink, connection);
   /* After NULL the request is answered and the connection may have been freed. */
   if (request != NULL)
     connection->request = request;
@@ -350,6 +174,7 @@
 {
   QuinceCallerConnection *connection = data;
   connection->answering = TRUE;
+  connection->used = TRUE;
   connection->keep_alive = connection->head->keep_alive;
   connection->head_only = g_str_equal (connection->head->method, "HEAD");
   if (connection->kind == QUINCE_LISTEN_CALLERS)
@@ -369,21 +194,77 @@
   quince_platform_call_clear (&call);
 }
 
-/* Refuses a request that is malformed, too large or too slow.  The request does not run, and the connection
- * closes without reading the rest of it. */
+/* Refuses a request that is malformed, too large or too slow, or for which there is no memory.  The request
+ * does not run, and the connection closes without reading the rest of it. */
 static void
-refuse_request (QuinceCallerConnection *connection, guint status)
+refuse_request (QuinceCallerConnection *connection, guint status, const char *cause)
 {
-  quince_log_warning ("request_unreadable", "status=%u", status);
+  g_autofree char *labels = g_strdup_printf ("cause=\"%s\",status=\"%u\"", cause, status);
+  quince_metric_add ("quince_front_unread_requests_total", labels, 1);
+  quince_log_warning ("request_unreadable", "status=%u cause=%s", status, cause);
+  const QuinceRetryAfterInput refused = { .cause = QUINCE_REFUSED_MEMORY };
+  const QuinceCallerAnswer result = {
+    .status = status, .body = "", .retry_after_ms = status == 503 ? quince_retry_after_ms (&refused) : 0
+  };
   connection->keep_alive = FALSE;
-  write_status_answer (connection, status);
+  quince_caller_connection_write_answer (connection, &result);
 }
 
 static void
 http_refused (QuinceHttpConnection *http, const GError *error, gpointer data)
 {
   gboolean too_large = g_error_matches (error, QUINCE_HTTP1_ERROR, QUINCE_HTTP1_ERROR_TOO_LARGE);
-  refuse_request (data, too_large ? 431 : 400);
+  refuse_request (data, too_large ? 431 : 400, too_large ? "head_too_large" : "malformed");
+}
+
+/* ---- Memory ------------------------------------------------------------ */
+
+/* Ends a request whose body, or a connection whose answer, makes no progress while others need the memory. */
+static void
+evict (gpointer data)
+{
+  QuinceCallerConnection *connection = data;
+  if (connection->head != NULL || quince_caller_connection_is_reading_head (connection))
+    refuse_request (connection, 408, "memory_stalled");
+  else
+    {
+      quince_metric_add ("quince_front_connections_closed_total", "cause=\"answer_stalled\"", 1);
+      quince_log_warning ("connection_evicted", "cause=answer_stalled");
+      quince_caller_connection_close (connection);
+    }
+}
+
+/* Returns: (transfer none): the body of the request being read */
+static QuinceCallerBody *
+get_body (QuinceCallerConnection *connection)
+{
+  if (connection->body == NULL)
+    connection->body = quince_caller_body_new (connection->context->memory,
+                                               quince_caller_limits_get (connection->context).max_body_bytes,
+                                               evict, connection);
+  return connection->body;
+}
+
+/* Returns: whether a part of a body was accepted; otherwise the request is refused */
+static gboolean
+check_body_result (QuinceCallerConnection *connection, QuinceCallerBodyResult result)
+{
+  if (result == QUINCE_CALLER_BODY_TOO_LARGE)
+    refuse_request (connection, 413, "body_too_large");
+  else if (result == QUINCE_CALLER_BODY_NO_MEMORY)
+    refuse_request (connection, 503, "memory");
+  return result == QUINCE_CALLER_BODY_ACCEPTED;
+}
+
+/* Reserves memory for an announced body.  Returns %FALSE if the request was refused. */
+static gboolean
+announce_body (QuinceCallerConnection *connection, guint64 length)
+{
+  if (connection->kind == QUINCE_LISTEN_CALLERS)
+    return check_body_result (
+        connection, quince_caller_body_announce (get_body (connection), length, connection->input_us));
+  return check_body_result (connection, length > UNUSED_BODY_MAX_BYTES ? QUINCE_CALLER_BODY_TOO_LARGE
+                                                                       : QUINCE_CALLER_BODY_ACCEPTED);
 }
 
 static void
@@ -392,17 +273,13 @@
   QuinceCallerConnection *connection = data;
   quince_http_head_free (connection->head);
   connection->head = head;
-  connection->received_us = quince_now_us ();
+  connection->received_us = connection->input_us = quince_now_us ();
   connection->partial_head_since_us = 0;
-  g_clear_pointer (&connection->body, g_byte_array_unref);
-  connection->body = g_byte_array_new ();
+  connection->unused_body_bytes = 0;
+  g_clear_pointer (&connection->body, quince_caller_body_free);
   const char *length = quince_http_headers_get (head->headers, "Content-Length");
-  const QuinceCallerLimits limits = get_current_limits (connection->context);
-  if (length != NULL && g_ascii_strtoull (length, NULL, 10) > limits.max_body_bytes)
-    {
-      refuse_request (connection, 413);
-      return;
-    }
+  if (length != NULL && !announce_body (connection, g_ascii_strtoull (length, NULL, 10)))
+    return;
   const char *expect = quince_http_headers_get (head->headers, "Expect");
   static const char continue_line[] = "HTTP/1.1 100 Continue\r\n\r\n";
   if (expect != NULL && g_ascii_strcasecmp (expect, "100-continue") == 0)
@@ -413,26 +290,51 @@
 http_body (QuinceHttpConnection *http, const char *data, gsize length, gpointer user_data)
 {
   QuinceCallerConnection *connection = user_data;
-  if (connection->body->len + length > get_current_limits (connection->context).max_body_bytes)
+  connection->input_us = quince_now_us ();
+  connection->unused_body_bytes += length;
+  if (connection->kind == QUINCE_LISTEN_CALLERS)
+    check_body_result (connection,
+                       quince_caller_body_append (get_body (connection), data, length, connection->input_us));
+  else if (connection->unused_body_bytes > UNUSED_BODY_MAX_BYTES)
+    check_body_result (connection, QUINCE_CALLER_BODY_TOO_LARGE);
+}
+
+/* Accounts for an incomplete head, or for requests that were sent before the answer to the one in progress.
+ */
+static void
+http_input_held (QuinceHttpConnection *http, gsize bytes, gpointer user_data)
+{
+  QuinceCallerConnection *connection = user_data;
+  gint64 now_us = quince_now_us ();
+  gsize unsent = quince_http_connection_get_pending_output_bytes (http);
+  connection->input_bytes = bytes;
+  connection->input_us = now_us;
+  if (quince_memory_hold_reserve (connection->hold, bytes + unsent, now_us))
     {
-      refuse_request (connection, 413);
-      return;
+      quince_memory_hold_set_waiting (
+          connection->hold, unsent > 0 || quince_caller_connection_is_reading_head (connection), now_us);
+      quince_memory_hold_record_progress (connection->hold, bytes, now_us);
     }
-  g_byte_array_append (connection->body, (const guint8 *)data, (guint)length);
+  else if (quince_caller_connection_is_reading_head (connection))
+    refuse_request (connection, 503, "memory");
+  else
+    quince_caller_connection_close (connection);
 }
 
 static void
 http_closed (QuinceHttpConnection *http, const GError *error, gpointer data)
 {
-  connection_free (data);
+  quince_caller_connection_free (data);
 }
 
-static const QuinceHttpConnectionCallbacks http_callbacks = { .head = http_head,
-                                                              .body = http_body,
-                                                              .complete = http_complete,
-                                                              .refused = http_refused,
-                                                              .closed = http_closed,
-                                                              .drained = http_drained };
+static const QuinceHttpConnectionCallbacks http_callbacks
+    = { .head = http_head,
+        .body = http_body,
+        .complete = http_complete,
+        .refused = http_refused,
+        .closed = http_closed,
+        .drained = quince_caller_connection_handle_drained,
+        .input_held = http_input_held };
 
 QuinceCallerConnection *
 quince_caller_connection_new (QuinceFrontContext *context,
@@ -447,8 +349,9 @@
   connection->closed = closed;
   connection->user_data = user_data;
   connection->idle_since_us = quince_now_us ();
-  connection->http = quince_http_connection_new_server (socket, get_current_limits (context).max_head_bytes,
-                                                        &http_callbacks, connection);
-  schedule_timeout_check (connection, DEFAULT_HEAD_TIMEOUT_MS);
+  connection->hold = quince_memory_hold_new (context->memory, evict, connection);
+  connection->http = quince_http_connection_new_server (
+      socket, quince_caller_limits_get (context).max_head_bytes, &http_callbacks, connection);
+  schedule_timeout_check (connection, FIRST_TIMEOUT_CHECK_MS);
   return connection;
 }
--- a/daemons/front/caller-connection.h
+++ b/daemons/front/caller-connection.h
@@ -41,3 +41,17 @@
 void quince_caller_connection_close (QuinceCallerConnection *connection);
 /* Returns %TRUE if no request is being read or answered. */
 gboolean quince_caller_connection_is_idle (const QuinceCallerConnection *connection);
+
+/* How a connection is used, by how soon it is closed if there are too many. */
+typedef enum
+{
+  QUINCE_CONNECTION_UNUSED,  /* it has carried no request */
+  QUINCE_CONNECTION_RESTING, /* it has carried requests, and none is being read or answered */
+  QUINCE_CONNECTION_STALLED, /* nothing of the request being read has arrived for 2 s */
+  QUINCE_CONNECTION_IN_USE,  /* it is not closed for another one */
+} QuinceConnectionUse;
+
+QuinceConnectionUse quince_caller_connection_get_use (const QuinceCallerConnection *connection,
+                                                      gint64 now_us);
+/* Returns when something was last read, answered or accepted on the connection, monotonic, us. */
+gint64 quince_caller_connection_get_active_us (const QuinceCallerConnection *connection);
--- a/daemons/front/caller-forward.c
+++ b/daemons/front/caller-forward.c
@@ -103,10 +103,9 @@
         g_autoptr (QuinceHttpHeaders) headers = quince_http_headers_copy (result->head->headers);
         quince_http_headers_remove_hop_by_hop (headers);
         log_answer (request, result);
-        const QuinceCallerAnswer answer = { .status = result->head->status,
-                                            .headers = headers,
-                                            .body = (const char *)result->body->data,
-                                            .body_length = result->body->len };
+        g_autoptr (GBytes) body = quince_http_body_share (result->body);
+        const QuinceCallerAnswer answer
+            = { .status = result->head->status, .headers = headers, .shared_body = body };
         quince_caller_request_finish (request, &answer);
         break;
       }
@@ -178,7 +177,6 @@
     return FALSE;
   g_autoptr (QuinceHttpHeaders) headers = quince_http_headers_copy (request->head->headers);
   quince_http_headers_remove_hop_by_hop (headers);
-  g_autoptr (GBytes) body = g_bytes_new (request->body->data, request->body->len);
   g_auto (GStrv) prompt = route->sticky ? quince_platform_read_prompt (headers) : NULL;
   const QuinceForwardRequest forward = {
     .service = service,
@@ -188,7 +186,7 @@
     .target = request->head->target,
     .request_id = request_headers.request_id,
     .headers = headers,
-    .body = body,
+    .body = request->body,
     .prompt = (const char *const *)prompt,
     .mixed_targets
     = quince_route_table_has_mixed_targets (quince_observer_get_routes (request->context->observer), service),
--- a/daemons/front/caller-listeners.c
+++ b/daemons/front/caller-listeners.c
@@ -4,6 +4,12 @@
 #include "caller-listeners.h"
 
 #include "runtime/acceptor.h"
+#include "runtime/clock.h"
+#include "runtime/log.h"
+#include "runtime/metrics.h"
+
+/* Bytes that the kernel keeps for a connection before they are read: they count as memory of the machine. */
+#define RECEIVE_BUFFER_BYTES (128 * 1024)
 
 struct _QuinceCallerListeners
 {
@@ -20,9 +26,67 @@
   g_hash_table_remove (listeners->connections, connection);
 }
 
+/* Returns: (nullable): the connection to close for a new one, by its use and the time since it was active;
+ * %NULL if all are in use */
+static QuinceCallerConnection *
+find_least_used (const QuinceCallerListeners *listeners)
+{
+  gint64 now_us = quince_now_us ();
+  QuinceCallerConnection *found = NULL;
+  QuinceConnectionUse found_use = QUINCE_CONNECTION_IN_USE;
+  GHashTableIter iter;
+  gpointer connection;
+  g_hash_table_iter_init (&iter, listeners->connections);
+  while (g_hash_table_iter_next (&iter, &connection, NULL))
+    {
+      QuinceConnectionUse use = quince_caller_connection_get_use (connection, now_us);
+      gboolean is_older = found != NULL && use == found_use
+                          && quince_caller_connection_get_active_us (connection)
+                                 < quince_caller_connection_get_active_us (found);
+      if (use < found_use || is_older)
+        {
+          found = connection;
+          found_use = use;
+        }
+    }
+  return found;
+}
+
+/* Returns whether a connection on @socket, which is open already, would be one too many. */
+static gboolean
+is_full (const QuinceCallerListeners *listeners, GSocket *socket)
+{
+  const QuinceFrontContext *context = listeners->context;
+  return g_hash_table_size (listeners->connections) >= context->connections_max
+         || (guint)g_socket_get_fd (socket) >= context->sockets_max;
+}
+
+/* Closes an idle connection if there are too many, so that its descriptor serves a later one.
+ * Returns: %FALSE if there is no place for the new connection */
+static gboolean
+make_place (QuinceCallerListeners *listeners, GSocket *socket)
+{
+  if (!is_full (listeners, socket))
+    return TRUE;
+  QuinceCallerConnection *idle = find_least_used (listeners);
+  const char *cause = idle != NULL ? "idle" : "new";
+  g_autofree char *labels = g_strdup_printf ("cause=\"full_%s\"", cause);
+  quince_metric_add ("quince_front_connections_closed_total", labels, 1);
+  quince_log_warning ("connections_full", "closed=%s open=%u", cause,
+                      g_hash_table_size (listeners->connections));
+  if (idle != NULL)
+    quince_caller_connection_close (idle);
+  return idle != NULL;
+}
+
 static void
 accept_connection (QuinceCallerListeners *listeners, QuinceListenKind kind, GSocket *socket)
 {
+  if (!make_place (listeners, socket))
+    {
+      g_object_unref (socket);
+      return;
+    }
   QuinceCallerConnection *connection
       = quince_caller_connection_new (listeners->context, kind, socket, connection_closed, listeners);
   g_hash_table_add (listeners->connections, connection);
@@ -70,6 +134,7 @@
           quince_caller_listeners_free (listeners);
           return NULL;
         }
+      quince_acceptor_set_receive_buffer (listeners->acceptors[kind], RECEIVE_BUFFER_BYTES);
     }
   return listeners;
 }
--- a/daemons/front/caller-request-private.h
+++ b/daemons/front/caller-request-private.h
@@ -15,7 +15,7 @@
   /* All fields belong to the main context. */
   QuinceFrontContext *context;
   QuinceHttpHead *head;
-  GByteArray *body;
+  GBytes *body;
   QuinceCall call;
   gint64 received_us;     /* when its head was read, monotonic */
   char *ledger_reason;    /* why the leader refused it; NULL: it did not */
--- a/daemons/front/caller-request.c
+++ b/daemons/front/caller-request.c
@@ -25,7 +25,7 @@
 quince_caller_request_free (QuinceCallerRequest *request)
 {
   quince_http_head_free (request->head);
-  g_byte_array_unref (request->body);
+  g_bytes_unref (request->body);
   quince_platform_call_clear (&request->call);
   g_free (request->api_key);
   g_free (request->ledger_reason);
@@ -171,9 +171,11 @@
 {
   guint wait_ms = quince_platform_read_wait_ms (request->head->headers);
   guint timeout_ms = request->is_submission ? LEDGER_SUBMIT_TIMEOUT_MS : wait_ms + LEDGER_READ_MARGIN_MS;
+  /* The leader reads the body of a submission only. */
+  g_autoptr (GBytes) body = request->is_submission ? g_bytes_ref (request->body) : g_bytes_new (NULL, 0);
   request->ledger_call
       = quince_ledger_caller_start (request->context->ledger, request->head->method, request->head->target,
-                                    request->head->headers, request->body, timeout_ms, ledger_done, request);
+                                    request->head->headers, body, timeout_ms, ledger_done, request);
 }
 
 /* ---- Tenants ----------------------------------------------------------- */
@@ -262,7 +264,7 @@
 QuinceCallerRequest *
 quince_caller_request_start (QuinceFrontContext *context,
                              QuinceHttpHead *head,
-                             GByteArray *body,
+                             GBytes *body,
                              gint64 received_us,
                              const QuinceCallerSink *sink,
                              gpointer user_data)
--- a/daemons/front/caller-request.h
+++ b/daemons/front/caller-request.h
@@ -19,6 +19,7 @@
  * @content_type: (nullable): content type, if @headers is %NULL
  * @body: body of a complete answer; unused for a streamed answer
  * @body_length: length of @body, bytes
+ * @shared_body: (nullable): body of a complete answer, in place of @body; shared while it is sent
  * @retry_after_ms: value of Retry-After, ms; 0: no such header
  */
 typedef struct
@@ -28,6 +29,7 @@
   const char *content_type;
   const char *body;
   gsize body_length;
+  GBytes *shared_body;
   guint retry_after_ms;
 } QuinceCallerAnswer;
 
@@ -60,7 +62,7 @@
  */
 QuinceCallerRequest *quince_caller_request_start (QuinceFrontContext *context,
                                                   QuinceHttpHead *head,
-                                                  GByteArray *body,
+                                                  GBytes *body,
                                                   gint64 received_us,
                                                   const QuinceCallerSink *sink,
                                                   gpointer user_data);
--- a/daemons/front/front-context.h
+++ b/daemons/front/front-context.h
@@ -9,6 +9,7 @@
 #include "core/routing/machine-zones.h"
 #include "forward/backends.h"
 #include "observer/observer.h"
+#include "runtime/memory-account.h"
 
 #include "directory.h"
 #include "ledger-caller.h"
@@ -24,6 +25,9 @@
  * @directory: fronts that callers may use
  * @replica_zones: zones of the machines that run ledger replicas
  * @splits: state of the split of routes between services
+ * @memory: what callers' requests hold in this process
+ * @connections_max: maximum number of callers' connections
+ * @sockets_max: descriptors with this number and above are kept for files
  * @directory_ttl_s: how long callers may cache an answer of the directory, s
  * @in_progress: number of callers' requests in flight
  * @workers_known: %TRUE once all workers have been read or fed, also if there are none
@@ -41,6 +45,9 @@
   QuinceDirectory *directory;
   QuinceMachineZones *replica_zones;
   QuinceRouteSplits *splits;
+  QuinceMemoryAccount *memory;
+  guint connections_max;
+  guint sockets_max;
   guint directory_ttl_s;
   guint in_progress;
   gboolean workers_known;
--- a/daemons/front/front-settings.c
+++ b/daemons/front/front-settings.c
@@ -33,6 +33,7 @@
   QUINCE_QUARANTINE_SETTINGS,
   QUINCE_WARMUP_SETTINGS,
   QUINCE_POLICY_SETTINGS,
+  QUINCE_LIMITS_SETTINGS ("120", "3075"),
   QUINCE_LOG_SETTINGS,
 };
 /* clang-format on */
--- a/daemons/front/front.c
+++ b/daemons/front/front.c
@@ -25,6 +25,7 @@
 #include "feed-subscription.h"
 #include "feed-wait.h"
 #include "front-context.h"
+#include "front-limits.h"
 #include "planned-stop.h"
 #include "platform.h"
 #include "quarantine-client.h"
@@ -258,6 +259,7 @@
   const QuinceMetaContact *contact = quince_meta_store_get_contact (front->store);
   const QuinceRouteTable *routes = quince_observer_get_routes (context->observer);
   quince_metric_set ("quince_front_in_progress", "", context->in_progress);
+  quince_front_limits_set_metrics (context);
   quince_metric_set ("quince_front_connections", "",
                      quince_caller_listeners_count_connections (front->listeners));
   quince_metric_set ("quince_front_worker_connections_opened", "",
@@ -324,6 +326,7 @@
   front->context.backends = quince_backends_new (topology, QUINCE_PLATFORM_REQUEST_ID_HEADER);
   front->name = g_strdup (quince_settings_get_text (settings, "node", "name"));
   front->zone = g_strdup (quince_settings_get_text (settings, "node", "zone"));
+  quince_front_limits_apply (settings, &front->context);
   front->context.directory_ttl_s = read_directory_ttl_s (settings);
   front->context.splits = quince_route_splits_new ();
   front->context.usage = quince_usage_reporter_new ();
@@ -471,6 +474,8 @@
   quince_quarantine_client_free (front->quarantine);
   quince_warmup_client_free (front->warmup);
   quince_backends_free (front->context.backends);
+  /* The requests and the bytes that the links and connections send refer to it. */
+  quince_memory_account_free (front->context.memory);
   g_free (front->name);
   g_free (front->zone);
   g_free (front);
--- a/daemons/front/ledger-caller.c
+++ b/daemons/front/ledger-caller.c
@@ -15,6 +15,8 @@
 /* Timeout of a connection attempt, ms; then a new one starts.  Allows one retransmission of a lost SYN, which
  * follows after 1 s. */
 #define CONNECT_TIMEOUT_MS 1200
+/* Assumed size of a call without its body, bytes: as large as a request's head may be. */
+#define CALL_HEAD_MAX_BYTES (64 * 1024)
 /* Status of a reply from a leader that has no quorum or has not read its log yet. */
 #define HTTP_STATUS_SERVICE_UNAVAILABLE 503
 
@@ -284,7 +286,7 @@
            const char *method,
            const char *target,
            const QuinceHttpHeaders *headers,
-           const GByteArray *body)
+           GBytes *body)
 {
   guint n_headers = quince_http_headers_get_length (headers);
   g_autofree QuinceTextPair *pairs = g_new0 (QuinceTextPair, n_headers + 1);
@@ -301,9 +303,7 @@
   wire->target = (char *)target;
   wire->headers.headers_val = pairs;
   wire->headers.headers_len = n_headers;
-  wire->body.body_val = (char *)body->data;
-  wire->body.body_len = body->len;
-  quince_link_send (call->caller->link, &message);
+  quince_link_send_with_tail (call->caller->link, &message, body);
   call->sent = TRUE;
 }
 
@@ -312,7 +312,7 @@
                             const char *method,
                             const char *target,
                             const QuinceHttpHeaders *headers,
-                            const GByteArray *body,
+                            GBytes *body,
                             guint timeout_ms,
                             QuinceLedgerCallDone done,
                             gpointer user_data)
@@ -323,7 +323,8 @@
   call->done = done;
   call->user_data = user_data;
   g_hash_table_insert (caller->calls, &call->id, call);
-  if (quince_ledger_caller_is_linked (caller))
+  if (quince_ledger_caller_is_linked (caller)
+      && quince_link_has_room (caller->link, g_bytes_get_size (body) + CALL_HEAD_MAX_BYTES))
     send_call (call, method, target, headers, body);
   /* A call that was not sent ends in the next iteration of the main loop. */
   call->timer = quince_timer_add (call->sent ? timeout_ms : 0, call_timed_out, call);
--- a/daemons/front/ledger-caller.h
+++ b/daemons/front/ledger-caller.h
@@ -56,11 +56,13 @@
 
 /**
  * quince_ledger_caller_start:
- * @method, @target, @headers, @body: of the caller's HTTP request; not used after the function returns
+ * @method, @target, @headers: of the caller's HTTP request; not used after the function returns
+ * @body: of the caller's HTTP request; referred to until it is sent
  * @timeout_ms: maximum time from sending the call to the reply
  * @done: called once, after the function has returned
  *
- * Sends a call to the leader.  Without an open link, the call ends with QUINCE_LEDGER_CALL_NOT_SENT.
+ * Sends a call to the leader.  Without an open link, or while earlier calls fill it, the call ends with
+ * QUINCE_LEDGER_CALL_NOT_SENT.
  *
  * Returns: (transfer none): the call, valid until @done is called or quince_ledger_call_cancel()
  */
@@ -68,7 +70,7 @@
                                                     const char *method,
                                                     const char *target,
                                                     const QuinceHttpHeaders *headers,
-                                                    const GByteArray *body,
+                                                    GBytes *body,
                                                     guint timeout_ms,
                                                     QuinceLedgerCallDone done,
                                                     gpointer user_data);
--- a/daemons/replica/replica-settings.c
+++ b/daemons/replica/replica-settings.c
@@ -50,6 +50,7 @@
   QUINCE_QUARANTINE_SETTINGS,
   QUINCE_WARMUP_SETTINGS,
   QUINCE_POLICY_SETTINGS,
+  QUINCE_LIMITS_SETTINGS ("270", "8200"),
   QUINCE_LOG_SETTINGS,
 };
 /* clang-format on */
--- a/rehearsal/platform/demo-cluster.c
+++ b/rehearsal/platform/demo-cluster.c
@@ -88,6 +88,8 @@
   set_value (values, "bounds.graceS", g_strdup ("8"));
   set_value (values, "bounds.statusIntervalS", g_strdup ("60"));
   set_value (values, "bounds.leaseMs", g_strdup ("500"));
+  set_value (values, "limits.memoryMb", g_strdup ("270"));
+  set_value (values, "limits.maxFds", g_strdup ("4100"));
   return values;
 }
 
