--- a/daemons/front/caller-request.c
+++ b/daemons/front/caller-request.c
@@ -140,12 +140,15 @@
 /* ---- Calls about batches ---------------------------------------------- */
 
 static void
-ledger_done (QuinceLedgerCallOutcome outcome, const QuinceServiceReply *reply, gpointer data)
+ledger_done (QuinceLedgerCallOutcome outcome, QuinceServiceReply *reply, gpointer data)
 {
   QuinceCallerRequest *request = data;
   request->ledger_call = NULL;
   if (outcome == QUINCE_LEDGER_CALL_LOST && request->is_submission)
     quince_caller_request_refuse (request, 504, "ledger_unknown", 0);
+  else if (outcome == QUINCE_LEDGER_CALL_NO_MEMORY)
+    quince_caller_request_refuse (request, 503, "memory",
+                                  quince_caller_request_get_retry_after_ms (QUINCE_REFUSED_MEMORY, 0));
   else if (outcome != QUINCE_LEDGER_CALL_ANSWERED)
     quince_caller_request_refuse (request, 503, "ledger_unreachable",
                                   quince_caller_request_get_retry_after_ms (QUINCE_REFUSED_LEDGER, 0));
@@ -157,10 +160,12 @@
     }
   else
     {
+      g_autoptr (GBytes) body
+          = g_bytes_new_take (g_steal_pointer (&reply->body.body_val), reply->body.body_len);
+      reply->body.body_len = 0;
       const QuinceCallerAnswer answer = { .status = reply->status,
                                           .content_type = reply->content_type,
-                                          .body = reply->body.body_val,
-                                          .body_length = reply->body.body_len,
+                                          .shared_body = body,
                                           .retry_after_ms = reply->retry_after_ms };
       quince_caller_request_finish (request, &answer);
     }
--- a/daemons/front/front.c
+++ b/daemons/front/front.c
@@ -331,7 +331,7 @@
   front->context.splits = quince_route_splits_new ();
   front->context.usage = quince_usage_reporter_new ();
   create_send_limiters (front, settings);
-  front->context.ledger = quince_ledger_caller_new (&ledger_callbacks, front);
+  front->context.ledger = quince_ledger_caller_new (front->context.memory, &ledger_callbacks, front);
   return front;
 }
 
--- a/daemons/front/ledger-caller.c
+++ b/daemons/front/ledger-caller.c
@@ -23,11 +23,12 @@
 struct _QuinceLedgerCaller
 {
   /* All fields belong to the main context. */
-  QuinceLink *link;       /* owned; NULL between two connection attempts */
-  char *address;          /* of the leader; NULL if unknown */
-  gboolean loss_logged;   /* the loss of the link was logged; reset when a link opens */
-  guint64 epoch;          /* of the leader */
-  QuinceLedgerView *view; /* NULL if unknown */
+  QuinceMemoryAccount *memory; /* borrowed */
+  QuinceLink *link;            /* owned; NULL between two connection attempts */
+  char *address;               /* of the leader; NULL if unknown */
+  gboolean loss_logged;        /* the loss of the link was logged; reset when a link opens */
+  guint64 epoch;               /* of the leader */
+  QuinceLedgerView *view;      /* NULL if unknown */
   QuinceLeaderSearch *search;
   QuinceTimer *timer; /* next connection attempt, or timeout of the current one */
   const QuinceLedgerCallerCallbacks *callbacks;
@@ -58,7 +59,7 @@
 }
 
 static void
-finish_call (QuinceLedgerCallHandle *call, QuinceLedgerCallOutcome outcome, const QuinceServiceReply *reply)
+finish_call (QuinceLedgerCallHandle *call, QuinceLedgerCallOutcome outcome, QuinceServiceReply *reply)
 {
   QuinceLedgerCallDone done = call->done;
   gpointer user_data = call->user_data;
@@ -141,7 +142,7 @@
   quince_leader_search_record_contact (caller->search);
   if (message->kind == QUINCE_MESSAGE_SERVICE_REPLY)
     {
-      const QuinceServiceReply *reply = &message->QuinceMessage_u.service_reply;
+      QuinceServiceReply *reply = &message->QuinceMessage_u.service_reply;
       guint64 id = reply->id;
       quince_leader_search_set_leader_available (caller->search,
                                                  reply->status != HTTP_STATUS_SERVICE_UNAVAILABLE);
@@ -154,8 +155,31 @@
   quince_message_free (message);
 }
 
+/* Makes room for a large reply, or ends the call that it answers. */
+static gboolean
+link_admit (QuinceLink *link,
+            const guint8 *start,
+            gsize available,
+            gsize frame_bytes,
+            QuinceMemoryHold **hold,
+            gpointer data)
+{
+  QuinceLedgerCaller *caller = data;
+  guint64 id;
+  if (!quince_message_peek_service_reply (start, available, &id))
+    return TRUE;
+  *hold = quince_memory_hold_new (caller->memory, NULL, NULL);
+  if (quince_memory_hold_reserve (*hold, frame_bytes, quince_now_us ()))
+    return TRUE;
+  g_clear_pointer (hold, quince_memory_hold_free);
+  QuinceLedgerCallHandle *call = g_hash_table_lookup (caller->calls, &id);
+  if (call != NULL)
+    finish_call (call, QUINCE_LEDGER_CALL_NO_MEMORY, NULL);
+  return FALSE;
+}
+
 static const QuinceLinkCallbacks link_callbacks
-    = { .connected = link_connected, .message = link_message, .closed = link_closed };
+    = { .connected = link_connected, .message = link_message, .closed = link_closed, .admit = link_admit };
 
 static void
 open_leader_link (QuinceLedgerCaller *caller)
@@ -175,9 +199,12 @@
 }
 
 QuinceLedgerCaller *
-quince_ledger_caller_new (const QuinceLedgerCallerCallbacks *callbacks, gpointer user_data)
+quince_ledger_caller_new (QuinceMemoryAccount *memory,
+                          const QuinceLedgerCallerCallbacks *callbacks,
+                          gpointer user_data)
 {
   QuinceLedgerCaller *caller = g_new0 (QuinceLedgerCaller, 1);
+  caller->memory = memory;
   caller->callbacks = callbacks;
   caller->search = quince_leader_search_new (handle_leader_found, caller);
   caller->user_data = user_data;
--- a/daemons/front/ledger-caller.h
+++ b/daemons/front/ledger-caller.h
@@ -17,14 +17,15 @@
 typedef enum
 {
   QUINCE_LEDGER_CALL_ANSWERED,
-  QUINCE_LEDGER_CALL_NOT_SENT, /* the call was not executed */
-  QUINCE_LEDGER_CALL_LOST,     /* sent, but no reply arrived: the call may have been executed */
+  QUINCE_LEDGER_CALL_NOT_SENT,  /* the call was not executed */
+  QUINCE_LEDGER_CALL_NO_MEMORY, /* a reply arrived that this process has no memory for */
+  QUINCE_LEDGER_CALL_LOST,      /* sent, but no reply arrived: the call may have been executed */
 } QuinceLedgerCallOutcome;
 
 /* @reply: (nullable): the reply if @outcome is QUINCE_LEDGER_CALL_ANSWERED, otherwise %NULL; valid until the
- * callback returns */
+ * callback returns, which may take its body */
 typedef void (*QuinceLedgerCallDone) (QuinceLedgerCallOutcome outcome,
-                                      const QuinceServiceReply *reply,
+                                      QuinceServiceReply *reply,
                                       gpointer user_data);
 
 /**
@@ -41,7 +42,9 @@
   void (*unlinked) (gpointer user_data);
 } QuinceLedgerCallerCallbacks;
 
-QuinceLedgerCaller *quince_ledger_caller_new (const QuinceLedgerCallerCallbacks *callbacks,
+/* @memory: (transfer none): accounts for large replies; must outlive the caller */
+QuinceLedgerCaller *quince_ledger_caller_new (QuinceMemoryAccount *memory,
+                                              const QuinceLedgerCallerCallbacks *callbacks,
                                               gpointer user_data);
 void quince_ledger_caller_free (QuinceLedgerCaller *caller);
 /* Sets the ledger view, and opens a link to its leader if that has changed.  A view without a leader among
--- a/daemons/replica/batch-answers.c
+++ b/daemons/replica/batch-answers.c
@@ -26,14 +26,15 @@
 {
   QuinceMessage message = { .kind = QUINCE_MESSAGE_SERVICE_REPLY };
   QuinceServiceReply *wire = &message.QuinceMessage_u.service_reply;
-  gsize length = 0;
   wire->id = id;
   wire->status = status;
   wire->content_type = (char *)content_type;
   wire->retry_after_ms = retry_after_ms;
-  wire->body.body_val = body != NULL ? (char *)g_bytes_get_data (body, &length) : NULL;
-  wire->body.body_len = (u_int)length;
-  quince_link_send (link, &message);
+  /* The body is the last part of the message. */
+  if (body != NULL)
+    quince_link_send_with_tail (link, &message, body);
+  else
+    quince_link_send (link, &message);
 }
 
 void
@@ -114,8 +115,9 @@
   return QUINCE_LEDGER_REFUSAL_NONE;
 }
 
-void
-quince_batch_answer_item (QuinceLink *link,
+QuinceLedgerRefusal
+quince_batch_answer_item (QuinceBatchMemory *memory,
+                          QuinceLink *link,
                           const QuinceServiceCall *call,
                           const QuinceCall *parsed,
                           const QuinceBatchEntry *entry)
@@ -124,11 +126,16 @@
   if (index < 0)
     {
       quince_batch_answer_status (link, call->id, 404);
-      return;
+      return QUINCE_LEDGER_REFUSAL_NONE;
     }
   const QuinceBatchItem *item = &entry->batch->items.items_val[index];
-  g_autoptr (GBytes) body = g_bytes_new_static (item->body.body_val, item->body.body_len);
+  if (!quince_link_has_room (link, item->body.body_len))
+    return QUINCE_LEDGER_REFUSAL_LINK_FULL;
+  g_autoptr (GBytes) body = quince_batch_memory_copy (memory, item->body.body_val, item->body.body_len);
+  if (body == NULL)
+    return QUINCE_LEDGER_REFUSAL_MEMORY;
   reply (link, call->id, 200, "application/octet-stream", body, 0);
+  return QUINCE_LEDGER_REFUSAL_NONE;
 }
 
 QuinceHttpHeaders *
--- a/daemons/replica/batch-answers.h
+++ b/daemons/replica/batch-answers.h
@@ -13,6 +13,7 @@
 #include "batchlog/result-cache.h"
 
 #include "platform.h"
+#include "batch-memory.h"
 
 /* ---- Answers; @id is the id of the call --------------------------------- */
 
@@ -29,11 +30,15 @@
                                                  guint64 id,
                                                  const QuinceBatchEntry *entry,
                                                  guint64 position);
-/* Sends the body of the item that @parsed names, or 404 if @entry has no such item. */
-void quince_batch_answer_item (QuinceLink *link,
-                               const QuinceServiceCall *call,
-                               const QuinceCall *parsed,
-                               const QuinceBatchEntry *entry);
+/* Sends the body of the item that @parsed names, or 404 if @entry has no such item.
+ * @memory: accounts for the body until it is sent
+ *
+ * Returns: why nothing was sent, or %QUINCE_LEDGER_REFUSAL_NONE */
+QuinceLedgerRefusal quince_batch_answer_item (QuinceBatchMemory *memory,
+                                              QuinceLink *link,
+                                              const QuinceServiceCall *call,
+                                              const QuinceCall *parsed,
+                                              const QuinceBatchEntry *entry);
 
 /* ---- Calls --------------------------------------------------------------- */
 
--- a/daemons/replica/batch-calls.c
+++ b/daemons/replica/batch-calls.c
@@ -9,11 +9,9 @@
 #include "runtime/log.h"
 
 #include "batch-answers.h"
+#include "batch-submissions.h"
 #include "platform.h"
 
-/* New batches are refused while more samples than this have no result, which bounds the leader's memory. Room
- * for two steps of 8,192 samples for each of 11 trainers. */
-#define SAMPLES_WITHOUT_RESULT_MAX 200000
 /* Limit of the cache of unpacked results.  Holds the texts of the last steps of three trainers (144 texts of
  * 8 kB each), and is a thirtieth of the memory of the smallest leaders (270 MB). */
 #define RESULT_CACHE_MAX_BYTES (8 * 1024 * 1024)
@@ -34,10 +32,10 @@
 {
   /* All fields belong to the main context. */
   QuinceLedgerNode *ledger;
-  QuinceResidencyCoordinator *residency;
-  QuinceBatchTable *table;         /* NULL: not leading */
-  GHashTable *pending_submissions; /* batch id to guint64, both owned: index of the uncommitted record */
-  GPtrArray *waiting_calls;        /* WaitingCall, owned */
+  QuinceBatchTable *table; /* NULL: not leading */
+  QuinceBatchSubmissions *submissions;
+  QuinceBatchMemory *memory; /* borrowed */
+  GPtrArray *waiting_calls;  /* WaitingCall, owned */
   QuinceResultCache *result_cache;
   QuinceCallRefusals *refusals; /* borrowed */
   QuinceResultQueue *results;   /* not owned; NULL: not leading */
@@ -66,6 +64,13 @@
   return waiting_call;
 }
 
+/* A submission waits for its record. */
+static void
+await_commit (QuinceLink *link, guint64 call_id, const char *batch, guint64 record_index, gpointer data)
+{
+  add_waiting_call (data, link, call_id, batch)->record_index = record_index;
+}
+
 /* ---- Refusals and results ------------------------------------------------- */
 
 static void
@@ -88,6 +93,19 @@
     quince_call_refusals_answer (calls->refusals, link, id, refusal, entry->batch->id);
 }
 
+/* Answers with the body of an item, or refuses the call. */
+static void
+answer_item (QuinceBatchCalls *calls,
+             QuinceLink *link,
+             const QuinceServiceCall *call,
+             const QuinceCall *parsed,
+             const QuinceBatchEntry *entry)
+{
+  QuinceLedgerRefusal refusal = quince_batch_answer_item (calls->memory, link, call, parsed, entry);
+  if (refusal != QUINCE_LEDGER_REFUSAL_NONE)
+    quince_call_refusals_answer (calls->refusals, link, call->id, refusal, entry->batch->id);
+}
+
 /* ---- Waiting calls ------------------------------------------------------ */
 
 static gboolean
@@ -131,14 +149,6 @@
 
 /* ---- Changes ---------------------------------------------------------- */
 
-/* A batch without a tenant is visible to every caller: it was submitted on a public route, or the
- * configuration has no tenants. */
-static gboolean
-is_visible_to_tenant (const QuinceBatchEntry *entry, const char *tenant)
-{
-  return *entry->tenant == '\0' || g_str_equal (entry->tenant, tenant);
-}
-
 /* Returns: the index of the record, or 0 if it was not appended */
 static guint64
 append_end (QuinceBatchCalls *calls, const QuinceBatchEntry *entry)
@@ -173,131 +183,6 @@
                                  entry->batch->id);
 }
 
-/* Appends a submission to the ledger.  A batch without a tenant is written in the older record format, which
- * versions without tenant support can read.
- * Returns: the index of the record, or 0 if it was not appended */
-static guint64
-append_submission (QuinceBatchCalls *calls, const QuinceBatchJob *batch, const char *tenant)
-{
-  QuinceBatchRecord record = { .kind = QUINCE_BATCH_RECORD_SUBMIT };
-  if (*tenant == '\0')
-    record.QuinceBatchRecord_u.submit = *batch;
-  else
-    {
-      record.kind = QUINCE_BATCH_RECORD_SUBMIT_OF_TENANT;
-      record.QuinceBatchRecord_u.submit_of_tenant.tenant = (char *)tenant;
-      record.QuinceBatchRecord_u.submit_of_tenant.batch = *batch;
-    }
-  return quince_ledger_node_append (calls->ledger, &record);
-}
-
-static void
-submit_batch (QuinceBatchCalls *calls,
-              QuinceLink *link,
-              const QuinceServiceCall *call,
-              const QuinceHttpHeaders *headers,
-              const char *id)
-{
-  g_autoptr (GError) error = NULL;
-  g_autoptr (QuinceBatchJob) batch
-      = quince_platform_read_batch (call->body.body_val, call->body.body_len, &error);
-  if (batch == NULL)
-    {
-      g_autofree char *reason = quince_log_quote (error->message);
-      quince_log_warning ("batch_refused", "batch=%s status=400 reason=%s", id, reason);
-      quince_residency_coordinator_remove_admitted (calls->residency, id);
-      quince_batch_answer_status (link, call->id, 400);
-      return;
-    }
-  g_free (batch->id);
-  g_free (batch->host);
-  g_free (batch->path);
-  batch->id = quince_string (id);
-  batch->host = quince_string (quince_http_headers_get (headers, "Host"));
-  batch->path = quince_string (call->target);
-  batch->submitted_ms = (guint64)quince_wall_ms ();
-  guint64 index = append_submission (calls, batch, quince_platform_read_tenant (headers));
-  if (index == 0)
-    {
-      quince_residency_coordinator_remove_admitted (calls->residency, id);
-      quince_call_refusals_answer (calls->refusals, link, call->id, QUINCE_LEDGER_REFUSAL_RECORD_INVALID, id);
-      return;
-    }
-  g_hash_table_insert (calls->pending_submissions, g_strdup (id), g_memdup2 (&index, sizeof index));
-  add_waiting_call (calls, link, call->id, id)->record_index = index;
-}
-
-/* Repeats the front's residency check, since the ledger's members may have changed since then. */
-static gboolean
-admit_by_residency (QuinceBatchCalls *calls,
-                    const QuinceServiceCall *call,
-                    const QuinceHttpHeaders *headers,
-                    const char *id)
-{
-  g_autoptr (GPtrArray) entries = quince_batch_table_list (calls->table);
-  const char *host = quince_http_headers_get (headers, "Host");
-  gboolean admitted
-      = quince_residency_coordinator_admit (calls->residency, entries, id, host != NULL ? host : "",
-                                            call->target, quince_platform_read_tenant (headers));
-  if (!admitted)
-    quince_log_warning ("batch_refused", "batch=- status=503 reason=residency");
-  return admitted;
-}
-
-/* Returns: why a submission that is not known yet is refused now */
-static QuinceLedgerRefusal
-get_submission_refusal (QuinceBatchCalls *calls,
-                        guint samples_without_result,
-                        const QuinceServiceCall *call,
-                        const QuinceHttpHeaders *headers,
-                        const char *id)
-{
-  QuinceLedgerRefusal refusal = quince_ledger_node_get_accept_refusal (calls->ledger);
-  if (refusal != QUINCE_LEDGER_REFUSAL_NONE)
-    return refusal;
-  if (samples_without_result > SAMPLES_WITHOUT_RESULT_MAX)
-    return QUINCE_LEDGER_REFUSAL_TOO_MANY_SAMPLES;
-  return admit_by_residency (calls, call, headers, id) ? QUINCE_LEDGER_REFUSAL_NONE
-                                                       : QUINCE_LEDGER_REFUSAL_RESIDENCY;
-}
-
-static void
-accept_submission (QuinceBatchCalls *calls,
-                   guint samples_without_result,
-                   QuinceLink *link,
-                   const QuinceServiceCall *call,
-                   const QuinceHttpHeaders *headers,
-                   const char *id)
-{
-  QuinceLedgerRefusal refusal = get_submission_refusal (calls, samples_without_result, call, headers, id);
-  if (refusal == QUINCE_LEDGER_REFUSAL_NONE)
-    submit_batch (calls, link, call, headers, id);
-  else
-    quince_call_refusals_answer (calls->refusals, link, call->id, refusal, id);
-}
-
-static void
-handle_submission (QuinceBatchCalls *calls,
-                   guint samples_without_result,
-                   QuinceLink *link,
-                   const QuinceServiceCall *call,
-                   const QuinceHttpHeaders *headers)
-{
-  QuincePlatformRequestHeaders request_headers;
-  quince_platform_read_request (headers, &request_headers);
-  const char *id = request_headers.request_id;
-  const guint64 *pending = id != NULL ? g_hash_table_lookup (calls->pending_submissions, id) : NULL;
-  const QuinceBatchEntry *known = id != NULL ? quince_batch_table_find (calls->table, id) : NULL;
-  if (id == NULL || (known != NULL && !is_visible_to_tenant (known, quince_platform_read_tenant (headers))))
-    quince_batch_answer_status (link, call->id, 400);
-  else if (known != NULL)
-    quince_batch_answer_status (link, call->id, 202);
-  else if (pending != NULL)
-    add_waiting_call (calls, link, call->id, id)->record_index = *pending;
-  else
-    accept_submission (calls, samples_without_result, link, call, headers, id);
-}
-
 /* ---- Calls ------------------------------------------------------------ */
 
 /* Answers a call about a batch that is unknown or not visible to the caller: 503 while its submission is
@@ -311,7 +196,7 @@
                     const QuinceBatchEntry *entry,
                     const char *tenant)
 {
-  gboolean pending = batch_id != NULL && g_hash_table_contains (calls->pending_submissions, batch_id);
+  gboolean pending = batch_id != NULL && quince_batch_submissions_is_pending (calls->submissions, batch_id);
   if (entry != NULL)
     quince_batch_answer_status (link, call->id, *tenant == '\0' ? 401 : 404);
   else if (pending)
@@ -331,12 +216,12 @@
   QuinceBatchEntry *entry
       = parsed->batch_id != NULL ? quince_batch_table_find (calls->table, parsed->batch_id) : NULL;
   const char *tenant = quince_platform_read_tenant (headers);
-  if (entry == NULL || !is_visible_to_tenant (entry, tenant))
+  if (entry == NULL || !quince_batch_entry_is_visible (entry, tenant))
     answer_unavailable (calls, link, call, parsed->batch_id, entry, tenant);
   else if (parsed->kind == QUINCE_CALL_RESULTS)
     handle_results_call (calls, link, call, headers, parsed, entry);
   else if (parsed->kind == QUINCE_CALL_ITEM)
-    quince_batch_answer_item (link, call, parsed, entry);
+    answer_item (calls, link, call, parsed, entry);
   else if (parsed->kind == QUINCE_CALL_END_BATCH)
     handle_end_call (calls, link, call, entry);
   else
@@ -347,23 +232,34 @@
 quince_batch_calls_handle_call (QuinceBatchCalls *calls,
                                 guint samples_without_result,
                                 QuinceLink *link,
-                                const QuinceServiceCall *call)
+                                QuinceServiceCall *call)
 {
   g_autoptr (QuinceHttpHeaders) headers = quince_batch_call_copy_headers (call);
   QuinceCall parsed;
   quince_platform_read_call (call->method, call->target, &parsed);
   if (parsed.kind == QUINCE_CALL_REQUEST)
-    handle_submission (calls, samples_without_result, link, call, headers);
+    quince_batch_submissions_handle (calls->submissions, samples_without_result, link, call, headers);
   else
     handle_batch_call (calls, link, call, headers, &parsed);
   quince_platform_call_clear (&parsed);
 }
 
+gboolean
+quince_batch_calls_admit (QuinceBatchCalls *calls,
+                          QuinceLink *link,
+                          guint64 call_id,
+                          gsize frame_bytes,
+                          QuinceMemoryHold **hold)
+{
+  return quince_batch_submissions_admit (calls->submissions, link, call_id, frame_bytes, hold);
+}
+
 /* ---- Completion of waiting calls ----------------------------------------- */
 
 void
 quince_batch_calls_link_closed (QuinceBatchCalls *calls, QuinceLink *link)
 {
+  quince_batch_submissions_link_closed (calls->submissions, link);
   for (guint i = calls->waiting_calls->len; i > 0; i--)
     if (((WaitingCall *)calls->waiting_calls->pdata[i - 1])->link == link)
       g_ptr_array_remove_index_fast (calls->waiting_calls, i - 1);
@@ -372,7 +268,7 @@
 void
 quince_batch_calls_submission_committed (QuinceBatchCalls *calls, const char *id)
 {
-  g_hash_table_remove (calls->pending_submissions, id);
+  quince_batch_submissions_committed (calls->submissions, id);
 }
 
 void
@@ -430,7 +326,7 @@
     }
   g_ptr_array_set_size (calls->waiting_calls, 0);
   quince_timer_clear (&calls->answer_timer);
-  g_hash_table_remove_all (calls->pending_submissions);
+  quince_batch_submissions_stop_leading (calls->submissions);
   calls->table = NULL;
   /* Frees the memory, since this replica may not lead again for a long time. */
   quince_result_cache_free (calls->result_cache);
@@ -444,7 +340,7 @@
 {
   QuinceBatchCalls *calls = g_new0 (QuinceBatchCalls, 1);
   calls->refusals = refusals;
-  calls->pending_submissions = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  calls->submissions = quince_batch_submissions_new (refusals, await_commit, calls);
   calls->waiting_calls = g_ptr_array_new_with_free_func (waiting_call_free);
   calls->result_cache = quince_result_cache_new (RESULT_CACHE_MAX_BYTES);
   return calls;
@@ -455,7 +351,7 @@
 {
   quince_timer_clear (&calls->answer_timer);
   g_ptr_array_unref (calls->waiting_calls);
-  g_hash_table_unref (calls->pending_submissions);
+  quince_batch_submissions_free (calls->submissions);
   quince_result_cache_free (calls->result_cache);
   g_free (calls);
 }
@@ -463,10 +359,12 @@
 void
 quince_batch_calls_set_ledger (QuinceBatchCalls *calls,
                                QuinceLedgerNode *ledger,
-                               QuinceResidencyCoordinator *residency)
+                               QuinceResidencyCoordinator *residency,
+                               QuinceBatchMemory *memory)
 {
   calls->ledger = ledger;
-  calls->residency = residency;
+  calls->memory = memory;
+  quince_batch_submissions_set_ledger (calls->submissions, ledger, residency, memory);
 }
 
 void
@@ -479,4 +377,5 @@
 quince_batch_calls_set_table (QuinceBatchCalls *calls, QuinceBatchTable *table)
 {
   calls->table = table;
+  quince_batch_submissions_set_table (calls->submissions, table);
 }
--- a/daemons/replica/batch-calls.h
+++ b/daemons/replica/batch-calls.h
@@ -5,14 +5,15 @@
  * another leader.  If the replica stops leading while a record is uncommitted, the call that waits for it
  * gets 504, since the next leader may still commit it.
  *
- * The module owns the waiting calls with their timers and references to their links, the index of each
- * uncommitted submission, and the cache of unpacked results.
+ * The module owns the waiting calls with their timers and references to their links, the submissions
+ * (batch-submissions.h) and the cache of unpacked results.
  */
 #pragma once
 
 #include "core/batches/batch-table.h"
 #include "runtime/link.h"
 
+#include "batch-memory.h"
 #include "call-refusals.h"
 #include "ledger-node.h"
 #include "result-queue.h"
@@ -23,10 +24,11 @@
 /* @refusals: (transfer none): answers refused calls; must outlive the returned object */
 QuinceBatchCalls *quince_batch_calls_new (QuinceCallRefusals *refusals);
 void quince_batch_calls_free (QuinceBatchCalls *calls);
-/* Call once, before any call is handled.  @ledger and @residency: (transfer none): must outlive @calls */
+/* Call once, before any call is handled.  All arguments: (transfer none): must outlive @calls */
 void quince_batch_calls_set_ledger (QuinceBatchCalls *calls,
                                     QuinceLedgerNode *ledger,
-                                    QuinceResidencyCoordinator *residency);
+                                    QuinceResidencyCoordinator *residency,
+                                    QuinceBatchMemory *memory);
 /* Sets the results that wait to be appended; %NULL: this replica does not lead.  @results: (transfer none) */
 void quince_batch_calls_set_results (QuinceBatchCalls *calls, QuinceResultQueue *results);
 /* Sets the table that calls are answered from.  @table: (transfer none): valid until
@@ -38,7 +40,13 @@
 void quince_batch_calls_handle_call (QuinceBatchCalls *calls,
                                      guint samples_without_result,
                                      QuinceLink *link,
-                                     const QuinceServiceCall *call);
+                                     QuinceServiceCall *call);
+/* See quince_batch_submissions_admit(). */
+gboolean quince_batch_calls_admit (QuinceBatchCalls *calls,
+                                   QuinceLink *link,
+                                   guint64 call_id,
+                                   gsize frame_bytes,
+                                   QuinceMemoryHold **hold);
 /* Drops the waiting calls of @link. */
 void quince_batch_calls_link_closed (QuinceBatchCalls *calls, QuinceLink *link);
 /* The submission of the batch @id is committed and in the table. */
--- a/daemons/replica/batch-service.c
+++ b/daemons/replica/batch-service.c
@@ -28,6 +28,7 @@
   QuinceProgressFile *progress_file;
   QuinceResidencyCoordinator *residency;
   QuinceProgressCopies *copies;
+  QuinceBatchMemory *memory;
   /* These are owned: */
   QuinceBatchTable *table; /* NULL at a backup; created when a new leader reads its log */
   QuinceBatchCalls *calls;
@@ -70,6 +71,7 @@
 {
   QuinceBatchService *service = data;
   service->samples_without_result += entry->batch->items.items_len;
+  quince_batch_memory_record_batch (service->memory, entry->batch);
   quince_step_demand_record_batch (service->placement, entry->batch,
                                    count_open_samples (service, entry->batch->model));
   quince_batch_calls_submission_committed (service->calls, entry->batch->id);
@@ -88,7 +90,9 @@
 batch_result_added (QuinceBatchEntry *entry, gpointer data)
 {
   QuinceBatchService *service = data;
+  const QuinceEncodedResult *result = entry->results->pdata[entry->results->len - 1];
   service->samples_without_result--;
+  quince_batch_memory_record_result (service->memory, entry->batch->id, g_bytes_get_size (result->body));
   quince_batch_calls_handle_result (service->calls);
 }
 
@@ -113,6 +117,7 @@
   QuinceBatchService *service = data;
   service->samples_without_result -= entry->batch->items.items_len - entry->results->len;
   quince_log_info ("batch_forgotten", "batch=%s", entry->batch->id);
+  quince_batch_memory_forget (service->memory, entry->batch->id);
   if (service->runner != NULL)
     quince_sample_runner_remove (service->runner, entry);
 }
@@ -145,21 +150,41 @@
 
 /* ---- Calls of fronts ----------------------------------------------------- */
 
-void
-quince_batch_service_handle_call (QuinceBatchService *service,
-                                  QuinceLink *link,
-                                  const QuinceServiceCall *call)
+/* Returns why no call is answered now. */
+static QuinceLedgerRefusal
+get_refusal (const QuinceBatchService *service)
 {
   /* The table is incomplete while a new leader reads its log. */
   QuinceLedgerRefusal refusal = quince_ledger_node_get_answer_refusal (service->ledger);
   if (refusal == QUINCE_LEDGER_REFUSAL_NONE && service->runner == NULL)
     refusal = QUINCE_LEDGER_REFUSAL_LOG_UNREAD;
+  return refusal;
+}
+
+void
+quince_batch_service_handle_call (QuinceBatchService *service, QuinceLink *link, QuinceServiceCall *call)
+{
+  QuinceLedgerRefusal refusal = get_refusal (service);
   if (refusal != QUINCE_LEDGER_REFUSAL_NONE)
     quince_call_refusals_answer (service->refusals, link, call->id, refusal, NULL);
   else
     quince_batch_calls_handle_call (service->calls, service->samples_without_result, link, call);
 }
 
+gboolean
+quince_batch_service_admit_call (QuinceBatchService *service,
+                                 QuinceLink *link,
+                                 guint64 call_id,
+                                 gsize frame_bytes,
+                                 QuinceMemoryHold **hold)
+{
+  QuinceLedgerRefusal refusal = get_refusal (service);
+  if (refusal == QUINCE_LEDGER_REFUSAL_NONE)
+    return quince_batch_calls_admit (service->calls, link, call_id, frame_bytes, hold);
+  quince_call_refusals_answer (service->refusals, link, call_id, refusal, NULL);
+  return FALSE;
+}
+
 void
 quince_batch_service_link_closed (QuinceBatchService *service, QuinceLink *link)
 {
@@ -282,6 +307,7 @@
 quince_batch_service_set_metrics (QuinceBatchService *service)
 {
   gboolean is_leading = service->runner != NULL;
+  quince_batch_memory_set_metrics (service->memory);
   quince_metric_set ("quince_replica_batches", "",
                      service->table != NULL ? quince_batch_table_get_size (service->table) : 0);
   quince_metric_set ("quince_replica_samples_waiting", "",
@@ -359,6 +385,7 @@
   quince_batch_calls_stop_leading (service->calls);
   quince_residency_coordinator_remove_admitted (service->residency, NULL);
   g_clear_pointer (&service->table, quince_batch_table_free);
+  quince_batch_memory_clear (service->memory);
   service->samples_without_result = 0;
 }
 
@@ -387,14 +414,16 @@
                                  QuinceLedgerNode *ledger,
                                  QuinceProgressFile *progress_file,
                                  QuinceResidencyCoordinator *residency,
-                                 QuinceProgressCopies *copies)
+                                 QuinceProgressCopies *copies,
+                                 QuinceBatchMemory *memory)
 {
   service->ledger = ledger;
   service->residency = residency;
   service->progress_file = progress_file;
   service->copies = copies;
+  service->memory = memory;
   quince_call_refusals_set_ledger (service->refusals, ledger);
-  quince_batch_calls_set_ledger (service->calls, ledger, residency);
+  quince_batch_calls_set_ledger (service->calls, ledger, residency, memory);
 }
 
 void
--- a/daemons/replica/batch-service.h
+++ b/daemons/replica/batch-service.h
@@ -13,6 +13,7 @@
 #include "observer/observer.h"
 #include "runtime/link.h"
 
+#include "batch-memory.h"
 #include "ledger-node.h"
 #include "progress-copies.h"
 #include "progress-file.h"
@@ -45,7 +46,8 @@
                                       QuinceLedgerNode *ledger,
                                       QuinceProgressFile *progress_file,
                                       QuinceResidencyCoordinator *residency,
-                                      QuinceProgressCopies *copies);
+                                      QuinceProgressCopies *copies,
+                                      QuinceBatchMemory *memory);
 
 /* ---- Events of the ledger ------------------------------------------------ */
 
@@ -60,9 +62,15 @@
 void
 quince_batch_service_apply_record (QuinceBatchService *service, guint64 index, QuinceBatchRecord *record);
 /* Answers a front's call on @link, immediately or later. */
-void quince_batch_service_handle_call (QuinceBatchService *service,
-                                       QuinceLink *link,
-                                       const QuinceServiceCall *call);
+void
+quince_batch_service_handle_call (QuinceBatchService *service, QuinceLink *link, QuinceServiceCall *call);
+/* Decides whether the large frame of a front's call is read, see quince_batch_submissions_admit().  Otherwise
+ * the call has been refused. */
+gboolean quince_batch_service_admit_call (QuinceBatchService *service,
+                                          QuinceLink *link,
+                                          guint64 call_id,
+                                          gsize frame_bytes,
+                                          QuinceMemoryHold **hold);
 /* Drops the waiting calls of @link. */
 void quince_batch_service_link_closed (QuinceBatchService *service, QuinceLink *link);
 
--- a/daemons/replica/ledger-backup.c
+++ b/daemons/replica/ledger-backup.c
@@ -8,7 +8,7 @@
 
 /* A chunk ends with the record that reaches this size, in bytes.  Bounds the memory of a message and the time
  * to encode it. */
-#define CHUNK_BYTES (512 * 1024)
+#define CHUNK_BYTES QUINCE_LARGE_RECORD_BYTES
 /* Maximum number of records in a chunk.  Bounds the time to encode many small records. */
 #define CHUNK_ENTRIES_MAX 512
 /* Maximum bytes in flight to one backup.  Two chunks keep the link busy while the first one is acknowledged;
@@ -19,6 +19,8 @@
 typedef struct
 {
   GArray *entries; /* QuinceLogEntry, owned records */
+  GBytes *tail;    /* record of the last entry, which then has none, if it is large; NULL: it is not */
+  QuinceBatchLog *log;
   gsize bytes;
   guint64 last_index; /* of the last record that may be sent */
 } Chunk;
@@ -73,7 +75,14 @@
 {
   Chunk *chunk = data;
   QuinceLogEntry copy = *entry;
-  copy.record.record_val = g_memdup2 (entry->record.record_val, entry->record.record_len);
+  if (entry->record.record_len >= CHUNK_BYTES)
+    {
+      chunk->tail = quince_batch_log_share_record (chunk->log, entry);
+      copy.record.record_val = NULL;
+      copy.record.record_len = 0;
+    }
+  else
+    copy.record.record_val = g_memdup2 (entry->record.record_val, entry->record.record_len);
   g_array_append_val (chunk->entries, copy);
   chunk->bytes += entry->record.record_len;
   return chunk->bytes < CHUNK_BYTES && chunk->entries->len < CHUNK_ENTRIES_MAX
@@ -91,6 +100,14 @@
 static void
 collect_chunk (const QuinceLedgerBackup *backup, QuinceBatchLog *log, Chunk *chunk)
 {
+  QuinceLogEntry entry = { .index = backup->next_index };
+  chunk->tail = quince_batch_log_find_shared (log, entry.index, (guint64 *)&entry.epoch);
+  if (chunk->tail != NULL)
+    {
+      g_array_append_val (chunk->entries, entry);
+      chunk->bytes = g_bytes_get_size (chunk->tail);
+      return;
+    }
   g_autoptr (GError) error = NULL;
   if (!quince_batch_log_foreach (log, backup->next_index, collect_entry, chunk, &error))
     quince_log_failure ("ledger_disk_failed", "doing=read reason=\"%s\"", error->message);
@@ -122,8 +139,9 @@
                                  && quince_send_window_is_open (backup->window);
   if (!has_records_to_send && !heartbeat)
     return;
-  Chunk chunk
-      = { .entries = g_array_new (FALSE, FALSE, sizeof (QuinceLogEntry)), .last_index = last_to_send };
+  Chunk chunk = { .entries = g_array_new (FALSE, FALSE, sizeof (QuinceLogEntry)),
+                  .log = log,
+                  .last_index = last_to_send };
   g_array_set_clear_func (chunk.entries, clear_entry);
   if (has_records_to_send && backup->next_index <= last_to_send)
     collect_chunk (backup, log, &chunk);
@@ -139,9 +157,14 @@
   append->entries.entries_val = (QuinceLogEntry *)chunk.entries->data;
   append->entries.entries_len = chunk.entries->len;
   append->held_index = backup->next_index - 1;
-  quince_link_send (backup->link, &message);
+  /* The record of the last entry is the last part of the message. */
+  if (chunk.tail != NULL)
+    quince_link_send_with_tail (backup->link, &message, chunk.tail);
+  else
+    quince_link_send (backup->link, &message);
   if (has_records_to_send)
     backup->needs_reset = FALSE;
+  g_clear_pointer (&chunk.tail, g_bytes_unref);
   g_array_unref (chunk.entries);
 }
 
--- a/daemons/replica/ledger-node.c
+++ b/daemons/replica/ledger-node.c
@@ -233,7 +233,24 @@
   g_hash_table_remove (node->incoming_links, link);
 }
 
-static const QuinceLinkCallbacks link_callbacks = { .message = link_message, .closed = link_closed };
+/* Only the calls of fronts carry what callers sent. */
+static gboolean
+link_admit (QuinceLink *link,
+            const guint8 *start,
+            gsize available,
+            gsize frame_bytes,
+            QuinceMemoryHold **hold,
+            gpointer data)
+{
+  QuinceLedgerNode *node = data;
+  guint64 call_id;
+  if (!quince_message_peek_service_call (start, available, &call_id))
+    return TRUE;
+  return node->callbacks->admit_call (link, call_id, frame_bytes, hold, node->user_data);
+}
+
+static const QuinceLinkCallbacks link_callbacks
+    = { .message = link_message, .closed = link_closed, .admit = link_admit };
 
 static void
 link_accepted (QuinceLink *link, gpointer data)
--- a/daemons/replica/ledger-node.h
+++ b/daemons/replica/ledger-node.h
@@ -26,6 +26,8 @@
  * @committed: a record is committed; called only at the leader, in log order, and before started_leading()
  *   for the records that the log already had.  @record: (transfer full)
  * @service_call: a front sent a call; the answer is sent on @link, which may close before that
+ * @admit_call: the large frame of a call @id arrives on @link.  Returns whether it is read, with @hold
+ * (transfer full) for its memory; otherwise the call has been refused
  * @backup_joined: a backup or spare followed this leader on an incoming link
  * @link_closed: an incoming link, from a front or another replica, closed
  * @leader_connected: the link to the leader is up
@@ -38,7 +40,12 @@
   void (*started_leading) (gpointer user_data);
   void (*stopped_leading) (gpointer user_data);
   void (*committed) (guint64 index, QuinceBatchRecord *record, gpointer user_data);
-  void (*service_call) (QuinceLink *link, const QuinceServiceCall *call, gpointer user_data);
+  void (*service_call) (QuinceLink *link, QuinceServiceCall *call, gpointer user_data);
+  gboolean (*admit_call) (QuinceLink *link,
+                          guint64 id,
+                          gsize frame_bytes,
+                          QuinceMemoryHold **hold,
+                          gpointer user_data);
   void (*backup_joined) (QuinceLink *link, const QuinceLedgerHello *hello, gpointer user_data);
   void (*link_closed) (QuinceLink *link, gpointer user_data);
   void (*leader_connected) (QuinceLink *link, gpointer user_data);
--- a/daemons/replica/ledger-records.c
+++ b/daemons/replica/ledger-records.c
@@ -26,6 +26,7 @@
   guint64 epoch;            /* epoch that this replica leads; 0: none */
   guint64 next_index;       /* index of the next record */
   GArray *unwritten;        /* QuinceLogEntry, owned records: not on disk yet */
+  GBytes *large_record;     /* the last large one that was written, until it is delivered; NULL: none */
   GQueue uncommitted;       /* QuinceLogEntry, owned records: on disk, not delivered yet */
   QuinceTimer *flush_timer; /* writes the unwritten records; NULL: none are waiting */
 
@@ -53,6 +54,7 @@
     g_free (g_array_index (records->unwritten, QuinceLogEntry, i).record.record_val);
   g_array_set_size (records->unwritten, 0);
   g_queue_clear_full (&records->uncommitted, free_entry);
+  g_clear_pointer (&records->large_record, g_bytes_unref);
   quince_timer_clear (&records->flush_timer);
 }
 
@@ -132,6 +134,17 @@
   return reading_started;
 }
 
+/* Lets the backups get a large record from memory: reading it from the disk for each of them takes longer
+ * than writing it. */
+static void
+share_if_large (QuinceLedgerRecords *records, const QuinceLogEntry *entry)
+{
+  if (entry->record.record_len < QUINCE_LARGE_RECORD_BYTES)
+    return;
+  g_clear_pointer (&records->large_record, g_bytes_unref);
+  records->large_record = quince_batch_log_share_record (records->log, entry);
+}
+
 static gboolean
 flush_records (gpointer data)
 {
@@ -139,9 +152,11 @@
   quince_timer_clear (&records->flush_timer);
   write_records (records, (const QuinceLogEntry *)records->unwritten->data, records->unwritten->len);
   for (guint i = 0; i < records->unwritten->len; i++)
-    g_queue_push_tail (
-        &records->uncommitted,
-        g_memdup2 (&g_array_index (records->unwritten, QuinceLogEntry, i), sizeof (QuinceLogEntry)));
+    {
+      const QuinceLogEntry *entry = &g_array_index (records->unwritten, QuinceLogEntry, i);
+      share_if_large (records, entry);
+      g_queue_push_tail (&records->uncommitted, g_memdup2 (entry, sizeof *entry));
+    }
   g_array_set_size (records->unwritten, 0);
   records->callbacks->written (records->user_data);
   quince_ledger_records_advance (records);
@@ -163,9 +178,12 @@
   g_array_set_size (records->unwritten, records->unwritten->len + 1);
   QuinceLogEntry *entry = &g_array_index (records->unwritten, QuinceLogEntry, records->unwritten->len - 1);
   gsize length;
+  GBytes *packed = quince_batch_record_pack (encoded);
+  /* The last reference, so that the bytes are taken and not copied. */
+  g_clear_pointer (&encoded, g_bytes_unref);
   entry->index = records->next_index++;
   entry->epoch = records->epoch;
-  entry->record.record_val = g_bytes_unref_to_data (quince_batch_record_pack (encoded), &length);
+  entry->record.record_val = g_bytes_unref_to_data (packed, &length);
   entry->record.record_len = (u_int)length;
   if (records->flush_timer == NULL)
     records->flush_timer = quince_timer_add (0, flush_records, records);
@@ -274,4 +292,6 @@
       deliver_record (records, entry);
       free_entry (entry);
     }
+  if (g_queue_is_empty (&records->uncommitted))
+    g_clear_pointer (&records->large_record, g_bytes_unref);
 }
--- a/daemons/replica/replica-ledger-events.c
+++ b/daemons/replica/replica-ledger-events.c
@@ -74,12 +74,19 @@
 }
 
 static void
-handle_service_call (QuinceLink *link, const QuinceServiceCall *call, gpointer data)
+handle_service_call (QuinceLink *link, QuinceServiceCall *call, gpointer data)
 {
   const QuinceReplicaParts *parts = data;
   quince_batch_service_handle_call (parts->batches, link, call);
 }
 
+static gboolean
+handle_admit_call (QuinceLink *link, guint64 id, gsize frame_bytes, QuinceMemoryHold **hold, gpointer data)
+{
+  const QuinceReplicaParts *parts = data;
+  return quince_batch_service_admit_call (parts->batches, link, id, frame_bytes, hold);
+}
+
 static void
 handle_backup_joined (QuinceLink *link, const QuinceLedgerHello *hello, gpointer data)
 {
@@ -209,6 +216,7 @@
         .stopped_leading = handle_stopped_leading,
         .committed = handle_commit,
         .service_call = handle_service_call,
+        .admit_call = handle_admit_call,
         .backup_joined = handle_backup_joined,
         .link_closed = handle_link_closed,
         .leader_connected = handle_leader_connected,
--- a/daemons/replica/replica-parts.h
+++ b/daemons/replica/replica-parts.h
@@ -43,6 +43,7 @@
  * @progress_file: progress of samples on disk
  * @progress_copies: copies of the progress of samples at backups
  * @batches: the batches in the ledger
+ * @batch_memory: memory that callers' batches hold
  * @order_records: records of the workers that this leader orders
  * @leadership: weight orders, while this replica leads
  * @feed: feeds other processes with what this one reads or is fed
@@ -70,6 +71,7 @@
   QuinceProgressFile *progress_file;
   QuinceProgressCopies *progress_copies;
   QuinceBatchService *batches;
+  QuinceBatchMemory *batch_memory;
   QuinceOrderRecords *order_records;
   QuinceReplicaLeadership *leadership;
   QuinceFeedService *feed;
--- a/daemons/replica/replica-setup.c
+++ b/daemons/replica/replica-setup.c
@@ -75,6 +75,7 @@
   gint64 result_window_us = quince_settings_get_duration_us (settings, "results", "group_window");
   parts->placement = quince_model_placement_new ();
   parts->progress = quince_progress_store_new ();
+  parts->batch_memory = quince_batch_memory_new (settings);
   parts->batches = quince_batch_service_new (parts->backends, parts->observer, parts->placement,
                                              parts->progress, retention_us, result_window_us);
 }
@@ -199,7 +200,7 @@
   quince_quarantine_coordinator_set_ledger (parts->quarantine, parts->ledger);
   quince_residency_coordinator_set_ledger (parts->residency, parts->ledger);
   quince_batch_service_set_ledger (parts->batches, parts->ledger, parts->progress_file, parts->residency,
-                                   parts->progress_copies);
+                                   parts->progress_copies, parts->batch_memory);
 }
 
 gboolean
--- a/daemons/replica/replica.c
+++ b/daemons/replica/replica.c
@@ -112,6 +112,7 @@
   quince_retirement_free (parts->retirement);
   quince_order_records_free (parts->order_records);
   quince_ledger_node_free (parts->ledger);
+  quince_batch_memory_free (parts->batch_memory); /* after the links, which hold frames */
   quince_residency_coordinator_free (parts->residency);
   quince_feed_service_free (parts->feed);
   quince_member_feed_wait_free (parts->member_feed_wait);
--- a/lib/batchlog/batch-log.c
+++ b/lib/batchlog/batch-log.c
@@ -52,6 +52,16 @@
   [STATEMENT_GET_META] = "SELECT number FROM meta WHERE name = ?1",
 };
 
+/* A record that is in use outside the log. */
+typedef struct
+{
+  QuinceBatchLog *log; /* NULL: closed, or another record took its place there */
+  guint64 index;
+  guint64 epoch;
+  GBytes *bytes; /* not owned */
+  gpointer data; /* owned */
+} SharedRecord;
+
 struct _QuinceBatchLog
 {
   sqlite3 *database;
@@ -60,6 +70,7 @@
   guint64 last_index;
   guint64 commit_index;
   QuinceLedgerPersistentState persistent_state;
+  SharedRecord *shared; /* not owned; NULL: none is in use */
 };
 
 /* ---- Statements ------------------------------------------------------- */
@@ -222,11 +233,20 @@
   return g_steal_pointer (&log);
 }
 
+static void
+forget_shared (QuinceBatchLog *log)
+{
+  if (log->shared != NULL)
+    log->shared->log = NULL;
+  log->shared = NULL;
+}
+
 void
 quince_batch_log_close (QuinceBatchLog *log)
 {
   if (log == NULL)
     return;
+  forget_shared (log);
   for (guint i = 0; i < N_STATEMENTS; i++)
     sqlite3_finalize (log->statements[i]);
   sqlite3_close (log->database);
@@ -324,6 +344,8 @@
 static gboolean
 truncate_from (QuinceBatchLog *log, guint64 index, GError **error)
 {
+  if (log->shared != NULL && log->shared->index >= index)
+    forget_shared (log);
   sqlite3_bind_int64 (log->statements[STATEMENT_TRUNCATE], 1, (sqlite3_int64)index);
   return run_statement (log, STATEMENT_TRUNCATE, error);
 }
@@ -431,3 +453,40 @@
   sqlite3_reset (statement);
   return status == SQLITE_ROW || status == SQLITE_DONE || set_sqlite_error (log, "read records", error);
 }
+
+static void
+shared_record_free (gpointer data)
+{
+  SharedRecord *shared = data;
+  if (shared->log != NULL)
+    shared->log->shared = NULL;
+  g_free (shared->data);
+  g_free (shared);
+}
+
+GBytes *
+quince_batch_log_share_record (QuinceBatchLog *log, const QuinceLogEntry *entry)
+{
+  SharedRecord *shared = log->shared;
+  if (shared != NULL && shared->index == entry->index && shared->epoch == entry->epoch)
+    return g_bytes_ref (shared->bytes);
+  forget_shared (log);
+  shared = g_new0 (SharedRecord, 1);
+  shared->log = log;
+  shared->index = entry->index;
+  shared->epoch = entry->epoch;
+  shared->data = g_memdup2 (entry->record.record_val, entry->record.record_len);
+  shared->bytes
+      = g_bytes_new_with_free_func (shared->data, entry->record.record_len, shared_record_free, shared);
+  log->shared = shared;
+  return shared->bytes;
+}
+
+GBytes *
+quince_batch_log_find_shared (const QuinceBatchLog *log, guint64 index, guint64 *epoch)
+{
+  if (log->shared == NULL || log->shared->index != index)
+    return NULL;
+  *epoch = log->shared->epoch;
+  return g_bytes_ref (log->shared->bytes);
+}
--- a/lib/batchlog/batch-log.h
+++ b/lib/batchlog/batch-log.h
@@ -75,6 +75,9 @@
 gboolean
 quince_batch_log_compact (QuinceBatchLog *log, guint64 *compacted_index, guint max_records, GError **error);
 
+/* Records of this size are shared with those that send them. */
+#define QUINCE_LARGE_RECORD_BYTES (512 * 1024)
+
 /* Called for each record in index order.  @entry is valid until the function returns.  Returns %FALSE to
  * stop, which is not an error. */
 typedef gboolean (*QuinceBatchLogForeachFunc) (const QuinceLogEntry *entry, gpointer user_data);
@@ -84,5 +87,11 @@
                                    QuinceBatchLogForeachFunc func,
                                    gpointer user_data,
                                    GError **error);
+/* Returns: (transfer full): the record of @entry, a copy that calls for the same entry share while it is in
+ * use, so that a large record that goes to several backups is in memory once */
+GBytes *quince_batch_log_share_record (QuinceBatchLog *log, const QuinceLogEntry *entry);
+/* Returns: (transfer full) (nullable): the record at @index if it is in use outside the log, with its @epoch
+ */
+GBytes *quince_batch_log_find_shared (const QuinceBatchLog *log, guint64 index, guint64 *epoch);
 
 G_END_DECLS
--- a/lib/core/batches/batch-table.c
+++ b/lib/core/batches/batch-table.c
@@ -189,6 +189,12 @@
   return list;
 }
 
+gboolean
+quince_batch_entry_is_visible (const QuinceBatchEntry *entry, const char *tenant)
+{
+  return *entry->tenant == '\0' || g_str_equal (entry->tenant, tenant);
+}
+
 gint
 quince_batch_entry_find_item (const QuinceBatchEntry *entry, const char *item_id)
 {
--- a/lib/core/batches/batch-table.h
+++ b/lib/core/batches/batch-table.h
@@ -61,6 +61,9 @@
 /* Returns how many groups are complete: all their items have a result or are in @ready_items.
  * @ready_items: (element-type guint): item indexes */
 guint quince_batch_entry_count_complete_groups (const QuinceBatchEntry *entry, const GArray *ready_items);
+/* Returns whether @tenant may see the batch.  One without a tenant is visible to every caller: it was
+ * submitted on a public route, or the configuration has no tenants. */
+gboolean quince_batch_entry_is_visible (const QuinceBatchEntry *entry, const char *tenant);
 /* Returns the index of the item with the id @item_id, or -1 if there is none. */
 gint quince_batch_entry_find_item (const QuinceBatchEntry *entry, const char *item_id);
 
--- a/lib/core/group/ledger-refusal.c
+++ b/lib/core/group/ledger-refusal.c
@@ -20,6 +20,7 @@
   [QUINCE_LEDGER_REFUSAL_RESIDENCY] = "residency",
   [QUINCE_LEDGER_REFUSAL_TOO_MANY_SAMPLES] = "too_many_samples",
   [QUINCE_LEDGER_REFUSAL_LINK_FULL] = "link_full",
+  [QUINCE_LEDGER_REFUSAL_MEMORY] = "memory",
 };
 
 const char *
@@ -35,6 +36,7 @@
     {
     case QUINCE_LEDGER_REFUSAL_TOO_MANY_SAMPLES:
     case QUINCE_LEDGER_REFUSAL_LINK_FULL:
+    case QUINCE_LEDGER_REFUSAL_MEMORY:
       return 429;
     case QUINCE_LEDGER_REFUSAL_OUTCOME_UNKNOWN:
       return 504;
--- a/lib/core/group/ledger-refusal.h
+++ b/lib/core/group/ledger-refusal.h
@@ -27,6 +27,7 @@
   QUINCE_LEDGER_REFUSAL_RESIDENCY,              /* a member is outside the regions that the batch allows */
   QUINCE_LEDGER_REFUSAL_TOO_MANY_SAMPLES,       /* the limit of samples without a result is reached */
   QUINCE_LEDGER_REFUSAL_LINK_FULL,              /* the front has not received earlier answers yet */
+  QUINCE_LEDGER_REFUSAL_MEMORY,                 /* the leader has no memory for a batch of this size now */
   QUINCE_LEDGER_REFUSAL_COUNT,
 } QuinceLedgerRefusal;
 
--- a/lib/protocol/codec.c
+++ b/lib/protocol/codec.c
@@ -123,3 +123,29 @@
 QUINCE_DEFINE_COPY (QuinceLedgerChange, quince_ledger_change)
 QUINCE_DEFINE_FREE (QuinceLedgerChange, quince_ledger_change)
 QUINCE_DEFINE_FREE (QuinceBatchJob, quince_batch_job)
+
+/* Reads the id that follows the kind of a message.  Returns %FALSE if it is not of @kind. */
+static gboolean
+peek_id (const guint8 *data, gsize length, QuinceMessageKind kind, guint64 *id)
+{
+  guint32 encoded_kind;
+  guint64 encoded_id;
+  if (length < sizeof encoded_kind + sizeof encoded_id)
+    return FALSE;
+  memcpy (&encoded_kind, data, sizeof encoded_kind);
+  memcpy (&encoded_id, data + sizeof encoded_kind, sizeof encoded_id);
+  *id = GUINT64_FROM_BE (encoded_id);
+  return GUINT32_FROM_BE (encoded_kind) == (guint32)kind;
+}
+
+gboolean
+quince_message_peek_service_call (const guint8 *data, gsize length, guint64 *id)
+{
+  return peek_id (data, length, QUINCE_MESSAGE_SERVICE_CALL, id);
+}
+
+gboolean
+quince_message_peek_service_reply (const guint8 *data, gsize length, guint64 *id)
+{
+  return peek_id (data, length, QUINCE_MESSAGE_SERVICE_REPLY, id);
+}
--- a/lib/protocol/codec.h
+++ b/lib/protocol/codec.h
@@ -77,4 +77,9 @@
   return g_strdup (text != NULL ? text : "");
 }
 
+/* Read the id of a call from the start of an encoded call or reply.  Return %FALSE if it is another message.
+ */
+gboolean quince_message_peek_service_call (const guint8 *data, gsize length, guint64 *id);
+gboolean quince_message_peek_service_reply (const guint8 *data, gsize length, guint64 *id);
+
 G_END_DECLS
--- a/lib/runtime/json-check.c
+++ b/lib/runtime/json-check.c
@@ -95,3 +95,22 @@
     }
   return at != NULL && depth == 0;
 }
+
+gsize
+quince_json_find_boundary (const char *text, gsize length, gsize min_length)
+{
+  const char *at = text;
+  const char *end = text + length;
+  while (at < end)
+    {
+      char byte = *at++;
+      gboolean ends_token = strchr (",:[]{}\"", byte) != NULL;
+      if (byte == '"')
+        at = skip_string (at, end);
+      if (at == NULL)
+        return length;
+      if (ends_token && (gsize)(at - text) >= min_length)
+        return (gsize)(at - text);
+    }
+  return length;
+}
--- a/lib/runtime/json-check.h
+++ b/lib/runtime/json-check.h
@@ -18,4 +18,15 @@
  */
 gboolean quince_json_check (const char *text, gsize length);
 
+/**
+ * quince_json_find_boundary:
+ * @text: part of a checked text that begins outside strings
+ * @min_length: length from which on the boundary is looked for, bytes
+ *
+ * Finds a place between two tokens, so that a parser that reads the text in parts never holds a part of one.
+ *
+ * Returns: its offset, or @length if there is none
+ */
+gsize quince_json_find_boundary (const char *text, gsize length, gsize min_length);
+
 G_END_DECLS
--- a/lib/runtime/link-input.c
+++ b/lib/runtime/link-input.c
@@ -61,6 +61,12 @@
   return link->callbacks->admit (link, start, available, frame_length, &link->input_hold, link->user_data);
 }
 
+QuinceMemoryHold *
+quince_link_take_hold (QuinceLink *link)
+{
+  return g_steal_pointer (&link->input_hold);
+}
+
 /* Drops what has arrived of the frame at the start of the input, and what arrives of it later. */
 static void
 discard_frame (QuinceLink *link, gsize frame_length)
@@ -124,8 +130,8 @@
   link->frame_admitted = FALSE;
   QuinceMessage *message = read_message (input->data + QUINCE_FRAME_HEADER_BYTES, frame_length);
   g_clear_pointer (&input, g_byte_array_unref);
-  g_autoptr (QuinceMemoryHold) hold = g_steal_pointer (&link->input_hold);
   pass_message (link, message);
+  g_clear_pointer (&link->input_hold, quince_memory_hold_free);
 }
 
 /* Handles the frames in the input. */
--- a/lib/runtime/link-output.c
+++ b/lib/runtime/link-output.c
@@ -8,9 +8,11 @@
 
 /* Unit of the encoding (RFC 4506, section 3). */
 #define XDR_UNIT_BYTES 4
-/* Limit of unsent output, above which the link is closed.  An eighth of the memory of the smallest leaders
+/* Limit of unsent output for messages that may be left out.  An eighth of the memory of the smallest leaders
  * (270 MB). */
 #define OUTPUT_MAX_BYTES (32 * 1024 * 1024)
+/* A message that follows more unsent output, as much as one message may have, closes the link. */
+#define WAITING_MAX_BYTES QUINCE_FRAME_MAX_BYTES
 
 gsize
 quince_link_get_unsent_bytes (const QuinceLink *link)
@@ -57,16 +59,26 @@
   return link->is_open && (unsent == 0 || unsent + length <= OUTPUT_MAX_BYTES);
 }
 
-/* Queues the header of a frame of @length bytes.  Returns %FALSE if the link is closed, which it is after a
- * frame that the peer is too slow for. */
+static gboolean
+report_overflow (gpointer data)
+{
+  QuinceLink *link = data;
+  quince_timer_clear (&link->overflow_timer);
+  quince_link_fail_code (link, QUINCE_LINK_ERROR_SLOW, "output buffer is full: peer reads too slowly");
+  return G_SOURCE_REMOVE;
+}
+
+/* Queues the header of a frame of @length bytes.  Returns %FALSE if the link is closed, or is about to be
+ * closed because its peer is too slow.  That is reported from the main loop, since the caller uses the link.
+ */
 static gboolean
 queue_frame_header (QuinceLink *link, gsize length)
 {
-  if (!link->is_open)
+  if (!link->is_open || link->overflow_timer != NULL)
     return FALSE;
-  if (!quince_link_has_room (link, length))
+  if (quince_link_get_unsent_bytes (link) > WAITING_MAX_BYTES)
     {
-      quince_link_fail_code (link, QUINCE_LINK_ERROR_SLOW, "output buffer is full: peer reads too slowly");
+      link->overflow_timer = quince_timer_add (0, report_overflow, link);
       return FALSE;
     }
   guint32 header = GUINT32_TO_BE ((guint32)length);
--- a/lib/runtime/link-private.h
+++ b/lib/runtime/link-private.h
@@ -28,9 +28,10 @@
   QuinceSocketWatch *watch;         /* NULL if the link is closed or has no socket */
   QuinceTimer *connect_error_timer; /* reports connect_error from the main loop */
   GError *connect_error;            /* why socket is NULL */
+  QuinceTimer *overflow_timer;      /* closes a link whose peer is too slow; NULL: it is not */
   GByteArray *input;                /* incomplete frame */
   gboolean frame_admitted;          /* the owner was asked about the frame in the input */
-  QuinceMemoryHold *input_hold;     /* owned; of the frame in the input; NULL: none */
+  QuinceMemoryHold *input_hold;     /* owned; of the frame in the input, or in message(); NULL: none */
   guint64 discarded_bytes_left;     /* of a frame that the owner did not admit */
   QuinceOutputQueue *output;        /* bytes that the kernel has not taken */
   gboolean is_connecting;
--- a/lib/runtime/link.c
+++ b/lib/runtime/link.c
@@ -55,6 +55,7 @@
   link->is_open = FALSE;
   quince_output_queue_clear (link->output);
   quince_timer_clear (&link->connect_error_timer);
+  quince_timer_clear (&link->overflow_timer);
   quince_socket_watch_clear (&link->watch);
   /* Shuts the socket down instead of closing it: a close with unread input would reset the connection, and
    * the peer would lose bytes that it has not read. */
--- a/lib/runtime/link.h
+++ b/lib/runtime/link.h
@@ -77,7 +77,11 @@
 /* Queues @message, whose last part is an opaque of no bytes, with @tail in its place.  Large bytes are shared
  * in place of a copy until they are sent.  Does nothing if the link is closed. */
 void quince_link_send_with_tail (QuinceLink *link, const QuinceMessage *message, GBytes *tail);
-/* Returns: whether a message of @length bytes can be queued; one that cannot closes the link */
+/* Returns: (transfer full) (nullable): the hold that admit() set for the message that message() is called
+ * with, for an owner that keeps parts of it */
+QuinceMemoryHold *quince_link_take_hold (QuinceLink *link);
+/* Returns: whether a message of @length bytes fits behind those that wait, for messages that may be left out.
+ * The link closes if it is given a message while more than it may hold waits. */
 gboolean quince_link_has_room (QuinceLink *link, gsize length);
 
 /* Closes the link without calling closed(); queued messages may be lost. */
--- a/lib/runtime/packed-message.c
+++ b/lib/runtime/packed-message.c
@@ -10,6 +10,9 @@
 
 /* Smaller messages are not packed: they fit into two packets. */
 #define PACK_MIN_BYTES (2 * 1024)
+/* Larger records are not packed: that would hold the leader's main loop for too long, and another copy in
+ * memory. */
+#define PACKED_RECORD_MAX_BYTES (8 * 1024 * 1024)
 /* A message is sent unpacked if its packed size exceeds this fraction of its size, since the savings would
  * not justify the cost of unpacking. */
 #define PACKED_SIZE_MAX_FRACTION 0.9
@@ -149,6 +152,8 @@
    */
   if (kind == QUINCE_BATCH_RECORD_LISTED || kind == QUINCE_BATCH_RECORD_FORGET)
     return g_bytes_ref (encoded);
+  if (g_bytes_get_size (encoded) > PACKED_RECORD_MAX_BYTES)
+    return g_bytes_ref (encoded);
   GBytes *compressed = compress_if_smaller (encoded, QUINCE_PACK_FAST);
   return compressed != NULL ? compressed : g_bytes_ref (encoded);
 }
--- a/scripts/setup.sh
+++ b/scripts/setup.sh
@@ -3,9 +3,9 @@
 # Does nothing when they are there.
 set -eu
 
-LIBRARIES="glib-2.0 gio-unix-2.0 json-glib-1.0 libtirpc lua5.4 sqlite3 libxxhash zlib cmocka"
+LIBRARIES="glib-2.0 gio-unix-2.0 json-glib-1.0 yajl libtirpc lua5.4 sqlite3 libxxhash zlib cmocka"
 TOOLS="gcc meson ninja pkg-config clang-format cppcheck"
-PACKAGES="gcc libc6-dev meson ninja-build pkg-config libglib2.0-dev libjson-glib-dev libtirpc-dev
+PACKAGES="gcc libc6-dev meson ninja-build pkg-config libglib2.0-dev libjson-glib-dev libyajl-dev libtirpc-dev
 liblua5.4-dev libsqlite3-dev libxxhash-dev libhttp-parser-dev zlib1g-dev libcmocka-dev clang-format cppcheck"
 
 is_complete() {
