--- a/daemons/front/caller-body.c
+++ b/daemons/front/caller-body.c
@@ -11,7 +11,6 @@
   GByteArray *bytes;
   QuinceMemoryHold *hold; /* owned */
   gsize max_bytes;
-  gboolean is_announced; /* the hold covers all of it */
 };
 
 QuinceCallerBody *
@@ -46,7 +45,6 @@
   quince_memory_hold_set_waiting (body->hold, TRUE, now_us);
   /* The kernel provides the memory of a large buffer as it is written to. */
   body->bytes = g_byte_array_sized_new ((guint)length);
-  body->is_announced = TRUE;
   return QUINCE_CALLER_BODY_ACCEPTED;
 }
 
@@ -61,7 +59,8 @@
   gsize total_bytes = body->bytes->len + length;
   if (total_bytes > body->max_bytes)
     return QUINCE_CALLER_BODY_TOO_LARGE;
-  if (!body->is_announced && !quince_memory_hold_reserve (body->hold, total_bytes, now_us))
+  gboolean is_reserved = total_bytes <= quince_memory_hold_get_bytes (body->hold);
+  if (!is_reserved && !quince_memory_hold_reserve (body->hold, total_bytes, now_us))
     return QUINCE_CALLER_BODY_NO_MEMORY;
   g_byte_array_append (body->bytes, (const guint8 *)data, (guint)length);
   quince_memory_hold_record_progress (body->hold, length, now_us);
--- a/daemons/front/front-limits.c
+++ b/daemons/front/front-limits.c
@@ -12,20 +12,10 @@
 /* Memory of the process without requests and answers: tables of the largest deployments, and what freed
  * memory costs until it is used again, bytes. */
 #define PROCESS_BYTES (24 * 1000 * 1000)
-/* Callers may hold at least this fraction of the memory, whatever the machine has. */
-#define CALLERS_MIN_FRACTION 8
 #define BYTES_PER_MB (1000 * 1000)
 /* Descriptors that the platform keeps for files, of limits.descriptors. */
 #define FILE_DESCRIPTORS 200
 
-static guint64
-compute_account_bytes (guint64 memory_bytes)
-{
-  guint64 other_bytes = PROCESS_BYTES + QUINCE_ANSWER_BUDGET_BYTES;
-  guint64 min_bytes = memory_bytes / CALLERS_MIN_FRACTION;
-  return memory_bytes > other_bytes + min_bytes ? memory_bytes - other_bytes : min_bytes;
-}
-
 /* Returns the descriptors that sockets may have. */
 static guint
 read_n_sockets (const QuinceSettings *settings)
@@ -42,7 +32,9 @@
 {
   double memory_mb = quince_settings_get_number (settings, "limits", "memory");
   guint n_sockets = read_n_sockets (settings);
-  context->memory = quince_memory_account_new (compute_account_bytes ((guint64)(memory_mb * BYTES_PER_MB)));
+  guint64 limit_bytes = quince_memory_account_compute_limit ((guint64)(memory_mb * BYTES_PER_MB),
+                                                             PROCESS_BYTES + QUINCE_ANSWER_BUDGET_BYTES, 1);
+  context->memory = quince_memory_account_new (limit_bytes);
   /* The rest is for connections that are being closed, and for those to workers, the leader and the store. */
   context->connections_max = n_sockets / 4 * 3;
   context->sockets_max = n_sockets / 8 * 7;
--- a/daemons/replica/batch-memory.c
+++ b/daemons/replica/batch-memory.c
@@ -15,8 +15,6 @@
 /* Batches may hold this part of the rest.  The other part is for the copies of one batch that is being read,
  * written and sent to the backups. */
 #define BATCHES_SHARE 0.7
-/* Batches may hold at least this fraction of the memory, whatever the machine has. */
-#define BATCHES_MIN_FRACTION 8
 
 struct _QuinceBatchMemory
 {
@@ -25,21 +23,14 @@
   GHashTable *holds; /* batch id to QuinceMemoryHold, both owned */
 };
 
-static guint64
-compute_account_bytes (guint64 memory_bytes)
-{
-  guint64 other_bytes = PROCESS_BYTES + QUINCE_ANSWER_BUDGET_BYTES;
-  guint64 min_bytes = memory_bytes / BATCHES_MIN_FRACTION;
-  guint64 left_bytes = memory_bytes - MIN (memory_bytes, other_bytes);
-  return MAX (min_bytes, (guint64)(BATCHES_SHARE * (double)left_bytes));
-}
-
 QuinceBatchMemory *
 quince_batch_memory_new (const QuinceSettings *settings)
 {
   QuinceBatchMemory *memory = g_new0 (QuinceBatchMemory, 1);
   double memory_mb = quince_settings_get_number (settings, "limits", "memory");
-  memory->account = quince_memory_account_new (compute_account_bytes ((guint64)(memory_mb * BYTES_PER_MB)));
+  guint64 limit_bytes = quince_memory_account_compute_limit (
+      (guint64)(memory_mb * BYTES_PER_MB), PROCESS_BYTES + QUINCE_ANSWER_BUDGET_BYTES, BATCHES_SHARE);
+  memory->account = quince_memory_account_new (limit_bytes);
   memory->holds
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, (GDestroyNotify)quince_memory_hold_free);
   return memory;
--- a/lib/runtime/json-check.c
+++ b/lib/runtime/json-check.c
@@ -1,5 +1,5 @@
 /*
- * json-check.c: checks untrusted text before json-glib parses it.
+ * json-check.c: checks untrusted text before a JSON library parses it.
  *
  * json-glib recurses for each level of nesting, so that deeply nested text overflows the stack.  It also
  * accepts text that RFC 8259 does not allow: comments, and incomplete escapes, after which it finds the ends
--- a/lib/runtime/json-check.h
+++ b/lib/runtime/json-check.h
@@ -1,5 +1,5 @@
 /*
- * json-check.h: checks untrusted text before json-glib parses it.
+ * json-check.h: checks untrusted text before a JSON library parses it.
  */
 #pragma once
 
@@ -10,7 +10,7 @@
 /**
  * quince_json_check:
  *
- * Checks @text before it is passed to json-glib.  The rest of the JSON grammar is left to json-glib.
+ * Checks @text before it is passed to json-glib or yajl.  The rest of the JSON grammar is left to them.
  *
  * Returns: %FALSE if @text is not UTF-8, nests deeper than 64 levels, has more opening than closing brackets
  * or the reverse, contains strings, escapes or bytes that are not valid JSON, or contains "\u0000", which a C
--- a/lib/runtime/memory-account.c
+++ b/lib/runtime/memory-account.c
@@ -8,6 +8,8 @@
 #define STALL_US (2 * G_USEC_PER_SEC)
 /* A hold makes progress with each such fraction of its bytes. */
 #define PROGRESS_FRACTION 256
+/* Requests may hold at least this fraction of the memory, whatever the machine has. */
+#define LIMIT_MIN_FRACTION 8
 /* Fraction of the account that is kept for small requests. */
 #define SMALL_SHARE_FRACTION 8
 
@@ -30,6 +32,13 @@
   guint64 progressed_bytes; /* since then */
 };
 
+guint64
+quince_memory_account_compute_limit (guint64 memory_bytes, guint64 other_bytes, double share)
+{
+  guint64 left_bytes = memory_bytes - MIN (memory_bytes, other_bytes);
+  return MAX (memory_bytes / LIMIT_MIN_FRACTION, (guint64)(share * (double)left_bytes));
+}
+
 QuinceMemoryAccount *
 quince_memory_account_new (guint64 limit_bytes)
 {
--- a/lib/runtime/memory-account.h
+++ b/lib/runtime/memory-account.h
@@ -24,6 +24,15 @@
 /* Ends the request of a hold that makes no progress, and frees the hold. */
 typedef void (*QuinceMemoryEvict) (gpointer user_data);
 
+/**
+ * quince_memory_account_compute_limit:
+ * @memory_bytes: memory of the machine for this process
+ * @other_bytes: what the process takes for other purposes
+ * @share: part of the rest that is for requests, up to 1
+ *
+ * Returns: what requests may hold, at least an eighth of the memory
+ */
+guint64 quince_memory_account_compute_limit (guint64 memory_bytes, guint64 other_bytes, double share);
 /* @limit_bytes: what all holds may have together */
 QuinceMemoryAccount *quince_memory_account_new (guint64 limit_bytes);
 void quince_memory_account_free (QuinceMemoryAccount *account);
