--- a/rehearsal/kit/process-usage.h
+++ b/rehearsal/kit/process-usage.h
@@ -24,7 +24,7 @@
   guint n_sockets;
 } QuinceProcessUsage;
 
-/* Reads the usage from /proc.  Returns %FALSE if the process has ended. */
+/* Reads the usage.  Returns %FALSE if the process has ended. */
 gboolean quince_process_read_usage (QuinceProcess *process, QuinceProcessUsage *usage);
 
 G_END_DECLS
