--- a/daemons/daemon-settings.h
+++ b/daemons/daemon-settings.h
@@ -4,7 +4,7 @@
  * Each ..._SETTINGS macro expands to one or more QuinceSettingSpec rows, in the order in which
  * --help-settings prints them.  These modules read the sections: node: lib/forward/backends.h; store:
  * lib/observer/observer.h; quarantine: lib/forward/send-guard.h; warmup: lib/forward/warmup-sends.h; log:
- * lib/runtime/program.h.
+ * lib/runtime/program.h; limits: front/front-limits.c and replica/batch-memory.c.
  */
 #pragma once
 
@@ -90,6 +90,9 @@
   { "policy", "file", QUINCE_SETTING_TEXT, FALSE, NULL, 0, 0, NULL, \
     "file of the policy program that applies until operators accept one; if not set, the built-in rules apply" }
 
+/* Bytes in a megabyte, the unit of limits.memory. */
+#define QUINCE_BYTES_PER_MB (1000 * 1000)
+
 /* @memory, @descriptors: defaults, those of the smallest machines. */
 #define QUINCE_LIMITS_SETTINGS(memory, descriptors) \
   { "limits", "memory", QUINCE_SETTING_NUMBER, FALSE, memory, 16, 1048576, NULL, \
--- a/daemons/front/front-limits.c
+++ b/daemons/front/front-limits.c
@@ -9,10 +9,11 @@
 #include "runtime/log.h"
 #include "runtime/metrics.h"
 
+#include "../daemon-settings.h"
+
 /* Memory of the process without requests and answers: tables of the largest deployments, and what freed
  * memory costs until it is used again, bytes. */
 #define PROCESS_BYTES (24 * 1000 * 1000)
-#define BYTES_PER_MB (1000 * 1000)
 /* Descriptors that the platform keeps for files, of limits.descriptors. */
 #define FILE_DESCRIPTORS 200
 
@@ -32,7 +33,7 @@
 {
   double memory_mb = quince_settings_get_number (settings, "limits", "memory");
   guint n_sockets = read_n_sockets (settings);
-  guint64 limit_bytes = quince_memory_account_compute_limit ((guint64)(memory_mb * BYTES_PER_MB),
+  guint64 limit_bytes = quince_memory_account_compute_limit ((guint64)(memory_mb * QUINCE_BYTES_PER_MB),
                                                              PROCESS_BYTES + QUINCE_ANSWER_BUDGET_BYTES, 1);
   context->memory = quince_memory_account_new (limit_bytes);
   /* The rest is for connections that are being closed, and for those to workers, the leader and the store. */
--- a/daemons/replica/batch-memory.c
+++ b/daemons/replica/batch-memory.c
@@ -8,10 +8,11 @@
 #include "runtime/clock.h"
 #include "runtime/metrics.h"
 
-#define BYTES_PER_MB (1000 * 1000)
+#include "../daemon-settings.h"
+
 /* Memory of the process without batches and answers: tables, links and the progress of samples of the largest
  * deployments, the cache of results, and what freed memory costs until it is used again, bytes. */
-#define PROCESS_BYTES (40 * BYTES_PER_MB)
+#define PROCESS_BYTES (40 * QUINCE_BYTES_PER_MB)
 /* Batches may hold this part of the rest.  The other part is for the copies of one batch that is being read,
  * written and sent to the backups. */
 #define BATCHES_SHARE 0.7
@@ -29,7 +30,7 @@
   QuinceBatchMemory *memory = g_new0 (QuinceBatchMemory, 1);
   double memory_mb = quince_settings_get_number (settings, "limits", "memory");
   guint64 limit_bytes = quince_memory_account_compute_limit (
-      (guint64)(memory_mb * BYTES_PER_MB), PROCESS_BYTES + QUINCE_ANSWER_BUDGET_BYTES, BATCHES_SHARE);
+      (guint64)(memory_mb * QUINCE_BYTES_PER_MB), PROCESS_BYTES + QUINCE_ANSWER_BUDGET_BYTES, BATCHES_SHARE);
   memory->account = quince_memory_account_new (limit_bytes);
   memory->holds
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, (GDestroyNotify)quince_memory_hold_free);
--- a/lib/core/batches/batch-size.c
+++ b/lib/core/batches/batch-size.c
@@ -5,9 +5,11 @@
 
 #include <string.h>
 
-/* Smallest allocation with its header, and the unit in which they grow, bytes (glibc on 64-bit machines). */
+/* Smallest allocation with its header, bytes (glibc on 64-bit machines, as the two below). */
 #define ALLOCATION_MIN_BYTES 32
+/* Larger allocations are multiples of this size, bytes. */
 #define ALLOCATION_UNIT_BYTES 16
+/* What the allocator puts before an allocation, bytes. */
 #define ALLOCATION_HEADER_BYTES 8
 /* State of a sample that waits, without its text, bytes. */
 #define SAMPLE_BYTES 512
