--- a/review/rollout_world.py
+++ b/review/rollout_world.py
@@ -25,6 +25,7 @@
 HELD, BROKEN, CANNOT_RUN = 0, 1, 2
 ZONES = ("east", "middle", "west")
 REGION = "coast"
+KV_CAPACITY = 103490  # tokens
 PORTS = {"front": 8161, "ready": 8167, "control": 8166, "directory": 8164, "internal": 7720, "metrics": 9464}
 
 
@@ -323,6 +324,9 @@
         self.orders = 0
         self.state = "ready"
         self.ran = []  # (request id, method, target, body)
+        self.queue = 24
+        self.busy = False
+        self.too_large = 0  # requests larger than its memory, rejected as if it were full
         self.on_request = None
         self.beating = None
         self.writers = set()
@@ -396,21 +400,22 @@
             writer.write(reply(200, [("Instance-Id", self.id)]))
             return
         if head.target == "/quinceroute/report":
-            value = {"stage": "hybrid", "models": self.list_models(), "busy": False, "seq": self.orders,
+            value = {"stage": "hybrid", "models": self.list_models(), "busy": self.busy, "seq": self.orders,
                      "queuedRequests": 0, "running": 0, "kvUsed": 0, "kvTotal": 100000, "handles": 0}
             writer.write(reply(200, [("Content-Type", "application/json")], json.dumps(value).encode()))
             return
         if head.target == "/quinceroute/order":
-            order = json.loads(body)
-            self.orders += 1
-            self.models[order["model"]] = order["version"]
-            self.world.record("worker %s took order version %d" % (self.id, order["version"]))
-            writer.write(reply(202))
+            writer.write(reply(self.take_order(json.loads(body))))
             return
         request_id = head.get("Request-Id")
-        if request_id is None:
+        if not request_id:
             writer.write(reply(400, [("Not-Run", "1")]))
             return
+        tokens = sum(int(part) for part in head.get("Token-Count", "0").split(","))
+        self.too_large += tokens > KV_CAPACITY
+        if self.busy or tokens > KV_CAPACITY or sum(self.at_work.values()) >= self.slots + self.queue:
+            writer.write(reply(503, [("Not-Run", "1"), ("Request-Id", request_id)]))
+            return
         self.ran.append((request_id, head.method, head.target, body))
         self.world.record("worker %s (%s) runs %s %s %s" % (self.id, self.service, request_id, head.method, head.target))
         at_work = self.at_work
@@ -431,6 +436,26 @@
         await asyncio.sleep(self.work_s)
         writer.write(reply(200, self.stamp(head), b"body of " + request_id.encode()))
 
+    def take_order(self, order):
+        """A load of weights takes 0.9 s; with the mode `wait` the runs end first."""
+        if self.busy or order.get("expected", self.orders) != self.orders:
+            return 409
+        if self.models.get(order["model"]) == order["version"]:
+            return 200
+        self.orders += 1
+        self.busy = True
+        self.world.record("worker %s takes the order for version %d" % (self.id, order["version"]))
+        asyncio.create_task(self.load(order))
+        return 202
+
+    async def load(self, order):
+        while order["mode"] == "wait" and sum(self.at_work.values()) > 0:
+            await asyncio.sleep(0.02)
+        await asyncio.sleep(0.9)
+        self.models[order["model"]] = order["version"]
+        self.busy = False
+        self.world.store.put("servers/" + self.id, self.entry())
+
     def stamp(self, head):
         return [("Request-Id", head.get("Request-Id")), ("Server-Stamp", "%s.%s" % (self.id[2:], head.get("Request-Id")))]
 
@@ -449,7 +474,10 @@
                 continue
             await asyncio.sleep(pause_s)
             lines = "".join("data: %s\n" % line for line in data.split("\n"))
-            text = ("id: %d\n%s\n" % (number, lines)).encode()
+            change = next(iter(self.models.values()))
+            mark = "weight-versions: %d\n" % change if change != version else ""
+            version = change
+            text = ("%sid: %d\n%s\n" % (mark, number, lines)).encode()
             writer.write(b"%x\r\n%s\r\n" % (len(text), text))
             await writer.drain()
         writer.write(b"0\r\n\r\n")
@@ -685,17 +713,17 @@
                             maxAttempts=3, sticky=True, resumable=True)],
             "services": [{"name": app, "healthPath": "/healthz", "maxConns": 110, "protocol": "h1", "tls": False},
                          {"name": llm, "healthPath": "/healthz", "maxConns": 150, "protocol": "h1", "tls": False,
-                          "engine": {"slots": 8, "kvCapacityTokens": 103490, "kvTokenBytes": 18432,
+                          "engine": {"slots": 8, "kvCapacityTokens": KV_CAPACITY, "kvTokenBytes": 18432,
                                      "linkMbps": 2900000.0, "models": [{"name": MODEL}]}}],
             "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 33554432, "headerTimeoutMs": 3000,
                        "idleTimeoutMs": 15000}}
 
 
-def make_item(group, number, headers=(), body=b"prompt", reward=True):
+def make_item(group, number, body=b"prompt", reward=True, tokens_in=40, tokens_out=160):
     item = {"id": new_id(), "path": "/roll/%s/%d" % (group, number),
-            "headers": dict({"Model": MODEL, "Token-Count": "40,160", "Prompt-Prefix": "%s:24,%x:16" % (group, number)},
-                            **dict(headers)),
-            "body": base64.b64encode(body).decode(), "tokens": 200, "group": group}
+            "headers": {"Model": MODEL, "Token-Count": "%d,%d" % (tokens_in, tokens_out),
+                        "Prompt-Prefix": "%s:%d,%x:16" % (group, tokens_in - 16, number)},
+            "body": base64.b64encode(body).decode(), "tokens": tokens_in + tokens_out, "group": group}
     if reward:
         item["scorer"] = {"id": new_id(), "host": HOST, "path": "/look/score/%s/%d" % (group, number),
                           "body": base64.b64encode(b"score").decode()}
