--- a/review/rollout_world.py
+++ b/review/rollout_world.py
@@ -10,15 +10,14 @@
 import os
 import random
 import re
-import shlex
+import resource
 import shutil
 import signal
-import socket
 import sys
 import tempfile
 import time
 import tomllib
-from urllib.parse import parse_qs, unquote, urlsplit
+from urllib.parse import parse_qs, urlsplit
 
 ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
@@ -547,6 +546,11 @@
             out.append(render(block, scopes))
 
 
+def without_core():
+    """In the new process: a crash leaves no file behind."""
+    resource.setrlimit(resource.RLIMIT_CORE, (0, 0))
+
+
 class Machine:
     """One machine of the system with its process; it starts again a moment after it ends, as on the platform."""
 
@@ -595,7 +599,8 @@
         env = {"PATH": os.environ.get("PATH", ""), "HOME": self.folder, "LANG": "C",
                "QUINCEROUTE_NODE_FILE": path}
         self.process = await asyncio.create_subprocess_exec(*words, cwd=ROOT, env=env, stdout=self.log, stderr=self.log,
-                                                            stdin=asyncio.subprocess.DEVNULL)
+                                                            stdin=asyncio.subprocess.DEVNULL,
+                                                            preexec_fn=without_core)
         self.watching = asyncio.create_task(self.watch(self.process))
         self.bootstrap = False
 
