--- a/review/4/case.py
+++ b/review/4/case.py
@@ -10,7 +10,7 @@
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.dirname(FOLDER))
-from rollout_world import (BROKEN, HELD, HOST, MODEL, TROUBLE, ZONES, CannotRun, call, configuration, make_item, new_id,
+from rollout_world import (BROKEN, HELD, HOST, MODEL, TROUBLE, ZONES, CannotRun, Fullness, call, configuration, make_item, new_id,
                            read_results, run, submit)
 
 SAME_ID = os.environ.get("SAME_ID", "1") != "0"
@@ -34,14 +34,14 @@
     return now - max([worker.last_seen.get(item, 0) for worker in workers]) > AT_NO_WORKER_S
 
 
-async def play_step(world, front, models, number, crashes):
+async def play_step(world, front, models, number, crashes, fullness):
     """A step of a trainer.  Returns the items that were lost when its time ran out."""
     record = world.record
     items = [make_item("%02x%02x%02x" % (number, group, 7), member) for group in range(GROUPS) for member in range(SIZE)]
     groups = {item["id"]: item["group"] for item in items}
     batch = new_id()
     status, cause, _ = await submit(front, HOST, "/roll/step", batch, {
-        "step": number, "model": MODEL, "minVersion": 1, "desired": WANTED, "items": items})
+        "step": number, "model": MODEL, "minVersion": max(number - 1, 1), "desired": WANTED, "items": items})
     started = time.monotonic()
     record("step %d: batch %s with %d items, answered %s" % (number, batch, len(items), status))
     if status != 202:
@@ -64,10 +64,10 @@
            % (number, now - started, len(whole), len(listed), len(items)))
     lost = []
     if len(whole) < WANTED:
-        busy = sum(sum(worker.at_work.values()) for worker in models)
+        busy = fullness.most(AT_NO_WORKER_S)
         begun = sum(any(item in dict.fromkeys(ran[0] for ran in worker.ran) for worker in models) for item in groups)
         calm_s = now - (crashes["last_up"] + CONTACT_S)
-        record("step %d ran out of time: %d items had begun, %d runs are at work on %d slots, calm for %.1f s"
+        record("step %d ran out of time: %d items had begun, %d runs at most were at work on %d slots in 5 s, calm for %.1f s"
                % (number, begun, busy, WORKERS * SLOTS, calm_s))
         if begun > 0 and busy < WORKERS * SLOTS / 2 and calm_s >= AT_NO_WORKER_S:
             lost = [item for item in groups if item not in listed and is_lost(item, models, now)]
@@ -102,10 +102,12 @@
     await world.await_ready()
     await asyncio.sleep(5)
     crashes = {"done": [], "last_up": time.monotonic()}
-    lost = []
-    for number in range(STEPS):
-        lost += await play_step(world, world.fronts[number % 2], models, number, crashes)
-        await asyncio.sleep(0.5)
+    lost, fullness = [], Fullness(models)
+    for number in range(1, STEPS + 1):
+        lost += await play_step(world, world.fronts[number % 2], models, number, crashes, fullness)
+        await asyncio.sleep(0.5)  # training
+        world.store.put("op/version/" + MODEL, {"model": MODEL, "version": number + 1})
+        world.record("the trainer names version %d" % (number + 1))
     world.record.say("LOST: %d items were at no worker for over 5 s of calm when their step ran out of time" % len(lost))
     return BROKEN if lost else HELD
 
--- a/review/rollout_world.py
+++ b/review/rollout_world.py
@@ -25,6 +25,7 @@
 ZONES = ("east", "middle", "west")
 REGION = "coast"
 KV_CAPACITY = 103490  # tokens
+HEARTBEAT_S = 1.2
 PORTS = {"front": 8161, "ready": 8167, "control": 8166, "directory": 8164, "internal": 7720, "metrics": 9464}
 
 
@@ -317,6 +318,8 @@
         self.zone = zone
         self.models = {name: 1 for name in models}
         self.work_s = work_s
+        self.born = int(time.time() * 1000)
+        self.places = asyncio.Semaphore(slots)
         self.slots = slots
         self.id = "i-%08x" % random.getrandbits(32)
         self.seq = 0
@@ -347,13 +350,26 @@
         for task in list(self.tasks):
             task.cancel()
         self.world.record("worker %s (%s) crashes" % (self.id, self.service))
+        asyncio.create_task(self.lapse(self.id, self.born))
+
+    async def lapse(self, worker_id, born):
+        """Its entry disappears after three heartbeats of silence, unless the worker writes it again."""
+        await asyncio.sleep(3 * HEARTBEAT_S)
+        if (worker_id, born) != (self.id, self.born) or self.beating.done():
+            entry = self.world.store.get("servers/" + worker_id)
+            if entry is not None and json.loads(entry)["born"] == born:
+                self.world.store.remove("servers/" + worker_id)
+                self.world.record("the entry of worker %s is gone" % worker_id)
 
     async def start_again(self, same_id):
         """A new start at the old address.  It knows nothing of before, and its counts start anew."""
         if not same_id:
             self.id = "i-%08x" % random.getrandbits(32)
+        self.born = int(time.time() * 1000)
         self.seq = self.orders = 0
+        self.busy = False
         self.at_work = {}
+        self.places = asyncio.Semaphore(self.slots)
         await self.listen(*self.address.split(":"))
         self.beating = asyncio.create_task(self.beat())
         self.world.record("worker %s (%s) starts again" % (self.id, self.service))
@@ -361,7 +377,7 @@
     def entry(self):
         self.seq += 1
         entry = {"service": self.service, "address": self.address, "zone": self.zone, "version": "v1",
-                 "slots": self.slots, "state": self.state, "coldRemainingMs": 0, "seq": self.seq}
+                 "slots": self.slots, "state": self.state, "coldRemainingMs": 0, "seq": self.seq, "born": self.born}
         if self.models:
             entry["stage"] = "hybrid"
             entry["models"] = self.list_models()
@@ -373,7 +389,7 @@
     async def beat(self):
         while True:
             self.world.store.put("servers/" + self.id, self.entry())
-            await asyncio.sleep(1.2)
+            await asyncio.sleep(HEARTBEAT_S)
 
     def stop(self):
         if self.beating:
@@ -393,14 +409,17 @@
 
     async def handle(self, head, body, writer):
         if head.get("Expect-Instance") not in (None, self.id):
-            writer.write(reply(421, [("Instance-Id", self.id)]))
+            fields = [("Request-Id", head.get("Request-Id"))] if head.get("Request-Id") else []
+            writer.write(reply(421, fields + [("Instance-Id", self.id)]))
             return
         if head.target == "/healthz":
             writer.write(reply(200, [("Instance-Id", self.id)]))
             return
         if head.target == "/quinceroute/report":
             value = {"stage": "hybrid", "models": self.list_models(), "busy": self.busy, "seq": self.orders,
-                     "queuedRequests": 0, "running": 0, "kvUsed": 0, "kvTotal": 100000, "handles": 0}
+                     "queuedRequests": max(sum(self.at_work.values()) - self.slots, 0),
+                     "running": min(sum(self.at_work.values()), self.slots), "kvUsed": 0, "kvTotal": KV_CAPACITY,
+                     "handles": 0, "born": self.born}
             writer.write(reply(200, [("Content-Type", "application/json")], json.dumps(value).encode()))
             return
         if head.target == "/quinceroute/order":
@@ -415,12 +434,14 @@
         if self.busy or tokens > KV_CAPACITY or sum(self.at_work.values()) >= self.slots + self.queue:
             writer.write(reply(503, [("Not-Run", "1"), ("Request-Id", request_id)]))
             return
-        self.ran.append((request_id, head.method, head.target, body))
-        self.world.record("worker %s (%s) runs %s %s %s" % (self.id, self.service, request_id, head.method, head.target))
-        at_work = self.at_work
+        at_work = self.at_work  # those that wait for a place count, too
         at_work[request_id] = at_work.get(request_id, 0) + 1
         try:
-            await self.run(head, body, writer)
+            async with self.places:
+                self.ran.append((request_id, head.method, head.target, body))
+                self.world.record("worker %s (%s) runs %s %s %s"
+                                  % (self.id, self.service, request_id, head.method, head.target))
+                await self.run(head, body, writer)
         finally:
             at_work[request_id] -= 1
             self.last_seen[request_id] = time.monotonic()
@@ -437,6 +458,8 @@
 
     def take_order(self, order):
         """A load of weights takes 0.9 s; with the mode `wait` the runs end first."""
+        if "holder" not in order or "fence" not in order or order.get("op") != "version":
+            return 400
         if self.busy or order.get("expected", self.orders) != self.orders:
             return 409
         if self.models.get(order["model"]) == order["version"]:
@@ -448,9 +471,12 @@
         return 202
 
     async def load(self, order):
+        born = self.born
         while order["mode"] == "wait" and sum(self.at_work.values()) > 0:
             await asyncio.sleep(0.02)
         await asyncio.sleep(0.9)
+        if born != self.born or self.beating.done():
+            return  # it crashed; on restart it has the version it had before
         self.models[order["model"]] = order["version"]
         self.busy = False
         self.world.store.put("servers/" + self.id, self.entry())
@@ -735,6 +761,25 @@
     return item
 
 
+class Fullness:
+    """How many runs are at work on some workers, each 0.1 s."""
+
+    def __init__(self, workers):
+        self.workers = workers
+        self.samples = []
+        self.task = asyncio.create_task(self.sample())
+
+    async def sample(self):
+        while True:
+            self.samples.append((time.monotonic(), sum(sum(w.at_work.values()) for w in self.workers)))
+            await asyncio.sleep(0.1)
+
+    def most(self, seconds):
+        """The most runs at any moment of the last seconds."""
+        since = time.monotonic() - seconds
+        return max(count for at, count in self.samples if at >= since)
+
+
 async def submit(front, host, target, batch_id, batch, timeout=6):
     return await call(front.at("front"), "POST", target,
                       [("Host", host), ("Request-Id", batch_id), ("Content-Type", "application/json")],
