--- a/review/rollout_world.py
+++ b/review/rollout_world.py
@@ -321,6 +321,7 @@
         self.born = int(time.time() * 1000)
         self.places = asyncio.Semaphore(slots)
         self.slots = slots
+        self.event_s = 0.02  # from one event of a text to the next
         self.id = "i-%08x" % random.getrandbits(32)
         self.seq = 0
         self.orders = 0
@@ -487,7 +488,7 @@
     def events(self, request_id):
         return ["%s-%d" % (request_id, number) for number in range(1, 9)]
 
-    async def stream(self, head, writer, events, pause_s=0.02):
+    async def stream(self, head, writer, events):
         """The events after Last-Event-Id, by https://html.spec.whatwg.org/#event-stream-interpretation."""
         version = next(iter(self.models.values()))
         fields = self.stamp(head) + [("Content-Type", "text/event-stream"), ("Weight-Versions", version),
@@ -497,7 +498,7 @@
         for number, data in enumerate(events, 1):
             if number <= done:
                 continue
-            await asyncio.sleep(pause_s)
+            await asyncio.sleep(self.event_s)
             lines = "".join("data: %s\n" % line for line in data.split("\n"))
             change = next(iter(self.models.values()))
             mark = "weight-versions: %d\n" % change if change != version else ""
