--- a/daemons/replica/sample-demand.c
+++ b/daemons/replica/sample-demand.c
@@ -13,7 +13,7 @@
 estimate_run_duration_us (QuinceSampleSet *set, const QuinceSample *sample, gint64 now_us)
 {
   const QuinceWorker *worker
-      = quince_worker_table_find (quince_backends_get_workers (set->backends), sample->worker_id);
+      = quince_worker_table_find_ref (quince_backends_get_workers (set->backends), &sample->worker);
   if (worker == NULL)
     return 0;
   double events = quince_sample_set_estimate_remaining_events (set, sample);
@@ -39,7 +39,7 @@
         quince_load_plan_record_sample (plan, batch->model, batch->minimum_version,
                                         may_start_now (sample, now));
       if (sample->state == QUINCE_SAMPLE_RUNNING)
-        quince_load_plan_record_run (plan, sample->worker_id, estimate_run_duration_us (set, sample, now));
+        quince_load_plan_record_run (plan, sample->worker.id, estimate_run_duration_us (set, sample, now));
     }
 }
 
@@ -53,7 +53,7 @@
   if (sample->state != QUINCE_SAMPLE_RUNNING)
     return 0;
   const QuinceWorker *worker
-      = quince_worker_table_find (quince_backends_get_workers (set->backends), sample->worker_id);
+      = quince_worker_table_find_ref (quince_backends_get_workers (set->backends), &sample->worker);
   gint64 pace_us = worker != NULL ? quince_worker_get_pace_us (worker, now_us) : 0;
   double events = quince_sample_set_estimate_remaining_events (set, sample);
   return quince_result_batching_expect_text_us (events, pace_us, sample->last_event_us, reward_time_us);
--- a/daemons/replica/sample-dispatch.c
+++ b/daemons/replica/sample-dispatch.c
@@ -21,7 +21,7 @@
     {
       const QuinceSample *other = set->samples->pdata[i];
       if (other != sample && other->state == QUINCE_SAMPLE_RUNNING && other->permit.alone)
-        g_hash_table_add (avoid, other->worker_id);
+        g_hash_table_add (avoid, other->worker.id);
     }
 }
 
@@ -99,7 +99,7 @@
       const QuinceRequestIdentity *identity = quince_sample_get_identity (sample);
       quince_send_guard_log_sent (guard, quince_now_us (), identity, &sample->permit,
                                   quince_sample_get_item (sample)->id, worker->id);
-      quince_send_guard_report_send (guard, quince_now_us (), identity, &sample->permit, worker->id);
+      quince_send_guard_report_send (guard, quince_now_us (), identity, &sample->permit, worker);
     }
   quince_sample_start_run (sample, set->backends, worker, get_worker_priority (set, sample, route),
                            quince_sample_outcome_handle_run_end, set);
--- a/daemons/replica/sample-moves.c
+++ b/daemons/replica/sample-moves.c
@@ -30,7 +30,7 @@
       gboolean can_take_sample = quince_sample_move_can_target (worker, now_us, view->slots)
                                  && quince_backends_may_send (set->backends, worker);
       if (!can_take_sample || !quince_backends_is_allowed_worker (set->backends, worker, &residency)
-          || g_str_equal (worker->id, sample->worker_id))
+          || g_str_equal (worker->id, sample->worker.id))
         continue;
       best_us = pace_us;
     }
@@ -63,7 +63,7 @@
 {
   const QuinceRoute *route = quince_sample_set_get_batch_route (set, sample->entry->batch);
   const QuinceWorker *worker
-      = quince_worker_table_find (quince_backends_get_workers (set->backends), sample->worker_id);
+      = quince_worker_table_find_ref (quince_backends_get_workers (set->backends), &sample->worker);
   if (route == NULL || worker == NULL)
     return FALSE;
   QuinceSampleServiceView view;
--- a/daemons/replica/sample-outcome.c
+++ b/daemons/replica/sample-outcome.c
@@ -39,7 +39,7 @@
   sample->state = QUINCE_SAMPLE_WAITING;
   sample->next_attempt_us = quince_now_us () + pause_us;
   g_free (sample->avoid_worker);
-  sample->avoid_worker = g_strdup (sample->worker_id);
+  sample->avoid_worker = g_strdup (sample->worker.id);
 }
 
 static QuinceSampleNext
@@ -59,7 +59,7 @@
 eject_worker (QuinceSampleSet *set, const QuinceSample *sample)
 {
   QuinceWorker *worker
-      = quince_worker_table_find (quince_backends_get_workers (set->backends), sample->worker_id);
+      = quince_worker_table_find_ref (quince_backends_get_workers (set->backends), &sample->worker);
   if (worker != NULL)
     quince_worker_record_failure (worker, quince_now_us ());
 }
@@ -76,12 +76,10 @@
       const QuinceRequestIdentity *identity = quince_sample_get_identity (sample);
       g_autofree char *text = quince_request_digest_format (&identity->request);
       quince_log_info ("run_lost", "request=%s worker=%s digest=%s", quince_sample_get_item (sample)->id,
-                       sample->worker_id, text);
-      QuinceWorker *worker
-          = quince_worker_table_find (quince_backends_get_workers (set->backends), sample->worker_id);
+                       sample->worker.id, text);
       quince_send_guard_handle_connection_loss (
-          guard, identity, &sample->permit,
-          quince_backends_is_evacuated (set->backends, worker) ? NULL : worker);
+          guard, identity, &sample->permit, &sample->worker,
+          quince_backends_find_lost_worker (set->backends, &sample->worker));
     }
   else if (answered && !quince_send_guard_is_idle (guard))
     quince_send_guard_handle_answer (guard, quince_sample_get_identity (sample), &sample->permit);
@@ -101,7 +99,7 @@
   quince_metric_add ("quince_replica_sample_runs_total", labels, 1);
   if (end != QUINCE_RUN_COMPLETE)
     quince_log_info ("sample_run_ended", "sample=%s worker=%s cause=%s events=%" G_GUINT64_FORMAT " runs=%u",
-                     quince_sample_get_item (sample)->id, sample->worker_id, cause, sample->last_event,
+                     quince_sample_get_item (sample)->id, sample->worker.id, cause, sample->last_event,
                      sample->runs);
   quince_sample_shares_count_run_end (set, sample, end);
   report_end_to_guard (set, sample, end);
--- a/daemons/replica/sample-result.c
+++ b/daemons/replica/sample-result.c
@@ -38,7 +38,7 @@
   quince_metric_add ("quince_replica_samples_total", labels, 1);
   quince_metric_observe_us ("quince_replica_sample_seconds", "", quince_now_us () - sample->submitted_us);
   quince_step_reports_record_result (set->reports, sample->entry, quince_now_us (), item->id,
-                                     sample->worker_id, sample->last_event);
+                                     sample->worker.id, sample->last_event);
   sample->state = QUINCE_SAMPLE_DONE;
   set->callbacks->done (sample, &result, set->owner);
 }
--- a/daemons/replica/sample-shares.c
+++ b/daemons/replica/sample-shares.c
@@ -86,7 +86,7 @@
   const char *metric = end == QUINCE_RUN_MOVED ? "quince_share_moves_total" : "quince_share_refused_total";
   QuinceShareMetrics *shares = quince_backends_get_share_metrics (set->backends);
   const QuinceWorker *worker
-      = quince_worker_table_find (quince_backends_get_workers (set->backends), sample->worker_id);
+      = quince_worker_table_find_ref (quince_backends_get_workers (set->backends), &sample->worker);
   quince_share_metrics_count (shares, QUINCE_SHARE_MODEL, sample->entry->batch->model, metric);
   if (worker != NULL)
     quince_share_metrics_count (shares, QUINCE_SHARE_ZONE, worker->zone, metric);
--- a/daemons/replica/sample.c
+++ b/daemons/replica/sample.c
@@ -66,7 +66,7 @@
 static QuinceWorker *
 find_run_worker (const QuinceSample *sample)
 {
-  return quince_worker_table_find (quince_backends_get_workers (sample->backends), sample->worker_id);
+  return quince_worker_table_find_ref (quince_backends_get_workers (sample->backends), &sample->worker);
 }
 
 /* Clears the state of the ended run and frees its slot at the worker. */
@@ -97,7 +97,7 @@
   g_array_unref (sample->versions);
   g_free (sample->copies);
   g_free (sample->avoid_worker);
-  g_free (sample->worker_id);
+  quince_worker_ref_clear (&sample->worker);
   g_free (sample);
 }
 
@@ -352,8 +352,7 @@
   const QuinceHttpRequest request = {
     .method = "POST", .target = item->path, .headers = headers, .body = body, .send_by_us = worker->send_by_us
   };
-  g_free (sample->worker_id);
-  sample->worker_id = g_strdup (worker->id);
+  quince_worker_ref_set (&sample->worker, worker, quince_now_us ());
   sample->backends = backends;
   sample->run_ended = run_ended;
   sample->user_data = user_data;
--- a/daemons/replica/sample.h
+++ b/daemons/replica/sample.h
@@ -71,7 +71,7 @@
   QuinceAdmission logged_admission; /* last refusal that was logged; QUINCE_ADMISSION_GRANTED: none */
 
   /* The current run. */
-  char *worker_id;
+  QuinceWorkerRef worker;
   QuinceBackends *backends;
   QuinceHttpExchange *exchange;
   QuincePlatformEventParser *event_parser;
--- a/daemons/replica/weight-load.c
+++ b/daemons/replica/weight-load.c
@@ -26,7 +26,7 @@
 {
   /* All fields belong to the main context. */
   const QuinceWeightLoadContext *context;
-  char *worker_id;
+  QuinceWorkerRef worker;
   char *service;
   char *model;
   guint64 version;
@@ -42,7 +42,7 @@
 static QuinceWorker *
 find_worker (const QuinceWeightLoad *load)
 {
-  return quince_worker_table_find (quince_backends_get_workers (load->context->backends), load->worker_id);
+  return quince_worker_table_find_ref (quince_backends_get_workers (load->context->backends), &load->worker);
 }
 
 void
@@ -54,7 +54,7 @@
   QuinceWorker *worker = find_worker (load);
   if (worker != NULL)
     worker->loading = FALSE;
-  g_free (load->worker_id);
+  quince_worker_ref_clear (&load->worker);
   g_free (load->service);
   g_free (load->model);
   g_free (load);
@@ -65,7 +65,7 @@
 {
   quince_log_info ("weights_order_ended",
                    "worker=%s model=%s version=%" G_GUINT64_FORMAT " outcome=%s took_ms=%" G_GINT64_FORMAT,
-                   load->worker_id, load->model, load->version, outcome,
+                   load->worker.id, load->model, load->version, outcome,
                    (quince_now_us () - load->started_us) / 1000);
   g_autofree char *labels = g_strdup_printf ("outcome=\"%s\"", outcome);
   quince_metric_add ("quince_replica_orders_total", labels, 1);
@@ -106,7 +106,7 @@
   load->exchange = NULL;
   guint status = outcome == QUINCE_HTTP_ANSWERED ? quince_http_exchange_get_head (exchange)->status : 0;
   quince_log_info ("weights_order", "worker=%s model=%s version=%" G_GUINT64_FORMAT " status=%u",
-                   load->worker_id, load->model, load->version, status);
+                   load->worker.id, load->model, load->version, status);
   const QuinceLoadNext next = quince_load_next_after_order (parse_order_answer (outcome, status));
   apply_next_action (load, &next);
 }
@@ -142,12 +142,12 @@
                                                          fence, load->orders_accepted);
   g_autoptr (QuinceHttpHeaders) headers = quince_http_headers_new ();
   quince_http_headers_add (headers, "Content-Type", "application/json");
-  quince_platform_write_expected_worker (headers, load->worker_id);
+  quince_platform_write_expected_worker (headers, load->worker.id);
   /* Checked right before the send, since the process may be suspended before that. */
-  may_order = may_order && quince_order_records_may_order_worker (context->records, load->worker_id);
-  load->awaits_record = !quince_order_records_get_permit (context->records, load->worker_id, &send_by_us);
+  may_order = may_order && quince_order_records_may_order_worker (context->records, load->worker.id);
+  load->awaits_record = !quince_order_records_get_permit (context->records, load->worker.id, &send_by_us);
   if (load->awaits_record)
-    quince_order_records_request (context->records, load->worker_id);
+    quince_order_records_request (context->records, load->worker.id);
   if (!check_may_send (load, worker, TRUE, may_order))
     return;
   const QuinceHttpRequest request = { .method = "POST",
@@ -251,12 +251,12 @@
 {
   QuinceWeightLoad *load = g_new0 (QuinceWeightLoad, 1);
   load->context = context;
-  load->worker_id = g_strdup (worker->id);
   load->service = g_strdup (worker->service);
   load->model = g_strdup (model);
   load->version = version;
   load->retain = retain;
   load->started_us = quince_now_us ();
+  quince_worker_ref_set (&load->worker, worker, load->started_us);
   quince_retry_timer_init (&load->timer, request_report, load);
   return load;
 }
@@ -264,7 +264,7 @@
 void
 quince_weight_load_start (QuinceWeightLoad *load)
 {
-  quince_order_records_request (load->context->records, load->worker_id);
+  quince_order_records_request (load->context->records, load->worker.id);
   request_report (load);
 }
 
@@ -273,7 +273,7 @@
 {
   gint64 send_by_us;
   if (!load->awaits_record
-      || !quince_order_records_get_permit (load->context->records, load->worker_id, &send_by_us))
+      || !quince_order_records_get_permit (load->context->records, load->worker.id, &send_by_us))
     return;
   quince_retry_timer_clear (&load->timer);
   send_order (load);
@@ -282,7 +282,7 @@
 const char *
 quince_weight_load_get_worker (const QuinceWeightLoad *load)
 {
-  return load->worker_id;
+  return load->worker.id;
 }
 
 const char *
--- a/lib/core/request/quarantine.c
+++ b/lib/core/request/quarantine.c
@@ -5,14 +5,12 @@
 
 #include <string.h>
 
-#include <xxhash.h>
-
 /* Time after an answer for which ends of its prompt are ignored, unless the request was sent alone, us.
  * Longer than the deadlines of batches (12 s), which contain all requests of a prompt, and shorter than the
  * interval of software updates. */
 #define CLEARED_PROMPT_TTL_US (60 * G_USEC_PER_SEC)
 /* Time for which ended workers are recorded, us.  A worker that ended stays listed until its entry expires
- * (three heartbeats of 1.2 s).  A restarted worker has a new id. */
+ * (three heartbeats of 1.2 s), or until the entry of its next start replaces it. */
 #define ENDED_WORKER_TTL_US (60 * G_USEC_PER_SEC)
 /* Time for which a request yields to others of its prompt, us.  The leader checks waiting samples several
  * times per second. */
@@ -29,7 +27,7 @@
   gsize bytes;
   GHashTable *cleared_prompts; /* QuinceRequestDigest to gint64, time of the clear, us; both owned */
   gint64 yield_restart_us;     /* last call of quince_quarantine_restart_yield_time() */
-  GHashTable *ended_workers; /* guint64, hash of the worker id, to gint64, time of its end, us; both owned */
+  GHashTable *ended_workers;   /* QuinceIncarnation to gint64, time of its end, us; both owned */
 };
 
 const char *
@@ -94,12 +92,6 @@
   g_free (quarantine);
 }
 
-guint64
-quince_quarantine_hash_worker (const char *worker_id)
-{
-  return XXH3_64bits (worker_id, strlen (worker_id));
-}
-
 guint64
 quince_quarantine_hash_request (const QuinceRequestDigest *request)
 {
@@ -187,8 +179,10 @@
 
 /* Clears the table when it is full, to bound memory.  Ended workers that are still listed then count as ready
  * in the service capacity. */
-static void
-record_ended_worker (QuinceQuarantine *quarantine, gint64 ended_us, guint64 worker)
+void
+quince_quarantine_record_ended_worker (QuinceQuarantine *quarantine,
+                                       gint64 ended_us,
+                                       QuinceIncarnation worker)
 {
   if (g_hash_table_size (quarantine->ended_workers) >= quarantine->limits.suspects_max)
     g_hash_table_remove_all (quarantine->ended_workers);
@@ -197,11 +191,40 @@
 }
 
 gboolean
-quince_quarantine_has_worker_ended (const QuinceQuarantine *quarantine, guint64 worker)
+quince_quarantine_has_worker_ended (const QuinceQuarantine *quarantine, QuinceIncarnation worker)
 {
   return g_hash_table_contains (quarantine->ended_workers, &worker);
 }
 
+void
+quince_quarantine_forget_ended_worker (QuinceQuarantine *quarantine, QuinceIncarnation worker)
+{
+  g_hash_table_remove (quarantine->ended_workers, &worker);
+}
+
+static gboolean
+has_worker (const QuinceSuspect *suspect, QuinceIncarnation worker)
+{
+  for (guint i = 0; i < suspect->n_workers; i++)
+    if (suspect->workers[i] == worker)
+      return TRUE;
+  return FALSE;
+}
+
+QuinceIncarnation
+quince_quarantine_identify_end (const QuinceQuarantine *quarantine,
+                                const QuinceRequestDigest *digest,
+                                QuinceIncarnation worker,
+                                gint64 sent_us)
+{
+  const QuinceSuspect *suspect = quince_quarantine_find (quarantine, digest);
+  if (suspect == NULL || sent_us <= suspect->ended_us)
+    return worker;
+  while (has_worker (suspect, worker))
+    worker = quince_incarnation_get_successor (worker);
+  return worker;
+}
+
 static gboolean
 is_recently_cleared (const QuinceQuarantine *quarantine, gint64 now_us, const QuinceRequestDigest *digest)
 {
@@ -246,11 +269,10 @@
 /* Drops the worker that was added first if all places are taken, so that a further end still counts.  Returns
  * FALSE if @worker is already recorded. */
 static gboolean
-add_worker (QuinceSuspect *suspect, guint64 worker)
+add_worker (QuinceSuspect *suspect, QuinceIncarnation worker)
 {
-  for (guint i = 0; i < suspect->n_workers; i++)
-    if (suspect->workers[i] == worker)
-      return FALSE;
+  if (has_worker (suspect, worker))
+    return FALSE;
   if (suspect->n_workers == QUINCE_QUARANTINE_WORKERS_MAX)
     {
       suspect->n_workers--;
@@ -291,7 +313,7 @@
 const QuinceSuspect *
 quince_quarantine_record_end (QuinceQuarantine *quarantine, gint64 now_us, const QuinceSuspect *observed)
 {
-  record_ended_worker (quarantine, now_us, observed->workers[0]);
+  quince_quarantine_record_ended_worker (quarantine, now_us, observed->workers[0]);
   if (!observed->alone && is_recently_cleared (quarantine, now_us, &observed->digest))
     return NULL;
   g_hash_table_remove (quarantine->cleared_prompts, &observed->digest);
@@ -335,11 +357,11 @@
 }
 
 static gboolean
-merge_worker (QuinceQuarantine *quarantine, QuinceSuspect *suspect, guint64 worker, gint64 ended_us)
+merge_worker (QuinceQuarantine *quarantine, QuinceSuspect *suspect, QuinceIncarnation worker, gint64 ended_us)
 {
   if (!add_worker (suspect, worker))
     return FALSE;
-  record_ended_worker (quarantine, ended_us, worker);
+  quince_quarantine_record_ended_worker (quarantine, ended_us, worker);
   return TRUE;
 }
 
@@ -449,6 +471,12 @@
   return g_hash_table_size (quarantine->suspects);
 }
 
+guint
+quince_quarantine_get_n_ended_workers (const QuinceQuarantine *quarantine)
+{
+  return g_hash_table_size (quarantine->ended_workers);
+}
+
 gsize
 quince_quarantine_get_bytes (const QuinceQuarantine *quarantine)
 {
--- a/lib/core/request/quarantine.h
+++ b/lib/core/request/quarantine.h
@@ -22,6 +22,7 @@
 #pragma once
 
 #include "core/request/request-digest.h"
+#include "core/routing/worker-incarnation.h"
 
 G_BEGIN_DECLS
 
@@ -61,8 +62,7 @@
 /**
  * QuinceSuspect:
  * @release: number of times an operator released it; reports with a lower number are outdated
- * @workers: hashes of the ids of the last @n_workers workers that ended while running it, see
- * quince_quarantine_hash_worker()
+ * @workers: the last @n_workers incarnations of workers that ended while running it
  * @alone: number of ends at which it was sent alone; for a prompt, successive ends of the same request count
  * once
  * @member: for a prompt, the hash of the last request whose end was counted in @alone; 0: none
@@ -77,7 +77,7 @@
   QuinceRequestDigest digest;
   QuinceSuspectScope scope;
   guint64 release;
-  guint64 workers[QUINCE_QUARANTINE_WORKERS_MAX];
+  QuinceIncarnation workers[QUINCE_QUARANTINE_WORKERS_MAX];
   guint n_workers;
   guint alone;
   guint64 member;
@@ -137,9 +137,31 @@
 gboolean quince_quarantine_clear_prompt (QuinceQuarantine *quarantine,
                                          gint64 now_us,
                                          const QuinceRequestDigest *digest);
-/* Returns whether the worker with the id hash @worker is recorded as ended.  The record expires after a
- * minute, see quince_quarantine_expire(). */
-gboolean quince_quarantine_has_worker_ended (const QuinceQuarantine *quarantine, guint64 worker);
+/**
+ * quince_quarantine_identify_end:
+ * @worker: the incarnation to which the request was sent, as far as this process knows
+ * @sent_us: time of the send
+ *
+ * A worker may have started again before this process reads its new entry.  A request that was sent after its
+ * last recorded end, and under which a worker ends that is recorded for it already, ended a later start of
+ * that worker.
+ *
+ * Returns: the incarnation to record as ended: @worker, or a successor of it that is not recorded yet
+ */
+QuinceIncarnation quince_quarantine_identify_end (const QuinceQuarantine *quarantine,
+                                                  const QuinceRequestDigest *digest,
+                                                  QuinceIncarnation worker,
+                                                  gint64 sent_us);
+/* Records that @worker ended at @ended_us, apart from any request. */
+void quince_quarantine_record_ended_worker (QuinceQuarantine *quarantine,
+                                            gint64 ended_us,
+                                            QuinceIncarnation worker);
+/* Returns whether @worker is recorded as ended.  The record expires after a minute, see
+ * quince_quarantine_expire(). */
+gboolean quince_quarantine_has_worker_ended (const QuinceQuarantine *quarantine, QuinceIncarnation worker);
+/* Removes the record that @worker ended, since it runs again under the same entry.  The ends that suspects
+ * count remain. */
+void quince_quarantine_forget_ended_worker (QuinceQuarantine *quarantine, QuinceIncarnation worker);
 /* Releases a held suspect by order of an operator: it is sent alone, and one more end at which it was sent
  * alone holds it again.  Returns whether it was held. */
 gboolean
@@ -152,12 +174,12 @@
 QuinceSendRule quince_quarantine_get_rule (const QuinceQuarantine *quarantine,
                                            const QuinceRequestDigest *digest);
 guint quince_quarantine_get_size (const QuinceQuarantine *quarantine);
+/* Returns the number of workers that are recorded as ended. */
+guint quince_quarantine_get_n_ended_workers (const QuinceQuarantine *quarantine);
 gsize quince_quarantine_get_bytes (const QuinceQuarantine *quarantine);
 /* Returns (transfer container) (element-type QuinceSuspect): all suspects, valid until the next change */
 GPtrArray *quince_quarantine_list (const QuinceQuarantine *quarantine);
 
-/* Returns the hash of a worker id for QuinceSuspect.workers. */
-guint64 quince_quarantine_hash_worker (const char *worker_id);
 /* Returns the hash of a request for QuinceSuspect.member; never 0. */
 guint64 quince_quarantine_hash_request (const QuinceRequestDigest *request);
 /**
--- a/lib/core/routing/worker-table.c
+++ b/lib/core/routing/worker-table.c
@@ -53,10 +53,30 @@
 {
   QuinceWorker *worker = g_new0 (QuinceWorker, 1);
   worker->id = g_strdup (id);
+  quince_worker_set_start_time (worker, 0);
   worker->models = g_array_new (FALSE, FALSE, sizeof (QuinceWorkerModel));
   return worker;
 }
 
+void
+quince_worker_set_start_time (QuinceWorker *worker, gint64 started_at_ms)
+{
+  worker->incarnation = quince_incarnation_make (worker->id, started_at_ms);
+}
+
+void
+quince_worker_ref_set (QuinceWorkerRef *ref, const QuinceWorker *worker, gint64 sent_us)
+{
+  quince_worker_ref_clear (ref);
+  *ref = (QuinceWorkerRef){ g_strdup (worker->id), worker->incarnation, sent_us };
+}
+
+void
+quince_worker_ref_clear (QuinceWorkerRef *ref)
+{
+  g_clear_pointer (&ref->id, g_free);
+}
+
 void
 quince_worker_free (QuinceWorker *worker)
 {
@@ -234,7 +254,8 @@
 quince_worker_table_update (QuinceWorkerTable *table, QuinceWorker *entry)
 {
   QuinceWorker *worker = g_hash_table_lookup (table->by_id, entry->id);
-  gboolean same_worker = worker != NULL && g_str_equal (worker->address, entry->address)
+  gboolean same_worker = worker != NULL && worker->incarnation == entry->incarnation
+                         && g_str_equal (worker->address, entry->address)
                          && g_str_equal (worker->service, entry->service);
   if (same_worker)
     {
@@ -268,6 +289,13 @@
   return g_hash_table_lookup (table->by_id, id);
 }
 
+QuinceWorker *
+quince_worker_table_find_ref (QuinceWorkerTable *table, const QuinceWorkerRef *ref)
+{
+  QuinceWorker *worker = quince_worker_table_find (table, ref->id);
+  return worker != NULL && worker->incarnation == ref->incarnation ? worker : NULL;
+}
+
 static gint
 compare_ids (gconstpointer a, gconstpointer b)
 {
--- a/lib/core/routing/worker-table.h
+++ b/lib/core/routing/worker-table.h
@@ -7,6 +7,7 @@
 
 #include "core/routing/pace-history.h"
 #include "core/routing/route-times.h"
+#include "core/routing/worker-incarnation.h"
 
 G_BEGIN_DECLS
 
@@ -23,6 +24,7 @@
 typedef struct
 {
   char *id;
+  QuinceIncarnation incarnation;
   char *service;
   char *software; /* software version; NULL: not given */
   char *address;
@@ -55,7 +57,11 @@
   gint64 full_until_us;          /* it refused a request and counts as full until then */
 } QuinceWorker;
 
+/* Returns (transfer full): a worker whose start time is not known; see quince_worker_set_start_time() */
 QuinceWorker *quince_worker_new (const char *id);
+/* Sets the incarnation of a worker that is not in a table yet.  @started_at_ms: start of its process, Unix
+ * time in ms; 0: not given */
+void quince_worker_set_start_time (QuinceWorker *worker, gint64 started_at_ms);
 void quince_worker_free (QuinceWorker *worker);
 G_DEFINE_AUTOPTR_CLEANUP_FUNC (QuinceWorker, quince_worker_free)
 /* Sets the version of @model for a worker that is not in a table yet.  For a worker in a table, use
@@ -64,6 +70,19 @@
 /* Returns the version of @model that the worker has loaded, or 0 if it has not loaded @model. */
 guint64 quince_worker_get_version (const QuinceWorker *worker, const char *model);
 
+/* The worker that a request was sent to.  When the request ends, the worker may no longer be in the table, or
+ * have started again under the same id. */
+typedef struct
+{
+  char *id; /* owned; NULL: none */
+  QuinceIncarnation incarnation;
+  gint64 sent_us; /* time of the send */
+} QuinceWorkerRef;
+
+/* Replaces the contents of @ref, which must be initialized. */
+void quince_worker_ref_set (QuinceWorkerRef *ref, const QuinceWorker *worker, gint64 sent_us);
+void quince_worker_ref_clear (QuinceWorkerRef *ref);
+
 typedef struct _QuinceWorkerTable QuinceWorkerTable;
 
 /**
@@ -80,8 +99,8 @@
 void quince_worker_table_free (QuinceWorkerTable *table);
 G_DEFINE_AUTOPTR_CLEANUP_FUNC (QuinceWorkerTable, quince_worker_table_free)
 /* Adds @entry (transfer full), or updates the worker with the same id, service and address from it, except
- * its zone and software version.  An entry with the same id but another service or address replaces the
- * worker.  Model versions never decrease.
+ * its zone and software version.  An entry with the same id but another service, address or incarnation
+ * replaces the worker with all that was measured of it.  Model versions of an incarnation never decrease.
  *
  * Returns: %TRUE if @entry was added, or differs in the draining state, in whether the worker is cold, or in
  * the version of a model, even one that is ignored because it is older */
@@ -90,6 +109,9 @@
 void quince_worker_table_remove (QuinceWorkerTable *table, const char *id);
 /* Returns: (nullable) (transfer none): the worker with @id, or %NULL */
 QuinceWorker *quince_worker_table_find (QuinceWorkerTable *table, const char *id);
+/* Returns: (nullable) (transfer none): the worker that @ref refers to; %NULL if it is not in the table or has
+ * started again since */
+QuinceWorker *quince_worker_table_find_ref (QuinceWorkerTable *table, const QuinceWorkerRef *ref);
 /* Returns: (transfer container) (element-type QuinceWorker): the workers of @service, including draining
  * ones, sorted by id; callers must not modify the shared list */
 GPtrArray *quince_worker_table_list (QuinceWorkerTable *table, const char *service);
--- a/lib/forward/dispatch.c
+++ b/lib/forward/dispatch.c
@@ -164,25 +164,27 @@
 
 /* Records a refusal by a full worker for the limits of tenants and the metric of its zone. */
 static void
-record_refusal (const QuinceDispatch *dispatch, const char *worker_id)
+record_refusal (const QuinceDispatch *dispatch, const QuinceWorkerRef *ref)
 {
   quince_tenant_limits_handle_refusal (quince_backends_get_tenant_limits (dispatch->backends),
                                        dispatch->service);
-  const QuinceWorker *worker = quince_dispatch_find_worker (dispatch, worker_id);
+  const QuinceWorker *worker = quince_dispatch_find_worker (dispatch, ref);
   if (worker != NULL)
     quince_share_metrics_count (quince_backends_get_share_metrics (dispatch->backends), QUINCE_SHARE_ZONE,
                                 worker->zone, "quince_share_refused_total");
 }
 
 void
-quince_dispatch_record_failed_attempt (const QuinceDispatch *dispatch, const char *worker_id, gint64 since_us)
+quince_dispatch_record_failed_attempt (const QuinceDispatch *dispatch,
+                                       const QuinceWorkerRef *ref,
+                                       gint64 since_us)
 {
   quince_log_info ("request_retried",
                    "request=%s worker=%s cause=%s attempts=%u runs=%u took_ms=%" G_GINT64_FORMAT,
-                   dispatch->request_id, worker_id, dispatch->cause, dispatch->attempts, dispatch->retry.runs,
+                   dispatch->request_id, ref->id, dispatch->cause, dispatch->attempts, dispatch->retry.runs,
                    (quince_now_us () - since_us) / 1000);
   if (g_str_equal (dispatch->cause, "worker_refused"))
-    record_refusal (dispatch, worker_id);
+    record_refusal (dispatch, ref);
 }
 
 void
@@ -227,7 +229,7 @@
       const QuinceRequestIdentity *identity = get_identity (dispatch);
       quince_send_guard_log_sent (guard, now_us, identity, &dispatch->permit, dispatch->request_id,
                                   worker->id);
-      quince_send_guard_report_send (guard, now_us, identity, &dispatch->permit, worker->id);
+      quince_send_guard_report_send (guard, now_us, identity, &dispatch->permit, worker);
     }
   dispatch->codec->write_attempt_headers (headers, worker->id,
                                           MAX ((dispatch->deadline_us - now_us) / 1000, 1));
@@ -240,15 +242,15 @@
 }
 
 QuinceWorker *
-quince_dispatch_find_worker (const QuinceDispatch *dispatch, const char *worker_id)
+quince_dispatch_find_worker (const QuinceDispatch *dispatch, const QuinceWorkerRef *ref)
 {
-  return quince_worker_table_find (quince_backends_get_workers (dispatch->backends), worker_id);
+  return quince_worker_table_find_ref (quince_backends_get_workers (dispatch->backends), ref);
 }
 
 void
-quince_dispatch_release_worker (QuinceDispatch *dispatch, const char *worker_id)
+quince_dispatch_release_worker (QuinceDispatch *dispatch, const QuinceWorkerRef *ref)
 {
-  QuinceWorker *worker = quince_dispatch_find_worker (dispatch, worker_id);
+  QuinceWorker *worker = quince_dispatch_find_worker (dispatch, ref);
   if (worker != NULL && worker->running > 0)
     worker->running--;
 }
@@ -381,17 +383,15 @@
 }
 
 void
-quince_dispatch_handle_connection_loss (QuinceDispatch *dispatch, const char *worker_id)
+quince_dispatch_handle_connection_loss (QuinceDispatch *dispatch, const QuinceWorkerRef *ref)
 {
   const QuinceRequestIdentity *identity = get_identity (dispatch);
   g_autofree char *digest = quince_request_digest_format (&identity->request);
-  quince_log_info ("run_lost", "request=%s worker=%s digest=%s", dispatch->request_id, worker_id, digest);
+  quince_log_info ("run_lost", "request=%s worker=%s digest=%s", dispatch->request_id, ref->id, digest);
   QuinceSendGuard *guard = quince_backends_get_guard (dispatch->backends);
-  QuinceWorker *worker = quince_dispatch_find_worker (dispatch, worker_id);
   if (guard != NULL)
-    quince_send_guard_handle_connection_loss (
-        guard, identity, &dispatch->permit,
-        quince_backends_is_evacuated (dispatch->backends, worker) ? NULL : worker);
+    quince_send_guard_handle_connection_loss (guard, identity, &dispatch->permit, ref,
+                                              quince_backends_find_lost_worker (dispatch->backends, ref));
 }
 
 void
--- a/lib/forward/dispatch.h
+++ b/lib/forward/dispatch.h
@@ -84,7 +84,7 @@
 /* Logs an attempt that failed or was refused, and counts a refusal by a full worker.  @since_us: start of the
  * attempt or, for a stream, time of its last data */
 void quince_dispatch_record_failed_attempt (const QuinceDispatch *dispatch,
-                                            const char *worker_id,
+                                            const QuinceWorkerRef *ref,
                                             gint64 since_us);
 /* Counts a hedge at @worker by route, tenant and zone. */
 void quince_dispatch_count_hedge (const QuinceDispatch *dispatch, const QuinceWorker *worker);
@@ -98,10 +98,11 @@
  * the attempt */
 QuinceHttpHeaders *
 quince_dispatch_begin_attempt (QuinceDispatch *dispatch, QuinceWorker *worker, gint64 now_us);
-/* Decrements the number of requests in flight at @worker_id, if the worker is still listed. */
-void quince_dispatch_release_worker (QuinceDispatch *dispatch, const char *worker_id);
-/* Returns the worker @worker_id, or NULL if it is no longer listed. */
-QuinceWorker *quince_dispatch_find_worker (const QuinceDispatch *dispatch, const char *worker_id);
+/* Decrements the number of requests in flight at the worker of an attempt, if it is still listed and has not
+ * started again. */
+void quince_dispatch_release_worker (QuinceDispatch *dispatch, const QuinceWorkerRef *ref);
+/* Returns the worker of an attempt, or NULL if it is no longer listed or has started again. */
+QuinceWorker *quince_dispatch_find_worker (const QuinceDispatch *dispatch, const QuinceWorkerRef *ref);
 /* Result of the admission of an attempt. */
 typedef enum
 {
@@ -132,7 +133,7 @@
 /* Returns whether a worker may have ended when its exchange ended with @outcome and @error.  It has not if it
  * was silent, or sent bytes that are no answer to the request. */
 gboolean quince_dispatch_may_be_loss (QuinceHttpOutcome outcome, const GError *error);
-/* Logs that the connection to @worker_id broke, and lets the send guard check whether the worker ended. */
-void quince_dispatch_handle_connection_loss (QuinceDispatch *dispatch, const char *worker_id);
+/* Logs that the connection of an attempt broke, and lets the send guard check whether its worker ended. */
+void quince_dispatch_handle_connection_loss (QuinceDispatch *dispatch, const QuinceWorkerRef *ref);
 /* Returns the permit of the attempt, if it has one. */
 void quince_dispatch_return_permit (QuinceDispatch *dispatch);
--- a/lib/forward/evacuation.c
+++ b/lib/forward/evacuation.c
@@ -108,6 +108,13 @@
          && quince_zone_table_is_evacuated (backends->zones, worker->zone);
 }
 
+const QuinceWorker *
+quince_backends_find_lost_worker (const QuinceBackends *backends, const QuinceWorkerRef *ref)
+{
+  const QuinceWorker *worker = quince_worker_table_find (backends->workers, ref->id);
+  return quince_backends_is_evacuated (backends, worker) ? NULL : worker;
+}
+
 void
 quince_backends_limit_returning_zones (const QuinceBackends *backends,
                                        gint64 now_us,
--- a/lib/forward/extra-attempts.c
+++ b/lib/forward/extra-attempts.c
@@ -49,7 +49,7 @@
 {
   double slowdown = quince_route_times_get_slowdown (quince_attempt_budget_get_times (budget), dispatch->kind,
                                                      now_us - attempt->started_us);
-  QuinceWorker *worker = quince_dispatch_find_worker (dispatch, attempt->worker_id);
+  QuinceWorker *worker = quince_dispatch_find_worker (dispatch, attempt->worker);
   if (worker != NULL)
     quince_worker_record_late (worker, now_us, slowdown);
   return slowdown;
@@ -139,7 +139,7 @@
 
 void
 quince_extra_record_answer (QuinceDispatch *dispatch,
-                            const char *worker_id,
+                            const QuinceWorkerRef *ref,
                             gint64 now_us,
                             gboolean was_refused)
 {
@@ -147,7 +147,7 @@
   if (budget == NULL)
     return;
   quince_attempt_budget_record_send (budget, now_us, was_refused);
-  QuinceWorker *worker = quince_dispatch_find_worker (dispatch, worker_id);
+  QuinceWorker *worker = quince_dispatch_find_worker (dispatch, ref);
   if (was_refused && worker != NULL && !worker->draining)
     quince_worker_record_refusal (worker, now_us);
 }
--- a/lib/forward/extra-attempts.h
+++ b/lib/forward/extra-attempts.h
@@ -12,7 +12,7 @@
 /* An attempt that is in flight or has ended. */
 typedef struct
 {
-  const char *worker_id;
+  const QuinceWorkerRef *worker;
   gint64 started_us;
 } QuinceAttemptRef;
 
@@ -38,7 +38,7 @@
 gboolean quince_extra_record_send (QuinceDispatch *dispatch, gboolean is_hedge);
 /* Records that a worker answered an attempt.  @was_refused: it refused to run it since it was full */
 void quince_extra_record_answer (QuinceDispatch *dispatch,
-                                 const char *worker_id,
+                                 const QuinceWorkerRef *ref,
                                  gint64 now_us,
                                  gboolean was_refused);
 /* Returns the token of an attempt that did not run. */
--- a/lib/forward/forward.c
+++ b/lib/forward/forward.c
@@ -23,7 +23,7 @@
 {
   QuinceForward *forward;
   QuinceHttpExchange *exchange;
-  char *worker_id;
+  QuinceWorkerRef worker;
   gint64 started_us;
   gboolean took_token; /* of the attempt budget */
 } Attempt;
@@ -48,17 +48,17 @@
 attempt_free (gpointer data)
 {
   Attempt *attempt = data;
-  quince_dispatch_release_worker (&attempt->forward->dispatch, attempt->worker_id);
+  quince_dispatch_release_worker (&attempt->forward->dispatch, &attempt->worker);
   if (attempt->exchange != NULL)
     quince_http_exchange_cancel (attempt->exchange);
-  g_free (attempt->worker_id);
+  quince_worker_ref_clear (&attempt->worker);
   g_free (attempt);
 }
 
 static void
 record_attempt_result (const Attempt *attempt, gboolean succeeded)
 {
-  QuinceWorker *worker = quince_dispatch_find_worker (&attempt->forward->dispatch, attempt->worker_id);
+  QuinceWorker *worker = quince_dispatch_find_worker (&attempt->forward->dispatch, &attempt->worker);
   gint64 now = quince_now_us ();
   quince_dispatch_count_late_time (&attempt->forward->dispatch, worker, now - attempt->started_us);
   if (worker != NULL && succeeded)
@@ -131,7 +131,7 @@
 static QuinceAttemptRef
 get_attempt_ref (const Attempt *attempt)
 {
-  return (QuinceAttemptRef){ .worker_id = attempt->worker_id, .started_us = attempt->started_us };
+  return (QuinceAttemptRef){ .worker = &attempt->worker, .started_us = attempt->started_us };
 }
 
 static void
@@ -149,7 +149,7 @@
   QuinceForward *forward = attempt->forward;
   count_attempt (cause);
   forward->dispatch.cause = cause;
-  quince_dispatch_record_failed_attempt (&forward->dispatch, attempt->worker_id, attempt->started_us);
+  quince_dispatch_record_failed_attempt (&forward->dispatch, &attempt->worker, attempt->started_us);
   if (!may_have_run && attempt->took_token)
     quince_extra_return_token (&forward->dispatch);
   remove_attempt (attempt);
@@ -195,7 +195,7 @@
   const QuinceHttpHead *head = quince_http_exchange_get_head (exchange);
   gboolean succeeded = head->status >= 200 && head->status < 300;
   record_attempt_result (attempt, succeeded);
-  quince_extra_record_answer (&forward->dispatch, attempt->worker_id, quince_now_us (), FALSE);
+  quince_extra_record_answer (&forward->dispatch, &attempt->worker, quince_now_us (), FALSE);
   quince_dispatch_handle_answer (&forward->dispatch);
   forward->failed_runs += head->status == 500;
   gboolean has_alternative = forward->in_flight->len > 1 || quince_retry_may_run (&forward->dispatch.retry);
@@ -206,7 +206,7 @@
     }
   count_attempt ("answered");
   record_cancelled_attempts (forward, attempt);
-  g_autofree char *worker_id = g_strdup (attempt->worker_id);
+  g_autofree char *worker_id = g_strdup (attempt->worker.id);
   QuinceForwardResult result = { .outcome = QUINCE_FORWARD_ANSWERED,
                                  .head = head,
                                  .body = quince_http_exchange_get_body (exchange),
@@ -224,7 +224,7 @@
   const char *cause = quince_dispatch_get_cause (outcome, error);
   record_attempt_result (attempt, FALSE);
   if (quince_dispatch_may_be_loss (outcome, error))
-    quince_dispatch_handle_connection_loss (&attempt->forward->dispatch, attempt->worker_id);
+    quince_dispatch_handle_connection_loss (&attempt->forward->dispatch, &attempt->worker);
   attempt_failed (attempt, outcome != QUINCE_HTTP_NOT_SENT, cause);
 }
 
@@ -245,7 +245,7 @@
   gboolean succeeded = head->status >= 200 && head->status < 300;
   if (refused)
     {
-      quince_extra_record_answer (&forward->dispatch, attempt->worker_id, quince_now_us (),
+      quince_extra_record_answer (&forward->dispatch, &attempt->worker, quince_now_us (),
                                   head->status != 421);
       attempt_failed (attempt, FALSE, head->status == 421 ? "other_worker" : "worker_refused");
     }
@@ -272,7 +272,7 @@
                                       .send_by_us = worker->send_by_us };
   Attempt *attempt = g_new0 (Attempt, 1);
   attempt->forward = forward;
-  attempt->worker_id = g_strdup (worker->id);
+  quince_worker_ref_set (&attempt->worker, worker, now_us);
   attempt->started_us = now_us;
   attempt->took_token = quince_extra_record_send (dispatch, forward->in_flight->len > 0);
   g_ptr_array_add (forward->in_flight, attempt);
@@ -341,7 +341,7 @@
   g_hash_table_remove_all (forward->dispatch.avoid);
   for (guint i = 0; i < forward->in_flight->len; i++)
     g_hash_table_add (forward->dispatch.avoid,
-                      g_strdup (((Attempt *)forward->in_flight->pdata[i])->worker_id));
+                      g_strdup (((Attempt *)forward->in_flight->pdata[i])->worker.id));
 }
 
 /* Handles a hedge for which no worker was chosen, while an attempt is in flight. */
--- a/lib/forward/send-guard-capacity.c
+++ b/lib/forward/send-guard-capacity.c
@@ -4,8 +4,8 @@
 #include "send-guard-private.h"
 
 /* A worker that ended remains listed until its entry expires, so it is counted as listed but not as ready.
- * Addresses are counted, since a worker that restarts at its address is listed beside its former incarnation:
- * both are one worker of the service. */
+ * Addresses are counted, since a worker that restarts at its address under a new id is listed beside its
+ * former incarnation: both are one worker of the service. */
 void
 quince_send_guard_count_workers (QuinceSendGuard *guard, gint64 now_us, const char *service)
 {
@@ -18,7 +18,7 @@
       if (worker->draining || worker->expires_us != 0)
         continue;
       g_hash_table_add (listed, worker->address);
-      if (!quince_quarantine_has_worker_ended (guard->quarantine, quince_quarantine_hash_worker (worker->id)))
+      if (!quince_quarantine_has_worker_ended (guard->quarantine, worker->incarnation))
         g_hash_table_add (ready, worker->address);
     }
   quince_service_capacities_update (guard->capacities, now_us, service, g_hash_table_size (listed),
@@ -37,7 +37,10 @@
   quince_send_guard_count_workers (guard, now_us, service);
   quince_service_capacities_get (guard->capacities, now_us, service, &capacity);
   capacity.at_risk = at_risk;
-  return quince_service_capacity_survives_end (&capacity);
+  gboolean survives_end = quince_service_capacity_survives_end (&capacity);
+  if (!survives_end)
+    quince_send_guard_check_returns (guard, now_us, service);
+  return survives_end;
 }
 
 gboolean
--- a/lib/forward/send-guard-log.c
+++ b/lib/forward/send-guard-log.c
@@ -99,8 +99,7 @@
       for (guint i = 0; i < workers->len; i++)
         {
           const QuinceWorker *worker = workers->pdata[i];
-          if (quince_quarantine_has_worker_ended (guard->quarantine,
-                                                  quince_quarantine_hash_worker (worker->id)))
+          if (quince_quarantine_has_worker_ended (guard->quarantine, worker->incarnation))
             g_ptr_array_add (names, worker->id);
         }
     }
@@ -144,5 +143,7 @@
   quince_metric_set ("quince_quarantine_suspects", "", suspects->len);
   quince_metric_set ("quince_quarantine_held", "", held);
   quince_metric_set ("quince_quarantine_prompts", "", prompts);
+  quince_metric_set ("quince_quarantine_ended_workers", "",
+                     quince_quarantine_get_n_ended_workers (guard->quarantine));
   quince_metric_set ("quince_quarantine_bytes", "", (double)quince_quarantine_get_bytes (guard->quarantine));
 }
--- a/lib/forward/send-guard-losses.c
+++ b/lib/forward/send-guard-losses.c
@@ -19,12 +19,14 @@
 {
   QuinceRequestIdentity identity;
   QuinceSendPermit permit;
+  gint64 sent_us;
 } LostRun;
 
 /* A worker with broken connections. */
 typedef struct
 {
   QuinceSendGuard *guard;
+  QuinceIncarnation incarnation;
   char *worker_id;
   char *service;
   char *software;
@@ -51,7 +53,7 @@
 GHashTable *
 quince_send_guard_losses_new (void)
 {
-  return g_hash_table_new_full (g_str_hash, g_str_equal, NULL, loss_free);
+  return g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, loss_free);
 }
 
 static gboolean
@@ -107,19 +109,22 @@
 /* ---- Ends of workers ---------------------------------------------------- */
 
 void
-quince_send_guard_describe_end (const QuinceRequestIdentity *identity,
+quince_send_guard_describe_end (const QuinceSendGuard *guard,
+                                const QuinceRequestIdentity *identity,
                                 const QuinceSendPermit *permit,
-                                const char *worker_id,
                                 QuinceSuspectScope scope,
+                                QuinceIncarnation worker,
+                                gint64 sent_us,
                                 QuinceSuspect *observed)
 {
-  *observed
-      = (QuinceSuspect){ .digest = scope == QUINCE_SUSPECT_PROMPT ? identity->prompt : identity->request,
-                         .scope = scope,
-                         .workers = { quince_quarantine_hash_worker (worker_id) },
-                         .n_workers = 1,
-                         .alone = permit->taken && permit->alone,
-                         .member = quince_quarantine_hash_request (&identity->request) };
+  const QuinceRequestDigest *digest = scope == QUINCE_SUSPECT_PROMPT ? &identity->prompt : &identity->request;
+  QuinceIncarnation ended = quince_quarantine_identify_end (guard->quarantine, digest, worker, sent_us);
+  *observed = (QuinceSuspect){ .digest = *digest,
+                               .scope = scope,
+                               .workers = { ended },
+                               .n_workers = 1,
+                               .alone = permit->taken && permit->alone,
+                               .member = quince_quarantine_hash_request (&identity->request) };
 }
 
 static void
@@ -129,7 +134,8 @@
                     QuinceSuspectScope scope)
 {
   QuinceSuspect observed;
-  quince_send_guard_describe_end (&run->identity, &run->permit, loss->worker_id, scope, &observed);
+  quince_send_guard_describe_end (guard, &run->identity, &run->permit, scope, loss->incarnation, run->sent_us,
+                                  &observed);
   observed.service = loss->service;
   observed.software = loss->software;
   const QuinceSuspect *known = quince_quarantine_record_end (guard->quarantine, quince_now_us (), &observed);
@@ -145,6 +151,7 @@
 static void
 record_run_end (QuinceSendGuard *guard, const WorkerLoss *loss, LostRun *run)
 {
+  quince_quarantine_record_ended_worker (guard->quarantine, quince_now_us (), loss->incarnation);
   record_suspect_end (guard, loss, run, QUINCE_SUSPECT_REQUEST);
   if (run->identity.has_prompt)
     record_suspect_end (guard, loss, run, QUINCE_SUSPECT_PROMPT);
@@ -182,8 +189,10 @@
     else
       log_checked_send (loss->sends->pdata[i], loss->worker_id,
                         result == QUINCE_WORKER_CHECK_ALIVE ? "lives" : "unknown");
-  if (result == QUINCE_WORKER_CHECK_ENDED && loss->sends->len > 0)
-    quince_service_capacities_record_end (guard->capacities, quince_now_us (), loss->service);
+  if (result != QUINCE_WORKER_CHECK_ENDED || loss->sends->len == 0)
+    return;
+  quince_quarantine_record_ended_worker (guard->quarantine, quince_now_us (), loss->incarnation);
+  quince_service_capacities_record_end (guard->capacities, quince_now_us (), loss->service);
 }
 
 /* ---- Checks ------------------------------------------------------------------ */
@@ -228,30 +237,53 @@
     }
   handle_checked_sends (guard, loss, result);
   if (result != QUINCE_WORKER_CHECK_ENDED)
-    g_hash_table_remove (guard->losses, loss->worker_id);
+    g_hash_table_remove (guard->losses, &loss->incarnation);
 }
 
+/* Returns (transfer full): the loss of @incarnation of @worker, without a check */
 static WorkerLoss *
-find_or_start_check (QuinceSendGuard *guard, const QuinceWorker *worker)
+loss_new (QuinceSendGuard *guard, const QuinceWorker *worker, QuinceIncarnation incarnation)
 {
-  gint64 now = quince_now_us ();
-  g_hash_table_foreach_remove (guard->losses, is_expired_loss, &now);
-  WorkerLoss *loss = g_hash_table_lookup (guard->losses, worker->id);
-  if (loss != NULL)
-    return loss;
-  loss = g_new0 (WorkerLoss, 1);
+  WorkerLoss *loss = g_new0 (WorkerLoss, 1);
   loss->guard = guard;
+  loss->incarnation = incarnation;
   loss->worker_id = g_strdup (worker->id);
   loss->service = g_strdup (worker->service);
   loss->software = g_strdup (worker->software);
   loss->runs = g_array_new (FALSE, FALSE, sizeof (LostRun));
   loss->sends = g_ptr_array_new_with_free_func ((GDestroyNotify)quince_suspect_free);
+  return loss;
+}
+
+/* Returns the loss of @worker that covers a request sent at @sent_us.  A request that was sent after the
+ * recorded end went to a later start of the worker, which is checked anew. */
+static WorkerLoss *
+find_or_start_check (QuinceSendGuard *guard, const QuinceWorker *worker, gint64 sent_us)
+{
+  gint64 now = quince_now_us ();
+  g_hash_table_foreach_remove (guard->losses, is_expired_loss, &now);
+  WorkerLoss *loss = g_hash_table_lookup (guard->losses, &worker->incarnation);
+  if (loss != NULL && (loss->check != NULL || sent_us <= loss->ended_us))
+    return loss;
+  loss = loss_new (guard, worker, worker->incarnation);
   loss->check = quince_worker_check_start (worker->address, handle_check_result, loss);
-  g_hash_table_insert (guard->losses, loss->worker_id, loss);
+  g_hash_table_replace (guard->losses, &loss->incarnation, loss);
   guard->pending_checks++;
   return loss;
 }
 
+/* Records the end of the incarnation to which a request was sent, since @worker has started again. */
+static void
+record_end_of_former_start (QuinceSendGuard *guard,
+                            const QuinceWorker *worker,
+                            const QuinceWorkerRef *ref,
+                            LostRun *run)
+{
+  WorkerLoss *loss = loss_new (guard, worker, ref->incarnation);
+  record_run_end (guard, loss, run);
+  loss_free (loss);
+}
+
 /* Returns whether the worker is draining or not listed: its end is not attributed to a request. */
 static gboolean
 is_expected_to_end (const QuinceWorker *worker)
@@ -263,6 +295,7 @@
 quince_send_guard_handle_connection_loss (QuinceSendGuard *guard,
                                           const QuinceRequestIdentity *identity,
                                           QuinceSendPermit *permit,
+                                          const QuinceWorkerRef *ref,
                                           const QuinceWorker *worker)
 {
   if (is_expected_to_end (worker))
@@ -270,11 +303,16 @@
       quince_send_guard_return_permit (guard, permit);
       return;
     }
-  LostRun run = { .identity = *identity, .permit = *permit };
+  LostRun run = { .identity = *identity, .permit = *permit, .sent_us = ref->sent_us };
   *permit = (QuinceSendPermit){ 0 }; /* returned when the check is complete */
   if (guard->workers != NULL)
     quince_send_guard_count_workers (guard, quince_now_us (), worker->service);
-  WorkerLoss *loss = find_or_start_check (guard, worker);
+  if (worker->incarnation != ref->incarnation)
+    {
+      record_end_of_former_start (guard, worker, ref, &run);
+      return;
+    }
+  WorkerLoss *loss = find_or_start_check (guard, worker, ref->sent_us);
   if (loss->check != NULL)
     g_array_append_val (loss->runs, run);
   else
@@ -291,7 +329,8 @@
   for (guint i = 0; i < workers->len; i++)
     {
       const QuinceWorker *worker = workers->pdata[i];
-      if (quince_quarantine_hash_worker (worker->id) == send->workers[send->n_workers - 1])
+      if (quince_incarnation_is_same_or_successor (worker->incarnation, send->workers[send->n_workers - 1],
+                                                   QUINCE_QUARANTINE_WORKERS_MAX))
         return worker;
     }
   return NULL;
@@ -312,7 +351,7 @@
       log_checked_send (expected, worker->id, "leaves");
       return;
     }
-  WorkerLoss *loss = find_or_start_check (guard, worker);
+  WorkerLoss *loss = find_or_start_check (guard, worker, expected->ended_us);
   if (loss->check != NULL)
     g_ptr_array_add (loss->sends, quince_suspect_copy (expected));
   else
--- a/lib/forward/send-guard-private.h
+++ b/lib/forward/send-guard-private.h
@@ -4,6 +4,7 @@
  * send-guard.c: admission of requests and permits.
  * send-guard-losses.c: broken connections, and the checks whether their workers ended.
  * send-guard-capacity.c: whether a service can lose one more worker.
+ * send-guard-returns.c: whether workers that ended run again.
  * send-guard-log.c: log lines and metrics.
  */
 #pragma once
@@ -20,8 +21,9 @@
       *permits_in_use; /* QuinceRequestDigest, owned; permits of sends in flight or of pending checks */
   QuinceWorkerTable *workers; /* NULL: the capacity of services is not checked */
   QuinceServiceCapacities *capacities;
-  GHashTable *losses;   /* worker id to WorkerLoss, see send-guard-losses.c; owned */
-  guint pending_checks; /* losses whose check is not complete */
+  GHashTable *losses;        /* QuinceIncarnation to WorkerLoss, see send-guard-losses.c; owned */
+  guint pending_checks;      /* losses whose check is not complete */
+  GHashTable *return_checks; /* QuinceIncarnation to ReturnCheck, see send-guard-returns.c; owned */
   const QuinceSendGuardCallbacks *callbacks;
   gpointer user_data;
 };
@@ -40,10 +42,20 @@
 /* Returns whether a worker that ran the request, or its prompt, is being checked. */
 gboolean quince_send_guard_is_loss_check_pending (const QuinceSendGuard *guard,
                                                   const QuinceRequestIdentity *identity);
-/* Fills in @observed for an end of @worker_id while it ran the request.  @scope: whether the suspect is the
- * request or its prompt */
-void quince_send_guard_describe_end (const QuinceRequestIdentity *identity,
+/* Fills in @observed for an end of @worker, to which the request was sent at @sent_us.  @scope: whether the
+ * suspect is the request or its prompt */
+void quince_send_guard_describe_end (const QuinceSendGuard *guard,
+                                     const QuinceRequestIdentity *identity,
                                      const QuinceSendPermit *permit,
-                                     const char *worker_id,
                                      QuinceSuspectScope scope,
+                                     QuinceIncarnation worker,
+                                     gint64 sent_us,
                                      QuinceSuspect *observed);
+
+/* ---- send-guard-returns.c ----------------------------------------------- */
+
+/* Returns (transfer full): an empty table of checks */
+GHashTable *quince_send_guard_return_checks_new (void);
+/* Checks whether the listed workers of @service that are recorded as ended run again, each once a second at
+ * most.  A worker that does counts as ready from then on. */
+void quince_send_guard_check_returns (QuinceSendGuard *guard, gint64 now_us, const char *service);
--- a/lib/forward/send-guard.c
+++ b/lib/forward/send-guard.c
@@ -56,6 +56,7 @@
       = g_hash_table_new_full (quince_request_digest_hash, quince_request_digest_equal, g_free, NULL);
   guard->capacities = quince_service_capacities_new ();
   guard->losses = quince_send_guard_losses_new ();
+  guard->return_checks = quince_send_guard_return_checks_new ();
   guard->callbacks = callbacks;
   guard->user_data = user_data;
   return guard;
@@ -66,6 +67,7 @@
 {
   if (guard == NULL)
     return;
+  g_hash_table_unref (guard->return_checks);
   g_hash_table_unref (guard->losses);
   g_hash_table_unref (guard->permits_in_use);
   quince_service_capacities_free (guard->capacities);
@@ -246,12 +248,12 @@
                      gint64 now_us,
                      const QuinceRequestIdentity *identity,
                      const QuinceSendPermit *permit,
-                     const char *worker_id,
+                     const QuinceWorker *worker,
                      QuinceSuspectScope scope)
 {
   QuinceSuspect observed;
   QuinceSuspect expected;
-  quince_send_guard_describe_end (identity, permit, worker_id, scope, &observed);
+  quince_send_guard_describe_end (guard, identity, permit, scope, worker->incarnation, now_us, &observed);
   quince_quarantine_expect_end (guard->quarantine, now_us, &observed, &expected);
   guard->callbacks->sending (&expected, guard->user_data);
 }
@@ -261,13 +263,13 @@
                                gint64 now_us,
                                const QuinceRequestIdentity *identity,
                                const QuinceSendPermit *permit,
-                               const char *worker_id)
+                               const QuinceWorker *worker)
 {
   if (!permit->taken || guard->callbacks->sending == NULL)
     return;
-  report_expected_end (guard, now_us, identity, permit, worker_id, QUINCE_SUSPECT_REQUEST);
+  report_expected_end (guard, now_us, identity, permit, worker, QUINCE_SUSPECT_REQUEST);
   if (identity->has_prompt)
-    report_expected_end (guard, now_us, identity, permit, worker_id, QUINCE_SUSPECT_PROMPT);
+    report_expected_end (guard, now_us, identity, permit, worker, QUINCE_SUSPECT_PROMPT);
 }
 
 static void
--- a/lib/forward/send-guard.h
+++ b/lib/forward/send-guard.h
@@ -106,23 +106,27 @@
 /* Drops all permit requests and unused permits, since the leader has changed or is lost. */
 void quince_send_guard_drop_permit_requests (QuinceSendGuard *guard);
 
-/* Calls QuinceSendGuardCallbacks.sending() for a send to @worker_id, if the request has a permit. */
+/* Calls QuinceSendGuardCallbacks.sending() for a send to @worker, if the request has a permit. */
 void quince_send_guard_report_send (QuinceSendGuard *guard,
                                     gint64 now_us,
                                     const QuinceRequestIdentity *identity,
                                     const QuinceSendPermit *permit,
-                                    const char *worker_id);
+                                    const QuinceWorker *worker);
 
 /* The worker answered: the request and its prompt are cleared, and the permit is returned. */
 void quince_send_guard_handle_answer (QuinceSendGuard *guard,
                                       const QuinceRequestIdentity *identity,
                                       QuinceSendPermit *permit);
 /* The connection to @worker broke: checks whether the worker ended.  The request is not admitted, and the
- * permit is not returned, until the check is complete.  If the worker is draining or not listed, only returns
- * the permit.  @worker: (nullable): %NULL if it is not listed or need not be checked */
+ * permit is not returned, until the check is complete.  If @worker has started again since the send, its end
+ * is recorded without a check.  If the worker is draining or not listed, only returns the permit.
+ * @ref: the worker to which the request was sent
+ * @worker: (nullable): the worker that is listed under the same id; %NULL if there is none or it need not be
+ * checked */
 void quince_send_guard_handle_connection_loss (QuinceSendGuard *guard,
                                                const QuinceRequestIdentity *identity,
                                                QuinceSendPermit *permit,
+                                               const QuinceWorkerRef *ref,
                                                const QuinceWorker *worker);
 /* Checks the worker of a send that a failed leader made, see expected-ends.h.  The request is not admitted
  * until the check is complete.  If the worker ended or is no longer listed, @expected is merged into the
--- a/lib/forward/stream.c
+++ b/lib/forward/stream.c
@@ -25,8 +25,8 @@
   gpointer user_data;
 
   QuinceHttpExchange *exchange;
-  gpointer event_parser; /* of the attempt in flight, if the stream is resumable */
-  char *worker_id;
+  gpointer event_parser;      /* of the attempt in flight, if the stream is resumable */
+  QuinceWorkerRef worker;     /* of the last attempt */
   QuinceRetryTimer timer;     /* next attempt */
   QuinceTimer *timeout_timer; /* silence of the worker, and the deadline of the request */
   gint64 contact_us;          /* start of the attempt, its head or its last event, monotonic */
@@ -48,7 +48,7 @@
     stream->codec->event_parser_free (stream->event_parser);
   stream->event_parser = NULL;
   stream->exchange = NULL;
-  quince_dispatch_release_worker (&stream->dispatch, stream->worker_id);
+  quince_dispatch_release_worker (&stream->dispatch, &stream->worker);
 }
 
 static void
@@ -56,7 +56,7 @@
 {
   quince_retry_timer_clear (&stream->timer);
   quince_dispatch_clear (&stream->dispatch);
-  g_free (stream->worker_id);
+  quince_worker_ref_clear (&stream->worker);
   g_free (stream);
 }
 
@@ -101,7 +101,7 @@
   quince_dispatch_return_permit (&stream->dispatch);
   g_autofree char *labels = g_strdup_printf ("outcome=\"%s\"", cause);
   quince_metric_add ("quince_stream_attempts_total", labels, 1);
-  quince_dispatch_record_failed_attempt (&stream->dispatch, stream->worker_id, stream->contact_us);
+  quince_dispatch_record_failed_attempt (&stream->dispatch, &stream->worker, stream->contact_us);
   if (may_have_run)
     stream->dispatch.retry.runs++;
   else
@@ -115,7 +115,7 @@
 static void
 eject_worker (QuinceStream *stream)
 {
-  QuinceWorker *worker = quince_dispatch_find_worker (&stream->dispatch, stream->worker_id);
+  QuinceWorker *worker = quince_dispatch_find_worker (&stream->dispatch, &stream->worker);
   if (worker != NULL)
     quince_worker_record_failure (worker, quince_now_us ());
 }
@@ -224,7 +224,7 @@
   const char *cause = quince_dispatch_get_cause (outcome, error);
   eject_worker (stream);
   if (quince_dispatch_may_be_loss (outcome, error))
-    quince_dispatch_handle_connection_loss (&stream->dispatch, stream->worker_id);
+    quince_dispatch_handle_connection_loss (&stream->dispatch, &stream->worker);
   attempt_failed (stream, outcome != QUINCE_HTTP_NOT_SENT, cause);
 }
 
@@ -277,8 +277,7 @@
                                       .headers = headers,
                                       .body = dispatch->body,
                                       .send_by_us = worker->send_by_us };
-  g_free (stream->worker_id);
-  stream->worker_id = g_strdup (worker->id);
+  quince_worker_ref_set (&stream->worker, worker, now_us);
   stream->contact_us = now_us;
   stream->bytes_since_event = 0;
   stream->forwarding = FALSE;
--- a/rehearsal/platform/standin-worker-orders.c
+++ b/rehearsal/platform/standin-worker-orders.c
@@ -1,10 +1,22 @@
 /*
- * standin-worker-orders.c: orders to load weights and their injected faults.
+ * standin-worker-orders.c: reports, and orders to load weights with their injected faults.
  */
 #include "standin-worker-private.h"
 
 #include <json-glib/json-glib.h>
 
+void
+standin_worker_answer_report (StandinWorker *worker, StandinCall *call)
+{
+  g_autofree char *text = g_strdup_printf ("{\"stage\":\"hybrid\",\"models\":[{\"name\":\"" STANDIN_MODEL_NAME
+                                           "\",\"version\":%" G_GUINT64_FORMAT
+                                           ",\"adapters\":[]}],\"busy\":false,\"seq\":%" G_GUINT64_FORMAT
+                                           ",\"queuedRequests\":0,\"running\":0,\"kvUsed\":0,\"kvTotal\":"
+                                           "1000,\"handles\":0,\"born\":%" G_GINT64_FORMAT "}",
+                                           worker->version, worker->n_orders, worker->started_at_ms);
+  standin_call_answer (call, 200, "Content-Type: application/json\r\n", text, -1);
+}
+
 /* Completes a load: switches to @version, or to the version set for failed loads. */
 static void
 finish_load (StandinWorker *worker, guint64 version)
--- a/rehearsal/platform/standin-worker-private.h
+++ b/rehearsal/platform/standin-worker-private.h
@@ -2,7 +2,7 @@
  * standin-worker-private.h: state of a worker stand-in.
  *
  * standin-worker.c handles calls, standin-worker-streams.c streams answers, and standin-worker-orders.c
- * handles orders to load weights.
+ * answers reports and handles orders to load weights.
  */
 #pragma once
 
@@ -25,6 +25,8 @@
 {
   StandinServer *server;
   char *id;
+  gint64 started_at_ms; /* Unix time of the last start */
+  gboolean clock_stands_still;
   char *software_version;
   char *zone;
   gint cold_remaining_ms;
@@ -74,6 +76,7 @@
 /* Releases all streams.  Their connections must be closed already. */
 void standin_worker_drop_streams (StandinWorker *worker);
 
+void standin_worker_answer_report (StandinWorker *worker, StandinCall *call);
 /* Answers an order to load weights, or queues it while orders are delayed. */
 void standin_worker_handle_order (StandinWorker *worker, StandinCall *call);
 /* Releases delayed orders.  Their connections must be closed already. */
--- a/rehearsal/platform/standin-worker.c
+++ b/rehearsal/platform/standin-worker.c
@@ -218,17 +218,6 @@
 
 /* ---- Calls ------------------------------------------------------------- */
 
-static void
-answer_report (StandinWorker *worker, StandinCall *call)
-{
-  g_autofree char *text = g_strdup_printf (
-      "{\"stage\":\"hybrid\",\"models\":[{\"name\":\"" STANDIN_MODEL_NAME "\",\"version\":%" G_GUINT64_FORMAT
-      ",\"adapters\":[]}],\"busy\":false,\"seq\":%" G_GUINT64_FORMAT
-      ",\"queuedRequests\":0,\"running\":0,\"kvUsed\":0,\"kvTotal\":1000,\"handles\":0}",
-      worker->version, worker->n_orders);
-  standin_call_answer (call, 200, "Content-Type: application/json\r\n", text, -1);
-}
-
 static void
 answer_endlessly (StandinWorker *worker, StandinCall *call)
 {
@@ -259,7 +248,7 @@
   else if (g_str_equal (call->head->target, "/quinceroute/order"))
     standin_worker_handle_order (worker, call);
   else if (g_str_equal (call->head->target, "/quinceroute/report"))
-    answer_report (worker, call);
+    standin_worker_answer_report (worker, call);
   else
     handle_request (worker, call);
 }
@@ -271,6 +260,7 @@
 {
   StandinWorker *worker = g_new0 (StandinWorker, 1);
   worker->id = g_strdup (id);
+  worker->started_at_ms = g_get_real_time () / 1000;
   worker->software_version = g_strdup ("v1");
   standin_worker_set_zone_and_slots (worker, "z1", 8);
   worker->delayed_calls = g_ptr_array_new_with_free_func (delayed_call_free);
@@ -318,13 +308,22 @@
 void
 standin_worker_restart (StandinWorker *worker, const char *id)
 {
-  g_free (worker->id);
+  char *former_id = worker->id;
   worker->id = g_strdup (id);
+  g_free (former_id);
+  if (!worker->clock_stands_still)
+    worker->started_at_ms = MAX (g_get_real_time () / 1000, worker->started_at_ms + 1);
   worker->is_down = FALSE;
   worker->n_orders = 0;
   standin_server_restart (worker->server);
 }
 
+void
+standin_worker_set_clock_stands_still (StandinWorker *worker, gboolean clock_stands_still)
+{
+  worker->clock_stands_still = clock_stands_still;
+}
+
 const char *
 standin_worker_get_id (const StandinWorker *worker)
 {
@@ -490,7 +489,7 @@
   return g_strdup_printf (
       "{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"%s\",\"version\":\"%s\",\"slots\":%u,"
       "\"state\":\"%s\",%s\"stage\":\"hybrid\",\"models\":[{\"name\":\"" STANDIN_MODEL_NAME
-      "\",\"version\":%" G_GUINT64_FORMAT ",\"adapters\":[]}],\"seq\":1}",
+      "\",\"version\":%" G_GUINT64_FORMAT ",\"adapters\":[]}],\"seq\":1,\"born\":%" G_GINT64_FORMAT "}",
       service, standin_worker_get_address (worker), worker->zone, worker->software_version, worker->slots,
-      state, cold_member, worker->version);
+      state, cold_member, worker->version, worker->started_at_ms);
 }
--- a/rehearsal/platform/standin-worker.h
+++ b/rehearsal/platform/standin-worker.h
@@ -78,8 +78,11 @@
 /* Simulates a process crash: resets all connections and refuses new ones. */
 void standin_worker_crash (StandinWorker *worker);
 gboolean standin_worker_is_down (const StandinWorker *worker);
-/* Starts a new incarnation @id at the same address.  Keeps recorded runs and resets the order count. */
+/* Starts a new incarnation @id at the same address.  Keeps recorded runs and resets the order count.  @id:
+ * may be the former id, even the string that standin_worker_get_id() returned */
 void standin_worker_restart (StandinWorker *worker, const char *id);
+/* If set, the start time in the worker's entry and reports stays the same when it restarts. */
+void standin_worker_set_clock_stands_still (StandinWorker *worker, gboolean clock_stands_still);
 const char *standin_worker_get_id (const StandinWorker *worker);
 /* Sets the zone and slots of the worker's entry; "z1" and 8 by default. */
 void standin_worker_set_zone_and_slots (StandinWorker *worker, const char *zone, guint slots);
--- a/tests/platform/crash-world.h
+++ b/tests/platform/crash-world.h
@@ -1,5 +1,5 @@
 /*
- * crash-world.h: workers that crash on certain requests and restart under a new id.
+ * crash-world.h: workers that crash on certain requests and restart, under a new id or the former one.
  */
 #pragma once
 
@@ -34,6 +34,7 @@
   guint crashes;           /* so far, as seen by polls */
   guint min_plain_running; /* minimum of running plain workers in any poll */
   guint min_model_running; /* the same of workers with a model */
+  gboolean keeps_ids;      /* workers restart under their ids */
   guint timer;
 } CrashWorld;
 
@@ -90,9 +91,10 @@
     }
   if (polls < CRASH_RESTART_POLLS)
     return;
-  g_autofree char *id = g_strdup_printf ("w%u-%u", index, ++world->incarnations);
+  g_autofree char *id = world->keeps_ids ? g_strdup (standin_worker_get_id (worker))
+                                         : g_strdup_printf ("w%u-%u", index, ++world->incarnations);
   world->polls_down[index] = 0;
-  if (CRASH_UNREGISTER_POLLS > CRASH_RESTART_POLLS)
+  if (CRASH_UNREGISTER_POLLS > CRASH_RESTART_POLLS && !world->keeps_ids)
     crash_world_keep_entry (world, worker);
   standin_worker_restart (worker, id);
   crash_world_register_worker (world, index);
--- a/tests/platform/test-send-guard.c
+++ b/tests/platform/test-send-guard.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "forward/send-guard.h"
+#include "runtime/clock.h"
 
 #include "await.h"
 #include "standin-server.h"
@@ -66,12 +67,25 @@
   return worker;
 }
 
+/* Breaks the connection of a request that was sent to @worker as it is listed now. */
+static void
+lose_run (QuinceSendGuard *guard,
+          const QuinceRequestIdentity *identity,
+          QuinceSendPermit *permit,
+          const QuinceWorker *worker)
+{
+  QuinceWorkerRef ref = { 0 };
+  quince_worker_ref_set (&ref, worker, 0);
+  quince_send_guard_handle_connection_loss (guard, identity, permit, &ref, worker);
+  quince_worker_ref_clear (&ref);
+}
+
 static void
 lose (QuinceSendGuard *guard, guint8 request, const QuinceWorker *worker)
 {
   QuinceRequestIdentity identity = identity_of (request);
   QuinceSendPermit permit = { .taken = TRUE, .alone = TRUE, .digest = identity.request };
-  quince_send_guard_handle_connection_loss (guard, &identity, &permit, worker);
+  lose_run (guard, &identity, &permit, worker);
 }
 
 static guint
@@ -117,7 +131,7 @@
   g_autoptr (QuinceWorker) worker = ended_worker ("w", &port);
   QuinceRequestIdentity innocent = identity_of (9);
   QuinceSendPermit none = { 0 };
-  quince_send_guard_handle_connection_loss (guard, &innocent, &none, worker);
+  lose_run (guard, &innocent, &none, worker);
   lose (guard, 1, worker);
   AWAIT (told.ends == 2);
   assert_int_equal (alone_of (guard, 1), 1);
@@ -125,12 +139,73 @@
   quince_send_guard_free (guard);
 }
 
+static guint
+ends_of (QuinceSendGuard *guard, guint8 request)
+{
+  QuinceRequestIdentity identity = identity_of (request);
+  const QuinceSuspect *suspect
+      = quince_quarantine_find (quince_send_guard_get_quarantine (guard), &identity.request);
+  return suspect != NULL ? suspect->n_workers : 0;
+}
+
+/* The entry of the restarted worker is read before the connection to its former process breaks: the former
+ * process has ended, although the new one accepts connections. */
+static void
+test_restart_known_before_loss (void **state)
+{
+  Told told = { 0 };
+  QuinceSendGuard *guard = quince_send_guard_new (&limits, &callbacks, &told);
+  StandinServer *server = standin_server_new (NULL, NULL);
+  g_autoptr (QuinceWorker) worker = quince_worker_new ("w");
+  worker->service = g_strdup ("llm");
+  worker->address = g_strdup (standin_server_get_address (server));
+  QuinceWorkerRef ref = { 0 };
+  quince_worker_ref_set (&ref, worker, quince_now_us ());
+  quince_worker_set_start_time (worker, 1);
+  QuinceRequestIdentity identity = identity_of (1);
+  QuinceSendPermit permit = { .taken = TRUE, .alone = TRUE, .digest = identity.request };
+  quince_send_guard_handle_connection_loss (guard, &identity, &permit, &ref, worker);
+  assert_int_equal (told.ends, 1);
+  assert_int_equal (ends_of (guard, 1), 1);
+  assert_false (
+      quince_quarantine_has_worker_ended (quince_send_guard_get_quarantine (guard), worker->incarnation));
+  quince_worker_ref_clear (&ref);
+  standin_server_free (server);
+  quince_send_guard_free (guard);
+}
+
+/* A connection that breaks after the worker was recorded as ended went to a later process of it: that is
+ * checked anew, and its end counts. */
+static void
+test_ends_without_new_entry (void **state)
+{
+  Told told = { 0 };
+  QuinceSendGuard *guard = quince_send_guard_new (&limits, &callbacks, &told);
+  g_autoptr (GSocket) port = NULL;
+  g_autoptr (QuinceWorker) worker = ended_worker ("w", &port);
+  QuinceRequestIdentity identity = identity_of (1);
+  QuinceWorkerRef ref = { 0 };
+  for (guint i = 1; i <= 3; i++)
+    {
+      QuinceSendPermit permit = { .taken = TRUE, .alone = TRUE, .digest = identity.request };
+      quince_worker_ref_set (&ref, worker, quince_now_us ());
+      quince_send_guard_handle_connection_loss (guard, &identity, &permit, &ref, worker);
+      AWAIT (told.ends == i);
+      assert_int_equal (ends_of (guard, 1), i);
+      run_for (2);
+    }
+  quince_worker_ref_clear (&ref);
+  quince_send_guard_free (guard);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_two_that_met),
     cmocka_unit_test (test_one_beside_others),
+    cmocka_unit_test (test_restart_known_before_loss),
+    cmocka_unit_test (test_ends_without_new_entry),
   };
   return cmocka_run_group_tests_name ("send-guard", tests, NULL, NULL);
 }
