capacity: a worker that is lost for good does not keep its place for 30 s

Cause: a request whose connection broke needs half of the service to remain, counted of the most workers that were listed within 30 s. Evidence: suspect_spared ready=2 of=3 with two listed workers and none named as ended.

Change: a missing worker counts as lost once 6 s have passed since the last end and since the service was complete, which is longer than a restart (up to 5.2 s). Listed workers are never taken for lost.

Unit service-capacity: the new case of a lost worker needs the change, the case of listed workers holds both ways.

--- a/lib/core/request/service-capacity.c
+++ b/lib/core/request/service-capacity.c
@@ -3,8 +3,10 @@
  */
 #include "core/request/service-capacity.h"
 
-/* Time below listed_max after which a service counts as scaled down, us.  Far longer than the restart of a
- * worker (some seconds). */
+/* Time without another end after which a worker that is no longer listed counts as lost for good, us.  Longer
+ * than the restart of a worker (up to 5.2 s). */
+#define RESTART_TIME_MAX_US (6 * G_USEC_PER_SEC)
+/* Time below listed_max after which a service counts as scaled down even if its workers keep ending, us. */
 #define LISTED_MAX_TTL_US (30 * G_USEC_PER_SEC)
 /* Time after an end in which a service with a single worker gets no suspect, us.  Each end leaves the service
  * without a worker; the pause keeps it available most of the time until the suspect is held. */
@@ -95,6 +97,17 @@
   state->degraded_since_us = 0;
 }
 
+/* Returns whether the workers that are missing from the list are not expected back. */
+static gboolean
+is_scaled_down (const ServiceState *state, gint64 now_us, guint listed)
+{
+  if (listed >= state->listed_max)
+    return FALSE;
+  gint64 last_loss_us = MAX (state->degraded_since_us, state->last_end_us);
+  gboolean is_overdue = state->degraded_since_us != 0 && now_us - last_loss_us >= RESTART_TIME_MAX_US;
+  return is_overdue || now_us - state->listed_max_seen_us >= LISTED_MAX_TTL_US;
+}
+
 void
 quince_service_capacities_update (QuinceServiceCapacities *capacities,
                                   gint64 now_us,
@@ -103,7 +116,7 @@
                                   guint ready)
 {
   ServiceState *state = find_or_add (capacities, service);
-  if (listed < state->listed_max && now_us - state->listed_max_seen_us >= LISTED_MAX_TTL_US)
+  if (is_scaled_down (state, now_us, listed))
     {
       state->listed_max = listed;
       state->degraded_since_us = 0; /* scaled down, not recovered */
--- a/lib/core/request/service-capacity.h
+++ b/lib/core/request/service-capacity.h
@@ -17,7 +17,8 @@
 /**
  * QuinceServiceCapacity:
  * @ready: listed workers that are not known to have ended
- * @listed_max: highest number of listed workers; falls to the current number after 30 s below it
+ * @listed_max: highest number of listed workers; falls to the current number after 6 s below it without
+ * another end, and after 30 s in any case
  * @at_risk: ready workers that requests sent a moment ago may still end
  * @since_end_us: time since the last end of a worker of the service, us; %G_MAXINT64 if none was recorded
  */
--- a/tests/platform/crash-world.h
+++ b/tests/platform/crash-world.h
@@ -35,6 +35,7 @@
   guint min_plain_running; /* minimum of running plain workers in any poll */
   guint min_model_running; /* the same of workers with a model */
   gboolean keeps_ids;      /* workers restart under their ids */
+  gboolean never_restarts; /* workers that crash from now on are lost for good */
   guint timer;
 } CrashWorld;
 
@@ -89,7 +90,7 @@
       g_autofree char *key = g_strdup_printf ("servers/%s", standin_worker_get_id (worker));
       standin_store_remove (world->path->store, key);
     }
-  if (polls < CRASH_RESTART_POLLS)
+  if (polls < CRASH_RESTART_POLLS || world->never_restarts)
     return;
   g_autofree char *id = world->keeps_ids ? g_strdup (standin_worker_get_id (worker))
                                          : g_strdup_printf ("w%u-%u", index, ++world->incarnations);
--- a/tests/platform/test-restarted-workers.c
+++ b/tests/platform/test-restarted-workers.c
@@ -1,5 +1,5 @@
 /*
- * test-restarted-workers.c: workers that crash and start again under their ids.  Guards
+ * test-restarted-workers.c: workers that crash and start again under their ids, or are lost for good.  Guards
  * against items that wait although their workers are idle, and against a request that ends one worker again
  * and again and counts one end only.
  */
@@ -18,6 +18,9 @@
 #define STEPS 5
 /* Suspects are sent one at a time for each group of two. */
 #define STEP_MS 8000
+/* The time that a step has. */
+#define LOST_STEP_MS 12000
+#define FEW_WORKERS 3
 #define TRIES 80
 #define TRY_PAUSE_MS 100
 #define FATAL_SENDS_MAX 6
@@ -103,6 +106,23 @@
   crash_world_free (world);
 }
 
+/* One of three workers is lost for good: the items that it ran are run by the others. */
+static void
+test_lost_for_good (void **state)
+{
+  CrashWorld *world = start_world ("lost-for-good", NULL);
+  world->never_restarts = TRUE;
+  for (guint i = FEW_WORKERS; i < PATH_MODEL; i++)
+    {
+      g_autofree char *key = g_strdup_printf ("servers/%s", standin_worker_get_id (world->path->model[i]));
+      standin_store_remove (world->path->store, key);
+    }
+  run_for (1500);
+  begin_step (world, "b1", 0);
+  assert_step_listed (world, "b1", LOST_STEP_MS);
+  crash_world_free (world);
+}
+
 /* A request that ends its workers is held after as many ends as if they restarted under new ids, and never
  * takes more than half of its service. */
 static void
@@ -148,6 +168,7 @@
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_items),
     cmocka_unit_test (test_items_same_start_time),
+    cmocka_unit_test (test_lost_for_good),
     cmocka_unit_test (test_fatal_request),
     cmocka_unit_test (test_fatal_request_same_start_time),
   };
--- a/tests/unit/test-service-capacity.c
+++ b/tests/unit/test-service-capacity.c
@@ -71,6 +71,34 @@
   return capacity;
 }
 
+/* A worker that is not listed any more may still be back, until 6 s have passed since the last end. */
+static void
+test_lost_for_good (void **state)
+{
+  g_autoptr (QuinceServiceCapacities) capacities = quince_service_capacities_new ();
+  quince_service_capacities_update (capacities, 0, "svc", 8, 8);
+  quince_service_capacities_record_end (capacities, SECOND, "svc");
+  quince_service_capacities_update (capacities, SECOND, "svc", 8, 7);
+  quince_service_capacities_record_end (capacities, 4 * SECOND, "svc");
+  quince_service_capacities_update (capacities, 5 * SECOND, "svc", 7, 6);
+  quince_service_capacities_update (capacities, 10 * SECOND - 1, "svc", 6, 6);
+  assert_int_equal (get_capacity (capacities, 10 * SECOND - 1).listed_max, 8);
+  quince_service_capacities_update (capacities, 10 * SECOND, "svc", 6, 6);
+  assert_int_equal (get_capacity (capacities, 10 * SECOND).listed_max, 6);
+}
+
+/* Workers that are listed but not ready are not lost, however long that lasts. */
+static void
+test_listed_but_not_ready (void **state)
+{
+  g_autoptr (QuinceServiceCapacities) capacities = quince_service_capacities_new ();
+  quince_service_capacities_update (capacities, 0, "svc", 8, 8);
+  quince_service_capacities_record_end (capacities, SECOND, "svc");
+  for (guint i = 1; i <= 60; i++)
+    quince_service_capacities_update (capacities, i * SECOND, "svc", 8, 4);
+  assert_int_equal (get_capacity (capacities, 60 * SECOND).listed_max, 8);
+}
+
 /* A lower number of listed workers takes effect after 30 s, a higher one immediately. */
 static void
 test_listed_max (void **state)
@@ -110,6 +138,8 @@
     cmocka_unit_test (test_half_of_workers_remains),
     cmocka_unit_test (test_one_and_two_workers),
     cmocka_unit_test (test_allows_hedge),
+    cmocka_unit_test (test_lost_for_good),
+    cmocka_unit_test (test_listed_but_not_ready),
     cmocka_unit_test (test_listed_max),
     cmocka_unit_test (test_recovery_wait),
   };
