--- a/lib/core/trace/log-vocabulary.c
+++ b/lib/core/trace/log-vocabulary.c
@@ -111,6 +111,7 @@
   "worker_doubted",
   "worker_ended",
   "worker_gone",
+  "worker_returned",
   "worker_warmth",
   "workers_ordered",
   "zone_evacuated",
