http1: a status is three digits from 100 to 599, and 204 and 304 end with their head

What callers saw: an answer with the status 000, 099 or 20 was waited for until the deadline (504 after 3.0 s, the second worker unused); 600 to 999 and 0200 were passed on with their body; bytes behind a 204 or 304 with a Content-Length arrived as the caller's next answer. A 000 itself did not reach a caller.

Cause: the parser takes any digits for a status, the client took all below 200 for interim responses, and read a body after any head.

Change: the one reader of HTTP answers checks the status as the head is complete and fails the connection, so that the request goes to another worker or fails at once; 204 and 304 have no body.

HEAD and the store's replies by a process: not tried.

--- a/lib/http1/http-connection-input.c
+++ b/lib/http1/http-connection-input.c
@@ -127,6 +127,8 @@
 static const char *
 find_head_error (const QuinceHttpConnection *connection, const http_parser *parser)
 {
+  if (connection->is_client && !quince_status_line_is_valid (&connection->status_line, parser->status_code))
+    return "status of the response is not three digits from 100 to 599";
   if (connection->is_client && parser->status_code == STATUS_SWITCHING_PROTOCOLS)
     return "response switches to a protocol that was not requested";
   if (!connection->is_client && parser->method == HTTP_CONNECT)
@@ -146,7 +148,6 @@
   if (is_interim_response (connection))
     {
       connection->head_too_large = ++connection->n_interim > INTERIM_RESPONSES_MAX;
-      /* Without a body, whatever length it announces (RFC 9112, section 6.3). */
       return connection->head_too_large ? HEAD_REJECTED : HEAD_WITHOUT_BODY;
     }
   connection->n_interim = 0;
@@ -164,7 +165,8 @@
   connection->callbacks->head (connection, g_steal_pointer (&head), connection->user_data);
   if (!quince_http_connection_is_alive (connection))
     return HEAD_REJECTED;
-  return connection->head_only ? HEAD_WITHOUT_BODY : HEAD_ACCEPTED;
+  gboolean has_no_body = connection->is_client && quince_status_has_no_body (parser->status_code);
+  return connection->head_only || has_no_body ? HEAD_WITHOUT_BODY : HEAD_ACCEPTED;
 }
 
 static int
@@ -180,11 +182,15 @@
 on_message_complete (http_parser *parser)
 {
   QuinceHttpConnection *connection = parser->data;
+  connection->status_line = (QuinceStatusLine){ 0 };
+  http_parser_pause (parser, 1);
   if (is_interim_response (connection))
-    return 0;
+    {
+      connection->interim_complete = TRUE;
+      return 0;
+    }
   connection->reading = FALSE;
   connection->awaiting_next = TRUE;
-  http_parser_pause (parser, 1);
   return 0;
 }
 
@@ -247,12 +253,31 @@
                 head_too_large ? "message head, or what precedes it, is too large" : text);
 }
 
+/* Parses @data up to the end of one message, and the interim responses before it.  Returns the number of
+ * bytes parsed. */
+static gsize
+execute_parser (QuinceHttpConnection *connection, const char *data, gsize length)
+{
+  gsize parsed = 0;
+  do
+    {
+      connection->interim_complete = FALSE;
+      if (connection->is_client)
+        quince_status_line_read (&connection->status_line, data + parsed, length - parsed);
+      parsed += http_parser_execute (&connection->parser, &parser_settings, data + parsed, length - parsed);
+      if (connection->interim_complete)
+        http_parser_pause (&connection->parser, 0);
+    }
+  while (connection->interim_complete && parsed < length);
+  return parsed;
+}
+
 /* Parses @data up to the end of one message and buffers the rest. */
 static void
 parse (QuinceHttpConnection *connection, const char *data, gsize length)
 {
   quince_http_connection_ref (connection);
-  gsize parsed = http_parser_execute (&connection->parser, &parser_settings, data, length);
+  gsize parsed = execute_parser (connection, data, length);
   enum http_errno parse_error = HTTP_PARSER_ERRNO (&connection->parser);
   if (quince_http_connection_is_alive (connection) && parse_error != HPE_OK && parse_error != HPE_PAUSED)
     refuse_unparsable_input (connection, parse_error);
--- a/lib/http1/http-connection-private.h
+++ b/lib/http1/http-connection-private.h
@@ -11,6 +11,7 @@
 #include <http_parser.h>
 
 #include "http1/http1.h"
+#include "http1/status-line.h"
 #include "runtime/output-queue.h"
 #include "runtime/socket-watch.h"
 #include "runtime/timer.h"
@@ -39,9 +40,11 @@
   gboolean is_client;
   gboolean head_only; /* responses on this client connection have no body */
   gboolean connecting;
-  gboolean watches_writable; /* has output that the kernel did not accept */
-  gboolean reading_paused;   /* see quince_http_connection_set_reading() */
-  guint n_interim;           /* interim responses since the last final one */
+  gboolean watches_writable;    /* has output that the kernel did not accept */
+  gboolean reading_paused;      /* see quince_http_connection_set_reading() */
+  QuinceStatusLine status_line; /* of the response being read */
+  gboolean interim_complete;    /* an interim response ended in the input being parsed */
+  guint n_interim;              /* interim responses since the last final one */
   gboolean open;
   gboolean awaiting_next;  /* a message is complete and next() was not called */
   gboolean reading;        /* a message is incomplete */
--- a/tests/unit/test-http-input.c
+++ b/tests/unit/test-http-input.c
@@ -65,6 +65,49 @@
   { "blanks around values of a request", FALSE, "GET /b HTTP/1.1\r\nHost: i \r\n\r\n", NEXT_REQUEST_RECORD },
 };
 
+#define ODD_STATUS(status)                                                                                   \
+  {                                                                                                          \
+    status, TRUE, "HTTP/1.1 " status " Odd\r\nContent-Length: 5\r\n\r\nhello", ""                            \
+  }
+
+/* No message is read from any of them: neither a response, nor an interim one before the next response. */
+static const InputCase odd_status_cases[] = {
+  ODD_STATUS ("000"),
+  ODD_STATUS ("001"),
+  ODD_STATUS ("099"),
+  ODD_STATUS ("20"),
+  ODD_STATUS ("0200"),
+  ODD_STATUS ("00200"),
+  ODD_STATUS ("600"),
+  ODD_STATUS ("700"),
+  ODD_STATUS ("999"),
+  ODD_STATUS ("1000"),
+  ODD_STATUS ("-20"),
+  ODD_STATUS ("OK"),
+  { "odd status and another response", TRUE,
+    "HTTP/1.1 099 Odd\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", "" },
+  { "odd status after an interim response", TRUE,
+    "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 0200 OK\r\nContent-Length: 0\r\n\r\n", "" },
+  { "odd status after a response", TRUE,
+    "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\naHTTP/1.1 600 Odd\r\nContent-Length: 0\r\n\r\n",
+    "200|Content-Length=1|a;" },
+};
+
+/* The next response begins right after the head. */
+static const InputCase no_body_cases[] = {
+  { "204 with a length", TRUE,
+    "HTTP/1.1 204 No Content\r\nContent-Length: 5\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na",
+    "204|Content-Length=5|;200|Content-Length=1|a;" },
+  { "304 with chunks", TRUE,
+    "HTTP/1.1 304 Not Modified\r\nTransfer-Encoding: chunked\r\n\r\nHTTP/1.1 503 No\r\nContent-Length: "
+    "0\r\n\r\n",
+    "304|Transfer-Encoding=chunked|;503|Content-Length=0|;" },
+  { "all statuses of a response", TRUE,
+    "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\nHTTP/1.1 599 Last\r\nContent-Length: 0\r\n\r\n"
+    "HTTP/1.1 199 Interim\r\n\r\nHTTP/1.1 404\r\nContent-Length: 0\r\n\r\n",
+    "200|Content-Length=0|;599|Content-Length=0|;404|Content-Length=0|;" },
+};
+
 /* Sends the bytes in two parts; @split: length of the first one */
 static void
 check_split (const InputCase *c, gsize split)
@@ -126,6 +169,35 @@
   check_cases (value_cases, G_N_ELEMENTS (value_cases));
 }
 
+/* Guards against a status that no response has: it was passed on, or the response was waited for after it. */
+static void
+test_odd_statuses (void **state)
+{
+  check_cases (odd_status_cases, G_N_ELEMENTS (odd_status_cases));
+}
+
+/* An odd status ends the connection once its head is read, before the peer closes. */
+static void
+test_odd_status_ends_connection (void **state)
+{
+  static const char head[] = "HTTP/1.1 000 Odd\r\n\r\n";
+  Peer peer;
+  peer_init (&peer, TRUE);
+  peer_send (&peer, head, strlen (head));
+  for (guint i = 0; i < PEER_ITERATIONS_MAX && peer.state != PEER_ENDED; i++)
+    g_main_context_iteration (NULL, FALSE);
+  assert_int_equal (peer.state, PEER_ENDED);
+  assert_true (peer.failed);
+  peer_clear (&peer);
+}
+
+/* Guards against bytes behind a response without a body that are passed on as its body. */
+static void
+test_responses_without_body (void **state)
+{
+  check_cases (no_body_cases, G_N_ELEMENTS (no_body_cases));
+}
+
 /* Length of a body that, with half of the head of NEXT_REQUEST, exceeds the limit of a head. */
 #define LARGE_BODY_BYTES (PEER_HEAD_MAX_BYTES - 10)
 
@@ -154,9 +226,9 @@
 main (void)
 {
   const struct CMUnitTest tests[] = {
-    cmocka_unit_test (test_bytes_after_last_chunk),
-    cmocka_unit_test (test_bytes_after_interim_response),
-    cmocka_unit_test (test_head_after_large_body),
+    cmocka_unit_test (test_bytes_after_last_chunk), cmocka_unit_test (test_bytes_after_interim_response),
+    cmocka_unit_test (test_odd_statuses),           cmocka_unit_test (test_odd_status_ends_connection),
+    cmocka_unit_test (test_responses_without_body), cmocka_unit_test (test_head_after_large_body),
     cmocka_unit_test (test_blanks_around_values),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
