http1: requests sent ahead are parsed in a loop, some in a turn of the main loop

Cause: an answer asks for the next message from inside the parser's callback, which parsed the buffered input from there: the depth of the stack and the copies of the rest grew with the number of requests.

Change: parse() goes on in a loop while the owner asks for the next message, at most 64 in a turn; what is left waits for the next turn, behind it what arrives meanwhile.

--- a/lib/http1/http-connection-input.c
+++ b/lib/http1/http-connection-input.c
@@ -13,6 +13,10 @@
 /* A connection with more buffered input fails at the next read.  Allows many small pipelined requests. */
 #define BUFFERED_INPUT_MAX_BYTES (256 * 1024)
 
+/* Messages that are parsed in one turn of the main loop if each is answered at once, so that other
+ * connections are served between them. */
+#define MESSAGES_PER_TURN_MAX 64
+
 /* Interim responses to one request.  Servers send one or two; each is as large as a head may be. */
 #define INTERIM_RESPONSES_MAX 16
 
@@ -272,39 +276,84 @@
   return parsed;
 }
 
-/* Parses @data up to the end of one message and buffers the rest. */
-static void
-parse (QuinceHttpConnection *connection, const char *data, gsize length)
+/* Parses @data up to the end of one message, and reports what was read.  Returns the number of bytes parsed.
+ */
+static gsize
+parse_message (QuinceHttpConnection *connection, const char *data, gsize length)
 {
-  quince_http_connection_ref (connection);
   gsize parsed = execute_parser (connection, data, length);
   enum http_errno parse_error = HTTP_PARSER_ERRNO (&connection->parser);
   if (quince_http_connection_is_alive (connection) && parse_error != HPE_OK && parse_error != HPE_PAUSED)
-    refuse_unparsable_input (connection, parse_error);
-  else if (quince_http_connection_is_alive (connection) && exceeds_head_limit (connection, length))
+    {
+      refuse_unparsable_input (connection, parse_error);
+      return length; /* nothing after it can be read */
+    }
+  if (quince_http_connection_is_alive (connection) && exceeds_head_limit (connection, length))
     refuse_input (connection, QUINCE_HTTP1_ERROR_TOO_LARGE, "message head is too large");
   if (quince_http_connection_is_alive (connection) && connection->awaiting_next)
     {
       http_parser_pause (&connection->parser, 0);
-      if (length > parsed)
-        g_byte_array_append (connection->buffered_input, (const guint8 *)data + parsed,
-                             (guint)(length - parsed));
+      connection->n_unparsed = length - parsed;
       connection->callbacks->complete (connection, connection->user_data);
     }
+  return parsed;
+}
+
+static void parse_buffered_input (QuinceHttpConnection *connection);
+
+static gboolean
+parse_in_next_turn (gpointer data)
+{
+  QuinceHttpConnection *connection = data;
+  quince_timer_clear (&connection->parse_timer);
+  quince_http_connection_ref (connection);
+  parse_buffered_input (connection);
+  report_held_input (connection);
+  quince_http_connection_unref (connection);
+  return G_SOURCE_REMOVE;
+}
+
+/* Parses @data message by message until the owner does not ask for the next one, and buffers the rest.  The
+ * owner may ask in complete(), so that the messages of one read do not add to the depth of the stack. */
+static void
+parse (QuinceHttpConnection *connection, const char *data, gsize length)
+{
+  gsize parsed = 0;
+  guint n_messages = 0;
+  quince_http_connection_ref (connection);
+  connection->parsing = TRUE;
+  do
+    parsed += parse_message (connection, data + parsed, length - parsed);
+  while (quince_http_connection_is_alive (connection) && !connection->awaiting_next && parsed < length
+         && ++n_messages < MESSAGES_PER_TURN_MAX);
+  connection->parsing = FALSE;
+  connection->n_unparsed = 0;
+  if (quince_http_connection_is_alive (connection) && parsed < length)
+    {
+      g_byte_array_append (connection->buffered_input, (const guint8 *)data + parsed,
+                           (guint)(length - parsed));
+      if (!connection->awaiting_next)
+        connection->parse_timer = quince_timer_add (0, parse_in_next_turn, connection);
+    }
   quince_http_connection_unref (connection);
 }
 
+static void
+parse_buffered_input (QuinceHttpConnection *connection)
+{
+  g_autoptr (GByteArray) input = g_steal_pointer (&connection->buffered_input);
+  connection->buffered_input = g_byte_array_new ();
+  parse (connection, (const char *)input->data, input->len);
+}
+
 void
 quince_http_connection_next (QuinceHttpConnection *connection)
 {
   if (!quince_http_connection_is_alive (connection) || !connection->awaiting_next)
     return;
   connection->awaiting_next = FALSE;
-  if (connection->buffered_input->len == 0)
-    return;
-  g_autoptr (GByteArray) input = g_steal_pointer (&connection->buffered_input);
-  connection->buffered_input = g_byte_array_new ();
-  parse (connection, (const char *)input->data, input->len);
+  if (!connection->parsing && connection->buffered_input->len > 0)
+    parse_buffered_input (connection);
 }
 
 static void
@@ -333,6 +382,7 @@
   gssize length = g_socket_receive (connection->socket, buffer, sizeof buffer, NULL, &error);
   if (length < 0 && g_error_matches (error, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK))
     return;
+  gboolean must_buffer = connection->awaiting_next || connection->parse_timer != NULL;
   quince_http_connection_ref (connection);
   if (length < 0)
     quince_http_connection_fail (connection, QUINCE_HTTP1_ERROR_RESET, error->message);
@@ -342,10 +392,10 @@
     ; /* input after finish() is discarded */
   else if (connection->awaiting_next && connection->is_client)
     quince_http_connection_fail (connection, QUINCE_HTTP1_ERROR_MALFORMED, "input that answers no request");
-  else if (connection->awaiting_next && connection->buffered_input->len > BUFFERED_INPUT_MAX_BYTES)
+  else if (must_buffer && connection->buffered_input->len > BUFFERED_INPUT_MAX_BYTES)
     quince_http_connection_fail (connection, QUINCE_HTTP1_ERROR_TOO_LARGE,
                                  "too much input after a complete message");
-  else if (connection->awaiting_next)
+  else if (must_buffer)
     g_byte_array_append (connection->buffered_input, (const guint8 *)buffer, (guint)length);
   else
     parse (connection, buffer, (gsize)length);
--- a/lib/http1/http-connection-private.h
+++ b/lib/http1/http-connection-private.h
@@ -28,7 +28,10 @@
   QuinceTimer *connect_failure_timer; /* reports a failure to start connecting */
   QuinceTimer *finish_timer;          /* limits the time of finish() */
   QuinceOutputQueue *output;          /* bytes that the kernel has not accepted */
-  GByteArray *buffered_input;         /* bytes after the complete message */
+  QuinceTimer *parse_timer;           /* parses buffered input that is left for the next turn */
+  GByteArray *buffered_input;         /* bytes after the last message that was parsed */
+  gsize n_unparsed;                   /* bytes after the complete message in the input being parsed */
+  gboolean parsing;                   /* a callback of the parser may be running */
   http_parser parser;
   QuinceHttpHead *head; /* being parsed, else NULL */
   GString *field;       /* name of the header being parsed */
--- a/lib/http1/http-connection-state.c
+++ b/lib/http1/http-connection-state.c
@@ -37,6 +37,7 @@
   quince_socket_watch_clear (&connection->watch);
   quince_timer_clear (&connection->connect_failure_timer);
   quince_timer_clear (&connection->finish_timer);
+  quince_timer_clear (&connection->parse_timer);
   if (connection->socket != NULL)
     g_socket_close (connection->socket, NULL);
 }
--- a/lib/http1/http-connection.c
+++ b/lib/http1/http-connection.c
@@ -109,7 +109,7 @@
 gboolean
 quince_http_connection_has_buffered_input (QuinceHttpConnection *connection)
 {
-  return connection->buffered_input->len > 0;
+  return connection->buffered_input->len > 0 || connection->n_unparsed > 0;
 }
 
 gboolean
--- a/tests/unit/http-peer.h
+++ b/tests/unit/http-peer.h
@@ -39,6 +39,10 @@
   gboolean refused;
   gboolean failed;         /* closed() had an error */
   guint callbacks_to_stop; /* the owner closes the connection in this callback; 0: never */
+  gboolean withholds_next; /* the owner does not ask for the next message in complete() */
+  guint n_complete;        /* messages so far */
+  guint depth;             /* calls of complete() that have not returned */
+  guint depth_max;
 } Peer;
 
 /* Counts a callback.  Returns TRUE if the owner closed the connection in it. */
@@ -90,8 +94,12 @@
   assert_int_equal (peer->state, PEER_IN_MESSAGE);
   g_string_append_c (peer->record, ';');
   peer->state = PEER_NO_MESSAGE;
-  if (!peer_stops (peer))
+  peer->n_complete++;
+  peer->depth++;
+  peer->depth_max = MAX (peer->depth_max, peer->depth);
+  if (!peer_stops (peer) && !peer->withholds_next)
     quince_http_connection_next (connection);
+  peer->depth--;
 }
 
 static inline void
