batches: texts that cannot be written into a head are refused, and no head is written with line ends

Cause: texts of a batch were not looked at, and written into the heads of requests as they are.

Headers of one connection are not passed on.

--- a/daemons/replica/sample.c
+++ b/daemons/replica/sample.c
@@ -321,9 +321,10 @@
 {
   const QuinceBatchItem *item = quince_sample_get_item (sample);
   QuinceHttpHeaders *headers = quince_http_headers_new ();
-  quince_http_headers_add (headers, "Host", sample->entry->batch->host);
   for (guint i = 0; i < item->headers.headers_len; i++)
     quince_http_headers_add (headers, item->headers.headers_val[i].name, item->headers.headers_val[i].value);
+  quince_http_headers_remove_hop_by_hop (headers);
+  quince_http_headers_set (headers, "Host", sample->entry->batch->host);
   quince_platform_write_request_id (headers, item->id);
   gint64 time_left_ms = RUN_TIME_MAX_MS;
   if (sample->give_up_us > 0)
--- a/lib/core/trace/log-vocabulary.c
+++ b/lib/core/trace/log-vocabulary.c
@@ -73,6 +73,7 @@
   "reload_refused",
   "reloaded",
   "request_answered",
+  "request_head_changed",
   "request_refused",
   "request_retried",
   "request_unreadable",
--- a/lib/http1/http-exchange.c
+++ b/lib/http1/http-exchange.c
@@ -5,6 +5,7 @@
 
 #include "http1/answer-budget.h"
 #include "http1/answer-match.h"
+#include "http1/http-syntax.h"
 #include "runtime/clock.h"
 
 /* Several round trips between regions, but less than the 1 s after which the kernel retransmits a SYN. */
@@ -340,20 +341,50 @@
   .closed = pooled_closed,
 };
 
-static GString *
-format_request (QuinceHttpPool *pool, const QuinceHttpRequest *request)
+/* Returns whether format_request() writes the header itself, since it tells where the request ends. */
+static gboolean
+is_framing_header (const char *name)
 {
-  GString *text = g_string_sized_new (512);
-  g_string_append_printf (text, "%s %s HTTP/1.1\r\n", request->method, request->target);
+  return g_ascii_strcasecmp (name, "Content-Length") == 0
+         || g_ascii_strcasecmp (name, "Transfer-Encoding") == 0;
+}
+
+/* Appends the header lines of @request.  Returns whether all of them could be written as they are. */
+static gboolean
+append_request_headers (GString *text, const QuinceHttpPool *pool, const QuinceHttpRequest *request)
+{
+  gboolean is_unchanged = TRUE;
   gboolean has_host = FALSE;
   for (guint i = 0; request->headers != NULL && i < quince_http_headers_get_length (request->headers); i++)
     {
       const QuinceHttpHeader *line = quince_http_headers_index (request->headers, i);
+      if (!quince_http_is_name (line->name) || is_framing_header (line->name))
+        {
+          is_unchanged = FALSE;
+          continue;
+        }
       has_host = has_host || g_ascii_strcasecmp (line->name, "Host") == 0;
-      g_string_append_printf (text, "%s: %s\r\n", line->name, line->value);
+      g_string_append_printf (text, "%s: ", line->name);
+      is_unchanged = quince_http_append_value (text, line->value) && is_unchanged;
+      g_string_append (text, "\r\n");
     }
   if (!has_host)
     g_string_append_printf (text, "Host: %s\r\n", pool->address);
+  return is_unchanged;
+}
+
+/* Formats the head, and behind it the body if it is small.  What would not be read as it was meant is left
+ * out or replaced. */
+static GString *
+format_request (QuinceHttpPool *pool, const QuinceHttpRequest *request)
+{
+  GString *text = g_string_sized_new (512);
+  g_string_append_printf (text, "%s ", request->method);
+  gboolean is_unchanged = quince_http_append_target (text, request->target);
+  g_string_append (text, " HTTP/1.1\r\n");
+  is_unchanged = append_request_headers (text, pool, request) && is_unchanged;
+  if (!is_unchanged)
+    quince_http_pool_record_changed_head (pool, get_id (pool, request->headers));
   gsize length = request->body != NULL ? g_bytes_get_size (request->body) : 0;
   if (request->body != NULL || !g_str_equal (request->method, "GET"))
     g_string_append_printf (text, "Content-Length: %" G_GSIZE_FORMAT "\r\n", length);
--- a/lib/http1/http-pool-private.h
+++ b/lib/http1/http-pool-private.h
@@ -81,6 +81,9 @@
                                         const char *answer_id,
                                         guint status,
                                         const char *action);
+/* Logs and counts a request whose head contains what cannot be written: it was left out or replaced.
+ * @request_id: (nullable) */
+void quince_http_pool_record_changed_head (const QuinceHttpPool *pool, const char *request_id);
 /* Logs and counts a response that is larger than its limit.
  * @request_id: (nullable)
  * @part: "head", "body", "skipped", or "budget" if the process holds too many bytes of responses
--- a/lib/http1/http-pool.c
+++ b/lib/http1/http-pool.c
@@ -67,6 +67,14 @@
                       request, answer, status, action);
 }
 
+void
+quince_http_pool_record_changed_head (const QuinceHttpPool *pool, const char *request_id)
+{
+  g_autofree char *request = quince_log_quote (request_id);
+  quince_metric_add ("quince_http_changed_heads_total", "", 1);
+  quince_log_warning ("request_head_changed", "server=%s request=%s", pool->address, request);
+}
+
 void
 quince_http_pool_record_too_large (const QuinceHttpPool *pool,
                                    const char *request_id,
--- a/tests/platform/test-batch-reader.c
+++ b/tests/platform/test-batch-reader.c
@@ -108,6 +108,50 @@
     }
 }
 
+/* Guards against line ends and blanks in what is written into the head of a request: the rest of it was read
+ * as another request. */
+static void
+test_texts_that_cannot_be_sent (void **state)
+{
+  static const char *const items[] = {
+    "{\"id\":\"a\\r\\nb\",\"path\":\"/\"}",
+    "{\"id\":\"a b\",\"path\":\"/\"}",
+    "{\"id\":\"a\",\"path\":\"/ HTTP/1.1\\r\\n\\r\\nPOST /b\"}",
+    "{\"id\":\"a\",\"path\":\"/b\\n\"}",
+    "{\"id\":\"a\",\"path\":\"/b \"}",
+    "{\"id\":\"a\",\"path\":\"b\"}",
+    "{\"id\":\"a\",\"path\":\"/\",\"headers\":{\"N\":\"v\\r\\nM: w\"}}",
+    "{\"id\":\"a\",\"path\":\"/\",\"headers\":{\"N\":\"v\\u007f\"}}",
+    "{\"id\":\"a\",\"path\":\"/\",\"headers\":{\"N\\r\\nM\":\"v\"}}",
+    "{\"id\":\"a\",\"path\":\"/\",\"headers\":{\"N: x\":\"v\"}}",
+    "{\"id\":\"a\",\"path\":\"/\",\"headers\":{\"\":\"v\"}}",
+    "{\"id\":\"a\",\"path\":\"/\",\"scorer\":{\"id\":\"s\\n\",\"host\":\"h\",\"path\":\"/s\"}}",
+    "{\"id\":\"a\",\"path\":\"/\",\"scorer\":{\"id\":\"s\",\"host\":\"h\\n\",\"path\":\"/s\"}}",
+    "{\"id\":\"a\",\"path\":\"/\",\"scorer\":{\"id\":\"s\",\"host\":\"h\",\"path\":\"/s\\r\\n\"}}",
+  };
+  for (guint i = 0; i < G_N_ELEMENTS (items); i++)
+    {
+      g_autoptr (GError) error = NULL;
+      g_autofree char *text = g_strdup_printf ("{\"items\":[%s]}", items[i]);
+      if (quince_platform_read_batch (text, strlen (text), &error) != NULL)
+        fail_msg ("accepted: %s", text);
+      assert_true (g_error_matches (error, QUINCE_PLATFORM_ERROR, QUINCE_PLATFORM_ERROR_FIELD));
+    }
+}
+
+/* Query strings, tabs, blanks inside a value, and characters that are not ASCII are sent as they are. */
+static void
+test_texts_that_can_be_sent (void **state)
+{
+  static const char text[] = "{\"items\":[{\"id\":\"a/\\u00e9:1\",\"path\":\"/r/1?a=b&c=%20#\",\"headers\":"
+                             "{\"X-\\u0041.b_c~\":\"a \\t\\u00e9\",\"Empty\":\"\"}}]}";
+  g_autoptr (QuinceBatchJob) batch = quince_platform_read_batch (text, strlen (text), NULL);
+  assert_non_null (batch);
+  const QuinceBatchItem *item = &batch->items.items_val[0];
+  assert_string_equal (item->path, "/r/1?a=b&c=%20#");
+  assert_string_equal (item->headers.headers_val[0].value, "a \t\xc3\xa9");
+}
+
 /* Any end of a sound text is missed. */
 static void
 test_truncated (void **state)
@@ -127,6 +171,8 @@
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_slices),
     cmocka_unit_test (test_malformed),
+    cmocka_unit_test (test_texts_that_cannot_be_sent),
+    cmocka_unit_test (test_texts_that_can_be_sent),
     cmocka_unit_test (test_truncated),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
