samples: the pause after runs without an event grows, so that refused items leave slots to others

Cause: a refused item was sent again after 30 ms and a broken one at once, without limit, and slots are offered in the order of the jobs.

Change: the pause doubles with each run in turn that made no event, from 30 ms to 0.96 s; the first broken run has none.

--- a/daemons/replica/sample-outcome.c
+++ b/daemons/replica/sample-outcome.c
@@ -48,10 +48,13 @@
   const QuinceRoute *route = quince_sample_set_get_batch_route (set, sample->entry->batch);
   sample->failures += end == QUINCE_RUN_FAILED;
   sample->unprocessable_answers += end == QUINCE_RUN_UNPROCESSABLE;
+  gboolean made_event = sample->last_event > sample->event_at_start;
+  sample->runs_without_event = made_event ? 0 : sample->runs_without_event + 1;
   const QuinceSampleRunResult run_result = { .end = end,
                                              .failures = sample->failures,
                                              .unprocessable_answers = sample->unprocessable_answers,
-                                             .max_attempts = route != NULL ? route->max_attempts : 0 };
+                                             .max_attempts = route != NULL ? route->max_attempts : 0,
+                                             .runs_without_event = sample->runs_without_event };
   return quince_sample_next_after_run (&run_result);
 }
 
--- a/daemons/replica/sample.c
+++ b/daemons/replica/sample.c
@@ -362,6 +362,7 @@
   sample->runs++;
   sample->started_us = quince_now_us ();
   sample->last_received_us = sample->started_us;
+  sample->event_at_start = sample->last_event;
   sample->last_event_us = 0;
   sample->event_parser = quince_platform_event_parser_new ();
   worker->running++;
--- a/daemons/replica/sample.h
+++ b/daemons/replica/sample.h
@@ -57,6 +57,7 @@
   guint unprocessable_answers; /* answers with status 422 */
   guint reward_failures;       /* failed attempts of the reward call */
   guint runs;
+  guint runs_without_event;       /* in turn, up to the last run that ended */
   char *avoid_worker;             /* worker of the last run; NULL: none */
   gint64 next_attempt_us;         /* no run or reward call before, monotonic; 0: no pause */
   gint64 give_up_us;              /* deadline, monotonic; 0: none */
@@ -78,8 +79,9 @@
   QuinceTimer *silence_timer;
   gint64 last_received_us; /* start of the run, or when its head or its last event arrived */
   gint64 started_us;
-  gint64 last_event_us; /* time of the last event; 0: none since the worker loaded weights */
-  gboolean accepted;    /* a valid response head with status 200 has arrived */
+  guint64 event_at_start; /* last event before the run */
+  gint64 last_event_us;   /* time of the last event; 0: none since the worker loaded weights */
+  gboolean accepted;      /* a valid response head with status 200 has arrived */
   void (*run_ended) (QuinceSample *sample, QuinceRunEnd end, const char *cause, gpointer user_data);
   gpointer user_data;
 
--- a/lib/core/decisions/sample-next.c
+++ b/lib/core/decisions/sample-next.c
@@ -6,6 +6,9 @@
 /* Pause after a refused run, us: prevents retries in a tight loop, but is shorter than the usual time between
  * two events (40 ms). */
 #define REFUSED_PAUSE_US (30 * 1000)
+/* Doublings of that pause, up to 0.96 s: a thousand samples that no worker accepts then take a fraction of a
+ * slot, and a sample starts within a second after workers accept it. */
+#define REFUSED_PAUSE_DOUBLINGS_MAX 5
 /* Pause after a failed run, us: prevents retries in a tight loop. */
 #define FAILED_PAUSE_US (50 * 1000)
 /* Pause after a failed reward call, us: prevents retries in a tight loop. */
@@ -36,19 +39,28 @@
   return run_again (FAILED_PAUSE_US, FALSE);
 }
 
+/* Returns the pause after @n_runs runs in turn that a sample got nothing from; 0 runs: none. */
+static gint64
+get_refused_pause_us (guint n_runs)
+{
+  return n_runs > 0 ? REFUSED_PAUSE_US << MIN (n_runs - 1, REFUSED_PAUSE_DOUBLINGS_MAX) : 0;
+}
+
 QuinceSampleNext
 quince_sample_next_after_run (const QuinceSampleRunResult *run)
 {
   switch (run->end)
     {
     case QUINCE_RUN_REFUSED:
-      return run_again (REFUSED_PAUSE_US, FALSE);
+      return run_again (get_refused_pause_us (MAX (run->runs_without_event, 1)), FALSE);
     case QUINCE_RUN_NO_CONNECTION:
-      return run_again (REFUSED_PAUSE_US, TRUE);
+      return run_again (get_refused_pause_us (MAX (run->runs_without_event, 1)), TRUE);
     case QUINCE_RUN_BROKEN:
     case QUINCE_RUN_CONNECTION_LOST:
-      return run_again (0, TRUE);
+      /* The first such run may have met a faulty worker. */
+      return run_again (get_refused_pause_us (MAX (run->runs_without_event, 1) - 1), TRUE);
     case QUINCE_RUN_OUT_OF_ORDER:
+      return run_again (get_refused_pause_us (MAX (run->runs_without_event, 1) - 1), FALSE);
     case QUINCE_RUN_MOVED:
     case QUINCE_RUN_REPLACED:
       return run_again (0, FALSE);
--- a/lib/core/decisions/sample-next.h
+++ b/lib/core/decisions/sample-next.h
@@ -31,6 +31,7 @@
  * @failures: number of runs of the sample for which a worker answered that it failed, including this one
  * @unprocessable_answers: number of answers that the sample is unprocessable, including this one
  * @max_attempts: maximum attempts of the sample's route; 0: the route is no longer configured
+ * @runs_without_event: number of runs in turn that ended without an event, including this one
  */
 typedef struct
 {
@@ -38,6 +39,7 @@
   guint failures;
   guint unprocessable_answers;
   guint max_attempts;
+  guint runs_without_event;
 } QuinceSampleRunResult;
 
 typedef enum
@@ -67,6 +69,9 @@
  * the sample resumes from its last event.  A sample is abandoned after twice its @max_attempts failed runs
  * (the platform's limit is three times), or after one answer that it is unprocessable.  A @max_attempts of 0
  * counts as 1.
+ *
+ * The pause after a refused or broken run doubles with each such run without an event, up to about 1 s: a
+ * sample that no worker accepts would otherwise keep workers from others.
  */
 QuinceSampleNext quince_sample_next_after_run (const QuinceSampleRunResult *run);
 
--- a/rehearsal/platform/standin-worker-private.h
+++ b/rehearsal/platform/standin-worker-private.h
@@ -1,8 +1,8 @@
 /*
  * standin-worker-private.h: state of a worker stand-in.
  *
- * standin-worker.c handles calls, standin-worker-streams.c streams answers, and standin-worker-orders.c
- * answers reports and handles orders to load weights.
+ * standin-worker.c handles calls, standin-worker-streams.c streams answers, standin-worker-orders.c answers
+ * reports and handles orders to load weights, and standin-worker-entry.c makes the entry in the store.
  */
 #pragma once
 
@@ -31,7 +31,10 @@
   char *zone;
   gint cold_remaining_ms;
   guint slots;
-  char *crash_text; /* requests that contain it crash the worker; NULL: none */
+  const char *refused_text; /* requests whose target contains it are refused; NULL: none */
+  guint refused_status;
+  guint n_refused_requests; /* because of refused_text */
+  char *crash_text;         /* requests that contain it crash the worker; NULL: none */
   guint crash_delay_ms;
   guint crashes_left;
   guint answer_delay_ms;
--- a/rehearsal/platform/standin-worker.c
+++ b/rehearsal/platform/standin-worker.c
@@ -184,9 +184,21 @@
   return TRUE;
 }
 
+static gboolean
+has_refused_target (const StandinWorker *worker, const StandinCall *call)
+{
+  return worker->refused_text != NULL && strstr (call->head->target, worker->refused_text) != NULL;
+}
+
 static void
 handle_request (StandinWorker *worker, StandinCall *call)
 {
+  if (has_refused_target (worker, call))
+    {
+      worker->n_refused_requests++;
+      refuse (worker, call, worker->refused_status, worker->refused_status == 503 ? "Not-Run: 1\r\n" : "");
+      return;
+    }
   StandinWorkerFault fault = worker->faults_left > 0 ? worker->fault : STANDIN_WORKER_HEALTHY;
   if (worker->faults_left > 0 && worker->faults_left != G_MAXUINT)
     worker->faults_left--;
@@ -319,36 +331,28 @@
 }
 
 void
-standin_worker_set_clock_stands_still (StandinWorker *worker, gboolean clock_stands_still)
+standin_worker_set_refused_text (StandinWorker *worker, const char *text, guint status)
 {
-  worker->clock_stands_still = clock_stands_still;
+  worker->refused_text = text;
+  worker->refused_status = status;
 }
 
-const char *
-standin_worker_get_id (const StandinWorker *worker)
+guint
+standin_worker_get_n_refused_requests (const StandinWorker *worker)
 {
-  return worker->id;
+  return worker->n_refused_requests;
 }
 
 void
-standin_worker_set_zone (StandinWorker *worker, const char *zone)
-{
-  g_free (worker->zone);
-  worker->zone = g_strdup (zone);
-}
-
-void
-standin_worker_set_software_version (StandinWorker *worker, const char *software_version)
+standin_worker_set_clock_stands_still (StandinWorker *worker, gboolean clock_stands_still)
 {
-  g_free (worker->software_version);
-  worker->software_version = g_strdup (software_version);
+  worker->clock_stands_still = clock_stands_still;
 }
 
-void
-standin_worker_set_zone_and_slots (StandinWorker *worker, const char *zone, guint slots)
+const char *
+standin_worker_get_id (const StandinWorker *worker)
 {
-  standin_worker_set_zone (worker, zone);
-  worker->slots = slots;
+  return worker->id;
 }
 
 void
@@ -473,23 +477,3 @@
   g_free (worker->malformed_answer);
   worker->malformed_answer = g_strdup (body);
 }
-
-void
-standin_worker_set_cold_remaining (StandinWorker *worker, gint cold_remaining_ms)
-{
-  worker->cold_remaining_ms = cold_remaining_ms;
-}
-
-char *
-standin_worker_make_entry (const StandinWorker *worker, const char *service, const char *state)
-{
-  g_autofree char *cold_member = worker->cold_remaining_ms >= 0
-                                     ? g_strdup_printf ("\"coldRemainingMs\":%d,", worker->cold_remaining_ms)
-                                     : g_strdup ("");
-  return g_strdup_printf (
-      "{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"%s\",\"version\":\"%s\",\"slots\":%u,"
-      "\"state\":\"%s\",%s\"stage\":\"hybrid\",\"models\":[{\"name\":\"" STANDIN_MODEL_NAME
-      "\",\"version\":%" G_GUINT64_FORMAT ",\"adapters\":[]}],\"seq\":1,\"born\":%" G_GINT64_FORMAT "}",
-      service, standin_worker_get_address (worker), worker->zone, worker->software_version, worker->slots,
-      state, cold_member, worker->version, worker->started_at_ms);
-}
--- a/rehearsal/platform/standin-worker.h
+++ b/rehearsal/platform/standin-worker.h
@@ -71,6 +71,11 @@
  * @n_requests: how many such requests crash it; G_MAXUINT: all. */
 void
 standin_worker_set_crash_trigger (StandinWorker *worker, const char *text, guint delay_ms, guint n_requests);
+/* Answers requests whose target contains @text, which must outlive the worker, with @status, and with Not-Run
+ * if that is 503; NULL: none.  No run is recorded. */
+void standin_worker_set_refused_text (StandinWorker *worker, const char *text, guint status);
+/* Returns the number of requests that were refused because of their target. */
+guint standin_worker_get_n_refused_requests (const StandinWorker *worker);
 /* Delays plain answers. */
 void standin_worker_set_answer_delay (StandinWorker *worker, guint delay_ms);
 /* Refuses requests with 503 and Not-Run while @max_running are in flight.  G_MAXUINT by default: no limit. */
--- a/tests/unit/test-decisions-sample-next.c
+++ b/tests/unit/test-decisions-sample-next.c
@@ -12,7 +12,7 @@
 
 #define MS G_GINT64_CONSTANT (1000)
 
-/* end, failures, unprocessable_answers, max_attempts; action, pause_us, eject_worker */
+/* end, failures, unprocessable_answers, max_attempts, runs_without_event; action, pause_us, eject_worker */
 static const struct
 {
   QuinceSampleRunResult run;
@@ -47,6 +47,28 @@
     }
 }
 
+/* Guards against samples that no worker accepts and that are sent again thousands of times a second, so that
+ * others reach no worker. */
+static void
+test_pause_grows (void **state)
+{
+  static const gint64 refused_ms[] = { 30, 30, 60, 120, 240, 480, 960, 960, 960 };
+  static const gint64 broken_ms[] = { 0, 0, 30, 60, 120, 240, 480, 960, 960 };
+  for (guint i = 0; i < G_N_ELEMENTS (refused_ms); i++)
+    {
+      QuinceSampleRunResult run = { .end = QUINCE_RUN_REFUSED, .max_attempts = 2, .runs_without_event = i };
+      assert_int_equal (quince_sample_next_after_run (&run).pause_us, refused_ms[i] * MS);
+      run.end = QUINCE_RUN_NO_CONNECTION;
+      assert_int_equal (quince_sample_next_after_run (&run).pause_us, refused_ms[i] * MS);
+      run.end = QUINCE_RUN_BROKEN;
+      assert_int_equal (quince_sample_next_after_run (&run).pause_us, broken_ms[i] * MS);
+      run.end = QUINCE_RUN_CONNECTION_LOST;
+      assert_int_equal (quince_sample_next_after_run (&run).pause_us, broken_ms[i] * MS);
+      run.end = QUINCE_RUN_MOVED;
+      assert_int_equal (quince_sample_next_after_run (&run).pause_us, 0);
+    }
+}
+
 static void
 test_after_a_reward_call (void **state)
 {
@@ -93,8 +115,11 @@
 main (void)
 {
   const struct CMUnitTest tests[] = {
-    cmocka_unit_test (test_after_a_run),    cmocka_unit_test (test_after_a_reward_call),
-    cmocka_unit_test (test_sample_expires), cmocka_unit_test (test_pauses_of_waiting_samples),
+    cmocka_unit_test (test_after_a_run),
+    cmocka_unit_test (test_pause_grows),
+    cmocka_unit_test (test_after_a_reward_call),
+    cmocka_unit_test (test_sample_expires),
+    cmocka_unit_test (test_pauses_of_waiting_samples),
     cmocka_unit_test (test_turns),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
