warmth: a worker that starts again under its id is assumed to be cold as a new one

Cause: whether a worker is new was decided by its id; one that starts again, and whose entry does not say whether it is cold, counted as warm and drew requests at the full rate.

Change: the incarnation decides. The pauses of samples are computed by two named functions; no change of them.

--- a/lib/core/decisions/sample-next.c
+++ b/lib/core/decisions/sample-next.c
@@ -39,11 +39,23 @@
   return run_again (FAILED_PAUSE_US, FALSE);
 }
 
-/* Returns the pause after @n_runs runs in turn that a sample got nothing from; 0 runs: none. */
+/* Returns the pause after a refused run. */
 static gint64
-get_refused_pause_us (guint n_runs)
+get_refused_pause_us (const QuinceSampleRunResult *run)
 {
-  return n_runs > 0 ? REFUSED_PAUSE_US << MIN (n_runs - 1, REFUSED_PAUSE_DOUBLINGS_MAX) : 0;
+  guint earlier_runs = MAX (run->runs_without_event, 1) - 1;
+  return REFUSED_PAUSE_US << MIN (earlier_runs, REFUSED_PAUSE_DOUBLINGS_MAX);
+}
+
+/* Returns the pause after a run whose answer broke.  The first one may have met a faulty worker, so that
+ * another worker is tried at once. */
+static gint64
+get_broken_pause_us (const QuinceSampleRunResult *run)
+{
+  if (run->runs_without_event <= 1)
+    return 0;
+  const QuinceSampleRunResult later = { .runs_without_event = run->runs_without_event - 1 };
+  return get_refused_pause_us (&later);
 }
 
 QuinceSampleNext
@@ -52,15 +64,14 @@
   switch (run->end)
     {
     case QUINCE_RUN_REFUSED:
-      return run_again (get_refused_pause_us (MAX (run->runs_without_event, 1)), FALSE);
+      return run_again (get_refused_pause_us (run), FALSE);
     case QUINCE_RUN_NO_CONNECTION:
-      return run_again (get_refused_pause_us (MAX (run->runs_without_event, 1)), TRUE);
+      return run_again (get_refused_pause_us (run), TRUE);
     case QUINCE_RUN_BROKEN:
     case QUINCE_RUN_CONNECTION_LOST:
-      /* The first such run may have met a faulty worker. */
-      return run_again (get_refused_pause_us (MAX (run->runs_without_event, 1) - 1), TRUE);
+      return run_again (get_broken_pause_us (run), TRUE);
     case QUINCE_RUN_OUT_OF_ORDER:
-      return run_again (get_refused_pause_us (MAX (run->runs_without_event, 1) - 1), FALSE);
+      return run_again (get_broken_pause_us (run), FALSE);
     case QUINCE_RUN_MOVED:
     case QUINCE_RUN_REPLACED:
       return run_again (0, FALSE);
--- a/lib/forward/warmth.c
+++ b/lib/forward/warmth.c
@@ -26,7 +26,8 @@
 quince_warmth_update_entry (QuinceBackends *backends, QuinceWorker *entry)
 {
   gint64 now = quince_now_us ();
-  QuinceWorker *known = quince_worker_table_find (backends->workers, entry->id);
+  const QuinceWorkerRef ref = { .id = entry->id, .incarnation = entry->incarnation };
+  const QuinceWorker *known = quince_worker_table_find_ref (backends->workers, &ref);
   if (known == NULL)
     quince_worker_assume_cold (entry, now + get_assumed_cold_us (backends, entry));
   gboolean was_cold = known != NULL && known->cold_remaining_us > 0;
--- a/tests/platform/test-warmth.c
+++ b/tests/platform/test-warmth.c
@@ -124,6 +124,26 @@
 
 /* ---- Who counts as cold ----------------------------------------------------- */
 
+/* Guards against a worker that started again under its id and counts as warm. */
+static void
+test_started_again (void **state)
+{
+  World world;
+  begin (&world, &giver);
+  list (&world, "a", "z1", QUINCE_COLD_UNKNOWN);
+  quince_backends_finish_first_listing (world.backends);
+  assert_false (is_cold (&world, "a"));
+  QuinceWorker *restarted = quince_worker_new ("a");
+  quince_worker_set_start_time (restarted, 1);
+  restarted->service = g_strdup ("svc");
+  restarted->address = g_strdup ("127.0.0.1:1");
+  restarted->zone = g_strdup ("z1");
+  restarted->cold_remaining_us = QUINCE_COLD_UNKNOWN;
+  quince_backends_update (world.backends, restarted);
+  assert_true (is_cold (&world, "a"));
+  end (&world);
+}
+
 static void
 test_told (void **state)
 {
@@ -344,6 +364,7 @@
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_told),
+    cmocka_unit_test (test_started_again),
     cmocka_unit_test (test_returned),
     cmocka_unit_test (test_giver),
     cmocka_unit_test (test_bounded_before_it_is_told),
