--- a/tests/platform/test-quarantine-soak.c
+++ b/tests/platform/test-quarantine-soak.c
@@ -235,11 +235,23 @@
   assert_true (after <= MAX (FURTHER_SENDS_MAX, 1 + took_us / 1000 / CRASH_OWED_PAUSE_MAX_MS));
 }
 
+/* What a worker that crashed keeps when it starts again. */
+typedef enum
+{
+  KEEPS_NOTHING,
+  KEEPS_ID,
+  KEEPS_ID_AND_START_TIME, /* its clock was set back */
+} KeptIdentity;
+
 static void
-test_soak (void **state)
+play (const char *name, KeptIdentity kept)
 {
   const char *seed = g_getenv ("SOAK_SEED");
-  Soak soak = { .world = crash_world_start ("soak", "poison") };
+  Soak soak = { .world = crash_world_start (name, "poison") };
+  soak.world->keeps_ids = kept != KEEPS_NOTHING;
+  for (guint i = 0; i < CRASH_N_WORKERS; i++)
+    standin_worker_set_clock_stands_still (crash_world_get_worker (soak.world, i),
+                                           kept == KEEPS_ID_AND_START_TIME);
   soak.random = g_rand_new_with_seed (seed != NULL ? (guint32)atoi (seed) : 1);
   soak.answers = g_ptr_array_new_with_free_func (answer_free);
   for (guint i = 0; i < TROUBLE_MS / STEP_MS; i++)
@@ -256,9 +268,33 @@
   crash_world_free (soak.world);
 }
 
+static void
+test_new_ids (void **state)
+{
+  play ("soak", KEEPS_NOTHING);
+}
+
+/* Guards against a worker that is taken for its former process: requests that end it are sent on, and those
+ * of others wait. */
+static void
+test_same_ids (void **state)
+{
+  play ("soak-same-ids", KEEPS_ID);
+}
+
+static void
+test_same_start_times (void **state)
+{
+  play ("soak-same-times", KEEPS_ID_AND_START_TIME);
+}
+
 int
 main (void)
 {
-  const struct CMUnitTest tests[] = { cmocka_unit_test (test_soak) };
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_new_ids),
+    cmocka_unit_test (test_same_ids),
+    cmocka_unit_test (test_same_start_times),
+  };
   return cmocka_run_group_tests_name ("quarantine-soak", tests, NULL, NULL);
 }
