forward, samples: a function with one file of callers is static, and one pause is computed in one place

Read over once more: quince_backends_is_evacuated() has had no caller outside its file since, and the pause after a broken run was computed by a made-up result of a run.

--- a/lib/core/decisions/sample-next.c
+++ b/lib/core/decisions/sample-next.c
@@ -39,12 +39,17 @@
   return run_again (FAILED_PAUSE_US, FALSE);
 }
 
+static gint64
+double_pause_us (guint doublings)
+{
+  return REFUSED_PAUSE_US << MIN (doublings, REFUSED_PAUSE_DOUBLINGS_MAX);
+}
+
 /* Returns the pause after a refused run. */
 static gint64
 get_refused_pause_us (const QuinceSampleRunResult *run)
 {
-  guint earlier_runs = MAX (run->runs_without_event, 1) - 1;
-  return REFUSED_PAUSE_US << MIN (earlier_runs, REFUSED_PAUSE_DOUBLINGS_MAX);
+  return double_pause_us (MAX (run->runs_without_event, 1) - 1);
 }
 
 /* Returns the pause after a run whose answer broke.  The first one may have met a faulty worker, so that
@@ -52,10 +57,7 @@
 static gint64
 get_broken_pause_us (const QuinceSampleRunResult *run)
 {
-  if (run->runs_without_event <= 1)
-    return 0;
-  const QuinceSampleRunResult later = { .runs_without_event = run->runs_without_event - 1 };
-  return get_refused_pause_us (&later);
+  return run->runs_without_event > 1 ? double_pause_us (run->runs_without_event - 2) : 0;
 }
 
 QuinceSampleNext
--- a/lib/forward/backends.h
+++ b/lib/forward/backends.h
@@ -136,11 +136,9 @@
                                              guint64 revision,
                                              gboolean evacuated);
 const QuinceZoneTable *quince_backends_get_zones (const QuinceBackends *backends);
-/* Returns whether @worker (nullable) is in an evacuated zone.  This process withdraws requests to such a
- * worker, so a lost request does not mean that the worker ended. */
-gboolean quince_backends_is_evacuated (const QuinceBackends *backends, const QuinceWorker *worker);
 /* Returns (nullable): the worker that is listed under the id of @ref, whose connection broke; it may have
- * started again since.  %NULL if it is not listed or its zone is evacuated */
+ * started again since.  %NULL if it is not listed, or its zone is evacuated: this process withdraws requests
+ * to such a worker, so that a lost one does not mean that it ended */
 const QuinceWorker *quince_backends_find_lost_worker (const QuinceBackends *backends,
                                                       const QuinceWorkerRef *ref);
 /* Returns whether requests may be sent to @worker: sends are not held, and its zone is not evacuated. */
--- a/lib/forward/evacuation.c
+++ b/lib/forward/evacuation.c
@@ -95,24 +95,25 @@
   return backends->zones;
 }
 
-gboolean
-quince_backends_may_send (const QuinceBackends *backends, const QuinceWorker *worker)
+/* @worker: (nullable) */
+static gboolean
+is_evacuated (const QuinceBackends *backends, const QuinceWorker *worker)
 {
-  return !backends->holds_sends && !quince_backends_is_evacuated (backends, worker);
+  return worker != NULL && quince_zone_table_get_n_evacuated (backends->zones) > 0
+         && quince_zone_table_is_evacuated (backends->zones, worker->zone);
 }
 
 gboolean
-quince_backends_is_evacuated (const QuinceBackends *backends, const QuinceWorker *worker)
+quince_backends_may_send (const QuinceBackends *backends, const QuinceWorker *worker)
 {
-  return worker != NULL && quince_zone_table_get_n_evacuated (backends->zones) > 0
-         && quince_zone_table_is_evacuated (backends->zones, worker->zone);
+  return !backends->holds_sends && !is_evacuated (backends, worker);
 }
 
 const QuinceWorker *
 quince_backends_find_lost_worker (const QuinceBackends *backends, const QuinceWorkerRef *ref)
 {
   const QuinceWorker *worker = quince_worker_table_find (backends->workers, ref->id);
-  return quince_backends_is_evacuated (backends, worker) ? NULL : worker;
+  return is_evacuated (backends, worker) ? NULL : worker;
 }
 
 void
